--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of `ridgeworks`.
+
+fn main() {}
--- /dev/null
+++ b/crates/configuration/src/lib.rs
@@ -0,0 +1,1 @@
+//! Configuration revisions, acceptance, leases and relays, without I/O.
--- /dev/null
+++ b/crates/domain/src/lib.rs
@@ -0,0 +1,24 @@
+//! Identifiers, units, errors and configuration objects that every role shares.
+//!
+//! Nothing in this crate performs I/O or reads a clock. Types that travel between nodes derive
+//! `rkyv`; types that appear in settings, HTTP bodies or the platform's store derive `serde`.
+
+pub mod ballot;
+pub mod call;
+pub mod identifiers;
+pub mod objects;
+pub mod refusal;
+pub mod run_id;
+pub mod time;
+pub mod units;
+
+pub use ballot::Ballot;
+pub use call::{CallEnd, CallRequest, ServiceKind};
+pub use identifiers::{
+    BackendName, CallKey, ClassName, IdentifierError, NodeId, PartnerName, ProgramName, Sequence,
+    ServiceName, ZoneName,
+};
+pub use refusal::{InvalidRequest, Refusal, RefusalReason};
+pub use run_id::RunId;
+pub use time::MonotonicTime;
+pub use units::Cost;
--- /dev/null
+++ b/crates/link/src/lib.rs
@@ -0,0 +1,1 @@
+//! Framed TCP links between nodes with bounded queues and reconnection.
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Failure detection, member table and rendezvous hashing, without I/O.
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! The node daemon ridgeworksd: actors, HTTP edges, links and disk.
--- /dev/null
+++ b/crates/node/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of `ridgeworksd`.
+
+fn main() {}
--- /dev/null
+++ b/crates/run-log/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replicated log of each run, without I/O: ballots, acceptors, proposers, recovery, budget.
--- /dev/null
+++ b/crates/scheduling/src/lib.rs
@@ -0,0 +1,1 @@
+//! Queue order, partner shares, placement and cache retention, without I/O.
--- /dev/null
+++ b/crates/storage/src/lib.rs
@@ -0,0 +1,1 @@
+//! Durable storage of a replica: group commit of log entries and configuration revisions.
--- /dev/null
+++ b/crates/testbed/src/lib.rs
@@ -0,0 +1,1 @@
+//! Cluster launcher, load, demo, chaos and experiments.
--- /dev/null
+++ b/crates/testbed/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of `ridgeworks-testbed`.
+
+fn main() {}
