Add links between nodes and the settings of a node

Cause: the whole path needs separate processes that talk to each other. Links run in the actor thread on stakker_mio: one connection a direction, so that a one-way cut of a network is one connection; weighed against a thread per peer, which is 820 threads at 410 nodes. Frames are a length and an rkyv body. Not yet measured; nothing uses them so far.

--- /dev/null
+++ b/crates/link/src/inbound.rs
@@ -0,0 +1,99 @@
+//! A connection that another node dialled: reads frames from it.
+
+use std::sync::Arc;
+
+use ridgeworks_domain::NodeId;
+use stakker::{CX, Fwd, fail, fwd_to, stop};
+use stakker_mio::mio::Interest;
+use stakker_mio::mio::net::TcpStream;
+use stakker_mio::{MioPoll, ReadStatus, Ready, TcpStreamBuf};
+
+use crate::counters::LinkCounters;
+use crate::frame::{FrameError, HEADER_BYTES, Hello, body_length};
+use crate::links::Delivery;
+
+const POLL_PRIORITY: u32 = 10;
+const READ_BYTES: usize = 64 * 1024;
+
+/// Actor of one accepted connection.
+pub(crate) struct Inbound {
+    stream: TcpStreamBuf,
+    dialler: Option<NodeId>,
+    deliver: Fwd<Delivery>,
+    counters: Arc<LinkCounters>,
+}
+
+impl Inbound {
+    pub(crate) fn init(
+        cx: CX![],
+        stream: TcpStream,
+        deliver: Fwd<Delivery>,
+        counters: Arc<LinkCounters>,
+    ) -> Option<Self> {
+        let poll = cx.anymap_get::<MioPoll>();
+        let on_ready = fwd_to!([cx], on_ready() as (Ready));
+        let source = match poll.add(stream, Interest::READABLE, POLL_PRIORITY, on_ready) {
+            Ok(source) => source,
+            Err(error) => {
+                fail!(cx, error);
+                return None;
+            }
+        };
+        let mut stream = TcpStreamBuf::new();
+        stream.init(source);
+        Some(Self {
+            stream,
+            dialler: None,
+            deliver,
+            counters,
+        })
+    }
+
+    fn on_ready(&mut self, cx: CX![], _ready: Ready) {
+        loop {
+            match self.stream.read(READ_BYTES) {
+                ReadStatus::NewData => {
+                    if let Err(error) = self.take_frames() {
+                        fail!(cx, error);
+                        return;
+                    }
+                }
+                ReadStatus::WouldBlock => return,
+                ReadStatus::EndOfStream => {
+                    stop!(cx);
+                    return;
+                }
+                ReadStatus::Error(error) => {
+                    fail!(cx, error);
+                    return;
+                }
+            }
+        }
+    }
+
+    fn take_frames(&mut self) -> Result<(), FrameError> {
+        loop {
+            let available = &self.stream.inp[self.stream.rd..self.stream.wr];
+            let Some(length) = body_length(available)? else {
+                return Ok(());
+            };
+            let frame_end = HEADER_BYTES + length;
+            if available.len() < frame_end {
+                return Ok(());
+            }
+            let body = available[HEADER_BYTES..frame_end].to_vec();
+            self.stream.rd += frame_end;
+            self.take_frame(body)?;
+        }
+    }
+
+    fn take_frame(&mut self, body: Vec<u8>) -> Result<(), FrameError> {
+        LinkCounters::add(&self.counters.received_messages, 1);
+        LinkCounters::add(&self.counters.received_bytes, HEADER_BYTES + body.len());
+        match self.dialler {
+            None => self.dialler = Some(Hello::decode(&body)?.node),
+            Some(from) => self.deliver.fwd(Delivery { from, body }),
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/node/src/settings/mod.rs
@@ -0,0 +1,66 @@
+//! Settings of a node: one TOML file, each key overridable by a flag.
+
+mod check;
+mod file;
+mod flags;
+
+pub use check::{Fault, FaultReason, check};
+pub use file::{DialOverrideSettings, Settings};
+pub use flags::Flags;
+
+use std::path::{Path, PathBuf};
+
+/// Why settings could not be loaded.
+#[derive(Debug)]
+pub enum SettingsError {
+    /// The file could not be read.
+    Read {
+        /// Its path.
+        path: PathBuf,
+        /// What the system answered.
+        source: std::io::Error,
+    },
+    /// The file is no valid TOML, or holds an unknown key or a value of the wrong type.
+    Parse(toml::de::Error),
+    /// Values are not allowed; all faults are listed.
+    Faults(Vec<Fault>),
+}
+
+impl std::fmt::Display for SettingsError {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Read { path, source } => {
+                write!(formatter, "cannot read {}: {source}", path.display())
+            }
+            Self::Parse(error) => write!(formatter, "{error}"),
+            Self::Faults(faults) => {
+                let lines: Vec<String> = faults.iter().map(Fault::to_string).collect();
+                write!(formatter, "{}", lines.join("\n"))
+            }
+        }
+    }
+}
+
+impl std::error::Error for SettingsError {}
+
+/// Reads the file, if one is named, applies the flags and checks the result.
+pub fn load(path: Option<&Path>, flags: &Flags) -> Result<Settings, SettingsError> {
+    let mut settings = match path {
+        Some(path) => read(path)?,
+        None => Settings::default(),
+    };
+    flags.apply_to(&mut settings);
+    let faults = check(&settings);
+    if faults.is_empty() {
+        return Ok(settings);
+    }
+    Err(SettingsError::Faults(faults))
+}
+
+fn read(path: &Path) -> Result<Settings, SettingsError> {
+    let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Read {
+        path: path.to_owned(),
+        source,
+    })?;
+    toml::from_str(&text).map_err(SettingsError::Parse)
+}
