--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: test format lint build
+.PHONY: test format lint build generate
 
 test: format lint
 	cargo test --workspace --locked
@@ -11,3 +11,7 @@
 
 build:
 	cargo build --release --workspace --locked
+
+# Writes the committed code of the published schema anew.
+generate:
+	cargo run --manifest-path tools/generate-api/Cargo.toml --locked
