--- /dev/null
+++ b/crates/configuration/src/change.rs
@@ -0,0 +1,179 @@
+//! Changes that operators ask for, and what becomes of a configuration under them.
+
+use ridgeworks_domain::PartnerName;
+use ridgeworks_domain::objects::Share;
+
+use crate::object::{ConfigurationObject, ObjectKey, ObjectKind};
+use crate::ownership::{check_owner, check_same_owner};
+use crate::pool_split::{consent, propose};
+use crate::revision::{ObjectVersion, OperationId};
+use crate::set::ConfigurationSet;
+use crate::validation::{InvalidObject, check_unreferenced, validate};
+
+/// On whose behalf a change is asked for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Principal {
+    /// An operator of this partner, already authenticated.
+    Partner(PartnerName),
+    /// The deployment itself, which may only create partners and the first pool split.
+    Bootstrap,
+}
+
+/// One change. `expected` is the version the operator saw, [`ObjectVersion::ABSENT`] to create.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Change {
+    /// Creates or replaces an object.
+    Put {
+        /// The object as it shall be.
+        object: ConfigurationObject,
+        /// The version it stands at.
+        expected: ObjectVersion,
+    },
+    /// Deletes an object.
+    Delete {
+        /// Key of the object.
+        key: ObjectKey,
+        /// The version it stands at.
+        expected: ObjectVersion,
+    },
+    /// Opens a proposal for the pool split, in place of one that may be open.
+    Propose {
+        /// The proposed shares.
+        shares: Vec<Share>,
+        /// Version of the pool split, [`ObjectVersion::ABSENT`] while there is none.
+        expected: ObjectVersion,
+    },
+    /// Consents to the proposal that stands at this version of the pool split.
+    Consent {
+        /// Version of the pool split.
+        expected: ObjectVersion,
+    },
+}
+
+impl Change {
+    /// The object that the change touches.
+    pub fn key(&self) -> ObjectKey {
+        match self {
+            Self::Put { object, .. } => object.key(),
+            Self::Delete { key, .. } => key.clone(),
+            Self::Propose { .. } | Self::Consent { .. } => ObjectKey::pool_split(),
+        }
+    }
+
+    /// The version that the operator saw.
+    pub fn expected(&self) -> ObjectVersion {
+        match self {
+            Self::Put { expected, .. }
+            | Self::Delete { expected, .. }
+            | Self::Propose { expected, .. }
+            | Self::Consent { expected } => *expected,
+        }
+    }
+}
+
+/// A change with its operation id and principal.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ChangeRequest {
+    /// The operator's name of the change, never used for another one.
+    pub operation: OperationId,
+    /// On whose behalf.
+    pub principal: Principal,
+    /// What to change.
+    pub change: Change,
+}
+
+/// Why a change was rejected. A rejected change has no effect and will have none.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ChangeError {
+    /// The object does not stand at the expected version.
+    Conflict {
+        /// The version it stands at.
+        current: ObjectVersion,
+    },
+    /// The object belongs to another partner, or changes only by proposal and consent.
+    Forbidden {
+        /// Key of the object.
+        key: ObjectKey,
+    },
+    /// A field holds a value that is not allowed.
+    Invalid(InvalidObject),
+    /// Another object refers to the one to be deleted.
+    Referenced {
+        /// Key of the object.
+        key: ObjectKey,
+        /// Key of an object that refers to it.
+        by: ObjectKey,
+    },
+    /// No proposal for the pool split is open.
+    NoProposal,
+}
+
+/// Applies one change: the configuration at the next revision, or why it is rejected.
+pub fn apply_change(
+    set: &ConfigurationSet,
+    request: &ChangeRequest,
+) -> Result<ConfigurationSet, ChangeError> {
+    check_version(set, &request.change)?;
+    match &request.change {
+        Change::Put { object, .. } => put(set, request, object),
+        Change::Delete { key, .. } => delete(set, request, key),
+        Change::Propose { shares, .. } => {
+            let split = propose(set, &request.principal, shares)?;
+            put_split(set, request.operation, split)
+        }
+        Change::Consent { .. } => {
+            let split = consent(set, &request.principal)?;
+            put_split(set, request.operation, split)
+        }
+    }
+}
+
+fn check_version(set: &ConfigurationSet, change: &Change) -> Result<(), ChangeError> {
+    let current = set.version(&change.key());
+    if current == change.expected() {
+        return Ok(());
+    }
+    Err(ChangeError::Conflict { current })
+}
+
+fn put(
+    set: &ConfigurationSet,
+    request: &ChangeRequest,
+    object: &ConfigurationObject,
+) -> Result<ConfigurationSet, ChangeError> {
+    let current = set.object(&object.key());
+    validate(set, object).map_err(ChangeError::Invalid)?;
+    if let Some(current) = current {
+        check_owner(set, &request.principal, current, true)?;
+        check_same_owner(set, current, object)?;
+    }
+    check_owner(set, &request.principal, object, current.is_some())?;
+    Ok(set.with_object(request.operation, object.clone()))
+}
+
+fn delete(
+    set: &ConfigurationSet,
+    request: &ChangeRequest,
+    key: &ObjectKey,
+) -> Result<ConfigurationSet, ChangeError> {
+    let Some(current) = set.object(key) else {
+        let current = ObjectVersion::ABSENT;
+        return Err(ChangeError::Conflict { current });
+    };
+    check_owner(set, &request.principal, current, true)?;
+    if key.kind == ObjectKind::PoolSplit {
+        return Err(ChangeError::Forbidden { key: key.clone() });
+    }
+    check_unreferenced(set, key)?;
+    Ok(set.without_object(request.operation, key))
+}
+
+fn put_split(
+    set: &ConfigurationSet,
+    operation: OperationId,
+    split: ridgeworks_domain::objects::PoolSplit,
+) -> Result<ConfigurationSet, ChangeError> {
+    let object = ConfigurationObject::PoolSplit(split);
+    validate(set, &object).map_err(ChangeError::Invalid)?;
+    Ok(set.with_object(operation, object))
+}
--- /dev/null
+++ b/crates/configuration/src/revision.rs
@@ -0,0 +1,67 @@
+//! Numbers that order and identify changes.
+
+use std::fmt;
+
+use rkyv::{Archive, Deserialize, Serialize};
+
+macro_rules! number {
+    ($(#[$documentation:meta])* $name:ident($type:ty)) => {
+        $(#[$documentation])*
+        #[derive(
+            Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default,
+            Archive, Serialize, Deserialize, serde::Serialize, serde::Deserialize,
+        )]
+        #[rkyv(derive(Debug, PartialEq, Eq, PartialOrd, Ord, Hash))]
+        #[serde(transparent)]
+        pub struct $name(pub $type);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(formatter, "{}", self.0)
+            }
+        }
+    };
+}
+
+number!(
+    /// Number of an accepted change; every change raises it by one, zero is the empty configuration.
+    Revision(u64)
+);
+number!(
+    /// The revision in which an object was last changed; zero means that the object does not exist.
+    ObjectVersion(u64)
+);
+number!(
+    /// Version that the platform's store gave a document; zero means that there is none. It serves
+    /// for compare-and-swap only.
+    PlatformVersion(u64)
+);
+number!(
+    /// The operator's name of one change; a repeated request carries the same one.
+    OperationId(u128)
+);
+number!(
+    /// Number by which a sender recognises the answer to one of its requests.
+    RequestId(u64)
+);
+
+impl Revision {
+    /// The empty configuration.
+    pub const ZERO: Self = Self(0);
+
+    /// The revision after this one.
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+impl ObjectVersion {
+    /// The version of an object that does not exist.
+    pub const ABSENT: Self = Self(0);
+}
+
+impl From<Revision> for ObjectVersion {
+    fn from(revision: Revision) -> Self {
+        Self(revision.0)
+    }
+}
--- /dev/null
+++ b/crates/configuration/src/set.rs
@@ -0,0 +1,243 @@
+//! The whole configuration at one revision.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+
+use ridgeworks_domain::objects::{Backend, Partner, PoolSplit, PriorityClass, Program, Service};
+use ridgeworks_domain::{BackendName, ClassName, PartnerName, ProgramName, ServiceName};
+
+use crate::object::{ConfigurationObject, ObjectKey, ObjectKind, VersionedObject};
+use crate::revision::{ObjectVersion, OperationId, Revision};
+use crate::update::{OperationRecord, REMEMBERED_OPERATIONS, Update};
+
+/// Why an update does not lead on from a configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UpdateMismatch {
+    /// The difference starts from another revision; holds that revision.
+    OtherBase(Revision),
+    /// The update does not lead to a newer revision.
+    NotNewer,
+}
+
+/// All objects with their versions at one revision. Cloning shares the objects; hold it in an
+/// [`Arc`] to share the whole.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ConfigurationSet {
+    revision: Revision,
+    objects: BTreeMap<ObjectKey, Arc<VersionedObject>>,
+    operations: VecDeque<OperationRecord>,
+}
+
+macro_rules! look_up {
+    ($(#[$documentation:meta])* $function:ident, $kind:ident, $name:ty) => {
+        $(#[$documentation])*
+        pub fn $function(&self, name: &$name) -> Option<&$kind> {
+            match self.object(&ObjectKey::new(ObjectKind::$kind, name.as_str())) {
+                Some(ConfigurationObject::$kind(found)) => Some(found),
+                _ => None,
+            }
+        }
+    };
+}
+
+impl ConfigurationSet {
+    /// The revision of this configuration.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// The object of this key with its version.
+    pub fn get(&self, key: &ObjectKey) -> Option<&VersionedObject> {
+        self.objects.get(key).map(Arc::as_ref)
+    }
+
+    /// The object of this key.
+    pub fn object(&self, key: &ObjectKey) -> Option<&ConfigurationObject> {
+        self.get(key).map(|versioned| &versioned.object)
+    }
+
+    /// Version of the object, [`ObjectVersion::ABSENT`] where there is none.
+    pub fn version(&self, key: &ObjectKey) -> ObjectVersion {
+        self.get(key)
+            .map_or(ObjectVersion::ABSENT, |versioned| versioned.version)
+    }
+
+    /// All objects in order of their keys.
+    pub fn objects(&self) -> impl Iterator<Item = &VersionedObject> {
+        self.objects.values().map(Arc::as_ref)
+    }
+
+    look_up!(
+        /// The partner of this name.
+        partner, Partner, PartnerName
+    );
+    look_up!(
+        /// The priority class of this name.
+        class, PriorityClass, ClassName
+    );
+    look_up!(
+        /// The service of this name.
+        service, Service, ServiceName
+    );
+    look_up!(
+        /// The program of this name.
+        program, Program, ProgramName
+    );
+    look_up!(
+        /// The back end of this name.
+        backend, Backend, BackendName
+    );
+
+    /// All partners, among them the one whose token hash a request must match.
+    pub fn partners(&self) -> impl Iterator<Item = &Partner> {
+        self.objects()
+            .filter_map(|versioned| match &versioned.object {
+                ConfigurationObject::Partner(partner) => Some(partner),
+                _ => None,
+            })
+    }
+
+    /// All back ends in order of their names.
+    pub fn backends(&self) -> impl Iterator<Item = &Backend> {
+        self.objects()
+            .filter_map(|versioned| match &versioned.object {
+                ConfigurationObject::Backend(backend) => Some(backend),
+                _ => None,
+            })
+    }
+
+    /// The split of the shared pool.
+    pub fn pool_split(&self) -> Option<&PoolSplit> {
+        match self.object(&ObjectKey::pool_split()) {
+            Some(ConfigurationObject::PoolSplit(split)) => Some(split),
+            _ => None,
+        }
+    }
+
+    /// The record of an operation, while it is remembered.
+    pub fn operation(&self, operation: OperationId) -> Option<&OperationRecord> {
+        let mut records = self.operations.iter();
+        records.find(|record| record.operation == operation)
+    }
+
+    /// Whether every operation after revision `since` is still remembered.
+    pub fn remembers_since(&self, since: Revision) -> bool {
+        self.revision.0.saturating_sub(since.0) <= self.operations.len() as u64
+    }
+
+    /// This configuration with one object written as the next revision.
+    pub(crate) fn with_object(&self, operation: OperationId, object: ConfigurationObject) -> Self {
+        let mut next = self.clone();
+        next.advance(operation, object.key());
+        let version = next.revision.into();
+        let versioned = VersionedObject { version, object };
+        next.insert(versioned);
+        next
+    }
+
+    /// This configuration with one object deleted as the next revision.
+    pub(crate) fn without_object(&self, operation: OperationId, key: &ObjectKey) -> Self {
+        let mut next = self.clone();
+        next.advance(operation, key.clone());
+        next.objects.remove(key);
+        next
+    }
+
+    /// The whole configuration.
+    pub fn whole(&self) -> Update {
+        Update {
+            base: None,
+            revision: self.revision,
+            objects: self.objects().cloned().collect(),
+            removed: Vec::new(),
+            operations: self.operations.iter().cloned().collect(),
+        }
+    }
+
+    /// What a holder of revision `known` needs to reach this one: a difference where the operations
+    /// since then are remembered, the whole otherwise, `None` where it knows no less.
+    pub fn update_since(&self, known: Revision) -> Option<Update> {
+        if known >= self.revision {
+            return None;
+        }
+        if known == Revision::ZERO || !self.remembers_since(known) {
+            return Some(self.whole());
+        }
+        let newer = |record: &&OperationRecord| record.revision > known;
+        let operations: Vec<OperationRecord> =
+            self.operations.iter().filter(newer).cloned().collect();
+        let touched: BTreeSet<&ObjectKey> = operations.iter().map(|record| &record.key).collect();
+        let mut objects = Vec::new();
+        let mut removed = Vec::new();
+        for key in touched {
+            match self.get(key) {
+                Some(versioned) => objects.push(versioned.clone()),
+                None => removed.push(key.clone()),
+            }
+        }
+        Some(Update {
+            base: Some(known),
+            revision: self.revision,
+            objects,
+            removed,
+            operations,
+        })
+    }
+
+    /// The configuration that `update` leads to.
+    pub fn apply(&self, update: &Update) -> Result<Self, UpdateMismatch> {
+        if update.revision <= self.revision {
+            return Err(UpdateMismatch::NotNewer);
+        }
+        match update.base {
+            None => Ok(Self::from_whole(update)),
+            Some(base) if base != self.revision => Err(UpdateMismatch::OtherBase(base)),
+            Some(_) => Ok(self.apply_difference(update)),
+        }
+    }
+
+    /// The configuration that a whole update holds.
+    pub fn from_whole(update: &Update) -> Self {
+        let mut set = Self::default();
+        for versioned in &update.objects {
+            set.insert(versioned.clone());
+        }
+        set.operations = update.operations.iter().cloned().collect();
+        set.revision = update.revision;
+        set
+    }
+
+    fn apply_difference(&self, update: &Update) -> Self {
+        let mut next = self.clone();
+        for key in &update.removed {
+            next.objects.remove(key);
+        }
+        for versioned in &update.objects {
+            next.insert(versioned.clone());
+        }
+        next.operations.extend(update.operations.iter().cloned());
+        next.forget_operations();
+        next.revision = update.revision;
+        next
+    }
+
+    fn insert(&mut self, versioned: VersionedObject) {
+        let key = versioned.object.key();
+        self.objects.insert(key, Arc::new(versioned));
+    }
+
+    fn advance(&mut self, operation: OperationId, key: ObjectKey) {
+        self.revision = self.revision.next();
+        self.operations.push_back(OperationRecord {
+            operation,
+            revision: self.revision,
+            key,
+        });
+        self.forget_operations();
+    }
+
+    fn forget_operations(&mut self) {
+        let surplus = self.operations.len().saturating_sub(REMEMBERED_OPERATIONS);
+        self.operations.drain(..surplus);
+    }
+}
