--- /dev/null
+++ b/crates/node/src/inbound/open_request.rs
@@ -0,0 +1,41 @@
+//! One request that a gateway has open.
+
+use std::time::Instant;
+
+use ridgeworks_domain::NodeId;
+
+use crate::message::OwnerCommand;
+use crate::thread_message::AnswerSender;
+
+/// A request between its arrival and its last answer.
+pub struct OpenRequest {
+    /// What is asked of the owner.
+    pub command: OwnerCommand,
+    /// Where answers go.
+    pub answers: AnswerSender,
+    /// When the caller stops waiting.
+    pub deadline: Instant,
+    /// The node asked last.
+    pub asked: Option<NodeId>,
+    /// When the owner is asked again, unless it answers before.
+    pub ask_again_at: Instant,
+    /// Bytes of answer text that were passed on.
+    pub passed_on: u64,
+}
+
+impl OpenRequest {
+    /// Keeps what of a chunk is new, and notes it. `None` where the chunk leaves a gap or brings
+    /// nothing new: the whole answer at the end fills it in.
+    pub fn new_part(&mut self, offset: u64, mut text: Vec<u8>) -> Option<Vec<u8>> {
+        if offset > self.passed_on {
+            return None;
+        }
+        let known = usize::try_from(self.passed_on - offset).ok()?;
+        if known >= text.len() {
+            return None;
+        }
+        text.drain(..known);
+        self.passed_on += text.len() as u64;
+        Some(text)
+    }
+}
--- /dev/null
+++ b/crates/node/src/outbound/chat.rs
@@ -0,0 +1,103 @@
+//! Chat completions of model engines, always streamed, so that an answer can be passed on while it
+//! is generated.
+
+use std::io::{BufRead, BufReader};
+use std::time::Duration;
+
+use ridgeworks_domain::Cost;
+use serde::Deserialize;
+use ureq::Agent;
+
+use super::attempt::{AttemptId, AttemptResult, Dispatched};
+use super::tool::{attempt_headers, never_started};
+
+const DATA_PREFIX: &str = "data:";
+const LAST_DATA: &str = "[DONE]";
+
+#[derive(Deserialize)]
+struct Chunk {
+    #[serde(default)]
+    choices: Vec<Choice>,
+    usage: Option<Usage>,
+}
+
+#[derive(Deserialize)]
+struct Choice {
+    #[serde(default)]
+    delta: Delta,
+}
+
+#[derive(Default, Deserialize)]
+struct Delta {
+    content: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct Usage {
+    #[serde(default)]
+    prompt_tokens: u64,
+    #[serde(default)]
+    completion_tokens: u64,
+}
+
+/// Sends a completion request and reports its text as it comes.
+pub fn complete(
+    agent: &Agent,
+    id: &AttemptId,
+    to: &Dispatched,
+    body: &[u8],
+    timeout: Duration,
+    report: &mut dyn FnMut(String),
+) -> AttemptResult {
+    let url = format!("http://{}/v1/chat/completions", to.address);
+    let request = attempt_headers(agent.post(&url), id)
+        .header("content-type", "application/json")
+        .config()
+        .timeout_global(Some(timeout))
+        .build();
+    let response = match request.send(body) {
+        Ok(response) if response.status().is_success() => response,
+        Ok(response) => return never_started(response.status().as_u16()),
+        Err(ureq::Error::ConnectionFailed) => return AttemptResult::NeverStarted,
+        Err(ureq::Error::Io(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
+            return AttemptResult::NeverStarted;
+        }
+        Err(_) => return AttemptResult::InDoubt,
+    };
+    let reader = BufReader::new(response.into_body().into_reader());
+    read_events(reader, report)
+}
+
+fn read_events(reader: impl BufRead, report: &mut dyn FnMut(String)) -> AttemptResult {
+    let mut answer = String::new();
+    let mut spent = None;
+    for line in reader.lines() {
+        let Ok(line) = line else {
+            return AttemptResult::InDoubt;
+        };
+        let Some(data) = line.strip_prefix(DATA_PREFIX).map(str::trim) else {
+            continue;
+        };
+        if data == LAST_DATA {
+            return match spent {
+                Some(spent) => AttemptResult::Answered {
+                    answer: answer.into_bytes(),
+                    spent,
+                },
+                None => AttemptResult::InDoubt,
+            };
+        }
+        let Ok(chunk) = serde_json::from_str::<Chunk>(data) else {
+            return AttemptResult::InDoubt;
+        };
+        if let Some(usage) = chunk.usage {
+            spent = Some(Cost(usage.prompt_tokens + usage.completion_tokens));
+        }
+        let choice = chunk.choices.into_iter().next();
+        if let Some(text) = choice.and_then(|choice| choice.delta.content) {
+            answer.push_str(&text);
+            report(text);
+        }
+    }
+    AttemptResult::InDoubt
+}
--- /dev/null
+++ b/crates/node/src/outbound/client.rs
@@ -0,0 +1,124 @@
+//! Starts the threads that call back ends.
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+
+use ridgeworks_domain::RunId;
+use ureq::Agent;
+
+use super::attempt::{AttemptEvent, AttemptFate, AttemptId, AttemptOrder, AttemptResult};
+use super::{BackendCall, chat, fence, tool};
+use crate::mailbox::Mailbox;
+use crate::thread_message::ThreadMessage;
+
+const THREAD_STACK_BYTES: usize = 256 * 1024;
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const FENCE_TIMEOUT: Duration = Duration::from_secs(2);
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(2);
+const MAX_IDLE_CONNECTIONS: usize = 512;
+const MAX_IDLE_CONNECTIONS_PER_HOST: usize = 64;
+const MAX_IDLE_AGE: Duration = Duration::from_secs(10);
+
+/// Calls back ends over pooled connections.
+pub struct BackendClient {
+    agent: Agent,
+    mailbox: Mailbox<ThreadMessage>,
+}
+
+impl BackendClient {
+    /// A client that reports to `mailbox`.
+    pub fn new(mailbox: Mailbox<ThreadMessage>) -> Self {
+        let agent = Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_connect(Some(CONNECT_TIMEOUT))
+            .max_idle_connections(MAX_IDLE_CONNECTIONS)
+            .max_idle_connections_per_host(MAX_IDLE_CONNECTIONS_PER_HOST)
+            .max_idle_age(MAX_IDLE_AGE)
+            .build()
+            .new_agent();
+        Self { agent, mailbox }
+    }
+
+    /// Makes one attempt. Its end is reported in every case.
+    pub fn start(&self, order: AttemptOrder) {
+        let agent = self.agent.clone();
+        let mailbox = self.mailbox.clone();
+        let id = order.id.clone();
+        let started = spawn(move || {
+            let id = order.id.clone();
+            let result = run_attempt(&agent, &mailbox, order);
+            mailbox.post(ThreadMessage::Attempt(AttemptEvent::Ended { id, result }));
+        });
+        if !started {
+            let result = AttemptResult::NeverStarted;
+            let event = AttemptEvent::Ended { id, result };
+            self.mailbox.post(ThreadMessage::Attempt(event));
+        }
+    }
+
+    /// Tells the back end to run an attempt no more, and asks how it stands.
+    pub fn fence(&self, id: AttemptId, address: SocketAddr) {
+        let agent = self.agent.clone();
+        let mailbox = self.mailbox.clone();
+        let fenced = id.clone();
+        let started = spawn(move || {
+            let fate = fence::fence(&agent, &fenced, address, FENCE_TIMEOUT);
+            mailbox.post(ThreadMessage::Attempt(AttemptEvent::Fenced { id: fenced, fate }));
+        });
+        if !started {
+            let fate = AttemptFate::Unreachable;
+            let event = AttemptEvent::Fenced { id, fate };
+            self.mailbox.post(ThreadMessage::Attempt(event));
+        }
+    }
+
+    /// Tells an engine to drop the context of a run. Its failure is left to the sweep.
+    pub fn release_context(&self, run: RunId, address: SocketAddr) {
+        let agent = self.agent.clone();
+        spawn(move || {
+            let url = format!("http://{address}/contexts/{run}");
+            let _ = agent
+                .delete(&url)
+                .config()
+                .timeout_global(Some(RELEASE_TIMEOUT))
+                .build()
+                .call();
+        });
+    }
+}
+
+fn spawn(work: impl FnOnce() + Send + 'static) -> bool {
+    thread::Builder::new()
+        .name("back-end-call".to_owned())
+        .stack_size(THREAD_STACK_BYTES)
+        .spawn(work)
+        .is_ok()
+}
+
+fn run_attempt(
+    agent: &Agent,
+    mailbox: &Mailbox<ThreadMessage>,
+    order: AttemptOrder,
+) -> AttemptResult {
+    let AttemptOrder {
+        id,
+        to,
+        call,
+        timeout,
+    } = order;
+    match call {
+        BackendCall::Chat(body) => {
+            let mut report = |text: String| {
+                let id = id.clone();
+                mailbox.post(ThreadMessage::Attempt(AttemptEvent::Text { id, text }));
+            };
+            chat::complete(agent, &id, &to, &body, timeout, &mut report)
+        }
+        BackendCall::Tool {
+            service,
+            arguments,
+            price,
+        } => tool::invoke(agent, &id, &to, &service, &arguments, price, timeout),
+    }
+}
