Add the HTTP edge of a node over tiny_http

Bounded handler threads, bodies under limits, streamed answers flushed chunk by chunk, planned stop.

--- /dev/null
+++ b/crates/http-edge/src/body.rs
@@ -0,0 +1,82 @@
+//! Reading a request's body under a limit of size and of time.
+
+use std::io::ErrorKind;
+use std::time::Instant;
+
+use tiny_http::Request;
+
+use crate::error::RequestFault;
+use crate::settings::EdgeSettings;
+
+const READ_BUFFER_BYTES: usize = 16 * 1024;
+
+/// When `tiny_http` drops a request it allocates the unread rest of the announced length and reads
+/// it. A longer rest than this is never dropped: the allocation could end the process.
+pub(crate) const MAX_DISCARDED_BODY_BYTES: usize = 64 * 1024 * 1024;
+
+/// Reads the whole body.
+pub(crate) fn read_body(
+    request: &mut Request,
+    settings: &EdgeSettings,
+) -> Result<Vec<u8>, RequestFault> {
+    check_length_headers(request)?;
+    let announced = request.body_length();
+    if announced.is_some_and(|length| length > settings.max_body_bytes) {
+        return Err(RequestFault::BodyTooLong);
+    }
+    let body = read_until_end(request, settings)?;
+    match announced {
+        Some(length) if length != body.len() => Err(RequestFault::BodyCutOff),
+        _ => Ok(body),
+    }
+}
+
+/// `tiny_http` takes a length that it cannot parse for "no body", which would make the body the next
+/// request.
+fn check_length_headers(request: &Request) -> Result<(), RequestFault> {
+    let values = |name: &'static str| {
+        let headers = request.headers().iter();
+        headers.filter(move |header| header.field.equiv(name))
+    };
+    let mut lengths = values("Content-Length").map(|header| header.value.as_str());
+    let Some(first) = lengths.next() else {
+        return Ok(());
+    };
+    let digits = !first.is_empty() && first.bytes().all(|byte| byte.is_ascii_digit());
+    let representable = first.parse::<usize>().is_ok();
+    let alone = lengths.next().is_none() && values("Transfer-Encoding").next().is_none();
+    if digits && representable && alone {
+        Ok(())
+    } else {
+        Err(RequestFault::MalformedLength)
+    }
+}
+
+fn read_until_end(request: &mut Request, settings: &EdgeSettings) -> Result<Vec<u8>, RequestFault> {
+    let deadline = Instant::now() + settings.body_deadline;
+    let mut body = Vec::new();
+    let mut buffer = [0; READ_BUFFER_BYTES];
+    let reader = request.as_reader();
+    loop {
+        let length = match reader.read(&mut buffer) {
+            Ok(0) => return Ok(body),
+            Ok(length) => length,
+            Err(error) if error.kind() == ErrorKind::Interrupted => continue,
+            Err(error) => return Err(fault_of(error.kind())),
+        };
+        if body.len() + length > settings.max_body_bytes {
+            return Err(RequestFault::BodyTooLong);
+        }
+        body.extend_from_slice(&buffer[..length]);
+        if Instant::now() >= deadline {
+            return Err(RequestFault::BodyTimedOut);
+        }
+    }
+}
+
+fn fault_of(kind: ErrorKind) -> RequestFault {
+    match kind {
+        ErrorKind::WouldBlock | ErrorKind::TimedOut => RequestFault::BodyTimedOut,
+        _ => RequestFault::BodyCutOff,
+    }
+}
--- /dev/null
+++ b/crates/http-edge/src/responder.rs
@@ -0,0 +1,132 @@
+//! The answer to one request.
+
+use std::io::Write;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use tiny_http::Request;
+
+use crate::counters::{EdgeCounters, increment};
+use crate::error::ResponseError;
+use crate::head::{BodyFraming, ConnectionUse, RequestTraits, head_text};
+use crate::request::Header;
+use crate::stream::StreamWriter;
+
+const INTERNAL_ERROR_STATUS: u16 = 500;
+const UNANSWERED_BODY: &[u8] = br#"{"code":"internal","message":"the handler gave no answer"}"#;
+
+/// Answers one request, once. Dropped without an answer it sends 500.
+pub struct Responder {
+    writer: Option<Box<dyn Write + Send>>,
+    traits: RequestTraits,
+    started: Instant,
+    read_timeout: Duration,
+    counters: Arc<EdgeCounters>,
+}
+
+impl Responder {
+    pub(crate) fn new(
+        request: Request,
+        read_timeout: Duration,
+        counters: Arc<EdgeCounters>,
+    ) -> Self {
+        let traits = RequestTraits::of(&request);
+        Self {
+            writer: Some(request.into_writer()),
+            traits,
+            started: Instant::now(),
+            read_timeout,
+            counters,
+        }
+    }
+
+    /// Sends a whole JSON answer.
+    pub fn json(self, status: u16, headers: &[Header], body: &[u8]) -> Result<(), ResponseError> {
+        self.whole(status, "application/json", headers, body)
+    }
+
+    /// Sends a whole answer of any content type.
+    pub fn whole(
+        mut self,
+        status: u16,
+        content_type: &str,
+        headers: &[Header],
+        body: &[u8],
+    ) -> Result<(), ResponseError> {
+        self.write_whole(status, content_type, headers, body)
+    }
+
+    /// Sends the head of a streamed answer. The connection is not used again after it.
+    pub fn start_stream(
+        mut self,
+        status: u16,
+        headers: &[Header],
+    ) -> Result<StreamWriter, ResponseError> {
+        let framing = if self.traits.knows_chunks {
+            BodyFraming::Chunked
+        } else {
+            BodyFraming::UntilClose
+        };
+        let head = head_text(status, headers, framing, ConnectionUse::Close)?;
+        let writer = self.send_parts(&[head.as_bytes()])?;
+        let counters = Arc::clone(&self.counters);
+        Ok(StreamWriter::new(
+            writer,
+            framing,
+            self.traits.is_head,
+            counters,
+        ))
+    }
+
+    fn write_whole(
+        &mut self,
+        status: u16,
+        content_type: &str,
+        headers: &[Header],
+        body: &[u8],
+    ) -> Result<(), ResponseError> {
+        let mut all_headers = vec![Header::new("Content-Type", content_type)];
+        all_headers.extend_from_slice(headers);
+        let framing = BodyFraming::Length(body.len());
+        let head = head_text(status, &all_headers, framing, self.connection_use())?;
+        let sent_body: &[u8] = if self.traits.is_head { &[] } else { body };
+        self.send_parts(&[head.as_bytes(), sent_body]).map(drop)
+    }
+
+    /// `tiny_http` reads on while the handler works, and gives the connection up once that read times
+    /// out; the client must then not send its next request on it.
+    fn connection_use(&self) -> ConnectionUse {
+        if self.started.elapsed() * 2 >= self.read_timeout {
+            ConnectionUse::Close
+        } else {
+            ConnectionUse::Keep
+        }
+    }
+
+    fn send_parts(&mut self, parts: &[&[u8]]) -> Result<Box<dyn Write + Send>, ResponseError> {
+        let Some(mut writer) = self.writer.take() else {
+            return Err(ResponseError::ClientGone(std::io::ErrorKind::NotConnected));
+        };
+        let mut written = Ok(());
+        for part in parts {
+            written = written.and_then(|()| writer.write_all(part));
+        }
+        match written.and_then(|()| writer.flush()) {
+            Ok(()) => Ok(writer),
+            Err(error) => {
+                increment(&self.counters.clients_gone);
+                Err(ResponseError::ClientGone(error.kind()))
+            }
+        }
+    }
+}
+
+impl Drop for Responder {
+    fn drop(&mut self) {
+        if self.writer.is_some() {
+            increment(&self.counters.unanswered);
+            let content_type = "application/json";
+            let _ = self.write_whole(INTERNAL_ERROR_STATUS, content_type, &[], UNANSWERED_BODY);
+        }
+    }
+}
--- /dev/null
+++ b/crates/http-edge/tests/answers.rs
@@ -0,0 +1,216 @@
+//! Whole and streamed answers over loopback.
+
+mod support;
+
+use std::sync::Mutex;
+
+use crossbeam_channel::{Receiver, Sender, bounded, unbounded};
+use ridgeworks_http_edge::{
+    ClientGone, EdgeRequest, EdgeSettings, Header, Method, Responder, ResponseError,
+};
+use support::{Client, PATIENCE, echo, small_settings, start, wait_until};
+
+fn settings() -> EdgeSettings {
+    EdgeSettings::on_free_loopback_port()
+}
+
+#[test]
+fn a_kept_connection_carries_several_requests() {
+    let edge = start(settings(), echo);
+    let mut client = Client::connect(edge.address());
+    for body in [&b"one"[..], &[7; 5_000], b""] {
+        client.post("/echo", body);
+        let answer = client.read_answer();
+        assert_eq!((answer.status, answer.body.as_slice()), (200, body));
+    }
+}
+
+#[test]
+fn the_handler_sees_the_request_as_sent() {
+    let (seen, requests) = unbounded();
+    let edge = start(
+        settings(),
+        move |request: EdgeRequest, responder: Responder| {
+            seen.send(request).expect("test waits");
+            let _ = responder.json(201, &[Header::new("X-Run", "7")], b"{}");
+        },
+    );
+    let mut client = Client::connect(edge.address());
+    client.send(b"PUT /a/b?c=d&e HTTP/1.1\r\nX-Key: v\r\nTransfer-Encoding: chunked\r\n\r\n");
+    client.send(b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+    let answer = client.read_answer();
+    let request = requests.recv_timeout(PATIENCE).expect("request");
+    assert_eq!(answer.status, 201);
+    assert!(answer.head.contains("X-Run: 7\r\n"), "{}", answer.head);
+    assert_eq!(
+        (request.method, request.path.as_str()),
+        (Method::Put, "/a/b")
+    );
+    assert_eq!(request.query, "c=d&e");
+    assert_eq!(request.body, b"abcde");
+    assert!(request.headers.contains(&Header::new("X-Key", "v")));
+}
+
+#[test]
+fn the_first_chunk_arrives_before_the_second_is_produced() {
+    let (produce, produced): (Sender<Vec<u8>>, Receiver<Vec<u8>>) = bounded(0);
+    let edge = start(settings(), move |_, responder: Responder| {
+        let mut stream = responder.start_stream(200, &[]).expect("head");
+        for chunk in &produced {
+            stream.send(&chunk).expect("client reads");
+        }
+        stream.finish().expect("client reads");
+    });
+    let mut client = Client::connect(edge.address());
+    client.send(b"GET /stream HTTP/1.1\r\n\r\n");
+    let (status, head) = client.read_head();
+    assert_eq!(status, 200);
+    assert!(head.contains("Transfer-Encoding: chunked"));
+    for chunk in [b"first".to_vec(), vec![1; 100_000], b"x".to_vec()] {
+        produce.send(chunk.clone()).expect("handler waits");
+        assert_eq!(client.read_chunk().expect("chunk"), chunk);
+    }
+    drop(produce);
+    assert_eq!(client.read_chunk(), None);
+}
+
+#[test]
+fn a_stream_that_was_not_finished_is_not_taken_for_whole() {
+    let edge = start(settings(), |_, responder: Responder| {
+        let mut stream = responder.start_stream(200, &[]).expect("head");
+        stream.send(b"half").expect("client reads");
+    });
+    let mut client = Client::connect(edge.address());
+    client.send(b"GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+    client.read_head();
+    assert_eq!(client.read_rest(), b"4\r\nhalf\r\nbroken\r\n");
+}
+
+#[test]
+fn a_client_that_left_is_noticed() {
+    let (ended, end) = bounded(1);
+    let edge = start(settings(), move |_, responder: Responder| {
+        let mut stream = responder.start_stream(200, &[]).expect("head");
+        let gone = (0..).find_map(|_| stream.send(b"token").err());
+        ended.send(gone.expect("endless")).expect("test waits");
+    });
+    let mut client = Client::connect(edge.address());
+    client.send(b"GET / HTTP/1.1\r\n\r\n");
+    client.read_head();
+    drop(client);
+    let ClientGone(_) = end.recv_timeout(PATIENCE).expect("noticed");
+    assert_eq!(edge.counters().snapshot().clients_gone, 1);
+}
+
+#[test]
+fn a_client_that_does_not_read_is_given_up_after_the_write_timeout() {
+    let (ended, end) = bounded(1);
+    let edge = start(small_settings(), move |_, responder: Responder| {
+        let mut stream = responder.start_stream(200, &[]).expect("head");
+        let chunk = vec![0; 1 << 20];
+        let gone = (0..1_000).find_map(|_| stream.send(&chunk).err());
+        ended.send(gone).expect("test waits");
+    });
+    let mut client = Client::connect(edge.address());
+    client.send(b"GET / HTTP/1.1\r\n\r\n");
+    let gone = end.recv_timeout(PATIENCE).expect("given up");
+    assert_eq!(gone, Some(ClientGone(std::io::ErrorKind::WouldBlock)));
+}
+
+#[test]
+fn a_handler_that_panics_or_gives_no_answer_is_answered_500() {
+    let edge = start(settings(), |request: EdgeRequest, _responder: Responder| {
+        assert_ne!(request.path, "/panic", "wanted by the test");
+    });
+    for path in ["/panic", "/silent"] {
+        let mut client = Client::connect(edge.address());
+        client.post(path, b"");
+        assert_eq!(client.read_answer().status, 500);
+    }
+    let counters = edge.counters();
+    assert_eq!(counters.snapshot().unanswered, 2);
+    wait_until("handlers ended", || counters.snapshot().open_requests == 0);
+}
+
+#[test]
+fn a_malformed_response_header_is_an_error_and_reaches_no_client() {
+    let (results, result) = bounded(1);
+    let edge = start(settings(), move |_, responder: Responder| {
+        let injected = Header::new("X-A", "b\r\nX-Injected: c");
+        results
+            .send(responder.json(200, &[injected], b"{}"))
+            .expect("test waits");
+    });
+    let mut client = Client::connect(edge.address());
+    client.post("/", b"");
+    let answer = client.read_answer();
+    assert_eq!(answer.status, 500);
+    assert!(!answer.head.contains("X-Injected"));
+    let result = result.recv_timeout(PATIENCE).expect("result");
+    assert!(matches!(result, Err(ResponseError::InvalidHeader)));
+}
+
+#[test]
+fn a_head_request_gets_no_body() {
+    let edge = start(settings(), echo);
+    let mut client = Client::connect(edge.address());
+    client.send(b"HEAD / HTTP/1.1\r\nConnection: close\r\n\r\n");
+    let (status, _) = client.read_head();
+    assert_eq!((status, client.read_rest()), (200, Vec::new()));
+}
+
+#[test]
+fn an_http_1_0_client_gets_a_stream_without_chunks() {
+    let edge = start(settings(), |_, responder: Responder| {
+        let mut stream = responder.start_stream(200, &[]).expect("head");
+        stream.send(b"one").expect("client reads");
+        stream.send(b"two").expect("client reads");
+        stream.finish().expect("client reads");
+    });
+    let mut client = Client::connect(edge.address());
+    client.send(b"GET / HTTP/1.0\r\n\r\n");
+    client.read_head();
+    assert_eq!(client.read_rest(), b"onetwo");
+}
+
+#[test]
+fn many_streams_are_open_at_once_and_each_gets_its_own_answer() {
+    const STREAMS: usize = 100;
+    let (open, opened) = unbounded::<()>();
+    let (go, gate) = bounded::<()>(0);
+    let open = Mutex::new(open);
+    let edge = start(
+        settings(),
+        move |request: EdgeRequest, responder: Responder| {
+            let mut stream = responder.start_stream(200, &[]).expect("head");
+            stream.send(&request.body).expect("client reads");
+            open.lock().expect("lock").send(()).expect("test waits");
+            let _ = gate.recv();
+            stream.send(request.path.as_bytes()).expect("client reads");
+            stream.finish().expect("client reads");
+        },
+    );
+    let mut clients: Vec<Client> = (0..STREAMS)
+        .map(|_| Client::connect(edge.address()))
+        .collect();
+    for (index, client) in clients.iter_mut().enumerate() {
+        client.post(&format!("/{index}"), format!("body {index}").as_bytes());
+    }
+    for _ in 0..STREAMS {
+        opened.recv_timeout(PATIENCE).expect("all open at once");
+    }
+    assert_eq!(edge.counters().snapshot().open_requests, STREAMS as u64);
+    drop(go);
+    for (index, client) in clients.iter_mut().enumerate() {
+        client.read_head();
+        assert_eq!(
+            client.read_chunk().expect("body"),
+            format!("body {index}").into_bytes()
+        );
+        assert_eq!(
+            client.read_chunk().expect("path"),
+            format!("/{index}").into_bytes()
+        );
+        assert_eq!(client.read_chunk(), None);
+    }
+}
