Keep tiny_http accepting and survive absurd lengths

Where accept still stops, a second server is started on the same listener. A request that announces a huge length is never dropped, because tiny_http allocates that length.

--- a/crates/http-edge/src/admission.rs
+++ b/crates/http-edge/src/admission.rs
@@ -58,11 +58,11 @@
         self.changed.notify_all();
     }
 
-    /// Waits until no request is in progress; false when the time is over before.
+    /// Waits until nothing is in progress; false when the time is over before.
     pub(crate) fn wait_until_idle(&self, timeout: Duration) -> bool {
         let deadline = Instant::now() + timeout;
         let mut in_progress = self.lock();
-        while in_progress.requests > 0 {
+        while in_progress.requests + in_progress.refusals > 0 {
             let left = deadline.saturating_duration_since(Instant::now());
             if left.is_zero() {
                 return false;
--- a/crates/http-edge/src/body.rs
+++ b/crates/http-edge/src/body.rs
@@ -1,18 +1,75 @@
 //! Reading a request's body under a limit of size and of time.
 
-use std::io::ErrorKind;
+use std::io::{self, ErrorKind, Read};
+use std::sync::Arc;
 use std::time::Instant;
 
-use tiny_http::Request;
+use tiny_http::{Request, Response};
 
+use crate::counters::{EdgeCounters, increment};
 use crate::error::RequestFault;
 use crate::settings::EdgeSettings;
 
 const READ_BUFFER_BYTES: usize = 16 * 1024;
 
+/// Value of the `Upgrade` header on the one path where `tiny_http` gives no other access.
+const NO_PROTOCOL: &str = "none";
+
 /// When `tiny_http` drops a request it allocates the unread rest of the announced length and reads
 /// it. A longer rest than this is never dropped: the allocation could end the process.
-pub(crate) const MAX_DISCARDED_BODY_BYTES: usize = 64 * 1024 * 1024;
+const MAX_DISCARDED_BODY_BYTES: usize = 64 * 1024 * 1024;
+
+/// A request that can be dropped without harm, whatever length it announces.
+pub(crate) struct HeldRequest {
+    request: Option<Request>,
+    counters: Arc<EdgeCounters>,
+}
+
+impl HeldRequest {
+    pub(crate) fn new(request: Request, counters: Arc<EdgeCounters>) -> Self {
+        let request = Some(request);
+        Self { request, counters }
+    }
+
+    pub(crate) fn get_mut(&mut self) -> Option<&mut Request> {
+        self.request.as_mut()
+    }
+
+    pub(crate) fn into_request(mut self) -> Option<Request> {
+        self.request.take()
+    }
+
+    /// Writes a refusal.
+    pub(crate) fn refuse<R: Read>(mut self, response: Response<R>) -> io::Result<()> {
+        match self.request.take() {
+            Some(request) if is_discardable(&request) => request.respond(response),
+            Some(request) => {
+                increment(&self.counters.abandoned_connections);
+                let stream = request.upgrade(NO_PROTOCOL, response);
+                std::mem::forget(stream);
+                Ok(())
+            }
+            None => Ok(()),
+        }
+    }
+}
+
+impl Drop for HeldRequest {
+    fn drop(&mut self) {
+        let undroppable = self
+            .request
+            .take()
+            .filter(|request| !is_discardable(request));
+        if let Some(request) = undroppable {
+            increment(&self.counters.abandoned_connections);
+            std::mem::forget(request);
+        }
+    }
+}
+
+fn is_discardable(request: &Request) -> bool {
+    request.body_length().unwrap_or(0) <= MAX_DISCARDED_BODY_BYTES
+}
 
 /// Reads the whole body.
 pub(crate) fn read_body(
--- a/crates/http-edge/src/counters.rs
+++ b/crates/http-edge/src/counters.rs
@@ -26,6 +26,8 @@
 }
 
 counters!(
+    /// Requests whose head was read.
+    received,
     /// Requests whose handler is at work now.
     open_requests,
     /// Requests handed to the handler.
@@ -46,6 +48,8 @@
     clients_gone,
     /// Handlers that ended without an answer; the client got 500.
     unanswered,
+    /// Handlers that panicked.
+    handler_panics,
     /// Connections left open for good because `tiny_http` would allocate their announced length.
     abandoned_connections,
     /// Times that `tiny_http` stopped accepting and was started anew on the same listener.
--- a/crates/http-edge/src/lib.rs
+++ b/crates/http-edge/src/lib.rs
@@ -7,6 +7,7 @@
 //! Limits that `tiny_http` 0.12 does not let us set (connections, size of a request's head, total
 //! time of a head that arrives byte by byte) are named in `docs/design/stream-threads.md`.
 
+mod acceptor;
 mod admission;
 mod body;
 mod counters;
@@ -16,6 +17,7 @@
 mod request;
 mod responder;
 mod server;
+mod serving;
 mod settings;
 mod stream;
 
--- /dev/null
+++ b/crates/http-edge/src/serving.rs
@@ -0,0 +1,166 @@
+//! From a received request to its handler, or to its refusal.
+
+use std::io::{self, Cursor, Read};
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+
+use tiny_http::{Request, Response, Server};
+
+use crate::acceptor::SERVICE_STACK_BYTES;
+use crate::admission::Admission;
+use crate::body::{HeldRequest, read_body};
+use crate::counters::{EdgeCounters, decrement, increment};
+use crate::error::RequestFault;
+use crate::request::EdgeRequest;
+use crate::responder::Responder;
+use crate::server::Handler;
+use crate::settings::EdgeSettings;
+
+/// What all threads of one edge share.
+pub(crate) struct Shared {
+    pub settings: EdgeSettings,
+    pub handler: Arc<dyn Handler>,
+    pub admission: Admission,
+    pub counters: Arc<EdgeCounters>,
+    pub stopping: AtomicBool,
+    pub closed: AtomicBool,
+    pub servers: Mutex<Vec<Arc<Server>>>,
+}
+
+/// Starts a detached thread.
+pub(crate) fn spawn(
+    name: &str,
+    stack_bytes: usize,
+    work: impl FnOnce() + Send + 'static,
+) -> io::Result<()> {
+    let builder = thread::Builder::new().name(name.to_owned());
+    builder.stack_size(stack_bytes).spawn(work).map(drop)
+}
+
+/// Decides between a handler's thread and a refusal. Never reads or writes on this thread: a slow
+/// client would hold up all others.
+pub(crate) fn admit(shared: &Arc<Shared>, request: Request) {
+    increment(&shared.counters.received);
+    let request = HeldRequest::new(request, Arc::clone(&shared.counters));
+    if shared.stopping.load(Ordering::SeqCst) {
+        increment(&shared.counters.refused_stopping);
+        return refuse_on_thread(shared, request, RequestFault::Stopping);
+    }
+    if !shared.admission.try_enter_request() {
+        increment(&shared.counters.refused_overload);
+        return refuse_on_thread(shared, request, RequestFault::Overloaded);
+    }
+    let place = RequestPlace(Arc::clone(shared));
+    let stack_bytes = shared.settings.handler_stack_bytes;
+    let started = spawn("edge-request", stack_bytes, move || serve(place, request));
+    if started.is_err() {
+        // The request was dropped with the closure, and a dropped request answers 500.
+        increment(&shared.counters.unanswered);
+    }
+}
+
+/// The place of one request in the bound; given back when dropped.
+struct RequestPlace(Arc<Shared>);
+
+impl Drop for RequestPlace {
+    fn drop(&mut self) {
+        self.0.admission.leave_request();
+    }
+}
+
+/// The place of one refusal in the bound; given back when dropped.
+struct RefusalPlace(Arc<Shared>);
+
+impl RefusalPlace {
+    fn enter(shared: &Arc<Shared>) -> Self {
+        shared.admission.enter_refusal();
+        Self(Arc::clone(shared))
+    }
+}
+
+impl Drop for RefusalPlace {
+    fn drop(&mut self) {
+        self.0.admission.leave_refusal();
+    }
+}
+
+fn refuse_on_thread(shared: &Arc<Shared>, request: HeldRequest, fault: RequestFault) {
+    let place = RefusalPlace::enter(shared);
+    let started = spawn("edge-refuse", SERVICE_STACK_BYTES, move || {
+        refuse(&place.0, request, fault);
+    });
+    if started.is_err() {
+        increment(&shared.counters.unanswered);
+    }
+}
+
+fn serve(place: RequestPlace, mut request: HeldRequest) {
+    let shared = Arc::clone(&place.0);
+    let Some(received) = request.get_mut() else {
+        return;
+    };
+    match read_body(received, &shared.settings) {
+        Ok(body) => run_handler(&shared, request, body),
+        Err(fault) => {
+            count_fault(&shared.counters, fault);
+            drop(place);
+            let _place = RefusalPlace::enter(&shared);
+            refuse(&shared, request, fault);
+        }
+    }
+}
+
+fn run_handler(shared: &Arc<Shared>, request: HeldRequest, body: Vec<u8>) {
+    let Some(request) = request.into_request() else {
+        return;
+    };
+    increment(&shared.counters.handled);
+    increment(&shared.counters.open_requests);
+    let edge_request = EdgeRequest::new(&request, body);
+    let counters = Arc::clone(&shared.counters);
+    let responder = Responder::new(request, shared.settings.read_timeout, counters);
+    let handled = catch_unwind(AssertUnwindSafe(|| {
+        shared.handler.handle(edge_request, responder);
+    }));
+    decrement(&shared.counters.open_requests);
+    if handled.is_err() {
+        increment(&shared.counters.handler_panics);
+    }
+}
+
+fn count_fault(counters: &EdgeCounters, fault: RequestFault) {
+    match fault {
+        RequestFault::BodyTooLong => increment(&counters.refused_body_too_long),
+        RequestFault::MalformedLength => increment(&counters.refused_malformed),
+        RequestFault::BodyTimedOut => increment(&counters.timed_out),
+        RequestFault::BodyCutOff => increment(&counters.broken_requests),
+        RequestFault::Overloaded | RequestFault::Stopping => {}
+    }
+}
+
+/// Writes the refusal first; then `tiny_http` reads the rest of the body away.
+fn refuse(shared: &Shared, request: HeldRequest, fault: RequestFault) {
+    let response = refusal_response(shared, fault);
+    if request.refuse(response).is_err() {
+        increment(&shared.counters.clients_gone);
+    }
+}
+
+fn refusal_response(shared: &Shared, fault: RequestFault) -> Response<Cursor<Vec<u8>>> {
+    let response = Response::from_data(fault.json_body()).with_status_code(fault.status());
+    let response = with_header(response, "Content-Type", "application/json");
+    if !fault.is_temporary() {
+        return response;
+    }
+    let seconds = shared.settings.retry_after.as_secs_f64().ceil().max(1.0);
+    with_header(response, "Retry-After", &format!("{seconds:.0}"))
+}
+
+fn with_header<R: Read>(response: Response<R>, name: &str, value: &str) -> Response<R> {
+    match tiny_http::Header::from_bytes(name, value) {
+        Ok(header) => response.with_header(header),
+        Err(()) => response,
+    }
+}
--- a/crates/http-edge/tests/answers.rs
+++ b/crates/http-edge/tests/answers.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use std::sync::Mutex;
+use std::time::{Duration, Instant};
 
 use crossbeam_channel::{Receiver, Sender, bounded, unbounded};
 use ridgeworks_http_edge::{
@@ -176,6 +177,8 @@
 #[test]
 fn many_streams_are_open_at_once_and_each_gets_its_own_answer() {
     const STREAMS: usize = 100;
+    // Well below the read time-out, which freed the connections stuck in tiny_http's task pool.
+    const BURST_PATIENCE: Duration = Duration::from_secs(5);
     let (open, opened) = unbounded::<()>();
     let (go, gate) = bounded::<()>(0);
     let open = Mutex::new(open);
@@ -196,8 +199,9 @@
     for (index, client) in clients.iter_mut().enumerate() {
         client.post(&format!("/{index}"), format!("body {index}").as_bytes());
     }
+    let all_open_by = Instant::now() + BURST_PATIENCE;
     for _ in 0..STREAMS {
-        opened.recv_timeout(PATIENCE).expect("all open at once");
+        opened.recv_deadline(all_open_by).expect("all open at once");
     }
     assert_eq!(edge.counters().snapshot().open_requests, STREAMS as u64);
     drop(go);
