--- /dev/null
+++ b/crates/http-edge/src/body.rs
@@ -0,0 +1,139 @@
+//! Reading a request's body under a limit of size and of time.
+
+use std::io::{self, ErrorKind, Read};
+use std::sync::Arc;
+use std::time::Instant;
+
+use tiny_http::{Request, Response};
+
+use crate::counters::{EdgeCounters, increment};
+use crate::error::RequestFault;
+use crate::settings::EdgeSettings;
+
+const READ_BUFFER_BYTES: usize = 16 * 1024;
+
+/// Value of the `Upgrade` header on the one path where `tiny_http` gives no other access.
+const NO_PROTOCOL: &str = "none";
+
+/// When `tiny_http` drops a request it allocates the unread rest of the announced length and reads
+/// it. A longer rest than this is never dropped: the allocation could end the process.
+const MAX_DISCARDED_BODY_BYTES: usize = 64 * 1024 * 1024;
+
+/// A request that can be dropped without harm, whatever length it announces.
+pub(crate) struct HeldRequest {
+    request: Option<Request>,
+    counters: Arc<EdgeCounters>,
+}
+
+impl HeldRequest {
+    pub(crate) fn new(request: Request, counters: Arc<EdgeCounters>) -> Self {
+        let request = Some(request);
+        Self { request, counters }
+    }
+
+    pub(crate) fn get_mut(&mut self) -> Option<&mut Request> {
+        self.request.as_mut()
+    }
+
+    pub(crate) fn into_request(mut self) -> Option<Request> {
+        self.request.take()
+    }
+
+    /// Writes a refusal.
+    pub(crate) fn refuse<R: Read>(mut self, response: Response<R>) -> io::Result<()> {
+        match self.request.take() {
+            Some(request) if is_discardable(&request) => request.respond(response),
+            Some(request) => {
+                increment(&self.counters.abandoned_connections);
+                let stream = request.upgrade(NO_PROTOCOL, response);
+                std::mem::forget(stream);
+                Ok(())
+            }
+            None => Ok(()),
+        }
+    }
+}
+
+impl Drop for HeldRequest {
+    fn drop(&mut self) {
+        let undroppable = self
+            .request
+            .take()
+            .filter(|request| !is_discardable(request));
+        if let Some(request) = undroppable {
+            increment(&self.counters.abandoned_connections);
+            std::mem::forget(request);
+        }
+    }
+}
+
+fn is_discardable(request: &Request) -> bool {
+    request.body_length().unwrap_or(0) <= MAX_DISCARDED_BODY_BYTES
+}
+
+/// Reads the whole body.
+pub(crate) fn read_body(
+    request: &mut Request,
+    settings: &EdgeSettings,
+) -> Result<Vec<u8>, RequestFault> {
+    check_length_headers(request)?;
+    let announced = request.body_length();
+    if announced.is_some_and(|length| length > settings.max_body_bytes) {
+        return Err(RequestFault::BodyTooLong);
+    }
+    let body = read_until_end(request, settings)?;
+    match announced {
+        Some(length) if length != body.len() => Err(RequestFault::BodyCutOff),
+        _ => Ok(body),
+    }
+}
+
+/// `tiny_http` takes a length that it cannot parse for "no body", which would make the body the next
+/// request.
+fn check_length_headers(request: &Request) -> Result<(), RequestFault> {
+    let values = |name: &'static str| {
+        let headers = request.headers().iter();
+        headers.filter(move |header| header.field.equiv(name))
+    };
+    let mut lengths = values("Content-Length").map(|header| header.value.as_str());
+    let Some(first) = lengths.next() else {
+        return Ok(());
+    };
+    let digits = !first.is_empty() && first.bytes().all(|byte| byte.is_ascii_digit());
+    let representable = first.parse::<usize>().is_ok();
+    let alone = lengths.next().is_none() && values("Transfer-Encoding").next().is_none();
+    if digits && representable && alone {
+        Ok(())
+    } else {
+        Err(RequestFault::MalformedLength)
+    }
+}
+
+fn read_until_end(request: &mut Request, settings: &EdgeSettings) -> Result<Vec<u8>, RequestFault> {
+    let deadline = Instant::now() + settings.body_deadline;
+    let mut body = Vec::new();
+    let mut buffer = [0; READ_BUFFER_BYTES];
+    let reader = request.as_reader();
+    loop {
+        let length = match reader.read(&mut buffer) {
+            Ok(0) => return Ok(body),
+            Ok(length) => length,
+            Err(error) if error.kind() == ErrorKind::Interrupted => continue,
+            Err(error) => return Err(fault_of(error.kind())),
+        };
+        if body.len() + length > settings.max_body_bytes {
+            return Err(RequestFault::BodyTooLong);
+        }
+        body.extend_from_slice(&buffer[..length]);
+        if Instant::now() >= deadline {
+            return Err(RequestFault::BodyTimedOut);
+        }
+    }
+}
+
+fn fault_of(kind: ErrorKind) -> RequestFault {
+    match kind {
+        ErrorKind::WouldBlock | ErrorKind::TimedOut => RequestFault::BodyTimedOut,
+        _ => RequestFault::BodyCutOff,
+    }
+}
--- /dev/null
+++ b/crates/http-edge/src/server.rs
@@ -0,0 +1,112 @@
+//! A running edge: start, planned stop, end.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{Sender, channel};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use crate::acceptor::{SERVICE_STACK_BYTES, Supervisor, SupervisorEvent, lock_servers};
+use crate::admission::Admission;
+use crate::counters::EdgeCounters;
+use crate::error::EdgeError;
+use crate::listener;
+use crate::request::EdgeRequest;
+use crate::responder::Responder;
+use crate::serving::{Shared, spawn};
+use crate::settings::EdgeSettings;
+
+/// What a node does with a request. Called on a thread of its own; it may block.
+pub trait Handler: Send + Sync {
+    /// Answers one request through `responder`.
+    fn handle(&self, request: EdgeRequest, responder: Responder);
+}
+
+impl<F: Fn(EdgeRequest, Responder) + Send + Sync> Handler for F {
+    fn handle(&self, request: EdgeRequest, responder: Responder) {
+        self(request, responder);
+    }
+}
+
+/// A running HTTP edge. Dropping it closes the listener and cuts nothing off that is in progress.
+pub struct EdgeServer {
+    shared: Arc<Shared>,
+    address: SocketAddr,
+    supervisor: Sender<SupervisorEvent>,
+}
+
+impl EdgeServer {
+    /// Listens and serves until the value is dropped.
+    pub fn start(settings: EdgeSettings, handler: Arc<dyn Handler>) -> Result<Self, EdgeError> {
+        let listener = listener::open(&settings).map_err(EdgeError::Listen)?;
+        let address = listener.local_addr().map_err(EdgeError::Listen)?;
+        let shared = Arc::new(shared_state(settings, handler));
+        let (events_sender, events) = channel();
+        let supervisor = Supervisor {
+            shared: Arc::clone(&shared),
+            listener,
+            address,
+            events,
+            events_sender: events_sender.clone(),
+        };
+        supervisor.start_server()?;
+        let edge = Self {
+            shared,
+            address,
+            supervisor: events_sender,
+        };
+        spawn("edge-supervisor", SERVICE_STACK_BYTES, || supervisor.run())
+            .map_err(EdgeError::Thread)?;
+        Ok(edge)
+    }
+
+    /// The address that the edge listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Counters of the edge.
+    pub fn counters(&self) -> Arc<EdgeCounters> {
+        Arc::clone(&self.shared.counters)
+    }
+
+    /// Refuses every further request with a typed 503, also on open connections. The listener stays
+    /// open until the edge is dropped, so that callers learn at once that their request did not run.
+    pub fn stop_accepting(&self) {
+        self.shared.stopping.store(true, Ordering::SeqCst);
+    }
+
+    /// Waits until neither a request nor a refusal is in progress; false when `timeout` is over
+    /// before. Without [`EdgeServer::stop_accepting`] a new request may follow at once.
+    pub fn wait_until_idle(&self, timeout: Duration) -> bool {
+        self.shared.admission.wait_until_idle(timeout)
+    }
+}
+
+impl Drop for EdgeServer {
+    fn drop(&mut self) {
+        self.stop_accepting();
+        self.shared.closed.store(true, Ordering::SeqCst);
+        let _ = self.supervisor.send(SupervisorEvent::Closed);
+        let servers = std::mem::take(&mut *lock_servers(&self.shared));
+        for server in servers {
+            server.unblock();
+        }
+    }
+}
+
+fn shared_state(settings: EdgeSettings, handler: Arc<dyn Handler>) -> Shared {
+    let admission = Admission::new(
+        settings.max_concurrent_requests,
+        settings.max_concurrent_refusals,
+    );
+    Shared {
+        settings,
+        handler,
+        admission,
+        counters: Arc::default(),
+        stopping: AtomicBool::new(false),
+        closed: AtomicBool::new(false),
+        servers: Mutex::default(),
+    }
+}
