Map the schema to the Connect unary form and type the callers' interface

Framing, codes, errors and conversions are apart from the transport, so that the node's HTTP edge only passes bytes. The operators' client sends protobuf, because the JSON mapping refuses fields it does not know and an older client would then fail against a newer node. Every method may be sent again, so the client goes to the next server after a lost answer; a change keeps its operation identifier. Every refusal of a caller gets its HTTP status, type and code in one exhaustive match; clients of OpenAI's interface retry 409 by themselves, so x-should-retry says whether that helps.

--- /dev/null
+++ b/crates/api/src/caller_error.rs
@@ -0,0 +1,321 @@
+//! Errors of the callers' HTTP interface, in OpenAI's form.
+
+use ridgeworks_domain::{Cost, InvalidRequest, Refusal, RefusalReason, Sequence};
+use serde::{Deserialize, Serialize};
+
+use crate::connect::whole_seconds;
+
+/// Class of an error.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ErrorType {
+    /// The request is wrong.
+    InvalidRequestError,
+    /// The token is missing or matches no partner.
+    AuthenticationError,
+    /// The object belongs to the other partner.
+    PermissionError,
+    /// What the request names does not exist.
+    NotFoundError,
+    /// The request does not fit the state of the run.
+    ConflictError,
+    /// The budget is used up.
+    InsufficientQuota,
+    /// A limit was reached.
+    RateLimitError,
+    /// The system cannot serve the request now.
+    ServiceUnavailableError,
+    /// The end of the call could not be learned.
+    OutcomeUnknownError,
+}
+
+/// What failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ErrorCode {
+    /// See [`InvalidRequest::BodyTooLarge`].
+    BodyTooLarge,
+    /// See [`InvalidRequest::BodyIncomplete`].
+    BodyIncomplete,
+    /// See [`InvalidRequest::Malformed`].
+    MalformedBody,
+    /// See [`InvalidRequest::MissingField`].
+    MissingField,
+    /// See [`InvalidRequest::InvalidField`].
+    InvalidField,
+    /// See [`InvalidRequest::UnknownRoute`].
+    UnknownRoute,
+    /// See [`RefusalReason::Unauthenticated`].
+    InvalidToken,
+    /// See [`RefusalReason::Forbidden`].
+    Forbidden,
+    /// See [`RefusalReason::UnknownProgram`].
+    UnknownProgram,
+    /// See [`RefusalReason::UnknownService`].
+    UnknownService,
+    /// See [`RefusalReason::UnknownRun`].
+    UnknownRun,
+    /// See [`RefusalReason::RunClosed`].
+    RunClosed,
+    /// See [`RefusalReason::CallKeyConflict`].
+    CallKeyConflict,
+    /// See [`RefusalReason::SequenceGap`].
+    SequenceGap,
+    /// See [`RefusalReason::SequencePassed`].
+    SequencePassed,
+    /// See [`RefusalReason::BudgetExceeded`].
+    BudgetExceeded,
+    /// See [`RefusalReason::DeadlineCannotBeMet`].
+    DeadlineCannotBeMet,
+    /// See [`RefusalReason::QueueFull`].
+    QueueFull,
+    /// See [`RefusalReason::NoBackend`].
+    NoBackend,
+    /// See [`RefusalReason::BackendRefused`].
+    BackendRefused,
+    /// See [`RefusalReason::NodeStopping`].
+    NodeStopping,
+    /// See [`RefusalReason::ConfigurationStale`].
+    ConfigurationStale,
+    /// See [`RefusalReason::NoQuorum`].
+    NoQuorum,
+    /// See [`RefusalReason::NotOwner`].
+    NotOwner,
+    /// See [`RefusalReason::TooManyRequests`].
+    TooManyRequests,
+    /// See [`RefusalReason::Unknown`].
+    OutcomeUnknown,
+}
+
+/// What is known about the call of a refused request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outcome {
+    /// It did not run and can no longer run on behalf of this request.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+/// HTTP status, type and code of one reason.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ErrorMapping {
+    /// HTTP status.
+    pub status: u16,
+    /// Class of the error.
+    pub error_type: ErrorType,
+    /// What failed.
+    pub code: ErrorCode,
+}
+
+impl ErrorMapping {
+    const fn new(status: u16, error_type: ErrorType, code: ErrorCode) -> Self {
+        Self {
+            status,
+            error_type,
+            code,
+        }
+    }
+
+    /// The mapping of a reason. This is the only place that decides on it.
+    pub fn of(reason: &RefusalReason) -> Self {
+        use ErrorType::{
+            AuthenticationError, ConflictError, InsufficientQuota, NotFoundError,
+            OutcomeUnknownError, PermissionError, RateLimitError, ServiceUnavailableError,
+        };
+        let (status, error_type, code) = match reason {
+            RefusalReason::InvalidRequest(invalid) => return Self::of_invalid(invalid),
+            RefusalReason::Unauthenticated => (401, AuthenticationError, ErrorCode::InvalidToken),
+            RefusalReason::Forbidden => (403, PermissionError, ErrorCode::Forbidden),
+            RefusalReason::UnknownProgram => (404, NotFoundError, ErrorCode::UnknownProgram),
+            RefusalReason::UnknownService => (404, NotFoundError, ErrorCode::UnknownService),
+            RefusalReason::UnknownRun => (404, NotFoundError, ErrorCode::UnknownRun),
+            RefusalReason::RunClosed => (409, ConflictError, ErrorCode::RunClosed),
+            RefusalReason::CallKeyConflict => (409, ConflictError, ErrorCode::CallKeyConflict),
+            RefusalReason::SequenceGap { .. } => (409, ConflictError, ErrorCode::SequenceGap),
+            RefusalReason::SequencePassed { .. } => (409, ConflictError, ErrorCode::SequencePassed),
+            RefusalReason::BudgetExceeded { .. } => {
+                (402, InsufficientQuota, ErrorCode::BudgetExceeded)
+            }
+            RefusalReason::DeadlineCannotBeMet => {
+                (503, ServiceUnavailableError, ErrorCode::DeadlineCannotBeMet)
+            }
+            RefusalReason::QueueFull => (429, RateLimitError, ErrorCode::QueueFull),
+            RefusalReason::NoBackend => (503, ServiceUnavailableError, ErrorCode::NoBackend),
+            RefusalReason::BackendRefused => {
+                (502, ServiceUnavailableError, ErrorCode::BackendRefused)
+            }
+            RefusalReason::NodeStopping => (503, ServiceUnavailableError, ErrorCode::NodeStopping),
+            RefusalReason::ConfigurationStale => {
+                (503, ServiceUnavailableError, ErrorCode::ConfigurationStale)
+            }
+            RefusalReason::NoQuorum => (503, ServiceUnavailableError, ErrorCode::NoQuorum),
+            RefusalReason::NotOwner => (503, ServiceUnavailableError, ErrorCode::NotOwner),
+            RefusalReason::TooManyRequests => (429, RateLimitError, ErrorCode::TooManyRequests),
+            RefusalReason::Unknown => (504, OutcomeUnknownError, ErrorCode::OutcomeUnknown),
+        };
+        Self::new(status, error_type, code)
+    }
+
+    fn of_invalid(invalid: &InvalidRequest) -> Self {
+        use ErrorType::{InvalidRequestError, NotFoundError};
+        let (status, error_type, code) = match invalid {
+            InvalidRequest::BodyTooLarge { .. } => {
+                (413, InvalidRequestError, ErrorCode::BodyTooLarge)
+            }
+            InvalidRequest::BodyIncomplete => (400, InvalidRequestError, ErrorCode::BodyIncomplete),
+            InvalidRequest::Malformed => (400, InvalidRequestError, ErrorCode::MalformedBody),
+            InvalidRequest::MissingField { .. } => {
+                (400, InvalidRequestError, ErrorCode::MissingField)
+            }
+            InvalidRequest::InvalidField { .. } => {
+                (400, InvalidRequestError, ErrorCode::InvalidField)
+            }
+            InvalidRequest::UnknownRoute => (404, NotFoundError, ErrorCode::UnknownRoute),
+        };
+        Self::new(status, error_type, code)
+    }
+}
+
+/// Body of a refusal.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallerErrorBody {
+    /// The error.
+    pub error: CallerError,
+}
+
+/// The error in the body of a refusal.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallerError {
+    /// Class of the error.
+    #[serde(rename = "type")]
+    pub error_type: ErrorType,
+    /// What failed.
+    pub code: ErrorCode,
+    /// Explanation for a human reader; programs use the code.
+    pub message: String,
+    /// Field or header that is wrong.
+    pub param: Option<String>,
+    /// What is known about the call.
+    pub outcome: Outcome,
+    /// When coming back helps: after this many milliseconds.
+    pub retry_after_ms: Option<u64>,
+    /// The sequence number that the run expects next.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub expected_sequence: Option<Sequence>,
+    /// What is left of the budget.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub remaining_budget: Option<Cost>,
+}
+
+/// A refusal for the HTTP edge to send.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CallerRefusal {
+    /// HTTP status.
+    pub status: u16,
+    /// Value of the `Retry-After` header, in seconds, rounded up.
+    pub retry_after_seconds: Option<u64>,
+    /// Value of the `x-should-retry` header: whether the same request can succeed later.
+    pub should_retry: bool,
+    /// The body.
+    pub body: CallerErrorBody,
+}
+
+impl From<&Refusal> for CallerRefusal {
+    fn from(refusal: &Refusal) -> Self {
+        let mapping = ErrorMapping::of(&refusal.reason);
+        let outcome = if refusal.is_not_run() {
+            Outcome::NotRun
+        } else {
+            Outcome::Unknown
+        };
+        let error = CallerError {
+            error_type: mapping.error_type,
+            code: mapping.code,
+            message: message(&refusal.reason),
+            param: parameter(&refusal.reason),
+            outcome,
+            retry_after_ms: refusal.retry_after_ms,
+            expected_sequence: expected_sequence(&refusal.reason),
+            remaining_budget: remaining_budget(&refusal.reason),
+        };
+        Self {
+            status: mapping.status,
+            retry_after_seconds: refusal.retry_after_ms.map(whole_seconds),
+            should_retry: refusal.retry_after_ms.is_some(),
+            body: CallerErrorBody { error },
+        }
+    }
+}
+
+fn parameter(reason: &RefusalReason) -> Option<String> {
+    match reason {
+        RefusalReason::InvalidRequest(
+            InvalidRequest::MissingField { field } | InvalidRequest::InvalidField { field },
+        ) => Some(field.clone()),
+        _ => None,
+    }
+}
+
+fn expected_sequence(reason: &RefusalReason) -> Option<Sequence> {
+    match reason {
+        RefusalReason::SequenceGap { expected } | RefusalReason::SequencePassed { expected } => {
+            Some(*expected)
+        }
+        _ => None,
+    }
+}
+
+fn remaining_budget(reason: &RefusalReason) -> Option<Cost> {
+    match reason {
+        RefusalReason::BudgetExceeded { remaining } => Some(*remaining),
+        _ => None,
+    }
+}
+
+fn message(reason: &RefusalReason) -> String {
+    match reason {
+        RefusalReason::InvalidRequest(invalid) => invalid_message(invalid),
+        RefusalReason::SequenceGap { expected } => {
+            format!("calls before this one are missing, the run expects {expected}")
+        }
+        RefusalReason::SequencePassed { expected } => {
+            format!("a later call went out already, the run expects {expected}")
+        }
+        RefusalReason::BudgetExceeded { remaining } => {
+            format!("the call does not fit in what is left of the budget, {remaining}")
+        }
+        RefusalReason::Unauthenticated => "the token is missing or matches no partner".to_owned(),
+        RefusalReason::Forbidden => "the object belongs to the other partner".to_owned(),
+        RefusalReason::UnknownProgram => "no such program".to_owned(),
+        RefusalReason::UnknownService => "no such service".to_owned(),
+        RefusalReason::UnknownRun => "no such run".to_owned(),
+        RefusalReason::RunClosed => "the run is closed".to_owned(),
+        RefusalReason::CallKeyConflict => "the call key was used for another request".to_owned(),
+        RefusalReason::DeadlineCannotBeMet => "the deadline cannot be met".to_owned(),
+        RefusalReason::QueueFull => "the queue of the service is full".to_owned(),
+        RefusalReason::NoBackend => "no back end serves the service now".to_owned(),
+        RefusalReason::BackendRefused => "the back end refused the call".to_owned(),
+        RefusalReason::NodeStopping => "the node is stopping".to_owned(),
+        RefusalReason::ConfigurationStale => {
+            "the node cannot prove that its configuration is the newest".to_owned()
+        }
+        RefusalReason::NoQuorum => "no majority of the run's replicas answered".to_owned(),
+        RefusalReason::NotOwner => "another node owns the run now".to_owned(),
+        RefusalReason::TooManyRequests => "too many requests are open on this node".to_owned(),
+        RefusalReason::Unknown => "the call may have run, its end is not known".to_owned(),
+    }
+}
+
+fn invalid_message(invalid: &InvalidRequest) -> String {
+    match invalid {
+        InvalidRequest::BodyTooLarge { limit_bytes } => {
+            format!("the body is longer than {limit_bytes} bytes")
+        }
+        InvalidRequest::BodyIncomplete => "the body ended early or came too slowly".to_owned(),
+        InvalidRequest::Malformed => "the body cannot be read".to_owned(),
+        InvalidRequest::MissingField { field } => format!("{field} is missing"),
+        InvalidRequest::InvalidField { field } => format!("{field} holds an invalid value"),
+        InvalidRequest::UnknownRoute => "no such path or method".to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/api/src/client.rs
@@ -0,0 +1,371 @@
+//! The operators' side of the Connect unary form, over several servers.
+//!
+//! A request goes to the servers in turn until one answers. Every method may be sent again: reads
+//! change nothing, and changes carry an operation identifier under which a repetition has one effect.
+
+use std::fmt;
+use std::io;
+use std::thread;
+use std::time::Duration;
+
+use prost::Message;
+use ureq::http::Response;
+use ureq::{Agent, Body};
+
+use crate::connect::{BodyFormat, PROTOCOL_VERSION, PROTOCOL_VERSION_HEADER, TIMEOUT_HEADER};
+use crate::connect_code::ConnectCode;
+use crate::connect_error::ErrorBody;
+use crate::operator::OperatorMethod;
+use crate::v1;
+
+const MAX_RESPONSE_BYTES: u64 = 64 << 20;
+const AUTHORIZATION_HEADER: &str = "authorization";
+const CONTENT_TYPE_HEADER: &str = "content-type";
+const FIRST_HTTP_ERROR_STATUS: u16 = 300;
+const DEFAULT_CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+const DEFAULT_ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
+const DEFAULT_ROUNDS: u32 = 3;
+const DEFAULT_PAUSE: Duration = Duration::from_millis(200);
+
+/// Where and how to send requests.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ClientSettings {
+    /// Base addresses such as `http://10.0.0.1:7000`, asked in this order.
+    pub servers: Vec<String>,
+    /// The partner's token.
+    pub token: String,
+    /// Longest time to wait for a connection.
+    pub connect_timeout: Duration,
+    /// Longest time to wait for an answer; a long poll waits its own time on top.
+    pub answer_timeout: Duration,
+    /// How often the whole list of servers is gone through.
+    pub rounds: u32,
+    /// Pause between two rounds.
+    pub pause: Duration,
+}
+
+impl ClientSettings {
+    /// Settings with the default times.
+    pub fn new(servers: Vec<String>, token: String) -> Self {
+        Self {
+            servers,
+            token,
+            connect_timeout: DEFAULT_CONNECT_TIMEOUT,
+            answer_timeout: DEFAULT_ANSWER_TIMEOUT,
+            rounds: DEFAULT_ROUNDS,
+            pause: DEFAULT_PAUSE,
+        }
+    }
+}
+
+/// Why no answer came from one server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TransportError {
+    /// The address is not one of HTTP.
+    InvalidAddress,
+    /// No connection came about; the request was not sent.
+    NotConnected,
+    /// The time ran out after the connection stood.
+    TimedOut,
+    /// The connection broke, or the answer is not HTTP.
+    Broken,
+    /// The answer is longer than the client takes.
+    AnswerTooLong,
+}
+
+impl TransportError {
+    /// Whether the server may have taken the request.
+    fn may_have_arrived(self) -> bool {
+        !matches!(self, Self::InvalidAddress | Self::NotConnected)
+    }
+}
+
+impl From<ureq::Error> for TransportError {
+    fn from(error: ureq::Error) -> Self {
+        match error {
+            ureq::Error::BadUri(_) | ureq::Error::Http(_) => Self::InvalidAddress,
+            ureq::Error::HostNotFound
+            | ureq::Error::ConnectionFailed
+            | ureq::Error::Timeout(ureq::Timeout::Connect | ureq::Timeout::Resolve) => {
+                Self::NotConnected
+            }
+            ureq::Error::Io(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                Self::NotConnected
+            }
+            ureq::Error::Timeout(_) => Self::TimedOut,
+            ureq::Error::BodyExceedsLimit(_) => Self::AnswerTooLong,
+            _ => Self::Broken,
+        }
+    }
+}
+
+/// Why a request has no result.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ClientError {
+    /// No server is configured.
+    NoServer,
+    /// A server answered with an error.
+    Refused(ErrorBody),
+    /// No server could serve the request in any round.
+    Unavailable {
+        /// The last error of the last server.
+        body: ErrorBody,
+        /// Whether some server may have taken the request.
+        may_have_arrived: bool,
+    },
+    /// A server's answer is not the message of the method.
+    MalformedAnswer,
+    /// No server answered in any round.
+    Unreachable {
+        /// The last failure of the last server.
+        last: TransportError,
+        /// Whether some server may have taken the request.
+        may_have_arrived: bool,
+    },
+}
+
+impl ClientError {
+    /// Whether a change may have taken effect although the request failed.
+    pub fn is_outcome_unknown(&self) -> bool {
+        match self {
+            Self::NoServer => false,
+            Self::Refused(body) => body.is_outcome_unknown(),
+            Self::MalformedAnswer => true,
+            Self::Unavailable {
+                may_have_arrived, ..
+            }
+            | Self::Unreachable {
+                may_have_arrived, ..
+            } => *may_have_arrived,
+        }
+    }
+}
+
+impl fmt::Display for ClientError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NoServer => write!(formatter, "no server is configured"),
+            Self::Refused(body) | Self::Unavailable { body, .. } => {
+                write!(formatter, "{}", body.message)
+            }
+            Self::MalformedAnswer => write!(formatter, "the server's answer cannot be read"),
+            Self::Unreachable { last, .. } => {
+                write!(
+                    formatter,
+                    "no server answered, the last failure is {last:?}"
+                )
+            }
+        }
+    }
+}
+
+impl std::error::Error for ClientError {}
+
+/// A client of the operators' interface.
+#[derive(Debug)]
+pub struct OperatorClient {
+    settings: ClientSettings,
+    agent: Agent,
+}
+
+macro_rules! client_methods {
+    ($($(#[$documentation:meta])* $function:ident: $method:ident($request:ident) -> $response:ident;)*) => {
+        impl OperatorClient {
+            $(
+                $(#[$documentation])*
+                pub fn $function(
+                    &self,
+                    request: &v1::$request,
+                ) -> Result<v1::$response, ClientError> {
+                    self.call(OperatorMethod::$method, request, self.settings.answer_timeout)
+                }
+            )*
+        }
+    };
+}
+
+client_methods! {
+    /// Creates or replaces an object.
+    apply: Apply(ApplyRequest) -> ApplyResponse;
+    /// Reads one object.
+    get: Get(GetRequest) -> GetResponse;
+    /// Reads all objects of one kind.
+    list: List(ListRequest) -> ListResponse;
+    /// Deletes an object.
+    delete: Delete(DeleteRequest) -> DeleteResponse;
+    /// Proposes a split of the pool.
+    propose_shares: ProposeShares(ProposeSharesRequest) -> ProposeSharesResponse;
+    /// Consents to the open proposal.
+    consent_shares: ConsentShares(ConsentSharesRequest) -> ConsentSharesResponse;
+    /// Reads the state of the system.
+    status: Status(StatusRequest) -> StatusResponse;
+    /// Reads the asked node's own state.
+    node_status: NodeStatus(NodeStatusRequest) -> NodeStatusResponse;
+    /// Tells a node to stop as planned.
+    drain: Drain(DrainRequest) -> DrainResponse;
+    /// Reads a run and its calls.
+    get_run: GetRun(GetRunRequest) -> GetRunResponse;
+    /// Reads the runs of the partner.
+    list_runs: ListRuns(ListRunsRequest) -> ListRunsResponse;
+}
+
+impl OperatorClient {
+    /// A client that opens connections when it needs them.
+    pub fn new(settings: ClientSettings) -> Self {
+        let configuration = Agent::config_builder()
+            .http_status_as_error(false)
+            .max_redirects(0)
+            .proxy(None)
+            .timeout_connect(Some(settings.connect_timeout))
+            .build();
+        Self {
+            settings,
+            agent: Agent::new_with_config(configuration),
+        }
+    }
+
+    /// Waits for changes of the configuration, up to the time that the request names.
+    pub fn watch_changes(
+        &self,
+        request: &v1::WatchChangesRequest,
+    ) -> Result<v1::WatchChangesResponse, ClientError> {
+        let patience = Duration::from_millis(request.timeout_ms);
+        let timeout = self.settings.answer_timeout.saturating_add(patience);
+        self.call(OperatorMethod::WatchChanges, request, timeout)
+    }
+
+    fn call<Request, Answer>(
+        &self,
+        method: OperatorMethod,
+        request: &Request,
+        timeout: Duration,
+    ) -> Result<Answer, ClientError>
+    where
+        Request: Message,
+        Answer: Message + Default,
+    {
+        let body = request.encode_to_vec();
+        let mut failure = ClientError::NoServer;
+        let mut may_have_arrived = false;
+        for round in 0..self.settings.rounds {
+            if round > 0 {
+                thread::sleep(self.settings.pause);
+            }
+            for server in &self.settings.servers {
+                match self.attempt(server, method, &body, timeout) {
+                    Ok(answer) => return read_answer(answer),
+                    Err(last) => {
+                        may_have_arrived |= last.may_have_arrived();
+                        failure = last.into_client_error(may_have_arrived);
+                    }
+                }
+            }
+        }
+        Err(failure)
+    }
+
+    fn attempt(
+        &self,
+        server: &str,
+        method: OperatorMethod,
+        body: &[u8],
+        timeout: Duration,
+    ) -> Result<RawAnswer, AttemptError> {
+        let url = format!("{}{}", server.trim_end_matches('/'), method.path());
+        let response = self
+            .agent
+            .post(&url)
+            .header(CONTENT_TYPE_HEADER, BodyFormat::Protobuf.media_type())
+            .header(PROTOCOL_VERSION_HEADER, PROTOCOL_VERSION)
+            .header(TIMEOUT_HEADER, timeout.as_millis().to_string())
+            .header(
+                AUTHORIZATION_HEADER,
+                format!("Bearer {}", self.settings.token),
+            )
+            .config()
+            .timeout_global(Some(timeout))
+            .build()
+            .send(body)
+            .map_err(|error| AttemptError::Transport(error.into()))?;
+        let answer = RawAnswer::read(response).map_err(AttemptError::Transport)?;
+        answer.pass_unless_unavailable()
+    }
+}
+
+/// An HTTP answer of a server.
+struct RawAnswer {
+    status: u16,
+    body: Vec<u8>,
+}
+
+impl RawAnswer {
+    fn read(mut response: Response<Body>) -> Result<Self, TransportError> {
+        let status = response.status().as_u16();
+        let body = response
+            .body_mut()
+            .with_config()
+            .limit(MAX_RESPONSE_BYTES)
+            .read_to_vec()?;
+        Ok(Self { status, body })
+    }
+
+    /// A node that cannot answer now is passed over; another one may.
+    fn pass_unless_unavailable(self) -> Result<Self, AttemptError> {
+        if self.is_success() {
+            return Ok(self);
+        }
+        let error = self.error_body();
+        match error.code {
+            ConnectCode::Unavailable => Err(AttemptError::Unavailable(error)),
+            _ => Ok(self),
+        }
+    }
+
+    fn is_success(&self) -> bool {
+        self.status < FIRST_HTTP_ERROR_STATUS
+    }
+
+    fn error_body(&self) -> ErrorBody {
+        serde_json::from_slice(&self.body).unwrap_or_else(|_| ErrorBody {
+            code: ConnectCode::from_http_status(self.status),
+            message: format!("the server answered with HTTP status {}", self.status),
+            details: Vec::new(),
+        })
+    }
+}
+
+fn read_answer<Answer: Message + Default>(answer: RawAnswer) -> Result<Answer, ClientError> {
+    if answer.is_success() {
+        Answer::decode(answer.body.as_slice()).map_err(|_| ClientError::MalformedAnswer)
+    } else {
+        Err(ClientError::Refused(answer.error_body()))
+    }
+}
+
+/// Why the next server is asked.
+enum AttemptError {
+    Transport(TransportError),
+    Unavailable(ErrorBody),
+}
+
+impl AttemptError {
+    fn may_have_arrived(&self) -> bool {
+        match self {
+            Self::Transport(error) => error.may_have_arrived(),
+            Self::Unavailable(body) => body.is_outcome_unknown(),
+        }
+    }
+
+    fn into_client_error(self, may_have_arrived: bool) -> ClientError {
+        match self {
+            Self::Transport(last) => ClientError::Unreachable {
+                last,
+                may_have_arrived,
+            },
+            Self::Unavailable(body) => ClientError::Unavailable {
+                body,
+                may_have_arrived,
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/api/src/connect.rs
@@ -0,0 +1,156 @@
+//! The unary form of the Connect protocol, apart from the transport.
+//!
+//! A request is a POST to `/ridgeworks.v1.Operator/METHOD`. Its body is one message in
+//! `application/json` or `application/proto`, and the answer has the same format. An error is a JSON
+//! body of [`crate::ErrorBody`] with the HTTP status of its code.
+
+use std::fmt;
+
+use prost::Message;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::connect_error::ConnectError;
+
+/// Header that names the version of the Connect protocol.
+pub const PROTOCOL_VERSION_HEADER: &str = "connect-protocol-version";
+/// The version of the Connect protocol that is spoken.
+pub const PROTOCOL_VERSION: &str = "1";
+/// Header with the time that the client waits for the answer, in milliseconds.
+pub const TIMEOUT_HEADER: &str = "connect-timeout-ms";
+/// Most bytes of a request's body.
+pub const MAX_REQUEST_BYTES: u64 = 1 << 20;
+
+const JSON_MEDIA_TYPE: &str = "application/json";
+const PROTOBUF_MEDIA_TYPE: &str = "application/proto";
+const IDENTITY_ENCODING: &str = "identity";
+const HTTP_OK: u16 = 200;
+
+/// Format of a message on the wire.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum BodyFormat {
+    /// The JSON mapping of protobuf.
+    Json,
+    /// The binary form of protobuf.
+    Protobuf,
+}
+
+impl BodyFormat {
+    /// The format that a `Content-Type` header names; parameters such as the character set are
+    /// ignored.
+    pub fn from_content_type(content_type: &str) -> Result<Self, ConnectError> {
+        let media_type = content_type.split(';').next().unwrap_or_default().trim();
+        if media_type.eq_ignore_ascii_case(JSON_MEDIA_TYPE) {
+            Ok(Self::Json)
+        } else if media_type.eq_ignore_ascii_case(PROTOBUF_MEDIA_TYPE) {
+            Ok(Self::Protobuf)
+        } else {
+            Err(ConnectError::UnsupportedMediaType)
+        }
+    }
+
+    /// The media type.
+    pub fn media_type(self) -> &'static str {
+        match self {
+            Self::Json => JSON_MEDIA_TYPE,
+            Self::Protobuf => PROTOBUF_MEDIA_TYPE,
+        }
+    }
+}
+
+impl fmt::Display for BodyFormat {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(self.media_type())
+    }
+}
+
+/// An answer for the HTTP edge to send.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HttpAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Value of the `Content-Type` header.
+    pub content_type: &'static str,
+    /// Value of the `Retry-After` header, in seconds.
+    pub retry_after_seconds: Option<u64>,
+    /// The whole body.
+    pub body: Vec<u8>,
+}
+
+/// Checks the headers that concern the protocol itself; an absent header is fine.
+pub fn check_protocol_headers(
+    protocol_version: Option<&str>,
+    content_encoding: Option<&str>,
+) -> Result<(), ConnectError> {
+    if protocol_version.is_some_and(|version| version != PROTOCOL_VERSION) {
+        return Err(ConnectError::UnsupportedProtocolVersion);
+    }
+    if content_encoding.is_some_and(|encoding| !encoding.eq_ignore_ascii_case(IDENTITY_ENCODING)) {
+        return Err(ConnectError::UnsupportedEncoding);
+    }
+    Ok(())
+}
+
+/// Reads the message of a request. A JSON body with unknown fields is refused, so that a misspelt
+/// field does not pass for an absent one.
+pub fn decode_request<M>(content_type: &str, body: &[u8]) -> Result<M, ConnectError>
+where
+    M: Message + Default + DeserializeOwned,
+{
+    let format = BodyFormat::from_content_type(content_type)?;
+    decode_message(format, body)
+}
+
+/// Reads a message in a known format.
+pub fn decode_message<M>(format: BodyFormat, body: &[u8]) -> Result<M, ConnectError>
+where
+    M: Message + Default + DeserializeOwned,
+{
+    if body.len() as u64 > MAX_REQUEST_BYTES {
+        return Err(ConnectError::BodyTooLarge {
+            limit_bytes: MAX_REQUEST_BYTES,
+        });
+    }
+    let malformed = ConnectError::MalformedBody(format);
+    match format {
+        BodyFormat::Json => serde_json::from_slice(body).map_err(|_| malformed),
+        BodyFormat::Protobuf => M::decode(body).map_err(|_| malformed),
+    }
+}
+
+/// Writes the answer in the format of the request.
+pub fn encode_response<M>(content_type: &str, message: &M) -> Result<HttpAnswer, ConnectError>
+where
+    M: Message + Serialize,
+{
+    let format = BodyFormat::from_content_type(content_type)?;
+    let body = match format {
+        BodyFormat::Json => {
+            serde_json::to_vec(message).map_err(|_| ConnectError::UnencodableAnswer)?
+        }
+        BodyFormat::Protobuf => message.encode_to_vec(),
+    };
+    Ok(HttpAnswer {
+        status: HTTP_OK,
+        content_type: format.media_type(),
+        retry_after_seconds: None,
+        body,
+    })
+}
+
+/// Writes an error.
+pub fn encode_error(error: &ConnectError) -> HttpAnswer {
+    // The body holds only strings, so that encoding it cannot fail.
+    let body = serde_json::to_vec(&error.to_body()).unwrap_or_default();
+    HttpAnswer {
+        status: error.http_status(),
+        content_type: JSON_MEDIA_TYPE,
+        retry_after_seconds: error.retry_after_ms().map(whole_seconds),
+        body,
+    }
+}
+
+/// Milliseconds as whole seconds, rounded up so that nobody comes back too early.
+pub fn whole_seconds(milliseconds: u64) -> u64 {
+    milliseconds.div_ceil(1000)
+}
--- /dev/null
+++ b/crates/api/src/operator.rs
@@ -0,0 +1,119 @@
+//! Methods of the service `ridgeworks.v1.Operator`, their requests and their answers.
+
+use crate::connect::{self, HttpAnswer};
+use crate::connect_error::ConnectError;
+use crate::v1;
+
+/// Path prefix of all methods.
+pub const SERVICE_PATH: &str = "/ridgeworks.v1.Operator/";
+
+macro_rules! operator_methods {
+    ($($(#[$documentation:meta])* $method:ident: $request:ident => $response:ident;)*) => {
+        /// A method of the service.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+        pub enum OperatorMethod {
+            $($(#[$documentation])* $method,)*
+        }
+
+        impl OperatorMethod {
+            /// Every method.
+            pub const ALL: &'static [Self] = &[$(Self::$method),*];
+
+            /// The method's name in the schema.
+            pub fn name(self) -> &'static str {
+                match self {
+                    $(Self::$method => stringify!($method),)*
+                }
+            }
+        }
+
+        /// A request of any method.
+        #[derive(Debug, Clone, PartialEq)]
+        pub enum OperatorRequest {
+            $($(#[$documentation])* $method(v1::$request),)*
+        }
+
+        impl OperatorRequest {
+            /// Reads the request of a method.
+            pub fn decode(
+                method: OperatorMethod,
+                content_type: &str,
+                body: &[u8],
+            ) -> Result<Self, ConnectError> {
+                match method {
+                    $(OperatorMethod::$method => {
+                        connect::decode_request(content_type, body).map(Self::$method)
+                    })*
+                }
+            }
+
+            /// The method that it belongs to.
+            pub fn method(&self) -> OperatorMethod {
+                match self {
+                    $(Self::$method(_) => OperatorMethod::$method,)*
+                }
+            }
+        }
+
+        /// An answer of any method.
+        #[derive(Debug, Clone, PartialEq)]
+        pub enum OperatorResponse {
+            $($(#[$documentation])* $method(v1::$response),)*
+        }
+
+        impl OperatorResponse {
+            /// Writes the answer in the format of the request.
+            pub fn encode(&self, content_type: &str) -> Result<HttpAnswer, ConnectError> {
+                match self {
+                    $(Self::$method(message) => connect::encode_response(content_type, message),)*
+                }
+            }
+        }
+    };
+}
+
+operator_methods! {
+    /// Creates or replaces an object.
+    Apply: ApplyRequest => ApplyResponse;
+    /// Reads one object.
+    Get: GetRequest => GetResponse;
+    /// Reads all objects of one kind.
+    List: ListRequest => ListResponse;
+    /// Deletes an object.
+    Delete: DeleteRequest => DeleteResponse;
+    /// Proposes a split of the pool.
+    ProposeShares: ProposeSharesRequest => ProposeSharesResponse;
+    /// Consents to the open proposal.
+    ConsentShares: ConsentSharesRequest => ConsentSharesResponse;
+    /// Waits for changes of the configuration.
+    WatchChanges: WatchChangesRequest => WatchChangesResponse;
+    /// Reads the state of the system.
+    Status: StatusRequest => StatusResponse;
+    /// Reads the asked node's own state.
+    NodeStatus: NodeStatusRequest => NodeStatusResponse;
+    /// Tells a node to stop as planned.
+    Drain: DrainRequest => DrainResponse;
+    /// Reads a run and its calls.
+    GetRun: GetRunRequest => GetRunResponse;
+    /// Reads the runs of the partner.
+    ListRuns: ListRunsRequest => ListRunsResponse;
+}
+
+impl OperatorMethod {
+    /// The method that a request's path names; a query string is no part of the path.
+    pub fn from_path(path: &str) -> Result<Self, ConnectError> {
+        let name = path
+            .strip_prefix(SERVICE_PATH)
+            .ok_or(ConnectError::UnknownMethod)?;
+        Self::ALL
+            .iter()
+            .copied()
+            .find(|method| method.name() == name)
+            .ok_or(ConnectError::UnknownMethod)
+    }
+
+    /// The method's path.
+    pub fn path(self) -> String {
+        format!("{SERVICE_PATH}{}", self.name())
+    }
+}
