Add stand-ins of model engines and of the platform

The whole path needs back ends and a store to run against. Both are separate processes over tiny_http. Accepted sockets inherit TCP_NODELAY from the listener, since tiny_http can't set it and small token chunks would wait for acknowledgements. Checked by hand over loopback; tests follow.

--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod refusal;
 pub mod run_id;
 pub mod time;
+pub mod token_count;
 pub mod units;
 
 pub use ballot::Ballot;
--- /dev/null
+++ b/crates/stand-ins/src/engine/batching.rs
@@ -0,0 +1,378 @@
+//! Continuous batching: one thread that takes waiting attempts into a batch by priority and lets
+//! the whole batch progress step by step.
+//!
+//! A step lasts `base + per_sequence × decoding sequences + per_prefill_token × prompt tokens
+//! computed`. Prompts are computed in chunks of at most [`PREFILL_CHUNK_TOKENS`] a step, after which
+//! every decoding sequence gives one token. Ends of steps are counted on from the one before, so
+//! that late wake-ups don't add up.
+
+use std::cmp::Ordering;
+use std::collections::BinaryHeap;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use ridgeworks_domain::RunId;
+use serde::Serialize;
+
+use crate::attempts::{Attempt, AttemptState, Progress};
+use crate::engine::chat::ChatPlan;
+use crate::engine::lagging_load::LaggingLoad;
+use crate::engine::memory::EngineMemory;
+use crate::engine::token_blocks::BLOCK_TOKENS;
+use crate::history::{HistoryEvent, HistoryWriter, digest};
+
+/// Most prompt tokens that one step computes.
+pub const PREFILL_CHUNK_TOKENS: u64 = 512;
+
+/// How long the scheduler waits before it looks again whether memory has come free.
+const MEMORY_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
+/// How fast the engine is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StepCosts {
+    /// Time of an empty step.
+    pub base: Duration,
+    /// Time that each decoding sequence adds.
+    pub per_sequence: Duration,
+    /// Time that each prompt token computed adds.
+    pub per_prefill_token: Duration,
+}
+
+impl StepCosts {
+    fn step(&self, decoding: u32, prefill_tokens: u64) -> Duration {
+        let prefill_tokens = u32::try_from(prefill_tokens).unwrap_or(u32::MAX);
+        self.base + self.per_sequence * decoding + self.per_prefill_token * prefill_tokens
+    }
+}
+
+/// Load as an engine reports it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize)]
+pub struct EngineLoad {
+    /// Attempts in the batch.
+    pub running: usize,
+    /// Attempts that wait.
+    pub queued: usize,
+    /// Memory blocks that hold nothing.
+    pub free_blocks: u64,
+}
+
+struct Waiting {
+    arrival: u64,
+    attempt: Arc<Attempt<ChatPlan>>,
+}
+
+impl Waiting {
+    fn rank(&self) -> (i64, u64) {
+        (self.attempt.plan.priority, self.arrival)
+    }
+}
+
+impl PartialEq for Waiting {
+    fn eq(&self, other: &Self) -> bool {
+        self.rank() == other.rank()
+    }
+}
+
+impl Eq for Waiting {}
+
+impl PartialOrd for Waiting {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Waiting {
+    /// The largest is the next to run.
+    fn cmp(&self, other: &Self) -> Ordering {
+        other.rank().cmp(&self.rank())
+    }
+}
+
+#[derive(Default)]
+struct Queue {
+    waiting: BinaryHeap<Waiting>,
+    arrivals: u64,
+    is_closed: bool,
+}
+
+/// The queue of attempts, shared between request threads and the scheduler.
+#[derive(Default)]
+pub struct AttemptQueue {
+    queue: Mutex<Queue>,
+    changed: Condvar,
+}
+
+impl AttemptQueue {
+    fn lock(&self) -> MutexGuard<'_, Queue> {
+        self.queue.lock().expect("no holder of this lock panics")
+    }
+
+    /// Number of waiting attempts.
+    pub fn len(&self) -> usize {
+        self.lock().waiting.len()
+    }
+
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Adds an attempt; one that comes after the end never starts.
+    pub fn push(&self, attempt: Arc<Attempt<ChatPlan>>) {
+        let mut queue = self.lock();
+        if queue.is_closed {
+            attempt.update(|progress| progress.state = AttemptState::NeverStarted);
+            return;
+        }
+        queue.arrivals += 1;
+        let arrival = queue.arrivals;
+        queue.waiting.push(Waiting { arrival, attempt });
+        self.changed.notify_all();
+    }
+
+    /// Lets the scheduler end once all attempts are done.
+    pub fn close(&self) {
+        self.lock().is_closed = true;
+        self.changed.notify_all();
+    }
+}
+
+struct Sequence {
+    attempt: Arc<Attempt<ChatPlan>>,
+    prefill_left: u64,
+    reserved_blocks: u64,
+}
+
+/// The scheduler thread's state.
+pub struct Batch {
+    /// Where attempts come from.
+    pub queue: Arc<AttemptQueue>,
+    /// The engine's memory.
+    pub memory: Arc<EngineMemory>,
+    /// Where executions are recorded.
+    pub history: Arc<HistoryWriter>,
+    /// Where the load is reported.
+    pub load: Arc<LaggingLoad>,
+    /// How fast the engine is.
+    pub costs: StepCosts,
+    /// Most sequences at a time.
+    pub max_batch: usize,
+    running: Vec<Sequence>,
+}
+
+impl Batch {
+    /// An empty batch.
+    pub fn new(
+        queue: Arc<AttemptQueue>,
+        memory: Arc<EngineMemory>,
+        history: Arc<HistoryWriter>,
+        load: Arc<LaggingLoad>,
+        costs: StepCosts,
+        max_batch: usize,
+    ) -> Self {
+        Self {
+            queue,
+            memory,
+            history,
+            load,
+            costs,
+            max_batch,
+            running: Vec::new(),
+        }
+    }
+
+    /// Works until the queue is closed and everything in it is done.
+    pub fn run(mut self) {
+        let mut step_end = Instant::now();
+        loop {
+            self.admit();
+            self.report_load();
+            if self.running.is_empty() {
+                if !self.wait_for_work() {
+                    return;
+                }
+                step_end = Instant::now();
+                continue;
+            }
+            let duration = self.compute_step();
+            step_end += duration;
+            thread::sleep(step_end.saturating_duration_since(Instant::now()));
+            self.finish_step();
+            step_end = step_end.max(Instant::now() - duration);
+        }
+    }
+
+    /// Waits for an attempt, or a little when those that wait found no memory. Answers whether
+    /// there is anything left to do.
+    fn wait_for_work(&self) -> bool {
+        let queue = self.queue.lock();
+        if !queue.waiting.is_empty() {
+            let waited = self.queue.changed.wait_timeout(queue, MEMORY_POLL_INTERVAL);
+            drop(waited.expect("no holder of this lock panics"));
+            return true;
+        }
+        let idle = |queue: &mut Queue| queue.waiting.is_empty() && !queue.is_closed;
+        let queue = self.queue.changed.wait_while(queue, idle);
+        let queue = queue.expect("no holder of this lock panics");
+        !queue.waiting.is_empty()
+    }
+
+    fn admit(&mut self) {
+        while self.running.len() < self.max_batch {
+            let Some(next) = self.queue.lock().waiting.pop() else {
+                return;
+            };
+            if next.attempt.progress().state.is_final() {
+                continue;
+            }
+            let Some(sequence) = self.reserve(&next.attempt) else {
+                self.queue.lock().waiting.push(next);
+                return;
+            };
+            if start(&next.attempt, &self.history) {
+                self.running.push(sequence);
+            } else {
+                self.release(&sequence);
+            }
+        }
+    }
+
+    fn reserve(&self, attempt: &Arc<Attempt<ChatPlan>>) -> Option<Sequence> {
+        let plan = &attempt.plan;
+        let run = run_of(plan);
+        self.memory.with(&self.history, |cache| {
+            let matched = run.map_or(0, |run| cache.matched_blocks(run, &plan.prompt_chain));
+            let reserved_blocks = plan.blocks().saturating_sub(matched);
+            let has_room = cache.begin_attempt(run, reserved_blocks, Instant::now());
+            has_room.then(|| Sequence {
+                attempt: Arc::clone(attempt),
+                prefill_left: plan
+                    .prompt_chain
+                    .tokens()
+                    .saturating_sub(matched * BLOCK_TOKENS),
+                reserved_blocks,
+            })
+        })
+    }
+
+    fn release(&self, sequence: &Sequence) {
+        let run = run_of(&sequence.attempt.plan);
+        self.memory.with(&self.history, |cache| {
+            cache.end_attempt(run, sequence.reserved_blocks);
+        });
+    }
+
+    /// Computes prompts, in order of admission; answers how long the step lasts.
+    fn compute_step(&mut self) -> Duration {
+        let mut chunk_left = PREFILL_CHUNK_TOKENS;
+        for sequence in &mut self.running {
+            let computed = sequence.prefill_left.min(chunk_left);
+            sequence.prefill_left -= computed;
+            chunk_left -= computed;
+        }
+        let decoding = self
+            .running
+            .iter()
+            .filter(|sequence| sequence.prefill_left == 0);
+        let decoding = u32::try_from(decoding.count()).unwrap_or(u32::MAX);
+        self.costs.step(decoding, PREFILL_CHUNK_TOKENS - chunk_left)
+    }
+
+    fn finish_step(&mut self) {
+        let (ended, running) = std::mem::take(&mut self.running)
+            .into_iter()
+            .partition(|sequence| self.advance(sequence));
+        self.running = running;
+        let ended: Vec<Sequence> = ended;
+        for sequence in &ended {
+            self.release(sequence);
+        }
+    }
+
+    /// Gives a decoding sequence its token; answers whether the attempt has ended.
+    fn advance(&self, sequence: &Sequence) -> bool {
+        let plan = &sequence.attempt.plan;
+        let is_last = |progress: &Progress| progress.produced + 1 >= plan.content.pieces.len();
+        if sequence.prefill_left > 0 {
+            return sequence.attempt.progress().state.is_final();
+        }
+        sequence.attempt.update(|progress| {
+            if progress.state != AttemptState::Running {
+                return true;
+            }
+            if is_last(progress) {
+                self.keep_context(plan);
+                record_execution(plan, progress.produced + 1, false, &self.history);
+                progress.state = AttemptState::Finished {
+                    answer: plan.head.whole(&plan.content),
+                    spent: plan.cost(progress.produced + 1),
+                };
+            }
+            progress.produced += 1;
+            progress.state.is_final()
+        })
+    }
+
+    fn keep_context(&self, plan: &ChatPlan) {
+        let Some(run) = run_of(plan) else { return };
+        self.memory.with(&self.history, |cache| {
+            cache.store(run, plan.context_chain.clone(), Instant::now());
+        });
+    }
+
+    fn report_load(&self) {
+        let free_blocks = self.memory.with(&self.history, |cache| cache.free_blocks());
+        self.load.set(EngineLoad {
+            running: self.running.len(),
+            queued: self.queue.len(),
+            free_blocks,
+        });
+    }
+}
+
+fn run_of(plan: &ChatPlan) -> Option<RunId> {
+    plan.key.as_ref().map(|key| key.run)
+}
+
+fn start(attempt: &Attempt<ChatPlan>, history: &HistoryWriter) -> bool {
+    attempt.update(|progress| {
+        let may_start = progress.state == AttemptState::Queued;
+        if may_start {
+            record_start(&attempt.plan, history);
+            progress.state = AttemptState::Running;
+        }
+        may_start
+    })
+}
+
+fn record_start(plan: &ChatPlan, history: &HistoryWriter) {
+    let Some(key) = &plan.key else { return };
+    history.record(&HistoryEvent::BackendStarted {
+        backend: history.by().to_owned(),
+        run: key.run,
+        call: key.call.clone(),
+        attempt: key.attempt,
+    });
+}
+
+/// Records that an attempt took effect, as far as its first `produced` tokens.
+pub fn record_execution(
+    plan: &ChatPlan,
+    produced: usize,
+    cancelled: bool,
+    history: &HistoryWriter,
+) {
+    let Some(key) = &plan.key else { return };
+    history.record(&HistoryEvent::BackendExecuted {
+        backend: history.by().to_owned(),
+        run: key.run,
+        call: key.call.clone(),
+        attempt: key.attempt,
+        sequence: plan.sequence,
+        cost: plan.cost(produced),
+        answer_digest: digest(plan.content.text(produced).as_bytes()),
+        prior_calls: plan.prior_calls.clone(),
+        cancelled,
+    });
+}
--- /dev/null
+++ b/crates/stand-ins/src/engine/chat.rs
@@ -0,0 +1,130 @@
+//! Chat requests: what callers send, and the plan that an engine makes of it.
+
+use ridgeworks_domain::token_count::count_prompt_tokens;
+use ridgeworks_domain::{CallKey, Cost, Sequence};
+use serde::Deserialize;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::attempts::AttemptKey;
+use crate::engine::answer::{AnswerContent, AnswerHead, answered_call};
+use crate::engine::token_blocks::{BLOCK_TOKENS, TokenChain};
+use crate::failure::Failure;
+
+const ASSISTANT: &str = "assistant";
+
+/// Body of `POST /v1/chat/completions`.
+#[derive(Debug, Clone, Deserialize)]
+pub struct ChatRequest {
+    /// The model asked for.
+    pub model: String,
+    /// The conversation.
+    pub messages: Vec<ChatMessage>,
+    /// Whether tokens are to be streamed.
+    #[serde(default)]
+    pub stream: bool,
+    /// Most tokens of the answer.
+    #[serde(alias = "max_completion_tokens")]
+    pub max_tokens: Option<u64>,
+    /// Order in the queue: lower goes first.
+    #[serde(default)]
+    pub priority: i64,
+}
+
+/// One message of a conversation.
+#[derive(Debug, Clone, Deserialize)]
+pub struct ChatMessage {
+    /// Who speaks.
+    pub role: String,
+    /// What is said; messages that only carry tool calls have none.
+    pub content: Option<String>,
+}
+
+impl ChatMessage {
+    fn text(&self) -> &str {
+        self.content.as_deref().unwrap_or_default()
+    }
+}
+
+/// What an engine will do for one attempt.
+#[derive(Debug)]
+pub struct ChatPlan {
+    /// The attempt; `None` for a plain client.
+    pub key: Option<AttemptKey>,
+    /// The call's position in its run.
+    pub sequence: Option<Sequence>,
+    /// Order in the queue: lower goes first.
+    pub priority: i64,
+    /// Head of the answer's JSON forms.
+    pub head: AnswerHead,
+    /// The answer.
+    pub content: AnswerContent,
+    /// Calls whose answers stand in the prompt.
+    pub prior_calls: Vec<CallKey>,
+    /// Block hashes of the prompt.
+    pub prompt_chain: TokenChain,
+    /// Block hashes of the prompt and the answer.
+    pub context_chain: TokenChain,
+}
+
+impl ChatPlan {
+    /// Plans the answer to a request. `answer_tokens` is the mean length without a limit.
+    pub fn new(
+        request: &ChatRequest,
+        key: Option<AttemptKey>,
+        sequence: Option<Sequence>,
+        answer_tokens: usize,
+    ) -> Result<Self, Failure> {
+        if request.messages.is_empty() {
+            return Err(Failure::InvalidField("messages"));
+        }
+        if request.max_tokens == Some(0) {
+            return Err(Failure::InvalidField("max_tokens"));
+        }
+        let call = key.as_ref().map_or("none", |key| key.call.as_str());
+        let run = key.as_ref().map_or(0, |key| key.run.0);
+        let seed = xxh3_64(format!("{run:x}/{call}").as_bytes());
+        let wanted = answer_tokens / 2 + seed as usize % answer_tokens.max(1);
+        let limit = request.max_tokens.map(|limit| limit as usize);
+        let content = AnswerContent::generate(call, seed, wanted, limit);
+
+        let texts = || request.messages.iter().map(ChatMessage::text);
+        let mut chain = TokenChain::default();
+        for message in &request.messages {
+            chain.append(&message.role, message.text());
+        }
+        let prompt_chain = chain.clone();
+        chain.append(ASSISTANT, &content.text(usize::MAX));
+
+        let answers = request
+            .messages
+            .iter()
+            .filter(|message| message.role == ASSISTANT);
+        let attempt = key.as_ref().map_or(1, |key| key.attempt);
+        Ok(Self {
+            sequence,
+            priority: request.priority,
+            head: AnswerHead {
+                id: format!("chatcmpl-{run:x}-{call}-{attempt}"),
+                model: request.model.clone(),
+                prompt_tokens: count_prompt_tokens(texts()),
+            },
+            content,
+            prior_calls: answers
+                .filter_map(|message| answered_call(message.text()))
+                .collect(),
+            prompt_chain,
+            context_chain: chain,
+            key,
+        })
+    }
+
+    /// Tokens of the prompt and `produced` tokens of the answer.
+    pub fn cost(&self, produced: usize) -> Cost {
+        Cost(self.head.prompt_tokens + produced as u64)
+    }
+
+    /// Memory blocks that the attempt needs until its end.
+    pub fn blocks(&self) -> u64 {
+        self.context_chain.tokens().div_ceil(BLOCK_TOKENS)
+    }
+}
--- /dev/null
+++ b/crates/stand-ins/src/http.rs
@@ -0,0 +1,339 @@
+//! The HTTP server that every stand-in uses: a request in, a typed reply out.
+//!
+//! Requests run on a pool that grows while all its threads are busy, since a streamed answer keeps
+//! its thread until it ends.
+
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tiny_http::{Header, Method, Request, Response, Server};
+
+use crate::failure::Failure;
+
+const BODY_LIMIT_BYTES: u64 = 64 * 1024 * 1024;
+const IDLE_THREAD_LIFETIME: Duration = Duration::from_secs(5);
+const STOP_POLL_INTERVAL: Duration = Duration::from_millis(2);
+const HANDLER_STACK_BYTES: usize = 512 * 1024;
+
+/// A request whose body has been read.
+pub struct Incoming {
+    /// Its method.
+    pub method: Method,
+    /// Its body.
+    pub body: Vec<u8>,
+    /// The other end of the connection.
+    pub peer: Option<SocketAddr>,
+    path: String,
+    query: String,
+    headers: Vec<Header>,
+}
+
+impl Incoming {
+    fn read(request: &mut Request) -> Result<Self, Failure> {
+        let mut body = Vec::new();
+        request
+            .as_reader()
+            .take(BODY_LIMIT_BYTES + 1)
+            .read_to_end(&mut body)
+            .map_err(|_| Failure::InvalidField("body"))?;
+        if body.len() as u64 > BODY_LIMIT_BYTES {
+            return Err(Failure::BodyTooLarge(BODY_LIMIT_BYTES));
+        }
+        let (path, query) = request.url().split_once('?').unwrap_or((request.url(), ""));
+        Ok(Self {
+            method: request.method().clone(),
+            body,
+            peer: request.remote_addr().copied(),
+            path: path.to_owned(),
+            query: query.to_owned(),
+            headers: request.headers().to_vec(),
+        })
+    }
+
+    /// The path, split at its slashes.
+    pub fn segments(&self) -> Vec<&str> {
+        self.path.trim_matches('/').split('/').collect()
+    }
+
+    /// A header's value.
+    pub fn header(&self, name: &'static str) -> Option<&str> {
+        self.headers
+            .iter()
+            .find(|header| header.field.equiv(name))
+            .map(|header| header.value.as_str())
+    }
+
+    /// A header's value as a number or identifier, if the header is there.
+    pub fn parsed_header<T: std::str::FromStr>(
+        &self,
+        name: &'static str,
+    ) -> Result<Option<T>, Failure> {
+        self.header(name).map_or(Ok(None), |text| {
+            let parsed = text.trim().parse();
+            parsed.map(Some).map_err(|_| Failure::InvalidField(name))
+        })
+    }
+
+    /// A query parameter, if it is there.
+    pub fn query(&self, name: &str) -> Option<&str> {
+        self.query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .find(|(key, _)| *key == name)
+            .map(|(_, value)| value)
+    }
+
+    /// A numeric query parameter; `default` when it is missing.
+    pub fn query_number(&self, name: &'static str, default: u64) -> Result<u64, Failure> {
+        self.query(name).map_or(Ok(default), |text| {
+            text.parse().map_err(|_| Failure::InvalidField(name))
+        })
+    }
+
+    /// The body, read as JSON.
+    pub fn json<T: DeserializeOwned>(&self) -> Result<T, Failure> {
+        serde_json::from_slice(&self.body).map_err(|_| Failure::InvalidField("body"))
+    }
+}
+
+/// Parses one segment of a path.
+pub fn path_value<T: std::str::FromStr>(text: &str, name: &'static str) -> Result<T, Failure> {
+    text.parse().map_err(|_| Failure::InvalidField(name))
+}
+
+/// Writes the body of a streamed answer.
+pub type StreamBody = Box<dyn FnOnce(&mut ChunkWriter) -> io::Result<()> + Send>;
+
+/// What a handler answers.
+pub enum Reply {
+    /// A JSON document.
+    Json {
+        /// HTTP status code.
+        status: u16,
+        /// The document.
+        body: Vec<u8>,
+    },
+    /// Plain text, such as counters.
+    Text(String),
+    /// A body written piece by piece.
+    Stream {
+        /// Its media type.
+        content_type: &'static str,
+        /// What writes it.
+        body: StreamBody,
+    },
+    /// No answer; the handler has closed the connection.
+    Nothing,
+}
+
+impl Reply {
+    /// A document with status 200.
+    pub fn json(document: &impl Serialize) -> Self {
+        Self::json_with_status(200, document)
+    }
+
+    /// A document with another status.
+    pub fn json_with_status(status: u16, document: &impl Serialize) -> Self {
+        let body = serde_json::to_vec(document).expect("replies have a JSON form");
+        Self::Json { status, body }
+    }
+}
+
+/// Sends pieces of a body with the chunked transfer coding, each at once.
+pub struct ChunkWriter {
+    writer: Box<dyn Write + Send>,
+}
+
+impl ChunkWriter {
+    fn start(mut writer: Box<dyn Write + Send>, content_type: &str) -> io::Result<Self> {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nContent-Type: {content_type}\r\nCache-Control: no-store\r\n\
+             Transfer-Encoding: chunked\r\n\r\n"
+        );
+        writer.write_all(head.as_bytes())?;
+        writer.flush()?;
+        Ok(Self { writer })
+    }
+
+    /// Sends one piece and flushes it.
+    pub fn send(&mut self, piece: &[u8]) -> io::Result<()> {
+        let mut chunk = format!("{:x}\r\n", piece.len()).into_bytes();
+        chunk.extend_from_slice(piece);
+        chunk.extend_from_slice(b"\r\n");
+        self.writer.write_all(&chunk)?;
+        self.writer.flush()
+    }
+
+    fn finish(mut self) -> io::Result<()> {
+        self.writer.write_all(b"0\r\n\r\n")?;
+        self.writer.flush()
+    }
+}
+
+type Handler = dyn Fn(&Incoming) -> Result<Reply, Failure> + Send + Sync;
+
+/// A running HTTP server.
+pub struct HttpServer {
+    server: Arc<Server>,
+    address: SocketAddr,
+    open_requests: Arc<AtomicUsize>,
+    accepting: Option<JoinHandle<()>>,
+}
+
+impl HttpServer {
+    /// Binds the address (port 0 chooses a free one) and serves requests with `handler`.
+    pub fn start(
+        listen: SocketAddr,
+        handler: impl Fn(&Incoming) -> Result<Reply, Failure> + Send + Sync + 'static,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind(listen)?;
+        // Accepted connections inherit this option; tiny_http offers no way to set it on them.
+        rustix::net::sockopt::set_tcp_nodelay(&listener, true)?;
+        let address = listener.local_addr()?;
+        let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
+        let server = Arc::new(server);
+        let open_requests = Arc::new(AtomicUsize::new(0));
+        let pool = HandlerPool::new(Arc::new(handler), Arc::clone(&open_requests));
+        let accepting = {
+            let server = Arc::clone(&server);
+            thread::spawn(move || {
+                while let Ok(request) = server.recv() {
+                    pool.run(request);
+                }
+            })
+        };
+        Ok(Self {
+            server,
+            address,
+            open_requests,
+            accepting: Some(accepting),
+        })
+    }
+
+    /// The address it listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Takes no further requests and waits until those under way are answered.
+    pub fn stop(&mut self) {
+        let Some(accepting) = self.accepting.take() else {
+            return;
+        };
+        self.server.unblock();
+        let _ = accepting.join();
+        while self.open_requests.load(Ordering::SeqCst) > 0 {
+            thread::sleep(STOP_POLL_INTERVAL);
+        }
+    }
+}
+
+struct HandlerPool {
+    handler: Arc<Handler>,
+    open_requests: Arc<AtomicUsize>,
+    sender: Sender<Request>,
+    receiver: Receiver<Request>,
+}
+
+impl HandlerPool {
+    fn new(handler: Arc<Handler>, open_requests: Arc<AtomicUsize>) -> Self {
+        let (sender, receiver) = bounded(0);
+        Self {
+            handler,
+            open_requests,
+            sender,
+            receiver,
+        }
+    }
+
+    fn run(&self, request: Request) {
+        self.open_requests.fetch_add(1, Ordering::SeqCst);
+        match self.sender.try_send(request) {
+            Ok(()) => {}
+            Err(TrySendError::Full(request) | TrySendError::Disconnected(request)) => {
+                self.grow(request);
+            }
+        }
+    }
+
+    fn grow(&self, first: Request) {
+        let handler = Arc::clone(&self.handler);
+        let open_requests = Arc::clone(&self.open_requests);
+        let receiver = self.receiver.clone();
+        let work = move || {
+            let mut next = Some(first);
+            while let Some(request) = next {
+                answer(request, handler.as_ref());
+                open_requests.fetch_sub(1, Ordering::SeqCst);
+                next = receiver.recv_timeout(IDLE_THREAD_LIFETIME).ok();
+            }
+        };
+        let spawned = thread::Builder::new()
+            .stack_size(HANDLER_STACK_BYTES)
+            .spawn(work);
+        spawned.expect("the machine has a thread for a request");
+    }
+}
+
+fn answer(mut request: Request, handler: &Handler) {
+    let reply = Incoming::read(&mut request).and_then(|incoming| handler(&incoming));
+    // A client that went away before its answer is no fault of the server.
+    let _ = match reply {
+        Ok(reply) => send(request, reply),
+        Err(failure) => refuse(request, &failure),
+    };
+}
+
+fn send(request: Request, reply: Reply) -> io::Result<()> {
+    match reply {
+        Reply::Json { status, body } => respond(request, status, "application/json", body, None),
+        Reply::Text(text) => respond(request, 200, "text/plain", text.into_bytes(), None),
+        Reply::Stream { content_type, body } => {
+            let mut writer = ChunkWriter::start(request.into_writer(), content_type)?;
+            body(&mut writer)?;
+            writer.finish()
+        }
+        Reply::Nothing => {
+            drop(request.into_writer());
+            Ok(())
+        }
+    }
+}
+
+fn refuse(request: Request, failure: &Failure) -> io::Result<()> {
+    let body = failure.body().to_string().into_bytes();
+    let retry_after = failure.retry_after_seconds();
+    respond(
+        request,
+        failure.status(),
+        "application/json",
+        body,
+        retry_after,
+    )
+}
+
+fn respond(
+    request: Request,
+    status: u16,
+    content_type: &str,
+    body: Vec<u8>,
+    retry_after: Option<u64>,
+) -> io::Result<()> {
+    let mut response = Response::from_data(body).with_status_code(status);
+    response.add_header(header("Content-Type", content_type));
+    if let Some(seconds) = retry_after {
+        response.add_header(header("Retry-After", &seconds.to_string()));
+    }
+    request.respond(response)
+}
+
+fn header(name: &str, value: &str) -> Header {
+    Header::from_bytes(name, value).expect("header texts of this program are ASCII")
+}
--- /dev/null
+++ b/crates/stand-ins/src/platform/mod.rs
@@ -0,0 +1,139 @@
+//! A stand-in of the platform: objects with versions and watches, the lagging list of machines, the
+//! rate-limited weight store, and switches for its faults.
+
+pub mod faults;
+pub mod machines;
+pub mod routes;
+pub mod store;
+pub mod weights;
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use crate::history::HistoryWriter;
+use crate::http::HttpServer;
+use crate::platform::faults::Faults;
+use crate::platform::machines::MachineRegistry;
+use crate::platform::store::ObjectStore;
+use crate::platform::weights::WeightStore;
+
+/// Settings of a platform.
+#[derive(Debug, Clone)]
+pub struct PlatformOptions {
+    /// Where to listen; port 0 chooses a free one.
+    pub listen: SocketAddr,
+    /// Its name.
+    pub name: String,
+    /// Its zone.
+    pub zone: String,
+    /// Where to record the history.
+    pub history: Option<PathBuf>,
+    /// Where to keep objects over a restart.
+    pub data_file: Option<PathBuf>,
+    /// Most watches at a time.
+    pub max_watchers: usize,
+    /// How late the list of machines is.
+    pub machine_list_lag: Duration,
+    /// Rate of the weight store.
+    pub weights_bytes_per_second: u64,
+    /// Size of a model's weights where the request names none.
+    pub weights_bytes: u64,
+}
+
+impl PlatformOptions {
+    /// A platform on a free port of the loopback interface.
+    pub fn local(name: &str) -> Self {
+        Self {
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            name: name.to_owned(),
+            zone: "local".to_owned(),
+            history: None,
+            data_file: None,
+            max_watchers: 4,
+            machine_list_lag: Duration::ZERO,
+            weights_bytes_per_second: 1 << 30,
+            weights_bytes: 64 << 20,
+        }
+    }
+}
+
+/// What the platform's threads share.
+pub struct PlatformState {
+    /// Its settings.
+    pub options: PlatformOptions,
+    /// Its objects.
+    pub store: ObjectStore,
+    /// The machines.
+    pub machines: MachineRegistry,
+    /// The weight store.
+    pub weights: WeightStore,
+    /// The faults that are on.
+    pub faults: Faults,
+    /// Number of open watches.
+    pub watchers: AtomicUsize,
+    history: HistoryWriter,
+    is_stopping: AtomicBool,
+}
+
+impl PlatformState {
+    /// Whether the process is about to end.
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::SeqCst)
+    }
+}
+
+/// A running platform.
+pub struct Platform {
+    state: Arc<PlatformState>,
+    server: HttpServer,
+    publisher: Option<JoinHandle<()>>,
+}
+
+impl Platform {
+    /// Starts a platform.
+    pub fn start(options: PlatformOptions) -> io::Result<Self> {
+        let state = Arc::new(PlatformState {
+            store: ObjectStore::open(options.data_file.as_deref())?,
+            machines: MachineRegistry::new(options.machine_list_lag),
+            weights: WeightStore::new(options.weights_bytes_per_second),
+            faults: Faults::default(),
+            watchers: AtomicUsize::new(0),
+            history: HistoryWriter::open(&options.name, options.history.as_deref())?,
+            is_stopping: AtomicBool::new(false),
+            options,
+        });
+        let publisher = thread::spawn({
+            let state = Arc::clone(&state);
+            move || state.machines.record_publications(&state.history)
+        });
+        let server = HttpServer::start(state.options.listen, {
+            let state = Arc::clone(&state);
+            move |incoming| routes::handle(&state, incoming)
+        })?;
+        Ok(Self {
+            state,
+            server,
+            publisher: Some(publisher),
+        })
+    }
+
+    /// The address it listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Ends watches, answers what is open and ends the threads.
+    pub fn stop(&mut self) {
+        self.state.is_stopping.store(true, Ordering::SeqCst);
+        self.state.machines.close();
+        if let Some(publisher) = self.publisher.take() {
+            let _ = publisher.join();
+        }
+        self.server.stop();
+    }
+}
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -1,1 +1,5 @@
 //! Cluster launcher, load, demo, chaos and experiments.
+
+pub mod engine;
+pub mod platform;
+pub mod serving;
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -1,3 +1,36 @@
-//! Entry point of `ridgeworks-testbed`.
+//! Entry point of `ridgeworks-testbed`: parses the command line and hands over to a subcommand.
 
-fn main() {}
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+use ridgeworks_testbed::{engine, platform};
+
+/// Stand-ins and tools for trying ridgeworks out.
+#[derive(Parser)]
+#[command(name = "ridgeworks-testbed", version)]
+struct CommandLine {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Serve as a model engine.
+    Engine(engine::EngineArguments),
+    /// Serve as the platform.
+    Platform(platform::PlatformArguments),
+}
+
+fn main() -> ExitCode {
+    let result = match CommandLine::parse().command {
+        Command::Engine(arguments) => engine::run(arguments),
+        Command::Platform(arguments) => platform::run(arguments),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
