--- a/crates/run-log/src/event.rs
+++ b/crates/run-log/src/event.rs
@@ -6,8 +6,9 @@
     BackendName, Ballot, CallEnd, CallKey, CallRequest, Cost, NodeId, Refusal, RunId, Sequence,
 };
 
-use crate::entry::{Opening, ReplicaId};
+use crate::entry::{LogIndex, Opening, ReplicaId};
 use crate::message::{Reply, Request};
+use crate::run_state::InvalidEntry;
 
 /// Number by which the node knows one waiting request; chosen by the node, unique within one owner.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -260,6 +261,13 @@
         /// Its claim, as far as known.
         higher: Ballot,
     },
+    /// The log holds an entry that it can't hold at its place: a fault of this software. The owner does nothing any more.
+    InvalidLog {
+        /// Where.
+        index: LogIndex,
+        /// What is wrong with it.
+        error: InvalidEntry,
+    },
     /// No replica that can vote holds the run; it does not exist or was forgotten.
     RunUnknown,
 }
