--- a/crates/domain/src/identifiers.rs
+++ b/crates/domain/src/identifiers.rs
@@ -133,6 +133,10 @@
     /// A zone of the deployment.
     ZoneName
 );
+text_identifier!(
+    /// A region of the deployment, which holds one or more zones.
+    RegionName
+);
 text_identifier!(
     /// The caller's key of one call, unique within its run; repeats of a request carry the same key.
     CallKey
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -15,8 +15,8 @@
 pub use ballot::Ballot;
 pub use call::{CallEnd, CallRequest, ServiceKind};
 pub use identifiers::{
-    BackendName, CallKey, ClassName, IdentifierError, NodeId, PartnerName, ProgramName, Sequence,
-    ServiceName, ZoneName,
+    BackendName, CallKey, ClassName, IdentifierError, NodeId, PartnerName, ProgramName, RegionName,
+    Sequence, ServiceName, ZoneName,
 };
 pub use refusal::{InvalidRequest, Refusal, RefusalReason};
 pub use run_id::RunId;
