Add the membership state machine and its simulator

Monitors on a ring within each zone probe their members, relays probe between zones, verdicts are flooded along power-of-two fingers, and tables are compared to heal what was lost. A Dead claim heard in table comparison is checked with a probe first, so that a healed cut does not pass stale verdicts on. Simulated: kills, freezes, cuts, joins, replacement, loss.

--- a/crates/membership/src/config.rs
+++ b/crates/membership/src/config.rs
@@ -22,6 +22,8 @@
     pub link_closed_confirm_timeout: Duration,
     /// A timer that runs later than this shows that this node itself was paused.
     pub pause_threshold: Duration,
+    /// By how much the confirmation time grows while this node hears from nobody at all.
+    pub isolation_factor: u32,
     /// Monitors of each member.
     pub monitors: usize,
     /// Members asked to probe a suspected one.
@@ -36,6 +38,11 @@
     pub anti_entropy_interval: Duration,
     /// How often a join is repeated until a seed answers.
     pub join_retry_interval: Duration,
+    /// How often a seed that is no present member is tried.
+    pub seed_interval: Duration,
+    /// For how long after its start a node introduces itself with its probes, and takes a claim of
+    /// a later start of its name for a clock that went back rather than for its replacement.
+    pub newcomer_period: Duration,
     /// How often one Dead member is tried again, so that a healed cut is noticed.
     pub reconnect_interval: Duration,
     /// How long Dead and Left members stay known.
@@ -46,13 +53,14 @@
     fn default() -> Self {
         Self {
             probe_interval: Duration::from_millis(300),
-            relay_probe_interval: Duration::from_millis(300),
+            relay_probe_interval: Duration::from_millis(500),
             probe_timeout: Duration::from_millis(150),
             suspect_probe_interval: Duration::from_millis(100),
             indirect_probe_interval: Duration::from_millis(200),
             confirm_timeout: Duration::from_millis(850),
             link_closed_confirm_timeout: Duration::from_millis(600),
             pause_threshold: Duration::from_millis(200),
+            isolation_factor: 3,
             monitors: 3,
             indirect_probes: 3,
             relays_per_zone: 2,
@@ -60,6 +68,8 @@
             piggyback_copies: 3,
             anti_entropy_interval: Duration::from_secs(2),
             join_retry_interval: Duration::from_millis(500),
+            seed_interval: Duration::from_secs(10),
+            newcomer_period: Duration::from_secs(5),
             reconnect_interval: Duration::from_secs(1),
             retention: Duration::from_secs(24 * 60 * 60),
         }
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -4,14 +4,29 @@
 //! Nothing that must be safe rests on it: it only says whom to ask first. The design and its
 //! figures are in `docs/design/failure-detection.md`.
 
+pub mod anti_entropy;
 pub mod config;
+pub mod counters;
+pub mod detector;
+pub mod dissemination;
 pub mod event;
+mod joining;
 pub mod member;
+pub mod member_table;
 pub mod membership;
 pub mod message;
+pub mod ownership_rate;
+mod probing;
+mod receiving;
+pub mod relay;
+pub mod rendezvous;
+pub mod topology;
 
 pub use config::MembershipConfig;
+pub use counters::Counters;
 pub use event::{Effect, Event};
-pub use member::{Claim, Incarnation, Member, MemberState};
+pub use member::{Claim, Incarnation, Member, MemberState, NodeClaim};
+pub use member_table::MemberTable;
 pub use membership::Membership;
 pub use message::{MembershipMessage, MessageError};
+pub use ownership_rate::OwnershipRate;
--- a/crates/membership/src/message.rs
+++ b/crates/membership/src/message.rs
@@ -16,8 +16,12 @@
 pub const MAX_MESSAGE_BYTES: usize = 8 * 1024;
 /// Most claims in one message, so that it stays below [`MAX_MESSAGE_BYTES`].
 pub const MAX_CLAIMS_PER_MESSAGE: usize = 256;
-/// Most member records in one message, so that it stays below [`MAX_MESSAGE_BYTES`].
-pub const MAX_RECORDS_PER_MESSAGE: usize = 16;
+/// Most nodes in one message, so that it stays below [`MAX_MESSAGE_BYTES`].
+pub const MAX_NODES_PER_MESSAGE: usize = 512;
+/// Most bytes of member records that are gathered in one message.
+const MAX_RECORD_BYTES_PER_MESSAGE: usize = 6 * 1024;
+/// Bytes of an encoded member record besides its texts, rounded up.
+const RECORD_BASE_BYTES: usize = 112;
 
 /// Why a message could not be encoded or decoded.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -83,7 +87,7 @@
     Records {
         /// The records.
         members: Vec<Member>,
-        /// Whether these are news, to be passed on.
+        /// Whether these are news, to be passed on; otherwise they are hearsay.
         fresh: bool,
     },
     /// A new member asks for the table.
@@ -96,8 +100,12 @@
         /// Hash over all present members.
         hash: u64,
     },
-    /// One page of the sender's table.
+    /// One page of the sender's table. Its claims are hearsay: a receiver checks a Dead one itself.
     Digest {
+        /// First node that the page covers; after `last` when it covers no range.
+        first: NodeId,
+        /// Last node that the page covers.
+        last: NodeId,
         /// What the sender holds, by node.
         claims: Vec<NodeClaim>,
     },
@@ -108,6 +116,29 @@
     },
 }
 
+/// Splits records into as many messages as the bound on their size takes.
+pub fn records_messages(members: Vec<Member>, fresh: bool) -> Vec<MembershipMessage> {
+    let mut messages = Vec::new();
+    let mut page = Vec::new();
+    let mut page_bytes = 0;
+    for member in members {
+        let texts = [&member.name, member.zone.as_str(), member.region.as_str()];
+        let bytes = RECORD_BASE_BYTES + texts.iter().map(|text| text.len()).sum::<usize>();
+        if page_bytes + bytes > MAX_RECORD_BYTES_PER_MESSAGE && !page.is_empty() {
+            let members = std::mem::take(&mut page);
+            messages.push(MembershipMessage::Records { members, fresh });
+            page_bytes = 0;
+        }
+        page_bytes += bytes;
+        page.push(member);
+    }
+    if !page.is_empty() {
+        let members = page;
+        messages.push(MembershipMessage::Records { members, fresh });
+    }
+    messages
+}
+
 impl MembershipMessage {
     /// The message as bytes.
     pub fn encode(&self) -> Result<Vec<u8>, MessageError> {
--- /dev/null
+++ b/crates/membership/src/topology.rs
@@ -0,0 +1,150 @@
+//! Who probes whom and who passes updates to whom, worked out alike by every node from its table.
+//!
+//! Node identifiers are hashes of names, so their order is a random ring. Within a zone every member
+//! is monitored by its predecessors on the zone's ring. Those monitors are its back-pointers in the
+//! sense of Zhuang et al., "On Failure Detection Algorithms in Overlay Networks": the nodes that
+//! suspicion of the member concerns first, and any node can name them without keeping state.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use ridgeworks_domain::{NodeId, ZoneName};
+
+use crate::member::Member;
+use crate::rendezvous;
+
+/// The present members as rings.
+#[derive(Debug, Clone, Default)]
+pub struct Topology {
+    order: Vec<NodeId>,
+    zone_of: BTreeMap<NodeId, ZoneName>,
+    zones: BTreeMap<ZoneName, Vec<NodeId>>,
+    relays: BTreeMap<ZoneName, Vec<NodeId>>,
+}
+
+impl Topology {
+    /// Arranges the members given, which must be the present ones.
+    pub fn of<'a>(members: impl Iterator<Item = &'a Member>, relays_per_zone: usize) -> Self {
+        let members: Vec<&Member> = members.collect();
+        let mut topology = Self::default();
+        for member in &members {
+            topology.order.push(member.node);
+            topology.zone_of.insert(member.node, member.zone.clone());
+            let zone = topology.zones.entry(member.zone.clone()).or_default();
+            zone.push(member.node);
+        }
+        topology.order.sort_unstable();
+        for nodes in topology.zones.values_mut() {
+            nodes.sort_unstable();
+        }
+        for zone in topology.zones.keys() {
+            let relays = rendezvous::relays_of(zone, members.iter().copied(), relays_per_zone);
+            topology.relays.insert(zone.clone(), relays);
+        }
+        topology
+    }
+
+    /// Number of present members.
+    pub fn len(&self) -> usize {
+        self.order.len()
+    }
+
+    /// Whether no member is present.
+    pub fn is_empty(&self) -> bool {
+        self.order.is_empty()
+    }
+
+    /// Present members in ring order.
+    pub fn order(&self) -> &[NodeId] {
+        &self.order
+    }
+
+    /// Zone of a present member.
+    pub fn zone_of(&self, node: NodeId) -> Option<&ZoneName> {
+        self.zone_of.get(&node)
+    }
+
+    /// Present members of a zone in ring order.
+    pub fn zone(&self, zone: &ZoneName) -> &[NodeId] {
+        self.zones.get(zone).map_or(&[], Vec::as_slice)
+    }
+
+    /// All zones with present members.
+    pub fn zones(&self) -> impl Iterator<Item = &ZoneName> {
+        self.zones.keys()
+    }
+
+    /// Relays of a zone, the first ranked first.
+    pub fn relays(&self, zone: &ZoneName) -> &[NodeId] {
+        self.relays.get(zone).map_or(&[], Vec::as_slice)
+    }
+
+    /// The nodes that monitor `node`: its predecessors in its zone and, where the zone is too small,
+    /// those on the ring of all members.
+    pub fn monitors_of(&self, node: NodeId, count: usize) -> Vec<NodeId> {
+        let Some(zone) = self.zone_of.get(&node) else {
+            return Vec::new();
+        };
+        let mut monitors = predecessors(&self.zones[zone], node, count);
+        if monitors.len() < count {
+            let others = predecessors(&self.order, node, self.order.len());
+            let foreign = others
+                .into_iter()
+                .filter(|other| self.zone_of[other] != *zone);
+            monitors.extend(foreign.take(count - monitors.len()));
+        }
+        monitors
+    }
+
+    /// The nodes that `node` monitors; the inverse of [`Topology::monitors_of`].
+    pub fn monitored_by(&self, node: NodeId, count: usize) -> BTreeSet<NodeId> {
+        let Some(own_zone) = self.zone_of.get(&node) else {
+            return BTreeSet::new();
+        };
+        let mut targets: BTreeSet<NodeId> = successors(&self.zones[own_zone], node, count)
+            .into_iter()
+            .collect();
+        let small_zones = self.zones.values().filter(|nodes| nodes.len() <= count);
+        for target in small_zones.flatten().filter(|target| **target != node) {
+            if self.monitors_of(*target, count).contains(&node) {
+                targets.insert(*target);
+            }
+        }
+        targets
+    }
+
+    /// The members that `node` passes updates to: those at distances of powers of two on the ring of
+    /// all members, so that any member is reached over a number of hops logarithmic in their number.
+    pub fn fingers_of(&self, node: NodeId) -> Vec<NodeId> {
+        let Ok(position) = self.order.binary_search(&node) else {
+            return Vec::new();
+        };
+        let count = self.order.len();
+        let distances = (0..usize::BITS).map(|bit| 1_usize << bit);
+        distances
+            .take_while(|distance| *distance < count)
+            .map(|distance| self.order[(position + distance) % count])
+            .collect()
+    }
+}
+
+fn successors(ring: &[NodeId], node: NodeId, count: usize) -> Vec<NodeId> {
+    let Ok(position) = ring.binary_search(&node) else {
+        return Vec::new();
+    };
+    let size = ring.len();
+    let distances = 1..size.min(count + 1);
+    distances
+        .map(|distance| ring[(position + distance) % size])
+        .collect()
+}
+
+fn predecessors(ring: &[NodeId], node: NodeId, count: usize) -> Vec<NodeId> {
+    let Ok(position) = ring.binary_search(&node) else {
+        return Vec::new();
+    };
+    let size = ring.len();
+    let distances = 1..size.min(count + 1);
+    distances
+        .map(|distance| ring[(position + size - distance) % size])
+        .collect()
+}
--- /dev/null
+++ b/crates/membership/tests/simulation.rs
@@ -0,0 +1,184 @@
+//! Clusters of the state machine under virtual time: kills, freezes, cuts, joins and replacements.
+
+mod support;
+
+use std::time::Duration;
+
+use support::cluster::Cluster;
+use support::simulator::{Input, Network, Seen};
+
+/// Time within which all survivors agree that a node is dead.
+const DETECTION_BOUND: Duration = Duration::from_millis(1200);
+const FREEZE: Duration = Duration::from_millis(500);
+
+#[test]
+fn survivors_agree_on_a_killed_node_within_the_bound() {
+    for (nodes, zones) in [(3, 3), (8, 3), (50, 4)] {
+        for seed in 0..8 {
+            let mut cluster = Cluster::formed(nodes, zones, Network::default(), seed);
+            let wait = Duration::from_millis(37 * seed);
+            cluster.simulator.run_for(wait);
+            let victim = (seed as usize * 5) % nodes;
+            cluster.simulator.kill(victim, false);
+            let took = cluster.time_until_all_see(victim, Seen::Dead, DETECTION_BOUND);
+            assert!(took.is_some(), "{nodes} nodes, seed {seed}");
+            assert!(cluster.agrees(), "{nodes} nodes, seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn a_closed_link_shortens_detection() {
+    let mut cluster = Cluster::formed(8, 3, Network::default(), 1);
+    cluster.simulator.kill(4, true);
+    let bound = Duration::from_millis(650);
+    assert!(cluster.time_until_all_see(4, Seen::Dead, bound).is_some());
+}
+
+#[test]
+fn a_frozen_node_is_never_dead_and_blames_nobody() {
+    for nodes in [3, 8, 50] {
+        for seed in 0..8 {
+            let mut cluster = Cluster::formed(nodes, 3, Network::default(), seed);
+            for round in 0..10 {
+                cluster.simulator.freeze((round * 7) % nodes, FREEZE);
+                cluster.simulator.run_for(Duration::from_millis(900));
+            }
+            assert_eq!(cluster.dead_sightings(), [], "{nodes} nodes, seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn a_node_that_slept_for_long_blames_nobody_and_comes_back() {
+    for seed in 0..8 {
+        let mut cluster = Cluster::formed(8, 3, Network::default(), seed);
+        cluster.simulator.freeze(3, Duration::from_secs(10));
+        cluster.simulator.run_for(Duration::from_secs(9));
+        assert_eq!(cluster.sees(0, 3), Some(Seen::Dead));
+        cluster.simulator.run_for(Duration::from_secs(3));
+        assert!(cluster.agrees(), "seed {seed}");
+        let blamed = cluster.dead_sightings();
+        assert!(
+            blamed.iter().all(|(_, subject)| *subject == 3),
+            "seed {seed}: {blamed:?}"
+        );
+    }
+}
+
+#[test]
+fn a_zone_that_is_cut_off_is_dead_to_the_others_and_returns() {
+    for (nodes, zones) in [(8, 3), (50, 4)] {
+        for seed in 0..4 {
+            let mut cluster = Cluster::formed(nodes, zones, Network::default(), seed);
+            cluster.simulator.cut_off(1);
+            cluster.simulator.run_for(Duration::from_secs(2));
+            let (inside, outside): (Vec<usize>, Vec<usize>) =
+                (0..nodes).partition(|node| cluster.simulator.zone_of(*node) == 1);
+            assert_eq!(
+                cluster.seen_present(outside[0]),
+                outside,
+                "{nodes}, seed {seed}"
+            );
+            assert_eq!(
+                cluster.seen_present(inside[0]),
+                inside,
+                "{nodes}, seed {seed}"
+            );
+            cluster.simulator.run_for(Duration::from_secs(5));
+            cluster.simulator.heal();
+            cluster.simulator.sightings.clear();
+            cluster.simulator.run_for(Duration::from_secs(5));
+            assert!(cluster.agrees(), "{nodes} nodes, seed {seed}");
+            assert_eq!(cluster.dead_sightings(), [], "{nodes} nodes, seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn zones_that_reach_each_other_only_through_a_third_stay_alive() {
+    for seed in 0..4 {
+        let mut cluster = Cluster::formed(12, 3, Network::default(), seed);
+        cluster.simulator.cut(0, 1);
+        cluster.simulator.run_for(Duration::from_secs(10));
+        assert_eq!(cluster.dead_sightings(), [], "seed {seed}");
+    }
+}
+
+#[test]
+fn a_node_joins_with_one_seed_and_leaves_on_purpose() {
+    let mut cluster = Cluster::new(9, 3, Network::default(), 5);
+    for index in 0..9 {
+        cluster.start(index, &[index.saturating_sub(1)]);
+    }
+    cluster.simulator.run_for(Duration::from_secs(5));
+    assert!(cluster.agrees());
+    cluster.simulator.sightings.clear();
+    cluster.simulator.inject(6, Input::Leave);
+    cluster.simulator.run_for(Duration::from_millis(100));
+    assert_eq!(cluster.sees(2, 6), Some(Seen::Leaving));
+    cluster.simulator.inject(6, Input::Left);
+    cluster.simulator.run_for(Duration::from_millis(100));
+    assert_eq!(cluster.sees(2, 6), Some(Seen::Left));
+    cluster.simulator.run_for(Duration::from_secs(5));
+    assert!(cluster.agrees());
+    assert_eq!(cluster.dead_sightings(), []);
+}
+
+#[test]
+fn a_replaced_machine_comes_back_under_its_name() {
+    for resets in [false, true] {
+        let mut cluster = Cluster::formed(8, 3, Network::default(), 2);
+        let before = cluster.membership(2).own().incarnation;
+        cluster.simulator.kill(2, resets);
+        cluster.simulator.run_for(Duration::from_millis(200));
+        cluster.start(2, &[5]);
+        cluster.simulator.run_for(Duration::from_secs(3));
+        assert!(cluster.agrees());
+        assert!(cluster.membership(2).own().incarnation > before);
+        assert_eq!(cluster.dead_sightings(), []);
+    }
+}
+
+#[test]
+fn islands_that_started_apart_find_each_other() {
+    let mut cluster = Cluster::new(6, 3, Network::default(), 9);
+    for index in 0..3 {
+        cluster.start(index, &[0, 3]);
+    }
+    cluster.simulator.run_for(Duration::from_secs(4));
+    for index in 3..6 {
+        cluster.start(index, &[3]);
+    }
+    cluster.simulator.run_for(Duration::from_secs(20));
+    assert!(cluster.agrees());
+}
+
+#[test]
+fn verdicts_stay_right_under_loss() {
+    let network = Network {
+        loss: 0.05,
+        ..Network::default()
+    };
+    let mut cluster = Cluster::formed(50, 4, network, 3);
+    cluster.simulator.run_for(Duration::from_secs(60));
+    assert_eq!(cluster.dead_sightings(), []);
+    cluster.simulator.kill(17, false);
+    let bound = Duration::from_millis(1500);
+    assert!(cluster.time_until_all_see(17, Seen::Dead, bound).is_some());
+}
+
+#[test]
+fn messages_stay_below_their_bound() {
+    let cluster = Cluster::formed(50, 4, Network::default(), 3);
+    let mut fresh = Cluster::new(120, 4, Network::default(), 4);
+    for index in 0..120 {
+        fresh.start(index, &[0]);
+    }
+    fresh.simulator.run_for(Duration::from_secs(6));
+    assert!(fresh.agrees());
+    for node in fresh.simulator.running() {
+        assert!(fresh.simulator.cost(node).largest_message < 8 * 1024);
+    }
+    assert_eq!(cluster.simulator.running().len(), 50);
+}
