Fill in the configuration role: acceptance, voters, leases, relays, watcher

The whole configuration is one document of the platform's store, so that a change and the references it relies on are checked against one version.

--- /dev/null
+++ b/crates/configuration/src/counters.rs
@@ -0,0 +1,32 @@
+//! Counters of the configuration role.
+
+/// What the configuration role of a node has counted since it started.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct ConfigurationCounters {
+    /// Messages sent to other nodes.
+    pub messages_sent: u64,
+    /// Renewals sent, to voters or to relays.
+    pub renewals_sent: u64,
+    /// Times that the lease was granted.
+    pub leases_granted: u64,
+    /// Times that the lease ran out.
+    pub leases_lapsed: u64,
+    /// Revisions put in force; one may pass over several changes.
+    pub revisions_in_force: u64,
+    /// Pushes sent to clients.
+    pub pushes_sent: u64,
+    /// Updates that did not lead on from what the node has.
+    pub updates_mismatched: u64,
+    /// Renewals refused because the relay has all the clients it takes.
+    pub clients_refused: u64,
+    /// Operations asked of the platform.
+    pub platform_operations: u64,
+    /// Changes answered as accepted.
+    pub changes_accepted: u64,
+    /// Changes answered as rejected.
+    pub changes_rejected: u64,
+    /// Requests refused.
+    pub requests_refused: u64,
+    /// Changes whose end could not be learned.
+    pub changes_unknown: u64,
+}
--- a/crates/configuration/src/message.rs
+++ b/crates/configuration/src/message.rs
@@ -45,18 +45,18 @@
 pub enum ConfigurationMessage {
     /// To a voter: store this revision.
     Replicate {
+        /// Number of the request.
+        request: RequestId,
         /// The revision.
         update: Update,
     },
-    /// From a voter: this is my newest durable revision. Answers `Replicate` and also goes to the
-    /// other voters after a change and from time to time.
+    /// From a voter: this is my newest durable revision. Answers `Replicate`, and goes to the other
+    /// voters after a change and from time to time.
     Stored {
-        /// The newest durable revision.
-        newest: Revision,
-        /// Whether the voter vouches that it knows every revision it ever acknowledged.
-        vouches: bool,
-        /// Version of the voter's list of machines.
-        machines: u64,
+        /// Number of the `Replicate` that is answered.
+        request: Option<RequestId>,
+        /// What the voter has, durably.
+        known: Known,
     },
     /// To a voter: send me what I lack.
     FetchNewest {
--- a/crates/configuration/src/revision.rs
+++ b/crates/configuration/src/revision.rs
@@ -1,7 +1,9 @@
 //! Numbers that order and identify changes.
 
 use std::fmt;
+use std::str::FromStr;
 
+use ridgeworks_domain::IdentifierError;
 use rkyv::{Archive, Deserialize, Serialize};
 
 macro_rules! number {
@@ -36,10 +38,6 @@
     /// for compare-and-swap only.
     PlatformVersion(u64)
 );
-number!(
-    /// The operator's name of one change; a repeated request carries the same one.
-    OperationId(u128)
-);
 number!(
     /// Number by which a sender recognises the answer to one of its requests.
     RequestId(u64)
@@ -65,3 +63,52 @@
         Self(revision.0)
     }
 }
+
+/// The operator's name of one change; a repeated request carries the same one. In JSON it is a text
+/// of 32 hexadecimal digits, since readers of JSON lose digits of such large numbers.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Archive,
+    Serialize,
+    Deserialize,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+#[rkyv(derive(Debug, PartialEq, Eq, PartialOrd, Ord, Hash))]
+#[serde(try_from = "String", into = "String")]
+pub struct OperationId(pub u128);
+
+impl fmt::Display for OperationId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:032x}", self.0)
+    }
+}
+
+impl FromStr for OperationId {
+    type Err = IdentifierError;
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u128::from_str_radix(text, 16)
+            .map(Self)
+            .map_err(|_| IdentifierError::NotHexadecimal)
+    }
+}
+
+impl TryFrom<String> for OperationId {
+    type Error = IdentifierError;
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        text.parse()
+    }
+}
+
+impl From<OperationId> for String {
+    fn from(operation: OperationId) -> String {
+        operation.to_string()
+    }
+}
--- a/crates/configuration/src/set.rs
+++ b/crates/configuration/src/set.rs
@@ -13,8 +13,8 @@
 /// Why an update does not lead on from a configuration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum UpdateMismatch {
-    /// The difference starts from another revision; holds that revision.
-    OtherBase(Revision),
+    /// The difference starts from a revision that is still ahead; holds that revision.
+    BaseAhead(Revision),
     /// The update does not lead to a newer revision.
     NotNewer,
 }
@@ -120,6 +120,13 @@
         records.find(|record| record.operation == operation)
     }
 
+    /// Operations after revision `since` that are remembered.
+    pub fn operations_since(&self, since: Revision) -> Vec<OperationId> {
+        let newer = |record: &&OperationRecord| record.revision > since;
+        let records = self.operations.iter().filter(newer);
+        records.map(|record| record.operation).collect()
+    }
+
     /// Whether every operation after revision `since` is still remembered.
     pub fn remembers_since(&self, since: Revision) -> bool {
         self.revision.0.saturating_sub(since.0) <= self.operations.len() as u64
@@ -184,14 +191,15 @@
         })
     }
 
-    /// The configuration that `update` leads to.
+    /// The configuration that `update` leads to. A difference holds the final state of all it
+    /// touches, so it may start from this revision or from an earlier one.
     pub fn apply(&self, update: &Update) -> Result<Self, UpdateMismatch> {
         if update.revision <= self.revision {
             return Err(UpdateMismatch::NotNewer);
         }
         match update.base {
             None => Ok(Self::from_whole(update)),
-            Some(base) if base != self.revision => Err(UpdateMismatch::OtherBase(base)),
+            Some(base) if base > self.revision => Err(UpdateMismatch::BaseAhead(base)),
             Some(_) => Ok(self.apply_difference(update)),
         }
     }
@@ -215,7 +223,9 @@
         for versioned in &update.objects {
             next.insert(versioned.clone());
         }
-        next.operations.extend(update.operations.iter().cloned());
+        let newer = |record: &&OperationRecord| record.revision > self.revision;
+        next.operations
+            .extend(update.operations.iter().filter(newer).cloned());
         next.forget_operations();
         next.revision = update.revision;
         next
