Grant slots by urgency, share, attained service and expected cost

The dispatcher keeps one sorted lane for each partner and one for urgent calls. Ageing is part of a fixed sort key, so nothing is sorted again as time passes. Placement weighs wait against rebuilding the missing prefix. Tests follow.

--- /dev/null
+++ b/crates/scheduling/src/granting.rs
@@ -0,0 +1,304 @@
+//! The part of the dispatcher that gives out slots.
+
+use ridgeworks_domain::{BackendName, MonotonicTime, RunId};
+
+use crate::backends::{BackendIndex, BackendState};
+use crate::dispatcher::Dispatcher;
+use crate::effect::Effect;
+use crate::event::Ticket;
+use crate::grants::{Grant, GrantState};
+use crate::placement::Choice;
+use crate::queue::{Lane, LaneQueue};
+use crate::settings::PlacementRule;
+
+/// Calls of a lane that are looked at for one free slot, beyond the first of each kind.
+const LOOK_AHEAD: usize = 8;
+/// A call may overtake one that is due this much earlier when its context is where the slot is.
+const LOCALITY_SLACK_MICROS: i64 = 2_000_000;
+
+impl Dispatcher {
+    /// Gives a waiting routine call a slot, if one is free that it should not rather leave.
+    pub(crate) fn place(&mut self, now: MonotonicTime, ticket: Ticket) {
+        match self.choose(ticket) {
+            Choice::Now { backend, move_from } => self.grant(now, ticket, backend, move_from),
+            Choice::WaitFor(home) => self.queue.set_home(ticket, Some(home)),
+            Choice::Full { home } => self.queue.set_home(ticket, home),
+        }
+    }
+
+    /// Gives urgent calls slots, and has routine calls cancelled when there are too few.
+    pub(crate) fn grant_urgent(&mut self, now: MonotonicTime) {
+        while let Some(ticket) = self.queue.urgent_head() {
+            let Choice::Now { backend, .. } = self.choose(ticket) else {
+                break;
+            };
+            self.grant(now, ticket, backend, None);
+        }
+        self.preempt_for_urgent();
+    }
+
+    fn preempt_for_urgent(&mut self) {
+        if !self.settings.policy.preemption {
+            return;
+        }
+        while self.grants.preempting() < self.queue.lane_len(Lane::Urgent) {
+            let backends = &self.backends;
+            let useful = |grant: &Grant| {
+                let state = backends.get(grant.backend);
+                state.is_some_and(BackendState::accepts)
+            };
+            let Some(grant) = self.grants.preempt_latest(useful) else {
+                return;
+            };
+            let ticket = grant.waiting.call.ticket;
+            let index = grant.backend;
+            if let Some(backend) = self.name_of(index) {
+                self.effects.push(Effect::Preempt { ticket, backend });
+            }
+        }
+    }
+
+    /// Gives the free slots of a back end to waiting calls.
+    pub(crate) fn fill(&mut self, now: MonotonicTime, index: BackendIndex) {
+        self.refuse_too_late(now);
+        while let Some(ticket) = self.next_for(index) {
+            let move_from = self.move_source(ticket, index);
+            self.grant(now, ticket, index, move_from);
+        }
+    }
+
+    fn next_for(&self, index: BackendIndex) -> Option<Ticket> {
+        let state = self.backends.get(index)?;
+        if let Some(urgent) = self.queue.urgent_head() {
+            return state.has_slot(true).then_some(urgent);
+        }
+        if !state.has_slot(false) {
+            return None;
+        }
+        let mut partners = self.shares.order().into_iter();
+        partners.find_map(|partner| {
+            let lane = self.queue.lane(Lane::Routine(partner))?;
+            self.next_of_lane(lane, index)
+        })
+    }
+
+    fn next_of_lane(&self, lane: &LaneQueue, index: BackendIndex) -> Option<Ticket> {
+        let here = lane.head_of_home(Some(index));
+        let anywhere = lane.head_of_home(None);
+        let bound = [here, anywhere].into_iter().flatten().min();
+        match self.settings.policy.placement {
+            PlacementRule::RoundRobin
+            | PlacementRule::LeastReportedLoad
+            | PlacementRule::TwoChoicesReportedLoad
+            | PlacementRule::PrefixSticky => bound.map(|(_, ticket)| ticket),
+            PlacementRule::LeastLoaded => lane.head().map(|(_, ticket)| ticket),
+            PlacementRule::ExpectedCost => {
+                let (first_key, first) = lane.head()?;
+                if let Some((key, ticket)) = bound
+                    && key.position - first_key.position <= LOCALITY_SLACK_MICROS
+                {
+                    return Some(ticket);
+                }
+                if self.would_leave_home(first, index, 0) {
+                    return Some(first);
+                }
+                let bound = bound.map(|(_, ticket)| ticket);
+                bound.or_else(|| self.next_that_would_move(lane, index))
+            }
+        }
+    }
+
+    fn next_that_would_move(&self, lane: &LaneQueue, index: BackendIndex) -> Option<Ticket> {
+        let mut heads = lane.iter().take(LOOK_AHEAD).enumerate();
+        let found =
+            heads.find(|(ahead, (_, ticket))| self.would_leave_home(*ticket, index, *ahead));
+        found.map(|(_, (_, ticket))| ticket)
+    }
+
+    fn would_leave_home(&self, ticket: Ticket, index: BackendIndex, ahead: usize) -> bool {
+        let Some(waiting) = self.queue.get(ticket) else {
+            return false;
+        };
+        let Some(home) = waiting.home else {
+            return true;
+        };
+        let view = self.placement_view(waiting.partner);
+        view.beats_waiting(&waiting.call, index, home, ahead)
+    }
+
+    fn move_source(&self, ticket: Ticket, index: BackendIndex) -> Option<BackendIndex> {
+        self.settings.context_move.as_ref()?;
+        let waiting = self.queue.get(ticket)?;
+        let view = self.placement_view(waiting.partner);
+        view.move_source(&waiting.call, index)
+    }
+
+    fn grant(
+        &mut self,
+        now: MonotonicTime,
+        ticket: Ticket,
+        index: BackendIndex,
+        move_from: Option<BackendIndex>,
+    ) {
+        let Some(waiting) = self.queue.remove(ticket) else {
+            return;
+        };
+        if let Some(state) = self.backends.get_mut(index) {
+            state.in_flight += 1;
+        }
+        self.shares.take(waiting.partner);
+        let run = waiting.call.run;
+        self.retention.drop_lease(run);
+        let lapses_at = match &self.settings.context_move {
+            Some(settings) => now + settings.timeout,
+            None => now,
+        };
+        self.grants.insert(Grant {
+            waiting,
+            backend: index,
+            state: GrantState::Moving,
+            preempting: false,
+            lapses_at,
+        });
+        match move_from {
+            Some(from) => self.move_context(run, from, index),
+            None => self.offer(now, ticket),
+        }
+    }
+
+    /// Tells the owner of a slot that was kept for it.
+    pub(crate) fn offer(&mut self, now: MonotonicTime, ticket: Ticket) {
+        let Some(grant) = self.grants.get(ticket) else {
+            return;
+        };
+        let (run, index) = (grant.waiting.call.run, grant.backend);
+        let Some(state) = self.backends.get(index) else {
+            return;
+        };
+        let effect = Effect::Grant {
+            ticket,
+            backend: state.backend.name.clone(),
+            address: state.backend.address,
+            valid_for: self.settings.grant_timeout / 2,
+        };
+        self.effects.push(effect);
+        let lapses_at = now + self.settings.grant_timeout;
+        self.grants.offer(ticket, lapses_at);
+        self.release_elsewhere(run, index);
+    }
+
+    /// Drops the copies of a run's context that its move to `index` leaves behind.
+    fn release_elsewhere(&mut self, run: RunId, index: BackendIndex) {
+        if !self.settings.policy.retention {
+            return;
+        }
+        for place in self.prefixes.places(run).to_vec() {
+            if place.backend != index {
+                self.release(run, place.backend);
+            }
+        }
+    }
+
+    fn move_context(&mut self, run: RunId, from: BackendIndex, to: BackendIndex) {
+        let (Some(from), Some(to)) = (self.name_of(from), self.name_of(to)) else {
+            return;
+        };
+        self.effects.push(Effect::MoveContext { run, from, to });
+    }
+
+    /// A context has arrived, or its move failed; the grants that waited for it go out.
+    pub(crate) fn context_moved(
+        &mut self,
+        now: MonotonicTime,
+        run: RunId,
+        to: &BackendName,
+        tokens: u64,
+    ) {
+        let Some(index) = self.backends.index(to) else {
+            return;
+        };
+        if tokens > 0 {
+            self.prefixes.store(run, index, tokens);
+        }
+        for ticket in self.grants.moving_to(index, Some(run)) {
+            self.offer(now, ticket);
+        }
+    }
+
+    /// Puts calls back into the queue whose context was on its way to a back end.
+    pub(crate) fn requeue_moving(&mut self, now: MonotonicTime, index: BackendIndex) {
+        for ticket in self.grants.moving_to(index, None) {
+            let Some(grant) = self.grants.remove(ticket) else {
+                continue;
+            };
+            self.give_back_slot(&grant);
+            let mut waiting = grant.waiting;
+            waiting.home = None;
+            let urgent = waiting.lane == Lane::Urgent;
+            self.queue.insert(waiting);
+            if urgent {
+                self.grant_urgent(now);
+            } else {
+                self.place(now, ticket);
+            }
+        }
+    }
+
+    /// Lets calls that waited for a back end go to the others.
+    pub(crate) fn place_elsewhere(&mut self, now: MonotonicTime, index: BackendIndex) {
+        for ticket in self.queue.waiting_for(index) {
+            self.queue.set_home(ticket, None);
+        }
+        self.refuse_without_backend();
+        for index in self.backends_with_slots() {
+            self.fill(now, index);
+        }
+        self.preempt_for_urgent();
+    }
+
+    /// Looks again at the first calls of each lane that wait for a busy back end while others have
+    /// free slots.
+    pub(crate) fn reconsider_heads(&mut self, now: MonotonicTime) {
+        let soft = self.settings.policy.placement == PlacementRule::ExpectedCost;
+        if !soft || self.queue.is_empty() || self.backends_with_slots().is_empty() {
+            return;
+        }
+        for partner in self.shares.order() {
+            let Some(lane) = self.queue.lane(Lane::Routine(partner)) else {
+                continue;
+            };
+            let heads: Vec<Ticket> = lane
+                .iter()
+                .take(LOOK_AHEAD)
+                .map(|(_, ticket)| ticket)
+                .collect();
+            for ticket in heads {
+                self.place(now, ticket);
+            }
+        }
+    }
+
+    fn backends_with_slots(&self) -> Vec<BackendIndex> {
+        let free = self
+            .backends
+            .iter()
+            .filter(|(_, state)| state.has_slot(false));
+        free.map(|(index, _)| index).collect()
+    }
+
+    /// Ends a grant and gives its slot to others.
+    pub(crate) fn end_grant(&mut self, now: MonotonicTime, ticket: Ticket) {
+        if let Some(grant) = self.grants.remove(ticket) {
+            self.give_back_slot(&grant);
+            self.fill(now, grant.backend);
+        }
+    }
+
+    /// Counts a grant's slot as free.
+    pub(crate) fn give_back_slot(&mut self, grant: &Grant) {
+        if let Some(state) = self.backends.get_mut(grant.backend) {
+            state.in_flight = state.in_flight.saturating_sub(1);
+        }
+        self.shares.give_back(grant.waiting.partner);
+    }
+}
--- /dev/null
+++ b/crates/scheduling/src/intake.rs
@@ -0,0 +1,158 @@
+//! The part of the dispatcher that takes calls into the queue or refuses them.
+
+use std::time::Duration;
+
+use ridgeworks_domain::{MonotonicTime, Refusal, RefusalReason};
+
+use crate::admission::{self, AdmissionView};
+use crate::dispatcher::Dispatcher;
+use crate::effect::Effect;
+use crate::event::QueuedCall;
+use crate::placement::PrefixPlaces;
+use crate::queue::{Lane, OrderKey, WaitingCall};
+use crate::settings::QueueOrder;
+use crate::shares::PartnerIndex;
+
+/// Each rank is worth this much waiting time.
+const RANK_MICROS: i64 = 5_000_000;
+/// When to come back after the last back end has left.
+const NO_BACKEND_RETRY: Duration = Duration::from_secs(1);
+
+impl Dispatcher {
+    pub(crate) fn enqueue(&mut self, now: MonotonicTime, call: QueuedCall) {
+        let ticket = call.ticket;
+        if self.queue.contains(ticket) || self.grants.get(ticket).is_some() {
+            return;
+        }
+        self.retention.resume(call.run, now);
+        let waiting = self.prepare(now, call);
+        let view = self.admission_view(&waiting);
+        if let Some(refusal) = admission::refusal(now, &view) {
+            self.effects.push(Effect::Refuse { ticket, refusal });
+            return;
+        }
+        let urgent = waiting.lane == Lane::Urgent;
+        self.queue.insert(waiting);
+        if urgent {
+            self.grant_urgent(now);
+        } else {
+            self.place(now, ticket);
+        }
+    }
+
+    fn prepare(&mut self, now: MonotonicTime, call: QueuedCall) -> WaitingCall {
+        let owner = self.shares.index(&call.partner);
+        let policy = &self.settings.policy;
+        let lane = if policy.urgent_first && call.priority.urgent {
+            Lane::Urgent
+        } else if policy.shares {
+            Lane::Routine(owner)
+        } else {
+            Lane::Routine(PartnerIndex(0))
+        };
+        let places = PrefixPlaces::of(&call, &self.prefixes);
+        let cached = places
+            .best(&self.backends)
+            .map_or(0, |backend| places.cached_at(backend));
+        let missing = call.prompt_tokens - cached;
+        let work = self
+            .estimate
+            .attempt_micros(missing, call.max_output_tokens) as u64;
+        let latest_start = call
+            .deadline
+            .filter(|_| policy.deadline_refusal)
+            .map(|deadline| MonotonicTime::from_micros(deadline.micros.saturating_sub(work)));
+        self.next_serial += 1;
+        WaitingCall {
+            key: OrderKey {
+                position: self.position(now, &call),
+                serial: self.next_serial,
+            },
+            call,
+            partner: owner,
+            lane,
+            home: None,
+            enqueued_at: now,
+            latest_start,
+            work_micros: work,
+        }
+    }
+
+    fn position(&self, now: MonotonicTime, call: &QueuedCall) -> i64 {
+        let arrival = now.micros as i64 - call.waited.as_micros() as i64;
+        let policy = &self.settings.policy;
+        let rank = if policy.urgent_first {
+            i64::from(call.priority.rank) * RANK_MICROS
+        } else {
+            0
+        };
+        match policy.order {
+            QueueOrder::FirstComeFirstServed => arrival - rank,
+            QueueOrder::ShortestCall => (call.prompt_tokens + call.max_output_tokens) as i64,
+            QueueOrder::LeastAttainedService if call.priority.urgent => arrival - rank,
+            QueueOrder::LeastAttainedService => {
+                let most = self.settings.max_ageing_penalty.as_micros() as u64;
+                let per_token = self.settings.ageing_micros_per_token;
+                let penalty = call.attained_service.0.saturating_mul(per_token).min(most);
+                arrival + penalty as i64 - rank
+            }
+        }
+    }
+
+    fn admission_view(&self, waiting: &WaitingCall) -> AdmissionView {
+        let deadline = waiting.call.deadline;
+        let minded = deadline.filter(|_| self.settings.policy.deadline_refusal);
+        let wait = if minded.is_some() || self.queue.len() >= self.settings.max_queued_per_partner {
+            self.expected_wait_micros(waiting)
+        } else {
+            0
+        };
+        AdmissionView {
+            has_backend: self.backends.any_staying(),
+            queued: self.queue.lane_len(waiting.lane),
+            max_queued: self.settings.max_queued_per_partner,
+            wait_micros: wait,
+            attempt_micros: waiting.work_micros,
+            deadline: minded,
+        }
+    }
+
+    fn expected_wait_micros(&self, waiting: &WaitingCall) -> u64 {
+        let Lane::Routine(partner) = waiting.lane else {
+            return 0;
+        };
+        let Some(lane) = self.queue.lane(waiting.lane) else {
+            return 0;
+        };
+        let ahead = lane.work_before(waiting.key);
+        let slots = self.backends.routine_slots().max(1);
+        let waits = |other| self.queue.lane_len(Lane::Routine(other)) > 0;
+        let part = self.shares.part_among(partner, waits);
+        ahead * 1000 / (slots * part)
+    }
+
+    /// Refuses waiting calls whose deadline has come too close.
+    pub(crate) fn refuse_too_late(&mut self, now: MonotonicTime) {
+        while let Some(ticket) = self.queue.first_too_late(now) {
+            let Some(waiting) = self.queue.remove(ticket) else {
+                return;
+            };
+            let needed = Duration::from_micros(waiting.work_micros);
+            let deadline = waiting.call.deadline.unwrap_or(now);
+            let refusal = admission::too_late(now, needed, deadline);
+            self.effects.push(Effect::Refuse { ticket, refusal });
+        }
+    }
+
+    /// Refuses everything that waits when no back end is left that could take it.
+    pub(crate) fn refuse_without_backend(&mut self) {
+        if self.backends.any_staying() {
+            return;
+        }
+        for ticket in self.queue.tickets() {
+            self.queue.remove(ticket);
+            let refusal = Refusal::retry_after(RefusalReason::NoBackend, NO_BACKEND_RETRY);
+            self.effects.push(Effect::Refuse { ticket, refusal });
+        }
+    }
+}
--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -4,10 +4,24 @@
 //! owner of a run asks with [`Event::Enqueue`], makes its dispatch entry durable when
 //! [`Effect::Grant`] comes, calls the back end itself and reports the end.
 
+pub mod admission;
+pub mod backends;
+mod choosing;
 pub mod dispatcher;
 pub mod effect;
+pub mod ejection;
 pub mod event;
+mod granting;
+pub mod grants;
+mod intake;
+pub mod load_estimate;
+pub mod pause_lengths;
+pub mod placement;
+pub mod prefix_map;
+pub mod queue;
+pub mod retention;
 pub mod settings;
+pub mod shares;
 
 pub use dispatcher::Dispatcher;
 pub use effect::Effect;
--- /dev/null
+++ b/crates/scheduling/src/load_estimate.rs
@@ -0,0 +1,107 @@
+//! A service-time model learned from ended attempts.
+//!
+//! Time of an attempt = prefill time × tokens missing in the cache + step time × generated tokens,
+//! fitted by least squares over the recent past (older samples fade) and drawn towards a prior
+//! while samples are few.
+
+use std::time::Duration;
+
+use crate::event::TokenUsage;
+
+const FADE: f64 = 0.998;
+const PRIOR_PREFILL_MICROS: f64 = 100.0;
+const PRIOR_STEP_MICROS: f64 = 25_000.0;
+const PRIOR_PREFILL_WEIGHT: f64 = 1.0e6;
+const PRIOR_STEP_WEIGHT: f64 = 1.0e4;
+const PRIOR_OUTPUT_RATIO: f64 = 0.5;
+const PRIOR_CALL_MICROS: f64 = 200_000.0;
+const AVERAGE_GAIN: f64 = 0.02;
+
+/// The model of one group of back ends.
+#[derive(Debug, Clone)]
+pub struct LoadEstimate {
+    missing_squared: f64,
+    output_squared: f64,
+    missing_output: f64,
+    missing_time: f64,
+    output_time: f64,
+    prefill_micros: f64,
+    step_micros: f64,
+    output_ratio: f64,
+    mean_micros: f64,
+}
+
+impl Default for LoadEstimate {
+    fn default() -> Self {
+        Self {
+            missing_squared: 0.0,
+            output_squared: 0.0,
+            missing_output: 0.0,
+            missing_time: 0.0,
+            output_time: 0.0,
+            prefill_micros: PRIOR_PREFILL_MICROS,
+            step_micros: PRIOR_STEP_MICROS,
+            output_ratio: PRIOR_OUTPUT_RATIO,
+            mean_micros: PRIOR_CALL_MICROS,
+        }
+    }
+}
+
+impl LoadEstimate {
+    /// Learns from an attempt that ran to its end.
+    pub fn record(&mut self, usage: TokenUsage, max_output_tokens: u64, took: Duration) {
+        let micros = took.as_micros() as f64;
+        let missing = usage.prompt.saturating_sub(usage.cached) as f64;
+        let output = usage.output as f64;
+        self.missing_squared = self.missing_squared * FADE + missing * missing;
+        self.output_squared = self.output_squared * FADE + output * output;
+        self.missing_output = self.missing_output * FADE + missing * output;
+        self.missing_time = self.missing_time * FADE + missing * micros;
+        self.output_time = self.output_time * FADE + output * micros;
+        self.mean_micros += AVERAGE_GAIN * (micros - self.mean_micros);
+        if max_output_tokens > 0 {
+            let ratio = output / max_output_tokens as f64;
+            self.output_ratio += AVERAGE_GAIN * (ratio - self.output_ratio);
+        }
+        self.fit();
+    }
+
+    /// Time to prefill this many tokens, in microseconds.
+    pub fn prefill_micros(&self, tokens: u64) -> f64 {
+        self.prefill_micros * tokens as f64
+    }
+
+    /// Expected time to generate an answer of at most this many tokens, in microseconds.
+    pub fn generation_micros(&self, max_output_tokens: u64) -> f64 {
+        self.step_micros * self.output_ratio * max_output_tokens as f64
+    }
+
+    /// Expected time of a whole attempt, in microseconds.
+    pub fn attempt_micros(&self, missing_tokens: u64, max_output_tokens: u64) -> f64 {
+        if missing_tokens == 0 && max_output_tokens == 0 {
+            return self.mean_micros;
+        }
+        self.prefill_micros(missing_tokens) + self.generation_micros(max_output_tokens)
+    }
+
+    /// Mean time of recent attempts, in microseconds.
+    pub fn mean_micros(&self) -> f64 {
+        self.mean_micros
+    }
+
+    fn fit(&mut self) {
+        let first = self.missing_squared + PRIOR_PREFILL_WEIGHT;
+        let second = self.output_squared + PRIOR_STEP_WEIGHT;
+        let cross = self.missing_output;
+        let first_right = self.missing_time + PRIOR_PREFILL_WEIGHT * PRIOR_PREFILL_MICROS;
+        let second_right = self.output_time + PRIOR_STEP_WEIGHT * PRIOR_STEP_MICROS;
+        let determinant = first * second - cross * cross;
+        if determinant <= f64::EPSILON {
+            return;
+        }
+        let prefill = (first_right * second - second_right * cross) / determinant;
+        let step = (second_right * first - first_right * cross) / determinant;
+        self.prefill_micros = prefill.clamp(0.1, 1.0e5);
+        self.step_micros = step.clamp(1.0, 1.0e7);
+    }
+}
