Keep a leave that comes before the back end is known

The property test found two faults, each seen failing first: a back end listed after its leave was announced got calls, and urgent calls bound to a busy back end by round robin waited while routine calls took free slots elsewhere.

--- a/crates/scheduling/src/backends.rs
+++ b/crates/scheduling/src/backends.rs
@@ -1,6 +1,6 @@
 //! The back ends of the group: slots, health, last reports.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use ridgeworks_domain::BackendName;
 use ridgeworks_domain::objects::Backend;
@@ -53,17 +53,21 @@
     }
 }
 
+/// Names of leaving back ends that are remembered.
+const MAX_LEAVING_NAMES: usize = 1_000;
+
 /// All back ends of the group.
 #[derive(Debug, Default)]
 pub struct BackendTable {
     states: BTreeMap<BackendIndex, BackendState>,
     by_name: HashMap<BackendName, BackendIndex>,
+    leaving_names: VecDeque<BackendName>,
     next_index: u32,
 }
 
 impl BackendTable {
-    /// Adds a back end or renews its description. A leaving one stays leaving: lists lag, and a
-    /// name is never used for a second start of a machine.
+    /// Adds a back end or renews its description. A leaving one stays leaving, also when its leave
+    /// came first: lists lag, and a name is never used for a second start of a machine.
     pub fn upsert(&mut self, backend: Backend, reserve: u32, cache_capacity: u64) -> BackendIndex {
         if let Some(index) = self.by_name.get(&backend.name) {
             if let Some(state) = self.states.get_mut(index) {
@@ -76,8 +80,8 @@
         self.next_index += 1;
         self.by_name.insert(backend.name.clone(), index);
         let state = BackendState {
+            leaving: self.leaving_names.contains(&backend.name),
             backend,
-            leaving: false,
             ejection: Ejection::default(),
             in_flight: 0,
             reported_calls: 0,
@@ -88,6 +92,19 @@
         index
     }
 
+    /// Marks a back end as leaving, whether it is known yet or not.
+    pub fn set_leaving(&mut self, name: &BackendName) -> Option<BackendIndex> {
+        if !self.leaving_names.contains(name) {
+            self.leaving_names.push_back(name.clone());
+        }
+        if self.leaving_names.len() > MAX_LEAVING_NAMES {
+            self.leaving_names.pop_front();
+        }
+        let index = self.index(name)?;
+        self.get_mut(index)?.leaving = true;
+        Some(index)
+    }
+
     /// Forgets a back end.
     pub fn remove(&mut self, name: &BackendName) -> Option<BackendIndex> {
         let index = self.by_name.remove(name)?;
--- a/crates/scheduling/src/choosing.rs
+++ b/crates/scheduling/src/choosing.rs
@@ -16,7 +16,9 @@
     /// Where a waiting call should go.
     pub(crate) fn choose(&mut self, ticket: Ticket) -> Choice {
         let rule = self.settings.policy.placement;
+        let urgent = self.queue.get(ticket).map(|waiting| waiting.lane) == Some(Lane::Urgent);
         let home = match rule {
+            _ if urgent => None,
             PlacementRule::RoundRobin => self.home_or(ticket, Self::next_in_turn),
             PlacementRule::LeastReportedLoad => self.home_or(ticket, Self::least_reported),
             PlacementRule::TwoChoicesReportedLoad => self.home_or(ticket, Self::two_choices),
--- a/crates/scheduling/src/dispatcher.rs
+++ b/crates/scheduling/src/dispatcher.rs
@@ -181,12 +181,9 @@
     }
 
     fn backend_leaving(&mut self, now: MonotonicTime, name: &BackendName) {
-        let Some(index) = self.backends.index(name) else {
+        let Some(index) = self.backends.set_leaving(name) else {
             return;
         };
-        if let Some(state) = self.backends.get_mut(index) {
-            state.leaving = true;
-        }
         self.requeue_moving(now, index);
         self.place_elsewhere(now, index);
     }
