--- a/crates/scheduling/src/dispatcher.rs
+++ b/crates/scheduling/src/dispatcher.rs
@@ -8,6 +8,7 @@
 use crate::backends::{BackendIndex, BackendTable};
 use crate::effect::Effect;
 use crate::ejection::EjectionLimits;
+use crate::ended_runs::EndedRuns;
 use crate::event::{AttemptEnd, AttemptOutcome, CacheEvent, CacheListing, Event, Ticket};
 use crate::grants::{Grant, GrantState, GrantTable};
 use crate::load_estimate::LoadEstimate;
@@ -28,6 +29,7 @@
     pub(crate) grants: GrantTable,
     pub(crate) prefixes: PrefixMap,
     pub(crate) retention: Retention,
+    pub(crate) ended_runs: EndedRuns,
     pub(crate) estimate: LoadEstimate,
     pub(crate) random: ChaCha8Rng,
     pub(crate) next_serial: u64,
@@ -47,6 +49,7 @@
             grants: GrantTable::default(),
             prefixes: PrefixMap::default(),
             retention: Retention::new(settings.max_retention),
+            ended_runs: EndedRuns::default(),
             estimate: LoadEstimate::default(),
             random: ChaCha8Rng::seed_from_u64(settings.seed),
             next_serial: 0,
@@ -137,7 +140,9 @@
                 }
                 let tokens = end.usage.prompt + end.usage.output;
                 if tokens > 0 && self.backends.get(index).is_some() {
-                    self.prefixes.store(grant.waiting.call.run, index, tokens);
+                    let run = grant.waiting.call.run;
+                    self.prefixes.store(run, index, tokens);
+                    self.release_if_ended(run, index);
                 }
             }
             AttemptOutcome::Failed => self.record_failure(now, index),
@@ -212,6 +217,7 @@
             return;
         };
         let follow_up = self.prefixes.apply(index, event);
+        self.release_if_ended(event.run, index);
         self.relist_if_needed(&event.backend, follow_up);
     }
 
@@ -220,9 +226,20 @@
             return;
         };
         let follow_up = self.prefixes.replace(index, listing);
+        for context in &listing.contexts {
+            self.release_if_ended(context.run, index);
+        }
         self.relist_if_needed(&listing.backend, follow_up);
     }
 
+    /// Drops a context that came to be known after the end of its run.
+    fn release_if_ended(&mut self, run: RunId, index: BackendIndex) {
+        let held = self.prefixes.tokens_at(run, index) > 0;
+        if held && self.settings.policy.retention && self.ended_runs.contains(run) {
+            self.release(run, index);
+        }
+    }
+
     fn relist_if_needed(&mut self, backend: &BackendName, follow_up: CacheFollowUp) {
         if follow_up == CacheFollowUp::Relist {
             let backend = backend.clone();
@@ -275,6 +292,7 @@
 
     fn run_ended(&mut self, run: RunId) {
         self.retention.end(run);
+        self.ended_runs.insert(run);
         for place in self.prefixes.forget_run(run) {
             if self.settings.policy.retention {
                 self.release(run, place.backend);
--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod dispatcher;
 pub mod effect;
 pub mod ejection;
+pub mod ended_runs;
 pub mod event;
 mod granting;
 pub mod grants;
--- a/crates/scheduling/src/placement.rs
+++ b/crates/scheduling/src/placement.rs
@@ -131,7 +131,7 @@
                 return Choice::WaitFor(home);
             }
         }
-        let move_from = home.filter(|home| self.move_pays(&places, *home, backend));
+        let move_from = self.move_source(call, backend);
         Choice::Now { backend, move_from }
     }
 
@@ -158,8 +158,12 @@
     /// Engine from which the call's context should be moved before it runs at `backend`.
     pub fn move_source(&self, call: &QueuedCall, backend: BackendIndex) -> Option<BackendIndex> {
         let places = PrefixPlaces::of(call, self.prefixes);
-        let home = places.best(self.backends)?;
-        self.move_pays(&places, home, backend).then_some(home)
+        places
+            .own
+            .iter()
+            .filter(|place| self.move_pays(&places, **place, backend))
+            .max_by_key(|place| place.tokens)
+            .map(|place| place.backend)
     }
 
     fn cost(
@@ -188,15 +192,14 @@
         }
     }
 
-    fn move_pays(&self, places: &PrefixPlaces<'_>, from: BackendIndex, to: BackendIndex) -> bool {
+    fn move_pays(&self, places: &PrefixPlaces<'_>, from: CachedAt, to: BackendIndex) -> bool {
         let Some(settings) = self.context_move else {
             return false;
         };
-        let tokens = places.cached_at(from);
-        let missing = tokens.saturating_sub(places.cached_at(to));
-        let moving =
-            settings.base_micros as f64 + settings.nanos_per_token as f64 * tokens as f64 / 1e3;
-        from != to && moving < self.estimate.prefill_micros(missing)
+        let missing = from.tokens.saturating_sub(places.cached_at(to));
+        let moving_nanos = settings.nanos_per_token.saturating_mul(from.tokens);
+        let moving = (settings.base_micros + moving_nanos / 1_000) as f64;
+        from.backend != to && moving < self.estimate.prefill_micros(missing)
     }
 
     fn slot_wait(&self, state: &BackendState, ahead: usize) -> f64 {
--- /dev/null
+++ b/crates/scheduling/tests/back_ends.rs
@@ -0,0 +1,214 @@
+//! Back ends and owners that come, fail and go; caches and their leases.
+
+mod support;
+
+use std::time::Duration;
+
+use ridgeworks_domain::{MonotonicTime, RunId};
+use ridgeworks_scheduling::{
+    AttemptOutcome, CacheChange, CacheEvent, CacheListing, ContextMoveSettings, Dispatcher, Effect,
+    Event, QueuedCall,
+};
+use support::{
+    OWNER, backend_name, call, complete, confirm, ended, enqueue_all, grants, group, millis,
+    settings, ticket,
+};
+
+const START: MonotonicTime = MonotonicTime::ZERO;
+const RUN: RunId = RunId(1);
+
+fn call_of_run(number: u64, prompt_tokens: u64) -> QueuedCall {
+    QueuedCall {
+        run: RUN,
+        prompt_tokens,
+        ..call(number)
+    }
+}
+
+fn stored(number: u64, tokens: u64) -> Event {
+    Event::CacheEvent(CacheEvent {
+        backend: backend_name(1),
+        number,
+        change: CacheChange::Stored,
+        run: RUN,
+        tokens,
+    })
+}
+
+fn listed_empty(number: u64) -> Event {
+    Event::CacheListing(CacheListing {
+        backend: backend_name(1),
+        number,
+        contexts: Vec::new(),
+    })
+}
+
+fn paused() -> Event {
+    Event::RunPaused {
+        run: RUN,
+        tool: "tool".parse().unwrap(),
+    }
+}
+
+fn asks_for_listing(effects: &[Effect]) -> bool {
+    effects
+        == [Effect::RelistCache {
+            backend: backend_name(1),
+        }]
+}
+
+fn grant_of(dispatcher: &mut Dispatcher, now: MonotonicTime, call: QueuedCall) -> String {
+    let granted = enqueue_all(dispatcher, now, [call]);
+    granted[0].1.to_string()
+}
+
+#[test]
+fn a_leaving_back_end_gets_no_call_from_the_moment_of_the_event() {
+    let mut dispatcher = group(settings(), 2);
+    dispatcher.handle(START, Event::BackendLeaving(backend_name(0)));
+    let granted = enqueue_all(&mut dispatcher, START, (1..=10).map(call));
+    assert_eq!(granted.len(), 3);
+    assert!(granted.iter().all(|(_, to)| *to == backend_name(1)));
+}
+
+#[test]
+fn a_grant_that_is_never_confirmed_lapses() {
+    let mut dispatcher = group(settings(), 1);
+    for number in 1..=4 {
+        dispatcher.handle(START, Event::Enqueue(call(number)));
+    }
+    let effects = dispatcher.handle(millis(1_000), Event::Tick);
+    assert!(effects.is_empty(), "{effects:?}");
+    let effects = dispatcher.handle(millis(2_100), Event::Tick);
+    assert_eq!(grants(&effects)[0].0, 4);
+}
+
+#[test]
+fn a_lost_owner_leaves_no_ticket_and_no_grant() {
+    let mut dispatcher = group(settings(), 1);
+    enqueue_all(&mut dispatcher, START, (1..=10).map(call));
+    dispatcher.handle(millis(1), Event::OwnerLost(OWNER));
+    assert_eq!((dispatcher.queued(), dispatcher.in_flight()), (0, 0));
+}
+
+#[test]
+fn a_failing_back_end_is_out_for_a_while_and_then_gets_one_probe() {
+    let mut dispatcher = group(settings(), 1);
+    for number in 1..=3 {
+        enqueue_all(&mut dispatcher, START, [call(number)]);
+        dispatcher.handle(START, ended(number, AttemptOutcome::Failed));
+    }
+    let granted = enqueue_all(&mut dispatcher, millis(1), (4..=6).map(call));
+    assert!(granted.is_empty(), "{granted:?}");
+    let effects = dispatcher.handle(millis(1_001), Event::Tick);
+    confirm(&mut dispatcher, millis(1_001), &effects);
+    assert_eq!(grants(&effects).len(), 1);
+    let probe = grants(&effects)[0].0;
+    let effects = complete(&mut dispatcher, millis(1_100), probe);
+    assert_eq!(grants(&effects).len(), 2);
+}
+
+#[test]
+fn a_call_goes_where_its_prefix_is_cached() {
+    let mut dispatcher = group(settings(), 3);
+    dispatcher.handle(START, stored(1, 20_000));
+    let to = grant_of(&mut dispatcher, millis(1), call_of_run(1, 21_000));
+    assert_eq!(to, "engine-1");
+}
+
+#[test]
+fn a_sub_agent_goes_where_the_context_it_inherits_is_cached() {
+    let mut dispatcher = group(settings(), 3);
+    dispatcher.handle(START, stored(1, 20_000));
+    let mut child = call(7);
+    child.prompt_tokens = 21_000;
+    child.inherited = Some(ridgeworks_scheduling::InheritedContext {
+        run: RUN,
+        tokens: 20_000,
+    });
+    let to = grant_of(&mut dispatcher, millis(1), child);
+    assert_eq!(to, "engine-1");
+}
+
+#[test]
+fn a_gap_in_the_cache_events_asks_for_one_listing_that_replaces_the_hints() {
+    let mut dispatcher = group(settings(), 3);
+    dispatcher.handle(START, stored(1, 20_000));
+    let effects = dispatcher.handle(START, stored(3, 20_000));
+    assert!(asks_for_listing(&effects), "{effects:?}");
+    let effects = dispatcher.handle(START, stored(5, 20_000));
+    assert!(effects.is_empty(), "{effects:?}");
+    let effects = dispatcher.handle(START, listed_empty(4));
+    assert!(asks_for_listing(&effects), "a listing that is too old");
+    dispatcher.handle(START, listed_empty(6));
+    let to = grant_of(&mut dispatcher, millis(1), call_of_run(1, 21_000));
+    assert_eq!(to, "engine-0", "the hint of 20,000 tokens is gone");
+}
+
+#[test]
+fn a_context_is_retained_through_a_pause_and_released_at_the_end_of_its_run() {
+    let mut dispatcher = group(settings(), 3);
+    dispatcher.handle(START, stored(1, 20_000));
+    let effects = dispatcher.handle(millis(1), paused());
+    let [Effect::Retain { run, until, .. }] = effects.as_slice() else {
+        panic!("{effects:?}");
+    };
+    assert_eq!(*run, RUN);
+    assert!(*until > millis(1) && *until <= millis(60_001));
+    let effects = dispatcher.handle(millis(2), Event::RunEnded(RUN));
+    let release = Effect::Release {
+        run: RUN,
+        backend: backend_name(1),
+    };
+    assert_eq!(effects, [release]);
+    assert_eq!(dispatcher.retained(), 0);
+}
+
+#[test]
+fn a_late_cache_event_of_an_ended_run_is_answered_with_a_release() {
+    let mut dispatcher = group(settings(), 3);
+    dispatcher.handle(START, stored(1, 20_000));
+    dispatcher.handle(millis(2), Event::RunEnded(RUN));
+    let effects = dispatcher.handle(millis(3), stored(2, 21_000));
+    let release = Effect::Release {
+        run: RUN,
+        backend: backend_name(1),
+    };
+    assert_eq!(effects, [release]);
+}
+
+#[test]
+fn contexts_of_pauses_without_return_are_no_longer_retained() {
+    let mut dispatcher = group(settings(), 3);
+    for number in 0..1_000 {
+        dispatcher.handle(START, stored(number, 20_000));
+        dispatcher.handle(START, paused());
+        dispatcher.handle(START, Event::RunEnded(RUN));
+    }
+    dispatcher.handle(START, stored(1_000, 20_000));
+    let effects = dispatcher.handle(START, paused());
+    let kept = |effect: &Effect| matches!(effect, Effect::Retain { .. });
+    assert!(!effects.iter().any(kept), "{effects:?}");
+}
+
+#[test]
+fn a_grant_waits_for_its_context_to_move_but_not_for_ever() {
+    let mut settings = settings();
+    let timeout = Duration::from_millis(500);
+    settings.context_move = Some(ContextMoveSettings {
+        base_micros: 100,
+        nanos_per_token: 10,
+        timeout,
+    });
+    let mut dispatcher = group(settings, 2);
+    dispatcher.handle(START, stored(1, 50_000));
+    dispatcher.handle(START, Event::BackendLeaving(backend_name(1)));
+    enqueue_all(&mut dispatcher, START, [call(5)]);
+    dispatcher.handle(START, Event::Cancel(ticket(5)));
+    let effects = dispatcher.handle(millis(1), Event::Enqueue(call_of_run(1, 50_000)));
+    let moves = |effect: &Effect| matches!(effect, Effect::MoveContext { .. });
+    assert!(effects.iter().any(moves), "{effects:?}");
+    assert!(grants(&effects).is_empty());
+    let effects = dispatcher.handle(millis(502), Event::Tick);
+    assert_eq!(grants(&effects).len(), 1);
+}
