Add stand-ins of tool services and a relay that cuts and delays links

Tool services share the attempt registry with engines: fencing, joining of repeated requests and at most one effect. The relay holds bytes back during a cut, as TCP's retransmission would, so nothing is swallowed and no stream breaks. The platform puts itself behind such a link, because tiny_http can't close a connection without an answer.

--- a/crates/stand-ins/src/attempts.rs
+++ b/crates/stand-ins/src/attempts.rs
@@ -5,6 +5,7 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::time::Duration;
 
 use ridgeworks_domain::{CallKey, Cost, RunId, Sequence};
 use serde::Serialize;
@@ -150,6 +151,16 @@
         (progress.produced, progress.state.clone())
     }
 
+    /// Waits until the attempt ended, at most for `patience`.
+    pub fn wait_at_most(&self, patience: Duration) -> AttemptState {
+        let waiting = |progress: &mut Progress| !progress.state.is_final();
+        let waited = self
+            .changed
+            .wait_timeout_while(self.progress(), patience, waiting);
+        let (progress, _) = waited.expect("no holder of this lock panics");
+        progress.state.clone()
+    }
+
     /// Waits until the attempt ended.
     pub fn wait_for_end(&self) -> AttemptState {
         self.wait_beyond(usize::MAX).1
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -12,3 +12,5 @@
 pub mod lagging;
 pub mod metrics;
 pub mod platform;
+pub mod relay;
+pub mod tool;
--- a/crates/stand-ins/src/platform/mod.rs
+++ b/crates/stand-ins/src/platform/mod.rs
@@ -10,8 +10,8 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
@@ -21,6 +21,7 @@
 use crate::platform::machines::MachineRegistry;
 use crate::platform::store::ObjectStore;
 use crate::platform::weights::WeightStore;
+use crate::relay::link::Link;
 
 /// Settings of a platform.
 #[derive(Debug, Clone)]
@@ -78,9 +79,18 @@
     pub watchers: AtomicUsize,
     history: HistoryWriter,
     is_stopping: AtomicBool,
+    /// Carries all connections, since the HTTP library can't close one without an answer.
+    link: OnceLock<Arc<Link>>,
 }
 
 impl PlatformState {
+    /// Closes a connection without an answer.
+    pub fn close_connection(&self, peer: Option<SocketAddr>) {
+        if let (Some(link), Some(peer)) = (self.link.get(), peer) {
+            link.reset_connection(peer);
+        }
+    }
+
     /// Whether the process is about to end.
     pub fn is_stopping(&self) -> bool {
         self.is_stopping.load(Ordering::SeqCst)
@@ -91,6 +101,7 @@
 pub struct Platform {
     state: Arc<PlatformState>,
     server: HttpServer,
+    link: Arc<Link>,
     publisher: Option<JoinHandle<()>>,
 }
 
@@ -105,26 +116,32 @@
             watchers: AtomicUsize::new(0),
             history: HistoryWriter::open(&options.name, options.history.as_deref())?,
             is_stopping: AtomicBool::new(false),
+            link: OnceLock::new(),
             options,
         });
         let publisher = thread::spawn({
             let state = Arc::clone(&state);
             move || state.machines.record_publications(&state.history)
         });
-        let server = HttpServer::start(state.options.listen, {
+        let inner_listen = SocketAddr::new(state.options.listen.ip(), 0);
+        let server = HttpServer::start(inner_listen, {
             let state = Arc::clone(&state);
             move |incoming| routes::handle(&state, incoming)
         })?;
+        let name = &state.options.name;
+        let link = Link::start(name, state.options.listen, server.address())?;
+        let link = Arc::clone(state.link.get_or_init(|| link));
         Ok(Self {
             state,
             server,
+            link,
             publisher: Some(publisher),
         })
     }
 
     /// The address it listens on.
     pub fn address(&self) -> SocketAddr {
-        self.server.address()
+        self.link.listen
     }
 
     /// Ends watches, answers what is open and ends the threads.
@@ -135,5 +152,6 @@
             let _ = publisher.join();
         }
         self.server.stop();
+        self.link.close();
     }
 }
--- a/crates/stand-ins/src/platform/routes.rs
+++ b/crates/stand-ins/src/platform/routes.rs
@@ -36,7 +36,7 @@
     }
     platform.faults.wait_while_slow();
     if platform.faults.is_down() {
-        return Ok(Reply::Nothing);
+        return Ok(closed(platform, incoming));
     }
     match (&incoming.method, segments.as_slice()) {
         (Method::Get, ["objects"]) => Ok(Reply::json(&platform.store.list(incoming.query("kind")))),
@@ -50,14 +50,14 @@
             let version = platform
                 .store
                 .put(object_key(kind, name), document, expected)?;
-            Ok(changed(platform, version))
+            Ok(changed(platform, incoming, version))
         }
         (Method::Delete, ["objects", kind, name]) => {
             let expected = expected_version(incoming)?;
             let version = platform.store.delete(object_key(kind, name), expected)?;
-            Ok(changed(platform, version))
+            Ok(changed(platform, incoming, version))
         }
-        (Method::Get, ["watch"]) => watch(platform, incoming.query_number("after", 0)?),
+        (Method::Get, ["watch"]) => watch(platform, incoming),
         (Method::Get, ["machines"]) => Ok(Reply::json(&platform.machines.published())),
         (Method::Put, ["machines", name]) => {
             let version = platform.machines.register(name, incoming.json()?);
@@ -88,13 +88,18 @@
 }
 
 /// Answers a change that took effect, unless its answer is to be lost.
-fn changed(platform: &PlatformState, version: u64) -> Reply {
+fn changed(platform: &PlatformState, incoming: &Incoming, version: u64) -> Reply {
     if platform.faults.takes_answer() {
-        return Reply::Nothing;
+        return closed(platform, incoming);
     }
     Reply::json(&json!({"version": version}))
 }
 
+fn closed(platform: &PlatformState, incoming: &Incoming) -> Reply {
+    platform.close_connection(incoming.peer);
+    Reply::Nothing
+}
+
 fn machine_state(
     platform: &PlatformState,
     name: &str,
@@ -128,12 +133,21 @@
     }
 }
 
-fn watch(platform: &Arc<PlatformState>, after: u64) -> Result<Reply, Failure> {
+fn watch(platform: &Arc<PlatformState>, incoming: &Incoming) -> Result<Reply, Failure> {
+    let after = incoming.query_number("after", 0)?;
     platform.store.check_watch(after)?;
     let slot = WatcherSlot::take(platform)?;
+    let peer = incoming.peer;
+    let body = move |writer: &mut ChunkWriter| {
+        write_watch(&slot.platform, after, writer)?;
+        if slot.platform.faults.is_down() {
+            slot.platform.close_connection(peer);
+        }
+        Ok(())
+    };
     Ok(Reply::Stream {
         content_type: JSON_LINES,
-        body: Box::new(move |writer| write_watch(&slot.platform, after, writer)),
+        body: Box::new(body),
     })
 }
 
@@ -144,10 +158,9 @@
         let (next, lines) = platform.store.wait_for_changes(after, WATCH_POLL_INTERVAL);
         after = next;
         silent_for += WATCH_POLL_INTERVAL;
-        if matches!(lines.as_slice(), [WatchLine::Progress { .. }]) {
-            if silent_for < WATCH_PROGRESS_INTERVAL {
-                continue;
-            }
+        let is_silent = matches!(lines.as_slice(), [WatchLine::Progress { .. }]);
+        if is_silent && silent_for < WATCH_PROGRESS_INTERVAL {
+            continue;
         }
         silent_for = Duration::ZERO;
         for line in &lines {
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -2,4 +2,6 @@
 
 pub mod engine;
 pub mod platform;
+pub mod relay;
 pub mod serving;
+pub mod tool;
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
-use ridgeworks_testbed::{engine, platform};
+use ridgeworks_testbed::{engine, platform, relay, tool};
 
 /// Stand-ins and tools for trying ridgeworks out.
 #[derive(Parser)]
@@ -19,12 +19,18 @@
     Engine(engine::EngineArguments),
     /// Serve as the platform.
     Platform(platform::PlatformArguments),
+    /// Serve as a tool or notice service.
+    Tool(tool::ToolArguments),
+    /// Relay TCP connections, with faults on request.
+    Relay(relay::RelayArguments),
 }
 
 fn main() -> ExitCode {
     let result = match CommandLine::parse().command {
         Command::Engine(arguments) => engine::run(arguments),
         Command::Platform(arguments) => platform::run(arguments),
+        Command::Tool(arguments) => tool::run(arguments),
+        Command::Relay(arguments) => relay::run(arguments),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
