--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: test format lint build
+.PHONY: test format lint build bench-scheduling experiment
 
 test: format lint
 	cargo test --workspace --locked
@@ -11,3 +11,6 @@
 
 build:
 	cargo build --release --workspace --locked
+
+bench-scheduling:
+	cargo run --release --locked -p ridgeworks-scheduling --example decision_cost
