--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: test format lint build generate
+.PHONY: test format lint build generate bench-scheduling experiment
 
 test: format lint
 	cargo test --workspace --locked
@@ -15,3 +15,5 @@
 # Writes the committed code of the published schema anew.
 generate:
 	cargo run --manifest-path tools/generate-api/Cargo.toml --locked
+bench-scheduling:
+	cargo run --release --locked -p ridgeworks-scheduling --example decision_cost
