Add the durable store of a replica with group commit over redb

One writer thread takes every batch that waits, commits them in one transaction with fsync, then calls their completions. Values are bytes: the run log keeps one head per run instead of separate promise and commit index records, which is one table less to touch per append. Not tested yet.

--- /dev/null
+++ b/crates/storage/src/reader.rs
@@ -0,0 +1,89 @@
+//! Reading back what is durable. Batches that wait or are being committed are not seen.
+
+use std::ops::ControlFlow;
+
+use redb::{Database, ReadableDatabase, ReadableTable};
+use ridgeworks_domain::RunId;
+
+use crate::error::StoreError;
+use crate::tables::{CONFIGURATION, NODE_RECORDS, RUN_ENTRIES, RUN_HEADS};
+
+/// One entry of a run's log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoredEntry {
+    /// Position in the run's log.
+    pub index: u64,
+    /// The entry, encoded.
+    pub bytes: Vec<u8>,
+}
+
+/// One configuration record.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ConfigurationRecord {
+    /// Name of the record.
+    pub key: Vec<u8>,
+    /// The record, encoded.
+    pub bytes: Vec<u8>,
+}
+
+pub(crate) fn visit_run_heads(
+    database: &Database,
+    mut visit: impl FnMut(RunId, &[u8]) -> ControlFlow<()>,
+) -> Result<(), StoreError> {
+    let table = database.begin_read()?.open_table(RUN_HEADS)?;
+    for item in table.iter()? {
+        let (run, head) = item?;
+        if visit(RunId(run.value()), head.value()).is_break() {
+            break;
+        }
+    }
+    Ok(())
+}
+
+pub(crate) fn run_head(database: &Database, run: RunId) -> Result<Option<Vec<u8>>, StoreError> {
+    let table = database.begin_read()?.open_table(RUN_HEADS)?;
+    let head = table.get(run.0)?;
+    Ok(head.map(|head| head.value().to_vec()))
+}
+
+pub(crate) fn entries(
+    database: &Database,
+    run: RunId,
+    first: u64,
+    max_bytes: usize,
+) -> Result<Vec<StoredEntry>, StoreError> {
+    let table = database.begin_read()?.open_table(RUN_ENTRIES)?;
+    let mut entries = Vec::new();
+    let mut total_bytes = 0;
+    for item in table.range((run.0, first)..=(run.0, u64::MAX))? {
+        let (key, value) = item?;
+        total_bytes += value.value().len();
+        if total_bytes > max_bytes && !entries.is_empty() {
+            break;
+        }
+        entries.push(StoredEntry {
+            index: key.value().1,
+            bytes: value.value().to_vec(),
+        });
+    }
+    Ok(entries)
+}
+
+pub(crate) fn configuration(database: &Database) -> Result<Vec<ConfigurationRecord>, StoreError> {
+    let table = database.begin_read()?.open_table(CONFIGURATION)?;
+    let mut records = Vec::new();
+    for item in table.iter()? {
+        let (key, value) = item?;
+        records.push(ConfigurationRecord {
+            key: key.value().to_vec(),
+            bytes: value.value().to_vec(),
+        });
+    }
+    Ok(records)
+}
+
+pub(crate) fn node_record(database: &Database, key: &[u8]) -> Result<Option<Vec<u8>>, StoreError> {
+    let table = database.begin_read()?.open_table(NODE_RECORDS)?;
+    let record = table.get(key)?;
+    Ok(record.map(|record| record.value().to_vec()))
+}
--- /dev/null
+++ b/crates/storage/src/store.rs
@@ -0,0 +1,212 @@
+//! The store: opening, submitting, reading, closing.
+
+use std::fs::{self, File};
+use std::ops::ControlFlow;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::{self, JoinHandle};
+
+use crossbeam_channel::{Sender, TrySendError, bounded};
+use redb::{Builder, Database, StorageBackend};
+use ridgeworks_domain::RunId;
+
+use crate::counters::{StoreCounters, add};
+use crate::error::StoreError;
+use crate::identity::{self, StoreIdentity};
+use crate::operation::WriteBatch;
+use crate::reader::{self, ConfigurationRecord, StoredEntry};
+use crate::settings::StoreSettings;
+use crate::tables::WriteTables;
+use crate::writer::Writer;
+
+const DATABASE_FILE: &str = "replica.redb";
+const WRITER_THREAD: &str = "store-writer";
+
+/// A store that was just opened.
+pub struct OpenedStore {
+    /// The store.
+    pub store: Store,
+    /// Whether the data folder was new. A replica that served before has lost its promises then.
+    pub is_new: bool,
+}
+
+/// An open store; shared by reference between threads. Dropping it commits what waits, answers it,
+/// and gives the data folder free.
+pub struct Store {
+    database: Arc<Database>,
+    identity: StoreIdentity,
+    batches: Option<Sender<WriteBatch>>,
+    writer: Option<JoinHandle<()>>,
+    counters: Arc<StoreCounters>,
+    failed: Arc<AtomicBool>,
+}
+
+impl Store {
+    /// Opens the data folder, creating it when missing, and repairs the database after a crash.
+    pub fn open(settings: &StoreSettings) -> Result<OpenedStore, StoreError> {
+        fs::create_dir_all(&settings.directory)?;
+        let path = settings.directory.join(DATABASE_FILE);
+        let opened = Self::open_database(settings, |builder| Ok(builder.create(&path)?))?;
+        sync_directory_entry(&settings.directory)?;
+        Ok(opened)
+    }
+
+    /// Opens a store on another backend than a file, for simulated crashes and faults.
+    pub fn open_on(
+        settings: &StoreSettings,
+        backend: impl StorageBackend,
+    ) -> Result<OpenedStore, StoreError> {
+        Self::open_database(
+            settings,
+            |builder| Ok(builder.create_with_backend(backend)?),
+        )
+    }
+
+    fn open_database(
+        settings: &StoreSettings,
+        open: impl FnOnce(&Builder) -> Result<Database, StoreError>,
+    ) -> Result<OpenedStore, StoreError> {
+        let mut builder = Builder::new();
+        builder.set_cache_size(settings.cache_bytes);
+        let database = open(&builder)?;
+        let stored = identity::load(&database)?;
+        let is_new = stored.is_none();
+        let identity = match stored {
+            Some(identity) if identity.node_name == settings.node_name => identity,
+            Some(identity) => return Err(StoreError::ForeignNode(identity.node_name)),
+            None => create_tables(&database, settings)?,
+        };
+        let store = Self::start(database, identity, settings)?;
+        Ok(OpenedStore { store, is_new })
+    }
+
+    fn start(
+        database: Database,
+        identity: StoreIdentity,
+        settings: &StoreSettings,
+    ) -> Result<Self, StoreError> {
+        let database = Arc::new(database);
+        let counters = Arc::<StoreCounters>::default();
+        let failed = Arc::<AtomicBool>::default();
+        let (sender, batches) = bounded(settings.max_waiting_batches);
+        let writer = Writer {
+            database: Arc::clone(&database),
+            batches,
+            max_commit_bytes: settings.max_commit_bytes,
+            counters: Arc::clone(&counters),
+            failed: Arc::clone(&failed),
+        };
+        let thread = thread::Builder::new().name(WRITER_THREAD.to_owned());
+        let writer = thread.spawn(|| writer.run())?;
+        Ok(Self {
+            database,
+            identity,
+            batches: Some(sender),
+            writer: Some(writer),
+            counters,
+            failed,
+        })
+    }
+
+    /// Whose data folder it is.
+    pub fn identity(&self) -> &StoreIdentity {
+        &self.identity
+    }
+
+    /// Counters of the store.
+    pub fn counters(&self) -> Arc<StoreCounters> {
+        Arc::clone(&self.counters)
+    }
+
+    /// Hands a batch to the writer without waiting. Batches become durable in the order of their
+    /// submission. With an error the batch is dropped, its completion is not called, and it never
+    /// becomes durable.
+    pub fn submit(&self, batch: WriteBatch) -> Result<(), StoreError> {
+        let outcome = self.try_submit(batch);
+        if outcome.is_err() {
+            add(&self.counters.refused, 1);
+        }
+        outcome
+    }
+
+    fn try_submit(&self, batch: WriteBatch) -> Result<(), StoreError> {
+        if self.failed.load(Ordering::SeqCst) {
+            return Err(StoreError::FailedBefore);
+        }
+        let Some(batches) = &self.batches else {
+            return Err(StoreError::Closed);
+        };
+        batches.try_send(batch).map_err(|error| match error {
+            TrySendError::Full(_) => StoreError::QueueFull,
+            TrySendError::Disconnected(_) => StoreError::Closed,
+        })
+    }
+
+    /// Calls `visit` with the head of each run, in the order of run identifiers, until it breaks.
+    pub fn visit_run_heads(
+        &self,
+        visit: impl FnMut(RunId, &[u8]) -> ControlFlow<()>,
+    ) -> Result<(), StoreError> {
+        reader::visit_run_heads(&self.database, visit)
+    }
+
+    /// Head of one run.
+    pub fn run_head(&self, run: RunId) -> Result<Option<Vec<u8>>, StoreError> {
+        reader::run_head(&self.database, run)
+    }
+
+    /// Entries of a run from `first` on, at least one if there is one, at most `max_bytes` of values.
+    pub fn entries(
+        &self,
+        run: RunId,
+        first: u64,
+        max_bytes: usize,
+    ) -> Result<Vec<StoredEntry>, StoreError> {
+        reader::entries(&self.database, run, first, max_bytes)
+    }
+
+    /// All configuration records, in the order of their names.
+    pub fn configuration(&self) -> Result<Vec<ConfigurationRecord>, StoreError> {
+        reader::configuration(&self.database)
+    }
+
+    /// One record of the replica itself.
+    pub fn node_record(&self, key: &[u8]) -> Result<Option<Vec<u8>>, StoreError> {
+        reader::node_record(&self.database, key)
+    }
+}
+
+impl Drop for Store {
+    fn drop(&mut self) {
+        drop(self.batches.take());
+        let Some(writer) = self.writer.take() else {
+            return;
+        };
+        // A completion may hold the last reference to the store.
+        if writer.thread().id() != thread::current().id() {
+            let _ = writer.join();
+        }
+    }
+}
+
+/// Writes identity and empty tables in one transaction.
+fn create_tables(
+    database: &Database,
+    settings: &StoreSettings,
+) -> Result<StoreIdentity, StoreError> {
+    let identity = StoreIdentity {
+        node_name: settings.node_name.clone(),
+        creation_id: settings.new_creation_id,
+    };
+    let transaction = database.begin_write()?;
+    drop(WriteTables::open(&transaction)?);
+    identity::put(&transaction, &identity)?;
+    transaction.commit()?;
+    Ok(identity)
+}
+
+/// A new file survives a crash only once its folder is synced too.
+fn sync_directory_entry(directory: &Path) -> Result<(), StoreError> {
+    Ok(File::open(directory)?.sync_all()?)
+}
