--- a/crates/api/src/client.rs
+++ b/crates/api/src/client.rs
@@ -61,8 +61,8 @@
 /// Why no answer came from one server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum TransportError {
-    /// The address is not one of HTTP.
-    InvalidAddress,
+    /// The address or the token cannot stand in an HTTP request.
+    InvalidRequest,
     /// No connection came about; the request was not sent.
     NotConnected,
     /// The time ran out after the connection stood.
@@ -76,14 +76,14 @@
 impl TransportError {
     /// Whether the server may have taken the request.
     fn may_have_arrived(self) -> bool {
-        !matches!(self, Self::InvalidAddress | Self::NotConnected)
+        !matches!(self, Self::InvalidRequest | Self::NotConnected)
     }
 }
 
 impl From<ureq::Error> for TransportError {
     fn from(error: ureq::Error) -> Self {
         match error {
-            ureq::Error::BadUri(_) | ureq::Error::Http(_) => Self::InvalidAddress,
+            ureq::Error::BadUri(_) | ureq::Error::Http(_) => Self::InvalidRequest,
             ureq::Error::HostNotFound
             | ureq::Error::ConnectionFailed
             | ureq::Error::Timeout(ureq::Timeout::Connect | ureq::Timeout::Resolve) => {
