--- a/crates/configuration/src/acceptance.rs
+++ b/crates/configuration/src/acceptance.rs
@@ -254,13 +254,20 @@
         now: MonotonicTime,
         outbox: &mut Outbox,
     ) {
-        let count = self.queue.len().min(MAX_BATCH);
         let mut next = Arc::clone(base);
         let mut changes = Vec::new();
+        let mut deferred = VecDeque::new();
+        let count = self.queue.len().min(MAX_BATCH);
         for change in self.queue.drain(..count) {
+            if leans_on_batch(base, &next, &change.request) {
+                deferred.push_back(change);
+                continue;
+            }
             let answer = decide(&mut next, &change.request);
             changes.push((change, answer));
         }
+        deferred.append(&mut self.queue);
+        self.queue = deferred;
         let attempt = Attempt {
             expected: version,
             base: Arc::clone(base),
@@ -386,6 +393,21 @@
     }
 }
 
+/// Whether a change is allowed only thanks to another one in the same write. Such a change waits for
+/// the next write: every change in a write must be allowed at the version that the write expects,
+/// or a second coordinator that is asked for the same operation could reject it at that version
+/// while the first one's write is still on its way.
+fn leans_on_batch(
+    base: &Arc<ConfigurationSet>,
+    next: &Arc<ConfigurationSet>,
+    request: &ChangeRequest,
+) -> bool {
+    !Arc::ptr_eq(base, next)
+        && next.operation(request.operation).is_none()
+        && apply_change(next, request).is_ok()
+        && apply_change(base, request).is_err()
+}
+
 /// The revision that an answer gives away.
 fn needs(answer: &OperatorAnswer, set: &ConfigurationSet) -> Revision {
     match answer {
--- /dev/null
+++ b/crates/configuration/tests/simulation.rs
@@ -0,0 +1,92 @@
+//! Seeded schedules of faults over the whole configuration role.
+
+mod simulator;
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
+
+use simulator::{Report, Violation, Weakness, run};
+
+const SCHEDULES: u64 = 60;
+const THREADS: usize = 3;
+
+/// Runs the schedules of seeds below `count` and returns the sums, or the first failing seed found.
+fn run_schedules(count: u64, weakness: Weakness) -> Result<Report, (u64, Violation)> {
+    let next = AtomicU64::new(0);
+    let work = || {
+        let mut sum = Report::default();
+        loop {
+            let seed = next.fetch_add(1, Ordering::Relaxed);
+            if seed >= count {
+                return Ok(sum);
+            }
+            let report = run(seed, weakness).map_err(|violation| {
+                next.store(count, Ordering::Relaxed);
+                (seed, violation)
+            })?;
+            sum = add(sum, report);
+        }
+    };
+    thread::scope(|scope| {
+        let workers: Vec<_> = (0..THREADS).map(|_| scope.spawn(work)).collect();
+        let results = workers
+            .into_iter()
+            .map(|worker| worker.join().expect("a run that ends"));
+        results
+            .into_iter()
+            .try_fold(Report::default(), |sum, result| Ok(add(sum, result?)))
+    })
+}
+
+fn add(left: Report, right: Report) -> Report {
+    Report {
+        operations: left.operations + right.operations,
+        accepted: left.accepted + right.accepted,
+        unknown: left.unknown + right.unknown,
+        faults: left.faults + right.faults,
+    }
+}
+
+#[test]
+fn accepted_configuration_is_linearizable_fresh_and_never_reverts() {
+    match run_schedules(SCHEDULES, Weakness::None) {
+        Ok(report) => println!("{SCHEDULES} schedules: {report:?}"),
+        Err((seed, violation)) => panic!("seed {seed}: {violation:?}"),
+    }
+}
+
+#[test]
+fn checks_fail_without_a_majority_before_accepted() {
+    let (seed, violation) =
+        run_schedules(SCHEDULES, Weakness::NoMajorityBeforeAccepted).expect_err("a violation");
+    println!("seed {seed}: {violation:?}");
+    let seen = matches!(
+        violation,
+        Violation::NotLinearizable | Violation::Stale { .. }
+    );
+    assert!(seen, "seed {seed}: {violation:?}");
+}
+
+#[test]
+fn checks_fail_when_the_lease_counts_from_the_answer() {
+    let (seed, violation) =
+        run_schedules(SCHEDULES, Weakness::LeaseFromAnswer).expect_err("a violation");
+    println!("seed {seed}: {violation:?}");
+    let seen = matches!(
+        violation,
+        Violation::NotLinearizable | Violation::Stale { .. }
+    );
+    assert!(seen, "seed {seed}: {violation:?}");
+}
+
+#[test]
+fn checks_fail_when_a_voter_goes_back_on_restart() {
+    let (seed, violation) =
+        run_schedules(SCHEDULES, Weakness::RevisionGoesBackOnRestart).expect_err("a violation");
+    println!("seed {seed}: {violation:?}");
+    let seen = matches!(
+        violation,
+        Violation::NotLinearizable | Violation::Stale { .. } | Violation::WentBack { .. }
+    );
+    assert!(seen, "seed {seed}: {violation:?}");
+}
--- /dev/null
+++ b/crates/configuration/tests/simulator/mod.rs
@@ -0,0 +1,695 @@
+//! A deterministic simulator of a few nodes, the platform and racing operators in virtual time.
+//!
+//! Network: loss, duplication, reordering, long delays. Faults: crashes with and without the disk,
+//! pauses, cuts, platform down, slow, answers lost after the effect. The weakened runs forge what a
+//! missing mechanism would have let through, so that the checks are seen to fail.
+
+#![allow(dead_code, reason = "each test binary uses its part of the simulator")]
+
+pub mod history;
+pub mod operators;
+pub mod platform;
+pub mod scenario;
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use ridgeworks_configuration::effect::WatchEvent;
+use ridgeworks_configuration::message::Known;
+use ridgeworks_configuration::settings::STALENESS_BOUND;
+use ridgeworks_configuration::{
+    ConfigurationMessage, ConfigurationRole, ConfigurationSettings, Effect, Event, MachineState,
+    Member, OperatorAnswer, PlatformAnswer, PlatformOperation, PlatformVersion, RequestId,
+    Revision, StoredVoter, Ticket,
+};
+use ridgeworks_domain::{MonotonicTime, NodeId, ZoneName};
+
+use operators::Operators;
+use platform::Platform;
+
+pub const NODES: usize = 7;
+pub const VOTERS: usize = 3;
+const TICK: u64 = 50_000;
+const SECOND: u64 = 1_000_000;
+/// Faults and operators stop then; the nodes must agree within the time that follows.
+const FAULTS_END: u64 = 14 * SECOND;
+const RUN_END: u64 = FAULTS_END + 14 * SECOND;
+
+/// A mechanism that a run goes without.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Weakness {
+    None,
+    /// A coordinator takes every voter's acknowledgement for granted.
+    NoMajorityBeforeAccepted,
+    /// The lease counts from the arrival of the answer.
+    LeaseFromAnswer,
+    /// A voter restarts from a state that it has long replaced.
+    RevisionGoesBackOnRestart,
+}
+
+#[derive(Debug)]
+pub enum Violation {
+    NotLinearizable,
+    WrongOutcome(String),
+    Stale {
+        node: usize,
+        in_force: Revision,
+        accepted: Revision,
+    },
+    WentBack {
+        node: usize,
+        from: Revision,
+        to: Revision,
+    },
+    NotConverged {
+        node: usize,
+        ready: bool,
+        in_force: Revision,
+        store: Revision,
+    },
+    NoAnswer,
+    MachinesNotConverged {
+        node: usize,
+    },
+}
+
+/// What a run amounted to.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct Report {
+    pub operations: usize,
+    pub accepted: usize,
+    pub unknown: usize,
+    pub faults: usize,
+}
+
+enum Action {
+    Handle {
+        node: usize,
+        life: u64,
+        event: Event,
+    },
+    Arrive {
+        node: usize,
+        life: u64,
+        request: RequestId,
+        operation: PlatformOperation,
+    },
+    Flush {
+        node: usize,
+        life: u64,
+        write: u64,
+        state: StoredVoter,
+    },
+    Tick {
+        node: usize,
+        life: u64,
+    },
+    Start {
+        node: usize,
+    },
+    Wake {
+        node: usize,
+    },
+    Operate {
+        operator: usize,
+    },
+    Fault,
+}
+
+struct Scheduled {
+    at: u64,
+    order: u64,
+    action: Action,
+}
+
+impl PartialEq for Scheduled {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at, self.order) == (other.at, other.order)
+    }
+}
+impl Eq for Scheduled {}
+impl PartialOrd for Scheduled {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Scheduled {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.order).cmp(&(other.at, other.order))
+    }
+}
+
+#[derive(Default)]
+struct Node {
+    role: Option<ConfigurationRole>,
+    life: u64,
+    clock_offset: u64,
+    paused: bool,
+    cut: bool,
+    kept: Vec<Event>,
+    disk: Option<StoredVoter>,
+    /// The first state that the voter vouched for, for the weakened restart.
+    first_disk: Option<StoredVoter>,
+    highest_in_force: Revision,
+    last_renewal: Option<RequestId>,
+}
+
+pub struct World {
+    pub now: u64,
+    order: u64,
+    queue: BinaryHeap<Reverse<Scheduled>>,
+    random: ChaCha8Rng,
+    weakness: Weakness,
+    nodes: Vec<Node>,
+    platform: Platform,
+    operators: Operators,
+    watchers: BTreeMap<usize, u64>,
+    down_until: u64,
+    slow_until: u64,
+    lose_until: u64,
+    loss: f64,
+    longest_delay: u64,
+    faults: usize,
+    violation: Option<Violation>,
+}
+
+fn node_id(index: usize) -> NodeId {
+    NodeId(index as u64 + 1)
+}
+
+fn index_of(node: NodeId) -> usize {
+    node.0 as usize - 1
+}
+
+/// Runs one schedule.
+pub fn run(seed: u64, weakness: Weakness) -> Result<Report, Violation> {
+    let mut world = World::new(seed, weakness);
+    world.run_to_end();
+    world.judge()
+}
+
+impl World {
+    fn new(seed: u64, weakness: Weakness) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let loss = [0.0, 0.02, 0.15][random.random_range(0..3)];
+        let longest_delay = [5_000, 50_000, 400_000, 2_500_000][random.random_range(0..4)];
+        let platform = Platform::new(&scenario::initial_configuration().whole());
+        let mut world = Self {
+            now: SECOND,
+            order: 0,
+            queue: BinaryHeap::new(),
+            random,
+            weakness,
+            nodes: (0..NODES).map(|_| Node::default()).collect(),
+            platform,
+            operators: Operators::default(),
+            watchers: BTreeMap::new(),
+            down_until: 0,
+            slow_until: 0,
+            lose_until: 0,
+            loss,
+            longest_delay,
+            faults: 0,
+            violation: None,
+        };
+        for node in 0..NODES {
+            world.schedule(world.now, Action::Start { node });
+        }
+        for operator in 0..operators::OPERATORS {
+            world.schedule(2 * SECOND, Action::Operate { operator });
+        }
+        world.schedule(3 * SECOND, Action::Fault);
+        world
+    }
+
+    fn schedule(&mut self, at: u64, action: Action) {
+        self.order += 1;
+        let order = self.order;
+        self.queue.push(Reverse(Scheduled { at, order, action }));
+    }
+
+    fn run_to_end(&mut self) {
+        while let Some(Reverse(scheduled)) = self.queue.pop() {
+            if scheduled.at > RUN_END || self.violation.is_some() {
+                break;
+            }
+            self.now = scheduled.at;
+            self.act(scheduled.action);
+        }
+    }
+
+    fn healed(&self) -> bool {
+        self.now >= FAULTS_END
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Handle { node, life, event } => {
+                // Messages outlive a restart of their receiver, as they may over datagrams.
+                let is_message = matches!(event, Event::Message { .. });
+                if is_message || self.nodes[node].life == life {
+                    self.handle(node, event);
+                }
+            }
+            Action::Arrive {
+                node,
+                life,
+                request,
+                operation,
+            } => {
+                self.arrive(node, life, request, operation);
+            }
+            Action::Flush {
+                node,
+                life,
+                write,
+                state,
+            } => self.flush(node, life, write, state),
+            Action::Tick { node, life } => self.tick(node, life),
+            Action::Start { node } => self.start(node),
+            Action::Wake { node } => self.wake(node),
+            Action::Operate { operator } => self.operate(operator),
+            Action::Fault => self.fault(),
+        }
+    }
+
+    fn local(&self, node: usize) -> MonotonicTime {
+        // The clocks run apart by up to 1.5 percent.
+        let drift = self.now / 200 * (node as u64 % 4);
+        MonotonicTime::from_micros(self.now + drift + self.nodes[node].clock_offset)
+    }
+
+    fn start(&mut self, node: usize) {
+        self.nodes[node].clock_offset = self.random.random_range(0..1000 * SECOND);
+        let settings = ConfigurationSettings {
+            node: node_id(node),
+            voters: (0..VOTERS).map(node_id).collect(),
+            seed: self.random.random(),
+        };
+        let now = self.local(node);
+        let mut disk = self.nodes[node].disk.clone();
+        if self.weakness == Weakness::RevisionGoesBackOnRestart {
+            disk = self.nodes[node].first_disk.clone();
+        }
+        let mut role = ConfigurationRole::new(settings, disk, now);
+        let zone = |index: usize| ZoneName::new(["a", "b"][index % 2]).expect("a valid name");
+        let members = (0..NODES).map(|index| Member {
+            node: node_id(index),
+            zone: zone(index),
+        });
+        let effects = role.handle(now, Event::Members(members.collect()));
+        self.nodes[node].role = Some(role);
+        let life = self.nodes[node].life;
+        self.carry_out(node, effects);
+        self.schedule(self.now, Action::Tick { node, life });
+    }
+
+    fn tick(&mut self, node: usize, life: u64) {
+        if self.nodes[node].life != life {
+            return;
+        }
+        self.schedule(self.now + TICK, Action::Tick { node, life });
+        if !self.nodes[node].paused {
+            self.handle(node, Event::Tick);
+        }
+    }
+
+    fn handle(&mut self, node: usize, mut event: Event) {
+        if self.nodes[node].paused {
+            self.nodes[node].kept.push(event);
+            return;
+        }
+        if self.weakness == Weakness::LeaseFromAnswer {
+            self.take_for_newest_renewal(node, &mut event);
+        }
+        self.check_node(node);
+        let now = self.local(node);
+        let Some(role) = &mut self.nodes[node].role else {
+            return;
+        };
+        let effects = role.handle(now, event);
+        self.check_node(node);
+        self.carry_out(node, effects);
+    }
+
+    fn take_for_newest_renewal(&self, node: usize, event: &mut Event) {
+        if let Event::Message { message, .. } = event
+            && let ConfigurationMessage::Renewed { request, .. } = message
+            && let Some(newest) = self.nodes[node].last_renewal
+        {
+            *request = newest;
+        }
+    }
+
+    /// What a request that arrives now would be told.
+    fn check_node(&mut self, node: usize) {
+        let now = self.local(node);
+        let Some(role) = &self.nodes[node].role else {
+            return;
+        };
+        let Ok(set) = role.in_force(now) else {
+            return;
+        };
+        let in_force = set.revision();
+        let highest = self.nodes[node].highest_in_force;
+        let bound = STALENESS_BOUND.as_micros() as u64;
+        let accepted = self.operators.accepted_by(self.now.saturating_sub(bound));
+        if in_force < highest {
+            let (from, to) = (highest, in_force);
+            self.violation
+                .get_or_insert(Violation::WentBack { node, from, to });
+        } else if in_force < accepted {
+            let stale = Violation::Stale {
+                node,
+                in_force,
+                accepted,
+            };
+            self.violation.get_or_insert(stale);
+        }
+        self.nodes[node].highest_in_force = highest.max(in_force);
+    }
+
+    fn carry_out(&mut self, node: usize, effects: Vec<Effect>) {
+        let life = self.nodes[node].life;
+        for effect in effects {
+            match effect {
+                Effect::Send { to, message } => self.send(node, index_of(to), message),
+                Effect::Platform { request, operation } => {
+                    let at = self.now + self.platform_delay();
+                    self.schedule(
+                        at,
+                        Action::Arrive {
+                            node,
+                            life,
+                            request,
+                            operation,
+                        },
+                    );
+                }
+                Effect::Write { write, state } => {
+                    let at = self.now + self.random.random_range(500..20_000);
+                    self.schedule(
+                        at,
+                        Action::Flush {
+                            node,
+                            life,
+                            write,
+                            state,
+                        },
+                    );
+                }
+                Effect::Answer { ticket, answer } => self.answer(ticket, answer),
+                Effect::InForce(_) | Effect::Machines(_) | Effect::Ready(_) => {}
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: ConfigurationMessage) {
+        if let ConfigurationMessage::Renew { request, .. } = message {
+            self.nodes[from].last_renewal = Some(request);
+        }
+        self.forge_acknowledgement(from, to, &message);
+        let cut = self.nodes[from].cut != self.nodes[to].cut;
+        let lossy = !self.healed() && self.random.random_bool(self.loss);
+        if cut || lossy {
+            return;
+        }
+        self.deliver(from, to, message.clone());
+        if !self.healed() && self.random.random_bool(self.loss / 2.0) {
+            self.deliver(from, to, message);
+        }
+    }
+
+    fn forge_acknowledgement(&mut self, from: usize, to: usize, message: &ConfigurationMessage) {
+        if self.weakness != Weakness::NoMajorityBeforeAccepted {
+            return;
+        }
+        if let ConfigurationMessage::Replicate { request, update } = message {
+            let known = Known {
+                newest: update.revision,
+                machines: 0,
+            };
+            let request = Some(*request);
+            let forged = ConfigurationMessage::Stored { request, known };
+            let life = self.nodes[from].life;
+            let event = Event::Message {
+                from: node_id(to),
+                message: forged,
+            };
+            self.schedule(
+                self.now + 1,
+                Action::Handle {
+                    node: from,
+                    life,
+                    event,
+                },
+            );
+        }
+    }
+
+    fn deliver(&mut self, from: usize, to: usize, message: ConfigurationMessage) {
+        let longest = if self.healed() {
+            5_000
+        } else {
+            self.longest_delay
+        };
+        let mut delay = self.random.random_range(500..=5_000);
+        if self.random.random_bool(0.2) {
+            delay = self.random.random_range(500..=longest);
+        }
+        let from = node_id(from);
+        let event = Event::Message { from, message };
+        let life = self.nodes[to].life;
+        self.schedule(
+            self.now + delay,
+            Action::Handle {
+                node: to,
+                life,
+                event,
+            },
+        );
+    }
+
+    fn flush(&mut self, node: usize, life: u64, write: u64, state: StoredVoter) {
+        if self.nodes[node].life != life {
+            return;
+        }
+        if state.vouches && self.nodes[node].first_disk.is_none() {
+            self.nodes[node].first_disk = Some(state.clone());
+        }
+        self.nodes[node].disk = Some(state);
+        self.handle(node, Event::Flushed { write });
+    }
+
+    fn platform_delay(&mut self) -> u64 {
+        let longest = if self.now < self.slow_until {
+            3_500_000
+        } else {
+            8_000
+        };
+        self.random.random_range(500..longest)
+    }
+
+    fn arrive(&mut self, node: usize, life: u64, request: RequestId, operation: PlatformOperation) {
+        if self.now < self.down_until {
+            let answer = PlatformAnswer::Unavailable;
+            let event = Event::PlatformAnswer { request, answer };
+            if self.random.random_bool(0.7) {
+                self.schedule(self.now + 1000, Action::Handle { node, life, event });
+            }
+            return;
+        }
+        if operation == PlatformOperation::Watch {
+            self.watchers.insert(node, life);
+            return;
+        }
+        let (mut answer, changed) = self.platform.carry_out(operation);
+        if changed {
+            self.tell_watchers();
+        }
+        if self.now < self.lose_until && self.random.random_bool(0.6) {
+            if self.random.random_bool(0.5) {
+                return;
+            }
+            answer = PlatformAnswer::Lost;
+        }
+        let at = self.now + self.platform_delay();
+        let event = Event::PlatformAnswer { request, answer };
+        self.schedule(at, Action::Handle { node, life, event });
+    }
+
+    fn tell_watchers(&mut self) {
+        for (node, life) in self.watchers.clone() {
+            let event = match self.random.random_range(0..10) {
+                0 => WatchEvent::Gap,
+                1 => WatchEvent::Closed,
+                2 => continue,
+                _ => WatchEvent::Document {
+                    version: PlatformVersion(self.platform.version),
+                    document: self.platform.document.clone(),
+                },
+            };
+            let at = self.now + self.platform_delay();
+            let event = Event::PlatformWatch(event);
+            self.schedule(at, Action::Handle { node, life, event });
+        }
+    }
+
+    fn fault(&mut self) {
+        if self.healed() {
+            self.heal();
+            return;
+        }
+        self.faults += 1;
+        let node = self.random.random_range(0..NODES);
+        let length = self.random.random_range(200_000..6 * SECOND);
+        let until = self.now + length;
+        match self.random.random_range(0..9) {
+            0 | 1 => self.crash(node, length.min(2 * SECOND), false),
+            2 => self.lose_disk(length.min(2 * SECOND)),
+            3 | 4 => {
+                self.nodes[node].paused = true;
+                self.schedule(until, Action::Wake { node });
+            }
+            5 => self.down_until = until,
+            6 => self.slow_until = until,
+            7 => self.lose_until = until,
+            _ => self.nodes[node].cut = !self.nodes[node].cut,
+        }
+        if self.random.random_bool(0.2) {
+            let state = [MachineState::Live, MachineState::Leaving][self.random.random_range(0..2)];
+            self.platform.set_machine(state);
+        }
+        let pause = self.random.random_range(100_000..1_500_000);
+        let next = (self.now + pause).min(FAULTS_END);
+        self.schedule(next, Action::Fault);
+    }
+
+    fn heal(&mut self) {
+        self.down_until = 0;
+        self.slow_until = 0;
+        self.lose_until = 0;
+        self.platform.set_machine(MachineState::Leaving);
+        self.platform.set_machine(MachineState::Live);
+        for node in 0..NODES {
+            self.nodes[node].cut = false;
+            self.wake(node);
+        }
+    }
+
+    fn crash(&mut self, node: usize, length: u64, disk_lost: bool) {
+        if self.nodes[node].role.is_none() {
+            return;
+        }
+        let state = &mut self.nodes[node];
+        state.role = None;
+        state.life += 1;
+        state.paused = false;
+        state.kept.clear();
+        if disk_lost {
+            state.disk = None;
+        }
+        self.operators.node_crashed(node);
+        self.schedule(self.now + length, Action::Start { node });
+    }
+
+    /// One voter at a time loses its disk, and not before the last one had time to catch up.
+    fn lose_disk(&mut self, length: u64) {
+        let vouching = |node: &Node| {
+            let role = node.role.as_ref();
+            node.disk.as_ref().is_some_and(|disk| disk.vouches)
+                && role.is_none_or(ConfigurationRole::is_vouching_voter)
+        };
+        if self.nodes[..VOTERS].iter().all(vouching) {
+            let voter = self.random.random_range(0..VOTERS);
+            self.crash(voter, length, true);
+        }
+    }
+
+    fn wake(&mut self, node: usize) {
+        if !self.nodes[node].paused {
+            return;
+        }
+        self.nodes[node].paused = false;
+        self.check_node(node);
+        let life = self.nodes[node].life;
+        for event in std::mem::take(&mut self.nodes[node].kept) {
+            let at = self.now + self.random.random_range(0..60_000);
+            self.schedule(at, Action::Handle { node, life, event });
+        }
+    }
+
+    fn operate(&mut self, operator: usize) {
+        self.operators.give_up(operator, self.now);
+        let pause = self.random.random_range(30_000..600_000);
+        self.schedule(self.now + pause, Action::Operate { operator });
+        if self.operators.is_busy(operator) {
+            return;
+        }
+        let node = self.random.random_range(0..NODES);
+        let usable = self.nodes[node].role.is_some() && !self.nodes[node].cut;
+        if !usable {
+            return;
+        }
+        let may_start = !self.healed();
+        let random = &mut self.random;
+        let Some(event) = self
+            .operators
+            .next(operator, node, self.now, may_start, random)
+        else {
+            return;
+        };
+        let life = self.nodes[node].life;
+        let at = self.now + self.random.random_range(100..3_000);
+        self.schedule(at, Action::Handle { node, life, event });
+    }
+
+    fn answer(&mut self, ticket: Ticket, answer: OperatorAnswer) {
+        self.operators.answered(ticket, answer, self.now);
+    }
+
+    fn judge(mut self) -> Result<Report, Violation> {
+        if let Some(violation) = self.violation.take() {
+            return Err(violation);
+        }
+        let operations = &self.operators.operations;
+        let log = &self.platform.log;
+        history::check_outcomes(operations, log).map_err(Violation::WrongOutcome)?;
+        if !history::is_linearizable(operations, log) {
+            return Err(Violation::NotLinearizable);
+        }
+        for node in 0..NODES {
+            self.judge_node(node)?;
+        }
+        let report = self.operators.report(self.faults);
+        if report.accepted == 0 {
+            return Err(Violation::NoAnswer);
+        }
+        Ok(report)
+    }
+
+    /// After the faults, every node is ready with what stands in the store.
+    fn judge_node(&self, node: usize) -> Result<(), Violation> {
+        let store = self.platform.revision;
+        let role = self.nodes[node].role.as_ref().expect("a node that runs");
+        let ready = role.in_force(self.local(node)).is_ok();
+        let in_force = role.last_known().revision();
+        if !ready || in_force != store {
+            return Err(Violation::NotConverged {
+                node,
+                ready,
+                in_force,
+                store,
+            });
+        }
+        let machine = role.machines().get("machine").map(|machine| machine.state);
+        if role.machines().version() != self.platform.machines_version
+            || machine == Some(MachineState::Gone)
+        {
+            return Err(Violation::MachinesNotConverged { node });
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/configuration/tests/simulator/platform.rs
@@ -0,0 +1,81 @@
+//! The platform's store as the simulator plays it: down, slow, and answers lost after the effect.
+
+use std::collections::BTreeMap;
+
+use ridgeworks_configuration::update::Update;
+use ridgeworks_configuration::{
+    Machine, MachineState, OperationId, PlatformAnswer, PlatformOperation, PlatformVersion,
+    Revision,
+};
+
+#[derive(Default)]
+pub struct Platform {
+    pub version: u64,
+    pub document: Vec<u8>,
+    /// Which revision each operation made, over the whole run.
+    pub log: BTreeMap<OperationId, Revision>,
+    pub revision: Revision,
+    pub machines_version: u64,
+    pub machines: Vec<Machine>,
+}
+
+impl Platform {
+    pub fn new(initial: &Update) -> Self {
+        let mut platform = Self {
+            version: 1,
+            document: initial.to_document(),
+            revision: initial.revision,
+            ..Self::default()
+        };
+        platform.set_machine(MachineState::Live);
+        platform
+    }
+
+    /// Lists the only machine in this state.
+    pub fn set_machine(&mut self, state: MachineState) {
+        self.machines_version += 1;
+        self.machines = vec![Machine {
+            name: "machine".to_owned(),
+            incarnation: 1,
+            state,
+            backend: None,
+        }];
+    }
+
+    /// Carries out an operation. The second value says whether the document changed.
+    pub fn carry_out(&mut self, operation: PlatformOperation) -> (PlatformAnswer, bool) {
+        match operation {
+            PlatformOperation::Read | PlatformOperation::Watch => {
+                let version = PlatformVersion(self.version);
+                let document = self.document.clone();
+                (PlatformAnswer::Document { version, document }, false)
+            }
+            PlatformOperation::ListMachines => {
+                let version = self.machines_version;
+                let machines = self.machines.clone();
+                (PlatformAnswer::Machines { version, machines }, false)
+            }
+            PlatformOperation::CompareAndSwap {
+                expected, document, ..
+            } => self.swap(expected, document),
+        }
+    }
+
+    fn swap(&mut self, expected: PlatformVersion, document: Vec<u8>) -> (PlatformAnswer, bool) {
+        if expected.0 != self.version {
+            return (PlatformAnswer::VersionMismatch, false);
+        }
+        let update = Update::from_document(&document).expect("a document that can be read");
+        for record in &update.operations {
+            if record.revision > self.revision {
+                let earlier = self.log.insert(record.operation, record.revision);
+                assert_eq!(earlier, None, "operation {} ran twice", record.operation);
+            }
+        }
+        self.version += 1;
+        self.revision = update.revision;
+        self.document = document;
+        let version = PlatformVersion(self.version);
+        (PlatformAnswer::Swapped { version }, true)
+    }
+}
