--- /dev/null
+++ b/crates/node/src/configuration/platform_watch.rs
@@ -0,0 +1,101 @@
+//! Watches the platform: one thread follows the objects, another reads the list of machines.
+
+use std::io::{BufRead, BufReader};
+use std::thread;
+use std::time::Duration;
+
+use ridgeworks_configuration::effect::DOCUMENT_KEY;
+use ridgeworks_configuration::{PlatformVersion, WatchEvent};
+use serde::Deserialize;
+use serde_json::value::RawValue;
+
+use super::platform_client::{OBJECT_KIND, PlatformClient, PlatformEvent};
+
+const MACHINES_INTERVAL: Duration = Duration::from_millis(250);
+const THREAD_STACK_BYTES: usize = 256 * 1024;
+
+#[derive(Deserialize)]
+#[serde(tag = "type", rename_all = "snake_case")]
+enum WatchLine {
+    Changed {
+        kind: String,
+        name: String,
+        version: u64,
+        document: Box<RawValue>,
+    },
+    Deleted {},
+    Progress {},
+    Compacted {},
+}
+
+/// Follows the objects until the connection ends or a later watch replaces this one.
+pub(super) fn run(client: &PlatformClient, generation: u64) {
+    let machines_client = client.clone();
+    let started = thread::Builder::new()
+        .name("platform-machines".to_owned())
+        .stack_size(THREAD_STACK_BYTES)
+        .spawn(move || follow_machines(&machines_client, generation));
+    if started.is_ok() {
+        follow_objects(client, generation);
+    }
+    if client.is_current_watch(generation) {
+        client.post(PlatformEvent::Watch(WatchEvent::Closed));
+    }
+}
+
+fn follow_objects(client: &PlatformClient, generation: u64) {
+    // From version zero on: the platform sends what it keeps, or says that it keeps less.
+    let Ok(response) = client.agent().get(client.url("/watch?after=0")).call() else {
+        return;
+    };
+    if !response.status().is_success() {
+        return;
+    }
+    let reader = BufReader::new(response.into_body().into_reader());
+    for line in reader.lines() {
+        let Ok(line) = line else {
+            return;
+        };
+        if !client.is_current_watch(generation) {
+            return;
+        }
+        let Ok(line) = serde_json::from_str::<WatchLine>(&line) else {
+            continue;
+        };
+        if let Some(event) = watch_event(line) {
+            client.post(PlatformEvent::Watch(event));
+        }
+    }
+}
+
+fn watch_event(line: WatchLine) -> Option<WatchEvent> {
+    match line {
+        WatchLine::Changed {
+            kind,
+            name,
+            version,
+            document,
+        } if kind == OBJECT_KIND && name == DOCUMENT_KEY => Some(WatchEvent::Document {
+            version: PlatformVersion(version),
+            document: document.get().as_bytes().to_vec(),
+        }),
+        WatchLine::Compacted {} => Some(WatchEvent::Gap),
+        WatchLine::Changed { .. } | WatchLine::Deleted {} | WatchLine::Progress {} => None,
+    }
+}
+
+fn follow_machines(client: &PlatformClient, generation: u64) {
+    let mut reported = None;
+    while client.is_current_watch(generation) {
+        if let Some(listing) = client.list_machines() {
+            if reported != Some(listing.version) {
+                reported = Some(listing.version);
+                client.post(PlatformEvent::Watch(WatchEvent::Machines {
+                    version: listing.version,
+                    machines: listing.machines,
+                }));
+            }
+        }
+        thread::sleep(MACHINES_INTERVAL);
+    }
+}
--- /dev/null
+++ b/crates/node/src/directory.rs
@@ -0,0 +1,210 @@
+//! What the roles of a node look up: the configuration in force and the members of the cluster.
+
+use std::cell::RefCell;
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use ridgeworks_configuration::{ConfigurationRole, ConfigurationSet, MachineState};
+use ridgeworks_domain::run_id::REPLICAS_PER_RUN;
+use ridgeworks_domain::{
+    BackendName, NodeId, PartnerName, ProgramName, Refusal, RefusalReason, RegionName, RunId,
+    ServiceName,
+};
+use ridgeworks_membership::{Member, MemberState, Membership, rendezvous};
+use ridgeworks_run_log::entry::ReplicaId;
+
+use crate::clock::Clock;
+use crate::settings::BootstrapPartner;
+
+/// All back ends of a service form one group until a service outgrows a dispatcher.
+const SINGLE_GROUP: u32 = 0;
+
+/// What a run is opened with besides its program.
+pub struct NewRun {
+    /// Its number.
+    pub run: RunId,
+    /// Its replicas, whose identities were read before the number was drawn.
+    pub replicas: Vec<ReplicaId>,
+}
+
+/// Shared by the roles, which all run on the actor thread.
+#[derive(Clone)]
+pub struct Directory {
+    clock: Clock,
+    configuration: Rc<RefCell<ConfigurationRole>>,
+    membership: Rc<RefCell<Membership>>,
+    bootstrap_partners: Rc<Vec<BootstrapPartner>>,
+    identities: Rc<RefCell<HashMap<NodeId, ReplicaId>>>,
+    region: RegionName,
+}
+
+impl Directory {
+    /// A directory over the state of two roles.
+    pub fn new(
+        clock: Clock,
+        configuration: Rc<RefCell<ConfigurationRole>>,
+        membership: Rc<RefCell<Membership>>,
+        bootstrap_partners: Vec<BootstrapPartner>,
+        region: RegionName,
+    ) -> Self {
+        Self {
+            clock,
+            configuration,
+            membership,
+            bootstrap_partners: Rc::new(bootstrap_partners),
+            identities: Rc::default(),
+            region,
+        }
+    }
+
+    /// The process's clock.
+    pub fn clock(&self) -> Clock {
+        self.clock
+    }
+
+    /// The configuration in force, or a refusal when this node cannot prove that it is the newest.
+    pub fn in_force(&self) -> Result<Arc<ConfigurationSet>, Refusal> {
+        let role = self.configuration.borrow();
+        role.in_force(self.clock.now()).cloned()
+    }
+
+    /// The last configuration known, for work that was accepted already.
+    pub fn last_known(&self) -> Arc<ConfigurationSet> {
+        self.configuration.borrow().last_known().clone()
+    }
+
+    /// The partner whose token has this digest.
+    pub fn authenticate(&self, token_sha256: &str) -> Result<PartnerName, Refusal> {
+        let set = self.in_force()?;
+        let partner = set
+            .partners()
+            .find(|partner| partner.token_sha256 == token_sha256);
+        match partner {
+            Some(partner) => Ok(partner.name.clone()),
+            None => self.authenticate_bootstrap(&set, token_sha256),
+        }
+    }
+
+    /// A partner of the settings counts only while the configuration does not hold it.
+    fn authenticate_bootstrap(
+        &self,
+        set: &ConfigurationSet,
+        token_sha256: &str,
+    ) -> Result<PartnerName, Refusal> {
+        self.bootstrap_partners
+            .iter()
+            .find(|partner| partner.token_sha256 == token_sha256)
+            .filter(|partner| set.partner(&partner.name).is_none())
+            .map(|partner| partner.name.clone())
+            .ok_or(Refusal::permanent(RefusalReason::Unauthenticated))
+    }
+
+    /// Refuses a program that does not exist or belongs to the other partner.
+    pub fn check_program(
+        &self,
+        partner: &PartnerName,
+        program: &ProgramName,
+    ) -> Result<(), Refusal> {
+        let set = self.in_force()?;
+        match set.program(program) {
+            Some(found) if found.partner == *partner => Ok(()),
+            Some(_) => Err(Refusal::permanent(RefusalReason::Forbidden)),
+            None => Err(Refusal::permanent(RefusalReason::UnknownProgram)),
+        }
+    }
+
+    /// Notes the identity of a replica's store.
+    pub fn note_identity(&self, identity: ReplicaId) {
+        self.identities.borrow_mut().insert(identity.node, identity);
+    }
+
+    /// A new run number, and the replicas that it names.
+    pub fn new_run(&self) -> Result<NewRun, Refusal> {
+        let unique: u64 = rand::random();
+        let membership = self.membership.borrow();
+        let identities = self.identities.borrow();
+        let known = membership
+            .members()
+            .filter(|member| identities.contains_key(&member.node));
+        let members = rendezvous::replicas_for_new_run(u128::from(unique), &self.region, known);
+        let nodes: Vec<NodeId> = members.iter().map(|member| member.node).collect();
+        let replicas = nodes
+            .iter()
+            .filter_map(|node| identities.get(node).copied())
+            .collect();
+        let Ok(nodes) = <[NodeId; REPLICAS_PER_RUN]>::try_from(nodes) else {
+            let reason = RefusalReason::NoQuorum;
+            return Err(Refusal::retry_after(reason, crate::RETRY_DELAY));
+        };
+        Ok(NewRun {
+            run: RunId::compose(unique, nodes),
+            replicas,
+        })
+    }
+
+    /// The known nodes that a run's number names as its replicas.
+    pub fn replicas_of(&self, run: RunId) -> Vec<NodeId> {
+        let hints = run.replica_hints();
+        let membership = self.membership.borrow();
+        membership
+            .members()
+            .filter(|member| member.has_disk)
+            .filter(|member| hints.iter().any(|hint| hint.matches(member.node)))
+            .map(|member| member.node)
+            .collect()
+    }
+
+    /// Nodes to ask for a run, best first.
+    pub fn owner_candidates(&self, run: RunId) -> Vec<NodeId> {
+        let membership = self.membership.borrow();
+        rendezvous::run_owner_candidates(run, membership.members())
+            .into_iter()
+            .map(|member| member.node)
+            .collect()
+    }
+
+    /// The node to ask first for a run.
+    pub fn owner_of(&self, run: RunId) -> Option<NodeId> {
+        self.owner_candidates(run).first().copied()
+    }
+
+    /// The node that dispatches the calls of a service.
+    pub fn dispatcher_of(&self, service: &ServiceName) -> Option<NodeId> {
+        let membership = self.membership.borrow();
+        rendezvous::dispatcher_for(service, SINGLE_GROUP, membership.members())
+            .map(|member| member.node)
+    }
+
+    /// Where a node listens for links.
+    pub fn address_of(&self, node: NodeId) -> Option<SocketAddr> {
+        let membership = self.membership.borrow();
+        membership.member(node).map(|member| member.address)
+    }
+
+    /// Nodes that are leaving and may still own runs with calls in progress.
+    pub fn leaving_nodes(&self) -> BTreeSet<NodeId> {
+        let membership = self.membership.borrow();
+        membership
+            .members()
+            .filter(|member| member.state == MemberState::Leaving)
+            .map(|member| member.node)
+            .collect()
+    }
+
+    /// Whether a back end is gone for good, as far as the platform tells.
+    pub fn is_gone(&self, backend: &BackendName) -> bool {
+        let role = self.configuration.borrow();
+        if role.last_known().backend(backend).is_some() {
+            return false;
+        }
+        let machine = role.machines().get(backend.as_str());
+        machine.is_some_and(|machine| machine.state == MachineState::Gone)
+    }
+
+    /// All members as they are now.
+    pub fn members(&self) -> Vec<Member> {
+        self.membership.borrow().members().cloned().collect()
+    }
+}
--- /dev/null
+++ b/crates/node/src/dispatcher/backend_list.rs
@@ -0,0 +1,48 @@
+//! The back ends of a service, joined from the configuration and the platform's list of machines.
+
+use std::collections::BTreeMap;
+
+use ridgeworks_configuration::{ConfigurationSet, MachineList, MachineState};
+use ridgeworks_domain::objects::Backend;
+use ridgeworks_domain::{BackendName, ServiceName};
+
+/// A back end and whether it takes new calls.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ListedBackend {
+    /// The back end.
+    pub backend: Backend,
+    /// Whether it is leaving.
+    pub leaving: bool,
+}
+
+/// All back ends of a service. The platform's word goes before the configuration's.
+pub fn backends_of(
+    service: &ServiceName,
+    configuration: &ConfigurationSet,
+    machines: &MachineList,
+) -> BTreeMap<BackendName, ListedBackend> {
+    let mut listed = BTreeMap::new();
+    for backend in configuration.backends() {
+        if backend.service == *service {
+            let backend = backend.clone();
+            let leaving = false;
+            listed.insert(backend.name.clone(), ListedBackend { backend, leaving });
+        }
+    }
+    for machine in machines.machines() {
+        let Some(backend) = &machine.backend else {
+            continue;
+        };
+        if backend.service != *service {
+            continue;
+        }
+        if machine.state == MachineState::Gone {
+            listed.remove(&backend.name);
+            continue;
+        }
+        let leaving = machine.state == MachineState::Leaving;
+        let backend = backend.clone();
+        listed.insert(backend.name.clone(), ListedBackend { backend, leaving });
+    }
+    listed
+}
--- /dev/null
+++ b/crates/node/src/dispatcher/group.rs
@@ -0,0 +1,191 @@
+//! One service's dispatcher with what the node knows around it.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use ridgeworks_configuration::{ConfigurationSet, MachineList};
+use ridgeworks_domain::objects::Backend;
+use ridgeworks_domain::{BackendName, MonotonicTime, ServiceName};
+use ridgeworks_scheduling::{
+    Dispatcher, DispatcherSettings, Effect, Event, PartnerSettings, Ticket,
+};
+
+use super::backend_list::{ListedBackend, backends_of};
+use super::message::DispatcherAnswer;
+
+/// A repeated request is answered as the first one for this long after its end.
+const REMEMBERED_END: Duration = Duration::from_secs(10);
+
+/// What became of a request for a slot.
+enum TicketState {
+    Queued,
+    Granted(DispatcherAnswer),
+    Ended(MonotonicTime),
+}
+
+/// The dispatcher of one service.
+pub struct DispatcherGroup {
+    service: ServiceName,
+    dispatcher: Dispatcher,
+    listed: BTreeMap<BackendName, ListedBackend>,
+    tickets: HashMap<Ticket, TicketState>,
+}
+
+/// What is to be done about a request that may have come before.
+pub enum Repeat {
+    /// It is new.
+    New,
+    /// It waits or has ended.
+    Nothing,
+    /// It was answered so.
+    Answered(DispatcherAnswer),
+}
+
+impl DispatcherGroup {
+    /// A dispatcher without back ends.
+    pub fn new(service: ServiceName) -> Self {
+        let settings = DispatcherSettings {
+            seed: rand::random(),
+            ..DispatcherSettings::default()
+        };
+        Self {
+            service,
+            dispatcher: Dispatcher::new(settings),
+            listed: BTreeMap::new(),
+            tickets: HashMap::new(),
+        }
+    }
+
+    /// The decision logic.
+    pub fn dispatcher(&self) -> &Dispatcher {
+        &self.dispatcher
+    }
+
+    /// A back end by name.
+    pub fn backend(&self, name: &BackendName) -> Option<&Backend> {
+        self.listed.get(name).map(|listed| &listed.backend)
+    }
+
+    /// The back ends that are listed now.
+    pub fn listed(&self) -> impl Iterator<Item = &ListedBackend> {
+        self.listed.values()
+    }
+
+    /// Tells whether a request came before, and notes it where it did not.
+    pub fn note_request(&mut self, ticket: Ticket) -> Repeat {
+        match self.tickets.get(&ticket) {
+            None => {
+                self.tickets.insert(ticket, TicketState::Queued);
+                Repeat::New
+            }
+            Some(TicketState::Granted(answer)) => Repeat::Answered(answer.clone()),
+            Some(TicketState::Queued | TicketState::Ended(_)) => Repeat::Nothing,
+        }
+    }
+
+    /// Notes the answer to a request.
+    pub fn note_answer(&mut self, answer: &DispatcherAnswer, now: MonotonicTime) {
+        match answer {
+            DispatcherAnswer::Granted { ticket, .. } => {
+                let state = TicketState::Granted(answer.clone());
+                self.tickets.insert(*ticket, state);
+            }
+            DispatcherAnswer::Refused { ticket, .. } => self.note_end(*ticket, now),
+            DispatcherAnswer::Preempt { .. } => {}
+        }
+    }
+
+    /// Notes that a request is over.
+    pub fn note_end(&mut self, ticket: Ticket, now: MonotonicTime) {
+        self.tickets.insert(ticket, TicketState::Ended(now));
+    }
+
+    /// Forgets requests that ended some time ago.
+    pub fn forget_ended(&mut self, now: MonotonicTime) {
+        self.tickets.retain(|_, state| match state {
+            TicketState::Ended(ended) => now.since(*ended) < REMEMBERED_END,
+            TicketState::Queued | TicketState::Granted(_) => true,
+        });
+    }
+
+    /// Takes an event.
+    pub fn handle(&mut self, now: MonotonicTime, event: Event) -> Vec<Effect> {
+        self.dispatcher.handle(now, event)
+    }
+
+    /// Takes up the shares and back ends as they are now. Gives the effects, and the back ends that
+    /// are gone.
+    pub fn update(
+        &mut self,
+        now: MonotonicTime,
+        configuration: &ConfigurationSet,
+        machines: &MachineList,
+    ) -> GroupUpdate {
+        let mut update = GroupUpdate::default();
+        let shares = Event::SharesChanged(partner_settings(configuration));
+        update.effects.extend(self.dispatcher.handle(now, shares));
+        let listed = backends_of(&self.service, configuration, machines);
+        let events = changes(&self.listed, &listed);
+        for event in events {
+            if let Event::BackendGone(name) = &event {
+                update.gone.push(name.clone());
+            }
+            update.effects.extend(self.dispatcher.handle(now, event));
+        }
+        self.listed = listed;
+        update
+    }
+}
+
+/// What follows from an update of a group.
+#[derive(Default)]
+pub struct GroupUpdate {
+    /// Effects of the dispatcher.
+    pub effects: Vec<Effect>,
+    /// Back ends that are no longer listed.
+    pub gone: Vec<BackendName>,
+}
+
+fn changes(
+    before: &BTreeMap<BackendName, ListedBackend>,
+    after: &BTreeMap<BackendName, ListedBackend>,
+) -> Vec<Event> {
+    let mut events = Vec::new();
+    for name in before.keys() {
+        if !after.contains_key(name) {
+            events.push(Event::BackendGone(name.clone()));
+        }
+    }
+    for (name, listed) in after {
+        let known = before.get(name);
+        if known.map(|known| &known.backend) != Some(&listed.backend) {
+            events.push(Event::BackendUp(listed.backend.clone()));
+        }
+        let was_leaving = known.is_some_and(|known| known.leaving);
+        if listed.leaving && !was_leaving {
+            events.push(Event::BackendLeaving(name.clone()));
+        }
+    }
+    events
+}
+
+fn partner_settings(configuration: &ConfigurationSet) -> Vec<PartnerSettings> {
+    let split = configuration.pool_split();
+    let partners = configuration.partners();
+    let count = configuration.partners().count().max(1);
+    partners
+        .map(|partner| {
+            let share = split.and_then(|split| {
+                split
+                    .shares
+                    .iter()
+                    .find(|share| share.partner == partner.name)
+            });
+            PartnerSettings {
+                partner: partner.name.clone(),
+                permille: share.map_or((1_000 / count) as u16, |share| share.permille),
+                latency_weight: partner.latency_weight,
+            }
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/node/src/dispatcher/message.rs
@@ -0,0 +1,150 @@
+//! Messages between the owner of a run and the dispatcher of a service.
+#![allow(
+    missing_docs,
+    reason = "the resolvers that rkyv derives carry undocumented fields"
+)]
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ridgeworks_domain::{
+    BackendName, CallKey, Cost, MonotonicTime, PartnerName, Refusal, RunId, ServiceName,
+};
+use ridgeworks_scheduling::{AttemptEnd, Priority, QueuedCall, Ticket};
+use rkyv::{Archive, Deserialize, Serialize};
+
+/// A request for a slot, as it travels. Times are relative: clocks of nodes are unrelated.
+#[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct SlotRequest {
+    /// Names the request and its owner.
+    pub ticket: Ticket,
+    /// The run.
+    pub run: RunId,
+    /// The caller's key of the call.
+    pub key: CallKey,
+    /// The partner whose share pays.
+    pub partner: PartnerName,
+    /// Priority class.
+    pub priority: Priority,
+    /// What the whole run has used so far.
+    pub attained_service: Cost,
+    /// Tokens of the whole prompt.
+    pub prompt_tokens: u64,
+    /// Upper bound of generated tokens.
+    pub max_output_tokens: u64,
+    /// Time until the answer must be there, in milliseconds.
+    pub deadline_in_ms: Option<u64>,
+    /// Whether the attempt may be cancelled in favour of an urgent call.
+    pub preemptible: bool,
+}
+
+impl SlotRequest {
+    /// The request on the dispatcher's own clock.
+    pub fn queued_call(self, now: MonotonicTime) -> QueuedCall {
+        QueuedCall {
+            ticket: self.ticket,
+            run: self.run,
+            key: self.key,
+            partner: self.partner,
+            priority: self.priority,
+            attained_service: self.attained_service,
+            prompt_tokens: self.prompt_tokens,
+            max_output_tokens: self.max_output_tokens,
+            inherited: None,
+            deadline: self
+                .deadline_in_ms
+                .map(|left| now + Duration::from_millis(left)),
+            preemptible: self.preemptible,
+            waited: Duration::ZERO,
+        }
+    }
+}
+
+/// What an owner tells a dispatcher.
+#[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub enum DispatcherCommand {
+    /// Asks for a slot; repeated until it is answered.
+    Enqueue {
+        /// The service.
+        service: ServiceName,
+        /// The request.
+        request: SlotRequest,
+    },
+    /// Gives up a request, or gives back its slot unused.
+    Cancel {
+        /// The service.
+        service: ServiceName,
+        /// The request.
+        ticket: Ticket,
+    },
+    /// The dispatch entry is durable and the back end is being called.
+    Started {
+        /// The service.
+        service: ServiceName,
+        /// The request.
+        ticket: Ticket,
+    },
+    /// The attempt is over.
+    Ended {
+        /// The service.
+        service: ServiceName,
+        /// How it ended.
+        end: AttemptEnd,
+    },
+    /// The run waits for a tool or a sub-agent before its next call here.
+    RunPaused {
+        /// The service.
+        service: ServiceName,
+        /// The run.
+        run: RunId,
+        /// What it waits for.
+        tool: ServiceName,
+    },
+    /// The run ended; nothing of it may stay in any engine.
+    RunEnded {
+        /// The service.
+        service: ServiceName,
+        /// The run.
+        run: RunId,
+    },
+}
+
+impl DispatcherCommand {
+    /// The service it is about.
+    pub fn service(&self) -> &ServiceName {
+        match self {
+            Self::Enqueue { service, .. }
+            | Self::Cancel { service, .. }
+            | Self::Started { service, .. }
+            | Self::Ended { service, .. }
+            | Self::RunPaused { service, .. }
+            | Self::RunEnded { service, .. } => service,
+        }
+    }
+}
+
+/// What a dispatcher answers.
+#[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub enum DispatcherAnswer {
+    /// The call may go to this back end.
+    Granted {
+        /// The request.
+        ticket: Ticket,
+        /// The back end.
+        backend: BackendName,
+        /// Its address.
+        address: SocketAddr,
+    },
+    /// The call gets no slot.
+    Refused {
+        /// The request.
+        ticket: Ticket,
+        /// Why, and when coming back helps.
+        refusal: Refusal,
+    },
+    /// The running attempt should be cancelled in favour of an urgent call.
+    Preempt {
+        /// The request.
+        ticket: Ticket,
+    },
+}
--- /dev/null
+++ b/crates/node/src/dispatcher/mod.rs
@@ -0,0 +1,11 @@
+//! The dispatcher role: the only queue in front of the back ends of a service.
+
+mod backend_list;
+mod engine_poll;
+mod group;
+mod message;
+mod role;
+
+pub use engine_poll::{EngineNews, EnginePolls, EngineReport};
+pub use message::{DispatcherAnswer, DispatcherCommand, SlotRequest};
+pub use role::{DispatcherOutputs, DispatcherRole};
--- /dev/null
+++ b/crates/node/src/dispatcher/role.rs
@@ -0,0 +1,287 @@
+//! Actor of the dispatcher role.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ridgeworks_configuration::{ConfigurationSet, MachineList};
+use ridgeworks_domain::{NodeId, Refusal, RefusalReason, ServiceKind, ServiceName};
+use ridgeworks_scheduling::{Effect, Event, Ticket};
+use stakker::{CX, Fwd, after};
+
+use super::engine_poll::{EngineNews, EnginePolls, EngineReport};
+use super::group::{DispatcherGroup, Repeat};
+use super::message::{DispatcherAnswer, DispatcherCommand};
+use crate::clock::Clock;
+use crate::directory::Directory;
+use crate::message::NodeMessage;
+use crate::outbound::BackendClient;
+use crate::router::{Incoming, Outgoing};
+
+const TICK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Where the role's effects go.
+pub struct DispatcherOutputs {
+    /// Messages to owners.
+    pub outgoing: Fwd<Outgoing>,
+    /// Calls of back ends.
+    pub backends: Arc<BackendClient>,
+}
+
+/// The dispatcher role.
+pub struct DispatcherRole {
+    clock: Clock,
+    directory: Directory,
+    outputs: DispatcherOutputs,
+    polls: EnginePolls,
+    machines: Arc<MachineList>,
+    groups: BTreeMap<ServiceName, DispatcherGroup>,
+}
+
+impl DispatcherRole {
+    /// Starts the role without any queue.
+    pub fn init(
+        cx: CX![],
+        directory: Directory,
+        outputs: DispatcherOutputs,
+        polls: EnginePolls,
+    ) -> Option<Self> {
+        let mut role = Self {
+            clock: directory.clock(),
+            directory,
+            outputs,
+            polls,
+            machines: Arc::default(),
+            groups: BTreeMap::new(),
+        };
+        role.tick(cx);
+        Some(role)
+    }
+
+    /// Takes a message from an owner.
+    pub fn receive(&mut self, _cx: CX![], incoming: Incoming) {
+        if let NodeMessage::ToDispatcher(command) = incoming.message {
+            self.command(command);
+        }
+    }
+
+    /// Takes a newer configuration.
+    pub fn in_force(&mut self, _cx: CX![], _configuration: Arc<ConfigurationSet>) {
+        self.update_groups();
+    }
+
+    /// Takes a newer list of machines.
+    pub fn machines(&mut self, _cx: CX![], machines: Arc<MachineList>) {
+        self.machines = machines;
+        self.update_groups();
+    }
+
+    /// Takes the news that a node is gone.
+    pub fn node_lost(&mut self, _cx: CX![], node: NodeId) {
+        let services: Vec<ServiceName> = self.groups.keys().cloned().collect();
+        for service in services {
+            self.handle(&service, Event::OwnerLost(node));
+        }
+    }
+
+    /// Takes news of a polled back end.
+    pub fn engine(&mut self, _cx: CX![], report: EngineReport) {
+        let event = match report.news {
+            EngineNews::Load(load) => Event::LoadReport(load),
+            EngineNews::Cache(event) => Event::CacheEvent(event),
+            EngineNews::Listing(listing) => Event::CacheListing(listing),
+            EngineNews::Leaving(backend) => Event::BackendLeaving(backend),
+        };
+        self.handle(&report.service, event);
+    }
+
+    fn command(&mut self, command: DispatcherCommand) {
+        let service = command.service().clone();
+        let now = self.clock.now();
+        match command {
+            DispatcherCommand::Enqueue { request, .. } => {
+                let ticket = request.ticket;
+                if self.is_new(&service, ticket) {
+                    let call = request.queued_call(now);
+                    self.handle(&service, Event::Enqueue(call));
+                }
+            }
+            DispatcherCommand::Cancel { ticket, .. } => {
+                self.note_end(&service, ticket);
+                self.handle(&service, Event::Cancel(ticket));
+            }
+            DispatcherCommand::Started { ticket, .. } => {
+                self.handle(&service, Event::AttemptStarted(ticket));
+            }
+            DispatcherCommand::Ended { end, .. } => {
+                self.note_end(&service, end.ticket);
+                self.handle(&service, Event::AttemptEnded(end));
+            }
+            DispatcherCommand::RunPaused { run, tool, .. } => {
+                self.handle(&service, Event::RunPaused { run, tool });
+            }
+            DispatcherCommand::RunEnded { run, .. } => {
+                self.handle(&service, Event::RunEnded(run));
+            }
+        }
+    }
+
+    fn is_new(&mut self, service: &ServiceName, ticket: Ticket) -> bool {
+        self.ensure_group(service);
+        let Some(group) = self.groups.get_mut(service) else {
+            let reason = RefusalReason::UnknownService;
+            let refusal = Refusal::permanent(reason);
+            self.answer(DispatcherAnswer::Refused { ticket, refusal });
+            return false;
+        };
+        match group.note_request(ticket) {
+            Repeat::New => true,
+            Repeat::Nothing => false,
+            Repeat::Answered(answer) => {
+                self.answer(answer);
+                false
+            }
+        }
+    }
+
+    fn ensure_group(&mut self, service: &ServiceName) {
+        let known = self.directory.last_known().service(service).is_some();
+        if !known || self.groups.contains_key(service) {
+            return;
+        }
+        let group = DispatcherGroup::new(service.clone());
+        self.groups.insert(service.clone(), group);
+        self.update_group(service);
+    }
+
+    fn note_end(&mut self, service: &ServiceName, ticket: Ticket) {
+        let now = self.clock.now();
+        if let Some(group) = self.groups.get_mut(service) {
+            group.note_end(ticket, now);
+        }
+    }
+
+    fn update_groups(&mut self) {
+        let services: Vec<ServiceName> = self.groups.keys().cloned().collect();
+        for service in services {
+            self.update_group(&service);
+        }
+    }
+
+    fn update_group(&mut self, service: &ServiceName) {
+        let now = self.clock.now();
+        let configuration = self.directory.last_known();
+        let kind = configuration.service(service).map(|found| found.kind);
+        let Some(group) = self.groups.get_mut(service) else {
+            return;
+        };
+        let update = group.update(now, &configuration, &self.machines);
+        for listed in group.listed() {
+            self.polls
+                .start(&listed.backend, kind.unwrap_or(ServiceKind::Tool));
+        }
+        for gone in &update.gone {
+            self.polls.stop(gone);
+        }
+        self.carry_out(service, update.effects);
+    }
+
+    fn handle(&mut self, service: &ServiceName, event: Event) {
+        let now = self.clock.now();
+        let Some(group) = self.groups.get_mut(service) else {
+            return;
+        };
+        let effects = group.handle(now, event);
+        self.carry_out(service, effects);
+    }
+
+    fn carry_out(&mut self, service: &ServiceName, effects: Vec<Effect>) {
+        for effect in effects {
+            self.carry_out_one(service, effect);
+        }
+    }
+
+    fn carry_out_one(&mut self, service: &ServiceName, effect: Effect) {
+        match effect {
+            Effect::Grant {
+                ticket,
+                backend,
+                address,
+                ..
+            } => {
+                let answer = DispatcherAnswer::Granted {
+                    ticket,
+                    backend,
+                    address,
+                };
+                self.note_and_answer(service, answer);
+            }
+            Effect::Refuse { ticket, refusal } => {
+                self.note_and_answer(service, DispatcherAnswer::Refused { ticket, refusal });
+            }
+            Effect::Preempt { ticket, .. } => self.answer(DispatcherAnswer::Preempt { ticket }),
+            Effect::Retain {
+                run,
+                backend,
+                until,
+            } => {
+                if let Some(address) = self.address(service, &backend) {
+                    let ttl = until.since(self.clock.now());
+                    self.outputs.backends.retain_context(run, address, ttl);
+                }
+            }
+            Effect::Release { run, backend } => {
+                if let Some(address) = self.address(service, &backend) {
+                    self.outputs.backends.release_context(run, address);
+                }
+            }
+            Effect::RelistCache { backend } => {
+                let group = self.groups.get(service);
+                if let Some(backend) = group.and_then(|group| group.backend(&backend)) {
+                    self.polls.list_cache(backend);
+                }
+            }
+            // Context moves are switched off in the dispatcher's settings.
+            Effect::MoveContext { .. } => {}
+        }
+    }
+
+    fn address(
+        &self,
+        service: &ServiceName,
+        backend: &ridgeworks_domain::BackendName,
+    ) -> Option<std::net::SocketAddr> {
+        let group = self.groups.get(service)?;
+        group.backend(backend).map(|backend| backend.address)
+    }
+
+    fn note_and_answer(&mut self, service: &ServiceName, answer: DispatcherAnswer) {
+        let now = self.clock.now();
+        if let Some(group) = self.groups.get_mut(service) {
+            group.note_answer(&answer, now);
+        }
+        self.answer(answer);
+    }
+
+    fn answer(&mut self, answer: DispatcherAnswer) {
+        let to = match &answer {
+            DispatcherAnswer::Granted { ticket, .. }
+            | DispatcherAnswer::Refused { ticket, .. }
+            | DispatcherAnswer::Preempt { ticket } => ticket.owner,
+        };
+        let message = NodeMessage::ToOwnerOfTicket(answer);
+        self.outputs.outgoing.fwd(Outgoing { to, message });
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        let now = self.clock.now();
+        let services: Vec<ServiceName> = self.groups.keys().cloned().collect();
+        for service in services {
+            if let Some(group) = self.groups.get_mut(&service) {
+                group.forget_ended(now);
+            }
+            self.handle(&service, Event::Tick);
+        }
+        after!(TICK_INTERVAL, [cx], tick());
+    }
+}
--- a/crates/node/src/inbound/caller_request.rs
+++ b/crates/node/src/inbound/caller_request.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use ridgeworks_domain::{CallRequest, Cost, ProgramName, RunId};
+use ridgeworks_domain::{CallRequest, ProgramName, RunId};
 
 /// What is asked.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -13,8 +13,6 @@
         program: ProgramName,
         /// The run that it is a sub-agent of.
         parent: Option<RunId>,
-        /// Budget asked for.
-        budget: Option<Cost>,
     },
     /// Makes a call.
     Call {
--- a/crates/node/src/inbound/gateway.rs
+++ b/crates/node/src/inbound/gateway.rs
@@ -6,22 +6,37 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use ridgeworks_domain::{NodeId, PartnerName, Refusal, RefusalReason, RunId};
+use crossbeam_channel::bounded;
+use ridgeworks_domain::{Cost, NodeId, PartnerName, ProgramName, Refusal, RefusalReason, RunId};
 use stakker::{CX, Fwd, MaxTimerKey, timer_max};
 
 use super::caller_request::{CallerCommand, CallerRequest};
 use super::open_request::OpenRequest;
+use crate::RETRY_DELAY;
 use crate::directory::Directory;
 use crate::message::{NodeMessage, OwnerAnswer, OwnerCommand, RequestId};
-use crate::router::Outgoing;
+use crate::router::{Incoming, Outgoing};
 use crate::thread_message::AnswerSender;
 
 /// After this time without an answer the owner is asked again, in case a message was lost.
 const ASK_AGAIN_INTERVAL: Duration = Duration::from_millis(500);
 /// After an owner turned the request away.
 const REDIRECT_DELAY: Duration = Duration::from_millis(50);
+/// Longest time for a command of this node's own owner role.
+const COMMAND_TIME: Duration = Duration::from_secs(60);
 const CHECK_INTERVAL: Duration = Duration::from_millis(25);
-const RETRY_DELAY: Duration = Duration::from_secs(1);
+
+/// Commands that one request of a caller takes, one after the other.
+struct Commands {
+    first: OwnerCommand,
+    next: Option<OwnerCommand>,
+}
+
+impl Commands {
+    fn one(first: OwnerCommand) -> Self {
+        Self { first, next: None }
+    }
+}
 
 /// Actor of the gateway role.
 pub struct Gateway {
@@ -59,19 +74,33 @@
 
     /// Takes a caller's request.
     pub fn submit(&mut self, cx: CX![], request: CallerRequest, answers: AnswerSender) {
-        match self.admit(&request, cx.now()) {
-            Ok(command) => self.start(cx, command, answers, request.deadline),
+        match self.admit(&request) {
+            Ok(commands) => self.start(cx, commands, answers, request.deadline),
             Err(refusal) => pass_on(&answers, Err(refusal)),
         }
     }
 
+    /// Takes a command of this node's own owner role to the owner of another run. It is repeated
+    /// until it is answered or its time is over.
+    pub fn command(&mut self, cx: CX![], command: OwnerCommand) {
+        let (answers, _) = bounded(1);
+        let deadline = cx.now() + COMMAND_TIME;
+        self.start(cx, Commands::one(command), answers, deadline);
+    }
+
     /// From now on every new request is refused as not run.
     pub fn stop(&mut self, _cx: CX![]) {
         self.stopping = true;
     }
 
-    /// Takes an owner's answer.
-    pub fn answer(&mut self, cx: CX![], request: RequestId, answer: OwnerAnswer) {
+    /// Takes a message from an owner.
+    pub fn receive(&mut self, cx: CX![], incoming: Incoming) {
+        if let NodeMessage::ToGateway { request, answer } = incoming.message {
+            self.answer(cx, request, answer);
+        }
+    }
+
+    fn answer(&mut self, cx: CX![], request: RequestId, answer: OwnerAnswer) {
         let now = cx.now();
         let Some(open) = self.open.get_mut(&request) else {
             return;
@@ -92,17 +121,23 @@
             }
             OwnerAnswer::AskOther { .. } => open.ask_again_at = now + REDIRECT_DELAY,
             OwnerAnswer::Refused(Refusal {
-                reason: RefusalReason::NotOwner,
+                reason: RefusalReason::NotOwner | RefusalReason::NodeStopping,
                 ..
             }) => {
                 open.asked = None;
                 open.ask_again_at = now + REDIRECT_DELAY;
             }
+            OwnerAnswer::Carved { budget } => self.open_child(now, request, budget),
             OwnerAnswer::Refused(refusal) => self.finish(request, Err(refusal)),
             whole => self.finish(request, Ok(whole)),
         }
     }
 
+    /// Whether nothing is open.
+    pub fn is_idle(&self) -> bool {
+        self.open.is_empty()
+    }
+
     /// A node is gone: its requests go to the next candidates at once.
     pub fn node_lost(&mut self, cx: CX![], node: NodeId) {
         let now = cx.now();
@@ -117,50 +152,88 @@
         }
     }
 
-    fn admit(&self, request: &CallerRequest, now: Instant) -> Result<OwnerCommand, Refusal> {
+    fn admit(&self, request: &CallerRequest) -> Result<Commands, Refusal> {
         if self.stopping {
-            return Err(Refusal::retry_after(RefusalReason::NodeStopping, RETRY_DELAY));
+            return Err(Refusal::retry_after(
+                RefusalReason::NodeStopping,
+                RETRY_DELAY,
+            ));
         }
-        let partner = self.directory.authenticate(&request.token_sha256, now)?;
+        let partner = self.directory.authenticate(&request.token_sha256)?;
         match &request.command {
-            CallerCommand::OpenRun {
-                program,
-                parent,
-                budget,
-            } => {
-                self.directory.check_program(&partner, program, now)?;
-                Ok(OwnerCommand::OpenRun {
-                    run: self.directory.new_run_id()?,
-                    partner,
-                    program: program.clone(),
-                    parent: *parent,
-                    budget: *budget,
-                })
+            CallerCommand::OpenRun { program, parent } => {
+                self.directory.check_program(&partner, program)?;
+                self.open_commands(partner, program, *parent)
             }
-            CallerCommand::Call { run, call } => Ok(OwnerCommand::Call {
+            CallerCommand::Call { run, call } => Ok(Commands::one(OwnerCommand::Call {
                 run: *run,
                 partner,
                 call: call.clone(),
-            }),
-            CallerCommand::CloseRun { run } => Ok(close(*run, partner)),
-            CallerCommand::ReadHistory { run } => Ok(OwnerCommand::ReadHistory { run: *run, partner }),
+            })),
+            CallerCommand::CloseRun { run } => {
+                let run = *run;
+                Ok(Commands::one(OwnerCommand::CloseRun { run, partner }))
+            }
+            CallerCommand::ReadHistory { run } => {
+                let run = *run;
+                Ok(Commands::one(OwnerCommand::ReadHistory { run, partner }))
+            }
         }
     }
 
-    fn start(
-        &mut self,
-        cx: CX![],
-        command: OwnerCommand,
-        answers: AnswerSender,
-        deadline: Instant,
-    ) {
+    fn open_commands(
+        &self,
+        partner: PartnerName,
+        program: &ProgramName,
+        parent: Option<RunId>,
+    ) -> Result<Commands, Refusal> {
+        let new_run = self.directory.new_run()?;
+        let child = new_run.run;
+        let open = OwnerCommand::OpenRun {
+            run: new_run.run,
+            replicas: new_run.replicas,
+            partner: partner.clone(),
+            program: program.clone(),
+            parent,
+            budget: None,
+        };
+        Ok(match parent {
+            None => Commands::one(open),
+            Some(run) => Commands {
+                first: OwnerCommand::CarveChild {
+                    run,
+                    partner,
+                    child,
+                    program: program.clone(),
+                },
+                next: Some(open),
+            },
+        })
+    }
+
+    /// The parent has set the child's budget aside: the child itself is opened next.
+    fn open_child(&mut self, now: Instant, request: RequestId, budget: Cost) {
+        let Some(open) = self.open.get_mut(&request) else {
+            return;
+        };
+        if let Some(mut command) = open.next_command.take() {
+            if let OwnerCommand::OpenRun { budget: carved, .. } = &mut command {
+                *carved = Some(budget);
+            }
+            open.command = command;
+        }
+        self.ask(now, request);
+    }
+
+    fn start(&mut self, cx: CX![], commands: Commands, answers: AnswerSender, deadline: Instant) {
         self.next_number = self.next_number.wrapping_add(1);
         let request = RequestId {
             gateway: self.node,
             number: self.next_number,
         };
         let open = OpenRequest {
-            command,
+            command: commands.first,
+            next_command: commands.next,
             answers,
             deadline,
             asked: None,
@@ -225,10 +298,6 @@
     }
 }
 
-fn close(run: RunId, partner: PartnerName) -> OwnerCommand {
-    OwnerCommand::CloseRun { run, partner }
-}
-
 // A caller that left closed its channel; its call goes on at the owner.
 fn pass_on(answers: &AnswerSender, answer: Result<OwnerAnswer, Refusal>) {
     let _ = answers.send(answer);
--- a/crates/node/src/inbound/mod.rs
+++ b/crates/node/src/inbound/mod.rs
@@ -1,8 +1,15 @@
 //! The side of the node that faces callers and operators.
 
+mod answer;
 mod caller_request;
+mod chat;
+mod edge;
 mod gateway;
 mod open_request;
+mod request;
+mod runs;
+mod service_call;
 
 pub use caller_request::{CallerCommand, CallerRequest};
+pub use edge::Edge;
 pub use gateway::Gateway;
--- a/crates/node/src/inbound/open_request.rs
+++ b/crates/node/src/inbound/open_request.rs
@@ -11,6 +11,8 @@
 pub struct OpenRequest {
     /// What is asked of the owner.
     pub command: OwnerCommand,
+    /// What is asked next, once that is answered.
+    pub next_command: Option<OwnerCommand>,
     /// Where answers go.
     pub answers: AnswerSender,
     /// When the caller stops waiting.
--- /dev/null
+++ b/crates/node/src/inbound/service_call.rs
@@ -0,0 +1,58 @@
+//! Calls of tool and notice services by name.
+
+use ridgeworks_api::caller::{ServiceCallRequest, ServiceCallResponse};
+use ridgeworks_domain::{CallRequest, Cost, Refusal, ServiceName};
+use ridgeworks_http_edge::{EdgeRequest, Responder};
+use serde_json::value::RawValue;
+
+use super::answer::{refuse, respond};
+use super::caller_request::CallerCommand;
+use super::edge::Edge;
+use super::request::read_body;
+use super::runs::unexpected_answer;
+use crate::message::OwnerAnswer;
+
+/// `POST /v1/services/{service}/calls`
+pub fn call(edge: &Edge, request: &EdgeRequest, service: ServiceName, responder: Responder) {
+    match call_service(edge, request, service) {
+        Ok(answer) => respond(responder, &answer),
+        Err(refusal) => refuse(responder, &refusal),
+    }
+}
+
+fn call_service(
+    edge: &Edge,
+    request: &EdgeRequest,
+    service: ServiceName,
+) -> Result<ServiceCallResponse, Refusal> {
+    let body: ServiceCallRequest = read_body(request)?;
+    let deadline_ms = body.deadline_ms;
+    let command = CallerCommand::Call {
+        run: body.run,
+        call: CallRequest {
+            key: body.call,
+            sequence: body.sequence,
+            service,
+            repeatable: body.repeatable,
+            // The owner sets the reserve from the service's price.
+            reserve: Cost::ZERO,
+            deadline_ms,
+            stream: false,
+            body: body.arguments.get().as_bytes().to_vec(),
+        },
+    };
+    match edge.submit(request, command, deadline_ms)?.next()? {
+        OwnerAnswer::Answered { answer, .. } => service_answer(answer),
+        _ => Err(unexpected_answer()),
+    }
+}
+
+fn service_answer(answer: Vec<u8>) -> Result<ServiceCallResponse, Refusal> {
+    let text = String::from_utf8(answer).map_err(|_| unexpected_answer())?;
+    // A back end that answers with something else than JSON is passed on as a JSON text.
+    let result = match RawValue::from_string(text) {
+        Ok(result) => result,
+        Err(_) => return Err(unexpected_answer()),
+    };
+    Ok(ServiceCallResponse { result })
+}
--- /dev/null
+++ b/crates/node/src/member_changes.rs
@@ -0,0 +1,67 @@
+//! Tells the roles of changes among the members.
+
+use ridgeworks_configuration::Member as ConfigurationMember;
+use ridgeworks_membership::MemberState;
+use stakker::{Actor, CX, call};
+
+use crate::configuration::ConfigurationRoleActor;
+use crate::directory::Directory;
+use crate::dispatcher::DispatcherRole;
+use crate::inbound::Gateway;
+use crate::membership::MemberChange;
+use crate::owner::OwnerRole;
+
+/// Actor that passes changes on.
+pub struct MemberChanges {
+    directory: Directory,
+    gateway: Actor<Gateway>,
+    owner: Actor<OwnerRole>,
+    dispatcher: Actor<DispatcherRole>,
+    configuration: Actor<ConfigurationRoleActor>,
+}
+
+impl MemberChanges {
+    /// Starts the actor.
+    pub fn init(
+        _cx: CX![],
+        directory: Directory,
+        gateway: Actor<Gateway>,
+        owner: Actor<OwnerRole>,
+        dispatcher: Actor<DispatcherRole>,
+        configuration: Actor<ConfigurationRoleActor>,
+    ) -> Option<Self> {
+        Some(Self {
+            directory,
+            gateway,
+            owner,
+            dispatcher,
+            configuration,
+        })
+    }
+
+    /// Takes a change.
+    pub fn changed(&mut self, _cx: CX![], change: MemberChange) {
+        let MemberChange { member, old_state } = change;
+        if old_state != Some(member.state) {
+            log::info!("member={} state={:?}", member.name, member.state);
+        }
+        let node = member.node;
+        let lost = matches!(member.state, MemberState::Dead | MemberState::Left);
+        // A node that came back with a new incarnation has lost what its predecessor held.
+        let replaced = old_state.is_some() && member.state == MemberState::Alive;
+        if lost || replaced && old_state != Some(MemberState::Suspect) {
+            call!([self.gateway], node_lost(node));
+            call!([self.dispatcher], node_lost(node));
+        }
+        call!([self.owner], member_changed(member));
+        let members = self.directory.members().into_iter();
+        let present: Vec<ConfigurationMember> = members
+            .filter(|member| member.state.is_present())
+            .map(|member| ConfigurationMember {
+                node: member.node,
+                zone: member.zone,
+            })
+            .collect();
+        call!([self.configuration], members(present));
+    }
+}
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -1,9 +1,21 @@
 //! Messages between nodes, and their encoding.
-#![allow(missing_docs, reason = "the resolvers that rkyv derives carry undocumented fields")]
+#![allow(
+    missing_docs,
+    reason = "the resolvers that rkyv derives carry undocumented fields"
+)]
 
 use std::fmt;
 
-use ridgeworks_domain::{CallRequest, Cost, NodeId, PartnerName, ProgramName, Refusal, RunId};
+use crate::dispatcher::{DispatcherAnswer, DispatcherCommand};
+use ridgeworks_api::caller::CallOutcome;
+use ridgeworks_configuration::ConfigurationMessage;
+use ridgeworks_domain::{
+    CallKey, CallRequest, Cost, NodeId, PartnerName, ProgramName, Refusal, RunId, Sequence,
+    ServiceName,
+};
+use ridgeworks_membership::MembershipMessage;
+use ridgeworks_run_log::entry::ReplicaId;
+use ridgeworks_run_log::message::Message as RunLogMessage;
 use rkyv::rancor;
 use rkyv::util::AlignedVec;
 use rkyv::{Archive, Deserialize, Serialize};
@@ -30,9 +42,31 @@
         program: ProgramName,
         /// The run that it is a sub-agent of.
         parent: Option<RunId>,
-        /// Budget asked for, at most the program's; part of the parent's budget where there is one.
+        /// Its replicas, whose identities were read before the run was named.
+        replicas: Vec<ReplicaId>,
+        /// Its budget where it was carved from the parent's; the program's otherwise.
         budget: Option<Cost>,
     },
+    /// Sets part of a run's budget aside for a child.
+    CarveChild {
+        /// The parent.
+        run: RunId,
+        /// The partner that asks.
+        partner: PartnerName,
+        /// The child, which is opened next.
+        child: RunId,
+        /// The child's program.
+        program: ProgramName,
+    },
+    /// Gives back what a closed child left of its part of the budget.
+    SettleChild {
+        /// The parent.
+        run: RunId,
+        /// The child.
+        child: RunId,
+        /// What the child spent.
+        spent: Cost,
+    },
     /// Makes a call of a run.
     Call {
         /// The run.
@@ -63,6 +97,8 @@
     pub fn run(&self) -> RunId {
         match self {
             Self::OpenRun { run, .. }
+            | Self::CarveChild { run, .. }
+            | Self::SettleChild { run, .. }
             | Self::Call { run, .. }
             | Self::CloseRun { run, .. }
             | Self::ReadHistory { run, .. } => *run,
@@ -70,15 +106,65 @@
     }
 }
 
-/// One ended call as the history shows it.
+/// How a call of the history ended, or that it has not ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub enum RecordedOutcome {
+    /// Accepted; no attempt was dispatched.
+    Accepted,
+    /// An attempt was dispatched and has not ended.
+    Dispatched,
+    /// The back end answered.
+    Finished,
+    /// The call did not run.
+    NotRun,
+    /// The call may have run.
+    Unknown,
+}
+
+impl From<RecordedOutcome> for CallOutcome {
+    fn from(outcome: RecordedOutcome) -> Self {
+        match outcome {
+            RecordedOutcome::Accepted => Self::Accepted,
+            RecordedOutcome::Dispatched => Self::Dispatched,
+            RecordedOutcome::Finished => Self::Finished,
+            RecordedOutcome::NotRun => Self::NotRun,
+            RecordedOutcome::Unknown => Self::Unknown,
+        }
+    }
+}
+
+/// One call as the history shows it.
 #[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
-pub struct HistoryCall {
-    /// The call as it was made.
-    pub request: CallRequest,
-    /// Its answer, when it has one.
-    pub answer: Option<Vec<u8>>,
+pub struct RecordedCall {
+    /// Position in the run.
+    pub sequence: Sequence,
+    /// The caller's key.
+    pub key: CallKey,
+    /// Where it went.
+    pub service: ServiceName,
+    /// How it ended.
+    pub outcome: RecordedOutcome,
     /// What it cost.
     pub spent: Cost,
+    /// Request body.
+    pub request: Vec<u8>,
+    /// The answer, when it has one.
+    pub answer: Option<Vec<u8>>,
+}
+
+/// A run and its calls.
+#[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct RunHistory {
+    /// The program that it was opened from.
+    pub program: ProgramName,
+    /// Its budget.
+    pub budget: Cost,
+    /// What it spent.
+    pub spent: Cost,
+    /// Whether it is closed.
+    pub closed: bool,
+    /// Its calls in order.
+    pub calls: Vec<RecordedCall>,
 }
 
 /// What an owner answers.
@@ -86,9 +172,18 @@
 pub enum OwnerAnswer {
     /// The run is open.
     Opened {
+        /// The run.
+        run: RunId,
         /// Its budget.
         budget: Cost,
     },
+    /// The child's part of the budget is set aside.
+    Carved {
+        /// That part.
+        budget: Cost,
+    },
+    /// The child's part of the budget is settled.
+    Settled,
     /// Part of a streamed answer.
     Chunk {
         /// Bytes of answer text before this chunk.
@@ -108,13 +203,8 @@
         /// What it spent.
         spent: Cost,
     },
-    /// The run's ended calls in order.
-    History {
-        /// The calls.
-        calls: Vec<HistoryCall>,
-        /// Whether the run is closed.
-        closed: bool,
-    },
+    /// The run and its calls.
+    History(RunHistory),
     /// The request was given up.
     Refused(Refusal),
     /// Another node owns the run; the gateway asks there.
@@ -141,6 +231,28 @@
         /// The answer.
         answer: OwnerAnswer,
     },
+    /// From a node that is about to take a run over, to one that may own it.
+    OwnershipQuery {
+        /// The run.
+        run: RunId,
+    },
+    /// The answer to it. A node that owns the run and is not busy with it has given it up.
+    OwnershipAnswer {
+        /// The run.
+        run: RunId,
+        /// Whether calls of it are in progress there.
+        busy: bool,
+    },
+    /// Between an owner and a replica.
+    RunLog(RunLogMessage),
+    /// From an owner to the dispatcher of a service.
+    ToDispatcher(DispatcherCommand),
+    /// From a dispatcher to an owner.
+    ToOwnerOfTicket(DispatcherAnswer),
+    /// Between members.
+    Membership(MembershipMessage),
+    /// Between the configuration roles.
+    Configuration(ConfigurationMessage),
 }
 
 /// Why a message could not be read.
--- a/crates/node/src/outbound/attempt.rs
+++ b/crates/node/src/outbound/attempt.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use ridgeworks_domain::{BackendName, CallKey, Cost, RunId, Sequence};
+use ridgeworks_scheduling::TokenUsage;
 
 /// Names one attempt towards back ends and within the node.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -65,6 +66,8 @@
         answer: Vec<u8>,
         /// What the back end counted.
         spent: Cost,
+        /// The same, apart by kind; zero for tools and notices.
+        usage: TokenUsage,
     },
     /// The back end refused the attempt before running it, or could not be reached at all.
     NeverStarted,
@@ -111,6 +114,8 @@
     Fenced {
         /// The attempt.
         id: AttemptId,
+        /// The back end that was asked.
+        backend: BackendName,
         /// How it stands.
         fate: AttemptFate,
     },
--- a/crates/node/src/outbound/chat.rs
+++ b/crates/node/src/outbound/chat.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use ridgeworks_domain::Cost;
+use ridgeworks_scheduling::TokenUsage;
 use serde::Deserialize;
 use ureq::Agent;
 
@@ -38,6 +39,14 @@
     prompt_tokens: u64,
     #[serde(default)]
     completion_tokens: u64,
+    #[serde(default)]
+    prompt_tokens_details: PromptDetails,
+}
+
+#[derive(Default, Deserialize)]
+struct PromptDetails {
+    #[serde(default)]
+    cached_tokens: u64,
 }
 
 /// Sends a completion request and reports its text as it comes.
@@ -70,7 +79,7 @@
 
 fn read_events(reader: impl BufRead, report: &mut dyn FnMut(String)) -> AttemptResult {
     let mut answer = String::new();
-    let mut spent = None;
+    let mut usage: Option<TokenUsage> = None;
     for line in reader.lines() {
         let Ok(line) = line else {
             return AttemptResult::InDoubt;
@@ -79,10 +88,11 @@
             continue;
         };
         if data == LAST_DATA {
-            return match spent {
-                Some(spent) => AttemptResult::Answered {
+            return match usage {
+                Some(usage) => AttemptResult::Answered {
                     answer: answer.into_bytes(),
-                    spent,
+                    spent: Cost(usage.prompt + usage.output),
+                    usage,
                 },
                 None => AttemptResult::InDoubt,
             };
@@ -90,8 +100,12 @@
         let Ok(chunk) = serde_json::from_str::<Chunk>(data) else {
             return AttemptResult::InDoubt;
         };
-        if let Some(usage) = chunk.usage {
-            spent = Some(Cost(usage.prompt_tokens + usage.completion_tokens));
+        if let Some(counted) = chunk.usage {
+            usage = Some(TokenUsage {
+                prompt: counted.prompt_tokens,
+                cached: counted.prompt_tokens_details.cached_tokens,
+                output: counted.completion_tokens,
+            });
         }
         let choice = chunk.choices.into_iter().next();
         if let Some(text) = choice.and_then(|choice| choice.delta.content) {
--- a/crates/node/src/outbound/client.rs
+++ b/crates/node/src/outbound/client.rs
@@ -7,7 +7,7 @@
 use ridgeworks_domain::RunId;
 use ureq::Agent;
 
-use super::attempt::{AttemptEvent, AttemptFate, AttemptId, AttemptOrder, AttemptResult};
+use super::attempt::{AttemptEvent, AttemptId, AttemptOrder, AttemptResult, Dispatched};
 use super::{BackendCall, chat, fence, tool};
 use crate::mailbox::Mailbox;
 use crate::thread_message::ThreadMessage;
@@ -58,19 +58,34 @@
     }
 
     /// Tells the back end to run an attempt no more, and asks how it stands.
-    pub fn fence(&self, id: AttemptId, address: SocketAddr) {
+    pub fn fence(&self, id: AttemptId, to: Dispatched) {
         let agent = self.agent.clone();
         let mailbox = self.mailbox.clone();
-        let fenced = id.clone();
-        let started = spawn(move || {
-            let fate = fence::fence(&agent, &fenced, address, FENCE_TIMEOUT);
-            mailbox.post(ThreadMessage::Attempt(AttemptEvent::Fenced { id: fenced, fate }));
+        // Without a thread no answer comes, and the owner asks again.
+        spawn(move || {
+            let fate = fence::fence(&agent, &id, to.address, FENCE_TIMEOUT);
+            let backend = to.backend;
+            mailbox.post(ThreadMessage::Attempt(AttemptEvent::Fenced {
+                id,
+                backend,
+                fate,
+            }));
+        });
+    }
+
+    /// Tells an engine to keep the context of a run for a time. A lost order costs a rebuild only.
+    pub fn retain_context(&self, run: RunId, address: SocketAddr, ttl: Duration) {
+        let agent = self.agent.clone();
+        spawn(move || {
+            let url = format!("http://{address}/contexts/{run}/retain");
+            let body = serde_json::json!({"ttl_ms": ttl.as_millis() as u64});
+            let _ = agent
+                .post(&url)
+                .config()
+                .timeout_global(Some(RELEASE_TIMEOUT))
+                .build()
+                .send_json(body);
         });
-        if !started {
-            let fate = AttemptFate::Unreachable;
-            let event = AttemptEvent::Fenced { id, fate };
-            self.mailbox.post(ThreadMessage::Attempt(event));
-        }
     }
 
     /// Tells an engine to drop the context of a run. Its failure is left to the sweep.
--- a/crates/node/src/outbound/tool.rs
+++ b/crates/node/src/outbound/tool.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use ridgeworks_domain::Cost;
+use ridgeworks_scheduling::TokenUsage;
 use ureq::{Agent, RequestBuilder};
 
 use super::attempt::{AttemptId, AttemptResult, Dispatched};
@@ -38,6 +39,7 @@
         Ok(answer) => AttemptResult::Answered {
             answer,
             spent: price,
+            usage: TokenUsage::default(),
         },
         Err(_) => AttemptResult::InDoubt,
     }
--- /dev/null
+++ b/crates/node/src/owner/effects.rs
@@ -0,0 +1,257 @@
+//! Carries out what the owner of a run asks for.
+
+use std::time::{Duration, Instant};
+
+use ridgeworks_domain::{
+    CallRequest, ClassName, Refusal, RefusalReason, RunId, Sequence, ServiceKind,
+};
+use ridgeworks_run_log::event::{AttemptOutcome, CallerAnswer, CallerId, OwnerEffect, OwnerEvent};
+use ridgeworks_run_log::message::Message;
+use ridgeworks_run_log::run_state::RunState;
+
+use super::owned_run::{OwnedRun, RunningAttempt};
+use super::prompt::{backend_call, service_of};
+use super::role::OwnerRole;
+use super::waiter::{Wanted, owner_answer};
+use crate::dispatcher::DispatcherCommand;
+use crate::message::{NodeMessage, OwnerAnswer, OwnerCommand};
+use crate::outbound::{AttemptId, AttemptOrder, BackendCall, Dispatched};
+
+/// An attempt whose service is no longer configured may take this long.
+const DEFAULT_ATTEMPT_TIMEOUT: Duration = Duration::from_secs(60);
+
+impl OwnerRole {
+    pub(super) fn carry_out(&mut self, now: Instant, run: RunId, effects: Vec<OwnerEffect>) {
+        for effect in effects {
+            self.carry_out_one(now, run, effect);
+        }
+    }
+
+    fn carry_out_one(&mut self, now: Instant, run: RunId, effect: OwnerEffect) {
+        match effect {
+            OwnerEffect::SendToReplica { to, request } => {
+                self.send(to, NodeMessage::RunLog(Message::Request(request)));
+            }
+            OwnerEffect::Ready { opening, .. } => {
+                self.answer_openers(run, opening.budget);
+                self.take_pending(now, run);
+            }
+            OwnerEffect::RequestGrant {
+                call,
+                attempt,
+                request,
+            } => self.request_slot(now, run, call, attempt, &request),
+            OwnerEffect::StartAttempt {
+                call,
+                attempt,
+                backend,
+                address,
+                request,
+            } => {
+                let to = Dispatched { backend, address };
+                self.start_attempt(now, run, call, attempt, to, &request);
+            }
+            OwnerEffect::FenceAttempt {
+                call,
+                attempt,
+                backend,
+                address,
+                key,
+            } => {
+                let id = AttemptId {
+                    run,
+                    sequence: call,
+                    key,
+                    attempt,
+                };
+                let to = Dispatched { backend, address };
+                self.outputs.backends.fence(id, to);
+            }
+            OwnerEffect::ReturnGrant { call, attempt, .. } => self.return_slot(run, call, attempt),
+            OwnerEffect::AnswerCaller { caller, answer } => self.answer_caller(run, caller, answer),
+            OwnerEffect::ReleaseContext { run } => self.release_context(run),
+            OwnerEffect::SteppedDown { .. } | OwnerEffect::InvalidLog { .. } => {
+                self.give_up(run, RefusalReason::NotOwner);
+            }
+            OwnerEffect::RunUnknown => self.give_up(run, RefusalReason::UnknownRun),
+        }
+    }
+
+    fn answer_openers(&mut self, run: RunId, budget: ridgeworks_domain::Cost) {
+        let Some(owned) = self.runs.get_mut(&run) else {
+            return;
+        };
+        let mut openers = Vec::new();
+        owned.waiters.retain(|_, waiter| {
+            let opener = waiter.wanted == Wanted::Opened;
+            if opener {
+                openers.push(waiter.request);
+            }
+            !opener
+        });
+        for request in openers {
+            self.answer(request, OwnerAnswer::Opened { run, budget });
+        }
+    }
+
+    fn start_attempt(
+        &mut self,
+        now: Instant,
+        run: RunId,
+        call: Sequence,
+        attempt: u32,
+        to: Dispatched,
+        request: &CallRequest,
+    ) {
+        self.slot_started(run, call, attempt);
+        let order = self.attempt_order(now, run, attempt, to, request);
+        let Ok(order) = order else {
+            let outcome = AttemptOutcome::NotRun;
+            let event = OwnerEvent::AttemptFinished {
+                call,
+                attempt,
+                outcome,
+            };
+            self.handle(now, run, event);
+            return;
+        };
+        if let Some(owned) = self.runs.get_mut(&run) {
+            owned.running = Some(RunningAttempt {
+                id: order.id.clone(),
+                text: Vec::new(),
+            });
+        }
+        self.outputs.backends.start(order);
+    }
+
+    fn attempt_order(
+        &self,
+        now: Instant,
+        run: RunId,
+        attempt: u32,
+        to: Dispatched,
+        request: &CallRequest,
+    ) -> Result<AttemptOrder, Refusal> {
+        let owned = self.runs.get(&run);
+        let state = owned
+            .and_then(OwnedRun::owner)
+            .map(|owner| owner.state())
+            .ok_or(Refusal::permanent(RefusalReason::NotOwner))?;
+        let (call, timeout) = self.backend_call(request, state)?;
+        let deadline = owned.and_then(|owned| owned.deadlines.get(&request.sequence));
+        // A call without a waiting caller runs on to the service's own limit.
+        let left = deadline.map(|deadline| deadline.saturating_duration_since(now));
+        Ok(AttemptOrder {
+            id: AttemptId {
+                run,
+                sequence: request.sequence,
+                key: request.key.clone(),
+                attempt,
+            },
+            to,
+            call,
+            timeout: left
+                .filter(|left| !left.is_zero())
+                .map_or(timeout, |left| left.min(timeout)),
+        })
+    }
+
+    // The call was admitted under an earlier configuration: the last known one serves.
+    fn backend_call(
+        &self,
+        request: &CallRequest,
+        state: &RunState,
+    ) -> Result<(BackendCall, Duration), Refusal> {
+        let configuration = self.directory.last_known();
+        let service = service_of(request, state, &configuration)?;
+        let class = class_of(state).and_then(|class| configuration.class(class));
+        let call = backend_call(request, service, class, state)?;
+        let timeout = Duration::from_millis(service.attempt_timeout_ms);
+        Ok((
+            call,
+            timeout
+                .max(Duration::from_millis(1))
+                .min(DEFAULT_ATTEMPT_TIMEOUT * 10),
+        ))
+    }
+
+    fn answer_caller(&mut self, run: RunId, caller: CallerId, answer: CallerAnswer) {
+        let Some(owned) = self.runs.get_mut(&run) else {
+            return;
+        };
+        let Some(waiter) = owned.waiters.remove(&caller) else {
+            return;
+        };
+        let Some(owner) = owned.owner() else {
+            return;
+        };
+        let answer = owner_answer(&waiter, answer, owner.state(), owner.commit_index());
+        self.answer(waiter.request, answer);
+    }
+
+    /// The run is closed: its context is released, and its parent gets back what is left.
+    fn release_context(&mut self, run: RunId) {
+        let Some(state) = self
+            .runs
+            .get(&run)
+            .and_then(OwnedRun::owner)
+            .map(|owner| owner.state())
+        else {
+            return;
+        };
+        let spent = state.budget().spent();
+        let parent = state.opening().and_then(|opening| opening.parent);
+        let configuration = self.directory.last_known();
+        let mut services: Vec<_> = state
+            .calls()
+            .map(|call| call.request.service.clone())
+            .collect();
+        services.sort();
+        services.dedup();
+        services.retain(|service| {
+            let kind = configuration.service(service).map(|found| found.kind);
+            kind.is_none_or(|kind| kind == ServiceKind::Model)
+        });
+        for service in services {
+            if let Some(dispatcher) = self.directory.dispatcher_of(&service) {
+                let command = DispatcherCommand::RunEnded { service, run };
+                self.send(dispatcher, NodeMessage::ToDispatcher(command));
+            }
+        }
+        if let Some(parent) = parent {
+            let child = run;
+            let run = parent;
+            self.outputs
+                .commands
+                .fwd(OwnerCommand::SettleChild { run, child, spent });
+        }
+    }
+
+    fn give_up(&mut self, run: RunId, reason: RefusalReason) {
+        self.cancel_slot(run);
+        let Some(owned) = self.runs.remove(&run) else {
+            return;
+        };
+        let pending = owned.pending.into_iter().map(|pending| pending.request);
+        let waiting = owned.waiters.into_values().map(|waiter| waiter.request);
+        for request in pending.chain(waiting).collect::<Vec<_>>() {
+            let refusal = match reason {
+                RefusalReason::NotOwner => super::commands::not_owner(),
+                ref reason => Refusal::permanent(reason.clone()),
+            };
+            self.answer(request, OwnerAnswer::Refused(refusal));
+        }
+    }
+
+    fn return_slot(&mut self, run: RunId, call: Sequence, attempt: u32) {
+        let slot = self.runs.get(&run).and_then(|owned| owned.slot.as_ref());
+        if slot.is_some_and(|slot| slot.call == call && slot.attempt == attempt) {
+            self.cancel_slot(run);
+        }
+    }
+}
+
+/// Priority class of a run.
+pub(super) fn class_of(state: &RunState) -> Option<&ClassName> {
+    state.opening().map(|opening| &opening.class)
+}
--- /dev/null
+++ b/crates/node/src/owner/mod.rs
@@ -0,0 +1,14 @@
+//! The owner role: orders the calls of the runs that this node owns.
+
+mod attempts;
+mod commands;
+mod effects;
+mod identities;
+mod owned_run;
+mod prompt;
+mod role;
+mod slot;
+mod slots;
+mod waiter;
+
+pub use role::{OwnerOutputs, OwnerRole};
--- /dev/null
+++ b/crates/node/src/owner/role.rs
@@ -0,0 +1,209 @@
+//! Actor of the owner role: holds the runs that this node owns and hands each its events.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use ridgeworks_domain::{Ballot, NodeId, RunId};
+use ridgeworks_membership::{Member, MemberState};
+use ridgeworks_run_log::event::{CallerId, OwnerEffect, OwnerEvent};
+use ridgeworks_run_log::message::{Message, Reply};
+use ridgeworks_run_log::owner::{OwnerSettings, RunOwner};
+use stakker::{CX, Fwd, after};
+
+use super::identities;
+use super::owned_run::{OwnedRun, Ownership};
+use crate::clock::Clock;
+use crate::directory::Directory;
+use crate::message::{NodeMessage, OwnerAnswer, OwnerCommand, RequestId};
+use crate::outbound::BackendClient;
+use crate::router::{Incoming, Outgoing};
+
+const TICK_INTERVAL: Duration = Duration::from_millis(20);
+/// An idle run is given up after this time; its next call takes it over again from its replicas.
+const IDLE_TIME: Duration = Duration::from_secs(60);
+/// How long a node waits for others to say whether they are busy with a run.
+pub(super) const QUERY_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Where the role's effects go.
+pub struct OwnerOutputs {
+    /// Messages to roles of all nodes.
+    pub outgoing: Fwd<Outgoing>,
+    /// Commands for owners of other runs, which the gateway of this node repeats until answered.
+    pub commands: Fwd<OwnerCommand>,
+    /// Calls of back ends.
+    pub backends: Arc<BackendClient>,
+}
+
+/// The owner role.
+pub struct OwnerRole {
+    pub(super) node: NodeId,
+    pub(super) clock: Clock,
+    pub(super) directory: Directory,
+    pub(super) outputs: OwnerOutputs,
+    pub(super) runs: HashMap<RunId, OwnedRun>,
+    pub(super) next_number: u64,
+    pub(super) stopping: bool,
+}
+
+impl OwnerRole {
+    /// Starts the role without any run. Numbers of callers and tickets are counted from a random
+    /// start, so that a restarted node uses none again.
+    pub fn init(
+        cx: CX![],
+        node: NodeId,
+        directory: Directory,
+        outputs: OwnerOutputs,
+    ) -> Option<Self> {
+        let mut role = Self {
+            node,
+            clock: directory.clock(),
+            directory,
+            outputs,
+            runs: HashMap::new(),
+            next_number: rand::random(),
+            stopping: false,
+        };
+        role.tick(cx);
+        role.refresh_identities(cx);
+        Some(role)
+    }
+
+    /// Takes a message.
+    pub fn receive(&mut self, cx: CX![], incoming: Incoming) {
+        let from = incoming.from;
+        match incoming.message {
+            NodeMessage::ToOwner { request, command } => self.command(cx.now(), request, command),
+            NodeMessage::RunLog(Message::Reply(reply)) => self.reply(from, reply),
+            NodeMessage::ToOwnerOfTicket(answer) => self.dispatcher_answer(cx.now(), answer),
+            NodeMessage::OwnershipQuery { run } => self.ownership_query(from, run),
+            NodeMessage::OwnershipAnswer { run, busy } => {
+                self.ownership_answer(cx.now(), from, run, busy);
+            }
+            _ => {}
+        }
+    }
+
+    /// Takes a change of a member.
+    pub fn member_changed(&mut self, _cx: CX![], member: Member) {
+        if member.state == MemberState::Alive {
+            identities::ask(&member, &self.outputs.outgoing);
+        }
+    }
+
+    /// From now on calls are refused, except those in progress.
+    pub fn stop(&mut self, _cx: CX![]) {
+        self.stopping = true;
+    }
+
+    /// Writes down how many runs have something in progress.
+    pub fn report_busy(&mut self, _cx: CX![], busy: Arc<AtomicUsize>) {
+        let count = self.runs.values().filter(|run| !run.is_idle()).count();
+        busy.store(count, Ordering::Relaxed);
+    }
+
+    /// A number that no caller or ticket of this node had before.
+    pub(super) fn new_number(&mut self) -> u64 {
+        self.next_number = self.next_number.wrapping_add(1);
+        self.next_number
+    }
+
+    pub(super) fn new_caller(&mut self) -> CallerId {
+        CallerId(self.new_number())
+    }
+
+    pub(super) fn answer(&mut self, request: RequestId, answer: OwnerAnswer) {
+        let message = NodeMessage::ToGateway { request, answer };
+        self.send(request.gateway, message);
+    }
+
+    pub(super) fn send(&mut self, to: NodeId, message: NodeMessage) {
+        self.outputs.outgoing.fwd(Outgoing { to, message });
+    }
+
+    /// Hands an event to a run's owner and carries out what follows.
+    pub(super) fn handle(&mut self, now: Instant, run: RunId, event: OwnerEvent) {
+        let time = self.clock.now();
+        let Some(owner) = self.runs.get_mut(&run).and_then(OwnedRun::owner_mut) else {
+            return;
+        };
+        let effects = owner.handle(event, time);
+        self.carry_out(now, run, effects);
+    }
+
+    /// Claims a run from its replicas.
+    pub(super) fn take_over(&mut self, now: Instant, run: RunId) {
+        let contacts = self.directory.replicas_of(run);
+        let instance = self.new_number().max(1);
+        let (owner, effects) = RunOwner::take_over(
+            run,
+            self.node,
+            instance,
+            Ballot::ZERO,
+            &contacts,
+            OwnerSettings::default(),
+            self.clock.now(),
+        );
+        self.own(now, run, owner, effects);
+    }
+
+    pub(super) fn own(
+        &mut self,
+        now: Instant,
+        run: RunId,
+        owner: RunOwner,
+        effects: Vec<OwnerEffect>,
+    ) {
+        let ownership = Ownership::Owner(Box::new(owner));
+        match self.runs.get_mut(&run) {
+            Some(owned) => owned.ownership = ownership,
+            None => {
+                self.runs.insert(run, OwnedRun::new(run, ownership, now));
+            }
+        }
+        self.carry_out(now, run, effects);
+    }
+
+    fn reply(&mut self, from: NodeId, reply: Reply) {
+        if let Reply::Identity { replica } = reply {
+            self.directory.note_identity(replica);
+            return;
+        }
+        if let Some(run) = reply.run() {
+            let now = Instant::now();
+            self.handle(now, run, OwnerEvent::Reply { from, reply });
+        }
+    }
+
+    fn refresh_identities(&mut self, cx: CX![]) {
+        for member in self.directory.members() {
+            identities::ask(&member, &self.outputs.outgoing);
+        }
+        after!(identities::REFRESH_INTERVAL, [cx], refresh_identities());
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        let now = cx.now();
+        self.give_up_idle(now);
+        let busy: Vec<RunId> = self
+            .runs
+            .iter()
+            .filter(|(_, owned)| !owned.is_idle())
+            .map(|(run, _)| *run)
+            .collect();
+        for run in busy {
+            self.handle(now, run, OwnerEvent::Tick);
+            self.check_slot(now, run);
+            self.check_query(now, run);
+        }
+        after!(TICK_INTERVAL, [cx], tick());
+    }
+
+    fn give_up_idle(&mut self, now: Instant) {
+        self.runs.retain(|_, owned| {
+            let unused = now.saturating_duration_since(owned.last_used);
+            unused < IDLE_TIME || !owned.is_idle()
+        });
+    }
+}
--- /dev/null
+++ b/crates/node/src/owner/slot.rs
@@ -0,0 +1,36 @@
+//! The slot that the call under way of a run has, or asks a dispatcher for.
+
+use std::time::Instant;
+
+use ridgeworks_domain::{NodeId, Sequence, ServiceName};
+use ridgeworks_scheduling::Ticket;
+
+use crate::dispatcher::SlotRequest;
+
+/// One request for a slot, until the attempt that uses it has ended.
+#[derive(Debug, Clone)]
+pub struct Slot {
+    /// The service.
+    pub service: ServiceName,
+    /// The request; repeated until it is answered.
+    pub request: SlotRequest,
+    /// The call.
+    pub call: Sequence,
+    /// Number of the attempt.
+    pub attempt: u32,
+    /// The dispatcher that was asked.
+    pub dispatcher: NodeId,
+    /// Whether the dispatcher granted it.
+    pub granted: bool,
+    /// When it is asked again.
+    pub ask_again_at: Instant,
+    /// When the caller stops waiting.
+    pub deadline: Instant,
+}
+
+impl Slot {
+    /// Names the request.
+    pub fn ticket(&self) -> Ticket {
+        self.request.ticket
+    }
+}
--- /dev/null
+++ b/crates/node/src/owner/slots.rs
@@ -0,0 +1,289 @@
+//! Slots of dispatchers: asked for, used and given back.
+
+use std::time::{Duration, Instant};
+
+use ridgeworks_domain::{CallRequest, Refusal, RefusalReason, RunId, Sequence, ServiceKind};
+use ridgeworks_run_log::event::OwnerEvent;
+use ridgeworks_scheduling::{
+    AttemptEnd, AttemptOutcome as SlotOutcome, Priority, Ticket, TokenUsage,
+};
+
+use super::effects::class_of;
+use super::owned_run::OwnedRun;
+use super::prompt::{call_size, service_of};
+use super::role::OwnerRole;
+use super::slot::Slot;
+use crate::RETRY_DELAY;
+use crate::dispatcher::{DispatcherAnswer, DispatcherCommand, SlotRequest};
+use crate::message::NodeMessage;
+
+const ASK_AGAIN_INTERVAL: Duration = Duration::from_millis(300);
+const DEFAULT_WAIT: Duration = Duration::from_secs(600);
+
+impl OwnerRole {
+    pub(super) fn request_slot(
+        &mut self,
+        now: Instant,
+        run: RunId,
+        call: Sequence,
+        attempt: u32,
+        request: &CallRequest,
+    ) {
+        self.cancel_slot(run);
+        let slot = self.new_slot(now, run, attempt, request);
+        match slot {
+            Ok(slot) => {
+                let service = slot.service.clone();
+                let dispatcher = slot.dispatcher;
+                let request = slot.request.clone();
+                if let Some(owned) = self.runs.get_mut(&run) {
+                    owned.slot = Some(slot);
+                }
+                let command = DispatcherCommand::Enqueue { service, request };
+                self.send(dispatcher, NodeMessage::ToDispatcher(command));
+            }
+            Err(refusal) => {
+                let event = OwnerEvent::GrantRefused {
+                    call,
+                    attempt,
+                    refusal,
+                };
+                self.handle(now, run, event);
+            }
+        }
+    }
+
+    fn new_slot(
+        &mut self,
+        now: Instant,
+        run: RunId,
+        attempt: u32,
+        request: &CallRequest,
+    ) -> Result<Slot, Refusal> {
+        let number = self.new_number();
+        let ticket = Ticket {
+            owner: self.node,
+            number,
+        };
+        let owned = self.runs.get(&run).ok_or(no_backend())?;
+        let state = owned
+            .owner()
+            .map(|owner| owner.state())
+            .ok_or(no_backend())?;
+        let opening = state.opening().ok_or(no_backend())?;
+        let configuration = self.directory.last_known();
+        let service = service_of(request, state, &configuration)?;
+        let size = call_size(request, service, state)?;
+        let class = class_of(state).and_then(|class| configuration.class(class));
+        let dispatcher = self
+            .directory
+            .dispatcher_of(&request.service)
+            .ok_or(no_backend())?;
+        let deadline = owned
+            .deadlines
+            .get(&request.sequence)
+            .copied()
+            .unwrap_or(now + DEFAULT_WAIT);
+        Ok(Slot {
+            service: request.service.clone(),
+            request: SlotRequest {
+                ticket,
+                run,
+                key: request.key.clone(),
+                partner: opening.partner.clone(),
+                priority: Priority {
+                    urgent: class.is_some_and(|class| class.urgent),
+                    rank: class.map_or(0, |class| class.rank),
+                },
+                attained_service: state.budget().spent(),
+                prompt_tokens: size.prompt_tokens,
+                max_output_tokens: size.max_output_tokens,
+                deadline_in_ms: Some(millis_until(now, deadline)),
+                // A cancelled attempt counts its full reserve: not worth it for the one preempted.
+                preemptible: false,
+            },
+            call: request.sequence,
+            attempt,
+            dispatcher,
+            granted: false,
+            ask_again_at: now + ASK_AGAIN_INTERVAL,
+            deadline,
+        })
+    }
+
+    /// Asks again where an answer is overdue, and gives up at the deadline.
+    pub(super) fn check_slot(&mut self, now: Instant, run: RunId) {
+        let Some(slot) = self.runs.get(&run).and_then(|owned| owned.slot.clone()) else {
+            return;
+        };
+        if slot.granted {
+            return;
+        }
+        if now >= slot.deadline {
+            self.cancel_slot(run);
+            let reason = RefusalReason::DeadlineCannotBeMet;
+            self.refuse_slot(now, run, &slot, Refusal::retry_after(reason, RETRY_DELAY));
+        } else if now >= slot.ask_again_at {
+            self.ask_again(now, run, slot);
+        }
+    }
+
+    fn ask_again(&mut self, now: Instant, run: RunId, mut slot: Slot) {
+        let dispatcher = self.directory.dispatcher_of(&slot.service);
+        let dispatcher = dispatcher.unwrap_or(slot.dispatcher);
+        if dispatcher != slot.dispatcher {
+            let command = DispatcherCommand::Cancel {
+                service: slot.service.clone(),
+                ticket: slot.ticket(),
+            };
+            self.send(slot.dispatcher, NodeMessage::ToDispatcher(command));
+        }
+        slot.dispatcher = dispatcher;
+        slot.ask_again_at = now + ASK_AGAIN_INTERVAL;
+        slot.request.deadline_in_ms = Some(millis_until(now, slot.deadline));
+        let command = DispatcherCommand::Enqueue {
+            service: slot.service.clone(),
+            request: slot.request.clone(),
+        };
+        if let Some(owned) = self.runs.get_mut(&run) {
+            owned.slot = Some(slot);
+        }
+        self.send(dispatcher, NodeMessage::ToDispatcher(command));
+    }
+
+    pub(super) fn dispatcher_answer(&mut self, now: Instant, answer: DispatcherAnswer) {
+        match answer {
+            DispatcherAnswer::Granted {
+                ticket,
+                backend,
+                address,
+            } => {
+                let Some(run) = self.run_of_ticket(ticket) else {
+                    return;
+                };
+                let Some(slot) = self
+                    .runs
+                    .get_mut(&run)
+                    .and_then(|owned| owned.slot.as_mut())
+                else {
+                    return;
+                };
+                if slot.granted {
+                    return;
+                }
+                slot.granted = true;
+                let event = OwnerEvent::Granted {
+                    call: slot.call,
+                    attempt: slot.attempt,
+                    backend,
+                    address,
+                };
+                self.handle(now, run, event);
+            }
+            DispatcherAnswer::Refused { ticket, refusal } => {
+                let Some(run) = self.run_of_ticket(ticket) else {
+                    return;
+                };
+                let slot = self.runs.get_mut(&run).and_then(|owned| owned.slot.take());
+                if let Some(slot) = slot {
+                    self.refuse_slot(now, run, &slot, refusal);
+                }
+            }
+            // Calls are not offered as preemptible.
+            DispatcherAnswer::Preempt { .. } => {}
+        }
+    }
+
+    fn refuse_slot(&mut self, now: Instant, run: RunId, slot: &Slot, refusal: Refusal) {
+        let event = OwnerEvent::GrantRefused {
+            call: slot.call,
+            attempt: slot.attempt,
+            refusal,
+        };
+        self.handle(now, run, event);
+    }
+
+    fn run_of_ticket(&self, ticket: Ticket) -> Option<RunId> {
+        let has_ticket = |owned: &&OwnedRun| {
+            let slot = owned.slot.as_ref();
+            slot.is_some_and(|slot| slot.ticket() == ticket)
+        };
+        self.runs.values().find(has_ticket).map(|owned| owned.run)
+    }
+
+    pub(super) fn slot_started(&mut self, run: RunId, call: Sequence, attempt: u32) {
+        let Some(slot) = self.runs.get(&run).and_then(|owned| owned.slot.as_ref()) else {
+            return;
+        };
+        if slot.call != call || slot.attempt != attempt {
+            return;
+        }
+        let command = DispatcherCommand::Started {
+            service: slot.service.clone(),
+            ticket: slot.ticket(),
+        };
+        let dispatcher = slot.dispatcher;
+        self.send(dispatcher, NodeMessage::ToDispatcher(command));
+    }
+
+    /// Tells the dispatcher that the attempt of the slot is over.
+    pub(super) fn end_slot(&mut self, run: RunId, usage: TokenUsage, outcome: SlotOutcome) {
+        let Some(slot) = self.runs.get_mut(&run).and_then(|owned| owned.slot.take()) else {
+            return;
+        };
+        let end = AttemptEnd {
+            ticket: slot.ticket(),
+            usage,
+            outcome,
+        };
+        let command = DispatcherCommand::Ended {
+            service: slot.service,
+            end,
+        };
+        self.send(slot.dispatcher, NodeMessage::ToDispatcher(command));
+    }
+
+    pub(super) fn cancel_slot(&mut self, run: RunId) {
+        let Some(slot) = self.runs.get_mut(&run).and_then(|owned| owned.slot.take()) else {
+            return;
+        };
+        let command = DispatcherCommand::Cancel {
+            ticket: slot.ticket(),
+            service: slot.service,
+        };
+        self.send(slot.dispatcher, NodeMessage::ToDispatcher(command));
+    }
+
+    /// Tells the model services of a run that it waits for a tool, so that its context is kept.
+    pub(super) fn announce_pause(&mut self, run: RunId, request: &CallRequest) {
+        let configuration = self.directory.last_known();
+        let kind = |service| configuration.service(service).map(|found| found.kind);
+        if kind(&request.service) == Some(ServiceKind::Model) {
+            return;
+        }
+        let Some(state) = self.runs.get(&run).and_then(OwnedRun::ready_state) else {
+            return;
+        };
+        let last_model = state
+            .calls()
+            .filter(|call| kind(&call.request.service) == Some(ServiceKind::Model))
+            .last();
+        let Some(service) = last_model.map(|call| call.request.service.clone()) else {
+            return;
+        };
+        if let Some(dispatcher) = self.directory.dispatcher_of(&service) {
+            let tool = request.service.clone();
+            let command = DispatcherCommand::RunPaused { service, run, tool };
+            self.send(dispatcher, NodeMessage::ToDispatcher(command));
+        }
+    }
+}
+
+fn no_backend() -> Refusal {
+    Refusal::retry_after(RefusalReason::NoBackend, RETRY_DELAY)
+}
+
+fn millis_until(now: Instant, deadline: Instant) -> u64 {
+    let left = deadline.saturating_duration_since(now);
+    u64::try_from(left.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/node/src/settings/check.rs
+++ b/crates/node/src/settings/check.rs
@@ -43,10 +43,18 @@
         write!(formatter, "{} = {:?}: ", self.key, self.value)?;
         match &self.reason {
             FaultReason::NotAnIdentifier => {
-                write!(formatter, "allowed are 1 to 128 letters, digits and . _ : -")
+                write!(
+                    formatter,
+                    "allowed are 1 to 128 letters, digits and . _ : -"
+                )
             }
             FaultReason::OutOfRange(range) => {
-                write!(formatter, "allowed are {} to {}", range.start(), range.end())
+                write!(
+                    formatter,
+                    "allowed are {} to {}",
+                    range.start(),
+                    range.end()
+                )
             }
             FaultReason::NotOneOf(words) => write!(formatter, "allowed are {}", words.join(", ")),
             FaultReason::UnspecifiedAddress => {
@@ -68,12 +76,28 @@
     check_log_level(&mut faults, settings);
     let edge = &settings.edge;
     let numbers = [
-        ("edge.max_concurrent_requests", edge.max_concurrent_requests as u64, REQUESTS),
-        ("edge.max_body_bytes", edge.max_body_bytes as u64, BODY_BYTES),
+        (
+            "edge.max_concurrent_requests",
+            edge.max_concurrent_requests as u64,
+            REQUESTS,
+        ),
+        (
+            "edge.max_body_bytes",
+            edge.max_body_bytes as u64,
+            BODY_BYTES,
+        ),
         ("edge.idle_timeout_ms", edge.idle_timeout_ms, TIMEOUT_MS),
         ("edge.write_timeout_ms", edge.write_timeout_ms, TIMEOUT_MS),
-        ("owner.default_deadline_ms", settings.owner.default_deadline_ms, TIMEOUT_MS),
-        ("owner.stop_timeout_ms", settings.owner.stop_timeout_ms, TIMEOUT_MS),
+        (
+            "owner.default_deadline_ms",
+            settings.owner.default_deadline_ms,
+            TIMEOUT_MS,
+        ),
+        (
+            "owner.stop_timeout_ms",
+            settings.owner.stop_timeout_ms,
+            TIMEOUT_MS,
+        ),
     ];
     for (key, value, range) in numbers {
         check_range(&mut faults, key, value, range);
--- a/crates/node/src/settings/file.rs
+++ b/crates/node/src/settings/file.rs
@@ -3,6 +3,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 
+use ridgeworks_domain::PartnerName;
 use serde::Deserialize;
 
 const LOOPBACK: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
@@ -29,6 +30,8 @@
     pub dial_overrides: Vec<DialOverrideSettings>,
     /// Names of the configuration voters.
     pub configuration_voters: Vec<String>,
+    /// Partners that may configure the system before the configuration holds them.
+    pub bootstrap_partners: Vec<BootstrapPartner>,
     /// Address of the platform's HTTP service.
     pub platform: Option<SocketAddr>,
     /// Limits of the HTTP edge.
@@ -51,6 +54,16 @@
     pub dial: SocketAddr,
 }
 
+/// A partner that may configure the system before the configuration holds it.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct BootstrapPartner {
+    /// Its name.
+    pub name: PartnerName,
+    /// SHA-256 of its token, in lower-case hexadecimal.
+    pub token_sha256: String,
+}
+
 /// Limits of the HTTP edge.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -105,6 +118,7 @@
             peers: Vec::new(),
             dial_overrides: Vec::new(),
             configuration_voters: Vec::new(),
+            bootstrap_partners: Vec::new(),
             platform: None,
             edge: EdgeSettings::default(),
             store: StoreSettings::default(),
--- a/crates/node/src/settings/flags.rs
+++ b/crates/node/src/settings/flags.rs
@@ -62,7 +62,10 @@
         replace_option(&mut settings.store.data_dir, &self.data_dir);
         replace_option(&mut settings.log.file, &self.log_file);
         replace_list(&mut settings.peers, &self.peers);
-        replace_list(&mut settings.configuration_voters, &self.configuration_voters);
+        replace_list(
+            &mut settings.configuration_voters,
+            &self.configuration_voters,
+        );
     }
 }
 
--- a/crates/run-log/src/run_state.rs
+++ b/crates/run-log/src/run_state.rs
@@ -123,6 +123,11 @@
         self.calls.get(position as usize)
     }
 
+    /// All calls in order.
+    pub fn calls(&self) -> impl Iterator<Item = &CallRecord> {
+        self.calls.iter()
+    }
+
     /// The call under way, if there is one.
     pub fn call_under_way(&self) -> Option<Sequence> {
         let last = self.calls.last()?;
