--- a/crates/stand-ins/src/engine/batching.rs
+++ b/crates/stand-ins/src/engine/batching.rs
@@ -15,7 +15,7 @@
 use ridgeworks_domain::RunId;
 use serde::Serialize;
 
-use crate::attempts::{Attempt, AttemptState, Progress};
+use crate::attempts::{Attempt, AttemptState};
 use crate::engine::chat::ChatPlan;
 use crate::engine::lagging_load::LaggingLoad;
 use crate::engine::memory::EngineMemory;
@@ -144,6 +144,16 @@
     reserved_blocks: u64,
 }
 
+/// What a step made of a sequence.
+enum Advance {
+    /// It needs further steps.
+    GoesOn,
+    /// It is through; its memory holds the run's context now.
+    Finished,
+    /// It was cancelled; its memory is still reserved.
+    Stopped,
+}
+
 /// The scheduler thread's state.
 pub struct Batch {
     /// Where attempts come from.
@@ -280,44 +290,55 @@
     }
 
     fn finish_step(&mut self) {
-        let (ended, running) = std::mem::take(&mut self.running)
-            .into_iter()
-            .partition(|sequence| self.advance(sequence));
-        self.running = running;
-        let ended: Vec<Sequence> = ended;
-        for sequence in &ended {
-            self.release(sequence);
+        let sequences = std::mem::take(&mut self.running);
+        for sequence in sequences {
+            match self.advance(&sequence) {
+                Advance::GoesOn => self.running.push(sequence),
+                Advance::Finished => {}
+                Advance::Stopped => self.release(&sequence),
+            }
         }
     }
 
-    /// Gives a decoding sequence its token; answers whether the attempt has ended.
-    fn advance(&self, sequence: &Sequence) -> bool {
+    /// Gives a decoding sequence its token.
+    fn advance(&self, sequence: &Sequence) -> Advance {
         let plan = &sequence.attempt.plan;
-        let is_last = |progress: &Progress| progress.produced + 1 >= plan.content.pieces.len();
-        if sequence.prefill_left > 0 {
-            return sequence.attempt.progress().state.is_final();
-        }
+        let has_token = sequence.prefill_left == 0;
         sequence.attempt.update(|progress| {
             if progress.state != AttemptState::Running {
-                return true;
+                return Advance::Stopped;
+            }
+            if !has_token {
+                return Advance::GoesOn;
             }
-            if is_last(progress) {
-                self.keep_context(plan);
-                record_execution(plan, progress.produced + 1, false, &self.history);
+            let produced = progress.produced + 1;
+            let is_last = produced >= plan.content.pieces.len();
+            if is_last {
+                self.keep_context(sequence);
+                record_execution(plan, produced, false, &self.history);
                 progress.state = AttemptState::Finished {
                     answer: plan.head.whole(&plan.content),
-                    spent: plan.cost(progress.produced + 1),
+                    spent: plan.cost(produced),
                 };
             }
-            progress.produced += 1;
-            progress.state.is_final()
+            progress.produced = produced;
+            if is_last {
+                Advance::Finished
+            } else {
+                Advance::GoesOn
+            }
         })
     }
 
-    fn keep_context(&self, plan: &ChatPlan) {
-        let Some(run) = run_of(plan) else { return };
+    /// Turns what the attempt had reserved into the context of its run.
+    fn keep_context(&self, sequence: &Sequence) {
+        let plan = &sequence.attempt.plan;
+        let run = run_of(plan);
         self.memory.with(&self.history, |cache| {
-            cache.store(run, plan.context_chain.clone(), Instant::now());
+            cache.end_attempt(run, sequence.reserved_blocks);
+            if let Some(run) = run {
+                cache.store(run, plan.context_chain.clone(), Instant::now());
+            }
         });
     }
 
