--- a/crates/stand-ins/src/http.rs
+++ b/crates/stand-ins/src/http.rs
@@ -10,15 +10,14 @@
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
-use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tiny_http::{Header, Method, Request, Response, Server};
 
 use crate::failure::Failure;
+use crate::worker_pool::WorkerPool;
 
 const BODY_LIMIT_BYTES: u64 = 64 * 1024 * 1024;
-const IDLE_THREAD_LIFETIME: Duration = Duration::from_secs(5);
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(2);
 const HANDLER_STACK_BYTES: usize = 512 * 1024;
 
@@ -200,14 +199,10 @@
         let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
         let server = Arc::new(server);
         let open_requests = Arc::new(AtomicUsize::new(0));
-        let pool = HandlerPool::new(Arc::new(handler), Arc::clone(&open_requests));
+        let handler: Arc<Handler> = Arc::new(handler);
         let accepting = {
-            let server = Arc::clone(&server);
-            thread::spawn(move || {
-                while let Ok(request) = server.recv() {
-                    pool.run(request);
-                }
-            })
+            let (server, open_requests) = (Arc::clone(&server), Arc::clone(&open_requests));
+            thread::spawn(move || accept(&server, &handler, &open_requests))
         };
         Ok(Self {
             server,
@@ -235,50 +230,15 @@
     }
 }
 
-struct HandlerPool {
-    handler: Arc<Handler>,
-    open_requests: Arc<AtomicUsize>,
-    sender: Sender<Request>,
-    receiver: Receiver<Request>,
-}
-
-impl HandlerPool {
-    fn new(handler: Arc<Handler>, open_requests: Arc<AtomicUsize>) -> Self {
-        let (sender, receiver) = bounded(0);
-        Self {
-            handler,
-            open_requests,
-            sender,
-            receiver,
-        }
-    }
-
-    fn run(&self, request: Request) {
-        self.open_requests.fetch_add(1, Ordering::SeqCst);
-        match self.sender.try_send(request) {
-            Ok(()) => {}
-            Err(TrySendError::Full(request) | TrySendError::Disconnected(request)) => {
-                self.grow(request);
-            }
-        }
-    }
-
-    fn grow(&self, first: Request) {
-        let handler = Arc::clone(&self.handler);
-        let open_requests = Arc::clone(&self.open_requests);
-        let receiver = self.receiver.clone();
-        let work = move || {
-            let mut next = Some(first);
-            while let Some(request) = next {
-                answer(request, handler.as_ref());
-                open_requests.fetch_sub(1, Ordering::SeqCst);
-                next = receiver.recv_timeout(IDLE_THREAD_LIFETIME).ok();
-            }
-        };
-        let spawned = thread::Builder::new()
-            .stack_size(HANDLER_STACK_BYTES)
-            .spawn(work);
-        spawned.expect("the machine has a thread for a request");
+fn accept(server: &Server, handler: &Arc<Handler>, open_requests: &Arc<AtomicUsize>) {
+    let pool = WorkerPool::new(HANDLER_STACK_BYTES);
+    while let Ok(request) = server.recv() {
+        open_requests.fetch_add(1, Ordering::SeqCst);
+        let (handler, open_requests) = (Arc::clone(handler), Arc::clone(open_requests));
+        pool.run(move || {
+            answer(request, handler.as_ref());
+            open_requests.fetch_sub(1, Ordering::SeqCst);
+        });
     }
 }
 
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod platform;
 pub mod relay;
 pub mod tool;
+pub mod worker_pool;
--- a/crates/stand-ins/src/relay/link.rs
+++ b/crates/stand-ins/src/relay/link.rs
@@ -16,9 +16,12 @@
 use serde::{Deserialize, Serialize};
 
 use crate::relay::pump;
+use crate::worker_pool::WorkerPool;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
-const THREAD_STACK_BYTES: usize = 128 * 1024;
+
+/// Enough for the threads that move bytes.
+pub const THREAD_STACK_BYTES: usize = 128 * 1024;
 
 /// Which directions of a link pass bytes on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
@@ -113,11 +116,17 @@
     /// By the address that the target sees.
     connections: Mutex<HashMap<SocketAddr, Arc<Connection>>>,
     is_closed: AtomicBool,
+    pool: Arc<WorkerPool>,
 }
 
 impl Link {
     /// Binds a port (0 chooses a free one) and forwards its connections until [`Self::close`].
-    pub fn start(name: &str, listen: SocketAddr, target: SocketAddr) -> io::Result<Arc<Self>> {
+    pub fn start(
+        name: &str,
+        listen: SocketAddr,
+        target: SocketAddr,
+        pool: Arc<WorkerPool>,
+    ) -> io::Result<Arc<Self>> {
         let listener = TcpListener::bind(listen)?;
         let link = Arc::new(Self {
             name: name.to_owned(),
@@ -127,6 +136,7 @@
             changed: Condvar::new(),
             connections: Mutex::default(),
             is_closed: AtomicBool::new(false),
+            pool,
         });
         let accepting = Arc::clone(&link);
         thread::spawn(move || accepting.accept(&listener));
@@ -209,7 +219,7 @@
             }
             let Ok(client) = client else { continue };
             let link = Arc::clone(self);
-            spawn(move || link.forward(client));
+            self.pool.run(move || link.forward(client));
         }
     }
 
@@ -237,15 +247,7 @@
         if self.is_closed.load(Ordering::SeqCst) {
             connection.reset();
         }
-        pump::run(&self, &connection);
+        pump::run(&self, &connection, &self.pool);
         self.lock_connections().remove(&seen_by_target);
     }
 }
-
-/// Starts a thread with a small stack.
-pub fn spawn(work: impl FnOnce() + Send + 'static) -> thread::JoinHandle<()> {
-    thread::Builder::new()
-        .stack_size(THREAD_STACK_BYTES)
-        .spawn(work)
-        .expect("the machine has a thread for a connection")
-}
--- a/crates/stand-ins/src/relay/mod.rs
+++ b/crates/stand-ins/src/relay/mod.rs
@@ -13,7 +13,8 @@
 
 use crate::failure::Failure;
 use crate::http::HttpServer;
-use crate::relay::link::Link;
+use crate::relay::link::{Link, THREAD_STACK_BYTES};
+use crate::worker_pool::WorkerPool;
 
 /// A port to forward.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -94,6 +95,7 @@
     /// Its settings.
     pub options: RelayOptions,
     links: Mutex<BTreeMap<String, Arc<Link>>>,
+    pool: Arc<WorkerPool>,
 }
 
 impl RelayState {
@@ -121,7 +123,12 @@
         if links.contains_key(&name) {
             return Err(io::ErrorKind::AlreadyExists.into());
         }
-        let link = Link::start(&name, forward.listen, forward.target)?;
+        let link = Link::start(
+            &name,
+            forward.listen,
+            forward.target,
+            Arc::clone(&self.pool),
+        )?;
         links.insert(name, Arc::clone(&link));
         Ok(link)
     }
@@ -138,6 +145,7 @@
     pub fn start(options: RelayOptions) -> io::Result<Self> {
         let state = Arc::new(RelayState {
             links: Mutex::default(),
+            pool: Arc::new(WorkerPool::new(THREAD_STACK_BYTES)),
             options,
         });
         for forward in &state.options.forwards {
--- a/crates/stand-ins/src/relay/pump.rs
+++ b/crates/stand-ins/src/relay/pump.rs
@@ -9,7 +9,8 @@
 
 use crossbeam_channel::{Receiver, Sender, bounded};
 
-use crate::relay::link::{Connection, Direction, Link, spawn};
+use crate::relay::link::{Connection, Direction, Link};
+use crate::worker_pool::WorkerPool;
 
 const PIECE_BYTES: usize = 16 * 1024;
 
@@ -32,23 +33,26 @@
 }
 
 /// Forwards both directions until both have ended.
-pub fn run(link: &Arc<Link>, connection: &Arc<Connection>) {
-    let directions = [Direction::ToTarget, Direction::FromTarget];
-    let mut threads = Vec::new();
-    for direction in directions {
+pub fn run(link: &Arc<Link>, connection: &Arc<Connection>, pool: &WorkerPool) {
+    // Nothing is ever sent here: the receiver wakes when the last sender is dropped.
+    let (running, ended) = bounded::<()>(0);
+    for direction in [Direction::ToTarget, Direction::FromTarget] {
         let (sender, receiver) = bounded(PIECES_UNDER_WAY);
         let (link_in, connection_in) = (Arc::clone(link), Arc::clone(connection));
-        threads.push(spawn(move || {
-            read(&link_in, direction, &connection_in, &sender)
-        }));
+        let running_in = running.clone();
+        pool.run(move || {
+            read(&link_in, direction, &connection_in, &sender);
+            drop(running_in);
+        });
         let (link_out, connection_out) = (Arc::clone(link), Arc::clone(connection));
-        threads.push(spawn(move || {
-            write(&link_out, direction, &connection_out, &receiver)
-        }));
-    }
-    for thread in threads {
-        let _ = thread.join();
+        let running_out = running.clone();
+        pool.run(move || {
+            write(&link_out, direction, &connection_out, &receiver);
+            drop(running_out);
+        });
     }
+    drop(running);
+    let _ = ended.recv();
 }
 
 fn source(connection: &Connection, direction: Direction) -> &TcpStream {
