--- /dev/null
+++ b/crates/experiment/src/context_cache.rs
@@ -0,0 +1,188 @@
+//! The prefix cache of the engine model: blocks of tokens, least recently used out first, contexts
+//! under a lease last.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use ridgeworks_domain::RunId;
+
+#[derive(Debug, Clone, Copy)]
+struct IdleContext {
+    tokens: u64,
+    since: u64,
+    used: u64,
+    retained_until: u64,
+}
+
+/// Cache of one engine. Times are in microseconds.
+#[derive(Debug)]
+pub struct ContextCache {
+    capacity: u64,
+    block: u64,
+    active: u64,
+    idle_tokens: u64,
+    idle: BTreeMap<RunId, IdleContext>,
+    by_use: BTreeSet<(u64, RunId)>,
+    retained: BTreeSet<(u64, RunId)>,
+    evicted: Vec<RunId>,
+    wasted_token_micros: f64,
+}
+
+impl ContextCache {
+    /// An empty cache.
+    pub fn new(capacity: u64, block: u64) -> Self {
+        Self {
+            capacity,
+            block,
+            active: 0,
+            idle_tokens: 0,
+            idle: BTreeMap::new(),
+            by_use: BTreeSet::new(),
+            retained: BTreeSet::new(),
+            evicted: Vec::new(),
+            wasted_token_micros: 0.0,
+        }
+    }
+
+    /// Tokens of a run's context that are held idle, in whole blocks.
+    pub fn tokens_of(&self, run: RunId) -> u64 {
+        let held = self.idle.get(&run).map_or(0, |context| context.tokens);
+        held / self.block * self.block
+    }
+
+    /// Marks a context as used, by a sub-agent that inherits it.
+    pub fn touch(&mut self, run: RunId, now: u64) {
+        if let Some(mut context) = self.take(run) {
+            context.since = now;
+            context.used = now;
+            self.put(run, context);
+        }
+    }
+
+    /// Takes memory for a sequence; the run's idle context becomes part of it. Returns whether there
+    /// was room.
+    pub fn start(&mut self, run: RunId, tokens: u64, now: u64) -> bool {
+        let needed = self.round_up(tokens);
+        if self.active + needed > self.capacity {
+            return false;
+        }
+        self.take(run);
+        self.make_room(needed, now);
+        self.active += needed;
+        true
+    }
+
+    /// Gives back the memory of a sequence and keeps its context idle.
+    pub fn finish(&mut self, run: RunId, reserved: u64, kept: u64, now: u64) {
+        self.active -= self.round_up(reserved);
+        if kept > 0 {
+            self.store(run, kept, now);
+        }
+    }
+
+    /// Keeps a context as the least recently used order has it. Returns whether there was room.
+    pub fn store(&mut self, run: RunId, tokens: u64, now: u64) -> bool {
+        self.take(run);
+        let needed = self.round_up(tokens);
+        if self.active + needed > self.capacity {
+            return false;
+        }
+        self.make_room(needed, now);
+        let context = IdleContext {
+            tokens,
+            since: now,
+            used: now,
+            retained_until: 0,
+        };
+        self.put(run, context);
+        true
+    }
+
+    /// Keeps a context until then, also against the order of use.
+    pub fn retain(&mut self, run: RunId, until: u64) {
+        if let Some(mut context) = self.take(run) {
+            context.retained_until = until;
+            self.put(run, context);
+        }
+    }
+
+    /// Drops a context. Returns whether it was there.
+    pub fn release(&mut self, run: RunId, now: u64) -> bool {
+        let Some(context) = self.take(run) else {
+            return false;
+        };
+        self.count_waste(context, now);
+        true
+    }
+
+    /// Contexts held idle.
+    pub fn list(&self) -> Vec<(RunId, u64)> {
+        let held = self.idle.iter();
+        held.map(|(run, context)| (*run, context.tokens)).collect()
+    }
+
+    /// Contexts evicted since the last call.
+    pub fn take_evicted(&mut self) -> Vec<RunId> {
+        std::mem::take(&mut self.evicted)
+    }
+
+    /// Tokens × microseconds of contexts that were held and not used again, with what is held now.
+    pub fn wasted_token_micros(&self, now: u64) -> f64 {
+        let held = self.idle.values().map(|context| waste(*context, now));
+        self.wasted_token_micros + held.sum::<f64>()
+    }
+
+    fn make_room(&mut self, needed: u64, now: u64) {
+        while self.active + self.idle_tokens + needed > self.capacity {
+            let Some(run) = self.next_out(now) else {
+                return;
+            };
+            if let Some(context) = self.take(run) {
+                self.count_waste(context, now);
+                self.evicted.push(run);
+            }
+        }
+    }
+
+    fn next_out(&mut self, now: u64) -> Option<RunId> {
+        while let Some((until, run)) = self.retained.first().copied() {
+            if until > now {
+                break;
+            }
+            let mut context = self.take(run)?;
+            context.retained_until = 0;
+            self.put(run, context);
+        }
+        let oldest = self.by_use.first().or(self.retained.first());
+        oldest.map(|(_, run)| *run)
+    }
+
+    fn take(&mut self, run: RunId) -> Option<IdleContext> {
+        let context = self.idle.remove(&run)?;
+        self.idle_tokens -= self.round_up(context.tokens);
+        self.by_use.remove(&(context.used, run));
+        self.retained.remove(&(context.retained_until, run));
+        Some(context)
+    }
+
+    fn put(&mut self, run: RunId, context: IdleContext) {
+        self.idle_tokens += self.round_up(context.tokens);
+        if context.retained_until > 0 {
+            self.retained.insert((context.retained_until, run));
+        } else {
+            self.by_use.insert((context.used, run));
+        }
+        self.idle.insert(run, context);
+    }
+
+    fn count_waste(&mut self, context: IdleContext, now: u64) {
+        self.wasted_token_micros += waste(context, now);
+    }
+
+    fn round_up(&self, tokens: u64) -> u64 {
+        tokens.div_ceil(self.block) * self.block
+    }
+}
+
+fn waste(context: IdleContext, now: u64) -> f64 {
+    context.tokens as f64 * now.saturating_sub(context.since) as f64
+}
--- /dev/null
+++ b/crates/experiment/src/policies.rs
@@ -0,0 +1,101 @@
+//! The policies that can be compared, by name: the whole, the baselines, and the whole with one
+//! part changed.
+
+use std::time::Duration;
+
+use ridgeworks_scheduling::{
+    ContextMoveSettings, DispatcherSettings, PlacementRule, Policy, QueueOrder,
+};
+
+use crate::behaviour::{MOVE_BASE_MICROS, MOVE_NANOS_PER_TOKEN};
+use crate::error::ExperimentError;
+
+/// The whole.
+pub const WHOLE: &str = "ridgeworks";
+/// Baseline whose wasted cache is the measure.
+pub const PREFIX_STICKY: &str = "prefix-sticky";
+/// The baselines whose best latency is the measure.
+pub const BASELINES: [&str; 3] = ["round-robin", "least-loaded", PREFIX_STICKY];
+/// All policies, in the order of the tables.
+pub const ALL: [&str; 15] = [
+    WHOLE,
+    "round-robin",
+    "least-loaded",
+    PREFIX_STICKY,
+    "least-attained",
+    "without-retention",
+    "without-locality",
+    "without-attained-service",
+    "without-shares",
+    "without-urgency",
+    "without-preemption",
+    "without-deadline-refusal",
+    "with-context-move",
+    "least-reported-load",
+    "two-choices-reported-load",
+];
+
+const MOVE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Settings of the policy of this name.
+pub fn settings(name: &str) -> Result<DispatcherSettings, ExperimentError> {
+    let whole = Policy::default();
+    let mut context_move = None;
+    let policy = match name {
+        WHOLE => whole,
+        "round-robin" => Policy::round_robin(),
+        "least-loaded" => Policy::least_loaded(),
+        PREFIX_STICKY => Policy::prefix_sticky(),
+        "least-attained" => Policy::least_attained_service(),
+        "without-retention" => Policy {
+            retention: false,
+            ..whole
+        },
+        "without-locality" => Policy {
+            placement: PlacementRule::LeastLoaded,
+            ..whole
+        },
+        "without-attained-service" => Policy {
+            order: QueueOrder::FirstComeFirstServed,
+            ..whole
+        },
+        "without-shares" => Policy {
+            shares: false,
+            ..whole
+        },
+        "without-urgency" => Policy {
+            urgent_first: false,
+            ..whole
+        },
+        "without-preemption" => Policy {
+            preemption: false,
+            ..whole
+        },
+        "without-deadline-refusal" => Policy {
+            deadline_refusal: false,
+            ..whole
+        },
+        "with-context-move" => {
+            context_move = Some(ContextMoveSettings {
+                base_micros: MOVE_BASE_MICROS,
+                nanos_per_token: MOVE_NANOS_PER_TOKEN,
+                timeout: MOVE_TIMEOUT,
+            });
+            whole
+        }
+        "least-reported-load" => Policy {
+            placement: PlacementRule::LeastReportedLoad,
+            ..whole
+        },
+        "two-choices-reported-load" => Policy {
+            placement: PlacementRule::TwoChoicesReportedLoad,
+            ..whole
+        },
+        _ => return Err(ExperimentError::UnknownPolicy(name.to_owned())),
+    };
+    Ok(DispatcherSettings {
+        policy,
+        context_move,
+        ..DispatcherSettings::default()
+    })
+}
