--- a/crates/experiment/src/policies.rs
+++ b/crates/experiment/src/policies.rs
@@ -17,7 +17,7 @@
 /// The baselines whose best latency is the measure.
 pub const BASELINES: [&str; 3] = ["round-robin", "least-loaded", PREFIX_STICKY];
 /// All policies, in the order of the tables.
-pub const ALL: [&str; 15] = [
+pub const ALL: [&str; 16] = [
     WHOLE,
     "round-robin",
     "least-loaded",
@@ -30,6 +30,7 @@
     "without-urgency",
     "without-preemption",
     "without-deadline-refusal",
+    "without-working-set",
     "with-context-move",
     "least-reported-load",
     "two-choices-reported-load",
@@ -75,6 +76,10 @@
             deadline_refusal: false,
             ..whole
         },
+        "without-working-set" => Policy {
+            working_set: false,
+            ..whole
+        },
         "with-context-move" => {
             context_move = Some(ContextMoveSettings {
                 base_micros: MOVE_BASE_MICROS,
--- a/crates/scheduling/src/backends.rs
+++ b/crates/scheduling/src/backends.rs
@@ -23,6 +23,8 @@
     pub ejection: Ejection,
     /// Slots taken by grants, urgent ones included.
     pub in_flight: u32,
+    /// Tokens that the calls in flight may grow to.
+    pub reserved_tokens: u64,
     /// Calls that it last reported to run or to hold waiting; late.
     pub reported_calls: u32,
     /// Capacity of its prefix cache, in tokens.
@@ -84,6 +86,7 @@
             backend,
             ejection: Ejection::default(),
             in_flight: 0,
+            reserved_tokens: 0,
             reported_calls: 0,
             cache_capacity,
             reserve,
--- a/crates/scheduling/src/choosing.rs
+++ b/crates/scheduling/src/choosing.rs
@@ -9,6 +9,7 @@
 use crate::queue::{Lane, WaitingCall};
 use crate::settings::PlacementRule;
 use crate::shares::PartnerIndex;
+use crate::working_set::WorkingSet;
 
 const URGENT_LATENCY_WEIGHT: u8 = 100;
 
@@ -42,6 +43,11 @@
             prefixes: &self.prefixes,
             estimate: &self.estimate,
             context_move: self.settings.context_move.as_ref(),
+            working_set: WorkingSet {
+                retention: &self.retention,
+                permille: self.settings.working_set_permille,
+                bounded: self.settings.policy.working_set,
+            },
             latency_weight: self.shares.latency_weight(partner),
         }
     }
--- a/crates/scheduling/src/dispatcher.rs
+++ b/crates/scheduling/src/dispatcher.rs
@@ -271,7 +271,8 @@
         }
     }
 
-    fn apply_retention(&mut self, change: RetentionChange) {
+    /// Passes a change of leases on.
+    pub(crate) fn apply_retention(&mut self, change: RetentionChange) {
         match change {
             RetentionChange::Keep {
                 run,
--- a/crates/scheduling/src/event.rs
+++ b/crates/scheduling/src/event.rs
@@ -73,6 +73,13 @@
     pub waited: Duration,
 }
 
+impl QueuedCall {
+    /// Tokens that its context may grow to.
+    pub fn most_tokens(&self) -> u64 {
+        self.prompt_tokens + self.max_output_tokens
+    }
+}
+
 /// Tokens that a back end counted for one attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Archive, Serialize, Deserialize)]
 pub struct TokenUsage {
--- a/crates/scheduling/src/granting.rs
+++ b/crates/scheduling/src/granting.rs
@@ -24,6 +24,20 @@
             Choice::WaitFor(home) => self.queue.set_home(ticket, Some(home)),
             Choice::Full { home } => self.queue.set_home(ticket, home),
         }
+        self.keep_while_waiting(now, ticket);
+    }
+
+    /// Keeps the context of a run that is back and has to wait.
+    fn keep_while_waiting(&mut self, now: MonotonicTime, ticket: Ticket) {
+        let Some(waiting) = self.queue.get(ticket) else {
+            return;
+        };
+        if waiting.enqueued_at != now {
+            return;
+        }
+        if let Some(change) = self.retention.prolong(waiting.call.run, now) {
+            self.apply_retention(change);
+        }
     }
 
     /// Gives urgent calls slots, and has routine calls cancelled when there are too few.
@@ -92,20 +106,35 @@
             | PlacementRule::TwoChoicesReportedLoad
             | PlacementRule::PrefixSticky => bound.map(|(_, ticket)| ticket),
             PlacementRule::LeastLoaded => lane.head().map(|(_, ticket)| ticket),
-            PlacementRule::ExpectedCost => {
-                let (first_key, first) = lane.head()?;
-                if let Some((key, ticket)) = bound
-                    && key.position - first_key.position <= LOCALITY_SLACK_MICROS
-                {
-                    return Some(ticket);
-                }
-                if self.would_leave_home(first, index, 0) {
-                    return Some(first);
-                }
-                let bound = bound.map(|(_, ticket)| ticket);
-                bound.or_else(|| self.next_that_would_move(lane, index))
-            }
+            PlacementRule::ExpectedCost => self.next_by_cost(lane, index),
+        }
+    }
+
+    fn next_by_cost(&self, lane: &LaneQueue, index: BackendIndex) -> Option<Ticket> {
+        let (first_key, first) = lane.head()?;
+        let bound = [lane.head_of_home(Some(index)), lane.head_of_home(None)];
+        let bound = bound.into_iter().flatten();
+        let bound = bound
+            .filter(|(_, ticket)| self.has_room(*ticket, index))
+            .min();
+        if let Some((key, ticket)) = bound
+            && key.position - first_key.position <= LOCALITY_SLACK_MICROS
+        {
+            return Some(ticket);
+        }
+        if self.would_leave_home(first, index, 0) {
+            return Some(first);
         }
+        let bound = bound.map(|(_, ticket)| ticket);
+        bound.or_else(|| self.next_that_would_move(lane, index))
+    }
+
+    fn has_room(&self, ticket: Ticket, index: BackendIndex) -> bool {
+        let waiting = self.queue.get(ticket);
+        waiting.is_some_and(|waiting| {
+            let view = self.placement_view(waiting.partner);
+            view.may_go(&waiting.call, index)
+        })
     }
 
     fn next_that_would_move(&self, lane: &LaneQueue, index: BackendIndex) -> Option<Ticket> {
@@ -119,10 +148,13 @@
         let Some(waiting) = self.queue.get(ticket) else {
             return false;
         };
+        let view = self.placement_view(waiting.partner);
+        if !view.may_go(&waiting.call, index) {
+            return false;
+        }
         let Some(home) = waiting.home else {
             return true;
         };
-        let view = self.placement_view(waiting.partner);
         view.beats_waiting(&waiting.call, index, home, ahead)
     }
 
@@ -145,6 +177,7 @@
         };
         if let Some(state) = self.backends.get_mut(index) {
             state.in_flight += 1;
+            state.reserved_tokens += waiting.call.most_tokens();
         }
         self.shares.take(waiting.partner);
         let run = waiting.call.run;
@@ -298,6 +331,8 @@
     pub(crate) fn give_back_slot(&mut self, grant: &Grant) {
         if let Some(state) = self.backends.get_mut(grant.backend) {
             state.in_flight = state.in_flight.saturating_sub(1);
+            let tokens = grant.waiting.call.most_tokens();
+            state.reserved_tokens = state.reserved_tokens.saturating_sub(tokens);
         }
         self.shares.give_back(grant.waiting.partner);
     }
--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod retention;
 pub mod settings;
 pub mod shares;
+pub mod working_set;
 
 pub use dispatcher::Dispatcher;
 pub use effect::Effect;
--- a/crates/scheduling/src/placement.rs
+++ b/crates/scheduling/src/placement.rs
@@ -8,6 +8,7 @@
 use crate::load_estimate::LoadEstimate;
 use crate::prefix_map::{CachedAt, PrefixMap};
 use crate::settings::ContextMoveSettings;
+use crate::working_set::WorkingSet;
 
 /// Slow-down of generation when all slots of an engine are taken, as part of the mean time.
 const LOAD_SLOPE: f64 = 0.6;
@@ -26,6 +27,8 @@
     pub estimate: &'a LoadEstimate,
     /// Moving contexts, if allowed.
     pub context_move: Option<&'a ContextMoveSettings>,
+    /// Whether a context fits beside those in use.
+    pub working_set: WorkingSet<'a>,
     /// Weight of latency against wasted cache, 0 to 100.
     pub latency_weight: u8,
 }
@@ -110,7 +113,7 @@
         let home = places.best(self.backends);
         let mut best: Option<(f64, BackendIndex)> = None;
         for (index, state) in self.backends.iter() {
-            if !state.has_slot(urgent) {
+            if !state.has_slot(urgent) || !self.has_room(call, &places, index, state) {
                 continue;
             }
             let cost = self.cost(call, &places, index, state);
@@ -135,6 +138,27 @@
         Choice::Now { backend, move_from }
     }
 
+    /// Whether the call may go to the back end as far as memory goes: its context is there, or it
+    /// fits beside those in use.
+    pub fn may_go(&self, call: &QueuedCall, index: BackendIndex) -> bool {
+        let places = PrefixPlaces::of(call, self.prefixes);
+        let state = self.backends.get(index);
+        state.is_some_and(|state| self.has_room(call, &places, index, state))
+    }
+
+    fn has_room(
+        &self,
+        call: &QueuedCall,
+        places: &PrefixPlaces<'_>,
+        index: BackendIndex,
+        state: &BackendState,
+    ) -> bool {
+        let mostly_cached = places.cached_at(index) * 2 > call.prompt_tokens;
+        let tokens = call.most_tokens();
+        let fits = || self.working_set.fits(call.run, tokens, index, state);
+        call.priority.urgent || mostly_cached || fits()
+    }
+
     /// Whether the call should rather go to `backend` now than wait for `home`.
     pub fn beats_waiting(
         &self,
--- a/crates/scheduling/src/retention.rs
+++ b/crates/scheduling/src/retention.rs
@@ -172,6 +172,33 @@
         }
     }
 
+    /// Tokens under lease at an engine.
+    pub fn leased_tokens(&self, backend: BackendIndex) -> u64 {
+        self.engines.get(&backend).map_or(0, |engine| engine.tokens)
+    }
+
+    /// Tokens of the run under lease at an engine.
+    pub fn leased_tokens_of(&self, run: RunId, backend: BackendIndex) -> u64 {
+        let lease = self.leases.get(&run);
+        let here = lease.filter(|lease| lease.backend == backend);
+        here.map_or(0, |lease| lease.tokens)
+    }
+
+    /// Prolongs the lease of a run that is back and has to wait for a slot.
+    pub fn prolong(&mut self, run: RunId, now: MonotonicTime) -> Option<RetentionChange> {
+        let until = now + self.max_lease;
+        let lease = self.leases.get_mut(&run)?;
+        self.by_end.remove(&(lease.until, run));
+        lease.until = until;
+        self.by_end.insert((until, run));
+        let backend = lease.backend;
+        Some(RetentionChange::Keep {
+            run,
+            backend,
+            until,
+        })
+    }
+
     /// Contexts under lease.
     pub fn len(&self) -> usize {
         self.leases.len()
--- a/crates/scheduling/src/settings.rs
+++ b/crates/scheduling/src/settings.rs
@@ -60,6 +60,8 @@
     pub retention: bool,
     /// Whether calls that cannot meet their deadline are refused.
     pub deadline_refusal: bool,
+    /// Whether runs whose context is not cached wait until it fits beside those in use.
+    pub working_set: bool,
 }
 
 impl Default for Policy {
@@ -72,6 +74,7 @@
             shares: true,
             retention: true,
             deadline_refusal: true,
+            working_set: true,
         }
     }
 }
@@ -86,6 +89,7 @@
             shares: false,
             retention: false,
             deadline_refusal: false,
+            working_set: false,
         }
     }
 
@@ -155,6 +159,9 @@
     pub ejection_max: Duration,
     /// Part of an engine's cache that may be under retention leases, in thousandths.
     pub retained_permille: u64,
+    /// Part of an engine's cache that contexts under lease and calls in flight may take together
+    /// before a further context has to wait, in thousandths.
+    pub working_set_permille: u64,
     /// Longest retention lease.
     pub max_retention: Duration,
     /// Cache capacity of an engine that has not reported one, in tokens.
@@ -186,6 +193,7 @@
             ejection_base: Duration::from_secs(1),
             ejection_max: Duration::from_secs(60),
             retained_permille: 700,
+            working_set_permille: 950,
             max_retention: Duration::from_secs(60),
             default_cache_tokens: 200_000,
             context_move: None,
