--- /dev/null
+++ b/crates/run-log/tests/simulation.rs
@@ -0,0 +1,163 @@
+//! Seeded schedules of message loss, doubling, reordering, crashes, pauses, disk loss and competing owners.
+//!
+//! `RIDGEWORKS_SIMULATION_SCHEDULES` raises the number of schedules, `RIDGEWORKS_SIMULATION_SEED` sets the first seed.
+
+mod simulator;
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Instant;
+
+use simulator::Weakening;
+use simulator::checks::Violation;
+use simulator::world::{Outcome, run_schedule};
+
+const LEAST_SCHEDULES: u64 = 10_000;
+const THREADS: u64 = 4;
+/// Schedules within which a missing mechanism must be noticed.
+const WEAKENED_SCHEDULES: u64 = 4_000;
+
+fn setting(name: &str, default: u64) -> u64 {
+    let text = std::env::var(name).ok();
+    text.and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+#[derive(Default)]
+struct Totals {
+    events: AtomicU64,
+    finished: AtomicU64,
+    executions: AtomicU64,
+    takeovers: AtomicU64,
+    replicas_changed: AtomicU64,
+}
+
+impl Totals {
+    fn add(&self, outcome: &Outcome) {
+        self.events.fetch_add(outcome.events, Ordering::Relaxed);
+        self.finished
+            .fetch_add(outcome.finished_calls, Ordering::Relaxed);
+        self.executions
+            .fetch_add(outcome.executions, Ordering::Relaxed);
+        self.takeovers
+            .fetch_add(outcome.takeovers, Ordering::Relaxed);
+        let changed = outcome.replicas_changed;
+        self.replicas_changed.fetch_add(changed, Ordering::Relaxed);
+    }
+}
+
+/// The first violating seed of those from `first`, with what it violated.
+fn search(
+    first: u64,
+    schedules: u64,
+    weakening: Option<Weakening>,
+    totals: &Totals,
+) -> Option<(u64, Vec<Violation>)> {
+    let next = AtomicU64::new(first);
+    let end = AtomicU64::new(first + schedules);
+    let work = || {
+        let mut found = None;
+        loop {
+            let seed = next.fetch_add(1, Ordering::Relaxed);
+            if seed >= end.load(Ordering::Relaxed) {
+                return found;
+            }
+            let outcome = run_schedule(seed, weakening);
+            totals.add(&outcome);
+            if !outcome.violations.is_empty() {
+                end.fetch_min(seed, Ordering::Relaxed);
+                found = Some((seed, outcome.violations));
+            }
+        }
+    };
+    std::thread::scope(|scope| {
+        let threads: Vec<_> = (0..THREADS).map(|_| scope.spawn(work)).collect();
+        let found = threads
+            .into_iter()
+            .filter_map(|thread| thread.join().unwrap());
+        found.min_by_key(|(seed, _)| *seed)
+    })
+}
+
+#[test]
+fn promises_hold_under_seeded_faults() {
+    let schedules =
+        setting("RIDGEWORKS_SIMULATION_SCHEDULES", LEAST_SCHEDULES).max(LEAST_SCHEDULES);
+    let first = setting("RIDGEWORKS_SIMULATION_SEED", 1);
+    let started = Instant::now();
+    let totals = Totals::default();
+    let found = search(first, schedules, None, &totals);
+    println!(
+        "{schedules} schedules, {} events, {} takeovers, {} replica changes, {} executions, {} finished calls, {:.1} s",
+        totals.events.load(Ordering::Relaxed),
+        totals.takeovers.load(Ordering::Relaxed),
+        totals.replicas_changed.load(Ordering::Relaxed),
+        totals.executions.load(Ordering::Relaxed),
+        totals.finished.load(Ordering::Relaxed),
+        started.elapsed().as_secs_f64(),
+    );
+    assert!(found.is_none(), "seed and violations: {found:?}");
+    assert!(
+        totals.finished.load(Ordering::Relaxed) > schedules,
+        "schedules do real work"
+    );
+    assert!(
+        totals.replicas_changed.load(Ordering::Relaxed) > 0,
+        "lost disks are replaced"
+    );
+}
+
+/// Without `weakening`'s mechanism the checks find a violation among those that it is there to prevent.
+fn is_noticed(weakening: Weakening) {
+    let found = search(1, WEAKENED_SCHEDULES, Some(weakening), &Totals::default());
+    println!("{weakening:?}: {found:?}");
+    let (_, violations) = found.expect("a missing mechanism must be noticed");
+    let unsafe_state = |violation: &Violation| !matches!(violation, Violation::Stuck(_));
+    assert!(
+        violations.iter().any(unsafe_state),
+        "only stuck: {violations:?}"
+    );
+}
+
+#[test]
+fn notices_promises_that_are_not_durable() {
+    is_noticed(Weakening::PromiseNotDurable);
+}
+
+#[test]
+fn notices_replies_before_the_flush() {
+    is_noticed(Weakening::ReplyBeforeFlush);
+}
+
+#[test]
+fn notices_lower_ballots_accepted() {
+    is_noticed(Weakening::LowerBallotAccepted);
+}
+
+#[test]
+fn notices_accepted_entries_not_adopted() {
+    is_noticed(Weakening::AcceptedNotAdopted);
+}
+
+#[test]
+fn notices_budgets_without_reserve() {
+    is_noticed(Weakening::NothingReserved);
+}
+
+#[test]
+fn notices_attempts_sent_before_dispatched_is_committed() {
+    is_noticed(Weakening::SentBeforeDispatched);
+}
+
+#[test]
+fn notices_doubtful_attempts_that_are_not_fenced() {
+    is_noticed(Weakening::NotFenced);
+}
+
+#[test]
+fn notices_owners_that_do_not_confirm() {
+    is_noticed(Weakening::NotConfirmed);
+}
+
+#[test]
+fn notices_lost_disks_under_the_old_identity() {
+    is_noticed(Weakening::IdentityKept);
+}
