--- a/crates/run-log/tests/simulator/world.rs
+++ b/crates/run-log/tests/simulator/world.rs
@@ -111,6 +111,11 @@
         node: usize,
         until: u64,
     },
+    Cut {
+        from: usize,
+        to: usize,
+        until: u64,
+    },
     TakeOver {
         node: usize,
         run: RunId,
@@ -142,6 +147,8 @@
     clients: Vec<Client>,
     record: Record,
     disk_lost: bool,
+    /// Until when nothing passes from one node to another.
+    cuts: BTreeMap<(usize, usize), u64>,
 }
 
 /// Runs one schedule.
@@ -175,6 +182,7 @@
             clients,
             record: Record::default(),
             disk_lost: false,
+            cuts: BTreeMap::new(),
         };
         world.plan();
         world
@@ -193,7 +201,7 @@
         for client in 0..CLIENTS {
             self.at(MILLISECOND, Event::Send { client });
         }
-        for _ in 0..self.rng.random_range(2..8) {
+        for _ in 0..self.rng.random_range(2..12) {
             let at = self.rng.random_range(0..FAULTS_END);
             let fault = self.fault(at);
             self.at(at, fault);
@@ -202,8 +210,13 @@
 
     fn fault(&mut self, at: u64) -> Event {
         let node = self.rng.random_range(0..NODES);
-        match self.rng.random_range(0..10) {
+        match self.rng.random_range(0..14) {
             0..=2 => Event::Crash { node },
+            10..=13 => Event::Cut {
+                from: node,
+                to: self.rng.random_range(0..NODES),
+                until: at + self.rng.random_range(20..800) * MILLISECOND,
+            },
             3..=6 => Event::Pause {
                 node,
                 until: at + self.rng.random_range(10..600) * MILLISECOND,
@@ -239,6 +252,14 @@
             .iter()
             .map(|client| (client.run, client.budget))
             .collect();
+        for answered in &mut self.record.answered {
+            let sender = self
+                .clients
+                .iter()
+                .find(|client| client.run == answered.run);
+            let requests = sender.map(|client| client.requests_of(answered.call));
+            answered.only_request = requests == Some(1);
+        }
         self.record.check(&budgets);
         for client in self
             .clients
@@ -327,6 +348,14 @@
         (held.paused_until > self.now).then_some(Some(held.paused_until))
     }
 
+    fn is_cut(&self, event: &Event) -> bool {
+        let (Event::Request { from, to, .. } | Event::Reply { from, to, .. }) = event else {
+            return false;
+        };
+        let until = self.cuts.get(&(*from, *to));
+        until.is_some_and(|until| *until > self.now)
+    }
+
     fn step(&mut self, event: Event) {
         match self.hold(&event) {
             Some(None) => return,
@@ -336,6 +365,9 @@
             }
             None => {}
         }
+        if self.is_cut(&event) {
+            return;
+        }
         match event {
             Event::Request { from, to, request } => self.replica_request(from, to, request),
             Event::Reply { from, to, reply } => {
@@ -404,6 +436,9 @@
             Event::Crash { node } => self.crash(node),
             Event::Restart { node, lose_disk } => self.restart(node, lose_disk),
             Event::Pause { node, until } => self.nodes[node].paused_until = until,
+            Event::Cut { from, to, until } => {
+                self.cuts.insert((from, to), until);
+            }
             Event::TakeOver { node, run } => self.own(node, run),
             Event::BackendGone { backend } => self.backends[backend].gone = true,
         }
@@ -980,15 +1015,13 @@
         {
             self.record.violations.push(Violation::Answer(run, call));
         }
-        let last_try = client.stage == Stage::Calling(call.0)
-            && matches!(answer, CallerAnswer::Refused(r) if r.reason != RefusalReason::NoBackend);
         self.record.answered.push(Answered {
             run,
             call,
             invoked: at,
             at: self.now,
             answer: answer.clone(),
-            only_request: last_try && client.requests_of(call) == 1,
+            only_request: false,
         });
     }
 }
