--- a/crates/run-log/src/election.rs
+++ b/crates/run-log/src/election.rs
@@ -38,7 +38,7 @@
     last: LogPosition,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct Candidate {
     vote: Option<Vote>,
     /// The replica as it answered that it can't vote.
@@ -47,7 +47,7 @@
     member: Option<ReplicaId>,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Copying {
     donor: Vote,
     log: Vec<LogEntry>,
@@ -55,7 +55,7 @@
 }
 
 /// One node's attempt to own one run.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct Election {
     run: RunId,
     instance: u64,
@@ -100,6 +100,13 @@
         election
     }
 
+    /// The same claim from the start, at a higher ballot so that earlier answers don't count.
+    pub fn again(&self, now: MonotonicTime) -> Self {
+        let contacts: Vec<NodeId> = self.candidates.keys().copied().collect();
+        let node = self.ballot.node;
+        Self::start(self.run, node, self.instance, self.ballot, &contacts, now)
+    }
+
     /// What became of it.
     pub fn state(&self) -> &ElectionState {
         &self.state
--- a/crates/run-log/src/owner/mod.rs
+++ b/crates/run-log/src/owner/mod.rs
@@ -208,7 +208,7 @@
                 refusal,
             } => self.grant_refused(call, attempt, refusal, now),
             request if self.ready => self.take_request(request, now),
-            request => self.waiting.queued.push(request),
+            request => self.waiting.queued.push((now, request)),
         }
     }
 
@@ -257,6 +257,7 @@
             }
         }
         self.answer_confirmed();
+        self.notice_unknown_run(now);
         for (to, request) in self.proposer.take_requests() {
             self.effects
                 .push(OwnerEffect::SendToReplica { to, request });
@@ -335,7 +336,7 @@
         self.ready = true;
         let spent = self.state.budget().spent();
         self.effects.push(OwnerEffect::Ready { opening, spent });
-        for event in std::mem::take(&mut self.waiting.queued) {
+        for (_, event) in std::mem::take(&mut self.waiting.queued) {
             self.take_event(event, now);
         }
     }
@@ -362,13 +363,28 @@
             }
             ProposerState::RunUnknown => {
                 self.effects.push(OwnerEffect::RunUnknown);
-                let refusal = Refusal::permanent(RefusalReason::UnknownRun);
-                self.stop(CallerAnswer::Refused(refusal));
+                self.stop(CallerAnswer::OwnerChanged);
             }
             ProposerState::Claiming | ProposerState::Leading => {}
         }
     }
 
+    /// Tells those that the run is unknown who came before the replicas were asked. Between an answer and the coming
+    /// of a later request the run may have been opened, so for those the replicas are asked anew.
+    fn notice_unknown_run(&mut self, now: MonotonicTime) {
+        if self.stopped || self.proposer.state() != ProposerState::RunUnknown {
+            return;
+        }
+        let asked_at = self.proposer.claimed_at();
+        for caller in self.waiting.take_queued_until(asked_at) {
+            let refusal = Refusal::permanent(RefusalReason::UnknownRun);
+            self.answer(caller, CallerAnswer::Refused(refusal));
+        }
+        if !self.waiting.queued.is_empty() {
+            self.proposer.claim_again(now);
+        }
+    }
+
     fn stop(&mut self, answer: CallerAnswer) {
         self.stopped = true;
         for caller in self.waiting.take_all() {
--- a/crates/run-log/src/owner/waiting.rs
+++ b/crates/run-log/src/owner/waiting.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use ridgeworks_domain::{CallRequest, RunId, Sequence};
+use ridgeworks_domain::{CallRequest, MonotonicTime, RunId, Sequence};
 
 use crate::event::{CallerAnswer, CallerId, OwnerEvent};
 
@@ -24,8 +24,8 @@
 /// Everyone who waits, by what they wait for.
 #[derive(Debug, Default)]
 pub(super) struct Waiting {
-    /// For the claim and the doubtful attempts.
-    pub queued: Vec<OwnerEvent>,
+    /// For the claim and the doubtful attempts, with the time that each came.
+    pub queued: Vec<(MonotonicTime, OwnerEvent)>,
     /// For a slot.
     pub pending: Option<PendingCall>,
     /// For the end of a call in the log.
@@ -65,9 +65,22 @@
             .collect()
     }
 
+    /// Callers that came up to `time` and still wait for the claim, who wait no more.
+    pub fn take_queued_until(&mut self, time: MonotonicTime) -> Vec<CallerId> {
+        let queued = std::mem::take(&mut self.queued);
+        let (early, late) = queued.into_iter().partition(|(at, _)| *at <= time);
+        self.queued = late;
+        let early: Vec<(MonotonicTime, OwnerEvent)> = early;
+        early
+            .iter()
+            .filter_map(|(_, event)| caller_of(event))
+            .collect()
+    }
+
     /// Drops a caller that went away.
     pub fn forget(&mut self, gone: CallerId) {
-        self.queued.retain(|event| caller_of(event) != Some(gone));
+        self.queued
+            .retain(|(_, event)| caller_of(event) != Some(gone));
         if let Some(pending) = self.pending.as_mut() {
             pending.callers.retain(|caller| *caller != gone);
         }
@@ -82,7 +95,8 @@
     /// Everyone, who wait no more.
     pub fn take_all(&mut self) -> Vec<CallerId> {
         let waiting = std::mem::take(self);
-        let queued = waiting.queued.iter().filter_map(caller_of);
+        let queued = waiting.queued.iter();
+        let queued = queued.filter_map(|(_, event)| caller_of(event));
         let pending = waiting.pending.into_iter().flat_map(|call| call.callers);
         let calls = waiting.calls.into_values().flatten();
         let children = waiting.children.into_iter().map(|(_, caller)| caller);
--- a/crates/run-log/src/proposer.rs
+++ b/crates/run-log/src/proposer.rs
@@ -16,7 +16,7 @@
     Claiming(Election),
     Leading(Replication),
     SteppedDown(Ballot),
-    RunUnknown,
+    RunUnknown(Election),
 }
 
 /// Where the proposer stands.
@@ -28,7 +28,7 @@
     Leading,
     /// Another node claimed the run with this ballot. Final.
     SteppedDown(Ballot),
-    /// All replicas answered that they hold nothing of the run. Final.
+    /// All replicas answered that they hold nothing of the run.
     RunUnknown,
 }
 
@@ -39,6 +39,7 @@
     settings: ReplicationSettings,
     phase: Phase,
     claim_index: LogIndex,
+    claimed_at: MonotonicTime,
     outgoing: Vec<(NodeId, Request)>,
 }
 
@@ -63,6 +64,7 @@
             settings,
             phase: Phase::Leading(replication),
             claim_index,
+            claimed_at: now,
             outgoing: Vec::new(),
         }
     }
@@ -87,6 +89,7 @@
             settings,
             phase: Phase::Claiming(election),
             claim_index: LogIndex::NONE,
+            claimed_at: now,
             outgoing: Vec::new(),
         }
     }
@@ -97,7 +100,21 @@
             Phase::Claiming(_) => ProposerState::Claiming,
             Phase::Leading(_) => ProposerState::Leading,
             Phase::SteppedDown(higher) => ProposerState::SteppedDown(*higher),
-            Phase::RunUnknown => ProposerState::RunUnknown,
+            Phase::RunUnknown(_) => ProposerState::RunUnknown,
+        }
+    }
+
+    /// When the replicas were first asked for the claim under way, or for the last one.
+    pub fn claimed_at(&self) -> MonotonicTime {
+        self.claimed_at
+    }
+
+    /// Claims anew a run that was unknown. Answers to the earlier claim don't count.
+    pub fn claim_again(&mut self, now: MonotonicTime) {
+        if let Phase::RunUnknown(election) = &mut self.phase {
+            let election = election.again(now);
+            self.phase = Phase::Claiming(election);
+            self.claimed_at = now;
         }
     }
 
@@ -171,7 +188,7 @@
         match &mut self.phase {
             Phase::Claiming(election) => election.handle(from, reply, now),
             Phase::Leading(replication) => replication.handle(from, reply, now),
-            Phase::SteppedDown(_) | Phase::RunUnknown => return,
+            Phase::SteppedDown(_) | Phase::RunUnknown(_) => return,
         }
         self.change_phase(now);
     }
@@ -181,7 +198,7 @@
         match &mut self.phase {
             Phase::Claiming(election) => election.tick(now, self.settings.retry_after),
             Phase::Leading(replication) => replication.tick(now),
-            Phase::SteppedDown(_) | Phase::RunUnknown => return,
+            Phase::SteppedDown(_) | Phase::RunUnknown(_) => return,
         }
         self.change_phase(now);
     }
@@ -196,7 +213,7 @@
         let news = match &mut self.phase {
             Phase::Claiming(election) => election.take_outgoing(),
             Phase::Leading(replication) => replication.take_outgoing(),
-            Phase::SteppedDown(_) | Phase::RunUnknown => Vec::new(),
+            Phase::SteppedDown(_) | Phase::RunUnknown(_) => Vec::new(),
         };
         self.outgoing.extend(news);
     }
@@ -208,13 +225,13 @@
                 ElectionState::Open => return,
                 ElectionState::Won { log } => self.lead(election, log.clone(), now),
                 ElectionState::Lost { higher } => Phase::SteppedDown(*higher),
-                ElectionState::RunUnknown => Phase::RunUnknown,
+                ElectionState::RunUnknown => Phase::RunUnknown(election.clone()),
             },
             Phase::Leading(replication) => match replication.higher() {
                 Some(higher) => Phase::SteppedDown(higher),
                 None => return,
             },
-            Phase::SteppedDown(_) | Phase::RunUnknown => return,
+            Phase::SteppedDown(_) | Phase::RunUnknown(_) => return,
         };
         self.phase = next;
         self.claim(now);
--- a/crates/run-log/tests/simulator/world.rs
+++ b/crates/run-log/tests/simulator/world.rs
@@ -103,6 +103,10 @@
     Crash {
         node: usize,
     },
+    PowerOff {
+        node: usize,
+        on_at: u64,
+    },
     Restart {
         node: usize,
         lose_disk: bool,
@@ -203,8 +207,30 @@
         }
         for _ in 0..self.rng.random_range(2..12) {
             let at = self.rng.random_range(0..FAULTS_END);
-            let fault = self.fault(at);
-            self.at(at, fault);
+            match self.rng.random_range(0..10) {
+                0 => self.plan_power_cut(at),
+                _ => {
+                    let fault = self.fault(at);
+                    self.at(at, fault);
+                }
+            }
+        }
+    }
+
+    /// All disks lose power while a node takes a run over whose appends don't get through.
+    fn plan_power_cut(&mut self, at: u64) {
+        let from = self.rng.random_range(0..NODES);
+        let run = self.clients[self.rng.random_range(0..CLIENTS)].run;
+        self.at(at, Event::TakeOver { node: from, run });
+        let cut_at = at + self.rng.random_range(3..20) * MILLISECOND;
+        let until = cut_at + self.rng.random_range(5..300) * MILLISECOND;
+        for to in 0..REPLICAS {
+            self.at(cut_at, Event::Cut { from, to, until });
+        }
+        let off_at = at + self.rng.random_range(3_000..25_000);
+        let on_at = off_at + self.rng.random_range(1..10) * MILLISECOND;
+        for node in (0..REPLICAS).filter(|node| *node != from) {
+            self.at(off_at, Event::PowerOff { node, on_at });
         }
     }
 
@@ -434,6 +460,7 @@
                 self.input(node, incarnation, key.0, event);
             }
             Event::Crash { node } => self.crash(node),
+            Event::PowerOff { node, on_at } => self.power_off(node, on_at),
             Event::Restart { node, lose_disk } => self.restart(node, lose_disk),
             Event::Pause { node, until } => self.nodes[node].paused_until = until,
             Event::Cut { from, to, until } => {
@@ -825,6 +852,22 @@
         if !self.nodes[node].alive {
             return;
         }
+        self.lose_memory(node);
+        let lose_disk = node < REPLICAS && !self.disk_lost && self.rng.random_bool(0.4);
+        self.disk_lost |= lose_disk;
+        let delay = self.rng.random_range(5..500) * MILLISECOND;
+        self.after(delay, Event::Restart { node, lose_disk });
+    }
+
+    fn power_off(&mut self, node: usize, on_at: u64) {
+        if self.nodes[node].alive {
+            self.lose_memory(node);
+            let lose_disk = false;
+            self.at(on_at, Event::Restart { node, lose_disk });
+        }
+    }
+
+    fn lose_memory(&mut self, node: usize) {
         let now = self.time();
         let forget = self.weakening == Some(Weakening::PromiseNotDurable);
         let kept = self.rng.random_range(0..4);
@@ -832,10 +875,6 @@
         if let Some(held) = self.nodes[node].replica.as_mut() {
             held.crash(kept, forget, now);
         }
-        let lose_disk = node < REPLICAS && !self.disk_lost && self.rng.random_bool(0.4);
-        self.disk_lost |= lose_disk;
-        let delay = self.rng.random_range(5..500) * MILLISECOND;
-        self.after(delay, Event::Restart { node, lose_disk });
     }
 
     fn restart(&mut self, node: usize, lose_disk: bool) {
