--- /dev/null
+++ b/crates/run-log/tests/replica.rs
@@ -0,0 +1,248 @@
+//! The acceptor's rules that a schedule of the simulator seldom meets.
+
+mod support;
+
+use std::time::Duration;
+
+use ridgeworks_domain::{Ballot, MonotonicTime, NodeId};
+use ridgeworks_run_log::{
+    CallerId, Entry, LogEntry, LogIndex, LogPosition, OwnerEvent, Rejection, Replica, ReplicaId,
+    Reply, Request, RestoredStore, RunHead, StoreId, Write,
+};
+use support::*;
+
+const RETENTION: Duration = Duration::from_secs(60);
+const FIRST_BALLOT: Ballot = Ballot {
+    round: 1,
+    node: OWNER,
+};
+
+fn entry(index: u64, ballot: Ballot, entry: Entry) -> LogEntry {
+    let index = LogIndex(index);
+    LogEntry {
+        index,
+        ballot,
+        entry,
+    }
+}
+
+fn opened(identity: ReplicaId) -> LogEntry {
+    entry(1, FIRST_BALLOT, Entry::Opened(opening(vec![identity], 10)))
+}
+
+fn owner_changed(index: u64, ballot: Ballot) -> LogEntry {
+    let owner = ballot.node;
+    entry(index, ballot, Entry::OwnerChanged { owner })
+}
+
+fn append(
+    replica: ReplicaId,
+    ballot: Ballot,
+    previous: LogPosition,
+    entries: Vec<LogEntry>,
+) -> Request {
+    Request::Append {
+        run: RUN,
+        ballot,
+        replica,
+        previous,
+        entries,
+        commit_index: LogIndex::NONE,
+        round: 0,
+    }
+}
+
+fn prepare(ballot: Ballot, instance: u64) -> Request {
+    let (run, replica) = (RUN, None);
+    Request::Prepare {
+        run,
+        ballot,
+        instance,
+        replica,
+    }
+}
+
+fn ask(
+    replica: &mut Replica,
+    entries: &mut Entries,
+    request: Request,
+    now: MonotonicTime,
+) -> Reply {
+    let mut ready = replica.handle(OWNER, request, now, entries);
+    entries.apply(ready.writes);
+    replica.flushed(ready.write_number);
+    ready.replies_after_flush.remove(0).1
+}
+
+fn rejection(reply: &Reply) -> Option<Rejection> {
+    match reply {
+        Reply::Rejected { reason, .. } => Some(*reason),
+        _ => None,
+    }
+}
+
+#[test]
+fn a_ballot_is_granted_to_one_proposer_instance() {
+    let (mut replica, mut entries) = (replica(1), Entries::default());
+    let identity = replica.identity();
+    ask(
+        &mut replica,
+        &mut entries,
+        append(
+            identity,
+            FIRST_BALLOT,
+            LogPosition::NONE,
+            vec![opened(identity)],
+        ),
+        NOW,
+    );
+    let ballot = FIRST_BALLOT.next_for(OTHER_OWNER);
+    let first = ask(&mut replica, &mut entries, prepare(ballot, 1), NOW);
+    assert!(matches!(first, Reply::Promise { instance: 1, .. }));
+    assert_eq!(
+        ask(&mut replica, &mut entries, prepare(ballot, 1), NOW),
+        first,
+        "a repeated request"
+    );
+    let other = ask(&mut replica, &mut entries, prepare(ballot, 2), NOW);
+    assert_eq!(
+        rejection(&other),
+        Some(Rejection::HigherBallot { promised: ballot })
+    );
+}
+
+#[test]
+fn only_an_opening_meant_for_this_store_creates_a_run() {
+    let (mut replica, mut entries) = (replica(1), Entries::default());
+    let identity = replica.identity();
+    let unknown = ask(&mut replica, &mut entries, prepare(FIRST_BALLOT, 1), NOW);
+    assert_eq!(rejection(&unknown), Some(Rejection::UnknownRun));
+    let other = ReplicaId {
+        store: StoreId(1),
+        ..identity
+    };
+    let meant_for_other = append(other, FIRST_BALLOT, LogPosition::NONE, vec![opened(other)]);
+    let refused = ask(&mut replica, &mut entries, meant_for_other, NOW);
+    assert_eq!(rejection(&refused), Some(Rejection::Recovering));
+    let later = owner_changed(2, FIRST_BALLOT);
+    let previous = opened(identity).position();
+    let middle = ask(
+        &mut replica,
+        &mut entries,
+        append(identity, FIRST_BALLOT, previous, vec![later]),
+        NOW,
+    );
+    assert_eq!(rejection(&middle), Some(Rejection::UnknownRun));
+    assert_eq!(replica.run_count(), 0);
+}
+
+#[test]
+fn a_conflicting_tail_is_replaced_also_before_it_is_flushed() {
+    for flush in [false, true] {
+        let (mut replica, mut entries) = (replica(1), Entries::default());
+        let identity = replica.identity();
+        let old = vec![
+            opened(identity),
+            owner_changed(2, FIRST_BALLOT),
+            owner_changed(3, FIRST_BALLOT),
+        ];
+        let first = append(identity, FIRST_BALLOT, LogPosition::NONE, old.clone());
+        let ready = replica.handle(OWNER, first, NOW, &entries);
+        if flush {
+            entries.apply(ready.writes);
+            replica.flushed(ready.write_number);
+        }
+        let ballot = FIRST_BALLOT.next_for(OTHER_OWNER);
+        let new = owner_changed(2, ballot);
+        let second = append(identity, ballot, old[0].position(), vec![new.clone()]);
+        let ready = replica.handle(OWNER, second, NOW, &entries);
+        let truncate = Write::TruncateFrom {
+            run: RUN,
+            index: LogIndex(2),
+        };
+        assert!(ready.writes.contains(&truncate));
+        let fetch = Request::Fetch {
+            run: RUN,
+            ballot,
+            first_index: LogIndex::FIRST,
+        };
+        let ready = replica.handle(OWNER, fetch, NOW, &entries);
+        let Reply::Fetched { entries: found, .. } = &ready.replies_after_flush[0].1 else {
+            panic!("the log is handed out");
+        };
+        assert_eq!(*found, [old[0].clone(), new]);
+    }
+}
+
+#[test]
+fn a_forgotten_run_is_not_opened_again_by_a_late_message() {
+    let (mut cluster, _) = Cluster::open(100);
+    cluster.tell(OwnerEvent::Close {
+        caller: CallerId(1),
+    });
+    let later = NOW + Duration::from_millis(100);
+    for effect in cluster.owner.handle(OwnerEvent::Tick, later) {
+        if let ridgeworks_run_log::OwnerEffect::SendToReplica { to, request } = effect {
+            let (replica, entries) = &mut cluster.replicas[to.0 as usize - 1];
+            ask(replica, entries, request, later);
+        }
+    }
+    let (replica, entries) = &mut cluster.replicas[0];
+    assert!(replica.head(RUN).is_some_and(|head| head.is_closed()));
+    let identity = replica.identity();
+    let mut now = later;
+    for forgotten in [false, true] {
+        now = now + RETENTION;
+        replica.sweep(now, RETENTION, 10);
+        assert_eq!(replica.head(RUN).is_none(), forgotten);
+    }
+    let late = append(
+        identity,
+        FIRST_BALLOT,
+        LogPosition::NONE,
+        vec![opened(identity)],
+    );
+    let refused = ask(replica, entries, late, now);
+    assert_eq!(rejection(&refused), Some(Rejection::Recovering));
+    assert_eq!(replica.run_count(), 0);
+}
+
+#[test]
+fn silent_open_runs_are_listed_in_pages_and_closed_ones_are_not() {
+    let head = |closed: u64| RunHead {
+        promised: FIRST_BALLOT,
+        instance: 0,
+        last: LogPosition {
+            ballot: FIRST_BALLOT,
+            index: LogIndex(2),
+        },
+        commit_index: LogIndex(2),
+        closed_index: LogIndex(closed),
+        generation: 0,
+    };
+    let heads = (1..=5).map(|run| {
+        (
+            ridgeworks_domain::RunId(run),
+            head(if run == 3 { 2 } else { 0 }),
+        )
+    });
+    let (store, generation, heads) = (StoreId(1), 0, heads.collect());
+    let replica = Replica::restore(
+        NodeId(1),
+        RestoredStore {
+            store,
+            generation,
+            heads,
+        },
+        NOW,
+    );
+    let silent = Duration::from_secs(5);
+    assert!(replica.silent_runs(NOW, silent, None, 10).is_empty());
+    let later = NOW + silent;
+    let page = replica.silent_runs(later, silent, None, 2);
+    let runs: Vec<u128> = page.iter().map(|silent| silent.run.0).collect();
+    assert_eq!(runs, [1, 2]);
+    let rest = replica.silent_runs(later, silent, Some(page[1].run), 10);
+    let runs: Vec<u128> = rest.iter().map(|silent| silent.run.0).collect();
+    assert_eq!(runs, [4, 5]);
+}
