--- a/crates/configuration/tests/simulator/history.rs
+++ b/crates/configuration/tests/simulator/history.rs
@@ -6,10 +6,8 @@
 use ridgeworks_configuration::{ConfigurationSet, ObjectKey};
 use todc_utils::{Action, History, Specification, WGLChecker};
 
-use super::scenario::{INITIAL_STATE, registers};
+use super::scenario::{INITIAL_STATE, RegisterState, registers};
 
-/// Versions of the registers, then the revision.
-pub type RegisterState = [u64; 4];
 const REVISION: usize = 3;
 
 /// What an operator asked for.
--- a/crates/configuration/tests/simulator/scenario.rs
+++ b/crates/configuration/tests/simulator/scenario.rs
@@ -1,5 +1,7 @@
 //! The configuration that the simulated operators race on.
 
+#![allow(dead_code, reason = "each test binary uses its part of the scenario")]
+
 use ridgeworks_configuration::change::apply_change;
 use ridgeworks_configuration::{
     Change, ChangeRequest, ConfigurationObject, ConfigurationSet, ObjectKey, ObjectKind,
@@ -8,7 +10,8 @@
 use ridgeworks_domain::objects::{Partner, PoolSplit, Service, Share};
 use ridgeworks_domain::{Cost, PartnerName, ServiceKind, ServiceName};
 
-use super::history::RegisterState;
+/// Versions of the registers, then the revision.
+pub type RegisterState = [u64; 4];
 
 pub const PARTNERS: [&str; 2] = ["first", "second"];
 /// Versions of the registers after [`initial_configuration`], then its revision.
