--- a/crates/configuration/tests/simulation.rs
+++ b/crates/configuration/tests/simulation.rs
@@ -7,7 +7,7 @@
 
 use simulator::{Report, Violation, Weakness, run};
 
-const SCHEDULES: u64 = 60;
+const SCHEDULES: u64 = 2_000;
 const THREADS: usize = 3;
 
 /// Runs the schedules of seeds below `count` and returns the sums, or the first failing seed found.
