Test the store against seeded crashes, faults and folders

Found on the way: redb does not open a file whose creation was cut off (seen failing: InvalidData), so a new file now gets its name only when it is whole.

--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -15,6 +15,7 @@
 
 mod counters;
 mod error;
+mod folder;
 mod identity;
 mod operation;
 mod reader;
--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -1,8 +1,6 @@
 //! The store: opening, submitting, reading, closing.
 
-use std::fs::{self, File};
 use std::ops::ControlFlow;
-use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{self, JoinHandle};
@@ -13,6 +11,7 @@
 
 use crate::counters::{StoreCounters, add};
 use crate::error::StoreError;
+use crate::folder::DataFolder;
 use crate::identity::{self, StoreIdentity};
 use crate::operation::WriteBatch;
 use crate::reader::{self, ConfigurationRecord, StoredEntry};
@@ -20,7 +19,6 @@
 use crate::tables::WriteTables;
 use crate::writer::Writer;
 
-const DATABASE_FILE: &str = "replica.redb";
 const WRITER_THREAD: &str = "store-writer";
 
 /// A store that was just opened.
@@ -40,15 +38,24 @@
     writer: Option<JoinHandle<()>>,
     counters: Arc<StoreCounters>,
     failed: Arc<AtomicBool>,
+    /// Holds the lock; dropped after the database, which the fields above close.
+    folder: Option<DataFolder>,
 }
 
 impl Store {
     /// Opens the data folder, creating it when missing, and repairs the database after a crash.
     pub fn open(settings: &StoreSettings) -> Result<OpenedStore, StoreError> {
-        fs::create_dir_all(&settings.directory)?;
-        let path = settings.directory.join(DATABASE_FILE);
-        let opened = Self::open_database(settings, |builder| Ok(builder.create(&path)?))?;
-        sync_directory_entry(&settings.directory)?;
+        let folder = DataFolder::lock(&settings.directory)?;
+        let is_new = !folder.has_database()?;
+        if is_new {
+            folder.create_database(|path| {
+                Self::open_database(settings, |builder| Ok(builder.create(path)?)).map(drop)
+            })?;
+        }
+        let path = folder.database_path();
+        let mut opened = Self::open_database(settings, |builder| Ok(builder.open(&path)?))?;
+        opened.is_new = is_new;
+        opened.store.folder = Some(folder);
         Ok(opened)
     }
 
@@ -106,6 +113,7 @@
             writer: Some(writer),
             counters,
             failed,
+            folder: None,
         })
     }
 
@@ -205,8 +213,3 @@
     transaction.commit()?;
     Ok(identity)
 }
-
-/// A new file survives a crash only once its folder is synced too.
-fn sync_directory_entry(directory: &Path) -> Result<(), StoreError> {
-    Ok(File::open(directory)?.sync_all()?)
-}
--- /dev/null
+++ b/crates/storage/tests/crash.rs
@@ -0,0 +1,243 @@
+//! Crashes and faults of a simulated disk under seeded schedules.
+
+mod support;
+
+use std::path::Path;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use ridgeworks_domain::RunId;
+use ridgeworks_storage::{Store, StoreCreationId, StoreError, StoreOperation};
+use support::{Contents, Fault, SimulatedDisk, settings, submit, write};
+
+const SCHEDULES: u64 = 2_000;
+const RUNS: u128 = 4;
+const BATCHES: usize = 12;
+const MAX_OPERATIONS: usize = 6;
+const MAX_VALUE_BYTES: usize = 6_000;
+const MAX_BATCHES_IN_FLIGHT: usize = 4;
+const MAX_CHANGES_BEFORE_CRASH: u64 = 160;
+
+fn random_operation(random: &mut ChaCha8Rng) -> StoreOperation {
+    let run = RunId(random.random_range(0..RUNS));
+    let index = random.random_range(0..8);
+    let key = vec![random.random_range(0..3)];
+    let length = random.random_range(0..MAX_VALUE_BYTES);
+    let bytes = vec![random.random(); length];
+    match random.random_range(0..12) {
+        0..=1 => StoreOperation::PutRunHead { run, bytes },
+        2..=7 => StoreOperation::PutEntry { run, index, bytes },
+        8 => StoreOperation::TruncateEntries { run, from: index },
+        9 => StoreOperation::ForgetRun { run },
+        10 => StoreOperation::PutConfiguration { key, bytes },
+        _ => StoreOperation::DeleteConfiguration { key },
+    }
+}
+
+fn random_batch(random: &mut ChaCha8Rng) -> Vec<StoreOperation> {
+    let count = random.random_range(1..=MAX_OPERATIONS);
+    (0..count).map(|_| random_operation(random)).collect()
+}
+
+/// The contents after each prefix of the batches; the first is empty.
+fn prefixes(batches: &[Vec<StoreOperation>]) -> Vec<Contents> {
+    let mut prefixes = vec![Contents::default()];
+    for batch in batches {
+        let mut next = prefixes[prefixes.len() - 1].clone();
+        batch.iter().for_each(|operation| next.apply(operation));
+        prefixes.push(next);
+    }
+    prefixes
+}
+
+/// Submits batches until the disk fails; how many were submitted, and how many acknowledged.
+fn write_until_failure(
+    store: &Store,
+    batches: &[Vec<StoreOperation>],
+    random: &mut ChaCha8Rng,
+) -> (usize, usize) {
+    let (mut submitted, mut acknowledged) = (0, 0);
+    while submitted < batches.len() {
+        let group = random.random_range(1..=MAX_BATCHES_IN_FLIGHT);
+        let group = group.min(batches.len() - submitted);
+        let in_flight = &batches[submitted..submitted + group];
+        let outcomes: Vec<_> = in_flight
+            .iter()
+            .map_while(|batch| {
+                let (sender, outcome) = crossbeam_channel::bounded(1);
+                let batch = ridgeworks_storage::WriteBatch::new(batch.clone(), move |result| {
+                    let _ = sender.send(result);
+                });
+                store.submit(batch).ok().map(|()| outcome)
+            })
+            .collect();
+        submitted += outcomes.len();
+        let mut failed = outcomes.len() < group;
+        for outcome in outcomes {
+            match outcome.recv().expect("every batch is answered") {
+                Ok(()) => {
+                    assert!(!failed, "acknowledged after a failure");
+                    acknowledged += 1;
+                }
+                Err(_) => failed = true,
+            }
+        }
+        if failed {
+            break;
+        }
+    }
+    (submitted, acknowledged)
+}
+
+/// Opens the store, at first perhaps with further crashes during the repair.
+fn reopen(mut image: Vec<u8>, random: &mut ChaCha8Rng) -> Store {
+    while !image.is_empty() && random.random_bool(0.3) {
+        let disk = SimulatedDisk::holding(image);
+        disk.fail_after(random.random_range(0..20), Fault::Crash);
+        let _ = Store::open_on(&settings(Path::new("")), disk.clone());
+        image = disk.image_after_crash(random);
+    }
+    let opened = Store::open_on(&settings(Path::new("")), SimulatedDisk::holding(image));
+    opened.expect("the store opens after a crash").store
+}
+
+#[derive(Debug, Default)]
+struct Tally {
+    crashed_while_opening: u64,
+    crashed_while_writing: u64,
+    unacknowledged_kept: u64,
+}
+
+fn run_schedule(seed: u64, tally: &mut Tally) {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let batches: Vec<_> = (0..BATCHES).map(|_| random_batch(&mut random)).collect();
+    let disk = SimulatedDisk::default();
+    disk.fail_after(
+        random.random_range(0..MAX_CHANGES_BEFORE_CRASH),
+        Fault::Crash,
+    );
+    let opened = Store::open_on(&settings(Path::new("")), disk.clone());
+    let was_created = opened.is_ok();
+    let (submitted, acknowledged) = match opened {
+        Ok(opened) => write_until_failure(&opened.store, &batches, &mut random),
+        Err(_) => {
+            tally.crashed_while_opening += 1;
+            (0, 0)
+        }
+    };
+    // A file whose creation was cut off has not got its name yet, and is made anew.
+    let image = match was_created {
+        true => disk.image_after_crash(&mut random),
+        false => Vec::new(),
+    };
+    let store = reopen(image, &mut random);
+    let found = Contents::of(&store, 0..RUNS);
+    let prefixes = prefixes(&batches);
+    let matches: Vec<usize> = (acknowledged..=submitted)
+        .filter(|count| prefixes[*count] == found)
+        .collect();
+    assert!(
+        !matches.is_empty(),
+        "seed {seed}: {acknowledged} of {submitted} batches acknowledged, no such prefix found"
+    );
+    tally.crashed_while_writing += u64::from(acknowledged < submitted);
+    tally.unacknowledged_kept += u64::from(matches[0] > acknowledged);
+}
+
+#[test]
+fn acknowledged_batches_survive_and_others_are_all_or_nothing() {
+    let mut tally = Tally::default();
+    for seed in 0..SCHEDULES {
+        run_schedule(seed, &mut tally);
+    }
+    println!("{SCHEDULES} schedules: {tally:?}");
+    assert!(tally.crashed_while_opening > 20, "{tally:?}");
+    assert!(tally.crashed_while_writing > SCHEDULES / 3, "{tally:?}");
+    assert!(tally.unacknowledged_kept > 5, "{tally:?}");
+}
+
+#[test]
+fn a_new_store_knows_that_it_is_new_and_an_old_one_its_identity() {
+    let disk = SimulatedDisk::default();
+    let opened = Store::open_on(&settings(Path::new("")), disk.clone()).expect("open");
+    assert!(opened.is_new);
+    assert_eq!(opened.store.identity().creation_id, StoreCreationId(7));
+    let mut random = ChaCha8Rng::seed_from_u64(0);
+    let image = disk.image_after_crash(&mut random);
+    let mut later = settings(Path::new(""));
+    later.new_creation_id = StoreCreationId(8);
+    let opened = Store::open_on(&later, SimulatedDisk::holding(image)).expect("open");
+    assert!(!opened.is_new);
+    assert_eq!(opened.store.identity().creation_id, StoreCreationId(7));
+}
+
+fn entry(index: u64) -> Vec<StoreOperation> {
+    entry_of(index, 2_000)
+}
+
+fn entry_of(index: u64, length: usize) -> Vec<StoreOperation> {
+    vec![StoreOperation::PutEntry {
+        run: RunId(1),
+        index,
+        bytes: vec![5; length],
+    }]
+}
+
+fn assert_failure_is_final(fault: Fault, expected: &StoreError) {
+    let disk = SimulatedDisk::default();
+    let store = Store::open_on(&settings(Path::new("")), disk.clone())
+        .expect("open")
+        .store;
+    assert_eq!(write(&store, entry(0)), Ok(()));
+    disk.fail_after(0, fault);
+    let outcome = (1..).find_map(|index| write(&store, entry(index)).err());
+    assert_eq!(outcome.as_ref(), Some(expected));
+    let late = ridgeworks_storage::WriteBatch::new(entry(9), |_| panic!("must not be called"));
+    assert_eq!(store.submit(late), Err(StoreError::FailedBefore));
+}
+
+#[test]
+fn a_failed_sync_is_never_acknowledged_and_is_final() {
+    let expected = StoreError::Io(std::io::ErrorKind::Other);
+    assert_failure_is_final(Fault::SyncFails, &expected);
+}
+
+#[test]
+fn a_full_disk_has_its_own_error_and_is_final() {
+    assert_failure_is_final(Fault::DiskFull, &StoreError::DiskFull);
+}
+
+#[test]
+fn batches_that_wait_share_one_commit() {
+    const WAITING: u64 = 500;
+    const SMALL: usize = 20;
+    let disk = SimulatedDisk::default();
+    let store = Store::open_on(&settings(Path::new("")), disk.clone())
+        .expect("open")
+        .store;
+    // Makes the room that the group needs: growing the file takes syncs of its own.
+    let all = (0..WAITING).flat_map(|index| entry_of(index, SMALL));
+    assert_eq!(write(&store, all.collect()), Ok(()));
+    let syncs_before = disk.syncs();
+    assert_eq!(write(&store, entry_of(0, SMALL)), Ok(()));
+    let syncs_per_commit = disk.syncs() - syncs_before;
+    let (entered, held) = crossbeam_channel::bounded::<()>(0);
+    let (release, released) = crossbeam_channel::bounded::<()>(0);
+    let holding = ridgeworks_storage::WriteBatch::new(entry_of(0, SMALL), move |_| {
+        let _ = entered.send(());
+        let _ = released.recv();
+    });
+    store.submit(holding).expect("taken");
+    held.recv().expect("the writer is held");
+    let syncs_before = disk.syncs();
+    let outcomes: Vec<_> = (0..WAITING)
+        .map(|index| submit(&store, entry_of(index, SMALL)))
+        .collect();
+    drop(release);
+    for outcome in outcomes {
+        assert_eq!(outcome.recv().expect("answered"), Ok(()));
+    }
+    assert_eq!(disk.syncs() - syncs_before, syncs_per_commit);
+    let counters = store.counters().snapshot();
+    assert_eq!((counters.commits, counters.batches), (4, WAITING + 3));
+}
