--- a/crates/history/tests/checks.rs
+++ b/crates/history/tests/checks.rs
@@ -635,3 +635,79 @@
         .tests(30)
         .quickcheck(property as fn(u64, u8) -> bool);
 }
+
+#[test]
+fn answers_finds_an_answer_without_digest() {
+    let plant = |records: &mut Vec<Record>| {
+        change(records, |event| match event {
+            Event::CallAnswered { answer_digest, .. } => answer_digest.take().is_some(),
+            _ => false,
+        })
+    };
+    planted(Check::Answers, plant, |kind| {
+        matches!(kind, Kind::AnswerWithoutDigest { .. })
+    });
+}
+
+#[test]
+fn run_history_finds_a_read_with_too_few_digests() {
+    let plant = |records: &mut Vec<Record>| change_read(records, |_, digests| digests.truncate(1));
+    planted(Check::RunHistory, plant, |kind| {
+        matches!(kind, Kind::DigestsIncomplete)
+    });
+}
+
+#[test]
+fn run_history_finds_prior_calls_out_of_order() {
+    let plant = |records: &mut Vec<Record>| {
+        change(records, |event| match event {
+            Event::BackendExecuted {
+                prior_calls: Some(prior),
+                ..
+            } if prior.len() > 1 => {
+                prior.swap(0, 1);
+                true
+            }
+            _ => false,
+        })
+    };
+    planted(Check::RunHistory, plant, |kind| {
+        matches!(kind, Kind::PriorCallsOutOfOrder { .. })
+    });
+}
+
+#[test]
+fn run_history_finds_a_call_that_one_read_shows_and_a_later_one_does_not() {
+    let run = run_id(0);
+    let read = |invoked_at_us, calls: &[&str]| {
+        let event = Event::HistoryRead {
+            run,
+            calls: calls.iter().map(|call| key(call)).collect(),
+            answer_digests: calls.iter().map(|call| digest(call)).collect(),
+            invoked_at_us,
+        };
+        record(invoked_at_us + 5, "a", event)
+    };
+    let start = vec![invoked(1, "a", run, "c", 1), executed(2, run, "c", 1, &[])];
+    clean(&[start.clone(), vec![read(20, &[]), read(30, &["c"])]].concat());
+    let lost = [start, vec![read(20, &["c"]), read(30, &[])]].concat();
+    let found = only(&lost, Check::RunHistory);
+    assert_eq!(found, [Kind::CallLost { call: key("c") }]);
+}
+
+#[test]
+fn release_does_not_count_the_time_for_which_the_engine_is_frozen() {
+    let mut records = valid(5, RUNS);
+    let index = release_position(&records);
+    let Event::ContextReleased { backend, .. } = &records[index].event else {
+        unreachable!("the position is one of a release")
+    };
+    let backend = backend.clone();
+    let frozen_at = records[index].at_us;
+    records[index].at_us += 12 * SECOND;
+    only(&records, Check::Release);
+    for (at_us, on) in [(frozen_at, true), (frozen_at + 12 * SECOND, false)] {
+        records.push(fault(at_us, on, "freeze", backend.as_str()));
+    }
+    clean(&records);
+}
