Serve the whole path: callers and operators through separate processes

A call goes HTTP edge -> gateway -> run owner -> three replicas (redb, fsync) -> dispatcher -> engine and back as server-sent events; operators apply objects through the published schema, which the platform's store and a majority of voters take.

--- a/crates/node/src/assembly.rs
+++ b/crates/node/src/assembly.rs
@@ -14,7 +14,7 @@
 use ridgeworks_membership::{Incarnation, Member, MemberState, Membership, MembershipConfig};
 use ridgeworks_run_log::storage::RestoredStore;
 use stakker::{
-    Actor, ActorOwn, Fwd, Stakker, actor, actor_new, call, fwd_nop, fwd_to, ret_shutdown,
+    Actor, ActorOwn, Fwd, Stakker, actor, actor_new, call, fwd_do, fwd_nop, fwd_to, ret_shutdown,
 };
 use stakker_mio::mio::net::TcpListener;
 
@@ -28,6 +28,7 @@
 use crate::member_changes::MemberChanges;
 use crate::membership::{MemberChange, MembershipOutputs, MembershipRole, SeedMessage};
 use crate::message::OwnerCommand;
+use crate::operator::{DeskActors, OperatorDesk};
 use crate::outbound::BackendClient;
 use crate::owner::{OwnerOutputs, OwnerRole};
 use crate::replica::{NodeStore, ReplicaRole};
@@ -51,6 +52,8 @@
     pub membership: ActorOwn<MembershipRole>,
     /// The configuration role.
     pub configuration: ActorOwn<ConfigurationRoleActor>,
+    /// The operators' side.
+    pub operator_desk: ActorOwn<OperatorDesk>,
     _member_changes: ActorOwn<MemberChanges>,
     _router: ActorOwn<Router>,
     _links: ActorOwn<Links>,
@@ -67,6 +70,7 @@
     platform: Option<PlatformClient>,
     backends: Arc<BackendClient>,
     polls: EnginePolls,
+    mailbox: Mailbox<ThreadMessage>,
 }
 
 struct StoreParts {
@@ -107,7 +111,8 @@
             store,
             platform,
             backends: Arc::new(BackendClient::new(mailbox.clone())),
-            polls: EnginePolls::new(mailbox),
+            polls: EnginePolls::new(mailbox.clone()),
+            mailbox,
         })
     }
 
@@ -125,6 +130,7 @@
         let membership = actor_new!(stakker, MembershipRole, ret_shutdown!(stakker));
         let configuration = actor_new!(stakker, ConfigurationRoleActor, ret_shutdown!(stakker));
         let member_changes = actor_new!(stakker, MemberChanges, ret_shutdown!(stakker));
+        let operator_desk = actor_new!(stakker, OperatorDesk, ret_shutdown!(stakker));
         let outgoing = fwd_to!([router], send() as (Outgoing));
 
         let links = actor!(
@@ -148,6 +154,7 @@
             configuration: fwd_to!([configuration], receive() as (Incoming)),
             alive: fwd_to!([membership], alive() as (NodeId)),
             link_closed: fwd_to!([membership], link_closed() as (NodeId)),
+            drain: self.drain_inbox(),
         };
         let links_handle: Actor<Links> = links.clone();
         let directory = self.directory.clone();
@@ -178,6 +185,17 @@
             [dispatcher],
             DispatcherRole::init(directory, outputs, self.polls)
         );
+        let desk_actors = DeskActors {
+            configuration: configuration.clone(),
+            dispatcher: dispatcher.clone(),
+            owner: owner.clone(),
+        };
+        let desk_outgoing = outgoing.clone();
+        let directory = self.directory.clone();
+        call!(
+            [operator_desk],
+            OperatorDesk::init(directory, desk_actors, desk_outgoing)
+        );
         let (gateway_handle, owner_handle) = (gateway.clone(), owner.clone());
         let (dispatcher_handle, configuration_handle) = (dispatcher.clone(), configuration.clone());
         call!(
@@ -223,12 +241,19 @@
             dispatcher,
             membership,
             configuration,
+            operator_desk,
             _member_changes: member_changes,
             _router: router,
             _links: links,
         }
     }
 
+    // An order of another node stops this one as a signal would.
+    fn drain_inbox(&self) -> Fwd<Incoming> {
+        let mailbox = self.mailbox.clone();
+        fwd_do!(move |_: Incoming| mailbox.post(ThreadMessage::Stop))
+    }
+
     fn start_replica(
         &self,
         stakker: &mut Stakker,
--- a/crates/node/src/configuration/role.rs
+++ b/crates/node/src/configuration/role.rs
@@ -6,7 +6,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crossbeam_channel::Sender;
 use ridgeworks_configuration::settings::TICK_INTERVAL;
 use ridgeworks_configuration::{
     ChangeRequest, ConfigurationRole, ConfigurationSet, Effect, Event, MachineList, Member,
@@ -21,8 +20,8 @@
 use crate::replica::NodeStore;
 use crate::router::{Incoming, Outgoing};
 
-/// Hands the answer back to the thread of one operator's request.
-pub type OperatorAnswers = Sender<OperatorAnswer>;
+/// Hands the answer back to where an operator's request came from.
+pub type OperatorAnswers = Box<dyn FnOnce(OperatorAnswer)>;
 
 /// Where the role's effects go.
 pub struct ConfigurationOutputs {
@@ -153,8 +152,7 @@
             }
             Effect::Answer { ticket, answer } => {
                 if let Some(answers) = self.operators.remove(&ticket) {
-                    // An operator that left is told nothing.
-                    let _ = answers.send(answer);
+                    answers(answer);
                 }
             }
             Effect::InForce(set) => self.outputs.in_force.fwd(set),
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -140,6 +140,7 @@
         ThreadMessage::Caller { request, answers } => {
             call!([actors.gateway], submit(request, answers));
         }
+        ThreadMessage::Operator(request) => call!([actors.operator_desk], take(request)),
         ThreadMessage::Attempt(event) => call!([actors.owner], attempt(event)),
         ThreadMessage::Durable {
             owner: WriteOwner::Voter,
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -77,13 +77,20 @@
 
     /// The partner whose token has this digest.
     pub fn authenticate(&self, token_sha256: &str) -> Result<PartnerName, Refusal> {
-        let set = self.in_force()?;
+        self.authenticate_in(&*self.in_force()?, token_sha256)
+    }
+
+    fn authenticate_in(
+        &self,
+        set: &ConfigurationSet,
+        token_sha256: &str,
+    ) -> Result<PartnerName, Refusal> {
         let partner = set
             .partners()
             .find(|partner| partner.token_sha256 == token_sha256);
         match partner {
             Some(partner) => Ok(partner.name.clone()),
-            None => self.authenticate_bootstrap(&set, token_sha256),
+            None => self.authenticate_bootstrap(set, token_sha256),
         }
     }
 
@@ -101,6 +108,18 @@
             .ok_or(Refusal::permanent(RefusalReason::Unauthenticated))
     }
 
+    /// The partner whose token has this digest, by the last configuration known: an operator must be
+    /// able to act also where this node cannot prove that its configuration is the newest. What it
+    /// does is checked against the newest one.
+    pub fn authenticate_operator(&self, token_sha256: &str) -> Result<PartnerName, Refusal> {
+        self.authenticate_in(&self.last_known(), token_sha256)
+    }
+
+    /// The name of this node.
+    pub fn own_name(&self) -> String {
+        self.membership.borrow().own().name.clone()
+    }
+
     /// Refuses a program that does not exist or belongs to the other partner.
     pub fn check_program(
         &self,
--- a/crates/node/src/dispatcher/group.rs
+++ b/crates/node/src/dispatcher/group.rs
@@ -16,6 +16,19 @@
 /// A repeated request is answered as the first one for this long after its end.
 const REMEMBERED_END: Duration = Duration::from_secs(10);
 
+/// The back ends and the queue of one service.
+#[derive(Debug, Clone)]
+pub struct ServiceStatus {
+    /// The service.
+    pub service: ServiceName,
+    /// Its back ends.
+    pub backends: Vec<ListedBackend>,
+    /// Calls that wait for a slot.
+    pub queued: usize,
+    /// Grants that have not ended.
+    pub in_flight: usize,
+}
+
 /// What became of a request for a slot.
 enum TicketState {
     Queued,
@@ -56,9 +69,14 @@
         }
     }
 
-    /// The decision logic.
-    pub fn dispatcher(&self) -> &Dispatcher {
-        &self.dispatcher
+    /// The service as operators see it.
+    pub fn status(&self) -> ServiceStatus {
+        ServiceStatus {
+            service: self.service.clone(),
+            backends: self.listed.values().cloned().collect(),
+            queued: self.dispatcher.queued(),
+            in_flight: self.dispatcher.in_flight(),
+        }
     }
 
     /// A back end by name.
--- a/crates/node/src/dispatcher/mod.rs
+++ b/crates/node/src/dispatcher/mod.rs
@@ -6,6 +6,8 @@
 mod message;
 mod role;
 
+pub use backend_list::ListedBackend;
 pub use engine_poll::{EngineNews, EnginePolls, EngineReport};
+pub use group::ServiceStatus;
 pub use message::{DispatcherAnswer, DispatcherCommand, SlotRequest};
 pub use role::{DispatcherOutputs, DispatcherRole};
--- a/crates/node/src/dispatcher/role.rs
+++ b/crates/node/src/dispatcher/role.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crossbeam_channel::Sender;
 use ridgeworks_configuration::{ConfigurationSet, MachineList};
 use ridgeworks_domain::{NodeId, Refusal, RefusalReason, ServiceKind, ServiceName};
 use ridgeworks_scheduling::{Effect, Event, Ticket};
@@ -15,6 +16,7 @@
 use crate::clock::Clock;
 use crate::directory::Directory;
 use crate::message::NodeMessage;
+use crate::operator::OperatorReply;
 use crate::outbound::BackendClient;
 use crate::router::{Incoming, Outgoing};
 
@@ -84,6 +86,13 @@
         }
     }
 
+    /// Answers an operator who asks for back ends and queues.
+    pub fn report_status(&mut self, _cx: CX![], replies: Sender<OperatorReply>) {
+        let status = self.groups.values().map(DispatcherGroup::status).collect();
+        // An operator that left is told nothing.
+        let _ = replies.send(OperatorReply::Services(status));
+    }
+
     /// Takes news of a polled back end.
     pub fn engine(&mut self, _cx: CX![], report: EngineReport) {
         let event = match report.news {
--- a/crates/node/src/inbound/edge.rs
+++ b/crates/node/src/inbound/edge.rs
@@ -15,6 +15,7 @@
 use super::{chat, runs, service_call};
 use crate::mailbox::Mailbox;
 use crate::message::OwnerAnswer;
+use crate::operator;
 use crate::thread_message::ThreadMessage;
 
 const HEALTH_PATH: &str = "/health";
@@ -46,7 +47,7 @@
     }
 
     /// Hands a request to the actor thread.
-    pub(super) fn submit(
+    pub(crate) fn submit(
         &self,
         request: &EdgeRequest,
         command: CallerCommand,
@@ -70,6 +71,11 @@
         Ok(Answers { receiver, deadline })
     }
 
+    /// Hands a message to the actor thread.
+    pub(crate) fn post(&self, message: ThreadMessage) {
+        self.mailbox.post(message);
+    }
+
     fn route(&self, request: &EdgeRequest, responder: Responder) {
         let method = method_name(&request.method);
         match CallerRoute::from_request(method, &request.path) {
@@ -93,11 +99,7 @@
         if request.path == HEALTH_PATH {
             respond_json(responder, OK, HEALTH_BODY);
         } else if request.path.starts_with(SERVICE_PATH) {
-            let reason = ridgeworks_domain::InvalidRequest::UnknownRoute;
-            refuse(
-                responder,
-                &Refusal::permanent(RefusalReason::InvalidRequest(reason)),
-            );
+            operator::serve(self, &request, responder);
         } else {
             self.route(&request, responder);
         }
--- a/crates/node/src/inbound/mod.rs
+++ b/crates/node/src/inbound/mod.rs
@@ -11,5 +11,5 @@
 mod service_call;
 
 pub use caller_request::{CallerCommand, CallerRequest};
-pub use edge::Edge;
+pub use edge::{Edge, token_digest};
 pub use gateway::Gateway;
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -243,6 +243,8 @@
         /// Whether calls of it are in progress there.
         busy: bool,
     },
+    /// Tells a node to stop as planned.
+    Drain,
     /// Between an owner and a replica.
     RunLog(RunLogMessage),
     /// From an owner to the dispatcher of a service.
--- a/crates/node/src/owner/role.rs
+++ b/crates/node/src/owner/role.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
+use crossbeam_channel::Sender;
 use ridgeworks_domain::{Ballot, NodeId, RunId};
 use ridgeworks_membership::{Member, MemberState};
 use ridgeworks_run_log::event::{CallerId, OwnerEffect, OwnerEvent};
@@ -17,6 +18,7 @@
 use crate::clock::Clock;
 use crate::directory::Directory;
 use crate::message::{NodeMessage, OwnerAnswer, OwnerCommand, RequestId};
+use crate::operator::OperatorReply;
 use crate::outbound::BackendClient;
 use crate::router::{Incoming, Outgoing};
 
@@ -97,6 +99,12 @@
         self.stopping = true;
     }
 
+    /// Answers an operator who asks how many runs this node owns.
+    pub fn report_count(&mut self, _cx: CX![], replies: Sender<OperatorReply>) {
+        // An operator that left is told nothing.
+        let _ = replies.send(OperatorReply::OwnedRuns(self.runs.len()));
+    }
+
     /// Writes down how many runs have something in progress.
     pub fn report_busy(&mut self, _cx: CX![], busy: Arc<AtomicUsize>) {
         let count = self.runs.values().filter(|run| !run.is_idle()).count();
--- a/crates/node/src/owner/slots.rs
+++ b/crates/node/src/owner/slots.rs
@@ -30,6 +30,7 @@
         request: &CallRequest,
     ) {
         self.cancel_slot(run);
+        self.announce_pause(run, request);
         let slot = self.new_slot(now, run, attempt, request);
         match slot {
             Ok(slot) => {
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -48,6 +48,8 @@
     pub alive: Fwd<NodeId>,
     /// Links that closed.
     pub link_closed: Fwd<NodeId>,
+    /// Orders to stop as planned.
+    pub drain: Fwd<Incoming>,
 }
 
 /// Signs of life of one node are passed on no more often than this.
@@ -136,6 +138,7 @@
             | NodeMessage::ToOwnerOfTicket(_)
             | NodeMessage::OwnershipQuery { .. }
             | NodeMessage::OwnershipAnswer { .. } => &self.roles.owner,
+            NodeMessage::Drain => &self.roles.drain,
             NodeMessage::ToGateway { .. } => &self.roles.gateway,
             NodeMessage::RunLog(RunLogMessage::Request(_)) => &self.roles.replica,
             NodeMessage::RunLog(RunLogMessage::Reply(_)) => &self.roles.owner,
--- a/crates/node/src/thread_message.rs
+++ b/crates/node/src/thread_message.rs
@@ -9,6 +9,7 @@
 
 use crate::configuration::PlatformEvent;
 use crate::dispatcher::EngineReport;
+use crate::operator::OperatorRequestMessage;
 use crate::outbound::AttemptEvent;
 use crate::replica::WriteOwner;
 
@@ -24,6 +25,8 @@
         /// Where its answers go.
         answers: AnswerSender,
     },
+    /// An operator's request.
+    Operator(OperatorRequestMessage),
     /// News of an attempt.
     Attempt(AttemptEvent),
     /// A write reached the disk, or failed.
