Keep finished attempts of an engine small and its events typed

A plan lives as long as the engine, for repeated requests and fences, so it now holds its answer as one text with token ends, and the token sequences go with the scheduler's work instead. Events are written from typed structures rather than JSON trees.

--- a/crates/stand-ins/src/engine/answer.rs
+++ b/crates/stand-ins/src/engine/answer.rs
@@ -5,7 +5,7 @@
 use rand_chacha::ChaCha8Rng;
 use ridgeworks_domain::CallKey;
 use ridgeworks_domain::token_count::BYTES_PER_TOKEN;
-use serde_json::{Value, json};
+use serde::Serialize;
 
 const ANSWER_PREFIX: &str = "answer to ";
 const ANSWER_SEPARATOR: &str = " :";
@@ -16,59 +16,127 @@
     "near", "open", "path", "rest",
 ];
 
-/// Content of an answer, in pieces of one token each.
+/// Content of an answer and where its tokens end.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct AnswerContent {
-    /// The pieces; every one but the first word's starts with its whitespace.
-    pub pieces: Vec<String>,
-    /// Whether the limit cut the content short.
-    pub cut: bool,
+    text: String,
+    token_ends: Vec<u32>,
+    is_cut: bool,
 }
 
 impl AnswerContent {
     /// The content of the answer to `call`: always the same for one seed.
     pub fn generate(call: &str, seed: u64, wanted_tokens: usize, limit: Option<usize>) -> Self {
+        let mut content = Self {
+            text: String::new(),
+            token_ends: Vec::new(),
+            is_cut: false,
+        };
+        let opening = format!("{ANSWER_PREFIX}{call}{ANSWER_SEPARATOR}");
+        for word in opening.split_whitespace() {
+            content.push_word(word);
+        }
         let mut generator = ChaCha8Rng::seed_from_u64(seed);
-        let mut pieces = split_tokens(&format!("{ANSWER_PREFIX}{call}{ANSWER_SEPARATOR}"));
-        while pieces.len() < wanted_tokens {
-            let word = WORDS[generator.random_range(0..WORDS.len())];
-            pieces.push(format!(" {word}"));
+        let limit = limit.unwrap_or(usize::MAX);
+        while content.tokens() < wanted_tokens && content.tokens() <= limit {
+            content.push_word(WORDS[generator.random_range(0..WORDS.len())]);
+        }
+        content.cut(limit);
+        content
+    }
+
+    /// Adds an ASCII word, split into tokens; the whitespace belongs to the token after it.
+    fn push_word(&mut self, word: &str) {
+        if !self.text.is_empty() {
+            self.text.push(' ');
+        }
+        for part in word.as_bytes().chunks(BYTES_PER_TOKEN) {
+            self.text.push_str(&String::from_utf8_lossy(part));
+            self.token_ends.push(self.text.len() as u32);
+        }
+    }
+
+    fn cut(&mut self, limit: usize) {
+        if self.tokens() > limit {
+            self.is_cut = true;
+            self.token_ends.truncate(limit);
+            self.text.truncate(self.end_of(limit));
         }
-        let cut = limit.is_some_and(|limit| limit < pieces.len());
-        pieces.truncate(limit.unwrap_or(usize::MAX));
-        Self { pieces, cut }
     }
 
-    /// The first `count` tokens as one text.
-    pub fn text(&self, count: usize) -> String {
-        self.pieces[..count.min(self.pieces.len())].concat()
+    /// Number of tokens.
+    pub fn tokens(&self) -> usize {
+        self.token_ends.len()
+    }
+
+    /// The whole text.
+    pub fn text(&self) -> &str {
+        &self.text
+    }
+
+    /// The text of the first `count` tokens.
+    pub fn beginning(&self, count: usize) -> &str {
+        &self.text[..self.end_of(count)]
+    }
+
+    /// One token, counted from 0, with the whitespace before it.
+    pub fn token(&self, index: usize) -> &str {
+        &self.text[self.end_of(index)..self.end_of(index + 1)]
+    }
+
+    fn end_of(&self, count: usize) -> usize {
+        count
+            .checked_sub(1)
+            .map_or(0, |last| self.token_ends[last] as usize)
     }
 
     /// The OpenAI name of why the content ends.
     pub fn finish_reason(&self) -> &'static str {
-        if self.cut { "length" } else { "stop" }
+        if self.is_cut { "length" } else { "stop" }
     }
 }
 
 /// The call that an earlier answer was for.
 pub fn answered_call(content: &str) -> Option<CallKey> {
-    let (call, _) = content
-        .strip_prefix(ANSWER_PREFIX)?
-        .split_once(ANSWER_SEPARATOR)?;
+    let answer = content.strip_prefix(ANSWER_PREFIX)?;
+    let (call, _) = answer.split_once(ANSWER_SEPARATOR)?;
     CallKey::new(call).ok()
 }
 
-/// Splits ASCII text into tokens that keep the whitespace before them.
-fn split_tokens(text: &str) -> Vec<String> {
-    let mut pieces: Vec<String> = Vec::new();
-    for (index, word) in text.split_whitespace().enumerate() {
-        let mut space = if index == 0 { "" } else { " " };
-        for part in word.as_bytes().chunks(BYTES_PER_TOKEN) {
-            pieces.push(format!("{space}{}", String::from_utf8_lossy(part)));
-            space = "";
-        }
-    }
-    pieces
+#[derive(Serialize)]
+struct Usage {
+    prompt_tokens: u64,
+    completion_tokens: u64,
+    total_tokens: u64,
+}
+
+#[derive(Serialize)]
+struct Message<'a> {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    role: Option<&'static str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    content: Option<&'a str>,
+}
+
+#[derive(Serialize)]
+struct Choice<'a> {
+    index: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    message: Option<Message<'a>>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    delta: Option<Message<'a>>,
+    finish_reason: Option<&'static str>,
+}
+
+#[derive(Serialize)]
+struct Completion<'a> {
+    id: &'a str,
+    object: &'static str,
+    created: u64,
+    model: &'a str,
+    choices: [Choice<'a>; 1],
+    #[serde(skip_serializing_if = "Option::is_none")]
+    usage: Option<Usage>,
 }
 
 /// What all JSON forms of one answer share.
@@ -83,53 +151,76 @@
 }
 
 impl AnswerHead {
-    fn document(&self, object: &str, choice: Value) -> Value {
-        json!({
-            "id": self.id,
-            "object": object,
-            "created": 0,
-            "model": self.model,
-            "choices": [choice],
-        })
+    fn completion<'a>(&'a self, object: &'static str, choice: Choice<'a>) -> Completion<'a> {
+        Completion {
+            id: &self.id,
+            object,
+            // Answers are the same at any time, so that a repeated one is recognised.
+            created: 0,
+            model: &self.model,
+            choices: [choice],
+            usage: None,
+        }
+    }
+
+    fn usage(&self, content: &AnswerContent) -> Usage {
+        let completion_tokens = content.tokens() as u64;
+        Usage {
+            prompt_tokens: self.prompt_tokens,
+            completion_tokens,
+            total_tokens: self.prompt_tokens + completion_tokens,
+        }
     }
 
-    fn usage(&self, completion_tokens: usize) -> Value {
-        json!({
-            "prompt_tokens": self.prompt_tokens,
-            "completion_tokens": completion_tokens,
-            "total_tokens": self.prompt_tokens + completion_tokens as u64,
-        })
+    fn chunk<'a>(
+        &'a self,
+        delta: Message<'a>,
+        finish_reason: Option<&'static str>,
+    ) -> Completion<'a> {
+        let choice = Choice {
+            index: 0,
+            message: None,
+            delta: Some(delta),
+            finish_reason,
+        };
+        self.completion("chat.completion.chunk", choice)
     }
 
     /// The whole answer in one document.
     pub fn whole(&self, content: &AnswerContent) -> String {
-        let choice = json!({
-            "index": 0,
-            "message": {"role": "assistant", "content": content.text(usize::MAX)},
-            "finish_reason": content.finish_reason(),
-        });
-        let mut document = self.document("chat.completion", choice);
-        document["usage"] = self.usage(content.pieces.len());
-        document.to_string()
+        let message = Message {
+            role: Some("assistant"),
+            content: Some(content.text()),
+        };
+        let choice = Choice {
+            index: 0,
+            message: Some(message),
+            delta: None,
+            finish_reason: Some(content.finish_reason()),
+        };
+        let mut completion = self.completion("chat.completion", choice);
+        completion.usage = Some(self.usage(content));
+        serde_json::to_string(&completion).expect("completions have a JSON form")
     }
 
     /// One token as a server-sent event.
-    pub fn token_event(&self, index: usize, piece: &str) -> Vec<u8> {
-        let delta = if index == 0 {
-            json!({"role": "assistant", "content": piece})
-        } else {
-            json!({"content": piece})
+    pub fn token_event(&self, content: &AnswerContent, index: usize) -> Vec<u8> {
+        let delta = Message {
+            role: (index == 0).then_some("assistant"),
+            content: Some(content.token(index)),
         };
-        let choice = json!({"index": 0, "delta": delta, "finish_reason": null});
-        server_sent_event(&self.document("chat.completion.chunk", choice))
+        server_sent_event(&self.chunk(delta, None))
     }
 
     /// The last event that carries a document.
     pub fn finish_event(&self, content: &AnswerContent) -> Vec<u8> {
-        let choice = json!({"index": 0, "delta": {}, "finish_reason": content.finish_reason()});
-        let mut document = self.document("chat.completion.chunk", choice);
-        document["usage"] = self.usage(content.pieces.len());
-        server_sent_event(&document)
+        let delta = Message {
+            role: None,
+            content: None,
+        };
+        let mut completion = self.chunk(delta, Some(content.finish_reason()));
+        completion.usage = Some(self.usage(content));
+        server_sent_event(&completion)
     }
 }
 
@@ -137,6 +228,9 @@
 pub const DONE_EVENT: &[u8] = b"data: [DONE]\n\n";
 
 /// A document as a server-sent event.
-pub fn server_sent_event(document: &Value) -> Vec<u8> {
-    format!("data: {document}\n\n").into_bytes()
+pub fn server_sent_event(document: &impl Serialize) -> Vec<u8> {
+    let mut event = b"data: ".to_vec();
+    serde_json::to_writer(&mut event, document).expect("events have a JSON form");
+    event.extend_from_slice(b"\n\n");
+    event
 }
--- a/crates/stand-ins/src/engine/batching.rs
+++ b/crates/stand-ins/src/engine/batching.rs
@@ -6,9 +6,7 @@
 //! every decoding sequence gives one token. Ends of steps are counted on from the one before, so
 //! that late wake-ups don't add up.
 
-use std::cmp::Ordering;
-use std::collections::BinaryHeap;
-use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -19,15 +17,13 @@
 use crate::engine::chat::ChatPlan;
 use crate::engine::lagging_load::LaggingLoad;
 use crate::engine::memory::EngineMemory;
+use crate::engine::queue::{AttemptQueue, ChatWork};
 use crate::engine::token_blocks::BLOCK_TOKENS;
 use crate::history::{HistoryEvent, HistoryWriter, digest};
 
 /// Most prompt tokens that one step computes.
 pub const PREFILL_CHUNK_TOKENS: u64 = 512;
 
-/// How long the scheduler waits before it looks again whether memory has come free.
-const MEMORY_POLL_INTERVAL: Duration = Duration::from_millis(5);
-
 /// How fast the engine is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StepCosts {
@@ -57,93 +53,18 @@
     pub free_blocks: u64,
 }
 
-struct Waiting {
-    arrival: u64,
-    attempt: Arc<Attempt<ChatPlan>>,
-}
-
-impl Waiting {
-    fn rank(&self) -> (i64, u64) {
-        (self.attempt.plan.priority, self.arrival)
-    }
-}
-
-impl PartialEq for Waiting {
-    fn eq(&self, other: &Self) -> bool {
-        self.rank() == other.rank()
-    }
-}
-
-impl Eq for Waiting {}
-
-impl PartialOrd for Waiting {
-    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Waiting {
-    /// The largest is the next to run.
-    fn cmp(&self, other: &Self) -> Ordering {
-        other.rank().cmp(&self.rank())
-    }
-}
-
-#[derive(Default)]
-struct Queue {
-    waiting: BinaryHeap<Waiting>,
-    arrivals: u64,
-    is_closed: bool,
-}
-
-/// The queue of attempts, shared between request threads and the scheduler.
-#[derive(Default)]
-pub struct AttemptQueue {
-    queue: Mutex<Queue>,
-    changed: Condvar,
-}
-
-impl AttemptQueue {
-    fn lock(&self) -> MutexGuard<'_, Queue> {
-        self.queue.lock().expect("no holder of this lock panics")
-    }
-
-    /// Number of waiting attempts.
-    pub fn len(&self) -> usize {
-        self.lock().waiting.len()
-    }
-
-    /// Whether nothing waits.
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
-    }
-
-    /// Adds an attempt; one that comes after the end never starts.
-    pub fn push(&self, attempt: Arc<Attempt<ChatPlan>>) {
-        let mut queue = self.lock();
-        if queue.is_closed {
-            attempt.update(|progress| progress.state = AttemptState::NeverStarted);
-            return;
-        }
-        queue.arrivals += 1;
-        let arrival = queue.arrivals;
-        queue.waiting.push(Waiting { arrival, attempt });
-        self.changed.notify_all();
-    }
-
-    /// Lets the scheduler end once all attempts are done.
-    pub fn close(&self) {
-        self.lock().is_closed = true;
-        self.changed.notify_all();
-    }
-}
-
 struct Sequence {
-    attempt: Arc<Attempt<ChatPlan>>,
+    work: ChatWork,
     prefill_left: u64,
     reserved_blocks: u64,
 }
 
+/// What an attempt was given when it entered the batch.
+struct Reservation {
+    blocks: u64,
+    prefill_left: u64,
+}
+
 /// What a step made of a sequence.
 enum Advance {
     /// It needs further steps.
@@ -199,7 +120,7 @@
             self.admit();
             self.report_load();
             if self.running.is_empty() {
-                if !self.wait_for_work() {
+                if !self.queue.wait_for_work() {
                     return;
                 }
                 step_end = Instant::now();
@@ -213,34 +134,24 @@
         }
     }
 
-    /// Waits for an attempt, or a little when those that wait found no memory. Answers whether
-    /// there is anything left to do.
-    fn wait_for_work(&self) -> bool {
-        let queue = self.queue.lock();
-        if !queue.waiting.is_empty() {
-            let waited = self.queue.changed.wait_timeout(queue, MEMORY_POLL_INTERVAL);
-            drop(waited.expect("no holder of this lock panics"));
-            return true;
-        }
-        let idle = |queue: &mut Queue| queue.waiting.is_empty() && !queue.is_closed;
-        let queue = self.queue.changed.wait_while(queue, idle);
-        let queue = queue.expect("no holder of this lock panics");
-        !queue.waiting.is_empty()
-    }
-
     fn admit(&mut self) {
         while self.running.len() < self.max_batch {
-            let Some(next) = self.queue.lock().waiting.pop() else {
+            let Some(next) = self.queue.pop() else {
                 return;
             };
-            if next.attempt.progress().state.is_final() {
+            if next.work.attempt.progress().state.is_final() {
                 continue;
             }
-            let Some(sequence) = self.reserve(&next.attempt) else {
-                self.queue.lock().waiting.push(next);
+            let Some(reservation) = self.reserve(&next.work) else {
+                self.queue.put_back(next);
                 return;
             };
-            if start(&next.attempt, &self.history) {
+            let sequence = Sequence {
+                work: next.work,
+                prefill_left: reservation.prefill_left,
+                reserved_blocks: reservation.blocks,
+            };
+            if start(&sequence.work.attempt, &self.history) {
                 self.running.push(sequence);
             } else {
                 self.release(&sequence);
@@ -248,26 +159,23 @@
         }
     }
 
-    fn reserve(&self, attempt: &Arc<Attempt<ChatPlan>>) -> Option<Sequence> {
-        let plan = &attempt.plan;
+    fn reserve(&self, work: &ChatWork) -> Option<Reservation> {
+        let plan = &work.attempt.plan;
         let run = run_of(plan);
         self.memory.with(&self.history, |cache| {
-            let matched = run.map_or(0, |run| cache.matched_blocks(run, &plan.prompt_chain));
-            let reserved_blocks = plan.blocks().saturating_sub(matched);
-            let has_room = cache.begin_attempt(run, reserved_blocks, Instant::now());
-            has_room.then(|| Sequence {
-                attempt: Arc::clone(attempt),
-                prefill_left: plan
-                    .prompt_chain
-                    .tokens()
-                    .saturating_sub(matched * BLOCK_TOKENS),
-                reserved_blocks,
+            let prompt = &work.context.prompt;
+            let matched = run.map_or(0, |run| cache.matched_blocks(run, prompt));
+            let blocks = plan.blocks().saturating_sub(matched);
+            let has_room = cache.begin_attempt(run, blocks, Instant::now());
+            has_room.then(|| Reservation {
+                blocks,
+                prefill_left: prompt.tokens().saturating_sub(matched * BLOCK_TOKENS),
             })
         })
     }
 
     fn release(&self, sequence: &Sequence) {
-        let run = run_of(&sequence.attempt.plan);
+        let run = run_of(&sequence.work.attempt.plan);
         self.memory.with(&self.history, |cache| {
             cache.end_attempt(run, sequence.reserved_blocks);
         });
@@ -302,9 +210,9 @@
 
     /// Gives a decoding sequence its token.
     fn advance(&self, sequence: &Sequence) -> Advance {
-        let plan = &sequence.attempt.plan;
+        let plan = &sequence.work.attempt.plan;
         let has_token = sequence.prefill_left == 0;
-        sequence.attempt.update(|progress| {
+        sequence.work.attempt.update(|progress| {
             if progress.state != AttemptState::Running {
                 return Advance::Stopped;
             }
@@ -312,7 +220,7 @@
                 return Advance::GoesOn;
             }
             let produced = progress.produced + 1;
-            let is_last = produced >= plan.content.pieces.len();
+            let is_last = produced >= plan.content.tokens();
             if is_last {
                 self.keep_context(sequence);
                 record_execution(plan, produced, false, &self.history);
@@ -332,12 +240,12 @@
 
     /// Turns what the attempt had reserved into the context of its run.
     fn keep_context(&self, sequence: &Sequence) {
-        let plan = &sequence.attempt.plan;
+        let plan = &sequence.work.attempt.plan;
         let run = run_of(plan);
         self.memory.with(&self.history, |cache| {
             cache.end_attempt(run, sequence.reserved_blocks);
             if let Some(run) = run {
-                cache.store(run, plan.context_chain.clone(), Instant::now());
+                cache.store(run, sequence.work.context.whole.clone(), Instant::now());
             }
         });
     }
@@ -392,7 +300,7 @@
         attempt: key.attempt,
         sequence: plan.sequence,
         cost: plan.cost(produced),
-        answer_digest: digest(plan.content.text(produced).as_bytes()),
+        answer_digest: digest(plan.content.beginning(produced).as_bytes()),
         prior_calls: plan.prior_calls.clone(),
         cancelled,
     });
--- a/crates/stand-ins/src/engine/chat.rs
+++ b/crates/stand-ins/src/engine/chat.rs
@@ -60,10 +60,6 @@
     pub content: AnswerContent,
     /// Calls whose answers stand in the prompt.
     pub prior_calls: Vec<CallKey>,
-    /// Block hashes of the prompt.
-    pub prompt_chain: TokenChain,
-    /// Block hashes of the prompt and the answer.
-    pub context_chain: TokenChain,
 }
 
 impl ChatPlan {
@@ -87,18 +83,10 @@
         let limit = request.max_tokens.map(|limit| limit as usize);
         let content = AnswerContent::generate(call, seed, wanted, limit);
 
-        let texts = || request.messages.iter().map(ChatMessage::text);
-        let mut chain = TokenChain::default();
-        for message in &request.messages {
-            chain.append(&message.role, message.text());
-        }
-        let prompt_chain = chain.clone();
-        chain.append(ASSISTANT, &content.text(usize::MAX));
-
-        let answers = request
-            .messages
-            .iter()
-            .filter(|message| message.role == ASSISTANT);
+        let messages = || request.messages.iter();
+        let texts = messages().map(ChatMessage::text);
+        let answers = messages().filter(|message| message.role == ASSISTANT);
+        let prior_calls = answers.filter_map(|message| answered_call(message.text()));
         let attempt = key.as_ref().map_or(1, |key| key.attempt);
         Ok(Self {
             sequence,
@@ -106,14 +94,10 @@
             head: AnswerHead {
                 id: format!("chatcmpl-{run:x}-{call}-{attempt}"),
                 model: request.model.clone(),
-                prompt_tokens: count_prompt_tokens(texts()),
+                prompt_tokens: count_prompt_tokens(texts),
             },
             content,
-            prior_calls: answers
-                .filter_map(|message| answered_call(message.text()))
-                .collect(),
-            prompt_chain,
-            context_chain: chain,
+            prior_calls: prior_calls.collect(),
             key,
         })
     }
@@ -125,6 +109,29 @@
 
     /// Memory blocks that the attempt needs until its end.
     pub fn blocks(&self) -> u64 {
-        self.context_chain.tokens().div_ceil(BLOCK_TOKENS)
+        self.cost(self.content.tokens()).0.div_ceil(BLOCK_TOKENS)
+    }
+}
+
+/// The token sequences of an attempt, for the prefix cache. Apart from the plan, since that is kept
+/// for as long as the engine runs.
+#[derive(Debug)]
+pub struct ChatContext {
+    /// The prompt.
+    pub prompt: TokenChain,
+    /// The prompt and the answer.
+    pub whole: TokenChain,
+}
+
+impl ChatContext {
+    /// The sequences of a request and its planned answer.
+    pub fn new(request: &ChatRequest, content: &AnswerContent) -> Self {
+        let mut prompt = TokenChain::default();
+        for message in &request.messages {
+            prompt.append(&message.role, message.text());
+        }
+        let mut whole = prompt.clone();
+        whole.append(ASSISTANT, content.text());
+        Self { prompt, whole }
     }
 }
--- a/crates/stand-ins/src/engine/mod.rs
+++ b/crates/stand-ins/src/engine/mod.rs
@@ -9,6 +9,7 @@
 pub mod memory;
 pub mod orders;
 pub mod prefix_cache;
+pub mod queue;
 pub mod routes;
 pub mod token_blocks;
 
@@ -21,11 +22,12 @@
 use std::time::Duration;
 
 use crate::attempts::AttemptRegistry;
-use crate::engine::batching::{AttemptQueue, Batch, StepCosts};
+use crate::engine::batching::{Batch, StepCosts};
 use crate::engine::chat::ChatPlan;
 use crate::engine::lagging_load::LaggingLoad;
 use crate::engine::memory::EngineMemory;
 use crate::engine::orders::LoadedModels;
+use crate::engine::queue::AttemptQueue;
 use crate::fencing::Fence;
 use crate::history::HistoryWriter;
 use crate::http::HttpServer;
--- a/crates/stand-ins/src/engine/routes.rs
+++ b/crates/stand-ins/src/engine/routes.rs
@@ -14,9 +14,10 @@
 use crate::engine::EngineState;
 use crate::engine::answer::{DONE_EVENT, server_sent_event};
 use crate::engine::batching::record_execution;
-use crate::engine::chat::{ChatPlan, ChatRequest};
+use crate::engine::chat::{ChatContext, ChatPlan, ChatRequest};
 use crate::engine::orders::OrderRequest;
 use crate::engine::prefix_cache::ListedContext;
+use crate::engine::queue::ChatWork;
 use crate::engine::token_blocks::TokenChain;
 use crate::failure::Failure;
 use crate::http::{ChunkWriter, Incoming, Reply, path_value};
@@ -79,21 +80,25 @@
 fn chat(engine: &EngineState, incoming: &Incoming) -> Result<Reply, Failure> {
     let request: ChatRequest = incoming.json()?;
     let headers = CallHeaders::read(incoming)?;
-    let attempt = match &headers.key {
+    let begin = match &headers.key {
         None => {
             let plan = plan(engine, &request, &headers)?;
-            enqueue(engine, Arc::new(Attempt::new(plan)))
+            Begin::New(Arc::new(Attempt::new(plan)))
+        }
+        Some(key) => {
+            let plan = || plan(engine, &request, &headers);
+            engine.attempts.begin(key, plan)?
+        }
+    };
+    let attempt = match begin {
+        Begin::New(attempt) => {
+            enqueue(engine, &request, Arc::clone(&attempt));
+            attempt
+        }
+        Begin::Known(attempt) => {
+            engine.metrics.joined.inc();
+            attempt
         }
-        Some(key) => match engine
-            .attempts
-            .begin(key, || plan(engine, &request, &headers))?
-        {
-            Begin::New(attempt) => enqueue(engine, attempt),
-            Begin::Known(attempt) => {
-                engine.metrics.joined.inc();
-                attempt
-            }
-        },
     };
     if request.stream {
         return stream(attempt, 0);
@@ -126,10 +131,10 @@
     Ok(plan)
 }
 
-fn enqueue(engine: &EngineState, attempt: Arc<Attempt<ChatPlan>>) -> Arc<Attempt<ChatPlan>> {
+fn enqueue(engine: &EngineState, request: &ChatRequest, attempt: Arc<Attempt<ChatPlan>>) {
     engine.metrics.accepted.inc();
-    engine.queue.push(Arc::clone(&attempt));
-    attempt
+    let context = ChatContext::new(request, &attempt.plan.content);
+    engine.queue.push(ChatWork { attempt, context });
 }
 
 fn whole_answer(state: AttemptState) -> Result<Reply, Failure> {
@@ -166,7 +171,7 @@
     loop {
         let (produced, state) = attempt.wait_beyond(sent);
         while sent < produced {
-            writer.send(&plan.head.token_event(sent, &plan.content.pieces[sent]))?;
+            writer.send(&plan.head.token_event(&plan.content, sent))?;
             sent += 1;
         }
         match state {
