Bound the traffic of renewals; leave a silent relay for the voters at once

Causes: inline options in messages; clients of a relay renewed at spread times; a node tried two dead relays in turn before it asked the voters. Now messages box what is mostly absent, renewals count from the last grant so that clients come together, and a relay that is silent for 950 ms is left for the voters.

--- a/crates/configuration/src/clients.rs
+++ b/crates/configuration/src/clients.rs
@@ -96,9 +96,9 @@
             return News::default();
         };
         let news = News {
-            update: newest.update_since(client.known.newest),
+            update: newest.update_since(client.known.newest).map(Box::new),
             held: in_force.revision(),
-            machines: machines.update_since(client.known.machines),
+            machines: machines.update_since(client.known.machines).map(Box::new),
         };
         client.known.newest = client.known.newest.max(newest.revision());
         client.known.machines = client.known.machines.max(machines.version());
--- a/crates/configuration/src/lease.rs
+++ b/crates/configuration/src/lease.rs
@@ -17,7 +17,7 @@
 use crate::quorum::{Standing, Voters};
 use crate::revision::{RequestId, Revision};
 use crate::set::ConfigurationSet;
-use crate::settings::LEASE_TIME;
+use crate::settings::{LEASE_TIME, RENEW_INTERVAL};
 use crate::staged::StagedSets;
 
 /// Most renewals whose answers are awaited at a time.
@@ -48,6 +48,7 @@
     pub sets: StagedSets,
     rounds: VecDeque<Round>,
     granted_from: Option<MonotonicTime>,
+    granted_at: Option<MonotonicTime>,
     last_sent: Option<MonotonicTime>,
 }
 
@@ -59,6 +60,7 @@
             sets: StagedSets::default(),
             rounds: VecDeque::new(),
             granted_from: None,
+            granted_at: None,
             last_sent: None,
         }
     }
@@ -90,6 +92,13 @@
             .is_none_or(|sent| now.since(sent) >= interval)
     }
 
+    /// Whether [`RENEW_INTERVAL`] has passed since the last grant arrived. Counted from the grant,
+    /// all clients of a relay come to renew together, and one question to the voters serves them.
+    pub fn renewal_due(&self, now: MonotonicTime) -> bool {
+        let passed = |at: MonotonicTime| now.since(at) >= RENEW_INTERVAL;
+        self.last_sent.is_none_or(passed) && self.granted_at.is_none_or(passed)
+    }
+
     /// Notes that a renewal is being sent now.
     pub fn begin(&mut self, request: RequestId, now: MonotonicTime) {
         self.rounds
@@ -138,6 +147,7 @@
         let index = granted?;
         let round = self.rounds.drain(..=index).next_back()?;
         self.granted_from = self.granted_from.max(Some(round.sent_at));
+        self.granted_at = Some(now);
         let answers = round.answers.iter().map(|(voter, newest)| VoterAnswer {
             voter: *voter,
             newest: *newest,
--- a/crates/configuration/src/message.rs
+++ b/crates/configuration/src/message.rs
@@ -24,11 +24,11 @@
 #[derive(Debug, Clone, PartialEq, Eq, Default, Archive, Serialize, Deserialize)]
 pub struct News {
     /// A newer revision, if the sender has one. Not in force before a majority holds it.
-    pub update: Option<Update>,
+    pub update: Option<Box<Update>>,
     /// The highest revision that the sender knows to be on a majority of voters.
     pub held: Revision,
     /// A newer list of machines, if the sender has one.
-    pub machines: Option<MachineUpdate>,
+    pub machines: Option<Box<MachineUpdate>>,
 }
 
 /// What a node knows already, so that it is sent only what is newer.
@@ -48,7 +48,7 @@
         /// Number of the request.
         request: RequestId,
         /// The revision.
-        update: Update,
+        update: Box<Update>,
     },
     /// From a voter: this is my newest durable revision. Answers `Replicate`, and goes to the other
     /// voters after a change and from time to time.
--- a/crates/configuration/src/relay.rs
+++ b/crates/configuration/src/relay.rs
@@ -93,13 +93,15 @@
         self.direct_since = None;
     }
 
-    /// Whom to ask now.
+    /// Whom to ask now. A relay that does not answer in time is left for the voters at once, since
+    /// the lease is running out; the next renewal tries the next relay.
     pub fn target(&mut self, now: MonotonicTime) -> RenewalTarget {
         if self
             .asked
             .is_some_and(|asked| now.since(asked) >= RELAY_PATIENCE)
         {
             self.give_up_relay();
+            return RenewalTarget::Voters;
         }
         match self.relays.get(self.next) {
             Some(relay) if self.next < RELAYS_TRIED => {
--- a/crates/configuration/src/replication.rs
+++ b/crates/configuration/src/replication.rs
@@ -126,7 +126,7 @@
     fn send_to(&mut self, voter: NodeId, now: MonotonicTime, outbox: &mut Outbox) {
         let base = self.reported.get(&voter).copied().unwrap_or_default();
         let update = self.target.update_since(base);
-        let update = update.unwrap_or_else(|| self.target.whole());
+        let update = Box::new(update.unwrap_or_else(|| self.target.whole()));
         let request = outbox.next_request();
         self.requests.insert(request, (voter, now));
         outbox.send(voter, ConfigurationMessage::Replicate { request, update });
--- a/crates/configuration/src/role.rs
+++ b/crates/configuration/src/role.rs
@@ -19,7 +19,7 @@
 use crate::set::ConfigurationSet;
 use crate::settings::{
     ConfigurationSettings, MAX_RELAY_CLIENTS, Member, READ_TIMEOUT, RELAY_BATCH_INTERVAL,
-    RENEW_INTERVAL, RENEW_RETRY, TICK_INTERVAL,
+    RELAY_RETRY, RENEW_INTERVAL, RENEW_RETRY, TICK_INTERVAL,
 };
 use crate::voter::Voter;
 use crate::voter_state::StoredVoter;
@@ -178,7 +178,7 @@
                 news,
             } => {
                 self.take_machines(&news);
-                let update = news.update.as_ref();
+                let update = news.update.as_deref();
                 if let Some(voter) = &mut self.voter {
                     voter.take_newest(from, request, newest, vouches, update, &mut self.outbox);
                 }
@@ -231,7 +231,7 @@
         voter.digest(from, known, self.machines.version(), &mut self.outbox);
         if let Some(machines) = self.machines.update_since(known.machines) {
             let news = News {
-                machines: Some(machines),
+                machines: Some(Box::new(machines)),
                 ..News::default()
             };
             self.outbox.send(from, ConfigurationMessage::Push { news });
@@ -247,9 +247,9 @@
             newest: voter.durable().revision(),
             vouches: voter.vouches(),
             news: News {
-                update: voter.durable().update_since(known.newest),
+                update: voter.durable().update_since(known.newest).map(Box::new),
                 held: self.lease.set().revision(),
-                machines: self.machines.update_since(known.machines),
+                machines: self.machines.update_since(known.machines).map(Box::new),
             },
         };
         self.outbox.send(from, message);
@@ -460,8 +460,12 @@
         let staged = self.lease.sets.newest().revision() > self.lease.set().revision();
         let unread = self.reads.iter().any(|read| Some(read.arrived) > last);
         let client_waits = self.clients.waiting_since() > last.or(Some(MonotonicTime::ZERO));
-        let due = self.lease.due(now, RENEW_INTERVAL)
-            || (unanswered && self.lease.due(now, RENEW_RETRY))
+        let retry = match self.relays.is_waiting() {
+            true => RELAY_RETRY,
+            false => RENEW_RETRY,
+        };
+        let due = self.lease.renewal_due(now)
+            || (unanswered && self.lease.due(now, retry))
             || ((staged || unread) && self.lease.due(now, TICK_INTERVAL))
             || (client_waits && self.lease.due(now, RELAY_BATCH_INTERVAL));
         if unread && due {
--- a/crates/configuration/src/settings.rs
+++ b/crates/configuration/src/settings.rs
@@ -13,12 +13,16 @@
 /// An accepted revision is in force on every node that accepts work after this time at most.
 pub const STALENESS_BOUND: Duration = Duration::from_secs(4);
 
-/// Time between attempts of a renewal that was not granted.
+/// Time between attempts of a renewal that the voters have not granted.
 pub const RENEW_RETRY: Duration = Duration::from_millis(250);
-/// Time that a node gives a relay before it turns to the next one.
-pub const RELAY_PATIENCE: Duration = Duration::from_millis(800);
+/// Time between attempts of a renewal that a relay has not answered; longer than
+/// [`RELAY_BATCH_INTERVAL`] with the way there and back.
+pub const RELAY_RETRY: Duration = Duration::from_millis(500);
+/// Time that a node gives a relay before it asks the voters. It then still has a second of its
+/// lease for them.
+pub const RELAY_PATIENCE: Duration = Duration::from_millis(950);
 /// Shortest time between two renewals that a relay sends for its clients.
-pub const RELAY_BATCH_INTERVAL: Duration = Duration::from_millis(400);
+pub const RELAY_BATCH_INTERVAL: Duration = Duration::from_millis(450);
 /// A client that has not renewed for this long is forgotten.
 pub const CLIENT_TIME: Duration = Duration::from_secs(3);
 /// Members for each relay of a zone.
--- a/crates/configuration/src/voter.rs
+++ b/crates/configuration/src/voter.rs
@@ -191,6 +191,7 @@
     ) {
         if let Some(update) = self.durable.update_since(known.newest) {
             let request = outbox.next_request();
+            let update = Box::new(update);
             outbox.send(from, ConfigurationMessage::Replicate { request, update });
         } else if known.newest > self.taken.newest().revision() {
             outbox.send(from, self.stored(None, machines));
--- a/crates/configuration/tests/leases.rs
+++ b/crates/configuration/tests/leases.rs
@@ -61,7 +61,7 @@
             newest: set.revision(),
         }],
         news: News {
-            update: Some(set.whole()),
+            update: Some(Box::new(set.whole())),
             ..News::default()
         },
     };
@@ -127,7 +127,7 @@
 
 fn replicate(request: u64) -> Event {
     let request = RequestId(request);
-    let update = initial_configuration().whole();
+    let update = Box::new(initial_configuration().whole());
     let message = ConfigurationMessage::Replicate { request, update };
     Event::Message {
         from: NodeId(9),
@@ -228,7 +228,7 @@
             newest: set.revision(),
             vouches: true,
             news: News {
-                update: Some(set.whole()),
+                update: Some(Box::new(set.whole())),
                 ..News::default()
             },
         };
