Script the loss of a voter's disk; send the pushes of a burst together

A voter that lost its disk could make a majority with a voter that never had the newest revisions.

Pushes of a burst: one each 100 ms in place of one a change.

--- a/crates/configuration/src/role.rs
+++ b/crates/configuration/src/role.rs
@@ -18,8 +18,8 @@
 use crate::revision::{RequestId, Revision};
 use crate::set::ConfigurationSet;
 use crate::settings::{
-    ConfigurationSettings, MAX_RELAY_CLIENTS, Member, READ_TIMEOUT, RELAY_BATCH_INTERVAL,
-    RELAY_RETRY, RENEW_INTERVAL, RENEW_RETRY, TICK_INTERVAL,
+    ConfigurationSettings, MAX_RELAY_CLIENTS, Member, PUSH_INTERVAL, READ_TIMEOUT,
+    RELAY_BATCH_INTERVAL, RELAY_RETRY, RENEW_INTERVAL, RENEW_RETRY, TICK_INTERVAL,
 };
 use crate::voter::Voter;
 use crate::voter_state::StoredVoter;
@@ -46,6 +46,9 @@
     machines: Arc<MachineList>,
     reads: Vec<OpenRead>,
     outbox: Outbox,
+    /// Whether clients lack something that came in force here.
+    push_pending: bool,
+    last_push: Option<MonotonicTime>,
     /// What the last effects told the host.
     announced_revision: Revision,
     announced_machines: u64,
@@ -79,6 +82,8 @@
             machines: Arc::new(MachineList::default()),
             reads: Vec::new(),
             outbox: Outbox::new(node, settings.seed),
+            push_pending: false,
+            last_push: None,
             announced_revision: Revision::ZERO,
             announced_machines: 0,
             announced_ready: false,
@@ -315,7 +320,7 @@
         }
     }
 
-    /// Passes on what came in force, and machines, to all clients.
+    /// Tells the host what came in force, and which machines are known.
     fn after_promotion(&mut self) {
         let revision = self.lease.set().revision();
         let machines = self.machines.version();
@@ -334,10 +339,17 @@
             let machines = Arc::clone(&self.machines);
             self.outbox.effect(Effect::Machines(machines));
         }
-        self.push_to_clients();
+        self.push_pending = true;
     }
 
-    fn push_to_clients(&mut self) {
+    /// Passes on what is new. In a burst several changes go in one push.
+    fn push_to_clients(&mut self, now: MonotonicTime) {
+        let lately = |last: MonotonicTime| now.since(last) < PUSH_INTERVAL;
+        if !self.push_pending || self.last_push.is_some_and(lately) {
+            return;
+        }
+        self.push_pending = false;
+        self.last_push = Some(now);
         for client in self.clients.nodes() {
             if client == self.node {
                 continue;
@@ -506,6 +518,7 @@
 
     fn announce(&mut self, now: MonotonicTime) {
         self.after_promotion();
+        self.push_to_clients(now);
         let ready = self.lease.holds(now);
         if ready == self.announced_ready {
             return;
--- a/crates/configuration/src/settings.rs
+++ b/crates/configuration/src/settings.rs
@@ -23,6 +23,8 @@
 pub const RELAY_PATIENCE: Duration = Duration::from_millis(950);
 /// Shortest time between two renewals that a relay sends for its clients.
 pub const RELAY_BATCH_INTERVAL: Duration = Duration::from_millis(450);
+/// Shortest time between two pushes to the clients of a node; the first of a burst goes at once.
+pub const PUSH_INTERVAL: Duration = Duration::from_millis(100);
 /// A client that has not renewed for this long is forgotten.
 pub const CLIENT_TIME: Duration = Duration::from_secs(3);
 /// Members for each relay of a zone.
--- a/crates/configuration/tests/simulation.rs
+++ b/crates/configuration/tests/simulation.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 
-use simulator::{Report, Violation, Weakness, run};
+use simulator::{Report, ScriptedFault, Violation, Weakness, run, run_script};
 
 const SCHEDULES: u64 = 2_000;
 const THREADS: usize = 3;
@@ -90,3 +90,20 @@
     );
     assert!(seen, "seed {seed}: {violation:?}");
 }
+
+/// A voter that lost its disk may be the only reachable one that held the newest revisions. With the
+/// platform down it must not make a majority with a voter that never had them.
+#[test]
+fn voter_that_lost_its_disk_does_not_vouch_beside_one_that_lagged() {
+    let script = [
+        (2_500, ScriptedFault::Cut(2, true)),
+        (5_000, ScriptedFault::PlatformDown),
+        (5_500, ScriptedFault::LoseDisk(0)),
+        (5_500, ScriptedFault::Cut(1, true)),
+        (5_500, ScriptedFault::Cut(2, false)),
+    ];
+    for seed in 0..20 {
+        let result = run_script(seed, &script);
+        assert!(result.is_ok(), "seed {seed}: {result:?}");
+    }
+}
--- a/crates/configuration/tests/simulator/mod.rs
+++ b/crates/configuration/tests/simulator/mod.rs
@@ -84,7 +84,16 @@
     pub faults: usize,
 }
 
+/// A fault at a chosen time, for runs with a script in place of random faults.
+#[derive(Debug, Clone, Copy)]
+pub enum ScriptedFault {
+    Cut(usize, bool),
+    PlatformDown,
+    LoseDisk(usize),
+}
+
 enum Action {
+    Scripted(ScriptedFault),
     Handle {
         node: usize,
         life: u64,
@@ -172,6 +181,7 @@
     lose_until: u64,
     loss: f64,
     longest_delay: u64,
+    scripted: bool,
     faults: usize,
     violation: Option<Violation>,
 }
@@ -191,6 +201,22 @@
     world.judge()
 }
 
+/// Runs one schedule with the faults of a script, given with their times in milliseconds. The
+/// network is fast, and three voters lead the list of nodes.
+pub fn run_script(seed: u64, script: &[(u64, ScriptedFault)]) -> Result<Report, Violation> {
+    let mut world = World::new(seed, Weakness::None);
+    world.voters = 3;
+    world.loss = 0.0;
+    world.longest_delay = 5_000;
+    world.scripted = true;
+    for (milliseconds, fault) in script {
+        world.schedule(milliseconds * 1_000, Action::Scripted(*fault));
+    }
+    world.schedule(FAULTS_END, Action::Fault);
+    world.run_to_end();
+    world.judge()
+}
+
 impl World {
     fn new(seed: u64, weakness: Weakness) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
@@ -214,6 +240,7 @@
             lose_until: 0,
             loss,
             longest_delay,
+            scripted: false,
             faults: 0,
             violation: None,
         };
@@ -275,6 +302,7 @@
             Action::Wake { node } => self.wake(node),
             Action::Operate { operator } => self.operate(operator),
             Action::Fault => self.fault(),
+            Action::Scripted(fault) => self.scripted_fault(fault),
         }
     }
 
@@ -545,6 +573,9 @@
             self.heal();
             return;
         }
+        if self.scripted {
+            return;
+        }
         self.faults += 1;
         let node = self.random.random_range(0..NODES);
         let length = self.random.random_range(200_000..6 * SECOND);
@@ -570,6 +601,15 @@
         self.schedule(next, Action::Fault);
     }
 
+    fn scripted_fault(&mut self, fault: ScriptedFault) {
+        self.faults += 1;
+        match fault {
+            ScriptedFault::Cut(node, cut) => self.nodes[node].cut = cut,
+            ScriptedFault::PlatformDown => self.down_until = FAULTS_END,
+            ScriptedFault::LoseDisk(node) => self.crash(node, 100_000, true),
+        }
+    }
+
     fn heal(&mut self) {
         self.down_until = 0;
         self.slow_until = 0;
