Start a watch again that could not be started

Cause: the answer to the watch operation was taken by nobody, so a watch asked for while the platform was down was never asked for again, and only the periodic reads remained. The test failed before and passes now.

--- a/crates/configuration/src/effect.rs
+++ b/crates/configuration/src/effect.rs
@@ -114,7 +114,8 @@
         /// Operations of the document that are new in it, for the platform's own log.
         operations: Vec<OperationId>,
     },
-    /// Start or restart the watch of the document and of the machines.
+    /// Start or restart the watch of the document and of the machines. It is answered only where it
+    /// fails, by any answer; a watch that ends later is reported as [`WatchEvent::Closed`].
     Watch,
     /// Read the list of machines.
     ListMachines,
--- a/crates/configuration/src/watcher.rs
+++ b/crates/configuration/src/watcher.rs
@@ -69,6 +69,7 @@
     /// Whether this node watches for all others.
     watches: bool,
     watch_at: Option<MonotonicTime>,
+    watch_request: Option<RequestId>,
     document: RepeatedRead,
     machines: RepeatedRead,
 }
@@ -80,6 +81,7 @@
         Self {
             watches,
             watch_at: watches.then_some(MonotonicTime::ZERO),
+            watch_request: None,
             document: RepeatedRead::default(),
             machines: RepeatedRead::default(),
         }
@@ -89,7 +91,7 @@
     pub(crate) fn tick(&mut self, now: MonotonicTime, recovering: bool, outbox: &mut Outbox) {
         if self.watch_at.is_some_and(|at| now >= at) {
             self.watch_at = None;
-            outbox.platform(PlatformOperation::Watch);
+            self.watch_request = Some(outbox.platform(PlatformOperation::Watch));
         }
         if self.watches || recovering {
             self.document.tick(now, PlatformOperation::Read, outbox);
@@ -107,6 +109,10 @@
         answer: &PlatformAnswer,
         now: MonotonicTime,
     ) -> Option<Finding> {
+        if self.watch_request == Some(request) {
+            self.watch_again(now);
+            return None;
+        }
         let own =
             self.document.take(request, answer, now) || self.machines.take(request, answer, now);
         if !own {
@@ -139,13 +145,18 @@
                 None
             }
             WatchEvent::Closed => {
-                self.watch_at = self.watches.then_some(now + RETRY_INTERVAL);
-                self.read_again(now);
+                self.watch_again(now);
                 None
             }
         }
     }
 
+    /// The watch ended or could not be started.
+    fn watch_again(&mut self, now: MonotonicTime) {
+        self.watch_at = self.watches.then_some(now + RETRY_INTERVAL);
+        self.read_again(now);
+    }
+
     fn read_again(&mut self, now: MonotonicTime) {
         self.document.next = now;
         self.machines.next = now;
--- a/crates/configuration/tests/leases.rs
+++ b/crates/configuration/tests/leases.rs
@@ -277,6 +277,26 @@
     assert_eq!(answers_of(&mut voter, START).len(), 1);
 }
 
+#[test]
+fn watch_that_fails_to_start_is_started_again() {
+    let watches = |effects: &[Effect]| {
+        effects.iter().find_map(|effect| match effect {
+            Effect::Platform {
+                request,
+                operation: PlatformOperation::Watch,
+            } => Some(*request),
+            _ => None,
+        })
+    };
+    let mut voter = role(1, None);
+    let request = watches(&voter.handle(START, Event::Tick)).expect("a watch");
+    let answer = PlatformAnswer::Unavailable;
+    voter.handle(START, Event::PlatformAnswer { request, answer });
+    assert_eq!(watches(&voter.handle(START, Event::Tick)), None);
+    let later = START + Duration::from_secs(1);
+    assert!(watches(&voter.handle(later, Event::Tick)).is_some());
+}
+
 #[test]
 fn relay_takes_a_bounded_number_of_clients() {
     let mut relay = role(9, None);
--- a/crates/configuration/tests/scale.rs
+++ b/crates/configuration/tests/scale.rs
@@ -119,6 +119,9 @@
                 self.schedule(self.now + TICK, Action::Tick(node));
             }
             Action::Handle(node, event) => self.handle(node, event),
+            Action::Platform(node, _, PlatformOperation::Watch) => {
+                self.platform_readers.insert(node);
+            }
             Action::Platform(node, request, operation) => {
                 let answer = self.platform(node, operation);
                 let event = Event::PlatformAnswer { request, answer };
