--- a/crates/configuration/tests/leases.rs
+++ b/crates/configuration/tests/leases.rs
@@ -61,7 +61,7 @@
             newest: set.revision(),
         }],
         news: News {
-            update: Some(set.whole()),
+            update: Some(Box::new(set.whole())),
             ..News::default()
         },
     };
@@ -127,7 +127,7 @@
 
 fn replicate(request: u64) -> Event {
     let request = RequestId(request);
-    let update = initial_configuration().whole();
+    let update = Box::new(initial_configuration().whole());
     let message = ConfigurationMessage::Replicate { request, update };
     Event::Message {
         from: NodeId(9),
@@ -228,7 +228,7 @@
             newest: set.revision(),
             vouches: true,
             news: News {
-                update: Some(set.whole()),
+                update: Some(Box::new(set.whole())),
                 ..News::default()
             },
         };
@@ -277,6 +277,26 @@
     assert_eq!(answers_of(&mut voter, START).len(), 1);
 }
 
+#[test]
+fn watch_that_fails_to_start_is_started_again() {
+    let watches = |effects: &[Effect]| {
+        effects.iter().find_map(|effect| match effect {
+            Effect::Platform {
+                request,
+                operation: PlatformOperation::Watch,
+            } => Some(*request),
+            _ => None,
+        })
+    };
+    let mut voter = role(1, None);
+    let request = watches(&voter.handle(START, Event::Tick)).expect("a watch");
+    let answer = PlatformAnswer::Unavailable;
+    voter.handle(START, Event::PlatformAnswer { request, answer });
+    assert_eq!(watches(&voter.handle(START, Event::Tick)), None);
+    let later = START + Duration::from_secs(1);
+    assert!(watches(&voter.handle(later, Event::Tick)).is_some());
+}
+
 #[test]
 fn relay_takes_a_bounded_number_of_clients() {
     let mut relay = role(9, None);
