--- a/crates/configuration/src/role.rs
+++ b/crates/configuration/src/role.rs
@@ -1,26 +1,25 @@
 //! The configuration role of a node: one state machine for the daemon's actor to wrap.
 
+mod messages;
+mod renewal;
+
 use std::sync::Arc;
 
 use ridgeworks_domain::{MonotonicTime, NodeId, Refusal, RefusalReason};
 
 use crate::acceptance::Coordinator;
 use crate::change::ChangeRequest;
-use crate::clients::{Clients, WaitingRenewal};
+use crate::clients::Clients;
 use crate::counters::ConfigurationCounters;
 use crate::effect::{Effect, Event, OperatorAnswer, PlatformAnswer, Ticket, Unavailable};
 use crate::lease::{ConfigurationLease, Grant};
 use crate::machines::MachineList;
-use crate::message::{ConfigurationMessage, Known, News, VoterAnswer};
 use crate::outbox::Outbox;
 use crate::quorum::Voters;
 use crate::relay::{RelayChoice, RelayPlan, RenewalTarget};
 use crate::revision::{RequestId, Revision};
 use crate::set::ConfigurationSet;
-use crate::settings::{
-    ConfigurationSettings, MAX_RELAY_CLIENTS, Member, PUSH_INTERVAL, READ_TIMEOUT,
-    RELAY_BATCH_INTERVAL, RELAY_RETRY, RENEW_INTERVAL, RENEW_RETRY, TICK_INTERVAL,
-};
+use crate::settings::{ConfigurationSettings, Member, READ_TIMEOUT, RENEW_INTERVAL, TICK_INTERVAL};
 use crate::voter::Voter;
 use crate::voter_state::StoredVoter;
 use crate::watcher::{Finding, Watcher};
@@ -162,154 +161,6 @@
         }
     }
 
-    fn message(&mut self, now: MonotonicTime, from: NodeId, message: ConfigurationMessage) {
-        let machines = self.machines.version();
-        match message {
-            ConfigurationMessage::Replicate { request, update } => {
-                if let Some(voter) = &mut self.voter {
-                    voter.replicate(from, request, &update, machines, &mut self.outbox);
-                }
-            }
-            ConfigurationMessage::Stored { request, known } => {
-                self.stored(now, from, request, known);
-            }
-            ConfigurationMessage::FetchNewest { request, known } => {
-                self.fetch_newest(from, request, known);
-            }
-            ConfigurationMessage::Newest {
-                request,
-                newest,
-                vouches,
-                news,
-            } => {
-                self.take_machines(&news);
-                let update = news.update.as_deref();
-                if let Some(voter) = &mut self.voter {
-                    voter.take_newest(from, request, newest, vouches, update, &mut self.outbox);
-                }
-            }
-            ConfigurationMessage::Renew { request, known } => {
-                self.renew_for(now, from, request, known);
-            }
-            ConfigurationMessage::Renewed {
-                request,
-                answers,
-                news,
-            } => {
-                if self.lease.take_answers(request, &answers) && !self.voters.contains(from) {
-                    self.relays.answered();
-                }
-                self.take_news(&news);
-                self.try_grant(now);
-            }
-            ConfigurationMessage::RelayFull { .. } => {
-                if self.relays.is_waiting() {
-                    self.relays.give_up_relay();
-                    self.renew(now);
-                }
-            }
-            ConfigurationMessage::Push { news } => {
-                self.take_news(&news);
-                self.after_promotion();
-            }
-        }
-    }
-
-    fn stored(
-        &mut self,
-        now: MonotonicTime,
-        from: NodeId,
-        request: Option<RequestId>,
-        known: Known,
-    ) {
-        if let Some(request) = request {
-            let newest = known.newest;
-            self.coordinator
-                .acknowledge(from, request, newest, now, &mut self.outbox);
-        }
-        if from == self.node || !self.voters.contains(from) {
-            return;
-        }
-        let Some(voter) = &mut self.voter else {
-            return;
-        };
-        voter.digest(from, known, self.machines.version(), &mut self.outbox);
-        if let Some(machines) = self.machines.update_since(known.machines) {
-            let news = News {
-                machines: Some(Box::new(machines)),
-                ..News::default()
-            };
-            self.outbox.send(from, ConfigurationMessage::Push { news });
-        }
-    }
-
-    fn fetch_newest(&mut self, from: NodeId, request: RequestId, known: Known) {
-        let Some(voter) = &self.voter else {
-            return;
-        };
-        let message = ConfigurationMessage::Newest {
-            request,
-            newest: voter.durable().revision(),
-            vouches: voter.vouches(),
-            news: News {
-                update: voter.durable().update_since(known.newest).map(Box::new),
-                held: self.lease.set().revision(),
-                machines: self.machines.update_since(known.machines).map(Box::new),
-            },
-        };
-        self.outbox.send(from, message);
-    }
-
-    /// Answers a renewal as a voter, or keeps it until this node's own renewal is answered.
-    fn renew_for(&mut self, now: MonotonicTime, from: NodeId, request: RequestId, known: Known) {
-        if let Some(voter) = &self.voter {
-            let answers = voter.answers();
-            self.clients.note(from, known, now);
-            self.send_renewed(from, request, answers);
-            return;
-        }
-        if !self.clients.contains(from) && self.clients.len() >= MAX_RELAY_CLIENTS {
-            self.counters.clients_refused += 1;
-            let message = ConfigurationMessage::RelayFull { request };
-            self.outbox.send(from, message);
-            return;
-        }
-        self.clients.note(from, known, now);
-        let arrived = now;
-        self.clients.wait(from, WaitingRenewal { request, arrived });
-    }
-
-    fn send_renewed(&mut self, to: NodeId, request: RequestId, answers: Vec<VoterAnswer>) {
-        let newest = match &self.voter {
-            Some(voter) => voter.durable(),
-            None => self.lease.sets.newest(),
-        };
-        let in_force = self.lease.set();
-        let news = self.clients.news_for(to, newest, in_force, &self.machines);
-        let message = ConfigurationMessage::Renewed {
-            request,
-            answers,
-            news,
-        };
-        self.outbox.send(to, message);
-    }
-
-    fn take_news(&mut self, news: &News) {
-        if let Some(update) = &news.update
-            && self.lease.sets.stage_update(update).is_err()
-        {
-            self.counters.updates_mismatched += 1;
-        }
-        self.lease.sets.promote(news.held);
-        self.take_machines(news);
-    }
-
-    fn take_machines(&mut self, news: &News) {
-        if let Some(update) = &news.machines {
-            Arc::make_mut(&mut self.machines).apply(update);
-        }
-    }
-
     fn try_grant(&mut self, now: MonotonicTime) {
         let grant = self.lease.try_grant(now);
         self.after_promotion();
@@ -342,35 +193,6 @@
         self.push_pending = true;
     }
 
-    /// Passes on what is new. In a burst several changes go in one push.
-    fn push_to_clients(&mut self, now: MonotonicTime) {
-        let lately = |last: MonotonicTime| now.since(last) < PUSH_INTERVAL;
-        if !self.push_pending || self.last_push.is_some_and(lately) {
-            return;
-        }
-        self.push_pending = false;
-        self.last_push = Some(now);
-        for client in self.clients.nodes() {
-            if client == self.node {
-                continue;
-            }
-            let in_force = self.lease.set();
-            let news = self
-                .clients
-                .news_for(client, in_force, in_force, &self.machines);
-            self.counters.pushes_sent += 1;
-            self.outbox
-                .send(client, ConfigurationMessage::Push { news });
-        }
-    }
-
-    /// The voters' answers to this node's renewal hold for every client that asked before it.
-    fn answer_clients(&mut self, grant: &Grant) {
-        for (client, request) in self.clients.take_waiting(grant.sent_at) {
-            self.send_renewed(client, request, grant.answers.clone());
-        }
-    }
-
     fn answer_reads(&mut self, grant: &Grant) {
         let set = self.lease.set();
         self.reads.retain(|read| {
@@ -466,56 +288,6 @@
         });
     }
 
-    fn renew_if_due(&mut self, now: MonotonicTime) {
-        let last = self.lease.last_sent();
-        let unanswered = last.is_some() && self.lease.granted_from() < last;
-        let staged = self.lease.sets.newest().revision() > self.lease.set().revision();
-        let unread = self.reads.iter().any(|read| Some(read.arrived) > last);
-        let client_waits = self.clients.waiting_since() > last.or(Some(MonotonicTime::ZERO));
-        let retry = match self.relays.is_waiting() {
-            true => RELAY_RETRY,
-            false => RENEW_RETRY,
-        };
-        let due = self.lease.renewal_due(now)
-            || (unanswered && self.lease.due(now, retry))
-            || ((staged || unread) && self.lease.due(now, TICK_INTERVAL))
-            || (client_waits && self.lease.due(now, RELAY_BATCH_INTERVAL));
-        if unread && due {
-            self.renew_with(now, RenewalTarget::Voters);
-        } else if due {
-            self.renew(now);
-        }
-    }
-
-    fn renew(&mut self, now: MonotonicTime) {
-        // A node that has no lease yet, or a relay with clients, needs the voters themselves.
-        let relays_others = self.clients.waiting_since().is_some();
-        let target = match self.lease.granted_from() {
-            Some(_) if !relays_others => self.relays.target(now),
-            _ => RenewalTarget::Voters,
-        };
-        self.renew_with(now, target);
-    }
-
-    fn renew_with(&mut self, now: MonotonicTime, target: RenewalTarget) {
-        let request = self.outbox.next_request();
-        let known = Known {
-            newest: self.lease.sets.newest().revision(),
-            machines: self.machines.version(),
-        };
-        self.lease.begin(request, now);
-        self.counters.renewals_sent += 1;
-        let message = ConfigurationMessage::Renew { request, known };
-        match target {
-            RenewalTarget::Relay(relay) => self.outbox.send(relay, message),
-            RenewalTarget::Voters => {
-                for voter in self.voters.nodes() {
-                    self.outbox.send(*voter, message.clone());
-                }
-            }
-        }
-    }
-
     fn announce(&mut self, now: MonotonicTime) {
         self.after_promotion();
         self.push_to_clients(now);
--- /dev/null
+++ b/crates/configuration/tests/simulator/faults.rs
@@ -0,0 +1,104 @@
+//! Faults of nodes and of the platform, random or by a script.
+
+use rand::RngExt;
+use ridgeworks_configuration::{ConfigurationRole, MachineState};
+
+use super::{Action, FAULTS_END, NODES, Node, SECOND, ScriptedFault, World};
+
+impl World {
+    pub(super) fn fault(&mut self) {
+        if self.healed() {
+            self.heal();
+            return;
+        }
+        if self.scripted {
+            return;
+        }
+        self.faults += 1;
+        let node = self.random.random_range(0..NODES);
+        let length = self.random.random_range(200_000..6 * SECOND);
+        let until = self.now + length;
+        match self.random.random_range(0..9) {
+            0 | 1 => self.crash(node, length.min(2 * SECOND), false),
+            2 => self.lose_disk(length.min(2 * SECOND)),
+            3 | 4 => {
+                self.nodes[node].paused = true;
+                self.schedule(until, Action::Wake { node });
+            }
+            5 => self.down_until = until,
+            6 => self.slow_until = until,
+            7 => self.lose_until = until,
+            _ => self.nodes[node].cut = !self.nodes[node].cut,
+        }
+        if self.random.random_bool(0.2) {
+            let state = [MachineState::Live, MachineState::Leaving][self.random.random_range(0..2)];
+            self.platform.set_machine(state);
+        }
+        let pause = self.random.random_range(100_000..1_500_000);
+        let next = (self.now + pause).min(FAULTS_END);
+        self.schedule(next, Action::Fault);
+    }
+
+    pub(super) fn scripted_fault(&mut self, fault: ScriptedFault) {
+        self.faults += 1;
+        match fault {
+            ScriptedFault::Cut(node, cut) => self.nodes[node].cut = cut,
+            ScriptedFault::PlatformDown => self.down_until = FAULTS_END,
+            ScriptedFault::LoseDisk(node) => self.crash(node, 100_000, true),
+        }
+    }
+
+    pub(super) fn heal(&mut self) {
+        self.down_until = 0;
+        self.slow_until = 0;
+        self.lose_until = 0;
+        self.platform.set_machine(MachineState::Leaving);
+        self.platform.set_machine(MachineState::Live);
+        for node in 0..NODES {
+            self.nodes[node].cut = false;
+            self.wake(node);
+        }
+    }
+
+    pub(super) fn crash(&mut self, node: usize, length: u64, disk_lost: bool) {
+        if self.nodes[node].role.is_none() {
+            return;
+        }
+        let state = &mut self.nodes[node];
+        state.role = None;
+        state.life += 1;
+        state.paused = false;
+        state.kept.clear();
+        if disk_lost {
+            state.disk = None;
+        }
+        self.operators.node_crashed(node);
+        self.schedule(self.now + length, Action::Start { node });
+    }
+
+    /// One voter at a time loses its disk, and not before the last one had time to catch up.
+    pub(super) fn lose_disk(&mut self, length: u64) {
+        let vouching = |node: &Node| {
+            let role = node.role.as_ref();
+            node.disk.as_ref().is_some_and(|disk| disk.vouches)
+                && role.is_none_or(ConfigurationRole::is_vouching_voter)
+        };
+        if self.nodes[..self.voters].iter().all(vouching) {
+            let voter = self.random.random_range(0..self.voters);
+            self.crash(voter, length, true);
+        }
+    }
+
+    pub(super) fn wake(&mut self, node: usize) {
+        if !self.nodes[node].paused {
+            return;
+        }
+        self.nodes[node].paused = false;
+        self.check_node(node);
+        let life = self.nodes[node].life;
+        for event in std::mem::take(&mut self.nodes[node].kept) {
+            let at = self.now + self.random.random_range(0..60_000);
+            self.schedule(at, Action::Handle { node, life, event });
+        }
+    }
+}
--- a/crates/configuration/tests/simulator/mod.rs
+++ b/crates/configuration/tests/simulator/mod.rs
@@ -6,7 +6,9 @@
 
 #![allow(dead_code, reason = "each test binary uses its part of the simulator")]
 
+mod faults;
 pub mod history;
+mod network;
 pub mod operators;
 pub mod platform;
 pub mod scenario;
@@ -16,13 +18,10 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use ridgeworks_configuration::effect::WatchEvent;
-use ridgeworks_configuration::message::Known;
 use ridgeworks_configuration::settings::STALENESS_BOUND;
 use ridgeworks_configuration::{
     ConfigurationMessage, ConfigurationRole, ConfigurationSettings, Effect, Event, MachineState,
-    Member, OperatorAnswer, PlatformAnswer, PlatformOperation, PlatformVersion, RequestId,
-    Revision, StoredVoter, Ticket,
+    Member, OperatorAnswer, PlatformOperation, RequestId, Revision, StoredVoter, Ticket,
 };
 use ridgeworks_domain::{MonotonicTime, NodeId, ZoneName};
 
@@ -437,233 +436,6 @@
         }
     }
 
-    fn send(&mut self, from: usize, to: usize, message: ConfigurationMessage) {
-        if let ConfigurationMessage::Renew { request, .. } = message {
-            self.nodes[from].last_renewal = Some(request);
-        }
-        self.forge_acknowledgement(from, to, &message);
-        let cut = self.nodes[from].cut != self.nodes[to].cut;
-        let lossy = !self.healed() && self.random.random_bool(self.loss);
-        if cut || lossy {
-            return;
-        }
-        self.deliver(from, to, message.clone());
-        if !self.healed() && self.random.random_bool(self.loss / 2.0) {
-            self.deliver(from, to, message);
-        }
-    }
-
-    fn forge_acknowledgement(&mut self, from: usize, to: usize, message: &ConfigurationMessage) {
-        if self.weakness != Weakness::NoMajorityBeforeAccepted {
-            return;
-        }
-        if let ConfigurationMessage::Replicate { request, update } = message {
-            let known = Known {
-                newest: update.revision,
-                machines: 0,
-            };
-            let request = Some(*request);
-            let forged = ConfigurationMessage::Stored { request, known };
-            let life = self.nodes[from].life;
-            let event = Event::Message {
-                from: node_id(to),
-                message: forged,
-            };
-            self.schedule(
-                self.now + 1,
-                Action::Handle {
-                    node: from,
-                    life,
-                    event,
-                },
-            );
-        }
-    }
-
-    fn deliver(&mut self, from: usize, to: usize, message: ConfigurationMessage) {
-        let longest = if self.healed() {
-            5_000
-        } else {
-            self.longest_delay
-        };
-        let mut delay = self.random.random_range(500..=5_000);
-        if self.random.random_bool(0.2) {
-            delay = self.random.random_range(500..=longest);
-        }
-        let from = node_id(from);
-        let event = Event::Message { from, message };
-        let life = self.nodes[to].life;
-        self.schedule(
-            self.now + delay,
-            Action::Handle {
-                node: to,
-                life,
-                event,
-            },
-        );
-    }
-
-    fn flush(&mut self, node: usize, life: u64, write: u64, state: StoredVoter) {
-        if self.nodes[node].life != life {
-            return;
-        }
-        if state.vouches && self.nodes[node].first_disk.is_none() {
-            self.nodes[node].first_disk = Some(state.clone());
-        }
-        self.nodes[node].disk = Some(state);
-        self.handle(node, Event::Flushed { write });
-    }
-
-    fn platform_delay(&mut self) -> u64 {
-        let longest = if self.now < self.slow_until {
-            3_500_000
-        } else {
-            8_000
-        };
-        self.random.random_range(500..longest)
-    }
-
-    fn arrive(&mut self, node: usize, life: u64, request: RequestId, operation: PlatformOperation) {
-        if self.now < self.down_until {
-            let answer = PlatformAnswer::Unavailable;
-            let event = Event::PlatformAnswer { request, answer };
-            if self.random.random_bool(0.7) {
-                self.schedule(self.now + 1000, Action::Handle { node, life, event });
-            }
-            return;
-        }
-        if operation == PlatformOperation::Watch {
-            self.watchers.insert(node, life);
-            return;
-        }
-        let (mut answer, changed) = self.platform.carry_out(operation);
-        if changed {
-            self.tell_watchers();
-        }
-        if self.now < self.lose_until && self.random.random_bool(0.6) {
-            if self.random.random_bool(0.5) {
-                return;
-            }
-            answer = PlatformAnswer::Lost;
-        }
-        let at = self.now + self.platform_delay();
-        let event = Event::PlatformAnswer { request, answer };
-        self.schedule(at, Action::Handle { node, life, event });
-    }
-
-    fn tell_watchers(&mut self) {
-        for (node, life) in self.watchers.clone() {
-            let event = match self.random.random_range(0..10) {
-                0 => WatchEvent::Gap,
-                1 => WatchEvent::Closed,
-                2 => continue,
-                _ => WatchEvent::Document {
-                    version: PlatformVersion(self.platform.version),
-                    document: self.platform.document.clone(),
-                },
-            };
-            let at = self.now + self.platform_delay();
-            let event = Event::PlatformWatch(event);
-            self.schedule(at, Action::Handle { node, life, event });
-        }
-    }
-
-    fn fault(&mut self) {
-        if self.healed() {
-            self.heal();
-            return;
-        }
-        if self.scripted {
-            return;
-        }
-        self.faults += 1;
-        let node = self.random.random_range(0..NODES);
-        let length = self.random.random_range(200_000..6 * SECOND);
-        let until = self.now + length;
-        match self.random.random_range(0..9) {
-            0 | 1 => self.crash(node, length.min(2 * SECOND), false),
-            2 => self.lose_disk(length.min(2 * SECOND)),
-            3 | 4 => {
-                self.nodes[node].paused = true;
-                self.schedule(until, Action::Wake { node });
-            }
-            5 => self.down_until = until,
-            6 => self.slow_until = until,
-            7 => self.lose_until = until,
-            _ => self.nodes[node].cut = !self.nodes[node].cut,
-        }
-        if self.random.random_bool(0.2) {
-            let state = [MachineState::Live, MachineState::Leaving][self.random.random_range(0..2)];
-            self.platform.set_machine(state);
-        }
-        let pause = self.random.random_range(100_000..1_500_000);
-        let next = (self.now + pause).min(FAULTS_END);
-        self.schedule(next, Action::Fault);
-    }
-
-    fn scripted_fault(&mut self, fault: ScriptedFault) {
-        self.faults += 1;
-        match fault {
-            ScriptedFault::Cut(node, cut) => self.nodes[node].cut = cut,
-            ScriptedFault::PlatformDown => self.down_until = FAULTS_END,
-            ScriptedFault::LoseDisk(node) => self.crash(node, 100_000, true),
-        }
-    }
-
-    fn heal(&mut self) {
-        self.down_until = 0;
-        self.slow_until = 0;
-        self.lose_until = 0;
-        self.platform.set_machine(MachineState::Leaving);
-        self.platform.set_machine(MachineState::Live);
-        for node in 0..NODES {
-            self.nodes[node].cut = false;
-            self.wake(node);
-        }
-    }
-
-    fn crash(&mut self, node: usize, length: u64, disk_lost: bool) {
-        if self.nodes[node].role.is_none() {
-            return;
-        }
-        let state = &mut self.nodes[node];
-        state.role = None;
-        state.life += 1;
-        state.paused = false;
-        state.kept.clear();
-        if disk_lost {
-            state.disk = None;
-        }
-        self.operators.node_crashed(node);
-        self.schedule(self.now + length, Action::Start { node });
-    }
-
-    /// One voter at a time loses its disk, and not before the last one had time to catch up.
-    fn lose_disk(&mut self, length: u64) {
-        let vouching = |node: &Node| {
-            let role = node.role.as_ref();
-            node.disk.as_ref().is_some_and(|disk| disk.vouches)
-                && role.is_none_or(ConfigurationRole::is_vouching_voter)
-        };
-        if self.nodes[..self.voters].iter().all(vouching) {
-            let voter = self.random.random_range(0..self.voters);
-            self.crash(voter, length, true);
-        }
-    }
-
-    fn wake(&mut self, node: usize) {
-        if !self.nodes[node].paused {
-            return;
-        }
-        self.nodes[node].paused = false;
-        self.check_node(node);
-        let life = self.nodes[node].life;
-        for event in std::mem::take(&mut self.nodes[node].kept) {
-            let at = self.now + self.random.random_range(0..60_000);
-            self.schedule(at, Action::Handle { node, life, event });
-        }
-    }
-
     fn operate(&mut self, operator: usize) {
         self.operators.give_up(operator, self.now);
         let pause = self.random.random_range(30_000..600_000);
