--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -1,7 +1,19 @@
 //! Configuration revisions, acceptance, leases and relays, without I/O.
 //!
 //! [`role::ConfigurationRole`] is what a host wraps: typed events in, typed effects out, time
-//! passed in.
+//! passed in. The host
+//!
+//! - calls [`ConfigurationRole::handle`] for every message, operator request, answer of the platform,
+//!   finished write, and [`Event::Tick`] every [`settings::TICK_INTERVAL`];
+//! - carries the effects out in order. [`Effect::Write`] may be overtaken by a later one, which holds
+//!   everything; [`Event::Flushed`] follows only after the data is on the disk;
+//! - answers every [`Effect::Platform`] but a watch, [`PlatformAnswer::Lost`] where the answer did not
+//!   come, and [`PlatformAnswer::Unavailable`] only where the operation certainly had no effect;
+//! - asks [`ConfigurationRole::in_force`] with the time of that moment before it accepts any work;
+//! - gives [`ConfigurationSettings::seed`] another value at every start.
+//!
+//! An empty platform is filled by changes of [`Principal::Bootstrap`], which creates partners and the
+//! first pool split and nothing else.
 
 mod acceptance;
 pub mod change;
--- a/crates/configuration/src/set.rs
+++ b/crates/configuration/src/set.rs
@@ -88,7 +88,14 @@
         backend, Backend, BackendName
     );
 
-    /// All partners, among them the one whose token hash a request must match.
+    /// The partner whose token has this SHA-256 hash in lower-case hexadecimal. Hashes are compared,
+    /// not tokens, so the time that it takes tells nothing of a token.
+    pub fn partner_by_token_hash(&self, token_sha256: &str) -> Option<&Partner> {
+        let mut partners = self.partners();
+        partners.find(|partner| partner.token_sha256 == token_sha256)
+    }
+
+    /// All partners.
     pub fn partners(&self) -> impl Iterator<Item = &Partner> {
         self.objects()
             .filter_map(|versioned| match &versioned.object {
--- a/crates/configuration/tests/changes.rs
+++ b/crates/configuration/tests/changes.rs
@@ -268,6 +268,14 @@
     assert_eq!(invalid_field(result), (Field::TokenSha256, Allowed::Unique));
 }
 
+#[test]
+fn partner_is_found_by_its_token_hash() {
+    let set = initial_configuration();
+    let found = set.partner_by_token_hash(&"1".repeat(64));
+    assert_eq!(found.map(|partner| &partner.name), Some(&partner_name(1)));
+    assert_eq!(set.partner_by_token_hash(""), None);
+}
+
 #[test]
 fn fields_have_ranges() {
     let set = initial_configuration();
