--- a/crates/configuration/tests/simulation.rs
+++ b/crates/configuration/tests/simulation.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 
-use simulator::{Report, ScriptedFault, Violation, Weakness, run, run_script};
+use simulator::{NODES, Report, ScriptedFault, Violation, Weakness, run, run_script};
 
 const SCHEDULES: u64 = 2_000;
 const THREADS: usize = 3;
@@ -97,6 +97,7 @@
 fn voter_that_lost_its_disk_does_not_vouch_beside_one_that_lagged() {
     let script = [
         (2_500, ScriptedFault::Cut(2, true)),
+        (2_500, ScriptedFault::EndWatch(2)),
         (5_000, ScriptedFault::PlatformDown),
         (5_500, ScriptedFault::LoseDisk(0)),
         (5_500, ScriptedFault::Cut(1, true)),
@@ -107,3 +108,26 @@
         assert!(result.is_ok(), "seed {seed}: {result:?}");
     }
 }
+
+/// An acknowledgement from a disk that is lost since must not make a majority with one that comes
+/// after the voter caught up: the voter that acknowledged no longer has the revision.
+#[test]
+fn acknowledgement_from_a_lost_disk_does_not_count_once_the_voter_vouches_again() {
+    let mut script = vec![
+        (3_000, ScriptedFault::Cut(2, true)),
+        (3_000, ScriptedFault::EndWatch(1)),
+        (3_000, ScriptedFault::EndWatch(2)),
+        (3_000, ScriptedFault::DelayReplicate(1, 1_500_000)),
+        (5_000, ScriptedFault::PlatformDown),
+        (5_000, ScriptedFault::LoseDisk(0)),
+        (5_000, ScriptedFault::Cut(2, false)),
+        (5_300, ScriptedFault::CutLink(0, 1)),
+        (5_300, ScriptedFault::CutLink(1, 2)),
+    ];
+    // Coordinators do not reach the voter that lagged.
+    script.extend((3..NODES).map(|node| (5_000, ScriptedFault::CutLink(2, node))));
+    for seed in 0..40 {
+        let result = run_script(seed, &script);
+        assert!(result.is_ok(), "seed {seed}: {result:?}");
+    }
+}
--- a/crates/configuration/tests/simulator/faults.rs
+++ b/crates/configuration/tests/simulator/faults.rs
@@ -45,6 +45,13 @@
             ScriptedFault::Cut(node, cut) => self.nodes[node].cut = cut,
             ScriptedFault::PlatformDown => self.down_until = FAULTS_END,
             ScriptedFault::LoseDisk(node) => self.crash(node, 100_000, true),
+            ScriptedFault::EndWatch(node) => {
+                self.watchers.remove(&node);
+            }
+            ScriptedFault::CutLink(one, other) => self.cut_links.push((one, other)),
+            ScriptedFault::DelayReplicate(node, delay) => {
+                self.delayed_replicate = Some((node, delay));
+            }
         }
     }
 
@@ -52,6 +59,8 @@
         self.down_until = 0;
         self.slow_until = 0;
         self.lose_until = 0;
+        self.cut_links.clear();
+        self.delayed_replicate = None;
         self.platform.set_machine(MachineState::Leaving);
         self.platform.set_machine(MachineState::Live);
         for node in 0..NODES {
--- a/crates/configuration/tests/simulator/mod.rs
+++ b/crates/configuration/tests/simulator/mod.rs
@@ -89,6 +89,12 @@
     Cut(usize, bool),
     PlatformDown,
     LoseDisk(usize),
+    /// The platform's watch of this node reports nothing more.
+    EndWatch(usize),
+    /// Nothing passes between these two nodes.
+    CutLink(usize, usize),
+    /// `Replicate` messages to this node take this long, in microseconds.
+    DelayReplicate(usize, u64),
 }
 
 enum Action {
@@ -181,6 +187,8 @@
     loss: f64,
     longest_delay: u64,
     scripted: bool,
+    cut_links: Vec<(usize, usize)>,
+    delayed_replicate: Option<(usize, u64)>,
     faults: usize,
     violation: Option<Violation>,
 }
@@ -240,6 +248,8 @@
             loss,
             longest_delay,
             scripted: false,
+            cut_links: Vec::new(),
+            delayed_replicate: None,
             faults: 0,
             violation: None,
         };
--- a/crates/configuration/tests/simulator/network.rs
+++ b/crates/configuration/tests/simulator/network.rs
@@ -16,7 +16,9 @@
             self.nodes[from].last_renewal = Some(request);
         }
         self.forge_acknowledgement(from, to, &message);
-        let cut = self.nodes[from].cut != self.nodes[to].cut;
+        let cut = self.nodes[from].cut != self.nodes[to].cut
+            || self.cut_links.contains(&(from, to))
+            || self.cut_links.contains(&(to, from));
         let lossy = !self.healed() && self.random.random_bool(self.loss);
         if cut || lossy {
             return;
@@ -69,6 +71,12 @@
         if self.random.random_bool(0.2) {
             delay = self.random.random_range(500..=longest);
         }
+        if let (Some((node, longer)), ConfigurationMessage::Replicate { .. }) =
+            (self.delayed_replicate, &message)
+            && node == to
+        {
+            delay = longer;
+        }
         let from = node_id(from);
         let event = Event::Message { from, message };
         let life = self.nodes[to].life;
