--- /dev/null
+++ b/crates/run-log/tests/simulator/world/clients.rs
@@ -0,0 +1,212 @@
+//! What callers send and how they take the answers.
+
+use std::collections::BTreeMap;
+
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+use ridgeworks_domain::{CallEnd, CallRequest, Cost, RunId};
+use ridgeworks_run_log::{CallerAnswer, Opening, OwnerSettings, RunOwner};
+
+use super::super::Weakening;
+use super::super::checks::{Answered, HistoryRead, Violation};
+use super::super::client::{Ask, Client, Next, Sent, Stage, request};
+use super::event::Event;
+use super::{CALLS, MILLISECOND, NODES, REPLICAS, World};
+
+impl World {
+    pub(super) fn send(&mut self, client: usize) {
+        let Some(ask) = self.clients[client].ask() else {
+            return;
+        };
+        let number = self.post(client, self.clients[client].node, ask.clone());
+        self.clients[client].current = number;
+        let timeout = self.rng.random_range(80..300) * MILLISECOND;
+        self.after(timeout, Event::Timeout { client, number });
+        if ask == Ask::Open {
+            return;
+        }
+        let elsewhere = self.rng.random_range(0..NODES);
+        if self.faulty() && self.rng.random_bool(0.1) {
+            self.post(client, elsewhere, ask);
+        } else if let Stage::Calling(call) = self.clients[client].stage
+            && self.rng.random_bool(0.05)
+            && let Some(early) = self.clients[client].calls.get(call as usize).cloned()
+        {
+            self.post(client, elsewhere, Ask::Call(early));
+        }
+    }
+
+    pub(super) fn post(&mut self, client: usize, node: usize, ask: Ask) -> u64 {
+        let at = self.now;
+        let sender = &mut self.clients[client];
+        sender.next_number += 1;
+        let number = sender.next_number;
+        sender.sent.insert(
+            number,
+            Sent {
+                ask: ask.clone(),
+                at,
+            },
+        );
+        let weak = self.weakening == Some(Weakening::NothingReserved);
+        let ask = match ask {
+            Ask::Call(mut request) if weak => {
+                request.reserve = Cost::ZERO;
+                Ask::Call(request)
+            }
+            ask => ask,
+        };
+        if self.copies() > 0 {
+            let delay = self.delay();
+            self.after(
+                delay,
+                Event::Ask {
+                    node,
+                    client,
+                    number,
+                    ask,
+                },
+            );
+        }
+        number
+    }
+
+    pub(super) fn asked(&mut self, node: usize, client: usize, number: u64, ask: Ask) {
+        let run = self.clients[client].run;
+        if ask == Ask::Open {
+            return self.open(node, client);
+        }
+        self.own(node, run);
+        if let Some(event) = self.nodes[node].event_of(client, number, ask) {
+            self.tell(node, run, event);
+        }
+    }
+
+    pub(super) fn open(&mut self, node: usize, client: usize) {
+        let replicas = self.nodes[..REPLICAS].iter();
+        let replicas = replicas.filter_map(|node| Some(node.replica.as_ref()?.replica.identity()));
+        let opening = Opening {
+            partner: ridgeworks_domain::PartnerName::new("partner").unwrap(),
+            program: ridgeworks_domain::ProgramName::new("program").unwrap(),
+            class: ridgeworks_domain::ClassName::new("class").unwrap(),
+            budget: self.clients[client].budget,
+            max_calls: CALLS,
+            parent: None,
+            replicas: replicas.collect(),
+        };
+        let run = self.clients[client].run;
+        let (settings, now) = (OwnerSettings::default(), self.time());
+        let id = self.nodes[node].id;
+        let (owner, effects) = RunOwner::open(run, id, opening, settings, now);
+        self.nodes[node].owners.insert(run, owner);
+        self.schedule(node, run, effects);
+    }
+
+    pub(super) fn opened(&mut self, node: usize, run: RunId) {
+        let opener = self.clients.iter().position(|client| client.run == run);
+        if let Some(client) = opener.filter(|c| self.clients[*c].stage == Stage::Opening) {
+            self.clients[client].node = node;
+            self.clients[client].stage = Stage::Calling(1);
+            self.after(MILLISECOND, Event::Send { client });
+        }
+    }
+
+    /// Gives up on a node. An opening is never repeated: another node takes the run over, if it exists.
+    pub(super) fn move_on(&mut self, client: usize) {
+        let node = self.rng.random_range(0..NODES);
+        let client = &mut self.clients[client];
+        client.node = node;
+        if client.stage == Stage::Opening {
+            client.stage = Stage::Calling(1);
+        }
+    }
+
+    pub(super) fn answered(&mut self, index: usize, number: u64, answer: CallerAnswer) {
+        let reads = self.rng.random_bool(0.5);
+        let client = &mut self.clients[index];
+        let Some(sent) = client.sent.get(&number).cloned() else {
+            return;
+        };
+        let run = client.run;
+        if let CallerAnswer::History(turns) = &answer {
+            let turns = turns.clone();
+            let invoked = sent.at;
+            self.record.reads.push(HistoryRead {
+                run,
+                invoked,
+                turns,
+            });
+        }
+        if let Ask::Call(request) = &sent.ask {
+            self.note_answer(index, request, sent.at, &answer);
+        }
+        let client = &mut self.clients[index];
+        if client.current != number {
+            return;
+        }
+        let next = client.take(&answer, reads);
+        match next {
+            Next::Nothing => {}
+            Next::GoOn => {
+                client.current = 0;
+                // Readers often ask another node than the one that answered.
+                if self.faulty() && self.rng.random_bool(0.2) {
+                    self.move_on(index);
+                }
+                self.after(MILLISECOND, Event::Send { client: index });
+            }
+            Next::Elsewhere => {
+                client.current = 0;
+                self.move_on(index);
+                let delay = self.rng.random_range(1..30) * MILLISECOND;
+                self.after(delay, Event::Send { client: index });
+            }
+        }
+    }
+
+    pub(super) fn note_answer(
+        &mut self,
+        index: usize,
+        asked: &CallRequest,
+        at: u64,
+        answer: &CallerAnswer,
+    ) {
+        let client = &self.clients[index];
+        let (run, call) = (client.run, asked.sequence);
+        if let CallerAnswer::Ended(CallEnd::Finished { answer, .. }) = answer
+            && client
+                .acknowledged
+                .get(&call)
+                .is_some_and(|known| known != answer)
+        {
+            self.record.violations.push(Violation::Answer(run, call));
+        }
+        self.record.answered.push(Answered {
+            run,
+            call,
+            invoked: at,
+            at: self.now,
+            answer: answer.clone(),
+            only_request: false,
+        });
+    }
+}
+
+pub(super) fn new_client(index: usize, rng: &mut ChaCha8Rng) -> Client {
+    let run = RunId(index as u128 + 1);
+    let calls = (1..=CALLS).map(|number| {
+        let (repeatable, reserve) = (rng.random_bool(0.5), rng.random_range(10..40));
+        request(run, number, repeatable, reserve)
+    });
+    Client {
+        run,
+        calls: calls.collect(),
+        budget: Cost(rng.random_range(60..220)),
+        stage: Stage::Opening,
+        node: rng.random_range(0..NODES),
+        current: 0,
+        sent: BTreeMap::new(),
+        acknowledged: BTreeMap::new(),
+        next_number: 0,
+    }
+}
--- /dev/null
+++ b/crates/run-log/tests/simulator/world/mod.rs
@@ -0,0 +1,311 @@
+//! The event loop: network, faults, effects.
+
+mod clients;
+mod event;
+mod faults;
+mod owners;
+mod replicas;
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use ridgeworks_domain::{Cost, MonotonicTime, NodeId, RunId};
+use ridgeworks_run_log::{Entry, OwnerEvent, StoreId};
+
+use super::Weakening;
+use super::backend::SimulatedBackend;
+use super::checks::{Record, Violation};
+use super::client::{Client, Stage};
+use super::disk::ReplicaNode;
+use super::node::Node;
+use clients::new_client;
+use event::Event;
+
+const MILLISECOND: u64 = 1_000;
+const REPLICAS: usize = 3;
+const NODES: usize = 5;
+const BACKENDS: usize = 3;
+const CLIENTS: usize = 2;
+const CALLS: u64 = 4;
+const TICK: u64 = 20 * MILLISECOND;
+const FAULTS_END: u64 = 1_500 * MILLISECOND;
+const END: u64 = 30_000 * MILLISECOND;
+
+/// What a schedule came to.
+pub struct Outcome {
+    pub violations: Vec<Violation>,
+    pub events: u64,
+    pub finished_calls: u64,
+    pub executions: u64,
+    pub takeovers: u64,
+    pub replicas_changed: u64,
+}
+
+pub struct World {
+    now: u64,
+    order: u64,
+    queue: BinaryHeap<Reverse<(u64, u64, usize)>>,
+    events: Vec<Option<Event>>,
+    rng: ChaCha8Rng,
+    weakening: Option<Weakening>,
+    nodes: Vec<Node>,
+    backends: Vec<SimulatedBackend>,
+    clients: Vec<Client>,
+    record: Record,
+    disk_lost: bool,
+    /// Until when nothing passes from one node to another.
+    cuts: BTreeMap<(usize, usize), u64>,
+}
+
+/// Runs one schedule.
+pub fn run_schedule(seed: u64, weakening: Option<Weakening>) -> Outcome {
+    World::new(seed, weakening).run()
+}
+
+impl World {
+    fn new(seed: u64, weakening: Option<Weakening>) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let nodes: Vec<Node> = (0..NODES)
+            .map(|index| {
+                let id = NodeId(index as u64 + 1);
+                let replica =
+                    (index < REPLICAS).then(|| ReplicaNode::new(id, StoreId(rng.random())));
+                Node::new(id, replica)
+            })
+            .collect();
+        let clients = (0..CLIENTS)
+            .map(|index| new_client(index, &mut rng))
+            .collect();
+        let mut world = Self {
+            now: 0,
+            order: 0,
+            queue: BinaryHeap::new(),
+            events: Vec::new(),
+            rng,
+            weakening,
+            nodes,
+            backends: (0..BACKENDS).map(|_| SimulatedBackend::default()).collect(),
+            clients,
+            record: Record::default(),
+            disk_lost: false,
+            cuts: BTreeMap::new(),
+        };
+        world.plan();
+        world
+    }
+
+    fn run(mut self) -> Outcome {
+        let mut events = 0;
+        while let Some(Reverse((at, _, slot))) = self.queue.pop() {
+            let done = self
+                .clients
+                .iter()
+                .all(|client| client.stage == Stage::Done);
+            if at > END || (done && at > FAULTS_END) {
+                break;
+            }
+            self.now = at;
+            events += 1;
+            if let Some(event) = self.events[slot].take() {
+                self.step(event);
+            }
+        }
+        let budgets: BTreeMap<RunId, Cost> = self
+            .clients
+            .iter()
+            .map(|client| (client.run, client.budget))
+            .collect();
+        for answered in &mut self.record.answered {
+            let sender = self
+                .clients
+                .iter()
+                .find(|client| client.run == answered.run);
+            let requests = sender.map(|client| client.requests_of(answered.call));
+            answered.only_request = requests == Some(1);
+        }
+        self.record.check(&budgets);
+        for client in self
+            .clients
+            .iter()
+            .filter(|client| client.stage != Stage::Done)
+        {
+            self.record.violations.push(Violation::Stuck(client.run));
+        }
+        self.outcome(events)
+    }
+
+    fn outcome(self, events: u64) -> Outcome {
+        let count = |wanted: fn(&Entry) -> bool| {
+            self.record
+                .committed
+                .values()
+                .filter(|entry| wanted(entry))
+                .count() as u64
+        };
+        Outcome {
+            events,
+            finished_calls: count(|entry| matches!(entry, Entry::Finished { .. })),
+            executions: self.record.executions.len() as u64,
+            takeovers: count(|entry| matches!(entry, Entry::OwnerChanged { .. })),
+            replicas_changed: count(|entry| matches!(entry, Entry::ReplicasChanged { .. })),
+            violations: self.record.violations,
+        }
+    }
+
+    fn time(&self) -> MonotonicTime {
+        MonotonicTime::from_micros(self.now)
+    }
+
+    fn at(&mut self, at: u64, event: Event) {
+        self.order += 1;
+        self.queue
+            .push(Reverse((at, self.order, self.events.len())));
+        self.events.push(Some(event));
+    }
+
+    fn after(&mut self, delay: u64, event: Event) {
+        self.at(self.now + delay, event);
+    }
+
+    fn faulty(&self) -> bool {
+        self.now < FAULTS_END
+    }
+
+    fn delay(&mut self) -> u64 {
+        let long = if self.faulty() { 0.06 } else { 0.0 };
+        if self.rng.random_bool(long) {
+            return self.rng.random_range(5..400) * MILLISECOND;
+        }
+        self.rng.random_range(300..3_000)
+    }
+
+    /// How many copies of a message arrive.
+    fn copies(&mut self) -> u32 {
+        match self.rng.random_range(0..100) {
+            0..=4 if self.faulty() => 0,
+            5..=7 => 2,
+            _ => 1,
+        }
+    }
+
+    /// Whether the event must wait for the node to wake up, or is lost with the node.
+    fn hold(&self, event: &Event) -> Option<Option<u64>> {
+        let (node, incarnation) = match event {
+            Event::Request { to, .. } | Event::Reply { to, .. } => (*to, None),
+            Event::Ask { node, .. } | Event::TakeOver { node, .. } => (*node, None),
+            Event::Flush { node, incarnation }
+            | Event::Tick { node, incarnation }
+            | Event::Effect {
+                node, incarnation, ..
+            }
+            | Event::Input {
+                node, incarnation, ..
+            } => (*node, Some(*incarnation)),
+            _ => return None,
+        };
+        let held = &self.nodes[node];
+        if !held.alive || incarnation.is_some_and(|incarnation| incarnation != held.incarnation) {
+            return Some(None);
+        }
+        (held.paused_until > self.now).then_some(Some(held.paused_until))
+    }
+
+    fn is_cut(&self, event: &Event) -> bool {
+        let (Event::Request { from, to, .. } | Event::Reply { from, to, .. }) = event else {
+            return false;
+        };
+        let until = self.cuts.get(&(*from, *to));
+        until.is_some_and(|until| *until > self.now)
+    }
+
+    fn step(&mut self, event: Event) {
+        match self.hold(&event) {
+            Some(None) => return,
+            Some(Some(until)) => {
+                let jitter = self.rng.random_range(0..2_000);
+                return self.at(until + jitter, event);
+            }
+            None => {}
+        }
+        if self.is_cut(&event) {
+            return;
+        }
+        match event {
+            Event::Request { from, to, request } => self.replica_request(from, to, request),
+            Event::Reply { from, to, reply } => {
+                if let Some(run) = reply.run() {
+                    let from = self.nodes[from].id;
+                    self.tell(to, run, OwnerEvent::Reply { from, reply });
+                }
+            }
+            Event::Flush { node, .. } => self.flush(node),
+            Event::Tick { node, incarnation } => self.tick(node, incarnation),
+            Event::Effect {
+                node, run, effect, ..
+            } => self.carry_out(node, run, effect),
+            Event::Input {
+                node, run, event, ..
+            } => self.tell(node, run, event),
+            Event::Ask {
+                node,
+                client,
+                number,
+                ask,
+            } => self.asked(node, client, number, ask),
+            Event::Answer {
+                client,
+                number,
+                answer,
+            } => self.answered(client, number, answer),
+            Event::Send { client } => self.send(client),
+            Event::Timeout { client, number } => {
+                if self.clients[client].current == number {
+                    self.move_on(client);
+                    self.send(client);
+                }
+            }
+            Event::Arrive {
+                backend,
+                key,
+                request,
+                node,
+                incarnation,
+            } => {
+                self.arrive(backend, key, request, node, incarnation);
+            }
+            Event::Finish {
+                backend,
+                key,
+                node,
+                incarnation,
+            } => {
+                self.finish(backend, key, node, incarnation);
+            }
+            Event::Fence {
+                backend,
+                key,
+                node,
+                incarnation,
+            } => {
+                let fate = self.backends[backend].fence(key);
+                let event = OwnerEvent::Fenced {
+                    call: key.1,
+                    attempt: key.2,
+                    fate,
+                };
+                self.input(node, incarnation, key.0, event);
+            }
+            Event::Crash { node } => self.crash(node),
+            Event::PowerOff { node, on_at } => self.power_off(node, on_at),
+            Event::Restart { node, lose_disk } => self.restart(node, lose_disk),
+            Event::Pause { node, until } => self.nodes[node].paused_until = until,
+            Event::Cut { from, to, until } => {
+                self.cuts.insert((from, to), until);
+            }
+            Event::TakeOver { node, run } => self.own(node, run),
+            Event::BackendGone { backend } => self.backends[backend].gone = true,
+        }
+    }
+}
