--- a/crates/run-log/src/replica.rs
+++ b/crates/run-log/src/replica.rs
@@ -7,7 +7,7 @@
 use std::ops::Bound;
 use std::time::Duration;
 
-use ridgeworks_domain::{MonotonicTime, NodeId, RunId};
+use ridgeworks_domain::{Ballot, MonotonicTime, NodeId, RunId};
 
 use crate::acceptor::{Acceptor, Answer, Appending, FORGET_GENERATIONS, HeldRun};
 use crate::entry::{Entry, LogEntry, LogPosition, ReplicaId};
@@ -178,16 +178,16 @@
                 ballot,
                 instance,
                 replica,
-            } => match self.admit(run, replica, replica.is_some(), now) {
-                Ok(()) => self.acceptor(run, storage).prepare(ballot, instance),
+            } => match self.acceptor(run, replica, replica.is_some(), now, storage) {
+                Ok(mut acceptor) => acceptor.prepare(ballot, instance),
                 Err(reason) => self.reject(run, ballot, reason),
             },
             Request::Fetch {
                 run,
                 ballot,
                 first_index,
-            } => match self.admit(run, None, false, now) {
-                Ok(()) => self.acceptor(run, storage).fetch(ballot, first_index),
+            } => match self.acceptor(run, None, false, now, storage) {
+                Ok(mut acceptor) => acceptor.fetch(ballot, first_index),
                 Err(reason) => self.reject(run, ballot, reason),
             },
             Request::Append {
@@ -199,10 +199,6 @@
                 commit_index,
                 round,
             } => {
-                let opens = opens(previous, &entries);
-                if let Err(reason) = self.admit(run, Some(replica), opens, now) {
-                    return self.reject(run, ballot, reason);
-                }
                 let appending = Appending {
                     ballot,
                     previous,
@@ -210,7 +206,7 @@
                     commit_index,
                     round,
                 };
-                self.append(run, appending, now, storage)
+                self.append(run, replica, appending, now, storage)
             }
             Request::Identify => reply_only(Reply::Identity {
                 replica: self.identity,
@@ -227,28 +223,41 @@
         }
     }
 
-    /// Checks that this acceptor is the one meant and that it holds the run, or may begin to.
-    fn admit(
-        &mut self,
+    /// The acceptor of `run`, if this store is the one meant and holds the run, or may begin to.
+    fn acceptor<'a>(
+        &'a mut self,
         run: RunId,
         meant: Option<ReplicaId>,
         may_create: bool,
         now: MonotonicTime,
-    ) -> Result<(), Rejection> {
+        storage: &'a dyn LogStorage,
+    ) -> Result<Acceptor<'a>, Rejection> {
         if meant.is_some_and(|meant| !meant.same_acceptor(self.identity)) {
             return Err(Rejection::Recovering);
         }
+        if let Some(meant) = meant.filter(|_| may_create) {
+            self.create(run, meant.generation, now)?;
+        }
+        let tracked = self.runs.get_mut(&run).ok_or(Rejection::UnknownRun)?;
+        Ok(Acceptor {
+            run,
+            identity: self.identity,
+            held: &mut tracked.held,
+            storage,
+            write_number: self.write_number,
+        })
+    }
+
+    /// Begins to hold `run`, which names this store at `generation`, unless it may have been forgotten since.
+    fn create(&mut self, run: RunId, generation: u32, now: MonotonicTime) -> Result<(), Rejection> {
         if self.runs.contains_key(&run) {
             return Ok(());
         }
-        let Some(meant) = meant.filter(|_| may_create) else {
-            return Err(Rejection::UnknownRun);
-        };
-        if !self.remembers_since(meant.generation) {
+        if !self.remembers_since(generation) {
             return Err(Rejection::Recovering);
         }
         let held = HeldRun {
-            head: RunHead::new(meant.generation),
+            head: RunHead::new(generation),
             tail: None,
         };
         let last_append = now;
@@ -259,44 +268,29 @@
     fn append(
         &mut self,
         run: RunId,
+        meant: ReplicaId,
         appending: Appending,
         now: MonotonicTime,
         storage: &dyn LogStorage,
     ) -> Answer {
-        let write_number = self.write_number;
-        let promised = appending.ballot;
-        let answer = self.acceptor(run, storage).append(appending);
+        let ballot = appending.ballot;
+        let opens = opens(appending.previous, &appending.entries);
+        let answer = match self.acceptor(run, Some(meant), opens, now, storage) {
+            Ok(mut acceptor) => acceptor.append(appending),
+            Err(reason) => return self.reject(run, ballot, reason),
+        };
         if let Some(tracked) = self.runs.get_mut(&run) {
-            if tracked.held.head.promised == promised {
+            if tracked.held.head.promised == ballot {
                 tracked.last_append = now;
             }
             if tracked.held.tail.is_some() {
-                self.unflushed.push((write_number, run));
+                self.unflushed.push((self.write_number, run));
             }
         }
         answer
     }
 
-    fn acceptor<'a>(&'a mut self, run: RunId, storage: &'a dyn LogStorage) -> Acceptor<'a> {
-        let generation = self.identity.generation;
-        let last_append = self.generation_since;
-        let tracked = self.runs.entry(run).or_insert_with(|| TrackedRun {
-            held: HeldRun {
-                head: RunHead::new(generation),
-                tail: None,
-            },
-            last_append,
-        });
-        Acceptor {
-            run,
-            identity: self.identity,
-            held: &mut tracked.held,
-            storage,
-            write_number: self.write_number,
-        }
-    }
-
-    fn reject(&self, run: RunId, ballot: ridgeworks_domain::Ballot, reason: Rejection) -> Answer {
+    fn reject(&self, run: RunId, ballot: Ballot, reason: Rejection) -> Answer {
         reply_only(Reply::Rejected {
             run,
             ballot,
--- a/crates/run-log/src/storage.rs
+++ b/crates/run-log/src/storage.rs
@@ -1,7 +1,8 @@
 //! What a replica writes, and what it reads back.
 //!
 //! A storage crate turns each [`Write`] into key/value writes and commits a batch of them with one
-//! fsync. After a crash it may have lost only writes whose replies were not sent yet, and always the last ones.
+//! fsync. The writes of one [`ReplicaReady`](crate::replica::ReplicaReady) are atomic: all of them survive a crash or none. After a
+//! crash it may have lost only writes whose replies were not sent yet, and always the last ones.
 
 use ridgeworks_domain::{Ballot, RunId};
 
