--- a/crates/run-log/tests/simulation.rs
+++ b/crates/run-log/tests/simulation.rs
@@ -28,6 +28,7 @@
     executions: AtomicU64,
     takeovers: AtomicU64,
     replicas_changed: AtomicU64,
+    children_closed: AtomicU64,
 }
 
 impl Totals {
@@ -41,6 +42,8 @@
             .fetch_add(outcome.takeovers, Ordering::Relaxed);
         let changed = outcome.replicas_changed;
         self.replicas_changed.fetch_add(changed, Ordering::Relaxed);
+        let closed = outcome.children_closed;
+        self.children_closed.fetch_add(closed, Ordering::Relaxed);
     }
 }
 
@@ -86,10 +89,11 @@
     let totals = Totals::default();
     let found = search(first, schedules, None, &totals);
     println!(
-        "{schedules} schedules, {} events, {} takeovers, {} replica changes, {} executions, {} finished calls, {:.1} s",
+        "{schedules} schedules, {} events, {} takeovers, {} replica changes, {} children closed, {} executions, {} finished calls, {:.1} s",
         totals.events.load(Ordering::Relaxed),
         totals.takeovers.load(Ordering::Relaxed),
         totals.replicas_changed.load(Ordering::Relaxed),
+        totals.children_closed.load(Ordering::Relaxed),
         totals.executions.load(Ordering::Relaxed),
         totals.finished.load(Ordering::Relaxed),
         started.elapsed().as_secs_f64(),
@@ -103,6 +107,10 @@
         totals.replicas_changed.load(Ordering::Relaxed) > 0,
         "lost disks are replaced"
     );
+    assert!(
+        totals.children_closed.load(Ordering::Relaxed) > 0,
+        "children come to their end"
+    );
 }
 
 /// Without `weakening`'s mechanism the checks find a violation among those that it is there to prevent.
@@ -157,6 +165,11 @@
     is_noticed(Weakening::NotConfirmed);
 }
 
+#[test]
+fn notices_children_that_are_not_carved_from_their_parents() {
+    is_noticed(Weakening::ChildNotCarved);
+}
+
 #[test]
 fn notices_lost_disks_under_the_old_identity() {
     is_noticed(Weakening::IdentityKept);
--- a/crates/run-log/tests/simulator/checks.rs
+++ b/crates/run-log/tests/simulator/checks.rs
@@ -69,7 +69,11 @@
         }
     }
 
-    pub fn check(&mut self, budgets: &BTreeMap<RunId, Cost>) {
+    /// `child` spends part of `parent`'s budget.
+    pub fn check(&mut self, budgets: &BTreeMap<RunId, Cost>, parent: RunId, child: Option<RunId>) {
+        if let Some(child) = child {
+            self.check_shared(budgets[&parent], parent, child);
+        }
         for (run, budget) in budgets {
             let ran: Vec<Execution> = self.of_run(*run);
             self.check_executions(*run, *budget, &ran);
@@ -84,6 +88,16 @@
         self.violations.extend(found);
     }
 
+    fn check_shared(&mut self, budget: Cost, parent: RunId, child: RunId) {
+        let ran = self.executions.iter();
+        let both = ran.filter(|execution| execution.run == parent || execution.run == child);
+        let spent = both.map(|execution| execution.cost.0).sum();
+        if spent > budget.0 {
+            let violation = Violation::OverBudget(parent, Cost(spent));
+            self.violations.push(violation);
+        }
+    }
+
     fn of_run(&self, run: RunId) -> Vec<Execution> {
         let ran = self.executions.iter();
         ran.filter(|execution| execution.run == run)
--- a/crates/run-log/tests/simulator/client.rs
+++ b/crates/run-log/tests/simulator/client.rs
@@ -11,6 +11,8 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Ask {
     Open,
+    /// Asks for a child's budget.
+    OpenChild(RunId, Cost),
     Call(CallRequest),
     Read,
     Close,
@@ -18,9 +20,14 @@
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stage {
+    /// A child run whose parent has not set its budget aside yet.
+    Waiting,
     Opening,
+    OpeningChild,
     Calling(u64),
-    Reading { then: u64 },
+    Reading {
+        then: u64,
+    },
     LastRead,
     Closing,
     Done,
@@ -35,6 +42,8 @@
 pub struct Client {
     pub run: RunId,
     pub budget: Cost,
+    /// A run that works on part of this one's budget.
+    pub child: Option<(RunId, Cost)>,
     pub calls: Vec<CallRequest>,
     pub stage: Stage,
     pub node: usize,
@@ -72,11 +81,20 @@
 impl Client {
     pub fn ask(&self) -> Option<Ask> {
         match self.stage {
+            Stage::Waiting | Stage::Done => None,
             Stage::Opening => Some(Ask::Open),
+            Stage::OpeningChild => self.child.map(|(run, budget)| Ask::OpenChild(run, budget)),
             Stage::Calling(number) => Some(Ask::Call(self.calls[number as usize - 1].clone())),
             Stage::Reading { .. } | Stage::LastRead => Some(Ask::Read),
             Stage::Closing => Some(Ask::Close),
-            Stage::Done => None,
+        }
+    }
+
+    /// The stage after the opening.
+    pub fn first_stage(&self) -> Stage {
+        match self.child {
+            Some(_) => Stage::OpeningChild,
+            None => Stage::Calling(1),
         }
     }
 
@@ -96,6 +114,7 @@
                 _ if matches!(self.stage, Stage::Calling(_)) => Stage::LastRead,
                 _ => return Next::Elsewhere,
             },
+            (Stage::OpeningChild, CallerAnswer::ChildOpened) => Stage::Calling(1),
             (Stage::Calling(number), CallerAnswer::Ended(end)) => {
                 if let CallEnd::Finished { answer, .. } = end {
                     self.acknowledged.insert(Sequence(number), answer.clone());
--- a/crates/run-log/tests/simulator/mod.rs
+++ b/crates/run-log/tests/simulator/mod.rs
@@ -26,6 +26,8 @@
     NotFenced,
     /// Owners take their own word that they still own the run.
     NotConfirmed,
+    /// Children spend without their parent's budget being set aside.
+    ChildNotCarved,
     /// A replica that lost its disk comes back under its old identity.
     IdentityKept,
 }
--- a/crates/run-log/tests/simulator/node.rs
+++ b/crates/run-log/tests/simulator/node.rs
@@ -87,6 +87,11 @@
                 request,
                 max_attempts: MAX_ATTEMPTS,
             }),
+            Ask::OpenChild(run, budget) => Some(OwnerEvent::OpenChild {
+                caller,
+                run,
+                budget,
+            }),
             Ask::Read => Some(OwnerEvent::ReadHistory { caller }),
             Ask::Close => Some(OwnerEvent::Close { caller }),
         }
--- a/crates/run-log/tests/simulator/world/clients.rs
+++ b/crates/run-log/tests/simulator/world/clients.rs
@@ -5,7 +5,7 @@
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 use ridgeworks_domain::{CallEnd, CallRequest, Cost, RunId};
-use ridgeworks_run_log::{CallerAnswer, Opening, OwnerSettings, RunOwner};
+use ridgeworks_run_log::{CallerAnswer, Opening, OwnerEvent, OwnerSettings, RunOwner};
 
 use super::super::Weakening;
 use super::super::checks::{Answered, HistoryRead, Violation};
@@ -106,7 +106,7 @@
         let opener = self.clients.iter().position(|client| client.run == run);
         if let Some(client) = opener.filter(|c| self.clients[*c].stage == Stage::Opening) {
             self.clients[client].node = node;
-            self.clients[client].stage = Stage::Calling(1);
+            self.clients[client].stage = self.clients[client].first_stage();
             self.after(MILLISECOND, Event::Send { client });
         }
     }
@@ -117,7 +117,7 @@
         let client = &mut self.clients[client];
         client.node = node;
         if client.stage == Stage::Opening {
-            client.stage = Stage::Calling(1);
+            client.stage = client.first_stage();
         }
     }
 
@@ -145,6 +145,8 @@
             return;
         }
         let next = client.take(&answer, reads);
+        self.follow_child(index, &answer);
+        let client = &mut self.clients[index];
         match next {
             Next::Nothing => {}
             Next::GoOn => {
@@ -164,6 +166,36 @@
         }
     }
 
+    /// Starts the child once its budget is set aside, or never; tells the parent when the child is closed.
+    pub(super) fn follow_child(&mut self, index: usize, answer: &CallerAnswer) {
+        let run = self.clients[index].run;
+        let undecided = matches!(
+            self.clients[index].stage,
+            Stage::Opening | Stage::OpeningChild
+        );
+        let child = self.clients[index].child.map(|(child, _)| child);
+        let starts = |client: &Client| Some(client.run) == child && client.stage == Stage::Waiting;
+        if let Some(client) = self.clients.iter().position(starts).filter(|_| !undecided) {
+            let set_aside = *answer == CallerAnswer::ChildOpened;
+            let stage = if set_aside {
+                Stage::Opening
+            } else {
+                Stage::Done
+            };
+            self.clients[client].stage = stage;
+            self.after(MILLISECOND, Event::Send { client });
+        }
+        let is_parent = |client: &&Client| client.child.is_some_and(|(child, _)| child == run);
+        if let (Some(parent), CallerAnswer::Closed { spent }) =
+            (self.clients.iter().find(is_parent), answer)
+        {
+            let (node, parent, spent) = (parent.node, parent.run, *spent);
+            let incarnation = self.nodes[node].incarnation;
+            let event = OwnerEvent::ChildClosed { run, spent };
+            self.input(node, incarnation, parent, event);
+        }
+    }
+
     pub(super) fn note_answer(
         &mut self,
         index: usize,
@@ -202,6 +234,7 @@
         run,
         calls: calls.collect(),
         budget: Cost(rng.random_range(60..220)),
+        child: None,
         stage: Stage::Opening,
         node: rng.random_range(0..NODES),
         current: 0,
@@ -210,3 +243,17 @@
         next_number: 0,
     }
 }
+
+/// Makes the second client a child of the first.
+pub(super) fn adopt(clients: &mut [Client], weakening: Option<Weakening>, rng: &mut ChaCha8Rng) {
+    let [parent, child, ..] = clients else {
+        return;
+    };
+    child.budget = Cost(rng.random_range(20..=parent.budget.0));
+    parent.child = Some((child.run, child.budget));
+    if weakening == Some(Weakening::ChildNotCarved) {
+        parent.child = None;
+    } else {
+        child.stage = Stage::Waiting;
+    }
+}
--- a/crates/run-log/tests/simulator/world/mod.rs
+++ b/crates/run-log/tests/simulator/world/mod.rs
@@ -20,7 +20,7 @@
 use super::client::{Client, Stage};
 use super::disk::ReplicaNode;
 use super::node::Node;
-use clients::new_client;
+use clients::{adopt, new_client};
 use event::Event;
 
 const MILLISECOND: u64 = 1_000;
@@ -41,6 +41,7 @@
     pub executions: u64,
     pub takeovers: u64,
     pub replicas_changed: u64,
+    pub children_closed: u64,
 }
 
 pub struct World {
@@ -53,6 +54,8 @@
     nodes: Vec<Node>,
     backends: Vec<SimulatedBackend>,
     clients: Vec<Client>,
+    /// The second client's run is a child of the first one's.
+    has_child: bool,
     record: Record,
     disk_lost: bool,
     /// Until when nothing passes from one node to another.
@@ -75,9 +78,13 @@
                 Node::new(id, replica)
             })
             .collect();
-        let clients = (0..CLIENTS)
+        let mut clients: Vec<Client> = (0..CLIENTS)
             .map(|index| new_client(index, &mut rng))
             .collect();
+        let has_child = rng.random_bool(0.5);
+        if has_child {
+            adopt(&mut clients, weakening, &mut rng);
+        }
         let mut world = Self {
             now: 0,
             order: 0,
@@ -88,6 +95,7 @@
             nodes,
             backends: (0..BACKENDS).map(|_| SimulatedBackend::default()).collect(),
             clients,
+            has_child,
             record: Record::default(),
             disk_lost: false,
             cuts: BTreeMap::new(),
@@ -125,7 +133,9 @@
             let requests = sender.map(|client| client.requests_of(answered.call));
             answered.only_request = requests == Some(1);
         }
-        self.record.check(&budgets);
+        let parent = self.clients[0].run;
+        let child = self.has_child.then(|| self.clients[1].run);
+        self.record.check(&budgets, parent, child);
         for client in self
             .clients
             .iter()
@@ -150,6 +160,7 @@
             executions: self.record.executions.len() as u64,
             takeovers: count(|entry| matches!(entry, Entry::OwnerChanged { .. })),
             replicas_changed: count(|entry| matches!(entry, Entry::ReplicasChanged { .. })),
+            children_closed: count(|entry| matches!(entry, Entry::ChildClosed { .. })),
             violations: self.record.violations,
         }
     }
