--- a/crates/http-edge/src/acceptor.rs
+++ b/crates/http-edge/src/acceptor.rs
@@ -25,8 +25,12 @@
 pub(crate) const SERVICE_STACK_BYTES: usize = 128 * 1024;
 
 const WAKE_INTERVAL: Duration = Duration::from_millis(25);
-const WAKES_WHEN_QUIET: usize = 1;
-const WAKES_AFTER_REQUESTS: usize = 4;
+/// Connections an interval while requests come.
+const WAKES_WHEN_BUSY: usize = 4;
+/// Intervals for which the edge counts as busy after a request.
+const BUSY_INTERVALS: u32 = 40;
+/// When quiet, one connection in so many intervals: each keeps an idle thread of `tiny_http` alive.
+const INTERVALS_PER_QUIET_WAKE: u32 = 8;
 const PROBES_PER_READ_TIMEOUT: u32 = 4;
 const PROBE_PATIENCE: Duration = Duration::from_secs(5);
 
@@ -65,14 +69,13 @@
     /// Runs until the edge is closed.
     pub(crate) fn run(self) {
         let probe_interval = self.shared.settings.read_timeout / PROBES_PER_READ_TIMEOUT;
-        let wake_interval = WAKE_INTERVAL.min(probe_interval);
+        let mut pace = WakePace::default();
         let mut last_probe = Instant::now();
-        let mut received_before = 0;
         loop {
-            match self.events.recv_timeout(wake_interval) {
+            match self.events.recv_timeout(WAKE_INTERVAL) {
                 Ok(SupervisorEvent::Closed) | Err(RecvTimeoutError::Disconnected) => return,
                 Ok(SupervisorEvent::AcceptFailed(cause)) => self.restart(&cause.to_string()),
-                Err(RecvTimeoutError::Timeout) => received_before = self.wake(received_before),
+                Err(RecvTimeoutError::Timeout) => self.wake(&mut pace),
             }
             if last_probe.elapsed() >= probe_interval {
                 self.check_accepting();
@@ -81,17 +84,11 @@
         }
     }
 
-    fn wake(&self, received_before: u64) -> u64 {
+    fn wake(&self, pace: &mut WakePace) {
         let received = self.shared.counters.received.load(Ordering::Relaxed);
-        let wakes = if received == received_before {
-            WAKES_WHEN_QUIET
-        } else {
-            WAKES_AFTER_REQUESTS
-        };
-        for _ in 0..wakes {
+        for _ in 0..pace.next_wakes(received) {
             listener::wake(self.address);
         }
-        received
     }
 
     fn check_accepting(&self) {
@@ -112,6 +109,31 @@
     }
 }
 
+/// How many connections of our own an interval takes.
+#[derive(Debug, Default)]
+struct WakePace {
+    received_before: u64,
+    quiet_intervals: u32,
+}
+
+impl WakePace {
+    fn next_wakes(&mut self, received: u64) -> usize {
+        if received != self.received_before {
+            self.received_before = received;
+            self.quiet_intervals = 0;
+        }
+        self.quiet_intervals = self.quiet_intervals.wrapping_add(1);
+        if self.quiet_intervals <= BUSY_INTERVALS {
+            WAKES_WHEN_BUSY
+        } else {
+            usize::from(
+                self.quiet_intervals
+                    .is_multiple_of(INTERVALS_PER_QUIET_WAKE),
+            )
+        }
+    }
+}
+
 /// Receives until the edge is closed, also after its server stopped accepting: connections that the
 /// server has accepted still bring requests.
 fn receive(shared: &Arc<Shared>, server: &Server, events: &Sender<SupervisorEvent>) {
