Check a checksum on every value read from the store

redb verifies its pages after a crash only: a bit flipped in a closed file was read back as it is (seen failing). The key goes into the checksum, so that a value under another key is found out too.

--- a/crates/http-edge/src/settings.rs
+++ b/crates/http-edge/src/settings.rs
@@ -26,6 +26,7 @@
     pub max_body_bytes: usize,
     /// Longest silence of a connection, inside a request and between requests. `tiny_http` leaves
     /// room for only one value, the receive time-out of the socket, so this is the idle time-out too.
+    /// Below 250 ms the edge would have to start its acceptor anew time and again.
     pub read_timeout: Duration,
     /// Longest time that one write to a client that does not read may take.
     pub write_timeout: Duration,
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -11,8 +11,10 @@
 //! A failed write or `fsync` is final: what reached the disk is not known then, so the store refuses
 //! everything that follows and never acknowledges it. The replica has to be started anew.
 //!
+//! Every value carries a checksum, which each read checks; a bad one is [`StoreError::Corrupted`].
 //! Values are bytes; their meaning belongs to the crates that write them.
 
+mod checksum;
 mod counters;
 mod error;
 mod folder;
--- a/crates/storage/src/reader.rs
+++ b/crates/storage/src/reader.rs
@@ -5,6 +5,7 @@
 use redb::{Database, ReadableDatabase, ReadableTable};
 use ridgeworks_domain::RunId;
 
+use crate::checksum::{entry_key_bytes, unseal};
 use crate::error::StoreError;
 use crate::tables::{CONFIGURATION, NODE_RECORDS, RUN_ENTRIES, RUN_HEADS};
 
@@ -33,7 +34,9 @@
     let table = database.begin_read()?.open_table(RUN_HEADS)?;
     for item in table.iter()? {
         let (run, head) = item?;
-        if visit(RunId(run.value()), head.value()).is_break() {
+        let run = run.value();
+        let head = unseal(&run.to_be_bytes(), head.value())?;
+        if visit(RunId(run), head).is_break() {
             break;
         }
     }
@@ -42,8 +45,11 @@
 
 pub(crate) fn run_head(database: &Database, run: RunId) -> Result<Option<Vec<u8>>, StoreError> {
     let table = database.begin_read()?.open_table(RUN_HEADS)?;
-    let head = table.get(run.0)?;
-    Ok(head.map(|head| head.value().to_vec()))
+    let Some(sealed) = table.get(run.0)? else {
+        return Ok(None);
+    };
+    let head = unseal(&run.0.to_be_bytes(), sealed.value())?;
+    Ok(Some(head.to_vec()))
 }
 
 pub(crate) fn entries(
@@ -57,13 +63,15 @@
     let mut total_bytes = 0;
     for item in table.range((run.0, first)..=(run.0, u64::MAX))? {
         let (key, value) = item?;
-        total_bytes += value.value().len();
+        let index = key.value().1;
+        let bytes = unseal(&entry_key_bytes(run.0, index), value.value())?;
+        total_bytes += bytes.len();
         if total_bytes > max_bytes && !entries.is_empty() {
             break;
         }
         entries.push(StoredEntry {
-            index: key.value().1,
-            bytes: value.value().to_vec(),
+            index,
+            bytes: bytes.to_vec(),
         });
     }
     Ok(entries)
@@ -76,7 +84,7 @@
         let (key, value) = item?;
         records.push(ConfigurationRecord {
             key: key.value().to_vec(),
-            bytes: value.value().to_vec(),
+            bytes: unseal(key.value(), value.value())?.to_vec(),
         });
     }
     Ok(records)
@@ -84,6 +92,8 @@
 
 pub(crate) fn node_record(database: &Database, key: &[u8]) -> Result<Option<Vec<u8>>, StoreError> {
     let table = database.begin_read()?.open_table(NODE_RECORDS)?;
-    let record = table.get(key)?;
-    Ok(record.map(|record| record.value().to_vec()))
+    let Some(sealed) = table.get(key)? else {
+        return Ok(None);
+    };
+    Ok(Some(unseal(key, sealed.value())?.to_vec()))
 }
--- a/crates/storage/src/tables.rs
+++ b/crates/storage/src/tables.rs
@@ -3,6 +3,7 @@
 use redb::{Table, TableDefinition, TableError, WriteTransaction};
 use ridgeworks_domain::RunId;
 
+use crate::checksum::{entry_key_bytes, seal};
 use crate::error::StoreError;
 use crate::operation::StoreOperation;
 
@@ -45,11 +46,13 @@
     pub(crate) fn apply(&mut self, operation: &StoreOperation) -> Result<(), StoreError> {
         match operation {
             StoreOperation::PutRunHead { run, bytes } => {
-                self.run_heads.insert(run.0, bytes.as_slice())?;
+                let sealed = seal(&run.0.to_be_bytes(), bytes);
+                self.run_heads.insert(run.0, sealed.as_slice())?;
             }
             StoreOperation::PutEntry { run, index, bytes } => {
                 let key = (run.0, *index);
-                self.run_entries.insert(key, bytes.as_slice())?;
+                let sealed = seal(&entry_key_bytes(run.0, *index), bytes);
+                self.run_entries.insert(key, sealed.as_slice())?;
             }
             StoreOperation::TruncateEntries { run, from } => self.remove_entries(*run, *from)?,
             StoreOperation::ForgetRun { run } => {
@@ -58,13 +61,14 @@
             }
             StoreOperation::PutConfiguration { key, bytes } => {
                 self.configuration
-                    .insert(key.as_slice(), bytes.as_slice())?;
+                    .insert(key.as_slice(), seal(key, bytes).as_slice())?;
             }
             StoreOperation::DeleteConfiguration { key } => {
                 self.configuration.remove(key.as_slice())?;
             }
             StoreOperation::PutNodeRecord { key, bytes } => {
-                self.node_records.insert(key.as_slice(), bytes.as_slice())?;
+                self.node_records
+                    .insert(key.as_slice(), seal(key, bytes).as_slice())?;
             }
         }
         Ok(())
--- a/crates/storage/tests/crash.rs
+++ b/crates/storage/tests/crash.rs
@@ -240,9 +240,12 @@
     let store = Store::open_on(&settings(Path::new("")), disk.clone())
         .expect("open")
         .store;
-    // Makes the room that the group needs: growing the file takes syncs of its own.
-    let all = (0..WAITING).flat_map(|index| entry_of(index, SMALL));
-    assert_eq!(write(&store, all.collect()), Ok(()));
+    // Pages are copied on writing, so the second time makes all the room that the group needs: growing
+    // the file takes syncs of its own.
+    for _ in 0..2 {
+        let all = (0..WAITING).flat_map(|index| entry_of(index, SMALL));
+        assert_eq!(write(&store, all.collect()), Ok(()));
+    }
     let syncs_before = disk.syncs();
     assert_eq!(write(&store, entry_of(0, SMALL)), Ok(()));
     let syncs_per_commit = disk.syncs() - syncs_before;
@@ -264,5 +267,5 @@
     }
     assert_eq!(disk.syncs() - syncs_before, syncs_per_commit);
     let counters = store.counters().snapshot();
-    assert_eq!((counters.commits, counters.batches), (4, WAITING + 3));
+    assert_eq!((counters.commits, counters.batches), (5, WAITING + 4));
 }
--- a/crates/storage/tests/folder.rs
+++ b/crates/storage/tests/folder.rs
@@ -199,3 +199,57 @@
     drop(opened);
     assert!(!Store::open(&settings(folder.path())).expect("open").is_new);
 }
+
+/// Flips a bit in every copy of `value` that the file holds.
+fn damage(path: &std::path::Path, value: &[u8]) {
+    let mut file = std::fs::read(path).expect("file");
+    let places: Vec<_> = (0..file.len() - value.len())
+        .filter(|place| file[*place..].starts_with(value))
+        .collect();
+    assert!(!places.is_empty());
+    places.iter().for_each(|place| file[place + 3] ^= 1);
+    std::fs::write(path, file).expect("write");
+}
+
+#[test]
+fn a_value_that_went_bad_on_the_disk_is_an_error() {
+    let folder = tempfile::tempdir().expect("folder");
+    let settings = settings(folder.path());
+    let value = b"a value found nowhere else".to_vec();
+    let run = RunId(1);
+    let key = b"key".to_vec();
+    let operations = vec![
+        StoreOperation::PutRunHead {
+            run,
+            bytes: value.clone(),
+        },
+        StoreOperation::PutEntry {
+            run,
+            index: 0,
+            bytes: value.clone(),
+        },
+        StoreOperation::PutConfiguration {
+            key: key.clone(),
+            bytes: value.clone(),
+        },
+        StoreOperation::PutNodeRecord {
+            key: key.clone(),
+            bytes: value.clone(),
+        },
+    ];
+    let store = open(&settings);
+    assert_eq!(write(&store, operations), Ok(()));
+    drop(store);
+    damage(&folder.path().join("replica.redb"), &value);
+    let store = open(&settings);
+    let corrupted = |error: Option<StoreError>| matches!(error, Some(StoreError::Corrupted { .. }));
+    assert!(corrupted(store.run_head(run).err()));
+    assert!(corrupted(
+        store
+            .visit_run_heads(|_, _| ControlFlow::Continue(()))
+            .err()
+    ));
+    assert!(corrupted(store.entries(run, 0, usize::MAX).err()));
+    assert!(corrupted(store.configuration().err()));
+    assert!(corrupted(store.node_record(&key).err()));
+}
