--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: test format lint build generate
+.PHONY: test format lint build generate check-generated
 
 test: format lint
 	cargo test --workspace --locked
@@ -15,3 +15,7 @@
 # Writes the committed code of the published schema anew.
 generate:
 	cargo run --manifest-path tools/generate-api/Cargo.toml --locked
+
+# Fails when the committed code does not match the published schema.
+check-generated: generate
+	git diff --exit-code -- crates/api/src/generated
