--- a/tools/generate-api/src/main.rs
+++ b/tools/generate-api/src/main.rs
@@ -51,8 +51,8 @@
 
 fn generate(root: &Path) -> Result<(), GenerateError> {
     let output = root.join("crates/api/src/generated");
-    let descriptors = protox::compile(SCHEMA_FILES, [root.join("proto")])
-        .map_err(GenerateError::Schema)?;
+    let descriptors =
+        protox::compile(SCHEMA_FILES, [root.join("proto")]).map_err(GenerateError::Schema)?;
     let encoded = descriptors.encode_to_vec();
     prost_build::Config::new()
         .out_dir(&output)
