--- a/crates/api/tests/connect_messages.rs
+++ b/crates/api/tests/connect_messages.rs
@@ -369,10 +369,11 @@
         Err(ConnectError::UnsupportedEncoding)
     );
     let limit_bytes = MAX_REQUEST_BYTES;
+    // Its end is cut off, which shows that reading stops at the limit.
     let bomb = gzip(&vec![b' '; 8 << 20]);
     assert!(bomb.len() < MAX_REQUEST_BYTES as usize);
     assert_eq!(
-        read_packed("gzip", &bomb),
+        read_packed("gzip", &bomb[..bomb.len() - 9]),
         Err(ConnectError::BodyTooLarge { limit_bytes })
     );
 }
