--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: test format lint build generate bench-scheduling experiment bench-storage
+.PHONY: test format lint build generate bench-scheduling experiment bench-storage check-generated
 
 test: format lint
 	cargo test --workspace --locked
@@ -26,3 +26,7 @@
 	    target/release/examples/bench_storage $$mode $$library $(BENCH_FOLDER) || exit 1; \
 	  done; \
 	done
+
+# Fails when the committed code does not match the published schema.
+check-generated: generate
+	git diff --exit-code -- crates/api/src/generated
