--- a/crates/experiment/src/behaviour.rs
+++ b/crates/experiment/src/behaviour.rs
@@ -171,7 +171,6 @@
         let agent = &mut self.agents[index];
         let again = agent.context.saturating_sub(usage.cached);
         agent.context = usage.prompt + usage.output;
-        agent.inherited = None;
         let program = &mut self.programs[agent.program];
         program.attained += usage.prompt + usage.output;
         self.measures.prefilled_again += again;
--- a/crates/experiment/src/context_cache.rs
+++ b/crates/experiment/src/context_cache.rs
@@ -5,14 +5,30 @@
 
 use ridgeworks_domain::RunId;
 
+/// Blocks at the beginning of a context that belong to the context of its parent run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SharedPrefix {
+    /// The parent run.
+    pub run: RunId,
+    /// Tokens shared.
+    pub tokens: u64,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct IdleContext {
     tokens: u64,
+    shared: Option<SharedPrefix>,
     since: u64,
     used: u64,
     retained_until: u64,
 }
 
+impl IdleContext {
+    fn own_tokens(&self) -> u64 {
+        self.tokens - self.shared.map_or(0, |shared| shared.tokens)
+    }
+}
+
 /// Cache of one engine. Times are in microseconds.
 #[derive(Debug)]
 pub struct ContextCache {
@@ -43,10 +59,26 @@
         }
     }
 
-    /// Tokens of a run's context that are held idle, in whole blocks.
+    /// Tokens of a run's context that are held idle, in whole blocks. A context whose shared prefix
+    /// is gone is of no use.
     pub fn tokens_of(&self, run: RunId) -> u64 {
-        let held = self.idle.get(&run).map_or(0, |context| context.tokens);
-        held / self.block * self.block
+        let Some(context) = self.idle.get(&run) else {
+            return 0;
+        };
+        let usable = context.shared.is_none_or(|shared| {
+            let parent = self.idle.get(&shared.run);
+            parent.is_some_and(|parent| parent.tokens >= shared.tokens)
+        });
+        if usable {
+            context.tokens / self.block * self.block
+        } else {
+            0
+        }
+    }
+
+    /// Prefix that an idle context shares.
+    pub fn shared_of(&self, run: RunId) -> Option<SharedPrefix> {
+        self.idle.get(&run)?.shared
     }
 
     /// Marks a context as used, by a sub-agent that inherits it.
@@ -72,23 +104,38 @@
     }
 
     /// Gives back the memory of a sequence and keeps its context idle.
-    pub fn finish(&mut self, run: RunId, reserved: u64, kept: u64, now: u64) {
+    pub fn finish(
+        &mut self,
+        run: RunId,
+        reserved: u64,
+        kept: u64,
+        shared: Option<SharedPrefix>,
+        now: u64,
+    ) {
         self.active -= self.round_up(reserved);
         if kept > 0 {
-            self.store(run, kept, now);
+            self.store(run, kept, shared, now);
         }
     }
 
     /// Keeps a context as the least recently used order has it. Returns whether there was room.
-    pub fn store(&mut self, run: RunId, tokens: u64, now: u64) -> bool {
+    pub fn store(
+        &mut self,
+        run: RunId,
+        tokens: u64,
+        shared: Option<SharedPrefix>,
+        now: u64,
+    ) -> bool {
         self.take(run);
-        let needed = self.round_up(tokens);
+        let shared = shared.filter(|shared| shared.tokens <= tokens);
+        let needed = self.round_up(tokens - shared.map_or(0, |shared| shared.tokens));
         if self.active + needed > self.capacity {
             return false;
         }
         self.make_room(needed, now);
         let context = IdleContext {
             tokens,
+            shared,
             since: now,
             used: now,
             retained_until: 0,
@@ -158,14 +205,14 @@
 
     fn take(&mut self, run: RunId) -> Option<IdleContext> {
         let context = self.idle.remove(&run)?;
-        self.idle_tokens -= self.round_up(context.tokens);
+        self.idle_tokens -= self.round_up(context.own_tokens());
         self.by_use.remove(&(context.used, run));
         self.retained.remove(&(context.retained_until, run));
         Some(context)
     }
 
     fn put(&mut self, run: RunId, context: IdleContext) {
-        self.idle_tokens += self.round_up(context.tokens);
+        self.idle_tokens += self.round_up(context.own_tokens());
         if context.retained_until > 0 {
             self.retained.insert((context.retained_until, run));
         } else {
@@ -184,5 +231,5 @@
 }
 
 fn waste(context: IdleContext, now: u64) -> f64 {
-    context.tokens as f64 * now.saturating_sub(context.since) as f64
+    context.own_tokens() as f64 * now.saturating_sub(context.since) as f64
 }
--- a/crates/experiment/src/engine.rs
+++ b/crates/experiment/src/engine.rs
@@ -9,7 +9,7 @@
 use ridgeworks_domain::RunId;
 use ridgeworks_scheduling::{InheritedContext, Ticket, TokenUsage};
 
-use crate::context_cache::ContextCache;
+use crate::context_cache::{ContextCache, SharedPrefix};
 use crate::workload::EngineSettings;
 
 /// A call as it reaches an engine.
@@ -44,16 +44,12 @@
 struct Sequence {
     call: EngineCall,
     cached: u64,
+    shared: Option<SharedPrefix>,
+    reserved: u64,
     prefill_left: u64,
     generated: u64,
 }
 
-impl Sequence {
-    fn reserved(&self) -> u64 {
-        self.call.prompt + self.call.max_output
-    }
-}
-
 /// A step that began.
 #[derive(Debug, Clone)]
 pub struct Step {
@@ -110,7 +106,8 @@
             let sequence = self.running.remove(index);
             let kept = sequence.call.prompt - sequence.prefill_left;
             let run = sequence.call.run;
-            self.cache.finish(run, sequence.reserved(), kept, now);
+            self.cache
+                .finish(run, sequence.reserved, kept, sequence.shared, now);
         }
         found.is_some() || self.waiting.len() < waiting
     }
@@ -172,7 +169,8 @@
         };
         let kept = usage.prompt + usage.output;
         let run = sequence.call.run;
-        self.cache.finish(run, sequence.reserved(), kept, now);
+        self.cache
+            .finish(run, sequence.reserved, kept, sequence.shared, now);
         EndedCall {
             call: sequence.call,
             usage,
@@ -185,20 +183,23 @@
             let Some(call) = self.waiting.front() else {
                 break;
             };
-            let cached = self.cached_tokens(call);
-            let reserve = call.prompt + call.max_output;
-            if !self.cache.start(call.run, reserve, now) {
+            let (cached, shared) = self.cached_tokens(call);
+            let shared_tokens = shared.map_or(0, |shared| shared.tokens);
+            let reserved = call.prompt + call.max_output - shared_tokens;
+            if !self.cache.start(call.run, reserved, now) {
                 break;
             }
             let Some(call) = self.waiting.pop_front() else {
                 break;
             };
-            if let Some(inherited) = call.inherited {
-                self.cache.touch(inherited.run, now);
+            if let Some(shared) = shared {
+                self.cache.touch(shared.run, now);
             }
             admitted.push(call.ticket);
             self.running.push(Sequence {
                 cached,
+                shared,
+                reserved,
                 prefill_left: call.prompt - cached,
                 generated: 0,
                 call,
@@ -207,12 +208,21 @@
         admitted
     }
 
-    fn cached_tokens(&self, call: &EngineCall) -> u64 {
+    /// Tokens of the prompt that are cached, and the part that stays shared with a parent run.
+    fn cached_tokens(&self, call: &EngineCall) -> (u64, Option<SharedPrefix>) {
+        let most = call.prompt.saturating_sub(1);
         let own = self.cache.tokens_of(call.run);
-        let inherited = call.inherited.map_or(0, |inherited| {
-            self.cache.tokens_of(inherited.run).min(inherited.tokens)
-        });
-        own.max(inherited).min(call.prompt.saturating_sub(1))
+        if own > 0 {
+            return (own.min(most), self.cache.shared_of(call.run));
+        }
+        let Some(inherited) = call.inherited else {
+            return (0, None);
+        };
+        let held = self.cache.tokens_of(inherited.run);
+        let tokens = held.min(inherited.tokens).min(most);
+        let run = inherited.run;
+        let shared = (tokens > 0).then_some(SharedPrefix { run, tokens });
+        (tokens, shared)
     }
 
     /// Spends one chunk on the prompts that are not prefilled; returns the tokens spent.
--- a/crates/experiment/src/simulation.rs
+++ b/crates/experiment/src/simulation.rs
@@ -326,7 +326,7 @@
 
     fn moved(&mut self, run: RunId, from: usize, to: usize) {
         let tokens = self.engines[from].cache.tokens_of(run);
-        let arrived = tokens > 0 && self.engines[to].cache.store(run, tokens, self.now);
+        let arrived = tokens > 0 && self.engines[to].cache.store(run, tokens, None, self.now);
         if arrived {
             self.engines[from].cache.touch(run, self.now);
             self.engines[from].cache.release(run, self.now);
--- a/crates/scheduling/src/granting.rs
+++ b/crates/scheduling/src/granting.rs
@@ -7,8 +7,8 @@
 use crate::effect::Effect;
 use crate::event::Ticket;
 use crate::grants::{Grant, GrantState};
-use crate::placement::Choice;
-use crate::queue::{Lane, LaneQueue};
+use crate::placement::{Choice, PrefixPlaces};
+use crate::queue::{Lane, LaneQueue, OrderKey};
 use crate::settings::PlacementRule;
 
 /// Calls of a lane that are looked at for one free slot, beyond the first of each kind.
@@ -112,11 +112,8 @@
 
     fn next_by_cost(&self, lane: &LaneQueue, index: BackendIndex) -> Option<Ticket> {
         let (first_key, first) = lane.head()?;
-        let bound = [lane.head_of_home(Some(index)), lane.head_of_home(None)];
-        let bound = bound.into_iter().flatten();
-        let bound = bound
-            .filter(|(_, ticket)| self.has_room(*ticket, index))
-            .min();
+        let bound = [Some(index), None].map(|home| self.first_with_room(lane, home, index));
+        let bound = bound.into_iter().flatten().min();
         if let Some((key, ticket)) = bound
             && key.position - first_key.position <= LOCALITY_SLACK_MICROS
         {
@@ -129,6 +126,16 @@
         bound.or_else(|| self.next_that_would_move(lane, index))
     }
 
+    fn first_with_room(
+        &self,
+        lane: &LaneQueue,
+        home: Option<BackendIndex>,
+        index: BackendIndex,
+    ) -> Option<(OrderKey, Ticket)> {
+        let mut heads = lane.iter_home(home).take(LOOK_AHEAD);
+        heads.find(|(_, ticket)| self.has_room(*ticket, index))
+    }
+
     fn has_room(&self, ticket: Ticket, index: BackendIndex) -> bool {
         let waiting = self.queue.get(ticket);
         waiting.is_some_and(|waiting| {
@@ -175,9 +182,11 @@
         let Some(waiting) = self.queue.remove(ticket) else {
             return;
         };
+        let places = PrefixPlaces::of(&waiting.call, &self.prefixes);
+        let reserved_tokens = waiting.call.most_tokens() - places.shared_at(index);
         if let Some(state) = self.backends.get_mut(index) {
             state.in_flight += 1;
-            state.reserved_tokens += waiting.call.most_tokens();
+            state.reserved_tokens += reserved_tokens;
         }
         self.shares.take(waiting.partner);
         let run = waiting.call.run;
@@ -189,6 +198,7 @@
         self.grants.insert(Grant {
             waiting,
             backend: index,
+            reserved_tokens,
             state: GrantState::Moving,
             preempting: false,
             lapses_at,
@@ -331,7 +341,7 @@
     pub(crate) fn give_back_slot(&mut self, grant: &Grant) {
         if let Some(state) = self.backends.get_mut(grant.backend) {
             state.in_flight = state.in_flight.saturating_sub(1);
-            let tokens = grant.waiting.call.most_tokens();
+            let tokens = grant.reserved_tokens;
             state.reserved_tokens = state.reserved_tokens.saturating_sub(tokens);
         }
         self.shares.give_back(grant.waiting.partner);
--- a/crates/scheduling/src/grants.rs
+++ b/crates/scheduling/src/grants.rs
@@ -27,6 +27,8 @@
     pub waiting: WaitingCall,
     /// Where the slot is.
     pub backend: BackendIndex,
+    /// Tokens that the call may add to the back end's memory.
+    pub reserved_tokens: u64,
     /// How far it has come.
     pub state: GrantState,
     /// The owner was asked to cancel the attempt.
--- a/crates/scheduling/src/intake.rs
+++ b/crates/scheduling/src/intake.rs
@@ -25,6 +25,7 @@
             return;
         }
         self.retention.resume(call.run, now);
+        self.keep_inherited(now, &call);
         let waiting = self.prepare(now, call);
         let view = self.admission_view(&waiting);
         if let Some(refusal) = admission::refusal(now, &view) {
@@ -40,6 +41,15 @@
         }
     }
 
+    /// Keeps the parent's context while its sub-agents work on it.
+    fn keep_inherited(&mut self, now: MonotonicTime, call: &QueuedCall) {
+        let parent = call.inherited.map(|inherited| inherited.run);
+        let change = parent.and_then(|parent| self.retention.prolong(parent, now));
+        if let Some(change) = change {
+            self.apply_retention(change);
+        }
+    }
+
     fn prepare(&mut self, now: MonotonicTime, call: QueuedCall) -> WaitingCall {
         let owner = self.shares.index(&call.partner);
         let policy = &self.settings.policy;
--- a/crates/scheduling/src/placement.rs
+++ b/crates/scheduling/src/placement.rs
@@ -76,8 +76,13 @@
     /// Tokens of the prompt that are cached at the back end.
     pub fn cached_at(&self, backend: BackendIndex) -> u64 {
         let own = tokens_at(self.own, backend);
-        let inherited = tokens_at(self.inherited, backend).min(self.inherited_tokens);
-        own.max(inherited).min(self.prompt_tokens)
+        own.max(self.shared_at(backend)).min(self.prompt_tokens)
+    }
+
+    /// Tokens of a parent run's context that the call shares at the back end.
+    pub fn shared_at(&self, backend: BackendIndex) -> u64 {
+        let inherited = tokens_at(self.inherited, backend);
+        inherited.min(self.inherited_tokens).min(self.prompt_tokens)
     }
 
     /// The accepting back end with the longest prefix.
@@ -146,6 +151,8 @@
         state.is_some_and(|state| self.has_room(call, &places, index, state))
     }
 
+    /// Calls that are urgent or have a deadline do not wait for memory: what they displace costs
+    /// less than they would lose.
     fn has_room(
         &self,
         call: &QueuedCall,
@@ -153,10 +160,11 @@
         index: BackendIndex,
         state: &BackendState,
     ) -> bool {
+        let hurried = call.priority.urgent || call.deadline.is_some();
         let mostly_cached = places.cached_at(index) * 2 > call.prompt_tokens;
         let tokens = call.most_tokens();
         let fits = || self.working_set.fits(call.run, tokens, index, state);
-        call.priority.urgent || mostly_cached || fits()
+        hurried || mostly_cached || fits()
     }
 
     /// Whether the call should rather go to `backend` now than wait for `home`.
--- a/crates/scheduling/src/queue.rs
+++ b/crates/scheduling/src/queue.rs
@@ -81,10 +81,18 @@
         self.iter().next()
     }
 
+    /// Calls that wait for `home`, in their order.
+    pub fn iter_home(
+        &self,
+        home: Option<BackendIndex>,
+    ) -> impl Iterator<Item = (OrderKey, Ticket)> {
+        let queue = self.by_home.get(&home).into_iter();
+        queue.flatten().map(|(key, ticket)| (*key, *ticket))
+    }
+
     /// First call that waits for `home`.
     pub fn head_of_home(&self, home: Option<BackendIndex>) -> Option<(OrderKey, Ticket)> {
-        let queue = self.by_home.get(&home)?;
-        queue.first_key_value().map(|(key, ticket)| (*key, *ticket))
+        self.iter_home(home).next()
     }
 
     /// Calls that wait for `home`.
