--- a/crates/node/src/operator/method.rs
+++ b/crates/node/src/operator/method.rs
@@ -4,7 +4,7 @@
 
 use crossbeam_channel::bounded;
 use ridgeworks_api::caller::{AUTHORIZATION_HEADER, RETRY_AFTER_HEADER, bearer_token};
-use ridgeworks_api::connect::{HttpAnswer, encode_error};
+use ridgeworks_api::connect::{HttpAnswer, PROTOCOL_VERSION_HEADER, RequestHead, encode_error};
 use ridgeworks_api::{ConnectError, OperatorMethod, OperatorRequest, OperatorResponse};
 use ridgeworks_domain::{Refusal, RefusalReason};
 use ridgeworks_http_edge::{EdgeRequest, Header, Method, Responder};
@@ -15,6 +15,7 @@
 use crate::thread_message::ThreadMessage;
 
 const CONTENT_TYPE_HEADER: &str = "content-type";
+const CONTENT_ENCODING_HEADER: &str = "content-encoding";
 /// Longer than the configuration role takes to give a request up.
 const REPLY_TIMEOUT: Duration = Duration::from_secs(15);
 const RETRY_AFTER_MS: u64 = 1_000;
@@ -82,8 +83,12 @@
         return Err(ConnectError::UnknownMethod);
     }
     let method = OperatorMethod::from_path(&request.path)?;
-    let content_type = request.header(CONTENT_TYPE_HEADER).unwrap_or_default();
-    let decoded = OperatorRequest::decode(method, content_type, &request.body)?;
+    let head = RequestHead {
+        content_type: request.header(CONTENT_TYPE_HEADER),
+        content_encoding: request.header(CONTENT_ENCODING_HEADER),
+        protocol_version: request.header(PROTOCOL_VERSION_HEADER),
+    };
+    let decoded = OperatorRequest::decode(method, &head, &request.body)?;
     let session = Session::new(edge, request)?;
     dispatch(&session, decoded)
 }
