--- a/crates/api/src/client.rs
+++ b/crates/api/src/client.rs
@@ -14,7 +14,7 @@
 
 use crate::connect::{BodyFormat, PROTOCOL_VERSION, PROTOCOL_VERSION_HEADER, TIMEOUT_HEADER};
 use crate::connect_code::ConnectCode;
-use crate::connect_error::ErrorBody;
+use crate::error_body::ErrorBody;
 use crate::operator::OperatorMethod;
 use crate::v1;
 
--- /dev/null
+++ b/crates/api/src/field_error.rs
@@ -0,0 +1,46 @@
+//! Errors of single fields of a request.
+
+use std::fmt;
+
+use crate::v1;
+use crate::v1::FieldProblem;
+
+/// A field of a message that holds what is not allowed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FieldError {
+    /// Path of the field from the request's message.
+    pub field: &'static str,
+    /// What is wrong.
+    pub problem: FieldProblem,
+}
+
+impl FieldError {
+    /// An error of one field.
+    pub fn new(field: &'static str, problem: FieldProblem) -> Self {
+        Self { field, problem }
+    }
+
+    /// The error as a message of the schema.
+    pub fn to_violation(self) -> v1::FieldViolation {
+        v1::FieldViolation {
+            field: self.field.to_owned(),
+            problem: self.problem.into(),
+        }
+    }
+}
+
+impl fmt::Display for FieldError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let problem = match self.problem {
+            FieldProblem::Unspecified => "is invalid",
+            FieldProblem::Missing => "is missing",
+            FieldProblem::Malformed => "cannot be read",
+            FieldProblem::OutOfRange => "is out of range",
+            FieldProblem::Contradictory => "contradicts another field",
+            FieldProblem::UnknownReference => "names an object that does not exist",
+        };
+        write!(formatter, "{} {problem}", self.field)
+    }
+}
+
+impl std::error::Error for FieldError {}
--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -12,9 +12,13 @@
 pub mod connect_code;
 pub mod connect_error;
 pub mod conversion;
+pub mod error_body;
+pub mod field_error;
 pub mod operator;
 pub mod v1;
 
 pub use connect_code::ConnectCode;
-pub use connect_error::{ConnectError, ErrorBody, ErrorDetail};
+pub use connect_error::ConnectError;
+pub use error_body::{ErrorBody, ErrorDetail};
+pub use field_error::FieldError;
 pub use operator::{OperatorMethod, OperatorRequest, OperatorResponse};
--- a/crates/api/tests/connect_messages.rs
+++ b/crates/api/tests/connect_messages.rs
@@ -4,10 +4,10 @@
 
 use flate2::Compression;
 use flate2::write::GzEncoder;
+use ridgeworks_api::FieldError;
 use ridgeworks_api::connect::{
     self, BodyFormat, MAX_REQUEST_BYTES, RequestHead, decode_request, encode_error,
 };
-use ridgeworks_api::conversion::FieldError;
 use ridgeworks_api::v1::{self, FieldProblem, ObjectKind};
 use ridgeworks_api::{
     ConnectCode, ConnectError, ErrorBody, ErrorDetail, OperatorMethod, OperatorRequest,
--- a/crates/api/tests/conversion.rs
+++ b/crates/api/tests/conversion.rs
@@ -1,8 +1,9 @@
 //! Domain objects survive the way over the wire, and broken messages are refused by field.
 
 use quickcheck::{Arbitrary, Gen, quickcheck};
+use ridgeworks_api::FieldError;
 use ridgeworks_api::connect;
-use ridgeworks_api::conversion::{DomainObject, FieldError, ObjectVersions, read_shares};
+use ridgeworks_api::conversion::{DomainObject, ObjectVersions, read_shares};
 use ridgeworks_api::v1::object::Specification;
 use ridgeworks_api::v1::{self, FieldProblem, ObjectKind};
 use ridgeworks_domain::objects::{
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -4,8 +4,8 @@
 use std::io;
 use std::path::PathBuf;
 
+use ridgeworks_api::FieldError;
 use ridgeworks_api::client::ClientError;
-use ridgeworks_api::conversion::FieldError;
 
 use crate::exit_status::ExitStatus;
 
--- a/crates/cli/tests/exit_statuses.rs
+++ b/crates/cli/tests/exit_statuses.rs
@@ -4,7 +4,7 @@
 
 use std::io::Write;
 
-use ridgeworks_api::conversion::FieldError;
+use ridgeworks_api::FieldError;
 use ridgeworks_api::v1::{self, FieldProblem, ObjectKind};
 use ridgeworks_api::{ConnectError, OperatorResponse};
 use ridgeworks_domain::{Refusal, RefusalReason};
--- a/crates/cli/tests/objects.rs
+++ b/crates/cli/tests/objects.rs
@@ -264,3 +264,14 @@
     let absent = empty_node().run(&["delete", "program", "planner"]);
     assert_eq!(absent.status, 6);
 }
+
+#[test]
+fn the_example_of_the_document_can_be_applied() {
+    let document = include_str!("../../../docs/operations/command-line.md");
+    let (_, rest) = document.split_once("```toml").expect("has an example");
+    let (example, _) = rest.split_once("```").expect("the example ends");
+    let node = empty_node();
+    let finished = apply(&node, &file("toml", example), &[]);
+    assert_eq!(finished.status, 0, "{finished:?}");
+    assert_eq!(node.applied().len(), 2);
+}
