Give a repeated opening a new run number

Cause: the run log may open a number once only, and a gateway repeated an opening under the same number at the next candidate, where the first one's end was not known. Ruled out: remembering openings at the owner, which a restart forgets. Not measured: a race that the run log's simulator excludes by rule.

--- a/crates/node/src/inbound/gateway.rs
+++ b/crates/node/src/inbound/gateway.rs
@@ -124,7 +124,6 @@
                 reason: RefusalReason::NotOwner | RefusalReason::NodeStopping,
                 ..
             }) => {
-                open.asked = None;
                 open.ask_again_at = now + REDIRECT_DELAY;
             }
             OwnerAnswer::Carved { budget } => self.open_child(now, request, budget),
@@ -245,6 +244,7 @@
     }
 
     fn ask(&mut self, now: Instant, request: RequestId) {
+        self.rename_repeated_open(request);
         let Some(open) = self.open.get_mut(&request) else {
             return;
         };
@@ -258,6 +258,33 @@
         self.send(owner, request, command);
     }
 
+    /// A run's number must be opened once only, and whether the first opening took effect is not
+    /// known: an opening that is repeated gets a new number.
+    fn rename_repeated_open(&mut self, request: RequestId) {
+        let Some(open) = self.open.get(&request) else {
+            return;
+        };
+        let OwnerCommand::OpenRun {
+            partner,
+            program,
+            parent,
+            ..
+        } = &open.command
+        else {
+            return;
+        };
+        if open.asked.is_none() {
+            return;
+        }
+        let renamed = self.open_commands(partner.clone(), program, *parent);
+        // Without replicas at hand the old number is asked for again later.
+        if let (Ok(commands), Some(open)) = (renamed, self.open.get_mut(&request)) {
+            open.command = commands.first;
+            open.next_command = commands.next;
+            open.asked = None;
+        }
+    }
+
     fn send(&mut self, owner: NodeId, request: RequestId, command: OwnerCommand) {
         let message = NodeMessage::ToOwner { request, command };
         self.outgoing.fwd(Outgoing { to: owner, message });
--- a/crates/node/src/operator/changes.rs
+++ b/crates/node/src/operator/changes.rs
@@ -1,7 +1,8 @@
 //! Methods that change the configuration.
 
 use ridgeworks_api::ConnectError;
-use ridgeworks_api::conversion::{DomainObject, FieldError, read_shares};
+use ridgeworks_api::conversion::{DomainObject, read_shares};
+use ridgeworks_api::field_error::FieldError;
 use ridgeworks_api::v1;
 use ridgeworks_configuration::{
     Change, ConfigurationObject, ObjectVersion, OperationId, OperatorAnswer, Revision, Unavailable,
--- a/crates/node/src/operator/error.rs
+++ b/crates/node/src/operator/error.rs
@@ -1,7 +1,7 @@
 //! Rejections of changes in the operators' words.
 
 use ridgeworks_api::ConnectError;
-use ridgeworks_api::conversion::FieldError;
+use ridgeworks_api::field_error::FieldError;
 use ridgeworks_api::v1;
 use ridgeworks_configuration::validation::{Allowed, Field, InvalidObject};
 use ridgeworks_configuration::{Change, ChangeError, ObjectKey, ObjectKind};
--- a/crates/node/src/operator/runs.rs
+++ b/crates/node/src/operator/runs.rs
@@ -1,7 +1,7 @@
 //! Reads a run and its calls.
 
 use ridgeworks_api::ConnectError;
-use ridgeworks_api::conversion::FieldError;
+use ridgeworks_api::field_error::FieldError;
 use ridgeworks_api::v1;
 use ridgeworks_domain::RunId;
 use xxhash_rust::xxh3::xxh3_64;
