Start a whole deployment on loopback as separate processes

Presets name zones, nodes, back ends and both partners' objects. The launcher gives every node a settings file, sends links between zones and to the platform through the relay, and configures the system by the operators' interface. Ports are fixed before the start, because dial overrides name them; they lie below the range of outgoing ports, so that none is taken in between. Not run against the operators' interface yet: the node does not serve it here.

--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -1,5 +1,7 @@
 //! Cluster launcher, load, demo, chaos and experiments.
 
+pub mod cluster;
+pub mod cluster_command;
 pub mod engine;
 pub mod platform;
 pub mod relay;
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
-use ridgeworks_testbed::{engine, platform, relay, tool};
+use ridgeworks_testbed::{cluster_command, engine, platform, relay, tool};
 
 /// Stand-ins and tools for trying ridgeworks out.
 #[derive(Parser)]
@@ -23,15 +23,21 @@
     Tool(tool::ToolArguments),
     /// Relay TCP connections, with faults on request.
     Relay(relay::RelayArguments),
+    /// Start a whole deployment on the loopback interface.
+    Cluster(cluster_command::ClusterArguments),
 }
 
 fn main() -> ExitCode {
-    let result = match CommandLine::parse().command {
-        Command::Engine(arguments) => engine::run(arguments),
-        Command::Platform(arguments) => platform::run(arguments),
-        Command::Tool(arguments) => tool::run(arguments),
-        Command::Relay(arguments) => relay::run(arguments),
-    };
+    match CommandLine::parse().command {
+        Command::Engine(arguments) => exit_code(engine::run(arguments)),
+        Command::Platform(arguments) => exit_code(platform::run(arguments)),
+        Command::Tool(arguments) => exit_code(tool::run(arguments)),
+        Command::Relay(arguments) => exit_code(relay::run(arguments)),
+        Command::Cluster(arguments) => exit_code(cluster_command::run(&arguments)),
+    }
+}
+
+fn exit_code<E: std::error::Error>(result: Result<(), E>) -> ExitCode {
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
