--- a/crates/configuration/src/role.rs
+++ b/crates/configuration/src/role.rs
@@ -18,8 +18,8 @@
 use crate::revision::{RequestId, Revision};
 use crate::set::ConfigurationSet;
 use crate::settings::{
-    ConfigurationSettings, MAX_RELAY_CLIENTS, Member, READ_TIMEOUT, RELAY_BATCH_INTERVAL,
-    RENEW_INTERVAL, RENEW_RETRY, TICK_INTERVAL,
+    ConfigurationSettings, MAX_RELAY_CLIENTS, Member, PUSH_INTERVAL, READ_TIMEOUT,
+    RELAY_BATCH_INTERVAL, RELAY_RETRY, RENEW_INTERVAL, RENEW_RETRY, TICK_INTERVAL,
 };
 use crate::voter::Voter;
 use crate::voter_state::StoredVoter;
@@ -46,6 +46,9 @@
     machines: Arc<MachineList>,
     reads: Vec<OpenRead>,
     outbox: Outbox,
+    /// Whether clients lack something that came in force here.
+    push_pending: bool,
+    last_push: Option<MonotonicTime>,
     /// What the last effects told the host.
     announced_revision: Revision,
     announced_machines: u64,
@@ -79,6 +82,8 @@
             machines: Arc::new(MachineList::default()),
             reads: Vec::new(),
             outbox: Outbox::new(node, settings.seed),
+            push_pending: false,
+            last_push: None,
             announced_revision: Revision::ZERO,
             announced_machines: 0,
             announced_ready: false,
@@ -178,7 +183,7 @@
                 news,
             } => {
                 self.take_machines(&news);
-                let update = news.update.as_ref();
+                let update = news.update.as_deref();
                 if let Some(voter) = &mut self.voter {
                     voter.take_newest(from, request, newest, vouches, update, &mut self.outbox);
                 }
@@ -231,7 +236,7 @@
         voter.digest(from, known, self.machines.version(), &mut self.outbox);
         if let Some(machines) = self.machines.update_since(known.machines) {
             let news = News {
-                machines: Some(machines),
+                machines: Some(Box::new(machines)),
                 ..News::default()
             };
             self.outbox.send(from, ConfigurationMessage::Push { news });
@@ -247,9 +252,9 @@
             newest: voter.durable().revision(),
             vouches: voter.vouches(),
             news: News {
-                update: voter.durable().update_since(known.newest),
+                update: voter.durable().update_since(known.newest).map(Box::new),
                 held: self.lease.set().revision(),
-                machines: self.machines.update_since(known.machines),
+                machines: self.machines.update_since(known.machines).map(Box::new),
             },
         };
         self.outbox.send(from, message);
@@ -315,7 +320,7 @@
         }
     }
 
-    /// Passes on what came in force, and machines, to all clients.
+    /// Tells the host what came in force, and which machines are known.
     fn after_promotion(&mut self) {
         let revision = self.lease.set().revision();
         let machines = self.machines.version();
@@ -334,10 +339,17 @@
             let machines = Arc::clone(&self.machines);
             self.outbox.effect(Effect::Machines(machines));
         }
-        self.push_to_clients();
+        self.push_pending = true;
     }
 
-    fn push_to_clients(&mut self) {
+    /// Passes on what is new. In a burst several changes go in one push.
+    fn push_to_clients(&mut self, now: MonotonicTime) {
+        let lately = |last: MonotonicTime| now.since(last) < PUSH_INTERVAL;
+        if !self.push_pending || self.last_push.is_some_and(lately) {
+            return;
+        }
+        self.push_pending = false;
+        self.last_push = Some(now);
         for client in self.clients.nodes() {
             if client == self.node {
                 continue;
@@ -460,8 +472,12 @@
         let staged = self.lease.sets.newest().revision() > self.lease.set().revision();
         let unread = self.reads.iter().any(|read| Some(read.arrived) > last);
         let client_waits = self.clients.waiting_since() > last.or(Some(MonotonicTime::ZERO));
-        let due = self.lease.due(now, RENEW_INTERVAL)
-            || (unanswered && self.lease.due(now, RENEW_RETRY))
+        let retry = match self.relays.is_waiting() {
+            true => RELAY_RETRY,
+            false => RENEW_RETRY,
+        };
+        let due = self.lease.renewal_due(now)
+            || (unanswered && self.lease.due(now, retry))
             || ((staged || unread) && self.lease.due(now, TICK_INTERVAL))
             || (client_waits && self.lease.due(now, RELAY_BATCH_INTERVAL));
         if unread && due {
@@ -502,6 +518,7 @@
 
     fn announce(&mut self, now: MonotonicTime) {
         self.after_promotion();
+        self.push_to_clients(now);
         let ready = self.lease.holds(now);
         if ready == self.announced_ready {
             return;
