Add the demo and a streaming load

The demo starts the small preset, carries two scripted conversations out and compares the time to the first token with the engines asked directly.

--- a/crates/testbed/src/client/mod.rs
+++ b/crates/testbed/src/client/mod.rs
@@ -8,4 +8,5 @@
 
 pub use attempt::{CallerClient, ClientSettings};
 pub use error::{CallFailure, TransportFailure};
+pub use events::{EventReader, StreamEvent};
 pub use run::{CallOptions, ChatAnswer, ChatCall, RunClient};
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -3,7 +3,11 @@
 pub mod client;
 pub mod cluster;
 pub mod cluster_command;
+pub mod conversation;
+pub mod demo;
 pub mod engine;
+pub mod load;
+pub mod measures;
 pub mod platform;
 pub mod relay;
 pub mod serving;
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
-use ridgeworks_testbed::{cluster_command, engine, platform, relay, tool};
+use ridgeworks_testbed::{cluster_command, demo, engine, load, platform, relay, tool};
 
 /// Stand-ins and tools for trying ridgeworks out.
 #[derive(Parser)]
@@ -25,6 +25,10 @@
     Relay(relay::RelayArguments),
     /// Start a whole deployment on the loopback interface.
     Cluster(cluster_command::ClusterArguments),
+    /// Show two conversations on a small deployment.
+    Demo(demo::DemoArguments),
+    /// Put a load on a deployment that runs already.
+    Load(load::LoadArguments),
 }
 
 fn main() -> ExitCode {
@@ -34,6 +38,8 @@
         Command::Tool(arguments) => exit_code(tool::run(arguments)),
         Command::Relay(arguments) => exit_code(relay::run(arguments)),
         Command::Cluster(arguments) => exit_code(cluster_command::run(&arguments)),
+        Command::Demo(arguments) => exit_code(demo::run(&arguments)),
+        Command::Load(arguments) => exit_code(load::run(&arguments)),
     }
 }
 
