--- a/crates/testbed/src/cluster/preset.rs
+++ b/crates/testbed/src/cluster/preset.rs
@@ -230,6 +230,18 @@
         self.zones.len() * self.nodes_per_zone
     }
 
+    /// The first program that may use a service.
+    pub fn program_with(&self, service: &str) -> Option<&v1::Metadata> {
+        let mut objects = self.objects.iter();
+        let found = objects.find(|object| {
+            let Some(v1::object::Specification::Program(program)) = &object.specification else {
+                return false;
+            };
+            program.services.iter().any(|name| name == service)
+        })?;
+        found.metadata.as_ref()
+    }
+
     fn check(&self) -> Result<(), PresetError> {
         let fail = |field| Err(PresetError::Contradictory(field));
         if self.zones.is_empty() {
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -1,5 +1,6 @@
 //! Cluster launcher, load, demo, chaos and experiments.
 
+pub mod bench;
 pub mod client;
 pub mod cluster;
 pub mod cluster_command;
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
-use ridgeworks_testbed::{cluster_command, demo, engine, load, platform, relay, tool};
+use ridgeworks_testbed::{bench, cluster_command, demo, engine, load, platform, relay, tool};
 
 /// Stand-ins and tools for trying ridgeworks out.
 #[derive(Parser)]
@@ -29,6 +29,8 @@
     Demo(demo::DemoArguments),
     /// Put a load on a deployment that runs already.
     Load(load::LoadArguments),
+    /// Measure what the system adds to a load, and what requests and open streams cost.
+    Bench(bench::BenchArguments),
 }
 
 fn main() -> ExitCode {
@@ -39,6 +41,7 @@
         Command::Relay(arguments) => exit_code(relay::run(arguments)),
         Command::Cluster(arguments) => exit_code(cluster_command::run(&arguments)),
         Command::Demo(arguments) => exit_code(demo::run(&arguments)),
+        Command::Bench(arguments) => exit_code(bench::run(&arguments)),
         Command::Load(arguments) => exit_code(load::run(&arguments)),
     }
 }
