--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,18 @@
-.PHONY: test format lint build generate bench-scheduling experiment bench-storage
+.PHONY: demo bench test format lint build generate bench-scheduling experiment bench-storage
 
+# Two conversations on a small deployment; the last line is one JSON object.
+demo:
+	cargo build --release --locked -p ridgeworks-node -p ridgeworks-testbed
+	target/release/ridgeworks-testbed demo
+
+# What the system adds to a load, and what requests and open streams cost.
+bench:
+	cargo build --release --locked -p ridgeworks-node -p ridgeworks-testbed
+	target/release/ridgeworks-testbed bench
+
+# The programs come first: a test of the testbed starts them.
 test: format lint
+	cargo build --workspace --bins --locked
 	cargo test --workspace --locked
 
 format:
--- a/crates/testbed/src/cluster/deployment.rs
+++ b/crates/testbed/src/cluster/deployment.rs
@@ -196,7 +196,7 @@
 
     /// Stops a node or back end as planned. It is killed if it does not end in time.
     pub fn stop(&mut self, name: &str, timeout: Duration) -> Result<(), ClusterError> {
-        self.take(name)?.stop(timeout).map(drop)
+        self.take(name)?.stop(timeout)
     }
 
     /// Kills a node or back end.
--- a/crates/testbed/src/cluster/error.rs
+++ b/crates/testbed/src/cluster/error.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::io;
 use std::path::PathBuf;
+use std::process::ExitStatus;
 use std::time::Duration;
 
 use ridgeworks_api::client::ClientError;
@@ -53,6 +54,13 @@
         /// Its name in the deployment.
         name: String,
     },
+    /// A planned stop ended with a failure.
+    StopFailed {
+        /// Its name in the deployment.
+        name: String,
+        /// How it ended.
+        status: ExitStatus,
+    },
     /// A signal could not be sent, or the end of a process not be learned.
     Signal {
         /// Its name in the deployment.
@@ -120,6 +128,9 @@
                 log.display()
             ),
             Self::DidNotEnd { name } => write!(formatter, "{name} did not end in time"),
+            Self::StopFailed { name, status } => {
+                write!(formatter, "the planned stop of {name} ended with {status}")
+            }
             Self::Signal { name, source } => write!(formatter, "signal to {name}: {source}"),
             Self::NotRunning(name) => write!(formatter, "{name} is not running"),
             Self::UnknownLink(name) => write!(formatter, "there is no link {name}"),
--- a/crates/testbed/src/cluster/process.rs
+++ b/crates/testbed/src/cluster/process.rs
@@ -93,13 +93,16 @@
         self.child.try_wait().map_err(|source| self.failed(source))
     }
 
-    /// Tells it to stop as planned and waits until it ended.
-    pub fn stop(mut self, timeout: Duration) -> Result<ExitStatus, ClusterError> {
+    /// Tells it to stop as planned and waits until it ended. It is killed if it does not end in time.
+    ///
+    /// # Errors
+    /// It did not end in time, or with a failure.
+    pub fn stop(mut self, timeout: Duration) -> Result<(), ClusterError> {
         self.signal(Signal::TERM)?;
         let deadline = Instant::now() + timeout;
         while Instant::now() < deadline {
             if let Some(status) = self.try_wait()? {
-                return Ok(status);
+                return self.check_end(status);
             }
             thread::sleep(POLL_INTERVAL);
         }
@@ -108,6 +111,14 @@
         })
     }
 
+    fn check_end(&self, status: ExitStatus) -> Result<(), ClusterError> {
+        if status.success() {
+            return Ok(());
+        }
+        let name = self.name.clone();
+        Err(ClusterError::StopFailed { name, status })
+    }
+
     /// Tells it to stop as planned and does not wait.
     pub fn begin_stop(&self) -> Result<(), ClusterError> {
         self.signal(Signal::TERM)
