--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
-use ridgeworks_testbed::{engine, platform, relay, tool};
+use ridgeworks_testbed::{bench, cluster_command, demo, engine, load, platform, relay, tool};
 
 /// Stand-ins and tools for trying ridgeworks out.
 #[derive(Parser)]
@@ -23,15 +23,30 @@
     Tool(tool::ToolArguments),
     /// Relay TCP connections, with faults on request.
     Relay(relay::RelayArguments),
+    /// Start a whole deployment on the loopback interface.
+    Cluster(cluster_command::ClusterArguments),
+    /// Show two conversations on a small deployment.
+    Demo(demo::DemoArguments),
+    /// Put a load on a deployment that runs already.
+    Load(load::LoadArguments),
+    /// Measure what the system adds to a load, and what requests and open streams cost.
+    Bench(bench::BenchArguments),
 }
 
 fn main() -> ExitCode {
-    let result = match CommandLine::parse().command {
-        Command::Engine(arguments) => engine::run(arguments),
-        Command::Platform(arguments) => platform::run(arguments),
-        Command::Tool(arguments) => tool::run(arguments),
-        Command::Relay(arguments) => relay::run(arguments),
-    };
+    match CommandLine::parse().command {
+        Command::Engine(arguments) => exit_code(engine::run(arguments)),
+        Command::Platform(arguments) => exit_code(platform::run(arguments)),
+        Command::Tool(arguments) => exit_code(tool::run(arguments)),
+        Command::Relay(arguments) => exit_code(relay::run(arguments)),
+        Command::Cluster(arguments) => exit_code(cluster_command::run(&arguments)),
+        Command::Demo(arguments) => exit_code(demo::run(&arguments)),
+        Command::Bench(arguments) => exit_code(bench::run(&arguments)),
+        Command::Load(arguments) => exit_code(load::run(&arguments)),
+    }
+}
+
+fn exit_code<E: std::error::Error>(result: Result<(), E>) -> ExitCode {
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
