Open a child after its part of the budget is set aside

Cause: the demo's sub-agent never opened (30 s without an answer): the opening that follows the carving counted as a repeated one, got a new number and began with the carving again, for ever. Ruled out: the parent's owner (it answered each carving). Before: make demo exit 1 after 32 s.

--- a/crates/node/src/inbound/gateway.rs
+++ b/crates/node/src/inbound/gateway.rs
@@ -220,6 +220,7 @@
                 *carved = Some(budget);
             }
             open.command = command;
+            open.asked = None;
         }
         self.ask(now, request);
     }
