Test the laws, rates and random schedules of membership

A random schedule found a timer that stood still: after a pause of this node a suspected member kept a time to ask others that lay in the past and was never looked at. Seen failing (the simulator now counts timers that stand still), then mended. Newcomers compare tables often, since joins close together crossed each other and waited 2 s for the first comparison.

--- a/crates/membership/src/config.rs
+++ b/crates/membership/src/config.rs
@@ -36,6 +36,8 @@
     pub piggyback_copies: u32,
     /// How often the table is compared with one other member's.
     pub anti_entropy_interval: Duration,
+    /// The same for a newcomer, which may have missed the joins of others around its own.
+    pub newcomer_anti_entropy_interval: Duration,
     /// How often a join is repeated until a seed answers.
     pub join_retry_interval: Duration,
     /// How often a seed that is no present member is tried.
@@ -67,6 +69,7 @@
             flush_delay: Duration::from_millis(5),
             piggyback_copies: 3,
             anti_entropy_interval: Duration::from_secs(2),
+            newcomer_anti_entropy_interval: Duration::from_millis(200),
             join_retry_interval: Duration::from_millis(500),
             seed_interval: Duration::from_secs(10),
             newcomer_period: Duration::from_secs(5),
--- a/crates/membership/src/detector.rs
+++ b/crates/membership/src/detector.rs
@@ -194,7 +194,7 @@
                     verdicts.push(Verdict::Dead(*node));
                     continue;
                 }
-                if now >= silence.suspect_at(config) {
+                if silence.suspected || now >= silence.suspect_at(config) {
                     silence.take_suspicion(*node, role, now, config, &mut verdicts);
                 }
             }
--- a/crates/membership/src/joining.rs
+++ b/crates/membership/src/joining.rs
@@ -42,7 +42,13 @@
         if now < self.schedule.anti_entropy_at {
             return;
         }
-        self.schedule.anti_entropy_at = now + self.config.anti_entropy_interval;
+        let is_newcomer = now.since(self.started_at) < self.config.newcomer_period;
+        let interval = if is_newcomer {
+            self.config.newcomer_anti_entropy_interval
+        } else {
+            self.config.anti_entropy_interval
+        };
+        self.schedule.anti_entropy_at = now + interval;
         let fingers = self.topology.fingers_of(self.own_node);
         if let Some(partner) = fingers.choose(&mut self.rng).copied() {
             let hash = self.table.hash();
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -85,7 +85,7 @@
         table.merge_record(own, now);
         let schedule = Schedule {
             seeds_at: now,
-            anti_entropy_at: now + config.anti_entropy_interval,
+            anti_entropy_at: now + config.newcomer_anti_entropy_interval,
             reconnect_at: now + config.reconnect_interval,
             forget_at: now + FORGET_INTERVAL,
         };
--- a/crates/membership/tests/simulation.rs
+++ b/crates/membership/tests/simulation.rs
@@ -169,16 +169,16 @@
 }
 
 #[test]
-fn messages_stay_below_their_bound() {
-    let cluster = Cluster::formed(50, 4, Network::default(), 3);
-    let mut fresh = Cluster::new(120, 4, Network::default(), 4);
+fn a_burst_of_joins_converges_with_messages_below_their_bound() {
+    let mut cluster = Cluster::new(120, 4, Network::default(), 4);
+    cluster.simulator.counts_bytes = true;
     for index in 0..120 {
-        fresh.start(index, &[0]);
+        cluster.start(index, &[0]);
     }
-    fresh.simulator.run_for(Duration::from_secs(6));
-    assert!(fresh.agrees());
-    for node in fresh.simulator.running() {
-        assert!(fresh.simulator.cost(node).largest_message < 8 * 1024);
+    cluster.simulator.run_for(Duration::from_secs(6));
+    assert!(cluster.agrees());
+    for node in cluster.simulator.running() {
+        let largest = cluster.simulator.cost(node).largest_message;
+        assert!(largest > 0 && largest < 8 * 1024, "{largest}");
     }
-    assert_eq!(cluster.simulator.running().len(), 50);
 }
--- a/crates/membership/tests/support/cluster.rs
+++ b/crates/membership/tests/support/cluster.rs
@@ -139,6 +139,16 @@
 
     /// A cluster in which all nodes have joined and agree.
     pub fn formed(places: usize, zones: usize, network: Network, seed: u64) -> Self {
+        let mut cluster = Self::formed_early(places, zones, network, seed);
+        cluster
+            .simulator
+            .run_for(MembershipConfig::default().newcomer_period);
+        cluster.simulator.reset_costs();
+        cluster
+    }
+
+    /// As [`Cluster::formed`], with nodes that still count as newcomers.
+    pub fn formed_early(places: usize, zones: usize, network: Network, seed: u64) -> Self {
         let loss = network.loss;
         let mut cluster = Self::new(places, zones, network, seed);
         cluster.simulator.network.loss = 0.0;
@@ -146,7 +156,7 @@
             cluster.start(index, &[0]);
             cluster.simulator.run_for(Duration::from_millis(3));
         }
-        cluster.simulator.run_for(Duration::from_secs(6));
+        cluster.simulator.run_for(Duration::from_secs(1));
         let everyone: Vec<usize> = (0..places).collect();
         for observer in &everyone {
             assert_eq!(
@@ -157,7 +167,6 @@
         }
         cluster.simulator.network.loss = loss;
         cluster.simulator.sightings.clear();
-        cluster.simulator.reset_costs();
         cluster
     }
 
--- a/crates/membership/tests/support/simulator.rs
+++ b/crates/membership/tests/support/simulator.rs
@@ -50,6 +50,9 @@
 /// Bytes of Ethernet, IP and TCP headers and of a frame length, added to each message.
 pub const HEADER_BYTES: usize = 70;
 
+/// Timers in a row that may be due again at once before the state machine counts as stuck.
+const MAX_TIMERS_STANDING_STILL: u32 = 20;
+
 /// How links behave.
 #[derive(Debug, Clone)]
 pub struct Network {
@@ -100,6 +103,7 @@
     frozen_until: MonotonicTime,
     backlog: Vec<Input<P::Message>>,
     timer_at: MonotonicTime,
+    timers_standing_still: u32,
     cost: Cost,
     peers: BTreeSet<usize>,
 }
@@ -138,6 +142,8 @@
     pub now: MonotonicTime,
     pub network: Network,
     pub sightings: Vec<Sighting>,
+    /// Whether messages are encoded for their size, which takes most of a run's time.
+    pub counts_bytes: bool,
     nodes: Vec<Node<P>>,
     queue: BinaryHeap<Reverse<Queued<P::Message>>>,
     order: u64,
@@ -151,6 +157,7 @@
             now: MonotonicTime::ZERO,
             network,
             sightings: Vec::new(),
+            counts_bytes: false,
             nodes: Vec::new(),
             queue: BinaryHeap::new(),
             order: 0,
@@ -168,6 +175,7 @@
             frozen_until: MonotonicTime::ZERO,
             backlog: Vec::new(),
             timer_at: MonotonicTime::ZERO,
+            timers_standing_still: 0,
             cost: Cost::default(),
             peers: BTreeSet::new(),
         });
@@ -308,11 +316,12 @@
             }
             Happening::Arrival { to, input } => self.deliver(to, input),
             Happening::Thaw { node } if !self.is_frozen(node) => {
+                // A process that wakes may run its timers before it reads what has arrived.
+                self.deliver(node, Input::Timer);
                 let backlog = std::mem::take(&mut self.nodes[node].backlog);
                 for input in backlog {
                     self.deliver(node, input);
                 }
-                self.deliver(node, Input::Timer);
             }
             Happening::Thaw { .. } => {}
         }
@@ -329,13 +338,19 @@
             return;
         };
         let is_last = matches!(input, Input::Left);
+        let is_timer = matches!(input, Input::Timer);
         let started = Instant::now();
         let outputs = participant.handle(input, now);
         place.cost.wall += started.elapsed();
         let timer_at = participant.next_timer().max(now);
-        if timer_at != place.timer_at {
-            place.timer_at = timer_at;
+        let stands_still = is_timer && timer_at <= now;
+        place.timers_standing_still += 1;
+        if !stands_still {
+            place.timers_standing_still = 0;
         }
+        let is_stuck = place.timers_standing_still >= MAX_TIMERS_STANDING_STILL;
+        assert!(!is_stuck, "timer of node {node} stands still at {now:?}");
+        place.timer_at = timer_at;
         let life = place.life;
         self.push(timer_at, Happening::Timer { node, life });
         for output in outputs {
@@ -359,11 +374,13 @@
     }
 
     fn transmit(&mut self, from: usize, to: usize, message: P::Message) {
-        let bytes = P::encoded_bytes(&message);
-        let cost = &mut self.nodes[from].cost;
-        cost.messages += 1;
-        cost.bytes += (bytes + HEADER_BYTES) as u64;
-        cost.largest_message = cost.largest_message.max(bytes);
+        if self.counts_bytes {
+            let bytes = P::encoded_bytes(&message);
+            let cost = &mut self.nodes[from].cost;
+            cost.messages += 1;
+            cost.bytes += (bytes + HEADER_BYTES) as u64;
+            cost.largest_message = cost.largest_message.max(bytes);
+        }
         if self.is_cut(from, to) || self.rng.random_bool(self.network.loss) {
             return;
         }
