--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod member_changes;
 pub mod membership;
 pub mod message;
+pub mod metrics;
 pub mod operator;
 pub mod outbound;
 pub mod owner;
