Let a handler word the edge's own answers

The edge answered with a body of its own, unlike the interfaces behind it. The handler now words them; the status of an answer can be read once the responder is used up.

--- a/crates/http-edge/src/body.rs
+++ b/crates/http-edge/src/body.rs
@@ -8,6 +8,7 @@
 
 use crate::counters::{EdgeCounters, increment};
 use crate::error::RequestFault;
+use crate::request::path_of;
 use crate::settings::EdgeSettings;
 
 const READ_BUFFER_BYTES: usize = 16 * 1024;
@@ -31,6 +32,11 @@
         Self { request, counters }
     }
 
+    /// The path without its query.
+    pub(crate) fn path(&self) -> &str {
+        self.request.as_ref().map_or("", path_of)
+    }
+
     pub(crate) fn get_mut(&mut self) -> Option<&mut Request> {
         self.request.as_mut()
     }
--- a/crates/http-edge/src/error.rs
+++ b/crates/http-edge/src/error.rs
@@ -2,9 +2,12 @@
 
 use std::fmt;
 use std::io;
+use std::time::Duration;
 
 use serde::Serialize;
 
+use crate::request::Header;
+
 /// Why the edge could not start.
 #[derive(Debug)]
 pub enum EdgeError {
@@ -28,7 +31,8 @@
 
 impl std::error::Error for EdgeError {}
 
-/// Why a request was refused before any handler saw it; such a request did not run.
+/// Why the edge answered a request itself. Except for [`RequestFault::Unanswered`] no handler saw it,
+/// so that it did not run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RequestFault {
     /// As many requests as allowed are in progress.
@@ -43,6 +47,36 @@
     BodyTimedOut,
     /// The connection ended before the body was whole.
     BodyCutOff,
+    /// The handler ended without an answer; what it did is not known.
+    Unanswered,
+}
+
+/// The answer to a request that no handler answered.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FaultAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers besides the length and the content type, which is JSON.
+    pub headers: Vec<Header>,
+    /// The JSON body.
+    pub body: Vec<u8>,
+}
+
+impl FaultAnswer {
+    /// The answer of an edge whose handler has no form of its own, with a code of the Connect
+    /// protocol. A fault that passes carries when to come back, in whole seconds.
+    pub fn plain(fault: RequestFault, retry_after: Duration) -> Self {
+        let mut headers = Vec::new();
+        if fault.is_temporary() {
+            let seconds = retry_after.as_secs_f64().ceil().max(1.0);
+            headers.push(Header::new("Retry-After", format!("{seconds:.0}")));
+        }
+        Self {
+            status: fault.status(),
+            headers,
+            body: fault.json_body(),
+        }
+    }
 }
 
 /// Body of a refusal.
@@ -60,6 +94,7 @@
             Self::BodyTooLong => 413,
             Self::MalformedLength | Self::BodyCutOff => 400,
             Self::BodyTimedOut => 408,
+            Self::Unanswered => 500,
         }
     }
 
@@ -83,6 +118,7 @@
             Self::BodyTooLong => "resource_exhausted",
             Self::MalformedLength | Self::BodyCutOff => "invalid_argument",
             Self::BodyTimedOut => "deadline_exceeded",
+            Self::Unanswered => "internal",
         }
     }
 
@@ -94,6 +130,7 @@
             Self::MalformedLength => "the length of the body is malformed; not run",
             Self::BodyTimedOut => "the body did not arrive in time; not run",
             Self::BodyCutOff => "the body ended early; not run",
+            Self::Unanswered => "the handler gave no answer",
         }
     }
 }
--- a/crates/http-edge/src/request.rs
+++ b/crates/http-edge/src/request.rs
@@ -78,10 +78,9 @@
     }
 
     pub(crate) fn new(request: &tiny_http::Request, body: Vec<u8>) -> Self {
-        let (path, query) = match request.url().split_once('?') {
-            Some((path, query)) => (path, query),
-            None => (request.url(), ""),
-        };
+        let path = path_of(request);
+        let rest = &request.url()[path.len()..];
+        let query = rest.strip_prefix('?').unwrap_or(rest);
         let headers = request
             .headers()
             .iter()
@@ -96,3 +95,9 @@
         }
     }
 }
+
+/// The path without its query.
+pub(crate) fn path_of(request: &tiny_http::Request) -> &str {
+    let url = request.url();
+    url.split_once('?').map_or(url, |(path, _)| path)
+}
--- a/crates/http-edge/src/responder.rs
+++ b/crates/http-edge/src/responder.rs
@@ -2,44 +2,66 @@
 
 use std::io::Write;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::time::Instant;
 
 use tiny_http::Request;
 
-use crate::counters::{EdgeCounters, increment};
-use crate::error::ResponseError;
+use crate::counters::increment;
+use crate::error::{RequestFault, ResponseError};
 use crate::head::{BodyFraming, ConnectionUse, RequestTraits, head_text};
-use crate::request::Header;
+use crate::request::{Header, path_of};
+use crate::serving::Shared;
 use crate::stream::StreamWriter;
 
-const INTERNAL_ERROR_STATUS: u16 = 500;
-const UNANSWERED_BODY: &[u8] = br#"{"code":"internal","message":"the handler gave no answer"}"#;
+/// The status of an answer, readable after its [`Responder`] is used up.
+#[derive(Debug, Clone, Default)]
+pub struct AnswerStatus(Arc<AtomicU16>);
 
-/// Answers one request, once. Dropped without an answer it sends 500.
+impl AnswerStatus {
+    /// The HTTP status that was sent, `None` before that.
+    pub fn get(&self) -> Option<u16> {
+        match self.0.load(Ordering::Relaxed) {
+            0 => None,
+            status => Some(status),
+        }
+    }
+
+    fn set(&self, status: u16) {
+        self.0.store(status, Ordering::Relaxed);
+    }
+}
+
+/// Answers one request, once. Dropped without an answer it sends the handler's words for
+/// [`RequestFault::Unanswered`].
 pub struct Responder {
     writer: Option<Box<dyn Write + Send>>,
     traits: RequestTraits,
     started: Instant,
-    read_timeout: Duration,
-    counters: Arc<EdgeCounters>,
+    path: String,
+    status: AnswerStatus,
+    shared: Arc<Shared>,
 }
 
 impl Responder {
-    pub(crate) fn new(
-        request: Request,
-        read_timeout: Duration,
-        counters: Arc<EdgeCounters>,
-    ) -> Self {
+    pub(crate) fn new(request: Request, shared: Arc<Shared>) -> Self {
         let traits = RequestTraits::of(&request);
+        let path = path_of(&request).to_owned();
         Self {
             writer: Some(request.into_writer()),
             traits,
             started: Instant::now(),
-            read_timeout,
-            counters,
+            path,
+            status: AnswerStatus::default(),
+            shared,
         }
     }
 
+    /// Where the status of the answer can be read later.
+    pub fn status(&self) -> AnswerStatus {
+        self.status.clone()
+    }
+
     /// Sends a whole JSON answer.
     pub fn json(self, status: u16, headers: &[Header], body: &[u8]) -> Result<(), ResponseError> {
         self.whole(status, "application/json", headers, body)
@@ -68,8 +90,9 @@
             BodyFraming::UntilClose
         };
         let head = head_text(status, headers, framing, ConnectionUse::Close)?;
+        self.status.set(status);
         let writer = self.send_parts(&[head.as_bytes()])?;
-        let counters = Arc::clone(&self.counters);
+        let counters = Arc::clone(&self.shared.counters);
         Ok(StreamWriter::new(
             writer,
             framing,
@@ -89,6 +112,7 @@
         all_headers.extend_from_slice(headers);
         let framing = BodyFraming::Length(body.len());
         let head = head_text(status, &all_headers, framing, self.connection_use())?;
+        self.status.set(status);
         let sent_body: &[u8] = if self.traits.is_head { &[] } else { body };
         self.send_parts(&[head.as_bytes(), sent_body]).map(drop)
     }
@@ -96,7 +120,7 @@
     /// `tiny_http` reads on while the handler works, and gives the connection up once that read times
     /// out; the client must then not send its next request on it.
     fn connection_use(&self) -> ConnectionUse {
-        if self.started.elapsed() * 2 >= self.read_timeout {
+        if self.started.elapsed() * 2 >= self.shared.settings.read_timeout {
             ConnectionUse::Close
         } else {
             ConnectionUse::Keep
@@ -114,7 +138,7 @@
         match written.and_then(|()| writer.flush()) {
             Ok(()) => Ok(writer),
             Err(error) => {
-                increment(&self.counters.clients_gone);
+                increment(&self.shared.counters.clients_gone);
                 Err(ResponseError::ClientGone(error.kind()))
             }
         }
@@ -124,9 +148,15 @@
 impl Drop for Responder {
     fn drop(&mut self) {
         if self.writer.is_some() {
-            increment(&self.counters.unanswered);
+            increment(&self.shared.counters.unanswered);
+            let fault = RequestFault::Unanswered;
+            let settings = &self.shared.settings;
+            let answer = self
+                .shared
+                .handler
+                .fault_answer(fault, &self.path, settings);
             let content_type = "application/json";
-            let _ = self.write_whole(INTERNAL_ERROR_STATUS, content_type, &[], UNANSWERED_BODY);
+            let _ = self.write_whole(answer.status, content_type, &answer.headers, &answer.body);
         }
     }
 }
--- a/crates/http-edge/src/server.rs
+++ b/crates/http-edge/src/server.rs
@@ -9,7 +9,7 @@
 use crate::acceptor::{SERVICE_STACK_BYTES, Supervisor, SupervisorEvent, lock_servers};
 use crate::admission::Admission;
 use crate::counters::EdgeCounters;
-use crate::error::EdgeError;
+use crate::error::{EdgeError, FaultAnswer, RequestFault};
 use crate::listener;
 use crate::request::EdgeRequest;
 use crate::responder::Responder;
@@ -20,6 +20,18 @@
 pub trait Handler: Send + Sync {
     /// Answers one request through `responder`.
     fn handle(&self, request: EdgeRequest, responder: Responder);
+
+    /// Words the answer to a request for `path` that this handler did not answer, so that all
+    /// answers of one interface have one form.
+    fn fault_answer(
+        &self,
+        fault: RequestFault,
+        path: &str,
+        settings: &EdgeSettings,
+    ) -> FaultAnswer {
+        let _ = path;
+        FaultAnswer::plain(fault, settings.retry_after)
+    }
 }
 
 impl<F: Fn(EdgeRequest, Responder) + Send + Sync> Handler for F {
--- a/crates/http-edge/src/serving.rs
+++ b/crates/http-edge/src/serving.rs
@@ -12,7 +12,7 @@
 use crate::admission::Admission;
 use crate::body::{HeldRequest, read_body};
 use crate::counters::{EdgeCounters, decrement, increment};
-use crate::error::RequestFault;
+use crate::error::{FaultAnswer, RequestFault};
 use crate::request::EdgeRequest;
 use crate::responder::Responder;
 use crate::server::Handler;
@@ -119,8 +119,7 @@
     increment(&shared.counters.handled);
     increment(&shared.counters.open_requests);
     let edge_request = EdgeRequest::new(&request, body);
-    let counters = Arc::clone(&shared.counters);
-    let responder = Responder::new(request, shared.settings.read_timeout, counters);
+    let responder = Responder::new(request, Arc::clone(shared));
     let handled = catch_unwind(AssertUnwindSafe(|| {
         shared.handler.handle(edge_request, responder);
     }));
@@ -136,26 +135,27 @@
         RequestFault::MalformedLength => increment(&counters.refused_malformed),
         RequestFault::BodyTimedOut => increment(&counters.timed_out),
         RequestFault::BodyCutOff => increment(&counters.broken_requests),
-        RequestFault::Overloaded | RequestFault::Stopping => {}
+        RequestFault::Overloaded | RequestFault::Stopping | RequestFault::Unanswered => {}
     }
 }
 
 /// Writes the refusal first; then `tiny_http` reads the rest of the body away.
 fn refuse(shared: &Shared, request: HeldRequest, fault: RequestFault) {
-    let response = refusal_response(shared, fault);
-    if request.refuse(response).is_err() {
+    let answer = shared
+        .handler
+        .fault_answer(fault, request.path(), &shared.settings);
+    if request.refuse(response(answer)).is_err() {
         increment(&shared.counters.clients_gone);
     }
 }
 
-fn refusal_response(shared: &Shared, fault: RequestFault) -> Response<Cursor<Vec<u8>>> {
-    let response = Response::from_data(fault.json_body()).with_status_code(fault.status());
-    let response = with_header(response, "Content-Type", "application/json");
-    if !fault.is_temporary() {
-        return response;
+fn response(answer: FaultAnswer) -> Response<Cursor<Vec<u8>>> {
+    let mut response = Response::from_data(answer.body).with_status_code(answer.status);
+    response = with_header(response, "Content-Type", "application/json");
+    for header in answer.headers {
+        response = with_header(response, &header.name, &header.value);
     }
-    let seconds = shared.settings.retry_after.as_secs_f64().ceil().max(1.0);
-    with_header(response, "Retry-After", &format!("{seconds:.0}"))
+    response
 }
 
 fn with_header<R: Read>(response: Response<R>, name: &str, value: &str) -> Response<R> {
