Serve the counters of every role at /metrics

Roles count through typed handles; counters of other crates are read at each request, and what only the actor thread sees is published once a second. Changes of readiness and the phases of a planned stop are logged. The edge's own answers now carry the typed body of the interface that was asked.

--- a/crates/node/src/assembly.rs
+++ b/crates/node/src/assembly.rs
@@ -28,6 +28,7 @@
 use crate::member_changes::MemberChanges;
 use crate::membership::{MemberChange, MembershipOutputs, MembershipRole, SeedMessage};
 use crate::message::OwnerCommand;
+use crate::metrics::Metrics;
 use crate::operator::{DeskActors, OperatorDesk};
 use crate::outbound::BackendClient;
 use crate::owner::{OwnerOutputs, OwnerRole};
@@ -71,6 +72,7 @@
     backends: Arc<BackendClient>,
     polls: EnginePolls,
     mailbox: Mailbox<ThreadMessage>,
+    metrics: Arc<Metrics>,
 }
 
 struct StoreParts {
@@ -84,10 +86,14 @@
         settings: &Settings,
         link_address: SocketAddr,
         mailbox: Mailbox<ThreadMessage>,
+        metrics: Arc<Metrics>,
     ) -> Result<Self, DaemonError> {
         let node = NodeId::from_name(&settings.name);
         let clock = Clock::start();
         let store = open_store(settings, &mailbox)?;
+        if let Some(parts) = &store {
+            metrics.show_store(parts.store.counters());
+        }
         let membership = membership_state(settings, link_address, clock, store.is_some())?;
         let membership = Rc::new(RefCell::new(membership));
         let configuration = configuration_state(settings, node, clock, store.as_ref())?;
@@ -110,9 +116,10 @@
             configuration,
             store,
             platform,
-            backends: Arc::new(BackendClient::new(mailbox.clone())),
+            backends: Arc::new(BackendClient::new(mailbox.clone(), metrics.clone())),
             polls: EnginePolls::new(mailbox.clone()),
             mailbox,
+            metrics,
         })
     }
 
@@ -133,6 +140,8 @@
         let operator_desk = actor_new!(stakker, OperatorDesk, ret_shutdown!(stakker));
         let outgoing = fwd_to!([router], send() as (Outgoing));
 
+        let link_counters = Arc::<LinkCounters>::default();
+        self.metrics.show_links(link_counters.clone());
         let links = actor!(
             stakker,
             Links::init(
@@ -140,7 +149,7 @@
                 listener,
                 fwd_to!([router], deliver() as (Delivery)),
                 fwd_to!([router], link_closed() as (LinkClosed)),
-                Arc::new(LinkCounters::default())
+                link_counters
             ),
             ret_shutdown!(stakker)
         );
@@ -163,22 +172,25 @@
             Router::init(self.node, directory, links_handle, roles)
         );
         let first_number = rand::random();
+        let gateway_open = self.metrics.gateway_open.clone();
         let directory = self.directory.clone();
         let to_owner = outgoing.clone();
         call!(
             [gateway],
-            Gateway::init(self.node, directory, to_owner, first_number)
+            Gateway::init(self.node, directory, to_owner, first_number, gateway_open)
         );
         let outputs = OwnerOutputs {
             outgoing: outgoing.clone(),
             commands: fwd_to!([gateway], command() as (OwnerCommand)),
             backends: self.backends.clone(),
+            metrics: self.metrics.clone(),
         };
         let directory = self.directory.clone();
         call!([owner], OwnerRole::init(self.node, directory, outputs));
         let outputs = DispatcherOutputs {
             outgoing: outgoing.clone(),
             backends: self.backends,
+            metrics: self.metrics.clone(),
         };
         let directory = self.directory.clone();
         call!(
@@ -212,6 +224,7 @@
             outgoing: outgoing.clone(),
             seeds: fwd_to!([router], send_to_seed() as (SeedMessage)),
             changes: fwd_to!([member_changes], changed() as (MemberChange)),
+            metrics: self.metrics.clone(),
         };
         call!(
             [membership],
@@ -221,7 +234,7 @@
             outgoing,
             in_force: fwd_to!([dispatcher], in_force() as (Arc<ConfigurationSet>)),
             machines: fwd_to!([dispatcher], machines() as (Arc<MachineList>)),
-            ready: fwd_nop!(),
+            metrics: self.metrics,
         };
         let store = self.store.map(|parts| parts.store);
         call!(
@@ -267,7 +280,8 @@
                 self.clock,
                 parts.store.clone(),
                 parts.restored.clone(),
-                outgoing.clone()
+                outgoing.clone(),
+                self.metrics.clone()
             ),
             ret_shutdown!(stakker)
         ))
--- a/crates/node/src/configuration/role.rs
+++ b/crates/node/src/configuration/role.rs
@@ -17,6 +17,7 @@
 use super::platform_client::{PlatformClient, PlatformEvent};
 use crate::clock::Clock;
 use crate::message::NodeMessage;
+use crate::metrics::{Metrics, PUBLISH_INTERVAL};
 use crate::replica::NodeStore;
 use crate::router::{Incoming, Outgoing};
 
@@ -31,8 +32,8 @@
     pub in_force: Fwd<Arc<ConfigurationSet>>,
     /// A newer list of machines is known.
     pub machines: Fwd<Arc<MachineList>>,
-    /// The node became ready, or ceased to be.
-    pub ready: Fwd<bool>,
+    /// Counters of the role.
+    pub metrics: Arc<Metrics>,
 }
 
 /// The configuration role.
@@ -66,6 +67,7 @@
             next_ticket: 0,
         };
         role.tick(cx);
+        role.publish(cx);
         Some(role)
     }
 
@@ -119,6 +121,27 @@
         ticket
     }
 
+    fn publish(&mut self, cx: CX![]) {
+        let state = self.state.borrow();
+        let metrics = &self.outputs.metrics;
+        metrics.publish_configuration(state.counters());
+        let clients = i64::try_from(state.client_count()).unwrap_or(i64::MAX);
+        metrics.configuration_clients.set(clients);
+        after!(PUBLISH_INTERVAL, [cx], publish());
+    }
+
+    /// Readiness is a change of state, so it is logged as well as counted.
+    fn note_ready(&self, ready: bool) {
+        let revision = self.state.borrow().last_known().revision().0;
+        self.outputs.metrics.ready.set(i64::from(ready));
+        log::info!("ready={ready} revision={revision}");
+    }
+
+    fn note_revision(&self, set: &ConfigurationSet) {
+        let revision = i64::try_from(set.revision().0).unwrap_or(i64::MAX);
+        self.outputs.metrics.configuration_revision.set(revision);
+    }
+
     fn tick(&mut self, cx: CX![]) {
         self.handle(Event::Tick);
         let pause: Duration = TICK_INTERVAL;
@@ -155,9 +178,12 @@
                     answers(answer);
                 }
             }
-            Effect::InForce(set) => self.outputs.in_force.fwd(set),
+            Effect::InForce(set) => {
+                self.note_revision(&set);
+                self.outputs.in_force.fwd(set);
+            }
             Effect::Machines(machines) => self.outputs.machines.fwd(machines),
-            Effect::Ready(ready) => self.outputs.ready.fwd(ready),
+            Effect::Ready(ready) => self.note_ready(ready),
         }
     }
 }
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -16,6 +16,7 @@
 use crate::assembly::{Actors, Parts, link_settings};
 use crate::inbound::Edge;
 use crate::mailbox::Mailbox;
+use crate::metrics::Metrics;
 use crate::replica::{OpenStoreError, WriteOwner};
 use crate::settings::Settings;
 use crate::shutdown::{Shutdown, watch_signals};
@@ -85,13 +86,15 @@
     let (mailbox, messages) = Mailbox::new(poll.waker());
     let listener = Links::bind(&link_settings(settings)).map_err(DaemonError::Link)?;
     let link_address = listener.local_addr().map_err(DaemonError::Poll)?;
-    let parts = Parts::new(settings, link_address, mailbox.clone())?;
+    let metrics = Arc::<Metrics>::default();
+    let parts = Parts::new(settings, link_address, mailbox.clone(), metrics.clone())?;
     let actors = parts.start(&mut stakker, settings, listener);
     watch_signals(mailbox.clone()).map_err(DaemonError::Signals)?;
     let default_deadline = Duration::from_millis(settings.owner.default_deadline_ms);
-    let edge = Edge::new(mailbox, default_deadline);
+    let edge = Edge::new(mailbox, default_deadline, metrics.clone());
     let edge =
         EdgeServer::start(edge_settings(settings), Arc::new(edge)).map_err(DaemonError::Edge)?;
+    metrics.show_edge(edge.counters());
     on_ready(edge.address(), link_address);
     let stop_timeout = Duration::from_millis(settings.owner.stop_timeout_ms);
     let mut shutdown = Shutdown::new(stop_timeout);
--- a/crates/node/src/dispatcher/group.rs
+++ b/crates/node/src/dispatcher/group.rs
@@ -12,6 +12,7 @@
 
 use super::backend_list::{ListedBackend, backends_of};
 use super::message::DispatcherAnswer;
+use crate::metrics::ServiceMetrics;
 
 /// A repeated request is answered as the first one for this long after its end.
 const REMEMBERED_END: Duration = Duration::from_secs(10);
@@ -42,6 +43,7 @@
     dispatcher: Dispatcher,
     listed: BTreeMap<BackendName, ListedBackend>,
     tickets: HashMap<Ticket, TicketState>,
+    metrics: ServiceMetrics,
 }
 
 /// What is to be done about a request that may have come before.
@@ -56,7 +58,7 @@
 
 impl DispatcherGroup {
     /// A dispatcher without back ends.
-    pub fn new(service: ServiceName) -> Self {
+    pub fn new(service: ServiceName, metrics: ServiceMetrics) -> Self {
         let settings = DispatcherSettings {
             seed: rand::random(),
             ..DispatcherSettings::default()
@@ -66,6 +68,7 @@
             dispatcher: Dispatcher::new(settings),
             listed: BTreeMap::new(),
             tickets: HashMap::new(),
+            metrics,
         }
     }
 
@@ -105,10 +108,14 @@
     pub fn note_answer(&mut self, answer: &DispatcherAnswer, now: MonotonicTime) {
         match answer {
             DispatcherAnswer::Granted { ticket, .. } => {
+                self.metrics.grants.inc();
                 let state = TicketState::Granted(answer.clone());
                 self.tickets.insert(*ticket, state);
             }
-            DispatcherAnswer::Refused { ticket, .. } => self.note_end(*ticket, now),
+            DispatcherAnswer::Refused { ticket, .. } => {
+                self.metrics.refusals.inc();
+                self.note_end(*ticket, now);
+            }
             DispatcherAnswer::Preempt { .. } => {}
         }
     }
@@ -126,6 +133,15 @@
         });
     }
 
+    /// Publishes the length of the queue and what is in flight.
+    pub fn publish(&self) {
+        let count = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+        self.metrics.queued.set(count(self.dispatcher.queued()));
+        self.metrics
+            .in_flight
+            .set(count(self.dispatcher.in_flight()));
+    }
+
     /// Takes an event.
     pub fn handle(&mut self, now: MonotonicTime, event: Event) -> Vec<Effect> {
         self.dispatcher.handle(now, event)
--- a/crates/node/src/dispatcher/role.rs
+++ b/crates/node/src/dispatcher/role.rs
@@ -16,6 +16,7 @@
 use crate::clock::Clock;
 use crate::directory::Directory;
 use crate::message::NodeMessage;
+use crate::metrics::Metrics;
 use crate::operator::OperatorReply;
 use crate::outbound::BackendClient;
 use crate::router::{Incoming, Outgoing};
@@ -28,6 +29,8 @@
     pub outgoing: Fwd<Outgoing>,
     /// Calls of back ends.
     pub backends: Arc<BackendClient>,
+    /// Counters of the role.
+    pub metrics: Arc<Metrics>,
 }
 
 /// The dispatcher role.
@@ -158,7 +161,8 @@
         if !known || self.groups.contains_key(service) {
             return;
         }
-        let group = DispatcherGroup::new(service.clone());
+        let metrics = self.outputs.metrics.service(service);
+        let group = DispatcherGroup::new(service.clone(), metrics);
         self.groups.insert(service.clone(), group);
         self.update_group(service);
     }
@@ -288,6 +292,7 @@
         for service in services {
             if let Some(group) = self.groups.get_mut(&service) {
                 group.forget_ended(now);
+                group.publish();
             }
             self.handle(&service, Event::Tick);
         }
--- a/crates/node/src/inbound/chat.rs
+++ b/crates/node/src/inbound/chat.rs
@@ -13,12 +13,14 @@
 use serde::Serialize;
 use serde_json::{Map, Value};
 
-use super::answer::{invalid, refusal_body, refuse, respond, to_json};
+use super::answer::{invalid, refusal_body, respond, to_json};
+use super::call_metrics::{CallMetrics, OpenStream};
 use super::caller_request::CallerCommand;
 use super::edge::{Answers, Edge};
 use super::request::read_body;
 use super::runs::unexpected_answer;
 use crate::message::OwnerAnswer;
+use crate::metrics::labels::CallKind;
 
 const ASSISTANT: &str = "assistant";
 const FINISH_REASON: &str = "stop";
@@ -26,17 +28,20 @@
 
 /// `POST /v1/chat/completions`
 pub fn complete(edge: &Edge, request: &EdgeRequest, responder: Responder) {
-    let started = match start(edge, request) {
+    let mut started = match start(edge, request) {
         Ok(started) => started,
-        Err(refusal) => return refuse(responder, &refusal),
+        Err(refusal) => return edge.refuse(responder, &refusal),
     };
     if started.stream {
-        stream(&started, responder);
+        stream(edge, &mut started, responder);
         return;
     }
     match whole(&started) {
-        Ok(completion) => respond(responder, &completion),
-        Err(refusal) => refuse(responder, &refusal),
+        Ok(completion) => {
+            respond(responder, &completion);
+            started.metrics.answered();
+        }
+        Err(refusal) => started.refuse(edge, responder, &refusal),
     }
 }
 
@@ -44,6 +49,14 @@
     stream: bool,
     head: CompletionHead,
     answers: Answers,
+    metrics: CallMetrics,
+}
+
+impl Started {
+    fn refuse(&mut self, edge: &Edge, responder: Responder, refusal: &Refusal) {
+        self.metrics.refused(refusal);
+        edge.refuse(responder, refusal);
+    }
 }
 
 /// What all parts of one answer share.
@@ -79,11 +92,18 @@
             body: request.body.clone(),
         },
     };
+    let kind = if body.stream {
+        CallKind::ChatStream
+    } else {
+        CallKind::Chat
+    };
     let answers = edge.submit(request, command, headers.deadline_ms)?;
+    let metrics = CallMetrics::start(edge.metrics(), kind);
     Ok(Started {
         stream: body.stream,
         head,
         answers,
+        metrics,
     })
 }
 
@@ -139,24 +159,26 @@
 
 /// Streams the answer. The HTTP status waits for the first part of the answer, so that a refusal
 /// still has its own.
-fn stream(started: &Started, responder: Responder) {
+fn stream(edge: &Edge, started: &mut Started, responder: Responder) {
     let first = match started.answers.next() {
         Ok(first) => first,
-        Err(refusal) => return refuse(responder, &refusal),
+        Err(refusal) => return started.refuse(edge, responder, &refusal),
     };
     let headers = [
         Header::new("Content-Type", "text/event-stream"),
         Header::new("Cache-Control", "no-cache"),
     ];
+    let _open = OpenStream::start(edge.metrics());
     let Ok(writer) = responder.start_stream(OK, &headers) else {
         return;
     };
     // A caller that left learns the answer by asking again under the same key.
-    let _ = write_events(started, first, writer);
+    let _ = write_events(edge, started, first, writer);
 }
 
 fn write_events(
-    started: &Started,
+    edge: &Edge,
+    started: &mut Started,
     first: OwnerAnswer,
     mut writer: StreamWriter,
 ) -> Result<(), ClientGone> {
@@ -167,15 +189,19 @@
             Ok(OwnerAnswer::Chunk { offset, text }) => {
                 written = offset + text.len() as u64;
                 write_text(&started.head, &mut writer, &text)?;
+                started.metrics.chunk();
             }
             Ok(OwnerAnswer::Answered { answer, spent }) => {
                 let rest = usize::try_from(written)
                     .map_or(&[][..], |from| &answer[from.min(answer.len())..]);
                 write_text(&started.head, &mut writer, rest)?;
-                return write_end(&started.head, writer, &answer, spent);
+                started.metrics.chunk();
+                write_end(&started.head, writer, &answer, spent)?;
+                started.metrics.answered();
+                return Ok(());
             }
-            Ok(_) => return write_refusal(writer, &unexpected_answer()),
-            Err(refusal) => return write_refusal(writer, &refusal),
+            Ok(_) => return write_refusal(edge, started, writer, &unexpected_answer()),
+            Err(refusal) => return write_refusal(edge, started, writer, &refusal),
         }
         answer = started.answers.next();
     }
@@ -231,7 +257,14 @@
     }
 }
 
-fn write_refusal(mut writer: StreamWriter, refusal: &Refusal) -> Result<(), ClientGone> {
+fn write_refusal(
+    edge: &Edge,
+    started: &mut Started,
+    mut writer: StreamWriter,
+    refusal: &Refusal,
+) -> Result<(), ClientGone> {
+    edge.metrics().count_refusal(refusal);
+    started.metrics.refused(refusal);
     write_event(&mut writer, &refusal_body(refusal))?;
     writer.finish()
 }
--- a/crates/node/src/inbound/edge.rs
+++ b/crates/node/src/inbound/edge.rs
@@ -1,24 +1,30 @@
 //! Routes HTTP requests. Each runs on a thread of its own, hands a typed request to the actor thread
 //! and writes the answers that come back.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use crossbeam_channel::{Receiver, RecvTimeoutError, bounded};
 use ridgeworks_api::caller::{AUTHORIZATION_HEADER, CallerRoute, bearer_token};
 use ridgeworks_api::operator::SERVICE_PATH;
-use ridgeworks_domain::{Refusal, RefusalReason};
-use ridgeworks_http_edge::{EdgeRequest, Handler, Method, Responder};
+use ridgeworks_domain::{InvalidRequest, Refusal, RefusalReason};
+use ridgeworks_http_edge::{
+    EdgeRequest, EdgeSettings, FaultAnswer, Handler, Method, RequestFault, Responder,
+};
 use sha2::{Digest, Sha256};
 
 use super::answer::{refuse, respond_json};
 use super::caller_request::{CallerCommand, CallerRequest};
-use super::{chat, runs, service_call};
+use super::{chat, fault, runs, service_call};
 use crate::mailbox::Mailbox;
 use crate::message::OwnerAnswer;
+use crate::metrics::labels::Route;
+use crate::metrics::{self, Metrics};
 use crate::operator;
 use crate::thread_message::ThreadMessage;
 
 const HEALTH_PATH: &str = "/health";
+const METRICS_PATH: &str = "/metrics";
 const HEALTH_BODY: &[u8] = br#"{"status":"serving"}"#;
 const OK: u16 = 200;
 /// Answers that may wait for a slow caller before the actor thread has to wait for it; above it the
@@ -35,17 +41,34 @@
 pub struct Edge {
     mailbox: Mailbox<ThreadMessage>,
     default_deadline: Duration,
+    metrics: Arc<Metrics>,
 }
 
 impl Edge {
     /// An edge whose requests go to `mailbox`; calls without a deadline of their own get the default.
-    pub fn new(mailbox: Mailbox<ThreadMessage>, default_deadline: Duration) -> Self {
+    pub fn new(
+        mailbox: Mailbox<ThreadMessage>,
+        default_deadline: Duration,
+        metrics: Arc<Metrics>,
+    ) -> Self {
         Self {
             mailbox,
             default_deadline,
+            metrics,
         }
     }
 
+    /// The node's counters.
+    pub(crate) fn metrics(&self) -> Arc<Metrics> {
+        Arc::clone(&self.metrics)
+    }
+
+    /// Sends a refusal and counts it.
+    pub(crate) fn refuse(&self, responder: Responder, refusal: &Refusal) {
+        self.metrics.count_refusal(refusal);
+        refuse(responder, refusal);
+    }
+
     /// Hands a request to the actor thread.
     pub(crate) fn submit(
         &self,
@@ -76,9 +99,42 @@
         self.mailbox.post(message);
     }
 
-    fn route(&self, request: &EdgeRequest, responder: Responder) {
+    /// Answers a request and tells its route.
+    fn answer(&self, request: &EdgeRequest, responder: Responder) -> Route {
+        match (&request.method, request.path.as_str()) {
+            (Method::Get | Method::Head, HEALTH_PATH) => {
+                respond_json(responder, OK, HEALTH_BODY);
+                Route::Health
+            }
+            (Method::Get | Method::Head, METRICS_PATH) => {
+                let text = self.metrics.text();
+                // A client that left is told nothing.
+                let _ = responder.whole(OK, metrics::CONTENT_TYPE, &[], text.as_bytes());
+                Route::Metrics
+            }
+            (_, path) if path.starts_with(SERVICE_PATH) => {
+                operator::serve(self, request, responder);
+                Route::Operator
+            }
+            _ => self.answer_caller(request, responder),
+        }
+    }
+
+    fn answer_caller(&self, request: &EdgeRequest, responder: Responder) -> Route {
         let method = method_name(&request.method);
-        match CallerRoute::from_request(method, &request.path) {
+        let route = CallerRoute::from_request(method, &request.path);
+        let label = route.as_ref().map_or(Route::Unknown, Route::from);
+        self.serve_caller(route, request, responder);
+        label
+    }
+
+    fn serve_caller(
+        &self,
+        route: Result<CallerRoute, InvalidRequest>,
+        request: &EdgeRequest,
+        responder: Responder,
+    ) {
+        match route {
             Ok(CallerRoute::OpenRun) => runs::open(self, request, responder),
             Ok(CallerRoute::CloseRun(run)) => runs::close(self, request, run, responder),
             Ok(CallerRoute::RunHistory(run)) => runs::history(self, request, run, responder),
@@ -88,7 +144,7 @@
             }
             Err(invalid) => {
                 let reason = RefusalReason::InvalidRequest(invalid);
-                refuse(responder, &Refusal::permanent(reason));
+                self.refuse(responder, &Refusal::permanent(reason));
             }
         }
     }
@@ -96,13 +152,21 @@
 
 impl Handler for Edge {
     fn handle(&self, request: EdgeRequest, responder: Responder) {
-        if request.path == HEALTH_PATH {
-            respond_json(responder, OK, HEALTH_BODY);
-        } else if request.path.starts_with(SERVICE_PATH) {
-            operator::serve(self, &request, responder);
-        } else {
-            self.route(&request, responder);
-        }
+        let status = responder.status();
+        let route = self.answer(&request, responder);
+        // A client that left before the answer got no status.
+        self.metrics
+            .count_request(route, status.get().unwrap_or_default());
+    }
+
+    fn fault_answer(
+        &self,
+        fault: RequestFault,
+        path: &str,
+        settings: &EdgeSettings,
+    ) -> FaultAnswer {
+        self.metrics.count_refusal(&fault::refusal(fault, settings));
+        fault::fault_answer(fault, path, settings)
     }
 }
 
--- a/crates/node/src/inbound/gateway.rs
+++ b/crates/node/src/inbound/gateway.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use crossbeam_channel::bounded;
+use prometheus_client::metrics::gauge::Gauge;
 use ridgeworks_domain::{Cost, NodeId, PartnerName, ProgramName, Refusal, RefusalReason, RunId};
 use stakker::{CX, Fwd, MaxTimerKey, timer_max};
 
@@ -46,6 +47,7 @@
     open: HashMap<RequestId, OpenRequest>,
     next_number: u64,
     stopping: bool,
+    open_requests: Gauge,
     check_timer: MaxTimerKey,
 }
 
@@ -58,6 +60,7 @@
         directory: Directory,
         outgoing: Fwd<Outgoing>,
         first_number: u64,
+        open_requests: Gauge,
     ) -> Option<Self> {
         let mut gateway = Self {
             node,
@@ -66,6 +69,7 @@
             open: HashMap::new(),
             next_number: first_number,
             stopping: false,
+            open_requests,
             check_timer: MaxTimerKey::default(),
         };
         gateway.schedule_check(cx);
@@ -240,6 +244,7 @@
             passed_on: 0,
         };
         self.open.insert(request, open);
+        self.open_requests.inc();
         self.ask(cx.now(), request);
     }
 
@@ -292,6 +297,7 @@
 
     fn finish(&mut self, request: RequestId, answer: Result<OwnerAnswer, Refusal>) {
         if let Some(open) = self.open.remove(&request) {
+            self.open_requests.dec();
             pass_on(&open.answers, answer);
         }
     }
--- a/crates/node/src/inbound/mod.rs
+++ b/crates/node/src/inbound/mod.rs
@@ -1,9 +1,11 @@
 //! The side of the node that faces callers and operators.
 
 mod answer;
+mod call_metrics;
 mod caller_request;
 mod chat;
 mod edge;
+mod fault;
 mod gateway;
 mod open_request;
 mod request;
--- a/crates/node/src/inbound/runs.rs
+++ b/crates/node/src/inbound/runs.rs
@@ -7,7 +7,7 @@
 use ridgeworks_http_edge::{EdgeRequest, Responder};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::answer::{refuse, respond};
+use super::answer::respond;
 use super::caller_request::CallerCommand;
 use super::edge::Edge;
 use super::request::read_body;
@@ -17,7 +17,7 @@
 pub fn open(edge: &Edge, request: &EdgeRequest, responder: Responder) {
     match open_run(edge, request) {
         Ok(opened) => respond(responder, &opened),
-        Err(refusal) => refuse(responder, &refusal),
+        Err(refusal) => edge.refuse(responder, &refusal),
     }
 }
 
@@ -37,7 +37,7 @@
 pub fn close(edge: &Edge, request: &EdgeRequest, run: RunId, responder: Responder) {
     match close_run(edge, request, run) {
         Ok(closed) => respond(responder, &closed),
-        Err(refusal) => refuse(responder, &refusal),
+        Err(refusal) => edge.refuse(responder, &refusal),
     }
 }
 
@@ -53,7 +53,7 @@
 pub fn history(edge: &Edge, request: &EdgeRequest, run: RunId, responder: Responder) {
     match read_history(edge, request, run) {
         Ok(history) => respond(responder, &history),
-        Err(refusal) => refuse(responder, &refusal),
+        Err(refusal) => edge.refuse(responder, &refusal),
     }
 }
 
--- a/crates/node/src/inbound/service_call.rs
+++ b/crates/node/src/inbound/service_call.rs
@@ -5,18 +5,20 @@
 use ridgeworks_http_edge::{EdgeRequest, Responder};
 use serde_json::value::RawValue;
 
-use super::answer::{refuse, respond};
+use super::answer::respond;
+use super::call_metrics::CallMetrics;
 use super::caller_request::CallerCommand;
-use super::edge::Edge;
+use super::edge::{Answers, Edge};
 use super::request::read_body;
 use super::runs::unexpected_answer;
 use crate::message::OwnerAnswer;
+use crate::metrics::labels::CallKind;
 
 /// `POST /v1/services/{service}/calls`
 pub fn call(edge: &Edge, request: &EdgeRequest, service: ServiceName, responder: Responder) {
     match call_service(edge, request, service) {
         Ok(answer) => respond(responder, &answer),
-        Err(refusal) => refuse(responder, &refusal),
+        Err(refusal) => edge.refuse(responder, &refusal),
     }
 }
 
@@ -41,7 +43,18 @@
             body: body.arguments.get().as_bytes().to_vec(),
         },
     };
-    match edge.submit(request, command, deadline_ms)?.next()? {
+    let mut metrics = CallMetrics::start(edge.metrics(), CallKind::Service);
+    let answers = edge.submit(request, command, deadline_ms);
+    let response = answers.and_then(|answers| wait(&answers));
+    match &response {
+        Ok(_) => metrics.answered(),
+        Err(refusal) => metrics.refused(refusal),
+    }
+    response
+}
+
+fn wait(answers: &Answers) -> Result<ServiceCallResponse, Refusal> {
+    match answers.next()? {
         OwnerAnswer::Answered { answer, .. } => service_answer(answer),
         _ => Err(unexpected_answer()),
     }
--- a/crates/node/src/membership/mod.rs
+++ b/crates/node/src/membership/mod.rs
@@ -3,13 +3,16 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
 
 use ridgeworks_domain::NodeId;
 use ridgeworks_membership::{Effect, Event, Member, MemberState, Membership};
-use stakker::{CX, Fwd, MaxTimerKey, fail, timer_max};
+use stakker::{CX, Fwd, MaxTimerKey, after, fail, timer_max};
 
 use crate::clock::Clock;
 use crate::message::NodeMessage;
+use crate::metrics::{Metrics, PUBLISH_INTERVAL};
 use crate::router::{Incoming, Outgoing};
 
 /// A member joined, changed its state or was replaced.
@@ -53,6 +56,8 @@
     pub seeds: Fwd<SeedMessage>,
     /// Changes of members.
     pub changes: Fwd<MemberChange>,
+    /// Counters of the role.
+    pub metrics: Arc<Metrics>,
 }
 
 /// The membership role.
@@ -78,6 +83,7 @@
             timer: MaxTimerKey::default(),
         };
         role.handle(cx, Event::Timer);
+        role.publish(cx);
         Some(role)
     }
 
@@ -109,6 +115,14 @@
         self.handle(cx, Event::Left);
     }
 
+    fn publish(&mut self, cx: CX![]) {
+        let state = self.state.borrow();
+        let metrics = &self.outputs.metrics;
+        metrics.publish_membership(state.counters(), state.members());
+        let pause: Duration = PUBLISH_INTERVAL;
+        after!(pause, [cx], publish());
+    }
+
     fn on_timer(&mut self, cx: CX![]) {
         self.handle(cx, Event::Timer);
     }
--- a/crates/node/src/metrics/mod.rs
+++ b/crates/node/src/metrics/mod.rs
@@ -34,6 +34,9 @@
 /// Media type of the text.
 pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
+/// How often roles publish what only the actor thread can see.
+pub const PUBLISH_INTERVAL: Duration = Duration::from_secs(1);
+
 const PREFIX: &str = "ridgeworks";
 /// Upper bounds of the classes of times, in seconds: fine where the product promises milliseconds.
 const TIME_BOUNDS: [f64; 16] = [
--- a/crates/node/src/outbound/client.rs
+++ b/crates/node/src/outbound/client.rs
@@ -1,15 +1,20 @@
 //! Starts the threads that call back ends.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
 use ridgeworks_domain::RunId;
 use ureq::Agent;
 
-use super::attempt::{AttemptEvent, AttemptId, AttemptOrder, AttemptResult, Dispatched};
+use super::attempt::{
+    AttemptEvent, AttemptFate, AttemptId, AttemptOrder, AttemptResult, Dispatched,
+};
 use super::{BackendCall, chat, fence, tool};
 use crate::mailbox::Mailbox;
+use crate::metrics::Metrics;
+use crate::metrics::labels::{AttemptEnd, AttemptLabels, FenceEnd, FenceLabels};
 use crate::thread_message::ThreadMessage;
 
 const THREAD_STACK_BYTES: usize = 256 * 1024;
@@ -24,11 +29,12 @@
 pub struct BackendClient {
     agent: Agent,
     mailbox: Mailbox<ThreadMessage>,
+    metrics: Arc<Metrics>,
 }
 
 impl BackendClient {
     /// A client that reports to `mailbox`.
-    pub fn new(mailbox: Mailbox<ThreadMessage>) -> Self {
+    pub fn new(mailbox: Mailbox<ThreadMessage>, metrics: Arc<Metrics>) -> Self {
         let agent = Agent::config_builder()
             .http_status_as_error(false)
             .timeout_connect(Some(CONNECT_TIMEOUT))
@@ -37,21 +43,30 @@
             .max_idle_age(MAX_IDLE_AGE)
             .build()
             .new_agent();
-        Self { agent, mailbox }
+        Self {
+            agent,
+            mailbox,
+            metrics,
+        }
     }
 
     /// Makes one attempt. Its end is reported in every case.
     pub fn start(&self, order: AttemptOrder) {
         let agent = self.agent.clone();
         let mailbox = self.mailbox.clone();
+        let metrics = self.metrics.clone();
         let id = order.id.clone();
         let started = spawn(move || {
             let id = order.id.clone();
+            metrics.open_attempts.inc();
             let result = run_attempt(&agent, &mailbox, order);
+            metrics.open_attempts.dec();
+            count_end(&metrics, &result);
             mailbox.post(ThreadMessage::Attempt(AttemptEvent::Ended { id, result }));
         });
         if !started {
             let result = AttemptResult::NeverStarted;
+            count_end(&self.metrics, &result);
             let event = AttemptEvent::Ended { id, result };
             self.mailbox.post(ThreadMessage::Attempt(event));
         }
@@ -61,9 +76,11 @@
     pub fn fence(&self, id: AttemptId, to: Dispatched) {
         let agent = self.agent.clone();
         let mailbox = self.mailbox.clone();
+        let metrics = self.metrics.clone();
         // Without a thread no answer comes, and the owner asks again.
         spawn(move || {
             let fate = fence::fence(&agent, &id, to.address, FENCE_TIMEOUT);
+            count_fence(&metrics, &fate);
             let backend = to.backend;
             mailbox.post(ThreadMessage::Attempt(AttemptEvent::Fenced {
                 id,
@@ -103,6 +120,25 @@
     }
 }
 
+fn count_end(metrics: &Metrics, result: &AttemptResult) {
+    let end = match result {
+        AttemptResult::Answered { .. } => AttemptEnd::Answered,
+        AttemptResult::NeverStarted => AttemptEnd::NeverStarted,
+        AttemptResult::InDoubt => AttemptEnd::InDoubt,
+    };
+    metrics.attempts.get_or_create(&AttemptLabels { end }).inc();
+}
+
+fn count_fence(metrics: &Metrics, fate: &AttemptFate) {
+    let end = match fate {
+        AttemptFate::Finished { .. } => FenceEnd::Finished,
+        AttemptFate::NeverStarted => FenceEnd::NeverStarted,
+        AttemptFate::Cancelled => FenceEnd::Cancelled,
+        AttemptFate::Unreachable => FenceEnd::Unreachable,
+    };
+    metrics.fences.get_or_create(&FenceLabels { end }).inc();
+}
+
 fn spawn(work: impl FnOnce() + Send + 'static) -> bool {
     thread::Builder::new()
         .name("back-end-call".to_owned())
--- a/crates/node/src/owner/effects.rs
+++ b/crates/node/src/owner/effects.rs
@@ -71,6 +71,7 @@
             OwnerEffect::AnswerCaller { caller, answer } => self.answer_caller(run, caller, answer),
             OwnerEffect::ReleaseContext { run } => self.release_context(run),
             OwnerEffect::SteppedDown { .. } | OwnerEffect::InvalidLog { .. } => {
+                self.outputs.metrics.step_downs.inc();
                 self.give_up(run, RefusalReason::NotOwner);
             }
             OwnerEffect::RunUnknown => self.give_up(run, RefusalReason::UnknownRun),
--- a/crates/node/src/owner/role.rs
+++ b/crates/node/src/owner/role.rs
@@ -18,6 +18,7 @@
 use crate::clock::Clock;
 use crate::directory::Directory;
 use crate::message::{NodeMessage, OwnerAnswer, OwnerCommand, RequestId};
+use crate::metrics::Metrics;
 use crate::operator::OperatorReply;
 use crate::outbound::BackendClient;
 use crate::router::{Incoming, Outgoing};
@@ -36,6 +37,8 @@
     pub commands: Fwd<OwnerCommand>,
     /// Calls of back ends.
     pub backends: Arc<BackendClient>,
+    /// Counters of the role.
+    pub metrics: Arc<Metrics>,
 }
 
 /// The owner role.
@@ -142,6 +145,7 @@
 
     /// Claims a run from its replicas.
     pub(super) fn take_over(&mut self, now: Instant, run: RunId) {
+        self.outputs.metrics.takeovers.inc();
         let contacts = self.directory.replicas_of(run);
         let instance = self.new_number().max(1);
         let (owner, effects) = RunOwner::take_over(
@@ -194,6 +198,8 @@
     fn tick(&mut self, cx: CX![]) {
         let now = cx.now();
         self.give_up_idle(now);
+        let owned = i64::try_from(self.runs.len()).unwrap_or(i64::MAX);
+        self.outputs.metrics.runs_owned.set(owned);
         let busy: Vec<RunId> = self
             .runs
             .iter()
--- a/crates/node/src/replica/role.rs
+++ b/crates/node/src/replica/role.rs
@@ -1,6 +1,7 @@
 //! Actor of the replica role.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 use std::time::Duration;
 
 use ridgeworks_domain::NodeId;
@@ -14,6 +15,7 @@
 use super::store::{NodeStore, WriteOwner};
 use crate::clock::Clock;
 use crate::message::NodeMessage;
+use crate::metrics::Metrics;
 use crate::router::{Incoming, Outgoing};
 
 /// Closed runs are forgotten two such times after their end.
@@ -34,6 +36,7 @@
     replica: Replica,
     pending: VecDeque<PendingReplies>,
     outgoing: Fwd<Outgoing>,
+    metrics: Arc<Metrics>,
     sweep_timer: MaxTimerKey,
 }
 
@@ -46,6 +49,7 @@
         store: NodeStore,
         restored: RestoredStore,
         outgoing: Fwd<Outgoing>,
+        metrics: Arc<Metrics>,
     ) -> Option<Self> {
         let mut role = Self {
             clock,
@@ -53,6 +57,7 @@
             replica: Replica::restore(node, restored, clock.now()),
             pending: VecDeque::new(),
             outgoing,
+            metrics,
             sweep_timer: MaxTimerKey::default(),
         };
         role.schedule_sweep(cx);
@@ -87,12 +92,15 @@
 
     fn request(&mut self, from: NodeId, request: Request) {
         let now = self.clock.now();
+        self.metrics.replica_requests.inc();
         let stored = StoredLog(&self.store);
         let ready = self.replica.handle(from, request, now, &stored);
         self.carry_out(ready);
     }
 
     fn carry_out(&mut self, ready: ReplicaReady) {
+        let runs = i64::try_from(self.replica.run_count()).unwrap_or(i64::MAX);
+        self.metrics.replica_runs.set(runs);
         let ReplicaReady {
             writes,
             replies_after_flush,
@@ -106,6 +114,7 @@
             write: write_number,
             replies: replies_after_flush,
         });
+        self.metrics.replica_writes.inc();
         let operations = writes.into_iter().map(operation).collect();
         self.store
             .submit(operations, WriteOwner::Replica, write_number);
--- a/crates/node/src/replica/store.rs
+++ b/crates/node/src/replica/store.rs
@@ -13,7 +13,7 @@
 use ridgeworks_run_log::entry::StoreId;
 use ridgeworks_run_log::storage::{RestoredStore, RunHead};
 use ridgeworks_storage::{
-    Store, StoreCreationId, StoreError, StoreOperation, StoreSettings, WriteBatch,
+    Store, StoreCounters, StoreCreationId, StoreError, StoreOperation, StoreSettings, WriteBatch,
 };
 use rkyv::rancor;
 
@@ -83,6 +83,11 @@
         })
     }
 
+    /// What the store counts.
+    pub fn counters(&self) -> Arc<StoreCounters> {
+        self.store.counters()
+    }
+
     /// What the store holds for the replica role.
     pub fn restore_replica(&self) -> Result<RestoredStore, OpenStoreError> {
         let mut heads: Vec<(RunId, RunHead)> = Vec::new();
--- a/crates/node/src/shutdown.rs
+++ b/crates/node/src/shutdown.rs
@@ -82,7 +82,7 @@
         if !matches!(self.phase, Phase::Serving) {
             return;
         }
-        log::info!("stopping=planned");
+        log::info!("stopping=planned phase=draining");
         edge.stop_accepting();
         call!([actors.membership], leave());
         call!([actors.owner], stop());
@@ -102,12 +102,19 @@
                     && edge.wait_until_idle(Duration::ZERO)
                     && elapsed >= LEAVE_TIME;
                 if drained || elapsed >= self.timeout {
+                    let elapsed_ms = elapsed.as_millis();
+                    log::info!(
+                        "stopping=planned phase=flushing drained={drained} elapsed_ms={elapsed_ms}"
+                    );
                     call!([actors.membership], left());
                     let until = now + FLUSH_TIME;
                     self.phase = Phase::Flushing { until };
                 }
             }
-            Phase::Flushing { until } if now >= until => self.phase = Phase::Complete,
+            Phase::Flushing { until } if now >= until => {
+                log::info!("stopping=planned phase=complete");
+                self.phase = Phase::Complete;
+            }
             _ => {}
         }
     }
