--- /dev/null
+++ b/crates/domain/tests/token_count.rs
@@ -0,0 +1,24 @@
+//! Tokens are counted the same way however a prompt is split into messages.
+
+use quickcheck::quickcheck;
+use ridgeworks_domain::token_count::{count_prompt_tokens, count_tokens};
+
+#[test]
+fn words_count_a_token_for_each_started_four_bytes() {
+    for (text, tokens) in [
+        ("", 0),
+        ("  \n", 0),
+        ("four", 1),
+        ("fives", 2),
+        ("a bc  def\n", 3),
+    ] {
+        assert_eq!(count_tokens(text), tokens, "{text:?}");
+    }
+}
+
+quickcheck! {
+    fn prompt_counts_as_its_joined_contents(contents: Vec<String>) -> bool {
+        let texts = || contents.iter().map(String::as_str);
+        count_prompt_tokens(texts()) == count_tokens(&texts().collect::<Vec<_>>().join(" "))
+    }
+}
--- a/crates/stand-ins/tests/engine_contexts.rs
+++ b/crates/stand-ins/tests/engine_contexts.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use ridgeworks_stand_ins::engine::EngineOptions;
 use serde_json::{Value, json};
@@ -14,8 +14,6 @@
     fn hold(&self, run: &str) {
         let headers = call_headers(run, "call", "1");
         let body = chat(&"word ".repeat(56), 8, false);
-        let mut body = body;
-        body["max_tokens"] = json!(8);
         let answer = call(
             "POST",
             self.address(),
@@ -103,12 +101,17 @@
 
 #[test]
 fn attempt_waits_for_memory_that_leases_hold_until_they_lapse() {
+    const LEASE_MS: u64 = 400;
     let fixture = Fixture::start(sixteen_blocks);
     for number in 1..=4 {
         fixture.hold(&run(number));
-        assert_eq!(fixture.retain(&run(number), 100).status, 200);
+    }
+    let begun = Instant::now();
+    for number in 1..=4 {
+        assert_eq!(fixture.retain(&run(number), LEASE_MS).status, 200);
     }
     fixture.hold(&run(5));
+    assert!(begun.elapsed() >= Duration::from_millis(LEASE_MS));
     assert!(fixture.contexts().contains(&run(5)));
 }
 
@@ -119,7 +122,7 @@
     });
     let question = "word ".repeat(400);
     let timed = |call_key: &str| {
-        let before = std::time::Instant::now();
+        let before = Instant::now();
         let headers = [
             ("x-ridgeworks-run", "1"),
             ("x-ridgeworks-call", call_key),
@@ -148,7 +151,7 @@
 fn cache_events_come_late_with_numbers_that_show_the_gaps() {
     let fixture = Fixture::start(|options| {
         options.cache_event_gap_every = Some(3);
-        options.cache_event_lag = Duration::from_millis(150);
+        options.cache_event_lag = Duration::from_millis(400);
     });
     for number in 1..=3 {
         fixture.hold(&run(number));
@@ -178,7 +181,7 @@
 fn load_is_reported_late() {
     let fixture = Fixture::start(|options| {
         sixteen_blocks(options);
-        options.load_lag = Duration::from_millis(150);
+        options.load_lag = Duration::from_millis(400);
     });
     fixture.hold(&run(1));
     assert_eq!(get_json(fixture.address(), "/load")["free_blocks"], 16);
--- a/crates/stand-ins/tests/platform.rs
+++ b/crates/stand-ins/tests/platform.rs
@@ -211,7 +211,7 @@
     let directory = tempfile::tempdir().unwrap();
     let path = directory.path().join("history.jsonl");
     let platform = start(|options| {
-        options.machine_list_lag = Duration::from_millis(150);
+        options.machine_list_lag = Duration::from_millis(400);
         options.history = Some(path.clone());
     });
     let address = platform.address();
