--- a/crates/configuration/src/set.rs
+++ b/crates/configuration/src/set.rs
@@ -104,6 +104,15 @@
             })
     }
 
+    /// All services in order of their names.
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        self.objects()
+            .filter_map(|versioned| match &versioned.object {
+                ConfigurationObject::Service(service) => Some(service),
+                _ => None,
+            })
+    }
+
     /// All back ends in order of their names.
     pub fn backends(&self) -> impl Iterator<Item = &Backend> {
         self.objects()
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -175,6 +175,23 @@
             .collect()
     }
 
+    /// The replicas that a run's number names, without those that are known to be down.
+    pub fn present_replicas_of(&self, run: RunId) -> Vec<NodeId> {
+        let replicas = self.replicas_of(run).into_iter();
+        let membership = self.membership.borrow();
+        let present = |node: &NodeId| {
+            let member = membership.member(*node);
+            member.is_some_and(|member| member.state.is_present())
+        };
+        replicas.filter(present).collect()
+    }
+
+    /// Whether this node dispatches the calls of a service.
+    pub fn is_own_service(&self, service: &ServiceName) -> bool {
+        let own = self.membership.borrow().own().node;
+        self.dispatcher_of(service) == Some(own)
+    }
+
     /// Nodes to ask for a run, best first.
     pub fn owner_candidates(&self, run: RunId) -> Vec<NodeId> {
         let membership = self.membership.borrow();
--- a/crates/node/src/dispatcher/engine_poll.rs
+++ b/crates/node/src/dispatcher/engine_poll.rs
@@ -17,6 +17,8 @@
 use crate::thread_message::ThreadMessage;
 
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
+/// Every so many polls the whole cache is listed, for events that were lost and runs that ended unnoticed.
+const POLLS_PER_LISTING: u32 = 8;
 const POLL_TIMEOUT: Duration = Duration::from_secs(1);
 const THREAD_STACK_BYTES: usize = 256 * 1024;
 const TOKENS_PER_BLOCK: u64 = 16;
@@ -171,11 +173,17 @@
 impl Poll {
     fn run(&self) {
         let mut next_event = 1;
-        while !self.stopped.load(Ordering::Relaxed) {
+        for polls in 0_u32.. {
+            if self.stopped.load(Ordering::Relaxed) {
+                return;
+            }
             self.poll_health();
             if self.kind == ServiceKind::Model {
                 self.poll_load();
                 next_event = self.poll_events(next_event);
+                if polls % POLLS_PER_LISTING == 0 {
+                    self.list();
+                }
             }
             thread::sleep(POLL_INTERVAL);
         }
--- a/crates/node/src/dispatcher/group.rs
+++ b/crates/node/src/dispatcher/group.rs
@@ -11,6 +11,7 @@
 };
 
 use super::backend_list::{ListedBackend, backends_of};
+use super::context_sweep::ContextSweep;
 use super::message::DispatcherAnswer;
 
 /// A repeated request is answered as the first one for this long after its end.
@@ -42,6 +43,7 @@
     dispatcher: Dispatcher,
     listed: BTreeMap<BackendName, ListedBackend>,
     tickets: HashMap<Ticket, TicketState>,
+    contexts: ContextSweep,
 }
 
 /// What is to be done about a request that may have come before.
@@ -66,6 +68,7 @@
             dispatcher: Dispatcher::new(settings),
             listed: BTreeMap::new(),
             tickets: HashMap::new(),
+            contexts: ContextSweep::default(),
         }
     }
 
@@ -84,6 +87,11 @@
         self.listed.get(name).map(|listed| &listed.backend)
     }
 
+    /// The contexts at the engines, for the sweep.
+    pub fn contexts(&mut self) -> &mut ContextSweep {
+        &mut self.contexts
+    }
+
     /// The back ends that are listed now.
     pub fn listed(&self) -> impl Iterator<Item = &ListedBackend> {
         self.listed.values()
@@ -147,6 +155,7 @@
         for event in events {
             if let Event::BackendGone(name) = &event {
                 update.gone.push(name.clone());
+                self.contexts.backend_gone(name);
             }
             update.effects.extend(self.dispatcher.handle(now, event));
         }
--- a/crates/node/src/dispatcher/mod.rs
+++ b/crates/node/src/dispatcher/mod.rs
@@ -1,10 +1,12 @@
 //! The dispatcher role: the only queue in front of the back ends of a service.
 
 mod backend_list;
+pub mod context_sweep;
 mod engine_poll;
 mod group;
 mod message;
 mod role;
+mod sweep;
 
 pub use backend_list::ListedBackend;
 pub use engine_poll::{EngineNews, EnginePolls, EngineReport};
--- a/crates/node/src/dispatcher/role.rs
+++ b/crates/node/src/dispatcher/role.rs
@@ -32,12 +32,12 @@
 
 /// The dispatcher role.
 pub struct DispatcherRole {
-    clock: Clock,
-    directory: Directory,
-    outputs: DispatcherOutputs,
+    pub(super) clock: Clock,
+    pub(super) directory: Directory,
+    pub(super) outputs: DispatcherOutputs,
     polls: EnginePolls,
     machines: Arc<MachineList>,
-    groups: BTreeMap<ServiceName, DispatcherGroup>,
+    pub(super) groups: BTreeMap<ServiceName, DispatcherGroup>,
 }
 
 impl DispatcherRole {
@@ -57,13 +57,20 @@
             groups: BTreeMap::new(),
         };
         role.tick(cx);
+        role.sweep(cx);
         Some(role)
     }
 
     /// Takes a message from an owner.
     pub fn receive(&mut self, _cx: CX![], incoming: Incoming) {
-        if let NodeMessage::ToDispatcher(command) = incoming.message {
-            self.command(command);
+        match incoming.message {
+            NodeMessage::ToDispatcher(command) => self.command(command),
+            NodeMessage::EndedRunsAnswer {
+                service,
+                ended,
+                unknown,
+            } => self.ended_runs(incoming.from, &service, &ended, &unknown),
+            _ => {}
         }
     }
 
@@ -95,6 +102,7 @@
 
     /// Takes news of a polled back end.
     pub fn engine(&mut self, _cx: CX![], report: EngineReport) {
+        self.note_listing(&report);
         let event = match report.news {
             EngineNews::Load(load) => Event::LoadReport(load),
             EngineNews::Cache(event) => Event::CacheEvent(event),
@@ -111,6 +119,7 @@
             DispatcherCommand::Enqueue { request, .. } => {
                 let ticket = request.ticket;
                 if self.is_new(&service, ticket) {
+                    self.note_use(&service, request.run);
                     let call = request.queued_call(now);
                     self.handle(&service, Event::Enqueue(call));
                 }
@@ -153,7 +162,7 @@
         }
     }
 
-    fn ensure_group(&mut self, service: &ServiceName) {
+    pub(super) fn ensure_group(&mut self, service: &ServiceName) {
         let known = self.directory.last_known().service(service).is_some();
         if !known || self.groups.contains_key(service) {
             return;
@@ -195,7 +204,7 @@
         self.carry_out(service, update.effects);
     }
 
-    fn handle(&mut self, service: &ServiceName, event: Event) {
+    pub(super) fn handle(&mut self, service: &ServiceName, event: Event) {
         let now = self.clock.now();
         let Some(group) = self.groups.get_mut(service) else {
             return;
@@ -255,7 +264,7 @@
         }
     }
 
-    fn address(
+    pub(super) fn address(
         &self,
         service: &ServiceName,
         backend: &ridgeworks_domain::BackendName,
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -247,6 +247,22 @@
     Drain,
     /// Between an owner and a replica.
     RunLog(RunLogMessage),
+    /// From a dispatcher to a replica: which of these runs have ended?
+    EndedRunsQuery {
+        /// The service whose engines hold their contexts.
+        service: ServiceName,
+        /// The runs.
+        runs: Vec<RunId>,
+    },
+    /// The answer to it.
+    EndedRunsAnswer {
+        /// The service.
+        service: ServiceName,
+        /// Runs whose end is committed.
+        ended: Vec<RunId>,
+        /// Runs of which the replica holds nothing.
+        unknown: Vec<RunId>,
+    },
     /// From an owner to the dispatcher of a service.
     ToDispatcher(DispatcherCommand),
     /// From a dispatcher to an owner.
--- a/crates/node/src/replica/role.rs
+++ b/crates/node/src/replica/role.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use ridgeworks_domain::NodeId;
+use ridgeworks_domain::{NodeId, RunId, ServiceName};
 use ridgeworks_run_log::message::{Message, Reply, Request};
 use ridgeworks_run_log::replica::{Replica, ReplicaReady};
 use ridgeworks_run_log::storage::RestoredStore;
@@ -61,8 +61,13 @@
 
     /// Takes a message from an owner.
     pub fn receive(&mut self, _cx: CX![], incoming: Incoming) {
-        if let NodeMessage::RunLog(Message::Request(request)) = incoming.message {
-            self.request(incoming.from, request);
+        let from = incoming.from;
+        match incoming.message {
+            NodeMessage::RunLog(Message::Request(request)) => self.request(from, request),
+            NodeMessage::EndedRunsQuery { service, runs } => {
+                self.answer_ended_runs(from, service, &runs);
+            }
+            _ => {}
         }
     }
 
@@ -85,6 +90,27 @@
         }
     }
 
+    /// Tells a dispatcher which runs have ended. What is not durable yet is no end.
+    fn answer_ended_runs(&self, from: NodeId, service: ServiceName, runs: &[RunId]) {
+        let (mut ended, mut unknown) = (Vec::new(), Vec::new());
+        for run in runs {
+            match self.replica.head(*run) {
+                Some(head) if head.is_closed() => ended.push(*run),
+                Some(_) => {}
+                None => unknown.push(*run),
+            }
+        }
+        if ended.is_empty() && unknown.is_empty() {
+            return;
+        }
+        let message = NodeMessage::EndedRunsAnswer {
+            service,
+            ended,
+            unknown,
+        };
+        self.outgoing.fwd(Outgoing { to: from, message });
+    }
+
     fn request(&mut self, from: NodeId, request: Request) {
         let now = self.clock.now();
         let stored = StoredLog(&self.store);
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -140,6 +140,8 @@
             | NodeMessage::OwnershipAnswer { .. } => &self.roles.owner,
             NodeMessage::Drain => &self.roles.drain,
             NodeMessage::ToGateway { .. } => &self.roles.gateway,
+            NodeMessage::EndedRunsQuery { .. } => &self.roles.replica,
+            NodeMessage::EndedRunsAnswer { .. } => &self.roles.dispatcher,
             NodeMessage::RunLog(RunLogMessage::Request(_)) => &self.roles.replica,
             NodeMessage::RunLog(RunLogMessage::Reply(_)) => &self.roles.owner,
             NodeMessage::ToDispatcher(_) => &self.roles.dispatcher,
