--- a/crates/run-log/src/owner/mod.rs
+++ b/crates/run-log/src/owner/mod.rs
@@ -111,11 +111,13 @@
         self.stopped
     }
 
-    /// Whether nothing is under way: no call, no waiting caller, nothing uncommitted.
+    /// Whether nothing is under way: no call, no waiting caller, nothing uncommitted, and no end that some replica was
+    /// not told of. Replicas forget only runs whose end they know to be committed.
     pub fn is_idle(&self) -> bool {
         let quiet = self.waiting.pending.is_none() && self.waiting.deferred.is_empty();
         let committed = self.proposer.commit_index() == self.applied;
-        self.is_ready() && quiet && committed && self.state.call_under_way().is_none()
+        let end_told = !self.state.is_closed() || self.proposer.has_told_commit();
+        self.is_ready() && quiet && committed && end_told && self.state.call_under_way().is_none()
     }
 
     /// Everything up to here is committed.
--- a/crates/run-log/src/proposer.rs
+++ b/crates/run-log/src/proposer.rs
@@ -132,6 +132,14 @@
         }
     }
 
+    /// Whether every replica was sent the commit index.
+    pub fn has_told_commit(&self) -> bool {
+        match &self.phase {
+            Phase::Leading(replication) => replication.has_told_commit(),
+            _ => false,
+        }
+    }
+
     /// The entry at `index`, committed or not.
     pub fn entry(&self, index: LogIndex) -> Option<&LogEntry> {
         match &self.phase {
--- a/crates/run-log/src/replication.rs
+++ b/crates/run-log/src/replication.rs
@@ -172,6 +172,12 @@
         self.commit_index
     }
 
+    /// Whether every replica was sent the commit index.
+    pub fn has_told_commit(&self) -> bool {
+        let mut replicas = self.progress.values();
+        replicas.all(|progress| progress.sent_commit >= self.commit_index)
+    }
+
     /// The ballot by which another owner took over, if one did.
     pub fn higher(&self) -> Option<Ballot> {
         self.higher
--- a/crates/run-log/tests/owner.rs
+++ b/crates/run-log/tests/owner.rs
@@ -4,8 +4,8 @@
 
 use ridgeworks_domain::{CallEnd, Cost, RefusalReason, RunId, Sequence};
 use ridgeworks_run_log::{
-    AttemptFate, AttemptOutcome, CallerAnswer, CallerId, OwnerEffect, OwnerEvent, Rejection, Reply,
-    Request, RunOwner,
+    AttemptFate, AttemptOutcome, CallerAnswer, CallerId, OwnerEffect, OwnerEvent, OwnerSettings,
+    Rejection, Reply, Request, RunOwner,
 };
 use support::*;
 
@@ -278,3 +278,22 @@
     let asked_again = |e: &&OwnerEffect| matches!(e, OwnerEffect::SendToReplica { .. });
     assert_eq!(effects.iter().filter(asked_again).count(), 3);
 }
+
+#[test]
+fn a_closed_run_is_in_use_until_its_replicas_were_told_of_the_end() {
+    let (mut cluster, _) = Cluster::open(100);
+    let caller = CallerId(1);
+    cluster.tell(OwnerEvent::Close { caller });
+    let knows = |cluster: &Cluster| {
+        let heads = cluster.replicas.iter();
+        let heads = heads.filter_map(|(replica, _)| replica.head(RUN));
+        heads.filter(|head| head.is_closed()).count()
+    };
+    // The node ticks an owner only while it is in use.
+    let mut now = NOW;
+    while !cluster.owner.is_idle() {
+        now = now + OwnerSettings::default().replication.retry_after;
+        cluster.tell_at(OwnerEvent::Tick, now);
+    }
+    assert_eq!(knows(&cluster), 3);
+}
--- a/crates/run-log/tests/support/mod.rs
+++ b/crates/run-log/tests/support/mod.rs
@@ -160,7 +160,11 @@
     }
 
     pub fn tell(&mut self, event: OwnerEvent) -> Vec<OwnerEffect> {
-        let effects = self.owner.handle(event, NOW);
+        self.tell_at(event, NOW)
+    }
+
+    pub fn tell_at(&mut self, event: OwnerEvent, now: MonotonicTime) -> Vec<OwnerEffect> {
+        let effects = self.owner.handle(event, now);
         self.pass(effects)
     }
 
