--- a/crates/node/src/owner/commands.rs
+++ b/crates/node/src/owner/commands.rs
@@ -97,10 +97,10 @@
     /// Goes on without the nodes that did not answer in time.
     pub(super) fn check_query(&mut self, now: Instant, run: RunId) {
         let ownership = self.runs.get(&run).map(|owned| &owned.ownership);
-        if let Some(Ownership::Asking { until, .. }) = ownership {
-            if now >= *until {
-                self.take_over(now, run);
-            }
+        if let Some(Ownership::Asking { until, .. }) = ownership
+            && now >= *until
+        {
+            self.take_over(now, run);
         }
     }
 
