Give history records the fields that their checks read

The checks take an absent prior_calls for a back end that is given no history and need a sequence number; tools wrote an empty list and a call without its number wrote null.

--- a/crates/stand-ins/src/attempts.rs
+++ b/crates/stand-ins/src/attempts.rs
@@ -4,6 +4,7 @@
 //! attempt, as a real one would not.
 
 use std::collections::HashMap;
+use std::str::FromStr;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -40,34 +41,37 @@
 pub struct CallHeaders {
     /// The attempt, unless the caller named no run.
     pub key: Option<AttemptKey>,
-    /// The call's position in its run.
+    /// The call's position in its run; there whenever the key is.
     pub sequence: Option<Sequence>,
 }
 
 impl CallHeaders {
     /// Reads the headers; without a run the caller is a plain client.
     pub fn read(incoming: &Incoming) -> Result<Self, Failure> {
-        let sequence = incoming.parsed_header("x-ridgeworks-sequence")?;
-        let run = incoming.parsed_header("x-ridgeworks-run")?;
-        let key = match run {
-            None => None,
-            Some(run) => Some(AttemptKey {
-                run,
-                call: incoming
-                    .parsed_header("x-ridgeworks-call")?
-                    .ok_or(Failure::InvalidField("x-ridgeworks-call"))?,
-                attempt: incoming
-                    .parsed_header("x-ridgeworks-attempt")?
-                    .ok_or(Failure::InvalidField("x-ridgeworks-attempt"))?,
-            }),
+        let Some(run) = incoming.parsed_header("x-ridgeworks-run")? else {
+            return Ok(Self {
+                key: None,
+                sequence: None,
+            });
+        };
+        let key = AttemptKey {
+            run,
+            call: required_header(incoming, "x-ridgeworks-call")?,
+            attempt: required_header(incoming, "x-ridgeworks-attempt")?,
         };
+        let sequence = required_header(incoming, "x-ridgeworks-sequence")?;
         Ok(Self {
-            key,
-            sequence: sequence.map(Sequence),
+            key: Some(key),
+            sequence: Some(Sequence(sequence)),
         })
     }
 }
 
+fn required_header<T: FromStr>(incoming: &Incoming, name: &'static str) -> Result<T, Failure> {
+    let value = incoming.parsed_header(name)?;
+    value.ok_or(Failure::InvalidField(name))
+}
+
 /// How far an attempt has come, as the API shows it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 #[serde(tag = "state", rename_all = "snake_case")]
@@ -106,6 +110,8 @@
     pub state: AttemptState,
     /// Tokens produced.
     pub produced: usize,
+    /// When it began, in microseconds of the machine's monotonic clock.
+    pub started_at_us: Option<u64>,
 }
 
 /// One attempt.
@@ -123,7 +129,11 @@
         let state = AttemptState::Queued;
         Self {
             plan,
-            progress: Mutex::new(Progress { state, produced: 0 }),
+            progress: Mutex::new(Progress {
+                state,
+                produced: 0,
+                started_at_us: None,
+            }),
             changed: Condvar::new(),
         }
     }
--- a/crates/stand-ins/src/engine/batching.rs
+++ b/crates/stand-ins/src/engine/batching.rs
@@ -13,13 +13,13 @@
 use ridgeworks_domain::RunId;
 use serde::Serialize;
 
-use crate::attempts::{Attempt, AttemptState};
+use crate::attempts::{Attempt, AttemptState, Progress};
 use crate::engine::chat::ChatPlan;
 use crate::engine::lagging_load::LaggingLoad;
 use crate::engine::memory::EngineMemory;
 use crate::engine::queue::{AttemptQueue, ChatWork};
 use crate::engine::token_blocks::BLOCK_TOKENS;
-use crate::history::{HistoryEvent, HistoryWriter, digest};
+use crate::history::{HistoryEvent, HistoryWriter, digest, monotonic_micros};
 
 /// Most prompt tokens that one step computes.
 pub const PREFILL_CHUNK_TOKENS: u64 = 512;
@@ -219,22 +219,17 @@
             if !has_token {
                 return Advance::GoesOn;
             }
-            let produced = progress.produced + 1;
-            let is_last = produced >= plan.content.tokens();
-            if is_last {
-                self.keep_context(sequence);
-                record_execution(plan, produced, false, &self.history);
-                progress.state = AttemptState::Finished {
-                    answer: plan.head.whole(&plan.content),
-                    spent: plan.cost(produced),
-                };
-            }
-            progress.produced = produced;
-            if is_last {
-                Advance::Finished
-            } else {
-                Advance::GoesOn
+            progress.produced += 1;
+            if progress.produced < plan.content.tokens() {
+                return Advance::GoesOn;
             }
+            self.keep_context(sequence);
+            record_execution(plan, progress, false, &self.history);
+            progress.state = AttemptState::Finished {
+                answer: plan.head.whole(&plan.content),
+                spent: plan.cost(progress.produced),
+            };
+            Advance::Finished
         })
     }
 
@@ -270,6 +265,7 @@
         if may_start {
             record_start(&attempt.plan, history);
             progress.state = AttemptState::Running;
+            progress.started_at_us = Some(monotonic_micros());
         }
         may_start
     })
@@ -277,7 +273,7 @@
 
 fn record_start(plan: &ChatPlan, history: &HistoryWriter) {
     let Some(key) = &plan.key else { return };
-    history.record(&HistoryEvent::BackendStarted {
+    history.record(&HistoryEvent::AttemptStarted {
         backend: history.by().to_owned(),
         run: key.run,
         call: key.call.clone(),
@@ -285,23 +281,25 @@
     });
 }
 
-/// Records that an attempt took effect, as far as its first `produced` tokens.
+/// Records that an attempt took effect, as far as it has come.
 pub fn record_execution(
     plan: &ChatPlan,
-    produced: usize,
+    progress: &Progress,
     cancelled: bool,
     history: &HistoryWriter,
 ) {
     let Some(key) = &plan.key else { return };
+    let content = plan.content.beginning(progress.produced);
     history.record(&HistoryEvent::BackendExecuted {
         backend: history.by().to_owned(),
         run: key.run,
         call: key.call.clone(),
         attempt: key.attempt,
         sequence: plan.sequence,
-        cost: plan.cost(produced),
-        answer_digest: digest(plan.content.beginning(produced).as_bytes()),
-        prior_calls: plan.prior_calls.clone(),
+        cost: plan.cost(progress.produced),
+        answer_digest: digest(content.as_bytes()),
+        prior_calls: Some(plan.prior_calls.clone()),
+        started_at_us: progress.started_at_us,
         cancelled,
     });
 }
--- a/crates/stand-ins/src/engine/routes.rs
+++ b/crates/stand-ins/src/engine/routes.rs
@@ -190,7 +190,7 @@
 fn fence(engine: &EngineState, key: &AttemptKey) -> Result<Reply, Failure> {
     engine.metrics.fenced.inc();
     let state = engine.attempts.fence(key, |plan, progress| {
-        record_execution(plan, progress.produced, true, &engine.history);
+        record_execution(plan, progress, true, &engine.history);
         AttemptState::Cancelled {
             spent: plan.cost(progress.produced),
         }
--- a/crates/stand-ins/src/history.rs
+++ b/crates/stand-ins/src/history.rs
@@ -18,7 +18,7 @@
 #[serde(tag = "event", rename_all = "snake_case")]
 pub enum HistoryEvent {
     /// An engine took an attempt into its batch.
-    BackendStarted {
+    AttemptStarted {
         /// The stand-in's name.
         backend: String,
         /// The run.
@@ -44,8 +44,12 @@
         cost: Cost,
         /// Digest of the answer: a model's message content, a tool's whole body.
         answer_digest: String,
-        /// Calls whose answers the request held, in order.
-        prior_calls: Vec<CallKey>,
+        /// Calls whose answers the request held, in order; none where the service takes no history.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        prior_calls: Option<Vec<CallKey>>,
+        /// When the execution began, where that is not the event's own time.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        started_at_us: Option<u64>,
         /// Whether the execution was cut short by a cancellation.
         cancelled: bool,
     },
--- a/crates/stand-ins/src/tool/routes.rs
+++ b/crates/stand-ins/src/tool/routes.rs
@@ -123,7 +123,8 @@
         sequence: plan.sequence,
         cost: tool.options.price,
         answer_digest: digest(answer.as_bytes()),
-        prior_calls: Vec::new(),
+        prior_calls: None,
+        started_at_us: None,
         cancelled: false,
     });
     AttemptState::Finished {
--- a/crates/stand-ins/tests/engine.rs
+++ b/crates/stand-ins/tests/engine.rs
@@ -116,6 +116,8 @@
     assert_eq!(executed.len(), 1);
     assert_eq!(executed[0]["answer_digest"], digest(text.as_bytes()));
     assert_eq!(executed[0]["cost"], 33);
+    let started = executed[0]["started_at_us"].as_u64().unwrap();
+    assert!(started < executed[0]["at_us"].as_u64().unwrap());
 }
 
 #[test]
@@ -130,7 +132,7 @@
     assert_eq!(first.status, 200);
     assert!(answers.all(|answer| answer == first));
     assert_eq!(history(&fixture.history, "backend_executed").len(), 1);
-    assert_eq!(history(&fixture.history, "backend_started").len(), 1);
+    assert_eq!(history(&fixture.history, "attempt_started").len(), 1);
 }
 
 #[test]
@@ -203,7 +205,7 @@
     );
     assert_eq!(waiting.join().unwrap().error(), "attempt_fenced");
     fixture.fence(&run(1), "long");
-    assert_eq!(history(&fixture.history, "backend_started").len(), 1);
+    assert_eq!(history(&fixture.history, "attempt_started").len(), 1);
 }
 
 #[test]
@@ -245,7 +247,7 @@
     for caller in callers {
         assert_eq!(caller.join().unwrap().status, 200);
     }
-    let started = history(&fixture.history, "backend_started");
+    let started = history(&fixture.history, "attempt_started");
     let order: Vec<&str> = started
         .iter()
         .map(|event| event["call"].as_str().unwrap())
--- a/crates/stand-ins/tests/engine_contexts.rs
+++ b/crates/stand-ins/tests/engine_contexts.rs
@@ -123,11 +123,8 @@
     let question = "word ".repeat(400);
     let timed = |call_key: &str| {
         let before = Instant::now();
-        let headers = [
-            ("x-ridgeworks-run", "1"),
-            ("x-ridgeworks-call", call_key),
-            ("x-ridgeworks-attempt", "1"),
-        ];
+        let run = run(1);
+        let headers = call_headers(&run, call_key, "1");
         let body = chat(&question, 1, false).to_string();
         call(
             "POST",
--- a/crates/stand-ins/tests/support/mod.rs
+++ b/crates/stand-ins/tests/support/mod.rs
@@ -134,11 +134,12 @@
 }
 
 /// Headers of a call.
-pub fn call_headers<'a>(run: &'a str, call: &'a str, attempt: &'a str) -> [(&'a str, &'a str); 3] {
+pub fn call_headers<'a>(run: &'a str, call: &'a str, attempt: &'a str) -> [(&'a str, &'a str); 4] {
     [
         ("x-ridgeworks-run", run),
         ("x-ridgeworks-call", call),
         ("x-ridgeworks-attempt", attempt),
+        ("x-ridgeworks-sequence", "1"),
     ]
 }
 
--- a/crates/stand-ins/tests/tool.rs
+++ b/crates/stand-ins/tests/tool.rs
@@ -103,6 +103,10 @@
         executed[0]["answer_digest"],
         digest(answers[0].body.as_bytes())
     );
+    assert!(
+        executed[0].get("prior_calls").is_none(),
+        "a tool is given no history"
+    );
     let fenced = fixture.fence("offer");
     assert_eq!(
         fenced,
@@ -160,9 +164,15 @@
 #[test]
 fn calls_without_their_headers_are_refused() {
     let fixture = Fixture::start(|_| {});
-    let answer = call("POST", fixture.address(), "/invoke/offers", &[], "{}");
-    assert_eq!(
-        (answer.status, answer.error().as_str()),
-        (400, "invalid_request")
-    );
+    let run = run(1);
+    let headers = call_headers(&run, "call", "1");
+    for count in 0..headers.len() {
+        let some = &headers[..count];
+        let answer = call("POST", fixture.address(), "/invoke/offers", some, "{}");
+        assert_eq!(
+            (answer.status, answer.error().as_str()),
+            (400, "invalid_request")
+        );
+    }
+    assert_eq!(fixture.executions(), json!([]));
 }
