Make the ends of attempts unambiguous for those who fence and repeat

A tool that was stopping answered 503 to a repeated call whose first request still took effect, and a caller reads 503 as not run; two new tests were seen failing on it (503 instead of 200, leaving instead of attempt_fenced). Repeated calls now wait for the end of the first, and a call that hangs before its effect is fenced at the stop. An engine's attempt that was cancelled after it had begun answers 500, since clients read every 4xx as never started. A fence gives a model's message content, which is what streams add up to and what the history's digest covers.

--- a/crates/stand-ins/src/attempts.rs
+++ b/crates/stand-ins/src/attempts.rs
@@ -82,7 +82,7 @@
     Running,
     /// Took effect.
     Finished {
-        /// The whole answer body.
+        /// The answer: a model's message content, a tool's whole body.
         answer: String,
         /// What it cost.
         spent: Cost,
@@ -110,6 +110,8 @@
     pub state: AttemptState,
     /// Tokens produced.
     pub produced: usize,
+    /// Tokens of the prompt that were found in the cache.
+    pub cached_tokens: u64,
     /// When it began, in microseconds of the machine's monotonic clock.
     pub started_at_us: Option<u64>,
 }
@@ -132,6 +134,7 @@
             progress: Mutex::new(Progress {
                 state,
                 produced: 0,
+                cached_tokens: 0,
                 started_at_us: None,
             }),
             changed: Condvar::new(),
--- a/crates/stand-ins/src/engine/batching.rs
+++ b/crates/stand-ins/src/engine/batching.rs
@@ -63,6 +63,7 @@
 struct Reservation {
     blocks: u64,
     prefill_left: u64,
+    cached_tokens: u64,
 }
 
 /// What a step made of a sequence.
@@ -151,7 +152,11 @@
                 prefill_left: reservation.prefill_left,
                 reserved_blocks: reservation.blocks,
             };
-            if start(&sequence.work.attempt, &self.history) {
+            if start(
+                &sequence.work.attempt,
+                reservation.cached_tokens,
+                &self.history,
+            ) {
                 self.running.push(sequence);
             } else {
                 self.release(&sequence);
@@ -167,9 +172,11 @@
             let matched = run.map_or(0, |run| cache.matched_blocks(run, prompt));
             let blocks = plan.blocks().saturating_sub(matched);
             let has_room = cache.begin_attempt(run, blocks, Instant::now());
+            let cached_tokens = matched * BLOCK_TOKENS;
             has_room.then(|| Reservation {
                 blocks,
-                prefill_left: prompt.tokens().saturating_sub(matched * BLOCK_TOKENS),
+                prefill_left: prompt.tokens().saturating_sub(cached_tokens),
+                cached_tokens,
             })
         })
     }
@@ -226,7 +233,7 @@
             self.keep_context(sequence);
             record_execution(plan, progress, false, &self.history);
             progress.state = AttemptState::Finished {
-                answer: plan.head.whole(&plan.content),
+                answer: plan.content.text().to_owned(),
                 spent: plan.cost(progress.produced),
             };
             Advance::Finished
@@ -259,13 +266,14 @@
     plan.key.as_ref().map(|key| key.run)
 }
 
-fn start(attempt: &Attempt<ChatPlan>, history: &HistoryWriter) -> bool {
+fn start(attempt: &Attempt<ChatPlan>, cached_tokens: u64, history: &HistoryWriter) -> bool {
     attempt.update(|progress| {
         let may_start = progress.state == AttemptState::Queued;
         if may_start {
             record_start(&attempt.plan, history);
             progress.state = AttemptState::Running;
             progress.started_at_us = Some(monotonic_micros());
+            progress.cached_tokens = cached_tokens;
         }
         may_start
     })
--- a/crates/stand-ins/src/engine/routes.rs
+++ b/crates/stand-ins/src/engine/routes.rs
@@ -103,7 +103,7 @@
     if request.stream {
         return stream(attempt, 0);
     }
-    whole_answer(attempt.wait_for_end())
+    whole_answer(&attempt)
 }
 
 fn plan(
@@ -137,11 +137,14 @@
     engine.queue.push(ChatWork { attempt, context });
 }
 
-fn whole_answer(state: AttemptState) -> Result<Reply, Failure> {
-    match state {
-        AttemptState::Finished { answer, .. } => Ok(Reply::Json {
+fn whole_answer(attempt: &Attempt<ChatPlan>) -> Result<Reply, Failure> {
+    let plan = &attempt.plan;
+    match attempt.wait_for_end() {
+        AttemptState::Finished { .. } => Ok(Reply::Json {
             status: 200,
-            body: answer.into_bytes(),
+            body: plan
+                .head
+                .whole(&plan.content, attempt.progress().cached_tokens),
         }),
         AttemptState::NeverStarted => Err(Failure::AttemptFenced),
         _ => Err(Failure::AttemptCancelled),
@@ -177,7 +180,8 @@
         match state {
             AttemptState::Queued | AttemptState::Running => {}
             AttemptState::Finished { .. } => {
-                writer.send(&plan.head.finish_event(&plan.content))?;
+                let cached_tokens = attempt.progress().cached_tokens;
+                writer.send(&plan.head.finish_event(&plan.content, cached_tokens))?;
                 return writer.send(DONE_EVENT);
             }
             AttemptState::Cancelled { .. } | AttemptState::NeverStarted => {
--- a/crates/stand-ins/src/failure.rs
+++ b/crates/stand-ins/src/failure.rs
@@ -51,12 +51,13 @@
             Self::UnknownRoute | Self::NotFound | Self::ModelNotLoaded => 404,
             Self::StaleToken(_)
             | Self::AttemptFenced
-            | Self::AttemptCancelled
             | Self::WrongRole
             | Self::VersionConflict(_) => 409,
             Self::Compacted(_) => 410,
             Self::BodyTooLarge(_) => 413,
             Self::TooManyWatchers => 429,
+            // The only status of a call that had begun: all others mean that it did not run.
+            Self::AttemptCancelled => 500,
             Self::QueueFull | Self::Leaving | Self::Unavailable => 503,
             Self::NoFreeBlocks => 507,
         }
--- a/crates/stand-ins/src/tool/routes.rs
+++ b/crates/stand-ins/src/tool/routes.rs
@@ -68,23 +68,19 @@
         }
         Begin::Known(attempt) => {
             tool.metrics.joined.inc();
-            answer(wait_for_end(tool, &attempt))
+            answer(attempt.wait_for_end())
         }
     }
 }
 
 fn carry_out(tool: &ToolState, attempt: &Arc<Attempt<ToolPlan>>) -> Result<Reply, Failure> {
     let hang = tool.next_hang();
-    let latency = tool.latency(&attempt.plan.key);
-    let mut state = attempt.wait_at_most(latency);
+    attempt.wait_at_most(tool.latency(&attempt.plan.key));
     if hang == Hang::BeforeEffect {
-        state = wait_for_end(tool, attempt);
-    }
-    if state.is_final() {
-        return answer(state);
+        return answer(hang_until_fenced(tool, attempt));
     }
     let state = attempt.update(|progress| {
-        if progress.state == AttemptState::Queued && hang != Hang::BeforeEffect {
+        if progress.state == AttemptState::Queued {
             progress.state = take_effect(tool, &attempt.plan);
         }
         progress.state.clone()
@@ -96,13 +92,16 @@
     answer(state)
 }
 
-/// Waits until the attempt ended or the process is stopping.
-fn wait_for_end(tool: &ToolState, attempt: &Attempt<ToolPlan>) -> AttemptState {
+/// Waits until the attempt is fenced, which the stop of the process does too.
+fn hang_until_fenced(tool: &ToolState, attempt: &Attempt<ToolPlan>) -> AttemptState {
     loop {
         let state = attempt.wait_at_most(HANG_POLL_INTERVAL);
-        if state.is_final() || tool.is_leaving() {
+        if state.is_final() {
             return state;
         }
+        if tool.is_leaving() {
+            attempt.update(|progress| progress.state = AttemptState::NeverStarted);
+        }
     }
 }
 
@@ -156,8 +155,9 @@
             body: answer.into_bytes(),
         }),
         AttemptState::NeverStarted => Err(Failure::AttemptFenced),
-        AttemptState::Cancelled { .. } => Err(Failure::AttemptCancelled),
-        AttemptState::Queued | AttemptState::Running => Err(Failure::Leaving),
+        AttemptState::Queued | AttemptState::Running | AttemptState::Cancelled { .. } => {
+            Err(Failure::AttemptCancelled)
+        }
     }
 }
 
--- a/crates/stand-ins/tests/tool.rs
+++ b/crates/stand-ins/tests/tool.rs
@@ -161,6 +161,32 @@
     fixture.tool.stop();
 }
 
+#[test]
+fn planned_stop_lets_repeated_calls_have_the_effect_of_the_first() {
+    let mut fixture = Fixture::start(|options| options.latency = Duration::from_millis(300));
+    let callers = [fixture.begin("offer"), fixture.begin("offer")];
+    eventually("both calls are in", || {
+        let metrics = get(fixture.address(), "/metrics").body;
+        metrics.contains("backend_joined_total 1")
+    });
+    fixture.tool.stop();
+    let answers = callers.map(|caller| caller.join().unwrap().unwrap());
+    assert_eq!(answers[0].status, 200);
+    assert_eq!(answers[0], answers[1]);
+}
+
+#[test]
+fn planned_stop_fences_what_hangs_before_its_effect() {
+    let mut fixture = Fixture::start(|options| options.hang_every = Some(1));
+    let caller = fixture.begin("offer");
+    eventually("the call hangs", || {
+        fixture.state("offer")["state"] == "queued"
+    });
+    fixture.tool.stop();
+    assert_eq!(caller.join().unwrap().unwrap().error(), "attempt_fenced");
+    assert!(history(&fixture.history, "backend_executed").is_empty());
+}
+
 #[test]
 fn calls_without_their_headers_are_refused() {
     let fixture = Fixture::start(|_| {});
