Tell instances of a back end apart

A restarted back end answers a fence with never_started for a call that an earlier instance may have executed; a caller that takes this for proof would run a call twice. Answers about attempts and the health of engines and tools now carry the start of the instance, to be compared with the one noted before the call was sent.

--- a/crates/stand-ins/src/attempts.rs
+++ b/crates/stand-ins/src/attempts.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 
 use crate::failure::Failure;
+use crate::history::monotonic_micros;
 use crate::http::{Incoming, path_value};
 
 /// Names one sending of a call.
@@ -103,6 +104,16 @@
     }
 }
 
+/// Answer about an attempt.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct AttemptAnswer {
+    /// How far it has come, as far as this instance of the back end knows.
+    #[serde(flatten)]
+    pub state: AttemptState,
+    /// When the instance started; another one knew other attempts.
+    pub instance: u64,
+}
+
 /// What of an attempt changes.
 #[derive(Debug)]
 pub struct Progress {
@@ -195,12 +206,14 @@
 pub struct AttemptRegistry<Plan> {
     /// `None` stands for an attempt that was fenced before its request came.
     attempts: Mutex<HashMap<AttemptKey, Entry<Plan>>>,
+    instance: u64,
 }
 
 impl<Plan> Default for AttemptRegistry<Plan> {
     fn default() -> Self {
         Self {
             attempts: Mutex::default(),
+            instance: monotonic_micros(),
         }
     }
 }
@@ -233,12 +246,25 @@
         self.entries().get(key).cloned().flatten()
     }
 
+    /// When this instance of the back end started, in microseconds of the machine's monotonic clock.
+    pub fn instance(&self) -> u64 {
+        self.instance
+    }
+
     /// How far the attempt has come.
-    pub fn state(&self, key: &AttemptKey) -> Result<AttemptState, Failure> {
-        match self.entries().get(key) {
-            None => Err(Failure::NotFound),
-            Some(None) => Ok(AttemptState::NeverStarted),
-            Some(Some(attempt)) => Ok(attempt.progress().state.clone()),
+    pub fn state(&self, key: &AttemptKey) -> Result<AttemptAnswer, Failure> {
+        let state = match self.entries().get(key) {
+            None => return Err(Failure::NotFound),
+            Some(None) => AttemptState::NeverStarted,
+            Some(Some(attempt)) => attempt.progress().state.clone(),
+        };
+        Ok(self.answer(state))
+    }
+
+    fn answer(&self, state: AttemptState) -> AttemptAnswer {
+        AttemptAnswer {
+            state,
+            instance: self.instance,
         }
     }
 
@@ -248,18 +274,19 @@
         &self,
         key: &AttemptKey,
         cancel: impl FnOnce(&Plan, &Progress) -> AttemptState,
-    ) -> AttemptState {
+    ) -> AttemptAnswer {
         let mut entries = self.entries();
         let Some(attempt) = entries.entry(key.clone()).or_insert(None) else {
-            return AttemptState::NeverStarted;
+            return self.answer(AttemptState::NeverStarted);
         };
-        attempt.update(|progress| {
+        let state = attempt.update(|progress| {
             match progress.state {
                 AttemptState::Queued => progress.state = AttemptState::NeverStarted,
                 AttemptState::Running => progress.state = cancel(&attempt.plan, progress),
                 _ => {}
             }
             progress.state.clone()
-        })
+        });
+        self.answer(state)
     }
 }
--- a/crates/stand-ins/src/engine/routes.rs
+++ b/crates/stand-ins/src/engine/routes.rs
@@ -309,5 +309,6 @@
         "zone": engine.options.zone,
         "slots": engine.options.max_batch,
         "role": engine.models.state().role,
+        "instance": engine.attempts.instance(),
     }))
 }
--- a/crates/stand-ins/src/tool/routes.rs
+++ b/crates/stand-ins/src/tool/routes.rs
@@ -173,5 +173,6 @@
         "status": if tool.is_leaving() { "leaving" } else { "live" },
         "name": tool.options.name,
         "zone": tool.options.zone,
+        "instance": tool.attempts.instance(),
     }))
 }
--- a/crates/stand-ins/tests/engine.rs
+++ b/crates/stand-ins/tests/engine.rs
@@ -13,6 +13,7 @@
 use support::engine_fixture::EngineFixture as Fixture;
 use support::{
     call, call_headers, chat, eventually, get, get_json, history, open_lines, post, run,
+    without_instance,
 };
 
 const CHAT: &str = "/v1/chat/completions";
@@ -60,7 +61,7 @@
 
     fn fence(&self, run: &str, call_key: &str) -> Value {
         let path = format!("/v1/attempts/{run}/{call_key}/1/fence");
-        post(self.address(), &path, &json!({})).json()
+        without_instance(post(self.address(), &path, &json!({})).json())
     }
 }
 
--- a/crates/stand-ins/tests/support/mod.rs
+++ b/crates/stand-ins/tests/support/mod.rs
@@ -161,3 +161,10 @@
         .map(|line| serde_json::from_str::<Value>(line).expect("JSON"));
     lines.filter(|line| line["event"] == event).collect()
 }
+
+/// An answer about an attempt, less the instance that gave it.
+pub fn without_instance(mut answer: Value) -> Value {
+    let instance = answer.as_object_mut().unwrap().remove("instance");
+    assert!(instance.unwrap().is_u64());
+    answer
+}
--- a/crates/stand-ins/tests/tool.rs
+++ b/crates/stand-ins/tests/tool.rs
@@ -13,6 +13,7 @@
 use serde_json::{Value, json};
 use support::{
     Answer, call, call_headers, eventually, get, get_json, history, post, run, try_call,
+    without_instance,
 };
 use tempfile::TempDir;
 
@@ -73,7 +74,7 @@
 
     fn fence(&self, call_key: &str) -> Value {
         let path = format!("/v1/attempts/{}/{call_key}/1/fence", run(1));
-        post(self.address(), &path, &json!({})).json()
+        without_instance(post(self.address(), &path, &json!({})).json())
     }
 
     fn executions(&self) -> Value {
@@ -187,6 +188,18 @@
     assert!(history(&fixture.history, "backend_executed").is_empty());
 }
 
+#[test]
+fn restarted_service_knows_no_attempt_but_shows_that_it_is_another_instance() {
+    let mut before = Fixture::start(|_| {});
+    assert_eq!(before.invoke("offer").status, 200);
+    let instance = before.state("offer")["instance"].clone();
+    assert_eq!(get_json(before.address(), "/health")["instance"], instance);
+    before.tool.stop();
+    let after = Fixture::start(|_| {});
+    assert_eq!(after.fence("offer"), json!({"state": "never_started"}));
+    assert_ne!(after.state("offer")["instance"], instance);
+}
+
 #[test]
 fn calls_without_their_headers_are_refused() {
     let fixture = Fixture::start(|_| {});
