Keep the clock of a silent member when its prober's targets change

A relay that was counting the silence of a member of a cut-off zone dropped the probe when another relay's death changed which relay looks after which zone, and the member stayed 0.9 s longer.

--- a/crates/membership/src/detector.rs
+++ b/crates/membership/src/detector.rs
@@ -71,27 +71,25 @@
 }
 
 impl Detector {
-    /// Replaces the standing targets; temporary probes stay. `stagger` gives each new target the time
+    /// Replaces the standing targets; probes of silent members stay. `stagger` gives each new target the time
     /// of its first ping.
     pub fn set_targets(
         &mut self,
         targets: &BTreeMap<NodeId, ProbeRole>,
         mut stagger: impl FnMut() -> MonotonicTime,
     ) {
+        // A member that is silent keeps its clock when rings or relays are worked out anew meanwhile.
         self.probes
-            .retain(|node, probe| targets.contains_key(node) || probe.role == ProbeRole::Temporary);
+            .retain(|node, probe| targets.contains_key(node) || probe.silence.is_some());
+        for (node, probe) in &mut self.probes {
+            probe.role = targets.get(node).copied().unwrap_or(ProbeRole::Temporary);
+        }
         for (node, role) in targets {
-            match self.probes.get_mut(node) {
-                Some(probe) => probe.role = *role,
-                None => {
-                    let probe = Probe {
-                        role: *role,
-                        ping_at: stagger(),
-                        silence: None,
-                    };
-                    self.probes.insert(*node, probe);
-                }
-            }
+            self.probes.entry(*node).or_insert_with(|| Probe {
+                role: *role,
+                ping_at: stagger(),
+                silence: None,
+            });
         }
     }
 
