Pass verdicts on along the zone's own ring as well

In a zone that is cut off most fingers of the ring of all members are out of reach, so that verdicts reached the other nodes of the zone only by table comparison: with nine zones the views of a cut agreed after 6.7 s to 8.0 s (50 to 410 nodes). Now after 1.4 s to 1.7 s. The zone cut test, extended to nine zones and to every observer, failed before. Three relays per zone instead of two bring the busiest node at 410 from 4.7 KB/s to 4.4 KB/s.

--- a/crates/membership/src/config.rs
+++ b/crates/membership/src/config.rs
@@ -65,7 +65,7 @@
             isolation_factor: 3,
             monitors: 3,
             indirect_probes: 3,
-            relays_per_zone: 2,
+            relays_per_zone: 3,
             flush_delay: Duration::from_millis(5),
             piggyback_copies: 3,
             anti_entropy_interval: Duration::from_secs(2),
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -318,28 +318,32 @@
 
     fn send_to_fingers(&mut self, batch: Batch) {
         let records = self.published_records(batch.records.iter().copied());
-        let mut messages = records_messages(records, true);
-        for claims in batch.claims.chunks(MAX_CLAIMS_PER_MESSAGE) {
-            let claims = claims.to_vec();
-            messages.push(MembershipMessage::Updates { claims });
-        }
+        let records = records_messages(records, true);
+        let pages = batch.claims.chunks(MAX_CLAIMS_PER_MESSAGE);
+        let updates: Vec<MembershipMessage> = pages
+            .map(|claims| MembershipMessage::Updates {
+                claims: claims.to_vec(),
+            })
+            .collect();
         let mut fingers = self.topology.fingers_of(self.own_node);
         if fingers.is_empty() {
             // A node that just left is no longer on the ring.
             fingers = self.any_present(self.config.monitors);
         }
-        for finger in fingers {
-            self.send_all(finger, messages.clone());
+        for finger in &fingers {
+            self.send_all(*finger, records.clone());
+        }
+        fingers.extend(self.topology.zone_fingers_of(self.own_node));
+        let receivers: BTreeSet<NodeId> = fingers.into_iter().collect();
+        for receiver in receivers {
+            self.send_all(receiver, updates.clone());
         }
     }
 
     /// Some other present members, chosen at random.
     pub(crate) fn any_present(&mut self, count: usize) -> Vec<NodeId> {
-        let others: BTreeSet<NodeId> = self.topology.order().iter().copied().collect();
-        let others: Vec<NodeId> = others
-            .into_iter()
-            .filter(|node| *node != self.own_node)
-            .collect();
+        let order = self.topology.order().iter().copied();
+        let others: Vec<NodeId> = order.filter(|node| *node != self.own_node).collect();
         others.sample(&mut self.rng, count).copied().collect()
     }
 }
--- a/crates/membership/src/topology.rs
+++ b/crates/membership/src/topology.rs
@@ -112,21 +112,32 @@
         targets
     }
 
-    /// The members that `node` passes updates to: those at distances of powers of two on the ring of
+    /// The members that `node` passes records to: those at distances of powers of two on the ring of
     /// all members, so that any member is reached over a number of hops logarithmic in their number.
     pub fn fingers_of(&self, node: NodeId) -> Vec<NodeId> {
-        let Ok(position) = self.order.binary_search(&node) else {
-            return Vec::new();
-        };
-        let count = self.order.len();
-        let distances = (0..usize::BITS).map(|bit| 1_usize << bit);
-        distances
-            .take_while(|distance| *distance < count)
-            .map(|distance| self.order[(position + distance) % count])
-            .collect()
+        fingers(&self.order, node)
+    }
+
+    /// As [`Topology::fingers_of`], on the ring of the node's zone. Verdicts go to these as well, so
+    /// that they spread in a zone whose other fingers are cut off.
+    pub fn zone_fingers_of(&self, node: NodeId) -> Vec<NodeId> {
+        let zone = self.zone_of.get(&node);
+        zone.map_or_else(Vec::new, |zone| fingers(&self.zones[zone], node))
     }
 }
 
+fn fingers(ring: &[NodeId], node: NodeId) -> Vec<NodeId> {
+    let Ok(position) = ring.binary_search(&node) else {
+        return Vec::new();
+    };
+    let size = ring.len();
+    let distances = (0..usize::BITS).map(|bit| 1_usize << bit);
+    distances
+        .take_while(|distance| *distance < size)
+        .map(|distance| ring[(position + distance) % size])
+        .collect()
+}
+
 fn successors(ring: &[NodeId], node: NodeId, count: usize) -> Vec<NodeId> {
     let Ok(position) = ring.binary_search(&node) else {
         return Vec::new();
