Name every fault of a settings file at once

The deserializer stopped at the first error. Each value that it stops at is now noted and taken out, and the rest is read again; then the checks run on what could be read.

--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -26,15 +26,15 @@
     CheckSettings {
         /// The settings file.
         file: PathBuf,
+        #[command(flatten)]
+        flags: Box<Flags>,
     },
 }
 
 fn main() -> ExitCode {
     let command_line = CommandLine::parse();
     match &command_line.command {
-        Some(Command::CheckSettings { file }) => {
-            report(settings::load(Some(file), &Flags::default()))
-        }
+        Some(Command::CheckSettings { file, flags }) => report(settings::load(Some(file), flags)),
         None => run(&command_line),
     }
 }
--- a/crates/node/src/settings/flags.rs
+++ b/crates/node/src/settings/flags.rs
@@ -67,6 +67,13 @@
             &self.configuration_voters,
         );
     }
+
+    /// Keys of the lists that flags take the place of.
+    pub fn replaced_lists(&self) -> impl Iterator<Item = &'static str> {
+        let peers = (!self.peers.is_empty()).then_some("peers");
+        let voters = (!self.configuration_voters.is_empty()).then_some("configuration_voters");
+        peers.into_iter().chain(voters)
+    }
 }
 
 fn replace<T: Clone>(target: &mut T, flag: &Option<T>) {
--- a/crates/node/src/settings/mod.rs
+++ b/crates/node/src/settings/mod.rs
@@ -3,10 +3,13 @@
 mod check;
 mod file;
 mod flags;
+pub mod keys;
+mod parse;
 
 pub use check::{Fault, FaultReason, check};
 pub use file::{BootstrapPartner, DialOverrideSettings, LogSettings, Settings};
 pub use flags::Flags;
+use parse::Parsed;
 
 use std::path::{Path, PathBuf};
 
@@ -20,7 +23,7 @@
         /// What the system answered.
         source: std::io::Error,
     },
-    /// The file is no valid TOML, or holds an unknown key or a value of the wrong type.
+    /// The file is no valid TOML.
     Parse(toml::de::Error),
     /// Values are not allowed; all faults are listed.
     Faults(Vec<Fault>),
@@ -45,22 +48,35 @@
 
 /// Reads the file, if one is named, applies the flags and checks the result.
 pub fn load(path: Option<&Path>, flags: &Flags) -> Result<Settings, SettingsError> {
-    let mut settings = match path {
+    let Parsed {
+        mut settings,
+        mut faults,
+        mut entries,
+    } = match path {
         Some(path) => read(path)?,
-        None => Settings::default(),
+        None => Parsed::default(),
     };
     flags.apply_to(&mut settings);
-    let faults = check(&settings);
+    for list in flags.replaced_lists() {
+        entries.forget(list);
+    }
+    // A key that could not be read holds its default, which is no fault of its own.
+    let unread: Vec<String> = faults.iter().map(|fault| fault.key.clone()).collect();
+    let checked = check(&settings).into_iter().map(|mut fault| {
+        fault.key = entries.key_in_file(&fault.key);
+        fault
+    });
+    faults.extend(checked.filter(|fault| !unread.contains(&fault.key)));
     if faults.is_empty() {
         return Ok(settings);
     }
     Err(SettingsError::Faults(faults))
 }
 
-fn read(path: &Path) -> Result<Settings, SettingsError> {
+fn read(path: &Path) -> Result<Parsed, SettingsError> {
     let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Read {
         path: path.to_owned(),
         source,
     })?;
-    toml::from_str(&text).map_err(SettingsError::Parse)
+    parse::parse(&text).map_err(SettingsError::Parse)
 }
