--- a/crates/api/src/caller.rs
+++ b/crates/api/src/caller.rs
@@ -120,13 +120,28 @@
         Ok(Self {
             run: required(&lookup, RUN_HEADER)?,
             call: required(&lookup, CALL_HEADER)?,
-            sequence: Sequence(required(&lookup, SEQUENCE_HEADER)?),
+            sequence: checked_sequence(
+                Sequence(required(&lookup, SEQUENCE_HEADER)?),
+                SEQUENCE_HEADER,
+            )?,
             deadline_ms: optional(&lookup, DEADLINE_HEADER)?,
             repeatable: optional(&lookup, REPEATABLE_HEADER)?.unwrap_or(false),
         })
     }
 }
 
+/// Refuses the number zero, which no call of a run has; `field` names where it came from.
+///
+/// # Errors
+/// [`InvalidRequest::InvalidField`] for zero.
+pub fn checked_sequence(sequence: Sequence, field: &str) -> Result<Sequence, InvalidRequest> {
+    if sequence.0 == 0 {
+        let field = field.to_owned();
+        return Err(InvalidRequest::InvalidField { field });
+    }
+    Ok(sequence)
+}
+
 fn optional<'a, T: std::str::FromStr>(
     lookup: &impl Fn(&'static str) -> Option<&'a str>,
     header: &'static str,
--- a/crates/http-edge/src/body.rs
+++ b/crates/http-edge/src/body.rs
@@ -1,21 +1,19 @@
 //! Reading a request's body under a limit of size and of time.
 
-use std::io::{self, ErrorKind, Read};
+use std::io::{self, ErrorKind};
 use std::sync::Arc;
 use std::time::Instant;
 
-use tiny_http::{Request, Response};
+use tiny_http::Request;
 
 use crate::counters::{EdgeCounters, increment};
-use crate::error::RequestFault;
+use crate::error::{FaultAnswer, RequestFault};
+use crate::fault_response;
 use crate::request::path_of;
 use crate::settings::EdgeSettings;
 
 const READ_BUFFER_BYTES: usize = 16 * 1024;
 
-/// Value of the `Upgrade` header on the one path where `tiny_http` gives no other access.
-const NO_PROTOCOL: &str = "none";
-
 /// When `tiny_http` drops a request it allocates the unread rest of the announced length and reads
 /// it. A longer rest than this is never dropped: the allocation could end the process.
 const MAX_DISCARDED_BODY_BYTES: usize = 64 * 1024 * 1024;
@@ -46,14 +44,12 @@
     }
 
     /// Writes a refusal.
-    pub(crate) fn refuse<R: Read>(mut self, response: Response<R>) -> io::Result<()> {
+    pub(crate) fn refuse(mut self, answer: FaultAnswer) -> io::Result<()> {
         match self.request.take() {
-            Some(request) if is_discardable(&request) => request.respond(response),
+            Some(request) if is_discardable(&request) => fault_response::respond(request, answer),
             Some(request) => {
                 increment(&self.counters.abandoned_connections);
-                let stream = request.upgrade(NO_PROTOCOL, response);
-                std::mem::forget(stream);
-                Ok(())
+                fault_response::respond_and_abandon(request, answer)
             }
             None => Ok(()),
         }
--- a/crates/http-edge/src/lib.rs
+++ b/crates/http-edge/src/lib.rs
@@ -12,6 +12,7 @@
 mod body;
 mod counters;
 mod error;
+mod fault_response;
 mod head;
 mod listener;
 mod request;
--- a/crates/http-edge/src/serving.rs
+++ b/crates/http-edge/src/serving.rs
@@ -1,18 +1,18 @@
 //! From a received request to its handler, or to its refusal.
 
-use std::io::{self, Cursor, Read};
+use std::io;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 
-use tiny_http::{Request, Response, Server};
+use tiny_http::{Request, Server};
 
 use crate::acceptor::SERVICE_STACK_BYTES;
 use crate::admission::Admission;
 use crate::body::{HeldRequest, read_body};
 use crate::counters::{EdgeCounters, decrement, increment};
-use crate::error::{FaultAnswer, RequestFault};
+use crate::error::RequestFault;
 use crate::request::EdgeRequest;
 use crate::responder::Responder;
 use crate::server::Handler;
@@ -144,23 +144,7 @@
     let answer = shared
         .handler
         .fault_answer(fault, request.path(), &shared.settings);
-    if request.refuse(response(answer)).is_err() {
+    if request.refuse(answer).is_err() {
         increment(&shared.counters.clients_gone);
     }
 }
-
-fn response(answer: FaultAnswer) -> Response<Cursor<Vec<u8>>> {
-    let mut response = Response::from_data(answer.body).with_status_code(answer.status);
-    response = with_header(response, "Content-Type", "application/json");
-    for header in answer.headers {
-        response = with_header(response, &header.name, &header.value);
-    }
-    response
-}
-
-fn with_header<R: Read>(response: Response<R>, name: &str, value: &str) -> Response<R> {
-    match tiny_http::Header::from_bytes(name, value) {
-        Ok(header) => response.with_header(header),
-        Err(()) => response,
-    }
-}
--- a/crates/node/src/inbound/service_call.rs
+++ b/crates/node/src/inbound/service_call.rs
@@ -1,11 +1,11 @@
 //! Calls of tool and notice services by name.
 
-use ridgeworks_api::caller::{ServiceCallRequest, ServiceCallResponse};
+use ridgeworks_api::caller::{ServiceCallRequest, ServiceCallResponse, checked_sequence};
 use ridgeworks_domain::{CallRequest, Cost, Refusal, ServiceName};
 use ridgeworks_http_edge::{EdgeRequest, Responder};
 use serde_json::value::RawValue;
 
-use super::answer::respond;
+use super::answer::{invalid, respond};
 use super::call_metrics::CallMetrics;
 use super::caller_request::CallerCommand;
 use super::edge::{Answers, Edge};
@@ -14,6 +14,8 @@
 use crate::message::OwnerAnswer;
 use crate::metrics::labels::CallKind;
 
+const SEQUENCE_FIELD: &str = "sequence";
+
 /// `POST /v1/services/{service}/calls`
 pub fn call(edge: &Edge, request: &EdgeRequest, service: ServiceName, responder: Responder) {
     match call_service(edge, request, service) {
@@ -33,7 +35,7 @@
         run: body.run,
         call: CallRequest {
             key: body.call,
-            sequence: body.sequence,
+            sequence: checked_sequence(body.sequence, SEQUENCE_FIELD).map_err(invalid)?,
             service,
             repeatable: body.repeatable,
             // The owner sets the reserve from the service's price.
