--- a/crates/node/src/dispatcher/group.rs
+++ b/crates/node/src/dispatcher/group.rs
@@ -11,6 +11,7 @@
 };
 
 use super::backend_list::{ListedBackend, backends_of};
+use super::context_sweep::ContextSweep;
 use super::message::DispatcherAnswer;
 use crate::metrics::ServiceMetrics;
 
@@ -44,6 +45,7 @@
     listed: BTreeMap<BackendName, ListedBackend>,
     tickets: HashMap<Ticket, TicketState>,
     metrics: ServiceMetrics,
+    contexts: ContextSweep,
 }
 
 /// What is to be done about a request that may have come before.
@@ -69,6 +71,7 @@
             listed: BTreeMap::new(),
             tickets: HashMap::new(),
             metrics,
+            contexts: ContextSweep::default(),
         }
     }
 
@@ -87,6 +90,11 @@
         self.listed.get(name).map(|listed| &listed.backend)
     }
 
+    /// The contexts at the engines, for the sweep.
+    pub fn contexts(&mut self) -> &mut ContextSweep {
+        &mut self.contexts
+    }
+
     /// The back ends that are listed now.
     pub fn listed(&self) -> impl Iterator<Item = &ListedBackend> {
         self.listed.values()
@@ -163,6 +171,7 @@
         for event in events {
             if let Event::BackendGone(name) = &event {
                 update.gone.push(name.clone());
+                self.contexts.backend_gone(name);
             }
             update.effects.extend(self.dispatcher.handle(now, event));
         }
--- a/crates/node/src/inbound/gateway.rs
+++ b/crates/node/src/inbound/gateway.rs
@@ -224,6 +224,7 @@
                 *carved = Some(budget);
             }
             open.command = command;
+            open.asked = None;
         }
         self.ask(now, request);
     }
--- a/crates/node/tests/deployment_requests.rs
+++ b/crates/node/tests/deployment_requests.rs
@@ -1,12 +1,12 @@
 //! Requests to a deployment of three nodes that run as separate processes, with a platform.
 
-mod support;
+mod processes;
 
 use std::time::{Duration, Instant};
 
+use processes::{Answer, Node, NodeOptions, PARTNER, TOKEN, request, send, wait_until};
 use ridgeworks_stand_ins::platform::{Platform, PlatformOptions};
 use serde_json::{Value, json};
-use support::{Answer, Node, NodeOptions, PARTNER, TOKEN, request, send, wait_until};
 
 const VOTERS: [&str; 3] = ["node-1", "node-2", "node-3"];
 const OPERATOR: &str = "/ridgeworks.v1.Operator/";
@@ -52,7 +52,7 @@
         let body = json!({"object": object, "operationId": format!("create-{name}")});
         let path = format!("{OPERATOR}Apply");
         let mut last = String::new();
-        let deadline = Instant::now() + support::PATIENCE;
+        let deadline = Instant::now() + processes::PATIENCE;
         while Instant::now() < deadline {
             let answer = self.nodes[0].post(&path, &[], &body);
             if answer.status == 200 {
--- a/crates/node/tests/edge_requests.rs
+++ b/crates/node/tests/edge_requests.rs
@@ -1,12 +1,12 @@
 //! Bad requests to a node that runs as a separate process: each gets a typed refusal, and the node
 //! serves on.
 
-mod support;
+mod processes;
 
 use std::time::Duration;
 
+use processes::{Answer, Node, NodeOptions, chunked, connect, read_answer, request, send};
 use serde_json::json;
-use support::{Answer, Node, NodeOptions, chunked, connect, read_answer, request, send};
 
 const MAX_BODY_BYTES: usize = 4_096;
 const AT_ONCE: Duration = Duration::from_secs(1);
@@ -157,7 +157,7 @@
     let node = lonely_node("max_concurrent_requests = 1");
     let half = format!("POST {CHAT} HTTP/1.1\r\ncontent-length: 2000\r\n\r\n{{");
     let held = connect(node.edge, half.as_bytes());
-    support::wait_until("the bound is reached", || {
+    processes::wait_until("the bound is reached", || {
         let answer = send(node.edge, &request("GET", "/health", &[], b""));
         if answer.status != 503 {
             return false;
@@ -171,7 +171,7 @@
     assert_eq!(answer.json()["code"], "resource_exhausted");
     assert!(answer.header("retry-after").is_some());
     drop(held);
-    support::wait_until("the node serves again", || {
+    processes::wait_until("the node serves again", || {
         send(node.edge, &request("GET", "/health", &[], b"")).status == 200
     });
 }
@@ -205,7 +205,7 @@
 fn operators_may_send_bodies_in_chunks_and_packed() {
     let node = lonely_node("");
     let path = format!("{OPERATOR}NodeStatus");
-    let token = format!("Bearer {}", support::TOKEN);
+    let token = format!("Bearer {}", processes::TOKEN);
     let headers = [
         ("authorization", token.as_str()),
         ("content-type", "application/json"),
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -1,248 +1,302 @@
-//! Nodes as separate processes, and HTTP requests of any shape to them.
-#![allow(dead_code, reason = "each test file uses a part of this")]
+//! Three node processes with a platform and an engine in the test's own process.
+#![allow(dead_code, reason = "each test file uses a part of it")]
 
-use std::fmt::Write as _;
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::fs;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
+use std::thread;
 use std::time::{Duration, Instant};
 
-use ridgeworks_node::inbound::token_digest;
-use serde_json::Value;
+use ridgeworks_api::client::{ClientSettings, OperatorClient};
+use ridgeworks_api::v1;
+use ridgeworks_domain::{NodeId, RegionName, RunId, ServiceName, ZoneName};
+use ridgeworks_membership::{Incarnation, Member, MemberState, rendezvous};
+use ridgeworks_stand_ins::engine::{Engine, EngineOptions};
+use ridgeworks_stand_ins::platform::{Platform, PlatformOptions};
+use serde_json::{Value, json};
 use tempfile::TempDir;
+use ureq::Agent;
 
-/// Longest wait for anything.
-pub const PATIENCE: Duration = Duration::from_secs(20);
-/// Name of the partner that the settings of all nodes hold.
-pub const PARTNER: &str = "partner-1";
-/// Its token.
-pub const TOKEN: &str = "token of partner 1";
-
-/// A running `ridgeworksd`, killed when dropped.
-pub struct Node {
-    process: Child,
-    /// Its HTTP edge.
-    pub edge: SocketAddr,
-    /// Its links.
-    pub links: SocketAddr,
-    _folder: TempDir,
+pub const SERVICE: &str = "assistant";
+const TOKEN: &str = "token-a";
+const TOKEN_SHA256: &str = "a70bf50e531ce1a817561f2f5d5b6645d4e806becf58ccc5e8cf6b8045a090a8";
+const NAMES: [&str; 3] = ["na", "nb", "nc"];
+const START_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Waits until a condition holds, and fails after `within`.
+pub fn eventually(what: &str, within: Duration, mut holds: impl FnMut() -> bool) -> Duration {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < within, "not within {within:?}: {what}");
+        thread::sleep(Duration::from_millis(50));
+    }
+    start.elapsed()
 }
 
-/// What differs between nodes.
-pub struct NodeOptions<'a> {
-    /// Name of the node; its zone has the same one.
-    pub name: &'a str,
-    /// Names of the voters.
-    pub voters: &'a [&'a str],
-    /// Links of the nodes to join through.
-    pub peers: Vec<SocketAddr>,
-    /// The platform.
-    pub platform: Option<SocketAddr>,
-    /// Further lines of the settings' table `edge`.
-    pub edge: &'a str,
+pub struct NodeProcess {
+    pub name: &'static str,
+    pub edge: SocketAddr,
+    pub links: SocketAddr,
+    child: Child,
 }
 
-impl Node {
-    /// Starts a node on free ports and waits until it listens.
-    pub fn start(options: &NodeOptions<'_>) -> Self {
-        let folder = tempfile::tempdir().expect("a folder");
-        let settings = folder.path().join("node.toml");
-        std::fs::write(&settings, settings_text(options, folder.path())).expect("written");
-        let mut process = Command::new(env!("CARGO_BIN_EXE_ridgeworksd"))
-            .arg("--settings")
-            .arg(&settings)
+impl NodeProcess {
+    fn start(
+        folder: &Path,
+        name: &'static str,
+        links: &str,
+        peer: Option<SocketAddr>,
+        platform: SocketAddr,
+    ) -> Self {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_ridgeworksd"));
+        command.arg("--settings").arg(folder.join("node.toml"));
+        command.args(["--name", name, "--zone", name, "--listen", "127.0.0.1:0"]);
+        command.args(["--link-listen", links, "--platform", &platform.to_string()]);
+        command.arg("--data-dir").arg(folder.join(name));
+        if let Some(peer) = peer {
+            command.args(["--peer", &peer.to_string()]);
+        }
+        let mut child = command
             .stdout(Stdio::piped())
+            .stderr(Stdio::null())
             .spawn()
-            .expect("the node's program runs");
+            .unwrap();
         let mut line = String::new();
-        let output = process.stdout.take().expect("its output is piped");
-        BufReader::new(output).read_line(&mut line).expect("text");
+        let mut output = BufReader::new(child.stdout.take().unwrap());
+        output.read_line(&mut line).unwrap();
         let words: Vec<&str> = line.split_whitespace().collect();
-        let ["listening", edge, "links", links] = words.as_slice() else {
-            panic!("unexpected line {line:?}");
-        };
         Self {
-            process,
-            edge: edge.parse().expect("an address"),
-            links: links.parse().expect("an address"),
-            _folder: folder,
+            name,
+            edge: words[1].parse().unwrap(),
+            links: words[3].parse().unwrap(),
+            child,
         }
     }
 
-    /// Kills the process.
+    /// Ends the process as a crash would.
     pub fn kill(&mut self) {
-        let _ = self.process.kill();
-        let _ = self.process.wait();
-    }
-
-    /// Asserts that the node still serves.
-    pub fn assert_serving(&self) {
-        let answer = send(self.edge, &request("GET", "/health", &[], b""));
-        assert_eq!(answer.status, 200);
-    }
-
-    /// Sends a request with the partner's token and a JSON body.
-    pub fn post(&self, path: &str, headers: &[(&str, &str)], body: &Value) -> Answer {
-        let bearer = format!("Bearer {TOKEN}");
-        let mut all = vec![
-            ("authorization", bearer.as_str()),
-            ("content-type", "application/json"),
-        ];
-        all.extend_from_slice(headers);
-        let body = body.to_string();
-        send(self.edge, &request("POST", path, &all, body.as_bytes()))
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
     }
 }
 
-impl Drop for Node {
+impl Drop for NodeProcess {
     fn drop(&mut self) {
-        self.kill();
+        let _ = self.child.kill();
+        let _ = self.child.wait();
     }
 }
 
-fn settings_text(options: &NodeOptions<'_>, folder: &Path) -> String {
-    let mut text = format!("name = {0:?}\nzone = {0:?}\n", options.name);
-    let peers: Vec<String> = options.peers.iter().map(SocketAddr::to_string).collect();
-    let _ = writeln!(text, "configuration_voters = {:?}", options.voters);
-    let _ = writeln!(text, "peers = {peers:?}");
-    if let Some(platform) = options.platform {
-        let _ = writeln!(text, "platform = \"{platform}\"");
-    }
-    let digest = token_digest(TOKEN);
-    let _ = writeln!(text, "[edge]\n{}", options.edge);
-    let _ = writeln!(text, "[store]\ndata_dir = {:?}", folder.join("data"));
-    let _ = writeln!(text, "[log]\nlevel = \"warn\"");
-    let _ = writeln!(text, "[[bootstrap_partners]]\nname = {PARTNER:?}");
-    let _ = writeln!(text, "token_sha256 = {digest:?}");
-    text
+pub struct Cluster {
+    pub folder: TempDir,
+    pub nodes: Vec<NodeProcess>,
+    pub engines: Vec<Engine>,
+    pub platform: Platform,
+    agent: Agent,
 }
 
-/// An answer.
-#[derive(Debug)]
-pub struct Answer {
-    /// HTTP status; zero when the connection ended without an answer.
-    pub status: u16,
-    /// Names in lower case, with values.
-    pub headers: Vec<(String, String)>,
-    /// The body.
-    pub body: Vec<u8>,
-    /// Time from the last byte sent to the last byte of the answer.
-    pub elapsed: Duration,
-}
+impl Cluster {
+    /// Three nodes in three zones, with these engines, ready for runs.
+    pub fn start(engines: Vec<EngineOptions>) -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        let platform = Platform::start(PlatformOptions::local("platform")).unwrap();
+        fs::write(folder.path().join("node.toml"), settings_file()).unwrap();
+        let mut nodes: Vec<NodeProcess> = Vec::new();
+        for name in NAMES {
+            let peer = nodes.first().map(|node| node.links);
+            let node =
+                NodeProcess::start(folder.path(), name, "127.0.0.1:0", peer, platform.address());
+            nodes.push(node);
+        }
+        let agent = Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_global(Some(Duration::from_secs(10)))
+            .build()
+            .new_agent();
+        let mut cluster = Self {
+            folder,
+            nodes,
+            engines: Vec::new(),
+            platform,
+            agent,
+        };
+        for options in engines {
+            cluster.add_engine(options);
+        }
+        cluster.configure();
+        cluster
+    }
 
-impl Answer {
-    /// Value of a header.
-    pub fn header(&self, name: &str) -> Option<&str> {
-        let mut headers = self.headers.iter();
-        headers
-            .find(|(known, _)| known == name)
-            .map(|(_, value)| value.as_str())
+    pub fn add_engine(&mut self, options: EngineOptions) {
+        let name = options.name.clone();
+        let engine = Engine::start(options).unwrap();
+        let machine = json!({"address": engine.address().to_string(), "service": SERVICE, "zone": "na", "slots": 8});
+        let url = format!("http://{}/machines/{name}", self.platform.address());
+        let answer = self.agent.put(&url).send_json(machine).unwrap();
+        assert!(answer.status().is_success());
+        self.engines.push(engine);
     }
 
-    /// The body as JSON.
-    pub fn json(&self) -> Value {
-        serde_json::from_slice(&self.body)
-            .unwrap_or_else(|_| panic!("no JSON in the body of {self:?}"))
+    fn configure(&self) {
+        let server = format!("http://{}", self.nodes[0].edge);
+        let client = OperatorClient::new(ClientSettings::new(vec![server], TOKEN.to_owned()));
+        let start = Instant::now();
+        for (index, object) in objects().into_iter().enumerate() {
+            let request = v1::ApplyRequest {
+                object: Some(serde_json::from_value(object).unwrap()),
+                expected_version: 0,
+                operation_id: format!("configure-{index}"),
+            };
+            loop {
+                match client.apply(&request) {
+                    Ok(_) => break,
+                    Err(error) => assert!(start.elapsed() < START_TIMEOUT, "{error}"),
+                }
+            }
+        }
     }
 
-    /// Asserts a refusal of the callers' interface, as not run.
-    pub fn assert_refused(&self, status: u16, code: &str) -> Value {
-        let error = self.json()["error"].clone();
-        assert_eq!(error["code"], code, "{error}");
-        assert_eq!(self.status, status, "{error}");
-        assert_eq!(error["outcome"], "not_run", "{error}");
-        error
+    /// Opens a run through some node; asks again until one is there.
+    pub fn open(&self) -> RunId {
+        let mut run = None;
+        eventually("a run is opened", START_TIMEOUT, || {
+            let body = json!({"program": "placement"});
+            run = self.post("/v1/runs", &[], &body).and_then(|answer| {
+                let run = answer["run"].as_str()?;
+                run.parse().ok()
+            });
+            run.is_some()
+        });
+        run.unwrap()
     }
 
-    /// Asserts that the refusal says when to come back.
-    pub fn assert_come_back(&self) {
-        let seconds = self.header("retry-after").expect("a time to come back");
-        assert!(seconds.parse::<u64>().expect("whole seconds") > 0);
-        assert_eq!(self.header("x-should-retry"), Some("true"));
+    /// Makes a chat call and waits for its answer.
+    pub fn chat(&self, run: RunId, sequence: u32, max_tokens: u32) -> Option<Value> {
+        let run = run.to_string();
+        let key = format!("call-{sequence}-{run}");
+        let sequence = sequence.to_string();
+        let headers = [
+            ("x-ridgeworks-run", run.as_str()),
+            ("x-ridgeworks-call", key.as_str()),
+            ("x-ridgeworks-sequence", sequence.as_str()),
+        ];
+        let messages = json!([{"role": "user", "content": "word ".repeat(64)}]);
+        let body = json!({"model": SERVICE, "max_tokens": max_tokens, "messages": messages});
+        self.post("/v1/chat/completions", &headers, &body)
     }
-}
 
-/// A whole request.
-pub fn request(method: &str, path: &str, headers: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
-    let mut head = format!("{method} {path} HTTP/1.1\r\nhost: node\r\n");
-    for (name, value) in headers {
-        let _ = write!(head, "{name}: {value}\r\n");
+    pub fn close(&self, run: RunId) {
+        eventually("the run is closed", START_TIMEOUT, || {
+            let path = format!("/v1/runs/{run}/close");
+            self.post(&path, &[], &json!({})).is_some()
+        });
     }
-    let _ = write!(head, "content-length: {}\r\n\r\n", body.len());
-    let mut bytes = head.into_bytes();
-    bytes.extend_from_slice(body);
-    bytes
-}
 
-/// A whole request whose body goes in chunks.
-pub fn chunked(path: &str, headers: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
-    let mut head = format!("POST {path} HTTP/1.1\r\nhost: node\r\ntransfer-encoding: chunked\r\n");
-    for (name, value) in headers {
-        let _ = write!(head, "{name}: {value}\r\n");
+    /// The answer of the first node that gives one.
+    pub fn post(&self, path: &str, headers: &[(&str, &str)], body: &Value) -> Option<Value> {
+        self.nodes.iter().find_map(|node| {
+            let url = format!("http://{}{path}", node.edge);
+            let mut request = self.agent.post(&url);
+            request = request.header("authorization", format!("Bearer {TOKEN}"));
+            for (name, value) in headers {
+                request = request.header(*name, *value);
+            }
+            let mut answer = request.send_json(body).ok()?;
+            let success = answer.status().is_success();
+            success
+                .then(|| answer.body_mut().read_json().ok())
+                .flatten()
+        })
     }
-    let mut bytes = format!("{head}\r\n").into_bytes();
-    for chunk in body.chunks(body.len().div_ceil(3).max(1)) {
-        bytes.extend_from_slice(format!("{:x}\r\n", chunk.len()).as_bytes());
-        bytes.extend_from_slice(chunk);
-        bytes.extend_from_slice(b"\r\n");
+
+    pub fn get(&self, address: SocketAddr, path: &str) -> Value {
+        let url = format!("http://{address}{path}");
+        let mut answer = self.agent.get(&url).call().unwrap();
+        answer.body_mut().read_json().unwrap()
     }
-    bytes.extend_from_slice(b"0\r\n\r\n");
-    bytes
-}
 
-/// Opens a connection and sends bytes on it.
-pub fn connect(edge: SocketAddr, bytes: &[u8]) -> TcpStream {
-    let mut stream = TcpStream::connect(edge).expect("the node listens");
-    stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
-    // The node may refuse a body before it read all of it.
-    let _ = stream.write_all(bytes);
-    stream
-}
+    pub fn agent(&self) -> &Agent {
+        &self.agent
+    }
 
-/// Sends bytes and reads one answer.
-pub fn send(edge: SocketAddr, bytes: &[u8]) -> Answer {
-    read_answer(connect(edge, bytes))
-}
+    /// Runs of which an engine holds context.
+    pub fn contexts(&self, engine: usize) -> Vec<String> {
+        let listed = self.get(self.engines[engine].address(), "/contexts");
+        let listed = listed.as_array().unwrap().iter();
+        listed
+            .map(|context| context["run"].as_str().unwrap().to_owned())
+            .collect()
+    }
 
-/// Reads one answer.
-pub fn read_answer(stream: TcpStream) -> Answer {
-    let sent = Instant::now();
-    let mut reader = BufReader::new(stream);
-    let mut lines = Vec::new();
-    loop {
-        let mut line = String::new();
-        let read = reader.read_line(&mut line).unwrap_or(0);
-        if read == 0 || line == "\r\n" {
-            break;
-        }
-        lines.push(line.trim_end().to_owned());
-    }
-    let status = lines.first().and_then(|line| line.split(' ').nth(1));
-    let status = status.and_then(|status| status.parse().ok()).unwrap_or(0);
-    let headers: Vec<(String, String)> = lines
-        .iter()
-        .skip(1)
-        .filter_map(|line| line.split_once(": "))
-        .map(|(name, value)| (name.to_ascii_lowercase(), value.to_owned()))
-        .collect();
-    let length = headers.iter().find(|(name, _)| name == "content-length");
-    let length = length.and_then(|(_, value)| value.parse().ok());
-    let mut body = vec![0; length.unwrap_or(0)];
-    reader.read_exact(&mut body).expect("the whole body");
-    Answer {
-        status,
-        headers,
-        body,
-        elapsed: sent.elapsed(),
+    /// Position of the node that dispatches the calls of the service.
+    pub fn dispatcher(&self) -> usize {
+        let members: Vec<Member> = self.nodes.iter().map(member).collect();
+        let service = ServiceName::new(SERVICE).unwrap();
+        let found = rendezvous::dispatcher_for(&service, 0, members.iter()).unwrap();
+        let mut names = self.nodes.iter().map(|node| node.name);
+        names.position(|name| name == found.name).unwrap()
+    }
+
+    /// Position of the node that owns a run.
+    pub fn owner(&self, run: RunId) -> usize {
+        let members: Vec<Member> = self.nodes.iter().map(member).collect();
+        let found = rendezvous::run_owner_candidates(run, members.iter());
+        let mut names = self.nodes.iter().map(|node| node.name);
+        names.position(|name| name == found[0].name).unwrap()
     }
 }
 
-/// Waits until a condition holds.
-pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
-    let deadline = Instant::now() + PATIENCE;
-    while !condition() {
-        assert!(Instant::now() < deadline, "{what}");
-        std::thread::sleep(Duration::from_millis(20));
+fn member(node: &NodeProcess) -> Member {
+    Member {
+        node: NodeId::from_name(node.name),
+        name: node.name.to_owned(),
+        incarnation: Incarnation(1),
+        address: node.links,
+        zone: ZoneName::new(node.name).unwrap(),
+        region: RegionName::new("default").unwrap(),
+        has_disk: true,
+        state: MemberState::Alive,
     }
 }
+
+fn settings_file() -> String {
+    format!(
+        "configuration_voters = [\"na\", \"nb\", \"nc\"]\n\
+         bootstrap_partners = [{{ name = \"alpha\", token_sha256 = \"{TOKEN_SHA256}\" }}]\n"
+    )
+}
+
+fn objects() -> Vec<Value> {
+    let object = |kind: &str, name: &str, field: &str, value: Value| {
+        let metadata = json!({"kind": kind, "name": name, "partner": "alpha"});
+        json!({"metadata": metadata, field: value})
+    };
+    vec![
+        object(
+            "OBJECT_KIND_PARTNER",
+            "alpha",
+            "partner",
+            json!({"tokenSha256": TOKEN_SHA256, "latencyWeight": 50}),
+        ),
+        object(
+            "OBJECT_KIND_PRIORITY_CLASS",
+            "routine",
+            "priorityClass",
+            json!({"rank": 5}),
+        ),
+        object(
+            "OBJECT_KIND_SERVICE",
+            SERVICE,
+            "service",
+            json!({"kind": "SERVICE_KIND_MODEL", "attemptTimeoutMs": 30_000, "maxAttempts": 3}),
+        ),
+        object(
+            "OBJECT_KIND_PROGRAM",
+            "placement",
+            "program",
+            json!({"class": "routine", "services": [SERVICE], "budget": 1_000_000, "maxCalls": 1_000}),
+        ),
+    ]
+}
