Note in a run's head whether a call is open and where its replica set is named

Weighed: reading the last entries of each run (minutes after a restart), a second index on disk. The head is written with every entry anyway, so two more fields cost no write. Taking back entries looks back in the log; without that the new test fails ('the end was overruled').

--- a/crates/run-log/src/acceptor.rs
+++ b/crates/run-log/src/acceptor.rs
@@ -69,6 +69,8 @@
             last: LogPosition::NONE,
             commit_index: LogIndex::NONE,
             closed_index: LogIndex::NONE,
+            members_index: LogIndex::NONE,
+            call_open: false,
             generation,
         }
     }
@@ -77,6 +79,12 @@
     pub fn is_closed(&self) -> bool {
         self.closed_index != LogIndex::NONE && self.closed_index <= self.commit_index
     }
+
+    /// Whether an owner has something left to do: a call to end, or the end of the run to commit.
+    pub fn is_unsettled(&self) -> bool {
+        let ending = self.closed_index != LogIndex::NONE && !self.is_closed();
+        self.call_open || ending
+    }
 }
 
 impl Acceptor<'_> {
@@ -170,12 +178,19 @@
                 return;
             }
             self.truncate_from(index);
+            self.look_back_from(index);
             let run = self.run;
             writes.push(Write::TruncateFrom { run, index });
         }
         if matches!(entry.entry, Entry::Closed) {
             self.held.head.closed_index = index;
         }
+        if let Some(call_open) = entry.entry.leaves_call_open() {
+            self.held.head.call_open = call_open;
+        }
+        if entry.entry.replicas().is_some() {
+            self.held.head.members_index = index;
+        }
         self.held.head.last = entry.position();
         self.remember(entry.clone());
         let run = self.run;
@@ -237,6 +252,24 @@
         }
     }
 
+    /// Sets what the head says of the entries before `index`.
+    fn look_back_from(&mut self, index: LogIndex) {
+        let mut call_open = None;
+        let mut members_index = None;
+        let mut at = index.previous();
+        while at != LogIndex::NONE && (call_open.is_none() || members_index.is_none()) {
+            let found = self.entries(at, 1);
+            if let Some(found) = found.first().filter(|found| found.index == at) {
+                call_open = call_open.or(found.entry.leaves_call_open());
+                let names_set = found.entry.replicas().is_some();
+                members_index = members_index.or(names_set.then_some(at));
+            }
+            at = at.previous();
+        }
+        self.held.head.call_open = call_open.unwrap_or(false);
+        self.held.head.members_index = members_index.unwrap_or(LogIndex::NONE);
+    }
+
     fn remember(&mut self, entry: LogEntry) {
         let write_number = self.write_number;
         let first = entry.index;
--- a/crates/run-log/src/entry.rs
+++ b/crates/run-log/src/entry.rs
@@ -219,6 +219,24 @@
         FIXED_BYTES + variable
     }
 
+    /// Whether a call is under way after this entry; `None` when it is as before.
+    pub fn leaves_call_open(&self) -> Option<bool> {
+        match self {
+            Self::Accepted { .. } | Self::Dispatched { .. } | Self::AttemptEnded { .. } => {
+                Some(true)
+            }
+            Self::Opened(_)
+            | Self::Finished { .. }
+            | Self::NotRun { .. }
+            | Self::Unknown { .. }
+            | Self::Closed => Some(false),
+            Self::OwnerChanged { .. }
+            | Self::ReplicasChanged { .. }
+            | Self::ChildOpened { .. }
+            | Self::ChildClosed { .. } => None,
+        }
+    }
+
     /// The replica set that the entry sets, if it sets one.
     pub fn replicas(&self) -> Option<&[ReplicaId]> {
         match self {
--- a/crates/run-log/src/replica.rs
+++ b/crates/run-log/src/replica.rs
@@ -3,7 +3,7 @@
 //! In memory: one [`RunHead`] a run and the entries that are not flushed yet. Survives a crash: what
 //! [`RestoredStore`] lists.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Bound;
 use std::time::Duration;
 
@@ -34,6 +34,8 @@
 pub struct Replica {
     identity: ReplicaId,
     runs: BTreeMap<RunId, TrackedRun>,
+    /// Runs in which an owner has something left to do.
+    unsettled: BTreeSet<RunId>,
     unflushed: Vec<(u64, RunId)>,
     write_number: u64,
     generation_since: MonotonicTime,
@@ -47,7 +49,13 @@
             let last_append = now;
             (run, TrackedRun { held, last_append })
         };
+        let unsettled = restored
+            .heads
+            .iter()
+            .filter(|(_, head)| head.is_unsettled());
+        let unsettled = unsettled.map(|(run, _)| *run).collect();
         Self {
+            unsettled,
             identity: ReplicaId {
                 node,
                 store: restored.store,
@@ -75,6 +83,32 @@
         self.runs.get(&run).map(|tracked| tracked.held.head)
     }
 
+    /// Runs in which an owner has something left to do and of which none was heard for `silent_for`.
+    pub fn unsettled_runs(
+        &self,
+        now: MonotonicTime,
+        silent_for: Duration,
+    ) -> impl Iterator<Item = (RunId, RunHead)> {
+        let tracked = self.unsettled.iter();
+        let tracked = tracked.filter_map(|run| Some((*run, self.runs.get(run)?)));
+        tracked
+            .filter(move |(_, tracked)| now.since(tracked.last_append) >= silent_for)
+            .map(|(run, tracked)| (run, tracked.held.head))
+    }
+
+    /// The replica set of a run as the log held here names it; empty if none is held.
+    pub fn members(&self, run: RunId, storage: &dyn LogStorage) -> Vec<ReplicaId> {
+        let Some(tracked) = self.runs.get(&run) else {
+            return Vec::new();
+        };
+        let index = tracked.held.head.members_index;
+        // What is not flushed yet was appended just now: its owner sees to its replicas.
+        let found = storage.entries(run, index, 1);
+        let found = found.first().filter(|entry| entry.index == index);
+        let members = found.and_then(|entry| entry.entry.replicas());
+        members.map(<[ReplicaId]>::to_vec).unwrap_or_default()
+    }
+
     /// Answers one request.
     pub fn handle(
         &mut self,
@@ -145,6 +179,7 @@
         }
         for run in self.forgettable(now, retention, limit) {
             self.runs.remove(&run);
+            self.unsettled.remove(&run);
             writes.push(Write::ForgetRun { run });
         }
         ReplicaReady {
@@ -283,6 +318,11 @@
             if tracked.held.head.promised == ballot {
                 tracked.last_append = now;
             }
+            if tracked.held.head.is_unsettled() {
+                self.unsettled.insert(run);
+            } else {
+                self.unsettled.remove(&run);
+            }
             if tracked.held.tail.is_some() {
                 self.unflushed.push((self.write_number, run));
             }
--- a/crates/run-log/src/storage.rs
+++ b/crates/run-log/src/storage.rs
@@ -22,6 +22,10 @@
     pub commit_index: LogIndex,
     /// Index of the `Closed` entry, [`LogIndex::NONE`] when there is none.
     pub closed_index: LogIndex,
+    /// Index of the newest entry that names the replica set.
+    pub members_index: LogIndex,
+    /// Whether the log ends within a call.
+    pub call_open: bool,
     /// The store's generation under which this acceptor was named a replica of the run.
     pub generation: u32,
 }
--- a/crates/run-log/tests/codec.rs
+++ b/crates/run-log/tests/codec.rs
@@ -70,6 +70,8 @@
         },
         commit_index: LogIndex(3),
         closed_index: LogIndex::NONE,
+        members_index: LogIndex(1),
+        call_open: false,
         generation: 2,
     };
     let bytes = rkyv::to_bytes::<Error>(&head).unwrap();
--- a/crates/run-log/tests/replica.rs
+++ b/crates/run-log/tests/replica.rs
@@ -218,6 +218,8 @@
         },
         commit_index: LogIndex(2),
         closed_index: LogIndex(closed),
+        members_index: LogIndex(1),
+        call_open: false,
         generation: 0,
     };
     let heads = (1..=5).map(|run| {
@@ -246,3 +248,89 @@
     let runs: Vec<u128> = rest.iter().map(|silent| silent.run.0).collect();
     assert_eq!(runs, [4, 5]);
 }
+
+/// Appends entries after those before; returns the position of the last.
+fn append_all(
+    replica: &mut Replica,
+    entries: &mut Entries,
+    ballot: Ballot,
+    previous: LogPosition,
+    tail: Vec<Entry>,
+    commit: u64,
+) -> LogPosition {
+    let first = previous.index.next().0;
+    let tail: Vec<LogEntry> = (first..)
+        .zip(tail)
+        .map(|(index, tail)| entry(index, ballot, tail))
+        .collect();
+    let last = tail.last().map_or(previous, LogEntry::position);
+    let mut request = append(replica.identity(), ballot, previous, tail);
+    if let Request::Append { commit_index, .. } = &mut request {
+        *commit_index = LogIndex(commit);
+    }
+    ask(replica, entries, request, NOW);
+    last
+}
+
+fn accepted() -> Entry {
+    let request = call_request(1, 1);
+    Entry::Accepted {
+        request_digest: 0,
+        request,
+        max_attempts: 1,
+    }
+}
+
+#[test]
+fn runs_with_a_call_or_an_end_under_way_are_unsettled_once_silent() {
+    let (mut replica, mut entries) = (replica(1), Entries::default());
+    let silent = Duration::from_secs(5);
+    let unsettled = |replica: &Replica| replica.unsettled_runs(NOW + silent, silent).count();
+    let opened = opened(replica.identity()).entry;
+    let held = (&mut replica, &mut entries);
+    let ballot = FIRST_BALLOT;
+    let last = append_all(held.0, held.1, ballot, LogPosition::NONE, vec![opened], 0);
+    assert_eq!(unsettled(&replica), 0, "an idle run");
+    let higher = Ballot {
+        round: 2,
+        node: OTHER_OWNER,
+    };
+    let node = OTHER_OWNER;
+    let last = append_all(
+        &mut replica,
+        &mut entries,
+        ballot,
+        last,
+        vec![accepted(), Entry::OwnerChanged { owner: node }],
+        0,
+    );
+    assert_eq!(unsettled(&replica), 1, "a call is open");
+    assert_eq!(replica.unsettled_runs(NOW, silent).count(), 0, "not silent");
+    let sequence = ridgeworks_domain::Sequence(1);
+    let not_run = vec![Entry::NotRun { call: sequence }];
+    let ended = append_all(&mut replica, &mut entries, ballot, last, not_run, 0);
+    assert_eq!(unsettled(&replica), 0, "the call ended");
+    // The end is overruled by the next owner: the call is open again.
+    let changed = vec![Entry::OwnerChanged { owner: node }];
+    let last = append_all(&mut replica, &mut entries, higher, last, changed, 0);
+    assert_eq!(last.index, ended.index);
+    assert_eq!(unsettled(&replica), 1, "the end was overruled");
+    let tail = vec![Entry::NotRun { call: sequence }, Entry::Closed];
+    let last = append_all(&mut replica, &mut entries, higher, last, tail, 0);
+    assert_eq!(
+        unsettled(&replica),
+        1,
+        "the end of the run is not committed"
+    );
+    append_all(
+        &mut replica,
+        &mut entries,
+        higher,
+        last,
+        vec![],
+        last.index.0,
+    );
+    assert_eq!(unsettled(&replica), 0, "closed for good");
+    let members = replica.members(RUN, &entries);
+    assert_eq!(members, [replica.identity()]);
+}
