--- a/crates/node/src/assembly.rs
+++ b/crates/node/src/assembly.rs
@@ -144,7 +144,7 @@
             ),
             ret_shutdown!(stakker)
         );
-        let replica = self.start_replica(stakker, &outgoing);
+        let replica = self.start_replica(stakker, settings, &outgoing);
         let roles = Roles {
             gateway: fwd_to!([gateway], receive() as (Incoming)),
             owner: fwd_to!([owner], receive() as (Incoming)),
@@ -175,7 +175,10 @@
             backends: self.backends.clone(),
         };
         let directory = self.directory.clone();
-        call!([owner], OwnerRole::init(self.node, directory, outputs));
+        call!(
+            [owner],
+            OwnerRole::init(self.node, directory, outputs, settings.sweep.clone())
+        );
         let outputs = DispatcherOutputs {
             outgoing: outgoing.clone(),
             backends: self.backends,
@@ -257,6 +260,7 @@
     fn start_replica(
         &self,
         stakker: &mut Stakker,
+        settings: &Settings,
         outgoing: &Fwd<Outgoing>,
     ) -> Option<ActorOwn<ReplicaRole>> {
         let parts = self.store.as_ref()?;
@@ -267,7 +271,9 @@
                 self.clock,
                 parts.store.clone(),
                 parts.restored.clone(),
-                outgoing.clone()
+                outgoing.clone(),
+                self.directory.clone(),
+                settings.sweep.clone()
             ),
             ret_shutdown!(stakker)
         ))
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -5,16 +5,19 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use ridgeworks_configuration::{ConfigurationRole, ConfigurationSet, MachineState};
 use ridgeworks_domain::run_id::REPLICAS_PER_RUN;
 use ridgeworks_domain::{
-    BackendName, NodeId, PartnerName, ProgramName, Refusal, RefusalReason, RegionName, RunId,
-    ServiceName,
+    BackendName, MonotonicTime, NodeId, PartnerName, ProgramName, Refusal, RefusalReason,
+    RegionName, RunId, ServiceName, ZoneName,
 };
 use ridgeworks_membership::{Member, MemberState, Membership, rendezvous};
 use ridgeworks_run_log::entry::ReplicaId;
 
+use xxhash_rust::xxh3::xxh3_128;
+
 use crate::clock::Clock;
 use crate::settings::BootstrapPartner;
 
@@ -37,6 +40,7 @@
     membership: Rc<RefCell<Membership>>,
     bootstrap_partners: Rc<Vec<BootstrapPartner>>,
     identities: Rc<RefCell<HashMap<NodeId, ReplicaId>>>,
+    absent_since: Rc<RefCell<HashMap<NodeId, MonotonicTime>>>,
     region: RegionName,
 }
 
@@ -55,6 +59,7 @@
             membership,
             bootstrap_partners: Rc::new(bootstrap_partners),
             identities: Rc::default(),
+            absent_since: Rc::default(),
             region,
         }
     }
@@ -201,6 +206,69 @@
             .collect()
     }
 
+    /// The last owner of a run while it is there, else the node that is to own it next.
+    pub fn owner_or_candidate(&self, run: RunId, last_owner: NodeId) -> Option<NodeId> {
+        let membership = self.membership.borrow();
+        let last = membership.member(last_owner);
+        if last.is_some_and(|member| member.state.is_present()) {
+            return Some(last_owner);
+        }
+        rendezvous::run_owner_candidates(run, membership.members())
+            .first()
+            .map(|member| member.node)
+    }
+
+    /// Whether a replica's node came back with another store.
+    pub fn has_other_store(&self, replica: ReplicaId) -> bool {
+        let identities = self.identities.borrow();
+        let known = identities.get(&replica.node);
+        known.is_some_and(|known| !known.same_acceptor(replica))
+    }
+
+    /// Whether a node has been down for this long, as far as this node knows.
+    pub fn is_absent_for(&self, node: NodeId, time: Duration) -> bool {
+        let now = self.clock.now();
+        let absent_since = self.absent_since.borrow();
+        let since = absent_since.get(&node);
+        since.is_some_and(|since| now.since(*since) >= time)
+    }
+
+    /// Notes whether a member is there.
+    pub fn note_presence(&self, node: NodeId, present: bool) {
+        let mut absent_since = self.absent_since.borrow_mut();
+        if present {
+            absent_since.remove(&node);
+        } else {
+            let now = self.clock.now();
+            absent_since.entry(node).or_insert(now);
+        }
+    }
+
+    /// The store to take the place of a lost replica: in a zone that the rest of the set does not have, where there is one.
+    pub fn replacement_for(
+        &self,
+        run: RunId,
+        members: &[ReplicaId],
+        lost: ReplicaId,
+    ) -> Option<ReplicaId> {
+        let identities = self.identities.borrow();
+        let membership = self.membership.borrow();
+        let taken = members.iter().filter(|member| **member != lost);
+        let taken = taken.filter_map(|member| membership.member(member.node));
+        let taken: Vec<&ZoneName> = taken.map(|member| &member.zone).collect();
+        let free = membership.members().filter(|member| {
+            let in_set = members.iter().any(|replica| replica.node == member.node);
+            member.has_disk && member.state == MemberState::Alive && !in_set
+        });
+        let known = free.filter_map(|member| Some((member, identities.get(&member.node)?)));
+        let best = known.min_by_key(|(member, _)| {
+            let shares_zone = taken.contains(&&member.zone);
+            let spread = xxh3_128(&(run.0 ^ u128::from(member.node.0)).to_le_bytes());
+            (shares_zone, spread)
+        });
+        best.map(|(_, identity)| *identity)
+    }
+
     /// The node to ask first for a run.
     pub fn owner_of(&self, run: RunId) -> Option<NodeId> {
         self.owner_candidates(run).first().copied()
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -247,6 +247,13 @@
     Drain,
     /// Between an owner and a replica.
     RunLog(RunLogMessage),
+    /// From a replica to the node that is to own runs which lack something only an owner can do.
+    AdoptRuns {
+        /// The runs.
+        runs: Vec<RunId>,
+        /// Whether a node that owned them before passed it on.
+        forwarded: bool,
+    },
     /// From a dispatcher to a replica: which of these runs have ended?
     EndedRunsQuery {
         /// The service whose engines hold their contexts.
--- a/crates/node/src/owner/commands.rs
+++ b/crates/node/src/owner/commands.rs
@@ -184,7 +184,7 @@
     }
 
     /// Begins to take a run over, if this node is the first candidate for it.
-    fn begin_owning(&mut self, now: Instant, run: RunId) -> bool {
+    pub(super) fn begin_owning(&mut self, now: Instant, run: RunId) -> bool {
         let candidates = self.directory.owner_candidates(run);
         if self.stopping || candidates.first() != Some(&self.node) {
             return false;
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -1,5 +1,6 @@
 //! The owner role: orders the calls of the runs that this node owns.
 
+mod adoption;
 mod attempts;
 mod commands;
 mod effects;
--- a/crates/node/src/owner/role.rs
+++ b/crates/node/src/owner/role.rs
@@ -21,6 +21,7 @@
 use crate::operator::OperatorReply;
 use crate::outbound::BackendClient;
 use crate::router::{Incoming, Outgoing};
+use crate::settings::SweepSettings;
 
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 /// An idle run is given up after this time; its next call takes it over again from its replicas.
@@ -47,6 +48,7 @@
     pub(super) runs: HashMap<RunId, OwnedRun>,
     pub(super) next_number: u64,
     pub(super) stopping: bool,
+    pub(super) sweep_settings: SweepSettings,
 }
 
 impl OwnerRole {
@@ -57,6 +59,7 @@
         node: NodeId,
         directory: Directory,
         outputs: OwnerOutputs,
+        sweep_settings: SweepSettings,
     ) -> Option<Self> {
         let mut role = Self {
             node,
@@ -66,9 +69,11 @@
             runs: HashMap::new(),
             next_number: rand::random(),
             stopping: false,
+            sweep_settings,
         };
         role.tick(cx);
         role.refresh_identities(cx);
+        role.complete_replicas(cx);
         Some(role)
     }
 
@@ -83,6 +88,9 @@
             NodeMessage::OwnershipAnswer { run, busy } => {
                 self.ownership_answer(cx.now(), from, run, busy);
             }
+            NodeMessage::AdoptRuns { runs, forwarded } => {
+                self.adopt_runs(cx.now(), runs, forwarded);
+            }
             _ => {}
         }
     }
--- a/crates/node/src/replica/role.rs
+++ b/crates/node/src/replica/role.rs
@@ -10,11 +10,14 @@
 use ridgeworks_storage::StoreError;
 use stakker::{CX, Fwd, MaxTimerKey, fail, timer_max};
 
+use super::adoption_sweep::AdoptionSweep;
 use super::log_store::{StoredLog, operation};
 use super::store::{NodeStore, WriteOwner};
 use crate::clock::Clock;
+use crate::directory::Directory;
 use crate::message::NodeMessage;
 use crate::router::{Incoming, Outgoing};
+use crate::settings::SweepSettings;
 
 /// Closed runs are forgotten two such times after their end.
 const RETENTION: Duration = Duration::from_secs(24 * 60 * 60);
@@ -29,12 +32,17 @@
 
 /// The replica role of a node with a disk.
 pub struct ReplicaRole {
-    clock: Clock,
-    store: NodeStore,
-    replica: Replica,
+    pub(super) clock: Clock,
+    pub(super) store: NodeStore,
+    pub(super) replica: Replica,
     pending: VecDeque<PendingReplies>,
-    outgoing: Fwd<Outgoing>,
+    pub(super) outgoing: Fwd<Outgoing>,
     sweep_timer: MaxTimerKey,
+    pub(super) directory: Directory,
+    pub(super) sweep_settings: SweepSettings,
+    pub(super) adoptions: AdoptionSweep,
+    /// The run after which the next replica sets are read.
+    pub(super) next_read: Option<RunId>,
 }
 
 impl ReplicaRole {
@@ -46,6 +54,8 @@
         store: NodeStore,
         restored: RestoredStore,
         outgoing: Fwd<Outgoing>,
+        directory: Directory,
+        sweep_settings: SweepSettings,
     ) -> Option<Self> {
         let mut role = Self {
             clock,
@@ -54,8 +64,13 @@
             pending: VecDeque::new(),
             outgoing,
             sweep_timer: MaxTimerKey::default(),
+            directory,
+            sweep_settings,
+            adoptions: AdoptionSweep::default(),
+            next_read: None,
         };
         role.schedule_sweep(cx);
+        role.find_owners(cx);
         Some(role)
     }
 
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -137,7 +137,8 @@
             NodeMessage::ToOwner { .. }
             | NodeMessage::ToOwnerOfTicket(_)
             | NodeMessage::OwnershipQuery { .. }
-            | NodeMessage::OwnershipAnswer { .. } => &self.roles.owner,
+            | NodeMessage::OwnershipAnswer { .. }
+            | NodeMessage::AdoptRuns { .. } => &self.roles.owner,
             NodeMessage::Drain => &self.roles.drain,
             NodeMessage::ToGateway { .. } => &self.roles.gateway,
             NodeMessage::EndedRunsQuery { .. } => &self.roles.replica,
--- a/crates/node/src/settings/check.rs
+++ b/crates/node/src/settings/check.rs
@@ -98,6 +98,8 @@
             settings.owner.stop_timeout_ms,
             TIMEOUT_MS,
         ),
+        ("sweep.silent_ms", settings.sweep.silent_ms, TIMEOUT_MS),
+        ("sweep.dead_ms", settings.sweep.dead_ms, TIMEOUT_MS),
     ];
     for (key, value, range) in numbers {
         check_range(&mut faults, key, value, range);
--- a/crates/node/src/settings/file.rs
+++ b/crates/node/src/settings/file.rs
@@ -2,6 +2,7 @@
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
+use std::time::Duration;
 
 use ridgeworks_domain::PartnerName;
 use serde::Deserialize;
@@ -40,6 +41,8 @@
     pub store: StoreSettings,
     /// Timing of the runs that this node owns.
     pub owner: OwnerSettings,
+    /// The search for runs that lack an owner or a replica.
+    pub sweep: SweepSettings,
     /// Where log lines go.
     pub log: LogSettings,
 }
@@ -96,6 +99,38 @@
     pub stop_timeout_ms: u64,
 }
 
+/// The search for runs that lack an owner or a replica.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct SweepSettings {
+    /// A run with a call under way is given another owner when nothing was heard of its owner for this long, in
+    /// milliseconds. An owner that merely waits for a long call is asked, but keeps the run.
+    pub silent_ms: u64,
+    /// A replica is replaced by one on another node when its node has been down for this long, in milliseconds.
+    pub dead_ms: u64,
+}
+
+impl SweepSettings {
+    /// Silence after which an owner is looked for.
+    pub fn silent_time(&self) -> Duration {
+        Duration::from_millis(self.silent_ms)
+    }
+
+    /// Absence after which a replica is replaced.
+    pub fn dead_time(&self) -> Duration {
+        Duration::from_millis(self.dead_ms)
+    }
+}
+
+impl Default for SweepSettings {
+    fn default() -> Self {
+        Self {
+            silent_ms: 10_000,
+            dead_ms: 60_000,
+        }
+    }
+}
+
 /// Where log lines go.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -123,6 +158,7 @@
             edge: EdgeSettings::default(),
             store: StoreSettings::default(),
             owner: OwnerSettings::default(),
+            sweep: SweepSettings::default(),
             log: LogSettings::default(),
         }
     }
--- a/crates/node/src/settings/mod.rs
+++ b/crates/node/src/settings/mod.rs
@@ -5,7 +5,7 @@
 mod flags;
 
 pub use check::{Fault, FaultReason, check};
-pub use file::{BootstrapPartner, DialOverrideSettings, LogSettings, Settings};
+pub use file::{BootstrapPartner, DialOverrideSettings, LogSettings, Settings, SweepSettings};
 pub use flags::Flags;
 
 use std::path::{Path, PathBuf};
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -100,9 +100,15 @@
 impl Cluster {
     /// Three nodes in three zones, with these engines, ready for runs.
     pub fn start(engines: Vec<EngineOptions>) -> Self {
+        Self::start_with(engines, "")
+    }
+
+    /// The same, with further settings of the nodes.
+    pub fn start_with(engines: Vec<EngineOptions>, settings: &str) -> Self {
         let folder = tempfile::tempdir().unwrap();
         let platform = Platform::start(PlatformOptions::local("platform")).unwrap();
-        fs::write(folder.path().join("node.toml"), settings_file()).unwrap();
+        let file = settings_file() + settings;
+        fs::write(folder.path().join("node.toml"), file).unwrap();
         let mut nodes: Vec<NodeProcess> = Vec::new();
         for name in NAMES {
             let peer = nodes.first().map(|node| node.links);
@@ -174,17 +180,8 @@
 
     /// Makes a chat call and waits for its answer.
     pub fn chat(&self, run: RunId, sequence: u32, max_tokens: u32) -> Option<Value> {
-        let run = run.to_string();
-        let key = format!("call-{sequence}-{run}");
-        let sequence = sequence.to_string();
-        let headers = [
-            ("x-ridgeworks-run", run.as_str()),
-            ("x-ridgeworks-call", key.as_str()),
-            ("x-ridgeworks-sequence", sequence.as_str()),
-        ];
-        let messages = json!([{"role": "user", "content": "word ".repeat(64)}]);
-        let body = json!({"model": SERVICE, "max_tokens": max_tokens, "messages": messages});
-        self.post("/v1/chat/completions", &headers, &body)
+        let mut nodes = self.nodes.iter();
+        nodes.find_map(|node| chat_at(&self.agent, node.edge, run, sequence, max_tokens))
     }
 
     pub fn close(&self, run: RunId) {
@@ -196,14 +193,17 @@
 
     /// The answer of the first node that gives one.
     pub fn post(&self, path: &str, headers: &[(&str, &str)], body: &Value) -> Option<Value> {
+        let mut nodes = self.nodes.iter();
+        nodes.find_map(|node| post_at(&self.agent, node.edge, path, headers, body))
+    }
+
+    /// Reads from the first node that answers.
+    pub fn read(&self, path: &str) -> Option<Value> {
         self.nodes.iter().find_map(|node| {
             let url = format!("http://{}{path}", node.edge);
-            let mut request = self.agent.post(&url);
-            request = request.header("authorization", format!("Bearer {TOKEN}"));
-            for (name, value) in headers {
-                request = request.header(*name, *value);
-            }
-            let mut answer = request.send_json(body).ok()?;
+            let request = self.agent.get(&url);
+            let request = request.header("authorization", format!("Bearer {TOKEN}"));
+            let mut answer = request.call().ok()?;
             let success = answer.status().is_success();
             success
                 .then(|| answer.body_mut().read_json().ok())
@@ -300,3 +300,44 @@
         ),
     ]
 }
+
+/// Makes a chat call through one node.
+pub fn chat_at(
+    agent: &Agent,
+    edge: SocketAddr,
+    run: RunId,
+    sequence: u32,
+    max_tokens: u32,
+) -> Option<Value> {
+    let run = run.to_string();
+    let key = format!("call-{sequence}-{run}");
+    let sequence = sequence.to_string();
+    let headers = [
+        ("x-ridgeworks-run", run.as_str()),
+        ("x-ridgeworks-call", key.as_str()),
+        ("x-ridgeworks-sequence", sequence.as_str()),
+    ];
+    let messages = json!([{"role": "user", "content": "word ".repeat(64)}]);
+    let body = json!({"model": SERVICE, "max_tokens": max_tokens, "messages": messages});
+    post_at(agent, edge, "/v1/chat/completions", &headers, &body)
+}
+
+fn post_at(
+    agent: &Agent,
+    edge: SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &Value,
+) -> Option<Value> {
+    let url = format!("http://{edge}{path}");
+    let mut request = agent.post(&url);
+    request = request.header("authorization", format!("Bearer {TOKEN}"));
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let mut answer = request.send_json(body).ok()?;
+    let success = answer.status().is_success();
+    success
+        .then(|| answer.body_mut().read_json().ok())
+        .flatten()
+}
--- a/crates/run-log/src/replica.rs
+++ b/crates/run-log/src/replica.rs
@@ -96,6 +96,14 @@
             .map(|(run, tracked)| (run, tracked.held.head))
     }
 
+    /// Runs that are not closed, above `after`, ascending.
+    pub fn open_runs(&self, after: Option<RunId>, limit: usize) -> Vec<RunId> {
+        let lower = after.map_or(Bound::Unbounded, Bound::Excluded);
+        let held = self.runs.range((lower, Bound::Unbounded));
+        let open = held.filter(|(_, tracked)| !tracked.held.head.is_closed());
+        open.take(limit).map(|(run, _)| *run).collect()
+    }
+
     /// The replica set of a run as the log held here names it; empty if none is held.
     pub fn members(&self, run: RunId, storage: &dyn LogStorage) -> Vec<ReplicaId> {
         let Some(tracked) = self.runs.get(&run) else {
