--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -191,6 +191,14 @@
         replicas.filter(present).collect()
     }
 
+    /// All present nodes with a disk.
+    pub fn present_disk_nodes(&self) -> Vec<NodeId> {
+        let membership = self.membership.borrow();
+        let present = membership.members();
+        let present = present.filter(|member| member.has_disk && member.state.is_present());
+        present.map(|member| member.node).collect()
+    }
+
     /// Whether this node dispatches the calls of a service.
     pub fn is_own_service(&self, service: &ServiceName) -> bool {
         let own = self.membership.borrow().own().node;
--- a/crates/node/src/owner/adoption.rs
+++ b/crates/node/src/owner/adoption.rs
@@ -14,6 +14,8 @@
 
 /// Time between two looks at the replicas of the runs owned here.
 const COMPLETION_INTERVAL: Duration = Duration::from_secs(1);
+/// A claim that is not won is made among all nodes for one second out of so many.
+const WIDE_CLAIM_SECONDS: u64 = 8;
 /// Most replicas that are replaced in one look.
 const MAX_REPLACEMENTS: usize = 64;
 
@@ -22,7 +24,12 @@
     pub(super) fn adopt_runs(&mut self, now: Instant, runs: Vec<RunId>, forwarded: bool) {
         let mut for_others: BTreeMap<NodeId, Vec<RunId>> = BTreeMap::new();
         for run in runs {
-            if self.runs.contains_key(&run) || self.begin_owning(now, run) {
+            if self.runs.contains_key(&run) {
+                self.log_changed_stores(run);
+                self.handle(now, run, OwnerEvent::CheckReplicas);
+                continue;
+            }
+            if self.begin_owning(now, run) {
                 continue;
             }
             if let Some(candidate) = self.directory.owner_of(run) {
@@ -51,11 +58,49 @@
             .take(MAX_REPLACEMENTS)
             .collect();
         for (run, old, new) in incomplete {
+            log::info!("run={run} replaces={} by={}", old.node.0, new.node.0);
             self.handle(now, run, OwnerEvent::ReplaceReplica { old, new });
         }
         after!(COMPLETION_INTERVAL, [cx], complete_replicas());
     }
 
+    fn log_changed_stores(&self, run: RunId) {
+        let owner = self.runs.get(&run).and_then(OwnedRun::owner);
+        let replicas = owner.map(|owner| owner.replicas()).unwrap_or_default();
+        for replica in replicas {
+            if self.directory.has_other_store(*replica) {
+                let node = replica.node.0;
+                log::info!("run={run} replica={node} has another store");
+            }
+        }
+    }
+
+    /// A claim that is not won is made again among all nodes with a disk, for a second out of every few: replicas that
+    /// the run's number names may all have been replaced.
+    pub(super) fn check_claim(&mut self, now: Instant, run: RunId) {
+        let Some(owned) = self.runs.get_mut(&run) else {
+            return;
+        };
+        let claiming = owned
+            .owner()
+            .is_some_and(|owner| owner.replicas().is_empty());
+        if !claiming {
+            return;
+        }
+        let claimed_at = *owned.claimed_at.get_or_insert(now);
+        let seconds = now.saturating_duration_since(claimed_at).as_secs();
+        let widely = seconds % WIDE_CLAIM_SECONDS == 1;
+        if widely != owned.claims_widely {
+            owned.claims_widely = widely;
+            let contacts = if widely {
+                self.directory.present_disk_nodes()
+            } else {
+                self.directory.replicas_of(run)
+            };
+            self.claim_among(now, run, &contacts);
+        }
+    }
+
     fn replacement(&self, owned: &OwnedRun) -> Option<(RunId, ReplicaId, ReplicaId)> {
         let owner = owned.owner().filter(|owner| owner.is_ready())?;
         let members = owner.replicas();
--- a/crates/node/src/owner/owned_run.rs
+++ b/crates/node/src/owner/owned_run.rs
@@ -60,6 +60,10 @@
     pub slot: Option<Slot>,
     /// The attempt that is being made.
     pub running: Option<RunningAttempt>,
+    /// When the claim under way was first seen not to be won.
+    pub claimed_at: Option<Instant>,
+    /// Whether it is made among all nodes with a disk.
+    pub claims_widely: bool,
     /// When the run was last used.
     pub last_used: Instant,
 }
@@ -75,6 +79,8 @@
             deadlines: HashMap::new(),
             slot: None,
             running: None,
+            claimed_at: None,
+            claims_widely: false,
             last_used: now,
         }
     }
--- a/crates/node/src/owner/role.rs
+++ b/crates/node/src/owner/role.rs
@@ -96,12 +96,20 @@
     }
 
     /// Takes a change of a member.
-    pub fn member_changed(&mut self, _cx: CX![], member: Member) {
+    pub fn member_changed(&mut self, cx: CX![], member: Member) {
         if member.state == MemberState::Alive {
-            identities::ask(&member, &self.outputs.outgoing);
+            self.ask_identity(cx, member.clone());
+            for pause in identities::REPEATS {
+                let member = member.clone();
+                after!(pause, [cx], ask_identity(member));
+            }
         }
     }
 
+    fn ask_identity(&mut self, _cx: CX![], member: Member) {
+        identities::ask(&member, &self.outputs.outgoing);
+    }
+
     /// From now on calls are refused, except those in progress.
     pub fn stop(&mut self, _cx: CX![]) {
         self.stopping = true;
@@ -151,13 +159,18 @@
     /// Claims a run from its replicas.
     pub(super) fn take_over(&mut self, now: Instant, run: RunId) {
         let contacts = self.directory.replicas_of(run);
+        self.claim_among(now, run, &contacts);
+    }
+
+    /// Claims a run from those of these nodes that hold it.
+    pub(super) fn claim_among(&mut self, now: Instant, run: RunId, contacts: &[NodeId]) {
         let instance = self.new_number().max(1);
         let (owner, effects) = RunOwner::take_over(
             run,
             self.node,
             instance,
             Ballot::ZERO,
-            &contacts,
+            contacts,
             OwnerSettings::default(),
             self.clock.now(),
         );
@@ -212,6 +225,7 @@
             self.handle(now, run, OwnerEvent::Tick);
             self.check_slot(now, run);
             self.check_query(now, run);
+            self.check_claim(now, run);
         }
         after!(TICK_INTERVAL, [cx], tick());
     }
--- a/crates/node/src/replica/sweep.rs
+++ b/crates/node/src/replica/sweep.rs
@@ -63,7 +63,8 @@
             }
         }
         let owners = lacking.into_iter().filter_map(|run| {
-            let owner = self.directory.owner_of(run)?;
+            let last_owner = self.replica.head(run)?.promised.node;
+            let owner = self.directory.owner_or_candidate(run, last_owner)?;
             Some((owner, run))
         });
         self.ask_owners(owners.collect());
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -55,6 +55,9 @@
         command.args(["--name", name, "--zone", name, "--listen", "127.0.0.1:0"]);
         command.args(["--link-listen", links, "--platform", &platform.to_string()]);
         command.arg("--data-dir").arg(folder.join(name));
+        command
+            .arg("--log-file")
+            .arg(folder.join(format!("{name}.log")));
         if let Some(peer) = peer {
             command.args(["--peer", &peer.to_string()]);
         }
@@ -105,12 +108,21 @@
 
     /// The same, with further settings of the nodes.
     pub fn start_with(engines: Vec<EngineOptions>, settings: &str) -> Self {
+        Self::start_nodes(&NAMES, engines, settings)
+    }
+
+    /// The same with these nodes, each in a zone of its own; the first three vote on the configuration.
+    pub fn start_nodes(
+        names: &[&'static str],
+        engines: Vec<EngineOptions>,
+        settings: &str,
+    ) -> Self {
         let folder = tempfile::tempdir().unwrap();
         let platform = Platform::start(PlatformOptions::local("platform")).unwrap();
         let file = settings_file() + settings;
         fs::write(folder.path().join("node.toml"), file).unwrap();
         let mut nodes: Vec<NodeProcess> = Vec::new();
-        for name in NAMES {
+        for name in names.iter().copied() {
             let peer = nodes.first().map(|node| node.links);
             let node =
                 NodeProcess::start(folder.path(), name, "127.0.0.1:0", peer, platform.address());
@@ -135,6 +147,44 @@
         cluster
     }
 
+    /// Starts a killed node again, at its former link address.
+    pub fn restart(&mut self, node: usize, with_disk: bool) {
+        let (name, links) = (self.nodes[node].name, self.nodes[node].links.to_string());
+        if !with_disk {
+            fs::remove_dir_all(self.folder.path().join(name)).unwrap();
+        }
+        let peer = self.nodes[(node + 1) % self.nodes.len()].links;
+        let platform = self.platform.address();
+        let folder = self.folder.path();
+        self.nodes[node] = NodeProcess::start(folder, name, &links, Some(peer), platform);
+    }
+
+    /// Position of the node of this name.
+    pub fn position(&self, name: &str) -> usize {
+        let mut names = self.nodes.iter().map(|node| node.name);
+        names.position(|known| known == name).unwrap()
+    }
+
+    /// Whether some node has logged this.
+    pub fn has_logged(&self, part: &str) -> bool {
+        let mut nodes = self.nodes.iter();
+        nodes.any(|node| {
+            let file = self.folder.path().join(format!("{}.log", node.name));
+            fs::read_to_string(file).is_ok_and(|text| text.contains(part))
+        })
+    }
+
+    /// Names of the nodes that a run's number names as its replicas.
+    pub fn replicas(&self, run: RunId) -> Vec<&'static str> {
+        let hints = run.replica_hints();
+        let named = |node: &&NodeProcess| {
+            let id = NodeId::from_name(node.name);
+            hints.iter().any(|hint| hint.matches(id))
+        };
+        let found = self.nodes.iter().filter(named);
+        found.map(|node| node.name).collect()
+    }
+
     pub fn add_engine(&mut self, options: EngineOptions) {
         let name = options.name.clone();
         let engine = Engine::start(options).unwrap();
--- a/crates/run-log/src/event.rs
+++ b/crates/run-log/src/event.rs
@@ -157,6 +157,8 @@
         /// The one that comes.
         new: ReplicaId,
     },
+    /// Ask all replicas whether they are still those that the log names. One with another store is replaced.
+    CheckReplicas,
     /// Time passed.
     Tick,
 }
--- a/crates/run-log/src/owner/mod.rs
+++ b/crates/run-log/src/owner/mod.rs
@@ -177,6 +177,9 @@
             OwnerEvent::Reply { from, reply } => self.proposer.handle(from, &reply, now),
             OwnerEvent::Tick => self.tick(now),
             OwnerEvent::CallerLeft { caller } => self.waiting.forget(caller),
+            OwnerEvent::CheckReplicas => {
+                self.proposer.confirm(now);
+            }
             OwnerEvent::ReplaceReplica { old, new } => {
                 self.proposer.replace_replica(old, new, now);
             }
