--- a/crates/node/tests/replica_loss.rs
+++ b/crates/node/tests/replica_loss.rs
@@ -26,7 +26,8 @@
     call(cluster, run, sequence + 1);
 }
 
-/// Opens a run with replicas on the two nodes that do not vote on the configuration, owned by another one.
+/// Opens a run with replicas on the two nodes that do not vote on the configuration, owned by the node of its
+/// third replica.
 fn open_on_both(cluster: &Cluster) -> RunId {
     let mut run = None;
     eventually("a run on both nodes", WITHIN, || {
@@ -34,7 +35,7 @@
         let replicas = cluster.replicas(opened);
         let owner = cluster.nodes[cluster.owner(opened)].name;
         let on_both = replicas.contains(&"nd") && replicas.contains(&"ne");
-        let found = on_both && owner != "nd" && owner != "ne";
+        let found = on_both && owner != "nd" && owner != "ne" && replicas.contains(&owner);
         run = found.then_some(opened);
         found
     });
@@ -73,7 +74,8 @@
         cluster.nodes[node].kill();
         replaced(&cluster, run, name, sequence);
     }
-    // The replica that the run's number still names goes as well, and with it perhaps the owner.
+    // The replica that the run's number still names goes as well, and with it the owner: no node that the number names is
+    // there to tell where the others are.
     let replicas = cluster.replicas(run);
     let last = replicas.iter().find(|name| !["nd", "ne"].contains(name));
     let last = cluster.position(last.unwrap());
