--- a/crates/http-edge/src/server.rs
+++ b/crates/http-edge/src/server.rs
@@ -7,6 +7,8 @@
 use std::time::Duration;
 
 use crate::acceptor::{SERVICE_STACK_BYTES, Supervisor, SupervisorEvent, lock_servers};
+use ridgeworks_worker_pool::WorkerPool;
+
 use crate::admission::Admission;
 use crate::counters::EdgeCounters;
 use crate::error::{EdgeError, FaultAnswer, RequestFault};
@@ -112,10 +114,12 @@
         settings.max_concurrent_requests,
         settings.max_concurrent_refusals,
     );
+    let handlers = WorkerPool::new("edge-request", settings.handler_stack_bytes);
     Shared {
         settings,
         handler,
         admission,
+        handlers,
         counters: Arc::default(),
         stopping: AtomicBool::new(false),
         closed: AtomicBool::new(false),
