Hold the bench's streams within the longest time of a call

Streams of 800 slow tokens took longer than the 120 s that a call may take, so that the dispatcher rightly refused them once it had learned the pace.

--- a/crates/testbed/src/bench/command.rs
+++ b/crates/testbed/src/bench/command.rs
@@ -8,7 +8,7 @@
 
 use super::deployment::Deployment;
 use super::node_process::ProcessError;
-use super::report::Measured;
+use super::report::{self, Measured};
 use super::{held_streams, latency};
 use crate::cluster::{
     Binaries, Cluster, ClusterError, ClusterOptions, Preset, PresetError, RelayUse, exit_on_signal,
@@ -105,8 +105,11 @@
     })?;
     let deployment = Deployment::new(&cluster)?;
     let mut levels = Vec::new();
+    report::print_latency_head();
     for workers in WORKER_LEVELS {
-        levels.push(latency::measure(&deployment, workers)?);
+        let level = latency::measure(&deployment, workers)?;
+        report::print_latency(&level);
+        levels.push(level);
     }
     let held = match arguments.without_streams {
         true => Vec::new(),
@@ -121,7 +124,7 @@
 }
 
 fn finish(measured: &Measured) -> Result<(), BenchError> {
-    measured.print_table();
+    report::print_held(&measured.held);
     let line = measured.line();
     let text = serde_json::to_string(&line).expect("the line holds plain values");
     println!("{text}");
--- a/crates/testbed/src/bench/held_streams.rs
+++ b/crates/testbed/src/bench/held_streams.rs
@@ -10,7 +10,9 @@
 use crate::client::{CallFailure, CallerClient, ChatCall};
 
 const TEXT: &str = "hold this stream";
-const MAX_TOKENS: u64 = 800;
+/// With the steps of the slow engines, longer than the opening of all streams takes and well within
+/// the longest time of a call.
+const MAX_TOKENS: u64 = 180;
 const STACK_BYTES: usize = 256 * 1024;
 const OPEN_TIMEOUT: Duration = Duration::from_secs(30);
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
--- a/crates/testbed/src/bench/report.rs
+++ b/crates/testbed/src/bench/report.rs
@@ -60,23 +60,6 @@
 }
 
 impl Measured {
-    /// Prints the table.
-    pub fn print_table(&self) {
-        println!(
-            "workers  way      answers  first token p50 / p95 ms   token gap p50 / p95 ms  \
-             requests per CPU second"
-        );
-        for level in &self.levels {
-            print_row(level, "direct", &level.direct, None);
-            let per_core = level.requests_per_core_second();
-            print_row(level, "system", &level.system, Some(per_core));
-        }
-        println!("\nopen streams  resident MiB");
-        for held in &self.held {
-            println!("{:12}  {:12.1}", held.streams, mebibytes(held));
-        }
-    }
-
     /// The line that ends the output. Levels without a worker count do not occur.
     pub fn line(&self) -> BenchLine {
         let first = &self.levels[0];
@@ -109,6 +92,33 @@
     }
 }
 
+/// Prints the head of the table of latencies.
+pub fn print_latency_head() {
+    println!(
+        "workers  way      answers  first token p50 / p95 ms   token gap p50 / p95 ms  \
+         requests per CPU second"
+    );
+}
+
+/// Prints what one number of workers measured.
+pub fn print_latency(level: &LatencyLevel) {
+    print_row(level, "direct", &level.direct, None);
+    let per_core = level.requests_per_core_second();
+    print_row(level, "system", &level.system, Some(per_core));
+    let failures = level.direct.failures.iter().chain(&level.system.failures);
+    for failure in failures {
+        println!("failed: {failure}");
+    }
+}
+
+/// Prints the table of open streams.
+pub fn print_held(levels: &[HeldLevel]) {
+    println!("\nopen streams  resident MiB");
+    for held in levels {
+        println!("{:12}  {:12.1}", held.streams, mebibytes(held));
+    }
+}
+
 fn print_row(
     level: &LatencyLevel,
     way: &str,
