--- a/crates/node/src/dispatcher/role.rs
+++ b/crates/node/src/dispatcher/role.rs
@@ -16,6 +16,7 @@
 use crate::clock::Clock;
 use crate::directory::Directory;
 use crate::message::NodeMessage;
+use crate::metrics::Metrics;
 use crate::operator::OperatorReply;
 use crate::outbound::BackendClient;
 use crate::router::{Incoming, Outgoing};
@@ -28,16 +29,18 @@
     pub outgoing: Fwd<Outgoing>,
     /// Calls of back ends.
     pub backends: Arc<BackendClient>,
+    /// Counters of the role.
+    pub metrics: Arc<Metrics>,
 }
 
 /// The dispatcher role.
 pub struct DispatcherRole {
-    clock: Clock,
-    directory: Directory,
-    outputs: DispatcherOutputs,
+    pub(super) clock: Clock,
+    pub(super) directory: Directory,
+    pub(super) outputs: DispatcherOutputs,
     polls: EnginePolls,
     machines: Arc<MachineList>,
-    groups: BTreeMap<ServiceName, DispatcherGroup>,
+    pub(super) groups: BTreeMap<ServiceName, DispatcherGroup>,
 }
 
 impl DispatcherRole {
@@ -57,13 +60,20 @@
             groups: BTreeMap::new(),
         };
         role.tick(cx);
+        role.sweep(cx);
         Some(role)
     }
 
     /// Takes a message from an owner.
     pub fn receive(&mut self, _cx: CX![], incoming: Incoming) {
-        if let NodeMessage::ToDispatcher(command) = incoming.message {
-            self.command(command);
+        match incoming.message {
+            NodeMessage::ToDispatcher(command) => self.command(command),
+            NodeMessage::EndedRunsAnswer {
+                service,
+                ended,
+                unknown,
+            } => self.ended_runs(incoming.from, &service, &ended, &unknown),
+            _ => {}
         }
     }
 
@@ -95,6 +105,7 @@
 
     /// Takes news of a polled back end.
     pub fn engine(&mut self, _cx: CX![], report: EngineReport) {
+        self.note_listing(&report);
         let event = match report.news {
             EngineNews::Load(load) => Event::LoadReport(load),
             EngineNews::Cache(event) => Event::CacheEvent(event),
@@ -111,6 +122,7 @@
             DispatcherCommand::Enqueue { request, .. } => {
                 let ticket = request.ticket;
                 if self.is_new(&service, ticket) {
+                    self.note_use(&service, request.run);
                     let call = request.queued_call(now);
                     self.handle(&service, Event::Enqueue(call));
                 }
@@ -153,12 +165,13 @@
         }
     }
 
-    fn ensure_group(&mut self, service: &ServiceName) {
+    pub(super) fn ensure_group(&mut self, service: &ServiceName) {
         let known = self.directory.last_known().service(service).is_some();
         if !known || self.groups.contains_key(service) {
             return;
         }
-        let group = DispatcherGroup::new(service.clone());
+        let metrics = self.outputs.metrics.service(service);
+        let group = DispatcherGroup::new(service.clone(), metrics);
         self.groups.insert(service.clone(), group);
         self.update_group(service);
     }
@@ -195,7 +208,7 @@
         self.carry_out(service, update.effects);
     }
 
-    fn handle(&mut self, service: &ServiceName, event: Event) {
+    pub(super) fn handle(&mut self, service: &ServiceName, event: Event) {
         let now = self.clock.now();
         let Some(group) = self.groups.get_mut(service) else {
             return;
@@ -255,7 +268,7 @@
         }
     }
 
-    fn address(
+    pub(super) fn address(
         &self,
         service: &ServiceName,
         backend: &ridgeworks_domain::BackendName,
@@ -288,6 +301,7 @@
         for service in services {
             if let Some(group) = self.groups.get_mut(&service) {
                 group.forget_ended(now);
+                group.publish();
             }
             self.handle(&service, Event::Tick);
         }
--- a/crates/node/src/replica/role.rs
+++ b/crates/node/src/replica/role.rs
@@ -1,9 +1,10 @@
 //! Actor of the replica role.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 use std::time::Duration;
 
-use ridgeworks_domain::NodeId;
+use ridgeworks_domain::{NodeId, RunId, ServiceName};
 use ridgeworks_run_log::message::{Message, Reply, Request};
 use ridgeworks_run_log::replica::{Replica, ReplicaReady};
 use ridgeworks_run_log::storage::RestoredStore;
@@ -14,6 +15,7 @@
 use super::store::{NodeStore, WriteOwner};
 use crate::clock::Clock;
 use crate::message::NodeMessage;
+use crate::metrics::Metrics;
 use crate::router::{Incoming, Outgoing};
 
 /// Closed runs are forgotten two such times after their end.
@@ -34,6 +36,7 @@
     replica: Replica,
     pending: VecDeque<PendingReplies>,
     outgoing: Fwd<Outgoing>,
+    metrics: Arc<Metrics>,
     sweep_timer: MaxTimerKey,
 }
 
@@ -46,6 +49,7 @@
         store: NodeStore,
         restored: RestoredStore,
         outgoing: Fwd<Outgoing>,
+        metrics: Arc<Metrics>,
     ) -> Option<Self> {
         let mut role = Self {
             clock,
@@ -53,6 +57,7 @@
             replica: Replica::restore(node, restored, clock.now()),
             pending: VecDeque::new(),
             outgoing,
+            metrics,
             sweep_timer: MaxTimerKey::default(),
         };
         role.schedule_sweep(cx);
@@ -61,8 +66,13 @@
 
     /// Takes a message from an owner.
     pub fn receive(&mut self, _cx: CX![], incoming: Incoming) {
-        if let NodeMessage::RunLog(Message::Request(request)) = incoming.message {
-            self.request(incoming.from, request);
+        let from = incoming.from;
+        match incoming.message {
+            NodeMessage::RunLog(Message::Request(request)) => self.request(from, request),
+            NodeMessage::EndedRunsQuery { service, runs } => {
+                self.answer_ended_runs(from, service, &runs);
+            }
+            _ => {}
         }
     }
 
@@ -85,14 +95,38 @@
         }
     }
 
+    /// Tells a dispatcher which runs have ended. What is not durable yet is no end.
+    fn answer_ended_runs(&self, from: NodeId, service: ServiceName, runs: &[RunId]) {
+        let (mut ended, mut unknown) = (Vec::new(), Vec::new());
+        for run in runs {
+            match self.replica.head(*run) {
+                Some(head) if head.is_closed() => ended.push(*run),
+                Some(_) => {}
+                None => unknown.push(*run),
+            }
+        }
+        if ended.is_empty() && unknown.is_empty() {
+            return;
+        }
+        let message = NodeMessage::EndedRunsAnswer {
+            service,
+            ended,
+            unknown,
+        };
+        self.outgoing.fwd(Outgoing { to: from, message });
+    }
+
     fn request(&mut self, from: NodeId, request: Request) {
         let now = self.clock.now();
+        self.metrics.replica_requests.inc();
         let stored = StoredLog(&self.store);
         let ready = self.replica.handle(from, request, now, &stored);
         self.carry_out(ready);
     }
 
     fn carry_out(&mut self, ready: ReplicaReady) {
+        let runs = i64::try_from(self.replica.run_count()).unwrap_or(i64::MAX);
+        self.metrics.replica_runs.set(runs);
         let ReplicaReady {
             writes,
             replies_after_flush,
@@ -106,6 +140,7 @@
             write: write_number,
             replies: replies_after_flush,
         });
+        self.metrics.replica_writes.inc();
         let operations = writes.into_iter().map(operation).collect();
         self.store
             .submit(operations, WriteOwner::Replica, write_number);
