--- a/crates/stand-ins/src/engine/batching.rs
+++ b/crates/stand-ins/src/engine/batching.rs
@@ -301,7 +301,7 @@
         sequence: plan.sequence,
         cost: plan.cost(produced),
         answer_digest: digest(plan.content.beginning(produced).as_bytes()),
-        prior_calls: plan.prior_calls.clone(),
+        prior_calls: Some(plan.prior_calls.clone()),
         cancelled,
     });
 }
--- a/crates/stand-ins/src/history.rs
+++ b/crates/stand-ins/src/history.rs
@@ -44,8 +44,9 @@
         cost: Cost,
         /// Digest of the answer: a model's message content, a tool's whole body.
         answer_digest: String,
-        /// Calls whose answers the request held, in order.
-        prior_calls: Vec<CallKey>,
+        /// Calls whose answers the request held, in order; absent for a service that takes none.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        prior_calls: Option<Vec<CallKey>>,
         /// Whether the execution was cut short by a cancellation.
         cancelled: bool,
     },
--- a/crates/stand-ins/src/tool/routes.rs
+++ b/crates/stand-ins/src/tool/routes.rs
@@ -123,7 +123,7 @@
         sequence: plan.sequence,
         cost: tool.options.price,
         answer_digest: digest(answer.as_bytes()),
-        prior_calls: Vec::new(),
+        prior_calls: None,
         cancelled: false,
     });
     AttemptState::Finished {
--- a/crates/testbed/src/cluster/deployment.rs
+++ b/crates/testbed/src/cluster/deployment.rs
@@ -270,7 +270,9 @@
         backend.ok_or_else(|| ClusterError::NotRunning(name.to_owned()))
     }
 
-    fn take(&mut self, name: &str) -> Result<Process, ClusterError> {
+    /// Hands over the process of a node or back end, so that its end can be waited for apart from
+    /// the deployment. [`Self::start_again`] starts it anew.
+    pub fn take(&mut self, name: &str) -> Result<Process, ClusterError> {
         let nodes = self.nodes.iter_mut();
         let nodes = nodes.map(|node| (node.plan.name.as_str(), &mut node.process));
         let backends = self.backends.iter_mut();
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -1,6 +1,7 @@
 //! Cluster launcher, load, demo, chaos and experiments.
 
 pub mod bench;
+pub mod chaos;
 pub mod client;
 pub mod cluster;
 pub mod cluster_command;
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -3,7 +3,8 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
-use ridgeworks_testbed::{bench, cluster_command, demo, engine, load, platform, relay, tool};
+use ridgeworks_history::VerifyArguments;
+use ridgeworks_testbed::{bench, chaos, cluster_command, demo, engine, load, platform, relay, tool};
 
 /// Stand-ins and tools for trying ridgeworks out.
 #[derive(Parser)]
@@ -31,6 +32,10 @@
     Load(load::LoadArguments),
     /// Measure what the system adds to a load, and what requests and open streams cost.
     Bench(bench::BenchArguments),
+    /// Put a deployment under faults and judge the history of what happened.
+    Chaos(chaos::ChaosArguments),
+    /// Judge the history of a run.
+    Verify(VerifyArguments),
 }
 
 fn main() -> ExitCode {
@@ -43,6 +48,8 @@
         Command::Demo(arguments) => exit_code(demo::run(&arguments)),
         Command::Bench(arguments) => exit_code(bench::run(&arguments)),
         Command::Load(arguments) => exit_code(load::run(&arguments)),
+        Command::Chaos(arguments) => ExitCode::from(chaos::run(&arguments)),
+        Command::Verify(arguments) => ExitCode::from(ridgeworks_history::run(&arguments)),
     }
 }
 
