--- a/crates/stand-ins/src/engine/answer.rs
+++ b/crates/stand-ins/src/engine/answer.rs
@@ -5,7 +5,7 @@
 use rand_chacha::ChaCha8Rng;
 use ridgeworks_domain::CallKey;
 use ridgeworks_domain::token_count::BYTES_PER_TOKEN;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 const ANSWER_PREFIX: &str = "answer to ";
 const ANSWER_SEPARATOR: &str = " :";
@@ -103,6 +103,22 @@
     CallKey::new(call).ok()
 }
 
+#[derive(Deserialize)]
+struct ToolAnswer {
+    result: ToolResult,
+}
+
+#[derive(Deserialize)]
+struct ToolResult {
+    call: CallKey,
+}
+
+/// The call whose answer of a tool stand-in this is.
+pub fn called_tool(content: &str) -> Option<CallKey> {
+    let answer: ToolAnswer = serde_json::from_str(content).ok()?;
+    Some(answer.result.call)
+}
+
 #[derive(Serialize)]
 struct Usage {
     prompt_tokens: u64,
--- a/crates/stand-ins/src/engine/chat.rs
+++ b/crates/stand-ins/src/engine/chat.rs
@@ -6,11 +6,12 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::attempts::AttemptKey;
-use crate::engine::answer::{AnswerContent, AnswerHead, answered_call};
+use crate::engine::answer::{AnswerContent, AnswerHead, answered_call, called_tool};
 use crate::engine::token_blocks::{BLOCK_TOKENS, TokenChain};
 use crate::failure::Failure;
 
 const ASSISTANT: &str = "assistant";
+const TOOL: &str = "tool";
 
 /// Body of `POST /v1/chat/completions`.
 #[derive(Debug, Clone, Deserialize)]
@@ -43,6 +44,15 @@
     fn text(&self) -> &str {
         self.content.as_deref().unwrap_or_default()
     }
+
+    /// The call whose answer this message is, as its text says.
+    fn answered_call(&self) -> Option<CallKey> {
+        match self.role.as_str() {
+            ASSISTANT => answered_call(self.text()),
+            TOOL => called_tool(self.text()),
+            _ => None,
+        }
+    }
 }
 
 /// What an engine will do for one attempt.
@@ -85,8 +95,7 @@
 
         let messages = || request.messages.iter();
         let texts = messages().map(ChatMessage::text);
-        let answers = messages().filter(|message| message.role == ASSISTANT);
-        let prior_calls = answers.filter_map(|message| answered_call(message.text()));
+        let prior_calls = messages().filter_map(ChatMessage::answered_call);
         let attempt = key.as_ref().map_or(1, |key| key.attempt);
         Ok(Self {
             sequence,
--- a/crates/stand-ins/tests/engine.rs
+++ b/crates/stand-ins/tests/engine.rs
@@ -279,6 +279,21 @@
     assert_eq!(executed[2]["cost"], prompt + completion);
 }
 
+#[test]
+fn history_names_the_tools_whose_answers_were_in_the_prompt() {
+    let fixture = Fixture::start(|_| {});
+    let result = json!({"result": {"call": "tool-1", "value": "x"}, "cost": 2}).to_string();
+    let messages = json!([
+        {"role": "user", "content": "look it up"},
+        {"role": "tool", "tool_call_id": "tool-1", "content": result},
+        {"role": "user", "content": result},
+    ]);
+    let body = json!({"model": "any", "messages": messages, "max_tokens": 4});
+    fixture.chat(&run(1), "a-1", &body);
+    let executed = history(&fixture.history, "backend_executed");
+    assert_eq!(executed[0]["prior_calls"], json!(["tool-1"]));
+}
+
 #[test]
 fn lower_fencing_tokens_are_refused() {
     let fixture = Fixture::start(|_| {});
--- a/crates/testbed/src/chaos/call.rs
+++ b/crates/testbed/src/chaos/call.rs
@@ -20,6 +20,7 @@
 
 use super::recorder::Recorder;
 use super::sending::{AnswerForm, Request, SendFailure, Sender};
+use super::tally::Tally;
 use super::workload::UsedService;
 
 /// How long a client tries to learn the end of a call.
@@ -178,6 +179,7 @@
     sender: &Sender,
     recorder: &Recorder,
     nodes: &[SocketAddr],
+    tally: &Tally,
     random: &mut ChaCha8Rng,
     waiting: Waiting,
 ) -> CallEnd {
@@ -186,7 +188,11 @@
     loop {
         recorder.write(call.invoked());
         let timeout = waiting.draw(random);
-        let pause = match sender.call(nodes[node], &call.request, timeout) {
+        let sent = sender.call(nodes[node], &call.request, timeout);
+        if let Err(failure) = &sent {
+            tally.add("call", failure);
+        }
+        let pause = match sent {
             Ok(content) => {
                 recorder.write(call.answered(Outcome::Ok, Some(digest(&content)), None));
                 return CallEnd::Answered;
--- a/crates/testbed/src/chaos/client.rs
+++ b/crates/testbed/src/chaos/client.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -20,6 +21,7 @@
 use super::error::ChaosError;
 use super::recorder::Recorder;
 use super::sending::{AnswerForm, Request, SendFailure, Sender};
+use super::tally::Tally;
 use super::workload::{RunnableProgram, Workload};
 
 /// How long a client tries to open, read or close a run.
@@ -56,6 +58,7 @@
 #[derive(Debug)]
 pub struct Client {
     plan: ClientPlan,
+    tally: Arc<Tally>,
     random: ChaCha8Rng,
     sender: Sender,
     recorder: Recorder,
@@ -80,8 +83,9 @@
 
 impl Client {
     /// A client that records in `folder`.
-    pub fn new(plan: ClientPlan, folder: &Path) -> Result<Self, ChaosError> {
+    pub fn new(plan: ClientPlan, folder: &Path, tally: Arc<Tally>) -> Result<Self, ChaosError> {
         Ok(Self {
+            tally,
             random: ChaCha8Rng::seed_from_u64(plan.seed),
             sender: Sender::new(&plan.token),
             recorder: Recorder::open(folder, &plan.name)?,
@@ -166,6 +170,7 @@
             &self.sender,
             &self.recorder,
             &self.plan.nodes,
+            &self.tally,
             &mut self.random,
             self.plan.waiting,
         )
@@ -175,10 +180,12 @@
     fn send_twice(&mut self, call: &Call) -> CallEnd {
         let mut random = ChaCha8Rng::seed_from_u64(self.random.random());
         let (duplicate, sender, plan) = (&self.duplicate, &self.sender, &self.plan);
+        let tally = &self.tally;
         let (first, second) = thread::scope(|scope| {
             let second = scope.spawn(move || {
                 let nodes = &plan.nodes;
-                carry_out(call, sender, duplicate, nodes, &mut random, plan.waiting)
+                let waiting = plan.waiting;
+                carry_out(call, sender, duplicate, nodes, tally, &mut random, waiting)
             });
             let (recorder, nodes) = (&self.recorder, &plan.nodes);
             let first = carry_out(
@@ -186,6 +193,7 @@
                 sender,
                 recorder,
                 nodes,
+                tally,
                 &mut self.random,
                 plan.waiting,
             );
@@ -206,7 +214,13 @@
             parent,
         };
         let body = serde_json::to_vec(&body).expect("requests have text keys only");
-        let opened: OpenRunResponse = self.request(CallerRoute::OpenRun, Some(body)).ok()?;
+        let kind = match parent {
+            None => "open",
+            Some(_) => "open child",
+        };
+        let opened: OpenRunResponse = self
+            .request(kind, CallerRoute::OpenRun, Some(body))
+            .ok()?;
         self.recorder.write(Event::RunOpened {
             run: opened.run,
             partner: self.plan.workload.partner.clone(),
@@ -231,8 +245,9 @@
             invoked_at_us = self.recorder.now_us();
             answer = self.sender.json(node, &request, TIMEOUT);
         }
-        let Ok(history) = answer else {
-            return;
+        let history = match answer {
+            Ok(history) => history,
+            Err(failure) => return self.tally.add("history", &failure),
         };
         let finished = history.calls.into_iter();
         let (calls, answer_digests) = finished
@@ -248,7 +263,8 @@
     }
 
     fn close(&mut self, run: RunId) {
-        let closed = self.request::<CloseRunResponse>(CallerRoute::CloseRun(run), Some(Vec::new()));
+        let route = CallerRoute::CloseRun(run);
+        let closed = self.request::<CloseRunResponse>("close", route, Some(Vec::new()));
         if closed.is_ok() {
             self.recorder.write(Event::RunClosed {
                 run,
@@ -264,6 +280,7 @@
 
     fn request<Answer: DeserializeOwned>(
         &mut self,
+        name: &'static str,
         route: CallerRoute,
         body: Option<Vec<u8>>,
     ) -> Result<Answer, SendFailure> {
@@ -275,6 +292,7 @@
                 Ok(answer) => return Ok(answer),
                 Err(failure) => failure,
             };
+            self.tally.add(name, &failure);
             let pause = match &failure {
                 SendFailure::Refused(error) => match error.retry_after_ms {
                     Some(pause) => Duration::from_millis(pause).min(LONGEST_PAUSE),
--- a/crates/testbed/src/chaos/driver.rs
+++ b/crates/testbed/src/chaos/driver.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -21,6 +21,7 @@
 use super::schedule::{FaultKind, NodeSite, Schedule};
 use super::status;
 use super::successors::Successors;
+use super::tally::Tally;
 use super::workload::Workload;
 use crate::cluster::{
     Binaries, Cluster, ClusterError, ClusterOptions, NodePlan, Preset, RelayUse, exit_on_signal,
@@ -82,9 +83,11 @@
     let cluster = Mutex::new(cluster);
     let race = AtomicBool::new(false);
     let injector = Injector::new(&cluster, &recorder, &race, links, token, successors);
+    let tally = Arc::clone(&cast.tally);
     let result = cast.play(&recorder, &nodes, &race, || {
         inject(arguments, &nodes, &injector)
     });
+    println!("requests without an answer, by cause:\n{tally}");
     let stalls = injector.stalls();
     drop(injector);
     result?;
@@ -136,6 +139,7 @@
     operators: Vec<Operator>,
     watchers: Vec<Recorder>,
     token: String,
+    tally: Arc<Tally>,
 }
 
 impl Cast {
@@ -149,6 +153,7 @@
             operators: Vec::new(),
             watchers: Vec::new(),
             token: String::new(),
+            tally: Arc::default(),
         };
         let partners: Vec<String> = cluster.tokens().iter().map(|t| t.partner.clone()).collect();
         for partner in &partners {
@@ -182,7 +187,7 @@
                 workload: workload.clone(),
                 waiting: waiting(arguments),
             };
-            self.clients.push(Client::new(plan, folder)?);
+            self.clients.push(Client::new(plan, folder, Arc::clone(&self.tally))?);
         }
         let mut ordered = partners.to_vec();
         ordered.sort_by_key(|name| name != partner);
--- a/crates/testbed/src/chaos/mod.rs
+++ b/crates/testbed/src/chaos/mod.rs
@@ -15,6 +15,7 @@
 mod sending;
 mod status;
 mod successors;
+mod tally;
 mod workload;
 
 pub use arguments::{ChaosArguments, FaultList, UnknownFault};
