--- a/Makefile
+++ b/Makefile
@@ -14,3 +14,8 @@
 
 bench-scheduling:
 	cargo run --release --locked -p ridgeworks-scheduling --example decision_cost
+
+experiment:
+	cargo run --release --locked -p ridgeworks-experiment --example experiment -- \
+		--preset kalahari,serra-branca,burst,scale --policy all --seeds 5 --threads 4 \
+		--output target/experiment
--- a/crates/experiment/src/agenda.rs
+++ b/crates/experiment/src/agenda.rs
@@ -89,7 +89,7 @@
     }
 
     /// Takes the next happening with its time in microseconds.
-    pub fn next(&mut self) -> Option<(u64, Happening)> {
+    pub fn take_next(&mut self) -> Option<(u64, Happening)> {
         let Reverse((at, number)) = self.order.pop()?;
         let happening = self.entries.remove(&number)?;
         Some((at, happening))
--- a/crates/scheduling/src/intake.rs
+++ b/crates/scheduling/src/intake.rs
@@ -89,24 +89,31 @@
     }
 
     fn position(&self, now: MonotonicTime, call: &QueuedCall) -> i64 {
-        let arrival = now.micros as i64 - call.waited.as_micros() as i64;
         let policy = &self.settings.policy;
+        let arrival = now.micros as i64 - call.waited.as_micros() as i64;
         let rank = if policy.urgent_first {
             i64::from(call.priority.rank) * RANK_MICROS
         } else {
             0
         };
-        match policy.order {
+        let due = match policy.order {
+            QueueOrder::ShortestCall => return call.most_tokens() as i64,
             QueueOrder::FirstComeFirstServed => arrival - rank,
-            QueueOrder::ShortestCall => (call.prompt_tokens + call.max_output_tokens) as i64,
-            QueueOrder::LeastAttainedService if call.priority.urgent => arrival - rank,
-            QueueOrder::LeastAttainedService => {
-                let most = self.settings.max_ageing_penalty.as_micros() as u64;
-                let per_token = self.settings.ageing_micros_per_token;
-                let penalty = call.attained_service.0.saturating_mul(per_token).min(most);
-                arrival + penalty as i64 - rank
-            }
+            QueueOrder::LeastAttainedService => arrival + self.penalty_micros(call) - rank,
+        };
+        let lead = self.settings.deadline_lead.as_micros() as i64;
+        let deadline = call.deadline.filter(|_| policy.deadline_order);
+        deadline.map_or(due, |deadline| due.min(deadline.micros as i64 - lead))
+    }
+
+    fn penalty_micros(&self, call: &QueuedCall) -> i64 {
+        if call.priority.urgent {
+            return 0;
         }
+        let most = self.settings.max_ageing_penalty.as_micros() as u64;
+        let per_token = self.settings.ageing_micros_per_token;
+        let penalty = call.attained_service.0.saturating_mul(per_token);
+        penalty.min(most) as i64
     }
 
     fn admission_view(&self, waiting: &WaitingCall) -> AdmissionView {
--- a/crates/scheduling/src/placement.rs
+++ b/crates/scheduling/src/placement.rs
@@ -12,6 +12,9 @@
 
 /// Slow-down of generation when all slots of an engine are taken, as part of the mean time.
 const LOAD_SLOPE: f64 = 0.6;
+/// Extra cost of a prefill into a full batch, as part of the prefill: all the calls of the batch wait
+/// while it runs.
+const BATCH_SLOPE: f64 = 5.0;
 /// Extra cost of a prefill into a full cache, as part of the prefill.
 const PRESSURE_SLOPE: f64 = 0.5;
 const NEUTRAL_WEIGHT: f64 = 50.0;
@@ -209,8 +212,9 @@
         let prefill = self.estimate.prefill_micros(missing);
         let resident = self.prefixes.resident_tokens(index) as f64;
         let pressure = (resident / state.cache_capacity.max(1) as f64).min(1.0);
-        let rebuild = prefill * (1.0 + PRESSURE_SLOPE * pressure) * self.rebuild_factor();
         let busy = f64::from(state.in_flight) / f64::from(state.backend.slots.max(1));
+        let harm = PRESSURE_SLOPE * pressure + BATCH_SLOPE * busy;
+        let rebuild = prefill * (1.0 + harm) * self.rebuild_factor();
         let generation = self.estimate.generation_micros(call.max_output_tokens);
         let base = generation.max(self.tool_micros(call));
         rebuild + base * LOAD_SLOPE * busy * self.wait_factor()
--- a/crates/scheduling/src/settings.rs
+++ b/crates/scheduling/src/settings.rs
@@ -58,6 +58,8 @@
     pub shares: bool,
     /// Whether contexts are retained through pauses and released at the end of the run.
     pub retention: bool,
+    /// Whether calls with deadlines go before others of their partner, the earliest first.
+    pub deadline_order: bool,
     /// Whether calls that cannot meet their deadline are refused.
     pub deadline_refusal: bool,
     /// Whether runs whose context is not cached wait until it fits beside those in use.
@@ -73,6 +75,7 @@
             preemption: true,
             shares: true,
             retention: true,
+            deadline_order: true,
             deadline_refusal: true,
             working_set: true,
         }
@@ -88,6 +91,7 @@
             preemption: false,
             shares: false,
             retention: false,
+            deadline_order: false,
             deadline_refusal: false,
             working_set: false,
         }
@@ -151,6 +155,9 @@
     pub ageing_micros_per_token: u64,
     /// The most that attained service makes a call wait behind younger ones.
     pub max_ageing_penalty: Duration,
+    /// A call is due at the latest this long before its deadline, however much its run has used;
+    /// calls with deadlines so go before most others, the earliest deadline first.
+    pub deadline_lead: Duration,
     /// Failures in a row after which a back end is ejected.
     pub ejection_failures: u32,
     /// First time of an ejection; doubles with each further one.
@@ -189,6 +196,7 @@
             attempt_timeout: Duration::from_secs(600),
             ageing_micros_per_token: 5_000,
             max_ageing_penalty: Duration::from_secs(300),
+            deadline_lead: Duration::from_secs(200),
             ejection_failures: 3,
             ejection_base: Duration::from_secs(1),
             ejection_max: Duration::from_secs(60),
--- a/crates/scheduling/tests/back_ends.rs
+++ b/crates/scheduling/tests/back_ends.rs
@@ -177,6 +177,24 @@
     assert_eq!(effects, [release]);
 }
 
+#[test]
+fn a_context_that_does_not_fit_beside_those_in_use_waits_and_a_small_one_goes_past() {
+    let mut settings = settings();
+    settings.default_cache_tokens = 10_000;
+    let mut dispatcher = group(settings, 1);
+    let of_size = |number, tokens| QueuedCall {
+        prompt_tokens: tokens,
+        ..call(number)
+    };
+    let calls = [(1, 3_000), (2, 3_000), (3, 3_000), (4, 500)];
+    let calls = calls.map(|(number, tokens)| of_size(number, tokens));
+    let granted = enqueue_all(&mut dispatcher, START, calls);
+    let numbers: Vec<u64> = granted.iter().map(|(number, _)| *number).collect();
+    assert_eq!(numbers, [1, 2, 4]);
+    let effects = complete(&mut dispatcher, millis(1), 1);
+    assert_eq!(grants(&effects)[0].0, 3);
+}
+
 #[test]
 fn contexts_of_pauses_without_return_are_no_longer_retained() {
     let mut dispatcher = group(settings(), 3);
