--- a/crates/scheduling/src/grants.rs
+++ b/crates/scheduling/src/grants.rs
@@ -1,6 +1,6 @@
 //! Grants that have not ended.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use ridgeworks_domain::{MonotonicTime, NodeId, RunId};
@@ -40,7 +40,7 @@
 /// All slots that are taken.
 #[derive(Debug, Default)]
 pub struct GrantTable {
-    grants: BTreeMap<Ticket, Grant>,
+    grants: HashMap<Ticket, Grant>,
     by_lapse: BTreeSet<(MonotonicTime, Ticket)>,
     preemptible: BTreeSet<(MonotonicTime, Ticket)>,
     preempting: usize,
@@ -155,6 +155,8 @@
 
     fn tickets_where(&self, wanted: impl Fn(&Grant) -> bool) -> Vec<Ticket> {
         let matching = self.grants.iter().filter(|(_, grant)| wanted(grant));
-        matching.map(|(ticket, _)| *ticket).collect()
+        let mut tickets: Vec<Ticket> = matching.map(|(ticket, _)| *ticket).collect();
+        tickets.sort_unstable();
+        tickets
     }
 }
--- a/crates/scheduling/src/queue.rs
+++ b/crates/scheduling/src/queue.rs
@@ -3,7 +3,7 @@
 //! Within a lane calls are sorted by a fixed key, the time from which on a call is due. Ageing needs
 //! no re-sorting: all calls age alike, so attained service is added to the time of arrival once.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use ridgeworks_domain::{MonotonicTime, NodeId};
 
@@ -144,7 +144,7 @@
 /// All waiting calls.
 #[derive(Debug, Default)]
 pub struct CallQueue {
-    calls: BTreeMap<Ticket, WaitingCall>,
+    calls: HashMap<Ticket, WaitingCall>,
     lanes: BTreeMap<Lane, LaneQueue>,
     by_latest_start: BTreeSet<(MonotonicTime, Ticket)>,
 }
@@ -223,9 +223,11 @@
         waiting.home = home;
     }
 
-    /// All waiting tickets.
+    /// All waiting tickets, in their order.
     pub fn tickets(&self) -> Vec<Ticket> {
-        self.calls.keys().copied().collect()
+        let mut tickets: Vec<Ticket> = self.calls.keys().copied().collect();
+        tickets.sort_unstable();
+        tickets
     }
 
     /// Tickets that wait for a back end.
@@ -237,13 +239,9 @@
 
     /// Tickets of an owner.
     pub fn of_owner(&self, owner: NodeId) -> Vec<Ticket> {
-        let first = Ticket { owner, number: 0 };
-        let last = Ticket {
-            owner,
-            number: u64::MAX,
-        };
-        let range = self.calls.range(first..=last);
-        range.map(|(ticket, _)| *ticket).collect()
+        let mut tickets = self.tickets();
+        tickets.retain(|ticket| ticket.owner == owner);
+        tickets
     }
 
     /// A call whose deadline can no longer be met.
--- a/crates/scheduling/src/settings.rs
+++ b/crates/scheduling/src/settings.rs
@@ -195,7 +195,7 @@
             grant_timeout: Duration::from_secs(2),
             attempt_timeout: Duration::from_secs(600),
             ageing_micros_per_token: 5_000,
-            max_ageing_penalty: Duration::from_secs(300),
+            max_ageing_penalty: Duration::from_secs(60),
             deadline_lead: Duration::from_secs(200),
             ejection_failures: 3,
             ejection_base: Duration::from_secs(1),
