--- a/crates/scheduling/src/dispatcher.rs
+++ b/crates/scheduling/src/dispatcher.rs
@@ -68,6 +68,7 @@
                 let timeout = self.settings.attempt_timeout;
                 self.grants.start(ticket, now, timeout);
             }
+            Event::AttemptRunning { call, backend } => self.adopt(now, call, &backend),
             Event::AttemptEnded(end) => self.attempt_ended(now, end),
             Event::OwnerLost(owner) => self.owner_lost(now, owner),
             Event::BackendUp(backend) => self.backend_up(now, backend),
--- a/crates/scheduling/src/event.rs
+++ b/crates/scheduling/src/event.rs
@@ -181,6 +181,14 @@
     Cancel(Ticket),
     /// The owner's dispatch entry is durable and the back end is being called.
     AttemptStarted(Ticket),
+    /// An attempt that another dispatcher granted runs at a back end, as its owner tells a
+    /// dispatcher that took the group over.
+    AttemptRunning {
+        /// The call.
+        call: QueuedCall,
+        /// Where it runs.
+        backend: BackendName,
+    },
     /// The attempt is over; the slot is free.
     AttemptEnded(AttemptEnd),
     /// A node is gone; its tickets and grants are dropped.
--- a/crates/scheduling/src/granting.rs
+++ b/crates/scheduling/src/granting.rs
@@ -5,10 +5,10 @@
 use crate::backends::{BackendIndex, BackendState};
 use crate::dispatcher::Dispatcher;
 use crate::effect::Effect;
-use crate::event::Ticket;
+use crate::event::{QueuedCall, Ticket};
 use crate::grants::{Grant, GrantState};
 use crate::placement::{Choice, PrefixPlaces};
-use crate::queue::{Lane, LaneQueue, OrderKey};
+use crate::queue::{Lane, LaneQueue, OrderKey, WaitingCall};
 use crate::settings::PlacementRule;
 
 /// Calls of a lane that are looked at for one free slot, beyond the first of each kind.
@@ -182,31 +182,53 @@
         let Some(waiting) = self.queue.remove(ticket) else {
             return;
         };
-        let places = PrefixPlaces::of(&waiting.call, &self.prefixes);
-        let reserved_tokens = waiting.call.most_tokens() - places.shared_at(index);
-        if let Some(state) = self.backends.get_mut(index) {
-            state.in_flight += 1;
-            state.reserved_tokens += reserved_tokens;
-        }
-        self.shares.take(waiting.partner);
         let run = waiting.call.run;
-        self.retention.drop_lease(run);
         let lapses_at = match &self.settings.context_move {
             Some(settings) => now + settings.timeout,
             None => now,
         };
+        self.take_slot(waiting, index, GrantState::Moving, lapses_at);
+        match move_from {
+            Some(from) => self.move_context(run, from, index),
+            None => self.offer(now, ticket),
+        }
+    }
+
+    fn take_slot(
+        &mut self,
+        waiting: WaitingCall,
+        index: BackendIndex,
+        state: GrantState,
+        lapses_at: MonotonicTime,
+    ) {
+        let places = PrefixPlaces::of(&waiting.call, &self.prefixes);
+        let reserved_tokens = waiting.call.most_tokens() - places.shared_at(index);
+        if let Some(backend) = self.backends.get_mut(index) {
+            backend.in_flight += 1;
+            backend.reserved_tokens += reserved_tokens;
+        }
+        self.shares.take(waiting.partner);
+        self.retention.drop_lease(waiting.call.run);
         self.grants.insert(Grant {
             waiting,
             backend: index,
             reserved_tokens,
-            state: GrantState::Moving,
+            state,
             preempting: false,
             lapses_at,
         });
-        match move_from {
-            Some(from) => self.move_context(run, from, index),
-            None => self.offer(now, ticket),
-        }
+    }
+
+    /// Counts the slot of an attempt that another dispatcher granted.
+    pub(crate) fn adopt(&mut self, now: MonotonicTime, call: QueuedCall, backend: &BackendName) {
+        let known = self.grants.get(call.ticket).is_some();
+        let Some(index) = self.backends.index(backend).filter(|_| !known) else {
+            return;
+        };
+        self.queue.remove(call.ticket);
+        let waiting = self.prepare(now, call);
+        let lapses_at = now + self.settings.attempt_timeout;
+        self.take_slot(waiting, index, GrantState::Running(now), lapses_at);
     }
 
     /// Tells the owner of a slot that was kept for it.
--- a/crates/scheduling/src/intake.rs
+++ b/crates/scheduling/src/intake.rs
@@ -50,7 +50,8 @@
         }
     }
 
-    fn prepare(&mut self, now: MonotonicTime, call: QueuedCall) -> WaitingCall {
+    /// The call as it waits, with its place in the order.
+    pub(crate) fn prepare(&mut self, now: MonotonicTime, call: QueuedCall) -> WaitingCall {
         let owner = self.shares.index(&call.partner);
         let policy = &self.settings.policy;
         let lane = if policy.urgent_first && call.priority.urgent {
--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod grants;
 mod intake;
 pub mod load_estimate;
+pub mod model_orders;
 pub mod pause_lengths;
 pub mod placement;
 pub mod prefix_map;
--- a/crates/scheduling/tests/back_ends.rs
+++ b/crates/scheduling/tests/back_ends.rs
@@ -83,6 +83,20 @@
     assert_eq!(grants(&effects)[0].0, 4);
 }
 
+#[test]
+fn a_dispatcher_that_takes_over_counts_attempts_that_run() {
+    let mut dispatcher = group(settings(), 1);
+    for number in 1..=3 {
+        let backend = backend_name(0);
+        let call = call(number);
+        dispatcher.handle(START, Event::AttemptRunning { call, backend });
+    }
+    let granted = enqueue_all(&mut dispatcher, START, [call(4)]);
+    assert!(granted.is_empty(), "{granted:?}");
+    let effects = complete(&mut dispatcher, millis(1), 2);
+    assert_eq!(grants(&effects)[0].0, 4);
+}
+
 #[test]
 fn a_lost_owner_leaves_no_ticket_and_no_grant() {
     let mut dispatcher = group(settings(), 1);
