--- a/crates/experiment/src/lib.rs
+++ b/crates/experiment/src/lib.rs
@@ -31,6 +31,8 @@
 use summary::{Cell, Summary};
 use workload::Workload;
 
+const NEUTRAL_WEIGHT: u8 = 50;
+
 /// Options of the experiment command.
 #[derive(Debug, Clone, clap::Args)]
 pub struct Args {
@@ -110,8 +112,14 @@
     offered_load: f64,
     seed: u64,
 ) -> Result<Figures, ExperimentError> {
+    let mut partners = naming::partner_settings(workload)?;
+    if policy == policies::WITHOUT_WEIGHTS {
+        for partner in &mut partners {
+            partner.latency_weight = NEUTRAL_WEIGHT;
+        }
+    }
     let settings = DispatcherSettings {
-        partners: naming::partner_settings(workload)?,
+        partners,
         default_cache_tokens: workload.engines.cache_tokens,
         seed,
         ..policies::settings(policy)?
--- a/crates/experiment/src/policies.rs
+++ b/crates/experiment/src/policies.rs
@@ -16,8 +16,10 @@
 pub const PREFIX_STICKY: &str = "prefix-sticky";
 /// The baselines whose best latency is the measure.
 pub const BASELINES: [&str; 3] = ["round-robin", "least-loaded", PREFIX_STICKY];
+/// The whole with neutral weights for all partners.
+pub const WITHOUT_WEIGHTS: &str = "without-weights";
 /// All policies, in the order of the tables.
-pub const ALL: [&str; 17] = [
+pub const ALL: [&str; 18] = [
     WHOLE,
     "round-robin",
     "least-loaded",
@@ -29,6 +31,7 @@
     "without-shares",
     "without-urgency",
     "without-preemption",
+    WITHOUT_WEIGHTS,
     "without-deadline-order",
     "without-deadline-refusal",
     "without-working-set",
@@ -77,6 +80,7 @@
             preemption: false,
             ..whole
         },
+        WITHOUT_WEIGHTS => whole,
         "without-deadline-order" => Policy {
             deadline_order: false,
             ..whole
--- a/crates/scheduling/src/dispatcher.rs
+++ b/crates/scheduling/src/dispatcher.rs
@@ -268,27 +268,26 @@
             budget_tokens: state.cache_capacity * self.settings.retained_permille / 1000,
         };
         for change in self.retention.decide(candidate, now) {
-            self.apply_retention(change);
+            self.apply_retention(now, change);
         }
     }
 
     /// Passes a change of leases on.
-    pub(crate) fn apply_retention(&mut self, change: RetentionChange) {
-        match change {
+    pub(crate) fn apply_retention(&mut self, now: MonotonicTime, change: RetentionChange) {
+        let (run, index, until) = match change {
             RetentionChange::Keep {
                 run,
                 backend,
                 until,
-            } => {
-                if let Some(backend) = self.name_of(backend) {
-                    self.effects.push(Effect::Retain {
-                        run,
-                        backend,
-                        until,
-                    });
-                }
-            }
-            RetentionChange::Drop { run, backend } => self.release(run, backend),
+            } => (run, backend, until),
+            RetentionChange::End { run, backend } => (run, backend, now),
+        };
+        if let Some(backend) = self.name_of(index) {
+            self.effects.push(Effect::Retain {
+                run,
+                backend,
+                until,
+            });
         }
     }
 
--- a/crates/scheduling/src/effect.rs
+++ b/crates/scheduling/src/effect.rs
@@ -36,7 +36,8 @@
         /// Where it runs.
         backend: BackendName,
     },
-    /// The engine should keep the run's context, also against its own eviction order.
+    /// The engine should keep the run's context, also against its own eviction order. A lease that
+    /// ends at once leaves the context to that order again.
     Retain {
         /// The run.
         run: RunId,
--- a/crates/scheduling/src/granting.rs
+++ b/crates/scheduling/src/granting.rs
@@ -36,7 +36,7 @@
             return;
         }
         if let Some(change) = self.retention.prolong(waiting.call.run, now) {
-            self.apply_retention(change);
+            self.apply_retention(now, change);
         }
     }
 
--- a/crates/scheduling/src/intake.rs
+++ b/crates/scheduling/src/intake.rs
@@ -46,7 +46,7 @@
         let parent = call.inherited.map(|inherited| inherited.run);
         let change = parent.and_then(|parent| self.retention.prolong(parent, now));
         if let Some(change) = change {
-            self.apply_retention(change);
+            self.apply_retention(now, change);
         }
     }
 
--- a/crates/scheduling/src/retention.rs
+++ b/crates/scheduling/src/retention.rs
@@ -24,7 +24,7 @@
     pub backend: BackendIndex,
     /// Tokens held.
     pub tokens: u64,
-    /// Time to rebuild the context, in microseconds, weighted by its partner's settings.
+    /// Time to rebuild the context, in microseconds.
     pub rebuild_micros: f64,
     /// Most tokens that the engine may hold under leases.
     pub budget_tokens: u64,
@@ -42,8 +42,8 @@
         /// End of the lease.
         until: MonotonicTime,
     },
-    /// Drop a context in favour of a more valuable one.
-    Drop {
+    /// End a lease in favour of a more valuable one; the engine may evict the context.
+    End {
         /// The run.
         run: RunId,
         /// The engine.
@@ -227,7 +227,7 @@
         for run in displaced {
             let backend = lease.backend;
             self.drop_lease(run);
-            changes.push(RetentionChange::Drop { run, backend });
+            changes.push(RetentionChange::End { run, backend });
         }
         self.store(candidate.run, lease);
         changes.push(RetentionChange::Keep {
