--- a/Makefile
+++ b/Makefile
@@ -45,3 +45,9 @@
 
 compare-detectors:
 	cargo run --release --locked -p ridgeworks-membership --example compare
+
+experiment:
+	cargo run --release --locked -p ridgeworks-experiment --example experiment -- \
+		--preset kalahari,serra-branca,burst --policy all --seeds 5 --output target/experiment
+	cargo run --release --locked -p ridgeworks-experiment --example experiment -- \
+		--preset scale --seeds 3 --output target/experiment/scale
