--- a/crates/node/src/assembly.rs
+++ b/crates/node/src/assembly.rs
@@ -32,7 +32,7 @@
 use crate::operator::{DeskActors, OperatorDesk};
 use crate::outbound::BackendClient;
 use crate::owner::{OwnerOutputs, OwnerRole};
-use crate::replica::{NodeStore, ReplicaRole};
+use crate::replica::{NodeStore, ReplicaParts, ReplicaRole};
 use crate::router::{Incoming, Outgoing, Roles, Router};
 use crate::settings::Settings;
 use crate::thread_message::ThreadMessage;
@@ -277,18 +277,18 @@
         outgoing: &Fwd<Outgoing>,
     ) -> Option<ActorOwn<ReplicaRole>> {
         let parts = self.store.as_ref()?;
+        let replica_parts = ReplicaParts {
+            node: self.node,
+            store: parts.store.clone(),
+            restored: parts.restored.clone(),
+            outgoing: outgoing.clone(),
+            metrics: self.metrics.clone(),
+            directory: self.directory.clone(),
+            sweep_settings: settings.sweep.clone(),
+        };
         Some(actor!(
             stakker,
-            ReplicaRole::init(
-                self.node,
-                self.clock,
-                parts.store.clone(),
-                parts.restored.clone(),
-                outgoing.clone(),
-                self.metrics.clone(),
-                self.directory.clone(),
-                settings.sweep.clone()
-            ),
+            ReplicaRole::init(replica_parts),
             ret_shutdown!(stakker)
         ))
     }
--- a/crates/node/src/replica/mod.rs
+++ b/crates/node/src/replica/mod.rs
@@ -6,5 +6,5 @@
 mod store;
 mod sweep;
 
-pub use role::ReplicaRole;
+pub use role::{ReplicaParts, ReplicaRole};
 pub use store::{NodeStore, OpenStoreError, WriteOwner};
--- a/crates/node/src/replica/role.rs
+++ b/crates/node/src/replica/role.rs
@@ -32,6 +32,24 @@
     replies: Vec<(NodeId, Reply)>,
 }
 
+/// What the replica role is made of.
+pub struct ReplicaParts {
+    /// This node.
+    pub node: NodeId,
+    /// The node's store.
+    pub store: NodeStore,
+    /// What the store held at the start.
+    pub restored: RestoredStore,
+    /// Messages to other nodes.
+    pub outgoing: Fwd<Outgoing>,
+    /// Counters of the node.
+    pub metrics: Arc<Metrics>,
+    /// Members and configuration.
+    pub directory: Directory,
+    /// Rates and times of the sweeps.
+    pub sweep_settings: SweepSettings,
+}
+
 /// The replica role of a node with a disk.
 pub struct ReplicaRole {
     pub(super) clock: Clock,
@@ -50,27 +68,18 @@
 
 impl ReplicaRole {
     /// Starts the role on what the store held.
-    pub fn init(
-        cx: CX![],
-        node: NodeId,
-        clock: Clock,
-        store: NodeStore,
-        restored: RestoredStore,
-        outgoing: Fwd<Outgoing>,
-        metrics: Arc<Metrics>,
-        directory: Directory,
-        sweep_settings: SweepSettings,
-    ) -> Option<Self> {
+    pub fn init(cx: CX![], parts: ReplicaParts) -> Option<Self> {
+        let clock = parts.directory.clock();
         let mut role = Self {
             clock,
-            store,
-            replica: Replica::restore(node, restored, clock.now()),
+            store: parts.store,
+            replica: Replica::restore(parts.node, parts.restored, clock.now()),
             pending: VecDeque::new(),
-            outgoing,
-            metrics,
+            outgoing: parts.outgoing,
+            metrics: parts.metrics,
             sweep_timer: MaxTimerKey::default(),
-            directory,
-            sweep_settings,
+            directory: parts.directory,
+            sweep_settings: parts.sweep_settings,
             adoptions: AdoptionSweep::default(),
             next_read: None,
         };
--- a/crates/testbed/tests/client.rs
+++ b/crates/testbed/tests/client.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use ridgeworks_api::caller_error::{CallerRefusal, ErrorCode};
@@ -10,6 +10,7 @@
 use ridgeworks_testbed::client::{
     CallFailure, CallerClient, ChatCall, ClientSettings, TransportFailure,
 };
+use socket2::{Domain, Socket, Type};
 use support::{Answer, StubNode, ok, stream};
 
 const OPENED: &str = r#"{"run":"0000000000000000000000000000002a","budget":100}"#;
@@ -37,9 +38,14 @@
     }
 }
 
-fn unused_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
+/// An address where nobody listens, and nobody can as long as the socket is held: a port given back
+/// would be taken by the stub of another test.
+fn unused_address() -> (Socket, SocketAddr) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    socket.bind(&any.into()).expect("a free port");
+    let address = socket.local_addr().expect("an address");
+    (socket, address.as_socket().expect("an internet address"))
 }
 
 #[test]
@@ -121,7 +127,8 @@
 
 #[test]
 fn a_request_that_reached_no_node_did_not_run() {
-    let mut settings = ClientSettings::new(vec![unused_address()], "token");
+    let (_held, address) = unused_address();
+    let mut settings = ClientSettings::new(vec![address], "token");
     settings.patience = Duration::from_millis(50);
     settings.round_pause = Duration::from_millis(1);
     match CallerClient::new(settings).open_run(&program()) {
