--- a/crates/node/src/owner/quorum.rs
+++ b/crates/node/src/owner/quorum.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use ridgeworks_domain::run_id::REPLICAS_PER_RUN;
 use ridgeworks_domain::{NodeId, Refusal, RefusalReason, RunId};
 
 use super::owned_run::{OwnedRun, PendingCommand};
@@ -12,6 +13,9 @@
 /// Longest time that a request waits for a run to be taken over. The gateway has repeated it by then,
 /// so that it tells its caller that the end is not known.
 const LONGEST_PENDING: Duration = Duration::from_secs(3);
+/// The same where most of the run's first replicas are gone: long enough for one of them to tell who
+/// took their place, and over before the gateway repeats the request.
+const LONGEST_PENDING_WITHOUT_MAJORITY: Duration = Duration::from_millis(300);
 
 impl OwnerRole {
     /// Whether a command that has just come cannot be carried out, as far as this node knows who is
@@ -37,19 +41,20 @@
                 !self.directory.is_majority_present(nodes)
             }
             // Its replicas may have been replaced; one that was there from the start knows by whom.
-            (_, None) => !self.is_any_first_replica_present(run),
+            (_, None) => self.first_replicas_present(run) == 0,
         }
     }
 
     /// Refuses what waited too long for the run to be taken over.
     pub(super) fn check_pending(&mut self, now: Instant, run: RunId) {
+        let longest = self.longest_pending(run);
         let Some(owned) = self.runs.get_mut(&run) else {
             return;
         };
         let is_over = |pending: &mut PendingCommand| {
             let waited = now.saturating_duration_since(pending.since);
             let is_repeated = matches!(pending.command, OwnerCommand::SettleChild { .. });
-            waited >= LONGEST_PENDING && !is_repeated
+            waited >= longest && !is_repeated
         };
         let over: Vec<PendingCommand> = owned.pending.extract_if(.., is_over).collect();
         for pending in over {
@@ -57,11 +62,20 @@
         }
     }
 
-    fn is_any_first_replica_present(&self, run: RunId) -> bool {
+    fn longest_pending(&self, run: RunId) -> Duration {
+        if self.first_replicas_present(run) * 2 > REPLICAS_PER_RUN {
+            LONGEST_PENDING
+        } else {
+            LONGEST_PENDING_WITHOUT_MAJORITY
+        }
+    }
+
+    fn first_replicas_present(&self, run: RunId) -> usize {
         let nodes: Vec<NodeId> = self.directory.replicas_of(run);
-        nodes
-            .into_iter()
-            .any(|node| self.directory.is_present(node))
+        let present = nodes
+            .iter()
+            .filter(|node| self.directory.is_present(**node));
+        present.count()
     }
 }
 
