--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: test format lint build generate bench-scheduling experiment bench-storage check-generated demo bench
+.PHONY: test format lint build generate bench-scheduling experiment bench-storage check-generated demo bench compare-detectors
 
 # Two conversations on a small deployment; the last line is one JSON object.
 demo:
@@ -42,3 +42,12 @@
 # Fails when the committed code does not match the published schema.
 check-generated: generate
 	git diff --exit-code -- crates/api/src/generated
+
+compare-detectors:
+	cargo run --release --locked -p ridgeworks-membership --example compare
+
+experiment:
+	cargo run --release --locked -p ridgeworks-experiment --example experiment -- \
+		--preset kalahari,serra-branca,burst --policy all --seeds 5 --output target/experiment
+	cargo run --release --locked -p ridgeworks-experiment --example experiment -- \
+		--preset scale --seeds 3 --output target/experiment/scale
--- a/crates/http-edge/src/serving.rs
+++ b/crates/http-edge/src/serving.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex};
 use std::thread;
 
+use ridgeworks_worker_pool::WorkerPool;
 use tiny_http::{Request, Server};
 
 use crate::acceptor::SERVICE_STACK_BYTES;
@@ -23,6 +24,7 @@
     pub settings: EdgeSettings,
     pub handler: Arc<dyn Handler>,
     pub admission: Admission,
+    pub handlers: WorkerPool,
     pub counters: Arc<EdgeCounters>,
     pub stopping: AtomicBool,
     pub closed: AtomicBool,
@@ -53,8 +55,7 @@
         return refuse_on_thread(shared, request, RequestFault::Overloaded);
     }
     let place = RequestPlace(Arc::clone(shared));
-    let stack_bytes = shared.settings.handler_stack_bytes;
-    let started = spawn("edge-request", stack_bytes, move || serve(place, request));
+    let started = shared.handlers.run(move || serve(place, request));
     if started.is_err() {
         // The request was dropped with the closure, and a dropped request answers 500.
         increment(&shared.counters.unanswered);
--- a/crates/node/src/settings/check.rs
+++ b/crates/node/src/settings/check.rs
@@ -232,6 +232,8 @@
             TIMEOUT_MS,
         ),
         ("owner.stop_timeout_ms", owner.stop_timeout_ms, TIMEOUT_MS),
+        ("sweep.silent_ms", settings.sweep.silent_ms, TIMEOUT_MS),
+        ("sweep.dead_ms", settings.sweep.dead_ms, TIMEOUT_MS),
     ];
     for (key, value, range) in numbers {
         if !range.contains(&value) {
--- a/crates/node/src/settings/mod.rs
+++ b/crates/node/src/settings/mod.rs
@@ -7,7 +7,7 @@
 mod parse;
 
 pub use check::{Fault, FaultReason, check};
-pub use file::{BootstrapPartner, DialOverrideSettings, LogSettings, Settings};
+pub use file::{BootstrapPartner, DialOverrideSettings, LogSettings, Settings, SweepSettings};
 pub use flags::Flags;
 use parse::Parsed;
 
