--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -1,5 +1,6 @@
 //! The settings file: every fault at once, and flags that override keys.
 
+use std::collections::BTreeSet;
 use std::fs;
 use std::path::PathBuf;
 use std::process::{Command, Output};
@@ -227,3 +228,31 @@
         assert!(reference.contains(&format!("`{name}`")), "{name}");
     }
 }
+
+/// The deserializer names the fields that it knows when it meets another one.
+#[test]
+fn the_list_of_keys_is_the_one_of_the_deserializer() {
+    let tables = [
+        "",
+        "edge",
+        "store",
+        "owner",
+        "sweep",
+        "log",
+        "dial_overrides[]",
+        "bootstrap_partners[]",
+    ];
+    for table in tables {
+        let text = match table.strip_suffix("[]") {
+            Some(list) => format!("[[{list}]]\nzzz = 1"),
+            None if table.is_empty() => "zzz = 1".to_owned(),
+            None => format!("[{table}]\nzzz = 1"),
+        };
+        let error = toml::from_str::<Settings>(&text).expect_err("no such key");
+        let (_, known) = error.message().split_once("expected").expect("a list");
+        let known: BTreeSet<&str> = known.split('`').skip(1).step_by(2).collect();
+        let separator = if table.is_empty() { "" } else { "." };
+        let listed = keys::siblings(&format!("{table}{separator}zzz")).collect();
+        assert_eq!(known, listed, "{table}");
+    }
+}
