--- a/crates/node/src/replica/mod.rs
+++ b/crates/node/src/replica/mod.rs
@@ -8,3 +8,4 @@
 
 pub use role::ReplicaRole;
 pub use store::{NodeStore, OpenStoreError, WriteOwner};
+pub use sweep::RunSweeps;
--- a/crates/node/src/replica/role.rs
+++ b/crates/node/src/replica/role.rs
@@ -1,6 +1,7 @@
 //! Actor of the replica role.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 use std::time::Duration;
 
 use ridgeworks_domain::{NodeId, RunId, ServiceName};
@@ -10,14 +11,13 @@
 use ridgeworks_storage::StoreError;
 use stakker::{CX, Fwd, MaxTimerKey, fail, timer_max};
 
-use super::adoption_sweep::AdoptionSweep;
 use super::log_store::{StoredLog, operation};
 use super::store::{NodeStore, WriteOwner};
+use super::sweep::RunSweeps;
 use crate::clock::Clock;
-use crate::directory::Directory;
 use crate::message::NodeMessage;
+use crate::metrics::Metrics;
 use crate::router::{Incoming, Outgoing};
-use crate::settings::SweepSettings;
 
 /// Closed runs are forgotten two such times after their end.
 const RETENTION: Duration = Duration::from_secs(24 * 60 * 60);
@@ -37,12 +37,9 @@
     pub(super) replica: Replica,
     pending: VecDeque<PendingReplies>,
     pub(super) outgoing: Fwd<Outgoing>,
+    metrics: Arc<Metrics>,
     sweep_timer: MaxTimerKey,
-    pub(super) directory: Directory,
-    pub(super) sweep_settings: SweepSettings,
-    pub(super) adoptions: AdoptionSweep,
-    /// The run after which the next replica sets are read.
-    pub(super) next_read: Option<RunId>,
+    pub(super) sweeps: RunSweeps,
 }
 
 impl ReplicaRole {
@@ -50,24 +47,22 @@
     pub fn init(
         cx: CX![],
         node: NodeId,
-        clock: Clock,
         store: NodeStore,
         restored: RestoredStore,
         outgoing: Fwd<Outgoing>,
-        directory: Directory,
-        sweep_settings: SweepSettings,
+        metrics: Arc<Metrics>,
+        sweeps: RunSweeps,
     ) -> Option<Self> {
+        let clock = sweeps.clock();
         let mut role = Self {
             clock,
             store,
             replica: Replica::restore(node, restored, clock.now()),
             pending: VecDeque::new(),
             outgoing,
+            metrics,
             sweep_timer: MaxTimerKey::default(),
-            directory,
-            sweep_settings,
-            adoptions: AdoptionSweep::default(),
-            next_read: None,
+            sweeps,
         };
         role.schedule_sweep(cx);
         role.find_owners(cx);
@@ -128,12 +123,15 @@
 
     fn request(&mut self, from: NodeId, request: Request) {
         let now = self.clock.now();
+        self.metrics.replica_requests.inc();
         let stored = StoredLog(&self.store);
         let ready = self.replica.handle(from, request, now, &stored);
         self.carry_out(ready);
     }
 
     fn carry_out(&mut self, ready: ReplicaReady) {
+        let runs = i64::try_from(self.replica.run_count()).unwrap_or(i64::MAX);
+        self.metrics.replica_runs.set(runs);
         let ReplicaReady {
             writes,
             replies_after_flush,
@@ -147,6 +145,7 @@
             write: write_number,
             replies: replies_after_flush,
         });
+        self.metrics.replica_writes.inc();
         let operations = writes.into_iter().map(operation).collect();
         self.store
             .submit(operations, WriteOwner::Replica, write_number);
--- a/crates/node/src/replica/sweep.rs
+++ b/crates/node/src/replica/sweep.rs
@@ -7,17 +7,46 @@
 use ridgeworks_run_log::entry::ReplicaId;
 use stakker::{CX, after};
 
-use super::adoption_sweep::MAX_ADOPTIONS_PER_STEP;
+use super::adoption_sweep::{AdoptionSweep, MAX_ADOPTIONS_PER_STEP};
 use super::log_store::StoredLog;
 use super::role::ReplicaRole;
+use crate::clock::Clock;
+use crate::directory::Directory;
 use crate::message::NodeMessage;
 use crate::router::Outgoing;
+use crate::settings::SweepSettings;
 
 /// Time between two steps, in which both sweeps go on.
 const STEP_INTERVAL: Duration = Duration::from_secs(2);
 /// Runs whose replica set is read from the disk in one step.
 const RUNS_READ_PER_STEP: usize = 512;
 
+/// How far the sweeps have come.
+pub struct RunSweeps {
+    directory: Directory,
+    settings: SweepSettings,
+    adoptions: AdoptionSweep,
+    /// The run after which the next replica sets are read.
+    next_read: Option<RunId>,
+}
+
+impl RunSweeps {
+    /// Sweeps that begin with the first run.
+    pub fn new(directory: Directory, settings: SweepSettings) -> Self {
+        Self {
+            directory,
+            settings,
+            adoptions: AdoptionSweep::default(),
+            next_read: None,
+        }
+    }
+
+    /// The process's clock.
+    pub fn clock(&self) -> Clock {
+        self.directory.clock()
+    }
+}
+
 impl ReplicaRole {
     /// Takes a step of both sweeps.
     pub(super) fn find_owners(&mut self, cx: CX![]) {
@@ -29,16 +58,16 @@
     /// Runs with a call or an end under way whose owner has been silent.
     fn adopt_unsettled(&mut self) {
         let now = self.clock.now();
-        let silent_for = self.sweep_settings.silent_time();
+        let silent_for = self.sweeps.settings.silent_time();
         let unsettled: BTreeMap<RunId, Ballot> = self
             .replica
             .unsettled_runs(now, silent_for)
             .map(|(run, head)| (run, head.promised))
             .collect();
-        let due = self.adoptions.step(now, unsettled.keys().copied());
+        let due = self.sweeps.adoptions.step(now, unsettled.keys().copied());
         let owners = due.into_iter().filter_map(|run| {
             let last_owner = unsettled.get(&run)?.node;
-            let owner = self.directory.owner_or_candidate(run, last_owner)?;
+            let owner = self.sweeps.directory.owner_or_candidate(run, last_owner)?;
             Some((owner, run))
         });
         self.ask_owners(owners.collect());
@@ -47,13 +76,15 @@
     /// Runs one of whose replicas is lost for good. Goes through all runs held, some in each step.
     fn adopt_incomplete(&mut self) {
         let own = self.replica.identity();
-        let runs = self.replica.open_runs(self.next_read, RUNS_READ_PER_STEP);
-        self.next_read = runs.last().copied();
+        let runs = self
+            .replica
+            .open_runs(self.sweeps.next_read, RUNS_READ_PER_STEP);
+        self.sweeps.next_read = runs.last().copied();
         let mut lacking = Vec::new();
         for run in runs {
             if lacking.len() == MAX_ADOPTIONS_PER_STEP {
                 // The rest comes with the next step.
-                self.next_read = Some(run);
+                self.sweeps.next_read = Some(run);
                 break;
             }
             let members = self.replica.members(run, &StoredLog(&self.store));
@@ -64,7 +95,7 @@
         }
         let owners = lacking.into_iter().filter_map(|run| {
             let last_owner = self.replica.head(run)?.promised.node;
-            let owner = self.directory.owner_or_candidate(run, last_owner)?;
+            let owner = self.sweeps.directory.owner_or_candidate(run, last_owner)?;
             Some((owner, run))
         });
         self.ask_owners(owners.collect());
@@ -72,11 +103,11 @@
 
     /// Whether a replica is lost for which there is another: else an owner would append to the log to no end.
     fn can_be_completed(&self, run: RunId, members: &[ReplicaId]) -> bool {
-        let dead_time = self.sweep_settings.dead_time();
+        let dead_time = self.sweeps.settings.dead_time();
         members.iter().any(|member| {
-            let absent = self.directory.is_absent_for(member.node, dead_time);
-            let replacement = || self.directory.replacement_for(run, members, *member);
-            self.directory.has_other_store(*member) || absent && replacement().is_some()
+            let absent = self.sweeps.directory.is_absent_for(member.node, dead_time);
+            let replacement = || self.sweeps.directory.replacement_for(run, members, *member);
+            self.sweeps.directory.has_other_store(*member) || absent && replacement().is_some()
         })
     }
 
--- a/crates/stand-ins/src/engine/batching.rs
+++ b/crates/stand-ins/src/engine/batching.rs
@@ -13,13 +13,13 @@
 use ridgeworks_domain::RunId;
 use serde::Serialize;
 
-use crate::attempts::{Attempt, AttemptState};
+use crate::attempts::{Attempt, AttemptState, Progress};
 use crate::engine::chat::ChatPlan;
 use crate::engine::lagging_load::LaggingLoad;
 use crate::engine::memory::EngineMemory;
 use crate::engine::queue::{AttemptQueue, ChatWork};
 use crate::engine::token_blocks::BLOCK_TOKENS;
-use crate::history::{HistoryEvent, HistoryWriter, digest};
+use crate::history::{HistoryEvent, HistoryWriter, digest, monotonic_micros};
 
 /// Most prompt tokens that one step computes.
 pub const PREFILL_CHUNK_TOKENS: u64 = 512;
@@ -63,6 +63,7 @@
 struct Reservation {
     blocks: u64,
     prefill_left: u64,
+    cached_tokens: u64,
 }
 
 /// What a step made of a sequence.
@@ -151,7 +152,11 @@
                 prefill_left: reservation.prefill_left,
                 reserved_blocks: reservation.blocks,
             };
-            if start(&sequence.work.attempt, &self.history) {
+            if start(
+                &sequence.work.attempt,
+                reservation.cached_tokens,
+                &self.history,
+            ) {
                 self.running.push(sequence);
             } else {
                 self.release(&sequence);
@@ -167,9 +172,11 @@
             let matched = run.map_or(0, |run| cache.matched_blocks(run, prompt));
             let blocks = plan.blocks().saturating_sub(matched);
             let has_room = cache.begin_attempt(run, blocks, Instant::now());
+            let cached_tokens = matched * BLOCK_TOKENS;
             has_room.then(|| Reservation {
                 blocks,
-                prefill_left: prompt.tokens().saturating_sub(matched * BLOCK_TOKENS),
+                prefill_left: prompt.tokens().saturating_sub(cached_tokens),
+                cached_tokens,
             })
         })
     }
@@ -219,22 +226,17 @@
             if !has_token {
                 return Advance::GoesOn;
             }
-            let produced = progress.produced + 1;
-            let is_last = produced >= plan.content.tokens();
-            if is_last {
-                self.keep_context(sequence);
-                record_execution(plan, produced, false, &self.history);
-                progress.state = AttemptState::Finished {
-                    answer: plan.head.whole(&plan.content),
-                    spent: plan.cost(produced),
-                };
-            }
-            progress.produced = produced;
-            if is_last {
-                Advance::Finished
-            } else {
-                Advance::GoesOn
+            progress.produced += 1;
+            if progress.produced < plan.content.tokens() {
+                return Advance::GoesOn;
             }
+            self.keep_context(sequence);
+            record_execution(plan, progress, false, &self.history);
+            progress.state = AttemptState::Finished {
+                answer: plan.content.text().to_owned(),
+                spent: plan.cost(progress.produced),
+            };
+            Advance::Finished
         })
     }
 
@@ -264,12 +266,14 @@
     plan.key.as_ref().map(|key| key.run)
 }
 
-fn start(attempt: &Attempt<ChatPlan>, history: &HistoryWriter) -> bool {
+fn start(attempt: &Attempt<ChatPlan>, cached_tokens: u64, history: &HistoryWriter) -> bool {
     attempt.update(|progress| {
         let may_start = progress.state == AttemptState::Queued;
         if may_start {
             record_start(&attempt.plan, history);
             progress.state = AttemptState::Running;
+            progress.started_at_us = Some(monotonic_micros());
+            progress.cached_tokens = cached_tokens;
         }
         may_start
     })
@@ -277,7 +281,7 @@
 
 fn record_start(plan: &ChatPlan, history: &HistoryWriter) {
     let Some(key) = &plan.key else { return };
-    history.record(&HistoryEvent::BackendStarted {
+    history.record(&HistoryEvent::AttemptStarted {
         backend: history.by().to_owned(),
         run: key.run,
         call: key.call.clone(),
@@ -285,23 +289,25 @@
     });
 }
 
-/// Records that an attempt took effect, as far as its first `produced` tokens.
+/// Records that an attempt took effect, as far as it has come.
 pub fn record_execution(
     plan: &ChatPlan,
-    produced: usize,
+    progress: &Progress,
     cancelled: bool,
     history: &HistoryWriter,
 ) {
     let Some(key) = &plan.key else { return };
+    let content = plan.content.beginning(progress.produced);
     history.record(&HistoryEvent::BackendExecuted {
         backend: history.by().to_owned(),
         run: key.run,
         call: key.call.clone(),
         attempt: key.attempt,
         sequence: plan.sequence,
-        cost: plan.cost(produced),
-        answer_digest: digest(plan.content.beginning(produced).as_bytes()),
-        prior_calls: plan.prior_calls.clone(),
+        cost: plan.cost(progress.produced),
+        answer_digest: digest(content.as_bytes()),
+        prior_calls: Some(plan.prior_calls.clone()),
+        started_at_us: progress.started_at_us,
         cancelled,
     });
 }
--- a/crates/stand-ins/tests/engine_contexts.rs
+++ b/crates/stand-ins/tests/engine_contexts.rs
@@ -2,20 +2,20 @@
 
 mod support;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use ridgeworks_stand_ins::engine::EngineOptions;
 use serde_json::{Value, json};
 use support::engine_fixture::EngineFixture as Fixture;
-use support::{call, call_headers, chat, eventually, get, get_json, history, post, run};
+use support::{
+    call, call_headers, chat, eventually, get, get_json, history, open_lines, post, run,
+};
 
 impl Fixture {
     /// Leaves a context of 64 tokens, which is 4 blocks.
     fn hold(&self, run: &str) {
         let headers = call_headers(run, "call", "1");
         let body = chat(&"word ".repeat(56), 8, false);
-        let mut body = body;
-        body["max_tokens"] = json!(8);
         let answer = call(
             "POST",
             self.address(),
@@ -103,12 +103,17 @@
 
 #[test]
 fn attempt_waits_for_memory_that_leases_hold_until_they_lapse() {
+    const LEASE_MS: u64 = 400;
     let fixture = Fixture::start(sixteen_blocks);
     for number in 1..=4 {
         fixture.hold(&run(number));
-        assert_eq!(fixture.retain(&run(number), 100).status, 200);
+    }
+    let begun = Instant::now();
+    for number in 1..=4 {
+        assert_eq!(fixture.retain(&run(number), LEASE_MS).status, 200);
     }
     fixture.hold(&run(5));
+    assert!(begun.elapsed() >= Duration::from_millis(LEASE_MS));
     assert!(fixture.contexts().contains(&run(5)));
 }
 
@@ -119,24 +124,19 @@
     });
     let question = "word ".repeat(400);
     let timed = |call_key: &str| {
-        let before = std::time::Instant::now();
-        let headers = [
-            ("x-ridgeworks-run", "1"),
-            ("x-ridgeworks-call", call_key),
-            ("x-ridgeworks-attempt", "1"),
-        ];
-        let body = chat(&question, 1, false).to_string();
-        call(
-            "POST",
-            fixture.address(),
-            "/v1/chat/completions",
-            &headers,
-            &body,
-        );
-        before.elapsed()
+        let before = Instant::now();
+        let run = run(1);
+        let headers = call_headers(&run, call_key, "1");
+        let body = chat(&question, 1, true).to_string();
+        let path = "/v1/chat/completions";
+        let events = open_lines("POST", fixture.address(), path, &headers, &body);
+        let events: Vec<String> = events.collect();
+        (before.elapsed(), events[events.len() - 2].clone())
     };
-    let computed = timed("first");
-    let cached = timed("second");
+    let (computed, first) = timed("first");
+    let (cached, second) = timed("second");
+    assert!(first.contains(r#""cached_tokens":0"#), "{first}");
+    assert!(second.contains(r#""cached_tokens":400"#), "{second}");
     assert!(computed >= Duration::from_millis(200), "{computed:?}");
     assert!(
         cached < computed / 2,
@@ -148,7 +148,7 @@
 fn cache_events_come_late_with_numbers_that_show_the_gaps() {
     let fixture = Fixture::start(|options| {
         options.cache_event_gap_every = Some(3);
-        options.cache_event_lag = Duration::from_millis(150);
+        options.cache_event_lag = Duration::from_millis(400);
     });
     for number in 1..=3 {
         fixture.hold(&run(number));
@@ -178,7 +178,7 @@
 fn load_is_reported_late() {
     let fixture = Fixture::start(|options| {
         sixteen_blocks(options);
-        options.load_lag = Duration::from_millis(150);
+        options.load_lag = Duration::from_millis(400);
     });
     fixture.hold(&run(1));
     assert_eq!(get_json(fixture.address(), "/load")["free_blocks"], 16);
