--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -333,6 +333,13 @@
         machine.is_some_and(|machine| machine.state == MachineState::Gone)
     }
 
+    /// Whether the platform lists a back end as leaving or gone.
+    pub fn is_leaving(&self, backend: &BackendName) -> bool {
+        let role = self.configuration.borrow();
+        let machine = role.machines().get(backend.as_str());
+        machine.is_some_and(|machine| machine.state != MachineState::Live)
+    }
+
     /// All members as they are now.
     pub fn members(&self) -> Vec<Member> {
         self.membership.borrow().members().cloned().collect()
--- a/crates/node/src/owner/effects.rs
+++ b/crates/node/src/owner/effects.rs
@@ -104,17 +104,14 @@
         to: Dispatched,
         request: &CallRequest,
     ) {
+        if self.is_grant_stale(now, run, &to.backend) {
+            self.cancel_slot(run);
+            return self.not_started(now, run, call, attempt);
+        }
         self.slot_started(run, call, attempt);
         let order = self.attempt_order(now, run, attempt, to, request);
         let Ok(order) = order else {
-            let outcome = AttemptOutcome::NotRun;
-            let event = OwnerEvent::AttemptFinished {
-                call,
-                attempt,
-                outcome,
-            };
-            self.handle(now, run, event);
-            return;
+            return self.not_started(now, run, call, attempt);
         };
         if let Some(owned) = self.runs.get_mut(&run) {
             owned.running = Some(RunningAttempt {
@@ -125,6 +122,16 @@
         self.outputs.backends.start(order);
     }
 
+    fn not_started(&mut self, now: Instant, run: RunId, call: Sequence, attempt: u32) {
+        let outcome = AttemptOutcome::NotRun;
+        let event = OwnerEvent::AttemptFinished {
+            call,
+            attempt,
+            outcome,
+        };
+        self.handle(now, run, event);
+    }
+
     fn attempt_order(
         &self,
         now: Instant,
--- a/crates/node/src/owner/role.rs
+++ b/crates/node/src/owner/role.rs
@@ -15,6 +15,7 @@
 
 use super::identities;
 use super::owned_run::{OwnedRun, Ownership};
+use super::pause::PauseDetector;
 use crate::clock::Clock;
 use crate::directory::Directory;
 use crate::message::{NodeMessage, OwnerAnswer, OwnerCommand, RequestId};
@@ -52,6 +53,7 @@
     pub(super) next_number: u64,
     pub(super) stopping: bool,
     pub(super) sweep_settings: SweepSettings,
+    pub(super) pauses: PauseDetector,
 }
 
 impl OwnerRole {
@@ -73,6 +75,7 @@
             next_number: rand::random(),
             stopping: false,
             sweep_settings,
+            pauses: PauseDetector::new(cx.now()),
         };
         role.tick(cx);
         role.refresh_identities(cx);
@@ -218,6 +221,7 @@
 
     fn tick(&mut self, cx: CX![]) {
         let now = cx.now();
+        self.pauses.tick(now);
         self.give_up_idle(now);
         let owned = i64::try_from(self.runs.len()).unwrap_or(i64::MAX);
         self.outputs.metrics.runs_owned.set(owned);
--- a/crates/node/src/owner/slot.rs
+++ b/crates/node/src/owner/slot.rs
@@ -22,6 +22,8 @@
     pub dispatcher: NodeId,
     /// Whether the dispatcher granted it.
     pub granted: bool,
+    /// When the grant came.
+    pub granted_at: Option<Instant>,
     /// When it is asked again.
     pub ask_again_at: Instant,
     /// When the caller stops waiting.
--- a/crates/node/src/owner/slots.rs
+++ b/crates/node/src/owner/slots.rs
@@ -2,7 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use ridgeworks_domain::{CallRequest, Refusal, RefusalReason, RunId, Sequence, ServiceKind};
+use ridgeworks_domain::{
+    BackendName, CallRequest, Refusal, RefusalReason, RunId, Sequence, ServiceKind,
+};
 use ridgeworks_run_log::event::OwnerEvent;
 use ridgeworks_scheduling::{
     AttemptEnd, AttemptOutcome as SlotOutcome, Priority, Ticket, TokenUsage,
@@ -10,6 +12,7 @@
 
 use super::effects::class_of;
 use super::owned_run::OwnedRun;
+use super::pause::GRANT_VALIDITY;
 use super::prompt::{call_size, service_of};
 use super::role::OwnerRole;
 use super::slot::Slot;
@@ -107,6 +110,7 @@
             attempt,
             dispatcher,
             granted: false,
+            granted_at: None,
             ask_again_at: now + ASK_AGAIN_INTERVAL,
             deadline,
         })
@@ -162,6 +166,10 @@
                 let Some(run) = self.run_of_ticket(ticket) else {
                     return;
                 };
+                if self.pauses.may_be_stale(now) || self.directory.is_leaving(&backend) {
+                    self.decline_grant(now, run);
+                    return;
+                }
                 let Some(slot) = self
                     .runs
                     .get_mut(&run)
@@ -173,6 +181,7 @@
                     return;
                 }
                 slot.granted = true;
+                slot.granted_at = Some(now);
                 let event = OwnerEvent::Granted {
                     call: slot.call,
                     attempt: slot.attempt,
@@ -195,6 +204,34 @@
         }
     }
 
+    /// Gives a grant back that may not be used, and asks for another one a little later.
+    fn decline_grant(&mut self, now: Instant, run: RunId) {
+        let number = self.new_number();
+        let owner = self.node;
+        let Some(owned) = self.runs.get_mut(&run) else {
+            return;
+        };
+        let Some(slot) = owned.slot.as_mut().filter(|slot| !slot.granted) else {
+            return;
+        };
+        let command = DispatcherCommand::Cancel {
+            service: slot.service.clone(),
+            ticket: slot.ticket(),
+        };
+        slot.request.ticket = Ticket { owner, number };
+        slot.ask_again_at = now + ASK_AGAIN_INTERVAL;
+        let dispatcher = slot.dispatcher;
+        self.send(dispatcher, NodeMessage::ToDispatcher(command));
+    }
+
+    /// Whether the slot of a run must not be used any more: its grant is old, or its back end is leaving.
+    pub(super) fn is_grant_stale(&self, now: Instant, run: RunId, backend: &BackendName) -> bool {
+        let slot = self.runs.get(&run).and_then(|owned| owned.slot.as_ref());
+        let granted_at = slot.and_then(|slot| slot.granted_at);
+        let old = granted_at.is_some_and(|at| now.duration_since(at) >= GRANT_VALIDITY);
+        old || self.directory.is_leaving(backend)
+    }
+
     fn refuse_slot(&mut self, now: Instant, run: RunId, slot: &Slot, refusal: Refusal) {
         let event = OwnerEvent::GrantRefused {
             call: slot.call,
