Let an open stream take the memory of what waits in it only

The channel is now unbounded and the gateway leaves pieces out once 4,096 wait; the whole answer at the end fills them in. The actor thread also no longer waits for a slow caller.

--- a/crates/node/src/inbound/edge.rs
+++ b/crates/node/src/inbound/edge.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crossbeam_channel::{Receiver, RecvTimeoutError, bounded};
+use crossbeam_channel::{Receiver, RecvTimeoutError, unbounded};
 use ridgeworks_api::caller::{AUTHORIZATION_HEADER, CallerRoute, bearer_token};
 use ridgeworks_api::operator::SERVICE_PATH;
 use ridgeworks_domain::{InvalidRequest, Refusal, RefusalReason};
@@ -27,9 +27,6 @@
 const METRICS_PATH: &str = "/metrics";
 const HEALTH_BODY: &[u8] = br#"{"status":"serving"}"#;
 const OK: u16 = 200;
-/// Answers that may wait for a slow caller before the actor thread has to wait for it; above it the
-/// caller's request ends.
-const MAX_WAITING_ANSWERS: usize = 4_096;
 /// The actor thread answers every request by its deadline; this much later its thread gives up.
 const GRACE: Duration = Duration::from_secs(2);
 const LOST_RETRY_DELAY: Duration = Duration::from_secs(1);
@@ -82,7 +79,8 @@
             .ok_or(Refusal::permanent(RefusalReason::Unauthenticated))?;
         let wait = deadline_ms.map_or(self.default_deadline, Duration::from_millis);
         let deadline = Instant::now() + wait.min(self.default_deadline);
-        let (sender, receiver) = bounded(MAX_WAITING_ANSWERS);
+        // The gateway bounds what waits in it; a bounded channel would take its whole memory at once.
+        let (sender, receiver) = unbounded();
         self.mailbox.post(ThreadMessage::Caller {
             request: CallerRequest {
                 token_sha256: token_digest(token),
--- a/crates/node/src/inbound/gateway.rs
+++ b/crates/node/src/inbound/gateway.rs
@@ -111,7 +111,9 @@
         };
         match answer {
             OwnerAnswer::Chunk { offset, text } => {
-                if let Some(text) = open.new_part(offset, text) {
+                if open.takes_chunks()
+                    && let Some(text) = open.new_part(offset, text)
+                {
                     let offset = open.passed_on - text.len() as u64;
                     pass_on(&open.answers, Ok(OwnerAnswer::Chunk { offset, text }));
                 }
--- a/crates/node/src/inbound/open_request.rs
+++ b/crates/node/src/inbound/open_request.rs
@@ -25,7 +25,16 @@
     pub passed_on: u64,
 }
 
+/// Pieces of an answer that may wait for a slow caller. Further ones are left out: the whole answer
+/// at the end fills them in.
+const MAX_WAITING_ANSWERS: usize = 4_096;
+
 impl OpenRequest {
+    /// Whether the caller keeps up, so that a further piece of its answer may wait for it.
+    pub fn takes_chunks(&self) -> bool {
+        self.answers.len() < MAX_WAITING_ANSWERS
+    }
+
     /// Keeps what of a chunk is new, and notes it. `None` where the chunk leaves a gap or brings
     /// nothing new: the whole answer at the end fills it in.
     pub fn new_part(&mut self, offset: u64, mut text: Vec<u8>) -> Option<Vec<u8>> {
--- a/crates/testbed/src/bench/command.rs
+++ b/crates/testbed/src/bench/command.rs
@@ -87,11 +87,19 @@
     }
 }
 
+/// The preset that the bench starts.
+///
+/// # Errors
+/// A file of the crate that cannot be read; a test reads it.
+pub fn bench_preset() -> Result<Preset, PresetError> {
+    PRESET.parse()
+}
+
 /// Runs the bench.
 pub fn run(arguments: &BenchArguments) -> Result<(), BenchError> {
     exit_on_signal()?;
     let folder = WorkingFolder::make(None)?;
-    let preset: Preset = PRESET.parse()?;
+    let preset = bench_preset()?;
     let one_way_delay_ms = match arguments.relay {
         RelayUse::None => 0.0,
         _ => preset.one_way_delay_us as f64 / MICROS_PER_MILLISECOND,
--- a/crates/testbed/src/bench/mod.rs
+++ b/crates/testbed/src/bench/mod.rs
@@ -8,6 +8,8 @@
 mod node_process;
 mod report;
 
-pub use command::{BenchArguments, BenchError, run};
+pub use command::{BenchArguments, BenchError, bench_preset, run};
+pub use deployment::Deployment;
+pub use held_streams::{HeldLevel, measure as measure_held_streams};
 pub use node_process::{NodeProcess, ProcessError};
 pub use report::{BenchLine, slope};
--- a/crates/testbed/tests/presets.rs
+++ b/crates/testbed/tests/presets.rs
@@ -1,10 +1,10 @@
 //! The presets and the demo's script fit each other.
 
 use ridgeworks_api::v1::object::Specification;
+use ridgeworks_testbed::bench::bench_preset;
 use ridgeworks_testbed::cluster::{Preset, PresetError, PresetField, PresetName};
 use ridgeworks_testbed::conversation::{Script, Step};
 
-const BENCH: &str = include_str!("../presets/bench.toml");
 const KALAHARI_SMALL: &str = include_str!("../presets/kalahari-small.toml");
 
 fn names(preset: &Preset, is_kind: impl Fn(&Specification) -> bool) -> Vec<&str> {
@@ -62,7 +62,7 @@
 
 #[test]
 fn the_bench_preset_has_a_fast_and_a_slow_service_with_programs() {
-    let preset: Preset = BENCH.parse().expect("the preset loads");
+    let preset = bench_preset().expect("the preset loads");
     for backends in &preset.backends {
         assert!(preset.program_with(&backends.service).is_some());
     }
