--- a/crates/http-edge/src/serving.rs
+++ b/crates/http-edge/src/serving.rs
@@ -1,18 +1,19 @@
 //! From a received request to its handler, or to its refusal.
 
-use std::io::{self, Cursor, Read};
+use std::io;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 
-use tiny_http::{Request, Response, Server};
+use ridgeworks_worker_pool::WorkerPool;
+use tiny_http::{Request, Server};
 
 use crate::acceptor::SERVICE_STACK_BYTES;
 use crate::admission::Admission;
 use crate::body::{HeldRequest, read_body};
 use crate::counters::{EdgeCounters, decrement, increment};
-use crate::error::{FaultAnswer, RequestFault};
+use crate::error::RequestFault;
 use crate::request::EdgeRequest;
 use crate::responder::Responder;
 use crate::server::Handler;
@@ -23,6 +24,7 @@
     pub settings: EdgeSettings,
     pub handler: Arc<dyn Handler>,
     pub admission: Admission,
+    pub handlers: WorkerPool,
     pub counters: Arc<EdgeCounters>,
     pub stopping: AtomicBool,
     pub closed: AtomicBool,
@@ -53,8 +55,7 @@
         return refuse_on_thread(shared, request, RequestFault::Overloaded);
     }
     let place = RequestPlace(Arc::clone(shared));
-    let stack_bytes = shared.settings.handler_stack_bytes;
-    let started = spawn("edge-request", stack_bytes, move || serve(place, request));
+    let started = shared.handlers.run(move || serve(place, request));
     if started.is_err() {
         // The request was dropped with the closure, and a dropped request answers 500.
         increment(&shared.counters.unanswered);
@@ -144,23 +145,7 @@
     let answer = shared
         .handler
         .fault_answer(fault, request.path(), &shared.settings);
-    if request.refuse(response(answer)).is_err() {
+    if request.refuse(answer).is_err() {
         increment(&shared.counters.clients_gone);
     }
 }
-
-fn response(answer: FaultAnswer) -> Response<Cursor<Vec<u8>>> {
-    let mut response = Response::from_data(answer.body).with_status_code(answer.status);
-    response = with_header(response, "Content-Type", "application/json");
-    for header in answer.headers {
-        response = with_header(response, &header.name, &header.value);
-    }
-    response
-}
-
-fn with_header<R: Read>(response: Response<R>, name: &str, value: &str) -> Response<R> {
-    match tiny_http::Header::from_bytes(name, value) {
-        Ok(header) => response.with_header(header),
-        Err(()) => response,
-    }
-}
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -1,11 +1,13 @@
 //! The owner role: orders the calls of the runs that this node owns.
 
+mod adoption;
 mod attempts;
 mod commands;
 mod effects;
 mod identities;
 mod owned_run;
 mod prompt;
+mod quorum;
 mod role;
 mod slot;
 mod slots;
--- a/crates/node/src/owner/role.rs
+++ b/crates/node/src/owner/role.rs
@@ -22,6 +22,7 @@
 use crate::operator::OperatorReply;
 use crate::outbound::BackendClient;
 use crate::router::{Incoming, Outgoing};
+use crate::settings::SweepSettings;
 
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 /// An idle run is given up after this time; its next call takes it over again from its replicas.
@@ -50,6 +51,7 @@
     pub(super) runs: HashMap<RunId, OwnedRun>,
     pub(super) next_number: u64,
     pub(super) stopping: bool,
+    pub(super) sweep_settings: SweepSettings,
 }
 
 impl OwnerRole {
@@ -60,6 +62,7 @@
         node: NodeId,
         directory: Directory,
         outputs: OwnerOutputs,
+        sweep_settings: SweepSettings,
     ) -> Option<Self> {
         let mut role = Self {
             node,
@@ -69,9 +72,11 @@
             runs: HashMap::new(),
             next_number: rand::random(),
             stopping: false,
+            sweep_settings,
         };
         role.tick(cx);
         role.refresh_identities(cx);
+        role.complete_replicas(cx);
         Some(role)
     }
 
@@ -86,17 +91,28 @@
             NodeMessage::OwnershipAnswer { run, busy } => {
                 self.ownership_answer(cx.now(), from, run, busy);
             }
+            NodeMessage::AdoptRuns { runs, forwarded } => {
+                self.adopt_runs(cx.now(), runs, forwarded);
+            }
             _ => {}
         }
     }
 
     /// Takes a change of a member.
-    pub fn member_changed(&mut self, _cx: CX![], member: Member) {
+    pub fn member_changed(&mut self, cx: CX![], member: Member) {
         if member.state == MemberState::Alive {
-            identities::ask(&member, &self.outputs.outgoing);
+            self.ask_identity(cx, member.clone());
+            for pause in identities::REPEATS {
+                let member = member.clone();
+                after!(pause, [cx], ask_identity(member));
+            }
         }
     }
 
+    fn ask_identity(&mut self, _cx: CX![], member: Member) {
+        identities::ask(&member, &self.outputs.outgoing);
+    }
+
     /// From now on calls are refused, except those in progress.
     pub fn stop(&mut self, _cx: CX![]) {
         self.stopping = true;
@@ -147,13 +163,18 @@
     pub(super) fn take_over(&mut self, now: Instant, run: RunId) {
         self.outputs.metrics.takeovers.inc();
         let contacts = self.directory.replicas_of(run);
+        self.claim_among(now, run, &contacts);
+    }
+
+    /// Claims a run from those of these nodes that hold it.
+    pub(super) fn claim_among(&mut self, now: Instant, run: RunId, contacts: &[NodeId]) {
         let instance = self.new_number().max(1);
         let (owner, effects) = RunOwner::take_over(
             run,
             self.node,
             instance,
             Ballot::ZERO,
-            &contacts,
+            contacts,
             OwnerSettings::default(),
             self.clock.now(),
         );
@@ -210,6 +231,8 @@
             self.handle(now, run, OwnerEvent::Tick);
             self.check_slot(now, run);
             self.check_query(now, run);
+            self.check_pending(now, run);
+            self.check_claim(now, run);
         }
         after!(TICK_INTERVAL, [cx], tick());
     }
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -55,6 +55,9 @@
         command.args(["--name", name, "--zone", name, "--listen", "127.0.0.1:0"]);
         command.args(["--link-listen", links, "--platform", &platform.to_string()]);
         command.arg("--data-dir").arg(folder.join(name));
+        command
+            .arg("--log-file")
+            .arg(folder.join(format!("{name}.log")));
         if let Some(peer) = peer {
             command.args(["--peer", &peer.to_string()]);
         }
@@ -100,11 +103,26 @@
 impl Cluster {
     /// Three nodes in three zones, with these engines, ready for runs.
     pub fn start(engines: Vec<EngineOptions>) -> Self {
+        Self::start_with(engines, "")
+    }
+
+    /// The same, with further settings of the nodes.
+    pub fn start_with(engines: Vec<EngineOptions>, settings: &str) -> Self {
+        Self::start_nodes(&NAMES, engines, settings)
+    }
+
+    /// The same with these nodes, each in a zone of its own; the first three vote on the configuration.
+    pub fn start_nodes(
+        names: &[&'static str],
+        engines: Vec<EngineOptions>,
+        settings: &str,
+    ) -> Self {
         let folder = tempfile::tempdir().unwrap();
         let platform = Platform::start(PlatformOptions::local("platform")).unwrap();
-        fs::write(folder.path().join("node.toml"), settings_file()).unwrap();
+        let file = settings_file() + settings;
+        fs::write(folder.path().join("node.toml"), file).unwrap();
         let mut nodes: Vec<NodeProcess> = Vec::new();
-        for name in NAMES {
+        for name in names.iter().copied() {
             let peer = nodes.first().map(|node| node.links);
             let node =
                 NodeProcess::start(folder.path(), name, "127.0.0.1:0", peer, platform.address());
@@ -129,6 +147,44 @@
         cluster
     }
 
+    /// Starts a killed node again, at its former link address.
+    pub fn restart(&mut self, node: usize, with_disk: bool) {
+        let (name, links) = (self.nodes[node].name, self.nodes[node].links.to_string());
+        if !with_disk {
+            fs::remove_dir_all(self.folder.path().join(name)).unwrap();
+        }
+        let peer = self.nodes[(node + 1) % self.nodes.len()].links;
+        let platform = self.platform.address();
+        let folder = self.folder.path();
+        self.nodes[node] = NodeProcess::start(folder, name, &links, Some(peer), platform);
+    }
+
+    /// Position of the node of this name.
+    pub fn position(&self, name: &str) -> usize {
+        let mut names = self.nodes.iter().map(|node| node.name);
+        names.position(|known| known == name).unwrap()
+    }
+
+    /// Whether some node has logged this.
+    pub fn has_logged(&self, part: &str) -> bool {
+        let mut nodes = self.nodes.iter();
+        nodes.any(|node| {
+            let file = self.folder.path().join(format!("{}.log", node.name));
+            fs::read_to_string(file).is_ok_and(|text| text.contains(part))
+        })
+    }
+
+    /// Names of the nodes that a run's number names as its replicas.
+    pub fn replicas(&self, run: RunId) -> Vec<&'static str> {
+        let hints = run.replica_hints();
+        let named = |node: &&NodeProcess| {
+            let id = NodeId::from_name(node.name);
+            hints.iter().any(|hint| hint.matches(id))
+        };
+        let found = self.nodes.iter().filter(named);
+        found.map(|node| node.name).collect()
+    }
+
     pub fn add_engine(&mut self, options: EngineOptions) {
         let name = options.name.clone();
         let engine = Engine::start(options).unwrap();
@@ -174,17 +230,8 @@
 
     /// Makes a chat call and waits for its answer.
     pub fn chat(&self, run: RunId, sequence: u32, max_tokens: u32) -> Option<Value> {
-        let run = run.to_string();
-        let key = format!("call-{sequence}-{run}");
-        let sequence = sequence.to_string();
-        let headers = [
-            ("x-ridgeworks-run", run.as_str()),
-            ("x-ridgeworks-call", key.as_str()),
-            ("x-ridgeworks-sequence", sequence.as_str()),
-        ];
-        let messages = json!([{"role": "user", "content": "word ".repeat(64)}]);
-        let body = json!({"model": SERVICE, "max_tokens": max_tokens, "messages": messages});
-        self.post("/v1/chat/completions", &headers, &body)
+        let mut nodes = self.nodes.iter();
+        nodes.find_map(|node| chat_at(&self.agent, node.edge, run, sequence, max_tokens))
     }
 
     pub fn close(&self, run: RunId) {
@@ -196,14 +243,17 @@
 
     /// The answer of the first node that gives one.
     pub fn post(&self, path: &str, headers: &[(&str, &str)], body: &Value) -> Option<Value> {
+        let mut nodes = self.nodes.iter();
+        nodes.find_map(|node| post_at(&self.agent, node.edge, path, headers, body))
+    }
+
+    /// Reads from the first node that answers.
+    pub fn read(&self, path: &str) -> Option<Value> {
         self.nodes.iter().find_map(|node| {
             let url = format!("http://{}{path}", node.edge);
-            let mut request = self.agent.post(&url);
-            request = request.header("authorization", format!("Bearer {TOKEN}"));
-            for (name, value) in headers {
-                request = request.header(*name, *value);
-            }
-            let mut answer = request.send_json(body).ok()?;
+            let request = self.agent.get(&url);
+            let request = request.header("authorization", format!("Bearer {TOKEN}"));
+            let mut answer = request.call().ok()?;
             let success = answer.status().is_success();
             success
                 .then(|| answer.body_mut().read_json().ok())
@@ -300,3 +350,44 @@
         ),
     ]
 }
+
+/// Makes a chat call through one node.
+pub fn chat_at(
+    agent: &Agent,
+    edge: SocketAddr,
+    run: RunId,
+    sequence: u32,
+    max_tokens: u32,
+) -> Option<Value> {
+    let run = run.to_string();
+    let key = format!("call-{sequence}-{run}");
+    let sequence = sequence.to_string();
+    let headers = [
+        ("x-ridgeworks-run", run.as_str()),
+        ("x-ridgeworks-call", key.as_str()),
+        ("x-ridgeworks-sequence", sequence.as_str()),
+    ];
+    let messages = json!([{"role": "user", "content": "word ".repeat(64)}]);
+    let body = json!({"model": SERVICE, "max_tokens": max_tokens, "messages": messages});
+    post_at(agent, edge, "/v1/chat/completions", &headers, &body)
+}
+
+fn post_at(
+    agent: &Agent,
+    edge: SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &Value,
+) -> Option<Value> {
+    let url = format!("http://{edge}{path}");
+    let mut request = agent.post(&url);
+    request = request.header("authorization", format!("Bearer {TOKEN}"));
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let mut answer = request.send_json(body).ok()?;
+    let success = answer.status().is_success();
+    success
+        .then(|| answer.body_mut().read_json().ok())
+        .flatten()
+}
--- a/crates/stand-ins/src/engine/answer.rs
+++ b/crates/stand-ins/src/engine/answer.rs
@@ -5,7 +5,7 @@
 use rand_chacha::ChaCha8Rng;
 use ridgeworks_domain::CallKey;
 use ridgeworks_domain::token_count::BYTES_PER_TOKEN;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 const ANSWER_PREFIX: &str = "answer to ";
 const ANSWER_SEPARATOR: &str = " :";
@@ -103,9 +103,31 @@
     CallKey::new(call).ok()
 }
 
+#[derive(Deserialize)]
+struct ToolAnswer {
+    result: ToolResult,
+}
+
+#[derive(Deserialize)]
+struct ToolResult {
+    call: CallKey,
+}
+
+/// The call whose answer of a tool stand-in this is.
+pub fn called_tool(content: &str) -> Option<CallKey> {
+    let answer: ToolAnswer = serde_json::from_str(content).ok()?;
+    Some(answer.result.call)
+}
+
+#[derive(Serialize)]
+struct PromptDetails {
+    cached_tokens: u64,
+}
+
 #[derive(Serialize)]
 struct Usage {
     prompt_tokens: u64,
+    prompt_tokens_details: PromptDetails,
     completion_tokens: u64,
     total_tokens: u64,
 }
@@ -163,10 +185,11 @@
         }
     }
 
-    fn usage(&self, content: &AnswerContent) -> Usage {
+    fn usage(&self, content: &AnswerContent, cached_tokens: u64) -> Usage {
         let completion_tokens = content.tokens() as u64;
         Usage {
             prompt_tokens: self.prompt_tokens,
+            prompt_tokens_details: PromptDetails { cached_tokens },
             completion_tokens,
             total_tokens: self.prompt_tokens + completion_tokens,
         }
@@ -187,7 +210,7 @@
     }
 
     /// The whole answer in one document.
-    pub fn whole(&self, content: &AnswerContent) -> String {
+    pub fn whole(&self, content: &AnswerContent, cached_tokens: u64) -> Vec<u8> {
         let message = Message {
             role: Some("assistant"),
             content: Some(content.text()),
@@ -199,8 +222,8 @@
             finish_reason: Some(content.finish_reason()),
         };
         let mut completion = self.completion("chat.completion", choice);
-        completion.usage = Some(self.usage(content));
-        serde_json::to_string(&completion).expect("completions have a JSON form")
+        completion.usage = Some(self.usage(content, cached_tokens));
+        serde_json::to_vec(&completion).expect("completions have a JSON form")
     }
 
     /// One token as a server-sent event.
@@ -213,13 +236,13 @@
     }
 
     /// The last event that carries a document.
-    pub fn finish_event(&self, content: &AnswerContent) -> Vec<u8> {
+    pub fn finish_event(&self, content: &AnswerContent, cached_tokens: u64) -> Vec<u8> {
         let delta = Message {
             role: None,
             content: None,
         };
         let mut completion = self.chunk(delta, Some(content.finish_reason()));
-        completion.usage = Some(self.usage(content));
+        completion.usage = Some(self.usage(content, cached_tokens));
         server_sent_event(&completion)
     }
 }
