--- a/crates/node/src/inbound/open_request.rs
+++ b/crates/node/src/inbound/open_request.rs
@@ -27,7 +27,16 @@
     pub passed_on: u64,
 }
 
+/// Pieces of an answer that may wait for a slow caller. Further ones are left out: the whole answer
+/// at the end fills them in.
+const MAX_WAITING_ANSWERS: usize = 4_096;
+
 impl OpenRequest {
+    /// Whether the caller keeps up, so that a further piece of its answer may wait for it.
+    pub fn takes_chunks(&self) -> bool {
+        self.answers.len() < MAX_WAITING_ANSWERS
+    }
+
     /// What a refusal says to the caller. An owner that cannot read the run's log speaks for itself
     /// only: where another one was asked before, or the same one before it was restarted, that one
     /// may have begun the call.
