--- a/crates/testbed/src/chaos/call.rs
+++ b/crates/testbed/src/chaos/call.rs
@@ -27,6 +27,9 @@
 const PATIENCE: Duration = Duration::from_secs(25);
 const PAUSE_AFTER_FAILURE: Duration = Duration::from_millis(50);
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+/// Tokens of an answer; the engines name the call in the first ones, by which they know it again.
+const SHORTEST_ANSWER: u64 = 16;
+const LONGEST_ANSWER: u64 = 40;
 const STREAMED_SHARE: f64 = 0.6;
 
 /// A call, as it is sent and recorded.
@@ -89,7 +92,7 @@
         _ => random.random_bool(0.7),
     };
     let (reserve, request) = if is_model {
-        let max_tokens = random.random_range(4..24);
+        let max_tokens = random.random_range(SHORTEST_ANSWER..LONGEST_ANSWER);
         let is_streamed = random.random_bool(STREAMED_SHARE);
         let headers = vec![
             (RUN_HEADER, run.to_string()),
--- a/crates/testbed/src/chaos/driver.rs
+++ b/crates/testbed/src/chaos/driver.rs
@@ -74,6 +74,8 @@
     mut cluster: Cluster,
     folder: &Path,
 ) -> Result<Vec<Stall>, ChaosError> {
+    // The configuration comes into force within seconds on all nodes.
+    thread::sleep(QUIET_TIME);
     let recorder = Recorder::open(folder, DRIVER)?;
     let nodes: Vec<NodePlan> = cluster.nodes().cloned().collect();
     let cast = Cast::new(arguments, &cluster, folder)?;
