--- a/crates/scheduling/src/working_set.rs
+++ b/crates/scheduling/src/working_set.rs
@@ -9,9 +9,6 @@
 use crate::backends::{BackendIndex, BackendState};
 use crate::retention::Retention;
 
-/// Part of the slots below which an engine takes any context, so that leases never idle it.
-const IDLE_SLOTS_DIVISOR: u32 = 4;
-
 /// What the decision rests on.
 #[derive(Debug, Clone, Copy)]
 pub struct WorkingSet<'a> {
@@ -24,9 +21,10 @@
 }
 
 impl WorkingSet<'_> {
-    /// Whether a context of `tokens` that is not cached fits beside those in use.
+    /// Whether a context of `tokens` that is not cached fits beside those in use. An engine that
+    /// runs nothing takes any, so that leases alone never hold a call back.
     pub fn fits(&self, run: RunId, tokens: u64, index: BackendIndex, state: &BackendState) -> bool {
-        let idle = state.in_flight <= state.backend.slots / IDLE_SLOTS_DIVISOR;
+        let idle = state.in_flight == 0;
         if !self.bounded || idle || tokens == 0 {
             return true;
         }
