--- a/crates/scheduling/tests/back_ends.rs
+++ b/crates/scheduling/tests/back_ends.rs
@@ -178,6 +178,48 @@
     assert_eq!(dispatcher.retained(), 0);
 }
 
+#[test]
+fn a_displaced_lease_ends_without_dropping_its_context() {
+    let mut settings = settings();
+    settings.default_cache_tokens = 30_000;
+    let mut dispatcher = group(settings, 2);
+    dispatcher.handle(START, stored(1, 20_000));
+    dispatcher.handle(START, paused());
+    for number in 0..50 {
+        let run = RunId(100 + number);
+        let tool = "quick".parse().unwrap();
+        dispatcher.handle(START, Event::RunPaused { run, tool });
+        let back = QueuedCall {
+            run,
+            ..call(number as u64 + 100)
+        };
+        dispatcher.handle(millis(1), Event::Enqueue(back));
+        dispatcher.handle(millis(1), Event::Cancel(ticket(number as u64 + 100)));
+    }
+    let other = RunId(2);
+    dispatcher.handle(
+        START,
+        Event::CacheEvent(CacheEvent {
+            backend: backend_name(1),
+            number: 2,
+            change: CacheChange::Stored,
+            run: other,
+            tokens: 20_000,
+        }),
+    );
+    let tool = "quick".parse().unwrap();
+    let now = millis(2);
+    let effects = dispatcher.handle(now, Event::RunPaused { run: other, tool });
+    let ended = Effect::Retain {
+        run: RUN,
+        backend: backend_name(1),
+        until: now,
+    };
+    assert_eq!(effects.first(), Some(&ended), "{effects:?}");
+    let releases = |effect: &Effect| matches!(effect, Effect::Release { .. });
+    assert!(!effects.iter().any(releases), "{effects:?}");
+}
+
 #[test]
 fn a_late_cache_event_of_an_ended_run_is_answered_with_a_release() {
     let mut dispatcher = group(settings(), 3);
