--- a/crates/scheduling/src/granting.rs
+++ b/crates/scheduling/src/granting.rs
@@ -1,6 +1,6 @@
 //! The part of the dispatcher that gives out slots.
 
-use ridgeworks_domain::{BackendName, MonotonicTime, RunId};
+use ridgeworks_domain::{BackendName, MonotonicTime};
 
 use crate::backends::{BackendIndex, BackendState};
 use crate::dispatcher::Dispatcher;
@@ -252,63 +252,6 @@
         self.release_elsewhere(run, index);
     }
 
-    /// Drops the copies of a run's context that its move to `index` leaves behind.
-    fn release_elsewhere(&mut self, run: RunId, index: BackendIndex) {
-        if !self.settings.policy.retention {
-            return;
-        }
-        for place in self.prefixes.places(run).to_vec() {
-            if place.backend != index {
-                self.release(run, place.backend);
-            }
-        }
-    }
-
-    fn move_context(&mut self, run: RunId, from: BackendIndex, to: BackendIndex) {
-        let (Some(from), Some(to)) = (self.name_of(from), self.name_of(to)) else {
-            return;
-        };
-        self.effects.push(Effect::MoveContext { run, from, to });
-    }
-
-    /// A context has arrived, or its move failed; the grants that waited for it go out.
-    pub(crate) fn context_moved(
-        &mut self,
-        now: MonotonicTime,
-        run: RunId,
-        to: &BackendName,
-        tokens: u64,
-    ) {
-        let Some(index) = self.backends.index(to) else {
-            return;
-        };
-        if tokens > 0 {
-            self.prefixes.store(run, index, tokens);
-        }
-        for ticket in self.grants.moving_to(index, Some(run)) {
-            self.offer(now, ticket);
-        }
-    }
-
-    /// Puts calls back into the queue whose context was on its way to a back end.
-    pub(crate) fn requeue_moving(&mut self, now: MonotonicTime, index: BackendIndex) {
-        for ticket in self.grants.moving_to(index, None) {
-            let Some(grant) = self.grants.remove(ticket) else {
-                continue;
-            };
-            self.give_back_slot(&grant);
-            let mut waiting = grant.waiting;
-            waiting.home = None;
-            let urgent = waiting.lane == Lane::Urgent;
-            self.queue.insert(waiting);
-            if urgent {
-                self.grant_urgent(now);
-            } else {
-                self.place(now, ticket);
-            }
-        }
-    }
-
     /// Lets calls that waited for a back end go to the others.
     pub(crate) fn place_elsewhere(&mut self, now: MonotonicTime, index: BackendIndex) {
         for ticket in self.queue.waiting_for(index) {
--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -17,6 +17,7 @@
 mod intake;
 pub mod load_estimate;
 pub mod model_orders;
+mod moving;
 pub mod pause_lengths;
 pub mod placement;
 pub mod prefix_map;
