Answer a newcomer at its own address and let it take a later generation

A replacement whose clock is behind its predecessor's was answered at the predecessor's address, and raised its incarnation within the predecessor's generation, so that others would have merged the claim and kept the old address. The test of it failed before.

--- a/crates/membership/src/member.rs
+++ b/crates/membership/src/member.rs
@@ -39,6 +39,11 @@
         Self(self.0.saturating_add(1))
     }
 
+    /// The first incarnation of the start of a process after this one.
+    pub fn next_generation(self) -> Self {
+        Self((self.generation() + 1) << REFUTATION_BITS)
+    }
+
     /// Which start of a process this belongs to. Name, address, zone and disk are fixed within one
     /// generation.
     pub fn generation(self) -> u64 {
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -297,6 +297,10 @@
             return;
         };
         let address = member.address;
+        self.send_to(to, address, message);
+    }
+
+    pub(crate) fn send_to(&mut self, to: NodeId, address: SocketAddr, message: MembershipMessage) {
         self.counters.messages_sent += 1;
         self.effects.push(Effect::Send {
             to,
--- a/crates/membership/src/receiving.rs
+++ b/crates/membership/src/receiving.rs
@@ -66,13 +66,16 @@
     }
 
     fn on_join(&mut self, member: Member, now: MonotonicTime) {
-        let joining = member.node;
+        let (joining, address) = (member.node, member.address);
         if joining == self.own_node {
             return;
         }
         self.take_records(vec![member], true, now);
         let records = self.published_records(self.known_nodes().into_iter());
-        self.send_all(joining, records_messages(records, false));
+        // The table may hold another address, if the newcomer's clock is behind its predecessor's.
+        for message in records_messages(records, false) {
+            self.send_to(joining, address, message);
+        }
     }
 
     fn known_nodes(&self) -> Vec<NodeId> {
@@ -180,10 +183,14 @@
         let is_refutable = says_departed && claim.incarnation >= own.incarnation;
         if is_refutable || claim.incarnation > own.incarnation {
             self.counters.refutations += 1;
-            let refutation = Claim {
-                incarnation: claim.incarnation.next(),
-                state: own.state,
+            // A later start has another record, so that a claim alone must not pass for it.
+            let incarnation = if is_later_life {
+                claim.incarnation.next_generation()
+            } else {
+                claim.incarnation.next()
             };
+            let state = own.state;
+            let refutation = Claim { incarnation, state };
             self.set_own_claim(refutation, now);
         }
     }
