--- a/crates/node/tests/edge_requests.rs
+++ b/crates/node/tests/edge_requests.rs
@@ -230,15 +230,19 @@
     );
 }
 
+fn metrics_text(node: &processes::Node) -> String {
+    let answer = send(node.edge, &request("GET", "/metrics", &[], b""));
+    assert_eq!(answer.status, 200);
+    String::from_utf8(answer.body).expect("text")
+}
+
 #[test]
 fn the_counters_tell_of_requests_and_refusals() {
     let node = lonely_node("");
     send(node.edge, &request("GET", "/nowhere", &[], b"")).assert_refused(404, "unknown_route");
     node.post("/v1/runs", &[], &json!({"program": "program-1"}))
         .assert_refused(503, "configuration_stale");
-    let answer = send(node.edge, &request("GET", "/metrics", &[], b""));
-    assert_eq!(answer.status, 200);
-    let text = String::from_utf8(answer.body).expect("text");
+    let mut text = String::new();
     for line in [
         "ridgeworks_requests_total{route=\"unknown\",status=\"4xx\"} 1",
         "ridgeworks_requests_total{route=\"open_run\",status=\"5xx\"} 1",
@@ -249,7 +253,11 @@
         "ridgeworks_runs_owned 0",
         "# EOF",
     ] {
-        assert!(text.lines().any(|found| found == line), "{line} in\n{text}");
+        // A request is counted after its answer has left.
+        processes::wait_until(line, || {
+            text = metrics_text(&node);
+            text.lines().any(|found| found == line)
+        });
     }
     for name in [
         "edge_received_total",
