Let a run be claimed although none of its first replicas is there

A request for such a run was refused at once and the claim never begun, so that a run whose replicas had all been replaced was lost to its callers once the last of its first replicas was known to be down. Now it is refused at once only where fewer than two nodes with a disk are there.

--- a/crates/node/src/owner/quorum.rs
+++ b/crates/node/src/owner/quorum.rs
@@ -10,6 +10,8 @@
 use crate::RETRY_DELAY;
 use crate::message::{OwnerAnswer, OwnerCommand};
 
+/// Replicas that a claim needs.
+const MAJORITY: usize = REPLICAS_PER_RUN / 2 + 1;
 /// Longest time that a request waits for a run to be taken over. The gateway has repeated it by then,
 /// so that it tells its caller that the end is not known.
 const LONGEST_PENDING: Duration = Duration::from_secs(3);
@@ -40,8 +42,8 @@
                 let nodes = owner.replicas().iter().map(|replica| replica.node);
                 !self.directory.is_majority_present(nodes)
             }
-            // Its replicas may have been replaced; one that was there from the start knows by whom.
-            (_, None) => self.first_replicas_present(run) == 0,
+            // Its first replicas may all have been replaced, by any of the nodes that are there.
+            (_, None) => self.directory.present_disk_nodes().len() < MAJORITY,
         }
     }
 
--- a/crates/node/tests/replica_loss.rs
+++ b/crates/node/tests/replica_loss.rs
@@ -80,6 +80,8 @@
     let last = replicas.iter().find(|name| !["nd", "ne"].contains(name));
     let last = cluster.position(last.unwrap());
     cluster.nodes[last].kill();
+    let line = format!("member={} state=Dead", cluster.nodes[last].name);
+    eventually(&line, WITHIN, || cluster.has_logged(&line));
     call(&cluster, run, 6);
     // The first one comes back under its name with an empty disk.
     let first = cluster.position("nd");
