Let a dispatcher wait for a service that it does not know yet

The owner of a run may have a newer configuration than the node that dispatches for the service. The dispatcher then refused with 404 unknown_service, for good, a call that the owner had just admitted. It is silent now: the owner asks again every 300 ms and gives up where its own proven configuration lacks the service.

--- a/crates/node/src/dispatcher/role.rs
+++ b/crates/node/src/dispatcher/role.rs
@@ -6,9 +6,7 @@
 
 use crossbeam_channel::Sender;
 use ridgeworks_configuration::{ConfigurationSet, MachineList};
-use ridgeworks_domain::{
-    BackendAddress, BackendName, NodeId, Refusal, RefusalReason, ServiceKind, ServiceName,
-};
+use ridgeworks_domain::{BackendAddress, BackendName, NodeId, ServiceKind, ServiceName};
 use ridgeworks_scheduling::{Effect, Event, Ticket};
 use stakker::{CX, Fwd, after};
 
@@ -171,10 +169,8 @@
 
     fn is_new(&mut self, service: &ServiceName, ticket: Ticket) -> bool {
         self.ensure_group(service);
+        // The owner may have a newer configuration. It asks again, and gives up by its own one.
         let Some(group) = self.groups.get_mut(service) else {
-            let reason = RefusalReason::UnknownService;
-            let refusal = Refusal::permanent(reason);
-            self.answer(DispatcherAnswer::Refused { ticket, refusal });
             return false;
         };
         match group.note_request(ticket) {
--- a/crates/node/src/owner/slots.rs
+++ b/crates/node/src/owner/slots.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use ridgeworks_domain::{
-    BackendName, CallRequest, Refusal, RefusalReason, RunId, Sequence, ServiceKind,
+    BackendName, CallRequest, Refusal, RefusalReason, RunId, Sequence, ServiceKind, ServiceName,
 };
 use ridgeworks_run_log::event::OwnerEvent;
 use ridgeworks_scheduling::{
@@ -128,11 +128,21 @@
             self.cancel_slot(run);
             let reason = RefusalReason::DeadlineCannotBeMet;
             self.refuse_slot(now, run, &slot, Refusal::retry_after(reason, RETRY_DELAY));
+        } else if now >= slot.ask_again_at && self.is_unconfigured(&slot.service) {
+            self.cancel_slot(run);
+            let refusal = Refusal::permanent(RefusalReason::UnknownService);
+            self.refuse_slot(now, run, &slot, refusal);
         } else if now >= slot.ask_again_at {
             self.ask_again(now, run, slot);
         }
     }
 
+    /// Whether the newest configuration has no such service (any more).
+    fn is_unconfigured(&self, service: &ServiceName) -> bool {
+        let in_force = self.directory.in_force();
+        in_force.is_ok_and(|configuration| configuration.service(service).is_none())
+    }
+
     fn ask_again(&mut self, now: Instant, run: RunId, mut slot: Slot) {
         let dispatcher = self.directory.dispatcher_of(&slot.service);
         let dispatcher = dispatcher.unwrap_or(slot.dispatcher);
--- a/crates/node/tests/deployment_requests.rs
+++ b/crates/node/tests/deployment_requests.rs
@@ -41,10 +41,21 @@
         self.apply("PARTNER", PARTNER, json!({"partner": partner}));
         let class = json!({"urgent": false, "rank": 1});
         self.apply("PRIORITY_CLASS", "class-1", json!({"priorityClass": class}));
-        let service = json!({"kind": "SERVICE_KIND_TOOL", "price": "1", "attemptTimeoutMs": "1000", "maxAttempts": 1});
-        self.apply("SERVICE", "service-1", json!({"service": service}));
-        let program = json!({"class": "class-1", "services": ["service-1"], "budget": "100", "maxCalls": "10"});
-        self.apply("PROGRAM", "program-1", json!({"program": program}));
+        self.apply_program(1);
+    }
+
+    /// A program of this number with a service of this number.
+    fn apply_program(&self, number: usize) {
+        let name = format!("service-{number}");
+        let service = json!({
+            "kind": "SERVICE_KIND_TOOL", "price": "1", "attemptTimeoutMs": "1000", "maxAttempts": 1,
+        });
+        self.apply("SERVICE", &name, json!({"service": service}));
+        let program = json!({
+            "class": "class-1", "services": [name], "budget": "100", "maxCalls": "10",
+        });
+        let name = format!("program-{number}");
+        self.apply("PROGRAM", &name, json!({"program": program}));
     }
 
     fn apply(&self, kind: &str, name: &str, mut object: Value) {
@@ -188,3 +199,27 @@
     );
     deployment.nodes[0].assert_serving();
 }
+
+/// The node that takes the call may know of a new service before the one that dispatches for it.
+#[test]
+fn a_service_is_known_to_its_dispatcher_once_it_is_known_to_an_owner() {
+    let deployment = Deployment::start();
+    deployment.open_run(0);
+    for number in 2..12 {
+        deployment.apply_program(number);
+        let open = json!({"program": format!("program-{number}")});
+        let (node, run) = deployment
+            .nodes
+            .iter()
+            .enumerate()
+            .cycle()
+            .find_map(|(index, node)| {
+                let answer = node.post("/v1/runs", &[], &open);
+                Some((index, answer.json()["run"].as_str()?.to_owned()))
+            })
+            .expect("a node learns of the program");
+        let service = format!("service-{number}");
+        let answer = deployment.call(node, &service, &run, "call-1", 1);
+        answer.assert_refused(503, "no_backend");
+    }
+}
