--- a/crates/node/tests/edge_requests.rs
+++ b/crates/node/tests/edge_requests.rs
@@ -264,3 +264,21 @@
         assert!(text.lines().any(|line| line.starts_with(&start)), "{name}");
     }
 }
+
+#[test]
+fn the_reference_names_every_counter() {
+    let reference = include_str!("../../../docs/operations/counters.md");
+    let node = lonely_node("");
+    node.post("/v1/runs", &[], &json!({"program": "program-1"}));
+    let answer = send(node.edge, &request("GET", "/metrics", &[], b""));
+    let text = String::from_utf8(answer.body).expect("text");
+    let types = text
+        .lines()
+        .filter_map(|line| line.strip_prefix("# TYPE ridgeworks_"));
+    for line in types {
+        let (name, kind) = line.split_once(' ').expect("a name and a type");
+        let suffix = if kind == "counter" { "_total" } else { "" };
+        let shown = format!("`{name}{suffix}");
+        assert!(reference.contains(&shown), "{shown}");
+    }
+}
