Serve every connection of a burst at the stand-ins

tiny_http's task pool queues a new connection behind an idle thread that another connection of the same burst has taken; the connection then waits until some other one comes or ends. With streams that stay open an engine so left 1 to 3 of 100 requests unread for as long as the test watched, 30 s, and the system showed their calls as dispatched without an answer. A short connection of our own lets the queue move on, as the HTTP edge of the node does already.

--- a/crates/stand-ins/src/http.rs
+++ b/crates/stand-ins/src/http.rs
@@ -14,6 +14,7 @@
 use serde::de::DeserializeOwned;
 use tiny_http::{Header, Method, Request, Response, Server};
 
+use crate::connection_wake::{self, ServerActivity};
 use crate::failure::Failure;
 use ridgeworks_worker_pool::WorkerPool;
 
@@ -183,6 +184,7 @@
     server: Arc<Server>,
     address: SocketAddr,
     open_requests: Arc<AtomicUsize>,
+    activity: Arc<ServerActivity>,
     accepting: Option<JoinHandle<()>>,
 }
 
@@ -199,15 +201,19 @@
         let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
         let server = Arc::new(server);
         let open_requests = Arc::new(AtomicUsize::new(0));
+        let activity = Arc::<ServerActivity>::default();
+        connection_wake::start(address, Arc::clone(&activity));
         let handler: Arc<Handler> = Arc::new(handler);
         let accepting = {
             let (server, open_requests) = (Arc::clone(&server), Arc::clone(&open_requests));
-            thread::spawn(move || accept(&server, &handler, &open_requests))
+            let activity = Arc::clone(&activity);
+            thread::spawn(move || accept(&server, &handler, &open_requests, &activity))
         };
         Ok(Self {
             server,
             address,
             open_requests,
+            activity,
             accepting: Some(accepting),
         })
     }
@@ -222,6 +228,7 @@
         let Some(accepting) = self.accepting.take() else {
             return;
         };
+        self.activity.stopping.store(true, Ordering::SeqCst);
         self.server.unblock();
         let _ = accepting.join();
         while self.open_requests.load(Ordering::SeqCst) > 0 {
@@ -230,9 +237,15 @@
     }
 }
 
-fn accept(server: &Server, handler: &Arc<Handler>, open_requests: &Arc<AtomicUsize>) {
+fn accept(
+    server: &Server,
+    handler: &Arc<Handler>,
+    open_requests: &Arc<AtomicUsize>,
+    activity: &ServerActivity,
+) {
     let pool = WorkerPool::new("http", HANDLER_STACK_BYTES);
     while let Ok(request) = server.recv() {
+        activity.received.fetch_add(1, Ordering::Relaxed);
         open_requests.fetch_add(1, Ordering::SeqCst);
         let (handler, open_requests) = (Arc::clone(handler), Arc::clone(open_requests));
         pool.run(move || {
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -4,6 +4,7 @@
 //! test equipment: paths, headers and bodies are described in `docs/design/stand-ins.md`.
 
 pub mod attempts;
+pub mod connection_wake;
 pub mod engine;
 pub mod failure;
 pub mod fencing;
