--- a/crates/testbed/src/chaos/driver.rs
+++ b/crates/testbed/src/chaos/driver.rs
@@ -187,7 +187,8 @@
                 workload: workload.clone(),
                 waiting: waiting(arguments),
             };
-            self.clients.push(Client::new(plan, folder, Arc::clone(&self.tally))?);
+            self.clients
+                .push(Client::new(plan, folder, Arc::clone(&self.tally))?);
         }
         let mut ordered = partners.to_vec();
         ordered.sort_by_key(|name| name != partner);
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -4,7 +4,9 @@
 
 use clap::{Parser, Subcommand};
 use ridgeworks_history::VerifyArguments;
-use ridgeworks_testbed::{bench, chaos, cluster_command, demo, engine, load, platform, relay, tool};
+use ridgeworks_testbed::{
+    bench, chaos, cluster_command, demo, engine, load, platform, relay, tool,
+};
 
 /// Stand-ins and tools for trying ridgeworks out.
 #[derive(Parser)]
