--- a/crates/testbed/src/bench/latency.rs
+++ b/crates/testbed/src/bench/latency.rs
@@ -9,6 +9,8 @@
 
 const TEXT: &str = "what is open near here";
 const MAX_TOKENS: u64 = 16;
+/// Two steps of the fast engines.
+const MAX_PAUSE: Duration = Duration::from_millis(16);
 const ROUNDS: usize = 4;
 const REQUESTS_PER_ROUND: usize = 160;
 
@@ -54,6 +56,7 @@
         requests_per_worker: REQUESTS_PER_ROUND.div_ceil(workers),
         text: TEXT.to_owned(),
         max_tokens: MAX_TOKENS,
+        max_pause: MAX_PAUSE,
     };
     let mut level = LatencyLevel {
         workers,
--- a/crates/testbed/src/demo.rs
+++ b/crates/testbed/src/demo.rs
@@ -164,6 +164,7 @@
         requests_per_worker: OVERHEAD_REQUESTS,
         text: OVERHEAD_TEXT.to_owned(),
         max_tokens: OVERHEAD_TOKENS,
+        max_pause: Duration::ZERO,
     };
     let mut overhead = Overhead {
         direct: LoadResult::default(),
--- a/crates/testbed/src/load/command.rs
+++ b/crates/testbed/src/load/command.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use clap::Args;
 use ridgeworks_domain::{ProgramName, ServiceName};
@@ -38,6 +39,9 @@
     /// Most tokens of an answer.
     #[arg(long, default_value_t = 16)]
     max_tokens: u64,
+    /// Longest pause before a request, in milliseconds.
+    #[arg(long, default_value_t = 0)]
+    max_pause_ms: u64,
 }
 
 /// Why a load failed.
@@ -80,6 +84,7 @@
         requests_per_worker: arguments.requests,
         text: TEXT.to_owned(),
         max_tokens: arguments.max_tokens,
+        max_pause: Duration::from_millis(arguments.max_pause_ms),
     };
     let result = run_load(&target, &plan);
     for failure in &result.failures {
--- a/crates/testbed/src/load/workers.rs
+++ b/crates/testbed/src/load/workers.rs
@@ -3,6 +3,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
 use super::target::{Arrivals, StreamTarget};
 use crate::client::CallFailure;
 use crate::measures::Distribution;
@@ -18,6 +21,9 @@
     pub text: String,
     /// Most tokens of an answer.
     pub max_tokens: u64,
+    /// Longest pause before a request. Random pauses keep workers from falling into step with the
+    /// engines, which would make requests arrive at the worst or best time of a step.
+    pub max_pause: Duration,
 }
 
 /// What a load measured.
@@ -69,7 +75,7 @@
     let mut total = LoadResult::default();
     thread::scope(|scope| {
         let workers: Vec<_> = (0..plan.workers)
-            .map(|_| scope.spawn(|| run_worker(target, plan)))
+            .map(|worker| scope.spawn(move || run_worker(target, plan, worker as u64)))
             .collect();
         for worker in workers {
             total.add(worker.join().expect("a worker does not panic"));
@@ -79,9 +85,12 @@
     total
 }
 
-fn run_worker(target: &dyn StreamTarget, plan: &LoadPlan) -> LoadResult {
+fn run_worker(target: &dyn StreamTarget, plan: &LoadPlan, seed: u64) -> LoadResult {
+    let mut generator = ChaCha8Rng::seed_from_u64(seed);
     let mut result = LoadResult::default();
     for _ in 0..plan.requests_per_worker {
+        let pause = generator.random_range(Duration::ZERO..=plan.max_pause);
+        thread::sleep(pause);
         result.record(target.stream(&plan.text, plan.max_tokens));
     }
     result
