Take the text out of a fenced completion

Cause: an engine keeps an ended attempt's answer as a whole chat completion. A new owner that fenced the attempt of a killed one recorded that JSON as the call's answer, so that callers, history and later prompts held it instead of the text. Ruled out: the client's digest (calls without a fence have the back end's digest), the engine (its record has the text's digest). The fence is told whether the service is a model.

--- a/crates/node/src/outbound/attempt.rs
+++ b/crates/node/src/outbound/attempt.rs
@@ -35,6 +35,15 @@
     },
 }
 
+/// How a back end keeps the answer of an attempt that ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerForm {
+    /// As a whole chat completion, of which the text is the answer.
+    Completion,
+    /// As the answer itself.
+    Plain,
+}
+
 /// Where an attempt was dispatched to.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Dispatched {
--- a/crates/node/src/outbound/client.rs
+++ b/crates/node/src/outbound/client.rs
@@ -9,7 +9,7 @@
 use ureq::Agent;
 
 use super::attempt::{
-    AttemptEvent, AttemptFate, AttemptId, AttemptOrder, AttemptResult, Dispatched,
+    AnswerForm, AttemptEvent, AttemptFate, AttemptId, AttemptOrder, AttemptResult, Dispatched,
 };
 use super::{BackendCall, chat, fence, tool};
 use crate::mailbox::Mailbox;
@@ -73,13 +73,13 @@
     }
 
     /// Tells the back end to run an attempt no more, and asks how it stands.
-    pub fn fence(&self, id: AttemptId, to: Dispatched) {
+    pub fn fence(&self, id: AttemptId, to: Dispatched, form: AnswerForm) {
         let agent = self.agent.clone();
         let mailbox = self.mailbox.clone();
         let metrics = self.metrics.clone();
         // Without a thread no answer comes, and the owner asks again.
         spawn(move || {
-            let fate = fence::fence(&agent, &id, to.address, FENCE_TIMEOUT);
+            let fate = fence::fence(&agent, &id, to.address, form, FENCE_TIMEOUT);
             count_fence(&metrics, &fate);
             let backend = to.backend;
             mailbox.post(ThreadMessage::Attempt(AttemptEvent::Fenced {
--- a/crates/node/src/outbound/mod.rs
+++ b/crates/node/src/outbound/mod.rs
@@ -7,6 +7,7 @@
 mod tool;
 
 pub use attempt::{
-    AttemptEvent, AttemptFate, AttemptId, AttemptOrder, AttemptResult, BackendCall, Dispatched,
+    AnswerForm, AttemptEvent, AttemptFate, AttemptId, AttemptOrder, AttemptResult, BackendCall,
+    Dispatched,
 };
 pub use client::BackendClient;
--- a/crates/node/src/owner/effects.rs
+++ b/crates/node/src/owner/effects.rs
@@ -15,7 +15,7 @@
 use super::waiter::{Wanted, owner_answer};
 use crate::dispatcher::DispatcherCommand;
 use crate::message::{NodeMessage, OwnerAnswer, OwnerCommand};
-use crate::outbound::{AttemptId, AttemptOrder, BackendCall, Dispatched};
+use crate::outbound::{AnswerForm, AttemptId, AttemptOrder, BackendCall, Dispatched};
 
 /// An attempt whose service is no longer configured may take this long.
 const DEFAULT_ATTEMPT_TIMEOUT: Duration = Duration::from_secs(60);
@@ -65,7 +65,8 @@
                     attempt,
                 };
                 let to = Dispatched { backend, address };
-                self.outputs.backends.fence(id, to);
+                let form = self.answer_form(run, call);
+                self.outputs.backends.fence(id, to, form);
             }
             OwnerEffect::ReturnGrant { call, attempt, .. } => self.return_slot(run, call, attempt),
             OwnerEffect::AnswerCaller { caller, answer } => self.answer_caller(run, caller, answer),
@@ -176,6 +177,18 @@
         ))
     }
 
+    /// How the back end of a call keeps its answer.
+    fn answer_form(&self, run: RunId, call: Sequence) -> AnswerForm {
+        let owner = self.runs.get(&run).and_then(OwnedRun::owner);
+        let record = owner.and_then(|owner| owner.state().call(call));
+        let configuration = self.directory.last_known();
+        let service = record.and_then(|record| configuration.service(&record.request.service));
+        match service.map(|service| service.kind) {
+            Some(ServiceKind::Model) => AnswerForm::Completion,
+            _ => AnswerForm::Plain,
+        }
+    }
+
     fn answer_caller(&mut self, run: RunId, caller: CallerId, answer: CallerAnswer) {
         let Some(owned) = self.runs.get_mut(&run) else {
             return;
