Let a claim ask replicas that become known after it began

Cause: a node that has just started is seen alive 200 ms before it knows the others itself. Now a node that knows no majority of a run's replicas does not begin to own it, and a claim that is not won begins anew when further replicas become known. Ruled out: the dispatcher's queue (a ticket is asked again every 300 ms), the fence of an attempt (nothing was dispatched).

--- a/crates/node/src/owner/commands.rs
+++ b/crates/node/src/owner/commands.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use ridgeworks_domain::run_id::REPLICAS_PER_RUN;
 use ridgeworks_domain::{
     CallRequest, Cost, NodeId, PartnerName, ProgramName, Refusal, RefusalReason, RunId,
 };
@@ -18,6 +19,7 @@
 
 /// Nodes after the first candidate that are asked whether they own a run.
 const ASKED_CANDIDATES: usize = 1;
+const MAJORITY_OF_REPLICAS: usize = REPLICAS_PER_RUN / 2 + 1;
 /// A call whose caller names no deadline waits this long at most.
 const LONGEST_WAIT: Duration = Duration::from_secs(600);
 
@@ -189,6 +191,10 @@
         if self.stopping || candidates.first() != Some(&self.node) {
             return false;
         }
+        // A node that has just started knows nobody and takes itself for the owner of all runs.
+        if self.directory.replicas_of(run).len() < MAJORITY_OF_REPLICAS {
+            return false;
+        }
         let mut asked: Vec<NodeId> = self.directory.leaving_nodes().into_iter().collect();
         asked.extend(candidates.iter().skip(1).take(ASKED_CANDIDATES));
         if asked.is_empty() {
--- a/crates/node/src/owner/owned_run.rs
+++ b/crates/node/src/owner/owned_run.rs
@@ -50,6 +50,8 @@
     pub run: RunId,
     /// How far this node is in owning it.
     pub ownership: Ownership,
+    /// The replicas that a claim asks; none where the run was opened here.
+    pub contacts: Option<Vec<NodeId>>,
     /// Requests that came before the run was ready.
     pub pending: Vec<PendingCommand>,
     /// Requests that wait for an answer.
@@ -70,6 +72,7 @@
         Self {
             run,
             ownership,
+            contacts: None,
             pending: Vec::new(),
             waiters: HashMap::new(),
             deadlines: HashMap::new(),
@@ -95,6 +98,14 @@
         }
     }
 
+    /// Whether its claim is not won yet and does not ask one of these replicas.
+    pub fn claims_without(&self, replicas: &[NodeId]) -> bool {
+        let claims = self.owner().is_some_and(|owner| !owner.is_ready());
+        let contacts = self.contacts.iter().flatten();
+        let asked = |replica| contacts.clone().any(|contact| contact == replica);
+        claims && self.contacts.is_some() && !replicas.iter().all(asked)
+    }
+
     /// The run's state, once it is ready.
     pub fn ready_state(&self) -> Option<&RunState> {
         self.owner()
--- a/crates/node/src/owner/role.rs
+++ b/crates/node/src/owner/role.rs
@@ -8,7 +8,7 @@
 use crossbeam_channel::Sender;
 use ridgeworks_domain::{Ballot, NodeId, RunId};
 use ridgeworks_membership::{Member, MemberState};
-use ridgeworks_run_log::event::{CallerId, OwnerEffect, OwnerEvent};
+use ridgeworks_run_log::event::{CallerId, OwnerEvent};
 use ridgeworks_run_log::message::{Message, Reply};
 use ridgeworks_run_log::owner::{OwnerSettings, RunOwner};
 use stakker::{CX, Fwd, after};
@@ -157,16 +157,6 @@
             OwnerSettings::default(),
             self.clock.now(),
         );
-        self.own(now, run, owner, effects);
-    }
-
-    pub(super) fn own(
-        &mut self,
-        now: Instant,
-        run: RunId,
-        owner: RunOwner,
-        effects: Vec<OwnerEffect>,
-    ) {
         let ownership = Ownership::Owner(Box::new(owner));
         match self.runs.get_mut(&run) {
             Some(owned) => owned.ownership = ownership,
@@ -174,9 +164,22 @@
                 self.runs.insert(run, OwnedRun::new(run, ownership, now));
             }
         }
+        if let Some(owned) = self.runs.get_mut(&run) {
+            owned.contacts = Some(contacts);
+        }
         self.carry_out(now, run, effects);
     }
 
+    /// A claim asks the replicas that were known when it began. Where more of them are known before
+    /// it is won, it begins anew: those asked first may be down or too few for a majority.
+    fn check_contacts(&mut self, now: Instant, run: RunId) {
+        let replicas = self.directory.replicas_of(run);
+        let owned = self.runs.get(&run);
+        if owned.is_some_and(|owned| owned.claims_without(&replicas)) {
+            self.take_over(now, run);
+        }
+    }
+
     fn reply(&mut self, from: NodeId, reply: Reply) {
         if let Reply::Identity { replica } = reply {
             self.directory.note_identity(replica);
@@ -209,6 +212,7 @@
         for run in busy {
             self.handle(now, run, OwnerEvent::Tick);
             self.check_slot(now, run);
+            self.check_contacts(now, run);
             self.check_query(now, run);
         }
         after!(TICK_INTERVAL, [cx], tick());
