--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: test format lint build generate bench-scheduling experiment bench-storage check-generated demo bench
+.PHONY: test format lint build generate bench-scheduling experiment bench-storage check-generated demo bench chaos chaos-quick
 
 # Two conversations on a small deployment; the last line is one JSON object.
 demo:
@@ -42,3 +42,14 @@
 # Fails when the committed code does not match the published schema.
 check-generated: generate
 	git diff --exit-code -- crates/api/src/generated
+
+# Both presets in their small sizes, every fault alone and a list of pairs; prints a table.
+CHAOS_SEED ?= 1
+chaos:
+	cargo build --release --locked -p ridgeworks-node -p ridgeworks-testbed
+	target/release/ridgeworks-testbed chaos-suite --seed $(CHAOS_SEED)
+
+# One short run under two faults.
+chaos-quick:
+	cargo build --release --locked -p ridgeworks-node -p ridgeworks-testbed
+	target/release/ridgeworks-testbed chaos-suite --seed $(CHAOS_SEED) --quick
--- a/crates/testbed/src/chaos/arguments.rs
+++ b/crates/testbed/src/chaos/arguments.rs
@@ -24,8 +24,11 @@
     #[arg(long, default_value_t = 1)]
     pub seed: u64,
     /// Seconds during which faults begin.
-    #[arg(long, default_value_t = 20)]
+    #[arg(long, default_value_t = DEFAULT_SECONDS)]
     pub seconds: u64,
+    /// How often to go through the list of faults, whatever time that takes; instead of `seconds`.
+    #[arg(long)]
+    pub rounds: Option<u32>,
     /// Faults, separated by commas; `+` joins two that are on at once, `all` is each alone, `none`
     /// is no fault.
     #[arg(long, default_value = "all")]
@@ -37,13 +40,34 @@
     #[arg(long)]
     pub folder: Option<PathBuf>,
     /// Clients of each partner.
-    #[arg(long, default_value_t = 4)]
+    #[arg(long, default_value_t = DEFAULT_CLIENTS)]
     pub clients: usize,
     /// Operators of each partner.
-    #[arg(long, default_value_t = 2)]
+    #[arg(long, default_value_t = DEFAULT_OPERATORS)]
     pub operators: usize,
 }
 
+const DEFAULT_SECONDS: u64 = 20;
+const DEFAULT_CLIENTS: usize = 4;
+const DEFAULT_OPERATORS: usize = 2;
+
+impl ChaosArguments {
+    /// The defaults for some faults; the history is dropped.
+    pub fn new(preset: PresetName, seed: u64, faults: FaultList) -> Self {
+        Self {
+            preset,
+            seed,
+            seconds: DEFAULT_SECONDS,
+            rounds: None,
+            faults,
+            history: PathBuf::from("/dev/null"),
+            folder: None,
+            clients: DEFAULT_CLIENTS,
+            operators: DEFAULT_OPERATORS,
+        }
+    }
+}
+
 /// Faults to inject in turn; each entry holds those that are on at once.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct FaultList(pub Vec<Vec<FaultKind>>);
--- a/crates/testbed/src/chaos/client.rs
+++ b/crates/testbed/src/chaos/client.rs
@@ -218,9 +218,7 @@
             None => "open",
             Some(_) => "open child",
         };
-        let opened: OpenRunResponse = self
-            .request(kind, CallerRoute::OpenRun, Some(body))
-            .ok()?;
+        let opened: OpenRunResponse = self.request(kind, CallerRoute::OpenRun, Some(body)).ok()?;
         self.recorder.write(Event::RunOpened {
             run: opened.run,
             partner: self.plan.workload.partner.clone(),
--- a/crates/testbed/src/chaos/driver.rs
+++ b/crates/testbed/src/chaos/driver.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, Once, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -28,9 +28,10 @@
 };
 use crate::cluster_command::WorkingFolder;
 
-const EXIT_CLEAN: u8 = 0;
-const EXIT_VIOLATIONS: u8 = 1;
-const EXIT_FAILED: u8 = 2;
+pub(super) const EXIT_CLEAN: u8 = 0;
+pub(super) const EXIT_VIOLATIONS: u8 = 1;
+pub(super) const EXIT_FAILED: u8 = 2;
+static EXIT_ON_SIGNAL: Once = Once::new();
 const DRIVER: &str = "driver";
 /// Load before the first fault and after the last one.
 const QUIET_TIME: Duration = Duration::from_secs(3);
@@ -51,8 +52,14 @@
     }
 }
 
-fn carry_out(arguments: &ChaosArguments) -> Result<ChaosOutcome, ChaosError> {
-    exit_on_signal()?;
+/// Carries a run out and prints what it shows.
+pub(super) fn carry_out(arguments: &ChaosArguments) -> Result<ChaosOutcome, ChaosError> {
+    EXIT_ON_SIGNAL.call_once(|| {
+        // Without a handler an interruption leaves the processes behind; the run itself is the same.
+        if let Err(error) = exit_on_signal() {
+            eprintln!("{error}");
+        }
+    });
     let folder = WorkingFolder::make(arguments.folder.as_deref())?;
     let preset = arguments.preset.load().map_err(ClusterError::from)?;
     let cluster = Cluster::start(ClusterOptions {
@@ -115,7 +122,12 @@
     let mut schedule = Schedule::new(arguments.seed, combinations, sites.collect());
     thread::sleep(QUIET_TIME);
     let deadline = Instant::now() + Duration::from_secs(arguments.seconds);
-    while Instant::now() < deadline {
+    let asked = arguments
+        .rounds
+        .map(|rounds| rounds as usize * arguments.faults.0.len());
+    let mut done = 0;
+    while asked.map_or(Instant::now() < deadline, |asked| done < asked) {
+        done += 1;
         match schedule.next_episode(&injector.backends()) {
             Some(episode) => {
                 thread::sleep(episode.pause);
@@ -189,7 +201,8 @@
                 workload: workload.clone(),
                 waiting: waiting(arguments),
             };
-            self.clients.push(Client::new(plan, folder, Arc::clone(&self.tally))?);
+            self.clients
+                .push(Client::new(plan, folder, Arc::clone(&self.tally))?);
         }
         let mut ordered = partners.to_vec();
         ordered.sort_by_key(|name| name != partner);
--- a/crates/testbed/src/chaos/error.rs
+++ b/crates/testbed/src/chaos/error.rs
@@ -7,6 +7,7 @@
 use ridgeworks_history::recovery::MeasureError;
 use ridgeworks_history::writer::WriteError;
 
+use super::arguments::UnknownFault;
 use crate::cluster::ClusterError;
 
 /// Why a run could not be carried out or judged.
@@ -14,6 +15,8 @@
 pub enum ChaosError {
     /// The deployment failed beyond the faults injected.
     Cluster(ClusterError),
+    /// A list of faults names none that there is.
+    Faults(UnknownFault),
     /// The preset holds no program that a client could run.
     NoProgram,
     /// A history file cannot be written.
@@ -32,6 +35,7 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Cluster(error) => error.fmt(formatter),
+            Self::Faults(error) => error.fmt(formatter),
             Self::NoProgram => write!(formatter, "the preset holds no program to run"),
             Self::Record(error) => error.fmt(formatter),
             Self::Read(error) => error.fmt(formatter),
--- a/crates/testbed/src/chaos/mod.rs
+++ b/crates/testbed/src/chaos/mod.rs
@@ -15,6 +15,7 @@
 mod sending;
 mod status;
 mod successors;
+mod suite;
 mod tally;
 mod workload;
 
@@ -23,3 +24,4 @@
 pub use error::ChaosError;
 pub use outcome::{CallShares, ChaosOutcome};
 pub use schedule::{Episode, FaultKind, NodeSite, PAUSE_AFTER_LOSS, Schedule, ScheduledFault};
+pub use suite::{SuiteArguments, run_suite};
--- a/crates/testbed/src/chaos/operators.rs
+++ b/crates/testbed/src/chaos/operators.rs
@@ -13,8 +13,8 @@
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use ridgeworks_api::client::{ClientError, ClientSettings, OperatorClient};
 use ridgeworks_api::ConnectCode;
+use ridgeworks_api::client::{ClientError, ClientSettings, OperatorClient};
 use ridgeworks_api::v1;
 use ridgeworks_api::v1::object::Specification;
 use ridgeworks_history::Event;
@@ -215,11 +215,7 @@
     }
 
     fn read_split(&mut self) -> Option<Shown> {
-        self.read(
-            POOL_SPLIT_KEY,
-            v1::ObjectKind::PoolSplit,
-            POOL_SPLIT_NAME,
-        )
+        self.read(POOL_SPLIT_KEY, v1::ObjectKind::PoolSplit, POOL_SPLIT_NAME)
     }
 
     fn read(&mut self, key: &str, kind: v1::ObjectKind, name: &str) -> Option<Shown> {
--- a/crates/testbed/src/chaos/outcome.rs
+++ b/crates/testbed/src/chaos/outcome.rs
@@ -62,6 +62,11 @@
         shares
     }
 
+    /// Calls with an answer among all, in hundredths.
+    pub fn ok_percent(&self) -> f64 {
+        100.0 * self.ok as f64 / self.all().max(1) as f64
+    }
+
     fn all(&self) -> usize {
         self.ok + self.not_run + self.unknown + self.unanswered
     }
--- a/crates/testbed/src/chaos/status.rs
+++ b/crates/testbed/src/chaos/status.rs
@@ -25,13 +25,7 @@
 }
 
 /// Records what a node shows until it is told to stop.
-pub fn watch(
-    name: &str,
-    node: SocketAddr,
-    token: &str,
-    recorder: &Recorder,
-    stop: &AtomicBool,
-) {
+pub fn watch(name: &str, node: SocketAddr, token: &str, recorder: &Recorder, stop: &AtomicBool) {
     let client = status_client(node, token);
     while !stop.load(Ordering::SeqCst) {
         let invoked_at_us = recorder.now_us();
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -4,7 +4,9 @@
 
 use clap::{Parser, Subcommand};
 use ridgeworks_history::VerifyArguments;
-use ridgeworks_testbed::{bench, chaos, cluster_command, demo, engine, load, platform, relay, tool};
+use ridgeworks_testbed::{
+    bench, chaos, cluster_command, demo, engine, load, platform, relay, tool,
+};
 
 /// Stand-ins and tools for trying ridgeworks out.
 #[derive(Parser)]
@@ -34,6 +36,8 @@
     Bench(bench::BenchArguments),
     /// Put a deployment under faults and judge the history of what happened.
     Chaos(chaos::ChaosArguments),
+    /// Put both presets under every fault alone and a list of pairs, and print a table.
+    ChaosSuite(chaos::SuiteArguments),
     /// Judge the history of a run.
     Verify(VerifyArguments),
 }
@@ -49,6 +53,7 @@
         Command::Bench(arguments) => exit_code(bench::run(&arguments)),
         Command::Load(arguments) => exit_code(load::run(&arguments)),
         Command::Chaos(arguments) => ExitCode::from(chaos::run(&arguments)),
+        Command::ChaosSuite(arguments) => ExitCode::from(chaos::run_suite(&arguments)),
         Command::Verify(arguments) => ExitCode::from(ridgeworks_history::run(&arguments)),
     }
 }
