--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: test format lint build generate bench-scheduling experiment bench-storage check-generated demo bench compare-detectors
+.PHONY: test format lint build generate bench-scheduling experiment bench-storage check-generated demo bench compare-detectors chaos chaos-quick
 
 # Two conversations on a small deployment; the last line is one JSON object.
 demo:
@@ -51,3 +51,13 @@
 		--preset kalahari,serra-branca,burst --policy all --seeds 4 --output target/experiment
 	cargo run --release --locked -p ridgeworks-experiment --example experiment -- \
 		--preset scale --seeds 2 --output target/experiment/scale
+# Both presets in their small sizes, every fault alone and a list of pairs; prints a table.
+CHAOS_SEED ?= 1
+chaos:
+	cargo build --release --locked -p ridgeworks-node -p ridgeworks-testbed
+	target/release/ridgeworks-testbed chaos-suite --seed $(CHAOS_SEED)
+
+# One short run under two faults.
+chaos-quick:
+	cargo build --release --locked -p ridgeworks-node -p ridgeworks-testbed
+	target/release/ridgeworks-testbed chaos-suite --seed $(CHAOS_SEED) --quick
