--- a/crates/scheduling/src/granting.rs
+++ b/crates/scheduling/src/granting.rs
@@ -13,6 +13,8 @@
 
 /// Calls of a lane that are looked at for one free slot, beyond the first of each kind.
 const LOOK_AHEAD: usize = 8;
+/// Waiting calls of a lane that are looked at again in each tick.
+const RECONSIDERED: usize = 4;
 /// A call may overtake one that is due this much earlier when its context is where the slot is.
 const LOCALITY_SLACK_MICROS: i64 = 2_000_000;
 
@@ -277,7 +279,7 @@
             };
             let heads: Vec<Ticket> = lane
                 .iter()
-                .take(LOOK_AHEAD)
+                .take(RECONSIDERED)
                 .map(|(_, ticket)| ticket)
                 .collect();
             for ticket in heads {
