--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,18 @@
-.PHONY: test format lint build bench-scheduling experiment
+.PHONY: test format lint build generate bench-scheduling experiment bench-storage check-generated demo bench compare-detectors
 
+# Two conversations on a small deployment; the last line is one JSON object.
+demo:
+	cargo build --release --locked -p ridgeworks-node -p ridgeworks-testbed
+	target/release/ridgeworks-testbed demo
+
+# What the system adds to a load, and what requests and open streams cost.
+bench:
+	cargo build --release --locked -p ridgeworks-node -p ridgeworks-testbed
+	target/release/ridgeworks-testbed bench
+
+# The programs come first: a test of the testbed starts them.
 test: format lint
+	cargo build --workspace --bins --locked
 	cargo test --workspace --locked
 
 format:
@@ -12,8 +24,27 @@
 build:
 	cargo build --release --workspace --locked
 
+# Writes the committed code of the published schema anew.
+generate:
+	cargo run --manifest-path tools/generate-api/Cargo.toml --locked
 bench-scheduling:
 	cargo run --release --locked -p ridgeworks-scheduling --example decision_cost
+# Two libraries in one run, on the disk of BENCH_FOLDER.
+BENCH_FOLDER ?= target/bench-storage
+bench-storage:
+	cargo build --release --locked -p ridgeworks-storage --example bench_storage
+	for mode in appends idle reopen; do \
+	  for library in redb fjall; do \
+	    target/release/examples/bench_storage $$mode $$library $(BENCH_FOLDER) || exit 1; \
+	  done; \
+	done
+
+# Fails when the committed code does not match the published schema.
+check-generated: generate
+	git diff --exit-code -- crates/api/src/generated
+
+compare-detectors:
+	cargo run --release --locked -p ridgeworks-membership --example compare
 
 experiment:
 	cargo run --release --locked -p ridgeworks-experiment --example experiment -- \
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -10,13 +10,14 @@
 pub mod refusal;
 pub mod run_id;
 pub mod time;
+pub mod token_count;
 pub mod units;
 
 pub use ballot::Ballot;
-pub use call::{CallEnd, CallRequest, ServiceKind};
+pub use call::{BackendAddress, CallEnd, CallRequest, ServiceKind};
 pub use identifiers::{
-    BackendName, CallKey, ClassName, IdentifierError, NodeId, PartnerName, ProgramName, Sequence,
-    ServiceName, ZoneName,
+    BackendName, CallKey, ClassName, IdentifierError, NodeId, PartnerName, ProgramName, RegionName,
+    Sequence, ServiceName, ZoneName,
 };
 pub use refusal::{InvalidRequest, Refusal, RefusalReason};
 pub use run_id::RunId;
--- /dev/null
+++ b/crates/node/src/dispatcher/group.rs
@@ -0,0 +1,285 @@
+//! One service's dispatcher with what the node knows around it.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use ridgeworks_configuration::{ConfigurationSet, MachineList};
+use ridgeworks_domain::objects::Backend;
+use ridgeworks_domain::{BackendName, MonotonicTime, ServiceName};
+use ridgeworks_scheduling::{
+    Dispatcher, DispatcherSettings, Effect, Event, PartnerSettings, QueuedCall, Ticket,
+};
+
+use super::backend_list::{ListedBackend, backends_of};
+use super::checked_backends::CheckedBackends;
+use super::context_sweep::ContextSweep;
+use super::message::DispatcherAnswer;
+use crate::metrics::ServiceMetrics;
+
+/// A repeated request is answered as the first one for this long after its end.
+const REMEMBERED_END: Duration = Duration::from_secs(10);
+
+/// The back ends and the queue of one service.
+#[derive(Debug, Clone)]
+pub struct ServiceStatus {
+    /// The service.
+    pub service: ServiceName,
+    /// Its back ends.
+    pub backends: Vec<ListedBackend>,
+    /// Calls that wait for a slot.
+    pub queued: usize,
+    /// Grants that have not ended.
+    pub in_flight: usize,
+}
+
+/// What became of a request for a slot.
+enum TicketState {
+    Queued,
+    Granted(DispatcherAnswer),
+    Ended(MonotonicTime),
+}
+
+/// The dispatcher of one service.
+pub struct DispatcherGroup {
+    service: ServiceName,
+    dispatcher: Dispatcher,
+    listed: BTreeMap<BackendName, ListedBackend>,
+    tickets: HashMap<Ticket, TicketState>,
+    metrics: ServiceMetrics,
+    contexts: ContextSweep,
+    checked: CheckedBackends,
+    /// What the dispatcher was told of.
+    offered: BTreeMap<BackendName, ListedBackend>,
+    /// Calls that came before the back ends were asked.
+    held: Vec<QueuedCall>,
+}
+
+/// What is to be done about a request that may have come before.
+pub enum Repeat {
+    /// It is new.
+    New,
+    /// It waits or has ended.
+    Nothing,
+    /// It was answered so.
+    Answered(DispatcherAnswer),
+}
+
+impl DispatcherGroup {
+    /// A dispatcher without back ends.
+    pub fn new(service: ServiceName, metrics: ServiceMetrics) -> Self {
+        let settings = DispatcherSettings {
+            seed: rand::random(),
+            ..DispatcherSettings::default()
+        };
+        Self {
+            service,
+            dispatcher: Dispatcher::new(settings),
+            listed: BTreeMap::new(),
+            tickets: HashMap::new(),
+            metrics,
+            contexts: ContextSweep::default(),
+            checked: CheckedBackends::default(),
+            offered: BTreeMap::new(),
+            held: Vec::new(),
+        }
+    }
+
+    /// The service as operators see it.
+    pub fn status(&self) -> ServiceStatus {
+        ServiceStatus {
+            service: self.service.clone(),
+            backends: self.listed.values().cloned().collect(),
+            queued: self.dispatcher.queued(),
+            in_flight: self.dispatcher.in_flight(),
+        }
+    }
+
+    /// A back end by name.
+    pub fn backend(&self, name: &BackendName) -> Option<&Backend> {
+        self.listed.get(name).map(|listed| &listed.backend)
+    }
+
+    /// The contexts at the engines, for the sweep.
+    pub fn contexts(&mut self) -> &mut ContextSweep {
+        &mut self.contexts
+    }
+
+    /// The back ends that are listed now.
+    pub fn listed(&self) -> impl Iterator<Item = &ListedBackend> {
+        self.listed.values()
+    }
+
+    /// Tells whether a request came before, and notes it where it did not.
+    pub fn note_request(&mut self, ticket: Ticket) -> Repeat {
+        match self.tickets.get(&ticket) {
+            None => {
+                self.tickets.insert(ticket, TicketState::Queued);
+                Repeat::New
+            }
+            Some(TicketState::Granted(answer)) => Repeat::Answered(answer.clone()),
+            Some(TicketState::Queued | TicketState::Ended(_)) => Repeat::Nothing,
+        }
+    }
+
+    /// Notes the answer to a request.
+    pub fn note_answer(&mut self, answer: &DispatcherAnswer, now: MonotonicTime) {
+        match answer {
+            DispatcherAnswer::Granted { ticket, .. } => {
+                self.metrics.grants.inc();
+                let state = TicketState::Granted(answer.clone());
+                self.tickets.insert(*ticket, state);
+            }
+            DispatcherAnswer::Refused { ticket, .. } => {
+                self.metrics.refusals.inc();
+                self.note_end(*ticket, now);
+            }
+            DispatcherAnswer::Preempt { .. } => {}
+        }
+    }
+
+    /// Notes that a request is over.
+    pub fn note_end(&mut self, ticket: Ticket, now: MonotonicTime) {
+        self.tickets.insert(ticket, TicketState::Ended(now));
+    }
+
+    /// Forgets requests that ended some time ago.
+    pub fn forget_ended(&mut self, now: MonotonicTime) {
+        self.tickets.retain(|_, state| match state {
+            TicketState::Ended(ended) => now.since(*ended) < REMEMBERED_END,
+            TicketState::Queued | TicketState::Granted(_) => true,
+        });
+    }
+
+    /// Publishes the length of the queue and what is in flight.
+    pub fn publish(&self) {
+        let count = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+        self.metrics.queued.set(count(self.dispatcher.queued()));
+        self.metrics
+            .in_flight
+            .set(count(self.dispatcher.in_flight()));
+    }
+
+    /// Takes an event.
+    pub fn handle(&mut self, now: MonotonicTime, event: Event) -> Vec<Effect> {
+        match event {
+            Event::Enqueue(call) if !self.checked.is_complete(now, &self.listed) => {
+                self.held.push(call);
+                return Vec::new();
+            }
+            Event::Cancel(ticket) => self.held.retain(|call| call.ticket != ticket),
+            Event::OwnerLost(owner) => self.held.retain(|call| call.ticket.owner != owner),
+            _ => {}
+        }
+        let mut effects = self.dispatcher.handle(now, event);
+        effects.extend(self.let_in(now));
+        effects
+    }
+
+    /// Notes that a back end was asked whether it is leaving; one that is has been reported before.
+    pub fn note_checked(&mut self, now: MonotonicTime, name: &BackendName) -> Vec<Effect> {
+        self.checked.insert(name);
+        let mut effects = self.offer(now);
+        effects.extend(self.let_in(now));
+        effects
+    }
+
+    /// Hands on the calls that were held back, once it is known which back ends are leaving.
+    fn let_in(&mut self, now: MonotonicTime) -> Vec<Effect> {
+        if self.held.is_empty() || !self.checked.is_complete(now, &self.listed) {
+            return Vec::new();
+        }
+        let held = std::mem::take(&mut self.held).into_iter();
+        held.flat_map(|call| self.dispatcher.handle(now, Event::Enqueue(call)))
+            .collect()
+    }
+
+    /// Tells the dispatcher of the back ends as they are now.
+    fn offer(&mut self, now: MonotonicTime) -> Vec<Effect> {
+        let offered = self.checked.of(&self.listed);
+        let events = changes(&self.offered, &offered);
+        self.offered = offered;
+        let events = events.into_iter();
+        events
+            .flat_map(|event| self.dispatcher.handle(now, event))
+            .collect()
+    }
+
+    /// Takes up the shares and back ends as they are now. Gives the effects, and the back ends that
+    /// are gone.
+    pub fn update(
+        &mut self,
+        now: MonotonicTime,
+        configuration: &ConfigurationSet,
+        machines: &MachineList,
+    ) -> GroupUpdate {
+        let mut update = GroupUpdate::default();
+        let shares = Event::SharesChanged(partner_settings(configuration));
+        update.effects.extend(self.dispatcher.handle(now, shares));
+        let listed = backends_of(&self.service, configuration, machines);
+        let gone = self
+            .listed
+            .keys()
+            .filter(|name| !listed.contains_key(*name));
+        update.gone = gone.cloned().collect();
+        for name in &update.gone {
+            self.contexts.backend_gone(name);
+            self.checked.remove(name);
+        }
+        self.listed = listed;
+        update.effects.extend(self.offer(now));
+        update
+    }
+}
+
+/// What follows from an update of a group.
+#[derive(Default)]
+pub struct GroupUpdate {
+    /// Effects of the dispatcher.
+    pub effects: Vec<Effect>,
+    /// Back ends that are no longer listed.
+    pub gone: Vec<BackendName>,
+}
+
+fn changes(
+    before: &BTreeMap<BackendName, ListedBackend>,
+    after: &BTreeMap<BackendName, ListedBackend>,
+) -> Vec<Event> {
+    let mut events = Vec::new();
+    for name in before.keys() {
+        if !after.contains_key(name) {
+            events.push(Event::BackendGone(name.clone()));
+        }
+    }
+    for (name, listed) in after {
+        let known = before.get(name);
+        if known.map(|known| &known.backend) != Some(&listed.backend) {
+            events.push(Event::BackendUp(listed.backend.clone()));
+        }
+        let was_leaving = known.is_some_and(|known| known.leaving);
+        if listed.leaving && !was_leaving {
+            events.push(Event::BackendLeaving(name.clone()));
+        }
+    }
+    events
+}
+
+fn partner_settings(configuration: &ConfigurationSet) -> Vec<PartnerSettings> {
+    let split = configuration.pool_split();
+    let partners = configuration.partners();
+    let count = configuration.partners().count().max(1);
+    partners
+        .map(|partner| {
+            let share = split.and_then(|split| {
+                split
+                    .shares
+                    .iter()
+                    .find(|share| share.partner == partner.name)
+            });
+            PartnerSettings {
+                partner: partner.name.clone(),
+                permille: share.map_or((1_000 / count) as u16, |share| share.permille),
+                latency_weight: partner.latency_weight,
+            }
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/node/src/owner/mod.rs
@@ -0,0 +1,17 @@
+//! The owner role: orders the calls of the runs that this node owns.
+
+mod adoption;
+mod attempts;
+mod commands;
+mod effects;
+mod identities;
+mod owned_run;
+pub mod pause;
+mod prompt;
+mod quorum;
+mod role;
+mod slot;
+mod slots;
+mod waiter;
+
+pub use role::{OwnerOutputs, OwnerRole};
