Run many hollow nodes in few processes and measure how costs grow

Cause: no run showed the cost of membership and configuration at the two-year size on real links. Hollow nodes share processes; each runs the product's state machines and links.

--- a/crates/testbed/src/cluster/interrupt.rs
+++ b/crates/testbed/src/cluster/interrupt.rs
@@ -22,7 +22,7 @@
 }
 
 /// Starts a process and notes it, so that no interruption comes between the two.
-pub(super) fn spawn(command: &mut Command) -> io::Result<Child> {
+pub(crate) fn spawn(command: &mut Command) -> io::Result<Child> {
     let mut running = running();
     let child = command.spawn()?;
     running.insert(child.id());
@@ -30,7 +30,7 @@
 }
 
 /// Forgets a process that was waited for; its number may now belong to another one.
-pub(super) fn forget(process: u32) {
+pub(crate) fn forget(process: u32) {
     running().remove(&process);
 }
 
--- a/crates/testbed/src/cluster/layout.rs
+++ b/crates/testbed/src/cluster/layout.rs
@@ -125,7 +125,7 @@
         let settings = NodeSettingsFile {
             name: node.name.clone(),
             zone: node.zone.clone(),
-            region: self.preset.region.clone(),
+            region: self.preset.region_of(&node.zone).to_owned(),
             listen: node.listen,
             link_listen: node.links,
             peers: self.peers_of(node),
--- a/crates/testbed/src/cluster/preset.rs
+++ b/crates/testbed/src/cluster/preset.rs
@@ -2,6 +2,7 @@
 //!
 //! Presets are TOML files of this crate. They are the only place that names the users' own services.
 
+use std::collections::BTreeMap;
 use std::fmt;
 use std::str::FromStr;
 
@@ -56,8 +57,11 @@
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Preset {
-    /// Region that all zones belong to.
+    /// Region of every zone that [`Self::zone_regions`] does not name.
     pub region: String,
+    /// Regions of zones.
+    #[serde(default)]
+    pub zone_regions: BTreeMap<String, String>,
     /// Names of the zones.
     pub zones: Vec<String>,
     /// One-way delay between nodes of different zones, in microseconds.
@@ -230,6 +234,11 @@
         self.zones.len() * self.nodes_per_zone
     }
 
+    /// Region of a zone.
+    pub fn region_of(&self, zone: &str) -> &str {
+        self.zone_regions.get(zone).unwrap_or(&self.region)
+    }
+
     /// The first program that may use a service.
     pub fn program_with(&self, service: &str) -> Option<&v1::Metadata> {
         let mut objects = self.objects.iter();
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod measures;
 pub mod platform;
 pub mod relay;
+pub mod scale;
 pub mod serving;
 pub mod tool;
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -5,7 +5,7 @@
 use clap::{Parser, Subcommand};
 use ridgeworks_history::VerifyArguments;
 use ridgeworks_testbed::{
-    bench, chaos, cluster_command, demo, engine, load, platform, relay, tool,
+    bench, chaos, cluster_command, demo, engine, load, platform, relay, scale, tool,
 };
 
 /// Stand-ins and tools for trying ridgeworks out.
@@ -36,6 +36,11 @@
     Bench(bench::BenchArguments),
     /// Put a deployment under faults and judge the history of what happened.
     Chaos(chaos::ChaosArguments),
+    /// Run a cluster of many hollow nodes and measure how its costs grow.
+    Scale(scale::ScaleArguments),
+    /// Serve as one of the processes of hollow nodes that `scale` starts.
+    #[command(hide = true)]
+    ScaleHost(scale::HostArguments),
     /// Judge the history of a run.
     Verify(VerifyArguments),
 }
@@ -51,6 +56,8 @@
         Command::Bench(arguments) => exit_code(bench::run(&arguments)),
         Command::Load(arguments) => exit_code(load::run(&arguments)),
         Command::Chaos(arguments) => ExitCode::from(chaos::run(&arguments)),
+        Command::Scale(arguments) => exit_code(scale::run(&arguments)),
+        Command::ScaleHost(_) => exit_code(scale::run_host()),
         Command::Verify(arguments) => ExitCode::from(ridgeworks_history::run(&arguments)),
     }
 }
--- /dev/null
+++ b/crates/testbed/src/scale/hollow_node.rs
@@ -0,0 +1,342 @@
+//! Actor of one hollow node: the product's state machines on the product's links.
+//!
+//! It routes as the daemon's router and member-changes actors do, and passes nothing to owners,
+//! dispatchers or gateways, which it does not have.
+
+use std::cell::RefCell;
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use ridgeworks_configuration::settings::TICK_INTERVAL;
+use ridgeworks_configuration::{
+    ConfigurationRole, Effect as ConfigurationEffect, Event as ConfigurationEvent,
+    Member as ConfigurationMember,
+};
+use ridgeworks_domain::NodeId;
+use ridgeworks_link::{Delivery, LinkClosed, LinkCounters, LinkSettings, Links, Peer};
+use ridgeworks_membership::{Effect, Event, Member, Membership};
+use ridgeworks_node::clock::Clock;
+use ridgeworks_node::membership::SupersededError;
+use ridgeworks_node::message::NodeMessage;
+use ridgeworks_run_log::replica::Replica;
+use stakker::{ActorOwn, CX, FixedTimerKey, actor, after, at, call, fail, fwd_to, ret_nop};
+use stakker_mio::mio::net::TcpListener;
+
+use super::protocol::{NodeReport, Observation, SeenState};
+
+/// Signs of life of one node are passed on no more often than this, as in the daemon.
+const ALIVE_INTERVAL: Duration = Duration::from_millis(100);
+/// How often the replica looks for runs whose owner is silent, as the daemon's sweep does.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+const SILENT_TIME: Duration = Duration::from_secs(10);
+
+/// What all hollow nodes of a process share.
+#[derive(Debug, Clone, Default)]
+pub struct Shared {
+    /// Nodes that are cut off from all others, together.
+    pub cut: Rc<RefCell<BTreeSet<NodeId>>>,
+    /// What was seen since the last report.
+    pub observations: Rc<RefCell<Vec<Observation>>>,
+}
+
+/// What a hollow node is made of.
+pub struct HollowParts {
+    /// Its index.
+    pub index: usize,
+    /// Its failure detection.
+    pub membership: Membership,
+    /// Its configuration role.
+    pub configuration: ConfigurationRole,
+    /// Its replica role, on a node with a disk.
+    pub replica: Option<Replica>,
+    /// The process's clock.
+    pub clock: Clock,
+    /// Settings of its links.
+    pub link_settings: LinkSettings,
+    /// Where it listens.
+    pub listener: TcpListener,
+    /// Counters that go on over its lives.
+    pub counters: Arc<LinkCounters>,
+    /// What it shares with the others.
+    pub shared: Shared,
+}
+
+/// A hollow node.
+pub struct HollowNode {
+    index: usize,
+    node: NodeId,
+    membership: Membership,
+    configuration: ConfigurationRole,
+    replica: Option<Replica>,
+    clock: Clock,
+    links: ActorOwn<Links>,
+    counters: Arc<LinkCounters>,
+    shared: Shared,
+    last_alive: HashMap<NodeId, Instant>,
+    timer: Option<(FixedTimerKey, Instant)>,
+    is_silent: bool,
+}
+
+impl HollowNode {
+    /// Starts a life.
+    pub fn init(cx: CX![], parts: HollowParts) -> Option<Self> {
+        let node = parts.link_settings.node;
+        let links = actor!(
+            cx,
+            Links::init(
+                parts.link_settings,
+                parts.listener,
+                fwd_to!([cx], deliver() as (Delivery)),
+                fwd_to!([cx], link_closed() as (LinkClosed)),
+                parts.counters.clone()
+            ),
+            ret_nop!()
+        );
+        let mut hollow = Self {
+            index: parts.index,
+            node,
+            membership: parts.membership,
+            configuration: parts.configuration,
+            replica: parts.replica,
+            clock: parts.clock,
+            links,
+            counters: parts.counters,
+            shared: parts.shared,
+            last_alive: HashMap::new(),
+            timer: None,
+            is_silent: false,
+        };
+        hollow.membership_event(cx, Event::Timer);
+        hollow.tick(cx);
+        hollow.sweep(cx);
+        Some(hollow)
+    }
+
+    /// Its machine fails: nothing more is said or heard, and no connection is closed.
+    pub fn silence(&mut self, _cx: CX![]) {
+        self.is_silent = true;
+    }
+
+    /// Announces that it is leaving.
+    pub fn leave(&mut self, cx: CX![]) {
+        self.membership_event(cx, Event::Leave);
+    }
+
+    /// Announces that it has left, then is silent until its process ends.
+    pub fn left(&mut self, cx: CX![]) {
+        self.membership_event(cx, Event::Left);
+        self.is_silent = true;
+    }
+
+    /// Its state and counters.
+    pub fn report(&mut self, _cx: CX![]) -> NodeReport {
+        let now = self.clock.now();
+        let membership = self.membership.counters();
+        let machines = self.configuration.machines();
+        let present = self.membership.members();
+        NodeReport {
+            generation: match self.is_silent {
+                true => 0,
+                false => self.membership.own().incarnation.generation(),
+            },
+            present: present.filter(|member| member.state.is_present()).count(),
+            table_hash: self.membership.table_hash(),
+            revision: self.configuration.last_known().revision().0,
+            is_ready: self.configuration.in_force(now).is_ok(),
+            machines_version: machines.version(),
+            machines: machines.machines().count(),
+            run_heads: self.replica.as_ref().map_or(0, Replica::run_count),
+            suspicions: membership.suspicions,
+            own_pauses: membership.own_pauses,
+            leases_lapsed: self.configuration.counters().leases_lapsed,
+            ..link_report(self.index, &self.counters)
+        }
+    }
+
+    fn deliver(&mut self, cx: CX![], delivery: Delivery) {
+        if self.is_silent || self.is_cut_off_from(delivery.from) {
+            return;
+        }
+        let from = delivery.from;
+        let Ok(message) = NodeMessage::decode(&delivery.body) else {
+            return;
+        };
+        match message {
+            NodeMessage::Membership(message) => {
+                self.membership_event(cx, Event::Message { from, message });
+            }
+            NodeMessage::Configuration(message) => {
+                self.note_alive(cx, from);
+                let event = ConfigurationEvent::Message { from, message };
+                self.configuration_event(event);
+            }
+            _ => self.note_alive(cx, from),
+        }
+    }
+
+    fn note_alive(&mut self, cx: CX![], from: NodeId) {
+        let now = cx.now();
+        let last = self.last_alive.get(&from);
+        if last.is_some_and(|last| now.duration_since(*last) < ALIVE_INTERVAL) {
+            return;
+        }
+        self.last_alive.insert(from, now);
+        self.membership_event(cx, Event::MessageFrom { node: from });
+    }
+
+    fn link_closed(&mut self, cx: CX![], closed: LinkClosed) {
+        let node = closed.peer.node;
+        if !self.is_cut_off_from(node) {
+            self.membership_event(cx, Event::LinkClosed { node });
+        }
+    }
+
+    fn on_timer(&mut self, cx: CX![]) {
+        self.timer = None;
+        self.membership_event(cx, Event::Timer);
+    }
+
+    fn membership_event(&mut self, cx: CX![], event: Event) {
+        if self.is_silent {
+            return;
+        }
+        let effects = self.membership.handle(event, self.clock.now());
+        for effect in effects {
+            self.carry_out(cx, effect);
+        }
+        self.set_timer(cx);
+    }
+
+    /// One timer at a time, for what is due next.
+    fn set_timer(&mut self, cx: CX![]) {
+        let next = self.clock.instant(self.membership.next_timer());
+        if let Some((key, due)) = self.timer {
+            if due == next {
+                return;
+            }
+            cx.timer_del(key);
+        }
+        let key = at!(next.max(cx.now()), [cx], on_timer());
+        self.timer = Some((key, next));
+    }
+
+    fn carry_out(&mut self, cx: CX![], effect: Effect) {
+        match effect {
+            Effect::Send {
+                to,
+                address,
+                message,
+            } => self.send(to, address, &NodeMessage::Membership(message)),
+            Effect::SendToSeed { address, message } => {
+                let seed = NodeId::from_name(&address.to_string());
+                self.send(seed, address, &NodeMessage::Membership(message));
+            }
+            Effect::MemberChanged { member, .. } => self.member_changed(&member),
+            Effect::MemberForgotten { .. } => {}
+            Effect::Superseded { .. } => fail!(cx, SupersededError),
+        }
+    }
+
+    fn member_changed(&mut self, member: &Member) {
+        if let Some(state) = SeenState::of(member.state) {
+            self.shared
+                .observations
+                .borrow_mut()
+                .push(Observation::Member {
+                    at_us: wall_clock_us(),
+                    observer: self.index,
+                    subject: member.name.clone(),
+                    generation: member.incarnation.generation(),
+                    state,
+                });
+        }
+        let members: Vec<Member> = self.membership.members().cloned().collect();
+        let present = members
+            .into_iter()
+            .filter(|member| member.state.is_present())
+            .map(|member| ConfigurationMember {
+                node: member.node,
+                zone: member.zone,
+            });
+        let event = ConfigurationEvent::Members(present.collect());
+        self.configuration_event(event);
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        if !self.is_silent {
+            self.configuration_event(ConfigurationEvent::Tick);
+            after!(TICK_INTERVAL, [cx], tick());
+        }
+    }
+
+    fn sweep(&mut self, cx: CX![]) {
+        if let Some(replica) = &self.replica {
+            let now = self.clock.now();
+            std::hint::black_box(replica.unsettled_runs(now, SILENT_TIME).count());
+            after!(SWEEP_INTERVAL, [cx], sweep());
+        }
+    }
+
+    fn configuration_event(&mut self, event: ConfigurationEvent) {
+        let effects = self.configuration.handle(self.clock.now(), event);
+        for effect in effects {
+            match effect {
+                ConfigurationEffect::Send { to, message } => {
+                    let Some(address) = self.membership.member(to).map(|member| member.address)
+                    else {
+                        continue;
+                    };
+                    self.send(to, address, &NodeMessage::Configuration(message));
+                }
+                ConfigurationEffect::InForce(set) => {
+                    let seen = Observation::Revision {
+                        at_us: wall_clock_us(),
+                        observer: self.index,
+                        revision: set.revision().0,
+                    };
+                    self.shared.observations.borrow_mut().push(seen);
+                }
+                // A hollow node has neither a voter's disk, nor a platform, nor operators.
+                _ => {}
+            }
+        }
+    }
+
+    fn send(&mut self, to: NodeId, address: SocketAddr, message: &NodeMessage) {
+        if self.is_cut_off_from(to) {
+            return;
+        }
+        let peer = Peer { node: to, address };
+        call!([self.links], send(peer, message.encode()));
+    }
+
+    fn is_cut_off_from(&self, other: NodeId) -> bool {
+        let cut = self.shared.cut.borrow();
+        !cut.is_empty() && cut.contains(&self.node) != cut.contains(&other)
+    }
+}
+
+/// What the counters of its links say of a node, up or down.
+pub fn link_report(index: usize, counters: &LinkCounters) -> NodeReport {
+    let read =
+        |counter: &std::sync::atomic::AtomicU64| counter.load(std::sync::atomic::Ordering::Relaxed);
+    NodeReport {
+        index,
+        sent_bytes: read(&counters.sent_bytes),
+        received_bytes: read(&counters.received_bytes),
+        sent_messages: read(&counters.sent_messages),
+        received_messages: read(&counters.received_messages),
+        dropped_messages: read(&counters.dropped_messages),
+        dialled: read(&counters.dialled),
+        ..NodeReport::default()
+    }
+}
+
+/// The machine's wall clock, in microseconds since the Unix epoch.
+pub fn wall_clock_us() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.map_or(0, |elapsed| elapsed.as_micros() as u64)
+}
