--- a/crates/node/src/assembly.rs
+++ b/crates/node/src/assembly.rs
@@ -32,7 +32,7 @@
 use crate::operator::{DeskActors, OperatorDesk};
 use crate::outbound::BackendClient;
 use crate::owner::{OwnerOutputs, OwnerRole};
-use crate::replica::{NodeStore, ReplicaRole};
+use crate::replica::{NodeStore, ReplicaRole, RunSweeps};
 use crate::router::{Incoming, Outgoing, Roles, Router};
 use crate::settings::Settings;
 use crate::thread_message::ThreadMessage;
@@ -153,7 +153,7 @@
             ),
             ret_shutdown!(stakker)
         );
-        let replica = self.start_replica(stakker, &outgoing);
+        let replica = self.start_replica(stakker, settings, &outgoing);
         let roles = Roles {
             gateway: fwd_to!([gateway], receive() as (Incoming)),
             owner: fwd_to!([owner], receive() as (Incoming)),
@@ -186,7 +186,10 @@
             metrics: self.metrics.clone(),
         };
         let directory = self.directory.clone();
-        call!([owner], OwnerRole::init(self.node, directory, outputs));
+        call!(
+            [owner],
+            OwnerRole::init(self.node, directory, outputs, settings.sweep.clone())
+        );
         let outputs = DispatcherOutputs {
             outgoing: outgoing.clone(),
             backends: self.backends,
@@ -270,6 +273,7 @@
     fn start_replica(
         &self,
         stakker: &mut Stakker,
+        settings: &Settings,
         outgoing: &Fwd<Outgoing>,
     ) -> Option<ActorOwn<ReplicaRole>> {
         let parts = self.store.as_ref()?;
@@ -277,11 +281,11 @@
             stakker,
             ReplicaRole::init(
                 self.node,
-                self.clock,
                 parts.store.clone(),
                 parts.restored.clone(),
                 outgoing.clone(),
-                self.metrics.clone()
+                self.metrics.clone(),
+                RunSweeps::new(self.directory.clone(), settings.sweep.clone())
             ),
             ret_shutdown!(stakker)
         ))
--- a/crates/node/src/dispatcher/engine_poll.rs
+++ b/crates/node/src/dispatcher/engine_poll.rs
@@ -34,6 +34,15 @@
     Listing(CacheListing),
     /// The back end says itself that it is leaving.
     Leaving(BackendName),
+    /// The back end was asked for the first time, whether it answered or not.
+    Checked(BackendName),
+    /// Which start of the back end answers.
+    Instance {
+        /// The back end.
+        backend: BackendName,
+        /// Number of the start.
+        instance: u64,
+    },
 }
 
 /// What a poll brought, for the dispatcher of a service.
@@ -48,6 +57,7 @@
 #[derive(Deserialize)]
 struct Health {
     status: HealthStatus,
+    instance: Option<u64>,
 }
 
 #[derive(Deserialize, PartialEq, Eq)]
@@ -178,6 +188,9 @@
                 return;
             }
             self.poll_health();
+            if polls == 0 {
+                self.report(EngineNews::Checked(self.backend.name.clone()));
+            }
             if self.kind == ServiceKind::Model {
                 self.poll_load();
                 next_event = self.poll_events(next_event);
@@ -190,9 +203,16 @@
     }
 
     fn poll_health(&self) {
-        let health: Option<Health> = self.get("/health");
-        if health.is_some_and(|health| health.status == HealthStatus::Leaving) {
-            self.report(EngineNews::Leaving(self.backend.name.clone()));
+        let Some(health) = self.get::<Health>("/health") else {
+            return;
+        };
+        let backend = self.backend.name.clone();
+        if let Some(instance) = health.instance {
+            let backend = backend.clone();
+            self.report(EngineNews::Instance { backend, instance });
+        }
+        if health.status == HealthStatus::Leaving {
+            self.report(EngineNews::Leaving(backend));
         }
     }
 
--- a/crates/node/src/dispatcher/mod.rs
+++ b/crates/node/src/dispatcher/mod.rs
@@ -1,6 +1,7 @@
 //! The dispatcher role: the only queue in front of the back ends of a service.
 
 mod backend_list;
+mod checked_backends;
 pub mod context_sweep;
 mod engine_poll;
 mod group;
@@ -9,7 +10,8 @@
 mod sweep;
 
 pub use backend_list::ListedBackend;
+pub use checked_backends::LONGEST_CHECK;
 pub use engine_poll::{EngineNews, EnginePolls, EngineReport};
-pub use group::ServiceStatus;
+pub use group::{DispatcherGroup, GroupUpdate, Repeat, ServiceStatus};
 pub use message::{DispatcherAnswer, DispatcherCommand, SlotRequest};
 pub use role::{DispatcherOutputs, DispatcherRole};
--- a/crates/node/src/dispatcher/role.rs
+++ b/crates/node/src/dispatcher/role.rs
@@ -6,7 +6,7 @@
 
 use crossbeam_channel::Sender;
 use ridgeworks_configuration::{ConfigurationSet, MachineList};
-use ridgeworks_domain::{NodeId, Refusal, RefusalReason, ServiceKind, ServiceName};
+use ridgeworks_domain::{BackendAddress, BackendName, NodeId, ServiceKind, ServiceName};
 use ridgeworks_scheduling::{Effect, Event, Ticket};
 use stakker::{CX, Fwd, after};
 
@@ -41,6 +41,8 @@
     polls: EnginePolls,
     machines: Arc<MachineList>,
     pub(super) groups: BTreeMap<ServiceName, DispatcherGroup>,
+    /// Which start of each back end answered last.
+    instances: BTreeMap<BackendName, u64>,
 }
 
 impl DispatcherRole {
@@ -58,6 +60,7 @@
             polls,
             machines: Arc::default(),
             groups: BTreeMap::new(),
+            instances: BTreeMap::new(),
         };
         role.tick(cx);
         role.sweep(cx);
@@ -111,10 +114,27 @@
             EngineNews::Cache(event) => Event::CacheEvent(event),
             EngineNews::Listing(listing) => Event::CacheListing(listing),
             EngineNews::Leaving(backend) => Event::BackendLeaving(backend),
+            EngineNews::Checked(backend) => {
+                self.note_checked(&report.service, &backend);
+                return;
+            }
+            EngineNews::Instance { backend, instance } => {
+                self.instances.insert(backend, instance);
+                return;
+            }
         };
         self.handle(&report.service, event);
     }
 
+    fn note_checked(&mut self, service: &ServiceName, backend: &BackendName) {
+        let now = self.clock.now();
+        let Some(group) = self.groups.get_mut(service) else {
+            return;
+        };
+        let effects = group.note_checked(now, backend);
+        self.carry_out(service, effects);
+    }
+
     fn command(&mut self, command: DispatcherCommand) {
         let service = command.service().clone();
         let now = self.clock.now();
@@ -149,10 +169,8 @@
 
     fn is_new(&mut self, service: &ServiceName, ticket: Ticket) -> bool {
         self.ensure_group(service);
+        // The owner may have a newer configuration. It asks again, and gives up by its own one.
         let Some(group) = self.groups.get_mut(service) else {
-            let reason = RefusalReason::UnknownService;
-            let refusal = Refusal::permanent(reason);
-            self.answer(DispatcherAnswer::Refused { ticket, refusal });
             return false;
         };
         match group.note_request(ticket) {
@@ -204,6 +222,7 @@
         }
         for gone in &update.gone {
             self.polls.stop(gone);
+            self.instances.remove(gone);
         }
         self.carry_out(service, update.effects);
     }
@@ -231,6 +250,10 @@
                 address,
                 ..
             } => {
+                let address = BackendAddress {
+                    socket: address,
+                    instance: self.instances.get(&backend).copied(),
+                };
                 let answer = DispatcherAnswer::Granted {
                     ticket,
                     backend,
--- a/crates/node/src/inbound/gateway.rs
+++ b/crates/node/src/inbound/gateway.rs
@@ -111,7 +111,9 @@
         };
         match answer {
             OwnerAnswer::Chunk { offset, text } => {
-                if let Some(text) = open.new_part(offset, text) {
+                if open.takes_chunks()
+                    && let Some(text) = open.new_part(offset, text)
+                {
                     let offset = open.passed_on - text.len() as u64;
                     pass_on(&open.answers, Ok(OwnerAnswer::Chunk { offset, text }));
                 }
@@ -119,6 +121,7 @@
             }
             OwnerAnswer::AskOther { owner } if owner != self.node || open.asked != Some(owner) => {
                 open.asked = Some(owner);
+                open.times_asked += 1;
                 open.ask_again_at = now + ASK_AGAIN_INTERVAL;
                 let command = open.command.clone();
                 self.send(owner, request, command);
@@ -131,7 +134,10 @@
                 open.ask_again_at = now + REDIRECT_DELAY;
             }
             OwnerAnswer::Carved { budget } => self.open_child(now, request, budget),
-            OwnerAnswer::Refused(refusal) => self.finish(request, Err(refusal)),
+            OwnerAnswer::Refused(refusal) => {
+                let refusal = open.worded(refusal);
+                self.finish(request, Err(refusal));
+            }
             whole => self.finish(request, Ok(whole)),
         }
     }
@@ -242,6 +248,7 @@
             deadline,
             asked: None,
             ask_again_at: cx.now(),
+            times_asked: 0,
             passed_on: 0,
         };
         self.open.insert(request, open);
@@ -259,6 +266,7 @@
             return;
         };
         open.asked = Some(owner);
+        open.times_asked += 1;
         open.ask_again_at = now + ASK_AGAIN_INTERVAL;
         let command = open.command.clone();
         self.send(owner, request, command);
--- /dev/null
+++ b/crates/node/src/owner/adoption.rs
@@ -0,0 +1,113 @@
+//! Takes over runs for which no caller asks: to end what their last owner left, or to complete their replicas.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use ridgeworks_domain::{NodeId, RunId};
+use ridgeworks_run_log::entry::ReplicaId;
+use ridgeworks_run_log::event::OwnerEvent;
+use stakker::{CX, after};
+
+use super::owned_run::OwnedRun;
+use super::role::OwnerRole;
+use crate::message::NodeMessage;
+
+/// Time between two looks at the replicas of the runs owned here.
+const COMPLETION_INTERVAL: Duration = Duration::from_secs(1);
+/// A claim that is not won is made among all nodes for one second out of so many.
+const WIDE_CLAIM_SECONDS: u64 = 8;
+/// Most replicas that are replaced in one look.
+const MAX_REPLACEMENTS: usize = 64;
+
+impl OwnerRole {
+    /// Takes over runs, unless they are owned here already or another node is to own them.
+    pub(super) fn adopt_runs(&mut self, now: Instant, runs: Vec<RunId>, forwarded: bool) {
+        let mut for_others: BTreeMap<NodeId, Vec<RunId>> = BTreeMap::new();
+        for run in runs {
+            if self.runs.contains_key(&run) {
+                self.log_changed_stores(run);
+                self.handle(now, run, OwnerEvent::CheckReplicas);
+                continue;
+            }
+            if self.begin_owning(now, run) {
+                continue;
+            }
+            if let Some(candidate) = self.directory.owner_of(run) {
+                for_others.entry(candidate).or_default().push(run);
+            }
+        }
+        if forwarded {
+            return;
+        }
+        for (to, runs) in for_others {
+            let message = NodeMessage::AdoptRuns {
+                runs,
+                forwarded: true,
+            };
+            self.send(to, message);
+        }
+    }
+
+    /// Replaces replicas that are lost for good. A new disk under an old name is replaced by itself once the owner meets it.
+    pub(super) fn complete_replicas(&mut self, cx: CX![]) {
+        let now = cx.now();
+        let incomplete: Vec<(RunId, ReplicaId, ReplicaId)> = self
+            .runs
+            .values()
+            .filter_map(|owned| self.replacement(owned))
+            .take(MAX_REPLACEMENTS)
+            .collect();
+        for (run, old, new) in incomplete {
+            log::info!("run={run} replaces={} by={}", old.node.0, new.node.0);
+            self.handle(now, run, OwnerEvent::ReplaceReplica { old, new });
+        }
+        after!(COMPLETION_INTERVAL, [cx], complete_replicas());
+    }
+
+    fn log_changed_stores(&self, run: RunId) {
+        let owner = self.runs.get(&run).and_then(OwnedRun::owner);
+        let replicas = owner.map(|owner| owner.replicas()).unwrap_or_default();
+        for replica in replicas {
+            if self.directory.has_other_store(*replica) {
+                let node = replica.node.0;
+                log::info!("run={run} replica={node} has another store");
+            }
+        }
+    }
+
+    /// A claim that is not won is made again among all nodes with a disk, for a second out of every few: replicas that
+    /// the run's number names may all have been replaced.
+    pub(super) fn check_claim(&mut self, now: Instant, run: RunId) {
+        let Some(owned) = self.runs.get_mut(&run) else {
+            return;
+        };
+        let claiming = owned
+            .owner()
+            .is_some_and(|owner| owner.replicas().is_empty());
+        if !claiming {
+            return;
+        }
+        let claimed_at = *owned.claimed_at.get_or_insert(now);
+        let seconds = now.saturating_duration_since(claimed_at).as_secs();
+        let widely = seconds % WIDE_CLAIM_SECONDS == 1;
+        if widely != owned.claims_widely {
+            owned.claims_widely = widely;
+            let contacts = if widely {
+                self.directory.present_disk_nodes()
+            } else {
+                self.directory.replicas_of(run)
+            };
+            self.claim_among(now, run, &contacts);
+        }
+    }
+
+    fn replacement(&self, owned: &OwnedRun) -> Option<(RunId, ReplicaId, ReplicaId)> {
+        let owner = owned.owner().filter(|owner| owner.is_ready())?;
+        let members = owner.replicas();
+        let dead_time = self.sweep_settings.dead_time();
+        let absent = |member: &&ReplicaId| self.directory.is_absent_for(member.node, dead_time);
+        let old = members.iter().find(absent)?;
+        let new = self.directory.replacement_for(owned.run, members, *old)?;
+        Some((owned.run, *old, new))
+    }
+}
--- a/crates/node/src/owner/commands.rs
+++ b/crates/node/src/owner/commands.rs
@@ -12,6 +12,7 @@
 
 use super::owned_run::{OwnedRun, Ownership, PendingCommand};
 use super::prompt::{call_size, service_of};
+use super::quorum::no_quorum;
 use super::role::{OwnerRole, QUERY_TIMEOUT};
 use super::waiter::{Waiter, Wanted};
 use crate::RETRY_DELAY;
@@ -42,6 +43,10 @@
                 return;
             }
         }
+        if self.lacks_majority(run, &command) {
+            self.answer(request, OwnerAnswer::Refused(no_quorum()));
+            return;
+        }
         match command {
             OwnerCommand::OpenRun {
                 run,
@@ -99,10 +104,10 @@
     /// Goes on without the nodes that did not answer in time.
     pub(super) fn check_query(&mut self, now: Instant, run: RunId) {
         let ownership = self.runs.get(&run).map(|owned| &owned.ownership);
-        if let Some(Ownership::Asking { until, .. }) = ownership {
-            if now >= *until {
-                self.take_over(now, run);
-            }
+        if let Some(Ownership::Asking { until, .. }) = ownership
+            && now >= *until
+        {
+            self.take_over(now, run);
         }
     }
 
@@ -181,12 +186,16 @@
         if owned.ready_state().is_some() {
             self.command_to_ready(now, request, command);
         } else {
-            owned.pending.push(PendingCommand { request, command });
+            owned.pending.push(PendingCommand {
+                request,
+                command,
+                since: now,
+            });
         }
     }
 
     /// Begins to take a run over, if this node is the first candidate for it.
-    fn begin_owning(&mut self, now: Instant, run: RunId) -> bool {
+    pub(super) fn begin_owning(&mut self, now: Instant, run: RunId) -> bool {
         let candidates = self.directory.owner_candidates(run);
         if self.stopping || candidates.first() != Some(&self.node) {
             return false;
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -1,11 +1,14 @@
 //! The owner role: orders the calls of the runs that this node owns.
 
+mod adoption;
 mod attempts;
 mod commands;
 mod effects;
 mod identities;
 mod owned_run;
+pub mod pause;
 mod prompt;
+mod quorum;
 mod role;
 mod slot;
 mod slots;
--- a/crates/node/src/owner/role.rs
+++ b/crates/node/src/owner/role.rs
@@ -15,6 +15,7 @@
 
 use super::identities;
 use super::owned_run::{OwnedRun, Ownership};
+use super::pause::PauseDetector;
 use crate::clock::Clock;
 use crate::directory::Directory;
 use crate::message::{NodeMessage, OwnerAnswer, OwnerCommand, RequestId};
@@ -22,6 +23,7 @@
 use crate::operator::OperatorReply;
 use crate::outbound::BackendClient;
 use crate::router::{Incoming, Outgoing};
+use crate::settings::SweepSettings;
 
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 /// An idle run is given up after this time; its next call takes it over again from its replicas.
@@ -50,6 +52,8 @@
     pub(super) runs: HashMap<RunId, OwnedRun>,
     pub(super) next_number: u64,
     pub(super) stopping: bool,
+    pub(super) sweep_settings: SweepSettings,
+    pub(super) pauses: PauseDetector,
 }
 
 impl OwnerRole {
@@ -60,6 +64,7 @@
         node: NodeId,
         directory: Directory,
         outputs: OwnerOutputs,
+        sweep_settings: SweepSettings,
     ) -> Option<Self> {
         let mut role = Self {
             node,
@@ -69,9 +74,12 @@
             runs: HashMap::new(),
             next_number: rand::random(),
             stopping: false,
+            sweep_settings,
+            pauses: PauseDetector::new(cx.now()),
         };
         role.tick(cx);
         role.refresh_identities(cx);
+        role.complete_replicas(cx);
         Some(role)
     }
 
@@ -86,17 +94,28 @@
             NodeMessage::OwnershipAnswer { run, busy } => {
                 self.ownership_answer(cx.now(), from, run, busy);
             }
+            NodeMessage::AdoptRuns { runs, forwarded } => {
+                self.adopt_runs(cx.now(), runs, forwarded);
+            }
             _ => {}
         }
     }
 
     /// Takes a change of a member.
-    pub fn member_changed(&mut self, _cx: CX![], member: Member) {
+    pub fn member_changed(&mut self, cx: CX![], member: Member) {
         if member.state == MemberState::Alive {
-            identities::ask(&member, &self.outputs.outgoing);
+            self.ask_identity(cx, member.clone());
+            for pause in identities::REPEATS {
+                let member = member.clone();
+                after!(pause, [cx], ask_identity(member));
+            }
         }
     }
 
+    fn ask_identity(&mut self, _cx: CX![], member: Member) {
+        identities::ask(&member, &self.outputs.outgoing);
+    }
+
     /// From now on calls are refused, except those in progress.
     pub fn stop(&mut self, _cx: CX![]) {
         self.stopping = true;
@@ -147,13 +166,21 @@
     pub(super) fn take_over(&mut self, now: Instant, run: RunId) {
         self.outputs.metrics.takeovers.inc();
         let contacts = self.directory.replicas_of(run);
+        self.claim_among(now, run, &contacts);
+        if let Some(owned) = self.runs.get_mut(&run) {
+            owned.contacts = Some(contacts);
+        }
+    }
+
+    /// Claims a run from those of these nodes that hold it.
+    pub(super) fn claim_among(&mut self, now: Instant, run: RunId, contacts: &[NodeId]) {
         let instance = self.new_number().max(1);
         let (owner, effects) = RunOwner::take_over(
             run,
             self.node,
             instance,
             Ballot::ZERO,
-            &contacts,
+            contacts,
             OwnerSettings::default(),
             self.clock.now(),
         );
@@ -165,7 +192,7 @@
             }
         }
         if let Some(owned) = self.runs.get_mut(&run) {
-            owned.contacts = Some(contacts);
+            owned.contacts = None;
         }
         self.carry_out(now, run, effects);
     }
@@ -200,6 +227,7 @@
 
     fn tick(&mut self, cx: CX![]) {
         let now = cx.now();
+        self.pauses.tick(now);
         self.give_up_idle(now);
         let owned = i64::try_from(self.runs.len()).unwrap_or(i64::MAX);
         self.outputs.metrics.runs_owned.set(owned);
@@ -214,6 +242,8 @@
             self.check_slot(now, run);
             self.check_contacts(now, run);
             self.check_query(now, run);
+            self.check_pending(now, run);
+            self.check_claim(now, run);
         }
         after!(TICK_INTERVAL, [cx], tick());
     }
--- a/crates/node/src/replica/role.rs
+++ b/crates/node/src/replica/role.rs
@@ -13,6 +13,7 @@
 
 use super::log_store::{StoredLog, operation};
 use super::store::{NodeStore, WriteOwner};
+use super::sweep::RunSweeps;
 use crate::clock::Clock;
 use crate::message::NodeMessage;
 use crate::metrics::Metrics;
@@ -31,13 +32,14 @@
 
 /// The replica role of a node with a disk.
 pub struct ReplicaRole {
-    clock: Clock,
-    store: NodeStore,
-    replica: Replica,
+    pub(super) clock: Clock,
+    pub(super) store: NodeStore,
+    pub(super) replica: Replica,
     pending: VecDeque<PendingReplies>,
-    outgoing: Fwd<Outgoing>,
+    pub(super) outgoing: Fwd<Outgoing>,
     metrics: Arc<Metrics>,
     sweep_timer: MaxTimerKey,
+    pub(super) sweeps: RunSweeps,
 }
 
 impl ReplicaRole {
@@ -45,12 +47,13 @@
     pub fn init(
         cx: CX![],
         node: NodeId,
-        clock: Clock,
         store: NodeStore,
         restored: RestoredStore,
         outgoing: Fwd<Outgoing>,
         metrics: Arc<Metrics>,
+        sweeps: RunSweeps,
     ) -> Option<Self> {
+        let clock = sweeps.clock();
         let mut role = Self {
             clock,
             store,
@@ -59,8 +62,10 @@
             outgoing,
             metrics,
             sweep_timer: MaxTimerKey::default(),
+            sweeps,
         };
         role.schedule_sweep(cx);
+        role.find_owners(cx);
         Some(role)
     }
 
--- a/crates/run-log/src/entry.rs
+++ b/crates/run-log/src/entry.rs
@@ -7,13 +7,11 @@
     reason = "the resolvers that rkyv derives carry undocumented fields"
 )]
 
-use std::net::SocketAddr;
-
 use rkyv::{Archive, Deserialize, Serialize};
 
 use ridgeworks_domain::{
-    BackendName, Ballot, CallRequest, ClassName, Cost, NodeId, PartnerName, ProgramName, RunId,
-    Sequence,
+    BackendAddress, BackendName, Ballot, CallRequest, ClassName, Cost, NodeId, PartnerName,
+    ProgramName, RunId, Sequence,
 };
 
 /// Index of an entry in a run's log. The first entry has index 1; 0 means "none".
@@ -152,7 +150,7 @@
         /// The back end.
         backend: BackendName,
         /// Its address.
-        address: SocketAddr,
+        address: BackendAddress,
     },
     /// An attempt of a repeatable call ended without an answer; the call goes on.
     AttemptEnded {
@@ -219,6 +217,24 @@
         FIXED_BYTES + variable
     }
 
+    /// Whether a call is under way after this entry; `None` when it is as before.
+    pub fn leaves_call_open(&self) -> Option<bool> {
+        match self {
+            Self::Accepted { .. } | Self::Dispatched { .. } | Self::AttemptEnded { .. } => {
+                Some(true)
+            }
+            Self::Opened(_)
+            | Self::Finished { .. }
+            | Self::NotRun { .. }
+            | Self::Unknown { .. }
+            | Self::Closed => Some(false),
+            Self::OwnerChanged { .. }
+            | Self::ReplicasChanged { .. }
+            | Self::ChildOpened { .. }
+            | Self::ChildClosed { .. } => None,
+        }
+    }
+
     /// The replica set that the entry sets, if it sets one.
     pub fn replicas(&self) -> Option<&[ReplicaId]> {
         match self {
--- a/crates/stand-ins/src/attempts.rs
+++ b/crates/stand-ins/src/attempts.rs
@@ -4,6 +4,7 @@
 //! attempt, as a real one would not.
 
 use std::collections::HashMap;
+use std::str::FromStr;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 use serde::Serialize;
 
 use crate::failure::Failure;
+use crate::history::monotonic_micros;
 use crate::http::{Incoming, path_value};
 
 /// Names one sending of a call.
@@ -40,34 +42,37 @@
 pub struct CallHeaders {
     /// The attempt, unless the caller named no run.
     pub key: Option<AttemptKey>,
-    /// The call's position in its run.
+    /// The call's position in its run; there whenever the key is.
     pub sequence: Option<Sequence>,
 }
 
 impl CallHeaders {
     /// Reads the headers; without a run the caller is a plain client.
     pub fn read(incoming: &Incoming) -> Result<Self, Failure> {
-        let sequence = incoming.parsed_header("x-ridgeworks-sequence")?;
-        let run = incoming.parsed_header("x-ridgeworks-run")?;
-        let key = match run {
-            None => None,
-            Some(run) => Some(AttemptKey {
-                run,
-                call: incoming
-                    .parsed_header("x-ridgeworks-call")?
-                    .ok_or(Failure::InvalidField("x-ridgeworks-call"))?,
-                attempt: incoming
-                    .parsed_header("x-ridgeworks-attempt")?
-                    .ok_or(Failure::InvalidField("x-ridgeworks-attempt"))?,
-            }),
+        let Some(run) = incoming.parsed_header("x-ridgeworks-run")? else {
+            return Ok(Self {
+                key: None,
+                sequence: None,
+            });
+        };
+        let key = AttemptKey {
+            run,
+            call: required_header(incoming, "x-ridgeworks-call")?,
+            attempt: required_header(incoming, "x-ridgeworks-attempt")?,
         };
+        let sequence = required_header(incoming, "x-ridgeworks-sequence")?;
         Ok(Self {
-            key,
-            sequence: sequence.map(Sequence),
+            key: Some(key),
+            sequence: Some(Sequence(sequence)),
         })
     }
 }
 
+fn required_header<T: FromStr>(incoming: &Incoming, name: &'static str) -> Result<T, Failure> {
+    let value = incoming.parsed_header(name)?;
+    value.ok_or(Failure::InvalidField(name))
+}
+
 /// How far an attempt has come, as the API shows it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 #[serde(tag = "state", rename_all = "snake_case")]
@@ -78,7 +83,7 @@
     Running,
     /// Took effect.
     Finished {
-        /// The whole answer body.
+        /// The answer: a model's message content, a tool's whole body.
         answer: String,
         /// What it cost.
         spent: Cost,
@@ -99,6 +104,16 @@
     }
 }
 
+/// Answer about an attempt.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct AttemptAnswer {
+    /// How far it has come, as far as this instance of the back end knows.
+    #[serde(flatten)]
+    pub state: AttemptState,
+    /// When the instance started; another one knew other attempts.
+    pub instance: u64,
+}
+
 /// What of an attempt changes.
 #[derive(Debug)]
 pub struct Progress {
@@ -106,6 +121,10 @@
     pub state: AttemptState,
     /// Tokens produced.
     pub produced: usize,
+    /// Tokens of the prompt that were found in the cache.
+    pub cached_tokens: u64,
+    /// When it began, in microseconds of the machine's monotonic clock.
+    pub started_at_us: Option<u64>,
 }
 
 /// One attempt.
@@ -123,7 +142,12 @@
         let state = AttemptState::Queued;
         Self {
             plan,
-            progress: Mutex::new(Progress { state, produced: 0 }),
+            progress: Mutex::new(Progress {
+                state,
+                produced: 0,
+                cached_tokens: 0,
+                started_at_us: None,
+            }),
             changed: Condvar::new(),
         }
     }
@@ -182,12 +206,14 @@
 pub struct AttemptRegistry<Plan> {
     /// `None` stands for an attempt that was fenced before its request came.
     attempts: Mutex<HashMap<AttemptKey, Entry<Plan>>>,
+    instance: u64,
 }
 
 impl<Plan> Default for AttemptRegistry<Plan> {
     fn default() -> Self {
         Self {
             attempts: Mutex::default(),
+            instance: monotonic_micros(),
         }
     }
 }
@@ -220,12 +246,25 @@
         self.entries().get(key).cloned().flatten()
     }
 
+    /// When this instance of the back end started, in microseconds of the machine's monotonic clock.
+    pub fn instance(&self) -> u64 {
+        self.instance
+    }
+
     /// How far the attempt has come.
-    pub fn state(&self, key: &AttemptKey) -> Result<AttemptState, Failure> {
-        match self.entries().get(key) {
-            None => Err(Failure::NotFound),
-            Some(None) => Ok(AttemptState::NeverStarted),
-            Some(Some(attempt)) => Ok(attempt.progress().state.clone()),
+    pub fn state(&self, key: &AttemptKey) -> Result<AttemptAnswer, Failure> {
+        let state = match self.entries().get(key) {
+            None => return Err(Failure::NotFound),
+            Some(None) => AttemptState::NeverStarted,
+            Some(Some(attempt)) => attempt.progress().state.clone(),
+        };
+        Ok(self.answer(state))
+    }
+
+    fn answer(&self, state: AttemptState) -> AttemptAnswer {
+        AttemptAnswer {
+            state,
+            instance: self.instance,
         }
     }
 
@@ -235,18 +274,19 @@
         &self,
         key: &AttemptKey,
         cancel: impl FnOnce(&Plan, &Progress) -> AttemptState,
-    ) -> AttemptState {
+    ) -> AttemptAnswer {
         let mut entries = self.entries();
         let Some(attempt) = entries.entry(key.clone()).or_insert(None) else {
-            return AttemptState::NeverStarted;
+            return self.answer(AttemptState::NeverStarted);
         };
-        attempt.update(|progress| {
+        let state = attempt.update(|progress| {
             match progress.state {
                 AttemptState::Queued => progress.state = AttemptState::NeverStarted,
                 AttemptState::Running => progress.state = cancel(&attempt.plan, progress),
                 _ => {}
             }
             progress.state.clone()
-        })
+        });
+        self.answer(state)
     }
 }
