Close the listener before a planned stop ends the process

Cause: the edge refused requests with 503 until the process ended, with its listener open. What stays: a connection that the kernel completed and `accept` has not taken yet is reset.

--- a/crates/http-edge/src/acceptor.rs
+++ b/crates/http-edge/src/acceptor.rs
@@ -77,6 +77,9 @@
                 Ok(SupervisorEvent::AcceptFailed(cause)) => self.restart(&cause.to_string()),
                 Err(RecvTimeoutError::Timeout) => self.wake(&mut pace),
             }
+            if self.shared.listener_closed.load(Ordering::SeqCst) {
+                continue;
+            }
             if last_probe.elapsed() >= probe_interval {
                 self.check_accepting();
                 last_probe = Instant::now();
@@ -98,6 +101,9 @@
     }
 
     fn restart(&self, cause: &str) {
+        if self.shared.listener_closed.load(Ordering::SeqCst) {
+            return;
+        }
         increment(&self.shared.counters.acceptor_restarts);
         log::warn!("accepting connections stopped ({cause}), starting anew");
         while !self.shared.closed.load(Ordering::SeqCst) {
--- a/crates/http-edge/src/server.rs
+++ b/crates/http-edge/src/server.rs
@@ -1,6 +1,6 @@
 //! A running edge: start, planned stop, end.
 
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Sender, channel};
 use std::sync::{Arc, Mutex};
@@ -8,6 +8,7 @@
 
 use crate::acceptor::{SERVICE_STACK_BYTES, Supervisor, SupervisorEvent, lock_servers};
 use ridgeworks_worker_pool::WorkerPool;
+use socket2::SockRef;
 
 use crate::admission::Admission;
 use crate::counters::EdgeCounters;
@@ -46,6 +47,7 @@
 pub struct EdgeServer {
     shared: Arc<Shared>,
     address: SocketAddr,
+    listener: TcpListener,
     supervisor: Sender<SupervisorEvent>,
 }
 
@@ -54,6 +56,7 @@
     pub fn start(settings: EdgeSettings, handler: Arc<dyn Handler>) -> Result<Self, EdgeError> {
         let listener = listener::open(&settings).map_err(EdgeError::Listen)?;
         let address = listener.local_addr().map_err(EdgeError::Listen)?;
+        let own_listener = listener.try_clone().map_err(EdgeError::Listen)?;
         let shared = Arc::new(shared_state(settings, handler));
         let (events_sender, events) = channel();
         let supervisor = Supervisor {
@@ -67,6 +70,7 @@
         let edge = Self {
             shared,
             address,
+            listener: own_listener,
             supervisor: events_sender,
         };
         spawn("edge-supervisor", SERVICE_STACK_BYTES, || supervisor.run())
@@ -90,6 +94,16 @@
         self.shared.stopping.store(true, Ordering::SeqCst);
     }
 
+    /// Takes no further connection: who comes now learns that nothing was sent. Requests of
+    /// connections that were taken before are still answered.
+    ///
+    /// A process that ends with an open listener cuts off whoever connected at the last moment.
+    pub fn close_listener(&self) {
+        self.shared.listener_closed.store(true, Ordering::SeqCst);
+        // Fails only where it is closed already.
+        let _ = SockRef::from(&self.listener).shutdown(Shutdown::Read);
+    }
+
     /// Waits until neither a request nor a refusal is in progress; false when `timeout` is over
     /// before. Without [`EdgeServer::stop_accepting`] a new request may follow at once.
     pub fn wait_until_idle(&self, timeout: Duration) -> bool {
@@ -122,6 +136,7 @@
         handlers,
         counters: Arc::default(),
         stopping: AtomicBool::new(false),
+        listener_closed: AtomicBool::new(false),
         closed: AtomicBool::new(false),
         servers: Mutex::default(),
     }
--- a/crates/http-edge/src/serving.rs
+++ b/crates/http-edge/src/serving.rs
@@ -27,6 +27,7 @@
     pub handlers: WorkerPool,
     pub counters: Arc<EdgeCounters>,
     pub stopping: AtomicBool,
+    pub listener_closed: AtomicBool,
     pub closed: AtomicBool,
     pub servers: Mutex<Vec<Arc<Server>>>,
 }
--- a/crates/node/src/shutdown.rs
+++ b/crates/node/src/shutdown.rs
@@ -33,6 +33,9 @@
         .map(drop)
 }
 
+/// The last refusals are written within this time after that.
+const LONGEST_LINGER: Duration = Duration::from_secs(1);
+
 /// How far the stop is.
 enum Phase {
     Serving,
@@ -107,11 +110,12 @@
                         "stopping=planned phase=flushing drained={drained} elapsed_ms={elapsed_ms}"
                     );
                     call!([actors.membership], left());
+                    edge.close_listener();
                     let until = now + FLUSH_TIME;
                     self.phase = Phase::Flushing { until };
                 }
             }
-            Phase::Flushing { until } if now >= until => {
+            Phase::Flushing { until } if may_end(edge, now, until) => {
                 log::info!("stopping=planned phase=complete");
                 self.phase = Phase::Complete;
             }
@@ -119,3 +123,9 @@
         }
     }
 }
+
+/// Refusals of requests that came at the last moment are written out, but not for ever.
+fn may_end(edge: &EdgeServer, now: Instant, until: Instant) -> bool {
+    let written = edge.wait_until_idle(Duration::ZERO);
+    now >= until && (written || now >= until + LONGEST_LINGER)
+}
