Let callers come back when the dispatcher does not know their service yet

The owner that asks has the service in its configuration, so the refusal is now "no back end, come back".

--- a/crates/node/src/dispatcher/role.rs
+++ b/crates/node/src/dispatcher/role.rs
@@ -6,13 +6,16 @@
 
 use crossbeam_channel::Sender;
 use ridgeworks_configuration::{ConfigurationSet, MachineList};
-use ridgeworks_domain::{BackendAddress, BackendName, NodeId, ServiceKind, ServiceName};
+use ridgeworks_domain::{
+    BackendAddress, BackendName, NodeId, Refusal, RefusalReason, ServiceKind, ServiceName,
+};
 use ridgeworks_scheduling::{Effect, Event, Ticket};
 use stakker::{CX, Fwd, after};
 
 use super::engine_poll::{EngineNews, EnginePolls, EngineReport};
 use super::group::{DispatcherGroup, Repeat};
 use super::message::{DispatcherAnswer, DispatcherCommand};
+use crate::RETRY_DELAY;
 use crate::clock::Clock;
 use crate::directory::Directory;
 use crate::message::NodeMessage;
@@ -169,8 +172,10 @@
 
     fn is_new(&mut self, service: &ServiceName, ticket: Ticket) -> bool {
         self.ensure_group(service);
-        // The owner may have a newer configuration. It asks again, and gives up by its own one.
         let Some(group) = self.groups.get_mut(service) else {
+            // The owner has the service in its configuration; this node has just started.
+            let refusal = Refusal::retry_after(RefusalReason::NoBackend, RETRY_DELAY);
+            self.answer(DispatcherAnswer::Refused { ticket, refusal });
             return false;
         };
         match group.note_request(ticket) {
