--- a/Makefile
+++ b/Makefile
@@ -61,3 +61,12 @@
 chaos-quick:
 	cargo build --release --locked -p ridgeworks-node -p ridgeworks-testbed
 	target/release/ridgeworks-testbed chaos-suite --seed $(CHAOS_SEED) --quick
+
+compare-detectors:
+	cargo run --release --locked -p ridgeworks-membership --example compare
+
+experiment:
+	cargo run --release --locked -p ridgeworks-experiment --example experiment -- \
+		--preset kalahari,serra-branca,burst --policy all --seeds 4 --output target/experiment
+	cargo run --release --locked -p ridgeworks-experiment --example experiment -- \
+		--preset scale --seeds 2 --output target/experiment/scale
