--- a/crates/node/src/owner/commands.rs
+++ b/crates/node/src/owner/commands.rs
@@ -160,7 +160,8 @@
         let configuration = self.directory.in_force()?;
         let program = configuration
             .program(&parameters.program)
-            .ok_or(Refusal::permanent(RefusalReason::UnknownProgram))?;
+            // The gateway knows it, so one of the two configurations is behind the other.
+            .ok_or_else(configuration_behind)?;
         Ok(Opening {
             partner: parameters.partner,
             program: parameters.program,
@@ -349,6 +350,10 @@
     }
 }
 
+fn configuration_behind() -> Refusal {
+    Refusal::retry_after(RefusalReason::ConfigurationStale, RETRY_DELAY)
+}
+
 /// The gateway asks the next candidate.
 pub(super) fn not_owner() -> Refusal {
     Refusal::retry_after(RefusalReason::NotOwner, RETRY_DELAY)
