--- a/crates/node/tests/deployment_requests.rs
+++ b/crates/node/tests/deployment_requests.rs
@@ -129,14 +129,6 @@
         .call(1, "service-1", &run, "call-1", 7)
         .assert_refused(409, "sequence_gap");
     assert_eq!(error["expected_sequence"], 1);
-    let nobody = "0".repeat(run.len());
-    let answer = node.post(&format!("/v1/runs/{nobody}/close"), &[], &json!({}));
-    assert_eq!(
-        answer.json()["error"]["outcome"],
-        "not_run",
-        "{:?}",
-        answer.json()
-    );
     let answer = node.post(&format!("/v1/runs/{run}/close"), &[], &json!({}));
     assert_eq!(answer.status, 200);
     deployment
@@ -223,3 +215,23 @@
         answer.assert_refused(503, "no_backend");
     }
 }
+
+#[test]
+fn a_run_that_no_node_holds_is_refused_before_the_deadline() {
+    let deployment = Deployment::start();
+    let run = deployment.open_run(1);
+    let node = &deployment.nodes[1];
+    let nobody = "0".repeat(run.len());
+    let answer = node.post(&format!("/v1/runs/{nobody}/close"), &[], &json!({}));
+    assert_eq!(
+        answer.json()["error"]["outcome"],
+        "not_run",
+        "{:?}",
+        answer.json()
+    );
+    assert!(
+        answer.elapsed < Duration::from_secs(5),
+        "{:?}",
+        answer.elapsed
+    );
+}
