--- a/crates/node/src/assembly.rs
+++ b/crates/node/src/assembly.rs
@@ -32,7 +32,7 @@
 use crate::operator::{DeskActors, OperatorDesk};
 use crate::outbound::BackendClient;
 use crate::owner::{OwnerOutputs, OwnerRole};
-use crate::replica::{NodeStore, ReplicaRole};
+use crate::replica::{NodeStore, ReplicaRole, RunSweeps};
 use crate::router::{Incoming, Outgoing, Roles, Router};
 use crate::settings::Settings;
 use crate::thread_message::ThreadMessage;
@@ -281,13 +281,11 @@
             stakker,
             ReplicaRole::init(
                 self.node,
-                self.clock,
                 parts.store.clone(),
                 parts.restored.clone(),
                 outgoing.clone(),
                 self.metrics.clone(),
-                self.directory.clone(),
-                settings.sweep.clone()
+                RunSweeps::new(self.directory.clone(), settings.sweep.clone())
             ),
             ret_shutdown!(stakker)
         ))
--- a/crates/node/src/dispatcher/engine_poll.rs
+++ b/crates/node/src/dispatcher/engine_poll.rs
@@ -34,6 +34,8 @@
     Listing(CacheListing),
     /// The back end says itself that it is leaving.
     Leaving(BackendName),
+    /// The back end was asked for the first time, whether it answered or not.
+    Checked(BackendName),
     /// Which start of the back end answers.
     Instance {
         /// The back end.
@@ -186,6 +188,9 @@
                 return;
             }
             self.poll_health();
+            if polls == 0 {
+                self.report(EngineNews::Checked(self.backend.name.clone()));
+            }
             if self.kind == ServiceKind::Model {
                 self.poll_load();
                 next_event = self.poll_events(next_event);
--- a/crates/node/src/dispatcher/group.rs
+++ b/crates/node/src/dispatcher/group.rs
@@ -7,10 +7,11 @@
 use ridgeworks_domain::objects::Backend;
 use ridgeworks_domain::{BackendName, MonotonicTime, ServiceName};
 use ridgeworks_scheduling::{
-    Dispatcher, DispatcherSettings, Effect, Event, PartnerSettings, Ticket,
+    Dispatcher, DispatcherSettings, Effect, Event, PartnerSettings, QueuedCall, Ticket,
 };
 
 use super::backend_list::{ListedBackend, backends_of};
+use super::checked_backends::CheckedBackends;
 use super::context_sweep::ContextSweep;
 use super::message::DispatcherAnswer;
 use crate::metrics::ServiceMetrics;
@@ -46,6 +47,11 @@
     tickets: HashMap<Ticket, TicketState>,
     metrics: ServiceMetrics,
     contexts: ContextSweep,
+    checked: CheckedBackends,
+    /// What the dispatcher was told of.
+    offered: BTreeMap<BackendName, ListedBackend>,
+    /// Calls that came before the back ends were asked.
+    held: Vec<QueuedCall>,
 }
 
 /// What is to be done about a request that may have come before.
@@ -72,6 +78,9 @@
             tickets: HashMap::new(),
             metrics,
             contexts: ContextSweep::default(),
+            checked: CheckedBackends::default(),
+            offered: BTreeMap::new(),
+            held: Vec::new(),
         }
     }
 
@@ -152,7 +161,47 @@
 
     /// Takes an event.
     pub fn handle(&mut self, now: MonotonicTime, event: Event) -> Vec<Effect> {
-        self.dispatcher.handle(now, event)
+        match event {
+            Event::Enqueue(call) if !self.checked.is_complete(now, &self.listed) => {
+                self.held.push(call);
+                return Vec::new();
+            }
+            Event::Cancel(ticket) => self.held.retain(|call| call.ticket != ticket),
+            Event::OwnerLost(owner) => self.held.retain(|call| call.ticket.owner != owner),
+            _ => {}
+        }
+        let mut effects = self.dispatcher.handle(now, event);
+        effects.extend(self.let_in(now));
+        effects
+    }
+
+    /// Notes that a back end was asked whether it is leaving; one that is has been reported before.
+    pub fn note_checked(&mut self, now: MonotonicTime, name: &BackendName) -> Vec<Effect> {
+        self.checked.insert(name);
+        let mut effects = self.offer(now);
+        effects.extend(self.let_in(now));
+        effects
+    }
+
+    /// Hands on the calls that were held back, once it is known which back ends are leaving.
+    fn let_in(&mut self, now: MonotonicTime) -> Vec<Effect> {
+        if self.held.is_empty() || !self.checked.is_complete(now, &self.listed) {
+            return Vec::new();
+        }
+        let held = std::mem::take(&mut self.held).into_iter();
+        held.flat_map(|call| self.dispatcher.handle(now, Event::Enqueue(call)))
+            .collect()
+    }
+
+    /// Tells the dispatcher of the back ends as they are now.
+    fn offer(&mut self, now: MonotonicTime) -> Vec<Effect> {
+        let offered = self.checked.of(&self.listed);
+        let events = changes(&self.offered, &offered);
+        self.offered = offered;
+        let events = events.into_iter();
+        events
+            .flat_map(|event| self.dispatcher.handle(now, event))
+            .collect()
     }
 
     /// Takes up the shares and back ends as they are now. Gives the effects, and the back ends that
@@ -167,15 +216,17 @@
         let shares = Event::SharesChanged(partner_settings(configuration));
         update.effects.extend(self.dispatcher.handle(now, shares));
         let listed = backends_of(&self.service, configuration, machines);
-        let events = changes(&self.listed, &listed);
-        for event in events {
-            if let Event::BackendGone(name) = &event {
-                update.gone.push(name.clone());
-                self.contexts.backend_gone(name);
-            }
-            update.effects.extend(self.dispatcher.handle(now, event));
+        let gone = self
+            .listed
+            .keys()
+            .filter(|name| !listed.contains_key(*name));
+        update.gone = gone.cloned().collect();
+        for name in &update.gone {
+            self.contexts.backend_gone(name);
+            self.checked.remove(name);
         }
         self.listed = listed;
+        update.effects.extend(self.offer(now));
         update
     }
 }
--- a/crates/node/src/dispatcher/role.rs
+++ b/crates/node/src/dispatcher/role.rs
@@ -6,9 +6,7 @@
 
 use crossbeam_channel::Sender;
 use ridgeworks_configuration::{ConfigurationSet, MachineList};
-use ridgeworks_domain::{
-    BackendAddress, BackendName, NodeId, Refusal, RefusalReason, ServiceKind, ServiceName,
-};
+use ridgeworks_domain::{BackendAddress, BackendName, NodeId, ServiceKind, ServiceName};
 use ridgeworks_scheduling::{Effect, Event, Ticket};
 use stakker::{CX, Fwd, after};
 
@@ -116,6 +114,10 @@
             EngineNews::Cache(event) => Event::CacheEvent(event),
             EngineNews::Listing(listing) => Event::CacheListing(listing),
             EngineNews::Leaving(backend) => Event::BackendLeaving(backend),
+            EngineNews::Checked(backend) => {
+                self.note_checked(&report.service, &backend);
+                return;
+            }
             EngineNews::Instance { backend, instance } => {
                 self.instances.insert(backend, instance);
                 return;
@@ -124,6 +126,15 @@
         self.handle(&report.service, event);
     }
 
+    fn note_checked(&mut self, service: &ServiceName, backend: &BackendName) {
+        let now = self.clock.now();
+        let Some(group) = self.groups.get_mut(service) else {
+            return;
+        };
+        let effects = group.note_checked(now, backend);
+        self.carry_out(service, effects);
+    }
+
     fn command(&mut self, command: DispatcherCommand) {
         let service = command.service().clone();
         let now = self.clock.now();
@@ -158,10 +169,8 @@
 
     fn is_new(&mut self, service: &ServiceName, ticket: Ticket) -> bool {
         self.ensure_group(service);
+        // The owner may have a newer configuration. It asks again, and gives up by its own one.
         let Some(group) = self.groups.get_mut(service) else {
-            let reason = RefusalReason::UnknownService;
-            let refusal = Refusal::permanent(reason);
-            self.answer(DispatcherAnswer::Refused { ticket, refusal });
             return false;
         };
         match group.note_request(ticket) {
--- a/crates/node/src/owner/owned_run.rs
+++ b/crates/node/src/owner/owned_run.rs
@@ -52,6 +52,8 @@
     pub run: RunId,
     /// How far this node is in owning it.
     pub ownership: Ownership,
+    /// Replicas that the run's number names, known when its claim began; none where it was opened here.
+    pub named_replicas: Option<Vec<NodeId>>,
     /// Requests that came before the run was ready.
     pub pending: Vec<PendingCommand>,
     /// Requests that wait for an answer.
@@ -76,6 +78,7 @@
         Self {
             run,
             ownership,
+            named_replicas: None,
             pending: Vec::new(),
             waiters: HashMap::new(),
             deadlines: HashMap::new(),
@@ -103,6 +106,15 @@
         }
     }
 
+    /// Whether its claim is not won yet and began before one of these replicas was known.
+    pub fn claimed_without(&self, replicas: &[NodeId]) -> bool {
+        let claims = self.owner().is_some_and(|owner| !owner.is_ready());
+        let Some(named) = &self.named_replicas else {
+            return false;
+        };
+        claims && !replicas.iter().all(|replica| named.contains(replica))
+    }
+
     /// The run's state, once it is ready.
     pub fn ready_state(&self) -> Option<&RunState> {
         self.owner()
--- a/crates/node/src/owner/role.rs
+++ b/crates/node/src/owner/role.rs
@@ -8,13 +8,14 @@
 use crossbeam_channel::Sender;
 use ridgeworks_domain::{Ballot, NodeId, RunId};
 use ridgeworks_membership::{Member, MemberState};
-use ridgeworks_run_log::event::{CallerId, OwnerEffect, OwnerEvent};
+use ridgeworks_run_log::event::{CallerId, OwnerEvent};
 use ridgeworks_run_log::message::{Message, Reply};
 use ridgeworks_run_log::owner::{OwnerSettings, RunOwner};
 use stakker::{CX, Fwd, after};
 
 use super::identities;
 use super::owned_run::{OwnedRun, Ownership};
+use super::pause::PauseDetector;
 use crate::clock::Clock;
 use crate::directory::Directory;
 use crate::message::{NodeMessage, OwnerAnswer, OwnerCommand, RequestId};
@@ -52,6 +53,7 @@
     pub(super) next_number: u64,
     pub(super) stopping: bool,
     pub(super) sweep_settings: SweepSettings,
+    pub(super) pauses: PauseDetector,
 }
 
 impl OwnerRole {
@@ -73,6 +75,7 @@
             next_number: rand::random(),
             stopping: false,
             sweep_settings,
+            pauses: PauseDetector::new(cx.now()),
         };
         role.tick(cx);
         role.refresh_identities(cx);
@@ -178,16 +181,6 @@
             OwnerSettings::default(),
             self.clock.now(),
         );
-        self.own(now, run, owner, effects);
-    }
-
-    pub(super) fn own(
-        &mut self,
-        now: Instant,
-        run: RunId,
-        owner: RunOwner,
-        effects: Vec<OwnerEffect>,
-    ) {
         let ownership = Ownership::Owner(Box::new(owner));
         match self.runs.get_mut(&run) {
             Some(owned) => owned.ownership = ownership,
@@ -195,9 +188,23 @@
                 self.runs.insert(run, OwnedRun::new(run, ownership, now));
             }
         }
+        let named = self.directory.replicas_of(run);
+        if let Some(owned) = self.runs.get_mut(&run) {
+            owned.named_replicas = Some(named);
+        }
         self.carry_out(now, run, effects);
     }
 
+    /// A claim asks the replicas that were known when it began. Where more of them are known before
+    /// it is won, it begins anew: those asked first may be down or too few for a majority.
+    fn check_contacts(&mut self, now: Instant, run: RunId) {
+        let replicas = self.directory.replicas_of(run);
+        let owned = self.runs.get(&run);
+        if owned.is_some_and(|owned| owned.claimed_without(&replicas)) {
+            self.take_over(now, run);
+        }
+    }
+
     fn reply(&mut self, from: NodeId, reply: Reply) {
         if let Reply::Identity { replica } = reply {
             self.directory.note_identity(replica);
@@ -218,6 +225,7 @@
 
     fn tick(&mut self, cx: CX![]) {
         let now = cx.now();
+        self.pauses.tick(now);
         self.give_up_idle(now);
         let owned = i64::try_from(self.runs.len()).unwrap_or(i64::MAX);
         self.outputs.metrics.runs_owned.set(owned);
@@ -230,6 +238,7 @@
         for run in busy {
             self.handle(now, run, OwnerEvent::Tick);
             self.check_slot(now, run);
+            self.check_contacts(now, run);
             self.check_query(now, run);
             self.check_pending(now, run);
             self.check_claim(now, run);
--- a/crates/node/src/replica/role.rs
+++ b/crates/node/src/replica/role.rs
@@ -11,15 +11,13 @@
 use ridgeworks_storage::StoreError;
 use stakker::{CX, Fwd, MaxTimerKey, fail, timer_max};
 
-use super::adoption_sweep::AdoptionSweep;
 use super::log_store::{StoredLog, operation};
 use super::store::{NodeStore, WriteOwner};
+use super::sweep::RunSweeps;
 use crate::clock::Clock;
-use crate::directory::Directory;
 use crate::message::NodeMessage;
 use crate::metrics::Metrics;
 use crate::router::{Incoming, Outgoing};
-use crate::settings::SweepSettings;
 
 /// Closed runs are forgotten two such times after their end.
 const RETENTION: Duration = Duration::from_secs(24 * 60 * 60);
@@ -38,14 +36,10 @@
     pub(super) store: NodeStore,
     pub(super) replica: Replica,
     pending: VecDeque<PendingReplies>,
-    metrics: Arc<Metrics>,
     pub(super) outgoing: Fwd<Outgoing>,
+    metrics: Arc<Metrics>,
     sweep_timer: MaxTimerKey,
-    pub(super) directory: Directory,
-    pub(super) sweep_settings: SweepSettings,
-    pub(super) adoptions: AdoptionSweep,
-    /// The run after which the next replica sets are read.
-    pub(super) next_read: Option<RunId>,
+    pub(super) sweeps: RunSweeps,
 }
 
 impl ReplicaRole {
@@ -53,14 +47,13 @@
     pub fn init(
         cx: CX![],
         node: NodeId,
-        clock: Clock,
         store: NodeStore,
         restored: RestoredStore,
         outgoing: Fwd<Outgoing>,
         metrics: Arc<Metrics>,
-        directory: Directory,
-        sweep_settings: SweepSettings,
+        sweeps: RunSweeps,
     ) -> Option<Self> {
+        let clock = sweeps.clock();
         let mut role = Self {
             clock,
             store,
@@ -69,10 +62,7 @@
             outgoing,
             metrics,
             sweep_timer: MaxTimerKey::default(),
-            directory,
-            sweep_settings,
-            adoptions: AdoptionSweep::default(),
-            next_read: None,
+            sweeps,
         };
         role.schedule_sweep(cx);
         role.find_owners(cx);
