--- a/crates/node/src/outbound/client.rs
+++ b/crates/node/src/outbound/client.rs
@@ -9,7 +9,7 @@
 use ureq::Agent;
 
 use super::attempt::{
-    AnswerForm, AttemptEvent, AttemptFate, AttemptId, AttemptOrder, AttemptResult, Dispatched,
+    AttemptEvent, AttemptFate, AttemptId, AttemptOrder, AttemptResult, Dispatched,
 };
 use super::{BackendCall, chat, fence, tool};
 use crate::mailbox::Mailbox;
@@ -75,13 +75,13 @@
     }
 
     /// Tells the back end to run an attempt no more, and asks how it stands.
-    pub fn fence(&self, id: AttemptId, to: Dispatched, form: AnswerForm) {
+    pub fn fence(&self, id: AttemptId, to: Dispatched) {
         let agent = self.agent.clone();
         let mailbox = self.mailbox.clone();
         let metrics = self.metrics.clone();
         // Without a thread no answer comes, and the owner asks again.
         let _ = self.pool.run(move || {
-            let fate = fence::fence(&agent, &id, to.address, form, FENCE_TIMEOUT);
+            let fate = fence::fence(&agent, &id, to.address, FENCE_TIMEOUT);
             count_fence(&metrics, &fate);
             let backend = to.backend;
             mailbox.post(ThreadMessage::Attempt(AttemptEvent::Fenced {
--- a/crates/node/src/outbound/fence.rs
+++ b/crates/node/src/outbound/fence.rs
@@ -2,13 +2,11 @@
 
 use std::time::Duration;
 
-use ridgeworks_api::chat::ChatCompletion;
 use ridgeworks_domain::{BackendAddress, Cost};
 use serde::Deserialize;
-use serde_json::Value;
 use ureq::Agent;
 
-use super::attempt::{AnswerForm, AttemptFate, AttemptId};
+use super::attempt::{AttemptFate, AttemptId};
 
 #[derive(Deserialize)]
 struct FenceAnswer {
@@ -33,7 +31,6 @@
     agent: &Agent,
     id: &AttemptId,
     address: BackendAddress,
-    form: AnswerForm,
     timeout: Duration,
 ) -> AttemptFate {
     let url = format!(
@@ -53,36 +50,19 @@
         return AttemptFate::Unreachable;
     }
     match response.body_mut().read_json::<FenceAnswer>() {
-        Ok(answer) => fate(answer, address, form),
+        Ok(answer) => fate(answer, address),
         Err(_) => AttemptFate::Unreachable,
     }
 }
 
-fn fate(answer: FenceAnswer, address: BackendAddress, form: AnswerForm) -> AttemptFate {
+fn fate(answer: FenceAnswer, address: BackendAddress) -> AttemptFate {
     let same_start = address.instance.is_some() && answer.instance == address.instance;
     match answer.state {
-        FencedState::Finished { answer, spent } => finished(answer, Cost(spent), form),
+        FencedState::Finished { answer, spent } => AttemptFate::Finished {
+            answer: answer.into_bytes(),
+            spent: Cost(spent),
+        },
         FencedState::NeverStarted if same_start => AttemptFate::NeverStarted,
         FencedState::NeverStarted | FencedState::Cancelled => AttemptFate::Cancelled,
     }
 }
-
-/// A completion that cannot be read is one that ran and whose answer is not to be had.
-fn finished(answer: String, spent: Cost, form: AnswerForm) -> AttemptFate {
-    let answer = match form {
-        AnswerForm::Plain => Some(answer),
-        AnswerForm::Completion => completion_text(&answer),
-    };
-    match answer.map(String::into_bytes) {
-        Some(answer) => AttemptFate::Finished { answer, spent },
-        None => AttemptFate::Cancelled,
-    }
-}
-
-fn completion_text(answer: &str) -> Option<String> {
-    let completion: ChatCompletion = serde_json::from_str(answer).ok()?;
-    match completion.choices.into_iter().next()?.message.content {
-        Value::String(text) => Some(text),
-        _ => None,
-    }
-}
--- a/crates/node/src/outbound/mod.rs
+++ b/crates/node/src/outbound/mod.rs
@@ -7,7 +7,6 @@
 mod tool;
 
 pub use attempt::{
-    AnswerForm, AttemptEvent, AttemptFate, AttemptId, AttemptOrder, AttemptResult, BackendCall,
-    Dispatched,
+    AttemptEvent, AttemptFate, AttemptId, AttemptOrder, AttemptResult, BackendCall, Dispatched,
 };
 pub use client::BackendClient;
--- a/crates/node/src/owner/owned_run.rs
+++ b/crates/node/src/owner/owned_run.rs
@@ -52,8 +52,8 @@
     pub run: RunId,
     /// How far this node is in owning it.
     pub ownership: Ownership,
-    /// The replicas that a claim asks; none where the run was opened here.
-    pub contacts: Option<Vec<NodeId>>,
+    /// Replicas that the run's number names, known when its claim began; none where it was opened here.
+    pub named_replicas: Option<Vec<NodeId>>,
     /// Requests that came before the run was ready.
     pub pending: Vec<PendingCommand>,
     /// Requests that wait for an answer.
@@ -78,7 +78,7 @@
         Self {
             run,
             ownership,
-            contacts: None,
+            named_replicas: None,
             pending: Vec::new(),
             waiters: HashMap::new(),
             deadlines: HashMap::new(),
@@ -106,12 +106,13 @@
         }
     }
 
-    /// Whether its claim is not won yet and does not ask one of these replicas.
-    pub fn claims_without(&self, replicas: &[NodeId]) -> bool {
+    /// Whether its claim is not won yet and began before one of these replicas was known.
+    pub fn claimed_without(&self, replicas: &[NodeId]) -> bool {
         let claims = self.owner().is_some_and(|owner| !owner.is_ready());
-        let contacts = self.contacts.iter().flatten();
-        let asked = |replica| contacts.clone().any(|contact| contact == replica);
-        claims && self.contacts.is_some() && !replicas.iter().all(asked)
+        let Some(named) = &self.named_replicas else {
+            return false;
+        };
+        claims && !replicas.iter().all(|replica| named.contains(replica))
     }
 
     /// The run's state, once it is ready.
--- a/crates/node/src/owner/role.rs
+++ b/crates/node/src/owner/role.rs
@@ -167,9 +167,6 @@
         self.outputs.metrics.takeovers.inc();
         let contacts = self.directory.replicas_of(run);
         self.claim_among(now, run, &contacts);
-        if let Some(owned) = self.runs.get_mut(&run) {
-            owned.contacts = Some(contacts);
-        }
     }
 
     /// Claims a run from those of these nodes that hold it.
@@ -191,8 +188,9 @@
                 self.runs.insert(run, OwnedRun::new(run, ownership, now));
             }
         }
+        let named = self.directory.replicas_of(run);
         if let Some(owned) = self.runs.get_mut(&run) {
-            owned.contacts = None;
+            owned.named_replicas = Some(named);
         }
         self.carry_out(now, run, effects);
     }
@@ -202,7 +200,7 @@
     fn check_contacts(&mut self, now: Instant, run: RunId) {
         let replicas = self.directory.replicas_of(run);
         let owned = self.runs.get(&run);
-        if owned.is_some_and(|owned| owned.claims_without(&replicas)) {
+        if owned.is_some_and(|owned| owned.claimed_without(&replicas)) {
             self.take_over(now, run);
         }
     }
--- a/crates/node/tests/fence.rs
+++ b/crates/node/tests/fence.rs
@@ -4,11 +4,11 @@
 use std::time::Duration;
 
 use crossbeam_channel::Receiver;
-use ridgeworks_domain::{BackendName, CallKey, RunId, Sequence};
+use ridgeworks_domain::{BackendAddress, BackendName, CallKey, RunId, Sequence};
 use ridgeworks_node::mailbox::Mailbox;
 use ridgeworks_node::outbound::{
-    AnswerForm, AttemptEvent, AttemptFate, AttemptId, AttemptOrder, AttemptResult, BackendCall,
-    BackendClient, Dispatched,
+    AttemptEvent, AttemptFate, AttemptId, AttemptOrder, AttemptResult, BackendCall, BackendClient,
+    Dispatched,
 };
 use ridgeworks_node::thread_message::ThreadMessage;
 use ridgeworks_stand_ins::engine::{Engine, EngineOptions};
@@ -28,23 +28,70 @@
     }
 }
 
-#[test]
-fn a_fenced_completion_has_the_same_answer_as_a_streamed_one() {
-    let mut engine = Engine::start(EngineOptions::local("engine-1")).unwrap();
+fn client() -> (BackendClient, Receiver<ThreadMessage>) {
     let poll = Poll::new().unwrap();
     let waker = Arc::new(Waker::new(poll.registry(), Token(0)).unwrap());
     let (mailbox, events) = Mailbox::new(waker);
-    let client = BackendClient::new(mailbox, Arc::default());
-    let id = AttemptId {
+    (BackendClient::new(mailbox, Arc::default()), events)
+}
+
+fn attempt_id() -> AttemptId {
+    AttemptId {
         run: RunId(7),
         sequence: Sequence(1),
         key: CallKey::new("call-1").unwrap(),
         attempt: 1,
-    };
-    let to = Dispatched {
+    }
+}
+
+fn dispatched(engine: &Engine, instance: Option<u64>) -> Dispatched {
+    let socket = engine.address();
+    Dispatched {
         backend: BackendName::new("engine-1").unwrap(),
-        address: engine.address(),
-    };
+        address: BackendAddress { socket, instance },
+    }
+}
+
+/// The number by which the engine tells its starts apart.
+fn instance(engine: &Engine) -> u64 {
+    let url = format!("http://{}/health", engine.address());
+    let mut response = ureq::get(&url).call().expect("an answer");
+    let health: serde_json::Value = response.body_mut().read_json().expect("JSON");
+    health["instance"].as_u64().expect("a number")
+}
+
+fn fate_of_an_unknown_attempt(engine: &Engine, instance: Option<u64>) -> AttemptFate {
+    let (client, events) = client();
+    client.fence(attempt_id(), dispatched(engine, instance));
+    match next(&events) {
+        AttemptEvent::Fenced { fate, .. } => fate,
+        other => panic!("the fence is reported, not {other:?}"),
+    }
+}
+
+#[test]
+fn only_the_start_that_was_dispatched_to_can_say_that_an_attempt_never_started() {
+    let mut engine = Engine::start(EngineOptions::local("engine-1")).unwrap();
+    let same = instance(&engine);
+    let fates = [Some(same), Some(same + 1), None]
+        .map(|instance| fate_of_an_unknown_attempt(&engine, instance));
+    assert_eq!(
+        fates,
+        [
+            AttemptFate::NeverStarted,
+            AttemptFate::Cancelled,
+            AttemptFate::Cancelled
+        ]
+    );
+    engine.stop();
+}
+
+#[test]
+fn a_fenced_completion_has_the_same_answer_as_a_streamed_one() {
+    let mut engine = Engine::start(EngineOptions::local("engine-1")).unwrap();
+    let (client, events) = client();
+    let id = attempt_id();
+    let to = dispatched(&engine, None);
     let body = json!({
         "model": "any",
         "messages": [{"role": "user", "content": "hello"}],
@@ -64,7 +111,7 @@
     let AttemptResult::Answered { answer, spent, .. } = result else {
         panic!("the attempt is answered, not {result:?}");
     };
-    client.fence(id, to, AnswerForm::Completion);
+    client.fence(id, to);
     let AttemptEvent::Fenced { fate, .. } = next(&events) else {
         panic!("the fence is reported");
     };
