Tell a request that no owner began from one whose end is not known

Cause: a request for a run that no node holds waited its whole deadline and was told 'unknown': a node that knew fewer than two of the run's named replicas refused as a former owner would, and the gateway counts such a refusal as a call that may have begun. Now that guard holds only while a node joins (3 s), and 'not taken' is an answer of its own. Ruled out: the quorum check, which refused as it should.

--- a/crates/node/src/inbound/gateway.rs
+++ b/crates/node/src/inbound/gateway.rs
@@ -127,6 +127,10 @@
                 self.send(owner, request, command);
             }
             OwnerAnswer::AskOther { .. } => open.ask_again_at = now + REDIRECT_DELAY,
+            OwnerAnswer::NotTaken => {
+                open.times_asked = open.times_asked.saturating_sub(1);
+                open.ask_again_at = now + REDIRECT_DELAY;
+            }
             OwnerAnswer::Refused(Refusal {
                 reason: RefusalReason::NotOwner | RefusalReason::NodeStopping,
                 ..
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -207,6 +207,9 @@
     History(RunHistory),
     /// The request was given up.
     Refused(Refusal),
+    /// This node does not own the run and has not begun anything of the request; the gateway asks
+    /// the first candidate again.
+    NotTaken,
     /// Another node owns the run; the gateway asks there.
     AskOther {
         /// That node.
--- a/crates/node/src/owner/commands.rs
+++ b/crates/node/src/owner/commands.rs
@@ -4,7 +4,8 @@
 
 use ridgeworks_domain::run_id::REPLICAS_PER_RUN;
 use ridgeworks_domain::{
-    CallRequest, Cost, NodeId, PartnerName, ProgramName, Refusal, RefusalReason, RunId,
+    CallRequest, Cost, MonotonicTime, NodeId, PartnerName, ProgramName, Refusal, RefusalReason,
+    RunId,
 };
 use ridgeworks_run_log::entry::{Opening, ReplicaId};
 use ridgeworks_run_log::event::OwnerEvent;
@@ -18,6 +19,8 @@
 use crate::RETRY_DELAY;
 use crate::message::{NodeMessage, OwnerAnswer, OwnerCommand, RequestId};
 
+/// A node learns of all others within this time of its start.
+const JOIN_TIME: Duration = Duration::from_secs(3);
 /// Nodes after the first candidate that are asked whether they own a run.
 const ASKED_CANDIDATES: usize = 1;
 const MAJORITY_OF_REPLICAS: usize = REPLICAS_PER_RUN / 2 + 1;
@@ -178,7 +181,7 @@
     fn command_to_run(&mut self, now: Instant, request: RequestId, command: OwnerCommand) {
         let run = command.run();
         if !self.runs.contains_key(&run) && !self.begin_owning(now, run) {
-            self.answer(request, OwnerAnswer::Refused(not_owner()));
+            self.answer(request, OwnerAnswer::NotTaken);
             return;
         }
         let Some(owned) = self.runs.get_mut(&run) else {
@@ -201,8 +204,10 @@
         if self.stopping || candidates.first() != Some(&self.node) {
             return false;
         }
-        // A node that has just started knows nobody and takes itself for the owner of all runs.
-        if self.directory.replicas_of(run).len() < MAJORITY_OF_REPLICAS {
+        // A node that has just started knows nobody and takes itself for the owner of all runs. Later
+        // it knows all there are, and a run whose named replicas are gone is looked for elsewhere.
+        let is_joining = self.clock.now() < MonotonicTime::ZERO + JOIN_TIME;
+        if is_joining && self.directory.replicas_of(run).len() < MAJORITY_OF_REPLICAS {
             return false;
         }
         let mut asked: Vec<NodeId> = self.directory.leaving_nodes().into_iter().collect();
