--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: test format lint build generate bench-scheduling experiment bench-storage check-generated demo bench compare-detectors chaos chaos-quick
+.PHONY: test format lint build generate bench-scheduling experiment bench-storage check-generated demo bench compare-detectors chaos chaos-quick simulate
 
 # Two conversations on a small deployment; the last line is one JSON object.
 demo:
@@ -27,8 +27,10 @@
 # Writes the committed code of the published schema anew.
 generate:
 	cargo run --manifest-path tools/generate-api/Cargo.toml --locked
+# Cost of one decision of the dispatcher.
 bench-scheduling:
 	cargo run --release --locked -p ridgeworks-scheduling --example decision_cost
+
 # Two libraries in one run, on the disk of BENCH_FOLDER.
 BENCH_FOLDER ?= target/bench-storage
 bench-storage:
@@ -43,14 +45,17 @@
 check-generated: generate
 	git diff --exit-code -- crates/api/src/generated
 
+# Ways of failure detection, compared under virtual time.
 compare-detectors:
 	cargo run --release --locked -p ridgeworks-membership --example compare
 
+# Scheduling policies and ablations, compared under virtual time.
 experiment:
 	cargo run --release --locked -p ridgeworks-experiment --example experiment -- \
 		--preset kalahari,serra-branca,burst --policy all --seeds 4 --output target/experiment
 	cargo run --release --locked -p ridgeworks-experiment --example experiment -- \
 		--preset scale --seeds 2 --output target/experiment/scale
+
 # Both presets in their small sizes, every fault alone and a list of pairs; prints a table.
 CHAOS_SEED ?= 1
 chaos:
@@ -62,11 +67,10 @@
 	cargo build --release --locked -p ridgeworks-node -p ridgeworks-testbed
 	target/release/ridgeworks-testbed chaos-suite --seed $(CHAOS_SEED) --quick
 
-compare-detectors:
-	cargo run --release --locked -p ridgeworks-membership --example compare
-
-experiment:
-	cargo run --release --locked -p ridgeworks-experiment --example experiment -- \
-		--preset kalahari,serra-branca,burst --policy all --seeds 4 --output target/experiment
-	cargo run --release --locked -p ridgeworks-experiment --example experiment -- \
-		--preset scale --seeds 2 --output target/experiment/scale
+# The protocols under virtual time, with more seeds than the tests take.
+SIMULATION_SCHEDULES ?= 30000
+simulate:
+	RIDGEWORKS_SIMULATION_SCHEDULES=$(SIMULATION_SCHEDULES) \
+		cargo test --release --locked -p ridgeworks-run-log --test simulation -- --nocapture
+	cargo test --release --locked -p ridgeworks-configuration -- --nocapture
+	cargo test --release --locked -p ridgeworks-membership -- --nocapture
