End a stream as whole only where the recorded answer goes on from it

Causes, both found by reading: text of a first attempt that was passed on and the answer of a second one were joined without a check; and an attempt that could not be put together had told its dispatcher that it runs, so that its slot stayed taken until the attempt's time-out. Now the end of a stream is refused as unknown, with the word to ask again under the same key, where the recorded answer does not go on from what was streamed, and the slot is given back.

--- a/crates/node/src/inbound/chat.rs
+++ b/crates/node/src/inbound/chat.rs
@@ -1,6 +1,6 @@
 //! Chat completions in OpenAI's form, whole or streamed.
 
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use ridgeworks_api::caller::CallHeaders;
 use ridgeworks_api::chat::{
@@ -8,7 +8,7 @@
     ChunkChoice, STREAM_END, Usage,
 };
 use ridgeworks_domain::token_count::count_tokens;
-use ridgeworks_domain::{CallRequest, Cost, InvalidRequest, Refusal};
+use ridgeworks_domain::{CallRequest, Cost, InvalidRequest, Refusal, RefusalReason};
 use ridgeworks_http_edge::{ClientGone, EdgeRequest, Header, Responder, StreamWriter};
 use serde::Serialize;
 use serde_json::{Map, Value};
@@ -19,6 +19,7 @@
 use super::edge::{Answers, Edge};
 use super::request::read_body;
 use super::runs::unexpected_answer;
+use super::streamed_text::StreamedText;
 use crate::message::OwnerAnswer;
 use crate::metrics::labels::CallKind;
 
@@ -182,18 +183,19 @@
     first: OwnerAnswer,
     mut writer: StreamWriter,
 ) -> Result<(), ClientGone> {
-    let mut written = 0;
+    let mut streamed = StreamedText::default();
     let mut answer = Ok(first);
     loop {
         match answer {
-            Ok(OwnerAnswer::Chunk { offset, text }) => {
-                written = offset + text.len() as u64;
+            Ok(OwnerAnswer::Chunk { text, .. }) => {
+                streamed.push(&text);
                 write_text(&started.head, &mut writer, &text)?;
                 started.metrics.chunk();
             }
             Ok(OwnerAnswer::Answered { answer, spent }) => {
-                let rest = usize::try_from(written)
-                    .map_or(&[][..], |from| &answer[from.min(answer.len())..]);
+                let Some(rest) = streamed.rest_of(&answer) else {
+                    return write_refusal(edge, started, writer, &answer_replaced());
+                };
                 write_text(&started.head, &mut writer, rest)?;
                 started.metrics.chunk();
                 write_end(&started.head, writer, &answer, spent)?;
@@ -207,6 +209,11 @@
     }
 }
 
+/// The recorded answer differs from what was streamed. Asking again under the same key gives it.
+fn answer_replaced() -> Refusal {
+    Refusal::retry_after(RefusalReason::Unknown, Duration::ZERO)
+}
+
 fn write_text(
     head: &CompletionHead,
     writer: &mut StreamWriter,
--- a/crates/node/src/inbound/mod.rs
+++ b/crates/node/src/inbound/mod.rs
@@ -11,7 +11,9 @@
 mod request;
 mod runs;
 mod service_call;
+mod streamed_text;
 
 pub use caller_request::{CallerCommand, CallerRequest};
 pub use edge::{Edge, token_digest};
 pub use gateway::Gateway;
+pub use streamed_text::StreamedText;
--- a/crates/node/src/owner/effects.rs
+++ b/crates/node/src/owner/effects.rs
@@ -104,15 +104,13 @@
         to: Dispatched,
         request: &CallRequest,
     ) {
-        if self.is_grant_stale(now, run, &to.backend) {
-            self.cancel_slot(run);
-            return self.not_started(now, run, call, attempt);
-        }
-        self.slot_started(run, call, attempt);
+        let is_stale = self.is_grant_stale(now, run, &to.backend);
         let order = self.attempt_order(now, run, attempt, to, request);
-        let Ok(order) = order else {
+        let Some(order) = order.ok().filter(|_| !is_stale) else {
+            self.cancel_slot(run);
             return self.not_started(now, run, call, attempt);
         };
+        self.slot_started(run, call, attempt);
         if let Some(owned) = self.runs.get_mut(&run) {
             owned.running = Some(RunningAttempt {
                 id: order.id.clone(),
