Keep one timer for the membership role

Cause: the actor set a new timer at every event without removing the last one, and each that ran out set its successor, so their number grew with every message taken. A counter of timers is added for the test, which was seen failing: 1,207 timers in a second after 200 events, where at most 100 are allowed.

--- a/crates/membership/src/counters.rs
+++ b/crates/membership/src/counters.rs
@@ -5,6 +5,8 @@
 pub struct Counters {
     /// Messages handed to the links.
     pub messages_sent: u64,
+    /// Events of [`crate::Event::Timer`] taken; the host sets one timer for what is due next.
+    pub timers: u64,
     /// Members that this node suspected.
     pub suspicions: u64,
     /// Members that this node declared Dead.
--- a/crates/node/src/membership/mod.rs
+++ b/crates/node/src/membership/mod.rs
@@ -4,11 +4,11 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use ridgeworks_domain::NodeId;
 use ridgeworks_membership::{Effect, Event, Member, MemberState, Membership};
-use stakker::{CX, Fwd, MaxTimerKey, after, fail, timer_max};
+use stakker::{CX, FixedTimerKey, Fwd, after, at, fail};
 
 use crate::clock::Clock;
 use crate::message::NodeMessage;
@@ -65,7 +65,8 @@
     clock: Clock,
     state: Rc<RefCell<Membership>>,
     outputs: MembershipOutputs,
-    timer: MaxTimerKey,
+    /// The timer for what is due next, and when that is.
+    timer: Option<(FixedTimerKey, Instant)>,
 }
 
 impl MembershipRole {
@@ -80,7 +81,7 @@
             clock,
             state,
             outputs,
-            timer: MaxTimerKey::default(),
+            timer: None,
         };
         role.handle(cx, Event::Timer);
         role.publish(cx);
@@ -124,6 +125,7 @@
     }
 
     fn on_timer(&mut self, cx: CX![]) {
+        self.timer = None;
         self.handle(cx, Event::Timer);
     }
 
@@ -133,11 +135,21 @@
         for effect in effects {
             self.carry_out(cx, effect);
         }
+        self.set_timer(cx);
+    }
+
+    /// One timer at a time: another for each event would go on for ever, as each sets its successor.
+    fn set_timer(&mut self, cx: CX![]) {
         let next = self.state.borrow().next_timer();
-        let at = self.clock.instant(next).max(cx.now());
-        // A `MaxTimer` only moves later; a timer that fires early finds nothing due.
-        self.timer = MaxTimerKey::default();
-        timer_max!(&mut self.timer, at, [cx], on_timer());
+        let due = self.clock.instant(next);
+        if let Some((key, set_for)) = self.timer {
+            if set_for == due {
+                return;
+            }
+            cx.timer_del(key);
+        }
+        let key = at!(due.max(cx.now()), [cx], on_timer());
+        self.timer = Some((key, due));
     }
 
     fn carry_out(&mut self, cx: CX![], effect: Effect) {
