Keep frequent messages between nodes short

Cause: an archived enum is as long as its longest variant, so a probe of 32 bytes went out as 160. Longer variants now stand in boxes of the archive only; the Rust types stay as they are. Boxing them in Rust was ruled out, as every role that builds a message would change.

--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -18,6 +18,7 @@
 use ridgeworks_run_log::message::Message as RunLogMessage;
 use rkyv::rancor;
 use rkyv::util::AlignedVec;
+use rkyv::with::AsBox;
 use rkyv::{Archive, Deserialize, Serialize};
 
 /// One request that a gateway has open, unique over the life of the gateway's process.
@@ -215,6 +216,9 @@
 }
 
 /// A message from one node to another.
+///
+/// An archived enum is as long as its longest variant, so everything longer than a membership message,
+/// by far the most frequent one, stands in a box of its own.
 #[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub enum NodeMessage {
     /// From a gateway to an owner.
@@ -222,6 +226,7 @@
         /// The request.
         request: RequestId,
         /// What is asked.
+        #[rkyv(with = AsBox)]
         command: OwnerCommand,
     },
     /// From an owner to a gateway.
@@ -229,6 +234,7 @@
         /// The request.
         request: RequestId,
         /// The answer.
+        #[rkyv(with = AsBox)]
         answer: OwnerAnswer,
     },
     /// From a node that is about to take a run over, to one that may own it.
@@ -246,7 +252,7 @@
     /// Tells a node to stop as planned.
     Drain,
     /// Between an owner and a replica.
-    RunLog(RunLogMessage),
+    RunLog(#[rkyv(with = AsBox)] RunLogMessage),
     /// From a replica to the node that is to own runs which lack something only an owner can do.
     AdoptRuns {
         /// The runs.
@@ -271,13 +277,13 @@
         unknown: Vec<RunId>,
     },
     /// From an owner to the dispatcher of a service.
-    ToDispatcher(DispatcherCommand),
+    ToDispatcher(#[rkyv(with = AsBox)] DispatcherCommand),
     /// From a dispatcher to an owner.
-    ToOwnerOfTicket(DispatcherAnswer),
+    ToOwnerOfTicket(#[rkyv(with = AsBox)] DispatcherAnswer),
     /// Between members.
     Membership(MembershipMessage),
     /// Between the configuration roles.
-    Configuration(ConfigurationMessage),
+    Configuration(#[rkyv(with = AsBox)] ConfigurationMessage),
 }
 
 /// Why a message could not be read.
