--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: test format lint build generate bench-scheduling experiment bench-storage check-generated demo bench compare-detectors
+.PHONY: test format lint build generate bench-scheduling experiment bench-storage check-generated demo bench compare-detectors scale
 
 # Two conversations on a small deployment; the last line is one JSON object.
 demo:
@@ -51,3 +51,8 @@
 		--preset kalahari,serra-branca,burst --policy all --seeds 5 --output target/experiment
 	cargo run --release --locked -p ridgeworks-experiment --example experiment -- \
 		--preset scale --seeds 3 --output target/experiment/scale
+
+# A cluster of the two-year size and how its costs grow; under five minutes.
+scale:
+	cargo build --release --locked -p ridgeworks-node -p ridgeworks-testbed
+	target/release/ridgeworks-testbed scale --nodes 410 --engines 2000 --runs 640000
