--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: test format lint build generate bench-scheduling experiment bench-storage check-generated demo bench compare-detectors chaos chaos-quick simulate
+.PHONY: test format lint build generate bench-scheduling experiment bench-storage check-generated demo bench compare-detectors chaos chaos-quick simulate scale
 
 # Two conversations on a small deployment; the last line is one JSON object.
 demo:
@@ -74,3 +74,9 @@
 		cargo test --release --locked -p ridgeworks-run-log --test simulation -- --nocapture
 	cargo test --release --locked -p ridgeworks-configuration -- --nocapture
 	cargo test --release --locked -p ridgeworks-membership -- --nocapture
+		--preset scale --seeds 3 --output target/experiment/scale
+
+# A cluster of the two-year size and how its costs grow; under five minutes.
+scale:
+	cargo build --release --locked -p ridgeworks-node -p ridgeworks-testbed
+	target/release/ridgeworks-testbed scale --nodes 410 --engines 2000 --runs 640000
