--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: test format lint build generate bench-scheduling experiment bench-storage check-generated demo bench compare-detectors
+.PHONY: test format lint build generate bench-scheduling experiment bench-storage check-generated demo bench compare-detectors check-engine-model
 
 # Two conversations on a small deployment; the last line is one JSON object.
 demo:
@@ -47,7 +47,12 @@
 	cargo run --release --locked -p ridgeworks-membership --example compare
 
 experiment:
-	cargo run --release --locked -p ridgeworks-experiment --example experiment -- \
+	cargo build --release --locked -p ridgeworks-testbed
+	target/release/ridgeworks-testbed experiment \
 		--preset kalahari,serra-branca,burst --policy all --seeds 4 --output target/experiment
-	cargo run --release --locked -p ridgeworks-experiment --example experiment -- \
+	target/release/ridgeworks-testbed experiment \
 		--preset scale --seeds 2 --output target/experiment/scale
+
+# The engine model against the stand-in engine as a process, in real time.
+check-engine-model:
+	cargo test --release --locked -p ridgeworks-testbed --test engine_model -- --ignored --nocapture
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod conversation;
 pub mod demo;
 pub mod engine;
+pub mod experiment;
 pub mod load;
 pub mod measures;
 pub mod platform;
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -5,7 +5,7 @@
 use clap::{Parser, Subcommand};
 use ridgeworks_history::VerifyArguments;
 use ridgeworks_testbed::{
-    bench, chaos, cluster_command, demo, engine, load, platform, relay, tool,
+    bench, chaos, cluster_command, demo, engine, experiment, load, platform, relay, tool,
 };
 
 /// Stand-ins and tools for trying ridgeworks out.
@@ -36,6 +36,8 @@
     Bench(bench::BenchArguments),
     /// Put a deployment under faults and judge the history of what happened.
     Chaos(chaos::ChaosArguments),
+    /// Compare scheduling policies under virtual time.
+    Experiment(ridgeworks_experiment::Args),
     /// Judge the history of a run.
     Verify(VerifyArguments),
 }
@@ -51,6 +53,7 @@
         Command::Bench(arguments) => exit_code(bench::run(&arguments)),
         Command::Load(arguments) => exit_code(load::run(&arguments)),
         Command::Chaos(arguments) => ExitCode::from(chaos::run(&arguments)),
+        Command::Experiment(arguments) => exit_code(experiment::run(&arguments)),
         Command::Verify(arguments) => ExitCode::from(ridgeworks_history::run(&arguments)),
     }
 }
