--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: test format lint build generate bench-scheduling experiment bench-storage check-generated demo bench compare-detectors chaos chaos-quick simulate scale
+.PHONY: test format lint build generate bench-scheduling experiment bench-storage check-generated demo bench compare-detectors chaos chaos-quick simulate scale check-engine-model
 
 # Two conversations on a small deployment; the last line is one JSON object.
 demo:
@@ -51,9 +51,10 @@
 
 # Scheduling policies and ablations, compared under virtual time.
 experiment:
-	cargo run --release --locked -p ridgeworks-experiment --example experiment -- \
+	cargo build --release --locked -p ridgeworks-testbed
+	target/release/ridgeworks-testbed experiment \
 		--preset kalahari,serra-branca,burst --policy all --seeds 4 --output target/experiment
-	cargo run --release --locked -p ridgeworks-experiment --example experiment -- \
+	target/release/ridgeworks-testbed experiment \
 		--preset scale --seeds 2 --output target/experiment/scale
 
 # Both presets in their small sizes, every fault alone and a list of pairs; prints a table.
@@ -80,3 +81,6 @@
 scale:
 	cargo build --release --locked -p ridgeworks-node -p ridgeworks-testbed
 	target/release/ridgeworks-testbed scale --nodes 410 --engines 2000 --runs 640000
+# The engine model against the stand-in engine as a process, in real time.
+check-engine-model:
+	cargo test --release --locked -p ridgeworks-testbed --test engine_model -- --ignored --nocapture
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -5,7 +5,7 @@
 use clap::{Parser, Subcommand};
 use ridgeworks_history::VerifyArguments;
 use ridgeworks_testbed::{
-    bench, chaos, cluster_command, demo, engine, load, platform, relay, scale, tool,
+    bench, chaos, cluster_command, demo, engine, experiment, load, platform, relay, scale, tool,
 };
 
 /// Stand-ins and tools for trying ridgeworks out.
@@ -43,6 +43,8 @@
     /// Serve as one of the processes of hollow nodes that `scale` starts.
     #[command(hide = true)]
     ScaleHost(scale::HostArguments),
+    /// Compare scheduling policies under virtual time.
+    Experiment(ridgeworks_experiment::Args),
     /// Judge the history of a run.
     Verify(VerifyArguments),
 }
@@ -61,6 +63,7 @@
         Command::ChaosSuite(arguments) => ExitCode::from(chaos::run_suite(&arguments)),
         Command::Scale(arguments) => exit_code(scale::run(&arguments)),
         Command::ScaleHost(_) => exit_code(scale::run_host()),
+        Command::Experiment(arguments) => exit_code(experiment::run(&arguments)),
         Command::Verify(arguments) => ExitCode::from(ridgeworks_history::run(&arguments)),
     }
 }
