Tell the next dispatcher of attempts that run, and bound grants by what is left of them

Cause: a dispatcher that takes a service over counted no slot of the attempts under way, and granted them a second time. A grant that was sent again, because its first copy was lost, was taken as new by the owner, which counted a whole second from its arrival, while the dispatcher had taken it back.

Now an owner that sees another dispatcher tells it of the attempt (Running); so it does when a dispatcher's node comes back. News of back ends that are not known yet waits for them, before the calls that are held back. The former dispatcher counts the attempt until its end, because owners that know of no change still ask there; it drops the group two seconds after the last request. Dropping what moved at once was ruled out: the freed slots would go to those owners.

A grant carries how long it is valid, less what passed when it is sent again. The owner's clock starts at the arrival; the dispatcher keeps the slot for twice the validity, so that the grant and the confirmation may be under way for one validity (1 s) together. A longer delay leaves an attempt without a slot until its end; the engine then queues it. An owner that gives up a running attempt ends its slot at once; Cancel had no effect on it, and the slot was taken for up to ten minutes. Requests of a lost owner are forgotten, so that they count again if it was only cut off.

--- a/crates/node/src/dispatcher/group.rs
+++ b/crates/node/src/dispatcher/group.rs
@@ -5,7 +5,7 @@
 
 use ridgeworks_configuration::{ConfigurationSet, MachineList};
 use ridgeworks_domain::objects::Backend;
-use ridgeworks_domain::{BackendName, MonotonicTime, ServiceName};
+use ridgeworks_domain::{BackendName, MonotonicTime, NodeId, ServiceName};
 use ridgeworks_scheduling::{
     Dispatcher, DispatcherSettings, Effect, Event, PartnerSettings, QueuedCall, Ticket,
 };
@@ -18,6 +18,9 @@
 
 /// A repeated request is answered as the first one for this long after its end.
 const REMEMBERED_END: Duration = Duration::from_secs(10);
+/// A group that another node dispatches is dropped after it was not asked for this long. Owners that learn of the
+/// change late are served meanwhile.
+pub const UNUSED_GROUP_TIME: Duration = Duration::from_secs(2);
 
 /// The back ends and the queue of one service.
 #[derive(Debug, Clone)]
@@ -35,7 +38,11 @@
 /// What became of a request for a slot.
 enum TicketState {
     Queued,
-    Granted(DispatcherAnswer),
+    Granted {
+        answer: DispatcherAnswer,
+        valid_until: MonotonicTime,
+    },
+    Running,
     Ended(MonotonicTime),
 }
 
@@ -52,6 +59,10 @@
     offered: BTreeMap<BackendName, ListedBackend>,
     /// Calls that came before the back ends were asked.
     held: Vec<QueuedCall>,
+    /// Attempts at back ends that the dispatcher was not told of.
+    running_unseen: Vec<(QueuedCall, BackendName)>,
+    /// Since when another node dispatches and nobody asks here.
+    unused_since: Option<MonotonicTime>,
 }
 
 /// What is to be done about a request that may have come before.
@@ -81,6 +92,8 @@
             checked: CheckedBackends::default(),
             offered: BTreeMap::new(),
             held: Vec::new(),
+            running_unseen: Vec::new(),
+            unused_since: None,
         }
     }
 
@@ -110,23 +123,36 @@
     }
 
     /// Tells whether a request came before, and notes it where it did not.
-    pub fn note_request(&mut self, ticket: Ticket) -> Repeat {
+    pub fn note_request(&mut self, ticket: Ticket, now: MonotonicTime) -> Repeat {
+        self.unused_since = None;
         match self.tickets.get(&ticket) {
             None => {
                 self.tickets.insert(ticket, TicketState::Queued);
                 Repeat::New
             }
-            Some(TicketState::Granted(answer)) => Repeat::Answered(answer.clone()),
-            Some(TicketState::Queued | TicketState::Ended(_)) => Repeat::Nothing,
+            Some(TicketState::Granted {
+                answer,
+                valid_until,
+            }) => Repeat::Answered(answer.valid_until(*valid_until, now)),
+            Some(TicketState::Queued | TicketState::Running | TicketState::Ended(_)) => {
+                Repeat::Nothing
+            }
         }
     }
 
     /// Notes the answer to a request.
     pub fn note_answer(&mut self, answer: &DispatcherAnswer, now: MonotonicTime) {
         match answer {
-            DispatcherAnswer::Granted { ticket, .. } => {
+            DispatcherAnswer::Granted {
+                ticket,
+                valid_for_ms,
+                ..
+            } => {
                 self.metrics.grants.inc();
-                let state = TicketState::Granted(answer.clone());
+                let state = TicketState::Granted {
+                    answer: answer.clone(),
+                    valid_until: now + Duration::from_millis(*valid_for_ms),
+                };
                 self.tickets.insert(*ticket, state);
             }
             DispatcherAnswer::Refused { ticket, .. } => {
@@ -137,6 +163,32 @@
         }
     }
 
+    /// Notes an attempt that another dispatcher granted. Tells whether it is news.
+    pub fn note_running(&mut self, ticket: Ticket) -> bool {
+        if self.tickets.contains_key(&ticket) {
+            return false;
+        }
+        self.tickets.insert(ticket, TicketState::Running);
+        true
+    }
+
+    /// Notes whether this node is the dispatcher. Tells whether the group is used no more.
+    pub fn note_ownership(&mut self, now: MonotonicTime, own: bool) -> bool {
+        let asked = !self.held.is_empty() || self.dispatcher.queued() > 0;
+        if own || asked {
+            self.unused_since = None;
+            return false;
+        }
+        let since = *self.unused_since.get_or_insert(now);
+        now.since(since) >= UNUSED_GROUP_TIME
+    }
+
+    /// Takes the group's figures back; it is dropped next.
+    pub fn withdraw(&self) {
+        self.metrics.queued.set(0);
+        self.metrics.in_flight.set(0);
+    }
+
     /// Notes that a request is over.
     pub fn note_end(&mut self, ticket: Ticket, now: MonotonicTime) {
         self.tickets.insert(ticket, TicketState::Ended(now));
@@ -146,7 +198,7 @@
     pub fn forget_ended(&mut self, now: MonotonicTime) {
         self.tickets.retain(|_, state| match state {
             TicketState::Ended(ended) => now.since(*ended) < REMEMBERED_END,
-            TicketState::Queued | TicketState::Granted(_) => true,
+            TicketState::Queued | TicketState::Granted { .. } | TicketState::Running => true,
         });
     }
 
@@ -166,8 +218,16 @@
                 self.held.push(call);
                 return Vec::new();
             }
+            Event::AttemptRunning { call, backend } if !self.offered.contains_key(&backend) => {
+                self.running_unseen.push((call, backend));
+                return Vec::new();
+            }
             Event::Cancel(ticket) => self.held.retain(|call| call.ticket != ticket),
-            Event::OwnerLost(owner) => self.held.retain(|call| call.ticket.owner != owner),
+            Event::AttemptEnded(end) => {
+                self.running_unseen
+                    .retain(|(call, _)| call.ticket != end.ticket);
+            }
+            Event::OwnerLost(owner) => self.forget_owner(owner),
             _ => {}
         }
         let mut effects = self.dispatcher.handle(now, event);
@@ -175,6 +235,14 @@
         effects
     }
 
+    fn forget_owner(&mut self, owner: NodeId) {
+        self.held.retain(|call| call.ticket.owner != owner);
+        self.running_unseen
+            .retain(|(call, _)| call.ticket.owner != owner);
+        // An owner that was only cut off asks and tells again.
+        self.tickets.retain(|ticket, _| ticket.owner != owner);
+    }
+
     /// Notes that a back end was asked whether it is leaving; one that is has been reported before.
     pub fn note_checked(&mut self, now: MonotonicTime, name: &BackendName) -> Vec<Effect> {
         self.checked.insert(name);
@@ -196,8 +264,12 @@
     /// Tells the dispatcher of the back ends as they are now.
     fn offer(&mut self, now: MonotonicTime) -> Vec<Effect> {
         let offered = self.checked.of(&self.listed);
-        let events = changes(&self.offered, &offered);
+        let mut events = changes(&self.offered, &offered);
         self.offered = offered;
+        let seen =
+            |(_, backend): &mut (QueuedCall, BackendName)| self.offered.contains_key(backend);
+        let running = self.running_unseen.extract_if(.., seen);
+        events.extend(running.map(|(call, backend)| Event::AttemptRunning { call, backend }));
         let events = events.into_iter();
         events
             .flat_map(|event| self.dispatcher.handle(now, event))
--- a/crates/node/src/dispatcher/message.rs
+++ b/crates/node/src/dispatcher/message.rs
@@ -36,6 +36,8 @@
     pub deadline_in_ms: Option<u64>,
     /// Whether the attempt may be cancelled in favour of an urgent call.
     pub preemptible: bool,
+    /// Time that earlier, preempted attempts of the call spent in queues, in milliseconds.
+    pub waited_ms: u64,
 }
 
 impl SlotRequest {
@@ -55,7 +57,7 @@
                 .deadline_in_ms
                 .map(|left| now + Duration::from_millis(left)),
             preemptible: self.preemptible,
-            waited: Duration::ZERO,
+            waited: Duration::from_millis(self.waited_ms),
         }
     }
 }
@@ -84,6 +86,15 @@
         /// The request.
         ticket: Ticket,
     },
+    /// Another dispatcher granted the slot of an attempt that runs. Repeating it does no harm.
+    Running {
+        /// The service.
+        service: ServiceName,
+        /// The request that was granted.
+        request: SlotRequest,
+        /// Where the attempt runs.
+        backend: BackendName,
+    },
     /// The attempt is over.
     Ended {
         /// The service.
@@ -116,6 +127,7 @@
             Self::Enqueue { service, .. }
             | Self::Cancel { service, .. }
             | Self::Started { service, .. }
+            | Self::Running { service, .. }
             | Self::Ended { service, .. }
             | Self::RunPaused { service, .. }
             | Self::RunEnded { service, .. } => service,
@@ -134,6 +146,9 @@
         backend: BackendName,
         /// Its address.
         address: BackendAddress,
+        /// The attempt starts within this time after the answer came, in milliseconds, or not at all. The
+        /// dispatcher keeps the slot twice as long, so both messages together may be under way for that time.
+        valid_for_ms: u64,
     },
     /// The call gets no slot.
     Refused {
@@ -148,3 +163,19 @@
         ticket: Ticket,
     },
 }
+
+impl DispatcherAnswer {
+    /// The same answer sent again at `now`: a grant is valid for what is left until `until`.
+    pub fn valid_until(&self, until: MonotonicTime, now: MonotonicTime) -> Self {
+        let mut answer = self.clone();
+        if let Self::Granted { valid_for_ms, .. } = &mut answer {
+            *valid_for_ms = whole_millis(until.since(now));
+        }
+        answer
+    }
+}
+
+/// A time in whole milliseconds, rounded down.
+pub fn whole_millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/node/src/dispatcher/mod.rs
+++ b/crates/node/src/dispatcher/mod.rs
@@ -12,6 +12,6 @@
 pub use backend_list::ListedBackend;
 pub use checked_backends::LONGEST_CHECK;
 pub use engine_poll::{EngineNews, EnginePolls, EngineReport};
-pub use group::{DispatcherGroup, GroupUpdate, Repeat, ServiceStatus};
+pub use group::{DispatcherGroup, GroupUpdate, Repeat, ServiceStatus, UNUSED_GROUP_TIME};
 pub use message::{DispatcherAnswer, DispatcherCommand, SlotRequest};
 pub use role::{DispatcherOutputs, DispatcherRole};
--- a/crates/node/src/dispatcher/role.rs
+++ b/crates/node/src/dispatcher/role.rs
@@ -6,13 +6,15 @@
 
 use crossbeam_channel::Sender;
 use ridgeworks_configuration::{ConfigurationSet, MachineList};
-use ridgeworks_domain::{BackendAddress, BackendName, NodeId, ServiceKind, ServiceName};
+use ridgeworks_domain::{
+    BackendAddress, BackendName, MonotonicTime, NodeId, ServiceKind, ServiceName,
+};
 use ridgeworks_scheduling::{Effect, Event, Ticket};
 use stakker::{CX, Fwd, after};
 
 use super::engine_poll::{EngineNews, EnginePolls, EngineReport};
 use super::group::{DispatcherGroup, Repeat};
-use super::message::{DispatcherAnswer, DispatcherCommand};
+use super::message::{DispatcherAnswer, DispatcherCommand, SlotRequest, whole_millis};
 use crate::clock::Clock;
 use crate::directory::Directory;
 use crate::message::NodeMessage;
@@ -154,6 +156,9 @@
             DispatcherCommand::Started { ticket, .. } => {
                 self.handle(&service, Event::AttemptStarted(ticket));
             }
+            DispatcherCommand::Running {
+                request, backend, ..
+            } => self.running(&service, request, backend),
             DispatcherCommand::Ended { end, .. } => {
                 self.note_end(&service, end.ticket);
                 self.handle(&service, Event::AttemptEnded(end));
@@ -167,13 +172,27 @@
         }
     }
 
+    fn running(&mut self, service: &ServiceName, request: SlotRequest, backend: BackendName) {
+        let now = self.clock.now();
+        self.ensure_group(service);
+        let Some(group) = self.groups.get_mut(service) else {
+            return;
+        };
+        if group.note_running(request.ticket) {
+            self.note_use(service, request.run);
+            let call = request.queued_call(now);
+            self.handle(service, Event::AttemptRunning { call, backend });
+        }
+    }
+
     fn is_new(&mut self, service: &ServiceName, ticket: Ticket) -> bool {
+        let now = self.clock.now();
         self.ensure_group(service);
         // The owner may have a newer configuration. It asks again, and gives up by its own one.
         let Some(group) = self.groups.get_mut(service) else {
             return false;
         };
-        match group.note_request(ticket) {
+        match group.note_request(ticket, now) {
             Repeat::New => true,
             Repeat::Nothing => false,
             Repeat::Answered(answer) => {
@@ -201,6 +220,28 @@
         }
     }
 
+    /// Drops the groups that another node dispatches now, once no owner asks here any more.
+    fn drop_unused_groups(&mut self, now: MonotonicTime) {
+        let mut unused = Vec::new();
+        for (service, group) in &mut self.groups {
+            let own = self.directory.is_own_service(service);
+            if group.note_ownership(now, own) {
+                unused.push(service.clone());
+            }
+        }
+        for service in unused {
+            let Some(group) = self.groups.remove(&service) else {
+                continue;
+            };
+            for listed in group.listed() {
+                self.polls.stop(&listed.backend.name);
+                self.instances.remove(&listed.backend.name);
+            }
+            group.withdraw();
+            log::info!("service={service} dispatched elsewhere");
+        }
+    }
+
     fn update_groups(&mut self) {
         let services: Vec<ServiceName> = self.groups.keys().cloned().collect();
         for service in services {
@@ -248,7 +289,7 @@
                 ticket,
                 backend,
                 address,
-                ..
+                valid_for,
             } => {
                 let address = BackendAddress {
                     socket: address,
@@ -258,6 +299,7 @@
                     ticket,
                     backend,
                     address,
+                    valid_for_ms: whole_millis(valid_for),
                 };
                 self.note_and_answer(service, answer);
             }
@@ -320,6 +362,7 @@
 
     fn tick(&mut self, cx: CX![]) {
         let now = self.clock.now();
+        self.drop_unused_groups(now);
         let services: Vec<ServiceName> = self.groups.keys().cloned().collect();
         for service in services {
             if let Some(group) = self.groups.get_mut(&service) {
--- a/crates/node/src/owner/effects.rs
+++ b/crates/node/src/owner/effects.rs
@@ -105,10 +105,9 @@
         request: &CallRequest,
     ) {
         if self.is_grant_stale(now, run, &to.backend) {
-            self.cancel_slot(run);
             return self.not_started(now, run, call, attempt);
         }
-        self.slot_started(run, call, attempt);
+        self.slot_started(run, call, attempt, &to.backend);
         let order = self.attempt_order(now, run, attempt, to, request);
         let Ok(order) = order else {
             return self.not_started(now, run, call, attempt);
@@ -123,6 +122,7 @@
     }
 
     fn not_started(&mut self, now: Instant, run: RunId, call: Sequence, attempt: u32) {
+        self.cancel_slot(run);
         let outcome = AttemptOutcome::NotRun;
         let event = OwnerEvent::AttemptFinished {
             call,
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -10,6 +10,7 @@
 mod prompt;
 mod quorum;
 mod role;
+mod running_slots;
 mod slot;
 mod slots;
 mod waiter;
--- a/crates/node/src/owner/role.rs
+++ b/crates/node/src/owner/role.rs
@@ -104,6 +104,7 @@
     /// Takes a change of a member.
     pub fn member_changed(&mut self, cx: CX![], member: Member) {
         if member.state == MemberState::Alive {
+            self.announce_running_to(member.node);
             self.ask_identity(cx, member.clone());
             for pause in identities::REPEATS {
                 let member = member.clone();
--- a/crates/node/src/owner/slot.rs
+++ b/crates/node/src/owner/slot.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use ridgeworks_domain::{NodeId, Sequence, ServiceName};
+use ridgeworks_domain::{BackendName, NodeId, Sequence, ServiceName};
 use ridgeworks_scheduling::Ticket;
 
 use crate::dispatcher::SlotRequest;
@@ -22,8 +22,12 @@
     pub dispatcher: NodeId,
     /// Whether the dispatcher granted it.
     pub granted: bool,
-    /// When the grant came.
-    pub granted_at: Option<Instant>,
+    /// When the grant must be used.
+    pub valid_until: Option<Instant>,
+    /// Where the attempt runs, once it was started.
+    pub running_at: Option<BackendName>,
+    /// Former dispatchers that still count the attempt.
+    pub former: Vec<NodeId>,
     /// When it is asked again.
     pub ask_again_at: Instant,
     /// When the caller stops waiting.
--- a/crates/node/src/owner/slots.rs
+++ b/crates/node/src/owner/slots.rs
@@ -6,13 +6,10 @@
     BackendName, CallRequest, Refusal, RefusalReason, RunId, Sequence, ServiceKind, ServiceName,
 };
 use ridgeworks_run_log::event::OwnerEvent;
-use ridgeworks_scheduling::{
-    AttemptEnd, AttemptOutcome as SlotOutcome, Priority, Ticket, TokenUsage,
-};
+use ridgeworks_scheduling::{Priority, Ticket};
 
 use super::effects::class_of;
 use super::owned_run::OwnedRun;
-use super::pause::GRANT_VALIDITY;
 use super::prompt::{call_size, service_of};
 use super::role::OwnerRole;
 use super::slot::Slot;
@@ -105,12 +102,15 @@
                 deadline_in_ms: Some(millis_until(now, deadline)),
                 // A cancelled attempt counts its full reserve: not worth it for the one preempted.
                 preemptible: false,
+                waited_ms: 0,
             },
             call: request.sequence,
             attempt,
             dispatcher,
             granted: false,
-            granted_at: None,
+            valid_until: None,
+            running_at: None,
+            former: Vec::new(),
             ask_again_at: now + ASK_AGAIN_INTERVAL,
             deadline,
         })
@@ -122,6 +122,7 @@
             return;
         };
         if slot.granted {
+            self.follow_dispatcher(run, &slot);
             return;
         }
         if now >= slot.deadline {
@@ -172,11 +173,13 @@
                 ticket,
                 backend,
                 address,
+                valid_for_ms,
             } => {
                 let Some(run) = self.run_of_ticket(ticket) else {
                     return;
                 };
-                if self.pauses.may_be_stale(now) || self.directory.is_leaving(&backend) {
+                let stale = valid_for_ms == 0 || self.pauses.may_be_stale(now);
+                if stale || self.directory.is_leaving(&backend) {
                     self.decline_grant(now, run);
                     return;
                 }
@@ -191,7 +194,7 @@
                     return;
                 }
                 slot.granted = true;
-                slot.granted_at = Some(now);
+                slot.valid_until = Some(now + Duration::from_millis(valid_for_ms));
                 let event = OwnerEvent::Granted {
                     call: slot.call,
                     attempt: slot.attempt,
@@ -237,8 +240,8 @@
     /// Whether the slot of a run must not be used any more: its grant is old, or its back end is leaving.
     pub(super) fn is_grant_stale(&self, now: Instant, run: RunId, backend: &BackendName) -> bool {
         let slot = self.runs.get(&run).and_then(|owned| owned.slot.as_ref());
-        let granted_at = slot.and_then(|slot| slot.granted_at);
-        let old = granted_at.is_some_and(|at| now.duration_since(at) >= GRANT_VALIDITY);
+        let valid_until = slot.and_then(|slot| slot.valid_until);
+        let old = valid_until.is_some_and(|until| now >= until);
         old || self.directory.is_leaving(backend)
     }
 
@@ -259,13 +262,21 @@
         self.runs.values().find(has_ticket).map(|owned| owned.run)
     }
 
-    pub(super) fn slot_started(&mut self, run: RunId, call: Sequence, attempt: u32) {
-        let Some(slot) = self.runs.get(&run).and_then(|owned| owned.slot.as_ref()) else {
+    pub(super) fn slot_started(
+        &mut self,
+        run: RunId,
+        call: Sequence,
+        attempt: u32,
+        backend: &BackendName,
+    ) {
+        let owned = self.runs.get_mut(&run);
+        let Some(slot) = owned.and_then(|owned| owned.slot.as_mut()) else {
             return;
         };
         if slot.call != call || slot.attempt != attempt {
             return;
         }
+        slot.running_at = Some(backend.clone());
         let command = DispatcherCommand::Started {
             service: slot.service.clone(),
             ticket: slot.ticket(),
@@ -274,34 +285,6 @@
         self.send(dispatcher, NodeMessage::ToDispatcher(command));
     }
 
-    /// Tells the dispatcher that the attempt of the slot is over.
-    pub(super) fn end_slot(&mut self, run: RunId, usage: TokenUsage, outcome: SlotOutcome) {
-        let Some(slot) = self.runs.get_mut(&run).and_then(|owned| owned.slot.take()) else {
-            return;
-        };
-        let end = AttemptEnd {
-            ticket: slot.ticket(),
-            usage,
-            outcome,
-        };
-        let command = DispatcherCommand::Ended {
-            service: slot.service,
-            end,
-        };
-        self.send(slot.dispatcher, NodeMessage::ToDispatcher(command));
-    }
-
-    pub(super) fn cancel_slot(&mut self, run: RunId) {
-        let Some(slot) = self.runs.get_mut(&run).and_then(|owned| owned.slot.take()) else {
-            return;
-        };
-        let command = DispatcherCommand::Cancel {
-            ticket: slot.ticket(),
-            service: slot.service,
-        };
-        self.send(slot.dispatcher, NodeMessage::ToDispatcher(command));
-    }
-
     /// Tells the model services of a run that it waits for a tool, so that its context is kept.
     pub(super) fn announce_pause(&mut self, run: RunId, request: &CallRequest) {
         let configuration = self.directory.last_known();
--- a/crates/node/tests/leaving_backends.rs
+++ b/crates/node/tests/leaving_backends.rs
@@ -61,6 +61,7 @@
         max_output_tokens: 10,
         deadline_in_ms: None,
         preemptible: false,
+        waited_ms: 0,
     };
     request.queued_call(NOW)
 }
