--- a/crates/node/src/owner/effects.rs
+++ b/crates/node/src/owner/effects.rs
@@ -105,12 +105,12 @@
         request: &CallRequest,
     ) {
         let is_stale = self.is_grant_stale(now, run, &to.backend);
+        let backend = to.backend.clone();
         let order = self.attempt_order(now, run, attempt, to, request);
         let Some(order) = order.ok().filter(|_| !is_stale) else {
-            self.cancel_slot(run);
             return self.not_started(now, run, call, attempt);
         };
-        self.slot_started(run, call, attempt);
+        self.slot_started(run, call, attempt, &backend);
         if let Some(owned) = self.runs.get_mut(&run) {
             owned.running = Some(RunningAttempt {
                 id: order.id.clone(),
@@ -121,6 +121,7 @@
     }
 
     fn not_started(&mut self, now: Instant, run: RunId, call: Sequence, attempt: u32) {
+        self.cancel_slot(run);
         let outcome = AttemptOutcome::NotRun;
         let event = OwnerEvent::AttemptFinished {
             call,
@@ -188,7 +189,12 @@
         let Some(waiter) = owned.waiters.remove(&caller) else {
             return;
         };
-        let Some(owner) = owned.owner() else {
+        if let (Wanted::Child { program, .. }, CallerAnswer::ChildOpened) =
+            (&waiter.wanted, &answer)
+        {
+            self.announce_sub_agent(run, program);
+        }
+        let Some(owner) = self.runs.get(&run).and_then(OwnedRun::owner) else {
             return;
         };
         let answer = owner_answer(&waiter, answer, owner.state(), owner.commit_index());
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -10,8 +10,10 @@
 mod prompt;
 mod quorum;
 mod role;
+mod running_slots;
 mod slot;
 mod slots;
 mod waiter;
+mod waiting_runs;
 
 pub use role::{OwnerOutputs, OwnerRole};
--- a/crates/node/src/owner/slots.rs
+++ b/crates/node/src/owner/slots.rs
@@ -3,16 +3,12 @@
 use std::time::{Duration, Instant};
 
 use ridgeworks_domain::{
-    BackendName, CallRequest, Refusal, RefusalReason, RunId, Sequence, ServiceKind, ServiceName,
+    BackendName, CallRequest, Refusal, RefusalReason, RunId, Sequence, ServiceName,
 };
 use ridgeworks_run_log::event::OwnerEvent;
-use ridgeworks_scheduling::{
-    AttemptEnd, AttemptOutcome as SlotOutcome, Priority, Ticket, TokenUsage,
-};
+use ridgeworks_scheduling::{Priority, Ticket};
 
 use super::effects::class_of;
-use super::owned_run::OwnedRun;
-use super::pause::GRANT_VALIDITY;
 use super::prompt::{call_size, service_of};
 use super::role::OwnerRole;
 use super::slot::Slot;
@@ -40,9 +36,7 @@
                 let service = slot.service.clone();
                 let dispatcher = slot.dispatcher;
                 let request = slot.request.clone();
-                if let Some(owned) = self.runs.get_mut(&run) {
-                    owned.slot = Some(slot);
-                }
+                self.put_slot(run, slot);
                 let command = DispatcherCommand::Enqueue { service, request };
                 self.send(dispatcher, NodeMessage::ToDispatcher(command));
             }
@@ -102,15 +96,19 @@
                 attained_service: state.budget().spent(),
                 prompt_tokens: size.prompt_tokens,
                 max_output_tokens: size.max_output_tokens,
-                deadline_in_ms: Some(millis_until(now, deadline)),
+                // The dispatcher lets calls with deadlines pass others: only a caller's own counts.
+                deadline_in_ms: request.deadline_ms.map(|_| millis_until(now, deadline)),
                 // A cancelled attempt counts its full reserve: not worth it for the one preempted.
                 preemptible: false,
+                waited_ms: 0,
             },
             call: request.sequence,
             attempt,
             dispatcher,
             granted: false,
-            granted_at: None,
+            valid_until: None,
+            running_at: None,
+            former: Vec::new(),
             ask_again_at: now + ASK_AGAIN_INTERVAL,
             deadline,
         })
@@ -122,6 +120,7 @@
             return;
         };
         if slot.granted {
+            self.follow_dispatcher(run, &slot);
             return;
         }
         if now >= slot.deadline {
@@ -155,7 +154,8 @@
         }
         slot.dispatcher = dispatcher;
         slot.ask_again_at = now + ASK_AGAIN_INTERVAL;
-        slot.request.deadline_in_ms = Some(millis_until(now, slot.deadline));
+        let left = millis_until(now, slot.deadline);
+        slot.request.deadline_in_ms = slot.request.deadline_in_ms.map(|_| left);
         let command = DispatcherCommand::Enqueue {
             service: slot.service.clone(),
             request: slot.request.clone(),
@@ -172,11 +172,13 @@
                 ticket,
                 backend,
                 address,
+                valid_for_ms,
             } => {
                 let Some(run) = self.run_of_ticket(ticket) else {
                     return;
                 };
-                if self.pauses.may_be_stale(now) || self.directory.is_leaving(&backend) {
+                let stale = valid_for_ms == 0 || self.pauses.may_be_stale(now);
+                if stale || self.directory.is_leaving(&backend) {
                     self.decline_grant(now, run);
                     return;
                 }
@@ -191,7 +193,7 @@
                     return;
                 }
                 slot.granted = true;
-                slot.granted_at = Some(now);
+                slot.valid_until = Some(now + Duration::from_millis(valid_for_ms));
                 let event = OwnerEvent::Granted {
                     call: slot.call,
                     attempt: slot.attempt,
@@ -204,7 +206,7 @@
                 let Some(run) = self.run_of_ticket(ticket) else {
                     return;
                 };
-                let slot = self.runs.get_mut(&run).and_then(|owned| owned.slot.take());
+                let slot = self.take_slot(run);
                 if let Some(slot) = slot {
                     self.refuse_slot(now, run, &slot, refusal);
                 }
@@ -228,7 +230,9 @@
             service: slot.service.clone(),
             ticket: slot.ticket(),
         };
+        self.runs_by_ticket.remove(&slot.ticket());
         slot.request.ticket = Ticket { owner, number };
+        self.runs_by_ticket.insert(slot.ticket(), run);
         slot.ask_again_at = now + ASK_AGAIN_INTERVAL;
         let dispatcher = slot.dispatcher;
         self.send(dispatcher, NodeMessage::ToDispatcher(command));
@@ -237,8 +241,8 @@
     /// Whether the slot of a run must not be used any more: its grant is old, or its back end is leaving.
     pub(super) fn is_grant_stale(&self, now: Instant, run: RunId, backend: &BackendName) -> bool {
         let slot = self.runs.get(&run).and_then(|owned| owned.slot.as_ref());
-        let granted_at = slot.and_then(|slot| slot.granted_at);
-        let old = granted_at.is_some_and(|at| now.duration_since(at) >= GRANT_VALIDITY);
+        let valid_until = slot.and_then(|slot| slot.valid_until);
+        let old = valid_until.is_some_and(|until| now >= until);
         old || self.directory.is_leaving(backend)
     }
 
@@ -251,21 +255,38 @@
         self.handle(now, run, event);
     }
 
+    fn put_slot(&mut self, run: RunId, slot: Slot) {
+        if let Some(owned) = self.runs.get_mut(&run) {
+            self.runs_by_ticket.insert(slot.ticket(), run);
+            owned.slot = Some(slot);
+        }
+    }
+
+    pub(super) fn take_slot(&mut self, run: RunId) -> Option<Slot> {
+        let slot = self.runs.get_mut(&run)?.slot.take()?;
+        self.runs_by_ticket.remove(&slot.ticket());
+        Some(slot)
+    }
+
     fn run_of_ticket(&self, ticket: Ticket) -> Option<RunId> {
-        let has_ticket = |owned: &&OwnedRun| {
-            let slot = owned.slot.as_ref();
-            slot.is_some_and(|slot| slot.ticket() == ticket)
-        };
-        self.runs.values().find(has_ticket).map(|owned| owned.run)
+        self.runs_by_ticket.get(&ticket).copied()
     }
 
-    pub(super) fn slot_started(&mut self, run: RunId, call: Sequence, attempt: u32) {
-        let Some(slot) = self.runs.get(&run).and_then(|owned| owned.slot.as_ref()) else {
+    pub(super) fn slot_started(
+        &mut self,
+        run: RunId,
+        call: Sequence,
+        attempt: u32,
+        backend: &BackendName,
+    ) {
+        let owned = self.runs.get_mut(&run);
+        let Some(slot) = owned.and_then(|owned| owned.slot.as_mut()) else {
             return;
         };
         if slot.call != call || slot.attempt != attempt {
             return;
         }
+        slot.running_at = Some(backend.clone());
         let command = DispatcherCommand::Started {
             service: slot.service.clone(),
             ticket: slot.ticket(),
@@ -273,58 +294,6 @@
         let dispatcher = slot.dispatcher;
         self.send(dispatcher, NodeMessage::ToDispatcher(command));
     }
-
-    /// Tells the dispatcher that the attempt of the slot is over.
-    pub(super) fn end_slot(&mut self, run: RunId, usage: TokenUsage, outcome: SlotOutcome) {
-        let Some(slot) = self.runs.get_mut(&run).and_then(|owned| owned.slot.take()) else {
-            return;
-        };
-        let end = AttemptEnd {
-            ticket: slot.ticket(),
-            usage,
-            outcome,
-        };
-        let command = DispatcherCommand::Ended {
-            service: slot.service,
-            end,
-        };
-        self.send(slot.dispatcher, NodeMessage::ToDispatcher(command));
-    }
-
-    pub(super) fn cancel_slot(&mut self, run: RunId) {
-        let Some(slot) = self.runs.get_mut(&run).and_then(|owned| owned.slot.take()) else {
-            return;
-        };
-        let command = DispatcherCommand::Cancel {
-            ticket: slot.ticket(),
-            service: slot.service,
-        };
-        self.send(slot.dispatcher, NodeMessage::ToDispatcher(command));
-    }
-
-    /// Tells the model services of a run that it waits for a tool, so that its context is kept.
-    pub(super) fn announce_pause(&mut self, run: RunId, request: &CallRequest) {
-        let configuration = self.directory.last_known();
-        let kind = |service| configuration.service(service).map(|found| found.kind);
-        if kind(&request.service) == Some(ServiceKind::Model) {
-            return;
-        }
-        let Some(state) = self.runs.get(&run).and_then(OwnedRun::ready_state) else {
-            return;
-        };
-        let last_model = state
-            .calls()
-            .filter(|call| kind(&call.request.service) == Some(ServiceKind::Model))
-            .last();
-        let Some(service) = last_model.map(|call| call.request.service.clone()) else {
-            return;
-        };
-        if let Some(dispatcher) = self.directory.dispatcher_of(&service) {
-            let tool = request.service.clone();
-            let command = DispatcherCommand::RunPaused { service, run, tool };
-            self.send(dispatcher, NodeMessage::ToDispatcher(command));
-        }
-    }
 }
 
 fn no_backend() -> Refusal {
