--- a/crates/testbed/src/chaos/client.rs
+++ b/crates/testbed/src/chaos/client.rs
@@ -30,6 +30,8 @@
 const PAUSE_AFTER_FAILURE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
 const DUPLICATE_SHARE: f64 = 0.15;
+/// Share of calls that are sent together with the one that follows.
+const AHEAD_SHARE: f64 = 0.05;
 const READ_SHARE: f64 = 0.25;
 const CHILD_SHARE: f64 = 0.1;
 const ABANDONED_SHARE: f64 = 0.1;
@@ -151,11 +153,11 @@
         let Some(service) = program.services.choose(&mut self.random) else {
             return Progress::Stuck;
         };
-        // Keys are numbered over all runs of the client, so that none is used twice.
-        self.calls += 1;
-        let key = CallKey::new(format!("{}-{}", self.plan.name, self.calls));
-        let key = key.expect("names of clients hold letters, digits and dashes");
+        let key = self.new_key();
         let call = draw_call(&mut self.random, run.run, key, run.next, service);
+        if self.random.random_bool(AHEAD_SHARE) {
+            return self.send_with_next(run, program, &call);
+        }
         let end = if self.random.random_bool(DUPLICATE_SHARE) {
             self.send_twice(&call)
         } else {
@@ -176,16 +178,54 @@
         )
     }
 
+    /// Sends the call that follows at the same time as the call itself: it must wait or be refused.
+    fn send_with_next(
+        &mut self,
+        run: &mut OpenRun,
+        program: &RunnableProgram,
+        call: &Call,
+    ) -> Progress {
+        let Some(service) = program.services.choose(&mut self.random) else {
+            return Progress::Stuck;
+        };
+        let key = self.new_key();
+        let next = draw_call(
+            &mut self.random,
+            run.run,
+            key,
+            call.sequence.next(),
+            service,
+        );
+        match self.send_both(call, &next) {
+            (first @ (CallEnd::Answered | CallEnd::Unknown), second) => match run.take(first) {
+                Progress::Goes => run.take(second),
+                Progress::Stuck => Progress::Stuck,
+            },
+            // The one that follows may have been taken at the number of the refused one.
+            _ => Progress::Stuck,
+        }
+    }
+
     /// Sends a call to two nodes at once. An answer of either is the end of the call.
     fn send_twice(&mut self, call: &Call) -> CallEnd {
+        match self.send_both(call, call) {
+            (CallEnd::Answered, _) | (_, CallEnd::Answered) => CallEnd::Answered,
+            (CallEnd::Unknown, _) | (_, CallEnd::Unknown) => CallEnd::Unknown,
+            (CallEnd::GivenUp, _) | (_, CallEnd::GivenUp) => CallEnd::GivenUp,
+            (refused, _) => refused,
+        }
+    }
+
+    /// Sends two calls at once, most often to different nodes.
+    fn send_both(&mut self, call: &Call, other: &Call) -> (CallEnd, CallEnd) {
         let mut random = ChaCha8Rng::seed_from_u64(self.random.random());
         let (duplicate, sender, plan) = (&self.duplicate, &self.sender, &self.plan);
         let tally = &self.tally;
-        let (first, second) = thread::scope(|scope| {
+        thread::scope(|scope| {
             let second = scope.spawn(move || {
                 let nodes = &plan.nodes;
                 let waiting = plan.waiting;
-                carry_out(call, sender, duplicate, nodes, tally, &mut random, waiting)
+                carry_out(other, sender, duplicate, nodes, tally, &mut random, waiting)
             });
             let (recorder, nodes) = (&self.recorder, &plan.nodes);
             let first = carry_out(
@@ -199,13 +239,14 @@
             );
             let second = second.join().expect("sending a call does not panic");
             (first, second)
-        });
-        match (first, second) {
-            (CallEnd::Answered, _) | (_, CallEnd::Answered) => CallEnd::Answered,
-            (CallEnd::Unknown, _) | (_, CallEnd::Unknown) => CallEnd::Unknown,
-            (CallEnd::GivenUp, _) | (_, CallEnd::GivenUp) => CallEnd::GivenUp,
-            (refused, _) => refused,
-        }
+        })
+    }
+
+    /// Keys are numbered over all runs of the client, so that none is used twice.
+    fn new_key(&mut self) -> CallKey {
+        self.calls += 1;
+        let key = CallKey::new(format!("{}-{}", self.plan.name, self.calls));
+        key.expect("names of clients hold letters, digits and dashes")
     }
 
     fn open(&mut self, program: &RunnableProgram, parent: Option<RunId>) -> Option<OpenRun> {
--- a/crates/testbed/src/chaos/driver.rs
+++ b/crates/testbed/src/chaos/driver.rs
@@ -22,7 +22,7 @@
 use super::status;
 use super::successors::Successors;
 use super::tally::Tally;
-use super::workload::Workload;
+use super::workload::{Workload, add_tight_program};
 use crate::cluster::{
     Binaries, Cluster, ClusterError, ClusterOptions, NodePlan, Preset, RelayUse, exit_on_signal,
 };
@@ -81,12 +81,12 @@
     mut cluster: Cluster,
     folder: &Path,
 ) -> Result<Vec<Stall>, ChaosError> {
-    // The configuration comes into force within seconds on all nodes.
-    thread::sleep(QUIET_TIME);
     let recorder = Recorder::open(folder, DRIVER)?;
     let nodes: Vec<NodePlan> = cluster.nodes().cloned().collect();
     let cast = Cast::new(arguments, &cluster, folder)?;
     let token = cast.token.clone();
+    // The configuration comes into force within seconds on all nodes.
+    thread::sleep(QUIET_TIME);
     let links = links(&cluster, nodes.clone())?;
     let successors = Successors::take_over(&mut cluster, folder)?;
     let cluster = Mutex::new(cluster);
@@ -191,7 +191,9 @@
         let nodes: Vec<SocketAddr> = cluster.nodes().map(|node| node.listen).collect();
         let token = cluster.token_of(partner)?.token.clone();
         let workload = Workload::of_partner(cluster.preset(), partner);
-        let workload = workload.ok_or(ChaosError::NoProgram)?;
+        let mut workload = workload.ok_or(ChaosError::NoProgram)?;
+        let class = first_class(cluster.preset(), partner).ok_or(ChaosError::NoProgram)?;
+        add_tight_program(&mut workload, &class, &nodes, cluster.token_of(partner)?)?;
         for index in 0..arguments.clients {
             let plan = ClientPlan {
                 name: format!("{partner}-client-{index}"),
@@ -213,7 +215,7 @@
                 nodes: nodes.clone(),
                 token: token.clone(),
                 workload: workload.clone(),
-                class: first_class(cluster.preset(), partner).ok_or(ChaosError::NoProgram)?,
+                class: class.clone(),
                 partners: ordered.clone(),
             };
             self.operators.push(Operator::new(plan, folder)?);
--- a/crates/testbed/src/chaos/workload.rs
+++ b/crates/testbed/src/chaos/workload.rs
@@ -2,9 +2,16 @@
 
 use ridgeworks_api::v1;
 use ridgeworks_api::v1::object::Specification;
+use std::net::SocketAddr;
+
 use ridgeworks_domain::{PartnerName, ProgramName, ServiceName};
 
-use crate::cluster::Preset;
+use super::error::ChaosError;
+use crate::cluster::{ClusterError, PartnerToken, Preset, operation_id, operator_client};
+
+/// Used up by a few calls, so that the limit is reached while calls, attempts and child runs go on.
+const TIGHT_BUDGET: u64 = 400;
+const MOST_CALLS: u64 = 100;
 
 /// A service that a program uses.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -51,6 +58,49 @@
     }
 }
 
+/// Configures a program of small budget and adds it to a workload.
+pub fn add_tight_program(
+    workload: &mut Workload,
+    class: &str,
+    nodes: &[SocketAddr],
+    token: &PartnerToken,
+) -> Result<(), ChaosError> {
+    let Some(first) = workload.programs.first() else {
+        return Err(ChaosError::NoProgram);
+    };
+    let name = format!("{}-tight", workload.partner);
+    let services = first.services.iter();
+    let specification = v1::Program {
+        class: class.to_owned(),
+        services: services.map(|service| service.name.to_string()).collect(),
+        budget: TIGHT_BUDGET,
+        max_calls: MOST_CALLS,
+    };
+    let request = v1::ApplyRequest {
+        object: Some(v1::Object {
+            metadata: Some(v1::Metadata {
+                kind: v1::ObjectKind::Program.into(),
+                name: name.clone(),
+                partner: workload.partner.to_string(),
+                ..v1::Metadata::default()
+            }),
+            specification: Some(Specification::Program(specification)),
+        }),
+        expected_version: 0,
+        operation_id: operation_id(),
+    };
+    let applied = operator_client(nodes, token).apply(&request);
+    applied.map_err(|source| ClusterError::Configure {
+        step: format!("apply {name}"),
+        source,
+    })?;
+    workload.programs.push(RunnableProgram {
+        name: ProgramName::new(name).map_err(|_| ChaosError::NoProgram)?,
+        services: first.services.clone(),
+    });
+    Ok(())
+}
+
 fn owner(object: &v1::Object) -> Option<&str> {
     let metadata = object.metadata.as_ref()?;
     Some(&metadata.partner)
