--- a/crates/node/src/configuration/platform_client.rs
+++ b/crates/node/src/configuration/platform_client.rs
@@ -224,21 +224,40 @@
         }
     }
 
-    pub(super) fn list_machines(&self) -> Option<MachineListing> {
+    fn list_machines(&self) -> Option<MachineListing> {
+        machines_in(&self.read_machines()?)
+    }
+
+    /// The list of machines, unless its version is the known one. Reading the version alone spares
+    /// the work of taking the whole list in.
+    pub(super) fn list_machines_unless(&self, known: Option<u64>) -> Option<MachineListing> {
+        let body = self.read_machines()?;
+        let found: VersionAnswer = serde_json::from_slice(&body).ok()?;
+        match known == Some(found.version) {
+            true => None,
+            false => machines_in(&body),
+        }
+    }
+
+    fn read_machines(&self) -> Option<Vec<u8>> {
         let request = self.agent.get(self.url("/machines")).config();
         let request = request.timeout_global(Some(OPERATION_TIMEOUT)).build();
         let mut response = request.call().ok()?;
         if !response.status().is_success() {
             return None;
         }
-        let answer: MachinesAnswer = response.body_mut().read_json().ok()?;
-        Some(MachineListing {
-            version: answer.version,
-            machines: answer.machines.into_iter().filter_map(machine).collect(),
-        })
+        response.body_mut().read_to_vec().ok()
     }
 }
 
+fn machines_in(body: &[u8]) -> Option<MachineListing> {
+    let answer: MachinesAnswer = serde_json::from_slice(body).ok()?;
+    Some(MachineListing {
+        version: answer.version,
+        machines: answer.machines.into_iter().filter_map(machine).collect(),
+    })
+}
+
 fn unanswered(error: &ureq::Error) -> PlatformAnswer {
     match error {
         ureq::Error::ConnectionFailed => PlatformAnswer::Unavailable,
--- a/crates/node/src/configuration/platform_watch.rs
+++ b/crates/node/src/configuration/platform_watch.rs
@@ -130,9 +130,7 @@
 fn follow_machines(client: &PlatformClient, generation: u64) {
     let mut reported = None;
     while client.is_current_watch(generation) {
-        if let Some(listing) = client.list_machines()
-            && reported != Some(listing.version)
-        {
+        if let Some(listing) = client.list_machines_unless(reported) {
             reported = Some(listing.version);
             client.post(PlatformEvent::Watch(WatchEvent::Machines {
                 version: listing.version,
