Release the links' buffers once they are empty

Cause: every connection kept a buffer of 64 KB, and for good the room for the longest message that it ever carried, such as the list of 2,000 machines. So memory grew with the nodes: 209 MB in the largest full process of a trial with 200 nodes, of 256 MB allowed. No test of its own: the links do not show their memory.

--- a/crates/link/src/inbound.rs
+++ b/crates/link/src/inbound.rs
@@ -13,7 +13,9 @@
 use crate::links::Delivery;
 
 const POLL_PRIORITY: u32 = 10;
-const READ_BYTES: usize = 64 * 1024;
+const READ_BYTES: usize = 8 * 1024;
+/// A larger buffer is released once it is empty: every other node has a connection to this one.
+const RETAINED_BYTES: usize = 2 * READ_BYTES;
 
 /// Actor of one accepted connection.
 pub(crate) struct Inbound {
@@ -58,7 +60,10 @@
                         return;
                     }
                 }
-                ReadStatus::WouldBlock => return,
+                ReadStatus::WouldBlock => {
+                    self.release_buffer();
+                    return;
+                }
                 ReadStatus::EndOfStream => {
                     stop!(cx);
                     return;
@@ -71,6 +76,15 @@
         }
     }
 
+    fn release_buffer(&mut self) {
+        let stream = &mut self.stream;
+        if stream.rd == stream.wr && stream.inp.len() > RETAINED_BYTES {
+            stream.inp = Vec::new();
+            stream.rd = 0;
+            stream.wr = 0;
+        }
+    }
+
     fn take_frames(&mut self) -> Result<(), FrameError> {
         loop {
             let available = &self.stream.inp[self.stream.rd..self.stream.wr];
--- a/crates/link/src/outbound.rs
+++ b/crates/link/src/outbound.rs
@@ -13,6 +13,8 @@
 
 const POLL_PRIORITY: u32 = 10;
 const READ_BYTES: usize = 64;
+/// A larger queue is released once it is empty: this node has a connection to every other one.
+const RETAINED_BYTES: usize = 16 * 1024;
 
 /// Actor of one dialled connection. It fails when the connection breaks.
 pub(crate) struct Outbound {
@@ -88,6 +90,9 @@
         if let Err(error) = self.stream.flush() {
             fail!(cx, error);
         }
+        if self.stream.out.is_empty() && self.stream.out.capacity() > RETAINED_BYTES {
+            self.stream.out = Vec::new();
+        }
     }
 
     // The other side never writes on this connection: anything readable is its end.
