Let a partner's weight act on retention, and measure on a held-out workload

Cause: the weights acted on placement only and brought nothing measurable. The weight of the run's last answered call is remembered until the pause.

--- a/crates/experiment/src/agent.rs
+++ b/crates/experiment/src/agent.rs
@@ -27,6 +27,8 @@
     pub arrived_at: u64,
     /// When it must have ended, in microseconds.
     pub deadline: Option<u64>,
+    /// How long it would take alone on an engine, in microseconds.
+    pub alone_micros: f64,
     /// Tokens used by it and its sub-agents.
     pub attained: u64,
     /// Its agents.
--- a/crates/experiment/src/lib.rs
+++ b/crates/experiment/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod summary;
 pub mod workload;
 
+use std::ops::Range;
 use std::path::PathBuf;
 use std::sync::Mutex;
 
@@ -36,7 +37,7 @@
 /// Options of the experiment command.
 #[derive(Debug, Clone, clap::Args)]
 pub struct Args {
-    /// Presets: kalahari, serra-branca, burst, scale.
+    /// Presets: kalahari, serra-branca, burst, scale, held-out.
     #[arg(long, value_delimiter = ',', default_value = "kalahari")]
     pub preset: Vec<String>,
     /// A workload file, instead of presets.
@@ -49,9 +50,18 @@
         default_value = "ridgeworks,round-robin,least-loaded,prefix-sticky,least-attained"
     )]
     pub policy: Vec<String>,
-    /// Number of seeds, counted from 1.
+    /// Number of seeds.
     #[arg(long, default_value_t = 5)]
     pub seeds: u64,
+    /// The first seed.
+    #[arg(long, default_value_t = 1)]
+    pub first_seed: u64,
+    /// Take the deadlines of all programs away.
+    #[arg(long)]
+    pub without_deadlines: bool,
+    /// Give every partner this weight of latency against wasted cache, 0 to 100.
+    #[arg(long, value_parser = clap::value_parser!(u8).range(0..=100))]
+    pub latency_weight: Option<u8>,
     /// Offered loads, 1.0 being all that the engines can do.
     #[arg(long, value_delimiter = ',', default_value = "0.4,0.8,1.1")]
     pub offered_load: Vec<f64>,
@@ -81,7 +91,10 @@
 
 /// Runs an experiment without writing anything.
 pub fn measure(arguments: &Args) -> Result<Summary, ExperimentError> {
-    let workloads = workloads(arguments)?;
+    let mut workloads = workloads(arguments)?;
+    for workload in &mut workloads {
+        change(workload, arguments);
+    }
     let policies = policy_names(arguments);
     let tasks = tasks(&workloads, &policies, arguments);
     let figures = run_tasks(&workloads, &tasks, arguments.threads)?;
@@ -140,6 +153,19 @@
     names.map(|name| Workload::preset(name)).collect()
 }
 
+fn change(workload: &mut Workload, arguments: &Args) {
+    if arguments.without_deadlines {
+        for program in &mut workload.programs {
+            program.deadline_seconds = None;
+        }
+    }
+    if let Some(weight) = arguments.latency_weight {
+        for partner in &mut workload.partners {
+            partner.latency_weight = weight;
+        }
+    }
+}
+
 fn policy_names(arguments: &Args) -> Vec<String> {
     if arguments.policy.iter().any(|name| name == "all") {
         return policies::ALL.map(str::to_owned).to_vec();
@@ -152,7 +178,7 @@
     for workload in 0..workloads.len() {
         for offered_load in &arguments.offered_load {
             for policy in policies {
-                for seed in 1..=arguments.seeds.max(1) {
+                for seed in seeds(arguments) {
                     tasks.push(Task {
                         workload,
                         policy: policy.clone(),
@@ -166,6 +192,11 @@
     tasks
 }
 
+fn seeds(arguments: &Args) -> Range<u64> {
+    let first = arguments.first_seed;
+    first..first + arguments.seeds.max(1)
+}
+
 fn run_tasks(
     workloads: &[Workload],
     tasks: &[Task],
--- a/crates/experiment/src/measures.rs
+++ b/crates/experiment/src/measures.rs
@@ -26,6 +26,8 @@
     pub wasted_token_micros: f64,
     /// Waits of urgent calls from the caller to the engine's first step, in microseconds.
     pub urgent_waits: Vec<f64>,
+    /// The same of routine calls.
+    pub routine_waits: Vec<f64>,
     /// Times of engine steps, in microseconds.
     pub steps: Vec<f64>,
     /// Attempts cancelled in favour of urgent calls.
@@ -47,6 +49,9 @@
     pub latency_p95: f64,
     /// The same: 99th percentile.
     pub latency_p99: f64,
+    /// The same, 95th percentile, had each of these programs been alone on an engine with all its
+    /// contexts cached: no policy can do better.
+    pub alone_p95: f64,
     /// Part of the programs that were refused.
     pub refused: f64,
     /// Part of the programs with a deadline that were late or refused.
@@ -57,6 +62,8 @@
     pub held_in_vain: f64,
     /// Wait of urgent calls, 99th percentile, in milliseconds.
     pub urgent_wait_p99: f64,
+    /// Wait of routine calls, mean, in milliseconds.
+    pub routine_wait_mean: f64,
     /// Time of an engine step, 99th percentile, in milliseconds.
     pub step_p99: f64,
     /// Largest share error over a minute in which all partners had calls waiting, in percent.
@@ -69,16 +76,18 @@
 
 impl Figures {
     /// Names of the figures, in the order of [`Figures::values`].
-    pub const NAMES: [&'static str; 13] = [
+    pub const NAMES: [&'static str; 15] = [
         "programs",
         "latency_p50",
         "latency_p95",
         "latency_p99",
+        "alone_p95",
         "refused",
         "missed_deadlines",
         "prefilled_again",
         "held_in_vain",
         "urgent_wait_p99",
+        "routine_wait_mean",
         "step_p99",
         "share_error",
         "preemptions",
@@ -86,17 +95,19 @@
     ];
 
     /// The figures as numbers; those that could not be measured are not numbers.
-    pub fn values(&self) -> [f64; 13] {
+    pub fn values(&self) -> [f64; 15] {
         [
             self.programs,
             self.latency_p50,
             self.latency_p95,
             self.latency_p99,
+            self.alone_p95,
             self.refused,
             self.missed_deadlines,
             self.prefilled_again,
             self.held_in_vain,
             self.urgent_wait_p99,
+            self.routine_wait_mean,
             self.step_p99,
             self.share_error,
             self.preemptions,
@@ -121,8 +132,12 @@
         let count = measured.len() as f64;
         let refused = measured.iter().filter(|program| is_refused(program));
         let refused = refused.count() as f64;
-        let completed = measured.iter().filter(|program| !is_refused(program));
-        let mut latencies: Vec<f64> = completed
+        let completed = || measured.iter().filter(|program| !is_refused(program));
+        let mut alone: Vec<f64> = completed()
+            .map(|program| program.alone_micros / 1.0e6)
+            .collect();
+        alone.sort_by(f64::total_cmp);
+        let mut latencies: Vec<f64> = completed()
             .map(|program| (ended_at(program, now) - program.arrived_at) as f64 / 1.0e6)
             .collect();
         latencies.sort_by(f64::total_cmp);
@@ -132,11 +147,13 @@
             latency_p50: quantile(&latencies, 0.5),
             latency_p95: quantile(&latencies, 0.95),
             latency_p99: quantile(&latencies, 0.99),
+            alone_p95: quantile(&alone, 0.95),
             refused: refused / count,
             missed_deadlines: missed_part(&measured, now),
             prefilled_again: measures.prefilled_again as f64 / all,
             held_in_vain: measures.wasted_token_micros / 1.0e6 / all,
             urgent_wait_p99: sorted_quantile(&measures.urgent_waits, 0.99) / 1.0e3,
+            routine_wait_mean: mean(&measures.routine_waits) / 1.0e3,
             step_p99: sorted_quantile(&measures.steps, 0.99) / 1.0e3,
             share_error: share_error(&measures.share_samples, permille),
             preemptions: measures.preemptions as f64,
@@ -174,6 +191,10 @@
     quantile(&sorted, part)
 }
 
+fn mean(values: &[f64]) -> f64 {
+    values.iter().sum::<f64>() / values.len() as f64
+}
+
 fn quantile(sorted: &[f64], part: f64) -> f64 {
     if sorted.is_empty() {
         return f64::NAN;
--- a/crates/experiment/src/output.rs
+++ b/crates/experiment/src/output.rs
@@ -17,10 +17,11 @@
     ),
     ("urgent_wait_p99", "urgent wait p99, milliseconds"),
 ];
-const COLUMNS: [&str; 9] = [
+const COLUMNS: [&str; 10] = [
     "latency_p50",
     "latency_p95",
     "latency_p99",
+    "alone_p95",
     "refused",
     "missed_deadlines",
     "prefilled_again",
--- a/crates/experiment/src/policies.rs
+++ b/crates/experiment/src/policies.rs
@@ -19,7 +19,7 @@
 /// The whole with neutral weights for all partners.
 pub const WITHOUT_WEIGHTS: &str = "without-weights";
 /// All policies, in the order of the tables.
-pub const ALL: [&str; 18] = [
+pub const ALL: [&str; 20] = [
     WHOLE,
     "round-robin",
     "least-loaded",
@@ -31,6 +31,8 @@
     "without-shares",
     "without-urgency",
     "without-preemption",
+    "without-reserve",
+    "without-reserve-and-preemption",
     WITHOUT_WEIGHTS,
     "without-deadline-order",
     "without-deadline-refusal",
@@ -80,6 +82,11 @@
             preemption: false,
             ..whole
         },
+        "without-reserve" => whole,
+        "without-reserve-and-preemption" => Policy {
+            preemption: false,
+            ..whole
+        },
         WITHOUT_WEIGHTS => whole,
         "without-deadline-order" => Policy {
             deadline_order: false,
@@ -107,9 +114,13 @@
         },
         _ => return Err(ExperimentError::UnknownPolicy(name.to_owned())),
     };
-    Ok(DispatcherSettings {
+    let mut settings = DispatcherSettings {
         policy,
         context_move,
         ..DispatcherSettings::default()
-    })
+    };
+    if name.starts_with("without-reserve") {
+        settings.urgent_reserve = 0;
+    }
+    Ok(settings)
 }
--- a/crates/experiment/src/script.rs
+++ b/crates/experiment/src/script.rs
@@ -97,6 +97,22 @@
         };
         self.turns.iter().map(of_turn).sum()
     }
+
+    /// How long the script takes alone on an engine with every context cached, pauses included, in
+    /// microseconds.
+    pub fn alone_micros(&self, engines: &EngineSettings) -> f64 {
+        let per_token = engines.step_micros + engines.sequence_micros;
+        let last = self.turns.len().saturating_sub(1);
+        let of_turn = |(index, turn): (usize, &Turn)| {
+            let call =
+                turn.new_tokens as f64 * engines.prefill_micros + turn.output as f64 * per_token;
+            if index == last {
+                return call;
+            }
+            call + turn.pause.alone_micros(engines)
+        };
+        self.turns.iter().enumerate().map(of_turn).sum()
+    }
 }
 
 impl Turn {
@@ -133,6 +149,16 @@
 }
 
 impl Pause {
+    fn alone_micros(&self, engines: &EngineSettings) -> f64 {
+        match self {
+            Self::Tool { micros, .. } => *micros as f64,
+            Self::SubAgents(scripts) => scripts
+                .iter()
+                .map(|script| script.alone_micros(engines))
+                .fold(0.0, f64::max),
+        }
+    }
+
     fn draw_tool(tools: &[ToolLaw], random: &mut ChaCha8Rng) -> Self {
         let weights: Vec<f64> = tools.iter().map(|tool| tool.weight).collect();
         let tool = draw_index(&weights, random);
--- a/crates/experiment/src/simulation.rs
+++ b/crates/experiment/src/simulation.rs
@@ -182,6 +182,7 @@
             partner: partner.unwrap_or(0),
             arrived_at: self.now,
             deadline: deadline.map(|seconds| self.now + (seconds * 1.0e6) as u64),
+            alone_micros: arrival.script.alone_micros(&self.workload.engines),
             attained: 0,
             agents: Vec::new(),
             end: None,
@@ -220,22 +221,27 @@
         };
         self.publish_evictions(engine);
         for ticket in &step.admitted {
-            self.record_urgent_wait(*ticket);
+            self.record_wait(*ticket);
         }
         self.measures.steps.push(step.takes.as_micros() as f64);
         let at = self.now + step.takes.as_micros() as u64;
         self.agenda.enter(at, Happening::StepEnd(engine));
     }
 
-    fn record_urgent_wait(&mut self, ticket: Ticket) {
+    fn record_wait(&mut self, ticket: Ticket) {
         let Some(open) = self.tickets.get(&ticket) else {
             return;
         };
         let program = &self.programs[self.agents[open.agent].program];
         let measured = program.arrived_at as f64 >= self.workload.warm_up_seconds * 1.0e6;
-        if measured && self.workload.programs[program.law].urgent {
-            let wait = self.now - open.asked_at;
-            self.measures.urgent_waits.push(wait as f64);
+        if !measured {
+            return;
+        }
+        let wait = (self.now - open.asked_at) as f64;
+        if self.workload.programs[program.law].urgent {
+            self.measures.urgent_waits.push(wait);
+        } else {
+            self.measures.routine_waits.push(wait);
         }
     }
 
--- a/crates/experiment/src/workload.rs
+++ b/crates/experiment/src/workload.rs
@@ -158,11 +158,12 @@
     pub factor: f64,
 }
 
-const PRESETS: [(&str, &str); 4] = [
+const PRESETS: [(&str, &str); 5] = [
     ("kalahari", include_str!("../presets/kalahari.toml")),
     ("serra-branca", include_str!("../presets/serra-branca.toml")),
     ("burst", include_str!("../presets/burst.toml")),
     ("scale", include_str!("../presets/scale.toml")),
+    ("held-out", include_str!("../presets/held-out.toml")),
 ];
 
 impl Workload {
--- a/crates/experiment/tests/experiment.rs
+++ b/crates/experiment/tests/experiment.rs
@@ -9,7 +9,7 @@
 use ridgeworks_experiment::{policies, simulate};
 use ridgeworks_scheduling::Ticket;
 
-const PRESETS: [&str; 4] = ["kalahari", "serra-branca", "burst", "scale"];
+const PRESETS: [&str; 5] = ["kalahari", "serra-branca", "burst", "scale", "held-out"];
 
 fn short(preset: &str) -> Workload {
     let mut workload = Workload::preset(preset).unwrap();
--- a/crates/scheduling/src/dispatcher.rs
+++ b/crates/scheduling/src/dispatcher.rs
@@ -139,6 +139,7 @@
                     let most = grant.waiting.call.max_output_tokens;
                     self.estimate.record(end.usage, most, now.since(since));
                 }
+                self.learn_weight(grant);
                 let tokens = end.usage.prompt + end.usage.output;
                 if tokens > 0 && self.backends.get(index).is_some() {
                     let run = grant.waiting.call.run;
@@ -233,6 +234,15 @@
         self.relist_if_needed(&listing.backend, follow_up);
     }
 
+    /// Remembers how the run's partner weighs latency against wasted cache, for the pause to come.
+    fn learn_weight(&mut self, grant: &Grant) {
+        let run = grant.waiting.call.run;
+        if !self.ended_runs.contains(run) {
+            let weight = self.shares.latency_weight(grant.waiting.partner);
+            self.retention.answered(run, weight);
+        }
+    }
+
     /// Drops a context that came to be known after the end of its run.
     fn release_if_ended(&mut self, run: RunId, index: BackendIndex) {
         let held = self.prefixes.tokens_at(run, index) > 0;
--- a/crates/scheduling/src/pause_lengths.rs
+++ b/crates/scheduling/src/pause_lengths.rs
@@ -55,8 +55,10 @@
         self.never += 1.0;
     }
 
-    /// The lease of at most `limit` with the most value that covers most of the returns.
-    pub fn outlook(&self, limit: Duration) -> LeaseOutlook {
+    /// The lease of at most `limit` with the most value that covers most of the returns. A longer
+    /// lease is taken when what it adds is worth at least `hold_price` times what the shorter one
+    /// brings for each second.
+    pub fn outlook(&self, limit: Duration, hold_price: f64) -> LeaseOutlook {
         let total: f64 = self.counts.iter().sum::<f64>() + self.never;
         let mut best = None;
         let mut returned = 0.0;
@@ -74,7 +76,7 @@
                 chance: returned / total,
                 hold_seconds: hold,
             };
-            if best.is_none() || outlook.is_worth_extending(best, *count > 0.0) {
+            if best.is_none() || outlook.is_worth_extending(best, *count > 0.0, hold_price) {
                 best = Some(outlook);
             }
             if length >= limit {
@@ -97,9 +99,12 @@
 }
 
 impl LeaseOutlook {
-    /// A longer lease is taken when the returns that it adds are worth at least a quarter of what
-    /// the shorter one brings for each second.
-    fn is_worth_extending(&self, shorter: Option<LeaseOutlook>, adds_returns: bool) -> bool {
+    fn is_worth_extending(
+        &self,
+        shorter: Option<LeaseOutlook>,
+        adds_returns: bool,
+        hold_price: f64,
+    ) -> bool {
         let Some(shorter) = shorter else {
             return true;
         };
@@ -108,7 +113,7 @@
         }
         let added_chance = self.chance - shorter.chance;
         let added_hold = self.hold_seconds - shorter.hold_seconds;
-        shorter.chance <= 0.0 || added_chance / added_hold >= shorter.value() / 4.0
+        shorter.chance <= 0.0 || added_chance / added_hold >= shorter.value() * hold_price
     }
 }
 
--- a/crates/scheduling/src/retention.rs
+++ b/crates/scheduling/src/retention.rs
@@ -2,7 +2,7 @@
 //!
 //! The value of a lease is the cost to rebuild the context × the chance that the run returns in
 //! time ÷ the memory held (tokens × expected time). Each engine keeps the most valuable ones within
-//! a part of its cache.
+//! a part of its cache. A partner that weighs wasted cache more than latency gets longer leases.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
@@ -14,6 +14,10 @@
 
 const MIN_CHANCE: f64 = 0.05;
 const VALUE_SCALE: f64 = 1.0e6;
+const NEUTRAL_HOLD_PRICE: f64 = 0.25;
+const NEUTRAL_WEIGHT: u8 = 50;
+/// Points of weight that halve the price of holding.
+const HALVING_WEIGHT: f64 = 25.0;
 
 /// A context that may be kept.
 #[derive(Debug, Clone, Copy)]
@@ -69,6 +73,7 @@
 struct Pause {
     since: MonotonicTime,
     tool: ServiceName,
+    latency_weight: u8,
 }
 
 /// Leases on contexts and what is learned of pauses.
@@ -77,6 +82,8 @@
     max_lease: Duration,
     lengths: HashMap<ServiceName, PauseLengths>,
     pauses: HashMap<RunId, Pause>,
+    /// Weights of runs whose last call was answered, until they pause or end.
+    latency_weights: HashMap<RunId, u8>,
     leases: HashMap<RunId, Lease>,
     by_end: BTreeSet<(MonotonicTime, RunId)>,
     engines: BTreeMap<BackendIndex, EngineLeases>,
@@ -89,15 +96,28 @@
             max_lease,
             lengths: HashMap::new(),
             pauses: HashMap::new(),
+            latency_weights: HashMap::new(),
             leases: HashMap::new(),
             by_end: BTreeSet::new(),
             engines: BTreeMap::new(),
         }
     }
 
+    /// A call of a run was answered; a pause or the run's end follows. `latency_weight` is its
+    /// partner's weight of latency against wasted cache, 0 to 100.
+    pub fn answered(&mut self, run: RunId, latency_weight: u8) {
+        self.latency_weights.insert(run, latency_weight);
+    }
+
     /// A run begins to wait for a tool.
     pub fn pause(&mut self, run: RunId, tool: ServiceName, now: MonotonicTime) {
-        let pause = Pause { since: now, tool };
+        let weight = self.latency_weights.remove(&run);
+        let before = self.pauses.get(&run).map(|pause| pause.latency_weight);
+        let pause = Pause {
+            since: now,
+            tool,
+            latency_weight: weight.or(before).unwrap_or(NEUTRAL_WEIGHT),
+        };
         self.pauses.insert(run, pause);
     }
 
@@ -114,6 +134,7 @@
         if let Some(pause) = self.pauses.remove(&run) {
             self.lengths.entry(pause.tool).or_default().record_never();
         }
+        self.latency_weights.remove(&run);
         self.drop_lease(run);
     }
 
@@ -124,7 +145,7 @@
             return Vec::new();
         };
         let lengths = self.lengths.entry(pause.tool.clone()).or_default();
-        let outlook = lengths.outlook(self.max_lease);
+        let outlook = lengths.outlook(self.max_lease, hold_price(pause.latency_weight));
         if outlook.chance < MIN_CHANCE || candidate.tokens == 0 {
             return Vec::new();
         }
@@ -246,3 +267,10 @@
         self.leases.insert(run, lease);
     }
 }
+
+/// What holding costs beside the returns that it brings. Weights above the neutral one change nothing:
+/// shorter leases lower the 95th percentile on some workloads and raise it on others.
+fn hold_price(latency_weight: u8) -> f64 {
+    let points = f64::from(latency_weight.min(NEUTRAL_WEIGHT)) - f64::from(NEUTRAL_WEIGHT);
+    NEUTRAL_HOLD_PRICE * (points / HALVING_WEIGHT).exp2()
+}
--- a/crates/scheduling/tests/back_ends.rs
+++ b/crates/scheduling/tests/back_ends.rs
@@ -178,6 +178,35 @@
     assert_eq!(dispatcher.retained(), 0);
 }
 
+/// Length of the lease in the pause after a call, for a partner with this weight; half of the earlier
+/// pauses took about a second, the others about ten.
+fn lease_of_a_partner(latency_weight: u8) -> Duration {
+    let mut settings = settings();
+    settings.partners[0].latency_weight = latency_weight;
+    let mut dispatcher = group(settings, 1);
+    let mut now = START;
+    for number in 1..=100 {
+        enqueue_all(&mut dispatcher, now, [call_of_run(number, 20_000)]);
+        complete(&mut dispatcher, now, number);
+        dispatcher.handle(now, paused());
+        now = now + Duration::from_secs(if number.is_multiple_of(2) { 1 } else { 10 });
+    }
+    enqueue_all(&mut dispatcher, now, [call_of_run(101, 20_000)]);
+    complete(&mut dispatcher, now, 101);
+    let effects = dispatcher.handle(now, paused());
+    let [Effect::Retain { until, .. }] = effects.as_slice() else {
+        panic!("{effects:?}");
+    };
+    until.since(now)
+}
+
+#[test]
+fn a_partner_that_weighs_wasted_cache_more_has_longer_leases() {
+    let (cache, latency) = (lease_of_a_partner(0), lease_of_a_partner(100));
+    assert!(cache > Duration::from_secs(10), "{cache:?}");
+    assert!(latency < Duration::from_secs(2), "{latency:?}");
+}
+
 #[test]
 fn a_displaced_lease_ends_without_dropping_its_context() {
     let mut settings = settings();
