Preempt routine attempts for urgent calls

No call was offered as preemptible, because an attempt that a fence cancelled counted its full reserve as spent. The stand-ins' answer to a fence says what the attempt had cost; the node dropped that. It is passed on now (from the start of the back end that the attempt went to, of others nothing is known), and the run log records it as AttemptEnd::Cancelled. Costs that aren't told count as the full reserve, as before.

Offered are calls that may be repeated, are not streamed, have an attempt left and a budget for a second reserve. On Preempt the owner fences; once the back end answered, the slot ends as Preempted and the call asks again with the time that it had waited. A child that takes the budget between the offer and the preemption can still make the call end as unknown: not closed.

The simulator's back end tells the cost of every other attempt that it stops; executions whose cost isn't told count whole, as before.

--- a/crates/node/src/dispatcher/mod.rs
+++ b/crates/node/src/dispatcher/mod.rs
@@ -13,5 +13,5 @@
 pub use checked_backends::LONGEST_CHECK;
 pub use engine_poll::{EngineNews, EnginePolls, EngineReport};
 pub use group::{DispatcherGroup, GroupUpdate, Repeat, ServiceStatus, UNUSED_GROUP_TIME};
-pub use message::{DispatcherAnswer, DispatcherCommand, SlotRequest};
+pub use message::{DispatcherAnswer, DispatcherCommand, SlotRequest, whole_millis};
 pub use role::{DispatcherOutputs, DispatcherRole};
--- a/crates/node/src/metrics/mod.rs
+++ b/crates/node/src/metrics/mod.rs
@@ -70,6 +70,8 @@
     pub takeovers: Counter,
     /// Runs given up because another node owns them.
     pub step_downs: Counter,
+    /// Attempts cancelled in favour of urgent calls.
+    pub preemptions: Counter,
     /// Runs that the replica role holds.
     pub replica_runs: Gauge,
     /// Requests of owners that the replica role took.
@@ -180,6 +182,12 @@
                 "Runs given up to another owner",
                 Counter::default(),
             ),
+            preemptions: add(
+                to,
+                "run_preemptions",
+                "Attempts cancelled in favour of urgent calls",
+                Counter::default(),
+            ),
             replica_runs: add(
                 to,
                 "replica_runs",
--- a/crates/node/src/outbound/attempt.rs
+++ b/crates/node/src/outbound/attempt.rs
@@ -86,7 +86,12 @@
     },
     /// It had not started, and will not.
     NeverStarted,
-    /// It was running and was cancelled, or another start of the back end may have run it. It has no
+    /// It was running and was stopped.
+    Stopped {
+        /// What it had cost.
+        spent: Cost,
+    },
+    /// It was running and was cancelled at an unknown cost, or another start of the back end may have run it. It has no
     /// further effect.
     Cancelled,
     /// The back end did not answer.
--- a/crates/node/src/outbound/client.rs
+++ b/crates/node/src/outbound/client.rs
@@ -135,7 +135,7 @@
     let end = match fate {
         AttemptFate::Finished { .. } => FenceEnd::Finished,
         AttemptFate::NeverStarted => FenceEnd::NeverStarted,
-        AttemptFate::Cancelled => FenceEnd::Cancelled,
+        AttemptFate::Stopped { .. } | AttemptFate::Cancelled => FenceEnd::Cancelled,
         AttemptFate::Unreachable => FenceEnd::Unreachable,
     };
     metrics.fences.get_or_create(&FenceLabels { end }).inc();
--- a/crates/node/src/outbound/fence.rs
+++ b/crates/node/src/outbound/fence.rs
@@ -20,7 +20,7 @@
 enum FencedState {
     Finished { answer: String, spent: u64 },
     NeverStarted,
-    Cancelled,
+    Cancelled { spent: Option<u64> },
 }
 
 /// Sends the fence and reads how the attempt stands.
@@ -63,6 +63,9 @@
             spent: Cost(spent),
         },
         FencedState::NeverStarted if same_start => AttemptFate::NeverStarted,
-        FencedState::NeverStarted | FencedState::Cancelled => AttemptFate::Cancelled,
+        FencedState::Cancelled { spent: Some(spent) } if same_start => {
+            AttemptFate::Stopped { spent: Cost(spent) }
+        }
+        FencedState::NeverStarted | FencedState::Cancelled { .. } => AttemptFate::Cancelled,
     }
 }
--- a/crates/node/src/owner/attempts.rs
+++ b/crates/node/src/owner/attempts.rs
@@ -94,11 +94,13 @@
         let fate = match fate {
             AttemptFate::Finished { answer, spent } => LogFate::Finished { answer, spent },
             AttemptFate::NeverStarted => LogFate::NeverStarted,
+            AttemptFate::Stopped { spent } => LogFate::Stopped { spent },
             AttemptFate::Cancelled => LogFate::Cancelled,
             // The owner asks again until the back end answers or is gone for good.
             AttemptFate::Unreachable if !self.directory.is_gone(backend) => return,
             AttemptFate::Unreachable => LogFate::Unreachable,
         };
+        self.end_preempted_slot(&id);
         let event = OwnerEvent::Fenced {
             call: id.sequence,
             attempt: id.attempt,
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -7,6 +7,7 @@
 mod identities;
 mod owned_run;
 pub mod pause;
+mod preemption;
 mod prompt;
 mod quorum;
 mod role;
--- a/crates/node/src/owner/owned_run.rs
+++ b/crates/node/src/owner/owned_run.rs
@@ -1,7 +1,7 @@
 //! One run that this node owns or takes over, with the requests that wait for it.
 
 use std::collections::HashMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use ridgeworks_domain::{NodeId, PartnerName, RunId, Sequence};
 use ridgeworks_run_log::event::CallerId;
@@ -10,6 +10,7 @@
 
 use super::slot::Slot;
 use super::waiter::{Waiter, Wanted};
+use crate::dispatcher::whole_millis;
 use crate::message::{OwnerCommand, RequestId};
 use crate::outbound::AttemptId;
 
@@ -62,6 +63,8 @@
     pub slot: Option<Slot>,
     /// The attempt that is being made.
     pub running: Option<RunningAttempt>,
+    /// The call whose attempt was preempted, and how long it had waited for slots until then.
+    pub waited: Option<(Sequence, Duration)>,
     /// When the claim under way was first seen not to be won.
     pub claimed_at: Option<Instant>,
     /// Whether it is made among all nodes with a disk.
@@ -81,6 +84,7 @@
             deadlines: HashMap::new(),
             slot: None,
             running: None,
+            waited: None,
             claimed_at: None,
             claims_widely: false,
             last_used: now,
@@ -110,6 +114,12 @@
             .map(RunOwner::state)
     }
 
+    /// How long a call waited for slots that were preempted, in milliseconds.
+    pub fn waited_for(&self, call: Sequence) -> u64 {
+        let waited = self.waited.filter(|(waited_call, _)| *waited_call == call);
+        waited.map_or(0, |(_, waited)| whole_millis(waited))
+    }
+
     /// Whether the run is ready and belongs to this partner.
     pub fn belongs_to(&self, partner: &PartnerName) -> bool {
         self.ready_state()
--- a/crates/node/src/owner/slot.rs
+++ b/crates/node/src/owner/slot.rs
@@ -22,12 +22,18 @@
     pub dispatcher: NodeId,
     /// Whether the dispatcher granted it.
     pub granted: bool,
+    /// When the grant came.
+    pub granted_at: Option<Instant>,
     /// When the grant must be used.
     pub valid_until: Option<Instant>,
     /// Where the attempt runs, once it was started.
     pub running_at: Option<BackendName>,
     /// Former dispatchers that still count the attempt.
     pub former: Vec<NodeId>,
+    /// When it was first asked for.
+    pub asked_at: Instant,
+    /// Whether the attempt is being cancelled in favour of an urgent call.
+    pub preempted: bool,
     /// When it is asked again.
     pub ask_again_at: Instant,
     /// When the caller stops waiting.
--- a/crates/node/src/owner/slots.rs
+++ b/crates/node/src/owner/slots.rs
@@ -9,6 +9,7 @@
 use ridgeworks_scheduling::{Priority, Ticket};
 
 use super::effects::class_of;
+use super::preemption::is_preemptible;
 use super::prompt::{call_size, service_of};
 use super::role::OwnerRole;
 use super::slot::Slot;
@@ -98,17 +99,19 @@
                 max_output_tokens: size.max_output_tokens,
                 // The dispatcher lets calls with deadlines pass others: only a caller's own counts.
                 deadline_in_ms: request.deadline_ms.map(|_| millis_until(now, deadline)),
-                // A cancelled attempt counts its full reserve: not worth it for the one preempted.
-                preemptible: false,
-                waited_ms: 0,
+                preemptible: is_preemptible(request, service, attempt, state.budget()),
+                waited_ms: owned.waited_for(request.sequence),
             },
             call: request.sequence,
             attempt,
             dispatcher,
             granted: false,
+            granted_at: None,
             valid_until: None,
             running_at: None,
             former: Vec::new(),
+            asked_at: now,
+            preempted: false,
             ask_again_at: now + ASK_AGAIN_INTERVAL,
             deadline,
         })
@@ -193,6 +196,7 @@
                     return;
                 }
                 slot.granted = true;
+                slot.granted_at = Some(now);
                 slot.valid_until = Some(now + Duration::from_millis(valid_for_ms));
                 let event = OwnerEvent::Granted {
                     call: slot.call,
@@ -211,8 +215,11 @@
                     self.refuse_slot(now, run, &slot, refusal);
                 }
             }
-            // Calls are not offered as preemptible.
-            DispatcherAnswer::Preempt { .. } => {}
+            DispatcherAnswer::Preempt { ticket } => {
+                if let Some(run) = self.run_of_ticket(ticket) {
+                    self.preempt(now, run);
+                }
+            }
         }
     }
 
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -216,9 +216,14 @@
 
     /// Opens a run through some node; asks again until one is there.
     pub fn open(&self) -> RunId {
+        self.open_program("placement")
+    }
+
+    /// The same with a run of this program.
+    pub fn open_program(&self, program: &str) -> RunId {
         let mut run = None;
         eventually("a run is opened", START_TIMEOUT, || {
-            let body = json!({"program": "placement"});
+            let body = json!({"program": program});
             run = self.post("/v1/runs", &[], &body).and_then(|answer| {
                 let run = answer["run"].as_str()?;
                 run.parse().ok()
@@ -362,6 +367,12 @@
             "priorityClass",
             json!({"rank": 5}),
         ),
+        object(
+            "OBJECT_KIND_PRIORITY_CLASS",
+            "alarm",
+            "priorityClass",
+            json!({"rank": 9, "urgent": true}),
+        ),
         object(
             "OBJECT_KIND_SERVICE",
             SERVICE,
@@ -374,6 +385,12 @@
             "program",
             json!({"class": "routine", "services": [SERVICE], "budget": 1_000_000, "maxCalls": 1_000}),
         ),
+        object(
+            "OBJECT_KIND_PROGRAM",
+            "alert",
+            "program",
+            json!({"class": "alarm", "services": [SERVICE], "budget": 1_000_000, "maxCalls": 1_000}),
+        ),
     ]
 }
 
@@ -384,15 +401,28 @@
     run: RunId,
     sequence: u32,
     max_tokens: u32,
+) -> Option<Value> {
+    chat_with(agent, edge, run, sequence, max_tokens, &[])
+}
+
+/// The same with further headers.
+pub fn chat_with(
+    agent: &Agent,
+    edge: SocketAddr,
+    run: RunId,
+    sequence: u32,
+    max_tokens: u32,
+    further: &[(&str, &str)],
 ) -> Option<Value> {
     let run = run.to_string();
     let key = format!("call-{sequence}-{run}");
     let sequence = sequence.to_string();
-    let headers = [
+    let mut headers = vec![
         ("x-ridgeworks-run", run.as_str()),
         ("x-ridgeworks-call", key.as_str()),
         ("x-ridgeworks-sequence", sequence.as_str()),
     ];
+    headers.extend_from_slice(further);
     let messages = json!([{"role": "user", "content": "word ".repeat(64)}]);
     let body = json!({"model": SERVICE, "max_tokens": max_tokens, "messages": messages});
     post_at(agent, edge, "/v1/chat/completions", &headers, &body)
--- a/crates/run-log/src/entry.rs
+++ b/crates/run-log/src/entry.rs
@@ -101,6 +101,11 @@
     NotRun,
     /// It may have run; its full reserve counts as spent.
     Unknown,
+    /// The back end stopped it, and told what it had cost.
+    Cancelled {
+        /// That cost, at most the reserve.
+        spent: Cost,
+    },
 }
 
 /// What a run opens with.
--- a/crates/run-log/src/event.rs
+++ b/crates/run-log/src/event.rs
@@ -41,8 +41,13 @@
     },
     /// It had not come and is now refused for ever.
     NeverStarted,
-    /// It was running and was stopped; it can have no further effect.
+    /// It was running and was stopped; it can have no further effect. What it cost isn't known.
     Cancelled,
+    /// The same, and the back end says what it cost.
+    Stopped {
+        /// What it cost until then.
+        spent: Cost,
+    },
     /// The back end is gone. To be reported only when it can start nothing any more (machine listed as
     /// gone, or its fencing token superseded); until then the node asks it again.
     Unreachable,
--- a/crates/run-log/src/run_state.rs
+++ b/crates/run-log/src/run_state.rs
@@ -173,10 +173,15 @@
             },
             AttemptFate::NeverStarted if repeatable => ended(AttemptEnd::NotRun),
             AttemptFate::NeverStarted => Entry::NotRun { call },
+            AttemptFate::Stopped { spent } if repeatable => ended(AttemptEnd::Cancelled {
+                spent: spent.min(record.request.reserve),
+            }),
             AttemptFate::Cancelled | AttemptFate::Unreachable if repeatable => {
                 ended(AttemptEnd::Unknown)
             }
-            AttemptFate::Cancelled | AttemptFate::Unreachable => Entry::Unknown { call },
+            AttemptFate::Stopped { .. } | AttemptFate::Cancelled | AttemptFate::Unreachable => {
+                Entry::Unknown { call }
+            }
         };
         vec![entry]
     }
@@ -405,12 +410,15 @@
             return Err(InvalidEntry::Attempt);
         }
         record.live = None;
-        if end == AttemptEnd::Unknown {
-            record.any_unknown = true;
-            record.holds_reserve = false;
-            let reserve = record.request.reserve;
-            self.budget.settle(reserve, reserve);
-        }
+        let reserve = record.request.reserve;
+        let spent = match end {
+            AttemptEnd::NotRun => return Ok(()),
+            AttemptEnd::Unknown => reserve,
+            AttemptEnd::Cancelled { spent } => spent,
+        };
+        record.any_unknown = true;
+        record.holds_reserve = false;
+        self.budget.settle(reserve, spent);
         Ok(())
     }
 
--- a/crates/run-log/tests/owner.rs
+++ b/crates/run-log/tests/owner.rs
@@ -179,6 +179,57 @@
     assert_eq!(cluster.owner.state().budget().spent(), Cost(20));
 }
 
+#[test]
+fn a_cancelled_attempt_costs_what_the_back_end_tells() {
+    for (told, counted) in [(0, 0), (3, 3), (99, 10)] {
+        let (mut cluster, _) = Cluster::open(25);
+        let mut repeatable = call_request(1, 10);
+        repeatable.repeatable = true;
+        cluster.tell(call(1, repeatable));
+        cluster.tell(granted(1, 1));
+        let (call, attempt) = (Sequence(1), 1);
+        let outcome = AttemptOutcome::Lost;
+        cluster.tell(OwnerEvent::AttemptFinished {
+            call,
+            attempt,
+            outcome,
+        });
+        let fate = AttemptFate::Stopped { spent: Cost(told) };
+        let effects = cluster.tell(OwnerEvent::Fenced {
+            call,
+            attempt,
+            fate,
+        });
+        let asks = |e: &&OwnerEffect| matches!(e, OwnerEffect::RequestGrant { attempt: 2, .. });
+        assert_eq!(effects.iter().filter(asks).count(), 1, "asks again");
+        let budget = cluster.owner.state().budget();
+        assert_eq!(budget.spent(), Cost(counted));
+        assert_eq!(budget.reserved(), Cost::ZERO);
+    }
+}
+
+#[test]
+fn a_call_that_may_not_be_repeated_ends_unknown_when_it_was_stopped() {
+    let (mut cluster, _) = Cluster::open(25);
+    cluster.tell(call(1, call_request(1, 10)));
+    cluster.tell(granted(1, 1));
+    let (call, attempt) = (Sequence(1), 1);
+    let outcome = AttemptOutcome::Lost;
+    cluster.tell(OwnerEvent::AttemptFinished {
+        call,
+        attempt,
+        outcome,
+    });
+    let fate = AttemptFate::Stopped { spent: Cost(3) };
+    let effects = cluster.tell(OwnerEvent::Fenced {
+        call,
+        attempt,
+        fate,
+    });
+    assert_eq!(end(&answers(&effects)[0].1), Some(&CallEnd::Unknown));
+    assert_eq!(cluster.owner.state().budget().spent(), Cost(10));
+}
+
 #[test]
 fn a_child_carves_its_budget_and_gives_back_the_rest() {
     let (mut cluster, _) = Cluster::open(100);
--- a/crates/run-log/tests/simulator/backend.rs
+++ b/crates/run-log/tests/simulator/backend.rs
@@ -21,7 +21,7 @@
 enum Progress {
     Running { answer: Vec<u8>, spent: Cost },
     Finished { answer: Vec<u8>, spent: Cost },
-    Cancelled,
+    Cancelled(Cost),
 }
 
 #[derive(Default)]
@@ -80,7 +80,8 @@
         Some(ended)
     }
 
-    pub fn fence(&mut self, key: AttemptKey) -> AttemptFate {
+    /// Stops an attempt for good. What it had cost until then is told for every other attempt only.
+    pub fn fence(&mut self, key: AttemptKey, executions: &mut [Execution]) -> AttemptFate {
         if self.gone {
             return AttemptFate::Unreachable;
         }
@@ -91,10 +92,34 @@
                 answer: answer.clone(),
                 spent: *spent,
             },
-            Some(progress) => {
-                *progress = Progress::Cancelled;
-                AttemptFate::Cancelled
+            Some(Progress::Cancelled(spent)) => stopped(key, *spent),
+            Some(Progress::Running { answer, spent }) => {
+                // An execution whose cost isn't told may have cost all.
+                let so_far = if tells_cost(key) {
+                    Cost(spent.0 / 2)
+                } else {
+                    *spent
+                };
+                for execution in executions {
+                    if execution.run == key.0 && execution.answer == *answer {
+                        execution.cost = so_far;
+                    }
+                }
+                self.attempts.insert(key, Progress::Cancelled(so_far));
+                stopped(key, so_far)
             }
         }
     }
 }
+
+fn tells_cost((_, call, attempt): AttemptKey) -> bool {
+    (call.0 + u64::from(attempt)).is_multiple_of(2)
+}
+
+fn stopped(key: AttemptKey, spent: Cost) -> AttemptFate {
+    if tells_cost(key) {
+        AttemptFate::Stopped { spent }
+    } else {
+        AttemptFate::Cancelled
+    }
+}
--- a/crates/run-log/tests/simulator/world/mod.rs
+++ b/crates/run-log/tests/simulator/world/mod.rs
@@ -300,7 +300,8 @@
                 node,
                 incarnation,
             } => {
-                let fate = self.backends[backend].fence(key);
+                let executions = &mut self.record.executions;
+                let fate = self.backends[backend].fence(key, executions);
                 let event = OwnerEvent::Fenced {
                     call: key.1,
                     attempt: key.2,
