--- a/crates/node/src/owner/effects.rs
+++ b/crates/node/src/owner/effects.rs
@@ -104,14 +104,13 @@
         to: Dispatched,
         request: &CallRequest,
     ) {
-        if self.is_grant_stale(now, run, &to.backend) {
-            return self.not_started(now, run, call, attempt);
-        }
-        self.slot_started(run, call, attempt, &to.backend);
+        let is_stale = self.is_grant_stale(now, run, &to.backend);
+        let backend = to.backend.clone();
         let order = self.attempt_order(now, run, attempt, to, request);
-        let Ok(order) = order else {
+        let Some(order) = order.ok().filter(|_| !is_stale) else {
             return self.not_started(now, run, call, attempt);
         };
+        self.slot_started(run, call, attempt, &backend);
         if let Some(owned) = self.runs.get_mut(&run) {
             owned.running = Some(RunningAttempt {
                 id: order.id.clone(),
--- a/crates/node/src/owner/quorum.rs
+++ b/crates/node/src/owner/quorum.rs
@@ -16,7 +16,7 @@
 /// so that it tells its caller that the end is not known.
 const LONGEST_PENDING: Duration = Duration::from_secs(3);
 /// The same where most of the run's first replicas are gone: long enough for one of them to tell who
-/// took their place, and over before the gateway repeats the request.
+/// took their place, and over before the gateway repeats the request. The takeover goes on.
 const LONGEST_PENDING_WITHOUT_MAJORITY: Duration = Duration::from_millis(300);
 
 impl OwnerRole {
