Keep one timer of the membership role instead of one more for every event

Cause: after every event the role forgot the key of its timer and added another one. A forgotten timer of stakker still fires; its firing was an event, which added the next. So every message and sign of life left a chain of timers that never ended, and the CPU time of an idle node grew with its uptime. Found by a profile of idle nodes that showed the role's handling and stakker's timers.

WakeTimer deletes the timer before. A MaxTimer or MinTimer was ruled out: they move in one direction only, and the state machine's next timer moves both ways.

--- a/crates/node/src/membership/mod.rs
+++ b/crates/node/src/membership/mod.rs
@@ -8,12 +8,13 @@
 
 use ridgeworks_domain::NodeId;
 use ridgeworks_membership::{Effect, Event, Member, MemberState, Membership};
-use stakker::{CX, Fwd, MaxTimerKey, after, fail, timer_max};
+use stakker::{CX, Fwd, after, at, fail};
 
 use crate::clock::Clock;
 use crate::message::NodeMessage;
 use crate::metrics::{Metrics, PUBLISH_INTERVAL};
 use crate::router::{Incoming, Outgoing};
+use crate::wake_timer::WakeTimer;
 
 /// A member joined, changed its state or was replaced.
 #[derive(Debug, Clone)]
@@ -65,7 +66,7 @@
     clock: Clock,
     state: Rc<RefCell<Membership>>,
     outputs: MembershipOutputs,
-    timer: MaxTimerKey,
+    timer: WakeTimer,
 }
 
 impl MembershipRole {
@@ -80,7 +81,7 @@
             clock,
             state,
             outputs,
-            timer: MaxTimerKey::default(),
+            timer: WakeTimer::default(),
         };
         role.handle(cx, Event::Timer);
         role.publish(cx);
@@ -135,9 +136,8 @@
         }
         let next = self.state.borrow().next_timer();
         let at = self.clock.instant(next).max(cx.now());
-        // A `MaxTimer` only moves later; a timer that fires early finds nothing due.
-        self.timer = MaxTimerKey::default();
-        timer_max!(&mut self.timer, at, [cx], on_timer());
+        let timer = at!(at, [cx], on_timer());
+        self.timer.replace(cx, timer);
     }
 
     fn carry_out(&mut self, cx: CX![], effect: Effect) {
