--- a/crates/node/src/membership/mod.rs
+++ b/crates/node/src/membership/mod.rs
@@ -8,12 +8,13 @@
 
 use ridgeworks_domain::NodeId;
 use ridgeworks_membership::{Effect, Event, Member, MemberState, Membership};
-use stakker::{CX, FixedTimerKey, Fwd, after, at, fail};
+use stakker::{CX, Fwd, after, at, fail};
 
 use crate::clock::Clock;
 use crate::message::NodeMessage;
 use crate::metrics::{Metrics, PUBLISH_INTERVAL};
 use crate::router::{Incoming, Outgoing};
+use crate::wake_timer::WakeTimer;
 
 /// A member joined, changed its state or was replaced.
 #[derive(Debug, Clone)]
@@ -65,8 +66,7 @@
     clock: Clock,
     state: Rc<RefCell<Membership>>,
     outputs: MembershipOutputs,
-    /// The timer for what is due next, and when that is.
-    timer: Option<(FixedTimerKey, Instant)>,
+    timer: WakeTimer,
 }
 
 impl MembershipRole {
@@ -81,7 +81,7 @@
             clock,
             state,
             outputs,
-            timer: None,
+            timer: WakeTimer::default(),
         };
         role.handle(cx, Event::Timer);
         role.publish(cx);
@@ -141,15 +141,9 @@
     /// One timer at a time: another for each event would go on for ever, as each sets its successor.
     fn set_timer(&mut self, cx: CX![]) {
         let next = self.state.borrow().next_timer();
-        let due = self.clock.instant(next);
-        if let Some((key, set_for)) = self.timer {
-            if set_for == due {
-                return;
-            }
-            cx.timer_del(key);
-        }
-        let key = at!(due.max(cx.now()), [cx], on_timer());
-        self.timer = Some((key, due));
+        let at = self.clock.instant(next).max(cx.now());
+        let timer = at!(at, [cx], on_timer());
+        self.timer.replace(cx, timer);
     }
 
     fn carry_out(&mut self, cx: CX![], effect: Effect) {
