Model leases as the stand-in engine keeps them, and end them for granted calls

With that model a fault of the dispatcher came to light: leases kept granted calls waiting for memory in the engine.

--- a/crates/experiment/src/simulation.rs
+++ b/crates/experiment/src/simulation.rs
@@ -362,6 +362,10 @@
 
     fn tick(&mut self) {
         self.tell(Event::Tick);
+        // Leases may have ended that calls in the engines wait for.
+        for engine in 0..self.engines.len() {
+            self.begin_step(engine);
+        }
         self.ticks += 1;
         let horizon = Duration::from_secs_f64(self.workload.horizon_seconds);
         let sampling = self.now < horizon.as_micros() as u64;
--- a/crates/scheduling/src/granting.rs
+++ b/crates/scheduling/src/granting.rs
@@ -11,6 +11,8 @@
 use crate::queue::{Lane, LaneQueue, OrderKey, WaitingCall};
 use crate::settings::PlacementRule;
 
+/// Part of a cache that calls and leases may fill, in thousandths; the rest is lost to whole blocks.
+const USABLE_PERMILLE: u64 = 980;
 /// Calls of a lane that are looked at for one free slot, beyond the first of each kind.
 const LOOK_AHEAD: usize = 8;
 /// Waiting calls of a lane that are looked at again in each tick.
@@ -190,6 +192,7 @@
             None => now,
         };
         self.take_slot(waiting, index, GrantState::Moving, lapses_at);
+        self.make_room(now, index);
         match move_from {
             Some(from) => self.move_context(run, from, index),
             None => self.offer(now, ticket),
@@ -221,6 +224,18 @@
         });
     }
 
+    /// Ends leases that would keep the granted calls waiting for memory in the engine.
+    fn make_room(&mut self, now: MonotonicTime, index: BackendIndex) {
+        let Some(state) = self.backends.get(index) else {
+            return;
+        };
+        let usable = state.cache_capacity * USABLE_PERMILLE / 1000;
+        let most_leased = usable.saturating_sub(state.reserved_tokens);
+        for change in self.retention.make_room(index, most_leased) {
+            self.apply_retention(now, change);
+        }
+    }
+
     /// Counts the slot of an attempt that another dispatcher granted.
     pub(crate) fn adopt(&mut self, now: MonotonicTime, call: QueuedCall, backend: &BackendName) {
         let known = self.grants.get(call.ticket).is_some();
--- a/crates/scheduling/src/retention.rs
+++ b/crates/scheduling/src/retention.rs
@@ -220,6 +220,20 @@
         })
     }
 
+    /// Ends the least valuable leases at an engine until at most `most_tokens` are under lease.
+    pub fn make_room(&mut self, backend: BackendIndex, most_tokens: u64) -> Vec<RetentionChange> {
+        let mut changes = Vec::new();
+        while self.leased_tokens(backend) > most_tokens {
+            let engine = self.engines.get(&backend);
+            let Some((_, run)) = engine.and_then(|engine| engine.by_value.first().copied()) else {
+                break;
+            };
+            self.drop_lease(run);
+            changes.push(RetentionChange::End { run, backend });
+        }
+        changes
+    }
+
     /// Contexts under lease.
     pub fn len(&self) -> usize {
         self.leases.len()
--- a/crates/scheduling/tests/back_ends.rs
+++ b/crates/scheduling/tests/back_ends.rs
@@ -315,3 +315,26 @@
     let effects = dispatcher.handle(millis(502), Event::Tick);
     assert_eq!(grants(&effects).len(), 1);
 }
+
+#[test]
+fn a_lease_ends_when_a_granted_call_needs_its_room() {
+    let mut settings = settings();
+    settings.default_cache_tokens = 30_000;
+    let mut dispatcher = group(settings, 2);
+    dispatcher.handle(START, stored(1, 20_000));
+    dispatcher.handle(START, paused());
+    dispatcher.handle(START, Event::BackendLeaving(backend_name(0)));
+    let large = QueuedCall {
+        prompt_tokens: 20_000,
+        ..support::urgent(2)
+    };
+    let effects = dispatcher.handle(millis(1), Event::Enqueue(large));
+    let ended = Effect::Retain {
+        run: RUN,
+        backend: backend_name(1),
+        until: millis(1),
+    };
+    assert_eq!(effects.first(), Some(&ended), "{effects:?}");
+    assert_eq!(grants(&effects).len(), 1);
+    assert_eq!(dispatcher.retained(), 0);
+}
--- a/crates/testbed/tests/engine_model/trace.rs
+++ b/crates/testbed/tests/engine_model/trace.rs
@@ -19,6 +19,8 @@
 /// One run: its calls follow each other.
 #[derive(Debug, Clone)]
 pub struct TraceRun {
+    /// Whether its calls go first.
+    pub urgent: bool,
     /// When its first call is made.
     pub starts_at: Duration,
     /// In order.
@@ -30,6 +32,9 @@
 pub struct Trace {
     /// In order of their starts.
     pub runs: Vec<TraceRun>,
+    /// Lease on the context of a run in each pause, and its release at the run's end; `None` leaves
+    /// the cache to itself.
+    pub lease: Option<Duration>,
 }
 
 impl Trace {
@@ -37,6 +42,7 @@
     pub fn draw(workload: &Workload, offered_load: f64, seed: u64, speed: f64) -> Self {
         let arrivals = draw_arrivals(workload, offered_load, seed).into_iter();
         let runs = arrivals.map(|arrival| TraceRun {
+            urgent: workload.programs[arrival.program].urgent,
             starts_at: Duration::from_micros(arrival.at_micros).div_f64(speed),
             calls: arrival
                 .script
@@ -47,6 +53,7 @@
         });
         Self {
             runs: runs.collect(),
+            lease: None,
         }
     }
 }
