--- a/crates/node/src/membership/mod.rs
+++ b/crates/node/src/membership/mod.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use ridgeworks_domain::NodeId;
 use ridgeworks_membership::{Effect, Event, Member, MemberState, Membership};
@@ -125,7 +125,6 @@
     }
 
     fn on_timer(&mut self, cx: CX![]) {
-        self.timer = None;
         self.handle(cx, Event::Timer);
     }
 
