Show queues by partner and class, engines' loads and lag in the status

The answer held one length for each service and no load or lag, though the protocol and the command line have the fields. The dispatcher's group keeps the last load report of each engine and the time of the newest cache event; queues are summed up when an operator asks. Requests for slots carry no class: it is looked up by partner and priority, all names where several are equal. An engine that has not reported shows 0 running. A service without waiting calls keeps its one row of length 0. Not done: the age of the platform's list. The configuration role passes on only newer lists, not when it last looked.

--- a/crates/node/src/dispatcher/group.rs
+++ b/crates/node/src/dispatcher/group.rs
@@ -14,6 +14,7 @@
 use super::checked_backends::CheckedBackends;
 use super::context_sweep::ContextSweep;
 use super::message::DispatcherAnswer;
+use super::status::{LastReports, ServiceStatus, queues};
 use crate::metrics::ServiceMetrics;
 
 /// A repeated request is answered as the first one for this long after its end.
@@ -22,19 +23,6 @@
 /// change late are served meanwhile.
 pub const UNUSED_GROUP_TIME: Duration = Duration::from_secs(2);
 
-/// The back ends and the queue of one service.
-#[derive(Debug, Clone)]
-pub struct ServiceStatus {
-    /// The service.
-    pub service: ServiceName,
-    /// Its back ends.
-    pub backends: Vec<ListedBackend>,
-    /// Calls that wait for a slot.
-    pub queued: usize,
-    /// Grants that have not ended.
-    pub in_flight: usize,
-}
-
 /// What became of a request for a slot.
 enum TicketState {
     Queued,
@@ -58,7 +46,8 @@
     /// What the dispatcher was told of.
     offered: BTreeMap<BackendName, ListedBackend>,
     /// Calls that came before the back ends were asked.
-    held: Vec<QueuedCall>,
+    held: Vec<(QueuedCall, MonotonicTime)>,
+    reports: LastReports,
     /// Attempts at back ends that the dispatcher was not told of.
     running_unseen: Vec<(QueuedCall, BackendName)>,
     /// Since when another node dispatches and nobody asks here.
@@ -92,18 +81,24 @@
             checked: CheckedBackends::default(),
             offered: BTreeMap::new(),
             held: Vec::new(),
+            reports: LastReports::default(),
             running_unseen: Vec::new(),
             unused_since: None,
         }
     }
 
     /// The service as operators see it.
-    pub fn status(&self) -> ServiceStatus {
+    pub fn status(&self, now: MonotonicTime) -> ServiceStatus {
+        let waiting = self.dispatcher.waiting();
+        let waiting = waiting.map(|waiting| (&waiting.call, waiting.enqueued_at));
+        let held = self.held.iter().map(|(call, since)| (call, *since));
+        let listed = self.listed.values();
         ServiceStatus {
             service: self.service.clone(),
-            backends: self.listed.values().cloned().collect(),
-            queued: self.dispatcher.queued(),
+            backends: listed.map(|listed| self.reports.of(listed, now)).collect(),
+            queues: queues(waiting.chain(held), now),
             in_flight: self.dispatcher.in_flight(),
+            cache_event_age: self.reports.cache_event_age(now),
         }
     }
 
@@ -213,16 +208,17 @@
 
     /// Takes an event.
     pub fn handle(&mut self, now: MonotonicTime, event: Event) -> Vec<Effect> {
+        self.reports.note(now, &event);
         match event {
             Event::Enqueue(call) if !self.checked.is_complete(now, &self.listed) => {
-                self.held.push(call);
+                self.held.push((call, now));
                 return Vec::new();
             }
             Event::AttemptRunning { call, backend } if !self.offered.contains_key(&backend) => {
                 self.running_unseen.push((call, backend));
                 return Vec::new();
             }
-            Event::Cancel(ticket) => self.held.retain(|call| call.ticket != ticket),
+            Event::Cancel(ticket) => self.held.retain(|(call, _)| call.ticket != ticket),
             Event::AttemptEnded(end) => {
                 self.running_unseen
                     .retain(|(call, _)| call.ticket != end.ticket);
@@ -236,7 +232,7 @@
     }
 
     fn forget_owner(&mut self, owner: NodeId) {
-        self.held.retain(|call| call.ticket.owner != owner);
+        self.held.retain(|(call, _)| call.ticket.owner != owner);
         self.running_unseen
             .retain(|(call, _)| call.ticket.owner != owner);
         // An owner that was only cut off asks and tells again.
@@ -257,7 +253,7 @@
             return Vec::new();
         }
         let held = std::mem::take(&mut self.held).into_iter();
-        held.flat_map(|call| self.dispatcher.handle(now, Event::Enqueue(call)))
+        held.flat_map(|(call, _)| self.dispatcher.handle(now, Event::Enqueue(call)))
             .collect()
     }
 
@@ -296,6 +292,7 @@
         for name in &update.gone {
             self.contexts.backend_gone(name);
             self.checked.remove(name);
+            self.reports.remove(name);
         }
         self.listed = listed;
         update.effects.extend(self.offer(now));
--- a/crates/node/src/dispatcher/mod.rs
+++ b/crates/node/src/dispatcher/mod.rs
@@ -7,11 +7,13 @@
 mod group;
 mod message;
 mod role;
+mod status;
 mod sweep;
 
 pub use backend_list::ListedBackend;
 pub use checked_backends::LONGEST_CHECK;
 pub use engine_poll::{EngineNews, EnginePolls, EngineReport};
-pub use group::{DispatcherGroup, GroupUpdate, Repeat, ServiceStatus, UNUSED_GROUP_TIME};
+pub use group::{DispatcherGroup, GroupUpdate, Repeat, UNUSED_GROUP_TIME};
 pub use message::{DispatcherAnswer, DispatcherCommand, SlotRequest, whole_millis};
 pub use role::{DispatcherOutputs, DispatcherRole};
+pub use status::{BackendStatus, QueueStatus, ServiceStatus};
--- a/crates/node/src/dispatcher/role.rs
+++ b/crates/node/src/dispatcher/role.rs
@@ -103,7 +103,16 @@
 
     /// Answers an operator who asks for back ends and queues.
     pub fn report_status(&mut self, _cx: CX![], replies: Sender<OperatorReply>) {
-        let status = self.groups.values().map(DispatcherGroup::status).collect();
+        let now = self.clock.now();
+        let configuration = self.directory.last_known();
+        let status = self.groups.values().map(|group| {
+            let mut status = group.status(now);
+            for queue in &mut status.queues {
+                queue.name_classes(&configuration);
+            }
+            status
+        });
+        let status = status.collect();
         // An operator that left is told nothing.
         let _ = replies.send(OperatorReply::Services(status));
     }
--- a/crates/node/src/operator/status.rs
+++ b/crates/node/src/operator/status.rs
@@ -7,7 +7,7 @@
 
 use super::desk::{OperatorReply, OperatorWork};
 use super::method::{Session, unexpected_reply};
-use crate::dispatcher::ServiceStatus;
+use crate::dispatcher::{BackendStatus, QueueStatus, ServiceStatus, whole_millis};
 
 /// The state of the system as this node sees it: all members, and the engines and queues that it
 /// dispatches for.
@@ -38,8 +38,8 @@
             state: v1::RunState::Open.into(),
             count: open_runs as u64,
         }],
-        queues: services.iter().map(queue).collect(),
-        lag: None,
+        queues: services.iter().flat_map(queues).collect(),
+        lag: Some(lag(&services)),
     })
 }
 
@@ -92,10 +92,10 @@
 }
 
 fn engines(service: &ServiceStatus) -> Vec<v1::EngineSummary> {
-    service
-        .backends
-        .iter()
-        .map(|listed| v1::EngineSummary {
+    let summary = |backend: &BackendStatus| {
+        let listed = &backend.listed;
+        let load = backend.load.as_ref().map(|(load, _)| load);
+        v1::EngineSummary {
             name: listed.backend.name.to_string(),
             service: service.service.to_string(),
             zone: listed.backend.zone.to_string(),
@@ -104,16 +104,41 @@
             } else {
                 v1::EngineState::Ready.into()
             },
+            running: load.map_or(0, |load| load.running),
+            queued: load.map_or(0, |load| load.waiting),
             slots: listed.backend.slots,
-            ..v1::EngineSummary::default()
-        })
-        .collect()
+        }
+    };
+    service.backends.iter().map(summary).collect()
 }
 
-fn queue(service: &ServiceStatus) -> v1::QueueSummary {
-    v1::QueueSummary {
+fn queues(service: &ServiceStatus) -> Vec<v1::QueueSummary> {
+    let summary = |queue: &QueueStatus| v1::QueueSummary {
         service: service.service.to_string(),
-        length: service.queued as u64,
-        ..v1::QueueSummary::default()
+        partner: queue.partner.to_string(),
+        class: queue.classes.join(","),
+        length: queue.length as u64,
+        oldest_age_ms: whole_millis(queue.oldest_age),
+    };
+    if service.queues.is_empty() {
+        return vec![v1::QueueSummary {
+            service: service.service.to_string(),
+            ..v1::QueueSummary::default()
+        }];
+    }
+    service.queues.iter().map(summary).collect()
+}
+
+/// Ages of the dispatcher's own news. That of the platform's list is not known here.
+fn lag(services: &[ServiceStatus]) -> v1::LagSummary {
+    let events = services
+        .iter()
+        .filter_map(|service| service.cache_event_age);
+    let backends = services.iter().flat_map(|service| &service.backends);
+    let loads = backends.filter_map(|backend| backend.load.as_ref());
+    v1::LagSummary {
+        cache_events_ms: events.min().map(whole_millis),
+        load_ms: loads.map(|(_, age)| whole_millis(*age)).max(),
+        ..v1::LagSummary::default()
     }
 }
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -250,6 +250,14 @@
         });
     }
 
+    /// The state of the system as a node sees it.
+    pub fn status(&self, node: usize) -> Value {
+        let server = format!("http://{}", self.nodes[node].edge);
+        let client = OperatorClient::new(ClientSettings::new(vec![server], TOKEN.to_owned()));
+        let status = client.status(&v1::StatusRequest::default()).unwrap();
+        serde_json::to_value(status).unwrap()
+    }
+
     /// Slots in use by the account of a node that dispatches.
     pub fn in_flight(&self, node: usize) -> Option<usize> {
         self.gauge(node, "dispatcher_in_flight")
--- a/crates/scheduling/src/dispatcher.rs
+++ b/crates/scheduling/src/dispatcher.rs
@@ -13,7 +13,7 @@
 use crate::grants::{Grant, GrantState, GrantTable};
 use crate::load_estimate::LoadEstimate;
 use crate::prefix_map::{CacheFollowUp, PrefixMap};
-use crate::queue::CallQueue;
+use crate::queue::{CallQueue, WaitingCall};
 use crate::retention::{Candidate, Retention, RetentionChange};
 use crate::settings::DispatcherSettings;
 use crate::shares::Shares;
@@ -99,6 +99,11 @@
         self.queue.len()
     }
 
+    /// Calls that wait for a slot, in no order.
+    pub fn waiting(&self) -> impl Iterator<Item = &WaitingCall> {
+        self.queue.iter()
+    }
+
     /// Grants that have not ended.
     pub fn in_flight(&self) -> usize {
         self.grants.len()
--- a/crates/scheduling/src/queue.rs
+++ b/crates/scheduling/src/queue.rs
@@ -160,6 +160,11 @@
         self.calls.is_empty()
     }
 
+    /// All waiting calls, in no order.
+    pub fn iter(&self) -> impl Iterator<Item = &WaitingCall> {
+        self.calls.values()
+    }
+
     /// Whether the ticket waits.
     pub fn contains(&self, ticket: Ticket) -> bool {
         self.calls.contains_key(&ticket)
