--- a/crates/testbed/src/scale/cluster_processes.rs
+++ b/crates/testbed/src/scale/cluster_processes.rs
@@ -8,7 +8,7 @@
 use ureq::Agent;
 
 use super::arguments::ScaleArguments;
-use super::error::{Goal, ScaleError};
+use super::error::ScaleError;
 use super::host_process::HostProcess;
 use super::layout::Layout;
 use super::protocol::{HostCommand, HostPlan, HostReport};
@@ -179,12 +179,6 @@
     }
 }
 
-impl From<Goal> for ScaleError {
-    fn from(goal: Goal) -> Self {
-        Self::TimedOut(goal)
-    }
-}
-
 /// Value of a counter or gauge of Prometheus text, zero where it is not there.
 fn counter(text: &str, name: &str) -> u64 {
     let named = |line: &&str| {
--- a/crates/testbed/src/scale/error.rs
+++ b/crates/testbed/src/scale/error.rs
@@ -15,8 +15,6 @@
 pub enum Goal {
     /// Every hollow node sees all members, has the newest configuration and all machines.
     Joined,
-    /// Every full process and the platform answer.
-    Answers,
 }
 
 /// Why a run could not be carried out.
@@ -86,6 +84,12 @@
 
 impl std::error::Error for ScaleError {}
 
+impl From<Goal> for ScaleError {
+    fn from(goal: Goal) -> Self {
+        Self::TimedOut(goal)
+    }
+}
+
 impl From<ClusterError> for ScaleError {
     fn from(error: ClusterError) -> Self {
         Self::Cluster(error)
--- a/crates/testbed/src/scale/host.rs
+++ b/crates/testbed/src/scale/host.rs
@@ -18,7 +18,7 @@
 use stakker_mio::mio::{Events, Poll};
 
 use super::error::ScaleError;
-use super::hollow_node::{HollowNode, HollowParts, Shared, link_report, wall_clock_us};
+use super::hollow_node::{HollowNode, HollowParts, Shared, link_report};
 use super::idle_runs::replica_of;
 use super::layout::{HollowPlan, name_of};
 use super::protocol::{HostCommand, HostPlan, HostReport, NodeReport};
@@ -216,7 +216,6 @@
             nodes.push(answered.unwrap_or_else(|| link_report(slot.plan.index, &slot.counters)));
         }
         HostReport {
-            at_us: wall_clock_us(),
             nodes,
             observations: std::mem::take(&mut *self.shared.observations.borrow_mut()),
         }
--- a/crates/testbed/src/scale/layout.rs
+++ b/crates/testbed/src/scale/layout.rs
@@ -1,7 +1,6 @@
 //! Where hollow nodes stand: regions, zones, one rack, disks and addresses.
 
 use std::net::{Ipv4Addr, SocketAddr};
-use std::ops::Range;
 
 use serde::{Deserialize, Serialize};
 
@@ -91,16 +90,6 @@
         zone_name(ZONES_OF_REGIONS.len(), zones)
     }
 
-    /// The ranges of indices that so many processes hold.
-    pub fn shares(&self, processes: usize) -> Vec<Range<usize>> {
-        let count = self.nodes.len();
-        let processes = processes.min(count).max(1);
-        let start = |process: usize| process * count / processes;
-        (0..processes)
-            .map(|process| start(process)..start(process + 1))
-            .collect()
-    }
-
     fn matching(&self, matches: impl Fn(&HollowPlan) -> bool) -> Vec<usize> {
         let nodes = self.nodes.iter().filter(|node| matches(node));
         nodes.map(|node| node.index).collect()
--- a/crates/testbed/src/scale/protocol.rs
+++ b/crates/testbed/src/scale/protocol.rs
@@ -158,8 +158,6 @@
 /// Answer to [`HostCommand::Report`].
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct HostReport {
-    /// When it was made, in microseconds of the machine's wall clock.
-    pub at_us: u64,
     /// All its nodes.
     pub nodes: Vec<NodeReport>,
     /// What was seen since the last report.
