Look at active runs only in the owner role's tick

Cause: every 20 ms the role asked all runs that it owns, twice, whether they are idle, and a grant looked for its run among all of them. Most owned runs are idle for their whole time.

OwnedRuns notes every run that is handed out to be changed; those that are not idle are always among them, so a tick and a grant look at these only. Idle runs are looked through once a second for those to give up (before: every tick), so a run is given up after 60 to 61 s.

Ruled out: entering runs by hand at each place that starts something, which the next place forgets.

--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -6,6 +6,7 @@
 mod effects;
 mod identities;
 mod owned_run;
+mod owned_runs;
 pub mod pause;
 mod prompt;
 mod quorum;
--- a/crates/node/src/owner/role.rs
+++ b/crates/node/src/owner/role.rs
@@ -1,6 +1,5 @@
 //! Actor of the owner role: holds the runs that this node owns and hands each its events.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
@@ -15,6 +14,7 @@
 
 use super::identities;
 use super::owned_run::{OwnedRun, Ownership};
+use super::owned_runs::OwnedRuns;
 use super::pause::PauseDetector;
 use crate::clock::Clock;
 use crate::directory::Directory;
@@ -28,6 +28,8 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 /// An idle run is given up after this time; its next call takes it over again from its replicas.
 const IDLE_TIME: Duration = Duration::from_secs(60);
+/// Time between two looks for such runs.
+const GIVE_UP_INTERVAL: Duration = Duration::from_secs(1);
 /// How long a node waits for others to say whether they are busy with a run.
 pub(super) const QUERY_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -49,11 +51,12 @@
     pub(super) clock: Clock,
     pub(super) directory: Directory,
     pub(super) outputs: OwnerOutputs,
-    pub(super) runs: HashMap<RunId, OwnedRun>,
+    pub(super) runs: OwnedRuns,
     pub(super) next_number: u64,
     pub(super) stopping: bool,
     pub(super) sweep_settings: SweepSettings,
     pub(super) pauses: PauseDetector,
+    give_up_at: Instant,
 }
 
 impl OwnerRole {
@@ -71,11 +74,12 @@
             clock: directory.clock(),
             directory,
             outputs,
-            runs: HashMap::new(),
+            runs: OwnedRuns::default(),
             next_number: rand::random(),
             stopping: false,
             sweep_settings,
             pauses: PauseDetector::new(cx.now()),
+            give_up_at: cx.now(),
         };
         role.tick(cx);
         role.refresh_identities(cx);
@@ -129,7 +133,7 @@
 
     /// Writes down how many runs have something in progress.
     pub fn report_busy(&mut self, _cx: CX![], busy: Arc<AtomicUsize>) {
-        let count = self.runs.values().filter(|run| !run.is_idle()).count();
+        let count = self.runs.active().filter(|run| !run.is_idle()).count();
         busy.store(count, Ordering::Relaxed);
     }
 
@@ -229,13 +233,7 @@
         self.give_up_idle(now);
         let owned = i64::try_from(self.runs.len()).unwrap_or(i64::MAX);
         self.outputs.metrics.runs_owned.set(owned);
-        let busy: Vec<RunId> = self
-            .runs
-            .iter()
-            .filter(|(_, owned)| !owned.is_idle())
-            .map(|(run, _)| *run)
-            .collect();
-        for run in busy {
+        for run in self.runs.busy() {
             self.handle(now, run, OwnerEvent::Tick);
             self.check_slot(now, run);
             self.check_contacts(now, run);
@@ -246,8 +244,13 @@
         after!(TICK_INTERVAL, [cx], tick());
     }
 
+    /// Looks at all runs, so not every tick.
     fn give_up_idle(&mut self, now: Instant) {
-        self.runs.retain(|_, owned| {
+        if now < self.give_up_at {
+            return;
+        }
+        self.give_up_at = now + GIVE_UP_INTERVAL;
+        self.runs.retain(|owned| {
             let unused = now.saturating_duration_since(owned.last_used);
             unused < IDLE_TIME || !owned.is_idle()
         });
--- a/crates/node/src/owner/slots.rs
+++ b/crates/node/src/owner/slots.rs
@@ -256,7 +256,7 @@
             let slot = owned.slot.as_ref();
             slot.is_some_and(|slot| slot.ticket() == ticket)
         };
-        self.runs.values().find(has_ticket).map(|owned| owned.run)
+        self.runs.active().find(has_ticket).map(|owned| owned.run)
     }
 
     pub(super) fn slot_started(&mut self, run: RunId, call: Sequence, attempt: u32) {
