Restore the idle runs of the scale run before any node runs

Cause: a replica of 37,648 runs was restored in the thread that hollow nodes share, at each start. The default is now 10 joins at once and 24 processes.

--- a/crates/testbed/src/scale/arguments.rs
+++ b/crates/testbed/src/scale/arguments.rs
@@ -23,10 +23,10 @@
     #[arg(long, default_value_t = 640_000)]
     pub runs: usize,
     /// Processes that the hollow nodes share.
-    #[arg(long, default_value_t = 12, value_parser = parse_processes)]
+    #[arg(long, default_value_t = 24, value_parser = parse_processes)]
     pub processes: usize,
     /// Most hollow nodes that join at once.
-    #[arg(long, default_value_t = 30, value_parser = parse_joins)]
+    #[arg(long, default_value_t = 10, value_parser = parse_joins)]
     pub joins_at_once: usize,
     /// How many times faster than on an ordinary day nodes fail and are replaced.
     #[arg(long, default_value_t = 600)]
--- a/crates/testbed/src/scale/hollow_node.rs
+++ b/crates/testbed/src/scale/hollow_node.rs
@@ -51,7 +51,7 @@
     /// Its configuration role.
     pub configuration: ConfigurationRole,
     /// Its replica role, on a node with a disk.
-    pub replica: Option<Replica>,
+    pub replica: Option<Rc<Replica>>,
     /// The process's clock.
     pub clock: Clock,
     /// Settings of its links.
@@ -70,7 +70,7 @@
     node: NodeId,
     membership: Membership,
     configuration: ConfigurationRole,
-    replica: Option<Replica>,
+    replica: Option<Rc<Replica>>,
     clock: Clock,
     links: ActorOwn<Links>,
     counters: Arc<LinkCounters>,
@@ -151,7 +151,10 @@
             is_ready: self.configuration.in_force(now).is_ok(),
             machines_version: machines.version(),
             machines: machines.machines().count(),
-            run_heads: self.replica.as_ref().map_or(0, Replica::run_count),
+            run_heads: self
+                .replica
+                .as_ref()
+                .map_or(0, |replica| replica.run_count()),
             suspicions: membership.suspicions,
             own_pauses: membership.own_pauses,
             leases_lapsed: self.configuration.counters().leases_lapsed,
--- a/crates/testbed/src/scale/host.rs
+++ b/crates/testbed/src/scale/host.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::io::{self, BufRead, Write};
+use std::rc::Rc;
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -13,6 +14,7 @@
 use ridgeworks_membership::{Incarnation, Member, MemberState, Membership, MembershipConfig};
 use ridgeworks_node::clock::Clock;
 use ridgeworks_node::mailbox::Mailbox;
+use ridgeworks_run_log::replica::Replica;
 use stakker::{ActorOwn, Stakker, actor, call, query, ret_nop};
 use stakker_mio::MioPoll;
 use stakker_mio::mio::{Events, Poll};
@@ -33,6 +35,9 @@
 struct Slot {
     plan: HollowPlan,
     counters: Arc<LinkCounters>,
+    /// Made before any node runs, as restoring it would stop the other nodes of the thread; it
+    /// outlasts the node's lives.
+    replica: Option<Rc<Replica>>,
     actor: Option<ActorOwn<HollowNode>>,
 }
 
@@ -40,7 +45,6 @@
 pub struct Host {
     plan: HostPlan,
     voters: Vec<NodeId>,
-    disk_nodes: Vec<NodeId>,
     slots: Vec<Slot>,
     shared: Shared,
     clock: Clock,
@@ -57,19 +61,30 @@
         let poll = Poll::new().map_err(ScaleError::Poll)?;
         let events = Events::with_capacity(POLL_EVENTS);
         let poll = MioPoll::new(&mut stakker, poll, events, WAKE_PRIORITY);
-        let slot = |plan: &HollowPlan| Slot {
-            plan: plan.clone(),
-            counters: Arc::default(),
-            actor: None,
+        let clock = Clock::start();
+        let ids = |names: &[String]| -> Vec<NodeId> {
+            names.iter().map(|name| NodeId::from_name(name)).collect()
+        };
+        let disk_nodes = ids(&plan.disk_nodes);
+        let slot = |node: &HollowPlan| {
+            let mut names = plan.disk_nodes.iter();
+            let position = names.position(|name| *name == node.name);
+            let now = clock.now();
+            let replica =
+                position.map(|position| replica_of(&disk_nodes, position, plan.runs, now));
+            Slot {
+                plan: node.clone(),
+                counters: Arc::default(),
+                replica: replica.map(Rc::new),
+                actor: None,
+            }
         };
-        let ids = |names: &[String]| names.iter().map(|name| NodeId::from_name(name)).collect();
         Ok(Self {
             voters: ids(&plan.voters),
-            disk_nodes: ids(&plan.disk_nodes),
             slots: plan.nodes.iter().map(slot).collect(),
             plan,
             shared: Shared::default(),
-            clock: Clock::start(),
+            clock,
             stakker,
             poll: poll.map_err(ScaleError::Poll)?,
             idle_pending: false,
@@ -185,7 +200,6 @@
             voters: self.voters.clone(),
             seed: rand::random(),
         };
-        let position = self.disk_nodes.iter().position(|other| *other == node);
         Ok(HollowParts {
             index: plan.index,
             membership: Membership::new(
@@ -196,8 +210,7 @@
                 now,
             ),
             configuration: ConfigurationRole::new(configuration, None, now),
-            replica: position
-                .map(|position| replica_of(&self.disk_nodes, position, self.plan.runs, now)),
+            replica: slot.replica.clone(),
             clock: self.clock,
             listener: Links::bind(&link_settings).map_err(ScaleError::Link)?,
             link_settings,
