--- a/crates/scheduling/tests/back_ends.rs
+++ b/crates/scheduling/tests/back_ends.rs
@@ -178,6 +178,35 @@
     assert_eq!(dispatcher.retained(), 0);
 }
 
+/// Length of the lease in the pause after a call, for a partner with this weight; half of the earlier
+/// pauses took about a second, the others about ten.
+fn lease_of_a_partner(latency_weight: u8) -> Duration {
+    let mut settings = settings();
+    settings.partners[0].latency_weight = latency_weight;
+    let mut dispatcher = group(settings, 1);
+    let mut now = START;
+    for number in 1..=100 {
+        enqueue_all(&mut dispatcher, now, [call_of_run(number, 20_000)]);
+        complete(&mut dispatcher, now, number);
+        dispatcher.handle(now, paused());
+        now = now + Duration::from_secs(if number.is_multiple_of(2) { 1 } else { 10 });
+    }
+    enqueue_all(&mut dispatcher, now, [call_of_run(101, 20_000)]);
+    complete(&mut dispatcher, now, 101);
+    let effects = dispatcher.handle(now, paused());
+    let [Effect::Retain { until, .. }] = effects.as_slice() else {
+        panic!("{effects:?}");
+    };
+    until.since(now)
+}
+
+#[test]
+fn a_partner_that_weighs_wasted_cache_more_has_longer_leases() {
+    let (cache, latency) = (lease_of_a_partner(0), lease_of_a_partner(100));
+    assert!(cache > Duration::from_secs(10), "{cache:?}");
+    assert!(latency < Duration::from_secs(2), "{latency:?}");
+}
+
 #[test]
 fn a_displaced_lease_ends_without_dropping_its_context() {
     let mut settings = settings();
@@ -286,3 +315,26 @@
     let effects = dispatcher.handle(millis(502), Event::Tick);
     assert_eq!(grants(&effects).len(), 1);
 }
+
+#[test]
+fn a_lease_ends_when_a_granted_call_needs_its_room() {
+    let mut settings = settings();
+    settings.default_cache_tokens = 30_000;
+    let mut dispatcher = group(settings, 2);
+    dispatcher.handle(START, stored(1, 20_000));
+    dispatcher.handle(START, paused());
+    dispatcher.handle(START, Event::BackendLeaving(backend_name(0)));
+    let large = QueuedCall {
+        prompt_tokens: 20_000,
+        ..support::urgent(2)
+    };
+    let effects = dispatcher.handle(millis(1), Event::Enqueue(large));
+    let ended = Effect::Retain {
+        run: RUN,
+        backend: backend_name(1),
+        until: millis(1),
+    };
+    assert_eq!(effects.first(), Some(&ended), "{effects:?}");
+    assert_eq!(grants(&effects).len(), 1);
+    assert_eq!(dispatcher.retained(), 0);
+}
