Check open requests only while there are any

Cause: the gateway woke every 25 ms to look through its open requests, also without any; with the ticks of 20 ms of other roles the actor thread of an idle node woke about 165 times a second.

The check's timer now runs only while a request is open. Taking the timer off the ticks of owner and dispatcher was ruled out here: the owner's tick finds pauses of the process.

--- a/crates/node/src/inbound/gateway.rs
+++ b/crates/node/src/inbound/gateway.rs
@@ -55,14 +55,14 @@
     /// Starts the role. `first_number` is drawn at random, so that a restarted process does not use
     /// a number again.
     pub fn init(
-        cx: CX![],
+        _cx: CX![],
         node: NodeId,
         directory: Directory,
         outgoing: Fwd<Outgoing>,
         first_number: u64,
         open_requests: Gauge,
     ) -> Option<Self> {
-        let mut gateway = Self {
+        Some(Self {
             node,
             directory,
             outgoing,
@@ -71,9 +71,7 @@
             stopping: false,
             open_requests,
             check_timer: MaxTimerKey::default(),
-        };
-        gateway.schedule_check(cx);
-        Some(gateway)
+        })
     }
 
     /// Takes a caller's request.
@@ -257,6 +255,7 @@
         };
         self.open.insert(request, open);
         self.open_requests.inc();
+        self.schedule_check(cx);
         self.ask(cx.now(), request);
     }
 
@@ -315,7 +314,11 @@
         }
     }
 
+    /// Without an open request nothing is checked: a node without requests is not woken for it.
     fn schedule_check(&mut self, cx: CX![]) {
+        if self.open.is_empty() || cx.timer_max_active(self.check_timer) {
+            return;
+        }
         let at = cx.now() + CHECK_INTERVAL;
         timer_max!(&mut self.check_timer, at, [cx], check());
     }
