Count the HTTP edge as busy for 200 ms after a request instead of a second

Cause: while it counts as busy the edge connects to its own listener 4 times every 25 ms, so that no connection stays queued in tiny_http's pool; a lone request cost 160 such connections.

A connection that is queued arrived together with others, whose requests make the edge busy, and each freed one brings a request, which counts anew: a burst is freed at the same pace as before. One that is freed late by a machine under load falls to the quiet pace, 5 connections a second, and makes the edge busy again. Fewer connections an interval were ruled out: a burst that shares one idle thread looks like a single request.

The tests of the edge pass, the one of 100 streams at once among them.

--- a/crates/http-edge/src/acceptor.rs
+++ b/crates/http-edge/src/acceptor.rs
@@ -27,8 +27,9 @@
 const WAKE_INTERVAL: Duration = Duration::from_millis(25);
 /// Connections an interval while requests come.
 const WAKES_WHEN_BUSY: usize = 4;
-/// Intervals for which the edge counts as busy after a request.
-const BUSY_INTERVALS: u32 = 40;
+/// Intervals for which the edge counts as busy after a request. A connection that was freed brings its
+/// request within this time, so that the edge stays busy until all of a burst are freed.
+const BUSY_INTERVALS: u32 = 8;
 /// When quiet, one connection in so many intervals: each keeps an idle thread of `tiny_http` alive.
 const INTERVALS_PER_QUIET_WAKE: u32 = 8;
 const PROBES_PER_READ_TIMEOUT: u32 = 4;
