Add a test build that leaves one mechanism out

The issue asks that the check of each promise is seen failing with the mechanism missing. The feature weakened of ridgeworks-domain compiles in a switch that is read once from an environment variable; without the feature the question is a constant false and every hook is dropped.

Weighed: a feature in each crate with cfg at each hook; ruled out, as the hooks would be read by nobody and could rot unseen. One constant function keeps them type-checked in every build. Not measured yet.

--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod time;
 pub mod token_count;
 pub mod units;
+pub mod weakening;
 
 pub use ballot::Ballot;
 pub use call::{BackendAddress, CallEnd, CallRequest, ServiceKind};
@@ -23,3 +24,4 @@
 pub use run_id::RunId;
 pub use time::MonotonicTime;
 pub use units::Cost;
+pub use weakening::Weakening;
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -9,6 +9,7 @@
 
 use ridgeworks_configuration::{ConfigurationRole, ConfigurationSet, MachineState};
 use ridgeworks_domain::run_id::REPLICAS_PER_RUN;
+use ridgeworks_domain::weakening::{Weakening, is_off};
 use ridgeworks_domain::{
     BackendName, MonotonicTime, NodeId, PartnerName, ProgramName, Refusal, RefusalReason,
     RegionName, RunId, ServiceName, ZoneName,
@@ -337,7 +338,8 @@
     pub fn is_leaving(&self, backend: &BackendName) -> bool {
         let role = self.configuration.borrow();
         let machine = role.machines().get(backend.as_str());
-        machine.is_some_and(|machine| machine.state != MachineState::Live)
+        let leaving = machine.is_some_and(|machine| machine.state != MachineState::Live);
+        leaving && !is_off(Weakening::Leaving)
     }
 
     /// All members as they are now.
--- a/crates/node/src/dispatcher/engine_poll.rs
+++ b/crates/node/src/dispatcher/engine_poll.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use ridgeworks_domain::objects::Backend;
+use ridgeworks_domain::weakening::{Weakening, is_off};
 use ridgeworks_domain::{BackendName, RunId, ServiceKind, ServiceName};
 use ridgeworks_scheduling::{CacheChange, CacheEvent, CacheListing, CachedContext, LoadReport};
 use serde::Deserialize;
@@ -211,7 +212,7 @@
             let backend = backend.clone();
             self.report(EngineNews::Instance { backend, instance });
         }
-        if health.status == HealthStatus::Leaving {
+        if health.status == HealthStatus::Leaving && !is_off(Weakening::Leaving) {
             self.report(EngineNews::Leaving(backend));
         }
     }
--- a/crates/node/src/outbound/client.rs
+++ b/crates/node/src/outbound/client.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use ridgeworks_domain::RunId;
+use ridgeworks_domain::weakening::{Weakening, is_off};
 use ridgeworks_worker_pool::WorkerPool;
 use ureq::Agent;
 
@@ -81,7 +82,11 @@
         let metrics = self.metrics.clone();
         // Without a thread no answer comes, and the owner asks again.
         let _ = self.pool.run(move || {
-            let fate = fence::fence(&agent, &id, to.address, FENCE_TIMEOUT);
+            let fate = if is_off(Weakening::Fence) {
+                AttemptFate::NeverStarted
+            } else {
+                fence::fence(&agent, &id, to.address, FENCE_TIMEOUT)
+            };
             count_fence(&metrics, &fate);
             let backend = to.backend;
             mailbox.post(ThreadMessage::Attempt(AttemptEvent::Fenced {
@@ -109,6 +114,9 @@
 
     /// Tells an engine to drop the context of a run. Its failure is left to the sweep.
     pub fn release_context(&self, run: RunId, address: SocketAddr) {
+        if is_off(Weakening::ContextRelease) {
+            return;
+        }
         let agent = self.agent.clone();
         let _ = self.pool.run(move || {
             let url = format!("http://{address}/contexts/{run}");
--- a/crates/node/src/shutdown.rs
+++ b/crates/node/src/shutdown.rs
@@ -5,6 +5,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use ridgeworks_domain::weakening::{Weakening, is_off};
 use ridgeworks_http_edge::EdgeServer;
 use signal_hook::consts::signal::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -104,7 +105,7 @@
                 let drained = self.busy.load(Ordering::Relaxed) == 0
                     && edge.wait_until_idle(Duration::ZERO)
                     && elapsed >= LEAVE_TIME;
-                if drained || elapsed >= self.timeout {
+                if drained || elapsed >= self.timeout || is_off(Weakening::Drain) {
                     let elapsed_ms = elapsed.as_millis();
                     log::info!(
                         "stopping=planned phase=flushing drained={drained} elapsed_ms={elapsed_ms}"
--- a/crates/run-log/src/owner/calls.rs
+++ b/crates/run-log/src/owner/calls.rs
@@ -15,10 +15,11 @@
     pub(super) fn call(
         &mut self,
         caller: CallerId,
-        request: CallRequest,
+        mut request: CallRequest,
         max_attempts: u32,
         now: MonotonicTime,
     ) {
+        self.state.renumber_if_weakened(&mut request);
         match self.state.admit(&request) {
             Admission::New => self.admit_new(caller, request, max_attempts, now),
             Admission::Join(call) => self.waiting.calls.entry(call).or_default().push(caller),
--- a/crates/run-log/src/replication.rs
+++ b/crates/run-log/src/replication.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use ridgeworks_domain::weakening::{Weakening, is_off};
 use ridgeworks_domain::{Ballot, MonotonicTime, NodeId, RunId};
 
 use crate::election::replica_set;
@@ -338,6 +339,9 @@
     fn reached_by_majority(&self, value: impl Fn(&Progress) -> u64) -> u64 {
         let mut values: Vec<u64> = self.progress.values().map(value).collect();
         values.sort_unstable();
+        if is_off(Weakening::Majority) {
+            return values.last().copied().unwrap_or(0);
+        }
         let minority = values.len().saturating_sub(1) / 2;
         values.get(minority).copied().unwrap_or(0)
     }
--- a/crates/run-log/src/run_state.rs
+++ b/crates/run-log/src/run_state.rs
@@ -5,6 +5,7 @@
 
 use std::collections::HashMap;
 
+use ridgeworks_domain::weakening::{Weakening, is_off};
 use ridgeworks_domain::{
     BackendAddress, BackendName, CallEnd, CallKey, CallRequest, Cost, RefusalReason, RunId,
     Sequence,
@@ -145,6 +146,14 @@
         Sequence(self.calls.len() as u64 + 1 - ended.count() as u64)
     }
 
+    /// Gives a call whatever number is next, in a test build that leaves out [`Weakening::Sequence`].
+    pub(crate) fn renumber_if_weakened(&self, request: &mut CallRequest) {
+        if is_off(Weakening::Sequence) {
+            let next = Sequence(self.calls.len() as u64 + 1);
+            request.sequence = self.keys.get(&request.key).copied().unwrap_or(next);
+        }
+    }
+
     /// Decides on a call that a caller sent.
     pub fn admit(&self, request: &CallRequest) -> Admission {
         if let Some(call) = self.keys.get(&request.key) {
@@ -162,7 +171,7 @@
         let Some(record) = self.live_record(call, attempt) else {
             return Vec::new();
         };
-        let repeatable = record.request.repeatable;
+        let repeatable = record.is_repeatable();
         let ended = |end| Entry::AttemptEnded { call, attempt, end };
         let entry = match fate {
             AttemptFate::Finished { answer, spent } => Entry::Finished {
@@ -406,7 +415,7 @@
         self.live_record(call, attempt)
             .ok_or(InvalidEntry::NothingToEnd)?;
         let record = self.record_mut(call)?;
-        if !record.request.repeatable {
+        if !record.is_repeatable() {
             return Err(InvalidEntry::Attempt);
         }
         record.live = None;
@@ -467,8 +476,12 @@
 }
 
 impl CallRecord {
+    fn is_repeatable(&self) -> bool {
+        self.request.repeatable || is_off(Weakening::SingleAttempt)
+    }
+
     fn attempt_allowed(&self) -> bool {
-        let most = if self.request.repeatable {
+        let most = if self.is_repeatable() {
             self.max_attempts
         } else {
             1
