--- a/crates/link/src/outbound.rs
+++ b/crates/link/src/outbound.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use stakker::{CX, fail, fwd_to, lazy};
+use stakker::{CX, fail, fwd_to};
 use stakker_mio::mio::Interest;
 use stakker_mio::mio::net::TcpStream;
 use stakker_mio::{MioPoll, ReadStatus, Ready, TcpStreamBuf};
@@ -20,7 +20,6 @@
 pub(crate) struct Outbound {
     stream: TcpStreamBuf,
     connected: bool,
-    flush_is_queued: bool,
     max_queued_bytes: usize,
     counters: Arc<LinkCounters>,
 }
@@ -58,7 +57,6 @@
         Some(Self {
             stream,
             connected: false,
-            flush_is_queued: false,
             max_queued_bytes,
             counters,
         })
@@ -73,18 +71,11 @@
         append_frame(&mut self.stream.out, &body);
         LinkCounters::add(&self.counters.sent_messages, 1);
         LinkCounters::add(&self.counters.sent_bytes, HEADER_BYTES + body.len());
-        if self.connected && !self.flush_is_queued {
-            self.flush_is_queued = true;
-            lazy!([cx], flush_queued());
+        if self.connected {
+            self.flush(cx);
         }
     }
 
-    // Runs once the actors have nothing more to do, so that the messages of one turn leave together.
-    fn flush_queued(&mut self, cx: CX![]) {
-        self.flush_is_queued = false;
-        self.flush(cx);
-    }
-
     fn on_ready(&mut self, cx: CX![], ready: Ready) {
         if ready.is_writable() {
             self.connected = true;
