--- a/tools/chaos-weakened.sh
+++ b/tools/chaos-weakened.sh
@@ -16,7 +16,7 @@
 run_history   | majority             | --seed 1 --rounds 2 --faults cut
 budget        | reserve              | --seed 1 --seconds 5 --faults none
 release       | context-release      | --seed 1 --seconds 5 --faults none
-answers       | text-offset,whole-answer | --seed 1 --rounds 2 --faults kill,backend-kill --clients 12
+answers       | text-offset,whole-answer | --seed 1 --rounds 6 --faults backend-kill --clients 12
 not_run       | fence                | --seed 1 --rounds 3 --faults freeze --clients 12
 at_most_once  | fence,single-attempt | --seed 1 --rounds 3 --faults freeze --clients 12
 leaving       | leaving              | --seed 1 --rounds 2 --faults backend-leave
