--- a/crates/node/src/configuration/role.rs
+++ b/crates/node/src/configuration/role.rs
@@ -144,8 +144,7 @@
 
     fn tick(&mut self, cx: CX![]) {
         self.handle(Event::Tick);
-        let pause: Duration = TICK_INTERVAL;
-        after!(pause, [cx], tick());
+        after!(TICK_INTERVAL, [cx], tick());
     }
 
     fn handle(&mut self, event: Event) {
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -16,7 +16,6 @@
 };
 use ridgeworks_membership::{Member, MemberState, Membership, rendezvous};
 use ridgeworks_run_log::entry::ReplicaId;
-
 use xxhash_rust::xxh3::xxh3_128;
 
 use crate::clock::Clock;
@@ -184,12 +183,7 @@
     /// The replicas that a run's number names, without those that are known to be down.
     pub fn present_replicas_of(&self, run: RunId) -> Vec<NodeId> {
         let replicas = self.replicas_of(run).into_iter();
-        let membership = self.membership.borrow();
-        let present = |node: &NodeId| {
-            let member = membership.member(*node);
-            member.is_some_and(|member| member.state.is_present())
-        };
-        replicas.filter(present).collect()
+        replicas.filter(|node| self.is_present(*node)).collect()
     }
 
     /// All present nodes with a disk.
@@ -235,14 +229,10 @@
 
     /// The last owner of a run while it is there, else the node that is to own it next.
     pub fn owner_or_candidate(&self, run: RunId, last_owner: NodeId) -> Option<NodeId> {
-        let membership = self.membership.borrow();
-        let last = membership.member(last_owner);
-        if last.is_some_and(|member| member.state.is_present()) {
+        if self.is_present(last_owner) {
             return Some(last_owner);
         }
-        rendezvous::run_owner_candidates(run, membership.members())
-            .first()
-            .map(|member| member.node)
+        self.owner_of(run)
     }
 
     /// Whether a replica's node came back with another store.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,6 +3,7 @@
 //! One thread runs all actors and holds all state. Threads of the HTTP edge, of attempts at back
 //! ends, of the platform's client and of the store talk to it through a mailbox.
 
+mod archive;
 pub mod assembly;
 pub mod clock;
 pub mod configuration;
--- a/crates/node/src/membership/mod.rs
+++ b/crates/node/src/membership/mod.rs
@@ -120,8 +120,7 @@
         let state = self.state.borrow();
         let metrics = &self.outputs.metrics;
         metrics.publish_membership(state.counters(), state.members());
-        let pause: Duration = PUBLISH_INTERVAL;
-        after!(pause, [cx], publish());
+        after!(PUBLISH_INTERVAL, [cx], publish());
     }
 
     fn on_timer(&mut self, cx: CX![]) {
--- a/crates/node/src/replica/log_store.rs
+++ b/crates/node/src/replica/log_store.rs
@@ -5,7 +5,8 @@
 use ridgeworks_run_log::storage::{LogStorage, Write};
 use ridgeworks_storage::StoreOperation;
 
-use super::store::{GENERATION_KEY, NodeStore, decode, encode};
+use super::store::{GENERATION_KEY, NodeStore};
+use crate::archive::{decode, encode};
 
 /// The store's operation for one write.
 pub fn operation(write: Write) -> StoreOperation {
--- a/crates/node/src/replica/store.rs
+++ b/crates/node/src/replica/store.rs
@@ -15,8 +15,8 @@
 use ridgeworks_storage::{
     Store, StoreCounters, StoreCreationId, StoreError, StoreOperation, StoreSettings, WriteBatch,
 };
-use rkyv::rancor;
 
+use crate::archive::{decode, encode};
 use crate::mailbox::Mailbox;
 use crate::thread_message::ThreadMessage;
 
@@ -163,31 +163,3 @@
         decode(&bytes).ok_or(OpenStoreError::BadRecord("generation"))
     }
 }
-
-/// A record as bytes.
-pub(super) fn encode<T>(value: &T) -> Vec<u8>
-where
-    T: for<'a> rkyv::Serialize<
-            rkyv::api::high::HighSerializer<
-                rkyv::util::AlignedVec,
-                rkyv::ser::allocator::ArenaHandle<'a>,
-                rancor::Error,
-            >,
-        >,
-{
-    rkyv::to_bytes::<rancor::Error>(value)
-        .expect("records hold no type whose serialization can fail")
-        .to_vec()
-}
-
-/// A record from its bytes, `None` when they are malformed.
-pub(super) fn decode<T>(bytes: &[u8]) -> Option<T>
-where
-    T: rkyv::Archive,
-    T::Archived: for<'a> rkyv::bytecheck::CheckBytes<rkyv::api::high::HighValidator<'a, rancor::Error>>
-        + rkyv::Deserialize<T, rkyv::api::high::HighDeserializer<rancor::Error>>,
-{
-    let mut aligned = rkyv::util::AlignedVec::<16>::with_capacity(bytes.len());
-    aligned.extend_from_slice(bytes);
-    rkyv::from_bytes::<T, rancor::Error>(&aligned).ok()
-}
