node: takeover, opening and closing of runs stand in files of their own

The ways by which a node comes to own a run were spread over commands.rs, role.rs and adoption.rs. takeover.rs holds them now, opening.rs opens new runs, closing.rs what follows a close, refusals.rs the refusals that stood in four files. The majority of a run's replicas was computed in three places; it is a constant beside REPLICAS_PER_RUN. The bounds of an attempt's time were named for a case that is gone; they are named for what they do. No change of behaviour.

--- a/crates/domain/src/run_id.rs
+++ b/crates/domain/src/run_id.rs
@@ -12,6 +12,8 @@
 
 /// Replicas of one run.
 pub const REPLICAS_PER_RUN: usize = 3;
+/// Replicas that form a majority of a run's first ones.
+pub const MAJORITY_OF_REPLICAS: usize = REPLICAS_PER_RUN / 2 + 1;
 
 const HINT_BITS: u32 = 24;
 const HINT_MASK: u128 = (1 << HINT_BITS) - 1;
--- a/crates/node/src/dispatcher/context_sweep.rs
+++ b/crates/node/src/dispatcher/context_sweep.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use ridgeworks_domain::run_id::MAJORITY_OF_REPLICAS;
 use ridgeworks_domain::{BackendName, MonotonicTime, NodeId, RunId};
 
 /// A run is not asked about for this long after a question, or after a call that it made here.
@@ -20,7 +21,7 @@
 pub const MAX_RELEASES_PER_STEP: usize = 256;
 
 /// Replicas that must hold nothing of a run before it counts as forgotten.
-const FORGOTTEN_BY: usize = ridgeworks_domain::run_id::REPLICAS_PER_RUN / 2 + 1;
+const FORGOTTEN_BY: usize = MAJORITY_OF_REPLICAS;
 
 /// Asks one replica which of these runs are closed for good.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/node/src/owner/adoption.rs
+++ b/crates/node/src/owner/adoption.rs
@@ -14,8 +14,6 @@
 
 /// Time between two looks at the replicas of the runs owned here.
 const COMPLETION_INTERVAL: Duration = Duration::from_secs(1);
-/// A claim that is not won is made among all nodes for one second out of so many.
-const WIDE_CLAIM_SECONDS: u64 = 8;
 /// Most replicas that are replaced in one look.
 const MAX_REPLACEMENTS: usize = 64;
 
@@ -75,32 +73,6 @@
         }
     }
 
-    /// A claim that is not won is made again among all nodes with a disk, for a second out of every few: replicas that
-    /// the run's number names may all have been replaced.
-    pub(super) fn check_claim(&mut self, now: Instant, run: RunId) {
-        let Some(owned) = self.runs.get_mut(&run) else {
-            return;
-        };
-        let claiming = owned
-            .owner()
-            .is_some_and(|owner| owner.replicas().is_empty());
-        if !claiming {
-            return;
-        }
-        let claimed_at = *owned.claimed_at.get_or_insert(now);
-        let seconds = now.saturating_duration_since(claimed_at).as_secs();
-        let widely = seconds % WIDE_CLAIM_SECONDS == 1;
-        if widely != owned.claims_widely {
-            owned.claims_widely = widely;
-            let contacts = if widely {
-                self.directory.present_disk_nodes()
-            } else {
-                self.directory.replicas_of(run)
-            };
-            self.claim_among(now, run, &contacts);
-        }
-    }
-
     fn replacement(&self, owned: &OwnedRun) -> Option<(RunId, ReplicaId, ReplicaId)> {
         let owner = owned.owner().filter(|owner| owner.is_ready())?;
         let members = owner.replicas();
--- a/crates/node/src/owner/commands.rs
+++ b/crates/node/src/owner/commands.rs
@@ -2,41 +2,22 @@
 
 use std::time::{Duration, Instant};
 
-use ridgeworks_domain::run_id::REPLICAS_PER_RUN;
 use ridgeworks_domain::{
-    CallRequest, Cost, MonotonicTime, NodeId, PartnerName, ProgramName, Refusal, RefusalReason,
-    RunId,
+    CallRequest, Cost, PartnerName, ProgramName, Refusal, RefusalReason, RunId,
 };
-use ridgeworks_run_log::entry::{Opening, ReplicaId};
-use ridgeworks_run_log::event::OwnerEvent;
-use ridgeworks_run_log::owner::{OwnerSettings, RunOwner};
+use ridgeworks_run_log::event::{CallerId, OwnerEvent};
 
-use super::owned_run::{OwnedRun, Ownership, PendingCommand};
+use super::opening::OpenParameters;
+use super::owned_run::{OwnedRun, PendingCommand};
 use super::prompt::{call_size, service_of};
-use super::quorum::no_quorum;
-use super::role::{OwnerRole, QUERY_TIMEOUT};
+use super::refusals::{no_quorum, not_owner};
+use super::role::OwnerRole;
 use super::waiter::{Waiter, Wanted};
-use crate::RETRY_DELAY;
-use crate::message::{NodeMessage, OwnerAnswer, OwnerCommand, RequestId};
+use crate::message::{OwnerAnswer, OwnerCommand, RequestId};
 
-/// A node learns of all others within this time of its start.
-const JOIN_TIME: Duration = Duration::from_secs(3);
-/// Nodes after the first candidate that are asked whether they own a run.
-const ASKED_CANDIDATES: usize = 1;
-const MAJORITY_OF_REPLICAS: usize = REPLICAS_PER_RUN / 2 + 1;
 /// A call whose caller names no deadline waits this long at most.
 const LONGEST_WAIT: Duration = Duration::from_secs(600);
 
-/// What a run is opened with.
-struct OpenParameters {
-    run: RunId,
-    replicas: Vec<ReplicaId>,
-    partner: PartnerName,
-    program: ProgramName,
-    parent: Option<RunId>,
-    budget: Option<Cost>,
-}
-
 impl OwnerRole {
     pub(super) fn command(&mut self, now: Instant, request: RequestId, command: OwnerCommand) {
         let run = command.run();
@@ -58,59 +39,18 @@
                 program,
                 parent,
                 budget,
-            } => self.open_run(
-                now,
-                request,
-                OpenParameters {
+            } => {
+                let parameters = OpenParameters {
                     run,
                     replicas,
                     partner,
                     program,
                     parent,
                     budget,
-                },
-            ),
-            command => self.command_to_run(now, request, command),
-        }
-    }
-
-    /// Another node wants to take a run over.
-    pub(super) fn ownership_query(&mut self, from: NodeId, run: RunId) {
-        let busy = self.runs.get(&run).is_some_and(|owned| !owned.is_idle());
-        if !busy {
-            self.runs.remove(&run);
-        }
-        self.send(from, NodeMessage::OwnershipAnswer { run, busy });
-    }
-
-    pub(super) fn ownership_answer(&mut self, now: Instant, from: NodeId, run: RunId, busy: bool) {
-        let Some(owned) = self.runs.get_mut(&run) else {
-            return;
-        };
-        let Ownership::Asking { unanswered, .. } = &mut owned.ownership else {
-            return;
-        };
-        if busy {
-            let pending = std::mem::take(&mut owned.pending);
-            self.runs.remove(&run);
-            for waiting in pending {
-                self.answer(waiting.request, OwnerAnswer::AskOther { owner: from });
+                };
+                self.open_run(now, request, parameters);
             }
-            return;
-        }
-        unanswered.retain(|node| *node != from);
-        if unanswered.is_empty() {
-            self.take_over(now, run);
-        }
-    }
-
-    /// Goes on without the nodes that did not answer in time.
-    pub(super) fn check_query(&mut self, now: Instant, run: RunId) {
-        let ownership = self.runs.get(&run).map(|owned| &owned.ownership);
-        if let Some(Ownership::Asking { until, .. }) = ownership
-            && now >= *until
-        {
-            self.take_over(now, run);
+            command => self.command_to_run(now, request, command),
         }
     }
 
@@ -124,60 +64,6 @@
         }
     }
 
-    fn open_run(&mut self, now: Instant, request: RequestId, parameters: OpenParameters) {
-        let run = parameters.run;
-        if self.runs.contains_key(&run) {
-            self.answer_opened(request, run);
-            return;
-        }
-        match self.opening(parameters) {
-            Ok(opening) => {
-                let settings = OwnerSettings::default();
-                let time = self.clock.now();
-                let (owner, effects) = RunOwner::open(run, self.node, opening, settings, time);
-                let ownership = Ownership::Owner(Box::new(owner));
-                let mut owned = OwnedRun::new(run, ownership, now);
-                let caller = self.new_caller();
-                let wanted = Wanted::Opened;
-                owned.waiters.insert(caller, Waiter { request, wanted });
-                self.runs.insert(run, owned);
-                self.carry_out(now, run, effects);
-            }
-            Err(refusal) => self.answer(request, OwnerAnswer::Refused(refusal)),
-        }
-    }
-
-    // The request came before, and its answer was lost.
-    fn answer_opened(&mut self, request: RequestId, run: RunId) {
-        let state = self.runs.get(&run).and_then(OwnedRun::ready_state);
-        let budget = state
-            .and_then(|state| state.opening())
-            .map(|opening| opening.budget);
-        if let Some(budget) = budget {
-            self.answer(request, OwnerAnswer::Opened { run, budget });
-        }
-    }
-
-    fn opening(&self, parameters: OpenParameters) -> Result<Opening, Refusal> {
-        if self.stopping {
-            return Err(not_owner());
-        }
-        let configuration = self.directory.in_force()?;
-        let program = configuration
-            .program(&parameters.program)
-            // The gateway knows it, so one of the two configurations is behind the other.
-            .ok_or_else(configuration_behind)?;
-        Ok(Opening {
-            partner: parameters.partner,
-            program: parameters.program,
-            class: program.class.clone(),
-            budget: parameters.budget.unwrap_or(program.budget),
-            max_calls: program.max_calls,
-            parent: parameters.parent,
-            replicas: parameters.replicas,
-        })
-    }
-
     fn command_to_run(&mut self, now: Instant, request: RequestId, command: OwnerCommand) {
         let run = command.run();
         if !self.runs.contains_key(&run) && !self.begin_owning(now, run) {
@@ -198,35 +84,6 @@
         }
     }
 
-    /// Begins to take a run over, if this node is the first candidate for it.
-    pub(super) fn begin_owning(&mut self, now: Instant, run: RunId) -> bool {
-        let candidates = self.directory.owner_candidates(run);
-        if self.stopping || candidates.first() != Some(&self.node) {
-            return false;
-        }
-        // A node that has just started knows nobody and takes itself for the owner of all runs. Later
-        // it knows all there are, and a run whose named replicas are gone is looked for elsewhere.
-        let is_joining = self.clock.now() < MonotonicTime::ZERO + JOIN_TIME;
-        if is_joining && self.directory.replicas_of(run).len() < MAJORITY_OF_REPLICAS {
-            return false;
-        }
-        let mut asked: Vec<NodeId> = self.directory.leaving_nodes().into_iter().collect();
-        asked.extend(candidates.iter().skip(1).take(ASKED_CANDIDATES));
-        if asked.is_empty() {
-            self.take_over(now, run);
-            return true;
-        }
-        let ownership = Ownership::Asking {
-            unanswered: asked.clone(),
-            until: now + QUERY_TIMEOUT,
-        };
-        self.runs.insert(run, OwnedRun::new(run, ownership, now));
-        for node in asked {
-            self.send(node, NodeMessage::OwnershipQuery { run });
-        }
-        true
-    }
-
     fn command_to_ready(&mut self, now: Instant, request: RequestId, command: OwnerCommand) {
         let run = command.run();
         match self.owner_event(now, request, command) {
@@ -347,12 +204,7 @@
         }
     }
 
-    fn wait(
-        &mut self,
-        run: RunId,
-        request: RequestId,
-        wanted: Wanted,
-    ) -> ridgeworks_run_log::event::CallerId {
+    fn wait(&mut self, run: RunId, request: RequestId, wanted: Wanted) -> CallerId {
         let caller = self.new_caller();
         if let Some(owned) = self.runs.get_mut(&run) {
             owned.waiters.insert(caller, Waiter { request, wanted });
@@ -360,12 +212,3 @@
         caller
     }
 }
-
-fn configuration_behind() -> Refusal {
-    Refusal::retry_after(RefusalReason::ConfigurationStale, RETRY_DELAY)
-}
-
-/// The gateway asks the next candidate.
-pub(super) fn not_owner() -> Refusal {
-    Refusal::retry_after(RefusalReason::NotOwner, RETRY_DELAY)
-}
--- a/crates/node/src/owner/effects.rs
+++ b/crates/node/src/owner/effects.rs
@@ -2,23 +2,22 @@
 
 use std::time::{Duration, Instant};
 
-use ridgeworks_domain::{
-    CallRequest, ClassName, Refusal, RefusalReason, RunId, Sequence, ServiceKind,
-};
+use ridgeworks_domain::{CallRequest, ClassName, Refusal, RefusalReason, RunId, Sequence};
 use ridgeworks_run_log::event::{AttemptOutcome, CallerAnswer, CallerId, OwnerEffect, OwnerEvent};
 use ridgeworks_run_log::message::Message;
 use ridgeworks_run_log::run_state::RunState;
 
 use super::owned_run::{OwnedRun, RunningAttempt};
 use super::prompt::{backend_call, service_of};
+use super::refusals::not_owner;
 use super::role::OwnerRole;
 use super::waiter::{Wanted, owner_answer};
-use crate::dispatcher::DispatcherCommand;
-use crate::message::{NodeMessage, OwnerAnswer, OwnerCommand};
+use crate::message::{NodeMessage, OwnerAnswer};
 use crate::outbound::{AttemptId, AttemptOrder, BackendCall, Dispatched};
 
-/// An attempt whose service is no longer configured may take this long.
-const DEFAULT_ATTEMPT_TIMEOUT: Duration = Duration::from_secs(60);
+/// Bounds of the time for an attempt, whatever its service's configuration says.
+const SHORTEST_ATTEMPT: Duration = Duration::from_millis(1);
+const LONGEST_ATTEMPT: Duration = Duration::from_secs(600);
 
 impl OwnerRole {
     pub(super) fn carry_out(&mut self, now: Instant, run: RunId, effects: Vec<OwnerEffect>) {
@@ -78,23 +77,6 @@
         }
     }
 
-    fn answer_openers(&mut self, run: RunId, budget: ridgeworks_domain::Cost) {
-        let Some(owned) = self.runs.get_mut(&run) else {
-            return;
-        };
-        let mut openers = Vec::new();
-        owned.waiters.retain(|_, waiter| {
-            let opener = waiter.wanted == Wanted::Opened;
-            if opener {
-                openers.push(waiter.request);
-            }
-            !opener
-        });
-        for request in openers {
-            self.answer(request, OwnerAnswer::Opened { run, budget });
-        }
-    }
-
     fn start_attempt(
         &mut self,
         now: Instant,
@@ -174,19 +156,12 @@
         let class = class_of(state).and_then(|class| configuration.class(class));
         let call = backend_call(request, service, class, state)?;
         let timeout = Duration::from_millis(service.attempt_timeout_ms);
-        Ok((
-            call,
-            timeout
-                .max(Duration::from_millis(1))
-                .min(DEFAULT_ATTEMPT_TIMEOUT * 10),
-        ))
+        Ok((call, timeout.clamp(SHORTEST_ATTEMPT, LONGEST_ATTEMPT)))
     }
 
     fn answer_caller(&mut self, run: RunId, caller: CallerId, answer: CallerAnswer) {
-        let Some(owned) = self.runs.get_mut(&run) else {
-            return;
-        };
-        let Some(waiter) = owned.waiters.remove(&caller) else {
+        let owned = self.runs.get_mut(&run);
+        let Some(waiter) = owned.and_then(|owned| owned.waiters.remove(&caller)) else {
             return;
         };
         if let (Wanted::Child { program, .. }, CallerAnswer::ChildOpened) =
@@ -201,44 +176,6 @@
         self.answer(waiter.request, answer);
     }
 
-    /// The run is closed: its context is released, and its parent gets back what is left.
-    fn release_context(&mut self, run: RunId) {
-        let Some(state) = self
-            .runs
-            .get(&run)
-            .and_then(OwnedRun::owner)
-            .map(|owner| owner.state())
-        else {
-            return;
-        };
-        let spent = state.budget().spent();
-        let parent = state.opening().and_then(|opening| opening.parent);
-        let configuration = self.directory.last_known();
-        let mut services: Vec<_> = state
-            .calls()
-            .map(|call| call.request.service.clone())
-            .collect();
-        services.sort();
-        services.dedup();
-        services.retain(|service| {
-            let kind = configuration.service(service).map(|found| found.kind);
-            kind.is_none_or(|kind| kind == ServiceKind::Model)
-        });
-        for service in services {
-            if let Some(dispatcher) = self.directory.dispatcher_of(&service) {
-                let command = DispatcherCommand::RunEnded { service, run };
-                self.send(dispatcher, NodeMessage::ToDispatcher(command));
-            }
-        }
-        if let Some(parent) = parent {
-            let child = run;
-            let run = parent;
-            self.outputs
-                .commands
-                .fwd(OwnerCommand::SettleChild { run, child, spent });
-        }
-    }
-
     fn give_up(&mut self, run: RunId, reason: RefusalReason) {
         self.cancel_slot(run);
         let Some(owned) = self.runs.remove(&run) else {
@@ -248,7 +185,7 @@
         let waiting = owned.waiters.into_values().map(|waiter| waiter.request);
         for request in pending.chain(waiting).collect::<Vec<_>>() {
             let refusal = match reason {
-                RefusalReason::NotOwner => super::commands::not_owner(),
+                RefusalReason::NotOwner => not_owner(),
                 ref reason => Refusal::permanent(reason.clone()),
             };
             self.answer(request, OwnerAnswer::Refused(refusal));
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -2,19 +2,23 @@
 
 mod adoption;
 mod attempts;
+mod closing;
 mod commands;
 mod effects;
 mod identities;
+mod opening;
 mod owned_run;
 mod owned_runs;
 pub mod pause;
 mod preemption;
 mod prompt;
 mod quorum;
+mod refusals;
 mod role;
 mod running_slots;
 mod slot;
 mod slots;
+mod takeover;
 mod waiter;
 mod waiting_runs;
 
--- a/crates/node/src/owner/quorum.rs
+++ b/crates/node/src/owner/quorum.rs
@@ -2,16 +2,14 @@
 
 use std::time::{Duration, Instant};
 
-use ridgeworks_domain::run_id::REPLICAS_PER_RUN;
-use ridgeworks_domain::{NodeId, Refusal, RefusalReason, RunId};
+use ridgeworks_domain::RunId;
+use ridgeworks_domain::run_id::MAJORITY_OF_REPLICAS;
 
 use super::owned_run::{OwnedRun, PendingCommand};
+use super::refusals::no_quorum;
 use super::role::OwnerRole;
-use crate::RETRY_DELAY;
 use crate::message::{OwnerAnswer, OwnerCommand};
 
-/// Replicas that a claim needs.
-const MAJORITY: usize = REPLICAS_PER_RUN / 2 + 1;
 /// Longest time that a request waits for a run to be taken over. The gateway has repeated it by then,
 /// so that it tells its caller that the end is not known.
 const LONGEST_PENDING: Duration = Duration::from_secs(3);
@@ -43,7 +41,7 @@
                 !self.directory.is_majority_present(nodes)
             }
             // Its first replicas may all have been replaced, by any of the nodes that are there.
-            (_, None) => self.directory.present_disk_nodes().len() < MAJORITY,
+            (_, None) => self.directory.present_disk_nodes().len() < MAJORITY_OF_REPLICAS,
         }
     }
 
@@ -65,23 +63,10 @@
     }
 
     fn longest_pending(&self, run: RunId) -> Duration {
-        if self.first_replicas_present(run) * 2 > REPLICAS_PER_RUN {
+        if self.directory.present_replicas_of(run).len() >= MAJORITY_OF_REPLICAS {
             LONGEST_PENDING
         } else {
             LONGEST_PENDING_WITHOUT_MAJORITY
         }
     }
-
-    fn first_replicas_present(&self, run: RunId) -> usize {
-        let nodes: Vec<NodeId> = self.directory.replicas_of(run);
-        let present = nodes
-            .iter()
-            .filter(|node| self.directory.is_present(**node));
-        present.count()
-    }
-}
-
-/// No majority of the run's replicas is there.
-pub(super) fn no_quorum() -> Refusal {
-    Refusal::retry_after(RefusalReason::NoQuorum, RETRY_DELAY)
 }
--- a/crates/node/src/owner/role.rs
+++ b/crates/node/src/owner/role.rs
@@ -6,20 +6,20 @@
 use std::time::{Duration, Instant};
 
 use crossbeam_channel::Sender;
-use ridgeworks_domain::{Ballot, NodeId, RunId};
+use ridgeworks_domain::{NodeId, RunId};
 use ridgeworks_membership::{Member, MemberState};
 use ridgeworks_run_log::event::{CallerId, OwnerEvent};
 use ridgeworks_run_log::message::{Message, Reply};
-use ridgeworks_run_log::owner::{OwnerSettings, RunOwner};
 use ridgeworks_scheduling::Ticket;
 use stakker::{CX, Fwd, after};
 
 use super::identities;
-use super::owned_run::{OwnedRun, Ownership};
+use super::owned_run::OwnedRun;
 use super::owned_runs::OwnedRuns;
 use super::pause::PauseDetector;
 use crate::clock::Clock;
 use crate::directory::Directory;
+use crate::dispatcher::DispatcherCommand;
 use crate::message::{NodeMessage, OwnerAnswer, OwnerCommand, RequestId};
 use crate::metrics::Metrics;
 use crate::operator::OperatorReply;
@@ -32,9 +32,6 @@
 const IDLE_TIME: Duration = Duration::from_secs(60);
 /// Time between two looks for such runs.
 const GIVE_UP_INTERVAL: Duration = Duration::from_secs(1);
-/// How long a node waits for others to say whether they are busy with a run.
-pub(super) const QUERY_TIMEOUT: Duration = Duration::from_millis(100);
-
 /// Where the role's effects go.
 pub struct OwnerOutputs {
     /// Messages to roles of all nodes.
@@ -162,6 +159,13 @@
         self.outputs.outgoing.fwd(Outgoing { to, message });
     }
 
+    /// Sends a command to the node that dispatches for its service, if one is known.
+    pub(super) fn send_to_dispatcher_of(&mut self, command: DispatcherCommand) {
+        if let Some(dispatcher) = self.directory.dispatcher_of(command.service()) {
+            self.send(dispatcher, NodeMessage::ToDispatcher(command));
+        }
+    }
+
     /// Hands an event to a run's owner and carries out what follows.
     pub(super) fn handle(&mut self, now: Instant, run: RunId, event: OwnerEvent) {
         let time = self.clock.now();
@@ -172,49 +176,6 @@
         self.carry_out(now, run, effects);
     }
 
-    /// Claims a run from its replicas.
-    pub(super) fn take_over(&mut self, now: Instant, run: RunId) {
-        self.outputs.metrics.takeovers.inc();
-        let contacts = self.directory.replicas_of(run);
-        self.claim_among(now, run, &contacts);
-    }
-
-    /// Claims a run from those of these nodes that hold it.
-    pub(super) fn claim_among(&mut self, now: Instant, run: RunId, contacts: &[NodeId]) {
-        let instance = self.new_number().max(1);
-        let (owner, effects) = RunOwner::take_over(
-            run,
-            self.node,
-            instance,
-            Ballot::ZERO,
-            contacts,
-            OwnerSettings::default(),
-            self.clock.now(),
-        );
-        let ownership = Ownership::Owner(Box::new(owner));
-        match self.runs.get_mut(&run) {
-            Some(owned) => owned.ownership = ownership,
-            None => {
-                self.runs.insert(run, OwnedRun::new(run, ownership, now));
-            }
-        }
-        let named = self.directory.replicas_of(run);
-        if let Some(owned) = self.runs.get_mut(&run) {
-            owned.named_replicas = Some(named);
-        }
-        self.carry_out(now, run, effects);
-    }
-
-    /// A claim asks the replicas that were known when it began. Where more of them are known before
-    /// it is won, it begins anew: those asked first may be down or too few for a majority.
-    fn check_contacts(&mut self, now: Instant, run: RunId) {
-        let replicas = self.directory.replicas_of(run);
-        let owned = self.runs.get(&run);
-        if owned.is_some_and(|owned| owned.claimed_without(&replicas)) {
-            self.take_over(now, run);
-        }
-    }
-
     fn reply(&mut self, from: NodeId, reply: Reply) {
         if let Reply::Identity { replica } = reply {
             self.directory.note_identity(replica);
--- a/crates/node/src/owner/slots.rs
+++ b/crates/node/src/owner/slots.rs
@@ -11,6 +11,7 @@
 use super::effects::class_of;
 use super::preemption::is_preemptible;
 use super::prompt::{call_size, service_of};
+use super::refusals::no_backend;
 use super::role::OwnerRole;
 use super::slot::Slot;
 use crate::RETRY_DELAY;
@@ -64,12 +65,12 @@
             owner: self.node,
             number,
         };
-        let owned = self.runs.get(&run).ok_or(no_backend())?;
+        let owned = self.runs.get(&run).ok_or_else(no_backend)?;
         let state = owned
             .owner()
             .map(|owner| owner.state())
-            .ok_or(no_backend())?;
-        let opening = state.opening().ok_or(no_backend())?;
+            .ok_or_else(no_backend)?;
+        let opening = state.opening().ok_or_else(no_backend)?;
         let configuration = self.directory.last_known();
         let service = service_of(request, state, &configuration)?;
         let size = call_size(request, service, state)?;
@@ -77,7 +78,7 @@
         let dispatcher = self
             .directory
             .dispatcher_of(&request.service)
-            .ok_or(no_backend())?;
+            .ok_or_else(no_backend)?;
         let deadline = owned
             .deadlines
             .get(&request.sequence)
@@ -303,10 +304,6 @@
     }
 }
 
-fn no_backend() -> Refusal {
-    Refusal::retry_after(RefusalReason::NoBackend, RETRY_DELAY)
-}
-
 fn millis_until(now: Instant, deadline: Instant) -> u64 {
     let left = deadline.saturating_duration_since(now);
     u64::try_from(left.as_millis()).unwrap_or(u64::MAX)
--- a/crates/node/src/owner/waiter.rs
+++ b/crates/node/src/owner/waiter.rs
@@ -5,6 +5,7 @@
 use ridgeworks_run_log::event::CallerAnswer;
 use ridgeworks_run_log::run_state::{CallRecord, RunState};
 
+use super::refusals::not_owner;
 use crate::RETRY_DELAY;
 use crate::message::{OwnerAnswer, RecordedCall, RecordedOutcome, RequestId, RunHistory};
 
@@ -61,9 +62,7 @@
             OwnerAnswer::Refused(Refusal::permanent(RefusalReason::Unknown))
         }
         CallerAnswer::Refused(refusal) => OwnerAnswer::Refused(refusal),
-        CallerAnswer::OwnerChanged => {
-            OwnerAnswer::Refused(Refusal::retry_after(RefusalReason::NotOwner, RETRY_DELAY))
-        }
+        CallerAnswer::OwnerChanged => OwnerAnswer::Refused(not_owner()),
         CallerAnswer::History(_) => match run_history(state, committed) {
             Some(history) => OwnerAnswer::History(history),
             None => OwnerAnswer::Refused(Refusal::permanent(RefusalReason::UnknownRun)),
--- a/crates/node/src/owner/waiting_runs.rs
+++ b/crates/node/src/owner/waiting_runs.rs
@@ -5,7 +5,6 @@
 use super::owned_run::OwnedRun;
 use super::role::OwnerRole;
 use crate::dispatcher::DispatcherCommand;
-use crate::message::NodeMessage;
 
 /// Lengths of pauses are learned by name; a program may have the name of a tool.
 const SUB_AGENT_PREFIX: &str = "sub-agent:";
@@ -29,12 +28,8 @@
     }
 
     fn announce_wait(&mut self, run: RunId, tool: ServiceName) {
-        let Some(service) = self.last_model_of(run) else {
-            return;
-        };
-        if let Some(dispatcher) = self.directory.dispatcher_of(&service) {
-            let command = DispatcherCommand::RunPaused { service, run, tool };
-            self.send(dispatcher, NodeMessage::ToDispatcher(command));
+        if let Some(service) = self.last_model_of(run) {
+            self.send_to_dispatcher_of(DispatcherCommand::RunPaused { service, run, tool });
         }
     }
 
@@ -46,7 +41,8 @@
         models.last().cloned()
     }
 
-    fn kind_of(&self, service: &ServiceName) -> Option<ServiceKind> {
+    /// Kind of a service, while it is configured.
+    pub(super) fn kind_of(&self, service: &ServiceName) -> Option<ServiceKind> {
         let configuration = self.directory.last_known();
         configuration.service(service).map(|found| found.kind)
     }
