node: dispatcher effects and gateway admission apart; commands of a slot built once

Effects of the dispatcher stand in dispatcher/effects.rs, what the gateway asks of owners in inbound/admission.rs. The commands Cancel and Enqueue of a slot were put together in five places, a poll and its thread in two, the asking of a node in two; each is built once. The ticket of an answer is read by one method on both sides. No change of behaviour.

--- a/crates/node/src/dispatcher/engine_poll.rs
+++ b/crates/node/src/dispatcher/engine_poll.rs
@@ -1,9 +1,10 @@
 //! Polls back ends for what they publish: health, load and cache events. A thread for each.
 
 use std::collections::BTreeMap;
+use std::io;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::thread;
+use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
 use ridgeworks_domain::objects::Backend;
@@ -126,17 +127,8 @@
             return;
         }
         let stopped = Arc::new(AtomicBool::new(false));
-        let poll = Poll {
-            agent: agent(),
-            backend: backend.clone(),
-            kind,
-            mailbox: self.mailbox.clone(),
-            stopped: stopped.clone(),
-        };
-        let started = thread::Builder::new()
-            .name("engine-poll".to_owned())
-            .stack_size(THREAD_STACK_BYTES)
-            .spawn(move || poll.run());
+        let poll = self.poll(backend, kind, stopped.clone());
+        let started = spawn("engine-poll", move || poll.run());
         if started.is_ok() {
             self.running.insert(backend.name.clone(), stopped);
         }
@@ -151,21 +143,29 @@
 
     /// Reads what an engine's cache holds, on a thread of its own.
     pub fn list_cache(&self, backend: &Backend) {
-        let poll = Poll {
+        let poll = self.poll(backend, ServiceKind::Model, Arc::default());
+        // A listing that fails is asked for again at the next gap.
+        let _ = spawn("engine-list", move || poll.list());
+    }
+
+    fn poll(&self, backend: &Backend, kind: ServiceKind, stopped: Arc<AtomicBool>) -> Poll {
+        Poll {
             agent: agent(),
             backend: backend.clone(),
-            kind: ServiceKind::Model,
+            kind,
             mailbox: self.mailbox.clone(),
-            stopped: Arc::default(),
-        };
-        // A listing that fails is asked for again at the next gap.
-        let _ = thread::Builder::new()
-            .name("engine-list".to_owned())
-            .stack_size(THREAD_STACK_BYTES)
-            .spawn(move || poll.list());
+            stopped,
+        }
     }
 }
 
+fn spawn(name: &str, work: impl FnOnce() + Send + 'static) -> io::Result<JoinHandle<()>> {
+    thread::Builder::new()
+        .name(name.to_owned())
+        .stack_size(THREAD_STACK_BYTES)
+        .spawn(work)
+}
+
 fn agent() -> Agent {
     Agent::config_builder()
         .timeout_global(Some(POLL_TIMEOUT))
--- a/crates/node/src/dispatcher/message.rs
+++ b/crates/node/src/dispatcher/message.rs
@@ -165,6 +165,15 @@
 }
 
 impl DispatcherAnswer {
+    /// The request that it answers.
+    pub fn ticket(&self) -> Ticket {
+        match self {
+            Self::Granted { ticket, .. }
+            | Self::Refused { ticket, .. }
+            | Self::Preempt { ticket } => *ticket,
+        }
+    }
+
     /// The same answer sent again at `now`: a grant is valid for what is left until `until`.
     pub fn valid_until(&self, until: MonotonicTime, now: MonotonicTime) -> Self {
         let mut answer = self.clone();
--- a/crates/node/src/dispatcher/mod.rs
+++ b/crates/node/src/dispatcher/mod.rs
@@ -3,6 +3,7 @@
 mod backend_list;
 mod checked_backends;
 pub mod context_sweep;
+mod effects;
 mod engine_poll;
 mod group;
 mod message;
--- a/crates/node/src/dispatcher/role.rs
+++ b/crates/node/src/dispatcher/role.rs
@@ -6,15 +6,14 @@
 
 use crossbeam_channel::Sender;
 use ridgeworks_configuration::{ConfigurationSet, MachineList};
-use ridgeworks_domain::{
-    BackendAddress, BackendName, MonotonicTime, NodeId, ServiceKind, ServiceName,
-};
-use ridgeworks_scheduling::{Effect, Event, Ticket};
+use ridgeworks_domain::{BackendName, MonotonicTime, NodeId, ServiceKind, ServiceName};
+use ridgeworks_scheduling::{Event, Ticket};
 use stakker::{CX, Fwd, after};
 
 use super::engine_poll::{EngineNews, EnginePolls, EngineReport};
 use super::group::{DispatcherGroup, Repeat};
-use super::message::{DispatcherAnswer, DispatcherCommand, SlotRequest, whole_millis};
+use super::message::{DispatcherCommand, SlotRequest};
+use super::status::ServiceStatus;
 use crate::clock::Clock;
 use crate::directory::Directory;
 use crate::message::NodeMessage;
@@ -40,11 +39,11 @@
     pub(super) clock: Clock,
     pub(super) directory: Directory,
     pub(super) outputs: DispatcherOutputs,
-    polls: EnginePolls,
+    pub(super) polls: EnginePolls,
     machines: Arc<MachineList>,
     pub(super) groups: BTreeMap<ServiceName, DispatcherGroup>,
     /// Which start of each back end answered last.
-    instances: BTreeMap<BackendName, u64>,
+    pub(super) instances: BTreeMap<BackendName, u64>,
 }
 
 impl DispatcherRole {
@@ -105,14 +104,14 @@
     pub fn report_status(&mut self, _cx: CX![], replies: Sender<OperatorReply>) {
         let now = self.clock.now();
         let configuration = self.directory.last_known();
-        let status = self.groups.values().map(|group| {
-            let mut status = group.status(now);
-            for queue in &mut status.queues {
+        let mut status: Vec<ServiceStatus> = Vec::new();
+        for group in self.groups.values() {
+            let mut service = group.status(now);
+            for queue in &mut service.queues {
                 queue.name_classes(&configuration);
             }
-            status
-        });
-        let status = status.collect();
+            status.push(service);
+        }
         // An operator that left is told nothing.
         let _ = replies.send(OperatorReply::Services(status));
     }
@@ -266,9 +265,10 @@
             return;
         };
         let update = group.update(now, &configuration, &self.machines);
+        // Of a service that is no longer configured only the health matters.
+        let kind = kind.unwrap_or(ServiceKind::Tool);
         for listed in group.listed() {
-            self.polls
-                .start(&listed.backend, kind.unwrap_or(ServiceKind::Tool));
+            self.polls.start(&listed.backend, kind);
         }
         for gone in &update.gone {
             self.polls.stop(gone);
@@ -286,89 +286,6 @@
         self.carry_out(service, effects);
     }
 
-    fn carry_out(&mut self, service: &ServiceName, effects: Vec<Effect>) {
-        for effect in effects {
-            self.carry_out_one(service, effect);
-        }
-    }
-
-    fn carry_out_one(&mut self, service: &ServiceName, effect: Effect) {
-        match effect {
-            Effect::Grant {
-                ticket,
-                backend,
-                address,
-                valid_for,
-            } => {
-                let address = BackendAddress {
-                    socket: address,
-                    instance: self.instances.get(&backend).copied(),
-                };
-                let answer = DispatcherAnswer::Granted {
-                    ticket,
-                    backend,
-                    address,
-                    valid_for_ms: whole_millis(valid_for),
-                };
-                self.note_and_answer(service, answer);
-            }
-            Effect::Refuse { ticket, refusal } => {
-                self.note_and_answer(service, DispatcherAnswer::Refused { ticket, refusal });
-            }
-            Effect::Preempt { ticket, .. } => self.answer(DispatcherAnswer::Preempt { ticket }),
-            Effect::Retain {
-                run,
-                backend,
-                until,
-            } => {
-                if let Some(address) = self.address(service, &backend) {
-                    let ttl = until.since(self.clock.now());
-                    self.outputs.backends.retain_context(run, address, ttl);
-                }
-            }
-            Effect::Release { run, backend } => {
-                if let Some(address) = self.address(service, &backend) {
-                    self.outputs.backends.release_context(run, address);
-                }
-            }
-            Effect::RelistCache { backend } => {
-                let group = self.groups.get(service);
-                if let Some(backend) = group.and_then(|group| group.backend(&backend)) {
-                    self.polls.list_cache(backend);
-                }
-            }
-            // Context moves are switched off in the dispatcher's settings.
-            Effect::MoveContext { .. } => {}
-        }
-    }
-
-    pub(super) fn address(
-        &self,
-        service: &ServiceName,
-        backend: &ridgeworks_domain::BackendName,
-    ) -> Option<std::net::SocketAddr> {
-        let group = self.groups.get(service)?;
-        group.backend(backend).map(|backend| backend.address)
-    }
-
-    fn note_and_answer(&mut self, service: &ServiceName, answer: DispatcherAnswer) {
-        let now = self.clock.now();
-        if let Some(group) = self.groups.get_mut(service) {
-            group.note_answer(&answer, now);
-        }
-        self.answer(answer);
-    }
-
-    fn answer(&mut self, answer: DispatcherAnswer) {
-        let to = match &answer {
-            DispatcherAnswer::Granted { ticket, .. }
-            | DispatcherAnswer::Refused { ticket, .. }
-            | DispatcherAnswer::Preempt { ticket } => ticket.owner,
-        };
-        let message = NodeMessage::ToOwnerOfTicket(answer);
-        self.outputs.outgoing.fwd(Outgoing { to, message });
-    }
-
     fn tick(&mut self, cx: CX![]) {
         let now = self.clock.now();
         self.drop_unused_groups(now);
--- a/crates/node/src/dispatcher/sweep.rs
+++ b/crates/node/src/dispatcher/sweep.rs
@@ -98,10 +98,7 @@
             // The scheduler forgets it too, and releases what is stored of it later.
             self.handle(service, Event::RunEnded(context.run));
             for backend in &context.backends {
-                if let Some(address) = self.address(service, backend) {
-                    let run = context.run;
-                    self.outputs.backends.release_context(run, address);
-                }
+                self.release_context(service, context.run, backend);
             }
         }
     }
--- a/crates/node/src/inbound/gateway.rs
+++ b/crates/node/src/inbound/gateway.rs
@@ -8,10 +8,11 @@
 
 use crossbeam_channel::bounded;
 use prometheus_client::metrics::gauge::Gauge;
-use ridgeworks_domain::{Cost, NodeId, PartnerName, ProgramName, Refusal, RefusalReason, RunId};
+use ridgeworks_domain::{Cost, NodeId, Refusal, RefusalReason};
 use stakker::{CX, Fwd, MaxTimerKey, timer_max};
 
-use super::caller_request::{CallerCommand, CallerRequest};
+use super::admission::Commands;
+use super::caller_request::CallerRequest;
 use super::open_request::OpenRequest;
 use crate::RETRY_DELAY;
 use crate::directory::Directory;
@@ -27,26 +28,14 @@
 const COMMAND_TIME: Duration = Duration::from_secs(60);
 const CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
-/// Commands that one request of a caller takes, one after the other.
-struct Commands {
-    first: OwnerCommand,
-    next: Option<OwnerCommand>,
-}
-
-impl Commands {
-    fn one(first: OwnerCommand) -> Self {
-        Self { first, next: None }
-    }
-}
-
 /// Actor of the gateway role.
 pub struct Gateway {
     node: NodeId,
-    directory: Directory,
+    pub(super) directory: Directory,
     outgoing: Fwd<Outgoing>,
-    open: HashMap<RequestId, OpenRequest>,
+    pub(super) open: HashMap<RequestId, OpenRequest>,
     next_number: u64,
-    stopping: bool,
+    pub(super) stopping: bool,
     open_requests: Gauge,
     check_timer: MaxTimerKey,
 }
@@ -118,11 +107,7 @@
                 open.ask_again_at = now + ASK_AGAIN_INTERVAL;
             }
             OwnerAnswer::AskOther { owner } if owner != self.node || open.asked != Some(owner) => {
-                open.asked = Some(owner);
-                open.times_asked += 1;
-                open.ask_again_at = now + ASK_AGAIN_INTERVAL;
-                let command = open.command.clone();
-                self.send(owner, request, command);
+                self.ask_node(now, request, owner);
             }
             OwnerAnswer::AskOther { .. } => open.ask_again_at = now + REDIRECT_DELAY,
             OwnerAnswer::NotTaken => {
@@ -152,76 +137,11 @@
     /// A node is gone: its requests go to the next candidates at once.
     pub fn node_lost(&mut self, cx: CX![], node: NodeId) {
         let now = cx.now();
-        let lost: Vec<RequestId> = self
-            .open
-            .iter()
-            .filter(|(_, open)| open.asked == Some(node))
-            .map(|(request, _)| *request)
-            .collect();
-        for request in lost {
+        for request in self.collect(|open| open.asked == Some(node)) {
             self.ask(now, request);
         }
     }
 
-    fn admit(&self, request: &CallerRequest) -> Result<Commands, Refusal> {
-        if self.stopping {
-            return Err(Refusal::retry_after(
-                RefusalReason::NodeStopping,
-                RETRY_DELAY,
-            ));
-        }
-        let partner = self.directory.authenticate(&request.token_sha256)?;
-        match &request.command {
-            CallerCommand::OpenRun { program, parent } => {
-                self.directory.check_program(&partner, program)?;
-                self.open_commands(partner, program, *parent)
-            }
-            CallerCommand::Call { run, call } => Ok(Commands::one(OwnerCommand::Call {
-                run: *run,
-                partner,
-                call: call.clone(),
-            })),
-            CallerCommand::CloseRun { run } => {
-                let run = *run;
-                Ok(Commands::one(OwnerCommand::CloseRun { run, partner }))
-            }
-            CallerCommand::ReadHistory { run } => {
-                let run = *run;
-                Ok(Commands::one(OwnerCommand::ReadHistory { run, partner }))
-            }
-        }
-    }
-
-    fn open_commands(
-        &self,
-        partner: PartnerName,
-        program: &ProgramName,
-        parent: Option<RunId>,
-    ) -> Result<Commands, Refusal> {
-        let new_run = self.directory.new_run()?;
-        let child = new_run.run;
-        let open = OwnerCommand::OpenRun {
-            run: new_run.run,
-            replicas: new_run.replicas,
-            partner: partner.clone(),
-            program: program.clone(),
-            parent,
-            budget: None,
-        };
-        Ok(match parent {
-            None => Commands::one(open),
-            Some(run) => Commands {
-                first: OwnerCommand::CarveChild {
-                    run,
-                    partner,
-                    child,
-                    program: program.clone(),
-                },
-                next: Some(open),
-            },
-        })
-    }
-
     /// The parent has set the child's budget aside: the child itself is opened next.
     fn open_child(&mut self, now: Instant, request: RequestId, budget: Cost) {
         let Some(open) = self.open.get_mut(&request) else {
@@ -268,41 +188,17 @@
             open.ask_again_at = now + ASK_AGAIN_INTERVAL;
             return;
         };
-        open.asked = Some(owner);
-        open.times_asked += 1;
-        open.ask_again_at = now + ASK_AGAIN_INTERVAL;
-        let command = open.command.clone();
-        self.send(owner, request, command);
+        self.ask_node(now, request, owner);
     }
 
-    /// A run's number must be opened once only, and whether the first opening took effect is not
-    /// known: an opening that is repeated gets a new number.
-    fn rename_repeated_open(&mut self, request: RequestId) {
-        let Some(open) = self.open.get(&request) else {
-            return;
-        };
-        let OwnerCommand::OpenRun {
-            partner,
-            program,
-            parent,
-            ..
-        } = &open.command
-        else {
+    fn ask_node(&mut self, now: Instant, request: RequestId, owner: NodeId) {
+        let Some(open) = self.open.get_mut(&request) else {
             return;
         };
-        if open.asked.is_none() {
-            return;
-        }
-        let renamed = self.open_commands(partner.clone(), program, *parent);
-        // Without replicas at hand the old number is asked for again later.
-        if let (Ok(commands), Some(open)) = (renamed, self.open.get_mut(&request)) {
-            open.command = commands.first;
-            open.next_command = commands.next;
-            open.asked = None;
-        }
-    }
-
-    fn send(&mut self, owner: NodeId, request: RequestId, command: OwnerCommand) {
+        open.asked = Some(owner);
+        open.times_asked += 1;
+        open.ask_again_at = now + ASK_AGAIN_INTERVAL;
+        let command = open.command.clone();
         let message = NodeMessage::ToOwner { request, command };
         self.outgoing.fwd(Outgoing { to: owner, message });
     }
@@ -325,14 +221,11 @@
 
     fn check(&mut self, cx: CX![]) {
         let now = cx.now();
-        let is_over = |open: &OpenRequest| open.deadline <= now;
-        let over = self.collect(is_over);
-        for request in over {
+        for request in self.collect(|open| open.deadline <= now) {
             let refusal = Refusal::retry_after(RefusalReason::Unknown, RETRY_DELAY);
             self.finish(request, Err(refusal));
         }
-        let is_due = |open: &OpenRequest| open.ask_again_at <= now;
-        for request in self.collect(is_due) {
+        for request in self.collect(|open| open.ask_again_at <= now) {
             self.ask(now, request);
         }
         self.schedule_check(cx);
--- a/crates/node/src/inbound/mod.rs
+++ b/crates/node/src/inbound/mod.rs
@@ -1,5 +1,6 @@
 //! The side of the node that faces callers and operators.
 
+mod admission;
 mod answer;
 mod call_metrics;
 mod caller_request;
--- a/crates/node/src/owner/running_slots.rs
+++ b/crates/node/src/owner/running_slots.rs
@@ -62,8 +62,7 @@
 
     /// Tells the dispatchers that the attempt of the slot is over.
     pub(super) fn end_slot(&mut self, run: RunId, usage: TokenUsage, outcome: AttemptOutcome) {
-        let slot = self.take_slot(run);
-        if let Some(slot) = slot {
+        if let Some(slot) = self.take_slot(run) {
             self.end_taken(slot, usage, outcome);
         }
     }
@@ -77,11 +76,7 @@
             self.end_taken(slot, TokenUsage::default(), AttemptOutcome::Cancelled);
             return;
         }
-        let command = DispatcherCommand::Cancel {
-            ticket: slot.ticket(),
-            service: slot.service,
-        };
-        self.send(slot.dispatcher, NodeMessage::ToDispatcher(command));
+        self.send(slot.dispatcher, NodeMessage::ToDispatcher(slot.cancel()));
     }
 
     fn end_taken(&mut self, slot: Slot, usage: TokenUsage, outcome: AttemptOutcome) {
--- a/crates/node/src/owner/slot.rs
+++ b/crates/node/src/owner/slot.rs
@@ -5,7 +5,7 @@
 use ridgeworks_domain::{BackendName, NodeId, Sequence, ServiceName};
 use ridgeworks_scheduling::Ticket;
 
-use crate::dispatcher::SlotRequest;
+use crate::dispatcher::{DispatcherCommand, SlotRequest};
 
 /// One request for a slot, until the attempt that uses it has ended.
 #[derive(Debug, Clone)]
@@ -45,4 +45,20 @@
     pub fn ticket(&self) -> Ticket {
         self.request.ticket
     }
+
+    /// Asks the dispatcher for it.
+    pub fn enqueue(&self) -> DispatcherCommand {
+        DispatcherCommand::Enqueue {
+            service: self.service.clone(),
+            request: self.request.clone(),
+        }
+    }
+
+    /// Gives up the request, or gives the slot back unused.
+    pub fn cancel(&self) -> DispatcherCommand {
+        DispatcherCommand::Cancel {
+            service: self.service.clone(),
+            ticket: self.ticket(),
+        }
+    }
 }
--- a/crates/node/src/owner/slots.rs
+++ b/crates/node/src/owner/slots.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use ridgeworks_domain::{
-    BackendName, CallRequest, Refusal, RefusalReason, RunId, Sequence, ServiceName,
+    BackendAddress, BackendName, CallRequest, Refusal, RefusalReason, RunId, Sequence, ServiceName,
 };
 use ridgeworks_run_log::event::OwnerEvent;
 use ridgeworks_scheduling::{Priority, Ticket};
@@ -35,11 +35,9 @@
         let slot = self.new_slot(now, run, attempt, request);
         match slot {
             Ok(slot) => {
-                let service = slot.service.clone();
+                let command = slot.enqueue();
                 let dispatcher = slot.dispatcher;
-                let request = slot.request.clone();
                 self.put_slot(run, slot);
-                let command = DispatcherCommand::Enqueue { service, request };
                 self.send(dispatcher, NodeMessage::ToDispatcher(command));
             }
             Err(refusal) => {
@@ -66,10 +64,7 @@
             number,
         };
         let owned = self.runs.get(&run).ok_or_else(no_backend)?;
-        let state = owned
-            .owner()
-            .map(|owner| owner.state())
-            .ok_or_else(no_backend)?;
+        let state = owned.owner().ok_or_else(no_backend)?.state();
         let opening = state.opening().ok_or_else(no_backend)?;
         let configuration = self.directory.last_known();
         let service = service_of(request, state, &configuration)?;
@@ -150,20 +145,14 @@
         let dispatcher = self.directory.dispatcher_of(&slot.service);
         let dispatcher = dispatcher.unwrap_or(slot.dispatcher);
         if dispatcher != slot.dispatcher {
-            let command = DispatcherCommand::Cancel {
-                service: slot.service.clone(),
-                ticket: slot.ticket(),
-            };
+            let command = slot.cancel();
             self.send(slot.dispatcher, NodeMessage::ToDispatcher(command));
         }
         slot.dispatcher = dispatcher;
         slot.ask_again_at = now + ASK_AGAIN_INTERVAL;
         let left = millis_until(now, slot.deadline);
         slot.request.deadline_in_ms = slot.request.deadline_in_ms.map(|_| left);
-        let command = DispatcherCommand::Enqueue {
-            service: slot.service.clone(),
-            request: slot.request.clone(),
-        };
+        let command = slot.enqueue();
         if let Some(owned) = self.runs.get_mut(&run) {
             owned.slot = Some(slot);
         }
@@ -171,57 +160,58 @@
     }
 
     pub(super) fn dispatcher_answer(&mut self, now: Instant, answer: DispatcherAnswer) {
+        let Some(run) = self.run_of_ticket(answer.ticket()) else {
+            return;
+        };
         match answer {
             DispatcherAnswer::Granted {
-                ticket,
                 backend,
                 address,
                 valid_for_ms,
+                ..
             } => {
-                let Some(run) = self.run_of_ticket(ticket) else {
-                    return;
-                };
                 let stale = valid_for_ms == 0 || self.pauses.may_be_stale(now);
                 if stale || self.directory.is_leaving(&backend) {
                     self.decline_grant(now, run);
-                    return;
-                }
-                let Some(slot) = self
-                    .runs
-                    .get_mut(&run)
-                    .and_then(|owned| owned.slot.as_mut())
-                else {
-                    return;
-                };
-                if slot.granted {
-                    return;
+                } else {
+                    let valid_for = Duration::from_millis(valid_for_ms);
+                    self.take_grant(now, run, backend, address, valid_for);
                 }
-                slot.granted = true;
-                slot.granted_at = Some(now);
-                slot.valid_until = Some(now + Duration::from_millis(valid_for_ms));
-                let event = OwnerEvent::Granted {
-                    call: slot.call,
-                    attempt: slot.attempt,
-                    backend,
-                    address,
-                };
-                self.handle(now, run, event);
             }
-            DispatcherAnswer::Refused { ticket, refusal } => {
-                let Some(run) = self.run_of_ticket(ticket) else {
-                    return;
-                };
-                let slot = self.take_slot(run);
-                if let Some(slot) = slot {
+            DispatcherAnswer::Refused { refusal, .. } => {
+                if let Some(slot) = self.take_slot(run) {
                     self.refuse_slot(now, run, &slot, refusal);
                 }
             }
-            DispatcherAnswer::Preempt { ticket } => {
-                if let Some(run) = self.run_of_ticket(ticket) {
-                    self.preempt(now, run);
-                }
-            }
+            DispatcherAnswer::Preempt { .. } => self.preempt(now, run),
+        }
+    }
+
+    fn take_grant(
+        &mut self,
+        now: Instant,
+        run: RunId,
+        backend: BackendName,
+        address: BackendAddress,
+        valid_for: Duration,
+    ) {
+        let owned = self.runs.get_mut(&run);
+        let Some(slot) = owned.and_then(|owned| owned.slot.as_mut()) else {
+            return;
+        };
+        if slot.granted {
+            return;
         }
+        slot.granted = true;
+        slot.granted_at = Some(now);
+        slot.valid_until = Some(now + valid_for);
+        let event = OwnerEvent::Granted {
+            call: slot.call,
+            attempt: slot.attempt,
+            backend,
+            address,
+        };
+        self.handle(now, run, event);
     }
 
     /// Gives a grant back that may not be used, and asks for another one a little later.
@@ -234,10 +224,7 @@
         let Some(slot) = owned.slot.as_mut().filter(|slot| !slot.granted) else {
             return;
         };
-        let command = DispatcherCommand::Cancel {
-            service: slot.service.clone(),
-            ticket: slot.ticket(),
-        };
+        let command = slot.cancel();
         self.runs_by_ticket.remove(&slot.ticket());
         slot.request.ticket = Ticket { owner, number };
         self.runs_by_ticket.insert(slot.ticket(), run);
