--- a/crates/run-log/src/replication.rs
+++ b/crates/run-log/src/replication/mod.rs
@@ -2,78 +2,22 @@
 //!
 //! Nothing here is durable; the next owner reads it all back from a majority.
 
+mod progress;
+mod replacement;
+mod sending;
+mod settings;
+
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 use ridgeworks_domain::weakening::{Weakening, is_off};
 use ridgeworks_domain::{Ballot, MonotonicTime, NodeId, RunId};
 
+use self::progress::Progress;
+pub use self::settings::ReplicationSettings;
 use crate::election::replica_set;
 use crate::entry::{Entry, LogEntry, LogIndex, LogPosition, ReplicaId};
 use crate::message::{Rejection, Reply, Request};
 
-/// Replicas that a run has unless one is being replaced.
-const FULL_SET: usize = ridgeworks_domain::run_id::REPLICAS_PER_RUN;
-
-/// Limits of replication.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ReplicationSettings {
-    /// Time without an answer after which a message is sent again.
-    pub retry_after: Duration,
-    /// Most bytes of entries in one append, unless one entry alone is larger.
-    pub max_append_bytes: usize,
-    /// Most appends under way to one replica.
-    pub max_inflight: u32,
-    /// Least time between two appends to a replica that copies committed entries. Together with
-    /// `max_append_bytes` it bounds the rate of catching up.
-    pub catch_up_interval: Duration,
-}
-
-impl Default for ReplicationSettings {
-    fn default() -> Self {
-        Self {
-            retry_after: Duration::from_millis(50),
-            max_append_bytes: 256 * 1024,
-            max_inflight: 8,
-            catch_up_interval: Duration::from_millis(5),
-        }
-    }
-}
-
-/// What the owner knows of one replica.
-#[derive(Debug, Clone)]
-struct Progress {
-    replica: ReplicaId,
-    /// The replica's log is known to agree up to here, on its disk.
-    matched: LogIndex,
-    /// The next entry to send.
-    next: LogIndex,
-    /// Appends with entries under way.
-    inflight: u32,
-    /// Highest confirmation round that it answered.
-    answered_round: u64,
-    /// Highest commit index that it was sent.
-    sent_commit: LogIndex,
-    last_sent: MonotonicTime,
-    /// Earliest time of the next append of committed entries.
-    catch_up_from: MonotonicTime,
-}
-
-impl Progress {
-    fn new(replica: ReplicaId, now: MonotonicTime) -> Self {
-        Self {
-            replica,
-            matched: LogIndex::NONE,
-            next: LogIndex::FIRST,
-            inflight: 0,
-            answered_round: 0,
-            sent_commit: LogIndex::NONE,
-            last_sent: now,
-            catch_up_from: now,
-        }
-    }
-}
-
 /// The owner's copy of the log and its replicas' progress.
 #[derive(Debug)]
 pub(crate) struct Replication {
@@ -255,16 +199,6 @@
         self.send_all(now);
     }
 
-    fn send_again(&mut self, node: NodeId, now: MonotonicTime) {
-        if let Some(progress) = self.progress.get_mut(&node) {
-            progress.inflight = 0;
-            if progress.matched != LogIndex::NONE {
-                progress.next = progress.matched.next();
-            }
-        }
-        self.send_page(node, now, true);
-    }
-
     fn take_appended(
         &mut self,
         from: NodeId,
@@ -328,14 +262,17 @@
     /// together with one of those after it, else a later owner could still overrule it.
     fn advance_commit(&mut self) {
         let reached = LogIndex(self.reached_by_majority(|progress| progress.matched.0));
-        let own = self
-            .entry(reached)
-            .is_some_and(|entry| entry.ballot == self.ballot);
-        if own && reached > self.commit_index {
+        if self.is_own(reached) && reached > self.commit_index {
             self.commit_index = reached;
         }
     }
 
+    /// Whether this owner proposed the entry at `index`.
+    fn is_own(&self, index: LogIndex) -> bool {
+        let entry = self.entry(index);
+        entry.is_some_and(|entry| entry.ballot == self.ballot)
+    }
+
     fn reached_by_majority(&self, value: impl Fn(&Progress) -> u64) -> u64 {
         let mut values: Vec<u64> = self.progress.values().map(value).collect();
         values.sort_unstable();
@@ -346,58 +283,6 @@
         values.get(minority).copied().unwrap_or(0)
     }
 
-    /// Takes the next step of a replacement, one acceptor a change and one change at a time.
-    fn drive_replacement(&mut self, now: MonotonicTime) {
-        let own_committed = self
-            .entry(self.commit_index)
-            .is_some_and(|entry| entry.ballot == self.ballot);
-        if !own_committed || self.members_index > self.commit_index || self.higher.is_some() {
-            return;
-        }
-        if self.members.len() == FULL_SET {
-            self.remove_replaced(now);
-        } else {
-            self.add_replacement(now);
-        }
-    }
-
-    fn remove_replaced(&mut self, now: MonotonicTime) {
-        let Some((old, new)) = self.replacement else {
-            return;
-        };
-        if old == new || !self.members.contains(&old) {
-            self.replacement = None;
-            return;
-        }
-        let mut replicas = self.members.clone();
-        replicas.retain(|replica| *replica != old);
-        self.append(vec![Entry::ReplicasChanged { replicas }], now);
-    }
-
-    fn add_replacement(&mut self, now: MonotonicTime) {
-        let wanted = self.replacement.map(|(_, new)| new);
-        let is_new = |spare: &ReplicaId| !self.members.iter().any(|m| m.node == spare.node);
-        let spare = wanted.into_iter().chain(self.spares.iter().copied());
-        let Some(new) = spare.into_iter().find(is_new) else {
-            return;
-        };
-        self.replacement = None;
-        let mut replicas = self.members.clone();
-        replicas.push(new);
-        self.append(vec![Entry::ReplicasChanged { replicas }], now);
-    }
-
-    fn follow_members(&mut self, now: MonotonicTime) {
-        let members = self.members.clone();
-        self.progress
-            .retain(|_, progress| members.contains(&progress.replica));
-        for member in members {
-            self.progress
-                .entry(member.node)
-                .or_insert_with(|| Progress::new(member, now));
-        }
-    }
-
     fn last_index(&self) -> LogIndex {
         LogIndex(self.log.len() as u64)
     }
@@ -406,82 +291,4 @@
         self.entry(index)
             .map_or(LogPosition::NONE, LogEntry::position)
     }
-
-    fn send_all(&mut self, now: MonotonicTime) {
-        let nodes: Vec<NodeId> = self.progress.keys().copied().collect();
-        for node in nodes {
-            while self.may_send(node, now) {
-                self.send_page(node, now, false);
-            }
-        }
-    }
-
-    fn may_send(&self, node: NodeId, now: MonotonicTime) -> bool {
-        let Some(progress) = self.progress.get(&node) else {
-            return false;
-        };
-        if progress.next > self.last_index() {
-            return false;
-        }
-        if progress.next <= self.commit_index {
-            return progress.inflight == 0 && now >= progress.catch_up_from;
-        }
-        progress.inflight < self.settings.max_inflight
-    }
-
-    /// Sends the next entries, or none at all when `heartbeat` is all that is wanted.
-    fn send_page(&mut self, node: NodeId, now: MonotonicTime, heartbeat: bool) {
-        let with_entries = !heartbeat || self.may_send(node, now);
-        let Some(progress) = self.progress.get(&node) else {
-            return;
-        };
-        let first = progress.next;
-        let entries = if with_entries {
-            self.page(first)
-        } else {
-            Vec::new()
-        };
-        let append = Request::Append {
-            run: self.run,
-            ballot: self.ballot,
-            replica: progress.replica,
-            previous: self.position_at(first.previous()),
-            entries,
-            commit_index: self.commit_index,
-            round: self.round,
-        };
-        self.note_sent(node, &append, now);
-        self.outgoing.push((node, append));
-    }
-
-    fn note_sent(&mut self, node: NodeId, append: &Request, now: MonotonicTime) {
-        let (Some(progress), Request::Append { entries, .. }) =
-            (self.progress.get_mut(&node), append)
-        else {
-            return;
-        };
-        progress.last_sent = now;
-        progress.sent_commit = self.commit_index;
-        let Some(last) = entries.last() else {
-            return;
-        };
-        progress.inflight += 1;
-        if progress.next <= self.commit_index {
-            progress.catch_up_from = now + self.settings.catch_up_interval;
-        }
-        progress.next = last.index.next();
-    }
-
-    fn page(&self, first: LogIndex) -> Vec<LogEntry> {
-        let mut bytes = 0;
-        let mut page = Vec::new();
-        for entry in self.log.iter().skip(first.previous().0 as usize) {
-            bytes += entry.entry.size_bytes();
-            if !page.is_empty() && bytes > self.settings.max_append_bytes {
-                break;
-            }
-            page.push(entry.clone());
-        }
-        page
-    }
 }
