configuration: coordinator split by job

The counters count effects themselves. A comment of the role on flushed writes told what the voter does not do; it says why the set is staged. No change of behaviour; cargo test -p ridgeworks-configuration passes.

--- a/crates/configuration/src/acceptance.rs
+++ b/crates/configuration/src/acceptance/mod.rs
@@ -12,12 +12,18 @@
 //!
 //! Nothing here survives a crash; a watcher brings what a dead coordinator left to the voters.
 
+mod decision;
+mod stages;
+
 use std::collections::VecDeque;
 use std::sync::Arc;
 
 use ridgeworks_domain::{MonotonicTime, NodeId};
 
-use crate::change::{ChangeRequest, apply_change};
+pub(crate) use self::decision::read_document;
+use self::decision::{decide, leans_on_batch, needs, without_quorum};
+use self::stages::{Asked, Attempt, OpenChange, Settling, Stage};
+use crate::change::ChangeRequest;
 use crate::effect::{OperatorAnswer, PlatformAnswer, PlatformOperation, Ticket, Unavailable};
 use crate::outbox::Outbox;
 use crate::quorum::Voters;
@@ -27,56 +33,6 @@
 use crate::settings::{
     GIVE_UP_AFTER, MAX_BATCH, MAX_OPEN_CHANGES, PLATFORM_TIMEOUT, REFUSE_AFTER, RETRY_INTERVAL,
 };
-use crate::update::Update;
-
-/// A change that an operator waits for.
-#[derive(Debug)]
-struct OpenChange {
-    ticket: Ticket,
-    request: ChangeRequest,
-    arrived: MonotonicTime,
-    /// Whether the operator was told that the end is unknown.
-    answered: bool,
-}
-
-/// A write of the document that may have taken effect, or may still.
-#[derive(Debug)]
-struct Attempt {
-    expected: PlatformVersion,
-    base: Arc<ConfigurationSet>,
-    next: Arc<ConfigurationSet>,
-    changes: Vec<(OpenChange, OperatorAnswer)>,
-}
-
-/// An answer that waits until a majority holds `needs`.
-#[derive(Debug)]
-struct Settling {
-    ticket: Ticket,
-    answer: OperatorAnswer,
-    needs: Revision,
-    arrived: MonotonicTime,
-}
-
-#[derive(Debug, Clone, Copy)]
-enum Stage {
-    /// Nothing is asked of the platform.
-    Idle,
-    /// Ask again at this time.
-    Pausing(MonotonicTime),
-    /// The document is being read.
-    Reading(Asked),
-    /// The document is being written.
-    Swapping(Asked),
-}
-
-/// An operation that the platform was asked for.
-#[derive(Debug, Clone, Copy)]
-struct Asked {
-    request: RequestId,
-    sent: MonotonicTime,
-    /// The newest revision that was known to be held then.
-    floor: Revision,
-}
 
 /// The coordinator of one node.
 #[derive(Debug)]
@@ -394,60 +350,3 @@
         self.stage = Stage::Pausing(now + RETRY_INTERVAL);
     }
 }
-
-/// Reads the platform's document; an absent one is the empty configuration.
-pub(crate) fn read_document(document: &[u8]) -> Result<ConfigurationSet, Unavailable> {
-    if document.is_empty() {
-        return Ok(ConfigurationSet::default());
-    }
-    let update = Update::from_document(document).map_err(|_| Unavailable::UnreadableDocument)?;
-    Ok(ConfigurationSet::from_whole(&update))
-}
-
-/// Applies one change, or finds it done already.
-fn decide(next: &mut Arc<ConfigurationSet>, request: &ChangeRequest) -> OperatorAnswer {
-    if let Some(record) = next.operation(request.operation) {
-        let revision = record.revision;
-        return OperatorAnswer::Accepted { revision };
-    }
-    match apply_change(next, request) {
-        Ok(set) => {
-            let revision = set.revision();
-            *next = Arc::new(set);
-            OperatorAnswer::Accepted { revision }
-        }
-        Err(error) => OperatorAnswer::Rejected(error),
-    }
-}
-
-/// Whether a change is allowed only thanks to another one in the same write. Such a change waits for
-/// the next write: every change in a write must be allowed at the version that the write expects,
-/// or a second coordinator that is asked for the same operation could reject it at that version
-/// while the first one's write is still on its way.
-fn leans_on_batch(
-    base: &Arc<ConfigurationSet>,
-    next: &Arc<ConfigurationSet>,
-    request: &ChangeRequest,
-) -> bool {
-    !Arc::ptr_eq(base, next)
-        && next.operation(request.operation).is_none()
-        && apply_change(next, request).is_ok()
-        && apply_change(base, request).is_err()
-}
-
-/// The revision that an answer gives away.
-fn needs(answer: &OperatorAnswer, set: &ConfigurationSet) -> Revision {
-    match answer {
-        OperatorAnswer::Accepted { revision } => *revision,
-        _ => set.revision(),
-    }
-}
-
-/// What an operator hears whose answer no majority came to hold. An accepted change stands in the
-/// platform's store and may still be heard of; a rejected one has no effect in any case.
-fn without_quorum(answer: &OperatorAnswer) -> OperatorAnswer {
-    match answer {
-        OperatorAnswer::Accepted { .. } => OperatorAnswer::Unknown,
-        _ => OperatorAnswer::Refused(Unavailable::NoQuorum),
-    }
-}
--- a/crates/configuration/src/counters.rs
+++ b/crates/configuration/src/counters.rs
@@ -1,5 +1,7 @@
 //! Counters of the configuration role.
 
+use crate::effect::{Effect, OperatorAnswer};
+
 /// What the configuration role of a node has counted since it started.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct ConfigurationCounters {
@@ -30,3 +32,27 @@
     /// Changes whose end could not be learned.
     pub changes_unknown: u64,
 }
+
+impl ConfigurationCounters {
+    /// Counts what the role told its host to do.
+    pub(crate) fn count(&mut self, effects: &[Effect]) {
+        for effect in effects {
+            match effect {
+                Effect::Send { .. } => self.messages_sent += 1,
+                Effect::Platform { .. } => self.platform_operations += 1,
+                Effect::Answer { answer, .. } => self.count_answer(answer),
+                _ => {}
+            }
+        }
+    }
+
+    fn count_answer(&mut self, answer: &OperatorAnswer) {
+        match answer {
+            OperatorAnswer::Accepted { .. } => self.changes_accepted += 1,
+            OperatorAnswer::Rejected(_) => self.changes_rejected += 1,
+            OperatorAnswer::Refused(_) => self.requests_refused += 1,
+            OperatorAnswer::Unknown => self.changes_unknown += 1,
+            OperatorAnswer::Newest(_) => {}
+        }
+    }
+}
--- a/crates/configuration/src/role.rs
+++ b/crates/configuration/src/role.rs
@@ -111,7 +111,7 @@
         self.handle_local(now);
         self.announce(now);
         let effects = self.outbox.take();
-        self.count(&effects);
+        self.counters.count(&effects);
         effects
     }
 
@@ -245,7 +245,7 @@
         }
     }
 
-    /// A voter learns at once whether a majority holds what it just wrote.
+    /// What the voter has on its disk may come in force here as soon as a majority is known to hold it.
     fn flushed(&mut self, write: u64) {
         let machines = self.machines.version();
         if let Some(voter) = &mut self.voter {
@@ -299,25 +299,4 @@
         self.counters.leases_lapsed += u64::from(!ready);
         self.outbox.effect(Effect::Ready(ready));
     }
-
-    fn count(&mut self, effects: &[Effect]) {
-        for effect in effects {
-            match effect {
-                Effect::Send { .. } => self.counters.messages_sent += 1,
-                Effect::Platform { .. } => self.counters.platform_operations += 1,
-                Effect::Answer { answer, .. } => self.count_answer(answer),
-                _ => {}
-            }
-        }
-    }
-
-    fn count_answer(&mut self, answer: &OperatorAnswer) {
-        match answer {
-            OperatorAnswer::Accepted { .. } => self.counters.changes_accepted += 1,
-            OperatorAnswer::Rejected(_) => self.counters.changes_rejected += 1,
-            OperatorAnswer::Refused(_) => self.counters.requests_refused += 1,
-            OperatorAnswer::Unknown => self.counters.changes_unknown += 1,
-            OperatorAnswer::Newest(_) => {}
-        }
-    }
 }
--- a/crates/configuration/src/voter.rs
+++ b/crates/configuration/src/voter.rs
@@ -167,12 +167,10 @@
             self.vouches = true;
             self.recovery = None;
         }
-        let (ready, waiting) = std::mem::take(&mut self.replies)
-            .into_iter()
-            .partition(|reply| reply.revision <= self.durable.revision());
-        self.replies = waiting;
+        let durable = self.durable.revision();
+        let is_ready = |reply: &mut PendingReply| reply.revision <= durable;
+        let ready: Vec<PendingReply> = self.replies.extract_if(.., is_ready).collect();
         for reply in ready {
-            let reply: PendingReply = reply;
             outbox.send(reply.to, self.stored(Some(reply.request), machines));
         }
         if grown {
