node: metrics registered by type; shares and changes of back ends apart from the group

The default of each metric follows from its field's type, so its registration is a name and a help text. group.rs loses what only translates lists: changes of back ends stand with the list, the partners' shares in partner_shares.rs. No change of behaviour.

--- a/crates/node/src/dispatcher/backend_list.rs
+++ b/crates/node/src/dispatcher/backend_list.rs
@@ -6,6 +6,7 @@
 use ridgeworks_domain::objects::Backend;
 use ridgeworks_domain::weakening::{Weakening, is_off};
 use ridgeworks_domain::{BackendName, ServiceName};
+use ridgeworks_scheduling::Event;
 
 /// A back end and whether it takes new calls.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -47,3 +48,27 @@
     }
     listed
 }
+
+/// What the dispatcher is told when the back ends offered to it change.
+pub fn changes(
+    before: &BTreeMap<BackendName, ListedBackend>,
+    after: &BTreeMap<BackendName, ListedBackend>,
+) -> Vec<Event> {
+    let mut events = Vec::new();
+    for name in before.keys() {
+        if !after.contains_key(name) {
+            events.push(Event::BackendGone(name.clone()));
+        }
+    }
+    for (name, listed) in after {
+        let known = before.get(name);
+        if known.map(|known| &known.backend) != Some(&listed.backend) {
+            events.push(Event::BackendUp(listed.backend.clone()));
+        }
+        let was_leaving = known.is_some_and(|known| known.leaving);
+        if listed.leaving && !was_leaving {
+            events.push(Event::BackendLeaving(name.clone()));
+        }
+    }
+    events
+}
--- a/crates/node/src/dispatcher/group.rs
+++ b/crates/node/src/dispatcher/group.rs
@@ -6,14 +6,13 @@
 use ridgeworks_configuration::{ConfigurationSet, MachineList};
 use ridgeworks_domain::objects::Backend;
 use ridgeworks_domain::{BackendName, MonotonicTime, NodeId, ServiceName};
-use ridgeworks_scheduling::{
-    Dispatcher, DispatcherSettings, Effect, Event, PartnerSettings, QueuedCall, Ticket,
-};
+use ridgeworks_scheduling::{Dispatcher, DispatcherSettings, Effect, Event, QueuedCall, Ticket};
 
-use super::backend_list::{ListedBackend, backends_of};
+use super::backend_list::{ListedBackend, backends_of, changes};
 use super::checked_backends::CheckedBackends;
 use super::context_sweep::ContextSweep;
 use super::message::DispatcherAnswer;
+use super::partner_shares::partner_settings;
 use super::status::{LastReports, ServiceStatus, queues};
 use crate::metrics::ServiceMetrics;
 
@@ -308,47 +307,3 @@
     /// Back ends that are no longer listed.
     pub gone: Vec<BackendName>,
 }
-
-fn changes(
-    before: &BTreeMap<BackendName, ListedBackend>,
-    after: &BTreeMap<BackendName, ListedBackend>,
-) -> Vec<Event> {
-    let mut events = Vec::new();
-    for name in before.keys() {
-        if !after.contains_key(name) {
-            events.push(Event::BackendGone(name.clone()));
-        }
-    }
-    for (name, listed) in after {
-        let known = before.get(name);
-        if known.map(|known| &known.backend) != Some(&listed.backend) {
-            events.push(Event::BackendUp(listed.backend.clone()));
-        }
-        let was_leaving = known.is_some_and(|known| known.leaving);
-        if listed.leaving && !was_leaving {
-            events.push(Event::BackendLeaving(name.clone()));
-        }
-    }
-    events
-}
-
-fn partner_settings(configuration: &ConfigurationSet) -> Vec<PartnerSettings> {
-    let split = configuration.pool_split();
-    let partners = configuration.partners();
-    let count = configuration.partners().count().max(1);
-    partners
-        .map(|partner| {
-            let share = split.and_then(|split| {
-                split
-                    .shares
-                    .iter()
-                    .find(|share| share.partner == partner.name)
-            });
-            PartnerSettings {
-                partner: partner.name.clone(),
-                permille: share.map_or((1_000 / count) as u16, |share| share.permille),
-                latency_weight: partner.latency_weight,
-            }
-        })
-        .collect()
-}
--- a/crates/node/src/dispatcher/mod.rs
+++ b/crates/node/src/dispatcher/mod.rs
@@ -7,6 +7,7 @@
 mod engine_poll;
 mod group;
 mod message;
+mod partner_shares;
 mod role;
 mod status;
 mod sweep;
--- a/crates/node/src/metrics/mod.rs
+++ b/crates/node/src/metrics/mod.rs
@@ -7,6 +7,7 @@
 mod readings;
 
 use std::fmt;
+use std::hash::Hash;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -119,132 +120,48 @@
 
 impl Default for Metrics {
     fn default() -> Self {
-        let mut registry = Registry::with_prefix(PREFIX);
-        let to = &mut registry;
-        let times: fn() -> Histogram = || Histogram::new(TIME_BOUNDS);
+        let mut to = Registrar(Registry::with_prefix(PREFIX));
         let metrics = Self {
             published: Arc::default(),
-            requests: add(to, "requests", "Requests answered", Family::default()),
-            refusals: add(
-                to,
-                "refusals",
-                "Refusals sent to callers",
-                Family::default(),
-            ),
-            calls: add(
-                to,
-                "calls",
-                "Calls by what the caller heard",
-                Family::default(),
-            ),
-            first_chunk_times: add(
-                to,
+            requests: to.add("requests", "Requests answered"),
+            refusals: to.add("refusals", "Refusals sent to callers"),
+            calls: to.add("calls", "Calls by what the caller heard"),
+            first_chunk_times: to.add_times(
                 "first_chunk_seconds",
                 "Time from a request to the first chunk of its answer",
-                Family::new_with_constructor(times),
             ),
-            call_times: add(
-                to,
+            call_times: to.add_times(
                 "call_seconds",
                 "Time from a request to the end of its answer",
-                Family::new_with_constructor(times),
-            ),
-            open_streams: add(
-                to,
-                "open_streams",
-                "Streamed answers under way",
-                Gauge::default(),
-            ),
-            gateway_open: add(
-                to,
-                "gateway_open_requests",
-                "Requests that wait for an owner",
-                Gauge::default(),
-            ),
-            attempts: add(to, "attempts", "Attempts that ended", Family::default()),
-            open_attempts: add(to, "open_attempts", "Attempts under way", Gauge::default()),
-            fences: add(to, "fences", "Fences of attempts", Family::default()),
-            runs_owned: add(
-                to,
-                "runs_owned",
-                "Runs that this node owns or takes over",
-                Gauge::default(),
             ),
-            takeovers: add(
-                to,
-                "run_takeovers",
-                "Runs claimed from their replicas",
-                Counter::default(),
-            ),
-            step_downs: add(
-                to,
-                "run_step_downs",
-                "Runs given up to another owner",
-                Counter::default(),
-            ),
-            preemptions: add(
-                to,
+            open_streams: to.add("open_streams", "Streamed answers under way"),
+            gateway_open: to.add("gateway_open_requests", "Requests that wait for an owner"),
+            attempts: to.add("attempts", "Attempts that ended"),
+            open_attempts: to.add("open_attempts", "Attempts under way"),
+            fences: to.add("fences", "Fences of attempts"),
+            runs_owned: to.add("runs_owned", "Runs that this node owns or takes over"),
+            takeovers: to.add("run_takeovers", "Runs claimed from their replicas"),
+            step_downs: to.add("run_step_downs", "Runs given up to another owner"),
+            preemptions: to.add(
                 "run_preemptions",
                 "Attempts cancelled in favour of urgent calls",
-                Counter::default(),
-            ),
-            replica_runs: add(
-                to,
-                "replica_runs",
-                "Runs held by the replica role",
-                Gauge::default(),
-            ),
-            replica_requests: add(
-                to,
-                "replica_requests",
-                "Requests of owners",
-                Counter::default(),
-            ),
-            replica_writes: add(
-                to,
-                "replica_writes",
-                "Writes handed to the store",
-                Counter::default(),
-            ),
-            queued: add(
-                to,
-                "dispatcher_queued",
-                "Calls that wait for a slot",
-                Family::default(),
             ),
-            in_flight: add(
-                to,
-                "dispatcher_in_flight",
-                "Grants that have not ended",
-                Family::default(),
-            ),
-            grants: add(to, "dispatcher_grants", "Slots granted", Family::default()),
-            dispatcher_refusals: add(
-                to,
-                "dispatcher_refusals",
-                "Requests for a slot refused",
-                Family::default(),
-            ),
-            members: add(to, "members", "Known members by state", Family::default()),
-            configuration_revision: add(
-                to,
-                "configuration_revision",
-                "Revision known last",
-                Gauge::default(),
-            ),
-            ready: add(
-                to,
+            replica_runs: to.add("replica_runs", "Runs held by the replica role"),
+            replica_requests: to.add("replica_requests", "Requests of owners"),
+            replica_writes: to.add("replica_writes", "Writes handed to the store"),
+            queued: to.add("dispatcher_queued", "Calls that wait for a slot"),
+            in_flight: to.add("dispatcher_in_flight", "Grants that have not ended"),
+            grants: to.add("dispatcher_grants", "Slots granted"),
+            dispatcher_refusals: to.add("dispatcher_refusals", "Requests for a slot refused"),
+            members: to.add("members", "Known members by state"),
+            configuration_revision: to.add("configuration_revision", "Revision known last"),
+            ready: to.add(
                 "ready",
                 "Whether the configuration is proved to be the newest",
-                Gauge::default(),
             ),
-            configuration_clients: add(
-                to,
-                "configuration_clients",
-                "Nodes that renew their lease here",
-                Gauge::default(),
-            ),
-            registry: Mutex::new(registry),
+            configuration_clients: to
+                .add("configuration_clients", "Nodes that renew their lease here"),
+            registry: Mutex::new(to.0),
         };
         let published = Arc::clone(&metrics.published);
         metrics.collect(move || {
@@ -373,9 +290,27 @@
     }
 }
 
-fn add<M: Metric + Clone>(registry: &mut Registry, name: &str, help: &str, metric: M) -> M {
-    registry.register(name, help, metric.clone());
-    metric
+/// Makes metrics and registers them.
+struct Registrar(Registry);
+
+impl Registrar {
+    fn add<M: Metric + Clone + Default>(&mut self, name: &str, help: &str) -> M {
+        self.register(name, help, M::default())
+    }
+
+    fn add_times<L>(&mut self, name: &str, help: &str) -> Times<L>
+    where
+        L: Clone + Eq + Hash,
+        Times<L>: Metric,
+    {
+        let times: fn() -> Histogram = || Histogram::new(TIME_BOUNDS);
+        self.register(name, help, Family::new_with_constructor(times))
+    }
+
+    fn register<M: Metric + Clone>(&mut self, name: &str, help: &str, metric: M) -> M {
+        self.0.register(name, help, metric.clone());
+        metric
+    }
 }
 
 // A panic elsewhere leaves whole values behind, so the lock's state does not matter.
