--- a/crates/node/src/dispatcher/mod.rs
+++ b/crates/node/src/dispatcher/mod.rs
@@ -1,4 +1,9 @@
 //! The dispatcher role: the only queue in front of the back ends of a service.
+//!
+//! `role` is the actor, with a `group` for each service that it dispatches for. What is known of back ends
+//! comes from `backend_list`, `engine_poll` and `checked_backends`; `sweep` and `context_sweep` release
+//! contexts of runs that ended unnoticed. Nothing here survives a crash: owners ask again, and tell which
+//! attempts run.
 
 mod backend_list;
 mod checked_backends;
--- a/crates/node/src/owner/owned_run.rs
+++ b/crates/node/src/owner/owned_run.rs
@@ -10,7 +10,6 @@
 
 use super::slot::Slot;
 use super::waiter::{Waiter, Wanted};
-use crate::dispatcher::whole_millis;
 use crate::message::{OwnerCommand, RequestId};
 use crate::outbound::AttemptId;
 
@@ -126,10 +125,10 @@
             .map(RunOwner::state)
     }
 
-    /// How long a call waited for slots that were preempted, in milliseconds.
-    pub fn waited_for(&self, call: Sequence) -> u64 {
+    /// How long a call waited for slots that were preempted.
+    pub fn waited_for(&self, call: Sequence) -> Duration {
         let waited = self.waited.filter(|(waited_call, _)| *waited_call == call);
-        waited.map_or(0, |(_, waited)| whole_millis(waited))
+        waited.map(|(_, waited)| waited).unwrap_or_default()
     }
 
     /// Whether the run is ready and belongs to this partner.
--- a/crates/node/src/owner/preemption.rs
+++ b/crates/node/src/owner/preemption.rs
@@ -31,7 +31,6 @@
             return;
         };
         let has_streamed = !owned.streaming_requests().is_empty();
-        let waited = owned.waited;
         let (Some(slot), Some(running)) = (owned.slot.as_mut(), owned.running.as_ref()) else {
             return;
         };
@@ -42,10 +41,8 @@
         let call = slot.call;
         let attempt = running.id.attempt;
         let granted_at = slot.granted_at.unwrap_or(now);
-        let before = waited.filter(|(waited_call, _)| *waited_call == call);
-        let before = before.map(|(_, waited)| waited).unwrap_or_default();
-        let waited = before + granted_at.saturating_duration_since(slot.asked_at);
-        owned.waited = Some((call, waited));
+        let waited = granted_at.saturating_duration_since(slot.asked_at);
+        owned.waited = Some((call, owned.waited_for(call) + waited));
         owned.running = None;
         self.outputs.metrics.preemptions.inc();
         let outcome = LogOutcome::Lost;
--- a/crates/node/src/owner/slots.rs
+++ b/crates/node/src/owner/slots.rs
@@ -15,10 +15,12 @@
 use super::role::OwnerRole;
 use super::slot::Slot;
 use crate::RETRY_DELAY;
-use crate::dispatcher::{DispatcherAnswer, DispatcherCommand, SlotRequest};
+use crate::dispatcher::{DispatcherAnswer, DispatcherCommand, SlotRequest, whole_millis};
 use crate::message::NodeMessage;
 
+/// After this time without an answer the dispatcher is asked again, in case a message was lost.
 const ASK_AGAIN_INTERVAL: Duration = Duration::from_millis(300);
+/// A call without a waiting caller waits for a slot this long at most.
 const DEFAULT_WAIT: Duration = Duration::from_secs(600);
 
 impl OwnerRole {
@@ -96,7 +98,7 @@
                 // The dispatcher lets calls with deadlines pass others: only a caller's own counts.
                 deadline_in_ms: request.deadline_ms.map(|_| millis_until(now, deadline)),
                 preemptible: is_preemptible(request, service, attempt, state.budget()),
-                waited_ms: owned.waited_for(request.sequence),
+                waited_ms: whole_millis(owned.waited_for(request.sequence)),
             },
             call: request.sequence,
             attempt,
@@ -292,6 +294,5 @@
 }
 
 fn millis_until(now: Instant, deadline: Instant) -> u64 {
-    let left = deadline.saturating_duration_since(now);
-    u64::try_from(left.as_millis()).unwrap_or(u64::MAX)
+    whole_millis(deadline.saturating_duration_since(now))
 }
