--- a/crates/node/src/owner/effects.rs
+++ b/crates/node/src/owner/effects.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use ridgeworks_domain::{CallRequest, ClassName, Refusal, RefusalReason, RunId, Sequence};
+use ridgeworks_domain::{CallRequest, Refusal, RefusalReason, RunId, Sequence};
 use ridgeworks_run_log::event::{AttemptOutcome, CallerAnswer, CallerId, OwnerEffect, OwnerEvent};
 use ridgeworks_run_log::message::Message;
 use ridgeworks_run_log::run_state::RunState;
@@ -153,7 +153,8 @@
     ) -> Result<(BackendCall, Duration), Refusal> {
         let configuration = self.directory.last_known();
         let service = service_of(request, state, &configuration)?;
-        let class = class_of(state).and_then(|class| configuration.class(class));
+        let opening = state.opening();
+        let class = opening.and_then(|opening| configuration.class(&opening.class));
         let call = backend_call(request, service, class, state)?;
         let timeout = Duration::from_millis(service.attempt_timeout_ms);
         Ok((call, timeout.clamp(SHORTEST_ATTEMPT, LONGEST_ATTEMPT)))
@@ -199,8 +200,3 @@
         }
     }
 }
-
-/// Priority class of a run.
-pub(super) fn class_of(state: &RunState) -> Option<&ClassName> {
-    state.opening().map(|opening| &opening.class)
-}
--- a/crates/node/src/owner/slots.rs
+++ b/crates/node/src/owner/slots.rs
@@ -8,7 +8,7 @@
 use ridgeworks_run_log::event::OwnerEvent;
 use ridgeworks_scheduling::{Priority, Ticket};
 
-use super::effects::class_of;
+use super::owned_run::OwnedRun;
 use super::preemption::is_preemptible;
 use super::prompt::{call_size, service_of};
 use super::refusals::no_backend;
@@ -34,8 +34,7 @@
     ) {
         self.cancel_slot(run);
         self.announce_pause(run, request);
-        let slot = self.new_slot(now, run, attempt, request);
-        match slot {
+        match self.new_slot(now, run, attempt, request) {
             Ok(slot) => {
                 let command = slot.enqueue();
                 let dispatcher = slot.dispatcher;
@@ -61,48 +60,23 @@
         request: &CallRequest,
     ) -> Result<Slot, Refusal> {
         let number = self.new_number();
+        let owned = self.runs.get(&run).ok_or_else(no_backend)?;
+        let known = owned.deadlines.get(&request.sequence).copied();
+        let deadline = known.unwrap_or(now + DEFAULT_WAIT);
         let ticket = Ticket {
             owner: self.node,
             number,
         };
-        let owned = self.runs.get(&run).ok_or_else(no_backend)?;
-        let state = owned.owner().ok_or_else(no_backend)?.state();
-        let opening = state.opening().ok_or_else(no_backend)?;
-        let configuration = self.directory.last_known();
-        let service = service_of(request, state, &configuration)?;
-        let size = call_size(request, service, state)?;
-        let class = class_of(state).and_then(|class| configuration.class(class));
-        let dispatcher = self
-            .directory
-            .dispatcher_of(&request.service)
-            .ok_or_else(no_backend)?;
-        let deadline = owned
-            .deadlines
-            .get(&request.sequence)
-            .copied()
-            .unwrap_or(now + DEFAULT_WAIT);
+        // The dispatcher lets calls with deadlines pass others: only a caller's own counts.
+        let deadline_in_ms = request.deadline_ms.map(|_| millis_until(now, deadline));
+        let slot_request = self.slot_request(owned, ticket, attempt, request, deadline_in_ms)?;
+        let dispatcher = self.directory.dispatcher_of(&request.service);
         Ok(Slot {
             service: request.service.clone(),
-            request: SlotRequest {
-                ticket,
-                run,
-                key: request.key.clone(),
-                partner: opening.partner.clone(),
-                priority: Priority {
-                    urgent: class.is_some_and(|class| class.urgent),
-                    rank: class.map_or(0, |class| class.rank),
-                },
-                attained_service: state.budget().spent(),
-                prompt_tokens: size.prompt_tokens,
-                max_output_tokens: size.max_output_tokens,
-                // The dispatcher lets calls with deadlines pass others: only a caller's own counts.
-                deadline_in_ms: request.deadline_ms.map(|_| millis_until(now, deadline)),
-                preemptible: is_preemptible(request, service, attempt, state.budget()),
-                waited_ms: whole_millis(owned.waited_for(request.sequence)),
-            },
+            request: slot_request,
             call: request.sequence,
             attempt,
-            dispatcher,
+            dispatcher: dispatcher.ok_or_else(no_backend)?,
             granted: false,
             granted_at: None,
             valid_until: None,
@@ -115,6 +89,38 @@
         })
     }
 
+    fn slot_request(
+        &self,
+        owned: &OwnedRun,
+        ticket: Ticket,
+        attempt: u32,
+        request: &CallRequest,
+        deadline_in_ms: Option<u64>,
+    ) -> Result<SlotRequest, Refusal> {
+        let state = owned.owner().ok_or_else(no_backend)?.state();
+        let opening = state.opening().ok_or_else(no_backend)?;
+        let configuration = self.directory.last_known();
+        let service = service_of(request, state, &configuration)?;
+        let size = call_size(request, service, state)?;
+        let class = configuration.class(&opening.class);
+        Ok(SlotRequest {
+            ticket,
+            run: owned.run,
+            key: request.key.clone(),
+            partner: opening.partner.clone(),
+            priority: Priority {
+                urgent: class.is_some_and(|class| class.urgent),
+                rank: class.map_or(0, |class| class.rank),
+            },
+            attained_service: state.budget().spent(),
+            prompt_tokens: size.prompt_tokens,
+            max_output_tokens: size.max_output_tokens,
+            deadline_in_ms,
+            preemptible: is_preemptible(request, service, attempt, state.budget()),
+            waited_ms: whole_millis(owned.waited_for(request.sequence)),
+        })
+    }
+
     /// Asks again where an answer is overdue, and gives up at the deadline.
     pub(super) fn check_slot(&mut self, now: Instant, run: RunId) {
         let Some(slot) = self.runs.get(&run).and_then(|owned| owned.slot.clone()) else {
