One way to start a thread that nobody joins

http-edge, the engine polls and the platform's client each built such threads by hand. spawn_detached stands in worker-pool, whose pool uses it too. Names and stack sizes of the threads are as before; the platform's client goes on starting a thread for each operation.

--- a/crates/http-edge/src/acceptor.rs
+++ b/crates/http-edge/src/acceptor.rs
@@ -15,12 +15,13 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use ridgeworks_worker_pool::spawn_detached;
 use tiny_http::Server;
 
 use crate::counters::increment;
 use crate::error::EdgeError;
 use crate::listener;
-use crate::serving::{Shared, admit, spawn};
+use crate::serving::{Shared, admit};
 
 pub(crate) const SERVICE_STACK_BYTES: usize = 128 * 1024;
 
@@ -61,7 +62,7 @@
         lock_servers(&self.shared).push(Arc::clone(&server));
         let shared = Arc::clone(&self.shared);
         let events = self.events_sender.clone();
-        spawn("edge-receive", SERVICE_STACK_BYTES, move || {
+        spawn_detached("edge-receive", SERVICE_STACK_BYTES, move || {
             receive(&shared, &server, &events);
         })
         .map_err(EdgeError::Thread)
--- a/crates/http-edge/src/server.rs
+++ b/crates/http-edge/src/server.rs
@@ -6,17 +6,17 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use crate::acceptor::{SERVICE_STACK_BYTES, Supervisor, SupervisorEvent, lock_servers};
-use ridgeworks_worker_pool::WorkerPool;
+use ridgeworks_worker_pool::{WorkerPool, spawn_detached};
 use socket2::SockRef;
 
+use crate::acceptor::{SERVICE_STACK_BYTES, Supervisor, SupervisorEvent, lock_servers};
 use crate::admission::Admission;
 use crate::counters::EdgeCounters;
 use crate::error::{EdgeError, FaultAnswer, RequestFault};
 use crate::listener;
 use crate::request::EdgeRequest;
 use crate::responder::Responder;
-use crate::serving::{Shared, spawn};
+use crate::serving::Shared;
 use crate::settings::EdgeSettings;
 
 /// What a node does with a request. Called on a thread of its own; it may block.
@@ -73,7 +73,7 @@
             listener: own_listener,
             supervisor: events_sender,
         };
-        spawn("edge-supervisor", SERVICE_STACK_BYTES, || supervisor.run())
+        spawn_detached("edge-supervisor", SERVICE_STACK_BYTES, || supervisor.run())
             .map_err(EdgeError::Thread)?;
         Ok(edge)
     }
--- a/crates/http-edge/src/serving.rs
+++ b/crates/http-edge/src/serving.rs
@@ -1,12 +1,10 @@
 //! From a received request to its handler, or to its refusal.
 
-use std::io;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use std::thread;
 
-use ridgeworks_worker_pool::WorkerPool;
+use ridgeworks_worker_pool::{WorkerPool, spawn_detached};
 use tiny_http::{Request, Server};
 
 use crate::acceptor::SERVICE_STACK_BYTES;
@@ -32,16 +30,6 @@
     pub servers: Mutex<Vec<Arc<Server>>>,
 }
 
-/// Starts a detached thread.
-pub(crate) fn spawn(
-    name: &str,
-    stack_bytes: usize,
-    work: impl FnOnce() + Send + 'static,
-) -> io::Result<()> {
-    let builder = thread::Builder::new().name(name.to_owned());
-    builder.stack_size(stack_bytes).spawn(work).map(drop)
-}
-
 /// Decides between a handler's thread and a refusal. Never reads or writes on this thread: a slow
 /// client would hold up all others.
 pub(crate) fn admit(shared: &Arc<Shared>, request: Request) {
@@ -90,7 +78,7 @@
 
 fn refuse_on_thread(shared: &Arc<Shared>, request: HeldRequest, fault: RequestFault) {
     let place = RefusalPlace::enter(shared);
-    let started = spawn("edge-refuse", SERVICE_STACK_BYTES, move || {
+    let started = spawn_detached("edge-refuse", SERVICE_STACK_BYTES, move || {
         refuse(&place.0, request, fault);
     });
     if started.is_err() {
--- a/crates/node/src/configuration/platform_client.rs
+++ b/crates/node/src/configuration/platform_client.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::thread;
 use std::time::Duration;
 
 use ridgeworks_configuration::effect::DOCUMENT_KEY;
@@ -13,6 +12,7 @@
 };
 use ridgeworks_domain::objects::Backend;
 use ridgeworks_domain::{BackendName, ServiceName, ZoneName};
+use ridgeworks_worker_pool::spawn_detached;
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use ureq::Agent;
@@ -113,17 +113,14 @@
     /// Carries out an operation; its answer comes through the mailbox.
     pub fn perform(&self, request: RequestId, operation: PlatformOperation) {
         let client = self.clone();
-        let started = thread::Builder::new()
-            .name("platform-call".to_owned())
-            .stack_size(THREAD_STACK_BYTES)
-            .spawn(move || {
-                if operation == PlatformOperation::Watch {
-                    client.start_watch();
-                    return;
-                }
-                let answer = client.answer(operation);
-                client.post(PlatformEvent::Answer { request, answer });
-            });
+        let started = spawn_detached("platform-call", THREAD_STACK_BYTES, move || {
+            if operation == PlatformOperation::Watch {
+                client.start_watch();
+                return;
+            }
+            let answer = client.answer(operation);
+            client.post(PlatformEvent::Answer { request, answer });
+        });
         if started.is_err() {
             let answer = PlatformAnswer::Unavailable;
             self.post(PlatformEvent::Answer { request, answer });
--- a/crates/node/src/configuration/platform_watch.rs
+++ b/crates/node/src/configuration/platform_watch.rs
@@ -6,6 +6,7 @@
 
 use ridgeworks_configuration::effect::DOCUMENT_KEY;
 use ridgeworks_configuration::{PlatformVersion, WatchEvent};
+use ridgeworks_worker_pool::spawn_detached;
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
@@ -47,10 +48,9 @@
 /// Follows the objects until the connection ends or a later watch replaces this one.
 pub(super) fn run(client: &PlatformClient, generation: u64) {
     let machines_client = client.clone();
-    let started = thread::Builder::new()
-        .name("platform-machines".to_owned())
-        .stack_size(THREAD_STACK_BYTES)
-        .spawn(move || follow_machines(&machines_client, generation));
+    let started = spawn_detached("platform-machines", THREAD_STACK_BYTES, move || {
+        follow_machines(&machines_client, generation);
+    });
     if started.is_ok() {
         follow_objects(client, generation);
     }
--- a/crates/node/src/dispatcher/engine_poll.rs
+++ b/crates/node/src/dispatcher/engine_poll.rs
@@ -1,16 +1,16 @@
 //! Polls back ends for what they publish: health, load and cache events. A thread for each.
 
 use std::collections::BTreeMap;
-use std::io;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::thread::{self, JoinHandle};
+use std::thread;
 use std::time::Duration;
 
 use ridgeworks_domain::objects::Backend;
 use ridgeworks_domain::weakening::{Weakening, is_off};
 use ridgeworks_domain::{BackendName, RunId, ServiceKind, ServiceName};
 use ridgeworks_scheduling::{CacheChange, CacheEvent, CacheListing, CachedContext, LoadReport};
+use ridgeworks_worker_pool::spawn_detached;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use ureq::Agent;
@@ -128,7 +128,7 @@
         }
         let stopped = Arc::new(AtomicBool::new(false));
         let poll = self.poll(backend, kind, stopped.clone());
-        let started = spawn("engine-poll", move || poll.run());
+        let started = spawn_detached("engine-poll", THREAD_STACK_BYTES, move || poll.run());
         if started.is_ok() {
             self.running.insert(backend.name.clone(), stopped);
         }
@@ -145,7 +145,7 @@
     pub fn list_cache(&self, backend: &Backend) {
         let poll = self.poll(backend, ServiceKind::Model, Arc::default());
         // A listing that fails is asked for again at the next gap.
-        let _ = spawn("engine-list", move || poll.list());
+        let _ = spawn_detached("engine-list", THREAD_STACK_BYTES, move || poll.list());
     }
 
     fn poll(&self, backend: &Backend, kind: ServiceKind, stopped: Arc<AtomicBool>) -> Poll {
@@ -159,13 +159,6 @@
     }
 }
 
-fn spawn(name: &str, work: impl FnOnce() + Send + 'static) -> io::Result<JoinHandle<()>> {
-    thread::Builder::new()
-        .name(name.to_owned())
-        .stack_size(THREAD_STACK_BYTES)
-        .spawn(work)
-}
-
 fn agent() -> Agent {
     Agent::config_builder()
         .timeout_global(Some(POLL_TIMEOUT))
--- a/crates/worker-pool/src/lib.rs
+++ b/crates/worker-pool/src/lib.rs
@@ -55,10 +55,19 @@
                 job();
             }
         };
-        thread::Builder::new()
-            .name(self.name.to_owned())
-            .stack_size(self.stack_bytes)
-            .spawn(work)
-            .map(drop)
+        spawn_detached(self.name, self.stack_bytes, work)
     }
 }
+
+/// Starts a thread that nobody joins, for work that goes on for long.
+///
+/// # Errors
+/// The system's error when the thread cannot be started; the work is dropped then.
+pub fn spawn_detached(
+    name: &str,
+    stack_bytes: usize,
+    work: impl FnOnce() + Send + 'static,
+) -> io::Result<()> {
+    let builder = thread::Builder::new().name(name.to_owned());
+    builder.stack_size(stack_bytes).spawn(work).map(drop)
+}
