--- a/crates/node/src/dispatcher/engine_poll.rs
+++ b/crates/node/src/dispatcher/engine_poll.rs
@@ -10,6 +10,7 @@
 use ridgeworks_domain::weakening::{Weakening, is_off};
 use ridgeworks_domain::{BackendName, RunId, ServiceKind, ServiceName};
 use ridgeworks_scheduling::{CacheChange, CacheEvent, CacheListing, CachedContext, LoadReport};
+use ridgeworks_worker_pool::spawn_detached;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use ureq::Agent;
@@ -126,17 +127,8 @@
             return;
         }
         let stopped = Arc::new(AtomicBool::new(false));
-        let poll = Poll {
-            agent: agent(),
-            backend: backend.clone(),
-            kind,
-            mailbox: self.mailbox.clone(),
-            stopped: stopped.clone(),
-        };
-        let started = thread::Builder::new()
-            .name("engine-poll".to_owned())
-            .stack_size(THREAD_STACK_BYTES)
-            .spawn(move || poll.run());
+        let poll = self.poll(backend, kind, stopped.clone());
+        let started = spawn_detached("engine-poll", THREAD_STACK_BYTES, move || poll.run());
         if started.is_ok() {
             self.running.insert(backend.name.clone(), stopped);
         }
@@ -151,18 +143,19 @@
 
     /// Reads what an engine's cache holds, on a thread of its own.
     pub fn list_cache(&self, backend: &Backend) {
-        let poll = Poll {
+        let poll = self.poll(backend, ServiceKind::Model, Arc::default());
+        // A listing that fails is asked for again at the next gap.
+        let _ = spawn_detached("engine-list", THREAD_STACK_BYTES, move || poll.list());
+    }
+
+    fn poll(&self, backend: &Backend, kind: ServiceKind, stopped: Arc<AtomicBool>) -> Poll {
+        Poll {
             agent: agent(),
             backend: backend.clone(),
-            kind: ServiceKind::Model,
+            kind,
             mailbox: self.mailbox.clone(),
-            stopped: Arc::default(),
-        };
-        // A listing that fails is asked for again at the next gap.
-        let _ = thread::Builder::new()
-            .name("engine-list".to_owned())
-            .stack_size(THREAD_STACK_BYTES)
-            .spawn(move || poll.list());
+            stopped,
+        }
     }
 }
 
--- a/crates/node/src/owner/slots.rs
+++ b/crates/node/src/owner/slots.rs
@@ -3,21 +3,24 @@
 use std::time::{Duration, Instant};
 
 use ridgeworks_domain::{
-    BackendName, CallRequest, Refusal, RefusalReason, RunId, Sequence, ServiceName,
+    BackendAddress, BackendName, CallRequest, Refusal, RefusalReason, RunId, Sequence, ServiceName,
 };
 use ridgeworks_run_log::event::OwnerEvent;
 use ridgeworks_scheduling::{Priority, Ticket};
 
-use super::effects::class_of;
+use super::owned_run::OwnedRun;
 use super::preemption::is_preemptible;
 use super::prompt::{call_size, service_of};
+use super::refusals::no_backend;
 use super::role::OwnerRole;
 use super::slot::Slot;
 use crate::RETRY_DELAY;
-use crate::dispatcher::{DispatcherAnswer, DispatcherCommand, SlotRequest};
+use crate::dispatcher::{DispatcherAnswer, DispatcherCommand, SlotRequest, whole_millis};
 use crate::message::NodeMessage;
 
+/// After this time without an answer the dispatcher is asked again, in case a message was lost.
 const ASK_AGAIN_INTERVAL: Duration = Duration::from_millis(300);
+/// A call without a waiting caller waits for a slot this long at most.
 const DEFAULT_WAIT: Duration = Duration::from_secs(600);
 
 impl OwnerRole {
@@ -31,14 +34,11 @@
     ) {
         self.cancel_slot(run);
         self.announce_pause(run, request);
-        let slot = self.new_slot(now, run, attempt, request);
-        match slot {
+        match self.new_slot(now, run, attempt, request) {
             Ok(slot) => {
-                let service = slot.service.clone();
+                let command = slot.enqueue();
                 let dispatcher = slot.dispatcher;
-                let request = slot.request.clone();
                 self.put_slot(run, slot);
-                let command = DispatcherCommand::Enqueue { service, request };
                 self.send(dispatcher, NodeMessage::ToDispatcher(command));
             }
             Err(refusal) => {
@@ -60,51 +60,23 @@
         request: &CallRequest,
     ) -> Result<Slot, Refusal> {
         let number = self.new_number();
+        let owned = self.runs.get(&run).ok_or_else(no_backend)?;
+        let known = owned.deadlines.get(&request.sequence).copied();
+        let deadline = known.unwrap_or(now + DEFAULT_WAIT);
         let ticket = Ticket {
             owner: self.node,
             number,
         };
-        let owned = self.runs.get(&run).ok_or(no_backend())?;
-        let state = owned
-            .owner()
-            .map(|owner| owner.state())
-            .ok_or(no_backend())?;
-        let opening = state.opening().ok_or(no_backend())?;
-        let configuration = self.directory.last_known();
-        let service = service_of(request, state, &configuration)?;
-        let size = call_size(request, service, state)?;
-        let class = class_of(state).and_then(|class| configuration.class(class));
-        let dispatcher = self
-            .directory
-            .dispatcher_of(&request.service)
-            .ok_or(no_backend())?;
-        let deadline = owned
-            .deadlines
-            .get(&request.sequence)
-            .copied()
-            .unwrap_or(now + DEFAULT_WAIT);
+        // The dispatcher lets calls with deadlines pass others: only a caller's own counts.
+        let deadline_in_ms = request.deadline_ms.map(|_| millis_until(now, deadline));
+        let slot_request = self.slot_request(owned, ticket, attempt, request, deadline_in_ms)?;
+        let dispatcher = self.directory.dispatcher_of(&request.service);
         Ok(Slot {
             service: request.service.clone(),
-            request: SlotRequest {
-                ticket,
-                run,
-                key: request.key.clone(),
-                partner: opening.partner.clone(),
-                priority: Priority {
-                    urgent: class.is_some_and(|class| class.urgent),
-                    rank: class.map_or(0, |class| class.rank),
-                },
-                attained_service: state.budget().spent(),
-                prompt_tokens: size.prompt_tokens,
-                max_output_tokens: size.max_output_tokens,
-                // The dispatcher lets calls with deadlines pass others: only a caller's own counts.
-                deadline_in_ms: request.deadline_ms.map(|_| millis_until(now, deadline)),
-                preemptible: is_preemptible(request, service, attempt, state.budget()),
-                waited_ms: owned.waited_for(request.sequence),
-            },
+            request: slot_request,
             call: request.sequence,
             attempt,
-            dispatcher,
+            dispatcher: dispatcher.ok_or_else(no_backend)?,
             granted: false,
             granted_at: None,
             valid_until: None,
@@ -117,6 +89,38 @@
         })
     }
 
+    fn slot_request(
+        &self,
+        owned: &OwnedRun,
+        ticket: Ticket,
+        attempt: u32,
+        request: &CallRequest,
+        deadline_in_ms: Option<u64>,
+    ) -> Result<SlotRequest, Refusal> {
+        let state = owned.owner().ok_or_else(no_backend)?.state();
+        let opening = state.opening().ok_or_else(no_backend)?;
+        let configuration = self.directory.last_known();
+        let service = service_of(request, state, &configuration)?;
+        let size = call_size(request, service, state)?;
+        let class = configuration.class(&opening.class);
+        Ok(SlotRequest {
+            ticket,
+            run: owned.run,
+            key: request.key.clone(),
+            partner: opening.partner.clone(),
+            priority: Priority {
+                urgent: class.is_some_and(|class| class.urgent),
+                rank: class.map_or(0, |class| class.rank),
+            },
+            attained_service: state.budget().spent(),
+            prompt_tokens: size.prompt_tokens,
+            max_output_tokens: size.max_output_tokens,
+            deadline_in_ms,
+            preemptible: is_preemptible(request, service, attempt, state.budget()),
+            waited_ms: whole_millis(owned.waited_for(request.sequence)),
+        })
+    }
+
     /// Asks again where an answer is overdue, and gives up at the deadline.
     pub(super) fn check_slot(&mut self, now: Instant, run: RunId) {
         let Some(slot) = self.runs.get(&run).and_then(|owned| owned.slot.clone()) else {
@@ -149,20 +153,14 @@
         let dispatcher = self.directory.dispatcher_of(&slot.service);
         let dispatcher = dispatcher.unwrap_or(slot.dispatcher);
         if dispatcher != slot.dispatcher {
-            let command = DispatcherCommand::Cancel {
-                service: slot.service.clone(),
-                ticket: slot.ticket(),
-            };
+            let command = slot.cancel();
             self.send(slot.dispatcher, NodeMessage::ToDispatcher(command));
         }
         slot.dispatcher = dispatcher;
         slot.ask_again_at = now + ASK_AGAIN_INTERVAL;
         let left = millis_until(now, slot.deadline);
         slot.request.deadline_in_ms = slot.request.deadline_in_ms.map(|_| left);
-        let command = DispatcherCommand::Enqueue {
-            service: slot.service.clone(),
-            request: slot.request.clone(),
-        };
+        let command = slot.enqueue();
         if let Some(owned) = self.runs.get_mut(&run) {
             owned.slot = Some(slot);
         }
@@ -170,59 +168,60 @@
     }
 
     pub(super) fn dispatcher_answer(&mut self, now: Instant, answer: DispatcherAnswer) {
+        let Some(run) = self.run_of_ticket(answer.ticket()) else {
+            return;
+        };
         match answer {
             DispatcherAnswer::Granted {
-                ticket,
                 backend,
                 address,
                 valid_for_ms,
+                ..
             } => {
-                let Some(run) = self.run_of_ticket(ticket) else {
-                    return;
-                };
                 let stale = valid_for_ms == 0 || self.pauses.may_be_stale(now);
                 if stale || self.directory.is_leaving(&backend) {
                     self.decline_grant(now, run);
-                    return;
+                } else {
+                    let valid_for = Duration::from_millis(valid_for_ms);
+                    self.take_grant(now, run, backend, address, valid_for);
                 }
-                let Some(slot) = self
-                    .runs
-                    .get_mut(&run)
-                    .and_then(|owned| owned.slot.as_mut())
-                else {
-                    return;
-                };
-                if slot.granted {
-                    return;
-                }
-                slot.granted = true;
-                slot.granted_at = Some(now);
-                slot.valid_until = Some(now + Duration::from_millis(valid_for_ms));
-                let event = OwnerEvent::Granted {
-                    call: slot.call,
-                    attempt: slot.attempt,
-                    backend,
-                    address,
-                };
-                self.handle(now, run, event);
             }
-            DispatcherAnswer::Refused { ticket, refusal } => {
-                let Some(run) = self.run_of_ticket(ticket) else {
-                    return;
-                };
-                let slot = self.take_slot(run);
-                if let Some(slot) = slot {
+            DispatcherAnswer::Refused { refusal, .. } => {
+                if let Some(slot) = self.take_slot(run) {
                     self.refuse_slot(now, run, &slot, refusal);
                 }
             }
-            DispatcherAnswer::Preempt { ticket } => {
-                if let Some(run) = self.run_of_ticket(ticket) {
-                    self.preempt(now, run);
-                }
-            }
+            DispatcherAnswer::Preempt { .. } => self.preempt(now, run),
         }
     }
 
+    fn take_grant(
+        &mut self,
+        now: Instant,
+        run: RunId,
+        backend: BackendName,
+        address: BackendAddress,
+        valid_for: Duration,
+    ) {
+        let owned = self.runs.get_mut(&run);
+        let Some(slot) = owned.and_then(|owned| owned.slot.as_mut()) else {
+            return;
+        };
+        if slot.granted {
+            return;
+        }
+        slot.granted = true;
+        slot.granted_at = Some(now);
+        slot.valid_until = Some(now + valid_for);
+        let event = OwnerEvent::Granted {
+            call: slot.call,
+            attempt: slot.attempt,
+            backend,
+            address,
+        };
+        self.handle(now, run, event);
+    }
+
     /// Gives a grant back that may not be used, and asks for another one a little later.
     fn decline_grant(&mut self, now: Instant, run: RunId) {
         let number = self.new_number();
@@ -233,10 +232,7 @@
         let Some(slot) = owned.slot.as_mut().filter(|slot| !slot.granted) else {
             return;
         };
-        let command = DispatcherCommand::Cancel {
-            service: slot.service.clone(),
-            ticket: slot.ticket(),
-        };
+        let command = slot.cancel();
         self.runs_by_ticket.remove(&slot.ticket());
         slot.request.ticket = Ticket { owner, number };
         self.runs_by_ticket.insert(slot.ticket(), run);
@@ -303,11 +299,6 @@
     }
 }
 
-fn no_backend() -> Refusal {
-    Refusal::retry_after(RefusalReason::NoBackend, RETRY_DELAY)
-}
-
 fn millis_until(now: Instant, deadline: Instant) -> u64 {
-    let left = deadline.saturating_duration_since(now);
-    u64::try_from(left.as_millis()).unwrap_or(u64::MAX)
+    whole_millis(deadline.saturating_duration_since(now))
 }
