Mend the Makefile: simulate ended in a line of another target

A merge left the last line of an old 'experiment' recipe under 'simulate', as a continuation without a command: the target would have failed after its tests. 'make -n simulate' now prints the three test commands only. Blank lines between targets where merges took them.

--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,7 @@
 # Writes the committed code of the published schema anew.
 generate:
 	cargo run --manifest-path tools/generate-api/Cargo.toml --locked
+
 # Cost of one decision of the dispatcher.
 bench-scheduling:
 	cargo run --release --locked -p ridgeworks-scheduling --example decision_cost
@@ -82,12 +83,12 @@
 		cargo test --release --locked -p ridgeworks-run-log --test simulation -- --nocapture
 	cargo test --release --locked -p ridgeworks-configuration -- --nocapture
 	cargo test --release --locked -p ridgeworks-membership -- --nocapture
-		--preset scale --seeds 3 --output target/experiment/scale
 
 # A cluster of the two-year size and how its costs grow; under five minutes.
 scale:
 	cargo build --release --locked -p ridgeworks-node -p ridgeworks-testbed
 	target/release/ridgeworks-testbed scale --nodes 410 --engines 2000 --runs 640000
+
 # The engine model against the stand-in engine as a process, in real time.
 check-engine-model:
 	cargo test --release --locked -p ridgeworks-testbed --test engine_model -- --ignored --nocapture
