--- a/crates/testbed/src/cluster/deployment.rs
+++ b/crates/testbed/src/cluster/deployment.rs
@@ -1,20 +1,23 @@
 //! A running deployment and the control of its processes.
 
-use std::fs;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::time::Duration;
 
-use super::backends::{BackendParts, BackendPlan, plan_all, push};
+use super::backends::BackendPlan;
 use super::binaries::Binaries;
 use super::configure::{PartnerToken, configure};
 use super::control::{PlatformControl, RelayControl};
 use super::error::{ClusterError, Condition};
-use super::layout::{RelayUse, SettingsParts, plan_nodes, relay_plan};
+use super::launch::{
+    Member, Relay, join, node_plan, platform_plan, remove_data, start_all, start_backends,
+    start_relay,
+};
+use super::layout::{RelayUse, SettingsParts, plan_nodes};
 use super::node::NodePlan;
 use super::ports::Ports;
 use super::preset::Preset;
-use super::process::{Process, ProcessPlan, Starting, file_error};
+use super::process::Process;
 use super::summary::{BackendSummary, ClusterSummary, NodeSummary};
 use super::waiting::{are_ready, see_alive, wait_for};
 
@@ -55,19 +58,6 @@
     relay: Option<Relay>,
 }
 
-/// A planned process, running or not.
-#[derive(Debug)]
-struct Member<Plan> {
-    plan: Plan,
-    process: Option<Process>,
-}
-
-#[derive(Debug)]
-struct Relay {
-    process: Process,
-    control: RelayControl,
-}
-
 impl Cluster {
     /// Starts all processes, waits until they serve and configures the system.
     pub fn start(options: ClusterOptions) -> Result<Self, ClusterError> {
@@ -238,6 +228,23 @@
         self.start_again(name, DataFolder::Empty)
     }
 
+    /// Hands over the process of a node or back end, so that its end can be waited for apart from
+    /// the deployment. [`Self::start_again`] starts it anew.
+    pub fn take(&mut self, name: &str) -> Result<Process, ClusterError> {
+        let nodes = self.nodes.iter_mut();
+        let nodes = nodes.map(|node| (node.plan.name.as_str(), &mut node.process));
+        let backends = self.backends.iter_mut();
+        let backends = backends.map(|backend| {
+            let name = backend.plan.process.name.as_str();
+            (name, &mut backend.process)
+        });
+        let mut members = nodes.chain(backends);
+        members
+            .find(|(member, _)| *member == name)
+            .and_then(|(_, process)| process.take())
+            .ok_or_else(|| ClusterError::NotRunning(name.to_owned()))
+    }
+
     /// The platform's control paths.
     pub fn platform(&self) -> PlatformControl {
         PlatformControl::new(self.platform.ready().address)
@@ -269,137 +276,6 @@
         let backend = backends.find(|backend| backend.plan.process.name == name);
         backend.ok_or_else(|| ClusterError::NotRunning(name.to_owned()))
     }
-
-    /// Hands over the process of a node or back end, so that its end can be waited for apart from
-    /// the deployment. [`Self::start_again`] starts it anew.
-    pub fn take(&mut self, name: &str) -> Result<Process, ClusterError> {
-        let nodes = self.nodes.iter_mut();
-        let nodes = nodes.map(|node| (node.plan.name.as_str(), &mut node.process));
-        let backends = self.backends.iter_mut();
-        let backends = backends.map(|backend| {
-            let name = backend.plan.process.name.as_str();
-            (name, &mut backend.process)
-        });
-        let mut members = nodes.chain(backends);
-        members
-            .find(|(member, _)| *member == name)
-            .and_then(|(_, process)| process.take())
-            .ok_or_else(|| ClusterError::NotRunning(name.to_owned()))
-    }
-}
-
-fn platform_plan(options: &ClusterOptions) -> ProcessPlan {
-    let folder = &options.folder;
-    let mut arguments = vec!["platform".to_owned()];
-    push(&mut arguments, "--name", "platform");
-    let data = folder.join("platform.data.json");
-    push(&mut arguments, "--data-file", data.display());
-    if options.history {
-        let file = folder.join("platform.history.jsonl");
-        push(&mut arguments, "--history", file.display());
-    }
-    ProcessPlan {
-        name: "platform".to_owned(),
-        program: options.binaries.testbed.clone(),
-        arguments,
-        log: folder.join("platform.log"),
-    }
-}
-
-fn node_plan(binaries: &Binaries, node: &NodePlan) -> ProcessPlan {
-    let mut arguments = Vec::new();
-    push(&mut arguments, "--settings", node.settings_file.display());
-    ProcessPlan {
-        name: node.name.clone(),
-        program: binaries.node.clone(),
-        arguments,
-        log: output_file(&node.log_file),
-    }
-}
-
-/// Apart from the log, which the node writes itself.
-fn output_file(log: &Path) -> PathBuf {
-    log.with_extension("output")
-}
-
-fn start_all(plans: impl Iterator<Item = ProcessPlan>) -> Result<Vec<Process>, ClusterError> {
-    let starting: Vec<Starting> = plans
-        .map(|plan| Starting::spawn(&plan))
-        .collect::<Result<_, _>>()?;
-    starting
-        .into_iter()
-        .map(Starting::wait_until_ready)
-        .collect()
-}
-
-fn join<Plan>(plans: Vec<Plan>, processes: Vec<Process>) -> Vec<Member<Plan>> {
-    let pairs = plans.into_iter().zip(processes);
-    pairs
-        .map(|(plan, process)| Member {
-            plan,
-            process: Some(process),
-        })
-        .collect()
-}
-
-fn start_backends(
-    options: &ClusterOptions,
-    platform: SocketAddr,
-    ports: &mut Ports,
-) -> Result<Vec<Member<BackendPlan>>, ClusterError> {
-    let parts = BackendParts {
-        binaries: &options.binaries,
-        folder: &options.folder,
-        platform,
-        history: options.history,
-    };
-    let plans = plan_all(&options.preset, &parts, ports)?;
-    let processes = start_all(plans.iter().map(|plan| plan.process.clone()))?;
-    let control = PlatformControl::new(platform);
-    for plan in &plans {
-        control.register(&plan.machine)?;
-    }
-    Ok(join(plans, processes))
-}
-
-fn start_relay(
-    options: &ClusterOptions,
-    nodes: &[NodePlan],
-    platform: SocketAddr,
-) -> Result<Option<Relay>, ClusterError> {
-    if options.relay == RelayUse::None {
-        return Ok(None);
-    }
-    let plan = relay_plan(
-        &options.binaries,
-        &options.folder,
-        nodes,
-        platform,
-        options.relay,
-    );
-    let process = Process::start(&plan)?;
-    let control = RelayControl::connect(process.ready().address)?;
-    let delay = Duration::from_micros(options.preset.one_way_delay_us);
-    for from in nodes {
-        for to in nodes {
-            if from.zone != to.zone {
-                control.set_delay(&from.name, &to.name, delay)?;
-            }
-        }
-    }
-    Ok(Some(Relay { process, control }))
-}
-
-fn remove_data(node: &NodePlan) -> Result<(), ClusterError> {
-    let Some(folder) = &node.data_folder else {
-        return Ok(());
-    };
-    match fs::remove_dir_all(folder) {
-        Err(source) if source.kind() != std::io::ErrorKind::NotFound => {
-            Err(file_error(folder, source))
-        }
-        _ => Ok(()),
-    }
 }
 
 fn node_summary(node: &Member<NodePlan>) -> NodeSummary {
--- a/crates/testbed/src/cluster/mod.rs
+++ b/crates/testbed/src/cluster/mod.rs
@@ -8,6 +8,7 @@
 mod deployment;
 mod error;
 mod interrupt;
+mod launch;
 mod layout;
 mod node;
 mod ports;
