Write the stand-ins' histories with the history crate's writer

The stand-ins had a second writer, a second clock and a second form of the line. They now take HistoryWriter, HistoryClock and Record, whose event became a type parameter; HistoryWriter writes any event with a JSON form. What is left is Recorder, which drops events where no file is wanted.

The event types stay two: the stand-ins write attempt_started and 'cancelled', which the checks do not read, and take names that need not be identifiers, which Event refuses. Order and form of the fields are as before.

--- a/crates/history/src/record.rs
+++ b/crates/history/src/record.rs
@@ -6,16 +6,17 @@
 use ridgeworks_domain::{BackendName, CallKey, Cost, PartnerName, RunId, Sequence, ServiceName};
 use serde::{Deserialize, Deserializer, Serialize};
 
-/// One line of a history file.
+/// One line of a history file. Writers whose events have fields of their own put these in place of
+/// [`Event`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Record {
+pub struct Record<E = Event> {
     /// Microseconds on the shared clock.
     pub at_us: u64,
     /// Name of the process that wrote the record.
     pub by: String,
     /// What happened.
     #[serde(flatten)]
-    pub event: Event,
+    pub event: E,
 }
 
 /// How a call ended, as its client heard it.
--- a/crates/history/src/writer.rs
+++ b/crates/history/src/writer.rs
@@ -9,8 +9,10 @@
 use std::path::Path;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
+use serde::Serialize;
+
 use crate::clock::HistoryClock;
-use crate::record::{Event, Record};
+use crate::record::Record;
 
 /// Why a record was not written.
 #[derive(Debug)]
@@ -32,6 +34,15 @@
 
 impl std::error::Error for WriteError {}
 
+impl From<WriteError> for io::Error {
+    fn from(error: WriteError) -> Self {
+        match error {
+            WriteError::Io(error) => error,
+            WriteError::Encoding(error) => error.into(),
+        }
+    }
+}
+
 /// Writer of one process; threads share it by reference.
 #[derive(Debug)]
 pub struct HistoryWriter {
@@ -61,7 +72,7 @@
     }
 
     /// Writes an event that happens now; returns the time that it was given.
-    pub fn write(&self, event: Event) -> Result<u64, WriteError> {
+    pub fn write<E: Serialize>(&self, event: E) -> Result<u64, WriteError> {
         // The clock is read under the lock so that the file's lines stand in order of time.
         let mut file = self.lock();
         let at_us = self.clock.now_micros();
@@ -70,7 +81,7 @@
     }
 
     /// Writes an event that happened at an earlier time of [`HistoryWriter::now_micros`].
-    pub fn write_at(&self, at_us: u64, event: Event) -> Result<(), WriteError> {
+    pub fn write_at<E: Serialize>(&self, at_us: u64, event: E) -> Result<(), WriteError> {
         self.write_line(&mut self.lock(), at_us, event)
     }
 
@@ -78,11 +89,11 @@
         self.file.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn write_line(
+    fn write_line<E: Serialize>(
         &self,
         file: &mut BufWriter<File>,
         at_us: u64,
-        event: Event,
+        event: E,
     ) -> Result<(), WriteError> {
         let record = Record {
             at_us,
--- a/crates/stand-ins/src/attempts.rs
+++ b/crates/stand-ins/src/attempts.rs
@@ -9,10 +9,10 @@
 use std::time::Duration;
 
 use ridgeworks_domain::{CallKey, Cost, RunId, Sequence};
+use ridgeworks_history::HistoryClock;
 use serde::Serialize;
 
 use crate::failure::Failure;
-use crate::history::monotonic_micros;
 use crate::http::{Incoming, path_value};
 
 /// Names one sending of a call.
@@ -213,7 +213,7 @@
     fn default() -> Self {
         Self {
             attempts: Mutex::default(),
-            instance: monotonic_micros(),
+            instance: HistoryClock.now_micros(),
         }
     }
 }
--- a/crates/stand-ins/src/engine/batching.rs
+++ b/crates/stand-ins/src/engine/batching.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use ridgeworks_domain::RunId;
+use ridgeworks_history::HistoryClock;
 use serde::Serialize;
 
 use crate::attempts::{Attempt, AttemptState, Progress};
@@ -19,7 +20,7 @@
 use crate::engine::memory::EngineMemory;
 use crate::engine::queue::{AttemptQueue, ChatWork};
 use crate::engine::token_blocks::BLOCK_TOKENS;
-use crate::history::{HistoryEvent, HistoryWriter, digest, monotonic_micros};
+use crate::history::{HistoryEvent, Recorder, digest};
 
 /// Most prompt tokens that one step computes.
 pub const PREFILL_CHUNK_TOKENS: u64 = 512;
@@ -85,7 +86,7 @@
     /// The engine's memory.
     pub memory: Arc<EngineMemory>,
     /// Where executions are recorded.
-    pub history: Arc<HistoryWriter>,
+    pub history: Arc<Recorder>,
     /// Where the load is reported.
     pub load: Arc<LaggingLoad>,
     /// How fast the engine is.
@@ -100,7 +101,7 @@
     pub fn new(
         queue: Arc<AttemptQueue>,
         memory: Arc<EngineMemory>,
-        history: Arc<HistoryWriter>,
+        history: Arc<Recorder>,
         load: Arc<LaggingLoad>,
         costs: StepCosts,
         max_batch: usize,
@@ -271,20 +272,20 @@
     plan.key.as_ref().map(|key| key.run)
 }
 
-fn start(attempt: &Attempt<ChatPlan>, cached_tokens: u64, history: &HistoryWriter) -> bool {
+fn start(attempt: &Attempt<ChatPlan>, cached_tokens: u64, history: &Recorder) -> bool {
     attempt.update(|progress| {
         let may_start = progress.state == AttemptState::Queued;
         if may_start {
             record_start(&attempt.plan, history);
             progress.state = AttemptState::Running;
-            progress.started_at_us = Some(monotonic_micros());
+            progress.started_at_us = Some(HistoryClock.now_micros());
             progress.cached_tokens = cached_tokens;
         }
         may_start
     })
 }
 
-fn record_start(plan: &ChatPlan, history: &HistoryWriter) {
+fn record_start(plan: &ChatPlan, history: &Recorder) {
     let Some(key) = &plan.key else { return };
     history.record(&HistoryEvent::AttemptStarted {
         backend: history.by().to_owned(),
@@ -295,12 +296,7 @@
 }
 
 /// Records that an attempt took effect, as far as it has come.
-pub fn record_execution(
-    plan: &ChatPlan,
-    progress: &Progress,
-    cancelled: bool,
-    history: &HistoryWriter,
-) {
+pub fn record_execution(plan: &ChatPlan, progress: &Progress, cancelled: bool, history: &Recorder) {
     let Some(key) = &plan.key else { return };
     let content = plan.content.beginning(progress.produced);
     history.record(&HistoryEvent::BackendExecuted {
--- a/crates/stand-ins/src/engine/memory.rs
+++ b/crates/stand-ins/src/engine/memory.rs
@@ -8,7 +8,7 @@
 
 use crate::engine::cache_events::{CacheEventKind, CacheEventLog, CacheEventPage};
 use crate::engine::prefix_cache::{CacheChange, PrefixCache};
-use crate::history::{HistoryEvent, HistoryWriter};
+use crate::history::{HistoryEvent, Recorder};
 
 struct Inner {
     cache: PrefixCache,
@@ -32,7 +32,7 @@
     }
 
     /// Works on the memory, then tells the observers what changed.
-    pub fn with<T>(&self, history: &HistoryWriter, work: impl FnOnce(&mut PrefixCache) -> T) -> T {
+    pub fn with<T>(&self, history: &Recorder, work: impl FnOnce(&mut PrefixCache) -> T) -> T {
         let mut inner = self.inner.lock().expect("no holder of this lock panics");
         let result = work(&mut inner.cache);
         let now = Instant::now();
@@ -60,7 +60,7 @@
     }
 }
 
-fn record(history: &HistoryWriter, change: CacheChange) {
+fn record(history: &Recorder, change: CacheChange) {
     let held = |run: RunId, tokens| HistoryEvent::ContextHeld {
         backend: history.by().to_owned(),
         run,
--- a/crates/stand-ins/src/engine/mod.rs
+++ b/crates/stand-ins/src/engine/mod.rs
@@ -29,7 +29,7 @@
 use crate::engine::orders::LoadedModels;
 use crate::engine::queue::AttemptQueue;
 use crate::fencing::Fence;
-use crate::history::HistoryWriter;
+use crate::history::Recorder;
 use crate::http::HttpServer;
 use crate::metrics::BackendMetrics;
 
@@ -106,7 +106,7 @@
     /// Its memory.
     pub memory: Arc<EngineMemory>,
     /// Its recorded history.
-    pub history: Arc<HistoryWriter>,
+    pub history: Arc<Recorder>,
     /// Its reported load.
     pub load: Arc<LaggingLoad>,
     /// The highest dispatcher token seen.
@@ -135,7 +135,7 @@
 impl Engine {
     /// Starts an engine.
     pub fn start(options: EngineOptions) -> io::Result<Self> {
-        let history = HistoryWriter::open(&options.name, options.history.as_deref())?;
+        let history = Recorder::open(&options.name, options.history.as_deref())?;
         let lag = options.cache_event_lag;
         let gap_every = options.cache_event_gap_every;
         let state = Arc::new(EngineState {
--- a/crates/stand-ins/src/history.rs
+++ b/crates/stand-ins/src/history.rs
@@ -1,19 +1,16 @@
 //! Writes what a stand-in did to the recorded history that checkers read.
 //!
-//! One JSON object a line, appended and handed to the operating system at once, so that a killed
-//! process loses no line. Times are microseconds of the machine's monotonic clock, which all
-//! processes of one machine share.
+//! The file, its clock and what survives a crash are those of [`ridgeworks_history::writer`].
 
-use std::fs::{File, OpenOptions};
-use std::io::{self, Write};
+use std::io;
 use std::path::Path;
-use std::sync::Mutex;
 
 use ridgeworks_domain::{CallKey, Cost, RunId, Sequence};
-use rustix::time::{ClockId, clock_gettime};
+use ridgeworks_history::HistoryWriter;
 use serde::Serialize;
 
-/// What a stand-in records.
+/// What a stand-in records. Beside what [`ridgeworks_history::Event`] reads it has events and fields for
+/// people and tests, and names that need not be identifiers.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
 pub enum HistoryEvent {
@@ -78,33 +75,20 @@
     },
 }
 
-#[derive(Serialize)]
-struct Line<'a> {
-    at_us: u64,
-    by: &'a str,
-    #[serde(flatten)]
-    event: &'a HistoryEvent,
-}
-
-/// Appends events of one process to a history file, or drops them where none is wanted.
+/// Records events of one process in a history file, or drops them where none is wanted.
 #[derive(Debug)]
-pub struct HistoryWriter {
+pub struct Recorder {
     by: String,
-    file: Option<Mutex<File>>,
+    writer: Option<HistoryWriter>,
 }
 
-impl HistoryWriter {
-    /// A writer for the process called `by`; without a path nothing is recorded.
+impl Recorder {
+    /// A recorder for the process called `by`; without a path nothing is recorded.
     pub fn open(by: &str, path: Option<&Path>) -> io::Result<Self> {
-        let file = match path {
-            Some(path) => Some(Mutex::new(
-                OpenOptions::new().create(true).append(true).open(path)?,
-            )),
-            None => None,
-        };
+        let writer = path.map(|path| HistoryWriter::append(path, by));
         Ok(Self {
             by: by.to_owned(),
-            file,
+            writer: writer.transpose()?,
         })
     }
 
@@ -113,31 +97,18 @@
         &self.by
     }
 
-    /// Appends one event.
+    /// Records one event.
     ///
     /// # Panics
     /// Panics when the file can't be written: a history with holes would prove nothing.
     pub fn record(&self, event: &HistoryEvent) {
-        let Some(file) = &self.file else { return };
-        let mut file = file.lock().expect("a history line was not written whole");
-        let line = Line {
-            at_us: monotonic_micros(),
-            by: &self.by,
-            event,
-        };
-        let mut bytes = serde_json::to_vec(&line).expect("history events have a JSON form");
-        bytes.push(b'\n');
-        file.write_all(&bytes)
+        let Some(writer) = &self.writer else { return };
+        writer
+            .write(event)
             .expect("the history file takes every line");
     }
 }
 
-/// Microseconds of the machine's monotonic clock (`CLOCK_MONOTONIC`).
-pub fn monotonic_micros() -> u64 {
-    let now = clock_gettime(ClockId::Monotonic);
-    now.tv_sec as u64 * 1_000_000 + now.tv_nsec as u64 / 1_000
-}
-
 /// Digest of an answer as the history carries it: xxh3-64 in hexadecimal.
 pub fn digest(bytes: &[u8]) -> String {
     format!("{:016x}", xxhash_rust::xxh3::xxh3_64(bytes))
--- a/crates/stand-ins/src/platform/machines.rs
+++ b/crates/stand-ins/src/platform/machines.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::failure::Failure;
-use crate::history::{HistoryEvent, HistoryWriter};
+use crate::history::{HistoryEvent, Recorder};
 use crate::lagging::Lagging;
 
 /// Whether a machine is there.
@@ -135,7 +135,7 @@
     }
 
     /// Records machines as leaving when that is published. Runs until [`Self::close`].
-    pub fn record_publications(&self, history: &HistoryWriter) {
+    pub fn record_publications(&self, history: &Recorder) {
         let mut before = MachineList::default();
         let mut inner = self.lock();
         while !inner.is_closed {
@@ -161,7 +161,7 @@
     }
 }
 
-fn record_leaving(before: &MachineList, list: &MachineList, history: &HistoryWriter) {
+fn record_leaving(before: &MachineList, list: &MachineList, history: &Recorder) {
     let was_live = |machine: &Machine| {
         let earlier = before
             .machines
--- a/crates/stand-ins/src/platform/mod.rs
+++ b/crates/stand-ins/src/platform/mod.rs
@@ -15,7 +15,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
-use crate::history::HistoryWriter;
+use crate::history::Recorder;
 use crate::http::HttpServer;
 use crate::platform::faults::Faults;
 use crate::platform::machines::MachineRegistry;
@@ -78,7 +78,7 @@
     pub faults: Faults,
     /// Number of open watches.
     pub watchers: AtomicUsize,
-    history: HistoryWriter,
+    history: Recorder,
     is_stopping: AtomicBool,
     /// Carries all connections, since the HTTP library can't close one without an answer.
     link: OnceLock<Arc<Link>>,
@@ -115,7 +115,7 @@
             weights: WeightStore::new(options.weights_bytes_per_second),
             faults: Faults::default(),
             watchers: AtomicUsize::new(0),
-            history: HistoryWriter::open(&options.name, options.history.as_deref())?,
+            history: Recorder::open(&options.name, options.history.as_deref())?,
             is_stopping: AtomicBool::new(false),
             link: OnceLock::new(),
             options,
--- a/crates/stand-ins/src/tool/mod.rs
+++ b/crates/stand-ins/src/tool/mod.rs
@@ -18,7 +18,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::attempts::{AttemptKey, AttemptRegistry};
-use crate::history::HistoryWriter;
+use crate::history::Recorder;
 use crate::http::HttpServer;
 use crate::metrics::BackendMetrics;
 use crate::tool::executions::Executions;
@@ -97,7 +97,7 @@
     /// What took effect.
     pub executions: Executions,
     /// Its recorded history.
-    pub history: HistoryWriter,
+    pub history: Recorder,
     /// Its counters.
     pub metrics: BackendMetrics,
     calls: AtomicU64,
@@ -146,7 +146,7 @@
         let state = Arc::new(ToolState {
             attempts: AttemptRegistry::default(),
             executions: Executions::default(),
-            history: HistoryWriter::open(&options.name, options.history.as_deref())?,
+            history: Recorder::open(&options.name, options.history.as_deref())?,
             metrics: BackendMetrics::default(),
             calls: AtomicU64::new(0),
             is_leaving: AtomicBool::new(false),
