--- a/crates/testbed/src/scale/mod.rs
+++ b/crates/testbed/src/scale/mod.rs
@@ -12,6 +12,8 @@
 mod cluster_processes;
 mod driver;
 mod error;
+mod figures;
+mod growth;
 mod hollow_node;
 mod host;
 mod host_process;
