--- a/crates/experiment/src/lib.rs
+++ b/crates/experiment/src/lib.rs
@@ -8,6 +8,7 @@
 mod behaviour;
 pub mod context_cache;
 pub mod engine;
+mod engine_side;
 pub mod error;
 pub mod law;
 pub mod measures;
--- a/crates/experiment/src/simulation.rs
+++ b/crates/experiment/src/simulation.rs
@@ -6,16 +6,12 @@
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
 use ridgeworks_domain::{BackendName, MonotonicTime, NodeId, PartnerName, RunId};
-use ridgeworks_scheduling::{
-    AttemptEnd, AttemptOutcome, CacheChange, CacheEvent, CacheListing, CachedContext, Dispatcher,
-    Event, LoadReport, Ticket, TokenUsage,
-};
+use ridgeworks_scheduling::{Dispatcher, Event, Ticket};
 
 use crate::agenda::{Agenda, Happening};
 use crate::agent::{Agent, ProgramEnd, ProgramState};
-use crate::engine::{EndedCall, Engine, EngineCall};
+use crate::engine::Engine;
 use crate::error::ExperimentError;
-use crate::law::unit;
 use crate::measures::{Figures, Measures, ShareSample};
 use crate::naming;
 use crate::script::{Arrival, draw_arrivals};
@@ -54,7 +50,7 @@
     pub(crate) measures: Measures,
     pub(crate) next_ticket: u64,
     pub(crate) now: u64,
-    random: ChaCha8Rng,
+    pub(crate) random: ChaCha8Rng,
     open_programs: usize,
     ticks: u64,
 }
@@ -210,79 +206,6 @@
         }
     }
 
-    fn submit(&mut self, engine: usize, call: EngineCall) {
-        self.engines[engine].submit(call);
-        self.begin_step(engine);
-    }
-
-    fn begin_step(&mut self, engine: usize) {
-        let Some(step) = self.engines[engine].begin_step(self.now) else {
-            return;
-        };
-        self.publish_evictions(engine);
-        for ticket in &step.admitted {
-            self.record_wait(*ticket);
-        }
-        self.measures.steps.push(step.takes.as_micros() as f64);
-        let at = self.now + step.takes.as_micros() as u64;
-        self.agenda.enter(at, Happening::StepEnd(engine));
-    }
-
-    fn record_wait(&mut self, ticket: Ticket) {
-        let Some(open) = self.tickets.get(&ticket) else {
-            return;
-        };
-        let program = &self.programs[self.agents[open.agent].program];
-        let measured = program.arrived_at as f64 >= self.workload.warm_up_seconds * 1.0e6;
-        if !measured {
-            return;
-        }
-        let wait = (self.now - open.asked_at) as f64;
-        if self.workload.programs[program.law].urgent {
-            self.measures.urgent_waits.push(wait);
-        } else {
-            self.measures.routine_waits.push(wait);
-        }
-    }
-
-    fn step_end(&mut self, engine: usize) {
-        for ended in self.engines[engine].end_step(self.now) {
-            self.call_ended(engine, &ended);
-        }
-        self.publish_evictions(engine);
-        self.begin_step(engine);
-    }
-
-    fn call_ended(&mut self, engine: usize, ended: &EndedCall) {
-        let ticket = ended.call.ticket;
-        let Some(open) = self.close_ticket(ticket) else {
-            return;
-        };
-        let tokens = ended.usage.prompt + ended.usage.output;
-        self.publish(engine, CacheChange::Stored, ended.call.run, tokens);
-        self.tell_later(Event::AttemptEnded(AttemptEnd {
-            ticket,
-            usage: ended.usage,
-            outcome: AttemptOutcome::Completed,
-        }));
-        self.answered(open.agent, ended.usage);
-    }
-
-    fn cancel_at(&mut self, engine: usize, ticket: Ticket) {
-        if !self.engines[engine].cancel(ticket, self.now) {
-            return;
-        }
-        self.measures.preemptions += 1;
-        self.tell_later(Event::AttemptEnded(AttemptEnd {
-            ticket,
-            usage: TokenUsage::default(),
-            outcome: AttemptOutcome::Preempted,
-        }));
-        if let Some(open) = self.close_ticket(ticket) {
-            self.ask(open.agent);
-        }
-    }
-
     /// Forgets a ticket and gives back what it holds.
     pub(crate) fn close_ticket(&mut self, ticket: Ticket) -> Option<OpenTicket> {
         let open = self.tickets.remove(&ticket)?;
@@ -296,70 +219,6 @@
         Some(open)
     }
 
-    fn publish_evictions(&mut self, engine: usize) {
-        for run in self.engines[engine].cache.take_evicted() {
-            self.publish(engine, CacheChange::Evicted, run, 0);
-        }
-    }
-
-    fn publish(&mut self, engine: usize, change: CacheChange, run: RunId, tokens: u64) {
-        self.engines[engine].last_event += 1;
-        if unit(&mut self.random) < self.workload.network.event_loss {
-            return;
-        }
-        let event = CacheEvent {
-            backend: self.engine_names[engine].clone(),
-            number: self.engines[engine].last_event,
-            change,
-            run,
-            tokens,
-        };
-        let at = self.now + self.workload.network.event_lag_millis * 1_000;
-        let told = Happening::Tell(Box::new(Event::CacheEvent(event)));
-        self.agenda.enter(at, told);
-    }
-
-    fn list(&mut self, engine: usize) {
-        let held = self.engines[engine].cache.list().into_iter();
-        let contexts = held.map(|(run, tokens)| CachedContext { run, tokens });
-        let listing = CacheListing {
-            backend: self.engine_names[engine].clone(),
-            number: self.engines[engine].last_event,
-            contexts: contexts.collect(),
-        };
-        self.tell_later(Event::CacheListing(listing));
-    }
-
-    fn moved(&mut self, run: RunId, from: usize, to: usize) {
-        let tokens = self.engines[from].cache.tokens_of(run);
-        let arrived = tokens > 0 && self.engines[to].cache.store(run, tokens, None, self.now);
-        if arrived {
-            self.engines[from].cache.touch(run, self.now);
-            self.engines[from].cache.release(run, self.now);
-            self.measures.moves += 1;
-        }
-        self.publish_evictions(to);
-        let to = self.engine_names[to].clone();
-        let tokens = if arrived { tokens } else { 0 };
-        self.tell_later(Event::ContextMoved { run, to, tokens });
-    }
-
-    fn report_load(&mut self) {
-        let interval = self.workload.network.report_millis * 1_000;
-        for index in 0..self.engines.len() {
-            let (running, waiting) = self.engines[index].load();
-            let report = LoadReport {
-                backend: self.engine_names[index].clone(),
-                running,
-                waiting,
-                cache_capacity_tokens: self.workload.engines.cache_tokens,
-            };
-            let told = Happening::Tell(Box::new(Event::LoadReport(report)));
-            self.agenda.enter(self.now + interval, told);
-        }
-        self.agenda.enter(self.now + interval, Happening::Report);
-    }
-
     fn tick(&mut self) {
         self.tell(Event::Tick);
         // Leases may have ended that calls in the engines wait for.
