--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod caller_error;
 pub mod chat;
 pub mod client;
+mod client_error;
 pub mod connect;
 pub mod connect_code;
 pub mod connect_error;
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -20,6 +20,7 @@
 mod receiving;
 pub mod relay;
 pub mod rendezvous;
+mod sending;
 pub mod topology;
 
 pub use config::MembershipConfig;
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -1,12 +1,11 @@
-//! The membership state machine: its parts, its timers and the ways out.
+//! The membership state machine: its parts and its timers.
 //!
 //! Nothing here survives a crash: a restarted process joins again with a later incarnation.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use ridgeworks_domain::{MonotonicTime, NodeId, RunId, ZoneName};
@@ -14,11 +13,10 @@
 use crate::config::MembershipConfig;
 use crate::counters::Counters;
 use crate::detector::{Detector, ProbeRole};
-use crate::dissemination::{Batch, Dissemination};
+use crate::dissemination::Dissemination;
 use crate::event::{Effect, Event};
 use crate::member::{Claim, Member, MemberState, NodeClaim};
-use crate::member_table::{MemberTable, published, published_claim};
-use crate::message::{MAX_CLAIMS_PER_MESSAGE, MembershipMessage, records_messages};
+use crate::member_table::{MemberTable, published_claim};
 use crate::relay;
 use crate::topology::Topology;
 
@@ -67,7 +65,7 @@
     pub(crate) counters: Counters,
     topology_is_stale: bool,
     has_left: bool,
-    effects: Vec<Effect>,
+    pub(crate) effects: Vec<Effect>,
 }
 
 impl Membership {
@@ -281,73 +279,4 @@
             self.report(member, old_state);
         }
     }
-
-    pub(crate) fn report(&mut self, member: Member, old_state: Option<MemberState>) {
-        self.effects
-            .push(Effect::MemberChanged { member, old_state });
-    }
-
-    pub(crate) fn emit(&mut self, effect: Effect) {
-        self.effects.push(effect);
-    }
-
-    /// Sends a message to a member that is known.
-    pub(crate) fn send(&mut self, to: NodeId, message: MembershipMessage) {
-        let Some(member) = self.table.get(to) else {
-            return;
-        };
-        let address = member.address;
-        self.send_to(to, address, message);
-    }
-
-    pub(crate) fn send_to(&mut self, to: NodeId, address: SocketAddr, message: MembershipMessage) {
-        self.counters.messages_sent += 1;
-        self.effects.push(Effect::Send {
-            to,
-            address,
-            message,
-        });
-    }
-
-    pub(crate) fn send_all(&mut self, to: NodeId, messages: Vec<MembershipMessage>) {
-        for message in messages {
-            self.send(to, message);
-        }
-    }
-
-    pub(crate) fn published_records(&self, nodes: impl Iterator<Item = NodeId>) -> Vec<Member> {
-        let members = nodes.filter_map(|node| self.table.get(node));
-        members.cloned().map(published).collect()
-    }
-
-    fn send_to_fingers(&mut self, batch: Batch) {
-        let records = self.published_records(batch.records.iter().copied());
-        let records = records_messages(records, true);
-        let pages = batch.claims.chunks(MAX_CLAIMS_PER_MESSAGE);
-        let updates: Vec<MembershipMessage> = pages
-            .map(|claims| MembershipMessage::Updates {
-                claims: claims.to_vec(),
-            })
-            .collect();
-        let mut fingers = self.topology.fingers_of(self.own_node);
-        if fingers.is_empty() {
-            // A node that just left is no longer on the ring.
-            fingers = self.any_present(self.config.monitors);
-        }
-        for finger in &fingers {
-            self.send_all(*finger, records.clone());
-        }
-        fingers.extend(self.topology.zone_fingers_of(self.own_node));
-        let receivers: BTreeSet<NodeId> = fingers.into_iter().collect();
-        for receiver in receivers {
-            self.send_all(receiver, updates.clone());
-        }
-    }
-
-    /// Some other present members, chosen at random.
-    pub(crate) fn any_present(&mut self, count: usize) -> Vec<NodeId> {
-        let order = self.topology.order().iter().copied();
-        let others: Vec<NodeId> = order.filter(|node| *node != self.own_node).collect();
-        others.sample(&mut self.rng, count).copied().collect()
-    }
 }
--- /dev/null
+++ b/crates/scheduling/src/caching.rs
@@ -0,0 +1,112 @@
+//! The part of the dispatcher that follows the engines' caches and decides what they keep.
+
+use ridgeworks_domain::{BackendName, MonotonicTime, RunId, ServiceName};
+
+use crate::backends::BackendIndex;
+use crate::dispatcher::Dispatcher;
+use crate::effect::Effect;
+use crate::event::{CacheEvent, CacheListing};
+use crate::prefix_map::CacheFollowUp;
+use crate::retention::{Candidate, RetentionChange};
+
+impl Dispatcher {
+    /// An engine stored or evicted a context.
+    pub(crate) fn cache_event(&mut self, event: &CacheEvent) {
+        let Some(index) = self.backends.index(&event.backend) else {
+            return;
+        };
+        let follow_up = self.prefixes.apply(index, event);
+        self.release_if_ended(event.run, index);
+        self.relist_if_needed(&event.backend, follow_up);
+    }
+
+    /// An engine listed all contexts that it holds.
+    pub(crate) fn cache_listing(&mut self, listing: &CacheListing) {
+        let Some(index) = self.backends.index(&listing.backend) else {
+            return;
+        };
+        let follow_up = self.prefixes.replace(index, listing);
+        for context in &listing.contexts {
+            self.release_if_ended(context.run, index);
+        }
+        self.relist_if_needed(&listing.backend, follow_up);
+    }
+
+    /// Drops a context that came to be known after the end of its run.
+    pub(crate) fn release_if_ended(&mut self, run: RunId, index: BackendIndex) {
+        let held = self.prefixes.tokens_at(run, index) > 0;
+        if held && self.settings.policy.retention && self.ended_runs.contains(run) {
+            self.release(run, index);
+        }
+    }
+
+    fn relist_if_needed(&mut self, backend: &BackendName, follow_up: CacheFollowUp) {
+        if follow_up == CacheFollowUp::Relist {
+            let backend = backend.clone();
+            self.effects.push(Effect::RelistCache { backend });
+        }
+    }
+
+    /// A run waits for a tool; decides whether its context is kept meanwhile.
+    pub(crate) fn run_paused(&mut self, now: MonotonicTime, run: RunId, tool: ServiceName) {
+        if !self.settings.policy.retention {
+            return;
+        }
+        self.retention.pause(run, tool, now);
+        let places = self.prefixes.places(run).iter();
+        let Some(place) = places.max_by_key(|place| place.tokens).copied() else {
+            return;
+        };
+        let Some(state) = self.backends.get(place.backend) else {
+            return;
+        };
+        let candidate = Candidate {
+            run,
+            backend: place.backend,
+            tokens: place.tokens,
+            rebuild_micros: self.estimate.prefill_micros(place.tokens),
+            budget_tokens: state.cache_capacity * self.settings.retained_permille / 1000,
+        };
+        for change in self.retention.decide(candidate, now) {
+            self.apply_retention(now, change);
+        }
+    }
+
+    /// Passes a change of leases on.
+    pub(crate) fn apply_retention(&mut self, now: MonotonicTime, change: RetentionChange) {
+        let (run, index, until) = match change {
+            RetentionChange::Keep {
+                run,
+                backend,
+                until,
+            } => (run, backend, until),
+            RetentionChange::End { run, backend } => (run, backend, now),
+        };
+        if let Some(backend) = self.name_of(index) {
+            self.effects.push(Effect::Retain {
+                run,
+                backend,
+                until,
+            });
+        }
+    }
+
+    /// A run has ended; its contexts are dropped.
+    pub(crate) fn run_ended(&mut self, run: RunId) {
+        self.retention.end(run);
+        self.ended_runs.insert(run);
+        for place in self.prefixes.forget_run(run) {
+            if self.settings.policy.retention {
+                self.release(run, place.backend);
+            }
+        }
+    }
+
+    /// Drops a run's context at one engine.
+    pub(crate) fn release(&mut self, run: RunId, index: BackendIndex) {
+        self.prefixes.evict(run, index);
+        if let Some(backend) = self.name_of(index) {
+            self.effects.push(Effect::Release { run, backend });
+        }
+    }
+}
--- a/crates/scheduling/src/dispatcher.rs
+++ b/crates/scheduling/src/dispatcher.rs
@@ -2,19 +2,18 @@
 
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
-use ridgeworks_domain::objects::Backend;
-use ridgeworks_domain::{BackendName, MonotonicTime, NodeId, RunId, ServiceName};
+use ridgeworks_domain::{BackendName, MonotonicTime, NodeId};
 
 use crate::backends::{BackendIndex, BackendTable};
 use crate::effect::Effect;
 use crate::ejection::EjectionLimits;
 use crate::ended_runs::EndedRuns;
-use crate::event::{AttemptEnd, AttemptOutcome, CacheEvent, CacheListing, Event, Ticket};
+use crate::event::{AttemptEnd, AttemptOutcome, Event, Ticket};
 use crate::grants::{Grant, GrantState, GrantTable};
 use crate::load_estimate::LoadEstimate;
-use crate::prefix_map::{CacheFollowUp, PrefixMap};
+use crate::prefix_map::PrefixMap;
 use crate::queue::{CallQueue, WaitingCall};
-use crate::retention::{Candidate, Retention, RetentionChange};
+use crate::retention::Retention;
 use crate::settings::DispatcherSettings;
 use crate::shares::Shares;
 
@@ -180,65 +179,6 @@
         }
     }
 
-    fn backend_up(&mut self, now: MonotonicTime, backend: Backend) {
-        let spare = backend.slots >= DispatcherSettings::MIN_SLOTS_FOR_RESERVE;
-        let reserve = if spare && self.settings.policy.urgent_first {
-            self.settings.urgent_reserve.min(backend.slots - 1)
-        } else {
-            0
-        };
-        let capacity = self.settings.default_cache_tokens;
-        let index = self.backends.upsert(backend, reserve, capacity);
-        self.fill(now, index);
-    }
-
-    fn backend_leaving(&mut self, now: MonotonicTime, name: &BackendName) {
-        let Some(index) = self.backends.set_leaving(name) else {
-            return;
-        };
-        self.requeue_moving(now, index);
-        self.place_elsewhere(now, index);
-    }
-
-    fn backend_gone(&mut self, now: MonotonicTime, name: &BackendName) {
-        let Some(index) = self.backends.index(name) else {
-            return;
-        };
-        if let Some(state) = self.backends.get_mut(index) {
-            state.leaving = true;
-        }
-        self.requeue_moving(now, index);
-        for ticket in self.grants.at_backend(index) {
-            if let Some(grant) = self.grants.remove(ticket) {
-                self.give_back_slot(&grant);
-            }
-        }
-        self.backends.remove(name);
-        self.prefixes.forget_engine(index);
-        self.retention.forget_engine(index);
-        self.place_elsewhere(now, index);
-    }
-
-    fn cache_event(&mut self, event: &CacheEvent) {
-        let Some(index) = self.backends.index(&event.backend) else {
-            return;
-        };
-        let follow_up = self.prefixes.apply(index, event);
-        self.release_if_ended(event.run, index);
-        self.relist_if_needed(&event.backend, follow_up);
-    }
-
-    fn cache_listing(&mut self, listing: &CacheListing) {
-        let Some(index) = self.backends.index(&listing.backend) else {
-            return;
-        };
-        let follow_up = self.prefixes.replace(index, listing);
-        for context in &listing.contexts {
-            self.release_if_ended(context.run, index);
-        }
-        self.relist_if_needed(&listing.backend, follow_up);
-    }
-
     /// Remembers how the run's partner weighs latency against wasted cache, for the pause to come.
     fn learn_weight(&mut self, grant: &Grant) {
         let run = grant.waiting.call.run;
@@ -248,82 +188,6 @@
         }
     }
 
-    /// Drops a context that came to be known after the end of its run.
-    fn release_if_ended(&mut self, run: RunId, index: BackendIndex) {
-        let held = self.prefixes.tokens_at(run, index) > 0;
-        if held && self.settings.policy.retention && self.ended_runs.contains(run) {
-            self.release(run, index);
-        }
-    }
-
-    fn relist_if_needed(&mut self, backend: &BackendName, follow_up: CacheFollowUp) {
-        if follow_up == CacheFollowUp::Relist {
-            let backend = backend.clone();
-            self.effects.push(Effect::RelistCache { backend });
-        }
-    }
-
-    fn run_paused(&mut self, now: MonotonicTime, run: RunId, tool: ServiceName) {
-        if !self.settings.policy.retention {
-            return;
-        }
-        self.retention.pause(run, tool, now);
-        let places = self.prefixes.places(run).iter();
-        let Some(place) = places.max_by_key(|place| place.tokens).copied() else {
-            return;
-        };
-        let Some(state) = self.backends.get(place.backend) else {
-            return;
-        };
-        let candidate = Candidate {
-            run,
-            backend: place.backend,
-            tokens: place.tokens,
-            rebuild_micros: self.estimate.prefill_micros(place.tokens),
-            budget_tokens: state.cache_capacity * self.settings.retained_permille / 1000,
-        };
-        for change in self.retention.decide(candidate, now) {
-            self.apply_retention(now, change);
-        }
-    }
-
-    /// Passes a change of leases on.
-    pub(crate) fn apply_retention(&mut self, now: MonotonicTime, change: RetentionChange) {
-        let (run, index, until) = match change {
-            RetentionChange::Keep {
-                run,
-                backend,
-                until,
-            } => (run, backend, until),
-            RetentionChange::End { run, backend } => (run, backend, now),
-        };
-        if let Some(backend) = self.name_of(index) {
-            self.effects.push(Effect::Retain {
-                run,
-                backend,
-                until,
-            });
-        }
-    }
-
-    fn run_ended(&mut self, run: RunId) {
-        self.retention.end(run);
-        self.ended_runs.insert(run);
-        for place in self.prefixes.forget_run(run) {
-            if self.settings.policy.retention {
-                self.release(run, place.backend);
-            }
-        }
-    }
-
-    /// Drops a run's context at one engine.
-    pub(crate) fn release(&mut self, run: RunId, index: BackendIndex) {
-        self.prefixes.evict(run, index);
-        if let Some(backend) = self.name_of(index) {
-            self.effects.push(Effect::Release { run, backend });
-        }
-    }
-
     fn tick(&mut self, now: MonotonicTime) {
         self.retention.expire(now);
         while let Some(ticket) = self.grants.first_lapsed(now) {
--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -5,7 +5,9 @@
 //! [`Effect::Grant`] comes, calls the back end itself and reports the end.
 
 pub mod admission;
+mod back_end_changes;
 pub mod backends;
+mod caching;
 mod choosing;
 pub mod dispatcher;
 pub mod effect;
