--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod load_estimate;
 pub mod model_orders;
 mod moving;
+mod next_call;
 pub mod pause_lengths;
 pub mod placement;
 pub mod prefix_map;
