--- a/crates/experiment/src/policies.rs
+++ b/crates/experiment/src/policies.rs
@@ -18,6 +18,9 @@
 pub const BASELINES: [&str; 3] = ["round-robin", "least-loaded", PREFIX_STICKY];
 /// The whole with neutral weights for all partners.
 pub const WITHOUT_WEIGHTS: &str = "without-weights";
+const WITHOUT_CONTEXT_MOVE: &str = "without-context-move";
+const WITHOUT_RESERVE: &str = "without-reserve";
+const WITHOUT_RESERVE_AND_PREEMPTION: &str = "without-reserve-and-preemption";
 /// All policies, in the order of the tables.
 pub const ALL: [&str; 20] = [
     WHOLE,
@@ -31,13 +34,13 @@
     "without-shares",
     "without-urgency",
     "without-preemption",
-    "without-reserve",
-    "without-reserve-and-preemption",
+    WITHOUT_RESERVE,
+    WITHOUT_RESERVE_AND_PREEMPTION,
     WITHOUT_WEIGHTS,
     "without-deadline-order",
     "without-deadline-refusal",
     "without-working-set",
-    "without-context-move",
+    WITHOUT_CONTEXT_MOVE,
     "least-reported-load",
     "two-choices-reported-load",
 ];
@@ -46,14 +49,28 @@
 
 /// Settings of the policy of this name.
 pub fn settings(name: &str) -> Result<DispatcherSettings, ExperimentError> {
-    let whole = Policy::default();
-    let mut context_move = Some(ContextMoveSettings {
+    let policy = policy(name).ok_or_else(|| ExperimentError::UnknownPolicy(name.to_owned()))?;
+    let context_move = ContextMoveSettings {
         base_micros: MOVE_BASE_MICROS,
         nanos_per_token: MOVE_NANOS_PER_TOKEN,
         timeout: MOVE_TIMEOUT,
-    });
+    };
+    let mut settings = DispatcherSettings {
+        policy,
+        context_move: (name != WITHOUT_CONTEXT_MOVE).then_some(context_move),
+        ..DispatcherSettings::default()
+    };
+    if matches!(name, WITHOUT_RESERVE | WITHOUT_RESERVE_AND_PREEMPTION) {
+        settings.urgent_reserve = 0;
+    }
+    Ok(settings)
+}
+
+/// The rules of the policy of this name. Those that differ from the whole in other settings have its rules.
+fn policy(name: &str) -> Option<Policy> {
+    let whole = Policy::default();
     let policy = match name {
-        WHOLE => whole,
+        WHOLE | WITHOUT_WEIGHTS | WITHOUT_CONTEXT_MOVE | WITHOUT_RESERVE => whole,
         "round-robin" => Policy::round_robin(),
         "least-loaded" => Policy::least_loaded(),
         PREFIX_STICKY => Policy::prefix_sticky(),
@@ -82,12 +99,10 @@
             preemption: false,
             ..whole
         },
-        "without-reserve" => whole,
-        "without-reserve-and-preemption" => Policy {
+        WITHOUT_RESERVE_AND_PREEMPTION => Policy {
             preemption: false,
             ..whole
         },
-        WITHOUT_WEIGHTS => whole,
         "without-deadline-order" => Policy {
             deadline_order: false,
             ..whole
@@ -100,10 +115,6 @@
             working_set: false,
             ..whole
         },
-        "without-context-move" => {
-            context_move = None;
-            whole
-        }
         "least-reported-load" => Policy {
             placement: PlacementRule::LeastReportedLoad,
             ..whole
@@ -112,15 +123,7 @@
             placement: PlacementRule::TwoChoicesReportedLoad,
             ..whole
         },
-        _ => return Err(ExperimentError::UnknownPolicy(name.to_owned())),
+        _ => return None,
     };
-    let mut settings = DispatcherSettings {
-        policy,
-        context_move,
-        ..DispatcherSettings::default()
-    };
-    if name.starts_with("without-reserve") {
-        settings.urgent_reserve = 0;
-    }
-    Ok(settings)
+    Some(policy)
 }
