--- a/crates/stand-ins/src/attempts.rs
+++ b/crates/stand-ins/src/attempts.rs
@@ -13,7 +13,7 @@
 use serde::Serialize;
 
 use crate::failure::Failure;
-use crate::http::{Incoming, path_value};
+use crate::incoming::{Incoming, path_value};
 
 /// Names one sending of a call.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
--- a/crates/stand-ins/src/engine/batching.rs
+++ b/crates/stand-ins/src/engine/batching.rs
@@ -14,13 +14,14 @@
 use ridgeworks_history::HistoryClock;
 use serde::Serialize;
 
-use crate::attempts::{Attempt, AttemptState, Progress};
+use crate::attempts::{Attempt, AttemptState};
 use crate::engine::chat::ChatPlan;
 use crate::engine::lagging_load::LaggingLoad;
 use crate::engine::memory::EngineMemory;
 use crate::engine::queue::{AttemptQueue, ChatWork};
+use crate::engine::recording::{record_execution, record_start};
 use crate::engine::token_blocks::BLOCK_TOKENS;
-use crate::history::{HistoryEvent, Recorder, digest};
+use crate::history::Recorder;
 
 /// Most prompt tokens that one step computes.
 pub const PREFILL_CHUNK_TOKENS: u64 = 512;
@@ -284,31 +285,3 @@
         may_start
     })
 }
-
-fn record_start(plan: &ChatPlan, history: &Recorder) {
-    let Some(key) = &plan.key else { return };
-    history.record(&HistoryEvent::AttemptStarted {
-        backend: history.by().to_owned(),
-        run: key.run,
-        call: key.call.clone(),
-        attempt: key.attempt,
-    });
-}
-
-/// Records that an attempt took effect, as far as it has come.
-pub fn record_execution(plan: &ChatPlan, progress: &Progress, cancelled: bool, history: &Recorder) {
-    let Some(key) = &plan.key else { return };
-    let content = plan.content.beginning(progress.produced);
-    history.record(&HistoryEvent::BackendExecuted {
-        backend: history.by().to_owned(),
-        run: key.run,
-        call: key.call.clone(),
-        attempt: key.attempt,
-        sequence: plan.sequence,
-        cost: plan.cost(progress.produced),
-        answer_digest: digest(content.as_bytes()),
-        prior_calls: Some(plan.prior_calls.clone()),
-        started_at_us: progress.started_at_us,
-        cancelled,
-    });
-}
--- a/crates/stand-ins/src/engine/mod.rs
+++ b/crates/stand-ins/src/engine/mod.rs
@@ -10,6 +10,7 @@
 pub mod orders;
 pub mod prefix_cache;
 pub mod queue;
+mod recording;
 pub mod routes;
 pub mod token_blocks;
 
--- a/crates/stand-ins/src/engine/routes.rs
+++ b/crates/stand-ins/src/engine/routes.rs
@@ -13,14 +13,15 @@
 use crate::attempts::{Attempt, AttemptKey, AttemptState, Begin, CallHeaders};
 use crate::engine::EngineState;
 use crate::engine::answer::{DONE_EVENT, server_sent_event};
-use crate::engine::batching::record_execution;
 use crate::engine::chat::{ChatContext, ChatPlan, ChatRequest};
 use crate::engine::orders::OrderRequest;
 use crate::engine::prefix_cache::ListedContext;
 use crate::engine::queue::ChatWork;
+use crate::engine::recording::record_execution;
 use crate::engine::token_blocks::TokenChain;
 use crate::failure::Failure;
-use crate::http::{ChunkWriter, Incoming, Reply, path_value};
+use crate::http::{ChunkWriter, Reply};
+use crate::incoming::{Incoming, path_value};
 
 const EVENT_STREAM: &str = "text/event-stream";
 const DISPATCHER_TOKEN: &str = "x-ridgeworks-dispatcher-token";
--- a/crates/stand-ins/src/http.rs
+++ b/crates/stand-ins/src/http.rs
@@ -3,111 +3,24 @@
 //! Requests run on a pool that grows while all its threads are busy, since a streamed answer keeps
 //! its thread until it ends.
 
-use std::io::{self, Read, Write};
+use std::io::{self, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
+use ridgeworks_worker_pool::WorkerPool;
 use serde::Serialize;
-use serde::de::DeserializeOwned;
-use tiny_http::{Header, Method, Request, Response, Server};
+use tiny_http::{Header, Request, Response, Server};
 
 use crate::connection_wake::{self, ServerActivity};
 use crate::failure::Failure;
-use ridgeworks_worker_pool::WorkerPool;
+use crate::incoming::Incoming;
 
-const BODY_LIMIT_BYTES: u64 = 64 * 1024 * 1024;
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(2);
 const HANDLER_STACK_BYTES: usize = 512 * 1024;
 
-/// A request whose body has been read.
-pub struct Incoming {
-    /// Its method.
-    pub method: Method,
-    /// Its body.
-    pub body: Vec<u8>,
-    /// The other end of the connection.
-    pub peer: Option<SocketAddr>,
-    path: String,
-    query: String,
-    headers: Vec<Header>,
-}
-
-impl Incoming {
-    fn read(request: &mut Request) -> Result<Self, Failure> {
-        let mut body = Vec::new();
-        request
-            .as_reader()
-            .take(BODY_LIMIT_BYTES + 1)
-            .read_to_end(&mut body)
-            .map_err(|_| Failure::InvalidField("body"))?;
-        if body.len() as u64 > BODY_LIMIT_BYTES {
-            return Err(Failure::BodyTooLarge(BODY_LIMIT_BYTES));
-        }
-        let (path, query) = request.url().split_once('?').unwrap_or((request.url(), ""));
-        Ok(Self {
-            method: request.method().clone(),
-            body,
-            peer: request.remote_addr().copied(),
-            path: path.to_owned(),
-            query: query.to_owned(),
-            headers: request.headers().to_vec(),
-        })
-    }
-
-    /// The path, split at its slashes.
-    pub fn segments(&self) -> Vec<&str> {
-        self.path.trim_matches('/').split('/').collect()
-    }
-
-    /// A header's value.
-    pub fn header(&self, name: &'static str) -> Option<&str> {
-        self.headers
-            .iter()
-            .find(|header| header.field.equiv(name))
-            .map(|header| header.value.as_str())
-    }
-
-    /// A header's value as a number or identifier, if the header is there.
-    pub fn parsed_header<T: std::str::FromStr>(
-        &self,
-        name: &'static str,
-    ) -> Result<Option<T>, Failure> {
-        self.header(name).map_or(Ok(None), |text| {
-            let parsed = text.trim().parse();
-            parsed.map(Some).map_err(|_| Failure::InvalidField(name))
-        })
-    }
-
-    /// A query parameter, if it is there.
-    pub fn query(&self, name: &str) -> Option<&str> {
-        self.query
-            .split('&')
-            .filter_map(|pair| pair.split_once('='))
-            .find(|(key, _)| *key == name)
-            .map(|(_, value)| value)
-    }
-
-    /// A numeric query parameter; `default` when it is missing.
-    pub fn query_number(&self, name: &'static str, default: u64) -> Result<u64, Failure> {
-        self.query(name).map_or(Ok(default), |text| {
-            text.parse().map_err(|_| Failure::InvalidField(name))
-        })
-    }
-
-    /// The body, read as JSON.
-    pub fn json<T: DeserializeOwned>(&self) -> Result<T, Failure> {
-        serde_json::from_slice(&self.body).map_err(|_| Failure::InvalidField("body"))
-    }
-}
-
-/// Parses one segment of a path.
-pub fn path_value<T: std::str::FromStr>(text: &str, name: &'static str) -> Result<T, Failure> {
-    text.parse().map_err(|_| Failure::InvalidField(name))
-}
-
 /// Writes the body of a streamed answer.
 pub type StreamBody = Box<dyn FnOnce(&mut ChunkWriter) -> io::Result<()> + Send>;
 
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod fencing;
 pub mod history;
 pub mod http;
+pub mod incoming;
 pub mod lagging;
 pub mod metrics;
 pub mod platform;
--- a/crates/stand-ins/src/platform/routes.rs
+++ b/crates/stand-ins/src/platform/routes.rs
@@ -10,7 +10,8 @@
 use tiny_http::Method;
 
 use crate::failure::Failure;
-use crate::http::{ChunkWriter, Incoming, Reply};
+use crate::http::{ChunkWriter, Reply};
+use crate::incoming::Incoming;
 use crate::platform::PlatformState;
 use crate::platform::machines::MachineState;
 use crate::platform::store::{ObjectKey, WatchLine};
--- a/crates/stand-ins/src/relay/routes.rs
+++ b/crates/stand-ins/src/relay/routes.rs
@@ -8,7 +8,8 @@
 use tiny_http::Method;
 
 use crate::failure::Failure;
-use crate::http::{Incoming, Reply};
+use crate::http::Reply;
+use crate::incoming::Incoming;
 use crate::relay::link::{Link, LinkSettings, LinkState};
 use crate::relay::{Forward, RelayState};
 
--- a/crates/stand-ins/src/tool/routes.rs
+++ b/crates/stand-ins/src/tool/routes.rs
@@ -10,7 +10,8 @@
 use crate::attempts::{Attempt, AttemptKey, AttemptState, Begin, CallHeaders};
 use crate::failure::Failure;
 use crate::history::{HistoryEvent, digest};
-use crate::http::{Incoming, Reply};
+use crate::http::Reply;
+use crate::incoming::Incoming;
 use crate::tool::{Hang, ToolPlan, ToolState};
 
 /// How often a call that hangs looks whether the process is stopping.
