Split a hollow node's report and clock, the messages of refusals, and a long function of the scale run

- scale/hollow_node.rs: what a node reports is node_report.rs, the clock that all processes read wall_clock.rs.
- scale/usage.rs: WindowFigures::between had closures for each kind of rate; they are functions with a line on what they give.
- api/caller_error.rs: the explanations for readers are refusal_message.rs.

--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod error_body;
 pub mod field_error;
 pub mod operator;
+mod refusal_message;
 pub mod v1;
 
 pub use connect_code::ConnectCode;
--- a/crates/testbed/src/scale/changes.rs
+++ b/crates/testbed/src/scale/changes.rs
@@ -11,7 +11,7 @@
 use ridgeworks_api::v1::object::Specification;
 
 use super::error::ScaleError;
-use super::hollow_node::wall_clock_us;
+use super::wall_clock::wall_clock_us;
 use crate::cluster::{PartnerToken, operation_id, operator_client};
 
 /// Objects that are changed, and changes of a burst.
--- a/crates/testbed/src/scale/driver.rs
+++ b/crates/testbed/src/scale/driver.rs
@@ -11,11 +11,11 @@
 use super::churn::Action;
 use super::cluster_processes::{FULL_NODES, Processes};
 use super::error::{Goal, ScaleError};
-use super::hollow_node::wall_clock_us;
 use super::layout::Layout;
 use super::protocol::{HostCommand, NodeReport};
 use super::report::{self, ScaleReport};
 use super::usage::{Sample, machine_memory_bytes};
+use super::wall_clock::wall_clock_us;
 use crate::cluster::exit_on_signal;
 use crate::cluster_command::WorkingFolder;
 
--- a/crates/testbed/src/scale/hollow_node.rs
+++ b/crates/testbed/src/scale/hollow_node.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use ridgeworks_configuration::settings::TICK_INTERVAL;
 use ridgeworks_configuration::{
@@ -25,7 +25,8 @@
 use stakker::{ActorOwn, CX, FixedTimerKey, actor, after, at, call, fail, fwd_to, lazy, ret_nop};
 use stakker_mio::mio::net::TcpListener;
 
-use super::protocol::{NodeReport, Observation, SeenState};
+use super::protocol::{Observation, SeenState};
+use super::wall_clock::wall_clock_us;
 
 /// Signs of life of one node are passed on no more often than this, as in the daemon.
 const ALIVE_INTERVAL: Duration = Duration::from_millis(100);
@@ -66,18 +67,18 @@
 
 /// A hollow node.
 pub struct HollowNode {
-    index: usize,
+    pub(super) index: usize,
     node: NodeId,
-    membership: Membership,
-    configuration: ConfigurationRole,
-    replica: Option<Rc<Replica>>,
-    clock: Clock,
+    pub(super) membership: Membership,
+    pub(super) configuration: ConfigurationRole,
+    pub(super) replica: Option<Rc<Replica>>,
+    pub(super) clock: Clock,
     links: ActorOwn<Links>,
-    counters: Arc<LinkCounters>,
+    pub(super) counters: Arc<LinkCounters>,
     shared: Shared,
     last_alive: HashMap<NodeId, Instant>,
     timer: Option<(FixedTimerKey, Instant)>,
-    is_silent: bool,
+    pub(super) is_silent: bool,
     /// Whether the configuration role is to hear of the members once the changes at hand are taken.
     is_pending: bool,
 }
@@ -134,34 +135,6 @@
         self.is_silent = true;
     }
 
-    /// Its state and counters.
-    pub fn report(&mut self, _cx: CX![]) -> NodeReport {
-        let now = self.clock.now();
-        let membership = self.membership.counters();
-        let machines = self.configuration.machines();
-        let present = self.membership.members();
-        NodeReport {
-            generation: match self.is_silent {
-                true => 0,
-                false => self.membership.own().incarnation.generation(),
-            },
-            present: present.filter(|member| member.state.is_present()).count(),
-            table_hash: self.membership.table_hash(),
-            revision: self.configuration.last_known().revision().0,
-            is_ready: self.configuration.in_force(now).is_ok(),
-            machines_version: machines.version(),
-            machines: machines.machines().count(),
-            run_heads: self
-                .replica
-                .as_ref()
-                .map_or(0, |replica| replica.run_count()),
-            suspicions: membership.suspicions,
-            own_pauses: membership.own_pauses,
-            leases_lapsed: self.configuration.counters().leases_lapsed,
-            ..link_report(self.index, &self.counters)
-        }
-    }
-
     fn deliver(&mut self, cx: CX![], delivery: Delivery) {
         if self.is_silent || self.is_cut_off_from(delivery.from) {
             return;
@@ -336,25 +309,3 @@
         !cut.is_empty() && cut.contains(&self.node) != cut.contains(&other)
     }
 }
-
-/// What the counters of its links say of a node, up or down.
-pub fn link_report(index: usize, counters: &LinkCounters) -> NodeReport {
-    let read =
-        |counter: &std::sync::atomic::AtomicU64| counter.load(std::sync::atomic::Ordering::Relaxed);
-    NodeReport {
-        index,
-        sent_bytes: read(&counters.sent_bytes),
-        received_bytes: read(&counters.received_bytes),
-        sent_messages: read(&counters.sent_messages),
-        received_messages: read(&counters.received_messages),
-        dropped_messages: read(&counters.dropped_messages),
-        dialled: read(&counters.dialled),
-        ..NodeReport::default()
-    }
-}
-
-/// The machine's wall clock, in microseconds since the Unix epoch.
-pub fn wall_clock_us() -> u64 {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH);
-    now.map_or(0, |elapsed| elapsed.as_micros() as u64)
-}
--- a/crates/testbed/src/scale/host.rs
+++ b/crates/testbed/src/scale/host.rs
@@ -20,9 +20,10 @@
 use stakker_mio::mio::{Events, Poll};
 
 use super::error::ScaleError;
-use super::hollow_node::{HollowNode, HollowParts, Shared, link_report};
+use super::hollow_node::{HollowNode, HollowParts, Shared};
 use super::idle_runs::replica_of;
 use super::layout::{HollowPlan, name_of};
+use super::node_report::link_report;
 use super::protocol::{HostCommand, HostPlan, HostReport, NodeReport};
 
 const POLL_EVENTS: usize = 1_024;
--- a/crates/testbed/src/scale/mod.rs
+++ b/crates/testbed/src/scale/mod.rs
@@ -19,11 +19,13 @@
 mod host_process;
 mod idle_runs;
 mod layout;
+mod node_report;
 mod protocol;
 mod report;
 mod slope;
 mod trial;
 mod usage;
+mod wall_clock;
 
 pub use analysis::{CutWindow, Life, Spread, Timeline, Verdicts};
 pub use arguments::{HostArguments, ScaleArguments};
--- a/crates/testbed/src/scale/usage.rs
+++ b/crates/testbed/src/scale/usage.rs
@@ -134,31 +134,13 @@
     /// What was used between two samples.
     pub fn between(before: &Sample, after: &Sample) -> Self {
         let seconds = after.at.duration_since(before.at).as_secs_f64();
-        let cpu = |before: &[ProcessSample], after: &[ProcessSample], nodes: f64| {
-            let used = before.iter().zip(after).map(|(before, after)| {
-                let used = after.cpu.saturating_sub(before.cpu);
-                used.as_secs_f64() / seconds / nodes * PERCENT
-            });
-            Rates::of(used.collect())
-        };
         let count = after.nodes.len().max(1) as f64;
         let in_process = count / after.hosts.len().max(1) as f64;
-        let hosts = cpu(&before.hosts, &after.hosts, in_process);
-        let full = cpu(&before.full, &after.full, 1.0);
+        let hosts = cpu_percent(&before.hosts, &after.hosts, seconds, in_process);
+        let full = cpu_percent(&before.full, &after.full, seconds, 1.0);
         let memory = memory_mb(&after.hosts, in_process);
-        let rate = |value: fn(&NodeReport) -> u64| {
-            let grown = after.nodes.iter().map(|(index, node)| {
-                let earlier = before.nodes.get(index).map_or(0, value);
-                value(node).saturating_sub(earlier) as f64 / seconds
-            });
-            Rates::of(grown.collect())
-        };
-        let full_rate = |value: fn(&LinkTotals) -> u64| {
-            let pairs = before.full_links.iter().zip(&after.full_links);
-            let grown = pairs
-                .map(|(before, after)| value(after).saturating_sub(value(before)) as f64 / seconds);
-            Rates::of(grown.collect())
-        };
+        let rate = |value: fn(&NodeReport) -> u64| node_rates(before, after, seconds, value);
+        let full_rate = |value: fn(&LinkTotals) -> u64| full_rates(before, after, seconds, value);
         let total = |sample: &Sample, value: fn(&NodeReport) -> u64| -> u64 {
             sample.nodes.values().map(value).sum()
         };
@@ -183,6 +165,48 @@
     }
 }
 
+/// Processor time of each node, in percent of a core, where `nodes` share a process.
+fn cpu_percent(
+    before: &[ProcessSample],
+    after: &[ProcessSample],
+    seconds: f64,
+    nodes: f64,
+) -> Rates {
+    let used = before.iter().zip(after).map(|(before, after)| {
+        let used = after.cpu.saturating_sub(before.cpu);
+        used.as_secs_f64() / seconds / nodes * PERCENT
+    });
+    Rates::of(used.collect())
+}
+
+/// Growth of a counter of the hollow nodes, a second.
+fn node_rates(
+    before: &Sample,
+    after: &Sample,
+    seconds: f64,
+    value: fn(&NodeReport) -> u64,
+) -> Rates {
+    let grown = after.nodes.iter().map(|(index, node)| {
+        let earlier = before.nodes.get(index).map_or(0, value);
+        value(node).saturating_sub(earlier) as f64 / seconds
+    });
+    Rates::of(grown.collect())
+}
+
+/// Growth of a counter of the full processes, a second.
+fn full_rates(
+    before: &Sample,
+    after: &Sample,
+    seconds: f64,
+    value: fn(&LinkTotals) -> u64,
+) -> Rates {
+    let pairs = before.full_links.iter().zip(&after.full_links);
+    let grown =
+        pairs.map(|(before, after)| value(after).saturating_sub(value(before)) as f64 / seconds);
+    Rates::of(grown.collect())
+}
+
+/// Memory of each node, where `nodes` share a process.
 fn memory_mb(processes: &[ProcessSample], nodes: f64) -> Rates {
     let memory = processes.iter();
     let memory = memory.map(|process| process.resident_bytes as f64 / BYTES_PER_MEGABYTE / nodes);
