--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod caller_error;
 pub mod chat;
 pub mod client;
+mod client_error;
 pub mod connect;
 pub mod connect_code;
 pub mod connect_error;
@@ -15,6 +16,7 @@
 pub mod error_body;
 pub mod field_error;
 pub mod operator;
+mod refusal_message;
 pub mod v1;
 
 pub use connect_code::ConnectCode;
--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -5,7 +5,9 @@
 //! [`Effect::Grant`] comes, calls the back end itself and reports the end.
 
 pub mod admission;
+mod back_end_changes;
 pub mod backends;
+mod caching;
 mod choosing;
 pub mod dispatcher;
 pub mod effect;
@@ -18,6 +20,7 @@
 pub mod load_estimate;
 pub mod model_orders;
 mod moving;
+mod next_call;
 pub mod pause_lengths;
 pub mod placement;
 pub mod prefix_map;
