--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -90,10 +90,7 @@
         set: &ConfigurationSet,
         token_sha256: &str,
     ) -> Result<PartnerName, Refusal> {
-        let partner = set
-            .partners()
-            .find(|partner| partner.token_sha256 == token_sha256);
-        match partner {
+        match set.partner_by_token_hash(token_sha256) {
             Some(partner) => Ok(partner.name.clone()),
             None => self.authenticate_bootstrap(set, token_sha256),
         }
