--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory/mod.rs
@@ -1,5 +1,8 @@
 //! What the roles of a node look up: the configuration in force and the members of the cluster.
 
+mod partners;
+mod replicas;
+
 use std::cell::RefCell;
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -8,30 +11,20 @@
 use std::time::Duration;
 
 use ridgeworks_configuration::{ConfigurationRole, ConfigurationSet, MachineState};
-use ridgeworks_domain::run_id::REPLICAS_PER_RUN;
 use ridgeworks_domain::weakening::{Weakening, is_off};
 use ridgeworks_domain::{
-    BackendName, MonotonicTime, NodeId, PartnerName, ProgramName, Refusal, RefusalReason,
-    RegionName, RunId, ServiceName, ZoneName,
+    BackendName, MonotonicTime, NodeId, Refusal, RegionName, RunId, ServiceName,
 };
 use ridgeworks_membership::{Member, MemberState, Membership, rendezvous};
 use ridgeworks_run_log::entry::ReplicaId;
-use xxhash_rust::xxh3::xxh3_128;
 
+pub use self::replicas::NewRun;
 use crate::clock::Clock;
 use crate::settings::BootstrapPartner;
 
 /// All back ends of a service form one group until a service outgrows a dispatcher.
 const SINGLE_GROUP: u32 = 0;
 
-/// What a run is opened with besides its program.
-pub struct NewRun {
-    /// Its number.
-    pub run: RunId,
-    /// Its replicas, whose identities were read before the number was drawn.
-    pub replicas: Vec<ReplicaId>,
-}
-
 /// Shared by the roles, which all run on the actor thread.
 #[derive(Clone)]
 pub struct Directory {
@@ -80,117 +73,11 @@
         self.configuration.borrow().last_known().clone()
     }
 
-    /// The partner whose token has this digest.
-    pub fn authenticate(&self, token_sha256: &str) -> Result<PartnerName, Refusal> {
-        self.authenticate_in(&*self.in_force()?, token_sha256)
-    }
-
-    fn authenticate_in(
-        &self,
-        set: &ConfigurationSet,
-        token_sha256: &str,
-    ) -> Result<PartnerName, Refusal> {
-        match set.partner_by_token_hash(token_sha256) {
-            Some(partner) => Ok(partner.name.clone()),
-            None => self.authenticate_bootstrap(set, token_sha256),
-        }
-    }
-
-    /// A partner of the settings counts only while the configuration does not hold it.
-    fn authenticate_bootstrap(
-        &self,
-        set: &ConfigurationSet,
-        token_sha256: &str,
-    ) -> Result<PartnerName, Refusal> {
-        self.bootstrap_partners
-            .iter()
-            .find(|partner| partner.token_sha256 == token_sha256)
-            .filter(|partner| set.partner(&partner.name).is_none())
-            .map(|partner| partner.name.clone())
-            .ok_or(Refusal::permanent(RefusalReason::Unauthenticated))
-    }
-
-    /// The partner whose token has this digest, by the last configuration known: an operator must be
-    /// able to act also where this node cannot prove that its configuration is the newest. What it
-    /// does is checked against the newest one.
-    pub fn authenticate_operator(&self, token_sha256: &str) -> Result<PartnerName, Refusal> {
-        self.authenticate_in(&self.last_known(), token_sha256)
-    }
-
     /// The name of this node.
     pub fn own_name(&self) -> String {
         self.membership.borrow().own().name.clone()
     }
 
-    /// Refuses a program that does not exist or belongs to the other partner.
-    pub fn check_program(
-        &self,
-        partner: &PartnerName,
-        program: &ProgramName,
-    ) -> Result<(), Refusal> {
-        let set = self.in_force()?;
-        match set.program(program) {
-            Some(found) if found.partner == *partner => Ok(()),
-            Some(_) => Err(Refusal::permanent(RefusalReason::Forbidden)),
-            None => Err(Refusal::permanent(RefusalReason::UnknownProgram)),
-        }
-    }
-
-    /// Notes the identity of a replica's store.
-    pub fn note_identity(&self, identity: ReplicaId) {
-        self.identities.borrow_mut().insert(identity.node, identity);
-    }
-
-    /// A new run number, and the replicas that it names.
-    pub fn new_run(&self) -> Result<NewRun, Refusal> {
-        let unique: u64 = rand::random();
-        let membership = self.membership.borrow();
-        let identities = self.identities.borrow();
-        let known = membership
-            .members()
-            .filter(|member| identities.contains_key(&member.node));
-        let members = rendezvous::replicas_for_new_run(u128::from(unique), &self.region, known);
-        let nodes: Vec<NodeId> = members.iter().map(|member| member.node).collect();
-        let replicas = nodes
-            .iter()
-            .filter_map(|node| identities.get(node).copied())
-            .collect();
-        let Ok(nodes) = <[NodeId; REPLICAS_PER_RUN]>::try_from(nodes) else {
-            let reason = RefusalReason::NoQuorum;
-            return Err(Refusal::retry_after(reason, crate::RETRY_DELAY));
-        };
-        Ok(NewRun {
-            run: RunId::compose(unique, nodes),
-            replicas,
-        })
-    }
-
-    /// The known nodes that a run's number names as its replicas.
-    pub fn replicas_of(&self, run: RunId) -> Vec<NodeId> {
-        let hints = run.replica_hints();
-        let membership = self.membership.borrow();
-        membership
-            .members()
-            .filter(|member| member.has_disk)
-            .filter(|member| hints.iter().any(|hint| hint.matches(member.node)))
-            .map(|member| member.node)
-            .collect()
-    }
-
-    /// The replicas that a run's number names, without those that are known to be down.
-    pub fn present_replicas_of(&self, run: RunId) -> Vec<NodeId> {
-        let replicas = self.replicas_of(run).into_iter();
-        replicas.filter(|node| self.is_present(*node)).collect()
-    }
-
-    /// All present nodes with a disk.
-    pub fn present_disk_nodes(&self) -> Vec<NodeId> {
-        let membership = self.membership.borrow();
-        let present = membership.members();
-        let present = present.filter(|member| member.has_disk && member.state.is_present());
-        present.map(|member| member.node).collect()
-    }
-
     /// Whether this node dispatches the calls of a service.
     pub fn is_own_service(&self, service: &ServiceName) -> bool {
         let own = self.membership.borrow().own().node;
@@ -232,13 +119,6 @@
         self.owner_of(run)
     }
 
-    /// Whether a replica's node came back with another store.
-    pub fn has_other_store(&self, replica: ReplicaId) -> bool {
-        let identities = self.identities.borrow();
-        let known = identities.get(&replica.node);
-        known.is_some_and(|known| !known.same_acceptor(replica))
-    }
-
     /// Whether a node has been down for this long, as far as this node knows.
     pub fn is_absent_for(&self, node: NodeId, time: Duration) -> bool {
         let now = self.clock.now();
@@ -258,31 +138,6 @@
         }
     }
 
-    /// The store to take the place of a lost replica: in a zone that the rest of the set does not have, where there is one.
-    pub fn replacement_for(
-        &self,
-        run: RunId,
-        members: &[ReplicaId],
-        lost: ReplicaId,
-    ) -> Option<ReplicaId> {
-        let identities = self.identities.borrow();
-        let membership = self.membership.borrow();
-        let taken = members.iter().filter(|member| **member != lost);
-        let taken = taken.filter_map(|member| membership.member(member.node));
-        let taken: Vec<&ZoneName> = taken.map(|member| &member.zone).collect();
-        let free = membership.members().filter(|member| {
-            let in_set = members.iter().any(|replica| replica.node == member.node);
-            member.has_disk && member.state == MemberState::Alive && !in_set
-        });
-        let known = free.filter_map(|member| Some((member, identities.get(&member.node)?)));
-        let best = known.min_by_key(|(member, _)| {
-            let shares_zone = taken.contains(&&member.zone);
-            let spread = xxh3_128(&(run.0 ^ u128::from(member.node.0)).to_le_bytes());
-            (shares_zone, spread)
-        });
-        best.map(|(_, identity)| *identity)
-    }
-
     /// The node to ask first for a run.
     pub fn owner_of(&self, run: RunId) -> Option<NodeId> {
         self.owner_candidates(run).first().copied()
