Let test clients come back after a refusal instead of asking fifty times at once

Found by printing the status: no call had come to the dispatcher at all. The product refused with a time to come back, as it should.

--- a/crates/node/tests/preemption.rs
+++ b/crates/node/tests/preemption.rs
@@ -31,8 +31,8 @@
         let start = Instant::now();
         let headers = [("x-ridgeworks-repeatable", "true")];
         // A node may refuse until it has the configuration.
-        let call = |_| chat_with(&agent, edge, run, 1, max_tokens, &headers);
-        let answer = (0..50).find_map(call);
+        let call = || chat_with(&agent, edge, run, 1, max_tokens, &headers);
+        let answer = support::ask_until_answered(call);
         answer.map(|_| start.elapsed())
     })
 }
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -25,6 +25,20 @@
 const NAMES: [&str; 3] = ["na", "nb", "nc"];
 const START_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Asks again until there is an answer, as a client does that is refused with a time to come back;
+/// gives up after a while.
+pub fn ask_until_answered<T>(mut ask: impl FnMut() -> Option<T>) -> Option<T> {
+    let start = Instant::now();
+    while start.elapsed() < START_TIMEOUT {
+        let answer = ask();
+        if answer.is_some() {
+            return answer;
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+    None
+}
+
 /// Waits until a condition holds, and fails after `within`.
 pub fn eventually(what: &str, within: Duration, mut holds: impl FnMut() -> bool) -> Duration {
     let start = Instant::now();
@@ -244,9 +258,9 @@
         let edge = self.nodes[self.owner(run)].edge;
         thread::spawn(move || {
             let agent: Agent = Agent::config_builder().build().into();
-            // The nodes are killed before it is answered; before that they may not all be ready.
-            let asked = |_: &i32| chat_at(&agent, edge, run, 1, max_tokens).is_some();
-            (0..50).find(asked)
+            // The nodes are killed before it is answered; before that they may not all be ready, and
+            // refuse it with a time to come back.
+            ask_until_answered(|| chat_at(&agent, edge, run, 1, max_tokens));
         });
     }
 
