--- /dev/null
+++ b/crates/gateway/src/entry.rs
@@ -0,0 +1,207 @@
+//! Reads a client's request and finds its route.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::HOST;
+use http::request::Parts;
+use http::{HeaderMap, Method, Request, Response};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use ridgeworks_platform::{read_metadata, refusal_headers, refusal_status};
+use ridgeworks_routing::{CallMetadata, CallerLimits, Refusal, RefusalReason, Route};
+use tokio::time::Instant;
+
+use crate::caller::{Caller, CallerBody};
+use crate::exchange;
+use crate::gateway::{BodyRoom, Gateway, OpenRequest};
+
+/// When a client may come back after a refusal that passes by itself.
+pub const COME_BACK: Duration = Duration::from_millis(150);
+/// Requests that are open at once.
+const MAX_OPEN_REQUESTS: usize = 4_000;
+/// How long a body may take.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Bounds before any configuration is known.
+const DEFAULT_LIMITS: CallerLimits = CallerLimits {
+    max_header_bytes: 16 * 1024,
+    max_body_bytes: 4 * 1024 * 1024,
+    header_timeout_ms: 3_000,
+    idle_timeout_ms: 15_000,
+};
+
+/// One attempt of a client, ready to be carried out.
+pub struct Call {
+    /// Its method.
+    pub method: Method,
+    /// Its path and query, as they came.
+    pub path: String,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+    /// What its headers say.
+    pub metadata: CallMetadata,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The service that is to run it.
+    pub service: String,
+    /// Version of the configuration that decided.
+    pub version: u64,
+    /// When its head came.
+    pub received: Instant,
+    /// When it has to be answered.
+    pub limit: Instant,
+    /// Held for as long as the request is.
+    pub _room: BodyRoom,
+    /// Held for as long as the request is.
+    pub _open: OpenRequest,
+}
+
+/// The bounds for clients in force.
+pub fn caller_limits(gateway: &Gateway) -> CallerLimits {
+    let routes = gateway.node.view.routes();
+    routes.map_or(DEFAULT_LIMITS, |routes| routes.limits())
+}
+
+/// An answer without an engine's.
+pub fn refusal_response(refusal: &Refusal) -> Response<Bytes> {
+    let mut response = Response::new(Bytes::new());
+    *response.status_mut() = refusal_status(refusal.reason);
+    *response.headers_mut() = refusal_headers(refusal);
+    response
+}
+
+/// Answers one request. Dropping the future means that the client has gone away.
+pub async fn answer(gateway: Rc<Gateway>, request: Request<Incoming>) -> Response<CallerBody> {
+    let received = Instant::now();
+    let open = gateway.open();
+    let (parts, body) = request.into_parts();
+    let taken = match read_body(&gateway, body).await {
+        Ok((body, room)) => take(&gateway, &parts, body, room, open, received),
+        Err(refusal) => Err(refusal),
+    };
+    let call = match taken {
+        Ok(call) => call,
+        Err(refusal) => return refuse(&gateway, &parts, &refusal),
+    };
+    let (caller, head) = Caller::new();
+    tokio::task::spawn_local(exchange::run(Rc::clone(&gateway), call, caller));
+    match head.await {
+        Ok(response) => response,
+        // The exchange ended without an answer, which only a fault of this program does.
+        Err(_) => refuse(
+            &gateway,
+            &parts,
+            &Refusal::last(RefusalReason::EngineFailed),
+        ),
+    }
+}
+
+fn refuse(gateway: &Gateway, parts: &Parts, refusal: &Refusal) -> Response<CallerBody> {
+    gateway.metrics.on_refused(refusal.reason);
+    let metadata = read_metadata(&parts.headers).unwrap_or_default();
+    log::info!(
+        target: "request",
+        request = metadata.request_id.as_str(),
+        path = parts.uri.path(),
+        outcome = "refused",
+        reason = refusal.reason.name(),
+        version = gateway.node.view.version(),
+        version_age_ms = age_ms(gateway);
+        "request refused at entry"
+    );
+    refusal_response(refusal).map(|body| CallerBody::Whole(Some(body)))
+}
+
+/// Milliseconds since the configuration was confirmed, -1 when it never was.
+pub fn age_ms(gateway: &Gateway) -> i64 {
+    let age = gateway.node.view.unconfirmed_for();
+    age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX))
+}
+
+async fn read_body(gateway: &Rc<Gateway>, body: Incoming) -> Result<(Bytes, BodyRoom), Refusal> {
+    let max_bytes = caller_limits(gateway).max_body_bytes;
+    let announced = hyper::body::Body::size_hint(&body).lower();
+    if announced > max_bytes {
+        return Err(Refusal::last(RefusalReason::BodyTooLarge));
+    }
+    let overloaded = Refusal::come_back(RefusalReason::Overloaded, COME_BACK);
+    if gateway.open_requests() > MAX_OPEN_REQUESTS {
+        return Err(overloaded);
+    }
+    let max_bytes = usize::try_from(max_bytes).unwrap_or(usize::MAX);
+    let reading = Limited::new(body, max_bytes).collect();
+    let collected = match tokio::time::timeout(BODY_TIMEOUT, reading).await {
+        Ok(Ok(collected)) => collected.to_bytes(),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            return Err(Refusal::last(RefusalReason::BodyTooLarge));
+        }
+        Ok(Err(_)) | Err(_) => return Err(Refusal::last(RefusalReason::BadRequest)),
+    };
+    let room = gateway.body_room(collected.len()).ok_or(overloaded)?;
+    Ok((collected, room))
+}
+
+fn take(
+    gateway: &Rc<Gateway>,
+    parts: &Parts,
+    body: Bytes,
+    room: BodyRoom,
+    open: OpenRequest,
+    received: Instant,
+) -> Result<Call, Refusal> {
+    let bad_request = Refusal::last(RefusalReason::BadRequest);
+    let metadata = read_metadata(&parts.headers).map_err(|_| bad_request)?;
+    if metadata.request_id.is_empty() || parts.method == Method::CONNECT {
+        return Err(bad_request);
+    }
+    let host = host(parts).ok_or(bad_request)?;
+    let routes = gateway.node.view.routes();
+    let routes = routes.ok_or(Refusal::come_back(
+        RefusalReason::NoConfiguration,
+        COME_BACK,
+    ))?;
+    let route = routes.find(&host, parts.uri.path());
+    let route = route.ok_or_else(|| no_route(gateway))?;
+    let no_engine = Refusal::come_back(RefusalReason::NoEngine, COME_BACK);
+    let service = gateway.next_service(route).ok_or(no_engine)?;
+    let wait = metadata.deadline.unwrap_or(route.timeout());
+    let path = parts.uri.path_and_query();
+    Ok(Call {
+        method: parts.method.clone(),
+        path: path.map_or_else(|| "/".to_owned(), |path| path.as_str().to_owned()),
+        headers: parts.headers.clone(),
+        body,
+        metadata,
+        route: Arc::clone(route),
+        service,
+        version: routes.version(),
+        received,
+        limit: received + wait.min(route.timeout()),
+        _room: room,
+        _open: open,
+    })
+}
+
+fn host(parts: &Parts) -> Option<String> {
+    if let Some(authority) = parts.uri.authority() {
+        return Some(authority.host().to_owned());
+    }
+    let header = parts.headers.get(HOST)?;
+    header.to_str().ok().map(str::to_owned)
+}
+
+/// A gateway that has not heard of the newest configuration for long cannot be certain.
+fn no_route(gateway: &Gateway) -> Refusal {
+    /// A watch that waits confirms the configuration about every five seconds.
+    const UNCERTAIN_AFTER: Duration = Duration::from_secs(8);
+    let age = gateway.node.view.unconfirmed_for();
+    if age.is_some_and(|age| age < UNCERTAIN_AFTER) {
+        Refusal::last(RefusalReason::NoRoute)
+    } else {
+        Refusal::come_back(RefusalReason::ConfigurationStale, COME_BACK)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,236 @@
+//! What all requests of a gateway share.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use ridgeworks_resident::node::Node;
+use ridgeworks_resident::peer::{
+    GossipSources, PeerReply, PeerRequest, PeerService, ReplicaStatus,
+};
+use ridgeworks_routing::{Demand, Engine, Placement, PromptPart, Route, WeightedSplit};
+use tokio::sync::oneshot;
+
+use crate::engine_pool::EnginePool;
+use crate::metrics::GatewayMetrics;
+use crate::records_client::RecordsClient;
+use crate::turn_cache::TurnCache;
+
+/// Part of the process's memory that cached turns may take.
+const CACHE_SHARE: u64 = 8;
+/// Part of the process's memory that bodies of open requests may take.
+const BODY_SHARE: u64 = 4;
+const BYTES_PER_MB: u64 = 1024 * 1024;
+/// How often connections and beliefs that are no longer needed are let go.
+const TIDY_INTERVAL: Duration = Duration::from_secs(1);
+
+/// State of one gateway.
+pub struct Gateway {
+    /// The node that it runs on.
+    pub node: Rc<Node>,
+    /// Load and contents of the engines.
+    pub placement: RefCell<Placement>,
+    /// Splits of routes among services.
+    pub split: RefCell<WeightedSplit>,
+    /// Connections to engines.
+    pub pool: EnginePool,
+    /// Replicated records.
+    pub records: RecordsClient,
+    /// Turns seen lately.
+    pub turns: RefCell<TurnCache>,
+    /// Metrics.
+    pub metrics: GatewayMetrics,
+    body_bytes: Cell<usize>,
+    max_body_bytes: usize,
+    open: Cell<usize>,
+    draining: Cell<bool>,
+}
+
+/// Room for the body of one request; given back when dropped.
+pub struct BodyRoom {
+    gateway: Rc<Gateway>,
+    bytes: usize,
+}
+
+impl Drop for BodyRoom {
+    fn drop(&mut self) {
+        let taken = &self.gateway.body_bytes;
+        taken.set(taken.get().saturating_sub(self.bytes));
+    }
+}
+
+/// A request that is open; closed when dropped.
+pub struct OpenRequest(Rc<Gateway>);
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get().saturating_sub(1));
+        self.0.metrics.open_requests.dec();
+    }
+}
+
+/// A request that is at an engine; has left it when dropped.
+pub struct AtEngine {
+    gateway: Rc<Gateway>,
+    instance: String,
+}
+
+impl Drop for AtEngine {
+    fn drop(&mut self) {
+        self.gateway.placement.borrow_mut().on_ended(&self.instance);
+    }
+}
+
+impl Gateway {
+    /// A gateway on this node.
+    pub fn new(node: Rc<Node>, metrics: GatewayMetrics) -> Rc<Self> {
+        let memory = node.settings.limits.memory_mb * BYTES_PER_MB;
+        let records = RecordsClient::new(Rc::clone(&node));
+        Rc::new(Self {
+            node,
+            placement: RefCell::default(),
+            split: RefCell::default(),
+            pool: EnginePool::default(),
+            records,
+            turns: RefCell::new(TurnCache::new((memory / CACHE_SHARE) as usize)),
+            metrics,
+            body_bytes: Cell::new(0),
+            max_body_bytes: (memory / BODY_SHARE) as usize,
+            open: Cell::new(0),
+            draining: Cell::new(false),
+        })
+    }
+
+    /// Time since the start of the process.
+    pub fn now(&self) -> Duration {
+        self.node.clock.now()
+    }
+
+    /// Whether the platform should send new clients here.
+    pub fn is_ready(&self) -> bool {
+        let view = &self.node.view;
+        !self.draining.get() && view.routes().is_some() && view.engines_known()
+    }
+
+    /// No new clients are wanted from now on.
+    pub fn drain(&self) {
+        self.draining.set(true);
+    }
+
+    /// Requests that are open.
+    pub fn open_requests(&self) -> usize {
+        self.open.get()
+    }
+
+    /// Counts a request as open.
+    pub fn open(self: &Rc<Self>) -> OpenRequest {
+        self.open.set(self.open.get() + 1);
+        self.metrics.requests.inc();
+        self.metrics.open_requests.inc();
+        OpenRequest(Rc::clone(self))
+    }
+
+    /// Room for a body of so many bytes; `None` when open requests take all there is.
+    pub fn body_room(self: &Rc<Self>, bytes: usize) -> Option<BodyRoom> {
+        let taken = self.body_bytes.get() + bytes;
+        if taken > self.max_body_bytes {
+            return None;
+        }
+        self.body_bytes.set(taken);
+        Some(BodyRoom {
+            gateway: Rc::clone(self),
+            bytes,
+        })
+    }
+
+    /// The service of a route's next request.
+    pub fn next_service(&self, route: &Route) -> Option<String> {
+        let index = self.split.borrow_mut().next(route)?;
+        route.services.get(index).map(|part| part.service.clone())
+    }
+
+    /// The engine that should get a request.
+    pub fn choose_engine(&self, demand: &Demand<'_>) -> Option<Engine> {
+        let now = self.now();
+        let placement = self.placement.borrow();
+        self.node
+            .view
+            .with_engines(|table| placement.choose(table, demand, now).cloned())
+    }
+
+    /// Notes that a request goes to an engine.
+    pub fn send_to(self: &Rc<Self>, instance: &str, parts: &[PromptPart]) -> AtEngine {
+        self.placement.borrow_mut().on_sent(instance, parts);
+        AtEngine {
+            gateway: Rc::clone(self),
+            instance: instance.to_owned(),
+        }
+    }
+
+    /// Notes that an engine failed a request.
+    pub fn on_engine_failure(&self, instance: &str) {
+        let now = self.now();
+        self.placement.borrow_mut().health(instance).on_failure(now);
+    }
+
+    /// Notes that an engine served a request.
+    pub fn on_engine_success(&self, instance: &str) {
+        self.placement.borrow_mut().health(instance).on_success();
+    }
+
+    /// Lets go of what is no longer needed, until the process ends.
+    pub async fn tidy(self: Rc<Self>) {
+        let mut ticks = tokio::time::interval(TIDY_INTERVAL);
+        loop {
+            ticks.tick().await;
+            let now = self.now();
+            let mut placement = self.placement.borrow_mut();
+            self.node.view.with_engines(|table| {
+                placement.retain(table, now);
+                self.pool.prune(table);
+            });
+        }
+    }
+
+    /// Brings the gauges up to date.
+    pub fn update_gauges(&self) {
+        let view = &self.node.view;
+        let metrics = &self.metrics;
+        let whole = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
+        metrics.configuration_version.set(whole(view.version()));
+        let age = view
+            .unconfirmed_for()
+            .map_or(-1, |age| whole(age.as_secs()));
+        metrics.configuration_age_seconds.set(age);
+        let engines = view.with_engines(|table| table.len() as u64);
+        metrics.engines.set(whole(engines));
+        metrics.replica_set_epoch.set(whole(view.epoch().0));
+        metrics.store_calls.set(whole(self.node.store.calls()));
+    }
+}
+
+impl GossipSources for Gateway {
+    fn load(&self) -> Vec<(u64, u32)> {
+        self.placement.borrow().report()
+    }
+
+    fn replica(&self) -> Option<ReplicaStatus> {
+        None
+    }
+
+    fn on_load(&self, from: &str, load: Vec<(u64, u32)>) {
+        let now = self.now();
+        self.placement.borrow_mut().on_report(from, load, now);
+    }
+}
+
+impl PeerService for Gateway {
+    fn on_request(&self, request: PeerRequest, reply: oneshot::Sender<PeerReply>) {
+        let answer = match request {
+            PeerRequest::FetchView => PeerReply::View(self.node.view.snapshot()),
+            PeerRequest::Replica { .. } => PeerReply::Unsupported,
+        };
+        // Whoever asked may have given up.
+        let _ = reply.send(answer);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,22 @@
+//! The gateway: takes requests of clients, chooses engines, passes answers on.
+//!
+//! A request comes in through [`listener`], is read by `entry`, and carried out by `exchange`: the earlier
+//! turns are read and the tokens reserved (`records_client`), an engine is chosen and asked (`attempt`), and
+//! its answer is passed on whole (`whole_answer`) or event by event (`streaming`).
+
+mod attempt;
+mod caller;
+mod engine_pool;
+mod entry;
+mod exchange;
+mod gateway;
+mod listener;
+mod metrics;
+mod records_client;
+mod role;
+mod streaming;
+mod turn_cache;
+mod whole_answer;
+
+pub use gateway::Gateway;
+pub use role::{GatewayError, run};
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,199 @@
+//! Counters and histograms of a gateway.
+
+use std::time::Duration;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+use ridgeworks_routing::RefusalReason;
+
+/// Upper bounds of the classes of times, in seconds.
+const TIME_BOUNDS: [f64; 14] = [
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 15.0,
+];
+
+/// Label of counters by reason.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ReasonLabel {
+    /// Why.
+    pub reason: &'static str,
+}
+
+/// All metrics of a gateway.
+pub struct GatewayMetrics {
+    /// Requests taken.
+    pub requests: Counter,
+    /// Requests that are open.
+    pub open_requests: Gauge,
+    /// Requests by how they ended.
+    pub ended: Family<ReasonLabel, Counter>,
+    /// Requests refused, by reason.
+    pub refused: Family<ReasonLabel, Counter>,
+    /// Attempts at engines that did not succeed, by reason.
+    pub failed_attempts: Family<ReasonLabel, Counter>,
+    /// New connections to engines.
+    pub engine_connections: Counter,
+    /// Time to reserve tokens.
+    pub reserve_seconds: Histogram,
+    /// Time to read earlier turns.
+    pub chain_read_seconds: Histogram,
+    /// Time to write the record of a turn.
+    pub append_seconds: Histogram,
+    /// Time from the request to the first event.
+    pub first_event_seconds: Histogram,
+    /// Time from the request to the end of its answer.
+    pub request_seconds: Histogram,
+    /// Time to connect to an engine.
+    pub connect_seconds: Histogram,
+    /// Version of the configuration in force.
+    pub configuration_version: Gauge,
+    /// Seconds since the configuration was confirmed as the newest one.
+    pub configuration_age_seconds: Gauge,
+    /// Engines that are known.
+    pub engines: Gauge,
+    /// Epoch of the replica set.
+    pub replica_set_epoch: Gauge,
+    /// Calls to the platform's store.
+    pub store_calls: Gauge,
+}
+
+fn times() -> Histogram {
+    Histogram::new(TIME_BOUNDS)
+}
+
+impl GatewayMetrics {
+    /// Registers all metrics.
+    pub fn register(registry: &mut Registry) -> Self {
+        let metrics = Self {
+            requests: Counter::default(),
+            open_requests: Gauge::default(),
+            ended: Family::default(),
+            refused: Family::default(),
+            failed_attempts: Family::default(),
+            engine_connections: Counter::default(),
+            reserve_seconds: times(),
+            chain_read_seconds: times(),
+            append_seconds: times(),
+            first_event_seconds: times(),
+            request_seconds: times(),
+            connect_seconds: times(),
+            configuration_version: Gauge::default(),
+            configuration_age_seconds: Gauge::default(),
+            engines: Gauge::default(),
+            replica_set_epoch: Gauge::default(),
+            store_calls: Gauge::default(),
+        };
+        metrics.register_requests(registry);
+        metrics.register_times(registry);
+        metrics.register_beliefs(registry);
+        metrics
+    }
+
+    fn register_requests(&self, registry: &mut Registry) {
+        let requests = self.requests.clone();
+        registry.register("requests", "Requests taken", requests);
+        let open = self.open_requests.clone();
+        registry.register("open_requests", "Requests that are open", open);
+        let ended = self.ended.clone();
+        registry.register("requests_ended", "Requests by how they ended", ended);
+        let refused = self.refused.clone();
+        registry.register("requests_refused", "Requests refused, by reason", refused);
+        let failed = self.failed_attempts.clone();
+        let help = "Attempts at engines that did not succeed, by reason";
+        registry.register("attempts_failed", help, failed);
+        let connections = self.engine_connections.clone();
+        registry.register(
+            "engine_connections",
+            "New connections to engines",
+            connections,
+        );
+    }
+
+    fn register_times(&self, registry: &mut Registry) {
+        let histograms = [
+            (
+                "reserve_seconds",
+                "Time to reserve tokens",
+                &self.reserve_seconds,
+            ),
+            (
+                "chain_read_seconds",
+                "Time to read earlier turns at replicas",
+                &self.chain_read_seconds,
+            ),
+            (
+                "append_seconds",
+                "Time to write the record of a turn",
+                &self.append_seconds,
+            ),
+            (
+                "first_event_seconds",
+                "Time from the request to the first event",
+                &self.first_event_seconds,
+            ),
+            (
+                "request_seconds",
+                "Time from the request to the end of its answer",
+                &self.request_seconds,
+            ),
+            (
+                "engine_connect_seconds",
+                "Time to connect to an engine",
+                &self.connect_seconds,
+            ),
+        ];
+        for (name, help, histogram) in histograms {
+            registry.register(name, help, histogram.clone());
+        }
+    }
+
+    fn register_beliefs(&self, registry: &mut Registry) {
+        let gauges = [
+            (
+                "configuration_version",
+                "Version of the configuration in force",
+                &self.configuration_version,
+            ),
+            (
+                "configuration_age_seconds",
+                "Seconds since the configuration was confirmed as the newest one",
+                &self.configuration_age_seconds,
+            ),
+            ("engines", "Engines that are known", &self.engines),
+            (
+                "replica_set_epoch",
+                "Epoch of the replica set",
+                &self.replica_set_epoch,
+            ),
+            (
+                "store_calls",
+                "Calls to the platform's store so far",
+                &self.store_calls,
+            ),
+        ];
+        for (name, help, gauge) in gauges {
+            registry.register(name, help, gauge.clone());
+        }
+    }
+
+    /// Counts a refusal.
+    pub fn on_refused(&self, reason: RefusalReason) {
+        let reason = reason.name();
+        self.refused.get_or_create(&ReasonLabel { reason }).inc();
+    }
+
+    /// Counts the end of a request.
+    pub fn on_ended(&self, reason: &'static str, taken: Duration) {
+        self.ended.get_or_create(&ReasonLabel { reason }).inc();
+        self.request_seconds.observe(taken.as_secs_f64());
+    }
+
+    /// Counts an attempt at an engine that did not succeed.
+    pub fn on_failed_attempt(&self, reason: &'static str) {
+        let label = ReasonLabel { reason };
+        self.failed_attempts.get_or_create(&label).inc();
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/records_client.rs
@@ -0,0 +1,312 @@
+//! Reads and writes of replicated records: sends what the state machines of `ridgeworks-records` ask for.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::fmt;
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use ridgeworks_records::{
+    ChainOutcome, ChainRead, Epoch, LedgerEntry, ProgramId, ProgramLedger, QuorumWrite, Replica,
+    ReplicaId, ReplicaReply, ReplicaRequest, ReplicaSet, TurnId, TurnRecord, WriteProgress,
+};
+use ridgeworks_resident::node::Node;
+use ridgeworks_resident::peer::{LinkError, PeerReply, PeerRequest};
+use ridgeworks_resident::view::Source;
+use tokio::time::Instant;
+
+/// How long one replica may take before it is asked again.
+const REPLICA_TIMEOUT: Duration = Duration::from_millis(700);
+/// How long the nearest replica may take before the next one is asked too.
+const READ_TIMEOUT: Duration = Duration::from_millis(200);
+/// Pause before a replica that could not answer is asked again.
+const RETRY_PAUSE: Duration = Duration::from_millis(40);
+/// How long a replica that did not answer is asked last.
+const SUSPICION: Duration = Duration::from_secs(1);
+/// How long ledgers and turns are kept beyond what the operators ask, since clocks differ.
+const KEEP_MARGIN: Duration = Duration::from_secs(30);
+
+/// Not enough replicas answered in time; a write may have taken effect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RecordsUnavailable;
+
+impl fmt::Display for RecordsUnavailable {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("not enough replicas answered in time")
+    }
+}
+
+impl std::error::Error for RecordsUnavailable {}
+
+type Reply = (ReplicaId, Result<ReplicaReply, LinkError>);
+type Asked = FuturesUnordered<Pin<Box<dyn Future<Output = Reply>>>>;
+
+/// How a write under one set ended.
+enum WriteEnd {
+    Durable(ProgramLedger),
+    Restart(ReplicaSet),
+}
+
+/// Client of the replicas.
+pub struct RecordsClient {
+    node: Rc<Node>,
+    suspects: RefCell<HashMap<ReplicaId, Instant>>,
+}
+
+fn keep_ms(retention: Duration) -> u64 {
+    u64::try_from((retention + KEEP_MARGIN).as_millis()).unwrap_or(u64::MAX)
+}
+
+impl RecordsClient {
+    /// A client on this node.
+    pub fn new(node: Rc<Node>) -> Self {
+        Self {
+            node,
+            suspects: RefCell::default(),
+        }
+    }
+
+    /// Joins an entry into a program's ledger at a majority; the union of what that majority knows.
+    pub async fn charge(
+        &self,
+        program: &ProgramId,
+        turn: &TurnId,
+        entry: LedgerEntry,
+        retention: Duration,
+        limit: Instant,
+    ) -> Result<ProgramLedger, RecordsUnavailable> {
+        let make = |epoch: Epoch| ReplicaRequest::Charge {
+            epoch,
+            program: program.clone(),
+            turn: turn.clone(),
+            entry,
+            keep_ms: keep_ms(retention),
+        };
+        self.write(make, limit).await
+    }
+
+    /// Writes the record of a turn at a majority.
+    pub async fn append(
+        &self,
+        record: &TurnRecord,
+        retention: Duration,
+        limit: Instant,
+    ) -> Result<(), RecordsUnavailable> {
+        let make = |epoch: Epoch| ReplicaRequest::Append {
+            epoch,
+            record: record.clone(),
+            keep_ms: keep_ms(retention),
+        };
+        self.write(make, limit).await.map(drop)
+    }
+
+    /// Reads a turn and all before it.
+    pub async fn read_chain(
+        &self,
+        turn: &TurnId,
+        limit: Instant,
+    ) -> Result<ChainOutcome, RecordsUnavailable> {
+        let reading = self.read_chain_patiently(turn);
+        let outcome = tokio::time::timeout_at(limit, reading).await;
+        outcome.map_err(|_| RecordsUnavailable)
+    }
+
+    async fn read_chain_patiently(&self, turn: &TurnId) -> ChainOutcome {
+        loop {
+            let set = self.replica_set().await;
+            let read = ChainRead::new(set, turn.clone());
+            if let Some(outcome) = self.read_chain_under(read).await {
+                return outcome;
+            }
+        }
+    }
+
+    /// `None` when there is a newer set and the read has to start anew.
+    async fn read_chain_under(&self, mut read: ChainRead) -> Option<ChainOutcome> {
+        loop {
+            let epoch = read.set().epoch;
+            for replica in self.by_nearness(read.candidates()) {
+                let turn = read.wanted().clone();
+                let request = ReplicaRequest::ReadChain { epoch, turn };
+                let reply = self.ask(&replica, request, READ_TIMEOUT).await;
+                match reply {
+                    Ok(ReplicaReply::Chain { records, missing }) => {
+                        let outcome = read.on_chain(replica.id, records, missing);
+                        if outcome.is_some() {
+                            return outcome;
+                        }
+                    }
+                    Ok(ReplicaReply::Stale { set }) => {
+                        self.node.view.adopt_replica_set(set, Source::Peer);
+                        return None;
+                    }
+                    Ok(ReplicaReply::Behind) => {
+                        let set = read.set().clone();
+                        let adopt = ReplicaRequest::Adopt { set };
+                        let _ = self.ask(&replica, adopt, READ_TIMEOUT).await;
+                    }
+                    _ => {}
+                }
+            }
+            if self.node.view.epoch() > epoch {
+                return None;
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    async fn write(
+        &self,
+        make: impl Fn(Epoch) -> ReplicaRequest,
+        limit: Instant,
+    ) -> Result<ProgramLedger, RecordsUnavailable> {
+        let writing = self.write_patiently(make);
+        let outcome = tokio::time::timeout_at(limit, writing).await;
+        outcome.map_err(|_| RecordsUnavailable)
+    }
+
+    async fn write_patiently(&self, make: impl Fn(Epoch) -> ReplicaRequest) -> ProgramLedger {
+        loop {
+            let set = self.replica_set().await;
+            let request = make(set.epoch);
+            match self.write_under(set, request).await {
+                WriteEnd::Durable(ledger) => return ledger,
+                WriteEnd::Restart(set) => self.node.view.adopt_replica_set(set, Source::Peer),
+            }
+        }
+    }
+
+    async fn write_under(&self, set: ReplicaSet, request: ReplicaRequest) -> WriteEnd {
+        let mut changes = self.node.view.changes();
+        let members: HashMap<ReplicaId, Replica> = set
+            .members()
+            .into_iter()
+            .map(|member| (member.id, member.clone()))
+            .collect();
+        let mut write = QuorumWrite::new(set);
+        let mut asked: Asked = FuturesUnordered::new();
+        for member in members.values() {
+            asked.push(self.ask_later(member, request.clone(), None, Duration::ZERO));
+        }
+        loop {
+            let (from, reply) = tokio::select! {
+                Some(reply) = asked.next() => reply,
+                _ = changes.changed() => match self.newer_than(write.set().epoch) {
+                    Some(newer) => return WriteEnd::Restart(newer),
+                    None => continue,
+                },
+            };
+            let progress = match reply {
+                Ok(reply) => write.on_reply(from, reply),
+                Err(_) => WriteProgress::TryLater,
+            };
+            let teach = match progress {
+                WriteProgress::Durable(ledger) => return WriteEnd::Durable(ledger),
+                WriteProgress::Restart(set) => return WriteEnd::Restart(set),
+                WriteProgress::Waiting => continue,
+                WriteProgress::Teach => Some(write.set().clone()),
+                WriteProgress::TryLater => None,
+            };
+            if let Some(member) = members.get(&from) {
+                let pause = if teach.is_some() {
+                    Duration::ZERO
+                } else {
+                    RETRY_PAUSE
+                };
+                asked.push(self.ask_later(member, request.clone(), teach, pause));
+            }
+        }
+    }
+
+    fn newer_than(&self, epoch: Epoch) -> Option<ReplicaSet> {
+        let set = self.node.view.replica_set();
+        set.filter(|set| set.epoch > epoch)
+    }
+
+    /// Asks one replica after a pause, and tells it the set first where it does not know it.
+    fn ask_later(
+        &self,
+        member: &Replica,
+        request: ReplicaRequest,
+        teach: Option<ReplicaSet>,
+        pause: Duration,
+    ) -> Pin<Box<dyn Future<Output = Reply>>> {
+        let node = Rc::clone(&self.node);
+        let member = member.clone();
+        Box::pin(async move {
+            if !pause.is_zero() {
+                tokio::time::sleep(pause).await;
+            }
+            if let Some(set) = teach {
+                let adopt = ReplicaRequest::Adopt { set };
+                let taught = ask(&node, &member, adopt, REPLICA_TIMEOUT).await;
+                if let Err(error) = taught {
+                    return (member.id, Err(error));
+                }
+            }
+            let reply = ask(&node, &member, request, REPLICA_TIMEOUT).await;
+            (member.id, reply)
+        })
+    }
+
+    async fn ask(
+        &self,
+        replica: &Replica,
+        request: ReplicaRequest,
+        timeout: Duration,
+    ) -> Result<ReplicaReply, LinkError> {
+        let reply = ask(&self.node, replica, request, timeout).await;
+        let mut suspects = self.suspects.borrow_mut();
+        if reply.is_err() {
+            suspects.insert(replica.id, Instant::now() + SUSPICION);
+        } else {
+            suspects.remove(&replica.id);
+        }
+        reply
+    }
+
+    /// Replicas that answered lately first, among them those of the own zone.
+    fn by_nearness(&self, mut replicas: Vec<Replica>) -> Vec<Replica> {
+        let now = Instant::now();
+        let suspects = self.suspects.borrow();
+        replicas.sort_by_key(|replica| {
+            let suspected = suspects.get(&replica.id).is_some_and(|until| now < *until);
+            (suspected, replica.zone != self.node.settings.zone)
+        });
+        replicas
+    }
+
+    /// The replica set; waits until one is known.
+    async fn replica_set(&self) -> ReplicaSet {
+        let mut changes = self.node.view.changes();
+        loop {
+            if let Some(set) = self.node.view.replica_set() {
+                return set;
+            }
+            if changes.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+}
+
+async fn ask(
+    node: &Node,
+    replica: &Replica,
+    request: ReplicaRequest,
+    timeout: Duration,
+) -> Result<ReplicaReply, LinkError> {
+    let Ok(address) = replica.address.parse() else {
+        return Err(LinkError::Unreachable);
+    };
+    let to = replica.id;
+    let request = PeerRequest::Replica { to, request };
+    match node.links.call(address, request, timeout).await? {
+        PeerReply::Replica(reply) => Ok(reply),
+        _ => Err(LinkError::Broken),
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod outbound;
 pub mod owner;
 pub mod replica;
+pub mod resident;
 pub mod router;
 pub mod settings;
 pub mod shutdown;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -4,8 +4,8 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
-use ridgeworks_node::settings::{self, Flags, Settings, SettingsError};
-use ridgeworks_node::{daemon, logging};
+use ridgeworks_node::settings::{self, Flags};
+use ridgeworks_node::{daemon, logging, resident};
 
 /// Node of the ridgeworks scheduler.
 #[derive(Debug, Parser)]
@@ -22,6 +22,12 @@
 
 #[derive(Debug, Subcommand)]
 enum Command {
+    /// Runs as a resident of the users' platform, in the role that its settings name.
+    Resident {
+        /// Settings file, in TOML; by default the one that the platform names.
+        #[arg(long)]
+        settings: Option<PathBuf>,
+    },
     /// Prints every fault of a settings file with its key, its value and what is allowed.
     CheckSettings {
         /// The settings file.
@@ -34,12 +40,20 @@
 fn main() -> ExitCode {
     let command_line = CommandLine::parse();
     match &command_line.command {
+        Some(Command::Resident { settings }) => run_resident(settings.clone()),
+        Some(Command::CheckSettings { file, flags }) if resident::is_resident_file(file) => {
+            report(resident::check(file))
+        }
         Some(Command::CheckSettings { file, flags }) => report(settings::load(Some(file), flags)),
         None => run(&command_line),
     }
 }
 
-fn report(result: Result<Settings, SettingsError>) -> ExitCode {
+fn run_resident(settings: Option<PathBuf>) -> ExitCode {
+    report(resident::run(settings))
+}
+
+fn report<T, E: std::fmt::Display>(result: Result<T, E>) -> ExitCode {
     match result {
         Ok(_) => ExitCode::SUCCESS,
         Err(error) => {
@@ -52,7 +66,7 @@
 fn run(command_line: &CommandLine) -> ExitCode {
     let settings = match settings::load(command_line.settings.as_deref(), &command_line.flags) {
         Ok(settings) => settings,
-        Err(error) => return report(Err(error)),
+        Err(error) => return report::<(), _>(Err(error)),
     };
     if let Err(error) = logging::start(&settings.log) {
         eprintln!("{error}");
--- /dev/null
+++ b/crates/node/src/resident.rs
@@ -0,0 +1,85 @@
+//! Runs as a resident of the users' platform: a gateway or a replica, as the settings say.
+
+use std::fmt;
+use std::io;
+use std::path::{Path, PathBuf};
+
+use ridgeworks_gateway::GatewayError;
+use ridgeworks_platform::settings_path;
+use ridgeworks_replica::ReplicaError;
+use ridgeworks_resident::logging::{self, LogError};
+use ridgeworks_resident::settings::{NodeSettings, NodeSettingsError, Role};
+use tokio::runtime::Builder;
+use tokio::task::LocalSet;
+
+/// Key that only settings of a resident have.
+const ROLE_KEY: &str = "role";
+
+/// Why a resident could not run.
+#[derive(Debug)]
+pub enum ResidentError {
+    /// The settings cannot be used.
+    Settings(NodeSettingsError),
+    /// The log could not be started.
+    Log(LogError),
+    /// The runtime could not be started.
+    Runtime(io::Error),
+    /// The gateway failed.
+    Gateway(GatewayError),
+    /// The replica failed.
+    Replica(ReplicaError),
+}
+
+impl fmt::Display for ResidentError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Settings(error) => error.fmt(formatter),
+            Self::Log(error) => error.fmt(formatter),
+            Self::Runtime(error) => write!(formatter, "cannot start the runtime: {error}"),
+            Self::Gateway(error) => error.fmt(formatter),
+            Self::Replica(error) => error.fmt(formatter),
+        }
+    }
+}
+
+impl std::error::Error for ResidentError {}
+
+/// Runs until the platform stops the process.
+pub fn run(settings: Option<PathBuf>) -> Result<(), ResidentError> {
+    let path = settings.or_else(settings_path);
+    let path = path.ok_or(ResidentError::Settings(NodeSettingsError::NoFile))?;
+    let settings = check(&path).map_err(ResidentError::Settings)?;
+    let log_counters = logging::start().map_err(ResidentError::Log)?;
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(ResidentError::Runtime)?;
+    let outcome = LocalSet::new().block_on(&runtime, async {
+        match settings.role {
+            Role::Gateway => ridgeworks_gateway::run(settings, path, log_counters)
+                .await
+                .map_err(ResidentError::Gateway),
+            Role::Replica => ridgeworks_replica::run(settings, path, log_counters)
+                .await
+                .map_err(ResidentError::Replica),
+        }
+    });
+    // A disk that hangs must not keep the process.
+    runtime.shutdown_background();
+    if let Err(error) = &outcome {
+        log::error!(target: "process", detail:% = error; "failed");
+    }
+    outcome
+}
+
+/// Reads and checks settings of a resident.
+pub fn check(path: &Path) -> Result<NodeSettings, NodeSettingsError> {
+    NodeSettings::load(path)
+}
+
+/// Whether a file holds settings of a resident.
+pub fn is_resident_file(path: &Path) -> bool {
+    let text = std::fs::read_to_string(path).unwrap_or_default();
+    let table = text.parse::<toml::Table>().unwrap_or_default();
+    table.contains_key(ROLE_KEY)
+}
--- /dev/null
+++ b/crates/records/src/message.rs
@@ -0,0 +1,107 @@
+//! Messages between gateways and replicas, and among replicas.
+
+use rkyv::{Archive, Deserialize, Serialize};
+
+use crate::identifiers::{Epoch, ProgramId, RecordKey, TurnId};
+use crate::ledger::{LedgerEntry, ProgramLedger};
+use crate::replica_set::ReplicaSet;
+use crate::turn::TurnRecord;
+
+/// What a replica is asked.
+#[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub enum ReplicaRequest {
+    /// Joins an entry into a program's ledger and tells the whole ledger.
+    Charge {
+        /// The set that the sender counts its quorum in.
+        epoch: Epoch,
+        /// The program.
+        program: ProgramId,
+        /// The turn that takes the tokens.
+        turn: TurnId,
+        /// Its entry.
+        entry: LedgerEntry,
+        /// How long the ledger is kept after its last change, in milliseconds.
+        keep_ms: u64,
+    },
+    /// Writes the record of a turn.
+    Append {
+        /// The set that the sender counts its quorum in.
+        epoch: Epoch,
+        /// The record.
+        record: TurnRecord,
+        /// How long it is kept, in milliseconds.
+        keep_ms: u64,
+    },
+    /// Reads a turn and all before it, as far as the replica has them.
+    ReadChain {
+        /// The set that the sender counts its quorum in.
+        epoch: Epoch,
+        /// The newest turn.
+        turn: TurnId,
+    },
+    /// Tells a newer replica set.
+    Adopt {
+        /// The set.
+        set: ReplicaSet,
+    },
+    /// Lists records, for a replica that copies them.
+    List {
+        /// The set under which the copy is made.
+        epoch: Epoch,
+        /// Records up to this one were listed before.
+        after: Option<RecordKey>,
+    },
+    /// Reads records of turns, for a replica that copies them.
+    Fetch {
+        /// The turns.
+        turns: Vec<TurnId>,
+    },
+}
+
+/// One page of a replica's records.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct Listing {
+    /// Turns, with the milliseconds that each is still kept.
+    pub turns: Vec<(TurnId, u64)>,
+    /// Ledgers, with the milliseconds that each is still kept.
+    pub ledgers: Vec<(ProgramId, ProgramLedger, u64)>,
+    /// Where the next page starts; `None` at the end.
+    pub next: Option<RecordKey>,
+}
+
+/// What a replica answers.
+#[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub enum ReplicaReply {
+    /// The entry is durable; the ledger as it is known here.
+    Charged {
+        /// All entries of the program.
+        ledger: ProgramLedger,
+    },
+    /// What was asked is durable.
+    Done,
+    /// Records from the newest turn backwards.
+    Chain {
+        /// The records, newest first.
+        records: Vec<TurnRecord>,
+        /// The turn at which the replica had no record; `None` when the chain is whole.
+        missing: Option<TurnId>,
+    },
+    /// A page of records.
+    Listed(Listing),
+    /// Records of turns; those that expired meanwhile are left out.
+    Fetched {
+        /// The records.
+        records: Vec<TurnRecord>,
+    },
+    /// The sender's epoch is older than the replica's.
+    Stale {
+        /// The replica's set.
+        set: ReplicaSet,
+    },
+    /// The replica does not know the sender's epoch yet.
+    Behind,
+    /// The replica does not belong to the set.
+    NotMember,
+    /// The replica's disk takes nothing, or no room is left.
+    Unavailable,
+}
--- /dev/null
+++ b/crates/records/src/plan.rs
@@ -0,0 +1,151 @@
+//! How the replica set is to change, from what a storage node sees.
+
+use std::collections::BTreeSet;
+
+use crate::identifiers::{Epoch, ReplicaId};
+use crate::replica_set::{Replica, ReplicaSet, majority};
+
+/// A storage node as another one sees it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StorageNode {
+    /// The replica that it runs.
+    pub replica: Replica,
+    /// Whether it answered lately.
+    pub alive: bool,
+    /// Whether it is to be emptied.
+    pub retiring: bool,
+}
+
+/// The next set to write to the register, or `None` when nothing is to be changed.
+///
+/// `size` is the number of replicas wanted; `copied` the replicas that finished the copy of the set's
+/// epoch; `patient` is false once unfinished ones have been waited for long enough.
+pub fn plan_change(
+    set: Option<&ReplicaSet>,
+    nodes: &[StorageNode],
+    size: usize,
+    copied: &BTreeSet<ReplicaId>,
+    patient: bool,
+) -> Option<ReplicaSet> {
+    let Some(set) = set else {
+        return first_set(nodes, size);
+    };
+    let alive: BTreeSet<ReplicaId> = nodes
+        .iter()
+        .filter(|node| node.alive)
+        .map(|node| node.replica.id)
+        .collect();
+    if !set.has_read_quorum(&alive) {
+        // The change could not be completed, and who sees so few may be the one who is cut off.
+        return None;
+    }
+    let Some(incoming) = &set.incoming else {
+        let wanted = wanted_voters(&set.voters, nodes, size);
+        return (!same_replicas(&wanted, &set.voters)).then(|| joint(set, wanted));
+    };
+    let unfinished = |replica: &&Replica| !copied.contains(&replica.id);
+    let waiting_for_alive = incoming
+        .iter()
+        .filter(unfinished)
+        .any(|replica| is_alive(replica, nodes));
+    if set.may_complete(copied) && !(waiting_for_alive && patient) {
+        return Some(ReplicaSet {
+            epoch: next(set.epoch),
+            voters: incoming.clone(),
+            incoming: None,
+        });
+    }
+    let wanted = wanted_voters(&set.voters, nodes, size);
+    let retarget = !patient && !same_replicas(&wanted, incoming);
+    retarget.then(|| joint(set, wanted))
+}
+
+fn next(epoch: Epoch) -> Epoch {
+    Epoch(epoch.0 + 1)
+}
+
+fn joint(set: &ReplicaSet, wanted: Vec<Replica>) -> ReplicaSet {
+    ReplicaSet {
+        epoch: next(set.epoch),
+        voters: set.voters.clone(),
+        incoming: Some(wanted),
+    }
+}
+
+fn first_set(nodes: &[StorageNode], size: usize) -> Option<ReplicaSet> {
+    let voters = wanted_voters(&[], nodes, size);
+    (!voters.is_empty()).then_some(ReplicaSet {
+        epoch: Epoch(1),
+        voters,
+        incoming: None,
+    })
+}
+
+fn find<'a>(replica: &Replica, nodes: &'a [StorageNode]) -> Option<&'a StorageNode> {
+    nodes.iter().find(|node| node.replica.id == replica.id)
+}
+
+fn is_alive(replica: &Replica, nodes: &[StorageNode]) -> bool {
+    find(replica, nodes).is_some_and(|node| node.alive)
+}
+
+fn is_retiring(replica: &Replica, nodes: &[StorageNode]) -> bool {
+    find(replica, nodes).is_some_and(|node| node.retiring)
+}
+
+/// Voters stay while they live. Those that are gone or retire make room for others; where there is no
+/// other, one that is gone stays and one that retires leaves.
+fn wanted_voters(voters: &[Replica], nodes: &[StorageNode], size: usize) -> Vec<Replica> {
+    let staying = voters.iter().filter(|voter| !is_retiring(voter, nodes));
+    let (alive, gone): (Vec<&Replica>, Vec<&Replica>) =
+        staying.partition(|voter| is_alive(voter, nodes));
+    let mut wanted: Vec<Replica> = alive.into_iter().cloned().collect();
+    add_others(&mut wanted, voters, nodes, size);
+    let mut absent: Vec<&Replica> = gone
+        .into_iter()
+        .filter(|voter| !was_replaced(voter, nodes))
+        .collect();
+    while wanted.len() < size.min(voters.len()) {
+        let Some(voter) = absent.pop() else {
+            break;
+        };
+        wanted.push(voter.clone());
+    }
+    if wanted.len() < majority(size).min(voters.len()) {
+        return voters.to_vec();
+    }
+    wanted
+}
+
+/// Whether a voter's node runs another replica now: its disk is lost.
+fn was_replaced(voter: &Replica, nodes: &[StorageNode]) -> bool {
+    nodes
+        .iter()
+        .any(|node| node.alive && node.replica.node == voter.node && node.replica.id != voter.id)
+}
+
+fn add_others(wanted: &mut Vec<Replica>, voters: &[Replica], nodes: &[StorageNode], size: usize) {
+    while wanted.len() < size {
+        let free = nodes.iter().filter(|node| {
+            let known = wanted.iter().chain(voters);
+            let is_known = known.clone().any(|replica| replica.id == node.replica.id);
+            node.alive && !node.retiring && !is_known
+        });
+        let zones: Vec<&String> = wanted.iter().map(|replica| &replica.zone).collect();
+        let best = free.min_by_key(|node| {
+            let crowd = zones.iter().filter(|zone| **zone == &node.replica.zone);
+            (crowd.count(), node.replica.id)
+        });
+        let Some(node) = best else {
+            break;
+        };
+        wanted.push(node.replica.clone());
+    }
+}
+
+fn same_replicas(one: &[Replica], two: &[Replica]) -> bool {
+    let ids = |replicas: &[Replica]| -> BTreeSet<ReplicaId> {
+        replicas.iter().map(|replica| replica.id).collect()
+    };
+    ids(one) == ids(two)
+}
--- /dev/null
+++ b/crates/records/src/quorum_write.rs
@@ -0,0 +1,72 @@
+//! One write at a majority of the replicas, as the gateway sees it.
+
+use std::collections::BTreeSet;
+
+use crate::identifiers::ReplicaId;
+use crate::ledger::ProgramLedger;
+use crate::message::ReplicaReply;
+use crate::replica_set::ReplicaSet;
+
+/// Where a write stands after an answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum WriteProgress {
+    /// More answers are needed.
+    Waiting,
+    /// The write is durable at a majority; the union of the ledgers that came back.
+    Durable(ProgramLedger),
+    /// The replica has to be told the set, then asked again.
+    Teach,
+    /// The replica cannot take it now; it may be asked again later.
+    TryLater,
+    /// There is a newer set; the write starts anew under it.
+    Restart(ReplicaSet),
+}
+
+/// State of one write.
+#[derive(Debug, Clone)]
+pub struct QuorumWrite {
+    set: ReplicaSet,
+    durable: BTreeSet<ReplicaId>,
+    ledger: ProgramLedger,
+}
+
+impl QuorumWrite {
+    /// A write under this set.
+    pub fn new(set: ReplicaSet) -> Self {
+        Self {
+            set,
+            durable: BTreeSet::new(),
+            ledger: ProgramLedger::default(),
+        }
+    }
+
+    /// The set under which answers are counted.
+    pub fn set(&self) -> &ReplicaSet {
+        &self.set
+    }
+
+    /// Takes the answer of one replica.
+    pub fn on_reply(&mut self, from: ReplicaId, reply: ReplicaReply) -> WriteProgress {
+        match reply {
+            ReplicaReply::Charged { ledger } => {
+                self.ledger.join_all(&ledger);
+                self.count(from)
+            }
+            ReplicaReply::Done => self.count(from),
+            ReplicaReply::Stale { set } if set.epoch > self.set.epoch => {
+                WriteProgress::Restart(set)
+            }
+            ReplicaReply::Behind => WriteProgress::Teach,
+            _ => WriteProgress::TryLater,
+        }
+    }
+
+    fn count(&mut self, from: ReplicaId) -> WriteProgress {
+        self.durable.insert(from);
+        if self.set.has_write_quorum(&self.durable) {
+            WriteProgress::Durable(self.ledger.clone())
+        } else {
+            WriteProgress::Waiting
+        }
+    }
+}
--- /dev/null
+++ b/crates/records/src/replica.rs
@@ -0,0 +1,396 @@
+//! The state machine of one replica.
+//!
+//! It answers from memory; the caller makes the [`Change`]s durable in the order in which they are
+//! returned, and holds back a reply for as long as any change returned before it is not durable.
+
+use std::collections::BTreeMap;
+use std::ops::Bound;
+
+use rkyv::{Archive, Deserialize, Serialize};
+
+use crate::identifiers::{Epoch, ProgramId, RecordKey, ReplicaId, TurnId};
+use crate::ledger::{LedgerEntry, ProgramLedger};
+use crate::message::{Listing, ReplicaReply, ReplicaRequest};
+use crate::replica_set::ReplicaSet;
+use crate::turn::TurnRecord;
+
+/// Entries of one page of a listing.
+const LISTING_PAGE: usize = 512;
+/// Bytes of records after which an answer takes in no further one.
+const MAX_FETCH_BYTES: usize = 4 * 1024 * 1024;
+/// Records that one answer to a chain read holds at most.
+const MAX_CHAIN_RECORDS: usize = 256;
+
+/// A record as it lies on the disk.
+#[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub enum StoredRecord {
+    /// A turn, kept until this time in milliseconds since 1970.
+    Turn(TurnRecord, u64),
+    /// A program's ledger, kept until this time in milliseconds since 1970.
+    Ledger(ProgramId, ProgramLedger, u64),
+    /// The newest replica set that the replica knows.
+    Set(ReplicaSet),
+}
+
+/// A durable change that the replica asks for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Change {
+    /// Writes a record over an earlier one of the same key.
+    Put(StoredRecord),
+    /// Removes a record.
+    Delete(RecordKey),
+}
+
+/// What came of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Handled {
+    /// Changes to make durable.
+    pub changes: Vec<Change>,
+    /// The answer.
+    pub reply: ReplicaReply,
+    /// Whether the answer has to wait until all changes so far are durable.
+    pub waits: bool,
+}
+
+impl Handled {
+    fn at_once(reply: ReplicaReply) -> Self {
+        Self {
+            changes: Vec::new(),
+            reply,
+            waits: false,
+        }
+    }
+
+    fn durable(changes: Vec<Change>, reply: ReplicaReply) -> Self {
+        Self {
+            changes,
+            reply,
+            waits: true,
+        }
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Kept<T> {
+    value: T,
+    until_ms: u64,
+}
+
+/// State of one replica.
+#[derive(Debug, Clone)]
+pub struct ReplicaState {
+    id: ReplicaId,
+    set: Option<ReplicaSet>,
+    copied: Option<Epoch>,
+    turns: BTreeMap<TurnId, Kept<TurnRecord>>,
+    ledgers: BTreeMap<ProgramId, Kept<ProgramLedger>>,
+    turn_bytes: usize,
+    max_turn_bytes: usize,
+}
+
+impl ReplicaState {
+    /// An empty replica that keeps at most so many bytes of turns.
+    pub fn new(id: ReplicaId, max_turn_bytes: usize) -> Self {
+        Self {
+            id,
+            set: None,
+            copied: None,
+            turns: BTreeMap::new(),
+            ledgers: BTreeMap::new(),
+            turn_bytes: 0,
+            max_turn_bytes,
+        }
+    }
+
+    /// Takes in a record that was read back from the disk.
+    pub fn restore(&mut self, record: StoredRecord) {
+        match record {
+            StoredRecord::Turn(record, until_ms) => self.put_turn(record, until_ms),
+            StoredRecord::Ledger(program, ledger, until_ms) => {
+                let value = ledger;
+                self.ledgers.insert(program, Kept { value, until_ms });
+            }
+            StoredRecord::Set(set) => self.set = Some(set),
+        }
+    }
+
+    /// The replica's identity.
+    pub fn id(&self) -> ReplicaId {
+        self.id
+    }
+
+    /// The newest replica set that it knows.
+    pub fn set(&self) -> Option<&ReplicaSet> {
+        self.set.as_ref()
+    }
+
+    /// The epoch whose copy is finished.
+    pub fn copied(&self) -> Option<Epoch> {
+        self.copied
+    }
+
+    /// Turns and ledgers that it keeps.
+    pub fn counts(&self) -> (usize, usize) {
+        (self.turns.len(), self.ledgers.len())
+    }
+
+    /// Bytes of the turns that it keeps.
+    pub fn turn_bytes(&self) -> usize {
+        self.turn_bytes
+    }
+
+    /// Whether it holds the record of a turn.
+    pub fn has_turn(&self, turn: &TurnId) -> bool {
+        self.turns.contains_key(turn)
+    }
+
+    /// Takes a request at this time, in milliseconds since 1970.
+    pub fn handle(&mut self, request: ReplicaRequest, now_ms: u64) -> Handled {
+        if let Some(refusal) = self.refuse(&request) {
+            return Handled::at_once(refusal);
+        }
+        match request {
+            ReplicaRequest::Charge {
+                program,
+                turn,
+                entry,
+                keep_ms,
+                ..
+            } => self.charge(program, &turn, entry, now_ms + keep_ms),
+            ReplicaRequest::Append {
+                record, keep_ms, ..
+            } => self.append(record, now_ms + keep_ms),
+            ReplicaRequest::ReadChain { turn, .. } => Handled::at_once(self.read_chain(turn)),
+            ReplicaRequest::Adopt { set } => self.adopt(set),
+            ReplicaRequest::List { after, .. } => {
+                let listing = self.list(after, now_ms);
+                Handled::durable(Vec::new(), ReplicaReply::Listed(listing))
+            }
+            ReplicaRequest::Fetch { turns } => Handled::at_once(self.fetch(&turns)),
+        }
+    }
+
+    /// Takes in a newer replica set.
+    pub fn adopt(&mut self, set: ReplicaSet) -> Handled {
+        if set.epoch <= self.epoch() {
+            return Handled::durable(Vec::new(), ReplicaReply::Done);
+        }
+        self.set = Some(set.clone());
+        let change = Change::Put(StoredRecord::Set(set));
+        Handled::durable(vec![change], ReplicaReply::Done)
+    }
+
+    /// Takes in a turn that was copied from another replica.
+    pub fn copy_turn(&mut self, record: TurnRecord, keep_ms: u64, now_ms: u64) -> Vec<Change> {
+        self.append(record, now_ms + keep_ms).changes
+    }
+
+    /// Takes in a ledger that was copied from another replica.
+    pub fn copy_ledger(
+        &mut self,
+        program: ProgramId,
+        ledger: &ProgramLedger,
+        keep_ms: u64,
+        now_ms: u64,
+    ) -> Vec<Change> {
+        let until_ms = now_ms + keep_ms;
+        let kept = self.ledger(program.clone(), until_ms);
+        if !kept.value.join_all(ledger) {
+            return Vec::new();
+        }
+        kept.until_ms = kept.until_ms.max(until_ms);
+        let stored = StoredRecord::Ledger(program, kept.value.clone(), kept.until_ms);
+        vec![Change::Put(stored)]
+    }
+
+    /// Notes that everything which a read quorum held at this epoch has been copied.
+    pub fn finish_copy(&mut self, epoch: Epoch) {
+        self.copied = self.copied.max(Some(epoch));
+    }
+
+    /// Forgets what is no longer kept.
+    pub fn expire(&mut self, now_ms: u64) -> Vec<Change> {
+        let mut changes = Vec::new();
+        let turn_bytes = &mut self.turn_bytes;
+        self.turns.retain(|turn, kept| {
+            let keep = kept.until_ms > now_ms;
+            if !keep {
+                *turn_bytes -= kept.value.weight();
+                changes.push(Change::Delete(RecordKey::Turn(turn.clone())));
+            }
+            keep
+        });
+        self.ledgers.retain(|program, kept| {
+            let keep = kept.until_ms > now_ms;
+            if !keep {
+                changes.push(Change::Delete(RecordKey::Ledger(program.clone())));
+            }
+            keep
+        });
+        changes
+    }
+
+    fn epoch(&self) -> Epoch {
+        self.set.as_ref().map_or(Epoch::default(), |set| set.epoch)
+    }
+
+    fn refuse(&self, request: &ReplicaRequest) -> Option<ReplicaReply> {
+        if let ReplicaRequest::ReadChain { turn, .. } = request
+            && self.turns.contains_key(turn)
+        {
+            // A record never changes, so it may be told at any epoch.
+            return None;
+        }
+        let epoch = match request {
+            ReplicaRequest::Charge { epoch, .. }
+            | ReplicaRequest::Append { epoch, .. }
+            | ReplicaRequest::ReadChain { epoch, .. }
+            | ReplicaRequest::List { epoch, .. } => *epoch,
+            _ => return None,
+        };
+        let Some(set) = &self.set else {
+            return Some(ReplicaReply::Behind);
+        };
+        if epoch > set.epoch {
+            return Some(ReplicaReply::Behind);
+        }
+        if epoch < set.epoch {
+            return Some(ReplicaReply::Stale { set: set.clone() });
+        }
+        let listing = matches!(request, ReplicaRequest::List { .. });
+        (!listing && !set.has_member(self.id)).then_some(ReplicaReply::NotMember)
+    }
+
+    fn charge(
+        &mut self,
+        program: ProgramId,
+        turn: &TurnId,
+        entry: LedgerEntry,
+        until_ms: u64,
+    ) -> Handled {
+        let kept = self.ledger(program.clone(), until_ms);
+        let changed = kept.value.join(turn, entry);
+        kept.until_ms = kept.until_ms.max(until_ms);
+        let ledger = kept.value.clone();
+        let changes = if changed {
+            let stored = StoredRecord::Ledger(program, ledger.clone(), kept.until_ms);
+            vec![Change::Put(stored)]
+        } else {
+            Vec::new()
+        };
+        Handled::durable(changes, ReplicaReply::Charged { ledger })
+    }
+
+    fn ledger(&mut self, program: ProgramId, until_ms: u64) -> &mut Kept<ProgramLedger> {
+        self.ledgers.entry(program).or_insert_with(|| Kept {
+            value: ProgramLedger::default(),
+            until_ms,
+        })
+    }
+
+    fn append(&mut self, record: TurnRecord, until_ms: u64) -> Handled {
+        if self.turns.contains_key(&record.turn) {
+            return Handled::durable(Vec::new(), ReplicaReply::Done);
+        }
+        if self.turn_bytes + record.weight() > self.max_turn_bytes {
+            return Handled::at_once(ReplicaReply::Unavailable);
+        }
+        self.put_turn(record.clone(), until_ms);
+        let change = Change::Put(StoredRecord::Turn(record, until_ms));
+        Handled::durable(vec![change], ReplicaReply::Done)
+    }
+
+    fn put_turn(&mut self, record: TurnRecord, until_ms: u64) {
+        self.turn_bytes += record.weight();
+        let turn = record.turn.clone();
+        let value = record;
+        if let Some(earlier) = self.turns.insert(turn, Kept { value, until_ms }) {
+            self.turn_bytes -= earlier.value.weight();
+        }
+    }
+
+    fn read_chain(&self, newest: TurnId) -> ReplicaReply {
+        let mut records: Vec<TurnRecord> = Vec::new();
+        let mut next = Some(newest);
+        while let Some(turn) = next.take() {
+            let kept = self.turns.get(&turn);
+            let Some(kept) = kept.filter(|_| records.len() < MAX_CHAIN_RECORDS) else {
+                let missing = Some(turn);
+                return ReplicaReply::Chain { records, missing };
+            };
+            records.push(kept.value.clone());
+            next = kept.value.previous.clone();
+        }
+        let missing = None;
+        ReplicaReply::Chain { records, missing }
+    }
+
+    fn fetch(&self, turns: &[TurnId]) -> ReplicaReply {
+        let mut records = Vec::new();
+        let mut bytes = 0;
+        for kept in turns.iter().filter_map(|turn| self.turns.get(turn)) {
+            bytes += kept.value.weight();
+            if bytes > MAX_FETCH_BYTES && !records.is_empty() {
+                break;
+            }
+            records.push(kept.value.clone());
+        }
+        ReplicaReply::Fetched { records }
+    }
+
+    fn list(&self, after: Option<RecordKey>, now_ms: u64) -> Listing {
+        let mut listing = Listing::default();
+        let mut left = LISTING_PAGE;
+        let first_ledger = match after {
+            None => {
+                self.list_turns(Bound::Unbounded, &mut listing, &mut left, now_ms);
+                Bound::Unbounded
+            }
+            Some(RecordKey::Turn(turn)) => {
+                self.list_turns(Bound::Excluded(turn), &mut listing, &mut left, now_ms);
+                Bound::Unbounded
+            }
+            Some(RecordKey::Ledger(program)) => Bound::Excluded(program),
+        };
+        if left > 0 {
+            self.list_ledgers(first_ledger, &mut listing, left, now_ms);
+        }
+        listing
+    }
+
+    fn list_turns(
+        &self,
+        from: Bound<TurnId>,
+        listing: &mut Listing,
+        left: &mut usize,
+        now_ms: u64,
+    ) {
+        for (turn, kept) in self.turns.range((from, Bound::Unbounded)).take(*left) {
+            let keep_ms = kept.until_ms.saturating_sub(now_ms);
+            listing.turns.push((turn.clone(), keep_ms));
+        }
+        *left -= listing.turns.len();
+        if *left == 0 {
+            let last = listing.turns.last();
+            listing.next = last.map(|(turn, _)| RecordKey::Turn(turn.clone()));
+        }
+    }
+
+    fn list_ledgers(
+        &self,
+        from: Bound<ProgramId>,
+        listing: &mut Listing,
+        left: usize,
+        now_ms: u64,
+    ) {
+        for (program, kept) in self.ledgers.range((from, Bound::Unbounded)).take(left) {
+            let keep_ms = kept.until_ms.saturating_sub(now_ms);
+            let entry = (program.clone(), kept.value.clone(), keep_ms);
+            listing.ledgers.push(entry);
+        }
+        if listing.ledgers.len() == left {
+            let last = listing.ledgers.last();
+            listing.next = last.map(|(program, ..)| RecordKey::Ledger(program.clone()));
+        }
+    }
+}
--- /dev/null
+++ b/crates/records/src/replica_set.rs
@@ -0,0 +1,118 @@
+//! The replicas that keep the records, and which of them make a quorum.
+
+use std::collections::BTreeSet;
+
+use rkyv::{Archive, Deserialize, Serialize};
+
+use crate::identifiers::{Epoch, ReplicaId};
+
+/// One replica and where it is reached.
+#[derive(
+    Debug,
+    Clone,
+    PartialEq,
+    Eq,
+    Archive,
+    Serialize,
+    Deserialize,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+pub struct Replica {
+    /// The life of its disk.
+    pub id: ReplicaId,
+    /// Name of its node.
+    pub node: String,
+    /// Address of its node for other nodes, IP and port.
+    pub address: String,
+    /// Zone of its node.
+    pub zone: String,
+}
+
+/// The replicas at one epoch.
+///
+/// A set changes in two steps. The *joint* step names the `incoming` replicas: from then on a write
+/// needs a majority of both. The final step makes them the voters, once a majority of them holds what
+/// a read quorum of the earlier voters held.
+#[derive(
+    Debug,
+    Clone,
+    PartialEq,
+    Eq,
+    Archive,
+    Serialize,
+    Deserialize,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+pub struct ReplicaSet {
+    /// Version of the set.
+    pub epoch: Epoch,
+    /// The replicas that hold everything that was acknowledged, among a majority of them.
+    pub voters: Vec<Replica>,
+    /// The replicas that are to become the voters.
+    pub incoming: Option<Vec<Replica>>,
+}
+
+/// Replicas that a write needs, of so many.
+pub(crate) fn majority(replicas: usize) -> usize {
+    replicas / 2 + 1
+}
+
+impl ReplicaSet {
+    /// All replicas of the set, each once.
+    pub fn members(&self) -> Vec<&Replica> {
+        let mut members: Vec<&Replica> = self.voters.iter().collect();
+        for replica in self.incoming.iter().flatten() {
+            if !members.iter().any(|member| member.id == replica.id) {
+                members.push(replica);
+            }
+        }
+        members
+    }
+
+    /// Whether a replica belongs to the set.
+    pub fn has_member(&self, id: ReplicaId) -> bool {
+        self.members().iter().any(|member| member.id == id)
+    }
+
+    /// Whether a replica is among those that are to become voters.
+    pub fn is_incoming(&self, id: ReplicaId) -> bool {
+        self.incoming.iter().flatten().any(|member| member.id == id)
+    }
+
+    /// Whether a write that these replicas made durable is acknowledged.
+    pub fn has_write_quorum(&self, durable: &BTreeSet<ReplicaId>) -> bool {
+        let incoming = self.incoming.as_deref();
+        has_majority(&self.voters, durable)
+            && incoming.is_none_or(|incoming| has_majority(incoming, durable))
+    }
+
+    /// Whether these replicas are a majority of the voters, so that one of them knows of any later set.
+    pub fn has_voter_majority(&self, answered: &BTreeSet<ReplicaId>) -> bool {
+        has_majority(&self.voters, answered)
+    }
+
+    /// Whether these replicas together hold every acknowledged write: each majority has one of them.
+    pub fn has_read_quorum(&self, answered: &BTreeSet<ReplicaId>) -> bool {
+        let needed = self.voters.len() + 1 - majority(self.voters.len());
+        count(&self.voters, answered) >= needed
+    }
+
+    /// Whether the change may be completed: a majority of the incoming replicas has copied.
+    pub fn may_complete(&self, copied: &BTreeSet<ReplicaId>) -> bool {
+        let incoming = self.incoming.as_deref();
+        incoming.is_some_and(|incoming| has_majority(incoming, copied))
+    }
+}
+
+fn has_majority(replicas: &[Replica], among: &BTreeSet<ReplicaId>) -> bool {
+    count(replicas, among) >= majority(replicas.len())
+}
+
+fn count(replicas: &[Replica], among: &BTreeSet<ReplicaId>) -> usize {
+    let counted = replicas
+        .iter()
+        .filter(|replica| among.contains(&replica.id));
+    counted.count()
+}
--- /dev/null
+++ b/crates/replica/src/actor.rs
@@ -0,0 +1,407 @@
+//! The actor that holds the replica's state and its disk.
+//!
+//! A reply waits until everything that was changed before it is durable. When the disk fails, all that
+//! waits is refused, and the state is read back from the disk before anything is answered again: what
+//! was in memory only was never acknowledged.
+
+use std::cell::Cell;
+use std::collections::VecDeque;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use ridgeworks_records::{
+    Change, Epoch, Handled, ProgramId, ProgramLedger, ReplicaId, ReplicaReply, ReplicaRequest,
+    ReplicaSet, ReplicaState, TurnId, TurnRecord,
+};
+use ridgeworks_resident::clock::wall_ms;
+use ridgeworks_resident::peer::{PeerReply, ReplicaStatus};
+use ridgeworks_resident::view::{Source, View};
+use ridgeworks_storage::{Store, WriteBatch};
+use stakker::CX;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::disk::{self, DiskError, OpenedDisk};
+use crate::metrics::ReplicaMetrics;
+
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(2);
+/// Pause before a disk that failed is opened again.
+const REOPEN_PAUSE: Duration = Duration::from_millis(400);
+
+/// News from other threads.
+pub enum DiskNews {
+    /// A batch is durable, or never will be acknowledged.
+    Committed {
+        /// The opening of the disk that it belongs to.
+        opening: u64,
+        /// Number of the batch.
+        batch: u64,
+        /// Whether it is durable.
+        is_durable: bool,
+    },
+    /// The disk was opened, or could not be.
+    Opened(Box<Result<OpenedDisk, DiskError>>),
+}
+
+/// A record copied from another replica.
+pub enum Copied {
+    /// A turn, kept for so many more milliseconds.
+    Turn(TurnRecord, u64),
+    /// A ledger, kept for so many more milliseconds.
+    Ledger(ProgramId, ProgramLedger, u64),
+}
+
+/// What the actor is made of.
+pub struct ReplicaParts {
+    /// Folder of the records.
+    pub folder: PathBuf,
+    /// Name of the node.
+    pub node_name: String,
+    /// Bytes of turns that are kept at most.
+    pub max_turn_bytes: usize,
+    /// What the node believes.
+    pub view: Rc<View>,
+    /// Metrics.
+    pub metrics: Rc<ReplicaMetrics>,
+    /// Where news from other threads go.
+    pub news: mpsc::UnboundedSender<DiskNews>,
+    /// Where the replica's status is told to the rest of the process.
+    pub status: Rc<Cell<Option<ReplicaStatus>>>,
+}
+
+struct WaitingReply {
+    batch: u64,
+    answer: oneshot::Sender<PeerReply>,
+    reply: ReplicaReply,
+}
+
+struct OpenDisk {
+    store: Store,
+    state: ReplicaState,
+}
+
+/// The actor.
+pub struct ReplicaActor {
+    parts: ReplicaParts,
+    disk: Option<OpenDisk>,
+    /// Counts openings of the disk, so that news of an earlier one are told apart.
+    opening: u64,
+    submitted: u64,
+    durable: u64,
+    waiting: VecDeque<WaitingReply>,
+}
+
+impl ReplicaActor {
+    /// Starts without a disk; it is opened by another thread.
+    pub fn init(cx: CX![], parts: ReplicaParts) -> Option<Self> {
+        let mut actor = Self {
+            parts,
+            disk: None,
+            opening: 0,
+            submitted: 0,
+            durable: 0,
+            waiting: VecDeque::new(),
+        };
+        actor.open_disk();
+        actor.schedule_expiry(cx);
+        Some(actor)
+    }
+
+    /// Takes a request of another node.
+    pub fn request(
+        &mut self,
+        _cx: CX![],
+        to: ReplicaId,
+        request: ReplicaRequest,
+        answer: oneshot::Sender<PeerReply>,
+    ) {
+        let Some(disk) = self.disk.as_mut() else {
+            send(answer, ReplicaReply::Unavailable);
+            return;
+        };
+        if disk.state.id() != to {
+            send(answer, ReplicaReply::NotMember);
+            return;
+        }
+        let epoch_before = epoch_of(&disk.state);
+        let handled = disk.state.handle(request, wall_ms());
+        if epoch_of(&disk.state) > epoch_before {
+            self.tell_set();
+        }
+        self.carry_out(handled, Some(answer));
+    }
+
+    /// Takes in a set that the node has heard of.
+    pub fn adopt(&mut self, _cx: CX![], set: ReplicaSet) {
+        let Some(disk) = self.disk.as_mut() else {
+            return;
+        };
+        if set.epoch > epoch_of(&disk.state) {
+            let handled = disk.state.adopt(set);
+            self.carry_out(handled, None);
+            self.publish_status();
+        }
+    }
+
+    /// Takes in copied records; answers once they are durable.
+    pub fn copy(&mut self, _cx: CX![], copied: Vec<Copied>, answer: oneshot::Sender<PeerReply>) {
+        let Some(disk) = self.disk.as_mut() else {
+            send(answer, ReplicaReply::Unavailable);
+            return;
+        };
+        let now = wall_ms();
+        let mut changes = Vec::new();
+        for record in copied {
+            changes.extend(match record {
+                Copied::Turn(turn, keep_ms) => disk.state.copy_turn(turn, keep_ms, now),
+                Copied::Ledger(program, ledger, keep_ms) => {
+                    disk.state.copy_ledger(program, &ledger, keep_ms, now)
+                }
+            });
+        }
+        let handled = Handled {
+            changes,
+            reply: ReplicaReply::Done,
+            waits: true,
+        };
+        self.carry_out(handled, Some(answer));
+    }
+
+    /// Tells which of these turns are not held.
+    pub fn missing(
+        &mut self,
+        _cx: CX![],
+        turns: Vec<(TurnId, u64)>,
+        answer: oneshot::Sender<Vec<(TurnId, u64)>>,
+    ) {
+        let state = self.disk.as_ref().map(|disk| &disk.state);
+        let is_missing = |turn: &TurnId| state.is_none_or(|state| !state.has_turn(turn));
+        let missing = turns.into_iter().filter(|(turn, _)| is_missing(turn));
+        // Whoever asked may have given up.
+        let _ = answer.send(missing.collect());
+    }
+
+    /// Notes that the copy for an epoch is finished and durable.
+    pub fn finish_copy(&mut self, _cx: CX![], epoch: Epoch) {
+        if let Some(disk) = self.disk.as_mut() {
+            disk.state.finish_copy(epoch);
+            log::info!(target: "belief", epoch = epoch.0; "copy finished");
+        }
+        self.publish_status();
+    }
+
+    /// Takes news from another thread.
+    pub fn news(&mut self, cx: CX![], news: DiskNews) {
+        match news {
+            DiskNews::Committed {
+                opening,
+                batch,
+                is_durable,
+            } if opening == self.opening => {
+                if is_durable {
+                    self.on_durable(batch);
+                } else {
+                    self.lose_disk();
+                    stakker::after!(REOPEN_PAUSE, [cx], reopen());
+                }
+            }
+            DiskNews::Committed { .. } => {}
+            DiskNews::Opened(outcome) => match *outcome {
+                Ok(opened) => self.on_opened(opened),
+                Err(error) => {
+                    log::error!(target: "dependency", detail:% = error; "disk cannot be opened");
+                    stakker::after!(REOPEN_PAUSE, [cx], reopen());
+                }
+            },
+        }
+    }
+
+    fn reopen(&mut self, _cx: CX![]) {
+        self.open_disk();
+    }
+
+    fn expire(&mut self, cx: CX![]) {
+        self.schedule_expiry(cx);
+        let Some(disk) = self.disk.as_mut() else {
+            return;
+        };
+        let changes = disk.state.expire(wall_ms());
+        if !changes.is_empty() {
+            self.submit(&changes);
+        }
+        self.update_gauges();
+    }
+
+    fn schedule_expiry(&mut self, cx: CX![]) {
+        stakker::after!(EXPIRY_INTERVAL, [cx], expire());
+    }
+
+    /// Opens the disk on a thread that may wait for it.
+    fn open_disk(&mut self) {
+        let folder = self.parts.folder.clone();
+        let node_name = self.parts.node_name.clone();
+        let max_turn_bytes = self.parts.max_turn_bytes;
+        let news = self.parts.news.clone();
+        tokio::task::spawn_blocking(move || {
+            let opened = disk::open(&folder, &node_name, max_turn_bytes);
+            // The process may be about to end.
+            let _ = news.send(DiskNews::Opened(Box::new(opened)));
+        });
+    }
+
+    fn on_opened(&mut self, opened: OpenedDisk) {
+        self.opening += 1;
+        self.submitted = 0;
+        self.durable = 0;
+        let (turns, ledgers) = opened.state.counts();
+        log::info!(
+            target: "dependency",
+            replica:% = opened.state.id(),
+            is_new = opened.is_new,
+            turns = turns,
+            ledgers = ledgers,
+            epoch = epoch_of(&opened.state).0;
+            "disk opened"
+        );
+        self.disk = Some(OpenDisk {
+            store: opened.store,
+            state: opened.state,
+        });
+        self.tell_set();
+        let newer = self.parts.view.replica_set();
+        if let (Some(set), Some(disk)) = (newer, self.disk.as_mut())
+            && set.epoch > epoch_of(&disk.state)
+        {
+            let handled = disk.state.adopt(set);
+            self.carry_out(handled, None);
+        }
+        self.publish_status();
+        self.update_gauges();
+    }
+
+    /// Refuses all that waits, and forgets what may not be on the disk.
+    fn lose_disk(&mut self) {
+        log::error!(target: "dependency", waiting = self.waiting.len(); "disk failed");
+        self.parts.metrics.disk_failures.inc();
+        for waiting in self.waiting.drain(..) {
+            send(waiting.answer, ReplicaReply::Unavailable);
+        }
+        self.opening += 1;
+        if let Some(disk) = self.disk.take() {
+            // Closing waits for the disk.
+            tokio::task::spawn_blocking(move || drop(disk.store));
+        }
+        self.publish_status();
+    }
+
+    fn carry_out(&mut self, handled: Handled, answer: Option<oneshot::Sender<PeerReply>>) {
+        let Handled {
+            changes,
+            reply,
+            waits,
+        } = handled;
+        if !changes.is_empty() && !self.submit(&changes) {
+            if let Some(answer) = answer {
+                send(answer, ReplicaReply::Unavailable);
+            }
+            return;
+        }
+        let Some(answer) = answer else {
+            return;
+        };
+        if waits && self.durable < self.submitted {
+            let batch = self.submitted;
+            self.waiting.push_back(WaitingReply {
+                batch,
+                answer,
+                reply,
+            });
+        } else {
+            send(answer, reply);
+        }
+    }
+
+    /// Hands changes to the disk's thread; says whether it takes them.
+    fn submit(&mut self, changes: &[Change]) -> bool {
+        let Some(disk) = &self.disk else {
+            return false;
+        };
+        let operations: Result<Vec<_>, DiskError> = changes.iter().map(disk::operation).collect();
+        let Ok(operations) = operations else {
+            return false;
+        };
+        self.submitted += 1;
+        let (opening, batch) = (self.opening, self.submitted);
+        let news = self.parts.news.clone();
+        let on_durable = move |outcome: Result<(), _>| {
+            // The process may be about to end.
+            let _ = news.send(DiskNews::Committed {
+                opening,
+                batch,
+                is_durable: outcome.is_ok(),
+            });
+        };
+        self.parts.metrics.batches.inc();
+        let submitted = disk.store.submit(WriteBatch::new(operations, on_durable));
+        if submitted.is_err() {
+            // The state holds a change that will never be durable: read the disk again.
+            let news = self.parts.news.clone();
+            let is_durable = false;
+            let _ = news.send(DiskNews::Committed {
+                opening,
+                batch,
+                is_durable,
+            });
+        }
+        submitted.is_ok()
+    }
+
+    fn on_durable(&mut self, batch: u64) {
+        self.durable = self.durable.max(batch);
+        while let Some(waiting) = self.waiting.front()
+            && waiting.batch <= self.durable
+        {
+            if let Some(waiting) = self.waiting.pop_front() {
+                send(waiting.answer, waiting.reply);
+            }
+        }
+    }
+
+    /// Lets the node hear of the set that the disk or another node told.
+    fn tell_set(&mut self) {
+        let set = self.disk.as_ref().and_then(|disk| disk.state.set());
+        if let Some(set) = set {
+            let set = set.clone();
+            self.parts.view.adopt_replica_set(set, Source::Peer);
+        }
+    }
+
+    fn publish_status(&self) {
+        let status = self.disk.as_ref().map(|disk| ReplicaStatus {
+            id: disk.state.id(),
+            copied: disk.state.copied(),
+        });
+        self.parts.status.set(status);
+    }
+
+    fn update_gauges(&self) {
+        let Some(disk) = &self.disk else {
+            return;
+        };
+        let (turns, ledgers) = disk.state.counts();
+        let whole = |value: usize| i64::try_from(value).unwrap_or(i64::MAX);
+        let metrics = &self.parts.metrics;
+        metrics.turns.set(whole(turns));
+        metrics.ledgers.set(whole(ledgers));
+        metrics.turn_bytes.set(whole(disk.state.turn_bytes()));
+    }
+}
+
+fn epoch_of(state: &ReplicaState) -> Epoch {
+    state.set().map_or(Epoch::default(), |set| set.epoch)
+}
+
+fn send(answer: oneshot::Sender<PeerReply>, reply: ReplicaReply) {
+    // Whoever asked may have given up.
+    let _ = answer.send(PeerReply::Replica(reply));
+}
--- /dev/null
+++ b/crates/replica/src/coordinator.rs
@@ -0,0 +1,249 @@
+//! Changes the replica set where it has to change, and answers orders to empty a machine.
+//!
+//! Every storage node runs this. Which one acts first is a matter of patience, by the order of their
+//! identities; that two act at once is harmless, since the register takes only one of them.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use ridgeworks_platform::{
+    ObjectKind, RetirementState, StoreCall, StoreOutcome, create, replace, retirement_status,
+    set_status,
+};
+use ridgeworks_records::{Epoch, Replica, ReplicaId, ReplicaSet, StorageNode, plan_change};
+use ridgeworks_resident::node::{REPLICA_SET_NAME, RegisteredSet};
+use ridgeworks_resident::view::Source;
+
+use crate::handle::ReplicaHandle;
+use crate::retirements::Retirements;
+
+const INTERVAL: Duration = Duration::from_millis(200);
+/// A storage node that was silent for so long is taken for gone.
+const GONE_AFTER: Duration = Duration::from_millis(1_600);
+/// How much longer the next node in order waits before it acts.
+const RANK_PATIENCE: Duration = Duration::from_millis(400);
+/// How long a changed set waits for replicas that are alive and not finished.
+const COPY_PATIENCE: Duration = Duration::from_millis(2_500);
+/// How long the first set waits for as many nodes as are wanted.
+const FIRST_SET_PATIENCE: Duration = Duration::from_secs(2);
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// The coordinator of one storage node.
+pub struct Coordinator {
+    replica: Rc<ReplicaHandle>,
+    retirements: Retirements,
+    /// The change that seems due, and since when.
+    due: Option<(ReplicaSet, Duration)>,
+    /// The epoch in force, and since when it is known here.
+    epoch_since: (Epoch, Duration),
+}
+
+impl Coordinator {
+    /// A coordinator that has seen nothing yet.
+    pub fn new(replica: Rc<ReplicaHandle>, retirements: Retirements) -> Self {
+        Self {
+            replica,
+            retirements,
+            due: None,
+            epoch_since: (Epoch::default(), Duration::ZERO),
+        }
+    }
+
+    /// Runs until the process ends.
+    pub async fn run(mut self) {
+        let mut ticks = tokio::time::interval(INTERVAL);
+        loop {
+            ticks.tick().await;
+            self.change_set().await;
+            self.answer_retirements().await;
+        }
+    }
+
+    fn now(&self) -> Duration {
+        self.replica.node.clock.now()
+    }
+
+    async fn change_set(&mut self) {
+        let now = self.now();
+        let set = self.replica.node.view.replica_set();
+        let epoch = set.as_ref().map_or(Epoch::default(), |set| set.epoch);
+        if self.epoch_since.0 != epoch {
+            self.epoch_since = (epoch, now);
+        }
+        let Some(change) = self.plan(set.as_ref(), now) else {
+            self.due = None;
+            return;
+        };
+        let since = match &self.due {
+            Some((due, since)) if *due == change => *since,
+            _ => now,
+        };
+        self.due = Some((change.clone(), since));
+        if now.saturating_sub(since) < RANK_PATIENCE * self.rank() {
+            return;
+        }
+        self.due = None;
+        self.write(set, change).await;
+    }
+
+    fn plan(&self, set: Option<&ReplicaSet>, now: Duration) -> Option<ReplicaSet> {
+        let nodes = self.storage_nodes(now);
+        let size = self.replica.node.settings.bounds.replicas();
+        let alive = nodes.iter().filter(|node| node.alive).count();
+        if set.is_none() && alive < size && now < FIRST_SET_PATIENCE {
+            return None;
+        }
+        let waited = now.saturating_sub(self.epoch_since.1);
+        let copied = self.copied(now);
+        plan_change(set, &nodes, size, &copied, waited < COPY_PATIENCE)
+    }
+
+    fn storage_nodes(&self, now: Duration) -> Vec<StorageNode> {
+        let node = &self.replica.node;
+        let mut nodes = Vec::new();
+        if let Some(status) = self.replica.status() {
+            nodes.push(StorageNode {
+                replica: Replica {
+                    id: status.id,
+                    node: node.settings.name.clone(),
+                    address: node.settings.peer_address().to_string(),
+                    zone: node.settings.zone.clone(),
+                },
+                alive: true,
+                retiring: self.retirements.is_retiring(&node.settings.name),
+            });
+        }
+        for member in node.gossip.members() {
+            let Some(status) = member.replica else {
+                continue;
+            };
+            nodes.push(StorageNode {
+                alive: member.is_alive(now, GONE_AFTER),
+                retiring: self.retirements.is_retiring(&member.info.name),
+                replica: Replica {
+                    id: status.id,
+                    node: member.info.name,
+                    address: member.info.address.to_string(),
+                    zone: member.info.zone,
+                },
+            });
+        }
+        nodes
+    }
+
+    /// Replicas that finished the copy for the epoch in force.
+    fn copied(&self, now: Duration) -> BTreeSet<ReplicaId> {
+        let members = self.replica.node.gossip.members();
+        let alive = members
+            .iter()
+            .filter(|member| member.is_alive(now, GONE_AFTER));
+        let others = alive.filter_map(|member| member.replica);
+        let all = others.chain(self.replica.status());
+        let finished = all.filter(|status| status.copied == Some(self.epoch_since.0));
+        finished.map(|status| status.id).collect()
+    }
+
+    /// Position of this node among the storage nodes that are alive.
+    fn rank(&self) -> u32 {
+        let Some(me) = self.replica.status() else {
+            return u32::MAX;
+        };
+        let nodes = self.storage_nodes(self.now());
+        let before = nodes
+            .iter()
+            .filter(|node| node.alive && node.replica.id < me.id);
+        u32::try_from(before.count()).unwrap_or(u32::MAX)
+    }
+
+    /// Writes a change, if the register still holds what it was planned on.
+    async fn write(&self, planned_on: Option<ReplicaSet>, change: ReplicaSet) {
+        let Some(registered) = self.replica.node.read_replica_set().await else {
+            return;
+        };
+        let call = match (registered, planned_on) {
+            (RegisteredSet::Missing, None) => {
+                create(ObjectKind::ReplicaSets, REPLICA_SET_NAME, &change)
+            }
+            (RegisteredSet::Found { set, revision }, Some(planned_on))
+                if set.epoch == planned_on.epoch =>
+            {
+                let revision = Some(revision);
+                replace(ObjectKind::ReplicaSets, REPLICA_SET_NAME, revision, &change)
+            }
+            _ => return,
+        };
+        if self.call(call).await != Some(StoreOutcome::Done) {
+            return;
+        }
+        self.replica.metrics.set_changes.inc();
+        log::info!(
+            target: "belief",
+            epoch = change.epoch.0,
+            voters:? = names(&change.voters),
+            incoming:? = change.incoming.as_deref().map(names);
+            "replica set changed"
+        );
+        let view = &self.replica.node.view;
+        view.adopt_replica_set(change, Source::Store);
+    }
+
+    async fn answer_retirements(&self) {
+        let Some(set) = self.replica.node.view.replica_set() else {
+            return;
+        };
+        for (node, written) in self.retirements.open() {
+            let holds = set.members().iter().any(|member| member.node == node);
+            let state = if holds || set.incoming.is_some() {
+                RetirementState::Running
+            } else {
+                RetirementState::Done
+            };
+            if written == Some(state) || !self.is_first_to_answer(&node) {
+                continue;
+            }
+            self.write_status(&node, state).await;
+        }
+    }
+
+    /// The first node in order that is alive and stays answers.
+    fn is_first_to_answer(&self, retiring: &str) -> bool {
+        let me = &self.replica.node.settings.name;
+        let nodes = self.storage_nodes(self.now());
+        let staying = nodes
+            .iter()
+            .filter(|node| node.alive && node.replica.node != retiring);
+        let first = staying.min_by_key(|node| node.replica.id);
+        first.is_none_or(|first| first.replica.node == *me)
+    }
+
+    async fn write_status(&self, node: &str, state: RetirementState) {
+        let status = retirement_status(state);
+        let call = set_status(ObjectKind::Retirements, node, &status);
+        if self.call(call).await == Some(StoreOutcome::Done) {
+            log::info!(target: "belief", node = node, state:? = state; "retirement answered");
+            self.retirements.on_written(node, state);
+        }
+    }
+
+    async fn call(&self, call: StoreCall) -> Option<StoreOutcome> {
+        let answer = self.replica.node.store.call(call, CALL_TIMEOUT).await;
+        match answer {
+            Ok(answer) => Some(answer.outcome),
+            Err(failure) => {
+                log::warn!(
+                    target: "dependency",
+                    reason = failure.name(),
+                    detail:% = failure;
+                    "write to the platform store without an answer"
+                );
+                None
+            }
+        }
+    }
+}
+
+fn names(replicas: &[Replica]) -> Vec<&str> {
+    let names = replicas.iter().map(|replica| replica.node.as_str());
+    names.collect()
+}
--- /dev/null
+++ b/crates/replica/src/disk.rs
@@ -0,0 +1,131 @@
+//! Records on the disk: opening, reading back, encoding of changes.
+
+use std::fmt;
+use std::ops::ControlFlow;
+use std::path::Path;
+
+use ridgeworks_records::{Change, RecordKey, ReplicaId, ReplicaState, StoredRecord};
+use ridgeworks_storage::{Store, StoreCreationId, StoreError, StoreOperation, StoreSettings};
+use rkyv::rancor;
+use rkyv::util::AlignedVec;
+
+const TURN_PREFIX: u8 = b't';
+const LEDGER_PREFIX: u8 = b'l';
+const SET_KEY: &[u8] = b"s";
+/// Memory for cached pages of the database, in bytes; records are answered from memory anyway.
+const CACHE_BYTES: usize = 4 * 1024 * 1024;
+
+/// Why records cannot be read or written.
+#[derive(Debug)]
+pub enum DiskError {
+    /// The store failed.
+    Store(StoreError),
+    /// A record cannot be encoded or read.
+    Record,
+}
+
+impl fmt::Display for DiskError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Store(error) => error.fmt(formatter),
+            Self::Record => write!(formatter, "a record cannot be encoded or read"),
+        }
+    }
+}
+
+impl std::error::Error for DiskError {}
+
+impl From<StoreError> for DiskError {
+    fn from(error: StoreError) -> Self {
+        Self::Store(error)
+    }
+}
+
+/// An open disk with the state that it holds.
+pub struct OpenedDisk {
+    /// The store.
+    pub store: Store,
+    /// The replica's state.
+    pub state: ReplicaState,
+    /// Whether the disk was empty.
+    pub is_new: bool,
+}
+
+/// Opens the folder and reads everything back. Blocks.
+pub fn open(
+    folder: &Path,
+    node_name: &str,
+    max_turn_bytes: usize,
+) -> Result<OpenedDisk, DiskError> {
+    let creation = StoreCreationId(rand::random());
+    let mut settings = StoreSettings::new(folder, node_name, creation);
+    settings.cache_bytes = CACHE_BYTES;
+    let opened = Store::open(&settings)?;
+    let creation = opened.store.identity().creation_id;
+    // Half of the number is random enough to tell one life of a disk from another.
+    let id = ReplicaId(creation.0 as u64);
+    let mut state = ReplicaState::new(id, max_turn_bytes);
+    let mut unreadable = false;
+    opened.store.visit_records(|bytes| match decode(bytes) {
+        Ok(record) => {
+            state.restore(record);
+            ControlFlow::Continue(())
+        }
+        Err(_) => {
+            unreadable = true;
+            ControlFlow::Break(())
+        }
+    })?;
+    if unreadable {
+        return Err(DiskError::Record);
+    }
+    Ok(OpenedDisk {
+        store: opened.store,
+        state,
+        is_new: opened.is_new,
+    })
+}
+
+/// The operation that makes a change durable.
+pub fn operation(change: &Change) -> Result<StoreOperation, DiskError> {
+    match change {
+        Change::Put(record) => {
+            let bytes = rkyv::to_bytes::<rancor::Error>(record).map_err(|_| DiskError::Record)?;
+            Ok(StoreOperation::PutRecord {
+                key: key_of(record),
+                bytes: bytes.into_vec(),
+            })
+        }
+        Change::Delete(key) => Ok(StoreOperation::DeleteRecord {
+            key: encode_key(key),
+        }),
+    }
+}
+
+fn key_of(record: &StoredRecord) -> Vec<u8> {
+    match record {
+        StoredRecord::Turn(turn, _) => with_prefix(TURN_PREFIX, &turn.turn.0),
+        StoredRecord::Ledger(program, ..) => with_prefix(LEDGER_PREFIX, &program.0),
+        StoredRecord::Set(_) => SET_KEY.to_vec(),
+    }
+}
+
+fn encode_key(key: &RecordKey) -> Vec<u8> {
+    match key {
+        RecordKey::Turn(turn) => with_prefix(TURN_PREFIX, &turn.0),
+        RecordKey::Ledger(program) => with_prefix(LEDGER_PREFIX, &program.0),
+    }
+}
+
+fn with_prefix(prefix: u8, name: &str) -> Vec<u8> {
+    let mut key = Vec::with_capacity(name.len() + 1);
+    key.push(prefix);
+    key.extend_from_slice(name.as_bytes());
+    key
+}
+
+fn decode(bytes: &[u8]) -> Result<StoredRecord, DiskError> {
+    let mut aligned = AlignedVec::<16>::with_capacity(bytes.len());
+    aligned.extend_from_slice(bytes);
+    rkyv::from_bytes::<StoredRecord, rancor::Error>(&aligned).map_err(|_| DiskError::Record)
+}
--- /dev/null
+++ b/crates/replica/src/handle.rs
@@ -0,0 +1,131 @@
+//! How the rest of the process reaches the replica's actor.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use ridgeworks_records::{Epoch, ReplicaReply, ReplicaSet, TurnId};
+use ridgeworks_resident::actors::ActorRuntime;
+use ridgeworks_resident::node::Node;
+use ridgeworks_resident::peer::{
+    GossipSources, PeerReply, PeerRequest, PeerService, ReplicaStatus,
+};
+use stakker::{ActorOwn, call};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::actor::{Copied, DiskNews, ReplicaActor};
+use crate::metrics::ReplicaMetrics;
+
+/// The replica of this process.
+pub struct ReplicaHandle {
+    /// The node that it runs on.
+    pub node: Rc<Node>,
+    /// Metrics.
+    pub metrics: Rc<ReplicaMetrics>,
+    actors: ActorRuntime,
+    actor: ActorOwn<ReplicaActor>,
+    status: Rc<Cell<Option<ReplicaStatus>>>,
+}
+
+impl ReplicaHandle {
+    /// A handle on the actor.
+    pub fn new(
+        node: Rc<Node>,
+        metrics: Rc<ReplicaMetrics>,
+        actors: ActorRuntime,
+        actor: ActorOwn<ReplicaActor>,
+        status: Rc<Cell<Option<ReplicaStatus>>>,
+    ) -> Self {
+        Self {
+            node,
+            metrics,
+            actors,
+            actor,
+            status,
+        }
+    }
+
+    /// The replica's status; `None` while its disk is not open.
+    pub fn status(&self) -> Option<ReplicaStatus> {
+        self.status.get()
+    }
+
+    /// Hands news of other threads to the actor until the process ends.
+    pub async fn pass_news(self: Rc<Self>, mut news: mpsc::UnboundedReceiver<DiskNews>) {
+        while let Some(item) = news.recv().await {
+            call!([self.actor], news(item));
+            self.actors.wake();
+        }
+    }
+
+    /// Hands newer replica sets to the actor until the process ends.
+    pub async fn pass_sets(self: Rc<Self>) {
+        let mut changes = self.node.view.changes();
+        let mut told = Epoch::default();
+        loop {
+            if let Some(set) = self.node.view.replica_set()
+                && set.epoch > told
+            {
+                told = set.epoch;
+                self.adopt(set);
+            }
+            if changes.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn adopt(&self, set: ReplicaSet) {
+        call!([self.actor], adopt(set));
+        self.actors.wake();
+    }
+
+    /// Takes in copied records; says whether they are durable.
+    pub async fn copy(&self, copied: Vec<Copied>) -> bool {
+        let (answer, answered) = oneshot::channel();
+        call!([self.actor], copy(copied, answer));
+        self.actors.wake();
+        matches!(answered.await, Ok(PeerReply::Replica(ReplicaReply::Done)))
+    }
+
+    /// Which of these turns the replica does not hold.
+    pub async fn missing(&self, turns: Vec<(TurnId, u64)>) -> Vec<(TurnId, u64)> {
+        let (answer, answered) = oneshot::channel();
+        call!([self.actor], missing(turns, answer));
+        self.actors.wake();
+        answered.await.unwrap_or_default()
+    }
+
+    /// Notes that the copy for an epoch is finished and durable.
+    pub fn finish_copy(&self, epoch: Epoch) {
+        call!([self.actor], finish_copy(epoch));
+        self.actors.wake();
+    }
+}
+
+impl PeerService for ReplicaHandle {
+    fn on_request(&self, request: PeerRequest, reply: oneshot::Sender<PeerReply>) {
+        match request {
+            PeerRequest::FetchView => {
+                // Whoever asked may have given up.
+                let _ = reply.send(PeerReply::View(self.node.view.snapshot()));
+            }
+            PeerRequest::Replica { to, request } => {
+                self.metrics.requests.inc();
+                call!([self.actor], request(to, request, reply));
+                self.actors.wake();
+            }
+        }
+    }
+}
+
+impl GossipSources for ReplicaHandle {
+    fn load(&self) -> Vec<(u64, u32)> {
+        Vec::new()
+    }
+
+    fn replica(&self) -> Option<ReplicaStatus> {
+        self.status()
+    }
+
+    fn on_load(&self, _from: &str, _load: Vec<(u64, u32)>) {}
+}
--- /dev/null
+++ b/crates/replica/src/metrics.rs
@@ -0,0 +1,84 @@
+//! Counters and gauges of a replica.
+
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+
+/// All metrics of a replica.
+pub struct ReplicaMetrics {
+    /// Requests of other nodes.
+    pub requests: Counter,
+    /// Batches handed to the disk.
+    pub batches: Counter,
+    /// Times that the disk failed.
+    pub disk_failures: Counter,
+    /// Changes of the replica set that this node wrote.
+    pub set_changes: Counter,
+    /// Turns that are kept.
+    pub turns: Gauge,
+    /// Ledgers that are kept.
+    pub ledgers: Gauge,
+    /// Bytes of the turns that are kept.
+    pub turn_bytes: Gauge,
+    /// Epoch of the replica set.
+    pub replica_set_epoch: Gauge,
+}
+
+impl ReplicaMetrics {
+    /// Registers all metrics.
+    pub fn register(registry: &mut Registry) -> Self {
+        let metrics = Self {
+            requests: Counter::default(),
+            batches: Counter::default(),
+            disk_failures: Counter::default(),
+            set_changes: Counter::default(),
+            turns: Gauge::default(),
+            ledgers: Gauge::default(),
+            turn_bytes: Gauge::default(),
+            replica_set_epoch: Gauge::default(),
+        };
+        let counters = [
+            (
+                "replica_requests",
+                "Requests of other nodes",
+                &metrics.requests,
+            ),
+            (
+                "disk_batches",
+                "Batches handed to the disk",
+                &metrics.batches,
+            ),
+            (
+                "disk_failures",
+                "Times that the disk failed",
+                &metrics.disk_failures,
+            ),
+            (
+                "replica_set_changes",
+                "Changes of the replica set that this node wrote",
+                &metrics.set_changes,
+            ),
+        ];
+        for (name, help, counter) in counters {
+            registry.register(name, help, counter.clone());
+        }
+        let gauges = [
+            ("turns", "Turns that are kept", &metrics.turns),
+            ("ledgers", "Ledgers that are kept", &metrics.ledgers),
+            (
+                "turn_bytes",
+                "Bytes of the turns that are kept",
+                &metrics.turn_bytes,
+            ),
+            (
+                "replica_set_epoch",
+                "Epoch of the replica set",
+                &metrics.replica_set_epoch,
+            ),
+        ];
+        for (name, help, gauge) in gauges {
+            registry.register(name, help, gauge.clone());
+        }
+        metrics
+    }
+}
--- /dev/null
+++ b/crates/resident/src/http_client.rs
@@ -0,0 +1,97 @@
+//! Connections to HTTP servers: the platform's store and the engines.
+
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+
+/// A connection on which requests with whole bodies are sent.
+pub type Connection = SendRequest<Full<Bytes>>;
+
+/// How long a peer may leave sent bytes or probes unanswered.
+const SILENCE_LIMIT: Duration = Duration::from_millis(2_500);
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+const PROBES: u32 = 3;
+
+/// Why a connection could not be made; nothing was sent.
+#[derive(Debug)]
+pub enum ConnectError {
+    /// The other side refused, or there is no way to it.
+    Refused(io::Error),
+    /// The other side did not answer in time.
+    TimedOut,
+    /// The HTTP library refused the connection.
+    Handshake(hyper::Error),
+}
+
+impl ConnectError {
+    /// Name for logs and metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Refused(_) => "refused",
+            Self::TimedOut => "timed_out",
+            Self::Handshake(_) => "handshake",
+        }
+    }
+}
+
+impl fmt::Display for ConnectError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Refused(error) => write!(formatter, "cannot connect: {error}"),
+            Self::TimedOut => write!(formatter, "the connection was not answered in time"),
+            Self::Handshake(error) => write!(formatter, "cannot speak HTTP: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for ConnectError {}
+
+/// Connects to a server. The connection ends when its handle is dropped.
+pub async fn connect(address: SocketAddr, timeout: Duration) -> Result<Connection, ConnectError> {
+    let stream = connect_tcp(address, timeout).await?;
+    let handshake = http1::Builder::new()
+        .preserve_header_case(false)
+        .handshake(TokioIo::new(stream));
+    let (sender, connection) = handshake.await.map_err(ConnectError::Handshake)?;
+    tokio::task::spawn_local(async move {
+        if let Err(error) = connection.await {
+            log::debug!("connection to {address} ended: {error}");
+        }
+    });
+    Ok(sender)
+}
+
+/// Connects a socket that notices a silent peer.
+pub async fn connect_tcp(
+    address: SocketAddr,
+    timeout: Duration,
+) -> Result<TcpStream, ConnectError> {
+    let connecting = tokio::time::timeout(timeout, TcpStream::connect(address));
+    let stream = match connecting.await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) => return Err(ConnectError::Refused(error)),
+        Err(_) => return Err(ConnectError::TimedOut),
+    };
+    notice_silence(&stream).map_err(ConnectError::Refused)?;
+    Ok(stream)
+}
+
+/// Sets the options by which a socket notices that its peer is gone.
+pub fn notice_silence(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_INTERVAL)
+        .with_interval(PROBE_INTERVAL)
+        .with_retries(PROBES);
+    socket.set_tcp_keepalive(&probes)?;
+    socket.set_tcp_user_timeout(Some(SILENCE_LIMIT))
+}
--- /dev/null
+++ b/crates/resident/src/lib.rs
@@ -0,0 +1,18 @@
+//! What every role on the users' platform runs on.
+//!
+//! One thread does all networking, with `hyper` on `tokio`'s current-thread runtime; actors of `stakker`
+//! run on the same thread. Only logging and the disk have threads of their own.
+
+pub mod actors;
+pub mod clock;
+pub mod http_client;
+pub mod http_server;
+pub mod logging;
+pub mod metrics;
+pub mod node;
+pub mod peer;
+pub mod settings;
+pub mod shutdown;
+pub mod store_client;
+pub mod view;
+pub mod watching;
--- /dev/null
+++ b/crates/resident/src/logging.rs
@@ -0,0 +1,171 @@
+//! The log: one JSON object a line on standard output.
+//!
+//! Lines go through a bounded queue to a thread of their own, so that a reader who stalls never blocks
+//! the networking thread. Of each kind of line only so many are taken in a second; what was left out is
+//! counted, and said once the second is over.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::io::Write as _;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use log::{Level, LevelFilter, Record};
+use log4rs::append::Append;
+use log4rs::config::{Appender, Config, Root};
+use log4rs::encode::Encode;
+use log4rs::encode::json::JsonEncoder;
+use log4rs::encode::writer::simple::SimpleWriter;
+
+const APPENDER: &str = "log";
+const WRITER_THREAD: &str = "log-writer";
+/// Lines that may wait for the writer.
+const MAX_WAITING_LINES: usize = 4_096;
+/// Lines of one kind in one second; warnings and errors have as many again.
+const MAX_LINES_PER_SECOND: u32 = 300;
+const WINDOW: Duration = Duration::from_secs(1);
+
+/// Counters of the log.
+#[derive(Debug, Default)]
+pub struct LogCounters {
+    /// Lines handed to the writer.
+    pub written: AtomicU64,
+    /// Lines left out because too many of their kind came in one second.
+    pub suppressed: AtomicU64,
+    /// Lines lost because the queue was full.
+    pub lost: AtomicU64,
+}
+
+/// Why the log could not be started.
+#[derive(Debug)]
+pub enum LogError {
+    /// The writer's thread could not be started.
+    Thread(std::io::Error),
+    /// The library refused the configuration.
+    Configuration(log4rs::config::runtime::ConfigErrors),
+    /// Another log was started before.
+    Started(log::SetLoggerError),
+}
+
+impl fmt::Display for LogError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Thread(error) => write!(formatter, "cannot start the log's thread: {error}"),
+            Self::Configuration(error) => write!(formatter, "cannot configure the log: {error}"),
+            Self::Started(error) => write!(formatter, "cannot start the log: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for LogError {}
+
+/// Starts the log of the process.
+pub fn start() -> Result<Arc<LogCounters>, LogError> {
+    let counters = Arc::<LogCounters>::default();
+    let (sender, receiver) = sync_channel(MAX_WAITING_LINES);
+    std::thread::Builder::new()
+        .name(WRITER_THREAD.to_owned())
+        .spawn(move || write_lines(&receiver))
+        .map_err(LogError::Thread)?;
+    let appender = BoundedAppender {
+        lines: sender,
+        windows: Mutex::default(),
+        counters: Arc::clone(&counters),
+    };
+    let config = Config::builder()
+        .appender(Appender::builder().build(APPENDER, Box::new(appender)))
+        .build(Root::builder().appender(APPENDER).build(LevelFilter::Info))
+        .map_err(LogError::Configuration)?;
+    log4rs::init_config(config)
+        .map(|_| counters)
+        .map_err(LogError::Started)
+}
+
+fn write_lines(lines: &Receiver<Vec<u8>>) {
+    while let Ok(mut text) = lines.recv() {
+        while let Ok(more) = lines.try_recv() {
+            text.extend_from_slice(&more);
+        }
+        // A reader that has gone away is no reason to stop serving.
+        let mut output = std::io::stdout().lock();
+        let _ = output.write_all(&text).and_then(|()| output.flush());
+    }
+}
+
+/// Lines of one kind in the present second.
+#[derive(Debug)]
+struct Window {
+    began: Instant,
+    taken: u32,
+    suppressed: u64,
+}
+
+#[derive(Debug)]
+struct BoundedAppender {
+    lines: SyncSender<Vec<u8>>,
+    windows: Mutex<HashMap<(String, Level), Window>>,
+    counters: Arc<LogCounters>,
+}
+
+impl BoundedAppender {
+    /// Whether the line is taken; with the number left out in a second that has just ended.
+    fn admit(&self, record: &Record<'_>) -> (bool, u64) {
+        let now = Instant::now();
+        let mut windows = self.windows.lock().unwrap_or_else(PoisonError::into_inner);
+        let key = (record.target().to_owned(), record.level());
+        let window = windows.entry(key).or_insert(Window {
+            began: now,
+            taken: 0,
+            suppressed: 0,
+        });
+        let mut told = 0;
+        if now.duration_since(window.began) >= WINDOW {
+            told = std::mem::take(&mut window.suppressed);
+            window.began = now;
+            window.taken = 0;
+        }
+        let taken = window.taken < MAX_LINES_PER_SECOND;
+        if taken {
+            window.taken += 1;
+        } else {
+            window.suppressed += 1;
+        }
+        (taken, told)
+    }
+
+    fn send(&self, record: &Record<'_>) -> anyhow::Result<()> {
+        let mut line = Vec::new();
+        JsonEncoder::new().encode(&mut SimpleWriter(&mut line), record)?;
+        match self.lines.try_send(line) {
+            Ok(()) => self.counters.written.fetch_add(1, Ordering::Relaxed),
+            Err(_) => self.counters.lost.fetch_add(1, Ordering::Relaxed),
+        };
+        Ok(())
+    }
+}
+
+impl Append for BoundedAppender {
+    fn append(&self, record: &Record<'_>) -> anyhow::Result<()> {
+        let (taken, suppressed) = self.admit(record);
+        if suppressed > 0 {
+            self.counters
+                .suppressed
+                .fetch_add(suppressed, Ordering::Relaxed);
+            let text = format_args!("{suppressed} lines of this kind were left out");
+            let note = Record::builder()
+                .target(record.target())
+                .level(record.level())
+                .args(text)
+                .build();
+            self.send(&note)?;
+        }
+        if taken {
+            self.send(record)?;
+        }
+        Ok(())
+    }
+
+    fn flush(&self) {}
+}
--- /dev/null
+++ b/crates/resident/src/metrics.rs
@@ -0,0 +1,64 @@
+//! Counters and histograms of a process, as Prometheus text.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use http::StatusCode;
+use prometheus_client::collector::Collector;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::{DescriptorEncoder, EncodeMetric};
+use prometheus_client::metrics::counter::ConstCounter;
+use prometheus_client::registry::Registry;
+
+use crate::http_server::ShortAnswer;
+use crate::logging::LogCounters;
+
+/// Media type of the text.
+pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+const PREFIX: &str = "ridgeworks";
+
+/// A registry with the product's prefix.
+pub fn registry() -> Registry {
+    Registry::with_prefix(PREFIX)
+}
+
+/// Encodes a registry as an answer.
+pub fn answer(registry: &Registry) -> ShortAnswer {
+    let mut body = String::new();
+    match encode(&mut body, registry) {
+        Ok(()) => ShortAnswer {
+            status: StatusCode::OK,
+            content_type: CONTENT_TYPE,
+            body,
+        },
+        Err(_) => ShortAnswer::empty(StatusCode::INTERNAL_SERVER_ERROR),
+    }
+}
+
+/// Tells the counters of the log at each request for metrics.
+#[derive(Debug)]
+pub struct LogCollector(pub Arc<LogCounters>);
+
+impl Collector for LogCollector {
+    fn encode(&self, mut encoder: DescriptorEncoder) -> Result<(), std::fmt::Error> {
+        let counters = [
+            ("log_lines_written", "Lines of the log", &self.0.written),
+            (
+                "log_lines_suppressed",
+                "Lines left out because too many of their kind came in one second",
+                &self.0.suppressed,
+            ),
+            (
+                "log_lines_lost",
+                "Lines lost because the log's queue was full",
+                &self.0.lost,
+            ),
+        ];
+        for (name, help, value) in counters {
+            let counter = ConstCounter::new(value.load(Ordering::Relaxed));
+            let metric = encoder.encode_descriptor(name, help, None, counter.metric_type())?;
+            counter.encode(metric)?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/resident/src/node.rs
@@ -0,0 +1,288 @@
+//! The parts that every role runs on, put together.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::RngExt;
+use ridgeworks_platform::{
+    CONFIGURATION_NAME, Object, ObjectEvent, ObjectKind, StoreOutcome, create, read,
+    read_configuration, read_engine, read_object, replace,
+};
+use ridgeworks_records::ReplicaSet;
+use serde::{Deserialize, Serialize};
+
+use crate::clock::Clock;
+use crate::peer::{Gossip, GossipSources, MemberInfo, PeerLinks, PeerService, fetch_view};
+use crate::settings::{NodeSettings, Role};
+use crate::store_client::StoreClient;
+use crate::view::{Source, View};
+use crate::watching::{Follower, follow, list_once};
+
+/// Name of the object that holds the replica set.
+pub const REPLICA_SET_NAME: &str = "main";
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+const REGISTER_PAUSE: Duration = Duration::from_millis(300);
+const SEED_PAUSE: Duration = Duration::from_millis(100);
+
+/// What one process shares among its parts.
+pub struct Node {
+    /// Its settings at the start.
+    pub settings: NodeSettings,
+    /// The steady clock.
+    pub clock: Clock,
+    /// What it believes of the deployment.
+    pub view: Rc<View>,
+    /// The platform's store.
+    pub store: Rc<StoreClient>,
+    /// Links to other nodes.
+    pub links: Rc<PeerLinks>,
+    /// Heartbeats.
+    pub gossip: Rc<Gossip>,
+}
+
+impl Node {
+    /// Binds the node's own sockets.
+    pub async fn bind(settings: NodeSettings, clock: Clock) -> io::Result<Rc<Self>> {
+        let view = Rc::new(View::new(clock));
+        let links = Rc::new(PeerLinks::default());
+        let seeds = settings.seed_peers();
+        let me = member_info(&settings);
+        let gossip = Gossip::bind(me, seeds, clock, Rc::clone(&view), Rc::clone(&links)).await?;
+        Ok(Rc::new(Self {
+            store: Rc::new(StoreClient::new(settings.platform.store)),
+            gossip: Rc::new(gossip),
+            settings,
+            clock,
+            view,
+            links,
+        }))
+    }
+
+    /// Starts heartbeats, the answering of other nodes, and the search for what is newest.
+    pub async fn start(
+        self: &Rc<Self>,
+        service: Rc<impl PeerService>,
+        sources: Rc<impl GossipSources>,
+    ) -> io::Result<()> {
+        crate::peer::serve(self.settings.peer_address(), service).await?;
+        let gossip = Rc::clone(&self.gossip);
+        tokio::task::spawn_local(gossip.run(sources));
+        tokio::task::spawn_local(Rc::clone(self).register());
+        tokio::task::spawn_local(Rc::clone(self).learn_members());
+        tokio::task::spawn_local(Rc::clone(self).learn_replica_set());
+        for seed in self.settings.seed_peers() {
+            tokio::task::spawn_local(Rc::clone(self).learn_from(seed));
+        }
+        Ok(())
+    }
+
+    /// Follows the configuration and the engines.
+    pub fn follow_traffic(self: &Rc<Self>) {
+        let configuration = ConfigurationFollower(Rc::clone(&self.view));
+        let store = Rc::clone(&self.store);
+        let kind = ObjectKind::Configuration;
+        tokio::task::spawn_local(follow(store, kind, configuration));
+        let engines = EngineFollower(Rc::clone(&self.view));
+        let store = Rc::clone(&self.store);
+        tokio::task::spawn_local(follow(store, ObjectKind::Engines, engines));
+    }
+
+    /// Takes over what changed in the settings file and may change while the process runs.
+    pub fn reload(&self, settings: &NodeSettings) {
+        self.store.set_address(settings.platform.store);
+        self.gossip.set_seeds(settings.seed_peers());
+    }
+
+    /// Reads the replica set and its revision in the store; `None` when the store does not answer.
+    pub async fn read_replica_set(&self) -> Option<RegisteredSet> {
+        let call = read(ObjectKind::ReplicaSets, REPLICA_SET_NAME);
+        let answer = self.store.call(call, CALL_TIMEOUT).await.ok()?;
+        match answer.outcome {
+            StoreOutcome::NotFound => Some(RegisteredSet::Missing),
+            StoreOutcome::Done => {
+                let object = read_object(&answer.body).ok()?;
+                let set = ReplicaSet::deserialize(&object.spec).ok()?;
+                self.view.adopt_replica_set(set.clone(), Source::Store);
+                let revision = object.revision;
+                Some(RegisteredSet::Found { set, revision })
+            }
+            _ => None,
+        }
+    }
+
+    /// Registers this node where other nodes look for it.
+    async fn register(self: Rc<Self>) {
+        let record = MemberRecord::of(&self.settings);
+        let name = self.settings.name.as_str();
+        loop {
+            let call = create(ObjectKind::Members, name, &record);
+            let outcome = self.store.call(call, CALL_TIMEOUT).await;
+            match outcome.map(|answer| answer.outcome) {
+                Ok(StoreOutcome::Done) => return,
+                Ok(StoreOutcome::Conflict) => {
+                    let call = replace(ObjectKind::Members, name, None, &record);
+                    let replaced = self.store.call(call, CALL_TIMEOUT).await;
+                    if replaced.is_ok_and(|answer| answer.outcome == StoreOutcome::Done) {
+                        return;
+                    }
+                }
+                _ => {}
+            }
+            pause_about(REGISTER_PAUSE).await;
+        }
+    }
+
+    async fn learn_members(self: Rc<Self>) {
+        loop {
+            if let Some(objects) = list_once(&self.store, ObjectKind::Members).await {
+                let nodes = objects.iter().filter_map(MemberRecord::read);
+                self.gossip.add_known(nodes.collect());
+                return;
+            }
+            pause_about(REGISTER_PAUSE).await;
+        }
+    }
+
+    async fn learn_replica_set(self: Rc<Self>) {
+        while self.view.replica_set().is_none() {
+            if matches!(
+                self.read_replica_set().await,
+                Some(RegisteredSet::Found { .. })
+            ) {
+                return;
+            }
+            pause_about(REGISTER_PAUSE).await;
+        }
+    }
+
+    /// Asks a seed for its view until somebody has told the configuration.
+    async fn learn_from(self: Rc<Self>, seed: SocketAddr) {
+        const TRIES: usize = 20;
+        for _ in 0..TRIES {
+            if self.view.routes().is_some() && self.view.replica_set().is_some() {
+                return;
+            }
+            if fetch_view(&self.links, &self.view, seed).await && self.view.routes().is_some() {
+                return;
+            }
+            pause_about(SEED_PAUSE).await;
+        }
+    }
+}
+
+/// The replica set as the store has it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RegisteredSet {
+    /// There is none yet.
+    Missing,
+    /// The set and the revision of its object.
+    Found {
+        /// The set.
+        set: ReplicaSet,
+        /// Revision to name when it is replaced.
+        revision: u64,
+    },
+}
+
+async fn pause_about(pause: Duration) {
+    let factor = rand::rng().random_range(0.5..1.5);
+    tokio::time::sleep(pause.mul_f64(factor)).await;
+}
+
+fn member_info(settings: &NodeSettings) -> MemberInfo {
+    MemberInfo {
+        name: settings.name.clone(),
+        address: settings.peer_address(),
+        zone: settings.zone.clone(),
+        is_replica: settings.role == Role::Replica,
+    }
+}
+
+/// A node as it registers itself in the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct MemberRecord {
+    address: SocketAddr,
+    zone: String,
+    is_replica: bool,
+}
+
+impl MemberRecord {
+    fn of(settings: &NodeSettings) -> Self {
+        Self {
+            address: settings.peer_address(),
+            zone: settings.zone.clone(),
+            is_replica: settings.role == Role::Replica,
+        }
+    }
+
+    fn read(object: &Object) -> Option<MemberInfo> {
+        let record = Self::deserialize(&object.spec).ok()?;
+        Some(MemberInfo {
+            name: object.name.clone(),
+            address: record.address,
+            zone: record.zone,
+            is_replica: record.is_replica,
+        })
+    }
+}
+
+struct ConfigurationFollower(Rc<View>);
+
+impl ConfigurationFollower {
+    fn take(&self, object: &Object) {
+        if object.name != CONFIGURATION_NAME {
+            return;
+        }
+        match read_configuration(&object.spec) {
+            Ok(configuration) => self.0.adopt_configuration(configuration, Source::Store),
+            Err(error) => log::error!(
+                target: "belief",
+                revision = object.revision,
+                error:% = error;
+                "configuration unreadable"
+            ),
+        }
+    }
+}
+
+impl Follower for ConfigurationFollower {
+    fn on_list(&self, objects: Vec<Object>, _at: u64) {
+        objects.iter().for_each(|object| self.take(object));
+    }
+
+    fn on_events(&self, events: Vec<ObjectEvent>, _at: u64) {
+        let present = events.iter().filter(|event| !event.gone);
+        present.for_each(|event| self.take(&event.object));
+    }
+
+    fn on_contact(&self, reached: bool) {
+        if reached {
+            self.0.confirm_as_of(Duration::ZERO);
+        }
+    }
+}
+
+struct EngineFollower(Rc<View>);
+
+impl Follower for EngineFollower {
+    fn on_list(&self, objects: Vec<Object>, at: u64) {
+        let entries = objects.iter().filter_map(|object| read_engine(object).ok());
+        self.0.adopt_engines(entries.collect(), at, Source::Store);
+    }
+
+    fn on_events(&self, events: Vec<ObjectEvent>, at: u64) {
+        for event in events {
+            if event.gone {
+                let Object { name, revision, .. } = &event.object;
+                self.0.remove_engine(name, *revision, Source::Store);
+            } else if let Ok(entry) = read_engine(&event.object) {
+                self.0.adopt_engine(entry, Source::Store);
+            }
+        }
+        self.0.advance_engines(at);
+    }
+
+    fn on_contact(&self, _reached: bool) {}
+}
--- /dev/null
+++ b/crates/resident/src/peer/message.rs
@@ -0,0 +1,153 @@
+//! Messages between nodes, and their encoding.
+#![allow(
+    missing_docs,
+    reason = "the resolvers that rkyv derives carry undocumented fields"
+)]
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use ridgeworks_records::{Epoch, ReplicaId, ReplicaReply, ReplicaRequest, ReplicaSet};
+use ridgeworks_routing::{EngineEntry, RouteConfiguration};
+use rkyv::api::high::{HighDeserializer, HighSerializer, HighValidator};
+use rkyv::bytecheck::CheckBytes;
+use rkyv::rancor::Error;
+use rkyv::ser::allocator::ArenaHandle;
+use rkyv::util::AlignedVec;
+use rkyv::{Archive, Deserialize, Serialize};
+
+/// What one node asks another.
+#[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub enum PeerRequest {
+    /// For the replica that runs there.
+    Replica {
+        /// The replica that is meant: another life of the disk must not answer for it.
+        to: ReplicaId,
+        /// The request.
+        request: ReplicaRequest,
+    },
+    /// Asks for all that the node believes of the deployment.
+    FetchView,
+}
+
+/// What a node answers.
+#[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub enum PeerReply {
+    /// From the replica.
+    Replica(ReplicaReply),
+    /// What the node believes.
+    View(ViewSnapshot),
+    /// The node's role does not answer this.
+    Unsupported,
+}
+
+/// All that a node believes of the deployment.
+#[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct ViewSnapshot {
+    /// The configuration in force.
+    pub configuration: Option<RouteConfiguration>,
+    /// The engines.
+    pub engines: Vec<EngineEntry>,
+    /// Revision up to which the engines are complete.
+    pub engines_at: u64,
+    /// Whether the node has seen a list of engines.
+    pub engines_known: bool,
+    /// The newest replica set.
+    pub replica_set: Option<ReplicaSet>,
+}
+
+/// A request or reply with the number that joins them.
+#[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct Envelope<T> {
+    /// Number of the request, unique on its connection.
+    pub number: u64,
+    /// The message.
+    pub body: T,
+}
+
+/// Who a node is.
+#[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct MemberInfo {
+    /// Its name.
+    pub name: String,
+    /// Where other nodes reach it.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: String,
+    /// Whether it runs a replica.
+    pub is_replica: bool,
+}
+
+/// How the replica of a node stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct ReplicaStatus {
+    /// Its identity.
+    pub id: ReplicaId,
+    /// The epoch whose copy it has finished.
+    pub copied: Option<Epoch>,
+}
+
+/// What a node tells others a few times a second.
+#[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// The node.
+    pub from: MemberInfo,
+    /// Number of its life, drawn at its start.
+    pub incarnation: u64,
+    /// Version of the configuration in force there, 0 when there is none.
+    pub version: u64,
+    /// Milliseconds since the store last confirmed that version; `None` when it never did.
+    pub unconfirmed_ms: Option<u64>,
+    /// Revision up to which it knows the engines.
+    pub engines_at: u64,
+    /// Epoch of the newest replica set that it knows.
+    pub epoch: Epoch,
+    /// Its replica, if it runs one.
+    pub replica: Option<ReplicaStatus>,
+    /// Its open requests by engine.
+    pub load: Vec<(u64, u32)>,
+    /// Some other nodes that it knows.
+    pub known: Vec<MemberInfo>,
+}
+
+/// A message that cannot be encoded or read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MessageError {
+    /// It is too large for memory.
+    Encode,
+    /// The bytes are no such message.
+    Decode,
+}
+
+impl fmt::Display for MessageError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Encode => write!(formatter, "the message cannot be encoded"),
+            Self::Decode => write!(formatter, "the bytes are no such message"),
+        }
+    }
+}
+
+impl std::error::Error for MessageError {}
+
+/// Encodes a message.
+pub fn encode<T>(message: &T) -> Result<Bytes, MessageError>
+where
+    T: for<'a> Serialize<HighSerializer<AlignedVec, ArenaHandle<'a>, Error>>,
+{
+    let bytes = rkyv::to_bytes::<Error>(message).map_err(|_| MessageError::Encode)?;
+    Ok(Bytes::from(bytes.into_vec()))
+}
+
+/// Reads a message.
+pub fn decode<T>(bytes: &[u8]) -> Result<T, MessageError>
+where
+    T: Archive,
+    T::Archived:
+        for<'a> CheckBytes<HighValidator<'a, Error>> + Deserialize<T, HighDeserializer<Error>>,
+{
+    let mut aligned = AlignedVec::<16>::with_capacity(bytes.len());
+    aligned.extend_from_slice(bytes);
+    rkyv::from_bytes::<T, Error>(&aligned).map_err(|_| MessageError::Decode)
+}
--- /dev/null
+++ b/crates/resident/src/peer/mod.rs
@@ -0,0 +1,27 @@
+//! What nodes say to each other: requests over framed TCP links, heartbeats over UDP.
+
+mod gossip;
+mod links;
+mod members;
+mod message;
+mod server;
+
+pub use gossip::{Gossip, GossipSources, fetch_view};
+pub use links::{LinkError, PeerLinks};
+pub use members::{Member, Members};
+pub use message::{
+    Envelope, Heartbeat, MemberInfo, MessageError, PeerReply, PeerRequest, ReplicaStatus,
+    ViewSnapshot, decode, encode,
+};
+pub use server::{PeerService, serve};
+
+use tokio_util::codec::LengthDelimitedCodec;
+
+/// Largest frame; a longer one breaks the connection.
+const MAX_FRAME_BYTES: usize = 64 * 1024 * 1024;
+
+fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_FRAME_BYTES)
+        .new_codec()
+}
--- /dev/null
+++ b/crates/resident/src/shutdown.rs
@@ -0,0 +1,42 @@
+//! Signals of the platform.
+
+use std::io;
+
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+/// What the platform orders by a signal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Order {
+    /// End in an orderly way.
+    Stop,
+    /// Read the settings again.
+    Reload,
+}
+
+/// Receives signals.
+#[derive(Debug)]
+pub struct Orders {
+    terminate: Signal,
+    interrupt: Signal,
+    reload: Signal,
+}
+
+impl Orders {
+    /// Starts to receive signals.
+    pub fn listen() -> io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            reload: signal(SignalKind::hangup())?,
+        })
+    }
+
+    /// The next order.
+    pub async fn next(&mut self) -> Order {
+        tokio::select! {
+            _ = self.terminate.recv() => Order::Stop,
+            _ = self.interrupt.recv() => Order::Stop,
+            _ = self.reload.recv() => Order::Reload,
+        }
+    }
+}
--- /dev/null
+++ b/crates/resident/src/store_client.rs
@@ -0,0 +1,158 @@
+//! Calls to the platform's store. Each call that waits has a connection of its own; a connection whose
+//! call was not answered is not used again.
+
+use std::cell::{Cell, RefCell};
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{CONTENT_TYPE, HOST};
+use http::{HeaderValue, Request};
+use http_body_util::{BodyExt, Full};
+use ridgeworks_platform::{StoreCall, StoreOutcome, outcome};
+
+use crate::http_client::{ConnectError, Connection, connect};
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+/// Connections that are kept for later calls.
+const MAX_IDLE: usize = 3;
+const JSON: HeaderValue = HeaderValue::from_static("application/json");
+
+/// The answer to a call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoreAnswer {
+    /// What became of the call.
+    pub outcome: StoreOutcome,
+    /// The body of the answer.
+    pub body: Bytes,
+}
+
+/// Why a call has no answer. It may have been carried out, or may still be.
+#[derive(Debug)]
+pub enum StoreFailure {
+    /// No connection; nothing was sent.
+    Connect(ConnectError),
+    /// The connection broke.
+    Broken(hyper::Error),
+    /// No answer in time.
+    TimedOut,
+}
+
+impl StoreFailure {
+    /// Name for logs and metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Connect(error) => error.name(),
+            Self::Broken(_) => "broken",
+            Self::TimedOut => "no_answer",
+        }
+    }
+}
+
+impl fmt::Display for StoreFailure {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Connect(error) => error.fmt(formatter),
+            Self::Broken(error) => write!(formatter, "the connection broke: {error}"),
+            Self::TimedOut => write!(formatter, "no answer in time"),
+        }
+    }
+}
+
+impl std::error::Error for StoreFailure {}
+
+/// Client of the store.
+#[derive(Debug)]
+pub struct StoreClient {
+    address: Cell<SocketAddr>,
+    idle: RefCell<Vec<Connection>>,
+    calls: Cell<u64>,
+}
+
+impl StoreClient {
+    /// A client of the store at this address.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address: Cell::new(address),
+            idle: RefCell::default(),
+            calls: Cell::new(0),
+        }
+    }
+
+    /// Calls go to this address from now on.
+    pub fn set_address(&self, address: SocketAddr) {
+        if self.address.replace(address) != address {
+            self.idle.borrow_mut().clear();
+        }
+    }
+
+    /// Calls made so far.
+    pub fn calls(&self) -> u64 {
+        self.calls.get()
+    }
+
+    /// Makes a call and waits for its answer.
+    pub async fn call(
+        &self,
+        call: StoreCall,
+        timeout: Duration,
+    ) -> Result<StoreAnswer, StoreFailure> {
+        match tokio::time::timeout(timeout, self.exchange(call)).await {
+            Ok(answer) => answer,
+            Err(_) => Err(StoreFailure::TimedOut),
+        }
+    }
+
+    async fn exchange(&self, call: StoreCall) -> Result<StoreAnswer, StoreFailure> {
+        let mut connection = self.connection().await?;
+        self.calls.set(self.calls.get() + 1);
+        let request = self.request(call);
+        let response = connection.send_request(request).await;
+        let response = response.map_err(StoreFailure::Broken)?;
+        let status = response.status();
+        let body = response.into_body().collect().await;
+        let body = body.map_err(StoreFailure::Broken)?.to_bytes();
+        self.keep(connection);
+        Ok(StoreAnswer {
+            outcome: outcome(status),
+            body,
+        })
+    }
+
+    async fn connection(&self) -> Result<Connection, StoreFailure> {
+        let idle = self.idle.borrow_mut().pop();
+        if let Some(connection) = idle
+            && connection.is_ready()
+        {
+            return Ok(connection);
+        }
+        connect(self.address.get(), CONNECT_TIMEOUT)
+            .await
+            .map_err(StoreFailure::Connect)
+    }
+
+    fn keep(&self, connection: Connection) {
+        let mut idle = self.idle.borrow_mut();
+        if idle.len() < MAX_IDLE && !connection.is_closed() {
+            idle.push(connection);
+        }
+    }
+
+    fn request(&self, call: StoreCall) -> Request<Full<Bytes>> {
+        let has_body = !call.body.is_empty();
+        let mut request = Request::new(Full::new(call.body));
+        *request.method_mut() = call.method;
+        if let Ok(uri) = call.path.parse() {
+            *request.uri_mut() = uri;
+        }
+        let host = HeaderValue::from_str(&self.address.get().to_string());
+        if let Ok(host) = host {
+            request.headers_mut().insert(HOST, host);
+        }
+        if has_body {
+            request.headers_mut().insert(CONTENT_TYPE, JSON);
+        }
+        request
+    }
+}
--- /dev/null
+++ b/crates/resident/src/view.rs
@@ -0,0 +1,238 @@
+//! What a node believes of the deployment: configuration, engines, replica set.
+//!
+//! Each part only moves forward. Where it comes from does not matter: the platform's store and other
+//! nodes feed the same view.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use ridgeworks_records::{Epoch, ReplicaSet};
+use ridgeworks_routing::{EngineEntry, EngineTable, RouteConfiguration, RouteTable};
+use tokio::sync::watch;
+
+use crate::clock::Clock;
+use crate::peer::ViewSnapshot;
+
+/// Who told a part of the view.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// The platform's store.
+    Store,
+    /// Another node.
+    Peer,
+}
+
+impl Source {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Store => "store",
+            Self::Peer => "peer",
+        }
+    }
+}
+
+/// What a node believes.
+#[derive(Debug)]
+pub struct View {
+    clock: Clock,
+    configuration: RefCell<Option<RouteConfiguration>>,
+    routes: RefCell<Option<Rc<RouteTable>>>,
+    engines: RefCell<EngineTable>,
+    engines_known: Cell<bool>,
+    replica_set: RefCell<Option<ReplicaSet>>,
+    /// When the newest configuration was last confirmed, since the start of the process.
+    confirmed: Cell<Option<Duration>>,
+    changed: watch::Sender<()>,
+}
+
+impl View {
+    /// A view that knows nothing.
+    pub fn new(clock: Clock) -> Self {
+        Self {
+            clock,
+            configuration: RefCell::default(),
+            routes: RefCell::default(),
+            engines: RefCell::default(),
+            engines_known: Cell::new(false),
+            replica_set: RefCell::default(),
+            confirmed: Cell::new(None),
+            changed: watch::Sender::new(()),
+        }
+    }
+
+    /// Tells of changes.
+    pub fn changes(&self) -> watch::Receiver<()> {
+        self.changed.subscribe()
+    }
+
+    /// The routes in force.
+    pub fn routes(&self) -> Option<Rc<RouteTable>> {
+        self.routes.borrow().clone()
+    }
+
+    /// Version of the configuration in force, 0 when there is none.
+    pub fn version(&self) -> u64 {
+        self.routes
+            .borrow()
+            .as_ref()
+            .map_or(0, |routes| routes.version())
+    }
+
+    /// Gives access to the engines.
+    pub fn with_engines<R>(&self, read: impl FnOnce(&EngineTable) -> R) -> R {
+        read(&self.engines.borrow())
+    }
+
+    /// Whether a list of engines has been seen.
+    pub fn engines_known(&self) -> bool {
+        self.engines_known.get()
+    }
+
+    /// The newest replica set that is known.
+    pub fn replica_set(&self) -> Option<ReplicaSet> {
+        self.replica_set.borrow().clone()
+    }
+
+    /// Epoch of the newest replica set, 0 when there is none.
+    pub fn epoch(&self) -> Epoch {
+        let set = self.replica_set.borrow();
+        set.as_ref().map_or(Epoch::default(), |set| set.epoch)
+    }
+
+    /// Time since somebody confirmed that the configuration is the newest one.
+    pub fn unconfirmed_for(&self) -> Option<Duration> {
+        let confirmed = self.confirmed.get()?;
+        Some(self.clock.now().saturating_sub(confirmed))
+    }
+
+    /// Notes that the configuration was the newest one this long ago.
+    pub fn confirm_as_of(&self, age: Duration) {
+        let at = self.clock.now().saturating_sub(age);
+        self.confirmed.set(self.confirmed.get().max(Some(at)));
+    }
+
+    /// Takes in a configuration unless it is not newer than the one in force.
+    pub fn adopt_configuration(&self, configuration: RouteConfiguration, source: Source) {
+        let before = self.version();
+        if configuration.version <= before {
+            return;
+        }
+        log::info!(
+            target: "belief",
+            version = configuration.version,
+            before = before,
+            routes = configuration.routes.len(),
+            source = source.name();
+            "configuration in force"
+        );
+        *self.routes.borrow_mut() = Some(Rc::new(RouteTable::new(&configuration)));
+        *self.configuration.borrow_mut() = Some(configuration);
+        self.announce();
+    }
+
+    /// Takes in a complete list of engines.
+    pub fn adopt_engines(&self, entries: Vec<EngineEntry>, at: u64, source: Source) {
+        let changed = self.engines.borrow_mut().replace(entries, at);
+        let first = !self.engines_known.replace(true);
+        if changed || first {
+            self.announce_engines(source);
+        }
+    }
+
+    /// Takes in one change of an engine.
+    pub fn adopt_engine(&self, entry: EngineEntry, source: Source) {
+        let state = entry.engine.state;
+        let instance = entry.engine.instance.clone();
+        let revision = entry.revision;
+        if self.engines.borrow_mut().apply(entry) {
+            log::info!(
+                target: "belief",
+                engine = instance.as_str(),
+                state:? = state,
+                revision = revision,
+                source = source.name();
+                "engine changed"
+            );
+            self.announce();
+        }
+    }
+
+    /// Takes in that an engine is gone.
+    pub fn remove_engine(&self, instance: &str, revision: u64, source: Source) {
+        if self.engines.borrow_mut().remove(instance, revision) {
+            log::info!(
+                target: "belief",
+                engine = instance,
+                revision = revision,
+                source = source.name();
+                "engine gone"
+            );
+            self.announce();
+        }
+    }
+
+    /// Notes that all changes of engines up to this revision are in.
+    pub fn advance_engines(&self, at: u64) {
+        self.engines.borrow_mut().advance(at);
+    }
+
+    /// Takes in a replica set unless it is not newer than the known one.
+    pub fn adopt_replica_set(&self, set: ReplicaSet, source: Source) {
+        if set.epoch <= self.epoch() {
+            return;
+        }
+        log::info!(
+            target: "belief",
+            epoch = set.epoch.0,
+            voters = set.voters.len(),
+            incoming = set.incoming.as_ref().map_or(0, Vec::len),
+            source = source.name();
+            "replica set in force"
+        );
+        *self.replica_set.borrow_mut() = Some(set);
+        self.announce();
+    }
+
+    /// All that is known, for another node.
+    pub fn snapshot(&self) -> ViewSnapshot {
+        let engines = self.engines.borrow();
+        ViewSnapshot {
+            configuration: self.configuration.borrow().clone(),
+            engines: engines.entries(),
+            engines_at: engines.at(),
+            engines_known: self.engines_known.get(),
+            replica_set: self.replica_set.borrow().clone(),
+        }
+    }
+
+    /// Takes in what another node knows.
+    pub fn adopt_snapshot(&self, snapshot: ViewSnapshot) {
+        if let Some(configuration) = snapshot.configuration {
+            self.adopt_configuration(configuration, Source::Peer);
+        }
+        if snapshot.engines_known {
+            self.adopt_engines(snapshot.engines, snapshot.engines_at, Source::Peer);
+        }
+        if let Some(set) = snapshot.replica_set {
+            self.adopt_replica_set(set, Source::Peer);
+        }
+    }
+
+    fn announce_engines(&self, source: Source) {
+        let engines = self.engines.borrow();
+        log::info!(
+            target: "belief",
+            engines = engines.len(),
+            revision = engines.at(),
+            source = source.name();
+            "list of engines in force"
+        );
+        drop(engines);
+        self.announce();
+    }
+
+    fn announce(&self) {
+        self.changed.send_replace(());
+    }
+}
--- /dev/null
+++ b/crates/resident/src/watching.rs
@@ -0,0 +1,200 @@
+//! Follows kinds of objects in the platform's store.
+
+use std::fmt;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::RngExt;
+use ridgeworks_platform::{
+    BadAnswer, Listing, Object, ObjectEvent, ObjectKind, StoreCall, StoreOutcome, list,
+    read_listing, read_watch, watch,
+};
+
+use crate::store_client::{StoreClient, StoreFailure};
+
+/// How long a watch waits for a change.
+const WATCH_WAIT: Duration = Duration::from_secs(5);
+/// Time that the store may take beyond the wait.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+
+/// Why the store could not be followed for a moment.
+#[derive(Debug)]
+enum FollowError {
+    Failure(StoreFailure),
+    Outcome(StoreOutcome),
+    Answer(BadAnswer),
+}
+
+impl FollowError {
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Failure(failure) => failure.name(),
+            Self::Outcome(StoreOutcome::Throttled) => "throttled",
+            Self::Outcome(StoreOutcome::NotDone) => "unavailable",
+            Self::Outcome(StoreOutcome::HistoryGone) => "history_gone",
+            Self::Outcome(_) => "refused",
+            Self::Answer(_) => "unreadable",
+        }
+    }
+}
+
+impl fmt::Display for FollowError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Failure(failure) => failure.fmt(formatter),
+            Self::Outcome(outcome) => write!(formatter, "the store answered {outcome:?}"),
+            Self::Answer(error) => error.fmt(formatter),
+        }
+    }
+}
+
+impl From<BadAnswer> for FollowError {
+    fn from(error: BadAnswer) -> Self {
+        Self::Answer(error)
+    }
+}
+
+/// Takes in what the store holds of a kind.
+pub trait Follower {
+    /// A complete list as of this revision.
+    fn on_list(&self, objects: Vec<Object>, at: u64);
+    /// Changes, complete up to this revision.
+    fn on_events(&self, events: Vec<ObjectEvent>, at: u64);
+    /// The store answered, or did not.
+    fn on_contact(&self, reached: bool);
+}
+
+/// Follows a kind until the process ends.
+pub async fn follow(store: Rc<StoreClient>, kind: ObjectKind, follower: impl Follower) {
+    let mut state = Following {
+        store,
+        kind,
+        follower,
+        at: None,
+        failures: 0,
+    };
+    loop {
+        match state.step().await {
+            Ok(()) => state.on_reached(),
+            Err(error) => state.on_error(&error).await,
+        }
+    }
+}
+
+struct Following<F> {
+    store: Rc<StoreClient>,
+    kind: ObjectKind,
+    follower: F,
+    /// Revision up to which everything is known; `None` before the first list.
+    at: Option<u64>,
+    failures: u32,
+}
+
+impl<F: Follower> Following<F> {
+    async fn step(&mut self) -> Result<(), FollowError> {
+        match self.at {
+            None => self.list_all().await,
+            Some(at) => self.wait_for_changes(at).await,
+        }
+    }
+
+    async fn list_all(&mut self) -> Result<(), FollowError> {
+        let (objects, at) = list_objects(&self.store, self.kind).await?;
+        self.follower.on_list(objects, at);
+        self.at = Some(at);
+        Ok(())
+    }
+
+    async fn wait_for_changes(&mut self, at: u64) -> Result<(), FollowError> {
+        let call = watch(self.kind, at, WATCH_WAIT);
+        let timeout = WATCH_WAIT + ANSWER_TIMEOUT;
+        let body = call_store(&self.store, call, timeout).await?;
+        let batch = read_watch(&body)?;
+        self.at = Some(batch.at.max(at));
+        self.follower.on_events(batch.events, batch.at);
+        Ok(())
+    }
+
+    fn on_reached(&mut self) {
+        if self.failures > 0 {
+            log::info!(target: "dependency", kind:? = self.kind; "platform store regained");
+        }
+        self.failures = 0;
+        self.follower.on_contact(true);
+    }
+
+    async fn on_error(&mut self, error: &FollowError) {
+        if matches!(error, FollowError::Outcome(StoreOutcome::HistoryGone)) {
+            log::info!(target: "dependency", kind:? = self.kind; "history gone, listing anew");
+            self.at = None;
+            return;
+        }
+        if self.failures == 0 {
+            let reason = error.name();
+            log::warn!(
+                target: "dependency",
+                kind:? = self.kind,
+                reason = reason,
+                detail:% = error;
+                "platform store lost"
+            );
+        }
+        self.failures += 1;
+        self.follower.on_contact(false);
+        tokio::time::sleep(pause(self.failures)).await;
+    }
+}
+
+/// Grows with the failures in a row; drawn at random so that nodes do not come back together.
+fn pause(failures: u32) -> Duration {
+    let longest = FIRST_PAUSE.saturating_mul(1 << failures.min(6));
+    let longest = longest.min(LONGEST_PAUSE);
+    longest.mul_f64(rand::rng().random_range(0.5..1.0))
+}
+
+async fn call_store(
+    store: &StoreClient,
+    call: StoreCall,
+    timeout: Duration,
+) -> Result<bytes::Bytes, FollowError> {
+    let answer = store.call(call, timeout).await;
+    let answer = answer.map_err(FollowError::Failure)?;
+    match answer.outcome {
+        StoreOutcome::Done => Ok(answer.body),
+        outcome => Err(FollowError::Outcome(outcome)),
+    }
+}
+
+/// Lists all objects of a kind; complete as of the revision that is returned.
+async fn list_objects(
+    store: &StoreClient,
+    kind: ObjectKind,
+) -> Result<(Vec<Object>, u64), FollowError> {
+    let mut objects = Vec::new();
+    let mut at = None;
+    loop {
+        let after = objects.last().map(|last: &Object| last.name.clone());
+        let call = list(kind, after.as_deref());
+        let body = call_store(store, call, ANSWER_TIMEOUT).await?;
+        let Listing {
+            items,
+            more,
+            at: page_at,
+        } = read_listing(&body)?;
+        let is_empty = items.is_empty();
+        objects.extend(items);
+        // Changes after the first page are told by the watch that follows.
+        let at = *at.get_or_insert(page_at);
+        if !more || is_empty {
+            return Ok((objects, at));
+        }
+    }
+}
+
+/// Lists all objects of a kind once; `None` when the store does not answer.
+pub async fn list_once(store: &StoreClient, kind: ObjectKind) -> Option<Vec<Object>> {
+    let listed = list_objects(store, kind).await;
+    listed.ok().map(|(objects, _)| objects)
+}
--- /dev/null
+++ b/crates/routing/src/configuration.rs
@@ -0,0 +1,125 @@
+//! The configuration that the operators put in force.
+
+use std::time::Duration;
+
+use rkyv::{Archive, Deserialize, Serialize};
+
+/// How a request may be repeated, and what its answer looks like.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub enum RequestKind {
+    /// May run more than once.
+    Repeatable,
+    /// May run once at most.
+    NotRepeatable,
+    /// Answered by a stream of events; may be repeated only where the route is resumable.
+    Stream,
+}
+
+/// A service with its part of a route's requests.
+#[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct WeightedService {
+    /// Name of the service.
+    pub service: String,
+    /// Its part, relative to the others.
+    pub weight: u32,
+}
+
+/// Requests of one host under one path.
+#[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct Route {
+    /// Name of the route.
+    pub name: String,
+    /// Host that clients name.
+    pub host: String,
+    /// Beginning of the path, with a slash at both ends.
+    pub path_prefix: String,
+    /// How requests may be repeated.
+    pub kind: RequestKind,
+    /// The longest that a request is held, in milliseconds.
+    pub timeout_ms: u64,
+    /// Time for the answer or its first event, in milliseconds.
+    pub target_ms: u64,
+    /// Longest pause between events that is still in time, in milliseconds.
+    pub gap_target_ms: u64,
+    /// Rank of the requests, 0 first.
+    pub priority: u8,
+    /// Services that take the requests.
+    pub services: Vec<WeightedService>,
+    /// Engines that one attempt of a client may run on.
+    pub max_attempts: u32,
+    /// Whether a stream may be taken up at another engine.
+    pub resumable: bool,
+    /// Whether turns are kept, so that later turns bring only their new input.
+    pub keeps_turns: bool,
+    /// How long turns and ledgers are kept, in milliseconds.
+    pub retention_ms: u64,
+}
+
+impl Route {
+    /// Whether a request of the route may run more than once.
+    pub fn is_repeatable(&self) -> bool {
+        match self.kind {
+            RequestKind::Repeatable => true,
+            RequestKind::NotRepeatable => false,
+            RequestKind::Stream => self.resumable,
+        }
+    }
+
+    /// The longest that a request is held.
+    pub fn timeout(&self) -> Duration {
+        Duration::from_millis(self.timeout_ms)
+    }
+
+    /// How long turns and ledgers are kept.
+    pub fn retention(&self) -> Duration {
+        Duration::from_millis(self.retention_ms)
+    }
+}
+
+/// What is known of the model engines of a service.
+#[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct ModelEngine {
+    /// Requests in one batch.
+    pub slots: u32,
+    /// Tokens in each event.
+    pub event_tokens: u64,
+    /// Tokens that the memory of one engine holds.
+    pub memory_tokens: u64,
+}
+
+/// A service and how its engines are to be treated.
+#[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct Service {
+    /// Name of the service.
+    pub name: String,
+    /// Connections that one engine accepts from all callers.
+    pub max_connections: u32,
+    /// Given for services of model engines.
+    pub model: Option<ModelEngine>,
+}
+
+/// Bounds on what a client may send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct CallerLimits {
+    /// Bytes of a request's head.
+    pub max_header_bytes: u64,
+    /// Bytes of a request's body.
+    pub max_body_bytes: u64,
+    /// Time for a request's head, in milliseconds.
+    pub header_timeout_ms: u64,
+    /// Time that a connection may rest, in milliseconds.
+    pub idle_timeout_ms: u64,
+}
+
+/// The whole configuration at one version.
+#[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct RouteConfiguration {
+    /// Its version; only grows.
+    pub version: u64,
+    /// All routes.
+    pub routes: Vec<Route>,
+    /// All services.
+    pub services: Vec<Service>,
+    /// Bounds for clients.
+    pub limits: CallerLimits,
+}
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,28 @@
+//! Decisions of a gateway about one request, without I/O: which route and service it belongs to, which
+//! engine gets it, and what an engine's event stream says.
+#![allow(
+    missing_docs,
+    reason = "the resolvers that rkyv derives carry undocumented fields"
+)]
+
+mod configuration;
+mod engine_health;
+mod engine_table;
+mod event_stream;
+mod placement;
+mod refusal;
+mod request;
+mod route_table;
+mod weighted_split;
+
+pub use configuration::{
+    CallerLimits, ModelEngine, RequestKind, Route, RouteConfiguration, Service, WeightedService,
+};
+pub use engine_health::EngineHealth;
+pub use engine_table::{Engine, EngineEntry, EngineState, EngineTable};
+pub use event_stream::{Event, EventSplitter};
+pub use placement::{Demand, Placement};
+pub use refusal::{Refusal, RefusalReason};
+pub use request::{CallMetadata, PromptPart};
+pub use route_table::RouteTable;
+pub use weighted_split::WeightedSplit;
--- /dev/null
+++ b/crates/routing/src/refusal.rs
@@ -0,0 +1,108 @@
+//! Why a request gets no answer of an engine.
+
+use std::fmt;
+use std::time::Duration;
+
+/// The reason, and with it what the client may conclude.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum RefusalReason {
+    /// The request lacks something or contradicts itself.
+    BadRequest,
+    /// No route has this host and path.
+    NoRoute,
+    /// The turn that it goes on from does not exist.
+    NoSuchTurn,
+    /// The program's budget does not hold the turn at its most.
+    BudgetSpent,
+    /// The body is longer than allowed.
+    BodyTooLarge,
+    /// No configuration is known yet.
+    NoConfiguration,
+    /// The gateway has not heard of the newest configuration for too long to be certain.
+    ConfigurationStale,
+    /// The gateway holds as many requests as it can.
+    Overloaded,
+    /// No engine takes requests of the service.
+    NoEngine,
+    /// All engines that were asked refused to run it.
+    EnginesFull,
+    /// Not enough replicas answered to reserve tokens.
+    LedgerUnavailable,
+    /// Not enough replicas answered to read the earlier turns.
+    TurnsUnavailable,
+    /// The engine broke off or answered with something else; the request may have run.
+    EngineFailed,
+    /// Time is up; the request may have run.
+    TimedOut,
+    /// Time is up and no engine got the request.
+    TimedOutUnsent,
+}
+
+impl RefusalReason {
+    /// Whether the request has certainly not run and never will.
+    pub fn is_not_run(self) -> bool {
+        !matches!(self, Self::EngineFailed | Self::TimedOut)
+    }
+
+    /// Name for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::BadRequest => "bad_request",
+            Self::NoRoute => "no_route",
+            Self::NoSuchTurn => "no_such_turn",
+            Self::BudgetSpent => "budget_spent",
+            Self::BodyTooLarge => "body_too_large",
+            Self::NoConfiguration => "no_configuration",
+            Self::ConfigurationStale => "configuration_stale",
+            Self::Overloaded => "overloaded",
+            Self::NoEngine => "no_engine",
+            Self::EnginesFull => "engines_full",
+            Self::LedgerUnavailable => "ledger_unavailable",
+            Self::TurnsUnavailable => "turns_unavailable",
+            Self::EngineFailed => "engine_failed",
+            Self::TimedOut => "timed_out",
+            Self::TimedOutUnsent => "timed_out_unsent",
+        }
+    }
+}
+
+impl fmt::Display for RefusalReason {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(self.name())
+    }
+}
+
+/// A final answer without an engine's.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why.
+    pub reason: RefusalReason,
+    /// When the client may come back.
+    pub retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    /// A refusal after which coming back does not help.
+    pub fn last(reason: RefusalReason) -> Self {
+        Self {
+            reason,
+            retry_after: None,
+        }
+    }
+
+    /// A refusal after which the client may come back.
+    pub fn come_back(reason: RefusalReason, after: Duration) -> Self {
+        Self {
+            reason,
+            retry_after: Some(after),
+        }
+    }
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.reason.fmt(formatter)
+    }
+}
+
+impl std::error::Error for Refusal {}
--- /dev/null
+++ b/crates/routing/src/route_table.rs
@@ -0,0 +1,64 @@
+//! Finds the route of a request.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use crate::configuration::{CallerLimits, Route, RouteConfiguration, Service};
+
+/// One version of the configuration, arranged for lookups.
+#[derive(Debug, Clone)]
+pub struct RouteTable {
+    version: u64,
+    /// Routes by host, those with the longest prefix first.
+    routes: HashMap<String, Vec<Arc<Route>>>,
+    services: HashMap<String, Arc<Service>>,
+    limits: CallerLimits,
+}
+
+impl RouteTable {
+    /// Arranges a configuration.
+    pub fn new(configuration: &RouteConfiguration) -> Self {
+        let mut routes: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
+        for route in &configuration.routes {
+            let host = route.host.to_ascii_lowercase();
+            let of_host = routes.entry(host).or_default();
+            of_host.push(Arc::new(route.clone()));
+        }
+        for of_host in routes.values_mut() {
+            of_host.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
+        }
+        let services = configuration.services.iter();
+        Self {
+            version: configuration.version,
+            routes,
+            services: services
+                .map(|service| (service.name.clone(), Arc::new(service.clone())))
+                .collect(),
+            limits: configuration.limits,
+        }
+    }
+
+    /// Version of the configuration.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Bounds for clients.
+    pub fn limits(&self) -> CallerLimits {
+        self.limits
+    }
+
+    /// The route with the longest prefix that begins the path; the host may carry a port.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let name = host.split(':').next().unwrap_or(host);
+        let of_host = self.routes.get(&name.to_ascii_lowercase())?;
+        of_host
+            .iter()
+            .find(|route| path.starts_with(&route.path_prefix))
+    }
+
+    /// A service by its name.
+    pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
+        self.services.get(name)
+    }
+}
--- a/crates/storage/src/operation.rs
+++ b/crates/storage/src/operation.rs
@@ -49,6 +49,18 @@
         /// Name of the record.
         key: Vec<u8>,
     },
+    /// Sets one replicated record.
+    PutRecord {
+        /// Key of the record.
+        key: Vec<u8>,
+        /// The record, encoded.
+        bytes: Vec<u8>,
+    },
+    /// Removes one replicated record.
+    DeleteRecord {
+        /// Key of the record.
+        key: Vec<u8>,
+    },
     /// Sets one record of the replica itself, such as its generation.
     PutNodeRecord {
         /// Name of the record.
@@ -63,10 +75,10 @@
     pub(crate) fn weight(&self) -> usize {
         match self {
             Self::PutRunHead { bytes, .. } | Self::PutEntry { bytes, .. } => bytes.len(),
-            Self::PutConfiguration { key, bytes } | Self::PutNodeRecord { key, bytes } => {
-                key.len() + bytes.len()
-            }
-            Self::DeleteConfiguration { key } => key.len(),
+            Self::PutConfiguration { key, bytes }
+            | Self::PutNodeRecord { key, bytes }
+            | Self::PutRecord { key, bytes } => key.len() + bytes.len(),
+            Self::DeleteConfiguration { key } | Self::DeleteRecord { key } => key.len(),
             Self::TruncateEntries { .. } | Self::ForgetRun { .. } => 0,
         }
     }
--- a/crates/storage/src/reader.rs
+++ b/crates/storage/src/reader.rs
@@ -7,7 +7,7 @@
 
 use crate::checksum::{entry_key_bytes, unseal};
 use crate::error::StoreError;
-use crate::tables::{CONFIGURATION, NODE_RECORDS, RUN_ENTRIES, RUN_HEADS};
+use crate::tables::{CONFIGURATION, NODE_RECORDS, RECORDS, RUN_ENTRIES, RUN_HEADS};
 
 /// One entry of a run's log.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -97,3 +97,17 @@
     };
     Ok(Some(unseal(key, sealed.value())?.to_vec()))
 }
+
+pub(crate) fn visit_records(
+    database: &Database,
+    mut visit: impl FnMut(&[u8]) -> ControlFlow<()>,
+) -> Result<(), StoreError> {
+    let table = database.begin_read()?.open_table(RECORDS)?;
+    for item in table.iter()? {
+        let (key, value) = item?;
+        if visit(unseal(key.value(), value.value())?).is_break() {
+            break;
+        }
+    }
+    Ok(())
+}
--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -151,6 +151,14 @@
         })
     }
 
+    /// Calls `visit` with each replicated record, in the order of their keys, until it breaks.
+    pub fn visit_records(
+        &self,
+        visit: impl FnMut(&[u8]) -> ControlFlow<()>,
+    ) -> Result<(), StoreError> {
+        reader::visit_records(&self.database, visit)
+    }
+
     /// Calls `visit` with the head of each run, in the order of run identifiers, until it breaks.
     pub fn visit_run_heads(
         &self,
--- a/crates/storage/src/tables.rs
+++ b/crates/storage/src/tables.rs
@@ -22,6 +22,8 @@
     TableDefinition::new("configuration");
 /// Records of the replica itself.
 pub(crate) const NODE_RECORDS: TableDefinition<Bytes, Bytes> = TableDefinition::new("node-records");
+/// Replicated records.
+pub(crate) const RECORDS: TableDefinition<Bytes, Bytes> = TableDefinition::new("records");
 
 /// Open tables of one write transaction.
 pub(crate) struct WriteTables<'transaction> {
@@ -29,6 +31,7 @@
     run_entries: Table<'transaction, EntryKey, Bytes>,
     configuration: Table<'transaction, Bytes, Bytes>,
     node_records: Table<'transaction, Bytes, Bytes>,
+    records: Table<'transaction, Bytes, Bytes>,
 }
 
 impl<'transaction> WriteTables<'transaction> {
@@ -39,6 +42,7 @@
             run_entries: transaction.open_table(RUN_ENTRIES)?,
             configuration: transaction.open_table(CONFIGURATION)?,
             node_records: transaction.open_table(NODE_RECORDS)?,
+            records: transaction.open_table(RECORDS)?,
         })
     }
 
@@ -66,6 +70,13 @@
             StoreOperation::DeleteConfiguration { key } => {
                 self.configuration.remove(key.as_slice())?;
             }
+            StoreOperation::PutRecord { key, bytes } => {
+                self.records
+                    .insert(key.as_slice(), seal(key, bytes).as_slice())?;
+            }
+            StoreOperation::DeleteRecord { key } => {
+                self.records.remove(key.as_slice())?;
+            }
             StoreOperation::PutNodeRecord { key, bytes } => {
                 self.node_records
                     .insert(key.as_slice(), seal(key, bytes).as_slice())?;
--- a/crates/storage/tests/crash.rs
+++ b/crates/storage/tests/crash.rs
@@ -26,12 +26,17 @@
     let key = vec![random.random_range(0..3)];
     let length = random.random_range(0..MAX_VALUE_BYTES);
     let bytes = vec![random.random(); length];
-    match random.random_range(0..12) {
+    match random.random_range(0..15) {
         0..=1 => StoreOperation::PutRunHead { run, bytes },
         2..=7 => StoreOperation::PutEntry { run, index, bytes },
         8 => StoreOperation::TruncateEntries { run, from: index },
         9 => StoreOperation::ForgetRun { run },
         10 => StoreOperation::PutConfiguration { key, bytes },
+        12..=13 => {
+            let bytes = [key.clone(), bytes].concat();
+            StoreOperation::PutRecord { key, bytes }
+        }
+        14 => StoreOperation::DeleteRecord { key },
         _ => StoreOperation::DeleteConfiguration { key },
     }
 }
--- a/crates/storage/tests/support/mod.rs
+++ b/crates/storage/tests/support/mod.rs
@@ -203,12 +203,17 @@
         .expect("every batch is answered")
 }
 
+/// Length of the keys of replicated records in the tests.
+pub const RECORD_KEY_BYTES: usize = 1;
+
 /// All that a store holds.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Contents {
     pub heads: BTreeMap<u128, Vec<u8>>,
     pub entries: BTreeMap<(u128, u64), Vec<u8>>,
     pub configuration: BTreeMap<Vec<u8>, Vec<u8>>,
+    /// Values of the replicated records; the tests write values that begin with their key.
+    pub records: BTreeMap<Vec<u8>, Vec<u8>>,
 }
 
 impl Contents {
@@ -235,6 +240,12 @@
             StoreOperation::DeleteConfiguration { key } => {
                 self.configuration.remove(&key);
             }
+            StoreOperation::PutRecord { key, bytes } => {
+                self.records.insert(key, bytes);
+            }
+            StoreOperation::DeleteRecord { key } => {
+                self.records.remove(&key);
+            }
             StoreOperation::PutNodeRecord { .. } => {}
         }
     }
@@ -255,6 +266,12 @@
         for record in store.configuration().expect("configuration") {
             contents.configuration.insert(record.key, record.bytes);
         }
+        let visited = store.visit_records(|record| {
+            let key = record[..RECORD_KEY_BYTES].to_vec();
+            contents.records.insert(key, record.to_vec());
+            ControlFlow::Continue(())
+        });
+        visited.expect("records");
         contents
     }
 }
