--- a/crates/gateway/src/role.rs
+++ b/crates/gateway/src/role.rs
@@ -13,8 +13,8 @@
 use ridgeworks_resident::http_server::{self, ShortAnswer};
 use ridgeworks_resident::logging::LogCounters;
 use ridgeworks_resident::metrics::{self, LogCollector};
-use ridgeworks_resident::node::Node;
-use ridgeworks_resident::settings::{NodeSettings, NodeSettingsError};
+use ridgeworks_resident::node::{Node, ReloadReason as Reason};
+use ridgeworks_resident::settings::NodeSettings;
 use ridgeworks_resident::shutdown::{Order, Orders};
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -80,13 +80,14 @@
     tokio::task::spawn_local(Rc::clone(&gateway).tidy());
     log::info!(target: "process", node = node.settings.name.as_str(), role = "gateway"; "started");
     loop {
-        let order = tokio::select! {
-            order = orders.next() => order,
-            () = tokio::time::sleep(SETTINGS_INTERVAL) => Order::Reload,
-        };
-        match order {
-            Order::Reload => reload(&node, &settings_path),
-            Order::Stop => break,
+        tokio::select! {
+            order = orders.next() => match order {
+                Order::Reload => node.reload(&settings_path, Reason::Signal),
+                Order::Stop => break,
+            },
+            () = tokio::time::sleep(SETTINGS_INTERVAL) => {
+                node.reload(&settings_path, Reason::Interval);
+            }
         }
     }
     stop(&gateway, &drain).await;
@@ -125,17 +126,6 @@
     http_server::serve(address, answer).await
 }
 
-fn reload(node: &Node, path: &std::path::Path) {
-    match NodeSettings::load(path) {
-        Ok(settings) => node.reload(&settings),
-        Err(error) => report_bad_settings(&error),
-    }
-}
-
-fn report_bad_settings(error: &NodeSettingsError) {
-    log::error!(target: "process", detail:% = error; "settings not reloaded, the earlier ones hold");
-}
-
 /// Serves on until the platform has noticed and all requests have their answers.
 async fn stop(gateway: &Gateway, drain: &watch::Sender<bool>) {
     let began = Instant::now();
--- /dev/null
+++ b/crates/node/tests/resident_lifecycle.rs
@@ -0,0 +1,249 @@
+//! Start, stop and reload of residents, and how they follow the platform's store through its faults.
+
+mod resident_support;
+
+use std::time::Duration;
+
+use resident_support::client::{call_get, call_post, get};
+use resident_support::{Deployment, routes, wait_until};
+use ridgeworks_platform_stand_ins::{Answer, Script, StoreFault};
+use rustix::process::Signal;
+use serde_json::json;
+
+fn ok() -> Script {
+    Script::always(Answer::Whole("fine".to_owned()))
+}
+
+fn status(gateway: std::net::SocketAddr, path: &str) -> u16 {
+    call_get(path, "r")
+        .send(gateway)
+        .map_or(0, |reply| reply.status)
+}
+
+/// The routes with another prefix for tools.
+fn moved_routes(prefix: &str) -> serde_json::Value {
+    let mut routes = routes();
+    routes[0]["path_prefix"] = json!(prefix);
+    routes
+}
+
+#[test]
+fn a_changed_configuration_is_in_force_within_its_bound() {
+    let mut deployment = Deployment::started(1, 0);
+    let _engine = deployment.engine("tools", "i-1", ok());
+    let gateway = deployment.gateways[0].callers();
+    wait_until("the engine serves", || status(gateway, "/tool/x") == 200);
+    let began = std::time::Instant::now();
+    deployment.configure(moved_routes("/moved/"));
+    wait_until("the new route is served", || {
+        status(gateway, "/moved/x") == 200
+    });
+    assert!(began.elapsed() < Duration::from_secs(2));
+    assert_eq!(status(gateway, "/tool/x"), 404);
+}
+
+#[test]
+fn an_older_configuration_never_comes_back() {
+    let mut deployment = Deployment::started(1, 0);
+    let _engine = deployment.engine("tools", "i-1", ok());
+    let gateway = deployment.gateways[0].callers();
+    let old = deployment
+        .store
+        .object("config", "main")
+        .expect("a configuration");
+    deployment.configure(moved_routes("/moved/"));
+    wait_until("the new route is served", || {
+        status(gateway, "/moved/x") == 200
+    });
+    deployment.store.put("config", "main", old["spec"].clone());
+    std::thread::sleep(Duration::from_millis(300));
+    assert_eq!(status(gateway, "/tool/x"), 404);
+    assert_eq!(status(gateway, "/moved/x"), 200);
+}
+
+/// A change that is made after the fault has been on for a while, and is in force once it is over.
+fn survives(fault: StoreFault) {
+    let mut deployment = Deployment::started(1, 0);
+    let engine = deployment.engine("tools", "i-1", ok());
+    let gateway = deployment.gateways[0].callers();
+    wait_until("the engine serves", || status(gateway, "/tool/x") == 200);
+    deployment.store.set_fault(fault);
+    std::thread::sleep(Duration::from_millis(500));
+    assert_eq!(status(gateway, "/tool/x"), 200, "{fault:?}");
+    deployment.configure(moved_routes("/moved/"));
+    deployment
+        .store
+        .put("servers", "i-1", engine.entry("tools", "draining"));
+    let _next = deployment.engine("tools", "i-2", ok());
+    deployment.store.set_fault(StoreFault::None);
+    wait_until("the new route is served by the new engine", || {
+        status(gateway, "/moved/x") == 200
+    });
+}
+
+#[test]
+fn a_store_that_refuses_or_is_slow_is_followed_again() {
+    survives(StoreFault::Unavailable);
+    survives(StoreFault::Throttled);
+    survives(StoreFault::Slow(300));
+}
+
+#[test]
+fn a_store_that_forgot_its_history_is_listed_anew() {
+    let mut deployment = Deployment::started(1, 0);
+    let engine = deployment.engine("tools", "i-1", ok());
+    let gateway = deployment.gateways[0].callers();
+    wait_until("the engine serves", || status(gateway, "/tool/x") == 200);
+    deployment.store.set_fault(StoreFault::Unavailable);
+    std::thread::sleep(Duration::from_millis(200));
+    deployment.configure(moved_routes("/moved/"));
+    let _next = deployment.engine("tools", "i-2", ok());
+    deployment.store.remove("servers", "i-1");
+    deployment.store.forget_history();
+    deployment.store.set_fault(StoreFault::None);
+    wait_until("the new route is served", || {
+        status(gateway, "/moved/x") == 200
+    });
+    let runs = engine.runs().len();
+    for _ in 0..10 {
+        assert_eq!(status(gateway, "/moved/x"), 200);
+    }
+    assert_eq!(engine.runs().len(), runs);
+}
+
+#[test]
+fn a_gateway_that_starts_while_the_store_is_down_learns_from_another() {
+    let mut deployment = Deployment::started(1, 0);
+    let _engine = deployment.engine("tools", "i-1", ok());
+    let first = deployment.gateways[0].callers();
+    wait_until("the engine serves", || status(first, "/tool/x") == 200);
+    deployment.store.set_fault(StoreFault::Silent);
+    let second = {
+        let gateway = deployment.add_gateway();
+        gateway.start();
+        gateway.callers()
+    };
+    wait_until("the new gateway serves", || {
+        status(second, "/tool/x") == 200
+    });
+}
+
+#[test]
+fn without_any_configuration_nothing_is_promised() {
+    let mut deployment = Deployment::new();
+    deployment.store.set_fault(StoreFault::Unavailable);
+    let gateway = {
+        let gateway = deployment.add_gateway();
+        gateway.start();
+        gateway.callers()
+    };
+    wait_until("the gateway answers", || status(gateway, "/tool/x") == 503);
+    assert!(!deployment.gateways[0].is_ready());
+}
+
+#[test]
+fn a_long_list_of_engines_is_read_to_its_end() {
+    let deployment = Deployment::started(1, 0);
+    for number in 0..120 {
+        let entry = json!({"service": "tools", "address": "127.0.0.1:9", "zone": "z",
+            "slots": 1, "state": "draining", "seq": 1});
+        deployment
+            .store
+            .put("servers", &format!("a-{number:03}"), entry);
+    }
+    let _engine = deployment.engine("tools", "z-last", ok());
+    let mut deployment = deployment;
+    let gateway = {
+        let gateway = deployment.add_gateway();
+        gateway.start();
+        gateway.callers()
+    };
+    wait_until("the last engine serves", || {
+        status(gateway, "/tool/x") == 200
+    });
+}
+
+#[test]
+fn a_stop_cuts_no_request_and_ends_in_time() {
+    let mut deployment = Deployment::started(1, 0);
+    let slow = Script::always(Answer::Stream {
+        events: 20,
+        gap_ms: 50,
+    });
+    let engine = deployment.engine("models", "i-1", slow);
+    let gateway = deployment.gateways[0].callers();
+    let serving = std::thread::spawn(move || {
+        let mut reply = None;
+        wait_until("the stream is served", || {
+            reply = call_post("/chat/x", "r-1", "").send(gateway);
+            reply.as_ref().is_some_and(|reply| reply.status == 200)
+        });
+        reply.expect("just served")
+    });
+    wait_until("the stream runs", || !engine.runs().is_empty());
+    deployment.gateways[0].signal(Signal::TERM);
+    wait_until("the gateway is not ready", || {
+        !deployment.gateways[0].is_ready()
+    });
+    let reply = serving.join().expect("a reply");
+    assert!(reply.is_whole);
+    assert_eq!(reply.event_ids().len(), 20);
+    let mut ended = None;
+    wait_until("the process has ended", || {
+        ended = deployment.gateways[0].ended();
+        ended.is_some()
+    });
+    assert_eq!(ended, Some(true));
+    let log = deployment.gateways[0].log();
+    for message in ["started", "stopping", "stopped"] {
+        let is_told = log.iter().any(|line| line["message"] == message);
+        assert!(is_told, "no line says {message}");
+    }
+}
+
+#[test]
+fn settings_are_read_again_and_bad_ones_change_nothing() {
+    let deployment = Deployment::started(1, 0);
+    let _engine = deployment.engine("tools", "i-1", ok());
+    let gateway = deployment.gateways[0].callers();
+    wait_until("the engine serves", || status(gateway, "/tool/x") == 200);
+    deployment.gateways[0].signal(Signal::HUP);
+    wait_until("the reload is told", || {
+        let log = deployment.gateways[0].log();
+        log.iter()
+            .any(|line| line["message"] == "settings reloaded")
+    });
+    deployment.gateways[0].spoil_settings();
+    deployment.gateways[0].signal(Signal::HUP);
+    wait_until("the fault is told", || {
+        let log = deployment.gateways[0].log();
+        log.iter()
+            .any(|line| line["message"] == "settings not reloaded, the earlier ones hold")
+    });
+    assert_eq!(status(gateway, "/tool/x"), 200);
+}
+
+#[test]
+fn metrics_are_told_at_the_settings_address() {
+    let mut deployment = Deployment::started(1, 1);
+    let _engine = deployment.engine("tools", "i-1", ok());
+    let gateway = deployment.gateways[0].callers();
+    wait_until("the engine serves", || status(gateway, "/tool/x") == 200);
+    let text = get(deployment.gateways[0].metrics(), "/metrics")
+        .expect("metrics")
+        .body;
+    assert!(
+        text.contains("ridgeworks_requests_ended_total{reason=\"answered\"}"),
+        "{text}"
+    );
+    assert!(text.contains("ridgeworks_request_seconds_bucket"), "{text}");
+    assert!(
+        text.contains("ridgeworks_log_lines_written_total"),
+        "{text}"
+    );
+    let text = get(deployment.replicas[0].metrics(), "/metrics")
+        .expect("metrics")
+        .body;
+    assert!(text.contains("ridgeworks_replica_set_epoch"), "{text}");
+    deployment.replicas[0].kill();
+}
--- /dev/null
+++ b/crates/node/tests/resident_records.rs
@@ -0,0 +1,240 @@
+//! Kept turns and budgets through real gateways and replicas, with replicas that die and lose disks.
+
+mod resident_support;
+
+use resident_support::client::{Call, Reply, call_post};
+use resident_support::{Deployment, wait_until};
+use ridgeworks_platform_stand_ins::{Answer, Script};
+
+fn stream(events: u64) -> Script {
+    Script::always(Answer::Stream { events, gap_ms: 1 })
+}
+
+fn turn(id: &str, previous: Option<&str>, input: &str) -> Call {
+    let call = call_post("/talk/x", id, input);
+    match previous {
+        Some(previous) => call.header("ridgeworks-previous-turn", previous),
+        None => call,
+    }
+}
+
+fn send_until_served(gateway: std::net::SocketAddr, call: &Call) -> Reply {
+    let mut served = None;
+    wait_until("a turn is served", || {
+        served = call
+            .send(gateway)
+            .filter(|reply| reply.status == 200 && reply.is_whole);
+        served.is_some()
+    });
+    served.expect("just served")
+}
+
+/// What a turn of the stand-in engine with so many events leaves behind.
+fn output(events: u64) -> String {
+    (1..=events)
+        .map(|number| format!("piece {number}\n"))
+        .collect()
+}
+
+#[test]
+fn a_turn_goes_on_from_another_gateway_byte_for_byte() {
+    let deployment = Deployment::started(2, 3);
+    let engine = deployment.engine("models", "i-1", stream(2));
+    let (one, two) = (
+        deployment.gateways[0].callers(),
+        deployment.gateways[1].callers(),
+    );
+    send_until_served(one, &turn("t-1", None, "first "));
+    send_until_served(two, &turn("t-2", Some("t-1"), "second "));
+    send_until_served(one, &turn("t-3", Some("t-2"), "third"));
+    let bodies: Vec<String> = engine
+        .runs()
+        .into_iter()
+        .map(|run| String::from_utf8(run.body).expect("text"))
+        .collect();
+    let second = format!("first {}second ", output(2));
+    let third = format!("{second}{}third", output(2));
+    assert_eq!(bodies, ["first ".to_owned(), second, third]);
+}
+
+#[test]
+fn a_turn_that_does_not_exist_is_not_found_and_runs_nowhere() {
+    let deployment = Deployment::started(1, 3);
+    let engine = deployment.engine("models", "i-1", stream(2));
+    let gateway = deployment.gateways[0].callers();
+    send_until_served(gateway, &turn("t-1", None, "first"));
+    let reply = turn("t-2", Some("nobody"), "x")
+        .send(gateway)
+        .expect("an answer");
+    assert_eq!(reply.status, 404);
+    engine.set_script(Script::first(
+        [Answer::BreaksAfter { events: 1 }],
+        Answer::Silent,
+    ));
+    let broken = turn("t-3", Some("t-1"), "x")
+        .send(gateway)
+        .expect("an answer");
+    assert!(!broken.is_whole);
+    let reply = turn("t-4", Some("t-3"), "x")
+        .send(gateway)
+        .expect("an answer");
+    assert_eq!(reply.status, 404);
+    assert_eq!(engine.runs().len(), 2);
+}
+
+#[test]
+fn one_lost_replica_stops_nothing_and_two_make_gateways_unsure() {
+    let mut deployment = Deployment::started(2, 3);
+    let _engine = deployment.engine("models", "i-1", stream(2));
+    let (one, two) = (
+        deployment.gateways[0].callers(),
+        deployment.gateways[1].callers(),
+    );
+    send_until_served(one, &turn("t-1", None, "first"));
+    deployment.replicas[0].kill();
+    send_until_served(two, &turn("t-2", Some("t-1"), "second"));
+    deployment.replicas[1].kill();
+    let unsure = turn("t-3", Some("nobody"), "x")
+        .send(two)
+        .expect("an answer");
+    assert_eq!(unsure.status, 503);
+    assert!(unsure.header("retry-after").is_some());
+    deployment.replicas[0].start();
+    deployment.replicas[1].start();
+    send_until_served(one, &turn("t-4", Some("t-2"), "third"));
+    let known = turn("t-5", Some("nobody"), "x")
+        .send(two)
+        .expect("an answer");
+    assert_eq!(known.status, 404);
+}
+
+#[test]
+fn turns_survive_a_kill_of_everything_and_a_lost_disk() {
+    let mut deployment = Deployment::started(1, 3);
+    let _engine = deployment.engine("models", "i-1", stream(2));
+    let gateway = deployment.gateways[0].callers();
+    send_until_served(gateway, &turn("t-1", None, "first"));
+    let before = deployment.voters();
+    for process in deployment
+        .gateways
+        .iter_mut()
+        .chain(&mut deployment.replicas)
+    {
+        process.kill();
+    }
+    let lost = deployment.replicas[2].name.clone();
+    deployment.wipe(&lost);
+    for process in deployment
+        .replicas
+        .iter_mut()
+        .chain(&mut deployment.gateways)
+    {
+        process.start();
+    }
+    deployment.wait_until_ready();
+    send_until_served(gateway, &turn("t-2", Some("t-1"), "second"));
+    wait_until("the new disk takes the place of the lost one", || {
+        let now = deployment.voters();
+        now.len() == 3 && now != before
+    });
+    deployment.replicas[0].kill();
+    let lost = deployment.replicas[0].name.clone();
+    deployment.wipe(&lost);
+    // The gateway has the turn in its cache; a new one has to read it.
+    deployment.gateways[0].kill();
+    deployment.gateways[0].start();
+    deployment.wait_until_ready();
+    send_until_served(gateway, &turn("t-3", Some("t-2"), "third"));
+}
+
+#[test]
+fn a_machine_that_retires_is_emptied_first() {
+    let mut deployment = Deployment::started(1, 3);
+    let _engine = deployment.engine("models", "i-1", stream(2));
+    let gateway = deployment.gateways[0].callers();
+    send_until_served(gateway, &turn("t-1", None, "first"));
+    let retiring = deployment.replicas[1].name.clone();
+    let order = serde_json::json!({"duration_s": 10});
+    deployment.store.put("retirements", &retiring, order);
+    wait_until("the machine is empty", || {
+        let order = deployment.store.object("retirements", &retiring);
+        order.is_some_and(|order| order["status"]["state"] == "succeeded")
+    });
+    assert!(!deployment.voting_nodes().contains(&retiring));
+    deployment.replicas[1].kill();
+    deployment.wipe(&retiring);
+    deployment.replicas[0].kill();
+    deployment.wipe(&deployment.replicas[0].name.clone());
+    deployment.replicas[0].start();
+    deployment.gateways[0].kill();
+    deployment.gateways[0].start();
+    deployment.wait_until_ready_gateways();
+    send_until_served(gateway, &turn("t-2", Some("t-1"), "second"));
+}
+
+#[test]
+fn a_standby_takes_the_place_of_a_replica_that_is_gone() {
+    let mut deployment = Deployment::started(1, 4);
+    let voting = deployment.voting_nodes();
+    let gone = deployment
+        .replicas
+        .iter_mut()
+        .find(|replica| voting.contains(&replica.name))
+        .expect("a voter");
+    gone.kill();
+    let name = gone.name.clone();
+    wait_until("another replica has its place", || {
+        let now = deployment.voting_nodes();
+        now.len() == 3 && !now.contains(&name)
+    });
+}
+
+fn budgeted(id: &str, program: &str, budget: u64, most: u64) -> Call {
+    call_post("/chat/x", id, "prompt")
+        .header("ridgeworks-program-id", program)
+        .header("ridgeworks-token-budget", &budget.to_string())
+        .header("ridgeworks-token-count", &format!("100,{most}"))
+}
+
+#[test]
+fn a_budget_holds_over_gateways_and_their_deaths() {
+    let mut deployment = Deployment::started(2, 3);
+    // Two events of ten tokens each.
+    let engine = deployment.engine("models", "i-1", stream(2));
+    let (one, two) = (
+        deployment.gateways[0].callers(),
+        deployment.gateways[1].callers(),
+    );
+    send_until_served(one, &budgeted("b-1", "p", 100, 30));
+    send_until_served(two, &budgeted("b-2", "p", 100, 30));
+    wait_until("what was not generated is free again", || {
+        budgeted("b-3", "p", 100, 60)
+            .send(one)
+            .is_some_and(|reply| reply.status == 200)
+    });
+    deployment.gateways[0].kill();
+    let runs = engine.runs().len();
+    let refused = budgeted("b-4", "p", 100, 60).send(two).expect("an answer");
+    assert_eq!(refused.status, 402);
+    assert_eq!(engine.runs().len(), runs);
+    let other = budgeted("b-5", "q", 100, 60).send(two).expect("an answer");
+    assert_eq!(other.status, 200);
+}
+
+#[test]
+fn without_replicas_a_budgeted_turn_is_refused_and_not_run() {
+    let mut deployment = Deployment::started(1, 3);
+    let engine = deployment.engine("models", "i-1", stream(2));
+    let gateway = deployment.gateways[0].callers();
+    send_until_served(gateway, &budgeted("b-1", "p", 100, 30));
+    for replica in &mut deployment.replicas {
+        replica.kill();
+    }
+    let runs = engine.runs().len();
+    let refused = budgeted("b-2", "p", 100, 30)
+        .send(gateway)
+        .expect("an answer");
+    assert_eq!(refused.status, 503);
+    assert!(refused.header("retry-after").is_some());
+    assert_eq!(engine.runs().len(), runs);
+}
--- /dev/null
+++ b/crates/node/tests/resident_requests.rs
@@ -0,0 +1,335 @@
+//! Requests through a gateway, with engines that fail in every way that the platform names.
+
+mod resident_support;
+
+use std::time::Duration;
+
+use resident_support::client::{call_get, call_post};
+use resident_support::{Deployment, wait_until};
+use ridgeworks_platform_stand_ins::{Answer, Script};
+
+fn ok() -> Script {
+    Script::always(Answer::Whole("fine".to_owned()))
+}
+
+fn stream(events: u64) -> Script {
+    Script::always(Answer::Stream { events, gap_ms: 2 })
+}
+
+#[test]
+fn a_whole_answer_comes_back_as_the_engine_gave_it() {
+    let deployment = Deployment::started(1, 0);
+    let engine = deployment.engine("tools", "i-1", ok());
+    let gateway = deployment.gateways[0].callers();
+    wait_until("the engine serves", || {
+        call_get("/tool/x?q=1", "r-1")
+            .send(gateway)
+            .is_some_and(|reply| reply.status == 200)
+    });
+    let reply = call_post("/tool/y%20z?q=1&w=%2F", "r-2", "the body")
+        .header("ridgeworks-affinity-key", "17")
+        .header("x-other", "kept")
+        .header("connection", "x-drop")
+        .header("x-drop", "gone")
+        .header("ridgeworks-expect-instance", "forged")
+        .send(gateway)
+        .expect("an answer");
+    assert_eq!(
+        (reply.status, reply.body.as_str(), reply.is_whole),
+        (200, "fine", true)
+    );
+    assert_eq!(reply.header("ridgeworks-server-seal"), Some("seal-of-r-2"));
+    let runs = engine.runs();
+    let run = runs.last().expect("a run");
+    assert_eq!(run.target, "POST /tool/y%20z?q=1&w=%2F");
+    assert_eq!(run.body, b"the body");
+    assert_eq!(run.headers["ridgeworks-expect-instance"], "i-1");
+    assert_eq!(run.headers["x-other"], "kept");
+    assert!(!run.headers.contains_key("x-drop"));
+    let left: u64 = run.headers["ridgeworks-deadline-ms"]
+        .parse()
+        .expect("a number");
+    assert!(left <= 3_000 && left > 2_000, "{left}");
+}
+
+#[test]
+fn unknown_hosts_and_paths_are_not_found() {
+    let deployment = Deployment::started(1, 0);
+    let gateway = deployment.gateways[0].callers();
+    let other_path = call_get("/nowhere/x", "r-1")
+        .send(gateway)
+        .expect("an answer");
+    assert_eq!(other_path.status, 404);
+    let other_host = call_get("/tool/x", "r-2").replace("host", "other.example");
+    assert_eq!(other_host.send(gateway).expect("an answer").status, 404);
+}
+
+#[test]
+fn without_an_engine_the_client_is_told_when_to_come_back() {
+    let deployment = Deployment::started(1, 0);
+    let gateway = deployment.gateways[0].callers();
+    let reply = call_get("/tool/x", "r-1").send(gateway).expect("an answer");
+    assert_eq!(reply.status, 503);
+    let after: f64 = reply
+        .header("retry-after")
+        .expect("a time")
+        .parse()
+        .expect("seconds");
+    assert!(after > 0.0 && after < 1.0);
+}
+
+/// Sends one request to a single engine that answers as the script says first.
+fn one_request(prefix: &str, answer: Answer) -> (u16, usize) {
+    let deployment = Deployment::started(1, 0);
+    let engine = deployment.engine("tools", "i-1", ok());
+    let gateway = deployment.gateways[0].callers();
+    wait_until("the engine serves", || {
+        call_get("/tool/warm", "warm")
+            .send(gateway)
+            .is_some_and(|reply| reply.status == 200)
+    });
+    let before = engine.runs().len();
+    engine.set_script(Script::first([answer], Answer::Whole("fine".to_owned())));
+    let reply = call_post(&format!("{prefix}x"), "r-1", "").send(gateway);
+    (
+        reply.expect("an answer").status,
+        engine.runs().len() - before,
+    )
+}
+
+#[test]
+fn what_must_run_once_is_sent_once_whatever_the_engine_does() {
+    let faults = [
+        Answer::LosesAnswer,
+        Answer::Resets,
+        Answer::Garbage,
+        Answer::Unsigned("x".to_owned()),
+        Answer::WrongRequest("x".to_owned()),
+        Answer::CutShort("x".to_owned()),
+    ];
+    for fault in faults {
+        let (status, runs) = one_request("/once/", fault.clone());
+        assert_eq!((status, runs), (502, 1), "{fault:?}");
+    }
+}
+
+#[test]
+fn an_engine_s_own_failure_is_passed_on() {
+    assert_eq!(one_request("/once/", Answer::Failure(500)), (500, 1));
+    assert_eq!(one_request("/tool/", Answer::Failure(500)), (500, 1));
+}
+
+#[test]
+fn a_body_without_a_length_is_whole_when_its_connection_closes() {
+    assert_eq!(
+        one_request("/once/", Answer::Unframed("x".to_owned())),
+        (200, 1)
+    );
+}
+
+#[test]
+fn a_rejection_is_no_run_and_becomes_a_promise() {
+    let (status, runs) = one_request("/once/", Answer::Rejects(503));
+    assert_eq!((status, runs), (503, 0));
+}
+
+#[test]
+fn what_may_repeat_goes_to_another_engine() {
+    let deployment = Deployment::started(1, 0);
+    let bad = deployment.engine("tools", "i-bad", Script::always(Answer::LosesAnswer));
+    let good = deployment.engine("tools", "i-good", ok());
+    let gateway = deployment.gateways[0].callers();
+    wait_until("both engines were asked", || {
+        let reply = call_get("/tool/x", "r-1").send(gateway);
+        reply.is_some_and(|reply| reply.status == 200)
+            && !bad.runs().is_empty()
+            && !good.runs().is_empty()
+    });
+}
+
+#[test]
+fn a_second_answer_on_a_connection_reaches_nobody() {
+    let deployment = Deployment::started(1, 0);
+    let extra = Script::always(Answer::Extra("mine".to_owned()));
+    let _engine = deployment.engine("tools", "i-1", extra);
+    let gateway = deployment.gateways[0].callers();
+    wait_until("the engine serves", || {
+        call_get("/tool/x", "warm")
+            .send(gateway)
+            .is_some_and(|reply| reply.status == 200)
+    });
+    for number in 0..20 {
+        let id = format!("r-{number}");
+        let reply = call_get("/tool/x", &id).send(gateway).expect("an answer");
+        if reply.status == 200 {
+            assert_eq!(reply.header("ridgeworks-request-id"), Some(id.as_str()));
+        }
+    }
+}
+
+#[test]
+fn a_broken_stream_is_taken_up_without_a_seam() {
+    let deployment = Deployment::started(1, 0);
+    let breaks = Script::always(Answer::BreaksAfter { events: 3 });
+    let first = deployment.engine("models", "i-1", breaks);
+    let second = deployment.engine("models", "i-2", stream(8));
+    let gateway = deployment.gateways[0].callers();
+    wait_until("a stream was taken up", || {
+        let reply = call_post("/chat/x", "r-1", "prompt").send(gateway);
+        let Some(reply) = reply.filter(|reply| reply.status == 200) else {
+            return false;
+        };
+        assert!(reply.is_whole);
+        assert_eq!(reply.event_ids(), (1..=8).collect::<Vec<_>>());
+        !first.runs().is_empty()
+    });
+    let taken_up = second
+        .runs()
+        .into_iter()
+        .find(|run| run.headers.contains_key("last-event-id"));
+    assert_eq!(
+        taken_up.expect("a stream was taken up").headers["last-event-id"],
+        "3"
+    );
+}
+
+#[test]
+fn a_stream_that_must_not_be_taken_up_is_broken_off() {
+    let deployment = Deployment::started(1, 3);
+    let breaks = Script::always(Answer::BreaksAfter { events: 3 });
+    let engine = deployment.engine("models", "i-1", breaks);
+    let gateway = deployment.gateways[0].callers();
+    wait_until("the engine was asked", || {
+        let reply = call_post("/talk/x", "r-1", "prompt").send(gateway);
+        if let Some(reply) = reply.filter(|reply| reply.status == 200) {
+            assert!(!reply.is_whole);
+            assert_eq!(reply.event_ids(), [1, 2, 3]);
+        }
+        !engine.runs().is_empty()
+    });
+    assert_eq!(engine.runs().len(), 1);
+}
+
+#[test]
+fn a_client_that_leaves_cancels_its_request() {
+    let deployment = Deployment::started(1, 0);
+    let silent = deployment.engine("tools", "i-silent", Script::always(Answer::Silent));
+    let gateway = deployment.gateways[0].callers();
+    wait_until("the engine was asked", || {
+        call_post("/once/x", "r-1", "").leave_after_time(gateway, Duration::from_millis(300));
+        !silent.runs().is_empty()
+    });
+    wait_until("the engine noticed", || {
+        silent.runs().iter().all(|run| run.cancelled)
+    });
+    let slow = Script::always(Answer::Stream {
+        events: 500,
+        gap_ms: 20,
+    });
+    let streaming = deployment.engine("models", "i-stream", slow);
+    wait_until("the stream began", || {
+        call_post("/chat/x", "r-2", "").leave_after(gateway, 2);
+        !streaming.runs().is_empty()
+    });
+    wait_until("the engine noticed", || {
+        streaming.runs().iter().all(|run| run.cancelled)
+    });
+}
+
+#[test]
+fn a_request_gets_its_final_answer_at_its_route_s_time_out() {
+    let deployment = Deployment::started(1, 0);
+    let _silent = deployment.engine("tools", "i-silent", Script::always(Answer::Silent));
+    let gateway = deployment.gateways[0].callers();
+    wait_until("the engine was asked", || {
+        let began = std::time::Instant::now();
+        let reply = call_post("/once/x", "r-1", "").replace("ridgeworks-deadline-ms", "700");
+        let reply = reply.send(gateway).expect("an answer");
+        if reply.status == 503 {
+            return false;
+        }
+        assert_eq!(reply.status, 504);
+        assert!(began.elapsed() < Duration::from_millis(1_200));
+        true
+    });
+}
+
+#[test]
+fn engines_that_leave_get_nothing_more() {
+    let deployment = Deployment::started(1, 0);
+    let leaving = deployment.engine("tools", "i-1", ok());
+    let staying = deployment.engine("tools", "i-2", ok());
+    let gateway = deployment.gateways[0].callers();
+    let mut number = 0;
+    wait_until("both serve", || {
+        number += 1;
+        call_get("/tool/x", &format!("warm-{number}")).send(gateway);
+        !leaving.runs().is_empty() && !staying.runs().is_empty()
+    });
+    deployment
+        .store
+        .put("servers", "i-1", leaving.entry("tools", "draining"));
+    wait_until("the gateway has heard of it", || {
+        deployment.gateways[0].log().iter().any(|line| {
+            line["message"] == "engine changed" && line["attributes"]["state"] == "Draining"
+        })
+    });
+    let before = leaving.runs().len();
+    for number in 0..20 {
+        let reply = call_get("/tool/x", &format!("r-{number}")).send(gateway);
+        assert_eq!(reply.expect("an answer").status, 200);
+    }
+    assert_eq!(leaving.runs().len(), before);
+}
+
+#[test]
+fn bad_requests_get_clear_answers() {
+    let deployment = Deployment::started(1, 0);
+    let engine = deployment.engine("tools", "i-1", ok());
+    let gateway = deployment.gateways[0].callers();
+    wait_until("the engine serves", || {
+        call_get("/tool/x", "r")
+            .send(gateway)
+            .is_some_and(|reply| reply.status == 200)
+    });
+    let before = engine.runs().len();
+    let large = "x".repeat(70_000);
+    let reply = call_post("/tool/x", "r-1", &large)
+        .send(gateway)
+        .expect("an answer");
+    assert_eq!(reply.status, 413);
+    let head = call_get("/tool/x", "r-2").header("x-long", &"y".repeat(20_000));
+    let reply = head.send(gateway).expect("an answer");
+    assert_eq!(reply.status, 431);
+    let twice = call_get("/tool/x", "r-3").header("ridgeworks-request-id", "r-4");
+    assert_eq!(twice.send(gateway).expect("an answer").status, 400);
+    let bad_number = call_get("/tool/x", "r-5").replace("ridgeworks-deadline-ms", "soon");
+    assert_eq!(bad_number.send(gateway).expect("an answer").status, 400);
+    let without_id = call_get("/tool/x", "");
+    assert_eq!(without_id.send(gateway).expect("an answer").status, 400);
+    assert_eq!(engine.runs().len(), before);
+    let raw = [
+        "GET /tool/x HTTP/1.1\r\nHost: app.example\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+        "POST /tool/x HTTP/1.1\r\nHost: app.example\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        "nonsense\r\n\r\n",
+    ];
+    for bytes in raw {
+        let answer = send_raw(gateway, bytes);
+        assert!(answer.starts_with("HTTP/1.1 400"), "{bytes:?}: {answer:?}");
+    }
+    assert_eq!(engine.runs().len(), before);
+}
+
+/// Sends bytes and reads until the gateway closes the connection.
+fn send_raw(to: std::net::SocketAddr, bytes: &str) -> String {
+    use std::io::{Read, Write};
+    let mut stream = std::net::TcpStream::connect(to).expect("a connection");
+    stream.write_all(bytes.as_bytes()).expect("bytes go out");
+    stream
+        .set_read_timeout(Some(Duration::from_secs(10)))
+        .expect("a time-out");
+    let mut answer = String::new();
+    // What came before an error or a time-out is what counts.
+    let _ = stream.read_to_string(&mut answer);
+    answer
+}
--- /dev/null
+++ b/crates/node/tests/resident_support/client.rs
@@ -0,0 +1,163 @@
+//! A client of gateways.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::runtime::Builder;
+
+use super::HOST;
+
+const PATIENCE: Duration = Duration::from_secs(15);
+
+/// An answer as the client saw it.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Reply {
+    pub status: u16,
+    pub headers: BTreeMap<String, String>,
+    pub body: String,
+    /// Whether the answer ended as HTTP says that it ends.
+    pub is_whole: bool,
+}
+
+impl Reply {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).map(String::as_str)
+    }
+
+    /// Numbers of the events of a stream.
+    pub fn event_ids(&self) -> Vec<u64> {
+        let lines = self.body.lines();
+        let ids = lines.filter_map(|line| line.strip_prefix("id: "));
+        ids.filter_map(|id| id.parse().ok()).collect()
+    }
+}
+
+/// One request.
+#[derive(Debug, Clone)]
+pub struct Call {
+    pub method: Method,
+    pub path: String,
+    pub headers: Vec<(String, String)>,
+    pub body: String,
+}
+
+impl Call {
+    pub fn new(method: Method, path: &str, id: &str) -> Self {
+        let headers = vec![
+            ("host".to_owned(), HOST.to_owned()),
+            ("ridgeworks-request-id".to_owned(), id.to_owned()),
+            ("ridgeworks-deadline-ms".to_owned(), "3000".to_owned()),
+        ];
+        Self {
+            method,
+            path: path.to_owned(),
+            headers,
+            body: String::new(),
+        }
+    }
+
+    pub fn header(mut self, name: &str, value: &str) -> Self {
+        self.headers.push((name.to_owned(), value.to_owned()));
+        self
+    }
+
+    /// Replaces a header that is there already.
+    pub fn replace(mut self, name: &str, value: &str) -> Self {
+        self.headers.retain(|(present, _)| present != name);
+        self.header(name, value)
+    }
+
+    pub fn body(mut self, body: &str) -> Self {
+        body.clone_into(&mut self.body);
+        self
+    }
+
+    /// Sends the request and reads the answer to its end; `None` without an answer.
+    pub fn send(&self, to: SocketAddr) -> Option<Reply> {
+        run(self.exchange(to, usize::MAX))
+    }
+
+    /// Sends the request and goes away after so many pieces of the answer's body.
+    pub fn leave_after(&self, to: SocketAddr, pieces: usize) -> Option<Reply> {
+        run(self.exchange(to, pieces))
+    }
+
+    /// Sends the request and goes away after this time, whatever has come.
+    pub fn leave_after_time(&self, to: SocketAddr, time: Duration) {
+        run(async {
+            let _ = tokio::time::timeout(time, self.exchange(to, usize::MAX)).await;
+            None::<()>
+        });
+    }
+
+    async fn exchange(&self, to: SocketAddr, pieces: usize) -> Option<Reply> {
+        let stream = TcpStream::connect(to).await.ok()?;
+        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        let driver = tokio::spawn(connection);
+        let mut request = Request::builder()
+            .method(self.method.clone())
+            .uri(self.path.as_str());
+        for (name, value) in &self.headers {
+            request = request.header(name, value);
+        }
+        let body = Full::new(Bytes::from(self.body.clone()));
+        let response = sender.send_request(request.body(body).ok()?).await.ok()?;
+        let mut reply = Reply {
+            status: response.status().as_u16(),
+            ..Reply::default()
+        };
+        for (name, value) in response.headers() {
+            let value = String::from_utf8_lossy(value.as_bytes()).into_owned();
+            reply.headers.insert(name.as_str().to_owned(), value);
+        }
+        let mut body = response.into_body();
+        for _ in 0..pieces {
+            match body.frame().await {
+                None => {
+                    reply.is_whole = true;
+                    break;
+                }
+                Some(Err(_)) => break,
+                Some(Ok(frame)) => {
+                    let data = frame.into_data().unwrap_or_default();
+                    reply.body += &String::from_utf8_lossy(&data);
+                }
+            }
+        }
+        driver.abort();
+        Some(reply)
+    }
+}
+
+fn run<T>(exchange: impl Future<Output = Option<T>>) -> Option<T> {
+    let runtime = Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.expect("a runtime");
+    runtime.block_on(async {
+        tokio::time::timeout(PATIENCE, exchange)
+            .await
+            .ok()
+            .flatten()
+    })
+}
+
+/// A plain question to a node.
+pub fn get(to: SocketAddr, path: &str) -> Option<Reply> {
+    Call::new(Method::GET, path, "question").send(to)
+}
+
+/// A GET request of a client.
+pub fn call_get(path: &str, id: &str) -> Call {
+    Call::new(Method::GET, path, id)
+}
+
+/// A POST request of a client.
+pub fn call_post(path: &str, id: &str, body: &str) -> Call {
+    Call::new(Method::POST, path, id).body(body)
+}
--- /dev/null
+++ b/crates/node/tests/resident_support/mod.rs
@@ -0,0 +1,307 @@
+//! A small deployment on loopback: real processes of `ridgeworksd resident`, stand-ins of the platform.
+#![allow(dead_code, reason = "each test file uses its own part of the support")]
+
+pub mod client;
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::{Duration, Instant};
+
+use ridgeworks_platform_stand_ins::{EngineStandIn, Script, StoreStandIn};
+use serde_json::{Value, json};
+use tempfile::TempDir;
+
+pub const HOST: &str = "app.example";
+const CALLERS_PORT: u16 = 27_149;
+const READINESS_PORT: u16 = 27_141;
+const METRICS_PORT: u16 = 27_142;
+const PEER_PORT: u16 = 27_380;
+const PATIENCE: Duration = Duration::from_secs(30);
+
+static NEXT_NETWORK: AtomicU8 = AtomicU8::new(1);
+
+/// Waits until a condition holds.
+pub fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
+    let limit = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < limit, "waited in vain until {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// One process.
+pub struct Process {
+    pub name: String,
+    pub ip: IpAddr,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+impl Process {
+    pub fn callers(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, CALLERS_PORT)
+    }
+
+    pub fn readiness(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, READINESS_PORT)
+    }
+
+    pub fn metrics(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, METRICS_PORT)
+    }
+
+    pub fn start(&mut self) {
+        let log = std::fs::File::options()
+            .append(true)
+            .create(true)
+            .open(&self.log)
+            .expect("a log file");
+        let child = Command::new(env!("CARGO_BIN_EXE_ridgeworksd"))
+            .args(["resident", "--settings"])
+            .arg(&self.settings)
+            .stdout(Stdio::from(log))
+            .spawn();
+        self.child = Some(child.expect("the program starts"));
+    }
+
+    /// Ends the process without a warning.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            child.kill().expect("a child can be killed");
+            child.wait().expect("a killed child ends");
+        }
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: rustix::process::Signal) {
+        let child = self.child.as_ref().expect("the process runs");
+        let id = i32::try_from(child.id()).expect("process ids are small");
+        let id = rustix::process::Pid::from_raw(id).expect("a process id is not 0");
+        rustix::process::kill_process(id, signal).expect("a child can be signalled");
+    }
+
+    /// Whether the process has ended, and whether in good order.
+    pub fn ended(&mut self) -> Option<bool> {
+        let child = self.child.as_mut()?;
+        let status = child.try_wait().expect("a child can be asked");
+        status.map(|status| status.success())
+    }
+
+    /// Lines of the log so far.
+    pub fn log(&self) -> Vec<Value> {
+        let text = std::fs::read_to_string(&self.log).unwrap_or_default();
+        text.lines()
+            .filter_map(|line| serde_json::from_str(line).ok())
+            .collect()
+    }
+
+    /// Makes the settings file unreadable.
+    pub fn spoil_settings(&self) {
+        std::fs::write(&self.settings, "role = 5").expect("a settings file");
+    }
+
+    pub fn is_ready(&self) -> bool {
+        client::get(self.readiness(), "/v1/ready").is_some_and(|reply| reply.status == 200)
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// A deployment.
+pub struct Deployment {
+    pub store: StoreStandIn,
+    pub gateways: Vec<Process>,
+    pub replicas: Vec<Process>,
+    folder: TempDir,
+    network: u8,
+    host: u8,
+    version: u64,
+}
+
+impl Deployment {
+    /// A store and no process yet.
+    pub fn new() -> Self {
+        let network = NEXT_NETWORK.fetch_add(1, Ordering::SeqCst);
+        // Two test programs that run at once do not share addresses.
+        let host = u8::try_from(std::process::id() % 250).expect("under 250") + 1;
+        let ip = IpAddr::V4(Ipv4Addr::new(127, network, host, 250));
+        Self {
+            store: StoreStandIn::start(ip),
+            gateways: Vec::new(),
+            replicas: Vec::new(),
+            folder: TempDir::new().expect("a folder"),
+            network,
+            host,
+            version: 0,
+        }
+    }
+
+    /// Gateways and replicas that are ready, with the routes of [`routes`].
+    pub fn started(gateways: u8, replicas: u8) -> Self {
+        let mut deployment = Self::new();
+        deployment.configure(routes());
+        for _ in 0..replicas {
+            deployment.add_replica().start();
+        }
+        for _ in 0..gateways {
+            deployment.add_gateway().start();
+        }
+        deployment.wait_until_ready();
+        deployment
+    }
+
+    pub fn wait_until_ready_gateways(&self) {
+        let gateways = &self.gateways;
+        wait_until("all gateways are ready", || {
+            gateways.iter().all(Process::is_ready)
+        });
+    }
+
+    pub fn wait_until_ready(&self) {
+        self.wait_until_ready_gateways();
+        if !self.replicas.is_empty() {
+            let wanted = self.replicas.len().min(3);
+            wait_until("the replica set is whole", || self.voters().len() >= wanted);
+        }
+    }
+
+    /// Identities of the voters, once no change is under way.
+    pub fn voters(&self) -> Vec<u64> {
+        let set = self.store.object("ridgeworks-replica-sets", "main");
+        let set = set.unwrap_or_default()["spec"].clone();
+        if !set["incoming"].is_null() {
+            return Vec::new();
+        }
+        let voters = set["voters"].as_array().cloned().unwrap_or_default();
+        voters
+            .iter()
+            .filter_map(|voter| voter["id"].as_u64())
+            .collect()
+    }
+
+    /// Names of the nodes whose replicas are voters, once no change is under way.
+    pub fn voting_nodes(&self) -> Vec<String> {
+        let set = self.store.object("ridgeworks-replica-sets", "main");
+        let set = set.unwrap_or_default()["spec"].clone();
+        if !set["incoming"].is_null() {
+            return Vec::new();
+        }
+        let voters = set["voters"].as_array().cloned().unwrap_or_default();
+        let names = voters.iter().filter_map(|voter| voter["node"].as_str());
+        names.map(str::to_owned).collect()
+    }
+
+    fn ip(&self, last: u8) -> IpAddr {
+        IpAddr::V4(Ipv4Addr::new(127, self.network, self.host, last))
+    }
+
+    pub fn add_gateway(&mut self) -> &mut Process {
+        let index = u8::try_from(self.gateways.len()).expect("few gateways") + 1;
+        let process = self.process("gateway", index, index);
+        self.gateways.push(process);
+        self.gateways.last_mut().expect("just pushed")
+    }
+
+    pub fn add_replica(&mut self) -> &mut Process {
+        let index = u8::try_from(self.replicas.len()).expect("few replicas") + 1;
+        let process = self.process("replica", index, 100 + index);
+        self.replicas.push(process);
+        self.replicas.last_mut().expect("just pushed")
+    }
+
+    fn process(&self, role: &str, index: u8, last: u8) -> Process {
+        let name = format!("{role}-{index}");
+        let ip = self.ip(last);
+        let settings = self.folder.path().join(format!("{name}.toml"));
+        let data = self.data_folder(&name);
+        let seed = self.ip(1);
+        let zone = ["zone-a", "zone-b", "zone-c"][usize::from(index) % 3];
+        let store = self.store.address();
+        let own = match role {
+            "gateway" => format!(
+                "[listen]\ncallers = \"{ip}:{CALLERS_PORT}\"\nreadiness = \"{ip}:{READINESS_PORT}\"\n"
+            ),
+            _ => "[listen]\n".to_owned(),
+        };
+        let folder = match role {
+            "replica" => format!("data_folder = {:?}\n", data.display().to_string()),
+            _ => String::new(),
+        };
+        let text = format!(
+            "role = \"{role}\"\nname = \"{name}\"\nzone = \"{zone}\"\naddress = \"{ip}\"\n\
+             peer_port = {PEER_PORT}\nseeds = [\"{seed}:{PEER_PORT}\"]\n{folder}{own}\
+             metrics = \"{METRICS_PORT}/metrics\"\n[limits]\nmemory_mb = 220\n\
+             descriptors = 4100\ndisk_mb = 260\n[platform]\nstore = \"{store}\"\n\
+             [bounds]\ngrace_s = 8\ncontact_ms = 3000\nlost_machines = 1\n"
+        );
+        std::fs::write(&settings, text).expect("a settings file");
+        Process {
+            log: self.folder.path().join(format!("{name}.log")),
+            name,
+            ip,
+            settings,
+            child: None,
+        }
+    }
+
+    pub fn data_folder(&self, name: &str) -> PathBuf {
+        self.folder.path().join(format!("{name}-data"))
+    }
+
+    /// Loses the disk of a replica that does not run.
+    pub fn wipe(&self, name: &str) {
+        std::fs::remove_dir_all(self.data_folder(name)).expect("a data folder");
+    }
+
+    /// Puts routes in force, as the operator does.
+    pub fn configure(&mut self, routes: Value) {
+        self.version += 3;
+        let services = json!([
+            {"name": "models", "health_path": "/healthz", "max_conns": 100, "protocol": "h1",
+             "tls": false, "engine": {"slots": 4, "kv_capacity": 100_000, "kv_token_bytes": 1,
+             "link_mbps": 1.0, "event_tokens": 10, "models": [{"name": "m"}]}},
+            {"name": "tools", "health_path": "/healthz", "max_conns": 100, "protocol": "h1",
+             "tls": false},
+        ]);
+        let limits = json!({"max_header_bytes": 16384, "max_body_bytes": 65536,
+            "header_timeout_ms": 3000, "idle_timeout_ms": 15000});
+        let spec = json!({"version": self.version, "routes": routes, "services": services,
+            "limits": limits});
+        self.store.put("config", "main", spec);
+    }
+
+    /// Starts an engine and lists it.
+    pub fn engine(&self, service: &str, instance: &str, script: Script) -> EngineStandIn {
+        let engine = EngineStandIn::start(self.ip(251), instance, script);
+        self.store
+            .put("servers", instance, engine.entry(service, "ready"));
+        engine
+    }
+}
+
+fn route(name: &str, prefix: &str, kind: &str, service: &str, attempts: u32) -> Value {
+    json!({"name": name, "host": HOST, "path_prefix": prefix, "kind": kind, "timeout_ms": 3000,
+        "target_latency_ms": 200, "priority": 1, "service": service, "max_attempts": attempts,
+        "retain": false, "retention_s": 60.0, "resumable": false, "gap_aim_ms": 300})
+}
+
+/// One route of each kind.
+pub fn routes() -> Value {
+    let mut chat = route("chat", "/chat/", "streaming", "models", 2);
+    chat["resumable"] = json!(true);
+    let mut talk = route("talk", "/talk/", "streaming", "models", 2);
+    talk["retain"] = json!(true);
+    json!([
+        route("tool", "/tool/", "idempotent", "tools", 2),
+        route("once", "/once/", "non_idempotent", "tools", 2),
+        chat,
+        talk,
+    ])
+}
--- /dev/null
+++ b/crates/records/tests/simulator/gateway.rs
@@ -0,0 +1,116 @@
+//! Turns of programs as gateways carry them out, and the reads that check them.
+
+use ridgeworks_records::{
+    ChainRead, LedgerEntry, ProgramId, QuorumWrite, ReplicaRequest, ReplicaSet, TurnId, TurnRecord,
+};
+
+use super::storage::KEEP_MS;
+
+/// What an operation of a gateway is about.
+#[derive(Debug, Clone)]
+pub enum Purpose {
+    /// Reserves a turn's tokens.
+    Reserve { program: usize, turn: TurnId },
+    /// Writes a turn's record.
+    Append { program: usize, record: TurnRecord },
+    /// Settles a turn.
+    Settle {
+        program: usize,
+        turn: TurnId,
+        spent: u64,
+    },
+    /// Reads an acknowledged turn.
+    Read { turn: TurnId },
+    /// Reads a turn that nobody wrote.
+    ReadInvented,
+}
+
+/// The state machine of an operation.
+#[derive(Debug, Clone)]
+pub enum Machine {
+    Write(QuorumWrite),
+    Read(ChainRead),
+}
+
+/// One operation of a gateway.
+#[derive(Debug, Clone)]
+pub struct Operation {
+    pub gateway: usize,
+    pub purpose: Purpose,
+    pub machine: Machine,
+    pub deadline: u64,
+}
+
+/// The most that each simulated turn may generate.
+pub const MOST: u64 = 10;
+
+pub fn program_id(program: usize) -> ProgramId {
+    ProgramId(format!("program-{program}"))
+}
+
+impl Operation {
+    pub fn set(&self) -> &ReplicaSet {
+        match &self.machine {
+            Machine::Write(write) => write.set(),
+            Machine::Read(read) => read.set(),
+        }
+    }
+
+    /// The request as it is sent under the operation's set.
+    pub fn request(&self) -> ReplicaRequest {
+        let epoch = self.set().epoch;
+        match (&self.purpose, &self.machine) {
+            (Purpose::Reserve { program, turn }, _) => ReplicaRequest::Charge {
+                epoch,
+                program: program_id(*program),
+                turn: turn.clone(),
+                entry: LedgerEntry {
+                    most: MOST,
+                    spent: None,
+                },
+                keep_ms: KEEP_MS,
+            },
+            (
+                Purpose::Settle {
+                    program,
+                    turn,
+                    spent,
+                },
+                _,
+            ) => ReplicaRequest::Charge {
+                epoch,
+                program: program_id(*program),
+                turn: turn.clone(),
+                entry: LedgerEntry {
+                    most: MOST,
+                    spent: Some(*spent),
+                },
+                keep_ms: KEEP_MS,
+            },
+            (Purpose::Append { record, .. }, _) => ReplicaRequest::Append {
+                epoch,
+                record: record.clone(),
+                keep_ms: KEEP_MS,
+            },
+            (_, Machine::Read(read)) => ReplicaRequest::ReadChain {
+                epoch,
+                turn: read.wanted().clone(),
+            },
+            (_, Machine::Write(_)) => unreachable!("reads have the machine of a read"),
+        }
+    }
+
+    /// Starts the operation anew under a newer set.
+    pub fn restart(&mut self, set: ReplicaSet) {
+        self.machine = match &self.purpose {
+            Purpose::Read { turn } => Machine::Read(ChainRead::new(set, turn.clone())),
+            Purpose::ReadInvented => Machine::Read(ChainRead::new(set, invented())),
+            _ => Machine::Write(QuorumWrite::new(set)),
+        };
+    }
+}
+
+/// A turn that nobody writes.
+pub fn invented() -> TurnId {
+    TurnId("invented".to_owned())
+}
--- /dev/null
+++ b/crates/records/tests/simulator/storage.rs
@@ -0,0 +1,199 @@
+//! One storage node: the replica's state in memory, its disk, and the copy it makes.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use ridgeworks_records::{
+    Change, Handled, RecordKey, Replica, ReplicaId, ReplicaReply, ReplicaRequest, ReplicaSet,
+    ReplicaState, StoredRecord, TurnId,
+};
+
+use super::Weakening;
+use super::world::Address;
+
+const MAX_TURN_BYTES: usize = 1 << 30;
+pub const KEEP_MS: u64 = 1 << 40;
+
+/// Key of a record on the simulated disk.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+enum DiskKey {
+    Record(RecordKey),
+    Set,
+}
+
+/// A reply that waits for the disk.
+pub struct WaitingReply {
+    pub batch: u64,
+    pub to: Address,
+    pub operation: u64,
+    pub reply: ReplicaReply,
+}
+
+/// Where the copy of a changed set stands.
+#[derive(Debug, Clone)]
+pub struct CopyTask {
+    pub set: ReplicaSet,
+    pub done: BTreeSet<ReplicaId>,
+    pub source: Option<Replica>,
+    pub after: Option<RecordKey>,
+    pub missing: Vec<TurnId>,
+}
+
+/// One storage node.
+pub struct StorageNode {
+    pub index: usize,
+    pub life: u64,
+    pub running: bool,
+    pub state: ReplicaState,
+    disk: BTreeMap<DiskKey, StoredRecord>,
+    unsynced: VecDeque<(u64, Vec<Change>)>,
+    pub submitted: u64,
+    pub durable: u64,
+    pub waiting: VecDeque<WaitingReply>,
+    pub copy: Option<CopyTask>,
+    weakening: Weakening,
+}
+
+impl StorageNode {
+    pub fn new(index: usize, id: u64, weakening: Weakening) -> Self {
+        Self {
+            index,
+            life: 0,
+            running: true,
+            state: ReplicaState::new(ReplicaId(id), MAX_TURN_BYTES),
+            disk: BTreeMap::new(),
+            unsynced: VecDeque::new(),
+            submitted: 0,
+            durable: 0,
+            waiting: VecDeque::new(),
+            copy: None,
+            weakening,
+        }
+    }
+
+    pub fn replica(&self) -> Replica {
+        Replica {
+            id: self.state.id(),
+            node: format!("node-{}", self.index),
+            address: self.index.to_string(),
+            zone: format!("zone-{}", self.index % 3),
+        }
+    }
+
+    /// Handles a request; returns a reply that may go out at once.
+    pub fn request(
+        &mut self,
+        from: Address,
+        operation: u64,
+        to: ReplicaId,
+        mut request: ReplicaRequest,
+    ) -> Option<ReplicaReply> {
+        if to != self.state.id() {
+            return Some(ReplicaReply::NotMember);
+        }
+        if self.weakening == Weakening::NoEpochs {
+            self.ignore_epoch(&mut request);
+        }
+        let handled = self.state.handle(request, 0);
+        self.carry_out(handled, Some((from, operation)))
+    }
+
+    /// Makes any request look as if it came under the set that is known here.
+    fn ignore_epoch(&self, request: &mut ReplicaRequest) {
+        let Some(set) = self.state.set() else {
+            return;
+        };
+        match request {
+            ReplicaRequest::Charge { epoch, .. }
+            | ReplicaRequest::Append { epoch, .. }
+            | ReplicaRequest::ReadChain { epoch, .. } => *epoch = set.epoch,
+            _ => {}
+        }
+    }
+
+    pub fn carry_out(
+        &mut self,
+        handled: Handled,
+        answer: Option<(Address, u64)>,
+    ) -> Option<ReplicaReply> {
+        if !handled.changes.is_empty() {
+            self.submitted += 1;
+            self.unsynced.push_back((self.submitted, handled.changes));
+        }
+        let (to, operation) = answer?;
+        let waits = handled.waits && self.weakening != Weakening::NoSync;
+        if waits && self.durable < self.submitted {
+            self.waiting.push_back(WaitingReply {
+                batch: self.submitted,
+                to,
+                operation,
+                reply: handled.reply,
+            });
+            return None;
+        }
+        Some(handled.reply)
+    }
+
+    /// Makes all batches up to this one durable and returns the replies that waited for them.
+    pub fn sync(&mut self, batch: u64) -> Vec<WaitingReply> {
+        while self.unsynced.front().is_some_and(|front| front.0 <= batch) {
+            let (_, changes) = self.unsynced.pop_front().expect("just seen");
+            changes.into_iter().for_each(|change| self.apply(change));
+        }
+        self.durable = self.durable.max(batch);
+        let ready = self.waiting.iter().filter(|reply| reply.batch <= batch);
+        let ready = ready.count();
+        self.waiting.drain(..ready).collect()
+    }
+
+    fn apply(&mut self, change: Change) {
+        match change {
+            Change::Put(record) => {
+                let key = match &record {
+                    StoredRecord::Turn(turn, _) => {
+                        DiskKey::Record(RecordKey::Turn(turn.turn.clone()))
+                    }
+                    StoredRecord::Ledger(program, ..) => {
+                        DiskKey::Record(RecordKey::Ledger(program.clone()))
+                    }
+                    StoredRecord::Set(_) => DiskKey::Set,
+                };
+                self.disk.insert(key, record);
+            }
+            Change::Delete(key) => {
+                self.disk.remove(&DiskKey::Record(key));
+            }
+        }
+    }
+
+    /// The process dies. Of what was not durable, the first `kept` batches reached the disk.
+    pub fn crash(&mut self, kept: usize) {
+        for _ in 0..kept {
+            if let Some((_, changes)) = self.unsynced.pop_front() {
+                changes.into_iter().for_each(|change| self.apply(change));
+            }
+        }
+        self.running = false;
+        self.life += 1;
+        self.unsynced.clear();
+        self.waiting.clear();
+        self.copy = None;
+    }
+
+    /// The process starts on its disk.
+    pub fn start(&mut self) {
+        let mut state = ReplicaState::new(self.state.id(), MAX_TURN_BYTES);
+        for record in self.disk.values() {
+            state.restore(record.clone());
+        }
+        self.state = state;
+        self.submitted = 0;
+        self.durable = 0;
+        self.running = true;
+    }
+
+    /// The disk is lost; the next start is another replica's.
+    pub fn wipe(&mut self, new_id: u64) {
+        self.disk.clear();
+        self.state = ReplicaState::new(ReplicaId(new_id), MAX_TURN_BYTES);
+    }
+}
--- a/crates/replica/src/role.rs
+++ b/crates/replica/src/role.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,7 +17,7 @@
 use ridgeworks_resident::http_server::{self, ShortAnswer};
 use ridgeworks_resident::logging::LogCounters;
 use ridgeworks_resident::metrics::{self, LogCollector};
-use ridgeworks_resident::node::Node;
+use ridgeworks_resident::node::{Node, ReloadReason as Reason};
 use ridgeworks_resident::settings::NodeSettings;
 use ridgeworks_resident::shutdown::{Order, Orders};
 use ridgeworks_resident::watching::follow;
@@ -89,13 +89,14 @@
     tokio::task::spawn_local(Coordinator::new(replica, retirements).run());
     log::info!(target: "process", node = node.settings.name.as_str(), role = "replica"; "started");
     loop {
-        let order = tokio::select! {
-            order = orders.next() => order,
-            () = tokio::time::sleep(SETTINGS_INTERVAL) => Order::Reload,
-        };
-        match order {
-            Order::Reload => reload(&node, &settings_path),
-            Order::Stop => break,
+        tokio::select! {
+            order = orders.next() => match order {
+                Order::Reload => node.reload(&settings_path, Reason::Signal),
+                Order::Stop => break,
+            },
+            () = tokio::time::sleep(SETTINGS_INTERVAL) => {
+                node.reload(&settings_path, Reason::Interval);
+            }
         }
     }
     log::info!(target: "process", role = "replica"; "stopping");
@@ -145,14 +146,3 @@
     };
     http_server::serve(address, answer).await
 }
-
-fn reload(node: &Node, path: &Path) {
-    match NodeSettings::load(path) {
-        Ok(settings) => node.reload(&settings),
-        Err(error) => log::error!(
-            target: "process",
-            detail:% = error;
-            "settings not reloaded, the earlier ones hold"
-        ),
-    }
-}
--- a/crates/resident/src/node.rs
+++ b/crates/resident/src/node.rs
@@ -1,7 +1,9 @@
 //! The parts that every role runs on, put together.
 
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -40,6 +42,18 @@
     pub links: Rc<PeerLinks>,
     /// Heartbeats.
     pub gossip: Rc<Gossip>,
+    /// The settings as they were last read.
+    reloaded: RefCell<NodeSettings>,
+    settings_unreadable: Cell<bool>,
+}
+
+/// Why the settings are read again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReloadReason {
+    /// The platform said that they changed.
+    Signal,
+    /// They may change without a signal.
+    Interval,
 }
 
 impl Node {
@@ -53,6 +67,8 @@
         Ok(Rc::new(Self {
             store: Rc::new(StoreClient::new(settings.platform.store)),
             gossip: Rc::new(gossip),
+            reloaded: RefCell::new(settings.clone()),
+            settings_unreadable: Cell::new(false),
             settings,
             clock,
             view,
@@ -89,10 +105,37 @@
         tokio::task::spawn_local(follow(store, ObjectKind::Engines, engines));
     }
 
-    /// Takes over what changed in the settings file and may change while the process runs.
-    pub fn reload(&self, settings: &NodeSettings) {
-        self.store.set_address(settings.platform.store);
-        self.gossip.set_seeds(settings.seed_peers());
+    /// Reads the settings file again, and takes over what may change while the process runs. Says so
+    /// when it was asked to, or when something changed.
+    pub fn reload(&self, path: &Path, reason: ReloadReason) {
+        let settings = match NodeSettings::load(path) {
+            Ok(settings) => settings,
+            Err(error) => {
+                let is_new = !self.settings_unreadable.replace(true);
+                if is_new || reason == ReloadReason::Signal {
+                    log::error!(
+                        target: "process",
+                        detail:% = error;
+                        "settings not reloaded, the earlier ones hold"
+                    );
+                }
+                return;
+            }
+        };
+        self.settings_unreadable.set(false);
+        let has_changed = *self.reloaded.borrow() != settings;
+        if has_changed || reason == ReloadReason::Signal {
+            self.store.set_address(settings.platform.store);
+            self.gossip.set_seeds(settings.seed_peers());
+            log::info!(
+                target: "process",
+                has_changed = has_changed,
+                store:% = settings.platform.store,
+                seeds = settings.seeds.len();
+                "settings reloaded"
+            );
+            *self.reloaded.borrow_mut() = settings;
+        }
     }
 
     /// Reads the replica set and its revision in the store; `None` when the store does not answer.
