--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -86,10 +86,22 @@
     /// Changes the split of the shared pool
     #[command(subcommand)]
     Shares(SharesCommand),
+    /// Explains one request from the logs of nodes, without asking any node
+    Explain(ExplainArguments),
     /// Prints the completions of a shell
     Completions(CompletionsArguments),
 }
 
+/// Arguments of `explain`.
+#[derive(Debug, Args)]
+pub struct ExplainArguments {
+    /// Identifier of the client's attempt
+    pub request: String,
+    /// Logs of nodes, one JSON object a line; several nodes may share a file
+    #[arg(long, value_name = "FILE", num_args = 1.., required = true)]
+    pub logs: Vec<PathBuf>,
+}
+
 /// Arguments of `apply`.
 #[derive(Debug, Args)]
 pub struct ApplyArguments {
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -39,6 +39,8 @@
     },
     /// A file holds the split of the pool, which only `shares` changes.
     PoolSplitInFile,
+    /// No line of the logs is about the request.
+    UnknownRequest,
     /// A read failed.
     Read(ClientError),
     /// A change failed.
@@ -91,6 +93,7 @@
             | Self::UnreadableFile { .. }
             | Self::InvalidFile { .. } => ExitStatus::Usage,
             Self::InvalidObject { .. } | Self::PoolSplitInFile => ExitStatus::Refused,
+            Self::UnknownRequest => ExitStatus::NotFound,
             Self::Read(error) => client_status(error),
             Self::Change { error, .. } if error.is_outcome_unknown() => ExitStatus::OutcomeUnknown,
             Self::Change { error, .. } => client_status(error),
@@ -148,6 +151,7 @@
                 formatter,
                 "the pool's split takes the consent of all partners: use shares propose"
             ),
+            Self::UnknownRequest => write!(formatter, "no line of the logs is about the request"),
             Self::Read(error) => write!(formatter, "{error}"),
             Self::Change { error, .. } => write!(formatter, "{error}"),
             Self::IncompleteAnswer => write!(formatter, "the node's answer is incomplete"),
--- /dev/null
+++ b/crates/cli/tests/explain.rs
@@ -0,0 +1,75 @@
+//! `explain` over logs of several nodes.
+
+mod support;
+
+use std::io::Write;
+
+use support::{bare_command, finish};
+use tempfile::NamedTempFile;
+
+const LOG: &str = r#"
+  1.0000 gateway-1 {"time":"2026-09-06T13:32:04.000449120+00:00","level":"WARN","message":"platform store lost","target":"dependency","attributes":{"reason":"no_answer"}}
+  1.1000 gateway-2 {"time":"2026-09-06T13:32:04.100000000+00:00","level":"INFO","message":"engine gone","target":"belief","attributes":{"engine":"i-9"}}
+  1.2000 gateway-1 {"time":"2026-09-06T13:32:04.200000000+00:00","level":"INFO","message":"attempt failed","target":"attempt","attributes":{"request":"r-1","engine":"i-1","reason":"lost"}}
+not a line of the log
+  1.3000 gateway-1 {"time":"2026-09-06T13:32:04.300000000+00:00","level":"INFO","message":"request ended","target":"request","attributes":{"request":"r-1","outcome":"refused","reason":"engine_failed","took_ms":150}}
+  1.4000 gateway-1 {"time":"2026-09-06T13:32:04.400000000+00:00","level":"INFO","message":"request ended","target":"request","attributes":{"request":"r-2","outcome":"answered","reason":""}}
+"#;
+
+fn log_file() -> NamedTempFile {
+    let mut file = NamedTempFile::new().expect("a file");
+    file.write_all(LOG.as_bytes()).expect("a log");
+    file
+}
+
+#[test]
+fn the_cause_comes_first_and_then_the_timeline_of_its_node() {
+    let file = log_file();
+    let mut command = bare_command();
+    command.args(["explain", "r-1", "--logs"]).arg(file.path());
+    let finished = finish(&mut command);
+    assert_eq!(finished.status, 0);
+    let mut lines = finished.standard_output.lines();
+    assert_eq!(lines.next(), Some("r-1: refused engine_failed"));
+    let order = ["platform store lost", "attempt failed", "request ended"];
+    let places: Vec<usize> = order
+        .iter()
+        .map(|what| {
+            finished
+                .standard_output
+                .find(what)
+                .expect("in the timeline")
+        })
+        .collect();
+    assert!(places.is_sorted());
+    assert!(
+        !finished.standard_output.contains("i-9"),
+        "another node's line: {}",
+        finished.standard_output
+    );
+    assert!(!finished.standard_output.contains("r-2"));
+}
+
+#[test]
+fn json_output_holds_the_same() {
+    let file = log_file();
+    let mut command = bare_command();
+    command
+        .args(["--output", "json", "explain", "r-1", "--logs"])
+        .arg(file.path());
+    let finished = finish(&mut command);
+    let json: serde_json::Value = serde_json::from_str(&finished.standard_output).expect("JSON");
+    assert_eq!(json["reason"], "engine_failed");
+    assert_eq!(json["timeline"].as_array().map(Vec::len), Some(3));
+}
+
+#[test]
+fn an_unknown_request_and_a_missing_file_have_their_statuses() {
+    let file = log_file();
+    let mut command = bare_command();
+    command.args(["explain", "r-9", "--logs"]).arg(file.path());
+    assert_eq!(finish(&mut command).status, 6);
+    let mut command = bare_command();
+    command.args(["explain", "r-1", "--logs", "/nowhere/at/all"]);
+    assert_eq!(finish(&mut command).status, 2);
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -272,6 +272,7 @@
             service: &self.call.service,
             key: key.unwrap_or(&metadata.request_id),
             parts: &metadata.prompt_parts,
+            zone: &self.gateway.node.settings.zone,
             excluded: &tried.excluded,
         })
     }
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -19,6 +19,8 @@
 const SHARED_BATCH_MS: f64 = 3.0;
 /// What one place in an engine's queue costs, in milliseconds.
 const QUEUE_PLACE_MS: f64 = 30.0;
+/// Extra cost for an engine of another zone, in milliseconds: the way there, and the price of the bytes.
+const OTHER_ZONE_MS: f64 = 6.0;
 /// Extra cost for an engine that failed lately, in milliseconds.
 const RESTING_MS: f64 = 10_000.0;
 /// Extra cost for each time that an engine's step is longer than the quickest one's, in milliseconds.
@@ -37,6 +39,8 @@
     pub key: &'a str,
     /// Parts of its prompt, in order.
     pub parts: &'a [PromptPart],
+    /// Zone of the gateway.
+    pub zone: &'a str,
     /// Engines that must not get it.
     pub excluded: &'a [String],
 }
@@ -179,6 +183,9 @@
         let open = self.open_everywhere(&engine.instance, now);
         let queued = (open + 1).saturating_sub(engine.slots);
         let mut cost = f64::from(open) * SHARED_BATCH_MS + f64::from(queued) * QUEUE_PLACE_MS;
+        if engine.zone != demand.zone {
+            cost += OTHER_ZONE_MS;
+        }
         let known = self.engines.get(&engine.instance);
         let missing = known.map_or_else(
             || demand.parts.iter().map(|part| part.tokens).sum(),
--- /dev/null
+++ b/crates/routing/tests/routes.rs
@@ -0,0 +1,82 @@
+//! Which route and service a request belongs to.
+
+mod support;
+
+use quickcheck::quickcheck;
+use ridgeworks_routing::{RouteTable, WeightedService, WeightedSplit};
+use support::{configuration, route};
+
+fn table() -> RouteTable {
+    RouteTable::new(&configuration(vec![
+        route("short", "one.example", "/a/"),
+        route("long", "one.example", "/a/b/"),
+        route("other", "two.example", "/a/"),
+    ]))
+}
+
+fn found(host: &str, path: &str) -> Option<String> {
+    table().find(host, path).map(|route| route.name.clone())
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    assert_eq!(found("one.example", "/a/x").as_deref(), Some("short"));
+    assert_eq!(found("one.example", "/a/b/x").as_deref(), Some("long"));
+    assert_eq!(found("two.example", "/a/b/x").as_deref(), Some("other"));
+    assert_eq!(found("ONE.example:8080", "/a/b/").as_deref(), Some("long"));
+    assert_eq!(found("one.example", "/a"), None);
+    assert_eq!(found("one.example", "/b/a/"), None);
+    assert_eq!(found("three.example", "/a/"), None);
+}
+
+/// How far any service is off its weight after so many requests.
+fn worst_share_error(weights: &[u32], requests: usize) -> f64 {
+    let mut split = route("split", "one.example", "/a/");
+    split.services = weights
+        .iter()
+        .enumerate()
+        .map(|(index, weight)| WeightedService {
+            service: format!("service-{index}"),
+            weight: *weight,
+        })
+        .collect();
+    let mut state = WeightedSplit::default();
+    let mut counts = vec![0_u32; weights.len()];
+    for _ in 0..requests {
+        if let Some(index) = state.next(&split) {
+            counts[index] += 1;
+        }
+    }
+    let total: u32 = weights.iter().sum();
+    let errors = weights.iter().zip(&counts).map(|(weight, count)| {
+        let wanted = f64::from(*weight) / f64::from(total) * requests as f64;
+        (f64::from(*count) - wanted).abs()
+    });
+    errors.fold(0.0, f64::max)
+}
+
+#[test]
+fn shares_follow_the_weights_in_any_run_of_requests() {
+    for requests in 1..200 {
+        assert!(worst_share_error(&[90, 10], requests) <= 1.0);
+        assert!(worst_share_error(&[1, 1, 1], requests) <= 1.0);
+    }
+}
+
+#[test]
+fn a_service_without_weight_gets_nothing() {
+    assert!(worst_share_error(&[5, 0], 100) < f64::EPSILON);
+    let mut none = route("none", "one.example", "/a/");
+    none.services.clear();
+    assert_eq!(WeightedSplit::default().next(&none), None);
+}
+
+quickcheck! {
+    fn no_share_is_ever_far_off(weights: Vec<u8>, requests: u8) -> bool {
+        let weights: Vec<u32> = weights.into_iter().take(6).map(u32::from).collect();
+        if weights.iter().sum::<u32>() == 0 {
+            return true;
+        }
+        worst_share_error(&weights, usize::from(requests)) <= weights.len() as f64
+    }
+}
--- /dev/null
+++ b/crates/routing/tests/support/mod.rs
@@ -0,0 +1,71 @@
+//! Engines and routes for tests.
+#![allow(dead_code, reason = "each test file uses its own part of the support")]
+
+use ridgeworks_routing::{
+    CallerLimits, Engine, EngineEntry, EngineState, EngineTable, RequestKind, Route,
+    RouteConfiguration, WeightedService,
+};
+
+pub fn engine(instance: &str, zone: &str) -> Engine {
+    Engine {
+        instance: instance.to_owned(),
+        service: "models".to_owned(),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        zone: zone.to_owned(),
+        slots: 4,
+        state: EngineState::Ready,
+    }
+}
+
+pub fn entry(instance: &str, revision: u64) -> EngineEntry {
+    EngineEntry {
+        engine: engine(instance, "zone-a"),
+        revision,
+    }
+}
+
+pub fn table<const N: usize>(engines: [Engine; N]) -> EngineTable {
+    let mut table = EngineTable::default();
+    for engine in engines {
+        table.apply(EngineEntry {
+            engine,
+            revision: 1,
+        });
+    }
+    table
+}
+
+pub fn route(name: &str, host: &str, path_prefix: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        path_prefix: path_prefix.to_owned(),
+        kind: RequestKind::Repeatable,
+        timeout_ms: 1_000,
+        target_ms: 100,
+        gap_target_ms: 0,
+        priority: 1,
+        services: vec![WeightedService {
+            service: "models".to_owned(),
+            weight: 1,
+        }],
+        max_attempts: 1,
+        resumable: false,
+        keeps_turns: false,
+        retention_ms: 60_000,
+    }
+}
+
+pub fn configuration(routes: Vec<Route>) -> RouteConfiguration {
+    RouteConfiguration {
+        version: 1,
+        routes,
+        services: Vec::new(),
+        limits: CallerLimits {
+            max_header_bytes: 16_384,
+            max_body_bytes: 65_536,
+            header_timeout_ms: 3_000,
+            idle_timeout_ms: 15_000,
+        },
+    }
+}
