--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -109,7 +109,9 @@
     engine: &Engine,
     sending: Sending<'_>,
 ) -> Result<Answered, AttemptFailure> {
-    let at_engine = gateway.send_to(&engine.instance, &sending.call.metadata.prompt_parts);
+    let metadata = &sending.call.metadata;
+    let key = metadata.placement_key();
+    let at_engine = gateway.send_to(key, &engine.instance, &metadata.prompt_parts);
     let mut reused = gateway.pool.take_idle(&engine.instance);
     loop {
         let is_reused = reused.is_some();
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -266,11 +266,9 @@
             return self.same_engine();
         }
         let metadata = &self.call.metadata;
-        let keys = [&metadata.session, &metadata.affinity, &metadata.program];
-        let key = keys.into_iter().flatten().next();
         self.gateway.choose_engine(&Demand {
             service: &self.call.service,
-            key: key.unwrap_or(&metadata.request_id),
+            key: metadata.placement_key(),
             parts: &metadata.prompt_parts,
             zone: &self.gateway.node.settings.zone,
             excluded: &tried.excluded,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -159,8 +159,8 @@
     }
 
     /// Notes that a request goes to an engine.
-    pub fn send_to(self: &Rc<Self>, instance: &str, parts: &[PromptPart]) -> AtEngine {
-        self.placement.borrow_mut().on_sent(instance, parts);
+    pub fn send_to(self: &Rc<Self>, key: &str, instance: &str, parts: &[PromptPart]) -> AtEngine {
+        self.placement.borrow_mut().on_sent(key, instance, parts);
         AtEngine {
             gateway: Rc::clone(self),
             instance: instance.to_owned(),
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -2,7 +2,11 @@
 //!
 //! The cost of an engine is the time that the request is expected to lose there, in milliseconds: the
 //! wait for a slot, the slower steps of a fuller batch, and the reading of prompt parts that the engine
-//! does not hold. Ties go by rendezvous hashing of the session, so that gateways agree without talking.
+//! does not hold.
+//!
+//! Gateways decide alone and know each other's load only as it was a moment ago. If all of them took the
+//! engine that looked idlest, they would flock to it. So each session has a few *candidates*, by rendezvous
+//! hashing, the same at all gateways; other engines are taken only where they are better by a margin.
 
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
@@ -16,7 +20,13 @@
 /// Prompt tokens that an engine reads in a millisecond, for weighing a missing part against a wait.
 const PROMPT_TOKENS_PER_MS: f64 = 250.0;
 /// What one more request in the batch costs, in milliseconds.
-const SHARED_BATCH_MS: f64 = 3.0;
+const SHARED_BATCH_MS: f64 = 8.0;
+/// Margin by which an engine that is no candidate of the session has to be better, in milliseconds.
+const STRANGER_MS: f64 = 40.0;
+/// Candidates of a session among all engines, and among those of the gateway's zone.
+const CANDIDATES: usize = 2;
+/// Sessions whose engine is remembered.
+const MAX_HOMES: usize = 8_192;
 /// What one place in an engine's queue costs, in milliseconds.
 const QUEUE_PLACE_MS: f64 = 30.0;
 /// Extra cost for an engine of another zone, in milliseconds: the way there, and the price of the bytes.
@@ -92,6 +102,8 @@
 pub struct Placement {
     engines: HashMap<String, EngineLoad>,
     reports: HashMap<String, Report>,
+    /// The engine that last got a request of a key.
+    homes: HashMap<String, String>,
 }
 
 /// Short name of an engine in reports between gateways.
@@ -112,16 +124,26 @@
             .filter(|engine| !demand.excluded.contains(&engine.instance))
             .collect();
         let quickest = self.quickest_step(&candidates);
+        let home = self.homes.get(demand.key).map(String::as_str);
+        let preferred = preferred(&candidates, demand);
         let costs = candidates.into_iter().map(|engine| {
-            let cost = self.cost(engine, demand, quickest, now);
+            let mut cost = self.cost(engine, demand, quickest, now);
+            let is_home = home == Some(engine.instance.as_str());
+            if !is_home && !preferred.contains(&engine.instance.as_str()) {
+                cost += STRANGER_MS;
+            }
             (cost, rendezvous(demand.key, &engine.instance), engine)
         });
         let best = costs.min_by(|one, two| one.0.total_cmp(&two.0).then(two.1.cmp(&one.1)));
         best.map(|(_, _, engine)| engine)
     }
 
-    /// A request goes to an engine.
-    pub fn on_sent(&mut self, instance: &str, parts: &[PromptPart]) {
+    /// A request with this key goes to an engine.
+    pub fn on_sent(&mut self, key: &str, instance: &str, parts: &[PromptPart]) {
+        if self.homes.len() >= MAX_HOMES {
+            self.homes.clear();
+        }
+        self.homes.insert(key.to_owned(), instance.to_owned());
         let load = self.engines.entry(instance.to_owned()).or_default();
         load.open += 1;
         for part in parts {
@@ -215,6 +237,23 @@
     }
 }
 
+/// The candidates of a key: the first of all engines, and the first of the gateway's zone.
+fn preferred<'a>(engines: &[&'a Engine], demand: &Demand<'_>) -> Vec<&'a str> {
+    let mut ranked: Vec<(u64, &Engine)> = engines
+        .iter()
+        .map(|engine| (rendezvous(demand.key, &engine.instance), *engine))
+        .collect();
+    ranked.sort_by_key(|(rank, _)| std::cmp::Reverse(*rank));
+    let near = ranked
+        .iter()
+        .filter(|(_, engine)| engine.zone == demand.zone);
+    let first = ranked.iter().take(CANDIDATES);
+    let preferred = first.chain(near.take(CANDIDATES));
+    preferred
+        .map(|(_, engine)| engine.instance.as_str())
+        .collect()
+}
+
 fn rendezvous(key: &str, instance: &str) -> u64 {
     let mut bytes = Vec::with_capacity(key.len() + instance.len() + 1);
     bytes.extend_from_slice(key.as_bytes());
--- a/crates/routing/src/request.rs
+++ b/crates/routing/src/request.rs
@@ -37,3 +37,13 @@
     /// Last event that the client has of an earlier attempt.
     pub last_event_id: Option<u64>,
 }
+
+impl CallMetadata {
+    /// Key of requests that are better served by the same engine: the object they concern, or their
+    /// line of turns.
+    pub fn placement_key(&self) -> &str {
+        let keys = [&self.affinity, &self.session, &self.program];
+        let key = keys.into_iter().flatten().next();
+        key.unwrap_or(&self.request_id)
+    }
+}
--- a/crates/routing/tests/placement.rs
+++ b/crates/routing/tests/placement.rs
@@ -55,12 +55,12 @@
     let table = table(["i-1", "i-2"].map(|name| engine(name, "zone-a")));
     let mut placement = Placement::default();
     let parts = [part(1, 12_000), part(2, 2_000)];
-    placement.on_sent("i-1", &parts);
+    placement.on_sent("other", "i-1", &parts);
     placement.on_ended("i-1");
     let chosen = placement.choose(&table, &demand("s", &parts, &[]), NOW);
     assert_eq!(chosen.expect("an engine").instance, "i-1");
     for _ in 0..30 {
-        placement.on_sent("i-1", &[]);
+        placement.on_sent("other", "i-1", &[]);
     }
     let chosen = placement.choose(&table, &demand("s", &parts, &[]), NOW);
     assert_eq!(chosen.expect("an engine").instance, "i-2");
@@ -70,8 +70,8 @@
 fn a_part_counts_only_when_all_before_it_are_held() {
     let table = table(["i-1", "i-2"].map(|name| engine(name, "zone-a")));
     let mut placement = Placement::default();
-    placement.on_sent("i-1", &[part(2, 12_000)]);
-    placement.on_sent("i-2", &[part(1, 100)]);
+    placement.on_sent("other", "i-1", &[part(2, 12_000)]);
+    placement.on_sent("other", "i-2", &[part(1, 100)]);
     let parts = [part(1, 100), part(2, 12_000)];
     let chosen = placement.choose(&table, &demand("s", &parts, &[]), NOW);
     assert_eq!(chosen.expect("an engine").instance, "i-2");
@@ -87,7 +87,7 @@
         assert_eq!(chosen.expect("an engine").instance, "i-near");
     }
     for _ in 0..4 {
-        placement.on_sent("i-near", &[]);
+        placement.on_sent("other", "i-near", &[]);
     }
     let chosen = placement.choose(&table, &demand("s", &[], &[]), NOW);
     assert_eq!(chosen.expect("an engine").instance, "i-far");
@@ -127,7 +127,7 @@
         .expect("an engine");
     let chosen = chosen.instance.clone();
     for _ in 0..5 {
-        other.on_sent(&chosen, &[]);
+        other.on_sent("other", &chosen, &[]);
     }
     let mut placement = Placement::default();
     placement.on_report("gateway-2", other.report(), NOW);
