--- a/crates/node/tests/resident_lifecycle.rs
+++ b/crates/node/tests/resident_lifecycle.rs
@@ -1,15 +1,15 @@
 //! Start, stop and reload of residents, and how they follow the platform's store through its faults.
 
-mod resident_support;
-
 use std::time::Duration;
 
-use resident_support::client::{call_get, call_post, get};
-use resident_support::{Deployment, routes, wait_until};
+use ridgeworks_platform_stand_ins::client::{call_get, call_post, get};
+use ridgeworks_platform_stand_ins::deployment::{Deployment, routes, wait_until};
 use ridgeworks_platform_stand_ins::{Answer, Script, StoreFault};
 use rustix::process::Signal;
 use serde_json::json;
 
+const PROGRAM: &str = env!("CARGO_BIN_EXE_ridgeworksd");
+
 fn ok() -> Script {
     Script::always(Answer::Whole("fine".to_owned()))
 }
@@ -29,7 +29,7 @@
 
 #[test]
 fn a_changed_configuration_is_in_force_within_its_bound() {
-    let mut deployment = Deployment::started(1, 0);
+    let mut deployment = Deployment::started(PROGRAM, 1, 0);
     let _engine = deployment.engine("tools", "i-1", ok());
     let gateway = deployment.gateways[0].callers();
     wait_until("the engine serves", || status(gateway, "/tool/x") == 200);
@@ -44,7 +44,7 @@
 
 #[test]
 fn an_older_configuration_never_comes_back() {
-    let mut deployment = Deployment::started(1, 0);
+    let mut deployment = Deployment::started(PROGRAM, 1, 0);
     let _engine = deployment.engine("tools", "i-1", ok());
     let gateway = deployment.gateways[0].callers();
     let old = deployment
@@ -63,7 +63,7 @@
 
 /// A change that is made after the fault has been on for a while, and is in force once it is over.
 fn survives(fault: StoreFault) {
-    let mut deployment = Deployment::started(1, 0);
+    let mut deployment = Deployment::started(PROGRAM, 1, 0);
     let engine = deployment.engine("tools", "i-1", ok());
     let gateway = deployment.gateways[0].callers();
     wait_until("the engine serves", || status(gateway, "/tool/x") == 200);
@@ -90,7 +90,7 @@
 
 #[test]
 fn a_store_that_forgot_its_history_is_listed_anew() {
-    let mut deployment = Deployment::started(1, 0);
+    let mut deployment = Deployment::started(PROGRAM, 1, 0);
     let engine = deployment.engine("tools", "i-1", ok());
     let gateway = deployment.gateways[0].callers();
     wait_until("the engine serves", || status(gateway, "/tool/x") == 200);
@@ -113,7 +113,7 @@
 
 #[test]
 fn a_gateway_that_starts_while_the_store_is_down_learns_from_another() {
-    let mut deployment = Deployment::started(1, 0);
+    let mut deployment = Deployment::started(PROGRAM, 1, 0);
     let _engine = deployment.engine("tools", "i-1", ok());
     let first = deployment.gateways[0].callers();
     wait_until("the engine serves", || status(first, "/tool/x") == 200);
@@ -130,7 +130,7 @@
 
 #[test]
 fn without_any_configuration_nothing_is_promised() {
-    let mut deployment = Deployment::new();
+    let mut deployment = Deployment::new(PROGRAM);
     deployment.store.set_fault(StoreFault::Unavailable);
     let gateway = {
         let gateway = deployment.add_gateway();
@@ -143,7 +143,7 @@
 
 #[test]
 fn a_long_list_of_engines_is_read_to_its_end() {
-    let deployment = Deployment::started(1, 0);
+    let deployment = Deployment::started(PROGRAM, 1, 0);
     for number in 0..120 {
         let entry = json!({"service": "tools", "address": "127.0.0.1:9", "zone": "z",
             "slots": 1, "state": "draining", "seq": 1});
@@ -165,7 +165,7 @@
 
 #[test]
 fn a_stop_cuts_no_request_and_ends_in_time() {
-    let mut deployment = Deployment::started(1, 0);
+    let mut deployment = Deployment::started(PROGRAM, 1, 0);
     let slow = Script::always(Answer::Stream {
         events: 20,
         gap_ms: 50,
@@ -203,7 +203,7 @@
 
 #[test]
 fn settings_are_read_again_and_bad_ones_change_nothing() {
-    let deployment = Deployment::started(1, 0);
+    let deployment = Deployment::started(PROGRAM, 1, 0);
     let _engine = deployment.engine("tools", "i-1", ok());
     let gateway = deployment.gateways[0].callers();
     wait_until("the engine serves", || status(gateway, "/tool/x") == 200);
@@ -225,7 +225,7 @@
 
 #[test]
 fn metrics_are_told_at_the_settings_address() {
-    let mut deployment = Deployment::started(1, 1);
+    let mut deployment = Deployment::started(PROGRAM, 1, 1);
     let _engine = deployment.engine("tools", "i-1", ok());
     let gateway = deployment.gateways[0].callers();
     wait_until("the engine serves", || status(gateway, "/tool/x") == 200);
--- a/crates/node/tests/resident_records.rs
+++ b/crates/node/tests/resident_records.rs
@@ -1,11 +1,11 @@
 //! Kept turns and budgets through real gateways and replicas, with replicas that die and lose disks.
 
-mod resident_support;
-
-use resident_support::client::{Call, Reply, call_post};
-use resident_support::{Deployment, wait_until};
+use ridgeworks_platform_stand_ins::client::{Call, Reply, call_post};
+use ridgeworks_platform_stand_ins::deployment::{Deployment, wait_until};
 use ridgeworks_platform_stand_ins::{Answer, Script};
 
+const PROGRAM: &str = env!("CARGO_BIN_EXE_ridgeworksd");
+
 fn stream(events: u64) -> Script {
     Script::always(Answer::Stream { events, gap_ms: 1 })
 }
@@ -38,7 +38,7 @@
 
 #[test]
 fn a_turn_goes_on_from_another_gateway_byte_for_byte() {
-    let deployment = Deployment::started(2, 3);
+    let deployment = Deployment::started(PROGRAM, 2, 3);
     let engine = deployment.engine("models", "i-1", stream(2));
     let (one, two) = (
         deployment.gateways[0].callers(),
@@ -59,7 +59,7 @@
 
 #[test]
 fn a_turn_that_does_not_exist_is_not_found_and_runs_nowhere() {
-    let deployment = Deployment::started(1, 3);
+    let deployment = Deployment::started(PROGRAM, 1, 3);
     let engine = deployment.engine("models", "i-1", stream(2));
     let gateway = deployment.gateways[0].callers();
     send_until_served(gateway, &turn("t-1", None, "first"));
@@ -84,7 +84,7 @@
 
 #[test]
 fn one_lost_replica_stops_nothing_and_two_make_gateways_unsure() {
-    let mut deployment = Deployment::started(2, 3);
+    let mut deployment = Deployment::started(PROGRAM, 2, 3);
     let _engine = deployment.engine("models", "i-1", stream(2));
     let (one, two) = (
         deployment.gateways[0].callers(),
@@ -110,7 +110,7 @@
 
 #[test]
 fn turns_survive_a_kill_of_everything_and_a_lost_disk() {
-    let mut deployment = Deployment::started(1, 3);
+    let mut deployment = Deployment::started(PROGRAM, 1, 3);
     let _engine = deployment.engine("models", "i-1", stream(2));
     let gateway = deployment.gateways[0].callers();
     send_until_served(gateway, &turn("t-1", None, "first"));
@@ -149,7 +149,7 @@
 
 #[test]
 fn a_machine_that_retires_is_emptied_first() {
-    let mut deployment = Deployment::started(1, 3);
+    let mut deployment = Deployment::started(PROGRAM, 1, 3);
     let _engine = deployment.engine("models", "i-1", stream(2));
     let gateway = deployment.gateways[0].callers();
     send_until_served(gateway, &turn("t-1", None, "first"));
@@ -174,7 +174,7 @@
 
 #[test]
 fn a_standby_takes_the_place_of_a_replica_that_is_gone() {
-    let mut deployment = Deployment::started(1, 4);
+    let mut deployment = Deployment::started(PROGRAM, 1, 4);
     let voting = deployment.voting_nodes();
     let gone = deployment
         .replicas
@@ -198,7 +198,7 @@
 
 #[test]
 fn a_budget_holds_over_gateways_and_their_deaths() {
-    let mut deployment = Deployment::started(2, 3);
+    let mut deployment = Deployment::started(PROGRAM, 2, 3);
     // Two events of ten tokens each.
     let engine = deployment.engine("models", "i-1", stream(2));
     let (one, two) = (
@@ -223,7 +223,7 @@
 
 #[test]
 fn without_replicas_a_budgeted_turn_is_refused_and_not_run() {
-    let mut deployment = Deployment::started(1, 3);
+    let mut deployment = Deployment::started(PROGRAM, 1, 3);
     let engine = deployment.engine("models", "i-1", stream(2));
     let gateway = deployment.gateways[0].callers();
     send_until_served(gateway, &budgeted("b-1", "p", 100, 30));
--- a/crates/node/tests/resident_requests.rs
+++ b/crates/node/tests/resident_requests.rs
@@ -1,13 +1,13 @@
 //! Requests through a gateway, with engines that fail in every way that the platform names.
 
-mod resident_support;
-
 use std::time::Duration;
 
-use resident_support::client::{call_get, call_post};
-use resident_support::{Deployment, wait_until};
+use ridgeworks_platform_stand_ins::client::{call_get, call_post};
+use ridgeworks_platform_stand_ins::deployment::{Deployment, wait_until};
 use ridgeworks_platform_stand_ins::{Answer, Script};
 
+const PROGRAM: &str = env!("CARGO_BIN_EXE_ridgeworksd");
+
 fn ok() -> Script {
     Script::always(Answer::Whole("fine".to_owned()))
 }
@@ -18,7 +18,7 @@
 
 #[test]
 fn a_whole_answer_comes_back_as_the_engine_gave_it() {
-    let deployment = Deployment::started(1, 0);
+    let deployment = Deployment::started(PROGRAM, 1, 0);
     let engine = deployment.engine("tools", "i-1", ok());
     let gateway = deployment.gateways[0].callers();
     wait_until("the engine serves", || {
@@ -54,7 +54,7 @@
 
 #[test]
 fn unknown_hosts_and_paths_are_not_found() {
-    let deployment = Deployment::started(1, 0);
+    let deployment = Deployment::started(PROGRAM, 1, 0);
     let gateway = deployment.gateways[0].callers();
     let other_path = call_get("/nowhere/x", "r-1")
         .send(gateway)
@@ -66,7 +66,7 @@
 
 #[test]
 fn without_an_engine_the_client_is_told_when_to_come_back() {
-    let deployment = Deployment::started(1, 0);
+    let deployment = Deployment::started(PROGRAM, 1, 0);
     let gateway = deployment.gateways[0].callers();
     let reply = call_get("/tool/x", "r-1").send(gateway).expect("an answer");
     assert_eq!(reply.status, 503);
@@ -80,7 +80,7 @@
 
 /// Sends one request to a single engine that answers as the script says first.
 fn one_request(prefix: &str, answer: Answer) -> (u16, usize) {
-    let deployment = Deployment::started(1, 0);
+    let deployment = Deployment::started(PROGRAM, 1, 0);
     let engine = deployment.engine("tools", "i-1", ok());
     let gateway = deployment.gateways[0].callers();
     wait_until("the engine serves", || {
@@ -135,7 +135,7 @@
 
 #[test]
 fn what_may_repeat_goes_to_another_engine() {
-    let deployment = Deployment::started(1, 0);
+    let deployment = Deployment::started(PROGRAM, 1, 0);
     let bad = deployment.engine("tools", "i-bad", Script::always(Answer::LosesAnswer));
     let good = deployment.engine("tools", "i-good", ok());
     let gateway = deployment.gateways[0].callers();
@@ -149,7 +149,7 @@
 
 #[test]
 fn a_second_answer_on_a_connection_reaches_nobody() {
-    let deployment = Deployment::started(1, 0);
+    let deployment = Deployment::started(PROGRAM, 1, 0);
     let extra = Script::always(Answer::Extra("mine".to_owned()));
     let _engine = deployment.engine("tools", "i-1", extra);
     let gateway = deployment.gateways[0].callers();
@@ -169,7 +169,7 @@
 
 #[test]
 fn a_broken_stream_is_taken_up_without_a_seam() {
-    let deployment = Deployment::started(1, 0);
+    let deployment = Deployment::started(PROGRAM, 1, 0);
     let breaks = Script::always(Answer::BreaksAfter { events: 3 });
     let first = deployment.engine("models", "i-1", breaks);
     let second = deployment.engine("models", "i-2", stream(8));
@@ -195,7 +195,7 @@
 
 #[test]
 fn a_stream_that_must_not_be_taken_up_is_broken_off() {
-    let deployment = Deployment::started(1, 3);
+    let deployment = Deployment::started(PROGRAM, 1, 3);
     let breaks = Script::always(Answer::BreaksAfter { events: 3 });
     let engine = deployment.engine("models", "i-1", breaks);
     let gateway = deployment.gateways[0].callers();
@@ -212,7 +212,7 @@
 
 #[test]
 fn a_client_that_leaves_cancels_its_request() {
-    let deployment = Deployment::started(1, 0);
+    let deployment = Deployment::started(PROGRAM, 1, 0);
     let silent = deployment.engine("tools", "i-silent", Script::always(Answer::Silent));
     let gateway = deployment.gateways[0].callers();
     wait_until("the engine was asked", || {
@@ -238,7 +238,7 @@
 
 #[test]
 fn a_request_gets_its_final_answer_at_its_route_s_time_out() {
-    let deployment = Deployment::started(1, 0);
+    let deployment = Deployment::started(PROGRAM, 1, 0);
     let _silent = deployment.engine("tools", "i-silent", Script::always(Answer::Silent));
     let gateway = deployment.gateways[0].callers();
     wait_until("the engine was asked", || {
@@ -256,7 +256,7 @@
 
 #[test]
 fn engines_that_leave_get_nothing_more() {
-    let deployment = Deployment::started(1, 0);
+    let deployment = Deployment::started(PROGRAM, 1, 0);
     let leaving = deployment.engine("tools", "i-1", ok());
     let staying = deployment.engine("tools", "i-2", ok());
     let gateway = deployment.gateways[0].callers();
@@ -284,7 +284,7 @@
 
 #[test]
 fn bad_requests_get_clear_answers() {
-    let deployment = Deployment::started(1, 0);
+    let deployment = Deployment::started(PROGRAM, 1, 0);
     let engine = deployment.engine("tools", "i-1", ok());
     let gateway = deployment.gateways[0].callers();
     wait_until("the engine serves", || {
