--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use ridgeworks_records::{ChainOutcome, LedgerEntry, ProgramId, TurnId, TurnRecord};
+use ridgeworks_records::{ChainOutcome, LedgerEntry, ProgramId, Settlement, TurnId, TurnRecord};
 use ridgeworks_routing::{Demand, Engine, Refusal, RefusalReason, RequestKind};
 use tokio::time::Instant;
 
@@ -12,13 +12,12 @@
 use crate::caller::Caller;
 use crate::entry::{COME_BACK, Call, age_ms, refusal_response};
 use crate::gateway::Gateway;
+use crate::records_client::keep_ms;
 use crate::streaming::{ClientSide, Passed, StreamEnd, pass_on};
 use crate::whole_answer;
 
 /// How long a turn waits for the replicas before it is refused.
 const RECORDS_PATIENCE: Duration = Duration::from_millis(700);
-/// How long settling an account is tried after the request is over.
-const SETTLE_PATIENCE: Duration = Duration::from_secs(15);
 /// Engines that may reject a request before the client is told to come back.
 const MAX_REJECTIONS: usize = 3;
 /// Engines that may turn out to be unreachable before the client is told to come back.
@@ -567,29 +566,14 @@
         let Some(account) = self.account() else {
             return;
         };
-        let gateway = Rc::clone(&self.gateway);
-        let entry = LedgerEntry {
-            most: self.call.metadata.most_tokens,
-            spent: Some(self.passed.events * self.event_tokens()),
-        };
-        tokio::task::spawn_local(async move {
-            let limit = Instant::now() + SETTLE_PATIENCE;
-            let Account {
-                program,
-                turn,
-                retention,
-            } = account;
-            let charging = gateway
-                .records
-                .charge(&program, &turn, entry, retention, limit);
-            if charging.await.is_err() {
-                log::warn!(
-                    target: "request",
-                    request = turn.0.as_str(),
-                    program = program.0.as_str();
-                    "tokens not settled"
-                );
-            }
+        self.gateway.records.settle(Settlement {
+            program: account.program,
+            turn: account.turn,
+            entry: LedgerEntry {
+                most: self.call.metadata.most_tokens,
+                spent: Some(self.passed.events * self.event_tokens()),
+            },
+            keep_ms: keep_ms(account.retention),
         });
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -35,7 +35,7 @@
     /// Connections to engines.
     pub pool: EnginePool,
     /// Replicated records.
-    pub records: RecordsClient,
+    pub records: Rc<RecordsClient>,
     /// Turns seen lately.
     pub turns: RefCell<TurnCache>,
     /// Metrics.
@@ -85,7 +85,7 @@
     /// A gateway on this node.
     pub fn new(node: Rc<Node>, metrics: GatewayMetrics) -> Rc<Self> {
         let memory = node.settings.limits.memory_mb * BYTES_PER_MB;
-        let records = RecordsClient::new(Rc::clone(&node));
+        let records = Rc::new(RecordsClient::new(Rc::clone(&node)));
         Rc::new(Self {
             node,
             placement: RefCell::default(),
--- a/crates/gateway/src/records_client.rs
+++ b/crates/gateway/src/records_client.rs
@@ -12,12 +12,13 @@
 use futures_util::stream::FuturesUnordered;
 use ridgeworks_records::{
     ChainOutcome, ChainRead, Epoch, LedgerEntry, ProgramId, ProgramLedger, QuorumWrite, Replica,
-    ReplicaId, ReplicaReply, ReplicaRequest, ReplicaSet, TurnId, TurnRecord, WriteProgress,
+    ReplicaId, ReplicaReply, ReplicaRequest, ReplicaSet, Settlement, TurnId, TurnRecord,
+    WriteProgress,
 };
 use ridgeworks_resident::node::Node;
 use ridgeworks_resident::peer::{LinkError, PeerReply, PeerRequest};
 use ridgeworks_resident::view::Source;
-use tokio::time::Instant;
+use tokio::time::{Instant, MissedTickBehavior};
 
 /// How long one replica may take before it is asked again.
 const REPLICA_TIMEOUT: Duration = Duration::from_millis(700);
@@ -30,6 +31,11 @@
 /// How long ledgers and turns are kept beyond what the operators ask, since clocks differ.
 const KEEP_MARGIN: Duration = Duration::from_secs(30);
 
+/// How often settlements are sent; the bound on their age is a second.
+const SETTLE_INTERVAL: Duration = Duration::from_millis(150);
+/// How long settling is tried.
+const SETTLE_PATIENCE: Duration = Duration::from_secs(15);
+
 /// Not enough replicas answered in time; a write may have taken effect.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RecordsUnavailable;
@@ -55,9 +61,11 @@
 pub struct RecordsClient {
     node: Rc<Node>,
     suspects: RefCell<HashMap<ReplicaId, Instant>>,
+    settlements: RefCell<Vec<Settlement>>,
 }
 
-fn keep_ms(retention: Duration) -> u64 {
+/// How long a record is kept that the operators want for this time, in milliseconds.
+pub fn keep_ms(retention: Duration) -> u64 {
     u64::try_from((retention + KEEP_MARGIN).as_millis()).unwrap_or(u64::MAX)
 }
 
@@ -67,6 +75,7 @@
         Self {
             node,
             suspects: RefCell::default(),
+            settlements: RefCell::default(),
         }
     }
 
@@ -89,6 +98,52 @@
         self.write(make, limit).await
     }
 
+    /// Joins what a turn generated into its program's ledger, soon and without anybody waiting.
+    pub fn settle(&self, settlement: Settlement) {
+        self.settlements.borrow_mut().push(settlement);
+    }
+
+    /// Sends settlements, those of a moment together, until the process ends.
+    pub async fn run_settlements(self: Rc<Self>) {
+        let mut ticks = tokio::time::interval(SETTLE_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            let settlements = self.settlements.take();
+            if !settlements.is_empty() {
+                tokio::task::spawn_local(Rc::clone(&self).write_settlements(settlements));
+            }
+        }
+    }
+
+    async fn write_settlements(self: Rc<Self>, settlements: Vec<Settlement>) {
+        let limit = Instant::now() + SETTLE_PATIENCE;
+        let make = |epoch: Epoch| ReplicaRequest::Settle {
+            epoch,
+            settlements: settlements.clone(),
+        };
+        if self.write(make, limit).await.is_err() {
+            for settlement in &settlements {
+                log::warn!(
+                    target: "request",
+                    request = settlement.turn.0.as_str(),
+                    program = settlement.program.0.as_str();
+                    "tokens not settled"
+                );
+            }
+        }
+    }
+
+    /// Waits until everything that was to be settled has been sent, or until the limit.
+    pub async fn finish_settlements(self: &Rc<Self>, limit: Instant) {
+        let settlements = self.settlements.take();
+        if !settlements.is_empty() {
+            let writing = Rc::clone(self).write_settlements(settlements);
+            // What is not settled in time counts at its most.
+            let _ = tokio::time::timeout_at(limit, writing).await;
+        }
+    }
+
     /// Writes the record of a turn at a majority.
     pub async fn append(
         &self,
--- a/crates/gateway/src/role.rs
+++ b/crates/gateway/src/role.rs
@@ -78,6 +78,7 @@
     serve_metrics(&gateway, registry).await?;
     listener::listen(Rc::clone(&gateway), callers, draining).await?;
     tokio::task::spawn_local(Rc::clone(&gateway).tidy());
+    tokio::task::spawn_local(Rc::clone(&gateway.records).run_settlements());
     log::info!(target: "process", node = node.settings.name.as_str(), role = "gateway"; "started");
     loop {
         tokio::select! {
@@ -142,6 +143,7 @@
         }
         tokio::time::sleep(STOP_CHECK).await;
     }
+    gateway.records.finish_settlements(latest).await;
     let open = gateway.open_requests();
     log::info!(target: "process", open_requests = open; "stopped");
 }
--- a/crates/gateway/src/streaming.rs
+++ b/crates/gateway/src/streaming.rs
@@ -1,5 +1,7 @@
 //! Passes an engine's events on as they arrive.
 
+use std::pin::pin;
+
 use bytes::Bytes;
 use http::Response;
 use http_body_util::BodyExt;
@@ -80,12 +82,15 @@
     first_limit: Instant,
 ) -> StreamEnd {
     let mut splitter = EventSplitter::default();
-    let mut patience = first_limit;
+    let mut is_patient = first_limit >= limit;
+    // One timer each for the whole stream: events are many.
+    let mut time_up = pin!(tokio::time::sleep_until(limit));
+    let mut first_is_late = pin!(tokio::time::sleep_until(first_limit));
     loop {
         let frame = tokio::select! {
             () = client.gone() => return StreamEnd::ClientGone,
-            () = tokio::time::sleep_until(limit) => return StreamEnd::TimeUp(client),
-            () = tokio::time::sleep_until(patience), if patience < limit => {
+            () = time_up.as_mut() => return StreamEnd::TimeUp(client),
+            () = first_is_late.as_mut(), if !is_patient => {
                 return StreamEnd::Failed(client, AttemptFailure::Silent);
             }
             frame = answered.body.frame() => frame,
@@ -104,7 +109,7 @@
                 Judged::Gap => return StreamEnd::Failed(client, AttemptFailure::Garbled),
                 Judged::Next => {}
             }
-            patience = limit;
+            is_patient = true;
             client = match send_event(client, answered, event, passed).await {
                 Ok(client) => client,
                 Err(CallerGone) => return StreamEnd::ClientGone,
--- a/crates/records/src/message.rs
+++ b/crates/records/src/message.rs
@@ -7,6 +7,19 @@
 use crate::replica_set::ReplicaSet;
 use crate::turn::TurnRecord;
 
+/// What a turn generated, for its program's ledger.
+#[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct Settlement {
+    /// The program.
+    pub program: ProgramId,
+    /// The turn.
+    pub turn: TurnId,
+    /// Its entry, with what was spent.
+    pub entry: LedgerEntry,
+    /// How long the ledger is kept after this change, in milliseconds.
+    pub keep_ms: u64,
+}
+
 /// What a replica is asked.
 #[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub enum ReplicaRequest {
@@ -23,6 +36,14 @@
         /// How long the ledger is kept after its last change, in milliseconds.
         keep_ms: u64,
     },
+    /// Joins what turns generated into their ledgers. Nobody waits for it, so that the replica may make
+    /// it durable together with what comes next.
+    Settle {
+        /// The set that the sender counts its quorum in.
+        epoch: Epoch,
+        /// What the turns generated.
+        settlements: Vec<Settlement>,
+    },
     /// Writes the record of a turn.
     Append {
         /// The set that the sender counts its quorum in.
--- a/crates/records/src/replica.rs
+++ b/crates/records/src/replica.rs
@@ -10,7 +10,7 @@
 
 use crate::identifiers::{Epoch, ProgramId, RecordKey, ReplicaId, TurnId};
 use crate::ledger::{LedgerEntry, ProgramLedger};
-use crate::message::{Listing, ReplicaReply, ReplicaRequest};
+use crate::message::{Listing, ReplicaReply, ReplicaRequest, Settlement};
 use crate::replica_set::ReplicaSet;
 use crate::turn::TurnRecord;
 
@@ -48,8 +48,19 @@
     pub changes: Vec<Change>,
     /// The answer.
     pub reply: ReplicaReply,
-    /// Whether the answer has to wait until all changes so far are durable.
-    pub waits: bool,
+    /// What the answer has to wait for.
+    pub wait: Wait,
+}
+
+/// What an answer has to wait for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Wait {
+    /// Nothing.
+    No,
+    /// All changes so far, which are to be made durable at once.
+    Durable,
+    /// All changes so far, which may be made durable together with later ones.
+    DurableSoon,
 }
 
 impl Handled {
@@ -57,7 +68,7 @@
         Self {
             changes: Vec::new(),
             reply,
-            waits: false,
+            wait: Wait::No,
         }
     }
 
@@ -65,7 +76,7 @@
         Self {
             changes,
             reply,
-            waits: true,
+            wait: Wait::Durable,
         }
     }
 }
@@ -157,6 +168,7 @@
                 keep_ms,
                 ..
             } => self.charge(program, &turn, entry, now_ms + keep_ms),
+            ReplicaRequest::Settle { settlements, .. } => self.settle(settlements, now_ms),
             ReplicaRequest::Append {
                 record, keep_ms, ..
             } => self.append(record, now_ms + keep_ms),
@@ -243,6 +255,7 @@
         }
         let epoch = match request {
             ReplicaRequest::Charge { epoch, .. }
+            | ReplicaRequest::Settle { epoch, .. }
             | ReplicaRequest::Append { epoch, .. }
             | ReplicaRequest::ReadChain { epoch, .. }
             | ReplicaRequest::List { epoch, .. } => *epoch,
@@ -268,17 +281,45 @@
         entry: LedgerEntry,
         until_ms: u64,
     ) -> Handled {
+        let change = self.join_entry(&program, turn, entry, until_ms);
+        let ledger = self.ledger(program, until_ms).value.clone();
+        let reply = ReplicaReply::Charged { ledger };
+        Handled::durable(change.into_iter().collect(), reply)
+    }
+
+    fn settle(&mut self, settlements: Vec<Settlement>, now_ms: u64) -> Handled {
+        let mut changes = Vec::new();
+        for settlement in settlements {
+            let Settlement {
+                program,
+                turn,
+                entry,
+                keep_ms,
+            } = settlement;
+            changes.extend(self.join_entry(&program, &turn, entry, now_ms + keep_ms));
+        }
+        Handled {
+            changes,
+            reply: ReplicaReply::Done,
+            wait: Wait::DurableSoon,
+        }
+    }
+
+    /// Joins an entry in; the change that makes it durable, if there is any.
+    fn join_entry(
+        &mut self,
+        program: &ProgramId,
+        turn: &TurnId,
+        entry: LedgerEntry,
+        until_ms: u64,
+    ) -> Option<Change> {
         let kept = self.ledger(program.clone(), until_ms);
         let changed = kept.value.join(turn, entry);
         kept.until_ms = kept.until_ms.max(until_ms);
-        let ledger = kept.value.clone();
-        let changes = if changed {
-            let stored = StoredRecord::Ledger(program, ledger.clone(), kept.until_ms);
-            vec![Change::Put(stored)]
-        } else {
-            Vec::new()
-        };
-        Handled::durable(changes, ReplicaReply::Charged { ledger })
+        changed.then(|| {
+            let ledger = kept.value.clone();
+            Change::Put(StoredRecord::Ledger(program.clone(), ledger, kept.until_ms))
+        })
     }
 
     fn ledger(&mut self, program: ProgramId, until_ms: u64) -> &mut Kept<ProgramLedger> {
--- a/crates/replica/src/actor.rs
+++ b/crates/replica/src/actor.rs
@@ -12,7 +12,7 @@
 
 use ridgeworks_records::{
     Change, Epoch, Handled, ProgramId, ProgramLedger, ReplicaId, ReplicaReply, ReplicaRequest,
-    ReplicaSet, ReplicaState, TurnId, TurnRecord,
+    ReplicaSet, ReplicaState, TurnId, TurnRecord, Wait,
 };
 use ridgeworks_resident::clock::wall_ms;
 use ridgeworks_resident::peer::{PeerReply, ReplicaStatus};
@@ -24,6 +24,8 @@
 use crate::disk::{self, DiskError, OpenedDisk};
 use crate::metrics::ReplicaMetrics;
 
+/// How long a change may wait for later ones before it goes to the disk.
+const FLUSH_INTERVAL: Duration = Duration::from_millis(150);
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(2);
 /// Pause before a disk that failed is opened again.
 const REOPEN_PAUSE: Duration = Duration::from_millis(400);
@@ -89,6 +91,8 @@
     submitted: u64,
     durable: u64,
     waiting: VecDeque<WaitingReply>,
+    /// Changes that may wait for later ones before they go to the disk.
+    gathered: Vec<Change>,
 }
 
 impl ReplicaActor {
@@ -101,8 +105,10 @@
             submitted: 0,
             durable: 0,
             waiting: VecDeque::new(),
+            gathered: Vec::new(),
         };
         actor.open_disk();
+        actor.schedule_flush(cx);
         actor.schedule_expiry(cx);
         Some(actor)
     }
@@ -162,7 +168,7 @@
         let handled = Handled {
             changes,
             reply: ReplicaReply::Done,
-            waits: true,
+            wait: Wait::Durable,
         };
         self.carry_out(handled, Some(answer));
     }
@@ -253,6 +259,7 @@
         self.opening += 1;
         self.submitted = 0;
         self.durable = 0;
+        self.gathered.clear();
         let (turns, ledgers) = opened.state.counts();
         log::info!(
             target: "dependency",
@@ -287,6 +294,7 @@
             send(waiting.answer, ReplicaReply::Unavailable);
         }
         self.opening += 1;
+        self.gathered.clear();
         if let Some(disk) = self.disk.take() {
             // Closing waits for the disk.
             tokio::task::spawn_blocking(move || drop(disk.store));
@@ -298,9 +306,10 @@
         let Handled {
             changes,
             reply,
-            waits,
+            wait,
         } = handled;
-        if !changes.is_empty() && !self.submit(&changes) {
+        self.gathered.extend(changes);
+        if wait == Wait::Durable && !self.submit_gathered() {
             if let Some(answer) = answer {
                 send(answer, ReplicaReply::Unavailable);
             }
@@ -309,16 +318,35 @@
         let Some(answer) = answer else {
             return;
         };
-        if waits && self.durable < self.submitted {
-            let batch = self.submitted;
-            self.waiting.push_back(WaitingReply {
-                batch,
-                answer,
-                reply,
-            });
-        } else {
+        let is_durable = self.gathered.is_empty() && self.durable == self.submitted;
+        if wait == Wait::No || is_durable {
             send(answer, reply);
+            return;
+        }
+        let batch = self.submitted + u64::from(!self.gathered.is_empty());
+        self.waiting.push_back(WaitingReply {
+            batch,
+            answer,
+            reply,
+        });
+    }
+
+    /// Hands gathered changes to the disk's thread; says whether it takes them.
+    fn submit_gathered(&mut self) -> bool {
+        if self.gathered.is_empty() {
+            return true;
         }
+        let changes = std::mem::take(&mut self.gathered);
+        self.submit(&changes)
+    }
+
+    fn flush(&mut self, cx: CX![]) {
+        self.schedule_flush(cx);
+        self.submit_gathered();
+    }
+
+    fn schedule_flush(&mut self, cx: CX![]) {
+        stakker::after!(FLUSH_INTERVAL, [cx], flush());
     }
 
     /// Hands changes to the disk's thread; says whether it takes them.
--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -216,7 +216,7 @@
         creation_id: settings.new_creation_id,
     };
     let transaction = database.begin_write()?;
-    drop(WriteTables::open(&transaction)?);
+    WriteTables::new(&transaction).create_all()?;
     identity::put(&transaction, &identity)?;
     transaction.commit()?;
     Ok(identity)
--- a/crates/storage/src/writer.rs
+++ b/crates/storage/src/writer.rs
@@ -65,7 +65,7 @@
     fn commit_transaction(&self, group: &[WriteBatch]) -> Result<(), StoreError> {
         let mut transaction = self.database.begin_write()?;
         transaction.set_durability(Durability::Immediate)?;
-        let mut tables = WriteTables::open(&transaction)?;
+        let mut tables = WriteTables::new(&transaction);
         for operation in group.iter().flat_map(|batch| &batch.operations) {
             tables.apply(operation)?;
         }
