Copy from the voters that are heard, teach a source its set at once; no account for a used identifier

Cause, second: a turn refused for its budget is settled at 0; the same identifier sent again was then charged 0 (test a_budget_holds_over_gateways_and_their_deaths, which repeated an identifier, got 200 for 402). Ruled out: a too lenient choice of the source alone (sorting by heartbeats did not shorten it).

--- a/crates/cli/src/commands/explain.rs
+++ b/crates/cli/src/commands/explain.rs
@@ -224,7 +224,9 @@
             "The node had no configuration that it could be certain of. See the platform store's lines."
         }
         (_, "overloaded") => "The node held as many requests as it can.",
-        (_, "bad_request" | "body_too_large") => "The request itself was at fault.",
+        (_, "bad_request" | "body_too_large" | "used_identifier") => {
+            "The request itself was at fault."
+        }
         _ => "No meaning is known for this outcome.",
     }
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -106,7 +106,13 @@
         reserved: None,
     };
     let ending = exchange.carry_out(caller).await;
-    exchange.settle();
+    let is_own_account = !matches!(
+        ending,
+        Ending::Refused(refusal) if refusal.reason == RefusalReason::UsedIdentifier
+    );
+    if is_own_account {
+        exchange.settle();
+    }
     exchange.report(ending);
 }
 
@@ -168,6 +174,10 @@
         let ledger = charging.await.map_err(|_| unavailable)?;
         let taken = began.elapsed().as_secs_f64();
         self.gateway.metrics.reserve_seconds.observe(taken);
+        if ledger.is_settled(&account.turn) {
+            // An identifier that was used before: its account must not be opened anew.
+            return Err(Refusal::last(RefusalReason::UsedIdentifier));
+        }
         if ledger.admits(&account.turn, most, budget) {
             return Ok(true);
         }
--- a/crates/records/src/ledger.rs
+++ b/crates/records/src/ledger.rs
@@ -65,6 +65,12 @@
         changed
     }
 
+    /// Whether a turn is over: nobody may reserve for it again.
+    pub fn is_settled(&self, turn: &TurnId) -> bool {
+        let entry = self.entries.get(turn);
+        entry.is_some_and(|entry| entry.spent.is_some())
+    }
+
     /// Tokens that all turns but this one have taken or may still take.
     pub fn charged_besides(&self, turn: &TurnId) -> u64 {
         let others = self.entries.iter().filter(|(other, _)| *other != turn);
--- a/crates/replica/src/copying.rs
+++ b/crates/replica/src/copying.rs
@@ -62,7 +62,7 @@
         copied.insert(me);
     }
     while !set.has_read_quorum(&copied) {
-        for voter in &set.voters {
+        for voter in newest_first(replica, &set.voters) {
             if copied.contains(&voter.id) {
                 continue;
             }
@@ -89,6 +89,21 @@
     tokio::time::sleep(RETRY_PAUSE).await;
 }
 
+/// The voters, those first whose last heartbeat is the newest: one that is gone makes a copy wait.
+fn newest_first<'a>(replica: &ReplicaHandle, voters: &'a [Replica]) -> Vec<&'a Replica> {
+    let members = replica.node.gossip.members();
+    let heard_at = |voter: &Replica| {
+        let mut of_voter = members.iter().filter(|member| {
+            let status = member.replica;
+            status.is_some_and(|status| status.id == voter.id)
+        });
+        of_voter.find_map(|member| member.heard_at)
+    };
+    let mut sorted: Vec<&Replica> = voters.iter().collect();
+    sorted.sort_by_key(|voter| std::cmp::Reverse(heard_at(voter)));
+    sorted
+}
+
 async fn copy_from(
     replica: &Rc<ReplicaHandle>,
     set: &ReplicaSet,
@@ -119,13 +134,15 @@
 ) -> Result<Listing, CopyError> {
     let epoch: Epoch = set.epoch;
     let request = ReplicaRequest::List { epoch, after };
-    match ask(replica, source, request).await? {
+    let mut reply = ask(replica, source, request.clone()).await?;
+    if reply == ReplicaReply::Behind {
+        // The source has not heard of the set yet.
+        let set = set.clone();
+        ask(replica, source, ReplicaRequest::Adopt { set }).await?;
+        reply = ask(replica, source, request).await?;
+    }
+    match reply {
         ReplicaReply::Listed(listing) => Ok(listing),
-        ReplicaReply::Behind => {
-            let set = set.clone();
-            ask(replica, source, ReplicaRequest::Adopt { set }).await?;
-            Err(CopyError::Source)
-        }
         ReplicaReply::Stale { set } => {
             replica.node.view.adopt_replica_set(set, Source::Peer);
             Err(CopyError::Superseded)
--- a/crates/routing/src/refusal.rs
+++ b/crates/routing/src/refusal.rs
@@ -8,6 +8,8 @@
 pub enum RefusalReason {
     /// The request lacks something or contradicts itself.
     BadRequest,
+    /// An earlier request had the same identifier.
+    UsedIdentifier,
     /// No route has this host and path.
     NoRoute,
     /// The turn that it goes on from does not exist.
@@ -48,6 +50,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::BadRequest => "bad_request",
+            Self::UsedIdentifier => "used_identifier",
             Self::NoRoute => "no_route",
             Self::NoSuchTurn => "no_such_turn",
             Self::BudgetSpent => "budget_spent",
