Ask full engines again for a while, wait for a configuration that is about to come, write the last lines of the log

Change: a request that no engine has run asks again, 40 ms apart, for 0.35 of its time, and the client may come back after 0.2 of it; a gateway without configuration lets requests wait up to 0.4 s; a node that has seen no list asks the store every 0.2 s. It is not held back: each moment is a new try, and the final answer goes out when the tries end. Also: the last lines of a process were lost when it ended before the log's thread wrote them (a_stop_cuts_no_request failed once for it); the end waits for them, 0.2 s at most.

--- a/crates/cli/src/commands/explain.rs
+++ b/crates/cli/src/commands/explain.rs
@@ -10,7 +10,7 @@
 use crate::error::CliError;
 use crate::output::{Columns, Output};
 
-const REQUEST_TARGETS: [&str; 2] = ["request", "attempt"];
+const REQUEST_TARGETS: [&str; 3] = ["request", "attempt", "records"];
 const SURROUNDING_TARGETS: [&str; 3] = ["belief", "dependency", "process"];
 /// How long before the request's first line its surroundings are shown, in milliseconds.
 const BEFORE_MS: i64 = 3_000;
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -79,6 +79,7 @@
     let received = Instant::now();
     let open = gateway.open();
     let (parts, body) = request.into_parts();
+    wait_for_configuration(&gateway).await;
     let taken = match read_body(&gateway, body).await {
         Ok((body, room)) => take(&gateway, &parts, body, room, open, received),
         Err(refusal) => Err(refusal),
@@ -100,6 +101,15 @@
     }
 }
 
+/// A gateway that has just started hears of the configuration in a moment.
+async fn wait_for_configuration(gateway: &Gateway) {
+    const PATIENCE: Duration = Duration::from_millis(400);
+    let mut changes = gateway.node.view.changes();
+    let known = async { while !gateway.knows_traffic() && changes.changed().await.is_ok() {} };
+    // Without one the request is refused.
+    let _ = tokio::time::timeout(PATIENCE, known).await;
+}
+
 fn refuse(gateway: &Gateway, parts: &Parts, refusal: &Refusal) -> Response<CallerBody> {
     gateway.metrics.on_refused(refusal.reason);
     let metadata = read_metadata(&parts.headers).unwrap_or_default();
@@ -196,8 +206,8 @@
 
 /// A gateway that has not heard of the newest configuration for long cannot be certain.
 fn no_route(gateway: &Gateway) -> Refusal {
-    /// A watch that waits confirms the configuration about every five seconds.
-    const UNCERTAIN_AFTER: Duration = Duration::from_secs(8);
+    /// A watch that waits confirms the configuration every eight seconds.
+    const UNCERTAIN_AFTER: Duration = Duration::from_secs(12);
     let age = gateway.node.view.unconfirmed_for();
     if age.is_some_and(|age| age < UNCERTAIN_AFTER) {
         Refusal::last(RefusalReason::NoRoute)
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use rand::RngExt;
 use ridgeworks_records::{ChainOutcome, LedgerEntry, ProgramId, Settlement, TurnId, TurnRecord};
 use ridgeworks_routing::{Demand, Engine, Refusal, RefusalReason, RequestKind};
 use tokio::time::Instant;
@@ -20,6 +21,12 @@
 const RECORDS_PATIENCE: Duration = Duration::from_millis(700);
 /// Engines that may reject a request before the client is told to come back.
 const MAX_REJECTIONS: usize = 3;
+/// Part of a request's time for which engines that are full or out of reach are asked again.
+const WAIT_SHARE: f64 = 0.35;
+/// Part of a request's time after which its client may come back.
+const COME_BACK_SHARE: f64 = 0.2;
+/// Pause before engines that were full or out of reach are asked again.
+const ROOM_PAUSE: Duration = Duration::from_millis(40);
 /// Engines that may turn out to be unreachable before the client is told to come back.
 const MAX_UNREACHABLE: usize = 6;
 /// Shortest wait for a first event before another engine is asked.
@@ -73,6 +80,18 @@
     taken_up_at: Option<String>,
     rejections: usize,
     unreachable: usize,
+    /// Whether all engines were full or out of reach once before.
+    has_waited: bool,
+}
+
+impl Tried {
+    /// Engines that did not run the request may be asked again.
+    fn ask_all_again(&mut self) {
+        self.excluded.clear();
+        self.rejections = 0;
+        self.unreachable = 0;
+        self.has_waited = true;
+    }
 }
 
 /// The account of a turn in its program's ledger.
@@ -210,7 +229,9 @@
         }
         let began = Instant::now();
         let records = &self.gateway.records;
-        let outcome = records.read_chain(&previous, self.records_limit()).await;
+        let request = &self.call.metadata.request_id;
+        let reading = records.read_chain(&previous, request, self.records_limit());
+        let outcome = reading.await;
         let taken = began.elapsed().as_secs_f64();
         self.gateway.metrics.chain_read_seconds.observe(taken);
         match outcome {
@@ -251,7 +272,14 @@
         let mut client = client;
         loop {
             let Some(engine) = self.next_engine() else {
-                return self.give_up(client).await;
+                if !self.may_wait_for_room() {
+                    return self.give_up(client).await;
+                }
+                tokio::select! {
+                    () = client.gone() => return Ending::ClientGone,
+                    () = tokio::time::sleep(room_pause()) => self.tried.ask_all_again(),
+                }
+                continue;
             };
             match self.attempt(&engine, client).await {
                 Ok(ending) => return ending,
@@ -260,6 +288,14 @@
         }
     }
 
+    /// Whether engines that are full or out of reach are asked again in a moment: none may have run the
+    /// request, and time is left for the client to come back after a refusal.
+    fn may_wait_for_room(&self) -> bool {
+        let time = self.call.limit - self.call.received;
+        let until = self.call.received + time.mul_f64(WAIT_SHARE);
+        self.tried.ran_on.is_empty() && self.passed.events == 0 && Instant::now() < until
+    }
+
     /// The engine to ask next, as far as the route and the failures so far allow.
     fn next_engine(&mut self) -> Option<Engine> {
         let tried = &self.tried;
@@ -544,10 +580,12 @@
         if !self.tried.ran_on.is_empty() {
             return Refusal::last(RefusalReason::EngineFailed);
         }
-        if self.tried.rejections > 0 {
-            return Refusal::come_back(RefusalReason::EnginesFull, COME_BACK);
+        let time = self.call.limit - self.call.received;
+        let after = time.mul_f64(COME_BACK_SHARE).max(COME_BACK);
+        if self.tried.rejections > 0 || self.tried.has_waited {
+            return Refusal::come_back(RefusalReason::EnginesFull, after);
         }
-        Refusal::come_back(RefusalReason::NoEngine, COME_BACK)
+        Refusal::come_back(RefusalReason::NoEngine, after)
     }
 
     async fn time_up(&self, client: ClientSide) -> Ending {
@@ -646,6 +684,11 @@
     prompt.freeze()
 }
 
+/// Drawn at random, so that requests that wait do not come back together.
+fn room_pause() -> Duration {
+    ROOM_PAUSE.mul_f64(rand::rng().random_range(0.5..1.5))
+}
+
 fn whole_ms(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -106,10 +106,15 @@
         self.node.clock.now()
     }
 
+    /// Whether routes and engines are known.
+    pub fn knows_traffic(&self) -> bool {
+        let view = &self.node.view;
+        view.version() > 0 && view.engines_known()
+    }
+
     /// Whether the platform should send new clients here.
     pub fn is_ready(&self) -> bool {
-        let view = &self.node.view;
-        !self.draining.get() && view.routes().is_some() && view.engines_known()
+        !self.draining.get() && self.knows_traffic()
     }
 
     /// No new clients are wanted from now on.
--- a/crates/gateway/src/records_client.rs
+++ b/crates/gateway/src/records_client.rs
@@ -1,7 +1,7 @@
 //! Reads and writes of replicated records: sends what the state machines of `ridgeworks-records` ask for.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 use std::future::Future;
 use std::pin::Pin;
@@ -51,6 +51,35 @@
 type Reply = (ReplicaId, Result<ReplicaReply, LinkError>);
 type Asked = FuturesUnordered<Pin<Box<dyn Future<Output = Reply>>>>;
 
+/// What each replica answered last in one operation, for the log when it fails.
+#[derive(Default)]
+struct Answers(RefCell<BTreeMap<String, &'static str>>);
+
+impl Answers {
+    fn note(&self, replica: &Replica, reply: &Result<ReplicaReply, LinkError>) {
+        let answer = match reply {
+            Ok(ReplicaReply::Unavailable) => "unavailable",
+            Ok(ReplicaReply::NotMember) => "not_member",
+            Ok(ReplicaReply::Behind) => "behind",
+            Ok(ReplicaReply::Stale { .. }) => "stale",
+            Ok(_) => "answered",
+            Err(error) => error.name(),
+        };
+        self.0.borrow_mut().insert(replica.node.clone(), answer);
+    }
+
+    fn report(&self, operation: &'static str, subject: &str, epoch: Epoch) {
+        log::warn!(
+            target: "records",
+            request = subject,
+            operation = operation,
+            epoch = epoch.0,
+            answers:? = self.0.borrow();
+            "no quorum in time"
+        );
+    }
+}
+
 /// How a write under one set ended.
 enum WriteEnd {
     Durable(ProgramLedger),
@@ -95,7 +124,7 @@
             entry,
             keep_ms: keep_ms(retention),
         };
-        self.write(make, limit).await
+        self.write(make, "reserve", &turn.0, limit).await
     }
 
     /// Joins what a turn generated into its program's ledger, soon and without anybody waiting.
@@ -122,7 +151,7 @@
             epoch,
             settlements: settlements.clone(),
         };
-        if self.write(make, limit).await.is_err() {
+        if self.write(make, "settle", "", limit).await.is_err() {
             for settlement in &settlements {
                 log::warn!(
                     target: "request",
@@ -156,38 +185,49 @@
             record: record.clone(),
             keep_ms: keep_ms(retention),
         };
-        self.write(make, limit).await.map(drop)
+        let turn = &record.turn.0;
+        self.write(make, "append", turn, limit).await.map(drop)
     }
 
-    /// Reads a turn and all before it.
+    /// Reads a turn and all before it, for this request.
     pub async fn read_chain(
         &self,
         turn: &TurnId,
+        request: &str,
         limit: Instant,
     ) -> Result<ChainOutcome, RecordsUnavailable> {
-        let reading = self.read_chain_patiently(turn);
+        let answers = Answers::default();
+        let reading = self.read_chain_patiently(turn, &answers);
         let outcome = tokio::time::timeout_at(limit, reading).await;
-        outcome.map_err(|_| RecordsUnavailable)
+        outcome.map_err(|_| {
+            answers.report("read", request, self.node.view.epoch());
+            RecordsUnavailable
+        })
     }
 
-    async fn read_chain_patiently(&self, turn: &TurnId) -> ChainOutcome {
+    async fn read_chain_patiently(&self, turn: &TurnId, answers: &Answers) -> ChainOutcome {
         loop {
             let set = self.replica_set().await;
             let read = ChainRead::new(set, turn.clone());
-            if let Some(outcome) = self.read_chain_under(read).await {
+            if let Some(outcome) = self.read_chain_under(read, answers).await {
                 return outcome;
             }
         }
     }
 
     /// `None` when there is a newer set and the read has to start anew.
-    async fn read_chain_under(&self, mut read: ChainRead) -> Option<ChainOutcome> {
+    async fn read_chain_under(
+        &self,
+        mut read: ChainRead,
+        answers: &Answers,
+    ) -> Option<ChainOutcome> {
         loop {
             let epoch = read.set().epoch;
             for replica in self.by_nearness(read.candidates()) {
                 let turn = read.wanted().clone();
                 let request = ReplicaRequest::ReadChain { epoch, turn };
                 let reply = self.ask(&replica, request, READ_TIMEOUT).await;
+                answers.note(&replica, &reply);
                 match reply {
                     Ok(ReplicaReply::Chain { records, missing }) => {
                         let outcome = read.on_chain(replica.id, records, missing);
@@ -217,25 +257,40 @@
     async fn write(
         &self,
         make: impl Fn(Epoch) -> ReplicaRequest,
+        operation: &'static str,
+        subject: &str,
         limit: Instant,
     ) -> Result<ProgramLedger, RecordsUnavailable> {
-        let writing = self.write_patiently(make);
+        let answers = Answers::default();
+        let writing = self.write_patiently(make, &answers);
         let outcome = tokio::time::timeout_at(limit, writing).await;
-        outcome.map_err(|_| RecordsUnavailable)
+        outcome.map_err(|_| {
+            answers.report(operation, subject, self.node.view.epoch());
+            RecordsUnavailable
+        })
     }
 
-    async fn write_patiently(&self, make: impl Fn(Epoch) -> ReplicaRequest) -> ProgramLedger {
+    async fn write_patiently(
+        &self,
+        make: impl Fn(Epoch) -> ReplicaRequest,
+        answers: &Answers,
+    ) -> ProgramLedger {
         loop {
             let set = self.replica_set().await;
             let request = make(set.epoch);
-            match self.write_under(set, request).await {
+            match self.write_under(set, request, answers).await {
                 WriteEnd::Durable(ledger) => return ledger,
                 WriteEnd::Restart(set) => self.node.view.adopt_replica_set(set, Source::Peer),
             }
         }
     }
 
-    async fn write_under(&self, set: ReplicaSet, request: ReplicaRequest) -> WriteEnd {
+    async fn write_under(
+        &self,
+        set: ReplicaSet,
+        request: ReplicaRequest,
+        answers: &Answers,
+    ) -> WriteEnd {
         let mut changes = self.node.view.changes();
         let members: HashMap<ReplicaId, Replica> = set
             .members()
@@ -255,6 +310,9 @@
                     None => continue,
                 },
             };
+            if let Some(member) = members.get(&from) {
+                answers.note(member, &reply);
+            }
             let progress = match reply {
                 Ok(reply) => write.on_reply(from, reply),
                 Err(_) => WriteProgress::TryLater,
--- a/crates/node/src/resident.rs
+++ b/crates/node/src/resident.rs
@@ -3,6 +3,8 @@
 use std::fmt;
 use std::io;
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
 
 use ridgeworks_gateway::GatewayError;
 use ridgeworks_platform::settings_path;
@@ -15,6 +17,9 @@
 /// Key that only settings of a resident have.
 const ROLE_KEY: &str = "role";
 
+/// How long the end of the process waits for its last lines to be written.
+const LAST_LINES: Duration = Duration::from_millis(200);
+
 /// Why a resident could not run.
 #[derive(Debug)]
 pub enum ResidentError {
@@ -50,6 +55,7 @@
     let path = path.ok_or(ResidentError::Settings(NodeSettingsError::NoFile))?;
     let settings = check(&path).map_err(ResidentError::Settings)?;
     let log_counters = logging::start().map_err(ResidentError::Log)?;
+    let log = Arc::clone(&log_counters);
     let runtime = Builder::new_current_thread()
         .enable_all()
         .build()
@@ -69,6 +75,7 @@
     if let Err(error) = &outcome {
         log::error!(target: "process", detail:% = error; "failed");
     }
+    log.wait_until_flushed(LAST_LINES);
     outcome
 }
 
--- a/crates/node/tests/resident_lifecycle.rs
+++ b/crates/node/tests/resident_lifecycle.rs
@@ -104,6 +104,14 @@
     wait_until("the new route is served", || {
         status(gateway, "/moved/x") == 200
     });
+    // Configuration and engines are followed apart from each other.
+    wait_until("the engines are listed anew", || {
+        let log = deployment.gateways[0].log();
+        let lists = log
+            .iter()
+            .filter(|line| line["message"] == "list of engines in force");
+        lists.count() >= 2
+    });
     let runs = engine.runs().len();
     for _ in 0..10 {
         assert_eq!(status(gateway, "/moved/x"), 200);
@@ -128,6 +136,24 @@
     });
 }
 
+#[test]
+fn a_request_waits_for_a_configuration_that_comes_soon() {
+    let mut deployment = Deployment::new(PROGRAM);
+    deployment.store.set_fault(StoreFault::Unavailable);
+    let gateway = {
+        let gateway = deployment.add_gateway();
+        gateway.start();
+        gateway.callers()
+    };
+    wait_until("the gateway answers", || status(gateway, "/tool/x") == 503);
+    deployment.configure(routes());
+    let _engine = deployment.engine("tools", "i-1", ok());
+    let waiting = std::thread::spawn(move || status(gateway, "/tool/x"));
+    std::thread::sleep(Duration::from_millis(50));
+    deployment.store.set_fault(StoreFault::None);
+    assert_eq!(waiting.join().expect("a status"), 200);
+}
+
 #[test]
 fn without_any_configuration_nothing_is_promised() {
     let mut deployment = Deployment::new(PROGRAM);
--- a/crates/resident/src/logging.rs
+++ b/crates/resident/src/logging.rs
@@ -36,6 +36,22 @@
     pub suppressed: AtomicU64,
     /// Lines lost because the queue was full.
     pub lost: AtomicU64,
+    /// Lines that have reached the standard output.
+    pub flushed: AtomicU64,
+}
+
+impl LogCounters {
+    /// Waits until all lines so far have reached the standard output, or for this time. For the end of
+    /// the process: its last lines say why it ended.
+    pub fn wait_until_flushed(&self, patience: Duration) {
+        const CHECK: Duration = Duration::from_millis(2);
+        let limit = Instant::now() + patience;
+        let is_behind =
+            || self.flushed.load(Ordering::Acquire) < self.written.load(Ordering::Acquire);
+        while is_behind() && Instant::now() < limit {
+            std::thread::sleep(CHECK);
+        }
+    }
 }
 
 /// Why the log could not be started.
@@ -67,7 +83,10 @@
     let (sender, receiver) = sync_channel(MAX_WAITING_LINES);
     std::thread::Builder::new()
         .name(WRITER_THREAD.to_owned())
-        .spawn(move || write_lines(&receiver))
+        .spawn({
+            let counters = Arc::clone(&counters);
+            move || write_lines(&receiver, &counters)
+        })
         .map_err(LogError::Thread)?;
     let appender = BoundedAppender {
         lines: sender,
@@ -83,14 +102,17 @@
         .map_err(LogError::Started)
 }
 
-fn write_lines(lines: &Receiver<Vec<u8>>) {
+fn write_lines(lines: &Receiver<Vec<u8>>, counters: &LogCounters) {
     while let Ok(mut text) = lines.recv() {
+        let mut count = 1;
         while let Ok(more) = lines.try_recv() {
             text.extend_from_slice(&more);
+            count += 1;
         }
         // A reader that has gone away is no reason to stop serving.
         let mut output = std::io::stdout().lock();
         let _ = output.write_all(&text).and_then(|()| output.flush());
+        counters.flushed.fetch_add(count, Ordering::AcqRel);
     }
 }
 
@@ -138,10 +160,12 @@
     fn send(&self, record: &Record<'_>) -> anyhow::Result<()> {
         let mut line = Vec::new();
         JsonEncoder::new().encode(&mut SimpleWriter(&mut line), record)?;
-        match self.lines.try_send(line) {
-            Ok(()) => self.counters.written.fetch_add(1, Ordering::Relaxed),
-            Err(_) => self.counters.lost.fetch_add(1, Ordering::Relaxed),
-        };
+        // Counted before the writer can have it, so that it is never flushed before it is written.
+        self.counters.written.fetch_add(1, Ordering::AcqRel);
+        if self.lines.try_send(line).is_err() {
+            self.counters.written.fetch_sub(1, Ordering::AcqRel);
+            self.counters.lost.fetch_add(1, Ordering::Relaxed);
+        }
         Ok(())
     }
 }
--- a/crates/resident/src/peer/links.rs
+++ b/crates/resident/src/peer/links.rs
@@ -33,14 +33,21 @@
     TimedOut,
 }
 
-impl fmt::Display for LinkError {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str(match self {
+impl LinkError {
+    /// Name for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
             Self::Unreachable => "unreachable",
             Self::Broken => "broken",
             Self::Full => "full",
-            Self::TimedOut => "timed out",
-        })
+            Self::TimedOut => "timed_out",
+        }
+    }
+}
+
+impl fmt::Display for LinkError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(self.name())
     }
 }
 
--- a/crates/resident/src/watching.rs
+++ b/crates/resident/src/watching.rs
@@ -13,11 +13,13 @@
 use crate::store_client::{StoreClient, StoreFailure};
 
 /// How long a watch waits for a change.
-const WATCH_WAIT: Duration = Duration::from_secs(5);
+const WATCH_WAIT: Duration = Duration::from_secs(8);
 /// Time that the store may take beyond the wait.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+/// Longest pause of a node that has seen no list yet, and so cannot work.
+const LONGEST_FIRST_PAUSE: Duration = Duration::from_millis(200);
 
 /// Why the store could not be followed for a moment.
 #[derive(Debug)]
@@ -143,15 +145,20 @@
         }
         self.failures += 1;
         self.follower.on_contact(false);
-        tokio::time::sleep(pause(self.failures)).await;
+        let longest = match self.at {
+            Some(_) => LONGEST_PAUSE,
+            None => LONGEST_FIRST_PAUSE,
+        };
+        tokio::time::sleep(pause(self.failures, longest)).await;
     }
 }
 
 /// Grows with the failures in a row; drawn at random so that nodes do not come back together.
-fn pause(failures: u32) -> Duration {
-    let longest = FIRST_PAUSE.saturating_mul(1 << failures.min(6));
-    let longest = longest.min(LONGEST_PAUSE);
-    longest.mul_f64(rand::rng().random_range(0.5..1.0))
+fn pause(failures: u32, longest: Duration) -> Duration {
+    let grown = FIRST_PAUSE.saturating_mul(1 << failures.min(6));
+    grown
+        .min(longest)
+        .mul_f64(rand::rng().random_range(0.5..1.0))
 }
 
 async fn call_store(
