Split the exchange and the simulator's world by job; one frame for the roles' processes

Reading as a newcomer: exchange.rs had 694 lines and three jobs; both roles had the same frame of errors, metrics, reloads and stops.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: test format lint build generate bench-scheduling experiment bench-storage check-generated demo bench compare-detectors chaos chaos-quick chaos-weakened simulate scale check-engine-model
+.PHONY: test platform-test platform-day platform-soak format lint build generate bench-scheduling experiment bench-storage check-generated demo bench compare-detectors chaos chaos-quick chaos-weakened simulate scale check-engine-model
 
 # Two conversations on a small deployment; the last line is one JSON object.
 demo:
@@ -28,6 +28,25 @@
 generate:
 	cargo run --manifest-path tools/generate-api/Cargo.toml --locked
 
+# The tests of the users' platform alone.
+platform-test:
+	cargo test --locked -p ridgeworks-platform -p ridgeworks-platform-stand-ins -p ridgeworks-records \
+		-p ridgeworks-routing -p ridgeworks-resident -p ridgeworks-gateway -p ridgeworks-replica
+	cargo test --locked -p ridgeworks-node --test resident_requests --test resident_records --test resident_lifecycle
+
+# A day of the users' platform on loopback, against the project's own stand-ins.
+platform-day:
+	cargo build --release --locked -p ridgeworks-node -p ridgeworks-platform-day
+	target/release/ridgeworks-platform-day
+
+# The same with faults, once for each seed that ever failed and for fresh ones.
+PLATFORM_SOAK_SEEDS ?= 1 2 3 4
+platform-soak:
+	cargo build --release --locked -p ridgeworks-node -p ridgeworks-platform-day
+	for seed in $$(grep -v '^\#' platform/days/soak-seeds.txt) $(PLATFORM_SOAK_SEEDS); do \
+	  target/release/ridgeworks-platform-day --faults --seconds 25 --seed $$seed || exit 1; \
+	done
+
 # Cost of one decision of the dispatcher.
 bench-scheduling:
 	cargo run --release --locked -p ridgeworks-scheduling --example decision_cost
@@ -81,6 +100,8 @@
 simulate:
 	RIDGEWORKS_SIMULATION_SCHEDULES=$(SIMULATION_SCHEDULES) \
 		cargo test --release --locked -p ridgeworks-run-log --test simulation -- --nocapture
+	RIDGEWORKS_SIMULATION_SCHEDULES=$(SIMULATION_SCHEDULES) \
+		cargo test --release --locked -p ridgeworks-records --test simulation -- --nocapture
 	cargo test --release --locked -p ridgeworks-configuration -- --nocapture
 	cargo test --release --locked -p ridgeworks-membership -- --nocapture
 
--- /dev/null
+++ b/crates/gateway/src/exchange/engine_choice.rs
@@ -0,0 +1,179 @@
+//! Which engine is asked next, and what its failure means for the engines after it.
+
+use std::time::Duration;
+
+use ridgeworks_routing::{Demand, Engine, Refusal, RefusalReason, RequestKind};
+use tokio::time::Instant;
+
+use super::{Exchange, whole_ms};
+use crate::attempt::AttemptFailure;
+use crate::entry::COME_BACK;
+
+/// Engines that may reject a request before the client is told to come back.
+const MAX_REJECTIONS: usize = 3;
+/// Engines that may turn out to be unreachable before the client is told to come back.
+const MAX_UNREACHABLE: usize = 6;
+/// Part of a request's time for which engines that are full or out of reach are asked again.
+const WAIT_SHARE: f64 = 0.35;
+/// Part of a request's time after which its client may come back.
+const COME_BACK_SHARE: f64 = 0.2;
+/// Shortest wait for a first event before another engine is asked.
+const LEAST_FIRST_EVENT_PATIENCE: Duration = Duration::from_millis(300);
+/// How many times its target a first event may take before another engine is asked.
+const FIRST_EVENT_PATIENCE: u32 = 4;
+
+/// What is known about the engines that were asked.
+#[derive(Default)]
+pub(super) struct Tried {
+    /// Engines that must not be asked again.
+    pub(super) excluded: Vec<String>,
+    /// Engines that may have run the request.
+    pub(super) ran_on: Vec<String>,
+    /// An engine at which the stream was taken up although it had failed before.
+    pub(super) taken_up_at: Option<String>,
+    pub(super) rejections: usize,
+    pub(super) unreachable: usize,
+    /// Whether all engines were full or out of reach once before.
+    pub(super) has_waited: bool,
+}
+
+impl Tried {
+    /// Engines that did not run the request may be asked again.
+    pub(super) fn ask_all_again(&mut self) {
+        self.excluded.clear();
+        self.rejections = 0;
+        self.unreachable = 0;
+        self.has_waited = true;
+    }
+}
+
+impl Exchange {
+    /// Whether engines that are full or out of reach are asked again in a moment: none may have run the
+    /// request, and time is left for the client to come back after a refusal.
+    pub(super) fn may_wait_for_room(&self) -> bool {
+        let time = self.call.limit - self.call.received;
+        let until = self.call.received + time.mul_f64(WAIT_SHARE);
+        self.tried.ran_on.is_empty() && self.passed.events == 0 && Instant::now() < until
+    }
+
+    /// The engine to ask next, as far as the route and the failures so far allow.
+    pub(super) fn next_engine(&mut self) -> Option<Engine> {
+        let tried = &self.tried;
+        let worn_out = tried.rejections >= MAX_REJECTIONS || tried.unreachable >= MAX_UNREACHABLE;
+        if worn_out || Instant::now() >= self.call.limit {
+            return None;
+        }
+        let may_repeat = tried.ran_on.is_empty() || self.call.route.is_repeatable();
+        if !may_repeat {
+            return None;
+        }
+        if tried.ran_on.len() >= self.call.route.max_attempts as usize {
+            return self.same_engine();
+        }
+        let metadata = &self.call.metadata;
+        self.gateway.choose_engine(&Demand {
+            service: &self.call.service,
+            key: metadata.placement_key(),
+            parts: &metadata.prompt_parts,
+            zone: &self.gateway.node.settings.zone,
+            excluded: &tried.excluded,
+        })
+    }
+
+    /// A stream may be taken up once at the engine that broke it off: that is no further engine.
+    fn same_engine(&mut self) -> Option<Engine> {
+        let is_stream = self.call.route.kind == RequestKind::Stream;
+        let last = self.tried.ran_on.last().filter(|_| is_stream)?;
+        if self.tried.taken_up_at.is_some() {
+            return None;
+        }
+        let engine = self
+            .gateway
+            .node
+            .view
+            .with_engines(|table| table.get(last).cloned())?;
+        self.tried.taken_up_at = Some(engine.instance.clone());
+        Some(engine)
+    }
+
+    /// Until when an engine may be silent: to the end, unless another one may be asked instead.
+    pub(super) fn first_event_limit(&self) -> Instant {
+        let route = &self.call.route;
+        let another = self.tried.ran_on.len() + 1 < route.max_attempts as usize;
+        if !another || !route.is_repeatable() {
+            return self.call.limit;
+        }
+        let target = Duration::from_millis(route.target_ms);
+        let patience = (target * FIRST_EVENT_PATIENCE).max(LEAST_FIRST_EVENT_PATIENCE);
+        self.call.limit.min(Instant::now() + patience)
+    }
+
+    pub(super) fn on_success(&self, engine: &Engine, events_before: u64) {
+        self.gateway.on_engine_success(&engine.instance);
+        let gaps = self.passed.events.saturating_sub(events_before + 1);
+        let (Some(first), Some(last)) = (self.passed.first_at, self.passed.last_at) else {
+            return;
+        };
+        if gaps > 0 && events_before == 0 {
+            let step_ms = (last - first).as_secs_f64() * 1_000.0 / gaps as f64;
+            let mut placement = self.gateway.placement.borrow_mut();
+            placement.health(&engine.instance).on_step(step_ms);
+        }
+    }
+
+    pub(super) fn on_maybe_run(&mut self, engine: &Engine) {
+        let ran_on = &mut self.tried.ran_on;
+        if !ran_on.contains(&engine.instance) {
+            ran_on.push(engine.instance.clone());
+        }
+    }
+
+    pub(super) fn on_failure(&mut self, engine: &Engine, failure: &AttemptFailure, began: Instant) {
+        let instance = &engine.instance;
+        self.gateway.metrics.on_failed_attempt(failure.name());
+        let tried = &mut self.tried;
+        let was_excluded = tried.excluded.contains(instance);
+        if !was_excluded {
+            tried.excluded.push(instance.clone());
+        }
+        match failure {
+            AttemptFailure::NotSent(_) | AttemptFailure::Unsent => {
+                tried.unreachable += 1;
+                // An engine that has ended does not count among those that ran the request.
+                tried.ran_on.retain(|ran| ran != instance || !was_excluded);
+            }
+            AttemptFailure::Rejected(_) => tried.rejections += 1,
+            _ => {}
+        }
+        if !matches!(failure, AttemptFailure::Rejected(_)) {
+            self.gateway.on_engine_failure(instance);
+        }
+        if !failure.is_not_run() {
+            self.on_maybe_run(engine);
+        }
+        log::info!(
+            target: "attempt",
+            request = self.call.metadata.request_id.as_str(),
+            engine = instance.as_str(),
+            service = engine.service.as_str(),
+            reason = failure.name(),
+            detail:% = failure,
+            events_passed = self.passed.events,
+            took_ms = whole_ms(began.elapsed()),
+            engines_at = self.gateway.node.view.with_engines(|engines| engines.at());
+            "attempt failed"
+        );
+    }
+
+    pub(super) fn failure(&self) -> Refusal {
+        if !self.tried.ran_on.is_empty() {
+            return Refusal::last(RefusalReason::EngineFailed);
+        }
+        let time = self.call.limit - self.call.received;
+        let after = time.mul_f64(COME_BACK_SHARE).max(COME_BACK);
+        if self.tried.rejections > 0 || self.tried.has_waited {
+            return Refusal::come_back(RefusalReason::EnginesFull, after);
+        }
+        Refusal::come_back(RefusalReason::NoEngine, after)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/exchange/preparation.rs
@@ -0,0 +1,180 @@
+//! Before and after the engines: the earlier turns, and the account of the turn's tokens.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use ridgeworks_records::{ChainOutcome, LedgerEntry, ProgramId, Settlement, TurnId, TurnRecord};
+use ridgeworks_routing::{Refusal, RefusalReason};
+use tokio::time::Instant;
+
+use super::Exchange;
+use crate::entry::COME_BACK;
+use crate::records_client::keep_ms;
+
+/// How long a turn waits for the replicas before it is refused.
+const RECORDS_PATIENCE: Duration = Duration::from_millis(700);
+
+/// The account of a turn in its program's ledger.
+struct Account {
+    program: ProgramId,
+    turn: TurnId,
+    retention: Duration,
+}
+
+impl Exchange {
+    /// Reads the earlier turns and reserves tokens, both at once.
+    pub(super) async fn prepare(&mut self) -> Result<(), Refusal> {
+        let began = Instant::now();
+        let (prompt, reserved) = tokio::join!(self.read_prompt(), self.reserve());
+        let prompt = prompt?;
+        if reserved? {
+            self.reserved = Some(began.elapsed());
+        }
+        self.prompt = prompt;
+        Ok(())
+    }
+
+    fn account(&self) -> Option<Account> {
+        let metadata = &self.call.metadata;
+        metadata.token_budget?;
+        Some(Account {
+            program: ProgramId(metadata.program.clone()?),
+            turn: TurnId(metadata.request_id.clone()),
+            retention: self.call.route.retention(),
+        })
+    }
+
+    fn records_limit(&self) -> Instant {
+        self.call.limit.min(Instant::now() + RECORDS_PATIENCE)
+    }
+
+    /// Reserves the most that the turn may generate; says whether there was anything to reserve.
+    async fn reserve(&self) -> Result<bool, Refusal> {
+        let (Some(account), Some(budget)) = (self.account(), self.call.metadata.token_budget)
+        else {
+            return Ok(false);
+        };
+        let began = Instant::now();
+        let most = self.call.metadata.most_tokens;
+        let entry = LedgerEntry { most, spent: None };
+        let charging = self.gateway.records.charge(
+            &account.program,
+            &account.turn,
+            entry,
+            account.retention,
+            self.records_limit(),
+        );
+        let unavailable = Refusal::come_back(RefusalReason::LedgerUnavailable, COME_BACK);
+        let ledger = charging.await.map_err(|_| unavailable)?;
+        let taken = began.elapsed().as_secs_f64();
+        self.gateway.metrics.reserve_seconds.observe(taken);
+        if ledger.is_settled(&account.turn) {
+            // An identifier that was used before: its account must not be opened anew.
+            return Err(Refusal::last(RefusalReason::UsedIdentifier));
+        }
+        if ledger.admits(&account.turn, most, budget) {
+            return Ok(true);
+        }
+        log::info!(
+            target: "request",
+            request = account.turn.0.as_str(),
+            program = account.program.0.as_str(),
+            budget = budget,
+            most = most,
+            charged_to_others = ledger.charged_besides(&account.turn),
+            turns_in_ledger = ledger.entries.len(),
+            epoch = self.gateway.node.view.epoch().0;
+            "budget does not hold the turn"
+        );
+        Err(Refusal::last(RefusalReason::BudgetSpent))
+    }
+
+    /// The body for the engine: all earlier turns, then what the client sent.
+    async fn read_prompt(&self) -> Result<Bytes, Refusal> {
+        let previous = self.call.metadata.previous_turn.as_ref();
+        let Some(previous) = previous.filter(|_| self.call.route.keeps_turns) else {
+            return Ok(self.call.body.clone());
+        };
+        let previous = TurnId(previous.clone());
+        let now = self.gateway.now();
+        let cached = self.gateway.turns.borrow().chain(&previous, now);
+        if let Some(chain) = cached {
+            let chain = chain.iter().map(Rc::as_ref);
+            return Ok(join_prompt(chain, &self.call.body));
+        }
+        let began = Instant::now();
+        let records = &self.gateway.records;
+        let request = &self.call.metadata.request_id;
+        let reading = records.read_chain(&previous, request, self.records_limit());
+        let outcome = reading.await;
+        let taken = began.elapsed().as_secs_f64();
+        self.gateway.metrics.chain_read_seconds.observe(taken);
+        match outcome {
+            Ok(ChainOutcome::Whole(chain)) => {
+                let prompt = join_prompt(chain.iter(), &self.call.body);
+                chain.into_iter().for_each(|record| self.cache(record));
+                Ok(prompt)
+            }
+            Ok(ChainOutcome::NoSuchTurn(missing)) if missing == previous => {
+                Err(Refusal::last(RefusalReason::NoSuchTurn))
+            }
+            // The turn is there and one before it is not: never say that the turn does not exist.
+            Ok(ChainOutcome::NoSuchTurn(missing)) => {
+                log::error!(
+                    target: "request",
+                    request = self.call.metadata.request_id.as_str(),
+                    missing = missing.0.as_str();
+                    "a turn of a kept chain is missing"
+                );
+                Err(Refusal::come_back(
+                    RefusalReason::TurnsUnavailable,
+                    COME_BACK,
+                ))
+            }
+            Err(_) => Err(Refusal::come_back(
+                RefusalReason::TurnsUnavailable,
+                COME_BACK,
+            )),
+        }
+    }
+
+    pub(super) fn cache(&self, record: TurnRecord) {
+        let until = self.gateway.now() + self.call.route.retention();
+        self.gateway.turns.borrow_mut().insert(record, until);
+    }
+
+    /// Puts what was generated in place of what was reserved, without making anybody wait.
+    pub(super) fn settle(&self) {
+        let Some(account) = self.account() else {
+            return;
+        };
+        self.gateway.records.settle(Settlement {
+            program: account.program,
+            turn: account.turn,
+            entry: LedgerEntry {
+                most: self.call.metadata.most_tokens,
+                spent: Some(self.passed.events * self.event_tokens()),
+            },
+            keep_ms: keep_ms(account.retention),
+        });
+    }
+
+    fn event_tokens(&self) -> u64 {
+        let routes = self.gateway.node.view.routes();
+        let service = routes.and_then(|routes| routes.service(&self.call.service).cloned());
+        let model = service.and_then(|service| service.model.clone());
+        // Without a model's word for it, a turn is charged at its most.
+        model.map_or(self.call.metadata.most_tokens, |model| model.event_tokens)
+    }
+}
+
+fn join_prompt<'a>(chain: impl Iterator<Item = &'a TurnRecord>, input: &[u8]) -> Bytes {
+    let mut prompt = BytesMut::new();
+    for record in chain {
+        prompt.extend_from_slice(&record.input);
+        prompt.extend_from_slice(&record.output);
+    }
+    prompt.extend_from_slice(input);
+    prompt.freeze()
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,4 +19,4 @@
 mod whole_answer;
 
 pub use gateway::Gateway;
-pub use role::{GatewayError, run};
+pub use role::run;
--- a/crates/gateway/src/role.rs
+++ b/crates/gateway/src/role.rs
@@ -1,7 +1,7 @@
 //! The gateway as a process: start, reload, stop.
 
-use std::fmt;
 use std::io;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -13,9 +13,10 @@
 use ridgeworks_resident::http_server::{self, ShortAnswer};
 use ridgeworks_resident::logging::LogCounters;
 use ridgeworks_resident::metrics::{self, LogCollector};
-use ridgeworks_resident::node::{Node, ReloadReason as Reason};
+use ridgeworks_resident::node::Node;
+use ridgeworks_resident::process::{RoleError, run_until_stopped, serve_metrics};
 use ridgeworks_resident::settings::NodeSettings;
-use ridgeworks_resident::shutdown::{Order, Orders};
+use ridgeworks_resident::shutdown::Orders;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -28,43 +29,21 @@
 /// Time kept back before the platform kills the process.
 const STOP_MARGIN: Duration = Duration::from_millis(700);
 const STOP_CHECK: Duration = Duration::from_millis(50);
-/// How often the settings file is looked at; it may change without a signal.
-const SETTINGS_INTERVAL: Duration = Duration::from_secs(5);
-
-/// Why a gateway could not run.
-#[derive(Debug)]
-pub enum GatewayError {
-    /// A socket could not be bound, or signals not received.
-    Io(io::Error),
-    /// The settings lack an address to listen on.
-    NoAddress,
-}
-
-impl fmt::Display for GatewayError {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Io(error) => write!(formatter, "{error}"),
-            Self::NoAddress => write!(formatter, "the settings lack an address to listen on"),
-        }
-    }
-}
-
-impl std::error::Error for GatewayError {}
-
-impl From<io::Error> for GatewayError {
-    fn from(error: io::Error) -> Self {
-        Self::Io(error)
-    }
-}
 
 /// Runs a gateway until the platform stops it. Must be called inside a local set of tasks.
 pub async fn run(
     settings: NodeSettings,
     settings_path: PathBuf,
     log_counters: Arc<LogCounters>,
-) -> Result<(), GatewayError> {
-    let callers = settings.listen.callers.ok_or(GatewayError::NoAddress)?;
-    let readiness = settings.listen.readiness.ok_or(GatewayError::NoAddress)?;
+) -> Result<(), RoleError> {
+    let callers = settings
+        .listen
+        .callers
+        .ok_or(RoleError::MissingSetting("listen.callers"))?;
+    let readiness = settings
+        .listen
+        .readiness
+        .ok_or(RoleError::MissingSetting("listen.readiness"))?;
     let mut orders = Orders::listen()?;
     let mut registry = metrics::registry();
     registry.register_collector(Box::new(LogCollector(log_counters)));
@@ -75,27 +54,17 @@
     node.start(Rc::clone(&gateway), Rc::clone(&gateway)).await?;
     node.follow_traffic();
     serve_readiness(&gateway, readiness).await?;
-    serve_metrics(&gateway, registry).await?;
+    let updated = Rc::clone(&gateway);
+    serve_metrics(&node, registry, move || updated.update_gauges()).await?;
     listener::listen(Rc::clone(&gateway), callers, draining).await?;
     tokio::task::spawn_local(Rc::clone(&gateway).tidy());
     tokio::task::spawn_local(Rc::clone(&gateway.records).run_settlements());
-    log::info!(target: "process", node = node.settings.name.as_str(), role = "gateway"; "started");
-    loop {
-        tokio::select! {
-            order = orders.next() => match order {
-                Order::Reload => node.reload(&settings_path, Reason::Signal),
-                Order::Stop => break,
-            },
-            () = tokio::time::sleep(SETTINGS_INTERVAL) => {
-                node.reload(&settings_path, Reason::Interval);
-            }
-        }
-    }
+    run_until_stopped(&node, &settings_path, &mut orders).await;
     stop(&gateway, &drain).await;
     Ok(())
 }
 
-async fn serve_readiness(gateway: &Rc<Gateway>, address: std::net::SocketAddr) -> io::Result<()> {
+async fn serve_readiness(gateway: &Rc<Gateway>, address: SocketAddr) -> io::Result<()> {
     let gateway = Rc::clone(gateway);
     let answer = move |path: &str| {
         let is_ready = path == READY_PATH && gateway.is_ready();
@@ -108,25 +77,6 @@
     http_server::serve(address, answer).await
 }
 
-async fn serve_metrics(
-    gateway: &Rc<Gateway>,
-    registry: prometheus_client::registry::Registry,
-) -> io::Result<()> {
-    let Some((port, metrics_path)) = gateway.node.settings.metrics() else {
-        return Ok(());
-    };
-    let address = std::net::SocketAddr::new(gateway.node.settings.address, port);
-    let gateway = Rc::clone(gateway);
-    let answer = move |path: &str| {
-        if path != metrics_path {
-            return ShortAnswer::empty(StatusCode::NOT_FOUND);
-        }
-        gateway.update_gauges();
-        metrics::answer(&registry)
-    };
-    http_server::serve(address, answer).await
-}
-
 /// Serves on until the platform has noticed and all requests have their answers.
 async fn stop(gateway: &Gateway, drain: &watch::Sender<bool>) {
     let began = Instant::now();
--- a/crates/node/src/resident.rs
+++ b/crates/node/src/resident.rs
@@ -6,10 +6,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ridgeworks_gateway::GatewayError;
 use ridgeworks_platform::settings_path;
-use ridgeworks_replica::ReplicaError;
 use ridgeworks_resident::logging::{self, LogError};
+use ridgeworks_resident::process::RoleError;
 use ridgeworks_resident::settings::{NodeSettings, NodeSettingsError, Role};
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
@@ -29,10 +28,8 @@
     Log(LogError),
     /// The runtime could not be started.
     Runtime(io::Error),
-    /// The gateway failed.
-    Gateway(GatewayError),
-    /// The replica failed.
-    Replica(ReplicaError),
+    /// The role failed.
+    Role(RoleError),
 }
 
 impl fmt::Display for ResidentError {
@@ -41,8 +38,7 @@
             Self::Settings(error) => error.fmt(formatter),
             Self::Log(error) => error.fmt(formatter),
             Self::Runtime(error) => write!(formatter, "cannot start the runtime: {error}"),
-            Self::Gateway(error) => error.fmt(formatter),
-            Self::Replica(error) => error.fmt(formatter),
+            Self::Role(error) => error.fmt(formatter),
         }
     }
 }
@@ -62,14 +58,11 @@
         .map_err(ResidentError::Runtime)?;
     let outcome = LocalSet::new().block_on(&runtime, async {
         match settings.role {
-            Role::Gateway => ridgeworks_gateway::run(settings, path, log_counters)
-                .await
-                .map_err(ResidentError::Gateway),
-            Role::Replica => ridgeworks_replica::run(settings, path, log_counters)
-                .await
-                .map_err(ResidentError::Replica),
+            Role::Gateway => ridgeworks_gateway::run(settings, path, log_counters).await,
+            Role::Replica => ridgeworks_replica::run(settings, path, log_counters).await,
         }
     });
+    let outcome = outcome.map_err(ResidentError::Role);
     // A disk that hangs must not keep the process.
     runtime.shutdown_background();
     if let Err(error) = &outcome {
--- /dev/null
+++ b/crates/records/tests/simulator/world/faults.rs
@@ -0,0 +1,64 @@
+//! What goes wrong: processes, links and disks.
+
+use super::*;
+
+impl World {
+    pub(super) fn fault(&mut self) {
+        let pause = self.random.random_range(100..900);
+        if self.now + pause < FAULTS_UNTIL {
+            self.schedule(pause, Event::Fault);
+        }
+        let node = self.random.random_range(0..STORAGE_NODES);
+        match self.random.random_range(0..10) {
+            0..=2 => self.crash(node, 400),
+            3..=4 => {
+                self.cut.insert(node);
+                let heal = self.random.random_range(100..2_500);
+                self.schedule(heal, Event::Heal { node });
+            }
+            5 => (0..STORAGE_NODES).for_each(|node| self.crash(node, 300)),
+            6..=7 => self.wipe(node),
+            _ => self.lose_gateway(),
+        }
+    }
+
+    pub(super) fn crash(&mut self, node: usize, longest: u64) {
+        if !self.storage[node].running {
+            return;
+        }
+        let kept = self.random.random_range(0..3);
+        self.storage[node].crash(kept);
+        let down = self.random.random_range(20..longest * 4);
+        self.schedule(down, Event::Start { node });
+    }
+
+    /// Loses a disk, as long as no other loss is still being made up for.
+    pub(super) fn wipe(&mut self, node: usize) {
+        let Some(set) = &self.register else {
+            return;
+        };
+        let lives: BTreeSet<ReplicaId> = self
+            .storage
+            .iter()
+            .map(|storage| storage.state.id())
+            .collect();
+        let is_whole = set.incoming.is_none()
+            && set.voters.len() == REPLICAS
+            && set.voters.iter().all(|voter| lives.contains(&voter.id));
+        if !is_whole {
+            return;
+        }
+        self.outcome.wipes += 1;
+        self.crash(node, 300);
+        let id = self.number();
+        self.storage[node].wipe(id);
+    }
+
+    /// A gateway dies with everything it had under way.
+    pub(super) fn lose_gateway(&mut self) {
+        let gateway = self.random.random_range(0..GATEWAYS);
+        self.operations
+            .retain(|_, operation| operation.gateway != gateway);
+        self.known[gateway] = None;
+    }
+}
--- /dev/null
+++ b/crates/records/tests/simulator/world/gateways.rs
@@ -0,0 +1,264 @@
+//! Operations of gateways, and the checks of what they read.
+
+use super::*;
+
+impl World {
+    pub(super) fn start_turn(&mut self, gateway: usize) {
+        let pause = self.random.random_range(30..200);
+        self.schedule(pause, Event::StartTurn { gateway });
+        if self.known[gateway].is_none() || self.random.random_bool(0.1) {
+            self.known[gateway] = self.register.clone();
+        }
+        let program = self.random.random_range(0..PROGRAMS);
+        let number = self.number();
+        let purpose = match self.random.random_range(0..10) {
+            0..=5 => Purpose::Reserve {
+                program,
+                turn: TurnId(format!("turn-{number}")),
+            },
+            6..=8 => match self.programs[program].newest.clone() {
+                Some(turn) => Purpose::Read { turn },
+                None => return,
+            },
+            _ => Purpose::ReadInvented,
+        };
+        self.begin(gateway, purpose);
+    }
+
+    pub(super) fn begin(&mut self, gateway: usize, purpose: Purpose) {
+        let Some(set) = self.known[gateway].clone() else {
+            return;
+        };
+        let number = self.number();
+        let machine = Machine::Write(QuorumWrite::new(set.clone()));
+        let deadline = self.now + OPERATION_TIME;
+        let mut operation = Operation {
+            gateway,
+            purpose,
+            machine,
+            deadline,
+        };
+        operation.restart(set);
+        self.operations.insert(number, operation);
+        self.retry(number);
+    }
+
+    /// Asks every replica that may still help, again and again until the deadline.
+    pub(super) fn retry(&mut self, number: u64) {
+        let Some(operation) = self.operations.get(&number) else {
+            return;
+        };
+        if self.now > operation.deadline {
+            self.operations.remove(&number);
+            return;
+        }
+        let request = operation.request();
+        let replicas = match &operation.machine {
+            Machine::Write(write) => write.set().members().into_iter().cloned().collect(),
+            Machine::Read(read) => read.candidates(),
+        };
+        let from = Address::Gateway(operation.gateway);
+        for replica in replicas {
+            let node = replica.address.parse().expect("addresses are numbers");
+            let (to, request) = (replica.id, request.clone());
+            self.send(Event::ToStorage {
+                node,
+                from,
+                operation: number,
+                to,
+                request,
+            });
+        }
+        self.schedule(RETRY, Event::Retry { operation: number });
+    }
+
+    pub(super) fn gateway_reply(&mut self, from: ReplicaId, number: u64, reply: ReplicaReply) {
+        let Some(mut operation) = self.operations.remove(&number) else {
+            return;
+        };
+        let ended = match &mut operation.machine {
+            Machine::Write(write) => {
+                let alone = match &reply {
+                    ReplicaReply::Charged { ledger } => Some(ledger.clone()),
+                    _ => None,
+                };
+                let progress = write.on_reply(from, reply);
+                self.write_progress(&mut operation, from, progress, alone)
+            }
+            Machine::Read(_) => self.read_reply(&mut operation, from, reply),
+        };
+        if !ended {
+            self.operations.insert(number, operation);
+        }
+    }
+
+    pub(super) fn write_progress(
+        &mut self,
+        operation: &mut Operation,
+        from: ReplicaId,
+        progress: WriteProgress,
+        alone: Option<ProgramLedger>,
+    ) -> bool {
+        match progress {
+            WriteProgress::Durable(ledger) => {
+                let is_weak = self.weakening == Weakening::NoUnion;
+                let ledger = alone.filter(|_| is_weak).unwrap_or(ledger);
+                self.written_durably(operation, &ledger);
+                true
+            }
+            WriteProgress::Restart(set) => {
+                self.known[operation.gateway] = Some(set.clone());
+                operation.restart(set);
+                false
+            }
+            WriteProgress::Teach => {
+                self.teach(operation, from);
+                false
+            }
+            WriteProgress::Waiting | WriteProgress::TryLater => false,
+        }
+    }
+
+    pub(super) fn teach(&mut self, operation: &Operation, to: ReplicaId) {
+        let set = operation.set().clone();
+        let member = set
+            .members()
+            .into_iter()
+            .find(|member| member.id == to)
+            .cloned();
+        let Some(member) = member else {
+            return;
+        };
+        let node = member.address.parse().expect("addresses are numbers");
+        let from = Address::Gateway(operation.gateway);
+        let request = ReplicaRequest::Adopt { set };
+        self.send(Event::ToStorage {
+            node,
+            from,
+            operation: 0,
+            to,
+            request,
+        });
+    }
+
+    pub(super) fn written_durably(&mut self, operation: &Operation, ledger: &ProgramLedger) {
+        match operation.purpose.clone() {
+            Purpose::Reserve { program, turn } => {
+                if !ledger.admits(&turn, MOST, BUDGET) {
+                    let settle = Purpose::Settle {
+                        program,
+                        turn,
+                        spent: 0,
+                    };
+                    self.begin(operation.gateway, settle);
+                    return;
+                }
+                self.run_turn(operation.gateway, program, turn);
+            }
+            Purpose::Append { program, record } => {
+                self.outcome.answered += 1;
+                self.programs[program].newest = Some(record.turn.clone());
+            }
+            _ => {}
+        }
+    }
+
+    /// The engine generates; the gateway may die at any step.
+    pub(super) fn run_turn(&mut self, gateway: usize, program: usize, turn: TurnId) {
+        let spent = self.random.random_range(1..=MOST);
+        let state = &mut self.programs[program];
+        state.handed_out += spent;
+        if state.handed_out > BUDGET + MOST {
+            self.outcome.overspent += 1;
+        }
+        let record = TurnRecord {
+            turn: turn.clone(),
+            previous: state.newest.clone(),
+            input: turn.0.clone().into_bytes(),
+            output: vec![spent as u8; 8],
+        };
+        self.written.insert(turn.clone(), record.clone());
+        if self.random.random_bool(0.9) {
+            self.begin(gateway, Purpose::Append { program, record });
+        }
+        if self.random.random_bool(0.8) {
+            self.begin(
+                gateway,
+                Purpose::Settle {
+                    program,
+                    turn,
+                    spent,
+                },
+            );
+        }
+    }
+
+    pub(super) fn read_reply(
+        &mut self,
+        operation: &mut Operation,
+        from: ReplicaId,
+        reply: ReplicaReply,
+    ) -> bool {
+        let Machine::Read(read) = &mut operation.machine else {
+            return true;
+        };
+        match reply {
+            ReplicaReply::Chain { records, missing } => {
+                let starts_here = match (records.first(), &missing) {
+                    (Some(record), _) => record.turn == *read.wanted(),
+                    (None, Some(missing)) => missing == read.wanted(),
+                    (None, None) => false,
+                };
+                if !starts_here {
+                    return false;
+                }
+                let is_weak = self.weakening == Weakening::NoReadMajority;
+                let outcome = read.on_chain(from, records, missing.clone());
+                let outcome = match (outcome, missing) {
+                    (None, Some(missing)) if is_weak => Some(ChainOutcome::NoSuchTurn(missing)),
+                    (outcome, _) => outcome,
+                };
+                let Some(outcome) = outcome else {
+                    return false;
+                };
+                self.check_read(&operation.purpose, outcome);
+                true
+            }
+            ReplicaReply::Stale { set } => {
+                self.known[operation.gateway] = Some(set.clone());
+                operation.restart(set);
+                false
+            }
+            ReplicaReply::Behind => {
+                self.teach(operation, from);
+                false
+            }
+            _ => false,
+        }
+    }
+
+    pub(super) fn check_read(&mut self, purpose: &Purpose, outcome: ChainOutcome) {
+        self.outcome.chains_read += 1;
+        match (purpose, outcome) {
+            (Purpose::Read { turn }, ChainOutcome::Whole(chain)) => {
+                let is_right = chain == self.expected_chain(turn);
+                self.outcome.lost_turns += u64::from(!is_right);
+            }
+            (Purpose::Read { .. }, ChainOutcome::NoSuchTurn(_)) => self.outcome.lost_turns += 1,
+            (Purpose::ReadInvented, ChainOutcome::Whole(_)) => self.outcome.invented_turns += 1,
+            _ => {}
+        }
+    }
+
+    pub(super) fn expected_chain(&self, newest: &TurnId) -> Vec<TurnRecord> {
+        let mut chain = Vec::new();
+        let mut next = Some(newest.clone());
+        while let Some(turn) = next {
+            let record = self.written[&turn].clone();
+            next = record.previous.clone();
+            chain.push(record);
+        }
+        chain.reverse();
+        chain
+    }
+}
--- /dev/null
+++ b/crates/records/tests/simulator/world/nodes.rs
@@ -0,0 +1,66 @@
+//! What storage nodes do with messages, and with their disks.
+
+use super::*;
+
+impl World {
+    pub(super) fn deliver(
+        &mut self,
+        node: usize,
+        from: Address,
+        operation: u64,
+        to: ReplicaId,
+        request: ReplicaRequest,
+    ) {
+        let is_cut = self.cut.contains(&node);
+        let storage = &mut self.storage[node];
+        if !storage.running || is_cut {
+            return;
+        }
+        let id = storage.state.id();
+        let reply = storage.request(from, operation, to, request);
+        self.schedule_sync(node);
+        if let Some(reply) = reply {
+            self.send(Event::Reply {
+                to: from,
+                from: id,
+                operation,
+                reply,
+            });
+        }
+    }
+
+    pub(super) fn schedule_sync(&mut self, node: usize) {
+        let (life, batch, durable) = {
+            let storage = &self.storage[node];
+            (storage.life, storage.submitted, storage.durable)
+        };
+        if batch > durable {
+            let hangs = self.random.random_bool(0.02);
+            let delay = self.random.random_range(1..if hangs { 700 } else { 6 });
+            self.schedule(delay, Event::Sync { node, life, batch });
+        }
+    }
+
+    pub(super) fn sync(&mut self, node: usize, life: u64, batch: u64) {
+        let storage = &mut self.storage[node];
+        if storage.life != life || !storage.running {
+            return;
+        }
+        let id = storage.state.id();
+        for waiting in storage.sync(batch) {
+            let (to, operation, reply) = (waiting.to, waiting.operation, waiting.reply);
+            self.send(Event::Reply {
+                to,
+                from: id,
+                operation,
+                reply,
+            });
+        }
+    }
+
+    pub(super) fn start_node(&mut self, node: usize) {
+        if !self.storage[node].running {
+            self.storage[node].start();
+        }
+    }
+}
--- a/crates/replica/src/handle.rs
+++ b/crates/replica/src/handle.rs
@@ -49,6 +49,12 @@
         self.status.get()
     }
 
+    /// Brings the gauges up to date.
+    pub fn update_gauges(&self) {
+        let epoch = i64::try_from(self.node.view.epoch().0).unwrap_or(i64::MAX);
+        self.metrics.replica_set_epoch.set(epoch);
+    }
+
     /// Hands news of other threads to the actor until the process ends.
     pub async fn pass_news(self: Rc<Self>, mut news: mpsc::UnboundedReceiver<DiskNews>) {
         while let Some(item) = news.recv().await {
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -12,4 +12,4 @@
 mod retirements;
 mod role;
 
-pub use role::{ReplicaError, run};
+pub use role::run;
--- a/crates/resident/src/lib.rs
+++ b/crates/resident/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod metrics;
 pub mod node;
 pub mod peer;
+pub mod process;
 pub mod settings;
 pub mod shutdown;
 pub mod store_client;
--- /dev/null
+++ b/crates/resident/src/process.rs
@@ -0,0 +1,87 @@
+//! What every role's process does: tell its metrics, read its settings again, end when it is told to.
+
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use http::StatusCode;
+use prometheus_client::registry::Registry;
+
+use crate::http_server::{self, ShortAnswer};
+use crate::metrics;
+use crate::node::{Node, ReloadReason};
+use crate::shutdown::{Order, Orders};
+
+/// How often the settings file is looked at; it may change without a signal.
+const SETTINGS_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Why a role could not run.
+#[derive(Debug)]
+pub enum RoleError {
+    /// A socket could not be bound, or signals not received.
+    Io(io::Error),
+    /// The settings lack a key that the role needs.
+    MissingSetting(&'static str),
+}
+
+impl fmt::Display for RoleError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Io(error) => write!(formatter, "{error}"),
+            Self::MissingSetting(key) => write!(formatter, "the settings lack {key}"),
+        }
+    }
+}
+
+impl std::error::Error for RoleError {}
+
+impl From<io::Error> for RoleError {
+    fn from(error: io::Error) -> Self {
+        Self::Io(error)
+    }
+}
+
+/// Serves a registry at the settings' metrics address, if there is one; `update` brings gauges up to date.
+pub async fn serve_metrics(
+    node: &Node,
+    registry: Registry,
+    update: impl Fn() + 'static,
+) -> io::Result<()> {
+    let Some((port, metrics_path)) = node.settings.metrics() else {
+        return Ok(());
+    };
+    let address = SocketAddr::new(node.settings.address, port);
+    let answer = move |path: &str| {
+        if path != metrics_path {
+            return ShortAnswer::empty(StatusCode::NOT_FOUND);
+        }
+        update();
+        metrics::answer(&registry)
+    };
+    http_server::serve(address, answer).await
+}
+
+/// Says that the role has started, and reads the settings again whenever they may have changed, until the
+/// platform stops the process.
+pub async fn run_until_stopped(node: &Node, settings_path: &Path, orders: &mut Orders) {
+    let settings = &node.settings;
+    log::info!(
+        target: "process",
+        node = settings.name.as_str(),
+        role = settings.role.name();
+        "started"
+    );
+    loop {
+        tokio::select! {
+            order = orders.next() => match order {
+                Order::Reload => node.reload(settings_path, ReloadReason::Signal),
+                Order::Stop => return,
+            },
+            () = tokio::time::sleep(SETTINGS_INTERVAL) => {
+                node.reload(settings_path, ReloadReason::Interval);
+            }
+        }
+    }
+}
