A gateway that reaches no quorum wants no new clients

Change: readiness is taken back once quorums have failed for 0.2 s, until one is reached or 1.5 s pass without a try. Test a_gateway_that_reaches_no_quorum_wants_no_new_clients: seen failing before (30 s without an effect).

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -114,7 +114,7 @@
 
     /// Whether the platform should send new clients here.
     pub fn is_ready(&self) -> bool {
-        !self.draining.get() && self.knows_traffic()
+        !self.draining.get() && self.knows_traffic() && !self.records.is_failing()
     }
 
     /// No new clients are wanted from now on.
--- a/crates/gateway/src/records_client.rs
+++ b/crates/gateway/src/records_client.rs
@@ -1,6 +1,6 @@
 //! Reads and writes of replicated records: sends what the state machines of `ridgeworks-records` ask for.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 use std::future::Future;
@@ -31,6 +31,10 @@
 /// How long ledgers and turns are kept beyond what the operators ask, since clocks differ.
 const KEEP_MARGIN: Duration = Duration::from_secs(30);
 
+/// How long quorums fail before the gateway wants no new clients.
+const FAILING_AFTER: Duration = Duration::from_millis(200);
+/// How long a failure counts when nothing is tried after it.
+const FAILURE_LIFETIME: Duration = Duration::from_millis(1_500);
 /// How often settlements are sent; the bound on their age is a second.
 const SETTLE_INTERVAL: Duration = Duration::from_millis(150);
 /// How long settling is tried.
@@ -91,6 +95,15 @@
     node: Rc<Node>,
     suspects: RefCell<HashMap<ReplicaId, Instant>>,
     settlements: RefCell<Vec<Settlement>>,
+    /// When quorums began to fail, and when the last one did; `None` while they are reached.
+    failing: Cell<Option<Failing>>,
+}
+
+/// A time without a quorum.
+#[derive(Debug, Clone, Copy)]
+struct Failing {
+    since: Instant,
+    last: Instant,
 }
 
 /// How long a record is kept that the operators want for this time, in milliseconds.
@@ -105,9 +118,32 @@
             node,
             suspects: RefCell::default(),
             settlements: RefCell::default(),
+            failing: Cell::new(None),
         }
     }
 
+    /// Whether quorums have lately not been reached for a while: clients are better served elsewhere.
+    pub fn is_failing(&self) -> bool {
+        let failing = self.failing.get();
+        failing.is_some_and(|failing| {
+            let lasts = failing.last.duration_since(failing.since) >= FAILING_AFTER;
+            lasts && failing.last.elapsed() < FAILURE_LIFETIME
+        })
+    }
+
+    /// Notes whether an operation reached its quorum.
+    fn note_quorum(&self, is_reached: bool) {
+        if is_reached {
+            self.failing.set(None);
+            return;
+        }
+        let now = Instant::now();
+        let earlier = self.failing.get();
+        let earlier = earlier.filter(|failing| failing.last.elapsed() < FAILURE_LIFETIME);
+        let since = earlier.map_or(now, |failing| failing.since);
+        self.failing.set(Some(Failing { since, last: now }));
+    }
+
     /// Joins an entry into a program's ledger at a majority; the union of what that majority knows.
     pub async fn charge(
         &self,
@@ -199,6 +235,7 @@
         let answers = Answers::default();
         let reading = self.read_chain_patiently(turn, &answers);
         let outcome = tokio::time::timeout_at(limit, reading).await;
+        self.note_quorum(outcome.is_ok());
         outcome.map_err(|_| {
             answers.report("read", request, self.node.view.epoch());
             RecordsUnavailable
@@ -264,6 +301,7 @@
         let answers = Answers::default();
         let writing = self.write_patiently(make, &answers);
         let outcome = tokio::time::timeout_at(limit, writing).await;
+        self.note_quorum(outcome.is_ok());
         outcome.map_err(|_| {
             answers.report(operation, subject, self.node.view.epoch());
             RecordsUnavailable
--- a/crates/node/tests/resident_records.rs
+++ b/crates/node/tests/resident_records.rs
@@ -226,6 +226,29 @@
     assert_eq!(other.status, 200);
 }
 
+#[test]
+fn a_gateway_that_reaches_no_quorum_wants_no_new_clients() {
+    let mut deployment = Deployment::started(PROGRAM, 1, 3);
+    let _engine = deployment.engine("models", "i-1", stream(2));
+    let gateway = deployment.gateways[0].callers();
+    send_until_served(gateway, &budgeted("b-1", "p", 100, 30));
+    for replica in &mut deployment.replicas {
+        replica.kill();
+    }
+    let mut tries = 0;
+    wait_until("the gateway is not ready", || {
+        tries += 1;
+        budgeted(&format!("b-2-{tries}"), "p", 100, 30).send(gateway);
+        !deployment.gateways[0].is_ready()
+    });
+    for replica in &mut deployment.replicas {
+        replica.start();
+    }
+    wait_until("the gateway is ready again", || {
+        deployment.gateways[0].is_ready()
+    });
+}
+
 #[test]
 fn an_identifier_that_was_used_frees_no_tokens() {
     let deployment = Deployment::started(PROGRAM, 1, 3);
