Turns of programs that are late get the last rank at engines

Change: the time that a program has left is read from its requests; once it is zero, its turns go to engines with rank 8.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -165,7 +165,7 @@
     let order = EngineOrder {
         remaining: remaining.max(Duration::from_millis(1)),
         instance: &engine.instance,
-        priority: call.route.priority,
+        priority: call.priority(),
         last_event_id: sending.last_event_id,
     };
     let mut request = Request::new(Full::new(sending.body.clone()));
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -11,7 +11,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use ridgeworks_platform::{read_metadata, refusal_headers, refusal_status};
-use ridgeworks_routing::{CallMetadata, CallerLimits, Refusal, RefusalReason, Route};
+use ridgeworks_routing::{CallMetadata, CallerLimits, Refusal, RefusalReason, RequestKind, Route};
 use tokio::time::Instant;
 
 use crate::caller::{Caller, CallerBody};
@@ -20,6 +20,8 @@
 
 /// When a client may come back after a refusal that passes by itself.
 pub const COME_BACK: Duration = Duration::from_millis(150);
+/// Rank of turns of programs that are late.
+const LATE_PRIORITY: u8 = 8;
 /// Requests that are open at once.
 const MAX_OPEN_REQUESTS: usize = 4_000;
 /// How long a body may take.
@@ -60,6 +62,19 @@
     pub _open: OpenRequest,
 }
 
+impl Call {
+    /// Rank of the request at engines, 0 first: the route's, and the last one for a turn of a program that
+    /// is late already, so that others still come in time.
+    pub fn priority(&self) -> u8 {
+        let is_turn = self.route.kind == RequestKind::Stream;
+        if is_turn && self.metadata.is_late() {
+            LATE_PRIORITY
+        } else {
+            self.route.priority
+        }
+    }
+}
+
 /// The bounds for clients in force.
 pub fn caller_limits(gateway: &Gateway) -> CallerLimits {
     let routes = gateway.node.view.routes();
--- a/crates/node/tests/resident_requests.rs
+++ b/crates/node/tests/resident_requests.rs
@@ -248,6 +248,24 @@
     assert_eq!(engine.runs().len(), 1);
 }
 
+#[test]
+fn turns_of_a_program_that_is_late_go_behind_others() {
+    let deployment = Deployment::started(PROGRAM, 1, 0);
+    let engine = deployment.engine("models", "i-1", stream(2));
+    let gateway = deployment.gateways[0].callers();
+    wait_until("the engine serves", || {
+        let reply = call_post("/chat/x", "warm", "").send(gateway);
+        reply.is_some_and(|reply| reply.status == 200)
+    });
+    for (left, rank) in [("0", "8"), ("-250", "8"), ("1", "1"), ("soon", "1")] {
+        let call = call_post("/chat/x", "r", "").header("ridgeworks-finish-ms", left);
+        assert_eq!(call.send(gateway).expect("an answer").status, 200);
+        let runs = engine.runs();
+        let sent = &runs.last().expect("a run").headers;
+        assert_eq!(sent["ridgeworks-request-priority"], rank, "{left}");
+    }
+}
+
 #[test]
 fn a_client_that_leaves_cancels_its_request() {
     let deployment = Deployment::started(PROGRAM, 1, 0);
--- a/crates/routing/src/request.rs
+++ b/crates/routing/src/request.rs
@@ -22,6 +22,8 @@
     pub program: Option<String>,
     /// Line of turns that the request belongs to.
     pub session: Option<String>,
+    /// Time left before the program should be over; zero once it is late.
+    pub finish_in: Option<Duration>,
     /// Tokens that the whole program may generate.
     pub token_budget: Option<u64>,
     /// Tokens of the prompt.
@@ -39,6 +41,11 @@
 }
 
 impl CallMetadata {
+    /// Whether the program is late already.
+    pub fn is_late(&self) -> bool {
+        self.finish_in.is_some_and(|left| left.is_zero())
+    }
+
     /// Key of requests that are better served by the same engine: the object they concern, or their
     /// line of turns.
     pub fn placement_key(&self) -> &str {
