--- a/crates/resident/src/settings.rs
+++ b/crates/resident/src/settings.rs
@@ -83,11 +83,6 @@
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.grace_s)
     }
-
-    /// Undisturbed time after which a node counts as in touch.
-    pub fn contact(&self) -> Duration {
-        Duration::from_secs_f64(self.contact_ms / 1_000.0)
-    }
 }
 
 /// Settings of one process.
