Remember every engine that may have run a request, also those that have ended since

An engine that ran a resumable stream, lost its answer and refused the next connection was forgotten, so that it did not count among max_attempts; Exchange::failure read the same list and answered 503, a promise that nothing ran. Ruled out: requests that may not be repeated, which never get to that place. Change: ran_on never shrinks; engines that have ended are named apart and only the count of attempts leaves them out. Test, seen failing before: an_engine_that_ran_a_stream_and_ended_is_no_promise_that_nothing_ran got 503, now 502; the 18 tests of resident_requests pass.

--- a/crates/gateway/src/exchange/engine_choice.rs
+++ b/crates/gateway/src/exchange/engine_choice.rs
@@ -27,8 +27,11 @@
 pub(super) struct Tried {
     /// Engines that must not be asked again.
     pub(super) excluded: Vec<String>,
-    /// Engines that may have run the request.
+    /// Engines that may have run the request. Never shrinks: what may have run must not be promised to
+    /// be unrun.
     pub(super) ran_on: Vec<String>,
+    /// Those of them that have ended since and so do not count among the attempts that the route allows.
+    pub(super) ended: Vec<String>,
     /// An engine at which the stream was taken up although it had failed before.
     pub(super) taken_up_at: Option<String>,
     pub(super) rejections: usize,
@@ -45,6 +48,12 @@
         self.unreachable = 0;
         self.has_waited = true;
     }
+
+    /// Engines that count among the attempts that the route allows.
+    pub(super) fn counted(&self) -> usize {
+        let counted = self.ran_on.iter().filter(|ran| !self.ended.contains(ran));
+        counted.count()
+    }
 }
 
 impl Exchange {
@@ -67,7 +76,7 @@
         if !may_repeat {
             return None;
         }
-        if tried.ran_on.len() >= self.call.route.max_attempts as usize {
+        if tried.counted() >= self.call.route.max_attempts as usize {
             return self.same_engine();
         }
         let metadata = &self.call.metadata;
@@ -99,7 +108,7 @@
     /// Until when an engine may be silent: to the end, unless another one may be asked instead.
     pub(super) fn first_event_limit(&self) -> Instant {
         let route = &self.call.route;
-        let another = self.tried.ran_on.len() + 1 < route.max_attempts as usize;
+        let another = self.tried.counted() + 1 < route.max_attempts as usize;
         if !another || !route.is_repeatable() {
             return self.call.limit;
         }
@@ -139,8 +148,10 @@
         match failure {
             AttemptFailure::NotSent(_) | AttemptFailure::Unsent => {
                 tried.unreachable += 1;
-                // An engine that has ended does not count among those that ran the request.
-                tried.ran_on.retain(|ran| ran != instance || !was_excluded);
+                // It ran the request and takes no connection any more: it has ended.
+                if was_excluded && tried.ran_on.contains(instance) {
+                    tried.ended.push(instance.clone());
+                }
             }
             AttemptFailure::Rejected(_) => tried.rejections += 1,
             _ => {}
--- a/crates/node/tests/resident_requests.rs
+++ b/crates/node/tests/resident_requests.rs
@@ -248,6 +248,31 @@
     assert_eq!(engine.runs().len(), 1);
 }
 
+#[test]
+fn an_engine_that_ran_a_stream_and_ended_is_no_promise_that_nothing_ran() {
+    let mut deployment = Deployment::started(PROGRAM, 1, 0);
+    let engine = deployment.engine("models", "i-1", stream(2));
+    let mut routes = ridgeworks_platform_stand_ins::deployment::routes();
+    routes[2]["max_attempts"] = serde_json::json!(1);
+    deployment.configure(routes);
+    let gateway = deployment.gateways[0].callers();
+    let version = deployment.version();
+    wait_until("the one attempt is in force", || {
+        deployment.gateways[0].log().iter().any(|line| {
+            let attributes = &line["attributes"];
+            line["message"] == "configuration in force"
+                && attributes["version"] == version.to_string()
+        })
+    });
+    let before = engine.runs().len();
+    engine.set_script(Script::always(Answer::Ends));
+    let reply = call_post("/chat/x", "r-1", "prompt")
+        .send(gateway)
+        .expect("an answer");
+    assert_eq!(engine.runs().len() - before, 1);
+    assert_eq!(reply.status, 502);
+}
+
 #[test]
 fn turns_of_a_program_that_is_late_go_behind_others() {
     let deployment = Deployment::started(PROGRAM, 1, 0);
