A few gateways watch the store and tell the others

Change: in a fleet above 12 gateways two of each zone (six at least) watch; who takes in something newer tells eight nodes at once, which fetch just what they lack (EngineTable::changes_since). A node whose configuration nobody confirmed for 0.6 to 0.8 of the bound watches by itself. Members are learned from seeds, the store's list is the last resort.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -240,10 +240,8 @@
 
 impl PeerService for Gateway {
     fn on_request(&self, request: PeerRequest, reply: oneshot::Sender<PeerReply>) {
-        let answer = match request {
-            PeerRequest::FetchView => PeerReply::View(self.node.view.snapshot()),
-            PeerRequest::Replica { .. } => PeerReply::Unsupported,
-        };
+        let answer = self.node.answer(request);
+        let answer = answer.unwrap_or(PeerReply::Unsupported);
         // Whoever asked may have given up.
         let _ = reply.send(answer);
     }
--- a/crates/gateway/tests/tidying.rs
+++ b/crates/gateway/tests/tidying.rs
@@ -28,6 +28,7 @@
 [bounds]
 grace_s = 8
 contact_ms = 3000
+configuration_ms = 2000
 lost_machines = 1
 "#;
 
--- /dev/null
+++ b/crates/node/tests/resident_fleet.rs
@@ -0,0 +1,120 @@
+//! A fleet in which a few gateways watch the store and tell the others.
+
+use std::time::{Duration, Instant};
+
+use ridgeworks_platform_stand_ins::client::call_get;
+use ridgeworks_platform_stand_ins::deployment::{Deployment, Process, routes, wait_until};
+use ridgeworks_platform_stand_ins::{Answer, EngineStandIn, Script};
+use serde_json::json;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_ridgeworksd");
+/// More than all of which watch.
+const GATEWAYS: u8 = 18;
+/// Two in each of three zones.
+const WATCHERS: usize = 6;
+/// The bound on configurations in the stand-in's settings.
+const BOUND: Duration = Duration::from_secs(2);
+
+fn ok() -> Script {
+    Script::always(Answer::Whole("fine".to_owned()))
+}
+
+fn status(gateway: &Process, path: &str) -> u16 {
+    let reply = call_get(path, "r").send(gateway.callers());
+    reply.map_or(0, |reply| reply.status)
+}
+
+/// Whether a gateway watches the store, as its log says.
+fn watches(gateway: &Process) -> bool {
+    let log = gateway.log();
+    let mut decisions = log
+        .iter()
+        .filter(|line| line["message"] == "watching the platform store changed");
+    let last = decisions.next_back();
+    last.is_some_and(|line| line["attributes"]["watches"] == "true")
+}
+
+fn watching(deployment: &Deployment) -> Vec<usize> {
+    let gateways = deployment.gateways.iter().enumerate();
+    let watching = gateways.filter(|(_, gateway)| watches(gateway));
+    watching.map(|(index, _)| index).collect()
+}
+
+fn fleet() -> (Deployment, EngineStandIn) {
+    let deployment = Deployment::started(PROGRAM, GATEWAYS, 1);
+    let engine = deployment.engine("tools", "i-1", ok());
+    wait_until("all serve", || {
+        let gateways = &deployment.gateways;
+        gateways
+            .iter()
+            .all(|gateway| status(gateway, "/tool/x") == 200)
+    });
+    wait_until("a few watch", || watching(&deployment).len() == WATCHERS);
+    (deployment, engine)
+}
+
+fn move_routes(deployment: &mut Deployment, prefix: &str) {
+    let mut routes = routes();
+    routes[0]["path_prefix"] = json!(prefix);
+    deployment.configure(routes);
+}
+
+#[test]
+fn a_few_watch_and_all_follow_them_in_time() {
+    let (mut deployment, engine) = fleet();
+    let calls = deployment.store.calls();
+    let began = Instant::now();
+    move_routes(&mut deployment, "/moved/");
+    let next = deployment.engine("tools", "i-2", ok());
+    let entry = engine.entry("tools", "draining");
+    deployment.store.put("servers", "i-1", entry);
+    wait_until("all serve the new route", || {
+        let gateways = &deployment.gateways;
+        gateways
+            .iter()
+            .all(|gateway| status(gateway, "/moved/x") == 200)
+    });
+    assert!(began.elapsed() < BOUND, "{:?}", began.elapsed());
+    std::thread::sleep(BOUND.saturating_sub(began.elapsed()));
+    let before = engine.runs().len();
+    for gateway in &deployment.gateways {
+        assert_eq!(status(gateway, "/moved/x"), 200);
+    }
+    assert_eq!(
+        engine.runs().len(),
+        before,
+        "an engine that leaves got work"
+    );
+    assert!(next.runs().len() >= usize::from(GATEWAYS));
+    // Two kinds, one answer for each change, and one in 0.8 s that nothing changed.
+    let made = deployment.store.calls() - calls;
+    assert!(made < 60, "{made} calls");
+}
+
+#[test]
+fn when_all_watchers_die_others_take_over_within_the_bound() {
+    let (mut deployment, _engine) = fleet();
+    // Ends the watches that nodes made at their start.
+    move_routes(&mut deployment, "/first/");
+    wait_until("all serve the first change", || {
+        let gateways = &deployment.gateways;
+        gateways
+            .iter()
+            .all(|gateway| status(gateway, "/first/x") == 200)
+    });
+    let watchers = watching(&deployment);
+    for index in &watchers {
+        deployment.gateways[*index].kill();
+    }
+    let began = Instant::now();
+    move_routes(&mut deployment, "/moved/");
+    let left: Vec<&Process> = (0..deployment.gateways.len())
+        .filter(|index| !watchers.contains(index))
+        .map(|index| &deployment.gateways[index])
+        .collect();
+    wait_until("the others serve the new route", || {
+        left.iter()
+            .all(|gateway| status(gateway, "/moved/x") == 200)
+    });
+    assert!(began.elapsed() < BOUND, "{:?}", began.elapsed());
+}
--- a/crates/node/tests/resident_lifecycle.rs
+++ b/crates/node/tests/resident_lifecycle.rs
@@ -169,7 +169,8 @@
 
 #[test]
 fn a_long_list_of_engines_is_read_to_its_end() {
-    let deployment = Deployment::started(PROGRAM, 1, 0);
+    let mut deployment = Deployment::new(PROGRAM);
+    deployment.configure(routes());
     for number in 0..120 {
         let entry = json!({"service": "tools", "address": "127.0.0.1:9", "zone": "z",
             "slots": 1, "state": "draining", "seq": 1});
@@ -178,7 +179,7 @@
             .put("servers", &format!("a-{number:03}"), entry);
     }
     let _engine = deployment.engine("tools", "z-last", ok());
-    let mut deployment = deployment;
+    // The only gateway, which nobody but the store can tell of engines.
     let gateway = {
         let gateway = deployment.add_gateway();
         gateway.start();
--- a/crates/node/tests/resident_requests.rs
+++ b/crates/node/tests/resident_requests.rs
@@ -256,12 +256,11 @@
     routes[2]["max_attempts"] = serde_json::json!(1);
     deployment.configure(routes);
     let gateway = deployment.gateways[0].callers();
-    let version = deployment.version();
+    let version = deployment.version().to_string();
     wait_until("the one attempt is in force", || {
         deployment.gateways[0].log().iter().any(|line| {
             let attributes = &line["attributes"];
-            line["message"] == "configuration in force"
-                && attributes["version"] == version.to_string()
+            line["message"] == "configuration in force" && attributes["version"] == version.as_str()
         })
     });
     let before = engine.runs().len();
--- a/crates/replica/src/handle.rs
+++ b/crates/replica/src/handle.rs
@@ -110,17 +110,15 @@
 
 impl PeerService for ReplicaHandle {
     fn on_request(&self, request: PeerRequest, reply: oneshot::Sender<PeerReply>) {
-        match request {
-            PeerRequest::FetchView => {
-                // Whoever asked may have given up.
-                let _ = reply.send(PeerReply::View(self.node.view.snapshot()));
-            }
-            PeerRequest::Replica { to, request } => {
-                self.metrics.requests.inc();
-                call!([self.actor], request(to, request, reply));
-                self.actors.wake();
-            }
+        if let PeerRequest::Replica { to, request } = request {
+            self.metrics.requests.inc();
+            call!([self.actor], request(to, request, reply));
+            self.actors.wake();
+            return;
         }
+        let answer = self.node.answer(request);
+        // Whoever asked may have given up.
+        let _ = reply.send(answer.unwrap_or(PeerReply::Unsupported));
     }
 }
 
--- a/crates/replica/src/role.rs
+++ b/crates/replica/src/role.rs
@@ -15,6 +15,7 @@
 use ridgeworks_resident::process::{RoleError, run_until_stopped, serve_metrics};
 use ridgeworks_resident::settings::NodeSettings;
 use ridgeworks_resident::shutdown::Orders;
+use ridgeworks_resident::watch_duty::DutySignal;
 use ridgeworks_resident::watching::follow;
 use stakker::{ActorOwn, actor, ret_nop};
 use tokio::sync::mpsc;
@@ -53,7 +54,8 @@
     serve_metrics(&node, registry, move || updated.update_gauges()).await?;
     let retirements = Retirements::default();
     let store = Rc::clone(&node.store);
-    let following = follow(store, ObjectKind::Retirements, retirements.clone());
+    let always = Rc::new(DutySignal::new(true));
+    let following = follow(store, ObjectKind::Retirements, retirements.clone(), always);
     tokio::task::spawn_local(following);
     tokio::task::spawn_local(Rc::clone(&replica).pass_sets());
     tokio::task::spawn_local(copying::run(Rc::clone(&replica)));
--- a/crates/replica/tests/actor.rs
+++ b/crates/replica/tests/actor.rs
@@ -51,7 +51,7 @@
             folder: folder.to_owned(),
             node_name: NODE.to_owned(),
             max_turn_bytes: MAX_TURN_BYTES,
-            view: Rc::new(View::new(Clock::start())),
+            view: Rc::new(View::new(Clock::start(), false)),
             metrics: Rc::new(ReplicaMetrics::register(&mut Registry::default())),
             news: sender,
             status: Rc::clone(&status),
--- a/crates/resident/src/lib.rs
+++ b/crates/resident/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod shutdown;
 pub mod store_client;
 pub mod view;
+pub mod watch_duty;
 pub mod watching;
--- a/crates/resident/src/node.rs
+++ b/crates/resident/src/node.rs
@@ -16,16 +16,27 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Clock;
-use crate::peer::{Gossip, GossipSources, MemberInfo, PeerLinks, PeerService, fetch_view};
+use crate::peer::{
+    Gossip, GossipSources, MemberInfo, PeerLinks, PeerReply, PeerRequest, PeerService,
+    fetch_members, fetch_view,
+};
 use crate::settings::{NodeSettings, Role};
 use crate::store_client::StoreClient;
 use crate::view::{Source, View};
+use crate::watch_duty::{DutySignal, WatchDuty, place};
 use crate::watching::{Follower, follow, list_once};
 
 /// Name of the object that holds the replica set.
 pub const REPLICA_SET_NAME: &str = "main";
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 const REGISTER_PAUSE: Duration = Duration::from_millis(300);
+/// How often it is decided whether a node watches the store; four times as often in its first second.
+const DUTY_PAUSE: Duration = Duration::from_millis(100);
+const DUTY_START: Duration = Duration::from_secs(1);
+/// How long a node waits for others to be heard before it looks for them in the store.
+const MEMBERS_PATIENCE: Duration = Duration::from_millis(1_500);
+/// How often a gateway that others tell of changes looks for the replica set itself.
+const REPLICA_SET_PAUSE: Duration = Duration::from_secs(3);
 const SEED_PAUSE: Duration = Duration::from_millis(100);
 
 /// What one process shares among its parts.
@@ -42,6 +53,8 @@
     pub links: Rc<PeerLinks>,
     /// Heartbeats.
     pub gossip: Rc<Gossip>,
+    /// Whether this node follows the store itself.
+    pub duty: Rc<DutySignal>,
     /// The settings as they were last read.
     reloaded: RefCell<NodeSettings>,
     settings_unreadable: Cell<bool>,
@@ -59,11 +72,21 @@
 impl Node {
     /// Binds the node's own sockets.
     pub async fn bind(settings: NodeSettings, clock: Clock) -> io::Result<Rc<Self>> {
-        let view = Rc::new(View::new(clock));
+        let is_gateway = settings.role == Role::Gateway;
+        let view = Rc::new(View::new(clock, is_gateway));
+        let duty = Rc::new(DutySignal::new(false));
         let links = Rc::new(PeerLinks::default());
         let seeds = settings.seed_peers();
         let me = member_info(&settings);
-        let gossip = Gossip::bind(me, seeds, clock, Rc::clone(&view), Rc::clone(&links)).await?;
+        let gossip = Gossip::bind(
+            me,
+            seeds,
+            clock,
+            Rc::clone(&view),
+            Rc::clone(&links),
+            Rc::clone(&duty),
+        );
+        let gossip = gossip.await?;
         Ok(Rc::new(Self {
             store: Rc::new(StoreClient::new(settings.platform.store)),
             gossip: Rc::new(gossip),
@@ -73,6 +96,7 @@
             clock,
             view,
             links,
+            duty,
         }))
     }
 
@@ -94,15 +118,57 @@
         Ok(())
     }
 
-    /// Follows the configuration and the engines.
+    /// Follows the configuration and the engines, from the store or from other nodes.
     pub fn follow_traffic(self: &Rc<Self>) {
+        tokio::task::spawn_local(Rc::clone(self).decide_duty());
         let configuration = ConfigurationFollower(Rc::clone(&self.view));
-        let store = Rc::clone(&self.store);
-        let kind = ObjectKind::Configuration;
-        tokio::task::spawn_local(follow(store, kind, configuration));
+        self.follow(ObjectKind::Configuration, configuration);
         let engines = EngineFollower(Rc::clone(&self.view));
+        self.follow(ObjectKind::Engines, engines);
+    }
+
+    fn follow(&self, kind: ObjectKind, follower: impl Follower + 'static) {
         let store = Rc::clone(&self.store);
-        tokio::task::spawn_local(follow(store, ObjectKind::Engines, engines));
+        let duty = Rc::clone(&self.duty);
+        tokio::task::spawn_local(follow(store, kind, follower, duty));
+    }
+
+    /// Answers what every role answers alike; gives other requests back.
+    pub fn answer(&self, request: PeerRequest) -> Result<PeerReply, PeerRequest> {
+        match request {
+            PeerRequest::FetchView(known) => Ok(PeerReply::View(self.view.update_since(&known))),
+            PeerRequest::ListMembers => Ok(PeerReply::Members(self.gossip.known())),
+            other => Err(other),
+        }
+    }
+
+    /// Decides again and again whether this node watches the store.
+    async fn decide_duty(self: Rc<Self>) {
+        let bound = self.settings.bounds.configuration();
+        let mut duty = WatchDuty::new(&self.settings.name, bound);
+        loop {
+            let now = self.clock.now();
+            let members = self.gossip.members();
+            let place = place(&self.settings.name, &self.settings.zone, &members, now);
+            let unconfirmed = self.view.unconfirmed_for();
+            let is_due = duty.is_due(now, place, unconfirmed);
+            if self.duty.set(is_due, duty.wait(place)) {
+                log::info!(
+                    target: "belief",
+                    watches = is_due,
+                    place:? = place,
+                    nodes_known = members.len(),
+                    unconfirmed_ms:? = unconfirmed.map(|age| age.as_millis());
+                    "watching the platform store changed"
+                );
+            }
+            let pause = if now < DUTY_START {
+                DUTY_PAUSE / 4
+            } else {
+                DUTY_PAUSE
+            };
+            tokio::time::sleep(pause).await;
+        }
     }
 
     /// Reads the settings file again, and takes over what may change while the process runs. Says so
@@ -177,9 +243,20 @@
         }
     }
 
+    /// Learns of the other nodes from the seeds, and from the store where the seeds know nobody.
     async fn learn_members(self: Rc<Self>) {
+        let begun = self.clock.now();
         loop {
-            if let Some(objects) = list_once(&self.store, ObjectKind::Members).await {
+            for seed in self.settings.seed_peers() {
+                let known = fetch_members(&self.links, seed).await;
+                self.gossip.add_known(known);
+            }
+            if self.gossip.members().len() > self.settings.seeds.len() {
+                return;
+            }
+            if self.clock.now() - begun > MEMBERS_PATIENCE
+                && let Some(objects) = list_once(&self.store, ObjectKind::Members).await
+            {
                 let nodes = objects.iter().filter_map(MemberRecord::read);
                 self.gossip.add_known(nodes.collect());
                 return;
@@ -188,13 +265,16 @@
         }
     }
 
+    /// Gateways of a large fleet leave it to the watchers among them; replicas have to see the register.
     async fn learn_replica_set(self: Rc<Self>) {
+        let is_replica = self.settings.role == Role::Replica;
+        let mut asked_at = Duration::ZERO;
         while self.view.replica_set().is_none() {
-            if matches!(
-                self.read_replica_set().await,
-                Some(RegisteredSet::Found { .. })
-            ) {
-                return;
+            let now = self.clock.now();
+            let is_late = now - asked_at > REPLICA_SET_PAUSE;
+            if is_replica || self.duty.is_due() || is_late {
+                asked_at = now;
+                self.read_replica_set().await;
             }
             pause_about(REGISTER_PAUSE).await;
         }
@@ -319,7 +399,7 @@
         for event in events {
             if event.gone {
                 let Object { name, revision, .. } = &event.object;
-                self.0.remove_engine(name, *revision, Source::Store);
+                self.0.remove_engine(name, *revision, at, Source::Store);
             } else if let Ok(entry) = read_engine(&event.object) {
                 self.0.adopt_engine(entry, Source::Store);
             }
@@ -328,4 +408,10 @@
     }
 
     fn on_contact(&self, _reached: bool) {}
+
+    fn told_up_to(&self) -> Option<u64> {
+        self.0
+            .engines_known()
+            .then(|| self.0.with_engines(|engines| engines.at()))
+    }
 }
--- a/crates/resident/src/peer/gossip.rs
+++ b/crates/resident/src/peer/gossip.rs
@@ -21,6 +21,7 @@
 };
 use crate::clock::Clock;
 use crate::view::View;
+use crate::watch_duty::{DutySignal, SMALL_FLEET};
 
 const INTERVAL: Duration = Duration::from_millis(250);
 /// Nodes that get a heartbeat at each interval, beside the replicas.
@@ -33,6 +34,8 @@
 /// Engines named in a heartbeat, so that it fits one packet.
 const MAX_LOAD_ENTRIES: usize = 56;
 const MAX_DATAGRAM: usize = 8 * 1024;
+/// Pause before news are told, so that those of a moment go out together.
+const NEWS_GATHERING: Duration = Duration::from_millis(5);
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
 /// Engines that another node knows newer are fetched only if they stay newer for so long: the store
 /// tells most nodes at about the same time.
@@ -61,6 +64,7 @@
     fetching: Rc<Cell<bool>>,
     engines_behind_since: Cell<Option<Duration>>,
     next_target: Cell<usize>,
+    duty: Rc<DutySignal>,
 }
 
 impl Gossip {
@@ -71,6 +75,7 @@
         clock: Clock,
         view: Rc<View>,
         links: Rc<PeerLinks>,
+        duty: Rc<DutySignal>,
     ) -> io::Result<Self> {
         let socket = UdpSocket::bind(me.address).await?;
         Ok(Self {
@@ -85,10 +90,11 @@
             fetching: Rc::default(),
             engines_behind_since: Cell::new(None),
             next_target: Cell::new(rand::rng().random_range(0..1_024)),
+            duty,
         })
     }
 
-    /// Takes in nodes that the store lists.
+    /// Takes in nodes that others have heard of.
     pub fn add_known(&self, nodes: Vec<MemberInfo>) {
         let now = self.clock.now();
         let others = nodes.into_iter().filter(|node| node.name != self.me.name);
@@ -107,14 +113,32 @@
         self.members.borrow().iter().cloned().collect()
     }
 
+    /// Who the other nodes and this one are, for a node that asks.
+    pub fn known(&self) -> Vec<MemberInfo> {
+        let members = self.members.borrow();
+        let others = members.iter().map(|member| member.info.clone());
+        others.chain([self.me.clone()]).collect()
+    }
+
     /// Exchanges heartbeats until the process ends.
     pub async fn run(self: Rc<Self>, sources: Rc<impl GossipSources>) {
         let mut ticks = tokio::time::interval(INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut buffer = vec![0; MAX_DATAGRAM];
+        let mut changes = self.view.changes();
+        let mut news_due = std::pin::pin!(tokio::time::sleep(Duration::ZERO));
+        let mut has_news = false;
         loop {
             tokio::select! {
                 _ = ticks.tick() => self.send_round(&*sources).await,
+                changed = changes.changed(), if !has_news => if changed.is_ok() {
+                    has_news = true;
+                    news_due.as_mut().reset(tokio::time::Instant::now() + NEWS_GATHERING);
+                },
+                () = news_due.as_mut(), if has_news => {
+                    has_news = false;
+                    self.send_news(&*sources).await;
+                }
                 received = self.socket.recv_from(&mut buffer) => {
                     if let Ok((length, from)) = received {
                         self.on_datagram(&buffer[..length], from, &*sources).await;
@@ -126,7 +150,26 @@
 
     async fn send_round(&self, sources: &impl GossipSources) {
         self.members.borrow_mut().forget_silent(self.clock.now());
-        let targets = self.targets();
+        self.send_to(self.targets(), sources).await;
+    }
+
+    /// Tells a few nodes at once that something is newer here. They fetch it and tell others, so that a
+    /// large fleet knows long before everybody's turn for a heartbeat has come. In a small one
+    /// everybody hears from the store itself.
+    async fn send_news(&self, sources: &impl GossipSources) {
+        let targets: Vec<SocketAddr> = {
+            let members = self.members.borrow();
+            if members.len() < SMALL_FLEET {
+                return;
+            }
+            let all: Vec<&Member> = members.iter().collect();
+            let some = all.sample(&mut rand::rng(), FAN_OUT);
+            some.map(|member| member.info.address).collect()
+        };
+        self.send_to(targets, sources).await;
+    }
+
+    async fn send_to(&self, targets: Vec<SocketAddr>, sources: &impl GossipSources) {
         if targets.is_empty() {
             return;
         }
@@ -169,7 +212,7 @@
             incarnation: self.incarnation,
             version: self.view.version(),
             unconfirmed_ms: self.view.unconfirmed_for().map(whole_ms),
-            engines_at: self.view.with_engines(|engines| engines.at()),
+            engines_newest: self.view.with_engines(|engines| engines.newest()),
             epoch: self.view.epoch(),
             replica: sources.replica(),
             load,
@@ -233,10 +276,11 @@
         if self.me.is_replica {
             return false;
         }
-        if heartbeat.engines_at <= self.view.with_engines(|engines| engines.at()) {
+        if heartbeat.engines_newest <= self.view.with_engines(|engines| engines.at()) {
+            self.engines_behind_since.set(None);
             return false;
         }
-        if !self.view.engines_known() {
+        if !self.view.engines_known() || !self.duty.is_due() {
             return true;
         }
         let since = self.engines_behind_since.get().unwrap_or(now);
@@ -266,14 +310,24 @@
 
 /// Fetches a node's view and takes it in; says whether the node answered.
 pub async fn fetch_view(links: &PeerLinks, view: &View, from: SocketAddr) -> bool {
-    let reply = links
-        .call(from, PeerRequest::FetchView, FETCH_TIMEOUT)
-        .await;
+    let request = PeerRequest::FetchView(view.position());
+    let reply = links.call(from, request, FETCH_TIMEOUT).await;
     match reply {
-        Ok(PeerReply::View(snapshot)) => {
-            view.adopt_snapshot(snapshot);
+        Ok(PeerReply::View(update)) => {
+            view.adopt_update(update);
             true
         }
         _ => false,
     }
 }
+
+/// Asks a node which others it has heard of; nobody when it does not answer.
+pub async fn fetch_members(links: &PeerLinks, from: SocketAddr) -> Vec<MemberInfo> {
+    let reply = links
+        .call(from, PeerRequest::ListMembers, FETCH_TIMEOUT)
+        .await;
+    match reply {
+        Ok(PeerReply::Members(members)) => members,
+        _ => Vec::new(),
+    }
+}
--- a/crates/resident/src/peer/message.rs
+++ b/crates/resident/src/peer/message.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use ridgeworks_records::{Epoch, ReplicaId, ReplicaReply, ReplicaRequest, ReplicaSet};
-use ridgeworks_routing::{EngineEntry, RouteConfiguration};
+use ridgeworks_routing::{EngineChanges, RouteConfiguration};
 use rkyv::api::high::{HighDeserializer, HighSerializer, HighValidator};
 use rkyv::bytecheck::CheckBytes;
 use rkyv::rancor::Error;
@@ -27,8 +27,10 @@
         /// The request.
         request: ReplicaRequest,
     },
-    /// Asks for all that the node believes of the deployment.
-    FetchView,
+    /// Asks for what the node knows of the deployment that is newer than this.
+    FetchView(ViewPosition),
+    /// Asks which nodes it has heard of.
+    ListMembers,
 }
 
 /// What a node answers.
@@ -36,25 +38,47 @@
 pub enum PeerReply {
     /// From the replica.
     Replica(ReplicaReply),
-    /// What the node believes.
-    View(ViewSnapshot),
+    /// What the node knows.
+    View(ViewUpdate),
+    /// Nodes that it has heard of.
+    Members(Vec<MemberInfo>),
     /// The node's role does not answer this.
     Unsupported,
 }
 
-/// All that a node believes of the deployment.
+/// How far a node knows the deployment.
 #[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
-pub struct ViewSnapshot {
-    /// The configuration in force.
+pub struct ViewPosition {
+    /// Version of its configuration, 0 when it has none.
+    pub version: u64,
+    /// What it knows of the engines.
+    pub engines: KnownEngines,
+    /// Epoch of its newest replica set.
+    pub epoch: Epoch,
+}
+
+/// How far a node knows the engines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub enum KnownEngines {
+    /// It has no use for them.
+    Unwanted,
+    /// It has seen no list.
+    Nothing,
+    /// All changes up to this revision.
+    UpTo(u64),
+}
+
+/// What one node knows of the deployment and another one does not.
+#[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct ViewUpdate {
+    /// A newer configuration.
     pub configuration: Option<RouteConfiguration>,
-    /// The engines.
-    pub engines: Vec<EngineEntry>,
-    /// Revision up to which the engines are complete.
-    pub engines_at: u64,
-    /// Whether the node has seen a list of engines.
-    pub engines_known: bool,
-    /// The newest replica set.
+    /// Changes of the engines; `None` when the node has seen no list or none are wanted.
+    pub engines: Option<EngineChanges>,
+    /// A newer replica set.
     pub replica_set: Option<ReplicaSet>,
+    /// Milliseconds since the store last confirmed the node's configuration; `None` when it never did.
+    pub unconfirmed_ms: Option<u64>,
 }
 
 /// A request or reply with the number that joins them.
@@ -99,8 +123,8 @@
     pub version: u64,
     /// Milliseconds since the store last confirmed that version; `None` when it never did.
     pub unconfirmed_ms: Option<u64>,
-    /// Revision up to which it knows the engines.
-    pub engines_at: u64,
+    /// Revision of the newest change of the engines that it knows.
+    pub engines_newest: u64,
     /// Epoch of the newest replica set that it knows.
     pub epoch: Epoch,
     /// Its replica, if it runs one.
--- a/crates/resident/src/peer/mod.rs
+++ b/crates/resident/src/peer/mod.rs
@@ -6,12 +6,12 @@
 mod message;
 mod server;
 
-pub use gossip::{Gossip, GossipSources, fetch_view};
+pub use gossip::{Gossip, GossipSources, fetch_members, fetch_view};
 pub use links::{LinkError, PeerLinks};
 pub use members::{Member, Members};
 pub use message::{
-    Envelope, Heartbeat, MemberInfo, MessageError, PeerReply, PeerRequest, ReplicaStatus,
-    ViewSnapshot, decode, encode,
+    Envelope, Heartbeat, KnownEngines, MemberInfo, MessageError, PeerReply, PeerRequest,
+    ReplicaStatus, ViewPosition, ViewUpdate, decode, encode,
 };
 pub use server::{PeerService, serve};
 
--- a/crates/resident/src/settings.rs
+++ b/crates/resident/src/settings.rs
@@ -69,6 +69,8 @@
     pub grace_s: f64,
     /// Undisturbed time after which a node counts as in touch, in milliseconds.
     pub contact_ms: f64,
+    /// Time within which a configuration has to be in force everywhere, in milliseconds.
+    pub configuration_ms: f64,
     /// Machines with a disk that may be lost at once.
     pub lost_machines: u32,
 }
@@ -79,6 +81,11 @@
         2 * self.lost_machines.max(1) as usize + 1
     }
 
+    /// Time within which a configuration has to be in force everywhere.
+    pub fn configuration(&self) -> Duration {
+        Duration::from_secs_f64(self.configuration_ms / 1_000.0)
+    }
+
     /// Time from the order to stop until the process is killed.
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.grace_s)
@@ -239,6 +246,9 @@
         check(bad_grace, SettingsFault::Time("bounds.grace_s"));
         let bad_contact = !is_time(self.bounds.contact_ms);
         check(bad_contact, SettingsFault::Time("bounds.contact_ms"));
+        let configuration_ms = self.bounds.configuration_ms;
+        let bad_bound = !is_time(configuration_ms) || configuration_ms == 0.0;
+        check(bad_bound, SettingsFault::Time("bounds.configuration_ms"));
         if let Some(text) = &self.listen.metrics {
             let unreadable = parse_metrics(text).is_none();
             check(unreadable, SettingsFault::MetricsAddress(text.clone()));
--- a/crates/resident/src/view.rs
+++ b/crates/resident/src/view.rs
@@ -8,11 +8,11 @@
 use std::time::Duration;
 
 use ridgeworks_records::{Epoch, ReplicaSet};
-use ridgeworks_routing::{EngineEntry, EngineTable, RouteConfiguration, RouteTable};
+use ridgeworks_routing::{EngineChanges, EngineEntry, EngineTable, RouteConfiguration, RouteTable};
 use tokio::sync::watch;
 
 use crate::clock::Clock;
-use crate::peer::ViewSnapshot;
+use crate::peer::{KnownEngines, ViewPosition, ViewUpdate};
 
 /// Who told a part of the view.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -36,6 +36,8 @@
 #[derive(Debug)]
 pub struct View {
     clock: Clock,
+    /// Whether the node has a use for engines.
+    follows_engines: bool,
     configuration: RefCell<Option<RouteConfiguration>>,
     routes: RefCell<Option<Rc<RouteTable>>>,
     engines: RefCell<EngineTable>,
@@ -48,9 +50,10 @@
 
 impl View {
     /// A view that knows nothing.
-    pub fn new(clock: Clock) -> Self {
+    pub fn new(clock: Clock, follows_engines: bool) -> Self {
         Self {
             clock,
+            follows_engines,
             configuration: RefCell::default(),
             routes: RefCell::default(),
             engines: RefCell::default(),
@@ -158,9 +161,13 @@
         }
     }
 
-    /// Takes in that an engine is gone.
-    pub fn remove_engine(&self, instance: &str, revision: u64, source: Source) {
-        if self.engines.borrow_mut().remove(instance, revision) {
+    /// Takes in that an engine is gone, from somebody who knows all changes up to `told_at`.
+    pub fn remove_engine(&self, instance: &str, revision: u64, told_at: u64, source: Source) {
+        let removed = self
+            .engines
+            .borrow_mut()
+            .remove(instance, revision, told_at);
+        if removed {
             log::info!(
                 target: "belief",
                 engine = instance,
@@ -194,31 +201,80 @@
         self.announce();
     }
 
-    /// All that is known, for another node.
-    pub fn snapshot(&self) -> ViewSnapshot {
-        let engines = self.engines.borrow();
-        ViewSnapshot {
-            configuration: self.configuration.borrow().clone(),
-            engines: engines.entries(),
-            engines_at: engines.at(),
-            engines_known: self.engines_known.get(),
-            replica_set: self.replica_set.borrow().clone(),
+    /// How far this node knows the deployment.
+    pub fn position(&self) -> ViewPosition {
+        let engines = if !self.follows_engines {
+            KnownEngines::Unwanted
+        } else if self.engines_known.get() {
+            KnownEngines::UpTo(self.engines.borrow().at())
+        } else {
+            KnownEngines::Nothing
+        };
+        ViewPosition {
+            version: self.version(),
+            engines,
+            epoch: self.epoch(),
+        }
+    }
+
+    /// What another node lacks that knows the deployment this far.
+    pub fn update_since(&self, known: &ViewPosition) -> ViewUpdate {
+        let configuration = self.configuration.borrow();
+        let configuration = configuration
+            .as_ref()
+            .filter(|configuration| configuration.version > known.version);
+        let engines = match known.engines {
+            _ if !self.engines_known.get() => None,
+            KnownEngines::Unwanted => None,
+            KnownEngines::Nothing => Some(self.engines.borrow().changes_since(0)),
+            KnownEngines::UpTo(at) => Some(self.engines.borrow().changes_since(at)),
+        };
+        let replica_set = self.replica_set.borrow();
+        let replica_set = replica_set.as_ref().filter(|set| set.epoch > known.epoch);
+        ViewUpdate {
+            configuration: configuration.cloned(),
+            engines,
+            replica_set: replica_set.cloned(),
+            unconfirmed_ms: self.unconfirmed_for().map(whole_ms),
         }
     }
 
     /// Takes in what another node knows.
-    pub fn adopt_snapshot(&self, snapshot: ViewSnapshot) {
-        if let Some(configuration) = snapshot.configuration {
+    pub fn adopt_update(&self, update: ViewUpdate) {
+        let ViewUpdate {
+            configuration,
+            engines,
+            replica_set,
+            unconfirmed_ms,
+        } = update;
+        if let Some(configuration) = configuration {
+            let version = configuration.version;
             self.adopt_configuration(configuration, Source::Peer);
+            let age = unconfirmed_ms.filter(|_| version == self.version());
+            if let Some(age) = age {
+                self.confirm_as_of(Duration::from_millis(age));
+            }
         }
-        if snapshot.engines_known {
-            self.adopt_engines(snapshot.engines, snapshot.engines_at, Source::Peer);
+        if let Some(engines) = engines {
+            self.adopt_engine_changes(engines, Source::Peer);
         }
-        if let Some(set) = snapshot.replica_set {
+        if let Some(set) = replica_set {
             self.adopt_replica_set(set, Source::Peer);
         }
     }
 
+    fn adopt_engine_changes(&self, changes: EngineChanges, source: Source) {
+        if !self.engines_known.get() && !changes.is_whole {
+            // Changes of a table that this node never had.
+            return;
+        }
+        let changed = self.engines.borrow_mut().take_changes(changes);
+        let first = !self.engines_known.replace(true);
+        if changed || first {
+            self.announce_engines(source);
+        }
+    }
+
     fn announce_engines(&self, source: Source) {
         let engines = self.engines.borrow();
         log::info!(
@@ -236,3 +292,7 @@
         self.changed.send_replace(());
     }
 }
+
+fn whole_ms(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/resident/src/watching.rs
+++ b/crates/resident/src/watching.rs
@@ -11,9 +11,10 @@
 };
 
 use crate::store_client::{StoreClient, StoreFailure};
+use crate::watch_duty::DutySignal;
 
-/// How long a watch waits for a change.
-const WATCH_WAIT: Duration = Duration::from_secs(8);
+/// Pause after changes, so that those of a moment come in one answer.
+const GATHERING: Duration = Duration::from_millis(60);
 /// Time that the store may take beyond the wait.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
@@ -66,18 +67,30 @@
     fn on_events(&self, events: Vec<ObjectEvent>, at: u64);
     /// The store answered, or did not.
     fn on_contact(&self, reached: bool);
+    /// Revision up to which other nodes have told everything, if that is known.
+    fn told_up_to(&self) -> Option<u64> {
+        None
+    }
 }
 
-/// Follows a kind until the process ends.
-pub async fn follow(store: Rc<StoreClient>, kind: ObjectKind, follower: impl Follower) {
+/// Follows a kind whenever it is this node's duty, until the process ends.
+pub async fn follow(
+    store: Rc<StoreClient>,
+    kind: ObjectKind,
+    follower: impl Follower,
+    duty: Rc<DutySignal>,
+) {
     let mut state = Following {
         store,
         kind,
         follower,
+        duty,
         at: None,
+        must_list: false,
         failures: 0,
     };
     loop {
+        state.wait_for_duty().await;
         match state.step().await {
             Ok(()) => state.on_reached(),
             Err(error) => state.on_error(&error).await,
@@ -89,12 +102,23 @@
     store: Rc<StoreClient>,
     kind: ObjectKind,
     follower: F,
+    duty: Rc<DutySignal>,
     /// Revision up to which everything is known; `None` before the first list.
     at: Option<u64>,
+    /// Whether the history since that revision is gone.
+    must_list: bool,
     failures: u32,
 }
 
 impl<F: Follower> Following<F> {
+    /// Other nodes may have told more meanwhile.
+    async fn wait_for_duty(&mut self) {
+        self.duty.wait_until_due().await;
+        if !self.must_list {
+            self.at = self.at.max(self.follower.told_up_to());
+        }
+    }
+
     async fn step(&mut self) -> Result<(), FollowError> {
         match self.at {
             None => self.list_all().await,
@@ -106,16 +130,22 @@
         let (objects, at) = list_objects(&self.store, self.kind).await?;
         self.follower.on_list(objects, at);
         self.at = Some(at);
+        self.must_list = false;
         Ok(())
     }
 
     async fn wait_for_changes(&mut self, at: u64) -> Result<(), FollowError> {
-        let call = watch(self.kind, at, WATCH_WAIT);
-        let timeout = WATCH_WAIT + ANSWER_TIMEOUT;
+        let wait = self.duty.wait();
+        let call = watch(self.kind, at, wait);
+        let timeout = wait + ANSWER_TIMEOUT;
         let body = call_store(&self.store, call, timeout).await?;
         let batch = read_watch(&body)?;
         self.at = Some(batch.at.max(at));
+        let has_changes = !batch.events.is_empty();
         self.follower.on_events(batch.events, batch.at);
+        if has_changes {
+            tokio::time::sleep(GATHERING).await;
+        }
         Ok(())
     }
 
@@ -131,6 +161,7 @@
         if matches!(error, FollowError::Outcome(StoreOutcome::HistoryGone)) {
             log::info!(target: "dependency", kind:? = self.kind; "history gone, listing anew");
             self.at = None;
+            self.must_list = true;
             return;
         }
         if self.failures == 0 {
--- /dev/null
+++ b/crates/resident/tests/watch_duty.rs
@@ -0,0 +1,117 @@
+//! Who watches the store, from what single nodes know.
+
+use std::time::Duration;
+
+use ridgeworks_resident::peer::{Member, MemberInfo};
+use ridgeworks_resident::watch_duty::{Place, WatchDuty, place};
+
+const BOUND: Duration = Duration::from_millis(2_000);
+const LATER: Duration = Duration::from_secs(30);
+
+fn member(number: usize, zones: usize) -> Member {
+    Member {
+        info: MemberInfo {
+            name: format!("gateway-{number}"),
+            address: "127.0.0.1:9".parse().expect("an address"),
+            zone: format!("zone-{}", number % zones),
+            is_replica: false,
+        },
+        known_since: LATER,
+        heard_at: Some(LATER),
+        incarnation: 1,
+        replica: None,
+    }
+}
+
+/// The places of all gateways of a fleet, each knowing all others.
+fn places(gateways: usize, zones: usize) -> Vec<(String, Place)> {
+    let all: Vec<Member> = (0..gateways).map(|number| member(number, zones)).collect();
+    let place_of = |me: &Member| {
+        let others: Vec<Member> = all.iter().filter(|other| *other != me).cloned().collect();
+        let info = &me.info;
+        let found = place(&info.name, &info.zone, &others, LATER);
+        (info.zone.clone(), found)
+    };
+    all.iter().map(place_of).collect()
+}
+
+fn chosen(places: &[(String, Place)]) -> usize {
+    let chosen = places.iter().filter(|(_, place)| *place == Place::Chosen);
+    chosen.count()
+}
+
+#[test]
+fn in_a_small_fleet_all_watch() {
+    let places = places(8, 3);
+    assert!(places.iter().all(|(_, place)| *place == Place::All));
+}
+
+#[test]
+fn in_a_large_fleet_as_many_watch_however_large_it_is() {
+    for gateways in [30, 79, 300, 1_000] {
+        let places = places(gateways, 3);
+        assert_eq!(chosen(&places), 6, "{gateways} gateways");
+        for zone in 0..3 {
+            let zone = format!("zone-{zone}");
+            let of_zone: Vec<_> = places.iter().filter(|one| one.0 == zone).cloned().collect();
+            assert_eq!(chosen(&of_zone), 2, "{gateways} gateways, {zone}");
+        }
+    }
+    assert_eq!(chosen(&places(60, 1)), 6);
+    assert_eq!(chosen(&places(60, 5)), 10);
+}
+
+#[test]
+fn nodes_that_are_silent_for_long_and_replicas_do_not_take_a_place() {
+    let me = member(0, 1);
+    let mut others: Vec<Member> = (1..60).map(|number| member(number, 1)).collect();
+    let long_after = LATER + Duration::from_secs(21);
+    let place_at = |others: &[Member], now| place(&me.info.name, &me.info.zone, others, now);
+    assert_eq!(place_at(&others, long_after), Place::All);
+    for other in &mut others {
+        other.info.is_replica = true;
+    }
+    assert_eq!(place_at(&others, LATER), Place::All);
+}
+
+#[test]
+fn a_node_that_has_heard_of_nothing_asks_the_store_soon_and_not_all_at_once() {
+    let mut first: Vec<Duration> = Vec::new();
+    for number in 0..100 {
+        let mut duty = WatchDuty::new(&format!("gateway-{number}"), BOUND);
+        let asks = (0..1_000).map(Duration::from_millis);
+        let mut asks = asks.filter(|now| duty.is_due(*now, Place::Other, None));
+        first.push(asks.next().expect("it asks"));
+    }
+    assert!(
+        first
+            .iter()
+            .all(|first| *first <= Duration::from_millis(330))
+    );
+    let early = first
+        .iter()
+        .filter(|first| **first < Duration::from_millis(60));
+    assert!((1..25).contains(&early.count()));
+}
+
+#[test]
+fn a_node_whose_knowledge_is_not_confirmed_in_time_watches_for_a_while() {
+    let mut duty = WatchDuty::new("gateway-1", BOUND);
+    let mut is_due = |at: u64, age: u64| {
+        let age = Some(Duration::from_millis(age));
+        duty.is_due(Duration::from_millis(at), Place::Other, age)
+    };
+    assert!(!is_due(5_000, 900));
+    // Well within the bound, and whoever confirms it afterwards.
+    assert!(is_due(6_000, 1_700));
+    assert!(is_due(7_000, 0));
+    assert!(is_due(15_900, 0));
+    assert!(!is_due(16_100, 0));
+}
+
+#[test]
+fn watchers_confirm_often_in_a_large_fleet_only() {
+    let duty = WatchDuty::new("gateway-1", BOUND);
+    assert_eq!(duty.wait(Place::All), Duration::from_secs(8));
+    assert_eq!(duty.wait(Place::Chosen), Duration::from_millis(800));
+}
--- a/crates/routing/src/engine_table.rs
+++ b/crates/routing/src/engine_table.rs
@@ -43,12 +43,47 @@
     pub revision: u64,
 }
 
+/// An engine that is gone.
+#[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct Removal {
+    /// The engine's instance.
+    pub instance: String,
+    /// Revision as of which it is gone.
+    pub revision: u64,
+}
+
+/// What changed in a table of engines since a revision.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct EngineChanges {
+    /// Whether this is the whole table: engines that it does not name are gone.
+    pub is_whole: bool,
+    /// Engines that are new or changed.
+    pub entries: Vec<EngineEntry>,
+    /// Engines that are gone.
+    pub removals: Vec<Removal>,
+    /// Revision up to which nothing is left out.
+    pub at: u64,
+}
+
+/// When an engine was removed.
+#[derive(Debug, Clone, Copy)]
+struct Tombstone {
+    /// Reports up to this revision do not bring the engine back.
+    revision: u64,
+    /// Revision up to which the table was complete when it took the removal in. A removal may be told
+    /// with the revision of the last change before it, so this is what tells others of it.
+    told_at: u64,
+}
+
 /// All engines, by instance.
 #[derive(Debug, Clone, Default)]
 pub struct EngineTable {
     entries: HashMap<String, EngineEntry>,
-    removed: HashMap<String, u64>,
+    removed: HashMap<String, Tombstone>,
     at: u64,
+    /// Changes since older revisions are not known in full.
+    complete_since: u64,
+    newest: u64,
 }
 
 impl EngineTable {
@@ -57,29 +92,94 @@
         self.at
     }
 
+    /// Revision of the newest change in the table, never above [`EngineTable::at`].
+    pub fn newest(&self) -> u64 {
+        self.newest.min(self.at)
+    }
+
+    /// What changed after a revision up to which somebody else's table is complete.
+    pub fn changes_since(&self, revision: u64) -> EngineChanges {
+        if revision < self.complete_since {
+            return EngineChanges {
+                is_whole: true,
+                entries: self.entries(),
+                removals: Vec::new(),
+                at: self.at,
+            };
+        }
+        let changed = self.entries.values();
+        let changed = changed.filter(|entry| entry.revision > revision);
+        let removed = self.removed.iter();
+        let removed = removed.filter(|(_, tombstone)| tombstone.told_at > revision);
+        EngineChanges {
+            is_whole: false,
+            entries: changed.cloned().collect(),
+            removals: removed
+                .map(|(instance, tombstone)| Removal {
+                    instance: instance.clone(),
+                    revision: tombstone.revision,
+                })
+                .collect(),
+            at: self.at,
+        }
+    }
+
+    /// Takes in another table's changes; says whether anything changed here.
+    pub fn take_changes(&mut self, changes: EngineChanges) -> bool {
+        let EngineChanges {
+            is_whole,
+            entries,
+            removals,
+            at,
+        } = changes;
+        if is_whole {
+            return self.replace(entries, at);
+        }
+        let mut changed = false;
+        for entry in entries {
+            changed |= self.apply(entry);
+        }
+        for removal in removals {
+            changed |= self.remove(&removal.instance, removal.revision, at);
+        }
+        self.advance(at);
+        changed
+    }
+
     /// Takes in one entry unless a newer one is known; says whether anything changed.
     pub fn apply(&mut self, entry: EngineEntry) -> bool {
         let instance = entry.engine.instance.clone();
-        let removed = self.removed.get(&instance).copied();
+        let removed = self.removed.get(&instance);
+        let removed = removed.map(|tombstone| tombstone.revision);
         let known = self.entries.get(&instance).map(|known| known.revision);
         if removed.max(known) >= Some(entry.revision) {
             return false;
         }
         self.removed.remove(&instance);
+        self.newest = self.newest.max(entry.revision);
         self.entries.insert(instance, entry);
         true
     }
 
-    /// Removes an engine as of this revision; says whether it was there.
-    pub fn remove(&mut self, instance: &str, revision: u64) -> bool {
+    /// Removes an engine as of this revision, told by somebody who is complete up to `told_at`; says
+    /// whether it was there.
+    pub fn remove(&mut self, instance: &str, revision: u64, told_at: u64) -> bool {
         let known = self.entries.get(instance).map(|known| known.revision);
         if known > Some(revision) {
             return false;
         }
         if self.removed.len() >= MAX_TOMBSTONES {
             self.removed.clear();
+            self.complete_since = told_at;
         }
-        self.removed.insert(instance.to_owned(), revision);
+        let told_at = told_at.max(revision);
+        let earlier = self.removed.get(instance);
+        if earlier.is_some_and(|earlier| earlier.revision >= revision) {
+            return false;
+        }
+        self.newest = self.newest.max(told_at);
+        let tombstone = Tombstone { revision, told_at };
+        self.removed.insert(instance.to_owned(), tombstone);
         self.entries.remove(instance).is_some()
     }
 
@@ -88,6 +188,10 @@
         if at < self.at {
             return false;
         }
+        if self.at == 0 {
+            // What was removed before the first list is not known.
+            self.complete_since = at;
+        }
         let named: std::collections::HashSet<String> = entries
             .iter()
             .map(|entry| entry.engine.instance.clone())
@@ -100,7 +204,7 @@
             .collect();
         let mut changed = !gone.is_empty();
         for instance in gone {
-            self.remove(&instance, at);
+            self.remove(&instance, at, at);
         }
         for entry in entries {
             changed |= self.apply(entry);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -19,7 +19,7 @@
     CallerLimits, ModelEngine, RequestKind, Route, RouteConfiguration, Service, WeightedService,
 };
 pub use engine_health::EngineHealth;
-pub use engine_table::{Engine, EngineEntry, EngineState, EngineTable};
+pub use engine_table::{Engine, EngineChanges, EngineEntry, EngineState, EngineTable, Removal};
 pub use event_stream::{Event, EventSplitter};
 pub use placement::{Demand, Placement};
 pub use refusal::{Refusal, RefusalReason};
--- a/crates/routing/tests/engine_table.rs
+++ b/crates/routing/tests/engine_table.rs
@@ -18,7 +18,7 @@
     assert!(table.apply(entry("i-1", 5)));
     assert!(!table.apply(entry("i-1", 4)));
     assert!(!table.apply(entry("i-1", 5)));
-    assert!(table.remove("i-1", 6));
+    assert!(table.remove("i-1", 6, 6));
     assert!(
         !table.apply(entry("i-1", 5)),
         "a late report brings an engine back"
@@ -30,7 +30,7 @@
 fn a_removal_that_is_older_than_the_entry_is_ignored() {
     let mut table = EngineTable::default();
     table.apply(entry("i-1", 5));
-    assert!(!table.remove("i-1", 4));
+    assert!(!table.remove("i-1", 4, 4));
     assert_eq!(names(&table), ["i-1"]);
 }
 
@@ -44,3 +44,70 @@
     assert!(!table.replace(vec![], 9), "an older list counts");
     assert_eq!(names(&table), ["i-1", "i-new"]);
 }
+
+/// A table that was listed at 10 and has seen changes up to 40 since.
+fn changed_table() -> EngineTable {
+    let mut table = EngineTable::default();
+    let listed = ["i-1", "i-2", "i-3"].map(|instance| entry(instance, 5));
+    table.replace(listed.to_vec(), 10);
+    table.apply(entry("i-4", 20));
+    table.advance(20);
+    // The removal is told with the revision of the last change before it.
+    table.remove("i-1", 5, 30);
+    table.advance(30);
+    table.apply(entry("i-2", 40));
+    table.advance(40);
+    table
+}
+
+#[test]
+fn changes_since_any_revision_make_another_table_the_same() {
+    let source = changed_table();
+    for known in [0, 9, 10, 19, 20, 29, 30, 39, 40] {
+        let mut other = EngineTable::default();
+        if known >= 10 {
+            let listed = ["i-1", "i-2", "i-3"].map(|instance| entry(instance, 5));
+            other.replace(listed.to_vec(), 10);
+        }
+        if known >= 20 {
+            other.apply(entry("i-4", 20));
+        }
+        if known >= 30 {
+            other.remove("i-1", 5, 30);
+        }
+        if known >= 40 {
+            other.apply(entry("i-2", 40));
+        }
+        other.advance(known);
+        let changes = source.changes_since(known);
+        assert_eq!(changes.is_whole, known < 10, "since {known}");
+        other.take_changes(changes);
+        assert_eq!(names(&other), ["i-2", "i-3", "i-4"], "since {known}");
+        assert_eq!((other.at(), other.newest()), (40, 40), "since {known}");
+    }
+}
+
+#[test]
+fn only_what_is_newer_is_passed_on() {
+    let source = changed_table();
+    let changes = source.changes_since(29);
+    assert_eq!(changes.entries, [entry("i-2", 40)]);
+    assert_eq!(changes.removals.len(), 1);
+    let none = source.changes_since(40);
+    assert!(none.entries.is_empty() && none.removals.is_empty());
+    // A table that is complete further, without a newer change, has nothing to fetch.
+    let mut source = source;
+    source.advance(90);
+    assert_eq!((source.at(), source.newest()), (90, 40));
+}
+
+#[test]
+fn changes_that_come_late_bring_nothing_back() {
+    let source = changed_table();
+    let late = source.changes_since(0);
+    let mut other = changed_table();
+    other.remove("i-3", 50, 50);
+    other.advance(50);
+    other.take_changes(late);
+    assert_eq!(names(&other), ["i-2", "i-4"]);
+}
