--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -295,7 +295,3 @@
 fn room_pause() -> Duration {
     ROOM_PAUSE.mul_f64(rand::rng().random_range(0.5..1.5))
 }
-
-fn whole_ms(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/gateway/src/exchange/engine_choice.rs
+++ b/crates/gateway/src/exchange/engine_choice.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
+use ridgeworks_resident::clock::whole_ms;
 use ridgeworks_routing::{Demand, Engine, Refusal, RefusalReason, RequestKind};
 use tokio::time::Instant;
 
-use super::{Exchange, whole_ms};
+use super::Exchange;
 use crate::attempt::AttemptFailure;
 use crate::entry::COME_BACK;
 
--- a/crates/gateway/src/exchange/report.rs
+++ b/crates/gateway/src/exchange/report.rs
@@ -1,9 +1,10 @@
 //! How a request ended, for logs and metrics.
 
+use ridgeworks_resident::clock::whole_ms;
 use ridgeworks_routing::Refusal;
 use tokio::time::Instant;
 
-use super::{Exchange, whole_ms};
+use super::Exchange;
 use crate::entry::age_ms;
 
 /// How a request ended.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,7 +8,7 @@
 use ridgeworks_resident::peer::{
     GossipSources, PeerReply, PeerRequest, PeerService, ReplicaStatus,
 };
-use ridgeworks_routing::{Demand, Engine, Placement, PromptPart, Route, WeightedSplit};
+use ridgeworks_routing::{Demand, Engine, EngineKey, Placement, PromptPart, Route, WeightedSplit};
 use tokio::sync::oneshot;
 
 use crate::engine_pool::EnginePool;
@@ -157,7 +157,7 @@
     /// The engine that should get a request.
     pub fn choose_engine(&self, demand: &Demand<'_>) -> Option<Engine> {
         let now = self.now();
-        let placement = self.placement.borrow();
+        let mut placement = self.placement.borrow_mut();
         self.node
             .view
             .with_engines(|table| placement.choose(table, demand, now).cloned())
@@ -225,7 +225,8 @@
 
 impl GossipSources for Gateway {
     fn load(&self) -> Vec<(u64, u32)> {
-        self.placement.borrow().report()
+        let report = self.placement.borrow().report();
+        report.into_iter().map(|(key, own)| (key.0, own)).collect()
     }
 
     fn replica(&self) -> Option<ReplicaStatus> {
@@ -234,7 +235,9 @@
 
     fn on_load(&self, from: &str, load: Vec<(u64, u32)>) {
         let now = self.now();
-        self.placement.borrow_mut().on_report(from, load, now);
+        let load = load.into_iter().map(|(key, own)| (EngineKey(key), own));
+        let mut placement = self.placement.borrow_mut();
+        placement.on_report(from, load.collect(), now);
     }
 }
 
--- a/crates/node/tests/resident_requests.rs
+++ b/crates/node/tests/resident_requests.rs
@@ -212,8 +212,19 @@
     let first = deployment.engine("models", "i-1", breaks);
     let second = deployment.engine("models", "i-2", stream(8));
     let gateway = deployment.gateways[0].callers();
+    // With one engine only there is nobody to take the stream up.
+    wait_until("both engines are known", || {
+        let log = deployment.gateways[0].log();
+        ["i-1", "i-2"].iter().all(|instance| {
+            log.iter()
+                .any(|line| line["attributes"]["engine"] == *instance)
+        })
+    });
+    let mut number = 0;
     wait_until("a stream was taken up", || {
-        let reply = call_post("/chat/x", "r-1", "prompt").send(gateway);
+        // Another identifier each time, since one would always begin at the same engine.
+        number += 1;
+        let reply = call_post("/chat/x", &format!("r-{number}"), "prompt").send(gateway);
         let Some(reply) = reply.filter(|reply| reply.status == 200) else {
             return false;
         };
--- a/crates/resident/src/clock.rs
+++ b/crates/resident/src/clock.rs
@@ -29,3 +29,8 @@
         u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
     })
 }
+
+/// A time in whole milliseconds, for messages and logs.
+pub fn whole_ms(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/resident/src/peer/gossip.rs
+++ b/crates/resident/src/peer/gossip.rs
@@ -19,7 +19,7 @@
 use super::message::{
     Heartbeat, MemberInfo, PeerReply, PeerRequest, ReplicaStatus, decode, encode,
 };
-use crate::clock::Clock;
+use crate::clock::{Clock, whole_ms};
 use crate::view::View;
 use crate::watch_duty::{self, DutySignal, Place, SMALL_FLEET};
 
@@ -310,10 +310,6 @@
     }
 }
 
-fn whole_ms(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// Fetches a node's view and takes it in; says whether the node answered.
 pub async fn fetch_view(links: &PeerLinks, view: &View, from: SocketAddr) -> bool {
     let request = PeerRequest::FetchView(view.position());
--- a/crates/resident/src/view.rs
+++ b/crates/resident/src/view.rs
@@ -11,7 +11,7 @@
 use ridgeworks_routing::{EngineChanges, EngineEntry, EngineTable, RouteConfiguration, RouteTable};
 use tokio::sync::watch;
 
-use crate::clock::Clock;
+use crate::clock::{Clock, whole_ms};
 use crate::peer::{KnownEngines, ViewPosition, ViewUpdate};
 
 /// Who told a part of the view.
@@ -292,7 +292,3 @@
         self.changed.send_replace(());
     }
 }
-
-fn whole_ms(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- /dev/null
+++ b/crates/routing/src/engine_load.rs
@@ -0,0 +1,160 @@
+//! What one gateway knows of the engines' load and contents: its own requests, and what other gateways
+//! reported. Sums are kept up to date as reports come and go, so that a choice costs no more in a large
+//! fleet (`docs/design/platform.md`, "Load of engines in a large fleet").
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::engine_health::EngineHealth;
+use crate::request::PromptPart;
+
+/// How long a report of another gateway counts.
+const REPORT_LIFETIME: Duration = Duration::from_secs(2);
+/// Parts of prompts remembered for one engine.
+const MAX_PARTS: usize = 2_048;
+
+/// An engine's key in tables and in reports between gateways.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct EngineKey(pub u64);
+
+impl EngineKey {
+    /// The key of an instance.
+    pub fn of(instance: &str) -> Self {
+        Self(xxh3_64(instance.as_bytes()))
+    }
+}
+
+/// Parts of prompts that an engine is believed to hold.
+#[derive(Debug, Clone, Default)]
+pub struct HeldParts {
+    tokens: HashMap<u64, u64>,
+    order: VecDeque<u64>,
+}
+
+impl HeldParts {
+    /// Notes that a part was read; the oldest give way.
+    pub fn insert(&mut self, part: PromptPart) {
+        if self.tokens.insert(part.hash, part.tokens).is_none() {
+            self.order.push_back(part.hash);
+        }
+        while self.order.len() > MAX_PARTS {
+            if let Some(oldest) = self.order.pop_front() {
+                self.tokens.remove(&oldest);
+            }
+        }
+    }
+
+    /// Tokens of a prompt that are not held: all from the first missing part on.
+    pub fn missing(&self, parts: &[PromptPart]) -> u64 {
+        let held = parts
+            .iter()
+            .take_while(|part| self.tokens.contains_key(&part.hash));
+        let missing = &parts[held.count()..];
+        missing.iter().map(|part| part.tokens).sum()
+    }
+}
+
+/// One engine, as this gateway knows it.
+#[derive(Debug, Clone, Default)]
+pub struct EngineLoad {
+    /// Open requests of this gateway.
+    pub own: u32,
+    /// Open requests of other gateways, by their reports.
+    reported: u32,
+    /// Parts of prompts that it is believed to hold.
+    pub parts: HeldParts,
+    /// What its answers say of it.
+    pub health: EngineHealth,
+}
+
+/// A report that still counts.
+#[derive(Debug, Clone)]
+struct Report {
+    at: Duration,
+    open: Vec<(EngineKey, u32)>,
+}
+
+/// Loads of all engines. Times are since the start of the process.
+#[derive(Debug, Clone, Default)]
+pub struct EngineLoads {
+    engines: HashMap<EngineKey, EngineLoad>,
+    reports: HashMap<String, Report>,
+    /// When reports came, oldest first; some have been replaced since.
+    came: VecDeque<(Duration, String)>,
+}
+
+impl EngineLoads {
+    /// What is known of an engine.
+    pub fn get(&self, key: EngineKey) -> Option<&EngineLoad> {
+        self.engines.get(&key)
+    }
+
+    /// What is known of an engine, to be changed.
+    pub fn entry(&mut self, key: EngineKey) -> &mut EngineLoad {
+        self.engines.entry(key).or_default()
+    }
+
+    /// Open requests at an engine, of this gateway and of those that reported lately.
+    pub fn open_at(&self, key: EngineKey) -> u32 {
+        let load = self.engines.get(&key);
+        load.map_or(0, |load| load.own + load.reported)
+    }
+
+    /// Open requests of this gateway by engine, the most loaded engines first.
+    pub fn report(&self) -> Vec<(EngineKey, u32)> {
+        let busy = self.engines.iter().filter(|(_, load)| load.own > 0);
+        let mut open: Vec<(EngineKey, u32)> = busy.map(|(key, load)| (*key, load.own)).collect();
+        open.sort_unstable_by_key(|(key, own)| (std::cmp::Reverse(*own), *key));
+        open
+    }
+
+    /// Takes in another gateway's report in place of its last one.
+    pub fn on_report(&mut self, gateway: &str, open: Vec<(EngineKey, u32)>, now: Duration) {
+        self.expire(now);
+        self.forget_report(gateway);
+        for (key, count) in &open {
+            let load = self.engines.entry(*key).or_default();
+            load.reported = load.reported.saturating_add(*count);
+        }
+        self.came.push_back((now, gateway.to_owned()));
+        let report = Report { at: now, open };
+        self.reports.insert(gateway.to_owned(), report);
+    }
+
+    /// Lets go of reports that are too old to count.
+    pub fn expire(&mut self, now: Duration) {
+        while let Some((at, _)) = self.came.front()
+            && now.saturating_sub(*at) >= REPORT_LIFETIME
+        {
+            let Some((at, gateway)) = self.came.pop_front() else {
+                return;
+            };
+            if self
+                .reports
+                .get(&gateway)
+                .is_some_and(|report| report.at == at)
+            {
+                self.forget_report(&gateway);
+            }
+        }
+    }
+
+    /// Forgets engines that nobody uses and that are not kept.
+    pub fn retain(&mut self, is_kept: impl Fn(EngineKey) -> bool) {
+        self.engines
+            .retain(|key, load| load.own > 0 || load.reported > 0 || is_kept(*key));
+    }
+
+    fn forget_report(&mut self, gateway: &str) {
+        let Some(report) = self.reports.remove(gateway) else {
+            return;
+        };
+        for (key, count) in report.open {
+            if let Some(load) = self.engines.get_mut(&key) {
+                load.reported = load.reported.saturating_sub(count);
+            }
+        }
+    }
+}
--- a/crates/routing/src/engine_table.rs
+++ b/crates/routing/src/engine_table.rs
@@ -238,6 +238,11 @@
         self.entries.get(instance).map(|entry| &entry.engine)
     }
 
+    /// The instances of all engines.
+    pub fn instances(&self) -> impl Iterator<Item = &str> {
+        self.entries.keys().map(String::as_str)
+    }
+
     /// Engines of a service that take new work.
     pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Engine> {
         let engines = self.entries.values().map(|entry| &entry.engine);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod configuration;
 mod engine_health;
+mod engine_load;
 mod engine_table;
 mod event_stream;
 mod placement;
@@ -19,6 +20,7 @@
     CallerLimits, ModelEngine, RequestKind, Route, RouteConfiguration, Service, WeightedService,
 };
 pub use engine_health::EngineHealth;
+pub use engine_load::{EngineKey, EngineLoads};
 pub use engine_table::{Engine, EngineChanges, EngineEntry, EngineState, EngineTable, Removal};
 pub use event_stream::{Event, EventSplitter};
 pub use placement::{Demand, Placement};
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -8,12 +8,13 @@
 //! engine that looked idlest, they would flock to it. So each session has a few *candidates*, by rendezvous
 //! hashing, the same at all gateways; other engines are taken only where they are better by a margin.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::engine_health::EngineHealth;
+use crate::engine_load::{EngineKey, EngineLoads};
 use crate::engine_table::{Engine, EngineTable};
 use crate::request::PromptPart;
 
@@ -30,15 +31,11 @@
 /// What one place in an engine's queue costs, in milliseconds.
 const QUEUE_PLACE_MS: f64 = 30.0;
 /// Extra cost for an engine of another zone, in milliseconds: the way there, and the price of the bytes.
-const OTHER_ZONE_MS: f64 = 6.0;
+const OTHER_ZONE_MS: f64 = 20.0;
 /// Extra cost for an engine that failed lately, in milliseconds.
 const RESTING_MS: f64 = 10_000.0;
 /// Extra cost for each time that an engine's step is longer than the quickest one's, in milliseconds.
 const SLOW_STEP_MS: f64 = 60.0;
-/// Parts of prompts remembered for one engine.
-const MAX_PARTS: usize = 2_048;
-/// How long a report of another gateway counts.
-const REPORT_LIFETIME: Duration = Duration::from_secs(2);
 
 /// What a request asks of an engine.
 #[derive(Debug, Clone, Copy)]
@@ -55,87 +52,54 @@
     pub excluded: &'a [String],
 }
 
-/// Parts of prompts that an engine is believed to hold.
-#[derive(Debug, Clone, Default)]
-struct HeldParts {
-    tokens: HashMap<u64, u64>,
-    order: VecDeque<u64>,
-}
-
-impl HeldParts {
-    fn insert(&mut self, part: PromptPart) {
-        if self.tokens.insert(part.hash, part.tokens).is_none() {
-            self.order.push_back(part.hash);
-        }
-        while self.order.len() > MAX_PARTS {
-            if let Some(oldest) = self.order.pop_front() {
-                self.tokens.remove(&oldest);
-            }
-        }
-    }
-
-    /// Tokens of a prompt that are not held: all from the first missing part on.
-    fn missing(&self, parts: &[PromptPart]) -> u64 {
-        let held = parts
-            .iter()
-            .take_while(|part| self.tokens.contains_key(&part.hash));
-        let missing = &parts[held.count()..];
-        missing.iter().map(|part| part.tokens).sum()
-    }
-}
-
-#[derive(Debug, Clone, Default)]
-struct EngineLoad {
-    open: u32,
-    parts: HeldParts,
-    health: EngineHealth,
-}
-
-#[derive(Debug, Clone)]
-struct Report {
-    at: Duration,
-    open: HashMap<u64, u32>,
-}
-
 /// Load and contents of the engines, as one gateway knows them. Times are since the start of the process.
 #[derive(Debug, Clone, Default)]
 pub struct Placement {
-    engines: HashMap<String, EngineLoad>,
-    reports: HashMap<String, Report>,
-    /// The engine that last got a request of a key.
-    homes: HashMap<String, String>,
+    loads: EngineLoads,
+    /// The engine that last got a request, by the hash of the request's key.
+    homes: HashMap<u64, EngineKey>,
 }
 
-/// Short name of an engine in reports between gateways.
-fn short_name(instance: &str) -> u64 {
-    xxh3_64(instance.as_bytes())
+/// An engine that may get a request.
+struct Candidate<'a> {
+    engine: &'a Engine,
+    key: EngineKey,
+    /// Its rank for the request's key, the highest first.
+    rank: u64,
 }
 
 impl Placement {
     /// The engine with the least cost; `None` when no engine of the service may get the request.
     pub fn choose<'a>(
-        &self,
+        &mut self,
         table: &'a EngineTable,
         demand: &Demand<'a>,
         now: Duration,
     ) -> Option<&'a Engine> {
-        let candidates: Vec<&Engine> = table
-            .ready(demand.service)
-            .filter(|engine| !demand.excluded.contains(&engine.instance))
-            .collect();
+        self.loads.expire(now);
+        let session = xxh3_64(demand.key.as_bytes());
+        let candidates = candidates(table, demand, session);
         let quickest = self.quickest_step(&candidates);
-        let home = self.homes.get(demand.key).map(String::as_str);
-        let preferred = preferred(&candidates, demand);
-        let costs = candidates.into_iter().map(|engine| {
-            let mut cost = self.cost(engine, demand, quickest, now);
-            let is_home = home == Some(engine.instance.as_str());
-            if !is_home && !preferred.contains(&engine.instance.as_str()) {
+        let home = self.homes.get(&session);
+        let preferred = preferred(&candidates, demand.zone);
+        let costs = candidates.iter().map(|candidate| {
+            let mut cost = self.cost(candidate, demand, quickest, now);
+            if home != Some(&candidate.key) && !preferred.contains(&candidate.key) {
                 cost += STRANGER_MS;
             }
-            (cost, rendezvous(demand.key, &engine.instance), engine)
+            (cost, candidate)
         });
-        let best = costs.min_by(|one, two| one.0.total_cmp(&two.0).then(two.1.cmp(&one.1)));
-        best.map(|(_, _, engine)| engine)
+        let best = costs.min_by(|one, two| {
+            let by_cost = one.0.total_cmp(&two.0);
+            by_cost.then(two.1.rank.cmp(&one.1.rank))
+        });
+        best.map(|(_, candidate)| candidate.engine)
+    }
+
+    /// Open requests at an engine, of this gateway and of those that reported lately.
+    pub fn open_at(&mut self, instance: &str, now: Duration) -> u32 {
+        self.loads.expire(now);
+        self.loads.open_at(EngineKey::of(instance))
     }
 
     /// A request with this key goes to an engine.
@@ -143,9 +107,10 @@
         if self.homes.len() >= MAX_HOMES {
             self.homes.clear();
         }
-        self.homes.insert(key.to_owned(), instance.to_owned());
-        let load = self.engines.entry(instance.to_owned()).or_default();
-        load.open += 1;
+        let engine = EngineKey::of(instance);
+        self.homes.insert(xxh3_64(key.as_bytes()), engine);
+        let load = self.loads.entry(engine);
+        load.own += 1;
         for part in parts {
             load.parts.insert(*part);
         }
@@ -153,62 +118,55 @@
 
     /// A request has left an engine.
     pub fn on_ended(&mut self, instance: &str) {
-        if let Some(load) = self.engines.get_mut(instance) {
-            load.open = load.open.saturating_sub(1);
-        }
+        let load = self.loads.entry(EngineKey::of(instance));
+        load.own = load.own.saturating_sub(1);
     }
 
     /// Health of an engine.
     pub fn health(&mut self, instance: &str) -> &mut EngineHealth {
-        let load = self.engines.entry(instance.to_owned()).or_default();
-        &mut load.health
-    }
-
-    /// Requests of this gateway at an engine.
-    pub fn open_at(&self, instance: &str) -> u32 {
-        self.engines.get(instance).map_or(0, |load| load.open)
+        &mut self.loads.entry(EngineKey::of(instance)).health
     }
 
     /// Requests of this gateway by engine, for the other gateways.
-    pub fn report(&self) -> Vec<(u64, u32)> {
-        let busy = self.engines.iter().filter(|(_, load)| load.open > 0);
-        busy.map(|(instance, load)| (short_name(instance), load.open))
-            .collect()
+    pub fn report(&self) -> Vec<(EngineKey, u32)> {
+        self.loads.report()
     }
 
     /// Takes in another gateway's report.
-    pub fn on_report(&mut self, gateway: &str, open: Vec<(u64, u32)>, now: Duration) {
-        let report = Report {
-            at: now,
-            open: open.into_iter().collect(),
-        };
-        self.reports.insert(gateway.to_owned(), report);
+    pub fn on_report(&mut self, gateway: &str, open: Vec<(EngineKey, u32)>, now: Duration) {
+        self.loads.on_report(gateway, open, now);
     }
 
-    /// Forgets engines that are gone and gateways that are silent.
+    /// Forgets engines that are gone and reports that are too old.
     pub fn retain(&mut self, table: &EngineTable, now: Duration) {
-        self.engines
-            .retain(|instance, load| load.open > 0 || table.get(instance).is_some());
-        self.reports
-            .retain(|_, report| now.saturating_sub(report.at) < REPORT_LIFETIME);
+        self.loads.expire(now);
+        let listed: HashSet<EngineKey> = table.instances().map(EngineKey::of).collect();
+        self.loads.retain(|key| listed.contains(&key));
     }
 
-    fn quickest_step(&self, candidates: &[&Engine]) -> Option<f64> {
-        let steps = candidates.iter().filter_map(|engine| {
-            let load = self.engines.get(&engine.instance)?;
+    fn quickest_step(&self, candidates: &[Candidate<'_>]) -> Option<f64> {
+        let steps = candidates.iter().filter_map(|candidate| {
+            let load = self.loads.get(candidate.key)?;
             load.health.step_ms()
         });
         steps.min_by(f64::total_cmp)
     }
 
-    fn cost(&self, engine: &Engine, demand: &Demand, quickest: Option<f64>, now: Duration) -> f64 {
-        let open = self.open_everywhere(&engine.instance, now);
+    fn cost(
+        &self,
+        candidate: &Candidate<'_>,
+        demand: &Demand<'_>,
+        quickest: Option<f64>,
+        now: Duration,
+    ) -> f64 {
+        let engine = candidate.engine;
+        let open = self.loads.open_at(candidate.key);
         let queued = (open + 1).saturating_sub(engine.slots);
         let mut cost = f64::from(open) * SHARED_BATCH_MS + f64::from(queued) * QUEUE_PLACE_MS;
         if engine.zone != demand.zone {
             cost += OTHER_ZONE_MS;
         }
-        let known = self.engines.get(&engine.instance);
+        let known = self.loads.get(candidate.key);
         let missing = known.map_or_else(
             || demand.parts.iter().map(|part| part.tokens).sum(),
             |load| load.parts.missing(demand.parts),
@@ -225,39 +183,34 @@
         }
         cost
     }
+}
 
-    fn open_everywhere(&self, instance: &str, now: Duration) -> u32 {
-        let name = short_name(instance);
-        let fresh = self
-            .reports
-            .values()
-            .filter(|report| now.saturating_sub(report.at) < REPORT_LIFETIME);
-        let others: u32 = fresh.filter_map(|report| report.open.get(&name)).sum();
-        self.open_at(instance) + others
-    }
+fn candidates<'a>(table: &'a EngineTable, demand: &Demand<'a>, session: u64) -> Vec<Candidate<'a>> {
+    let ready = table.ready(demand.service);
+    let allowed = ready.filter(|engine| !demand.excluded.contains(&engine.instance));
+    let candidates = allowed.map(|engine| {
+        let key = EngineKey::of(&engine.instance);
+        Candidate {
+            engine,
+            key,
+            rank: rendezvous(session, key),
+        }
+    });
+    candidates.collect()
 }
 
-/// The candidates of a key: the first of all engines, and the first of the gateway's zone.
-fn preferred<'a>(engines: &[&'a Engine], demand: &Demand<'_>) -> Vec<&'a str> {
-    let mut ranked: Vec<(u64, &Engine)> = engines
-        .iter()
-        .map(|engine| (rendezvous(demand.key, &engine.instance), *engine))
-        .collect();
-    ranked.sort_by_key(|(rank, _)| std::cmp::Reverse(*rank));
+/// The engines that a session prefers: the first by rank of all, and the first of the gateway's zone.
+fn preferred(candidates: &[Candidate<'_>], zone: &str) -> Vec<EngineKey> {
+    let mut ranked: Vec<&Candidate<'_>> = candidates.iter().collect();
+    ranked.sort_unstable_by_key(|candidate| std::cmp::Reverse(candidate.rank));
     let near = ranked
         .iter()
-        .filter(|(_, engine)| engine.zone == demand.zone);
+        .filter(|candidate| candidate.engine.zone == zone);
     let first = ranked.iter().take(CANDIDATES);
     let preferred = first.chain(near.take(CANDIDATES));
-    preferred
-        .map(|(_, engine)| engine.instance.as_str())
-        .collect()
+    preferred.map(|candidate| candidate.key).collect()
 }
 
-fn rendezvous(key: &str, instance: &str) -> u64 {
-    let mut bytes = Vec::with_capacity(key.len() + instance.len() + 1);
-    bytes.extend_from_slice(key.as_bytes());
-    bytes.push(0);
-    bytes.extend_from_slice(instance.as_bytes());
-    xxh3_64(&bytes)
+fn rendezvous(session: u64, key: EngineKey) -> u64 {
+    xxh3_64_with_seed(&key.0.to_le_bytes(), session)
 }
--- a/crates/routing/tests/placement.rs
+++ b/crates/routing/tests/placement.rs
@@ -27,8 +27,8 @@
 fn gateways_agree_on_a_session_s_engine_without_talking() {
     let table = table(["i-1", "i-2", "i-3", "i-4"].map(|name| engine(name, "zone-a")));
     let choose = || {
-        let chosen = Placement::default();
-        let chosen = chosen.choose(&table, &demand("session-7", &[], &[]), NOW);
+        let mut placement = Placement::default();
+        let chosen = placement.choose(&table, &demand("session-7", &[], &[]), NOW);
         chosen.expect("an engine").instance.clone()
     };
     assert_eq!(choose(), choose());
@@ -37,7 +37,7 @@
 #[test]
 fn sessions_spread_over_the_engines() {
     let table = table(["i-1", "i-2", "i-3", "i-4"].map(|name| engine(name, "zone-a")));
-    let placement = Placement::default();
+    let mut placement = Placement::default();
     let mut chosen: Vec<String> = (0..64)
         .filter_map(|number| {
             let key = format!("session-{number}");
@@ -121,7 +121,7 @@
 fn what_other_gateways_sent_counts_for_a_while() {
     let table = table(["i-1", "i-2"].map(|name| engine(name, "zone-a")));
     let mut other = Placement::default();
-    let alone = Placement::default();
+    let mut alone = Placement::default();
     let chosen = alone
         .choose(&table, &demand("s", &[], &[]), NOW)
         .expect("an engine");
@@ -154,3 +154,25 @@
         assert_eq!(chosen.expect("an engine").instance, "i-1");
     }
 }
+
+#[test]
+fn a_report_replaces_the_one_before_it_and_expires() {
+    let mut other = Placement::default();
+    other.on_sent("other", "i-1", &[]);
+    let mut placement = Placement::default();
+    for gateway in ["gateway-1", "gateway-2"] {
+        placement.on_report(gateway, other.report(), NOW);
+    }
+    assert_eq!(placement.open_at("i-1", NOW), 2);
+    for _ in 0..2 {
+        other.on_sent("other", "i-1", &[]);
+    }
+    let later = NOW + Duration::from_millis(1_500);
+    placement.on_report("gateway-2", other.report(), later);
+    assert_eq!(placement.open_at("i-1", later), 4);
+    // The report of gateway-1 is too old by now, that of gateway-2 is not.
+    let expired = NOW + Duration::from_millis(2_100);
+    assert_eq!(placement.open_at("i-1", expired), 3);
+    placement.on_report("gateway-2", Vec::new(), expired);
+    assert_eq!(placement.open_at("i-1", expired), 0);
+}
