--- a/crates/routing/src/engine_load.rs
+++ b/crates/routing/src/engine_load.rs
@@ -12,8 +12,9 @@
 
 /// How long a report of another gateway counts.
 const REPORT_LIFETIME: Duration = Duration::from_secs(2);
-/// Parts of prompts remembered for one engine.
-const MAX_PARTS: usize = 2_048;
+/// Parts of prompts remembered for one engine. With about 45 bytes each this is the larger part of a
+/// gateway's memory in a large fleet: 4.4 MB for 190 engines. An engine's own memory holds fewer.
+const MAX_PARTS: usize = 512;
 
 /// An engine's key in tables and in reports between gateways.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
