A gateway that ends answers all it has read: close the listener, then wait until it is quiet

Ruled out: the grace time (ends at 36.1 s), the engine (answered in 6 ms), the new watchers (they have no part in it). Also found by the test: a connection that came while the gateway drained was closed before its request was read. Change: StopPhase. While draining, a new connection is served once and closed; once the platform has had its time to notice, the listener closes; the end waits until nothing is open, settles, and finds 60 ms without a new request.

--- a/crates/gateway/src/role.rs
+++ b/crates/gateway/src/role.rs
@@ -21,7 +21,7 @@
 use tokio::time::Instant;
 
 use crate::gateway::Gateway;
-use crate::listener;
+use crate::listener::{self, StopPhase};
 use crate::metrics::GatewayMetrics;
 
 /// After an order to stop, the platform sends new clients for as long as it takes to notice.
@@ -29,6 +29,8 @@
 /// Time kept back before the platform kills the process.
 const STOP_MARGIN: Duration = Duration::from_millis(700);
 const STOP_CHECK: Duration = Duration::from_millis(50);
+/// A request that has ended has its last bytes on their way to the client for a moment.
+const LAST_ANSWERS: Duration = Duration::from_millis(60);
 
 /// Runs a gateway until the platform stops it. Must be called inside a local set of tasks.
 pub async fn run(
@@ -50,17 +52,17 @@
     let gateway_metrics = GatewayMetrics::register(&mut registry);
     let node = Node::bind(settings, Clock::start()).await?;
     let gateway = Gateway::new(Rc::clone(&node), gateway_metrics);
-    let (drain, draining) = watch::channel(false);
+    let (stopping, phase) = watch::channel(StopPhase::Serving);
     node.start(Rc::clone(&gateway), Rc::clone(&gateway)).await?;
     node.follow_traffic();
     serve_readiness(&gateway, readiness).await?;
     let updated = Rc::clone(&gateway);
     serve_metrics(&node, registry, move || updated.update_gauges()).await?;
-    listener::listen(Rc::clone(&gateway), callers, draining).await?;
+    listener::listen(Rc::clone(&gateway), callers, phase).await?;
     tokio::task::spawn_local(Rc::clone(&gateway).tidy());
     tokio::task::spawn_local(Rc::clone(&gateway.records).run_settlements());
     run_until_stopped(&node, &settings_path, &mut orders).await;
-    stop(&gateway, &drain).await;
+    stop(&gateway, &stopping).await;
     Ok(())
 }
 
@@ -78,22 +80,34 @@
 }
 
 /// Serves on until the platform has noticed and all requests have their answers.
-async fn stop(gateway: &Gateway, drain: &watch::Sender<bool>) {
+async fn stop(gateway: &Rc<Gateway>, stopping: &watch::Sender<StopPhase>) {
     let began = Instant::now();
     let grace = gateway.node.settings.bounds.grace();
     let latest = began + grace.saturating_sub(STOP_MARGIN);
     let open = gateway.open_requests();
     log::info!(target: "process", open_requests = open; "stopping");
     gateway.drain();
-    drain.send_replace(true);
+    stopping.send_replace(StopPhase::Draining);
+    tokio::time::sleep_until(latest.min(began + NOTICE_TIME)).await;
+    stopping.send_replace(StopPhase::Closed);
+    finish(gateway, latest).await;
+    let open = gateway.open_requests();
+    log::info!(target: "process", open_requests = open; "stopped");
+}
+
+/// Waits until all requests are answered and settled. Connections that were taken before may bring another
+/// request at any moment, so that the end has to find the gateway quiet for a while: what is read is answered.
+async fn finish(gateway: &Rc<Gateway>, latest: Instant) {
     while Instant::now() < latest {
-        let noticed = began.elapsed() >= NOTICE_TIME;
-        if noticed && gateway.open_requests() == 0 {
-            break;
+        if gateway.open_requests() > 0 {
+            tokio::time::sleep(STOP_CHECK).await;
+            continue;
+        }
+        let before = gateway.metrics.requests.get();
+        gateway.records.finish_settlements(latest).await;
+        tokio::time::sleep(LAST_ANSWERS).await;
+        if gateway.open_requests() == 0 && gateway.metrics.requests.get() == before {
+            return;
         }
-        tokio::time::sleep(STOP_CHECK).await;
     }
-    gateway.records.finish_settlements(latest).await;
-    let open = gateway.open_requests();
-    log::info!(target: "process", open_requests = open; "stopped");
 }
--- a/crates/node/tests/resident_lifecycle.rs
+++ b/crates/node/tests/resident_lifecycle.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ridgeworks_platform_stand_ins::client::{call_get, call_post, get};
+use ridgeworks_platform_stand_ins::client::{Call, call_get, call_post, get};
 use ridgeworks_platform_stand_ins::deployment::{Deployment, routes, wait_until};
 use ridgeworks_platform_stand_ins::{Answer, Script, StoreFault};
 use rustix::process::Signal;
@@ -274,3 +274,71 @@
     assert!(text.contains("ridgeworks_replica_set_epoch"), "{text}");
     deployment.replicas[0].kill();
 }
+
+/// Sends requests on new connections until the gateway takes none any more; those without an answer.
+fn send_until_refused(
+    gateway: std::net::SocketAddr,
+    name: &str,
+    make: impl Fn(&str) -> Call,
+) -> Vec<String> {
+    let mut unanswered = Vec::new();
+    for number in 0.. {
+        let id = format!("{name}-{number}");
+        let Some(reply) = make(&id).send(gateway) else {
+            unanswered.push(id);
+            if std::net::TcpStream::connect(gateway).is_err() {
+                break;
+            }
+            continue;
+        };
+        if !reply.is_whole {
+            unanswered.push(id);
+        }
+        std::thread::sleep(Duration::from_millis(3));
+    }
+    unanswered
+}
+
+#[test]
+fn clients_that_still_come_while_a_gateway_ends_are_answered_or_not_served() {
+    let deployment = Deployment::started(PROGRAM, 1, 3);
+    let tools = deployment.engine("tools", "i-tool", ok());
+    let stream = Script::always(Answer::Stream {
+        events: 2,
+        gap_ms: 1,
+    });
+    let models = deployment.engine("models", "i-model", stream);
+    let gateway = deployment.gateways[0].callers();
+    wait_until("the engines serve", || {
+        let turn = call_post("/chat/x", "warm", "").send(gateway);
+        status(gateway, "/tool/x") == 200 && turn.is_some_and(|reply| reply.status == 200)
+    });
+    let mut clients = Vec::new();
+    for client in 0..4 {
+        clients.push(std::thread::spawn(move || {
+            let name = format!("tool-{client}");
+            send_until_refused(gateway, &name, |id| call_get("/tool/x", id))
+        }));
+    }
+    // Turns leave accounts that are to be settled before the end.
+    clients.push(std::thread::spawn(move || {
+        send_until_refused(gateway, "turn", |id| {
+            call_post("/chat/x", id, "")
+                .header("ridgeworks-program-id", id)
+                .header("ridgeworks-token-budget", "1000")
+                .header("ridgeworks-token-count", "10,20")
+        })
+    }));
+    std::thread::sleep(Duration::from_millis(200));
+    deployment.gateways[0].signal(Signal::TERM);
+    let unanswered = clients
+        .into_iter()
+        .flat_map(|client| client.join().expect("a client"));
+    let runs: Vec<String> = [tools.runs(), models.runs()]
+        .concat()
+        .iter()
+        .map(|run| run.headers["ridgeworks-request-id"].clone())
+        .collect();
+    let cut: Vec<String> = unanswered.filter(|id| runs.contains(id)).collect();
+    assert!(cut.is_empty(), "run and not answered: {cut:?}");
+}
