--- /dev/null
+++ b/crates/gateway/src/at_engine.rs
@@ -0,0 +1,113 @@
+//! A request while it is at an engine: the placement counts it there, and learns from what is seen of it.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use ridgeworks_routing::{CallMetadata, Engine, Forecast, Turn};
+use tokio::time::Instant;
+
+use crate::gateway::Gateway;
+
+/// Fewest gaps that tell an engine's step.
+const LEAST_GAPS: usize = 4;
+const MS_PER_S: f64 = 1_000.0;
+const US_PER_MS: f64 = 1_000.0;
+
+/// A request that is at an engine; has left it when dropped.
+pub struct AtEngine {
+    gateway: Rc<Gateway>,
+    engine: Engine,
+    forecast: Forecast,
+    sent: Instant,
+    first: Cell<Option<Instant>>,
+    last: Cell<Option<Instant>>,
+    events: Cell<u64>,
+    /// Times between events, in microseconds.
+    gaps: RefCell<Vec<u32>>,
+}
+
+impl AtEngine {
+    /// A request goes to an engine.
+    pub fn new(gateway: &Rc<Gateway>, engine: &Engine, metadata: &CallMetadata) -> Self {
+        let forecast = gateway.placement.borrow_mut().on_sent(
+            metadata.placement_key(),
+            engine,
+            &metadata.prompt_parts,
+        );
+        Self {
+            gateway: Rc::clone(gateway),
+            engine: engine.clone(),
+            forecast,
+            sent: Instant::now(),
+            first: Cell::default(),
+            last: Cell::default(),
+            events: Cell::default(),
+            gaps: RefCell::default(),
+        }
+    }
+
+    /// The engine's instance.
+    pub fn instance(&self) -> &str {
+        &self.engine.instance
+    }
+
+    /// What was believed of the engine.
+    pub fn forecast(&self) -> Forecast {
+        self.forecast
+    }
+
+    /// An event of the answer has come.
+    pub fn on_event(&self) {
+        let now = Instant::now();
+        self.events.set(self.events.get() + 1);
+        if let Some(last) = self.last.replace(Some(now)) {
+            let gap = u32::try_from((now - last).as_micros()).unwrap_or(u32::MAX);
+            self.gaps.borrow_mut().push(gap);
+        }
+        if self.first.get().is_none() {
+            self.first.set(Some(now));
+            let mut placement = self.gateway.placement.borrow_mut();
+            placement.on_first_event(&self.engine, self.forecast, now - self.sent);
+        }
+    }
+
+    /// The answer has come whole.
+    pub fn on_whole(&self) {
+        let turn = Turn {
+            turn_ms: self.sent.elapsed().as_secs_f64() * MS_PER_S,
+            gap_ms: self.gap_ms(),
+            step_ms: self.step_ms(),
+            events: self.events.get(),
+            open: self.forecast.open,
+        };
+        let mut placement = self.gateway.placement.borrow_mut();
+        placement.on_turn(&self.engine, turn);
+    }
+
+    /// Gaps in which the engine read no prompt are the short ones; the shortest may be two events that
+    /// came together.
+    fn step_ms(&self) -> Option<f64> {
+        let mut gaps = self.gaps.take();
+        if gaps.len() < LEAST_GAPS {
+            return None;
+        }
+        let place = gaps.len() / 4;
+        let (_, gap, _) = gaps.select_nth_unstable(place);
+        Some(f64::from(*gap) / US_PER_MS)
+    }
+
+    fn gap_ms(&self) -> Option<f64> {
+        let (first, last) = (self.first.get()?, self.last.get()?);
+        let gaps = self.events.get().checked_sub(1).filter(|gaps| *gaps > 0)?;
+        Some((last - first).as_secs_f64() * MS_PER_S / gaps as f64)
+    }
+}
+
+impl Drop for AtEngine {
+    fn drop(&mut self) {
+        let is_read = self.first.get().is_some();
+        let unread = if is_read { 0 } else { self.forecast.missing };
+        let mut placement = self.gateway.placement.borrow_mut();
+        placement.on_ended(&self.engine.instance, unread);
+    }
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -13,8 +13,9 @@
 use ridgeworks_routing::Engine;
 use tokio::time::Instant;
 
+use crate::at_engine::AtEngine;
 use crate::entry::Call;
-use crate::gateway::{AtEngine, Gateway};
+use crate::gateway::Gateway;
 
 /// Why an attempt did not succeed.
 #[derive(Debug)]
@@ -77,19 +78,17 @@
     pub head: EngineHead,
     /// The body, not read yet.
     pub body: Incoming,
-    /// The engine's instance.
-    pub instance: String,
+    /// The request's stay at the engine.
+    pub at_engine: AtEngine,
     connection: Connection,
-    _at_engine: AtEngine,
 }
 
 impl Answered {
     /// Gives the connection back; the body must have been read whole.
     pub fn finish(self, gateway: &Gateway) {
         let rest = self.head.keep_alive;
-        gateway
-            .pool
-            .give_back(&self.instance, self.connection, rest);
+        let instance = self.at_engine.instance();
+        gateway.pool.give_back(instance, self.connection, rest);
     }
 }
 
@@ -107,11 +106,9 @@
 pub async fn send(
     gateway: &Rc<Gateway>,
     engine: &Engine,
+    at_engine: AtEngine,
     sending: Sending<'_>,
 ) -> Result<Answered, AttemptFailure> {
-    let metadata = &sending.call.metadata;
-    let key = metadata.placement_key();
-    let at_engine = gateway.send_to(key, &engine.instance, &metadata.prompt_parts);
     let mut reused = gateway.pool.take_idle(&engine.instance);
     loop {
         let is_reused = reused.is_some();
@@ -129,9 +126,8 @@
                     headers: parts.headers,
                     head,
                     body,
-                    instance: engine.instance.clone(),
+                    at_engine,
                     connection,
-                    _at_engine: at_engine,
                 };
                 return judge(gateway, answered, sending.call).await;
             }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -15,6 +15,7 @@
 
 use self::engine_choice::Tried;
 use self::report::Ending;
+use crate::at_engine::AtEngine;
 use crate::attempt::{self, Answered, AttemptFailure, Sending};
 use crate::caller::Caller;
 use crate::entry::{Call, refusal_response};
@@ -105,7 +106,9 @@
         mut client: ClientSide,
     ) -> Result<Ending, ClientSide> {
         let began = Instant::now();
-        let answered = match self.send(engine, &mut client).await {
+        let at_engine = AtEngine::new(&self.gateway, engine, &self.call.metadata);
+        self.tried.forecast = at_engine.forecast();
+        let answered = match self.send(engine, at_engine, &mut client).await {
             Ok(answered) => answered,
             Err(Interrupted::ClientGone) => {
                 self.on_maybe_run(engine);
@@ -131,6 +134,7 @@
     async fn send(
         &self,
         engine: &Engine,
+        at_engine: AtEngine,
         client: &mut ClientSide,
     ) -> Result<Answered, Interrupted> {
         let is_taken_up = self.passed.events > 0;
@@ -141,7 +145,7 @@
         };
         let first_limit = self.first_event_limit();
         tokio::select! {
-            answered = attempt::send(&self.gateway, engine, sending) => {
+            answered = attempt::send(&self.gateway, engine, at_engine, sending) => {
                 answered.map_err(Interrupted::Failed)
             }
             () = client.gone() => Err(Interrupted::ClientGone),
@@ -159,15 +163,15 @@
         client: ClientSide,
         began: Instant,
     ) -> Result<Ending, ClientSide> {
-        let events_before = self.passed.events;
         let first_limit = self.first_event_limit();
         let limit = self.call.limit;
         let end = pass_on(&mut answered, client, &mut self.passed, limit, first_limit).await;
         let status = answered.status.as_u16();
         match end {
             StreamEnd::Complete(client) => {
+                answered.at_engine.on_whole();
                 answered.finish(&self.gateway);
-                self.on_success(engine, events_before);
+                self.gateway.on_engine_success(&engine.instance);
                 Ok(self.complete(client, status).await)
             }
             StreamEnd::Failed(client, failure) => {
@@ -242,7 +246,7 @@
         };
         match (response, client) {
             (Ok(response), ClientSide::Waiting(caller)) => {
-                self.on_success(engine, 0);
+                self.gateway.on_engine_success(&engine.instance);
                 caller.answer(response);
                 Ok(Ending::Answered(status))
             }
--- a/crates/gateway/src/exchange/engine_choice.rs
+++ b/crates/gateway/src/exchange/engine_choice.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use ridgeworks_resident::clock::whole_ms;
-use ridgeworks_routing::{Demand, Engine, Refusal, RefusalReason, RequestKind};
+use ridgeworks_routing::{Demand, Engine, Forecast, Refusal, RefusalReason, RequestKind};
 use tokio::time::Instant;
 
 use super::Exchange;
@@ -39,6 +39,12 @@
     pub(super) unreachable: usize,
     /// Whether all engines were full or out of reach once before.
     pub(super) has_waited: bool,
+    /// The engine that was chosen last.
+    pub(super) asked_last: String,
+    /// What the request was expected to lose at the engine that was chosen last, in milliseconds.
+    pub(super) cost_ms: f64,
+    /// What was believed of the engine that was asked last.
+    pub(super) forecast: Forecast,
 }
 
 impl Tried {
@@ -81,13 +87,17 @@
             return self.same_engine();
         }
         let metadata = &self.call.metadata;
-        self.gateway.choose_engine(&Demand {
+        let chosen = self.gateway.choose_engine(&Demand {
             service: &self.call.service,
             key: metadata.placement_key(),
             parts: &metadata.prompt_parts,
             zone: &self.gateway.node.settings.zone,
             excluded: &tried.excluded,
-        })
+        });
+        let (engine, cost_ms) = chosen?;
+        self.tried.cost_ms = cost_ms;
+        self.tried.asked_last = engine.instance.clone();
+        Some(engine)
     }
 
     /// A stream may be taken up once at the engine that broke it off: that is no further engine.
@@ -118,19 +128,6 @@
         self.call.limit.min(Instant::now() + patience)
     }
 
-    pub(super) fn on_success(&self, engine: &Engine, events_before: u64) {
-        self.gateway.on_engine_success(&engine.instance);
-        let gaps = self.passed.events.saturating_sub(events_before + 1);
-        let (Some(first), Some(last)) = (self.passed.first_at, self.passed.last_at) else {
-            return;
-        };
-        if gaps > 0 && events_before == 0 {
-            let step_ms = (last - first).as_secs_f64() * 1_000.0 / gaps as f64;
-            let mut placement = self.gateway.placement.borrow_mut();
-            placement.health(&engine.instance).on_step(step_ms);
-        }
-    }
-
     pub(super) fn on_maybe_run(&mut self, engine: &Engine) {
         let ran_on = &mut self.tried.ran_on;
         if !ran_on.contains(&engine.instance) {
--- a/crates/gateway/src/exchange/report.rs
+++ b/crates/gateway/src/exchange/report.rs
@@ -54,7 +54,7 @@
             Ending::Answered(status) => status,
             _ => 0,
         };
-        let last_engine = self.tried.ran_on.last().or(self.tried.excluded.last());
+        let failed_engine = self.tried.ran_on.last().or(self.tried.excluded.last());
         log::info!(
             target: "request",
             request = call.metadata.request_id.as_str(),
@@ -70,7 +70,13 @@
             status = status,
             engines_tried = self.tried.excluded.len(),
             rejections = self.tried.rejections,
-            failed_engine = last_engine.map(String::as_str).unwrap_or_default(),
+            failed_engine = failed_engine.map(String::as_str).unwrap_or_default(),
+            engine = self.tried.asked_last.as_str(),
+            expected_ms = self.tried.cost_ms as i64,
+            missing_tokens = self.tried.forecast.missing,
+            ahead_tokens = self.tried.forecast.ahead,
+            open_there = self.tried.forecast.open,
+            left_of_program_ms = call.metadata.finish_in.map_or(-1, |left| whole_ms(left) as i64),
             events = self.passed.events,
             reserve_ms = self.reserved.map_or(0, whole_ms),
             first_event_ms = first_event.map_or(0, whole_ms),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,9 +6,9 @@
 
 use ridgeworks_resident::node::Node;
 use ridgeworks_resident::peer::{
-    GossipSources, PeerReply, PeerRequest, PeerService, ReplicaStatus,
+    GossipSources, LoadReport, PeerReply, PeerRequest, PeerService, ReplicaStatus,
 };
-use ridgeworks_routing::{Demand, Engine, EngineKey, Placement, PromptPart, Route, WeightedSplit};
+use ridgeworks_routing::{Demand, Engine, EngineKey, Placement, Route, WeightedSplit};
 use tokio::sync::oneshot;
 
 use crate::engine_pool::EnginePool;
@@ -69,18 +69,6 @@
     }
 }
 
-/// A request that is at an engine; has left it when dropped.
-pub struct AtEngine {
-    gateway: Rc<Gateway>,
-    instance: String,
-}
-
-impl Drop for AtEngine {
-    fn drop(&mut self) {
-        self.gateway.placement.borrow_mut().on_ended(&self.instance);
-    }
-}
-
 impl Gateway {
     /// A gateway on this node.
     pub fn new(node: Rc<Node>, metrics: GatewayMetrics) -> Rc<Self> {
@@ -154,22 +142,15 @@
         route.services.get(index).map(|part| part.service.clone())
     }
 
-    /// The engine that should get a request.
-    pub fn choose_engine(&self, demand: &Demand<'_>) -> Option<Engine> {
+    /// The engine that should get a request, and what the request is expected to lose there, in
+    /// milliseconds.
+    pub fn choose_engine(&self, demand: &Demand<'_>) -> Option<(Engine, f64)> {
         let now = self.now();
         let mut placement = self.placement.borrow_mut();
-        self.node
-            .view
-            .with_engines(|table| placement.choose(table, demand, now).cloned())
-    }
-
-    /// Notes that a request goes to an engine.
-    pub fn send_to(self: &Rc<Self>, key: &str, instance: &str, parts: &[PromptPart]) -> AtEngine {
-        self.placement.borrow_mut().on_sent(key, instance, parts);
-        AtEngine {
-            gateway: Rc::clone(self),
-            instance: instance.to_owned(),
-        }
+        self.node.view.with_engines(|table| {
+            let choice = placement.choose(table, demand, now)?;
+            Some((choice.engine.clone(), choice.cost_ms))
+        })
     }
 
     /// Notes that an engine failed a request.
@@ -200,6 +181,17 @@
             placement.retain(table, now);
             self.pool.prune(table);
         });
+        for (service, costs, samples) in placement.news() {
+            log::info!(
+                target: "belief",
+                service:% = service,
+                tokens_per_ms = costs.tokens_per_ms,
+                share_ms = costs.share_ms,
+                turn_ms = costs.turn_ms,
+                samples = samples;
+                "costs of a service changed"
+            );
+        }
         if let Some(routes) = self.node.view.routes() {
             let mut split = self.split.borrow_mut();
             split.retain_routes(|name| routes.has_route(name));
@@ -224,20 +216,28 @@
 }
 
 impl GossipSources for Gateway {
-    fn load(&self) -> Vec<(u64, u32)> {
-        let report = self.placement.borrow().report();
-        report.into_iter().map(|(key, own)| (key.0, own)).collect()
+    fn load(&self) -> LoadReport {
+        let placement = self.placement.borrow();
+        let report = placement.report();
+        LoadReport {
+            open: report.into_iter().map(|(key, own)| (key.0, own)).collect(),
+            services: placement.summaries(),
+        }
     }
 
     fn replica(&self) -> Option<ReplicaStatus> {
         None
     }
 
-    fn on_load(&self, from: &str, load: Vec<(u64, u32)>) {
+    fn on_load(&self, from: &str, load: LoadReport) {
         let now = self.now();
-        let load = load.into_iter().map(|(key, own)| (EngineKey(key), own));
+        let open = load
+            .open
+            .into_iter()
+            .map(|(key, own)| (EngineKey(key), own));
         let mut placement = self.placement.borrow_mut();
-        placement.on_report(from, load.collect(), now);
+        placement.on_report(from, open.collect(), now);
+        placement.on_summaries(load.services);
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! turns are read and the tokens reserved (`records_client`), an engine is chosen and asked (`attempt`), and
 //! its answer is passed on whole (`whole_answer`) or event by event (`streaming`).
 
+mod at_engine;
 mod attempt;
 mod caller;
 mod engine_pool;
--- a/crates/gateway/src/streaming.rs
+++ b/crates/gateway/src/streaming.rs
@@ -104,6 +104,7 @@
             return StreamEnd::Failed(client, AttemptFailure::Garbled);
         };
         for event in events {
+            answered.at_engine.on_event();
             match judge(&event, passed) {
                 Judged::Repeated => continue,
                 Judged::Gap => return StreamEnd::Failed(client, AttemptFailure::Garbled),
--- a/crates/gateway/src/whole_answer.rs
+++ b/crates/gateway/src/whole_answer.rs
@@ -21,6 +21,9 @@
     let mut response = Response::new(collected.to_bytes());
     *response.status_mut() = answered.status;
     *response.headers_mut() = client_headers(&answered.headers);
+    if answered.status.is_success() {
+        answered.at_engine.on_whole();
+    }
     answered.finish(gateway);
     Ok(response)
 }
--- a/crates/replica/src/handle.rs
+++ b/crates/replica/src/handle.rs
@@ -7,7 +7,7 @@
 use ridgeworks_resident::actors::ActorRuntime;
 use ridgeworks_resident::node::Node;
 use ridgeworks_resident::peer::{
-    GossipSources, PeerReply, PeerRequest, PeerService, ReplicaStatus,
+    GossipSources, LoadReport, PeerReply, PeerRequest, PeerService, ReplicaStatus,
 };
 use stakker::{ActorOwn, call};
 use tokio::sync::{mpsc, oneshot};
@@ -123,13 +123,13 @@
 }
 
 impl GossipSources for ReplicaHandle {
-    fn load(&self) -> Vec<(u64, u32)> {
-        Vec::new()
+    fn load(&self) -> LoadReport {
+        LoadReport::default()
     }
 
     fn replica(&self) -> Option<ReplicaStatus> {
         self.status()
     }
 
-    fn on_load(&self, _from: &str, _load: Vec<(u64, u32)>) {}
+    fn on_load(&self, _from: &str, _load: LoadReport) {}
 }
--- a/crates/resident/src/peer/gossip.rs
+++ b/crates/resident/src/peer/gossip.rs
@@ -17,7 +17,7 @@
 use super::links::PeerLinks;
 use super::members::{Member, Members};
 use super::message::{
-    Heartbeat, MemberInfo, PeerReply, PeerRequest, ReplicaStatus, decode, encode,
+    Heartbeat, LoadReport, MemberInfo, PeerReply, PeerRequest, ReplicaStatus, decode, encode,
 };
 use crate::clock::{Clock, whole_ms};
 use crate::view::View;
@@ -33,6 +33,8 @@
 const KNOWN_OTHERS: usize = 2;
 /// Engines named in a heartbeat, so that it fits one packet.
 const MAX_LOAD_ENTRIES: usize = 56;
+/// Services named in a heartbeat.
+const MAX_SERVICE_ENTRIES: usize = 16;
 const MAX_DATAGRAM: usize = 8 * 1024;
 /// Pause before news are told, so that those of a moment go out together.
 const NEWS_GATHERING: Duration = Duration::from_millis(5);
@@ -43,12 +45,12 @@
 
 /// What a node's role puts into its heartbeats and takes from others'.
 pub trait GossipSources: 'static {
-    /// Open requests by engine.
-    fn load(&self) -> Vec<(u64, u32)>;
+    /// What this node tells of the engines.
+    fn load(&self) -> LoadReport;
     /// The replica that runs here.
     fn replica(&self) -> Option<ReplicaStatus>;
-    /// Another node's open requests by engine.
-    fn on_load(&self, from: &str, load: Vec<(u64, u32)>);
+    /// What another node tells of the engines.
+    fn on_load(&self, from: &str, load: LoadReport);
 }
 
 /// Sends and receives heartbeats.
@@ -212,7 +214,8 @@
 
     fn heartbeat(&self, sources: &impl GossipSources) -> Heartbeat {
         let mut load = sources.load();
-        load.truncate(MAX_LOAD_ENTRIES);
+        load.open.truncate(MAX_LOAD_ENTRIES);
+        load.services.truncate(MAX_SERVICE_ENTRIES);
         Heartbeat {
             from: self.me.clone(),
             incarnation: self.incarnation,
--- a/crates/resident/src/peer/message.rs
+++ b/crates/resident/src/peer/message.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use ridgeworks_records::{Epoch, ReplicaId, ReplicaReply, ReplicaRequest, ReplicaSet};
-use ridgeworks_routing::{EngineChanges, RouteConfiguration};
+use ridgeworks_routing::{EngineChanges, RouteConfiguration, ServiceSummary};
 use rkyv::api::high::{HighDeserializer, HighSerializer, HighValidator};
 use rkyv::bytecheck::CheckBytes;
 use rkyv::rancor::Error;
@@ -112,6 +112,15 @@
     pub copied: Option<Epoch>,
 }
 
+/// What a gateway tells others of the engines.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Its open requests by engine.
+    pub open: Vec<(u64, u32)>,
+    /// What it has learned of the services.
+    pub services: Vec<ServiceSummary>,
+}
+
 /// What a node tells others a few times a second.
 #[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub struct Heartbeat {
@@ -129,8 +138,8 @@
     pub epoch: Epoch,
     /// Its replica, if it runs one.
     pub replica: Option<ReplicaStatus>,
-    /// Its open requests by engine.
-    pub load: Vec<(u64, u32)>,
+    /// What it tells of the engines.
+    pub load: LoadReport,
     /// Some other nodes that it knows.
     pub known: Vec<MemberInfo>,
 }
--- a/crates/resident/src/peer/mod.rs
+++ b/crates/resident/src/peer/mod.rs
@@ -10,8 +10,8 @@
 pub use links::{LinkError, PeerLinks};
 pub use members::{Member, Members};
 pub use message::{
-    Envelope, Heartbeat, KnownEngines, MemberInfo, MessageError, PeerReply, PeerRequest,
-    ReplicaStatus, ViewPosition, ViewUpdate, decode, encode,
+    Envelope, Heartbeat, KnownEngines, LoadReport, MemberInfo, MessageError, PeerReply,
+    PeerRequest, ReplicaStatus, ViewPosition, ViewUpdate, decode, encode,
 };
 pub use server::{PeerService, serve};
 
--- a/crates/routing/src/engine_load.rs
+++ b/crates/routing/src/engine_load.rs
@@ -2,6 +2,7 @@
 //! reported. Sums are kept up to date as reports come and go, so that a choice costs no more in a large
 //! fleet (`docs/design/platform.md`, "Load of engines in a large fleet").
 
+use std::collections::hash_map::Entry;
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
@@ -35,10 +36,18 @@
 }
 
 impl HeldParts {
-    /// Notes that a part was read; the oldest give way.
+    /// Notes that a part was read; the oldest give way. A part that belongs to a session grows from turn
+    /// to turn.
     pub fn insert(&mut self, part: PromptPart) {
-        if self.tokens.insert(part.hash, part.tokens).is_none() {
-            self.order.push_back(part.hash);
+        match self.tokens.entry(part.hash) {
+            Entry::Occupied(mut held) => {
+                let tokens = part.tokens.max(*held.get());
+                held.insert(tokens);
+            }
+            Entry::Vacant(place) => {
+                place.insert(part.tokens);
+                self.order.push_back(part.hash);
+            }
         }
         while self.order.len() > MAX_PARTS {
             if let Some(oldest) = self.order.pop_front() {
@@ -47,14 +56,31 @@
         }
     }
 
-    /// Tokens of a prompt that are not held: all from the first missing part on.
+    /// Tokens of a prompt that are not held: all from the first one on that is missing.
     pub fn missing(&self, parts: &[PromptPart]) -> u64 {
-        let held = parts
-            .iter()
-            .take_while(|part| self.tokens.contains_key(&part.hash));
-        let missing = &parts[held.count()..];
-        missing.iter().map(|part| part.tokens).sum()
+        let mut held = 0_u64;
+        for part in parts {
+            let held_of_part = self.held(*part);
+            held = held.saturating_add(held_of_part);
+            if held_of_part < part.tokens {
+                break;
+            }
+        }
+        prompt_tokens(parts).saturating_sub(held)
     }
+
+    /// Tokens of a part that are held; of one that has grown, those that it had before.
+    pub fn held(&self, part: PromptPart) -> u64 {
+        let held = self.tokens.get(&part.hash).copied().unwrap_or(0);
+        held.min(part.tokens)
+    }
+}
+
+/// Tokens of a whole prompt; the heads that tell them are the clients' and may be absurd.
+pub fn prompt_tokens(parts: &[PromptPart]) -> u64 {
+    parts
+        .iter()
+        .fold(0, |sum, part| sum.saturating_add(part.tokens))
 }
 
 /// One engine, as this gateway knows it.
@@ -62,6 +88,8 @@
 pub struct EngineLoad {
     /// Open requests of this gateway.
     pub own: u32,
+    /// Tokens that open requests of this gateway have there to be read.
+    pub unread: u64,
     /// Open requests of other gateways, by their reports.
     reported: u32,
     /// Parts of prompts that it is believed to hold.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -14,6 +14,8 @@
 mod refusal;
 mod request;
 mod route_table;
+mod sample_window;
+mod service_model;
 mod weighted_split;
 
 pub use configuration::{
@@ -23,8 +25,10 @@
 pub use engine_load::{EngineKey, EngineLoads};
 pub use engine_table::{Engine, EngineChanges, EngineEntry, EngineState, EngineTable, Removal};
 pub use event_stream::{Event, EventSplitter};
-pub use placement::{Demand, Placement};
+pub use placement::{Choice, Demand, Forecast, Placement};
 pub use refusal::{Refusal, RefusalReason};
 pub use request::{CallMetadata, PromptPart};
 pub use route_table::RouteTable;
+pub use sample_window::SampleWindow;
+pub use service_model::{Reading, ServiceCosts, ServiceKey, ServiceModel, ServiceSummary, Turn};
 pub use weighted_split::WeightedSplit;
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -2,7 +2,8 @@
 //!
 //! The cost of an engine is the time that the request is expected to lose there, in milliseconds: the
 //! wait for a slot, the slower steps of a fuller batch, and the reading of prompt parts that the engine
-//! does not hold.
+//! does not hold. What these cost is learned from the service's engines ([`ServiceModel`];
+//! `docs/design/decisions.md`).
 //!
 //! Gateways decide alone and know each other's load only as it was a moment ago. If all of them took the
 //! engine that looked idlest, they would flock to it. So each session has a few *candidates*, by rendezvous
@@ -14,28 +15,28 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::engine_health::EngineHealth;
-use crate::engine_load::{EngineKey, EngineLoads};
+use crate::engine_load::{EngineKey, EngineLoads, prompt_tokens};
 use crate::engine_table::{Engine, EngineTable};
 use crate::request::PromptPart;
+use crate::service_model::{Reading, ServiceCosts, ServiceKey, ServiceModel, ServiceSummary, Turn};
 
-/// Prompt tokens that an engine reads in a millisecond, for weighing a missing part against a wait.
-const PROMPT_TOKENS_PER_MS: f64 = 250.0;
-/// What one more request in the batch costs, in milliseconds.
-const SHARED_BATCH_MS: f64 = 8.0;
-/// Margin by which an engine that is no candidate of the session has to be better, in milliseconds.
-const STRANGER_MS: f64 = 40.0;
+/// Requests that an engine which is no candidate of the session has to have fewer: counts of open
+/// requests are old by a heartbeat, in which each engine gets a few.
+const STRANGER_REQUESTS: f64 = 4.0;
 /// Candidates of a session among all engines, and among those of the gateway's zone.
 const CANDIDATES: usize = 2;
 /// Sessions whose engine is remembered.
 const MAX_HOMES: usize = 8_192;
-/// What one place in an engine's queue costs, in milliseconds.
-const QUEUE_PLACE_MS: f64 = 30.0;
 /// Extra cost for an engine of another zone, in milliseconds: the way there, and the price of the bytes.
 const OTHER_ZONE_MS: f64 = 20.0;
 /// Extra cost for an engine that failed lately, in milliseconds.
 const RESTING_MS: f64 = 10_000.0;
-/// Extra cost for each time that an engine's step is longer than the quickest one's, in milliseconds.
-const SLOW_STEP_MS: f64 = 60.0;
+/// Part of a request's time that grows with the engine's step, beyond what the count of open requests
+/// accounts for.
+const STEP_SHARE: f64 = 0.2;
+/// Services of which something is remembered.
+const MAX_SERVICES: usize = 256;
+const MS_PER_S: f64 = 1_000.0;
 
 /// What a request asks of an engine.
 #[derive(Debug, Clone, Copy)]
@@ -56,10 +57,31 @@
 #[derive(Debug, Clone, Default)]
 pub struct Placement {
     loads: EngineLoads,
+    models: HashMap<ServiceKey, ServiceModel>,
     /// The engine that last got a request, by the hash of the request's key.
     homes: HashMap<u64, EngineKey>,
 }
 
+/// The engine for a request.
+#[derive(Debug, Clone, Copy)]
+pub struct Choice<'a> {
+    /// The engine.
+    pub engine: &'a Engine,
+    /// What the request is expected to lose there, in milliseconds.
+    pub cost_ms: f64,
+}
+
+/// What was believed of an engine when a request was sent to it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Forecast {
+    /// Tokens of the prompt that the engine was believed to lack.
+    pub missing: u64,
+    /// Tokens that earlier requests of this gateway had there to be read.
+    pub ahead: u64,
+    /// Requests that were open there.
+    pub open: u32,
+}
+
 /// An engine that may get a request.
 struct Candidate<'a> {
     engine: &'a Engine,
@@ -75,25 +97,30 @@
         table: &'a EngineTable,
         demand: &Demand<'a>,
         now: Duration,
-    ) -> Option<&'a Engine> {
+    ) -> Option<Choice<'a>> {
         self.loads.expire(now);
+        let costs = self.costs(demand.service);
         let session = xxh3_64(demand.key.as_bytes());
         let candidates = candidates(table, demand, session);
         let quickest = self.quickest_step(&candidates);
         let home = self.homes.get(&session);
         let preferred = preferred(&candidates, demand.zone);
-        let costs = candidates.iter().map(|candidate| {
-            let mut cost = self.cost(candidate, demand, quickest, now);
+        let weighed = candidates.iter().map(|candidate| {
+            let mut cost = self.cost(candidate, demand, &costs, now);
+            cost += self.slower_ms(candidate, &costs, quickest);
             if home != Some(&candidate.key) && !preferred.contains(&candidate.key) {
-                cost += STRANGER_MS;
+                cost += STRANGER_REQUESTS * costs.open_ms(candidate.engine.slots);
             }
             (cost, candidate)
         });
-        let best = costs.min_by(|one, two| {
+        let best = weighed.min_by(|one, two| {
             let by_cost = one.0.total_cmp(&two.0);
             by_cost.then(two.1.rank.cmp(&one.1.rank))
         });
-        best.map(|(_, candidate)| candidate.engine)
+        best.map(|(cost_ms, candidate)| Choice {
+            engine: candidate.engine,
+            cost_ms,
+        })
     }
 
     /// Open requests at an engine, of this gateway and of those that reported lately.
@@ -102,24 +129,83 @@
         self.loads.open_at(EngineKey::of(instance))
     }
 
+    /// What work costs at the engines of a service, as far as it is known.
+    pub fn costs(&self, service: &str) -> ServiceCosts {
+        let model = self.models.get(&ServiceKey::of(service));
+        model.map_or_else(|| ServiceModel::default().costs(), ServiceModel::costs)
+    }
+
     /// A request with this key goes to an engine.
-    pub fn on_sent(&mut self, key: &str, instance: &str, parts: &[PromptPart]) {
+    pub fn on_sent(&mut self, key: &str, engine: &Engine, parts: &[PromptPart]) -> Forecast {
         if self.homes.len() >= MAX_HOMES {
             self.homes.clear();
         }
-        let engine = EngineKey::of(instance);
-        self.homes.insert(xxh3_64(key.as_bytes()), engine);
-        let load = self.loads.entry(engine);
+        let engine_key = EngineKey::of(&engine.instance);
+        self.homes.insert(xxh3_64(key.as_bytes()), engine_key);
+        let open = self.loads.open_at(engine_key);
+        let load = self.loads.entry(engine_key);
+        let forecast = Forecast {
+            missing: load.parts.missing(parts),
+            ahead: load.unread,
+            open,
+        };
         load.own += 1;
+        load.unread = load.unread.saturating_add(forecast.missing);
         for part in parts {
             load.parts.insert(*part);
         }
+        forecast
+    }
+
+    /// The first event of a request has come, so its prompt has been read.
+    pub fn on_first_event(&mut self, engine: &Engine, forecast: Forecast, taken: Duration) {
+        let load = self.loads.entry(EngineKey::of(&engine.instance));
+        load.unread = load.unread.saturating_sub(forecast.missing);
+        self.model(&engine.service).on_reading(Reading {
+            tokens: forecast.ahead.saturating_add(forecast.missing),
+            first_ms: taken.as_secs_f64() * MS_PER_S,
+        });
+    }
+
+    /// A request ended well.
+    pub fn on_turn(&mut self, engine: &Engine, turn: Turn) {
+        if let Some(gap_ms) = turn.gap_ms {
+            self.health(&engine.instance).on_step(gap_ms);
+        }
+        self.model(&engine.service).on_turn(turn);
     }
 
-    /// A request has left an engine.
-    pub fn on_ended(&mut self, instance: &str) {
+    /// A request has left an engine; `unread` of its tokens had not been read.
+    pub fn on_ended(&mut self, instance: &str, unread: u64) {
         let load = self.loads.entry(EngineKey::of(instance));
         load.own = load.own.saturating_sub(1);
+        load.unread = load.unread.saturating_sub(unread);
+    }
+
+    /// Services whose costs have changed since they were last told, with the samples they rest on.
+    pub fn news(&mut self) -> Vec<(ServiceKey, ServiceCosts, u32)> {
+        let models = self.models.iter_mut();
+        let news = models.filter_map(|(key, model)| Some((*key, model.news()?, model.samples())));
+        news.collect()
+    }
+
+    /// What this gateway has learned of the services, for the other gateways.
+    pub fn summaries(&self) -> Vec<ServiceSummary> {
+        let models = self.models.iter();
+        models
+            .filter_map(|(key, model)| model.summary(*key))
+            .collect()
+    }
+
+    /// Takes in what another gateway has learned.
+    pub fn on_summaries(&mut self, summaries: Vec<ServiceSummary>) {
+        for summary in summaries {
+            let known = self.models.len() < MAX_SERVICES;
+            let key = ServiceKey(summary.service);
+            if known || self.models.contains_key(&key) {
+                self.models.entry(key).or_default().on_summary(summary);
+            }
+        }
     }
 
     /// Health of an engine.
@@ -152,37 +238,59 @@
         steps.min_by(f64::total_cmp)
     }
 
+    fn model(&mut self, service: &str) -> &mut ServiceModel {
+        if self.models.len() >= MAX_SERVICES {
+            self.models.clear();
+        }
+        self.models.entry(ServiceKey::of(service)).or_default()
+    }
+
     fn cost(
         &self,
         candidate: &Candidate<'_>,
         demand: &Demand<'_>,
-        quickest: Option<f64>,
+        costs: &ServiceCosts,
         now: Duration,
     ) -> f64 {
         let engine = candidate.engine;
         let open = self.loads.open_at(candidate.key);
         let queued = (open + 1).saturating_sub(engine.slots);
-        let mut cost = f64::from(open) * SHARED_BATCH_MS + f64::from(queued) * QUEUE_PLACE_MS;
+        let mut cost = f64::from(open) * costs.open_ms(engine.slots);
+        cost += f64::from(queued) * costs.place_ms(engine.slots);
         if engine.zone != demand.zone {
             cost += OTHER_ZONE_MS;
         }
         let known = self.loads.get(candidate.key);
         let missing = known.map_or_else(
-            || demand.parts.iter().map(|part| part.tokens).sum(),
+            || prompt_tokens(demand.parts),
             |load| load.parts.missing(demand.parts),
         );
-        cost += missing as f64 / PROMPT_TOKENS_PER_MS;
-        let Some(load) = known else {
-            return cost;
-        };
-        if let (Some(step), Some(quickest)) = (load.health.step_ms(), quickest) {
-            cost += (step / quickest.max(0.1) - 1.0) * SLOW_STEP_MS;
-        }
-        if load.health.rests(now) {
+        // While the prompt is read, all other requests there wait too.
+        let waiting = f64::from(1 + open.min(engine.slots));
+        cost += waiting * missing as f64 / costs.tokens_per_ms;
+        cost += known.map_or(0, |load| load.unread) as f64 / costs.tokens_per_ms;
+        if known.is_some_and(|load| load.health.rests(now)) {
             cost += RESTING_MS;
         }
         cost
     }
+
+    /// What a request loses at an engine whose steps are longer than the quickest one's.
+    fn slower_ms(
+        &self,
+        candidate: &Candidate<'_>,
+        costs: &ServiceCosts,
+        quickest: Option<f64>,
+    ) -> f64 {
+        let step = self
+            .loads
+            .get(candidate.key)
+            .and_then(|load| load.health.step_ms());
+        let (Some(step), Some(quickest)) = (step, quickest) else {
+            return 0.0;
+        };
+        (step / quickest.max(0.1) - 1.0) * STEP_SHARE * costs.turn_ms
+    }
 }
 
 fn candidates<'a>(table: &'a EngineTable, demand: &Demand<'a>, session: u64) -> Vec<Candidate<'a>> {
--- a/crates/routing/tests/placement.rs
+++ b/crates/routing/tests/placement.rs
@@ -4,7 +4,8 @@
 
 use std::time::Duration;
 
-use ridgeworks_routing::{Demand, Placement, PromptPart};
+use quickcheck::quickcheck;
+use ridgeworks_routing::{Demand, EngineTable, Forecast, Placement, PromptPart};
 use support::{engine, table};
 
 const NOW: Duration = Duration::from_secs(1);
@@ -19,6 +20,21 @@
     }
 }
 
+/// The instance that gets the request.
+fn choose(
+    placement: &mut Placement,
+    table: &EngineTable,
+    demand: &Demand<'_>,
+    now: Duration,
+) -> Option<String> {
+    let choice = placement.choose(table, demand, now)?;
+    Some(choice.engine.instance.clone())
+}
+
+fn send(placement: &mut Placement, instance: &str, parts: &[PromptPart]) -> Forecast {
+    placement.on_sent("other", &engine(instance, "zone-a"), parts)
+}
+
 fn part(hash: u64, tokens: u64) -> PromptPart {
     PromptPart { hash, tokens }
 }
@@ -26,12 +42,11 @@
 #[test]
 fn gateways_agree_on_a_session_s_engine_without_talking() {
     let table = table(["i-1", "i-2", "i-3", "i-4"].map(|name| engine(name, "zone-a")));
-    let choose = || {
+    let chosen = || {
         let mut placement = Placement::default();
-        let chosen = placement.choose(&table, &demand("session-7", &[], &[]), NOW);
-        chosen.expect("an engine").instance.clone()
+        choose(&mut placement, &table, &demand("session-7", &[], &[]), NOW).expect("an engine")
     };
-    assert_eq!(choose(), choose());
+    assert_eq!(chosen(), chosen());
 }
 
 #[test]
@@ -41,8 +56,7 @@
     let mut chosen: Vec<String> = (0..64)
         .filter_map(|number| {
             let key = format!("session-{number}");
-            let engine = placement.choose(&table, &demand(&key, &[], &[]), NOW)?;
-            Some(engine.instance.clone())
+            choose(&mut placement, &table, &demand(&key, &[], &[]), NOW)
         })
         .collect();
     chosen.sort();
@@ -55,26 +69,26 @@
     let table = table(["i-1", "i-2"].map(|name| engine(name, "zone-a")));
     let mut placement = Placement::default();
     let parts = [part(1, 12_000), part(2, 2_000)];
-    placement.on_sent("other", "i-1", &parts);
-    placement.on_ended("i-1");
-    let chosen = placement.choose(&table, &demand("s", &parts, &[]), NOW);
-    assert_eq!(chosen.expect("an engine").instance, "i-1");
+    let forecast = send(&mut placement, "i-1", &parts);
+    placement.on_ended("i-1", forecast.missing);
+    let chosen = choose(&mut placement, &table, &demand("s", &parts, &[]), NOW);
+    assert_eq!(chosen.expect("an engine"), "i-1");
     for _ in 0..30 {
-        placement.on_sent("other", "i-1", &[]);
+        send(&mut placement, "i-1", &[]);
     }
-    let chosen = placement.choose(&table, &demand("s", &parts, &[]), NOW);
-    assert_eq!(chosen.expect("an engine").instance, "i-2");
+    let chosen = choose(&mut placement, &table, &demand("s", &parts, &[]), NOW);
+    assert_eq!(chosen.expect("an engine"), "i-2");
 }
 
 #[test]
 fn a_part_counts_only_when_all_before_it_are_held() {
     let table = table(["i-1", "i-2"].map(|name| engine(name, "zone-a")));
     let mut placement = Placement::default();
-    placement.on_sent("other", "i-1", &[part(2, 12_000)]);
-    placement.on_sent("other", "i-2", &[part(1, 100)]);
+    send(&mut placement, "i-1", &[part(2, 12_000)]);
+    send(&mut placement, "i-2", &[part(1, 100)]);
     let parts = [part(1, 100), part(2, 12_000)];
-    let chosen = placement.choose(&table, &demand("s", &parts, &[]), NOW);
-    assert_eq!(chosen.expect("an engine").instance, "i-2");
+    let chosen = choose(&mut placement, &table, &demand("s", &parts, &[]), NOW);
+    assert_eq!(chosen.expect("an engine"), "i-2");
 }
 
 #[test]
@@ -83,14 +97,14 @@
     let mut placement = Placement::default();
     for number in 0..20 {
         let key = format!("session-{number}");
-        let chosen = placement.choose(&table, &demand(&key, &[], &[]), NOW);
-        assert_eq!(chosen.expect("an engine").instance, "i-near");
+        let chosen = choose(&mut placement, &table, &demand(&key, &[], &[]), NOW);
+        assert_eq!(chosen.expect("an engine"), "i-near");
     }
     for _ in 0..4 {
-        placement.on_sent("other", "i-near", &[]);
+        send(&mut placement, "i-near", &[]);
     }
-    let chosen = placement.choose(&table, &demand("s", &[], &[]), NOW);
-    assert_eq!(chosen.expect("an engine").instance, "i-far");
+    let chosen = choose(&mut placement, &table, &demand("s", &[], &[]), NOW);
+    assert_eq!(chosen.expect("an engine"), "i-far");
 }
 
 #[test]
@@ -99,16 +113,11 @@
     let mut placement = Placement::default();
     placement.health("i-1").on_failure(NOW);
     let excluded = ["i-2".to_owned()];
-    let chosen = placement.choose(&table, &demand("s", &[], &excluded), NOW);
-    assert_eq!(chosen.expect("an engine").instance, "i-3");
+    let chosen = choose(&mut placement, &table, &demand("s", &[], &excluded), NOW);
+    assert_eq!(chosen.expect("an engine"), "i-3");
     let excluded = ["i-2".to_owned(), "i-3".to_owned()];
-    let chosen = placement.choose(&table, &demand("s", &[], &excluded), NOW);
-    assert_eq!(
-        chosen
-            .expect("a resting engine is better than none")
-            .instance,
-        "i-1"
-    );
+    let chosen = choose(&mut placement, &table, &demand("s", &[], &excluded), NOW);
+    assert_eq!(chosen.expect("a resting engine is better than none"), "i-1");
     let all = ["i-1".to_owned(), "i-2".to_owned(), "i-3".to_owned()];
     assert!(
         placement
@@ -122,24 +131,17 @@
     let table = table(["i-1", "i-2"].map(|name| engine(name, "zone-a")));
     let mut other = Placement::default();
     let mut alone = Placement::default();
-    let chosen = alone
-        .choose(&table, &demand("s", &[], &[]), NOW)
-        .expect("an engine");
-    let chosen = chosen.instance.clone();
+    let chosen = choose(&mut alone, &table, &demand("s", &[], &[]), NOW).expect("an engine");
     for _ in 0..5 {
-        other.on_sent("other", &chosen, &[]);
+        send(&mut other, &chosen, &[]);
     }
     let mut placement = Placement::default();
     placement.on_report("gateway-2", other.report(), NOW);
-    let now = placement
-        .choose(&table, &demand("s", &[], &[]), NOW)
-        .expect("an engine");
-    assert_ne!(now.instance, chosen);
+    let now = choose(&mut placement, &table, &demand("s", &[], &[]), NOW).expect("an engine");
+    assert_ne!(now, chosen);
     let later = NOW + Duration::from_secs(5);
-    let later = placement
-        .choose(&table, &demand("s", &[], &[]), later)
-        .expect("an engine");
-    assert_eq!(later.instance, chosen);
+    let later = choose(&mut placement, &table, &demand("s", &[], &[]), later).expect("an engine");
+    assert_eq!(later, chosen);
 }
 
 #[test]
@@ -150,22 +152,22 @@
     placement.health("i-2").on_step(50.0);
     for number in 0..20 {
         let key = format!("session-{number}");
-        let chosen = placement.choose(&table, &demand(&key, &[], &[]), NOW);
-        assert_eq!(chosen.expect("an engine").instance, "i-1");
+        let chosen = choose(&mut placement, &table, &demand(&key, &[], &[]), NOW);
+        assert_eq!(chosen.expect("an engine"), "i-1");
     }
 }
 
 #[test]
 fn a_report_replaces_the_one_before_it_and_expires() {
     let mut other = Placement::default();
-    other.on_sent("other", "i-1", &[]);
+    send(&mut other, "i-1", &[]);
     let mut placement = Placement::default();
     for gateway in ["gateway-1", "gateway-2"] {
         placement.on_report(gateway, other.report(), NOW);
     }
     assert_eq!(placement.open_at("i-1", NOW), 2);
     for _ in 0..2 {
-        other.on_sent("other", "i-1", &[]);
+        send(&mut other, "i-1", &[]);
     }
     let later = NOW + Duration::from_millis(1_500);
     placement.on_report("gateway-2", other.report(), later);
@@ -176,3 +178,74 @@
     placement.on_report("gateway-2", Vec::new(), expired);
     assert_eq!(placement.open_at("i-1", expired), 0);
 }
+
+quickcheck! {
+    /// Heads that lie about their prompts end neither in a panic nor in an engine without work.
+    fn absurd_prompts_are_placed(prompts: Vec<Vec<(u64, u64)>>) -> bool {
+        let table = table(["i-1", "i-2"].map(|name| engine(name, "zone-a")));
+        let mut placement = Placement::default();
+        let mut is_placed = true;
+        for prompt in prompts {
+            let parts: Vec<PromptPart> = prompt.into_iter().map(|(hash, tokens)| part(hash % 8, tokens)).collect();
+            let chosen = choose(&mut placement, &table, &demand("s", &parts, &[]), NOW);
+            is_placed &= chosen.is_some();
+            let forecast = send(&mut placement, "i-1", &parts);
+            placement.on_first_event(&engine("i-1", "zone-a"), forecast, Duration::from_millis(forecast.missing % 9));
+            placement.on_ended("i-1", 0);
+        }
+        is_placed && choose(&mut placement, &table, &demand("s", &[], &[]), NOW).is_some()
+    }
+}
+
+/// Teaches a placement how fast the service's engines read.
+fn teach(placement: &mut Placement, tokens_per_ms: u64) {
+    let teacher = engine("i-teacher", "zone-a");
+    for index in 0..40 {
+        let tokens = 400 + 100 * (index % 20);
+        let forecast = Forecast {
+            missing: tokens,
+            ..Forecast::default()
+        };
+        let taken = Duration::from_micros(5_000 + tokens * 1_000 / tokens_per_ms);
+        placement.on_first_event(&teacher, forecast, taken);
+    }
+}
+
+#[test]
+fn where_engines_read_slowly_a_session_stays_at_a_busier_one() {
+    let table = table(["i-1", "i-2"].map(|name| engine(name, "zone-a")));
+    let parts = [part(1, 2_500), part(2, 1_000)];
+    let chosen = |tokens_per_ms| {
+        let mut placement = Placement::default();
+        teach(&mut placement, tokens_per_ms);
+        let forecast = send(&mut placement, "i-1", &parts);
+        placement.on_ended("i-1", forecast.missing);
+        for _ in 0..3 {
+            send(&mut placement, "i-1", &[]);
+        }
+        choose(&mut placement, &table, &demand("other", &parts, &[]), NOW).expect("an engine")
+    };
+    assert_eq!(chosen(38), "i-1");
+    assert_eq!(chosen(10_000), "i-2");
+}
+
+#[test]
+fn a_session_s_part_that_has_grown_is_missing_by_its_growth() {
+    let mut placement = Placement::default();
+    send(&mut placement, "i-1", &[part(1, 2_500), part(2, 1_000)]);
+    let forecast = send(&mut placement, "i-1", &[part(1, 2_500), part(2, 1_800)]);
+    assert_eq!(forecast.missing, 800);
+}
+
+#[test]
+fn a_reading_under_way_counts_until_its_first_event() {
+    let mut placement = Placement::default();
+    let first = send(&mut placement, "i-1", &[part(1, 2_500)]);
+    let second = send(&mut placement, "i-1", &[part(2, 100)]);
+    assert_eq!(second.ahead, 2_500);
+    placement.on_first_event(&engine("i-1", "zone-a"), first, Duration::from_millis(70));
+    let third = send(&mut placement, "i-1", &[part(3, 100)]);
+    assert_eq!(third.ahead, 100);
+    placement.on_ended("i-1", 100);
+    assert_eq!(send(&mut placement, "i-1", &[]).ahead, 100);
+}
--- /dev/null
+++ b/crates/routing/tests/service_model.rs
@@ -0,0 +1,181 @@
+//! What is learned of a service's engines, from measurements as noisy as real ones.
+
+use quickcheck::{TestResult, quickcheck};
+use ridgeworks_routing::{
+    Reading, SampleWindow, ServiceCosts, ServiceKey, ServiceModel, ServiceSummary, Turn,
+};
+
+/// A small linear congruential generator: the same numbers on each run.
+struct Draws(u64);
+
+impl Draws {
+    fn next(&mut self) -> f64 {
+        self.0 = self
+            .0
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 11) as f64 / (1_u64 << 53) as f64
+    }
+}
+
+/// An engine as its emulators on the users' bench describe it.
+struct Engine {
+    tokens_per_ms: f64,
+    first_ms: f64,
+    step_ms: f64,
+    growth_ms: f64,
+}
+
+const EVENTS: u64 = 11;
+
+/// Readings of an engine that is busy at times, with some beliefs about its memory wrong.
+fn read(model: &mut ServiceModel, engine: &Engine, wrong: f64, draws: &mut Draws) {
+    let tokens = (200.0 + draws.next() * 4_000.0).floor();
+    let read = if draws.next() < wrong { 100.0 } else { tokens };
+    let queue_ms = draws.next().powi(2) * 1_000.0 / engine.tokens_per_ms;
+    model.on_reading(Reading {
+        tokens: tokens as u64,
+        first_ms: engine.first_ms + queue_ms + read / engine.tokens_per_ms,
+    });
+}
+
+fn turn(model: &mut ServiceModel, engine: &Engine, draws: &mut Draws) {
+    let open = (draws.next() * 16.0).floor();
+    let step_ms = engine.step_ms + engine.growth_ms * open;
+    model.on_turn(Turn {
+        turn_ms: step_ms * EVENTS as f64 + draws.next() * 100.0,
+        gap_ms: Some(step_ms * 1.5),
+        step_ms: Some(step_ms * (1.0 + draws.next() * 0.1)),
+        events: EVENTS,
+        open: open as u32,
+    });
+}
+
+#[test]
+fn reading_rates_are_learned_whatever_the_engines_are() {
+    for (seed, tokens_per_ms) in [20.0, 37.9, 90.0, 270.0, 400.0].into_iter().enumerate() {
+        let mut draws = Draws(seed as u64);
+        let engine = Engine {
+            tokens_per_ms,
+            first_ms: 5.0,
+            step_ms: 10.0,
+            growth_ms: 0.1,
+        };
+        let mut model = ServiceModel::default();
+        for _ in 0..200 {
+            read(&mut model, &engine, 0.15, &mut draws);
+        }
+        let ratio = model.costs().tokens_per_ms / tokens_per_ms;
+        assert!((0.7..1.4).contains(&ratio), "{tokens_per_ms}: {ratio}");
+    }
+}
+
+#[test]
+fn a_few_readings_tell_slow_engines_from_quick_ones() {
+    let mut rates = Vec::new();
+    for tokens_per_ms in [38.0, 270.0] {
+        let mut model = ServiceModel::default();
+        for tokens in [3_000_u64, 1_500] {
+            let first_ms = 4.0 + tokens as f64 / tokens_per_ms;
+            model.on_reading(Reading { tokens, first_ms });
+        }
+        rates.push(model.costs().tokens_per_ms);
+    }
+    assert!(rates[0] < 45.0, "{rates:?}");
+    assert!(rates[1] > 150.0, "{rates:?}");
+}
+
+#[test]
+fn the_rate_follows_engines_that_change() {
+    let mut draws = Draws(7);
+    let mut model = ServiceModel::default();
+    for tokens_per_ms in [270.0, 38.0] {
+        let engine = Engine {
+            tokens_per_ms,
+            first_ms: 5.0,
+            step_ms: 10.0,
+            growth_ms: 0.1,
+        };
+        for _ in 0..300 {
+            read(&mut model, &engine, 0.1, &mut draws);
+        }
+    }
+    let rate = model.costs().tokens_per_ms;
+    assert!((28.0..55.0).contains(&rate), "{rate}");
+}
+
+#[test]
+fn the_growth_of_a_batch_s_steps_is_learned() {
+    let engine = Engine {
+        tokens_per_ms: 38.0,
+        first_ms: 5.0,
+        step_ms: 14.0,
+        growth_ms: 0.46,
+    };
+    let mut draws = Draws(3);
+    let mut model = ServiceModel::default();
+    for _ in 0..200 {
+        turn(&mut model, &engine, &mut draws);
+    }
+    let share = model.costs().share_ms;
+    let exact = engine.growth_ms * EVENTS as f64;
+    assert!(
+        (0.6 * exact..1.6 * exact).contains(&share),
+        "{share} for {exact}"
+    );
+}
+
+#[test]
+fn a_gateway_that_starts_takes_over_what_others_tell() {
+    let mut model = ServiceModel::default();
+    let heard = ServiceSummary {
+        service: 1,
+        tokens_per_s: 38_000,
+        share_us: 5_000,
+        turn_us: 700_000,
+    };
+    model.on_summary(heard);
+    let expected = ServiceCosts {
+        tokens_per_ms: 38.0,
+        share_ms: 5.0,
+        turn_ms: 700.0,
+    };
+    assert_eq!(model.costs(), expected);
+    // It has measured nothing itself, so it confirms nothing to others.
+    assert_eq!(model.summary(ServiceKey(1)), None);
+}
+
+#[test]
+fn a_slope_needs_pairs_that_differ() {
+    let mut window = SampleWindow::default();
+    for _ in 0..50 {
+        window.push(100.0, 7.0);
+    }
+    assert_eq!(window.slope(0.0), None);
+    for _ in 0..50 {
+        window.push(200.0, 9.0);
+    }
+    assert!(window.slope(10.0).is_some());
+    assert_eq!(window.slope(1_000.0), None);
+}
+
+quickcheck! {
+    /// Whatever is measured or told, costs stay numbers that a choice can be made with.
+    fn costs_stay_finite(readings: Vec<(u64, f64)>, turns: Vec<(f64, f64, u64)>, told: Vec<(u32, u32, u32)>) -> TestResult {
+        let mut model = ServiceModel::default();
+        for (tokens, first_ms) in readings {
+            model.on_reading(Reading { tokens, first_ms });
+        }
+        for (turn_ms, step_ms, events) in turns {
+            let step_ms = Some(step_ms);
+            model.on_turn(Turn { turn_ms, gap_ms: step_ms, step_ms, events, open: 3 });
+        }
+        for (tokens_per_s, share_us, turn_us) in told {
+            model.on_summary(ServiceSummary { service: 1, tokens_per_s, share_us, turn_us });
+        }
+        let costs = model.costs();
+        let values = [costs.tokens_per_ms, costs.open_ms(0), costs.place_ms(0)];
+        let is_sound = values.iter().all(|value| value.is_finite() && *value >= 0.0);
+        TestResult::from_bool(is_sound && costs.tokens_per_ms > 0.0)
+    }
+}
