--- a/crates/gateway/src/at_engine.rs
+++ b/crates/gateway/src/at_engine.rs
@@ -33,6 +33,7 @@
             metadata.placement_key(),
             engine,
             &metadata.prompt_parts,
+            gateway.now(),
         );
         Self {
             gateway: Rc::clone(gateway),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -216,12 +216,14 @@
 }
 
 impl GossipSources for Gateway {
-    fn load(&self) -> LoadReport {
+    fn load(&self, window: Duration) -> LoadReport {
+        let since = self.now().saturating_sub(window);
         let placement = self.placement.borrow();
         let report = placement.report();
         LoadReport {
             open: report.into_iter().map(|(key, own)| (key.0, own)).collect(),
             services: placement.summaries(),
+            reads: placement.reads_since(since),
         }
     }
 
@@ -238,6 +240,7 @@
         let mut placement = self.placement.borrow_mut();
         placement.on_report(from, open.collect(), now);
         placement.on_summaries(load.services);
+        placement.on_reads(load.reads);
     }
 }
 
--- a/crates/replica/src/handle.rs
+++ b/crates/replica/src/handle.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use ridgeworks_records::{Epoch, ReplicaReply, ReplicaSet, TurnId};
 use ridgeworks_resident::actors::ActorRuntime;
@@ -123,7 +124,7 @@
 }
 
 impl GossipSources for ReplicaHandle {
-    fn load(&self) -> LoadReport {
+    fn load(&self, _window: Duration) -> LoadReport {
         LoadReport::default()
     }
 
--- a/crates/resident/src/peer/gossip.rs
+++ b/crates/resident/src/peer/gossip.rs
@@ -45,8 +45,8 @@
 
 /// What a node's role puts into its heartbeats and takes from others'.
 pub trait GossipSources: 'static {
-    /// What this node tells of the engines.
-    fn load(&self) -> LoadReport;
+    /// What this node tells of the engines; of what has happened, that of the last `window`.
+    fn load(&self, window: Duration) -> LoadReport;
     /// The replica that runs here.
     fn replica(&self) -> Option<ReplicaStatus>;
     /// What another node tells of the engines.
@@ -213,7 +213,7 @@
     }
 
     fn heartbeat(&self, sources: &impl GossipSources) -> Heartbeat {
-        let mut load = sources.load();
+        let mut load = sources.load(self.news_window());
         load.open.truncate(MAX_LOAD_ENTRIES);
         load.services.truncate(MAX_SERVICE_ENTRIES);
         Heartbeat {
@@ -229,6 +229,12 @@
         }
     }
 
+    /// Time in which every other node gets a heartbeat, and one more in case one is lost.
+    fn news_window(&self) -> Duration {
+        let rounds = self.members.borrow().len().div_ceil(FAN_OUT) + 1;
+        INTERVAL * u32::try_from(rounds).unwrap_or(u32::MAX)
+    }
+
     fn some_known(&self) -> Vec<MemberInfo> {
         let members = self.members.borrow();
         let heard: Vec<&Member> = members
--- a/crates/resident/src/peer/message.rs
+++ b/crates/resident/src/peer/message.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use ridgeworks_records::{Epoch, ReplicaId, ReplicaReply, ReplicaRequest, ReplicaSet};
-use ridgeworks_routing::{EngineChanges, RouteConfiguration, ServiceSummary};
+use ridgeworks_routing::{EngineChanges, PromptRead, RouteConfiguration, ServiceSummary};
 use rkyv::api::high::{HighDeserializer, HighSerializer, HighValidator};
 use rkyv::bytecheck::CheckBytes;
 use rkyv::rancor::Error;
@@ -119,6 +119,8 @@
     pub open: Vec<(u64, u32)>,
     /// What it has learned of the services.
     pub services: Vec<ServiceSummary>,
+    /// Prompts that engines have read for it lately.
+    pub reads: Vec<PromptRead>,
 }
 
 /// What a node tells others a few times a second.
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -17,6 +17,7 @@
 use crate::engine_health::EngineHealth;
 use crate::engine_load::{EngineKey, EngineLoads, prompt_tokens};
 use crate::engine_table::{Engine, EngineTable};
+use crate::recent_reads::{PromptRead, RecentReads};
 use crate::request::PromptPart;
 use crate::service_model::{Reading, ServiceCosts, ServiceKey, ServiceModel, ServiceSummary, Turn};
 
@@ -60,6 +61,7 @@
     models: HashMap<ServiceKey, ServiceModel>,
     /// The engine that last got a request, by the hash of the request's key.
     homes: HashMap<u64, EngineKey>,
+    reads: RecentReads,
 }
 
 /// The engine for a request.
@@ -108,7 +110,8 @@
         let weighed = candidates.iter().map(|candidate| {
             let mut cost = self.cost(candidate, demand, &costs, now);
             cost += self.slower_ms(candidate, &costs, quickest);
-            if home != Some(&candidate.key) && !preferred.contains(&candidate.key) {
+            let is_home = home == Some(&candidate.key) || self.holds_last(candidate.key, demand);
+            if !is_home && !preferred.contains(&candidate.key) {
                 cost += STRANGER_REQUESTS * costs.open_ms(candidate.engine.slots);
             }
             (cost, candidate)
@@ -136,7 +139,14 @@
     }
 
     /// A request with this key goes to an engine.
-    pub fn on_sent(&mut self, key: &str, engine: &Engine, parts: &[PromptPart]) -> Forecast {
+    pub fn on_sent(
+        &mut self,
+        key: &str,
+        engine: &Engine,
+        parts: &[PromptPart],
+        now: Duration,
+    ) -> Forecast {
+        self.reads.push(EngineKey::of(&engine.instance), parts, now);
         if self.homes.len() >= MAX_HOMES {
             self.homes.clear();
         }
@@ -197,6 +207,21 @@
             .collect()
     }
 
+    /// Prompts that engines read for this gateway since a moment, for the other gateways.
+    pub fn reads_since(&self, since: Duration) -> Vec<PromptRead> {
+        self.reads.since(since)
+    }
+
+    /// Takes in what engines have read for another gateway.
+    pub fn on_reads(&mut self, reads: Vec<PromptRead>) {
+        for read in reads {
+            let load = self.loads.entry(EngineKey(read.engine));
+            for part in read.parts {
+                load.parts.insert(part);
+            }
+        }
+    }
+
     /// Takes in what another gateway has learned.
     pub fn on_summaries(&mut self, summaries: Vec<ServiceSummary>) {
         for summary in summaries {
@@ -230,6 +255,12 @@
         self.loads.retain(|key| listed.contains(&key));
     }
 
+    /// Whether an engine holds the part of a prompt that is the session's own.
+    fn holds_last(&self, key: EngineKey, demand: &Demand<'_>) -> bool {
+        let last = demand.parts.last().zip(self.loads.get(key));
+        last.is_some_and(|(part, load)| load.parts.held(*part) > 0)
+    }
+
     fn quickest_step(&self, candidates: &[Candidate<'_>]) -> Option<f64> {
         let steps = candidates.iter().filter_map(|candidate| {
             let load = self.loads.get(candidate.key)?;
--- a/crates/routing/src/request.rs
+++ b/crates/routing/src/request.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
+use rkyv::{Archive, Deserialize, Serialize};
+
 /// A part of a prompt that several requests may share.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub struct PromptPart {
     /// Hash of the part.
     pub hash: u64,
