A keeper among the gateways for each prompt's place; turns nobody goes on from leave the memory

Hypothesis: one gateway by a hash of the prompt's last part is told of each reading and asked beside the reservation of tokens, at a cost that does not grow with the fleet. It replaces the reads in heartbeats.

--- a/crates/gateway/src/at_engine.rs
+++ b/crates/gateway/src/at_engine.rs
@@ -33,8 +33,8 @@
             metadata.placement_key(),
             engine,
             &metadata.prompt_parts,
-            gateway.now(),
         );
+        gateway.tell_read(engine, &metadata.prompt_parts);
         Self {
             gateway: Rc::clone(gateway),
             engine: engine.clone(),
--- a/crates/gateway/src/exchange/preparation.rs
+++ b/crates/gateway/src/exchange/preparation.rs
@@ -23,10 +23,11 @@
 }
 
 impl Exchange {
-    /// Reads the earlier turns and reserves tokens, both at once.
+    /// Reads the earlier turns, reserves tokens, and learns where the prompt was read, all at once.
     pub(super) async fn prepare(&mut self) -> Result<(), Refusal> {
         let began = Instant::now();
-        let (prompt, reserved) = tokio::join!(self.read_prompt(), self.reserve());
+        let (prompt, reserved, ()) =
+            tokio::join!(self.read_prompt(), self.reserve(), self.learn_reads());
         let prompt = prompt?;
         if reserved? {
             self.reserved = Some(began.elapsed());
@@ -35,6 +36,18 @@
         Ok(())
     }
 
+    /// What this gateway saw of the line's last turn is the newest there is.
+    async fn learn_reads(&self) {
+        let metadata = &self.call.metadata;
+        let is_ours = metadata.previous_turn.as_ref().is_some_and(|previous| {
+            let turns = self.gateway.turns.borrow();
+            turns.contains(&TurnId(previous.clone()))
+        });
+        if !is_ours {
+            self.gateway.learn_reads(&metadata.prompt_parts).await;
+        }
+    }
+
     fn account(&self) -> Option<Account> {
         let metadata = &self.call.metadata;
         metadata.token_budget?;
@@ -98,7 +111,7 @@
         };
         let previous = TurnId(previous.clone());
         let now = self.gateway.now();
-        let cached = self.gateway.turns.borrow().chain(&previous, now);
+        let cached = self.gateway.turns.borrow_mut().chain(&previous, now);
         if let Some(chain) = cached {
             let chain = chain.iter().map(Rc::as_ref);
             return Ok(join_prompt(chain, &self.call.body));
@@ -140,8 +153,9 @@
     }
 
     pub(super) fn cache(&self, record: TurnRecord) {
-        let until = self.gateway.now() + self.call.route.retention();
-        self.gateway.turns.borrow_mut().insert(record, until);
+        let now = self.gateway.now();
+        let until = now + self.call.route.retention();
+        self.gateway.turns.borrow_mut().insert(record, until, now);
     }
 
     /// Puts what was generated in place of what was reserved, without making anybody wait.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,7 +8,10 @@
 use ridgeworks_resident::peer::{
     GossipSources, LoadReport, PeerReply, PeerRequest, PeerService, ReplicaStatus,
 };
-use ridgeworks_routing::{Demand, Engine, EngineKey, Placement, Route, WeightedSplit};
+use ridgeworks_routing::{
+    Demand, Engine, EngineKey, Placement, PromptPart, PromptRead, ReadDirectory, Route,
+    WeightedSplit,
+};
 use tokio::sync::oneshot;
 
 use crate::engine_pool::EnginePool;
@@ -20,6 +23,8 @@
 const CACHE_SHARE: u64 = 8;
 /// Part of the process's memory that bodies of open requests may take.
 const BODY_SHARE: u64 = 4;
+/// Parts of a prompt, from its end, whose reads are asked for.
+const ASKED_PARTS: usize = 2;
 const BYTES_PER_MB: u64 = 1024 * 1024;
 /// How often connections and beliefs that are no longer needed are let go.
 const TIDY_INTERVAL: Duration = Duration::from_secs(1);
@@ -30,6 +35,8 @@
     pub node: Rc<Node>,
     /// Load and contents of the engines.
     pub placement: RefCell<Placement>,
+    /// Where prompts were read that this gateway keeps track of.
+    pub directory: RefCell<ReadDirectory>,
     /// Splits of routes among services.
     pub split: RefCell<WeightedSplit>,
     /// Connections to engines.
@@ -77,6 +84,7 @@
         Rc::new(Self {
             node,
             placement: RefCell::default(),
+            directory: RefCell::default(),
             split: RefCell::new(WeightedSplit::new(rand::random())),
             pool: EnginePool::default(),
             records,
@@ -153,6 +161,44 @@
         })
     }
 
+    /// Tells the gateway that keeps track of a prompt that an engine is about to read it.
+    pub fn tell_read(self: &Rc<Self>, engine: &Engine, parts: &[PromptPart]) {
+        let read = PromptRead {
+            engine: EngineKey::of(&engine.instance).0,
+            parts: parts.to_vec(),
+        };
+        if read.key().is_none() {
+            return;
+        }
+        let gateway = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            if let Some(own) = gateway.node.gossip.tell_read(read).await {
+                let now = gateway.now();
+                gateway.directory.borrow_mut().insert(own, now);
+            }
+        });
+    }
+
+    /// Learns from their keepers where a prompt was read last: the session's own part, and the one that
+    /// it branches off from.
+    pub async fn learn_reads(&self, parts: &[PromptPart]) {
+        let from = parts.len().saturating_sub(ASKED_PARTS).max(1);
+        let asked = parts
+            .iter()
+            .skip(from)
+            .map(|part| self.learn_read(part.hash));
+        futures_util::future::join_all(asked).await;
+    }
+
+    async fn learn_read(&self, part: u64) {
+        let Some(keeper) = self.node.gossip.keeper(part) else {
+            return;
+        };
+        if let Some(read) = self.node.gossip.ask_read(keeper, part).await {
+            self.placement.borrow_mut().on_read(&read);
+        }
+    }
+
     /// Notes that an engine failed a request.
     pub fn on_engine_failure(&self, instance: &str) {
         let now = self.now();
@@ -192,6 +238,7 @@
                 "costs of a service changed"
             );
         }
+        self.turns.borrow_mut().expire(now);
         if let Some(routes) = self.node.view.routes() {
             let mut split = self.split.borrow_mut();
             split.retain_routes(|name| routes.has_route(name));
@@ -216,14 +263,12 @@
 }
 
 impl GossipSources for Gateway {
-    fn load(&self, window: Duration) -> LoadReport {
-        let since = self.now().saturating_sub(window);
+    fn load(&self) -> LoadReport {
         let placement = self.placement.borrow();
         let report = placement.report();
         LoadReport {
             open: report.into_iter().map(|(key, own)| (key.0, own)).collect(),
             services: placement.summaries(),
-            reads: placement.reads_since(since),
         }
     }
 
@@ -240,7 +285,17 @@
         let mut placement = self.placement.borrow_mut();
         placement.on_report(from, open.collect(), now);
         placement.on_summaries(load.services);
-        placement.on_reads(load.reads);
+    }
+
+    fn on_read(&self, read: PromptRead) {
+        let now = self.now();
+        self.placement.borrow_mut().on_read(&read);
+        self.directory.borrow_mut().insert(read, now);
+    }
+
+    fn find_read(&self, part: u64) -> Option<PromptRead> {
+        let directory = self.directory.borrow();
+        directory.find(part, self.now()).cloned()
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,3 +21,4 @@
 
 pub use gateway::Gateway;
 pub use role::run;
+pub use turn_cache::TurnCache;
--- a/crates/node/tests/resident_requests.rs
+++ b/crates/node/tests/resident_requests.rs
@@ -4,7 +4,7 @@
 
 use ridgeworks_platform_stand_ins::client::{call_get, call_post};
 use ridgeworks_platform_stand_ins::deployment::{Deployment, wait_until};
-use ridgeworks_platform_stand_ins::{Answer, Script};
+use ridgeworks_platform_stand_ins::{Answer, Run, Script};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_ridgeworksd");
 
@@ -301,6 +301,49 @@
     }
 }
 
+/// Sessions begin while there is one engine. Nothing but the keepers of their prompts tells other gateways
+/// to stay with it when five more have come.
+#[test]
+fn a_session_goes_on_at_its_engine_through_another_gateway() {
+    const SESSIONS: usize = 16;
+    let deployment = Deployment::started(PROGRAM, 5, 0);
+    let first = deployment.engine("models", "i-1", stream(2));
+    let gateways = [0, 1, 2, 3, 4].map(|index| deployment.gateways[index].callers());
+    let turn = |number: usize, session: usize, tokens: usize| {
+        let parts = format!("{:x}:20000,{:x}:{tokens}", 0xa00 + session, 0xb00 + session);
+        call_post("/chat/x", &format!("s{session}-{number}"), "")
+            .header("ridgeworks-session-id", &format!("session-{session}"))
+            .header("ridgeworks-prefix-hash", &parts)
+    };
+    for gateway in gateways {
+        wait_until("the engine is known", || {
+            let reply = call_post("/chat/x", "warm", "").send(gateway);
+            reply.is_some_and(|reply| reply.status == 200)
+        });
+    }
+    for session in 0..SESSIONS {
+        let reply = turn(1, session, 8_000).send(gateways[session % 4]);
+        assert_eq!(reply.expect("an answer").status, 200);
+    }
+    let names = ["i-2", "i-3", "i-4", "i-5", "i-6"];
+    let others = names.map(|name| deployment.engine("models", name, stream(2)));
+    wait_until("all engines are known", || {
+        call_post("/chat/x", "warm", "").send(gateways[4]);
+        call_post("/chat/x", "cold", "")
+            .header("ridgeworks-prefix-hash", "c1:100")
+            .send(gateways[4]);
+        others.iter().any(|engine| !engine.runs().is_empty())
+    });
+    for session in 0..SESSIONS {
+        let reply = turn(2, session, 9_000).send(gateways[4]);
+        assert_eq!(reply.expect("an answer").status, 200);
+    }
+    let is_second = |run: &Run| run.headers["ridgeworks-request-id"].ends_with("-2");
+    let stayed = first.runs().iter().filter(|run| is_second(run)).count();
+    // Without keepers about a third do; a datagram may be late on a busy machine.
+    assert!(stayed >= 12, "{stayed} of {SESSIONS} sessions stayed");
+}
+
 #[test]
 fn a_client_that_leaves_cancels_its_request() {
     let deployment = Deployment::started(PROGRAM, 1, 0);
--- a/crates/replica/src/handle.rs
+++ b/crates/replica/src/handle.rs
@@ -2,7 +2,6 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::Duration;
 
 use ridgeworks_records::{Epoch, ReplicaReply, ReplicaSet, TurnId};
 use ridgeworks_resident::actors::ActorRuntime;
@@ -10,6 +9,7 @@
 use ridgeworks_resident::peer::{
     GossipSources, LoadReport, PeerReply, PeerRequest, PeerService, ReplicaStatus,
 };
+use ridgeworks_routing::PromptRead;
 use stakker::{ActorOwn, call};
 use tokio::sync::{mpsc, oneshot};
 
@@ -124,7 +124,7 @@
 }
 
 impl GossipSources for ReplicaHandle {
-    fn load(&self, _window: Duration) -> LoadReport {
+    fn load(&self) -> LoadReport {
         LoadReport::default()
     }
 
@@ -133,4 +133,10 @@
     }
 
     fn on_load(&self, _from: &str, _load: LoadReport) {}
+
+    fn on_read(&self, _read: PromptRead) {}
+
+    fn find_read(&self, _part: u64) -> Option<PromptRead> {
+        None
+    }
 }
--- a/crates/resident/src/peer/gossip.rs
+++ b/crates/resident/src/peer/gossip.rs
@@ -11,14 +11,18 @@
 
 use rand::RngExt;
 use rand::seq::IndexedRandom;
+use ridgeworks_routing::PromptRead;
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::links::PeerLinks;
 use super::members::{Member, Members};
 use super::message::{
-    Heartbeat, LoadReport, MemberInfo, PeerReply, PeerRequest, ReplicaStatus, decode, encode,
+    Datagram, Heartbeat, LoadReport, MemberInfo, PeerReply, PeerRequest, ReplicaStatus, decode,
+    encode,
 };
+use super::questions::Questions;
 use crate::clock::{Clock, whole_ms};
 use crate::view::View;
 use crate::watch_duty::{self, DutySignal, Place, SMALL_FLEET};
@@ -38,6 +42,10 @@
 const MAX_DATAGRAM: usize = 8 * 1024;
 /// Pause before news are told, so that those of a moment go out together.
 const NEWS_GATHERING: Duration = Duration::from_millis(5);
+/// How long a keeper may take to tell where a prompt was read.
+const ASK_TIMEOUT: Duration = Duration::from_millis(12);
+/// A node silent for so long keeps no track of prompts; in a large fleet each is heard every few seconds.
+const KEEPER_SILENCE: Duration = Duration::from_secs(6);
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
 /// Engines that another node knows newer are fetched only if they stay newer for so long: the store
 /// tells most nodes at about the same time.
@@ -45,12 +53,16 @@
 
 /// What a node's role puts into its heartbeats and takes from others'.
 pub trait GossipSources: 'static {
-    /// What this node tells of the engines; of what has happened, that of the last `window`.
-    fn load(&self, window: Duration) -> LoadReport;
+    /// What this node tells of the engines.
+    fn load(&self) -> LoadReport;
     /// The replica that runs here.
     fn replica(&self) -> Option<ReplicaStatus>;
     /// What another node tells of the engines.
     fn on_load(&self, from: &str, load: LoadReport);
+    /// An engine reads a prompt that this node keeps track of.
+    fn on_read(&self, read: PromptRead);
+    /// The last read with this last part that was told to this node.
+    fn find_read(&self, part: u64) -> Option<PromptRead>;
 }
 
 /// Sends and receives heartbeats.
@@ -67,6 +79,7 @@
     engines_behind_since: Cell<Option<Duration>>,
     next_target: Cell<usize>,
     duty: Rc<DutySignal>,
+    questions: Questions,
 }
 
 impl Gossip {
@@ -93,6 +106,7 @@
             engines_behind_since: Cell::new(None),
             next_target: Cell::new(rand::rng().random_range(0..1_024)),
             duty,
+            questions: Questions::default(),
         })
     }
 
@@ -181,7 +195,8 @@
         if targets.is_empty() {
             return;
         }
-        let Ok(datagram) = encode(&self.heartbeat(sources)) else {
+        let heartbeat = Datagram::Heartbeat(self.heartbeat(sources));
+        let Ok(datagram) = encode(&heartbeat) else {
             return;
         };
         for target in targets {
@@ -213,7 +228,7 @@
     }
 
     fn heartbeat(&self, sources: &impl GossipSources) -> Heartbeat {
-        let mut load = sources.load(self.news_window());
+        let mut load = sources.load();
         load.open.truncate(MAX_LOAD_ENTRIES);
         load.services.truncate(MAX_SERVICE_ENTRIES);
         Heartbeat {
@@ -229,12 +244,6 @@
         }
     }
 
-    /// Time in which every other node gets a heartbeat, and one more in case one is lost.
-    fn news_window(&self) -> Duration {
-        let rounds = self.members.borrow().len().div_ceil(FAN_OUT) + 1;
-        INTERVAL * u32::try_from(rounds).unwrap_or(u32::MAX)
-    }
-
     fn some_known(&self) -> Vec<MemberInfo> {
         let members = self.members.borrow();
         let heard: Vec<&Member> = members
@@ -252,9 +261,67 @@
     }
 
     async fn on_datagram(&self, bytes: &[u8], from: SocketAddr, sources: &impl GossipSources) {
-        let Ok(heartbeat) = decode::<Heartbeat>(bytes) else {
-            return;
-        };
+        match decode::<Datagram>(bytes) {
+            Ok(Datagram::Heartbeat(heartbeat)) => {
+                self.on_heartbeat(heartbeat, from, sources).await;
+            }
+            Ok(Datagram::Read(read)) => sources.on_read(read),
+            Ok(Datagram::FindRead { number, part }) => {
+                let read = sources.find_read(part);
+                self.send(from, &Datagram::FoundRead { number, read }).await;
+            }
+            Ok(Datagram::FoundRead { number, read }) => self.questions.answer(number, read),
+            Err(_) => {}
+        }
+    }
+
+    async fn send(&self, to: SocketAddr, datagram: &Datagram) {
+        if let Ok(bytes) = encode(datagram) {
+            // A datagram that is lost is repeated or missed without harm.
+            let _ = self.socket.send_to(&bytes, to).await;
+        }
+    }
+
+    /// Tells the keeper of a prompt that an engine reads it; gives it back where this node is the keeper.
+    pub async fn tell_read(&self, read: PromptRead) -> Option<PromptRead> {
+        let key = read.key()?;
+        match self.keeper(key) {
+            None => Some(read),
+            Some(keeper) => {
+                self.send(keeper, &Datagram::Read(read)).await;
+                None
+            }
+        }
+    }
+
+    /// Asks the keeper of prompts with this last part for the last read.
+    pub async fn ask_read(&self, keeper: SocketAddr, part: u64) -> Option<PromptRead> {
+        let (number, answer) = self.questions.ask();
+        self.send(keeper, &Datagram::FindRead { number, part })
+            .await;
+        let answered = tokio::time::timeout(ASK_TIMEOUT, answer).await;
+        self.questions.forget(number);
+        answered.ok()?.ok()?
+    }
+
+    /// The gateway that keeps track of prompts with this last part; `None` for this one.
+    pub fn keeper(&self, part: u64) -> Option<SocketAddr> {
+        let now = self.clock.now();
+        let members = self.members.borrow();
+        let alive = members
+            .iter()
+            .filter(|member| !member.info.is_replica && member.is_alive(now, KEEPER_SILENCE));
+        let rank = |name: &str| xxh3_64_with_seed(name.as_bytes(), part);
+        let best = alive.max_by_key(|member| rank(&member.info.name))?;
+        (rank(&best.info.name) > rank(&self.me.name)).then_some(best.info.address)
+    }
+
+    async fn on_heartbeat(
+        &self,
+        heartbeat: Heartbeat,
+        from: SocketAddr,
+        sources: &impl GossipSources,
+    ) {
         if heartbeat.from.name == self.me.name {
             return;
         }
@@ -268,9 +335,8 @@
                 incarnation = heartbeat.incarnation;
                 "node joined"
             );
-            if let Ok(reply) = encode(&self.heartbeat(sources)) {
-                let _ = self.socket.send_to(&reply, from).await;
-            }
+            let reply = Datagram::Heartbeat(self.heartbeat(sources));
+            self.send(from, &reply).await;
         }
         if self.is_behind(&heartbeat, now) {
             self.fetch(heartbeat.from.address);
--- a/crates/resident/src/peer/message.rs
+++ b/crates/resident/src/peer/message.rs
@@ -119,8 +119,6 @@
     pub open: Vec<(u64, u32)>,
     /// What it has learned of the services.
     pub services: Vec<ServiceSummary>,
-    /// Prompts that engines have read for it lately.
-    pub reads: Vec<PromptRead>,
 }
 
 /// What a node tells others a few times a second.
@@ -146,6 +144,29 @@
     pub known: Vec<MemberInfo>,
 }
 
+/// What nodes say to each other over UDP. Nothing that must be safe rests on it.
+#[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub enum Datagram {
+    /// A few times a second.
+    Heartbeat(Heartbeat),
+    /// An engine reads a prompt; told to the gateway that keeps track of its last part.
+    Read(PromptRead),
+    /// Asks that gateway who has read prompts with this last part.
+    FindRead {
+        /// Number of the question, unique at whoever asks.
+        number: u64,
+        /// Hash of the last part.
+        part: u64,
+    },
+    /// The answer.
+    FoundRead {
+        /// Number of the question.
+        number: u64,
+        /// The last read, if there was one.
+        read: Option<PromptRead>,
+    },
+}
+
 /// A message that cannot be encoded or read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum MessageError {
--- a/crates/resident/src/peer/mod.rs
+++ b/crates/resident/src/peer/mod.rs
@@ -4,13 +4,14 @@
 mod links;
 mod members;
 mod message;
+mod questions;
 mod server;
 
 pub use gossip::{Gossip, GossipSources, fetch_members, fetch_view};
 pub use links::{LinkError, PeerLinks};
 pub use members::{Member, Members};
 pub use message::{
-    Envelope, Heartbeat, KnownEngines, LoadReport, MemberInfo, MessageError, PeerReply,
+    Datagram, Envelope, Heartbeat, KnownEngines, LoadReport, MemberInfo, MessageError, PeerReply,
     PeerRequest, ReplicaStatus, ViewPosition, ViewUpdate, decode, encode,
 };
 pub use server::{PeerService, serve};
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -17,7 +17,7 @@
 use crate::engine_health::EngineHealth;
 use crate::engine_load::{EngineKey, EngineLoads, prompt_tokens};
 use crate::engine_table::{Engine, EngineTable};
-use crate::recent_reads::{PromptRead, RecentReads};
+use crate::read_directory::PromptRead;
 use crate::request::PromptPart;
 use crate::service_model::{Reading, ServiceCosts, ServiceKey, ServiceModel, ServiceSummary, Turn};
 
@@ -61,7 +61,6 @@
     models: HashMap<ServiceKey, ServiceModel>,
     /// The engine that last got a request, by the hash of the request's key.
     homes: HashMap<u64, EngineKey>,
-    reads: RecentReads,
 }
 
 /// The engine for a request.
@@ -139,14 +138,7 @@
     }
 
     /// A request with this key goes to an engine.
-    pub fn on_sent(
-        &mut self,
-        key: &str,
-        engine: &Engine,
-        parts: &[PromptPart],
-        now: Duration,
-    ) -> Forecast {
-        self.reads.push(EngineKey::of(&engine.instance), parts, now);
+    pub fn on_sent(&mut self, key: &str, engine: &Engine, parts: &[PromptPart]) -> Forecast {
         if self.homes.len() >= MAX_HOMES {
             self.homes.clear();
         }
@@ -207,18 +199,11 @@
             .collect()
     }
 
-    /// Prompts that engines read for this gateway since a moment, for the other gateways.
-    pub fn reads_since(&self, since: Duration) -> Vec<PromptRead> {
-        self.reads.since(since)
-    }
-
-    /// Takes in what engines have read for another gateway.
-    pub fn on_reads(&mut self, reads: Vec<PromptRead>) {
-        for read in reads {
-            let load = self.loads.entry(EngineKey(read.engine));
-            for part in read.parts {
-                load.parts.insert(part);
-            }
+    /// Takes in what an engine has read for another gateway.
+    pub fn on_read(&mut self, read: &PromptRead) {
+        let load = self.loads.entry(EngineKey(read.engine));
+        for part in &read.parts {
+            load.parts.insert(*part);
         }
     }
 
--- /dev/null
+++ b/crates/routing/src/read_directory.rs
@@ -0,0 +1,91 @@
+//! Where prompts were read last: the part of that knowledge which one gateway keeps for all.
+//!
+//! Most turns of a session come through another gateway than the one before. A gateway that does not know
+//! where the earlier ones were read has them read again. So each prompt has a keeper among the gateways,
+//! by a hash of its last part: it is told of each reading, and asked before the next one
+//! (`docs/design/decisions.md`, "Sessions that change gateways"). Nothing is agreed on; an entry that is
+//! missing or old costs a reading.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use rkyv::{Archive, Deserialize, Serialize};
+
+use crate::request::PromptPart;
+
+/// Parts of one prompt that are told; prompts of more are nobody else's concern.
+const MAX_PARTS: usize = 8;
+/// Entries of one keeper.
+const MAX_ENTRIES: usize = 4_096;
+/// How long an entry is kept; a session that pauses for longer has mostly lost its place at the engine.
+const LIFETIME: Duration = Duration::from_secs(20);
+
+/// A prompt that an engine has read, or is about to read.
+#[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct PromptRead {
+    /// Key of the engine.
+    pub engine: u64,
+    /// Parts of the prompt, in order.
+    pub parts: Vec<PromptPart>,
+}
+
+impl PromptRead {
+    /// The last part's hash, by which the read is kept; `None` for prompts that are not told.
+    pub fn key(&self) -> Option<u64> {
+        let last = self.parts.last()?;
+        (self.parts.len() <= MAX_PARTS).then_some(last.hash)
+    }
+}
+
+/// The reads that this gateway keeps for all. Times are since the start of the process.
+#[derive(Debug, Clone, Default)]
+pub struct ReadDirectory {
+    reads: HashMap<u64, (Duration, PromptRead)>,
+    /// Keys with the time at which they were written, oldest first; some have been written again since.
+    order: VecDeque<(Duration, u64)>,
+}
+
+impl ReadDirectory {
+    /// Takes in a read in place of an earlier one with the same last part.
+    pub fn insert(&mut self, read: PromptRead, now: Duration) {
+        let Some(key) = read.key() else {
+            return;
+        };
+        self.expire(now);
+        self.reads.insert(key, (now, read));
+        self.order.push_back((now, key));
+    }
+
+    /// The last read with this last part.
+    pub fn find(&self, key: u64, now: Duration) -> Option<&PromptRead> {
+        let (at, read) = self.reads.get(&key)?;
+        (now.saturating_sub(*at) < LIFETIME).then_some(read)
+    }
+
+    /// Number of reads.
+    pub fn len(&self) -> usize {
+        self.reads.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.reads.is_empty()
+    }
+
+    fn expire(&mut self, now: Duration) {
+        while let Some((at, key)) = self.order.front().copied() {
+            let is_old = now.saturating_sub(at) >= LIFETIME;
+            if !is_old && self.order.len() < MAX_ENTRIES {
+                return;
+            }
+            self.order.pop_front();
+            if self
+                .reads
+                .get(&key)
+                .is_some_and(|(written, _)| *written == at)
+            {
+                self.reads.remove(&key);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/routing/tests/read_directory.rs
@@ -0,0 +1,62 @@
+//! Where prompts were read last, as one gateway keeps it for all.
+
+use std::time::Duration;
+
+use ridgeworks_routing::{PromptPart, PromptRead, ReadDirectory};
+
+fn at(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn read(engine: u64, last: u64) -> PromptRead {
+    let part = |hash| PromptPart { hash, tokens: 100 };
+    PromptRead {
+        engine,
+        parts: vec![part(1), part(last)],
+    }
+}
+
+#[test]
+fn the_last_read_is_found() {
+    let mut directory = ReadDirectory::default();
+    directory.insert(read(7, 100), at(1));
+    directory.insert(read(8, 100), at(2));
+    assert_eq!(directory.find(100, at(2)), Some(&read(8, 100)));
+    assert_eq!(directory.find(101, at(2)), None);
+}
+
+#[test]
+fn an_old_read_is_forgotten_and_a_repeated_one_is_not() {
+    let mut directory = ReadDirectory::default();
+    directory.insert(read(7, 100), at(0));
+    directory.insert(read(7, 200), at(0));
+    directory.insert(read(7, 100), at(15));
+    assert_eq!(directory.find(200, at(25)), None);
+    directory.insert(read(7, 300), at(25));
+    assert!(directory.find(100, at(25)).is_some());
+    assert_eq!(directory.len(), 2);
+}
+
+#[test]
+fn its_size_is_bounded() {
+    let mut directory = ReadDirectory::default();
+    for last in 0..20_000 {
+        directory.insert(read(7, last), at(1));
+    }
+    assert!(directory.len() <= 4_096);
+    assert!(directory.find(19_999, at(1)).is_some());
+}
+
+#[test]
+fn prompts_of_very_many_parts_are_not_kept() {
+    let mut directory = ReadDirectory::default();
+    let parts = (0..100).map(|hash| PromptPart { hash, tokens: 1 });
+    directory.insert(
+        PromptRead {
+            engine: 7,
+            parts: parts.collect(),
+        },
+        at(1),
+    );
+    assert!(directory.is_empty());
+}
