Log lines name their node, and explain reads it there

The name stands in each line's context (mdc.node), set on the thread that writes. Test with a line that has it.

--- a/crates/cli/src/commands/explain.rs
+++ b/crates/cli/src/commands/explain.rs
@@ -23,6 +23,14 @@
     message: String,
     #[serde(default)]
     attributes: Map<String, Value>,
+    #[serde(default)]
+    mdc: LineContext,
+}
+
+/// What a line says of the process that wrote it.
+#[derive(Debug, Clone, Default, Deserialize)]
+struct LineContext {
+    node: Option<String>,
 }
 
 /// One entry of the timeline.
@@ -98,7 +106,9 @@
     let entries = text.lines().filter_map(|line| {
         let begin = line.find("{\"time\"")?;
         let parsed: LogLine = serde_json::from_str(&line[begin..]).ok()?;
-        let node = line[..begin].split_whitespace().last();
+        // Lines of before say nothing of their node; then what gathered them may, or the file's name.
+        let before = line[..begin].split_whitespace().last();
+        let node = parsed.mdc.node.as_deref().or(before);
         let node = node.unwrap_or(&file_name).to_owned();
         Some((entry(&parsed, node, request)?, parsed))
     });
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -73,3 +73,15 @@
     command.args(["explain", "r-1", "--logs", "/nowhere/at/all"]);
     assert_eq!(finish(&mut command).status, 2);
 }
+
+#[test]
+fn lines_name_their_node_themselves() {
+    let mut file = NamedTempFile::new().expect("a file");
+    let line = r#"{"time":"2026-09-06T13:32:04.300000000+00:00","level":"INFO","message":"request ended","target":"request","mdc":{"node":"gateway-7"},"attributes":{"request":"r-1","outcome":"answered","reason":""}}"#;
+    writeln!(file, "{line}").expect("a log");
+    let mut command = bare_command();
+    command.args(["explain", "r-1", "--logs"]).arg(file.path());
+    let finished = finish(&mut command);
+    assert_eq!(finished.status, 0);
+    assert!(finished.standard_output.contains("gateway-7"));
+}
--- a/crates/node/src/resident.rs
+++ b/crates/node/src/resident.rs
@@ -50,7 +50,7 @@
     let path = settings.or_else(settings_path);
     let path = path.ok_or(ResidentError::Settings(NodeSettingsError::NoFile))?;
     let settings = check(&path).map_err(ResidentError::Settings)?;
-    let log_counters = logging::start().map_err(ResidentError::Log)?;
+    let log_counters = logging::start(&settings.name).map_err(ResidentError::Log)?;
     let log = Arc::clone(&log_counters);
     let runtime = Builder::new_current_thread()
         .enable_all()
--- a/crates/resident/src/logging.rs
+++ b/crates/resident/src/logging.rs
@@ -19,6 +19,8 @@
 use log4rs::encode::json::JsonEncoder;
 use log4rs::encode::writer::simple::SimpleWriter;
 
+/// Key of the node's name in a line's context.
+const NODE_KEY: &str = "node";
 const APPENDER: &str = "log";
 const WRITER_THREAD: &str = "log-writer";
 /// Lines that may wait for the writer.
@@ -77,8 +79,8 @@
 
 impl std::error::Error for LogError {}
 
-/// Starts the log of the process.
-pub fn start() -> Result<Arc<LogCounters>, LogError> {
+/// Starts the log of the process; each line names this node.
+pub fn start(node: &str) -> Result<Arc<LogCounters>, LogError> {
     let counters = Arc::<LogCounters>::default();
     let (sender, receiver) = sync_channel(MAX_WAITING_LINES);
     std::thread::Builder::new()
@@ -89,6 +91,7 @@
         })
         .map_err(LogError::Thread)?;
     let appender = BoundedAppender {
+        node: node.to_owned(),
         lines: sender,
         windows: Mutex::default(),
         counters: Arc::clone(&counters),
@@ -126,6 +129,7 @@
 
 #[derive(Debug)]
 struct BoundedAppender {
+    node: String,
     lines: SyncSender<Vec<u8>>,
     windows: Mutex<HashMap<(String, Level), Window>>,
     counters: Arc<LogCounters>,
@@ -158,6 +162,10 @@
     }
 
     fn send(&self, record: &Record<'_>) -> anyhow::Result<()> {
+        // The encoder writes what stands here of the thread, which may be any.
+        if log_mdc::get(NODE_KEY, |node| node.is_none()) {
+            log_mdc::insert(NODE_KEY, self.node.as_str());
+        }
         let mut line = Vec::new();
         JsonEncoder::new().encode(&mut SimpleWriter(&mut line), record)?;
         // Counted before the writer can have it, so that it is never flushed before it is written.
