--- a/crates/gateway/src/at_engine.rs
+++ b/crates/gateway/src/at_engine.rs
@@ -76,7 +76,6 @@
     pub fn on_whole(&self) {
         let turn = Turn {
             turn_ms: self.sent.elapsed().as_secs_f64() * MS_PER_S,
-            gap_ms: self.gap_ms(),
             step_ms: self.step_ms(),
             events: self.events.get(),
             open: self.forecast.open,
@@ -96,12 +95,6 @@
         let (_, gap, _) = gaps.select_nth_unstable(place);
         Some(f64::from(*gap) / US_PER_MS)
     }
-
-    fn gap_ms(&self) -> Option<f64> {
-        let (first, last) = (self.first.get()?, self.last.get()?);
-        let gaps = self.events.get().checked_sub(1).filter(|gaps| *gaps > 0)?;
-        Some((last - first).as_secs_f64() * MS_PER_S / gaps as f64)
-    }
 }
 
 impl Drop for AtEngine {
--- a/crates/routing/src/engine_load.rs
+++ b/crates/routing/src/engine_load.rs
@@ -13,6 +13,9 @@
 
 /// How long a report of another gateway counts.
 const REPORT_LIFETIME: Duration = Duration::from_secs(2);
+/// Weight of the newest time between two reports in their mean.
+const INTERVAL_WEIGHT: f64 = 0.05;
+const MS_PER_S: f64 = 1_000.0;
 /// Parts of prompts remembered for one engine. With about 45 bytes each this is the larger part of a
 /// gateway's memory in a large fleet: 4.4 MB for 190 engines. An engine's own memory holds fewer.
 const MAX_PARTS: usize = 512;
@@ -69,6 +72,11 @@
         prompt_tokens(parts).saturating_sub(held)
     }
 
+    /// Whether a part is held whole.
+    pub fn holds(&self, part: PromptPart) -> bool {
+        self.held(part) == part.tokens
+    }
+
     /// Tokens of a part that are held; of one that has grown, those that it had before.
     pub fn held(&self, part: PromptPart) -> u64 {
         let held = self.tokens.get(&part.hash).copied().unwrap_or(0);
@@ -112,6 +120,8 @@
     reports: HashMap<String, Report>,
     /// When reports came, oldest first; some have been replaced since.
     came: VecDeque<(Duration, String)>,
+    /// Mean time between two reports of one gateway, in milliseconds.
+    interval_ms: f64,
 }
 
 impl EngineLoads {
@@ -131,6 +141,21 @@
         load.map_or(0, |load| load.own + load.reported)
     }
 
+    /// How long ago other gateways have reported, in the mean and in milliseconds.
+    pub fn report_age_ms(&self) -> f64 {
+        self.interval_ms / 2.0
+    }
+
+    /// Open requests of other gateways at an engine, by their reports.
+    pub fn reported_at(&self, key: EngineKey) -> u32 {
+        self.engines.get(&key).map_or(0, |load| load.reported)
+    }
+
+    /// Open requests of this gateway at an engine.
+    pub fn own_at(&self, key: EngineKey) -> u32 {
+        self.engines.get(&key).map_or(0, |load| load.own)
+    }
+
     /// Open requests of this gateway by engine, the most loaded engines first.
     pub fn report(&self) -> Vec<(EngineKey, u32)> {
         let busy = self.engines.iter().filter(|(_, load)| load.own > 0);
@@ -142,6 +167,10 @@
     /// Takes in another gateway's report in place of its last one.
     pub fn on_report(&mut self, gateway: &str, open: Vec<(EngineKey, u32)>, now: Duration) {
         self.expire(now);
+        if let Some(last) = self.reports.get(gateway) {
+            let interval_ms = now.saturating_sub(last.at).as_secs_f64() * MS_PER_S;
+            self.interval_ms += INTERVAL_WEIGHT * (interval_ms - self.interval_ms);
+        }
         self.forget_report(gateway);
         for (key, count) in &open {
             let load = self.engines.entry(*key).or_default();
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -32,9 +32,9 @@
 const OTHER_ZONE_MS: f64 = 20.0;
 /// Extra cost for an engine that failed lately, in milliseconds.
 const RESTING_MS: f64 = 10_000.0;
-/// Part of a request's time that grows with the engine's step, beyond what the count of open requests
-/// accounts for.
-const STEP_SHARE: f64 = 0.2;
+/// Part of a request's time that grows with the engine's step; the rest is reading and waiting, and steps
+/// of one engine differ by its batch.
+const STEP_SHARE: f64 = 0.4;
 /// Services of which something is remembered.
 const MAX_SERVICES: usize = 256;
 const MS_PER_S: f64 = 1_000.0;
@@ -81,6 +81,18 @@
     pub ahead: u64,
     /// Requests that were open there.
     pub open: u32,
+    /// Whether the engine was believed to hold the prompt's beginning, so that what it lacked is the
+    /// session's own. Beginnings are shared, and others may have had them read unseen.
+    pub is_certain: bool,
+}
+
+/// What reports of other gateways are worth.
+#[derive(Debug, Clone, Copy)]
+struct News {
+    /// Their open requests at an engine, in the mean.
+    mean: f64,
+    /// How far an engine's own count is to be trusted beside the mean, from 0 to 1.
+    trust: f64,
 }
 
 /// An engine that may get a request.
@@ -106,8 +118,10 @@
         let quickest = self.quickest_step(&candidates);
         let home = self.homes.get(&session);
         let preferred = preferred(&candidates, demand.zone);
+        let news = self.news_of(&candidates, &costs);
         let weighed = candidates.iter().map(|candidate| {
-            let mut cost = self.cost(candidate, demand, &costs, now);
+            let open = self.open_now(candidate.key, news);
+            let mut cost = self.cost(candidate, demand, &costs, open, now);
             cost += self.slower_ms(candidate, &costs, quickest);
             let is_home = home == Some(&candidate.key) || self.holds_last(candidate.key, demand);
             if !is_home && !preferred.contains(&candidate.key) {
@@ -150,6 +164,8 @@
             missing: load.parts.missing(parts),
             ahead: load.unread,
             open,
+            is_certain: parts.len() == 1
+                || parts.first().is_some_and(|part| load.parts.holds(*part)),
         };
         load.own += 1;
         load.unread = load.unread.saturating_add(forecast.missing);
@@ -163,18 +179,26 @@
     pub fn on_first_event(&mut self, engine: &Engine, forecast: Forecast, taken: Duration) {
         let load = self.loads.entry(EngineKey::of(&engine.instance));
         load.unread = load.unread.saturating_sub(forecast.missing);
+        if forecast.open >= engine.slots || forecast.ahead > 0 {
+            // It waited for a place, or for other readings: of this gateway's, and of more that it does
+            // not know.
+            return;
+        }
         self.model(&engine.service).on_reading(Reading {
-            tokens: forecast.ahead.saturating_add(forecast.missing),
+            tokens: forecast.missing,
             first_ms: taken.as_secs_f64() * MS_PER_S,
+            is_certain: forecast.is_certain,
         });
     }
 
     /// A request ended well.
     pub fn on_turn(&mut self, engine: &Engine, turn: Turn) {
-        if let Some(gap_ms) = turn.gap_ms {
-            self.health(&engine.instance).on_step(gap_ms);
+        if let Some(step_ms) = turn.step_ms {
+            self.health(&engine.instance).on_step(step_ms);
+        }
+        if turn.open < engine.slots {
+            self.model(&engine.service).on_turn(turn);
         }
-        self.model(&engine.service).on_turn(turn);
     }
 
     /// A request has left an engine; `unread` of its tokens had not been read.
@@ -240,6 +264,28 @@
         self.loads.retain(|key| listed.contains(&key));
     }
 
+    /// How far reports of other gateways count: they tell of requests that have ended since, the more of
+    /// them the older a report is beside the time that a request takes.
+    fn news_of(&self, candidates: &[Candidate<'_>], costs: &ServiceCosts) -> News {
+        let reported = candidates
+            .iter()
+            .map(|candidate| f64::from(self.loads.reported_at(candidate.key)));
+        let mean = reported.sum::<f64>() / candidates.len().max(1) as f64;
+        let age = self.loads.report_age_ms() / costs.turn_ms.max(1.0);
+        News {
+            mean,
+            trust: (-age).exp(),
+        }
+    }
+
+    /// Open requests at an engine: this gateway's own, and those of others as they may be by now, between
+    /// what they were and what engines have in the mean.
+    fn open_now(&self, key: EngineKey, news: News) -> f64 {
+        let reported = f64::from(self.loads.reported_at(key));
+        let others = news.mean + news.trust * (reported - news.mean);
+        f64::from(self.loads.own_at(key)) + others
+    }
+
     /// Whether an engine holds the part of a prompt that is the session's own.
     fn holds_last(&self, key: EngineKey, demand: &Demand<'_>) -> bool {
         let last = demand.parts.last().zip(self.loads.get(key));
@@ -266,13 +312,14 @@
         candidate: &Candidate<'_>,
         demand: &Demand<'_>,
         costs: &ServiceCosts,
+        open: f64,
         now: Duration,
     ) -> f64 {
         let engine = candidate.engine;
-        let open = self.loads.open_at(candidate.key);
-        let queued = (open + 1).saturating_sub(engine.slots);
-        let mut cost = f64::from(open) * costs.open_ms(engine.slots);
-        cost += f64::from(queued) * costs.place_ms(engine.slots);
+        let slots = f64::from(engine.slots);
+        let queued = (open + 1.0 - slots).max(0.0);
+        let mut cost = open * costs.open_ms(engine.slots);
+        cost += queued * costs.place_ms(engine.slots);
         if engine.zone != demand.zone {
             cost += OTHER_ZONE_MS;
         }
@@ -282,9 +329,15 @@
             |load| load.parts.missing(demand.parts),
         );
         // While the prompt is read, all other requests there wait too.
-        let waiting = f64::from(1 + open.min(engine.slots));
-        cost += waiting * missing as f64 / costs.tokens_per_ms;
-        cost += known.map_or(0, |load| load.unread) as f64 / costs.tokens_per_ms;
+        let waiting = 1.0 + open.min(slots);
+        // A beginning that others share is read there once for all of them.
+        let own = demand
+            .parts
+            .last()
+            .map_or(0, |part| part.tokens)
+            .min(missing);
+        let shared = missing - own;
+        cost += (waiting * own as f64 + shared as f64) / costs.tokens_per_ms;
         if known.is_some_and(|load| load.health.rests(now)) {
             cost += RESTING_MS;
         }
--- a/crates/routing/src/sample_window.rs
+++ b/crates/routing/src/sample_window.rs
@@ -1,17 +1,21 @@
 //! How one measured quantity grows with another, from the newest noisy pairs.
 //!
-//! The slope is taken between the medians of the pairs with the smallest and of those with the largest
-//! `x`. A median of a third of the pairs stays where it is while fewer than half of them are outliers,
-//! which a least-squares fit would not (`docs/design/decisions.md`, "What is learned of engines").
+//! The slope is taken between quantiles of the pairs with the smallest and of those with the largest `x`.
+//! A quantile of a third of the pairs stays near its place while some of them are outliers, which a
+//! least-squares fit would not. Where noise only adds, as waits do, a low quantile is the best
+//! (`docs/design/decisions.md`, "What is learned of engines").
 
 use std::collections::VecDeque;
 
 /// Pairs that are remembered; older ones give way, so that the slope follows a change.
-const CAPACITY: usize = 96;
-/// Fewest pairs that tell a slope: three for each median.
+const CAPACITY: usize = 192;
+/// Fewest pairs that tell a slope: three for each quantile.
 const MIN_PAIRS: usize = 9;
 /// Parts into which the pairs are divided by `x`; the middle ones are left out.
 const GROUPS: usize = 3;
+const MEDIAN: f64 = 0.5;
+/// Smaller values of `y` are taken for this one in ratios.
+const LEAST_Y: f32 = 0.01;
 
 /// The newest pairs of two quantities.
 #[derive(Debug, Clone, Default)]
@@ -43,28 +47,47 @@
         self.pairs.is_empty()
     }
 
-    /// How much `y` grows with each unit of `x`; `None` while there are few pairs, or where the groups
-    /// lie closer together than `least_spread`.
-    pub fn slope(&self, least_spread: f64) -> Option<f64> {
-        if self.pairs.len() < MIN_PAIRS {
-            return None;
-        }
-        let mut sorted: Vec<(f32, f32)> = self.pairs.iter().copied().collect();
-        sorted.sort_unstable_by(|one, two| one.0.total_cmp(&two.0));
+    /// How much the `part` quantile of `y` grows with each unit of `x`; `None` while there are few pairs,
+    /// or where the groups lie closer together than `least_spread`.
+    pub fn slope(&self, part: f64, least_spread: f64) -> Option<f64> {
+        let sorted = self.sorted()?;
         let group = sorted.len() / GROUPS;
         let (low, high) = (&sorted[..group], &sorted[sorted.len() - group..]);
-        let spread = median(high, |pair| pair.0) - median(low, |pair| pair.0);
+        let spread = quantile(high, MEDIAN, |pair| pair.0) - quantile(low, MEDIAN, |pair| pair.0);
         if spread < least_spread || spread <= 0.0 {
             return None;
         }
-        let rise = median(high, |pair| pair.1) - median(low, |pair| pair.1);
+        let rise = quantile(high, part, |pair| pair.1) - quantile(low, part, |pair| pair.1);
         Some(rise / spread)
     }
+
+    /// The `part` quantile of `x / y` where `x` is largest; `None` while there are few pairs.
+    pub fn ratio(&self, part: f64) -> Option<f64> {
+        let sorted = self.sorted()?;
+        let high = &sorted[sorted.len() - sorted.len() / GROUPS..];
+        Some(quantile(high, part, |pair| pair.0 / pair.1.max(LEAST_Y)))
+    }
+
+    /// The `part` quantile of `y`; `None` without pairs.
+    pub fn level(&self, part: f64) -> Option<f64> {
+        let pairs: Vec<(f32, f32)> = self.pairs.iter().copied().collect();
+        (!pairs.is_empty()).then(|| quantile(&pairs, part, |pair| pair.1))
+    }
+
+    fn sorted(&self) -> Option<Vec<(f32, f32)>> {
+        if self.pairs.len() < MIN_PAIRS {
+            return None;
+        }
+        let mut sorted: Vec<(f32, f32)> = self.pairs.iter().copied().collect();
+        sorted.sort_unstable_by(|one, two| one.0.total_cmp(&two.0));
+        Some(sorted)
+    }
 }
 
-fn median(pairs: &[(f32, f32)], value: impl Fn(&(f32, f32)) -> f32) -> f64 {
+fn quantile(pairs: &[(f32, f32)], part: f64, value: impl Fn(&(f32, f32)) -> f32) -> f64 {
     let mut values: Vec<f32> = pairs.iter().map(value).collect();
-    let middle = values.len() / 2;
-    let (_, median, _) = values.select_nth_unstable_by(middle, f32::total_cmp);
-    f64::from(*median)
+    let place = (values.len() as f64 * part) as usize;
+    let place = place.min(values.len() - 1);
+    let (_, quantile, _) = values.select_nth_unstable_by(place, f32::total_cmp);
+    f64::from(*quantile)
 }
