A shared beginning counts in part for the batch; directory nodes by that name, in a file of their own

What was called keeper is a directory node, the field's word; its messages stand in peer/gossip/reads.rs.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -35,7 +35,7 @@
     pub node: Rc<Node>,
     /// Load and contents of the engines.
     pub placement: RefCell<Placement>,
-    /// Where prompts were read that this gateway keeps track of.
+    /// Where prompts were read whose directory node this gateway is.
     pub directory: RefCell<ReadDirectory>,
     /// Splits of routes among services.
     pub split: RefCell<WeightedSplit>,
@@ -161,7 +161,7 @@
         })
     }
 
-    /// Tells the gateway that keeps track of a prompt that an engine is about to read it.
+    /// Tells the directory node of a prompt that an engine is about to read it.
     pub fn tell_read(self: &Rc<Self>, engine: &Engine, parts: &[PromptPart]) {
         let read = PromptRead {
             engine: EngineKey::of(&engine.instance).0,
@@ -179,7 +179,7 @@
         });
     }
 
-    /// Learns from their keepers where a prompt was read last: the session's own part, and the one that
+    /// Learns from directory nodes where a prompt was read last: the session's own part, and the one that
     /// it branches off from.
     pub async fn learn_reads(&self, parts: &[PromptPart]) {
         let from = parts.len().saturating_sub(ASKED_PARTS).max(1);
@@ -191,10 +191,10 @@
     }
 
     async fn learn_read(&self, part: u64) {
-        let Some(keeper) = self.node.gossip.keeper(part) else {
+        let Some(node) = self.node.gossip.directory_node(part) else {
             return;
         };
-        if let Some(read) = self.node.gossip.ask_read(keeper, part).await {
+        if let Some(read) = self.node.gossip.ask_read(node, part).await {
             self.placement.borrow_mut().on_read(&read);
         }
     }
--- a/crates/laboratory/src/policies/landed.rs
+++ b/crates/laboratory/src/policies/landed.rs
@@ -27,7 +27,7 @@
     gaps: Vec<f64>,
 }
 
-/// One [`Placement`] a gateway. Keepers answer at once, which the reservation of tokens hides.
+/// One [`Placement`] a gateway. Directory nodes answer at once, which the reservation of tokens hides.
 pub struct Landed {
     placements: Vec<Placement>,
     directory: ReadDirectory,
--- a/crates/node/tests/resident_requests.rs
+++ b/crates/node/tests/resident_requests.rs
@@ -301,7 +301,7 @@
     }
 }
 
-/// Sessions begin while there is one engine. Nothing but the keepers of their prompts tells other gateways
+/// Sessions begin while there is one engine. Nothing but the directory nodes of their prompts tells other gateways
 /// to stay with it when five more have come.
 #[test]
 fn a_session_goes_on_at_its_engine_through_another_gateway() {
@@ -340,7 +340,7 @@
     }
     let is_second = |run: &Run| run.headers["ridgeworks-request-id"].ends_with("-2");
     let stayed = first.runs().iter().filter(|run| is_second(run)).count();
-    // Without keepers about a third do; a datagram may be late on a busy machine.
+    // Without them about a third do; a datagram may be late on a busy machine.
     assert!(stayed >= 12, "{stayed} of {SESSIONS} sessions stayed");
 }
 
--- a/crates/resident/src/peer/gossip.rs
+++ b/crates/resident/src/peer/gossip.rs
@@ -3,6 +3,8 @@
 //! Nothing that must be safe rests on them. A node that hears of something newer than it knows fetches
 //! it from whoever told it; so a node follows the configuration while it cannot reach the store.
 
+mod reads;
+
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
@@ -14,15 +16,14 @@
 use ridgeworks_routing::PromptRead;
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use self::reads::Questions;
 use super::links::PeerLinks;
 use super::members::{Member, Members};
 use super::message::{
     Datagram, Heartbeat, LoadReport, MemberInfo, PeerReply, PeerRequest, ReplicaStatus, decode,
     encode,
 };
-use super::questions::Questions;
 use crate::clock::{Clock, whole_ms};
 use crate::view::View;
 use crate::watch_duty::{self, DutySignal, Place, SMALL_FLEET};
@@ -42,10 +43,6 @@
 const MAX_DATAGRAM: usize = 8 * 1024;
 /// Pause before news are told, so that those of a moment go out together.
 const NEWS_GATHERING: Duration = Duration::from_millis(5);
-/// How long a keeper may take to tell where a prompt was read.
-const ASK_TIMEOUT: Duration = Duration::from_millis(12);
-/// A node silent for so long keeps no track of prompts; in a large fleet each is heard every few seconds.
-const KEEPER_SILENCE: Duration = Duration::from_secs(6);
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
 /// Engines that another node knows newer are fetched only if they stay newer for so long: the store
 /// tells most nodes at about the same time.
@@ -282,40 +279,6 @@
         }
     }
 
-    /// Tells the keeper of a prompt that an engine reads it; gives it back where this node is the keeper.
-    pub async fn tell_read(&self, read: PromptRead) -> Option<PromptRead> {
-        let key = read.key()?;
-        match self.keeper(key) {
-            None => Some(read),
-            Some(keeper) => {
-                self.send(keeper, &Datagram::Read(read)).await;
-                None
-            }
-        }
-    }
-
-    /// Asks the keeper of prompts with this last part for the last read.
-    pub async fn ask_read(&self, keeper: SocketAddr, part: u64) -> Option<PromptRead> {
-        let (number, answer) = self.questions.ask();
-        self.send(keeper, &Datagram::FindRead { number, part })
-            .await;
-        let answered = tokio::time::timeout(ASK_TIMEOUT, answer).await;
-        self.questions.forget(number);
-        answered.ok()?.ok()?
-    }
-
-    /// The gateway that keeps track of prompts with this last part; `None` for this one.
-    pub fn keeper(&self, part: u64) -> Option<SocketAddr> {
-        let now = self.clock.now();
-        let members = self.members.borrow();
-        let alive = members
-            .iter()
-            .filter(|member| !member.info.is_replica && member.is_alive(now, KEEPER_SILENCE));
-        let rank = |name: &str| xxh3_64_with_seed(name.as_bytes(), part);
-        let best = alive.max_by_key(|member| rank(&member.info.name))?;
-        (rank(&best.info.name) > rank(&self.me.name)).then_some(best.info.address)
-    }
-
     async fn on_heartbeat(
         &self,
         heartbeat: Heartbeat,
--- a/crates/resident/src/peer/message.rs
+++ b/crates/resident/src/peer/message.rs
@@ -149,9 +149,9 @@
 pub enum Datagram {
     /// A few times a second.
     Heartbeat(Heartbeat),
-    /// An engine reads a prompt; told to the gateway that keeps track of its last part.
+    /// An engine reads a prompt; told to the prompt's directory node.
     Read(PromptRead),
-    /// Asks that gateway who has read prompts with this last part.
+    /// Asks that node who has read prompts with this last part.
     FindRead {
         /// Number of the question, unique at whoever asks.
         number: u64,
--- a/crates/resident/src/peer/mod.rs
+++ b/crates/resident/src/peer/mod.rs
@@ -4,7 +4,6 @@
 mod links;
 mod members;
 mod message;
-mod questions;
 mod server;
 
 pub use gossip::{Gossip, GossipSources, fetch_members, fetch_view};
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -35,6 +35,9 @@
 /// Part of a request's time that grows with the engine's step; the rest is reading and waiting, and steps
 /// of one engine differ by its batch.
 const STEP_SHARE: f64 = 0.4;
+/// How far the reading of a beginning that others share counts for all in the batch. It is read there once
+/// for all of them (0), but takes memory that other prompts lose (1); `docs/design/decisions.md`, "Ablation".
+const SHARED_WEIGHT: f64 = 0.25;
 /// Services of which something is remembered.
 const MAX_SERVICES: usize = 256;
 const MS_PER_S: f64 = 1_000.0;
@@ -330,14 +333,7 @@
         );
         // While the prompt is read, all other requests there wait too.
         let waiting = 1.0 + open.min(slots);
-        // A beginning that others share is read there once for all of them.
-        let own = demand
-            .parts
-            .last()
-            .map_or(0, |part| part.tokens)
-            .min(missing);
-        let shared = missing - own;
-        cost += (waiting * own as f64 + shared as f64) / costs.tokens_per_ms;
+        cost += reading_tokens(demand.parts, missing, waiting) / costs.tokens_per_ms;
         if known.is_some_and(|load| load.health.rests(now)) {
             cost += RESTING_MS;
         }
@@ -362,6 +358,14 @@
     }
 }
 
+/// Tokens that all requests of a batch together wait for while one of them is read.
+fn reading_tokens(parts: &[PromptPart], missing: u64, waiting: f64) -> f64 {
+    let own = parts.last().map_or(0, |part| part.tokens.min(missing));
+    let shared = (missing - own) as f64;
+    let shared_waiting = 1.0 + SHARED_WEIGHT * (waiting - 1.0);
+    waiting * own as f64 + shared_waiting * shared
+}
+
 fn candidates<'a>(table: &'a EngineTable, demand: &Demand<'a>, session: u64) -> Vec<Candidate<'a>> {
     let ready = table.ready(demand.service);
     let allowed = ready.filter(|engine| !demand.excluded.contains(&engine.instance));
--- a/crates/routing/src/read_directory.rs
+++ b/crates/routing/src/read_directory.rs
@@ -1,8 +1,8 @@
 //! Where prompts were read last: the part of that knowledge which one gateway keeps for all.
 //!
 //! Most turns of a session come through another gateway than the one before. A gateway that does not know
-//! where the earlier ones were read has them read again. So each prompt has a keeper among the gateways,
-//! by a hash of its last part: it is told of each reading, and asked before the next one
+//! where the earlier ones were read has them read again. So each prompt has a directory node among the
+//! gateways, by a hash of its last part: it is told of each reading, and asked before the next one
 //! (`docs/design/decisions.md`, "Sessions that change gateways"). Nothing is agreed on; an entry that is
 //! missing or old costs a reading.
 
@@ -15,7 +15,7 @@
 
 /// Parts of one prompt that are told; prompts of more are nobody else's concern.
 const MAX_PARTS: usize = 8;
-/// Entries of one keeper.
+/// Entries of one directory node.
 const MAX_ENTRIES: usize = 4_096;
 /// How long an entry is kept; a session that pauses for longer has mostly lost its place at the engine.
 const LIFETIME: Duration = Duration::from_secs(20);
