Two faults found by reading: costs lost at 256 services, questions that pile up

Cause 1: at as many services as are remembered, using one cleared them all. Cause 2: a request whose client leaves while a directory node is asked never took its question back; only an answer did.

--- a/crates/resident/src/peer/gossip.rs
+++ b/crates/resident/src/peer/gossip.rs
@@ -17,7 +17,7 @@
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
 
-use self::reads::Questions;
+pub use self::reads::Questions;
 use super::links::PeerLinks;
 use super::members::{Member, Members};
 use super::message::{
--- a/crates/resident/src/peer/gossip/reads.rs
+++ b/crates/resident/src/peer/gossip/reads.rs
@@ -29,13 +29,21 @@
     open: RefCell<HashMap<u64, oneshot::Sender<Answer>>>,
 }
 
+/// Open questions from which on those that nobody waits for any more are looked for.
+const MANY_QUESTIONS: usize = 64;
+
 impl Questions {
-    /// A new question: its number, and where its answer comes.
+    /// A new question: its number, and where its answer comes. Whoever asked may go away at any moment
+    /// without a word, so that questions that nobody waits for are looked for here.
     pub fn ask(&self) -> (u64, oneshot::Receiver<Answer>) {
         let number = self.last.get() + 1;
         self.last.set(number);
         let (sender, receiver) = oneshot::channel();
-        self.open.borrow_mut().insert(number, sender);
+        let mut open = self.open.borrow_mut();
+        if open.len() >= MANY_QUESTIONS {
+            open.retain(|_, waiting| !waiting.is_closed());
+        }
+        open.insert(number, sender);
         (number, receiver)
     }
 
@@ -47,6 +55,16 @@
         }
     }
 
+    /// Number of open questions.
+    pub fn len(&self) -> usize {
+        self.open.borrow().len()
+    }
+
+    /// Whether none is open.
+    pub fn is_empty(&self) -> bool {
+        self.open.borrow().is_empty()
+    }
+
     /// Nobody waits for the answer any more.
     pub fn forget(&self, number: u64) {
         self.open.borrow_mut().remove(&number);
--- a/crates/resident/src/peer/mod.rs
+++ b/crates/resident/src/peer/mod.rs
@@ -6,7 +6,7 @@
 mod message;
 mod server;
 
-pub use gossip::{Gossip, GossipSources, fetch_members, fetch_view};
+pub use gossip::{Gossip, GossipSources, Questions, fetch_members, fetch_view};
 pub use links::{LinkError, PeerLinks};
 pub use members::{Member, Members};
 pub use message::{
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -304,10 +304,11 @@
     }
 
     fn model(&mut self, service: &str) -> &mut ServiceModel {
-        if self.models.len() >= MAX_SERVICES {
+        let key = ServiceKey::of(service);
+        if self.models.len() >= MAX_SERVICES && !self.models.contains_key(&key) {
             self.models.clear();
         }
-        self.models.entry(ServiceKey::of(service)).or_default()
+        self.models.entry(key).or_default()
     }
 
     fn cost(
--- a/crates/routing/tests/placement.rs
+++ b/crates/routing/tests/placement.rs
@@ -269,3 +269,30 @@
         assert_eq!(chosen.expect("an engine"), "i-4");
     }
 }
+
+#[test]
+fn many_services_do_not_push_each_other_s_costs_out_for_ever() {
+    let mut placement = Placement::default();
+    teach(&mut placement, 38);
+    let learned = placement.costs("models");
+    for number in 0..255 {
+        let mut other = engine("i-other", "zone-a");
+        other.service = format!("service-{number}");
+        placement.on_first_event(&other, certain(500), Duration::from_millis(20));
+    }
+    // As many as are remembered: what is known of one is not lost by using it.
+    placement.on_first_event(
+        &engine("i-1", "zone-a"),
+        certain(500),
+        Duration::from_millis(18),
+    );
+    assert_eq!(placement.costs("models"), learned);
+}
+
+fn certain(missing: u64) -> Forecast {
+    Forecast {
+        missing,
+        is_certain: true,
+        ..Forecast::default()
+    }
+}
