Remove the time of the last event, which nothing reads any more

Cause: the step of a stream is measured in at_engine.rs since; Passed::last_at lost its only reader then. Behaviour is the same.

--- a/crates/gateway/src/streaming.rs
+++ b/crates/gateway/src/streaming.rs
@@ -55,8 +55,6 @@
     pub output: Vec<u8>,
     /// When the first event went out.
     pub first_at: Option<Instant>,
-    /// When the last event went out.
-    pub last_at: Option<Instant>,
 }
 
 /// How passing on a stream ended.
@@ -151,9 +149,7 @@
     passed: &mut Passed,
 ) -> Result<ClientSide, CallerGone> {
     let caller = client.streaming(answered)?;
-    let now = Instant::now();
-    passed.first_at.get_or_insert(now);
-    passed.last_at = Some(now);
+    passed.first_at.get_or_insert_with(Instant::now);
     if event.id.is_some() {
         passed.last_event_id = event.id;
     }
