A sending whose time is over before it is connected did not run

Cause: the client gave the time that was left as the limit of the whole sending only. Where it ran out while the connection was still being opened, the library names the whole limit, which cannot tell whether something was sent, so the client said that the call may have run. It shows when the last round of the test's 50 ms falls within microseconds of the end.

Now the connection has the time that is left as a limit of its own, and the whole sending a second more, so that the earlier one always speaks first. Ruled out: the port (it is bound and held), a proxy.

--- a/crates/testbed/src/client/attempt.rs
+++ b/crates/testbed/src/client/attempt.rs
@@ -23,6 +23,9 @@
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
 const DEFAULT_CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const DEFAULT_ROUND_PAUSE: Duration = Duration::from_millis(50);
+/// What a sending may take beyond the time that is left. A connection that does not come up fails by its
+/// own, earlier limit, which tells that nothing was sent; the limit of the whole sending cannot tell.
+const SENDING_MARGIN: Duration = Duration::from_secs(1);
 const FIRST_ERROR_STATUS: u16 = 300;
 
 /// Where and how to send requests.
@@ -161,13 +164,16 @@
         })
     }
 
-    /// Sends a request once; gives the successful answer with its body unread.
+    /// Sends a request once, within `left` for its connection and [`SENDING_MARGIN`] more for all of it;
+    /// gives the successful answer with its body unread.
     pub(super) fn send(
         &self,
         node: SocketAddr,
         request: &Outgoing<'_>,
-        timeout: Duration,
+        left: Duration,
     ) -> Result<Response<Body>, AttemptFailure> {
+        let connect = left.min(self.settings.connect_timeout);
+        let whole = left + SENDING_MARGIN;
         let url = format!("http://{node}{}", request.route.path());
         let token = format!("Bearer {}", self.settings.token);
         let response = match request.body {
@@ -180,7 +186,8 @@
                     .header(AUTHORIZATION_HEADER, token)
                     .header("content-type", "application/json")
                     .config()
-                    .timeout_global(Some(timeout))
+                    .timeout_connect(Some(connect))
+                    .timeout_global(Some(whole))
                     .build()
                     .send(body)
             }
@@ -189,7 +196,8 @@
                 .get(&url)
                 .header(AUTHORIZATION_HEADER, token)
                 .config()
-                .timeout_global(Some(timeout))
+                .timeout_connect(Some(connect))
+                .timeout_global(Some(whole))
                 .build()
                 .call(),
         };
--- a/crates/testbed/tests/client.rs
+++ b/crates/testbed/tests/client.rs
@@ -142,6 +142,19 @@
     }
 }
 
+/// The time of a call may run out at any moment of it, also before its connection is opened.
+#[test]
+fn a_call_whose_time_is_over_before_it_is_connected_did_not_run() {
+    let (_held, address) = unused_address();
+    for nanos in [0, 1, 1_000, 10_000, 50_000] {
+        let mut settings = ClientSettings::new(vec![address], "token");
+        settings.patience = Duration::from_nanos(nanos);
+        let client = CallerClient::new(settings);
+        let failure = client.open_run(&program()).expect_err("no node");
+        assert!(!failure.may_have_run(), "{nanos} ns: {failure:?}");
+    }
+}
+
 #[test]
 fn a_refusal_after_a_broken_sending_says_that_the_call_may_have_run() {
     let closed = Refusal::permanent(RefusalReason::RunClosed);
