Gateways tell each other of engines that fail, and tell the log

Hypothesis: before 60 engines each of 56 gateways sends an engine a request every few seconds, too few to tell a failing engine from bad luck within its fault.

Change: heartbeats name suspects, engines of which anybody saw a failure, with the counts of all gateways. They are the prior for a gateway that saw little itself. An engine that was not reached is no failure: its request goes elsewhere. The log tells when an engine begins or ceases to fail.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use ridgeworks_platform::{EngineHead, EngineOrder, engine_headers, read_engine_head};
 use ridgeworks_resident::http_client::{ConnectError, Connection};
-use ridgeworks_routing::Engine;
+use ridgeworks_routing::{Engine, Outcome};
 use tokio::time::Instant;
 
 use crate::at_engine::AtEngine;
@@ -42,6 +42,15 @@
         matches!(self, Self::NotSent(_) | Self::Unsent | Self::Rejected(_))
     }
 
+    /// What it says of the engine; a full one says nothing.
+    pub fn outcome(&self) -> Option<Outcome> {
+        match self {
+            Self::Rejected(_) => None,
+            Self::NotSent(_) | Self::Unsent => Some(Outcome::Unreached),
+            Self::Lost | Self::Garbled | Self::BrokenOff | Self::Silent => Some(Outcome::Failed),
+        }
+    }
+
     /// Name for logs and metrics.
     pub fn name(&self) -> &'static str {
         match self {
--- a/crates/gateway/src/exchange/engine_choice.rs
+++ b/crates/gateway/src/exchange/engine_choice.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use ridgeworks_resident::clock::whole_ms;
-use ridgeworks_routing::{Demand, Engine, Forecast, Outcome, Refusal, RefusalReason, RequestKind};
+use ridgeworks_routing::{Demand, Engine, Forecast, Refusal, RefusalReason, RequestKind};
 use tokio::time::Instant;
 
 use super::Exchange;
@@ -154,8 +154,8 @@
             AttemptFailure::Rejected(_) => tried.rejections += 1,
             _ => {}
         }
-        if !matches!(failure, AttemptFailure::Rejected(_)) {
-            self.gateway.on_outcome(instance, Outcome::Failed);
+        if let Some(outcome) = failure.outcome() {
+            self.gateway.on_outcome(instance, outcome);
         }
         if !failure.is_not_run() {
             self.on_maybe_run(engine);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,8 +9,8 @@
     GossipSources, LoadReport, PeerReply, PeerRequest, PeerService, ReplicaStatus,
 };
 use ridgeworks_routing::{
-    Demand, Engine, EngineKey, Outcome, Placement, PromptPart, PromptRead, ReadDirectory, Route,
-    WeightedSplit,
+    Demand, Engine, EngineKey, GatewayReport, Outcome, Placement, PromptPart, PromptRead,
+    ReadDirectory, Route, WeightedSplit,
 };
 use tokio::sync::oneshot;
 
@@ -222,6 +222,16 @@
         self.node.view.with_engines(|table| {
             placement.retain(table, now);
             self.pool.prune(table);
+            for news in placement.failing_news(table, now) {
+                log::info!(
+                    target: "belief",
+                    engine = news.instance,
+                    is_failing = news.is_failing,
+                    failed = news.outcomes.failed,
+                    ended = news.outcomes.ended;
+                    "failures of an engine changed"
+                );
+            }
         });
         for (service, costs, samples) in placement.news() {
             log::info!(
@@ -261,9 +271,11 @@
 impl GossipSources for Gateway {
     fn load(&self) -> LoadReport {
         let placement = self.placement.borrow();
-        let report = placement.report();
+        let report = placement.report(self.now());
+        let open = report.open.into_iter();
         LoadReport {
-            open: report.into_iter().map(|(key, own)| (key.0, own)).collect(),
+            open: open.map(|(key, own)| (key.0, own)).collect(),
+            suspects: report.suspects,
             services: placement.summaries(),
         }
     }
@@ -279,7 +291,11 @@
             .into_iter()
             .map(|(key, own)| (EngineKey(key), own));
         let mut placement = self.placement.borrow_mut();
-        placement.on_report(from, open.collect(), now);
+        let report = GatewayReport {
+            open: open.collect(),
+            suspects: load.suspects,
+        };
+        placement.on_report(from, report, now);
         placement.on_summaries(load.services);
     }
 
--- a/crates/laboratory/src/policies/landed.rs
+++ b/crates/laboratory/src/policies/landed.rs
@@ -163,12 +163,12 @@
         let reports: Vec<_> = self
             .placements
             .iter()
-            .map(|placement| (placement.report(), placement.summaries()))
+            .map(|placement| (placement.report(now), placement.summaries()))
             .collect();
         for (gateway, placement) in self.placements.iter_mut().enumerate() {
-            for (other, (open, summaries)) in reports.iter().enumerate() {
+            for (other, (report, summaries)) in reports.iter().enumerate() {
                 if other != gateway {
-                    placement.on_report(&other.to_string(), open.clone(), now);
+                    placement.on_report(&other.to_string(), report.clone(), now);
                     placement.on_summaries(summaries.clone());
                 }
             }
--- a/crates/resident/src/peer/gossip.rs
+++ b/crates/resident/src/peer/gossip.rs
@@ -13,7 +13,7 @@
 
 use rand::RngExt;
 use rand::seq::IndexedRandom;
-use ridgeworks_routing::PromptRead;
+use ridgeworks_routing::{MAX_SUSPECTS, PromptRead};
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
 
@@ -192,7 +192,7 @@
         if targets.is_empty() {
             return;
         }
-        let heartbeat = Datagram::Heartbeat(self.heartbeat(sources));
+        let heartbeat = Datagram::Heartbeat(Box::new(self.heartbeat(sources)));
         let Ok(datagram) = encode(&heartbeat) else {
             return;
         };
@@ -227,6 +227,7 @@
     fn heartbeat(&self, sources: &impl GossipSources) -> Heartbeat {
         let mut load = sources.load();
         load.open.truncate(MAX_LOAD_ENTRIES);
+        load.suspects.truncate(MAX_SUSPECTS);
         load.services.truncate(MAX_SERVICE_ENTRIES);
         Heartbeat {
             from: self.me.clone(),
@@ -260,7 +261,7 @@
     async fn on_datagram(&self, bytes: &[u8], from: SocketAddr, sources: &impl GossipSources) {
         match decode::<Datagram>(bytes) {
             Ok(Datagram::Heartbeat(heartbeat)) => {
-                self.on_heartbeat(heartbeat, from, sources).await;
+                self.on_heartbeat(*heartbeat, from, sources).await;
             }
             Ok(Datagram::Read(read)) => sources.on_read(read),
             Ok(Datagram::FindRead { number, part }) => {
@@ -298,7 +299,7 @@
                 incarnation = heartbeat.incarnation;
                 "node joined"
             );
-            let reply = Datagram::Heartbeat(self.heartbeat(sources));
+            let reply = Datagram::Heartbeat(Box::new(self.heartbeat(sources)));
             self.send(from, &reply).await;
         }
         if self.is_behind(&heartbeat, now) {
--- a/crates/resident/src/peer/message.rs
+++ b/crates/resident/src/peer/message.rs
@@ -9,7 +9,9 @@
 
 use bytes::Bytes;
 use ridgeworks_records::{Epoch, ReplicaId, ReplicaReply, ReplicaRequest, ReplicaSet};
-use ridgeworks_routing::{EngineChanges, PromptRead, RouteConfiguration, ServiceSummary};
+use ridgeworks_routing::{
+    EngineChanges, PromptRead, RouteConfiguration, ServiceSummary, ToldOutcomes,
+};
 use rkyv::api::high::{HighDeserializer, HighSerializer, HighValidator};
 use rkyv::bytecheck::CheckBytes;
 use rkyv::rancor::Error;
@@ -117,6 +119,8 @@
 pub struct LoadReport {
     /// Its open requests by engine.
     pub open: Vec<(u64, u32)>,
+    /// How its requests ended at engines that fail some.
+    pub suspects: Vec<ToldOutcomes>,
     /// What it has learned of the services.
     pub services: Vec<ServiceSummary>,
 }
@@ -148,7 +152,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub enum Datagram {
     /// A few times a second.
-    Heartbeat(Heartbeat),
+    Heartbeat(Box<Heartbeat>),
     /// An engine reads a prompt; told to the prompt's directory node.
     Read(PromptRead),
     /// Asks that node who has read prompts with this last part.
--- a/crates/routing/src/engine_health.rs
+++ b/crates/routing/src/engine_health.rs
@@ -19,6 +19,9 @@
     Served,
     /// The engine failed it, or nothing that could be passed on came of it.
     Failed,
+    /// It did not reach the engine. It went to another one without much loss, so only the engine's rest
+    /// speaks of it.
+    Unreached,
 }
 
 /// Requests that ended at an engine lately; the longer ago one ended, the less it counts.
@@ -41,7 +44,7 @@
 }
 
 impl OutcomeCounts {
-    /// Both together.
+    /// These and others together.
     pub fn plus(self, other: Self) -> Self {
         Self {
             ended: self.ended + other.ended,
@@ -67,18 +70,17 @@
 impl EngineHealth {
     /// A request ended there.
     pub fn on_outcome(&mut self, outcome: Outcome, now: Duration) {
-        self.outcomes = self.outcomes(now);
-        self.counted_at = now;
-        self.outcomes.ended += 1.0;
         match outcome {
             Outcome::Served => {
                 self.failures = 0;
                 self.resting_until = None;
+                self.count(0.0, now);
             }
             Outcome::Failed => {
-                self.outcomes.failed += 1.0;
                 self.rest(now);
+                self.count(1.0, now);
             }
+            Outcome::Unreached => self.rest(now),
         }
     }
 
@@ -103,6 +105,13 @@
         self.step_ms
     }
 
+    fn count(&mut self, failed: f64, now: Duration) {
+        self.outcomes = self.outcomes(now);
+        self.outcomes.ended += 1.0;
+        self.outcomes.failed += failed;
+        self.counted_at = now;
+    }
+
     fn rest(&mut self, now: Duration) {
         let doubled = FIRST_REST.saturating_mul(1 << self.failures.min(8));
         self.failures = self.failures.saturating_add(1);
--- a/crates/routing/src/engine_load.rs
+++ b/crates/routing/src/engine_load.rs
@@ -8,13 +8,22 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::engine_health::EngineHealth;
+use crate::engine_health::{EngineHealth, OutcomeCounts};
 use crate::request::PromptPart;
+use crate::told_outcomes::{MAX_SUSPECTS, ToldOutcomes, ToldSums};
 
 /// How long a report of another gateway counts.
 const REPORT_LIFETIME: Duration = Duration::from_secs(2);
 /// Weight of the newest time between two reports in their mean.
 const INTERVAL_WEIGHT: f64 = 0.05;
+/// Requests like those of the service's other engines that every engine is taken to have ended beside the ones
+/// that were seen.
+pub const PRIOR_OUTCOMES: f64 = 3.0;
+/// Share of failures above which an engine is said to fail requests, and below which it is said to serve again.
+const FAILING_SHARE: f64 = 0.25;
+const SERVING_SHARE: f64 = 0.1;
+/// Failures from which on an engine is a suspect. One that faded to less says nothing any more.
+const LEAST_FAILED: f64 = 0.5;
 const MS_PER_S: f64 = 1_000.0;
 /// Parts of prompts remembered for one engine. With about 45 bytes each this is the larger part of a
 /// gateway's memory in a large fleet: 4.4 MB for 190 engines. An engine's own memory holds fewer.
@@ -104,13 +113,56 @@
     pub parts: HeldParts,
     /// What its answers say of it.
     pub health: EngineHealth,
+    /// What its answers to other gateways say of it, by their reports.
+    told: ToldSums,
+    /// Whether it was last said to fail requests.
+    is_failing: bool,
+}
+
+impl EngineLoad {
+    /// How requests ended there lately, as far as this gateway knows.
+    pub fn outcomes(&self, now: Duration) -> OutcomeCounts {
+        self.health.outcomes(now).plus(self.told.counts())
+    }
+
+    /// Share of the requests that failed there. Where other gateways saw little the engine is taken to be typical,
+    /// and where this one saw little, to be as the others say: an engine may fail some callers alone.
+    pub fn failed_share(&self, typical: f64, now: Duration) -> f64 {
+        let told = self.told.counts().failed_share(PRIOR_OUTCOMES, typical);
+        let own = self.health.outcomes(now);
+        own.failed_share(PRIOR_OUTCOMES, told)
+    }
+
+    /// Whether it fails requests, if that is new. Between the two shares nothing is, so that it does not change with
+    /// each request.
+    pub fn failing_news(&mut self, now: Duration) -> Option<bool> {
+        let share = self.failed_share(0.0, now);
+        let limit = if self.is_failing {
+            SERVING_SHARE
+        } else {
+            FAILING_SHARE
+        };
+        let is_failing = share > limit;
+        let is_new = is_failing != self.is_failing;
+        self.is_failing = is_failing;
+        is_new.then_some(is_failing)
+    }
+}
+
+/// What one gateway tells the others of the engines.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct GatewayReport {
+    /// Its open requests by engine.
+    pub open: Vec<(EngineKey, u32)>,
+    /// How its requests ended at engines of which somebody has told a failure.
+    pub suspects: Vec<ToldOutcomes>,
 }
 
 /// A report that still counts.
 #[derive(Debug, Clone)]
 struct Report {
     at: Duration,
-    open: Vec<(EngineKey, u32)>,
+    told: GatewayReport,
 }
 
 /// Loads of all engines. Times are since the start of the process.
@@ -130,6 +182,11 @@
         self.engines.get(&key)
     }
 
+    /// What is known of an engine, to be changed; `None` when nothing is.
+    pub fn get_mut(&mut self, key: EngineKey) -> Option<&mut EngineLoad> {
+        self.engines.get_mut(&key)
+    }
+
     /// What is known of an engine, to be changed.
     pub fn entry(&mut self, key: EngineKey) -> &mut EngineLoad {
         self.engines.entry(key).or_default()
@@ -156,28 +213,52 @@
         self.engines.get(&key).map_or(0, |load| load.own)
     }
 
+    /// What this gateway tells the others.
+    pub fn report(&self, now: Duration) -> GatewayReport {
+        GatewayReport {
+            open: self.open(),
+            suspects: self.suspects(now),
+        }
+    }
+
     /// Open requests of this gateway by engine, the most loaded engines first.
-    pub fn report(&self) -> Vec<(EngineKey, u32)> {
+    fn open(&self) -> Vec<(EngineKey, u32)> {
         let busy = self.engines.iter().filter(|(_, load)| load.own > 0);
         let mut open: Vec<(EngineKey, u32)> = busy.map(|(key, load)| (*key, load.own)).collect();
         open.sort_unstable_by_key(|(key, own)| (std::cmp::Reverse(*own), *key));
         open
     }
 
+    /// How this gateway's requests ended at engines of which it or another one tells a failure, those that failed
+    /// most first.
+    fn suspects(&self, now: Duration) -> Vec<ToldOutcomes> {
+        let known = self.engines.iter();
+        let suspected = known.filter(|(_, load)| load.outcomes(now).failed >= LEAST_FAILED);
+        let told = suspected.map(|(key, load)| ToldOutcomes::new(key.0, load.health.outcomes(now)));
+        let mut suspects: Vec<ToldOutcomes> = told.filter(|told| told.ended > 0).collect();
+        suspects.sort_unstable_by_key(|told| (std::cmp::Reverse(told.failed), told.engine));
+        suspects.truncate(MAX_SUSPECTS);
+        suspects
+    }
+
     /// Takes in another gateway's report in place of its last one.
-    pub fn on_report(&mut self, gateway: &str, open: Vec<(EngineKey, u32)>, now: Duration) {
+    pub fn on_report(&mut self, gateway: &str, told: GatewayReport, now: Duration) {
         self.expire(now);
         if let Some(last) = self.reports.get(gateway) {
             let interval_ms = now.saturating_sub(last.at).as_secs_f64() * MS_PER_S;
             self.interval_ms += INTERVAL_WEIGHT * (interval_ms - self.interval_ms);
         }
         self.forget_report(gateway);
-        for (key, count) in &open {
+        for (key, count) in &told.open {
             let load = self.engines.entry(*key).or_default();
             load.reported = load.reported.saturating_add(*count);
         }
+        for suspect in &told.suspects {
+            let load = self.engines.entry(EngineKey(suspect.engine)).or_default();
+            load.told.add(suspect);
+        }
         self.came.push_back((now, gateway.to_owned()));
-        let report = Report { at: now, open };
+        let report = Report { at: now, told };
         self.reports.insert(gateway.to_owned(), report);
     }
 
@@ -201,18 +282,25 @@
 
     /// Forgets engines that nobody uses and that are not kept.
     pub fn retain(&mut self, is_kept: impl Fn(EngineKey) -> bool) {
-        self.engines
-            .retain(|key, load| load.own > 0 || load.reported > 0 || is_kept(*key));
+        self.engines.retain(|key, load| {
+            let is_used = load.own > 0 || load.reported > 0 || !load.told.is_empty();
+            is_used || is_kept(*key)
+        });
     }
 
     fn forget_report(&mut self, gateway: &str) {
         let Some(report) = self.reports.remove(gateway) else {
             return;
         };
-        for (key, count) in report.open {
+        for (key, count) in report.told.open {
             if let Some(load) = self.engines.get_mut(&key) {
                 load.reported = load.reported.saturating_sub(count);
             }
         }
+        for suspect in &report.told.suspects {
+            if let Some(load) = self.engines.get_mut(&EngineKey(suspect.engine)) {
+                load.told.subtract(suspect);
+            }
+        }
     }
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -17,20 +17,22 @@
 mod route_table;
 mod sample_window;
 mod service_model;
+mod told_outcomes;
 mod weighted_split;
 
 pub use configuration::{
     CallerLimits, ModelEngine, RequestKind, Route, RouteConfiguration, Service, WeightedService,
 };
 pub use engine_health::{EngineHealth, Outcome, OutcomeCounts};
-pub use engine_load::{EngineKey, EngineLoads};
+pub use engine_load::{EngineKey, EngineLoads, GatewayReport};
 pub use engine_table::{Engine, EngineChanges, EngineEntry, EngineState, EngineTable, Removal};
 pub use event_stream::{Event, EventSplitter};
-pub use placement::{Choice, Demand, Forecast, Placement};
+pub use placement::{Choice, Demand, FailingNews, Forecast, Placement};
 pub use read_directory::{PromptRead, ReadDirectory};
 pub use refusal::{Refusal, RefusalReason};
 pub use request::{CallMetadata, PromptPart};
 pub use route_table::RouteTable;
 pub use sample_window::SampleWindow;
 pub use service_model::{Reading, ServiceCosts, ServiceKey, ServiceModel, ServiceSummary, Turn};
+pub use told_outcomes::{MAX_SUSPECTS, ToldOutcomes};
 pub use weighted_split::WeightedSplit;
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -15,7 +15,7 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::engine_health::{EngineHealth, Outcome, OutcomeCounts};
-use crate::engine_load::{EngineKey, EngineLoads, prompt_tokens};
+use crate::engine_load::{EngineKey, EngineLoads, GatewayReport, PRIOR_OUTCOMES, prompt_tokens};
 use crate::engine_table::{Engine, EngineTable};
 use crate::read_directory::PromptRead;
 use crate::request::PromptPart;
@@ -35,9 +35,6 @@
 /// What a request that fails loses, in times of a request: its own time, its client's pause, and the risk that
 /// its program ends with the third failure.
 const FAILURE_TURNS: f64 = 4.0;
-/// Requests like those of the service's other engines that every engine is taken to have ended beside the ones
-/// that were seen.
-const PRIOR_OUTCOMES: f64 = 3.0;
 /// Part of a request's time that grows with the engine's step; the rest is reading and waiting, and steps
 /// of one engine differ by its batch.
 const STEP_SHARE: f64 = 0.4;
@@ -81,6 +78,17 @@
     pub cost_ms: f64,
 }
 
+/// An engine that has begun or ceased to fail requests.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct FailingNews<'a> {
+    /// The engine's instance.
+    pub instance: &'a str,
+    /// Whether it fails them now.
+    pub is_failing: bool,
+    /// What this gateway and others saw of it lately.
+    pub outcomes: OutcomeCounts,
+}
+
 /// What was believed of an engine when a request was sent to it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Forecast {
@@ -258,19 +266,41 @@
         self.health(instance).on_outcome(outcome, now);
     }
 
+    /// Engines that have begun or ceased to fail requests since they were last told.
+    pub fn failing_news<'a>(
+        &mut self,
+        table: &'a EngineTable,
+        now: Duration,
+    ) -> Vec<FailingNews<'a>> {
+        let mut news = Vec::new();
+        for instance in table.instances() {
+            let Some(load) = self.loads.get_mut(EngineKey::of(instance)) else {
+                continue;
+            };
+            if let Some(is_failing) = load.failing_news(now) {
+                news.push(FailingNews {
+                    instance,
+                    is_failing,
+                    outcomes: load.outcomes(now),
+                });
+            }
+        }
+        news
+    }
+
     /// Health of an engine.
     pub fn health(&mut self, instance: &str) -> &mut EngineHealth {
         &mut self.loads.entry(EngineKey::of(instance)).health
     }
 
-    /// Requests of this gateway by engine, for the other gateways.
-    pub fn report(&self) -> Vec<(EngineKey, u32)> {
-        self.loads.report()
+    /// What this gateway tells the others of the engines.
+    pub fn report(&self, now: Duration) -> GatewayReport {
+        self.loads.report(now)
     }
 
     /// Takes in another gateway's report.
-    pub fn on_report(&mut self, gateway: &str, open: Vec<(EngineKey, u32)>, now: Duration) {
-        self.loads.on_report(gateway, open, now);
+    pub fn on_report(&mut self, gateway: &str, report: GatewayReport, now: Duration) {
+        self.loads.on_report(gateway, report, now);
     }
 
     /// Forgets engines that are gone and reports that are too old.
@@ -318,18 +348,15 @@
 
     /// Share of the requests that fail at the engines all together.
     fn typical_failed(&self, candidates: &[Candidate<'_>], now: Duration) -> f64 {
-        let outcomes = candidates
+        // Of this gateway's own requests: others tell of suspects only.
+        let loads = candidates
             .iter()
-            .map(|candidate| self.outcomes(candidate.key, now));
+            .filter_map(|candidate| self.loads.get(candidate.key));
+        let outcomes = loads.map(|load| load.health.outcomes(now));
         let all = outcomes.fold(OutcomeCounts::default(), OutcomeCounts::plus);
         all.failed_share(PRIOR_OUTCOMES, 0.0)
     }
 
-    fn outcomes(&self, key: EngineKey, now: Duration) -> OutcomeCounts {
-        let load = self.loads.get(key);
-        load.map_or_else(OutcomeCounts::default, |load| load.health.outcomes(now))
-    }
-
     /// What a request is expected to lose at an engine that fails more of them than engines typically do.
     fn failing_ms(
         &self,
@@ -338,8 +365,10 @@
         typical: f64,
         now: Duration,
     ) -> f64 {
-        let outcomes = self.outcomes(candidate.key, now);
-        let excess = outcomes.failed_share(PRIOR_OUTCOMES, typical) - typical;
+        let Some(load) = self.loads.get(candidate.key) else {
+            return 0.0;
+        };
+        let excess = load.failed_share(typical, now) - typical;
         excess.max(0.0) * FAILURE_TURNS * costs.turn_ms
     }
 
--- a/crates/routing/tests/engine_health.rs
+++ b/crates/routing/tests/engine_health.rs
@@ -30,10 +30,11 @@
 
 quickcheck! {
     /// Clocks may jump, and prior shares come from sums that other nodes tell.
-    fn shares_are_shares(outcomes: Vec<(bool, u32)>, prior: u8, share: u8, read_at: u32) -> bool {
+    fn shares_are_shares(outcomes: Vec<(u8, u32)>, prior: u8, share: u8, read_at: u32) -> bool {
         let mut health = EngineHealth::default();
-        for (is_served, at_ms) in outcomes {
-            let outcome = if is_served { Outcome::Served } else { Outcome::Failed };
+        for (kind, at_ms) in outcomes {
+            let kinds = [Outcome::Served, Outcome::Failed, Outcome::Unreached];
+            let outcome = kinds[usize::from(kind) % kinds.len()];
             health.on_outcome(outcome, Duration::from_millis(u64::from(at_ms)));
         }
         let counts = health.outcomes(Duration::from_millis(u64::from(read_at)));
