--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: laboratory test platform-test platform-day platform-soak format lint build generate bench-scheduling experiment bench-storage check-generated demo bench compare-detectors chaos chaos-quick chaos-weakened simulate scale check-engine-model
+.PHONY: laboratory test platform-test platform-day platform-soak format lint build generate bench-scheduling experiment bench-storage check-generated demo bench compare-detectors chaos chaos-quick chaos-weakened simulate check-engine-model
 
 # Two conversations on a small deployment; the last line is one JSON object.
 demo:
@@ -109,11 +109,6 @@
 	cargo test --release --locked -p ridgeworks-configuration -- --nocapture
 	cargo test --release --locked -p ridgeworks-membership -- --nocapture
 
-# A cluster of the two-year size and how its costs grow; under five minutes.
-scale:
-	cargo build --release --locked -p ridgeworks-node -p ridgeworks-testbed
-	target/release/ridgeworks-testbed scale --nodes 410 --engines 2000 --runs 640000
-
 # The engine model against the stand-in engine as a process, in real time.
 check-engine-model:
 	cargo test --release --locked -p ridgeworks-testbed --test engine_model -- --ignored --nocapture
--- a/crates/testbed/src/cluster/mod.rs
+++ b/crates/testbed/src/cluster/mod.rs
@@ -24,7 +24,6 @@
 pub use deployment::{Cluster, ClusterOptions, DataFolder};
 pub use error::{ClusterError, Condition};
 pub use interrupt::{exit_on_signal, flag_on_signal};
-pub(crate) use interrupt::{forget, spawn};
 pub use layout::RelayUse;
 pub use node::NodePlan;
 pub use preset::{
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -13,6 +13,5 @@
 pub mod measures;
 pub mod platform;
 pub mod relay;
-pub mod scale;
 pub mod serving;
 pub mod tool;
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -5,7 +5,7 @@
 use clap::{Parser, Subcommand};
 use ridgeworks_history::VerifyArguments;
 use ridgeworks_testbed::{
-    bench, chaos, cluster_command, demo, engine, experiment, load, platform, relay, scale, tool,
+    bench, chaos, cluster_command, demo, engine, experiment, load, platform, relay, tool,
 };
 
 /// Stand-ins and tools for trying ridgeworks out.
@@ -38,11 +38,6 @@
     Chaos(chaos::ChaosArguments),
     /// Put both presets under every fault alone and a list of pairs, and print a table.
     ChaosSuite(chaos::SuiteArguments),
-    /// Run a cluster of many hollow nodes and measure how its costs grow.
-    Scale(scale::ScaleArguments),
-    /// Serve as one of the processes of hollow nodes that `scale` starts.
-    #[command(hide = true)]
-    ScaleHost(scale::HostArguments),
     /// Compare scheduling policies under virtual time.
     Experiment(ridgeworks_experiment::Args),
     /// Judge the history of a run.
@@ -61,8 +56,6 @@
         Command::Load(arguments) => exit_code(load::run(&arguments)),
         Command::Chaos(arguments) => ExitCode::from(chaos::run(&arguments)),
         Command::ChaosSuite(arguments) => ExitCode::from(chaos::run_suite(&arguments)),
-        Command::Scale(arguments) => exit_code(scale::run(&arguments)),
-        Command::ScaleHost(_) => exit_code(scale::run_host()),
         Command::Experiment(arguments) => exit_code(experiment::run(&arguments)),
         Command::Verify(arguments) => ExitCode::from(ridgeworks_history::run(&arguments)),
     }
