A test that entries which lapsed with the store count again once they are back

The users' page says that such entries are back within about two seconds of the store's return, and that one still missing then is gone. Nothing had to change: entries are taken out when the store tells so and taken in again when they are back. The test's first form sent one identifier over and over, which goes to one engine; it was wrong, not the gateway.

--- a/crates/node/tests/resident_lifecycle.rs
+++ b/crates/node/tests/resident_lifecycle.rs
@@ -119,6 +119,42 @@
     assert_eq!(engine.runs().len(), runs);
 }
 
+/// Entries lapse while the store is away, also those of engines that live. Back comes who lives.
+#[test]
+fn entries_that_lapsed_with_the_store_count_again_when_they_are_back() {
+    let deployment = Deployment::started(PROGRAM, 1, 0);
+    let living = deployment.engine("tools", "i-1", ok());
+    let dead = deployment.engine("tools", "i-2", ok());
+    let gateway = deployment.gateways[0].callers();
+    let mut number = 0;
+    let mut next_status = || {
+        number += 1;
+        let reply = call_get("/tool/x", &format!("r-{number}")).send(gateway);
+        reply.map_or(0, |reply| reply.status)
+    };
+    wait_until("both engines serve", || {
+        next_status();
+        !living.runs().is_empty() && !dead.runs().is_empty()
+    });
+    deployment.store.set_fault(StoreFault::Unavailable);
+    deployment.store.remove("servers", "i-1");
+    deployment.store.remove("servers", "i-2");
+    assert_eq!(next_status(), 200);
+    deployment.store.set_fault(StoreFault::None);
+    let entry = living.entry("tools", "ready");
+    deployment.store.put("servers", "i-1", entry);
+    wait_until("the gateway has seen both go and one come back", || {
+        let before = dead.runs().len();
+        let answered = (0..8).all(|_| next_status() == 200);
+        answered && dead.runs().len() == before
+    });
+    let before = dead.runs().len();
+    for _ in 0..20 {
+        assert_eq!(next_status(), 200);
+    }
+    assert_eq!(dead.runs().len(), before);
+}
+
 #[test]
 fn a_gateway_that_starts_while_the_store_is_down_learns_from_another() {
     let mut deployment = Deployment::started(PROGRAM, 1, 0);
