--- a/crates/routing/tests/support/mod.rs
+++ b/crates/routing/tests/support/mod.rs
@@ -1,9 +1,11 @@
 //! Engines and routes for tests.
 #![allow(dead_code, reason = "each test file uses its own part of the support")]
 
+use std::time::Duration;
+
 use ridgeworks_routing::{
-    CallerLimits, Engine, EngineEntry, EngineState, EngineTable, RequestKind, Route,
-    RouteConfiguration, WeightedService,
+    CallerLimits, Demand, Engine, EngineEntry, EngineState, EngineTable, Forecast, Placement,
+    PromptPart, RequestKind, Route, RouteConfiguration, WeightedService,
 };
 
 pub fn engine(instance: &str, zone: &str) -> Engine {
@@ -69,3 +71,34 @@
         },
     }
 }
+
+pub const NOW: Duration = Duration::from_secs(1);
+
+pub fn demand<'a>(key: &'a str, parts: &'a [PromptPart], excluded: &'a [String]) -> Demand<'a> {
+    Demand {
+        service: "models",
+        key,
+        parts,
+        zone: "zone-a",
+        excluded,
+    }
+}
+
+/// The instance that gets the request.
+pub fn choose(
+    placement: &mut Placement,
+    table: &EngineTable,
+    demand: &Demand<'_>,
+    now: Duration,
+) -> Option<String> {
+    let choice = placement.choose(table, demand, now)?;
+    Some(choice.engine.instance.clone())
+}
+
+pub fn send(placement: &mut Placement, instance: &str, parts: &[PromptPart]) -> Forecast {
+    placement.on_sent("other", &engine(instance, "zone-a"), parts)
+}
+
+pub fn part(hash: u64, tokens: u64) -> PromptPart {
+    PromptPart { hash, tokens }
+}
