The laboratory's engine makes an event in one place

Two places of Engine::end_round counted an event down and told it, alike but for is_first. Running::make_event serves both.

--- a/crates/laboratory/src/engine.rs
+++ b/crates/laboratory/src/engine.rs
@@ -28,6 +28,17 @@
     events_left: u32,
 }
 
+impl Running {
+    fn make_event(&mut self, is_first: bool) -> Made {
+        self.events_left -= 1;
+        Made {
+            program: self.program,
+            is_first,
+            is_last: self.events_left == 0,
+        }
+    }
+}
+
 /// What an engine has made.
 #[derive(Debug, Clone, Copy)]
 pub struct Made {
@@ -143,23 +154,13 @@
         let mut made = Vec::new();
         for run in &mut self.running {
             if run.unread == 0 {
-                run.events_left -= 1;
-                made.push(Made {
-                    program: run.program,
-                    is_first: false,
-                    is_last: run.events_left == 0,
-                });
+                made.push(run.make_event(false));
             }
         }
         if let Some(reading) = self.running.iter_mut().find(|run| run.unread > 0) {
             reading.unread -= chunk;
             if reading.unread == 0 {
-                reading.events_left -= 1;
-                made.push(Made {
-                    program: reading.program,
-                    is_first: true,
-                    is_last: reading.events_left == 0,
-                });
+                made.push(reading.make_event(true));
             }
         }
         self.running.retain(|run| run.events_left > 0);
