--- a/crates/node/src/owner/adoption.rs
+++ b/crates/node/src/owner/adoption.rs
@@ -23,7 +23,6 @@
         let mut for_others: BTreeMap<NodeId, Vec<RunId>> = BTreeMap::new();
         for run in runs {
             if self.runs.contains_key(&run) {
-                self.log_changed_stores(run);
                 self.handle(now, run, OwnerEvent::CheckReplicas);
                 continue;
             }
@@ -62,17 +61,6 @@
         after!(COMPLETION_INTERVAL, [cx], complete_replicas());
     }
 
-    fn log_changed_stores(&self, run: RunId) {
-        let owner = self.runs.get(&run).and_then(OwnedRun::owner);
-        let replicas = owner.map(|owner| owner.replicas()).unwrap_or_default();
-        for replica in replicas {
-            if self.directory.has_other_store(*replica) {
-                let node = replica.node.0;
-                log::info!("run={run} replica={node} has another store");
-            }
-        }
-    }
-
     fn replacement(&self, owned: &OwnedRun) -> Option<(RunId, ReplicaId, ReplicaId)> {
         let owner = owned.owner().filter(|owner| owner.is_ready())?;
         let members = owner.replicas();
--- a/crates/node/src/replica/sweep.rs
+++ b/crates/node/src/replica/sweep.rs
@@ -90,6 +90,7 @@
             let members = self.replica.members(run, &StoredLog(&self.store));
             let is_member = members.iter().any(|member| member.same_acceptor(own));
             if is_member && self.can_be_completed(run, &members) {
+                self.log_changed_stores(run, &members);
                 lacking.push(run);
             }
         }
@@ -111,6 +112,16 @@
         })
     }
 
+    /// Said here, where it is decided by: the owner may not have heard of the new store yet when it is asked to look.
+    fn log_changed_stores(&self, run: RunId, members: &[ReplicaId]) {
+        for member in members {
+            if self.sweeps.directory.has_other_store(*member) {
+                let node = member.node.0;
+                log::info!("run={run} replica={node} has another store");
+            }
+        }
+    }
+
     fn ask_owners(&self, runs: Vec<(NodeId, RunId)>) {
         let mut by_owner: BTreeMap<NodeId, Vec<RunId>> = BTreeMap::new();
         for (owner, run) in runs {
