Replicas take requests while they read their turns back

A replica now opens with its set and ledgers, which are small, and reads the turns on another thread, half of the time at most. Until that is done it says of no turn that it is missing, and gives nothing to those who copy.

--- a/crates/records/src/replica.rs
+++ b/crates/records/src/replica.rs
@@ -97,6 +97,8 @@
     ledgers: BTreeMap<ProgramId, Kept<ProgramLedger>>,
     turn_bytes: usize,
     max_turn_bytes: usize,
+    /// Whether turns are on the disk that were not restored yet.
+    is_restoring: bool,
 }
 
 impl ReplicaState {
@@ -110,9 +112,21 @@
             ledgers: BTreeMap::new(),
             turn_bytes: 0,
             max_turn_bytes,
+            is_restoring: false,
         }
     }
 
+    /// Turns of the disk are restored while requests are taken already. Until the end the replica does not
+    /// say of any turn that it lacks it.
+    pub fn begin_restoring(&mut self) {
+        self.is_restoring = true;
+    }
+
+    /// Everything of the disk is restored.
+    pub fn finish_restoring(&mut self) {
+        self.is_restoring = false;
+    }
+
     /// Takes in a record that was read back from the disk.
     pub fn restore(&mut self, record: StoredRecord) {
         match record {
@@ -174,6 +188,9 @@
             } => self.append(record, now_ms + keep_ms),
             ReplicaRequest::ReadChain { turn, .. } => Handled::at_once(self.read_chain(turn)),
             ReplicaRequest::Adopt { set } => self.adopt(set),
+            ReplicaRequest::List { .. } | ReplicaRequest::Fetch { .. } if self.is_restoring => {
+                Handled::at_once(ReplicaReply::Unavailable)
+            }
             ReplicaRequest::List { after, .. } => {
                 let listing = self.list(after, now_ms);
                 Handled::durable(Vec::new(), ReplicaReply::Listed(listing))
@@ -355,6 +372,9 @@
         let mut next = Some(newest);
         while let Some(turn) = next.take() {
             let kept = self.turns.get(&turn);
+            if kept.is_none() && self.is_restoring {
+                return ReplicaReply::Unavailable;
+            }
             let Some(kept) = kept.filter(|_| records.len() < MAX_CHAIN_RECORDS) else {
                 let missing = Some(turn);
                 return ReplicaReply::Chain { records, missing };
--- a/crates/replica/src/actor.rs
+++ b/crates/replica/src/actor.rs
@@ -6,15 +6,18 @@
 
 use std::cell::Cell;
 use std::collections::VecDeque;
+use std::ops::ControlFlow;
 use std::path::PathBuf;
 use std::rc::Rc;
-use std::time::Duration;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
 
 use ridgeworks_records::{
     Change, Epoch, Handled, ProgramId, ProgramLedger, ReplicaId, ReplicaReply, ReplicaRequest,
-    ReplicaSet, ReplicaState, TurnId, TurnRecord, Wait,
+    ReplicaSet, ReplicaState, StoredRecord, TurnId, TurnRecord, Wait,
 };
-use ridgeworks_resident::clock::wall_ms;
+use ridgeworks_resident::clock::{wall_ms, whole_ms};
 use ridgeworks_resident::peer::{PeerReply, ReplicaStatus};
 use ridgeworks_resident::view::{Source, View};
 use ridgeworks_storage::{Store, WriteBatch};
@@ -43,6 +46,20 @@
     },
     /// The disk was opened, or could not be.
     Opened(Box<Result<OpenedDisk, DiskError>>),
+    /// Turns were read back from the disk.
+    Turns {
+        /// The opening of the disk that they belong to.
+        opening: u64,
+        /// Their records.
+        turns: Vec<StoredRecord>,
+    },
+    /// All turns were read back, or cannot be.
+    TurnsRead {
+        /// The opening of the disk that they belong to.
+        opening: u64,
+        /// Why they cannot.
+        outcome: Result<(), DiskError>,
+    },
 }
 
 /// A record copied from another replica.
@@ -78,8 +95,11 @@
 }
 
 struct OpenDisk {
-    store: Store,
+    store: Arc<Store>,
     state: ReplicaState,
+    /// Whether turns that are read back are wanted still; told to the thread that reads them.
+    is_wanted: Arc<AtomicBool>,
+    opened_at: Instant,
 }
 
 /// The actor.
@@ -212,6 +232,12 @@
                 }
             }
             DiskNews::Committed { .. } => {}
+            DiskNews::Turns { opening, turns } => self.restore(opening, turns),
+            DiskNews::TurnsRead { opening, outcome } => {
+                if opening == self.opening {
+                    self.on_turns_read(cx, outcome);
+                }
+            }
             DiskNews::Opened(outcome) => match *outcome {
                 Ok(opened) => self.on_opened(opened),
                 Err(error) => {
@@ -255,17 +281,69 @@
         });
     }
 
+    /// Reads the turns of the open disk back on another thread.
+    fn read_turns(&self) {
+        let Some(disk) = &self.disk else {
+            return;
+        };
+        let (opening, news) = (self.opening, self.parts.news.clone());
+        let (store, is_wanted) = (Arc::clone(&disk.store), Arc::clone(&disk.is_wanted));
+        tokio::task::spawn_blocking(move || {
+            let outcome = disk::read_turns(&store, |turns| {
+                let told = news.send(DiskNews::Turns { opening, turns });
+                if told.is_ok() && is_wanted.load(Ordering::SeqCst) {
+                    ControlFlow::Continue(())
+                } else {
+                    ControlFlow::Break(())
+                }
+            });
+            // A store that is opened anew needs the folder free.
+            drop(store);
+            // The process may be about to end.
+            let _ = news.send(DiskNews::TurnsRead { opening, outcome });
+        });
+    }
+
+    fn restore(&mut self, opening: u64, turns: Vec<StoredRecord>) {
+        let disk = self.disk.as_mut().filter(|_| opening == self.opening);
+        let Some(disk) = disk else {
+            return;
+        };
+        for turn in turns {
+            disk.state.restore(turn);
+        }
+    }
+
+    fn on_turns_read(&mut self, cx: CX![], outcome: Result<(), DiskError>) {
+        let Some(disk) = self.disk.as_mut() else {
+            return;
+        };
+        if let Err(error) = outcome {
+            log::error!(target: "dependency", detail:% = error; "turns cannot be read back");
+            self.lose_disk();
+            stakker::after!(REOPEN_PAUSE, [cx], reopen());
+            return;
+        }
+        disk.state.finish_restoring();
+        log::info!(
+            target: "dependency",
+            turns = disk.state.counts().0,
+            took_ms = whole_ms(disk.opened_at.elapsed());
+            "turns read back"
+        );
+        self.update_gauges();
+    }
+
     fn on_opened(&mut self, opened: OpenedDisk) {
         self.opening += 1;
         self.submitted = 0;
         self.durable = 0;
         self.gathered.clear();
-        let (turns, ledgers) = opened.state.counts();
+        let (_, ledgers) = opened.state.counts();
         log::info!(
             target: "dependency",
             replica:% = opened.state.id(),
             is_new = opened.is_new,
-            turns = turns,
             ledgers = ledgers,
             epoch = epoch_of(&opened.state).0;
             "disk opened"
@@ -273,7 +351,10 @@
         self.disk = Some(OpenDisk {
             store: opened.store,
             state: opened.state,
+            is_wanted: Arc::new(AtomicBool::new(true)),
+            opened_at: Instant::now(),
         });
+        self.read_turns();
         self.tell_set();
         let newer = self.parts.view.replica_set();
         if let (Some(set), Some(disk)) = (newer, self.disk.as_mut())
@@ -296,6 +377,7 @@
         self.opening += 1;
         self.gathered.clear();
         if let Some(disk) = self.disk.take() {
+            disk.is_wanted.store(false, Ordering::SeqCst);
             // Closing waits for the disk.
             tokio::task::spawn_blocking(move || drop(disk.store));
         }
--- a/crates/replica/src/disk.rs
+++ b/crates/replica/src/disk.rs
@@ -1,8 +1,14 @@
 //! Records on the disk: opening, reading back, encoding of changes.
+//!
+//! Ledgers and the replica set are read before the disk counts as open: they are small, and every turn needs
+//! its ledger. Turns are read while requests are taken already, since all of them take seconds on a small
+//! machine (`docs/design/large-fleets.md`, "After everything has ended").
 
 use std::fmt;
 use std::ops::ControlFlow;
 use std::path::Path;
+use std::sync::Arc;
+use std::time::Instant;
 
 use ridgeworks_records::{Change, RecordKey, ReplicaId, ReplicaState, StoredRecord};
 use ridgeworks_storage::{Store, StoreCreationId, StoreError, StoreOperation, StoreSettings};
@@ -12,6 +18,8 @@
 const TURN_PREFIX: u8 = b't';
 const LEDGER_PREFIX: u8 = b'l';
 const SET_KEY: &[u8] = b"s";
+/// Turns that are handed over at once while they are read back.
+const RESTORED_AT_ONCE: usize = 32;
 /// Memory for cached pages of the database, in bytes; records are answered from memory anyway.
 const CACHE_BYTES: usize = 4 * 1024 * 1024;
 
@@ -44,14 +52,14 @@
 /// An open disk with the state that it holds.
 pub struct OpenedDisk {
     /// The store.
-    pub store: Store,
+    pub store: Arc<Store>,
     /// The replica's state.
     pub state: ReplicaState,
     /// Whether the disk was empty.
     pub is_new: bool,
 }
 
-/// Opens the folder and reads everything back. Blocks.
+/// Opens the folder and reads back all but the turns. Blocks.
 pub fn open(
     folder: &Path,
     node_name: &str,
@@ -65,27 +73,61 @@
     // Half of the number is random enough to tell one life of a disk from another.
     let id = ReplicaId(creation.0 as u64);
     let mut state = ReplicaState::new(id, max_turn_bytes);
-    let mut unreadable = false;
-    opened.store.visit_records(|bytes| match decode(bytes) {
-        Ok(record) => {
-            state.restore(record);
-            ControlFlow::Continue(())
-        }
-        Err(_) => {
-            unreadable = true;
-            ControlFlow::Break(())
+    // Keys of turns are the last ones.
+    visit(&opened.store, &[], |record| {
+        if matches!(record, StoredRecord::Turn(..)) {
+            return ControlFlow::Break(());
         }
+        state.restore(record);
+        ControlFlow::Continue(())
     })?;
-    if unreadable {
-        return Err(DiskError::Record);
-    }
+    state.begin_restoring();
     Ok(OpenedDisk {
-        store: opened.store,
+        store: Arc::new(opened.store),
         state,
         is_new: opened.is_new,
     })
 }
 
+/// Reads the turns back and hands them over, some at a time, for as long as they are wanted. Blocks, and rests
+/// half of the time: requests need the processor meanwhile.
+pub fn read_turns(
+    store: &Store,
+    mut hand_over: impl FnMut(Vec<StoredRecord>) -> ControlFlow<()>,
+) -> Result<(), DiskError> {
+    let mut turns = Vec::new();
+    let mut began = Instant::now();
+    visit(store, &[TURN_PREFIX], |record| {
+        turns.push(record);
+        if turns.len() < RESTORED_AT_ONCE {
+            return ControlFlow::Continue(());
+        }
+        let flow = hand_over(std::mem::take(&mut turns));
+        std::thread::sleep(began.elapsed());
+        began = Instant::now();
+        flow
+    })?;
+    let _ = hand_over(turns);
+    Ok(())
+}
+
+/// Calls `take` with each record from this key on, until it breaks.
+fn visit(
+    store: &Store,
+    from: &[u8],
+    mut take: impl FnMut(StoredRecord) -> ControlFlow<()>,
+) -> Result<(), DiskError> {
+    let mut unreadable = None;
+    store.visit_records(from, |bytes| match decode(bytes) {
+        Ok(record) => take(record),
+        Err(error) => {
+            unreadable = Some(error);
+            ControlFlow::Break(())
+        }
+    })?;
+    unreadable.map_or(Ok(()), Err)
+}
+
 /// The operation that makes a change durable.
 pub fn operation(change: &Change) -> Result<StoreOperation, DiskError> {
     match change {
--- /dev/null
+++ b/crates/replica/tests/support/mod.rs
@@ -0,0 +1,138 @@
+//! An actor on a real disk, with its timers under virtual time.
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use std::cell::Cell;
+use std::future::Future;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use prometheus_client::registry::Registry;
+use ridgeworks_records::{
+    Epoch, LedgerEntry, ProgramId, Replica, ReplicaId, ReplicaReply, ReplicaRequest, ReplicaSet,
+    TurnId,
+};
+use ridgeworks_replica::actor::{DiskNews, ReplicaActor, ReplicaParts};
+use ridgeworks_replica::metrics::ReplicaMetrics;
+use ridgeworks_resident::clock::Clock;
+use ridgeworks_resident::peer::{PeerReply, ReplicaStatus};
+use ridgeworks_resident::view::View;
+use stakker::{ActorOwn, Stakker, actor, call, ret_nop};
+use tokio::sync::{mpsc, oneshot};
+
+pub const MAX_TURN_BYTES: usize = 1024 * 1024;
+pub const NODE: &str = "replica-1";
+
+pub fn on_runtime<F: Future>(test: F) -> F::Output {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, test)
+}
+
+/// An actor whose timers fire when the test says so.
+pub struct Bed {
+    stakker: Stakker,
+    actor: ActorOwn<ReplicaActor>,
+    start: Instant,
+    at: Duration,
+    news: mpsc::UnboundedReceiver<DiskNews>,
+    status: Rc<Cell<Option<ReplicaStatus>>>,
+}
+
+impl Bed {
+    pub async fn open(folder: &Path) -> Self {
+        let start = Instant::now();
+        let mut stakker = Stakker::new(start);
+        let (sender, news) = mpsc::unbounded_channel();
+        let status = Rc::new(Cell::new(None));
+        let parts = ReplicaParts {
+            folder: folder.to_owned(),
+            node_name: NODE.to_owned(),
+            max_turn_bytes: MAX_TURN_BYTES,
+            view: Rc::new(View::new(Clock::start(), false)),
+            metrics: Rc::new(ReplicaMetrics::register(&mut Registry::default())),
+            news: sender,
+            status: Rc::clone(&status),
+        };
+        let actor = actor!(stakker, ReplicaActor::init(parts), ret_nop!());
+        stakker.run(start, false);
+        let mut bed = Self {
+            stakker,
+            actor,
+            start,
+            at: Duration::ZERO,
+            news,
+            status,
+        };
+        bed.take_news().await;
+        bed
+    }
+
+    pub fn run_until(&mut self, at: Duration) {
+        self.at = at;
+        self.stakker.run(self.start + at, false);
+    }
+
+    /// Hands the next news of the disk to the actor.
+    pub async fn take_news(&mut self) {
+        let item = self.news.recv().await.expect("the disk says something");
+        call!([self.actor], news(item));
+        self.run_until(self.at);
+    }
+
+    pub fn id(&self) -> ReplicaId {
+        self.status.get().expect("an open disk").id
+    }
+
+    pub fn ask(&mut self, request: ReplicaRequest) -> oneshot::Receiver<PeerReply> {
+        let (answer, answered) = oneshot::channel();
+        let id = self.id();
+        call!([self.actor], request(id, request, answer));
+        self.run_until(self.at);
+        answered
+    }
+
+    /// Hands on news until there is a reply.
+    pub async fn reply(&mut self, mut answered: oneshot::Receiver<PeerReply>) -> ReplicaReply {
+        loop {
+            match answered.try_recv() {
+                Ok(PeerReply::Replica(reply)) => return reply,
+                Ok(other) => panic!("{other:?}"),
+                Err(oneshot::error::TryRecvError::Empty) => self.take_news().await,
+                Err(error) => panic!("{error}"),
+            }
+        }
+    }
+}
+
+pub fn charge(program: &str, turn: &str, keep_ms: u64) -> ReplicaRequest {
+    ReplicaRequest::Charge {
+        epoch: Epoch(1),
+        program: ProgramId(program.to_owned()),
+        turn: TurnId(turn.to_owned()),
+        entry: LedgerEntry {
+            most: 100,
+            spent: None,
+        },
+        keep_ms,
+    }
+}
+
+/// A set with this replica alone.
+pub fn adopt(id: ReplicaId) -> ReplicaRequest {
+    let replica = Replica {
+        id,
+        node: NODE.to_owned(),
+        address: "127.0.0.1:1".to_owned(),
+        zone: "zone-a".to_owned(),
+    };
+    ReplicaRequest::Adopt {
+        set: ReplicaSet {
+            epoch: Epoch(1),
+            voters: vec![replica],
+            incoming: None,
+        },
+    }
+}
--- a/crates/storage/src/reader.rs
+++ b/crates/storage/src/reader.rs
@@ -100,10 +100,11 @@
 
 pub(crate) fn visit_records(
     database: &Database,
+    from: &[u8],
     mut visit: impl FnMut(&[u8]) -> ControlFlow<()>,
 ) -> Result<(), StoreError> {
     let table = database.begin_read()?.open_table(RECORDS)?;
-    for item in table.iter()? {
+    for item in table.range(from..)? {
         let (key, value) = item?;
         if visit(unseal(key.value(), value.value())?).is_break() {
             break;
--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -151,12 +151,13 @@
         })
     }
 
-    /// Calls `visit` with each replicated record, in the order of their keys, until it breaks.
+    /// Calls `visit` with each replicated record from this key on, in the order of their keys, until it breaks.
     pub fn visit_records(
         &self,
+        from: &[u8],
         visit: impl FnMut(&[u8]) -> ControlFlow<()>,
     ) -> Result<(), StoreError> {
-        reader::visit_records(&self.database, visit)
+        reader::visit_records(&self.database, from, visit)
     }
 
     /// Calls `visit` with the head of each run, in the order of run identifiers, until it breaks.
