Only members of the replica set say who is gone, and every replica's heartbeats reach them

A replica sent heartbeats to the first eight replicas by name, at each interval the same ones. With 36 storage machines, a ninth replica by name heard next to none, took the voters among them for gone after 1.6 s and replaced them, again and again. Each change copied all records, writes went to both sides, gateways restarted their operations: reservations took 60 ms at 9.5 s, 400 ms at 14 s. Small deployments never showed it.

Now every replica sends to all members of the set at each interval and to eight others in turn, and only members plan changes, answer orders to empty a machine, and watch for them: other storage machines hear too little to say who is gone, and their watches cost calls to the store. Nodes meet at the replicas of the set, which all know.

--- a/crates/replica/src/coordinator.rs
+++ b/crates/replica/src/coordinator.rs
@@ -14,6 +14,7 @@
 use ridgeworks_records::{Epoch, Replica, ReplicaId, ReplicaSet, StorageNode, plan_change};
 use ridgeworks_resident::node::{REPLICA_SET_NAME, RegisteredSet};
 use ridgeworks_resident::view::Source;
+use ridgeworks_resident::watch_duty::{DutySignal, LONG_WAIT};
 
 use crate::handle::ReplicaHandle;
 use crate::retirements::Retirements;
@@ -33,6 +34,8 @@
 pub struct Coordinator {
     replica: Rc<ReplicaHandle>,
     retirements: Retirements,
+    /// Whether this node watches for orders to empty a machine.
+    watching: Rc<DutySignal>,
     /// The change that seems due, and since when.
     due: Option<(ReplicaSet, Duration)>,
     /// The epoch in force, and since when it is known here.
@@ -41,10 +44,15 @@
 
 impl Coordinator {
     /// A coordinator that has seen nothing yet.
-    pub fn new(replica: Rc<ReplicaHandle>, retirements: Retirements) -> Self {
+    pub fn new(
+        replica: Rc<ReplicaHandle>,
+        retirements: Retirements,
+        watching: Rc<DutySignal>,
+    ) -> Self {
         Self {
             replica,
             retirements,
+            watching,
             due: None,
             epoch_since: (Epoch::default(), Duration::ZERO),
         }
@@ -55,11 +63,26 @@
         let mut ticks = tokio::time::interval(INTERVAL);
         loop {
             ticks.tick().await;
+            self.decide_watching();
             self.change_set().await;
             self.answer_retirements().await;
         }
     }
 
+    /// The members of the set watch for orders to empty a machine: they change the set and answer. So the calls
+    /// to the store do not grow with the storage machines.
+    fn decide_watching(&self) {
+        let set = self.replica.node.view.replica_set();
+        let is_due = set.is_some() && self.rank(set.as_ref()).is_some();
+        if self.watching.set(is_due, LONG_WAIT) {
+            log::info!(
+                target: "belief",
+                watches = is_due;
+                "watching for retirements changed"
+            );
+        }
+    }
+
     fn now(&self) -> Duration {
         self.replica.node.clock.now()
     }
@@ -71,7 +94,9 @@
         if self.epoch_since.0 != epoch {
             self.epoch_since = (epoch, now);
         }
-        let Some(change) = self.plan(set.as_ref(), now) else {
+        let rank = self.rank(set.as_ref());
+        let planned = rank.zip(self.plan(set.as_ref(), now));
+        let Some((rank, change)) = planned else {
             self.due = None;
             return;
         };
@@ -80,7 +105,7 @@
             _ => now,
         };
         self.due = Some((change.clone(), since));
-        if now.saturating_sub(since) < RANK_PATIENCE * self.rank() {
+        if now.saturating_sub(since) < RANK_PATIENCE * rank {
             return;
         }
         self.due = None;
@@ -144,16 +169,20 @@
         finished.map(|status| status.id).collect()
     }
 
-    /// Position of this node among the storage nodes that are alive.
-    fn rank(&self) -> u32 {
-        let Some(me) = self.replica.status() else {
-            return u32::MAX;
-        };
+    /// Position of this node among those that may change the set: the members of the set that are alive, and
+    /// all storage nodes as long as there is none. `None` for others: they hear too few heartbeats to say who
+    /// is gone.
+    fn rank(&self, set: Option<&ReplicaSet>) -> Option<u32> {
+        let me = self.replica.status()?;
+        let decides = |id: ReplicaId| set.is_none_or(|set| set.has_member(id));
+        if !decides(me.id) {
+            return None;
+        }
         let nodes = self.storage_nodes(self.now());
         let before = nodes
             .iter()
-            .filter(|node| node.alive && node.replica.id < me.id);
-        u32::try_from(before.count()).unwrap_or(u32::MAX)
+            .filter(|node| node.alive && decides(node.replica.id) && node.replica.id < me.id);
+        u32::try_from(before.count()).ok()
     }
 
     /// Writes a change, if the register still holds what it was planned on.
@@ -199,22 +228,23 @@
             } else {
                 RetirementState::Done
             };
-            if written == Some(state) || !self.is_first_to_answer(&node) {
+            if written == Some(state) || !self.is_first_to_answer(&set, &node) {
                 continue;
             }
             self.write_status(&node, state).await;
         }
     }
 
-    /// The first node in order that is alive and stays answers.
-    fn is_first_to_answer(&self, retiring: &str) -> bool {
+    /// The first member of the set that is alive and stays answers.
+    fn is_first_to_answer(&self, set: &ReplicaSet, retiring: &str) -> bool {
         let me = &self.replica.node.settings.name;
         let nodes = self.storage_nodes(self.now());
-        let staying = nodes
-            .iter()
-            .filter(|node| node.alive && node.replica.node != retiring);
+        let staying = nodes.iter().filter(|node| {
+            let is_member = set.has_member(node.replica.id);
+            node.alive && is_member && node.replica.node != retiring
+        });
         let first = staying.min_by_key(|node| node.replica.id);
-        first.is_none_or(|first| first.replica.node == *me)
+        first.is_some_and(|first| first.replica.node == *me)
     }
 
     async fn write_status(&self, node: &str, state: RetirementState) {
--- a/crates/replica/src/role.rs
+++ b/crates/replica/src/role.rs
@@ -54,12 +54,17 @@
     serve_metrics(&node, registry, move || updated.update_gauges()).await?;
     let retirements = Retirements::default();
     let store = Rc::clone(&node.store);
-    let always = Rc::new(DutySignal::new(true));
-    let following = follow(store, ObjectKind::Retirements, retirements.clone(), always);
+    let watching = Rc::new(DutySignal::new(false));
+    let following = follow(
+        store,
+        ObjectKind::Retirements,
+        retirements.clone(),
+        Rc::clone(&watching),
+    );
     tokio::task::spawn_local(following);
     tokio::task::spawn_local(Rc::clone(&replica).pass_sets());
     tokio::task::spawn_local(copying::run(Rc::clone(&replica)));
-    tokio::task::spawn_local(Coordinator::new(replica, retirements).run());
+    tokio::task::spawn_local(Coordinator::new(replica, retirements, watching).run());
     run_until_stopped(&node, &settings_path, &mut orders).await;
     log::info!(target: "process", role = "replica"; "stopping");
     tokio::time::sleep(STOP_TIME).await;
--- a/crates/resident/src/peer/gossip.rs
+++ b/crates/resident/src/peer/gossip.rs
@@ -13,6 +13,7 @@
 
 use rand::RngExt;
 use rand::seq::IndexedRandom;
+use ridgeworks_records::Epoch;
 use ridgeworks_routing::{MAX_SUSPECTS, PromptRead};
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
@@ -24,15 +25,12 @@
     Datagram, Heartbeat, LoadReport, MemberInfo, PeerReply, PeerRequest, ReplicaStatus, decode,
     encode,
 };
+use super::targets::{FAN_OUT, targets};
 use crate::clock::{Clock, whole_ms};
 use crate::view::View;
 use crate::watch_duty::{self, DutySignal, Place, SMALL_FLEET};
 
 const INTERVAL: Duration = Duration::from_millis(250);
-/// Nodes that get a heartbeat at each interval, beside the replicas.
-const FAN_OUT: usize = 8;
-/// Replicas that a replica sends to at each interval.
-const REPLICA_FAN_OUT: usize = 8;
 /// Other nodes named in a heartbeat.
 const KNOWN_REPLICAS: usize = 5;
 const KNOWN_OTHERS: usize = 2;
@@ -75,6 +73,8 @@
     fetching: Rc<Cell<bool>>,
     engines_behind_since: Cell<Option<Duration>>,
     next_target: Cell<usize>,
+    /// Epoch of the replica set whose nodes were taken in last.
+    met_epoch: Cell<Epoch>,
     duty: Rc<DutySignal>,
     questions: Questions,
 }
@@ -102,6 +102,7 @@
             fetching: Rc::default(),
             engines_behind_since: Cell::new(None),
             next_target: Cell::new(rand::rng().random_range(0..1_024)),
+            met_epoch: Cell::new(Epoch::default()),
             duty,
             questions: Questions::default(),
         })
@@ -116,6 +117,32 @@
         }
     }
 
+    /// Whether another node has been heard.
+    pub fn hears_others(&self) -> bool {
+        let members = self.members.borrow();
+        members.iter().any(|member| member.heard_at.is_some())
+    }
+
+    /// Takes in the replicas' nodes. All nodes learn of the replica set, so that they find each other there
+    /// when the seeds are gone or old.
+    fn meet_replicas(&self) {
+        if self.met_epoch.replace(self.view.epoch()) == self.view.epoch() {
+            return;
+        }
+        let Some(set) = self.view.replica_set() else {
+            return;
+        };
+        let infos = set.members().into_iter().filter_map(|replica| {
+            Some(MemberInfo {
+                name: replica.node.clone(),
+                address: replica.address.parse().ok()?,
+                zone: replica.zone.clone(),
+                is_replica: true,
+            })
+        });
+        self.add_known(infos.collect());
+    }
+
     /// Replaces the seeds.
     pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
         *self.seeds.borrow_mut() = seeds;
@@ -169,6 +196,7 @@
 
     async fn send_round(&self, sources: &impl GossipSources) {
         self.members.borrow_mut().forget_silent(self.clock.now());
+        self.meet_replicas();
         self.send_to(self.targets(), sources).await;
     }
 
@@ -202,22 +230,13 @@
         }
     }
 
-    /// Replicas first, then the others in turn; seeds as long as nobody is known.
+    /// Those whose turn it is; seeds as long as nobody is known.
     fn targets(&self) -> Vec<SocketAddr> {
         let members = self.members.borrow();
-        let (replicas, others): (Vec<&Member>, Vec<&Member>) = members
-            .iter()
-            .partition(|member| self.me.is_replica && member.info.is_replica);
-        let mut targets: Vec<SocketAddr> = replicas
-            .iter()
-            .take(REPLICA_FAN_OUT)
-            .map(|member| member.info.address)
-            .collect();
+        let set = self.view.replica_set();
         let begin = self.next_target.get();
         self.next_target.set(begin.wrapping_add(FAN_OUT));
-        let count = others.len();
-        let in_turn = (0..count.min(FAN_OUT)).map(|index| (begin + index) % count);
-        targets.extend(in_turn.map(|index| others[index].info.address));
+        let mut targets = targets(&self.me, members.iter(), set.as_ref(), begin);
         if targets.len() < 2 {
             targets.extend(self.seeds.borrow().iter().copied());
         }
--- a/crates/resident/src/peer/mod.rs
+++ b/crates/resident/src/peer/mod.rs
@@ -5,6 +5,7 @@
 mod members;
 mod message;
 mod server;
+mod targets;
 
 pub use gossip::{Gossip, GossipSources, Questions, fetch_members, fetch_view};
 pub use links::{LinkError, PeerLinks};
@@ -14,6 +15,7 @@
     PeerRequest, ReplicaStatus, ViewPosition, ViewUpdate, decode, encode,
 };
 pub use server::{PeerService, serve};
+pub use targets::targets;
 
 use tokio_util::codec::LengthDelimitedCodec;
 
--- a/crates/resident/src/watch_duty.rs
+++ b/crates/resident/src/watch_duty.rs
@@ -33,8 +33,8 @@
 const WAIT_SHARE: f64 = 0.6;
 /// How long a node goes on watching that found its knowledge stale.
 const STALE_DUTY: Duration = Duration::from_secs(10);
-/// How long a watch waits in a small fleet.
-const LONG_WAIT: Duration = Duration::from_secs(8);
+/// How long a watch waits whose answers nobody waits for.
+pub const LONG_WAIT: Duration = Duration::from_secs(8);
 
 /// A node's place among those that may watch.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- /dev/null
+++ b/crates/resident/tests/targets.rs
@@ -0,0 +1,104 @@
+//! Who gets heartbeats, in fleets of any size.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ridgeworks_records::{Epoch, Replica, ReplicaId, ReplicaSet};
+use ridgeworks_resident::peer::{Member, MemberInfo, targets};
+
+const INTERVAL: Duration = Duration::from_millis(250);
+/// After this much silence a replica is taken for gone.
+const GONE_AFTER: Duration = Duration::from_millis(1_600);
+
+fn info(number: u16, is_replica: bool) -> MemberInfo {
+    let role = if is_replica { "storage" } else { "front" };
+    MemberInfo {
+        name: format!("{role}-{number:03}"),
+        address: SocketAddr::from(([127, 0, 0, 1], number)),
+        zone: format!("zone-{}", number % 7),
+        is_replica,
+    }
+}
+
+fn fleet(gateways: u16, replicas: u16) -> Vec<Member> {
+    let all = (0..gateways + replicas).map(|number| info(number, number >= gateways));
+    let member = |info| Member {
+        info,
+        known_since: Duration::ZERO,
+        heard_at: None,
+        incarnation: 1,
+        replica: None,
+    };
+    all.map(member).collect()
+}
+
+/// A set of the last of the replicas by name.
+fn set(fleet: &[Member], size: usize) -> ReplicaSet {
+    let last = fleet.iter().rev().take(size);
+    let replica = |member: &Member| Replica {
+        id: ReplicaId(u64::from(member.info.address.port())),
+        node: member.info.name.clone(),
+        address: member.info.address.to_string(),
+        zone: member.info.zone.clone(),
+    };
+    ReplicaSet {
+        epoch: Epoch(1),
+        voters: last.map(replica).collect(),
+        incoming: None,
+    }
+}
+
+/// The longest time between two heartbeats to each address.
+fn longest_silences(
+    me: &Member,
+    fleet: &[Member],
+    set: Option<&ReplicaSet>,
+) -> BTreeMap<SocketAddr, Duration> {
+    let others: Vec<&Member> = fleet.iter().filter(|other| other.info != me.info).collect();
+    let mut last = BTreeMap::new();
+    let mut longest = BTreeMap::new();
+    for round in 0..400_u32 {
+        let now = INTERVAL * round;
+        let begin = 8 * round as usize + 5;
+        for target in targets(&me.info, others.iter().copied(), set, begin) {
+            let before = last.insert(target, now).unwrap_or_default();
+            let silence = longest.entry(target).or_insert(Duration::ZERO);
+            *silence = (*silence).max(now - before);
+        }
+    }
+    longest
+}
+
+#[test]
+fn the_members_of_the_set_hear_every_replica_all_the_time() {
+    for (gateways, replicas) in [(8, 3), (16, 7), (80, 12), (259, 36), (389, 60)] {
+        let fleet = fleet(gateways, replicas);
+        let set = set(&fleet, replicas.min(5).into());
+        for me in fleet.iter().filter(|member| member.info.is_replica) {
+            let silences = longest_silences(me, &fleet, Some(&set));
+            for voter in set.voters.iter().filter(|voter| voter.node != me.info.name) {
+                let address: SocketAddr = voter.address.parse().unwrap();
+                let silence = silences.get(&address);
+                let is_heard = silence.is_some_and(|silence| *silence < GONE_AFTER / 2);
+                assert!(is_heard, "{} to {address}: {silence:?}", me.info.name);
+            }
+        }
+    }
+}
+
+#[test]
+fn everybody_hears_everybody_and_nobody_sends_more_in_a_larger_fleet() {
+    for (gateways, replicas) in [(8, 3), (80, 12), (259, 36)] {
+        let fleet = fleet(gateways, replicas);
+        let set = set(&fleet, replicas.min(5).into());
+        for set in [None, Some(&set)] {
+            for me in [&fleet[0], &fleet[usize::from(gateways)]] {
+                let silences = longest_silences(me, &fleet, set);
+                assert_eq!(silences.len(), fleet.len() - 1);
+                let most = targets(&me.info, fleet.iter(), set, 3).len();
+                assert!(most <= 16, "{most}");
+            }
+        }
+    }
+}
