A gateway that is cut off from the replicas goes by way of others, and refuses at once without a majority

What is asked of a replica may be asked twice and may come late, so a gateway that hears nothing from a replica for eight times the usual time (40 to 200 ms) asks it through another gateway too, and goes on so while the straight way is closed; every 250 ms that is tried beside. Where no way leads to a majority, the next request is refused at once, its connection is closed, so that the client comes to another gateway, readiness is withdrawn, and the majority is searched for until it answers. The time to come back is short where this gateway alone is cut off and as long as the loss has lasted where others do not reach the replicas either.

Settlements are gathered for 450 ms in place of 150, within their bound of a second: in a large fleet each was a request of its own to every replica.

Ruled out: waiting longer (the cut lasts 12 s), refusing alone (one in three comes back to a cut gateway). The test of two lost replicas now waits until the other gateway is ready before it expects a 404: a gateway that is not sure refuses at once.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::HOST;
+use http::header::{CONNECTION, HOST};
 use http::request::Parts;
-use http::{HeaderMap, Method, Request, Response};
+use http::{HeaderMap, HeaderValue, Method, Request, Response};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use ridgeworks_platform::{read_metadata, refusal_headers, refusal_status};
@@ -86,6 +86,11 @@
     let mut response = Response::new(Bytes::new());
     *response.status_mut() = refusal_status(refusal.reason);
     *response.headers_mut() = refusal_headers(refusal);
+    if refusal.reason.is_of_gateway() {
+        // The client's next request comes on a new connection, which the platform gives to another gateway.
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
     response
 }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -208,10 +208,8 @@
         };
         let began = Instant::now();
         let retention = self.call.route.retention();
-        let appending = self
-            .gateway
-            .records
-            .append(&record, retention, self.call.limit);
+        let records = &self.gateway.records;
+        let appending = records.append(&record, retention, self.call.limit);
         let appended = tokio::select! {
             appended = appending => appended,
             () = caller.gone() => return Ending::ClientGone,
--- a/crates/gateway/src/exchange/preparation.rs
+++ b/crates/gateway/src/exchange/preparation.rs
@@ -25,6 +25,9 @@
 impl Exchange {
     /// Reads the earlier turns, reserves tokens, and learns where the prompt was read, all at once.
     pub(super) async fn prepare(&mut self) -> Result<(), Refusal> {
+        if let Some(refusal) = self.refusal_without_majority() {
+            return Err(refusal);
+        }
         let began = Instant::now();
         let (prompt, reserved, ()) =
             tokio::join!(self.read_prompt(), self.reserve(), self.learn_reads());
@@ -36,6 +39,18 @@
         Ok(())
     }
 
+    /// A request that needs a majority of the replicas while none answers cannot be served here: its client
+    /// is told at once.
+    fn refusal_without_majority(&self) -> Option<Refusal> {
+        let needs_majority = self.account().is_some() || self.call.route.keeps_turns;
+        let records = &self.gateway.records;
+        if !needs_majority || !records.health.is_lost() {
+            return None;
+        }
+        let reason = RefusalReason::LedgerUnavailable;
+        Some(Refusal::come_back(reason, records.come_back()))
+    }
+
     /// What this gateway saw of the line's last turn is the newest there is.
     async fn learn_reads(&self) {
         let metadata = &self.call.metadata;
@@ -78,8 +93,10 @@
             account.retention,
             self.records_limit(),
         );
-        let unavailable = Refusal::come_back(RefusalReason::LedgerUnavailable, COME_BACK);
-        let ledger = charging.await.map_err(|_| unavailable)?;
+        let ledger = charging.await.map_err(|failure| {
+            let after = self.gateway.records.come_back_after(failure);
+            Refusal::come_back(RefusalReason::LedgerUnavailable, after)
+        })?;
         let taken = began.elapsed().as_secs_f64();
         self.gateway.metrics.reserve_seconds.observe(taken);
         if ledger.is_settled(&account.turn) {
@@ -145,9 +162,9 @@
                     COME_BACK,
                 ))
             }
-            Err(_) => Err(Refusal::come_back(
+            Err(failure) => Err(Refusal::come_back(
                 RefusalReason::TurnsUnavailable,
-                COME_BACK,
+                records.come_back_after(failure),
             )),
         }
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -16,6 +16,7 @@
 
 use crate::engine_pool::EnginePool;
 use crate::metrics::GatewayMetrics;
+use crate::node_network::pass_on;
 use crate::records_client::RecordsClient;
 use crate::turn_cache::TurnCache;
 
@@ -110,7 +111,7 @@
 
     /// Whether the platform should send new clients here.
     pub fn is_ready(&self) -> bool {
-        !self.draining.get() && self.knows_traffic() && !self.records.is_failing()
+        !self.draining.get() && self.knows_traffic() && !self.records.health.is_lost()
     }
 
     /// No new clients are wanted from now on.
@@ -313,6 +314,11 @@
 
 impl PeerService for Gateway {
     fn on_request(&self, request: PeerRequest, reply: oneshot::Sender<PeerReply>) {
+        if let PeerRequest::PassOn(passed) = request {
+            self.metrics.passed_on.inc();
+            pass_on(&self.node, &self.records.paths, *passed, reply);
+            return;
+        }
         let answer = self.node.answer(request);
         let answer = answer.unwrap_or(PeerReply::Unsupported);
         // Whoever asked may have given up.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,12 +13,17 @@
 mod gateway;
 mod listener;
 pub mod metrics;
+mod node_network;
+mod quorum_health;
 mod records_client;
+mod replica_paths;
 mod role;
 mod streaming;
 mod turn_cache;
 mod whole_answer;
 
 pub use gateway::Gateway;
+pub use quorum_health::QuorumHealth;
+pub use replica_paths::{Answering, ReplicaNetwork, ReplicaPaths};
 pub use role::run;
 pub use turn_cache::TurnCache;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -36,6 +36,8 @@
     pub failed_attempts: Family<ReasonLabel, Counter>,
     /// New connections to engines.
     pub engine_connections: Counter,
+    /// Requests passed on to replicas for other gateways.
+    pub passed_on: Counter,
     /// Time to reserve tokens.
     pub reserve_seconds: Histogram,
     /// Time to read earlier turns.
@@ -74,6 +76,7 @@
             refused: Family::default(),
             failed_attempts: Family::default(),
             engine_connections: Counter::default(),
+            passed_on: Counter::default(),
             reserve_seconds: times(),
             chain_read_seconds: times(),
             append_seconds: times(),
@@ -110,6 +113,9 @@
             "New connections to engines",
             connections,
         );
+        let passed_on = self.passed_on.clone();
+        let help = "Requests passed on to replicas for other gateways";
+        registry.register("replica_requests_passed_on", help, passed_on);
     }
 
     fn register_times(&self, registry: &mut Registry) {
--- a/crates/gateway/src/records_client.rs
+++ b/crates/gateway/src/records_client.rs
@@ -1,7 +1,7 @@
 //! Reads and writes of replicated records: sends what the state machines of `ridgeworks-records` ask for.
 
-use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::fmt;
 use std::future::Future;
 use std::pin::Pin;
@@ -10,48 +10,71 @@
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
+use rand::RngExt;
 use ridgeworks_records::{
     ChainOutcome, ChainRead, Epoch, LedgerEntry, ProgramId, ProgramLedger, QuorumWrite, Replica,
     ReplicaId, ReplicaReply, ReplicaRequest, ReplicaSet, Settlement, TurnId, TurnRecord,
     WriteProgress,
 };
+use ridgeworks_resident::clock::whole_ms;
 use ridgeworks_resident::node::Node;
-use ridgeworks_resident::peer::{LinkError, PeerReply, PeerRequest};
+use ridgeworks_resident::peer::LinkError;
 use ridgeworks_resident::view::Source;
+use tokio::sync::Notify;
 use tokio::time::{Instant, MissedTickBehavior};
 
+use crate::node_network::NodeNetwork;
+use crate::quorum_health::QuorumHealth;
+use crate::replica_paths::ReplicaPaths;
+
 /// How long one replica may take before it is asked again.
 const REPLICA_TIMEOUT: Duration = Duration::from_millis(700);
 /// How long the nearest replica may take before the next one is asked too.
 const READ_TIMEOUT: Duration = Duration::from_millis(200);
 /// Pause before a replica that could not answer is asked again.
 const RETRY_PAUSE: Duration = Duration::from_millis(40);
-/// How long a replica that did not answer is asked last.
-const SUSPICION: Duration = Duration::from_secs(1);
 /// How long ledgers and turns are kept beyond what the operators ask, since clocks differ.
 const KEEP_MARGIN: Duration = Duration::from_secs(30);
 
-/// How long quorums fail before the gateway wants no new clients.
-const FAILING_AFTER: Duration = Duration::from_millis(200);
-/// How long a failure counts when nothing is tried after it.
-const FAILURE_LIFETIME: Duration = Duration::from_millis(1_500);
-/// How often settlements are sent; the bound on their age is a second.
-const SETTLE_INTERVAL: Duration = Duration::from_millis(150);
+/// Bounds of the time after which a client may come back while no majority answers: the least is there so that
+/// those refused together do not return together, and most clients have no more time than the most.
+const LEAST_COME_BACK: Duration = Duration::from_millis(50);
+const MOST_COME_BACK: Duration = Duration::from_millis(800);
+/// When a client may come back while replicas read their disks: that takes them a few seconds.
+const RESTORING_COME_BACK: Duration = Duration::from_millis(700);
+/// How long it counts that another gateway does not reach a replica either.
+const GENERAL_LOSS: Duration = Duration::from_secs(1);
+/// How long one search for a majority that was lost goes on before it starts anew with the newest set.
+const SEARCH_TIME: Duration = Duration::from_secs(2);
+/// How often settlements are sent; the bound on their age is a second, and a busy replica takes a part of it.
+/// Each sending is a request to every replica, however many settlements it has.
+const SETTLE_INTERVAL: Duration = Duration::from_millis(450);
 /// How long settling is tried.
 const SETTLE_PATIENCE: Duration = Duration::from_secs(15);
 
-/// Not enough replicas answered in time; a write may have taken effect.
+/// Why records could not be read or written in time; a write may have taken effect.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct RecordsUnavailable;
+pub enum RecordsUnavailable {
+    /// Not enough replicas answered.
+    NoMajority,
+    /// Replicas answered that they cannot tell yet: they are reading their disks.
+    Restoring,
+}
 
 impl fmt::Display for RecordsUnavailable {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str("not enough replicas answered in time")
+        formatter.write_str(match self {
+            Self::NoMajority => "not enough replicas answered in time",
+            Self::Restoring => "replicas are reading their disks",
+        })
     }
 }
 
 impl std::error::Error for RecordsUnavailable {}
 
+/// Name in the log of an answer without what was asked for.
+const UNAVAILABLE: &str = "unavailable";
+
 type Reply = (ReplicaId, Result<ReplicaReply, LinkError>);
 type Asked = FuturesUnordered<Pin<Box<dyn Future<Output = Reply>>>>;
 
@@ -62,7 +85,7 @@
 impl Answers {
     fn note(&self, replica: &Replica, reply: &Result<ReplicaReply, LinkError>) {
         let answer = match reply {
-            Ok(ReplicaReply::Unavailable) => "unavailable",
+            Ok(ReplicaReply::Unavailable) => UNAVAILABLE,
             Ok(ReplicaReply::NotMember) => "not_member",
             Ok(ReplicaReply::Behind) => "behind",
             Ok(ReplicaReply::Stale { .. }) => "stale",
@@ -72,6 +95,12 @@
         self.0.borrow_mut().insert(replica.node.clone(), answer);
     }
 
+    /// Whether a replica answered that it cannot tell.
+    fn has_unavailable(&self) -> bool {
+        let answers = self.0.borrow();
+        answers.values().any(|answer| *answer == UNAVAILABLE)
+    }
+
     fn report(&self, operation: &'static str, subject: &str, epoch: Epoch) {
         log::warn!(
             target: "records",
@@ -93,17 +122,17 @@
 /// Client of the replicas.
 pub struct RecordsClient {
     node: Rc<Node>,
-    suspects: RefCell<HashMap<ReplicaId, Instant>>,
+    /// The ways to the replicas.
+    pub paths: Rc<ReplicaPaths>,
+    /// Whether a majority answers.
+    pub health: QuorumHealth,
+    lost: Notify,
     settlements: RefCell<Vec<Settlement>>,
-    /// When quorums began to fail, and when the last one did; `None` while they are reached.
-    failing: Cell<Option<Failing>>,
 }
 
-/// A time without a quorum.
-#[derive(Debug, Clone, Copy)]
-struct Failing {
-    since: Instant,
-    last: Instant,
+/// So that clients do not return together.
+fn spread(wait: Duration) -> Duration {
+    wait.mul_f64(rand::rng().random_range(0.5..1.5))
 }
 
 /// How long a record is kept that the operators want for this time, in milliseconds.
@@ -114,34 +143,77 @@
 impl RecordsClient {
     /// A client on this node.
     pub fn new(node: Rc<Node>) -> Self {
+        let network = Rc::new(NodeNetwork(Rc::clone(&node)));
         Self {
             node,
-            suspects: RefCell::default(),
+            paths: Rc::new(ReplicaPaths::new(network)),
+            health: QuorumHealth::default(),
+            lost: Notify::new(),
             settlements: RefCell::default(),
-            failing: Cell::new(None),
         }
     }
 
-    /// Whether quorums have lately not been reached for a while: clients are better served elsewhere.
-    pub fn is_failing(&self) -> bool {
-        let failing = self.failing.get();
-        failing.is_some_and(|failing| {
-            let lasts = failing.last.duration_since(failing.since) >= FAILING_AFTER;
-            lasts && failing.last.elapsed() < FAILURE_LIFETIME
-        })
+    /// When a client may come back whose request needs a majority while none answers. Another gateway may
+    /// well reach one. Where others say that they do not either, it is lost for all, and a loss is taken to
+    /// last for as long again as it has lasted.
+    pub fn come_back(&self) -> Duration {
+        let is_general = self.paths.is_unreached_by_others(GENERAL_LOSS);
+        let wait = if is_general {
+            let lost_for = self.health.lost_for();
+            lost_for.clamp(LEAST_COME_BACK, MOST_COME_BACK)
+        } else {
+            LEAST_COME_BACK
+        };
+        spread(wait)
     }
 
-    /// Notes whether an operation reached its quorum.
-    fn note_quorum(&self, is_reached: bool) {
-        if is_reached {
-            self.failing.set(None);
+    /// When a client may come back whose request could not be carried out for this reason.
+    pub fn come_back_after(&self, failure: RecordsUnavailable) -> Duration {
+        match failure {
+            RecordsUnavailable::NoMajority => self.come_back(),
+            RecordsUnavailable::Restoring => spread(RESTORING_COME_BACK),
+        }
+    }
+
+    /// Notes whether an operation reached its quorum, and for how long it was tried.
+    fn note_quorum(&self, is_reached: bool, waited: Duration) {
+        if !is_reached {
+            if self.health.on_failed(waited) {
+                log::warn!(
+                    target: "dependency",
+                    waited_ms = whole_ms(waited),
+                    epoch = self.node.view.epoch().0;
+                    "majority of the replicas lost"
+                );
+                self.lost.notify_one();
+            }
             return;
         }
-        let now = Instant::now();
-        let earlier = self.failing.get();
-        let earlier = earlier.filter(|failing| failing.last.elapsed() < FAILURE_LIFETIME);
-        let since = earlier.map_or(now, |failing| failing.since);
-        self.failing.set(Some(Failing { since, last: now }));
+        if let Some(lost_for) = self.health.on_reached() {
+            log::info!(
+                target: "dependency",
+                lost_ms = whole_ms(lost_for),
+                epoch = self.node.view.epoch().0;
+                "majority of the replicas regained"
+            );
+        }
+    }
+
+    /// Looks for a majority whenever it is lost, until the process ends. Requests are refused meanwhile, so
+    /// that nothing else would find it.
+    pub async fn run_searches(self: Rc<Self>) {
+        loop {
+            self.lost.notified().await;
+            while self.health.is_lost() {
+                let make = |epoch: Epoch| ReplicaRequest::Settle {
+                    epoch,
+                    settlements: Vec::new(),
+                };
+                let limit = Instant::now() + SEARCH_TIME;
+                // The outcome is noted; a search in vain is followed by another one.
+                let _ = self.write(make, "search", "", limit).await;
+            }
+        }
     }
 
     /// Joins an entry into a program's ledger at a majority; the union of what that majority knows.
@@ -233,12 +305,21 @@
         limit: Instant,
     ) -> Result<ChainOutcome, RecordsUnavailable> {
         let answers = Answers::default();
+        let began = Instant::now();
         let reading = self.read_chain_patiently(turn, &answers);
         let outcome = tokio::time::timeout_at(limit, reading).await;
-        self.note_quorum(outcome.is_ok());
+        // Replicas that read their disks can write all the same.
+        let is_restoring = outcome.is_err() && answers.has_unavailable();
+        if !is_restoring {
+            self.note_quorum(outcome.is_ok(), began.elapsed());
+        }
         outcome.map_err(|_| {
             answers.report("read", request, self.node.view.epoch());
-            RecordsUnavailable
+            if is_restoring {
+                RecordsUnavailable::Restoring
+            } else {
+                RecordsUnavailable::NoMajority
+            }
         })
     }
 
@@ -263,7 +344,7 @@
             for replica in self.by_nearness(read.candidates()) {
                 let turn = read.wanted().clone();
                 let request = ReplicaRequest::ReadChain { epoch, turn };
-                let reply = self.ask(&replica, request, READ_TIMEOUT).await;
+                let reply = self.paths.ask(&replica, request, READ_TIMEOUT).await;
                 answers.note(&replica, &reply);
                 match reply {
                     Ok(ReplicaReply::Chain { records, missing }) => {
@@ -279,7 +360,7 @@
                     Ok(ReplicaReply::Behind) => {
                         let set = read.set().clone();
                         let adopt = ReplicaRequest::Adopt { set };
-                        let _ = self.ask(&replica, adopt, READ_TIMEOUT).await;
+                        let _ = self.paths.ask(&replica, adopt, READ_TIMEOUT).await;
                     }
                     _ => {}
                 }
@@ -299,12 +380,13 @@
         limit: Instant,
     ) -> Result<ProgramLedger, RecordsUnavailable> {
         let answers = Answers::default();
+        let began = Instant::now();
         let writing = self.write_patiently(make, &answers);
         let outcome = tokio::time::timeout_at(limit, writing).await;
-        self.note_quorum(outcome.is_ok());
+        self.note_quorum(outcome.is_ok(), began.elapsed());
         outcome.map_err(|_| {
             answers.report(operation, subject, self.node.view.epoch());
-            RecordsUnavailable
+            RecordsUnavailable::NoMajority
         })
     }
 
@@ -330,16 +412,10 @@
         answers: &Answers,
     ) -> WriteEnd {
         let mut changes = self.node.view.changes();
-        let members: HashMap<ReplicaId, Replica> = set
-            .members()
-            .into_iter()
-            .map(|member| (member.id, member.clone()))
-            .collect();
+        let members: Vec<Replica> = set.members().into_iter().cloned().collect();
+        let ask = |member: &Replica| self.ask_later(member, request.clone(), None, Duration::ZERO);
+        let mut asked: Asked = members.iter().map(ask).collect();
         let mut write = QuorumWrite::new(set);
-        let mut asked: Asked = FuturesUnordered::new();
-        for member in members.values() {
-            asked.push(self.ask_later(member, request.clone(), None, Duration::ZERO));
-        }
         loop {
             let (from, reply) = tokio::select! {
                 Some(reply) = asked.next() => reply,
@@ -348,8 +424,15 @@
                     None => continue,
                 },
             };
-            if let Some(member) = members.get(&from) {
+            let member = members.iter().find(|member| member.id == from);
+            if let Some(member) = member {
                 answers.note(member, &reply);
+                if matches!(
+                    reply,
+                    Ok(ReplicaReply::NotMember | ReplicaReply::Unavailable)
+                ) {
+                    self.paths.suspect(member.id);
+                }
             }
             let progress = match reply {
                 Ok(reply) => write.on_reply(from, reply),
@@ -362,7 +445,7 @@
                 WriteProgress::Teach => Some(write.set().clone()),
                 WriteProgress::TryLater => None,
             };
-            if let Some(member) = members.get(&from) {
+            if let Some(member) = member {
                 let pause = if teach.is_some() {
                     Duration::ZERO
                 } else {
@@ -386,7 +469,7 @@
         teach: Option<ReplicaSet>,
         pause: Duration,
     ) -> Pin<Box<dyn Future<Output = Reply>>> {
-        let node = Rc::clone(&self.node);
+        let paths = Rc::clone(&self.paths);
         let member = member.clone();
         Box::pin(async move {
             if !pause.is_zero() {
@@ -394,39 +477,24 @@
             }
             if let Some(set) = teach {
                 let adopt = ReplicaRequest::Adopt { set };
-                let taught = ask(&node, &member, adopt, REPLICA_TIMEOUT).await;
+                let taught = paths.ask(&member, adopt, REPLICA_TIMEOUT).await;
                 if let Err(error) = taught {
                     return (member.id, Err(error));
                 }
             }
-            let reply = ask(&node, &member, request, REPLICA_TIMEOUT).await;
+            let reply = paths.ask(&member, request, REPLICA_TIMEOUT).await;
             (member.id, reply)
         })
     }
 
-    async fn ask(
-        &self,
-        replica: &Replica,
-        request: ReplicaRequest,
-        timeout: Duration,
-    ) -> Result<ReplicaReply, LinkError> {
-        let reply = ask(&self.node, replica, request, timeout).await;
-        let mut suspects = self.suspects.borrow_mut();
-        if reply.is_err() {
-            suspects.insert(replica.id, Instant::now() + SUSPICION);
-        } else {
-            suspects.remove(&replica.id);
-        }
-        reply
-    }
-
-    /// Replicas that answered lately first, among them those of the own zone.
+    /// Replicas that answered lately first, among them those that are reached straight, then that of the own
+    /// zone.
     fn by_nearness(&self, mut replicas: Vec<Replica>) -> Vec<Replica> {
-        let now = Instant::now();
-        let suspects = self.suspects.borrow();
         replicas.sort_by_key(|replica| {
-            let suspected = suspects.get(&replica.id).is_some_and(|until| now < *until);
-            (suspected, replica.zone != self.node.settings.zone)
+            let is_suspected = self.paths.is_suspected(replica.id);
+            let is_closed = !self.paths.is_open(replica.id);
+            let is_far = replica.zone != self.node.settings.zone;
+            (is_suspected, is_closed, is_far)
         });
         replicas
     }
@@ -444,20 +512,3 @@
         }
     }
 }
-
-async fn ask(
-    node: &Node,
-    replica: &Replica,
-    request: ReplicaRequest,
-    timeout: Duration,
-) -> Result<ReplicaReply, LinkError> {
-    let Ok(address) = replica.address.parse() else {
-        return Err(LinkError::Unreachable);
-    };
-    let to = replica.id;
-    let request = PeerRequest::Replica { to, request };
-    match node.links.call(address, request, timeout).await? {
-        PeerReply::Replica(reply) => Ok(reply),
-        _ => Err(LinkError::Broken),
-    }
-}
--- /dev/null
+++ b/crates/gateway/src/replica_paths.rs
@@ -0,0 +1,316 @@
+//! How a gateway reaches the replicas: straight, or by way of another gateway while the network between is cut.
+//!
+//! A gateway that is cut off from the storage machines mostly still reaches other gateways, and they the
+//! replicas. What is asked of a replica may be asked twice and may come late, so that a detour changes
+//! nothing but the time it takes (`docs/design/large-fleets.md`, "Gateways that are cut off").
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::future::{Either, select};
+use rand::seq::IndexedRandom;
+use ridgeworks_records::{Replica, ReplicaId, ReplicaReply, ReplicaRequest};
+use ridgeworks_resident::clock::whole_ms;
+use ridgeworks_resident::peer::LinkError;
+use tokio::time::Instant;
+
+/// How many times the usual time of an answer a replica may be silent before another gateway is asked too.
+const PATIENCE_FACTOR: f64 = 8.0;
+/// Bounds of that patience: below the first a busy moment would look like a cut, and a turn cannot wait longer
+/// than the second.
+const LEAST_PATIENCE: Duration = Duration::from_millis(40);
+const MOST_PATIENCE: Duration = Duration::from_millis(200);
+/// Weight of a new answer in the usual time.
+const USUAL_WEIGHT: f64 = 0.05;
+/// What the usual time is taken to be before any answer came, in milliseconds.
+const FIRST_USUAL_MS: f64 = 12.0;
+/// How long another gateway may take to pass a request on and its answer back.
+pub const RELAY_TIMEOUT: Duration = Duration::from_millis(200);
+/// Other gateways that are asked one after the other for one request.
+const RELAY_TRIES: usize = 3;
+/// How often a way that is closed is tried again, beside the detour.
+const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+/// How long a way may take on such a try.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(700);
+/// How long a closed way is remembered; a way that is closed still is found so again.
+const CLOSED_LIFETIME: Duration = Duration::from_secs(60);
+/// How long a replica that did not answer is asked last.
+const SUSPICION: Duration = Duration::from_secs(1);
+const MS_PER_S: f64 = 1_000.0;
+
+/// An answer of a replica that is on its way.
+pub type Answering = Pin<Box<dyn Future<Output = Result<ReplicaReply, LinkError>>>>;
+
+/// What carries requests to replicas.
+pub trait ReplicaNetwork {
+    /// Asks a replica straight.
+    fn ask(&self, replica: &Replica, request: ReplicaRequest, timeout: Duration) -> Answering;
+    /// Asks a replica by way of another gateway.
+    fn ask_by(&self, relay: SocketAddr, replica: &Replica, request: ReplicaRequest) -> Answering;
+    /// Gateways that were heard lately.
+    fn relays(&self) -> Vec<SocketAddr>;
+}
+
+/// What is known of the way to one replica.
+#[derive(Debug, Clone, Copy, Default)]
+struct Way {
+    /// Until when the replica is asked last, after it did not answer.
+    suspected_until: Option<Instant>,
+    /// Since when the straight way is closed, and when it is tried next; `None` while it is open.
+    closed: Option<Closed>,
+}
+
+/// A straight way on which nothing comes back.
+#[derive(Debug, Clone, Copy)]
+struct Closed {
+    since: Instant,
+    probe_at: Instant,
+}
+
+/// The ways to all replicas.
+pub struct ReplicaPaths {
+    network: Rc<dyn ReplicaNetwork>,
+    ways: RefCell<HashMap<ReplicaId, Way>>,
+    /// The gateway that passed a request on last.
+    relay: Cell<Option<SocketAddr>>,
+    /// Usual time of an answer that comes straight, in milliseconds.
+    usual_ms: Cell<f64>,
+    /// When another gateway last said that it does not reach a replica either.
+    unreached_at: Cell<Option<Instant>>,
+}
+
+impl ReplicaPaths {
+    /// Ways of which nothing is known yet.
+    pub fn new(network: Rc<dyn ReplicaNetwork>) -> Self {
+        Self {
+            network,
+            ways: RefCell::default(),
+            relay: Cell::new(None),
+            usual_ms: Cell::new(FIRST_USUAL_MS),
+            unreached_at: Cell::new(None),
+        }
+    }
+
+    /// Whether the straight way to a replica is open, as far as is known.
+    pub fn is_open(&self, replica: ReplicaId) -> bool {
+        let ways = self.ways.borrow();
+        ways.get(&replica).is_none_or(|way| way.closed.is_none())
+    }
+
+    /// Whether a replica did not answer lately.
+    pub fn is_suspected(&self, replica: ReplicaId) -> bool {
+        let ways = self.ways.borrow();
+        let until = ways.get(&replica).and_then(|way| way.suspected_until);
+        until.is_some_and(|until| Instant::now() < until)
+    }
+
+    /// Whether another gateway has said within this time that it does not reach a replica either.
+    pub fn is_unreached_by_others(&self, within: Duration) -> bool {
+        let at = self.unreached_at.get();
+        at.is_some_and(|at| at.elapsed() < within)
+    }
+
+    /// Asks a replica, by a detour where the straight way is silent.
+    pub async fn ask(
+        self: &Rc<Self>,
+        replica: &Replica,
+        request: ReplicaRequest,
+        timeout: Duration,
+    ) -> Result<ReplicaReply, LinkError> {
+        let asking = async {
+            if self.is_open(replica.id) {
+                self.ask_straight_first(replica, request, timeout).await
+            } else {
+                self.probe_when_due(replica, &request);
+                self.ask_by_others(replica, &request).await
+            }
+        };
+        let asked = tokio::time::timeout(timeout, asking).await;
+        let reply = asked.unwrap_or(Err(LinkError::TimedOut));
+        self.note_answer(replica.id, reply.is_ok());
+        reply
+    }
+
+    async fn ask_straight_first(
+        self: &Rc<Self>,
+        replica: &Replica,
+        request: ReplicaRequest,
+        timeout: Duration,
+    ) -> Result<ReplicaReply, LinkError> {
+        let began = Instant::now();
+        let mut straight = self.network.ask(replica, request.clone(), timeout);
+        if let Ok(reply) = tokio::time::timeout(self.patience(), &mut straight).await {
+            // An error that comes at once is the machine's own: a detour would end there as well.
+            if reply.is_ok() {
+                self.note_time(began.elapsed());
+            }
+            return reply;
+        }
+        let by_others = Box::pin(self.ask_by_others(replica, &request));
+        match select(straight, by_others).await {
+            Either::Left((Ok(reply), _)) => Ok(reply),
+            Either::Left((Err(_), by_others)) => {
+                let reply = by_others.await?;
+                self.close(replica);
+                Ok(reply)
+            }
+            Either::Right((Ok(reply), straight)) => {
+                // It may have been slow only; what comes straight yet says so.
+                self.close(replica);
+                self.reopen_when_answered(replica, straight);
+                Ok(reply)
+            }
+            Either::Right((Err(_), straight)) => straight.await,
+        }
+    }
+
+    fn reopen_when_answered(self: &Rc<Self>, replica: &Replica, straight: Answering) {
+        let paths = Rc::clone(self);
+        let replica = replica.clone();
+        tokio::task::spawn_local(async move {
+            if straight.await.is_ok() {
+                paths.reopen(&replica);
+            }
+        });
+    }
+
+    async fn ask_by_others(
+        &self,
+        replica: &Replica,
+        request: &ReplicaRequest,
+    ) -> Result<ReplicaReply, LinkError> {
+        let mut last = LinkError::Unreachable;
+        let mut tried = Vec::new();
+        for _ in 0..RELAY_TRIES {
+            let Some(relay) = self.choose_relay(&tried) else {
+                return Err(last);
+            };
+            tried.push(relay);
+            let asked = self.network.ask_by(relay, replica, request.clone()).await;
+            match asked {
+                Ok(reply) => {
+                    self.relay.set(Some(relay));
+                    return Ok(reply);
+                }
+                Err(error) => {
+                    if error == LinkError::BeyondRelay {
+                        self.unreached_at.set(Some(Instant::now()));
+                    }
+                    self.drop_relay(relay);
+                    last = error;
+                }
+            }
+        }
+        Err(last)
+    }
+
+    /// The gateway that passed something on last, or any that was not tried.
+    fn choose_relay(&self, tried: &[SocketAddr]) -> Option<SocketAddr> {
+        if let Some(known) = self.relay.get() {
+            return Some(known);
+        }
+        let mut relays = self.network.relays();
+        relays.retain(|relay| !tried.contains(relay));
+        relays.choose(&mut rand::rng()).copied()
+    }
+
+    fn drop_relay(&self, relay: SocketAddr) {
+        if self.relay.get() == Some(relay) {
+            self.relay.set(None);
+        }
+    }
+
+    /// How long a replica may be silent before another gateway is asked too.
+    fn patience(&self) -> Duration {
+        let patience = Duration::from_secs_f64(self.usual_ms.get() * PATIENCE_FACTOR / MS_PER_S);
+        patience.clamp(LEAST_PATIENCE, MOST_PATIENCE)
+    }
+
+    fn note_time(&self, taken: Duration) {
+        let usual = self.usual_ms.get();
+        let taken_ms = taken.as_secs_f64() * MS_PER_S;
+        self.usual_ms.set(usual + USUAL_WEIGHT * (taken_ms - usual));
+    }
+
+    fn note_answer(&self, replica: ReplicaId, is_answered: bool) {
+        let mut ways = self.ways.borrow_mut();
+        if is_answered {
+            if let Some(way) = ways.get_mut(&replica) {
+                way.suspected_until = None;
+            }
+            ways.retain(|_, way| way.closed.is_some() || way.suspected_until.is_some());
+            return;
+        }
+        drop(ways);
+        self.suspect(replica);
+    }
+
+    /// A replica that does not answer, or not with what was asked, is asked last for a while.
+    pub fn suspect(&self, replica: ReplicaId) {
+        let mut ways = self.ways.borrow_mut();
+        let way = ways.entry(replica).or_default();
+        way.suspected_until = Some(Instant::now() + SUSPICION);
+    }
+
+    fn close(&self, replica: &Replica) {
+        let now = Instant::now();
+        let mut ways = self.ways.borrow_mut();
+        // Those of replicas that are gone would stay for ever.
+        ways.retain(|_, way| {
+            let closed = way.closed.as_ref();
+            closed.is_none_or(|closed| closed.since.elapsed() < CLOSED_LIFETIME)
+        });
+        let way = ways.entry(replica.id).or_default();
+        if way.closed.is_some() {
+            return;
+        }
+        way.closed = Some(Closed {
+            since: now,
+            probe_at: now + PROBE_INTERVAL,
+        });
+        log::info!(
+            target: "belief",
+            node = replica.node.as_str(),
+            relay:? = self.relay.get(),
+            usual_ms = self.usual_ms.get();
+            "way to a replica closed, others pass requests on"
+        );
+    }
+
+    /// Tries a closed way with a request that goes by a detour as well.
+    fn probe_when_due(self: &Rc<Self>, replica: &Replica, request: &ReplicaRequest) {
+        let now = Instant::now();
+        let is_due = {
+            let mut ways = self.ways.borrow_mut();
+            let way = ways.get_mut(&replica.id);
+            let closed = way.and_then(|way| way.closed.as_mut());
+            let due = closed.filter(|closed| now >= closed.probe_at);
+            due.map(|closed| closed.probe_at = now + PROBE_INTERVAL)
+                .is_some()
+        };
+        if !is_due {
+            return;
+        }
+        let probing = self.network.ask(replica, request.clone(), PROBE_TIMEOUT);
+        self.reopen_when_answered(replica, probing);
+    }
+
+    fn reopen(&self, replica: &Replica) {
+        let mut ways = self.ways.borrow_mut();
+        let way = ways.get_mut(&replica.id);
+        let Some(closed) = way.and_then(|way| way.closed.take()) else {
+            return;
+        };
+        log::info!(
+            target: "belief",
+            node = replica.node.as_str(),
+            closed_ms = whole_ms(closed.since.elapsed());
+            "way to a replica open again"
+        );
+    }
+}
--- a/crates/gateway/src/role.rs
+++ b/crates/gateway/src/role.rs
@@ -61,6 +61,7 @@
     listener::listen(Rc::clone(&gateway), callers, phase).await?;
     tokio::task::spawn_local(Rc::clone(&gateway).tidy());
     tokio::task::spawn_local(Rc::clone(&gateway.records).run_settlements());
+    tokio::task::spawn_local(Rc::clone(&gateway.records).run_searches());
     run_until_stopped(&node, &settings_path, &mut orders).await;
     stop(&gateway, &stopping).await;
     Ok(())
--- /dev/null
+++ b/crates/gateway/tests/replica_paths.rs
@@ -0,0 +1,228 @@
+//! Ways to replicas under virtual time, over a network that is silent, refuses or answers as told.
+
+use std::cell::{Cell, RefCell};
+use std::future::{pending, ready};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use ridgeworks_gateway::{Answering, QuorumHealth, ReplicaNetwork, ReplicaPaths};
+use ridgeworks_records::{Epoch, Replica, ReplicaId, ReplicaReply, ReplicaRequest};
+use ridgeworks_resident::peer::LinkError;
+use tokio::task::LocalSet;
+use tokio::time::Instant;
+
+const TIMEOUT: Duration = Duration::from_millis(700);
+const ANSWER: Duration = Duration::from_millis(5);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Conduct {
+    Answers(Duration),
+    Silent,
+    Fails(LinkError),
+}
+
+impl Conduct {
+    fn answering(self) -> Answering {
+        match self {
+            Self::Answers(after) => Box::pin(async move {
+                tokio::time::sleep(after).await;
+                Ok(ReplicaReply::Done)
+            }),
+            Self::Silent => Box::pin(pending()),
+            Self::Fails(error) => Box::pin(ready(Err(error))),
+        }
+    }
+}
+
+struct FakeNetwork {
+    straight: Cell<Conduct>,
+    relays: Vec<Conduct>,
+    asked: RefCell<Vec<SocketAddr>>,
+}
+
+impl FakeNetwork {
+    fn new(straight: Conduct, relays: &[Conduct]) -> Rc<Self> {
+        Rc::new(Self {
+            straight: Cell::new(straight),
+            relays: relays.to_vec(),
+            asked: RefCell::default(),
+        })
+    }
+}
+
+impl ReplicaNetwork for FakeNetwork {
+    fn ask(&self, _replica: &Replica, _request: ReplicaRequest, timeout: Duration) -> Answering {
+        let answering = self.straight.get().answering();
+        Box::pin(async move {
+            let answered = tokio::time::timeout(timeout, answering).await;
+            answered.unwrap_or(Err(LinkError::TimedOut))
+        })
+    }
+
+    fn ask_by(&self, relay: SocketAddr, _replica: &Replica, _request: ReplicaRequest) -> Answering {
+        self.asked.borrow_mut().push(relay);
+        self.relays[usize::from(relay.port())].answering()
+    }
+
+    fn relays(&self) -> Vec<SocketAddr> {
+        let ports = 0..u16::try_from(self.relays.len()).unwrap();
+        let address = |port| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        ports.map(address).collect()
+    }
+}
+
+fn replica() -> Replica {
+    Replica {
+        id: ReplicaId(7),
+        node: "store-1".to_owned(),
+        address: "127.0.0.1:1".to_owned(),
+        zone: "zone".to_owned(),
+    }
+}
+
+async fn ask(paths: &Rc<ReplicaPaths>) -> (Result<ReplicaReply, LinkError>, Duration) {
+    let began = Instant::now();
+    let request = ReplicaRequest::Settle {
+        epoch: Epoch(1),
+        settlements: Vec::new(),
+    };
+    let reply = paths.ask(&replica(), request, TIMEOUT).await;
+    (reply, began.elapsed())
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_silent_way_is_replaced_by_a_detour() {
+    LocalSet::new()
+        .run_until(async {
+            let network = FakeNetwork::new(Conduct::Silent, &[Conduct::Answers(ANSWER)]);
+            let paths = Rc::new(ReplicaPaths::new(network));
+            let (reply, took) = ask(&paths).await;
+            assert_eq!(reply, Ok(ReplicaReply::Done));
+            assert!(took < Duration::from_millis(250), "{took:?}");
+            assert!(!paths.is_open(replica().id));
+            let (reply, took) = ask(&paths).await;
+            assert_eq!(reply, Ok(ReplicaReply::Done));
+            assert!(
+                took <= ANSWER * 2,
+                "the way is known to be closed: {took:?}"
+            );
+        })
+        .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_way_that_answers_again_is_used_again() {
+    LocalSet::new()
+        .run_until(async {
+            let network = FakeNetwork::new(Conduct::Silent, &[Conduct::Answers(ANSWER)]);
+            let paths = Rc::new(ReplicaPaths::new(
+                Rc::clone(&network) as Rc<dyn ReplicaNetwork>
+            ));
+            assert!(ask(&paths).await.0.is_ok());
+            network.straight.set(Conduct::Answers(ANSWER));
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            assert!(ask(&paths).await.0.is_ok());
+            tokio::time::sleep(ANSWER * 2).await;
+            assert!(paths.is_open(replica().id));
+            let before = network.asked.borrow().len();
+            assert!(ask(&paths).await.0.is_ok());
+            assert_eq!(network.asked.borrow().len(), before, "no detour any more");
+        })
+        .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_machine_that_refuses_is_no_closed_way() {
+    LocalSet::new()
+        .run_until(async {
+            let refuses = Conduct::Fails(LinkError::Unreachable);
+            let network = FakeNetwork::new(refuses, &[Conduct::Answers(ANSWER)]);
+            let paths = Rc::new(ReplicaPaths::new(
+                Rc::clone(&network) as Rc<dyn ReplicaNetwork>
+            ));
+            let (reply, took) = ask(&paths).await;
+            assert_eq!(reply, Err(LinkError::Unreachable));
+            assert_eq!(took, Duration::ZERO);
+            assert!(network.asked.borrow().is_empty());
+            assert!(paths.is_open(replica().id));
+            assert!(paths.is_suspected(replica().id));
+        })
+        .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_gateway_that_is_cut_off_as_well_is_replaced() {
+    LocalSet::new()
+        .run_until(async {
+            let beyond = Conduct::Fails(LinkError::BeyondRelay);
+            let relays = [beyond, Conduct::Answers(ANSWER), beyond];
+            let network = FakeNetwork::new(Conduct::Silent, &relays);
+            let paths = Rc::new(ReplicaPaths::new(
+                Rc::clone(&network) as Rc<dyn ReplicaNetwork>
+            ));
+            for _ in 0..8 {
+                let (reply, took) = ask(&paths).await;
+                assert_eq!(reply, Ok(ReplicaReply::Done));
+                assert!(took < Duration::from_millis(250), "{took:?}");
+            }
+            let asked = network.asked.borrow();
+            assert!(asked.len() <= 10, "the one that works is kept: {asked:?}");
+        })
+        .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_slow_answer_opens_the_way_again() {
+    LocalSet::new()
+        .run_until(async {
+            let slow = Conduct::Answers(Duration::from_millis(300));
+            let network = FakeNetwork::new(slow, &[Conduct::Answers(ANSWER)]);
+            let paths = Rc::new(ReplicaPaths::new(network));
+            let (reply, took) = ask(&paths).await;
+            assert_eq!(reply, Ok(ReplicaReply::Done));
+            assert!(took < Duration::from_millis(250), "{took:?}");
+            tokio::time::sleep(Duration::from_millis(250)).await;
+            assert!(paths.is_open(replica().id));
+        })
+        .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn without_any_way_the_loss_is_known_to_be_general_or_not() {
+    LocalSet::new()
+        .run_until(async {
+            let second = Duration::from_secs(1);
+            let alone = FakeNetwork::new(Conduct::Silent, &[]);
+            let paths = Rc::new(ReplicaPaths::new(alone));
+            let (reply, took) = ask(&paths).await;
+            assert_eq!(reply, Err(LinkError::TimedOut));
+            assert_eq!(took, TIMEOUT);
+            assert!(!paths.is_unreached_by_others(second));
+            let beyond = Conduct::Fails(LinkError::BeyondRelay);
+            let network = FakeNetwork::new(Conduct::Silent, &[beyond]);
+            let paths = Rc::new(ReplicaPaths::new(network));
+            assert!(ask(&paths).await.0.is_err());
+            assert!(paths.is_unreached_by_others(second));
+        })
+        .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_majority_is_lost_after_a_wait_in_vain_until_one_answers() {
+    let health = QuorumHealth::default();
+    assert!(
+        !health.on_failed(Duration::from_millis(50)),
+        "too short to say anything"
+    );
+    assert!(!health.is_lost());
+    tokio::time::advance(Duration::from_secs(1)).await;
+    assert!(health.on_failed(Duration::from_millis(700)));
+    assert!(!health.on_failed(Duration::from_millis(700)), "no news");
+    assert!(health.is_lost());
+    tokio::time::advance(Duration::from_millis(300)).await;
+    assert_eq!(health.lost_for(), Duration::from_secs(1));
+    assert_eq!(health.on_reached(), Some(Duration::from_secs(1)));
+    assert_eq!(health.on_reached(), None);
+    assert!(!health.is_lost());
+}
--- a/crates/node/tests/resident_records.rs
+++ b/crates/node/tests/resident_records.rs
@@ -105,6 +105,9 @@
     deployment.replicas[0].start();
     deployment.replicas[1].start();
     send_until_served(one, &turn("t-4", Some("t-2"), "third"));
+    wait_until("the other gateway has found the majority too", || {
+        deployment.gateways[1].is_ready()
+    });
     let known = turn("t-5", Some("nobody"), "x")
         .send(two)
         .expect("an answer");
@@ -310,3 +313,57 @@
         began.elapsed()
     );
 }
+
+#[test]
+fn a_gateway_that_lost_the_majority_refuses_at_once_until_it_is_back() {
+    let deployment = Deployment::started(PROGRAM, 1, 3);
+    let engine = deployment.engine("models", "i-1", stream(2));
+    let gateway = deployment.gateways[0].callers();
+    send_until_served(gateway, &budgeted("b-1", "p", 1_000, 30));
+    let ran = engine.runs().len();
+    for replica in &deployment.replicas {
+        replica.signal(Signal::STOP);
+    }
+    let first = budgeted("b-2", "p", 1_000, 30).send(gateway);
+    assert_eq!(first.expect("an answer").status, 503);
+    wait_until("the gateway wants no clients", || {
+        !deployment.gateways[0].is_ready()
+    });
+    let began = Instant::now();
+    let second = budgeted("b-3", "p", 1_000, 30).send(gateway);
+    let second = second.expect("an answer");
+    let took = began.elapsed();
+    assert!(took < Duration::from_millis(300), "{took:?}");
+    assert_eq!(second.status, 503);
+    assert!(second.header("retry-after").is_some());
+    assert_eq!(second.header("connection"), Some("close"));
+    assert_eq!(engine.runs().len(), ran, "nothing has run");
+    for replica in &deployment.replicas {
+        replica.signal(Signal::CONT);
+    }
+    wait_until("the gateway is ready again", || {
+        deployment.gateways[0].is_ready()
+    });
+    let served = budgeted("b-4", "p", 1_000, 30).send(gateway);
+    assert_eq!(served.expect("an answer").status, 200);
+}
+
+/// More storage machines than any of them sends heartbeats to at once.
+const MANY: u8 = 16;
+
+#[test]
+fn nobody_is_replaced_while_all_live_however_many_they_are() {
+    let deployment = Deployment::started(PROGRAM, 1, MANY);
+    wait_until("there is a set", || deployment.voting_nodes().len() == 3);
+    // Twice as long as a silence takes to make a replica count as gone.
+    std::thread::sleep(Duration::from_millis(3_200));
+    let lines: Vec<_> = deployment
+        .replicas
+        .iter()
+        .flat_map(|replica| replica.log())
+        .collect();
+    let changes = lines
+        .iter()
+        .filter(|line| line["message"] == "replica set changed");
+    assert_eq!(changes.count(), 1, "the first set, and no other");
+}
--- a/crates/resident/src/peer/links.rs
+++ b/crates/resident/src/peer/links.rs
@@ -31,6 +31,8 @@
     Full,
     /// No reply in time.
     TimedOut,
+    /// The node that was to pass the request on does not reach its receiver either.
+    BeyondRelay,
 }
 
 impl LinkError {
@@ -41,6 +43,7 @@
             Self::Broken => "broken",
             Self::Full => "full",
             Self::TimedOut => "timed_out",
+            Self::BeyondRelay => "beyond_relay",
         }
     }
 }
--- a/crates/resident/src/peer/message.rs
+++ b/crates/resident/src/peer/message.rs
@@ -33,6 +33,19 @@
     FetchView(ViewPosition),
     /// Asks which nodes it has heard of.
     ListMembers,
+    /// For a replica elsewhere that the sender does not reach itself.
+    PassOn(Box<PassedOn>),
+}
+
+/// A request that a node is to pass on to a replica.
+#[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct PassedOn {
+    /// Where the replica's node is reached.
+    pub address: SocketAddr,
+    /// The replica that is meant.
+    pub to: ReplicaId,
+    /// The request.
+    pub request: ReplicaRequest,
 }
 
 /// What a node answers.
@@ -46,6 +59,8 @@
     Members(Vec<MemberInfo>),
     /// The node's role does not answer this.
     Unsupported,
+    /// The node does not reach the replica that it was to pass a request on to.
+    Unreached,
 }
 
 /// How far a node knows the deployment.
--- a/crates/resident/src/peer/mod.rs
+++ b/crates/resident/src/peer/mod.rs
@@ -11,8 +11,8 @@
 pub use links::{LinkError, PeerLinks};
 pub use members::{Member, Members};
 pub use message::{
-    Datagram, Envelope, Heartbeat, KnownEngines, LoadReport, MemberInfo, MessageError, PeerReply,
-    PeerRequest, ReplicaStatus, ViewPosition, ViewUpdate, decode, encode,
+    Datagram, Envelope, Heartbeat, KnownEngines, LoadReport, MemberInfo, MessageError, PassedOn,
+    PeerReply, PeerRequest, ReplicaStatus, ViewPosition, ViewUpdate, decode, encode,
 };
 pub use server::{PeerService, serve};
 pub use targets::targets;
--- a/crates/routing/src/refusal.rs
+++ b/crates/routing/src/refusal.rs
@@ -46,6 +46,17 @@
         !matches!(self, Self::EngineFailed | Self::TimedOut)
     }
 
+    /// Whether the cause is this gateway's alone, so that the client is better off with another one.
+    pub fn is_of_gateway(self) -> bool {
+        matches!(
+            self,
+            Self::NoConfiguration
+                | Self::ConfigurationStale
+                | Self::LedgerUnavailable
+                | Self::TurnsUnavailable
+        )
+    }
+
     /// Name for logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
