Nodes register in the store only where they hear nobody

Now a node registers, and looks for others, if it hears nobody for 1.5 s; all nodes meet at the replicas of the set anyway, whose addresses stand in the store. A replica reads the set from the store only if nobody told it within half a second.

Tests: nodes_that_find_each_other_through_seeds_do_not_register, and nodes_whose_seeds_are_gone_find_ each_other_all_the_same.

--- a/crates/node/tests/resident_fleet.rs
+++ b/crates/node/tests/resident_fleet.rs
@@ -118,3 +118,32 @@
     });
     assert!(began.elapsed() < BOUND, "{:?}", began.elapsed());
 }
+
+#[test]
+fn nodes_that_find_each_other_through_seeds_do_not_register() {
+    let deployment = Deployment::started(PROGRAM, 6, 3);
+    // Longer than a node waits before it looks for others in the store.
+    std::thread::sleep(Duration::from_millis(2_500));
+    for process in deployment.gateways.iter().chain(&deployment.replicas) {
+        let registered = deployment.store.object("ridgeworks-members", &process.name);
+        assert_eq!(registered, None, "{}", process.name);
+    }
+}
+
+#[test]
+fn nodes_whose_seeds_are_gone_find_each_other_all_the_same() {
+    let mut deployment = Deployment::new(PROGRAM);
+    deployment.configure(routes());
+    // The first gateway is everybody's seed, and is not there.
+    deployment.add_gateway();
+    for _ in 0..3 {
+        deployment.add_replica().start();
+    }
+    for _ in 0..3 {
+        deployment.add_gateway().start();
+    }
+    wait_until("there is a set", || deployment.voting_nodes().len() == 3);
+    wait_until("the gateways are ready", || {
+        deployment.gateways[1..].iter().all(Process::is_ready)
+    });
+}
--- a/crates/resident/src/node.rs
+++ b/crates/resident/src/node.rs
@@ -111,7 +111,6 @@
         crate::peer::serve(self.settings.peer_address(), service).await?;
         let gossip = Rc::clone(&self.gossip);
         tokio::task::spawn_local(gossip.run(sources));
-        tokio::task::spawn_local(Rc::clone(self).register());
         tokio::task::spawn_local(Rc::clone(self).learn_members());
         tokio::task::spawn_local(Rc::clone(self).learn_replica_set());
         for seed in self.settings.seed_peers() {
@@ -227,54 +226,61 @@
         }
     }
 
-    /// Registers this node where other nodes look for it.
-    async fn register(self: Rc<Self>) {
+    /// Registers this node where nodes look for each other that hear nobody; says whether it is there.
+    async fn register(&self) -> bool {
         let record = MemberRecord::of(&self.settings);
         let name = self.settings.name.as_str();
-        loop {
-            let call = create(ObjectKind::Members, name, &record);
-            let outcome = self.store.call(call, CALL_TIMEOUT).await;
-            match outcome.map(|answer| answer.outcome) {
-                Ok(StoreOutcome::Done) => return,
-                Ok(StoreOutcome::Conflict) => {
-                    let call = replace(ObjectKind::Members, name, None, &record);
-                    let replaced = self.store.call(call, CALL_TIMEOUT).await;
-                    if replaced.is_ok_and(|answer| answer.outcome == StoreOutcome::Done) {
-                        return;
-                    }
-                }
-                _ => {}
+        let call = create(ObjectKind::Members, name, &record);
+        let outcome = self.store.call(call, CALL_TIMEOUT).await;
+        match outcome.map(|answer| answer.outcome) {
+            Ok(StoreOutcome::Done) => true,
+            Ok(StoreOutcome::Conflict) => {
+                let call = replace(ObjectKind::Members, name, None, &record);
+                let replaced = self.store.call(call, CALL_TIMEOUT).await;
+                replaced.is_ok_and(|answer| answer.outcome == StoreOutcome::Done)
             }
-            pause_about(REGISTER_PAUSE).await;
+            _ => false,
         }
     }
 
-    /// Learns of the other nodes from the seeds, and from the store where the seeds know nobody.
+    /// Learns of the other nodes from the seeds until one is heard. Nodes that hear nobody for a while meet
+    /// in the store, so that the calls to it do not grow with the fleet. The replicas are met anyway, once
+    /// their set is known: whoever hears them hears of all others.
     async fn learn_members(self: Rc<Self>) {
         let begun = self.clock.now();
-        loop {
+        let mut is_registered = false;
+        while !self.gossip.hears_others() {
             for seed in self.settings.seed_peers() {
                 let known = fetch_members(&self.links, seed).await;
                 self.gossip.add_known(known);
             }
-            if self.gossip.members().len() > self.settings.seeds.len() {
-                return;
-            }
-            if self.clock.now() - begun > MEMBERS_PATIENCE
-                && let Some(objects) = list_once(&self.store, ObjectKind::Members).await
-            {
-                let nodes = objects.iter().filter_map(MemberRecord::read);
-                self.gossip.add_known(nodes.collect());
-                return;
+            if self.clock.now() - begun > MEMBERS_PATIENCE {
+                is_registered = is_registered || self.register().await;
+                self.learn_registered().await;
             }
             pause_about(REGISTER_PAUSE).await;
         }
     }
 
+    async fn learn_registered(&self) {
+        let Some(objects) = list_once(&self.store, ObjectKind::Members).await else {
+            return;
+        };
+        let nodes: Vec<MemberInfo> = objects.iter().filter_map(MemberRecord::read).collect();
+        log::info!(
+            target: "belief",
+            registered = nodes.len();
+            "no other node heard, looked for them in the platform store"
+        );
+        self.gossip.add_known(nodes);
+    }
+
     /// Gateways of a large fleet leave it to the watchers among them; replicas have to see the register.
     async fn learn_replica_set(self: Rc<Self>) {
         let is_replica = self.settings.role == Role::Replica;
         let mut asked_at = Duration::ZERO;
+        // A replica has the set on its disk, or hears of it from others meanwhile.
+        pause_about(REGISTER_PAUSE).await;
         while self.view.replica_set().is_none() {
             let now = self.clock.now();
             let is_late = now - asked_at > REPLICA_SET_PAUSE;
