A replica reads from the disk what a request needs, and the rest slowly

Now only the set is read at first. A request's own ledger or chain is read by key; all else comes back on the other thread, which rests three times as long as it reads. A ledger that was read late is joined into what changed meanwhile, never put in its place. Until all is there nothing is given to a copy, and a turn is missing only if it was looked for on the disk.

--- a/crates/records/src/replica.rs
+++ b/crates/records/src/replica.rs
@@ -3,7 +3,7 @@
 //! It answers from memory; the caller makes the [`Change`]s durable in the order in which they are
 //! returned, and holds back a reply for as long as any change returned before it is not durable.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Bound;
 
 use rkyv::{Archive, Deserialize, Serialize};
@@ -97,8 +97,10 @@
     ledgers: BTreeMap<ProgramId, Kept<ProgramLedger>>,
     turn_bytes: usize,
     max_turn_bytes: usize,
-    /// Whether turns are on the disk that were not restored yet.
+    /// Whether records are on the disk that were not restored yet.
     is_restoring: bool,
+    /// Turns that were looked for on the disk meanwhile, and are not there.
+    absent: BTreeSet<TurnId>,
 }
 
 impl ReplicaState {
@@ -113,11 +115,13 @@
             turn_bytes: 0,
             max_turn_bytes,
             is_restoring: false,
+            absent: BTreeSet::new(),
         }
     }
 
-    /// Turns of the disk are restored while requests are taken already. Until the end the replica does not
-    /// say of any turn that it lacks it.
+    /// Records of the disk are restored while requests are taken already: those that a request needs first
+    /// ([`Self::needs`]), the others as they come. Until the end the replica does not say of a turn that it lacks it,
+    /// unless it was looked for.
     pub fn begin_restoring(&mut self) {
         self.is_restoring = true;
     }
@@ -125,15 +129,64 @@
     /// Everything of the disk is restored.
     pub fn finish_restoring(&mut self) {
         self.is_restoring = false;
+        self.absent.clear();
+    }
+
+    /// The next record that has to be restored, or found to be absent, before this request is taken.
+    pub fn needs(&self, request: &ReplicaRequest) -> Option<RecordKey> {
+        if !self.is_restoring {
+            return None;
+        }
+        match request {
+            ReplicaRequest::Charge { program, .. } => self.needs_ledger(program),
+            ReplicaRequest::Settle { settlements, .. } => {
+                let mut programs = settlements.iter().map(|settlement| &settlement.program);
+                programs.find_map(|program| self.needs_ledger(program))
+            }
+            ReplicaRequest::ReadChain { turn, .. } => self.needs_turn(turn),
+            _ => None,
+        }
+    }
+
+    fn needs_ledger(&self, program: &ProgramId) -> Option<RecordKey> {
+        let is_known = self.ledgers.contains_key(program);
+        (!is_known).then(|| RecordKey::Ledger(program.clone()))
+    }
+
+    fn needs_turn(&self, newest: &TurnId) -> Option<RecordKey> {
+        let mut next = Some(newest);
+        while let Some(turn) = next {
+            match self.turns.get(turn) {
+                Some(kept) => next = kept.value.previous.as_ref(),
+                None if self.absent.contains(turn) => return None,
+                None => return Some(RecordKey::Turn(turn.clone())),
+            }
+        }
+        None
+    }
+
+    /// A record that was looked for is not on the disk.
+    pub fn note_absent(&mut self, key: RecordKey) {
+        match key {
+            RecordKey::Turn(turn) => {
+                self.absent.insert(turn);
+            }
+            // Kept for no longer than an empty ledger is of use.
+            RecordKey::Ledger(program) => {
+                self.ledger(program, 0);
+            }
+        }
     }
 
     /// Takes in a record that was read back from the disk.
     pub fn restore(&mut self, record: StoredRecord) {
         match record {
             StoredRecord::Turn(record, until_ms) => self.put_turn(record, until_ms),
+            // Joined, since it may have changed while the disk was read.
             StoredRecord::Ledger(program, ledger, until_ms) => {
-                let value = ledger;
-                self.ledgers.insert(program, Kept { value, until_ms });
+                let kept = self.ledger(program, until_ms);
+                kept.value.join_all(&ledger);
+                kept.until_ms = kept.until_ms.max(until_ms);
             }
             StoredRecord::Set(set) => self.set = Some(set),
         }
@@ -372,7 +425,7 @@
         let mut next = Some(newest);
         while let Some(turn) = next.take() {
             let kept = self.turns.get(&turn);
-            if kept.is_none() && self.is_restoring {
+            if kept.is_none() && self.is_restoring && !self.absent.contains(&turn) {
                 return ReplicaReply::Unavailable;
             }
             let Some(kept) = kept.filter(|_| records.len() < MAX_CHAIN_RECORDS) else {
--- a/crates/records/tests/restoring.rs
+++ b/crates/records/tests/restoring.rs
@@ -1,8 +1,8 @@
-//! A replica that takes requests while the turns of its disk are still being read back.
+//! A replica that takes requests while the records of its disk are still being read back.
 
 use ridgeworks_records::{
-    Epoch, LedgerEntry, ProgramId, ProgramLedger, Replica, ReplicaId, ReplicaReply, ReplicaRequest,
-    ReplicaSet, ReplicaState, StoredRecord, TurnId, TurnRecord,
+    Epoch, LedgerEntry, ProgramId, ProgramLedger, RecordKey, Replica, ReplicaId, ReplicaReply,
+    ReplicaRequest, ReplicaSet, ReplicaState, StoredRecord, TurnId, TurnRecord,
 };
 
 const NOW: u64 = 1_000_000;
@@ -17,7 +17,17 @@
     }
 }
 
-/// A replica whose set and ledger are restored, and its turns not yet.
+fn ledger(turn: &str, spent: u64) -> StoredRecord {
+    let mut ledger = ProgramLedger::default();
+    let entry = LedgerEntry {
+        most: 50,
+        spent: Some(spent),
+    };
+    ledger.join(&TurnId(turn.to_owned()), entry);
+    StoredRecord::Ledger(ProgramId("p".to_owned()), ledger, KEPT)
+}
+
+/// A replica whose set is restored, and its other records not yet.
 fn replica() -> ReplicaState {
     let me = Replica {
         id: ReplicaId(1),
@@ -30,23 +40,25 @@
         voters: vec![me],
         incoming: None,
     };
-    let mut ledger = ProgramLedger::default();
-    let spent = LedgerEntry {
-        most: 50,
-        spent: Some(7),
-    };
-    ledger.join(&TurnId("t-1".to_owned()), spent);
     let mut state = ReplicaState::new(ReplicaId(1), 1_000_000);
     state.restore(StoredRecord::Set(set));
-    state.restore(StoredRecord::Ledger(
-        ProgramId("p".to_owned()),
-        ledger,
-        KEPT,
-    ));
     state.begin_restoring();
     state
 }
 
+fn charge(turn: &str) -> ReplicaRequest {
+    ReplicaRequest::Charge {
+        epoch: Epoch(3),
+        program: ProgramId("p".to_owned()),
+        turn: TurnId(turn.to_owned()),
+        entry: LedgerEntry {
+            most: 50,
+            spent: None,
+        },
+        keep_ms: 60_000,
+    }
+}
+
 fn read(state: &mut ReplicaState, turn: &str) -> ReplicaReply {
     let epoch = Epoch(3);
     let turn = TurnId(turn.to_owned());
@@ -55,22 +67,53 @@
 }
 
 #[test]
-fn tokens_are_reserved_meanwhile() {
+fn a_reservation_needs_the_ledger_of_its_program_first() {
     let mut state = replica();
-    let charge = ReplicaRequest::Charge {
+    let key = RecordKey::Ledger(ProgramId("p".to_owned()));
+    assert_eq!(state.needs(&charge("t-2")), Some(key));
+    state.restore(ledger("t-1", 7));
+    assert_eq!(state.needs(&charge("t-2")), None);
+    let ReplicaReply::Charged { ledger } = state.handle(charge("t-2"), NOW).reply else {
+        panic!("the ledger is known");
+    };
+    assert_eq!(ledger.entries.len(), 2, "what was spent before counts");
+}
+
+#[test]
+fn what_the_disk_told_late_takes_nothing_back() {
+    let mut state = replica();
+    let key = state.needs(&charge("t-2")).expect("a ledger to look for");
+    state.note_absent(key);
+    assert_eq!(state.needs(&charge("t-2")), None);
+    state.handle(charge("t-2"), NOW);
+    // Read before the reservation was made, handed over after it.
+    state.restore(ledger("t-1", 7));
+    let ReplicaReply::Charged { ledger } = state.handle(charge("t-3"), NOW).reply else {
+        panic!("the ledger is known");
+    };
+    assert_eq!(ledger.entries.len(), 3);
+}
+
+#[test]
+fn a_chain_is_needed_link_by_link() {
+    let mut state = replica();
+    let request = ReplicaRequest::ReadChain {
         epoch: Epoch(3),
-        program: ProgramId("p".to_owned()),
         turn: TurnId("t-2".to_owned()),
-        entry: LedgerEntry {
-            most: 50,
-            spent: None,
-        },
-        keep_ms: 60_000,
     };
-    let ReplicaReply::Charged { ledger } = state.handle(charge, NOW).reply else {
-        panic!("the ledger is known");
+    let key = |turn: &str| Some(RecordKey::Turn(TurnId(turn.to_owned())));
+    assert_eq!(state.needs(&request), key("t-2"));
+    state.restore(StoredRecord::Turn(turn("t-2", Some("t-1")), KEPT));
+    assert_eq!(state.needs(&request), key("t-1"));
+    state.note_absent(RecordKey::Turn(TurnId("t-1".to_owned())));
+    assert_eq!(state.needs(&request), None);
+    let ReplicaReply::Chain { records, missing } = read(&mut state, "t-2") else {
+        panic!("it is known how far the chain goes here");
     };
-    assert_eq!(ledger.entries.len(), 2, "what was spent before counts");
+    assert_eq!(
+        (records.len(), missing),
+        (1, Some(TurnId("t-1".to_owned())))
+    );
 }
 
 #[test]
--- a/crates/replica/src/actor.rs
+++ b/crates/replica/src/actor.rs
@@ -46,15 +46,15 @@
     },
     /// The disk was opened, or could not be.
     Opened(Box<Result<OpenedDisk, DiskError>>),
-    /// Turns were read back from the disk.
-    Turns {
+    /// Records were read back from the disk.
+    Records {
         /// The opening of the disk that they belong to.
         opening: u64,
-        /// Their records.
-        turns: Vec<StoredRecord>,
+        /// The records.
+        records: Vec<StoredRecord>,
     },
-    /// All turns were read back, or cannot be.
-    TurnsRead {
+    /// All records were read back, or cannot be.
+    AllRead {
         /// The opening of the disk that they belong to.
         opening: u64,
         /// Why they cannot.
@@ -97,11 +97,29 @@
 struct OpenDisk {
     store: Arc<Store>,
     state: ReplicaState,
-    /// Whether turns that are read back are wanted still; told to the thread that reads them.
+    /// Whether records that are read back are wanted still; told to the thread that reads them.
     is_wanted: Arc<AtomicBool>,
     opened_at: Instant,
 }
 
+impl OpenDisk {
+    /// Reads from the disk what a request needs and what was not read back yet.
+    fn restore_for(&mut self, request: &ReplicaRequest) -> Result<(), DiskError> {
+        let mut last = None;
+        while let Some(key) = self.state.needs(request) {
+            // A record that lies under another's key would be looked for without an end.
+            if last.replace(key.clone()).as_ref() == Some(&key) {
+                return Err(DiskError::Record);
+            }
+            match disk::read(&self.store, &key)? {
+                Some(record) => self.state.restore(record),
+                None => self.state.note_absent(key),
+            }
+        }
+        Ok(())
+    }
+}
+
 /// The actor.
 pub struct ReplicaActor {
     parts: ReplicaParts,
@@ -149,6 +167,11 @@
             send(answer, ReplicaReply::NotMember);
             return;
         }
+        if let Err(error) = disk.restore_for(&request) {
+            log::error!(target: "dependency", detail:% = error; "a record cannot be read back");
+            send(answer, ReplicaReply::Unavailable);
+            return;
+        }
         let epoch_before = epoch_of(&disk.state);
         let handled = disk.state.handle(request, wall_ms());
         if epoch_of(&disk.state) > epoch_before {
@@ -232,10 +255,10 @@
                 }
             }
             DiskNews::Committed { .. } => {}
-            DiskNews::Turns { opening, turns } => self.restore(opening, turns),
-            DiskNews::TurnsRead { opening, outcome } => {
+            DiskNews::Records { opening, records } => self.restore(opening, records),
+            DiskNews::AllRead { opening, outcome } => {
                 if opening == self.opening {
-                    self.on_turns_read(cx, outcome);
+                    self.on_all_read(cx, outcome);
                 }
             }
             DiskNews::Opened(outcome) => match *outcome {
@@ -281,16 +304,16 @@
         });
     }
 
-    /// Reads the turns of the open disk back on another thread.
-    fn read_turns(&self) {
+    /// Reads the records of the open disk back on another thread.
+    fn read_all(&self) {
         let Some(disk) = &self.disk else {
             return;
         };
         let (opening, news) = (self.opening, self.parts.news.clone());
         let (store, is_wanted) = (Arc::clone(&disk.store), Arc::clone(&disk.is_wanted));
         tokio::task::spawn_blocking(move || {
-            let outcome = disk::read_turns(&store, |turns| {
-                let told = news.send(DiskNews::Turns { opening, turns });
+            let outcome = disk::read_all(&store, |records| {
+                let told = news.send(DiskNews::Records { opening, records });
                 if told.is_ok() && is_wanted.load(Ordering::SeqCst) {
                     ControlFlow::Continue(())
                 } else {
@@ -300,36 +323,38 @@
             // A store that is opened anew needs the folder free.
             drop(store);
             // The process may be about to end.
-            let _ = news.send(DiskNews::TurnsRead { opening, outcome });
+            let _ = news.send(DiskNews::AllRead { opening, outcome });
         });
     }
 
-    fn restore(&mut self, opening: u64, turns: Vec<StoredRecord>) {
+    fn restore(&mut self, opening: u64, records: Vec<StoredRecord>) {
         let disk = self.disk.as_mut().filter(|_| opening == self.opening);
         let Some(disk) = disk else {
             return;
         };
-        for turn in turns {
-            disk.state.restore(turn);
+        for record in records {
+            disk.state.restore(record);
         }
     }
 
-    fn on_turns_read(&mut self, cx: CX![], outcome: Result<(), DiskError>) {
+    fn on_all_read(&mut self, cx: CX![], outcome: Result<(), DiskError>) {
         let Some(disk) = self.disk.as_mut() else {
             return;
         };
         if let Err(error) = outcome {
-            log::error!(target: "dependency", detail:% = error; "turns cannot be read back");
+            log::error!(target: "dependency", detail:% = error; "records cannot be read back");
             self.lose_disk();
             stakker::after!(REOPEN_PAUSE, [cx], reopen());
             return;
         }
         disk.state.finish_restoring();
+        let (turns, ledgers) = disk.state.counts();
         log::info!(
             target: "dependency",
-            turns = disk.state.counts().0,
+            turns = turns,
+            ledgers = ledgers,
             took_ms = whole_ms(disk.opened_at.elapsed());
-            "turns read back"
+            "records read back"
         );
         self.update_gauges();
     }
@@ -339,12 +364,10 @@
         self.submitted = 0;
         self.durable = 0;
         self.gathered.clear();
-        let (_, ledgers) = opened.state.counts();
         log::info!(
             target: "dependency",
             replica:% = opened.state.id(),
             is_new = opened.is_new,
-            ledgers = ledgers,
             epoch = epoch_of(&opened.state).0;
             "disk opened"
         );
@@ -354,7 +377,7 @@
             is_wanted: Arc::new(AtomicBool::new(true)),
             opened_at: Instant::now(),
         });
-        self.read_turns();
+        self.read_all();
         self.tell_set();
         let newer = self.parts.view.replica_set();
         if let (Some(set), Some(disk)) = (newer, self.disk.as_mut())
--- a/crates/replica/src/disk.rs
+++ b/crates/replica/src/disk.rs
@@ -1,8 +1,8 @@
 //! Records on the disk: opening, reading back, encoding of changes.
 //!
-//! Ledgers and the replica set are read before the disk counts as open: they are small, and every turn needs
-//! its ledger. Turns are read while requests are taken already, since all of them take seconds on a small
-//! machine (`docs/design/large-fleets.md`, "After everything has ended").
+//! Only the replica set is read before the disk counts as open. The other records are read while requests are
+//! taken already, those first that a request needs, since all of them take seconds on a small machine
+//! (`docs/design/large-fleets.md`, "After everything has ended").
 
 use std::fmt;
 use std::ops::ControlFlow;
@@ -18,8 +18,11 @@
 const TURN_PREFIX: u8 = b't';
 const LEDGER_PREFIX: u8 = b'l';
 const SET_KEY: &[u8] = b"s";
-/// Turns that are handed over at once while they are read back.
+/// Records that are handed over at once while they are read back.
 const RESTORED_AT_ONCE: usize = 32;
+/// How much longer than it reads the thread rests that reads records back: requests need the processor, and a
+/// copy for a changed set waits until all are read.
+const REST_FACTOR: u32 = 3;
 /// Memory for cached pages of the database, in bytes; records are answered from memory anyway.
 const CACHE_BYTES: usize = 4 * 1024 * 1024;
 
@@ -59,7 +62,7 @@
     pub is_new: bool,
 }
 
-/// Opens the folder and reads back all but the turns. Blocks.
+/// Opens the folder and reads the replica set. Blocks.
 pub fn open(
     folder: &Path,
     node_name: &str,
@@ -73,14 +76,9 @@
     // Half of the number is random enough to tell one life of a disk from another.
     let id = ReplicaId(creation.0 as u64);
     let mut state = ReplicaState::new(id, max_turn_bytes);
-    // Keys of turns are the last ones.
-    visit(&opened.store, &[], |record| {
-        if matches!(record, StoredRecord::Turn(..)) {
-            return ControlFlow::Break(());
-        }
-        state.restore(record);
-        ControlFlow::Continue(())
-    })?;
+    if let Some(bytes) = opened.store.record(SET_KEY)? {
+        state.restore(decode(&bytes)?);
+    }
     state.begin_restoring();
     Ok(OpenedDisk {
         store: Arc::new(opened.store),
@@ -89,36 +87,44 @@
     })
 }
 
-/// Reads the turns back and hands them over, some at a time, for as long as they are wanted. Blocks, and rests
-/// half of the time: requests need the processor meanwhile.
-pub fn read_turns(
+/// Reads one record.
+pub fn read(store: &Store, key: &RecordKey) -> Result<Option<StoredRecord>, DiskError> {
+    let bytes = store.record(&encode_key(key))?;
+    bytes.map(|bytes| decode(&bytes)).transpose()
+}
+
+/// Reads all records back and hands them over, some at a time, for as long as they are wanted. Blocks, and
+/// rests most of the time.
+pub fn read_all(
     store: &Store,
     mut hand_over: impl FnMut(Vec<StoredRecord>) -> ControlFlow<()>,
 ) -> Result<(), DiskError> {
-    let mut turns = Vec::new();
+    let mut records = Vec::new();
     let mut began = Instant::now();
-    visit(store, &[TURN_PREFIX], |record| {
-        turns.push(record);
-        if turns.len() < RESTORED_AT_ONCE {
+    visit(store, |record| {
+        // The set was read when the disk was opened, and may have changed since.
+        if !matches!(record, StoredRecord::Set(_)) {
+            records.push(record);
+        }
+        if records.len() < RESTORED_AT_ONCE {
             return ControlFlow::Continue(());
         }
-        let flow = hand_over(std::mem::take(&mut turns));
-        std::thread::sleep(began.elapsed());
+        let flow = hand_over(std::mem::take(&mut records));
+        std::thread::sleep(began.elapsed() * REST_FACTOR);
         began = Instant::now();
         flow
     })?;
-    let _ = hand_over(turns);
+    let _ = hand_over(records);
     Ok(())
 }
 
-/// Calls `take` with each record from this key on, until it breaks.
+/// Calls `take` with each record, until it breaks.
 fn visit(
     store: &Store,
-    from: &[u8],
     mut take: impl FnMut(StoredRecord) -> ControlFlow<()>,
 ) -> Result<(), DiskError> {
     let mut unreadable = None;
-    store.visit_records(from, |bytes| match decode(bytes) {
+    store.visit_records(|bytes| match decode(bytes) {
         Ok(record) => take(record),
         Err(error) => {
             unreadable = Some(error);
--- a/crates/storage/src/reader.rs
+++ b/crates/storage/src/reader.rs
@@ -98,13 +98,20 @@
     Ok(Some(unseal(key, sealed.value())?.to_vec()))
 }
 
+pub(crate) fn record(database: &Database, key: &[u8]) -> Result<Option<Vec<u8>>, StoreError> {
+    let table = database.begin_read()?.open_table(RECORDS)?;
+    let Some(sealed) = table.get(key)? else {
+        return Ok(None);
+    };
+    Ok(Some(unseal(key, sealed.value())?.to_vec()))
+}
+
 pub(crate) fn visit_records(
     database: &Database,
-    from: &[u8],
     mut visit: impl FnMut(&[u8]) -> ControlFlow<()>,
 ) -> Result<(), StoreError> {
     let table = database.begin_read()?.open_table(RECORDS)?;
-    for item in table.range(from..)? {
+    for item in table.iter()? {
         let (key, value) = item?;
         if visit(unseal(key.value(), value.value())?).is_break() {
             break;
--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -151,13 +151,17 @@
         })
     }
 
-    /// Calls `visit` with each replicated record from this key on, in the order of their keys, until it breaks.
+    /// Calls `visit` with each replicated record, in the order of their keys, until it breaks.
     pub fn visit_records(
         &self,
-        from: &[u8],
         visit: impl FnMut(&[u8]) -> ControlFlow<()>,
     ) -> Result<(), StoreError> {
-        reader::visit_records(&self.database, from, visit)
+        reader::visit_records(&self.database, visit)
+    }
+
+    /// One replicated record.
+    pub fn record(&self, key: &[u8]) -> Result<Option<Vec<u8>>, StoreError> {
+        reader::record(&self.database, key)
     }
 
     /// Calls `visit` with the head of each run, in the order of run identifiers, until it breaks.
--- a/crates/storage/tests/support/mod.rs
+++ b/crates/storage/tests/support/mod.rs
@@ -266,7 +266,7 @@
         for record in store.configuration().expect("configuration") {
             contents.configuration.insert(record.key, record.bytes);
         }
-        let visited = store.visit_records(&[], |record| {
+        let visited = store.visit_records(|record| {
             let key = record[..RECORD_KEY_BYTES].to_vec();
             contents.records.insert(key, record.to_vec());
             ControlFlow::Continue(())
