Slow replicas are not asked twice for everything

The usual time now learns from late answers too, the patience goes up to 500 ms, and a gateway that has just started takes 40 ms for usual.

--- a/crates/gateway/src/replica_paths.rs
+++ b/crates/gateway/src/replica_paths.rs
@@ -21,14 +21,15 @@
 
 /// How many times the usual time of an answer a replica may be silent before another gateway is asked too.
 const PATIENCE_FACTOR: f64 = 8.0;
-/// Bounds of that patience: below the first a busy moment would look like a cut, and a turn cannot wait longer
-/// than the second.
+/// Bounds of that patience: below the first a busy moment would look like a cut, and a turn waits for 0.7 s in
+/// all. Replicas that are slow for all must not be asked twice for everything, so it grows with their times.
 const LEAST_PATIENCE: Duration = Duration::from_millis(40);
-const MOST_PATIENCE: Duration = Duration::from_millis(200);
+const MOST_PATIENCE: Duration = Duration::from_millis(500);
 /// Weight of a new answer in the usual time.
-const USUAL_WEIGHT: f64 = 0.05;
-/// What the usual time is taken to be before any answer came, in milliseconds.
-const FIRST_USUAL_MS: f64 = 12.0;
+const USUAL_WEIGHT: f64 = 0.1;
+/// What the usual time is taken to be before any answer came, in milliseconds: replicas that have just started
+/// as well take their time.
+const FIRST_USUAL_MS: f64 = 40.0;
 /// How long another gateway may take to pass a request on and its answer back.
 pub const RELAY_TIMEOUT: Duration = Duration::from_millis(200);
 /// Other gateways that are asked one after the other for one request.
@@ -153,7 +154,10 @@
         }
         let by_others = Box::pin(self.ask_by_others(replica, &request));
         match select(straight, by_others).await {
-            Either::Left((Ok(reply), _)) => Ok(reply),
+            Either::Left((Ok(reply), _)) => {
+                self.note_time(began.elapsed());
+                Ok(reply)
+            }
             Either::Left((Err(_), by_others)) => {
                 let reply = by_others.await?;
                 self.close(replica);
@@ -162,18 +166,24 @@
             Either::Right((Ok(reply), straight)) => {
                 // It may have been slow only; what comes straight yet says so.
                 self.close(replica);
-                self.reopen_when_answered(replica, straight);
+                self.reopen_when_answered(replica, straight, began);
                 Ok(reply)
             }
             Either::Right((Err(_), straight)) => straight.await,
         }
     }
 
-    fn reopen_when_answered(self: &Rc<Self>, replica: &Replica, straight: Answering) {
+    fn reopen_when_answered(
+        self: &Rc<Self>,
+        replica: &Replica,
+        straight: Answering,
+        began: Instant,
+    ) {
         let paths = Rc::clone(self);
         let replica = replica.clone();
         tokio::task::spawn_local(async move {
             if straight.await.is_ok() {
+                paths.note_time(began.elapsed());
                 paths.reopen(&replica);
             }
         });
@@ -297,7 +307,7 @@
             return;
         }
         let probing = self.network.ask(replica, request.clone(), PROBE_TIMEOUT);
-        self.reopen_when_answered(replica, probing);
+        self.reopen_when_answered(replica, probing, now);
     }
 
     fn reopen(&self, replica: &Replica) {
