A detour to a replica is taken only where nothing at all comes from it

In the burst replicas are slow for all, each request was asked several times, and so they stayed slow.

Now a detour follows only on 400 ms in which not a frame came from the replica's link, whoever it was for (a busy replica answers somebody meanwhile), and a gateway that is silent is not followed by another. The learned times are gone with it: the rule needs none. Tests: a_replica_that_is_slow_for_all_is_not_asked_twice, a_silent_gateway_is_not_followed_by_another.

--- a/crates/gateway/src/node_network.rs
+++ b/crates/gateway/src/node_network.rs
@@ -8,6 +8,7 @@
 use ridgeworks_resident::node::Node;
 use ridgeworks_resident::peer::{LinkError, PassedOn, PeerReply, PeerRequest};
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 
 use crate::replica_paths::{Answering, RELAY_TIMEOUT, ReplicaNetwork, ReplicaPaths};
 
@@ -47,6 +48,11 @@
         self.call(relay, request, RELAY_TIMEOUT)
     }
 
+    fn is_heard_since(&self, replica: &Replica, since: Instant) -> bool {
+        let address = replica.address.parse();
+        address.is_ok_and(|address| self.0.links.is_heard_since(address, since))
+    }
+
     fn relays(&self) -> Vec<SocketAddr> {
         let now = self.0.clock.now();
         let members = self.0.gossip.members().into_iter();
--- a/crates/gateway/src/replica_paths.rs
+++ b/crates/gateway/src/replica_paths.rs
@@ -19,20 +19,14 @@
 use ridgeworks_resident::peer::LinkError;
 use tokio::time::Instant;
 
-/// How many times the usual time of an answer a replica may be silent before another gateway is asked too.
-const PATIENCE_FACTOR: f64 = 8.0;
-/// Bounds of that patience: below the first a busy moment would look like a cut, and a turn waits for 0.7 s in
-/// all. Replicas that are slow for all must not be asked twice for everything, so it grows with their times.
-const LEAST_PATIENCE: Duration = Duration::from_millis(40);
-const MOST_PATIENCE: Duration = Duration::from_millis(500);
-/// Weight of a new answer in the usual time.
-const USUAL_WEIGHT: f64 = 0.1;
-/// What the usual time is taken to be before any answer came, in milliseconds: replicas that have just started
-/// as well take their time.
-const FIRST_USUAL_MS: f64 = 40.0;
+/// How long a request may be open while nothing at all comes from its replica before another gateway is asked
+/// too. A busy replica answers other requests meanwhile, and a turn waits for 0.7 s in all.
+const SILENCE: Duration = Duration::from_millis(400);
 /// How long another gateway may take to pass a request on and its answer back.
-pub const RELAY_TIMEOUT: Duration = Duration::from_millis(200);
-/// Other gateways that are asked one after the other for one request.
+pub const RELAY_TIMEOUT: Duration = Duration::from_millis(500);
+/// Other gateways that are asked one after the other for one request, as long as they say that they do not
+/// reach the replica either. One that is silent is not followed by another: replicas that are slow for all
+/// would get each request several times.
 const RELAY_TRIES: usize = 3;
 /// How often a way that is closed is tried again, beside the detour.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
@@ -42,7 +36,6 @@
 const CLOSED_LIFETIME: Duration = Duration::from_secs(60);
 /// How long a replica that did not answer is asked last.
 const SUSPICION: Duration = Duration::from_secs(1);
-const MS_PER_S: f64 = 1_000.0;
 
 /// An answer of a replica that is on its way.
 pub type Answering = Pin<Box<dyn Future<Output = Result<ReplicaReply, LinkError>>>>;
@@ -53,6 +46,8 @@
     fn ask(&self, replica: &Replica, request: ReplicaRequest, timeout: Duration) -> Answering;
     /// Asks a replica by way of another gateway.
     fn ask_by(&self, relay: SocketAddr, replica: &Replica, request: ReplicaRequest) -> Answering;
+    /// Whether anything has come straight from a replica since then.
+    fn is_heard_since(&self, replica: &Replica, since: Instant) -> bool;
     /// Gateways that were heard lately.
     fn relays(&self) -> Vec<SocketAddr>;
 }
@@ -79,8 +74,6 @@
     ways: RefCell<HashMap<ReplicaId, Way>>,
     /// The gateway that passed a request on last.
     relay: Cell<Option<SocketAddr>>,
-    /// Usual time of an answer that comes straight, in milliseconds.
-    usual_ms: Cell<f64>,
     /// When another gateway last said that it does not reach a replica either.
     unreached_at: Cell<Option<Instant>>,
 }
@@ -92,7 +85,6 @@
             network,
             ways: RefCell::default(),
             relay: Cell::new(None),
-            usual_ms: Cell::new(FIRST_USUAL_MS),
             unreached_at: Cell::new(None),
         }
     }
@@ -143,21 +135,20 @@
         request: ReplicaRequest,
         timeout: Duration,
     ) -> Result<ReplicaReply, LinkError> {
-        let began = Instant::now();
         let mut straight = self.network.ask(replica, request.clone(), timeout);
-        if let Ok(reply) = tokio::time::timeout(self.patience(), &mut straight).await {
+        loop {
+            let waited_since = Instant::now();
             // An error that comes at once is the machine's own: a detour would end there as well.
-            if reply.is_ok() {
-                self.note_time(began.elapsed());
+            if let Ok(reply) = tokio::time::timeout(SILENCE, &mut straight).await {
+                return reply;
+            }
+            if !self.network.is_heard_since(replica, waited_since) {
+                break;
             }
-            return reply;
         }
         let by_others = Box::pin(self.ask_by_others(replica, &request));
         match select(straight, by_others).await {
-            Either::Left((Ok(reply), _)) => {
-                self.note_time(began.elapsed());
-                Ok(reply)
-            }
+            Either::Left((Ok(reply), _)) => Ok(reply),
             Either::Left((Err(_), by_others)) => {
                 let reply = by_others.await?;
                 self.close(replica);
@@ -166,24 +157,18 @@
             Either::Right((Ok(reply), straight)) => {
                 // It may have been slow only; what comes straight yet says so.
                 self.close(replica);
-                self.reopen_when_answered(replica, straight, began);
+                self.reopen_when_answered(replica, straight);
                 Ok(reply)
             }
             Either::Right((Err(_), straight)) => straight.await,
         }
     }
 
-    fn reopen_when_answered(
-        self: &Rc<Self>,
-        replica: &Replica,
-        straight: Answering,
-        began: Instant,
-    ) {
+    fn reopen_when_answered(self: &Rc<Self>, replica: &Replica, straight: Answering) {
         let paths = Rc::clone(self);
         let replica = replica.clone();
         tokio::task::spawn_local(async move {
             if straight.await.is_ok() {
-                paths.note_time(began.elapsed());
                 paths.reopen(&replica);
             }
         });
@@ -212,6 +197,9 @@
                         self.unreached_at.set(Some(Instant::now()));
                     }
                     self.drop_relay(relay);
+                    if error == LinkError::TimedOut {
+                        return Err(error);
+                    }
                     last = error;
                 }
             }
@@ -235,18 +223,6 @@
         }
     }
 
-    /// How long a replica may be silent before another gateway is asked too.
-    fn patience(&self) -> Duration {
-        let patience = Duration::from_secs_f64(self.usual_ms.get() * PATIENCE_FACTOR / MS_PER_S);
-        patience.clamp(LEAST_PATIENCE, MOST_PATIENCE)
-    }
-
-    fn note_time(&self, taken: Duration) {
-        let usual = self.usual_ms.get();
-        let taken_ms = taken.as_secs_f64() * MS_PER_S;
-        self.usual_ms.set(usual + USUAL_WEIGHT * (taken_ms - usual));
-    }
-
     fn note_answer(&self, replica: ReplicaId, is_answered: bool) {
         let mut ways = self.ways.borrow_mut();
         if is_answered {
@@ -286,8 +262,7 @@
         log::info!(
             target: "belief",
             node = replica.node.as_str(),
-            relay:? = self.relay.get(),
-            usual_ms = self.usual_ms.get();
+            relay:? = self.relay.get();
             "way to a replica closed, others pass requests on"
         );
     }
@@ -307,7 +282,7 @@
             return;
         }
         let probing = self.network.ask(replica, request.clone(), PROBE_TIMEOUT);
-        self.reopen_when_answered(replica, probing, now);
+        self.reopen_when_answered(replica, probing);
     }
 
     fn reopen(&self, replica: &Replica) {
--- a/crates/resident/src/peer/links.rs
+++ b/crates/resident/src/peer/links.rs
@@ -1,13 +1,15 @@
 //! Links to other nodes: one TCP connection a node, many requests at once.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use futures_util::{SinkExt, StreamExt};
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
 use tokio_util::codec::Framed;
 
 use super::codec;
@@ -63,10 +65,18 @@
     reply: ReplySender,
 }
 
+/// When something last came from the other node of a link.
+type HeardAt = Rc<Cell<Option<Instant>>>;
+
+struct Link {
+    requests: mpsc::Sender<Waiting>,
+    heard_at: HeardAt,
+}
+
 /// All links of a node.
 #[derive(Default)]
 pub struct PeerLinks {
-    links: RefCell<HashMap<SocketAddr, mpsc::Sender<Waiting>>>,
+    links: RefCell<HashMap<SocketAddr, Link>>,
 }
 
 impl PeerLinks {
@@ -89,21 +99,33 @@
         }
     }
 
+    /// Whether anything has come from another node since then, also an answer that nobody waits for any more.
+    pub fn is_heard_since(&self, node: SocketAddr, since: Instant) -> bool {
+        let links = self.links.borrow();
+        let heard_at = links.get(&node).and_then(|link| link.heard_at.get());
+        heard_at.is_some_and(|at| at >= since)
+    }
+
     fn link(&self, to: SocketAddr) -> mpsc::Sender<Waiting> {
         let mut links = self.links.borrow_mut();
         if let Some(link) = links.get(&to)
-            && !link.is_closed()
+            && !link.requests.is_closed()
         {
-            return link.clone();
+            return link.requests.clone();
         }
-        let (sender, receiver) = mpsc::channel(MAX_WAITING);
-        tokio::task::spawn_local(run_link(to, receiver));
-        links.insert(to, sender.clone());
-        sender
+        let (requests, receiver) = mpsc::channel(MAX_WAITING);
+        let heard_at = HeardAt::default();
+        tokio::task::spawn_local(run_link(to, receiver, Rc::clone(&heard_at)));
+        let link = Link {
+            requests: requests.clone(),
+            heard_at,
+        };
+        links.insert(to, link);
+        requests
     }
 }
 
-async fn run_link(to: SocketAddr, mut requests: mpsc::Receiver<Waiting>) {
+async fn run_link(to: SocketAddr, mut requests: mpsc::Receiver<Waiting>, heard_at: HeardAt) {
     // Ends, and with it the receiver, when the connection does; the next request makes a new link.
     let Ok(stream) = connect_tcp(to, CONNECT_TIMEOUT).await else {
         requests.close();
@@ -130,6 +152,7 @@
             }
             frame = reader.next() => {
                 let Some(Ok(frame)) = frame else { break };
+                heard_at.set(Some(Instant::now()));
                 let Ok(envelope) = decode::<Envelope<PeerReply>>(&frame) else { break };
                 if let Some(reply) = open.remove(&envelope.number) {
                     let _ = reply.send(Ok(envelope.body));
