The disk is read back in pages, and ledgers go to a majority first

The thread that reads everything back slowly held one read transaction for eight seconds, and the database keeps every page that is overwritten while a reader may want it. Records are read in pages now, each in a transaction of its own.

Writes of ledgers are sent to as many as they need, by a hash of the program with the own zone's first, to another one where one cannot take them, and to the rest where nothing came from one for 80 ms.

--- a/crates/gateway/src/records_client.rs
+++ b/crates/gateway/src/records_client.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::fmt;
 use std::future::Future;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -22,6 +22,7 @@
 use ridgeworks_resident::view::Source;
 use tokio::sync::Notify;
 use tokio::time::{Instant, MissedTickBehavior};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::node_network::NodeNetwork;
 use crate::quorum_health::QuorumHealth;
@@ -44,6 +45,8 @@
 const RESTORING_COME_BACK: Duration = Duration::from_millis(700);
 /// How long it counts that another gateway does not reach a replica either.
 const GENERAL_LOSS: Duration = Duration::from_secs(1);
+/// How long a replica may be silent before another one is asked in its place: a few times what an answer takes.
+const SPARE_PATIENCE: Duration = Duration::from_millis(80);
 /// How long one search for a majority that was lost goes on before it starts anew with the newest set.
 const SEARCH_TIME: Duration = Duration::from_secs(2);
 /// How often settlements are sent; the bound on their age is a second, and a busy replica takes a part of it.
@@ -113,6 +116,19 @@
     }
 }
 
+/// What an operation is about.
+#[derive(Debug, Clone, Copy)]
+struct Operation<'a> {
+    /// Its name in the log.
+    name: &'static str,
+    /// The turn that it is about, for the log.
+    subject: &'a str,
+    /// The program whose ledger it changes. Ledgers go to as many replicas as a write needs, and to the others
+    /// only if one of them is silent or cannot take it; turns go to all (`docs/design/large-fleets.md`, "What
+    /// replicas are asked").
+    program: Option<&'a ProgramId>,
+}
+
 /// How a write under one set ended.
 enum WriteEnd {
     Durable(ProgramLedger),
@@ -210,8 +226,13 @@
                     settlements: Vec::new(),
                 };
                 let limit = Instant::now() + SEARCH_TIME;
+                let operation = Operation {
+                    name: "search",
+                    subject: "",
+                    program: None,
+                };
                 // The outcome is noted; a search in vain is followed by another one.
-                let _ = self.write(make, "search", "", limit).await;
+                let _ = self.write(make, operation, limit).await;
             }
         }
     }
@@ -232,7 +253,12 @@
             entry,
             keep_ms: keep_ms(retention),
         };
-        self.write(make, "reserve", &turn.0, limit).await
+        let operation = Operation {
+            name: "reserve",
+            subject: &turn.0,
+            program: Some(program),
+        };
+        self.write(make, operation, limit).await
     }
 
     /// Joins what a turn generated into its program's ledger, soon and without anybody waiting.
@@ -259,7 +285,12 @@
             epoch,
             settlements: settlements.clone(),
         };
-        if self.write(make, "settle", "", limit).await.is_err() {
+        let operation = Operation {
+            name: "settle",
+            subject: "",
+            program: settlements.first().map(|first| &first.program),
+        };
+        if self.write(make, operation, limit).await.is_err() {
             for settlement in &settlements {
                 log::warn!(
                     target: "request",
@@ -293,8 +324,12 @@
             record: record.clone(),
             keep_ms: keep_ms(retention),
         };
-        let turn = &record.turn.0;
-        self.write(make, "append", turn, limit).await.map(drop)
+        let operation = Operation {
+            name: "append",
+            subject: &record.turn.0,
+            program: None,
+        };
+        self.write(make, operation, limit).await.map(drop)
     }
 
     /// Reads a turn and all before it, for this request.
@@ -341,7 +376,7 @@
     ) -> Option<ChainOutcome> {
         loop {
             let epoch = read.set().epoch;
-            for replica in self.by_nearness(read.candidates()) {
+            for replica in self.in_order(read.candidates(), None) {
                 let turn = read.wanted().clone();
                 let request = ReplicaRequest::ReadChain { epoch, turn };
                 let reply = self.paths.ask(&replica, request, READ_TIMEOUT).await;
@@ -375,17 +410,16 @@
     async fn write(
         &self,
         make: impl Fn(Epoch) -> ReplicaRequest,
-        operation: &'static str,
-        subject: &str,
+        operation: Operation<'_>,
         limit: Instant,
     ) -> Result<ProgramLedger, RecordsUnavailable> {
         let answers = Answers::default();
         let began = Instant::now();
-        let writing = self.write_patiently(make, &answers);
+        let writing = self.write_patiently(make, operation, &answers);
         let outcome = tokio::time::timeout_at(limit, writing).await;
         self.note_quorum(outcome.is_ok(), began.elapsed());
         outcome.map_err(|_| {
-            answers.report(operation, subject, self.node.view.epoch());
+            answers.report(operation.name, operation.subject, self.node.view.epoch());
             RecordsUnavailable::NoMajority
         })
     }
@@ -393,12 +427,13 @@
     async fn write_patiently(
         &self,
         make: impl Fn(Epoch) -> ReplicaRequest,
+        operation: Operation<'_>,
         answers: &Answers,
     ) -> ProgramLedger {
         loop {
             let set = self.replica_set().await;
             let request = make(set.epoch);
-            match self.write_under(set, request, answers).await {
+            match self.write_under(set, request, operation, answers).await {
                 WriteEnd::Durable(ledger) => return ledger,
                 WriteEnd::Restart(set) => self.node.view.adopt_replica_set(set, Source::Peer),
             }
@@ -409,16 +444,33 @@
         &self,
         set: ReplicaSet,
         request: ReplicaRequest,
+        operation: Operation<'_>,
         answers: &Answers,
     ) -> WriteEnd {
         let mut changes = self.node.view.changes();
-        let members: Vec<Replica> = set.members().into_iter().cloned().collect();
+        let members = set.members().into_iter().cloned().collect();
+        let members = self.in_order(members, operation.program);
+        let first = match operation.program {
+            Some(_) => set.write_quorum(),
+            None => members.len(),
+        };
+        let (first, rest) = members.split_at(first);
+        let mut spare = rest.iter();
         let ask = |member: &Replica| self.ask_later(member, request.clone(), None, Duration::ZERO);
-        let mut asked: Asked = members.iter().map(ask).collect();
+        let mut asked: Asked = first.iter().map(ask).collect();
         let mut write = QuorumWrite::new(set);
+        let began = Instant::now();
+        let mut patience = pin!(tokio::time::sleep(SPARE_PATIENCE));
         loop {
             let (from, reply) = tokio::select! {
                 Some(reply) = asked.next() => reply,
+                () = patience.as_mut(), if spare.len() > 0 => {
+                    if self.paths.suspect_silent(first, began) {
+                        asked.extend(spare.by_ref().map(ask));
+                    }
+                    patience.as_mut().reset(Instant::now() + SPARE_PATIENCE);
+                    continue;
+                }
                 _ = changes.changed() => match self.newer_than(write.set().epoch) {
                     Some(newer) => return WriteEnd::Restart(newer),
                     None => continue,
@@ -443,7 +495,11 @@
                 WriteProgress::Restart(set) => return WriteEnd::Restart(set),
                 WriteProgress::Waiting => continue,
                 WriteProgress::Teach => Some(write.set().clone()),
-                WriteProgress::TryLater => None,
+                WriteProgress::TryLater => {
+                    // Another one is asked in its place meanwhile.
+                    asked.extend(spare.next().map(ask));
+                    None
+                }
             };
             if let Some(member) = member {
                 let pause = if teach.is_some() {
@@ -488,13 +544,15 @@
     }
 
     /// Replicas that answered lately first, among them those that are reached straight, then that of the own
-    /// zone.
-    fn by_nearness(&self, mut replicas: Vec<Replica>) -> Vec<Replica> {
-        replicas.sort_by_key(|replica| {
+    /// zone, then by a hash of the program, so that the replicas share the work.
+    fn in_order(&self, mut replicas: Vec<Replica>, program: Option<&ProgramId>) -> Vec<Replica> {
+        let seed = program.map_or(0, |program| xxh3_64(program.0.as_bytes()));
+        replicas.sort_by_cached_key(|replica| {
             let is_suspected = self.paths.is_suspected(replica.id);
             let is_closed = !self.paths.is_open(replica.id);
             let is_far = replica.zone != self.node.settings.zone;
-            (is_suspected, is_closed, is_far)
+            let rank = xxh3_64_with_seed(replica.node.as_bytes(), seed);
+            (is_suspected, is_closed, is_far, rank)
         });
         replicas
     }
--- a/crates/gateway/src/replica_paths.rs
+++ b/crates/gateway/src/replica_paths.rs
@@ -236,6 +236,16 @@
         self.suspect(replica);
     }
 
+    /// Suspects those of these replicas from which nothing has come since then; says whether there are any.
+    pub fn suspect_silent(&self, replicas: &[Replica], since: Instant) -> bool {
+        let is_silent = |replica: &&Replica| !self.network.is_heard_since(replica, since);
+        let silent: Vec<&Replica> = replicas.iter().filter(is_silent).collect();
+        for replica in &silent {
+            self.suspect(replica.id);
+        }
+        !silent.is_empty()
+    }
+
     /// A replica that does not answer, or not with what was asked, is asked last for a while.
     pub fn suspect(&self, replica: ReplicaId) {
         let mut ways = self.ways.borrow_mut();
--- a/crates/records/src/replica_set.rs
+++ b/crates/records/src/replica_set.rs
@@ -88,6 +88,15 @@
             && incoming.is_none_or(|incoming| has_majority(incoming, durable))
     }
 
+    /// Replicas that a write needs at the least; all members while the set changes, since a majority of both
+    /// sides has to take it.
+    pub fn write_quorum(&self) -> usize {
+        match &self.incoming {
+            None => majority(self.voters.len()),
+            Some(_) => self.members().len(),
+        }
+    }
+
     /// Whether these replicas are a majority of the voters, so that one of them knows of any later set.
     pub fn has_voter_majority(&self, answered: &BTreeSet<ReplicaId>) -> bool {
         has_majority(&self.voters, answered)
--- a/crates/records/tests/simulator/gateway.rs
+++ b/crates/records/tests/simulator/gateway.rs
@@ -40,6 +40,8 @@
     pub purpose: Purpose,
     pub machine: Machine,
     pub deadline: u64,
+    /// Whether it was sent before.
+    pub is_sent: bool,
 }
 
 /// The most that each simulated turn may generate.
--- a/crates/records/tests/simulator/world/gateways.rs
+++ b/crates/records/tests/simulator/world/gateways.rs
@@ -37,6 +37,7 @@
             purpose,
             machine,
             deadline,
+            is_sent: false,
         };
         operation.restart(set);
         self.operations.insert(number, operation);
@@ -45,16 +46,29 @@
 
     /// Asks every replica that may still help, again and again until the deadline.
     pub(super) fn retry(&mut self, number: u64) {
-        let Some(operation) = self.operations.get(&number) else {
+        let Some(operation) = self.operations.get_mut(&number) else {
             return;
         };
+        let is_first = !std::mem::replace(&mut operation.is_sent, true);
         if self.now > operation.deadline {
             self.operations.remove(&number);
             return;
         }
         let request = operation.request();
+        let is_ledger = !matches!(operation.purpose, Purpose::Append { .. });
         let replicas = match &operation.machine {
-            Machine::Write(write) => write.set().members().into_iter().cloned().collect(),
+            Machine::Write(write) => {
+                let set = write.set();
+                let mut members: Vec<_> = set.members().into_iter().cloned().collect();
+                // As gateways do: ledgers first to as many as the write needs, another majority each time, then
+                // to all; turns to all.
+                if is_first && is_ledger {
+                    let begin = usize::try_from(number).unwrap_or(0) % members.len();
+                    members.rotate_left(begin);
+                    members.truncate(set.write_quorum());
+                }
+                members
+            }
             Machine::Read(read) => read.candidates(),
         };
         let from = Address::Gateway(operation.gateway);
--- a/crates/replica/src/disk.rs
+++ b/crates/replica/src/disk.rs
@@ -99,39 +99,24 @@
     store: &Store,
     mut hand_over: impl FnMut(Vec<StoredRecord>) -> ControlFlow<()>,
 ) -> Result<(), DiskError> {
-    let mut records = Vec::new();
-    let mut began = Instant::now();
-    visit(store, |record| {
+    let mut after = Vec::new();
+    loop {
+        let began = Instant::now();
+        let page = store.records_after(&after, RESTORED_AT_ONCE)?;
+        let Some(last) = page.last() else {
+            return Ok(());
+        };
+        after.clone_from(&last.key);
+        let records: Result<Vec<StoredRecord>, DiskError> =
+            page.iter().map(|record| decode(&record.bytes)).collect();
+        let mut records = records?;
         // The set was read when the disk was opened, and may have changed since.
-        if !matches!(record, StoredRecord::Set(_)) {
-            records.push(record);
+        records.retain(|record| !matches!(record, StoredRecord::Set(_)));
+        if hand_over(records).is_break() {
+            return Ok(());
         }
-        if records.len() < RESTORED_AT_ONCE {
-            return ControlFlow::Continue(());
-        }
-        let flow = hand_over(std::mem::take(&mut records));
         std::thread::sleep(began.elapsed() * REST_FACTOR);
-        began = Instant::now();
-        flow
-    })?;
-    let _ = hand_over(records);
-    Ok(())
-}
-
-/// Calls `take` with each record, until it breaks.
-fn visit(
-    store: &Store,
-    mut take: impl FnMut(StoredRecord) -> ControlFlow<()>,
-) -> Result<(), DiskError> {
-    let mut unreadable = None;
-    store.visit_records(|bytes| match decode(bytes) {
-        Ok(record) => take(record),
-        Err(error) => {
-            unreadable = Some(error);
-            ControlFlow::Break(())
-        }
-    })?;
-    unreadable.map_or(Ok(()), Err)
+    }
 }
 
 /// The operation that makes a change durable.
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -30,6 +30,6 @@
 pub use error::StoreError;
 pub use identity::{StoreCreationId, StoreIdentity};
 pub use operation::{Completion, StoreOperation, WriteBatch};
-pub use reader::{ConfigurationRecord, StoredEntry};
+pub use reader::{ConfigurationRecord, ReplicatedRecord, StoredEntry};
 pub use settings::StoreSettings;
 pub use store::{OpenedStore, Store};
--- a/crates/storage/src/reader.rs
+++ b/crates/storage/src/reader.rs
@@ -1,6 +1,6 @@
 //! Reading back what is durable. Batches that wait or are being committed are not seen.
 
-use std::ops::ControlFlow;
+use std::ops::{Bound, ControlFlow};
 
 use redb::{Database, ReadableDatabase, ReadableTable};
 use ridgeworks_domain::RunId;
@@ -18,6 +18,15 @@
     pub bytes: Vec<u8>,
 }
 
+/// One replicated record.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReplicatedRecord {
+    /// Its key.
+    pub key: Vec<u8>,
+    /// The record, encoded.
+    pub bytes: Vec<u8>,
+}
+
 /// One configuration record.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ConfigurationRecord {
@@ -106,16 +115,21 @@
     Ok(Some(unseal(key, sealed.value())?.to_vec()))
 }
 
-pub(crate) fn visit_records(
+pub(crate) fn records_after(
     database: &Database,
-    mut visit: impl FnMut(&[u8]) -> ControlFlow<()>,
-) -> Result<(), StoreError> {
+    after: &[u8],
+    most: usize,
+) -> Result<Vec<ReplicatedRecord>, StoreError> {
     let table = database.begin_read()?.open_table(RECORDS)?;
-    for item in table.iter()? {
+    let range = (Bound::Excluded(after), Bound::Unbounded);
+    let mut records = Vec::new();
+    for item in table.range::<&[u8]>(range)?.take(most) {
         let (key, value) = item?;
-        if visit(unseal(key.value(), value.value())?).is_break() {
-            break;
-        }
+        let key = key.value();
+        records.push(ReplicatedRecord {
+            key: key.to_vec(),
+            bytes: unseal(key, value.value())?.to_vec(),
+        });
     }
-    Ok(())
+    Ok(records)
 }
--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -14,7 +14,7 @@
 use crate::folder::DataFolder;
 use crate::identity::{self, StoreIdentity};
 use crate::operation::WriteBatch;
-use crate::reader::{self, ConfigurationRecord, StoredEntry};
+use crate::reader::{self, ConfigurationRecord, ReplicatedRecord, StoredEntry};
 use crate::settings::StoreSettings;
 use crate::tables::WriteTables;
 use crate::writer::Writer;
@@ -151,12 +151,15 @@
         })
     }
 
-    /// Calls `visit` with each replicated record, in the order of their keys, until it breaks.
-    pub fn visit_records(
+    /// At most `most` replicated records after this key, in the order of their keys. Each call sees what is
+    /// durable then: one that went through all records would keep the pages of everything that is overwritten
+    /// meanwhile, until the disk is full.
+    pub fn records_after(
         &self,
-        visit: impl FnMut(&[u8]) -> ControlFlow<()>,
-    ) -> Result<(), StoreError> {
-        reader::visit_records(&self.database, visit)
+        after: &[u8],
+        most: usize,
+    ) -> Result<Vec<ReplicatedRecord>, StoreError> {
+        reader::records_after(&self.database, after, most)
     }
 
     /// One replicated record.
--- a/crates/storage/tests/support/mod.rs
+++ b/crates/storage/tests/support/mod.rs
@@ -266,12 +266,19 @@
         for record in store.configuration().expect("configuration") {
             contents.configuration.insert(record.key, record.bytes);
         }
-        let visited = store.visit_records(|record| {
-            let key = record[..RECORD_KEY_BYTES].to_vec();
-            contents.records.insert(key, record.to_vec());
-            ControlFlow::Continue(())
-        });
-        visited.expect("records");
+        // In pages, as replicas read them.
+        let mut after = Vec::new();
+        loop {
+            let page = store.records_after(&after, 3).expect("records");
+            let Some(last) = page.last() else {
+                break;
+            };
+            after.clone_from(&last.key);
+            for record in page {
+                let key = record.bytes[..RECORD_KEY_BYTES].to_vec();
+                contents.records.insert(key, record.bytes);
+            }
+        }
         contents
     }
 }
