The test of durable settlements reads the ledger by its key, as a replica does

It opened the disk and expected all records in memory, which a replica does no longer do at its start. What it holds is as before: a settlement that was acknowledged is on the disk at that moment.

--- a/crates/replica/tests/actor.rs
+++ b/crates/replica/tests/actor.rs
@@ -36,7 +36,14 @@
     }
     let mut opened = disk::open(copy.path(), NODE, MAX_TURN_BYTES).expect("the folder opens");
     let id = opened.state.id();
-    let handled = opened.state.handle(charge(program, "probe", 1), 0);
+    let probe = charge(program, "probe", 1);
+    while let Some(key) = opened.state.needs(&probe) {
+        match disk::read(&opened.store, &key).expect("the disk is read") {
+            Some(record) => opened.state.restore(record),
+            None => opened.state.note_absent(key),
+        }
+    }
+    let handled = opened.state.handle(probe, 0);
     match handled.reply {
         ReplicaReply::Charged { ledger } => ledger.charged_besides(&TurnId("probe".to_owned())),
         other => panic!("{id}: {other:?}"),
