--- a/crates/replica/src/coordinator.rs
+++ b/crates/replica/src/coordinator.rs
@@ -139,7 +139,7 @@
                 retiring: self.retirements.is_retiring(&node.settings.name),
             });
         }
-        for member in node.gossip.members() {
+        for member in node.gossip.replicas() {
             let Some(status) = member.replica else {
                 continue;
             };
@@ -159,7 +159,7 @@
 
     /// Replicas that finished the copy for the epoch in force.
     fn copied(&self, now: Duration) -> BTreeSet<ReplicaId> {
-        let members = self.replica.node.gossip.members();
+        let members = self.replica.node.gossip.replicas();
         let alive = members
             .iter()
             .filter(|member| member.is_alive(now, GONE_AFTER));
--- a/crates/replica/src/copying.rs
+++ b/crates/replica/src/copying.rs
@@ -91,7 +91,7 @@
 
 /// The voters, those first whose last heartbeat is the newest: one that is gone makes a copy wait.
 fn newest_first<'a>(replica: &ReplicaHandle, voters: &'a [Replica]) -> Vec<&'a Replica> {
-    let members = replica.node.gossip.members();
+    let members = replica.node.gossip.replicas();
     let heard_at = |voter: &Replica| {
         let mut of_voter = members.iter().filter(|member| {
             let status = member.replica;
--- a/crates/resident/src/peer/gossip.rs
+++ b/crates/resident/src/peer/gossip.rs
@@ -153,6 +153,14 @@
         self.members.borrow().iter().cloned().collect()
     }
 
+    /// The other nodes that run a replica, as far as they have said so. They are few; coordinators ask several times a
+    /// second.
+    pub fn replicas(&self) -> Vec<Member> {
+        let members = self.members.borrow();
+        let replicas = members.iter().filter(|member| member.replica.is_some());
+        replicas.cloned().collect()
+    }
+
     /// This node's place among those that may watch the store.
     pub fn place(&self, now: Duration) -> Place {
         let members = self.members.borrow();
