Replicas look at the register for a newer set, at their start and when they hear too few others

A replica reads the register at its start again, whatever others tell. A member that hears no read quorum of its set looks every two seconds, since those who knew of a newer one may all be gone; this could happen before as well. Test: a_replica_that_hears_too_few_others_looks_for_a_newer_set.

--- a/crates/gateway/src/records_client.rs
+++ b/crates/gateway/src/records_client.rs
@@ -52,7 +52,7 @@
 /// How long one search for a majority that was lost goes on before it starts anew with the newest set.
 const SEARCH_TIME: Duration = Duration::from_secs(2);
 /// How often settlements are sent; the bound on their age is a second, and a busy replica takes a part of it.
-/// Each sending is a request to every replica, however many settlements it has.
+/// Each sending is a request to a majority of the replicas, however many settlements it has.
 const SETTLE_INTERVAL: Duration = Duration::from_millis(450);
 /// How long settling is tried.
 const SETTLE_PATIENCE: Duration = Duration::from_secs(15);
--- a/crates/node/tests/resident_records.rs
+++ b/crates/node/tests/resident_records.rs
@@ -367,3 +367,25 @@
         .filter(|line| line["message"] == "replica set changed");
     assert_eq!(changes.count(), 1, "the first set, and no other");
 }
+
+#[test]
+fn a_replica_that_hears_too_few_others_looks_for_a_newer_set() {
+    let mut deployment = Deployment::started(PROGRAM, 1, 3);
+    let object = deployment.store.object("ridgeworks-replica-sets", "main");
+    let mut set = object.expect("a set")["spec"].clone();
+    let newer = set["epoch"].as_u64().expect("an epoch") + 1;
+    deployment.replicas[0].kill();
+    deployment.replicas[1].kill();
+    deployment.gateways[0].kill();
+    // Written by those who are gone, and told to nobody.
+    set["epoch"] = serde_json::json!(newer);
+    deployment.store.put("ridgeworks-replica-sets", "main", set);
+    wait_until("the newer set is known", || {
+        let log = deployment.replicas[2].log();
+        let mut lines = log.iter();
+        lines.any(|line| {
+            let is_set = line["message"] == "replica set in force";
+            is_set && line["attributes"]["epoch"] == newer.to_string()
+        })
+    });
+}
--- a/crates/replica/src/coordinator.rs
+++ b/crates/replica/src/coordinator.rs
@@ -29,6 +29,8 @@
 /// How long the first set waits for as many nodes as are wanted.
 const FIRST_SET_PATIENCE: Duration = Duration::from_secs(2);
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How often a member that hears too few of the others looks whether there is a newer set.
+const LOOK_PAUSE: Duration = Duration::from_secs(2);
 
 /// The coordinator of one storage node.
 pub struct Coordinator {
@@ -40,6 +42,8 @@
     due: Option<(ReplicaSet, Duration)>,
     /// The epoch in force, and since when it is known here.
     epoch_since: (Epoch, Duration),
+    /// When the register was last looked at for a newer set.
+    looked_at: Duration,
 }
 
 impl Coordinator {
@@ -55,6 +59,7 @@
             watching,
             due: None,
             epoch_since: (Epoch::default(), Duration::ZERO),
+            looked_at: Duration::ZERO,
         }
     }
 
@@ -64,6 +69,7 @@
         loop {
             ticks.tick().await;
             self.decide_watching();
+            self.look_for_newer_set().await;
             self.change_set().await;
             self.answer_retirements().await;
         }
@@ -83,6 +89,31 @@
         }
     }
 
+    /// A member that hears no read quorum of its set can change nothing. Its set may be an old one, and those who
+    /// knew of a newer one may be gone.
+    async fn look_for_newer_set(&mut self) {
+        let now = self.now();
+        let Some(set) = self.replica.node.view.replica_set() else {
+            return;
+        };
+        let nodes = self.storage_nodes(now);
+        let alive = nodes.iter().filter(|node| node.alive);
+        let alive: BTreeSet<ReplicaId> = alive.map(|node| node.replica.id).collect();
+        let is_due = now.saturating_sub(self.looked_at) > LOOK_PAUSE;
+        if !is_due || set.has_read_quorum(&alive) {
+            return;
+        }
+        self.looked_at = now;
+        let found = self.replica.node.read_replica_set().await;
+        log::info!(
+            target: "dependency",
+            epoch = set.epoch.0,
+            alive = alive.len(),
+            is_answered = found.is_some();
+            "too few replicas heard, looked for a newer set"
+        );
+    }
+
     fn now(&self) -> Duration {
         self.replica.node.clock.now()
     }
--- a/crates/resident/src/node.rs
+++ b/crates/resident/src/node.rs
@@ -279,8 +279,10 @@
     async fn learn_replica_set(self: Rc<Self>) {
         let is_replica = self.settings.role == Role::Replica;
         let mut asked_at = Duration::ZERO;
-        // A replica has the set on its disk, or hears of it from others meanwhile.
-        pause_about(REGISTER_PAUSE).await;
+        if is_replica {
+            // What others tell may be old: those who knew of a newer set may all be gone.
+            self.read_replica_set().await;
+        }
         while self.view.replica_set().is_none() {
             let now = self.clock.now();
             let is_late = now - asked_at > REPLICA_SET_PAUSE;
