--- a/crates/node/tests/resident_records.rs
+++ b/crates/node/tests/resident_records.rs
@@ -379,13 +379,14 @@
     deployment.gateways[0].kill();
     // Written by those who are gone, and told to nobody.
     set["epoch"] = serde_json::json!(newer);
+    let newer = newer.to_string();
     deployment.store.put("ridgeworks-replica-sets", "main", set);
     wait_until("the newer set is known", || {
         let log = deployment.replicas[2].log();
         let mut lines = log.iter();
         lines.any(|line| {
             let is_set = line["message"] == "replica set in force";
-            is_set && line["attributes"]["epoch"] == newer.to_string()
+            is_set && line["attributes"]["epoch"] == newer.as_str()
         })
     });
 }
