--- a/crates/node/tests/resident_records.rs
+++ b/crates/node/tests/resident_records.rs
@@ -371,6 +371,14 @@
 #[test]
 fn a_replica_that_hears_too_few_others_looks_for_a_newer_set() {
     let mut deployment = Deployment::started(PROGRAM, 1, 3);
+    wait_until("all replicas know the set", || {
+        let replicas = &deployment.replicas;
+        replicas.iter().all(|replica| {
+            let log = replica.log();
+            let mut messages = log.iter().map(|line| &line["message"]);
+            messages.any(|message| message == "replica set in force")
+        })
+    });
     let object = deployment.store.object("ridgeworks-replica-sets", "main");
     let mut set = object.expect("a set")["spec"].clone();
     let newer = set["epoch"].as_u64().expect("an epoch") + 1;
