--- a/crates/replica/src/coordinator.rs
+++ b/crates/replica/src/coordinator.rs
@@ -96,6 +96,11 @@
         let Some(set) = self.replica.node.view.replica_set() else {
             return;
         };
+        let status = self.replica.status();
+        // Others hear the members too rarely to say that they are gone.
+        if !status.is_some_and(|me| set.has_member(me.id)) {
+            return;
+        }
         let nodes = self.storage_nodes(now);
         let alive = nodes.iter().filter(|node| node.alive);
         let alive: BTreeSet<ReplicaId> = alive.map(|node| node.replica.id).collect();
