Coordinators and refusals look no further than they need, and a record is read in one place

The refusal without a majority built the request's account before it asked whether the majority is lost, for every request. node_record and record were twins and share one function.

Behaviour is the same: no bound, check or literal of a test is touched.

--- a/crates/gateway/src/exchange/preparation.rs
+++ b/crates/gateway/src/exchange/preparation.rs
@@ -42,9 +42,12 @@
     /// A request that needs a majority of the replicas while none answers cannot be served here: its client
     /// is told at once.
     fn refusal_without_majority(&self) -> Option<Refusal> {
-        let needs_majority = self.account().is_some() || self.call.route.keeps_turns;
         let records = &self.gateway.records;
-        if !needs_majority || !records.health.is_lost() {
+        if !records.health.is_lost() {
+            return None;
+        }
+        let needs_majority = self.account().is_some() || self.call.route.keeps_turns;
+        if !needs_majority {
             return None;
         }
         let reason = RefusalReason::LedgerUnavailable;
--- a/crates/replica/src/coordinator.rs
+++ b/crates/replica/src/coordinator.rs
@@ -79,7 +79,7 @@
     /// to the store do not grow with the storage machines.
     fn decide_watching(&self) {
         let set = self.replica.node.view.replica_set();
-        let is_due = set.is_some() && self.rank(set.as_ref()).is_some();
+        let is_due = set.is_some_and(|set| self.is_member(&set));
         if self.watching.set(is_due, LONG_WAIT) {
             log::info!(
                 target: "belief",
@@ -96,16 +96,15 @@
         let Some(set) = self.replica.node.view.replica_set() else {
             return;
         };
-        let status = self.replica.status();
+        let is_due = now.saturating_sub(self.looked_at) > LOOK_PAUSE;
         // Others hear the members too rarely to say that they are gone.
-        if !status.is_some_and(|me| set.has_member(me.id)) {
+        if !is_due || !self.is_member(&set) {
             return;
         }
         let nodes = self.storage_nodes(now);
         let alive = nodes.iter().filter(|node| node.alive);
         let alive: BTreeSet<ReplicaId> = alive.map(|node| node.replica.id).collect();
-        let is_due = now.saturating_sub(self.looked_at) > LOOK_PAUSE;
-        if !is_due || set.has_read_quorum(&alive) {
+        if set.has_read_quorum(&alive) {
             return;
         }
         self.looked_at = now;
@@ -205,6 +204,12 @@
         finished.map(|status| status.id).collect()
     }
 
+    /// Whether this node's replica belongs to a set.
+    fn is_member(&self, set: &ReplicaSet) -> bool {
+        let status = self.replica.status();
+        status.is_some_and(|me| set.has_member(me.id))
+    }
+
     /// Position of this node among those that may change the set: the members of the set that are alive, and
     /// all storage nodes as long as there is none. `None` for others: they hear too few heartbeats to say who
     /// is gone.
--- a/crates/storage/src/reader.rs
+++ b/crates/storage/src/reader.rs
@@ -2,7 +2,7 @@
 
 use std::ops::{Bound, ControlFlow};
 
-use redb::{Database, ReadableDatabase, ReadableTable};
+use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
 use ridgeworks_domain::RunId;
 
 use crate::checksum::{entry_key_bytes, unseal};
@@ -100,15 +100,19 @@
 }
 
 pub(crate) fn node_record(database: &Database, key: &[u8]) -> Result<Option<Vec<u8>>, StoreError> {
-    let table = database.begin_read()?.open_table(NODE_RECORDS)?;
-    let Some(sealed) = table.get(key)? else {
-        return Ok(None);
-    };
-    Ok(Some(unseal(key, sealed.value())?.to_vec()))
+    value(database, NODE_RECORDS, key)
 }
 
 pub(crate) fn record(database: &Database, key: &[u8]) -> Result<Option<Vec<u8>>, StoreError> {
-    let table = database.begin_read()?.open_table(RECORDS)?;
+    value(database, RECORDS, key)
+}
+
+fn value(
+    database: &Database,
+    table: TableDefinition<'_, &[u8], &[u8]>,
+    key: &[u8],
+) -> Result<Option<Vec<u8>>, StoreError> {
+    let table = database.begin_read()?.open_table(table)?;
     let Some(sealed) = table.get(key)? else {
         return Ok(None);
     };
