--- /dev/null
+++ b/crates/node/tests/resident_silence.rs
@@ -0,0 +1,97 @@
+//! Connections to the platform's store that fall silent for good while new ones work.
+//!
+//! What happened: requests were handled by a configuration that had been replaced for more than its bound of 2 s. The
+//! store had answered nobody for ten seconds. All gateways had sent their watch of the configuration at the same moment
+//! before that, gave it up 9.5 s later, still in the silence, and sent the next one, which the store never answered
+//! either: it was waited for until 9 s after the store was back. The cause: a watch was the only question, and no
+//! answer was taken for "nothing has changed" until the end of its wait. What settled it: `platform store lost`, reason
+//! `no_answer`, 9.5 s after the last change in all logs, no `regained` until the end of the logs, and `version_age_ms` of
+//! 16,425 in request lines, 7 s after the store answered others again.
+
+use std::time::{Duration, Instant};
+
+use ridgeworks_platform_stand_ins::client::call_get;
+use ridgeworks_platform_stand_ins::deployment::{Deployment, Process, routes, wait_until};
+use ridgeworks_platform_stand_ins::{Answer, EngineStandIn, LinkFault, Script};
+use serde_json::json;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_ridgeworksd");
+const GATEWAYS: u8 = 3;
+/// The bound on configurations in the stand-in's settings.
+const BOUND: Duration = Duration::from_secs(2);
+
+fn ok() -> Script {
+    Script::always(Answer::Whole("fine".to_owned()))
+}
+
+fn status(gateway: &Process, path: &str) -> u16 {
+    let reply = call_get(path, "r").send(gateway.callers());
+    reply.map_or(0, |reply| reply.status)
+}
+
+fn all_serve(deployment: &Deployment, path: &str) -> bool {
+    let mut gateways = deployment.gateways.iter();
+    gateways.all(|gateway| status(gateway, path) == 200)
+}
+
+fn move_routes(deployment: &mut Deployment, prefix: &str) {
+    let mut routes = routes();
+    routes[0]["path_prefix"] = json!(prefix);
+    deployment.configure(routes);
+}
+
+/// Gateways whose watches were all sent at the same moment, since a change has just answered them all.
+fn in_step(gateways: u8) -> (Deployment, EngineStandIn) {
+    let mut deployment = Deployment::started(PROGRAM, gateways, 0);
+    let engine = deployment.engine("tools", "i-1", ok());
+    wait_until("all serve", || all_serve(&deployment, "/tool/x"));
+    move_routes(&mut deployment, "/first/");
+    wait_until("the first change is in force", || {
+        all_serve(&deployment, "/first/x")
+    });
+    // Longer than changes are gathered before the next watch.
+    std::thread::sleep(Duration::from_millis(400));
+    (deployment, engine)
+}
+
+fn assert_in_force_in_time(deployment: &Deployment, path: &str, changed: Instant) {
+    wait_until("the change is in force", || all_serve(deployment, path));
+    assert!(changed.elapsed() < BOUND, "{:?}", changed.elapsed());
+}
+
+#[test]
+fn a_change_after_a_silent_store_is_in_force_within_its_bound() {
+    let (mut deployment, _engine) = in_step(GATEWAYS);
+    deployment.store_link.set_fault(LinkFault::Stalled);
+    // Long enough that gateways which notice have asked again, in the silence.
+    std::thread::sleep(Duration::from_secs(4));
+    move_routes(&mut deployment, "/moved/");
+    assert!(all_serve(&deployment, "/first/x"), "served on meanwhile");
+    deployment.store_link.set_fault(LinkFault::None);
+    assert_in_force_in_time(&deployment, "/moved/x", Instant::now());
+}
+
+#[test]
+fn watches_that_fall_silent_for_good_are_replaced_in_time() {
+    let (mut deployment, engine) = in_step(GATEWAYS);
+    deployment.store_link.set_fault(LinkFault::Stalled);
+    std::thread::sleep(Duration::from_millis(50));
+    deployment.store_link.set_fault(LinkFault::None);
+    let next = deployment.engine("tools", "i-2", ok());
+    let leaving = engine.entry("tools", "draining");
+    deployment.store.put("servers", "i-1", leaving);
+    move_routes(&mut deployment, "/moved/");
+    let changed = Instant::now();
+    assert_in_force_in_time(&deployment, "/moved/x", changed);
+    std::thread::sleep(BOUND.saturating_sub(changed.elapsed()));
+    let before = engine.runs().len();
+    for _ in 0..10 {
+        assert!(all_serve(&deployment, "/moved/x"));
+    }
+    assert_eq!(
+        engine.runs().len(),
+        before,
+        "an engine that leaves got work"
+    );
+    assert!(next.runs().len() >= 10 * usize::from(GATEWAYS));
+}
