Logs tell how long the store was asked in vain, and that a configuration is unconfirmed beyond its bound

The incident's logs could not tell when a watch was sent, how long the store had been lost, or that a gateway worked by a configuration that nobody confirmed: that stood in request lines only. The followers move to a module of their own.

--- /dev/null
+++ b/crates/resident/src/followers.rs
@@ -0,0 +1,121 @@
+//! What the node's view takes in of the kinds that it follows in the platform's store.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use ridgeworks_platform::{
+    CONFIGURATION_NAME, Object, ObjectEvent, read_configuration, read_engine,
+};
+
+use crate::clock::whole_ms;
+use crate::view::{Source, View};
+use crate::watching::Follower;
+
+/// Takes in the configuration.
+pub struct ConfigurationFollower(pub Rc<View>);
+
+impl ConfigurationFollower {
+    fn take(&self, object: &Object) {
+        if object.name != CONFIGURATION_NAME {
+            return;
+        }
+        match read_configuration(&object.spec) {
+            Ok(configuration) => self.0.adopt_configuration(configuration, Source::Store),
+            Err(error) => log::error!(
+                target: "belief",
+                revision = object.revision,
+                error:% = error;
+                "configuration unreadable"
+            ),
+        }
+    }
+}
+
+impl Follower for ConfigurationFollower {
+    fn on_list(&self, objects: Vec<Object>, _at: u64) {
+        objects.iter().for_each(|object| self.take(object));
+    }
+
+    fn on_events(&self, events: Vec<ObjectEvent>, _at: u64) {
+        let present = events.iter().filter(|event| !event.gone);
+        present.for_each(|event| self.take(&event.object));
+    }
+
+    fn on_contact(&self, reached: bool) {
+        if reached {
+            self.0.confirm_as_of(Duration::ZERO);
+        }
+    }
+}
+
+/// Takes in the engines.
+pub struct EngineFollower(pub Rc<View>);
+
+impl Follower for EngineFollower {
+    fn on_list(&self, objects: Vec<Object>, at: u64) {
+        let entries = objects.iter().filter_map(|object| read_engine(object).ok());
+        self.0.adopt_engines(entries.collect(), at, Source::Store);
+    }
+
+    fn on_events(&self, events: Vec<ObjectEvent>, at: u64) {
+        for event in events {
+            if event.gone {
+                let Object { name, revision, .. } = &event.object;
+                self.0.remove_engine(name, *revision, at, Source::Store);
+            } else if let Ok(entry) = read_engine(&event.object) {
+                self.0.adopt_engine(entry, Source::Store);
+            }
+        }
+        self.0.advance_engines(at);
+    }
+
+    fn on_contact(&self, _reached: bool) {}
+
+    fn told_up_to(&self) -> Option<u64> {
+        self.0
+            .engines_known()
+            .then(|| self.0.with_engines(|engines| engines.at()))
+    }
+}
+
+/// Says once that the configuration has been unconfirmed for longer than the bound within which changes come in
+/// force, and once that it is confirmed again: requests may be handled by an older one in between.
+#[derive(Debug)]
+pub struct ConfirmationLog {
+    bound: Duration,
+    /// The longest age since it was last in time.
+    overdue: Option<Duration>,
+}
+
+impl ConfirmationLog {
+    /// A log that has said nothing yet.
+    pub fn new(bound: Duration) -> Self {
+        Self {
+            bound,
+            overdue: None,
+        }
+    }
+
+    /// Looks at the time for which the configuration has been unconfirmed; `None` while there is none.
+    pub fn tell(&mut self, unconfirmed: Option<Duration>, version: u64) {
+        let Some(age) = unconfirmed else { return };
+        if age > self.bound {
+            if self.overdue.is_none() {
+                log::warn!(
+                    target: "belief",
+                    version = version,
+                    unconfirmed_ms = whole_ms(age);
+                    "configuration unconfirmed for longer than its bound"
+                );
+            }
+            self.overdue = self.overdue.max(Some(age));
+        } else if let Some(longest) = self.overdue.take() {
+            log::info!(
+                target: "belief",
+                version = version,
+                unconfirmed_ms = whole_ms(longest);
+                "configuration confirmed again"
+            );
+        }
+    }
+}
--- a/crates/resident/src/lib.rs
+++ b/crates/resident/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod actors;
 pub mod clock;
+mod followers;
 pub mod http_client;
 pub mod http_server;
 pub mod logging;
--- a/crates/resident/src/node.rs
+++ b/crates/resident/src/node.rs
@@ -8,14 +8,12 @@
 use std::time::Duration;
 
 use rand::RngExt;
-use ridgeworks_platform::{
-    CONFIGURATION_NAME, Object, ObjectEvent, ObjectKind, StoreOutcome, create, read,
-    read_configuration, read_engine, read_object, replace,
-};
+use ridgeworks_platform::{Object, ObjectKind, StoreOutcome, create, read, read_object, replace};
 use ridgeworks_records::ReplicaSet;
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Clock;
+use crate::followers::{ConfigurationFollower, ConfirmationLog, EngineFollower};
 use crate::peer::{
     Gossip, GossipSources, MemberInfo, PeerLinks, PeerReply, PeerRequest, PeerService,
     fetch_members, fetch_view,
@@ -147,6 +145,7 @@
     async fn decide_duty(self: Rc<Self>) {
         let bound = self.settings.bounds.configuration();
         let mut duty = WatchDuty::new(&self.settings.name, bound);
+        let mut confirmation = ConfirmationLog::new(bound);
         let mut place = Place::Other;
         let mut placed_at = None;
         loop {
@@ -157,6 +156,7 @@
                 placed_at = Some(now);
             }
             let unconfirmed = self.view.unconfirmed_for();
+            confirmation.tell(unconfirmed, self.view.version());
             let is_due = duty.is_due(now, place, unconfirmed);
             if self.duty.set(is_due, duty.wait(place)) {
                 log::info!(
@@ -364,68 +364,3 @@
         })
     }
 }
-
-struct ConfigurationFollower(Rc<View>);
-
-impl ConfigurationFollower {
-    fn take(&self, object: &Object) {
-        if object.name != CONFIGURATION_NAME {
-            return;
-        }
-        match read_configuration(&object.spec) {
-            Ok(configuration) => self.0.adopt_configuration(configuration, Source::Store),
-            Err(error) => log::error!(
-                target: "belief",
-                revision = object.revision,
-                error:% = error;
-                "configuration unreadable"
-            ),
-        }
-    }
-}
-
-impl Follower for ConfigurationFollower {
-    fn on_list(&self, objects: Vec<Object>, _at: u64) {
-        objects.iter().for_each(|object| self.take(object));
-    }
-
-    fn on_events(&self, events: Vec<ObjectEvent>, _at: u64) {
-        let present = events.iter().filter(|event| !event.gone);
-        present.for_each(|event| self.take(&event.object));
-    }
-
-    fn on_contact(&self, reached: bool) {
-        if reached {
-            self.0.confirm_as_of(Duration::ZERO);
-        }
-    }
-}
-
-struct EngineFollower(Rc<View>);
-
-impl Follower for EngineFollower {
-    fn on_list(&self, objects: Vec<Object>, at: u64) {
-        let entries = objects.iter().filter_map(|object| read_engine(object).ok());
-        self.0.adopt_engines(entries.collect(), at, Source::Store);
-    }
-
-    fn on_events(&self, events: Vec<ObjectEvent>, at: u64) {
-        for event in events {
-            if event.gone {
-                let Object { name, revision, .. } = &event.object;
-                self.0.remove_engine(name, *revision, at, Source::Store);
-            } else if let Ok(entry) = read_engine(&event.object) {
-                self.0.adopt_engine(entry, Source::Store);
-            }
-        }
-        self.0.advance_engines(at);
-    }
-
-    fn on_contact(&self, _reached: bool) {}
-
-    fn told_up_to(&self) -> Option<u64> {
-        self.0
-            .engines_known()
-            .then(|| self.0.with_engines(|engines| engines.at()))
-    }
-}
--- a/crates/resident/src/watching.rs
+++ b/crates/resident/src/watching.rs
@@ -10,6 +10,9 @@
     read_listing, read_watch, watch,
 };
 
+use tokio::time::Instant;
+
+use crate::clock::whole_ms;
 use crate::store_client::{StoreClient, StoreFailure};
 use crate::watch_duty::DutySignal;
 
@@ -88,9 +91,12 @@
         at: None,
         must_list: false,
         failures: 0,
+        asked_at: Instant::now(),
+        lost_at: Instant::now(),
     };
     loop {
         state.wait_for_duty().await;
+        state.asked_at = Instant::now();
         match state.step().await {
             Ok(()) => state.on_reached(),
             Err(error) => state.on_error(&error).await,
@@ -108,6 +114,10 @@
     /// Whether the history since that revision is gone.
     must_list: bool,
     failures: u32,
+    /// When the question that is open, or was open last, was sent.
+    asked_at: Instant,
+    /// When the first of the failures in a row was noticed.
+    lost_at: Instant,
 }
 
 impl<F: Follower> Following<F> {
@@ -151,7 +161,13 @@
 
     fn on_reached(&mut self) {
         if self.failures > 0 {
-            log::info!(target: "dependency", kind:? = self.kind; "platform store regained");
+            log::info!(
+                target: "dependency",
+                kind:? = self.kind,
+                lost_ms = whole_ms(self.lost_at.elapsed()),
+                failures = self.failures;
+                "platform store regained"
+            );
         }
         self.failures = 0;
         self.follower.on_contact(true);
@@ -165,11 +181,12 @@
             return;
         }
         if self.failures == 0 {
-            let reason = error.name();
+            self.lost_at = Instant::now();
             log::warn!(
                 target: "dependency",
                 kind:? = self.kind,
-                reason = reason,
+                reason = error.name(),
+                waited_ms = whole_ms(self.asked_at.elapsed()),
                 detail:% = error;
                 "platform store lost"
             );
