The store is asked beside watches that say nothing, and without waiting while it does not answer

Cause: a watch was a gateway's only question to the store. One that the store never answered was waited for to its end, 9.5 s, and the next one, sent into the same silence, for 9.5 s more; changes answer all watches at once, so all gateways were in step and none could tell the others. Ruled out by the logs: that nodes lost events that they were told (no 'regained' before the end of the logs), and that some gateway knew and the others could not fetch (no 'configuration in force' from the store anywhere). Now what is known of a kind grows old (0.4 to 0.6 of the bound by name in a small fleet, 0.7 to 0.8 in a large one, where watches come back sooner), then the store is asked beside the watch; whoever has asked tells the others at once. While the store does not answer it is asked without a wait, at most 1 s each and 0.8 s apart (2.4 s for nodes that others tell). Connections that rested for over 0.5 s are not used again, and none is after a call without an answer. The same holds for the engines, whose leaving was missed as well, and for orders to empty a machine (3 s). Heartbeats and views carry the second age, so nodes of the version before do not hear these.

--- a/crates/replica/src/coordinator.rs
+++ b/crates/replica/src/coordinator.rs
@@ -14,7 +14,7 @@
 use ridgeworks_records::{Epoch, Replica, ReplicaId, ReplicaSet, StorageNode, plan_change};
 use ridgeworks_resident::node::{REPLICA_SET_NAME, RegisteredSet};
 use ridgeworks_resident::view::Source;
-use ridgeworks_resident::watch_duty::{DutySignal, LONG_WAIT};
+use ridgeworks_resident::watch_duty::{DutySignal, Patience};
 
 use crate::handle::ReplicaHandle;
 use crate::retirements::Retirements;
@@ -80,7 +80,7 @@
     fn decide_watching(&self) {
         let set = self.replica.node.view.replica_set();
         let is_due = set.is_some_and(|set| self.is_member(&set));
-        if self.watching.set(is_due, LONG_WAIT) {
+        if self.watching.set(is_due, Patience::RETIREMENTS) {
             log::info!(
                 target: "belief",
                 watches = is_due;
--- a/crates/replica/src/role.rs
+++ b/crates/replica/src/role.rs
@@ -15,7 +15,7 @@
 use ridgeworks_resident::process::{RoleError, run_until_stopped, serve_metrics};
 use ridgeworks_resident::settings::NodeSettings;
 use ridgeworks_resident::shutdown::Orders;
-use ridgeworks_resident::watch_duty::DutySignal;
+use ridgeworks_resident::watch_duty::{DutySignal, Patience};
 use ridgeworks_resident::watching::follow;
 use stakker::{ActorOwn, actor, ret_nop};
 use tokio::sync::mpsc;
@@ -54,7 +54,7 @@
     serve_metrics(&node, registry, move || updated.update_gauges()).await?;
     let retirements = Retirements::default();
     let store = Rc::clone(&node.store);
-    let watching = Rc::new(DutySignal::new(false));
+    let watching = Rc::new(DutySignal::new(Patience::RETIREMENTS));
     let following = follow(
         store,
         ObjectKind::Retirements,
--- a/crates/resident/src/followers.rs
+++ b/crates/resident/src/followers.rs
@@ -46,6 +46,14 @@
             self.0.confirm_as_of(Duration::ZERO);
         }
     }
+
+    fn on_checked(&self) {
+        self.0.announce_confirmation();
+    }
+
+    fn unconfirmed(&self) -> Option<Duration> {
+        self.0.unconfirmed_for()
+    }
 }
 
 /// Takes in the engines.
@@ -69,7 +77,19 @@
         self.0.advance_engines(at);
     }
 
-    fn on_contact(&self, _reached: bool) {}
+    fn on_contact(&self, reached: bool) {
+        if reached {
+            self.0.confirm_engines_as_of(Duration::ZERO);
+        }
+    }
+
+    fn on_checked(&self) {
+        self.0.announce_confirmation();
+    }
+
+    fn unconfirmed(&self) -> Option<Duration> {
+        self.0.engines_unconfirmed_for()
+    }
 
     fn told_up_to(&self) -> Option<u64> {
         self.0
--- a/crates/resident/src/node.rs
+++ b/crates/resident/src/node.rs
@@ -74,7 +74,8 @@
     pub async fn bind(settings: NodeSettings, clock: Clock) -> io::Result<Rc<Self>> {
         let is_gateway = settings.role == Role::Gateway;
         let view = Rc::new(View::new(clock, is_gateway));
-        let duty = Rc::new(DutySignal::new(false));
+        let duty = WatchDuty::new(&settings.name, settings.bounds.configuration());
+        let duty = Rc::new(DutySignal::new(duty.patience(Place::Other)));
         let links = Rc::new(PeerLinks::default());
         let seeds = settings.seed_peers();
         let me = member_info(&settings);
@@ -158,7 +159,7 @@
             let unconfirmed = self.view.unconfirmed_for();
             confirmation.tell(unconfirmed, self.view.version());
             let is_due = duty.is_due(now, place, unconfirmed);
-            if self.duty.set(is_due, duty.wait(place)) {
+            if self.duty.set(is_due, duty.patience(place)) {
                 log::info!(
                     target: "belief",
                     watches = is_due,
--- a/crates/resident/src/peer/gossip.rs
+++ b/crates/resident/src/peer/gossip.rs
@@ -193,6 +193,7 @@
                     has_news = false;
                     self.send_news(&*sources).await;
                 }
+                () = self.view.confirmation() => self.tell_all(&*sources).await,
                 received = self.socket.recv_from(&mut buffer) => {
                     if let Ok((length, from)) = received {
                         self.on_datagram(&buffer[..length], from, &*sources).await;
@@ -224,6 +225,17 @@
         self.send_to(targets, sources).await;
     }
 
+    /// Tells that the store has just confirmed what this node knows: everybody in a small fleet, so that one question
+    /// does for all.
+    async fn tell_all(&self, sources: &impl GossipSources) {
+        let targets: Vec<SocketAddr> = {
+            let members = self.members.borrow();
+            let all = members.iter().take(SMALL_FLEET);
+            all.map(|member| member.info.address).collect()
+        };
+        self.send_to(targets, sources).await;
+    }
+
     async fn send_to(&self, targets: Vec<SocketAddr>, sources: &impl GossipSources) {
         if targets.is_empty() {
             return;
@@ -262,6 +274,7 @@
             version: self.view.version(),
             unconfirmed_ms: self.view.unconfirmed_for().map(whole_ms),
             engines_newest: self.view.with_engines(|engines| engines.newest()),
+            engines_unconfirmed_ms: self.view.engines_unconfirmed_for().map(whole_ms),
             epoch: self.view.epoch(),
             replica: sources.replica(),
             load,
@@ -337,11 +350,10 @@
 
     /// Whether the sender knows something newer that is worth fetching from it.
     fn is_behind(&self, heartbeat: &Heartbeat, now: Duration) -> bool {
-        if let Some(age) = heartbeat.unconfirmed_ms
-            && heartbeat.version == self.view.version()
-        {
-            self.view.confirm_as_of(Duration::from_millis(age));
-        }
+        self.view
+            .confirm_version(heartbeat.version, heartbeat.unconfirmed_ms);
+        self.view
+            .confirm_engines(heartbeat.engines_newest, heartbeat.engines_unconfirmed_ms);
         if heartbeat.version > self.view.version() || heartbeat.epoch > self.view.epoch() {
             return true;
         }
--- a/crates/resident/src/peer/message.rs
+++ b/crates/resident/src/peer/message.rs
@@ -96,6 +96,8 @@
     pub replica_set: Option<ReplicaSet>,
     /// Milliseconds since the store last confirmed the node's configuration; `None` when it never did.
     pub unconfirmed_ms: Option<u64>,
+    /// The same for its engines.
+    pub engines_unconfirmed_ms: Option<u64>,
 }
 
 /// A request or reply with the number that joins them.
@@ -153,6 +155,8 @@
     pub unconfirmed_ms: Option<u64>,
     /// Revision of the newest change of the engines that it knows.
     pub engines_newest: u64,
+    /// Milliseconds since the store last confirmed that there is no newer one; `None` when it never did.
+    pub engines_unconfirmed_ms: Option<u64>,
     /// Epoch of the newest replica set that it knows.
     pub epoch: Epoch,
     /// Its replica, if it runs one.
--- a/crates/resident/src/store_client.rs
+++ b/crates/resident/src/store_client.rs
@@ -11,12 +11,16 @@
 use http::{HeaderValue, Request};
 use http_body_util::{BodyExt, Full};
 use ridgeworks_platform::{StoreCall, StoreOutcome, outcome};
+use tokio::time::Instant;
 
 use crate::http_client::{ConnectError, Connection, connect};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
 /// Connections that are kept for later calls.
 const MAX_IDLE: usize = 3;
+/// How long a kept connection may have rested and still be used: it may have fallen silent for good meanwhile, and a
+/// new one costs less than a call that waits in vain. Calls of a watch follow each other sooner.
+const IDLE_LIMIT: Duration = Duration::from_millis(500);
 const JSON: HeaderValue = HeaderValue::from_static("application/json");
 
 /// The answer to a call.
@@ -66,8 +70,17 @@
 #[derive(Debug)]
 pub struct StoreClient {
     address: Cell<SocketAddr>,
-    idle: RefCell<Vec<Connection>>,
+    idle: RefCell<Vec<Idle>>,
     calls: Cell<u64>,
+    checks: Cell<u64>,
+    silent_watches: Cell<u64>,
+}
+
+/// A connection whose last call was answered.
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    since: Instant,
 }
 
 impl StoreClient {
@@ -77,6 +90,8 @@
             address: Cell::new(address),
             idle: RefCell::default(),
             calls: Cell::new(0),
+            checks: Cell::new(0),
+            silent_watches: Cell::new(0),
         }
     }
 
@@ -92,6 +107,26 @@
         self.calls.get()
     }
 
+    /// Questions that were asked beside a watch that said nothing.
+    pub fn checks(&self) -> u64 {
+        self.checks.get()
+    }
+
+    /// Counts such a question.
+    pub fn on_check(&self) {
+        self.checks.set(self.checks.get() + 1);
+    }
+
+    /// Watches that had missed changes.
+    pub fn silent_watches(&self) -> u64 {
+        self.silent_watches.get()
+    }
+
+    /// Counts such a watch.
+    pub fn on_silent_watch(&self) {
+        self.silent_watches.set(self.silent_watches.get() + 1);
+    }
+
     /// Makes a call and waits for its answer.
     pub async fn call(
         &self,
@@ -100,7 +135,11 @@
     ) -> Result<StoreAnswer, StoreFailure> {
         match tokio::time::timeout(timeout, self.exchange(call)).await {
             Ok(answer) => answer,
-            Err(_) => Err(StoreFailure::TimedOut),
+            Err(_) => {
+                // What has silenced one connection may have silenced those that rest.
+                self.idle.borrow_mut().clear();
+                Err(StoreFailure::TimedOut)
+            }
         }
     }
 
@@ -122,7 +161,8 @@
 
     async fn connection(&self) -> Result<Connection, StoreFailure> {
         let idle = self.idle.borrow_mut().pop();
-        if let Some(connection) = idle
+        if let Some(Idle { connection, since }) = idle
+            && since.elapsed() < IDLE_LIMIT
             && connection.is_ready()
         {
             return Ok(connection);
@@ -134,8 +174,10 @@
 
     fn keep(&self, connection: Connection) {
         let mut idle = self.idle.borrow_mut();
+        idle.retain(|idle| idle.since.elapsed() < IDLE_LIMIT);
         if idle.len() < MAX_IDLE && !connection.is_closed() {
-            idle.push(connection);
+            let since = Instant::now();
+            idle.push(Idle { connection, since });
         }
     }
 
--- a/crates/resident/src/view.rs
+++ b/crates/resident/src/view.rs
@@ -9,7 +9,7 @@
 
 use ridgeworks_records::{Epoch, ReplicaSet};
 use ridgeworks_routing::{EngineChanges, EngineEntry, EngineTable, RouteConfiguration, RouteTable};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::clock::{Clock, whole_ms};
 use crate::peer::{KnownEngines, ViewPosition, ViewUpdate};
@@ -45,7 +45,10 @@
     replica_set: RefCell<Option<ReplicaSet>>,
     /// When the newest configuration was last confirmed, since the start of the process.
     confirmed: Cell<Option<Duration>>,
+    /// The same for the engines.
+    engines_confirmed: Cell<Option<Duration>>,
     changed: watch::Sender<()>,
+    confirmation: Notify,
 }
 
 impl View {
@@ -60,7 +63,9 @@
             engines_known: Cell::new(false),
             replica_set: RefCell::default(),
             confirmed: Cell::new(None),
+            engines_confirmed: Cell::new(None),
             changed: watch::Sender::new(()),
+            confirmation: Notify::new(),
         }
     }
 
@@ -109,6 +114,45 @@
         Some(self.clock.now().saturating_sub(confirmed))
     }
 
+    /// Time since somebody confirmed that no newer change of the engines is there.
+    pub fn engines_unconfirmed_for(&self) -> Option<Duration> {
+        let confirmed = self.engines_confirmed.get()?;
+        Some(self.clock.now().saturating_sub(confirmed))
+    }
+
+    /// Notes that the engines that are known were the newest ones this long ago.
+    pub fn confirm_engines_as_of(&self, age: Duration) {
+        let at = self.clock.now().saturating_sub(age);
+        let confirmed = self.engines_confirmed.get().max(Some(at));
+        self.engines_confirmed.set(confirmed);
+    }
+
+    /// Has other nodes told at once that this node's knowledge was confirmed, before they ask the store too.
+    pub fn announce_confirmation(&self) {
+        self.confirmation.notify_one();
+    }
+
+    /// Waits until a confirmation is to be told.
+    pub async fn confirmation(&self) {
+        self.confirmation.notified().await;
+    }
+
+    /// Takes in that this version was the newest one so many milliseconds ago, if it is the one in force.
+    pub fn confirm_version(&self, version: u64, unconfirmed_ms: Option<u64>) {
+        let age = unconfirmed_ms.filter(|_| version == self.version());
+        if let Some(age) = age {
+            self.confirm_as_of(Duration::from_millis(age));
+        }
+    }
+
+    /// Takes in that there was no change of engines after this revision so many milliseconds ago, if all up to it are known.
+    pub fn confirm_engines(&self, newest: u64, unconfirmed_ms: Option<u64>) {
+        let is_known = self.engines_known.get() && newest <= self.engines.borrow().at();
+        if let Some(age) = unconfirmed_ms.filter(|_| is_known) {
+            self.confirm_engines_as_of(Duration::from_millis(age));
+        }
+    }
+
     /// Notes that the configuration was the newest one this long ago.
     pub fn confirm_as_of(&self, age: Duration) {
         let at = self.clock.now().saturating_sub(age);
@@ -236,6 +280,7 @@
             engines,
             replica_set: replica_set.cloned(),
             unconfirmed_ms: self.unconfirmed_for().map(whole_ms),
+            engines_unconfirmed_ms: self.engines_unconfirmed_for().map(whole_ms),
         }
     }
 
@@ -246,17 +291,17 @@
             engines,
             replica_set,
             unconfirmed_ms,
+            engines_unconfirmed_ms,
         } = update;
         if let Some(configuration) = configuration {
             let version = configuration.version;
             self.adopt_configuration(configuration, Source::Peer);
-            let age = unconfirmed_ms.filter(|_| version == self.version());
-            if let Some(age) = age {
-                self.confirm_as_of(Duration::from_millis(age));
-            }
+            self.confirm_version(version, unconfirmed_ms);
         }
         if let Some(engines) = engines {
+            let told_at = engines.at;
             self.adopt_engine_changes(engines, Source::Peer);
+            self.confirm_engines(told_at, engines_unconfirmed_ms);
         }
         if let Some(set) = replica_set {
             self.adopt_replica_set(set, Source::Peer);
--- a/crates/resident/src/watch_duty.rs
+++ b/crates/resident/src/watch_duty.rs
@@ -12,6 +12,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::peer::Member;
+use crate::watching::ANSWER_TIMEOUT;
 
 /// Gateways up to which all of them watch.
 pub const SMALL_FLEET: usize = 12;
@@ -34,7 +35,21 @@
 /// How long a node goes on watching that found its knowledge stale.
 const STALE_DUTY: Duration = Duration::from_secs(10);
 /// How long a watch waits whose answers nobody waits for.
-pub const LONG_WAIT: Duration = Duration::from_secs(8);
+const LONG_WAIT: Duration = Duration::from_secs(8);
+/// Part of the bound on configurations after which a node of a small fleet asks the store beside its watches, and the
+/// spread by name: mostly one node asks and tells the others, and all together know in time.
+const CHECK_SHARE: f64 = 0.4;
+const CHECK_SPREAD: f64 = 0.2;
+/// The same in a large fleet, where watches come back on their own before that.
+const LARGE_CHECK_SHARE: f64 = 0.7;
+const LARGE_CHECK_SPREAD: f64 = 0.1;
+/// How long orders to empty a machine, which take seconds, may be unknown because a watch is silent.
+const RETIREMENT_CHECK: Duration = Duration::from_secs(3);
+/// Longest pause between questions to a store that does not answer; a node asks again, and learns of the
+/// answer, well within the bound on configurations.
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+/// The same for nodes that others tell of changes, so that a large fleet does not ask all at once.
+const LONGEST_OTHER_PAUSE: Duration = Duration::from_millis(2_400);
 
 /// A node's place among those that may watch.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -87,6 +102,8 @@
     first_ask: Duration,
     stale_after: Duration,
     wait: Duration,
+    check_after: Duration,
+    large_check_after: Duration,
     stale_until: Option<Duration>,
 }
 
@@ -98,6 +115,8 @@
             first_ask: FIRST_ASK + FIRST_ASK_SPREAD.mul_f64(drawn),
             stale_after: bound.mul_f64(STALE_SHARE + STALE_SPREAD * drawn),
             wait: bound.mul_f64(WAIT_SHARE),
+            check_after: bound.mul_f64(CHECK_SHARE + CHECK_SPREAD * drawn),
+            large_check_after: bound.mul_f64(LARGE_CHECK_SHARE + LARGE_CHECK_SPREAD * drawn),
             stale_until: None,
         }
     }
@@ -120,36 +139,73 @@
         self.stale_until.is_some_and(|until| now < until)
     }
 
-    /// How long a watch for the configuration waits. In a large fleet the answers are what keeps the
+    /// How patient the node is with the store. In a large fleet the answers to watches are what keeps the
     /// knowledge of the others from being stale.
-    pub fn wait(&self, place: Place) -> Duration {
-        if place == Place::All {
-            LONG_WAIT
-        } else {
-            self.wait.min(LONG_WAIT)
+    pub fn patience(&self, place: Place) -> Patience {
+        match place {
+            Place::All => Patience {
+                wait: LONG_WAIT,
+                check_after: self.check_after,
+                longest_pause: LONGEST_PAUSE,
+            },
+            Place::Chosen | Place::Other => Patience {
+                wait: self.wait.min(LONG_WAIT),
+                check_after: self.large_check_after,
+                longest_pause: match place {
+                    Place::Other => LONGEST_OTHER_PAUSE,
+                    Place::All | Place::Chosen => LONGEST_PAUSE,
+                },
+            },
         }
     }
 }
 
+/// How long a node waits for the store. What is known of a kind may become as old as `check_after` while a watch says
+/// nothing; then the store is asked beside it. A watch alone cannot tell "nothing has changed" from a connection that
+/// fell silent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Patience {
+    /// How long a watch waits for a change.
+    pub wait: Duration,
+    /// Age of what is known from which on the store is asked beside a watch.
+    pub check_after: Duration,
+    /// Longest pause between questions while the store does not answer.
+    pub longest_pause: Duration,
+}
+
+impl Patience {
+    /// For orders to empty a machine.
+    pub const RETIREMENTS: Self = Self {
+        wait: LONG_WAIT,
+        check_after: RETIREMENT_CHECK,
+        longest_pause: LONGEST_PAUSE,
+    };
+
+    /// How long an answer to a watch may take.
+    pub fn watch_timeout(&self) -> Duration {
+        self.wait + ANSWER_TIMEOUT
+    }
+}
+
 /// The decision in force, for those that follow the store.
 #[derive(Debug)]
 pub struct DutySignal {
     is_due: watch::Sender<bool>,
-    wait: Cell<Duration>,
+    patience: Cell<Patience>,
 }
 
 impl DutySignal {
-    /// A signal that is due or not, until it is set anew.
-    pub fn new(is_due: bool) -> Self {
+    /// A signal that is not due until it is set.
+    pub fn new(patience: Patience) -> Self {
         Self {
-            is_due: watch::Sender::new(is_due),
-            wait: Cell::new(LONG_WAIT),
+            is_due: watch::Sender::new(false),
+            patience: Cell::new(patience),
         }
     }
 
     /// Sets the decision; says whether it is another one than before.
-    pub fn set(&self, is_due: bool, wait: Duration) -> bool {
-        self.wait.set(wait);
+    pub fn set(&self, is_due: bool, patience: Patience) -> bool {
+        self.patience.set(patience);
         self.is_due.send_replace(is_due) != is_due
     }
 
@@ -158,9 +214,9 @@
         *self.is_due.borrow()
     }
 
-    /// How long a watch for the configuration waits.
-    pub fn wait(&self) -> Duration {
-        self.wait.get()
+    /// How patient the node is with the store.
+    pub fn patience(&self) -> Patience {
+        self.patience.get()
     }
 
     /// Waits until the node is to watch.
--- a/crates/resident/src/watching.rs
+++ b/crates/resident/src/watching.rs
@@ -1,12 +1,17 @@
 //! Follows kinds of objects in the platform's store.
+//!
+//! A watch waits for a change, and its connection may fall silent for good meanwhile. So the store is asked
+//! beside it when what is known has become too old ([`crate::watch_duty::Patience`]), and a store that did not answer is
+//! asked without waiting until it does.
 
+use std::cell::Cell;
 use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
 
 use rand::RngExt;
 use ridgeworks_platform::{
-    BadAnswer, Listing, Object, ObjectEvent, ObjectKind, StoreCall, StoreOutcome, list,
+    BadAnswer, Listing, Object, ObjectEvent, ObjectKind, StoreCall, StoreOutcome, WatchBatch, list,
     read_listing, read_watch, watch,
 };
 
@@ -19,9 +24,13 @@
 /// Pause after changes, so that those of a moment come in one answer.
 const GATHERING: Duration = Duration::from_millis(200);
 /// Time that the store may take beyond the wait.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
+pub(crate) const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time for an answer that waits for nothing. With the longest pause it stays below the bound on configurations after
+/// a silence of the store; a slow store takes up to half a second.
+const CHECK_TIMEOUT: Duration = Duration::from_secs(1);
+/// The least wait of a question that waits for nothing.
+const CHECK_WAIT: Duration = Duration::from_millis(1);
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
-const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 /// Longest pause of a node that has seen no list yet, and so cannot work.
 const LONGEST_FIRST_PAUSE: Duration = Duration::from_millis(200);
 
@@ -70,10 +79,16 @@
     fn on_events(&self, events: Vec<ObjectEvent>, at: u64);
     /// The store answered, or did not.
     fn on_contact(&self, reached: bool);
+    /// A question beside a silent watch was answered. Other nodes may want to hear of it.
+    fn on_checked(&self) {}
     /// Revision up to which other nodes have told everything, if that is known.
     fn told_up_to(&self) -> Option<u64> {
         None
     }
+    /// Time since the store confirmed, to this node or to one that told it, that nothing newer is there.
+    fn unconfirmed(&self) -> Option<Duration> {
+        None
+    }
 }
 
 /// Follows a kind whenever it is this node's duty, until the process ends.
@@ -92,6 +107,7 @@
         must_list: false,
         failures: 0,
         asked_at: Instant::now(),
+        answered_at: Cell::new(Instant::now()),
         lost_at: Instant::now(),
     };
     loop {
@@ -116,6 +132,8 @@
     failures: u32,
     /// When the question that is open, or was open last, was sent.
     asked_at: Instant,
+    /// When the store answered last.
+    answered_at: Cell<Instant>,
     /// When the first of the failures in a row was noticed.
     lost_at: Instant,
 }
@@ -132,6 +150,12 @@
     async fn step(&mut self) -> Result<(), FollowError> {
         match self.at {
             None => self.list_all().await,
+            // A watch that is sent into a silence would be waited for long after the store is back.
+            Some(at) if self.failures > 0 => {
+                let batch = self.ask_at_once(at).await?;
+                self.take(batch, at).await;
+                Ok(())
+            }
             Some(at) => self.wait_for_changes(at).await,
         }
     }
@@ -145,18 +169,84 @@
     }
 
     async fn wait_for_changes(&mut self, at: u64) -> Result<(), FollowError> {
-        let wait = self.duty.wait();
+        let patience = self.duty.patience();
+        let watch = self.ask(at, patience.wait, patience.watch_timeout());
+        let batch = tokio::select! {
+            batch = watch => batch?,
+            missed = self.find_missed(at) => missed?,
+        };
+        self.take(batch, at).await;
+        Ok(())
+    }
+
+    /// Asks the store beside a watch that says nothing whenever what is known has become too old, until there are
+    /// changes of which the watch has not told.
+    async fn find_missed(&self, at: u64) -> Result<WatchBatch, FollowError> {
+        loop {
+            self.duty.wait_until_due().await;
+            let check_after = self.duty.patience().check_after;
+            let age = self.unconfirmed();
+            if age < check_after {
+                tokio::time::sleep(check_after - age).await;
+                continue;
+            }
+            let batch = self.ask_at_once(at).await?;
+            self.store.on_check();
+            if !batch.events.is_empty() {
+                self.on_missed(batch.events.len());
+                return Ok(batch);
+            }
+            self.on_answered();
+            self.follower.on_checked();
+        }
+    }
+
+    fn on_missed(&self, changes: usize) {
+        self.store.on_silent_watch();
+        log::warn!(
+            target: "dependency",
+            kind:? = self.kind,
+            changes = changes,
+            silent_ms = whole_ms(self.asked_at.elapsed());
+            "silent watch of the platform store replaced"
+        );
+    }
+
+    /// Time since the store last confirmed what is known.
+    fn unconfirmed(&self) -> Duration {
+        let own = self.answered_at.get().elapsed();
+        self.follower
+            .unconfirmed()
+            .map_or(own, |told| told.min(own))
+    }
+
+    async fn ask_at_once(&self, at: u64) -> Result<WatchBatch, FollowError> {
+        self.ask(at, CHECK_WAIT, CHECK_TIMEOUT).await
+    }
+
+    async fn ask(
+        &self,
+        at: u64,
+        wait: Duration,
+        timeout: Duration,
+    ) -> Result<WatchBatch, FollowError> {
         let call = watch(self.kind, at, wait);
-        let timeout = wait + ANSWER_TIMEOUT;
         let body = call_store(&self.store, call, timeout).await?;
-        let batch = read_watch(&body)?;
+        Ok(read_watch(&body)?)
+    }
+
+    async fn take(&mut self, batch: WatchBatch, at: u64) {
         self.at = Some(batch.at.max(at));
         let has_changes = !batch.events.is_empty();
         self.follower.on_events(batch.events, batch.at);
         if has_changes {
             tokio::time::sleep(GATHERING).await;
         }
-        Ok(())
+    }
+
+    fn on_answered(&self) {
+        self.answered_at.set(Instant::now());
+        self.follower.on_contact(true);
     }
 
     fn on_reached(&mut self) {
@@ -170,7 +260,7 @@
             );
         }
         self.failures = 0;
-        self.follower.on_contact(true);
+        self.on_answered();
     }
 
     async fn on_error(&mut self, error: &FollowError) {
@@ -194,7 +284,7 @@
         self.failures += 1;
         self.follower.on_contact(false);
         let longest = match self.at {
-            Some(_) => LONGEST_PAUSE,
+            Some(_) => self.duty.patience().longest_pause,
             None => LONGEST_FIRST_PAUSE,
         };
         tokio::time::sleep(pause(self.failures, longest)).await;
--- a/crates/resident/tests/watch_duty.rs
+++ b/crates/resident/tests/watch_duty.rs
@@ -113,6 +113,29 @@
 #[test]
 fn watchers_confirm_often_in_a_large_fleet_only() {
     let duty = WatchDuty::new("gateway-1", BOUND);
-    assert_eq!(duty.wait(Place::All), Duration::from_secs(8));
-    assert_eq!(duty.wait(Place::Chosen), Duration::from_millis(1_200));
+    let small = duty.patience(Place::All);
+    assert_eq!(small.wait, Duration::from_secs(8));
+    let large = duty.patience(Place::Chosen);
+    assert_eq!(large.wait, Duration::from_millis(1_200));
+}
+
+#[test]
+fn a_silent_watch_is_noticed_within_the_bound_and_not_by_all_at_once() {
+    let mut checks = Vec::new();
+    for number in 0..100 {
+        let duty = WatchDuty::new(&format!("gateway-{number}"), BOUND);
+        for place in [Place::All, Place::Chosen, Place::Other] {
+            let patience = duty.patience(place);
+            assert!(patience.check_after < BOUND.mul_f64(0.85), "{patience:?}");
+            // Watches that come back in time are not doubled.
+            let waits_alone = place == Place::All || patience.check_after > patience.wait;
+            assert!(waits_alone, "{patience:?}");
+        }
+        checks.push(duty.patience(Place::All).check_after);
+    }
+    let first = checks.iter().min().expect("some");
+    let soon = checks
+        .iter()
+        .filter(|check| **check < *first + Duration::from_millis(20));
+    assert!(soon.count() < 15);
 }
