--- a/crates/node/tests/resident_silence.rs
+++ b/crates/node/tests/resident_silence.rs
@@ -73,7 +73,17 @@
 
 #[test]
 fn watches_that_fall_silent_for_good_are_replaced_in_time() {
-    let (mut deployment, engine) = in_step(GATEWAYS);
+    replaces_silent_watches(GATEWAYS);
+}
+
+/// More gateways than all of which watch.
+#[test]
+fn a_large_fleet_replaces_silent_watches_in_time() {
+    replaces_silent_watches(18);
+}
+
+fn replaces_silent_watches(gateways: u8) {
+    let (mut deployment, engine) = in_step(gateways);
     deployment.store_link.set_fault(LinkFault::Stalled);
     std::thread::sleep(Duration::from_millis(50));
     deployment.store_link.set_fault(LinkFault::None);
@@ -93,5 +103,5 @@
         before,
         "an engine that leaves got work"
     );
-    assert!(next.runs().len() >= 10 * usize::from(GATEWAYS));
+    assert!(next.runs().len() >= 10 * usize::from(gateways));
 }
