Links to other nodes that fall silent are replaced, and what was asked goes again

A connection that falls silent without breaking answered nobody any more, every request to that node timed out, and detours through other gateways rest on links of the same kind. Nodes that are asked close links by which nothing comes for 30 s. Test, seen failing before: TimedOut for every request after the silence; after: answered within 0.8 s, the next within 0.1 s; a node that never answers is connected to at most once in 2 s.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -265,7 +265,12 @@
         let engines = view.with_engines(|table| table.len() as u64);
         metrics.engines.set(whole(engines));
         metrics.replica_set_epoch.set(whole(view.epoch().0));
-        metrics.store_calls.set(whole(self.node.store.calls()));
+        let store = &self.node.store;
+        metrics.store_calls.set(whole(store.calls()));
+        metrics.store_checks.set(whole(store.checks()));
+        metrics.silent_watches.set(whole(store.silent_watches()));
+        let silent_links = self.node.links.replaced();
+        metrics.silent_links.set(whole(silent_links));
     }
 }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -60,6 +60,12 @@
     pub replica_set_epoch: Gauge,
     /// Calls to the platform's store.
     pub store_calls: Gauge,
+    /// Calls beside a watch that said nothing.
+    pub store_checks: Gauge,
+    /// Watches that had missed changes.
+    pub silent_watches: Gauge,
+    /// Links to other nodes that were replaced because they were silent.
+    pub silent_links: Gauge,
 }
 
 fn times() -> Histogram {
@@ -88,6 +94,9 @@
             engines: Gauge::default(),
             replica_set_epoch: Gauge::default(),
             store_calls: Gauge::default(),
+            store_checks: Gauge::default(),
+            silent_watches: Gauge::default(),
+            silent_links: Gauge::default(),
         };
         metrics.register_requests(registry);
         metrics.register_times(registry);
@@ -179,6 +188,21 @@
                 "Calls to the platform's store so far",
                 &self.store_calls,
             ),
+            (
+                "store_checks",
+                "Calls to the platform's store beside a watch that said nothing, so far",
+                &self.store_checks,
+            ),
+            (
+                "silent_watches",
+                "Watches of the platform's store that had missed changes, so far",
+                &self.silent_watches,
+            ),
+            (
+                "silent_links",
+                "Links to other nodes that were replaced because they were silent, so far",
+                &self.silent_links,
+            ),
         ];
         for (name, help, gauge) in gauges {
             registry.register(name, help, gauge.clone());
--- a/crates/resident/src/peer/server.rs
+++ b/crates/resident/src/peer/server.rs
@@ -17,6 +17,9 @@
 
 /// Replies that may wait for a slow reader before its connection is read no further.
 const MAX_WAITING_REPLIES: usize = 256;
+/// A link by which nothing is asked for so long is closed, somewhat later than whoever asks closes it: its connection may
+/// have fallen silent for good, and would be held for ever.
+const IDLE_LIMIT: Duration = Duration::from_secs(30);
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Takes requests of other nodes.
@@ -54,7 +57,7 @@
             }
         }
     });
-    while let Some(Ok(frame)) = reader.next().await {
+    while let Ok(Some(Ok(frame))) = tokio::time::timeout(IDLE_LIMIT, reader.next()).await {
         let Ok(envelope) = decode::<Envelope<PeerRequest>>(&frame) else {
             break;
         };
--- /dev/null
+++ b/crates/resident/tests/silent_links.rs
@@ -0,0 +1,101 @@
+//! Links to other nodes whose connections fall silent for good while new ones work.
+//!
+//! A link was kept until its connection broke. One that fell silent without a break answered nobody any more, and every
+//! request to that node timed out for as long as the process lived.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use ridgeworks_platform_stand_ins::{Link, LinkFault};
+use ridgeworks_resident::peer::{LinkError, PeerLinks, PeerReply, PeerRequest, PeerService, serve};
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+const IP: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
+const TIMEOUT: Duration = Duration::from_millis(800);
+/// A link this old is replaced when it is silent.
+const SETTLED: Duration = Duration::from_millis(2_100);
+
+struct NobodyKnown;
+
+impl PeerService for NobodyKnown {
+    fn on_request(&self, _request: PeerRequest, reply: oneshot::Sender<PeerReply>) {
+        // Whoever asked may be gone.
+        let _ = reply.send(PeerReply::Members(Vec::new()));
+    }
+}
+
+struct Never;
+
+impl PeerService for Never {
+    fn on_request(&self, _request: PeerRequest, reply: oneshot::Sender<PeerReply>) {
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(Duration::from_secs(60)).await;
+            drop(reply);
+        });
+    }
+}
+
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, test);
+}
+
+fn free_address() -> SocketAddr {
+    let listener = std::net::TcpListener::bind((IP, 0)).expect("a free port");
+    listener.local_addr().expect("a bound listener")
+}
+
+async fn linked(service: impl PeerService) -> Link {
+    let address = free_address();
+    serve(address, Rc::new(service)).await.expect("a free port");
+    Link::start(IP, address)
+}
+
+async fn ask(links: &PeerLinks, link: &Link) -> Result<PeerReply, LinkError> {
+    links
+        .call(link.addr(), PeerRequest::ListMembers, TIMEOUT)
+        .await
+}
+
+#[test]
+fn a_link_that_fell_silent_is_replaced_and_its_requests_are_sent_again() {
+    run(async {
+        let link = linked(NobodyKnown).await;
+        let links = PeerLinks::default();
+        assert!(ask(&links, &link).await.is_ok());
+        tokio::time::sleep(SETTLED).await;
+        assert!(ask(&links, &link).await.is_ok());
+        link.set_fault(LinkFault::Stalled);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        link.set_fault(LinkFault::None);
+        let began = Instant::now();
+        let (one, two) = tokio::join!(ask(&links, &link), ask(&links, &link));
+        assert!(one.is_ok(), "{one:?}");
+        assert!(two.is_ok(), "{two:?}");
+        assert!(began.elapsed() < TIMEOUT);
+        let began = Instant::now();
+        assert!(ask(&links, &link).await.is_ok());
+        assert!(
+            began.elapsed() < Duration::from_millis(100),
+            "the new link is kept"
+        );
+    });
+}
+
+#[test]
+fn a_node_that_does_not_answer_is_not_connected_to_again_and_again() {
+    run(async {
+        let link = linked(Never).await;
+        let links = PeerLinks::default();
+        for _ in 0..10 {
+            assert_eq!(ask(&links, &link).await, Err(LinkError::TimedOut));
+        }
+        // Eight seconds, and a replacement each two at most.
+        assert!(links.replaced() <= 4, "{}", links.replaced());
+    });
+}
