A route is called missing only while the configuration is confirmed within its bound

Cause, of the incident's class: gateways that had not heard from the store for up to 12 s still answered 404 to routes that had been added meanwhile; clients do not come back after that. The figure came from watches that confirm every eight seconds, which they no longer do alone. Beyond the bound the answer is 503 with a time to come back. What an answer of the store confirms counts at once, no longer 200 ms later with the end of the gathering: the new assertion found gateways uncertain for so long after each change.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -224,12 +224,12 @@
     header.to_str().ok().map(str::to_owned)
 }
 
-/// A gateway that has not heard of the newest configuration for long cannot be certain.
+/// A gateway that nobody has confirmed the configuration to within its bound cannot be certain: the route may have been
+/// added meanwhile, and a client does not come back after being told that there is none.
 fn no_route(gateway: &Gateway) -> Refusal {
-    /// A watch that waits confirms the configuration every eight seconds.
-    const UNCERTAIN_AFTER: Duration = Duration::from_secs(12);
+    let bound = gateway.node.settings.bounds.configuration();
     let age = gateway.node.view.unconfirmed_for();
-    if age.is_some_and(|age| age < UNCERTAIN_AFTER) {
+    if age.is_some_and(|age| age < bound) {
         Refusal::last(RefusalReason::NoRoute)
     } else {
         Refusal::come_back(RefusalReason::ConfigurationStale, COME_BACK)
--- a/crates/node/tests/resident_silence.rs
+++ b/crates/node/tests/resident_silence.rs
@@ -67,8 +67,15 @@
     std::thread::sleep(Duration::from_secs(4));
     move_routes(&mut deployment, "/moved/");
     assert!(all_serve(&deployment, "/first/x"), "served on meanwhile");
+    let gateway = &deployment.gateways[0];
+    assert_eq!(
+        status(gateway, "/moved/x"),
+        503,
+        "the route may be there by now"
+    );
     deployment.store_link.set_fault(LinkFault::None);
     assert_in_force_in_time(&deployment, "/moved/x", Instant::now());
+    assert_eq!(status(&deployment.gateways[0], "/first/x"), 404);
 }
 
 #[test]
--- a/crates/resident/src/watching.rs
+++ b/crates/resident/src/watching.rs
@@ -163,6 +163,7 @@
     async fn list_all(&mut self) -> Result<(), FollowError> {
         let (objects, at) = list_objects(&self.store, self.kind).await?;
         self.follower.on_list(objects, at);
+        self.on_answered();
         self.at = Some(at);
         self.must_list = false;
         Ok(())
@@ -239,6 +240,8 @@
         self.at = Some(batch.at.max(at));
         let has_changes = !batch.events.is_empty();
         self.follower.on_events(batch.events, batch.at);
+        // What is known is confirmed from now on, not only once further changes have been gathered.
+        self.on_answered();
         if has_changes {
             tokio::time::sleep(GATHERING).await;
         }
@@ -260,7 +263,6 @@
             );
         }
         self.failures = 0;
-        self.on_answered();
     }
 
     async fn on_error(&mut self, error: &FollowError) {
