--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: laboratory test platform-test platform-day platform-soak format lint build generate bench-scheduling experiment bench-storage check-generated demo bench compare-detectors chaos chaos-quick chaos-weakened simulate check-engine-model
+.PHONY: laboratory test soak-short platform-test platform-day platform-soak format lint build generate bench-scheduling experiment bench-storage check-generated demo bench compare-detectors chaos chaos-quick chaos-weakened simulate check-engine-model
 
 # Two conversations on a small deployment; the last line is one JSON object.
 demo:
@@ -17,8 +17,16 @@
 test: format lint
 	cargo build --workspace --bins --locked
 	@for test in $(KNOWN_RED); do echo "known red, passed over:"; grep "^$$test " KNOWN-RED.txt; done
+	$(MAKE) soak-short
 	cargo test --workspace --locked -- $(KNOWN_RED:%=--skip %)
 
+# The fault soak with fixed seeds, about a minute; what CI runs. Built by the target `test`.
+SHORT_SOAK_SEEDS := 1 2
+soak-short:
+	for seed in $(SHORT_SOAK_SEEDS); do \
+	  target/debug/ridgeworks-platform-day --faults --seconds 20 --seed $$seed || exit 1; \
+	done
+
 format:
 	cargo fmt --all --check
 
