Links just made for a request do not pass for replaced ones, and replaced ones may answer for longer

Found by reading: a request by a new link to a node slower than 350 ms was sent twice (test seen failing: asked 2 times), and answers that take over 2 s, as copies may, would have been broken off with a replaced link. Confirmations go to members drawn at random.

--- a/crates/resident/src/peer/gossip.rs
+++ b/crates/resident/src/peer/gossip.rs
@@ -193,7 +193,7 @@
                     has_news = false;
                     self.send_news(&*sources).await;
                 }
-                () = self.view.confirmation() => self.tell_all(&*sources).await,
+                () = self.view.confirmation() => self.send_confirmation(&*sources).await,
                 received = self.socket.recv_from(&mut buffer) => {
                     if let Ok((length, from)) = received {
                         self.on_datagram(&buffer[..length], from, &*sources).await;
@@ -213,27 +213,24 @@
     /// large fleet knows long before everybody's turn for a heartbeat has come. In a small one
     /// everybody hears from the store itself.
     async fn send_news(&self, sources: &impl GossipSources) {
-        let targets: Vec<SocketAddr> = {
-            let members = self.members.borrow();
-            if members.len() < SMALL_FLEET {
-                return;
-            }
-            let all: Vec<&Member> = members.iter().collect();
-            let some = all.sample(&mut rand::rng(), FAN_OUT);
-            some.map(|member| member.info.address).collect()
-        };
-        self.send_to(targets, sources).await;
+        if self.members.borrow().len() < SMALL_FLEET {
+            return;
+        }
+        self.send_to(self.some_members(FAN_OUT), sources).await;
     }
 
     /// Tells that the store has just confirmed what this node knows: everybody in a small fleet, so that one question
     /// does for all.
-    async fn tell_all(&self, sources: &impl GossipSources) {
-        let targets: Vec<SocketAddr> = {
-            let members = self.members.borrow();
-            let all = members.iter().take(SMALL_FLEET);
-            all.map(|member| member.info.address).collect()
-        };
-        self.send_to(targets, sources).await;
+    async fn send_confirmation(&self, sources: &impl GossipSources) {
+        self.send_to(self.some_members(SMALL_FLEET), sources).await;
+    }
+
+    /// Addresses of so many other nodes, drawn at random.
+    fn some_members(&self, most: usize) -> Vec<SocketAddr> {
+        let members = self.members.borrow();
+        let all: Vec<&Member> = members.iter().collect();
+        let some = all.sample(&mut rand::rng(), most);
+        some.map(|member| member.info.address).collect()
     }
 
     async fn send_to(&self, targets: Vec<SocketAddr>, sources: &impl GossipSources) {
--- a/crates/resident/src/peer/links.rs
+++ b/crates/resident/src/peer/links.rs
@@ -29,8 +29,10 @@
 /// shorter than the patience after which gateways take a detour.
 const SILENCE: Duration = Duration::from_millis(350);
 /// A link is not replaced sooner after it was made, so that a node which is slow for all is not asked twice for
-/// everything, nor one that stands still connected to again and again. Also how long the replaced one may still answer.
+/// everything, nor one that stands still connected to again and again.
 const REPLACE_PAUSE: Duration = Duration::from_secs(2);
+/// How long a replaced link may still answer; longer than any answer is waited for.
+const REPLACED_LIFETIME: Duration = Duration::from_secs(10);
 
 /// Why a request to another node has no reply. It may have been carried out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -121,9 +123,10 @@
         request: PeerRequest,
         timeout: Duration,
     ) -> Result<PeerReply, LinkError> {
+        let mut first = self.send(to, request.clone())?;
+        // After a link was made for the request, so that it does not pass for a replacement.
         let began = Instant::now();
         let limit = began + timeout;
-        let mut first = self.send(to, request.clone())?;
         if let Ok(reply) = tokio::time::timeout_at(limit.min(began + SILENCE), &mut first).await {
             return received(reply);
         }
@@ -200,7 +203,7 @@
             "silent link to a node replaced"
         );
         tokio::task::spawn_local(async move {
-            tokio::time::sleep(REPLACE_PAUSE).await;
+            tokio::time::sleep(REPLACED_LIFETIME).await;
             old.running.abort();
         });
         true
--- a/crates/resident/tests/silent_links.rs
+++ b/crates/resident/tests/silent_links.rs
@@ -3,6 +3,7 @@
 //! A link was kept until its connection broke. One that fell silent without a break answered nobody any more, and every
 //! request to that node timed out for as long as the process lived.
 
+use std::cell::Cell;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
@@ -26,6 +27,20 @@
     }
 }
 
+/// Answers late, and counts what it was asked.
+struct Slow(Rc<Cell<usize>>);
+
+impl PeerService for Slow {
+    fn on_request(&self, _request: PeerRequest, reply: oneshot::Sender<PeerReply>) {
+        self.0.set(self.0.get() + 1);
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(Duration::from_millis(500)).await;
+            // Whoever asked may be gone.
+            let _ = reply.send(PeerReply::Members(Vec::new()));
+        });
+    }
+}
+
 struct Never;
 
 impl PeerService for Never {
@@ -87,6 +102,17 @@
     });
 }
 
+#[test]
+fn a_slow_node_is_not_asked_twice_by_a_link_that_was_just_made() {
+    run(async {
+        let asked = Rc::<Cell<usize>>::default();
+        let link = linked(Slow(Rc::clone(&asked))).await;
+        let links = PeerLinks::default();
+        assert!(ask(&links, &link).await.is_ok());
+        assert_eq!(asked.get(), 1);
+    });
+}
+
 #[test]
 fn a_node_that_does_not_answer_is_not_connected_to_again_and_again() {
     run(async {
