--- a/crates/replica/src/disk.rs
+++ b/crates/replica/src/disk.rs
@@ -8,7 +8,7 @@
 use std::ops::ControlFlow;
 use std::path::Path;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use ridgeworks_records::{Change, RecordKey, ReplicaId, ReplicaState, StoredRecord};
 use ridgeworks_storage::{Store, StoreCreationId, StoreError, StoreOperation, StoreSettings};
@@ -25,10 +25,6 @@
 const REST_FACTOR: u32 = 3;
 /// Memory for cached pages of the database, in bytes; records are answered from memory anyway.
 const CACHE_BYTES: usize = 4 * 1024 * 1024;
-/// Bounds of the rest after a transaction. Without a rest 400 turns a second took 497 transactions a second and 0.205 cores,
-/// with it 89 and 0.097 (`make bench-replica`).
-const LEAST_COMMIT_REST: Duration = Duration::from_millis(10);
-const MOST_COMMIT_REST: Duration = Duration::from_millis(25);
 
 /// Why records cannot be read or written.
 #[derive(Debug)]
@@ -75,8 +71,6 @@
     let creation = StoreCreationId(rand::random());
     let mut settings = StoreSettings::new(folder, node_name, creation);
     settings.cache_bytes = CACHE_BYTES;
-    settings.least_rest = LEAST_COMMIT_REST;
-    settings.most_rest = MOST_COMMIT_REST;
     let opened = Store::open(&settings)?;
     let creation = opened.store.identity().creation_id;
     // Half of the number is random enough to tell one life of a disk from another.
--- a/crates/storage/src/settings.rs
+++ b/crates/storage/src/settings.rs
@@ -1,7 +1,6 @@
 //! Settings of a replica's store.
 
 use std::path::PathBuf;
-use std::time::Duration;
 
 use crate::identity::StoreCreationId;
 
@@ -24,12 +23,6 @@
     pub max_waiting_batches: usize,
     /// Bytes of values after which a group takes in no further batch.
     pub max_commit_bytes: usize,
-    /// The least rest of the writer after a transaction. What comes meanwhile shares the next transaction; what comes
-    /// later waits for nothing.
-    pub least_rest: Duration,
-    /// The longest rest. It grows with the time that the transaction took, so that a disk or processor that is short is
-    /// left longer in peace.
-    pub most_rest: Duration,
 }
 
 impl StoreSettings {
@@ -46,8 +39,6 @@
             cache_bytes: DEFAULT_CACHE_BYTES,
             max_waiting_batches: DEFAULT_MAX_WAITING_BATCHES,
             max_commit_bytes: DEFAULT_MAX_COMMIT_BYTES,
-            least_rest: Duration::ZERO,
-            most_rest: Duration::ZERO,
         }
     }
 }
--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -101,8 +101,6 @@
             database: Arc::clone(&database),
             batches,
             max_commit_bytes: settings.max_commit_bytes,
-            least_rest: settings.least_rest,
-            most_rest: settings.most_rest,
             counters: Arc::clone(&counters),
             failed: Arc::clone(&failed),
         };
--- a/crates/storage/src/writer.rs
+++ b/crates/storage/src/writer.rs
@@ -3,7 +3,7 @@
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use crossbeam_channel::Receiver;
 use redb::{Database, Durability};
@@ -13,17 +13,11 @@
 use crate::operation::WriteBatch;
 use crate::tables::WriteTables;
 
-/// How many times as long as a transaction took the writer rests, within the bounds of the settings: transactions take
-/// a fifth of its time at most.
-const REST_FACTOR: u32 = 4;
-
 /// State of the writer's thread.
 pub(crate) struct Writer {
     pub database: Arc<Database>,
     pub batches: Receiver<WriteBatch>,
     pub max_commit_bytes: usize,
-    pub least_rest: Duration,
-    pub most_rest: Duration,
     pub counters: Arc<StoreCounters>,
     pub failed: Arc<AtomicBool>,
 }
@@ -32,19 +26,9 @@
     /// Runs until all senders are gone and what they sent is answered.
     pub(crate) fn run(self) {
         while let Ok(first) = self.batches.recv() {
-            let started = Instant::now();
             let group = self.collect_group(first);
             let outcome = self.commit(&group);
             complete(group, &outcome);
-            self.rest(started.elapsed());
-        }
-    }
-
-    /// Lets what comes next gather: a transaction costs about the same with one change and with ten.
-    fn rest(&self, taken: Duration) {
-        let rest = (taken * REST_FACTOR).clamp(self.least_rest, self.most_rest);
-        if !rest.is_zero() {
-            std::thread::sleep(rest);
         }
     }
 
