A late node is not taken for a silent link: links are held against new ones before they are replaced

Cause: a link on which nothing came for 350 ms was replaced and everything open there sent again, after 400 ms another gateway was asked to pass the request on, after 250 ms the two spare voters were asked as well. Voters that were late for all got each request twice and more, and stayed late after the cause was over. Now both links ask the same small question, and the new one takes the place only if it is answered first; all three times grow to three times the node's slowest answer lately; settlements wait 3 s for one replica in place of 0.7; what nobody waits for any more is not sent. Weighed: heartbeats as proof of life (a gateway of a large fleet hears a given voter every nine seconds); a longer bound alone (a silent link would then cost each request its whole time). Tests seen failing on the code before: a busy node got 49 requests of 30; 84 MB of requests that had been given up were sent; a detour was taken to a replica that was slow for all.

--- a/crates/gateway/src/node_network.rs
+++ b/crates/gateway/src/node_network.rs
@@ -53,6 +53,13 @@
         address.is_ok_and(|address| self.0.links.is_heard_since(address, since))
     }
 
+    fn slowest_answer(&self, replica: &Replica) -> Duration {
+        let address = replica.address.parse();
+        address.map_or(Duration::ZERO, |address| {
+            self.0.links.slowest_answer(address)
+        })
+    }
+
     fn relays(&self) -> Vec<SocketAddr> {
         let now = self.0.clock.now();
         let members = self.0.gossip.members().into_iter();
--- a/crates/gateway/src/records_client.rs
+++ b/crates/gateway/src/records_client.rs
@@ -22,7 +22,6 @@
 use ridgeworks_resident::view::Source;
 use tokio::sync::Notify;
 use tokio::time::{Instant, MissedTickBehavior};
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::node_network::NodeNetwork;
 use crate::quorum_health::QuorumHealth;
@@ -47,13 +46,16 @@
 const GENERAL_LOSS: Duration = Duration::from_secs(1);
 /// How long a replica may be silent before the others are asked too. Busy replicas take 0.1 s and more, and a gateway of
 /// a large fleet hears each of them a few times a second only: a shorter time would ask all of them for everything
-/// just when they are busy.
+/// just when they are busy. Where their answers took long lately, it is longer.
 const SPARE_PATIENCE: Duration = Duration::from_millis(250);
 /// How long one search for a majority that was lost goes on before it starts anew with the newest set.
 const SEARCH_TIME: Duration = Duration::from_secs(2);
 /// How often settlements are sent; the bound on their age is a second, and a busy replica takes a part of it.
 /// Each sending is a request to a majority of the replicas, however many settlements it has.
 const SETTLE_INTERVAL: Duration = Duration::from_millis(450);
+/// How long one replica may take for settlements before it is asked again. Nobody waits for them, and what is asked again
+/// while it still waits at a busy replica is work for nothing.
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(3);
 /// How long settling is tried.
 const SETTLE_PATIENCE: Duration = Duration::from_secs(15);
 
@@ -129,6 +131,8 @@
     /// only if one of them is silent or cannot take it; turns go to all (`docs/design/large-fleets.md`, "What
     /// replicas are asked").
     program: Option<&'a ProgramId>,
+    /// How long one replica may take before it is asked again.
+    timeout: Duration,
 }
 
 /// How a write under one set ended.
@@ -232,6 +236,7 @@
                     name: "search",
                     subject: "",
                     program: None,
+                    timeout: REPLICA_TIMEOUT,
                 };
                 // The outcome is noted; a search in vain is followed by another one.
                 let _ = self.write(make, operation, limit).await;
@@ -259,6 +264,7 @@
             name: "reserve",
             subject: &turn.0,
             program: Some(program),
+            timeout: REPLICA_TIMEOUT,
         };
         self.write(make, operation, limit).await
     }
@@ -291,6 +297,7 @@
             name: "settle",
             subject: "",
             program: settlements.first().map(|first| &first.program),
+            timeout: SETTLE_TIMEOUT,
         };
         if self.write(make, operation, limit).await.is_err() {
             for settlement in &settlements {
@@ -330,6 +337,7 @@
             name: "append",
             subject: &record.turn.0,
             program: None,
+            timeout: REPLICA_TIMEOUT,
         };
         self.write(make, operation, limit).await.map(drop)
     }
@@ -378,7 +386,7 @@
     ) -> Option<ChainOutcome> {
         loop {
             let epoch = read.set().epoch;
-            for replica in self.in_order(read.candidates(), None) {
+            for replica in self.in_order(read.candidates(), "") {
                 let turn = read.wanted().clone();
                 let request = ReplicaRequest::ReadChain { epoch, turn };
                 let reply = self.paths.ask(&replica, request, READ_TIMEOUT).await;
@@ -451,18 +459,28 @@
     ) -> WriteEnd {
         let mut changes = self.node.view.changes();
         let members = set.members().into_iter().cloned().collect();
-        let members = self.in_order(members, operation.program);
+        let subject = operation.program.map_or("", |program| &program.0);
+        let members = self.in_order(members, subject);
         let first = match operation.program {
             Some(_) => set.write_quorum(),
             None => members.len(),
         };
         let (first, rest) = members.split_at(first);
         let mut spare = rest.iter();
-        let ask = |member: &Replica| self.ask_later(member, request.clone(), None, Duration::ZERO);
+        let ask = |member: &Replica| {
+            self.ask_later(
+                member,
+                request.clone(),
+                operation.timeout,
+                None,
+                Duration::ZERO,
+            )
+        };
         let mut asked: Asked = first.iter().map(ask).collect();
         let mut write = QuorumWrite::new(set);
         let began = Instant::now();
-        let mut patience = pin!(tokio::time::sleep(SPARE_PATIENCE));
+        let spare_patience = self.paths.patience(first, SPARE_PATIENCE);
+        let mut patience = pin!(tokio::time::sleep(spare_patience));
         loop {
             let (from, reply) = tokio::select! {
                 Some(reply) = asked.next() => reply,
@@ -470,7 +488,7 @@
                     if self.paths.suspect_silent(first, began) {
                         asked.extend(spare.by_ref().map(ask));
                     }
-                    patience.as_mut().reset(Instant::now() + SPARE_PATIENCE);
+                    patience.as_mut().reset(Instant::now() + spare_patience);
                     continue;
                 }
                 _ = changes.changed() => match self.newer_than(write.set().epoch) {
@@ -509,7 +527,8 @@
                 } else {
                     RETRY_PAUSE
                 };
-                asked.push(self.ask_later(member, request.clone(), teach, pause));
+                let timeout = operation.timeout;
+                asked.push(self.ask_later(member, request.clone(), timeout, teach, pause));
             }
         }
     }
@@ -524,6 +543,7 @@
         &self,
         member: &Replica,
         request: ReplicaRequest,
+        timeout: Duration,
         teach: Option<ReplicaSet>,
         pause: Duration,
     ) -> Pin<Box<dyn Future<Output = Reply>>> {
@@ -540,23 +560,14 @@
                     return (member.id, Err(error));
                 }
             }
-            let reply = paths.ask(&member, request, REPLICA_TIMEOUT).await;
+            let reply = paths.ask(&member, request, timeout).await;
             (member.id, reply)
         })
     }
 
-    /// Replicas that answered lately first, among them those that are reached straight, then that of the own
-    /// zone, then by a hash of the program, so that the replicas share the work.
-    fn in_order(&self, mut replicas: Vec<Replica>, program: Option<&ProgramId>) -> Vec<Replica> {
-        let seed = program.map_or(0, |program| xxh3_64(program.0.as_bytes()));
-        replicas.sort_by_cached_key(|replica| {
-            let is_suspected = self.paths.is_suspected(replica.id);
-            let is_closed = !self.paths.is_open(replica.id);
-            let is_far = replica.zone != self.node.settings.zone;
-            let rank = xxh3_64_with_seed(replica.node.as_bytes(), seed);
-            (is_suspected, is_closed, is_far, rank)
-        });
-        replicas
+    fn in_order(&self, replicas: Vec<Replica>, subject: &str) -> Vec<Replica> {
+        let zone = &self.node.settings.zone;
+        self.paths.in_order(replicas, zone, subject)
     }
 
     /// The replica set; waits until one is known.
--- a/crates/gateway/src/replica_paths.rs
+++ b/crates/gateway/src/replica_paths.rs
@@ -16,11 +16,13 @@
 use rand::seq::IndexedRandom;
 use ridgeworks_records::{Replica, ReplicaId, ReplicaReply, ReplicaRequest};
 use ridgeworks_resident::clock::whole_ms;
-use ridgeworks_resident::peer::LinkError;
+use ridgeworks_resident::peer::{LinkError, patience};
 use tokio::time::Instant;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// How long a request may be open while nothing at all comes from its replica before another gateway is asked
-/// too. A busy replica answers other requests meanwhile, and a turn waits for 0.7 s in all.
+/// too. A busy replica answers other requests meanwhile, and a turn waits for 0.7 s in all. A replica that was slow lately is
+/// given longer: a detour asks it once more.
 const SILENCE: Duration = Duration::from_millis(400);
 /// How long another gateway may take to pass a request on and its answer back.
 pub const RELAY_TIMEOUT: Duration = Duration::from_millis(500);
@@ -49,6 +51,8 @@
     fn ask_by(&self, relay: SocketAddr, replica: &Replica, request: ReplicaRequest) -> Answering;
     /// Whether anything has come straight from a replica since then.
     fn is_heard_since(&self, replica: &Replica, since: Instant) -> bool;
+    /// How long the slowest answer took that came straight from a replica lately.
+    fn slowest_answer(&self, replica: &Replica) -> Duration;
     /// Gateways that were heard lately.
     fn relays(&self) -> Vec<SocketAddr>;
 }
@@ -140,7 +144,8 @@
         loop {
             let waited_since = Instant::now();
             // An error that comes at once is the machine's own: a detour would end there as well.
-            if let Ok(reply) = tokio::time::timeout(SILENCE, &mut straight).await {
+            let patience = patience(self.network.slowest_answer(replica), SILENCE);
+            if let Ok(reply) = tokio::time::timeout(patience, &mut straight).await {
                 return reply;
             }
             if !self.network.is_heard_since(replica, waited_since) {
@@ -237,6 +242,27 @@
         self.suspect(replica);
     }
 
+    /// How long the slowest of these replicas may say nothing, at least this long.
+    pub fn patience(&self, replicas: &[Replica], least: Duration) -> Duration {
+        let slowest = |replica| self.network.slowest_answer(replica);
+        let slowest = replicas.iter().map(slowest).max();
+        patience(slowest.unwrap_or_default(), least)
+    }
+
+    /// The order in which replicas are asked. Those that answered lately come first, among them those that are reached straight,
+    /// then those of the own zone, then by a hash of what is asked for, so that the replicas share the work.
+    pub fn in_order(&self, mut replicas: Vec<Replica>, zone: &str, subject: &str) -> Vec<Replica> {
+        let seed = xxh3_64(subject.as_bytes());
+        replicas.sort_by_cached_key(|replica| {
+            let is_suspected = self.is_suspected(replica.id);
+            let is_closed = !self.is_open(replica.id);
+            let is_far = replica.zone != zone;
+            let rank = xxh3_64_with_seed(replica.node.as_bytes(), seed);
+            (is_suspected, is_closed, is_far, rank)
+        });
+        replicas
+    }
+
     /// Suspects those of these replicas from which nothing has come since then; says whether there are any.
     pub fn suspect_silent(&self, replicas: &[Replica], since: Instant) -> bool {
         let is_silent = |replica: &&Replica| !self.network.is_heard_since(replica, since);
--- a/crates/gateway/tests/replica_paths.rs
+++ b/crates/gateway/tests/replica_paths.rs
@@ -39,6 +39,7 @@
     straight: Cell<Conduct>,
     /// Whether other answers come straight meanwhile.
     is_busy: Cell<bool>,
+    slowest_answer: Cell<Duration>,
     relays: Vec<Conduct>,
     asked: RefCell<Vec<SocketAddr>>,
 }
@@ -48,6 +49,7 @@
         Rc::new(Self {
             straight: Cell::new(straight),
             is_busy: Cell::new(false),
+            slowest_answer: Cell::default(),
             relays: relays.to_vec(),
             asked: RefCell::default(),
         })
@@ -76,6 +78,10 @@
         self.is_busy.get()
     }
 
+    fn slowest_answer(&self, _replica: &Replica) -> Duration {
+        self.slowest_answer.get()
+    }
+
     fn relays(&self) -> Vec<SocketAddr> {
         let ports = 0..u16::try_from(self.relays.len()).unwrap();
         let address = |port| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
@@ -270,3 +276,18 @@
     assert_eq!(health.on_reached(), None);
     assert!(!health.is_lost());
 }
+
+/// Replicas that were late for all were asked for each request again by way of other gateways, which made them later.
+#[tokio::test(start_paused = true)]
+async fn a_replica_that_was_slow_lately_is_not_asked_again_by_a_detour() {
+    let slow = Duration::from_millis(600);
+    let network = FakeNetwork::new(Conduct::Answers(slow), &[Conduct::Answers(ANSWER)]);
+    network.slowest_answer.set(Duration::from_millis(300));
+    let paths = Rc::new(ReplicaPaths::new(
+        Rc::clone(&network) as Rc<dyn ReplicaNetwork>
+    ));
+    let (reply, waited) = LocalSet::new().run_until(ask(&paths)).await;
+    assert!(reply.is_ok());
+    assert!(network.asked.borrow().is_empty(), "no detour");
+    assert_eq!(waited, slow);
+}
--- a/crates/resident/src/peer/links.rs
+++ b/crates/resident/src/peer/links.rs
@@ -1,261 +1,303 @@
-//! Links to other nodes: one TCP connection a node, many requests at once.
+//! All links of a node, one to each other node.
+//!
+//! A connection may fall silent for good while new ones work, and a node may be late because it has too much to do. From one
+//! connection both look alike, and what helps against the first feeds the second: a new connection and everything
+//! asked once more. So a link that says nothing is held against a new one: both ask the node the same, and only if the new one is answered
+//! first is the old one replaced (`docs/operations/silence.md`).
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::fmt;
 use std::net::SocketAddr;
-use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures_util::future::{Either, select};
-use futures_util::{SinkExt, StreamExt};
-use tokio::sync::{mpsc, oneshot};
-use tokio::task::JoinHandle;
-use tokio::time::Instant;
-use tokio_util::codec::Framed;
+use ridgeworks_records::Epoch;
+use tokio::time::{Instant, sleep_until};
 
-use super::codec;
-use super::message::{Envelope, PeerReply, PeerRequest, decode, encode};
+use super::link::{Link, LinkError, LinkState, ReplyReceiver};
+use super::message::{KnownEngines, PeerReply, PeerRequest, ViewPosition};
 use crate::clock::whole_ms;
-use crate::http_client::connect_tcp;
 
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
-/// Requests that may wait for a link.
-const MAX_WAITING: usize = 1_024;
-/// A link that nobody uses for so long is closed.
-const IDLE_LIMIT: Duration = Duration::from_secs(20);
-/// How long nothing may come by a link on which an answer is due; without a bound a silent connection answered nobody for as
-/// long as the process lived, with it a request is answered in under 0.8 s (loopback). Busy replicas answer something within this time; it is
-/// shorter than the patience after which gateways take a detour.
+/// How long nothing may come by a link on which an answer is due, before it is held against a new one. Without a bound a silent
+/// connection answered nobody for as long as the process lived, with it a request is answered in under 0.8 s (loopback).
 const SILENCE: Duration = Duration::from_millis(350);
-/// A link is not replaced sooner after it was made, so that a node which is slow for all is not asked twice for
-/// everything, nor one that stands still connected to again and again.
-const REPLACE_PAUSE: Duration = Duration::from_secs(2);
-/// How long a replaced link may still answer; longer than any answer is waited for.
-const REPLACED_LIFETIME: Duration = Duration::from_secs(10);
+/// A link is not held against a new one sooner after it was made or checked.
+const CHECK_PAUSE: Duration = Duration::from_secs(2);
+/// How long a check goes on where neither link is answered.
+const CHECK_TIME: Duration = Duration::from_secs(2);
+/// A node that takes long for its answers is given this many times as long before its link is checked, so that a check is
+/// made where answers stop and not where they become slower.
+const PACE_FACTOR: u32 = 3;
+/// After this time a slow answer counts for half.
+const PACE_HALF_LIFE: Duration = Duration::from_secs(5);
 
-/// Why a request to another node has no reply. It may have been carried out.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum LinkError {
-    /// No connection could be made.
-    Unreachable,
-    /// The connection broke.
-    Broken,
-    /// Too many requests wait for the link.
-    Full,
-    /// No reply in time.
-    TimedOut,
-    /// The node that was to pass the request on does not reach its receiver either.
-    BeyondRelay,
+/// The slowest answer of a node lately.
+#[derive(Debug, Clone, Copy)]
+struct Pace {
+    slowest: Duration,
+    at: Instant,
 }
 
-impl LinkError {
-    /// Name for logs and metrics.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Unreachable => "unreachable",
-            Self::Broken => "broken",
-            Self::Full => "full",
-            Self::TimedOut => "timed_out",
-            Self::BeyondRelay => "beyond_relay",
+impl Pace {
+    fn new() -> Self {
+        Self {
+            slowest: Duration::ZERO,
+            at: Instant::now(),
         }
     }
-}
 
-impl fmt::Display for LinkError {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str(self.name())
+    fn slowest(&self) -> Duration {
+        let half_lives = self.at.elapsed().as_secs_f64() / PACE_HALF_LIFE.as_secs_f64();
+        self.slowest.mul_f64(0.5_f64.powf(half_lives))
     }
-}
-
-impl std::error::Error for LinkError {}
 
-type ReplySender = oneshot::Sender<Result<PeerReply, LinkError>>;
-type ReplyReceiver = oneshot::Receiver<Result<PeerReply, LinkError>>;
-type Received = Result<Result<PeerReply, LinkError>, oneshot::error::RecvError>;
-
-struct Waiting {
-    request: PeerRequest,
-    reply: ReplySender,
+    fn note(&mut self, taken: Duration) {
+        if taken >= self.slowest() {
+            self.slowest = taken;
+            self.at = Instant::now();
+        }
+    }
 }
 
-/// When something last came from the other node of a link.
-type HeardAt = Rc<Cell<Option<Instant>>>;
+/// How long a node may say nothing whose slowest answer lately took this long, before its silence means anything. At least
+/// this long.
+pub fn patience(slowest_answer: Duration, least: Duration) -> Duration {
+    least.max(slowest_answer * PACE_FACTOR)
+}
 
-struct Link {
-    requests: mpsc::Sender<Waiting>,
-    heard_at: HeardAt,
-    made_at: Instant,
-    running: JoinHandle<()>,
+struct Peer {
+    link: Link,
+    pace: Pace,
+    next_check: Instant,
+    is_checking: bool,
 }
 
-impl Link {
-    fn start(to: SocketAddr) -> Self {
-        let (requests, receiver) = mpsc::channel(MAX_WAITING);
-        let heard_at = HeardAt::default();
-        let running = tokio::task::spawn_local(run_link(to, receiver, Rc::clone(&heard_at)));
-        Self {
-            requests,
-            heard_at,
-            made_at: Instant::now(),
-            running,
-        }
+impl Peer {
+    fn new(to: SocketAddr) -> Self {
+        let mut peer = Self {
+            link: Link::start(to),
+            pace: Pace::new(),
+            next_check: Instant::now(),
+            is_checking: false,
+        };
+        peer.rest();
+        peer
     }
 
-    fn is_heard_since(&self, since: Instant) -> bool {
-        self.heard_at.get().is_some_and(|at| at >= since)
+    fn rest(&mut self) {
+        self.next_check = Instant::now() + CHECK_PAUSE;
     }
 }
 
 /// All links of a node.
 #[derive(Default)]
 pub struct PeerLinks {
-    links: RefCell<HashMap<SocketAddr, Link>>,
-    replaced: Cell<u64>,
+    table: Rc<Table>,
 }
 
 impl PeerLinks {
     /// Asks another node and waits for its reply. A request may reach the node twice: it is sent again where the link
-    /// has fallen silent.
+    /// has fallen silent and a new one has not.
     pub async fn call(
         &self,
         to: SocketAddr,
         request: PeerRequest,
         timeout: Duration,
     ) -> Result<PeerReply, LinkError> {
-        let mut first = self.send(to, request.clone())?;
-        // After a link was made for the request, so that it does not pass for a replacement.
-        let began = Instant::now();
-        let limit = began + timeout;
-        if let Ok(reply) = tokio::time::timeout_at(limit.min(began + SILENCE), &mut first).await {
-            return received(reply);
-        }
-        if !self.is_replaced_since(to, began) && !self.replace_silent(to, began) {
-            return reply_until(limit, first).await;
-        }
-        let second = self.send(to, request)?;
-        let first = reply_until(limit, first);
-        let second = reply_until(limit, second);
-        match select(pin!(first), pin!(second)).await {
-            Either::Left((Ok(reply), _)) | Either::Right((Ok(reply), _)) => Ok(reply),
-            Either::Left((Err(_), second)) => second.await,
-            Either::Right((Err(_), first)) => first.await,
+        let limit = Instant::now() + timeout;
+        let (state, reply) = self.table.send(to, request.clone())?;
+        tokio::select! {
+            // First: what was open on a link that is replaced ends with it.
+            biased;
+            () = self.table.find_replaced(to, &state) => {}
+            reply = self.table.reply(to, reply, limit) => return reply,
         }
+        let (_, reply) = self.table.send(to, request)?;
+        self.table.reply(to, reply, limit).await
     }
 
     /// Links that were replaced because they were silent.
     pub fn replaced(&self) -> u64 {
-        self.replaced.get()
+        self.table.replaced.get()
     }
 
     /// Whether anything has come from another node since then, also an answer that nobody waits for any more.
     pub fn is_heard_since(&self, node: SocketAddr, since: Instant) -> bool {
-        let links = self.links.borrow();
-        let link = links.get(&node);
-        link.is_some_and(|link| link.is_heard_since(since))
+        let peers = self.table.peers.borrow();
+        let peer = peers.get(&node);
+        peer.is_some_and(|peer| peer.link.state.heard_after(since).is_some())
+    }
+
+    /// How long another node's slowest answer took lately, earlier ones counting for less.
+    pub fn slowest_answer(&self, node: SocketAddr) -> Duration {
+        self.table.slowest_answer(node)
+    }
+}
+
+#[derive(Default)]
+struct Table {
+    peers: RefCell<HashMap<SocketAddr, Peer>>,
+    replaced: Cell<u64>,
+}
+
+impl Table {
+    fn send(
+        &self,
+        to: SocketAddr,
+        request: PeerRequest,
+    ) -> Result<(Rc<LinkState>, ReplyReceiver), LinkError> {
+        let mut peers = self.peers.borrow_mut();
+        let peer = peers.entry(to).or_insert_with(|| Peer::new(to));
+        if peer.link.is_closed() {
+            peer.link = Link::start(to);
+            peer.rest();
+        }
+        let reply = peer.link.send(request)?;
+        Ok((Rc::clone(&peer.link.state), reply))
     }
 
-    fn send(&self, to: SocketAddr, request: PeerRequest) -> Result<ReplyReceiver, LinkError> {
-        let (reply, receiver) = oneshot::channel();
-        let waiting = Waiting { request, reply };
-        self.link(to)
-            .try_send(waiting)
-            .map_err(|_| LinkError::Full)?;
-        Ok(receiver)
+    async fn reply(
+        self: &Rc<Self>,
+        to: SocketAddr,
+        reply: ReplyReceiver,
+        limit: Instant,
+    ) -> Result<PeerReply, LinkError> {
+        let began = Instant::now();
+        let Ok(reply) = tokio::time::timeout_at(limit, reply).await else {
+            self.check_if_silent(to, began);
+            return Err(LinkError::TimedOut);
+        };
+        let reply = reply.unwrap_or(Err(LinkError::Broken))?;
+        if let Some(peer) = self.peers.borrow_mut().get_mut(&to) {
+            peer.pace.note(began.elapsed());
+        }
+        Ok(reply)
     }
 
-    fn link(&self, to: SocketAddr) -> mpsc::Sender<Waiting> {
-        let mut links = self.links.borrow_mut();
-        if let Some(link) = links.get(&to)
-            && !link.requests.is_closed()
-        {
-            return link.requests.clone();
+    /// Waits until a link on which an answer is due has said nothing for too long and a new one has taken its place.
+    async fn find_replaced(self: &Rc<Self>, to: SocketAddr, state: &LinkState) {
+        let mut since = Instant::now();
+        loop {
+            let patience = patience(self.slowest_answer(to), SILENCE);
+            sleep_until(since + patience).await;
+            match state.heard_after(since) {
+                Some(heard_at) => since = heard_at,
+                None => break,
+            }
         }
-        let link = Link::start(to);
-        let requests = link.requests.clone();
-        links.insert(to, link);
-        requests
+        self.check(to);
+        state.replaced().await;
     }
 
-    fn is_replaced_since(&self, to: SocketAddr, since: Instant) -> bool {
-        let links = self.links.borrow();
-        links.get(&to).is_some_and(|link| link.made_at > since)
+    fn slowest_answer(&self, to: SocketAddr) -> Duration {
+        let peers = self.peers.borrow();
+        let peer = peers.get(&to);
+        peer.map_or(Duration::ZERO, |peer| peer.pace.slowest())
     }
 
-    /// Makes a new link in place of one on which nothing has come since then. Its connection may have fallen silent for
-    /// good, and then only a new one shows whether the node lives. Answers may still come by the old one for a while.
-    fn replace_silent(&self, to: SocketAddr, since: Instant) -> bool {
-        let mut links = self.links.borrow_mut();
-        let Some(link) = links.get_mut(&to) else {
-            return false;
+    /// Nobody waits for the answer any more, but the next request had better find a link that is answered.
+    fn check_if_silent(self: &Rc<Self>, to: SocketAddr, since: Instant) {
+        let is_silent = {
+            let peers = self.peers.borrow();
+            let peer = peers.get(&to);
+            peer.is_some_and(|peer| peer.link.state.heard_after(since).is_none())
         };
-        if link.is_heard_since(since) || link.made_at.elapsed() < REPLACE_PAUSE {
-            return false;
+        if is_silent && since.elapsed() >= SILENCE {
+            self.check(to);
         }
-        let old = std::mem::replace(link, Link::start(to));
-        drop(links);
-        self.replaced.set(self.replaced.get() + 1);
-        log::info!(
-            target: "dependency",
-            node:% = to,
-            silent_ms = whole_ms(since.elapsed()),
-            link_ms = whole_ms(old.made_at.elapsed());
-            "silent link to a node replaced"
-        );
+    }
+
+    /// Holds the link against a new one, unless that was done just now.
+    fn check(self: &Rc<Self>, to: SocketAddr) {
+        let mut peers = self.peers.borrow_mut();
+        let Some(peer) = peers.get_mut(&to) else {
+            return;
+        };
+        if peer.is_checking || Instant::now() < peer.next_check {
+            return;
+        }
+        let Ok(old) = peer.link.send(question()) else {
+            return;
+        };
+        peer.is_checking = true;
+        let table = Rc::clone(self);
+        let state = Rc::clone(&peer.link.state);
         tokio::task::spawn_local(async move {
-            tokio::time::sleep(REPLACED_LIFETIME).await;
-            old.running.abort();
+            let began = Instant::now();
+            let found = compare(to, old).await;
+            table.finish_check(to, &state, found, began);
         });
-        true
     }
-}
 
-fn received(reply: Received) -> Result<PeerReply, LinkError> {
-    reply.unwrap_or(Err(LinkError::Broken))
+    /// Puts the new link in place of the old one if it was answered first.
+    fn finish_check(&self, to: SocketAddr, state: &Rc<LinkState>, found: Found, began: Instant) {
+        let mut peers = self.peers.borrow_mut();
+        let Some(peer) = peers.get_mut(&to) else {
+            return;
+        };
+        peer.is_checking = false;
+        peer.rest();
+        let link_ms = whole_ms(state.made_at.elapsed());
+        let newer = match found {
+            Found::Silent(newer) => newer,
+            Found::Late => {
+                // Requests may have been given up before their answers came.
+                peer.pace.note(SILENCE + began.elapsed());
+                log::info!(target: "dependency", node:% = to, link_ms = link_ms; "late link to a node kept");
+                return;
+            }
+            Found::Nothing => return,
+        };
+        // The old one may have ended meanwhile, and another one stand in its place.
+        if !Rc::ptr_eq(&peer.link.state, state) {
+            newer.close();
+            return;
+        }
+        self.replaced.set(self.replaced.get() + 1);
+        log::info!(target: "dependency", node:% = to, link_ms = link_ms; "silent link to a node replaced");
+        std::mem::replace(&mut peer.link, newer).replace();
+    }
 }
 
-async fn reply_until(limit: Instant, receiver: ReplyReceiver) -> Result<PeerReply, LinkError> {
-    match tokio::time::timeout_at(limit, receiver).await {
-        Ok(reply) => received(reply),
-        Err(_) => Err(LinkError::TimedOut),
-    }
+/// What a check of a link has found.
+enum Found {
+    /// The node answers by it, late.
+    Late,
+    /// The node answers by a new link, and not by it.
+    Silent(Link),
+    /// The node answers by neither.
+    Nothing,
 }
 
-async fn run_link(to: SocketAddr, mut requests: mpsc::Receiver<Waiting>, heard_at: HeardAt) {
-    // Ends, and with it the receiver, when the connection does; the next request makes a new link.
-    let Ok(stream) = connect_tcp(to, CONNECT_TIMEOUT).await else {
-        requests.close();
-        while let Ok(waiting) = requests.try_recv() {
-            let _ = waiting.reply.send(Err(LinkError::Unreachable));
-        }
-        return;
+/// Asks by a new link what was just asked by the old one.
+async fn compare(to: SocketAddr, old: ReplyReceiver) -> Found {
+    let newer = Link::start(to);
+    let Ok(answer) = newer.send(question()) else {
+        newer.close();
+        return Found::Nothing;
     };
-    let (mut writer, mut reader) = Framed::new(stream, codec()).split();
-    let mut open: HashMap<u64, ReplySender> = HashMap::new();
-    let mut number = 0;
-    loop {
-        tokio::select! {
-            waiting = requests.recv() => {
-                let Some(waiting) = waiting else { break };
-                number += 1;
-                let envelope = Envelope { number, body: waiting.request };
-                let Ok(frame) = encode(&envelope) else { continue };
-                open.retain(|_, reply| !reply.is_closed());
-                open.insert(number, waiting.reply);
-                if writer.send(frame).await.is_err() {
-                    break;
-                }
-            }
-            frame = reader.next() => {
-                let Some(Ok(frame)) = frame else { break };
-                heard_at.set(Some(Instant::now()));
-                let Ok(envelope) = decode::<Envelope<PeerReply>>(&frame) else { break };
-                if let Some(reply) = open.remove(&envelope.number) {
-                    let _ = reply.send(Ok(envelope.body));
-                }
-            }
-            () = tokio::time::sleep(IDLE_LIMIT) => break,
-        }
-    }
+    let found = tokio::select! {
+        // A node that answers by both is late, not out of reach.
+        biased;
+        answer = old => match answer {
+            Ok(Ok(_)) => Found::Late,
+            _ => Found::Nothing,
+        },
+        answer = answer => match answer {
+            Ok(Ok(_)) => return Found::Silent(newer),
+            _ => Found::Nothing,
+        },
+        () = tokio::time::sleep(CHECK_TIME) => Found::Nothing,
+    };
+    newer.close();
+    found
+}
+
+/// A question whose answer is empty: what is newer than everything.
+fn question() -> PeerRequest {
+    PeerRequest::FetchView(ViewPosition {
+        version: u64::MAX,
+        engines: KnownEngines::Unwanted,
+        epoch: Epoch(u64::MAX),
+    })
 }
--- a/crates/resident/src/peer/mod.rs
+++ b/crates/resident/src/peer/mod.rs
@@ -1,6 +1,7 @@
 //! What nodes say to each other: requests over framed TCP links, heartbeats over UDP.
 
 mod gossip;
+mod link;
 mod links;
 mod members;
 mod message;
@@ -8,7 +9,8 @@
 mod targets;
 
 pub use gossip::{Gossip, GossipSources, Questions, fetch_members, fetch_view};
-pub use links::{LinkError, PeerLinks};
+pub use link::LinkError;
+pub use links::{PeerLinks, patience};
 pub use members::{Member, Members};
 pub use message::{
     Datagram, Envelope, Heartbeat, KnownEngines, LoadReport, MemberInfo, MessageError, PassedOn,
--- a/crates/resident/tests/busy_nodes.rs
+++ b/crates/resident/tests/busy_nodes.rs
@@ -13,8 +13,12 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
+use ridgeworks_records::{Epoch, ReplicaId, ReplicaRequest, TurnId, TurnRecord};
 use ridgeworks_resident::peer::{PeerLinks, PeerReply, PeerRequest, PeerService, serve};
+use tokio::io::AsyncReadExt;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
+use tokio::time::timeout;
 
 /// Longer than a new link is left alone.
 const SETTLED: Duration = Duration::from_millis(2_100);
@@ -99,3 +103,54 @@
         assert_eq!(replaced, 0, "links that were replaced");
     });
 }
+
+const LARGE: usize = 4 * 1024 * 1024;
+const GIVEN_UP: usize = 20;
+
+fn large_request() -> PeerRequest {
+    let record = TurnRecord {
+        turn: TurnId("t".to_owned()),
+        previous: None,
+        input: vec![0; LARGE],
+        output: Vec::new(),
+    };
+    let request = ReplicaRequest::Append {
+        epoch: Epoch(1),
+        record,
+        keep_ms: 1,
+    };
+    let to = ReplicaId(1);
+    PeerRequest::Replica { to, request }
+}
+
+/// Bytes that come until none has come for a while.
+async fn read_all(mut stream: TcpStream) -> usize {
+    let mut buffer = vec![0; 64 * 1024];
+    let mut bytes = 0;
+    let pause = Duration::from_millis(500);
+    while let Ok(Ok(read)) = timeout(pause, stream.read(&mut buffer)).await {
+        if read == 0 {
+            break;
+        }
+        bytes += read;
+    }
+    bytes
+}
+
+/// A node that does not read is later sent what is still wanted, and not what was given up meanwhile.
+#[test]
+fn requests_that_nobody_waits_for_are_not_sent() {
+    run(async {
+        let node = free_address();
+        let listener = TcpListener::bind(node).await.expect("a free port");
+        let links = PeerLinks::default();
+        for _ in 0..GIVEN_UP {
+            let patience = Duration::from_millis(20);
+            assert!(links.call(node, large_request(), patience).await.is_err());
+        }
+        let (stream, _) = listener.accept().await.expect("a link");
+        let bytes = read_all(stream).await;
+        // What the kernel had taken, and the one request that was being written.
+        assert!(bytes < GIVEN_UP / 2 * LARGE, "{bytes} bytes");
+    });
+}
