An engine's first load comes before the calls that waited for it

KNOWN-RED: calls_without_a_deadline_wait_until_their_contexts_fit failed in 5 of 88 runs beside ten busy processes, since calls were let in once the engine had been asked for its health, and its memory was heard of later. Left: a call that waits in the queue while a further engine joins is still given to it with the default memory.

--- a/crates/node/src/dispatcher/engine_poll.rs
+++ b/crates/node/src/dispatcher/engine_poll.rs
@@ -37,7 +37,12 @@
     /// The back end says itself that it is leaving.
     Leaving(BackendName),
     /// The back end was asked for the first time, whether it answered or not.
-    Checked(BackendName),
+    Checked {
+        /// The back end.
+        backend: BackendName,
+        /// Its load, if it told any. Calls that are let in with the back end are held to what its memory holds.
+        load: Option<LoadReport>,
+    },
     /// Which start of the back end answers.
     Instance {
         /// The back end.
@@ -182,11 +187,14 @@
                 return;
             }
             self.poll_health();
+            let load = self.poll_load();
             if polls == 0 {
-                self.report(EngineNews::Checked(self.backend.name.clone()));
+                let backend = self.backend.name.clone();
+                self.report(EngineNews::Checked { backend, load });
+            } else if let Some(load) = load {
+                self.report(EngineNews::Load(load));
             }
             if self.kind == ServiceKind::Model {
-                self.poll_load();
                 next_event = self.poll_events(next_event);
                 if polls % POLLS_PER_LISTING == 0 {
                     self.list();
@@ -210,16 +218,18 @@
         }
     }
 
-    fn poll_load(&self) {
-        let Some(load) = self.get::<Load>("/load") else {
-            return;
-        };
-        self.report(EngineNews::Load(LoadReport {
+    /// What an engine says of its load; nothing where the back end is no engine or does not answer.
+    fn poll_load(&self) -> Option<LoadReport> {
+        if self.kind != ServiceKind::Model {
+            return None;
+        }
+        let load = self.get::<Load>("/load")?;
+        Some(LoadReport {
             backend: self.backend.name.clone(),
             running: load.running,
             waiting: load.queued,
             cache_capacity_tokens: load.total_blocks * TOKENS_PER_BLOCK,
-        }));
+        })
     }
 
     fn poll_events(&self, from: u64) -> u64 {
--- a/crates/node/src/dispatcher/group.rs
+++ b/crates/node/src/dispatcher/group.rs
@@ -6,7 +6,9 @@
 use ridgeworks_configuration::{ConfigurationSet, MachineList};
 use ridgeworks_domain::objects::Backend;
 use ridgeworks_domain::{BackendName, MonotonicTime, NodeId, ServiceName};
-use ridgeworks_scheduling::{Dispatcher, DispatcherSettings, Effect, Event, QueuedCall, Ticket};
+use ridgeworks_scheduling::{
+    Dispatcher, DispatcherSettings, Effect, Event, LoadReport, QueuedCall, Ticket,
+};
 
 use super::backend_list::{ListedBackend, backends_of, changes};
 use super::checked_backends::CheckedBackends;
@@ -238,10 +240,22 @@
         self.tickets.retain(|ticket, _| ticket.owner != owner);
     }
 
-    /// Notes that a back end was asked whether it is leaving; one that is has been reported before.
-    pub fn note_checked(&mut self, now: MonotonicTime, name: &BackendName) -> Vec<Effect> {
+    /// Notes that a back end was asked whether it is leaving; one that is has been reported before. Its load comes before
+    /// the calls that waited for it: with the default memory in its place three contexts ran where two fit, in 5 of 88 runs of
+    /// a test beside ten busy processes.
+    pub fn note_checked(
+        &mut self,
+        now: MonotonicTime,
+        name: &BackendName,
+        load: Option<LoadReport>,
+    ) -> Vec<Effect> {
         self.checked.insert(name);
         let mut effects = self.offer(now);
+        if let Some(load) = load {
+            let event = Event::LoadReport(load);
+            self.reports.note(now, &event);
+            effects.extend(self.dispatcher.handle(now, event));
+        }
         effects.extend(self.let_in(now));
         effects
     }
--- a/crates/node/src/dispatcher/role.rs
+++ b/crates/node/src/dispatcher/role.rs
@@ -7,7 +7,7 @@
 use crossbeam_channel::Sender;
 use ridgeworks_configuration::{ConfigurationSet, MachineList};
 use ridgeworks_domain::{BackendName, MonotonicTime, NodeId, ServiceKind, ServiceName};
-use ridgeworks_scheduling::{Event, Ticket};
+use ridgeworks_scheduling::{Event, LoadReport, Ticket};
 use stakker::{CX, Fwd, after};
 
 use super::engine_poll::{EngineNews, EnginePolls, EngineReport};
@@ -124,8 +124,8 @@
             EngineNews::Cache(event) => Event::CacheEvent(event),
             EngineNews::Listing(listing) => Event::CacheListing(listing),
             EngineNews::Leaving(backend) => Event::BackendLeaving(backend),
-            EngineNews::Checked(backend) => {
-                self.note_checked(&report.service, &backend);
+            EngineNews::Checked { backend, load } => {
+                self.note_checked(&report.service, &backend, load);
                 return;
             }
             EngineNews::Instance { backend, instance } => {
@@ -136,12 +136,17 @@
         self.handle(&report.service, event);
     }
 
-    fn note_checked(&mut self, service: &ServiceName, backend: &BackendName) {
+    fn note_checked(
+        &mut self,
+        service: &ServiceName,
+        backend: &BackendName,
+        load: Option<LoadReport>,
+    ) {
         let now = self.clock.now();
         let Some(group) = self.groups.get_mut(service) else {
             return;
         };
-        let effects = group.note_checked(now, backend);
+        let effects = group.note_checked(now, backend, load);
         self.carry_out(service, effects);
     }
 
--- a/crates/node/tests/leaving_backends.rs
+++ b/crates/node/tests/leaving_backends.rs
@@ -7,7 +7,7 @@
 };
 use ridgeworks_node::dispatcher::{DispatcherGroup, LONGEST_CHECK, SlotRequest};
 use ridgeworks_node::metrics::Metrics;
-use ridgeworks_scheduling::{Effect, Event, Priority, QueuedCall, Ticket};
+use ridgeworks_scheduling::{Effect, Event, LoadReport, Priority, QueuedCall, Ticket};
 
 const NOW: MonotonicTime = MonotonicTime { micros: 1_000_000 };
 
@@ -90,8 +90,8 @@
         "neither granted nor refused: {effects:?}"
     );
     effects.extend(group.handle(NOW, Event::BackendLeaving(name("e1"))));
-    effects.extend(group.note_checked(NOW, &name("e1")));
-    effects.extend(group.note_checked(NOW, &name("e2")));
+    effects.extend(group.note_checked(NOW, &name("e1"), None));
+    effects.extend(group.note_checked(NOW, &name("e2"), None));
     assert_eq!(granted(&effects), vec!["e2"; 6]);
 }
 
@@ -101,8 +101,8 @@
     group.handle(NOW, Event::Enqueue(call(1)));
     let ticket = call(1).ticket;
     group.handle(NOW, Event::Cancel(ticket));
-    group.note_checked(NOW, &name("e1"));
-    let effects = group.note_checked(NOW, &name("e2"));
+    group.note_checked(NOW, &name("e1"), None);
+    let effects = group.note_checked(NOW, &name("e2"), None);
     assert!(granted(&effects).is_empty());
 }
 
@@ -110,7 +110,30 @@
 fn a_back_end_that_cannot_be_asked_holds_calls_up_for_a_bounded_time() {
     let mut group = taken_over();
     group.handle(NOW, Event::Enqueue(call(1)));
-    assert!(granted(&group.note_checked(NOW, &name("e2"))).is_empty());
+    assert!(granted(&group.note_checked(NOW, &name("e2"), None)).is_empty());
     let effects = group.handle(NOW + LONGEST_CHECK, Event::Tick);
     assert_eq!(granted(&effects), ["e2"]);
 }
+
+/// Three calls that came before the engine's first load all ran, with the default memory of 200,000 tokens in place of its
+/// 16,384, of which three quarters hold two of them.
+#[test]
+fn calls_that_waited_for_a_back_end_are_held_to_its_memory() {
+    let mut group = DispatcherGroup::new(service(), Metrics::default().service(&service()));
+    let mut machines = MachineList::default();
+    machines.observe(1, vec![machine("e1")]);
+    group.update(NOW, &ConfigurationSet::default(), &machines);
+    for number in 0..3 {
+        let mut large = call(number);
+        large.max_output_tokens = 5_000;
+        group.handle(NOW, Event::Enqueue(large));
+    }
+    let load = LoadReport {
+        backend: name("e1"),
+        running: 0,
+        waiting: 0,
+        cache_capacity_tokens: 16_384,
+    };
+    let effects = group.note_checked(NOW, &name("e1"), Some(load));
+    assert_eq!(granted(&effects), ["e1", "e1"]);
+}
--- a/crates/node/tests/running_attempts.rs
+++ b/crates/node/tests/running_attempts.rs
@@ -84,7 +84,7 @@
     for event in events {
         group.handle(NOW, event);
     }
-    let effects = group.note_checked(NOW, &engine());
+    let effects = group.note_checked(NOW, &engine(), None);
     let granted = |effect: &&Effect| matches!(effect, Effect::Grant { .. });
     effects.iter().filter(granted).count()
 }
