--- a/crates/node/tests/resident_fleet.rs
+++ b/crates/node/tests/resident_fleet.rs
@@ -2,28 +2,21 @@
 
 use std::time::{Duration, Instant};
 
-use ridgeworks_platform_stand_ins::client::call_get;
-use ridgeworks_platform_stand_ins::deployment::{Deployment, Process, routes, wait_until};
+use ridgeworks_platform_stand_ins::deployment::{
+    CONFIGURATION_BOUND, Deployment, Process, routes, wait_until,
+};
 use ridgeworks_platform_stand_ins::{Answer, EngineStandIn, Script};
-use serde_json::json;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_ridgeworksd");
 /// More than all of which watch.
 const GATEWAYS: u8 = 18;
 /// Two in each of three zones.
 const WATCHERS: usize = 6;
-/// The bound on configurations in the stand-in's settings.
-const BOUND: Duration = Duration::from_secs(2);
 
 fn ok() -> Script {
     Script::always(Answer::Whole("fine".to_owned()))
 }
 
-fn status(gateway: &Process, path: &str) -> u16 {
-    let reply = call_get(path, "r").send(gateway.callers());
-    reply.map_or(0, |reply| reply.status)
-}
-
 /// Whether a gateway watches the store, as its log says.
 fn watches(gateway: &Process) -> bool {
     let log = gateway.log();
@@ -43,42 +36,32 @@
 fn fleet() -> (Deployment, EngineStandIn) {
     let deployment = Deployment::started(PROGRAM, GATEWAYS, 1);
     let engine = deployment.engine("tools", "i-1", ok());
-    wait_until("all serve", || {
-        let gateways = &deployment.gateways;
-        gateways
-            .iter()
-            .all(|gateway| status(gateway, "/tool/x") == 200)
-    });
+    wait_until("all serve", || deployment.all_serve("/tool/x"));
     wait_until("a few watch", || watching(&deployment).len() == WATCHERS);
     (deployment, engine)
 }
 
-fn move_routes(deployment: &mut Deployment, prefix: &str) {
-    let mut routes = routes();
-    routes[0]["path_prefix"] = json!(prefix);
-    deployment.configure(routes);
-}
-
 #[test]
 fn a_few_watch_and_all_follow_them_in_time() {
     let (mut deployment, engine) = fleet();
     let calls = deployment.store.calls();
     let began = Instant::now();
-    move_routes(&mut deployment, "/moved/");
+    deployment.move_routes("/moved/");
     let next = deployment.engine("tools", "i-2", ok());
     let entry = engine.entry("tools", "draining");
     deployment.store.put("servers", "i-1", entry);
     wait_until("all serve the new route", || {
-        let gateways = &deployment.gateways;
-        gateways
-            .iter()
-            .all(|gateway| status(gateway, "/moved/x") == 200)
+        deployment.all_serve("/moved/x")
     });
-    assert!(began.elapsed() < BOUND, "{:?}", began.elapsed());
-    std::thread::sleep(BOUND.saturating_sub(began.elapsed()));
+    assert!(
+        began.elapsed() < CONFIGURATION_BOUND,
+        "{:?}",
+        began.elapsed()
+    );
+    std::thread::sleep(CONFIGURATION_BOUND.saturating_sub(began.elapsed()));
     let before = engine.runs().len();
     for gateway in &deployment.gateways {
-        assert_eq!(status(gateway, "/moved/x"), 200);
+        assert_eq!(gateway.status("/moved/x"), 200);
     }
     assert_eq!(
         engine.runs().len(),
@@ -95,28 +78,28 @@
 fn when_all_watchers_die_others_take_over_within_the_bound() {
     let (mut deployment, _engine) = fleet();
     // Ends the watches that nodes made at their start.
-    move_routes(&mut deployment, "/first/");
+    deployment.move_routes("/first/");
     wait_until("all serve the first change", || {
-        let gateways = &deployment.gateways;
-        gateways
-            .iter()
-            .all(|gateway| status(gateway, "/first/x") == 200)
+        deployment.all_serve("/first/x")
     });
     let watchers = watching(&deployment);
     for index in &watchers {
         deployment.gateways[*index].kill();
     }
     let began = Instant::now();
-    move_routes(&mut deployment, "/moved/");
+    deployment.move_routes("/moved/");
     let left: Vec<&Process> = (0..deployment.gateways.len())
         .filter(|index| !watchers.contains(index))
         .map(|index| &deployment.gateways[index])
         .collect();
     wait_until("the others serve the new route", || {
-        left.iter()
-            .all(|gateway| status(gateway, "/moved/x") == 200)
+        left.iter().all(|gateway| gateway.status("/moved/x") == 200)
     });
-    assert!(began.elapsed() < BOUND, "{:?}", began.elapsed());
+    assert!(
+        began.elapsed() < CONFIGURATION_BOUND,
+        "{:?}",
+        began.elapsed()
+    );
 }
 
 #[test]
--- a/crates/node/tests/resident_records.rs
+++ b/crates/node/tests/resident_records.rs
@@ -424,3 +424,24 @@
     std::thread::sleep(Duration::from_millis(2_500));
     assert_eq!(set_epoch(&deployment), epoch, "the set is as it was");
 }
+
+fn has_logged(process: &Process, message: &str) -> bool {
+    let log = process.log();
+    log.iter().any(|line| line["message"] == message)
+}
+
+/// Gateways could tell only that replicas were slow; the replicas' own log said nothing of it.
+#[test]
+fn a_replica_that_does_not_keep_up_says_so() {
+    let deployment = Deployment::started(PROGRAM, 1, 3);
+    let replica = &deployment.replicas[0];
+    replica.signal(Signal::STOP);
+    std::thread::sleep(Duration::from_millis(500));
+    replica.signal(Signal::CONT);
+    wait_until("it has said that it is late", || {
+        has_logged(replica, "replica answers late")
+    });
+    wait_until("it has said that it is in time again", || {
+        has_logged(replica, "replica answers in time again")
+    });
+}
--- a/crates/node/tests/resident_silence.rs
+++ b/crates/node/tests/resident_silence.rs
@@ -10,44 +10,24 @@
 
 use std::time::{Duration, Instant};
 
-use ridgeworks_platform_stand_ins::client::call_get;
-use ridgeworks_platform_stand_ins::deployment::{Deployment, Process, routes, wait_until};
+use ridgeworks_platform_stand_ins::deployment::{CONFIGURATION_BOUND, Deployment, wait_until};
 use ridgeworks_platform_stand_ins::{Answer, EngineStandIn, LinkFault, Script};
-use serde_json::json;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_ridgeworksd");
 const GATEWAYS: u8 = 3;
-/// The bound on configurations in the stand-in's settings.
-const BOUND: Duration = Duration::from_secs(2);
 
 fn ok() -> Script {
     Script::always(Answer::Whole("fine".to_owned()))
 }
 
-fn status(gateway: &Process, path: &str) -> u16 {
-    let reply = call_get(path, "r").send(gateway.callers());
-    reply.map_or(0, |reply| reply.status)
-}
-
-fn all_serve(deployment: &Deployment, path: &str) -> bool {
-    let mut gateways = deployment.gateways.iter();
-    gateways.all(|gateway| status(gateway, path) == 200)
-}
-
-fn move_routes(deployment: &mut Deployment, prefix: &str) {
-    let mut routes = routes();
-    routes[0]["path_prefix"] = json!(prefix);
-    deployment.configure(routes);
-}
-
 /// Gateways whose watches were all sent at the same moment, since a change has just answered them all.
 fn in_step(gateways: u8) -> (Deployment, EngineStandIn) {
     let mut deployment = Deployment::started(PROGRAM, gateways, 0);
     let engine = deployment.engine("tools", "i-1", ok());
-    wait_until("all serve", || all_serve(&deployment, "/tool/x"));
-    move_routes(&mut deployment, "/first/");
+    wait_until("all serve", || deployment.all_serve("/tool/x"));
+    deployment.move_routes("/first/");
     wait_until("the first change is in force", || {
-        all_serve(&deployment, "/first/x")
+        deployment.all_serve("/first/x")
     });
     // Longer than changes are gathered before the next watch.
     std::thread::sleep(Duration::from_millis(400));
@@ -55,8 +35,12 @@
 }
 
 fn assert_in_force_in_time(deployment: &Deployment, path: &str, changed: Instant) {
-    wait_until("the change is in force", || all_serve(deployment, path));
-    assert!(changed.elapsed() < BOUND, "{:?}", changed.elapsed());
+    wait_until("the change is in force", || deployment.all_serve(path));
+    assert!(
+        changed.elapsed() < CONFIGURATION_BOUND,
+        "{:?}",
+        changed.elapsed()
+    );
 }
 
 #[test]
@@ -65,17 +49,17 @@
     deployment.store_link.set_fault(LinkFault::Stalled);
     // Long enough that gateways which notice have asked again, in the silence.
     std::thread::sleep(Duration::from_secs(4));
-    move_routes(&mut deployment, "/moved/");
-    assert!(all_serve(&deployment, "/first/x"), "served on meanwhile");
+    deployment.move_routes("/moved/");
+    assert!(deployment.all_serve("/first/x"), "served on meanwhile");
     let gateway = &deployment.gateways[0];
     assert_eq!(
-        status(gateway, "/moved/x"),
+        gateway.status("/moved/x"),
         503,
         "the route may be there by now"
     );
     deployment.store_link.set_fault(LinkFault::None);
     assert_in_force_in_time(&deployment, "/moved/x", Instant::now());
-    assert_eq!(status(&deployment.gateways[0], "/first/x"), 404);
+    assert_eq!(deployment.gateways[0].status("/first/x"), 404);
 }
 
 #[test]
@@ -97,13 +81,13 @@
     let next = deployment.engine("tools", "i-2", ok());
     let leaving = engine.entry("tools", "draining");
     deployment.store.put("servers", "i-1", leaving);
-    move_routes(&mut deployment, "/moved/");
+    deployment.move_routes("/moved/");
     let changed = Instant::now();
     assert_in_force_in_time(&deployment, "/moved/x", changed);
-    std::thread::sleep(BOUND.saturating_sub(changed.elapsed()));
+    std::thread::sleep(CONFIGURATION_BOUND.saturating_sub(changed.elapsed()));
     let before = engine.runs().len();
     for _ in 0..10 {
-        assert!(all_serve(&deployment, "/moved/x"));
+        assert!(deployment.all_serve("/moved/x"));
     }
     assert_eq!(
         engine.runs().len(),
--- a/crates/resident/tests/busy_nodes.rs
+++ b/crates/resident/tests/busy_nodes.rs
@@ -6,22 +6,23 @@
 //! it had too much to do. `silent link to a node replaced` was logged 4, 20, 20, 17, 42 and 29 times in each two seconds by 35
 //! gateways meanwhile; on the same day with enough processor time it never was, and reservations took 6 ms.
 
+mod support;
+
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use futures_util::future::join_all;
 use ridgeworks_records::{Epoch, ReplicaId, ReplicaRequest, TurnId, TurnRecord};
 use ridgeworks_resident::peer::{PeerLinks, PeerReply, PeerRequest, PeerService, serve};
+use support::{SETTLED, free_address, run};
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-/// Longer than a new link is left alone.
-const SETTLED: Duration = Duration::from_millis(2_100);
 const TIMEOUT: Duration = Duration::from_secs(2);
 const CALLERS: usize = 30;
 const TIME_OF_A_REQUEST: Duration = Duration::from_millis(30);
@@ -63,20 +64,6 @@
     }
 }
 
-fn run(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .expect("a runtime");
-    tokio::task::LocalSet::new().block_on(&runtime, test);
-}
-
-fn free_address() -> SocketAddr {
-    let ip = IpAddr::V4(Ipv4Addr::LOCALHOST);
-    let listener = std::net::TcpListener::bind((ip, 0)).expect("a free port");
-    listener.local_addr().expect("a bound listener")
-}
-
 async fn ask(links: &PeerLinks, node: SocketAddr) -> bool {
     let asked = links.call(node, PeerRequest::ListMembers, TIMEOUT);
     asked.await.is_ok()
--- a/crates/resident/tests/silent_links.rs
+++ b/crates/resident/tests/silent_links.rs
@@ -3,20 +3,19 @@
 //! A link was kept until its connection broke. One that fell silent without a break answered nobody any more, and every
 //! request to that node timed out for as long as the process lived.
 
+mod support;
+
 use std::cell::Cell;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
 use ridgeworks_platform_stand_ins::{Link, LinkFault};
 use ridgeworks_resident::peer::{LinkError, PeerLinks, PeerReply, PeerRequest, PeerService, serve};
+use support::{IP, SETTLED, free_address, run};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-const IP: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
 const TIMEOUT: Duration = Duration::from_millis(800);
-/// A link this old is replaced when it is silent.
-const SETTLED: Duration = Duration::from_millis(2_100);
 
 struct NobodyKnown;
 
@@ -52,19 +51,6 @@
     }
 }
 
-fn run(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .expect("a runtime");
-    tokio::task::LocalSet::new().block_on(&runtime, test);
-}
-
-fn free_address() -> SocketAddr {
-    let listener = std::net::TcpListener::bind((IP, 0)).expect("a free port");
-    listener.local_addr().expect("a bound listener")
-}
-
 async fn linked(service: impl PeerService) -> Link {
     let address = free_address();
     serve(address, Rc::new(service)).await.expect("a free port");
--- /dev/null
+++ b/crates/resident/tests/support/mod.rs
@@ -0,0 +1,21 @@
+//! What the tests of links share.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+pub const IP: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
+/// Longer than a new link is left alone.
+pub const SETTLED: Duration = Duration::from_millis(2_100);
+
+pub fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, test);
+}
+
+pub fn free_address() -> SocketAddr {
+    let listener = std::net::TcpListener::bind((IP, 0)).expect("a free port");
+    listener.local_addr().expect("a bound listener")
+}
