ridgeworks timeline: what the logs of a deployment say, interval by interval

The table that led to the cause of the incident, as a command: before, it took a script for each look. Reading of log lines is shared with explain.

--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -1,5 +1,6 @@
 //! Arguments of the command line.
 
+use std::num::NonZeroU32;
 use std::path::PathBuf;
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
@@ -88,6 +89,8 @@
     Shares(SharesCommand),
     /// Explains one request from the logs of nodes, without asking any node
     Explain(ExplainArguments),
+    /// Shows what the logs of nodes say, interval by interval, without asking any node
+    Timeline(TimelineArguments),
     /// Prints the completions of a shell
     Completions(CompletionsArguments),
 }
@@ -102,6 +105,17 @@
     pub logs: Vec<PathBuf>,
 }
 
+/// Arguments of `timeline`.
+#[derive(Debug, Args)]
+pub struct TimelineArguments {
+    /// Logs of nodes, one JSON object a line; several nodes may share a file
+    #[arg(long, value_name = "FILE", num_args = 1.., required = true)]
+    pub logs: Vec<PathBuf>,
+    /// Length of an interval, in seconds
+    #[arg(long, default_value = "2")]
+    pub seconds: NonZeroU32,
+}
+
 /// Arguments of `apply`.
 #[derive(Debug, Args)]
 pub struct ApplyArguments {
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -6,9 +6,11 @@
 mod drain;
 mod explain;
 mod get;
+mod log_line;
 mod runs;
 mod shares;
 mod status;
+mod timeline;
 mod watch;
 
 use crate::arguments::{Arguments, Command, RunsCommand, SharesCommand};
@@ -25,6 +27,7 @@
     match command {
         Command::Completions(shell) => completions::run(&shell),
         Command::Explain(explain) => explain::run(&explain, output),
+        Command::Timeline(timeline) => timeline::run(&timeline, output),
         command => run_at_node(command, &Session::new(connection, output)?),
     }
 }
@@ -42,6 +45,6 @@
         Command::Runs(RunsCommand::History(history)) => runs::history(session, history),
         Command::Shares(SharesCommand::Propose(propose)) => shares::propose(session, propose),
         Command::Shares(SharesCommand::Consent(consent)) => shares::consent(session, consent),
-        Command::Completions(_) | Command::Explain(_) => Ok(()),
+        Command::Completions(_) | Command::Explain(_) | Command::Timeline(_) => Ok(()),
     }
 }
--- a/crates/cli/src/commands/explain.rs
+++ b/crates/cli/src/commands/explain.rs
@@ -1,11 +1,10 @@
 //! `explain`: puts the log lines of all nodes about one request into one timeline, the cause first.
 
-use std::fs;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 
-use serde::{Deserialize, Serialize};
-use serde_json::{Map, Value};
+use serde::Serialize;
 
+use super::log_line::{LogLine, plain, read_log};
 use crate::arguments::{ExplainArguments, OutputFormat};
 use crate::error::CliError;
 use crate::output::{Columns, Output};
@@ -15,24 +14,6 @@
 /// How long before the request's first line its surroundings are shown, in milliseconds.
 const BEFORE_MS: i64 = 3_000;
 
-/// One line of a node's log, as far as it is needed.
-#[derive(Debug, Clone, Deserialize)]
-struct LogLine {
-    time: String,
-    target: String,
-    message: String,
-    #[serde(default)]
-    attributes: Map<String, Value>,
-    #[serde(default)]
-    mdc: LineContext,
-}
-
-/// What a line says of the process that wrote it.
-#[derive(Debug, Clone, Default, Deserialize)]
-struct LineContext {
-    node: Option<String>,
-}
-
 /// One entry of the timeline.
 #[derive(Debug, Clone, Serialize)]
 struct Entry {
@@ -97,22 +78,12 @@
 }
 
 fn read_entries(path: &Path, request: &str) -> Result<Vec<(Entry, LogLine)>, CliError> {
-    let bytes = fs::read(path).map_err(|error| CliError::UnreadableFile {
-        path: PathBuf::from(path),
-        kind: error.kind(),
+    let mut entries = Vec::new();
+    read_log(path, |node, line| {
+        let entry = entry(&line, node, request);
+        entries.extend(entry.map(|entry| (entry, line)));
     })?;
-    let file_name = path.file_stem().unwrap_or_default().to_string_lossy();
-    let text = String::from_utf8_lossy(&bytes);
-    let entries = text.lines().filter_map(|line| {
-        let begin = line.find("{\"time\"")?;
-        let parsed: LogLine = serde_json::from_str(&line[begin..]).ok()?;
-        // Lines of before say nothing of their node; then what gathered them may, or the file's name.
-        let before = line[..begin].split_whitespace().last();
-        let node = parsed.mdc.node.as_deref().or(before);
-        let node = node.unwrap_or(&file_name).to_owned();
-        Some((entry(&parsed, node, request)?, parsed))
-    });
-    Ok(entries.collect())
+    Ok(entries)
 }
 
 /// A line about the request, or about what its node believed; `None` for any other line.
@@ -137,33 +108,11 @@
         node,
         what: line.message.clone(),
         details: details.join(" "),
-        at_ms: milliseconds(&line.time)?,
+        at_ms: line.at_ms()?,
         line: kind,
     })
 }
 
-fn plain(value: &Value) -> String {
-    match value {
-        Value::String(text) => text.clone(),
-        other => other.to_string(),
-    }
-}
-
-/// Milliseconds of the day and of some days before, for ordering; times are RFC 3339 of one zone.
-fn milliseconds(time: &str) -> Option<i64> {
-    let (date, clock) = time.split_once('T')?;
-    let mut date = date.split('-').filter_map(|part| part.parse::<i64>().ok());
-    let (year, month, day) = (date.next()?, date.next()?, date.next()?);
-    let clock = clock.get(..12)?;
-    let mut parts = clock.split(':');
-    let hours: i64 = parts.next()?.parse().ok()?;
-    let minutes: i64 = parts.next()?.parse().ok()?;
-    let seconds: f64 = parts.next()?.parse().ok()?;
-    let days = (year * 12 + month) * 31 + day;
-    let of_day = (hours * 60 + minutes) * 60_000 + (seconds * 1_000.0) as i64;
-    Some(days * 86_400_000 + of_day)
-}
-
 fn explain(request: &str, entries: Vec<(Entry, LogLine)>) -> Result<Explanation, CliError> {
     let own: Vec<&(Entry, LogLine)> = entries
         .iter()
@@ -172,11 +121,10 @@
     let (Some(first), Some(last)) = (own.first(), own.last()) else {
         return Err(CliError::UnknownRequest);
     };
-    let begin = first.0.at_ms - taken_ms(&last.1) - BEFORE_MS;
+    let begin = first.0.at_ms - last.1.number("took_ms").unwrap_or_default() - BEFORE_MS;
     let end = last.0.at_ms;
     let nodes: Vec<String> = own.iter().map(|(entry, _)| entry.node.clone()).collect();
-    let text = |key: &str| last.1.attributes.get(key).map(plain).unwrap_or_default();
-    let (outcome, reason) = (text("outcome"), text("reason"));
+    let (outcome, reason) = (last.1.text("outcome"), last.1.text("reason"));
     let meaning = meaning(&outcome, &reason);
     let timeline = entries.into_iter().map(|(entry, _)| entry).filter(|entry| {
         entry.line == LogLineKind::Request
@@ -191,13 +139,6 @@
     })
 }
 
-fn taken_ms(line: &LogLine) -> i64 {
-    let taken = line.attributes.get("took_ms").map(plain);
-    taken
-        .and_then(|taken| taken.parse().ok())
-        .unwrap_or_default()
-}
-
 /// What on-call should make of an outcome.
 fn meaning(outcome: &str, reason: &str) -> &'static str {
     match (outcome, reason) {
