--- a/crates/node/examples/replica_load.rs
+++ b/crates/node/examples/replica_load.rs
@@ -1,7 +1,8 @@
 //! Processor time that one replica takes for the requests of many gateways, as a process of its own on loopback.
 //!
 //! `replica_load PROGRAM [TURNS_PER_SECOND...]`; `make bench-replica` builds the program first. Each turn is a reservation, a
-//! settlement and, one time in three, a record of 4 KB; answers are timed from the moment they were due to be asked.
+//! settlement and, one time in three, a record of 4 KB; answers are timed from the moment they were due to be asked. On a machine that was half
+//! busy, without link-time optimisation: 135 turns a second take 0.085 cores and 173 transactions a second, 400 take 0.205 and 497.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -28,6 +29,8 @@
 const RECORD_BYTES: usize = 4_000;
 const KEEP_MS: u64 = 90_000;
 const MOST_TOKENS: u64 = 600;
+/// Metric of the replica: transactions of its disk.
+const COMMITS: &str = "ridgeworks_disk_commits_total";
 
 /// The replica under load.
 #[derive(Clone, Copy)]
@@ -178,16 +181,14 @@
         .expect("a runtime");
     let replica = &deployment.replicas[0];
     let to = target(deployment);
-    let (cpu, batches) = (
-        cpu_seconds(replica),
-        counter(replica, "ridgeworks_disk_commits_total"),
-    );
+    let cpu_before = cpu_seconds(replica);
+    let commits_before = counter(replica, COMMITS);
     let began = Instant::now();
     let outcomes =
         tokio::task::LocalSet::new().block_on(&runtime, load(to, turns_per_s, first_turn));
     let seconds = began.elapsed().as_secs_f64();
-    let cpu = cpu_seconds(replica) - cpu;
-    let commits = counter(replica, "ridgeworks_disk_commits_total") - batches;
+    let cpu = cpu_seconds(replica) - cpu_before;
+    let commits = counter(replica, COMMITS) - commits_before;
     let answered = outcomes.micros.len();
     println!(
         "{turns_per_s} turns/s: {:.4} cores, {:.0} us of processor a request, {:.0} commits/s, answers p50 {:.1} ms p99 {:.1} ms, {} failed",
