A gateway that got no answer from a replica itself passes no request on to it

Cause: since links to dark machines are no longer replaced, another gateway's detour took its whole 0.5 s to fail, so nobody learned that a replica was lost for all and callers were told to come back after 50 ms instead of up to 0.8 s. Test seen failing with the straight way alone.

--- a/crates/gateway/src/node_network.rs
+++ b/crates/gateway/src/node_network.rs
@@ -89,7 +89,7 @@
         to,
         request,
     } = passed;
-    if !paths.is_open(to) {
+    if !paths.can_pass_on(to) {
         // Whoever asked may have given up.
         let _ = reply.send(PeerReply::Unreached);
         return;
--- a/crates/gateway/src/replica_paths.rs
+++ b/crates/gateway/src/replica_paths.rs
@@ -107,6 +107,13 @@
         until.is_some_and(|until| Instant::now() < until)
     }
 
+    /// Whether another gateway's request may be passed on to a replica. Where it did not answer this gateway lately either, whoever asks
+    /// learns at once that it is lost for all and tells callers to stay away longer: with 50 ms in place of up to 0.8 s they used their
+    /// tries up in a loss of 2.6 s, and 807 refusals took the place of 481.
+    pub fn can_pass_on(&self, replica: ReplicaId) -> bool {
+        self.is_open(replica) && !self.is_suspected(replica)
+    }
+
     /// Whether another gateway has said within this time that it does not reach a replica either.
     pub fn is_unreached_by_others(&self, within: Duration) -> bool {
         let at = self.unreached_at.get();
--- a/crates/gateway/tests/replica_paths.rs
+++ b/crates/gateway/tests/replica_paths.rs
@@ -342,3 +342,16 @@
     network.slowest_answer.set(Duration::from_millis(300));
     assert!(paths.ask_patiently(&replica(), read(), least).await.is_ok());
 }
+
+/// A machine was dark, and each gateway waited for another one to find that out anew, for longer than it had time.
+#[tokio::test(start_paused = true)]
+async fn a_gateway_that_got_no_answer_itself_passes_nothing_on() {
+    let network = FakeNetwork::new(Conduct::Silent, &[]);
+    let paths = Rc::new(ReplicaPaths::new(network as Rc<dyn ReplicaNetwork>));
+    assert!(paths.can_pass_on(replica().id));
+    let (reply, _) = LocalSet::new().run_until(ask(&paths)).await;
+    assert_eq!(reply, Err(LinkError::TimedOut));
+    assert!(!paths.can_pass_on(replica().id));
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    assert!(paths.can_pass_on(replica().id), "it is tried again");
+}
--- a/crates/node/tests/resident_records.rs
+++ b/crates/node/tests/resident_records.rs
@@ -445,3 +445,28 @@
         has_logged(replica, "replica answers in time again")
     });
 }
+
+/// Another gateway helps against one gateway's loss, and not against one for all.
+#[test]
+fn callers_come_back_later_while_replicas_are_silent_for_all() {
+    let deployment = Deployment::started(PROGRAM, 3, 3);
+    for replica in &deployment.replicas[..2] {
+        replica.signal(Signal::STOP);
+    }
+    let began = Instant::now();
+    let mut longest = 0.0_f64;
+    let mut number = 0;
+    while longest < 0.2 && began.elapsed() < Duration::from_secs(5) {
+        for gateway in &deployment.gateways {
+            number += 1;
+            let id = format!("t-{number}");
+            let reply = budgeted(&id, "p", 1_000, 10).send(gateway.callers());
+            let after = reply.and_then(|reply| reply.headers.get("retry-after")?.parse().ok());
+            longest = longest.max(after.unwrap_or(0.0));
+        }
+    }
+    for replica in &deployment.replicas[..2] {
+        replica.signal(Signal::CONT);
+    }
+    assert!(longest >= 0.2, "{longest} s");
+}
