A write under a joint set asks a majority of both sides first

Cause: ReplicaSet::write_quorum of a joint set was the number of all its members, so that reservations and settlements went to seven in place of three of five: 1,840 reservations a second at each voter of about 950 turns. Ruled out: that it is needed. What counts as durable is has_write_quorum, a majority of each side, and is unchanged. Now: members that count on both sides come first, suspected ones last, and only those are asked that are needed for a majority of each side; the others are spares.

--- a/crates/gateway/src/records_client.rs
+++ b/crates/gateway/src/records_client.rs
@@ -459,15 +459,12 @@
         answers: &Answers,
     ) -> WriteEnd {
         let mut changes = self.node.view.changes();
-        let members = set.members().into_iter().cloned().collect();
-        let subject = operation.program.map_or("", |program| &program.0);
-        let members = self.in_order(members, subject);
-        let first = match operation.program {
-            Some(_) => set.write_quorum(),
-            None => members.len(),
+        let members: Vec<Replica> = set.members().into_iter().cloned().collect();
+        let (first, spare) = match operation.program {
+            Some(program) => set.split_for_write(self.write_order(&set, members.clone(), program)),
+            None => (members.clone(), Vec::new()),
         };
-        let (first, rest) = members.split_at(first);
-        let mut spare = rest.iter();
+        let mut spare = spare.iter();
         let ask = |member: &Replica| {
             self.ask_later(
                 member,
@@ -480,13 +477,13 @@
         let mut asked: Asked = first.iter().map(ask).collect();
         let mut write = QuorumWrite::new(set);
         let began = Instant::now();
-        let spare_patience = self.paths.patience(first, SPARE_PATIENCE);
+        let spare_patience = self.paths.patience(&first, SPARE_PATIENCE);
         let mut patience = pin!(tokio::time::sleep(spare_patience));
         loop {
             let (from, reply) = tokio::select! {
                 Some(reply) = asked.next() => reply,
                 () = patience.as_mut(), if spare.len() > 0 => {
-                    if self.paths.suspect_silent(first, began) {
+                    if self.paths.suspect_silent(&first, began) {
                         asked.extend(spare.by_ref().map(ask));
                     }
                     patience.as_mut().reset(Instant::now() + spare_patience);
@@ -534,6 +531,23 @@
         }
     }
 
+    /// The members in the order in which a write of this program prefers them: while the set changes, those first that count on both
+    /// sides, unless they did not answer lately.
+    fn write_order(
+        &self,
+        set: &ReplicaSet,
+        members: Vec<Replica>,
+        program: &ProgramId,
+    ) -> Vec<Replica> {
+        let mut members = self.in_order(members, &program.0);
+        members.sort_by_key(|member| {
+            let is_suspected = self.paths.is_suspected(member.id);
+            let is_closed = !self.paths.is_open(member.id);
+            (is_suspected, is_closed, !set.is_shared(member.id))
+        });
+        members
+    }
+
     fn newer_than(&self, epoch: Epoch) -> Option<ReplicaSet> {
         let set = self.node.view.replica_set();
         set.filter(|set| set.epoch > epoch)
--- a/crates/records/src/replica_set.rs
+++ b/crates/records/src/replica_set.rs
@@ -88,13 +88,44 @@
             && incoming.is_none_or(|incoming| has_majority(incoming, durable))
     }
 
-    /// Replicas that a write needs at the least; all members while the set changes, since a majority of both
-    /// sides has to take it.
+    /// Whether a replica counts on every side that a write needs: the voters and, while the set changes, the incoming ones.
+    pub fn is_shared(&self, id: ReplicaId) -> bool {
+        let is_voter = self.voters.iter().any(|voter| voter.id == id);
+        is_voter && (self.incoming.is_none() || self.is_incoming(id))
+    }
+
+    /// Replicas that a write needs at the least. While the set changes a replica that belongs to both sides is one of each
+    /// majority.
     pub fn write_quorum(&self) -> usize {
-        match &self.incoming {
-            None => majority(self.voters.len()),
-            Some(_) => self.members().len(),
-        }
+        let voters = majority(self.voters.len());
+        let Some(incoming) = &self.incoming else {
+            return voters;
+        };
+        let shared = self.voters.iter().filter(|voter| self.is_shared(voter.id));
+        let incoming = majority(incoming.len());
+        voters + incoming - shared.count().min(voters).min(incoming)
+    }
+
+    /// Splits the members, given in the order in which they are preferred, into those that a write asks first and spare ones.
+    ///
+    /// Those asked first are a majority of each side. With all members in their place each voter got 1,840 reservations a second of 950 turns a
+    /// second while a voter was replaced under load, and its answers went from 66 to 549 ms at the median in ten seconds.
+    pub fn split_for_write(&self, preferred: Vec<Replica>) -> (Vec<Replica>, Vec<Replica>) {
+        let mut first = BTreeSet::new();
+        preferred.into_iter().partition(|replica| {
+            let is_needed = self.needs(replica.id, &first);
+            if is_needed {
+                first.insert(replica.id);
+            }
+            is_needed
+        })
+    }
+
+    /// Whether a replica belongs to a side of which these are no majority yet.
+    fn needs(&self, id: ReplicaId, among: &BTreeSet<ReplicaId>) -> bool {
+        let sides = [Some(&self.voters), self.incoming.as_ref()];
+        let mut sides = sides.into_iter().flatten();
+        sides.any(|side| side.iter().any(|member| member.id == id) && !has_majority(side, among))
     }
 
     /// Whether these replicas are a majority of the voters, so that one of them knows of any later set.
--- a/crates/records/tests/simulator/world/gateways.rs
+++ b/crates/records/tests/simulator/world/gateways.rs
@@ -60,12 +60,15 @@
             Machine::Write(write) => {
                 let set = write.set();
                 let mut members: Vec<_> = set.members().into_iter().cloned().collect();
-                // As gateways do: ledgers first to as many as the write needs, another majority each time, then
-                // to all; turns to all.
+                // As gateways do: ledgers first to a majority of each side, another one each time and mostly those that
+                // count on both sides, then to all; turns to all.
                 if is_first && is_ledger {
                     let begin = usize::try_from(number).unwrap_or(0) % members.len();
                     members.rotate_left(begin);
-                    members.truncate(set.write_quorum());
+                    if self.random.random_bool(0.7) {
+                        members.sort_by_key(|member| !set.is_shared(member.id));
+                    }
+                    members = set.split_for_write(members).0;
                 }
                 members
             }
