--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -209,7 +209,8 @@
         let began = Instant::now();
         let retention = self.call.route.retention();
         let records = &self.gateway.records;
-        let appending = records.append(&record, retention, self.call.limit);
+        let program = self.program();
+        let appending = records.append(program.as_ref(), &record, retention, self.call.limit);
         let appended = tokio::select! {
             appended = appending => appended,
             () = caller.gone() => return Ending::ClientGone,
--- a/crates/gateway/src/exchange/preparation.rs
+++ b/crates/gateway/src/exchange/preparation.rs
@@ -43,7 +43,8 @@
     /// is told at once.
     fn refusal_without_majority(&self) -> Option<Refusal> {
         let records = &self.gateway.records;
-        if !records.health.is_lost() {
+        let group = records.group_of(self.program().as_ref());
+        if !records.health.is_lost(group) {
             return None;
         }
         let needs_majority = self.account().is_some() || self.call.route.keeps_turns;
@@ -51,7 +52,7 @@
             return None;
         }
         let reason = RefusalReason::LedgerUnavailable;
-        Some(Refusal::come_back(reason, records.come_back()))
+        Some(Refusal::come_back(reason, records.come_back(group)))
     }
 
     /// What this gateway saw of the line's last turn is the newest there is.
@@ -70,12 +71,17 @@
         let metadata = &self.call.metadata;
         metadata.token_budget?;
         Some(Account {
-            program: ProgramId(metadata.program.clone()?),
+            program: self.program()?,
             turn: TurnId(metadata.request_id.clone()),
             retention: self.call.route.retention(),
         })
     }
 
+    /// The program that the request belongs to.
+    pub(super) fn program(&self) -> Option<ProgramId> {
+        self.call.metadata.program.clone().map(ProgramId)
+    }
+
     fn records_limit(&self) -> Instant {
         self.call.limit.min(Instant::now() + RECORDS_PATIENCE)
     }
@@ -97,7 +103,9 @@
             self.records_limit(),
         );
         let ledger = charging.await.map_err(|failure| {
-            let after = self.gateway.records.come_back_after(failure);
+            let records = &self.gateway.records;
+            let group = records.group_of(Some(&account.program));
+            let after = records.come_back_after(group, failure);
             Refusal::come_back(RefusalReason::LedgerUnavailable, after)
         })?;
         let taken = began.elapsed().as_secs_f64();
@@ -139,7 +147,9 @@
         let began = Instant::now();
         let records = &self.gateway.records;
         let request = &self.call.metadata.request_id;
-        let reading = records.read_chain(&previous, request, self.records_limit());
+        let program = self.program();
+        let limit = self.records_limit();
+        let reading = records.read_chain(program.as_ref(), &previous, request, limit);
         let outcome = reading.await;
         let taken = began.elapsed().as_secs_f64();
         self.gateway.metrics.chain_read_seconds.observe(taken);
@@ -165,10 +175,11 @@
                     COME_BACK,
                 ))
             }
-            Err(failure) => Err(Refusal::come_back(
-                RefusalReason::TurnsUnavailable,
-                records.come_back_after(failure),
-            )),
+            Err(failure) => {
+                let group = records.group_of(program.as_ref());
+                let after = records.come_back_after(group, failure);
+                Err(Refusal::come_back(RefusalReason::TurnsUnavailable, after))
+            }
         }
     }
 
--- a/crates/gateway/src/exchange/report.rs
+++ b/crates/gateway/src/exchange/report.rs
@@ -65,6 +65,7 @@
             version = call.version,
             version_age_ms = age_ms(&self.gateway),
             epoch = self.gateway.node.view.epoch().0,
+            group = self.gateway.records.group_of(self.program().as_ref()).0,
             outcome = ending.name(),
             reason = ending.reason(),
             status = status,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -111,7 +111,7 @@
 
     /// Whether the platform should send new clients here.
     pub fn is_ready(&self) -> bool {
-        !self.draining.get() && self.knows_traffic() && !self.records.health.is_lost()
+        !self.draining.get() && self.knows_traffic() && !self.records.is_mostly_lost()
     }
 
     /// No new clients are wanted from now on.
@@ -324,8 +324,7 @@
             pass_on(&self.node, &self.records.paths, *passed, reply);
             return;
         }
-        let answer = self.node.answer(request);
-        let answer = answer.unwrap_or(PeerReply::Unsupported);
+        let answer = self.node.answer(&request);
         // Whoever asked may have given up.
         let _ = reply.send(answer);
     }
--- a/crates/gateway/tests/replica_paths.rs
+++ b/crates/gateway/tests/replica_paths.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 
 use ridgeworks_gateway::{Answering, QuorumHealth, ReplicaNetwork, ReplicaPaths};
-use ridgeworks_records::{Epoch, Replica, ReplicaId, ReplicaReply, ReplicaRequest, TurnId};
+use ridgeworks_records::{
+    Epoch, GroupId, Replica, ReplicaId, ReplicaReply, ReplicaRequest, TurnId,
+};
 use ridgeworks_resident::peer::LinkError;
 use tokio::task::LocalSet;
 use tokio::time::Instant;
@@ -101,6 +103,7 @@
 async fn ask(paths: &Rc<ReplicaPaths>) -> (Result<ReplicaReply, LinkError>, Duration) {
     let began = Instant::now();
     let request = ReplicaRequest::Settle {
+        group: GroupId(0),
         epoch: Epoch(1),
         settlements: Vec::new(),
     };
@@ -333,6 +336,7 @@
         Rc::clone(&network) as Rc<dyn ReplicaNetwork>
     ));
     let read = || ReplicaRequest::ReadChain {
+        group: GroupId(0),
         epoch: Epoch(1),
         turn: TurnId("t".to_owned()),
     };
--- a/crates/node/examples/replica_load.rs
+++ b/crates/node/examples/replica_load.rs
@@ -14,7 +14,8 @@
 use ridgeworks_platform_stand_ins::client;
 use ridgeworks_platform_stand_ins::deployment::{Deployment, Process};
 use ridgeworks_records::{
-    Epoch, LedgerEntry, ProgramId, ReplicaId, ReplicaRequest, Settlement, TurnId, TurnRecord,
+    Epoch, GroupId, LedgerEntry, ProgramId, ReplicaId, ReplicaRequest, Settlement, TurnId,
+    TurnRecord,
 };
 use ridgeworks_resident::peer::{PeerLinks, PeerReply, PeerRequest};
 use tokio::time::Instant;
@@ -64,6 +65,7 @@
 
 fn reservation(turn: u64, epoch: Epoch) -> ReplicaRequest {
     ReplicaRequest::Charge {
+        group: GroupId(0),
         epoch,
         program: program(turn),
         turn: TurnId(format!("{turn:016x}")),
@@ -77,6 +79,7 @@
 
 fn settlement(turn: u64, epoch: Epoch) -> ReplicaRequest {
     ReplicaRequest::Settle {
+        group: GroupId(0),
         epoch,
         settlements: vec![Settlement {
             program: program(turn),
@@ -92,6 +95,7 @@
 
 fn record(turn: u64, epoch: Epoch) -> ReplicaRequest {
     ReplicaRequest::Append {
+        group: GroupId(0),
         epoch,
         record: TurnRecord {
             turn: TurnId(format!("{turn:016x}")),
--- a/crates/node/tests/resident_records.rs
+++ b/crates/node/tests/resident_records.rs
@@ -383,7 +383,8 @@
 #[test]
 fn nobody_is_replaced_while_all_live_however_many_they_are() {
     let deployment = Deployment::started(PROGRAM, 1, MANY);
-    wait_until("there is a set", || deployment.voting_nodes().len() == 3);
+    // Five groups of three.
+    wait_until("there are sets", || deployment.voting_nodes().len() == 15);
     // Twice as long as a silence takes to make a replica count as gone.
     std::thread::sleep(Duration::from_millis(3_200));
     let lines: Vec<_> = deployment
--- a/crates/records/src/change_log.rs
+++ b/crates/records/src/change_log.rs
@@ -31,9 +31,12 @@
 }
 
 impl ChangeLog {
-    /// Changes are numbered for this life from now on.
-    pub fn begin_life(&mut self, life: u64) {
-        self.life = life;
+    /// No changes of this life yet.
+    pub fn of_life(life: u64) -> Self {
+        Self {
+            life,
+            ..Self::default()
+        }
     }
 
     /// Notes that a record has changed.
--- /dev/null
+++ b/crates/records/src/groups.rs
@@ -0,0 +1,150 @@
+//! Groups of replicas: each keeps the records of its own programs.
+//!
+//! One set for all programs brings every turn of a fleet past the same few machines, whatever stands beside them with nothing to do
+//! (`docs/design/large-fleets.md`, "Groups of replicas"). A program belongs to one group by a hash of its identifier, and so does all that it
+//! leaves behind, so that nothing crosses groups. How many groups there are is settled once, when the first sets are written.
+
+use std::fmt;
+
+use rkyv::{Archive, Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::identifiers::{Epoch, ProgramId, ReplicaId};
+use crate::replica_set::{Replica, ReplicaSet};
+
+/// One group of replicas.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Archive,
+    Serialize,
+    Deserialize,
+)]
+pub struct GroupId(pub u16);
+
+impl fmt::Display for GroupId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(formatter)
+    }
+}
+
+/// The sets of all groups, as the register has them.
+///
+/// One write changes the set of one group, so of two values the one with the greater [`Self::epoch`] is the newer one in
+/// every group.
+#[derive(
+    Debug,
+    Clone,
+    PartialEq,
+    Eq,
+    Archive,
+    Serialize,
+    Deserialize,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+#[serde(into = "RegisteredForm", from = "RegisteredForm")]
+pub struct ReplicaGroups {
+    sets: Vec<ReplicaSet>,
+}
+
+/// How the sets are written where other programs may read them. A single set is written alone, as it was before there were groups.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(untagged)]
+enum RegisteredForm {
+    One(ReplicaSet),
+    Many { sets: Vec<ReplicaSet> },
+}
+
+impl From<ReplicaGroups> for RegisteredForm {
+    fn from(mut groups: ReplicaGroups) -> Self {
+        match groups.sets.len() {
+            1 => Self::One(groups.sets.remove(0)),
+            _ => Self::Many { sets: groups.sets },
+        }
+    }
+}
+
+impl From<RegisteredForm> for ReplicaGroups {
+    fn from(form: RegisteredForm) -> Self {
+        match form {
+            RegisteredForm::One(set) => Self::of_one(set),
+            RegisteredForm::Many { sets } => Self::new(sets),
+        }
+    }
+}
+
+impl ReplicaGroups {
+    /// Groups with these sets, numbered in this order.
+    pub fn new(sets: Vec<ReplicaSet>) -> Self {
+        Self { sets }
+    }
+
+    /// One group for all programs.
+    pub fn of_one(set: ReplicaSet) -> Self {
+        Self::new(vec![set])
+    }
+
+    /// The groups with their sets.
+    pub fn iter(&self) -> impl Iterator<Item = (GroupId, &ReplicaSet)> {
+        (0..).map(GroupId).zip(&self.sets)
+    }
+
+    /// The set of a group; `None` where there is no such group.
+    pub fn set(&self, group: GroupId) -> Option<&ReplicaSet> {
+        self.sets.get(usize::from(group.0))
+    }
+
+    /// The group that keeps a program's records. Records of no program belong to the first one.
+    pub fn group_of(&self, program: Option<&ProgramId>) -> GroupId {
+        let Some(program) = program else {
+            return GroupId::default();
+        };
+        let groups = self.sets.len().max(1) as u64;
+        let number = xxh3_64(program.0.as_bytes()) % groups;
+        GroupId(u16::try_from(number).unwrap_or_default())
+    }
+
+    /// The epochs of all sets together; each change of any set has a higher one.
+    pub fn epoch(&self) -> Epoch {
+        Epoch(self.sets.iter().map(|set| set.epoch.0).sum())
+    }
+
+    /// The same groups with another set for one of them.
+    pub fn with_set(&self, group: GroupId, set: ReplicaSet) -> Self {
+        let mut changed = self.clone();
+        if let Some(known) = changed.sets.get_mut(usize::from(group.0)) {
+            *known = set;
+        }
+        changed
+    }
+
+    /// The replicas of all groups, each once.
+    pub fn members(&self) -> Vec<&Replica> {
+        let mut members: Vec<&Replica> = Vec::new();
+        for replica in self.sets.iter().flat_map(ReplicaSet::members) {
+            if !members.iter().any(|member| member.id == replica.id) {
+                members.push(replica);
+            }
+        }
+        members
+    }
+
+    /// The groups that a replica belongs to.
+    pub fn groups_of(&self, id: ReplicaId) -> Vec<GroupId> {
+        let with_member = self.iter().filter(|(_, set)| set.has_member(id));
+        with_member.map(|(group, _)| group).collect()
+    }
+
+    /// Whether a replica belongs to any group.
+    pub fn has_member(&self, id: ReplicaId) -> bool {
+        self.sets.iter().any(|set| set.has_member(id))
+    }
+}
--- a/crates/records/src/lib.rs
+++ b/crates/records/src/lib.rs
@@ -7,8 +7,8 @@
 //!
 //! - [`ReplicaState`] is the state machine of one replica.
 //! - [`QuorumWrite`] and [`ChainRead`] are the state machines of one operation at a gateway.
-//! - [`ReplicaSet`] says which replicas there are, at which [`Epoch`]. It is one object of a register
-//!   with compare-and-swap; [`plan_change`] says how it is to change.
+//! - [`ReplicaSet`] says which replicas there are in one group, at which [`Epoch`]. The sets of all [`ReplicaGroups`] are one object of a
+//!   register with compare-and-swap; [`plan_change`] says how one is to change.
 #![allow(
     missing_docs,
     reason = "the resolvers that rkyv derives carry undocumented fields"
@@ -16,6 +16,7 @@
 
 mod chain_read;
 mod change_log;
+mod groups;
 mod identifiers;
 mod ledger;
 mod message;
@@ -27,10 +28,11 @@
 
 pub use chain_read::{ChainOutcome, ChainRead};
 pub use change_log::ListPosition;
+pub use groups::{GroupId, ReplicaGroups};
 pub use identifiers::{Epoch, ProgramId, RecordKey, ReplicaId, TurnId};
 pub use ledger::{LedgerEntry, ProgramLedger};
 pub use message::{Listing, ReplicaReply, ReplicaRequest, Settlement};
-pub use plan::{CopiesSeen, SetStep, StorageNode, plan_change};
+pub use plan::{CopiesSeen, SetStep, StorageNode, deal_groups, first_groups, plan_change};
 pub use quorum_write::{QuorumWrite, WriteProgress};
 pub use replica::{Change, Handled, ReplicaState, StoredRecord, Wait};
 pub use replica_set::{Replica, ReplicaSet};
--- a/crates/records/src/message.rs
+++ b/crates/records/src/message.rs
@@ -3,9 +3,9 @@
 use rkyv::{Archive, Deserialize, Serialize};
 
 use crate::change_log::ListPosition;
+use crate::groups::{GroupId, ReplicaGroups};
 use crate::identifiers::{Epoch, ProgramId, TurnId};
 use crate::ledger::{LedgerEntry, ProgramLedger};
-use crate::replica_set::ReplicaSet;
 use crate::turn::TurnRecord;
 
 /// What a turn generated, for its program's ledger.
@@ -26,6 +26,8 @@
 pub enum ReplicaRequest {
     /// Joins an entry into a program's ledger and tells the whole ledger.
     Charge {
+        /// The program's group.
+        group: GroupId,
         /// The set that the sender counts its quorum in.
         epoch: Epoch,
         /// The program.
@@ -40,6 +42,8 @@
     /// Joins what turns generated into their ledgers. Nobody waits for it, so that the replica may make
     /// it durable together with what comes next.
     Settle {
+        /// The group of all these programs.
+        group: GroupId,
         /// The set that the sender counts its quorum in.
         epoch: Epoch,
         /// What the turns generated.
@@ -47,6 +51,8 @@
     },
     /// Writes the record of a turn.
     Append {
+        /// The group of the turn's program.
+        group: GroupId,
         /// The set that the sender counts its quorum in.
         epoch: Epoch,
         /// The record.
@@ -56,18 +62,22 @@
     },
     /// Reads a turn and all before it, as far as the replica has them.
     ReadChain {
+        /// The group of the turn's program.
+        group: GroupId,
         /// The set that the sender counts its quorum in.
         epoch: Epoch,
         /// The newest turn.
         turn: TurnId,
     },
-    /// Tells a newer replica set.
+    /// Tells newer replica sets.
     Adopt {
-        /// The set.
-        set: ReplicaSet,
+        /// The sets.
+        groups: ReplicaGroups,
     },
     /// Lists records that changed after a position, for a replica that copies them.
     List {
+        /// The group whose records are copied.
+        group: GroupId,
         /// The set under which the copy is made.
         epoch: Epoch,
         /// Where an earlier page led; `None` for the first one.
@@ -119,8 +129,8 @@
     },
     /// The sender's epoch is older than the replica's.
     Stale {
-        /// The replica's set.
-        set: ReplicaSet,
+        /// The sets as the replica knows them.
+        groups: ReplicaGroups,
     },
     /// The replica does not know the sender's epoch yet.
     Behind,
--- a/crates/records/src/plan.rs
+++ b/crates/records/src/plan.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use crate::groups::ReplicaGroups;
 use crate::identifiers::{Epoch, ReplicaId};
 use crate::replica_set::{Replica, ReplicaSet, majority};
 
@@ -16,6 +17,8 @@
     pub awaited: bool,
     /// Whether it is to be emptied.
     pub retiring: bool,
+    /// Groups that it belongs to.
+    pub groups: usize,
 }
 
 /// What brings the set nearer to the one that is wanted.
@@ -36,19 +39,21 @@
     pub copied: BTreeSet<ReplicaId>,
 }
 
-/// The next step of the set, or `None` when nothing is to be changed.
+/// Storage nodes up to which one group keeps everything: more groups would leave no machine to take a lost one's place.
+const ONE_GROUP: usize = 6;
+/// The most groups that there are.
+const MOST_GROUPS: usize = 64;
+
+/// The next step of one group's set, or `None` when nothing is to be changed.
 ///
 /// `size` is the number of replicas wanted; `patient` is false once unfinished copies have been waited for long enough.
 pub fn plan_change(
-    set: Option<&ReplicaSet>,
+    set: &ReplicaSet,
     nodes: &[StorageNode],
     size: usize,
     copies: &CopiesSeen,
     patient: bool,
 ) -> Option<SetStep> {
-    let Some(set) = set else {
-        return first_set(nodes, size).map(SetStep::Write);
-    };
     let alive: BTreeSet<ReplicaId> = nodes
         .iter()
         .filter(|node| node.alive)
@@ -102,13 +107,38 @@
     }
 }
 
-fn first_set(nodes: &[StorageNode], size: usize) -> Option<ReplicaSet> {
-    let voters = wanted_voters(&[], nodes, size);
-    (!voters.is_empty()).then_some(ReplicaSet {
-        epoch: Epoch(1),
-        voters,
-        incoming: None,
-    })
+/// The first sets of all groups: as many groups as the storage nodes that live make up, each with its own ones; `None` where
+/// none lives.
+pub fn first_groups(nodes: &[StorageNode], size: usize) -> Option<ReplicaGroups> {
+    let alive = nodes.iter().filter(|node| node.alive).count();
+    match alive {
+        0 => None,
+        1..=ONE_GROUP => Some(deal_groups(nodes, size, 1)),
+        _ => {
+            let number = (alive / size.max(1)).clamp(1, MOST_GROUPS);
+            Some(deal_groups(nodes, size, number))
+        }
+    }
+}
+
+/// The first sets of so many groups, each machine in as few of them as there may be.
+pub fn deal_groups(nodes: &[StorageNode], size: usize, number: usize) -> ReplicaGroups {
+    let mut nodes = nodes.to_vec();
+    let mut sets = Vec::new();
+    for _ in 0..number {
+        let voters = wanted_voters(&[], &nodes, size);
+        let taken = nodes.iter_mut().filter(|node| {
+            let id = node.replica.id;
+            voters.iter().any(|voter| voter.id == id)
+        });
+        taken.for_each(|node| node.groups += 1);
+        sets.push(ReplicaSet {
+            epoch: Epoch(1),
+            voters,
+            incoming: None,
+        });
+    }
+    ReplicaGroups::new(sets)
 }
 
 fn find<'a>(replica: &Replica, nodes: &'a [StorageNode]) -> Option<&'a StorageNode> {
@@ -168,7 +198,7 @@
         let zones: Vec<&String> = wanted.iter().map(|replica| &replica.zone).collect();
         let best = free.min_by_key(|node| {
             let crowd = zones.iter().filter(|zone| **zone == &node.replica.zone);
-            (crowd.count(), node.replica.id)
+            (node.groups, crowd.count(), node.replica.id)
         });
         let Some(node) = best else {
             break;
--- a/crates/records/src/quorum_write.rs
+++ b/crates/records/src/quorum_write.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use crate::groups::{GroupId, ReplicaGroups};
 use crate::identifiers::ReplicaId;
 use crate::ledger::ProgramLedger;
 use crate::message::ReplicaReply;
@@ -19,21 +20,23 @@
     /// The replica cannot take it now; it may be asked again later.
     TryLater,
     /// There is a newer set; the write starts anew under it.
-    Restart(ReplicaSet),
+    Restart(ReplicaGroups),
 }
 
 /// State of one write.
 #[derive(Debug, Clone)]
 pub struct QuorumWrite {
+    group: GroupId,
     set: ReplicaSet,
     durable: BTreeSet<ReplicaId>,
     ledger: ProgramLedger,
 }
 
 impl QuorumWrite {
-    /// A write under this set.
-    pub fn new(set: ReplicaSet) -> Self {
+    /// A write under this set of a group.
+    pub fn new(group: GroupId, set: ReplicaSet) -> Self {
         Self {
+            group,
             set,
             durable: BTreeSet::new(),
             ledger: ProgramLedger::default(),
@@ -53,14 +56,19 @@
                 self.count(from)
             }
             ReplicaReply::Done => self.count(from),
-            ReplicaReply::Stale { set } if set.epoch > self.set.epoch => {
-                WriteProgress::Restart(set)
+            ReplicaReply::Stale { groups } if self.is_newer(&groups) => {
+                WriteProgress::Restart(groups)
             }
             ReplicaReply::Behind => WriteProgress::Teach,
             _ => WriteProgress::TryLater,
         }
     }
 
+    fn is_newer(&self, groups: &ReplicaGroups) -> bool {
+        let known = groups.set(self.group);
+        known.is_some_and(|set| set.epoch > self.set.epoch)
+    }
+
     fn count(&mut self, from: ReplicaId) -> WriteProgress {
         self.durable.insert(from);
         if self.set.has_write_quorum(&self.durable) {
--- a/crates/records/src/replica.rs
+++ b/crates/records/src/replica.rs
@@ -8,6 +8,7 @@
 use rkyv::{Archive, Deserialize, Serialize};
 
 use crate::change_log::{ChangeLog, ChangeNumber, ListPosition};
+use crate::groups::{GroupId, ReplicaGroups};
 use crate::identifiers::{Epoch, ProgramId, RecordKey, ReplicaId, TurnId};
 use crate::ledger::{LedgerEntry, ProgramLedger};
 use crate::message::{Listing, ReplicaReply, ReplicaRequest, Settlement};
@@ -28,8 +29,13 @@
     Turn(TurnRecord, u64),
     /// A program's ledger, kept until this time in milliseconds since 1970.
     Ledger(ProgramId, ProgramLedger, u64),
-    /// The newest replica set that the replica knows.
+    /// The newest replica set that the replica knows; written before there were groups.
     Set(ReplicaSet),
+    /// The newest replica sets that the replica knows.
+    Groups(ReplicaGroups),
+    /// A turn of a group, kept until this time in milliseconds since 1970. [`Self::Turn`] was written before there were
+    /// groups.
+    GroupTurn(GroupId, TurnRecord, u64),
 }
 
 /// A durable change that the replica asks for.
@@ -85,6 +91,7 @@
 struct Kept<T> {
     value: T,
     until_ms: u64,
+    group: GroupId,
     changed: ChangeNumber,
 }
 
@@ -99,11 +106,13 @@
 #[derive(Debug, Clone)]
 pub struct ReplicaState {
     id: ReplicaId,
-    set: Option<ReplicaSet>,
-    copied: Option<Epoch>,
+    life: u64,
+    groups: Option<ReplicaGroups>,
+    /// The epoch of each group whose copy is finished.
+    copied: BTreeMap<GroupId, Epoch>,
     turns: BTreeMap<TurnId, Kept<TurnRecord>>,
     ledgers: BTreeMap<ProgramId, Kept<ProgramLedger>>,
-    changes: ChangeLog,
+    changes: BTreeMap<GroupId, ChangeLog>,
     turn_bytes: usize,
     max_turn_bytes: usize,
     /// Whether records are on the disk that were not restored yet.
@@ -119,11 +128,12 @@
     pub fn new(id: ReplicaId, max_turn_bytes: usize) -> Self {
         Self {
             id,
-            set: None,
-            copied: None,
+            life: 0,
+            groups: None,
+            copied: BTreeMap::new(),
             turns: BTreeMap::new(),
             ledgers: BTreeMap::new(),
-            changes: ChangeLog::default(),
+            changes: BTreeMap::new(),
             turn_bytes: 0,
             max_turn_bytes,
             is_restoring: false,
@@ -135,7 +145,7 @@
     /// Numbers changes for this life of the memory, drawn anew whenever the disk is opened: positions that others had in an earlier
     /// one mean nothing.
     pub fn begin_life(&mut self, life: u64) {
-        self.changes.begin_life(life);
+        self.life = life;
     }
 
     /// Records of the disk are restored while requests are taken already: those that a request needs first
@@ -205,7 +215,8 @@
             }
             // Kept for no longer than an empty ledger is of use.
             RecordKey::Ledger(program) => {
-                kept_ledger(&mut self.ledgers, program, 0);
+                let group = self.group_of(&program);
+                kept_ledger(&mut self.ledgers, group, program, 0);
             }
         }
     }
@@ -213,12 +224,19 @@
     /// Takes in a record that was read back from the disk.
     pub fn restore(&mut self, record: StoredRecord) {
         match record {
-            StoredRecord::Turn(record, until_ms) => self.put_turn(record, until_ms),
+            StoredRecord::Turn(record, until_ms) => {
+                self.put_turn(GroupId::default(), record, until_ms);
+            }
+            StoredRecord::GroupTurn(group, record, until_ms) => {
+                self.put_turn(group, record, until_ms);
+            }
             // Joined, since it may have changed while the disk was read.
             StoredRecord::Ledger(program, ledger, until_ms) => {
-                self.join_ledger(&program, &ledger, until_ms);
+                let group = self.group_of(&program);
+                self.join_ledger(group, &program, &ledger, until_ms);
             }
-            StoredRecord::Set(set) => self.set = Some(set),
+            StoredRecord::Set(set) => self.groups = Some(ReplicaGroups::of_one(set)),
+            StoredRecord::Groups(groups) => self.groups = Some(groups),
         }
     }
 
@@ -227,14 +245,29 @@
         self.id
     }
 
-    /// The newest replica set that it knows.
-    pub fn set(&self) -> Option<&ReplicaSet> {
-        self.set.as_ref()
+    /// The newest replica sets that it knows.
+    pub fn groups(&self) -> Option<&ReplicaGroups> {
+        self.groups.as_ref()
+    }
+
+    /// The epochs of all sets that it knows together, 0 where it knows none.
+    pub fn epoch(&self) -> Epoch {
+        let groups = self.groups.as_ref();
+        groups.map_or(Epoch::default(), ReplicaGroups::epoch)
     }
 
-    /// The epoch whose copy is finished.
-    pub fn copied(&self) -> Option<Epoch> {
-        self.copied
+    /// The epoch of a group whose copy is finished.
+    pub fn copied(&self, group: GroupId) -> Option<Epoch> {
+        self.copied.get(&group).copied()
+    }
+
+    /// A group whose set is changing and whose copy is finished here, with the set's epoch. There is one at a time mostly; the next one is told once
+    /// the set has changed.
+    pub fn copied_for_change(&self) -> Option<(GroupId, Epoch)> {
+        let mut sets = self.groups.iter().flat_map(ReplicaGroups::iter);
+        let changing = sets
+            .find(|(group, set)| set.incoming.is_some() && self.copied(*group) == Some(set.epoch));
+        changing.map(|(group, set)| (group, set.epoch))
     }
 
     /// Turns and ledgers that it keeps.
@@ -259,70 +292,90 @@
         }
         match request {
             ReplicaRequest::Charge {
+                group,
                 program,
                 turn,
                 entry,
                 keep_ms,
                 ..
-            } => self.charge(program, &turn, entry, now_ms + keep_ms),
-            ReplicaRequest::Settle { settlements, .. } => self.settle(settlements, now_ms),
+            } => self.charge(group, program, &turn, entry, now_ms + keep_ms),
+            ReplicaRequest::Settle {
+                group, settlements, ..
+            } => self.settle(group, settlements, now_ms),
             ReplicaRequest::Append {
-                record, keep_ms, ..
-            } => self.append(record, now_ms + keep_ms),
+                group,
+                record,
+                keep_ms,
+                ..
+            } => self.append(group, record, now_ms + keep_ms),
             ReplicaRequest::ReadChain { turn, .. } => Handled::at_once(self.read_chain(turn)),
-            ReplicaRequest::Adopt { set } => self.adopt(set),
+            ReplicaRequest::Adopt { groups } => self.adopt(groups),
             ReplicaRequest::List { .. } | ReplicaRequest::Fetch { .. } if self.is_restoring => {
                 Handled::at_once(ReplicaReply::Unavailable)
             }
-            ReplicaRequest::List { after, .. } => {
-                let listing = self.list(after, now_ms);
+            ReplicaRequest::List { group, after, .. } => {
+                let listing = self.list(group, after, now_ms);
                 Handled::durable(Vec::new(), ReplicaReply::Listed(listing))
             }
             ReplicaRequest::Fetch { turns } => Handled::at_once(self.fetch(&turns)),
         }
     }
 
-    /// Takes in a newer replica set.
-    pub fn adopt(&mut self, set: ReplicaSet) -> Handled {
-        if set.epoch <= self.epoch() {
+    /// Takes in newer replica sets.
+    pub fn adopt(&mut self, groups: ReplicaGroups) -> Handled {
+        if groups.epoch() <= self.epoch() {
             return Handled::durable(Vec::new(), ReplicaReply::Done);
         }
-        self.set = Some(set.clone());
-        let change = Change::Put(StoredRecord::Set(set));
+        self.groups = Some(groups.clone());
+        let change = Change::Put(StoredRecord::Groups(groups));
         Handled::durable(vec![change], ReplicaReply::Done)
     }
 
-    /// Takes in a turn that was copied from another replica.
-    pub fn copy_turn(&mut self, record: TurnRecord, keep_ms: u64, now_ms: u64) -> Vec<Change> {
-        self.append(record, now_ms + keep_ms).changes
+    /// Takes in a turn that was copied from another replica; `None` where there is no room for it.
+    pub fn copy_turn(
+        &mut self,
+        group: GroupId,
+        record: TurnRecord,
+        keep_ms: u64,
+        now_ms: u64,
+    ) -> Option<Vec<Change>> {
+        let handled = self.append(group, record, now_ms + keep_ms);
+        (handled.reply == ReplicaReply::Done).then_some(handled.changes)
     }
 
     /// Takes in a ledger that was copied from another replica.
     pub fn copy_ledger(
         &mut self,
+        group: GroupId,
         program: ProgramId,
         ledger: &ProgramLedger,
         keep_ms: u64,
         now_ms: u64,
     ) -> Vec<Change> {
-        let change = self.join_ledger(&program, ledger, now_ms + keep_ms);
+        let change = self.join_ledger(group, &program, ledger, now_ms + keep_ms);
         change.into_iter().collect()
     }
 
     /// Notes that everything which a read quorum held at this epoch has been copied.
-    pub fn finish_copy(&mut self, epoch: Epoch) {
-        self.copied = self.copied.max(Some(epoch));
+    pub fn finish_copy(&mut self, group: GroupId, epoch: Epoch) {
+        let copied = self.copied.entry(group).or_default();
+        *copied = epoch.max(*copied);
     }
 
     /// Forgets what is no longer kept.
     pub fn expire(&mut self, now_ms: u64) -> Vec<Change> {
         let mut changes = Vec::new();
         let turn_bytes = &mut self.turn_bytes;
-        let log = &mut self.changes;
+        let logs = &mut self.changes;
+        let mut forget = |group: GroupId, changed: ChangeNumber| {
+            if let Some(log) = logs.get_mut(&group) {
+                log.forget(changed);
+            }
+        };
         self.turns.retain(|turn, kept| {
             let keep = kept.until_ms > now_ms;
             if !keep {
-                log.forget(kept.changed);
+                forget(kept.group, kept.changed);
                 *turn_bytes -= kept.value.weight();
                 changes.push(Change::Delete(RecordKey::Turn(turn.clone())));
             }
@@ -331,7 +384,7 @@
         self.ledgers.retain(|program, kept| {
             let keep = kept.until_ms > now_ms;
             if !keep {
-                log.forget(kept.changed);
+                forget(kept.group, kept.changed);
                 changes.push(Change::Delete(RecordKey::Ledger(program.clone())));
             }
             keep
@@ -339,8 +392,9 @@
         changes
     }
 
-    fn epoch(&self) -> Epoch {
-        self.set.as_ref().map_or(Epoch::default(), |set| set.epoch)
+    fn group_of(&self, program: &ProgramId) -> GroupId {
+        let groups = self.groups.as_ref();
+        groups.map_or(GroupId::default(), |groups| groups.group_of(Some(program)))
     }
 
     fn refuse(&self, request: &ReplicaRequest) -> Option<ReplicaReply> {
@@ -350,22 +404,26 @@
             // A record never changes, so it may be told at any epoch.
             return None;
         }
-        let epoch = match request {
-            ReplicaRequest::Charge { epoch, .. }
-            | ReplicaRequest::Settle { epoch, .. }
-            | ReplicaRequest::Append { epoch, .. }
-            | ReplicaRequest::ReadChain { epoch, .. }
-            | ReplicaRequest::List { epoch, .. } => *epoch,
+        let (group, epoch) = match request {
+            ReplicaRequest::Charge { group, epoch, .. }
+            | ReplicaRequest::Settle { group, epoch, .. }
+            | ReplicaRequest::Append { group, epoch, .. }
+            | ReplicaRequest::ReadChain { group, epoch, .. }
+            | ReplicaRequest::List { group, epoch, .. } => (*group, *epoch),
             _ => return None,
         };
-        let Some(set) = &self.set else {
+        let Some(groups) = &self.groups else {
             return Some(ReplicaReply::Behind);
         };
+        let Some(set) = groups.set(group) else {
+            return Some(ReplicaReply::NotMember);
+        };
         if epoch > set.epoch {
             return Some(ReplicaReply::Behind);
         }
         if epoch < set.epoch {
-            return Some(ReplicaReply::Stale { set: set.clone() });
+            let groups = groups.clone();
+            return Some(ReplicaReply::Stale { groups });
         }
         let listing = matches!(request, ReplicaRequest::List { .. });
         (!listing && !set.has_member(self.id)).then_some(ReplicaReply::NotMember)
@@ -373,20 +431,20 @@
 
     fn charge(
         &mut self,
+        group: GroupId,
         program: ProgramId,
         turn: &TurnId,
         entry: LedgerEntry,
         until_ms: u64,
     ) -> Handled {
-        let change = self.join_entry(&program, turn, entry, until_ms);
-        let ledger = kept_ledger(&mut self.ledgers, program, until_ms)
-            .value
-            .clone();
+        let change = self.join_entry(group, &program, turn, entry, until_ms);
+        let kept = kept_ledger(&mut self.ledgers, group, program, until_ms);
+        let ledger = kept.value.clone();
         let reply = ReplicaReply::Charged { ledger };
         Handled::durable(change.into_iter().collect(), reply)
     }
 
-    fn settle(&mut self, settlements: Vec<Settlement>, now_ms: u64) -> Handled {
+    fn settle(&mut self, group: GroupId, settlements: Vec<Settlement>, now_ms: u64) -> Handled {
         let mut changes = Vec::new();
         for settlement in settlements {
             let Settlement {
@@ -395,7 +453,8 @@
                 entry,
                 keep_ms,
             } = settlement;
-            changes.extend(self.join_entry(&program, &turn, entry, now_ms + keep_ms));
+            let until_ms = now_ms + keep_ms;
+            changes.extend(self.join_entry(group, &program, &turn, entry, until_ms));
         }
         Handled {
             changes,
@@ -407,63 +466,68 @@
     /// Joins an entry in; the change that makes it durable, if there is any.
     fn join_entry(
         &mut self,
+        group: GroupId,
         program: &ProgramId,
         turn: &TurnId,
         entry: LedgerEntry,
         until_ms: u64,
     ) -> Option<Change> {
-        self.change_ledger(program, until_ms, |ledger| ledger.join(turn, entry))
+        self.change_ledger(group, program, until_ms, |ledger| ledger.join(turn, entry))
     }
 
     /// Joins another copy of a ledger in; the change that makes it durable, if there is any.
     fn join_ledger(
         &mut self,
+        group: GroupId,
         program: &ProgramId,
         ledger: &ProgramLedger,
         until_ms: u64,
     ) -> Option<Change> {
-        self.change_ledger(program, until_ms, |known| known.join_all(ledger))
+        self.change_ledger(group, program, until_ms, |known| known.join_all(ledger))
     }
 
     fn change_ledger(
         &mut self,
+        group: GroupId,
         program: &ProgramId,
         until_ms: u64,
         join: impl FnOnce(&mut ProgramLedger) -> bool,
     ) -> Option<Change> {
-        let kept = kept_ledger(&mut self.ledgers, program.clone(), until_ms);
+        let kept = kept_ledger(&mut self.ledgers, group, program.clone(), until_ms);
         let has_changed = join(&mut kept.value);
         kept.until_ms = kept.until_ms.max(until_ms);
         if !has_changed {
             return None;
         }
         let key = || RecordKey::Ledger(program.clone());
-        self.changes.note(&mut kept.changed, key);
+        let log = change_log(&mut self.changes, self.life, kept.group);
+        log.note(&mut kept.changed, key);
         let stored = StoredRecord::Ledger(program.clone(), kept.value.clone(), kept.until_ms);
         Some(Change::Put(stored))
     }
 
-    fn append(&mut self, record: TurnRecord, until_ms: u64) -> Handled {
+    fn append(&mut self, group: GroupId, record: TurnRecord, until_ms: u64) -> Handled {
         if self.turns.contains_key(&record.turn) {
             return Handled::durable(Vec::new(), ReplicaReply::Done);
         }
         if self.turn_bytes + record.weight() > self.max_turn_bytes {
             return Handled::at_once(ReplicaReply::Unavailable);
         }
-        self.put_turn(record.clone(), until_ms);
-        let change = Change::Put(StoredRecord::Turn(record, until_ms));
+        self.put_turn(group, record.clone(), until_ms);
+        let change = Change::Put(StoredRecord::GroupTurn(group, record, until_ms));
         Handled::durable(vec![change], ReplicaReply::Done)
     }
 
-    fn put_turn(&mut self, record: TurnRecord, until_ms: u64) {
+    fn put_turn(&mut self, group: GroupId, record: TurnRecord, until_ms: u64) {
         self.turn_bytes += record.weight();
         let turn = record.turn.clone();
         let mut changed = self.turns.get(&turn).and_then(|kept| kept.changed);
         let key = || RecordKey::Turn(turn.clone());
-        self.changes.note(&mut changed, key);
+        change_log(&mut self.changes, self.life, group).note(&mut changed, key);
         let kept = Kept {
             value: record,
             until_ms,
+            group,
             changed,
         };
         if let Some(earlier) = self.turns.insert(turn, kept) {
@@ -503,8 +567,9 @@
         ReplicaReply::Fetched { records }
     }
 
-    fn list(&self, after: Option<ListPosition>, now_ms: u64) -> Listing {
-        let (keys, next) = self.changes.page(after, LISTING_PAGE);
+    fn list(&mut self, group: GroupId, after: Option<ListPosition>, now_ms: u64) -> Listing {
+        let log = change_log(&mut self.changes, self.life, group);
+        let (keys, next) = log.page(after, LISTING_PAGE);
         let mut turns = Vec::new();
         let mut ledgers = Vec::new();
         for key in keys {
@@ -525,19 +590,30 @@
             turns,
             ledgers,
             next,
-            is_end: self.changes.is_end(next),
+            is_end: log.is_end(next),
         }
     }
 }
 
+fn change_log(
+    logs: &mut BTreeMap<GroupId, ChangeLog>,
+    life: u64,
+    group: GroupId,
+) -> &mut ChangeLog {
+    logs.entry(group)
+        .or_insert_with(|| ChangeLog::of_life(life))
+}
+
 fn kept_ledger(
     ledgers: &mut BTreeMap<ProgramId, Kept<ProgramLedger>>,
+    group: GroupId,
     program: ProgramId,
     until_ms: u64,
 ) -> &mut Kept<ProgramLedger> {
     ledgers.entry(program).or_insert_with(|| Kept {
         value: ProgramLedger::default(),
         until_ms,
+        group,
         changed: None,
     })
 }
--- a/crates/records/tests/restoring.rs
+++ b/crates/records/tests/restoring.rs
@@ -1,8 +1,8 @@
 //! A replica that takes requests while the records of its disk are still being read back.
 
 use ridgeworks_records::{
-    Epoch, LedgerEntry, ProgramId, ProgramLedger, RecordKey, Replica, ReplicaId, ReplicaReply,
-    ReplicaRequest, ReplicaSet, ReplicaState, StoredRecord, TurnId, TurnRecord,
+    Epoch, GroupId, LedgerEntry, ProgramId, ProgramLedger, RecordKey, Replica, ReplicaId,
+    ReplicaReply, ReplicaRequest, ReplicaSet, ReplicaState, StoredRecord, TurnId, TurnRecord,
 };
 
 const NOW: u64 = 1_000_000;
@@ -48,6 +48,7 @@
 
 fn charge(turn: &str) -> ReplicaRequest {
     ReplicaRequest::Charge {
+        group: GroupId(0),
         epoch: Epoch(3),
         program: ProgramId("p".to_owned()),
         turn: TurnId(turn.to_owned()),
@@ -62,7 +63,9 @@
 fn read(state: &mut ReplicaState, turn: &str) -> ReplicaReply {
     let epoch = Epoch(3);
     let turn = TurnId(turn.to_owned());
-    let handled = state.handle(ReplicaRequest::ReadChain { epoch, turn }, NOW);
+    let group = GroupId(0);
+    let read = ReplicaRequest::ReadChain { group, epoch, turn };
+    let handled = state.handle(read, NOW);
     handled.reply
 }
 
@@ -98,6 +101,7 @@
 fn a_chain_is_needed_link_by_link() {
     let mut state = replica();
     let request = ReplicaRequest::ReadChain {
+        group: GroupId(0),
         epoch: Epoch(3),
         turn: TurnId("t-2".to_owned()),
     };
@@ -139,6 +143,7 @@
 fn nothing_is_listed_or_fetched_for_a_copy() {
     let mut state = replica();
     let list = ReplicaRequest::List {
+        group: GroupId(0),
         epoch: Epoch(3),
         after: None,
     };
@@ -159,6 +164,7 @@
     let mut state = replica();
     let record = turn("t-1", None);
     let append = ReplicaRequest::Append {
+        group: GroupId(0),
         epoch: Epoch(3),
         record: record.clone(),
         keep_ms: 60_000,
@@ -182,6 +188,7 @@
     assert_eq!(state.needs(&other), None);
     let turn = TurnId("t-1".to_owned());
     let epoch = Epoch(3);
-    let read = ReplicaRequest::ReadChain { epoch, turn };
+    let group = GroupId(0);
+    let read = ReplicaRequest::ReadChain { group, epoch, turn };
     assert!(state.needs(&read).is_some(), "turns are not back yet");
 }
--- a/crates/records/tests/simulator/gateway.rs
+++ b/crates/records/tests/simulator/gateway.rs
@@ -1,8 +1,8 @@
 //! Turns of programs as gateways carry them out, and the reads that check them.
 
 use ridgeworks_records::{
-    ChainRead, LedgerEntry, ProgramId, QuorumWrite, ReplicaRequest, ReplicaSet, Settlement, TurnId,
-    TurnRecord,
+    ChainRead, GroupId, LedgerEntry, ProgramId, QuorumWrite, ReplicaRequest, ReplicaSet,
+    Settlement, TurnId, TurnRecord,
 };
 
 use super::storage::KEEP_MS;
@@ -21,9 +21,22 @@
         spent: u64,
     },
     /// Reads an acknowledged turn.
-    Read { turn: TurnId },
+    Read { program: usize, turn: TurnId },
     /// Reads a turn that nobody wrote.
-    ReadInvented,
+    ReadInvented { program: usize },
+}
+
+impl Purpose {
+    /// The program that it is about.
+    pub fn program(&self) -> usize {
+        match self {
+            Self::Reserve { program, .. }
+            | Self::Append { program, .. }
+            | Self::Settle { program, .. }
+            | Self::Read { program, .. }
+            | Self::ReadInvented { program } => *program,
+        }
+    }
 }
 
 /// The state machine of an operation.
@@ -37,6 +50,7 @@
 #[derive(Debug, Clone)]
 pub struct Operation {
     pub gateway: usize,
+    pub group: GroupId,
     pub purpose: Purpose,
     pub machine: Machine,
     pub deadline: u64,
@@ -62,8 +76,10 @@
     /// The request as it is sent under the operation's set.
     pub fn request(&self) -> ReplicaRequest {
         let epoch = self.set().epoch;
+        let group = self.group;
         match (&self.purpose, &self.machine) {
             (Purpose::Reserve { program, turn }, _) => ReplicaRequest::Charge {
+                group,
                 epoch,
                 program: program_id(*program),
                 turn: turn.clone(),
@@ -81,6 +97,7 @@
                 },
                 _,
             ) => ReplicaRequest::Settle {
+                group,
                 epoch,
                 settlements: vec![Settlement {
                     program: program_id(*program),
@@ -93,11 +110,13 @@
                 }],
             },
             (Purpose::Append { record, .. }, _) => ReplicaRequest::Append {
+                group,
                 epoch,
                 record: record.clone(),
                 keep_ms: KEEP_MS,
             },
             (_, Machine::Read(read)) => ReplicaRequest::ReadChain {
+                group,
                 epoch,
                 turn: read.wanted().clone(),
             },
@@ -108,9 +127,9 @@
     /// Starts the operation anew under a newer set.
     pub fn restart(&mut self, set: ReplicaSet) {
         self.machine = match &self.purpose {
-            Purpose::Read { turn } => Machine::Read(ChainRead::new(set, turn.clone())),
-            Purpose::ReadInvented => Machine::Read(ChainRead::new(set, invented())),
-            _ => Machine::Write(QuorumWrite::new(set)),
+            Purpose::Read { turn, .. } => Machine::Read(ChainRead::new(set, turn.clone())),
+            Purpose::ReadInvented { .. } => Machine::Read(ChainRead::new(set, invented())),
+            _ => Machine::Write(QuorumWrite::new(self.group, set)),
         };
     }
 }
--- a/crates/records/tests/simulator/storage.rs
+++ b/crates/records/tests/simulator/storage.rs
@@ -3,8 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use ridgeworks_records::{
-    Change, Epoch, Handled, ListPosition, RecordKey, Replica, ReplicaId, ReplicaReply,
-    ReplicaRequest, ReplicaSet, ReplicaState, StoredRecord, TurnId, Wait,
+    Change, Epoch, GroupId, Handled, ListPosition, RecordKey, Replica, ReplicaGroups, ReplicaId,
+    ReplicaReply, ReplicaRequest, ReplicaSet, ReplicaState, StoredRecord, TurnId, Wait,
 };
 
 use super::Weakening;
@@ -16,8 +16,9 @@
 /// Key of a record on the simulated disk.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 enum DiskKey {
+    /// First, since ledgers are restored for the groups that are known.
+    Groups,
     Record(RecordKey),
-    Set,
 }
 
 /// A reply that waits for the disk.
@@ -28,9 +29,14 @@
     pub reply: ReplicaReply,
 }
 
+/// Number of no question.
+pub const NOBODY_ASKED: u64 = u64::MAX;
+
 /// Where a copy stands: for a set that is changing, or before the change for one that is not.
 #[derive(Debug, Clone)]
 pub struct CopyTask {
+    pub group: GroupId,
+    pub groups: ReplicaGroups,
     pub set: ReplicaSet,
     pub done: BTreeSet<ReplicaId>,
     pub source: Option<Replica>,
@@ -42,12 +48,15 @@
 }
 
 impl CopyTask {
-    pub fn new(set: ReplicaSet) -> Self {
+    pub fn new(group: GroupId, groups: ReplicaGroups) -> Self {
+        let set = groups.set(group).expect("a group of the sets").clone();
         Self {
+            group,
+            groups,
             set,
             done: BTreeSet::new(),
             source: None,
-            asked: 0,
+            asked: NOBODY_ASKED,
             page: None,
             missing: Vec::new(),
         }
@@ -70,13 +79,13 @@
     pub submitted: u64,
     pub durable: u64,
     pub waiting: VecDeque<WaitingReply>,
-    pub copy: Option<CopyTask>,
+    pub copies: BTreeMap<GroupId, CopyTask>,
     /// How far the changes of each source are known.
-    pub positions: BTreeMap<ReplicaId, ListPosition>,
-    /// Until when this node is to copy before the set changes, and for which epoch.
-    pub wish: Option<(Epoch, u64)>,
-    /// The epoch for which it holds what a read quorum held moments ago.
-    pub prepared: Option<Epoch>,
+    pub positions: BTreeMap<(GroupId, ReplicaId), ListPosition>,
+    /// Until when this node is to copy before the set of a group changes, and for which epoch.
+    pub wishes: BTreeMap<GroupId, (Epoch, u64)>,
+    /// The epoch of each group for which it holds what a read quorum held moments ago.
+    pub prepared: BTreeMap<GroupId, Epoch>,
     weakening: Weakening,
 }
 
@@ -92,10 +101,10 @@
             submitted: 0,
             durable: 0,
             waiting: VecDeque::new(),
-            copy: None,
+            copies: BTreeMap::new(),
             positions: BTreeMap::new(),
-            wish: None,
-            prepared: None,
+            wishes: BTreeMap::new(),
+            prepared: BTreeMap::new(),
             weakening,
         }
     }
@@ -129,14 +138,16 @@
 
     /// Makes any request look as if it came under the set that is known here.
     fn ignore_epoch(&self, request: &mut ReplicaRequest) {
-        let Some(set) = self.state.set() else {
+        let Some(groups) = self.state.groups() else {
             return;
         };
         match request {
-            ReplicaRequest::Charge { epoch, .. }
-            | ReplicaRequest::Settle { epoch, .. }
-            | ReplicaRequest::Append { epoch, .. }
-            | ReplicaRequest::ReadChain { epoch, .. } => *epoch = set.epoch,
+            ReplicaRequest::Charge { group, epoch, .. }
+            | ReplicaRequest::Settle { group, epoch, .. }
+            | ReplicaRequest::Append { group, epoch, .. }
+            | ReplicaRequest::ReadChain { group, epoch, .. } => {
+                *epoch = groups.set(*group).expect("a group of the sets").epoch;
+            }
             _ => {}
         }
     }
@@ -180,13 +191,13 @@
         match change {
             Change::Put(record) => {
                 let key = match &record {
-                    StoredRecord::Turn(turn, _) => {
+                    StoredRecord::Turn(turn, _) | StoredRecord::GroupTurn(_, turn, _) => {
                         DiskKey::Record(RecordKey::Turn(turn.turn.clone()))
                     }
                     StoredRecord::Ledger(program, ..) => {
                         DiskKey::Record(RecordKey::Ledger(program.clone()))
                     }
-                    StoredRecord::Set(_) => DiskKey::Set,
+                    StoredRecord::Set(_) | StoredRecord::Groups(_) => DiskKey::Groups,
                 };
                 self.disk.insert(key, record);
             }
@@ -207,10 +218,10 @@
         self.life += 1;
         self.unsynced.clear();
         self.waiting.clear();
-        self.copy = None;
+        self.copies.clear();
         self.positions.clear();
-        self.wish = None;
-        self.prepared = None;
+        self.wishes.clear();
+        self.prepared.clear();
     }
 
     /// The process starts on its disk.
--- a/crates/records/tests/simulator/world.rs
+++ b/crates/records/tests/simulator/world.rs
@@ -11,13 +11,13 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use ridgeworks_records::{
-    ChainOutcome, CopiesSeen, Epoch, Handled, ProgramLedger, QuorumWrite, ReplicaId, ReplicaReply,
-    ReplicaRequest, ReplicaSet, SetStep, StorageNode as SeenNode, TurnId, TurnRecord, Wait,
-    WriteProgress, plan_change,
+    ChainOutcome, CopiesSeen, Epoch, GroupId, Handled, ProgramLedger, QuorumWrite, ReplicaGroups,
+    ReplicaId, ReplicaReply, ReplicaRequest, ReplicaSet, SetStep, StorageNode as SeenNode, TurnId,
+    TurnRecord, Wait, WriteProgress, deal_groups, plan_change,
 };
 
-use super::gateway::{MOST, Machine, Operation, Purpose};
-use super::storage::{CopyTask, KEEP_MS, StorageNode};
+use super::gateway::{MOST, Machine, Operation, Purpose, program_id};
+use super::storage::{CopyTask, KEEP_MS, NOBODY_ASKED, StorageNode};
 use super::{Outcome, Weakening};
 
 const STORAGE_NODES: usize = 4;
@@ -68,6 +68,7 @@
     CopyStep {
         node: usize,
         life: u64,
+        group: GroupId,
     },
     Coordinate {
         node: usize,
@@ -122,11 +123,13 @@
     queue: BinaryHeap<Reverse<Scheduled>>,
     storage: Vec<StorageNode>,
     cut: BTreeSet<usize>,
-    register: Option<ReplicaSet>,
-    /// The set that each gateway knows.
-    known: Vec<Option<ReplicaSet>>,
-    /// Epochs that a coordinator saw, and since when.
-    epoch_since: (Epoch, u64),
+    /// Groups that programs are spread over, each with replicas of its own on the same nodes.
+    group_count: usize,
+    register: Option<ReplicaGroups>,
+    /// The sets that each gateway knows.
+    known: Vec<Option<ReplicaGroups>>,
+    /// Since when the set of each group has been in force.
+    changed_at: BTreeMap<GroupId, u64>,
     operations: BTreeMap<u64, Operation>,
     next_number: u64,
     programs: Vec<Program>,
@@ -159,9 +162,10 @@
             queue: BinaryHeap::new(),
             storage: storage.collect(),
             cut: BTreeSet::new(),
+            group_count: 1 + usize::from(seed.is_multiple_of(2)),
             register: None,
             known: vec![None; GATEWAYS],
-            epoch_since: (Epoch(0), 0),
+            changed_at: BTreeMap::new(),
             operations: BTreeMap::new(),
             next_number: 1_000,
             programs: (0..PROGRAMS).map(|_| Program::default()).collect(),
@@ -229,7 +233,7 @@
             },
             Event::Sync { node, life, batch } => self.sync(node, life, batch),
             Event::Retry { operation } => self.retry(operation),
-            Event::CopyStep { node, life } => self.copy_step(node, life),
+            Event::CopyStep { node, life, group } => self.copy_step(node, life, group),
             Event::Coordinate { node } => self.coordinate(node),
             Event::StartTurn { gateway } => self.start_turn(gateway),
             Event::Start { node } => self.start_node(node),
--- a/crates/records/tests/simulator/world/changes.rs
+++ b/crates/records/tests/simulator/world/changes.rs
@@ -10,45 +10,78 @@
             return;
         }
         self.hear_register(node);
+        let Some(groups) = self.storage[node].state.groups().cloned() else {
+            self.found_groups(node);
+            return;
+        };
+        for (group, set) in groups.iter() {
+            self.change_set(node, group, set, &groups);
+        }
+    }
+
+    /// Writes the first sets, unless somebody has.
+    fn found_groups(&mut self, node: usize) {
+        if self.register.is_none() {
+            let seen: Vec<SeenNode> = self
+                .storage
+                .iter()
+                .map(|storage| self.see(storage))
+                .collect();
+            let groups = deal_groups(&seen, REPLICAS, self.group_count);
+            let is_empty = groups.iter().any(|(_, set)| set.voters.is_empty());
+            self.register = (!is_empty).then_some(groups);
+            self.outcome.set_changes += u64::from(!is_empty);
+        }
+        self.hear_register(node);
+    }
+
+    fn change_set(
+        &mut self,
+        node: usize,
+        group: GroupId,
+        set: &ReplicaSet,
+        groups: &ReplicaGroups,
+    ) {
         let seen: Vec<SeenNode> = self
             .storage
             .iter()
             .map(|storage| self.see(storage))
             .collect();
-        let waited = self.now - self.epoch_since.1;
+        let since = self.changed_at.get(&group).copied().unwrap_or_default();
+        let is_patient = self.now - since < 800;
         let copies = CopiesSeen {
-            prepared: self.prepared(),
-            copied: self.copied(),
+            prepared: self.prepared(group, set.epoch),
+            copied: self.copied(group, set.epoch),
         };
-        let set = self.storage[node].state.set().cloned();
-        if set.is_none() && self.register.is_some() {
-            return;
-        }
-        let step = plan_change(set.as_ref(), &seen, REPLICAS, &copies, waited < 800);
-        let change = match step {
+        let change = match plan_change(set, &seen, REPLICAS, &copies, is_patient) {
             Some(SetStep::Write(change)) => change,
             Some(SetStep::Prepare(newcomers)) => {
                 let ids: BTreeSet<ReplicaId> = newcomers.iter().map(|new| new.id).collect();
-                self.ask_to_prepare(&ids, set);
+                self.ask_to_prepare(&ids, group, groups);
                 return;
             }
             None => return,
         };
-        let registered = self.register.as_ref().map(|set| set.epoch);
-        if registered != set.map(|set| set.epoch) {
+        let Some(registered) = &self.register else {
+            return;
+        };
+        if registered.set(group).map(|set| set.epoch) != Some(set.epoch) {
             return;
         }
         self.outcome.set_changes += 1;
-        self.epoch_since = (change.epoch, self.now);
-        self.register = Some(change);
+        self.changed_at.insert(group, self.now);
+        self.register = Some(registered.with_set(group, change));
         self.hear_register(node);
     }
 
-    /// Asks newcomers to copy before the set changes; some never hear of it.
-    fn ask_to_prepare(&mut self, newcomers: &BTreeSet<ReplicaId>, set: Option<ReplicaSet>) {
-        let Some(set) = set else {
-            return;
-        };
+    /// Asks newcomers to copy before the set of a group changes; some never hear of it.
+    fn ask_to_prepare(
+        &mut self,
+        newcomers: &BTreeSet<ReplicaId>,
+        group: GroupId,
+        groups: &ReplicaGroups,
+    ) {
+        let until = self.now + WISH_TIME;
         for node in 0..STORAGE_NODES {
             let is_cut = self.cut.contains(&node);
             let is_lost = self.random.random_bool(LOSS);
@@ -56,28 +89,30 @@
             if !storage.running || is_cut || is_lost || !newcomers.contains(&storage.state.id()) {
                 continue;
             }
-            let handled = storage.state.adopt(set.clone());
+            let handled = storage.state.adopt(groups.clone());
             storage.carry_out(handled, None);
-            storage.wish = Some((set.epoch, self.now + WISH_TIME));
-            let has_begun = storage
-                .copy
-                .as_ref()
-                .is_some_and(|copy| copy.set.epoch >= set.epoch);
-            if !has_begun {
-                storage.copy = Some(CopyTask::new(set.clone()));
-                let life = storage.life;
-                self.schedule(1, Event::CopyStep { node, life });
+            let task = CopyTask::new(group, groups.clone());
+            storage.wishes.insert(group, (task.set.epoch, until));
+            let begun = storage.copies.get(&group);
+            if begun.is_none_or(|begun| begun.set.epoch < task.set.epoch) {
+                self.begin_copy(node, task);
             }
             self.schedule_sync(node);
         }
     }
 
-    fn prepared(&self) -> BTreeSet<ReplicaId> {
-        let epoch = self.register.as_ref().map(|set| set.epoch);
+    fn begin_copy(&mut self, node: usize, task: CopyTask) {
+        let storage = &mut self.storage[node];
+        let (life, group) = (storage.life, task.group);
+        storage.copies.insert(group, task);
+        self.schedule(1, Event::CopyStep { node, life, group });
+    }
+
+    fn prepared(&self, group: GroupId, epoch: Epoch) -> BTreeSet<ReplicaId> {
         let ready = self
             .storage
             .iter()
-            .filter(|storage| storage.running && epoch.is_some() && storage.prepared == epoch);
+            .filter(|storage| storage.running && storage.prepared.get(&group) == Some(&epoch));
         ready.map(|storage| storage.state.id()).collect()
     }
 
@@ -87,43 +122,42 @@
             alive: storage.running && !self.cut.contains(&storage.index),
             awaited: false,
             retiring: false,
+            groups: 0,
         }
     }
 
-    pub(super) fn copied(&self) -> BTreeSet<ReplicaId> {
-        let epoch = self.register.as_ref().map(|set| set.epoch);
+    pub(super) fn copied(&self, group: GroupId, epoch: Epoch) -> BTreeSet<ReplicaId> {
         let finished = self.storage.iter().filter(|storage| {
             let all = self.weakening == Weakening::NoCopy;
-            let is_early = self.weakening == Weakening::NoRest && storage.prepared.is_some();
-            let is_copied = epoch.is_some() && storage.state.copied() == epoch;
+            let is_early =
+                self.weakening == Weakening::NoRest && storage.prepared.contains_key(&group);
+            let is_copied = storage.state.copied(group) == Some(epoch);
             storage.running && (all || is_early || is_copied)
         });
         finished.map(|storage| storage.state.id()).collect()
     }
 
-    /// A storage node adopts what the register holds, and begins a copy where one is due.
+    /// A storage node adopts what the register holds, and begins copies where they are due.
     pub(super) fn hear_register(&mut self, node: usize) {
-        let Some(set) = self.register.clone() else {
+        let Some(groups) = self.register.clone() else {
             return;
         };
         let storage = &mut self.storage[node];
-        let handled = storage.state.adopt(set.clone());
+        let handled = storage.state.adopt(groups.clone());
         storage.carry_out(handled, None);
         let id = storage.state.id();
-        let is_due = set.is_copier(id) && storage.state.copied() < Some(set.epoch);
-        let has_begun = storage
-            .copy
-            .as_ref()
-            .is_some_and(|copy| copy.set.epoch == set.epoch);
-        if is_due && !has_begun {
-            storage.copy = Some(CopyTask::new(set));
-            let life = storage.life;
-            self.schedule(1, Event::CopyStep { node, life });
+        for (group, set) in groups.iter() {
+            let storage = &self.storage[node];
+            let is_due = set.is_copier(id) && storage.state.copied(group) < Some(set.epoch);
+            let begun = storage.copies.get(&group);
+            if is_due && begun.is_none_or(|begun| begun.set.epoch != set.epoch) {
+                self.begin_copy(node, CopyTask::new(group, groups.clone()));
+            }
         }
         self.schedule_sync(node);
     }
 
-    pub(super) fn copy_step(&mut self, node: usize, life: u64) {
+    pub(super) fn copy_step(&mut self, node: usize, life: u64, group: GroupId) {
         let now = self.now;
         let storage = &mut self.storage[node];
         if storage.life != life || !storage.running {
@@ -131,14 +165,15 @@
         }
         let me = storage.state.id();
         let all_durable = storage.durable == storage.submitted;
-        let wish = storage.wish.filter(|(_, until)| now < *until);
-        let Some(copy) = storage.copy.as_mut() else {
+        let wish = storage.wishes.get(&group).filter(|(_, until)| now < *until);
+        let wish = wish.map(|(epoch, _)| *epoch);
+        let Some(copy) = storage.copies.get_mut(&group) else {
             return;
         };
-        if copy.is_preparing() && wish.map(|(epoch, _)| epoch) != Some(copy.set.epoch) {
+        if copy.is_preparing() && wish != Some(copy.set.epoch) {
             // Given up: the voter is back, or the set has changed.
-            storage.copy = None;
-            storage.prepared = None;
+            storage.copies.remove(&group);
+            storage.prepared.remove(&group);
             return;
         }
         if all_durable && copy.set.voters.iter().any(|voter| voter.id == me) {
@@ -146,32 +181,31 @@
         }
         let mut pause = RETRY;
         if copy.set.has_read_quorum(&copy.done) {
+            let epoch = copy.set.epoch;
             if all_durable && copy.is_preparing() {
                 // Another round finds what has changed meanwhile.
-                let set = copy.set.clone();
-                storage.prepared = Some(set.epoch);
-                storage.copy = Some(CopyTask::new(set));
+                *copy = CopyTask::new(group, copy.groups.clone());
+                storage.prepared.insert(group, epoch);
                 pause = 3 * RETRY;
             } else if all_durable {
-                let epoch = copy.set.epoch;
-                storage.copy = None;
-                storage.prepared = None;
-                storage.state.finish_copy(epoch);
+                storage.copies.remove(&group);
+                storage.prepared.remove(&group);
+                storage.state.finish_copy(group, epoch);
                 return;
             }
         } else {
-            self.copy_ask(node);
+            self.copy_ask(node, group);
         }
-        self.schedule(pause, Event::CopyStep { node, life });
+        self.schedule(pause, Event::CopyStep { node, life, group });
         self.schedule_sync(node);
     }
 
     /// Asks the present source for its next page or for turns that are missing.
-    pub(super) fn copy_ask(&mut self, node: usize) {
+    pub(super) fn copy_ask(&mut self, node: usize, group: GroupId) {
         let me = self.storage[node].state.id();
         let pick = self.random.random::<u32>() as usize;
         let number = self.number();
-        let Some(copy) = self.storage[node].copy.as_mut() else {
+        let Some(copy) = self.storage[node].copies.get_mut(&group) else {
             return;
         };
         if copy.source.is_none() || self.random.random_bool(0.2) {
@@ -190,18 +224,21 @@
         let Some(source) = copy.source.clone() else {
             return;
         };
-        let (set, missing) = (copy.set.clone(), copy.missing.clone());
+        let (epoch, missing) = (copy.set.epoch, copy.missing.clone());
+        let groups = copy.groups.clone();
         let request = if missing.is_empty() {
+            let known = self.storage[node].positions.get(&(group, source.id));
             ReplicaRequest::List {
-                epoch: set.epoch,
-                after: self.storage[node].positions.get(&source.id).copied(),
+                group,
+                epoch,
+                after: known.copied(),
             }
         } else {
             ReplicaRequest::Fetch { turns: missing }
         };
         let target = source.address.parse().expect("addresses are numbers");
         let from = Address::Storage(node);
-        let adopt = ReplicaRequest::Adopt { set };
+        let adopt = ReplicaRequest::Adopt { groups };
         for (operation, request) in [(0, adopt), (number, request)] {
             self.send(Event::ToStorage {
                 node: target,
@@ -224,17 +261,23 @@
         if !storage.running || self.cut.contains(&node) {
             return;
         }
-        let Some(copy) = storage.copy.as_mut() else {
+        let mut copies = storage.copies.values_mut();
+        // An answer to an earlier question must not count: one under an earlier epoch once did, and a turn was lost.
+        let Some(copy) = copies.find(|copy| copy.asked == operation) else {
             return;
         };
-        if copy.source.as_ref().map(|source| source.id) != Some(from) || copy.asked != operation {
+        if copy.source.as_ref().map(|source| source.id) != Some(from) {
             return;
         }
+        let group = copy.group;
         let mut changes = Vec::new();
         match reply {
             ReplicaReply::Listed(listing) => {
                 for (program, ledger, keep_ms) in listing.ledgers {
-                    changes.extend(storage.state.copy_ledger(program, &ledger, keep_ms, 0));
+                    let copied = storage
+                        .state
+                        .copy_ledger(group, program, &ledger, keep_ms, 0);
+                    changes.extend(copied);
                 }
                 let turns = listing.turns.into_iter().map(|(turn, _)| turn);
                 copy.missing = turns.filter(|turn| !storage.state.has_turn(turn)).collect();
@@ -249,17 +292,18 @@
                 *copied += records.len() as u64;
                 for record in records {
                     copy.missing.retain(|turn| *turn != record.turn);
-                    changes.extend(storage.state.copy_turn(record, KEEP_MS, 0));
+                    let copied = storage.state.copy_turn(group, record, KEEP_MS, 0);
+                    changes.extend(copied.expect("there is room"));
                 }
             }
             _ => return,
         }
         // One answer for one question: it may come twice.
-        copy.asked = 0;
+        copy.asked = NOBODY_ASKED;
         if let Some((next, is_end)) = copy.page
             && copy.missing.is_empty()
         {
-            storage.positions.insert(from, next);
+            storage.positions.insert((group, from), next);
             copy.page = None;
             if is_end {
                 copy.done.insert(from);
--- a/crates/records/tests/simulator/world/faults.rs
+++ b/crates/records/tests/simulator/world/faults.rs
@@ -34,7 +34,7 @@
 
     /// Loses a disk, as long as no other loss is still being made up for.
     pub(super) fn wipe(&mut self, node: usize) {
-        let Some(set) = &self.register else {
+        let Some(groups) = &self.register else {
             return;
         };
         let lives: BTreeSet<ReplicaId> = self
@@ -42,10 +42,12 @@
             .iter()
             .map(|storage| storage.state.id())
             .collect();
-        let is_whole = set.incoming.is_none()
-            && set.voters.len() == REPLICAS
-            && set.voters.iter().all(|voter| lives.contains(&voter.id));
-        if !is_whole {
+        let is_whole = |set: &ReplicaSet| {
+            set.incoming.is_none()
+                && set.voters.len() == REPLICAS
+                && set.voters.iter().all(|voter| lives.contains(&voter.id))
+        };
+        if !groups.iter().all(|(_, set)| is_whole(set)) {
             return;
         }
         self.outcome.wipes += 1;
--- a/crates/records/tests/simulator/world/gateways.rs
+++ b/crates/records/tests/simulator/world/gateways.rs
@@ -17,23 +17,26 @@
                 turn: TurnId(format!("turn-{number}")),
             },
             6..=8 => match self.programs[program].newest.clone() {
-                Some(turn) => Purpose::Read { turn },
+                Some(turn) => Purpose::Read { program, turn },
                 None => return,
             },
-            _ => Purpose::ReadInvented,
+            _ => Purpose::ReadInvented { program },
         };
         self.begin(gateway, purpose);
     }
 
     pub(super) fn begin(&mut self, gateway: usize, purpose: Purpose) {
-        let Some(set) = self.known[gateway].clone() else {
+        let Some(groups) = self.known[gateway].clone() else {
             return;
         };
         let number = self.number();
-        let machine = Machine::Write(QuorumWrite::new(set.clone()));
+        let group = groups.group_of(Some(&program_id(purpose.program())));
+        let set = groups.set(group).expect("a group of the sets").clone();
+        let machine = Machine::Write(QuorumWrite::new(group, set.clone()));
         let deadline = self.now + OPERATION_TIME;
         let mut operation = Operation {
             gateway,
+            group,
             purpose,
             machine,
             deadline,
@@ -123,9 +126,8 @@
                 self.written_durably(operation, &ledger);
                 true
             }
-            WriteProgress::Restart(set) => {
-                self.known[operation.gateway] = Some(set.clone());
-                operation.restart(set);
+            WriteProgress::Restart(groups) => {
+                self.restart(operation, groups);
                 false
             }
             WriteProgress::Teach => {
@@ -136,8 +138,23 @@
         }
     }
 
+    fn restart(&mut self, operation: &mut Operation, groups: ReplicaGroups) {
+        let set = groups.set(operation.group).expect("a group of the sets");
+        operation.restart(set.clone());
+        let known = &mut self.known[operation.gateway];
+        if known
+            .as_ref()
+            .is_none_or(|known| known.epoch() < groups.epoch())
+        {
+            *known = Some(groups);
+        }
+    }
+
     pub(super) fn teach(&mut self, operation: &Operation, to: ReplicaId) {
-        let set = operation.set().clone();
+        let Some(groups) = self.known[operation.gateway].clone() else {
+            return;
+        };
+        let set = operation.set();
         let member = set
             .members()
             .into_iter()
@@ -148,7 +165,7 @@
         };
         let node = member.address.parse().expect("addresses are numbers");
         let from = Address::Gateway(operation.gateway);
-        let request = ReplicaRequest::Adopt { set };
+        let request = ReplicaRequest::Adopt { groups };
         self.send(Event::ToStorage {
             node,
             from,
@@ -241,9 +258,8 @@
                 self.check_read(&operation.purpose, outcome);
                 true
             }
-            ReplicaReply::Stale { set } => {
-                self.known[operation.gateway] = Some(set.clone());
-                operation.restart(set);
+            ReplicaReply::Stale { groups } => {
+                self.restart(operation, groups);
                 false
             }
             ReplicaReply::Behind => {
@@ -257,12 +273,14 @@
     pub(super) fn check_read(&mut self, purpose: &Purpose, outcome: ChainOutcome) {
         self.outcome.chains_read += 1;
         match (purpose, outcome) {
-            (Purpose::Read { turn }, ChainOutcome::Whole(chain)) => {
+            (Purpose::Read { turn, .. }, ChainOutcome::Whole(chain)) => {
                 let is_right = chain == self.expected_chain(turn);
                 self.outcome.lost_turns += u64::from(!is_right);
             }
             (Purpose::Read { .. }, ChainOutcome::NoSuchTurn(_)) => self.outcome.lost_turns += 1,
-            (Purpose::ReadInvented, ChainOutcome::Whole(_)) => self.outcome.invented_turns += 1,
+            (Purpose::ReadInvented { .. }, ChainOutcome::Whole(_)) => {
+                self.outcome.invented_turns += 1
+            }
             _ => {}
         }
     }
--- a/crates/replica/src/actor.rs
+++ b/crates/replica/src/actor.rs
@@ -14,8 +14,8 @@
 use std::time::{Duration, Instant};
 
 use ridgeworks_records::{
-    Change, Epoch, Handled, ProgramId, ProgramLedger, ReplicaId, ReplicaReply, ReplicaRequest,
-    ReplicaSet, ReplicaState, StoredRecord, TurnId, TurnRecord, Wait,
+    Change, Epoch, GroupId, Handled, ProgramId, ProgramLedger, ReplicaGroups, ReplicaId,
+    ReplicaReply, ReplicaRequest, ReplicaState, StoredRecord, TurnId, TurnRecord, Wait,
 };
 use ridgeworks_resident::clock::{wall_ms, whole_ms};
 use ridgeworks_resident::peer::{PeerReply, ReplicaStatus};
@@ -191,45 +191,65 @@
             send(answer, ReplicaReply::Unavailable);
             return;
         }
-        let epoch_before = epoch_of(&disk.state);
+        let epoch_before = disk.state.epoch();
         let handled = disk.state.handle(request, wall_ms());
-        if epoch_of(&disk.state) > epoch_before {
+        let has_changed = disk.state.epoch() > epoch_before;
+        self.carry_out(handled, Some(answer));
+        if has_changed {
             self.tell_set();
+            self.publish_status();
         }
-        self.carry_out(handled, Some(answer));
     }
 
-    /// Takes in a set that the node has heard of.
-    pub fn adopt(&mut self, _cx: CX![], set: ReplicaSet) {
+    /// Takes in sets that the node has heard of.
+    pub fn adopt(&mut self, _cx: CX![], groups: ReplicaGroups) {
         let Some(disk) = self.disk.as_mut() else {
             return;
         };
-        if set.epoch > epoch_of(&disk.state) {
-            let handled = disk.state.adopt(set);
+        if groups.epoch() > disk.state.epoch() {
+            let handled = disk.state.adopt(groups);
             self.carry_out(handled, None);
             self.publish_status();
         }
     }
 
-    /// Takes in copied records; answers once they are durable.
-    pub fn copy(&mut self, _cx: CX![], copied: Vec<Copied>, answer: oneshot::Sender<PeerReply>) {
+    /// Takes in copied records of a group; answers once they are durable.
+    pub fn copy(
+        &mut self,
+        _cx: CX![],
+        group: GroupId,
+        copied: Vec<Copied>,
+        answer: oneshot::Sender<PeerReply>,
+    ) {
         let Some(disk) = self.disk.as_mut() else {
             send(answer, ReplicaReply::Unavailable);
             return;
         };
         let now = wall_ms();
         let mut changes = Vec::new();
+        let mut has_room = true;
         for record in copied {
-            changes.extend(match record {
-                Copied::Turn(turn, keep_ms) => disk.state.copy_turn(turn, keep_ms, now),
+            let state = &mut disk.state;
+            match record {
+                Copied::Turn(turn, keep_ms) => {
+                    let copied = state.copy_turn(group, turn, keep_ms, now);
+                    // Without it the copy is not made: the replica would vote without a turn that was acknowledged.
+                    has_room &= copied.is_some();
+                    changes.extend(copied.into_iter().flatten());
+                }
                 Copied::Ledger(program, ledger, keep_ms) => {
-                    disk.state.copy_ledger(program, &ledger, keep_ms, now)
+                    changes.extend(state.copy_ledger(group, program, &ledger, keep_ms, now));
                 }
-            });
+            }
         }
+        let reply = if has_room {
+            ReplicaReply::Done
+        } else {
+            ReplicaReply::Unavailable
+        };
         let handled = Handled {
             changes,
-            reply: ReplicaReply::Done,
+            reply,
             wait: Wait::Durable,
         };
         self.carry_out(handled, Some(answer));
@@ -250,10 +270,10 @@
     }
 
     /// Notes that the copy for an epoch is finished and durable.
-    pub fn finish_copy(&mut self, _cx: CX![], epoch: Epoch) {
+    pub fn finish_copy(&mut self, _cx: CX![], group: GroupId, epoch: Epoch) {
         if let Some(disk) = self.disk.as_mut() {
-            disk.state.finish_copy(epoch);
-            log::info!(target: "belief", epoch = epoch.0; "copy finished");
+            disk.state.finish_copy(group, epoch);
+            log::info!(target: "belief", group = group.0, epoch = epoch.0; "copy finished");
         }
         self.publish_status();
     }
@@ -351,7 +371,9 @@
         let Some(disk) = disk else {
             return;
         };
-        let is_turn = |record: &StoredRecord| matches!(record, StoredRecord::Turn(..));
+        let is_turn = |record: &StoredRecord| {
+            matches!(record, StoredRecord::Turn(..) | StoredRecord::GroupTurn(..))
+        };
         let has_turns = records.iter().any(is_turn);
         for record in records {
             disk.state.restore(record);
@@ -394,7 +416,7 @@
             target: "dependency",
             replica:% = opened.state.id(),
             is_new = opened.is_new,
-            epoch = epoch_of(&opened.state).0;
+            epoch = opened.state.epoch().0;
             "disk opened"
         );
         self.disk = Some(OpenDisk {
@@ -406,11 +428,11 @@
         });
         self.read_all();
         self.tell_set();
-        let newer = self.parts.view.replica_set();
-        if let (Some(set), Some(disk)) = (newer, self.disk.as_mut())
-            && set.epoch > epoch_of(&disk.state)
+        let newer = self.parts.view.groups();
+        if let (Some(groups), Some(disk)) = (newer, self.disk.as_mut())
+            && groups.epoch() > disk.state.epoch()
         {
-            let handled = disk.state.adopt(set);
+            let handled = disk.state.adopt(ReplicaGroups::clone(&groups));
             self.carry_out(handled, None);
         }
         self.publish_status();
@@ -552,10 +574,10 @@
 
     /// Lets the node hear of the set that the disk or another node told.
     fn tell_set(&mut self) {
-        let set = self.disk.as_ref().and_then(|disk| disk.state.set());
-        if let Some(set) = set {
-            let set = set.clone();
-            self.parts.view.adopt_replica_set(set, Source::Peer);
+        let groups = self.disk.as_ref().and_then(|disk| disk.state.groups());
+        if let Some(groups) = groups {
+            let groups = groups.clone();
+            self.parts.view.adopt_groups(groups, Source::Peer);
         }
     }
 
@@ -563,7 +585,7 @@
         let status = self.disk.as_ref().map(|disk| OpenReplica {
             told: ReplicaStatus {
                 id: disk.state.id(),
-                copied: disk.state.copied(),
+                copied: disk.state.copied_for_change(),
             },
             is_whole: !disk.state.is_restoring(),
         });
@@ -583,10 +605,6 @@
     }
 }
 
-fn epoch_of(state: &ReplicaState) -> Epoch {
-    state.set().map_or(Epoch::default(), |set| set.epoch)
-}
-
 fn send(answer: oneshot::Sender<PeerReply>, reply: ReplicaReply) {
     // Whoever asked may have given up.
     let _ = answer.send(PeerReply::Replica(reply));
--- a/crates/replica/src/copying.rs
+++ b/crates/replica/src/copying.rs
@@ -1,13 +1,13 @@
-//! Copies the records that a read quorum of the voters holds: those that there are before this replica joins the set, and the rest
-//! once the set is joint.
+//! Copies the records that a read quorum of a group's voters holds: those that there are before this replica joins the set, and the
+//! rest once the set is joint.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 
 use ridgeworks_records::{
-    Epoch, ListPosition, Listing, Replica, ReplicaId, ReplicaReply, ReplicaRequest, ReplicaSet,
-    TurnId,
+    GroupId, ListPosition, Listing, Replica, ReplicaGroups, ReplicaId, ReplicaReply,
+    ReplicaRequest, ReplicaSet, TurnId,
 };
 use ridgeworks_resident::clock::whole_ms;
 use ridgeworks_resident::peer::{PeerReply, PeerRequest};
@@ -19,6 +19,8 @@
 
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// How often it is looked whether a copy is due, besides at each change of a set.
+const IDLE_PAUSE: Duration = Duration::from_millis(500);
 /// Turns asked for at once.
 const FETCH_COUNT: usize = 64;
 /// A round of questions to a read quorum that took no longer finds little that is new.
@@ -46,54 +48,95 @@
     AtOnce,
 }
 
-/// Copies whenever the set asks for it, until the process ends.
+/// A copy that is due.
+#[derive(Debug, Clone)]
+struct CopyJob {
+    /// The replica that copies.
+    me: ReplicaId,
+    group: GroupId,
+    /// The set of the group.
+    set: ReplicaSet,
+    /// All sets, for a source that does not know them yet.
+    groups: Rc<ReplicaGroups>,
+    pace: Pace,
+}
+
+/// Copies whenever a set asks for it, until the process ends.
 pub async fn run(replica: Rc<ReplicaHandle>) {
     let mut changes = replica.node.view.changes();
     let mut copier = Copier::new(Rc::clone(&replica));
     loop {
-        if let Some((set, me)) = copy_due(&replica) {
-            copier.copy_for(&set, me).await;
-        } else if let Some((set, me)) = preparation_due(&replica) {
-            copier.prepare_for(&set, me).await;
+        copier.forget_unwanted();
+        if let Some(job) = joint_job(&replica) {
+            copier.copy_for(&job).await;
+            continue;
+        }
+        let jobs = preparing_jobs(&replica);
+        for job in &jobs {
+            copier.prepare_for(job).await;
+        }
+        let pause = if jobs.is_empty() {
+            IDLE_PAUSE
         } else {
-            copier.forget();
-            tokio::select! {
-                changed = changes.changed() => if changed.is_err() {
-                    return;
-                },
-                () = replica.preparation.asked() => {}
-                () = tokio::time::sleep(RETRY_PAUSE * 5) => {}
-            }
+            ROUND_PAUSE
+        };
+        tokio::select! {
+            changed = changes.changed() => if changed.is_err() {
+                return;
+            },
+            () = replica.preparation.asked() => {}
+            () = tokio::time::sleep(pause) => {}
         }
     }
 }
 
-/// The joint set whose copy this replica has yet to make.
-fn copy_due(replica: &ReplicaHandle) -> Option<(ReplicaSet, ReplicaId)> {
-    let set = replica.node.view.replica_set()?;
+/// The copy that this replica has yet to make for a set that is changing.
+fn joint_job(replica: &ReplicaHandle) -> Option<CopyJob> {
+    let groups = replica.node.view.groups()?;
     let status = replica.status()?;
-    let is_due = set.is_copier(status.id) && status.copied < Some(set.epoch);
-    is_due.then_some((set, status.id))
+    let mut sets = groups.iter();
+    let (group, set) = sets.find(|(group, set)| {
+        set.is_copier(status.id) && status.copied != Some((*group, set.epoch))
+    })?;
+    Some(CopyJob {
+        me: status.id,
+        group,
+        set: set.clone(),
+        groups: Rc::clone(&groups),
+        pace: Pace::AtOnce,
+    })
 }
 
-/// The set that this replica is to join once it has copied.
-fn preparation_due(replica: &ReplicaHandle) -> Option<(ReplicaSet, ReplicaId)> {
-    let set = replica.node.view.replica_set()?;
-    let status = replica.status()?;
-    let is_wanted = replica.preparation.wanted() == Some(set.epoch);
-    let is_outside = set.incoming.is_none() && !set.has_member(status.id);
-    (is_wanted && is_outside).then_some((set, status.id))
+/// The copies of groups that this replica is to join.
+fn preparing_jobs(replica: &ReplicaHandle) -> Vec<CopyJob> {
+    let (Some(groups), Some(status)) = (replica.node.view.groups(), replica.status()) else {
+        return Vec::new();
+    };
+    let me = status.id;
+    let is_due = |group: GroupId, set: &ReplicaSet| {
+        let is_wanted = replica.preparation.wanted(group) == Some(set.epoch);
+        is_wanted && set.incoming.is_none() && !set.has_member(me)
+    };
+    let due = groups.iter().filter(|(group, set)| is_due(*group, set));
+    let jobs = due.map(|(group, set)| CopyJob {
+        me,
+        group,
+        set: set.clone(),
+        groups: Rc::clone(&groups),
+        pace: Pace::Resting,
+    });
+    jobs.collect()
 }
 
-/// How far this replica's copy is.
+/// How far this replica's copies are.
 struct Copier {
     replica: Rc<ReplicaHandle>,
-    /// The life of the own disk that holds the copy.
+    /// The life of the own disk that holds the copies.
     me: Option<ReplicaId>,
     /// Up to where the changes of each source are durable here.
-    positions: HashMap<ReplicaId, ListPosition>,
-    /// When the copy for a set that has not changed yet was begun.
-    begun: Option<Instant>,
+    positions: HashMap<(GroupId, ReplicaId), ListPosition>,
+    /// When copies for sets that had not changed yet were begun.
+    begun: BTreeMap<GroupId, Instant>,
 }
 
 impl Copier {
@@ -102,104 +145,116 @@
             replica,
             me: None,
             positions: HashMap::new(),
-            begun: None,
+            begun: BTreeMap::new(),
         }
     }
 
-    /// Nobody wants the copy any more.
-    fn forget(&mut self) {
-        self.positions.clear();
-        self.replica.preparation.set_ready(None);
-        if let Some(begun) = self.begun.take() {
-            log::info!(
-                target: "belief",
-                epoch = self.replica.node.view.epoch().0,
-                took_ms = whole_ms(begun.elapsed());
-                "copy before a change of the replica set given up"
-            );
-        }
-    }
-
-    /// What another life of the own disk held is gone.
-    fn belong_to(&mut self, me: ReplicaId) {
-        if self.me.replace(me) != Some(me) {
+    /// Forgets copies that nobody wants any more.
+    fn forget_unwanted(&mut self) {
+        let me = self.replica.status().map(|status| status.id);
+        if self.me != me {
+            // What another life of the own disk held is gone.
             self.positions.clear();
-            self.replica.preparation.set_ready(None);
-        }
-    }
-
-    /// One round of copies before the set changes.
-    async fn prepare_for(&mut self, set: &ReplicaSet, me: ReplicaId) {
-        self.belong_to(me);
-        if self.begun.is_none() {
-            log::info!(target: "belief", epoch = set.epoch.0; "copy before a change of the replica set began");
+            self.replica.preparation.forget_all();
+            self.me = me;
         }
-        let begun = *self.begun.get_or_insert_with(Instant::now);
-        let round = Instant::now();
-        let copied = self.copy_from_quorum(set, BTreeSet::new(), Pace::Resting);
-        if copied.await && round.elapsed() < CAUGHT_UP {
-            if !self.replica.preparation.is_ready(set.epoch) {
+        let groups = self.replica.node.view.groups();
+        let replica = &self.replica;
+        let is_wanted = |group: GroupId| {
+            let set = groups.as_ref().and_then(|groups| groups.set(group));
+            let is_copier = set.zip(me).is_some_and(|(set, me)| set.is_copier(me));
+            is_copier || replica.preparation.wanted(group).is_some()
+        };
+        self.positions.retain(|(group, _), _| is_wanted(*group));
+        self.begun.retain(|group, begun| {
+            let keep = is_wanted(*group);
+            if !keep {
                 log::info!(
                     target: "belief",
-                    epoch = set.epoch.0,
+                    group = group.0,
                     took_ms = whole_ms(begun.elapsed());
-                    "copy before a change of the replica set caught up"
+                    "copy before a change of the replica set given up"
                 );
             }
-            self.replica.preparation.set_ready(Some(set.epoch));
+            keep
+        });
+    }
+
+    /// One round of copies before the set changes.
+    async fn prepare_for(&mut self, job: &CopyJob) {
+        let (group, epoch) = (job.group, job.set.epoch);
+        if !self.begun.contains_key(&group) {
+            log::info!(
+                target: "belief",
+                group = group.0,
+                epoch = epoch.0;
+                "copy before a change of the replica set began"
+            );
+        }
+        let begun = *self.begun.entry(group).or_insert_with(Instant::now);
+        let round = Instant::now();
+        let is_copied = self.copy_from_quorum(job, BTreeSet::new()).await;
+        if !is_copied || round.elapsed() > CAUGHT_UP {
+            return;
+        }
+        let preparation = &self.replica.preparation;
+        if !preparation.is_ready(group, epoch) {
+            log::info!(
+                target: "belief",
+                group = group.0,
+                epoch = epoch.0,
+                took_ms = whole_ms(begun.elapsed());
+                "copy before a change of the replica set caught up"
+            );
         }
-        tokio::time::sleep(ROUND_PAUSE).await;
+        preparation.set_ready(group, epoch);
     }
 
     /// Copies under a joint set what changed since the last round, or everything.
-    async fn copy_for(&mut self, set: &ReplicaSet, me: ReplicaId) {
-        self.belong_to(me);
+    async fn copy_for(&mut self, job: &CopyJob) {
         let began = Instant::now();
         let mut copied = BTreeSet::new();
         // An empty batch is answered once the adoption of the set is durable here.
-        let is_voter = set.voters.iter().any(|voter| voter.id == me);
-        if is_voter && self.replica.copy(Vec::new()).await {
-            copied.insert(me);
+        let is_voter = job.set.voters.iter().any(|voter| voter.id == job.me);
+        if is_voter && self.replica.copy(job.group, Vec::new()).await {
+            copied.insert(job.me);
         }
-        if !self.copy_from_quorum(set, copied, Pace::AtOnce).await {
+        if !self.copy_from_quorum(job, copied).await {
             return;
         }
-        self.begun = None;
+        self.begun.remove(&job.group);
+        self.replica.preparation.forget(job.group);
         log::info!(
             target: "belief",
-            epoch = set.epoch.0,
+            group = job.group.0,
+            epoch = job.set.epoch.0,
             took_ms = whole_ms(began.elapsed());
             "rest of the copy made"
         );
-        self.replica.finish_copy(set.epoch);
+        self.replica.finish_copy(job.group, job.set.epoch);
         // The status changes on the actor's next turn.
         tokio::time::sleep(RETRY_PAUSE).await;
     }
 
     /// Copies from voters until a read quorum of them is copied; says whether that was reached.
-    async fn copy_from_quorum(
-        &mut self,
-        set: &ReplicaSet,
-        mut copied: BTreeSet<ReplicaId>,
-        pace: Pace,
-    ) -> bool {
-        while !set.has_read_quorum(&copied) {
-            for voter in self.sources(&set.voters) {
+    async fn copy_from_quorum(&mut self, job: &CopyJob, mut copied: BTreeSet<ReplicaId>) -> bool {
+        while !job.set.has_read_quorum(&copied) {
+            for voter in self.sources(job) {
                 if copied.contains(&voter.id) {
                     continue;
                 }
-                match self.copy_from(set, voter, pace).await {
+                match self.copy_from(job, voter).await {
                     Ok(()) => {
                         copied.insert(voter.id);
                     }
                     Err(CopyError::Superseded) => return false,
                     Err(CopyError::Source | CopyError::Disk) => {}
                 }
-                if set.has_read_quorum(&copied) {
+                if job.set.has_read_quorum(&copied) {
                     return true;
                 }
             }
-            if !self.is_wanted(set, pace) {
+            if !self.is_wanted(job) {
                 return false;
             }
             tokio::time::sleep(RETRY_PAUSE).await;
@@ -207,50 +262,50 @@
         true
     }
 
-    /// Whether the copy for this set is still of use.
-    fn is_wanted(&self, set: &ReplicaSet, pace: Pace) -> bool {
-        let is_newest = self.replica.node.view.epoch() <= set.epoch;
-        let is_asked = self.replica.preparation.wanted() == Some(set.epoch);
-        is_newest && (pace == Pace::AtOnce || is_asked)
+    /// Whether a copy is still of use, and nothing is more urgent.
+    fn is_wanted(&self, job: &CopyJob) -> bool {
+        let replica = &self.replica;
+        let set = replica.node.view.replica_set(job.group);
+        let is_newest = set.is_some_and(|set| set.epoch == job.set.epoch);
+        if job.pace == Pace::AtOnce {
+            return is_newest;
+        }
+        let is_asked = replica.preparation.wanted(job.group) == Some(job.set.epoch);
+        is_newest && is_asked && joint_job(replica).is_none()
     }
 
     /// The voters: first those of which most is known, then those whose last heartbeat is the newest: one that is gone makes a
     /// copy wait.
-    fn sources<'a>(&self, voters: &'a [Replica]) -> Vec<&'a Replica> {
-        let mut sorted = newest_first(&self.replica, voters);
-        sorted.sort_by_key(|voter| !self.positions.contains_key(&voter.id));
+    fn sources<'a>(&self, job: &'a CopyJob) -> Vec<&'a Replica> {
+        let mut sorted = newest_first(&self.replica, &job.set.voters);
+        sorted.sort_by_key(|voter| !self.positions.contains_key(&(job.group, voter.id)));
         sorted
     }
 
-    async fn copy_from(
-        &mut self,
-        set: &ReplicaSet,
-        voter: &Replica,
-        pace: Pace,
-    ) -> Result<(), CopyError> {
+    async fn copy_from(&mut self, job: &CopyJob, voter: &Replica) -> Result<(), CopyError> {
         let replica = Rc::clone(&self.replica);
         let source = CopySource {
             replica: &replica,
-            set,
+            job,
             voter,
-            pace,
         };
+        let key = (job.group, voter.id);
         loop {
-            let after = self.positions.get(&voter.id).copied();
+            let after = self.positions.get(&key).copied();
             let listing = source.list(after).await?;
             source.copy_turns(listing.turns).await?;
             let ledgers = listing.ledgers.into_iter();
             let ledgers =
                 ledgers.map(|(program, ledger, keep_ms)| Copied::Ledger(program, ledger, keep_ms));
-            if !replica.copy(ledgers.collect()).await {
+            if !replica.copy(job.group, ledgers.collect()).await {
                 return Err(CopyError::Disk);
             }
             // Everything up to here is durable.
-            self.positions.insert(voter.id, listing.next);
+            self.positions.insert(key, listing.next);
             if listing.is_end {
                 return Ok(());
             }
-            if !self.is_wanted(set, pace) {
+            if !self.is_wanted(job) {
                 return Err(CopyError::Superseded);
             }
         }
@@ -275,27 +330,29 @@
 /// A voter that is being copied.
 struct CopySource<'a> {
     replica: &'a ReplicaHandle,
-    set: &'a ReplicaSet,
+    job: &'a CopyJob,
     voter: &'a Replica,
-    pace: Pace,
 }
 
 impl CopySource<'_> {
     async fn list(&self, after: Option<ListPosition>) -> Result<Listing, CopyError> {
-        let epoch: Epoch = self.set.epoch;
-        let request = ReplicaRequest::List { epoch, after };
+        let request = ReplicaRequest::List {
+            group: self.job.group,
+            epoch: self.job.set.epoch,
+            after,
+        };
         let mut reply = self.ask(request.clone()).await?;
         if reply == ReplicaReply::Behind {
             // The source has not heard of the set yet.
-            let set = self.set.clone();
-            self.ask(ReplicaRequest::Adopt { set }).await?;
+            let groups = ReplicaGroups::clone(&self.job.groups);
+            self.ask(ReplicaRequest::Adopt { groups }).await?;
             reply = self.ask(request).await?;
         }
         match reply {
             ReplicaReply::Listed(listing) => Ok(listing),
-            ReplicaReply::Stale { set } => {
+            ReplicaReply::Stale { groups } => {
                 let view = &self.replica.node.view;
-                view.adopt_replica_set(set, Source::Peer);
+                view.adopt_groups(groups, Source::Peer);
                 Err(CopyError::Superseded)
             }
             _ => Err(CopyError::Source),
@@ -318,7 +375,7 @@
                 let keep_ms = keep.get(&record.turn).copied().unwrap_or_default();
                 Copied::Turn(record, keep_ms)
             });
-            if !self.replica.copy(records.collect()).await {
+            if !self.replica.copy(self.job.group, records.collect()).await {
                 return Err(CopyError::Disk);
             }
             // What the source no longer has is past its time; what did not fit is asked for again.
@@ -338,7 +395,7 @@
         let began = Instant::now();
         let links = &self.replica.node.links;
         let reply = links.call(address, request, REQUEST_TIMEOUT).await;
-        if self.pace == Pace::Resting {
+        if self.job.pace == Pace::Resting {
             tokio::time::sleep(began.elapsed()).await;
         }
         match reply {
--- a/crates/replica/src/disk.rs
+++ b/crates/replica/src/disk.rs
@@ -112,7 +112,10 @@
             page.iter().map(|record| decode(&record.bytes)).collect();
         let mut records = records?;
         // The set was read when the disk was opened, and may have changed since.
-        records.retain(|record| !matches!(record, StoredRecord::Set(_)));
+        let is_set = |record: &StoredRecord| {
+            matches!(record, StoredRecord::Set(_) | StoredRecord::Groups(_))
+        };
+        records.retain(|record| !is_set(record));
         if hand_over(records).is_break() {
             return Ok(());
         }
@@ -138,9 +141,11 @@
 
 fn key_of(record: &StoredRecord) -> Vec<u8> {
     match record {
-        StoredRecord::Turn(turn, _) => with_prefix(TURN_PREFIX, &turn.turn.0),
+        StoredRecord::Turn(turn, _) | StoredRecord::GroupTurn(_, turn, _) => {
+            with_prefix(TURN_PREFIX, &turn.turn.0)
+        }
         StoredRecord::Ledger(program, ..) => with_prefix(LEDGER_PREFIX, &program.0),
-        StoredRecord::Set(_) => SET_KEY.to_vec(),
+        StoredRecord::Set(_) | StoredRecord::Groups(_) => SET_KEY.to_vec(),
     }
 }
 
--- a/crates/replica/src/handle.rs
+++ b/crates/replica/src/handle.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-use ridgeworks_records::{Epoch, ReplicaReply, ReplicaSet, TurnId};
+use ridgeworks_records::{Epoch, GroupId, ReplicaGroups, ReplicaReply, TurnId};
 use ridgeworks_resident::actors::ActorRuntime;
 use ridgeworks_resident::node::Node;
 use ridgeworks_resident::peer::{
@@ -79,11 +79,11 @@
         let mut changes = self.node.view.changes();
         let mut told = Epoch::default();
         loop {
-            if let Some(set) = self.node.view.replica_set()
-                && set.epoch > told
+            if let Some(groups) = self.node.view.groups()
+                && groups.epoch() > told
             {
-                told = set.epoch;
-                self.adopt(set);
+                told = groups.epoch();
+                self.adopt(ReplicaGroups::clone(&groups));
             }
             if changes.changed().await.is_err() {
                 return;
@@ -91,15 +91,15 @@
         }
     }
 
-    fn adopt(&self, set: ReplicaSet) {
-        call!([self.actor], adopt(set));
+    fn adopt(&self, groups: ReplicaGroups) {
+        call!([self.actor], adopt(groups));
         self.actors.wake();
     }
 
-    /// Takes in copied records; says whether they are durable.
-    pub async fn copy(&self, copied: Vec<Copied>) -> bool {
+    /// Takes in copied records of a group; says whether they are durable.
+    pub async fn copy(&self, group: GroupId, copied: Vec<Copied>) -> bool {
         let (answer, answered) = oneshot::channel();
-        call!([self.actor], copy(copied, answer));
+        call!([self.actor], copy(group, copied, answer));
         self.actors.wake();
         matches!(answered.await, Ok(PeerReply::Replica(ReplicaReply::Done)))
     }
@@ -117,17 +117,17 @@
         let is_meant = self
             .status()
             .is_some_and(|status| status.id == preparing.to);
-        let epoch = preparing.set.epoch;
-        self.node
-            .view
-            .adopt_replica_set(preparing.set, Source::Peer);
-        let is_ready = is_meant && self.preparation.on_asked(epoch);
+        let Preparing { group, groups, .. } = preparing;
+        let epoch = groups.set(group).map(|set| set.epoch);
+        self.node.view.adopt_groups(groups, Source::Peer);
+        let epoch = epoch.filter(|_| is_meant);
+        let is_ready = epoch.is_some_and(|epoch| self.preparation.on_asked(group, epoch));
         PeerReply::Prepared { is_ready }
     }
 
     /// Notes that the copy for an epoch is finished and durable.
-    pub fn finish_copy(&self, epoch: Epoch) {
-        call!([self.actor], finish_copy(epoch));
+    pub fn finish_copy(&self, group: GroupId, epoch: Epoch) {
+        call!([self.actor], finish_copy(group, epoch));
         self.actors.wake();
     }
 }
@@ -141,11 +141,11 @@
             return;
         }
         let answer = match request {
-            PeerRequest::Prepare(preparing) => Ok(self.prepare(*preparing)),
-            other => self.node.answer(other),
+            PeerRequest::Prepare(preparing) => self.prepare(*preparing),
+            other => self.node.answer(&other),
         };
         // Whoever asked may have given up.
-        let _ = reply.send(answer.unwrap_or(PeerReply::Unsupported));
+        let _ = reply.send(answer);
     }
 }
 
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -1,7 +1,7 @@
 //! The replica: keeps records on a disk, and takes part in changing the replica set.
 //!
 //! `actor` holds the state machine and the disk; `copying` brings the records together that a replica needs to join the set, and
-//! `preparation` says when; `coordinator` changes the set, asks `newcomers` to copy first, and answers orders to empty a machine.
+//! `preparation` says when; `coordinator` changes the sets by who is on the `roll`, asks `newcomers` to copy first, and answers orders to empty a machine.
 
 pub mod actor;
 mod coordinator;
@@ -14,5 +14,6 @@
 mod preparation;
 mod retirements;
 mod role;
+mod roll;
 
 pub use role::run;
--- a/crates/replica/src/newcomers.rs
+++ b/crates/replica/src/newcomers.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ridgeworks_records::{Epoch, Replica, ReplicaId, ReplicaSet};
+use ridgeworks_records::{Epoch, GroupId, Replica, ReplicaGroups, ReplicaId};
 use ridgeworks_resident::node::Node;
 use ridgeworks_resident::peer::{PeerReply, PeerRequest, Preparing};
 
@@ -20,10 +20,13 @@
     ready: Option<Epoch>,
 }
 
-/// The newcomers of the change that is being prepared.
+/// A replica that is to join a group.
+type Joining = (GroupId, ReplicaId);
+
+/// The newcomers of the changes that are being prepared.
 pub struct Newcomers {
     node: Rc<Node>,
-    known: Rc<RefCell<BTreeMap<ReplicaId, Newcomer>>>,
+    known: Rc<RefCell<BTreeMap<Joining, Newcomer>>>,
 }
 
 impl Newcomers {
@@ -35,41 +38,49 @@
         }
     }
 
-    /// Those that hold what a read quorum of this epoch held moments ago.
-    pub fn prepared(&self, epoch: Epoch) -> BTreeSet<ReplicaId> {
+    /// Those that hold what a read quorum of this group's epoch held moments ago.
+    pub fn prepared(&self, group: GroupId, epoch: Epoch) -> BTreeSet<ReplicaId> {
         let known = self.known.borrow();
-        let ready = known.iter().filter(|(_, new)| new.ready == Some(epoch));
-        ready.map(|(id, _)| *id).collect()
+        let ready = known
+            .iter()
+            .filter(|((of, _), new)| *of == group && new.ready == Some(epoch));
+        ready.map(|((_, id), _)| *id).collect()
     }
 
-    /// Has these replicas copy what the voters of this set hold, or tells them the set that has changed since.
-    pub fn ask(&self, set: &ReplicaSet, replicas: &[Replica]) {
-        let is_wanted = |id: &ReplicaId| replicas.iter().any(|replica| replica.id == *id);
-        self.known.borrow_mut().retain(|id, _| is_wanted(id));
+    /// Has these replicas copy what the voters of this group hold, or tells them the set that has changed since.
+    pub fn ask(&self, group: GroupId, groups: &ReplicaGroups, replicas: &[Replica]) {
+        let is_wanted = |id: ReplicaId| replicas.iter().any(|replica| replica.id == id);
+        let mut known = self.known.borrow_mut();
+        known.retain(|(of, id), _| *of != group || is_wanted(*id));
         for replica in replicas {
-            let mut known = self.known.borrow_mut();
-            let newcomer = known.entry(replica.id).or_default();
+            let newcomer = known.entry((group, replica.id)).or_default();
             if !std::mem::replace(&mut newcomer.is_asked, true) {
-                tokio::task::spawn_local(self.ask_one(set.clone(), replica.clone()));
+                let asking = self.ask_one(group, groups.clone(), replica.clone());
+                tokio::task::spawn_local(asking);
             }
         }
     }
 
-    fn ask_one(&self, set: ReplicaSet, replica: Replica) -> impl Future<Output = ()> + use<> {
+    fn ask_one(
+        &self,
+        group: GroupId,
+        groups: ReplicaGroups,
+        replica: Replica,
+    ) -> impl Future<Output = ()> + use<> {
         let node = Rc::clone(&self.node);
         let known = Rc::clone(&self.known);
         async move {
-            let epoch = set.epoch;
-            let is_ready = is_ready(&node, set, &replica).await;
-            if let Some(newcomer) = known.borrow_mut().get_mut(&replica.id) {
+            let epoch = groups.set(group).map(|set| set.epoch);
+            let is_ready = is_ready(&node, group, groups, &replica).await;
+            if let Some(newcomer) = known.borrow_mut().get_mut(&(group, replica.id)) {
                 newcomer.is_asked = false;
-                newcomer.ready = is_ready.then_some(epoch);
+                newcomer.ready = epoch.filter(|_| is_ready);
             }
         }
     }
 }
 
-async fn is_ready(node: &Node, set: ReplicaSet, replica: &Replica) -> bool {
+async fn is_ready(node: &Node, group: GroupId, groups: ReplicaGroups, replica: &Replica) -> bool {
     let Ok(address) = replica.address.parse() else {
         log::error!(
             target: "belief",
@@ -80,7 +91,7 @@
         return false;
     };
     let to = replica.id;
-    let request = PeerRequest::Prepare(Box::new(Preparing { to, set }));
+    let request = PeerRequest::Prepare(Box::new(Preparing { to, group, groups }));
     // One that does not answer is asked again for as long as it is wanted.
     let reply = node.links.call(address, request, ASK_TIMEOUT).await;
     matches!(reply, Ok(PeerReply::Prepared { is_ready: true }))
--- a/crates/replica/src/preparation.rs
+++ b/crates/replica/src/preparation.rs
@@ -4,10 +4,11 @@
 //! and under load the copy came to no end. Whoever plans the change asks the newcomer again and again; once nobody asks, it gives up
 //! (`docs/design/large-fleets.md`, "A newcomer copies first").
 
-use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use ridgeworks_records::Epoch;
+use ridgeworks_records::{Epoch, GroupId};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -15,41 +16,70 @@
 /// the next one, which waits for up to 0.4 s.
 const WISH_TIME: Duration = Duration::from_secs(2);
 
-/// Whether somebody wants this replica to copy, and whether it holds enough.
+/// A copy that somebody wants of a group.
+#[derive(Debug, Clone, Copy)]
+struct Wish {
+    epoch: Epoch,
+    asked_at: Instant,
+    /// Whether the replica holds what a read quorum held moments ago.
+    is_ready: bool,
+}
+
+/// The groups that this replica is to join.
 #[derive(Debug, Default)]
 pub struct Preparation {
-    /// For which set, and when this was last asked.
-    wish: Cell<Option<(Epoch, Instant)>>,
-    /// The epoch for which the replica holds what a read quorum held moments ago.
-    ready: Cell<Option<Epoch>>,
+    wishes: RefCell<BTreeMap<GroupId, Wish>>,
     asked: Notify,
 }
 
 impl Preparation {
-    /// Somebody asks for a copy of what the voters of this epoch hold; says whether it is there.
-    pub fn on_asked(&self, epoch: Epoch) -> bool {
-        let is_new = self.wanted().is_none();
-        self.wish.set(Some((epoch, Instant::now())));
-        if is_new {
+    /// Somebody asks for a copy of what the voters of a group hold at this epoch; says whether it is there.
+    pub fn on_asked(&self, group: GroupId, epoch: Epoch) -> bool {
+        let mut wishes = self.wishes.borrow_mut();
+        let known = wishes.get(&group).filter(|wish| wish.epoch == epoch);
+        let is_ready = known.is_some_and(|wish| wish.is_ready);
+        if known.is_none() {
             self.asked.notify_one();
         }
-        self.is_ready(epoch)
+        let wish = Wish {
+            epoch,
+            asked_at: Instant::now(),
+            is_ready,
+        };
+        wishes.insert(group, wish);
+        is_ready
+    }
+
+    /// The epoch for which a copy of a group is wanted.
+    pub fn wanted(&self, group: GroupId) -> Option<Epoch> {
+        let wishes = self.wishes.borrow();
+        let wish = wishes.get(&group)?;
+        (wish.asked_at.elapsed() < WISH_TIME).then_some(wish.epoch)
     }
 
     /// Whether the replica holds what a read quorum of this epoch held moments ago.
-    pub fn is_ready(&self, epoch: Epoch) -> bool {
-        self.ready.get() == Some(epoch)
+    pub fn is_ready(&self, group: GroupId, epoch: Epoch) -> bool {
+        let wishes = self.wishes.borrow();
+        let wish = wishes.get(&group);
+        wish.is_some_and(|wish| wish.epoch == epoch && wish.is_ready)
+    }
+
+    /// Notes that the replica holds what a read quorum of this epoch held moments ago.
+    pub fn set_ready(&self, group: GroupId, epoch: Epoch) {
+        let mut wishes = self.wishes.borrow_mut();
+        if let Some(wish) = wishes.get_mut(&group).filter(|wish| wish.epoch == epoch) {
+            wish.is_ready = true;
+        }
     }
 
-    /// The epoch for which a copy is wanted.
-    pub fn wanted(&self) -> Option<Epoch> {
-        let (epoch, at) = self.wish.get()?;
-        (at.elapsed() < WISH_TIME).then_some(epoch)
+    /// The copy of a group is made.
+    pub fn forget(&self, group: GroupId) {
+        self.wishes.borrow_mut().remove(&group);
     }
 
-    /// Notes for which epoch the replica holds what a read quorum held moments ago.
-    pub fn set_ready(&self, epoch: Option<Epoch>) {
-        self.ready.set(epoch);
+    /// Nothing that was copied counts any more.
+    pub fn forget_all(&self) {
+        self.wishes.borrow_mut().clear();
     }
 
     /// Waits until somebody asks who was not asking before.
--- a/crates/replica/tests/actor.rs
+++ b/crates/replica/tests/actor.rs
@@ -6,13 +6,14 @@
 use std::time::Duration;
 
 use ridgeworks_records::{
-    Epoch, LedgerEntry, ProgramId, ReplicaReply, ReplicaRequest, Settlement, TurnId,
+    Epoch, GroupId, LedgerEntry, ProgramId, ReplicaReply, ReplicaRequest, Settlement, TurnId,
 };
 use ridgeworks_replica::disk;
 use support::{Bed, MAX_TURN_BYTES, NODE, adopt, charge, on_runtime};
 
 fn settle(program: &str, turn: &str, spent: u64) -> ReplicaRequest {
     ReplicaRequest::Settle {
+        group: GroupId(0),
         epoch: Epoch(1),
         settlements: vec![Settlement {
             program: ProgramId(program.to_owned()),
--- a/crates/replica/tests/restoring.rs
+++ b/crates/replica/tests/restoring.rs
@@ -3,12 +3,13 @@
 
 mod support;
 
-use ridgeworks_records::{Epoch, ReplicaReply, ReplicaRequest, TurnId, TurnRecord};
+use ridgeworks_records::{Epoch, GroupId, ReplicaReply, ReplicaRequest, TurnId, TurnRecord};
 use ridgeworks_resident::peer::PeerReply;
 use support::{Bed, adopt, charge, on_runtime};
 
 fn append(turn: &str) -> ReplicaRequest {
     ReplicaRequest::Append {
+        group: GroupId(0),
         epoch: Epoch(1),
         record: TurnRecord {
             turn: TurnId(turn.to_owned()),
@@ -22,6 +23,7 @@
 
 fn list() -> ReplicaRequest {
     ReplicaRequest::List {
+        group: GroupId(0),
         epoch: Epoch(1),
         after: None,
     }
@@ -29,6 +31,7 @@
 
 fn read(turn: &str) -> ReplicaRequest {
     ReplicaRequest::ReadChain {
+        group: GroupId(0),
         epoch: Epoch(1),
         turn: TurnId(turn.to_owned()),
     }
--- a/crates/replica/tests/support/mod.rs
+++ b/crates/replica/tests/support/mod.rs
@@ -9,8 +9,8 @@
 
 use prometheus_client::registry::Registry;
 use ridgeworks_records::{
-    Epoch, LedgerEntry, ProgramId, Replica, ReplicaId, ReplicaReply, ReplicaRequest, ReplicaSet,
-    TurnId,
+    Epoch, GroupId, LedgerEntry, ProgramId, Replica, ReplicaGroups, ReplicaId, ReplicaReply,
+    ReplicaRequest, ReplicaSet, TurnId,
 };
 use ridgeworks_replica::actor::{DiskNews, OpenReplica, ReplicaActor, ReplicaParts};
 use ridgeworks_replica::metrics::ReplicaMetrics;
@@ -114,6 +114,7 @@
 
 pub fn charge(program: &str, turn: &str, keep_ms: u64) -> ReplicaRequest {
     ReplicaRequest::Charge {
+        group: GroupId(0),
         epoch: Epoch(1),
         program: ProgramId(program.to_owned()),
         turn: TurnId(turn.to_owned()),
@@ -134,10 +135,10 @@
         zone: "zone-a".to_owned(),
     };
     ReplicaRequest::Adopt {
-        set: ReplicaSet {
+        groups: ReplicaGroups::of_one(ReplicaSet {
             epoch: Epoch(1),
             voters: vec![replica],
             incoming: None,
-        },
+        }),
     }
 }
--- a/crates/resident/src/node.rs
+++ b/crates/resident/src/node.rs
@@ -9,7 +9,7 @@
 
 use rand::RngExt;
 use ridgeworks_platform::{Object, ObjectKind, StoreOutcome, create, read, read_object, replace};
-use ridgeworks_records::ReplicaSet;
+use ridgeworks_records::ReplicaGroups;
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Clock;
@@ -24,7 +24,7 @@
 use crate::watch_duty::{DutySignal, Place, WatchDuty};
 use crate::watching::{Follower, follow, list_once};
 
-/// Name of the object that holds the replica set.
+/// Name of the object that holds the replica sets of all groups.
 pub const REPLICA_SET_NAME: &str = "main";
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 const REGISTER_PAUSE: Duration = Duration::from_millis(300);
@@ -133,12 +133,12 @@
         tokio::task::spawn_local(follow(store, kind, follower, duty));
     }
 
-    /// Answers what every role answers alike; gives other requests back.
-    pub fn answer(&self, request: PeerRequest) -> Result<PeerReply, PeerRequest> {
+    /// Answers what every role answers alike, and says of other requests that they are not supported.
+    pub fn answer(&self, request: &PeerRequest) -> PeerReply {
         match request {
-            PeerRequest::FetchView(known) => Ok(PeerReply::View(self.view.update_since(&known))),
-            PeerRequest::ListMembers => Ok(PeerReply::Members(self.gossip.known())),
-            other => Err(other),
+            PeerRequest::FetchView(known) => PeerReply::View(self.view.update_since(known)),
+            PeerRequest::ListMembers => PeerReply::Members(self.gossip.known()),
+            _ => PeerReply::Unsupported,
         }
     }
 
@@ -210,18 +210,18 @@
         }
     }
 
-    /// Reads the replica set and its revision in the store; `None` when the store does not answer.
-    pub async fn read_replica_set(&self) -> Option<RegisteredSet> {
+    /// Reads the replica sets and their revision in the store; `None` when the store does not answer.
+    pub async fn read_groups(&self) -> Option<RegisteredGroups> {
         let call = read(ObjectKind::ReplicaSets, REPLICA_SET_NAME);
         let answer = self.store.call(call, CALL_TIMEOUT).await.ok()?;
         match answer.outcome {
-            StoreOutcome::NotFound => Some(RegisteredSet::Missing),
+            StoreOutcome::NotFound => Some(RegisteredGroups::Missing),
             StoreOutcome::Done => {
                 let object = read_object(&answer.body).ok()?;
-                let set = ReplicaSet::deserialize(&object.spec).ok()?;
-                self.view.adopt_replica_set(set.clone(), Source::Store);
+                let groups = ReplicaGroups::deserialize(&object.spec).ok()?;
+                self.view.adopt_groups(groups.clone(), Source::Store);
                 let revision = object.revision;
-                Some(RegisteredSet::Found { set, revision })
+                Some(RegisteredGroups::Found { groups, revision })
             }
             _ => None,
         }
@@ -282,14 +282,14 @@
         let mut asked_at = Duration::ZERO;
         if is_replica {
             // What others tell may be old: those who knew of a newer set may all be gone.
-            self.read_replica_set().await;
+            self.read_groups().await;
         }
-        while self.view.replica_set().is_none() {
+        while self.view.groups().is_none() {
             let now = self.clock.now();
             let is_late = now - asked_at > REPLICA_SET_PAUSE;
             if is_replica || self.duty.is_due() || is_late {
                 asked_at = now;
-                self.read_replica_set().await;
+                self.read_groups().await;
             }
             pause_about(REGISTER_PAUSE).await;
         }
@@ -299,7 +299,7 @@
     async fn learn_from(self: Rc<Self>, seed: SocketAddr) {
         const TRIES: usize = 20;
         for _ in 0..TRIES {
-            if self.view.routes().is_some() && self.view.replica_set().is_some() {
+            if self.view.routes().is_some() && self.view.groups().is_some() {
                 return;
             }
             if fetch_view(&self.links, &self.view, seed).await && self.view.routes().is_some() {
@@ -310,15 +310,15 @@
     }
 }
 
-/// The replica set as the store has it.
+/// The replica sets as the store has them.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum RegisteredSet {
-    /// There is none yet.
+pub enum RegisteredGroups {
+    /// There are none yet.
     Missing,
-    /// The set and the revision of its object.
+    /// The sets and the revision of their object.
     Found {
-        /// The set.
-        set: ReplicaSet,
+        /// The sets.
+        groups: ReplicaGroups,
         /// Revision to name when it is replaced.
         revision: u64,
     },
--- a/crates/resident/src/peer/gossip.rs
+++ b/crates/resident/src/peer/gossip.rs
@@ -129,10 +129,10 @@
         if self.met_epoch.replace(self.view.epoch()) == self.view.epoch() {
             return;
         }
-        let Some(set) = self.view.replica_set() else {
+        let Some(groups) = self.view.groups() else {
             return;
         };
-        let infos = set.members().into_iter().filter_map(|replica| {
+        let infos = groups.members().into_iter().filter_map(|replica| {
             Some(MemberInfo {
                 name: replica.node.clone(),
                 address: replica.address.parse().ok()?,
@@ -153,6 +153,13 @@
         self.members.borrow().iter().cloned().collect()
     }
 
+    /// Another node that was heard.
+    pub fn heard_member(&self, name: &str) -> Option<Member> {
+        let members = self.members.borrow();
+        let mut heard = members.iter().filter(|member| member.heard_at.is_some());
+        heard.find(|member| member.info.name == name).cloned()
+    }
+
     /// The other nodes that run a replica, as far as they have said so. They are few; coordinators ask several times a
     /// second.
     pub fn replicas(&self) -> Vec<Member> {
@@ -250,10 +257,10 @@
     /// Those whose turn it is; seeds as long as nobody is known.
     fn targets(&self) -> Vec<SocketAddr> {
         let members = self.members.borrow();
-        let set = self.view.replica_set();
+        let groups = self.view.groups();
         let begin = self.next_target.get();
         self.next_target.set(begin.wrapping_add(FAN_OUT));
-        let mut targets = targets(&self.me, members.iter(), set.as_ref(), begin);
+        let mut targets = targets(&self.me, members.iter(), groups.as_deref(), begin);
         if targets.len() < 2 {
             targets.extend(self.seeds.borrow().iter().copied());
         }
--- a/crates/resident/src/peer/message.rs
+++ b/crates/resident/src/peer/message.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use ridgeworks_records::{Epoch, ReplicaId, ReplicaReply, ReplicaRequest, ReplicaSet};
+use ridgeworks_records::{Epoch, GroupId, ReplicaGroups, ReplicaId, ReplicaReply, ReplicaRequest};
 use ridgeworks_routing::{
     EngineChanges, PromptRead, RouteConfiguration, ServiceSummary, ToldOutcomes,
 };
@@ -44,8 +44,10 @@
 pub struct Preparing {
     /// The replica that is meant.
     pub to: ReplicaId,
-    /// The set whose voters it copies.
-    pub set: ReplicaSet,
+    /// The group whose records it copies.
+    pub group: GroupId,
+    /// The sets in force.
+    pub groups: ReplicaGroups,
 }
 
 /// A request that a node is to pass on to a replica.
@@ -86,7 +88,7 @@
     pub version: u64,
     /// What it knows of the engines.
     pub engines: KnownEngines,
-    /// Epoch of its newest replica set.
+    /// The epochs of its newest replica sets together.
     pub epoch: Epoch,
 }
 
@@ -108,8 +110,8 @@
     pub configuration: Option<RouteConfiguration>,
     /// Changes of the engines; `None` when the node has seen no list or none are wanted.
     pub engines: Option<EngineChanges>,
-    /// A newer replica set.
-    pub replica_set: Option<ReplicaSet>,
+    /// Newer replica sets.
+    pub groups: Option<ReplicaGroups>,
     /// Milliseconds since the store last confirmed the node's configuration; `None` when it never did.
     pub unconfirmed_ms: Option<u64>,
     /// The same for its engines.
@@ -143,8 +145,8 @@
 pub struct ReplicaStatus {
     /// Its identity.
     pub id: ReplicaId,
-    /// The epoch whose copy it has finished.
-    pub copied: Option<Epoch>,
+    /// A group whose set is changing and whose copy it has finished, with the set's epoch.
+    pub copied: Option<(GroupId, Epoch)>,
 }
 
 /// What a gateway tells others of the engines.
@@ -173,7 +175,7 @@
     pub engines_newest: u64,
     /// Milliseconds since the store last confirmed that there is no newer one; `None` when it never did.
     pub engines_unconfirmed_ms: Option<u64>,
-    /// Epoch of the newest replica set that it knows.
+    /// The epochs of the newest replica sets that it knows together.
     pub epoch: Epoch,
     /// Its replica, if it runs one.
     pub replica: Option<ReplicaStatus>,
--- a/crates/resident/src/peer/targets.rs
+++ b/crates/resident/src/peer/targets.rs
@@ -2,12 +2,15 @@
 //!
 //! All nodes in turn, a few at each interval, so that a node's messages do not grow with the fleet. Whether a
 //! replica lives has to be known within a second or two, though, and in a large fleet a node's turn comes every
-//! ten. The members of the replica set decide on that, so every replica sends to all of them at each interval
-//! (`docs/design/large-fleets.md`, "Who says that a replica is gone").
+//! ten. The members of a group's replica set decide on that for each other, so every member sends to all of its groups at each interval, and
+//! one that belongs to no group, and may take anybody's place, to the members of all (`docs/design/large-fleets.md`, "Who says that a
+//! replica is gone").
 
 use std::net::SocketAddr;
 
-use ridgeworks_records::ReplicaSet;
+use std::collections::BTreeSet;
+
+use ridgeworks_records::ReplicaGroups;
 
 use super::members::Member;
 use super::message::MemberInfo;
@@ -16,31 +19,56 @@
 pub const FAN_OUT: usize = 8;
 /// Replicas that another one sends to in turn at each interval as long as no set is known.
 const REPLICA_FAN_OUT: usize = 8;
+/// Replicas of other groups that a member sends to in turn at each interval: each hears it every 2 s where there are 36.
+const FOREIGN_FAN_OUT: usize = 4;
 
 /// The nodes that get a heartbeat of `me` now. `begin` is where the turn begins, and grows by [`FAN_OUT`] from
 /// interval to interval.
 pub fn targets<'a>(
     me: &MemberInfo,
     members: impl Iterator<Item = &'a Member>,
-    set: Option<&ReplicaSet>,
+    groups: Option<&ReplicaGroups>,
     begin: usize,
 ) -> Vec<SocketAddr> {
-    let is_deciding = |member: &&Member| {
-        let of_set = |set: &ReplicaSet| {
-            let mut replicas = set.members().into_iter();
-            replicas.any(|replica| replica.node == member.info.name)
-        };
-        me.is_replica && member.info.is_replica && set.is_none_or(of_set)
-    };
-    let (deciding, others): (Vec<&Member>, Vec<&Member>) = members.partition(is_deciding);
-    let mut targets = match set {
-        Some(_) => deciding.iter().map(|member| member.info.address).collect(),
-        None => in_turn(&deciding, begin, REPLICA_FAN_OUT),
+    let (replicas, mut others): (Vec<&Member>, Vec<&Member>) =
+        members.partition(|member| me.is_replica && member.info.is_replica);
+    let mut targets = match groups {
+        Some(groups) => {
+            let deciding = deciding(me, groups);
+            let (deciding, foreign): (Vec<&Member>, Vec<&Member>) = replicas
+                .into_iter()
+                .partition(|member| deciding.contains(member.info.name.as_str()));
+            let mut targets: Vec<SocketAddr> =
+                deciding.iter().map(|member| member.info.address).collect();
+            if groups.iter().count() > 1 {
+                targets.extend(in_turn(&foreign, begin, FOREIGN_FAN_OUT));
+            } else {
+                others.extend(foreign);
+            }
+            targets
+        }
+        None => in_turn(&replicas, begin, REPLICA_FAN_OUT),
     };
     targets.extend(in_turn(&others, begin, FAN_OUT));
     targets
 }
 
+/// Names of the nodes that decide whether `me` is gone, or whether it may take a place.
+fn deciding<'a>(me: &MemberInfo, groups: &'a ReplicaGroups) -> BTreeSet<&'a str> {
+    let mut own = BTreeSet::new();
+    let mut all = BTreeSet::new();
+    for (_, set) in groups.iter() {
+        let members = set.members();
+        let is_own = members.iter().any(|member| member.node == me.name);
+        let names = members.into_iter().map(|member| member.node.as_str());
+        if is_own {
+            own.extend(names.clone());
+        }
+        all.extend(names);
+    }
+    if own.is_empty() { all } else { own }
+}
+
 fn in_turn(members: &[&Member], begin: usize, most: usize) -> Vec<SocketAddr> {
     let count = members.len();
     let places = (0..count.min(most)).map(|index| begin.wrapping_add(index) % count);
--- a/crates/resident/src/view.rs
+++ b/crates/resident/src/view.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ridgeworks_records::{Epoch, ReplicaSet};
+use ridgeworks_records::{Epoch, GroupId, ReplicaGroups, ReplicaSet};
 use ridgeworks_routing::{EngineChanges, EngineEntry, EngineTable, RouteConfiguration, RouteTable};
 use tokio::sync::{Notify, watch};
 
@@ -42,7 +42,7 @@
     routes: RefCell<Option<Rc<RouteTable>>>,
     engines: RefCell<EngineTable>,
     engines_known: Cell<bool>,
-    replica_set: RefCell<Option<ReplicaSet>>,
+    groups: RefCell<Option<Rc<ReplicaGroups>>>,
     /// When the newest configuration was last confirmed, since the start of the process.
     confirmed: Cell<Option<Duration>>,
     /// The same for the engines.
@@ -61,7 +61,7 @@
             routes: RefCell::default(),
             engines: RefCell::default(),
             engines_known: Cell::new(false),
-            replica_set: RefCell::default(),
+            groups: RefCell::default(),
             confirmed: Cell::new(None),
             engines_confirmed: Cell::new(None),
             changed: watch::Sender::new(()),
@@ -97,15 +97,24 @@
         self.engines_known.get()
     }
 
-    /// The newest replica set that is known.
-    pub fn replica_set(&self) -> Option<ReplicaSet> {
-        self.replica_set.borrow().clone()
+    /// The newest replica sets that are known.
+    pub fn groups(&self) -> Option<Rc<ReplicaGroups>> {
+        self.groups.borrow().clone()
     }
 
-    /// Epoch of the newest replica set, 0 when there is none.
+    /// The newest known set of a group.
+    pub fn replica_set(&self, group: GroupId) -> Option<ReplicaSet> {
+        let groups = self.groups.borrow();
+        let set = groups.as_ref().and_then(|groups| groups.set(group));
+        set.cloned()
+    }
+
+    /// The epochs of the newest replica sets together, 0 when there are none.
     pub fn epoch(&self) -> Epoch {
-        let set = self.replica_set.borrow();
-        set.as_ref().map_or(Epoch::default(), |set| set.epoch)
+        let groups = self.groups.borrow();
+        groups
+            .as_ref()
+            .map_or(Epoch::default(), |groups| groups.epoch())
     }
 
     /// Time since somebody confirmed that the configuration is the newest one.
@@ -228,20 +237,22 @@
         self.engines.borrow_mut().advance(at);
     }
 
-    /// Takes in a replica set unless it is not newer than the known one.
-    pub fn adopt_replica_set(&self, set: ReplicaSet, source: Source) {
-        if set.epoch <= self.epoch() {
+    /// Takes in replica sets unless they are not newer than the known ones.
+    pub fn adopt_groups(&self, groups: ReplicaGroups, source: Source) {
+        if groups.epoch() <= self.epoch() {
             return;
         }
+        let changing = groups.iter().filter(|(_, set)| set.incoming.is_some());
+        let changing: Vec<u16> = changing.map(|(group, _)| group.0).collect();
         log::info!(
             target: "belief",
-            epoch = set.epoch.0,
-            voters = set.voters.len(),
-            incoming = set.incoming.as_ref().map_or(0, Vec::len),
+            epoch = groups.epoch().0,
+            groups = groups.iter().count(),
+            changing:? = changing,
             source = source.name();
             "replica set in force"
         );
-        *self.replica_set.borrow_mut() = Some(set);
+        *self.groups.borrow_mut() = Some(Rc::new(groups));
         self.announce();
     }
 
@@ -273,12 +284,12 @@
             KnownEngines::Nothing => Some(self.engines.borrow().changes_since(0)),
             KnownEngines::UpTo(at) => Some(self.engines.borrow().changes_since(at)),
         };
-        let replica_set = self.replica_set.borrow();
-        let replica_set = replica_set.as_ref().filter(|set| set.epoch > known.epoch);
+        let groups = self.groups();
+        let groups = groups.filter(|groups| groups.epoch() > known.epoch);
         ViewUpdate {
             configuration: configuration.cloned(),
             engines,
-            replica_set: replica_set.cloned(),
+            groups: groups.map(|groups| ReplicaGroups::clone(&groups)),
             unconfirmed_ms: self.unconfirmed_for().map(whole_ms),
             engines_unconfirmed_ms: self.engines_unconfirmed_for().map(whole_ms),
         }
@@ -289,7 +300,7 @@
         let ViewUpdate {
             configuration,
             engines,
-            replica_set,
+            groups,
             unconfirmed_ms,
             engines_unconfirmed_ms,
         } = update;
@@ -303,8 +314,8 @@
             self.adopt_engine_changes(engines, Source::Peer);
             self.confirm_engines(told_at, engines_unconfirmed_ms);
         }
-        if let Some(set) = replica_set {
-            self.adopt_replica_set(set, Source::Peer);
+        if let Some(groups) = groups {
+            self.adopt_groups(groups, Source::Peer);
         }
     }
 
--- a/crates/resident/tests/busy_nodes.rs
+++ b/crates/resident/tests/busy_nodes.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use ridgeworks_records::{Epoch, ReplicaId, ReplicaRequest, TurnId, TurnRecord};
+use ridgeworks_records::{Epoch, GroupId, ReplicaId, ReplicaRequest, TurnId, TurnRecord};
 use ridgeworks_resident::peer::{PeerLinks, PeerReply, PeerRequest, PeerService, serve};
 use support::{SETTLED, free_address, run};
 use tokio::io::AsyncReadExt;
@@ -102,6 +102,7 @@
         output: Vec::new(),
     };
     let request = ReplicaRequest::Append {
+        group: GroupId(0),
         epoch: Epoch(1),
         record,
         keep_ms: 1,
--- a/crates/resident/tests/targets.rs
+++ b/crates/resident/tests/targets.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ridgeworks_records::{Epoch, Replica, ReplicaId, ReplicaSet};
+use ridgeworks_records::{
+    Epoch, Replica, ReplicaGroups, ReplicaId, ReplicaSet, StorageNode, first_groups,
+};
 use ridgeworks_resident::peer::{Member, MemberInfo, targets};
 
 const INTERVAL: Duration = Duration::from_millis(250);
@@ -34,7 +36,7 @@
 }
 
 /// A set of the last of the replicas by name.
-fn set(fleet: &[Member], size: usize) -> ReplicaSet {
+fn set(fleet: &[Member], size: usize) -> ReplicaGroups {
     let last = fleet.iter().rev().take(size);
     let replica = |member: &Member| Replica {
         id: ReplicaId(u64::from(member.info.address.port())),
@@ -42,18 +44,18 @@
         address: member.info.address.to_string(),
         zone: member.info.zone.clone(),
     };
-    ReplicaSet {
+    ReplicaGroups::of_one(ReplicaSet {
         epoch: Epoch(1),
         voters: last.map(replica).collect(),
         incoming: None,
-    }
+    })
 }
 
 /// The longest time between two heartbeats to each address.
 fn longest_silences(
     me: &Member,
     fleet: &[Member],
-    set: Option<&ReplicaSet>,
+    set: Option<&ReplicaGroups>,
 ) -> BTreeMap<SocketAddr, Duration> {
     let others: Vec<&Member> = fleet.iter().filter(|other| other.info != me.info).collect();
     let mut last = BTreeMap::new();
@@ -77,7 +79,8 @@
         let set = set(&fleet, replicas.min(5).into());
         for me in fleet.iter().filter(|member| member.info.is_replica) {
             let silences = longest_silences(me, &fleet, Some(&set));
-            for voter in set.voters.iter().filter(|voter| voter.node != me.info.name) {
+            let voters = set.members().into_iter();
+            for voter in voters.filter(|voter| voter.node != me.info.name) {
                 let address: SocketAddr = voter.address.parse().unwrap();
                 let silence = silences.get(&address);
                 let is_heard = silence.is_some_and(|silence| *silence < GONE_AFTER / 2);
@@ -102,3 +105,49 @@
         }
     }
 }
+
+/// Seven groups of five, and one replica that belongs to none.
+fn groups(fleet: &[Member]) -> ReplicaGroups {
+    let replicas = fleet.iter().filter(|member| member.info.is_replica);
+    let node = |member: &Member| StorageNode {
+        replica: Replica {
+            id: ReplicaId(u64::from(member.info.address.port())),
+            node: member.info.name.clone(),
+            address: member.info.address.to_string(),
+            zone: member.info.zone.clone(),
+        },
+        alive: true,
+        awaited: false,
+        retiring: false,
+        groups: 0,
+    };
+    let nodes: Vec<StorageNode> = replicas.map(node).collect();
+    first_groups(&nodes, 5).expect("replicas that live")
+}
+
+/// How long a replica of another group may be silent before it may take nobody's place.
+const CANDIDATE_SILENCE: Duration = Duration::from_secs(5);
+
+#[test]
+fn members_of_a_group_hear_each_other_all_the_time_and_others_now_and_then() {
+    let fleet = fleet(259, 36);
+    let groups = groups(&fleet);
+    for me in fleet.iter().filter(|member| member.info.is_replica) {
+        let id = ReplicaId(u64::from(me.info.address.port()));
+        let own = groups.groups_of(id);
+        let silences = longest_silences(me, &fleet, Some(&groups));
+        for (group, set) in groups.iter() {
+            let bound = if own.is_empty() || own.contains(&group) {
+                GONE_AFTER / 2
+            } else {
+                CANDIDATE_SILENCE
+            };
+            for voter in set.voters.iter().filter(|voter| voter.id != id) {
+                let address: SocketAddr = voter.address.parse().unwrap();
+                assert!(silences[&address] < bound, "{:?}", silences[&address]);
+            }
+        }
+        let most = targets(&me.info, fleet.iter(), Some(&groups), 3).len();
+        assert!(most <= 16 || own.is_empty(), "{most}");
+    }
+}
