Engines' runs are told apart, and spoiled entries name no engine

An engine may start again under its identifier and then holds nothing. The key of all that is kept of an engine is a hash of its identifier and its start now, so that what dies with a run dies in one place: prompts held, open requests, reports of other gateways, outcomes, resting connections, homes of sessions, reads told by directory nodes. Which of two entries is newer the store's revision says, since clocks jump. A stream is taken up at the engine that broke it off only in the same run. An entry that lacks a field, has one of another type or an unknown state names no engine, also in a watch; one spoiled object, bytes that are no text among it, leaves its list and batch readable. Replica sets and registrations of other writers are logged and not believed.

--- a/crates/gateway/src/at_engine.rs
+++ b/crates/gateway/src/at_engine.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
-use ridgeworks_routing::{CallMetadata, Engine, Forecast, Turn};
+use ridgeworks_routing::{CallMetadata, Engine, EngineKey, Forecast, Turn};
 use tokio::time::Instant;
 
 use crate::gateway::Gateway;
@@ -47,9 +47,9 @@
         }
     }
 
-    /// The engine's instance.
-    pub fn instance(&self) -> &str {
-        &self.engine.instance
+    /// The engine, in the run that it was asked in.
+    pub fn engine(&self) -> EngineKey {
+        self.engine.key()
     }
 
     /// What was believed of the engine.
@@ -102,6 +102,6 @@
         let is_read = self.first.get().is_some();
         let unread = if is_read { 0 } else { self.forecast.missing };
         let mut placement = self.gateway.placement.borrow_mut();
-        placement.on_ended(&self.engine.instance, unread);
+        placement.on_ended(self.engine.key(), unread);
     }
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -96,8 +96,8 @@
     /// Gives the connection back; the body must have been read whole.
     pub fn finish(self, gateway: &Gateway) {
         let rest = self.head.keep_alive;
-        let instance = self.at_engine.instance();
-        gateway.pool.give_back(instance, self.connection, rest);
+        let engine = self.at_engine.engine();
+        gateway.pool.give_back(engine, self.connection, rest);
     }
 }
 
@@ -118,7 +118,7 @@
     at_engine: AtEngine,
     sending: Sending<'_>,
 ) -> Result<Answered, AttemptFailure> {
-    let mut reused = gateway.pool.take_idle(&engine.instance);
+    let mut reused = gateway.pool.take_idle(engine.key());
     loop {
         let is_reused = reused.is_some();
         let mut connection = match reused.take() {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -172,7 +172,7 @@
             StreamEnd::Complete(client) => {
                 answered.at_engine.on_whole();
                 answered.finish(&self.gateway);
-                self.gateway.on_outcome(&engine.instance, Outcome::Served);
+                self.gateway.on_outcome(engine.key(), Outcome::Served);
                 Ok(self.complete(client, status).await)
             }
             StreamEnd::Failed(client, failure) => {
@@ -246,8 +246,7 @@
         };
         match (response, client) {
             (Ok(response), ClientSide::Waiting(caller)) => {
-                self.gateway
-                    .on_outcome(&engine.instance, outcome_of(status));
+                self.gateway.on_outcome(engine.key(), outcome_of(status));
                 caller.answer(response);
                 Ok(Ending::Answered(status.as_u16()))
             }
--- a/crates/gateway/src/exchange/engine_choice.rs
+++ b/crates/gateway/src/exchange/engine_choice.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use ridgeworks_resident::clock::whole_ms;
-use ridgeworks_routing::{Demand, Engine, Forecast, Refusal, RefusalReason, RequestKind};
+use ridgeworks_routing::{
+    Demand, Engine, EngineKey, Forecast, Refusal, RefusalReason, RequestKind,
+};
 use tokio::time::Instant;
 
 use super::Exchange;
@@ -31,6 +33,8 @@
     /// Engines that may have run the request. Never shrinks: what may have run must not be promised to
     /// be unrun.
     pub(super) ran_on: Vec<String>,
+    /// The run of the engine that may have run it last.
+    pub(super) ran_last: Option<EngineKey>,
     /// Those of them that have ended since and so do not count among the attempts that the route allows.
     pub(super) ended: Vec<String>,
     /// An engine at which the stream was taken up although it had failed before.
@@ -104,6 +108,7 @@
     fn same_engine(&mut self) -> Option<Engine> {
         let is_stream = self.call.route.kind == RequestKind::Stream;
         let last = self.tried.ran_on.last().filter(|_| is_stream)?;
+        let run = self.tried.ran_last?;
         if self.tried.taken_up_at.is_some() {
             return None;
         }
@@ -112,6 +117,10 @@
             .node
             .view
             .with_engines(|table| table.get(last).cloned())?;
+        if engine.key() != run {
+            // It has started anew, which makes it a further engine.
+            return None;
+        }
         self.tried.taken_up_at = Some(engine.instance.clone());
         Some(engine)
     }
@@ -129,6 +138,7 @@
     }
 
     pub(super) fn on_maybe_run(&mut self, engine: &Engine) {
+        self.tried.ran_last = Some(engine.key());
         let ran_on = &mut self.tried.ran_on;
         if !ran_on.contains(&engine.instance) {
             ran_on.push(engine.instance.clone());
@@ -155,7 +165,7 @@
             _ => {}
         }
         if let Some(outcome) = failure.outcome() {
-            self.gateway.on_outcome(instance, outcome);
+            self.gateway.on_outcome(engine.key(), outcome);
         }
         if !failure.is_not_run() {
             self.on_maybe_run(engine);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -165,7 +165,7 @@
     /// Tells the directory node of a prompt that an engine is about to read it.
     pub fn tell_read(self: &Rc<Self>, engine: &Engine, parts: &[PromptPart]) {
         let read = PromptRead {
-            engine: EngineKey::of(&engine.instance).0,
+            engine: engine.key().0,
             parts: parts.to_vec(),
         };
         if read.key().is_none() {
@@ -201,10 +201,10 @@
     }
 
     /// Notes how a request ended at an engine.
-    pub fn on_outcome(&self, instance: &str, outcome: Outcome) {
+    pub fn on_outcome(&self, engine: EngineKey, outcome: Outcome) {
         let now = self.now();
         let mut placement = self.placement.borrow_mut();
-        placement.on_outcome(instance, outcome, now);
+        placement.on_outcome(engine, outcome, now);
     }
 
     /// Lets go of what is no longer needed, until the process ends.
@@ -264,6 +264,8 @@
         metrics.configuration_age_seconds.set(age);
         let engines = view.with_engines(|table| table.len() as u64);
         metrics.engines.set(whole(engines));
+        let unreadable = view.unreadable_engines() as u64;
+        metrics.unreadable_engines.set(whole(unreadable));
         metrics.replica_set_epoch.set(whole(view.epoch().0));
         let store = &self.node.store;
         metrics.store_calls.set(whole(store.calls()));
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -56,6 +56,8 @@
     pub configuration_age_seconds: Gauge,
     /// Engines that are known.
     pub engines: Gauge,
+    /// Entries of engines that cannot be read, where this gateway watches the store.
+    pub unreadable_engines: Gauge,
     /// Epoch of the replica set.
     pub replica_set_epoch: Gauge,
     /// Calls to the platform's store.
@@ -92,6 +94,7 @@
             configuration_version: Gauge::default(),
             configuration_age_seconds: Gauge::default(),
             engines: Gauge::default(),
+            unreadable_engines: Gauge::default(),
             replica_set_epoch: Gauge::default(),
             store_calls: Gauge::default(),
             store_checks: Gauge::default(),
@@ -178,6 +181,11 @@
                 &self.configuration_age_seconds,
             ),
             ("engines", "Engines that are known", &self.engines),
+            (
+                "unreadable_engines",
+                "Entries of engines that cannot be read, where this gateway watches the store",
+                &self.unreadable_engines,
+            ),
             (
                 "replica_set_epoch",
                 "Epoch of the replica set",
--- a/crates/laboratory/src/policies/landed.rs
+++ b/crates/laboratory/src/policies/landed.rs
@@ -42,6 +42,7 @@
     pub fn new(deployment: &Deployment) -> Self {
         let engines = (0..deployment.slowness.len()).map(|index| Listed {
             instance: format!("engine-{index:03}"),
+            born_ms: 0,
             service: SERVICE.to_owned(),
             address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
             zone: ZONE.to_owned(),
@@ -89,8 +90,8 @@
 
     fn on_outcome(&mut self, under_way: &UnderWay, outcome: Outcome, now_ms: f64) {
         if self.sees_failures {
-            let instance = &self.engines[under_way.engine].instance;
-            self.placements[under_way.gateway].on_outcome(instance, outcome, time(now_ms));
+            let engine = self.engines[under_way.engine].key();
+            self.placements[under_way.gateway].on_outcome(engine, outcome, time(now_ms));
         }
     }
 
@@ -114,7 +115,7 @@
                 open: under_way.forecast.open,
             },
         );
-        placement.on_ended(&engine.instance, 0);
+        placement.on_ended(engine.key(), 0);
     }
 }
 
@@ -181,8 +182,8 @@
             return;
         };
         self.on_outcome(&turn, Outcome::Failed, now_ms);
-        let instance = &self.engines[turn.engine].instance;
-        self.placements[turn.gateway].on_ended(instance, turn.forecast.missing);
+        let engine = self.engines[turn.engine].key();
+        self.placements[turn.gateway].on_ended(engine, turn.forecast.missing);
     }
 
     fn on_report(&mut self, now_ms: f64) {
--- a/crates/resident/src/followers.rs
+++ b/crates/resident/src/followers.rs
@@ -1,11 +1,14 @@
 //! What the node's view takes in of the kinds that it follows in the platform's store.
 
+use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
 use ridgeworks_platform::{
     CONFIGURATION_NAME, Object, ObjectEvent, read_configuration, read_engine,
 };
+use ridgeworks_routing::EngineEntry;
 
 use crate::clock::whole_ms;
 use crate::view::{Source, View};
@@ -57,44 +60,99 @@
 }
 
 /// Takes in the engines.
-pub struct EngineFollower(pub Rc<View>);
+pub struct EngineFollower {
+    view: Rc<View>,
+    /// Names of entries that could not be read when they last changed.
+    unreadable: RefCell<BTreeSet<String>>,
+}
+
+impl EngineFollower {
+    /// A follower that has read no entry yet.
+    pub fn new(view: Rc<View>) -> Self {
+        Self {
+            view,
+            unreadable: RefCell::default(),
+        }
+    }
+
+    /// The engine that an entry names, if it names any; says so where this has changed.
+    fn read(&self, object: &Object) -> Option<EngineEntry> {
+        let read = read_engine(object);
+        let mut unreadable = self.unreadable.borrow_mut();
+        match &read {
+            Ok(_) if unreadable.remove(&object.name) => log::info!(
+                target: "belief",
+                engine = object.name.as_str(),
+                revision = object.revision;
+                "entry of an engine can be read again"
+            ),
+            Ok(_) => {}
+            Err(error) => {
+                if unreadable.insert(object.name.clone()) {
+                    log::warn!(
+                        target: "belief",
+                        engine = object.name.as_str(),
+                        revision = object.revision,
+                        detail:% = error;
+                        "entry of an engine cannot be read, it names none"
+                    );
+                }
+            }
+        }
+        self.view.set_unreadable_engines(unreadable.len());
+        read.ok()
+    }
+
+    fn forget(&self, name: &str) {
+        let mut unreadable = self.unreadable.borrow_mut();
+        unreadable.remove(name);
+        self.view.set_unreadable_engines(unreadable.len());
+    }
+}
 
 impl Follower for EngineFollower {
     fn on_list(&self, objects: Vec<Object>, at: u64) {
-        let entries = objects.iter().filter_map(|object| read_engine(object).ok());
-        self.0.adopt_engines(entries.collect(), at, Source::Store);
+        let is_listed = |name: &String| objects.iter().any(|object| object.name == *name);
+        self.unreadable.borrow_mut().retain(is_listed);
+        let entries = objects.iter().filter_map(|object| self.read(object));
+        self.view
+            .adopt_engines(entries.collect(), at, Source::Store);
     }
 
     fn on_events(&self, events: Vec<ObjectEvent>, at: u64) {
         for event in events {
+            let Object { name, revision, .. } = &event.object;
             if event.gone {
-                let Object { name, revision, .. } = &event.object;
-                self.0.remove_engine(name, *revision, at, Source::Store);
-            } else if let Ok(entry) = read_engine(&event.object) {
-                self.0.adopt_engine(entry, Source::Store);
+                self.forget(name);
+                self.view.remove_engine(name, *revision, at, Source::Store);
+            } else if let Some(entry) = self.read(&event.object) {
+                self.view.adopt_engine(entry, Source::Store);
+            } else {
+                // What it named before may be somebody else's by now.
+                self.view.remove_engine(name, *revision, at, Source::Store);
             }
         }
-        self.0.advance_engines(at);
+        self.view.advance_engines(at);
     }
 
     fn on_contact(&self, reached: bool) {
         if reached {
-            self.0.confirm_engines_as_of(Duration::ZERO);
+            self.view.confirm_engines_as_of(Duration::ZERO);
         }
     }
 
     fn on_checked(&self) {
-        self.0.announce_confirmation();
+        self.view.announce_confirmation();
     }
 
     fn unconfirmed(&self) -> Option<Duration> {
-        self.0.engines_unconfirmed_for()
+        self.view.engines_unconfirmed_for()
     }
 
     fn told_up_to(&self) -> Option<u64> {
-        self.0
+        self.view
             .engines_known()
-            .then(|| self.0.with_engines(|engines| engines.at()))
+            .then(|| self.view.with_engines(|engines| engines.at()))
     }
 }
 
--- a/crates/resident/src/node.rs
+++ b/crates/resident/src/node.rs
@@ -58,6 +58,8 @@
     /// The settings as they were last read.
     reloaded: RefCell<NodeSettings>,
     settings_unreadable: Cell<bool>,
+    /// Revision of the registered replica sets that could not be read last, 0 for none.
+    unreadable_sets: Cell<u64>,
 }
 
 /// Why the settings are read again.
@@ -93,6 +95,7 @@
             gossip: Rc::new(gossip),
             reloaded: RefCell::new(settings.clone()),
             settings_unreadable: Cell::new(false),
+            unreadable_sets: Cell::new(0),
             settings,
             clock,
             view,
@@ -123,7 +126,7 @@
         tokio::task::spawn_local(Rc::clone(self).decide_duty());
         let configuration = ConfigurationFollower(Rc::clone(&self.view));
         self.follow(ObjectKind::Configuration, configuration);
-        let engines = EngineFollower(Rc::clone(&self.view));
+        let engines = EngineFollower::new(Rc::clone(&self.view));
         self.follow(ObjectKind::Engines, engines);
     }
 
@@ -218,7 +221,13 @@
             StoreOutcome::NotFound => Some(RegisteredGroups::Missing),
             StoreOutcome::Done => {
                 let object = read_object(&answer.body).ok()?;
-                let groups = ReplicaGroups::deserialize(&object.spec).ok()?;
+                let groups = match ReplicaGroups::deserialize(&object.spec) {
+                    Ok(groups) => groups,
+                    Err(error) => {
+                        self.on_unreadable_sets(object.revision, &error);
+                        return None;
+                    }
+                };
                 self.view.adopt_groups(groups.clone(), Source::Store);
                 let revision = object.revision;
                 Some(RegisteredGroups::Found { groups, revision })
@@ -227,6 +236,18 @@
         }
     }
 
+    /// Another writer has spoiled the object: nothing of it is believed, and what is known stays in force.
+    fn on_unreadable_sets(&self, revision: u64, error: &dyn std::fmt::Display) {
+        if self.unreadable_sets.replace(revision) != revision {
+            log::error!(
+                target: "dependency",
+                revision = revision,
+                detail:% = error;
+                "replica sets in the platform store cannot be read"
+            );
+        }
+    }
+
     /// Registers this node where nodes look for each other that hear nobody; says whether it is there.
     async fn register(&self) -> bool {
         let record = MemberRecord::of(&self.settings);
@@ -270,7 +291,8 @@
         let nodes: Vec<MemberInfo> = objects.iter().filter_map(MemberRecord::read).collect();
         log::info!(
             target: "belief",
-            registered = nodes.len();
+            registered = nodes.len(),
+            unreadable = objects.len() - nodes.len();
             "no other node heard, looked for them in the platform store"
         );
         self.gossip.add_known(nodes);
--- a/crates/resident/src/view.rs
+++ b/crates/resident/src/view.rs
@@ -42,6 +42,7 @@
     routes: RefCell<Option<Rc<RouteTable>>>,
     engines: RefCell<EngineTable>,
     engines_known: Cell<bool>,
+    unreadable_engines: Cell<usize>,
     groups: RefCell<Option<Rc<ReplicaGroups>>>,
     /// When the newest configuration was last confirmed, since the start of the process.
     confirmed: Cell<Option<Duration>>,
@@ -61,6 +62,7 @@
             routes: RefCell::default(),
             engines: RefCell::default(),
             engines_known: Cell::new(false),
+            unreadable_engines: Cell::new(0),
             groups: RefCell::default(),
             confirmed: Cell::new(None),
             engines_confirmed: Cell::new(None),
@@ -97,6 +99,16 @@
         self.engines_known.get()
     }
 
+    /// Entries of engines that cannot be read, at a node that watches the store.
+    pub fn unreadable_engines(&self) -> usize {
+        self.unreadable_engines.get()
+    }
+
+    /// Notes how many entries of engines cannot be read.
+    pub fn set_unreadable_engines(&self, count: usize) {
+        self.unreadable_engines.set(count);
+    }
+
     /// The newest replica sets that are known.
     pub fn groups(&self) -> Option<Rc<ReplicaGroups>> {
         self.groups.borrow().clone()
@@ -199,6 +211,7 @@
     /// Takes in one change of an engine.
     pub fn adopt_engine(&self, entry: EngineEntry, source: Source) {
         let state = entry.engine.state;
+        let born_ms = entry.engine.born_ms;
         let instance = entry.engine.instance.clone();
         let revision = entry.revision;
         if self.engines.borrow_mut().apply(entry) {
@@ -206,6 +219,7 @@
                 target: "belief",
                 engine = instance.as_str(),
                 state:? = state,
+                born_ms = born_ms,
                 revision = revision,
                 source = source.name();
                 "engine changed"
--- a/crates/routing/src/engine_load.rs
+++ b/crates/routing/src/engine_load.rs
@@ -6,7 +6,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::engine_health::{EngineHealth, OutcomeCounts};
 use crate::request::PromptPart;
@@ -29,14 +29,22 @@
 /// gateway's memory in a large fleet: 4.4 MB for 190 engines. An engine's own memory holds fewer.
 const MAX_PARTS: usize = 512;
 
-/// An engine's key in tables and in reports between gateways.
+/// The key of one run of an engine, in tables and in reports between gateways.
+///
+/// What dies with a run is kept under it: what the engine holds, what is open there, how requests ended. An engine that starts again under its
+/// identifier is another run, and whatever comes late of the earlier one changes nothing of it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct EngineKey(pub u64);
 
 impl EngineKey {
-    /// The key of an instance.
+    /// The key of an engine that does not say when it started.
     pub fn of(instance: &str) -> Self {
-        Self(xxh3_64(instance.as_bytes()))
+        Self::of_run(instance, 0)
+    }
+
+    /// The key of the run of an engine that started at this time.
+    pub fn of_run(instance: &str, born_ms: u64) -> Self {
+        Self(xxh3_64_with_seed(instance.as_bytes(), born_ms))
     }
 }
 
--- a/crates/routing/src/engine_table.rs
+++ b/crates/routing/src/engine_table.rs
@@ -5,6 +5,8 @@
 
 use rkyv::{Archive, Deserialize, Serialize};
 
+use crate::engine_load::EngineKey;
+
 /// Removed engines that are remembered, so that an older report cannot bring them back.
 const MAX_TOMBSTONES: usize = 4_096;
 
@@ -20,8 +22,11 @@
 /// One engine as the platform lists it.
 #[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub struct Engine {
-    /// One life of the engine.
+    /// The identifier under which the platform lists it. An engine that starts again may have the one that it had.
     pub instance: String,
+    /// When it started, in milliseconds since 1970; 0 where it does not say. Clocks jump, so this tells one run from another and says
+    /// nothing of which came first.
+    pub born_ms: u64,
     /// Service that it belongs to.
     pub service: String,
     /// Where it is reached.
@@ -34,6 +39,13 @@
     pub state: EngineState,
 }
 
+impl Engine {
+    /// The key of this run of the engine.
+    pub fn key(&self) -> EngineKey {
+        EngineKey::of_run(&self.instance, self.born_ms)
+    }
+}
+
 /// An engine with the revision of the report.
 #[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub struct EngineEntry {
@@ -238,9 +250,9 @@
         self.entries.get(instance).map(|entry| &entry.engine)
     }
 
-    /// The instances of all engines.
-    pub fn instances(&self) -> impl Iterator<Item = &str> {
-        self.entries.keys().map(String::as_str)
+    /// All engines.
+    pub fn engines(&self) -> impl Iterator<Item = &Engine> {
+        self.entries.values().map(|entry| &entry.engine)
     }
 
     /// Engines of a service that take new work.
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -159,9 +159,9 @@
     }
 
     /// Open requests at an engine, of this gateway and of those that reported lately.
-    pub fn open_at(&mut self, instance: &str, now: Duration) -> u32 {
+    pub fn open_at(&mut self, engine: EngineKey, now: Duration) -> u32 {
         self.loads.expire(now);
-        self.loads.open_at(EngineKey::of(instance))
+        self.loads.open_at(engine)
     }
 
     /// What work costs at the engines of a service, as far as it is known.
@@ -175,7 +175,7 @@
         if self.homes.len() >= MAX_HOMES {
             self.homes.clear();
         }
-        let engine_key = EngineKey::of(&engine.instance);
+        let engine_key = engine.key();
         self.homes.insert(xxh3_64(key.as_bytes()), engine_key);
         let open = self.loads.open_at(engine_key);
         let load = self.loads.entry(engine_key);
@@ -196,7 +196,7 @@
 
     /// The first event of a request has come, so its prompt has been read.
     pub fn on_first_event(&mut self, engine: &Engine, forecast: Forecast, taken: Duration) {
-        let load = self.loads.entry(EngineKey::of(&engine.instance));
+        let load = self.loads.entry(engine.key());
         load.unread = load.unread.saturating_sub(forecast.missing);
         if forecast.open >= engine.slots || forecast.ahead > 0 {
             // It waited for a place, or for other readings: of this gateway's, and of more that it does
@@ -213,7 +213,7 @@
     /// A request ended well.
     pub fn on_turn(&mut self, engine: &Engine, turn: Turn) {
         if let Some(step_ms) = turn.step_ms {
-            self.health(&engine.instance).on_step(step_ms);
+            self.health(engine.key()).on_step(step_ms);
         }
         if turn.open < engine.slots {
             self.model(&engine.service).on_turn(turn);
@@ -221,8 +221,8 @@
     }
 
     /// A request has left an engine; `unread` of its tokens had not been read.
-    pub fn on_ended(&mut self, instance: &str, unread: u64) {
-        let load = self.loads.entry(EngineKey::of(instance));
+    pub fn on_ended(&mut self, engine: EngineKey, unread: u64) {
+        let load = self.loads.entry(engine);
         load.own = load.own.saturating_sub(1);
         load.unread = load.unread.saturating_sub(unread);
     }
@@ -262,8 +262,8 @@
     }
 
     /// A request of this gateway ended at an engine.
-    pub fn on_outcome(&mut self, instance: &str, outcome: Outcome, now: Duration) {
-        self.health(instance).on_outcome(outcome, now);
+    pub fn on_outcome(&mut self, engine: EngineKey, outcome: Outcome, now: Duration) {
+        self.health(engine).on_outcome(outcome, now);
     }
 
     /// Engines that have begun or ceased to fail requests since they were last told.
@@ -273,13 +273,13 @@
         now: Duration,
     ) -> Vec<FailingNews<'a>> {
         let mut news = Vec::new();
-        for instance in table.instances() {
-            let Some(load) = self.loads.get_mut(EngineKey::of(instance)) else {
+        for engine in table.engines() {
+            let Some(load) = self.loads.get_mut(engine.key()) else {
                 continue;
             };
             if let Some(is_failing) = load.failing_news(now) {
                 news.push(FailingNews {
-                    instance,
+                    instance: &engine.instance,
                     is_failing,
                     outcomes: load.outcomes(now),
                 });
@@ -289,8 +289,8 @@
     }
 
     /// Health of an engine.
-    pub fn health(&mut self, instance: &str) -> &mut EngineHealth {
-        &mut self.loads.entry(EngineKey::of(instance)).health
+    pub fn health(&mut self, engine: EngineKey) -> &mut EngineHealth {
+        &mut self.loads.entry(engine).health
     }
 
     /// What this gateway tells the others of the engines.
@@ -306,7 +306,7 @@
     /// Forgets engines that are gone and reports that are too old.
     pub fn retain(&mut self, table: &EngineTable, now: Duration) {
         self.loads.expire(now);
-        let listed: HashSet<EngineKey> = table.instances().map(EngineKey::of).collect();
+        let listed: HashSet<EngineKey> = table.engines().map(Engine::key).collect();
         self.loads.retain(|key| listed.contains(&key));
     }
 
@@ -440,7 +440,7 @@
     let ready = table.ready(demand.service);
     let allowed = ready.filter(|engine| !demand.excluded.contains(&engine.instance));
     let candidates = allowed.map(|engine| {
-        let key = EngineKey::of(&engine.instance);
+        let key = engine.key();
         Candidate {
             engine,
             key,
--- /dev/null
+++ b/crates/routing/tests/engine_runs.rs
@@ -0,0 +1,106 @@
+//! Engines that start again under the identifier that they had.
+
+use std::time::Duration;
+
+use ridgeworks_routing::{
+    Engine, EngineEntry, EngineKey, EngineState, EngineTable, GatewayReport, Outcome, Placement,
+    PromptPart, PromptRead,
+};
+
+const NOW: Duration = Duration::from_secs(10);
+
+fn engine(born_ms: u64) -> Engine {
+    Engine {
+        instance: "i-1".to_owned(),
+        born_ms,
+        service: "models".to_owned(),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        zone: "zone-a".to_owned(),
+        slots: 4,
+        state: EngineState::Ready,
+    }
+}
+
+fn table(born_ms: u64, revision: u64) -> EngineTable {
+    let mut table = EngineTable::default();
+    let engine = engine(born_ms);
+    table.replace(vec![EngineEntry { engine, revision }], revision);
+    table
+}
+
+fn parts() -> [PromptPart; 1] {
+    [PromptPart {
+        hash: 7,
+        tokens: 1_000,
+    }]
+}
+
+#[test]
+fn a_later_run_holds_and_has_nothing_of_the_earlier_one() {
+    let mut placement = Placement::default();
+    let (earlier, later) = (engine(1), engine(2));
+    placement.on_sent("session", &earlier, &parts());
+    assert_eq!(placement.open_at(earlier.key(), NOW), 1);
+    assert_eq!(placement.open_at(later.key(), NOW), 0);
+    let forecast = placement.on_sent("session", &later, &parts());
+    assert_eq!((forecast.missing, forecast.open), (1_000, 0));
+    let again = placement.on_sent("session", &later, &parts());
+    assert_eq!(again.missing, 0);
+}
+
+/// Whatever way it comes by: a gateway's report, a directory node, an answer to a request that was sent before.
+#[test]
+fn what_comes_late_of_an_earlier_run_changes_nothing() {
+    let mut placement = Placement::default();
+    let (earlier, later) = (engine(1), engine(2));
+    let forecast = placement.on_sent("old", &earlier, &parts());
+    let report = GatewayReport {
+        open: vec![(earlier.key(), 9)],
+        suspects: Vec::new(),
+    };
+    placement.on_report("front-2", report, NOW);
+    placement.on_read(&PromptRead {
+        engine: earlier.key().0,
+        parts: parts().to_vec(),
+    });
+    placement.on_outcome(earlier.key(), Outcome::Failed, NOW);
+    placement.on_first_event(&earlier, forecast, Duration::from_millis(30));
+    placement.on_ended(earlier.key(), 0);
+    assert_eq!(placement.open_at(later.key(), NOW), 0);
+    assert_eq!(placement.on_sent("new", &later, &parts()).missing, 1_000);
+    let listed = table(2, 5);
+    let news = placement.failing_news(&listed, NOW);
+    assert!(news.is_empty(), "{news:?}");
+}
+
+#[test]
+fn an_earlier_run_is_forgotten_once_a_later_one_is_listed() {
+    let mut placement = Placement::default();
+    let earlier = engine(1);
+    placement.on_sent("session", &earlier, &parts());
+    placement.on_ended(earlier.key(), 0);
+    placement.retain(&table(2, 5), NOW);
+    assert_eq!(
+        placement.on_sent("session", &earlier, &parts()).missing,
+        1_000
+    );
+}
+
+/// Clocks jump: of two entries the one with the later revision counts, whatever the start that it tells.
+#[test]
+fn the_revision_says_which_run_is_the_later_one() {
+    let mut table = table(2_000, 5);
+    let entry = |born_ms, revision| EngineEntry {
+        engine: engine(born_ms),
+        revision,
+    };
+    assert!(table.apply(entry(1_000, 6)));
+    assert!(!table.apply(entry(3_000, 4)));
+    assert_eq!(table.get("i-1").map(|engine| engine.born_ms), Some(1_000));
+}
+
+#[test]
+fn engines_that_do_not_say_when_they_started_are_told_apart_by_their_identifiers() {
+    assert_eq!(engine(0).key(), EngineKey::of("i-1"));
+    assert_ne!(engine(0).key(), EngineKey::of("i-2"));
+}
--- a/crates/routing/tests/failing_engines.rs
+++ b/crates/routing/tests/failing_engines.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use ridgeworks_routing::{GatewayReport, Outcome, Placement};
+use ridgeworks_routing::{EngineKey, GatewayReport, Outcome, Placement};
 use support::{NOW, choose, demand, engine, part, send, table};
 
 /// An engine that fails at once has the fewest open requests and the quickest steps of all.
@@ -28,7 +28,7 @@
         } else {
             Outcome::Served
         };
-        placement.on_outcome(&instance, outcome, now);
+        placement.on_outcome(EngineKey::of(&instance), outcome, now);
     }
     assert!(grey < REQUESTS / 16, "{grey} of {REQUESTS}");
 }
@@ -44,7 +44,7 @@
         } else {
             Outcome::Served
         };
-        placement.on_outcome(names[number % 3], outcome, NOW);
+        placement.on_outcome(EngineKey::of(names[number % 3]), outcome, NOW);
     }
     let later = NOW + Duration::from_secs(3);
     let mut chosen: Vec<String> = (0..64)
@@ -64,8 +64,8 @@
     let names = ["i-1", "i-2", "i-3", "i-4"];
     let table = table(names.map(|name| engine(name, "zone-a")));
     let mut other = Placement::default();
-    other.on_outcome("i-1", Outcome::Served, NOW);
-    other.on_outcome("i-1", Outcome::Failed, NOW);
+    other.on_outcome(EngineKey::of("i-1"), Outcome::Served, NOW);
+    other.on_outcome(EngineKey::of("i-1"), Outcome::Failed, NOW);
     let report = other.report(NOW);
     let mut placement = Placement::default();
     let share = |placement: &mut Placement| {
@@ -88,11 +88,11 @@
 #[test]
 fn one_failure_among_many_requests_of_all_gateways_is_no_reason() {
     let mut unlucky = Placement::default();
-    unlucky.on_outcome("i-1", Outcome::Failed, NOW);
+    unlucky.on_outcome(EngineKey::of("i-1"), Outcome::Failed, NOW);
     let mut lucky = Placement::default();
     for _ in 0..30 {
-        lucky.on_outcome("i-1", Outcome::Served, NOW);
-        lucky.on_outcome("i-2", Outcome::Served, NOW);
+        lucky.on_outcome(EngineKey::of("i-1"), Outcome::Served, NOW);
+        lucky.on_outcome(EngineKey::of("i-2"), Outcome::Served, NOW);
     }
     assert!(lucky.report(NOW).suspects.is_empty());
     lucky.on_report("unlucky", unlucky.report(NOW), NOW);
@@ -113,10 +113,10 @@
         let news = placement.failing_news(&table, now);
         news.iter().map(|it| it.is_failing).collect::<Vec<bool>>()
     };
-    placement.on_outcome("i-1", Outcome::Served, NOW);
+    placement.on_outcome(EngineKey::of("i-1"), Outcome::Served, NOW);
     assert!(told(&mut placement, NOW).is_empty());
     for _ in 0..4 {
-        placement.on_outcome("i-1", Outcome::Failed, NOW);
+        placement.on_outcome(EngineKey::of("i-1"), Outcome::Failed, NOW);
     }
     assert_eq!(told(&mut placement, NOW), [true]);
     assert!(told(&mut placement, NOW).is_empty());
@@ -132,17 +132,17 @@
     let mut placement = Placement::default();
     for _ in 0..40 {
         for name in names {
-            placement.on_outcome(name, Outcome::Served, NOW);
+            placement.on_outcome(EngineKey::of(name), Outcome::Served, NOW);
         }
     }
     let mut other = Placement::default();
     for _ in 0..40 {
-        other.on_outcome("i-1", Outcome::Failed, NOW);
+        other.on_outcome(EngineKey::of("i-1"), Outcome::Failed, NOW);
     }
     placement.on_report("other", other.report(NOW), NOW);
     let parts = [part(1, 12_000), part(2, 2_000)];
     let forecast = send(&mut placement, "i-1", &parts);
-    placement.on_ended("i-1", forecast.missing);
+    placement.on_ended(EngineKey::of("i-1"), forecast.missing);
     let chosen = choose(&mut placement, &table, &demand("s", &parts, &[]), NOW);
     assert_eq!(chosen.expect("an engine"), "i-1");
 }
--- a/crates/routing/tests/placement.rs
+++ b/crates/routing/tests/placement.rs
@@ -41,7 +41,7 @@
     let mut placement = Placement::default();
     let parts = [part(1, 12_000), part(2, 2_000)];
     let forecast = send(&mut placement, "i-1", &parts);
-    placement.on_ended("i-1", forecast.missing);
+    placement.on_ended(EngineKey::of("i-1"), forecast.missing);
     let chosen = choose(&mut placement, &table, &demand("s", &parts, &[]), NOW);
     assert_eq!(chosen.expect("an engine"), "i-1");
     for _ in 0..30 {
@@ -82,7 +82,7 @@
 fn excluded_draining_and_failing_engines_are_passed_over() {
     let table = table(["i-1", "i-2", "i-3"].map(|name| engine(name, "zone-a")));
     let mut placement = Placement::default();
-    placement.on_outcome("i-1", Outcome::Failed, NOW);
+    placement.on_outcome(EngineKey::of("i-1"), Outcome::Failed, NOW);
     let excluded = ["i-2".to_owned()];
     let chosen = choose(&mut placement, &table, &demand("s", &[], &excluded), NOW);
     assert_eq!(chosen.expect("an engine"), "i-3");
@@ -119,8 +119,8 @@
 fn a_slow_engine_gets_less() {
     let table = table(["i-1", "i-2"].map(|name| engine(name, "zone-a")));
     let mut placement = Placement::default();
-    placement.health("i-1").on_step(10.0);
-    placement.health("i-2").on_step(50.0);
+    placement.health(EngineKey::of("i-1")).on_step(10.0);
+    placement.health(EngineKey::of("i-2")).on_step(50.0);
     for number in 0..20 {
         let key = format!("session-{number}");
         let chosen = choose(&mut placement, &table, &demand(&key, &[], &[]), NOW);
@@ -136,18 +136,18 @@
     for gateway in ["gateway-1", "gateway-2"] {
         placement.on_report(gateway, other.report(NOW), NOW);
     }
-    assert_eq!(placement.open_at("i-1", NOW), 2);
+    assert_eq!(placement.open_at(EngineKey::of("i-1"), NOW), 2);
     for _ in 0..2 {
         send(&mut other, "i-1", &[]);
     }
     let later = NOW + Duration::from_millis(1_500);
     placement.on_report("gateway-2", other.report(later), later);
-    assert_eq!(placement.open_at("i-1", later), 4);
+    assert_eq!(placement.open_at(EngineKey::of("i-1"), later), 4);
     // The report of gateway-1 is too old by now, that of gateway-2 is not.
     let expired = NOW + Duration::from_millis(2_100);
-    assert_eq!(placement.open_at("i-1", expired), 3);
+    assert_eq!(placement.open_at(EngineKey::of("i-1"), expired), 3);
     placement.on_report("gateway-2", GatewayReport::default(), expired);
-    assert_eq!(placement.open_at("i-1", expired), 0);
+    assert_eq!(placement.open_at(EngineKey::of("i-1"), expired), 0);
 }
 
 quickcheck! {
@@ -162,7 +162,7 @@
             is_placed &= chosen.is_some();
             let forecast = send(&mut placement, "i-1", &parts);
             placement.on_first_event(&engine("i-1", "zone-a"), forecast, Duration::from_millis(forecast.missing % 9));
-            placement.on_ended("i-1", 0);
+            placement.on_ended(EngineKey::of("i-1"), 0);
         }
         is_placed && choose(&mut placement, &table, &demand("s", &[], &[]), NOW).is_some()
     }
@@ -191,7 +191,7 @@
         let mut placement = Placement::default();
         teach(&mut placement, tokens_per_ms);
         let forecast = send(&mut placement, "i-1", &parts);
-        placement.on_ended("i-1", forecast.missing);
+        placement.on_ended(EngineKey::of("i-1"), forecast.missing);
         for _ in 0..3 {
             send(&mut placement, "i-1", &[]);
         }
@@ -218,7 +218,7 @@
     placement.on_first_event(&engine("i-1", "zone-a"), first, Duration::from_millis(70));
     let third = send(&mut placement, "i-1", &[part(3, 100)]);
     assert_eq!(third.ahead, 100);
-    placement.on_ended("i-1", 100);
+    placement.on_ended(EngineKey::of("i-1"), 100);
     assert_eq!(send(&mut placement, "i-1", &[]).ahead, 100);
 }
 
--- a/crates/routing/tests/support/mod.rs
+++ b/crates/routing/tests/support/mod.rs
@@ -11,6 +11,7 @@
 pub fn engine(instance: &str, zone: &str) -> Engine {
     Engine {
         instance: instance.to_owned(),
+        born_ms: 0,
         service: "models".to_owned(),
         address: "127.0.0.1:9".parse().expect("an address"),
         zone: zone.to_owned(),
