--- a/crates/resident/src/node.rs
+++ b/crates/resident/src/node.rs
@@ -35,6 +35,9 @@
 const PLACE_LIFETIME: Duration = Duration::from_secs(1);
 /// How long a node waits for others to be heard before it looks for them in the store.
 const MEMBERS_PATIENCE: Duration = Duration::from_millis(1_500);
+/// How often a replica looks for the first sets. Whoever writes them tells the others within a heartbeat, so this is for one that
+/// hears nobody; every 300 ms they made 290 calls of 36 replicas before the first set.
+const REPLICA_PAUSE: Duration = Duration::from_secs(1);
 /// How often a gateway that others tell of changes looks for the replica set itself.
 const REPLICA_SET_PAUSE: Duration = Duration::from_secs(3);
 const SEED_PAUSE: Duration = Duration::from_millis(100);
@@ -313,7 +316,12 @@
                 asked_at = now;
                 self.read_groups().await;
             }
-            pause_about(REGISTER_PAUSE).await;
+            let pause = if is_replica {
+                REPLICA_PAUSE
+            } else {
+                REGISTER_PAUSE
+            };
+            pause_about(pause).await;
         }
     }
 
