A zone holds no more of a set than may be lost, and a newcomer that copies already is kept

Read in the code: machines of the fewest groups came first, so that a set of three could stand in one zone where zones are uneven. Tests in groups.rs.

--- a/crates/records/src/plan.rs
+++ b/crates/records/src/plan.rs
@@ -19,6 +19,8 @@
     pub retiring: bool,
     /// Groups that it belongs to.
     pub groups: usize,
+    /// Whether it copies already to join this group.
+    pub joining: bool,
 }
 
 /// What brings the set nearer to the one that is wanted.
@@ -193,16 +195,17 @@
 
 fn add_others(wanted: &mut Vec<Replica>, voters: &[Replica], nodes: &[StorageNode], size: usize) {
     while wanted.len() < size {
-        let free = nodes.iter().filter(|node| {
-            let known = wanted.iter().chain(voters);
-            let is_known = known.clone().any(|replica| replica.id == node.replica.id);
-            node.alive && !node.retiring && !is_known
-        });
-        let zones: Vec<&String> = wanted.iter().map(|replica| &replica.zone).collect();
-        let best = free.min_by_key(|node| {
-            let crowd = zones.iter().filter(|zone| **zone == &node.replica.zone);
-            (node.groups, crowd.count(), node.replica.id)
-        });
+        let free: Vec<&StorageNode> = nodes
+            .iter()
+            .filter(|node| {
+                let known = wanted.iter().chain(voters);
+                let is_known = known.clone().any(|replica| replica.id == node.replica.id);
+                node.alive && !node.retiring && !is_known
+            })
+            .collect();
+        let best = free
+            .iter()
+            .min_by_key(|node| preference(node, wanted, &free, size));
         let Some(node) = best else {
             break;
         };
@@ -210,6 +213,28 @@
     }
 }
 
+/// What speaks for a replica's joining, the least first.
+///
+/// A zone holds no more of a set than may be lost of it, where that can be. Then one that copies already keeps on: another one would begin
+/// again. Then machines share the work, then zones do, the zone first that has most left to give.
+fn preference(
+    node: &StorageNode,
+    wanted: &[Replica],
+    free: &[&StorageNode],
+    size: usize,
+) -> impl Ord + use<> {
+    let zone = &node.replica.zone;
+    let crowd = wanted.iter().filter(|replica| replica.zone == *zone);
+    let crowd = crowd.count();
+    let is_crowded = crowd + majority(size) >= size.max(2);
+    let alike = free
+        .iter()
+        .filter(|other| other.replica.zone == *zone && other.groups == node.groups);
+    let left = std::cmp::Reverse(alike.count());
+    let id = node.replica.id;
+    (is_crowded, !node.joining, node.groups, crowd, left, id)
+}
+
 fn same_replicas(one: &[Replica], two: &[Replica]) -> bool {
     let ids = |replicas: &[Replica]| -> BTreeSet<ReplicaId> {
         replicas.iter().map(|replica| replica.id).collect()
--- a/crates/records/tests/groups.rs
+++ b/crates/records/tests/groups.rs
@@ -6,9 +6,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use ridgeworks_records::{
-    Epoch, GroupId, LedgerEntry, ProgramId, ProgramLedger, Replica, ReplicaGroups, ReplicaId,
-    ReplicaReply, ReplicaRequest, ReplicaSet, ReplicaState, StorageNode, StoredRecord, TurnId,
-    TurnRecord, first_groups,
+    CopiesSeen, Epoch, GroupId, LedgerEntry, ProgramId, ProgramLedger, Replica, ReplicaGroups,
+    ReplicaId, ReplicaReply, ReplicaRequest, ReplicaSet, ReplicaState, SetStep, StorageNode,
+    StoredRecord, TurnId, TurnRecord, first_groups, plan_change,
 };
 
 const NOW: u64 = 1_000_000;
@@ -30,6 +30,7 @@
         awaited: false,
         retiring: false,
         groups: 0,
+        joining: false,
     };
     (0..count).map(node).collect()
 }
@@ -67,6 +68,35 @@
     assert_eq!(seen.len(), 35);
 }
 
+/// The loss of a zone must leave each group a majority, also where zones are uneven.
+#[test]
+fn no_zone_holds_more_of_a_set_than_may_be_lost() {
+    let mut uneven = nodes(7, 1);
+    uneven[5].replica.zone = "zone-b".to_owned();
+    uneven[6].replica.zone = "zone-c".to_owned();
+    let dealt = first_groups(&uneven, 3).expect("machines that live");
+    assert_eq!(dealt.iter().count(), 2);
+    for (_, set) in dealt.iter() {
+        let zones: BTreeSet<&String> = set.voters.iter().map(|voter| &voter.zone).collect();
+        assert_eq!(zones.len(), 3);
+    }
+}
+
+/// Two members saw the storage machines differently for a moment, and a second newcomer began its copy after 2.9 s of the first one's.
+#[test]
+fn a_newcomer_that_copies_already_is_kept() {
+    let set = set(&[1, 2, 3]);
+    let mut nodes = nodes(9, 3);
+    nodes[3].alive = false;
+    nodes[6].joining = true;
+    let copies = CopiesSeen::default();
+    let step = plan_change(&set, &nodes, 3, &copies, true);
+    let Some(SetStep::Prepare { newcomers, .. }) = step else {
+        panic!("{step:?}");
+    };
+    assert_eq!(newcomers, [replica(6, 3)]);
+}
+
 #[test]
 fn programs_are_spread_evenly_and_keep_their_group() {
     let dealt = first_groups(&nodes(36, 7), 5).expect("machines that live");
--- a/crates/records/tests/simulator/world/changes.rs
+++ b/crates/records/tests/simulator/world/changes.rs
@@ -123,6 +123,7 @@
             awaited: false,
             retiring: false,
             groups: 0,
+            joining: false,
         }
     }
 
--- a/crates/replica/src/coordinator.rs
+++ b/crates/replica/src/coordinator.rs
@@ -261,6 +261,9 @@
         }
         let mut nodes = nodes.to_vec();
         self.roll.add_awaited(set, &mut nodes, now);
+        for node in &mut nodes {
+            node.joining = self.newcomers.is_joining(group, node.replica.id);
+        }
         let copies = CopiesSeen {
             prepared: self.newcomers.prepared(group, set.epoch),
             copied: self.copied(group, set.epoch, &nodes),
--- a/crates/replica/src/newcomers.rs
+++ b/crates/replica/src/newcomers.rs
@@ -47,6 +47,11 @@
         ready.map(|((_, id), _)| *id).collect()
     }
 
+    /// Whether a replica was asked to copy for a group.
+    pub fn is_joining(&self, group: GroupId, id: ReplicaId) -> bool {
+        self.known.borrow().contains_key(&(group, id))
+    }
+
     /// Has these replicas copy what the voters of this group hold, or tells them the set that has changed since.
     pub fn ask(&self, group: GroupId, groups: &ReplicaGroups, replicas: &[Replica]) {
         let is_wanted = |id: ReplicaId| replicas.iter().any(|replica| replica.id == id);
--- a/crates/replica/src/roll.rs
+++ b/crates/replica/src/roll.rs
@@ -83,6 +83,7 @@
                 awaited: false,
                 retiring: self.retirements.is_retiring(&node.settings.name),
                 groups: belongs(status.id),
+                joining: false,
             });
         }
         let own = me.map(|status| status.id);
@@ -96,6 +97,7 @@
                 awaited: false,
                 retiring: self.retirements.is_retiring(&member.info.name),
                 groups: belongs(status.id),
+                joining: false,
                 replica: Replica {
                     id: status.id,
                     node: member.info.name,
@@ -124,6 +126,7 @@
                 awaited: true,
                 retiring: self.retirements.is_retiring(&voter.node),
                 groups: 1,
+                joining: false,
             });
         }
     }
--- a/crates/resident/tests/targets.rs
+++ b/crates/resident/tests/targets.rs
@@ -120,6 +120,7 @@
         awaited: false,
         retiring: false,
         groups: 0,
+        joining: false,
     };
     let nodes: Vec<StorageNode> = replicas.map(node).collect();
     first_groups(&nodes, 5).expect("replicas that live")
