--- a/crates/replica/src/actor.rs
+++ b/crates/replica/src/actor.rs
@@ -100,7 +100,8 @@
 
 struct WaitingReply {
     batch: u64,
-    asked_at: Instant,
+    /// When it was asked; `None` for one that may wait for later changes, which says nothing of how late the replica is.
+    asked_at: Option<Instant>,
     answer: oneshot::Sender<PeerReply>,
     reply: ReplicaReply,
 }
@@ -480,7 +481,7 @@
         let batch = self.submitted + u64::from(!self.gathered.is_empty());
         self.waiting.push_back(WaitingReply {
             batch,
-            asked_at: Instant::now(),
+            asked_at: (wait == Wait::Durable).then(Instant::now),
             answer,
             reply,
         });
@@ -566,7 +567,9 @@
             && waiting.batch <= self.durable
         {
             if let Some(waiting) = self.waiting.pop_front() {
-                self.lateness.on_answer(waiting.asked_at.elapsed());
+                if let Some(asked_at) = waiting.asked_at {
+                    self.lateness.on_answer(asked_at.elapsed());
+                }
                 send(waiting.answer, waiting.reply);
             }
         }
