--- a/crates/records/src/replica.rs
+++ b/crates/records/src/replica.rs
@@ -3,15 +3,18 @@
 //! It answers from memory; the caller makes the [`Change`]s durable in the order in which they are
 //! returned, and holds back a reply for as long as any change returned before it is not durable.
 
+mod copying;
+mod restoring;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use rkyv::{Archive, Deserialize, Serialize};
 
-use crate::change_log::{ChangeLog, ChangeNumber, ListPosition};
+use crate::change_log::{ChangeLog, ChangeNumber};
 use crate::groups::{GroupId, ReplicaGroups};
 use crate::identifiers::{Epoch, ProgramId, RecordKey, ReplicaId, TurnId};
 use crate::ledger::{LedgerEntry, ProgramLedger};
-use crate::message::{Listing, ReplicaReply, ReplicaRequest, Settlement};
+use crate::message::{ReplicaReply, ReplicaRequest, Settlement};
 use crate::replica_set::ReplicaSet;
 use crate::turn::TurnRecord;
 
@@ -143,104 +146,6 @@
         }
     }
 
-    /// Numbers changes for this life of the memory, drawn anew whenever the disk is opened: positions that others had in an earlier
-    /// one mean nothing.
-    pub fn begin_life(&mut self, life: u64) {
-        self.life = life;
-    }
-
-    /// Records of the disk are restored while requests are taken already: those that a request needs first
-    /// ([`Self::needs`]), the others as they come. Until the end the replica does not say of a turn that it lacks it,
-    /// unless it was looked for.
-    pub fn begin_restoring(&mut self) {
-        self.is_restoring = true;
-        self.is_restoring_ledgers = true;
-    }
-
-    /// All ledgers of the disk are restored: a program that is not known has none, and need not be looked for. After a power
-    /// loss at size turns took 9 to 19 s more than ledgers, and each new program would have been looked for meanwhile.
-    pub fn finish_restoring_ledgers(&mut self) {
-        self.is_restoring_ledgers = false;
-    }
-
-    /// Everything of the disk is restored.
-    pub fn finish_restoring(&mut self) {
-        self.is_restoring = false;
-        self.is_restoring_ledgers = false;
-        self.absent.clear();
-    }
-
-    /// Whether records are on the disk that were not restored yet.
-    pub fn is_restoring(&self) -> bool {
-        self.is_restoring
-    }
-
-    /// The next record that has to be restored, or found to be absent, before this request is taken.
-    pub fn needs(&self, request: &ReplicaRequest) -> Option<RecordKey> {
-        if !self.is_restoring {
-            return None;
-        }
-        match request {
-            ReplicaRequest::Charge { program, .. } => self.needs_ledger(program),
-            ReplicaRequest::Settle { settlements, .. } => {
-                let mut programs = settlements.iter().map(|settlement| &settlement.program);
-                programs.find_map(|program| self.needs_ledger(program))
-            }
-            ReplicaRequest::ReadChain { turn, .. } => self.needs_turn(turn),
-            _ => None,
-        }
-    }
-
-    fn needs_ledger(&self, program: &ProgramId) -> Option<RecordKey> {
-        let is_known = !self.is_restoring_ledgers || self.ledgers.contains_key(program);
-        (!is_known).then(|| RecordKey::Ledger(program.clone()))
-    }
-
-    fn needs_turn(&self, newest: &TurnId) -> Option<RecordKey> {
-        let mut next = Some(newest);
-        while let Some(turn) = next {
-            match self.turns.get(turn) {
-                Some(kept) => next = kept.value.previous.as_ref(),
-                None if self.absent.contains(turn) => return None,
-                None => return Some(RecordKey::Turn(turn.clone())),
-            }
-        }
-        None
-    }
-
-    /// A record that was looked for is not on the disk.
-    pub fn note_absent(&mut self, key: RecordKey) {
-        match key {
-            RecordKey::Turn(turn) => {
-                self.absent.insert(turn);
-            }
-            // Kept for no longer than an empty ledger is of use.
-            RecordKey::Ledger(program) => {
-                let group = self.group_of(&program);
-                kept_ledger(&mut self.ledgers, group, program, 0);
-            }
-        }
-    }
-
-    /// Takes in a record that was read back from the disk.
-    pub fn restore(&mut self, record: StoredRecord) {
-        match record {
-            StoredRecord::Turn(record, until_ms) => {
-                self.put_turn(GroupId::default(), record, until_ms);
-            }
-            StoredRecord::GroupTurn(group, record, until_ms) => {
-                self.put_turn(group, record, until_ms);
-            }
-            // Joined, since it may have changed while the disk was read.
-            StoredRecord::Ledger(program, ledger, until_ms) => {
-                let group = self.group_of(&program);
-                self.join_ledger(group, &program, &ledger, until_ms);
-            }
-            StoredRecord::Set(set) => self.groups = Some(ReplicaGroups::of_one(set)),
-            StoredRecord::Groups(groups) => self.groups = Some(groups),
-        }
-    }
-
     /// The replica's identity.
     pub fn id(&self) -> ReplicaId {
         self.id
@@ -257,20 +162,6 @@
         groups.map_or(Epoch::default(), ReplicaGroups::epoch)
     }
 
-    /// The epoch of a group whose copy is finished.
-    pub fn copied(&self, group: GroupId) -> Option<Epoch> {
-        self.copied.get(&group).copied()
-    }
-
-    /// A group whose set is changing and whose copy is finished here, with the set's epoch. There is one at a time mostly; the next one is told once
-    /// the set has changed.
-    pub fn copied_for_change(&self) -> Option<(GroupId, Epoch)> {
-        let mut sets = self.groups.iter().flat_map(ReplicaGroups::iter);
-        let changing = sets
-            .find(|(group, set)| set.incoming.is_some() && self.copied(*group) == Some(set.epoch));
-        changing.map(|(group, set)| (group, set.epoch))
-    }
-
     /// Turns and ledgers that it keeps.
     pub fn counts(&self) -> (usize, usize) {
         (self.turns.len(), self.ledgers.len())
@@ -332,37 +223,6 @@
         Handled::durable(vec![change], ReplicaReply::Done)
     }
 
-    /// Takes in a turn that was copied from another replica; `None` where there is no room for it.
-    pub fn copy_turn(
-        &mut self,
-        group: GroupId,
-        record: TurnRecord,
-        keep_ms: u64,
-        now_ms: u64,
-    ) -> Option<Vec<Change>> {
-        let handled = self.append(group, record, now_ms + keep_ms);
-        (handled.reply == ReplicaReply::Done).then_some(handled.changes)
-    }
-
-    /// Takes in a ledger that was copied from another replica.
-    pub fn copy_ledger(
-        &mut self,
-        group: GroupId,
-        program: ProgramId,
-        ledger: &ProgramLedger,
-        keep_ms: u64,
-        now_ms: u64,
-    ) -> Vec<Change> {
-        let change = self.join_ledger(group, &program, ledger, now_ms + keep_ms);
-        change.into_iter().collect()
-    }
-
-    /// Notes that everything which a read quorum held at this epoch has been copied.
-    pub fn finish_copy(&mut self, group: GroupId, epoch: Epoch) {
-        let copied = self.copied.entry(group).or_default();
-        *copied = epoch.max(*copied);
-    }
-
     /// Forgets what is no longer kept.
     pub fn expire(&mut self, now_ms: u64) -> Vec<Change> {
         let mut changes = Vec::new();
@@ -554,46 +414,6 @@
         let missing = None;
         ReplicaReply::Chain { records, missing }
     }
-
-    fn fetch(&self, turns: &[TurnId]) -> ReplicaReply {
-        let mut records = Vec::new();
-        let mut bytes = 0;
-        for kept in turns.iter().filter_map(|turn| self.turns.get(turn)) {
-            bytes += kept.value.weight();
-            if bytes > MAX_FETCH_BYTES && !records.is_empty() {
-                break;
-            }
-            records.push(kept.value.clone());
-        }
-        ReplicaReply::Fetched { records }
-    }
-
-    fn list(&mut self, group: GroupId, after: Option<ListPosition>, now_ms: u64) -> Listing {
-        let log = change_log(&mut self.changes, self.life, group);
-        let (keys, next) = log.page(after, LISTING_PAGE);
-        let mut turns = Vec::new();
-        let mut ledgers = Vec::new();
-        for key in keys {
-            match key {
-                RecordKey::Turn(turn) => {
-                    let kept = self.turns.get(turn);
-                    turns.extend(kept.map(|kept| (turn.clone(), kept.keep_ms(now_ms))));
-                }
-                RecordKey::Ledger(program) => {
-                    let kept = self.ledgers.get(program);
-                    let entry = kept
-                        .map(|kept| (program.clone(), kept.value.clone(), kept.keep_ms(now_ms)));
-                    ledgers.extend(entry);
-                }
-            }
-        }
-        Listing {
-            turns,
-            ledgers,
-            next,
-            is_end: log.is_end(next),
-        }
-    }
 }
 
 fn change_log(
--- /dev/null
+++ b/crates/records/src/replica/copying.rs
@@ -0,0 +1,101 @@
+//! Records that one replica gives another, and takes in from it.
+
+use super::{Change, LISTING_PAGE, MAX_FETCH_BYTES, ReplicaState, change_log};
+use crate::change_log::ListPosition;
+use crate::groups::{GroupId, ReplicaGroups};
+use crate::identifiers::{Epoch, ProgramId, RecordKey, TurnId};
+use crate::ledger::ProgramLedger;
+use crate::message::{Listing, ReplicaReply};
+use crate::turn::TurnRecord;
+
+impl ReplicaState {
+    /// The epoch of a group whose copy is finished.
+    pub fn copied(&self, group: GroupId) -> Option<Epoch> {
+        self.copied.get(&group).copied()
+    }
+
+    /// A group whose set is changing and whose copy is finished here, with the set's epoch. There is one at a time mostly; the next one is told once
+    /// the set has changed.
+    pub fn copied_for_change(&self) -> Option<(GroupId, Epoch)> {
+        let mut sets = self.groups.iter().flat_map(ReplicaGroups::iter);
+        let changing = sets
+            .find(|(group, set)| set.incoming.is_some() && self.copied(*group) == Some(set.epoch));
+        changing.map(|(group, set)| (group, set.epoch))
+    }
+
+    /// Takes in a turn that was copied from another replica; `None` where there is no room for it.
+    pub fn copy_turn(
+        &mut self,
+        group: GroupId,
+        record: TurnRecord,
+        keep_ms: u64,
+        now_ms: u64,
+    ) -> Option<Vec<Change>> {
+        let handled = self.append(group, record, now_ms + keep_ms);
+        (handled.reply == ReplicaReply::Done).then_some(handled.changes)
+    }
+
+    /// Takes in a ledger that was copied from another replica.
+    pub fn copy_ledger(
+        &mut self,
+        group: GroupId,
+        program: ProgramId,
+        ledger: &ProgramLedger,
+        keep_ms: u64,
+        now_ms: u64,
+    ) -> Vec<Change> {
+        let change = self.join_ledger(group, &program, ledger, now_ms + keep_ms);
+        change.into_iter().collect()
+    }
+
+    /// Notes that everything which a read quorum held at this epoch has been copied.
+    pub fn finish_copy(&mut self, group: GroupId, epoch: Epoch) {
+        let copied = self.copied.entry(group).or_default();
+        *copied = epoch.max(*copied);
+    }
+
+    pub(super) fn fetch(&self, turns: &[TurnId]) -> ReplicaReply {
+        let mut records = Vec::new();
+        let mut bytes = 0;
+        for kept in turns.iter().filter_map(|turn| self.turns.get(turn)) {
+            bytes += kept.value.weight();
+            if bytes > MAX_FETCH_BYTES && !records.is_empty() {
+                break;
+            }
+            records.push(kept.value.clone());
+        }
+        ReplicaReply::Fetched { records }
+    }
+
+    pub(super) fn list(
+        &mut self,
+        group: GroupId,
+        after: Option<ListPosition>,
+        now_ms: u64,
+    ) -> Listing {
+        let log = change_log(&mut self.changes, self.life, group);
+        let (keys, next) = log.page(after, LISTING_PAGE);
+        let mut turns = Vec::new();
+        let mut ledgers = Vec::new();
+        for key in keys {
+            match key {
+                RecordKey::Turn(turn) => {
+                    let kept = self.turns.get(turn);
+                    turns.extend(kept.map(|kept| (turn.clone(), kept.keep_ms(now_ms))));
+                }
+                RecordKey::Ledger(program) => {
+                    let kept = self.ledgers.get(program);
+                    let entry = kept
+                        .map(|kept| (program.clone(), kept.value.clone(), kept.keep_ms(now_ms)));
+                    ledgers.extend(entry);
+                }
+            }
+        }
+        Listing {
+            turns,
+            ledgers,
+            next,
+            is_end: log.is_end(next),
+        }
+    }
+}
--- a/crates/records/src/replica_set.rs
+++ b/crates/records/src/replica_set.rs
@@ -73,7 +73,8 @@
 
     /// Whether a replica belongs to the set.
     pub fn has_member(&self, id: ReplicaId) -> bool {
-        self.members().iter().any(|member| member.id == id)
+        let is_voter = self.voters.iter().any(|voter| voter.id == id);
+        is_voter || self.is_incoming(id)
     }
 
     /// Whether a replica is among those that are to become voters.
