A group that is late is not taken for lost because another one is

Read in the code: groups that were asked because another one did not answer had 0.4 s; where replicas are late for all that refused their programs too. Now three times the slowest answer lately, as elsewhere.

--- a/crates/gateway/src/records_client.rs
+++ b/crates/gateway/src/records_client.rs
@@ -42,8 +42,8 @@
 const GENERAL_LOSS: Duration = Duration::from_secs(1);
 /// How long one search for a majority that was lost goes on before it starts anew with the newest set.
 const SEARCH_TIME: Duration = Duration::from_secs(2);
-/// How long a group may take to answer that is asked because another one does not: a gateway that is cut off from all learns so before
-/// a request of each group has failed, and each takes 0.7 s.
+/// How long a group may take at least that is asked because another one does not answer: a gateway that is cut off from all learns so
+/// before a request of each group has failed, and each takes 0.7 s.
 const DOUBT_TIME: Duration = Duration::from_millis(400);
 
 /// Why records could not be read or written in time; a write may have taken effect.
@@ -244,7 +244,7 @@
             let time = if self.health.is_lost(group) {
                 SEARCH_TIME
             } else {
-                DOUBT_TIME
+                self.doubt_time(group)
             };
             let operation = Operation {
                 name: "search",
@@ -262,6 +262,14 @@
         self.searching.borrow_mut().remove(&group);
     }
 
+    /// How long a group may take that is asked because another one does not answer. Replicas that are late for all are not lost.
+    fn doubt_time(&self, group: GroupId) -> Duration {
+        let set = self.node.view.replica_set(group);
+        let voters = set.map(|set| set.voters).unwrap_or_default();
+        let patience = self.paths.patience(&voters, DOUBT_TIME);
+        patience.min(SEARCH_TIME)
+    }
+
     /// Joins an entry into a program's ledger at a majority; the union of what that majority knows.
     pub async fn charge(
         &self,
