--- a/crates/node/tests/resident_engines.rs
+++ b/crates/node/tests/resident_engines.rs
@@ -15,11 +15,6 @@
     call_post("/tool/x", id, "body")
 }
 
-fn has_logged(process: &Process, message: &str) -> bool {
-    let log = process.log();
-    log.iter().any(|line| line["message"] == message)
-}
-
 fn list(deployment: &Deployment, engine: &EngineStandIn, born_ms: u64) {
     let entry = engine.entry_born("tools", "ready", born_ms);
     deployment.store.put("servers", engine.instance(), entry);
@@ -37,7 +32,7 @@
     entry["slots"] = json!("four");
     deployment.store.put("servers", "i-1", entry);
     wait_until("the gateway has seen it", || {
-        has_logged(gateway, "entry of an engine cannot be read, it names none")
+        gateway.has_logged("entry of an engine cannot be read, it names none")
     });
     let before = spoiled.runs().len();
     for number in 0..20 {
@@ -52,7 +47,7 @@
         gateway.status("/tool/x");
         spoiled.runs().len() > before
     });
-    assert!(has_logged(gateway, "entry of an engine can be read again"));
+    assert!(gateway.has_logged("entry of an engine can be read again"));
 }
 
 /// What rests or is believed of the earlier run leads nowhere: each request is served by the later one.
--- a/crates/node/tests/resident_groups.rs
+++ b/crates/node/tests/resident_groups.rs
@@ -2,8 +2,10 @@
 
 use std::net::SocketAddr;
 
-use ridgeworks_platform_stand_ins::client::{Call, Reply, call_post};
-use ridgeworks_platform_stand_ins::deployment::{Deployment, Process, wait_until};
+use ridgeworks_platform_stand_ins::client::{Call, call_post};
+use ridgeworks_platform_stand_ins::deployment::{
+    Deployment, Process, send_until_served, wait_until,
+};
 use ridgeworks_platform_stand_ins::{Answer, Script};
 use ridgeworks_records::{GroupId, ProgramId, ReplicaGroups};
 
@@ -31,17 +33,6 @@
         .header("ridgeworks-token-count", &format!("100,{most}"))
 }
 
-fn send_until_served(gateway: SocketAddr, call: &Call) -> Reply {
-    let mut served = None;
-    wait_until("a turn is served", || {
-        served = call
-            .send(gateway)
-            .filter(|reply| reply.status == 200 && reply.is_whole);
-        served.is_some()
-    });
-    served.expect("just served")
-}
-
 fn groups(deployment: &Deployment) -> ReplicaGroups {
     let object = deployment.store.object("ridgeworks-replica-sets", "main");
     let spec = object.expect("replica sets")["spec"].clone();
@@ -81,6 +72,21 @@
     deployment
 }
 
+/// The first kept turn of each program.
+fn begin(gateway: SocketAddr, programs: &[String]) {
+    for program in programs {
+        send_until_served(gateway, &turn(program, &format!("{program}-1"), None));
+    }
+}
+
+/// The second kept turn of each program, which goes on from the first.
+fn go_on(gateway: SocketAddr, programs: &[String]) {
+    for program in programs {
+        let [old, new] = [1, 2].map(|number| format!("{program}-{number}"));
+        send_until_served(gateway, &turn(program, &new, Some(&old)));
+    }
+}
+
 #[test]
 fn turns_and_budgets_of_each_group_hold_over_gateways() {
     let deployment = started(2);
@@ -134,9 +140,7 @@
     let _engine = deployment.engine("models", "i-1", stream(2));
     let gateway = deployment.gateways[0].callers();
     let programs = programs(&groups(&deployment));
-    for program in &programs {
-        send_until_served(gateway, &turn(program, &format!("{program}-1"), None));
-    }
+    begin(gateway, &programs);
     let before = epoch_of(&deployment, GroupId(1));
     let gone = voters_of(&deployment, GroupId(0))[0].clone();
     replica_named(&mut deployment, &gone).kill();
@@ -150,10 +154,7 @@
     deployment.gateways[0].kill();
     deployment.gateways[0].start();
     deployment.wait_until_ready_gateways();
-    for program in &programs {
-        let [old, new] = [1, 2].map(|number| format!("{program}-{number}"));
-        send_until_served(gateway, &turn(program, &new, Some(&old)));
-    }
+    go_on(gateway, &programs);
 }
 
 /// With all programs in one set, two lost machines refused every turn.
@@ -194,9 +195,7 @@
     let _engine = deployment.engine("models", "i-1", stream(2));
     let gateway = deployment.gateways[0].callers();
     let programs = programs(&groups(&deployment));
-    for program in &programs {
-        send_until_served(gateway, &turn(program, &format!("{program}-1"), None));
-    }
+    begin(gateway, &programs);
     let lost = voters_of(&deployment, GroupId(1))[0].clone();
     deployment.gateways[0].kill();
     deployment.replicas.iter_mut().for_each(Process::kill);
@@ -204,10 +203,7 @@
     deployment.replicas.iter_mut().for_each(Process::start);
     deployment.gateways[0].start();
     deployment.wait_until_ready_gateways();
-    for program in &programs {
-        let [old, new] = [1, 2].map(|number| format!("{program}-{number}"));
-        send_until_served(gateway, &turn(program, &new, Some(&old)));
-    }
+    go_on(gateway, &programs);
     wait_until("the group is whole again", || {
         let groups = groups(&deployment);
         let set = groups.set(GroupId(1)).expect("a group");
--- a/crates/node/tests/resident_records.rs
+++ b/crates/node/tests/resident_records.rs
@@ -2,8 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use ridgeworks_platform_stand_ins::client::{Call, Reply, call_post};
-use ridgeworks_platform_stand_ins::deployment::{Deployment, Process, wait_until};
+use ridgeworks_platform_stand_ins::client::{Call, call_post};
+use ridgeworks_platform_stand_ins::deployment::{
+    Deployment, Process, send_until_served, wait_until,
+};
 use ridgeworks_platform_stand_ins::{Answer, Script};
 use rustix::process::Signal;
 
@@ -21,17 +23,6 @@
     }
 }
 
-fn send_until_served(gateway: std::net::SocketAddr, call: &Call) -> Reply {
-    let mut served = None;
-    wait_until("a turn is served", || {
-        served = call
-            .send(gateway)
-            .filter(|reply| reply.status == 200 && reply.is_whole);
-        served.is_some()
-    });
-    served.expect("just served")
-}
-
 /// What a turn of the stand-in engine with so many events leaves behind.
 fn output(events: u64) -> String {
     (1..=events)
@@ -455,11 +446,6 @@
     assert_eq!(set_epoch(&deployment), epoch, "the set is as it was");
 }
 
-fn has_logged(process: &Process, message: &str) -> bool {
-    let log = process.log();
-    log.iter().any(|line| line["message"] == message)
-}
-
 /// Gateways could tell only that replicas were slow; the replicas' own log said nothing of it.
 #[test]
 fn a_replica_that_does_not_keep_up_says_so() {
@@ -469,10 +455,10 @@
     std::thread::sleep(Duration::from_millis(500));
     replica.signal(Signal::CONT);
     wait_until("it has said that it is late", || {
-        has_logged(replica, "replica answers late")
+        replica.has_logged("replica answers late")
     });
     wait_until("it has said that it is in time again", || {
-        has_logged(replica, "replica answers in time again")
+        replica.has_logged("replica answers in time again")
     });
 }
 
--- a/crates/records/src/groups.rs
+++ b/crates/records/src/groups.rs
@@ -55,7 +55,8 @@
     sets: Vec<ReplicaSet>,
 }
 
-/// How the sets are written where other programs may read them. A single set is written alone, as it was before there were groups.
+/// How the sets are written where other programs may read them. A single set is written alone, so that nodes of versions without groups read
+/// it.
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(untagged)]
 enum RegisteredForm {
--- a/crates/records/src/replica.rs
+++ b/crates/records/src/replica.rs
@@ -29,16 +29,15 @@
 /// A record as it lies on the disk.
 #[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub enum StoredRecord {
-    /// A turn, kept until this time in milliseconds since 1970.
+    /// A turn of the first group, kept until this time in milliseconds since 1970; read only, from disks of versions without groups.
     Turn(TurnRecord, u64),
     /// A program's ledger, kept until this time in milliseconds since 1970.
     Ledger(ProgramId, ProgramLedger, u64),
-    /// The newest replica set that the replica knows; written before there were groups.
+    /// The newest replica set that the replica knows; read only, from disks of versions without groups.
     Set(ReplicaSet),
     /// The newest replica sets that the replica knows.
     Groups(ReplicaGroups),
-    /// A turn of a group, kept until this time in milliseconds since 1970. [`Self::Turn`] was written before there were
-    /// groups.
+    /// A turn of a group, kept until this time in milliseconds since 1970.
     GroupTurn(GroupId, TurnRecord, u64),
 }
 
