--- a/crates/cli/src/commands/timeline.rs
+++ b/crates/cli/src/commands/timeline.rs
@@ -52,6 +52,8 @@
     late_replicas: BTreeSet<String>,
     set_changes: u64,
     store_losses: u64,
+    /// Groups of replicas whose set changed or whose majority did not answer: one of them, or all, tells different causes.
+    groups: BTreeSet<i64>,
 }
 
 impl Interval {
@@ -67,19 +69,27 @@
             late_replicas: BTreeSet::new(),
             set_changes: 0,
             store_losses: 0,
+            groups: BTreeSet::new(),
         }
     }
 
     fn take(&mut self, node: String, line: &LogLine) {
         match line.message.as_str() {
             "request ended" => self.take_request(line),
-            "no quorum in time" => self.no_quorum += 1,
+            "no quorum in time" => {
+                self.no_quorum += 1;
+                self.groups.extend(line.number("group"));
+            }
+            "majority of the replicas lost" => self.groups.extend(line.number("group")),
             "silent link to a node replaced" => self.silent_links += 1,
             "late link to a node kept" => self.late_links += 1,
             "replica answers late" => {
                 self.late_replicas.insert(node);
             }
-            "replica set changed" => self.set_changes += 1,
+            "replica set changed" => {
+                self.set_changes += 1;
+                self.groups.extend(line.number("group"));
+            }
             "platform store lost" => self.store_losses += 1,
             _ => {}
         }
@@ -111,6 +121,7 @@
             late_replicas: self.late_replicas.len(),
             set_changes: self.set_changes,
             store_losses: self.store_losses,
+            groups: self.groups.into_iter().collect(),
         }
     }
 }
@@ -133,6 +144,7 @@
     late_replicas: usize,
     set_changes: u64,
     store_losses: u64,
+    groups: Vec<i64>,
 }
 
 /// Prints the timeline.
@@ -159,7 +171,7 @@
     output.columns(&columns(&rows))
 }
 
-fn columns(rows: &[Row]) -> Columns<11> {
+fn columns(rows: &[Row]) -> Columns<12> {
     let headings = [
         "FROM",
         "ANSWERED",
@@ -172,6 +184,7 @@
         "LINKS SILENT/LATE",
         "LATE REPLICAS",
         "SET CHANGES/STORE LOST",
+        "GROUPS",
     ];
     Columns::of(headings, rows, |row| {
         [
@@ -186,6 +199,15 @@
             format!("{}/{}", row.silent_links, row.late_links),
             row.late_replicas.to_string(),
             format!("{}/{}", row.set_changes, row.store_losses),
+            named(&row.groups),
         ]
     })
 }
+
+fn named(groups: &[i64]) -> String {
+    if groups.is_empty() {
+        return "-".to_owned();
+    }
+    let numbers: Vec<String> = groups.iter().map(i64::to_string).collect();
+    numbers.join(",")
+}
--- a/crates/cli/tests/timeline.rs
+++ b/crates/cli/tests/timeline.rs
@@ -21,8 +21,12 @@
 "#;
 
 fn timeline(arguments: &[&str]) -> Finished {
+    timeline_of(LOG, arguments)
+}
+
+fn timeline_of(log: &str, arguments: &[&str]) -> Finished {
     let mut file = NamedTempFile::new().expect("a file");
-    file.write_all(LOG.as_bytes()).expect("a log");
+    file.write_all(log.as_bytes()).expect("a log");
     let mut command = bare_command();
     command.args(arguments).arg("timeline");
     command.arg("--logs").arg(file.path());
@@ -52,6 +56,31 @@
     assert_eq!(bad["set_changes"], 1);
 }
 
+/// One group that is lost or changes concerns its programs only; all of them at once are another cause.
+#[test]
+fn the_groups_that_lines_name_are_told() {
+    let line = |second: u32, message: &str, group: &str| {
+        format!(
+            r#"{{"time":"2026-09-06T13:32:0{second}.100000000+00:00","level":"WARN","message":"{message}","target":"records","attributes":{{{group}}}}}"#
+        )
+    };
+    let log = [
+        line(4, "no quorum in time", r#""group":"5""#),
+        line(4, "majority of the replicas lost", r#""group":"3""#),
+        line(5, "replica set changed", r#""group":"3""#),
+        line(6, "replica set changed", r#""groups":"7""#),
+    ];
+    let log = log.join("\n");
+    let finished = timeline_of(&log, &["--output", "json"]);
+    let rows: Value = serde_json::from_str(&finished.standard_output).expect("JSON");
+    assert_eq!(rows[0]["groups"], serde_json::json!([3, 5]));
+    assert_eq!(rows[1]["groups"], serde_json::json!([]));
+    let table = timeline_of(&log, &[]).standard_output;
+    let lines: Vec<&str> = table.lines().collect();
+    assert!(lines[1].trim_end().ends_with("3,5"), "{table}");
+    assert!(lines[2].trim_end().ends_with('-'), "{table}");
+}
+
 #[test]
 fn the_table_has_a_line_for_each_interval() {
     let finished = timeline(&[]);
