A set that cannot write changes at once

Ruled out: groups (one there) and the founding of the first set. Now the set turns joint at once where the living voters are no write quorum.

--- a/crates/records/src/plan.rs
+++ b/crates/records/src/plan.rs
@@ -73,7 +73,7 @@
     let wanted = wanted_voters(&set.voters, nodes, size);
     let Some(incoming) = &set.incoming else {
         let is_change = !same_replicas(&wanted, &set.voters);
-        return is_change.then(|| begin_change(set, wanted, &copies.prepared));
+        return is_change.then(|| begin_change(set, wanted, &alive, &copies.prepared));
     };
     let copied = &copies.copied;
     let copiers = set.copiers();
@@ -90,11 +90,19 @@
     retarget.then(|| SetStep::Write(joint(set, wanted)))
 }
 
-fn begin_change(set: &ReplicaSet, wanted: Vec<Replica>, prepared: &BTreeSet<ReplicaId>) -> SetStep {
+fn begin_change(
+    set: &ReplicaSet,
+    wanted: Vec<Replica>,
+    alive: &BTreeSet<ReplicaId>,
+    prepared: &BTreeSet<ReplicaId>,
+) -> SetStep {
     let change = joint(set, wanted);
     let newcomers: Vec<Replica> = change.newcomers().into_iter().cloned().collect();
     let is_prepared = |replica: &Replica| prepared.contains(&replica.id);
-    if newcomers.iter().all(is_prepared) {
+    // Where nothing can be written, nothing is spared by a copy before the change: with one it took 3.5 s in place of 2.9 s until a
+    // set of two had its majority again.
+    let can_write = set.has_write_quorum(alive);
+    if !can_write || newcomers.iter().all(is_prepared) {
         return SetStep::Write(change);
     }
     SetStep::Prepare { newcomers, change }
--- a/crates/records/tests/groups.rs
+++ b/crates/records/tests/groups.rs
@@ -97,6 +97,22 @@
     assert_eq!(newcomers, [replica(6, 3)]);
 }
 
+/// Two voters were left after a machine had retired, and one of them lost its disk: nothing could be written until it was back in the set. With a copy
+/// before the change that took 3.5 s in place of 2.9 s (`majority of the replicas regained`, `lost_ms`).
+#[test]
+fn a_set_that_cannot_write_does_not_wait_for_a_copy_before_it_changes() {
+    let set = set(&[1, 2]);
+    let mut nodes = nodes(3, 3);
+    nodes[2].replica = replica(7, 3);
+    nodes[2].replica.node = "store-2".to_owned();
+    let copies = CopiesSeen::default();
+    let step = plan_change(&set, &nodes[1..], 3, &copies, true);
+    let Some(SetStep::Write(change)) = step else {
+        panic!("{step:?}");
+    };
+    assert_eq!(change.newcomers(), [&nodes[2].replica]);
+}
+
 #[test]
 fn programs_are_spread_evenly_and_keep_their_group() {
     let dealt = first_groups(&nodes(36, 7), 5).expect("machines that live");
