A copy that was given up is not ready any more

Read in the code: what a newcomer had said and what it held counted on for the same epoch, so that after a voter had come back and gone again the set would have turned joint for a whole copy. Also: plain names for who lives and for what is asked of a newcomer.

--- a/crates/replica/src/coordinator.rs
+++ b/crates/replica/src/coordinator.rs
@@ -21,9 +21,9 @@
 use ridgeworks_resident::watch_duty::{DutySignal, Patience};
 
 use crate::handle::ReplicaHandle;
+use crate::liveness::{Liveness, alive};
 use crate::newcomers::Newcomers;
 use crate::retirements::Retirements;
-use crate::roll::{Roll, alive};
 
 const INTERVAL: Duration = Duration::from_millis(200);
 /// How much longer the next node in order waits before it acts.
@@ -63,7 +63,7 @@
     watching: Rc<DutySignal>,
     /// Replicas that copy before they join.
     newcomers: Newcomers,
-    roll: Roll,
+    liveness: Liveness,
     groups: BTreeMap<GroupId, GroupState>,
     /// How many storage nodes live while there is no set, and since when.
     founding: (usize, Duration),
@@ -80,7 +80,7 @@
     ) -> Self {
         Self {
             newcomers: Newcomers::new(Rc::clone(&replica.node)),
-            roll: Roll::new(Rc::clone(&replica), retirements.clone()),
+            liveness: Liveness::new(Rc::clone(&replica), retirements.clone()),
             replica,
             retirements,
             watching,
@@ -100,8 +100,8 @@
                 continue;
             };
             let now = self.now();
-            self.roll.note_seen(&groups, now);
-            let nodes = self.roll.nodes(Some(&groups), now);
+            self.liveness.note_seen(&groups, now);
+            let nodes = self.liveness.nodes(Some(&groups), now);
             self.decide_watching(&groups, &nodes);
             self.look_for_newer_sets(&groups, &nodes).await;
             for group in self.own_groups(&groups) {
@@ -164,7 +164,7 @@
     /// Writes the first sets once no further storage node is heard.
     async fn found_groups(&mut self) {
         let now = self.now();
-        let nodes = self.roll.nodes(None, now);
+        let nodes = self.liveness.nodes(None, now);
         let size = self.replica.node.settings.bounds.replicas();
         let alive = alive(&nodes);
         if self.founding.0 != alive.len() {
@@ -260,7 +260,7 @@
             return None;
         }
         let mut nodes = nodes.to_vec();
-        self.roll.add_awaited(set, &mut nodes, now);
+        self.liveness.add_awaited(set, &mut nodes, now);
         for node in &mut nodes {
             node.joining = self.newcomers.is_joining(group, node.replica.id);
         }
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -1,7 +1,7 @@
 //! The replica: keeps records on a disk, and takes part in changing the replica set.
 //!
 //! `actor` holds the state machine and the disk; `copying` brings the records together that a replica needs to join the set, and
-//! `preparation` says when; `coordinator` changes the sets by who is on the `roll`, asks `newcomers` to copy first, and answers orders to empty a machine.
+//! `preparation` says when; `coordinator` changes the sets by who lives (`liveness`), asks `newcomers` to copy first, and answers orders to empty a machine.
 
 pub mod actor;
 mod coordinator;
@@ -9,11 +9,11 @@
 pub mod disk;
 mod handle;
 mod lateness;
+mod liveness;
 pub mod metrics;
 mod newcomers;
-mod preparation;
+pub mod preparation;
 mod retirements;
 mod role;
-mod roll;
 
 pub use role::run;
--- a/crates/replica/src/roll.rs
+++ b/crates/replica/src/liveness.rs
@@ -30,14 +30,14 @@
 }
 
 /// Who lives among the storage nodes.
-pub struct Roll {
+pub struct Liveness {
     replica: Rc<ReplicaHandle>,
     retirements: Retirements,
     /// When other members of any group were last alive.
     seen: BTreeMap<ReplicaId, Seen>,
 }
 
-impl Roll {
+impl Liveness {
     /// Nobody was heard yet.
     pub fn new(replica: Rc<ReplicaHandle>, retirements: Retirements) -> Self {
         Self {
--- a/crates/replica/src/newcomers.rs
+++ b/crates/replica/src/newcomers.rs
@@ -8,16 +8,26 @@
 use ridgeworks_records::{Epoch, GroupId, Replica, ReplicaGroups, ReplicaId};
 use ridgeworks_resident::node::Node;
 use ridgeworks_resident::peer::{PeerReply, PeerRequest, Preparing};
+use tokio::time::Instant;
 
 /// How long a newcomer may take to say how far it is.
 const ASK_TIMEOUT: Duration = Duration::from_millis(700);
+/// How long it counts that a newcomer has said that it is ready. It is asked every 200 ms; an older word is of a change that was given up.
+const READY_LIFETIME: Duration = Duration::from_secs(1);
 
 /// What is known of one newcomer.
 #[derive(Debug, Clone, Copy, Default)]
 struct Newcomer {
     is_asked: bool,
-    /// The epoch for which it has copied.
-    ready: Option<Epoch>,
+    /// The epoch for which it has copied, and when it said so.
+    ready: Option<(Epoch, Instant)>,
+}
+
+impl Newcomer {
+    fn is_ready(&self, epoch: Epoch) -> bool {
+        let ready = self.ready.filter(|(_, at)| at.elapsed() < READY_LIFETIME);
+        ready.is_some_and(|(of, _)| of == epoch)
+    }
 }
 
 /// A replica that is to join a group.
@@ -43,7 +53,7 @@
         let known = self.known.borrow();
         let ready = known
             .iter()
-            .filter(|((of, _), new)| *of == group && new.ready == Some(epoch));
+            .filter(|((of, _), new)| *of == group && new.is_ready(epoch));
         ready.map(|((_, id), _)| *id).collect()
     }
 
@@ -79,7 +89,8 @@
             let is_ready = is_ready(&node, group, groups, &replica).await;
             if let Some(newcomer) = known.borrow_mut().get_mut(&(group, replica.id)) {
                 newcomer.is_asked = false;
-                newcomer.ready = epoch.filter(|_| is_ready);
+                let ready = epoch.filter(|_| is_ready);
+                newcomer.ready = ready.map(|epoch| (epoch, Instant::now()));
             }
         }
     }
--- a/crates/replica/src/preparation.rs
+++ b/crates/replica/src/preparation.rs
@@ -14,72 +14,84 @@
 
 /// How long a replica copies after it was last asked to. Members of the set ask every 200 ms, and the one that asks may be replaced by
 /// the next one, which waits for up to 0.4 s.
-const WISH_TIME: Duration = Duration::from_secs(2);
+const REQUEST_LIFETIME: Duration = Duration::from_secs(2);
 
 /// A copy that somebody wants of a group.
 #[derive(Debug, Clone, Copy)]
-struct Wish {
+struct CopyRequest {
     epoch: Epoch,
     asked_at: Instant,
     /// Whether the replica holds what a read quorum held moments ago.
     is_ready: bool,
 }
 
+impl CopyRequest {
+    /// Whether somebody has asked lately. What was copied for a request that lapsed is behind.
+    fn is_open(&self) -> bool {
+        self.asked_at.elapsed() < REQUEST_LIFETIME
+    }
+}
+
 /// The groups that this replica is to join.
 #[derive(Debug, Default)]
 pub struct Preparation {
-    wishes: RefCell<BTreeMap<GroupId, Wish>>,
+    requests: RefCell<BTreeMap<GroupId, CopyRequest>>,
     asked: Notify,
 }
 
 impl Preparation {
     /// Somebody asks for a copy of what the voters of a group hold at this epoch; says whether it is there.
     pub fn on_asked(&self, group: GroupId, epoch: Epoch) -> bool {
-        let mut wishes = self.wishes.borrow_mut();
-        let known = wishes.get(&group).filter(|wish| wish.epoch == epoch);
-        let is_ready = known.is_some_and(|wish| wish.is_ready);
+        let mut requests = self.requests.borrow_mut();
+        let known = requests
+            .get(&group)
+            .filter(|request| request.epoch == epoch && request.is_open());
+        let is_ready = known.is_some_and(|request| request.is_ready);
         if known.is_none() {
             self.asked.notify_one();
         }
-        let wish = Wish {
+        let request = CopyRequest {
             epoch,
             asked_at: Instant::now(),
             is_ready,
         };
-        wishes.insert(group, wish);
+        requests.insert(group, request);
         is_ready
     }
 
     /// The epoch for which a copy of a group is wanted.
     pub fn wanted(&self, group: GroupId) -> Option<Epoch> {
-        let wishes = self.wishes.borrow();
-        let wish = wishes.get(&group)?;
-        (wish.asked_at.elapsed() < WISH_TIME).then_some(wish.epoch)
+        let requests = self.requests.borrow();
+        let request = requests.get(&group)?;
+        request.is_open().then_some(request.epoch)
     }
 
     /// Whether the replica holds what a read quorum of this epoch held moments ago.
     pub fn is_ready(&self, group: GroupId, epoch: Epoch) -> bool {
-        let wishes = self.wishes.borrow();
-        let wish = wishes.get(&group);
-        wish.is_some_and(|wish| wish.epoch == epoch && wish.is_ready)
+        let requests = self.requests.borrow();
+        let request = requests.get(&group);
+        request.is_some_and(|request| request.epoch == epoch && request.is_ready)
     }
 
     /// Notes that the replica holds what a read quorum of this epoch held moments ago.
     pub fn set_ready(&self, group: GroupId, epoch: Epoch) {
-        let mut wishes = self.wishes.borrow_mut();
-        if let Some(wish) = wishes.get_mut(&group).filter(|wish| wish.epoch == epoch) {
-            wish.is_ready = true;
+        let mut requests = self.requests.borrow_mut();
+        if let Some(request) = requests
+            .get_mut(&group)
+            .filter(|request| request.epoch == epoch)
+        {
+            request.is_ready = true;
         }
     }
 
     /// The copy of a group is made.
     pub fn forget(&self, group: GroupId) {
-        self.wishes.borrow_mut().remove(&group);
+        self.requests.borrow_mut().remove(&group);
     }
 
     /// Nothing that was copied counts any more.
     pub fn forget_all(&self) {
-        self.wishes.borrow_mut().clear();
+        self.requests.borrow_mut().clear();
     }
 
     /// Waits until somebody asks who was not asking before.
