What a node knows counts as confirmed from when it was asked for

Cause: an answer of the store, and an age told by a heartbeat, counted from when they were read. An age older than the process was also cut off at its start. Keys that are taken away need a proof that holds for every machine, frozen or cut off.

Change: ages count from the question; a watch without changes proves the end of its wait. Ages in heartbeats only tell whom to ask; the node asks by a datagram and counts from its own question, one question at a time. A node that regains the store tells others at once. Moments may lie before the start of a process.

Ruled out: keeping the old age beside a strict one (two copies of one belief).

--- a/crates/replica/src/retirements.rs
+++ b/crates/replica/src/retirements.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use ridgeworks_platform::{Object, ObjectEvent, RetirementState, read_retirement_state};
 use ridgeworks_resident::watching::Follower;
@@ -61,5 +62,5 @@
         }
     }
 
-    fn on_contact(&self, _reached: bool) {}
+    fn on_confirmed(&self, _age: Duration) {}
 }
--- a/crates/resident/src/clock.rs
+++ b/crates/resident/src/clock.rs
@@ -20,6 +20,40 @@
     pub fn now(&self) -> Duration {
         self.start.elapsed()
     }
+
+    /// The moment that lies this long back.
+    pub fn ago(&self, age: Duration) -> Moment {
+        let now = Moment::at(self.now());
+        let since_start_us = now.since_start_us.saturating_sub(whole_us(age));
+        Moment { since_start_us }
+    }
+
+    /// Time since a moment.
+    pub fn since(&self, moment: Moment) -> Duration {
+        let now = Moment::at(self.now());
+        let us = now.since_start_us.saturating_sub(moment.since_start_us);
+        Duration::from_micros(u64::try_from(us).unwrap_or_default())
+    }
+}
+
+/// A moment on the steady clock, which may lie before the start of the process: what a node hears when it has just started may
+/// be older than itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Moment {
+    /// Microseconds since the start of the process.
+    since_start_us: i64,
+}
+
+impl Moment {
+    fn at(since_start: Duration) -> Self {
+        Self {
+            since_start_us: whole_us(since_start),
+        }
+    }
+}
+
+fn whole_us(duration: Duration) -> i64 {
+    i64::try_from(duration.as_micros()).unwrap_or(i64::MAX)
 }
 
 /// Time of day in milliseconds since 1970; machines may not agree on it.
--- a/crates/resident/src/followers.rs
+++ b/crates/resident/src/followers.rs
@@ -44,10 +44,8 @@
         present.for_each(|event| self.take(&event.object));
     }
 
-    fn on_contact(&self, reached: bool) {
-        if reached {
-            self.0.confirm_as_of(Duration::ZERO);
-        }
+    fn on_confirmed(&self, age: Duration) {
+        self.0.confirm_as_of(age);
     }
 
     fn on_checked(&self) {
@@ -135,10 +133,8 @@
         self.view.advance_engines(at);
     }
 
-    fn on_contact(&self, reached: bool) {
-        if reached {
-            self.view.confirm_engines_as_of(Duration::ZERO);
-        }
+    fn on_confirmed(&self, age: Duration) {
+        self.view.confirm_engines_as_of(age);
     }
 
     fn on_checked(&self) {
--- a/crates/resident/src/node.rs
+++ b/crates/resident/src/node.rs
@@ -91,6 +91,7 @@
             Rc::clone(&view),
             Rc::clone(&links),
             Rc::clone(&duty),
+            settings.bounds.configuration(),
         );
         let gossip = gossip.await?;
         Ok(Rc::new(Self {
--- a/crates/resident/src/peer/gossip.rs
+++ b/crates/resident/src/peer/gossip.rs
@@ -16,17 +16,18 @@
 use ridgeworks_records::Epoch;
 use ridgeworks_routing::{MAX_SUSPECTS, PromptRead};
 use tokio::net::UdpSocket;
-use tokio::time::MissedTickBehavior;
+use tokio::time::{Instant, MissedTickBehavior};
 
 pub use self::reads::Questions;
+use super::confirming::Confirming;
 use super::links::PeerLinks;
 use super::members::{Member, Members};
 use super::message::{
-    Datagram, Heartbeat, LoadReport, MemberInfo, PeerReply, PeerRequest, ReplicaStatus, decode,
-    encode,
+    Confirmations, Datagram, Heartbeat, LoadReport, MemberInfo, PeerReply, PeerRequest,
+    ReplicaStatus, decode, encode,
 };
 use super::targets::{FAN_OUT, targets};
-use crate::clock::{Clock, whole_ms};
+use crate::clock::Clock;
 use crate::view::View;
 use crate::watch_duty::{self, DutySignal, Place, SMALL_FLEET};
 
@@ -77,10 +78,11 @@
     met_epoch: Cell<Epoch>,
     duty: Rc<DutySignal>,
     questions: Questions,
+    confirming: Confirming,
 }
 
 impl Gossip {
-    /// Binds the socket.
+    /// Binds the socket, under the bound within which configurations come in force.
     pub async fn bind(
         me: MemberInfo,
         seeds: Vec<SocketAddr>,
@@ -88,6 +90,7 @@
         view: Rc<View>,
         links: Rc<PeerLinks>,
         duty: Rc<DutySignal>,
+        bound: Duration,
     ) -> io::Result<Self> {
         let socket = UdpSocket::bind(me.address).await?;
         Ok(Self {
@@ -105,6 +108,7 @@
             met_epoch: Cell::new(Epoch::default()),
             duty,
             questions: Questions::default(),
+            confirming: Confirming::new(bound),
         })
     }
 
@@ -275,10 +279,7 @@
         Heartbeat {
             from: self.me.clone(),
             incarnation: self.incarnation,
-            version: self.view.version(),
-            unconfirmed_ms: self.view.unconfirmed_for().map(whole_ms),
-            engines_newest: self.view.with_engines(|engines| engines.newest()),
-            engines_unconfirmed_ms: self.view.engines_unconfirmed_for().map(whole_ms),
+            confirmations: self.view.confirmations(),
             epoch: self.view.epoch(),
             replica: sources.replica(),
             load,
@@ -313,6 +314,11 @@
                 self.send(from, &Datagram::FoundRead { number, read }).await;
             }
             Ok(Datagram::FoundRead { number, read }) => self.questions.answer(number, read),
+            Ok(Datagram::AskConfirmations { number }) => {
+                let told = self.view.confirmations();
+                self.send(from, &Datagram::Confirmed { number, told }).await;
+            }
+            Ok(Datagram::Confirmed { number, told }) => self.on_confirmed(number, &told),
             Err(_) => {}
         }
     }
@@ -348,23 +354,39 @@
         }
         if self.is_behind(&heartbeat, now) {
             self.fetch(heartbeat.from.address);
+        } else {
+            self.ask_if_younger(&heartbeat.confirmations, from, now)
+                .await;
         }
         sources.on_load(&heartbeat.from.name, heartbeat.load);
     }
 
+    /// Asks a node whose knowledge seems to have been confirmed later than this node's own.
+    async fn ask_if_younger(&self, told: &Confirmations, node: SocketAddr, now: Duration) {
+        let own = self.view.unconfirmed_for();
+        let told = told.unconfirmed_ms.map(Duration::from_millis);
+        if let Some(number) = self.confirming.ask(own, told, now) {
+            self.send(node, &Datagram::AskConfirmations { number })
+                .await;
+        }
+    }
+
+    fn on_confirmed(&self, number: u64, told: &Confirmations) {
+        if let Some(asked) = self.confirming.on_answer(number, self.clock.now()) {
+            self.view.confirm(told, asked);
+        }
+    }
+
     /// Whether the sender knows something newer that is worth fetching from it.
     fn is_behind(&self, heartbeat: &Heartbeat, now: Duration) -> bool {
-        self.view
-            .confirm_version(heartbeat.version, heartbeat.unconfirmed_ms);
-        self.view
-            .confirm_engines(heartbeat.engines_newest, heartbeat.engines_unconfirmed_ms);
-        if heartbeat.version > self.view.version() || heartbeat.epoch > self.view.epoch() {
+        let told = &heartbeat.confirmations;
+        if told.version > self.view.version() || heartbeat.epoch > self.view.epoch() {
             return true;
         }
         if self.me.is_replica {
             return false;
         }
-        if heartbeat.engines_newest <= self.view.with_engines(|engines| engines.at()) {
+        if told.engines_newest <= self.view.with_engines(|engines| engines.at()) {
             self.engines_behind_since.set(None);
             return false;
         }
@@ -395,10 +417,11 @@
 /// Fetches a node's view and takes it in; says whether the node answered.
 pub async fn fetch_view(links: &PeerLinks, view: &View, from: SocketAddr) -> bool {
     let request = PeerRequest::FetchView(view.position());
+    let asked_at = Instant::now();
     let reply = links.call(from, request, FETCH_TIMEOUT).await;
     match reply {
         Ok(PeerReply::View(update)) => {
-            view.adopt_update(update);
+            view.adopt_update(update, asked_at.elapsed());
             true
         }
         _ => false,
--- a/crates/resident/src/peer/message.rs
+++ b/crates/resident/src/peer/message.rs
@@ -118,6 +118,19 @@
     pub engines_unconfirmed_ms: Option<u64>,
 }
 
+/// What a node knows of the deployment and for how long nobody has confirmed that it is the newest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct Confirmations {
+    /// Version of its configuration, 0 when it has none.
+    pub version: u64,
+    /// Milliseconds for which nobody has confirmed that; `None` when nobody ever did.
+    pub unconfirmed_ms: Option<u64>,
+    /// Revision of the newest change of the engines that it knows.
+    pub engines_newest: u64,
+    /// Milliseconds for which nobody has confirmed that there is no newer one; `None` when nobody ever did.
+    pub engines_unconfirmed_ms: Option<u64>,
+}
+
 /// A request or reply with the number that joins them.
 #[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub struct Envelope<T> {
@@ -167,14 +180,8 @@
     pub from: MemberInfo,
     /// Number of its life, drawn at its start.
     pub incarnation: u64,
-    /// Version of the configuration in force there, 0 when there is none.
-    pub version: u64,
-    /// Milliseconds since the store last confirmed that version; `None` when it never did.
-    pub unconfirmed_ms: Option<u64>,
-    /// Revision of the newest change of the engines that it knows.
-    pub engines_newest: u64,
-    /// Milliseconds since the store last confirmed that there is no newer one; `None` when it never did.
-    pub engines_unconfirmed_ms: Option<u64>,
+    /// What it knows of the deployment. The ages only tell whom to ask: a heartbeat may have waited for any time.
+    pub confirmations: Confirmations,
     /// The epochs of the newest replica sets that it knows together.
     pub epoch: Epoch,
     /// Its replica, if it runs one.
@@ -199,7 +206,19 @@
         /// Hash of the last part.
         part: u64,
     },
+    /// Asks a node for how long nobody has confirmed what it knows.
+    AskConfirmations {
+        /// Number of the question, unique at whoever asks.
+        number: u64,
+    },
     /// The answer.
+    Confirmed {
+        /// Number of the question.
+        number: u64,
+        /// What the node knows.
+        told: Confirmations,
+    },
+    /// The answer to a question for a read.
     FoundRead {
         /// Number of the question.
         number: u64,
--- a/crates/resident/src/peer/mod.rs
+++ b/crates/resident/src/peer/mod.rs
@@ -1,5 +1,6 @@
 //! What nodes say to each other: requests over framed TCP links, heartbeats over UDP.
 
+mod confirming;
 mod gossip;
 mod link;
 mod links;
@@ -13,8 +14,9 @@
 pub use links::{PeerLinks, patience};
 pub use members::{Member, Members};
 pub use message::{
-    Datagram, Envelope, Heartbeat, KnownEngines, LoadReport, MemberInfo, MessageError, PassedOn,
-    PeerReply, PeerRequest, Preparing, ReplicaStatus, ViewPosition, ViewUpdate, decode, encode,
+    Confirmations, Datagram, Envelope, Heartbeat, KnownEngines, LoadReport, MemberInfo,
+    MessageError, PassedOn, PeerReply, PeerRequest, Preparing, ReplicaStatus, ViewPosition,
+    ViewUpdate, decode, encode,
 };
 pub use server::{PeerService, serve};
 pub use targets::targets;
--- a/crates/resident/src/view.rs
+++ b/crates/resident/src/view.rs
@@ -11,8 +11,8 @@
 use ridgeworks_routing::{EngineChanges, EngineEntry, EngineTable, RouteConfiguration, RouteTable};
 use tokio::sync::{Notify, watch};
 
-use crate::clock::{Clock, whole_ms};
-use crate::peer::{KnownEngines, ViewPosition, ViewUpdate};
+use crate::clock::{Clock, Moment, whole_ms};
+use crate::peer::{Confirmations, KnownEngines, ViewPosition, ViewUpdate};
 
 /// Who told a part of the view.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -44,12 +44,15 @@
     engines_known: Cell<bool>,
     unreadable_engines: Cell<usize>,
     groups: RefCell<Option<Rc<ReplicaGroups>>>,
-    /// When the newest configuration was last confirmed, since the start of the process.
-    confirmed: Cell<Option<Duration>>,
+    /// As of when the configuration was last proved to be the newest. Counted from when the question was
+    /// asked that was answered so, here and at every node that passed it on.
+    confirmed: Cell<Option<Moment>>,
     /// The same for the engines.
-    engines_confirmed: Cell<Option<Duration>>,
+    engines_confirmed: Cell<Option<Moment>>,
     changed: watch::Sender<()>,
     confirmation: Notify,
+    /// Tells of confirmations of the configuration.
+    proofs: Notify,
 }
 
 impl View {
@@ -68,6 +71,7 @@
             engines_confirmed: Cell::new(None),
             changed: watch::Sender::new(()),
             confirmation: Notify::new(),
+            proofs: Notify::new(),
         }
     }
 
@@ -132,22 +136,48 @@
     /// Time since somebody confirmed that the configuration is the newest one.
     pub fn unconfirmed_for(&self) -> Option<Duration> {
         let confirmed = self.confirmed.get()?;
-        Some(self.clock.now().saturating_sub(confirmed))
+        Some(self.clock.since(confirmed))
     }
 
     /// Time since somebody confirmed that no newer change of the engines is there.
     pub fn engines_unconfirmed_for(&self) -> Option<Duration> {
         let confirmed = self.engines_confirmed.get()?;
-        Some(self.clock.now().saturating_sub(confirmed))
+        Some(self.clock.since(confirmed))
     }
 
     /// Notes that the engines that are known were the newest ones this long ago.
     pub fn confirm_engines_as_of(&self, age: Duration) {
-        let at = self.clock.now().saturating_sub(age);
+        let at = self.clock.ago(age);
         let confirmed = self.engines_confirmed.get().max(Some(at));
         self.engines_confirmed.set(confirmed);
     }
 
+    /// Waits until the configuration is confirmed anew.
+    pub async fn confirmed_anew(&self) {
+        self.proofs.notified().await;
+    }
+
+    /// What this node knows of the deployment and for how long nobody has confirmed it, for a node that asks.
+    pub fn confirmations(&self) -> Confirmations {
+        Confirmations {
+            version: self.version(),
+            unconfirmed_ms: self.unconfirmed_for().map(whole_ms),
+            engines_newest: self.engines.borrow().newest(),
+            engines_unconfirmed_ms: self.engines_unconfirmed_for().map(whole_ms),
+        }
+    }
+
+    /// Takes in what another node answered to a question that was asked this long ago.
+    pub fn confirm(&self, told: &Confirmations, asked: Duration) {
+        let asked_ms = whole_ms(asked);
+        let since_asked = |age: Option<u64>| age.map(|age| age.saturating_add(asked_ms));
+        self.confirm_version(told.version, since_asked(told.unconfirmed_ms));
+        self.confirm_engines(
+            told.engines_newest,
+            since_asked(told.engines_unconfirmed_ms),
+        );
+    }
+
     /// Has other nodes told at once that this node's knowledge was confirmed, before they ask the store too.
     pub fn announce_confirmation(&self) {
         self.confirmation.notify_one();
@@ -158,16 +188,16 @@
         self.confirmation.notified().await;
     }
 
-    /// Takes in that this version was the newest one so many milliseconds ago, if it is the one in force.
-    pub fn confirm_version(&self, version: u64, unconfirmed_ms: Option<u64>) {
-        let age = unconfirmed_ms.filter(|_| version == self.version());
+    /// Takes in that this version was the newest one so many milliseconds ago, if nothing older is in force.
+    fn confirm_version(&self, version: u64, unconfirmed_ms: Option<u64>) {
+        let age = unconfirmed_ms.filter(|_| version <= self.version());
         if let Some(age) = age {
             self.confirm_as_of(Duration::from_millis(age));
         }
     }
 
     /// Takes in that there was no change of engines after this revision so many milliseconds ago, if all up to it are known.
-    pub fn confirm_engines(&self, newest: u64, unconfirmed_ms: Option<u64>) {
+    fn confirm_engines(&self, newest: u64, unconfirmed_ms: Option<u64>) {
         let is_known = self.engines_known.get() && newest <= self.engines.borrow().at();
         if let Some(age) = unconfirmed_ms.filter(|_| is_known) {
             self.confirm_engines_as_of(Duration::from_millis(age));
@@ -176,8 +206,9 @@
 
     /// Notes that the configuration was the newest one this long ago.
     pub fn confirm_as_of(&self, age: Duration) {
-        let at = self.clock.now().saturating_sub(age);
+        let at = self.clock.ago(age);
         self.confirmed.set(self.confirmed.get().max(Some(at)));
+        self.proofs.notify_waiters();
     }
 
     /// Takes in a configuration unless it is not newer than the one in force.
@@ -309,8 +340,10 @@
         }
     }
 
-    /// Takes in what another node knows.
-    pub fn adopt_update(&self, update: ViewUpdate) {
+    /// Takes in what another node knows, as it answered to a question that was asked this long ago.
+    pub fn adopt_update(&self, update: ViewUpdate, asked: Duration) {
+        let asked_ms = whole_ms(asked);
+        let since_asked = |age: Option<u64>| age.map(|age| age.saturating_add(asked_ms));
         let ViewUpdate {
             configuration,
             engines,
@@ -321,12 +354,12 @@
         if let Some(configuration) = configuration {
             let version = configuration.version;
             self.adopt_configuration(configuration, Source::Peer);
-            self.confirm_version(version, unconfirmed_ms);
+            self.confirm_version(version, since_asked(unconfirmed_ms));
         }
         if let Some(engines) = engines {
             let told_at = engines.at;
             self.adopt_engine_changes(engines, Source::Peer);
-            self.confirm_engines(told_at, engines_unconfirmed_ms);
+            self.confirm_engines(told_at, since_asked(engines_unconfirmed_ms));
         }
         if let Some(groups) = groups {
             self.adopt_groups(groups, Source::Peer);
--- a/crates/resident/src/watching.rs
+++ b/crates/resident/src/watching.rs
@@ -3,6 +3,9 @@
 //! A watch waits for a change, and its connection may fall silent for good meanwhile. So the store is asked
 //! beside it when what is known has become too old ([`crate::watch_duty::Patience`]), and a store that did not answer is
 //! asked without waiting until it does.
+//!
+//! An answer proves what was newest at some moment between the question and itself. So what is known counts as confirmed from when
+//! the question was asked: an answer may have waited at a process that was frozen, or on its way, for any time.
 
 use std::cell::Cell;
 use std::fmt;
@@ -77,8 +80,8 @@
     fn on_list(&self, objects: Vec<Object>, at: u64);
     /// Changes, complete up to this revision.
     fn on_events(&self, events: Vec<ObjectEvent>, at: u64);
-    /// The store answered, or did not.
-    fn on_contact(&self, reached: bool);
+    /// The store confirmed that what is known was the newest this long ago.
+    fn on_confirmed(&self, age: Duration);
     /// A question beside a silent watch was answered. Other nodes may want to hear of it.
     fn on_checked(&self) {}
     /// Revision up to which other nodes have told everything, if that is known.
@@ -107,7 +110,7 @@
         must_list: false,
         failures: 0,
         asked_at: Instant::now(),
-        answered_at: Cell::new(Instant::now()),
+        confirmed_at: Cell::new(Instant::now()),
         lost_at: Instant::now(),
     };
     loop {
@@ -120,6 +123,13 @@
     }
 }
 
+/// The store's answer to a watch.
+struct Answered {
+    batch: WatchBatch,
+    /// The changes are complete as of then.
+    as_of: Instant,
+}
+
 struct Following<F> {
     store: Rc<StoreClient>,
     kind: ObjectKind,
@@ -132,8 +142,8 @@
     failures: u32,
     /// When the question that is open, or was open last, was sent.
     asked_at: Instant,
-    /// When the store answered last.
-    answered_at: Cell<Instant>,
+    /// As of when the store confirmed what is known.
+    confirmed_at: Cell<Instant>,
     /// When the first of the failures in a row was noticed.
     lost_at: Instant,
 }
@@ -152,8 +162,8 @@
             None => self.list_all().await,
             // A watch that is sent into a silence would be waited for long after the store is back.
             Some(at) if self.failures > 0 => {
-                let batch = self.ask_at_once(at).await?;
-                self.take(batch, at).await;
+                let answer = self.ask_at_once(at).await?;
+                self.take(answer, at).await;
                 Ok(())
             }
             Some(at) => self.wait_for_changes(at).await,
@@ -161,9 +171,10 @@
     }
 
     async fn list_all(&mut self) -> Result<(), FollowError> {
+        let asked_at = Instant::now();
         let (objects, at) = list_objects(&self.store, self.kind).await?;
         self.follower.on_list(objects, at);
-        self.on_answered();
+        self.on_confirmed(asked_at);
         self.at = Some(at);
         self.must_list = false;
         Ok(())
@@ -172,17 +183,17 @@
     async fn wait_for_changes(&mut self, at: u64) -> Result<(), FollowError> {
         let patience = self.duty.patience();
         let watch = self.ask(at, patience.wait, patience.watch_timeout());
-        let batch = tokio::select! {
-            batch = watch => batch?,
+        let answer = tokio::select! {
+            answer = watch => answer?,
             missed = self.find_missed(at) => missed?,
         };
-        self.take(batch, at).await;
+        self.take(answer, at).await;
         Ok(())
     }
 
     /// Asks the store beside a watch that says nothing whenever what is known has become too old, until there are
     /// changes of which the watch has not told.
-    async fn find_missed(&self, at: u64) -> Result<WatchBatch, FollowError> {
+    async fn find_missed(&self, at: u64) -> Result<Answered, FollowError> {
         loop {
             self.duty.wait_until_due().await;
             let check_after = self.duty.patience().check_after;
@@ -191,13 +202,14 @@
                 tokio::time::sleep(check_after - age).await;
                 continue;
             }
-            let batch = self.ask_at_once(at).await?;
+            let answer = self.ask_at_once(at).await?;
             self.store.on_check();
-            if !batch.events.is_empty() {
-                self.on_missed(batch.events.len());
-                return Ok(batch);
+            let changes = answer.batch.events.len();
+            if changes > 0 {
+                self.on_missed(changes);
+                return Ok(answer);
             }
-            self.on_answered();
+            self.on_confirmed(answer.as_of);
             self.follower.on_checked();
         }
     }
@@ -215,13 +227,13 @@
 
     /// Time since the store last confirmed what is known.
     fn unconfirmed(&self) -> Duration {
-        let own = self.answered_at.get().elapsed();
+        let own = self.confirmed_at.get().elapsed();
         self.follower
             .unconfirmed()
             .map_or(own, |told| told.min(own))
     }
 
-    async fn ask_at_once(&self, at: u64) -> Result<WatchBatch, FollowError> {
+    async fn ask_at_once(&self, at: u64) -> Result<Answered, FollowError> {
         self.ask(at, CHECK_WAIT, CHECK_TIMEOUT).await
     }
 
@@ -230,30 +242,43 @@
         at: u64,
         wait: Duration,
         timeout: Duration,
-    ) -> Result<WatchBatch, FollowError> {
+    ) -> Result<Answered, FollowError> {
         let call = watch(self.kind, at, wait);
+        let asked_at = Instant::now();
         let body = call_store(&self.store, call, timeout).await?;
-        Ok(read_watch(&body)?)
+        let batch = read_watch(&body)?;
+        // The store answers without a change only once the wait is over.
+        let has_waited = batch.events.is_empty() && asked_at.elapsed() >= wait;
+        let as_of = if has_waited {
+            asked_at + wait
+        } else {
+            asked_at
+        };
+        Ok(Answered { batch, as_of })
     }
 
-    async fn take(&mut self, batch: WatchBatch, at: u64) {
+    async fn take(&mut self, answer: Answered, at: u64) {
+        let Answered { batch, as_of } = answer;
         self.at = Some(batch.at.max(at));
         let has_changes = !batch.events.is_empty();
         self.follower.on_events(batch.events, batch.at);
-        // What is known is confirmed from now on, not only once further changes have been gathered.
-        self.on_answered();
+        // Not only once further changes have been gathered.
+        self.on_confirmed(as_of);
         if has_changes {
             tokio::time::sleep(GATHERING).await;
         }
     }
 
-    fn on_answered(&self) {
-        self.answered_at.set(Instant::now());
-        self.follower.on_contact(true);
+    fn on_confirmed(&self, as_of: Instant) {
+        let latest = self.confirmed_at.get().max(as_of);
+        self.confirmed_at.set(latest);
+        self.follower.on_confirmed(as_of.elapsed());
     }
 
     fn on_reached(&mut self) {
         if self.failures > 0 {
+            // Others that do not reach the store wait for this.
+            self.follower.on_checked();
             log::info!(
                 target: "dependency",
                 kind:? = self.kind,
@@ -284,7 +309,6 @@
             );
         }
         self.failures += 1;
-        self.follower.on_contact(false);
         let longest = match self.at {
             Some(_) => self.duty.patience().longest_pause,
             None => LONGEST_FIRST_PAUSE,
--- /dev/null
+++ b/crates/resident/tests/confirmations.rs
@@ -0,0 +1,197 @@
+//! Ages of what a node knows, as other nodes tell them.
+//!
+//! An age that a heartbeat told counted from when the heartbeat was read. One that had waited at a process that was frozen made old
+//! knowledge look confirmed, and others took it over from there.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use ridgeworks_records::Epoch;
+use ridgeworks_resident::clock::Clock;
+use ridgeworks_resident::node::Node;
+use ridgeworks_resident::peer::{
+    Confirmations, Datagram, GossipSources, Heartbeat, LoadReport, MemberInfo, PeerReply,
+    PeerRequest, PeerService, ReplicaStatus, decode, encode,
+};
+use ridgeworks_resident::settings::NodeSettings;
+use ridgeworks_resident::view::Source;
+use ridgeworks_routing::{CallerLimits, PromptRead, RouteConfiguration};
+use support::run;
+use tokio::net::UdpSocket;
+use tokio::sync::oneshot;
+use tokio::time::{sleep, timeout};
+
+const VERSION: u64 = 7;
+const PATIENCE: Duration = Duration::from_secs(5);
+
+struct Quiet;
+
+impl PeerService for Quiet {
+    fn on_request(&self, _request: PeerRequest, reply: oneshot::Sender<PeerReply>) {
+        drop(reply);
+    }
+}
+
+impl GossipSources for Quiet {
+    fn load(&self) -> LoadReport {
+        LoadReport::default()
+    }
+
+    fn replica(&self) -> Option<ReplicaStatus> {
+        None
+    }
+
+    fn on_load(&self, _from: &str, _load: LoadReport) {}
+
+    fn on_read(&self, _read: PromptRead) {}
+
+    fn find_read(&self, _part: u64) -> Option<PromptRead> {
+        None
+    }
+}
+
+/// A node that knows a configuration which nobody has confirmed.
+async fn node(ip: &str) -> Rc<Node> {
+    let text = format!(
+        "role = \"gateway\"\nname = \"gateway-1\"\nzone = \"zone-a\"\naddress = \"{ip}\"\n\
+         peer_port = 27395\n[listen]\ncallers = \"{ip}:27396\"\nreadiness = \"{ip}:27397\"\n\
+         [limits]\nmemory_mb = 48\ndescriptors = 4100\n[platform]\nstore = \"{ip}:27398\"\n\
+         [bounds]\ngrace_s = 8\ncontact_ms = 3000\nconfiguration_ms = 2000\nlost_machines = 1\n"
+    );
+    let settings = NodeSettings::parse(&text).expect("settings");
+    let node = Node::bind(settings, Clock::start())
+        .await
+        .expect("a free port");
+    let configuration = RouteConfiguration {
+        version: VERSION,
+        routes: Vec::new(),
+        services: Vec::new(),
+        limits: CallerLimits {
+            max_header_bytes: 1,
+            max_body_bytes: 1,
+            header_timeout_ms: 1,
+            idle_timeout_ms: 1,
+        },
+        tenants: None,
+    };
+    node.view.adopt_configuration(configuration, Source::Peer);
+    node.start(Rc::new(Quiet), Rc::new(Quiet))
+        .await
+        .expect("a free port");
+    node
+}
+
+fn told(unconfirmed_ms: u64) -> Confirmations {
+    Confirmations {
+        version: VERSION,
+        unconfirmed_ms: Some(unconfirmed_ms),
+        engines_newest: 0,
+        engines_unconfirmed_ms: None,
+    }
+}
+
+/// A heartbeat of another node, to which this socket belongs.
+fn heartbeat(from: SocketAddr, unconfirmed_ms: u64) -> Datagram {
+    Datagram::Heartbeat(Box::new(Heartbeat {
+        from: MemberInfo {
+            name: "gateway-2".to_owned(),
+            address: from,
+            zone: "zone-a".to_owned(),
+            is_replica: false,
+        },
+        incarnation: 1,
+        confirmations: told(unconfirmed_ms),
+        epoch: Epoch::default(),
+        replica: None,
+        load: LoadReport::default(),
+        known: Vec::new(),
+    }))
+}
+
+async fn send(socket: &UdpSocket, to: SocketAddr, datagram: &Datagram) {
+    let bytes = encode(datagram).expect("a datagram");
+    socket
+        .send_to(&bytes, to)
+        .await
+        .expect("loopback takes datagrams");
+}
+
+/// Number of the next question for confirmations.
+async fn question(socket: &UdpSocket) -> u64 {
+    let mut buffer = vec![0; 8 * 1024];
+    let asked = async {
+        loop {
+            let (length, _) = socket.recv_from(&mut buffer).await.expect("a datagram");
+            if let Ok(Datagram::AskConfirmations { number }) = decode(&buffer[..length]) {
+                return number;
+            }
+        }
+    };
+    timeout(PATIENCE, asked).await.expect("the node asks")
+}
+
+#[test]
+fn an_age_that_comes_unasked_confirms_nothing() {
+    run(async {
+        let node = node("127.78.1.1").await;
+        let peer = UdpSocket::bind("127.78.1.2:27395")
+            .await
+            .expect("a free port");
+        let from = peer.local_addr().expect("a bound socket");
+        send(&peer, node.settings.peer_address(), &heartbeat(from, 0)).await;
+        // The node has read it once it asks.
+        question(&peer).await;
+        assert_eq!(node.view.unconfirmed_for(), None);
+    });
+}
+
+#[test]
+fn an_answer_counts_from_its_question() {
+    run(async {
+        let node = node("127.78.2.1").await;
+        let address = node.settings.peer_address();
+        let peer = UdpSocket::bind("127.78.2.2:27395")
+            .await
+            .expect("a free port");
+        let from = peer.local_addr().expect("a bound socket");
+        send(&peer, address, &heartbeat(from, 0)).await;
+        let number = question(&peer).await;
+        let late = Duration::from_millis(200);
+        sleep(late).await;
+        let unknown = Datagram::Confirmed {
+            number: number + 1,
+            told: told(0),
+        };
+        send(&peer, address, &unknown).await;
+        let answer = Datagram::Confirmed {
+            number,
+            told: told(500),
+        };
+        send(&peer, address, &answer).await;
+        let confirmed = async {
+            while node.view.unconfirmed_for().is_none() {
+                sleep(Duration::from_millis(1)).await;
+            }
+        };
+        timeout(PATIENCE, confirmed)
+            .await
+            .expect("the node takes the answer");
+        let age = node.view.unconfirmed_for().expect("just confirmed");
+        assert!(age >= Duration::from_millis(500) + late, "{age:?}");
+        // A second answer to the same question counts for nothing.
+        let again = Datagram::Confirmed {
+            number,
+            told: told(0),
+        };
+        send(&peer, address, &again).await;
+        sleep(Duration::from_millis(50)).await;
+        assert!(
+            node.view
+                .unconfirmed_for()
+                .is_some_and(|age| age >= Duration::from_millis(500))
+        );
+    });
+}
--- a/crates/resident/tests/support/mod.rs
+++ b/crates/resident/tests/support/mod.rs
@@ -1,4 +1,5 @@
 //! What the tests of links share.
+#![allow(dead_code, reason = "each test file uses its own part of the support")]
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
