Tenants: keys that end in time, limits that hold over all gateways

Cause: nothing knew a tenant.

Unknown keys get 401, or 503 while the configuration is unconfirmed. Tenants that cannot be told apart are no configuration, by a typed error that names places, not keys.

Change, limits: the voters of a tenant's group of replicas each give out an even share from a bucket of their own; a gateway asks one beside the reservation of tokens, another one where it is empty or late, also by detours. Shares add up to the limit, so nothing is agreed on. A limiter without memory starts low. What reached no engine goes back. 429 with the time at which the bucket has something, one after the other.

Also: a refusal for an identifier that was used goes before any other, since the others settle the account.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -11,7 +11,9 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use ridgeworks_platform::{read_metadata, refusal_headers, refusal_status};
-use ridgeworks_routing::{CallMetadata, CallerLimits, Refusal, RefusalReason, RequestKind, Route};
+use ridgeworks_routing::{
+    CallMetadata, CallerLimits, Refusal, RefusalReason, RequestKind, Route, RouteTable, Tenant,
+};
 use tokio::time::Instant;
 
 use crate::caller::{Caller, CallerBody};
@@ -48,6 +50,8 @@
     pub metadata: CallMetadata,
     /// Its route.
     pub route: Arc<Route>,
+    /// Who it belongs to; `None` where no key is asked for.
+    pub tenant: Option<Arc<Tenant>>,
     /// The service that is to run it.
     pub service: String,
     /// Version of the configuration that decided.
@@ -63,14 +67,15 @@
 }
 
 impl Call {
-    /// Rank of the request at engines, 0 first: the route's, and the last one for a turn of a program that
+    /// Rank of the request at engines, 0 first: the tenant's or the route's, and the last one for a turn of a program that
     /// is late already, so that others still come in time.
     pub fn priority(&self) -> u8 {
         let is_turn = self.route.kind == RequestKind::Stream;
         if is_turn && self.metadata.is_late() {
             LATE_PRIORITY
         } else {
-            self.route.priority
+            let own = self.tenant.as_ref().and_then(|tenant| tenant.priority);
+            own.unwrap_or(self.route.priority)
         }
     }
 }
@@ -100,6 +105,7 @@
     let open = gateway.open();
     let (parts, body) = request.into_parts();
     wait_for_configuration(&gateway).await;
+    gateway.keys.wait_for_proof().await;
     let taken = match read_body(&gateway, body).await {
         Ok((body, room)) => take(&gateway, &parts, body, room, open, received),
         Err(refusal) => Err(refusal),
@@ -195,7 +201,8 @@
         COME_BACK,
     ))?;
     let route = routes.find(&host, parts.uri.path());
-    let route = route.ok_or_else(|| no_route(gateway))?;
+    let route = route.ok_or_else(|| unless_stale(gateway, RefusalReason::NoRoute))?;
+    let tenant = find_tenant(gateway, &routes, route, &metadata)?;
     let no_engine = Refusal::come_back(RefusalReason::NoEngine, COME_BACK);
     let service = gateway.next_service(route).ok_or(no_engine)?;
     let wait = metadata.deadline.unwrap_or(route.timeout());
@@ -207,6 +214,7 @@
         body,
         metadata,
         route: Arc::clone(route),
+        tenant,
         service,
         version: routes.version(),
         received,
@@ -224,13 +232,28 @@
     header.to_str().ok().map(str::to_owned)
 }
 
-/// A gateway that nobody has confirmed the configuration to within its bound cannot be certain: the route may have been
+/// Who a request belongs to, if that has to be known.
+fn find_tenant(
+    gateway: &Gateway,
+    routes: &RouteTable,
+    route: &Route,
+    metadata: &CallMetadata,
+) -> Result<Option<Arc<Tenant>>, Refusal> {
+    let tenant = routes.tenant(route, metadata.key);
+    let tenant = tenant.map_err(|_| unless_stale(gateway, RefusalReason::UnknownKey))?;
+    if tenant.is_some() && !gateway.keys.are_proven() {
+        return Err(Refusal::come_back(RefusalReason::KeysUnproven, COME_BACK));
+    }
+    Ok(tenant.cloned())
+}
+
+/// A gateway that nobody has confirmed the configuration to within its bound cannot be certain: the route or the key may have been
 /// added meanwhile, and a client does not come back after being told that there is none.
-fn no_route(gateway: &Gateway) -> Refusal {
+fn unless_stale(gateway: &Gateway, reason: RefusalReason) -> Refusal {
     let bound = gateway.node.settings.bounds.configuration();
     let age = gateway.node.view.unconfirmed_for();
     if age.is_some_and(|age| age < bound) {
-        Refusal::last(RefusalReason::NoRoute)
+        Refusal::last(reason)
     } else {
         Refusal::come_back(RefusalReason::ConfigurationStale, COME_BACK)
     }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -41,6 +41,8 @@
     tried: Tried,
     passed: Passed,
     reserved: Option<Duration>,
+    /// Whether the request has a grant of its tenant's limit.
+    is_granted: bool,
 }
 
 /// Carries a request out and gives its answer to the caller.
@@ -56,6 +58,7 @@
         tried: Tried::default(),
         passed,
         reserved: None,
+        is_granted: false,
     };
     let ending = exchange.carry_out(caller).await;
     let is_own_account = !matches!(
@@ -65,6 +68,9 @@
     if is_own_account {
         exchange.settle();
     }
+    if matches!(ending, Ending::Refused(_) | Ending::ClientGone) {
+        exchange.give_back_grant();
+    }
     exchange.report(ending);
 }
 
@@ -83,9 +89,13 @@
     async fn try_engines(&mut self, client: ClientSide) -> Ending {
         let mut client = client;
         loop {
+            if let Some(refusal) = self.refusal_of_key() {
+                return self.give_up(client, refusal).await;
+            }
             let Some(engine) = self.next_engine() else {
                 if !self.may_wait_for_room() {
-                    return self.give_up(client).await;
+                    let refusal = self.failure();
+                    return self.give_up(client, refusal).await;
                 }
                 tokio::select! {
                     () = client.gone() => return Ending::ClientGone,
@@ -263,9 +273,9 @@
     }
 
     /// No further engine may be asked.
-    async fn give_up(&self, client: ClientSide) -> Ending {
+    async fn give_up(&self, client: ClientSide, refusal: Refusal) -> Ending {
         match client {
-            ClientSide::Waiting(caller) => self.refuse(caller, self.failure()),
+            ClientSide::Waiting(caller) => self.refuse(caller, refusal),
             ClientSide::Streaming(caller) => {
                 caller.break_off().await;
                 Ending::BrokenOff("engine_failed")
--- a/crates/gateway/src/exchange/engine_choice.rs
+++ b/crates/gateway/src/exchange/engine_choice.rs
@@ -184,6 +184,27 @@
         );
     }
 
+    /// Why no further engine may be asked with the request's key. A request may have waited since its key was looked up, for replicas,
+    /// for room, or at an engine that failed it.
+    pub(super) fn refusal_of_key(&self) -> Option<Refusal> {
+        let tenant = self.call.tenant.as_ref()?;
+        let routes = self.gateway.node.view.routes()?;
+        let holder = routes.tenant(&self.call.route, self.call.metadata.key);
+        let is_held =
+            holder.is_ok_and(|holder| holder.is_none_or(|holder| holder.name == tenant.name));
+        if is_held && self.gateway.keys.are_proven() {
+            return None;
+        }
+        if !self.tried.ran_on.is_empty() {
+            return Some(Refusal::last(RefusalReason::EngineFailed));
+        }
+        Some(if is_held {
+            Refusal::come_back(RefusalReason::KeysUnproven, COME_BACK)
+        } else {
+            Refusal::last(RefusalReason::UnknownKey)
+        })
+    }
+
     pub(super) fn failure(&self) -> Refusal {
         if !self.tried.ran_on.is_empty() {
             return Refusal::last(RefusalReason::EngineFailed);
--- a/crates/gateway/src/exchange/preparation.rs
+++ b/crates/gateway/src/exchange/preparation.rs
@@ -23,19 +23,26 @@
 }
 
 impl Exchange {
-    /// Reads the earlier turns, reserves tokens, and learns where the prompt was read, all at once.
+    /// Reads the earlier turns, reserves tokens, asks for a grant of the tenant's limit, and learns where the prompt was read, all at
+    /// once.
     pub(super) async fn prepare(&mut self) -> Result<(), Refusal> {
         if let Some(refusal) = self.refusal_without_majority() {
             return Err(refusal);
         }
         let began = Instant::now();
-        let (prompt, reserved, ()) =
-            tokio::join!(self.read_prompt(), self.reserve(), self.learn_reads());
-        let prompt = prompt?;
+        let (prompt, reserved, granted, ()) = tokio::join!(
+            self.read_prompt(),
+            self.reserve(),
+            self.take_grant(),
+            self.learn_reads()
+        );
+        self.is_granted = granted.is_ok();
+        // First: whoever used this identifier before has an account that this request must not touch.
         if reserved? {
             self.reserved = Some(began.elapsed());
         }
-        self.prompt = prompt;
+        self.prompt = prompt?;
+        granted?;
         Ok(())
     }
 
@@ -55,6 +62,24 @@
         Some(Refusal::come_back(reason, records.come_back(group)))
     }
 
+    async fn take_grant(&self) -> Result<(), Refusal> {
+        let Some(tenant) = &self.call.tenant else {
+            return Ok(());
+        };
+        let request = &self.call.metadata.request_id;
+        let limits = &self.gateway.limits;
+        let until = self.records_limit();
+        limits.take(request, tenant, self.call.version, until).await
+    }
+
+    /// A request that no engine has run gives back what it took of its tenant's limit.
+    pub(super) fn give_back_grant(&self) {
+        let tenant = self.call.tenant.as_ref().filter(|_| self.is_granted);
+        if let Some(tenant) = tenant.filter(|_| self.tried.ran_on.is_empty()) {
+            self.gateway.limits.give_back(tenant);
+        }
+    }
+
     /// What this gateway saw of the line's last turn is the newest there is.
     async fn learn_reads(&self) {
         let metadata = &self.call.metadata;
--- a/crates/gateway/src/exchange/report.rs
+++ b/crates/gateway/src/exchange/report.rs
@@ -60,6 +60,7 @@
             request = call.metadata.request_id.as_str(),
             program = call.metadata.program.as_deref().unwrap_or_default(),
             session = call.metadata.session.as_deref().unwrap_or_default(),
+            tenant = call.tenant.as_ref().map(|tenant| tenant.name.as_str()).unwrap_or_default(),
             route = call.route.name.as_str(),
             service = call.service.as_str(),
             version = call.version,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -15,8 +15,10 @@
 use tokio::sync::oneshot;
 
 use crate::engine_pool::EnginePool;
+use crate::key_proof::KeyProof;
 use crate::metrics::GatewayMetrics;
 use crate::node_network::pass_on;
+use crate::rate_limits::RateLimits;
 use crate::records_client::RecordsClient;
 use crate::turn_cache::TurnCache;
 
@@ -44,8 +46,12 @@
     pub pool: EnginePool,
     /// Replicated records.
     pub records: Rc<RecordsClient>,
+    /// Grants of the limits of tenants.
+    pub limits: RateLimits,
     /// Turns seen lately.
     pub turns: RefCell<TurnCache>,
+    /// Whether keys that are known are still in force.
+    pub keys: KeyProof,
     /// Metrics.
     pub metrics: GatewayMetrics,
     body_bytes: Cell<usize>,
@@ -82,6 +88,9 @@
     pub fn new(node: Rc<Node>, metrics: GatewayMetrics) -> Rc<Self> {
         let memory = node.settings.limits.memory_mb * BYTES_PER_MB;
         let records = Rc::new(RecordsClient::new(Rc::clone(&node)));
+        let limits = RateLimits::new(Rc::clone(&node), Rc::clone(&records.paths));
+        let bound = node.settings.bounds.key_removal();
+        let keys = KeyProof::new(Rc::clone(&node.view), bound);
         Rc::new(Self {
             node,
             placement: RefCell::default(),
@@ -89,7 +98,9 @@
             split: RefCell::new(WeightedSplit::new(rand::random())),
             pool: EnginePool::default(),
             records,
+            limits,
             turns: RefCell::new(TurnCache::new((memory / CACHE_SHARE) as usize)),
+            keys,
             metrics,
             body_bytes: Cell::new(0),
             max_body_bytes: (memory / BODY_SHARE) as usize,
@@ -111,7 +122,10 @@
 
     /// Whether the platform should send new clients here.
     pub fn is_ready(&self) -> bool {
-        !self.draining.get() && self.knows_traffic() && !self.records.is_mostly_lost()
+        !self.draining.get()
+            && self.knows_traffic()
+            && !self.records.is_mostly_lost()
+            && !self.keys.are_in_doubt()
     }
 
     /// No new clients are wanted from now on.
@@ -246,6 +260,7 @@
             );
         }
         self.turns.borrow_mut().expire(now);
+        self.limits.tidy();
         if let Some(routes) = self.node.view.routes() {
             let mut split = self.split.borrow_mut();
             split.retain_routes(|name| routes.has_route(name));
--- a/crates/gateway/tests/tidying.rs
+++ b/crates/gateway/tests/tidying.rs
@@ -50,6 +50,7 @@
         resumable: false,
         keeps_turns: false,
         retention_ms: 0,
+        is_public: false,
     });
     RouteConfiguration {
         version,
@@ -65,6 +66,7 @@
             header_timeout_ms: 3_000,
             idle_timeout_ms: 15_000,
         },
+        tenants: None,
     }
 }
 
--- /dev/null
+++ b/crates/quota/tests/simulation.rs
@@ -0,0 +1,201 @@
+//! Limits of tenants over many gateways: the bound itself over every window, and what is refused below the limit.
+
+mod support;
+
+use std::time::Duration;
+
+use ridgeworks_quota::{Candidate, Gate, GateState, Limiter, LimiterKey, Verdict};
+use ridgeworks_routing::RateLimit;
+use support::ways::{OneKeeper, Shares, ToldCounts, share};
+use support::{BOUNDS, MakeWay, Trouble, play};
+
+/// Schedules of a plain test run; more by the environment (`make simulate`).
+const SCHEDULES: u64 = 1_500;
+const SCHEDULES_VARIABLE: &str = "RIDGEWORKS_SIMULATION_SCHEDULES";
+
+fn schedules() -> u64 {
+    let text = std::env::var(SCHEDULES_VARIABLE).ok();
+    text.and_then(|text| text.parse().ok()).unwrap_or(SCHEDULES)
+}
+
+/// What many schedules showed.
+#[derive(Debug, Default)]
+struct Shown {
+    asked: usize,
+    refused: usize,
+    unknown: usize,
+    fullest: f64,
+    broken: usize,
+}
+
+fn show(make: MakeWay, schedules: u64, trouble: Trouble) -> Shown {
+    let mut shown = Shown::default();
+    for seed in 0..schedules {
+        for seen in play(make, seed, trouble) {
+            shown.asked += seen.asked;
+            shown.refused += seen.refused;
+            shown.unknown += seen.unknown;
+            shown.fullest = shown.fullest.max(seen.fullest);
+            shown.broken += usize::from(seen.fullest > 1.0);
+        }
+    }
+    shown
+}
+
+const OVER: Trouble = Trouble {
+    faults: true,
+    load: 4.0,
+    unused: 0.05,
+};
+/// Many times the limit, so that buckets are empty again within a moment.
+const FAR_OVER: Trouble = Trouble { load: 20.0, ..OVER };
+/// As much as a tenant makes where its limit was set for 1.6 times that.
+const BELOW: Trouble = Trouble {
+    faults: false,
+    load: 0.625,
+    unused: 0.01,
+};
+
+#[test]
+fn no_window_holds_more_than_the_limit_allows_whatever_is_cut_or_lost() {
+    for (schedules, trouble) in [(schedules(), OVER), (schedules() / 5, FAR_OVER)] {
+        let shown = show(Shares::make, schedules, trouble);
+        println!("shares, {schedules} schedules, {trouble:?}: {shown:?}");
+        assert_eq!(shown.broken, 0, "{shown:?}");
+    }
+}
+
+#[test]
+fn little_is_refused_below_the_limit() {
+    let shown = show(Shares::make, 300, BELOW);
+    println!("shares, below the limit: {shown:?}");
+    assert!(shown.refused * 1_000 < shown.asked, "{shown:?}");
+    assert_eq!(shown.unknown, 0);
+}
+
+#[test]
+fn most_of_a_limit_is_given_out_where_more_is_asked_for() {
+    let trouble = Trouble {
+        faults: false,
+        ..OVER
+    };
+    let shown = show(Shares::make, 100, trouble);
+    let granted = (shown.asked - shown.refused) as f64;
+    let limit = shown.asked as f64 / trouble.load;
+    println!("shares, granted of the limit: {:.3}", granted / limit);
+    assert!(granted > limit * 0.98, "{shown:?}");
+}
+
+#[test]
+fn what_was_not_taken_breaks_the_bound() {
+    for (name, make, schedules) in [
+        ("one keeper", OneKeeper::make as MakeWay, 100),
+        ("told counts", ToldCounts::make, 10),
+        ("limiters that start full", Shares::make_forgetful, 200),
+    ] {
+        let shown = show(make, schedules, FAR_OVER);
+        println!("{name}: {shown:?}");
+        assert!(shown.broken > 0, "{name}: {shown:?}");
+    }
+}
+
+fn limit(per_s: u64) -> RateLimit {
+    RateLimit {
+        per_ks: per_s * 1_000,
+        burst: per_s,
+    }
+}
+
+fn granted(limiter: &mut Limiter, limit: RateLimit, version: u64, now: Duration) -> usize {
+    let verdicts = (0..10_000).map(|_| limiter.admit("a", limit, version, now));
+    verdicts
+        .take_while(|verdict| *verdict == Verdict::Granted)
+        .count()
+}
+
+#[test]
+fn a_lower_limit_counts_at_once_and_an_earlier_version_changes_nothing() {
+    let mut limiter = Limiter::new(BOUNDS, 1, Duration::ZERO);
+    let later = Duration::from_secs(60);
+    let full = share(limit(5), &BOUNDS, 1).capacity as usize;
+    assert_eq!(granted(&mut limiter, limit(5), 2, later), full);
+    // Whoever has not heard of it yet asks with the limit of before.
+    assert_eq!(granted(&mut limiter, limit(500), 1, later), 0);
+    assert_eq!(
+        granted(&mut limiter, limit(500), 3, later),
+        0,
+        "raised, and still empty"
+    );
+    let filled = later + Duration::from_secs(1);
+    assert!(granted(&mut limiter, limit(500), 3, filled) >= 499);
+}
+
+#[test]
+fn those_that_are_turned_away_come_back_one_after_the_other() {
+    let mut limiter = Limiter::new(BOUNDS, 1, Duration::ZERO);
+    let now = Duration::from_secs(60);
+    granted(&mut limiter, limit(10), 1, now);
+    let mut earlier = Duration::ZERO;
+    for _ in 0..20 {
+        let Verdict::Exhausted { next, retry } = limiter.admit("a", limit(10), 1, now) else {
+            panic!("nothing is left");
+        };
+        assert!(next <= Duration::from_millis(100));
+        assert!(retry > earlier && retry <= BOUNDS.window, "{retry:?}");
+        earlier = retry;
+    }
+}
+
+/// A limiter; the second one is late.
+fn candidate(key: u64) -> Candidate {
+    Candidate {
+        key: LimiterKey(key),
+        is_late: key == 1,
+    }
+}
+
+#[test]
+fn a_gate_asks_no_limiter_that_has_nothing_and_late_ones_last() {
+    let keys: Vec<Candidate> = (0..3).map(candidate).collect();
+    let mut gate = Gate::default();
+    let mut random = rand::rng();
+    let now = Duration::from_secs(1);
+    for _ in 0..20 {
+        let GateState::Ask(order) = gate.next("a", &keys, now, &mut random) else {
+            panic!("all are open");
+        };
+        assert_eq!(order.last(), Some(&keys[1].key));
+    }
+    for key in &keys {
+        let closed = Duration::from_millis(100 * (key.key.0 + 1));
+        gate.on_exhausted("a", key.key, closed, closed, now);
+    }
+    let closed = gate.next("a", &keys, now, &mut random);
+    assert_eq!(closed, GateState::Closed(Duration::from_millis(100)));
+    let later = now + Duration::from_millis(150);
+    assert_eq!(
+        gate.next("a", &keys, later, &mut random),
+        GateState::Ask(vec![keys[0].key])
+    );
+    // Another tenant is not concerned.
+    assert!(matches!(
+        gate.next("b", &keys, now, &mut random),
+        GateState::Ask(_)
+    ));
+}
+
+#[test]
+fn a_grant_that_was_not_used_serves_the_next_request_for_a_moment() {
+    let keys = [candidate(0)];
+    let mut gate = Gate::default();
+    let mut random = rand::rng();
+    let now = Duration::from_secs(1);
+    gate.give_back("a", now);
+    gate.give_back("a", now);
+    assert_eq!(gate.next("a", &keys, now, &mut random), GateState::Granted);
+    let later = now + Duration::from_secs(1);
+    assert!(matches!(
+        gate.next("a", &keys, later, &mut random),
+        GateState::Ask(_)
+    ));
+}
--- a/crates/records/src/groups.rs
+++ b/crates/records/src/groups.rs
@@ -105,11 +105,17 @@
 
     /// The group that keeps a program's records. Records of no program belong to the first one.
     pub fn group_of(&self, program: Option<&ProgramId>) -> GroupId {
-        let Some(program) = program else {
-            return GroupId::default();
-        };
+        program.map_or(GroupId::default(), |program| self.group_by_hash(&program.0))
+    }
+
+    /// The group whose voters share the limit of a tenant.
+    pub fn group_of_tenant(&self, tenant: &str) -> GroupId {
+        self.group_by_hash(tenant)
+    }
+
+    fn group_by_hash(&self, text: &str) -> GroupId {
         let groups = self.sets.len().max(1) as u64;
-        let number = xxh3_64(program.0.as_bytes()) % groups;
+        let number = xxh3_64(text.as_bytes()) % groups;
         GroupId(u16::try_from(number).unwrap_or_default())
     }
 
--- a/crates/records/src/lib.rs
+++ b/crates/records/src/lib.rs
@@ -31,7 +31,7 @@
 pub use groups::{GroupId, ReplicaGroups};
 pub use identifiers::{Epoch, ProgramId, RecordKey, ReplicaId, TurnId};
 pub use ledger::{LedgerEntry, ProgramLedger};
-pub use message::{Listing, ReplicaReply, ReplicaRequest, Settlement};
+pub use message::{Admission, Listing, ReplicaReply, ReplicaRequest, Settlement};
 pub use plan::{CopiesSeen, SetStep, StorageNode, deal_groups, first_groups, plan_change};
 pub use quorum_write::{QuorumWrite, WriteProgress};
 pub use replica::{Change, Handled, ReplicaState, StoredRecord, Wait};
--- a/crates/records/src/message.rs
+++ b/crates/records/src/message.rs
@@ -21,6 +21,21 @@
     pub keep_ms: u64,
 }
 
+/// A request of a tenant that is to run.
+#[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct Admission {
+    /// The group whose voters share the tenant's limit.
+    pub group: GroupId,
+    /// Name of the tenant.
+    pub tenant: String,
+    /// Requests that it may make in a thousand seconds.
+    pub per_ks: u64,
+    /// Requests beyond that at once.
+    pub burst: u64,
+    /// Version of the configuration that sets the limit.
+    pub version: u64,
+}
+
 /// What a replica is asked.
 #[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub enum ReplicaRequest {
@@ -83,6 +98,8 @@
         /// Where an earlier page led; `None` for the first one.
         after: Option<ListPosition>,
     },
+    /// Asks the node of the replica whether a request of a tenant may run.
+    Admit(Admission),
     /// Reads records of turns, for a replica that copies them.
     Fetch {
         /// The turns.
@@ -127,6 +144,15 @@
         /// The records.
         records: Vec<TurnRecord>,
     },
+    /// The request of the tenant may run.
+    Granted,
+    /// Nothing is left of the tenant's limit here.
+    Exhausted {
+        /// Milliseconds until the next request can be granted.
+        next_ms: u64,
+        /// Milliseconds until this one can, if all that were turned away before come back first.
+        retry_ms: u64,
+    },
     /// The sender's epoch is older than the replica's.
     Stale {
         /// The sets as the replica knows them.
--- a/crates/records/src/replica.rs
+++ b/crates/records/src/replica.rs
@@ -209,6 +209,8 @@
                 Handled::durable(Vec::new(), ReplicaReply::Listed(listing))
             }
             ReplicaRequest::Fetch { turns } => Handled::at_once(self.fetch(&turns)),
+            // Limits are no records; whoever keeps these has nothing to say.
+            ReplicaRequest::Admit(_) => Handled::at_once(ReplicaReply::Unavailable),
         }
     }
 
--- a/crates/replica/src/handle.rs
+++ b/crates/replica/src/handle.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-use ridgeworks_records::{Epoch, GroupId, ReplicaGroups, ReplicaReply, TurnId};
+use ridgeworks_records::{Epoch, GroupId, ReplicaGroups, ReplicaReply, ReplicaRequest, TurnId};
 use ridgeworks_resident::actors::ActorRuntime;
 use ridgeworks_resident::node::Node;
 use ridgeworks_resident::peer::{
@@ -15,6 +15,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::actor::{Copied, DiskNews, OpenReplica, ReplicaActor};
+use crate::limiting::{Limiting, TIDY_INTERVAL};
 use crate::metrics::ReplicaMetrics;
 use crate::preparation::Preparation;
 
@@ -26,6 +27,7 @@
     pub metrics: Rc<ReplicaMetrics>,
     /// What it is asked to copy before it joins the set.
     pub preparation: Preparation,
+    limiting: Limiting,
     actors: ActorRuntime,
     actor: ActorOwn<ReplicaActor>,
     status: Rc<Cell<Option<OpenReplica>>>,
@@ -40,10 +42,13 @@
         actor: ActorOwn<ReplicaActor>,
         status: Rc<Cell<Option<OpenReplica>>>,
     ) -> Self {
+        let bounds = &node.settings.bounds;
+        let limiting = Limiting::new(bounds.quota(), bounds.replicas());
         Self {
             node,
             metrics,
             preparation: Preparation::default(),
+            limiting,
             actors,
             actor,
             status,
@@ -64,6 +69,8 @@
     pub fn update_gauges(&self) {
         let epoch = i64::try_from(self.node.view.epoch().0).unwrap_or(i64::MAX);
         self.metrics.replica_set_epoch.set(epoch);
+        let tenants = i64::try_from(self.limiting.tenants()).unwrap_or(i64::MAX);
+        self.metrics.limited_tenants.set(tenants);
     }
 
     /// Hands news of other threads to the actor until the process ends.
@@ -83,6 +90,9 @@
                 && groups.epoch() > told
             {
                 told = groups.epoch();
+                let node = &self.node;
+                let now = node.clock.now();
+                self.limiting.on_sets(&groups, &node.settings.name, now);
                 self.adopt(ReplicaGroups::clone(&groups));
             }
             if changes.changed().await.is_err() {
@@ -91,6 +101,15 @@
         }
     }
 
+    /// Lets go of what is no longer needed of limits, until the process ends.
+    pub async fn tidy_limits(self: Rc<Self>) {
+        let mut ticks = tokio::time::interval(TIDY_INTERVAL);
+        loop {
+            ticks.tick().await;
+            self.limiting.tidy(self.node.clock.now());
+        }
+    }
+
     fn adopt(&self, groups: ReplicaGroups) {
         call!([self.actor], adopt(groups));
         self.actors.wake();
@@ -134,6 +153,17 @@
 
 impl PeerService for ReplicaHandle {
     fn on_request(&self, request: PeerRequest, reply: oneshot::Sender<PeerReply>) {
+        if let PeerRequest::Replica {
+            request: ReplicaRequest::Admit(admission),
+            ..
+        } = &request
+        {
+            self.metrics.admissions.inc();
+            let answer = self.limiting.admit(admission, self.node.clock.now());
+            // Whoever asked may have given up.
+            let _ = reply.send(PeerReply::Replica(answer));
+            return;
+        }
         if let PeerRequest::Replica { to, request } = request {
             self.metrics.requests.inc();
             call!([self.actor], request(to, request, reply));
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod disk;
 mod handle;
 mod lateness;
+mod limiting;
 mod liveness;
 pub mod metrics;
 mod newcomers;
--- a/crates/replica/src/metrics.rs
+++ b/crates/replica/src/metrics.rs
@@ -8,6 +8,10 @@
 pub struct ReplicaMetrics {
     /// Requests of other nodes.
     pub requests: Counter,
+    /// Requests of tenants for which a grant was asked.
+    pub admissions: Counter,
+    /// Tenants of whose limits something was given out lately.
+    pub limited_tenants: Gauge,
     /// Batches handed to the disk.
     pub batches: Counter,
     /// Transactions of the disk, each with all batches that waited.
@@ -33,6 +37,8 @@
     pub fn register(registry: &mut Registry) -> Self {
         let metrics = Self {
             requests: Counter::default(),
+            admissions: Counter::default(),
+            limited_tenants: Gauge::default(),
             batches: Counter::default(),
             commits: Counter::default(),
             commit_micros: Counter::default(),
@@ -54,6 +60,11 @@
                 "Batches handed to the disk",
                 &metrics.batches,
             ),
+            (
+                "admissions",
+                "Requests of tenants for which a grant was asked",
+                &metrics.admissions,
+            ),
             ("disk_commits", "Transactions of the disk", &metrics.commits),
             (
                 "disk_commit_micros",
@@ -76,6 +87,11 @@
         }
         let gauges = [
             ("turns", "Turns that are kept", &metrics.turns),
+            (
+                "limited_tenants",
+                "Tenants of whose limits something was given out lately",
+                &metrics.limited_tenants,
+            ),
             ("ledgers", "Ledgers that are kept", &metrics.ledgers),
             (
                 "turn_bytes",
--- a/crates/replica/src/role.rs
+++ b/crates/replica/src/role.rs
@@ -63,6 +63,7 @@
     );
     tokio::task::spawn_local(following);
     tokio::task::spawn_local(Rc::clone(&replica).pass_sets());
+    tokio::task::spawn_local(Rc::clone(&replica).tidy_limits());
     tokio::task::spawn_local(copying::run(Rc::clone(&replica)));
     tokio::task::spawn_local(Coordinator::new(replica, retirements, watching).run());
     run_until_stopped(&node, &settings_path, &mut orders).await;
--- a/crates/resident/src/settings.rs
+++ b/crates/resident/src/settings.rs
@@ -6,6 +6,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+use ridgeworks_quota::QuotaBounds;
 use serde::Deserialize;
 
 /// What a process does.
@@ -73,6 +74,31 @@
     pub configuration_ms: f64,
     /// Machines with a disk that may be lost at once.
     pub lost_machines: u32,
+    /// Time after which no request may run any more with a key that was taken away, whatever its gateway has
+    /// heard, in milliseconds; none where that is not promised.
+    pub key_removal_ms: Option<f64>,
+    /// Over how long the requests of a tenant are counted, in seconds.
+    #[serde(default = "default_quota_window_s")]
+    pub quota_window_s: f64,
+    /// Part of what a tenant may make in that time by which it may be exceeded.
+    #[serde(default = "default_quota_overshoot")]
+    pub quota_overshoot: f64,
+    /// Requests of a tenant in that time by which it may be exceeded besides.
+    #[serde(default = "default_quota_slack")]
+    pub quota_slack: f64,
+}
+
+/// Where nothing is promised of limits they hold about as well as anybody expects of a rate a second.
+fn default_quota_window_s() -> f64 {
+    5.0
+}
+
+fn default_quota_overshoot() -> f64 {
+    0.1
+}
+
+fn default_quota_slack() -> f64 {
+    20.0
 }
 
 impl BoundSettings {
@@ -86,6 +112,21 @@
         Duration::from_secs_f64(self.configuration_ms / 1_000.0)
     }
 
+    /// Time after which no request may run any more with a key that was taken away.
+    pub fn key_removal(&self) -> Option<Duration> {
+        let ms = self.key_removal_ms?;
+        Some(Duration::from_secs_f64(ms / 1_000.0))
+    }
+
+    /// What is promised of the limits of tenants.
+    pub fn quota(&self) -> QuotaBounds {
+        QuotaBounds {
+            window: Duration::from_secs_f64(self.quota_window_s),
+            overshoot: self.quota_overshoot,
+            slack: self.quota_slack,
+        }
+    }
+
     /// Time from the order to stop until the process is killed.
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.grace_s)
@@ -132,6 +173,8 @@
     MetricsAddress(String),
     /// A time is negative or no number.
     Time(&'static str),
+    /// A part or a count is negative or no number.
+    Share(&'static str),
 }
 
 impl fmt::Display for SettingsFault {
@@ -142,6 +185,7 @@
             Self::MetricsAddress(value) => {
                 write!(formatter, "listen.metrics: {value:?} is not PORT/PATH")
             }
+            Self::Share(key) => write!(formatter, "{key}: must be 0 or more"),
             Self::Time(key) => write!(formatter, "{key}: must be a time of 0 or more"),
         }
     }
@@ -249,6 +293,18 @@
         let configuration_ms = self.bounds.configuration_ms;
         let bad_bound = !is_time(configuration_ms) || configuration_ms == 0.0;
         check(bad_bound, SettingsFault::Time("bounds.configuration_ms"));
+        let is_positive = |value: f64| is_time(value) && value > 0.0;
+        let bad_removal = !self.bounds.key_removal_ms.is_none_or(is_positive);
+        check(bad_removal, SettingsFault::Time("bounds.key_removal_ms"));
+        let bad_window = !is_positive(self.bounds.quota_window_s);
+        check(bad_window, SettingsFault::Time("bounds.quota_window_s"));
+        let bad_overshoot = !is_time(self.bounds.quota_overshoot);
+        check(
+            bad_overshoot,
+            SettingsFault::Share("bounds.quota_overshoot"),
+        );
+        let bad_slack = !is_time(self.bounds.quota_slack);
+        check(bad_slack, SettingsFault::Share("bounds.quota_slack"));
         if let Some(text) = &self.listen.metrics {
             let unreadable = parse_metrics(text).is_none();
             check(unreadable, SettingsFault::MetricsAddress(text.clone()));
--- a/crates/routing/src/configuration.rs
+++ b/crates/routing/src/configuration.rs
@@ -4,6 +4,8 @@
 
 use rkyv::{Archive, Deserialize, Serialize};
 
+use crate::tenants::Tenant;
+
 /// How a request may be repeated, and what its answer looks like.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub enum RequestKind {
@@ -53,6 +55,8 @@
     pub keeps_turns: bool,
     /// How long turns and ledgers are kept, in milliseconds.
     pub retention_ms: u64,
+    /// Whether requests need no key, whoever the tenants are.
+    pub is_public: bool,
 }
 
 impl Route {
@@ -122,4 +126,6 @@
     pub services: Vec<Service>,
     /// Bounds for clients.
     pub limits: CallerLimits,
+    /// Who may make requests; `None` where nobody is asked for a key.
+    pub tenants: Option<Vec<Tenant>>,
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -17,6 +17,7 @@
 mod route_table;
 mod sample_window;
 mod service_model;
+mod tenants;
 mod told_outcomes;
 mod weighted_split;
 
@@ -31,8 +32,9 @@
 pub use read_directory::{PromptRead, ReadDirectory};
 pub use refusal::{Refusal, RefusalReason};
 pub use request::{CallMetadata, PromptPart};
-pub use route_table::RouteTable;
+pub use route_table::{RouteTable, UnknownKey};
 pub use sample_window::SampleWindow;
 pub use service_model::{Reading, ServiceCosts, ServiceKey, ServiceModel, ServiceSummary, Turn};
+pub use tenants::{KeyDigest, RateLimit, Tenant, TenantFault, TenantTable, check_tenants};
 pub use told_outcomes::{MAX_SUSPECTS, ToldOutcomes};
 pub use weighted_split::WeightedSplit;
--- a/crates/routing/src/refusal.rs
+++ b/crates/routing/src/refusal.rs
@@ -12,6 +12,8 @@
     UsedIdentifier,
     /// No route has this host and path.
     NoRoute,
+    /// No tenant holds the key that it brings.
+    UnknownKey,
     /// The turn that it goes on from does not exist.
     NoSuchTurn,
     /// The program's budget does not hold the turn at its most.
@@ -22,6 +24,12 @@
     NoConfiguration,
     /// The gateway has not heard of the newest configuration for too long to be certain.
     ConfigurationStale,
+    /// The gateway has not heard for so long that keys are still in force that this one may have been taken away.
+    KeysUnproven,
+    /// The tenant has made as many requests as it may.
+    RateExceeded,
+    /// Nobody who counts the tenant's requests answered.
+    RateUnknown,
     /// The gateway holds as many requests as it can.
     Overloaded,
     /// No engine takes requests of the service.
@@ -52,6 +60,8 @@
             self,
             Self::NoConfiguration
                 | Self::ConfigurationStale
+                | Self::KeysUnproven
+                | Self::RateUnknown
                 | Self::LedgerUnavailable
                 | Self::TurnsUnavailable
         )
@@ -63,11 +73,15 @@
             Self::BadRequest => "bad_request",
             Self::UsedIdentifier => "used_identifier",
             Self::NoRoute => "no_route",
+            Self::UnknownKey => "unknown_key",
             Self::NoSuchTurn => "no_such_turn",
             Self::BudgetSpent => "budget_spent",
             Self::BodyTooLarge => "body_too_large",
             Self::NoConfiguration => "no_configuration",
             Self::ConfigurationStale => "configuration_stale",
+            Self::KeysUnproven => "keys_unproven",
+            Self::RateExceeded => "rate_exceeded",
+            Self::RateUnknown => "rate_unknown",
             Self::Overloaded => "overloaded",
             Self::NoEngine => "no_engine",
             Self::EnginesFull => "engines_full",
--- a/crates/routing/src/request.rs
+++ b/crates/routing/src/request.rs
@@ -4,6 +4,8 @@
 
 use rkyv::{Archive, Deserialize, Serialize};
 
+use crate::tenants::KeyDigest;
+
 /// A part of a prompt that several requests may share.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub struct PromptPart {
@@ -40,6 +42,8 @@
     pub affinity: Option<String>,
     /// Last event that the client has of an earlier attempt.
     pub last_event_id: Option<u64>,
+    /// The key that it brings; `None` as well for one that stands there twice or is no text.
+    pub key: Option<KeyDigest>,
 }
 
 impl CallMetadata {
--- a/crates/routing/src/route_table.rs
+++ b/crates/routing/src/route_table.rs
@@ -4,6 +4,11 @@
 use std::sync::Arc;
 
 use crate::configuration::{CallerLimits, Route, RouteConfiguration, Service};
+use crate::tenants::{KeyDigest, Tenant, TenantTable};
+
+/// The request brings no key that anybody holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct UnknownKey;
 
 /// One version of the configuration, arranged for lookups.
 #[derive(Debug, Clone)]
@@ -13,6 +18,7 @@
     routes: HashMap<String, Vec<Arc<Route>>>,
     services: HashMap<String, Arc<Service>>,
     limits: CallerLimits,
+    tenants: Option<TenantTable>,
 }
 
 impl RouteTable {
@@ -35,6 +41,7 @@
                 .map(|service| (service.name.clone(), Arc::new(service.clone())))
                 .collect(),
             limits: configuration.limits,
+            tenants: configuration.tenants.as_deref().map(TenantTable::new),
         }
     }
 
@@ -57,6 +64,24 @@
             .find(|route| path.starts_with(&route.path_prefix))
     }
 
+    /// Whether clients are asked for keys.
+    pub fn has_tenants(&self) -> bool {
+        self.tenants.is_some()
+    }
+
+    /// The tenant to whom a request with this key belongs; `None` where no key is asked for.
+    pub fn tenant(
+        &self,
+        route: &Route,
+        key: Option<KeyDigest>,
+    ) -> Result<Option<&Arc<Tenant>>, UnknownKey> {
+        let Some(tenants) = self.tenants.as_ref().filter(|_| !route.is_public) else {
+            return Ok(None);
+        };
+        let holder = key.and_then(|key| tenants.holder(key));
+        holder.map(Some).ok_or(UnknownKey)
+    }
+
     /// Whether there is a route of this name.
     pub fn has_route(&self, name: &str) -> bool {
         let mut routes = self.routes.values().flatten();
--- a/crates/routing/tests/support/mod.rs
+++ b/crates/routing/tests/support/mod.rs
@@ -56,6 +56,7 @@
         resumable: false,
         keeps_turns: false,
         retention_ms: 60_000,
+        is_public: false,
     }
 }
 
@@ -70,6 +71,7 @@
             header_timeout_ms: 3_000,
             idle_timeout_ms: 15_000,
         },
+        tenants: None,
     }
 }
 
