Watchers' knowledge stays young, so that fewer gateways ask the store by themselves

Two reasons in the lines: watches that a change had answered together ended together 1.8 s later, and a change, whose answer proves no more than its question, left the age to grow by another whole wait.

Change: a watch waits the shorter the older the knowledge is; its longest wait is drawn by name (0.45 to 0.6 of the bound); a fetched view that brings no newer configuration confirms the one that is known.

Ruled out: lost datagrams (one question is open for 0.3 s at most), trusting heartbeats again.

--- a/crates/resident/src/view.rs
+++ b/crates/resident/src/view.rs
@@ -351,11 +351,14 @@
             unconfirmed_ms,
             engines_unconfirmed_ms,
         } = update;
+        // A node that tells no newer configuration knows none that is newer than what this one asked with.
+        let version = configuration
+            .as_ref()
+            .map_or(0, |configuration| configuration.version);
         if let Some(configuration) = configuration {
-            let version = configuration.version;
             self.adopt_configuration(configuration, Source::Peer);
-            self.confirm_version(version, since_asked(unconfirmed_ms));
         }
+        self.confirm_version(version, since_asked(unconfirmed_ms));
         if let Some(engines) = engines {
             let told_at = engines.at;
             self.adopt_engine_changes(engines, Source::Peer);
--- a/crates/resident/src/watch_duty.rs
+++ b/crates/resident/src/watch_duty.rs
@@ -30,8 +30,10 @@
 /// Part of the bound on configurations after which knowledge counts as stale, and its spread.
 const STALE_SHARE: f64 = 0.6;
 const STALE_SPREAD: f64 = 0.2;
-/// Part of the bound on configurations for which a watch of a large fleet waits.
+/// Part of the bound on configurations for which a watch of a large fleet waits at most, and by how much less, drawn by name: watches that a change has
+/// answered together do not all end together from then on, so that some watcher's knowledge is always young.
 const WAIT_SHARE: f64 = 0.6;
+const WAIT_SPREAD: f64 = 0.15;
 /// How long a node goes on watching that found its knowledge stale.
 const STALE_DUTY: Duration = Duration::from_secs(10);
 /// How long a watch waits whose answers nobody waits for.
@@ -115,7 +117,7 @@
         Self {
             first_ask: FIRST_ASK + FIRST_ASK_SPREAD.mul_f64(drawn),
             stale_after: bound.mul_f64(STALE_SHARE + STALE_SPREAD * drawn),
-            wait: bound.mul_f64(WAIT_SHARE),
+            wait: bound.mul_f64(WAIT_SHARE - WAIT_SPREAD * drawn),
             check_after: bound.mul_f64(CHECK_SHARE + CHECK_SPREAD * drawn),
             large_check_after: bound.mul_f64(LARGE_CHECK_SHARE + LARGE_CHECK_SPREAD * drawn),
             stale_until: None,
--- a/crates/resident/src/watching.rs
+++ b/crates/resident/src/watching.rs
@@ -182,7 +182,10 @@
 
     async fn wait_for_changes(&mut self, at: u64) -> Result<(), FollowError> {
         let patience = self.duty.patience();
-        let watch = self.ask(at, patience.wait, patience.watch_timeout());
+        // The end of a wait is what confirms that there was no change; after a change the store was asked long before.
+        let wait = patience.wait.saturating_sub(self.unconfirmed());
+        let wait = wait.max(CHECK_WAIT);
+        let watch = self.ask(at, wait, patience.watch_timeout());
         let answer = tokio::select! {
             answer = watch => answer?,
             missed = self.find_missed(at) => missed?,
