In doubt for long, nobody is held: keys without a proof and limiters that are lost are told at once

Cause, found by reading: while the platform's store was away every request with a key waited 0.3 s for a proof before its 503, and while all limiters were lost every call of a tool 0.7 s. What cannot be served is rejected at once.

Where no limiter has answered lately a request waits 150 ms for them. explain knows the refusals for a tenant's sake.

Tests: both bounds stand in resident_tenants.rs and resident_quotas.rs; explain.rs.

--- a/crates/cli/src/commands/explain.rs
+++ b/crates/cli/src/commands/explain.rs
@@ -171,6 +171,21 @@
         (_, "no_route") => {
             "The configuration in force has no route for it. See version and version_age_ms."
         }
+        (_, "no_such_turn") => {
+            "The turn that it goes on from is not kept for its tenant. See the turn's own lines and the route's retention."
+        }
+        (_, "unknown_key") => {
+            "No tenant of the configuration in force holds its key. See version and version_age_ms."
+        }
+        (_, "keys_unproven") => {
+            "The node had not heard for too long that keys are still in force. See version_age_ms and the platform store's lines."
+        }
+        (_, "rate_exceeded") => {
+            "Its tenant had made as many requests as it may. See per_ks, burst, exhausted and silent; docs/operations/tenants.md."
+        }
+        (_, "rate_unknown") => {
+            "No limiter of its tenant answered in time. See silent, and the replicas' logs."
+        }
         (_, "no_configuration" | "configuration_stale") => {
             "The node had no configuration that it could be certain of. See the platform store's lines."
         }
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -85,3 +85,35 @@
     assert_eq!(finished.status, 0);
     assert!(finished.standard_output.contains("gateway-7"));
 }
+
+#[test]
+fn each_refusal_for_a_tenant_s_sake_has_a_meaning() {
+    for reason in [
+        "no_such_turn",
+        "unknown_key",
+        "keys_unproven",
+        "rate_exceeded",
+        "rate_unknown",
+    ] {
+        let mut file = NamedTempFile::new().expect("a file");
+        writeln!(
+            file,
+            r#"1.0 gateway-1 {{"time":"2026-09-06T13:32:04.400000000+00:00","level":"INFO","message":"request ended","target":"request","attributes":{{"request":"r-1","outcome":"refused","reason":"{reason}"}}}}"#
+        )
+        .expect("a log");
+        let mut command = bare_command();
+        command.args(["explain", "r-1", "--logs"]).arg(file.path());
+        let finished = finish(&mut command);
+        assert_eq!(finished.status, 0);
+        let meaning = finished
+            .standard_output
+            .lines()
+            .nth(1)
+            .unwrap_or_default()
+            .to_owned();
+        assert!(
+            !meaning.is_empty() && !meaning.starts_with("No meaning"),
+            "{reason}: {meaning}"
+        );
+    }
+}
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -265,7 +265,8 @@
     let tenant = routes.tenant(route, metadata.key);
     let tenant = tenant.map_err(|_| unless_stale(gateway, RefusalReason::UnknownKey))?;
     if tenant.is_some() && !gateway.keys.are_proven() {
-        return Err(Refusal::come_back(RefusalReason::KeysUnproven, COME_BACK));
+        let after = gateway.keys.come_back();
+        return Err(Refusal::come_back(RefusalReason::KeysUnproven, after));
     }
     Ok(tenant.cloned())
 }
--- a/crates/gateway/src/exchange/engine_choice.rs
+++ b/crates/gateway/src/exchange/engine_choice.rs
@@ -199,7 +199,7 @@
             return Some(Refusal::last(RefusalReason::EngineFailed));
         }
         Some(if is_held {
-            Refusal::come_back(RefusalReason::KeysUnproven, COME_BACK)
+            Refusal::come_back(RefusalReason::KeysUnproven, self.gateway.keys.come_back())
         } else {
             Refusal::last(RefusalReason::UnknownKey)
         })
--- a/crates/gateway/src/rate_limits.rs
+++ b/crates/gateway/src/rate_limits.rs
@@ -21,6 +21,9 @@
 /// How long one limiter may take before another one is asked too, at least: its answer comes in a few milliseconds, beside the
 /// reservation of tokens.
 const NEXT_PATIENCE: Duration = Duration::from_millis(80);
+/// How long a request waits where no limiter has answered lately: they are asked, so that they are found again, and nobody is held for
+/// them.
+const LATE_PATIENCE: Duration = Duration::from_millis(150);
 /// How long one limiter may take in all.
 const LIMITER_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -100,6 +103,14 @@
             limiters.find(|limiter| LimiterKey(limiter.id.0) == key)
         });
         let order: Vec<&Replica> = order.collect();
+        let until = if order
+            .iter()
+            .all(|limiter| self.paths.is_suspected(limiter.id))
+        {
+            until.min(Instant::now() + LATE_PATIENCE)
+        } else {
+            until
+        };
         let asking = self.ask_in_turn(&wanted, group, &order);
         let asked = tokio::time::timeout_at(until, asking).await;
         match asked.unwrap_or_else(|_| Err(Denials::default())) {
--- a/crates/node/tests/resident_quotas.rs
+++ b/crates/node/tests/resident_quotas.rs
@@ -153,6 +153,15 @@
     assert_eq!(engine.runs().len(), before);
     let unlimited = keyed("r-2", "key-3").send(gateway).expect("an answer");
     assert_eq!(unlimited.status, 200);
+    // Known to be lost, they hold nobody up.
+    let began = Instant::now();
+    let again = keyed("r-3", "key-1").send(gateway).expect("an answer");
+    assert_eq!(again.status, 503);
+    assert!(
+        began.elapsed() < Duration::from_millis(350),
+        "{:?}",
+        began.elapsed()
+    );
 }
 
 /// Requests that no engine takes use nothing of the limit up.
--- a/crates/node/tests/resident_tenants.rs
+++ b/crates/node/tests/resident_tenants.rs
@@ -170,7 +170,14 @@
     let before = engine.runs().len();
     std::thread::sleep(Duration::from_secs(1));
     for gateway in gateways {
+        // Long in doubt, it holds nobody up.
+        let asked = Instant::now();
         assert_eq!(status(gateway, &keyed("r-2", KEY)), 503);
+        assert!(
+            asked.elapsed() < Duration::from_millis(150),
+            "{:?}",
+            asked.elapsed()
+        );
         assert_eq!(status(gateway, &call_get("/public/x", "r-3")), 200);
         assert!(!gateway.is_ready());
     }
