--- a/Makefile
+++ b/Makefile
@@ -43,7 +43,7 @@
 # The tests of the users' platform alone.
 platform-test:
 	cargo test --locked -p ridgeworks-platform -p ridgeworks-platform-stand-ins -p ridgeworks-records \
-		-p ridgeworks-routing -p ridgeworks-resident -p ridgeworks-gateway -p ridgeworks-replica
+		-p ridgeworks-routing -p ridgeworks-quota -p ridgeworks-resident -p ridgeworks-gateway -p ridgeworks-replica
 	cargo test --locked -p ridgeworks-node --test resident_requests --test resident_records --test resident_lifecycle
 
 # A day of the users' platform on loopback, against the project's own stand-ins.
@@ -123,6 +123,8 @@
 		cargo test --release --locked -p ridgeworks-run-log --test simulation -- --nocapture
 	RIDGEWORKS_SIMULATION_SCHEDULES=$(SIMULATION_SCHEDULES) \
 		cargo test --release --locked -p ridgeworks-records --test simulation -- --nocapture
+	RIDGEWORKS_SIMULATION_SCHEDULES=$(SIMULATION_SCHEDULES) \
+		cargo test --release --locked -p ridgeworks-quota --test simulation -- --nocapture
 	cargo test --release --locked -p ridgeworks-configuration -- --nocapture
 	cargo test --release --locked -p ridgeworks-membership -- --nocapture
 
