Seams for drained zones, engines that warm up and regions; messages in frames

Cause: a field more in any message between nodes made it unreadable to the version before, and the choice of an engine had no place for a reason to pass engines over.

What each message was stays its body; head and sections stand before it, where a node of the first version does not look (the root of an archived form is found from its end). New fields are skipped by the archived form. Configuration, engines' entries and answers of engines are read with what is new; nothing uses it yet.

--- a/crates/gateway/src/exchange/engine_choice.rs
+++ b/crates/gateway/src/exchange/engine_choice.rs
@@ -97,6 +97,7 @@
             parts: &metadata.prompt_parts,
             zone: &self.gateway.node.settings.zone,
             excluded: &tried.excluded,
+            rules: &[],
         });
         let (engine, cost_ms) = chosen?;
         self.tried.cost_ms = cost_ms;
--- a/crates/gateway/tests/tidying.rs
+++ b/crates/gateway/tests/tidying.rs
@@ -8,7 +8,7 @@
 use ridgeworks_resident::settings::NodeSettings;
 use ridgeworks_resident::view::Source;
 use ridgeworks_routing::{
-    CallerLimits, RequestKind, Route, RouteConfiguration, Service, WeightedService,
+    CallerLimits, RequestKind, Residency, Route, RouteConfiguration, Service, WeightedService,
 };
 
 const SETTINGS: &str = r#"
@@ -51,6 +51,7 @@
         keeps_turns: false,
         retention_ms: 0,
         is_public: false,
+        residency: Residency::anywhere(),
     });
     RouteConfiguration {
         version,
@@ -59,6 +60,7 @@
             name: "tools".to_owned(),
             max_connections: 10,
             model: None,
+            warm_up: None,
         }],
         limits: CallerLimits {
             max_header_bytes: 16_384,
--- a/crates/laboratory/src/policies/landed.rs
+++ b/crates/laboratory/src/policies/landed.rs
@@ -48,6 +48,7 @@
             zone: ZONE.to_owned(),
             slots: u32::try_from(deployment.spec.slots).unwrap_or(u32::MAX),
             state: EngineState::Ready,
+            warm_up_ms: 0,
         });
         let engines: Vec<Listed> = engines.collect();
         let mut table = EngineTable::default();
@@ -131,6 +132,7 @@
             parts: choosing.prompt,
             zone: ZONE,
             excluded: &[],
+            rules: &[],
         };
         let choice = placement.choose(&self.table, &demand, now);
         let instance = choice.map(|choice| choice.engine.instance.clone());
--- /dev/null
+++ b/crates/resident/src/peer/encoding.rs
@@ -0,0 +1,231 @@
+//! Encoding of messages between nodes: the body that each version reads, and sections with what came later
+//! ([`super::frame`]; `docs/design/versions.md`).
+#![allow(
+    missing_docs,
+    reason = "the resolvers that rkyv derives carry undocumented fields"
+)]
+
+use std::fmt;
+
+use bytes::Bytes;
+use ridgeworks_routing::{ConfigurationExtras, EngineStart};
+use rkyv::api::high::{HighDeserializer, HighSerializer, HighValidator};
+use rkyv::bytecheck::CheckBytes;
+use rkyv::rancor::Error;
+use rkyv::ser::allocator::ArenaHandle;
+use rkyv::util::AlignedVec;
+use rkyv::{Archive, Deserialize, Serialize};
+
+use super::frame::{Frame, FrameError, RawSection, frame, unframe};
+use super::message::{Datagram, Envelope, Heartbeat, PeerReply, PeerRequest, ViewUpdate};
+
+/// What came later than the first protocol version, each with the number of its kind.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Section {
+    /// Beside a configuration.
+    Configuration(ConfigurationExtras),
+    /// Beside changes of engines.
+    EngineStarts(Vec<EngineStart>),
+}
+
+/// Numbers of the kinds of sections. A number is never used again for something else.
+mod section_kinds {
+    pub const CONFIGURATION: u16 = 1;
+    pub const ENGINE_STARTS: u16 = 2;
+}
+
+impl Section {
+    fn encode(&self) -> Result<(u16, Vec<u8>), MessageError> {
+        Ok(match self {
+            Self::Configuration(extras) => (section_kinds::CONFIGURATION, to_bytes(extras)?),
+            Self::EngineStarts(starts) => (section_kinds::ENGINE_STARTS, to_bytes(starts)?),
+        })
+    }
+
+    /// `None` for a kind that this version does not know.
+    fn decode(raw: RawSection<'_>) -> Result<Option<Self>, MessageError> {
+        Ok(Some(match raw.kind {
+            section_kinds::CONFIGURATION => Self::Configuration(from_bytes(raw.content)?),
+            section_kinds::ENGINE_STARTS => Self::EngineStarts(from_bytes(raw.content)?),
+            _ => return Ok(None),
+        }))
+    }
+}
+
+/// Numbers of the kinds of messages.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[repr(u16)]
+pub enum MessageKind {
+    /// [`Datagram`].
+    Datagram = 1,
+    /// [`PeerRequest`] in its envelope.
+    Request = 2,
+    /// [`PeerReply`] in its envelope.
+    Reply = 3,
+}
+
+/// What nodes send each other.
+pub trait Message {
+    /// Its kind.
+    const KIND: MessageKind;
+
+    /// What nodes of the first protocol version do not know of it.
+    fn sections(&self) -> Vec<Section> {
+        Vec::new()
+    }
+
+    /// Takes in what came beside the body, from a node that speaks this version of the protocol.
+    fn set_sections(&mut self, _protocol: u16, _sections: Vec<Section>) {}
+}
+
+impl Message for Datagram {
+    const KIND: MessageKind = MessageKind::Datagram;
+
+    fn set_sections(&mut self, protocol: u16, _sections: Vec<Section>) {
+        if let Self::Heartbeat(heartbeat) = self {
+            let heartbeat: &mut Heartbeat = heartbeat;
+            heartbeat.protocol = protocol;
+        }
+    }
+}
+
+impl Message for Envelope<PeerRequest> {
+    const KIND: MessageKind = MessageKind::Request;
+}
+
+impl Message for Envelope<PeerReply> {
+    const KIND: MessageKind = MessageKind::Reply;
+
+    fn sections(&self) -> Vec<Section> {
+        match &self.body {
+            PeerReply::View(update) => update.sections(),
+            _ => Vec::new(),
+        }
+    }
+
+    fn set_sections(&mut self, protocol: u16, sections: Vec<Section>) {
+        if let PeerReply::View(update) = &mut self.body {
+            update.protocol = protocol;
+            update.set_sections(sections);
+        }
+    }
+}
+
+impl ViewUpdate {
+    fn sections(&self) -> Vec<Section> {
+        let extras = self.configuration.as_ref();
+        let extras = extras.map(|configuration| Section::Configuration(configuration.extras()));
+        let starts = self.engines.as_ref().map(|engines| engines.starts());
+        let starts = starts.filter(|starts| !starts.is_empty());
+        extras
+            .into_iter()
+            .chain(starts.map(Section::EngineStarts))
+            .collect()
+    }
+
+    fn set_sections(&mut self, sections: Vec<Section>) {
+        for section in sections {
+            match section {
+                Section::Configuration(extras) => {
+                    if let Some(configuration) = &mut self.configuration {
+                        configuration.set_extras(extras);
+                    }
+                }
+                Section::EngineStarts(starts) => {
+                    if let Some(engines) = &mut self.engines {
+                        engines.set_starts(starts);
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// A message that cannot be encoded or read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MessageError {
+    /// It is too large for memory.
+    Encode,
+    /// The bytes are no such message.
+    Decode,
+    /// The bytes are no frame.
+    Frame(FrameError),
+    /// The frame holds a message of another kind.
+    Kind(u16),
+}
+
+impl fmt::Display for MessageError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Encode => write!(formatter, "the message cannot be encoded"),
+            Self::Decode => write!(formatter, "the bytes are no such message"),
+            Self::Frame(error) => error.fmt(formatter),
+            Self::Kind(kind) => write!(formatter, "a message of kind {kind} came instead"),
+        }
+    }
+}
+
+impl std::error::Error for MessageError {}
+
+impl From<FrameError> for MessageError {
+    fn from(error: FrameError) -> Self {
+        Self::Frame(error)
+    }
+}
+
+/// Encodes a message.
+pub fn encode<T>(message: &T) -> Result<Bytes, MessageError>
+where
+    T: Message + for<'a> Serialize<HighSerializer<AlignedVec, ArenaHandle<'a>, Error>>,
+{
+    let body = to_bytes(message)?;
+    let sections = message.sections();
+    let sections: Result<Vec<(u16, Vec<u8>)>, MessageError> =
+        sections.iter().map(Section::encode).collect();
+    Ok(Bytes::from(frame(T::KIND as u16, &sections?, &body)))
+}
+
+/// Reads a message, also one of the first protocol version.
+pub fn decode<T>(bytes: &[u8]) -> Result<T, MessageError>
+where
+    T: Message + Archive,
+    T::Archived:
+        for<'a> CheckBytes<HighValidator<'a, Error>> + Deserialize<T, HighDeserializer<Error>>,
+{
+    let Some(frame) = unframe(bytes)? else {
+        return from_bytes(bytes);
+    };
+    if frame.kind != T::KIND as u16 {
+        return Err(MessageError::Kind(frame.kind));
+    }
+    let mut message: T = from_bytes(frame.body)?;
+    message.set_sections(frame.protocol, known_sections(&frame)?);
+    Ok(message)
+}
+
+fn known_sections(frame: &Frame<'_>) -> Result<Vec<Section>, MessageError> {
+    let mut known = Vec::new();
+    for raw in frame.sections()? {
+        known.extend(Section::decode(raw)?);
+    }
+    Ok(known)
+}
+
+fn to_bytes<T>(value: &T) -> Result<Vec<u8>, MessageError>
+where
+    T: for<'a> Serialize<HighSerializer<AlignedVec, ArenaHandle<'a>, Error>>,
+{
+    let bytes = rkyv::to_bytes::<Error>(value).map_err(|_| MessageError::Encode)?;
+    Ok(bytes.into_vec())
+}
+
+fn from_bytes<T>(bytes: &[u8]) -> Result<T, MessageError>
+where
+    T: Archive,
+    T::Archived:
+        for<'a> CheckBytes<HighValidator<'a, Error>> + Deserialize<T, HighDeserializer<Error>>,
+{
+    let mut aligned = AlignedVec::<16>::with_capacity(bytes.len());
+    aligned.extend_from_slice(bytes);
+    rkyv::from_bytes::<T, Error>(&aligned).map_err(|_| MessageError::Decode)
+}
--- a/crates/resident/src/peer/gossip.rs
+++ b/crates/resident/src/peer/gossip.rs
@@ -20,11 +20,13 @@
 
 pub use self::reads::Questions;
 use super::confirming::Confirming;
+use super::encoding::{decode, encode};
+use super::frame::PROTOCOL;
 use super::links::PeerLinks;
 use super::members::{Member, Members};
 use super::message::{
     Confirmations, Datagram, Heartbeat, LoadReport, MemberInfo, PeerReply, PeerRequest,
-    ReplicaStatus, decode, encode,
+    ReplicaStatus,
 };
 use super::targets::{FAN_OUT, targets};
 use crate::clock::Clock;
@@ -284,6 +286,7 @@
             replica: sources.replica(),
             load,
             known: self.some_known(),
+            protocol: PROTOCOL,
         }
     }
 
--- a/crates/resident/src/peer/link.rs
+++ b/crates/resident/src/peer/link.rs
@@ -14,7 +14,8 @@
 use tokio_util::codec::Framed;
 
 use super::codec;
-use super::message::{Envelope, PeerReply, PeerRequest, decode, encode};
+use super::encoding::{decode, encode};
+use super::message::{Envelope, PeerReply, PeerRequest};
 use crate::http_client::connect_tcp;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
--- a/crates/resident/src/peer/members.rs
+++ b/crates/resident/src/peer/members.rs
@@ -21,6 +21,8 @@
     pub incarnation: u64,
     /// Its replica, as of its last heartbeat.
     pub replica: Option<ReplicaStatus>,
+    /// Version of the protocol that it spoke last.
+    pub protocol: u16,
 }
 
 impl Member {
@@ -47,6 +49,7 @@
             heard_at: None,
             incarnation: 0,
             replica: None,
+            protocol: 0,
         });
     }
 
@@ -64,6 +67,7 @@
         member.incarnation = heartbeat.incarnation;
         member.heard_at = Some(now);
         member.replica = heartbeat.replica;
+        member.protocol = heartbeat.protocol;
         is_new
     }
 
--- a/crates/resident/src/peer/message.rs
+++ b/crates/resident/src/peer/message.rs
@@ -1,22 +1,19 @@
-//! Messages between nodes, and their encoding.
+//! Messages between nodes. Their encoding stands in [`super::encoding`].
+//!
+//! The archived form of each is frozen: nodes of the first protocol version read it. What comes later is a field that the form
+//! skips, and travels in a section of the frame.
 #![allow(
     missing_docs,
     reason = "the resolvers that rkyv derives carry undocumented fields"
 )]
 
-use std::fmt;
 use std::net::SocketAddr;
 
-use bytes::Bytes;
 use ridgeworks_records::{Epoch, GroupId, ReplicaGroups, ReplicaId, ReplicaReply, ReplicaRequest};
 use ridgeworks_routing::{
     EngineChanges, PromptRead, RouteConfiguration, ServiceSummary, ToldOutcomes,
 };
-use rkyv::api::high::{HighDeserializer, HighSerializer, HighValidator};
-use rkyv::bytecheck::CheckBytes;
-use rkyv::rancor::Error;
-use rkyv::ser::allocator::ArenaHandle;
-use rkyv::util::AlignedVec;
+use rkyv::with::Skip;
 use rkyv::{Archive, Deserialize, Serialize};
 
 /// What one node asks another.
@@ -116,6 +113,9 @@
     pub unconfirmed_ms: Option<u64>,
     /// The same for its engines.
     pub engines_unconfirmed_ms: Option<u64>,
+    /// Version of the protocol that the sender speaks: one that speaks version 0 knows nothing of what came later.
+    #[rkyv(with = Skip)]
+    pub protocol: u16,
 }
 
 /// What a node knows of the deployment and for how long nobody has confirmed that it is the newest.
@@ -190,6 +190,9 @@
     pub load: LoadReport,
     /// Some other nodes that it knows.
     pub known: Vec<MemberInfo>,
+    /// Version of the protocol that it speaks.
+    #[rkyv(with = Skip)]
+    pub protocol: u16,
 }
 
 /// What nodes say to each other over UDP. Nothing that must be safe rests on it.
@@ -226,44 +229,3 @@
         read: Option<PromptRead>,
     },
 }
-
-/// A message that cannot be encoded or read.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum MessageError {
-    /// It is too large for memory.
-    Encode,
-    /// The bytes are no such message.
-    Decode,
-}
-
-impl fmt::Display for MessageError {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Encode => write!(formatter, "the message cannot be encoded"),
-            Self::Decode => write!(formatter, "the bytes are no such message"),
-        }
-    }
-}
-
-impl std::error::Error for MessageError {}
-
-/// Encodes a message.
-pub fn encode<T>(message: &T) -> Result<Bytes, MessageError>
-where
-    T: for<'a> Serialize<HighSerializer<AlignedVec, ArenaHandle<'a>, Error>>,
-{
-    let bytes = rkyv::to_bytes::<Error>(message).map_err(|_| MessageError::Encode)?;
-    Ok(Bytes::from(bytes.into_vec()))
-}
-
-/// Reads a message.
-pub fn decode<T>(bytes: &[u8]) -> Result<T, MessageError>
-where
-    T: Archive,
-    T::Archived:
-        for<'a> CheckBytes<HighValidator<'a, Error>> + Deserialize<T, HighDeserializer<Error>>,
-{
-    let mut aligned = AlignedVec::<16>::with_capacity(bytes.len());
-    aligned.extend_from_slice(bytes);
-    rkyv::from_bytes::<T, Error>(&aligned).map_err(|_| MessageError::Decode)
-}
--- a/crates/resident/src/peer/mod.rs
+++ b/crates/resident/src/peer/mod.rs
@@ -1,6 +1,8 @@
 //! What nodes say to each other: requests over framed TCP links, heartbeats over UDP.
 
 mod confirming;
+mod encoding;
+mod frame;
 mod gossip;
 mod link;
 mod links;
@@ -9,14 +11,15 @@
 mod server;
 mod targets;
 
+pub use encoding::{MessageError, MessageKind, decode, encode};
+pub use frame::{Frame, FrameError, PROTOCOL, RawSection, frame, unframe};
 pub use gossip::{Gossip, GossipSources, Questions, fetch_members, fetch_view};
 pub use link::LinkError;
 pub use links::{PeerLinks, patience};
 pub use members::{Member, Members};
 pub use message::{
-    Confirmations, Datagram, Envelope, Heartbeat, KnownEngines, LoadReport, MemberInfo,
-    MessageError, PassedOn, PeerReply, PeerRequest, Preparing, ReplicaStatus, ViewPosition,
-    ViewUpdate, decode, encode,
+    Confirmations, Datagram, Envelope, Heartbeat, KnownEngines, LoadReport, MemberInfo, PassedOn,
+    PeerReply, PeerRequest, Preparing, ReplicaStatus, ViewPosition, ViewUpdate,
 };
 pub use server::{PeerService, serve};
 pub use targets::targets;
--- a/crates/resident/src/peer/server.rs
+++ b/crates/resident/src/peer/server.rs
@@ -12,7 +12,8 @@
 use tokio_util::codec::Framed;
 
 use super::codec;
-use super::message::{Envelope, PeerReply, PeerRequest, decode, encode};
+use super::encoding::{decode, encode};
+use super::message::{Envelope, PeerReply, PeerRequest};
 use crate::http_client::notice_silence;
 
 /// Replies that may wait for a slow reader before its connection is read no further.
--- a/crates/resident/src/settings.rs
+++ b/crates/resident/src/settings.rs
@@ -1,12 +1,14 @@
 //! Settings of a node on the users' platform: one TOML file, filled in by the platform from the
 //! deployment's template.
 
+use std::collections::BTreeMap;
 use std::fmt;
 use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use ridgeworks_quota::QuotaBounds;
+use ridgeworks_routing::ZoneRegions;
 use serde::Deserialize;
 
 /// What a process does.
@@ -77,6 +79,13 @@
     /// Time after which no request may run any more with a key that was taken away, whatever its gateway has
     /// heard, in milliseconds; none where that is not promised.
     pub key_removal_ms: Option<f64>,
+    /// Time within which the engines of a zone that is drained get nothing more, in milliseconds; none where zones are not
+    /// drained.
+    pub zone_drain_ms: Option<f64>,
+    /// How many times what an engine bears while it warms up it may get within a second; none where engines need not warm up.
+    pub warm_up_factor: Option<f64>,
+    /// Requests that it may get in that time besides.
+    pub warm_up_slack: Option<f64>,
     /// Over how long the requests of a tenant are counted, in seconds.
     #[serde(default = "default_quota_window_s")]
     pub quota_window_s: f64,
@@ -127,6 +136,12 @@
         }
     }
 
+    /// Time within which the engines of a zone that is drained get nothing more.
+    pub fn zone_drain(&self) -> Option<Duration> {
+        let ms = self.zone_drain_ms?;
+        Some(Duration::from_secs_f64(ms / 1_000.0))
+    }
+
     /// Time from the order to stop until the process is killed.
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.grace_s)
@@ -143,6 +158,9 @@
     pub name: String,
     /// Zone of the node.
     pub zone: String,
+    /// The deployment's zones, each with its region; none where all stand in one region.
+    #[serde(default)]
+    pub zones: BTreeMap<String, String>,
     /// Address of the node.
     pub address: IpAddr,
     /// Port on which nodes talk to each other, the same on all nodes; TCP and UDP.
@@ -248,6 +266,11 @@
         }
     }
 
+    /// The regions of the deployment's zones.
+    pub fn zone_regions(&self) -> ZoneRegions {
+        ZoneRegions::new(self.zones.clone())
+    }
+
     /// Where other nodes reach this one.
     pub fn peer_address(&self) -> SocketAddr {
         SocketAddr::new(self.address, self.peer_port)
@@ -296,6 +319,12 @@
         let is_positive = |value: f64| is_time(value) && value > 0.0;
         let bad_removal = !self.bounds.key_removal_ms.is_none_or(is_positive);
         check(bad_removal, SettingsFault::Time("bounds.key_removal_ms"));
+        let bad_drain = !self.bounds.zone_drain_ms.is_none_or(is_positive);
+        check(bad_drain, SettingsFault::Time("bounds.zone_drain_ms"));
+        let bad_factor = !self.bounds.warm_up_factor.is_none_or(is_positive);
+        check(bad_factor, SettingsFault::Share("bounds.warm_up_factor"));
+        let bad_warm_slack = !self.bounds.warm_up_slack.is_none_or(is_time);
+        check(bad_warm_slack, SettingsFault::Share("bounds.warm_up_slack"));
         let bad_window = !is_positive(self.bounds.quota_window_s);
         check(bad_window, SettingsFault::Time("bounds.quota_window_s"));
         let bad_overshoot = !is_time(self.bounds.quota_overshoot);
--- a/crates/resident/src/view.rs
+++ b/crates/resident/src/view.rs
@@ -12,7 +12,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::clock::{Clock, Moment, whole_ms};
-use crate::peer::{Confirmations, KnownEngines, ViewPosition, ViewUpdate};
+use crate::peer::{Confirmations, KnownEngines, PROTOCOL, ViewPosition, ViewUpdate};
 
 /// Who told a part of the view.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -337,6 +337,7 @@
             groups: groups.map(|groups| ReplicaGroups::clone(&groups)),
             unconfirmed_ms: self.unconfirmed_for().map(whole_ms),
             engines_unconfirmed_ms: self.engines_unconfirmed_for().map(whole_ms),
+            protocol: PROTOCOL,
         }
     }
 
@@ -350,6 +351,7 @@
             groups,
             unconfirmed_ms,
             engines_unconfirmed_ms,
+            protocol: _,
         } = update;
         // A node that tells no newer configuration knows none that is newer than what this one asked with.
         let version = configuration
--- a/crates/resident/tests/confirmations.rs
+++ b/crates/resident/tests/confirmations.rs
@@ -13,7 +13,7 @@
 use ridgeworks_resident::clock::Clock;
 use ridgeworks_resident::node::Node;
 use ridgeworks_resident::peer::{
-    Confirmations, Datagram, GossipSources, Heartbeat, LoadReport, MemberInfo, PeerReply,
+    Confirmations, Datagram, GossipSources, Heartbeat, LoadReport, MemberInfo, PROTOCOL, PeerReply,
     PeerRequest, PeerService, ReplicaStatus, decode, encode,
 };
 use ridgeworks_resident::settings::NodeSettings;
@@ -108,6 +108,7 @@
         replica: None,
         load: LoadReport::default(),
         known: Vec::new(),
+        protocol: PROTOCOL,
     }))
 }
 
--- a/crates/resident/tests/targets.rs
+++ b/crates/resident/tests/targets.rs
@@ -31,6 +31,7 @@
         heard_at: None,
         incarnation: 1,
         replica: None,
+        protocol: 0,
     };
     all.map(member).collect()
 }
--- a/crates/resident/tests/watch_duty.rs
+++ b/crates/resident/tests/watch_duty.rs
@@ -20,6 +20,7 @@
         heard_at: Some(LATER),
         incarnation: 1,
         replica: None,
+        protocol: 0,
     }
 }
 
--- a/crates/routing/examples/tenant_lookup.rs
+++ b/crates/routing/examples/tenant_lookup.rs
@@ -22,6 +22,7 @@
             .collect(),
         priority: None,
         limit: None,
+        residency: ridgeworks_routing::Residency::anywhere(),
     });
     tenants.collect()
 }
--- a/crates/routing/src/configuration.rs
+++ b/crates/routing/src/configuration.rs
@@ -1,10 +1,14 @@
 //! The configuration that the operators put in force.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
+use rkyv::with::Skip;
 use rkyv::{Archive, Deserialize, Serialize};
 
+use crate::residency::Residency;
 use crate::tenants::Tenant;
+use crate::warm_up::WarmUpLimit;
 
 /// How a request may be repeated, and what its answer looks like.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Archive, Serialize, Deserialize)]
@@ -57,6 +61,9 @@
     pub retention_ms: u64,
     /// Whether requests need no key, whoever the tenants are.
     pub is_public: bool,
+    /// Where requests may be served. Travels in [`ConfigurationExtras`].
+    #[rkyv(with = Skip)]
+    pub residency: Residency,
 }
 
 impl Route {
@@ -100,6 +107,9 @@
     pub max_connections: u32,
     /// Given for services of model engines.
     pub model: Option<ModelEngine>,
+    /// Given where engines bear less while they warm up. Travels in [`ConfigurationExtras`].
+    #[rkyv(with = Skip)]
+    pub warm_up: Option<WarmUpLimit>,
 }
 
 /// Bounds on what a client may send.
@@ -129,3 +139,53 @@
     /// Who may make requests; `None` where nobody is asked for a key.
     pub tenants: Option<Vec<Tenant>>,
 }
+
+/// What a configuration says that nodes of the first protocol version do not know. It travels beside what they
+/// know, so that they read the rest ([`RouteConfiguration`]; `docs/design/versions.md`).
+#[derive(Debug, Clone, Default, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct ConfigurationExtras {
+    /// Where requests of these routes may be served.
+    pub routes: Vec<(String, Residency)>,
+    /// Where requests of these tenants may be served.
+    pub tenants: Vec<(String, Residency)>,
+    /// What engines of these services bear while they warm up.
+    pub warm_ups: Vec<(String, WarmUpLimit)>,
+}
+
+impl RouteConfiguration {
+    /// What nodes of the first protocol version do not know of it.
+    pub fn extras(&self) -> ConfigurationExtras {
+        let routes = self.routes.iter();
+        let routes = routes.filter(|route| !route.residency.is_anywhere());
+        let tenants = self.tenants.iter().flatten();
+        let tenants = tenants.filter(|tenant| !tenant.residency.is_anywhere());
+        let services = self.services.iter();
+        ConfigurationExtras {
+            routes: routes
+                .map(|route| (route.name.clone(), route.residency.clone()))
+                .collect(),
+            tenants: tenants
+                .map(|tenant| (tenant.name.clone(), tenant.residency.clone()))
+                .collect(),
+            warm_ups: services
+                .filter_map(|service| Some((service.name.clone(), service.warm_up?)))
+                .collect(),
+        }
+    }
+
+    /// Takes in what travelled beside it.
+    pub fn set_extras(&mut self, extras: ConfigurationExtras) {
+        let residencies: HashMap<String, Residency> = extras.routes.into_iter().collect();
+        for route in &mut self.routes {
+            route.residency = residencies.get(&route.name).cloned().unwrap_or_default();
+        }
+        let residencies: HashMap<String, Residency> = extras.tenants.into_iter().collect();
+        for tenant in self.tenants.iter_mut().flatten() {
+            tenant.residency = residencies.get(&tenant.name).cloned().unwrap_or_default();
+        }
+        let warm_ups: HashMap<String, WarmUpLimit> = extras.warm_ups.into_iter().collect();
+        for service in &mut self.services {
+            service.warm_up = warm_ups.get(&service.name).copied();
+        }
+    }
+}
--- a/crates/routing/src/engine_table.rs
+++ b/crates/routing/src/engine_table.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
+use rkyv::with::Skip;
 use rkyv::{Archive, Deserialize, Serialize};
 
 use crate::engine_load::EngineKey;
@@ -37,6 +38,9 @@
     pub slots: u32,
     /// Whether it takes new work.
     pub state: EngineState,
+    /// For how long it still warmed up when its entry was written, in milliseconds. Travels in [`EngineStart`].
+    #[rkyv(with = Skip)]
+    pub warm_up_ms: u64,
 }
 
 impl Engine {
@@ -55,6 +59,15 @@
     pub revision: u64,
 }
 
+/// An engine that warms up, beside its entry: nodes of the first protocol version do not know of it.
+#[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct EngineStart {
+    /// The engine's instance.
+    pub instance: String,
+    /// For how long it still warmed up when its entry was written, in milliseconds.
+    pub warm_up_ms: u64,
+}
+
 /// An engine that is gone.
 #[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub struct Removal {
@@ -77,6 +90,31 @@
     pub at: u64,
 }
 
+impl EngineChanges {
+    /// The engines among them that warm up.
+    pub fn starts(&self) -> Vec<EngineStart> {
+        let engines = self.entries.iter().map(|entry| &entry.engine);
+        let warming = engines.filter(|engine| engine.warm_up_ms > 0);
+        let starts = warming.map(|engine| EngineStart {
+            instance: engine.instance.clone(),
+            warm_up_ms: engine.warm_up_ms,
+        });
+        starts.collect()
+    }
+
+    /// Takes in which of them warm up.
+    pub fn set_starts(&mut self, starts: Vec<EngineStart>) {
+        let starts = starts
+            .into_iter()
+            .map(|start| (start.instance, start.warm_up_ms));
+        let starts: HashMap<String, u64> = starts.collect();
+        for entry in &mut self.entries {
+            let start = starts.get(&entry.engine.instance);
+            entry.engine.warm_up_ms = start.copied().unwrap_or_default();
+        }
+    }
+}
+
 /// When an engine was removed.
 #[derive(Debug, Clone, Copy)]
 struct Tombstone {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -6,6 +6,7 @@
 )]
 
 mod configuration;
+mod eligibility;
 mod engine_health;
 mod engine_load;
 mod engine_table;
@@ -14,27 +15,35 @@
 mod read_directory;
 mod refusal;
 mod request;
+mod residency;
 mod route_table;
 mod sample_window;
 mod service_model;
 mod tenants;
 mod told_outcomes;
+mod warm_up;
 mod weighted_split;
 
 pub use configuration::{
-    CallerLimits, ModelEngine, RequestKind, Route, RouteConfiguration, Service, WeightedService,
+    CallerLimits, ConfigurationExtras, ModelEngine, RequestKind, Route, RouteConfiguration,
+    Service, WeightedService,
 };
+pub use eligibility::{Bar, EngineRule, first_bar, service_bar};
 pub use engine_health::{EngineHealth, Outcome, OutcomeCounts};
 pub use engine_load::{EngineKey, EngineLoads, GatewayReport};
-pub use engine_table::{Engine, EngineChanges, EngineEntry, EngineState, EngineTable, Removal};
+pub use engine_table::{
+    Engine, EngineChanges, EngineEntry, EngineStart, EngineState, EngineTable, Removal,
+};
 pub use event_stream::{Event, EventSplitter};
 pub use placement::{Choice, Demand, FailingNews, Forecast, Placement};
 pub use read_directory::{PromptRead, ReadDirectory};
 pub use refusal::{Refusal, RefusalReason};
 pub use request::{CallMetadata, PromptPart};
+pub use residency::{Residency, ZoneRegions};
 pub use route_table::{RouteTable, UnknownKey};
 pub use sample_window::SampleWindow;
 pub use service_model::{Reading, ServiceCosts, ServiceKey, ServiceModel, ServiceSummary, Turn};
 pub use tenants::{KeyDigest, RateLimit, Tenant, TenantFault, TenantTable, check_tenants};
 pub use told_outcomes::{MAX_SUSPECTS, ToldOutcomes};
+pub use warm_up::WarmUpLimit;
 pub use weighted_split::WeightedSplit;
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -14,6 +14,7 @@
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use crate::eligibility::{EngineRule, first_bar};
 use crate::engine_health::{EngineHealth, Outcome, OutcomeCounts};
 use crate::engine_load::{EngineKey, EngineLoads, GatewayReport, PRIOR_OUTCOMES, prompt_tokens};
 use crate::engine_table::{Engine, EngineTable};
@@ -46,7 +47,7 @@
 const MS_PER_S: f64 = 1_000.0;
 
 /// What a request asks of an engine.
-#[derive(Debug, Clone, Copy)]
+#[derive(Clone, Copy)]
 pub struct Demand<'a> {
     /// Service whose engines may take it.
     pub service: &'a str,
@@ -58,6 +59,8 @@
     pub zone: &'a str,
     /// Engines that must not get it.
     pub excluded: &'a [String],
+    /// What else keeps it from engines.
+    pub rules: &'a [&'a dyn EngineRule],
 }
 
 /// Load and contents of the engines, as one gateway knows them. Times are since the start of the process.
@@ -439,6 +442,7 @@
 fn candidates<'a>(table: &'a EngineTable, demand: &Demand<'a>, session: u64) -> Vec<Candidate<'a>> {
     let ready = table.ready(demand.service);
     let allowed = ready.filter(|engine| !demand.excluded.contains(&engine.instance));
+    let allowed = allowed.filter(|engine| first_bar(demand.rules, engine).is_none());
     let candidates = allowed.map(|engine| {
         let key = engine.key();
         Candidate {
--- /dev/null
+++ b/crates/routing/src/residency.rs
@@ -0,0 +1,79 @@
+//! Residency: the regions in which requests may be served, and what they carry be kept.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use rkyv::{Archive, Deserialize, Serialize};
+
+/// Regions in which something may be served and kept.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct Residency {
+    /// `None` where any region will do. An empty list allows none: it is never taken for "any".
+    regions: Option<BTreeSet<String>>,
+}
+
+impl Residency {
+    /// Any region will do.
+    pub fn anywhere() -> Self {
+        Self::default()
+    }
+
+    /// These regions only.
+    pub fn within(regions: impl IntoIterator<Item = String>) -> Self {
+        Self {
+            regions: Some(regions.into_iter().collect()),
+        }
+    }
+
+    /// Whether any region will do.
+    pub fn is_anywhere(&self) -> bool {
+        self.regions.is_none()
+    }
+
+    /// Whether a region is allowed. One that is not known, `None`, is allowed only where any is.
+    pub fn allows(&self, region: Option<&str>) -> bool {
+        match &self.regions {
+            None => true,
+            Some(regions) => region.is_some_and(|region| regions.contains(region)),
+        }
+    }
+
+    /// The regions that both allow.
+    pub fn and(&self, other: &Self) -> Self {
+        let regions = match (&self.regions, &other.regions) {
+            (None, other) => other.clone(),
+            (own, None) => own.clone(),
+            (Some(own), Some(other)) => Some(own.intersection(other).cloned().collect()),
+        };
+        Self { regions }
+    }
+
+    /// The regions that are named; none where any will do.
+    pub fn regions(&self) -> impl Iterator<Item = &str> {
+        self.regions.iter().flatten().map(String::as_str)
+    }
+}
+
+/// The region of each zone, from the node's settings.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ZoneRegions {
+    by_zone: BTreeMap<String, String>,
+}
+
+impl ZoneRegions {
+    /// Regions by the names of their zones.
+    pub fn new(by_zone: BTreeMap<String, String>) -> Self {
+        Self { by_zone }
+    }
+
+    /// The region of a zone; `None` for a zone that the settings do not name.
+    pub fn region(&self, zone: &str) -> Option<&str> {
+        self.by_zone.get(zone).map(String::as_str)
+    }
+
+    /// Whether the deployment stands in more than one region.
+    pub fn has_many(&self) -> bool {
+        let mut regions = self.by_zone.values();
+        let first = regions.next();
+        regions.any(|region| Some(region) != first)
+    }
+}
--- a/crates/routing/src/tenants.rs
+++ b/crates/routing/src/tenants.rs
@@ -4,9 +4,12 @@
 use std::fmt;
 use std::sync::Arc;
 
+use rkyv::with::Skip;
 use rkyv::{Archive, Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
+use crate::residency::Residency;
+
 /// Digest of a key. The key itself is forgotten once it is read, so that no log, message, or image of the memory
 /// holds one; and looking up a digest takes no time that depends on how much of a key was guessed right.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, Archive, Serialize, Deserialize)]
@@ -45,6 +48,9 @@
     pub priority: Option<u8>,
     /// `None` where there is no limit.
     pub limit: Option<RateLimit>,
+    /// Where requests may be served. Travels in [`crate::ConfigurationExtras`].
+    #[rkyv(with = Skip)]
+    pub residency: Residency,
 }
 
 /// Why tenants cannot be put in force. Names a key by its place and never by its text.
--- a/crates/routing/tests/engine_runs.rs
+++ b/crates/routing/tests/engine_runs.rs
@@ -18,6 +18,7 @@
         zone: "zone-a".to_owned(),
         slots: 4,
         state: EngineState::Ready,
+        warm_up_ms: 0,
     }
 }
 
--- a/crates/routing/tests/support/mod.rs
+++ b/crates/routing/tests/support/mod.rs
@@ -5,7 +5,7 @@
 
 use ridgeworks_routing::{
     CallerLimits, Demand, Engine, EngineEntry, EngineState, EngineTable, Forecast, Placement,
-    PromptPart, RequestKind, Route, RouteConfiguration, WeightedService,
+    PromptPart, RequestKind, Residency, Route, RouteConfiguration, WeightedService,
 };
 
 pub fn engine(instance: &str, zone: &str) -> Engine {
@@ -17,6 +17,7 @@
         zone: zone.to_owned(),
         slots: 4,
         state: EngineState::Ready,
+        warm_up_ms: 0,
     }
 }
 
@@ -57,6 +58,7 @@
         keeps_turns: false,
         retention_ms: 60_000,
         is_public: false,
+        residency: Residency::anywhere(),
     }
 }
 
@@ -84,6 +86,7 @@
         parts,
         zone: "zone-a",
         excluded,
+        rules: &[],
     }
 }
 
