Drained zones: orders in the view, a rule that passes their engines over

Cause: nobody read the operator's order to drain a zone.

The order is the object named after the zone. Gateways on duty watch the kind beside configuration and engines and tell the others the whole table, with the revision since which it has not changed and an age that counts from the question. The table is a rule of the choice of an engine, judged once more before a connection is made and before the request goes out. A service all of whose ready engines stand in drained zones refuses at once (zones_drained). Only where bounds.zone_drain_ms is set.

Changes with tombstones were ruled out, since a table is smaller than one engine's entry.

Not shown by a test: an order that comes while a connection is being made, for which loopback leaves no time.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use ridgeworks_platform::{EngineHead, EngineOrder, engine_headers, read_engine_head};
 use ridgeworks_resident::http_client::{ConnectError, Connection};
-use ridgeworks_routing::{Engine, Outcome};
+use ridgeworks_routing::{Bar, Engine, Outcome};
 use tokio::time::Instant;
 
 use crate::at_engine::AtEngine;
@@ -20,6 +20,8 @@
 /// Why an attempt did not succeed.
 #[derive(Debug)]
 pub enum AttemptFailure {
+    /// Since it was chosen, the engine may get nothing any more; it never saw the request.
+    Barred(Bar),
     /// No connection; the engine never saw the request.
     NotSent(ConnectError),
     /// The engine closed the new connection before the request went out.
@@ -39,13 +41,16 @@
 impl AttemptFailure {
     /// Whether the engine certainly did not run the request.
     pub fn is_not_run(&self) -> bool {
-        matches!(self, Self::NotSent(_) | Self::Unsent | Self::Rejected(_))
+        matches!(
+            self,
+            Self::Barred(_) | Self::NotSent(_) | Self::Unsent | Self::Rejected(_)
+        )
     }
 
-    /// What it says of the engine; a full one says nothing.
+    /// What it says of the engine; a full one says nothing, nor one that was not asked.
     pub fn outcome(&self) -> Option<Outcome> {
         match self {
-            Self::Rejected(_) => None,
+            Self::Barred(_) | Self::Rejected(_) => None,
             Self::NotSent(_) | Self::Unsent => Some(Outcome::Unreached),
             Self::Lost | Self::Garbled | Self::BrokenOff | Self::Silent => Some(Outcome::Failed),
         }
@@ -54,6 +59,7 @@
     /// Name for logs and metrics.
     pub fn name(&self) -> &'static str {
         match self {
+            Self::Barred(bar) => bar.name(),
             Self::NotSent(error) => error.name(),
             Self::Unsent => "unsent",
             Self::Rejected(_) => "rejected",
@@ -123,8 +129,16 @@
         let is_reused = reused.is_some();
         let mut connection = match reused.take() {
             Some(connection) => connection,
-            None => new_connection(gateway, engine).await?,
+            None => {
+                check(gateway, engine)?;
+                new_connection(gateway, engine).await?
+            }
         };
+        // Zones may have been drained while the connection was made.
+        if let Err(barred) = check(gateway, engine) {
+            gateway.pool.give_back(engine.key(), connection, None);
+            return Err(barred);
+        }
         let request = build_request(engine, &sending);
         match connection.try_send_request(request).await {
             Ok(response) => {
@@ -154,6 +168,12 @@
     }
 }
 
+/// Whether the engine may still get what was meant for it when it was chosen.
+fn check(gateway: &Gateway, engine: &Engine) -> Result<(), AttemptFailure> {
+    let bar = gateway.drains.bar(engine);
+    bar.map_or(Ok(()), |bar| Err(AttemptFailure::Barred(bar)))
+}
+
 async fn new_connection(gateway: &Gateway, engine: &Engine) -> Result<Connection, AttemptFailure> {
     let began = Instant::now();
     let connected = gateway.pool.connect(engine).await;
--- a/crates/gateway/src/exchange/engine_choice.rs
+++ b/crates/gateway/src/exchange/engine_choice.rs
@@ -4,7 +4,7 @@
 
 use ridgeworks_resident::clock::whole_ms;
 use ridgeworks_routing::{
-    Demand, Engine, EngineKey, Forecast, Refusal, RefusalReason, RequestKind,
+    Demand, Engine, EngineKey, EngineRule, Forecast, Refusal, RefusalReason, RequestKind,
 };
 use tokio::time::Instant;
 
@@ -45,6 +45,8 @@
     pub(super) has_waited: bool,
     /// The engine that was chosen last.
     pub(super) asked_last: String,
+    /// Engines of its service that were passed over for their zones' sake at the last choice.
+    pub(super) drained: usize,
     /// What the request was expected to lose at the engine that was chosen last, in milliseconds.
     pub(super) cost_ms: f64,
     /// What was believed of the engine that was asked last.
@@ -73,7 +75,8 @@
     pub(super) fn may_wait_for_room(&self) -> bool {
         let time = self.call.limit - self.call.received;
         let until = self.call.received + time.mul_f64(WAIT_SHARE);
-        self.tried.ran_on.is_empty() && self.passed.events == 0 && Instant::now() < until
+        let may_come = self.tried.ran_on.is_empty() && self.passed.events == 0;
+        may_come && Instant::now() < until && self.refusal_of_drains().is_none()
     }
 
     /// The engine to ask next, as far as the route and the failures so far allow.
@@ -90,6 +93,8 @@
         if tried.counted() >= self.call.route.max_attempts as usize {
             return self.same_engine();
         }
+        let drains = self.gateway.node.view.drains.in_force();
+        let drained: Option<&dyn EngineRule> = drains.as_deref().map(|drains| drains as _);
         let metadata = &self.call.metadata;
         let chosen = self.gateway.choose_engine(&Demand {
             service: &self.call.service,
@@ -97,8 +102,9 @@
             parts: &metadata.prompt_parts,
             zone: &self.gateway.node.settings.zone,
             excluded: &tried.excluded,
-            rules: &[],
+            rules: drained.as_slice(),
         });
+        self.tried.drained = self.gateway.drains.shut_out(&self.call.service);
         let (engine, cost_ms) = chosen?;
         self.tried.cost_ms = cost_ms;
         self.tried.asked_last = engine.instance.clone();
@@ -122,6 +128,9 @@
             // It has started anew, which makes it a further engine.
             return None;
         }
+        if self.gateway.drains.bar(&engine).is_some() {
+            return None;
+        }
         self.tried.taken_up_at = Some(engine.instance.clone());
         Some(engine)
     }
@@ -147,6 +156,10 @@
     }
 
     pub(super) fn on_failure(&mut self, engine: &Engine, failure: &AttemptFailure, began: Instant) {
+        if let AttemptFailure::Barred(_) = failure {
+            self.on_withheld(engine, failure, began);
+            return;
+        }
         let instance = &engine.instance;
         self.gateway.metrics.on_failed_attempt(failure.name());
         let tried = &mut self.tried;
@@ -185,6 +198,29 @@
         );
     }
 
+    /// The request was not sent, which says nothing of the engine. It is chosen again only after a wait.
+    fn on_withheld(&mut self, engine: &Engine, failure: &AttemptFailure, began: Instant) {
+        self.tried.excluded.push(engine.instance.clone());
+        self.gateway.metrics.on_withheld(engine);
+        log::info!(
+            target: "attempt",
+            request = self.call.metadata.request_id.as_str(),
+            engine = engine.instance.as_str(),
+            service = engine.service.as_str(),
+            zone = engine.zone.as_str(),
+            reason = failure.name(),
+            events_passed = self.passed.events,
+            took_ms = whole_ms(began.elapsed());
+            "request withheld from an engine"
+        );
+    }
+
+    /// The refusal of a request whose service has no engine outside drained zones.
+    pub(super) fn refusal_of_drains(&self) -> Option<Refusal> {
+        let after = self.gateway.drains.come_back(&self.call.service)?;
+        Some(Refusal::come_back(RefusalReason::ZonesDrained, after))
+    }
+
     /// Why no further engine may be asked with the request's key. A request may have waited since its key was looked up, for replicas,
     /// for room, or at an engine that failed it.
     pub(super) fn refusal_of_key(&self) -> Option<Refusal> {
@@ -210,6 +246,9 @@
         if !self.tried.ran_on.is_empty() {
             return Refusal::last(RefusalReason::EngineFailed);
         }
+        if let Some(refusal) = self.refusal_of_drains() {
+            return refusal;
+        }
         let time = self.call.limit - self.call.received;
         let after = time.mul_f64(COME_BACK_SHARE).max(COME_BACK);
         if self.tried.rejections > 0 || self.tried.has_waited {
--- a/crates/gateway/src/exchange/preparation.rs
+++ b/crates/gateway/src/exchange/preparation.rs
@@ -36,6 +36,10 @@
         if let Some(refusal) = self.refusal_without_majority() {
             return Err(refusal);
         }
+        // Before it waits for anything that it cannot use.
+        if let Some(refusal) = self.refusal_of_drains() {
+            return Err(refusal);
+        }
         let began = Instant::now();
         let (prompt, reserved, granted, ()) = tokio::join!(
             self.read_prompt(),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -21,6 +21,7 @@
 use crate::rate_limits::RateLimits;
 use crate::records_client::RecordsClient;
 use crate::turn_cache::TurnCache;
+use crate::zone_drains::ZoneDrainWatch;
 
 /// Part of the process's memory that cached turns may take.
 const CACHE_SHARE: u64 = 8;
@@ -52,6 +53,8 @@
     pub turns: RefCell<TurnCache>,
     /// Whether keys that are known are still in force.
     pub keys: KeyProof,
+    /// Zones whose engines get nothing more.
+    pub drains: ZoneDrainWatch,
     /// Metrics.
     pub metrics: GatewayMetrics,
     body_bytes: Cell<usize>,
@@ -91,6 +94,7 @@
         let limits = RateLimits::new(Rc::clone(&node), Rc::clone(&records.paths));
         let bound = node.settings.bounds.key_removal();
         let keys = KeyProof::new(Rc::clone(&node.view), bound);
+        let drains = ZoneDrainWatch::new(Rc::clone(&node));
         Rc::new(Self {
             node,
             placement: RefCell::default(),
@@ -101,6 +105,7 @@
             limits,
             turns: RefCell::new(TurnCache::new((memory / CACHE_SHARE) as usize)),
             keys,
+            drains,
             metrics,
             body_bytes: Cell::new(0),
             max_body_bytes: (memory / BODY_SHARE) as usize,
@@ -114,10 +119,10 @@
         self.node.clock.now()
     }
 
-    /// Whether routes and engines are known.
+    /// Whether routes and engines are known, and which of these get nothing.
     pub fn knows_traffic(&self) -> bool {
         let view = &self.node.view;
-        view.version() > 0 && view.engines_known()
+        view.version() > 0 && view.engines_known() && self.drains.are_known()
     }
 
     /// Whether the platform should send new clients here.
@@ -259,6 +264,7 @@
                 "costs of a service changed"
             );
         }
+        self.drains.tell_empty(&placement);
         self.turns.borrow_mut().expire(now);
         self.limits.tidy();
         if let Some(routes) = self.node.view.routes() {
@@ -281,6 +287,7 @@
         metrics.engines.set(whole(engines));
         let unreadable = view.unreadable_engines() as u64;
         metrics.unreadable_engines.set(whole(unreadable));
+        self.drains.update_gauges(&self.placement.borrow(), metrics);
         metrics.replica_set_epoch.set(whole(view.epoch().0));
         let store = &self.node.store;
         metrics.store_calls.set(whole(store.calls()));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod streaming;
 mod turn_cache;
 mod whole_answer;
+mod zone_drains;
 
 pub use gateway::Gateway;
 pub use quorum_health::QuorumHealth;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -8,7 +8,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
-use ridgeworks_routing::RefusalReason;
+use ridgeworks_routing::{Engine, RefusalReason};
 
 /// Upper bounds of the classes of times, in seconds.
 const TIME_BOUNDS: [f64; 14] = [
@@ -22,6 +22,25 @@
     pub reason: &'static str,
 }
 
+/// Label of metrics by zone and service.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ZoneServiceLabel {
+    /// The engines' zone.
+    pub zone: String,
+    /// The engines' service.
+    pub service: String,
+}
+
+impl ZoneServiceLabel {
+    /// Of an engine.
+    pub fn of(engine: &Engine) -> Self {
+        Self {
+            zone: engine.zone.clone(),
+            service: engine.service.clone(),
+        }
+    }
+}
+
 /// All metrics of a gateway.
 pub struct GatewayMetrics {
     /// Requests taken.
@@ -58,6 +77,14 @@
     pub engines: Gauge,
     /// Entries of engines that cannot be read, where this gateway watches the store.
     pub unreadable_engines: Gauge,
+    /// Zones that are drained.
+    pub drained_zones: Gauge,
+    /// Engines that get nothing because their zone is drained.
+    pub drained_engines: Family<ZoneServiceLabel, Gauge>,
+    /// Requests that are open at them.
+    pub drained_requests: Family<ZoneServiceLabel, Gauge>,
+    /// Requests whose engine was chosen, and that were not sent since its zone was drained meanwhile.
+    pub withheld: Family<ZoneServiceLabel, Counter>,
     /// Epoch of the replica set.
     pub replica_set_epoch: Gauge,
     /// Calls to the platform's store.
@@ -95,6 +122,10 @@
             configuration_age_seconds: Gauge::default(),
             engines: Gauge::default(),
             unreadable_engines: Gauge::default(),
+            drained_zones: Gauge::default(),
+            drained_engines: Family::default(),
+            drained_requests: Family::default(),
+            withheld: Family::default(),
             replica_set_epoch: Gauge::default(),
             store_calls: Gauge::default(),
             store_checks: Gauge::default(),
@@ -104,6 +135,7 @@
         metrics.register_requests(registry);
         metrics.register_times(registry);
         metrics.register_beliefs(registry);
+        metrics.register_drains(registry);
         metrics
     }
 
@@ -217,6 +249,26 @@
         }
     }
 
+    fn register_drains(&self, registry: &mut Registry) {
+        let zones = self.drained_zones.clone();
+        registry.register("drained_zones", "Zones that are drained", zones);
+        let engines = self.drained_engines.clone();
+        let help = "Engines that get nothing because their zone is drained";
+        registry.register("drained_engines", help, engines);
+        let requests = self.drained_requests.clone();
+        let help = "Requests of this gateway that are open at engines of drained zones";
+        registry.register("drained_requests", help, requests);
+        let withheld = self.withheld.clone();
+        let help = "Requests not sent since the zone of their engine was drained after the choice";
+        registry.register("sends_withheld", help, withheld);
+    }
+
+    /// Counts a request that was not sent to the engine that had been chosen.
+    pub fn on_withheld(&self, engine: &Engine) {
+        let label = ZoneServiceLabel::of(engine);
+        self.withheld.get_or_create(&label).inc();
+    }
+
     /// Counts a refusal.
     pub fn on_refused(&self, reason: RefusalReason) {
         let reason = reason.name();
--- a/crates/node/tests/resident_fleet.rs
+++ b/crates/node/tests/resident_fleet.rs
@@ -17,19 +17,9 @@
     Script::always(Answer::Whole("fine".to_owned()))
 }
 
-/// Whether a gateway watches the store, as its log says.
-fn watches(gateway: &Process) -> bool {
-    let log = gateway.log();
-    let mut decisions = log
-        .iter()
-        .filter(|line| line["message"] == "watching the platform store changed");
-    let last = decisions.next_back();
-    last.is_some_and(|line| line["attributes"]["watches"] == "true")
-}
-
 fn watching(deployment: &Deployment) -> Vec<usize> {
     let gateways = deployment.gateways.iter().enumerate();
-    let watching = gateways.filter(|(_, gateway)| watches(gateway));
+    let watching = gateways.filter(|(_, gateway)| gateway.watches_store());
     watching.map(|(index, _)| index).collect()
 }
 
--- a/crates/resident/src/lib.rs
+++ b/crates/resident/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod actors;
 pub mod clock;
+mod drain_follower;
 mod followers;
 pub mod http_client;
 pub mod http_server;
--- a/crates/resident/src/node.rs
+++ b/crates/resident/src/node.rs
@@ -13,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Clock;
+use crate::drain_follower::DrainFollower;
 use crate::followers::{ConfigurationFollower, ConfirmationLog, EngineFollower};
 use crate::peer::{
     Gossip, GossipSources, MemberInfo, PeerLinks, PeerReply, PeerRequest, PeerService,
@@ -78,8 +79,11 @@
     /// Binds the node's own sockets.
     pub async fn bind(settings: NodeSettings, clock: Clock) -> io::Result<Rc<Self>> {
         let is_gateway = settings.role == Role::Gateway;
-        let view = Rc::new(View::new(clock, is_gateway));
-        let duty = WatchDuty::new(&settings.name, settings.bounds.configuration());
+        let view = View::new(clock, is_gateway);
+        let has_drains = is_gateway && settings.bounds.zone_drain().is_some();
+        let view = Rc::new(if has_drains { view.with_drains() } else { view });
+        let bound = settings.bounds.least_news();
+        let duty = WatchDuty::new(&settings.name, bound);
         let duty = Rc::new(DutySignal::new(duty.patience(Place::Other)));
         let links = Rc::new(PeerLinks::default());
         let seeds = settings.seed_peers();
@@ -91,7 +95,7 @@
             Rc::clone(&view),
             Rc::clone(&links),
             Rc::clone(&duty),
-            settings.bounds.configuration(),
+            bound,
         );
         let gossip = gossip.await?;
         Ok(Rc::new(Self {
@@ -125,13 +129,17 @@
         Ok(())
     }
 
-    /// Follows the configuration and the engines, from the store or from other nodes.
+    /// Follows the configuration, the engines and the drains of zones, from the store or from other nodes.
     pub fn follow_traffic(self: &Rc<Self>) {
         tokio::task::spawn_local(Rc::clone(self).decide_duty());
         let configuration = ConfigurationFollower(Rc::clone(&self.view));
         self.follow(ObjectKind::Configuration, configuration);
         let engines = EngineFollower::new(Rc::clone(&self.view));
         self.follow(ObjectKind::Engines, engines);
+        if self.view.drains.are_followed() {
+            let drains = DrainFollower::new(Rc::clone(&self.view));
+            self.follow(ObjectKind::ZoneDrains, drains);
+        }
     }
 
     fn follow(&self, kind: ObjectKind, follower: impl Follower + 'static) {
@@ -152,7 +160,7 @@
     /// Decides again and again whether this node watches the store.
     async fn decide_duty(self: Rc<Self>) {
         let bound = self.settings.bounds.configuration();
-        let mut duty = WatchDuty::new(&self.settings.name, bound);
+        let mut duty = WatchDuty::new(&self.settings.name, self.settings.bounds.least_news());
         let mut confirmation = ConfirmationLog::new(bound);
         let mut place = Place::Other;
         let mut placed_at = None;
@@ -163,8 +171,8 @@
                 place = self.gossip.place(now);
                 placed_at = Some(now);
             }
-            let unconfirmed = self.view.unconfirmed_for();
-            confirmation.tell(unconfirmed, self.view.version());
+            confirmation.tell(self.view.unconfirmed_for(), self.view.version());
+            let unconfirmed = self.view.followed_unconfirmed_for();
             let is_due = duty.is_due(now, place, unconfirmed);
             if self.duty.set(is_due, duty.patience(place)) {
                 log::info!(
--- a/crates/resident/src/peer/encoding.rs
+++ b/crates/resident/src/peer/encoding.rs
@@ -17,7 +17,9 @@
 use rkyv::{Archive, Deserialize, Serialize};
 
 use super::frame::{Frame, FrameError, RawSection, frame, unframe};
-use super::message::{Datagram, Envelope, Heartbeat, PeerReply, PeerRequest, ViewUpdate};
+use super::message::{
+    Confirmations, Datagram, DrainNews, Envelope, PeerReply, PeerRequest, ViewUpdate,
+};
 
 /// What came later than the first protocol version, each with the number of its kind.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -26,12 +28,15 @@
     Configuration(ConfigurationExtras),
     /// Beside changes of engines.
     EngineStarts(Vec<EngineStart>),
+    /// Beside confirmations, a question for the view, or its answer.
+    ZoneDrains(DrainNews),
 }
 
 /// Numbers of the kinds of sections. A number is never used again for something else.
 mod section_kinds {
     pub const CONFIGURATION: u16 = 1;
     pub const ENGINE_STARTS: u16 = 2;
+    pub const ZONE_DRAINS: u16 = 3;
 }
 
 impl Section {
@@ -39,6 +44,7 @@
         Ok(match self {
             Self::Configuration(extras) => (section_kinds::CONFIGURATION, to_bytes(extras)?),
             Self::EngineStarts(starts) => (section_kinds::ENGINE_STARTS, to_bytes(starts)?),
+            Self::ZoneDrains(news) => (section_kinds::ZONE_DRAINS, to_bytes(news)?),
         })
     }
 
@@ -47,6 +53,7 @@
         Ok(Some(match raw.kind {
             section_kinds::CONFIGURATION => Self::Configuration(from_bytes(raw.content)?),
             section_kinds::ENGINE_STARTS => Self::EngineStarts(from_bytes(raw.content)?),
+            section_kinds::ZONE_DRAINS => Self::ZoneDrains(from_bytes(raw.content)?),
             _ => return Ok(None),
         }))
     }
@@ -81,16 +88,58 @@
 impl Message for Datagram {
     const KIND: MessageKind = MessageKind::Datagram;
 
-    fn set_sections(&mut self, protocol: u16, _sections: Vec<Section>) {
-        if let Self::Heartbeat(heartbeat) = self {
-            let heartbeat: &mut Heartbeat = heartbeat;
-            heartbeat.protocol = protocol;
+    fn sections(&self) -> Vec<Section> {
+        match self {
+            Self::Heartbeat(heartbeat) => heartbeat.confirmations.sections(),
+            Self::Confirmed { told, .. } => told.sections(),
+            _ => Vec::new(),
+        }
+    }
+
+    fn set_sections(&mut self, protocol: u16, sections: Vec<Section>) {
+        match self {
+            Self::Heartbeat(heartbeat) => {
+                heartbeat.protocol = protocol;
+                heartbeat.confirmations.set_sections(sections);
+            }
+            Self::Confirmed { told, .. } => told.set_sections(sections),
+            _ => {}
+        }
+    }
+}
+
+impl Confirmations {
+    fn sections(&self) -> Vec<Section> {
+        let drains = self.drains.map(DrainNews::Known);
+        drains.map(Section::ZoneDrains).into_iter().collect()
+    }
+
+    fn set_sections(&mut self, sections: Vec<Section>) {
+        for section in sections {
+            if let Section::ZoneDrains(DrainNews::Known(known)) = section {
+                self.drains = Some(known);
+            }
         }
     }
 }
 
 impl Message for Envelope<PeerRequest> {
     const KIND: MessageKind = MessageKind::Request;
+
+    fn sections(&self) -> Vec<Section> {
+        match &self.body {
+            PeerRequest::FetchView(position) if position.wants_drains => {
+                vec![Section::ZoneDrains(DrainNews::Wanted)]
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    fn set_sections(&mut self, _protocol: u16, sections: Vec<Section>) {
+        if let PeerRequest::FetchView(position) = &mut self.body {
+            position.wants_drains = sections.contains(&Section::ZoneDrains(DrainNews::Wanted));
+        }
+    }
 }
 
 impl Message for Envelope<PeerReply> {
@@ -117,9 +166,11 @@
         let extras = extras.map(|configuration| Section::Configuration(configuration.extras()));
         let starts = self.engines.as_ref().map(|engines| engines.starts());
         let starts = starts.filter(|starts| !starts.is_empty());
+        let drains = self.drains.as_deref().cloned().map(DrainNews::Told);
         extras
             .into_iter()
             .chain(starts.map(Section::EngineStarts))
+            .chain(drains.map(Section::ZoneDrains))
             .collect()
     }
 
@@ -136,6 +187,11 @@
                         engines.set_starts(starts);
                     }
                 }
+                Section::ZoneDrains(news) => {
+                    if let DrainNews::Told(told) = news {
+                        self.drains = Some(Box::new(told));
+                    }
+                }
             }
         }
     }
--- a/crates/resident/src/peer/gossip.rs
+++ b/crates/resident/src/peer/gossip.rs
@@ -367,8 +367,16 @@
     /// Asks a node whose knowledge seems to have been confirmed later than this node's own.
     async fn ask_if_younger(&self, told: &Confirmations, node: SocketAddr, now: Duration) {
         let own = self.view.unconfirmed_for();
-        let told = told.unconfirmed_ms.map(Duration::from_millis);
-        if let Some(number) = self.confirming.ask(own, told, now) {
+        let age = told.unconfirmed_ms.map(Duration::from_millis);
+        let number = self.confirming.ask(own, age, now);
+        let number = number.or_else(|| {
+            let drains = &self.view.drains;
+            let age = told.drains.and_then(|known| known.unconfirmed_ms);
+            let age = age.filter(|_| drains.are_followed());
+            let age = age.map(Duration::from_millis);
+            self.confirming.ask(drains.unconfirmed_for(), age, now)
+        });
+        if let Some(number) = number {
             self.send(node, &Datagram::AskConfirmations { number })
                 .await;
         }
@@ -389,6 +397,9 @@
         if self.me.is_replica {
             return false;
         }
+        if told.drains.is_some_and(|told| self.view.drains.lack(&told)) {
+            return true;
+        }
         if told.engines_newest <= self.view.with_engines(|engines| engines.at()) {
             self.engines_behind_since.set(None);
             return false;
--- a/crates/resident/src/peer/links.rs
+++ b/crates/resident/src/peer/links.rs
@@ -299,5 +299,6 @@
         version: u64::MAX,
         engines: KnownEngines::Unwanted,
         epoch: Epoch(u64::MAX),
+        wants_drains: false,
     })
 }
--- a/crates/resident/src/peer/message.rs
+++ b/crates/resident/src/peer/message.rs
@@ -11,7 +11,7 @@
 
 use ridgeworks_records::{Epoch, GroupId, ReplicaGroups, ReplicaId, ReplicaReply, ReplicaRequest};
 use ridgeworks_routing::{
-    EngineChanges, PromptRead, RouteConfiguration, ServiceSummary, ToldOutcomes,
+    EngineChanges, PromptRead, RouteConfiguration, ServiceSummary, ToldOutcomes, ZoneDrains,
 };
 use rkyv::with::Skip;
 use rkyv::{Archive, Deserialize, Serialize};
@@ -87,6 +87,9 @@
     pub engines: KnownEngines,
     /// The epochs of its newest replica sets together.
     pub epoch: Epoch,
+    /// Whether it has a use for the drains of zones. Travels in a [`DrainNews`].
+    #[rkyv(with = Skip)]
+    pub wants_drains: bool,
 }
 
 /// How far a node knows the engines.
@@ -113,6 +116,9 @@
     pub unconfirmed_ms: Option<u64>,
     /// The same for its engines.
     pub engines_unconfirmed_ms: Option<u64>,
+    /// The drains of zones that it knows, where they are wanted. Travels in a [`DrainNews`].
+    #[rkyv(with = Skip)]
+    pub drains: Option<Box<ToldDrains>>,
     /// Version of the protocol that the sender speaks: one that speaks version 0 knows nothing of what came later.
     #[rkyv(with = Skip)]
     pub protocol: u16,
@@ -129,6 +135,38 @@
     pub engines_newest: u64,
     /// Milliseconds for which nobody has confirmed that there is no newer one; `None` when nobody ever did.
     pub engines_unconfirmed_ms: Option<u64>,
+    /// What it knows of the drains of zones, where it follows them. Travels in a [`DrainNews`].
+    #[rkyv(with = Skip)]
+    pub drains: Option<KnownDrains>,
+}
+
+/// How far a node knows the drains of zones.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct KnownDrains {
+    /// Revision of the newest change that it knows.
+    pub newest: u64,
+    /// Milliseconds for which nobody has confirmed that there is no newer one; `None` when nobody ever did.
+    pub unconfirmed_ms: Option<u64>,
+}
+
+/// The drains of zones, as one node tells them another.
+#[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct ToldDrains {
+    /// All of them.
+    pub table: ZoneDrains,
+    /// Milliseconds for which nobody has confirmed that there is no newer change; `None` when nobody ever did.
+    pub unconfirmed_ms: Option<u64>,
+}
+
+/// What nodes say to each other of the drains of zones, beside a message of the first protocol version.
+#[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub enum DrainNews {
+    /// Beside confirmations: how far the sender knows them.
+    Known(KnownDrains),
+    /// Beside a question for the view: the asker wants them.
+    Wanted,
+    /// Beside the answer.
+    Told(ToldDrains),
 }
 
 /// A request or reply with the number that joins them.
--- a/crates/resident/src/peer/mod.rs
+++ b/crates/resident/src/peer/mod.rs
@@ -18,8 +18,9 @@
 pub use links::{PeerLinks, patience};
 pub use members::{Member, Members};
 pub use message::{
-    Confirmations, Datagram, Envelope, Heartbeat, KnownEngines, LoadReport, MemberInfo, PassedOn,
-    PeerReply, PeerRequest, Preparing, ReplicaStatus, ViewPosition, ViewUpdate,
+    Confirmations, Datagram, DrainNews, Envelope, Heartbeat, KnownDrains, KnownEngines, LoadReport,
+    MemberInfo, PassedOn, PeerReply, PeerRequest, Preparing, ReplicaStatus, ToldDrains,
+    ViewPosition, ViewUpdate,
 };
 pub use server::{PeerService, serve};
 pub use targets::targets;
--- a/crates/resident/src/view.rs
+++ b/crates/resident/src/view.rs
@@ -3,6 +3,8 @@
 //! Each part only moves forward. Where it comes from does not matter: the platform's store and other
 //! nodes feed the same view.
 
+mod drains;
+
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
@@ -14,6 +16,8 @@
 use crate::clock::{Clock, Moment, whole_ms};
 use crate::peer::{Confirmations, KnownEngines, PROTOCOL, ViewPosition, ViewUpdate};
 
+pub use self::drains::DrainView;
+
 /// Who told a part of the view.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Source {
@@ -44,6 +48,8 @@
     engines_known: Cell<bool>,
     unreadable_engines: Cell<usize>,
     groups: RefCell<Option<Rc<ReplicaGroups>>>,
+    /// Zones whose engines get nothing more.
+    pub drains: DrainView,
     /// As of when the configuration was last proved to be the newest. Counted from when the question was
     /// asked that was answered so, here and at every node that passed it on.
     confirmed: Cell<Option<Moment>>,
@@ -56,7 +62,7 @@
 }
 
 impl View {
-    /// A view that knows nothing.
+    /// A view that knows nothing, of a node that has no use for drains of zones.
     pub fn new(clock: Clock, follows_engines: bool) -> Self {
         Self {
             clock,
@@ -67,6 +73,7 @@
             engines_known: Cell::new(false),
             unreadable_engines: Cell::new(0),
             groups: RefCell::default(),
+            drains: DrainView::new(clock, false),
             confirmed: Cell::new(None),
             engines_confirmed: Cell::new(None),
             changed: watch::Sender::new(()),
@@ -75,6 +82,12 @@
         }
     }
 
+    /// The same for a node that has a use for drains of zones.
+    pub fn with_drains(mut self) -> Self {
+        self.drains = DrainView::new(self.clock, true);
+        self
+    }
+
     /// Tells of changes.
     pub fn changes(&self) -> watch::Receiver<()> {
         self.changed.subscribe()
@@ -164,6 +177,7 @@
             unconfirmed_ms: self.unconfirmed_for().map(whole_ms),
             engines_newest: self.engines.borrow().newest(),
             engines_unconfirmed_ms: self.engines_unconfirmed_for().map(whole_ms),
+            drains: self.drains.known(),
         }
     }
 
@@ -176,6 +190,10 @@
             told.engines_newest,
             since_asked(told.engines_unconfirmed_ms),
         );
+        if let Some(known) = told.drains {
+            self.drains
+                .confirm(known.newest, since_asked(known.unconfirmed_ms));
+        }
     }
 
     /// Has other nodes told at once that this node's knowledge was confirmed, before they ask the store too.
@@ -314,6 +332,7 @@
             version: self.version(),
             engines,
             epoch: self.epoch(),
+            wants_drains: self.drains.are_followed(),
         }
     }
 
@@ -337,6 +356,11 @@
             groups: groups.map(|groups| ReplicaGroups::clone(&groups)),
             unconfirmed_ms: self.unconfirmed_for().map(whole_ms),
             engines_unconfirmed_ms: self.engines_unconfirmed_for().map(whole_ms),
+            drains: self
+                .drains
+                .told()
+                .filter(|_| known.wants_drains)
+                .map(Box::new),
             protocol: PROTOCOL,
         }
     }
@@ -351,6 +375,7 @@
             groups,
             unconfirmed_ms,
             engines_unconfirmed_ms,
+            drains,
             protocol: _,
         } = update;
         // A node that tells no newer configuration knows none that is newer than what this one asked with.
@@ -369,6 +394,12 @@
         if let Some(groups) = groups {
             self.adopt_groups(groups, Source::Peer);
         }
+        if let Some(told) = drains {
+            let newest = told.table.newest();
+            self.adopt_drains(told.table, Source::Peer);
+            self.drains
+                .confirm(newest, since_asked(told.unconfirmed_ms));
+        }
     }
 
     fn adopt_engine_changes(&self, changes: EngineChanges, source: Source) {
--- a/crates/resident/tests/confirmations.rs
+++ b/crates/resident/tests/confirmations.rs
@@ -90,6 +90,7 @@
         unconfirmed_ms: Some(unconfirmed_ms),
         engines_newest: 0,
         engines_unconfirmed_ms: None,
+        drains: None,
     }
 }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -23,6 +23,7 @@
 mod told_outcomes;
 mod warm_up;
 mod weighted_split;
+mod zone_drains;
 
 pub use configuration::{
     CallerLimits, ConfigurationExtras, ModelEngine, RequestKind, Route, RouteConfiguration,
@@ -47,3 +48,4 @@
 pub use told_outcomes::{MAX_SUSPECTS, ToldOutcomes};
 pub use warm_up::WarmUpLimit;
 pub use weighted_split::WeightedSplit;
+pub use zone_drains::{DrainChange, ZoneDrains};
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -167,6 +167,11 @@
         self.loads.open_at(engine)
     }
 
+    /// Open requests of this gateway at an engine.
+    pub fn own_at(&self, engine: EngineKey) -> u32 {
+        self.loads.own_at(engine)
+    }
+
     /// What work costs at the engines of a service, as far as it is known.
     pub fn costs(&self, service: &str) -> ServiceCosts {
         let model = self.models.get(&ServiceKey::of(service));
--- a/crates/routing/src/refusal.rs
+++ b/crates/routing/src/refusal.rs
@@ -34,6 +34,8 @@
     Overloaded,
     /// No engine takes requests of the service.
     NoEngine,
+    /// All engines of the service stand in drained zones.
+    ZonesDrained,
     /// All engines that were asked refused to run it.
     EnginesFull,
     /// Not enough replicas answered to reserve tokens.
@@ -84,6 +86,7 @@
             Self::RateUnknown => "rate_unknown",
             Self::Overloaded => "overloaded",
             Self::NoEngine => "no_engine",
+            Self::ZonesDrained => "zones_drained",
             Self::EnginesFull => "engines_full",
             Self::LedgerUnavailable => "ledger_unavailable",
             Self::TurnsUnavailable => "turns_unavailable",
--- /dev/null
+++ b/crates/routing/tests/zone_drains.rs
@@ -0,0 +1,151 @@
+//! Tables of drained zones, as they come from the store and from other nodes.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use ridgeworks_routing::{
+    Bar, Demand, DrainChange, Engine, EngineRule, EngineTable, Placement, PromptPart, ZoneDrains,
+    service_bar,
+};
+use support::{engine, table};
+
+fn listed(orders: &[(&str, u64)], at: u64) -> ZoneDrains {
+    let orders = orders
+        .iter()
+        .map(|(zone, revision)| ((*zone).to_owned(), *revision));
+    ZoneDrains::listed(orders.collect::<BTreeMap<_, _>>(), at)
+}
+
+fn order(zone: &str, revision: u64) -> (String, Option<u64>) {
+    (zone.to_owned(), Some(revision))
+}
+
+fn end(zone: &str) -> (String, Option<u64>) {
+    (zone.to_owned(), None)
+}
+
+fn ordered(zone: &str, revision: u64) -> DrainChange {
+    let zone = zone.to_owned();
+    DrainChange::Ordered { zone, revision }
+}
+
+fn taken_back(zone: &str) -> DrainChange {
+    let zone = zone.to_owned();
+    DrainChange::TakenBack { zone }
+}
+
+#[test]
+fn the_table_of_the_later_revision_is_in_force() {
+    let mut table = ZoneDrains::default();
+    assert_eq!(table.take(listed(&[("a", 5)], 9)), [ordered("a", 5)]);
+    assert_eq!(table.take(listed(&[], 8)), [], "an older one");
+    assert!(table.is_drained("a"));
+    let changes = table.take(listed(&[("a", 12), ("b", 11)], 13));
+    let repeated = DrainChange::Repeated {
+        zone: "a".to_owned(),
+        revision: 12,
+    };
+    assert_eq!(changes, [repeated, ordered("b", 11)]);
+    assert_eq!(table.take(listed(&[("b", 11)], 20)), [taken_back("a")]);
+}
+
+/// A node that took the table from another one in the meantime hears of the same changes once more from the store.
+#[test]
+fn changes_that_are_in_the_table_already_do_no_harm() {
+    let table = listed(&[("b", 7)], 9);
+    let changes = [order("a", 4), end("a"), order("b", 7), order("c", 10)];
+    let next = table.after(&changes, 10);
+    let orders: Vec<_> = next.orders().collect();
+    assert_eq!(orders, [("b", 7), ("c", 10)]);
+    assert_eq!((next.at(), next.newest()), (10, 10));
+}
+
+/// A list that names no order says nothing of the orders that there were: whoever knows one from before must not take it for confirmed.
+#[test]
+fn a_list_proves_nothing_of_the_time_before() {
+    let before = listed(&[("a", 50)], 60);
+    let fresh = listed(&[], 100);
+    assert!(fresh.newest() > before.at());
+}
+
+#[test]
+fn a_table_that_goes_on_from_the_known_one_keeps_since_when_it_has_not_changed() {
+    let mut table = listed(&[("a", 5)], 9).after(&[], 40);
+    assert_eq!((table.at(), table.newest()), (40, 9));
+    // Another node listed the same at 30, so nothing came between.
+    assert_eq!(table.take(listed(&[("a", 5)], 30).after(&[], 50)), []);
+    assert_eq!((table.at(), table.newest()), (50, 9));
+    // What was there between 50 and 70 nobody knows.
+    assert_eq!(table.take(listed(&[("a", 5)], 70)), []);
+    assert_eq!((table.at(), table.newest()), (70, 70));
+}
+
+#[test]
+fn a_service_is_barred_only_where_all_its_engines_stand_in_drained_zones() {
+    let (first, second) = (engine("i-1", "a"), engine("i-2", "b"));
+    let engines = table([first.clone(), second.clone()]);
+    let one = listed(&[("a", 1)], 1);
+    assert_eq!(one.bar(&first), Some(Bar::ZoneDrain));
+    assert_eq!(one.bar(&second), None);
+    assert_eq!(service_bar(&engines, "models", &[&one]), None);
+    let both = listed(&[("a", 1), ("b", 2)], 2);
+    let bar = service_bar(&engines, "models", &[&both]);
+    assert_eq!(bar, Some(Bar::ZoneDrain));
+}
+
+const GATEWAYS: usize = 20;
+const SESSIONS: usize = 12;
+
+/// The engines that get the next turns of all sessions of all gateways, none of which knows the others' load.
+fn next_turns(
+    gateways: &mut [Placement],
+    engines: &EngineTable,
+    rules: &[&dyn EngineRule],
+) -> BTreeMap<String, usize> {
+    let mut turns = BTreeMap::new();
+    for (number, placement) in gateways.iter_mut().enumerate() {
+        for session in 0..SESSIONS {
+            let key = format!("session-{number}-{session}");
+            let hash = (number * SESSIONS + session) as u64 + 1;
+            let parts = [PromptPart { hash, tokens: 500 }];
+            let demand = Demand {
+                service: "models",
+                key: &key,
+                parts: &parts,
+                zone: "elsewhere",
+                excluded: &[],
+                rules,
+            };
+            let chosen = placement.choose(engines, &demand, Duration::ZERO);
+            let chosen = chosen.expect("an engine").engine.clone();
+            placement.on_sent(&key, &chosen, &parts);
+            *turns.entry(chosen.instance).or_default() += 1;
+        }
+    }
+    turns
+}
+
+/// Sessions whose engines are drained all at one moment go to all others, not to the same ones.
+#[test]
+fn sessions_of_a_drained_zone_are_spread_over_the_others() {
+    let zones = ["a", "b", "c"];
+    let all: [Engine; 18] = std::array::from_fn(|number| {
+        engine(
+            &format!("{}-{number}", zones[number % 3]),
+            zones[number % 3],
+        )
+    });
+    let engines = table(all);
+    let mut gateways: Vec<Placement> = (0..GATEWAYS).map(|_| Placement::default()).collect();
+    next_turns(&mut gateways, &engines, &[]);
+    let drained = listed(&[("a", 1)], 1);
+    let after = next_turns(&mut gateways, &engines, &[&drained]);
+    assert!(after.keys().all(|instance| !instance.starts_with('a')));
+    assert_eq!(after.len(), 12);
+    let mean = GATEWAYS * SESSIONS / after.len();
+    for (instance, turns) in &after {
+        assert!(*turns < 2 * mean, "{instance}: {turns} for {mean}");
+    }
+}
