Drained zones: watchers are as patient as the drains' own bound allows

Cause: drains were followed with the configuration's patience, so that a quiet fleet of 18 gateways asked for them 105 times in 20 s.

Each kind's duty follows from its own bound and its own proof of age now.

--- a/crates/resident/src/node.rs
+++ b/crates/resident/src/node.rs
@@ -59,6 +59,8 @@
     pub gossip: Rc<Gossip>,
     /// Whether this node follows the store itself.
     pub duty: Rc<DutySignal>,
+    /// Whether it follows the drains of zones there: they have a bound of their own, and so another patience.
+    drain_duty: Rc<DutySignal>,
     /// The settings as they were last read.
     reloaded: RefCell<NodeSettings>,
     settings_unreadable: Cell<bool>,
@@ -82,7 +84,10 @@
         let view = View::new(clock, is_gateway);
         let has_drains = is_gateway && settings.bounds.zone_drain().is_some();
         let view = Rc::new(if has_drains { view.with_drains() } else { view });
-        let bound = settings.bounds.least_news();
+        let bound = settings.bounds.configuration();
+        let drain_bound = settings.bounds.zone_drain().unwrap_or(bound);
+        let drain_duty = WatchDuty::new(&settings.name, drain_bound);
+        let drain_duty = DutySignal::new(drain_duty.patience(Place::Other));
         let duty = WatchDuty::new(&settings.name, bound);
         let duty = Rc::new(DutySignal::new(duty.patience(Place::Other)));
         let links = Rc::new(PeerLinks::default());
@@ -109,6 +114,7 @@
             view,
             links,
             duty,
+            drain_duty: Rc::new(drain_duty),
         }))
     }
 
@@ -133,18 +139,18 @@
     pub fn follow_traffic(self: &Rc<Self>) {
         tokio::task::spawn_local(Rc::clone(self).decide_duty());
         let configuration = ConfigurationFollower(Rc::clone(&self.view));
-        self.follow(ObjectKind::Configuration, configuration);
+        self.follow(ObjectKind::Configuration, configuration, &self.duty);
         let engines = EngineFollower::new(Rc::clone(&self.view));
-        self.follow(ObjectKind::Engines, engines);
+        self.follow(ObjectKind::Engines, engines, &self.duty);
         if self.view.drains.are_followed() {
             let drains = DrainFollower::new(Rc::clone(&self.view));
-            self.follow(ObjectKind::ZoneDrains, drains);
+            self.follow(ObjectKind::ZoneDrains, drains, &self.drain_duty);
         }
     }
 
-    fn follow(&self, kind: ObjectKind, follower: impl Follower + 'static) {
+    fn follow(&self, kind: ObjectKind, follower: impl Follower + 'static, duty: &Rc<DutySignal>) {
         let store = Rc::clone(&self.store);
-        let duty = Rc::clone(&self.duty);
+        let duty = Rc::clone(duty);
         tokio::task::spawn_local(follow(store, kind, follower, duty));
     }
 
@@ -160,7 +166,9 @@
     /// Decides again and again whether this node watches the store.
     async fn decide_duty(self: Rc<Self>) {
         let bound = self.settings.bounds.configuration();
-        let mut duty = WatchDuty::new(&self.settings.name, self.settings.bounds.least_news());
+        let mut duty = WatchDuty::new(&self.settings.name, bound);
+        let drain_bound = self.settings.bounds.zone_drain().unwrap_or(bound);
+        let mut drain_duty = WatchDuty::new(&self.settings.name, drain_bound);
         let mut confirmation = ConfirmationLog::new(bound);
         let mut place = Place::Other;
         let mut placed_at = None;
@@ -171,8 +179,9 @@
                 place = self.gossip.place(now);
                 placed_at = Some(now);
             }
-            confirmation.tell(self.view.unconfirmed_for(), self.view.version());
-            let unconfirmed = self.view.followed_unconfirmed_for();
+            self.decide_drain_duty(&mut drain_duty, place, now);
+            let unconfirmed = self.view.unconfirmed_for();
+            confirmation.tell(unconfirmed, self.view.version());
             let is_due = duty.is_due(now, place, unconfirmed);
             if self.duty.set(is_due, duty.patience(place)) {
                 log::info!(
@@ -192,6 +201,23 @@
         }
     }
 
+    fn decide_drain_duty(&self, duty: &mut WatchDuty, place: Place, now: Duration) {
+        if !self.view.drains.are_followed() {
+            return;
+        }
+        let unconfirmed = self.view.drains.unconfirmed_for();
+        let is_due = duty.is_due(now, place, unconfirmed);
+        if self.drain_duty.set(is_due, duty.patience(place)) {
+            log::info!(
+                target: "belief",
+                watches = is_due,
+                place:? = place,
+                unconfirmed_ms:? = unconfirmed.map(|age| age.as_millis());
+                "watching for drains of zones changed"
+            );
+        }
+    }
+
     /// Reads the settings file again, and takes over what may change while the process runs. Says so
     /// when it was asked to, or when something changed.
     pub fn reload(&self, path: &Path, reason: ReloadReason) {
--- a/crates/resident/src/settings.rs
+++ b/crates/resident/src/settings.rs
@@ -142,13 +142,6 @@
         Some(Duration::from_secs_f64(ms / 1_000.0))
     }
 
-    /// The least of the times within which something that the store tells has to be in force everywhere.
-    pub fn least_news(&self) -> Duration {
-        let configuration = self.configuration();
-        self.zone_drain()
-            .map_or(configuration, |drain| drain.min(configuration))
-    }
-
     /// Time from the order to stop until the process is killed.
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.grace_s)
--- a/crates/resident/src/view/drains.rs
+++ b/crates/resident/src/view/drains.rs
@@ -134,16 +134,6 @@
         self.drains.returned.borrow().get(zone).copied()
     }
 
-    /// Time since somebody confirmed all that this node follows.
-    pub fn followed_unconfirmed_for(&self) -> Option<Duration> {
-        let configuration = self.unconfirmed_for()?;
-        if !self.drains.are_followed {
-            return Some(configuration);
-        }
-        let drains = self.drains.unconfirmed_for()?;
-        Some(configuration.max(drains))
-    }
-
     /// Takes in all orders as of a revision, unless newer ones are known.
     pub fn adopt_drains(&self, told: ZoneDrains, source: Source) {
         if !self.drains.are_followed {
