Test of drained zones: gateways have heard of an engine before they must serve

The setup asked for 200 from gateways whose engines had been listed a moment before, and one that has heard of none answers 503.

The setup waits until all gateways serve, as resident_fleet does; a failed call prints the lines of its gateway's log.

--- a/crates/node/tests/resident_drains.rs
+++ b/crates/node/tests/resident_drains.rs
@@ -49,6 +49,10 @@
         let a = deployment.engine_in(ZONE, "tools", "i-a", ok());
         let b = deployment.engine_in(OTHER_ZONE, "tools", "i-b", ok());
         let zones = Self { deployment, a, b };
+        // A gateway that has heard of no engine yet refuses.
+        wait_until("all gateways serve", || {
+            zones.deployment.all_serve("/tool/x")
+        });
         wait_until("both engines serve all gateways", || {
             let all = zones.deployment.gateways.iter();
             all.for_each(|gateway| zones.send(gateway, 4));
@@ -63,7 +67,7 @@
             let id = format!("{}-{number}-{}", gateway.name, self.served());
             let call = call(&id).header("ridgeworks-session", &id);
             let reply = call.send(gateway.callers()).expect("an answer");
-            assert_eq!(reply.status, 200);
+            assert_eq!(reply.status, 200, "{}", about(gateway, &id));
         }
     }
 
@@ -114,6 +118,15 @@
     }
 }
 
+/// The lines of a gateway's log about a request.
+fn about(gateway: &Process, request: &str) -> String {
+    let log = gateway.log();
+    let lines = log
+        .iter()
+        .filter(|line| line["attributes"]["request"] == request);
+    lines.map(ToString::to_string).collect()
+}
+
 /// How often a gateway has said something.
 fn times_logged(gateway: &Process, message: &str) -> usize {
     let log = gateway.log();
