--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -40,6 +40,8 @@
     prompt: Bytes,
     tried: Tried,
     passed: Passed,
+    /// Whether the ledger was asked for the turn's tokens: it may have an account for it that has to be settled.
+    has_asked: bool,
     reserved: Option<Duration>,
     /// Whether the ledger tells of earlier turns of the program.
     is_under_way: bool,
@@ -59,6 +61,7 @@
         call,
         tried: Tried::default(),
         passed,
+        has_asked: false,
         reserved: None,
         is_under_way: false,
         is_granted: false,
@@ -68,7 +71,7 @@
         ending,
         Ending::Refused(refusal) if refusal.reason == RefusalReason::UsedIdentifier
     );
-    if is_own_account {
+    if is_own_account && exchange.has_asked {
         exchange.settle();
     }
     if matches!(ending, Ending::Refused(_) | Ending::ClientGone) {
--- a/crates/gateway/src/exchange/preparation.rs
+++ b/crates/gateway/src/exchange/preparation.rs
@@ -40,6 +40,7 @@
         if let Some(refusal) = self.refusal_of_drains() {
             return Err(refusal);
         }
+        self.has_asked = true;
         let began = Instant::now();
         let (prompt, reserved, granted, ()) = tokio::join!(
             self.read_prompt(),
--- a/crates/node/tests/resident_drains.rs
+++ b/crates/node/tests/resident_drains.rs
@@ -204,6 +204,38 @@
     zones.assert_passed_over(&zones.a);
 }
 
+/// What was refused before it asked the replicas for tokens leaves nothing to settle with them, which would use its identifier up.
+#[test]
+fn a_request_that_was_refused_for_a_drain_may_come_again_as_it_is() {
+    let deployment = deployment(1, 3);
+    let script = Script::always(Answer::Stream {
+        events: 2,
+        gap_ms: 1,
+    });
+    let _engine = deployment.engine_in(ZONE, "models", "m-a", script);
+    let gateway = &deployment.gateways[0];
+    let turn = |id: &str| {
+        let call = call_post("/chat/x", id, "prompt")
+            .header("ridgeworks-program-id", "p-1")
+            .header("ridgeworks-token-budget", "100000")
+            .header("ridgeworks-token-count", "100,100");
+        call.send(gateway.callers()).map_or(0, |reply| reply.status)
+    };
+    let mut tries = 0;
+    wait_until("turns are served", || {
+        tries += 1;
+        turn(&format!("first-{tries}")) == 200
+    });
+    deployment.drain_zone(ZONE);
+    wait_until("the order is known", || gateway.has_logged(DRAINED));
+    for _ in 0..20 {
+        assert_eq!(turn("again"), 503);
+    }
+    deployment.take_zone_back(ZONE);
+    wait_until("it is over", || gateway.has_logged(TAKEN_BACK));
+    assert_eq!(turn("again"), 200);
+}
+
 /// The order comes while a request is at an engine that loses its answer: its next try is judged anew.
 #[test]
 fn a_next_try_passes_over_a_zone_that_was_drained_meanwhile() {
