Drained zones: tests of silent watches, of others that know nothing of drains, and of the metrics

Cause: the watches' patience is another one for drains, and a fleet may have gateways of a version that tells nothing of them.

--- a/crates/node/tests/resident_drains.rs
+++ b/crates/node/tests/resident_drains.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use ridgeworks_platform_stand_ins::client::{Call, Reply, call_post};
+use ridgeworks_platform_stand_ins::client::{self, Call, Reply, call_post};
 use ridgeworks_platform_stand_ins::deployment::{DRAINS, Deployment, Process, routes, wait_until};
 use ridgeworks_platform_stand_ins::{Answer, EngineStandIn, LinkFault, Script};
 use rustix::process::Signal;
@@ -257,6 +257,76 @@
     assert_eq!((second.runs().len(), third.runs().len()), (0, 1));
 }
 
+/// All watches were answered by one change and sent again at the same moment, and fall silent for good.
+fn assert_in_time_after_silence(gateways: u8) {
+    let zones = TwoZones::start(gateways);
+    zones.assert_drained_in_time();
+    zones.assert_taken_back();
+    let link = &zones.deployment.store_link;
+    link.set_fault(LinkFault::Stalled);
+    // Long enough for the link to take notice.
+    std::thread::sleep(Duration::from_millis(50));
+    link.set_fault(LinkFault::None);
+    zones.deployment.drain_zone(OTHER_ZONE);
+    let ordered = Instant::now();
+    wait_until("all know the second order", || {
+        let mut gateways = zones.deployment.gateways.iter();
+        gateways.all(|gateway| times_logged(gateway, DRAINED) == 2)
+    });
+    assert!(ordered.elapsed() < BOUND, "{:?}", ordered.elapsed());
+    zones.assert_passed_over(&zones.b);
+}
+
+#[test]
+fn an_order_is_in_force_in_time_although_all_watches_are_silent() {
+    assert_in_time_after_silence(3);
+}
+
+#[test]
+fn in_a_large_fleet_too_an_order_is_in_force_in_time_although_all_watches_are_silent() {
+    assert_in_time_after_silence(18);
+}
+
+/// As in a fleet whose other gateways are of a version that knows nothing of drains.
+#[test]
+fn a_gateway_that_nobody_tells_of_drains_follows_them_itself() {
+    let others = Deployment::started(PROGRAM, 17, 0);
+    let mut deployment = others.draining_within(BOUND);
+    deployment.add_gateway().start();
+    deployment.wait_until_ready_gateways();
+    deployment.drain_zone(ZONE);
+    let ordered = Instant::now();
+    let alone = deployment.gateways.last().expect("just added");
+    wait_until("it knows the order", || alone.has_logged(DRAINED));
+    assert!(ordered.elapsed() < BOUND, "{:?}", ordered.elapsed());
+    // For longer than a start's first questions last.
+    std::thread::sleep(BOUND);
+    deployment.take_zone_back(ZONE);
+    let ended = Instant::now();
+    wait_until("it knows the end", || alone.has_logged(TAKEN_BACK));
+    assert!(ended.elapsed() < BOUND, "{:?}", ended.elapsed());
+}
+
+#[test]
+fn metrics_tell_what_is_drained() {
+    let zones = TwoZones::start(1);
+    let gateway = &zones.deployment.gateways[0];
+    let told = || {
+        let reply = client::get(gateway.metrics(), "/metrics");
+        reply.map(|reply| reply.body).unwrap_or_default()
+    };
+    assert!(told().contains("ridgeworks_drained_zones 0"));
+    zones.assert_drained_in_time();
+    let body = told();
+    for line in [
+        "ridgeworks_drained_zones 1",
+        "ridgeworks_drained_engines{zone=\"zone-x\",service=\"tools\"} 1",
+        "ridgeworks_drained_requests{zone=\"zone-x\",service=\"tools\"} 0",
+    ] {
+        assert!(body.contains(line), "{line} is not in {body}");
+    }
+}
+
 /// It would be taken up where it broke off, by the allowance that is no further try.
 #[test]
 fn a_stream_is_not_taken_up_in_a_drained_zone() {
