--- a/crates/routing/tests/zone_drains.rs
+++ b/crates/routing/tests/zone_drains.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use ridgeworks_routing::{
-    Bar, Demand, DrainChange, Engine, EngineRule, EngineTable, Placement, PromptPart, ZoneDrains,
-    service_bar,
+    Bar, Demand, DrainChange, EngineKey, EngineRule, EngineTable, GatewayReport, Placement,
+    PromptPart, ZoneDrains, service_bar,
 };
 use support::{engine, table};
 
@@ -127,25 +127,50 @@
     turns
 }
 
-/// Sessions whose engines are drained all at one moment go to all others, not to the same ones.
-#[test]
-fn sessions_of_a_drained_zone_are_spread_over_the_others() {
+/// Three zones with six engines each.
+fn three_zones() -> EngineTable {
     let zones = ["a", "b", "c"];
-    let all: [Engine; 18] = std::array::from_fn(|number| {
-        engine(
-            &format!("{}-{number}", zones[number % 3]),
-            zones[number % 3],
-        )
-    });
-    let engines = table(all);
+    table::<18>(std::array::from_fn(|number| {
+        let zone = zones[number % zones.len()];
+        engine(&format!("{zone}-{number}"), zone)
+    }))
+}
+
+/// The engines that get the turns after a zone was drained, of gateways that have heard of these open requests.
+fn after_a_drain(open: &[(EngineKey, u32)]) -> BTreeMap<String, usize> {
+    let engines = three_zones();
     let mut gateways: Vec<Placement> = (0..GATEWAYS).map(|_| Placement::default()).collect();
     next_turns(&mut gateways, &engines, &[]);
+    for gateway in &mut gateways {
+        let report = GatewayReport {
+            open: open.to_vec(),
+            suspects: Vec::new(),
+        };
+        gateway.on_report("other", report, Duration::ZERO);
+    }
     let drained = listed(&[("a", 1)], 1);
-    let after = next_turns(&mut gateways, &engines, &[&drained]);
-    assert!(after.keys().all(|instance| !instance.starts_with('a')));
-    assert_eq!(after.len(), 12);
-    let mean = GATEWAYS * SESSIONS / after.len();
-    for (instance, turns) in &after {
+    let turns = next_turns(&mut gateways, &engines, &[&drained]);
+    assert!(turns.keys().all(|instance| !instance.starts_with('a')));
+    turns
+}
+
+/// Sessions whose engines are drained all at one moment go to all others, not to the same ones.
+#[test]
+fn sessions_of_a_drained_zone_are_spread_over_the_others() {
+    let turns = after_a_drain(&[]);
+    assert_eq!(turns.len(), 12);
+    let mean = GATEWAYS * SESSIONS / turns.len();
+    for (instance, turns) in &turns {
         assert!(*turns < 2 * mean, "{instance}: {turns} for {mean}");
     }
 }
+
+#[test]
+fn sessions_of_a_drained_zone_go_where_there_is_room() {
+    const FULL: &str = "b-1";
+    let full = [(engine(FULL, "b").key(), 40)];
+    let turns = after_a_drain(&full);
+    let there = turns.get(FULL).copied().unwrap_or_default();
+    let mean = GATEWAYS * SESSIONS / 12;
+    assert!(there < mean / 2, "{there} for {mean}");
+}
