--- /dev/null
+++ b/crates/quota/src/bucket.rs
@@ -0,0 +1,118 @@
+//! What one limiter gives out of one limit.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::limiter::{Progress, Verdict};
+use crate::share::Share;
+
+/// Part of a bucket that requests of programs that are under way find when others find it empty. Where a tenant asks for more than its
+/// limit, every program that is let in can be carried out; without it each program lost some request in its midst.
+const BEGUN_SHARE: f64 = 0.55;
+
+/// A token bucket for one share of a limit. Times are since the start of the process.
+#[derive(Debug)]
+pub(crate) struct Bucket {
+    /// Version of the configuration that set the share.
+    version: u64,
+    share: Share,
+    /// Requests that it holds.
+    level: f64,
+    /// When that was worked out.
+    at: Duration,
+    /// When the last request that was turned away may come back.
+    promised: Duration,
+}
+
+impl Bucket {
+    pub(crate) fn new(share: Share, level: f64, version: u64, now: Duration) -> Self {
+        Self {
+            version,
+            share,
+            level,
+            at: now,
+            promised: now,
+        }
+    }
+
+    /// Takes a share in that a newer version of the configuration sets.
+    fn renew(&mut self, fresh: &Self) {
+        if fresh.version > self.version {
+            self.version = fresh.version;
+            self.share = fresh.share;
+            self.level = self.level.min(self.share.capacity);
+        }
+    }
+
+    fn fill(&mut self, now: Duration) {
+        let passed = now.saturating_sub(self.at).as_secs_f64();
+        self.level = (self.level + passed * self.share.per_s).min(self.share.capacity);
+        self.at = self.at.max(now);
+    }
+
+    fn is_full(&self) -> bool {
+        self.level >= self.share.capacity
+    }
+
+    fn take(&mut self, progress: Progress, longest: Duration) -> Verdict {
+        let needed = match progress {
+            Progress::Beginning => 1.0 + self.share.capacity * BEGUN_SHARE,
+            Progress::UnderWay => 1.0,
+        };
+        // A bucket that is full serves whoever comes, however small it is.
+        let needed = needed.min(self.share.capacity).max(1.0);
+        if self.level >= needed {
+            self.level -= 1.0;
+            return Verdict::Granted;
+        }
+        let pace = seconds(1.0 / self.share.per_s, longest);
+        let next = seconds((needed - self.level) / self.share.per_s, longest);
+        let first = self.at + next;
+        let latest = self.at + longest;
+        self.promised = (self.promised + pace).max(first).min(latest);
+        Verdict::Exhausted {
+            next,
+            retry: self.promised - self.at,
+        }
+    }
+}
+
+/// A time that may be longer than anybody waits, or endless.
+fn seconds(seconds: f64, longest: Duration) -> Duration {
+    Duration::try_from_secs_f64(seconds).map_or(longest, |time| time.min(longest))
+}
+
+/// The buckets of one limiter, by whose limit it is.
+#[derive(Debug, Default)]
+pub(crate) struct Buckets(HashMap<String, Bucket>);
+
+impl Buckets {
+    /// Takes from the bucket of this name: this one, unless there is one.
+    pub(crate) fn take(
+        &mut self,
+        name: &str,
+        fresh: Bucket,
+        progress: Progress,
+        longest: Duration,
+    ) -> Verdict {
+        let Some(bucket) = self.0.get_mut(name) else {
+            let bucket = self.0.entry(name.to_owned()).or_insert(fresh);
+            return bucket.take(progress, longest);
+        };
+        bucket.fill(fresh.at);
+        bucket.renew(&fresh);
+        bucket.take(progress, longest)
+    }
+
+    /// Lets go of those that are full again, which a new one will be as well.
+    pub(crate) fn tidy(&mut self, now: Duration) {
+        self.0.retain(|_, bucket| {
+            bucket.fill(now);
+            !bucket.is_full()
+        });
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.0.len()
+    }
+}
--- a/crates/quota/src/limiter.rs
+++ b/crates/quota/src/limiter.rs
@@ -1,16 +1,12 @@
 //! Gives out one share of each tenant's limit.
 
-use std::collections::HashMap;
 use std::time::Duration;
 
 use ridgeworks_routing::RateLimit;
 
+use crate::bucket::{Bucket, Buckets};
 use crate::share::{QuotaBounds, Share};
 
-/// Part of a bucket that requests of programs that are under way find when others find it empty. Where a tenant asks for more than its
-/// limit, every program that is let in can be carried out; without it each program lost some request in its midst.
-const BEGUN_SHARE: f64 = 0.55;
-
 /// How far the program of a request has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Progress {
@@ -34,58 +30,6 @@
     },
 }
 
-#[derive(Debug)]
-struct Bucket {
-    /// Version of the configuration that set the share.
-    version: u64,
-    share: Share,
-    /// Requests that it holds.
-    level: f64,
-    /// When that was worked out.
-    at: Duration,
-    /// When the last request that was turned away may come back.
-    promised: Duration,
-}
-
-impl Bucket {
-    fn fill(&mut self, now: Duration) {
-        let passed = now.saturating_sub(self.at).as_secs_f64();
-        self.level = (self.level + passed * self.share.per_s).min(self.share.capacity);
-        self.at = self.at.max(now);
-    }
-
-    fn is_full(&self) -> bool {
-        self.level >= self.share.capacity
-    }
-
-    fn take(&mut self, progress: Progress, longest: Duration) -> Verdict {
-        let needed = match progress {
-            Progress::Beginning => 1.0 + self.share.capacity * BEGUN_SHARE,
-            Progress::UnderWay => 1.0,
-        };
-        // A bucket that is full serves whoever comes, however small it is.
-        let needed = needed.min(self.share.capacity).max(1.0);
-        if self.level >= needed {
-            self.level -= 1.0;
-            return Verdict::Granted;
-        }
-        let pace = seconds(1.0 / self.share.per_s, longest);
-        let next = seconds((needed - self.level) / self.share.per_s, longest);
-        let first = self.at + next;
-        let latest = self.at + longest;
-        self.promised = (self.promised + pace).max(first).min(latest);
-        Verdict::Exhausted {
-            next,
-            retry: self.promised - self.at,
-        }
-    }
-}
-
-/// A time that may be longer than anybody waits, or endless.
-fn seconds(seconds: f64, longest: Duration) -> Duration {
-    Duration::try_from_secs_f64(seconds).map_or(longest, |time| time.min(longest))
-}
-
 /// Gives out one share of each tenant's limit. Times are since the start of the process.
 #[derive(Debug)]
 pub struct Limiter {
@@ -94,7 +38,7 @@
     limiters: usize,
     /// Since when it is known what this limiter has given out.
     since: Duration,
-    buckets: HashMap<String, Bucket>,
+    buckets: Buckets,
 }
 
 impl Limiter {
@@ -104,7 +48,7 @@
             bounds,
             limiters,
             since: now,
-            buckets: HashMap::new(),
+            buckets: Buckets::default(),
         }
     }
 
@@ -118,24 +62,9 @@
         version: u64,
         now: Duration,
     ) -> Verdict {
-        let longest = self.bounds.window;
-        if !self.buckets.contains_key(tenant) {
-            let bucket = self.new_bucket(limit, version, now);
-            self.buckets.insert(tenant.to_owned(), bucket);
-        }
-        let Some(bucket) = self.buckets.get_mut(tenant) else {
-            return Verdict::Exhausted {
-                next: longest,
-                retry: longest,
-            };
-        };
-        bucket.fill(now);
-        if version > bucket.version {
-            bucket.version = version;
-            bucket.share = Share::new(limit, &self.bounds, self.limiters);
-            bucket.level = bucket.level.min(bucket.share.capacity);
-        }
-        bucket.take(progress, longest)
+        let fresh = self.new_bucket(limit, version, now);
+        self.buckets
+            .take(tenant, fresh, progress, self.bounds.window)
     }
 
     /// A bucket of which nothing was taken since it is known what was given out. What was given out before that
@@ -149,13 +78,7 @@
             let filled = share.start + known.as_secs_f64() * share.per_s;
             filled.min(share.capacity)
         };
-        Bucket {
-            version,
-            share,
-            level,
-            at: now,
-            promised: now,
-        }
+        Bucket::new(share, level, version, now)
     }
 
     /// Lets go of buckets that are full again, which a new one will be as well.
@@ -163,10 +86,7 @@
         if now.saturating_sub(self.since) < self.bounds.window {
             return;
         }
-        self.buckets.retain(|_, bucket| {
-            bucket.fill(now);
-            !bucket.is_full()
-        });
+        self.buckets.tidy(now);
     }
 
     /// Tenants of whom something was taken lately.
@@ -176,6 +96,6 @@
 
     /// Whether nothing was taken lately.
     pub fn is_empty(&self) -> bool {
-        self.buckets.is_empty()
+        self.buckets.len() == 0
     }
 }
--- a/crates/quota/tests/support/mod.rs
+++ b/crates/quota/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Gateways, limiters and tenants under virtual time, with what goes wrong between them drawn from a seed.
 #![allow(dead_code, reason = "each test file uses its own part of the support")]
 
+pub mod warm_ups;
+pub mod warm_ways;
 pub mod ways;
 
 use std::time::Duration;
--- a/crates/quota/tests/support/ways.rs
+++ b/crates/quota/tests/support/ways.rs
@@ -20,6 +20,15 @@
     format!("tenant-{tenant}")
 }
 
+/// The limiters as a gateway sees them: until when it asks each last.
+pub fn candidates(late: &[Duration], now: Duration) -> Vec<Candidate> {
+    let candidates = late.iter().zip(0..).map(|(until, key)| Candidate {
+        key: LimiterKey(key),
+        is_late: now < *until,
+    });
+    candidates.collect()
+}
+
 /// Each limiter gives out its share, and gateways ask any of them: what is built.
 pub struct Shares {
     gates: Vec<Gate>,
@@ -57,13 +66,7 @@
     fn admit(&mut self, gateway: usize, tenant: usize, moment: &mut Moment<'_>) -> Answer {
         let name = name(tenant);
         let now = moment.now;
-        let candidates = self.late[gateway].iter().zip(0..);
-        let candidates: Vec<Candidate> = candidates
-            .map(|(until, key)| Candidate {
-                key: LimiterKey(key),
-                is_late: now < *until,
-            })
-            .collect();
+        let candidates = candidates(&self.late[gateway], now);
         let progress = if moment.random.random_bool(BEGINNINGS) {
             Progress::Beginning
         } else {
--- a/crates/routing/src/engine_table.rs
+++ b/crates/routing/src/engine_table.rs
@@ -273,6 +273,11 @@
         self.entries.values().cloned().collect()
     }
 
+    /// All entries.
+    pub fn listed(&self) -> impl Iterator<Item = &EngineEntry> {
+        self.entries.values()
+    }
+
     /// Number of engines.
     pub fn len(&self) -> usize {
         self.entries.len()
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -45,5 +45,5 @@
 pub use service_model::{Reading, ServiceCosts, ServiceKey, ServiceModel, ServiceSummary, Turn};
 pub use tenants::{KeyDigest, RateLimit, Tenant, TenantFault, TenantTable, check_tenants};
 pub use told_outcomes::{MAX_SUSPECTS, ToldOutcomes};
-pub use warm_up::WarmUpLimit;
+pub use warm_up::{WarmUpLimit, WarmUpNews, WarmUpSource, WarmUps};
 pub use weighted_split::WeightedSplit;
--- a/crates/routing/src/warm_up.rs
+++ b/crates/routing/src/warm_up.rs
@@ -1,7 +1,19 @@
 //! Engines that have just started bear less than others until they are warm.
 
+use std::collections::HashMap;
+use std::time::Duration;
+
 use rkyv::{Archive, Deserialize, Serialize};
 
+use crate::engine_load::EngineKey;
+use crate::engine_table::{Engine, EngineEntry};
+
+const MS_PER_KS: u64 = 1_000_000;
+/// Part of the usual time of a warm-up over which an engine that is warm gets its share back.
+const GROWTH_SHARE: f64 = 0.5;
+/// How long a run is remembered that is not listed any more: a store that lost its entries lists it again.
+const REMEMBERED: Duration = Duration::from_secs(60);
+
 /// What the engines of a service bear while they warm up.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub struct WarmUpLimit {
@@ -10,3 +22,287 @@
     /// How long an engine warms up after its start, in milliseconds, where it does not say.
     pub lasts_ms: u64,
 }
+
+impl WarmUpLimit {
+    /// How long an engine warms up where it does not say.
+    pub fn lasts(&self) -> Duration {
+        Duration::from_millis(self.lasts_ms)
+    }
+
+    /// The time after which one more request may reach an engine that got all that it bears.
+    pub fn pace(&self) -> Duration {
+        Duration::from_millis(MS_PER_KS / self.per_ks.max(1))
+    }
+}
+
+/// Who says that an engine warms up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WarmUpSource {
+    /// Its entry.
+    Entry,
+    /// One of its answers.
+    Answer,
+    /// It was not listed before.
+    Appeared,
+    /// It was found away: it may have started again, and looks idle.
+    FoundAway,
+    /// Its zone was taken back from a drain.
+    ZoneReturned,
+}
+
+impl WarmUpSource {
+    /// Name for logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Entry => "entry",
+            Self::Answer => "answer",
+            Self::Appeared => "appeared",
+            Self::FoundAway => "found_away",
+            Self::ZoneReturned => "zone_returned",
+        }
+    }
+}
+
+/// An engine has begun to warm up, or is warm.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WarmUpNews {
+    /// The engine's instance.
+    pub instance: String,
+    /// Its service.
+    pub service: String,
+    /// When it started.
+    pub born_ms: u64,
+    /// For how long it warms up yet; `None` when it is warm.
+    pub left: Option<Duration>,
+    /// Who said so last.
+    pub source: WarmUpSource,
+}
+
+/// How one run of an engine warms up.
+#[derive(Debug)]
+struct Course {
+    instance: String,
+    service: String,
+    born_ms: u64,
+    limit: WarmUpLimit,
+    /// Revision of the newest entry that is known.
+    revision: u64,
+    /// By its entry.
+    entry_end: Duration,
+    /// By its answers.
+    answer_end: Duration,
+    /// By what nobody says but is to be feared.
+    presumed_end: Duration,
+    source: WarmUpSource,
+    /// Whether it was last said to warm up.
+    is_told: bool,
+    /// When it was last listed.
+    listed: Duration,
+}
+
+impl Course {
+    fn new(engine: &Engine, limit: WarmUpLimit) -> Self {
+        Self {
+            instance: engine.instance.clone(),
+            service: engine.service.clone(),
+            born_ms: engine.born_ms,
+            limit,
+            revision: 0,
+            entry_end: Duration::ZERO,
+            answer_end: Duration::ZERO,
+            presumed_end: Duration::ZERO,
+            source: WarmUpSource::Entry,
+            is_told: false,
+            listed: Duration::ZERO,
+        }
+    }
+
+    fn end(&self) -> Duration {
+        self.entry_end.max(self.answer_end).max(self.presumed_end)
+    }
+
+    fn presume(&mut self, source: WarmUpSource, now: Duration) {
+        self.presumed_end = now + self.limit.lasts();
+        self.source = source;
+    }
+
+    /// An entry that is newer than what is known. Where it ends a warm-up the engine's share grows from now on.
+    fn on_entry(&mut self, warm_up: Duration, now: Duration) {
+        if warm_up.is_zero() {
+            self.entry_end = self.entry_end.min(now);
+            self.presumed_end = self.presumed_end.min(now);
+            return;
+        }
+        self.entry_end = now + warm_up;
+        self.source = WarmUpSource::Entry;
+    }
+
+    fn on_answer(&mut self, warm_up: Duration, now: Duration) {
+        if warm_up.is_zero() {
+            self.presumed_end = self.presumed_end.min(now);
+        } else {
+            self.source = WarmUpSource::Answer;
+        }
+        self.answer_end = match warm_up {
+            Duration::ZERO => self.answer_end.min(now),
+            left => now + left,
+        };
+    }
+
+    /// Part of the requests that would go there if it were warm that it may get without being counted.
+    fn share(&self, now: Duration) -> f64 {
+        let end = self.end();
+        if now < end {
+            return 0.0;
+        }
+        if end.is_zero() {
+            return 1.0;
+        }
+        let grows = self.limit.lasts().mul_f64(GROWTH_SHARE);
+        let since = now - end;
+        if since >= grows {
+            return 1.0;
+        }
+        since.as_secs_f64() / grows.as_secs_f64()
+    }
+}
+
+/// Which engines warm up, as one node knows it. Times are since the start of the process.
+///
+/// Each run of an engine has a course of its own. The latest of the ends by different sources counts: one that knows nothing of
+/// a warm-up says nothing against it.
+#[derive(Debug, Default)]
+pub struct WarmUps {
+    courses: HashMap<EngineKey, Course>,
+    /// Whether a list of engines was seen: those of the first one may have run for long.
+    knows_list: bool,
+}
+
+impl WarmUps {
+    /// Takes the engines in that are listed now, those of services whose engines warm up.
+    pub fn on_list<'a>(
+        &mut self,
+        entries: impl Iterator<Item = &'a EngineEntry>,
+        limit_of: impl Fn(&str) -> Option<WarmUpLimit>,
+        now: Duration,
+    ) {
+        let is_first = !self.knows_list;
+        self.knows_list = true;
+        for entry in entries {
+            if let Some(limit) = limit_of(&entry.engine.service) {
+                self.on_entry(entry, limit, is_first, now);
+            }
+        }
+        self.courses.retain(|_, course| {
+            // Those of services whose engines need no care any more go with them.
+            let is_due = now.saturating_sub(course.listed) < REMEMBERED;
+            is_due && limit_of(&course.service).is_some()
+        });
+    }
+
+    fn on_entry(&mut self, entry: &EngineEntry, limit: WarmUpLimit, is_first: bool, now: Duration) {
+        let engine = &entry.engine;
+        let known = self.courses.contains_key(&engine.key());
+        let course = self.course(engine, limit);
+        course.limit = limit;
+        course.listed = now;
+        if entry.revision <= course.revision {
+            return;
+        }
+        course.revision = entry.revision;
+        course.on_entry(Duration::from_millis(engine.warm_up_ms), now);
+        if !known && !is_first && engine.warm_up_ms == 0 {
+            course.presume(WarmUpSource::Appeared, now);
+        }
+    }
+
+    /// An answer of an engine says for how long it warms up.
+    pub fn on_answer(
+        &mut self,
+        engine: &Engine,
+        limit: WarmUpLimit,
+        warm_up: Duration,
+        now: Duration,
+    ) {
+        if warm_up.is_zero() && !self.courses.contains_key(&engine.key()) {
+            return;
+        }
+        self.course(engine, limit).on_answer(warm_up, now);
+    }
+
+    /// No connection to an engine came about.
+    pub fn on_found_away(&mut self, engine: &Engine, limit: WarmUpLimit, now: Duration) {
+        self.course(engine, limit)
+            .presume(WarmUpSource::FoundAway, now);
+    }
+
+    /// The drain of a zone ended at this time; its engines may have turned cold shortly before.
+    pub fn on_zone_returned<'a>(
+        &mut self,
+        engines: impl Iterator<Item = &'a Engine>,
+        limit_of: impl Fn(&str) -> Option<WarmUpLimit>,
+        returned: Duration,
+    ) {
+        for engine in engines {
+            if let Some(limit) = limit_of(&engine.service) {
+                self.course(engine, limit)
+                    .presume(WarmUpSource::ZoneReturned, returned);
+            }
+        }
+    }
+
+    fn course(&mut self, engine: &Engine, limit: WarmUpLimit) -> &mut Course {
+        let courses = self.courses.entry(engine.key());
+        courses.or_insert_with(|| Course::new(engine, limit))
+    }
+
+    /// Part of the requests that would go to an engine if it were warm that it may get without being counted: none while it warms up,
+    /// then more and more, so that its load grows without a step.
+    pub fn share(&self, engine: EngineKey, now: Duration) -> f64 {
+        let course = self.courses.get(&engine);
+        course.map_or(1.0, |course| course.share(now))
+    }
+
+    /// Engines of a service whose requests are counted now.
+    pub fn counted(&self, service: &str, now: Duration) -> usize {
+        let courses = self.courses.values();
+        let own = courses.filter(|course| course.service == service);
+        own.filter(|course| course.share(now) < 1.0).count()
+    }
+
+    /// Whether requests to any engine of a service are counted now.
+    pub fn is_concerned(&self, service: &str, now: Duration) -> bool {
+        let mut courses = self.courses.values();
+        courses.any(|course| course.service == service && course.share(now) < 1.0)
+    }
+
+    /// Engines that warm up, by service.
+    pub fn warming(&self, now: Duration) -> HashMap<&str, u64> {
+        let mut warming = HashMap::new();
+        for course in self.courses.values() {
+            let count: &mut u64 = warming.entry(course.service.as_str()).or_default();
+            *count += u64::from(now < course.end());
+        }
+        warming
+    }
+
+    /// Engines that have begun to warm up, or are warm, since this was last asked.
+    pub fn news(&mut self, now: Duration) -> Vec<WarmUpNews> {
+        let mut news = Vec::new();
+        for course in self.courses.values_mut() {
+            let left = course.end().checked_sub(now).filter(|left| !left.is_zero());
+            if left.is_some() == course.is_told {
+                continue;
+            }
+            course.is_told = left.is_some();
+            news.push(WarmUpNews {
+                instance: course.instance.clone(),
+                service: course.service.clone(),
+                born_ms: course.born_ms,
+                left,
+                source: course.source,
+            });
+        }
+        news
+    }
+}
