Kinds of messages that the first protocol version does not know

A later kind is a section from number 100 on, beside a body that does nodes of the first version no harm. A node that does not know it, or cannot read a request, answers that it is not supported: the head of a frame holds the request's number for that. A reply that cannot be read fails its own request. Only damaged frames end a connection. Both are counted and logged once for each kind and node.

Ruled out: enums split into an archived and an in-memory one (each variant twice and a conversion); a field of the envelope beside the body (every service would have to look at both).

--- a/crates/gateway/src/role.rs
+++ b/crates/gateway/src/role.rs
@@ -12,7 +12,7 @@
 use ridgeworks_resident::clock::Clock;
 use ridgeworks_resident::http_server::{self, ShortAnswer};
 use ridgeworks_resident::logging::LogCounters;
-use ridgeworks_resident::metrics::{self, LogCollector};
+use ridgeworks_resident::metrics::{self, LogCollector, UnreadCollector};
 use ridgeworks_resident::node::Node;
 use ridgeworks_resident::process::{RoleError, run_until_stopped, serve_metrics};
 use ridgeworks_resident::settings::NodeSettings;
@@ -49,6 +49,7 @@
     let mut orders = Orders::listen()?;
     let mut registry = metrics::registry();
     registry.register_collector(Box::new(LogCollector(log_counters)));
+    registry.register_collector(Box::new(UnreadCollector));
     let gateway_metrics = GatewayMetrics::register(&mut registry);
     let node = Node::bind(settings, Clock::start()).await?;
     let gateway = Gateway::new(Rc::clone(&node), gateway_metrics);
--- a/crates/replica/src/role.rs
+++ b/crates/replica/src/role.rs
@@ -10,7 +10,7 @@
 use ridgeworks_resident::actors::ActorRuntime;
 use ridgeworks_resident::clock::Clock;
 use ridgeworks_resident::logging::LogCounters;
-use ridgeworks_resident::metrics::{self, LogCollector};
+use ridgeworks_resident::metrics::{self, LogCollector, UnreadCollector};
 use ridgeworks_resident::node::Node;
 use ridgeworks_resident::process::{RoleError, run_until_stopped, serve_metrics};
 use ridgeworks_resident::settings::NodeSettings;
@@ -46,6 +46,7 @@
     let mut orders = Orders::listen()?;
     let mut registry = metrics::registry();
     registry.register_collector(Box::new(LogCollector(log_counters)));
+    registry.register_collector(Box::new(UnreadCollector));
     let replica_metrics = Rc::new(ReplicaMetrics::register(&mut registry));
     let node = Node::bind(settings, Clock::start()).await?;
     let replica = start_actor(&node, folder, replica_metrics);
--- a/crates/resident/src/metrics.rs
+++ b/crates/resident/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Counters and histograms of a process, as Prometheus text.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use http::StatusCode;
 use prometheus_client::collector::Collector;
@@ -12,6 +12,7 @@
 
 use crate::http_server::ShortAnswer;
 use crate::logging::LogCounters;
+use crate::peer::UNREAD;
 
 /// Media type of the text.
 pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
@@ -40,7 +41,7 @@
 pub struct LogCollector(pub Arc<LogCounters>);
 
 impl Collector for LogCollector {
-    fn encode(&self, mut encoder: DescriptorEncoder) -> Result<(), std::fmt::Error> {
+    fn encode(&self, encoder: DescriptorEncoder) -> Result<(), std::fmt::Error> {
         let counters = [
             ("log_lines_written", "Lines of the log", &self.0.written),
             (
@@ -54,11 +55,40 @@
                 &self.0.lost,
             ),
         ];
-        for (name, help, value) in counters {
-            let counter = ConstCounter::new(value.load(Ordering::Relaxed));
-            let metric = encoder.encode_descriptor(name, help, None, counter.metric_type())?;
-            counter.encode(metric)?;
-        }
-        Ok(())
+        encode_counters(encoder, &counters)
     }
 }
+
+/// Tells at each request for metrics how many messages of other nodes were not understood.
+#[derive(Debug)]
+pub struct UnreadCollector;
+
+impl Collector for UnreadCollector {
+    fn encode(&self, encoder: DescriptorEncoder) -> Result<(), std::fmt::Error> {
+        let counters = [
+            (
+                "messages_unknown",
+                "Messages of other nodes of a kind that this version does not know",
+                &UNREAD.unknown,
+            ),
+            (
+                "messages_unreadable",
+                "Messages of other nodes that could not be read",
+                &UNREAD.unreadable,
+            ),
+        ];
+        encode_counters(encoder, &counters)
+    }
+}
+
+fn encode_counters(
+    mut encoder: DescriptorEncoder,
+    counters: &[(&str, &str, &AtomicU64)],
+) -> Result<(), std::fmt::Error> {
+    for (name, help, value) in counters {
+        let counter = ConstCounter::new(value.load(Ordering::Relaxed));
+        let metric = encoder.encode_descriptor(name, help, None, counter.metric_type())?;
+        counter.encode(metric)?;
+    }
+    Ok(())
+}
--- a/crates/resident/src/node.rs
+++ b/crates/resident/src/node.rs
@@ -15,8 +15,8 @@
 use crate::clock::Clock;
 use crate::followers::{ConfigurationFollower, ConfirmationLog, EngineFollower};
 use crate::peer::{
-    Gossip, GossipSources, MemberInfo, PeerLinks, PeerReply, PeerRequest, PeerService,
-    fetch_members, fetch_view,
+    Build, Gossip, GossipSources, LaterReply, LaterRequest, MemberInfo, PeerLinks, PeerReply,
+    PeerRequest, PeerService, fetch_members, fetch_view,
 };
 use crate::settings::{NodeSettings, Role};
 use crate::store_client::StoreClient;
@@ -145,6 +145,9 @@
         match request {
             PeerRequest::FetchView(known) => PeerReply::View(self.view.update_since(known)),
             PeerRequest::ListMembers => PeerReply::Members(self.gossip.known()),
+            PeerRequest::Later(LaterRequest::FetchBuild) => {
+                PeerReply::Later(LaterReply::Build(Build::here()))
+            }
             _ => PeerReply::Unsupported,
         }
     }
--- a/crates/resident/src/peer/encoding.rs
+++ b/crates/resident/src/peer/encoding.rs
@@ -5,6 +5,7 @@
     reason = "the resolvers that rkyv derives carry undocumented fields"
 )]
 
+use std::borrow::Cow;
 use std::fmt;
 
 use bytes::Bytes;
@@ -16,7 +17,8 @@
 use rkyv::util::AlignedVec;
 use rkyv::{Archive, Deserialize, Serialize};
 
-use super::frame::{Frame, FrameError, RawSection, frame, unframe};
+use super::frame::{FrameError, RawSection, frame, unframe};
+use super::later::{FIRST_KIND, Later, LaterDatagram, LaterReply, LaterRequest};
 use super::message::{Datagram, Envelope, Heartbeat, PeerReply, PeerRequest, ViewUpdate};
 
 /// What came later than the first protocol version, each with the number of its kind.
@@ -65,9 +67,25 @@
 }
 
 /// What nodes send each other.
-pub trait Message {
+pub trait Message: Clone {
     /// Its kind.
     const KIND: MessageKind;
+    /// Its kinds that the first protocol version does not know.
+    type Later: Later;
+
+    /// Number that joins a request and its reply.
+    fn number(&self) -> u64 {
+        0
+    }
+
+    /// Such a kind that travels beside a harmless body.
+    fn later(&self) -> Option<&Self::Later>;
+
+    /// The body: the message itself, or one that does no harm where the message is not known.
+    fn body(&self) -> Cow<'_, Self>;
+
+    /// Puts such a kind in place of the body.
+    fn set_later(&mut self, later: Self::Later);
 
     /// What nodes of the first protocol version do not know of it.
     fn sections(&self) -> Vec<Section> {
@@ -80,6 +98,29 @@
 
 impl Message for Datagram {
     const KIND: MessageKind = MessageKind::Datagram;
+    type Later = LaterDatagram;
+
+    fn later(&self) -> Option<&LaterDatagram> {
+        match self {
+            Self::Later(later) => Some(later),
+            _ => None,
+        }
+    }
+
+    fn body(&self) -> Cow<'_, Self> {
+        match self {
+            // An answer to a question that nobody asked.
+            Self::Later(_) => Cow::Owned(Self::FoundRead {
+                number: 0,
+                read: None,
+            }),
+            _ => Cow::Borrowed(self),
+        }
+    }
+
+    fn set_later(&mut self, later: LaterDatagram) {
+        *self = Self::Later(later);
+    }
 
     fn set_sections(&mut self, protocol: u16, _sections: Vec<Section>) {
         if let Self::Heartbeat(heartbeat) = self {
@@ -91,10 +132,63 @@
 
 impl Message for Envelope<PeerRequest> {
     const KIND: MessageKind = MessageKind::Request;
+    type Later = LaterRequest;
+
+    fn number(&self) -> u64 {
+        self.number
+    }
+
+    fn later(&self) -> Option<&LaterRequest> {
+        match &self.body {
+            PeerRequest::Later(later) => Some(later),
+            _ => None,
+        }
+    }
+
+    fn body(&self) -> Cow<'_, Self> {
+        match self.body {
+            // Its answer is none to what was asked, and changes nothing.
+            PeerRequest::Later(_) => Cow::Owned(Self {
+                number: self.number,
+                body: PeerRequest::ListMembers,
+            }),
+            _ => Cow::Borrowed(self),
+        }
+    }
+
+    fn set_later(&mut self, later: LaterRequest) {
+        self.body = PeerRequest::Later(later);
+    }
 }
 
 impl Message for Envelope<PeerReply> {
     const KIND: MessageKind = MessageKind::Reply;
+    type Later = LaterReply;
+
+    fn number(&self) -> u64 {
+        self.number
+    }
+
+    fn later(&self) -> Option<&LaterReply> {
+        match &self.body {
+            PeerReply::Later(later) => Some(later),
+            _ => None,
+        }
+    }
+
+    fn body(&self) -> Cow<'_, Self> {
+        match self.body {
+            PeerReply::Later(_) => Cow::Owned(Self {
+                number: self.number,
+                body: PeerReply::Unsupported,
+            }),
+            _ => Cow::Borrowed(self),
+        }
+    }
+
+    fn set_later(&mut self, later: LaterReply) {
+        self.body = PeerReply::Later(later);
+    }
 
     fn sections(&self) -> Vec<Section> {
         match &self.body {
@@ -154,6 +248,16 @@
     Kind(u16),
 }
 
+impl MessageError {
+    /// Whether what came is not what was sent, so that nothing more is to be expected of the connection.
+    pub fn is_damage(self) -> bool {
+        matches!(
+            self,
+            Self::Frame(FrameError::TooShort | FrameError::Checksum)
+        )
+    }
+}
+
 impl fmt::Display for MessageError {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -178,11 +282,16 @@
 where
     T: Message + for<'a> Serialize<HighSerializer<AlignedVec, ArenaHandle<'a>, Error>>,
 {
-    let body = to_bytes(message)?;
+    let body = to_bytes(&*message.body())?;
     let sections = message.sections();
     let sections: Result<Vec<(u16, Vec<u8>)>, MessageError> =
         sections.iter().map(Section::encode).collect();
-    Ok(Bytes::from(frame(T::KIND as u16, &sections?, &body)))
+    let mut sections = sections?;
+    if let Some(later) = message.later() {
+        sections.push(later.encode()?);
+    }
+    let bytes = frame(T::KIND as u16, message.number(), &sections, &body);
+    Ok(Bytes::from(bytes))
 }
 
 /// Reads a message, also one of the first protocol version.
@@ -198,20 +307,29 @@
     if frame.kind != T::KIND as u16 {
         return Err(MessageError::Kind(frame.kind));
     }
+    let sections = frame.sections()?;
     let mut message: T = from_bytes(frame.body)?;
-    message.set_sections(frame.protocol, known_sections(&frame)?);
+    message.set_sections(frame.protocol, known_sections(&sections)?);
+    if let Some(later) = sections.iter().find(|raw| raw.kind >= FIRST_KIND) {
+        message.set_later(T::Later::decode(*later)?);
+    }
     Ok(message)
 }
 
-fn known_sections(frame: &Frame<'_>) -> Result<Vec<Section>, MessageError> {
+/// Number of the request or reply in a frame whose content cannot be read; `None` where the bytes are no frame.
+pub fn number_of(bytes: &[u8]) -> Option<u64> {
+    unframe(bytes).ok()?.map(|frame| frame.number)
+}
+
+fn known_sections(sections: &[RawSection<'_>]) -> Result<Vec<Section>, MessageError> {
     let mut known = Vec::new();
-    for raw in frame.sections()? {
-        known.extend(Section::decode(raw)?);
+    for raw in sections {
+        known.extend(Section::decode(*raw)?);
     }
     Ok(known)
 }
 
-fn to_bytes<T>(value: &T) -> Result<Vec<u8>, MessageError>
+pub(super) fn to_bytes<T>(value: &T) -> Result<Vec<u8>, MessageError>
 where
     T: for<'a> Serialize<HighSerializer<AlignedVec, ArenaHandle<'a>, Error>>,
 {
@@ -219,7 +337,7 @@
     Ok(bytes.into_vec())
 }
 
-fn from_bytes<T>(bytes: &[u8]) -> Result<T, MessageError>
+pub(super) fn from_bytes<T>(bytes: &[u8]) -> Result<T, MessageError>
 where
     T: Archive,
     T::Archived:
--- a/crates/resident/src/peer/frame.rs
+++ b/crates/resident/src/peer/frame.rs
@@ -26,6 +26,8 @@
     pub protocol: u16,
     /// What kind of message the body is.
     pub kind: u16,
+    /// Number that joins a request and its reply, also where the body cannot be read.
+    pub number: u64,
     /// The body, as nodes of version 0 read it.
     pub body: &'a [u8],
     sections: &'a [u8],
@@ -64,7 +66,7 @@
 impl std::error::Error for FrameError {}
 
 /// Puts a body into a frame.
-pub fn frame(kind: u16, sections: &[(u16, Vec<u8>)], body: &[u8]) -> Vec<u8> {
+pub fn frame(kind: u16, number: u64, sections: &[(u16, Vec<u8>)], body: &[u8]) -> Vec<u8> {
     let lengths = sections.iter();
     let lengths = lengths.map(|(_, content)| SECTION_HEAD_BYTES + padded(content.len()));
     let length: usize = lengths.sum();
@@ -73,7 +75,7 @@
     bytes.extend_from_slice(&PROTOCOL.to_le_bytes());
     bytes.extend_from_slice(&kind.to_le_bytes());
     bytes.extend_from_slice(&(length as u32).to_le_bytes());
-    bytes.extend_from_slice(&[0; 8]);
+    bytes.extend_from_slice(&number.to_le_bytes());
     bytes.extend_from_slice(&[0; HEAD_BYTES - CHECKSUM_AT]);
     for (kind, content) in sections {
         bytes.extend_from_slice(&kind.to_le_bytes());
@@ -99,6 +101,9 @@
         return Err(FrameError::Checksum);
     }
     let length = u32::from_le_bytes([head[12], head[13], head[14], head[15]]) as usize;
+    let number = u64::from_le_bytes([
+        head[16], head[17], head[18], head[19], head[20], head[21], head[22], head[23],
+    ]);
     let rest = &bytes[HEAD_BYTES..];
     if length > rest.len() {
         return Err(FrameError::TooShort);
@@ -107,6 +112,7 @@
     Ok(Some(Frame {
         protocol: u16::from_le_bytes([head[8], head[9]]),
         kind: u16::from_le_bytes([head[10], head[11]]),
+        number,
         body,
         sections,
     }))
--- a/crates/resident/src/peer/gossip.rs
+++ b/crates/resident/src/peer/gossip.rs
@@ -20,8 +20,9 @@
 
 pub use self::reads::Questions;
 use super::confirming::Confirming;
-use super::encoding::{decode, encode};
+use super::encoding::{MessageKind, decode, encode};
 use super::frame::PROTOCOL;
+use super::later::LaterDatagram;
 use super::links::PeerLinks;
 use super::members::{Member, Members};
 use super::message::{
@@ -29,6 +30,7 @@
     ReplicaStatus,
 };
 use super::targets::{FAN_OUT, targets};
+use super::unread::UNREAD;
 use crate::clock::Clock;
 use crate::view::View;
 use crate::watch_duty::{self, DutySignal, Place, SMALL_FLEET};
@@ -322,7 +324,8 @@
                 self.send(from, &Datagram::Confirmed { number, told }).await;
             }
             Ok(Datagram::Confirmed { number, told }) => self.on_confirmed(number, &told),
-            Err(_) => {}
+            Ok(Datagram::Later(LaterDatagram::Unknown(kind))) => UNREAD.on_unknown(from.ip(), kind),
+            Err(error) => UNREAD.on_unreadable(from.ip(), MessageKind::Datagram, error),
         }
     }
 
--- /dev/null
+++ b/crates/resident/src/peer/later.rs
@@ -0,0 +1,142 @@
+//! Kinds of messages that nodes of the first protocol version do not know.
+//!
+//! Each travels as a section beside a body that does those nodes no harm. Any node answers a kind that it does not
+//! know as such, so that whoever asks does without it (`docs/design/versions.md`, "A new kind of message").
+#![allow(
+    missing_docs,
+    reason = "the resolvers that rkyv derives carry undocumented fields"
+)]
+
+use rkyv::{Archive, Deserialize, Serialize};
+
+use super::encoding::{MessageError, from_bytes, to_bytes};
+use super::frame::{PROTOCOL, RawSection};
+
+/// Sections from this number on are messages themselves; those below it stand beside a body.
+pub const FIRST_KIND: u16 = 100;
+
+/// Numbers of the kinds of requests. A number is never used again for something else.
+mod request_kinds {
+    pub const FETCH_BUILD: u16 = 100;
+}
+
+/// Numbers of the kinds of replies.
+mod reply_kinds {
+    pub const BUILD: u16 = 200;
+}
+
+/// What one node asks another.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LaterRequest {
+    /// Something that this version does not know, with the number of its kind. It is never sent.
+    Unknown(u16),
+    /// Asks what the node runs.
+    FetchBuild,
+}
+
+/// What a node answers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LaterReply {
+    /// Something that this version does not know, with the number of its kind. It is never sent.
+    Unknown(u16),
+    /// What the node runs.
+    Build(Build),
+}
+
+/// What nodes say to each other over UDP.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LaterDatagram {
+    /// Something that this version does not know, with the number of its kind. It is never sent.
+    Unknown(u16),
+}
+
+/// What a node runs.
+#[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct Build {
+    /// Commit that the program was built from, `unknown` where the build was not told.
+    pub commit: String,
+    /// Version of the protocol that it speaks.
+    pub protocol: u16,
+}
+
+impl Build {
+    /// What this process runs.
+    pub fn here() -> Self {
+        Self {
+            commit: option_env!("RIDGEWORKS_COMMIT")
+                .unwrap_or("unknown")
+                .to_owned(),
+            protocol: PROTOCOL,
+        }
+    }
+}
+
+/// A message of such a kind.
+pub trait Later: Sized {
+    /// The section that carries it, with the number of its kind.
+    fn encode(&self) -> Result<(u16, Vec<u8>), MessageError>;
+    /// Reads it, also where this version does not know its kind.
+    fn decode(raw: RawSection<'_>) -> Result<Self, MessageError>;
+}
+
+impl Later for LaterRequest {
+    fn encode(&self) -> Result<(u16, Vec<u8>), MessageError> {
+        match self {
+            Self::Unknown(_) => Err(MessageError::Encode),
+            Self::FetchBuild => Ok((request_kinds::FETCH_BUILD, Vec::new())),
+        }
+    }
+
+    fn decode(raw: RawSection<'_>) -> Result<Self, MessageError> {
+        Ok(match raw.kind {
+            request_kinds::FETCH_BUILD => Self::FetchBuild,
+            kind => Self::Unknown(kind),
+        })
+    }
+}
+
+impl Later for LaterReply {
+    fn encode(&self) -> Result<(u16, Vec<u8>), MessageError> {
+        match self {
+            Self::Unknown(_) => Err(MessageError::Encode),
+            Self::Build(build) => Ok((reply_kinds::BUILD, to_bytes(build)?)),
+        }
+    }
+
+    fn decode(raw: RawSection<'_>) -> Result<Self, MessageError> {
+        Ok(match raw.kind {
+            reply_kinds::BUILD => Self::Build(from_bytes(raw.content)?),
+            kind => Self::Unknown(kind),
+        })
+    }
+}
+
+impl Later for LaterDatagram {
+    fn encode(&self) -> Result<(u16, Vec<u8>), MessageError> {
+        match self {
+            Self::Unknown(_) => Err(MessageError::Encode),
+        }
+    }
+
+    fn decode(raw: RawSection<'_>) -> Result<Self, MessageError> {
+        Ok(Self::Unknown(raw.kind))
+    }
+}
+
+impl Default for LaterRequest {
+    fn default() -> Self {
+        Self::Unknown(0)
+    }
+}
+
+impl Default for LaterReply {
+    fn default() -> Self {
+        Self::Unknown(0)
+    }
+}
+
+impl Default for LaterDatagram {
+    fn default() -> Self {
+        Self::Unknown(0)
+    }
+}
--- a/crates/resident/src/peer/link.rs
+++ b/crates/resident/src/peer/link.rs
@@ -14,8 +14,9 @@
 use tokio_util::codec::Framed;
 
 use super::codec;
-use super::encoding::{decode, encode};
+use super::encoding::{MessageKind, decode, encode, number_of};
 use super::message::{Envelope, PeerReply, PeerRequest};
+use super::unread::UNREAD;
 use crate::http_client::connect_tcp;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -37,6 +38,8 @@
     TimedOut,
     /// The node that was to pass the request on does not reach its receiver either.
     BeyondRelay,
+    /// The reply cannot be read.
+    Unreadable,
 }
 
 impl LinkError {
@@ -48,6 +51,7 @@
             Self::Full => "full",
             Self::TimedOut => "timed_out",
             Self::BeyondRelay => "beyond_relay",
+            Self::Unreadable => "unreadable",
         }
     }
 }
@@ -171,9 +175,18 @@
             frame = reader.next() => {
                 let Some(Ok(frame)) = frame else { break };
                 state.heard_at.set(Some(Instant::now()));
-                let Ok(envelope) = decode::<Envelope<PeerReply>>(&frame) else { break };
-                if let Some(reply) = open.remove(&envelope.number) {
-                    let _ = reply.send(Ok(envelope.body));
+                let (number, reply) = match decode::<Envelope<PeerReply>>(&frame) {
+                    Ok(envelope) => (Some(envelope.number), Ok(envelope.body)),
+                    Err(error) => {
+                        UNREAD.on_unreadable(to.ip(), MessageKind::Reply, error);
+                        if error.is_damage() {
+                            break;
+                        }
+                        (number_of(&frame), Err(LinkError::Unreadable))
+                    }
+                };
+                if let Some(waiting) = number.and_then(|number| open.remove(&number)) {
+                    let _ = waiting.send(reply);
                 }
             }
             () = tokio::time::sleep(IDLE_LIMIT) => break,
--- a/crates/resident/src/peer/message.rs
+++ b/crates/resident/src/peer/message.rs
@@ -16,6 +16,8 @@
 use rkyv::with::Skip;
 use rkyv::{Archive, Deserialize, Serialize};
 
+use super::later::{LaterDatagram, LaterReply, LaterRequest};
+
 /// What one node asks another.
 #[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub enum PeerRequest {
@@ -34,6 +36,8 @@
     PassOn(Box<PassedOn>),
     /// Asks a replica to copy before it joins the set, and how far it is.
     Prepare(Box<Preparing>),
+    /// What nodes of the first protocol version do not know; no body ever holds it.
+    Later(#[rkyv(with = Skip)] LaterRequest),
 }
 
 /// A copy that a replica is to make before it joins a set.
@@ -76,6 +80,8 @@
         /// Whether it holds what a read quorum of the voters held moments ago.
         is_ready: bool,
     },
+    /// What nodes of the first protocol version do not know; no body ever holds it.
+    Later(#[rkyv(with = Skip)] LaterReply),
 }
 
 /// How far a node knows the deployment.
@@ -228,4 +234,6 @@
         /// The last read, if there was one.
         read: Option<PromptRead>,
     },
+    /// What nodes of the first protocol version do not know; no body ever holds it.
+    Later(#[rkyv(with = Skip)] LaterDatagram),
 }
--- a/crates/resident/src/peer/mod.rs
+++ b/crates/resident/src/peer/mod.rs
@@ -4,16 +4,19 @@
 mod encoding;
 mod frame;
 mod gossip;
+mod later;
 mod link;
 mod links;
 mod members;
 mod message;
 mod server;
 mod targets;
+mod unread;
 
-pub use encoding::{MessageError, MessageKind, decode, encode};
+pub use encoding::{MessageError, MessageKind, decode, encode, number_of};
 pub use frame::{Frame, FrameError, PROTOCOL, RawSection, frame, unframe};
 pub use gossip::{Gossip, GossipSources, Questions, fetch_members, fetch_view};
+pub use later::{Build, LaterDatagram, LaterReply, LaterRequest};
 pub use link::LinkError;
 pub use links::{PeerLinks, patience};
 pub use members::{Member, Members};
@@ -23,6 +26,7 @@
 };
 pub use server::{PeerService, serve};
 pub use targets::targets;
+pub use unread::{UNREAD, Unread};
 
 use tokio_util::codec::LengthDelimitedCodec;
 
--- a/crates/resident/src/peer/server.rs
+++ b/crates/resident/src/peer/server.rs
@@ -1,7 +1,7 @@
 //! Answers requests of other nodes.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,8 +12,10 @@
 use tokio_util::codec::Framed;
 
 use super::codec;
-use super::encoding::{decode, encode};
+use super::encoding::{MessageKind, decode, encode, number_of};
+use super::later::LaterRequest;
 use super::message::{Envelope, PeerReply, PeerRequest};
+use super::unread::UNREAD;
 use crate::http_client::notice_silence;
 
 /// Replies that may wait for a slow reader before its connection is read no further.
@@ -35,8 +37,9 @@
     tokio::task::spawn_local(async move {
         loop {
             match listener.accept().await {
-                Ok((stream, _)) => {
-                    tokio::task::spawn_local(serve_connection(stream, Rc::clone(&service)));
+                Ok((stream, from)) => {
+                    let service = Rc::clone(&service);
+                    tokio::task::spawn_local(serve_connection(stream, from.ip(), service));
                 }
                 Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
             }
@@ -45,7 +48,7 @@
     Ok(())
 }
 
-async fn serve_connection(stream: TcpStream, service: Rc<impl PeerService>) {
+async fn serve_connection(stream: TcpStream, from: IpAddr, service: Rc<impl PeerService>) {
     if notice_silence(&stream).is_err() {
         return;
     }
@@ -59,17 +62,27 @@
         }
     });
     while let Ok(Some(Ok(frame))) = tokio::time::timeout(IDLE_LIMIT, reader.next()).await {
-        let Ok(envelope) = decode::<Envelope<PeerRequest>>(&frame) else {
+        let Some(request) = read(&frame, from) else {
             break;
         };
         let Ok(permit) = replies.clone().reserve_owned().await else {
             break;
         };
+        let (number, request) = match request {
+            Request::Known(envelope) => (envelope.number, envelope.body),
+            Request::NotKnown(Some(number)) => {
+                let body = PeerReply::Unsupported;
+                if let Ok(frame) = encode(&Envelope { number, body }) {
+                    permit.send(frame);
+                }
+                continue;
+            }
+            Request::NotKnown(None) => continue,
+        };
         let (reply, answered) = oneshot::channel();
-        service.on_request(envelope.body, reply);
+        service.on_request(request, reply);
         tokio::task::spawn_local(async move {
             let Ok(body) = answered.await else { return };
-            let number = envelope.number;
             if let Ok(frame) = encode(&Envelope { number, body }) {
                 permit.send(frame);
             }
@@ -78,3 +91,28 @@
     drop(replies);
     let _ = writing.await;
 }
+
+/// What has come by a connection.
+enum Request {
+    Known(Envelope<PeerRequest>),
+    /// Something that this version does not know or cannot read, with its number where that can be told.
+    NotKnown(Option<u64>),
+}
+
+/// Reads a request; `None` where the connection is of no use any more. What cannot be read costs whoever asked that one
+/// answer: others may wait for theirs by the same connection.
+fn read(frame: &[u8], from: IpAddr) -> Option<Request> {
+    match decode::<Envelope<PeerRequest>>(frame) {
+        Ok(envelope) => {
+            if let PeerRequest::Later(LaterRequest::Unknown(kind)) = envelope.body {
+                UNREAD.on_unknown(from, kind);
+                return Some(Request::NotKnown(Some(envelope.number)));
+            }
+            Some(Request::Known(envelope))
+        }
+        Err(error) => {
+            UNREAD.on_unreadable(from, MessageKind::Request, error);
+            (!error.is_damage()).then(|| Request::NotKnown(number_of(frame)))
+        }
+    }
+}
