Gateway: calls and refusals stand below what uses them

Cause: eight modules of the gateway's crate (at_engine, attempt, entry, exchange, gateway, rate_limits, streaming, whole_answer) were one circle: rate_limits took COME_BACK of entry, entry calls exchange, and gateway holds rate_limits. Now: `Call` stands in call.rs, COME_BACK and refusal_response in refusal.rs, and the age of the version is a method of the gateway. Moved as they were; nothing behaves otherwise. Weighed: COME_BACK in routing beside Refusal; left, since only the gateway chooses it.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -14,7 +14,7 @@
 use tokio::time::Instant;
 
 use crate::at_engine::AtEngine;
-use crate::entry::Call;
+use crate::call::Call;
 use crate::gateway::Gateway;
 
 /// Why an attempt did not succeed.
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -5,26 +5,23 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{CONNECTION, HOST};
+use http::header::HOST;
 use http::request::Parts;
-use http::{HeaderMap, HeaderValue, Method, Request, Response};
+use http::{Method, Request, Response};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use ridgeworks_platform::{read_metadata, refusal_headers, refusal_status};
-use ridgeworks_records::{ProgramId, TurnId};
+use ridgeworks_platform::read_metadata;
 use ridgeworks_routing::{
-    CallMetadata, CallerLimits, Refusal, RefusalReason, RequestKind, Route, RouteTable, Tenant,
+    CallMetadata, CallerLimits, Refusal, RefusalReason, Route, RouteTable, Tenant,
 };
 use tokio::time::Instant;
 
+use crate::call::Call;
 use crate::caller::{Caller, CallerBody};
 use crate::exchange;
 use crate::gateway::{BodyRoom, Gateway, OpenRequest};
+use crate::refusal::{COME_BACK, refusal_response};
 
-/// When a client may come back after a refusal that passes by itself.
-pub const COME_BACK: Duration = Duration::from_millis(150);
-/// Rank of turns of programs that are late.
-const LATE_PRIORITY: u8 = 8;
 /// Requests that are open at once.
 const MAX_OPEN_REQUESTS: usize = 4_000;
 /// How long a body may take.
@@ -37,91 +34,12 @@
     idle_timeout_ms: 15_000,
 };
 
-/// One attempt of a client, ready to be carried out.
-pub struct Call {
-    /// Its method.
-    pub method: Method,
-    /// Its path and query, as they came.
-    pub path: String,
-    /// Its headers.
-    pub headers: HeaderMap,
-    /// Its body.
-    pub body: Bytes,
-    /// What its headers say.
-    pub metadata: CallMetadata,
-    /// Its route.
-    pub route: Arc<Route>,
-    /// Who it belongs to; `None` where no key is asked for.
-    pub tenant: Option<Arc<Tenant>>,
-    /// The service that is to run it.
-    pub service: String,
-    /// Version of the configuration that decided.
-    pub version: u64,
-    /// When its head came.
-    pub received: Instant,
-    /// When it has to be answered.
-    pub limit: Instant,
-    /// Held for as long as the request is.
-    pub _room: BodyRoom,
-    /// Held for as long as the request is.
-    pub _open: OpenRequest,
-}
-
-impl Call {
-    /// Name of the tenant that turns and ledgers of the request belong to.
-    pub fn owner(&self) -> Option<&str> {
-        self.tenant.as_ref().map(|tenant| tenant.name.as_str())
-    }
-
-    /// The request as a turn.
-    pub fn turn(&self) -> TurnId {
-        TurnId::of(self.owner(), &self.metadata.request_id)
-    }
-
-    /// The turn that it goes on from.
-    pub fn previous_turn(&self) -> Option<TurnId> {
-        let previous = self.metadata.previous_turn.as_deref()?;
-        Some(TurnId::of(self.owner(), previous))
-    }
-
-    /// The program that it belongs to.
-    pub fn program(&self) -> Option<ProgramId> {
-        let program = self.metadata.program.as_deref()?;
-        Some(ProgramId::of(self.owner(), program))
-    }
-
-    /// Rank of the request at engines, 0 first: the tenant's or the route's, and the last one for a turn of a program that
-    /// is late already, so that others still come in time.
-    pub fn priority(&self) -> u8 {
-        let is_turn = self.route.kind == RequestKind::Stream;
-        if is_turn && self.metadata.is_late() {
-            LATE_PRIORITY
-        } else {
-            let own = self.tenant.as_ref().and_then(|tenant| tenant.priority);
-            own.unwrap_or(self.route.priority)
-        }
-    }
-}
-
 /// The bounds for clients in force.
 pub fn caller_limits(gateway: &Gateway) -> CallerLimits {
     let routes = gateway.node.view.routes();
     routes.map_or(DEFAULT_LIMITS, |routes| routes.limits())
 }
 
-/// An answer without an engine's.
-pub fn refusal_response(refusal: &Refusal) -> Response<Bytes> {
-    let mut response = Response::new(Bytes::new());
-    *response.status_mut() = refusal_status(refusal.reason);
-    *response.headers_mut() = refusal_headers(refusal);
-    if refusal.reason.is_of_gateway() {
-        // The client's next request comes on a new connection, which the platform gives to another gateway.
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(CONNECTION, close);
-    }
-    response
-}
-
 /// Answers one request. Dropping the future means that the client has gone away.
 pub async fn answer(gateway: Rc<Gateway>, request: Request<Incoming>) -> Response<CallerBody> {
     let received = Instant::now();
@@ -169,18 +87,12 @@
         outcome = "refused",
         reason = refusal.reason.name(),
         version = gateway.node.view.version(),
-        version_age_ms = age_ms(gateway);
+        version_age_ms = gateway.version_age_ms();
         "request refused at entry"
     );
     refusal_response(refusal).map(|body| CallerBody::Whole(Some(body)))
 }
 
-/// Milliseconds since the configuration was confirmed, -1 when it never was.
-pub fn age_ms(gateway: &Gateway) -> i64 {
-    let age = gateway.node.view.unconfirmed_for();
-    age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX))
-}
-
 async fn read_body(gateway: &Rc<Gateway>, body: Incoming) -> Result<(Bytes, BodyRoom), Refusal> {
     let max_bytes = caller_limits(gateway).max_body_bytes;
     let announced = hyper::body::Body::size_hint(&body).lower();
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -18,9 +18,10 @@
 use self::report::Ending;
 use crate::at_engine::AtEngine;
 use crate::attempt::{self, Answered, AttemptFailure, Sending};
+use crate::call::Call;
 use crate::caller::Caller;
-use crate::entry::{Call, refusal_response};
 use crate::gateway::Gateway;
+use crate::refusal::refusal_response;
 use crate::streaming::{ClientSide, Passed, StreamEnd, pass_on};
 use crate::whole_answer;
 
--- a/crates/gateway/src/exchange/engine_choice.rs
+++ b/crates/gateway/src/exchange/engine_choice.rs
@@ -10,7 +10,7 @@
 
 use super::Exchange;
 use crate::attempt::AttemptFailure;
-use crate::entry::COME_BACK;
+use crate::refusal::COME_BACK;
 
 /// Engines that may reject a request before the client is told to come back.
 const MAX_REJECTIONS: usize = 3;
--- a/crates/gateway/src/exchange/preparation.rs
+++ b/crates/gateway/src/exchange/preparation.rs
@@ -10,8 +10,8 @@
 use tokio::time::Instant;
 
 use super::Exchange;
-use crate::entry::COME_BACK;
 use crate::records_client::keep_ms;
+use crate::refusal::COME_BACK;
 
 /// How long a turn waits for the replicas before it is refused.
 const RECORDS_PATIENCE: Duration = Duration::from_millis(700);
--- a/crates/gateway/src/exchange/report.rs
+++ b/crates/gateway/src/exchange/report.rs
@@ -5,7 +5,6 @@
 use tokio::time::Instant;
 
 use super::Exchange;
-use crate::entry::age_ms;
 
 /// How a request ended.
 #[derive(Debug, Clone, Copy)]
@@ -64,7 +63,7 @@
             route = call.route.name.as_str(),
             service = call.service.as_str(),
             version = call.version,
-            version_age_ms = age_ms(&self.gateway),
+            version_age_ms = self.gateway.version_age_ms(),
             epoch = self.gateway.node.view.epoch().0,
             group = self.gateway.records.group_of(call.program().as_ref()).0,
             outcome = ending.name(),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -267,6 +267,12 @@
         }
     }
 
+    /// Milliseconds since the configuration was confirmed, -1 when it never was.
+    pub fn version_age_ms(&self) -> i64 {
+        let age = self.node.view.unconfirmed_for();
+        age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX))
+    }
+
     /// Brings the gauges up to date.
     pub fn update_gauges(&self) {
         let view = &self.node.view;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod at_engine;
 mod attempt;
+mod call;
 mod caller;
 mod engine_pool;
 mod entry;
@@ -18,6 +19,7 @@
 mod quorum_health;
 mod rate_limits;
 mod records_client;
+mod refusal;
 mod replica_paths;
 mod role;
 mod streaming;
--- a/crates/gateway/src/rate_limits.rs
+++ b/crates/gateway/src/rate_limits.rs
@@ -15,7 +15,7 @@
 use ridgeworks_routing::{RateLimit, Refusal, RefusalReason, Tenant};
 use tokio::time::Instant;
 
-use crate::entry::COME_BACK;
+use crate::refusal::COME_BACK;
 use crate::replica_paths::ReplicaPaths;
 
 /// How long one limiter may take before another one is asked too, at least: its answer comes in a few milliseconds, beside the
