Limiters keep the newest limit of tenants that are quiet

Cause (found by reading): a bucket that was full was let go after ten seconds, with the version that set its limit, so that a gateway which had not heard of a lower limit brought the earlier one back until a request with the newer version came. Now: full buckets stay for the limits that they tell, 4,096 at most at a limiter; beyond them those of the oldest versions go first, the newest version among them is remembered, and a request of an older version whose tenant is not known is told to come back in 0.2 s. Ruled out: the newest version alone, kept beside the buckets: it does not tell the lower limit, so each tenant that was quiet would have to be turned away at every gateway that lags, after any change of the configuration. A new bucket that starts low: the earlier limit's rate would still count.

--- a/crates/quota/src/limiter.rs
+++ b/crates/quota/src/limiter.rs
@@ -10,6 +10,10 @@
 /// Part of a bucket that requests of programs that are under way find when others find it empty. Where a tenant asks for more than its
 /// limit, every program that is let in can be carried out; without it each program lost some request in its midst.
 const BEGUN_SHARE: f64 = 0.55;
+/// Full buckets that are kept for the limits that they tell: more than a deployment has tenants, within half a megabyte.
+const MAX_FULL_BUCKETS: usize = 4_096;
+/// When a request may come back whose limit may be out of date: its gateway hears of the newer version meanwhile.
+const UNSURE_RETRY: Duration = Duration::from_millis(200);
 
 /// How far the program of a request has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -95,6 +99,8 @@
     /// Since when it is known what this limiter has given out.
     since: Duration,
     buckets: HashMap<String, Bucket>,
+    /// Newest version among the limits that were let go.
+    forgotten: u64,
 }
 
 impl Limiter {
@@ -105,6 +111,7 @@
             limiters,
             since: now,
             buckets: HashMap::new(),
+            forgotten: 0,
         }
     }
 
@@ -120,6 +127,13 @@
     ) -> Verdict {
         let longest = self.bounds.window;
         if !self.buckets.contains_key(tenant) {
+            if version < self.forgotten {
+                // A lower limit may be among those that were let go.
+                return Verdict::Exhausted {
+                    next: UNSURE_RETRY,
+                    retry: UNSURE_RETRY,
+                };
+            }
             let bucket = self.new_bucket(limit, version, now);
             self.buckets.insert(tenant.to_owned(), bucket);
         }
@@ -158,24 +172,40 @@
         }
     }
 
-    /// Lets go of buckets that are full again, which a new one will be as well.
+    /// Lets go of full buckets beyond those that are kept so that no gateway brings an earlier limit than the newest one that was heard of.
+    /// Those with limits of the oldest versions go first.
     pub fn tidy(&mut self, now: Duration) {
         if now.saturating_sub(self.since) < self.bounds.window {
             return;
         }
-        self.buckets.retain(|_, bucket| {
-            bucket.fill(now);
-            !bucket.is_full()
-        });
+        let buckets = self.buckets.values_mut();
+        buckets.for_each(|bucket| bucket.fill(now));
+        let full = self.buckets.values().filter(|bucket| bucket.is_full());
+        let mut versions: Vec<u64> = full.map(|bucket| bucket.version).collect();
+        if versions.len() <= MAX_FULL_BUCKETS {
+            return;
+        }
+        let last = versions.len() - MAX_FULL_BUCKETS - 1;
+        let (_, newest, _) = versions.select_nth_unstable(last);
+        let newest = *newest;
+        self.forgotten = self.forgotten.max(newest);
+        self.buckets
+            .retain(|_, bucket| !bucket.is_full() || bucket.version > newest);
     }
 
     /// Tenants of whom something was taken lately.
     pub fn len(&self) -> usize {
-        self.buckets.len()
+        let taken = self.buckets.values().filter(|bucket| !bucket.is_full());
+        taken.count()
     }
 
     /// Whether nothing was taken lately.
     pub fn is_empty(&self) -> bool {
-        self.buckets.is_empty()
+        self.len() == 0
+    }
+
+    /// Tenants whose limits are kept.
+    pub fn kept(&self) -> usize {
+        self.buckets.len()
     }
 }
--- a/crates/quota/tests/simulation.rs
+++ b/crates/quota/tests/simulation.rs
@@ -132,6 +132,43 @@
     assert!(granted(&mut limiter, limit(500), 3, filled) >= 499);
 }
 
+#[test]
+fn a_lower_limit_is_known_also_after_the_tenant_was_quiet() {
+    let mut limiter = Limiter::new(BOUNDS, 1, Duration::ZERO);
+    granted(&mut limiter, limit(5), 2, Duration::from_secs(10));
+    let later = Duration::from_secs(60);
+    limiter.tidy(later);
+    assert!(limiter.is_empty(), "nothing was taken lately");
+    // A gateway that has not heard of the lower limit.
+    let full = share(limit(5), &BOUNDS, 1).capacity as usize;
+    assert_eq!(granted(&mut limiter, limit(500), 1, later), full);
+}
+
+#[test]
+fn a_limiter_keeps_few_limits_and_takes_no_earlier_one_for_those_that_it_let_go() {
+    let mut limiter = Limiter::new(BOUNDS, 1, Duration::ZERO);
+    let once = |limiter: &mut Limiter, tenant: u64, version: u64, now: Duration| {
+        let tenant = format!("tenant-{tenant}");
+        limiter.admit(&tenant, Progress::UnderWay, limit(5), version, now)
+    };
+    let now = Duration::from_secs(10);
+    for tenant in 0..20_000 {
+        assert_eq!(
+            once(&mut limiter, tenant, 1 + tenant, now),
+            Verdict::Granted
+        );
+    }
+    let later = Duration::from_secs(60);
+    limiter.tidy(later);
+    assert!(limiter.is_empty());
+    assert!(limiter.kept() <= 5_000, "{}", limiter.kept());
+    // Of the first tenant nothing is known, and its limit may have been lowered.
+    assert_ne!(once(&mut limiter, 0, 1, later), Verdict::Granted);
+    assert_eq!(once(&mut limiter, 0, 20_000, later), Verdict::Granted);
+    // Those that asked last by the newest versions are known.
+    assert_eq!(once(&mut limiter, 19_999, 1, later), Verdict::Granted);
+}
+
 #[test]
 fn those_that_are_turned_away_come_back_one_after_the_other() {
     let mut limiter = Limiter::new(BOUNDS, 1, Duration::ZERO);
