Gateway: only turns whose tokens were asked for are settled

Cause: a request that was refused before anything was reserved (no majority, known beforehand) was settled all the same: a write for the replicas just when they come back, and the identifier counted as used from then on. Now: the exchange notes whether replicas were asked to reserve, also where no answer came or the client left, and settles only then. Ruled out: settling only what is known to be reserved: a replica may hold the turn at its most while the answer was lost.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -4,6 +4,7 @@
 mod preparation;
 mod report;
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -42,6 +43,8 @@
     tried: Tried,
     passed: Passed,
     reserved: Option<Duration>,
+    /// Whether replicas were asked to reserve tokens, so that some may hold the turn in its program's ledger.
+    is_charged: Cell<bool>,
     /// Whether the ledger tells of earlier turns of the program.
     is_under_way: bool,
     /// Whether the request has a grant of its tenant's limit.
@@ -61,6 +64,7 @@
         tried: Tried::default(),
         passed,
         reserved: None,
+        is_charged: Cell::new(false),
         is_under_way: false,
         is_granted: false,
     };
--- a/crates/gateway/src/exchange/preparation.rs
+++ b/crates/gateway/src/exchange/preparation.rs
@@ -148,6 +148,7 @@
         let began = Instant::now();
         let most = self.call.metadata.most_tokens;
         let entry = LedgerEntry { most, spent: None };
+        self.is_charged.set(true);
         let charging = self.gateway.records.charge(
             &account.program,
             &account.turn,
@@ -242,9 +243,10 @@
         self.gateway.turns.borrow_mut().insert(record, until, now);
     }
 
-    /// Puts what was generated in place of what was reserved, without making anybody wait.
+    /// Puts what was generated in place of what was reserved, without making anybody wait. Where nothing was asked to be reserved, it would
+    /// be work for replicas that have just come back, and use the identifier up.
     pub(super) fn settle(&self) {
-        let Some(account) = self.account() else {
+        let Some(account) = self.account().filter(|_| self.is_charged.get()) else {
             return;
         };
         self.gateway.records.settle(Settlement {
--- a/crates/node/tests/resident_records.rs
+++ b/crates/node/tests/resident_records.rs
@@ -294,6 +294,36 @@
     assert_eq!(other.status, 402);
 }
 
+/// A gateway that knows that no majority answers refuses at once and asks no replica: nothing was reserved, so there is nothing to settle,
+/// and the identifier is as good as new.
+#[test]
+fn a_turn_that_was_refused_before_anything_was_reserved_may_come_again() {
+    let mut deployment = Deployment::started(PROGRAM, 1, 3);
+    let _engine = deployment.engine("models", "i-1", stream(2));
+    let gateway = deployment.gateways[0].callers();
+    send_until_served(gateway, &budgeted("b-1", "p", 1_000, 30));
+    deployment.replicas.iter_mut().for_each(Process::kill);
+    let mut tries = 0;
+    wait_until("the gateway knows that the majority is lost", || {
+        tries += 1;
+        let call = budgeted(&format!("b-2-{tries}"), "p", 1_000, 30);
+        call.send(gateway).is_some_and(|reply| reply.status == 503)
+            && !deployment.gateways[0].is_ready()
+    });
+    let refused = budgeted("b-3", "p", 1_000, 30).send(gateway);
+    assert_eq!(refused.expect("an answer").status, 503);
+    deployment.replicas.iter_mut().for_each(Process::start);
+    wait_until("turns are served again", || {
+        tries += 1;
+        let call = budgeted(&format!("b-2-{tries}"), "p", 1_000, 30);
+        call.send(gateway).is_some_and(|reply| reply.status == 200)
+    });
+    // Longer than settlements are gathered.
+    std::thread::sleep(Duration::from_millis(1_000));
+    let served = budgeted("b-3", "p", 1_000, 30).send(gateway);
+    assert_eq!(served.expect("an answer").status, 200);
+}
+
 #[test]
 fn without_replicas_a_budgeted_turn_is_refused_and_not_run() {
     let mut deployment = Deployment::started(PROGRAM, 1, 3);
