--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -4,6 +4,7 @@
 mod preparation;
 mod report;
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -18,9 +19,10 @@
 use self::report::Ending;
 use crate::at_engine::AtEngine;
 use crate::attempt::{self, Answered, AttemptFailure, Sending};
+use crate::call::Call;
 use crate::caller::Caller;
-use crate::entry::{Call, refusal_response};
 use crate::gateway::Gateway;
+use crate::refusal::refusal_response;
 use crate::streaming::{ClientSide, Passed, StreamEnd, pass_on};
 use crate::whole_answer;
 
@@ -41,6 +43,8 @@
     tried: Tried,
     passed: Passed,
     reserved: Option<Duration>,
+    /// Whether replicas were asked to reserve tokens, so that some may hold the turn in its program's ledger.
+    is_charged: Cell<bool>,
     /// Whether the ledger tells of earlier turns of the program.
     is_under_way: bool,
     /// Whether the request has a grant of its tenant's limit.
@@ -60,6 +64,7 @@
         tried: Tried::default(),
         passed,
         reserved: None,
+        is_charged: Cell::new(false),
         is_under_way: false,
         is_granted: false,
     };
