--- a/crates/quota/src/bucket.rs
+++ b/crates/quota/src/bucket.rs
@@ -9,6 +9,10 @@
 /// Part of a bucket that requests of programs that are under way find when others find it empty. Where a tenant asks for more than its
 /// limit, every program that is let in can be carried out; without it each program lost some request in its midst.
 const BEGUN_SHARE: f64 = 0.55;
+/// Full buckets that are kept for the limits that they tell: more than a deployment has tenants, within half a megabyte.
+const MAX_FULL_BUCKETS: usize = 4_096;
+/// When a request may come back whose limit may be out of date: its gateway hears of the newer version meanwhile.
+const UNSURE_RETRY: Duration = Duration::from_millis(200);
 
 /// A token bucket for one share of a limit. Times are since the start of the process.
 #[derive(Debug)]
@@ -84,7 +88,11 @@
 
 /// The buckets of one limiter, by whose limit it is.
 #[derive(Debug, Default)]
-pub(crate) struct Buckets(HashMap<String, Bucket>);
+pub(crate) struct Buckets {
+    buckets: HashMap<String, Bucket>,
+    /// Newest version among the limits that were let go.
+    forgotten: u64,
+}
 
 impl Buckets {
     /// Takes from the bucket of this name: this one, unless there is one.
@@ -95,8 +103,15 @@
         progress: Progress,
         longest: Duration,
     ) -> Verdict {
-        let Some(bucket) = self.0.get_mut(name) else {
-            let bucket = self.0.entry(name.to_owned()).or_insert(fresh);
+        let Some(bucket) = self.buckets.get_mut(name) else {
+            if fresh.version < self.forgotten {
+                // A lower limit may be among those that were let go.
+                return Verdict::Exhausted {
+                    next: UNSURE_RETRY,
+                    retry: UNSURE_RETRY,
+                };
+            }
+            let bucket = self.buckets.entry(name.to_owned()).or_insert(fresh);
             return bucket.take(progress, longest);
         };
         bucket.fill(fresh.at);
@@ -104,15 +119,32 @@
         bucket.take(progress, longest)
     }
 
-    /// Lets go of those that are full again, which a new one will be as well.
+    /// Lets go of full buckets beyond those that are kept so that no gateway brings an earlier limit than the newest one that was heard of.
+    /// Those with limits of the oldest versions go first.
     pub(crate) fn tidy(&mut self, now: Duration) {
-        self.0.retain(|_, bucket| {
-            bucket.fill(now);
-            !bucket.is_full()
-        });
+        let buckets = self.buckets.values_mut();
+        buckets.for_each(|bucket| bucket.fill(now));
+        let full = self.buckets.values().filter(|bucket| bucket.is_full());
+        let mut versions: Vec<u64> = full.map(|bucket| bucket.version).collect();
+        if versions.len() <= MAX_FULL_BUCKETS {
+            return;
+        }
+        let last = versions.len() - MAX_FULL_BUCKETS - 1;
+        let (_, newest, _) = versions.select_nth_unstable(last);
+        let newest = *newest;
+        self.forgotten = self.forgotten.max(newest);
+        self.buckets
+            .retain(|_, bucket| !bucket.is_full() || bucket.version > newest);
     }
 
+    /// Those of which something was taken lately.
     pub(crate) fn len(&self) -> usize {
-        self.0.len()
+        let taken = self.buckets.values().filter(|bucket| !bucket.is_full());
+        taken.count()
+    }
+
+    /// All that are kept.
+    pub(crate) fn kept(&self) -> usize {
+        self.buckets.len()
     }
 }
--- a/crates/quota/src/limiter.rs
+++ b/crates/quota/src/limiter.rs
@@ -81,7 +81,7 @@
         Bucket::new(share, level, version, now)
     }
 
-    /// Lets go of buckets that are full again, which a new one will be as well.
+    /// Lets go of full buckets beyond those that are kept so that no gateway brings an earlier limit than the newest one that was heard of.
     pub fn tidy(&mut self, now: Duration) {
         if now.saturating_sub(self.since) < self.bounds.window {
             return;
@@ -98,4 +98,9 @@
     pub fn is_empty(&self) -> bool {
         self.buckets.len() == 0
     }
+
+    /// Tenants whose limits are kept.
+    pub fn kept(&self) -> usize {
+        self.buckets.kept()
+    }
 }
--- a/crates/quota/src/warm_up.rs
+++ b/crates/quota/src/warm_up.rs
@@ -105,7 +105,7 @@
             .take(engine, fresh, Progress::UnderWay, LONGEST_WAIT)
     }
 
-    /// Lets go of buckets that are full again, which a new one will be as well.
+    /// Lets go of full buckets beyond those that are kept for the limits that they tell.
     pub fn tidy(&mut self, now: Duration) {
         self.buckets.tidy(now);
     }
