Gateways ask for grants before requests go to engines that warm up

Cause: nobody counted over all gateways what an engine gets that warms up.

The choice of an engine bars those that warm up and have nothing; a grant is asked for beside the reservation of tokens and judged again right before the request is written. Limiters are the voters of the engine's group, by a new kind of request; a node that does not know it gives nothing. Where all engines of a service warm up and have what they bear, the rest is refused at once. Without the bounds in the settings, or a limit of the service, nothing is asked.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -9,8 +9,9 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use ridgeworks_platform::{EngineHead, EngineOrder, engine_headers, read_engine_head};
+use ridgeworks_quota::Grant;
 use ridgeworks_resident::http_client::{ConnectError, Connection};
-use ridgeworks_routing::{Engine, Outcome};
+use ridgeworks_routing::{Bar, Engine, Outcome};
 use tokio::time::Instant;
 
 use crate::at_engine::AtEngine;
@@ -20,6 +21,8 @@
 /// Why an attempt did not succeed.
 #[derive(Debug)]
 pub enum AttemptFailure {
+    /// Since it was chosen, the engine may get nothing any more; it never saw the request.
+    Barred(Bar),
     /// No connection; the engine never saw the request.
     NotSent(ConnectError),
     /// The engine closed the new connection before the request went out.
@@ -39,13 +42,16 @@
 impl AttemptFailure {
     /// Whether the engine certainly did not run the request.
     pub fn is_not_run(&self) -> bool {
-        matches!(self, Self::NotSent(_) | Self::Unsent | Self::Rejected(_))
+        matches!(
+            self,
+            Self::Barred(_) | Self::NotSent(_) | Self::Unsent | Self::Rejected(_)
+        )
     }
 
-    /// What it says of the engine; a full one says nothing.
+    /// What it says of the engine; a full one says nothing, nor one that was not asked.
     pub fn outcome(&self) -> Option<Outcome> {
         match self {
-            Self::Rejected(_) => None,
+            Self::Barred(_) | Self::Rejected(_) => None,
             Self::NotSent(_) | Self::Unsent => Some(Outcome::Unreached),
             Self::Lost | Self::Garbled | Self::BrokenOff | Self::Silent => Some(Outcome::Failed),
         }
@@ -54,6 +60,7 @@
     /// Name for logs and metrics.
     pub fn name(&self) -> &'static str {
         match self {
+            Self::Barred(bar) => bar.name(),
             Self::NotSent(error) => error.name(),
             Self::Unsent => "unsent",
             Self::Rejected(_) => "rejected",
@@ -109,6 +116,10 @@
     pub body: &'a Bytes,
     /// Last event that was passed on, when a stream is taken up.
     pub last_event_id: Option<u64>,
+    /// Drawn for the request: decides whether an engine that is hardly warm gets it.
+    pub draw: f64,
+    /// For an engine that warms up.
+    pub grant: Option<Grant>,
 }
 
 /// Sends a request to an engine and waits for the head of its answer.
@@ -126,10 +137,15 @@
             None => new_connection(gateway, engine).await?,
         };
         let request = build_request(engine, &sending);
+        if let Err(bar) = gateway.warm_ups.admit(engine, sending.draw, sending.grant) {
+            gateway.pool.give_back(engine.key(), connection, None);
+            return Err(AttemptFailure::Barred(bar));
+        }
         match connection.try_send_request(request).await {
             Ok(response) => {
                 let (parts, body) = response.into_parts();
                 let head = read_engine_head(parts.status.as_u16(), &parts.headers);
+                gateway.warm_ups.on_answer(engine, head.warm_up);
                 let answered = Answered {
                     status: parts.status,
                     headers: parts.headers,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -49,6 +49,8 @@
     is_under_way: bool,
     /// Whether the request has a grant of its tenant's limit.
     is_granted: bool,
+    /// Drawn for the request: decides whether an engine that is hardly warm gets it.
+    draw: f64,
 }
 
 /// Carries a request out and gives its answer to the caller.
@@ -67,6 +69,7 @@
         is_charged: Cell::new(false),
         is_under_way: false,
         is_granted: false,
+        draw: rand::random(),
     };
     let ending = exchange.carry_out(caller).await;
     let is_own_account = !matches!(
@@ -101,6 +104,9 @@
                 return self.give_up(client, refusal).await;
             }
             let Some(engine) = self.next_engine() else {
+                if let Some(refusal) = self.refusal_of_warm_ups() {
+                    return self.give_up(client, refusal).await;
+                }
                 if !self.may_wait_for_room() {
                     let refusal = self.failure();
                     return self.give_up(client, refusal).await;
@@ -111,6 +117,9 @@
                 }
                 continue;
             };
+            if !self.is_secured(&engine).await {
+                continue;
+            }
             match self.attempt(&engine, client).await {
                 Ok(ending) => return ending,
                 Err(returned) => client = returned,
@@ -161,6 +170,8 @@
             call: &self.call,
             body: &self.prompt,
             last_event_id: self.passed.last_event_id.filter(|_| is_taken_up),
+            draw: self.draw,
+            grant: self.tried.grant,
         };
         let first_limit = self.first_event_limit();
         tokio::select! {
--- a/crates/gateway/src/exchange/engine_choice.rs
+++ b/crates/gateway/src/exchange/engine_choice.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
+use ridgeworks_quota::Grant;
 use ridgeworks_resident::clock::whole_ms;
 use ridgeworks_routing::{
-    Demand, Engine, EngineKey, Forecast, Refusal, RefusalReason, RequestKind,
+    Demand, Engine, EngineKey, EngineRule, Forecast, Refusal, RefusalReason, RequestKind,
 };
 use tokio::time::Instant;
 
@@ -25,6 +26,9 @@
 /// How many times its target a first event may take before another engine is asked.
 const FIRST_EVENT_PATIENCE: u32 = 4;
 
+/// Engines that warm up and had nothing for a request before it asks for no further one.
+const MAX_PASSED_OVER: usize = 3;
+
 /// What is known about the engines that were asked.
 #[derive(Default)]
 pub(super) struct Tried {
@@ -41,6 +45,10 @@
     pub(super) taken_up_at: Option<String>,
     pub(super) rejections: usize,
     pub(super) unreachable: usize,
+    /// Engines that warm up and had nothing for the request.
+    pub(super) passed_over: usize,
+    /// For the engine that was chosen last, where it warms up.
+    pub(super) grant: Option<Grant>,
     /// Whether all engines were full or out of reach once before.
     pub(super) has_waited: bool,
     /// The engine that was chosen last.
@@ -57,6 +65,7 @@
         self.excluded.clear();
         self.rejections = 0;
         self.unreachable = 0;
+        self.passed_over = 0;
         self.has_waited = true;
     }
 
@@ -90,19 +99,59 @@
         if tried.counted() >= self.call.route.max_attempts as usize {
             return self.same_engine();
         }
+        let (engine, cost_ms) = self.choose()?;
+        self.tried.cost_ms = cost_ms;
+        self.tried.asked_last = engine.instance.clone();
+        Some(engine)
+    }
+
+    /// The best engine for the request now, as far as the rules allow.
+    fn choose(&self) -> Option<(Engine, f64)> {
+        let may_ask = self.tried.passed_over < MAX_PASSED_OVER;
+        let warm_ups = &self.gateway.warm_ups;
+        let warm_up = warm_ups.rule(&self.call.service, self.draw, may_ask);
+        let warm_up = warm_up.as_ref().map(|rule| rule as &dyn EngineRule);
         let metadata = &self.call.metadata;
-        let chosen = self.gateway.choose_engine(&Demand {
+        self.gateway.choose_engine(&Demand {
             service: &self.call.service,
             key: metadata.placement_key(),
             parts: &metadata.prompt_parts,
             zone: &self.gateway.node.settings.zone,
-            excluded: &tried.excluded,
-            rules: &[],
-        });
-        let (engine, cost_ms) = chosen?;
-        self.tried.cost_ms = cost_ms;
-        self.tried.asked_last = engine.instance.clone();
-        Some(engine)
+            excluded: &self.tried.excluded,
+            rules: warm_up.as_slice(),
+        })
+    }
+
+    /// Asks for a grant beside what the request waits for anyway, where it would go to an engine that warms up.
+    pub(super) async fn foresee_grant(&self) {
+        let warm_ups = &self.gateway.warm_ups;
+        let service = &self.call.service;
+        if warm_ups.rule(service, self.draw, true).is_none() {
+            return;
+        }
+        if let Some((engine, _)) = self.choose() {
+            let request = &self.call.metadata.request_id;
+            let secured = warm_ups.secure(request, &engine, self.draw).await;
+            warm_ups.put_by(&engine, secured.unwrap_or_default());
+        }
+    }
+
+    /// Whether the request may go to the engine that was chosen; it is passed over otherwise.
+    pub(super) async fn is_secured(&mut self, engine: &Engine) -> bool {
+        let request = &self.call.metadata.request_id;
+        let securing = self.gateway.warm_ups.secure(request, engine, self.draw);
+        let secured = securing.await;
+        self.tried.passed_over += usize::from(secured.is_err());
+        self.tried.grant = secured.unwrap_or_default();
+        secured.is_ok()
+    }
+
+    /// The refusal of a request whose service has only engines that warm up and have what they bear.
+    pub(super) fn refusal_of_warm_ups(&self) -> Option<Refusal> {
+        let may_have_run = !self.tried.ran_on.is_empty() || self.passed.events > 0;
+        let warm_ups = &self.gateway.warm_ups;
+        let refusal = warm_ups.refusal(&self.call.service, self.draw);
+        refusal.filter(|_| !may_have_run)
     }
 
     /// A stream may be taken up once at the engine that broke it off: that is no further engine.
@@ -157,6 +206,7 @@
         match failure {
             AttemptFailure::NotSent(_) | AttemptFailure::Unsent => {
                 tried.unreachable += 1;
+                self.gateway.warm_ups.on_found_away(engine);
                 // It ran the request and takes no connection any more: it has ended.
                 if was_excluded && tried.ran_on.contains(instance) {
                     tried.ended.push(instance.clone());
--- a/crates/gateway/src/exchange/preparation.rs
+++ b/crates/gateway/src/exchange/preparation.rs
@@ -37,11 +37,12 @@
             return Err(refusal);
         }
         let began = Instant::now();
-        let (prompt, reserved, granted, ()) = tokio::join!(
+        let (prompt, reserved, granted, (), ()) = tokio::join!(
             self.read_prompt(),
             self.reserve(),
             self.take_grant(),
-            self.learn_reads()
+            self.learn_reads(),
+            self.foresee_grant()
         );
         self.is_granted = granted.is_ok();
         // First: whoever used this identifier before has an account that this request must not touch.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -21,6 +21,7 @@
 use crate::rate_limits::RateLimits;
 use crate::records_client::RecordsClient;
 use crate::turn_cache::TurnCache;
+use crate::warm_ups::WarmUpCare;
 
 /// Part of the process's memory that cached turns may take.
 const CACHE_SHARE: u64 = 8;
@@ -52,6 +53,8 @@
     pub turns: RefCell<TurnCache>,
     /// Whether keys that are known are still in force.
     pub keys: KeyProof,
+    /// Engines that warm up.
+    pub warm_ups: WarmUpCare,
     /// Metrics.
     pub metrics: GatewayMetrics,
     body_bytes: Cell<usize>,
@@ -91,6 +94,7 @@
         let limits = RateLimits::new(Rc::clone(&node), Rc::clone(&records.paths));
         let bound = node.settings.bounds.key_removal();
         let keys = KeyProof::new(Rc::clone(&node.view), bound);
+        let warm_ups = WarmUpCare::new(Rc::clone(&node), metrics.warm_up.clone());
         Rc::new(Self {
             node,
             placement: RefCell::default(),
@@ -101,6 +105,7 @@
             limits,
             turns: RefCell::new(TurnCache::new((memory / CACHE_SHARE) as usize)),
             keys,
+            warm_ups,
             metrics,
             body_bytes: Cell::new(0),
             max_body_bytes: (memory / BODY_SHARE) as usize,
@@ -261,6 +266,7 @@
         }
         self.turns.borrow_mut().expire(now);
         self.limits.tidy();
+        self.warm_ups.tidy();
         if let Some(routes) = self.node.view.routes() {
             let mut split = self.split.borrow_mut();
             split.retain_routes(|name| routes.has_route(name));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod role;
 mod streaming;
 mod turn_cache;
+mod warm_ups;
 mod whole_answer;
 
 pub use gateway::Gateway;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and histograms of a gateway.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use prometheus_client::encoding::EncodeLabelSet;
@@ -22,6 +23,87 @@
     pub reason: &'static str,
 }
 
+/// Label of counters by service.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ServiceLabel {
+    /// Name of the service.
+    pub service: String,
+}
+
+impl ServiceLabel {
+    fn of(service: &str) -> Self {
+        Self {
+            service: service.to_owned(),
+        }
+    }
+}
+
+/// Metrics of engines that warm up.
+#[derive(Debug, Clone, Default)]
+pub struct WarmUpMetrics {
+    /// Engines that warm up.
+    pub warming: Family<ServiceLabel, Gauge>,
+    /// Questions for grants.
+    pub asked: Family<ServiceLabel, Counter>,
+    /// Requests that used a grant.
+    pub granted: Family<ServiceLabel, Counter>,
+    /// Requests that passed an engine over.
+    pub withheld: Family<ServiceLabel, Counter>,
+}
+
+impl WarmUpMetrics {
+    fn register(&self, registry: &mut Registry) {
+        let help = "Engines that warm up, by service";
+        registry.register("warming_engines", help, self.warming.clone());
+        let counters = [
+            (
+                "warm_up_questions",
+                "Questions for grants for engines that warm up, by service",
+                &self.asked,
+            ),
+            (
+                "warm_up_sends",
+                "Requests that went to engines that warm up, by service",
+                &self.granted,
+            ),
+            (
+                "warm_up_withheld",
+                "Requests that passed over an engine that warms up, by service",
+                &self.withheld,
+            ),
+        ];
+        for (name, help, counter) in counters {
+            registry.register(name, help, counter.clone());
+        }
+    }
+
+    /// Counts a question for a grant.
+    pub fn on_asked(&self, service: &str) {
+        self.asked.get_or_create(&ServiceLabel::of(service)).inc();
+    }
+
+    /// Counts a request with a grant.
+    pub fn on_granted_send(&self, service: &str) {
+        self.granted.get_or_create(&ServiceLabel::of(service)).inc();
+    }
+
+    /// Counts a request that got no grant.
+    pub fn on_withheld(&self, service: &str) {
+        self.withheld
+            .get_or_create(&ServiceLabel::of(service))
+            .inc();
+    }
+
+    /// Sets how many engines of each service warm up.
+    pub fn set_warming(&self, warming: &HashMap<&str, u64>) {
+        for (service, count) in warming {
+            let count = i64::try_from(*count).unwrap_or(i64::MAX);
+            let gauge = self.warming.get_or_create(&ServiceLabel::of(service));
+            gauge.set(count);
+        }
+    }
+}
+
 /// All metrics of a gateway.
 pub struct GatewayMetrics {
     /// Requests taken.
@@ -34,6 +116,8 @@
     pub refused: Family<ReasonLabel, Counter>,
     /// Attempts at engines that did not succeed, by reason.
     pub failed_attempts: Family<ReasonLabel, Counter>,
+    /// Of engines that warm up.
+    pub warm_up: WarmUpMetrics,
     /// New connections to engines.
     pub engine_connections: Counter,
     /// Requests passed on to replicas for other gateways.
@@ -83,6 +167,7 @@
             ended: Family::default(),
             refused: Family::default(),
             failed_attempts: Family::default(),
+            warm_up: WarmUpMetrics::default(),
             engine_connections: Counter::default(),
             passed_on: Counter::default(),
             reserve_seconds: times(),
@@ -102,6 +187,7 @@
             silent_links: Gauge::default(),
         };
         metrics.register_requests(registry);
+        metrics.warm_up.register(registry);
         metrics.register_times(registry);
         metrics.register_beliefs(registry);
         metrics
--- a/crates/records/src/groups.rs
+++ b/crates/records/src/groups.rs
@@ -108,6 +108,11 @@
         program.map_or(GroupId::default(), |program| self.group_by_hash(&program.0))
     }
 
+    /// The group whose voters share what an engine bears while it warms up.
+    pub fn group_of_engine(&self, instance: &str) -> GroupId {
+        self.group_by_hash(instance)
+    }
+
     /// The group whose voters share the limit of a tenant.
     pub fn group_of_tenant(&self, tenant: &str) -> GroupId {
         self.group_by_hash(tenant)
--- a/crates/replica/src/handle.rs
+++ b/crates/replica/src/handle.rs
@@ -7,7 +7,8 @@
 use ridgeworks_resident::actors::ActorRuntime;
 use ridgeworks_resident::node::Node;
 use ridgeworks_resident::peer::{
-    GossipSources, LoadReport, PeerReply, PeerRequest, PeerService, Preparing, ReplicaStatus,
+    GossipSources, GrantRequest, LaterReply, LaterRequest, LoadReport, PeerReply, PeerRequest,
+    PeerService, Preparing, ReplicaStatus,
 };
 use ridgeworks_resident::view::Source;
 use ridgeworks_routing::PromptRead;
@@ -43,7 +44,7 @@
         status: Rc<Cell<Option<OpenReplica>>>,
     ) -> Self {
         let bounds = &node.settings.bounds;
-        let limiting = Limiting::new(bounds.quota(), bounds.replicas());
+        let limiting = Limiting::new(bounds.quota(), bounds.warm_up(), bounds.replicas());
         Self {
             node,
             metrics,
@@ -131,6 +132,15 @@
         answered.await.unwrap_or_default()
     }
 
+    /// Whether a request may go to an engine that warms up.
+    fn grant(&self, request: &GrantRequest) -> PeerReply {
+        self.metrics.grants_asked.inc();
+        let reply = self.limiting.grant(request, self.node.clock.now());
+        reply.map_or(PeerReply::Unsupported, |reply| {
+            PeerReply::Later(LaterReply::Grant(reply))
+        })
+    }
+
     /// Says how far the copy is that is wanted before this replica joins a set.
     fn prepare(&self, preparing: Preparing) -> PeerReply {
         let is_meant = self
@@ -171,6 +181,7 @@
             return;
         }
         let answer = match request {
+            PeerRequest::Later(LaterRequest::Grant(request)) => self.grant(&request),
             PeerRequest::Prepare(preparing) => self.prepare(*preparing),
             other => self.node.answer(&other),
         };
--- a/crates/replica/src/metrics.rs
+++ b/crates/replica/src/metrics.rs
@@ -10,6 +10,8 @@
     pub requests: Counter,
     /// Requests of tenants for which a grant was asked.
     pub admissions: Counter,
+    /// Requests to engines that warm up for which a grant was asked.
+    pub grants_asked: Counter,
     /// Tenants of whose limits something was given out lately.
     pub limited_tenants: Gauge,
     /// Batches handed to the disk.
@@ -38,6 +40,7 @@
         let metrics = Self {
             requests: Counter::default(),
             admissions: Counter::default(),
+            grants_asked: Counter::default(),
             limited_tenants: Gauge::default(),
             batches: Counter::default(),
             commits: Counter::default(),
@@ -65,6 +68,11 @@
                 "Requests of tenants for which a grant was asked",
                 &metrics.admissions,
             ),
+            (
+                "warm_up_grants_asked",
+                "Requests to engines that warm up for which a grant was asked",
+                &metrics.grants_asked,
+            ),
             ("disk_commits", "Transactions of the disk", &metrics.commits),
             (
                 "disk_commit_micros",
--- a/crates/resident/src/peer/later.rs
+++ b/crates/resident/src/peer/later.rs
@@ -11,6 +11,7 @@
 
 use super::encoding::{MessageError, from_bytes, to_bytes};
 use super::frame::{PROTOCOL, RawSection};
+use super::grant::{GrantReply, GrantRequest};
 
 /// Sections from this number on are messages themselves; those below it stand beside a body.
 pub const FIRST_KIND: u16 = 100;
@@ -18,11 +19,13 @@
 /// Numbers of the kinds of requests. A number is never used again for something else.
 mod request_kinds {
     pub const FETCH_BUILD: u16 = 100;
+    pub const GRANT: u16 = 104;
 }
 
 /// Numbers of the kinds of replies.
 mod reply_kinds {
     pub const BUILD: u16 = 200;
+    pub const GRANT: u16 = 204;
 }
 
 /// What one node asks another.
@@ -32,6 +35,8 @@
     Unknown(u16),
     /// Asks what the node runs.
     FetchBuild,
+    /// Asks for a grant for a request to an engine that warms up.
+    Grant(GrantRequest),
 }
 
 /// What a node answers.
@@ -41,6 +46,8 @@
     Unknown(u16),
     /// What the node runs.
     Build(Build),
+    /// Whether a request may go to an engine that warms up.
+    Grant(GrantReply),
 }
 
 /// What nodes say to each other over UDP.
@@ -84,12 +91,14 @@
         match self {
             Self::Unknown(_) => Err(MessageError::Encode),
             Self::FetchBuild => Ok((request_kinds::FETCH_BUILD, Vec::new())),
+            Self::Grant(grant) => Ok((request_kinds::GRANT, to_bytes(grant)?)),
         }
     }
 
     fn decode(raw: RawSection<'_>) -> Result<Self, MessageError> {
         Ok(match raw.kind {
             request_kinds::FETCH_BUILD => Self::FetchBuild,
+            request_kinds::GRANT => Self::Grant(from_bytes(raw.content)?),
             kind => Self::Unknown(kind),
         })
     }
@@ -100,12 +109,14 @@
         match self {
             Self::Unknown(_) => Err(MessageError::Encode),
             Self::Build(build) => Ok((reply_kinds::BUILD, to_bytes(build)?)),
+            Self::Grant(reply) => Ok((reply_kinds::GRANT, to_bytes(reply)?)),
         }
     }
 
     fn decode(raw: RawSection<'_>) -> Result<Self, MessageError> {
         Ok(match raw.kind {
             reply_kinds::BUILD => Self::Build(from_bytes(raw.content)?),
+            reply_kinds::GRANT => Self::Grant(from_bytes(raw.content)?),
             kind => Self::Unknown(kind),
         })
     }
--- a/crates/resident/src/settings.rs
+++ b/crates/resident/src/settings.rs
@@ -7,7 +7,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use ridgeworks_quota::QuotaBounds;
+use ridgeworks_quota::{QuotaBounds, WarmUpBounds};
 use ridgeworks_routing::ZoneRegions;
 use serde::Deserialize;
 
@@ -142,6 +142,14 @@
         Some(Duration::from_secs_f64(ms / 1_000.0))
     }
 
+    /// What is promised of engines that warm up; nothing where they need no care.
+    pub fn warm_up(&self) -> Option<WarmUpBounds> {
+        Some(WarmUpBounds {
+            factor: self.warm_up_factor?,
+            slack: self.warm_up_slack.unwrap_or_default(),
+        })
+    }
+
     /// Time from the order to stop until the process is killed.
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.grace_s)
--- a/crates/routing/src/refusal.rs
+++ b/crates/routing/src/refusal.rs
@@ -36,6 +36,8 @@
     NoEngine,
     /// All engines that were asked refused to run it.
     EnginesFull,
+    /// All engines of the service warm up and have what they bear.
+    EnginesWarmUp,
     /// Not enough replicas answered to reserve tokens.
     LedgerUnavailable,
     /// Not enough replicas answered to read the earlier turns.
@@ -85,6 +87,7 @@
             Self::Overloaded => "overloaded",
             Self::NoEngine => "no_engine",
             Self::EnginesFull => "engines_full",
+            Self::EnginesWarmUp => "engines_warm_up",
             Self::LedgerUnavailable => "ledger_unavailable",
             Self::TurnsUnavailable => "turns_unavailable",
             Self::EngineFailed => "engine_failed",
--- a/crates/routing/src/route_table.rs
+++ b/crates/routing/src/route_table.rs
@@ -5,6 +5,7 @@
 
 use crate::configuration::{CallerLimits, Route, RouteConfiguration, Service};
 use crate::tenants::{KeyDigest, Tenant, TenantTable};
+use crate::warm_up::WarmUpLimit;
 
 /// The request brings no key that anybody holds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -88,6 +89,14 @@
         routes.any(|route| route.name == name)
     }
 
+    /// Services whose engines bear less while they warm up.
+    pub fn warm_ups(&self) -> HashMap<&str, WarmUpLimit> {
+        let services = self.services.values();
+        let limited =
+            services.filter_map(|service| Some((service.name.as_str(), service.warm_up?)));
+        limited.collect()
+    }
+
     /// A service by its name.
     pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
         self.services.get(name)
--- a/crates/routing/src/warm_up.rs
+++ b/crates/routing/src/warm_up.rs
@@ -1,6 +1,6 @@
 //! Engines that have just started bear less than others until they are warm.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use rkyv::{Archive, Deserialize, Serialize};
@@ -174,8 +174,8 @@
 #[derive(Debug, Default)]
 pub struct WarmUps {
     courses: HashMap<EngineKey, Course>,
-    /// Whether a list of engines was seen: those of the first one may have run for long.
-    knows_list: bool,
+    /// Services of which a list of engines was seen: those of the first one may have run for long.
+    services: HashSet<String>,
 }
 
 impl WarmUps {
@@ -183,20 +183,21 @@
     pub fn on_list<'a>(
         &mut self,
         entries: impl Iterator<Item = &'a EngineEntry>,
-        limit_of: impl Fn(&str) -> Option<WarmUpLimit>,
+        limits: &HashMap<&str, WarmUpLimit>,
         now: Duration,
     ) {
-        let is_first = !self.knows_list;
-        self.knows_list = true;
         for entry in entries {
-            if let Some(limit) = limit_of(&entry.engine.service) {
-                self.on_entry(entry, limit, is_first, now);
+            let service = entry.engine.service.as_str();
+            if let Some(limit) = limits.get(service) {
+                let is_first = !self.services.contains(service);
+                self.on_entry(entry, *limit, is_first, now);
             }
         }
+        self.services = limits.keys().map(|name| (*name).to_owned()).collect();
         self.courses.retain(|_, course| {
             // Those of services whose engines need no care any more go with them.
             let is_due = now.saturating_sub(course.listed) < REMEMBERED;
-            is_due && limit_of(&course.service).is_some()
+            is_due && limits.contains_key(course.service.as_str())
         });
     }
 
@@ -240,12 +241,12 @@
     pub fn on_zone_returned<'a>(
         &mut self,
         engines: impl Iterator<Item = &'a Engine>,
-        limit_of: impl Fn(&str) -> Option<WarmUpLimit>,
+        limits: &HashMap<&str, WarmUpLimit>,
         returned: Duration,
     ) {
         for engine in engines {
-            if let Some(limit) = limit_of(&engine.service) {
-                self.course(engine, limit)
+            if let Some(limit) = limits.get(engine.service.as_str()) {
+                self.course(engine, *limit)
                     .presume(WarmUpSource::ZoneReturned, returned);
             }
         }
@@ -263,13 +264,6 @@
         course.map_or(1.0, |course| course.share(now))
     }
 
-    /// Engines of a service whose requests are counted now.
-    pub fn counted(&self, service: &str, now: Duration) -> usize {
-        let courses = self.courses.values();
-        let own = courses.filter(|course| course.service == service);
-        own.filter(|course| course.share(now) < 1.0).count()
-    }
-
     /// Whether requests to any engine of a service are counted now.
     pub fn is_concerned(&self, service: &str, now: Duration) -> bool {
         let mut courses = self.courses.values();
