--- a/crates/replica/src/disk.rs
+++ b/crates/replica/src/disk.rs
@@ -5,7 +5,7 @@
 //! (`docs/design/large-fleets.md`, "After everything has ended").
 
 use std::fmt;
-use std::ops::ControlFlow;
+use std::ops::{ControlFlow, RangeInclusive};
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Instant;
@@ -15,6 +15,12 @@
 use rkyv::rancor;
 use rkyv::util::AlignedVec;
 
+/// Newest form of what lies on a disk that this program reads; it writes this one (`docs/design/versions.md`, "Disks").
+pub const DISK_VERSION: u16 = 0;
+
+const READ_VERSIONS: RangeInclusive<u16> = 0..=DISK_VERSION;
+/// Key of the disk's version among the node's own records; a disk without it has version 0.
+const VERSION_KEY: &[u8] = b"disk-version";
 const TURN_PREFIX: u8 = b't';
 const LEDGER_PREFIX: u8 = b'l';
 const SET_KEY: &[u8] = b"s";
@@ -33,6 +39,9 @@
     Store(StoreError),
     /// A record cannot be encoded or read.
     Record,
+    /// A newer program has written in a form that this one does not read; holds the disk's version, `None` where that itself
+    /// cannot be read.
+    Version(Option<u16>),
 }
 
 impl fmt::Display for DiskError {
@@ -40,6 +49,11 @@
         match self {
             Self::Store(error) => error.fmt(formatter),
             Self::Record => write!(formatter, "a record cannot be encoded or read"),
+            Self::Version(Some(version)) => write!(
+                formatter,
+                "the disk has version {version}, this program reads up to {DISK_VERSION}"
+            ),
+            Self::Version(None) => write!(formatter, "the disk's version cannot be read"),
         }
     }
 }
@@ -72,6 +86,7 @@
     let mut settings = StoreSettings::new(folder, node_name, creation);
     settings.cache_bytes = CACHE_BYTES;
     let opened = Store::open(&settings)?;
+    check_version(&opened.store)?;
     let creation = opened.store.identity().creation_id;
     // Half of the number is random enough to tell one life of a disk from another.
     let id = ReplicaId(creation.0 as u64);
@@ -88,6 +103,18 @@
     })
 }
 
+/// Refuses a disk whose form is newer than this program, before anything of it is read or written.
+fn check_version(store: &Store) -> Result<(), DiskError> {
+    let Some(bytes) = store.node_record(VERSION_KEY)? else {
+        return Ok(());
+    };
+    let version = <[u8; 2]>::try_from(bytes.as_slice()).ok();
+    match version.map(u16::from_le_bytes) {
+        Some(version) if READ_VERSIONS.contains(&version) => Ok(()),
+        newer => Err(DiskError::Version(newer)),
+    }
+}
+
 /// Reads one record.
 pub fn read(store: &Store, key: &RecordKey) -> Result<Option<StoredRecord>, DiskError> {
     let bytes = store.record(&encode_key(key))?;
@@ -163,7 +190,8 @@
     key
 }
 
-fn decode(bytes: &[u8]) -> Result<StoredRecord, DiskError> {
+/// Reads the bytes of a record.
+pub fn decode(bytes: &[u8]) -> Result<StoredRecord, DiskError> {
     let mut aligned = AlignedVec::<16>::with_capacity(bytes.len());
     aligned.extend_from_slice(bytes);
     rkyv::from_bytes::<StoredRecord, rancor::Error>(&aligned).map_err(|_| DiskError::Record)
--- a/crates/resident/src/node.rs
+++ b/crates/resident/src/node.rs
@@ -374,10 +374,13 @@
 
 /// A node as it registers itself in the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-struct MemberRecord {
-    address: SocketAddr,
-    zone: String,
-    is_replica: bool,
+pub struct MemberRecord {
+    /// Where other nodes reach it.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: String,
+    /// Whether it runs a replica.
+    pub is_replica: bool,
 }
 
 impl MemberRecord {
--- a/crates/resident/src/peer/mod.rs
+++ b/crates/resident/src/peer/mod.rs
@@ -13,7 +13,7 @@
 mod targets;
 mod unread;
 
-pub use encoding::{MessageError, MessageKind, decode, encode, number_of};
+pub use encoding::{Message, MessageError, MessageKind, Section, decode, encode, number_of};
 pub use frame::{Frame, FrameError, PROTOCOL, RawSection, frame, unframe};
 pub use gossip::{Gossip, GossipSources, Questions, fetch_members, fetch_view};
 pub use later::{Build, LaterDatagram, LaterReply, LaterRequest};
