Decoders on bytes that nobody sent

Cause: what comes from another node, a disk or the store is read before anything is known of it; nothing checked that its reading neither panics nor believes a length.

Samples of each message, record and object are changed at random from a seed and read: whole frames, frames whose checksum is put right again, bodies of the first version, sections of every kind, records, members and replica sets. Ruled out: cargo fuzz (another toolchain); an allocator that counts (unsafe code is forbidden here): the process's peak of address space tells as well.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: laboratory test soak-short platform-test platform-day platform-soak format lint build generate bench-scheduling bench-replica experiment bench-storage check-generated demo bench compare-detectors chaos chaos-quick chaos-weakened simulate check-engine-model
+.PHONY: fuzz laboratory test soak-short platform-test platform-day platform-soak format lint build generate bench-scheduling bench-replica experiment bench-storage check-generated demo bench compare-detectors chaos chaos-quick chaos-weakened simulate check-engine-model
 
 # Two conversations on a small deployment; the last line is one JSON object.
 demo:
@@ -59,6 +59,13 @@
 	  target/release/ridgeworks-platform-day --faults --seconds 25 --seed $$seed || exit 1; \
 	done
 
+# Decoders of messages, records and objects on bytes that were changed at random, for minutes; the tests take seconds.
+FUZZ_CASES ?= 3000000
+FUZZ_SEED ?= $(shell date +%s)
+fuzz:
+	RIDGEWORKS_FUZZ_CASES=$(FUZZ_CASES) RIDGEWORKS_FUZZ_SEED=$(FUZZ_SEED) cargo test --release --locked \
+		-p ridgeworks-resident -p ridgeworks-replica --test mutated_messages --test mutated_records -- --nocapture
+
 # The gateways' decisions on deployments drawn from seeds, beside other policies.
 laboratory:
 	cargo run --release --locked -p ridgeworks-laboratory --example drawn
