A configuration from an older node is not put in force where it lacks what is promised

Cause: a node of the first protocol version tells a configuration without regions and warm-up limits, and engines without how long they warm up. Taken for the whole, requests would leave their regions and cold engines would get what warm ones bear; a node of this version that took it would pass it on as whole.

Settings decide: more than one region in zones, or bounds.warm_up_factor. Then what comes without the sections is left to the store or to a node that has them, with one log line for each version; it confirms nothing, and older nodes are neither asked nor counted among those who watch the store. zone_drain_ms asks for nothing here: orders to drain are no part of a configuration.

--- a/crates/resident/src/node.rs
+++ b/crates/resident/src/node.rs
@@ -78,7 +78,8 @@
     /// Binds the node's own sockets.
     pub async fn bind(settings: NodeSettings, clock: Clock) -> io::Result<Rc<Self>> {
         let is_gateway = settings.role == Role::Gateway;
-        let view = Rc::new(View::new(clock, is_gateway));
+        let view = View::new(clock, is_gateway).needing_extras(settings.need_extras());
+        let view = Rc::new(view);
         let duty = WatchDuty::new(&settings.name, settings.bounds.configuration());
         let duty = Rc::new(DutySignal::new(duty.patience(Place::Other)));
         let links = Rc::new(PeerLinks::default());
--- a/crates/resident/src/peer/encoding.rs
+++ b/crates/resident/src/peer/encoding.rs
@@ -206,12 +206,14 @@
 }
 
 impl ViewUpdate {
+    /// A section that is left out says that this node does not know what it would hold.
     fn sections(&self) -> Vec<Section> {
-        let extras = self.configuration.as_ref();
-        let extras = extras.map(|configuration| Section::Configuration(configuration.extras()));
-        let starts = self.engines.as_ref().map(|engines| engines.starts());
-        let starts = starts.filter(|starts| !starts.is_empty());
+        let configuration = self.configuration.as_ref().filter(|_| self.has_extras);
+        let extras = configuration.map(|configuration| configuration.extras());
+        let engines = self.engines.as_ref().filter(|_| self.has_starts);
+        let starts = engines.map(|engines| engines.starts());
         extras
+            .map(Section::Configuration)
             .into_iter()
             .chain(starts.map(Section::EngineStarts))
             .collect()
@@ -221,11 +223,13 @@
         for section in sections {
             match section {
                 Section::Configuration(extras) => {
+                    self.has_extras = true;
                     if let Some(configuration) = &mut self.configuration {
                         configuration.set_extras(extras);
                     }
                 }
                 Section::EngineStarts(starts) => {
+                    self.has_starts = true;
                     if let Some(engines) = &mut self.engines {
                         engines.set_starts(starts);
                     }
--- a/crates/resident/src/peer/gossip.rs
+++ b/crates/resident/src/peer/gossip.rs
@@ -179,7 +179,10 @@
     /// This node's place among those that may watch the store.
     pub fn place(&self, now: Duration) -> Place {
         let members = self.members.borrow();
-        watch_duty::place(&self.me.name, &self.me.zone, members.iter(), now)
+        // Somebody has to watch whose news are of use here.
+        let speaking = members.iter();
+        let speaking = speaking.filter(|member| self.view.speaks_enough(member.protocol));
+        watch_duty::place(&self.me.name, &self.me.zone, speaking, now)
     }
 
     /// Who the other nodes and this one are, for a node that asks.
@@ -386,10 +389,12 @@
     /// Whether the sender knows something newer that is worth fetching from it.
     fn is_behind(&self, heartbeat: &Heartbeat, now: Duration) -> bool {
         let told = &heartbeat.confirmations;
-        if told.version > self.view.version() || heartbeat.epoch > self.view.epoch() {
+        let is_useful = self.view.takes_from(heartbeat.protocol);
+        let has_newer = is_useful && told.version > self.view.version();
+        if has_newer || heartbeat.epoch > self.view.epoch() {
             return true;
         }
-        if self.me.is_replica {
+        if self.me.is_replica || !is_useful {
             return false;
         }
         if told.engines_newest <= self.view.with_engines(|engines| engines.at()) {
--- a/crates/resident/src/peer/message.rs
+++ b/crates/resident/src/peer/message.rs
@@ -122,6 +122,12 @@
     /// Version of the protocol that the sender speaks: one that speaks version 0 knows nothing of what came later.
     #[rkyv(with = Skip)]
     pub protocol: u16,
+    /// Whether the configuration is told with all that nodes of the first protocol version do not know of it.
+    #[rkyv(with = Skip)]
+    pub has_extras: bool,
+    /// Whether the engines are told with how long they warm up.
+    #[rkyv(with = Skip)]
+    pub has_starts: bool,
 }
 
 /// What a node knows of the deployment and for how long nobody has confirmed that it is the newest.
--- a/crates/resident/src/view.rs
+++ b/crates/resident/src/view.rs
@@ -53,8 +53,25 @@
     confirmation: Notify,
     /// Tells of confirmations of the configuration.
     proofs: Notify,
+    needs_extras: bool,
+    /// Whether nothing came from a node that does not know all of it.
+    has_extras: Cell<bool>,
+    /// The same for the engines.
+    has_starts: Cell<bool>,
+    refused: Cell<Option<Refusal>>,
+}
+
+/// What another node told without what this one needs of it.
+#[derive(Debug, Clone, Copy)]
+struct Refusal {
+    /// Version of the configuration, 0 for engines.
+    version: u64,
+    at: Moment,
 }
 
+/// How long nothing more is fetched from others after they told less than this node needs.
+const REFUSED_PAUSE: Duration = Duration::from_secs(1);
+
 impl View {
     /// A view that knows nothing.
     pub fn new(clock: Clock, follows_engines: bool) -> Self {
@@ -72,9 +89,35 @@
             changed: watch::Sender::new(()),
             confirmation: Notify::new(),
             proofs: Notify::new(),
+            needs_extras: false,
+            has_extras: Cell::new(true),
+            has_starts: Cell::new(true),
+            refused: Cell::new(None),
         }
     }
 
+    /// The same for a node whose settings promise what nodes of the first protocol version do not know: what those tell of the
+    /// configuration and the engines lacks it and is not taken in (`docs/design/versions.md`, "What rests on all of them").
+    pub fn needing_extras(mut self, needs_extras: bool) -> Self {
+        self.needs_extras = needs_extras;
+        self
+    }
+
+    /// Whether what a node that speaks this protocol may know of the configuration and the engines is enough here.
+    pub fn speaks_enough(&self, protocol: u16) -> bool {
+        !self.needs_extras || protocol > 0
+    }
+
+    /// Whether it is worth asking such a node for what it knows.
+    pub fn takes_from(&self, protocol: u16) -> bool {
+        self.speaks_enough(protocol) && !self.refused_lately()
+    }
+
+    fn refused_lately(&self) -> bool {
+        let refused = self.refused.get();
+        refused.is_some_and(|refused| self.clock.since(refused.at) < REFUSED_PAUSE)
+    }
+
     /// Tells of changes.
     pub fn changes(&self) -> watch::Receiver<()> {
         self.changed.subscribe()
@@ -217,6 +260,9 @@
         if configuration.version <= before {
             return;
         }
+        if source == Source::Store {
+            self.has_extras.set(true);
+        }
         log::info!(
             target: "belief",
             version = configuration.version,
@@ -338,6 +384,8 @@
             unconfirmed_ms: self.unconfirmed_for().map(whole_ms),
             engines_unconfirmed_ms: self.engines_unconfirmed_for().map(whole_ms),
             protocol: PROTOCOL,
+            has_extras: self.has_extras.get(),
+            has_starts: self.has_starts.get(),
         }
     }
 
@@ -352,17 +400,28 @@
             unconfirmed_ms,
             engines_unconfirmed_ms,
             protocol: _,
+            has_extras,
+            has_starts,
         } = update;
         // A node that tells no newer configuration knows none that is newer than what this one asked with.
         let version = configuration
             .as_ref()
             .map_or(0, |configuration| configuration.version);
-        if let Some(configuration) = configuration {
+        let is_refused = |is_told: bool| is_told && self.needs_extras;
+        if is_refused(configuration.is_some() && !has_extras) {
+            self.refuse(version);
+        } else if let Some(configuration) = configuration {
+            if version > self.version() {
+                self.has_extras.set(has_extras);
+            }
             self.adopt_configuration(configuration, Source::Peer);
         }
         self.confirm_version(version, since_asked(unconfirmed_ms));
-        if let Some(engines) = engines {
+        if is_refused(engines.is_some() && !has_starts) {
+            self.refuse(0);
+        } else if let Some(engines) = engines {
             let told_at = engines.at;
+            self.has_starts.set(has_starts && self.has_starts.get());
             self.adopt_engine_changes(engines, Source::Peer);
             self.confirm_engines(told_at, since_asked(engines_unconfirmed_ms));
         }
@@ -371,6 +430,21 @@
         }
     }
 
+    /// Leaves it to the store, or to a node that knows all of it, to tell what another node told in part.
+    fn refuse(&self, version: u64) {
+        let before = self.refused.get();
+        let at = self.clock.ago(Duration::ZERO);
+        self.refused.set(Some(Refusal { version, at }));
+        if before.is_none_or(|before| before.version != version) {
+            log::warn!(
+                target: "belief",
+                version = version,
+                before = self.version();
+                "told by a node of an earlier version without what the settings need, not taken in"
+            );
+        }
+    }
+
     fn adopt_engine_changes(&self, changes: EngineChanges, source: Source) {
         if !self.engines_known.get() && !changes.is_whole {
             // Changes of a table that this node never had.
--- a/crates/resident/tests/golden_messages.rs
+++ b/crates/resident/tests/golden_messages.rs
@@ -154,6 +154,8 @@
         unconfirmed_ms: Some(120),
         engines_unconfirmed_ms: None,
         protocol: 1,
+        has_extras: true,
+        has_starts: true,
     };
     change(&mut update);
     enveloped(PeerReply::View(update))
--- a/crates/resident/tests/mutated_messages.rs
+++ b/crates/resident/tests/mutated_messages.rs
@@ -33,6 +33,8 @@
     let PeerReply::View(update) = &mut reply else {
         panic!("not a view: {reply:?}");
     };
+    update.has_extras = true;
+    update.has_starts = true;
     let configuration = update.configuration.as_mut().expect("a configuration");
     configuration.routes[0].residency = Residency::within(["north".to_owned()]);
     configuration.services[0].warm_up = Some(WarmUpLimit {
--- a/crates/resident/tests/support/samples.rs
+++ b/crates/resident/tests/support/samples.rs
@@ -362,7 +362,9 @@
         groups: Some(groups()),
         unconfirmed_ms: Some(120),
         engines_unconfirmed_ms: Some(80),
-        protocol: 0, // not in version 0
+        protocol: 0,       // not in version 0
+        has_extras: false, // not in version 0
+        has_starts: false, // not in version 0
     };
     let empty = ViewUpdate {
         configuration: None,
@@ -370,7 +372,9 @@
         groups: None,
         unconfirmed_ms: None,
         engines_unconfirmed_ms: None,
-        protocol: 0, // not in version 0
+        protocol: 0,       // not in version 0
+        has_extras: false, // not in version 0
+        has_starts: false, // not in version 0
     };
     let others = [
         PeerReply::View(whole),
