--- a/crates/resident/src/node.rs
+++ b/crates/resident/src/node.rs
@@ -78,7 +78,8 @@
     /// Binds the node's own sockets.
     pub async fn bind(settings: NodeSettings, clock: Clock) -> io::Result<Rc<Self>> {
         let is_gateway = settings.role == Role::Gateway;
-        let view = Rc::new(View::new(clock, is_gateway));
+        let view = View::new(clock, is_gateway).needing_extras(settings.need_extras());
+        let view = Rc::new(view);
         let duty = WatchDuty::new(&settings.name, settings.bounds.configuration());
         let duty = Rc::new(DutySignal::new(duty.patience(Place::Other)));
         let links = Rc::new(PeerLinks::default());
@@ -374,10 +375,13 @@
 
 /// A node as it registers itself in the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-struct MemberRecord {
-    address: SocketAddr,
-    zone: String,
-    is_replica: bool,
+pub struct MemberRecord {
+    /// Where other nodes reach it.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: String,
+    /// Whether it runs a replica.
+    pub is_replica: bool,
 }
 
 impl MemberRecord {
