--- a/crates/resident/tests/golden_messages.rs
+++ b/crates/resident/tests/golden_messages.rs
@@ -153,6 +153,7 @@
         groups: None,
         unconfirmed_ms: Some(120),
         engines_unconfirmed_ms: None,
+        drains: None,
         protocol: 1,
         has_extras: true,
         has_starts: true,
--- a/crates/resident/tests/mixed_versions.rs
+++ b/crates/resident/tests/mixed_versions.rs
@@ -23,6 +23,7 @@
     version: 0,
     engines: KnownEngines::Nothing,
     epoch: Epoch(0),
+    wants_drains: false,
 };
 
 fn read(bytes: &[u8]) -> ViewUpdate {
