Nodes ask one another also about the engines' age alone

Cause: since ages count from the question, a node asked another only where that knew the configuration better. The store is asked for each kind by itself, so in a small fleet one question did for the configuration of all, and each gateway asked the store itself for the engines. Now: either kind is worth the question. The age stays as sound as it was: it counts from the question, on the clock of whoever asked. Weighed: an answer that is pushed to those that did not ask: a datagram that waited in a frozen process would look young; one that names the receiver's last question would be sound and spares only that question's datagram.

--- a/crates/node/tests/resident_fleet.rs
+++ b/crates/node/tests/resident_fleet.rs
@@ -74,6 +74,27 @@
     assert!(made < 60, "{made} calls");
 }
 
+/// In a small fleet all watch. What one of them asks beside its watches serves all.
+#[test]
+fn a_small_fleet_asks_the_store_once_for_all() {
+    const SMALL: u8 = 10;
+    const SPAN: Duration = Duration::from_secs(8);
+    let deployment = Deployment::started(PROGRAM, SMALL, 1);
+    let _engine = deployment.engine("tools", "i-1", ok());
+    wait_until("all serve", || deployment.all_serve("/tool/x"));
+    let calls = deployment.store.calls();
+    std::thread::sleep(SPAN);
+    let made = deployment.store.calls() - calls;
+    // Each gateway watches two kinds, and a watch ends once in eight seconds. Beside them somebody asks for each kind whenever two fifths of the
+    // bound are over. Whoever's turn comes before it has heard of the answer asks too: a third of the gateways at most. A replica looks for orders
+    // to empty its machine.
+    let watches = 2 * u64::from(SMALL);
+    let rounds = SPAN.as_millis() / (CONFIGURATION_BOUND.as_millis() * 2 / 5);
+    let checks = 2 * rounds as u64 * u64::from(SMALL / 3);
+    let retirements = 8;
+    assert!(made < watches + checks + retirements, "{made} calls");
+}
+
 #[test]
 fn when_all_watchers_die_others_take_over_within_the_bound() {
     let (mut deployment, _engine) = fleet();
--- a/crates/resident/src/peer/confirming.rs
+++ b/crates/resident/src/peer/confirming.rs
@@ -19,6 +19,15 @@
     asked_at: Duration,
 }
 
+/// How old two nodes' knowledge of the same kind is, as far as it was ever confirmed.
+#[derive(Debug, Clone, Copy)]
+pub struct Ages {
+    /// That of this node.
+    pub own: Option<Duration>,
+    /// What the other one tells of its own.
+    pub told: Option<Duration>,
+}
+
 /// The question that is open, if any. Times are since the start of the process.
 #[derive(Debug)]
 pub struct Confirming {
@@ -37,11 +46,10 @@
         }
     }
 
-    /// Number of the question to a node that seems to know of a confirmation this old, where this node's own is
-    /// so old; `None` where asking is not worth it.
-    pub fn ask(&self, own: Option<Duration>, told: Option<Duration>, now: Duration) -> Option<u64> {
-        let told = told?;
-        let gains = own.is_none_or(|own| own > told + self.gain);
+    /// Number of the question to a node whose knowledge of these kinds is so old; `None` where asking is not worth it.
+    /// Each kind counts by itself, since the store is asked for each by itself.
+    pub fn ask(&self, kinds: &[Ages], now: Duration) -> Option<u64> {
+        let gains = kinds.iter().any(|ages| self.gains(*ages));
         let is_free = self
             .open
             .get()
@@ -58,6 +66,13 @@
         Some(number)
     }
 
+    fn gains(&self, ages: Ages) -> bool {
+        ages.told.is_some_and(|told| {
+            let least = told + self.gain;
+            ages.own.is_none_or(|own| own > least)
+        })
+    }
+
     /// How long ago the question with this number was asked; `None` for any but the one that is open.
     pub fn on_answer(&self, number: u64, now: Duration) -> Option<Duration> {
         let open = self.open.get().filter(|open| open.number == number)?;
--- a/crates/resident/src/peer/gossip.rs
+++ b/crates/resident/src/peer/gossip.rs
@@ -19,7 +19,7 @@
 use tokio::time::{Instant, MissedTickBehavior};
 
 pub use self::reads::Questions;
-use super::confirming::Confirming;
+use super::confirming::{Ages, Confirming};
 use super::encoding::{decode, encode};
 use super::frame::PROTOCOL;
 use super::links::PeerLinks;
@@ -366,9 +366,17 @@
 
     /// Asks a node whose knowledge seems to have been confirmed later than this node's own.
     async fn ask_if_younger(&self, told: &Confirmations, node: SocketAddr, now: Duration) {
-        let own = self.view.unconfirmed_for();
-        let told = told.unconfirmed_ms.map(Duration::from_millis);
-        if let Some(number) = self.confirming.ask(own, told, now) {
+        let age = |unconfirmed_ms: Option<u64>| unconfirmed_ms.map(Duration::from_millis);
+        let configuration = Ages {
+            own: self.view.unconfirmed_for(),
+            told: age(told.unconfirmed_ms),
+        };
+        let has_engines = self.view.has_engines_up_to(told.engines_newest);
+        let engines = Ages {
+            own: self.view.engines_unconfirmed_for(),
+            told: age(told.engines_unconfirmed_ms).filter(|_| has_engines),
+        };
+        if let Some(number) = self.confirming.ask(&[configuration, engines], now) {
             self.send(node, &Datagram::AskConfirmations { number })
                 .await;
         }
--- a/crates/resident/src/view.rs
+++ b/crates/resident/src/view.rs
@@ -103,6 +103,11 @@
         self.engines_known.get()
     }
 
+    /// Whether all changes of engines up to this revision are known.
+    pub fn has_engines_up_to(&self, newest: u64) -> bool {
+        self.engines_known.get() && newest <= self.engines.borrow().at()
+    }
+
     /// Entries of engines that cannot be read, at a node that watches the store.
     pub fn unreadable_engines(&self) -> usize {
         self.unreadable_engines.get()
@@ -198,7 +203,7 @@
 
     /// Takes in that there was no change of engines after this revision so many milliseconds ago, if all up to it are known.
     fn confirm_engines(&self, newest: u64, unconfirmed_ms: Option<u64>) {
-        let is_known = self.engines_known.get() && newest <= self.engines.borrow().at();
+        let is_known = self.has_engines_up_to(newest);
         if let Some(age) = unconfirmed_ms.filter(|_| is_known) {
             self.confirm_engines_as_of(Duration::from_millis(age));
         }
--- a/crates/resident/tests/confirmations.rs
+++ b/crates/resident/tests/confirmations.rs
@@ -95,6 +95,10 @@
 
 /// A heartbeat of another node, to which this socket belongs.
 fn heartbeat(from: SocketAddr, unconfirmed_ms: u64) -> Datagram {
+    heartbeat_of(from, told(unconfirmed_ms))
+}
+
+fn heartbeat_of(from: SocketAddr, confirmations: Confirmations) -> Datagram {
     Datagram::Heartbeat(Box::new(Heartbeat {
         from: MemberInfo {
             name: "gateway-2".to_owned(),
@@ -103,7 +107,7 @@
             is_replica: false,
         },
         incarnation: 1,
-        confirmations: told(unconfirmed_ms),
+        confirmations,
         epoch: Epoch::default(),
         replica: None,
         load: LoadReport::default(),
@@ -134,6 +138,43 @@
     timeout(PATIENCE, asked).await.expect("the node asks")
 }
 
+/// The store is asked for each kind by itself, so a node may know the engines better than this one, and the configuration no better.
+#[test]
+fn a_node_that_knows_only_the_engines_better_is_asked() {
+    run(async {
+        let node = node("127.78.3.1").await;
+        node.view.adopt_engines(Vec::new(), 3, Source::Peer);
+        node.view.confirm_as_of(Duration::ZERO);
+        let peer = UdpSocket::bind("127.78.3.2:27395")
+            .await
+            .expect("a free port");
+        let from = peer.local_addr().expect("a bound socket");
+        let told = |engines_newest| Confirmations {
+            engines_newest,
+            engines_unconfirmed_ms: Some(10),
+            ..told(PATIENCE.as_millis() as u64)
+        };
+        send(
+            &peer,
+            node.settings.peer_address(),
+            &heartbeat_of(from, told(3)),
+        )
+        .await;
+        let number = question(&peer).await;
+        let told = told(3);
+        let answer = Datagram::Confirmed { number, told };
+        send(&peer, node.settings.peer_address(), &answer).await;
+        let confirmed = async {
+            while node.view.engines_unconfirmed_for().is_none() {
+                sleep(Duration::from_millis(5)).await;
+            }
+        };
+        timeout(PATIENCE, confirmed)
+            .await
+            .expect("the engines are confirmed");
+    });
+}
+
 #[test]
 fn an_age_that_comes_unasked_confirms_nothing() {
     run(async {
