--- a/crates/resident/src/peer/gossip.rs
+++ b/crates/resident/src/peer/gossip.rs
@@ -19,7 +19,7 @@
 use tokio::time::{Instant, MissedTickBehavior};
 
 pub use self::reads::Questions;
-use super::confirming::Confirming;
+use super::confirming::{Ages, Confirming};
 use super::encoding::{MessageKind, decode, encode};
 use super::frame::PROTOCOL;
 use super::later::LaterDatagram;
@@ -372,17 +372,24 @@
 
     /// Asks a node whose knowledge seems to have been confirmed later than this node's own.
     async fn ask_if_younger(&self, told: &Confirmations, node: SocketAddr, now: Duration) {
-        let own = self.view.unconfirmed_for();
-        let age = told.unconfirmed_ms.map(Duration::from_millis);
-        let number = self.confirming.ask(own, age, now);
-        let number = number.or_else(|| {
-            let drains = &self.view.drains;
-            let age = told.drains.and_then(|known| known.unconfirmed_ms);
-            let age = age.filter(|_| drains.are_followed());
-            let age = age.map(Duration::from_millis);
-            self.confirming.ask(drains.unconfirmed_for(), age, now)
-        });
-        if let Some(number) = number {
+        let age = |unconfirmed_ms: Option<u64>| unconfirmed_ms.map(Duration::from_millis);
+        let configuration = Ages {
+            own: self.view.unconfirmed_for(),
+            told: age(told.unconfirmed_ms),
+        };
+        let has_engines = self.view.has_engines_up_to(told.engines_newest);
+        let engines = Ages {
+            own: self.view.engines_unconfirmed_for(),
+            told: age(told.engines_unconfirmed_ms).filter(|_| has_engines),
+        };
+        let drains = &self.view.drains;
+        let told_drains = told.drains.and_then(|known| known.unconfirmed_ms);
+        let drains = Ages {
+            own: drains.unconfirmed_for(),
+            told: age(told_drains).filter(|_| drains.are_followed()),
+        };
+        let ages = [configuration, engines, drains];
+        if let Some(number) = self.confirming.ask(&ages, now) {
             self.send(node, &Datagram::AskConfirmations { number })
                 .await;
         }
