--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -134,8 +134,16 @@
         let is_reused = reused.is_some();
         let mut connection = match reused.take() {
             Some(connection) => connection,
-            None => new_connection(gateway, engine).await?,
+            None => {
+                check(gateway, engine)?;
+                new_connection(gateway, engine).await?
+            }
         };
+        // Zones may have been drained while the connection was made.
+        if let Err(barred) = check(gateway, engine) {
+            gateway.pool.give_back(engine.key(), connection, None);
+            return Err(barred);
+        }
         let request = build_request(engine, &sending);
         if let Err(bar) = gateway.warm_ups.admit(engine, sending.draw, sending.grant) {
             gateway.pool.give_back(engine.key(), connection, None);
@@ -170,6 +178,12 @@
     }
 }
 
+/// Whether the engine may still get what was meant for it when it was chosen.
+fn check(gateway: &Gateway, engine: &Engine) -> Result<(), AttemptFailure> {
+    let bar = gateway.drains.bar(engine);
+    bar.map_or(Ok(()), |bar| Err(AttemptFailure::Barred(bar)))
+}
+
 async fn new_connection(gateway: &Gateway, engine: &Engine) -> Result<Connection, AttemptFailure> {
     let began = Instant::now();
     let connected = gateway.pool.connect(engine).await;
--- a/crates/gateway/src/exchange/engine_choice.rs
+++ b/crates/gateway/src/exchange/engine_choice.rs
@@ -5,7 +5,7 @@
 use ridgeworks_quota::Grant;
 use ridgeworks_resident::clock::whole_ms;
 use ridgeworks_routing::{
-    Demand, Engine, EngineKey, EngineRule, Forecast, Refusal, RefusalReason, RequestKind,
+    Demand, Engine, EngineKey, EngineRule, Forecast, Outcome, Refusal, RefusalReason, RequestKind,
 };
 use tokio::time::Instant;
 
@@ -34,6 +34,8 @@
 pub(super) struct Tried {
     /// Engines that must not be asked again.
     pub(super) excluded: Vec<String>,
+    /// The engine that failed the client's last try of the turn, through another gateway.
+    pub(super) failed_last: Option<String>,
     /// Engines that may have run the request. Never shrinks: what may have run must not be promised to
     /// be unrun.
     pub(super) ran_on: Vec<String>,
@@ -53,6 +55,8 @@
     pub(super) has_waited: bool,
     /// The engine that was chosen last.
     pub(super) asked_last: String,
+    /// Engines of its service that were passed over for their zones' sake at the last choice.
+    pub(super) drained: usize,
     /// What the request was expected to lose at the engine that was chosen last, in milliseconds.
     pub(super) cost_ms: f64,
     /// What was believed of the engine that was asked last.
@@ -82,7 +86,8 @@
     pub(super) fn may_wait_for_room(&self) -> bool {
         let time = self.call.limit - self.call.received;
         let until = self.call.received + time.mul_f64(WAIT_SHARE);
-        self.tried.ran_on.is_empty() && self.passed.events == 0 && Instant::now() < until
+        let may_come = self.tried.ran_on.is_empty() && self.passed.events == 0;
+        may_come && Instant::now() < until && self.refusal_of_drains().is_none()
     }
 
     /// The engine to ask next, as far as the route and the failures so far allow.
@@ -99,26 +104,33 @@
         if tried.counted() >= self.call.route.max_attempts as usize {
             return self.same_engine();
         }
-        let (engine, cost_ms) = self.choose()?;
-        self.tried.cost_ms = cost_ms;
-        self.tried.asked_last = engine.instance.clone();
+        self.tried.drained = self.gateway.drains.shut_out(&self.call.service);
+        let chosen = self
+            .choose_another()
+            .or_else(|| self.choose(&self.tried.excluded));
+        let (engine, cost_ms) = chosen?;
+        let tried = &mut self.tried;
+        tried.cost_ms = cost_ms;
+        tried.asked_last = engine.instance.clone();
         Some(engine)
     }
 
-    /// The best engine for the request now, as far as the rules allow.
-    fn choose(&self) -> Option<(Engine, f64)> {
+    fn choose(&self, excluded: &[String]) -> Option<(Engine, f64)> {
+        let drains = self.gateway.node.view.drains.in_force();
+        let drained: Option<&dyn EngineRule> = drains.as_deref().map(|drains| drains as _);
         let may_ask = self.tried.passed_over < MAX_PASSED_OVER;
         let warm_ups = &self.gateway.warm_ups;
         let warm_up = warm_ups.rule(&self.call.service, self.draw, may_ask);
         let warm_up = warm_up.as_ref().map(|rule| rule as &dyn EngineRule);
+        let rules: Vec<&dyn EngineRule> = drained.into_iter().chain(warm_up).collect();
         let metadata = &self.call.metadata;
         self.gateway.choose_engine(&Demand {
             service: &self.call.service,
             key: metadata.placement_key(),
             parts: &metadata.prompt_parts,
             zone: &self.gateway.node.settings.zone,
-            excluded: &self.tried.excluded,
-            rules: warm_up.as_slice(),
+            excluded,
+            rules: &rules,
         })
     }
 
@@ -129,7 +141,7 @@
         if warm_ups.rule(service, self.draw, true).is_none() {
             return;
         }
-        if let Some((engine, _)) = self.choose() {
+        if let Some((engine, _)) = self.choose(&self.tried.excluded) {
             let request = &self.call.metadata.request_id;
             let secured = warm_ups.secure(request, &engine, self.draw).await;
             warm_ups.put_by(&engine, secured.unwrap_or_default());
@@ -154,6 +166,31 @@
         refusal.filter(|_| !may_have_run)
     }
 
+    /// An engine besides the one that failed the client's last try, if there is any.
+    fn choose_another(&self) -> Option<(Engine, f64)> {
+        let failed = self.tried.failed_last.clone()?;
+        let mut excluded = self.tried.excluded.clone();
+        excluded.push(failed);
+        self.choose(&excluded)
+    }
+
+    /// The instance of an engine that failed the client's last try, unless it has ended since.
+    pub(super) fn failed_engine(&self, key: EngineKey) -> Option<String> {
+        let view = &self.gateway.node.view;
+        let failed = view.with_engines(|table| {
+            let mut engines = table.engines();
+            let failed = engines.find(|engine| engine.key() == key);
+            failed.map(|engine| engine.instance.clone())
+        })?;
+        log::info!(
+            target: "request",
+            request = self.call.metadata.request_id.as_str(),
+            engine = failed.as_str();
+            "an engine has failed the last try"
+        );
+        Some(failed)
+    }
+
     /// A stream may be taken up once at the engine that broke it off: that is no further engine.
     fn same_engine(&mut self) -> Option<Engine> {
         let is_stream = self.call.route.kind == RequestKind::Stream;
@@ -171,6 +208,9 @@
             // It has started anew, which makes it a further engine.
             return None;
         }
+        if self.gateway.drains.bar(&engine).is_some() {
+            return None;
+        }
         self.tried.taken_up_at = Some(engine.instance.clone());
         Some(engine)
     }
@@ -195,7 +235,20 @@
         }
     }
 
+    /// Notes how the request ended at an engine. A client that tries again finds the engine's failure at the prompt's directory node.
+    pub(super) fn on_outcome(&self, engine: &Engine, outcome: Outcome) {
+        self.gateway.on_outcome(engine.key(), outcome);
+        if outcome != Outcome::Served {
+            let parts = &self.call.metadata.prompt_parts;
+            self.gateway.tell_failed(engine, parts);
+        }
+    }
+
     pub(super) fn on_failure(&mut self, engine: &Engine, failure: &AttemptFailure, began: Instant) {
+        if let AttemptFailure::Barred(_) = failure {
+            self.on_withheld(engine, failure, began);
+            return;
+        }
         let instance = &engine.instance;
         self.gateway.metrics.on_failed_attempt(failure.name());
         let tried = &mut self.tried;
@@ -216,7 +269,7 @@
             _ => {}
         }
         if let Some(outcome) = failure.outcome() {
-            self.gateway.on_outcome(engine.key(), outcome);
+            self.on_outcome(engine, outcome);
         }
         if !failure.is_not_run() {
             self.on_maybe_run(engine);
@@ -235,6 +288,29 @@
         );
     }
 
+    /// The request was not sent, which says nothing of the engine. It is chosen again only after a wait.
+    fn on_withheld(&mut self, engine: &Engine, failure: &AttemptFailure, began: Instant) {
+        self.tried.excluded.push(engine.instance.clone());
+        self.gateway.metrics.on_withheld(engine);
+        log::info!(
+            target: "attempt",
+            request = self.call.metadata.request_id.as_str(),
+            engine = engine.instance.as_str(),
+            service = engine.service.as_str(),
+            zone = engine.zone.as_str(),
+            reason = failure.name(),
+            events_passed = self.passed.events,
+            took_ms = whole_ms(began.elapsed());
+            "request withheld from an engine"
+        );
+    }
+
+    /// The refusal of a request whose service has no engine outside drained zones.
+    pub(super) fn refusal_of_drains(&self) -> Option<Refusal> {
+        let after = self.gateway.drains.come_back(&self.call.service)?;
+        Some(Refusal::come_back(RefusalReason::ZonesDrained, after))
+    }
+
     /// Why no further engine may be asked with the request's key. A request may have waited since its key was looked up, for replicas,
     /// for room, or at an engine that failed it.
     pub(super) fn refusal_of_key(&self) -> Option<Refusal> {
@@ -260,6 +336,9 @@
         if !self.tried.ran_on.is_empty() {
             return Refusal::last(RefusalReason::EngineFailed);
         }
+        if let Some(refusal) = self.refusal_of_drains() {
+            return refusal;
+        }
         let time = self.call.limit - self.call.received;
         let after = time.mul_f64(COME_BACK_SHARE).max(COME_BACK);
         if self.tried.rejections > 0 || self.tried.has_waited {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -22,6 +22,7 @@
 use crate::records_client::RecordsClient;
 use crate::turn_cache::TurnCache;
 use crate::warm_ups::WarmUpCare;
+use crate::zone_drains::ZoneDrainWatch;
 
 /// Part of the process's memory that cached turns may take.
 const CACHE_SHARE: u64 = 8;
@@ -55,6 +56,8 @@
     pub keys: KeyProof,
     /// Engines that warm up.
     pub warm_ups: WarmUpCare,
+    /// Zones whose engines get nothing more.
+    pub drains: ZoneDrainWatch,
     /// Metrics.
     pub metrics: GatewayMetrics,
     body_bytes: Cell<usize>,
@@ -95,6 +98,7 @@
         let bound = node.settings.bounds.key_removal();
         let keys = KeyProof::new(Rc::clone(&node.view), bound);
         let warm_ups = WarmUpCare::new(Rc::clone(&node), metrics.warm_up.clone());
+        let drains = ZoneDrainWatch::new(Rc::clone(&node));
         Rc::new(Self {
             node,
             placement: RefCell::default(),
@@ -106,6 +110,7 @@
             turns: RefCell::new(TurnCache::new((memory / CACHE_SHARE) as usize)),
             keys,
             warm_ups,
+            drains,
             metrics,
             body_bytes: Cell::new(0),
             max_body_bytes: (memory / BODY_SHARE) as usize,
@@ -119,10 +124,10 @@
         self.node.clock.now()
     }
 
-    /// Whether routes and engines are known.
+    /// Whether routes and engines are known, and which of these get nothing.
     pub fn knows_traffic(&self) -> bool {
         let view = &self.node.view;
-        view.version() > 0 && view.engines_known()
+        view.version() > 0 && view.engines_known() && self.drains.are_known()
     }
 
     /// Whether the platform should send new clients here.
@@ -187,6 +192,20 @@
             engine: engine.key().0,
             parts: parts.to_vec(),
         };
+        // Parts are named by clients, which must not tell of failures.
+        if !read.is_failure() {
+            self.tell(read);
+        }
+    }
+
+    /// Tells the directory node of a prompt that an engine has failed it.
+    pub fn tell_failed(self: &Rc<Self>, engine: &Engine, parts: &[PromptPart]) {
+        if let Some(failed) = PromptRead::failed(engine.key().0, parts) {
+            self.tell(failed);
+        }
+    }
+
+    fn tell(self: &Rc<Self>, read: PromptRead) {
         if read.key().is_none() {
             return;
         }
@@ -200,23 +219,29 @@
     }
 
     /// Learns from directory nodes where a prompt was read last: the session's own part, and the one that
-    /// it branches off from.
-    pub async fn learn_reads(&self, parts: &[PromptPart]) {
+    /// it branches off from. Gives back the engine that failed it, if the last one did.
+    pub async fn learn_reads(&self, parts: &[PromptPart]) -> Option<EngineKey> {
         let from = parts.len().saturating_sub(ASKED_PARTS).max(1);
         let asked = parts
             .iter()
             .skip(from)
             .map(|part| self.learn_read(part.hash));
-        futures_util::future::join_all(asked).await;
+        let failed = futures_util::future::join_all(asked).await;
+        failed.into_iter().next_back()?
     }
 
-    async fn learn_read(&self, part: u64) {
-        let Some(node) = self.node.gossip.directory_node(part) else {
-            return;
+    /// Learns where the prompt with this last part was read last; gives back the engine where that one failed it.
+    pub async fn learn_read(&self, part: u64) -> Option<EngineKey> {
+        let read = match self.node.gossip.directory_node(part) {
+            Some(node) => self.node.gossip.ask_read(node, part).await,
+            None => self.find_read(part),
         };
-        if let Some(read) = self.node.gossip.ask_read(node, part).await {
-            self.placement.borrow_mut().on_read(&read);
+        let read = read?;
+        if read.is_failure() {
+            return Some(EngineKey(read.engine));
         }
+        self.placement.borrow_mut().on_read(&read);
+        None
     }
 
     /// Notes how a request ended at an engine.
@@ -264,6 +289,7 @@
                 "costs of a service changed"
             );
         }
+        self.drains.tell_empty(&placement);
         self.turns.borrow_mut().expire(now);
         self.limits.tidy();
         self.warm_ups.tidy();
@@ -293,6 +319,7 @@
         metrics.engines.set(whole(engines));
         let unreadable = view.unreadable_engines() as u64;
         metrics.unreadable_engines.set(whole(unreadable));
+        self.drains.update_gauges(&self.placement.borrow(), metrics);
         metrics.replica_set_epoch.set(whole(view.epoch().0));
         let store = &self.node.store;
         metrics.store_calls.set(whole(store.calls()));
@@ -336,7 +363,9 @@
 
     fn on_read(&self, read: PromptRead) {
         let now = self.now();
-        self.placement.borrow_mut().on_read(&read);
+        if !read.is_failure() {
+            self.placement.borrow_mut().on_read(&read);
+        }
         self.directory.borrow_mut().insert(read, now);
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod turn_cache;
 mod warm_ups;
 mod whole_answer;
+mod zone_drains;
 
 pub use gateway::Gateway;
 pub use quorum_health::QuorumHealth;
--- a/crates/gateway/src/warm_ups.rs
+++ b/crates/gateway/src/warm_ups.rs
@@ -1,19 +1,20 @@
 //! Keeps requests away from engines that warm up, but for those with a grant (`docs/design/warm-up.md`).
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 
 use ridgeworks_quota::{Candidate, Grant, GrantState, GrantStock, GrantWait, LimiterKey};
 use ridgeworks_records::{GroupId, Replica};
-use ridgeworks_resident::clock::whole_ms;
+use ridgeworks_resident::clock::{Moment, whole_ms};
 use ridgeworks_resident::node::Node;
 use ridgeworks_resident::peer::{
     GrantReply, GrantRequest, LaterReply, LaterRequest, LinkError, PeerReply, PeerRequest,
 };
 use ridgeworks_routing::{
-    Bar, Engine, EngineKey, EngineRule, Refusal, RefusalReason, WarmUpLimit, WarmUps, service_bar,
+    Bar, Engine, EngineKey, EngineRule, EngineTable, Refusal, RefusalReason, WarmUpLimit, WarmUps,
+    service_bar,
 };
 use tokio::sync::watch;
 
@@ -37,6 +38,8 @@
     stock: RefCell<GrantStock>,
     /// Until when limiters that did not answer are asked last.
     late: RefCell<HashMap<LimiterKey, Duration>>,
+    /// When drains of zones ended, as far as that is taken in.
+    returns: RefCell<HashMap<String, Moment>>,
     metrics: WarmUpMetrics,
 }
 
@@ -73,6 +76,7 @@
             engines: RefCell::default(),
             stock: RefCell::default(),
             late: RefCell::default(),
+            returns: RefCell::default(),
             metrics,
         }
     }
@@ -163,7 +167,10 @@
     pub fn refusal(&self, service: &str, draw: f64) -> Option<Refusal> {
         let rule = self.rule(service, draw, false)?;
         let view = &self.node.view;
-        let bar = view.with_engines(|table| service_bar(table, service, &[&rule]));
+        let drains = view.drains.in_force();
+        let drained = drains.as_deref().map(|drains| drains as &dyn EngineRule);
+        let rules: Vec<&dyn EngineRule> = drained.into_iter().chain([&rule as _]).collect();
+        let bar = view.with_engines(|table| service_bar(table, service, &rules));
         if bar != Some(Bar::WarmUp) {
             return None;
         }
@@ -213,11 +220,36 @@
         let limits = routes.warm_ups();
         let now = self.now();
         let mut engines = self.engines.borrow_mut();
-        view.with_engines(|table| engines.on_list(table.listed(), &limits, now));
+        view.with_engines(|table| {
+            engines.on_list(table.listed(), &limits, now);
+            self.take_returns(table, &mut engines, &limits);
+        });
         drop(engines);
         self.tell_news(now);
     }
 
+    /// Engines of a zone whose drain has ended may have turned cold meanwhile.
+    fn take_returns(
+        &self,
+        table: &EngineTable,
+        engines: &mut WarmUps,
+        limits: &HashMap<&str, WarmUpLimit>,
+    ) {
+        let zones: BTreeSet<&str> = table.engines().map(|engine| engine.zone.as_str()).collect();
+        let mut returns = self.returns.borrow_mut();
+        for zone in zones {
+            let Some(returned) = self.node.view.zone_returned(zone) else {
+                continue;
+            };
+            if returns.insert(zone.to_owned(), returned) == Some(returned) {
+                continue;
+            }
+            let since = self.node.clock.since(returned);
+            let own = table.engines().filter(|engine| engine.zone == zone);
+            engines.on_zone_returned(own, limits, self.now().saturating_sub(since));
+        }
+    }
+
     fn tell_news(&self, now: Duration) {
         for news in self.engines.borrow_mut().news(now) {
             log::info!(
--- a/crates/resident/src/peer/gossip.rs
+++ b/crates/resident/src/peer/gossip.rs
@@ -19,7 +19,7 @@
 use tokio::time::{Instant, MissedTickBehavior};
 
 pub use self::reads::Questions;
-use super::confirming::Confirming;
+use super::confirming::{Ages, Confirming};
 use super::encoding::{MessageKind, decode, encode};
 use super::frame::PROTOCOL;
 use super::later::LaterDatagram;
@@ -179,7 +179,10 @@
     /// This node's place among those that may watch the store.
     pub fn place(&self, now: Duration) -> Place {
         let members = self.members.borrow();
-        watch_duty::place(&self.me.name, &self.me.zone, members.iter(), now)
+        // Somebody has to watch whose news are of use here.
+        let speaking = members.iter();
+        let speaking = speaking.filter(|member| self.view.speaks_enough(member.protocol));
+        watch_duty::place(&self.me.name, &self.me.zone, speaking, now)
     }
 
     /// Who the other nodes and this one are, for a node that asks.
@@ -369,9 +372,24 @@
 
     /// Asks a node whose knowledge seems to have been confirmed later than this node's own.
     async fn ask_if_younger(&self, told: &Confirmations, node: SocketAddr, now: Duration) {
-        let own = self.view.unconfirmed_for();
-        let told = told.unconfirmed_ms.map(Duration::from_millis);
-        if let Some(number) = self.confirming.ask(own, told, now) {
+        let age = |unconfirmed_ms: Option<u64>| unconfirmed_ms.map(Duration::from_millis);
+        let configuration = Ages {
+            own: self.view.unconfirmed_for(),
+            told: age(told.unconfirmed_ms),
+        };
+        let has_engines = self.view.has_engines_up_to(told.engines_newest);
+        let engines = Ages {
+            own: self.view.engines_unconfirmed_for(),
+            told: age(told.engines_unconfirmed_ms).filter(|_| has_engines),
+        };
+        let drains = &self.view.drains;
+        let told_drains = told.drains.and_then(|known| known.unconfirmed_ms);
+        let drains = Ages {
+            own: drains.unconfirmed_for(),
+            told: age(told_drains).filter(|_| drains.are_followed()),
+        };
+        let ages = [configuration, engines, drains];
+        if let Some(number) = self.confirming.ask(&ages, now) {
             self.send(node, &Datagram::AskConfirmations { number })
                 .await;
         }
@@ -386,12 +404,17 @@
     /// Whether the sender knows something newer that is worth fetching from it.
     fn is_behind(&self, heartbeat: &Heartbeat, now: Duration) -> bool {
         let told = &heartbeat.confirmations;
-        if told.version > self.view.version() || heartbeat.epoch > self.view.epoch() {
+        let is_useful = self.view.takes_from(heartbeat.protocol);
+        let has_newer = is_useful && told.version > self.view.version();
+        if has_newer || heartbeat.epoch > self.view.epoch() {
             return true;
         }
-        if self.me.is_replica {
+        if self.me.is_replica || !is_useful {
             return false;
         }
+        if told.drains.is_some_and(|told| self.view.drains.lack(&told)) {
+            return true;
+        }
         if told.engines_newest <= self.view.with_engines(|engines| engines.at()) {
             self.engines_behind_since.set(None);
             return false;
--- a/crates/resident/src/peer/mod.rs
+++ b/crates/resident/src/peer/mod.rs
@@ -14,7 +14,7 @@
 mod targets;
 mod unread;
 
-pub use encoding::{MessageError, MessageKind, decode, encode, number_of};
+pub use encoding::{Message, MessageError, MessageKind, Section, decode, encode, number_of};
 pub use frame::{Frame, FrameError, PROTOCOL, RawSection, frame, unframe};
 pub use gossip::{Gossip, GossipSources, Questions, fetch_members, fetch_view};
 pub use grant::{GrantReply, GrantRequest};
@@ -23,8 +23,9 @@
 pub use links::{PeerLinks, patience};
 pub use members::{Member, Members};
 pub use message::{
-    Confirmations, Datagram, Envelope, Heartbeat, KnownEngines, LoadReport, MemberInfo, PassedOn,
-    PeerReply, PeerRequest, Preparing, ReplicaStatus, ViewPosition, ViewUpdate,
+    Confirmations, Datagram, DrainNews, Envelope, Heartbeat, KnownDrains, KnownEngines, LoadReport,
+    MemberInfo, PassedOn, PeerReply, PeerRequest, Preparing, ReplicaStatus, ToldDrains,
+    ViewPosition, ViewUpdate,
 };
 pub use server::{PeerService, serve};
 pub use targets::targets;
--- a/crates/resident/src/settings.rs
+++ b/crates/resident/src/settings.rs
@@ -150,6 +150,13 @@
         })
     }
 
+    /// The least of the times within which something that the store tells has to be in force everywhere.
+    pub fn least_news(&self) -> Duration {
+        let configuration = self.configuration();
+        self.zone_drain()
+            .map_or(configuration, |drain| drain.min(configuration))
+    }
+
     /// Time from the order to stop until the process is killed.
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.grace_s)
@@ -279,6 +286,12 @@
         ZoneRegions::new(self.zones.clone())
     }
 
+    /// Whether what is promised hangs on something that nodes of the first protocol version do not tell of the
+    /// configuration and the engines: regions, and what engines bear while they warm up.
+    pub fn need_extras(&self) -> bool {
+        self.zone_regions().has_many() || self.bounds.warm_up_factor.is_some()
+    }
+
     /// Where other nodes reach this one.
     pub fn peer_address(&self) -> SocketAddr {
         SocketAddr::new(self.address, self.peer_port)
--- a/crates/resident/src/view.rs
+++ b/crates/resident/src/view.rs
@@ -3,6 +3,8 @@
 //! Each part only moves forward. Where it comes from does not matter: the platform's store and other
 //! nodes feed the same view.
 
+mod drains;
+
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
@@ -14,6 +16,8 @@
 use crate::clock::{Clock, Moment, whole_ms};
 use crate::peer::{Confirmations, KnownEngines, PROTOCOL, ViewPosition, ViewUpdate};
 
+pub use self::drains::DrainView;
+
 /// Who told a part of the view.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Source {
@@ -44,6 +48,8 @@
     engines_known: Cell<bool>,
     unreadable_engines: Cell<usize>,
     groups: RefCell<Option<Rc<ReplicaGroups>>>,
+    /// Zones whose engines get nothing more.
+    pub drains: DrainView,
     /// As of when the configuration was last proved to be the newest. Counted from when the question was
     /// asked that was answered so, here and at every node that passed it on.
     confirmed: Cell<Option<Moment>>,
@@ -53,10 +59,27 @@
     confirmation: Notify,
     /// Tells of confirmations of the configuration.
     proofs: Notify,
+    needs_extras: bool,
+    /// Whether nothing came from a node that does not know all of it.
+    has_extras: Cell<bool>,
+    /// The same for the engines.
+    has_starts: Cell<bool>,
+    refused: Cell<Option<Refusal>>,
 }
 
+/// What another node told without what this one needs of it.
+#[derive(Debug, Clone, Copy)]
+struct Refusal {
+    /// Version of the configuration, 0 for engines.
+    version: u64,
+    at: Moment,
+}
+
+/// How long nothing more is fetched from others after they told less than this node needs.
+const REFUSED_PAUSE: Duration = Duration::from_secs(1);
+
 impl View {
-    /// A view that knows nothing.
+    /// A view that knows nothing, of a node that has no use for drains of zones.
     pub fn new(clock: Clock, follows_engines: bool) -> Self {
         Self {
             clock,
@@ -67,14 +90,47 @@
             engines_known: Cell::new(false),
             unreadable_engines: Cell::new(0),
             groups: RefCell::default(),
+            drains: DrainView::new(clock, false),
             confirmed: Cell::new(None),
             engines_confirmed: Cell::new(None),
             changed: watch::Sender::new(()),
             confirmation: Notify::new(),
             proofs: Notify::new(),
+            needs_extras: false,
+            has_extras: Cell::new(true),
+            has_starts: Cell::new(true),
+            refused: Cell::new(None),
         }
     }
 
+    /// The same for a node whose settings promise what nodes of the first protocol version do not know: what those tell of the
+    /// configuration and the engines lacks it and is not taken in (`docs/design/versions.md`, "What rests on all of them").
+    pub fn needing_extras(mut self, needs_extras: bool) -> Self {
+        self.needs_extras = needs_extras;
+        self
+    }
+
+    /// Whether what a node that speaks this protocol may know of the configuration and the engines is enough here.
+    pub fn speaks_enough(&self, protocol: u16) -> bool {
+        !self.needs_extras || protocol > 0
+    }
+
+    /// Whether it is worth asking such a node for what it knows.
+    pub fn takes_from(&self, protocol: u16) -> bool {
+        self.speaks_enough(protocol) && !self.refused_lately()
+    }
+
+    fn refused_lately(&self) -> bool {
+        let refused = self.refused.get();
+        refused.is_some_and(|refused| self.clock.since(refused.at) < REFUSED_PAUSE)
+    }
+
+    /// The same for a node that has a use for drains of zones.
+    pub fn with_drains(mut self) -> Self {
+        self.drains = DrainView::new(self.clock, true);
+        self
+    }
+
     /// Tells of changes.
     pub fn changes(&self) -> watch::Receiver<()> {
         self.changed.subscribe()
@@ -103,6 +159,11 @@
         self.engines_known.get()
     }
 
+    /// Whether all changes of engines up to this revision are known.
+    pub fn has_engines_up_to(&self, newest: u64) -> bool {
+        self.engines_known.get() && newest <= self.engines.borrow().at()
+    }
+
     /// Entries of engines that cannot be read, at a node that watches the store.
     pub fn unreadable_engines(&self) -> usize {
         self.unreadable_engines.get()
@@ -164,6 +225,7 @@
             unconfirmed_ms: self.unconfirmed_for().map(whole_ms),
             engines_newest: self.engines.borrow().newest(),
             engines_unconfirmed_ms: self.engines_unconfirmed_for().map(whole_ms),
+            drains: self.drains.known(),
         }
     }
 
@@ -176,6 +238,10 @@
             told.engines_newest,
             since_asked(told.engines_unconfirmed_ms),
         );
+        if let Some(known) = told.drains {
+            self.drains
+                .confirm(known.newest, since_asked(known.unconfirmed_ms));
+        }
     }
 
     /// Has other nodes told at once that this node's knowledge was confirmed, before they ask the store too.
@@ -198,7 +264,7 @@
 
     /// Takes in that there was no change of engines after this revision so many milliseconds ago, if all up to it are known.
     fn confirm_engines(&self, newest: u64, unconfirmed_ms: Option<u64>) {
-        let is_known = self.engines_known.get() && newest <= self.engines.borrow().at();
+        let is_known = self.has_engines_up_to(newest);
         if let Some(age) = unconfirmed_ms.filter(|_| is_known) {
             self.confirm_engines_as_of(Duration::from_millis(age));
         }
@@ -217,6 +283,9 @@
         if configuration.version <= before {
             return;
         }
+        if source == Source::Store {
+            self.has_extras.set(true);
+        }
         log::info!(
             target: "belief",
             version = configuration.version,
@@ -314,6 +383,7 @@
             version: self.version(),
             engines,
             epoch: self.epoch(),
+            wants_drains: self.drains.are_followed(),
         }
     }
 
@@ -337,7 +407,14 @@
             groups: groups.map(|groups| ReplicaGroups::clone(&groups)),
             unconfirmed_ms: self.unconfirmed_for().map(whole_ms),
             engines_unconfirmed_ms: self.engines_unconfirmed_for().map(whole_ms),
+            drains: self
+                .drains
+                .told()
+                .filter(|_| known.wants_drains)
+                .map(Box::new),
             protocol: PROTOCOL,
+            has_extras: self.has_extras.get(),
+            has_starts: self.has_starts.get(),
         }
     }
 
@@ -351,24 +428,57 @@
             groups,
             unconfirmed_ms,
             engines_unconfirmed_ms,
+            drains,
             protocol: _,
+            has_extras,
+            has_starts,
         } = update;
         // A node that tells no newer configuration knows none that is newer than what this one asked with.
         let version = configuration
             .as_ref()
             .map_or(0, |configuration| configuration.version);
-        if let Some(configuration) = configuration {
+        let is_refused = |is_told: bool| is_told && self.needs_extras;
+        if is_refused(configuration.is_some() && !has_extras) {
+            self.refuse(version);
+        } else if let Some(configuration) = configuration {
+            if version > self.version() {
+                self.has_extras.set(has_extras);
+            }
             self.adopt_configuration(configuration, Source::Peer);
         }
         self.confirm_version(version, since_asked(unconfirmed_ms));
-        if let Some(engines) = engines {
+        if is_refused(engines.is_some() && !has_starts) {
+            self.refuse(0);
+        } else if let Some(engines) = engines {
             let told_at = engines.at;
+            self.has_starts.set(has_starts && self.has_starts.get());
             self.adopt_engine_changes(engines, Source::Peer);
             self.confirm_engines(told_at, since_asked(engines_unconfirmed_ms));
         }
         if let Some(groups) = groups {
             self.adopt_groups(groups, Source::Peer);
         }
+        if let Some(told) = drains {
+            let newest = told.table.newest();
+            self.adopt_drains(told.table, Source::Peer);
+            self.drains
+                .confirm(newest, since_asked(told.unconfirmed_ms));
+        }
+    }
+
+    /// Leaves it to the store, or to a node that knows all of it, to tell what another node told in part.
+    fn refuse(&self, version: u64) {
+        let before = self.refused.get();
+        let at = self.clock.ago(Duration::ZERO);
+        self.refused.set(Some(Refusal { version, at }));
+        if before.is_none_or(|before| before.version != version) {
+            log::warn!(
+                target: "belief",
+                version = version,
+                before = self.version();
+                "told by a node of an earlier version without what the settings need, not taken in"
+            );
+        }
     }
 
     fn adopt_engine_changes(&self, changes: EngineChanges, source: Source) {
--- a/crates/routing/src/warm_up.rs
+++ b/crates/routing/src/warm_up.rs
@@ -122,7 +122,7 @@
     }
 
     fn presume(&mut self, source: WarmUpSource, now: Duration) {
-        self.presumed_end = now + self.limit.lasts();
+        self.presumed_end = self.presumed_end.max(now + self.limit.lasts());
         self.source = source;
     }
 
