--- a/crates/gateway/src/exchange/engine_choice.rs
+++ b/crates/gateway/src/exchange/engine_choice.rs
@@ -56,7 +56,7 @@
     /// The engine that was chosen last.
     pub(super) asked_last: String,
     /// Engines of its service that were passed over for their zones' sake at the last choice.
-    pub(super) drained: usize,
+    pub(super) shut_out: usize,
     /// What the request was expected to lose at the engine that was chosen last, in milliseconds.
     pub(super) cost_ms: f64,
     /// What was believed of the engine that was asked last.
@@ -104,7 +104,9 @@
         if tried.counted() >= self.call.route.max_attempts as usize {
             return self.same_engine();
         }
-        self.tried.drained = self.gateway.drains.shut_out(&self.call.service);
+        if self.gateway.node.view.drains.in_force().is_some() {
+            self.note_shut_out();
+        }
         let chosen = self
             .choose_another()
             .or_else(|| self.choose(&self.tried.excluded));
@@ -191,6 +193,21 @@
         Some(failed)
     }
 
+    /// Says once of a request how many engines were passed over for their zones' sake.
+    fn note_shut_out(&mut self) {
+        let shut_out = self.gateway.drains.shut_out(&self.call.service);
+        if std::mem::replace(&mut self.tried.shut_out, shut_out) == shut_out {
+            return;
+        }
+        log::info!(
+            target: "attempt",
+            request = self.call.metadata.request_id.as_str(),
+            service = self.call.service.as_str(),
+            shut_out = shut_out;
+            "engines of drained zones passed over"
+        );
+    }
+
     /// A stream may be taken up once at the engine that broke it off: that is no further engine.
     fn same_engine(&mut self) -> Option<Engine> {
         let is_stream = self.call.route.kind == RequestKind::Stream;
