Residency: requests reach engines of their regions alone

Cause: no code read the regions of routes and tenants. An engine in any region got any request, and detours led through any gateway.

The rule is judged by the gateway that holds the request, at each choice of an engine, when a stream is taken up, and once more when the connection is there. Entry's and newest configuration both bind; a zone that the settings do not name is allowed only where any region is; an empty list allows none.

Bodies: detours lead through gateways of allowed zones. Replicas of a program stand in all regions and copy to whoever gets a place, so turns that must stay in some of them are refused before anything is reserved (503 `kept_outside`): partial, docs/design/regions.md weighs what would serve them. Turns of regions that become fewer stay on the disks outside until their retention is over.

--- a/Makefile
+++ b/Makefile
@@ -44,7 +44,7 @@
 platform-test:
 	cargo test --locked -p ridgeworks-platform -p ridgeworks-platform-stand-ins -p ridgeworks-records \
 		-p ridgeworks-routing -p ridgeworks-quota -p ridgeworks-resident -p ridgeworks-gateway -p ridgeworks-replica
-	cargo test --locked -p ridgeworks-node --test resident_requests --test resident_records --test resident_lifecycle
+	cargo test --locked -p ridgeworks-node --test resident_requests --test resident_records --test resident_lifecycle --test resident_regions
 
 # A day of the users' platform on loopback, against the project's own stand-ins.
 platform-day:
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -10,10 +10,11 @@
 use hyper::body::Incoming;
 use ridgeworks_platform::{EngineHead, EngineOrder, engine_headers, read_engine_head};
 use ridgeworks_resident::http_client::{ConnectError, Connection};
-use ridgeworks_routing::{Engine, Outcome};
+use ridgeworks_routing::{Bar, Engine, Outcome};
 use tokio::time::Instant;
 
 use crate::at_engine::AtEngine;
+use crate::engine_rules::EngineRules;
 use crate::entry::Call;
 use crate::gateway::Gateway;
 
@@ -24,6 +25,8 @@
     NotSent(ConnectError),
     /// The engine closed the new connection before the request went out.
     Unsent,
+    /// The engine must not get the request any more, as of while it was being connected to.
+    Barred(Bar),
     /// The engine says that it did not run the request.
     Rejected(StatusCode),
     /// The connection broke; the engine may have run the request.
@@ -39,13 +42,16 @@
 impl AttemptFailure {
     /// Whether the engine certainly did not run the request.
     pub fn is_not_run(&self) -> bool {
-        matches!(self, Self::NotSent(_) | Self::Unsent | Self::Rejected(_))
+        matches!(
+            self,
+            Self::NotSent(_) | Self::Unsent | Self::Barred(_) | Self::Rejected(_)
+        )
     }
 
     /// What it says of the engine; a full one says nothing.
     pub fn outcome(&self) -> Option<Outcome> {
         match self {
-            Self::Rejected(_) => None,
+            Self::Rejected(_) | Self::Barred(_) => None,
             Self::NotSent(_) | Self::Unsent => Some(Outcome::Unreached),
             Self::Lost | Self::Garbled | Self::BrokenOff | Self::Silent => Some(Outcome::Failed),
         }
@@ -56,6 +62,7 @@
         match self {
             Self::NotSent(error) => error.name(),
             Self::Unsent => "unsent",
+            Self::Barred(bar) => bar.name(),
             Self::Rejected(_) => "rejected",
             Self::Lost => "lost",
             Self::Garbled => "garbled",
@@ -125,6 +132,9 @@
             Some(connection) => connection,
             None => new_connection(gateway, engine).await?,
         };
+        if let Some(bar) = EngineRules::now(gateway, sending.call).bar(engine) {
+            return Err(AttemptFailure::Barred(bar));
+        }
         let request = build_request(engine, &sending);
         match connection.try_send_request(request).await {
             Ok(response) => {
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -13,7 +13,8 @@
 use ridgeworks_platform::{read_metadata, refusal_headers, refusal_status};
 use ridgeworks_records::{ProgramId, TurnId};
 use ridgeworks_routing::{
-    CallMetadata, CallerLimits, Refusal, RefusalReason, RequestKind, Route, RouteTable, Tenant,
+    CallMetadata, CallerLimits, Refusal, RefusalReason, RequestKind, Residency, Route, RouteTable,
+    Tenant,
 };
 use tokio::time::Instant;
 
@@ -23,6 +24,8 @@
 
 /// When a client may come back after a refusal that passes by itself.
 pub const COME_BACK: Duration = Duration::from_millis(150);
+/// When a client may come back whose request may be served nowhere before the configuration changes.
+pub const COME_BACK_RECONFIGURED: Duration = Duration::from_secs(1);
 /// Rank of turns of programs that are late.
 const LATE_PRIORITY: u8 = 8;
 /// Requests that are open at once.
@@ -41,6 +44,8 @@
 pub struct Call {
     /// Its method.
     pub method: Method,
+    /// The host that it names.
+    pub host: String,
     /// Its path and query, as they came.
     pub path: String,
     /// Its headers.
@@ -53,6 +58,8 @@
     pub route: Arc<Route>,
     /// Who it belongs to; `None` where no key is asked for.
     pub tenant: Option<Arc<Tenant>>,
+    /// Where it may be served, by the configuration that decided.
+    pub residency: Residency,
     /// The service that is to run it.
     pub service: String,
     /// Version of the configuration that decided.
@@ -226,18 +233,22 @@
     let route = routes.find(&host, parts.uri.path());
     let route = route.ok_or_else(|| unless_stale(gateway, RefusalReason::NoRoute))?;
     let tenant = find_tenant(gateway, &routes, route, &metadata)?;
+    let residency = residency_of(route, tenant.as_deref());
+    refuse_where_nowhere(gateway, &residency)?;
     let no_engine = Refusal::come_back(RefusalReason::NoEngine, COME_BACK);
     let service = gateway.next_service(route).ok_or(no_engine)?;
     let wait = metadata.deadline.unwrap_or(route.timeout());
     let path = parts.uri.path_and_query();
     Ok(Call {
         method: parts.method.clone(),
+        host,
         path: path.map_or_else(|| "/".to_owned(), |path| path.as_str().to_owned()),
         headers: parts.headers.clone(),
         body,
         metadata,
         route: Arc::clone(route),
         tenant,
+        residency,
         service,
         version: routes.version(),
         received,
@@ -271,6 +282,23 @@
     Ok(tenant.cloned())
 }
 
+/// Where requests of a route may be served for a tenant: where both allow it.
+pub fn residency_of(route: &Route, tenant: Option<&Tenant>) -> Residency {
+    match tenant {
+        Some(tenant) => route.residency.and(&tenant.residency),
+        None => route.residency.clone(),
+    }
+}
+
+/// Refuses what may be served in no region of the deployment. It has not run, and a newer configuration may allow it.
+fn refuse_where_nowhere(gateway: &Gateway, residency: &Residency) -> Result<(), Refusal> {
+    if gateway.node.regions.has_allowed(residency) {
+        return Ok(());
+    }
+    let reason = RefusalReason::NoAllowedRegion;
+    Err(Refusal::come_back(reason, COME_BACK_RECONFIGURED))
+}
+
 /// A gateway that nobody has confirmed the configuration to within its bound cannot be certain: the route or the key may have been
 /// added meanwhile, and a client does not come back after being told that there is none.
 fn unless_stale(gateway: &Gateway, reason: RefusalReason) -> Refusal {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -19,6 +19,7 @@
 use crate::at_engine::AtEngine;
 use crate::attempt::{self, Answered, AttemptFailure, Sending};
 use crate::caller::Caller;
+use crate::engine_rules::residency_now;
 use crate::entry::{Call, refusal_response};
 use crate::gateway::Gateway;
 use crate::streaming::{ClientSide, Passed, StreamEnd, pass_on};
@@ -96,8 +97,9 @@
                 return self.give_up(client, refusal).await;
             }
             let Some(engine) = self.next_engine() else {
-                if !self.may_wait_for_room() {
-                    let refusal = self.failure();
+                let bar = self.lasting_bar();
+                if bar.is_some() || !self.may_wait_for_room() {
+                    let refusal = self.failure(bar);
                     return self.give_up(client, refusal).await;
                 }
                 tokio::select! {
@@ -222,7 +224,9 @@
         let retention = self.call.route.retention();
         let records = &self.gateway.records;
         let program = self.call.program();
-        let appending = records.append(program.as_ref(), &record, retention, self.call.limit);
+        let residency = residency_now(&self.gateway, &self.call);
+        let limit = self.call.limit;
+        let appending = records.append(program.as_ref(), &record, retention, &residency, limit);
         let appended = tokio::select! {
             appended = appending => appended,
             () = caller.gone() => return Ending::ClientGone,
--- a/crates/gateway/src/exchange/engine_choice.rs
+++ b/crates/gateway/src/exchange/engine_choice.rs
@@ -4,12 +4,13 @@
 
 use ridgeworks_resident::clock::whole_ms;
 use ridgeworks_routing::{
-    Demand, Engine, EngineKey, Forecast, Refusal, RefusalReason, RequestKind,
+    Bar, Demand, Engine, EngineKey, Forecast, Refusal, RefusalReason, RequestKind, service_bar,
 };
 use tokio::time::Instant;
 
 use super::Exchange;
 use crate::attempt::AttemptFailure;
+use crate::engine_rules::EngineRules;
 use crate::entry::COME_BACK;
 
 /// Engines that may reject a request before the client is told to come back.
@@ -76,6 +77,16 @@
         self.tried.ran_on.is_empty() && self.passed.events == 0 && Instant::now() < until
     }
 
+    /// What keeps the request from all engines of its service, if waiting does not help against it.
+    pub(super) fn lasting_bar(&self) -> Option<Bar> {
+        let rules = EngineRules::now(&self.gateway, &self.call);
+        let view = &self.gateway.node.view;
+        let bar = view.with_engines(|table| {
+            rules.apply(|rules| service_bar(table, &self.call.service, rules))
+        });
+        bar.filter(|bar| *bar == Bar::Residency)
+    }
+
     /// The engine to ask next, as far as the route and the failures so far allow.
     pub(super) fn next_engine(&mut self) -> Option<Engine> {
         let tried = &self.tried;
@@ -91,13 +102,15 @@
             return self.same_engine();
         }
         let metadata = &self.call.metadata;
-        let chosen = self.gateway.choose_engine(&Demand {
-            service: &self.call.service,
-            key: metadata.placement_key(),
-            parts: &metadata.prompt_parts,
-            zone: &self.gateway.node.settings.zone,
-            excluded: &tried.excluded,
-            rules: &[],
+        let chosen = EngineRules::now(&self.gateway, &self.call).apply(|rules| {
+            self.gateway.choose_engine(&Demand {
+                service: &self.call.service,
+                key: metadata.placement_key(),
+                parts: &metadata.prompt_parts,
+                zone: &self.gateway.node.settings.zone,
+                excluded: &tried.excluded,
+                rules,
+            })
         });
         let (engine, cost_ms) = chosen?;
         self.tried.cost_ms = cost_ms;
@@ -122,6 +135,12 @@
             // It has started anew, which makes it a further engine.
             return None;
         }
+        if EngineRules::now(&self.gateway, &self.call)
+            .bar(&engine)
+            .is_some()
+        {
+            return None;
+        }
         self.tried.taken_up_at = Some(engine.instance.clone());
         Some(engine)
     }
@@ -206,12 +225,15 @@
         })
     }
 
-    pub(super) fn failure(&self) -> Refusal {
+    pub(super) fn failure(&self, bar: Option<Bar>) -> Refusal {
         if !self.tried.ran_on.is_empty() {
             return Refusal::last(RefusalReason::EngineFailed);
         }
         let time = self.call.limit - self.call.received;
         let after = time.mul_f64(COME_BACK_SHARE).max(COME_BACK);
+        if bar == Some(Bar::Residency) {
+            return Refusal::come_back(RefusalReason::NoAllowedRegion, after);
+        }
         if self.tried.rejections > 0 || self.tried.has_waited {
             return Refusal::come_back(RefusalReason::EnginesFull, after);
         }
--- a/crates/gateway/src/exchange/preparation.rs
+++ b/crates/gateway/src/exchange/preparation.rs
@@ -10,7 +10,8 @@
 use tokio::time::Instant;
 
 use super::Exchange;
-use crate::entry::COME_BACK;
+use crate::engine_rules::residency_now;
+use crate::entry::{COME_BACK, COME_BACK_RECONFIGURED};
 use crate::records_client::keep_ms;
 
 /// How long a turn waits for the replicas before it is refused.
@@ -36,6 +37,9 @@
         if let Some(refusal) = self.refusal_without_majority() {
             return Err(refusal);
         }
+        if let Some(refusal) = self.refusal_of_keeping() {
+            return Err(refusal);
+        }
         let began = Instant::now();
         let (prompt, reserved, granted, ()) = tokio::join!(
             self.read_prompt(),
@@ -72,6 +76,22 @@
         Some(Refusal::come_back(reason, records.come_back(group)))
     }
 
+    /// A turn that must not be kept where its program's records are is not served: an answer without its record would leave the next
+    /// turn without what went before.
+    fn refusal_of_keeping(&self) -> Option<Refusal> {
+        if !self.call.route.keeps_turns {
+            return None;
+        }
+        let residency = residency_now(&self.gateway, &self.call);
+        let program = self.call.program();
+        let records = &self.gateway.records;
+        if records.may_keep(program.as_ref(), &residency) {
+            return None;
+        }
+        let reason = RefusalReason::KeptOutside;
+        Some(Refusal::come_back(reason, COME_BACK_RECONFIGURED))
+    }
+
     /// Asks for a grant before it is known whether the program is under way: that of a turn that goes on from no other one may be new.
     async fn take_grant(&self) -> Result<(), Refusal> {
         let may_begin = self.account().is_some() && self.call.metadata.previous_turn.is_none();
@@ -202,7 +222,8 @@
         let request = &self.call.metadata.request_id;
         let program = self.call.program();
         let limit = self.records_limit();
-        let reading = records.read_chain(program.as_ref(), &previous, request, limit);
+        let residency = residency_now(&self.gateway, &self.call);
+        let reading = records.read_chain(program.as_ref(), &previous, request, &residency, limit);
         let outcome = reading.await;
         let taken = began.elapsed().as_secs_f64();
         self.gateway.metrics.chain_read_seconds.observe(taken);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod caller;
 mod engine_pool;
+mod engine_rules;
 mod entry;
 mod exchange;
 mod gateway;
--- a/crates/gateway/src/node_network.rs
+++ b/crates/gateway/src/node_network.rs
@@ -7,6 +7,7 @@
 use ridgeworks_records::{Replica, ReplicaReply, ReplicaRequest};
 use ridgeworks_resident::node::Node;
 use ridgeworks_resident::peer::{LinkError, PassedOn, PeerReply, PeerRequest};
+use ridgeworks_routing::Residency;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -60,11 +61,13 @@
         })
     }
 
-    fn relays(&self) -> Vec<SocketAddr> {
+    fn relays(&self, residency: &Residency) -> Vec<SocketAddr> {
         let now = self.0.clock.now();
         let members = self.0.gossip.members().into_iter();
         let gateways =
             members.filter(|node| !node.info.is_replica && node.is_alive(now, RELAY_SILENCE));
+        let regions = &self.0.regions;
+        let gateways = gateways.filter(|node| regions.allows(residency, &node.info.zone));
         gateways.map(|node| node.info.address).collect()
     }
 }
--- a/crates/gateway/src/records_client.rs
+++ b/crates/gateway/src/records_client.rs
@@ -18,6 +18,7 @@
 use ridgeworks_resident::clock::whole_ms;
 use ridgeworks_resident::node::Node;
 use ridgeworks_resident::peer::LinkError;
+use ridgeworks_routing::Residency;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -53,6 +54,8 @@
     NoMajority,
     /// Replicas answered that they cannot tell yet: they are reading their disks.
     Restoring,
+    /// The turn must not be kept where the program's records are.
+    KeptOutside,
 }
 
 impl fmt::Display for RecordsUnavailable {
@@ -60,6 +63,7 @@
         formatter.write_str(match self {
             Self::NoMajority => "not enough replicas answered in time",
             Self::Restoring => "replicas are reading their disks",
+            Self::KeptOutside => "replicas stand where the turn must not be kept",
         })
     }
 }
@@ -120,6 +124,8 @@
     program: Option<&'a ProgramId>,
     /// How long one replica may take before it is asked again.
     timeout: Duration,
+    /// Where it may be sent, if not everywhere.
+    residency: Option<&'a Residency>,
 }
 
 /// Client of the replicas.
@@ -189,7 +195,9 @@
     /// When a client may come back whose request could not be carried out for this reason.
     pub fn come_back_after(&self, group: GroupId, failure: RecordsUnavailable) -> Duration {
         match failure {
-            RecordsUnavailable::NoMajority => self.come_back(group),
+            RecordsUnavailable::NoMajority | RecordsUnavailable::KeptOutside => {
+                self.come_back(group)
+            }
             RecordsUnavailable::Restoring => spread(RESTORING_COME_BACK),
         }
     }
@@ -252,6 +260,7 @@
                 group,
                 program: None,
                 timeout: REPLICA_TIMEOUT,
+                residency: None,
             };
             // The outcome is noted; a search in vain is followed by another one.
             let _ = self.write(make, operation, Instant::now() + time).await;
@@ -294,19 +303,41 @@
             group,
             program: Some(program),
             timeout: REPLICA_TIMEOUT,
+            residency: None,
         };
         self.write(make, operation, limit).await
     }
 
+    /// Whether a program's turns may be kept wherever their records may come to be: at the replicas of its group, at any that may take
+    /// a place there, and in any region in which one may be added. Copies go to all of them (`docs/design/regions.md`).
+    pub fn may_keep(&self, program: Option<&ProgramId>, residency: &Residency) -> bool {
+        if residency.is_anywhere() {
+            return true;
+        }
+        let regions = &self.node.regions;
+        let set = self.node.view.replica_set(self.group_of(program));
+        let members = set.as_ref().map(ReplicaSet::members).unwrap_or_default();
+        let mut zones = members.iter().map(|member| &member.zone);
+        let known = self.node.gossip.members().into_iter();
+        let mut replicas = known.filter(|node| node.info.is_replica);
+        regions.allows_all(residency)
+            && zones.all(|zone| regions.allows(residency, zone))
+            && replicas.all(|node| regions.allows(residency, &node.info.zone))
+    }
+
     /// Writes the record of a program's turn at a majority.
     pub async fn append(
         &self,
         program: Option<&ProgramId>,
         record: &TurnRecord,
         retention: Duration,
+        residency: &Residency,
         limit: Instant,
     ) -> Result<(), RecordsUnavailable> {
         let group = self.known_group(program, limit).await?;
+        if !self.may_keep(program, residency) {
+            return Err(RecordsUnavailable::KeptOutside);
+        }
         let make = |epoch: Epoch| ReplicaRequest::Append {
             group,
             epoch,
@@ -319,6 +350,7 @@
             group,
             program: None,
             timeout: REPLICA_TIMEOUT,
+            residency: Some(residency),
         };
         self.write(make, operation, limit).await.map(drop)
     }
--- a/crates/gateway/src/records_client/reading.rs
+++ b/crates/gateway/src/records_client/reading.rs
@@ -7,6 +7,7 @@
     TurnId,
 };
 use ridgeworks_resident::view::Source;
+use ridgeworks_routing::Residency;
 use tokio::time::Instant;
 
 use super::{Answers, RETRY_PAUSE, RecordsClient, RecordsUnavailable};
@@ -22,16 +23,21 @@
         program: Option<&ProgramId>,
         turn: &TurnId,
         request: &str,
+        residency: &Residency,
         limit: Instant,
     ) -> Result<ChainOutcome, RecordsUnavailable> {
         let own = self.known_group(program, limit).await?;
-        let outcome = self.read_chain_in(own, turn, request, limit).await?;
+        let outcome = self
+            .read_chain_in(own, turn, request, residency, limit)
+            .await?;
         if !is_absent(&outcome, turn) {
             return Ok(outcome);
         }
         let groups = self.groups().await;
         for (group, _) in groups.iter().filter(|(group, _)| *group != own) {
-            let found = self.read_chain_in(group, turn, request, limit).await?;
+            let found = self
+                .read_chain_in(group, turn, request, residency, limit)
+                .await?;
             if !is_absent(&found, turn) {
                 return Ok(found);
             }
@@ -44,11 +50,12 @@
         group: GroupId,
         turn: &TurnId,
         request: &str,
+        residency: &Residency,
         limit: Instant,
     ) -> Result<ChainOutcome, RecordsUnavailable> {
         let answers = Answers::default();
         let began = Instant::now();
-        let reading = self.read_chain_patiently(group, turn, &answers);
+        let reading = self.read_chain_patiently(group, turn, residency, &answers);
         let outcome = tokio::time::timeout_at(limit, reading).await;
         // Replicas that read their disks can write all the same.
         let is_restoring = outcome.is_err() && answers.has_unavailable();
@@ -69,12 +76,13 @@
         &self,
         group: GroupId,
         turn: &TurnId,
+        residency: &Residency,
         answers: &Answers,
     ) -> ChainOutcome {
         loop {
             let set = self.replica_set(group).await;
             let read = ChainRead::new(set, turn.clone());
-            if let Some(outcome) = self.read_chain_under(group, read, answers).await {
+            if let Some(outcome) = self.read_chain_under(group, read, residency, answers).await {
                 return outcome;
             }
         }
@@ -85,6 +93,7 @@
         &self,
         group: GroupId,
         mut read: ChainRead,
+        residency: &Residency,
         answers: &Answers,
     ) -> Option<ChainOutcome> {
         loop {
@@ -92,7 +101,9 @@
             for replica in self.in_order(read.candidates(), &read.wanted().0) {
                 let turn = read.wanted().clone();
                 let request = ReplicaRequest::ReadChain { group, epoch, turn };
-                let asking = self.paths.ask_patiently(&replica, request, READ_TIMEOUT);
+                let asking = self
+                    .paths
+                    .ask_patiently(&replica, request, READ_TIMEOUT, residency);
                 let reply = asking.await;
                 answers.note(&replica, &reply);
                 match reply {
--- a/crates/gateway/src/records_client/settling.rs
+++ b/crates/gateway/src/records_client/settling.rs
@@ -59,6 +59,7 @@
             group,
             program: settlements.first().map(|first| &first.program),
             timeout: SETTLE_TIMEOUT,
+            residency: None,
         };
         if self.write(make, operation, limit).await.is_err() {
             for settlement in &settlements {
--- a/crates/gateway/src/records_client/writing.rs
+++ b/crates/gateway/src/records_client/writing.rs
@@ -81,13 +81,7 @@
         };
         let mut spare = spare.iter();
         let ask = |member: &Replica| {
-            self.ask_later(
-                member,
-                request.clone(),
-                operation.timeout,
-                None,
-                Duration::ZERO,
-            )
+            self.ask_later(member, request.clone(), operation, None, Duration::ZERO)
         };
         let mut asked: Asked = first.iter().map(ask).collect();
         let mut write = QuorumWrite::new(operation.group, set);
@@ -140,8 +134,7 @@
                 } else {
                     RETRY_PAUSE
                 };
-                let timeout = operation.timeout;
-                asked.push(self.ask_later(member, request.clone(), timeout, teach, pause));
+                asked.push(self.ask_later(member, request.clone(), operation, teach, pause));
             }
         }
     }
@@ -168,12 +161,20 @@
         &self,
         member: &Replica,
         request: ReplicaRequest,
-        timeout: Duration,
+        operation: Operation<'_>,
         teach: Option<ReplicaGroups>,
         pause: Duration,
     ) -> Pin<Box<dyn Future<Output = Reply>>> {
         let paths = Rc::clone(&self.paths);
         let member = member.clone();
+        let timeout = operation.timeout;
+        let residency = operation.residency.cloned().unwrap_or_default();
+        if !self.node.regions.allows(&residency, &member.zone) {
+            return Box::pin(async move {
+                tokio::time::sleep(RETRY_PAUSE).await;
+                (member.id, Err(LinkError::Unreachable))
+            });
+        }
         Box::pin(async move {
             if !pause.is_zero() {
                 tokio::time::sleep(pause).await;
@@ -185,7 +186,9 @@
                     return (member.id, Err(error));
                 }
             }
-            let reply = paths.ask(&member, request, timeout).await;
+            let reply = paths
+                .ask_within(&member, request, timeout, &residency)
+                .await;
             (member.id, reply)
         })
     }
--- a/crates/gateway/src/replica_paths.rs
+++ b/crates/gateway/src/replica_paths.rs
@@ -17,6 +17,7 @@
 use ridgeworks_records::{Replica, ReplicaId, ReplicaReply, ReplicaRequest};
 use ridgeworks_resident::clock::whole_ms;
 use ridgeworks_resident::peer::{LinkError, patience};
+use ridgeworks_routing::Residency;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -53,8 +54,8 @@
     fn is_heard_since(&self, replica: &Replica, since: Instant) -> bool;
     /// How long the slowest answer took that came straight from a replica lately.
     fn slowest_answer(&self, replica: &Replica) -> Duration;
-    /// Gateways that were heard lately.
-    fn relays(&self) -> Vec<SocketAddr>;
+    /// Gateways that were heard lately and stand where this may be sent.
+    fn relays(&self, residency: &Residency) -> Vec<SocketAddr>;
 }
 
 /// What is known of the way to one replica.
@@ -120,19 +121,32 @@
         at.is_some_and(|at| at.elapsed() < within)
     }
 
-    /// Asks a replica, by a detour where the straight way is silent.
+    /// Asks a replica for what any gateway may pass on.
     pub async fn ask(
         self: &Rc<Self>,
         replica: &Replica,
         request: ReplicaRequest,
         timeout: Duration,
+    ) -> Result<ReplicaReply, LinkError> {
+        let anywhere = Residency::anywhere();
+        self.ask_within(replica, request, timeout, &anywhere).await
+    }
+
+    /// Asks a replica, by a detour where the straight way is silent: one that leads only where question and answer may be sent.
+    pub async fn ask_within(
+        self: &Rc<Self>,
+        replica: &Replica,
+        request: ReplicaRequest,
+        timeout: Duration,
+        residency: &Residency,
     ) -> Result<ReplicaReply, LinkError> {
         let asking = async {
             if self.is_open(replica.id) {
-                self.ask_straight_first(replica, request, timeout).await
+                self.ask_straight_first(replica, request, timeout, residency)
+                    .await
             } else {
                 self.probe_when_due(replica, &request);
-                self.ask_by_others(replica, &request).await
+                self.ask_by_others(replica, &request, residency).await
             }
         };
         let asked = tokio::time::timeout(timeout, asking).await;
@@ -148,9 +162,10 @@
         replica: &Replica,
         request: ReplicaRequest,
         least: Duration,
+        residency: &Residency,
     ) -> Result<ReplicaReply, LinkError> {
         let timeout = patience(self.network.slowest_answer(replica), least);
-        self.ask(replica, request, timeout).await
+        self.ask_within(replica, request, timeout, residency).await
     }
 
     async fn ask_straight_first(
@@ -158,6 +173,7 @@
         replica: &Replica,
         request: ReplicaRequest,
         timeout: Duration,
+        residency: &Residency,
     ) -> Result<ReplicaReply, LinkError> {
         let mut straight = self.network.ask(replica, request.clone(), timeout);
         loop {
@@ -171,7 +187,7 @@
                 break;
             }
         }
-        let by_others = Box::pin(self.ask_by_others(replica, &request));
+        let by_others = Box::pin(self.ask_by_others(replica, &request, residency));
         match select(straight, by_others).await {
             Either::Left((Ok(reply), _)) => Ok(reply),
             Either::Left((Err(_), by_others)) => {
@@ -203,11 +219,12 @@
         &self,
         replica: &Replica,
         request: &ReplicaRequest,
+        residency: &Residency,
     ) -> Result<ReplicaReply, LinkError> {
         let mut last = LinkError::Unreachable;
         let mut tried = Vec::new();
         for _ in 0..RELAY_TRIES {
-            let Some(relay) = self.choose_relay(&tried) else {
+            let Some(relay) = self.choose_relay(&tried, residency) else {
                 return Err(last);
             };
             tried.push(relay);
@@ -233,11 +250,15 @@
     }
 
     /// The gateway that passed something on last, or any that was not tried.
-    fn choose_relay(&self, tried: &[SocketAddr]) -> Option<SocketAddr> {
-        if let Some(known) = self.relay.get() {
+    fn choose_relay(&self, tried: &[SocketAddr], residency: &Residency) -> Option<SocketAddr> {
+        let known = self.relay.get();
+        if let Some(known) = known.filter(|_| residency.is_anywhere()) {
+            return Some(known);
+        }
+        let mut relays = self.network.relays(residency);
+        if let Some(known) = known.filter(|known| relays.contains(known)) {
             return Some(known);
         }
-        let mut relays = self.network.relays();
         relays.retain(|relay| !tried.contains(relay));
         relays.choose(&mut rand::rng()).copied()
     }
--- a/crates/gateway/tests/replica_paths.rs
+++ b/crates/gateway/tests/replica_paths.rs
@@ -11,6 +11,7 @@
     Epoch, GroupId, Replica, ReplicaId, ReplicaReply, ReplicaRequest, TurnId,
 };
 use ridgeworks_resident::peer::LinkError;
+use ridgeworks_routing::Residency;
 use tokio::task::LocalSet;
 use tokio::time::Instant;
 
@@ -84,10 +85,13 @@
         self.slowest_answer.get()
     }
 
-    fn relays(&self) -> Vec<SocketAddr> {
-        let ports = 0..u16::try_from(self.relays.len()).unwrap();
+    /// All stand in the north but the last one, which stands in the south.
+    fn relays(&self, residency: &Residency) -> Vec<SocketAddr> {
+        let count = u16::try_from(self.relays.len()).unwrap();
         let address = |port| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
-        ports.map(address).collect()
+        let region = |port| if port + 1 < count { "north" } else { "south" };
+        let allowed = (0..count).filter(|port| residency.allows(Some(region(*port))));
+        allowed.map(address).collect()
     }
 }
 
@@ -100,6 +104,14 @@
     }
 }
 
+fn read() -> ReplicaRequest {
+    ReplicaRequest::ReadChain {
+        group: GroupId(0),
+        epoch: Epoch(1),
+        turn: TurnId("t".to_owned()),
+    }
+}
+
 async fn ask(paths: &Rc<ReplicaPaths>) -> (Result<ReplicaReply, LinkError>, Duration) {
     let began = Instant::now();
     let request = ReplicaRequest::Settle {
@@ -335,16 +347,18 @@
     let paths = Rc::new(ReplicaPaths::new(
         Rc::clone(&network) as Rc<dyn ReplicaNetwork>
     ));
-    let read = || ReplicaRequest::ReadChain {
-        group: GroupId(0),
-        epoch: Epoch(1),
-        turn: TurnId("t".to_owned()),
-    };
     let least = Duration::from_millis(200);
-    let asked = paths.ask_patiently(&replica(), read(), least).await;
+    let asked = paths
+        .ask_patiently(&replica(), read(), least, &Residency::anywhere())
+        .await;
     assert_eq!(asked, Err(LinkError::TimedOut), "nothing is known of it");
     network.slowest_answer.set(Duration::from_millis(300));
-    assert!(paths.ask_patiently(&replica(), read(), least).await.is_ok());
+    assert!(
+        paths
+            .ask_patiently(&replica(), read(), least, &Residency::anywhere())
+            .await
+            .is_ok()
+    );
 }
 
 /// A machine was dark, and each gateway waited for another one to find that out anew, for longer than it had time.
@@ -359,3 +373,37 @@
     tokio::time::sleep(Duration::from_secs(4)).await;
     assert!(paths.can_pass_on(replica().id), "it is tried again");
 }
+
+/// A relay that passed on what may go anywhere is no way for what may not.
+#[tokio::test(start_paused = true)]
+async fn a_detour_leads_only_where_the_request_may_be_sent() {
+    let local = LocalSet::new();
+    local
+        .run_until(async {
+            let quick = Conduct::Answers(ANSWER);
+            let network = FakeNetwork::new(Conduct::Silent, &[quick, quick]);
+            let paths = Rc::new(ReplicaPaths::new(network.clone()));
+            let south = Residency::within(["south".to_owned()]);
+            let nowhere = Residency::within(["east".to_owned()]);
+            for _ in 0..20 {
+                assert!(ask(&paths).await.0.is_ok());
+                network.asked.borrow_mut().clear();
+                let asked = paths.ask_within(&replica(), read(), TIMEOUT, &south).await;
+                assert!(asked.is_ok());
+                let ports: Vec<u16> = network
+                    .asked
+                    .borrow()
+                    .iter()
+                    .map(SocketAddr::port)
+                    .collect();
+                assert_eq!(ports, [1]);
+                network.asked.borrow_mut().clear();
+                let asked = paths
+                    .ask_within(&replica(), read(), TIMEOUT, &nowhere)
+                    .await;
+                assert!(asked.is_err());
+                assert!(network.asked.borrow().is_empty());
+            }
+        })
+        .await;
+}
--- a/crates/resident/src/node.rs
+++ b/crates/resident/src/node.rs
@@ -10,6 +10,7 @@
 use rand::RngExt;
 use ridgeworks_platform::{Object, ObjectKind, StoreOutcome, create, read, read_object, replace};
 use ridgeworks_records::ReplicaGroups;
+use ridgeworks_routing::ZoneRegions;
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Clock;
@@ -46,6 +47,8 @@
 pub struct Node {
     /// Its settings at the start.
     pub settings: NodeSettings,
+    /// The regions of the deployment's zones.
+    pub regions: ZoneRegions,
     /// The steady clock.
     pub clock: Clock,
     /// What it believes of the deployment.
@@ -100,6 +103,7 @@
             reloaded: RefCell::new(settings.clone()),
             settings_unreadable: Cell::new(false),
             unreadable_sets: Cell::new(0),
+            regions: settings.zone_regions(),
             settings,
             clock,
             view,
--- a/crates/routing/src/eligibility.rs
+++ b/crates/routing/src/eligibility.rs
@@ -5,6 +5,7 @@
 use std::fmt;
 
 use crate::engine_table::{Engine, EngineTable};
+use crate::residency::{Residency, ZoneRegions};
 
 /// Why an engine gets no request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -40,6 +41,21 @@
     fn bar(&self, engine: &Engine) -> Option<Bar>;
 }
 
+/// Keeps a request from engines outside the regions in which it may be served (`docs/design/regions.md`).
+pub struct ResidencyRule<'a> {
+    /// Where the request may be served.
+    pub residency: &'a Residency,
+    /// The regions of the engines' zones.
+    pub regions: &'a ZoneRegions,
+}
+
+impl EngineRule for ResidencyRule<'_> {
+    fn bar(&self, engine: &Engine) -> Option<Bar> {
+        let is_allowed = self.regions.allows(self.residency, &engine.zone);
+        (!is_allowed).then_some(Bar::Residency)
+    }
+}
+
 /// Why an engine gets no request by any of these rules.
 pub fn first_bar(rules: &[&dyn EngineRule], engine: &Engine) -> Option<Bar> {
     rules.iter().find_map(|rule| rule.bar(engine))
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -28,7 +28,7 @@
     CallerLimits, ConfigurationExtras, ModelEngine, RequestKind, Route, RouteConfiguration,
     Service, WeightedService,
 };
-pub use eligibility::{Bar, EngineRule, first_bar, service_bar};
+pub use eligibility::{Bar, EngineRule, ResidencyRule, first_bar, service_bar};
 pub use engine_health::{EngineHealth, Outcome, OutcomeCounts};
 pub use engine_load::{EngineKey, EngineLoads, GatewayReport};
 pub use engine_table::{
--- a/crates/routing/src/refusal.rs
+++ b/crates/routing/src/refusal.rs
@@ -34,6 +34,10 @@
     Overloaded,
     /// No engine takes requests of the service.
     NoEngine,
+    /// No engine takes requests of the service where this one may be served.
+    NoAllowedRegion,
+    /// The turns of the route may be kept in fewer regions than there are replicas in.
+    KeptOutside,
     /// All engines that were asked refused to run it.
     EnginesFull,
     /// Not enough replicas answered to reserve tokens.
@@ -84,6 +88,8 @@
             Self::RateUnknown => "rate_unknown",
             Self::Overloaded => "overloaded",
             Self::NoEngine => "no_engine",
+            Self::NoAllowedRegion => "no_allowed_region",
+            Self::KeptOutside => "kept_outside",
             Self::EnginesFull => "engines_full",
             Self::LedgerUnavailable => "ledger_unavailable",
             Self::TurnsUnavailable => "turns_unavailable",
--- a/crates/routing/src/residency.rs
+++ b/crates/routing/src/residency.rs
@@ -70,6 +70,24 @@
         self.by_zone.get(zone).map(String::as_str)
     }
 
+    /// Whether something may be served or kept in a zone.
+    pub fn allows(&self, residency: &Residency, zone: &str) -> bool {
+        residency.allows(self.region(zone))
+    }
+
+    /// Whether something may be served in some region of the deployment.
+    pub fn has_allowed(&self, residency: &Residency) -> bool {
+        let mut regions = self.by_zone.values();
+        residency.is_anywhere() || regions.any(|region| residency.allows(Some(region)))
+    }
+
+    /// Whether something may be kept in all regions of the deployment.
+    pub fn allows_all(&self, residency: &Residency) -> bool {
+        let mut regions = self.by_zone.values();
+        residency.is_anywhere()
+            || !self.by_zone.is_empty() && regions.all(|region| residency.allows(Some(region)))
+    }
+
     /// Whether the deployment stands in more than one region.
     pub fn has_many(&self) -> bool {
         let mut regions = self.by_zone.values();
--- /dev/null
+++ b/crates/routing/tests/residency.rs
@@ -0,0 +1,164 @@
+//! Where requests may be served: over any homes, zones and engines.
+
+mod support;
+
+use std::collections::BTreeMap;
+
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use ridgeworks_routing::{
+    Bar, Demand, Engine, EngineTable, Placement, Residency, ResidencyRule, ZoneRegions, service_bar,
+};
+
+use support::{NOW, demand, engine, table};
+
+const ZONES: [&str; 4] = ["zone-a", "zone-b", "zone-c", "zone-of-nobody"];
+const REGIONS: [&str; 4] = ["north", "south", "east", "unknown"];
+
+/// One deployment, and who may be served where.
+#[derive(Debug, Clone)]
+struct Case {
+    /// Regions of the zones that the settings name.
+    regions: [usize; 3],
+    /// Zones of the engines.
+    engines: Vec<usize>,
+    /// Regions of the route and of the tenant, if they have some.
+    route: Option<Vec<usize>>,
+    tenant: Option<Vec<usize>>,
+}
+
+impl Arbitrary for Case {
+    fn arbitrary(gen_: &mut Gen) -> Self {
+        let any = |gen_: &mut Gen, bound: usize| usize::arbitrary(gen_) % bound;
+        let some = |gen_: &mut Gen| {
+            bool::arbitrary(gen_).then(|| {
+                let length = any(gen_, 4);
+                (0..length).map(|_| any(gen_, REGIONS.len())).collect()
+            })
+        };
+        let engines = any(gen_, 8);
+        Self {
+            regions: [(); 3].map(|()| any(gen_, 3)),
+            engines: (0..engines).map(|_| any(gen_, ZONES.len())).collect(),
+            route: some(gen_),
+            tenant: some(gen_),
+        }
+    }
+}
+
+impl Case {
+    fn zone_regions(&self) -> ZoneRegions {
+        let pairs = ZONES.iter().zip(self.regions);
+        let pairs = pairs.map(|(zone, region)| ((*zone).to_owned(), REGIONS[region].to_owned()));
+        ZoneRegions::new(pairs.collect())
+    }
+
+    fn table(&self) -> EngineTable {
+        let mut table = EngineTable::default();
+        for (number, zone) in self.engines.iter().enumerate() {
+            table.apply(ridgeworks_routing::EngineEntry {
+                engine: engine(&format!("i-{number}"), ZONES[*zone]),
+                revision: 1,
+            });
+        }
+        table
+    }
+
+    /// Whether the engine's region is one of these, told without the code under test.
+    fn is_home(&self, homes: Option<&Vec<usize>>, engine: &Engine) -> bool {
+        let Some(homes) = homes else {
+            return true;
+        };
+        let zone = ZONES.iter().position(|zone| *zone == engine.zone);
+        let region = zone.and_then(|zone| self.regions.get(zone));
+        region.is_some_and(|region| homes.contains(region))
+    }
+
+    fn may_serve(&self, engine: &Engine) -> bool {
+        self.is_home(self.route.as_ref(), engine) && self.is_home(self.tenant.as_ref(), engine)
+    }
+}
+
+fn residency(homes: Option<&Vec<usize>>) -> Residency {
+    homes.map_or_else(Residency::anywhere, |homes| {
+        Residency::within(homes.iter().map(|home| REGIONS[*home].to_owned()))
+    })
+}
+
+/// A request goes to an engine that both route and tenant allow, whatever it costs there, and to none only where there is none.
+fn goes_where_it_may(case: Case) -> bool {
+    let regions = case.zone_regions();
+    let residency = residency(case.route.as_ref()).and(&residency(case.tenant.as_ref()));
+    let rule = ResidencyRule {
+        residency: &residency,
+        regions: &regions,
+    };
+    let table = case.table();
+    let mut placement = Placement::default();
+    let demand = Demand {
+        rules: &[&rule],
+        ..demand("session", &[], &[])
+    };
+    let chosen = placement.choose(&table, &demand, NOW);
+    let has_allowed = table.engines().any(|engine| case.may_serve(engine));
+    let bar = service_bar(&table, "models", &[&rule]);
+    let is_empty = case.engines.is_empty();
+    match chosen {
+        Some(choice) => case.may_serve(choice.engine) && bar.is_none(),
+        None => !has_allowed && (is_empty || bar == Some(Bar::Residency)),
+    }
+}
+
+#[test]
+fn requests_go_only_where_route_and_tenant_allow() {
+    QuickCheck::new()
+        .tests(3_000)
+        .quickcheck(goes_where_it_may as fn(Case) -> bool);
+}
+
+/// Whether a region of the deployment may serve it, and whether all may.
+fn is_told_at_entry(case: Case) -> bool {
+    let regions = case.zone_regions();
+    let residency = residency(case.route.as_ref()).and(&residency(case.tenant.as_ref()));
+    let serves = |zone: &usize| case.may_serve(&engine("i", ZONES[*zone]));
+    let named: Vec<usize> = (0..case.regions.len()).collect();
+    regions.has_allowed(&residency) == named.iter().any(serves)
+        && regions.allows_all(&residency) == named.iter().all(serves)
+}
+
+#[test]
+fn what_no_region_may_serve_is_known_before_any_engine_is_asked() {
+    QuickCheck::new()
+        .tests(3_000)
+        .quickcheck(is_told_at_entry as fn(Case) -> bool);
+}
+
+#[test]
+fn an_empty_list_allows_no_region() {
+    let nowhere = Residency::within([]);
+    assert!(!nowhere.is_anywhere());
+    assert!(!nowhere.allows(Some("north")));
+    assert!(!nowhere.allows(None));
+    assert!(!nowhere.and(&Residency::anywhere()).allows(Some("north")));
+}
+
+#[test]
+fn a_zone_that_nobody_names_is_allowed_only_where_any_region_is() {
+    let regions = ZoneRegions::new(BTreeMap::from([("zone-a".to_owned(), "north".to_owned())]));
+    let north = Residency::within(["north".to_owned()]);
+    assert!(regions.allows(&north, "zone-a"));
+    assert!(!regions.allows(&north, "zone-x"));
+    assert!(regions.allows(&Residency::anywhere(), "zone-x"));
+    let table = table([engine("i-1", "zone-x")]);
+    let rule = ResidencyRule {
+        residency: &north,
+        regions: &regions,
+    };
+    assert_eq!(
+        service_bar(&table, "models", &[&rule]),
+        Some(Bar::Residency)
+    );
+    let nothing_named = ZoneRegions::default();
+    assert!(!nothing_named.has_allowed(&north));
+    assert!(!nothing_named.allows_all(&north));
+    assert!(nothing_named.allows_all(&Residency::anywhere()));
+}
