Engines near their clients: the way to another region is measured

Cause: an engine in any other zone cost 20 ms, in the own region or 20 ms of way beyond it.

A gateway takes the way to each region from the time that its connections to engines there take, quick ones by half, slow ones by a twentieth. What it is longer than to the own region is added, 20 ms at the least; the engines that a session prefers are those of the own region. Replicas are asked own zone, own region, others. Settings for the way and heartbeats' times were ruled out (docs/design/regions.md). In one region there are no ways, and nothing is paid.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -169,8 +169,10 @@
     let connected = gateway.pool.connect(engine).await;
     let connection = connected.map_err(AttemptFailure::NotSent)?;
     gateway.metrics.engine_connections.inc();
-    let taken = began.elapsed().as_secs_f64();
-    gateway.metrics.connect_seconds.observe(taken);
+    let taken = began.elapsed();
+    let mut placement = gateway.placement.borrow_mut();
+    placement.on_connected(engine, taken);
+    gateway.metrics.connect_seconds.observe(taken.as_secs_f64());
     Ok(connection)
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,7 +10,7 @@
 };
 use ridgeworks_routing::{
     Demand, Engine, EngineKey, GatewayReport, Outcome, Placement, PromptPart, PromptRead,
-    ReadDirectory, Route, WeightedSplit,
+    ReadDirectory, RegionWays, Route, WeightedSplit,
 };
 use tokio::sync::oneshot;
 
@@ -91,9 +91,10 @@
         let limits = RateLimits::new(Rc::clone(&node), Rc::clone(&records.paths));
         let bound = node.settings.bounds.key_removal();
         let keys = KeyProof::new(Rc::clone(&node.view), bound);
+        let ways = RegionWays::new(node.regions.clone(), &node.settings.zone);
         Rc::new(Self {
             node,
-            placement: RefCell::default(),
+            placement: RefCell::new(Placement::with_ways(ways)),
             directory: RefCell::default(),
             split: RefCell::new(WeightedSplit::new(rand::random())),
             pool: EnginePool::default(),
@@ -259,6 +260,14 @@
                 "costs of a service changed"
             );
         }
+        for (region, round_ms) in placement.way_news() {
+            log::info!(
+                target: "belief",
+                region = region.as_str(),
+                round_ms = round_ms;
+                "way to the engines of a region changed"
+            );
+        }
         self.turns.borrow_mut().expire(now);
         self.limits.tidy();
         if let Some(routes) = self.node.view.routes() {
--- a/crates/gateway/src/records_client.rs
+++ b/crates/gateway/src/records_client.rs
@@ -364,7 +364,8 @@
 
     fn in_order(&self, replicas: Vec<Replica>, subject: &str) -> Vec<Replica> {
         let zone = &self.node.settings.zone;
-        self.paths.in_order(replicas, zone, subject)
+        let regions = &self.node.regions;
+        self.paths.in_order(replicas, zone, regions, subject)
     }
 
     /// The group that keeps a program's records, once the sets are known.
--- a/crates/gateway/src/replica_paths.rs
+++ b/crates/gateway/src/replica_paths.rs
@@ -17,7 +17,7 @@
 use ridgeworks_records::{Replica, ReplicaId, ReplicaReply, ReplicaRequest};
 use ridgeworks_resident::clock::whole_ms;
 use ridgeworks_resident::peer::{LinkError, patience};
-use ridgeworks_routing::Residency;
+use ridgeworks_routing::{Residency, ZoneRegions};
 use tokio::time::Instant;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -290,15 +290,21 @@
     }
 
     /// The order in which replicas are asked. Those that answered lately come first, among them those that are reached straight,
-    /// then those of the own zone, then by a hash of what is asked for, so that the replicas share the work.
-    pub fn in_order(&self, mut replicas: Vec<Replica>, zone: &str, subject: &str) -> Vec<Replica> {
+    /// then those of the own zone, then those of its region, then by a hash of what is asked for, so that the replicas share the work.
+    pub fn in_order(
+        &self,
+        mut replicas: Vec<Replica>,
+        zone: &str,
+        regions: &ZoneRegions,
+        subject: &str,
+    ) -> Vec<Replica> {
         let seed = xxh3_64(subject.as_bytes());
         replicas.sort_by_cached_key(|replica| {
             let is_suspected = self.is_suspected(replica.id);
             let is_closed = !self.is_open(replica.id);
-            let is_far = replica.zone != zone;
+            let distance = regions.distance(zone, &replica.zone);
             let rank = xxh3_64_with_seed(replica.node.as_bytes(), seed);
-            (is_suspected, is_closed, is_far, rank)
+            (is_suspected, is_closed, distance, rank)
         });
         replicas
     }
--- a/crates/gateway/tests/replica_paths.rs
+++ b/crates/gateway/tests/replica_paths.rs
@@ -11,7 +11,7 @@
     Epoch, GroupId, Replica, ReplicaId, ReplicaReply, ReplicaRequest, TurnId,
 };
 use ridgeworks_resident::peer::LinkError;
-use ridgeworks_routing::Residency;
+use ridgeworks_routing::{Residency, ZoneRegions};
 use tokio::task::LocalSet;
 use tokio::time::Instant;
 
@@ -303,7 +303,12 @@
 }
 
 fn first_asked(paths: &ReplicaPaths, zone: &str, subject: usize) -> Vec<ReplicaId> {
-    let ordered = paths.in_order(five_replicas(), zone, &subject.to_string());
+    let ordered = paths.in_order(
+        five_replicas(),
+        zone,
+        &ZoneRegions::default(),
+        &subject.to_string(),
+    );
     let first = ordered.iter().take(3);
     first.map(|replica| replica.id).collect()
 }
@@ -407,3 +412,25 @@
         })
         .await;
 }
+
+#[test]
+fn replicas_of_the_own_region_are_asked_before_those_beyond() {
+    let zones = [("a", "north"), ("b", "north"), ("c", "south")];
+    let zones = zones.map(|(zone, region)| (zone.to_owned(), region.to_owned()));
+    let regions = ZoneRegions::new(zones.into_iter().collect());
+    let network = FakeNetwork::new(Conduct::Silent, &[]);
+    let paths = ReplicaPaths::new(network);
+    let replicas = ["c", "b", "a", "c"].map(|zone| Replica {
+        zone: zone.to_owned(),
+        ..replica()
+    });
+    for subject in 0..20 {
+        let subject = subject.to_string();
+        let ordered = paths.in_order(replicas.to_vec(), "a", &regions, &subject);
+        let zones: Vec<&str> = ordered
+            .iter()
+            .map(|replica| replica.zone.as_str())
+            .collect();
+        assert_eq!(zones, ["a", "b", "c", "c"]);
+    }
+}
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -19,6 +19,7 @@
 use crate::engine_load::{EngineKey, EngineLoads, GatewayReport, PRIOR_OUTCOMES, prompt_tokens};
 use crate::engine_table::{Engine, EngineTable};
 use crate::read_directory::PromptRead;
+use crate::region_ways::RegionWays;
 use crate::request::PromptPart;
 use crate::service_model::{Reading, ServiceCosts, ServiceKey, ServiceModel, ServiceSummary, Turn};
 
@@ -29,7 +30,8 @@
 const CANDIDATES: usize = 2;
 /// Sessions whose engine is remembered.
 const MAX_HOMES: usize = 8_192;
-/// Extra cost for an engine of another zone, in milliseconds: the way there, and the price of the bytes.
+/// Extra cost for an engine of another zone, in milliseconds: the way there, and the price of the bytes. What another region costs
+/// beside is measured ([`RegionWays`]).
 const OTHER_ZONE_MS: f64 = 20.0;
 /// Extra cost for an engine that failed lately, in milliseconds.
 const RESTING_MS: f64 = 10_000.0;
@@ -70,6 +72,8 @@
     models: HashMap<ServiceKey, ServiceModel>,
     /// The engine that last got a request, by the hash of the request's key.
     homes: HashMap<u64, EngineKey>,
+    /// Ways to other regions, where there are some.
+    ways: Option<RegionWays>,
 }
 
 /// The engine for a request.
@@ -124,6 +128,26 @@
 }
 
 impl Placement {
+    /// Nothing is known yet of engines that these ways lead to.
+    pub fn with_ways(ways: Option<RegionWays>) -> Self {
+        Self {
+            ways,
+            ..Self::default()
+        }
+    }
+
+    /// A connection to an engine took so long.
+    pub fn on_connected(&mut self, engine: &Engine, taken: Duration) {
+        if let Some(ways) = &mut self.ways {
+            ways.on_connected(&engine.zone, taken);
+        }
+    }
+
+    /// Ways to regions that have changed since they were last told, in milliseconds there and back.
+    pub fn way_news(&mut self) -> Vec<(String, f64)> {
+        self.ways.as_mut().map(RegionWays::news).unwrap_or_default()
+    }
+
     /// The engine with the least cost; `None` when no engine of the service may get the request.
     pub fn choose<'a>(
         &mut self,
@@ -137,7 +161,7 @@
         let candidates = candidates(table, demand, session);
         let quickest = self.quickest_step(&candidates);
         let home = self.homes.get(&session);
-        let preferred = preferred(&candidates, demand.zone);
+        let preferred = preferred(&candidates, demand.zone, self.ways.as_ref());
         let news = self.news_of(&candidates, &costs);
         let typical = self.typical_failed(&candidates, now);
         let weighed = candidates.iter().map(|candidate| {
@@ -398,6 +422,10 @@
         cost += queued * costs.place_ms(engine.slots);
         if engine.zone != demand.zone {
             cost += OTHER_ZONE_MS;
+            cost += self
+                .ways
+                .as_ref()
+                .map_or(0.0, |ways| ways.extra_ms(&engine.zone));
         }
         let known = self.loads.get(candidate.key);
         let missing = known.map_or_else(
@@ -454,15 +482,29 @@
     candidates.collect()
 }
 
-/// The engines that a session prefers: the first by rank of all, and the first of the gateway's zone.
-fn preferred(candidates: &[Candidate<'_>], zone: &str) -> Vec<EngineKey> {
+/// The engines that a session prefers: the first by rank of all in the gateway's region, and the first of its zone. Of all regions where
+/// its own has none: else nothing would keep gateways from flocking.
+fn preferred(
+    candidates: &[Candidate<'_>],
+    zone: &str,
+    ways: Option<&RegionWays>,
+) -> Vec<EngineKey> {
     let mut ranked: Vec<&Candidate<'_>> = candidates.iter().collect();
     ranked.sort_unstable_by_key(|candidate| std::cmp::Reverse(candidate.rank));
+    let is_own = |zone: &str| ways.is_none_or(|ways| ways.is_own(zone));
+    let own_region = ranked
+        .iter()
+        .filter(|candidate| is_own(&candidate.engine.zone));
+    let first: Vec<_> = own_region.take(CANDIDATES).collect();
+    let first = if first.is_empty() {
+        ranked.iter().take(CANDIDATES).collect()
+    } else {
+        first
+    };
     let near = ranked
         .iter()
         .filter(|candidate| candidate.engine.zone == zone);
-    let first = ranked.iter().take(CANDIDATES);
-    let preferred = first.chain(near.take(CANDIDATES));
+    let preferred = first.into_iter().chain(near.take(CANDIDATES));
     preferred.map(|candidate| candidate.key).collect()
 }
 
--- a/crates/routing/src/residency.rs
+++ b/crates/routing/src/residency.rs
@@ -70,6 +70,15 @@
         self.by_zone.get(zone).map(String::as_str)
     }
 
+    /// How far a zone is from another: 0 for itself, 1 within a region or where one of the regions is not known, 2 beyond.
+    pub fn distance(&self, one: &str, other: &str) -> u8 {
+        if one == other {
+            return 0;
+        }
+        let regions = self.region(one).zip(self.region(other));
+        regions.map_or(1, |(one, other)| if one == other { 1 } else { 2 })
+    }
+
     /// Whether something may be served or kept in a zone.
     pub fn allows(&self, residency: &Residency, zone: &str) -> bool {
         residency.allows(self.region(zone))
--- /dev/null
+++ b/crates/routing/tests/region_ways.rs
@@ -0,0 +1,193 @@
+//! Which engine a request goes to where engines stand in several regions.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use quickcheck::quickcheck;
+use ridgeworks_routing::{
+    Demand, EngineKey, Placement, RegionWays, Residency, ResidencyRule, ZoneRegions,
+};
+use support::{NOW, choose, demand, engine, part, send, table};
+
+/// The gateway stands in zone-a, in the north like zone-b; zone-c is in the south.
+fn regions() -> ZoneRegions {
+    let zones = [
+        ("zone-a", "north"),
+        ("zone-b", "north"),
+        ("zone-c", "south"),
+    ];
+    let zones = zones.map(|(zone, region)| (zone.to_owned(), region.to_owned()));
+    ZoneRegions::new(BTreeMap::from(zones))
+}
+
+/// A placement that has connected to both regions, the other one so many milliseconds away.
+fn measured(round_ms: u64) -> Placement {
+    let mut placement = Placement::with_ways(RegionWays::new(regions(), "zone-a"));
+    for _ in 0..20 {
+        placement.on_connected(&engine("i", "zone-a"), Duration::from_millis(2));
+        let taken = Duration::from_millis(2 + round_ms);
+        placement.on_connected(&engine("i", "zone-c"), taken);
+    }
+    placement
+}
+
+fn chosen(placement: &mut Placement, engines: &[(&str, &str)], demand: &Demand<'_>) -> String {
+    let mut list = table([]);
+    for (instance, zone) in engines {
+        list.apply(ridgeworks_routing::EngineEntry {
+            engine: engine(instance, zone),
+            revision: 1,
+        });
+    }
+    choose(placement, &list, demand, NOW).expect("an engine")
+}
+
+#[test]
+fn an_engine_of_the_own_region_goes_before_one_beyond() {
+    let engines = [("i-beyond", "zone-c"), ("i-near", "zone-b")];
+    for number in 0..20 {
+        let key = format!("session-{number}");
+        let first = chosen(&mut measured(40), &engines, &demand(&key, &[], &[]));
+        assert_eq!(first, "i-near");
+    }
+}
+
+/// Requests at the near engine from which on the one beyond is chosen.
+fn borne_first(round_ms: u64) -> usize {
+    let engines = [("i-beyond", "zone-c"), ("i-near", "zone-a")];
+    let mut placement = measured(round_ms);
+    let mut sent = 0;
+    while chosen(&mut placement, &engines, &demand("s", &[], &[])) == "i-near" {
+        send(&mut placement, "i-near", &[]);
+        sent += 1;
+        assert!(sent < 1_000, "a full region is never left");
+    }
+    sent
+}
+
+#[test]
+fn a_full_region_is_left_the_later_the_longer_the_way() {
+    let (near, far) = (borne_first(5), borne_first(200));
+    assert!(near > 0 && near < far, "{near} {far}");
+}
+
+#[test]
+fn a_prompt_beyond_is_worth_what_it_saves() {
+    let engines = [("i-beyond", "zone-c"), ("i-near", "zone-a")];
+    for (tokens, expected) in [(20, "i-near"), (30_000, "i-beyond")] {
+        let mut placement = measured(40);
+        let parts = [part(1, tokens), part(2, tokens)];
+        let forecast = send(&mut placement, "i-beyond", &parts);
+        placement.on_ended(EngineKey::of("i-beyond"), forecast.missing);
+        let first = chosen(&mut placement, &engines, &demand("s", &parts, &[]));
+        assert_eq!(first, expected, "{tokens}");
+    }
+}
+
+/// The own region is none of the request's: its sessions still spread by rank, the same at all gateways.
+#[test]
+fn sessions_without_a_region_near_them_stay_at_their_engines() {
+    let south = Residency::within(["south".to_owned()]);
+    let regions = regions();
+    let rule = ResidencyRule {
+        residency: &south,
+        regions: &regions,
+    };
+    let engines = ["i-1", "i-2", "i-3", "i-4", "i-5", "i-6"].map(|name| (name, "zone-c"));
+    let mut seen = std::collections::BTreeSet::new();
+    for number in 0..40 {
+        let key = format!("session-{number}");
+        let demand = Demand {
+            rules: &[&rule],
+            ..demand(&key, &[], &[])
+        };
+        seen.insert(chosen(&mut measured(40), &engines, &demand));
+    }
+    assert_eq!(seen.len(), engines.len());
+}
+
+#[test]
+fn a_slow_connection_says_little_of_the_way_and_a_quick_one_much() {
+    let mut ways = RegionWays::new(regions(), "zone-a").expect("several regions");
+    assert!(ways.extra_ms("zone-c") > 0.0, "before anything is measured");
+    assert!(ways.extra_ms("zone-b") == 0.0);
+    ways.on_connected("zone-c", Duration::from_millis(240));
+    for _ in 0..8 {
+        ways.on_connected("zone-c", Duration::from_millis(40));
+    }
+    ways.on_connected("zone-c", Duration::from_millis(200));
+    let extra = ways.extra_ms("zone-c");
+    assert!((35.0..55.0).contains(&extra), "{extra}");
+    assert_eq!(ways.news().len(), 1);
+    assert!(ways.news().is_empty(), "nothing has changed since");
+}
+
+/// One engine for each number: its zone and the requests that are open there.
+fn same_choice_in_one_region(engines: Vec<(u8, u8)>, key: String, reads: Vec<u8>) -> bool {
+    let zones = ["zone-a", "zone-b", "zone-c"];
+    let of_one = zones.map(|zone| (zone.to_owned(), "north".to_owned()));
+    let ways = RegionWays::new(ZoneRegions::new(BTreeMap::from(of_one)), "zone-a");
+    let is_unpaid = ways.is_none();
+    let mut placements = [Placement::default(), Placement::with_ways(ways)];
+    let names: Vec<String> = (0..engines.len())
+        .map(|number| format!("i-{number}"))
+        .collect();
+    let list: Vec<(&str, &str)> = names
+        .iter()
+        .zip(&engines)
+        .map(|(name, (zone, _))| (name.as_str(), zones[usize::from(*zone) % 3]))
+        .collect();
+    let mut choices = Vec::new();
+    for placement in &mut placements {
+        for (name, (_, open)) in names.iter().zip(&engines) {
+            for _ in 0..open % 6 {
+                send(placement, name, &[]);
+            }
+        }
+        for read in &reads {
+            let parts = [part(u64::from(*read), 2_000)];
+            if let Some(name) = names.get(usize::from(*read) % names.len().max(1)) {
+                send(placement, name, &parts);
+            }
+        }
+        if !list.is_empty() {
+            choices.push(chosen(
+                placement,
+                &list,
+                &demand(&key, &[part(1, 2_000)], &[]),
+            ));
+        }
+    }
+    choices.dedup();
+    is_unpaid && choices.len() <= 1
+}
+
+quickcheck! {
+    fn a_deployment_in_one_region_chooses_as_without_regions(engines: Vec<(u8, u8)>, key: String, reads: Vec<u8>) -> bool {
+        same_choice_in_one_region(engines, key, reads)
+    }
+}
+
+/// Most engines stand beyond, so that those are the first by rank of all.
+#[test]
+fn few_engines_near_are_preferred_to_many_beyond() {
+    let beyond: Vec<String> = (0..30).map(|number| format!("i-beyond-{number}")).collect();
+    let mut engines: Vec<(&str, &str)> = beyond
+        .iter()
+        .map(|name| (name.as_str(), "zone-c"))
+        .collect();
+    engines.push(("i-near", "zone-b"));
+    for number in 0..20 {
+        let mut placement = measured(5);
+        for _ in 0..3 {
+            send(&mut placement, "i-near", &[]);
+        }
+        let key = format!("session-{number}");
+        assert_eq!(
+            chosen(&mut placement, &engines, &demand(&key, &[], &[])),
+            "i-near"
+        );
+    }
+}
