--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 	for seed in $(SHORT_SOAK_SEEDS); do \
 	  target/debug/ridgeworks-platform-day --faults --seconds 20 --seed $$seed || exit 1; \
 	done
+	target/debug/ridgeworks-platform-day --regions --faults --seconds 10 --seed 1
 
 format:
 	cargo fmt --all --check
@@ -46,10 +47,10 @@
 		-p ridgeworks-routing -p ridgeworks-quota -p ridgeworks-resident -p ridgeworks-gateway -p ridgeworks-replica
 	cargo test --locked -p ridgeworks-node --test resident_requests --test resident_records --test resident_lifecycle --test resident_regions
 
-# A day of the users' platform on loopback, against the project's own stand-ins.
+# A day of the users' platform on loopback, against the project's own stand-ins; with REGIONS=3 each zone is a region.
 platform-day:
 	cargo build --release --locked -p ridgeworks-node -p ridgeworks-platform-day
-	target/release/ridgeworks-platform-day
+	target/release/ridgeworks-platform-day $(if $(REGIONS),--regions)
 
 # The same with faults, once for each seed that ever failed and for fresh ones.
 PLATFORM_SOAK_SEEDS ?= 1 2 3 4
@@ -57,6 +58,7 @@
 	cargo build --release --locked -p ridgeworks-node -p ridgeworks-platform-day
 	for seed in $$(grep -v '^\#' platform/days/soak-seeds.txt) $(PLATFORM_SOAK_SEEDS); do \
 	  target/release/ridgeworks-platform-day --faults --seconds 25 --seed $$seed || exit 1; \
+	  target/release/ridgeworks-platform-day --regions --faults --seconds 25 --seed $$seed || exit 1; \
 	done
 
 # The gateways' decisions on deployments drawn from seeds, beside other policies.
--- a/crates/node/tests/resident_regions.rs
+++ b/crates/node/tests/resident_regions.rs
@@ -304,22 +304,6 @@
         .header("ridgeworks-token-count", "10,20")
 }
 
-/// Whether the mark stands in any file under a folder.
-fn is_marked(folder: &std::path::Path) -> bool {
-    let Ok(entries) = std::fs::read_dir(folder) else {
-        return false;
-    };
-    entries.flatten().any(|entry| {
-        let path = entry.path();
-        if path.is_dir() {
-            return is_marked(&path);
-        }
-        let bytes = std::fs::read(&path).unwrap_or_default();
-        let mut windows = bytes.windows(MARK.len());
-        windows.any(|window| window == MARK.as_bytes())
-    })
-}
-
 /// Replicas stand in all three regions, and copies go to whichever of them has a place in the group.
 #[test]
 fn turns_that_must_stay_in_a_region_are_not_kept_outside() {
@@ -333,7 +317,7 @@
     let marked = |deployment: &Deployment| {
         let names = deployment.replicas.iter().map(|replica| &replica.name);
         names
-            .filter(|name| is_marked(&deployment.data_folder(name)))
+            .filter(|name| deployment.disk_holds(name, MARK))
             .count()
     };
     apply(
