--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -16,6 +16,7 @@
 
 use crate::at_engine::AtEngine;
 use crate::call::Call;
+use crate::engine_rules::EngineRules;
 use crate::gateway::Gateway;
 
 /// Why an attempt did not succeed.
@@ -135,12 +136,12 @@
         let mut connection = match reused.take() {
             Some(connection) => connection,
             None => {
-                check(gateway, engine)?;
+                check(gateway, sending.call, engine)?;
                 new_connection(gateway, engine).await?
             }
         };
-        // Zones may have been drained while the connection was made.
-        if let Err(barred) = check(gateway, engine) {
+        // What keeps it from the engine may have come while the connection was made.
+        if let Err(barred) = check(gateway, sending.call, engine) {
             gateway.pool.give_back(engine.key(), connection, None);
             return Err(barred);
         }
@@ -179,8 +180,8 @@
 }
 
 /// Whether the engine may still get what was meant for it when it was chosen.
-fn check(gateway: &Gateway, engine: &Engine) -> Result<(), AttemptFailure> {
-    let bar = gateway.drains.bar(engine);
+fn check(gateway: &Gateway, call: &Call, engine: &Engine) -> Result<(), AttemptFailure> {
+    let bar = EngineRules::now(gateway, call).bar(engine);
     bar.map_or(Ok(()), |bar| Err(AttemptFailure::Barred(bar)))
 }
 
@@ -189,8 +190,10 @@
     let connected = gateway.pool.connect(engine).await;
     let connection = connected.map_err(AttemptFailure::NotSent)?;
     gateway.metrics.engine_connections.inc();
-    let taken = began.elapsed().as_secs_f64();
-    gateway.metrics.connect_seconds.observe(taken);
+    let taken = began.elapsed();
+    let mut placement = gateway.placement.borrow_mut();
+    placement.on_connected(engine, taken);
+    gateway.metrics.connect_seconds.observe(taken.as_secs_f64());
     Ok(connection)
 }
 
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method};
 use ridgeworks_records::{ProgramId, TurnId};
-use ridgeworks_routing::{CallMetadata, RequestKind, Route, Tenant};
+use ridgeworks_routing::{CallMetadata, RequestKind, Residency, Route, Tenant};
 use tokio::time::Instant;
 
 use crate::gateway::{BodyRoom, OpenRequest};
@@ -17,6 +17,8 @@
 pub struct Call {
     /// Its method.
     pub method: Method,
+    /// The host that it names.
+    pub host: String,
     /// Its path and query, as they came.
     pub path: String,
     /// Its headers.
@@ -29,6 +31,8 @@
     pub route: Arc<Route>,
     /// Who it belongs to; `None` where no key is asked for.
     pub tenant: Option<Arc<Tenant>>,
+    /// Where it may be served, by the configuration that decided.
+    pub residency: Residency,
     /// The service that is to run it.
     pub service: String,
     /// Version of the configuration that decided.
--- a/crates/gateway/src/exchange/engine_choice.rs
+++ b/crates/gateway/src/exchange/engine_choice.rs
@@ -5,12 +5,14 @@
 use ridgeworks_quota::Grant;
 use ridgeworks_resident::clock::whole_ms;
 use ridgeworks_routing::{
-    Demand, Engine, EngineKey, EngineRule, Forecast, Outcome, Refusal, RefusalReason, RequestKind,
+    Bar, Demand, Engine, EngineKey, EngineRule, Forecast, Outcome, Refusal, RefusalReason,
+    RequestKind, service_bar,
 };
 use tokio::time::Instant;
 
 use super::Exchange;
 use crate::attempt::AttemptFailure;
+use crate::engine_rules::EngineRules;
 use crate::refusal::COME_BACK;
 
 /// Engines that may reject a request before the client is told to come back.
@@ -90,6 +92,16 @@
         may_come && Instant::now() < until && self.refusal_of_drains().is_none()
     }
 
+    /// What keeps the request from all engines of its service, if waiting does not help against it.
+    pub(super) fn lasting_bar(&self) -> Option<Bar> {
+        let rules = EngineRules::now(&self.gateway, &self.call);
+        let view = &self.gateway.node.view;
+        let bar = view.with_engines(|table| {
+            rules.apply(None, |rules| service_bar(table, &self.call.service, rules))
+        });
+        bar.filter(|bar| *bar == Bar::Residency)
+    }
+
     /// The engine to ask next, as far as the route and the failures so far allow.
     pub(super) fn next_engine(&mut self) -> Option<Engine> {
         let tried = &self.tried;
@@ -118,21 +130,20 @@
     }
 
     fn choose(&self, excluded: &[String]) -> Option<(Engine, f64)> {
-        let drains = self.gateway.node.view.drains.in_force();
-        let drained: Option<&dyn EngineRule> = drains.as_deref().map(|drains| drains as _);
         let may_ask = self.tried.passed_over < MAX_PASSED_OVER;
         let warm_ups = &self.gateway.warm_ups;
         let warm_up = warm_ups.rule(&self.call.service, self.draw, may_ask);
         let warm_up = warm_up.as_ref().map(|rule| rule as &dyn EngineRule);
-        let rules: Vec<&dyn EngineRule> = drained.into_iter().chain(warm_up).collect();
         let metadata = &self.call.metadata;
-        self.gateway.choose_engine(&Demand {
-            service: &self.call.service,
-            key: metadata.placement_key(),
-            parts: &metadata.prompt_parts,
-            zone: &self.gateway.node.settings.zone,
-            excluded,
-            rules: &rules,
+        EngineRules::now(&self.gateway, &self.call).apply(warm_up, |rules| {
+            self.gateway.choose_engine(&Demand {
+                service: &self.call.service,
+                key: metadata.placement_key(),
+                parts: &metadata.prompt_parts,
+                zone: &self.gateway.node.settings.zone,
+                excluded,
+                rules,
+            })
         })
     }
 
@@ -225,7 +236,10 @@
             // It has started anew, which makes it a further engine.
             return None;
         }
-        if self.gateway.drains.bar(&engine).is_some() {
+        if EngineRules::now(&self.gateway, &self.call)
+            .bar(&engine)
+            .is_some()
+        {
             return None;
         }
         self.tried.taken_up_at = Some(engine.instance.clone());
@@ -349,7 +363,7 @@
         })
     }
 
-    pub(super) fn failure(&self) -> Refusal {
+    pub(super) fn failure(&self, bar: Option<Bar>) -> Refusal {
         if !self.tried.ran_on.is_empty() {
             return Refusal::last(RefusalReason::EngineFailed);
         }
@@ -358,6 +372,9 @@
         }
         let time = self.call.limit - self.call.received;
         let after = time.mul_f64(COME_BACK_SHARE).max(COME_BACK);
+        if bar == Some(Bar::Residency) {
+            return Refusal::come_back(RefusalReason::NoAllowedRegion, after);
+        }
         if self.tried.rejections > 0 || self.tried.has_waited {
             return Refusal::come_back(RefusalReason::EnginesFull, after);
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod call;
 mod caller;
 mod engine_pool;
+mod engine_rules;
 mod entry;
 mod exchange;
 mod gateway;
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -10,6 +10,8 @@
 
 /// When a client may come back after a refusal that passes by itself.
 pub const COME_BACK: Duration = Duration::from_millis(150);
+/// When a client may come back whose request may be served nowhere before the configuration changes.
+pub const COME_BACK_RECONFIGURED: Duration = Duration::from_secs(1);
 
 /// An answer without an engine's.
 pub fn refusal_response(refusal: &Refusal) -> Response<Bytes> {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -14,6 +14,7 @@
 mod placement;
 mod read_directory;
 mod refusal;
+mod region_ways;
 mod request;
 mod residency;
 mod route_table;
@@ -29,7 +30,7 @@
     CallerLimits, ConfigurationExtras, ModelEngine, RequestKind, Route, RouteConfiguration,
     Service, WeightedService,
 };
-pub use eligibility::{Bar, EngineRule, first_bar, service_bar};
+pub use eligibility::{Bar, EngineRule, ResidencyRule, first_bar, service_bar};
 pub use engine_health::{EngineHealth, Outcome, OutcomeCounts};
 pub use engine_load::{EngineKey, EngineLoads, GatewayReport};
 pub use engine_table::{
@@ -39,6 +40,7 @@
 pub use placement::{Choice, Demand, FailingNews, Forecast, Placement};
 pub use read_directory::{PromptRead, ReadDirectory};
 pub use refusal::{Refusal, RefusalReason};
+pub use region_ways::RegionWays;
 pub use request::{CallMetadata, PromptPart};
 pub use residency::{Residency, ZoneRegions};
 pub use route_table::{RouteTable, UnknownKey};
