--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -9,12 +9,14 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use ridgeworks_platform::{EngineHead, EngineOrder, engine_headers, read_engine_head};
+use ridgeworks_quota::Grant;
 use ridgeworks_resident::http_client::{ConnectError, Connection};
 use ridgeworks_routing::{Bar, Engine, Outcome};
 use tokio::time::Instant;
 
 use crate::at_engine::AtEngine;
-use crate::entry::Call;
+use crate::call::Call;
+use crate::engine_rules::EngineRules;
 use crate::gateway::Gateway;
 
 /// Why an attempt did not succeed.
@@ -115,6 +117,10 @@
     pub body: &'a Bytes,
     /// Last event that was passed on, when a stream is taken up.
     pub last_event_id: Option<u64>,
+    /// Drawn for the request: decides whether an engine that is hardly warm gets it.
+    pub draw: f64,
+    /// For an engine that warms up.
+    pub grant: Option<Grant>,
 }
 
 /// Sends a request to an engine and waits for the head of its answer.
@@ -130,20 +136,25 @@
         let mut connection = match reused.take() {
             Some(connection) => connection,
             None => {
-                check(gateway, engine)?;
+                check(gateway, sending.call, engine)?;
                 new_connection(gateway, engine).await?
             }
         };
-        // Zones may have been drained while the connection was made.
-        if let Err(barred) = check(gateway, engine) {
+        // What keeps it from the engine may have come while the connection was made.
+        if let Err(barred) = check(gateway, sending.call, engine) {
             gateway.pool.give_back(engine.key(), connection, None);
             return Err(barred);
         }
         let request = build_request(engine, &sending);
+        if let Err(bar) = gateway.warm_ups.admit(engine, sending.draw, sending.grant) {
+            gateway.pool.give_back(engine.key(), connection, None);
+            return Err(AttemptFailure::Barred(bar));
+        }
         match connection.try_send_request(request).await {
             Ok(response) => {
                 let (parts, body) = response.into_parts();
                 let head = read_engine_head(parts.status.as_u16(), &parts.headers);
+                gateway.warm_ups.on_answer(engine, head.warm_up);
                 let answered = Answered {
                     status: parts.status,
                     headers: parts.headers,
@@ -169,8 +180,8 @@
 }
 
 /// Whether the engine may still get what was meant for it when it was chosen.
-fn check(gateway: &Gateway, engine: &Engine) -> Result<(), AttemptFailure> {
-    let bar = gateway.drains.bar(engine);
+fn check(gateway: &Gateway, call: &Call, engine: &Engine) -> Result<(), AttemptFailure> {
+    let bar = EngineRules::now(gateway, call).bar(engine);
     bar.map_or(Ok(()), |bar| Err(AttemptFailure::Barred(bar)))
 }
 
@@ -179,8 +190,10 @@
     let connected = gateway.pool.connect(engine).await;
     let connection = connected.map_err(AttemptFailure::NotSent)?;
     gateway.metrics.engine_connections.inc();
-    let taken = began.elapsed().as_secs_f64();
-    gateway.metrics.connect_seconds.observe(taken);
+    let taken = began.elapsed();
+    let mut placement = gateway.placement.borrow_mut();
+    placement.on_connected(engine, taken);
+    gateway.metrics.connect_seconds.observe(taken.as_secs_f64());
     Ok(connection)
 }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -4,6 +4,7 @@
 mod preparation;
 mod report;
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -18,9 +19,11 @@
 use self::report::Ending;
 use crate::at_engine::AtEngine;
 use crate::attempt::{self, Answered, AttemptFailure, Sending};
+use crate::call::Call;
 use crate::caller::Caller;
-use crate::entry::{Call, refusal_response};
+use crate::engine_rules::residency_now;
 use crate::gateway::Gateway;
+use crate::refusal::refusal_response;
 use crate::streaming::{ClientSide, Passed, StreamEnd, pass_on};
 use crate::whole_answer;
 
@@ -40,13 +43,15 @@
     prompt: Bytes,
     tried: Tried,
     passed: Passed,
-    /// Whether the ledger was asked for the turn's tokens: it may have an account for it that has to be settled.
-    has_asked: bool,
     reserved: Option<Duration>,
+    /// Whether replicas were asked to reserve tokens, so that some may hold the turn in its program's ledger.
+    is_charged: Cell<bool>,
     /// Whether the ledger tells of earlier turns of the program.
     is_under_way: bool,
     /// Whether the request has a grant of its tenant's limit.
     is_granted: bool,
+    /// Drawn for the request: decides whether an engine that is hardly warm gets it.
+    draw: f64,
 }
 
 /// Carries a request out and gives its answer to the caller.
@@ -61,17 +66,18 @@
         call,
         tried: Tried::default(),
         passed,
-        has_asked: false,
         reserved: None,
+        is_charged: Cell::new(false),
         is_under_way: false,
         is_granted: false,
+        draw: rand::random(),
     };
     let ending = exchange.carry_out(caller).await;
     let is_own_account = !matches!(
         ending,
         Ending::Refused(refusal) if refusal.reason == RefusalReason::UsedIdentifier
     );
-    if is_own_account && exchange.has_asked {
+    if is_own_account {
         exchange.settle();
     }
     if matches!(ending, Ending::Refused(_) | Ending::ClientGone) {
@@ -99,8 +105,12 @@
                 return self.give_up(client, refusal).await;
             }
             let Some(engine) = self.next_engine() else {
-                if !self.may_wait_for_room() {
-                    let refusal = self.failure();
+                if let Some(refusal) = self.refusal_of_warm_ups() {
+                    return self.give_up(client, refusal).await;
+                }
+                let bar = self.lasting_bar();
+                if bar.is_some() || !self.may_wait_for_room() {
+                    let refusal = self.failure(bar);
                     return self.give_up(client, refusal).await;
                 }
                 tokio::select! {
@@ -109,6 +119,9 @@
                 }
                 continue;
             };
+            if !self.is_secured(&engine).await {
+                continue;
+            }
             match self.attempt(&engine, client).await {
                 Ok(ending) => return ending,
                 Err(returned) => client = returned,
@@ -159,6 +172,8 @@
             call: &self.call,
             body: &self.prompt,
             last_event_id: self.passed.last_event_id.filter(|_| is_taken_up),
+            draw: self.draw,
+            grant: self.tried.grant,
         };
         let first_limit = self.first_event_limit();
         tokio::select! {
@@ -188,7 +203,7 @@
             StreamEnd::Complete(client) => {
                 answered.at_engine.on_whole();
                 answered.finish(&self.gateway);
-                self.gateway.on_outcome(engine.key(), Outcome::Served);
+                self.on_outcome(engine, Outcome::Served);
                 Ok(self.complete(client, status).await)
             }
             StreamEnd::Failed(client, failure) => {
@@ -225,7 +240,9 @@
         let retention = self.call.route.retention();
         let records = &self.gateway.records;
         let program = self.call.program();
-        let appending = records.append(program.as_ref(), &record, retention, self.call.limit);
+        let residency = residency_now(&self.gateway, &self.call);
+        let limit = self.call.limit;
+        let appending = records.append(program.as_ref(), &record, retention, &residency, limit);
         let appended = tokio::select! {
             appended = appending => appended,
             () = caller.gone() => return Ending::ClientGone,
@@ -261,7 +278,7 @@
         };
         match (response, client) {
             (Ok(response), ClientSide::Waiting(caller)) => {
-                self.gateway.on_outcome(engine.key(), outcome_of(status));
+                self.on_outcome(engine, outcome_of(status));
                 caller.answer(response);
                 Ok(Ending::Answered(status.as_u16()))
             }
--- a/crates/gateway/src/exchange/preparation.rs
+++ b/crates/gateway/src/exchange/preparation.rs
@@ -6,12 +6,13 @@
 use bytes::{Bytes, BytesMut};
 use ridgeworks_quota::Progress;
 use ridgeworks_records::{ChainOutcome, LedgerEntry, ProgramId, Settlement, TurnId, TurnRecord};
-use ridgeworks_routing::{Refusal, RefusalReason};
+use ridgeworks_routing::{EngineKey, Refusal, RefusalReason};
 use tokio::time::Instant;
 
 use super::Exchange;
-use crate::entry::COME_BACK;
+use crate::engine_rules::residency_now;
 use crate::records_client::keep_ms;
+use crate::refusal::{COME_BACK, COME_BACK_RECONFIGURED};
 
 /// How long a turn waits for the replicas before it is refused.
 const RECORDS_PATIENCE: Duration = Duration::from_millis(700);
@@ -37,18 +38,20 @@
             return Err(refusal);
         }
         // Before it waits for anything that it cannot use.
-        if let Some(refusal) = self.refusal_of_drains() {
+        let barred = self.refusal_of_drains();
+        if let Some(refusal) = barred.or_else(|| self.refusal_of_keeping()) {
             return Err(refusal);
         }
-        self.has_asked = true;
         let began = Instant::now();
-        let (prompt, reserved, granted, ()) = tokio::join!(
+        let (prompt, reserved, granted, failed_last, ()) = tokio::join!(
             self.read_prompt(),
             self.reserve(),
             self.take_grant(),
-            self.learn_reads()
+            self.learn_reads(),
+            self.foresee_grant()
         );
         self.is_granted = granted.is_ok();
+        self.tried.failed_last = failed_last.and_then(|failed| self.failed_engine(failed));
         // First: whoever used this identifier before has an account that this request must not touch.
         if let Some(reserved) = reserved? {
             self.reserved = Some(began.elapsed());
@@ -77,6 +80,22 @@
         Some(Refusal::come_back(reason, records.come_back(group)))
     }
 
+    /// A turn that must not be kept where its program's records are is not served: an answer without its record would leave the next
+    /// turn without what went before.
+    fn refusal_of_keeping(&self) -> Option<Refusal> {
+        if !self.call.route.keeps_turns {
+            return None;
+        }
+        let residency = residency_now(&self.gateway, &self.call);
+        let program = self.call.program();
+        let records = &self.gateway.records;
+        if records.may_keep(program.as_ref(), &residency) {
+            return None;
+        }
+        let reason = RefusalReason::KeptOutside;
+        Some(Refusal::come_back(reason, COME_BACK_RECONFIGURED))
+    }
+
     /// Asks for a grant before it is known whether the program is under way: that of a turn that goes on from no other one may be new.
     async fn take_grant(&self) -> Result<(), Refusal> {
         let may_begin = self.account().is_some() && self.call.metadata.previous_turn.is_none();
@@ -117,16 +136,18 @@
         }
     }
 
-    /// What this gateway saw of the line's last turn is the newest there is.
-    async fn learn_reads(&self) {
+    /// What this gateway saw of the line's last turn is the newest there is, but for a try of this one that failed elsewhere. Gives back
+    /// the engine that failed it.
+    async fn learn_reads(&self) -> Option<EngineKey> {
         let previous = self.call.previous_turn();
         let is_ours = previous.is_some_and(|previous| {
             let turns = self.gateway.turns.borrow();
             turns.contains(&previous)
         });
-        if !is_ours {
-            let parts = &self.call.metadata.prompt_parts;
-            self.gateway.learn_reads(parts).await;
+        let parts = &self.call.metadata.prompt_parts;
+        match parts.as_slice() {
+            [_, .., own] if is_ours => self.gateway.learn_read(own.hash).await,
+            parts => self.gateway.learn_reads(parts).await,
         }
     }
 
@@ -153,6 +174,7 @@
         let began = Instant::now();
         let most = self.call.metadata.most_tokens;
         let entry = LedgerEntry { most, spent: None };
+        self.is_charged.set(true);
         let charging = self.gateway.records.charge(
             &account.program,
             &account.turn,
@@ -207,7 +229,8 @@
         let request = &self.call.metadata.request_id;
         let program = self.call.program();
         let limit = self.records_limit();
-        let reading = records.read_chain(program.as_ref(), &previous, request, limit);
+        let residency = residency_now(&self.gateway, &self.call);
+        let reading = records.read_chain(program.as_ref(), &previous, request, &residency, limit);
         let outcome = reading.await;
         let taken = began.elapsed().as_secs_f64();
         self.gateway.metrics.chain_read_seconds.observe(taken);
@@ -247,9 +270,10 @@
         self.gateway.turns.borrow_mut().insert(record, until, now);
     }
 
-    /// Puts what was generated in place of what was reserved, without making anybody wait.
+    /// Puts what was generated in place of what was reserved, without making anybody wait. Where nothing was asked to be reserved, it would
+    /// be work for replicas that have just come back, and use the identifier up.
     pub(super) fn settle(&self) {
-        let Some(account) = self.account() else {
+        let Some(account) = self.account().filter(|_| self.is_charged.get()) else {
             return;
         };
         self.gateway.records.settle(Settlement {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,7 +10,7 @@
 };
 use ridgeworks_routing::{
     Demand, Engine, EngineKey, GatewayReport, Outcome, Placement, PromptPart, PromptRead,
-    ReadDirectory, Route, WeightedSplit,
+    ReadDirectory, RegionWays, Route, WeightedSplit,
 };
 use tokio::sync::oneshot;
 
@@ -21,6 +21,7 @@
 use crate::rate_limits::RateLimits;
 use crate::records_client::RecordsClient;
 use crate::turn_cache::TurnCache;
+use crate::warm_ups::WarmUpCare;
 use crate::zone_drains::ZoneDrainWatch;
 
 /// Part of the process's memory that cached turns may take.
@@ -53,6 +54,8 @@
     pub turns: RefCell<TurnCache>,
     /// Whether keys that are known are still in force.
     pub keys: KeyProof,
+    /// Engines that warm up.
+    pub warm_ups: WarmUpCare,
     /// Zones whose engines get nothing more.
     pub drains: ZoneDrainWatch,
     /// Metrics.
@@ -94,10 +97,12 @@
         let limits = RateLimits::new(Rc::clone(&node), Rc::clone(&records.paths));
         let bound = node.settings.bounds.key_removal();
         let keys = KeyProof::new(Rc::clone(&node.view), bound);
+        let warm_ups = WarmUpCare::new(Rc::clone(&node), metrics.warm_up.clone());
         let drains = ZoneDrainWatch::new(Rc::clone(&node));
+        let ways = RegionWays::new(node.regions.clone(), &node.settings.zone);
         Rc::new(Self {
             node,
-            placement: RefCell::default(),
+            placement: RefCell::new(Placement::with_ways(ways)),
             directory: RefCell::default(),
             split: RefCell::new(WeightedSplit::new(rand::random())),
             pool: EnginePool::default(),
@@ -105,6 +110,7 @@
             limits,
             turns: RefCell::new(TurnCache::new((memory / CACHE_SHARE) as usize)),
             keys,
+            warm_ups,
             drains,
             metrics,
             body_bytes: Cell::new(0),
@@ -187,6 +193,20 @@
             engine: engine.key().0,
             parts: parts.to_vec(),
         };
+        // Parts are named by clients, which must not tell of failures.
+        if !read.is_failure() {
+            self.tell(read);
+        }
+    }
+
+    /// Tells the directory node of a prompt that an engine has failed it.
+    pub fn tell_failed(self: &Rc<Self>, engine: &Engine, parts: &[PromptPart]) {
+        if let Some(failed) = PromptRead::failed(engine.key().0, parts) {
+            self.tell(failed);
+        }
+    }
+
+    fn tell(self: &Rc<Self>, read: PromptRead) {
         if read.key().is_none() {
             return;
         }
@@ -200,23 +220,29 @@
     }
 
     /// Learns from directory nodes where a prompt was read last: the session's own part, and the one that
-    /// it branches off from.
-    pub async fn learn_reads(&self, parts: &[PromptPart]) {
+    /// it branches off from. Gives back the engine that failed it, if the last one did.
+    pub async fn learn_reads(&self, parts: &[PromptPart]) -> Option<EngineKey> {
         let from = parts.len().saturating_sub(ASKED_PARTS).max(1);
         let asked = parts
             .iter()
             .skip(from)
             .map(|part| self.learn_read(part.hash));
-        futures_util::future::join_all(asked).await;
+        let failed = futures_util::future::join_all(asked).await;
+        failed.into_iter().next_back()?
     }
 
-    async fn learn_read(&self, part: u64) {
-        let Some(node) = self.node.gossip.directory_node(part) else {
-            return;
+    /// Learns where the prompt with this last part was read last; gives back the engine where that one failed it.
+    pub async fn learn_read(&self, part: u64) -> Option<EngineKey> {
+        let read = match self.node.gossip.directory_node(part) {
+            Some(node) => self.node.gossip.ask_read(node, part).await,
+            None => self.find_read(part),
         };
-        if let Some(read) = self.node.gossip.ask_read(node, part).await {
-            self.placement.borrow_mut().on_read(&read);
+        let read = read?;
+        if read.is_failure() {
+            return Some(EngineKey(read.engine));
         }
+        self.placement.borrow_mut().on_read(&read);
+        None
     }
 
     /// Notes how a request ended at an engine.
@@ -265,14 +291,29 @@
             );
         }
         self.drains.tell_empty(&placement);
+        for (region, round_ms) in placement.way_news() {
+            log::info!(
+                target: "belief",
+                region = region.as_str(),
+                round_ms = round_ms;
+                "way to the engines of a region changed"
+            );
+        }
         self.turns.borrow_mut().expire(now);
         self.limits.tidy();
+        self.warm_ups.tidy();
         if let Some(routes) = self.node.view.routes() {
             let mut split = self.split.borrow_mut();
             split.retain_routes(|name| routes.has_route(name));
         }
     }
 
+    /// Milliseconds since the configuration was confirmed, -1 when it never was.
+    pub fn version_age_ms(&self) -> i64 {
+        let age = self.node.view.unconfirmed_for();
+        age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX))
+    }
+
     /// Brings the gauges up to date.
     pub fn update_gauges(&self) {
         let view = &self.node.view;
@@ -331,7 +372,9 @@
 
     fn on_read(&self, read: PromptRead) {
         let now = self.now();
-        self.placement.borrow_mut().on_read(&read);
+        if !read.is_failure() {
+            self.placement.borrow_mut().on_read(&read);
+        }
         self.directory.borrow_mut().insert(read, now);
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,8 +6,10 @@
 
 mod at_engine;
 mod attempt;
+mod call;
 mod caller;
 mod engine_pool;
+mod engine_rules;
 mod entry;
 mod exchange;
 mod gateway;
@@ -18,10 +20,12 @@
 mod quorum_health;
 mod rate_limits;
 mod records_client;
+mod refusal;
 mod replica_paths;
 mod role;
 mod streaming;
 mod turn_cache;
+mod warm_ups;
 mod whole_answer;
 mod zone_drains;
 
--- a/crates/resident/src/node.rs
+++ b/crates/resident/src/node.rs
@@ -10,14 +10,15 @@
 use rand::RngExt;
 use ridgeworks_platform::{Object, ObjectKind, StoreOutcome, create, read, read_object, replace};
 use ridgeworks_records::ReplicaGroups;
+use ridgeworks_routing::ZoneRegions;
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Clock;
 use crate::drain_follower::DrainFollower;
 use crate::followers::{ConfigurationFollower, ConfirmationLog, EngineFollower};
 use crate::peer::{
-    Gossip, GossipSources, MemberInfo, PeerLinks, PeerReply, PeerRequest, PeerService,
-    fetch_members, fetch_view,
+    Build, Gossip, GossipSources, LaterReply, LaterRequest, MemberInfo, PeerLinks, PeerReply,
+    PeerRequest, PeerService, fetch_members, fetch_view,
 };
 use crate::settings::{NodeSettings, Role};
 use crate::store_client::StoreClient;
@@ -47,6 +48,8 @@
 pub struct Node {
     /// Its settings at the start.
     pub settings: NodeSettings,
+    /// The regions of the deployment's zones.
+    pub regions: ZoneRegions,
     /// The steady clock.
     pub clock: Clock,
     /// What it believes of the deployment.
@@ -81,7 +84,7 @@
     /// Binds the node's own sockets.
     pub async fn bind(settings: NodeSettings, clock: Clock) -> io::Result<Rc<Self>> {
         let is_gateway = settings.role == Role::Gateway;
-        let view = View::new(clock, is_gateway);
+        let view = View::new(clock, is_gateway).needing_extras(settings.need_extras());
         let has_drains = is_gateway && settings.bounds.zone_drain().is_some();
         let view = Rc::new(if has_drains { view.with_drains() } else { view });
         let bound = settings.bounds.configuration();
@@ -109,6 +112,7 @@
             reloaded: RefCell::new(settings.clone()),
             settings_unreadable: Cell::new(false),
             unreadable_sets: Cell::new(0),
+            regions: settings.zone_regions(),
             settings,
             clock,
             view,
@@ -159,6 +163,9 @@
         match request {
             PeerRequest::FetchView(known) => PeerReply::View(self.view.update_since(known)),
             PeerRequest::ListMembers => PeerReply::Members(self.gossip.known()),
+            PeerRequest::Later(LaterRequest::FetchBuild) => {
+                PeerReply::Later(LaterReply::Build(Build::here()))
+            }
             _ => PeerReply::Unsupported,
         }
     }
@@ -405,10 +412,13 @@
 
 /// A node as it registers itself in the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-struct MemberRecord {
-    address: SocketAddr,
-    zone: String,
-    is_replica: bool,
+pub struct MemberRecord {
+    /// Where other nodes reach it.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: String,
+    /// Whether it runs a replica.
+    pub is_replica: bool,
 }
 
 impl MemberRecord {
--- a/crates/resident/src/peer/gossip.rs
+++ b/crates/resident/src/peer/gossip.rs
@@ -19,9 +19,10 @@
 use tokio::time::{Instant, MissedTickBehavior};
 
 pub use self::reads::Questions;
-use super::confirming::Confirming;
-use super::encoding::{decode, encode};
+use super::confirming::{Ages, Confirming};
+use super::encoding::{MessageKind, decode, encode};
 use super::frame::PROTOCOL;
+use super::later::LaterDatagram;
 use super::links::PeerLinks;
 use super::members::{Member, Members};
 use super::message::{
@@ -29,6 +30,7 @@
     ReplicaStatus,
 };
 use super::targets::{FAN_OUT, targets};
+use super::unread::UNREAD;
 use crate::clock::Clock;
 use crate::view::View;
 use crate::watch_duty::{self, DutySignal, Place, SMALL_FLEET};
@@ -177,7 +179,10 @@
     /// This node's place among those that may watch the store.
     pub fn place(&self, now: Duration) -> Place {
         let members = self.members.borrow();
-        watch_duty::place(&self.me.name, &self.me.zone, members.iter(), now)
+        // Somebody has to watch whose news are of use here.
+        let speaking = members.iter();
+        let speaking = speaking.filter(|member| self.view.speaks_enough(member.protocol));
+        watch_duty::place(&self.me.name, &self.me.zone, speaking, now)
     }
 
     /// Who the other nodes and this one are, for a node that asks.
@@ -322,7 +327,8 @@
                 self.send(from, &Datagram::Confirmed { number, told }).await;
             }
             Ok(Datagram::Confirmed { number, told }) => self.on_confirmed(number, &told),
-            Err(_) => {}
+            Ok(Datagram::Later(LaterDatagram::Unknown(kind))) => UNREAD.on_unknown(from.ip(), kind),
+            Err(error) => UNREAD.on_unreadable(from.ip(), MessageKind::Datagram, error),
         }
     }
 
@@ -366,17 +372,24 @@
 
     /// Asks a node whose knowledge seems to have been confirmed later than this node's own.
     async fn ask_if_younger(&self, told: &Confirmations, node: SocketAddr, now: Duration) {
-        let own = self.view.unconfirmed_for();
-        let age = told.unconfirmed_ms.map(Duration::from_millis);
-        let number = self.confirming.ask(own, age, now);
-        let number = number.or_else(|| {
-            let drains = &self.view.drains;
-            let age = told.drains.and_then(|known| known.unconfirmed_ms);
-            let age = age.filter(|_| drains.are_followed());
-            let age = age.map(Duration::from_millis);
-            self.confirming.ask(drains.unconfirmed_for(), age, now)
-        });
-        if let Some(number) = number {
+        let age = |unconfirmed_ms: Option<u64>| unconfirmed_ms.map(Duration::from_millis);
+        let configuration = Ages {
+            own: self.view.unconfirmed_for(),
+            told: age(told.unconfirmed_ms),
+        };
+        let has_engines = self.view.has_engines_up_to(told.engines_newest);
+        let engines = Ages {
+            own: self.view.engines_unconfirmed_for(),
+            told: age(told.engines_unconfirmed_ms).filter(|_| has_engines),
+        };
+        let drains = &self.view.drains;
+        let told_drains = told.drains.and_then(|known| known.unconfirmed_ms);
+        let drains = Ages {
+            own: drains.unconfirmed_for(),
+            told: age(told_drains).filter(|_| drains.are_followed()),
+        };
+        let ages = [configuration, engines, drains];
+        if let Some(number) = self.confirming.ask(&ages, now) {
             self.send(node, &Datagram::AskConfirmations { number })
                 .await;
         }
@@ -391,10 +404,12 @@
     /// Whether the sender knows something newer that is worth fetching from it.
     fn is_behind(&self, heartbeat: &Heartbeat, now: Duration) -> bool {
         let told = &heartbeat.confirmations;
-        if told.version > self.view.version() || heartbeat.epoch > self.view.epoch() {
+        let is_useful = self.view.takes_from(heartbeat.protocol);
+        let has_newer = is_useful && told.version > self.view.version();
+        if has_newer || heartbeat.epoch > self.view.epoch() {
             return true;
         }
-        if self.me.is_replica {
+        if self.me.is_replica || !is_useful {
             return false;
         }
         if told.drains.is_some_and(|told| self.view.drains.lack(&told)) {
--- a/crates/resident/src/peer/mod.rs
+++ b/crates/resident/src/peer/mod.rs
@@ -4,16 +4,21 @@
 mod encoding;
 mod frame;
 mod gossip;
+mod grant;
+mod later;
 mod link;
 mod links;
 mod members;
 mod message;
 mod server;
 mod targets;
+mod unread;
 
-pub use encoding::{MessageError, MessageKind, decode, encode};
+pub use encoding::{Message, MessageError, MessageKind, Section, decode, encode, number_of};
 pub use frame::{Frame, FrameError, PROTOCOL, RawSection, frame, unframe};
 pub use gossip::{Gossip, GossipSources, Questions, fetch_members, fetch_view};
+pub use grant::{GrantReply, GrantRequest};
+pub use later::{Build, LaterDatagram, LaterReply, LaterRequest};
 pub use link::LinkError;
 pub use links::{PeerLinks, patience};
 pub use members::{Member, Members};
@@ -24,6 +29,7 @@
 };
 pub use server::{PeerService, serve};
 pub use targets::targets;
+pub use unread::{UNREAD, Unread};
 
 use tokio_util::codec::LengthDelimitedCodec;
 
