--- a/crates/cli/src/commands/explain.rs
+++ b/crates/cli/src/commands/explain.rs
@@ -163,6 +163,9 @@
         (_, "engines_full") => {
             "All engines that were asked refused to run it. See the failed attempts."
         }
+        (_, "engines_warm_up") => {
+            "All engines of the service warm up and have what they bear. See the engines that were passed over; docs/operations/warm-up.md."
+        }
         (_, "engine_failed") => {
             "An engine may have run it and gave no answer that can be passed on. See the failed attempt."
         }
--- a/crates/gateway/src/exchange/report.rs
+++ b/crates/gateway/src/exchange/report.rs
@@ -71,6 +71,7 @@
             status = status,
             engines_tried = self.tried.excluded.len(),
             rejections = self.tried.rejections,
+            passed_over = self.tried.passed_over,
             failed_engine = failed_engine.map(String::as_str).unwrap_or_default(),
             engine = self.tried.asked_last.as_str(),
             drained_engines = self.tried.drained,
--- a/crates/resident/tests/golden_messages.rs
+++ b/crates/resident/tests/golden_messages.rs
@@ -9,10 +9,11 @@
 use std::fs;
 use std::path::PathBuf;
 
+use ridgeworks_records::GroupId;
 use ridgeworks_resident::node::MemberRecord;
 use ridgeworks_resident::peer::{
-    Build, Datagram, Envelope, LaterReply, LaterRequest, PeerReply, PeerRequest, ViewUpdate,
-    decode, encode, unframe,
+    Build, Datagram, Envelope, GrantReply, GrantRequest, LaterReply, LaterRequest, PeerReply,
+    PeerRequest, ViewUpdate, decode, encode, unframe,
 };
 use ridgeworks_routing::{Residency, WarmUpLimit};
 use rkyv::rancor::Error;
@@ -193,4 +194,26 @@
     };
     let told = enveloped(PeerReply::Later(LaterReply::Build(build)));
     check_frame!(Envelope<PeerReply>, "reply-build", told);
+    let grant = GrantRequest {
+        group: GroupId(2),
+        engine: "i-1".to_owned(),
+        per_ks: 19_000,
+        version: 9,
+    };
+    let asked = enveloped(PeerRequest::Later(LaterRequest::Grant(grant)));
+    check_frame!(Envelope<PeerRequest>, "request-grant", asked);
+    for (name, reply) in [
+        ("reply-grant-granted", GrantReply::Granted),
+        (
+            "reply-grant-exhausted",
+            GrantReply::Exhausted {
+                next_ms: 52,
+                retry_ms: 260,
+            },
+        ),
+        ("reply-grant-not-member", GrantReply::NotMember),
+    ] {
+        let told = enveloped(PeerReply::Later(LaterReply::Grant(reply)));
+        check_frame!(Envelope<PeerReply>, name, told);
+    }
 }
