--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -12,7 +12,7 @@
 use hyper::body::Incoming;
 use ridgeworks_platform::read_metadata;
 use ridgeworks_routing::{
-    CallMetadata, CallerLimits, Refusal, RefusalReason, Route, RouteTable, Tenant,
+    CallMetadata, CallerLimits, Refusal, RefusalReason, Residency, Route, RouteTable, Tenant,
 };
 use tokio::time::Instant;
 
@@ -20,7 +20,7 @@
 use crate::caller::{Caller, CallerBody};
 use crate::exchange;
 use crate::gateway::{BodyRoom, Gateway, OpenRequest};
-use crate::refusal::{COME_BACK, refusal_response};
+use crate::refusal::{COME_BACK, COME_BACK_RECONFIGURED, refusal_response};
 
 /// Requests that are open at once.
 const MAX_OPEN_REQUESTS: usize = 4_000;
@@ -138,18 +138,22 @@
     let route = routes.find(&host, parts.uri.path());
     let route = route.ok_or_else(|| unless_stale(gateway, RefusalReason::NoRoute))?;
     let tenant = find_tenant(gateway, &routes, route, &metadata)?;
+    let residency = residency_of(route, tenant.as_deref());
+    refuse_where_nowhere(gateway, &residency)?;
     let no_engine = Refusal::come_back(RefusalReason::NoEngine, COME_BACK);
     let service = gateway.next_service(route).ok_or(no_engine)?;
     let wait = metadata.deadline.unwrap_or(route.timeout());
     let path = parts.uri.path_and_query();
     Ok(Call {
         method: parts.method.clone(),
+        host,
         path: path.map_or_else(|| "/".to_owned(), |path| path.as_str().to_owned()),
         headers: parts.headers.clone(),
         body,
         metadata,
         route: Arc::clone(route),
         tenant,
+        residency,
         service,
         version: routes.version(),
         received,
@@ -183,6 +187,23 @@
     Ok(tenant.cloned())
 }
 
+/// Where requests of a route may be served for a tenant: where both allow it.
+pub fn residency_of(route: &Route, tenant: Option<&Tenant>) -> Residency {
+    match tenant {
+        Some(tenant) => route.residency.and(&tenant.residency),
+        None => route.residency.clone(),
+    }
+}
+
+/// Refuses what may be served in no region of the deployment. It has not run, and a newer configuration may allow it.
+fn refuse_where_nowhere(gateway: &Gateway, residency: &Residency) -> Result<(), Refusal> {
+    if gateway.node.regions.has_allowed(residency) {
+        return Ok(());
+    }
+    let reason = RefusalReason::NoAllowedRegion;
+    Err(Refusal::come_back(reason, COME_BACK_RECONFIGURED))
+}
+
 /// A gateway that nobody has confirmed the configuration to within its bound cannot be certain: the route or the key may have been
 /// added meanwhile, and a client does not come back after being told that there is none.
 fn unless_stale(gateway: &Gateway, reason: RefusalReason) -> Refusal {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -21,6 +21,7 @@
 use crate::attempt::{self, Answered, AttemptFailure, Sending};
 use crate::call::Call;
 use crate::caller::Caller;
+use crate::engine_rules::residency_now;
 use crate::gateway::Gateway;
 use crate::refusal::refusal_response;
 use crate::streaming::{ClientSide, Passed, StreamEnd, pass_on};
@@ -107,8 +108,9 @@
                 if let Some(refusal) = self.refusal_of_warm_ups() {
                     return self.give_up(client, refusal).await;
                 }
-                if !self.may_wait_for_room() {
-                    let refusal = self.failure();
+                let bar = self.lasting_bar();
+                if bar.is_some() || !self.may_wait_for_room() {
+                    let refusal = self.failure(bar);
                     return self.give_up(client, refusal).await;
                 }
                 tokio::select! {
@@ -238,7 +240,9 @@
         let retention = self.call.route.retention();
         let records = &self.gateway.records;
         let program = self.call.program();
-        let appending = records.append(program.as_ref(), &record, retention, self.call.limit);
+        let residency = residency_now(&self.gateway, &self.call);
+        let limit = self.call.limit;
+        let appending = records.append(program.as_ref(), &record, retention, &residency, limit);
         let appended = tokio::select! {
             appended = appending => appended,
             () = caller.gone() => return Ending::ClientGone,
--- a/crates/gateway/src/exchange/engine_choice.rs
+++ b/crates/gateway/src/exchange/engine_choice.rs
@@ -5,12 +5,14 @@
 use ridgeworks_quota::Grant;
 use ridgeworks_resident::clock::whole_ms;
 use ridgeworks_routing::{
-    Demand, Engine, EngineKey, EngineRule, Forecast, Outcome, Refusal, RefusalReason, RequestKind,
+    Bar, Demand, Engine, EngineKey, EngineRule, Forecast, Outcome, Refusal, RefusalReason,
+    RequestKind, service_bar,
 };
 use tokio::time::Instant;
 
 use super::Exchange;
 use crate::attempt::AttemptFailure;
+use crate::engine_rules::EngineRules;
 use crate::refusal::COME_BACK;
 
 /// Engines that may reject a request before the client is told to come back.
@@ -56,7 +58,7 @@
     /// The engine that was chosen last.
     pub(super) asked_last: String,
     /// Engines of its service that were passed over for their zones' sake at the last choice.
-    pub(super) drained: usize,
+    pub(super) shut_out: usize,
     /// What the request was expected to lose at the engine that was chosen last, in milliseconds.
     pub(super) cost_ms: f64,
     /// What was believed of the engine that was asked last.
@@ -90,6 +92,16 @@
         may_come && Instant::now() < until && self.refusal_of_drains().is_none()
     }
 
+    /// What keeps the request from all engines of its service, if waiting does not help against it.
+    pub(super) fn lasting_bar(&self) -> Option<Bar> {
+        let rules = EngineRules::now(&self.gateway, &self.call);
+        let view = &self.gateway.node.view;
+        let bar = view.with_engines(|table| {
+            rules.apply(None, |rules| service_bar(table, &self.call.service, rules))
+        });
+        bar.filter(|bar| *bar == Bar::Residency)
+    }
+
     /// The engine to ask next, as far as the route and the failures so far allow.
     pub(super) fn next_engine(&mut self) -> Option<Engine> {
         let tried = &self.tried;
@@ -104,7 +116,9 @@
         if tried.counted() >= self.call.route.max_attempts as usize {
             return self.same_engine();
         }
-        self.tried.drained = self.gateway.drains.shut_out(&self.call.service);
+        if self.gateway.node.view.drains.in_force().is_some() {
+            self.note_shut_out();
+        }
         let chosen = self
             .choose_another()
             .or_else(|| self.choose(&self.tried.excluded));
@@ -116,21 +130,20 @@
     }
 
     fn choose(&self, excluded: &[String]) -> Option<(Engine, f64)> {
-        let drains = self.gateway.node.view.drains.in_force();
-        let drained: Option<&dyn EngineRule> = drains.as_deref().map(|drains| drains as _);
         let may_ask = self.tried.passed_over < MAX_PASSED_OVER;
         let warm_ups = &self.gateway.warm_ups;
         let warm_up = warm_ups.rule(&self.call.service, self.draw, may_ask);
         let warm_up = warm_up.as_ref().map(|rule| rule as &dyn EngineRule);
-        let rules: Vec<&dyn EngineRule> = drained.into_iter().chain(warm_up).collect();
         let metadata = &self.call.metadata;
-        self.gateway.choose_engine(&Demand {
-            service: &self.call.service,
-            key: metadata.placement_key(),
-            parts: &metadata.prompt_parts,
-            zone: &self.gateway.node.settings.zone,
-            excluded,
-            rules: &rules,
+        EngineRules::now(&self.gateway, &self.call).apply(warm_up, |rules| {
+            self.gateway.choose_engine(&Demand {
+                service: &self.call.service,
+                key: metadata.placement_key(),
+                parts: &metadata.prompt_parts,
+                zone: &self.gateway.node.settings.zone,
+                excluded,
+                rules,
+            })
         })
     }
 
@@ -160,10 +173,19 @@
 
     /// The refusal of a request whose service has only engines that warm up and have what they bear.
     pub(super) fn refusal_of_warm_ups(&self) -> Option<Refusal> {
-        let may_have_run = !self.tried.ran_on.is_empty() || self.passed.events > 0;
+        if !self.tried.ran_on.is_empty() || self.passed.events > 0 {
+            return None;
+        }
+        let service = &self.call.service;
         let warm_ups = &self.gateway.warm_ups;
-        let refusal = warm_ups.refusal(&self.call.service, self.draw);
-        refusal.filter(|_| !may_have_run)
+        let rule = warm_ups.rule(service, self.draw, false)?;
+        let view = &self.gateway.node.view;
+        let bar = EngineRules::now(&self.gateway, &self.call).apply(Some(&rule), |rules| {
+            view.with_engines(|table| service_bar(table, service, rules))
+        });
+        let after = warm_ups.come_back(service)?;
+        let refusal = Refusal::come_back(RefusalReason::EnginesWarmUp, after);
+        (bar == Some(Bar::WarmUp)).then_some(refusal)
     }
 
     /// An engine besides the one that failed the client's last try, if there is any.
@@ -191,6 +213,21 @@
         Some(failed)
     }
 
+    /// Says once of a request how many engines were passed over for their zones' sake.
+    fn note_shut_out(&mut self) {
+        let shut_out = self.gateway.drains.shut_out(&self.call.service);
+        if std::mem::replace(&mut self.tried.shut_out, shut_out) == shut_out {
+            return;
+        }
+        log::info!(
+            target: "attempt",
+            request = self.call.metadata.request_id.as_str(),
+            service = self.call.service.as_str(),
+            shut_out = shut_out;
+            "engines of drained zones passed over"
+        );
+    }
+
     /// A stream may be taken up once at the engine that broke it off: that is no further engine.
     fn same_engine(&mut self) -> Option<Engine> {
         let is_stream = self.call.route.kind == RequestKind::Stream;
@@ -208,7 +245,10 @@
             // It has started anew, which makes it a further engine.
             return None;
         }
-        if self.gateway.drains.bar(&engine).is_some() {
+        if EngineRules::now(&self.gateway, &self.call)
+            .bar(&engine)
+            .is_some()
+        {
             return None;
         }
         self.tried.taken_up_at = Some(engine.instance.clone());
@@ -332,7 +372,7 @@
         })
     }
 
-    pub(super) fn failure(&self) -> Refusal {
+    pub(super) fn failure(&self, bar: Option<Bar>) -> Refusal {
         if !self.tried.ran_on.is_empty() {
             return Refusal::last(RefusalReason::EngineFailed);
         }
@@ -341,6 +381,9 @@
         }
         let time = self.call.limit - self.call.received;
         let after = time.mul_f64(COME_BACK_SHARE).max(COME_BACK);
+        if bar == Some(Bar::Residency) {
+            return Refusal::come_back(RefusalReason::NoAllowedRegion, after);
+        }
         if self.tried.rejections > 0 || self.tried.has_waited {
             return Refusal::come_back(RefusalReason::EnginesFull, after);
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,7 +10,7 @@
 };
 use ridgeworks_routing::{
     Demand, Engine, EngineKey, GatewayReport, Outcome, Placement, PromptPart, PromptRead,
-    ReadDirectory, Route, WeightedSplit,
+    ReadDirectory, RegionWays, Route, WeightedSplit,
 };
 use tokio::sync::oneshot;
 
@@ -99,9 +99,10 @@
         let keys = KeyProof::new(Rc::clone(&node.view), bound);
         let warm_ups = WarmUpCare::new(Rc::clone(&node), metrics.warm_up.clone());
         let drains = ZoneDrainWatch::new(Rc::clone(&node));
+        let ways = RegionWays::new(node.regions.clone(), &node.settings.zone);
         Rc::new(Self {
             node,
-            placement: RefCell::default(),
+            placement: RefCell::new(Placement::with_ways(ways)),
             directory: RefCell::default(),
             split: RefCell::new(WeightedSplit::new(rand::random())),
             pool: EnginePool::default(),
@@ -290,6 +291,14 @@
             );
         }
         self.drains.tell_empty(&placement);
+        for (region, round_ms) in placement.way_news() {
+            log::info!(
+                target: "belief",
+                region = region.as_str(),
+                round_ms = round_ms;
+                "way to the engines of a region changed"
+            );
+        }
         self.turns.borrow_mut().expire(now);
         self.limits.tidy();
         self.warm_ups.tidy();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod call;
 mod caller;
 mod engine_pool;
+mod engine_rules;
 mod entry;
 mod exchange;
 mod gateway;
@@ -29,6 +30,7 @@
 mod zone_drains;
 
 pub use gateway::Gateway;
+pub use listener::{StopPhase, listen};
 pub use quorum_health::QuorumHealth;
 pub use replica_paths::{Answering, ReplicaNetwork, ReplicaPaths};
 pub use role::run;
--- a/crates/routing/src/refusal.rs
+++ b/crates/routing/src/refusal.rs
@@ -36,6 +36,10 @@
     NoEngine,
     /// All engines of the service stand in drained zones.
     ZonesDrained,
+    /// No engine takes requests of the service where this one may be served.
+    NoAllowedRegion,
+    /// The turns of the route may be kept in fewer regions than there are replicas in.
+    KeptOutside,
     /// All engines that were asked refused to run it.
     EnginesFull,
     /// All engines of the service warm up and have what they bear.
@@ -89,6 +93,8 @@
             Self::Overloaded => "overloaded",
             Self::NoEngine => "no_engine",
             Self::ZonesDrained => "zones_drained",
+            Self::NoAllowedRegion => "no_allowed_region",
+            Self::KeptOutside => "kept_outside",
             Self::EnginesFull => "engines_full",
             Self::EnginesWarmUp => "engines_warm_up",
             Self::LedgerUnavailable => "ledger_unavailable",
--- a/crates/routing/src/residency.rs
+++ b/crates/routing/src/residency.rs
@@ -70,6 +70,33 @@
         self.by_zone.get(zone).map(String::as_str)
     }
 
+    /// How far a zone is from another: 0 for itself, 1 within a region or where one of the regions is not known, 2 beyond.
+    pub fn distance(&self, one: &str, other: &str) -> u8 {
+        if one == other {
+            return 0;
+        }
+        let regions = self.region(one).zip(self.region(other));
+        regions.map_or(1, |(one, other)| if one == other { 1 } else { 2 })
+    }
+
+    /// Whether something may be served or kept in a zone.
+    pub fn allows(&self, residency: &Residency, zone: &str) -> bool {
+        residency.allows(self.region(zone))
+    }
+
+    /// Whether something may be served in some region of the deployment.
+    pub fn has_allowed(&self, residency: &Residency) -> bool {
+        let mut regions = self.by_zone.values();
+        residency.is_anywhere() || regions.any(|region| residency.allows(Some(region)))
+    }
+
+    /// Whether something may be kept in all regions of the deployment.
+    pub fn allows_all(&self, residency: &Residency) -> bool {
+        let mut regions = self.by_zone.values();
+        residency.is_anywhere()
+            || !self.by_zone.is_empty() && regions.all(|region| residency.allows(Some(region)))
+    }
+
     /// Whether the deployment stands in more than one region.
     pub fn has_many(&self) -> bool {
         let mut regions = self.by_zone.values();
