--- a/crates/gateway/src/exchange/engine_choice.rs
+++ b/crates/gateway/src/exchange/engine_choice.rs
@@ -173,10 +173,19 @@
 
     /// The refusal of a request whose service has only engines that warm up and have what they bear.
     pub(super) fn refusal_of_warm_ups(&self) -> Option<Refusal> {
-        let may_have_run = !self.tried.ran_on.is_empty() || self.passed.events > 0;
+        if !self.tried.ran_on.is_empty() || self.passed.events > 0 {
+            return None;
+        }
+        let service = &self.call.service;
         let warm_ups = &self.gateway.warm_ups;
-        let refusal = warm_ups.refusal(&self.call.service, self.draw);
-        refusal.filter(|_| !may_have_run)
+        let rule = warm_ups.rule(service, self.draw, false)?;
+        let view = &self.gateway.node.view;
+        let bar = EngineRules::now(&self.gateway, &self.call).apply(Some(&rule), |rules| {
+            view.with_engines(|table| service_bar(table, service, rules))
+        });
+        let after = warm_ups.come_back(service)?;
+        let refusal = Refusal::come_back(RefusalReason::EnginesWarmUp, after);
+        (bar == Some(Bar::WarmUp)).then_some(refusal)
     }
 
     /// An engine besides the one that failed the client's last try, if there is any.
--- a/crates/gateway/src/warm_ups.rs
+++ b/crates/gateway/src/warm_ups.rs
@@ -12,10 +12,7 @@
 use ridgeworks_resident::peer::{
     GrantReply, GrantRequest, LaterReply, LaterRequest, LinkError, PeerReply, PeerRequest,
 };
-use ridgeworks_routing::{
-    Bar, Engine, EngineKey, EngineRule, EngineTable, Refusal, RefusalReason, WarmUpLimit, WarmUps,
-    service_bar,
-};
+use ridgeworks_routing::{Bar, Engine, EngineKey, EngineRule, EngineTable, WarmUpLimit, WarmUps};
 use tokio::sync::watch;
 
 use crate::metrics::WarmUpMetrics;
@@ -163,21 +160,6 @@
         }
     }
 
-    /// Why a request of a service gets no engine, where all of them warm up and have what they bear.
-    pub fn refusal(&self, service: &str, draw: f64) -> Option<Refusal> {
-        let rule = self.rule(service, draw, false)?;
-        let view = &self.node.view;
-        let drains = view.drains.in_force();
-        let drained = drains.as_deref().map(|drains| drains as &dyn EngineRule);
-        let rules: Vec<&dyn EngineRule> = drained.into_iter().chain([&rule as _]).collect();
-        let bar = view.with_engines(|table| service_bar(table, service, &rules));
-        if bar != Some(Bar::WarmUp) {
-            return None;
-        }
-        let after = self.come_back(service)?;
-        Some(Refusal::come_back(RefusalReason::EnginesWarmUp, after))
-    }
-
     /// Takes in what has changed, and lets go of what lies in the past.
     pub fn tidy(&self) {
         if !self.is_wanted {
@@ -407,7 +389,7 @@
     }
 
     /// When the first engine of a service has something again.
-    fn come_back(&self, service: &str) -> Option<Duration> {
+    pub fn come_back(&self, service: &str) -> Option<Duration> {
         let now = self.now();
         let pace = self.limit(service)?.pace();
         let stock = self.stock.borrow();
