Bytes by what they are for and how far they go

Cause: bytes between zones and regions have the dearest prices, and nothing told what they were for.

Each node counts what it asks and what is answered, by purpose and by reach (zone, region, beyond), in fixed counters without an allocation for a message: an answer counts for what was asked. Counting at whoever answers was ruled out: it knows the asker by its connection's address only. Nothing is counted where the settings name no zones.

Not measured: bytes before and after, and what compressing bodies would save.

--- a/crates/gateway/src/at_engine.rs
+++ b/crates/gateway/src/at_engine.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
+use ridgeworks_resident::traffic::Purpose;
 use ridgeworks_routing::{CallMetadata, Engine, EngineKey, Forecast, Turn};
 use tokio::time::Instant;
 
@@ -22,6 +23,8 @@
     first: Cell<Option<Instant>>,
     last: Cell<Option<Instant>>,
     events: Cell<u64>,
+    /// Bytes of the answer's body so far.
+    bytes: Cell<usize>,
     /// Times between events, in microseconds.
     gaps: RefCell<Vec<u32>>,
 }
@@ -43,6 +46,7 @@
             first: Cell::default(),
             last: Cell::default(),
             events: Cell::default(),
+            bytes: Cell::default(),
             gaps: RefCell::default(),
         }
     }
@@ -57,6 +61,22 @@
         self.forecast
     }
 
+    /// Bytes of the request's body go out.
+    pub fn on_sent(&self, bytes: usize) {
+        self.count(Purpose::EngineRequest, bytes);
+    }
+
+    /// Bytes of the answer's body have come.
+    pub fn on_bytes(&self, bytes: usize) {
+        self.bytes.set(self.bytes.get() + bytes);
+    }
+
+    fn count(&self, purpose: Purpose, bytes: usize) {
+        if let Some(traffic) = &self.gateway.node.traffic {
+            traffic.add_in(purpose, &self.engine.zone, bytes);
+        }
+    }
+
     /// An event of the answer has come.
     pub fn on_event(&self) {
         let now = Instant::now();
@@ -99,6 +119,7 @@
 
 impl Drop for AtEngine {
     fn drop(&mut self) {
+        self.count(Purpose::EngineAnswer, self.bytes.get());
         let is_read = self.first.get().is_some();
         let unread = if is_read { 0 } else { self.forecast.missing };
         let mut placement = self.gateway.placement.borrow_mut();
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -138,6 +138,7 @@
         let request = build_request(engine, &sending);
         match connection.try_send_request(request).await {
             Ok(response) => {
+                at_engine.on_sent(sending.body.len());
                 let (parts, body) = response.into_parts();
                 let head = read_engine_head(parts.status.as_u16(), &parts.headers);
                 let answered = Answered {
@@ -154,6 +155,7 @@
                 // The library still has the request when not a byte of it went out.
                 let is_unsent = error.take_message().is_some();
                 if !is_unsent {
+                    at_engine.on_sent(sending.body.len());
                     return Err(AttemptFailure::Lost);
                 }
                 if !is_reused {
--- a/crates/gateway/src/streaming.rs
+++ b/crates/gateway/src/streaming.rs
@@ -98,6 +98,7 @@
             Some(Err(_)) => return StreamEnd::Failed(client, AttemptFailure::BrokenOff),
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
         };
+        answered.at_engine.on_bytes(bytes.len());
         let Ok(events) = splitter.push(&bytes) else {
             return StreamEnd::Failed(client, AttemptFailure::Garbled);
         };
--- a/crates/gateway/src/whole_answer.rs
+++ b/crates/gateway/src/whole_answer.rs
@@ -18,7 +18,9 @@
 ) -> Result<Response<Bytes>, AttemptFailure> {
     let reading = Limited::new(&mut answered.body, MAX_ANSWER_BYTES).collect();
     let collected = reading.await.map_err(|_| AttemptFailure::BrokenOff)?;
-    let mut response = Response::new(collected.to_bytes());
+    let body = collected.to_bytes();
+    answered.at_engine.on_bytes(body.len());
+    let mut response = Response::new(body);
     *response.status_mut() = answered.status;
     *response.headers_mut() = client_headers(&answered.headers);
     if answered.status.is_success() {
--- a/crates/resident/src/lib.rs
+++ b/crates/resident/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod settings;
 pub mod shutdown;
 pub mod store_client;
+pub mod traffic;
 pub mod view;
 pub mod watch_duty;
 pub mod watching;
--- a/crates/resident/src/node.rs
+++ b/crates/resident/src/node.rs
@@ -21,6 +21,7 @@
 };
 use crate::settings::{NodeSettings, Role};
 use crate::store_client::StoreClient;
+use crate::traffic::Traffic;
 use crate::view::{Source, View};
 use crate::watch_duty::{DutySignal, Place, WatchDuty};
 use crate::watching::{Follower, follow, list_once};
@@ -57,6 +58,8 @@
     pub store: Rc<StoreClient>,
     /// Links to other nodes.
     pub links: Rc<PeerLinks>,
+    /// How far bytes go, where the settings name zones.
+    pub traffic: Option<Rc<Traffic>>,
     /// Heartbeats.
     pub gossip: Rc<Gossip>,
     /// Whether this node follows the store itself.
@@ -84,7 +87,9 @@
         let view = Rc::new(View::new(clock, is_gateway));
         let duty = WatchDuty::new(&settings.name, settings.bounds.configuration());
         let duty = Rc::new(DutySignal::new(duty.patience(Place::Other)));
-        let links = Rc::new(PeerLinks::default());
+        let regions = settings.zone_regions();
+        let traffic = Traffic::new(&settings.zone, regions.clone()).map(Rc::new);
+        let links = Rc::new(PeerLinks::counting(traffic.clone()));
         let seeds = settings.seed_peers();
         let me = member_info(&settings);
         let gossip = Gossip::bind(
@@ -103,7 +108,8 @@
             reloaded: RefCell::new(settings.clone()),
             settings_unreadable: Cell::new(false),
             unreadable_sets: Cell::new(0),
-            regions: settings.zone_regions(),
+            regions,
+            traffic,
             settings,
             clock,
             view,
--- a/crates/resident/src/peer/gossip.rs
+++ b/crates/resident/src/peer/gossip.rs
@@ -28,6 +28,7 @@
     Confirmations, Datagram, Heartbeat, LoadReport, MemberInfo, PeerReply, PeerRequest,
     ReplicaStatus,
 };
+use super::purpose;
 use super::targets::{FAN_OUT, targets};
 use crate::clock::Clock;
 use crate::view::View;
@@ -119,6 +120,9 @@
         let now = self.clock.now();
         let others = nodes.into_iter().filter(|node| node.name != self.me.name);
         for node in others {
+            if let Some(traffic) = self.links.traffic() {
+                traffic.on_machine(node.address.ip(), &node.zone);
+            }
             self.members.borrow_mut().on_known(node, now);
         }
     }
@@ -255,11 +259,18 @@
             return;
         };
         for target in targets {
+            self.count(&heartbeat, target, datagram.len());
             // A datagram that is lost is replaced by the next one.
             let _ = self.socket.send_to(&datagram, target).await;
         }
     }
 
+    fn count(&self, datagram: &Datagram, to: SocketAddr, bytes: usize) {
+        if let Some(traffic) = self.links.traffic() {
+            traffic.add(purpose::of_datagram(datagram), to.ip(), bytes);
+        }
+    }
+
     /// Those whose turn it is; seeds as long as nobody is known.
     fn targets(&self) -> Vec<SocketAddr> {
         let members = self.members.borrow();
@@ -328,6 +339,7 @@
 
     async fn send(&self, to: SocketAddr, datagram: &Datagram) {
         if let Ok(bytes) = encode(datagram) {
+            self.count(datagram, to, bytes.len());
             // A datagram that is lost is repeated or missed without harm.
             let _ = self.socket.send_to(&bytes, to).await;
         }
@@ -343,6 +355,9 @@
             return;
         }
         let now = self.clock.now();
+        if let Some(traffic) = self.links.traffic() {
+            traffic.on_machine(heartbeat.from.address.ip(), &heartbeat.from.zone);
+        }
         let is_new = self.members.borrow_mut().on_heartbeat(&heartbeat, now);
         self.add_known(heartbeat.known.clone());
         if is_new {
--- a/crates/resident/src/peer/link.rs
+++ b/crates/resident/src/peer/link.rs
@@ -16,11 +16,15 @@
 use super::codec;
 use super::encoding::{decode, encode};
 use super::message::{Envelope, PeerReply, PeerRequest};
+use super::purpose;
 use crate::http_client::connect_tcp;
+use crate::traffic::{Purpose, Traffic};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Requests that may wait for a link.
 const MAX_WAITING: usize = 1_024;
+/// Bytes of a frame's length before it.
+const LENGTH_BYTES: usize = 4;
 /// A link that nobody uses for so long is closed.
 const IDLE_LIMIT: Duration = Duration::from_secs(20);
 
@@ -98,14 +102,14 @@
 }
 
 impl Link {
-    pub fn start(to: SocketAddr) -> Self {
+    pub fn start(to: SocketAddr, traffic: Option<Rc<Traffic>>) -> Self {
         let (requests, receiver) = mpsc::channel(MAX_WAITING);
         let state = Rc::new(LinkState {
             made_at: Instant::now(),
             heard_at: Cell::new(None),
             is_replaced: watch::Sender::new(false),
         });
-        let running = tokio::task::spawn_local(run_link(to, receiver, Rc::clone(&state)));
+        let running = tokio::task::spawn_local(run_link(to, receiver, Rc::clone(&state), traffic));
         Self {
             requests,
             state,
@@ -139,7 +143,17 @@
     }
 }
 
-async fn run_link(to: SocketAddr, mut requests: mpsc::Receiver<Waiting>, state: Rc<LinkState>) {
+async fn run_link(
+    to: SocketAddr,
+    mut requests: mpsc::Receiver<Waiting>,
+    state: Rc<LinkState>,
+    traffic: Option<Rc<Traffic>>,
+) {
+    let count = |purpose, frame: &[u8]| {
+        if let Some(traffic) = &traffic {
+            traffic.add(purpose, to.ip(), frame.len() + LENGTH_BYTES);
+        }
+    };
     // Ends, and with it the receiver, when the connection does; the next request makes a new link.
     let Ok(stream) = connect_tcp(to, CONNECT_TIMEOUT).await else {
         requests.close();
@@ -149,7 +163,7 @@
         return;
     };
     let (mut writer, mut reader) = Framed::new(stream, codec()).split();
-    let mut open: HashMap<u64, ReplySender> = HashMap::new();
+    let mut open: HashMap<u64, (Purpose, ReplySender)> = HashMap::new();
     let mut number = 0;
     loop {
         tokio::select! {
@@ -160,10 +174,12 @@
                     continue;
                 }
                 number += 1;
+                let purpose = purpose::of_request(&waiting.request);
                 let envelope = Envelope { number, body: waiting.request };
                 let Ok(frame) = encode(&envelope) else { continue };
-                open.retain(|_, reply| !reply.is_closed());
-                open.insert(number, waiting.reply);
+                open.retain(|_, (_, reply)| !reply.is_closed());
+                open.insert(number, (purpose, waiting.reply));
+                count(purpose, &frame);
                 if writer.send(frame).await.is_err() {
                     break;
                 }
@@ -172,9 +188,13 @@
                 let Some(Ok(frame)) = frame else { break };
                 state.heard_at.set(Some(Instant::now()));
                 let Ok(envelope) = decode::<Envelope<PeerReply>>(&frame) else { break };
-                if let Some(reply) = open.remove(&envelope.number) {
-                    let _ = reply.send(Ok(envelope.body));
-                }
+                let Some((purpose, reply)) = open.remove(&envelope.number) else {
+                    // Nobody waits any more.
+                    count(Purpose::Late, &frame);
+                    continue;
+                };
+                count(purpose, &frame);
+                let _ = reply.send(Ok(envelope.body));
             }
             () = tokio::time::sleep(IDLE_LIMIT) => break,
         }
--- a/crates/resident/src/peer/links.rs
+++ b/crates/resident/src/peer/links.rs
@@ -17,6 +17,7 @@
 use super::link::{Link, LinkError, LinkState, ReplyReceiver};
 use super::message::{KnownEngines, PeerReply, PeerRequest, ViewPosition};
 use crate::clock::whole_ms;
+use crate::traffic::Traffic;
 
 /// How long nothing may come by a link on which an answer is due, before it is held against a new one. Without a bound a silent
 /// connection answered nobody for as long as the process lived, with it a request is answered in under 0.8 s (loopback).
@@ -73,9 +74,9 @@
 }
 
 impl Peer {
-    fn new(to: SocketAddr) -> Self {
+    fn new(to: SocketAddr, traffic: Option<Rc<Traffic>>) -> Self {
         let mut peer = Self {
-            link: Link::start(to),
+            link: Link::start(to, traffic),
             pace: Pace::new(),
             next_check: Instant::now(),
             is_checking: false,
@@ -96,6 +97,22 @@
 }
 
 impl PeerLinks {
+    /// Links whose bytes are counted here.
+    pub fn counting(traffic: Option<Rc<Traffic>>) -> Self {
+        let table = Table {
+            traffic,
+            ..Table::default()
+        };
+        Self {
+            table: Rc::new(table),
+        }
+    }
+
+    /// How far bytes go, where that is counted.
+    pub(super) fn traffic(&self) -> Option<&Traffic> {
+        self.table.traffic.as_deref()
+    }
+
     /// Asks another node and waits for its reply. A request may reach the node twice: it is sent again where the link
     /// has fallen silent and a new one has not.
     pub async fn call(
@@ -138,6 +155,7 @@
 struct Table {
     peers: RefCell<HashMap<SocketAddr, Peer>>,
     replaced: Cell<u64>,
+    traffic: Option<Rc<Traffic>>,
 }
 
 impl Table {
@@ -147,9 +165,11 @@
         request: PeerRequest,
     ) -> Result<(Rc<LinkState>, ReplyReceiver), LinkError> {
         let mut peers = self.peers.borrow_mut();
-        let peer = peers.entry(to).or_insert_with(|| Peer::new(to));
+        let peer = peers
+            .entry(to)
+            .or_insert_with(|| Peer::new(to, self.traffic.clone()));
         if peer.link.is_closed() {
-            peer.link = Link::start(to);
+            peer.link = Link::start(to, self.traffic.clone());
             peer.rest();
         }
         let reply = peer.link.send(request)?;
@@ -224,7 +244,7 @@
         let state = Rc::clone(&peer.link.state);
         tokio::task::spawn_local(async move {
             let began = Instant::now();
-            let found = compare(to, old).await;
+            let found = compare(to, old, table.traffic.clone()).await;
             table.finish_check(to, &state, found, began);
         });
     }
@@ -270,8 +290,8 @@
 }
 
 /// Asks by a new link what was just asked by the old one.
-async fn compare(to: SocketAddr, old: ReplyReceiver) -> Found {
-    let newer = Link::start(to);
+async fn compare(to: SocketAddr, old: ReplyReceiver, traffic: Option<Rc<Traffic>>) -> Found {
+    let newer = Link::start(to, traffic);
     let Ok(answer) = newer.send(question()) else {
         newer.close();
         return Found::Nothing;
--- a/crates/resident/src/peer/mod.rs
+++ b/crates/resident/src/peer/mod.rs
@@ -8,6 +8,7 @@
 mod links;
 mod members;
 mod message;
+mod purpose;
 mod server;
 mod targets;
 
--- /dev/null
+++ b/crates/resident/src/peer/purpose.rs
@@ -0,0 +1,39 @@
+//! What messages between nodes are for.
+
+use ridgeworks_records::ReplicaRequest;
+
+use super::message::{Datagram, PeerRequest};
+use crate::traffic::Purpose;
+
+/// What a request is for, and the answer to it. One that is passed on counts like the request itself.
+pub fn of_request(request: &PeerRequest) -> Purpose {
+    match request {
+        PeerRequest::Replica { request, .. } => of_replica_request(request),
+        PeerRequest::PassOn(passed) => of_replica_request(&passed.request),
+        PeerRequest::FetchView(_) | PeerRequest::ListMembers => Purpose::View,
+        PeerRequest::Prepare(_) => Purpose::Copy,
+    }
+}
+
+fn of_replica_request(request: &ReplicaRequest) -> Purpose {
+    match request {
+        ReplicaRequest::Charge { .. } => Purpose::Reservation,
+        ReplicaRequest::Settle { .. } => Purpose::Settlement,
+        ReplicaRequest::Append { .. } => Purpose::Append,
+        ReplicaRequest::ReadChain { .. } => Purpose::Chain,
+        ReplicaRequest::Adopt { .. } => Purpose::View,
+        ReplicaRequest::List { .. } | ReplicaRequest::Fetch { .. } => Purpose::Copy,
+        ReplicaRequest::Admit(_) => Purpose::Limit,
+    }
+}
+
+/// What a datagram is for.
+pub fn of_datagram(datagram: &Datagram) -> Purpose {
+    match datagram {
+        Datagram::Heartbeat(_) => Purpose::Heartbeat,
+        Datagram::Read(_) | Datagram::FindRead { .. } | Datagram::FoundRead { .. } => {
+            Purpose::Place
+        }
+        Datagram::AskConfirmations { .. } | Datagram::Confirmed { .. } => Purpose::Proof,
+    }
+}
--- a/crates/resident/src/process.rs
+++ b/crates/resident/src/process.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::Arc;
 use std::time::Duration;
 
 use http::StatusCode;
@@ -13,6 +14,7 @@
 use crate::metrics;
 use crate::node::{Node, ReloadReason};
 use crate::shutdown::{Order, Orders};
+use crate::traffic::TrafficCollector;
 
 /// How often the settings file is looked at; it may change without a signal.
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(5);
@@ -46,9 +48,13 @@
 /// Serves a registry at the settings' metrics address, if there is one; `update` brings gauges up to date.
 pub async fn serve_metrics(
     node: &Node,
-    registry: Registry,
+    mut registry: Registry,
     update: impl Fn() + 'static,
 ) -> io::Result<()> {
+    if let Some(traffic) = &node.traffic {
+        let counts = Arc::clone(&traffic.counts);
+        registry.register_collector(Box::new(TrafficCollector(counts)));
+    }
     let Some((port, metrics_path)) = node.settings.metrics() else {
         return Ok(());
     };
--- /dev/null
+++ b/crates/resident/tests/traffic.rs
@@ -0,0 +1,101 @@
+//! Bytes by what they are for and how far they go.
+
+use std::collections::BTreeMap;
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use prometheus_client::registry::Registry;
+use ridgeworks_resident::peer::{PeerLinks, PeerReply, PeerRequest, PeerService, serve};
+use ridgeworks_resident::traffic::{Purpose, Reach, Traffic, TrafficCollector};
+use ridgeworks_routing::ZoneRegions;
+use tokio::sync::oneshot;
+use tokio::task::LocalSet;
+
+fn regions() -> ZoneRegions {
+    let zones = [
+        ("zone-a", "north"),
+        ("zone-b", "north"),
+        ("zone-c", "south"),
+    ];
+    let zones = zones.map(|(zone, region)| (zone.to_owned(), region.to_owned()));
+    ZoneRegions::new(BTreeMap::from(zones))
+}
+
+fn traffic() -> Traffic {
+    Traffic::new("zone-a", regions()).expect("zones are named")
+}
+
+fn ip(last: u8) -> IpAddr {
+    IpAddr::from([127, 66, 1, last])
+}
+
+#[test]
+fn bytes_count_by_the_zone_of_the_machine() {
+    let traffic = traffic();
+    for (last, zone) in [(1, "zone-a"), (2, "zone-b"), (3, "zone-c")] {
+        traffic.on_machine(ip(last), zone);
+        traffic.add(Purpose::Append, ip(last), 10 * usize::from(last));
+    }
+    traffic.add(Purpose::Append, ip(9), 5);
+    traffic.add_in(Purpose::EngineRequest, "zone-c", 7);
+    let count = |purpose, reach| traffic.counts.get(purpose, reach);
+    assert_eq!(count(Purpose::Append, Reach::Zone), 10);
+    assert_eq!(count(Purpose::Append, Reach::Region), 20);
+    assert_eq!(count(Purpose::Append, Reach::Beyond), 30);
+    assert_eq!(count(Purpose::Append, Reach::Unknown), 5);
+    assert_eq!(count(Purpose::EngineRequest, Reach::Beyond), 7);
+    assert_eq!(count(Purpose::EngineRequest, Reach::Zone), 0);
+}
+
+#[test]
+fn nothing_is_counted_where_the_settings_name_no_zone() {
+    assert!(Traffic::new("zone-a", ZoneRegions::default()).is_none());
+}
+
+#[test]
+fn the_counts_are_told_with_their_labels() {
+    let traffic = traffic();
+    traffic.add_in(Purpose::Chain, "zone-c", 41);
+    let mut registry = Registry::default();
+    registry.register_collector(Box::new(TrafficCollector(traffic.counts)));
+    let mut text = String::new();
+    prometheus_client::encoding::text::encode(&mut text, &registry).expect("a text");
+    let line = "traffic_bytes_total{purpose=\"chain\",reach=\"beyond\"} 41";
+    assert!(text.lines().any(|told| told == line), "{text}");
+    assert_eq!(text.matches("traffic_bytes_total{").count(), 1, "{text}");
+}
+
+struct Lists;
+
+impl PeerService for Lists {
+    fn on_request(&self, _request: PeerRequest, reply: oneshot::Sender<PeerReply>) {
+        // Whoever asked may have given up.
+        let _ = reply.send(PeerReply::Members(Vec::new()));
+    }
+}
+
+/// Whoever asks counts both ways, so that no byte counts twice.
+#[tokio::test]
+async fn a_link_counts_what_is_asked_and_answered() {
+    let local = LocalSet::new();
+    local
+        .run_until(async {
+            let node = SocketAddr::new(ip(40), 27_481);
+            serve(node, Rc::new(Lists)).await.expect("a free address");
+            let traffic = Rc::new(traffic());
+            traffic.on_machine(node.ip(), "zone-b");
+            let links = PeerLinks::counting(Some(Rc::clone(&traffic)));
+            let patience = Duration::from_secs(5);
+            let mut before = 0;
+            for _ in 0..3 {
+                let reply = links.call(node, PeerRequest::ListMembers, patience).await;
+                assert_eq!(reply, Ok(PeerReply::Members(Vec::new())));
+                let now = traffic.counts.get(Purpose::View, Reach::Region);
+                assert!(now > before + 16, "{now} {before}");
+                before = now;
+            }
+            assert_eq!(traffic.counts.get(Purpose::View, Reach::Unknown), 0);
+        })
+        .await;
+}
--- a/crates/routing/src/residency.rs
+++ b/crates/routing/src/residency.rs
@@ -70,6 +70,11 @@
         self.by_zone.get(zone).map(String::as_str)
     }
 
+    /// Whether the settings name no zone.
+    pub fn is_empty(&self) -> bool {
+        self.by_zone.is_empty()
+    }
+
     /// How far a zone is from another: 0 for itself, 1 within a region or where one of the regions is not known, 2 beyond.
     pub fn distance(&self, one: &str, other: &str) -> u8 {
         if one == other {
