Tell what a configuration asks of regions that the deployment cannot give

Cause: routes and tenants whose regions cannot be served showed as refusals of single requests only.

When a configuration comes in force each gateway tells routes and tenants without a region of the settings, and routes that keep turns and may not do so in all regions: one warning for each version, five names of each kind, and the gauge `residency_faults`. `check-settings` was ruled out: it sees the settings and not the configuration.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,6 +1,7 @@
 //! What all requests of a gateway share.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,7 +11,7 @@
 };
 use ridgeworks_routing::{
     Demand, Engine, EngineKey, GatewayReport, Outcome, Placement, PromptPart, PromptRead,
-    ReadDirectory, RegionWays, Route, WeightedSplit,
+    ReadDirectory, RegionWays, ResidencyFaults, Route, RouteTable, WeightedSplit,
 };
 use tokio::sync::oneshot;
 
@@ -28,6 +29,8 @@
 const BODY_SHARE: u64 = 4;
 /// Parts of a prompt, from its end, whose reads are asked for.
 const ASKED_PARTS: usize = 2;
+/// Routes and tenants of each kind that one line of the log names.
+const TOLD_NAMES: usize = 5;
 const BYTES_PER_MB: u64 = 1024 * 1024;
 /// How often connections and beliefs that are no longer needed are let go.
 const TIDY_INTERVAL: Duration = Duration::from_secs(1);
@@ -54,6 +57,8 @@
     pub keys: KeyProof,
     /// Metrics.
     pub metrics: GatewayMetrics,
+    /// Version of the configuration whose residencies were told last.
+    checked_version: Cell<u64>,
     body_bytes: Cell<usize>,
     max_body_bytes: usize,
     open: Cell<usize>,
@@ -103,6 +108,7 @@
             turns: RefCell::new(TurnCache::new((memory / CACHE_SHARE) as usize)),
             keys,
             metrics,
+            checked_version: Cell::new(0),
             body_bytes: Cell::new(0),
             max_body_bytes: (memory / BODY_SHARE) as usize,
             open: Cell::new(0),
@@ -273,9 +279,37 @@
         if let Some(routes) = self.node.view.routes() {
             let mut split = self.split.borrow_mut();
             split.retain_routes(|name| routes.has_route(name));
+            drop(split);
+            self.check_residencies(&routes);
         }
     }
 
+    /// Tells once for each configuration which routes and tenants are refused for their regions.
+    fn check_residencies(&self, routes: &RouteTable) {
+        if self.checked_version.replace(routes.version()) == routes.version() {
+            return;
+        }
+        let faults = ResidencyFaults::of(routes, &self.node.regions);
+        let count = i64::try_from(faults.count()).unwrap_or(i64::MAX);
+        self.metrics.residency_faults.set(count);
+        if count == 0 {
+            return;
+        }
+        let some = |names: &BTreeSet<String>| {
+            let some: Vec<&str> = names.iter().take(TOLD_NAMES).map(String::as_str).collect();
+            some.join(",")
+        };
+        log::warn!(
+            target: "belief",
+            version = routes.version(),
+            routes = some(&faults.routes).as_str(),
+            tenants = some(&faults.tenants).as_str(),
+            keeping_turns = some(&faults.keeping).as_str(),
+            count = count;
+            "routes or tenants cannot be served in their regions"
+        );
+    }
+
     /// Brings the gauges up to date.
     pub fn update_gauges(&self) {
         let view = &self.node.view;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -54,6 +54,8 @@
     pub configuration_version: Gauge,
     /// Seconds since the configuration was confirmed as the newest one.
     pub configuration_age_seconds: Gauge,
+    /// Routes and tenants that cannot be served in their regions.
+    pub residency_faults: Gauge,
     /// Engines that are known.
     pub engines: Gauge,
     /// Entries of engines that cannot be read, where this gateway watches the store.
@@ -93,6 +95,7 @@
             connect_seconds: times(),
             configuration_version: Gauge::default(),
             configuration_age_seconds: Gauge::default(),
+            residency_faults: Gauge::default(),
             engines: Gauge::default(),
             unreadable_engines: Gauge::default(),
             replica_set_epoch: Gauge::default(),
@@ -180,6 +183,11 @@
                 "Seconds since the configuration was confirmed as the newest one",
                 &self.configuration_age_seconds,
             ),
+            (
+                "residency_faults",
+                "Routes and tenants that cannot be served in their regions",
+                &self.residency_faults,
+            ),
             ("engines", "Engines that are known", &self.engines),
             (
                 "unreadable_engines",
--- a/crates/gateway/tests/replica_paths.rs
+++ b/crates/gateway/tests/replica_paths.rs
@@ -415,9 +415,7 @@
 
 #[test]
 fn replicas_of_the_own_region_are_asked_before_those_beyond() {
-    let zones = [("a", "north"), ("b", "north"), ("c", "south")];
-    let zones = zones.map(|(zone, region)| (zone.to_owned(), region.to_owned()));
-    let regions = ZoneRegions::new(zones.into_iter().collect());
+    let regions = ZoneRegions::from([("a", "north"), ("b", "north"), ("c", "south")]);
     let network = FakeNetwork::new(Conduct::Silent, &[]);
     let paths = ReplicaPaths::new(network);
     let replicas = ["c", "b", "a", "c"].map(|zone| Replica {
--- a/crates/node/tests/resident_regions.rs
+++ b/crates/node/tests/resident_regions.rs
@@ -333,6 +333,12 @@
         line["message"] == "request ended" && line["attributes"]["reason"] == "kept_outside"
     }));
     assert_eq!(marked(&deployment), 0);
+    wait_until("the operator is told", || {
+        deployment.gateways[0].log().iter().any(|line| {
+            line["message"] == "routes or tenants cannot be served in their regions"
+                && line["attributes"]["keeping_turns"] == "talk"
+        })
+    });
     let everywhere = ["north", "south", "east"];
     apply(&mut deployment, routes_within(&["talk"], &everywhere), None);
     let reply = marked_turn("s-1").send(gateway).expect("an answer");
--- a/crates/resident/tests/traffic.rs
+++ b/crates/resident/tests/traffic.rs
@@ -1,6 +1,5 @@
 //! Bytes by what they are for and how far they go.
 
-use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,13 +12,11 @@
 use tokio::task::LocalSet;
 
 fn regions() -> ZoneRegions {
-    let zones = [
+    ZoneRegions::from([
         ("zone-a", "north"),
         ("zone-b", "north"),
         ("zone-c", "south"),
-    ];
-    let zones = zones.map(|(zone, region)| (zone.to_owned(), region.to_owned()));
-    ZoneRegions::new(BTreeMap::from(zones))
+    ])
 }
 
 fn traffic() -> Traffic {
--- a/crates/routing/src/residency.rs
+++ b/crates/routing/src/residency.rs
@@ -59,6 +59,14 @@
     by_zone: BTreeMap<String, String>,
 }
 
+impl<const N: usize> From<[(&str, &str); N]> for ZoneRegions {
+    /// Zones with their regions.
+    fn from(pairs: [(&str, &str); N]) -> Self {
+        let pairs = pairs.map(|(zone, region)| (zone.to_owned(), region.to_owned()));
+        Self::new(BTreeMap::from(pairs))
+    }
+}
+
 impl ZoneRegions {
     /// Regions by the names of their zones.
     pub fn new(by_zone: BTreeMap<String, String>) -> Self {
--- a/crates/routing/src/route_table.rs
+++ b/crates/routing/src/route_table.rs
@@ -88,6 +88,16 @@
         routes.any(|route| route.name == name)
     }
 
+    /// All routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Route> {
+        self.routes.values().flatten().map(AsRef::as_ref)
+    }
+
+    /// All tenants that hold a key, those with several as often.
+    pub fn tenants(&self) -> impl Iterator<Item = &Tenant> {
+        self.tenants.iter().flat_map(TenantTable::holders)
+    }
+
     /// A service by its name.
     pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
         self.services.get(name)
--- a/crates/routing/src/tenants.rs
+++ b/crates/routing/src/tenants.rs
@@ -158,6 +158,11 @@
         }
     }
 
+    /// Who holds each key.
+    pub fn holders(&self) -> impl Iterator<Item = &Tenant> {
+        self.holders.values().map(AsRef::as_ref)
+    }
+
     /// Who holds a key.
     pub fn holder(&self, key: KeyDigest) -> Option<&Arc<Tenant>> {
         self.holders.get(&key)
--- a/crates/routing/tests/region_ways.rs
+++ b/crates/routing/tests/region_ways.rs
@@ -2,7 +2,6 @@
 
 mod support;
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use quickcheck::quickcheck;
@@ -13,13 +12,11 @@
 
 /// The gateway stands in zone-a, in the north like zone-b; zone-c is in the south.
 fn regions() -> ZoneRegions {
-    let zones = [
+    ZoneRegions::from([
         ("zone-a", "north"),
         ("zone-b", "north"),
         ("zone-c", "south"),
-    ];
-    let zones = zones.map(|(zone, region)| (zone.to_owned(), region.to_owned()));
-    ZoneRegions::new(BTreeMap::from(zones))
+    ])
 }
 
 /// A placement that has connected to both regions, the other one so many milliseconds away.
@@ -127,8 +124,8 @@
 /// One engine for each number: its zone and the requests that are open there.
 fn same_choice_in_one_region(engines: Vec<(u8, u8)>, key: String, reads: Vec<u8>) -> bool {
     let zones = ["zone-a", "zone-b", "zone-c"];
-    let of_one = zones.map(|zone| (zone.to_owned(), "north".to_owned()));
-    let ways = RegionWays::new(ZoneRegions::new(BTreeMap::from(of_one)), "zone-a");
+    let of_one = zones.map(|zone| (zone, "north"));
+    let ways = RegionWays::new(ZoneRegions::from(of_one), "zone-a");
     let is_unpaid = ways.is_none();
     let mut placements = [Placement::default(), Placement::with_ways(ways)];
     let names: Vec<String> = (0..engines.len())
--- a/crates/routing/tests/residency.rs
+++ b/crates/routing/tests/residency.rs
@@ -2,14 +2,13 @@
 
 mod support;
 
-use std::collections::BTreeMap;
-
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use ridgeworks_routing::{
-    Bar, Demand, Engine, EngineTable, Placement, Residency, ResidencyRule, ZoneRegions, service_bar,
+    Bar, Demand, Engine, EngineTable, KeyDigest, Placement, Residency, ResidencyFaults,
+    ResidencyRule, Route, RouteTable, Tenant, ZoneRegions, service_bar,
 };
 
-use support::{NOW, demand, engine, table};
+use support::{NOW, configuration, demand, engine, route, table};
 
 const ZONES: [&str; 4] = ["zone-a", "zone-b", "zone-c", "zone-of-nobody"];
 const REGIONS: [&str; 4] = ["north", "south", "east", "unknown"];
@@ -143,7 +142,7 @@
 
 #[test]
 fn a_zone_that_nobody_names_is_allowed_only_where_any_region_is() {
-    let regions = ZoneRegions::new(BTreeMap::from([("zone-a".to_owned(), "north".to_owned())]));
+    let regions = ZoneRegions::from([("zone-a", "north")]);
     let north = Residency::within(["north".to_owned()]);
     assert!(regions.allows(&north, "zone-a"));
     assert!(!regions.allows(&north, "zone-x"));
@@ -162,3 +161,41 @@
     assert!(!nothing_named.allows_all(&north));
     assert!(nothing_named.allows_all(&Residency::anywhere()));
 }
+
+#[test]
+fn what_the_deployment_cannot_give_is_told_by_name() {
+    let regions = ZoneRegions::from([("zone-a", "north"), ("zone-b", "south")]);
+    let within = |names: &[&str]| Residency::within(names.iter().map(|name| (*name).to_owned()));
+    let named = |name: &str, residency: Residency, keeps_turns: bool| Route {
+        residency,
+        keeps_turns,
+        ..route(name, "app.example", &format!("/{name}/"))
+    };
+    let tenant = |name: &str, residency: Residency| Tenant {
+        name: name.to_owned(),
+        keys: KeyDigest::of(name.as_bytes()).into_iter().collect(),
+        priority: None,
+        limit: None,
+        residency,
+    };
+    let mut configuration = configuration(vec![
+        named("free", Residency::anywhere(), true),
+        named("north", within(&["north"]), false),
+        named("kept-north", within(&["north"]), true),
+        named("kept-all", within(&["north", "south", "east"]), true),
+        named("kept-nowhere", within(&["atlantis"]), true),
+    ]);
+    configuration.tenants = Some(vec![
+        tenant("alpha", within(&["south"])),
+        tenant("beta", within(&[])),
+    ]);
+    let faults = ResidencyFaults::of(&RouteTable::new(&configuration), &regions);
+    let names = |names: &[&str]| names.iter().map(|name| (*name).to_owned()).collect();
+    let expected = ResidencyFaults {
+        routes: names(&["kept-nowhere"]),
+        tenants: names(&["beta"]),
+        keeping: names(&["kept-north"]),
+    };
+    assert_eq!(faults, expected);
+    assert_eq!(faults.count(), 3);
+}
