--- a/crates/resident/src/peer/purpose.rs
+++ b/crates/resident/src/peer/purpose.rs
@@ -2,6 +2,7 @@
 
 use ridgeworks_records::ReplicaRequest;
 
+use super::later::{LaterDatagram, LaterRequest};
 use super::message::{Datagram, PeerRequest};
 use crate::traffic::Purpose;
 
@@ -11,6 +12,8 @@
         PeerRequest::Replica { request, .. } => of_replica_request(request),
         PeerRequest::PassOn(passed) => of_replica_request(&passed.request),
         PeerRequest::FetchView(_) | PeerRequest::ListMembers => Purpose::View,
+        PeerRequest::Later(LaterRequest::Grant(_)) => Purpose::Limit,
+        PeerRequest::Later(LaterRequest::FetchBuild | LaterRequest::Unknown(_)) => Purpose::View,
         PeerRequest::Prepare(_) => Purpose::Copy,
     }
 }
@@ -35,5 +38,6 @@
             Purpose::Place
         }
         Datagram::AskConfirmations { .. } | Datagram::Confirmed { .. } => Purpose::Proof,
+        Datagram::Later(LaterDatagram::Unknown(_)) => Purpose::Late,
     }
 }
--- a/crates/resident/src/traffic.rs
+++ b/crates/resident/src/traffic.rs
@@ -35,7 +35,7 @@
     Chain,
     /// Records that replicas copy.
     Copy,
-    /// Limits of tenants.
+    /// Limits of tenants and of engines that warm up.
     Limit,
     /// Configuration, engines, replica sets, members.
     View,
@@ -45,7 +45,7 @@
     Place,
     /// Proofs of what is the newest.
     Proof,
-    /// Answers that nobody waits for any more.
+    /// What nobody waits for any more, or knows.
     Late,
 }
 
