--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: fuzz laboratory test soak-short platform-test platform-day platform-soak format lint build generate bench-scheduling bench-replica experiment bench-storage check-generated demo bench compare-detectors chaos chaos-quick chaos-weakened simulate check-engine-model
+.PHONY: platform-upgrade fuzz laboratory test soak-short platform-test platform-day platform-soak format lint build generate bench-scheduling bench-replica experiment bench-storage check-generated demo bench compare-detectors chaos chaos-quick chaos-weakened simulate check-engine-model
 
 # Two conversations on a small deployment; the last line is one JSON object.
 demo:
@@ -59,6 +59,20 @@
 	  target/release/ridgeworks-platform-day --faults --seconds 25 --seed $$seed || exit 1; \
 	done
 
+# The same with two versions side by side: days begin with the programs of an earlier commit, and they are replaced under
+# traffic and faults, forwards, halfway, and back.
+FROM ?= ec4d1db
+SEEDS ?= 1 2 3
+WAYS ?= forwards halfway back
+platform-upgrade:
+	cargo build --release --locked -p ridgeworks-node -p ridgeworks-platform-day
+	earlier=$$(tools/build-earlier.sh $(FROM)) || exit 1; \
+	for seed in $(SEEDS); do \
+	  for way in $(WAYS); do \
+	    target/release/ridgeworks-platform-day --faults --seconds 25 --seed $$seed --way $$way --earlier $$earlier || exit 1; \
+	  done; \
+	done
+
 # Decoders of messages, records and objects on bytes that were changed at random, for minutes; the tests take seconds.
 FUZZ_CASES ?= 3000000
 FUZZ_SEED ?= $(shell date +%s)
