What each node runs is told

Cause: during an upgrade nobody could tell which version a node runs, and the README said that versions do not go together.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,8 @@
 .PHONY: platform-upgrade fuzz laboratory test soak-short platform-test platform-day platform-soak format lint build generate bench-scheduling bench-replica experiment bench-storage check-generated demo bench compare-detectors chaos chaos-quick chaos-weakened simulate check-engine-model
 
+# Told by the programs that are built here; a build without it says that it does not know.
+export RIDGEWORKS_COMMIT ?= $(shell git describe --always --dirty --abbrev=12 --exclude '*' 2>/dev/null || echo unknown)
+
 # Two conversations on a small deployment; the last line is one JSON object.
 demo:
 	cargo build --release --locked -p ridgeworks-node -p ridgeworks-testbed
--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -2,6 +2,7 @@
 
 use std::num::NonZeroU32;
 use std::path::PathBuf;
+use std::sync::LazyLock;
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use clap_complete::Shell;
@@ -9,9 +10,18 @@
 
 use crate::object_kind::KindArgument;
 
+/// Version of the program and the commit that it was built from, if the build was told.
+fn version() -> &'static str {
+    static VERSION: LazyLock<String> = LazyLock::new(|| {
+        let commit = option_env!("RIDGEWORKS_COMMIT").unwrap_or("unknown");
+        format!("{}, commit {commit}", env!("CARGO_PKG_VERSION"))
+    });
+    VERSION.as_str()
+}
+
 /// Operates ridgeworks: programs, services, priority classes, shares and nodes.
 #[derive(Debug, Parser)]
-#[command(name = "ridgeworks", version, after_help = crate::exit_status::HELP)]
+#[command(name = "ridgeworks", version = version(), after_help = crate::exit_status::HELP)]
 pub struct Arguments {
     /// Where to send requests and as whom.
     #[command(flatten)]
--- a/crates/gateway/src/role.rs
+++ b/crates/gateway/src/role.rs
@@ -9,6 +9,7 @@
 
 use http::StatusCode;
 use ridgeworks_platform::{READY_PATH, unavailable};
+use ridgeworks_resident::build;
 use ridgeworks_resident::clock::Clock;
 use ridgeworks_resident::http_server::{self, ShortAnswer};
 use ridgeworks_resident::logging::LogCounters;
@@ -50,6 +51,7 @@
     let mut registry = metrics::registry();
     registry.register_collector(Box::new(LogCollector(log_counters)));
     registry.register_collector(Box::new(UnreadCollector));
+    build::register(&mut registry);
     let gateway_metrics = GatewayMetrics::register(&mut registry);
     let node = Node::bind(settings, Clock::start()).await?;
     let gateway = Gateway::new(Rc::clone(&node), gateway_metrics);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod settings;
 pub mod shutdown;
 pub mod thread_message;
+pub mod versions;
 pub mod wake_timer;
 
 use std::time::Duration;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,15 +1,18 @@
 //! Entry point of `ridgeworksd`.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::LazyLock;
 
 use clap::{Parser, Subcommand};
 use ridgeworks_node::settings::{self, Flags};
-use ridgeworks_node::{daemon, logging, resident};
+use ridgeworks_node::{daemon, logging, resident, versions};
+use ridgeworks_resident::build;
 
 /// Node of the ridgeworks scheduler.
 #[derive(Debug, Parser)]
-#[command(version, args_conflicts_with_subcommands = true)]
+#[command(version = version(), args_conflicts_with_subcommands = true)]
 struct CommandLine {
     /// Settings file, in TOML.
     #[arg(long)]
@@ -28,6 +31,11 @@
         #[arg(long)]
         settings: Option<PathBuf>,
     },
+    /// Prints what each node of a deployment on the users' platform runs, as during an upgrade.
+    Versions {
+        /// Where one of them is reached by the others, IP and peer port.
+        node: SocketAddr,
+    },
     /// Prints every fault of a settings file with its key, its value and what is allowed.
     CheckSettings {
         /// The settings file.
@@ -38,9 +46,11 @@
 }
 
 fn main() -> ExitCode {
+    build::set_commit(option_env!("RIDGEWORKS_COMMIT"));
     let command_line = CommandLine::parse();
     match &command_line.command {
         Some(Command::Resident { settings }) => run_resident(settings.clone()),
+        Some(Command::Versions { node }) => report(versions::print(*node)),
         Some(Command::CheckSettings { file, flags }) if resident::is_resident_file(file) => {
             report(resident::check(file))
         }
@@ -49,6 +59,12 @@
     }
 }
 
+fn version() -> &'static str {
+    static VERSION: LazyLock<String> =
+        LazyLock::new(|| format!("{}, {}", env!("CARGO_PKG_VERSION"), build::here()));
+    VERSION.as_str()
+}
+
 fn run_resident(settings: Option<PathBuf>) -> ExitCode {
     report(resident::run(settings))
 }
--- a/crates/node/tests/resident_lifecycle.rs
+++ b/crates/node/tests/resident_lifecycle.rs
@@ -378,3 +378,32 @@
     let cut: Vec<String> = unanswered.filter(|id| runs.contains(id)).collect();
     assert!(cut.is_empty(), "run and not answered: {cut:?}");
 }
+
+/// What every node runs can be asked of any of them, told in its log and its metrics.
+#[test]
+fn what_each_node_runs_is_told() {
+    let deployment = Deployment::started(PROGRAM, 1, 1);
+    let [gateway, replica] = [&deployment.gateways[0], &deployment.replicas[0]];
+    wait_until("they hear each other", || {
+        gateway.has_heard(replica) && replica.has_heard(gateway)
+    });
+    let told = std::process::Command::new(PROGRAM)
+        .args(["versions", &gateway.peers().to_string()])
+        .output()
+        .expect("the program starts");
+    let told = String::from_utf8(told.stdout).expect("text");
+    let lines: Vec<&str> = told.lines().collect();
+    assert_eq!(lines.len(), 2, "{told}");
+    let names = ["gateway-1 ", "replica-1 "];
+    for (line, name) in lines.iter().zip(names) {
+        assert!(line.starts_with(name), "{line}");
+        assert!(line.ends_with("protocol 1, disk 0"), "{line}");
+    }
+    let metrics = get(gateway.metrics(), "/metrics").expect("metrics");
+    let build = "ridgeworks_build_info{commit=";
+    assert!(metrics.body.contains(build), "{}", metrics.body);
+    let log = gateway.log();
+    let started = log.iter().find(|line| line["message"] == "started");
+    let started = started.expect("the start is told");
+    assert_eq!(started["attributes"]["protocol"], "1");
+}
--- a/crates/records/src/replica.rs
+++ b/crates/records/src/replica.rs
@@ -26,6 +26,9 @@
 /// Records that one answer to a chain read holds at most.
 const MAX_CHAIN_RECORDS: usize = 256;
 
+/// Newest form of what lies on a disk that this program reads; it writes this one (`docs/design/versions.md`, "Disks").
+pub const DISK_VERSION: u16 = 0;
+
 /// A record as it lies on the disk.
 #[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub enum StoredRecord {
--- a/crates/replica/src/disk.rs
+++ b/crates/replica/src/disk.rs
@@ -10,14 +10,11 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use ridgeworks_records::{Change, RecordKey, ReplicaId, ReplicaState, StoredRecord};
+use ridgeworks_records::{Change, DISK_VERSION, RecordKey, ReplicaId, ReplicaState, StoredRecord};
 use ridgeworks_storage::{Store, StoreCreationId, StoreError, StoreOperation, StoreSettings};
 use rkyv::rancor;
 use rkyv::util::AlignedVec;
 
-/// Newest form of what lies on a disk that this program reads; it writes this one (`docs/design/versions.md`, "Disks").
-pub const DISK_VERSION: u16 = 0;
-
 const READ_VERSIONS: RangeInclusive<u16> = 0..=DISK_VERSION;
 /// Key of the disk's version among the node's own records; a disk without it has version 0.
 const VERSION_KEY: &[u8] = b"disk-version";
--- a/crates/replica/src/role.rs
+++ b/crates/replica/src/role.rs
@@ -8,6 +8,7 @@
 
 use ridgeworks_platform::ObjectKind;
 use ridgeworks_resident::actors::ActorRuntime;
+use ridgeworks_resident::build;
 use ridgeworks_resident::clock::Clock;
 use ridgeworks_resident::logging::LogCounters;
 use ridgeworks_resident::metrics::{self, LogCollector, UnreadCollector};
@@ -47,6 +48,7 @@
     let mut registry = metrics::registry();
     registry.register_collector(Box::new(LogCollector(log_counters)));
     registry.register_collector(Box::new(UnreadCollector));
+    build::register(&mut registry);
     let replica_metrics = Rc::new(ReplicaMetrics::register(&mut registry));
     let node = Node::bind(settings, Clock::start()).await?;
     let replica = start_actor(&node, folder, replica_metrics);
--- a/crates/replica/tests/golden_records.rs
+++ b/crates/replica/tests/golden_records.rs
@@ -10,8 +10,8 @@
 use std::fs;
 use std::path::PathBuf;
 
-use ridgeworks_records::{Change, ReplicaGroups};
-use ridgeworks_replica::disk::{DISK_VERSION, DiskError, decode, open, operation};
+use ridgeworks_records::{Change, DISK_VERSION, ReplicaGroups};
+use ridgeworks_replica::disk::{DiskError, decode, open, operation};
 use ridgeworks_storage::{Store, StoreCreationId, StoreOperation, StoreSettings, WriteBatch};
 
 const NODE: &str = "node-1";
--- a/crates/resident/src/lib.rs
+++ b/crates/resident/src/lib.rs
@@ -4,6 +4,7 @@
 //! run on the same thread. Only logging and the disk have threads of their own.
 
 pub mod actors;
+pub mod build;
 pub mod clock;
 mod followers;
 pub mod http_client;
--- a/crates/resident/src/node.rs
+++ b/crates/resident/src/node.rs
@@ -12,11 +12,12 @@
 use ridgeworks_records::ReplicaGroups;
 use serde::{Deserialize, Serialize};
 
+use crate::build;
 use crate::clock::Clock;
 use crate::followers::{ConfigurationFollower, ConfirmationLog, EngineFollower};
 use crate::peer::{
-    Build, Gossip, GossipSources, LaterReply, LaterRequest, MemberInfo, PeerLinks, PeerReply,
-    PeerRequest, PeerService, fetch_members, fetch_view,
+    Gossip, GossipSources, LaterReply, LaterRequest, MemberInfo, PeerLinks, PeerReply, PeerRequest,
+    PeerService, fetch_members, fetch_view,
 };
 use crate::settings::{NodeSettings, Role};
 use crate::store_client::StoreClient;
@@ -147,7 +148,7 @@
             PeerRequest::FetchView(known) => PeerReply::View(self.view.update_since(known)),
             PeerRequest::ListMembers => PeerReply::Members(self.gossip.known()),
             PeerRequest::Later(LaterRequest::FetchBuild) => {
-                PeerReply::Later(LaterReply::Build(Build::here()))
+                PeerReply::Later(LaterReply::Build(build::here()))
             }
             _ => PeerReply::Unsupported,
         }
--- a/crates/resident/src/peer/gossip.rs
+++ b/crates/resident/src/peer/gossip.rs
@@ -355,7 +355,8 @@
             log::info!(
                 target: "belief",
                 node = heartbeat.from.name.as_str(),
-                incarnation = heartbeat.incarnation;
+                incarnation = heartbeat.incarnation,
+                protocol = heartbeat.protocol;
                 "node joined"
             );
             let reply = Datagram::Heartbeat(Box::new(self.heartbeat(sources)));
--- a/crates/resident/src/peer/later.rs
+++ b/crates/resident/src/peer/later.rs
@@ -10,7 +10,7 @@
 use rkyv::{Archive, Deserialize, Serialize};
 
 use super::encoding::{MessageError, from_bytes, to_bytes};
-use super::frame::{PROTOCOL, RawSection};
+use super::frame::RawSection;
 
 /// Sections from this number on are messages themselves; those below it stand beside a body.
 pub const FIRST_KIND: u16 = 100;
@@ -57,18 +57,8 @@
     pub commit: String,
     /// Version of the protocol that it speaks.
     pub protocol: u16,
-}
-
-impl Build {
-    /// What this process runs.
-    pub fn here() -> Self {
-        Self {
-            commit: option_env!("RIDGEWORKS_COMMIT")
-                .unwrap_or("unknown")
-                .to_owned(),
-            protocol: PROTOCOL,
-        }
-    }
+    /// Newest form of records on a disk that it reads.
+    pub disk: u16,
 }
 
 /// A message of such a kind.
--- a/crates/resident/src/process.rs
+++ b/crates/resident/src/process.rs
@@ -9,6 +9,7 @@
 use http::StatusCode;
 use prometheus_client::registry::Registry;
 
+use crate::build;
 use crate::http_server::{self, ShortAnswer};
 use crate::metrics;
 use crate::node::{Node, ReloadReason};
@@ -67,10 +68,14 @@
 /// platform stops the process.
 pub async fn run_until_stopped(node: &Node, settings_path: &Path, orders: &mut Orders) {
     let settings = &node.settings;
+    let build = build::here();
     log::info!(
         target: "process",
         node = settings.name.as_str(),
-        role = settings.role.name();
+        role = settings.role.name(),
+        commit = build.commit.as_str(),
+        protocol = build.protocol,
+        disk = build.disk;
         "started"
     );
     loop {
--- a/crates/resident/tests/golden_messages.rs
+++ b/crates/resident/tests/golden_messages.rs
@@ -189,6 +189,7 @@
     let build = Build {
         commit: "c0ffee".to_owned(),
         protocol: 1,
+        disk: 0,
     };
     let told = enveloped(PeerReply::Later(LaterReply::Build(build)));
     check_frame!(Envelope<PeerReply>, "reply-build", told);
--- a/crates/resident/tests/later_messages.rs
+++ b/crates/resident/tests/later_messages.rs
@@ -28,6 +28,7 @@
     Build {
         commit: "c0ffee".to_owned(),
         protocol: 1,
+        disk: 0,
     }
 }
 
--- a/crates/resident/tests/mutated_messages.rs
+++ b/crates/resident/tests/mutated_messages.rs
@@ -53,6 +53,7 @@
     let build = Build {
         commit: "c0ffee".to_owned(),
         protocol: 1,
+        disk: 0,
     };
     let later = PeerReply::Later(LaterReply::Build(build));
     let replies = samples::replies().into_iter().chain([later, extended()]);
