The product's own objects in the store may state a form

Cause: readers of replica sets and members pass over fields that they do not know, also where a newer program means them to matter.

An object that states a form beyond what the program reads is refused, told in the log as unreadable sets are, and not written over.

Seen: a test with real processes passes; with every form taken for known it waited in vain for the refusal.

--- a/crates/node/tests/resident_lifecycle.rs
+++ b/crates/node/tests/resident_lifecycle.rs
@@ -407,3 +407,28 @@
     let started = started.expect("the start is told");
     assert_eq!(started["attributes"]["protocol"], "1");
 }
+
+/// Sets that are misread could be changed by a replica that knows half of what they say.
+#[test]
+fn replica_sets_of_a_newer_form_are_neither_believed_nor_written_over() {
+    let mut deployment = Deployment::started(PROGRAM, 1, 3);
+    let (kind, name) = ("ridgeworks-replica-sets", "main");
+    let object = deployment.store.object(kind, name).expect("replica sets");
+    let mut newer = object["spec"].clone();
+    newer["form"] = json!(1);
+    newer["epoch"] = json!(1_000);
+    deployment.store.put(kind, name, newer.clone());
+    let replica = &mut deployment.replicas[0];
+    replica.kill();
+    replica.start();
+    let refused = "replica sets in the platform store cannot be read";
+    wait_until("the form is refused", || replica.has_logged(refused));
+    let log = replica.log();
+    let believed = log.iter().filter(|line| {
+        let epoch = &line["attributes"]["epoch"];
+        line["message"] == "replica set in force" && epoch == "1000"
+    });
+    assert_eq!(believed.count(), 0);
+    let object = deployment.store.object(kind, name).expect("replica sets");
+    assert_eq!(object["spec"], newer);
+}
--- a/crates/resident/src/node.rs
+++ b/crates/resident/src/node.rs
@@ -8,7 +8,9 @@
 use std::time::Duration;
 
 use rand::RngExt;
-use ridgeworks_platform::{Object, ObjectKind, StoreOutcome, create, read, read_object, replace};
+use ridgeworks_platform::{
+    Object, ObjectKind, StoreOutcome, check_form, create, read, read_object, replace,
+};
 use ridgeworks_records::ReplicaGroups;
 use serde::{Deserialize, Serialize};
 
@@ -230,6 +232,10 @@
             StoreOutcome::NotFound => Some(RegisteredGroups::Missing),
             StoreOutcome::Done => {
                 let object = read_object(&answer.body).ok()?;
+                if let Err(error) = check_form(&object.spec) {
+                    self.on_unreadable_sets(object.revision, &error);
+                    return None;
+                }
                 let groups = match ReplicaGroups::deserialize(&object.spec) {
                     Ok(groups) => groups,
                     Err(error) => {
@@ -374,7 +380,7 @@
     }
 }
 
-/// A node as it registers itself in the store.
+/// A node as it registers itself in the store. Its fields stay (`docs/design/versions.md`).
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberRecord {
     /// Where other nodes reach it.
@@ -395,6 +401,7 @@
     }
 
     fn read(object: &Object) -> Option<MemberInfo> {
+        check_form(&object.spec).ok()?;
         let record = Self::deserialize(&object.spec).ok()?;
         Some(MemberInfo {
             name: object.name.clone(),
