Drained zones: refused at once where residency leaves only engines of drained zones

Cause: with residency and drains together, a request whose regions were drained waited for room for a third of its time: the engine elsewhere passed the drains' rule, and the answer was no_engine.

All rules together tell what keeps the request from the service's engines now.

--- a/crates/gateway/src/exchange/engine_choice.rs
+++ b/crates/gateway/src/exchange/engine_choice.rs
@@ -94,12 +94,16 @@
 
     /// What keeps the request from all engines of its service, if waiting does not help against it.
     pub(super) fn lasting_bar(&self) -> Option<Bar> {
+        self.bar().filter(|bar| *bar == Bar::Residency)
+    }
+
+    /// What keeps the request from all engines of its service, whatever room they have.
+    fn bar(&self) -> Option<Bar> {
         let rules = EngineRules::now(&self.gateway, &self.call);
         let view = &self.gateway.node.view;
-        let bar = view.with_engines(|table| {
+        view.with_engines(|table| {
             rules.apply(None, |rules| service_bar(table, &self.call.service, rules))
-        });
-        bar.filter(|bar| *bar == Bar::Residency)
+        })
     }
 
     /// The engine to ask next, as far as the route and the failures so far allow.
@@ -116,7 +120,7 @@
         if tried.counted() >= self.call.route.max_attempts as usize {
             return self.same_engine();
         }
-        if self.gateway.node.view.drains.in_force().is_some() {
+        if self.gateway.drains.has_any() {
             self.note_shut_out();
         }
         let chosen = self
@@ -336,9 +340,13 @@
         );
     }
 
-    /// The refusal of a request whose service has no engine outside drained zones.
+    /// The refusal of a request whose service has no engine for it outside drained zones.
     pub(super) fn refusal_of_drains(&self) -> Option<Refusal> {
-        let after = self.gateway.drains.come_back(&self.call.service)?;
+        let drains = &self.gateway.drains;
+        if !drains.has_any() || self.bar() != Some(Bar::ZoneDrain) {
+            return None;
+        }
+        let after = drains.come_back(&self.call.service);
         Some(Refusal::come_back(RefusalReason::ZonesDrained, after))
     }
 
--- a/crates/gateway/src/zone_drains.rs
+++ b/crates/gateway/src/zone_drains.rs
@@ -7,7 +7,7 @@
 
 use ridgeworks_resident::clock::whole_ms;
 use ridgeworks_resident::node::Node;
-use ridgeworks_routing::{Bar, Engine, EngineKey, EngineRule, Placement, first_bar, service_bar};
+use ridgeworks_routing::{Engine, EngineKey, EngineRule, Placement, first_bar};
 
 use crate::metrics::{GatewayMetrics, ZoneServiceLabel};
 
@@ -48,10 +48,9 @@
         !drains.are_followed() || drains.are_known() || is_overdue
     }
 
-    /// Why an engine gets nothing now for its zone's sake.
-    pub fn bar(&self, engine: &Engine) -> Option<Bar> {
-        let drains = self.node.view.drains.in_force()?;
-        drains.bar(engine)
+    /// Whether any zone is drained.
+    pub fn has_any(&self) -> bool {
+        self.node.view.drains.in_force().is_some()
     }
 
     /// Ready engines of a service that get nothing now for their zones' sake.
@@ -66,19 +65,17 @@
         })
     }
 
-    /// When a client may come back whose service has no ready engine outside drained zones; `None` where it has one, or none at all.
-    pub fn come_back(&self, service: &str) -> Option<Duration> {
+    /// When a client may come back whose service has no engine for it outside drained zones.
+    pub fn come_back(&self, service: &str) -> Duration {
         let view = &self.node.view;
-        let drains = view.drains.in_force()?;
-        let rules: [&dyn EngineRule; 1] = [&*drains];
-        view.with_engines(|table| {
-            service_bar(table, service, &rules)?;
-            let stood = table
-                .ready(service)
-                .filter_map(|engine| view.drains.stood_for(&engine.zone));
-            let least = stood.min().unwrap_or_default();
-            Some(least.clamp(LEAST_COME_BACK, MOST_COME_BACK))
-        })
+        let least = view.with_engines(|table| {
+            let ready = table.ready(service);
+            let stood = ready.filter_map(|engine| view.drains.stood_for(&engine.zone));
+            stood.min()
+        });
+        least
+            .unwrap_or_default()
+            .clamp(LEAST_COME_BACK, MOST_COME_BACK)
     }
 
     /// Says once of each drained zone that the last request of this gateway there has ended.
--- a/crates/node/tests/resident_drains.rs
+++ b/crates/node/tests/resident_drains.rs
@@ -204,6 +204,30 @@
     zones.assert_passed_over(&zones.a);
 }
 
+/// The engine elsewhere is none that the request may go to, so that nothing is left to wait for.
+#[test]
+fn a_request_whose_regions_are_drained_refuses_at_once() {
+    let mut deployment = Deployment::of_regions(PROGRAM)
+        .draining_within(BOUND)
+        .with_nodes(1, 0);
+    deployment.set_residency("tool", &["north"]);
+    let _home = deployment.engine_in("zone-a", "tools", "i-a", ok());
+    let _abroad = deployment.engine_in("zone-b", "tools", "i-b", ok());
+    let gateway = &deployment.gateways[0];
+    wait_until("the engine at home serves", || {
+        gateway.status("/tool/x") == 200
+    });
+    deployment.drain_zone("zone-a");
+    wait_until("the order is known", || gateway.has_logged(DRAINED));
+    let began = Instant::now();
+    assert_eq!(status_of(gateway.callers()).status, 503);
+    let taken = began.elapsed();
+    assert!(taken < Duration::from_millis(200), "{taken:?}");
+    let log = gateway.log();
+    let mut ended = log.iter().map(|line| &line["attributes"]["reason"]);
+    assert!(ended.any(|reason| reason == "zones_drained"));
+}
+
 /// What was refused before it asked the replicas for tokens leaves nothing to settle with them, which would use its identifier up.
 #[test]
 fn a_request_that_was_refused_for_a_drain_may_come_again_as_it_is() {
