An engine that was found away warms up from when it is reached

It counts until it is reached, 15 s at most, and for the usual time from then. An entry that was written before does not end that. Weighed and not built: counting every engine that looks idle while others are busy. Where few requests are open most engines look so.

--- a/crates/gateway/src/warm_ups.rs
+++ b/crates/gateway/src/warm_ups.rs
@@ -136,13 +136,17 @@
         Ok(())
     }
 
-    /// An engine's answer says for how long it warms up.
+    /// An engine has answered; it may say for how long it warms up.
     pub fn on_answer(&self, engine: &Engine, warm_up: Option<Duration>) {
-        let Some(warm_up) = warm_up.filter(|_| self.is_wanted) else {
+        if !self.is_wanted {
+            return;
+        }
+        let now = self.now();
+        self.engines.borrow_mut().on_reached(engine.key(), now);
+        let Some(warm_up) = warm_up else {
             return;
         };
         if let Some(limit) = self.limit(&engine.service) {
-            let now = self.now();
             let mut engines = self.engines.borrow_mut();
             engines.on_answer(engine, limit, warm_up, now);
         }
--- a/crates/routing/src/warm_up.rs
+++ b/crates/routing/src/warm_up.rs
@@ -11,6 +11,8 @@
 const MS_PER_KS: u64 = 1_000_000;
 /// Part of the usual time of a warm-up over which an engine that is warm gets its share back.
 const GROWTH_SHARE: f64 = 0.5;
+/// How long an engine counts as away that was not reached.
+const AWAY_TIME: Duration = Duration::from_secs(15);
 /// How long a run is remembered that is not listed any more: a store that lost its entries lists it again.
 const REMEMBERED: Duration = Duration::from_secs(60);
 
@@ -93,6 +95,8 @@
     answer_end: Duration,
     /// By what nobody says but is to be feared.
     presumed_end: Duration,
+    /// Until when it counts as away, unless it is reached before: whoever is the first to reach it may find it cold.
+    away_until: Duration,
     source: WarmUpSource,
     /// Whether it was last said to warm up.
     is_told: bool,
@@ -111,6 +115,7 @@
             entry_end: Duration::ZERO,
             answer_end: Duration::ZERO,
             presumed_end: Duration::ZERO,
+            away_until: Duration::ZERO,
             source: WarmUpSource::Entry,
             is_told: false,
             listed: Duration::ZERO,
@@ -118,7 +123,8 @@
     }
 
     fn end(&self) -> Duration {
-        self.entry_end.max(self.answer_end).max(self.presumed_end)
+        let presumed = self.presumed_end.max(self.away_until);
+        self.entry_end.max(self.answer_end).max(presumed)
     }
 
     fn presume(&mut self, source: WarmUpSource, now: Duration) {
@@ -137,6 +143,14 @@
         self.source = WarmUpSource::Entry;
     }
 
+    /// It has answered. Where it was away it may have started anew; an entry that tells of it is on its way.
+    fn on_reached(&mut self, now: Duration) {
+        if now < self.away_until {
+            self.away_until = Duration::ZERO;
+            self.presume(WarmUpSource::FoundAway, now);
+        }
+    }
+
     fn on_answer(&mut self, warm_up: Duration, now: Duration) {
         if warm_up.is_zero() {
             self.presumed_end = self.presumed_end.min(now);
@@ -233,8 +247,16 @@
 
     /// No connection to an engine came about.
     pub fn on_found_away(&mut self, engine: &Engine, limit: WarmUpLimit, now: Duration) {
-        self.course(engine, limit)
-            .presume(WarmUpSource::FoundAway, now);
+        let course = self.course(engine, limit);
+        course.away_until = now + AWAY_TIME;
+        course.source = WarmUpSource::FoundAway;
+    }
+
+    /// An engine has answered, whatever it says of its warm-up.
+    pub fn on_reached(&mut self, engine: EngineKey, now: Duration) {
+        if let Some(course) = self.courses.get_mut(&engine) {
+            course.on_reached(now);
+        }
     }
 
     /// The drain of a zone ended at this time; its engines may have turned cold shortly before.
--- a/crates/routing/tests/warm_up.rs
+++ b/crates/routing/tests/warm_up.rs
@@ -133,7 +133,16 @@
     let engine = listed(1);
     let mut known = Known::with(&engine);
     known.engines.on_found_away(&engine, LIMIT, at(100));
-    assert!(known.is_warming(&engine, 4_099));
+    // An entry that was written before says nothing of it.
+    known.list(&[entry(&engine, 2, 0)], 200);
+    assert!(known.is_warming(&engine, 9_000));
+    known.engines.on_reached(engine.key(), at(9_000));
+    assert!(known.is_warming(&engine, 12_999));
+    assert!(!known.is_warming(&engine, 13_001));
+    // It may be gone for good, or gone for this gateway alone.
+    known.engines.on_found_away(&engine, LIMIT, at(20_000));
+    assert!(known.is_warming(&engine, 34_999));
+    assert!(!known.is_warming(&engine, 35_001));
 
     let mut known = Known::with(&engine);
     let own = [engine.clone()];
