--- a/crates/node/tests/resident_drains.rs
+++ b/crates/node/tests/resident_drains.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use ridgeworks_platform_stand_ins::client::{Call, Reply, call_post};
+use ridgeworks_platform_stand_ins::client::{self, Call, Reply, call_post};
 use ridgeworks_platform_stand_ins::deployment::{DRAINS, Deployment, Process, routes, wait_until};
 use ridgeworks_platform_stand_ins::{Answer, EngineStandIn, LinkFault, Script};
 use rustix::process::Signal;
@@ -49,6 +49,10 @@
         let a = deployment.engine_in(ZONE, "tools", "i-a", ok());
         let b = deployment.engine_in(OTHER_ZONE, "tools", "i-b", ok());
         let zones = Self { deployment, a, b };
+        // A gateway that has heard of no engine yet refuses.
+        wait_until("all gateways serve", || {
+            zones.deployment.all_serve("/tool/x")
+        });
         wait_until("both engines serve all gateways", || {
             let all = zones.deployment.gateways.iter();
             all.for_each(|gateway| zones.send(gateway, 4));
@@ -63,7 +67,7 @@
             let id = format!("{}-{number}-{}", gateway.name, self.served());
             let call = call(&id).header("ridgeworks-session", &id);
             let reply = call.send(gateway.callers()).expect("an answer");
-            assert_eq!(reply.status, 200);
+            assert_eq!(reply.status, 200, "{}", about(gateway, &id));
         }
     }
 
@@ -114,6 +118,15 @@
     }
 }
 
+/// The lines of a gateway's log about a request.
+fn about(gateway: &Process, request: &str) -> String {
+    let log = gateway.log();
+    let lines = log
+        .iter()
+        .filter(|line| line["attributes"]["request"] == request);
+    lines.map(ToString::to_string).collect()
+}
+
 /// How often a gateway has said something.
 fn times_logged(gateway: &Process, message: &str) -> usize {
     let log = gateway.log();
@@ -191,6 +204,38 @@
     zones.assert_passed_over(&zones.a);
 }
 
+/// What was refused before it asked the replicas for tokens leaves nothing to settle with them, which would use its identifier up.
+#[test]
+fn a_request_that_was_refused_for_a_drain_may_come_again_as_it_is() {
+    let deployment = deployment(1, 3);
+    let script = Script::always(Answer::Stream {
+        events: 2,
+        gap_ms: 1,
+    });
+    let _engine = deployment.engine_in(ZONE, "models", "m-a", script);
+    let gateway = &deployment.gateways[0];
+    let turn = |id: &str| {
+        let call = call_post("/chat/x", id, "prompt")
+            .header("ridgeworks-program-id", "p-1")
+            .header("ridgeworks-token-budget", "100000")
+            .header("ridgeworks-token-count", "100,100");
+        call.send(gateway.callers()).map_or(0, |reply| reply.status)
+    };
+    let mut tries = 0;
+    wait_until("turns are served", || {
+        tries += 1;
+        turn(&format!("first-{tries}")) == 200
+    });
+    deployment.drain_zone(ZONE);
+    wait_until("the order is known", || gateway.has_logged(DRAINED));
+    for _ in 0..20 {
+        assert_eq!(turn("again"), 503);
+    }
+    deployment.take_zone_back(ZONE);
+    wait_until("it is over", || gateway.has_logged(TAKEN_BACK));
+    assert_eq!(turn("again"), 200);
+}
+
 /// The order comes while a request is at an engine that loses its answer: its next try is judged anew.
 #[test]
 fn a_next_try_passes_over_a_zone_that_was_drained_meanwhile() {
@@ -212,6 +257,76 @@
     assert_eq!((second.runs().len(), third.runs().len()), (0, 1));
 }
 
+/// All watches were answered by one change and sent again at the same moment, and fall silent for good.
+fn assert_in_time_after_silence(gateways: u8) {
+    let zones = TwoZones::start(gateways);
+    zones.assert_drained_in_time();
+    zones.assert_taken_back();
+    let link = &zones.deployment.store_link;
+    link.set_fault(LinkFault::Stalled);
+    // Long enough for the link to take notice.
+    std::thread::sleep(Duration::from_millis(50));
+    link.set_fault(LinkFault::None);
+    zones.deployment.drain_zone(OTHER_ZONE);
+    let ordered = Instant::now();
+    wait_until("all know the second order", || {
+        let mut gateways = zones.deployment.gateways.iter();
+        gateways.all(|gateway| times_logged(gateway, DRAINED) == 2)
+    });
+    assert!(ordered.elapsed() < BOUND, "{:?}", ordered.elapsed());
+    zones.assert_passed_over(&zones.b);
+}
+
+#[test]
+fn an_order_is_in_force_in_time_although_all_watches_are_silent() {
+    assert_in_time_after_silence(3);
+}
+
+#[test]
+fn in_a_large_fleet_too_an_order_is_in_force_in_time_although_all_watches_are_silent() {
+    assert_in_time_after_silence(18);
+}
+
+/// As in a fleet whose other gateways are of a version that knows nothing of drains.
+#[test]
+fn a_gateway_that_nobody_tells_of_drains_follows_them_itself() {
+    let others = Deployment::started(PROGRAM, 17, 0);
+    let mut deployment = others.draining_within(BOUND);
+    deployment.add_gateway().start();
+    deployment.wait_until_ready_gateways();
+    deployment.drain_zone(ZONE);
+    let ordered = Instant::now();
+    let alone = deployment.gateways.last().expect("just added");
+    wait_until("it knows the order", || alone.has_logged(DRAINED));
+    assert!(ordered.elapsed() < BOUND, "{:?}", ordered.elapsed());
+    // For longer than a start's first questions last.
+    std::thread::sleep(BOUND);
+    deployment.take_zone_back(ZONE);
+    let ended = Instant::now();
+    wait_until("it knows the end", || alone.has_logged(TAKEN_BACK));
+    assert!(ended.elapsed() < BOUND, "{:?}", ended.elapsed());
+}
+
+#[test]
+fn metrics_tell_what_is_drained() {
+    let zones = TwoZones::start(1);
+    let gateway = &zones.deployment.gateways[0];
+    let told = || {
+        let reply = client::get(gateway.metrics(), "/metrics");
+        reply.map(|reply| reply.body).unwrap_or_default()
+    };
+    assert!(told().contains("ridgeworks_drained_zones 0"));
+    zones.assert_drained_in_time();
+    let body = told();
+    for line in [
+        "ridgeworks_drained_zones 1",
+        "ridgeworks_drained_engines{zone=\"zone-x\",service=\"tools\"} 1",
+        "ridgeworks_drained_requests{zone=\"zone-x\",service=\"tools\"} 0",
+    ] {
+        assert!(body.contains(line), "{line} is not in {body}");
+    }
+}
+
 /// It would be taken up where it broke off, by the allowance that is no further try.
 #[test]
 fn a_stream_is_not_taken_up_in_a_drained_zone() {
--- a/crates/node/tests/resident_lifecycle.rs
+++ b/crates/node/tests/resident_lifecycle.rs
@@ -378,3 +378,57 @@
     let cut: Vec<String> = unanswered.filter(|id| runs.contains(id)).collect();
     assert!(cut.is_empty(), "run and not answered: {cut:?}");
 }
+
+/// What every node runs can be asked of any of them, told in its log and its metrics.
+#[test]
+fn what_each_node_runs_is_told() {
+    let deployment = Deployment::started(PROGRAM, 1, 1);
+    let [gateway, replica] = [&deployment.gateways[0], &deployment.replicas[0]];
+    wait_until("they hear each other", || {
+        gateway.has_heard(replica) && replica.has_heard(gateway)
+    });
+    let told = std::process::Command::new(PROGRAM)
+        .args(["versions", &gateway.peers().to_string()])
+        .output()
+        .expect("the program starts");
+    let told = String::from_utf8(told.stdout).expect("text");
+    let lines: Vec<&str> = told.lines().collect();
+    assert_eq!(lines.len(), 2, "{told}");
+    let names = ["gateway-1 ", "replica-1 "];
+    for (line, name) in lines.iter().zip(names) {
+        assert!(line.starts_with(name), "{line}");
+        assert!(line.ends_with("protocol 1, disk 0"), "{line}");
+    }
+    let metrics = get(gateway.metrics(), "/metrics").expect("metrics");
+    let build = "ridgeworks_build_info{commit=";
+    assert!(metrics.body.contains(build), "{}", metrics.body);
+    let log = gateway.log();
+    let started = log.iter().find(|line| line["message"] == "started");
+    let started = started.expect("the start is told");
+    assert_eq!(started["attributes"]["protocol"], "1");
+}
+
+/// Sets that are misread could be changed by a replica that knows half of what they say.
+#[test]
+fn replica_sets_of_a_newer_form_are_neither_believed_nor_written_over() {
+    let mut deployment = Deployment::started(PROGRAM, 1, 3);
+    let (kind, name) = ("ridgeworks-replica-sets", "main");
+    let object = deployment.store.object(kind, name).expect("replica sets");
+    let mut newer = object["spec"].clone();
+    newer["form"] = json!(1);
+    newer["epoch"] = json!(1_000);
+    deployment.store.put(kind, name, newer.clone());
+    let replica = &mut deployment.replicas[0];
+    replica.kill();
+    replica.start();
+    let refused = "replica sets in the platform store cannot be read";
+    wait_until("the form is refused", || replica.has_logged(refused));
+    let log = replica.log();
+    let believed = log.iter().filter(|line| {
+        let epoch = &line["attributes"]["epoch"];
+        line["message"] == "replica set in force" && epoch == "1000"
+    });
+    assert_eq!(believed.count(), 0);
+    let object = deployment.store.object(kind, name).expect("replica sets");
+    assert_eq!(object["spec"], newer);
+}
--- a/crates/resident/src/lib.rs
+++ b/crates/resident/src/lib.rs
@@ -4,6 +4,7 @@
 //! run on the same thread. Only logging and the disk have threads of their own.
 
 pub mod actors;
+pub mod build;
 pub mod clock;
 mod drain_follower;
 mod followers;
@@ -17,6 +18,7 @@
 pub mod settings;
 pub mod shutdown;
 pub mod store_client;
+pub mod traffic;
 pub mod view;
 pub mod watch_duty;
 pub mod watching;
--- a/crates/resident/src/node.rs
+++ b/crates/resident/src/node.rs
@@ -8,20 +8,24 @@
 use std::time::Duration;
 
 use rand::RngExt;
-use ridgeworks_platform::{Object, ObjectKind, StoreOutcome, create, read, read_object, replace};
+use ridgeworks_platform::{
+    Object, ObjectKind, StoreOutcome, check_form, create, read, read_object, replace,
+};
 use ridgeworks_records::ReplicaGroups;
 use ridgeworks_routing::ZoneRegions;
 use serde::{Deserialize, Serialize};
 
+use crate::build;
 use crate::clock::Clock;
 use crate::drain_follower::DrainFollower;
 use crate::followers::{ConfigurationFollower, ConfirmationLog, EngineFollower};
 use crate::peer::{
-    Build, Gossip, GossipSources, LaterReply, LaterRequest, MemberInfo, PeerLinks, PeerReply,
-    PeerRequest, PeerService, fetch_members, fetch_view,
+    Gossip, GossipSources, LaterReply, LaterRequest, MemberInfo, PeerLinks, PeerReply, PeerRequest,
+    PeerService, fetch_members, fetch_view,
 };
 use crate::settings::{NodeSettings, Role};
 use crate::store_client::StoreClient;
+use crate::traffic::Traffic;
 use crate::view::{Source, View};
 use crate::watch_duty::{DutySignal, Place, WatchDuty};
 use crate::watching::{Follower, follow, list_once};
@@ -58,6 +62,8 @@
     pub store: Rc<StoreClient>,
     /// Links to other nodes.
     pub links: Rc<PeerLinks>,
+    /// How far bytes go, where the settings name zones.
+    pub traffic: Option<Rc<Traffic>>,
     /// Heartbeats.
     pub gossip: Rc<Gossip>,
     /// Whether this node follows the store itself.
@@ -93,7 +99,9 @@
         let drain_duty = DutySignal::new(drain_duty.patience(Place::Other));
         let duty = WatchDuty::new(&settings.name, bound);
         let duty = Rc::new(DutySignal::new(duty.patience(Place::Other)));
-        let links = Rc::new(PeerLinks::default());
+        let regions = settings.zone_regions();
+        let traffic = Traffic::new(&settings.zone, regions.clone()).map(Rc::new);
+        let links = Rc::new(PeerLinks::counting(traffic.clone()));
         let seeds = settings.seed_peers();
         let me = member_info(&settings);
         let gossip = Gossip::bind(
@@ -112,7 +120,8 @@
             reloaded: RefCell::new(settings.clone()),
             settings_unreadable: Cell::new(false),
             unreadable_sets: Cell::new(0),
-            regions: settings.zone_regions(),
+            regions,
+            traffic,
             settings,
             clock,
             view,
@@ -164,7 +173,7 @@
             PeerRequest::FetchView(known) => PeerReply::View(self.view.update_since(known)),
             PeerRequest::ListMembers => PeerReply::Members(self.gossip.known()),
             PeerRequest::Later(LaterRequest::FetchBuild) => {
-                PeerReply::Later(LaterReply::Build(Build::here()))
+                PeerReply::Later(LaterReply::Build(build::here()))
             }
             _ => PeerReply::Unsupported,
         }
@@ -266,6 +275,10 @@
             StoreOutcome::NotFound => Some(RegisteredGroups::Missing),
             StoreOutcome::Done => {
                 let object = read_object(&answer.body).ok()?;
+                if let Err(error) = check_form(&object.spec) {
+                    self.on_unreadable_sets(object.revision, &error);
+                    return None;
+                }
                 let groups = match ReplicaGroups::deserialize(&object.spec) {
                     Ok(groups) => groups,
                     Err(error) => {
@@ -410,7 +423,7 @@
     }
 }
 
-/// A node as it registers itself in the store.
+/// A node as it registers itself in the store. Its fields stay (`docs/design/versions.md`).
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberRecord {
     /// Where other nodes reach it.
@@ -431,6 +444,7 @@
     }
 
     fn read(object: &Object) -> Option<MemberInfo> {
+        check_form(&object.spec).ok()?;
         let record = Self::deserialize(&object.spec).ok()?;
         Some(MemberInfo {
             name: object.name.clone(),
--- a/crates/routing/src/residency.rs
+++ b/crates/routing/src/residency.rs
@@ -59,6 +59,14 @@
     by_zone: BTreeMap<String, String>,
 }
 
+impl<const N: usize> From<[(&str, &str); N]> for ZoneRegions {
+    /// Zones with their regions.
+    fn from(pairs: [(&str, &str); N]) -> Self {
+        let pairs = pairs.map(|(zone, region)| (zone.to_owned(), region.to_owned()));
+        Self::new(BTreeMap::from(pairs))
+    }
+}
+
 impl ZoneRegions {
     /// Regions by the names of their zones.
     pub fn new(by_zone: BTreeMap<String, String>) -> Self {
@@ -70,6 +78,11 @@
         self.by_zone.get(zone).map(String::as_str)
     }
 
+    /// Whether the settings name no zone.
+    pub fn is_empty(&self) -> bool {
+        self.by_zone.is_empty()
+    }
+
     /// How far a zone is from another: 0 for itself, 1 within a region or where one of the regions is not known, 2 beyond.
     pub fn distance(&self, one: &str, other: &str) -> u8 {
         if one == other {
