--- a/crates/gateway/src/warm_ups.rs
+++ b/crates/gateway/src/warm_ups.rs
@@ -123,7 +123,7 @@
         }
     }
 
-    /// Judges right before a request is written: an engine may have turned cold since, and a grant may have lapsed.
+    /// Judges right before a request is written: an engine may have begun to warm up since, and a grant may have lapsed.
     pub fn admit(&self, engine: &Engine, draw: f64, grant: Option<Grant>) -> Result<(), Bar> {
         let now = self.now();
         if !self.is_wanted || !self.is_counted(engine.key(), draw, now) {
@@ -214,7 +214,7 @@
         self.tell_news(now);
     }
 
-    /// Engines of a zone whose drain has ended may have turned cold meanwhile.
+    /// Engines of a zone whose drain has ended may warm up again.
     fn take_returns(
         &self,
         table: &EngineTable,
--- a/crates/node/tests/resident_warm_up.rs
+++ b/crates/node/tests/resident_warm_up.rs
@@ -11,10 +11,10 @@
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_ridgeworksd");
 const GATEWAYS: u8 = 3;
-/// Requests a second that a cold engine bears.
+/// Requests a second that an engine bears while it warms up.
 const PER_S: u64 = 20;
-/// For how long engines are cold.
-const COLD: Duration = Duration::from_secs(3);
+/// For how long engines are new.
+const WARM_UP: Duration = Duration::from_secs(3);
 /// Clients of each gateway.
 const CLIENTS: usize = 4;
 
@@ -29,7 +29,7 @@
 /// Gateways that have served an engine that is warm, and limiters that have run for longer than a grant lives.
 fn fleet() -> (Deployment, EngineStandIn) {
     let mut deployment = Deployment::new(PROGRAM);
-    deployment.set_cold("tools", PER_S, COLD.as_secs_f64());
+    deployment.set_cold("tools", PER_S, WARM_UP.as_secs_f64());
     for _ in 0..3 {
         deployment.add_replica().start();
     }
@@ -41,15 +41,15 @@
     for gateway in &deployment.gateways {
         send_until_served(gateway.callers(), &call_get("/tool/x", "first"));
     }
-    // What was not listed at first is presumed cold.
-    std::thread::sleep(COLD + Duration::from_secs(2));
+    // What was not listed at first is presumed new.
+    std::thread::sleep(WARM_UP + Duration::from_secs(2));
     (deployment, engine)
 }
 
-/// Lists an engine that is cold.
-fn cold_engine(deployment: &Deployment, instance: &str) -> EngineStandIn {
+/// Lists an engine that is new.
+fn warming_engine(deployment: &Deployment, instance: &str) -> EngineStandIn {
     let engine = deployment.engine("away", instance, fine());
-    engine.turn_cold(COLD, most());
+    engine.turn_cold(WARM_UP, most());
     let entry = engine.entry_cold("tools");
     deployment.store.put("servers", instance, entry);
     engine
@@ -106,34 +106,30 @@
 }
 
 #[test]
-fn all_gateways_together_send_a_cold_engine_no_more_than_it_bears_and_most_of_that() {
+fn all_gateways_together_send_an_engine_that_warms_up_no_more_than_it_bears_and_most_of_that() {
     let (deployment, warm) = fleet();
     let before = warm.runs().len();
-    let cold = cold_engine(&deployment, "i-cold");
+    let new = warming_engine(&deployment, "i-new");
     let seen = send_for(&deployment, Duration::from_millis(2_500));
-    assert!(
-        cold.most_while_cold() <= most(),
-        "{}",
-        cold.most_while_cold()
-    );
-    let ran = cold.runs().len();
+    assert!(new.most_while_cold() <= most(), "{}", new.most_while_cold());
+    let ran = new.runs().len();
     assert!(ran as f64 > PER_S as f64 * 2.0 * 0.6, "{ran} ran there");
     assert!(warm.runs().len() > before + ran, "the rest went on");
     assert!(seen.iter().all(|status| *status == 200), "{seen:?}");
 }
 
 #[test]
-fn an_engine_that_turns_cold_is_counted_once_an_answer_says_so() {
+fn an_engine_that_begins_to_warm_up_is_counted_once_an_answer_says_so() {
     let (deployment, _warm) = fleet();
-    let cold = deployment.engine("tools", "i-turns", fine());
-    // Presumed cold at first.
-    send_for(&deployment, COLD + Duration::from_secs(2));
-    cold.turn_cold(COLD * 2, usize::MAX);
+    let new = deployment.engine("tools", "i-turns", fine());
+    // Presumed to warm up at first.
+    send_for(&deployment, WARM_UP + Duration::from_secs(2));
+    new.turn_cold(WARM_UP * 2, usize::MAX);
     send_for(&deployment, Duration::from_millis(200));
     all_know(&deployment, "i-turns", "answer");
-    cold.turn_cold(COLD, usize::MAX);
+    new.turn_cold(WARM_UP, usize::MAX);
     send_for(&deployment, Duration::from_secs(2));
-    let came = cold.most_while_cold();
+    let came = new.most_while_cold();
     assert!(came <= most(), "{came}");
     assert!(came >= PER_S as usize / 2, "{came}");
 }
@@ -141,7 +137,7 @@
 #[test]
 fn a_gateway_that_was_frozen_sends_nothing_late() {
     let (deployment, _warm) = fleet();
-    let cold = cold_engine(&deployment, "i-cold");
+    let new = warming_engine(&deployment, "i-new");
     std::thread::scope(|scope| {
         scope.spawn(|| send_for(&deployment, Duration::from_millis(2_500)));
         for _ in 0..4 {
@@ -152,24 +148,20 @@
             frozen.iter().for_each(|node| node.signal(Signal::CONT));
         }
     });
-    assert!(
-        cold.most_while_cold() <= most(),
-        "{}",
-        cold.most_while_cold()
-    );
-    assert!(!cold.runs().is_empty());
+    assert!(new.most_while_cold() <= most(), "{}", new.most_while_cold());
+    assert!(!new.runs().is_empty());
 }
 
 #[test]
-fn without_a_limiter_a_cold_engine_is_passed_over_and_nobody_waits_long() {
+fn without_a_limiter_an_engine_that_warms_up_is_passed_over_and_nobody_waits_long() {
     let (deployment, _warm) = fleet();
     for replica in &deployment.replicas {
         replica.signal(Signal::STOP);
     }
-    let cold = cold_engine(&deployment, "i-cold");
+    let new = warming_engine(&deployment, "i-new");
     all_know_or_ask(&deployment);
     let seen = send_for(&deployment, Duration::from_secs(1));
-    assert_eq!(cold.runs().len(), 0);
+    assert_eq!(new.runs().len(), 0);
     assert!(seen.iter().all(|status| *status == 200), "{seen:?}");
     let began = Instant::now();
     let gateway = deployment.gateways[0].callers();
@@ -185,14 +177,14 @@
 /// Requests bring the news of an engine's entry into force.
 fn all_know_or_ask(deployment: &Deployment) {
     send_for(deployment, Duration::from_millis(300));
-    all_know(deployment, "i-cold", "entry");
+    all_know(deployment, "i-new", "entry");
 }
 
 #[test]
-fn where_all_engines_are_cold_what_they_cannot_bear_is_refused_at_once() {
+fn where_all_engines_warm_up_what_they_cannot_bear_is_refused_at_once() {
     let (deployment, _warm) = fleet();
     deployment.store.remove("servers", "i-warm");
-    let cold = cold_engine(&deployment, "i-cold");
+    let new = warming_engine(&deployment, "i-new");
     wait_until("the warm engine is gone", || {
         let gateways = deployment.gateways.iter();
         gateways
@@ -215,7 +207,7 @@
         }
     }
     assert!(refused > 0);
-    assert!(cold.most_while_cold() <= most());
+    assert!(new.most_while_cold() <= most());
     let node = &deployment.gateways[0];
     let log = node.log();
     assert!(
@@ -232,7 +224,7 @@
 fn a_service_without_such_a_limit_asks_nobody() {
     let deployment = Deployment::started(PROGRAM, GATEWAYS, 3);
     let engine = deployment.engine("tools", "i-1", fine());
-    engine.turn_cold(COLD, usize::MAX);
+    engine.turn_cold(WARM_UP, usize::MAX);
     let entry = engine.entry_cold("tools");
     deployment.store.put("servers", "i-1", entry);
     for gateway in &deployment.gateways {
--- a/crates/routing/src/warm_up.rs
+++ b/crates/routing/src/warm_up.rs
@@ -95,7 +95,7 @@
     answer_end: Duration,
     /// By what nobody says but is to be feared.
     presumed_end: Duration,
-    /// Until when it counts as away, unless it is reached before: whoever is the first to reach it may find it cold.
+    /// Until when it counts as away, unless it is reached before: whoever is the first to reach it may find it just started.
     away_until: Duration,
     source: WarmUpSource,
     /// Whether it was last said to warm up.
@@ -259,7 +259,7 @@
         }
     }
 
-    /// The drain of a zone ended at this time; its engines may have turned cold shortly before.
+    /// The drain of a zone ended at this time; its engines may warm up again.
     pub fn on_zone_returned<'a>(
         &mut self,
         engines: impl Iterator<Item = &'a Engine>,
