--- a/Makefile
+++ b/Makefile
@@ -150,7 +150,7 @@
 	RIDGEWORKS_SIMULATION_SCHEDULES=$(SIMULATION_SCHEDULES) \
 		cargo test --release --locked -p ridgeworks-records --test simulation -- --nocapture
 	RIDGEWORKS_SIMULATION_SCHEDULES=$(SIMULATION_SCHEDULES) \
-		cargo test --release --locked -p ridgeworks-quota --test simulation -- --nocapture
+		cargo test --release --locked -p ridgeworks-quota --test simulation --test warm_up -- --nocapture
 	cargo test --release --locked -p ridgeworks-configuration -- --nocapture
 	cargo test --release --locked -p ridgeworks-membership -- --nocapture
 
