--- a/crates/gateway/src/warm_ups.rs
+++ b/crates/gateway/src/warm_ups.rs
@@ -123,7 +123,7 @@
         }
     }
 
-    /// Judges right before a request is written: an engine may have turned cold since, and a grant may have lapsed.
+    /// Judges right before a request is written: an engine may have begun to warm up since, and a grant may have lapsed.
     pub fn admit(&self, engine: &Engine, draw: f64, grant: Option<Grant>) -> Result<(), Bar> {
         let now = self.now();
         if !self.is_wanted || !self.is_counted(engine.key(), draw, now) {
@@ -136,13 +136,17 @@
         Ok(())
     }
 
-    /// An engine's answer says for how long it warms up.
+    /// An engine has answered; it may say for how long it warms up.
     pub fn on_answer(&self, engine: &Engine, warm_up: Option<Duration>) {
-        let Some(warm_up) = warm_up.filter(|_| self.is_wanted) else {
+        if !self.is_wanted {
+            return;
+        }
+        let now = self.now();
+        self.engines.borrow_mut().on_reached(engine.key(), now);
+        let Some(warm_up) = warm_up else {
             return;
         };
         if let Some(limit) = self.limit(&engine.service) {
-            let now = self.now();
             let mut engines = self.engines.borrow_mut();
             engines.on_answer(engine, limit, warm_up, now);
         }
@@ -210,7 +214,7 @@
         self.tell_news(now);
     }
 
-    /// Engines of a zone whose drain has ended may have turned cold meanwhile.
+    /// Engines of a zone whose drain has ended may warm up again.
     fn take_returns(
         &self,
         table: &EngineTable,
