A refusal of what an older node tells is one line, not two

Cause: an update that lacked both the extras of its configuration and the starts of its engines was refused twice, under two versions, so that each further one was told in the log again.

Seen: tests of mixed_versions, golden_messages, later_messages pass.

--- a/crates/resident/src/view.rs
+++ b/crates/resident/src/view.rs
@@ -64,7 +64,7 @@
 /// What another node told without what this one needs of it.
 #[derive(Debug, Clone, Copy)]
 struct Refusal {
-    /// Version of the configuration, 0 for engines.
+    /// Version of the configuration, 0 where engines alone were told.
     version: u64,
     at: Moment,
 }
@@ -407,19 +407,21 @@
         let version = configuration
             .as_ref()
             .map_or(0, |configuration| configuration.version);
-        let is_refused = |is_told: bool| is_told && self.needs_extras;
-        if is_refused(configuration.is_some() && !has_extras) {
+        let lacks_extras = configuration.is_some() && !has_extras;
+        let lacks_starts = engines.is_some() && !has_starts;
+        if self.needs_extras && (lacks_extras || lacks_starts) {
             self.refuse(version);
-        } else if let Some(configuration) = configuration {
+        }
+        let configuration = configuration.filter(|_| !(self.needs_extras && lacks_extras));
+        let engines = engines.filter(|_| !(self.needs_extras && lacks_starts));
+        if let Some(configuration) = configuration {
             if version > self.version() {
                 self.has_extras.set(has_extras);
             }
             self.adopt_configuration(configuration, Source::Peer);
         }
         self.confirm_version(version, since_asked(unconfirmed_ms));
-        if is_refused(engines.is_some() && !has_starts) {
-            self.refuse(0);
-        } else if let Some(engines) = engines {
+        if let Some(engines) = engines {
             let told_at = engines.at;
             self.has_starts.set(has_starts && self.has_starts.get());
             self.adopt_engine_changes(engines, Source::Peer);
