--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -9,17 +9,21 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use ridgeworks_platform::{EngineHead, EngineOrder, engine_headers, read_engine_head};
+use ridgeworks_quota::Grant;
 use ridgeworks_resident::http_client::{ConnectError, Connection};
-use ridgeworks_routing::{Engine, Outcome};
+use ridgeworks_routing::{Bar, Engine, Outcome};
 use tokio::time::Instant;
 
 use crate::at_engine::AtEngine;
-use crate::entry::Call;
+use crate::call::Call;
+use crate::engine_rules::EngineRules;
 use crate::gateway::Gateway;
 
 /// Why an attempt did not succeed.
 #[derive(Debug)]
 pub enum AttemptFailure {
+    /// Since it was chosen, the engine may get nothing any more; it never saw the request.
+    Barred(Bar),
     /// No connection; the engine never saw the request.
     NotSent(ConnectError),
     /// The engine closed the new connection before the request went out.
@@ -39,13 +43,16 @@
 impl AttemptFailure {
     /// Whether the engine certainly did not run the request.
     pub fn is_not_run(&self) -> bool {
-        matches!(self, Self::NotSent(_) | Self::Unsent | Self::Rejected(_))
+        matches!(
+            self,
+            Self::Barred(_) | Self::NotSent(_) | Self::Unsent | Self::Rejected(_)
+        )
     }
 
-    /// What it says of the engine; a full one says nothing.
+    /// What it says of the engine; a full one says nothing, nor one that was not asked.
     pub fn outcome(&self) -> Option<Outcome> {
         match self {
-            Self::Rejected(_) => None,
+            Self::Barred(_) | Self::Rejected(_) => None,
             Self::NotSent(_) | Self::Unsent => Some(Outcome::Unreached),
             Self::Lost | Self::Garbled | Self::BrokenOff | Self::Silent => Some(Outcome::Failed),
         }
@@ -54,6 +61,7 @@
     /// Name for logs and metrics.
     pub fn name(&self) -> &'static str {
         match self {
+            Self::Barred(bar) => bar.name(),
             Self::NotSent(error) => error.name(),
             Self::Unsent => "unsent",
             Self::Rejected(_) => "rejected",
@@ -109,6 +117,10 @@
     pub body: &'a Bytes,
     /// Last event that was passed on, when a stream is taken up.
     pub last_event_id: Option<u64>,
+    /// Drawn for the request: decides whether an engine that is hardly warm gets it.
+    pub draw: f64,
+    /// For an engine that warms up.
+    pub grant: Option<Grant>,
 }
 
 /// Sends a request to an engine and waits for the head of its answer.
@@ -123,13 +135,27 @@
         let is_reused = reused.is_some();
         let mut connection = match reused.take() {
             Some(connection) => connection,
-            None => new_connection(gateway, engine).await?,
+            None => {
+                check(gateway, sending.call, engine)?;
+                new_connection(gateway, engine).await?
+            }
         };
+        // What keeps it from the engine may have come while the connection was made.
+        if let Err(barred) = check(gateway, sending.call, engine) {
+            gateway.pool.give_back(engine.key(), connection, None);
+            return Err(barred);
+        }
         let request = build_request(engine, &sending);
+        if let Err(bar) = gateway.warm_ups.admit(engine, sending.draw, sending.grant) {
+            gateway.pool.give_back(engine.key(), connection, None);
+            return Err(AttemptFailure::Barred(bar));
+        }
         match connection.try_send_request(request).await {
             Ok(response) => {
+                at_engine.on_sent(sending.body.len());
                 let (parts, body) = response.into_parts();
                 let head = read_engine_head(parts.status.as_u16(), &parts.headers);
+                gateway.warm_ups.on_answer(engine, head.warm_up);
                 let answered = Answered {
                     status: parts.status,
                     headers: parts.headers,
@@ -144,6 +170,7 @@
                 // The library still has the request when not a byte of it went out.
                 let is_unsent = error.take_message().is_some();
                 if !is_unsent {
+                    at_engine.on_sent(sending.body.len());
                     return Err(AttemptFailure::Lost);
                 }
                 if !is_reused {
@@ -154,13 +181,21 @@
     }
 }
 
+/// Whether the engine may still get what was meant for it when it was chosen.
+fn check(gateway: &Gateway, call: &Call, engine: &Engine) -> Result<(), AttemptFailure> {
+    let bar = EngineRules::now(gateway, call).bar(engine);
+    bar.map_or(Ok(()), |bar| Err(AttemptFailure::Barred(bar)))
+}
+
 async fn new_connection(gateway: &Gateway, engine: &Engine) -> Result<Connection, AttemptFailure> {
     let began = Instant::now();
     let connected = gateway.pool.connect(engine).await;
     let connection = connected.map_err(AttemptFailure::NotSent)?;
     gateway.metrics.engine_connections.inc();
-    let taken = began.elapsed().as_secs_f64();
-    gateway.metrics.connect_seconds.observe(taken);
+    let taken = began.elapsed();
+    let mut placement = gateway.placement.borrow_mut();
+    placement.on_connected(engine, taken);
+    gateway.metrics.connect_seconds.observe(taken.as_secs_f64());
     Ok(connection)
 }
 
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -5,26 +5,23 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{CONNECTION, HOST};
+use http::header::HOST;
 use http::request::Parts;
-use http::{HeaderMap, HeaderValue, Method, Request, Response};
+use http::{Method, Request, Response};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use ridgeworks_platform::{read_metadata, refusal_headers, refusal_status};
-use ridgeworks_records::{ProgramId, TurnId};
+use ridgeworks_platform::read_metadata;
 use ridgeworks_routing::{
-    CallMetadata, CallerLimits, Refusal, RefusalReason, RequestKind, Route, RouteTable, Tenant,
+    CallMetadata, CallerLimits, Refusal, RefusalReason, Residency, Route, RouteTable, Tenant,
 };
 use tokio::time::Instant;
 
+use crate::call::Call;
 use crate::caller::{Caller, CallerBody};
 use crate::exchange;
 use crate::gateway::{BodyRoom, Gateway, OpenRequest};
+use crate::refusal::{COME_BACK, COME_BACK_RECONFIGURED, refusal_response};
 
-/// When a client may come back after a refusal that passes by itself.
-pub const COME_BACK: Duration = Duration::from_millis(150);
-/// Rank of turns of programs that are late.
-const LATE_PRIORITY: u8 = 8;
 /// Requests that are open at once.
 const MAX_OPEN_REQUESTS: usize = 4_000;
 /// How long a body may take.
@@ -37,91 +34,12 @@
     idle_timeout_ms: 15_000,
 };
 
-/// One attempt of a client, ready to be carried out.
-pub struct Call {
-    /// Its method.
-    pub method: Method,
-    /// Its path and query, as they came.
-    pub path: String,
-    /// Its headers.
-    pub headers: HeaderMap,
-    /// Its body.
-    pub body: Bytes,
-    /// What its headers say.
-    pub metadata: CallMetadata,
-    /// Its route.
-    pub route: Arc<Route>,
-    /// Who it belongs to; `None` where no key is asked for.
-    pub tenant: Option<Arc<Tenant>>,
-    /// The service that is to run it.
-    pub service: String,
-    /// Version of the configuration that decided.
-    pub version: u64,
-    /// When its head came.
-    pub received: Instant,
-    /// When it has to be answered.
-    pub limit: Instant,
-    /// Held for as long as the request is.
-    pub _room: BodyRoom,
-    /// Held for as long as the request is.
-    pub _open: OpenRequest,
-}
-
-impl Call {
-    /// Name of the tenant that turns and ledgers of the request belong to.
-    pub fn owner(&self) -> Option<&str> {
-        self.tenant.as_ref().map(|tenant| tenant.name.as_str())
-    }
-
-    /// The request as a turn.
-    pub fn turn(&self) -> TurnId {
-        TurnId::of(self.owner(), &self.metadata.request_id)
-    }
-
-    /// The turn that it goes on from.
-    pub fn previous_turn(&self) -> Option<TurnId> {
-        let previous = self.metadata.previous_turn.as_deref()?;
-        Some(TurnId::of(self.owner(), previous))
-    }
-
-    /// The program that it belongs to.
-    pub fn program(&self) -> Option<ProgramId> {
-        let program = self.metadata.program.as_deref()?;
-        Some(ProgramId::of(self.owner(), program))
-    }
-
-    /// Rank of the request at engines, 0 first: the tenant's or the route's, and the last one for a turn of a program that
-    /// is late already, so that others still come in time.
-    pub fn priority(&self) -> u8 {
-        let is_turn = self.route.kind == RequestKind::Stream;
-        if is_turn && self.metadata.is_late() {
-            LATE_PRIORITY
-        } else {
-            let own = self.tenant.as_ref().and_then(|tenant| tenant.priority);
-            own.unwrap_or(self.route.priority)
-        }
-    }
-}
-
 /// The bounds for clients in force.
 pub fn caller_limits(gateway: &Gateway) -> CallerLimits {
     let routes = gateway.node.view.routes();
     routes.map_or(DEFAULT_LIMITS, |routes| routes.limits())
 }
 
-/// An answer without an engine's.
-pub fn refusal_response(refusal: &Refusal) -> Response<Bytes> {
-    let mut response = Response::new(Bytes::new());
-    *response.status_mut() = refusal_status(refusal.reason);
-    *response.headers_mut() = refusal_headers(refusal);
-    if refusal.reason.is_of_gateway() {
-        // The client's next request comes on a new connection, which the platform gives to another gateway.
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(CONNECTION, close);
-    }
-    response
-}
-
 /// Answers one request. Dropping the future means that the client has gone away.
 pub async fn answer(gateway: Rc<Gateway>, request: Request<Incoming>) -> Response<CallerBody> {
     let received = Instant::now();
@@ -169,18 +87,12 @@
         outcome = "refused",
         reason = refusal.reason.name(),
         version = gateway.node.view.version(),
-        version_age_ms = age_ms(gateway);
+        version_age_ms = gateway.version_age_ms();
         "request refused at entry"
     );
     refusal_response(refusal).map(|body| CallerBody::Whole(Some(body)))
 }
 
-/// Milliseconds since the configuration was confirmed, -1 when it never was.
-pub fn age_ms(gateway: &Gateway) -> i64 {
-    let age = gateway.node.view.unconfirmed_for();
-    age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX))
-}
-
 async fn read_body(gateway: &Rc<Gateway>, body: Incoming) -> Result<(Bytes, BodyRoom), Refusal> {
     let max_bytes = caller_limits(gateway).max_body_bytes;
     let announced = hyper::body::Body::size_hint(&body).lower();
@@ -226,18 +138,22 @@
     let route = routes.find(&host, parts.uri.path());
     let route = route.ok_or_else(|| unless_stale(gateway, RefusalReason::NoRoute))?;
     let tenant = find_tenant(gateway, &routes, route, &metadata)?;
+    let residency = residency_of(route, tenant.as_deref());
+    refuse_where_nowhere(gateway, &residency)?;
     let no_engine = Refusal::come_back(RefusalReason::NoEngine, COME_BACK);
     let service = gateway.next_service(route).ok_or(no_engine)?;
     let wait = metadata.deadline.unwrap_or(route.timeout());
     let path = parts.uri.path_and_query();
     Ok(Call {
         method: parts.method.clone(),
+        host,
         path: path.map_or_else(|| "/".to_owned(), |path| path.as_str().to_owned()),
         headers: parts.headers.clone(),
         body,
         metadata,
         route: Arc::clone(route),
         tenant,
+        residency,
         service,
         version: routes.version(),
         received,
@@ -271,6 +187,23 @@
     Ok(tenant.cloned())
 }
 
+/// Where requests of a route may be served for a tenant: where both allow it.
+pub fn residency_of(route: &Route, tenant: Option<&Tenant>) -> Residency {
+    match tenant {
+        Some(tenant) => route.residency.and(&tenant.residency),
+        None => route.residency.clone(),
+    }
+}
+
+/// Refuses what may be served in no region of the deployment. It has not run, and a newer configuration may allow it.
+fn refuse_where_nowhere(gateway: &Gateway, residency: &Residency) -> Result<(), Refusal> {
+    if gateway.node.regions.has_allowed(residency) {
+        return Ok(());
+    }
+    let reason = RefusalReason::NoAllowedRegion;
+    Err(Refusal::come_back(reason, COME_BACK_RECONFIGURED))
+}
+
 /// A gateway that nobody has confirmed the configuration to within its bound cannot be certain: the route or the key may have been
 /// added meanwhile, and a client does not come back after being told that there is none.
 fn unless_stale(gateway: &Gateway, reason: RefusalReason) -> Refusal {
--- a/crates/gateway/src/exchange/engine_choice.rs
+++ b/crates/gateway/src/exchange/engine_choice.rs
@@ -2,15 +2,18 @@
 
 use std::time::Duration;
 
+use ridgeworks_quota::Grant;
 use ridgeworks_resident::clock::whole_ms;
 use ridgeworks_routing::{
-    Demand, Engine, EngineKey, Forecast, Refusal, RefusalReason, RequestKind,
+    Bar, Demand, Engine, EngineKey, EngineRule, Forecast, Outcome, Refusal, RefusalReason,
+    RequestKind, service_bar,
 };
 use tokio::time::Instant;
 
 use super::Exchange;
 use crate::attempt::AttemptFailure;
-use crate::entry::COME_BACK;
+use crate::engine_rules::EngineRules;
+use crate::refusal::COME_BACK;
 
 /// Engines that may reject a request before the client is told to come back.
 const MAX_REJECTIONS: usize = 3;
@@ -25,11 +28,16 @@
 /// How many times its target a first event may take before another engine is asked.
 const FIRST_EVENT_PATIENCE: u32 = 4;
 
+/// Engines that warm up and had nothing for a request before it asks for no further one.
+const MAX_PASSED_OVER: usize = 3;
+
 /// What is known about the engines that were asked.
 #[derive(Default)]
 pub(super) struct Tried {
     /// Engines that must not be asked again.
     pub(super) excluded: Vec<String>,
+    /// The engine that failed the client's last try of the turn, through another gateway.
+    pub(super) failed_last: Option<String>,
     /// Engines that may have run the request. Never shrinks: what may have run must not be promised to
     /// be unrun.
     pub(super) ran_on: Vec<String>,
@@ -41,10 +49,16 @@
     pub(super) taken_up_at: Option<String>,
     pub(super) rejections: usize,
     pub(super) unreachable: usize,
+    /// Engines that warm up and had nothing for the request.
+    pub(super) passed_over: usize,
+    /// For the engine that was chosen last, where it warms up.
+    pub(super) grant: Option<Grant>,
     /// Whether all engines were full or out of reach once before.
     pub(super) has_waited: bool,
     /// The engine that was chosen last.
     pub(super) asked_last: String,
+    /// Engines of its service that were passed over for their zones' sake at the last choice.
+    pub(super) shut_out: usize,
     /// What the request was expected to lose at the engine that was chosen last, in milliseconds.
     pub(super) cost_ms: f64,
     /// What was believed of the engine that was asked last.
@@ -57,6 +71,7 @@
         self.excluded.clear();
         self.rejections = 0;
         self.unreachable = 0;
+        self.passed_over = 0;
         self.has_waited = true;
     }
 
@@ -73,7 +88,18 @@
     pub(super) fn may_wait_for_room(&self) -> bool {
         let time = self.call.limit - self.call.received;
         let until = self.call.received + time.mul_f64(WAIT_SHARE);
-        self.tried.ran_on.is_empty() && self.passed.events == 0 && Instant::now() < until
+        let may_come = self.tried.ran_on.is_empty() && self.passed.events == 0;
+        may_come && Instant::now() < until && self.refusal_of_drains().is_none()
+    }
+
+    /// What keeps the request from all engines of its service, if waiting does not help against it.
+    pub(super) fn lasting_bar(&self) -> Option<Bar> {
+        let rules = EngineRules::now(&self.gateway, &self.call);
+        let view = &self.gateway.node.view;
+        let bar = view.with_engines(|table| {
+            rules.apply(None, |rules| service_bar(table, &self.call.service, rules))
+        });
+        bar.filter(|bar| *bar == Bar::Residency)
     }
 
     /// The engine to ask next, as far as the route and the failures so far allow.
@@ -90,21 +116,118 @@
         if tried.counted() >= self.call.route.max_attempts as usize {
             return self.same_engine();
         }
-        let metadata = &self.call.metadata;
-        let chosen = self.gateway.choose_engine(&Demand {
-            service: &self.call.service,
-            key: metadata.placement_key(),
-            parts: &metadata.prompt_parts,
-            zone: &self.gateway.node.settings.zone,
-            excluded: &tried.excluded,
-            rules: &[],
-        });
+        if self.gateway.node.view.drains.in_force().is_some() {
+            self.note_shut_out();
+        }
+        let chosen = self
+            .choose_another()
+            .or_else(|| self.choose(&self.tried.excluded));
         let (engine, cost_ms) = chosen?;
-        self.tried.cost_ms = cost_ms;
-        self.tried.asked_last = engine.instance.clone();
+        let tried = &mut self.tried;
+        tried.cost_ms = cost_ms;
+        tried.asked_last = engine.instance.clone();
         Some(engine)
     }
 
+    fn choose(&self, excluded: &[String]) -> Option<(Engine, f64)> {
+        let may_ask = self.tried.passed_over < MAX_PASSED_OVER;
+        let warm_ups = &self.gateway.warm_ups;
+        let warm_up = warm_ups.rule(&self.call.service, self.draw, may_ask);
+        let warm_up = warm_up.as_ref().map(|rule| rule as &dyn EngineRule);
+        let metadata = &self.call.metadata;
+        EngineRules::now(&self.gateway, &self.call).apply(warm_up, |rules| {
+            self.gateway.choose_engine(&Demand {
+                service: &self.call.service,
+                key: metadata.placement_key(),
+                parts: &metadata.prompt_parts,
+                zone: &self.gateway.node.settings.zone,
+                excluded,
+                rules,
+            })
+        })
+    }
+
+    /// Asks for a grant beside what the request waits for anyway, where it would go to an engine that warms up.
+    pub(super) async fn foresee_grant(&self) {
+        let warm_ups = &self.gateway.warm_ups;
+        let service = &self.call.service;
+        if warm_ups.rule(service, self.draw, true).is_none() {
+            return;
+        }
+        if let Some((engine, _)) = self.choose(&self.tried.excluded) {
+            let request = &self.call.metadata.request_id;
+            let secured = warm_ups.secure(request, &engine, self.draw).await;
+            warm_ups.put_by(&engine, secured.unwrap_or_default());
+        }
+    }
+
+    /// Whether the request may go to the engine that was chosen; it is passed over otherwise.
+    pub(super) async fn is_secured(&mut self, engine: &Engine) -> bool {
+        let request = &self.call.metadata.request_id;
+        let securing = self.gateway.warm_ups.secure(request, engine, self.draw);
+        let secured = securing.await;
+        self.tried.passed_over += usize::from(secured.is_err());
+        self.tried.grant = secured.unwrap_or_default();
+        secured.is_ok()
+    }
+
+    /// The refusal of a request whose service has only engines that warm up and have what they bear.
+    pub(super) fn refusal_of_warm_ups(&self) -> Option<Refusal> {
+        if !self.tried.ran_on.is_empty() || self.passed.events > 0 {
+            return None;
+        }
+        let service = &self.call.service;
+        let warm_ups = &self.gateway.warm_ups;
+        let rule = warm_ups.rule(service, self.draw, false)?;
+        let view = &self.gateway.node.view;
+        let bar = EngineRules::now(&self.gateway, &self.call).apply(Some(&rule), |rules| {
+            view.with_engines(|table| service_bar(table, service, rules))
+        });
+        let after = warm_ups.come_back(service)?;
+        let refusal = Refusal::come_back(RefusalReason::EnginesWarmUp, after);
+        (bar == Some(Bar::WarmUp)).then_some(refusal)
+    }
+
+    /// An engine besides the one that failed the client's last try, if there is any.
+    fn choose_another(&self) -> Option<(Engine, f64)> {
+        let failed = self.tried.failed_last.clone()?;
+        let mut excluded = self.tried.excluded.clone();
+        excluded.push(failed);
+        self.choose(&excluded)
+    }
+
+    /// The instance of an engine that failed the client's last try, unless it has ended since.
+    pub(super) fn failed_engine(&self, key: EngineKey) -> Option<String> {
+        let view = &self.gateway.node.view;
+        let failed = view.with_engines(|table| {
+            let mut engines = table.engines();
+            let failed = engines.find(|engine| engine.key() == key);
+            failed.map(|engine| engine.instance.clone())
+        })?;
+        log::info!(
+            target: "request",
+            request = self.call.metadata.request_id.as_str(),
+            engine = failed.as_str();
+            "an engine has failed the last try"
+        );
+        Some(failed)
+    }
+
+    /// Says once of a request how many engines were passed over for their zones' sake.
+    fn note_shut_out(&mut self) {
+        let shut_out = self.gateway.drains.shut_out(&self.call.service);
+        if std::mem::replace(&mut self.tried.shut_out, shut_out) == shut_out {
+            return;
+        }
+        log::info!(
+            target: "attempt",
+            request = self.call.metadata.request_id.as_str(),
+            service = self.call.service.as_str(),
+            shut_out = shut_out;
+            "engines of drained zones passed over"
+        );
+    }
+
     /// A stream may be taken up once at the engine that broke it off: that is no further engine.
     fn same_engine(&mut self) -> Option<Engine> {
         let is_stream = self.call.route.kind == RequestKind::Stream;
@@ -122,6 +245,12 @@
             // It has started anew, which makes it a further engine.
             return None;
         }
+        if EngineRules::now(&self.gateway, &self.call)
+            .bar(&engine)
+            .is_some()
+        {
+            return None;
+        }
         self.tried.taken_up_at = Some(engine.instance.clone());
         Some(engine)
     }
@@ -146,7 +275,20 @@
         }
     }
 
+    /// Notes how the request ended at an engine. A client that tries again finds the engine's failure at the prompt's directory node.
+    pub(super) fn on_outcome(&self, engine: &Engine, outcome: Outcome) {
+        self.gateway.on_outcome(engine.key(), outcome);
+        if outcome != Outcome::Served {
+            let parts = &self.call.metadata.prompt_parts;
+            self.gateway.tell_failed(engine, parts);
+        }
+    }
+
     pub(super) fn on_failure(&mut self, engine: &Engine, failure: &AttemptFailure, began: Instant) {
+        if let AttemptFailure::Barred(_) = failure {
+            self.on_withheld(engine, failure, began);
+            return;
+        }
         let instance = &engine.instance;
         self.gateway.metrics.on_failed_attempt(failure.name());
         let tried = &mut self.tried;
@@ -157,6 +299,7 @@
         match failure {
             AttemptFailure::NotSent(_) | AttemptFailure::Unsent => {
                 tried.unreachable += 1;
+                self.gateway.warm_ups.on_found_away(engine);
                 // It ran the request and takes no connection any more: it has ended.
                 if was_excluded && tried.ran_on.contains(instance) {
                     tried.ended.push(instance.clone());
@@ -166,7 +309,7 @@
             _ => {}
         }
         if let Some(outcome) = failure.outcome() {
-            self.gateway.on_outcome(engine.key(), outcome);
+            self.on_outcome(engine, outcome);
         }
         if !failure.is_not_run() {
             self.on_maybe_run(engine);
@@ -185,6 +328,29 @@
         );
     }
 
+    /// The request was not sent, which says nothing of the engine. It is chosen again only after a wait.
+    fn on_withheld(&mut self, engine: &Engine, failure: &AttemptFailure, began: Instant) {
+        self.tried.excluded.push(engine.instance.clone());
+        self.gateway.metrics.on_withheld(engine);
+        log::info!(
+            target: "attempt",
+            request = self.call.metadata.request_id.as_str(),
+            engine = engine.instance.as_str(),
+            service = engine.service.as_str(),
+            zone = engine.zone.as_str(),
+            reason = failure.name(),
+            events_passed = self.passed.events,
+            took_ms = whole_ms(began.elapsed());
+            "request withheld from an engine"
+        );
+    }
+
+    /// The refusal of a request whose service has no engine outside drained zones.
+    pub(super) fn refusal_of_drains(&self) -> Option<Refusal> {
+        let after = self.gateway.drains.come_back(&self.call.service)?;
+        Some(Refusal::come_back(RefusalReason::ZonesDrained, after))
+    }
+
     /// Why no further engine may be asked with the request's key. A request may have waited since its key was looked up, for replicas,
     /// for room, or at an engine that failed it.
     pub(super) fn refusal_of_key(&self) -> Option<Refusal> {
@@ -206,12 +372,18 @@
         })
     }
 
-    pub(super) fn failure(&self) -> Refusal {
+    pub(super) fn failure(&self, bar: Option<Bar>) -> Refusal {
         if !self.tried.ran_on.is_empty() {
             return Refusal::last(RefusalReason::EngineFailed);
         }
+        if let Some(refusal) = self.refusal_of_drains() {
+            return refusal;
+        }
         let time = self.call.limit - self.call.received;
         let after = time.mul_f64(COME_BACK_SHARE).max(COME_BACK);
+        if bar == Some(Bar::Residency) {
+            return Refusal::come_back(RefusalReason::NoAllowedRegion, after);
+        }
         if self.tried.rejections > 0 || self.tried.has_waited {
             return Refusal::come_back(RefusalReason::EnginesFull, after);
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,6 +1,7 @@
 //! What all requests of a gateway share.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,7 +11,7 @@
 };
 use ridgeworks_routing::{
     Demand, Engine, EngineKey, GatewayReport, Outcome, Placement, PromptPart, PromptRead,
-    ReadDirectory, Route, WeightedSplit,
+    ReadDirectory, RegionWays, ResidencyFaults, Route, RouteTable, WeightedSplit,
 };
 use tokio::sync::oneshot;
 
@@ -21,6 +22,8 @@
 use crate::rate_limits::RateLimits;
 use crate::records_client::RecordsClient;
 use crate::turn_cache::TurnCache;
+use crate::warm_ups::WarmUpCare;
+use crate::zone_drains::ZoneDrainWatch;
 
 /// Part of the process's memory that cached turns may take.
 const CACHE_SHARE: u64 = 8;
@@ -28,6 +31,8 @@
 const BODY_SHARE: u64 = 4;
 /// Parts of a prompt, from its end, whose reads are asked for.
 const ASKED_PARTS: usize = 2;
+/// Routes and tenants of each kind that one line of the log names.
+const TOLD_NAMES: usize = 5;
 const BYTES_PER_MB: u64 = 1024 * 1024;
 /// How often connections and beliefs that are no longer needed are let go.
 const TIDY_INTERVAL: Duration = Duration::from_secs(1);
@@ -52,8 +57,14 @@
     pub turns: RefCell<TurnCache>,
     /// Whether keys that are known are still in force.
     pub keys: KeyProof,
+    /// Engines that warm up.
+    pub warm_ups: WarmUpCare,
+    /// Zones whose engines get nothing more.
+    pub drains: ZoneDrainWatch,
     /// Metrics.
     pub metrics: GatewayMetrics,
+    /// Version of the configuration whose residencies were told last.
+    checked_version: Cell<u64>,
     body_bytes: Cell<usize>,
     max_body_bytes: usize,
     open: Cell<usize>,
@@ -91,9 +102,12 @@
         let limits = RateLimits::new(Rc::clone(&node), Rc::clone(&records.paths));
         let bound = node.settings.bounds.key_removal();
         let keys = KeyProof::new(Rc::clone(&node.view), bound);
+        let warm_ups = WarmUpCare::new(Rc::clone(&node), metrics.warm_up.clone());
+        let drains = ZoneDrainWatch::new(Rc::clone(&node));
+        let ways = RegionWays::new(node.regions.clone(), &node.settings.zone);
         Rc::new(Self {
             node,
-            placement: RefCell::default(),
+            placement: RefCell::new(Placement::with_ways(ways)),
             directory: RefCell::default(),
             split: RefCell::new(WeightedSplit::new(rand::random())),
             pool: EnginePool::default(),
@@ -101,7 +115,10 @@
             limits,
             turns: RefCell::new(TurnCache::new((memory / CACHE_SHARE) as usize)),
             keys,
+            warm_ups,
+            drains,
             metrics,
+            checked_version: Cell::new(0),
             body_bytes: Cell::new(0),
             max_body_bytes: (memory / BODY_SHARE) as usize,
             open: Cell::new(0),
@@ -114,10 +131,10 @@
         self.node.clock.now()
     }
 
-    /// Whether routes and engines are known.
+    /// Whether routes and engines are known, and which of these get nothing.
     pub fn knows_traffic(&self) -> bool {
         let view = &self.node.view;
-        view.version() > 0 && view.engines_known()
+        view.version() > 0 && view.engines_known() && self.drains.are_known()
     }
 
     /// Whether the platform should send new clients here.
@@ -182,6 +199,20 @@
             engine: engine.key().0,
             parts: parts.to_vec(),
         };
+        // Parts are named by clients, which must not tell of failures.
+        if !read.is_failure() {
+            self.tell(read);
+        }
+    }
+
+    /// Tells the directory node of a prompt that an engine has failed it.
+    pub fn tell_failed(self: &Rc<Self>, engine: &Engine, parts: &[PromptPart]) {
+        if let Some(failed) = PromptRead::failed(engine.key().0, parts) {
+            self.tell(failed);
+        }
+    }
+
+    fn tell(self: &Rc<Self>, read: PromptRead) {
         if read.key().is_none() {
             return;
         }
@@ -195,23 +226,29 @@
     }
 
     /// Learns from directory nodes where a prompt was read last: the session's own part, and the one that
-    /// it branches off from.
-    pub async fn learn_reads(&self, parts: &[PromptPart]) {
+    /// it branches off from. Gives back the engine that failed it, if the last one did.
+    pub async fn learn_reads(&self, parts: &[PromptPart]) -> Option<EngineKey> {
         let from = parts.len().saturating_sub(ASKED_PARTS).max(1);
         let asked = parts
             .iter()
             .skip(from)
             .map(|part| self.learn_read(part.hash));
-        futures_util::future::join_all(asked).await;
+        let failed = futures_util::future::join_all(asked).await;
+        failed.into_iter().next_back()?
     }
 
-    async fn learn_read(&self, part: u64) {
-        let Some(node) = self.node.gossip.directory_node(part) else {
-            return;
+    /// Learns where the prompt with this last part was read last; gives back the engine where that one failed it.
+    pub async fn learn_read(&self, part: u64) -> Option<EngineKey> {
+        let read = match self.node.gossip.directory_node(part) {
+            Some(node) => self.node.gossip.ask_read(node, part).await,
+            None => self.find_read(part),
         };
-        if let Some(read) = self.node.gossip.ask_read(node, part).await {
-            self.placement.borrow_mut().on_read(&read);
+        let read = read?;
+        if read.is_failure() {
+            return Some(EngineKey(read.engine));
         }
+        self.placement.borrow_mut().on_read(&read);
+        None
     }
 
     /// Notes how a request ended at an engine.
@@ -259,14 +296,58 @@
                 "costs of a service changed"
             );
         }
+        self.drains.tell_empty(&placement);
+        for (region, round_ms) in placement.way_news() {
+            log::info!(
+                target: "belief",
+                region = region.as_str(),
+                round_ms = round_ms;
+                "way to the engines of a region changed"
+            );
+        }
         self.turns.borrow_mut().expire(now);
         self.limits.tidy();
+        self.warm_ups.tidy();
         if let Some(routes) = self.node.view.routes() {
             let mut split = self.split.borrow_mut();
             split.retain_routes(|name| routes.has_route(name));
+            drop(split);
+            self.check_residencies(&routes);
         }
     }
 
+    /// Milliseconds since the configuration was confirmed, -1 when it never was.
+    pub fn version_age_ms(&self) -> i64 {
+        let age = self.node.view.unconfirmed_for();
+        age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX))
+    }
+
+    /// Tells once for each configuration which routes and tenants are refused for their regions.
+    fn check_residencies(&self, routes: &RouteTable) {
+        if self.checked_version.replace(routes.version()) == routes.version() {
+            return;
+        }
+        let faults = ResidencyFaults::of(routes, &self.node.regions);
+        let count = i64::try_from(faults.count()).unwrap_or(i64::MAX);
+        self.metrics.residency_faults.set(count);
+        if count == 0 {
+            return;
+        }
+        let some = |names: &BTreeSet<String>| {
+            let some: Vec<&str> = names.iter().take(TOLD_NAMES).map(String::as_str).collect();
+            some.join(",")
+        };
+        log::warn!(
+            target: "belief",
+            version = routes.version(),
+            routes = some(&faults.routes).as_str(),
+            tenants = some(&faults.tenants).as_str(),
+            keeping_turns = some(&faults.keeping).as_str(),
+            count = count;
+            "routes or tenants cannot be served in their regions"
+        );
+    }
+
     /// Brings the gauges up to date.
     pub fn update_gauges(&self) {
         let view = &self.node.view;
@@ -281,6 +362,7 @@
         metrics.engines.set(whole(engines));
         let unreadable = view.unreadable_engines() as u64;
         metrics.unreadable_engines.set(whole(unreadable));
+        self.drains.update_gauges(&self.placement.borrow(), metrics);
         metrics.replica_set_epoch.set(whole(view.epoch().0));
         let store = &self.node.store;
         metrics.store_calls.set(whole(store.calls()));
@@ -324,7 +406,9 @@
 
     fn on_read(&self, read: PromptRead) {
         let now = self.now();
-        self.placement.borrow_mut().on_read(&read);
+        if !read.is_failure() {
+            self.placement.borrow_mut().on_read(&read);
+        }
         self.directory.borrow_mut().insert(read, now);
     }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and histograms of a gateway.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use prometheus_client::encoding::EncodeLabelSet;
@@ -8,7 +9,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
-use ridgeworks_routing::RefusalReason;
+use ridgeworks_routing::{Engine, RefusalReason};
 
 /// Upper bounds of the classes of times, in seconds.
 const TIME_BOUNDS: [f64; 14] = [
@@ -22,6 +23,106 @@
     pub reason: &'static str,
 }
 
+/// Label of counters by service.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ServiceLabel {
+    /// Name of the service.
+    pub service: String,
+}
+
+impl ServiceLabel {
+    fn of(service: &str) -> Self {
+        Self {
+            service: service.to_owned(),
+        }
+    }
+}
+
+/// Metrics of engines that warm up.
+#[derive(Debug, Clone, Default)]
+pub struct WarmUpMetrics {
+    /// Engines that warm up.
+    pub warming: Family<ServiceLabel, Gauge>,
+    /// Questions for grants.
+    pub asked: Family<ServiceLabel, Counter>,
+    /// Requests that used a grant.
+    pub granted: Family<ServiceLabel, Counter>,
+    /// Requests that passed an engine over.
+    pub withheld: Family<ServiceLabel, Counter>,
+}
+
+impl WarmUpMetrics {
+    fn register(&self, registry: &mut Registry) {
+        let help = "Engines that warm up, by service";
+        registry.register("warming_engines", help, self.warming.clone());
+        let counters = [
+            (
+                "warm_up_questions",
+                "Questions for grants for engines that warm up, by service",
+                &self.asked,
+            ),
+            (
+                "warm_up_sends",
+                "Requests that went to engines that warm up, by service",
+                &self.granted,
+            ),
+            (
+                "warm_up_withheld",
+                "Requests that passed over an engine that warms up, by service",
+                &self.withheld,
+            ),
+        ];
+        for (name, help, counter) in counters {
+            registry.register(name, help, counter.clone());
+        }
+    }
+
+    /// Counts a question for a grant.
+    pub fn on_asked(&self, service: &str) {
+        self.asked.get_or_create(&ServiceLabel::of(service)).inc();
+    }
+
+    /// Counts a request with a grant.
+    pub fn on_granted_send(&self, service: &str) {
+        self.granted.get_or_create(&ServiceLabel::of(service)).inc();
+    }
+
+    /// Counts a request that got no grant.
+    pub fn on_withheld(&self, service: &str) {
+        self.withheld
+            .get_or_create(&ServiceLabel::of(service))
+            .inc();
+    }
+
+    /// Sets how many engines of each service warm up.
+    pub fn set_warming(&self, warming: &HashMap<&str, u64>) {
+        for (service, count) in warming {
+            let count = i64::try_from(*count).unwrap_or(i64::MAX);
+            let gauge = self.warming.get_or_create(&ServiceLabel::of(service));
+            gauge.set(count);
+        }
+    }
+}
+
+/// Label of metrics by zone and service.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ZoneServiceLabel {
+    /// The engines' zone.
+    pub zone: String,
+    /// The engines' service.
+    pub service: String,
+}
+
+impl ZoneServiceLabel {
+    /// Of an engine.
+    pub fn of(engine: &Engine) -> Self {
+        Self {
+            zone: engine.zone.clone(),
+            service: engine.service.clone(),
+        }
+    }
+}
+
 /// All metrics of a gateway.
 pub struct GatewayMetrics {
     /// Requests taken.
@@ -34,6 +135,8 @@
     pub refused: Family<ReasonLabel, Counter>,
     /// Attempts at engines that did not succeed, by reason.
     pub failed_attempts: Family<ReasonLabel, Counter>,
+    /// Of engines that warm up.
+    pub warm_up: WarmUpMetrics,
     /// New connections to engines.
     pub engine_connections: Counter,
     /// Requests passed on to replicas for other gateways.
@@ -54,10 +157,20 @@
     pub configuration_version: Gauge,
     /// Seconds since the configuration was confirmed as the newest one.
     pub configuration_age_seconds: Gauge,
+    /// Routes and tenants that cannot be served in their regions.
+    pub residency_faults: Gauge,
     /// Engines that are known.
     pub engines: Gauge,
     /// Entries of engines that cannot be read, where this gateway watches the store.
     pub unreadable_engines: Gauge,
+    /// Zones that are drained.
+    pub drained_zones: Gauge,
+    /// Engines that get nothing because their zone is drained.
+    pub drained_engines: Family<ZoneServiceLabel, Gauge>,
+    /// Requests that are open at them.
+    pub drained_requests: Family<ZoneServiceLabel, Gauge>,
+    /// Requests whose engine was chosen, and that were not sent since its zone was drained meanwhile.
+    pub withheld: Family<ZoneServiceLabel, Counter>,
     /// Epoch of the replica set.
     pub replica_set_epoch: Gauge,
     /// Calls to the platform's store.
@@ -83,6 +196,7 @@
             ended: Family::default(),
             refused: Family::default(),
             failed_attempts: Family::default(),
+            warm_up: WarmUpMetrics::default(),
             engine_connections: Counter::default(),
             passed_on: Counter::default(),
             reserve_seconds: times(),
@@ -93,8 +207,13 @@
             connect_seconds: times(),
             configuration_version: Gauge::default(),
             configuration_age_seconds: Gauge::default(),
+            residency_faults: Gauge::default(),
             engines: Gauge::default(),
             unreadable_engines: Gauge::default(),
+            drained_zones: Gauge::default(),
+            drained_engines: Family::default(),
+            drained_requests: Family::default(),
+            withheld: Family::default(),
             replica_set_epoch: Gauge::default(),
             store_calls: Gauge::default(),
             store_checks: Gauge::default(),
@@ -102,8 +221,10 @@
             silent_links: Gauge::default(),
         };
         metrics.register_requests(registry);
+        metrics.warm_up.register(registry);
         metrics.register_times(registry);
         metrics.register_beliefs(registry);
+        metrics.register_drains(registry);
         metrics
     }
 
@@ -180,6 +301,11 @@
                 "Seconds since the configuration was confirmed as the newest one",
                 &self.configuration_age_seconds,
             ),
+            (
+                "residency_faults",
+                "Routes and tenants that cannot be served in their regions",
+                &self.residency_faults,
+            ),
             ("engines", "Engines that are known", &self.engines),
             (
                 "unreadable_engines",
@@ -217,6 +343,26 @@
         }
     }
 
+    fn register_drains(&self, registry: &mut Registry) {
+        let zones = self.drained_zones.clone();
+        registry.register("drained_zones", "Zones that are drained", zones);
+        let engines = self.drained_engines.clone();
+        let help = "Engines that get nothing because their zone is drained";
+        registry.register("drained_engines", help, engines);
+        let requests = self.drained_requests.clone();
+        let help = "Requests of this gateway that are open at engines of drained zones";
+        registry.register("drained_requests", help, requests);
+        let withheld = self.withheld.clone();
+        let help = "Requests not sent since the zone of their engine was drained after the choice";
+        registry.register("sends_withheld", help, withheld);
+    }
+
+    /// Counts a request that was not sent to the engine that had been chosen.
+    pub fn on_withheld(&self, engine: &Engine) {
+        let label = ZoneServiceLabel::of(engine);
+        self.withheld.get_or_create(&label).inc();
+    }
+
     /// Counts a refusal.
     pub fn on_refused(&self, reason: RefusalReason) {
         let reason = reason.name();
--- a/crates/resident/src/lib.rs
+++ b/crates/resident/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod actors;
 pub mod build;
 pub mod clock;
+mod drain_follower;
 mod followers;
 pub mod http_client;
 pub mod http_server;
@@ -17,6 +18,7 @@
 pub mod settings;
 pub mod shutdown;
 pub mod store_client;
+pub mod traffic;
 pub mod view;
 pub mod watch_duty;
 pub mod watching;
--- a/crates/resident/src/node.rs
+++ b/crates/resident/src/node.rs
@@ -12,10 +12,12 @@
     Object, ObjectKind, StoreOutcome, check_form, create, read, read_object, replace,
 };
 use ridgeworks_records::ReplicaGroups;
+use ridgeworks_routing::ZoneRegions;
 use serde::{Deserialize, Serialize};
 
 use crate::build;
 use crate::clock::Clock;
+use crate::drain_follower::DrainFollower;
 use crate::followers::{ConfigurationFollower, ConfirmationLog, EngineFollower};
 use crate::peer::{
     Gossip, GossipSources, LaterReply, LaterRequest, MemberInfo, PeerLinks, PeerReply, PeerRequest,
@@ -23,6 +25,7 @@
 };
 use crate::settings::{NodeSettings, Role};
 use crate::store_client::StoreClient;
+use crate::traffic::Traffic;
 use crate::view::{Source, View};
 use crate::watch_duty::{DutySignal, Place, WatchDuty};
 use crate::watching::{Follower, follow, list_once};
@@ -49,6 +52,8 @@
 pub struct Node {
     /// Its settings at the start.
     pub settings: NodeSettings,
+    /// The regions of the deployment's zones.
+    pub regions: ZoneRegions,
     /// The steady clock.
     pub clock: Clock,
     /// What it believes of the deployment.
@@ -57,10 +62,14 @@
     pub store: Rc<StoreClient>,
     /// Links to other nodes.
     pub links: Rc<PeerLinks>,
+    /// How far bytes go, where the settings name zones.
+    pub traffic: Option<Rc<Traffic>>,
     /// Heartbeats.
     pub gossip: Rc<Gossip>,
     /// Whether this node follows the store itself.
     pub duty: Rc<DutySignal>,
+    /// Whether it follows the drains of zones there: they have a bound of their own, and so another patience.
+    drain_duty: Rc<DutySignal>,
     /// The settings as they were last read.
     reloaded: RefCell<NodeSettings>,
     settings_unreadable: Cell<bool>,
@@ -82,10 +91,17 @@
     pub async fn bind(settings: NodeSettings, clock: Clock) -> io::Result<Rc<Self>> {
         let is_gateway = settings.role == Role::Gateway;
         let view = View::new(clock, is_gateway).needing_extras(settings.need_extras());
-        let view = Rc::new(view);
-        let duty = WatchDuty::new(&settings.name, settings.bounds.configuration());
+        let has_drains = is_gateway && settings.bounds.zone_drain().is_some();
+        let view = Rc::new(if has_drains { view.with_drains() } else { view });
+        let bound = settings.bounds.configuration();
+        let drain_bound = settings.bounds.zone_drain().unwrap_or(bound);
+        let drain_duty = WatchDuty::new(&settings.name, drain_bound);
+        let drain_duty = DutySignal::new(drain_duty.patience(Place::Other));
+        let duty = WatchDuty::new(&settings.name, bound);
         let duty = Rc::new(DutySignal::new(duty.patience(Place::Other)));
-        let links = Rc::new(PeerLinks::default());
+        let regions = settings.zone_regions();
+        let traffic = Traffic::new(&settings.zone, regions.clone()).map(Rc::new);
+        let links = Rc::new(PeerLinks::counting(traffic.clone()));
         let seeds = settings.seed_peers();
         let me = member_info(&settings);
         let gossip = Gossip::bind(
@@ -95,7 +111,7 @@
             Rc::clone(&view),
             Rc::clone(&links),
             Rc::clone(&duty),
-            settings.bounds.configuration(),
+            bound,
         );
         let gossip = gossip.await?;
         Ok(Rc::new(Self {
@@ -104,11 +120,14 @@
             reloaded: RefCell::new(settings.clone()),
             settings_unreadable: Cell::new(false),
             unreadable_sets: Cell::new(0),
+            regions,
+            traffic,
             settings,
             clock,
             view,
             links,
             duty,
+            drain_duty: Rc::new(drain_duty),
         }))
     }
 
@@ -129,18 +148,22 @@
         Ok(())
     }
 
-    /// Follows the configuration and the engines, from the store or from other nodes.
+    /// Follows the configuration, the engines and the drains of zones, from the store or from other nodes.
     pub fn follow_traffic(self: &Rc<Self>) {
         tokio::task::spawn_local(Rc::clone(self).decide_duty());
         let configuration = ConfigurationFollower(Rc::clone(&self.view));
-        self.follow(ObjectKind::Configuration, configuration);
+        self.follow(ObjectKind::Configuration, configuration, &self.duty);
         let engines = EngineFollower::new(Rc::clone(&self.view));
-        self.follow(ObjectKind::Engines, engines);
+        self.follow(ObjectKind::Engines, engines, &self.duty);
+        if self.view.drains.are_followed() {
+            let drains = DrainFollower::new(Rc::clone(&self.view));
+            self.follow(ObjectKind::ZoneDrains, drains, &self.drain_duty);
+        }
     }
 
-    fn follow(&self, kind: ObjectKind, follower: impl Follower + 'static) {
+    fn follow(&self, kind: ObjectKind, follower: impl Follower + 'static, duty: &Rc<DutySignal>) {
         let store = Rc::clone(&self.store);
-        let duty = Rc::clone(&self.duty);
+        let duty = Rc::clone(duty);
         tokio::task::spawn_local(follow(store, kind, follower, duty));
     }
 
@@ -160,6 +183,8 @@
     async fn decide_duty(self: Rc<Self>) {
         let bound = self.settings.bounds.configuration();
         let mut duty = WatchDuty::new(&self.settings.name, bound);
+        let drain_bound = self.settings.bounds.zone_drain().unwrap_or(bound);
+        let mut drain_duty = WatchDuty::new(&self.settings.name, drain_bound);
         let mut confirmation = ConfirmationLog::new(bound);
         let mut place = Place::Other;
         let mut placed_at = None;
@@ -170,6 +195,7 @@
                 place = self.gossip.place(now);
                 placed_at = Some(now);
             }
+            self.decide_drain_duty(&mut drain_duty, place, now);
             let unconfirmed = self.view.unconfirmed_for();
             confirmation.tell(unconfirmed, self.view.version());
             let is_due = duty.is_due(now, place, unconfirmed);
@@ -191,6 +217,23 @@
         }
     }
 
+    fn decide_drain_duty(&self, duty: &mut WatchDuty, place: Place, now: Duration) {
+        if !self.view.drains.are_followed() {
+            return;
+        }
+        let unconfirmed = self.view.drains.unconfirmed_for();
+        let is_due = duty.is_due(now, place, unconfirmed);
+        if self.drain_duty.set(is_due, duty.patience(place)) {
+            log::info!(
+                target: "belief",
+                watches = is_due,
+                place:? = place,
+                unconfirmed_ms:? = unconfirmed.map(|age| age.as_millis());
+                "watching for drains of zones changed"
+            );
+        }
+    }
+
     /// Reads the settings file again, and takes over what may change while the process runs. Says so
     /// when it was asked to, or when something changed.
     pub fn reload(&self, path: &Path, reason: ReloadReason) {
--- a/crates/resident/src/peer/gossip.rs
+++ b/crates/resident/src/peer/gossip.rs
@@ -19,7 +19,7 @@
 use tokio::time::{Instant, MissedTickBehavior};
 
 pub use self::reads::Questions;
-use super::confirming::Confirming;
+use super::confirming::{Ages, Confirming};
 use super::encoding::{MessageKind, decode, encode};
 use super::frame::PROTOCOL;
 use super::later::LaterDatagram;
@@ -29,6 +29,7 @@
     Confirmations, Datagram, Heartbeat, LoadReport, MemberInfo, PeerReply, PeerRequest,
     ReplicaStatus,
 };
+use super::purpose;
 use super::targets::{FAN_OUT, targets};
 use super::unread::UNREAD;
 use crate::clock::Clock;
@@ -121,6 +122,9 @@
         let now = self.clock.now();
         let others = nodes.into_iter().filter(|node| node.name != self.me.name);
         for node in others {
+            if let Some(traffic) = self.links.traffic() {
+                traffic.on_machine(node.address.ip(), &node.zone);
+            }
             self.members.borrow_mut().on_known(node, now);
         }
     }
@@ -260,11 +264,18 @@
             return;
         };
         for target in targets {
+            self.count(&heartbeat, target, datagram.len());
             // A datagram that is lost is replaced by the next one.
             let _ = self.socket.send_to(&datagram, target).await;
         }
     }
 
+    fn count(&self, datagram: &Datagram, to: SocketAddr, bytes: usize) {
+        if let Some(traffic) = self.links.traffic() {
+            traffic.add(purpose::of_datagram(datagram), to.ip(), bytes);
+        }
+    }
+
     /// Those whose turn it is; seeds as long as nobody is known.
     fn targets(&self) -> Vec<SocketAddr> {
         let members = self.members.borrow();
@@ -334,6 +345,7 @@
 
     async fn send(&self, to: SocketAddr, datagram: &Datagram) {
         if let Ok(bytes) = encode(datagram) {
+            self.count(datagram, to, bytes.len());
             // A datagram that is lost is repeated or missed without harm.
             let _ = self.socket.send_to(&bytes, to).await;
         }
@@ -349,6 +361,9 @@
             return;
         }
         let now = self.clock.now();
+        if let Some(traffic) = self.links.traffic() {
+            traffic.on_machine(heartbeat.from.address.ip(), &heartbeat.from.zone);
+        }
         let is_new = self.members.borrow_mut().on_heartbeat(&heartbeat, now);
         self.add_known(heartbeat.known.clone());
         if is_new {
@@ -373,9 +388,24 @@
 
     /// Asks a node whose knowledge seems to have been confirmed later than this node's own.
     async fn ask_if_younger(&self, told: &Confirmations, node: SocketAddr, now: Duration) {
-        let own = self.view.unconfirmed_for();
-        let told = told.unconfirmed_ms.map(Duration::from_millis);
-        if let Some(number) = self.confirming.ask(own, told, now) {
+        let age = |unconfirmed_ms: Option<u64>| unconfirmed_ms.map(Duration::from_millis);
+        let configuration = Ages {
+            own: self.view.unconfirmed_for(),
+            told: age(told.unconfirmed_ms),
+        };
+        let has_engines = self.view.has_engines_up_to(told.engines_newest);
+        let engines = Ages {
+            own: self.view.engines_unconfirmed_for(),
+            told: age(told.engines_unconfirmed_ms).filter(|_| has_engines),
+        };
+        let drains = &self.view.drains;
+        let told_drains = told.drains.and_then(|known| known.unconfirmed_ms);
+        let drains = Ages {
+            own: drains.unconfirmed_for(),
+            told: age(told_drains).filter(|_| drains.are_followed()),
+        };
+        let ages = [configuration, engines, drains];
+        if let Some(number) = self.confirming.ask(&ages, now) {
             self.send(node, &Datagram::AskConfirmations { number })
                 .await;
         }
@@ -398,6 +428,9 @@
         if self.me.is_replica || !is_useful {
             return false;
         }
+        if told.drains.is_some_and(|told| self.view.drains.lack(&told)) {
+            return true;
+        }
         if told.engines_newest <= self.view.with_engines(|engines| engines.at()) {
             self.engines_behind_since.set(None);
             return false;
--- a/crates/resident/src/peer/mod.rs
+++ b/crates/resident/src/peer/mod.rs
@@ -4,11 +4,13 @@
 mod encoding;
 mod frame;
 mod gossip;
+mod grant;
 mod later;
 mod link;
 mod links;
 mod members;
 mod message;
+mod purpose;
 mod server;
 mod targets;
 mod unread;
@@ -16,13 +18,15 @@
 pub use encoding::{Message, MessageError, MessageKind, Section, decode, encode, number_of};
 pub use frame::{Frame, FrameError, PROTOCOL, RawSection, frame, unframe};
 pub use gossip::{Gossip, GossipSources, Questions, fetch_members, fetch_view};
+pub use grant::{GrantReply, GrantRequest};
 pub use later::{Build, LaterDatagram, LaterReply, LaterRequest};
 pub use link::LinkError;
 pub use links::{PeerLinks, patience};
 pub use members::{Member, Members};
 pub use message::{
-    Confirmations, Datagram, Envelope, Heartbeat, KnownEngines, LoadReport, MemberInfo, PassedOn,
-    PeerReply, PeerRequest, Preparing, ReplicaStatus, ViewPosition, ViewUpdate,
+    Confirmations, Datagram, DrainNews, Envelope, Heartbeat, KnownDrains, KnownEngines, LoadReport,
+    MemberInfo, PassedOn, PeerReply, PeerRequest, Preparing, ReplicaStatus, ToldDrains,
+    ViewPosition, ViewUpdate,
 };
 pub use server::{PeerService, serve};
 pub use targets::targets;
--- a/crates/resident/tests/mixed_versions.rs
+++ b/crates/resident/tests/mixed_versions.rs
@@ -37,6 +37,7 @@
     version: 0,
     engines: KnownEngines::Nothing,
     epoch: Epoch(0),
+    wants_drains: false,
 };
 
 fn read(bytes: &[u8]) -> ViewUpdate {
@@ -238,6 +239,7 @@
             unconfirmed_ms: None,
             engines_newest: 0,
             engines_unconfirmed_ms: None,
+            drains: None,
         },
         epoch: Epoch(0),
         replica: None,
--- a/crates/resident/tests/support/samples.rs
+++ b/crates/resident/tests/support/samples.rs
@@ -205,6 +205,7 @@
             version: 42,
             engines,
             epoch: EPOCH,
+            wants_drains: false, // not in version 0
         })
     });
     let others = [
@@ -362,6 +363,7 @@
         groups: Some(groups()),
         unconfirmed_ms: Some(120),
         engines_unconfirmed_ms: Some(80),
+        drains: None,      // not in version 0
         protocol: 0,       // not in version 0
         has_extras: false, // not in version 0
         has_starts: false, // not in version 0
@@ -372,6 +374,7 @@
         groups: None,
         unconfirmed_ms: None,
         engines_unconfirmed_ms: None,
+        drains: None,      // not in version 0
         protocol: 0,       // not in version 0
         has_extras: false, // not in version 0
         has_starts: false, // not in version 0
@@ -406,6 +409,7 @@
         unconfirmed_ms: Some(120),
         engines_newest: 9,
         engines_unconfirmed_ms: None,
+        drains: None, // not in version 0
     }
 }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -14,8 +14,10 @@
 mod placement;
 mod read_directory;
 mod refusal;
+mod region_ways;
 mod request;
 mod residency;
+mod residency_faults;
 mod route_table;
 mod sample_window;
 mod service_model;
@@ -23,12 +25,13 @@
 mod told_outcomes;
 mod warm_up;
 mod weighted_split;
+mod zone_drains;
 
 pub use configuration::{
     CallerLimits, ConfigurationExtras, ModelEngine, RequestKind, Route, RouteConfiguration,
     Service, WeightedService,
 };
-pub use eligibility::{Bar, EngineRule, first_bar, service_bar};
+pub use eligibility::{Bar, EngineRule, ResidencyRule, first_bar, service_bar};
 pub use engine_health::{EngineHealth, Outcome, OutcomeCounts};
 pub use engine_load::{EngineKey, EngineLoads, GatewayReport};
 pub use engine_table::{
@@ -38,12 +41,15 @@
 pub use placement::{Choice, Demand, FailingNews, Forecast, Placement};
 pub use read_directory::{PromptRead, ReadDirectory};
 pub use refusal::{Refusal, RefusalReason};
+pub use region_ways::RegionWays;
 pub use request::{CallMetadata, PromptPart};
 pub use residency::{Residency, ZoneRegions};
+pub use residency_faults::ResidencyFaults;
 pub use route_table::{RouteTable, UnknownKey};
 pub use sample_window::SampleWindow;
 pub use service_model::{Reading, ServiceCosts, ServiceKey, ServiceModel, ServiceSummary, Turn};
 pub use tenants::{KeyDigest, RateLimit, Tenant, TenantFault, TenantTable, check_tenants};
 pub use told_outcomes::{MAX_SUSPECTS, ToldOutcomes};
-pub use warm_up::WarmUpLimit;
+pub use warm_up::{WarmUpLimit, WarmUpNews, WarmUpSource, WarmUps};
 pub use weighted_split::WeightedSplit;
+pub use zone_drains::{DrainChange, ZoneDrains};
--- a/crates/routing/src/refusal.rs
+++ b/crates/routing/src/refusal.rs
@@ -34,8 +34,16 @@
     Overloaded,
     /// No engine takes requests of the service.
     NoEngine,
+    /// All engines of the service stand in drained zones.
+    ZonesDrained,
+    /// No engine takes requests of the service where this one may be served.
+    NoAllowedRegion,
+    /// The turns of the route may be kept in fewer regions than there are replicas in.
+    KeptOutside,
     /// All engines that were asked refused to run it.
     EnginesFull,
+    /// All engines of the service warm up and have what they bear.
+    EnginesWarmUp,
     /// Not enough replicas answered to reserve tokens.
     LedgerUnavailable,
     /// Not enough replicas answered to read the earlier turns.
@@ -84,7 +92,11 @@
             Self::RateUnknown => "rate_unknown",
             Self::Overloaded => "overloaded",
             Self::NoEngine => "no_engine",
+            Self::ZonesDrained => "zones_drained",
+            Self::NoAllowedRegion => "no_allowed_region",
+            Self::KeptOutside => "kept_outside",
             Self::EnginesFull => "engines_full",
+            Self::EnginesWarmUp => "engines_warm_up",
             Self::LedgerUnavailable => "ledger_unavailable",
             Self::TurnsUnavailable => "turns_unavailable",
             Self::EngineFailed => "engine_failed",
