The way to a region costs one look-up an engine and choice

Cause: `RegionWays` looked a zone's region up by name and the region's way again, for the engine and for the own region, at each choice and engine.

Zones have the place of their region now.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -96,7 +96,7 @@
         let limits = RateLimits::new(Rc::clone(&node), Rc::clone(&records.paths));
         let bound = node.settings.bounds.key_removal();
         let keys = KeyProof::new(Rc::clone(&node.view), bound);
-        let ways = RegionWays::new(node.regions.clone(), &node.settings.zone);
+        let ways = RegionWays::new(&node.regions, &node.settings.zone);
         Rc::new(Self {
             node,
             placement: RefCell::new(Placement::with_ways(ways)),
--- a/crates/routing/src/residency.rs
+++ b/crates/routing/src/residency.rs
@@ -78,6 +78,12 @@
         self.by_zone.get(zone).map(String::as_str)
     }
 
+    /// The zones with their regions.
+    pub fn iter(&self) -> impl Iterator<Item = (&str, &str)> {
+        let pairs = self.by_zone.iter();
+        pairs.map(|(zone, region)| (zone.as_str(), region.as_str()))
+    }
+
     /// Whether the settings name no zone.
     pub fn is_empty(&self) -> bool {
         self.by_zone.is_empty()
--- a/crates/routing/tests/region_ways.rs
+++ b/crates/routing/tests/region_ways.rs
@@ -21,7 +21,7 @@
 
 /// A placement that has connected to both regions, the other one so many milliseconds away.
 fn measured(round_ms: u64) -> Placement {
-    let mut placement = Placement::with_ways(RegionWays::new(regions(), "zone-a"));
+    let mut placement = Placement::with_ways(RegionWays::new(&regions(), "zone-a"));
     for _ in 0..20 {
         placement.on_connected(&engine("i", "zone-a"), Duration::from_millis(2));
         let taken = Duration::from_millis(2 + round_ms);
@@ -107,7 +107,7 @@
 
 #[test]
 fn a_slow_connection_says_little_of_the_way_and_a_quick_one_much() {
-    let mut ways = RegionWays::new(regions(), "zone-a").expect("several regions");
+    let mut ways = RegionWays::new(&regions(), "zone-a").expect("several regions");
     assert!(ways.extra_ms("zone-c") > 0.0, "before anything is measured");
     assert!(ways.extra_ms("zone-b") == 0.0);
     ways.on_connected("zone-c", Duration::from_millis(240));
@@ -125,7 +125,7 @@
 fn same_choice_in_one_region(engines: Vec<(u8, u8)>, key: String, reads: Vec<u8>) -> bool {
     let zones = ["zone-a", "zone-b", "zone-c"];
     let of_one = zones.map(|zone| (zone, "north"));
-    let ways = RegionWays::new(ZoneRegions::from(of_one), "zone-a");
+    let ways = RegionWays::new(&ZoneRegions::from(of_one), "zone-a");
     let is_unpaid = ways.is_none();
     let mut placements = [Placement::default(), Placement::with_ways(ways)];
     let names: Vec<String> = (0..engines.len())
