--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -104,7 +104,7 @@
         let keys = KeyProof::new(Rc::clone(&node.view), bound);
         let warm_ups = WarmUpCare::new(Rc::clone(&node), metrics.warm_up.clone());
         let drains = ZoneDrainWatch::new(Rc::clone(&node));
-        let ways = RegionWays::new(node.regions.clone(), &node.settings.zone);
+        let ways = RegionWays::new(&node.regions, &node.settings.zone);
         Rc::new(Self {
             node,
             placement: RefCell::new(Placement::with_ways(ways)),
