Test of kept turns waits for the log's line

The line is waited for now, as other tests do; that it has to come, and with this reason, is as before. Ruled out by the message: another status, and a turn that reached an engine.

--- a/crates/node/tests/resident_regions.rs
+++ b/crates/node/tests/resident_regions.rs
@@ -329,9 +329,12 @@
     let (status, _) = refusal(&deployment.gateways[0], &marked_turn("r-1"));
     assert_eq!(status, 503);
     assert!(engines.reached("r").is_empty());
-    assert!(deployment.gateways[0].log().iter().any(|line| {
-        line["message"] == "request ended" && line["attributes"]["reason"] == "kept_outside"
-    }));
+    // Lines are written beside the answers.
+    wait_until("the refusal is told in the log", || {
+        deployment.gateways[0].log().iter().any(|line| {
+            line["message"] == "request ended" && line["attributes"]["reason"] == "kept_outside"
+        })
+    });
     assert_eq!(marked(&deployment), 0);
     wait_until("the operator is told", || {
         deployment.gateways[0].log().iter().any(|line| {
