--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -96,6 +96,8 @@
 
     /// Sets how many engines of each service warm up.
     pub fn set_warming(&self, warming: &HashMap<&str, u64>) {
+        // A service may have lost its limit.
+        self.warming.clear();
         for (service, count) in warming {
             let count = i64::try_from(*count).unwrap_or(i64::MAX);
             let gauge = self.warming.get_or_create(&ServiceLabel::of(service));
@@ -169,7 +171,7 @@
     pub drained_engines: Family<ZoneServiceLabel, Gauge>,
     /// Requests that are open at them.
     pub drained_requests: Family<ZoneServiceLabel, Gauge>,
-    /// Requests whose engine was chosen, and that were not sent since its zone was drained meanwhile.
+    /// Requests whose engine was chosen, and that were not sent since the engine got nothing any more by then, for whatever reason.
     pub withheld: Family<ZoneServiceLabel, Counter>,
     /// Epoch of the replica set.
     pub replica_set_epoch: Gauge,
@@ -353,7 +355,7 @@
         let help = "Requests of this gateway that are open at engines of drained zones";
         registry.register("drained_requests", help, requests);
         let withheld = self.withheld.clone();
-        let help = "Requests not sent since the zone of their engine was drained after the choice";
+        let help = "Requests not sent since their engine got nothing any more after the choice";
         registry.register("sends_withheld", help, withheld);
     }
 
--- a/crates/gateway/src/warm_ups.rs
+++ b/crates/gateway/src/warm_ups.rs
@@ -18,8 +18,10 @@
 use crate::metrics::WarmUpMetrics;
 use crate::refusal::COME_BACK;
 
-/// How long limiters may take in all: another engine serves the request meanwhile, and a grant lapses soon after.
-const PATIENCE: Duration = Duration::from_millis(40);
+/// How long one limiter may take: another engine serves the request meanwhile, and a grant lapses soon after.
+const LIMITER_PATIENCE: Duration = Duration::from_millis(20);
+/// How long limiters may take in all, so that the next one is asked where the first is silent.
+const PATIENCE: Duration = LIMITER_PATIENCE.saturating_mul(2);
 /// How long an engine is passed over where no limiter answered.
 const SILENCE: Duration = Duration::from_millis(200);
 /// How long a limiter that did not answer is asked last.
@@ -336,7 +338,8 @@
         };
         self.metrics.on_asked(&engine.service);
         let request = PeerRequest::Later(LaterRequest::Grant(request));
-        self.node.links.call(address, request, PATIENCE).await
+        let links = &self.node.links;
+        links.call(address, request, LIMITER_PATIENCE).await
     }
 
     fn take_reply(
--- a/crates/resident/src/settings.rs
+++ b/crates/resident/src/settings.rs
@@ -201,6 +201,8 @@
     Time(&'static str),
     /// A part or a count is negative or no number.
     Share(&'static str),
+    /// The value has to be a number above 0.
+    NotPositive(&'static str),
 }
 
 impl fmt::Display for SettingsFault {
@@ -213,6 +215,7 @@
             }
             Self::Share(key) => write!(formatter, "{key}: must be 0 or more"),
             Self::Time(key) => write!(formatter, "{key}: must be a time of 0 or more"),
+            Self::NotPositive(key) => write!(formatter, "{key}: must be more than 0"),
         }
     }
 }
@@ -334,9 +337,15 @@
         let bad_removal = !self.bounds.key_removal_ms.is_none_or(is_positive);
         check(bad_removal, SettingsFault::Time("bounds.key_removal_ms"));
         let bad_drain = !self.bounds.zone_drain_ms.is_none_or(is_positive);
-        check(bad_drain, SettingsFault::Time("bounds.zone_drain_ms"));
+        check(
+            bad_drain,
+            SettingsFault::NotPositive("bounds.zone_drain_ms"),
+        );
         let bad_factor = !self.bounds.warm_up_factor.is_none_or(is_positive);
-        check(bad_factor, SettingsFault::Share("bounds.warm_up_factor"));
+        check(
+            bad_factor,
+            SettingsFault::NotPositive("bounds.warm_up_factor"),
+        );
         let bad_warm_slack = !self.bounds.warm_up_slack.is_none_or(is_time);
         check(bad_warm_slack, SettingsFault::Share("bounds.warm_up_slack"));
         let bad_window = !is_positive(self.bounds.quota_window_s);
--- a/crates/resident/src/view/drains.rs
+++ b/crates/resident/src/view/drains.rs
@@ -159,14 +159,19 @@
             return;
         }
         let next = known.after(changes, at);
+        let mut is_news = false;
         for (zone, revision) in changes {
-            // An order of which nothing was heard before its end.
+            // An order of which nothing was heard before its end. What others have told already is none.
             let is_unheard = !known.is_drained(zone) && !next.is_drained(zone);
-            if revision.is_none() && is_unheard {
+            if revision.is_none() && is_unheard && at > known.at() {
                 self.drains.on_returned(zone);
+                is_news = true;
             }
         }
         self.adopt_drains(next, source);
+        if is_news {
+            self.announce();
+        }
     }
 
     fn on_drain_change(&self, change: &DrainChange, source: Source) {
--- a/crates/resident/tests/drains.rs
+++ b/crates/resident/tests/drains.rs
@@ -113,6 +113,27 @@
     assert!(view.zone_returned(ZONE).is_some());
 }
 
+#[test]
+fn an_end_that_was_heard_of_after_its_order_is_told_to_those_who_follow_changes() {
+    let view = view();
+    view.adopt_drains(listed(&[], 10), Source::Store);
+    let changes = view.changes();
+    let both = [(ZONE.to_owned(), Some(11)), (ZONE.to_owned(), None)];
+    view.change_drains(&both, 12, Source::Store);
+    assert!(changes.has_changed().expect("the view lives"));
+}
+
+#[test]
+fn an_end_that_others_told_before_the_store_does_not_come_twice() {
+    let view = view();
+    view.adopt_drains(listed(&[ZONE], 10), Source::Store);
+    view.adopt_drains(listed(&[], 12), Source::Peer);
+    let returned = view.zone_returned(ZONE);
+    std::thread::sleep(Duration::from_millis(5));
+    view.change_drains(&[(ZONE.to_owned(), None)], 12, Source::Store);
+    assert_eq!(view.zone_returned(ZONE), returned);
+}
+
 #[test]
 fn a_node_without_a_use_for_drains_neither_asks_nor_tells() {
     let plain = View::new(Clock::start(), true);
--- a/crates/routing/src/warm_up.rs
+++ b/crates/routing/src/warm_up.rs
@@ -159,7 +159,7 @@
         }
         self.answer_end = match warm_up {
             Duration::ZERO => self.answer_end.min(now),
-            left => now + left,
+            left => now.saturating_add(left),
         };
     }
 
