Heartbeats stay in their zone and name others rarely; seeds ask the store first

A choice of an engine rests on its own zone's news mostly.

Changes: in a fleet of more than 16 others three of eight heartbeats go to other zones; other nodes are named in one of eight, and in each of the first 5 s; a seed asks the store at once, others leave it to a seed that answers for 1 to 2 s; who the others are is heard for 1.2 s before a node decides whether it watches (0.6 s).

--- a/crates/resident/src/node.rs
+++ b/crates/resident/src/node.rs
@@ -75,6 +75,8 @@
     settings_unreadable: Cell<bool>,
     /// Revision of the registered replica sets that could not be read last, 0 for none.
     unreadable_sets: Cell<u64>,
+    /// Whether a seed has answered.
+    is_seeded: Cell<bool>,
 }
 
 /// Why the settings are read again.
@@ -122,6 +124,7 @@
             unreadable_sets: Cell::new(0),
             regions,
             traffic,
+            is_seeded: Cell::new(false),
             settings,
             clock,
             view,
@@ -185,6 +188,10 @@
         let mut duty = WatchDuty::new(&self.settings.name, bound);
         let drain_bound = self.settings.bounds.zone_drain().unwrap_or(bound);
         let mut drain_duty = WatchDuty::new(&self.settings.name, drain_bound);
+        if self.settings.is_seed() {
+            duty.ask_first();
+            drain_duty.ask_first();
+        }
         let mut confirmation = ConfirmationLog::new(bound);
         let mut place = Place::Other;
         let mut placed_at = None;
@@ -195,6 +202,10 @@
                 place = self.gossip.place(now);
                 placed_at = Some(now);
             }
+            if self.is_seeded.get() {
+                duty.leave_to_seeds();
+                drain_duty.leave_to_seeds();
+            }
             self.decide_drain_duty(&mut drain_duty, place, now);
             let unconfirmed = self.view.unconfirmed_for();
             confirmation.tell(unconfirmed, self.view.version());
@@ -387,7 +398,9 @@
             if self.view.routes().is_some() && self.view.groups().is_some() {
                 return;
             }
-            if fetch_view(&self.links, &self.view, seed).await && self.view.routes().is_some() {
+            let answered = fetch_view(&self.links, &self.view, seed).await;
+            self.is_seeded.set(answered || self.is_seeded.get());
+            if answered && self.view.routes().is_some() {
                 return;
             }
             pause_about(SEED_PAUSE).await;
--- a/crates/resident/src/peer/gossip.rs
+++ b/crates/resident/src/peer/gossip.rs
@@ -40,6 +40,10 @@
 /// Other nodes named in a heartbeat.
 const KNOWN_REPLICAS: usize = 5;
 const KNOWN_OTHERS: usize = 2;
+/// Heartbeats between two that name other nodes. Names are most of a heartbeat's bytes, and who is there changes rarely.
+const KNOWN_ROUNDS: usize = 8;
+/// For so long after its start a node names others in every heartbeat, so that a fleet that starts finds together.
+const KNOWN_START: Duration = Duration::from_secs(5);
 /// Engines named in a heartbeat, so that it fits one packet.
 const MAX_LOAD_ENTRIES: usize = 56;
 /// Services named in a heartbeat.
@@ -259,7 +263,8 @@
         if targets.is_empty() {
             return;
         }
-        let heartbeat = Datagram::Heartbeat(Box::new(self.heartbeat(sources)));
+        let names_others = self.names_others();
+        let heartbeat = Datagram::Heartbeat(Box::new(self.heartbeat(sources, names_others)));
         let Ok(datagram) = encode(&heartbeat) else {
             return;
         };
@@ -289,7 +294,13 @@
         targets
     }
 
-    fn heartbeat(&self, sources: &impl GossipSources) -> Heartbeat {
+    /// Whether the next heartbeat names other nodes.
+    fn names_others(&self) -> bool {
+        let round = self.next_target.get() / FAN_OUT;
+        self.clock.now() < KNOWN_START || round.is_multiple_of(KNOWN_ROUNDS)
+    }
+
+    fn heartbeat(&self, sources: &impl GossipSources, names_others: bool) -> Heartbeat {
         let mut load = sources.load();
         load.open.truncate(MAX_LOAD_ENTRIES);
         load.suspects.truncate(MAX_SUSPECTS);
@@ -301,7 +312,11 @@
             epoch: self.view.epoch(),
             replica: sources.replica(),
             load,
-            known: self.some_known(),
+            known: if names_others {
+                self.some_known()
+            } else {
+                Vec::new()
+            },
             protocol: PROTOCOL,
         }
     }
@@ -374,7 +389,7 @@
                 protocol = heartbeat.protocol;
                 "node joined"
             );
-            let reply = Datagram::Heartbeat(Box::new(self.heartbeat(sources)));
+            let reply = Datagram::Heartbeat(Box::new(self.heartbeat(sources, true)));
             self.send(from, &reply).await;
         }
         if self.is_behind(&heartbeat, now) {
--- a/crates/resident/src/peer/targets.rs
+++ b/crates/resident/src/peer/targets.rs
@@ -17,6 +17,11 @@
 
 /// Nodes that get a heartbeat in turn at each interval.
 pub const FAN_OUT: usize = 8;
+/// Nodes of other zones among them, in a fleet that has too many for one round: requests mostly stay in the zone of their gateway, so
+/// that news of its own zone is what a choice rests on, and the way between zones is the dear one.
+const FAR_FAN_OUT: usize = 3;
+/// Rounds that reach every node of a small fleet, as often as if no zone came first.
+const SMALL_ROUNDS: usize = 2;
 /// Replicas that another one sends to in turn at each interval as long as no set is known.
 const REPLICA_FAN_OUT: usize = 8;
 /// Replicas of other groups that a member sends to in turn at each interval: each hears it every 2 s where there are 36.
@@ -51,7 +56,24 @@
         }
         None => in_turn(&replicas, begin, REPLICA_FAN_OUT),
     };
-    targets.extend(in_turn(&others, begin, FAN_OUT));
+    targets.extend(by_zone(me, others, begin));
+    targets
+}
+
+/// Nodes in turn, those of the own zone more often where there are many.
+fn by_zone(me: &MemberInfo, others: Vec<&Member>, begin: usize) -> Vec<SocketAddr> {
+    if others.len() <= SMALL_ROUNDS * FAN_OUT {
+        return in_turn(&others, begin, FAN_OUT);
+    }
+    let (near, far): (Vec<&Member>, Vec<&Member>) = others
+        .into_iter()
+        .partition(|member| member.info.zone == me.zone);
+    let far_least = far.len().min(FAR_FAN_OUT);
+    let near_count = near.len().min(FAN_OUT - far_least);
+    let rounds = begin / FAN_OUT;
+    let mut targets = in_turn(&near, rounds * near_count, near_count);
+    let far_count = FAN_OUT - near_count;
+    targets.extend(in_turn(&far, rounds * far_count, far_count));
     targets
 }
 
--- a/crates/resident/src/settings.rs
+++ b/crates/resident/src/settings.rs
@@ -301,6 +301,11 @@
             .collect()
     }
 
+    /// Whether this node is one of the seeds.
+    pub fn is_seed(&self) -> bool {
+        self.seeds.iter().any(|seed| seed.ip() == self.address)
+    }
+
     /// Port and path of the metrics.
     pub fn metrics(&self) -> Option<(u16, String)> {
         let text = self.listen.metrics.as_deref()?;
--- a/crates/resident/src/watch_duty.rs
+++ b/crates/resident/src/watch_duty.rs
@@ -22,11 +22,14 @@
 const WATCHERS_PER_ZONE: usize = 2;
 /// A node silent for so long no longer counts for the choice of watchers.
 const SILENT_AFTER: Duration = Duration::from_secs(20);
-/// Time after the start in which a node hears who the others are.
-const SETTLING: Duration = Duration::from_millis(600);
+/// Time after the start in which a node hears who the others are. With half of it most of a large fleet took itself for a small one.
+const SETTLING: Duration = Duration::from_millis(1_200);
 /// When a node asks the store first that has heard of nothing: after this and up to the spread more.
 const FIRST_ASK: Duration = Duration::from_millis(30);
 const FIRST_ASK_SPREAD: Duration = Duration::from_millis(300);
+/// The same where a seed answers, which asks the store itself: without it most of a fleet that starts asks what only a few need to.
+const SEEDED_ASK: Duration = Duration::from_secs(1);
+const SEEDED_ASK_SPREAD: Duration = Duration::from_secs(1);
 /// Part of the bound on configurations after which knowledge counts as stale, and its spread.
 const STALE_SHARE: f64 = 0.6;
 const STALE_SPREAD: f64 = 0.2;
@@ -103,6 +106,7 @@
 #[derive(Debug)]
 pub struct WatchDuty {
     first_ask: Duration,
+    seeded_ask: Duration,
     stale_after: Duration,
     wait: Duration,
     check_after: Duration,
@@ -116,6 +120,7 @@
         let drawn = xxh3_64(name.as_bytes()) as f64 / u64::MAX as f64;
         Self {
             first_ask: FIRST_ASK + FIRST_ASK_SPREAD.mul_f64(drawn),
+            seeded_ask: SEEDED_ASK + SEEDED_ASK_SPREAD.mul_f64(drawn),
             stale_after: bound.mul_f64(STALE_SHARE + STALE_SPREAD * drawn),
             wait: bound.mul_f64(WAIT_SHARE - WAIT_SPREAD * drawn),
             check_after: bound.mul_f64(CHECK_SHARE + CHECK_SPREAD * drawn),
@@ -124,6 +129,17 @@
         }
     }
 
+    /// A node that is a seed asks first: others wait for it.
+    pub fn ask_first(&mut self) {
+        self.first_ask = Duration::ZERO;
+        self.seeded_ask = Duration::ZERO;
+    }
+
+    /// A seed has answered, so that the first question is left to it for a while.
+    pub fn leave_to_seeds(&mut self) {
+        self.first_ask = self.seeded_ask;
+    }
+
     /// Whether the node watches now. `unconfirmed` is the time since it or another node heard from the
     /// store that its configuration is the newest one.
     pub fn is_due(&mut self, now: Duration, place: Place, unconfirmed: Option<Duration>) -> bool {
--- a/crates/resident/tests/confirmations.rs
+++ b/crates/resident/tests/confirmations.rs
@@ -3,87 +3,25 @@
 //! An age that a heartbeat told counted from when the heartbeat was read. One that had waited at a process that was frozen made old
 //! knowledge look confirmed, and others took it over from there.
 
+#[path = "support/quiet.rs"]
+mod quiet;
 mod support;
 
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
+use quiet::{VERSION, node};
 use ridgeworks_records::Epoch;
-use ridgeworks_resident::clock::Clock;
-use ridgeworks_resident::node::Node;
 use ridgeworks_resident::peer::{
-    Confirmations, Datagram, GossipSources, Heartbeat, LoadReport, MemberInfo, PROTOCOL, PeerReply,
-    PeerRequest, PeerService, ReplicaStatus, decode, encode,
+    Confirmations, Datagram, Heartbeat, LoadReport, MemberInfo, PROTOCOL, decode, encode,
 };
-use ridgeworks_resident::settings::NodeSettings;
 use ridgeworks_resident::view::Source;
-use ridgeworks_routing::{CallerLimits, PromptRead, RouteConfiguration};
 use support::run;
 use tokio::net::UdpSocket;
-use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout};
 
-const VERSION: u64 = 7;
 const PATIENCE: Duration = Duration::from_secs(5);
 
-struct Quiet;
-
-impl PeerService for Quiet {
-    fn on_request(&self, _request: PeerRequest, reply: oneshot::Sender<PeerReply>) {
-        drop(reply);
-    }
-}
-
-impl GossipSources for Quiet {
-    fn load(&self) -> LoadReport {
-        LoadReport::default()
-    }
-
-    fn replica(&self) -> Option<ReplicaStatus> {
-        None
-    }
-
-    fn on_load(&self, _from: &str, _load: LoadReport) {}
-
-    fn on_read(&self, _read: PromptRead) {}
-
-    fn find_read(&self, _part: u64) -> Option<PromptRead> {
-        None
-    }
-}
-
-/// A node that knows a configuration which nobody has confirmed.
-async fn node(ip: &str) -> Rc<Node> {
-    let text = format!(
-        "role = \"gateway\"\nname = \"gateway-1\"\nzone = \"zone-a\"\naddress = \"{ip}\"\n\
-         peer_port = 27395\n[listen]\ncallers = \"{ip}:27396\"\nreadiness = \"{ip}:27397\"\n\
-         [limits]\nmemory_mb = 48\ndescriptors = 4100\n[platform]\nstore = \"{ip}:27398\"\n\
-         [bounds]\ngrace_s = 8\ncontact_ms = 3000\nconfiguration_ms = 2000\nlost_machines = 1\n"
-    );
-    let settings = NodeSettings::parse(&text).expect("settings");
-    let node = Node::bind(settings, Clock::start())
-        .await
-        .expect("a free port");
-    let configuration = RouteConfiguration {
-        version: VERSION,
-        routes: Vec::new(),
-        services: Vec::new(),
-        limits: CallerLimits {
-            max_header_bytes: 1,
-            max_body_bytes: 1,
-            header_timeout_ms: 1,
-            idle_timeout_ms: 1,
-        },
-        tenants: None,
-    };
-    node.view.adopt_configuration(configuration, Source::Peer);
-    node.start(Rc::new(Quiet), Rc::new(Quiet))
-        .await
-        .expect("a free port");
-    node
-}
-
 fn told(unconfirmed_ms: u64) -> Confirmations {
     Confirmations {
         version: VERSION,
--- /dev/null
+++ b/crates/resident/tests/support/quiet.rs
@@ -0,0 +1,75 @@
+//! A node that knows little and hears what a test tells it.
+#![allow(dead_code, reason = "each test file uses its own part of the support")]
+
+use std::rc::Rc;
+
+use ridgeworks_resident::clock::Clock;
+use ridgeworks_resident::node::Node;
+use ridgeworks_resident::peer::{
+    GossipSources, LoadReport, PeerReply, PeerRequest, PeerService, ReplicaStatus,
+};
+use ridgeworks_resident::settings::NodeSettings;
+use ridgeworks_resident::view::Source;
+use ridgeworks_routing::{CallerLimits, PromptRead, RouteConfiguration};
+use tokio::sync::oneshot;
+
+/// Version of its configuration.
+pub const VERSION: u64 = 7;
+
+/// A role that has nothing to tell and answers nothing.
+pub struct Quiet;
+
+impl PeerService for Quiet {
+    fn on_request(&self, _request: PeerRequest, reply: oneshot::Sender<PeerReply>) {
+        drop(reply);
+    }
+}
+
+impl GossipSources for Quiet {
+    fn load(&self) -> LoadReport {
+        LoadReport::default()
+    }
+
+    fn replica(&self) -> Option<ReplicaStatus> {
+        None
+    }
+
+    fn on_load(&self, _from: &str, _load: LoadReport) {}
+
+    fn on_read(&self, _read: PromptRead) {}
+
+    fn find_read(&self, _part: u64) -> Option<PromptRead> {
+        None
+    }
+}
+
+/// A node that knows a configuration which nobody has confirmed.
+pub async fn node(ip: &str) -> Rc<Node> {
+    let text = format!(
+        "role = \"gateway\"\nname = \"gateway-1\"\nzone = \"zone-a\"\naddress = \"{ip}\"\n\
+         peer_port = 27395\n[listen]\ncallers = \"{ip}:27396\"\nreadiness = \"{ip}:27397\"\n\
+         [limits]\nmemory_mb = 48\ndescriptors = 4100\n[platform]\nstore = \"{ip}:27398\"\n\
+         [bounds]\ngrace_s = 8\ncontact_ms = 3000\nconfiguration_ms = 2000\nlost_machines = 1\n"
+    );
+    let settings = NodeSettings::parse(&text).expect("settings");
+    let node = Node::bind(settings, Clock::start())
+        .await
+        .expect("a free port");
+    let configuration = RouteConfiguration {
+        version: VERSION,
+        routes: Vec::new(),
+        services: Vec::new(),
+        limits: CallerLimits {
+            max_header_bytes: 1,
+            max_body_bytes: 1,
+            header_timeout_ms: 1,
+            idle_timeout_ms: 1,
+        },
+        tenants: None,
+    };
+    node.view.adopt_configuration(configuration, Source::Peer);
+    node.start(Rc::new(Quiet), Rc::new(Quiet))
+        .await
+        .expect("a free port");
+    node
+}
--- a/crates/resident/tests/targets.rs
+++ b/crates/resident/tests/targets.rs
@@ -155,3 +155,33 @@
         assert!(most <= 16 || own.is_empty(), "{most}");
     }
 }
+
+/// Bytes between zones are dear, and what a gateway chooses among is mostly in its own zone.
+#[test]
+fn in_a_large_fleet_most_heartbeats_of_a_gateway_stay_in_its_zone() {
+    let fleet = fleet(80, 12);
+    let set = set(&fleet, 5);
+    let me = &fleet[0];
+    let others: Vec<&Member> = fleet.iter().skip(1).collect();
+    let zone_of = |address: &SocketAddr| {
+        let mut members = others.iter();
+        let member = members.find(|member| member.info.address == *address);
+        member.map(|member| member.info.zone.as_str())
+    };
+    for round in 0..50 {
+        let sent = targets(&me.info, others.iter().copied(), Some(&set), 8 * round);
+        let far = sent
+            .iter()
+            .filter(|address| zone_of(address) != Some(me.info.zone.as_str()));
+        assert_eq!(sent.len(), 8);
+        assert!(far.count() <= 3);
+    }
+    let silences = longest_silences(me, &fleet, Some(&set));
+    let near = silences
+        .iter()
+        .filter(|(address, _)| zone_of(address) == Some(me.info.zone.as_str()));
+    for (address, silence) in near {
+        // A report counts for two seconds.
+        assert!(*silence <= Duration::from_secs(1), "{address}: {silence:?}");
+    }
+}
--- a/crates/resident/tests/watch_duty.rs
+++ b/crates/resident/tests/watch_duty.rs
@@ -96,6 +96,29 @@
     assert!((1..25).contains(&early.count()));
 }
 
+/// When a node asks first that has heard of nothing.
+fn first_ask(duty: &mut WatchDuty) -> Duration {
+    let mut times = (0..10_000).map(Duration::from_millis);
+    let first = times.find(|now| duty.is_due(*now, Place::Other, None));
+    first.expect("it asks")
+}
+
+#[test]
+fn a_fleet_that_starts_leaves_the_first_question_to_its_seeds_and_asks_if_they_learn_nothing() {
+    let mut seed = WatchDuty::new("gateway-0", BOUND);
+    seed.ask_first();
+    // Another seed answers this one.
+    seed.leave_to_seeds();
+    assert_eq!(first_ask(&mut seed), Duration::ZERO);
+    for number in 1..100 {
+        let mut other = WatchDuty::new(&format!("gateway-{number}"), BOUND);
+        other.leave_to_seeds();
+        let first = first_ask(&mut other);
+        let range = Duration::from_secs(1)..=Duration::from_secs(2);
+        assert!(range.contains(&first), "{first:?}");
+    }
+}
+
 #[test]
 fn a_node_whose_knowledge_is_not_confirmed_in_time_watches_for_a_while() {
     let mut duty = WatchDuty::new("gateway-1", BOUND);
