--- a/crates/resident/tests/mixed_versions.rs
+++ b/crates/resident/tests/mixed_versions.rs
@@ -1,7 +1,7 @@
 //! What a node takes in of the deployment from nodes of an earlier version.
 //!
 //! Those tell a configuration without the regions of its routes, and engines without how long they warm up. Put in force, it would let
-//! requests leave their regions, and cold engines get what warm ones bear.
+//! requests leave their regions, and engines that warm up get what warm ones bear.
 
 mod support;
 
--- a/crates/routing/tests/residency.rs
+++ b/crates/routing/tests/residency.rs
@@ -1,4 +1,4 @@
-//! Where requests may be served: over any homes, zones and engines.
+//! Where requests may be served: over any regions, zones and engines.
 
 mod support;
 
@@ -63,23 +63,24 @@
     }
 
     /// Whether the engine's region is one of these, told without the code under test.
-    fn is_home(&self, homes: Option<&Vec<usize>>, engine: &Engine) -> bool {
-        let Some(homes) = homes else {
+    fn is_allowed(&self, allowed: Option<&Vec<usize>>, engine: &Engine) -> bool {
+        let Some(allowed) = allowed else {
             return true;
         };
         let zone = ZONES.iter().position(|zone| *zone == engine.zone);
         let region = zone.and_then(|zone| self.regions.get(zone));
-        region.is_some_and(|region| homes.contains(region))
+        region.is_some_and(|region| allowed.contains(region))
     }
 
     fn may_serve(&self, engine: &Engine) -> bool {
-        self.is_home(self.route.as_ref(), engine) && self.is_home(self.tenant.as_ref(), engine)
+        self.is_allowed(self.route.as_ref(), engine)
+            && self.is_allowed(self.tenant.as_ref(), engine)
     }
 }
 
-fn residency(homes: Option<&Vec<usize>>) -> Residency {
-    homes.map_or_else(Residency::anywhere, |homes| {
-        Residency::within(homes.iter().map(|home| REGIONS[*home].to_owned()))
+fn residency(allowed: Option<&Vec<usize>>) -> Residency {
+    allowed.map_or_else(Residency::anywhere, |allowed| {
+        Residency::within(allowed.iter().map(|region| REGIONS[*region].to_owned()))
     })
 }
 
--- a/crates/routing/tests/warm_up.rs
+++ b/crates/routing/tests/warm_up.rs
@@ -68,16 +68,16 @@
 
 #[test]
 fn an_engine_of_the_first_list_warms_up_for_as_long_as_its_entry_says() {
-    let (warm, cold) = (listed(1), engine("i-2", "zone-a"));
+    let (warm, fresh) = (listed(1), engine("i-2", "zone-a"));
     let mut known = Known::with(&warm);
     assert!(!known.is_warming(&warm, 1));
-    known.list(&[entry(&warm, 1, 0), entry(&cold, 2, 1_000)], 100);
-    assert!(known.is_warming(&cold, 1_099));
+    known.list(&[entry(&warm, 1, 0), entry(&fresh, 2, 1_000)], 100);
+    assert!(known.is_warming(&fresh, 1_099));
     assert!(!known.is_warming(&warm, 1_099));
-    assert!(!known.is_warming(&cold, 1_101));
+    assert!(!known.is_warming(&fresh, 1_101));
     // The same entry once more is no news.
-    known.list(&[entry(&cold, 2, 1_000)], 3_000);
-    assert!(!known.is_warming(&cold, 3_001));
+    known.list(&[entry(&fresh, 2, 1_000)], 3_000);
+    assert!(!known.is_warming(&fresh, 3_001));
 }
 
 #[test]
