--- a/crates/routing/src/residency.rs
+++ b/crates/routing/src/residency.rs
@@ -7,7 +7,7 @@
 /// Regions in which something may be served and kept.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub struct Residency {
-    /// `None` where any region will do. An empty list allows none: it is never taken for "any".
+    /// `None` where any region will do; none of them where those of two have nothing in common.
     regions: Option<BTreeSet<String>>,
 }
 
