Tell the engines' software versions and resumed streams in logs and metrics

'stream resumed at an engine' tells each send after the first events, by a client's resumption (header Resumes) or within an answer. streams_resumed_total counts. No decision is changed.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -52,6 +52,11 @@
         TurnId::of(self.owner(), &self.metadata.request_id)
     }
 
+    /// Whether the client resumes a stream of which it received events in an earlier attempt.
+    pub fn is_resumed_stream(&self) -> bool {
+        self.route.resumable && self.metadata.last_event_id.is_some_and(|last| last > 0)
+    }
+
     /// The turn that this one continues.
     pub fn previous_turn(&self) -> Option<TurnId> {
         let previous = self.metadata.previous_turn.as_deref()?;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -140,6 +140,9 @@
         engine: &Engine,
         mut client: ClientSide,
     ) -> Result<Ending, ClientSide> {
+        if self.is_resumed() {
+            self.log_resumed(engine);
+        }
         let began = Instant::now();
         let in_flight = InFlightRequest::new(&self.gateway, engine, &self.call.metadata);
         self.history.forecast = in_flight.forecast();
@@ -167,6 +170,11 @@
         }
     }
 
+    /// Whether the client has received events of the stream, in this attempt or in an earlier one.
+    fn is_resumed(&self) -> bool {
+        self.forwarded.events > 0 || self.call.is_resumed_stream()
+    }
+
     async fn send(
         &self,
         engine: &Engine,
--- a/crates/gateway/src/exchange/engine_choice.rs
+++ b/crates/gateway/src/exchange/engine_choice.rs
@@ -62,6 +62,8 @@
     pub(super) has_waited: bool,
     /// Instance of the engine that was chosen last.
     pub(super) last_chosen: String,
+    /// Software version of the engine that was chosen last.
+    pub(super) last_software: String,
     /// Engines of the service excluded by zone drains at the last choice.
     pub(super) drained_engines: usize,
     /// Expected cost of the engine that was chosen last, in milliseconds.
@@ -142,6 +144,7 @@
         let history = &mut self.history;
         history.cost_ms = cost_ms;
         history.last_chosen = engine.instance.clone();
+        history.last_software = engine.software.clone();
         Some(engine)
     }
 
@@ -347,6 +350,7 @@
             request = self.call.metadata.request_id.as_str(),
             engine = instance.as_str(),
             service = engine.service.as_str(),
+            software = engine.software.as_str(),
             reason = failure.name(),
             detail:% = failure,
             events_passed = self.forwarded.events,
--- a/crates/gateway/src/exchange/report.rs
+++ b/crates/gateway/src/exchange/report.rs
@@ -1,7 +1,7 @@
 //! Logs and counts the end of a request.
 
 use ridgeworks_resident::clock::whole_ms;
-use ridgeworks_routing::Refusal;
+use ridgeworks_routing::{Engine, Refusal};
 use tokio::time::Instant;
 
 use super::Exchange;
@@ -38,10 +38,38 @@
 }
 
 impl Exchange {
+    /// Name in metrics of how a stream that the client resumed has ended.
+    fn resumption_outcome(&self, ending: Ending) -> &'static str {
+        match ending {
+            Ending::Refused(_) => "refused",
+            _ if self.forwarded.events > 0 => "continued",
+            _ => "failed",
+        }
+    }
+
+    /// Logs that a stream, which an earlier attempt of the client or of this gateway began, is sent to an engine.
+    pub(super) fn log_resumed(&self, engine: &Engine) {
+        log::info!(
+            target: "attempt",
+            request = self.call.metadata.request_id.as_str(),
+            resumes = self.call.metadata.resumes.as_deref().unwrap_or_default(),
+            resumes_after = self.forwarded.last_event_id.unwrap_or_default(),
+            engine = engine.instance.as_str(),
+            born_ms = engine.born_ms,
+            service = engine.service.as_str(),
+            software = engine.software.as_str(),
+            engines_at = self.gateway.node.view.with_engines(|engines| engines.at());
+            "stream resumed at an engine"
+        );
+    }
+
     pub(super) fn report(&self, ending: Ending) {
         let call = &self.call;
         let metrics = &self.gateway.metrics;
         metrics.on_ended(ending.name(), call.received.elapsed());
+        if call.is_resumed_stream() {
+            metrics.on_resumed_stream(self.resumption_outcome(ending));
+        }
         let first_event = self.forwarded.first_at.map(|at| at - call.received);
         if let Some(first_event) = first_event {
             metrics
@@ -77,6 +105,9 @@
             passed_over = self.history.passed_over,
             failed_engine = failed_engine.map(String::as_str).unwrap_or_default(),
             engine = self.history.last_chosen.as_str(),
+            software = self.history.last_software.as_str(),
+            resumes = call.metadata.resumes.as_deref().unwrap_or_default(),
+            resumes_after = call.metadata.last_event_id.unwrap_or_default(),
             expected_ms = self.history.cost_ms as i64,
             missing_tokens = self.history.forecast.missing_tokens,
             ahead_tokens = self.history.forecast.pending_tokens,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -142,6 +142,8 @@
     pub refused: Family<ReasonLabel, Counter>,
     /// Failed attempts at engines by reason.
     pub failed_attempts: Family<ReasonLabel, Counter>,
+    /// Streams that clients resumed, by whether they continued.
+    pub resumed_streams: Family<ReasonLabel, Counter>,
     /// Metrics of warming engines.
     pub warm_up: WarmUpMetrics,
     /// Connections opened to engines.
@@ -204,6 +206,7 @@
             ended: Family::default(),
             refused: Family::default(),
             failed_attempts: Family::default(),
+            resumed_streams: Family::default(),
             warm_up: WarmUpMetrics::default(),
             engine_connections: Counter::default(),
             relayed_requests: Counter::default(),
@@ -248,6 +251,9 @@
         let failed = self.failed_attempts.clone();
         let help = "Attempts at engines that did not succeed, by reason";
         registry.register("attempts_failed", help, failed);
+        let resumed = self.resumed_streams.clone();
+        let help = "Streams that clients resumed, by whether they continued";
+        registry.register("streams_resumed", help, resumed);
         let connections = self.engine_connections.clone();
         registry.register(
             "engine_connections",
@@ -383,6 +389,12 @@
         self.request_seconds.observe(taken.as_secs_f64());
     }
 
+    /// Counts a stream that a client resumed.
+    pub fn on_resumed_stream(&self, reason: &'static str) {
+        let label = ReasonLabel { reason };
+        self.resumed_streams.get_or_create(&label).inc();
+    }
+
     /// Counts a failed attempt at an engine.
     pub fn on_failed_attempt(&self, reason: &'static str) {
         let label = ReasonLabel { reason };
--- a/crates/gateway/tests/drains.rs
+++ b/crates/gateway/tests/drains.rs
@@ -33,6 +33,7 @@
         slots: 4,
         state: EngineState::Ready,
         warm_up_ms: 0,
+        software: "v1".to_owned(),
     }
 }
 
--- a/crates/laboratory/src/policies/landed.rs
+++ b/crates/laboratory/src/policies/landed.rs
@@ -49,6 +49,7 @@
             slots: u32::try_from(deployment.spec.slots).unwrap_or(u32::MAX),
             state: EngineState::Ready,
             warm_up_ms: 0,
+            software: String::new(),
         });
         let engines: Vec<Listed> = engines.collect();
         let mut table = EngineTable::default();
--- a/crates/resident/src/peer/encoding.rs
+++ b/crates/resident/src/peer/encoding.rs
@@ -1,4 +1,4 @@
-//! Encoding of messages between nodes: a body that every protocol version reads, and sections for what version 0 doesn't have
+//! Encoding of messages between nodes: a body that every protocol version reads, and sections for what earlier versions don't have
 //! ([`super::frame`]; `docs/design/versions.md`).
 #![allow(
     missing_docs,
@@ -9,7 +9,7 @@
 use std::fmt;
 
 use bytes::Bytes;
-use ridgeworks_routing::{ConfigurationExtras, EngineWarmUp};
+use ridgeworks_routing::{ConfigurationExtras, EngineSoftware, EngineWarmUp};
 use rkyv::api::high::{HighDeserializer, HighSerializer, HighValidator};
 use rkyv::bytecheck::CheckBytes;
 use rkyv::rancor::Error;
@@ -25,7 +25,7 @@
     Confirmations, Datagram, DrainSection, Envelope, PeerReply, PeerRequest, ViewUpdate,
 };
 
-/// Parts of a message that protocol version 0 doesn't have.
+/// Parts of a message that earlier protocol versions don't have; version 0 has none of them.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Section {
     /// Sent with a configuration: its parts that protocol version 0 doesn't have.
@@ -34,6 +34,8 @@
     EngineWarmUps(Vec<EngineWarmUp>),
     /// Sent with confirmations, a request for a view, or the reply to it.
     ZoneDrains(DrainSection),
+    /// Sent with changes of engines: their software versions. Protocol version 1 doesn't have it either.
+    EngineSoftware(Vec<EngineSoftware>),
 }
 
 /// Kinds of sections. A number is never reused.
@@ -41,6 +43,7 @@
     pub const CONFIGURATION: u16 = 1;
     pub const ENGINE_WARM_UPS: u16 = 2;
     pub const ZONE_DRAINS: u16 = 3;
+    pub const ENGINE_SOFTWARE: u16 = 4;
 }
 
 impl Section {
@@ -49,6 +52,7 @@
             Self::Configuration(extras) => (section_kinds::CONFIGURATION, to_bytes(extras)?),
             Self::EngineWarmUps(warm_ups) => (section_kinds::ENGINE_WARM_UPS, to_bytes(warm_ups)?),
             Self::ZoneDrains(drains) => (section_kinds::ZONE_DRAINS, to_bytes(drains)?),
+            Self::EngineSoftware(versions) => (section_kinds::ENGINE_SOFTWARE, to_bytes(versions)?),
         })
     }
 
@@ -58,6 +62,7 @@
             section_kinds::CONFIGURATION => Self::Configuration(from_bytes(raw.content)?),
             section_kinds::ENGINE_WARM_UPS => Self::EngineWarmUps(from_bytes(raw.content)?),
             section_kinds::ZONE_DRAINS => Self::ZoneDrains(from_bytes(raw.content)?),
+            section_kinds::ENGINE_SOFTWARE => Self::EngineSoftware(from_bytes(raw.content)?),
             _ => return Ok(None),
         }))
     }
@@ -263,12 +268,15 @@
         let extras = configuration.map(|configuration| configuration.extras());
         let engines = self.engines.as_ref().filter(|_| self.has_starts);
         let warm_ups = engines.map(|engines| engines.warm_ups());
+        let engines = self.engines.as_ref().filter(|_| self.has_software);
+        let software = engines.map(|engines| engines.software_versions());
         let drains = self.drains.as_deref().cloned().map(DrainSection::Told);
         extras
             .map(Section::Configuration)
             .into_iter()
             .chain(warm_ups.map(Section::EngineWarmUps))
             .chain(drains.map(Section::ZoneDrains))
+            .chain(software.map(Section::EngineSoftware))
             .collect()
     }
 
@@ -292,6 +300,12 @@
                         self.drains = Some(Box::new(snapshot));
                     }
                 }
+                Section::EngineSoftware(versions) => {
+                    self.has_software = true;
+                    if let Some(engines) = &mut self.engines {
+                        engines.set_software_versions(versions);
+                    }
+                }
             }
         }
     }
--- a/crates/resident/src/peer/frame.rs
+++ b/crates/resident/src/peer/frame.rs
@@ -8,8 +8,9 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Protocol version of this program. Version 0 has no frames; its messages are bodies alone.
-pub const PROTOCOL: u16 = 1;
+/// Protocol version of this program. Version 0 has no frames; its messages are bodies alone. Version 1 knows nothing of the
+/// engines' software versions.
+pub const PROTOCOL: u16 = 2;
 
 const MAGIC: [u8; 8] = *b"\xf7rwnode\x01";
 /// Bodies and sections begin at multiples of this many bytes, as rkyv requires.
--- a/crates/resident/src/peer/message.rs
+++ b/crates/resident/src/peer/message.rs
@@ -134,6 +134,9 @@
     /// Whether the engines include their warm-up times.
     #[rkyv(with = Skip)]
     pub has_starts: bool,
+    /// Whether the engines include their software versions.
+    #[rkyv(with = Skip)]
+    pub has_software: bool,
 }
 
 /// Versions of the parts of a node's view, with the time since the store confirmed that each is the newest.
--- a/crates/resident/src/view.rs
+++ b/crates/resident/src/view.rs
@@ -65,6 +65,9 @@
     /// Whether the engines have their warm-up times: no update of them came, directly or indirectly, from a node of protocol
     /// version 0.
     has_starts: Cell<bool>,
+    /// Whether the engines have their software versions: no update of them came, directly or indirectly, from a node of protocol
+    /// version 1 or 0.
+    has_software: Cell<bool>,
     refused: Cell<Option<Refusal>>,
 }
 
@@ -100,6 +103,7 @@
             needs_protocol_1: false,
             has_extras: Cell::new(true),
             has_starts: Cell::new(true),
+            has_software: Cell::new(true),
             refused: Cell::new(None),
         }
     }
@@ -314,6 +318,7 @@
     pub fn adopt_engine(&self, entry: EngineEntry, source: Source) {
         let state = entry.engine.state;
         let born_ms = entry.engine.born_ms;
+        let software = entry.engine.software.clone();
         let instance = entry.engine.instance.clone();
         let revision = entry.revision;
         if self.engines.borrow_mut().apply(entry) {
@@ -322,6 +327,7 @@
                 engine = instance.as_str(),
                 state:? = state,
                 born_ms = born_ms,
+                software = software.as_str(),
                 revision = revision,
                 source = source.name();
                 "engine changed"
@@ -417,6 +423,7 @@
             protocol: PROTOCOL,
             has_extras: self.has_extras.get(),
             has_starts: self.has_starts.get(),
+            has_software: self.has_software.get(),
         }
     }
 
@@ -434,6 +441,7 @@
             protocol: _,
             has_extras,
             has_starts,
+            has_software,
         } = update;
         // An update without a configuration says that the sender knows none newer than the version in the request.
         let version = configuration
@@ -456,6 +464,8 @@
         if let Some(engines) = engines {
             let complete_at = engines.at;
             self.has_starts.set(has_starts && self.has_starts.get());
+            self.has_software
+                .set(has_software && self.has_software.get());
             self.adopt_engine_changes(engines, Source::Peer);
             self.confirm_engines(complete_at, plus_request_age(engines_unconfirmed_ms));
         }
--- a/crates/resident/tests/mutated_messages.rs
+++ b/crates/resident/tests/mutated_messages.rs
@@ -35,6 +35,7 @@
     };
     update.has_extras = true;
     update.has_starts = true;
+    update.has_software = true;
     let configuration = update.configuration.as_mut().expect("a configuration");
     configuration.routes[0].residency = Residency::within(["north".to_owned()]);
     configuration.services[0].warm_up = Some(WarmUpLimit {
@@ -43,6 +44,7 @@
     });
     let engines = update.engines.as_mut().expect("engines");
     engines.entries[0].engine.warm_up_ms = 12_000;
+    engines.entries[0].engine.software = "v1.1".to_owned();
     reply
 }
 
--- a/crates/resident/tests/support/samples.rs
+++ b/crates/resident/tests/support/samples.rs
@@ -339,7 +339,8 @@
             zone: "zone-b".to_owned(),
             slots: 16,
             state,
-            warm_up_ms: 0, // not in version 0
+            warm_up_ms: 0,           // not in version 0
+            software: String::new(), // not in version 1
         },
         revision: 8,
     });
@@ -371,10 +372,11 @@
         groups: Some(groups()),
         unconfirmed_ms: Some(120),
         engines_unconfirmed_ms: Some(80),
-        drains: None,      // not in version 0
-        protocol: 0,       // not in version 0
-        has_extras: false, // not in version 0
-        has_starts: false, // not in version 0
+        drains: None,        // not in version 0
+        protocol: 0,         // not in version 0
+        has_extras: false,   // not in version 0
+        has_starts: false,   // not in version 0
+        has_software: false, // not in version 1
     };
     let empty = ViewUpdate {
         configuration: None,
@@ -382,10 +384,11 @@
         groups: None,
         unconfirmed_ms: None,
         engines_unconfirmed_ms: None,
-        drains: None,      // not in version 0
-        protocol: 0,       // not in version 0
-        has_extras: false, // not in version 0
-        has_starts: false, // not in version 0
+        drains: None,        // not in version 0
+        protocol: 0,         // not in version 0
+        has_extras: false,   // not in version 0
+        has_starts: false,   // not in version 0
+        has_software: false, // not in version 1
     };
     let others = [
         PeerReply::View(whole),
--- a/crates/routing/examples/choice_cost.rs
+++ b/crates/routing/examples/choice_cost.rs
@@ -29,6 +29,7 @@
         slots: 24,
         state: EngineState::Ready,
         warm_up_ms: 0,
+        software: "v1".to_owned(),
     }
 }
 
--- a/crates/routing/src/engine_table.rs
+++ b/crates/routing/src/engine_table.rs
@@ -36,6 +36,9 @@
     /// Remaining warm-up time when the entry was written, in milliseconds. Sent in [`EngineWarmUp`].
     #[rkyv(with = Skip)]
     pub warm_up_ms: u64,
+    /// Version of the engine's software; versions have no order. Sent in [`EngineSoftware`].
+    #[rkyv(with = Skip)]
+    pub software: String,
 }
 
 impl Engine {
@@ -61,6 +64,13 @@
     pub warm_up_ms: u64,
 }
 
+/// Software version of an engine. Sent next to its entry, since nodes of protocol version 1 do not know it.
+#[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct EngineSoftware {
+    pub instance: String,
+    pub version: String,
+}
+
 /// An engine that was removed.
 #[derive(Debug, Clone, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub struct Removal {
@@ -105,6 +115,28 @@
             entry.engine.warm_up_ms = warm_up.copied().unwrap_or_default();
         }
     }
+
+    /// Software versions of the engines among the entries.
+    pub fn software_versions(&self) -> Vec<EngineSoftware> {
+        let engines = self.entries.iter().map(|entry| &entry.engine);
+        let versions = engines.map(|engine| EngineSoftware {
+            instance: engine.instance.clone(),
+            version: engine.software.clone(),
+        });
+        versions.collect()
+    }
+
+    /// Sets the software versions of the entries.
+    pub fn set_software_versions(&mut self, versions: Vec<EngineSoftware>) {
+        let versions = versions
+            .into_iter()
+            .map(|software| (software.instance, software.version));
+        let mut versions: HashMap<String, String> = versions.collect();
+        for entry in &mut self.entries {
+            let version = versions.remove(&entry.engine.instance);
+            entry.engine.software = version.unwrap_or_default();
+        }
+    }
 }
 
 /// The removal of an engine.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -37,7 +37,8 @@
 pub use engine_health::{EngineHealth, Outcome, OutcomeCounts};
 pub use engine_load::{EngineKey, EngineLoads, GatewayReport};
 pub use engine_table::{
-    Engine, EngineChanges, EngineEntry, EngineState, EngineTable, EngineWarmUp, Removal,
+    Engine, EngineChanges, EngineEntry, EngineSoftware, EngineState, EngineTable, EngineWarmUp,
+    Removal,
 };
 pub use event_stream::{Event, EventSplitter};
 pub use placement::{Choice, FailureStateChange, Forecast, Placement, PlacementRequest};
--- a/crates/routing/src/request.rs
+++ b/crates/routing/src/request.rs
@@ -41,6 +41,9 @@
     pub affinity: Option<String>,
     /// Last event that the client received in an earlier attempt.
     pub last_event_id: Option<u64>,
+    /// Identifier of the attempt in which the client received the stream's first event, if this attempt resumes a
+    /// stream.
+    pub resumes: Option<String>,
     /// Digest of the request's key; `None` without a key, and also if the key is repeated or not valid text.
     pub key: Option<KeyDigest>,
 }
--- a/crates/routing/tests/engine_restarts.rs
+++ b/crates/routing/tests/engine_restarts.rs
@@ -19,6 +19,7 @@
         slots: 4,
         state: EngineState::Ready,
         warm_up_ms: 0,
+        software: "v1".to_owned(),
     }
 }
 
--- a/crates/routing/tests/support/mod.rs
+++ b/crates/routing/tests/support/mod.rs
@@ -19,6 +19,7 @@
         slots: 4,
         state: EngineState::Ready,
         warm_up_ms: 0,
+        software: "v1".to_owned(),
     }
 }
 
--- a/crates/routing/tests/warm_up.rs
+++ b/crates/routing/tests/warm_up.rs
@@ -33,6 +33,7 @@
     EngineEntry {
         engine: Engine {
             warm_up_ms,
+            software: "v1".to_owned(),
             ..engine.clone()
         },
         revision,
