--- /dev/null
+++ b/crates/node/tests/resident_streams.rs
@@ -0,0 +1,172 @@
+//! Streams that are resumed, by clients at other gateways and by gateways within an answer, while engines of several software
+//! versions serve. What two versions write does not fit together.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use ridgeworks_platform_stand_ins::client::{Call, Reply, call_post};
+use ridgeworks_platform_stand_ins::deployment::{Deployment, Process, wait_until};
+use ridgeworks_platform_stand_ins::{Answer, EngineStandIn, Script};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_ridgeworksd");
+const EVENTS: u64 = 8;
+const STREAMS: usize = 16;
+/// Shorter than any wait for a full engine.
+const AT_ONCE: Duration = Duration::from_millis(500);
+const V1: &str = "v1";
+const V2: &str = "v2";
+
+/// Slow enough for a client to disconnect midway.
+fn slow_stream() -> Script {
+    Script::always(Answer::Stream {
+        events: EVENTS,
+        gap_ms: 20,
+    })
+}
+
+/// One attempt of a stream that belongs to a program of its own.
+fn attempt(stream: &str, number: usize) -> Call {
+    call_post("/chat/x", &format!("{stream}-{number}"), "prompt")
+        .header("ridgeworks-program-id", stream)
+        .header("ridgeworks-session-id", stream)
+        .header("ridgeworks-token-budget", "100000")
+        .header("ridgeworks-token-count", "100,80")
+}
+
+/// The attempt that resumes a stream after the events that `first` received in attempt 1.
+fn resuming_attempt(stream: &str, first: &Reply) -> Call {
+    let last = first.event_ids().last().copied().expect("an event");
+    attempt(stream, 2)
+        .header("last-event-id", &last.to_string())
+        .header("resumes", &format!("{stream}-1"))
+}
+
+/// Begins a stream and disconnects after the first events.
+fn begin(stream: &str, gateway: SocketAddr) -> Reply {
+    let reply = attempt(stream, 1).send_and_read_frames(gateway, 2);
+    reply.filter(|reply| reply.status == 200).expect("events")
+}
+
+fn begin_all(gateway: SocketAddr) -> Vec<(String, Reply)> {
+    let begun = (0..STREAMS).map(|number| {
+        let stream = format!("s{number}");
+        let reply = begin(&stream, gateway);
+        (stream, reply)
+    });
+    begun.collect()
+}
+
+/// Software versions of all events of a stream.
+fn versions(first: &Reply, rest: &Reply) -> BTreeSet<String> {
+    &first.software_versions() | &rest.software_versions()
+}
+
+fn start_engines(deployment: &Deployment, version: &str, names: [&str; 2]) -> [EngineStandIn; 2] {
+    names.map(|name| deployment.start_engine_of(version, "models", name, slow_stream()))
+}
+
+/// Ends an engine, and waits until the gateways know.
+fn end_engine(deployment: &Deployment, engine: &EngineStandIn) {
+    deployment.store.remove("servers", engine.instance());
+    for gateway in &deployment.gateways {
+        wait_until("the gateway knows that the engine is gone", || {
+            gateway.log().iter().any(|line| {
+                line["message"] == "engine gone"
+                    && line["attributes"]["engine"] == engine.instance()
+            })
+        });
+    }
+}
+
+fn wait_until_known(gateways: &[Process], engines: usize) {
+    for gateway in gateways {
+        let is_known = format!("ridgeworks_engines {engines}");
+        wait_until("the gateway knows all engines", || {
+            let metrics = ridgeworks_platform_stand_ins::client::get(gateway.metrics(), "/metrics");
+            metrics.is_some_and(|metrics| metrics.body.lines().any(|line| line == is_known))
+        });
+    }
+}
+
+/// Streams begin at two engines of `v1` through the first gateway; one of these engines ends, and two of `v2` have come.
+fn begun_streams(deployment: &Deployment) -> (Vec<(String, Reply)>, [EngineStandIn; 4]) {
+    let [ended, other] = start_engines(deployment, V1, ["i-1", "i-2"]);
+    wait_until_known(&deployment.gateways, 2);
+    let begun = begin_all(deployment.gateways[0].callers());
+    let [one, two] = start_engines(deployment, V2, ["i-3", "i-4"]);
+    wait_until_known(&deployment.gateways, 4);
+    end_engine(deployment, &ended);
+    (begun, [ended, other, one, two])
+}
+
+fn assert_all_go_on_at_their_version(begun: &[(String, Reply)], gateway: SocketAddr) {
+    let mut mixed = Vec::new();
+    for (stream, first) in begun {
+        let rest = resuming_attempt(stream, first).send(gateway);
+        let rest = rest.expect("an answer");
+        assert_eq!((rest.status, rest.is_whole), (200, true), "{stream}");
+        let ids = [first.event_ids(), rest.event_ids()].concat();
+        assert_eq!(ids, (1..=EVENTS).collect::<Vec<_>>(), "{stream}");
+        if versions(first, &rest).len() > 1 {
+            mixed.push(stream.clone());
+        }
+    }
+    assert!(mixed.is_empty(), "events of two versions in {mixed:?}");
+}
+
+#[test]
+fn a_stream_resumed_at_another_gateway_goes_on_at_the_version_that_began_it() {
+    let deployment = Deployment::started(PROGRAM, 2, 3);
+    let (begun, _engines) = begun_streams(&deployment);
+    assert_all_go_on_at_their_version(&begun, deployment.gateways[1].callers());
+}
+
+#[test]
+fn a_stream_resumed_after_all_processes_were_killed_goes_on_at_the_version_that_began_it() {
+    let mut deployment = Deployment::started(PROGRAM, 2, 3);
+    let (begun, _engines) = begun_streams(&deployment);
+    let gateways = deployment.gateways.iter_mut();
+    let mut processes: Vec<&mut Process> = gateways.chain(&mut deployment.replicas).collect();
+    processes.iter_mut().for_each(|process| process.kill());
+    processes.iter_mut().for_each(|process| process.start());
+    deployment.wait_until_ready();
+    wait_until_known(&deployment.gateways, 3);
+    assert_all_go_on_at_their_version(&begun, deployment.gateways[1].callers());
+}
+
+#[test]
+fn a_gateway_resumes_a_broken_stream_at_the_version_that_began_it() {
+    let deployment = Deployment::started(PROGRAM, 1, 3);
+    let breaks = Script::always(Answer::TruncatedStream { events: 3 });
+    let broken = deployment.start_engine_of(V1, "models", "i-1", breaks);
+    let _v1 = deployment.start_engine_of(V1, "models", "i-2", slow_stream());
+    let _v2 = ["i-3", "i-4", "i-5", "i-6"]
+        .map(|name| deployment.start_engine_of(V2, "models", name, slow_stream()));
+    wait_until_known(&deployment.gateways, 6);
+    let gateway = deployment.gateways[0].callers();
+    let mut mixed = Vec::new();
+    for number in 0..4 * STREAMS {
+        let stream = format!("s{number}");
+        let reply = attempt(&stream, 1).send(gateway).expect("an answer");
+        if reply.software_versions().len() > 1 {
+            mixed.push(stream);
+        }
+    }
+    assert!(!broken.runs().is_empty());
+    assert!(mixed.is_empty(), "events of two versions in {mixed:?}");
+}
+
+#[test]
+fn a_stream_whose_version_is_gone_is_refused_at_once() {
+    let deployment = Deployment::started(PROGRAM, 2, 3);
+    let (begun, engines) = begun_streams(&deployment);
+    end_engine(&deployment, &engines[1]);
+    for (stream, first) in &begun {
+        let sent_at = Instant::now();
+        let rest = resuming_attempt(stream, first).send(deployment.gateways[1].callers());
+        assert_eq!(rest.expect("an answer").status, 503, "{stream}");
+        assert!(sent_at.elapsed() < AT_ONCE, "{stream}");
+    }
+    assert!(engines[2..].iter().all(|engine| engine.runs().is_empty()));
+}
