Keep resumed streams at the software version that began them

Callers got streams whose second half another build had written: a client that lost its connection resumed at a gateway that never saw the first attempt, and that gateway chose among all engines; a gateway that resumed a broken stream within an answer did too. Cause: the version was read from the engine's entry and thrown away, and what a stream needs to go on lived, if anywhere, in the process that began it.

The version at which a stream begins is part of the key of its entry in its program's ledger, so it is durable at a majority before any engine gets the request, in the reservation that every turn makes anyway, and the reservation of the attempt that resumes reads it: no message more. Older replicas keep keys as they are. A gateway takes lists of engines only from nodes that tell versions. What cannot go on at its version is refused at once. docs/design/resumed-streams.md has the rest.

--- a/crates/gateway/src/engine_rules.rs
+++ b/crates/gateway/src/engine_rules.rs
@@ -5,7 +5,8 @@
 use std::rc::Rc;
 
 use ridgeworks_routing::{
-    EligibilityRule, Engine, Exclusion, Residency, ResidencyRule, ZoneDrains, first_exclusion,
+    EligibilityRule, Engine, Exclusion, Residency, ResidencyRule, SoftwareKey, SoftwareRule,
+    ZoneDrains, first_exclusion,
 };
 
 use crate::call::Call;
@@ -18,6 +19,7 @@
     residency: Cow<'a, Residency>,
     /// Zone drains in force.
     drains: Option<Rc<ZoneDrains>>,
+    software: Option<SoftwareRule>,
 }
 
 impl<'a> EngineRules<'a> {
@@ -27,6 +29,15 @@
             gateway,
             residency: current_residency(gateway, call),
             drains: gateway.node.view.drains.in_force(),
+            software: None,
+        }
+    }
+
+    /// Also excludes engines of other software versions than this one, if given.
+    pub fn with_software(self, software: Option<SoftwareKey>) -> Self {
+        Self {
+            software: software.map(SoftwareRule),
+            ..self
         }
     }
 
@@ -42,10 +53,13 @@
         };
         let residency_rule: Option<&dyn EligibilityRule> = Some(&residency);
         let residency_rule = residency_rule.filter(|_| !self.residency.is_anywhere());
+        let software = self.software.as_ref();
+        let software = software.map(|rule| rule as &dyn EligibilityRule);
         let drained = self.drains.as_deref();
         let drained = drained.map(|drains| drains as &dyn EligibilityRule);
         let rules: Vec<&dyn EligibilityRule> = residency_rule
             .into_iter()
+            .chain(software)
             .chain(drained)
             .chain(last)
             .collect();
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -3,6 +3,7 @@
 mod engine_choice;
 mod preparation;
 mod report;
+mod software;
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -17,6 +18,7 @@
 
 use self::engine_choice::AttemptHistory;
 use self::report::Ending;
+use self::software::StreamSoftware;
 use crate::attempt::{self, AttemptFailure, AttemptRequest, EngineResponse};
 use crate::buffered_response;
 use crate::call::Call;
@@ -44,6 +46,7 @@
     /// Body for the engine; includes the earlier turns once they have been read.
     prompt: Bytes,
     history: AttemptHistory,
+    software: StreamSoftware,
     forwarded: ForwardedEvents,
     /// How long the reservation of tokens took; `None` if there was none.
     reserve_time: Option<Duration>,
@@ -70,6 +73,7 @@
         prompt: call.body.clone(),
         call,
         history: AttemptHistory::default(),
+        software: StreamSoftware::default(),
         forwarded,
         reserve_time: None,
         may_be_reserved: Cell::new(false),
@@ -103,8 +107,7 @@
         self.try_engines(ClientSide::Waiting(client)).await
     }
 
-    async fn try_engines(&mut self, client: ClientSide) -> Ending {
-        let mut client = client;
+    async fn try_engines(&mut self, mut client: ClientSide) -> Ending {
         loop {
             if let Some(refusal) = self.key_refusal() {
                 return self.give_up(client, refusal).await;
@@ -127,6 +130,13 @@
             if !self.try_acquire_warm_up_grant(&engine).await {
                 continue;
             }
+            let recorded = tokio::select! {
+                recorded = self.record_software(&engine) => recorded,
+                () = client.disconnected() => return Ending::ClientDisconnected,
+            };
+            if let Err(refusal) = recorded {
+                return self.give_up(client, refusal).await;
+            }
             match self.attempt(&engine, client).await {
                 Ok(ending) => return ending,
                 Err(returned) => client = returned,
--- a/crates/gateway/src/exchange/engine_choice.rs
+++ b/crates/gateway/src/exchange/engine_choice.rs
@@ -6,7 +6,7 @@
 use ridgeworks_resident::clock::whole_ms;
 use ridgeworks_routing::{
     EligibilityRule, Engine, EngineKey, Exclusion, Forecast, Outcome, PlacementRequest, Refusal,
-    RefusalReason, RequestKind, service_exclusion,
+    RefusalReason, RequestKind, SoftwareKey, service_exclusion,
 };
 use tokio::time::Instant;
 
@@ -105,12 +105,17 @@
     /// What excludes all engines of the service, if waiting does not help.
     pub(super) fn permanent_exclusion(&self) -> Option<Exclusion> {
         self.exclusion()
-            .filter(|exclusion| *exclusion == Exclusion::Residency)
+            .filter(|exclusion| matches!(exclusion, Exclusion::Residency | Exclusion::Software))
+    }
+
+    /// The rules in force for the request, whatever it costs to obey them.
+    fn rules(&self) -> EngineRules<'_> {
+        EngineRules::current(&self.gateway, &self.call).with_software(self.required_software())
     }
 
     /// What excludes all engines of the service regardless of their capacity.
     fn exclusion(&self) -> Option<Exclusion> {
-        let rules = EngineRules::current(&self.gateway, &self.call);
+        let rules = self.rules();
         let view = &self.gateway.node.view;
         view.with_engines(|table| {
             rules.with_rules(None, |rules| {
@@ -137,10 +142,7 @@
         if self.gateway.drains.has_any() {
             self.log_drained_engines();
         }
-        let chosen = self
-            .choose_avoiding_failed()
-            .or_else(|| self.choose(&self.history.excluded));
-        let (engine, cost_ms) = chosen?;
+        let (engine, cost_ms) = self.choose_by_preference()?;
         let history = &mut self.history;
         history.cost_ms = cost_ms;
         history.last_chosen = engine.instance.clone();
@@ -148,13 +150,40 @@
         Some(engine)
     }
 
-    fn choose(&self, excluded: &[String]) -> Option<(Engine, f64)> {
+    /// Chooses among all engines but the one that failed the client's previous try, or else among all; each time first among those
+    /// of the software version that is recorded as the stream's origin, which saves recording another one.
+    fn choose_by_preference(&self) -> Option<(Engine, f64)> {
+        let excluded = &self.history.excluded;
+        let failed = self.history.failed_previous_try.as_ref();
+        let avoiding_failed = failed.map(|failed| {
+            let excluded = excluded.iter().chain([failed]);
+            excluded.cloned().collect::<Vec<String>>()
+        });
+        let avoiding_failed = avoiding_failed.as_deref();
+        let exclusions = avoiding_failed.into_iter().chain([excluded.as_slice()]);
+        exclusions
+            .flat_map(|excluded| {
+                let versions = self.software_by_preference().into_iter();
+                versions.map(move |software| (excluded, software))
+            })
+            .find_map(|(excluded, software)| self.choose(excluded, software))
+    }
+
+    /// The engine that the request would go to now.
+    pub(super) fn likely_engine(&self) -> Option<Engine> {
+        let (engine, _) = self.choose(&self.history.excluded, None)?;
+        Some(engine)
+    }
+
+    /// The engine of least cost; `software` restricts the choice to a software version.
+    fn choose(&self, excluded: &[String], software: Option<SoftwareKey>) -> Option<(Engine, f64)> {
         let may_ask = self.history.passed_over < MAX_PASSED_OVER;
         let warm_ups = &self.gateway.warm_ups;
         let warm_up = warm_ups.rule(&self.call.service, self.draw, may_ask);
         let warm_up = warm_up.as_ref().map(|rule| rule as &dyn EligibilityRule);
         let metadata = &self.call.metadata;
-        EngineRules::current(&self.gateway, &self.call).with_rules(warm_up, |rules| {
+        let rules = EngineRules::current(&self.gateway, &self.call).with_software(software);
+        rules.with_rules(warm_up, |rules| {
             self.gateway.choose_engine(&PlacementRequest {
                 service: &self.call.service,
                 key: metadata.placement_key(),
@@ -174,7 +203,7 @@
         if warm_ups.rule(service, self.draw, true).is_none() {
             return;
         }
-        if let Some((engine, _)) = self.choose(&self.history.excluded) {
+        if let Some((engine, _)) = self.choose_by_preference() {
             let request = &self.call.metadata.request_id;
             let acquired = warm_ups.acquire_grant(request, &engine, self.draw).await;
             warm_ups.store_grant(&engine, acquired.unwrap_or_default());
@@ -204,23 +233,14 @@
         let warm_ups = &self.gateway.warm_ups;
         let rule = warm_ups.rule(service, self.draw, false)?;
         let view = &self.gateway.node.view;
-        let exclusion = EngineRules::current(&self.gateway, &self.call)
-            .with_rules(Some(&rule), |rules| {
-                view.with_engines(|table| service_exclusion(table, service, rules))
-            });
+        let exclusion = self.rules().with_rules(Some(&rule), |rules| {
+            view.with_engines(|table| service_exclusion(table, service, rules))
+        });
         let after = warm_ups.retry_after(service)?;
         let refusal = Refusal::retry_later(RefusalReason::EnginesWarmUp, after);
         (exclusion == Some(Exclusion::WarmUp)).then_some(refusal)
     }
 
-    /// An engine other than the one that failed the client's previous try.
-    fn choose_avoiding_failed(&self) -> Option<(Engine, f64)> {
-        let failed = self.history.failed_previous_try.clone()?;
-        let mut excluded = self.history.excluded.clone();
-        excluded.push(failed);
-        self.choose(&excluded)
-    }
-
     /// The instance of the engine that failed the client's previous try, unless that process has
     /// terminated.
     pub(super) fn failed_engine(&self, key: EngineKey) -> Option<String> {
@@ -273,10 +293,7 @@
             // The engine has restarted, so it counts as a further engine.
             return None;
         }
-        if EngineRules::current(&self.gateway, &self.call)
-            .exclusion(&engine)
-            .is_some()
-        {
+        if self.rules().exclusion(&engine).is_some() {
             return None;
         }
         self.history.resumed_at = Some(engine.instance.clone());
@@ -421,8 +438,15 @@
         }
         let time = self.call.deadline - self.call.received;
         let after = time.mul_f64(RETRY_AFTER_FRACTION).max(RETRY_AFTER);
-        if exclusion == Some(Exclusion::Residency) {
-            return Refusal::retry_later(RefusalReason::NoAllowedRegion, after);
+        match exclusion {
+            Some(Exclusion::Residency) => {
+                return Refusal::retry_later(RefusalReason::NoAllowedRegion, after);
+            }
+            // The client is better served by a new stream than by waiting for a version that is gone.
+            Some(Exclusion::Software) => {
+                return Refusal::without_retry(RefusalReason::SoftwareGone);
+            }
+            _ => {}
         }
         if self.history.rejections > 0 || self.history.has_waited {
             return Refusal::retry_later(RefusalReason::EnginesFull, after);
--- a/crates/gateway/src/exchange/preparation.rs
+++ b/crates/gateway/src/exchange/preparation.rs
@@ -6,7 +6,10 @@
 
 use bytes::{Bytes, BytesMut};
 use ridgeworks_quota::ProgramProgress;
-use ridgeworks_records::{ChainOutcome, LedgerEntry, ProgramId, Settlement, TurnId, TurnRecord};
+use ridgeworks_records::{
+    ChainOutcome, LedgerEntry, ProgramId, ProgramLedger, Settlement, StreamOrigin, TurnId,
+    TurnRecord,
+};
 use ridgeworks_routing::{EngineKey, Refusal, RefusalReason};
 use tokio::time::Instant;
 
@@ -19,16 +22,18 @@
 const RECORDS_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Identifies a turn's entry in its program's ledger, and says how long it is kept.
-struct LedgerKey {
-    program: ProgramId,
-    turn: TurnId,
-    retention: Duration,
+pub(super) struct LedgerKey {
+    pub(super) program: ProgramId,
+    pub(super) turn: TurnId,
+    pub(super) retention: Duration,
 }
 
 /// State of the ledger after a successful reservation.
 struct LedgerState {
     /// Whether the ledger has other turns of the program.
     has_earlier_turns: bool,
+    /// Origin of the stream that the client resumes.
+    origin: Option<StreamOrigin>,
 }
 
 impl Exchange {
@@ -44,6 +49,7 @@
         if let Some(refusal) = drained.or_else(|| self.turn_storage_refusal()) {
             return Err(refusal);
         }
+        self.software.recorded = self.first_software();
         let began = Instant::now();
         let (prompt, reserved, granted, failed_previous_try, ()) = tokio::join!(
             self.read_prompt(),
@@ -57,10 +63,14 @@
             failed_previous_try.and_then(|failed| self.failed_engine(failed));
         // Checked before the other results: a request with a used identifier must not touch the
         // entry of the turn that used it.
-        if let Some(reserved) = reserved? {
+        let reserved = reserved?;
+        if let Some(reserved) = &reserved {
             self.reserve_time = Some(began.elapsed());
             self.has_earlier_turns = reserved.has_earlier_turns;
         }
+        if self.call.is_resumed_stream() {
+            self.require_origin(reserved.and_then(|reserved| reserved.origin))?;
+        }
         self.prompt = prompt?;
         if let Err(refusal) = granted {
             self.retry_rate_grant(refusal).await?;
@@ -162,7 +172,8 @@
         }
     }
 
-    fn ledger_key(&self) -> Option<LedgerKey> {
+    /// The turn's ledger and its identifier there; `None` if the request has no budget.
+    pub(super) fn ledger_key(&self) -> Option<LedgerKey> {
         let metadata = &self.call.metadata;
         metadata.token_budget?;
         Some(LedgerKey {
@@ -172,37 +183,24 @@
         })
     }
 
-    fn records_deadline(&self) -> Instant {
+    pub(super) fn records_deadline(&self) -> Instant {
         self.call.deadline.min(Instant::now() + RECORDS_TIMEOUT)
     }
 
-    /// Reserves the maximum number of tokens that the turn may generate; `None` if the request has
-    /// no budget.
+    /// Reserves the maximum number of tokens that the turn may generate, and records where its stream begins or reads where it
+    /// began; `None` if the request has neither a budget nor a stream that may be resumed.
     async fn reserve(&self) -> Result<Option<LedgerState>, Refusal> {
         let (Some(ledger_key), Some(budget)) = (self.ledger_key(), self.call.metadata.token_budget)
         else {
-            return Ok(None);
+            let ledger = self.record_origin_without_budget().await;
+            return Ok(ledger.map(|ledger| LedgerState {
+                has_earlier_turns: false,
+                origin: self.origin_in(&ledger),
+            }));
         };
         let began = Instant::now();
         let reserved_tokens = self.call.metadata.max_new_tokens;
-        let entry = LedgerEntry {
-            reserved_tokens,
-            spent: None,
-        };
-        self.may_be_reserved.set(true);
-        let reserving = self.gateway.records.reserve(
-            &ledger_key.program,
-            &ledger_key.turn,
-            entry,
-            ledger_key.retention,
-            self.records_deadline(),
-        );
-        let ledger = reserving.await.map_err(|failure| {
-            let records = &self.gateway.records;
-            let group = records.group_of(Some(&ledger_key.program));
-            let after = records.retry_after_failure(group, failure);
-            Refusal::retry_later(RefusalReason::LedgerUnavailable, after)
-        })?;
+        let ledger = self.write_reservation(&ledger_key).await?;
         let elapsed_secs = began.elapsed().as_secs_f64();
         self.gateway.metrics.reserve_seconds.observe(elapsed_secs);
         if ledger.is_settled(&ledger_key.turn) {
@@ -210,8 +208,10 @@
             return Err(Refusal::without_retry(RefusalReason::DuplicateRequestId));
         }
         if ledger.admits(&ledger_key.turn, reserved_tokens, budget) {
-            let has_earlier_turns = ledger.entries.keys().any(|turn| *turn != ledger_key.turn);
-            return Ok(Some(LedgerState { has_earlier_turns }));
+            return Ok(Some(LedgerState {
+                has_earlier_turns: ledger.has_others(&ledger_key.turn),
+                origin: self.origin_in(&ledger),
+            }));
         }
         log::info!(
             target: "request",
@@ -227,6 +227,31 @@
         Err(Refusal::without_retry(RefusalReason::BudgetSpent))
     }
 
+    /// Writes the turn's reservation, under a key with the software version at which its stream is to begin.
+    pub(super) async fn write_reservation(
+        &self,
+        ledger_key: &LedgerKey,
+    ) -> Result<ProgramLedger, Refusal> {
+        self.may_be_reserved.set(true);
+        let records = &self.gateway.records;
+        let turn = self.software.key_of(&ledger_key.turn);
+        let reserving = records.reserve(
+            &ledger_key.program,
+            &turn,
+            LedgerEntry {
+                reserved_tokens: self.call.metadata.max_new_tokens,
+                spent: None,
+            },
+            ledger_key.retention,
+            self.records_deadline(),
+        );
+        reserving.await.map_err(|failure| {
+            let group = records.group_of(Some(&ledger_key.program));
+            let after = records.retry_after_failure(group, failure);
+            Refusal::retry_later(RefusalReason::LedgerUnavailable, after)
+        })
+    }
+
     /// The body for the engine: all earlier turns, then the client's body.
     async fn read_prompt(&self) -> Result<Bytes, Refusal> {
         let previous = self.call.previous_turn();
@@ -297,12 +322,18 @@
         let Some(ledger_key) = self.ledger_key().filter(|_| self.may_be_reserved.get()) else {
             return;
         };
+        let spent_tokens = self.forwarded.events * self.event_tokens();
+        self.settle_as(&ledger_key, spent_tokens);
+    }
+
+    /// Queues the settlement of the reservation under its present key.
+    pub(super) fn settle_as(&self, ledger_key: &LedgerKey, spent_tokens: u64) {
         self.gateway.records.settle(Settlement {
-            program: ledger_key.program,
-            turn: ledger_key.turn,
+            program: ledger_key.program.clone(),
+            turn: self.software.key_of(&ledger_key.turn),
             entry: LedgerEntry {
                 reserved_tokens: self.call.metadata.max_new_tokens,
-                spent: Some(self.forwarded.events * self.event_tokens()),
+                spent: Some(spent_tokens),
             },
             ttl_ms: ttl_ms(ledger_key.retention),
         });
--- /dev/null
+++ b/crates/gateway/src/exchange/software.rs
@@ -0,0 +1,213 @@
+//! Keeps a stream that may be resumed at the software version that began it (`docs/design/resumed-streams.md`).
+
+use ridgeworks_records::{LedgerEntry, ProgramId, ProgramLedger, StreamOrigin, TurnId};
+use ridgeworks_routing::{
+    Engine, Refusal, RefusalReason, RequestKind, SoftwareKey, WeightedService,
+};
+
+use super::Exchange;
+use super::preparation::LedgerKey;
+use crate::gateway::MAINTENANCE_INTERVAL;
+use crate::refusal::RETRY_AFTER;
+
+/// Prefix of the ledgers of streams that belong to no program. No HTTP header can carry it.
+const STREAM_LEDGER_PREFIX: char = '§';
+
+/// Software version of a stream that may be resumed; empty for other requests.
+#[derive(Debug, Default)]
+pub(super) struct StreamSoftware {
+    /// The version that is recorded as the stream's origin, or is being recorded. Engines of other versions get the request only
+    /// after they are recorded in its place.
+    pub(super) recorded: Option<SoftwareKey>,
+    /// Number of origins recorded before that one.
+    ordinal: u32,
+    /// The version at which an earlier attempt of the client began the stream.
+    origin: Option<SoftwareKey>,
+}
+
+impl StreamSoftware {
+    /// The key of a turn's entry in its ledger.
+    pub(super) fn key_of(&self, turn: &TurnId) -> TurnId {
+        match self.recorded {
+            Some(software) => turn.at_origin(self.ordinal, StreamOrigin(software.0)),
+            None => turn.clone(),
+        }
+    }
+}
+
+impl Exchange {
+    fn may_be_resumed(&self) -> bool {
+        self.call.route.kind == RequestKind::Stream && self.call.route.resumable
+    }
+
+    /// The version at which a new stream is to begin. It is recorded beside the other preparations, so that the likely engine
+    /// decides, which is the one of least cost as far as known now.
+    pub(super) fn first_software(&self) -> Option<SoftwareKey> {
+        if !self.may_be_resumed() || self.call.is_resumed_stream() {
+            return None;
+        }
+        let view = &self.gateway.node.view;
+        let only = view.with_engines(|table| table.only_ready_software(&self.call.service));
+        only.or_else(|| Some(self.likely_engine()?.software_key()))
+    }
+
+    /// The only version at which the stream may go on; `None` before its first event.
+    pub(super) fn required_software(&self) -> Option<SoftwareKey> {
+        let has_begun = self.forwarded.events > 0;
+        let recorded = self.software.recorded.filter(|_| has_begun);
+        self.software.origin.or(recorded)
+    }
+
+    /// Software versions to choose among, in order; `None` stands for all.
+    pub(super) fn software_by_preference(&self) -> Vec<Option<SoftwareKey>> {
+        if let Some(required) = self.required_software() {
+            return vec![Some(required)];
+        }
+        match self.software.recorded {
+            Some(recorded) => vec![Some(recorded), None],
+            None => vec![None],
+        }
+    }
+
+    /// Records the version of the chosen engine as the stream's origin, unless it is recorded. The engine must not get the request
+    /// before: another gateway that resumes the stream has to find its origin.
+    pub(super) async fn record_software(&mut self, engine: &Engine) -> Result<(), Refusal> {
+        let software = engine.software_key();
+        let has_begun = self.required_software().is_some();
+        if !self.may_be_resumed() || has_begun || self.software.recorded == Some(software) {
+            return Ok(());
+        }
+        log::info!(
+            target: "request",
+            request = self.call.metadata.request_id.as_str(),
+            engine = engine.instance.as_str(),
+            software = engine.software.as_str(),
+            earlier_origins = self.software.ordinal;
+            "another software version recorded for a stream without events"
+        );
+        let ledger_key = self.ledger_key();
+        if let Some(ledger_key) = &ledger_key {
+            // Nothing was generated at the version recorded before.
+            self.settle_as(ledger_key, 0);
+        }
+        self.software.ordinal += u32::from(self.software.recorded.is_some());
+        self.software.recorded = Some(software);
+        match ledger_key {
+            Some(ledger_key) => self.write_reservation(&ledger_key).await.map(drop),
+            None => {
+                self.record_origin_without_budget().await;
+                Ok(())
+            }
+        }
+    }
+
+    /// Writes the origin of a stream without a budget to a ledger of the stream's own, and returns that ledger. Without a majority
+    /// of the replicas the stream goes on unrecorded, and can be resumed only where [`Exchange::presumed_origin`] finds one.
+    pub(super) async fn record_origin_without_budget(&self) -> Option<ProgramLedger> {
+        if !self.may_be_resumed() || self.ledger_key().is_some() {
+            return None;
+        }
+        let records = &self.gateway.records;
+        let ledger_key = self.stream_ledger_key();
+        let group = records.group_of(Some(&ledger_key.program));
+        let is_known = self.gateway.node.view.replica_sets().is_some();
+        if !is_known || records.health.is_lost(group) {
+            return None;
+        }
+        let entry = LedgerEntry {
+            reserved_tokens: 0,
+            spent: Some(0),
+        };
+        let turn = self.software.key_of(&ledger_key.turn);
+        let writing = records.reserve(
+            &ledger_key.program,
+            &turn,
+            entry,
+            ledger_key.retention,
+            self.records_deadline(),
+        );
+        // The failure is logged where the majority is asked.
+        writing.await.ok()
+    }
+
+    /// The ledger of a stream that belongs to no program, named after the attempt that began it.
+    fn stream_ledger_key(&self) -> LedgerKey {
+        let metadata = &self.call.metadata;
+        let first = metadata.resumes.as_ref().unwrap_or(&metadata.request_id);
+        let ledger = format!("{STREAM_LEDGER_PREFIX}{first}");
+        LedgerKey {
+            program: ProgramId::of(self.call.owner(), &ledger),
+            turn: self.call.turn(),
+            retention: self.call.route.retention(),
+        }
+    }
+
+    /// Origin of the stream that the client resumes, by its ledger.
+    pub(super) fn origin_in(&self, ledger: &ProgramLedger) -> Option<StreamOrigin> {
+        let resumes = self.call.metadata.resumes.as_deref()?;
+        ledger.origin(&TurnId::of(self.call.owner(), resumes))
+    }
+
+    /// Restricts a stream that the client resumes to the version that began it.
+    pub(super) fn require_origin(&mut self, recorded: Option<StreamOrigin>) -> Result<(), Refusal> {
+        let origin = match recorded {
+            Some(origin) => SoftwareKey(origin.0),
+            None => self.presumed_origin()?,
+        };
+        self.software.origin = Some(origin);
+        let view = &self.gateway.node.view;
+        let engine = view.with_engines(|table| table.engine_of(origin).cloned());
+        log::info!(
+            target: "request",
+            request = self.call.metadata.request_id.as_str(),
+            resumes = self.call.metadata.resumes.as_deref().unwrap_or_default(),
+            resumes_after = self.call.metadata.last_event_id.unwrap_or_default(),
+            is_recorded = recorded.is_some(),
+            software = engine.as_ref().map(|engine| engine.software.as_str()).unwrap_or_default(),
+            service = engine.as_ref().map(|engine| engine.service.as_str()).unwrap_or_default();
+            "origin of a resumed stream"
+        );
+        self.select_service(engine);
+        Ok(())
+    }
+
+    /// Goes on at the service that began the stream, if the route still allows it.
+    fn select_service(&mut self, engine: Option<Engine>) {
+        let Some(Engine { service, .. }) = engine else {
+            return;
+        };
+        let is_part = |part: &WeightedService| part.service == service;
+        if self.call.route.services.iter().any(is_part) {
+            self.call.service = service;
+        }
+    }
+
+    /// Origin of a stream of which no record is found, such as one that an earlier version of the gateway began: the only version
+    /// that the service's engines had since the stream can have begun.
+    fn presumed_origin(&self) -> Result<SoftwareKey, Refusal> {
+        let gateway = &self.gateway;
+        let now = gateway.now();
+        let view = &gateway.node.view;
+        let bound = gateway.node.settings.bounds.configuration();
+        let is_fresh = view
+            .engines_confirmation_age()
+            .is_some_and(|age| age < bound);
+        let mut history = gateway.software_history.borrow_mut();
+        view.with_engines(|table| history.observe(table, now));
+        let within = self.call.route.timeout() + MAINTENANCE_INTERVAL;
+        let only = history.only_version(&self.call.service, within, now);
+        let only = only.filter(|_| is_fresh && self.call.route.services.len() == 1);
+        only.ok_or_else(|| {
+            log::warn!(
+                target: "request",
+                request = self.call.metadata.request_id.as_str(),
+                resumes = self.call.metadata.resumes.as_deref().unwrap_or_default(),
+                service = self.call.service.as_str(),
+                engines_fresh = is_fresh;
+                "origin of a resumed stream is not known"
+            );
+            // Another gateway may have known the engines for longer.
+            Refusal::retry_later(RefusalReason::OriginUnknown, RETRY_AFTER)
+        })
+    }
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,7 +11,8 @@
 };
 use ridgeworks_routing::{
     Engine, EngineKey, GatewayReport, Outcome, Placement, PlacementRequest, PrefillDirectory,
-    PrefillRecord, PromptPart, RegionLatencies, ResidencyFaults, Route, RouteTable, WeightedSplit,
+    PrefillRecord, PromptPart, RegionLatencies, ResidencyFaults, Route, RouteTable,
+    SoftwareHistory, WeightedSplit,
 };
 use tokio::sync::oneshot;
 
@@ -34,7 +35,8 @@
 /// Maximum number of names in a list in a log line.
 const MAX_LOGGED_NAMES: usize = 5;
 const BYTES_PER_MB: u64 = 1024 * 1024;
-const MAINTENANCE_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval of [`Gateway::run_maintenance_once`].
+pub const MAINTENANCE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Shared state of one gateway process.
 pub struct Gateway {
@@ -61,6 +63,8 @@
     pub warm_ups: WarmUpAdmission,
     /// Drained zones, whose engines get no new requests.
     pub drains: ZoneDrainWatch,
+    /// Software versions that the engines had lately.
+    pub software_history: RefCell<SoftwareHistory>,
     /// Metrics of this gateway.
     pub metrics: GatewayMetrics,
     /// Version of the configuration whose residency faults were logged last.
@@ -119,6 +123,7 @@
             keys,
             warm_ups,
             drains,
+            software_history: RefCell::default(),
             metrics,
             logged_residency_version: Cell::new(0),
             body_bytes: Cell::new(0),
@@ -280,6 +285,9 @@
         self.node.view.with_engines(|table| {
             placement.retain(table, now);
             self.pool.prune(table);
+            if self.node.view.engines_known() {
+                self.software_history.borrow_mut().observe(table, now);
+            }
             for change in placement.failure_state_changes(table, now) {
                 log::info!(
                     target: "belief",
--- a/crates/records/src/identifiers.rs
+++ b/crates/records/src/identifiers.rs
@@ -71,10 +71,11 @@
         Self(with_tenant(tenant, id))
     }
 
-    /// The turn's identifier as the client sent it, without the tenant's name; for logs.
+    /// The turn's identifier as the client sent it, without the tenant's name and an origin; for logs.
     pub fn request(&self) -> &str {
-        let own = self.0.rsplit(TENANT_SEPARATOR).next();
-        own.unwrap_or(&self.0)
+        let turn = self.without_origin();
+        let own = turn.rsplit(TENANT_SEPARATOR).next();
+        own.unwrap_or(turn)
     }
 }
 
--- a/crates/records/src/ledger.rs
+++ b/crates/records/src/ledger.rs
@@ -9,6 +9,7 @@
 use rkyv::{Archive, Deserialize, Serialize};
 
 use crate::identifiers::TurnId;
+use crate::origin::StreamOrigin;
 
 /// Tokens that one turn takes from its program's budget.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Archive, Serialize, Deserialize)]
@@ -39,7 +40,8 @@
     }
 }
 
-/// The entries of one program.
+/// The entries of one program. A turn whose stream may be resumed has one for each origin ([`TurnId::at_origin`]); methods that take
+/// a turn take its identifier without an origin, and count all its entries.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub struct ProgramLedger {
     pub entries: BTreeMap<TurnId, LedgerEntry>,
@@ -68,16 +70,39 @@
 
     /// Whether the turn is settled, so that nothing may be reserved for it again.
     pub fn is_settled(&self, turn: &TurnId) -> bool {
-        let entry = self.entries.get(turn);
-        entry.is_some_and(|entry| entry.spent.is_some())
+        self.entries_of(turn)
+            .any(|(_, entry)| entry.spent.is_some())
+    }
+
+    /// Where the turn's stream began: its last origin, since an earlier one brought no event.
+    pub fn origin(&self, turn: &TurnId) -> Option<StreamOrigin> {
+        let origins = self.entries_of(turn).filter_map(|(key, _)| key.origin());
+        origins.last()
+    }
+
+    /// The entries of a turn, in the order of their origins.
+    fn entries_of<'a>(
+        &'a self,
+        turn: &'a TurnId,
+    ) -> impl Iterator<Item = (&'a TurnId, &'a LedgerEntry)> {
+        let from = self.entries.range(turn..);
+        let prefixed = from.take_while(|(key, _)| key.0.starts_with(&turn.0));
+        prefixed.filter(|(key, _)| key.without_origin() == turn.0)
     }
 
     /// Tokens charged to all turns but this one.
     pub fn charged_by_others(&self, turn: &TurnId) -> u64 {
-        let others = self.entries.iter().filter(|(other, _)| *other != turn);
+        let entries = self.entries.iter();
+        let others = entries.filter(|(key, _)| key.without_origin() != turn.0);
         others.map(|(_, entry)| entry.charge()).sum()
     }
 
+    /// Whether the ledger has other turns than this one.
+    pub fn has_others(&self, turn: &TurnId) -> bool {
+        let mut keys = self.entries.keys();
+        keys.any(|key| key.without_origin() != turn.0)
+    }
+
     /// Whether the budget covers this turn's reservation beside the charges of all others.
     pub fn admits(&self, turn: &TurnId, reserved_tokens: u64, budget: u64) -> bool {
         self.charged_by_others(turn).saturating_add(reserved_tokens) <= budget
--- a/crates/resident/src/peer/gossip.rs
+++ b/crates/resident/src/peer/gossip.rs
@@ -189,7 +189,10 @@
         let members = self.members.borrow();
         // Nodes whose views this one refuses don't count as watchers.
         let usable = members.iter();
-        let usable = usable.filter(|member| self.view.is_protocol_sufficient(member.protocol));
+        let usable = usable.filter(|member| {
+            let protocol = member.protocol;
+            self.view.is_protocol_sufficient(protocol) && self.view.accepts_engines_from(protocol)
+        });
         watch_policy::watcher_role(&self.me.name, &self.me.zone, usable, now)
     }
 
@@ -452,6 +455,9 @@
         {
             return true;
         }
+        if !self.view.accepts_engines_from(heartbeat.protocol) {
+            return false;
+        }
         if reported.engines_newest <= self.view.with_engines(|engines| engines.at()) {
             self.engines_behind_since.set(None);
             return false;
--- a/crates/resident/src/view.rs
+++ b/crates/resident/src/view.rs
@@ -65,9 +65,6 @@
     /// Whether the engines have their warm-up times: no update of them came, directly or indirectly, from a node of protocol
     /// version 0.
     has_starts: Cell<bool>,
-    /// Whether the engines have their software versions: no update of them came, directly or indirectly, from a node of protocol
-    /// version 1 or 0.
-    has_software: Cell<bool>,
     refused: Cell<Option<Refusal>>,
 }
 
@@ -79,6 +76,8 @@
     refused_at: Moment,
 }
 
+/// First protocol version that tells the engines' software versions.
+const SOFTWARE_PROTOCOL: u16 = 2;
 /// How long no view is fetched from other nodes after a refused update.
 const REFUSAL_BACKOFF: Duration = Duration::from_secs(1);
 
@@ -103,7 +102,6 @@
             needs_protocol_1: false,
             has_extras: Cell::new(true),
             has_starts: Cell::new(true),
-            has_software: Cell::new(true),
             refused: Cell::new(None),
         }
     }
@@ -121,6 +119,12 @@
         !self.needs_protocol_1 || protocol > 0
     }
 
+    /// Whether lists of engines from a node of this protocol version have the engines' software versions, without which streams
+    /// cannot be kept at the version that began them. Others are left out of its updates.
+    pub fn accepts_engines_from(&self, protocol: u16) -> bool {
+        !self.uses_engines || protocol >= SOFTWARE_PROTOCOL
+    }
+
     /// Whether to fetch the view of a node of this protocol version: its updates would not be refused, and none was lately.
     pub fn accepts_views_from(&self, protocol: u16) -> bool {
         self.is_protocol_sufficient(protocol) && !self.was_refused_recently()
@@ -423,7 +427,7 @@
             protocol: PROTOCOL,
             has_extras: self.has_extras.get(),
             has_starts: self.has_starts.get(),
-            has_software: self.has_software.get(),
+            has_software: true,
         }
     }
 
@@ -454,6 +458,7 @@
         }
         let configuration = configuration.filter(|_| !(self.needs_protocol_1 && lacks_extras));
         let engines = engines.filter(|_| !(self.needs_protocol_1 && lacks_warm_ups));
+        let engines = engines.filter(|_| has_software);
         if let Some(configuration) = configuration {
             if version > self.version() {
                 self.has_extras.set(has_extras);
@@ -464,8 +469,6 @@
         if let Some(engines) = engines {
             let complete_at = engines.at;
             self.has_starts.set(has_starts && self.has_starts.get());
-            self.has_software
-                .set(has_software && self.has_software.get());
             self.adopt_engine_changes(engines, Source::Peer);
             self.confirm_engines(complete_at, plus_request_age(engines_unconfirmed_ms));
         }
--- a/crates/routing/src/eligibility.rs
+++ b/crates/routing/src/eligibility.rs
@@ -5,7 +5,7 @@
 
 use std::fmt;
 
-use crate::engine_table::{Engine, EngineTable};
+use crate::engine_table::{Engine, EngineTable, SoftwareKey};
 use crate::residency::{Residency, ZoneRegions};
 
 /// Why an engine is excluded. Ordered: a later variant is more likely to stop applying while the request
@@ -14,6 +14,8 @@
 pub enum Exclusion {
     /// The engine's region is not one in which the request may be served.
     Residency,
+    /// The request's stream began at another software version.
+    Software,
     /// The engine's zone is drained.
     ZoneDrain,
     /// The engine is warming up and at its rate limit.
@@ -25,6 +27,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::Residency => "residency",
+            Self::Software => "software",
             Self::ZoneDrain => "zone_drain",
             Self::WarmUp => "warm_up",
         }
@@ -56,6 +59,15 @@
     }
 }
 
+/// Excludes engines of other software versions than the one at which a stream runs (`docs/design/resumed-streams.md`).
+pub struct SoftwareRule(pub SoftwareKey);
+
+impl EligibilityRule for SoftwareRule {
+    fn exclusion(&self, engine: &Engine) -> Option<Exclusion> {
+        (engine.software_key() != self.0).then_some(Exclusion::Software)
+    }
+}
+
 /// Why the engine is excluded, by the first rule that excludes it; `None` if it is eligible.
 pub fn first_exclusion(rules: &[&dyn EligibilityRule], engine: &Engine) -> Option<Exclusion> {
     rules.iter().find_map(|rule| rule.exclusion(engine))
--- a/crates/routing/src/engine_table.rs
+++ b/crates/routing/src/engine_table.rs
@@ -5,6 +5,7 @@
 
 use rkyv::with::Skip;
 use rkyv::{Archive, Deserialize, Serialize};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::engine_load::EngineKey;
 
@@ -41,7 +42,26 @@
     pub software: String,
 }
 
+/// Key of the software version of a service's engines. What engines of two keys write in a stream does not fit together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct SoftwareKey(pub u64);
+
+impl SoftwareKey {
+    /// The key of a version, which is compared within its service only.
+    pub fn of(service: &str, version: &str) -> Self {
+        Self(xxh3_64_with_seed(
+            version.as_bytes(),
+            xxh3_64(service.as_bytes()),
+        ))
+    }
+}
+
 impl Engine {
+    /// The key of the engine's software version.
+    pub fn software_key(&self) -> SoftwareKey {
+        SoftwareKey::of(&self.service, &self.software)
+    }
+
     /// The key of this run of the engine.
     pub fn key(&self) -> EngineKey {
         EngineKey::of_run(&self.instance, self.born_ms)
@@ -323,6 +343,20 @@
         self.entries.values().map(|entry| &entry.engine)
     }
 
+    /// The software version of a service's ready engines, if they have the same.
+    pub fn only_ready_software(&self, service: &str) -> Option<SoftwareKey> {
+        let mut ready = self.ready(service);
+        let first = ready.next()?;
+        let is_same = ready.all(|engine| engine.software == first.software);
+        is_same.then(|| first.software_key())
+    }
+
+    /// An engine of this software version, ready or draining.
+    pub fn engine_of(&self, software: SoftwareKey) -> Option<&Engine> {
+        let mut engines = self.engines();
+        engines.find(|engine| engine.software_key() == software)
+    }
+
     /// Engines of a service that accept new requests.
     pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Engine> {
         let engines = self.entries.values().map(|entry| &entry.engine);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -22,6 +22,7 @@
 mod route_table;
 mod sample_window;
 mod service_model;
+mod software_history;
 mod tenants;
 mod warm_up;
 mod weighted_split;
@@ -32,13 +33,13 @@
     Service, WeightedService,
 };
 pub use eligibility::{
-    EligibilityRule, Exclusion, ResidencyRule, first_exclusion, service_exclusion,
+    EligibilityRule, Exclusion, ResidencyRule, SoftwareRule, first_exclusion, service_exclusion,
 };
 pub use engine_health::{EngineHealth, Outcome, OutcomeCounts};
 pub use engine_load::{EngineKey, EngineLoads, GatewayReport};
 pub use engine_table::{
     Engine, EngineChanges, EngineEntry, EngineSoftware, EngineState, EngineTable, EngineWarmUp,
-    Removal,
+    Removal, SoftwareKey,
 };
 pub use event_stream::{Event, EventSplitter};
 pub use placement::{Choice, FailureStateChange, Forecast, Placement, PlacementRequest};
@@ -54,6 +55,7 @@
 pub use service_model::{
     PrefillSample, RequestSample, ServiceCosts, ServiceKey, ServiceModel, ServiceSummary,
 };
+pub use software_history::SoftwareHistory;
 pub use tenants::{KeyDigest, RateLimit, Tenant, TenantError, TenantTable, check_tenants};
 pub use warm_up::{WarmUpChange, WarmUpLimit, WarmUpSource, WarmUps};
 pub use weighted_split::WeightedSplit;
--- a/crates/routing/src/refusal.rs
+++ b/crates/routing/src/refusal.rs
@@ -34,6 +34,10 @@
     Overloaded,
     /// No engine of the service accepts requests.
     NoEngine,
+    /// No engine has the software version at which the resumed stream began.
+    SoftwareGone,
+    /// The software version at which the resumed stream began is not known, and it may be any of several.
+    OriginUnknown,
     /// All engines of the service are in drained zones.
     ZonesDrained,
     /// No engine of the service is in a region where the request may be served.
@@ -92,6 +96,8 @@
             Self::RateUnknown => "rate_unknown",
             Self::Overloaded => "overloaded",
             Self::NoEngine => "no_engine",
+            Self::SoftwareGone => "software_gone",
+            Self::OriginUnknown => "origin_unknown",
             Self::ZonesDrained => "zones_drained",
             Self::NoAllowedRegion => "no_allowed_region",
             Self::ReplicasOutsideResidency => "kept_outside",
