--- a/crates/node/tests/resident_engines.rs
+++ b/crates/node/tests/resident_engines.rs
@@ -17,7 +17,7 @@
 
 fn list(deployment: &Deployment, engine: &EngineStandIn, born_ms: u64) {
     let entry = engine.entry_started_at("tools", "ready", born_ms);
-    deployment.store.put("servers", engine.instance(), entry);
+    deployment.store.put("servers", &engine.instance(), entry);
 }
 
 /// An entry that became unreadable in a watch left the engine as it was, and requests went on to an address that may be another's.
--- a/crates/node/tests/resident_regions.rs
+++ b/crates/node/tests/resident_regions.rs
@@ -207,7 +207,9 @@
 fn without_an_engine_in_its_regions_a_request_is_refused_at_once() {
     let (mut deployment, engines) = deployment();
     apply(&mut deployment, routes_within(&["tool"], &["north"]), None);
-    deployment.store.remove("servers", engines.north.instance());
+    deployment
+        .store
+        .remove("servers", &engines.north.instance());
     wait_until("the engine is gone", || {
         refused_for_region(&deployment.gateways[0])
     });
--- a/crates/node/tests/resident_streams.rs
+++ b/crates/node/tests/resident_streams.rs
@@ -68,7 +68,7 @@
 
 /// Ends an engine, and waits until the gateways know.
 fn end_engine(deployment: &Deployment, engine: &EngineStandIn) {
-    deployment.store.remove("servers", engine.instance());
+    deployment.store.remove("servers", &engine.instance());
     for gateway in &deployment.gateways {
         wait_until("the gateway knows that the engine is gone", || {
             gateway.log().iter().any(|line| {
