Find the origin of a stream whose client names no attempt

Clients of deployments with one software version name no attempt in Resumes. The program's ledger, which the reservation returns, has the origins of all its streams; where they are the same, the resumed one has it too. The new test got a 503 before.

--- a/crates/gateway/src/exchange/software.rs
+++ b/crates/gateway/src/exchange/software.rs
@@ -142,10 +142,13 @@
         }
     }
 
-    /// Origin of the stream that the client resumes, by its ledger.
+    /// Origin of the stream that the client resumes, by its ledger. If the client does not name the attempt that began it, that is
+    /// the origin of all streams of its program.
     pub(super) fn origin_in(&self, ledger: &ProgramLedger) -> Option<StreamOrigin> {
-        let resumes = self.call.metadata.resumes.as_deref()?;
-        ledger.origin(&TurnId::of(self.call.owner(), resumes))
+        match self.call.metadata.resumes.as_deref() {
+            Some(resumes) => ledger.origin(&TurnId::of(self.call.owner(), resumes)),
+            None => ledger.only_origin(),
+        }
     }
 
     /// Restricts a stream that the client resumes to the version that began it.
--- a/crates/node/tests/resident_streams.rs
+++ b/crates/node/tests/resident_streams.rs
@@ -100,6 +100,15 @@
     (begun, [ended, other, one, two])
 }
 
+/// Kills all processes at once and starts them again.
+fn restart_all(deployment: &mut Deployment) {
+    let gateways = deployment.gateways.iter_mut();
+    let mut processes: Vec<&mut Process> = gateways.chain(&mut deployment.replicas).collect();
+    processes.iter_mut().for_each(|process| process.kill());
+    processes.iter_mut().for_each(|process| process.start());
+    deployment.wait_until_ready();
+}
+
 fn assert_all_go_on_at_their_version(begun: &[(String, Reply)], gateway: SocketAddr) {
     let mut mixed = Vec::new();
     for (stream, first) in begun {
@@ -126,15 +135,29 @@
 fn a_stream_resumed_after_all_processes_were_killed_goes_on_at_the_version_that_began_it() {
     let mut deployment = Deployment::started(PROGRAM, 2, 3);
     let (begun, _engines) = begun_streams(&deployment);
-    let gateways = deployment.gateways.iter_mut();
-    let mut processes: Vec<&mut Process> = gateways.chain(&mut deployment.replicas).collect();
-    processes.iter_mut().for_each(|process| process.kill());
-    processes.iter_mut().for_each(|process| process.start());
-    deployment.wait_until_ready();
+    restart_all(&mut deployment);
     wait_until_known(&deployment.gateways, 3);
     assert_all_go_on_at_their_version(&begun, deployment.gateways[1].callers());
 }
 
+/// One of these clients came back to a gateway that had just started, and was refused.
+#[test]
+fn a_stream_whose_client_names_no_attempt_goes_on_after_all_processes_were_killed() {
+    let mut deployment = Deployment::started(PROGRAM, 2, 3);
+    let _engines = start_engines(&deployment, V1, ["i-1", "i-2"]);
+    wait_until_known(&deployment.gateways, 2);
+    let begun = begin_all(deployment.gateways[0].callers());
+    restart_all(&mut deployment);
+    wait_until_known(&deployment.gateways, 2);
+    for (stream, first) in &begun {
+        let mut call = resuming_attempt(stream, first);
+        call.headers.retain(|(name, _)| name != "resumes");
+        let rest = call.send(deployment.gateways[1].callers());
+        let rest = rest.expect("an answer");
+        assert_eq!((rest.status, rest.is_whole), (200, true), "{stream}");
+    }
+}
+
 #[test]
 fn a_gateway_resumes_a_broken_stream_at_the_version_that_began_it() {
     let deployment = Deployment::started(PROGRAM, 1, 3);
--- a/crates/records/src/ledger.rs
+++ b/crates/records/src/ledger.rs
@@ -80,6 +80,13 @@
         origins.last()
     }
 
+    /// The origin of all streams of the program, if it is the same.
+    pub fn only_origin(&self) -> Option<StreamOrigin> {
+        let mut origins = self.entries.keys().filter_map(TurnId::origin);
+        let first = origins.next()?;
+        origins.all(|origin| origin == first).then_some(first)
+    }
+
     /// The entries of a turn, in the order of their origins.
     fn entries_of<'a>(
         &'a self,
--- a/crates/records/tests/origins.rs
+++ b/crates/records/tests/origins.rs
@@ -31,6 +31,22 @@
     assert_eq!(ledger.origin(&turn(None, "r-10")), None);
 }
 
+#[test]
+fn a_program_has_an_only_origin_until_a_stream_begins_at_another() {
+    let mut ledger = ProgramLedger::default();
+    ledger.merge_entry(&turn(None, "r-1"), reserved(5));
+    assert_eq!(ledger.only_origin(), None);
+    for id in ["r-2", "r-3"] {
+        ledger.merge_entry(&turn(None, id).at_origin(0, StreamOrigin(7)), reserved(5));
+    }
+    assert_eq!(ledger.only_origin(), Some(StreamOrigin(7)));
+    ledger.merge_entry(
+        &turn(None, "r-4").at_origin(0, StreamOrigin(8)),
+        reserved(5),
+    );
+    assert_eq!(ledger.only_origin(), None);
+}
+
 #[test]
 fn all_entries_of_a_turn_are_its_own_and_one_settlement_settles_it() {
     let (stream, other) = (turn(None, "r-1"), turn(None, "r-2"));
