Log each engine that changes, also when a neighbour tells it

A gateway that took the list of engines from its neighbour logged one line for the whole list, and nothing of the engines in it that had changed: on call could not see when it began to believe in a restart or a software version. So an_engine_that_starts_again_under_its_identifier_is_served_by_at_once waited in vain for the line 'engine changed' in about one run of three. Whatever way a newer entry comes after the first list, the line is the same.

--- a/crates/resident/src/view.rs
+++ b/crates/resident/src/view.rs
@@ -311,31 +311,36 @@
 
     /// Applies a complete list of engines as of `revision`.
     pub fn adopt_engines(&self, entries: Vec<EngineEntry>, revision: u64, source: Source) {
+        let newer = self.newer_engines(&entries);
         let changed = self.engines.borrow_mut().replace(entries, revision);
+        self.on_engines_applied(&newer, changed, source);
+    }
+
+    /// The entries that are newer than the known ones; none before the first list, which is logged as a whole.
+    fn newer_engines(&self, entries: &[EngineEntry]) -> Vec<EngineEntry> {
+        if !self.engines_known.get() {
+            return Vec::new();
+        }
+        let engines = self.engines.borrow();
+        let is_newer = |entry: &&EngineEntry| engines.is_newer(entry);
+        entries.iter().filter(is_newer).cloned().collect()
+    }
+
+    fn on_engines_applied(&self, newer: &[EngineEntry], changed: bool, source: Source) {
         let first = !self.engines_known.replace(true);
         if changed || first {
+            newer
+                .iter()
+                .for_each(|entry| log_changed_engine(entry, source));
             self.announce_engines(source);
         }
     }
 
     /// Applies one new or changed engine.
     pub fn adopt_engine(&self, entry: EngineEntry, source: Source) {
-        let state = entry.engine.state;
-        let born_ms = entry.engine.born_ms;
-        let software = entry.engine.software.clone();
-        let instance = entry.engine.instance.clone();
-        let revision = entry.revision;
-        if self.engines.borrow_mut().apply(entry) {
-            log::info!(
-                target: "belief",
-                engine = instance.as_str(),
-                state:? = state,
-                born_ms = born_ms,
-                software = software.as_str(),
-                revision = revision,
-                source = source.name();
-                "engine changed"
-            );
+        let applied = self.engines.borrow_mut().apply(entry.clone());
+        if applied {
+            log_changed_engine(&entry, source);
             self.announce();
         }
     }
@@ -506,11 +511,9 @@
             // Changes to a table that this node doesn't have.
             return;
         }
+        let newer = self.newer_engines(&changes.entries);
         let changed = self.engines.borrow_mut().apply_changes(changes);
-        let first = !self.engines_known.replace(true);
-        if changed || first {
-            self.announce_engines(source);
-        }
+        self.on_engines_applied(&newer, changed, source);
     }
 
     fn announce_engines(&self, source: Source) {
@@ -530,3 +533,17 @@
         self.changed.send_replace(());
     }
 }
+
+fn log_changed_engine(entry: &EngineEntry, source: Source) {
+    let engine = &entry.engine;
+    log::info!(
+        target: "belief",
+        engine = engine.instance.as_str(),
+        state:? = engine.state,
+        born_ms = engine.born_ms,
+        software = engine.software.as_str(),
+        revision = entry.revision,
+        source = source.name();
+        "engine changed"
+    );
+}
--- a/crates/routing/src/engine_table.rs
+++ b/crates/routing/src/engine_table.rs
@@ -243,19 +243,25 @@
 
     /// Applies an entry unless a newer one is known; returns whether the table changed.
     pub fn apply(&mut self, entry: EngineEntry) -> bool {
-        let instance = entry.engine.instance.clone();
-        let removed = self.removed.get(&instance);
-        let removed = removed.map(|tombstone| tombstone.revision);
-        let known = self.entries.get(&instance).map(|known| known.revision);
-        if removed.max(known) >= Some(entry.revision) {
+        if !self.is_newer(&entry) {
             return false;
         }
+        let instance = entry.engine.instance.clone();
         self.removed.remove(&instance);
         self.newest = self.newest.max(entry.revision);
         self.entries.insert(instance, entry);
         true
     }
 
+    /// Whether an entry is newer than what is known of its engine.
+    pub fn is_newer(&self, entry: &EngineEntry) -> bool {
+        let instance = &entry.engine.instance;
+        let removed = self.removed.get(instance);
+        let removed = removed.map(|tombstone| tombstone.revision);
+        let known = self.entries.get(instance).map(|known| known.revision);
+        removed.max(known) < Some(entry.revision)
+    }
+
     /// Removes an engine as of a revision, as reported by a table that is complete up to `reporter_revision`;
     /// returns whether the engine was listed.
     pub fn remove(&mut self, instance: &str, revision: u64, reporter_revision: u64) -> bool {
