Command line tests: an address that stays closed; explain names the new refusals

closed_address freed its port before it was used, and the stub server of a test beside it got the same port and answered.

explain tells what software_gone and origin_unknown mean; that a broken stream may not be taken up has another reason now.

--- a/crates/cli/src/commands/explain.rs
+++ b/crates/cli/src/commands/explain.rs
@@ -145,7 +145,7 @@
         ("answered", _) => "An engine's answer was passed on; its status is the engine's own.",
         ("client_gone", _) => "The client went away before the answer was over.",
         ("broken_off", "engine_failed") => {
-            "The engine broke the stream off, and no other engine may take it up on this route. See the failed attempt."
+            "The engine broke the stream off, and no other engine may take it up: by its route, or since none of its software version is left. See the failed attempt."
         }
         ("broken_off", "turn_not_recorded") => {
             "The turn could not be made durable at a majority of the replicas in time. See the replicas' lines and epoch."
@@ -160,6 +160,12 @@
         (_, "no_engine") => {
             "No engine of the service was listed as ready, or none could be reached."
         }
+        (_, "software_gone") => {
+            "No engine of the software version that began the stream is ready. See the line origin of a resumed stream, and the engines' software."
+        }
+        (_, "origin_unknown") => {
+            "It resumes a stream of which no record was found, and several software versions may have begun it. Search for the id in resumes."
+        }
         (_, "zones_drained") => {
             "All ready engines of the service stand in drained zones. See the lines zone drained; docs/operations/zones.md."
         }
--- a/crates/cli/tests/exit_statuses.rs
+++ b/crates/cli/tests/exit_statuses.rs
@@ -54,7 +54,8 @@
     assert_eq!(unknown.run(&consent).status, 8);
     let unchanged = StubNode::failing(ConnectError::StoreUnavailable { retry_after_ms });
     assert_eq!(unchanged.run(&consent).status, 5);
-    assert_eq!(run_with_servers(&closed_address(), &consent).status, 5);
+    let closed = closed_address();
+    assert_eq!(run_with_servers(&closed.address, &consent).status, 5);
 }
 
 #[test]
--- a/crates/cli/tests/objects.rs
+++ b/crates/cli/tests/objects.rs
@@ -220,7 +220,12 @@
     let down = closed_address();
     let stopping = StubNode::failing(ConnectError::NotReady { retry_after_ms: 1 });
     let serving = node_with(program("planner", 4));
-    let servers = [down, stopping.address.clone(), serving.address.clone()].join(",");
+    let servers = [
+        down.address.clone(),
+        stopping.address.clone(),
+        serving.address.clone(),
+    ]
+    .join(",");
     let finished = run_with_servers(&servers, &["get", "program", "planner"]);
     assert_eq!(finished.status, 0, "{finished:?}");
     assert_eq!(stopping.requests().len(), 1);
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -5,7 +5,7 @@
 )]
 
 use std::io::Write;
-use std::net::TcpListener;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::process::{Command, Output};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -14,6 +14,7 @@
 use ridgeworks_api::v1::object::Specification;
 use ridgeworks_api::v1::{self, ObjectKind};
 use ridgeworks_api::{ConnectError, OperatorMethod, OperatorRequest, OperatorResponse};
+use socket2::{Domain, Socket, Type};
 
 pub const TOKEN: &str = "north-secret";
 
@@ -123,10 +124,22 @@
     let _ = request.respond(response);
 }
 
-/// An address that refuses connections.
-pub fn closed_address() -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
-    listener.local_addr().expect("is bound").to_string()
+/// An address that refuses connections as long as this value lives.
+pub struct ClosedAddress {
+    pub address: String,
+    /// Bound but not listening, so that nobody else gets the port.
+    _socket: Socket,
+}
+
+pub fn closed_address() -> ClosedAddress {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    socket.bind(&any_port.into()).expect("binds");
+    let address = socket.local_addr().expect("is bound");
+    ClosedAddress {
+        address: address.as_socket().expect("IPv4").to_string(),
+        _socket: socket,
+    }
 }
 
 /// A command that ended.
