Charge a stream whose version is changed before its first event all the time

Before another version was recorded, the entry under the first one was settled with nothing spent, and the next one written after: in between a sibling turn could be admitted past the budget. And a client that left meanwhile left the first entry charged for good. The entry is settled after the write now, at the end at the latest. Found by reading; a test of the change itself comes with it (a stream whose first engine fails before its first event is resumed at the version that brought it).

--- a/crates/gateway/src/exchange/preparation.rs
+++ b/crates/gateway/src/exchange/preparation.rs
@@ -318,19 +318,22 @@
     /// Queues the replacement of the reservation by the number of generated tokens. Does nothing if
     /// no reservation was sent: a settlement would then load replicas that have just recovered, and
     /// use up the request's identifier.
-    pub(super) fn settle(&self) {
+    pub(super) fn settle(&mut self) {
+        // Still there if the client disconnected while the next one was written.
+        self.settle_superseded();
         let Some(ledger_key) = self.ledger_key().filter(|_| self.may_be_reserved.get()) else {
             return;
         };
         let spent_tokens = self.forwarded.events * self.event_tokens();
-        self.settle_as(&ledger_key, spent_tokens);
+        let turn = self.software.key_of(&ledger_key.turn);
+        self.settle_as(&ledger_key, turn, spent_tokens);
     }
 
-    /// Queues the settlement of the reservation under its present key.
-    pub(super) fn settle_as(&self, ledger_key: &LedgerKey, spent_tokens: u64) {
+    /// Queues the settlement of the reservation under the key `turn`.
+    pub(super) fn settle_as(&self, ledger_key: &LedgerKey, turn: TurnId, spent_tokens: u64) {
         self.gateway.records.settle(Settlement {
             program: ledger_key.program.clone(),
-            turn: self.software.key_of(&ledger_key.turn),
+            turn,
             entry: LedgerEntry {
                 reserved_tokens: self.call.metadata.max_new_tokens,
                 spent: Some(spent_tokens),
--- a/crates/gateway/src/exchange/software.rs
+++ b/crates/gateway/src/exchange/software.rs
@@ -21,6 +21,8 @@
     pub(super) recorded: Option<SoftwareKey>,
     /// Number of origins recorded before that one.
     ordinal: u32,
+    /// The key of the ledger's entry before the present one, until it is settled.
+    superseded: Option<TurnId>,
     /// The version at which an earlier attempt of the client began the stream.
     origin: Option<SoftwareKey>,
 }
@@ -86,18 +88,25 @@
             "another software version recorded for a stream without events"
         );
         let ledger_key = self.ledger_key();
-        if let Some(ledger_key) = &ledger_key {
-            // Nothing was generated at the version recorded before.
-            self.settle_as(ledger_key, 0);
-        }
+        let turn = ledger_key.as_ref().map(|key| &key.turn);
+        self.software.superseded = turn.map(|turn| self.software.key_of(turn));
         self.software.ordinal += u32::from(self.software.recorded.is_some());
         self.software.recorded = Some(software);
-        match ledger_key {
-            Some(ledger_key) => self.write_reservation(&ledger_key).await.map(drop),
-            None => {
-                self.record_origin_without_budget().await;
-                Ok(())
-            }
+        let Some(ledger_key) = ledger_key else {
+            self.record_origin_without_budget().await;
+            return Ok(());
+        };
+        let written = self.write_reservation(&ledger_key).await;
+        self.settle_superseded();
+        written.map(drop)
+    }
+
+    /// Settles the reservation under the key of the version that was recorded before. Nothing was generated there. Not before the
+    /// next reservation is written, so that the turn is charged all the time.
+    pub(super) fn settle_superseded(&mut self) {
+        let superseded = self.software.superseded.take();
+        if let Some((ledger_key, turn)) = self.ledger_key().zip(superseded) {
+            self.settle_as(&ledger_key, turn, 0);
         }
     }
 
--- a/crates/node/tests/resident_streams.rs
+++ b/crates/node/tests/resident_streams.rs
@@ -180,6 +180,19 @@
     assert!(mixed.is_empty(), "events of two versions in {mixed:?}");
 }
 
+#[test]
+fn a_stream_is_resumed_at_the_version_that_brought_its_first_event_not_one_that_failed_before() {
+    let deployment = Deployment::started(PROGRAM, 2, 3);
+    let fails = Script::always(Answer::ClosesWithoutResponse);
+    let failed = deployment.start_engine_of(V1, "models", "i-1", fails);
+    let _v2 = start_engines(&deployment, V2, ["i-2", "i-3"]);
+    wait_until_known(&deployment.gateways, 3);
+    let begun = begin_all(deployment.gateways[0].callers());
+    assert!(!failed.runs().is_empty());
+    failed.set_script(slow_stream());
+    assert_all_go_on_at_their_version(&begun, deployment.gateways[1].callers());
+}
+
 #[test]
 fn a_stream_whose_version_is_gone_is_refused_at_once() {
     let deployment = Deployment::started(PROGRAM, 2, 3);
