--- a/crates/node/tests/resident_lifecycle.rs
+++ b/crates/node/tests/resident_lifecycle.rs
@@ -397,7 +397,7 @@
     let names = ["gateway-1 ", "replica-1 "];
     for (line, name) in lines.iter().zip(names) {
         assert!(line.starts_with(name), "{line}");
-        assert!(line.ends_with("protocol 1, disk 0"), "{line}");
+        assert!(line.ends_with("protocol 2, disk 0"), "{line}");
     }
     let metrics = get(gateway.metrics(), "/metrics").expect("metrics");
     let build = "ridgeworks_build_info{commit=";
@@ -405,7 +405,7 @@
     let log = gateway.log();
     let started = log.iter().find(|line| line["message"] == "started");
     let started = started.expect("the start is told");
-    assert_eq!(started["attributes"]["protocol"], "1");
+    assert_eq!(started["attributes"]["protocol"], "2");
 }
 
 /// Sets that are misread could be changed by a replica that knows half of what they say.
