A stream has begun with its first event, with data or without

required_software counted events with data. After an event that has an identifier and no data, which the client has received all the same, the gateway was still free to go on at another software version. It now asks whether a first event was forwarded, which is stricter. Found by reading; no test sends such an event.

Ran: the six tests of resident_streams, fmt, clippy of the gateway.

--- a/crates/gateway/src/exchange/software.rs
+++ b/crates/gateway/src/exchange/software.rs
@@ -55,7 +55,7 @@
 
     /// The only version at which the stream may go on; `None` before its first event.
     pub(super) fn required_software(&self) -> Option<SoftwareKey> {
-        let has_begun = self.forwarded.events > 0;
+        let has_begun = self.forwarded.first_at.is_some();
         let recorded = self.software.recorded.filter(|_| has_begun);
         self.software.origin.or(recorded)
     }
