Requests that end engines: failing tests, and stand-ins that end with a marked request

What callers saw: engines, and all that ran there, ended one after the other under one request. Two tests of the other side pass before and must after: engines that reset and live on do not count, and a request that is served clears itself.

--- /dev/null
+++ b/crates/node/tests/resident_engine_ends.rs
@@ -0,0 +1,308 @@
+//! Requests that end the engines that run them, over all tries of a client, and requests of others that ran there.
+
+use std::time::{Duration, Instant};
+
+use ridgeworks_platform_stand_ins::client::{Call, Reply, call_get, call_post};
+use ridgeworks_platform_stand_ins::deployment::{
+    Deployment, Process, send_until_served, wait_until,
+};
+use ridgeworks_platform_stand_ins::{Answer, EngineStandIn, Run, Script, with_start_time};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_ridgeworksd");
+/// Engines that may end under a request before it is sent to none.
+const MAX_ENDS: usize = 3;
+const ENGINES: usize = 24;
+const EVENTS: u64 = 8;
+/// Tries of one client, each with an identifier of its own.
+const TRIES: usize = 6;
+const PAUSE: Duration = Duration::from_millis(150);
+const FATAL: &str = "fatal";
+/// Shorter than any wait for a full engine.
+const AT_ONCE: Duration = Duration::from_millis(500);
+
+fn stream() -> Script {
+    Script::always(Answer::Stream {
+        events: EVENTS,
+        gap_ms: 2,
+    })
+}
+
+fn tool() -> Script {
+    Script::always(Answer::Whole("done".to_owned()))
+}
+
+fn start(deployment: &Deployment, service: &str, script: &Script) -> Vec<EngineStandIn> {
+    let engines = (0..ENGINES).map(|number| {
+        let engine = deployment.start_engine(service, &format!("i-{number}"), script.clone());
+        engine.set_fatal(FATAL, 0, None);
+        engine
+    });
+    let engines = engines.collect();
+    wait_until_known(deployment, ENGINES);
+    engines
+}
+
+fn wait_until_known(deployment: &Deployment, engines: usize) {
+    let is_known = format!("ridgeworks_engines {engines}");
+    for gateway in &deployment.gateways {
+        wait_until("the gateway knows all engines", || {
+            let metrics = ridgeworks_platform_stand_ins::client::get(gateway.metrics(), "/metrics");
+            metrics.is_some_and(|metrics| metrics.body.lines().any(|line| line == is_known))
+        });
+    }
+}
+
+fn turn_at(path: &str, id: &str, program: &str, body: &str) -> Call {
+    call_post(path, id, body)
+        .header("ridgeworks-program-id", program)
+        .header("ridgeworks-session-id", program)
+        .header("ridgeworks-token-budget", "100000")
+        .header("ridgeworks-token-count", "100,80")
+}
+
+/// A turn of a program, whose stream may be resumed.
+fn turn(id: &str) -> Call {
+    turn_at("/chat/x", id, "p", FATAL)
+}
+
+/// A call of a tool that may be repeated.
+fn tool_call(id: &str) -> Call {
+    call_get("/tool/fatal?page=3", id).header("ridgeworks-program-id", "p")
+}
+
+fn ends(engines: &[EngineStandIn]) -> usize {
+    let runs = engines.iter().flat_map(EngineStandIn::fatal_runs);
+    runs.count()
+}
+
+/// Sends one try after the other, by turns through each gateway, and returns the answers and their times.
+fn send_tries(
+    gateways: &[Process],
+    numbers: std::ops::Range<usize>,
+    request: fn(&str) -> Call,
+) -> Vec<(Reply, Duration)> {
+    let tries = numbers.map(|number| {
+        let gateway = gateways[number % gateways.len()].callers();
+        let sent_at = Instant::now();
+        let reply = request(&format!("try-{number}")).send(gateway);
+        let taken = sent_at.elapsed();
+        std::thread::sleep(PAUSE);
+        (reply.unwrap_or_default(), taken)
+    });
+    tries.collect()
+}
+
+/// Refused for good: at once, with a status after which no client comes back, and no time to come back.
+fn assert_refused_for_good((reply, taken): &(Reply, Duration)) {
+    assert_eq!((reply.status, reply.header("retry-after")), (400, None));
+    assert!(*taken < AT_ONCE, "{taken:?}");
+}
+
+fn kill_all(deployment: &mut Deployment) {
+    let gateways = deployment.gateways.iter_mut();
+    let mut processes: Vec<&mut Process> = gateways.chain(&mut deployment.replicas).collect();
+    processes.iter_mut().for_each(|process| process.kill());
+    processes.iter_mut().for_each(|process| process.start());
+    deployment.wait_until_ready();
+}
+
+#[test]
+fn a_turn_under_which_three_engines_ended_is_sent_to_none() {
+    let deployment = Deployment::started(PROGRAM, 2, 3);
+    let engines = start(&deployment, "models", &stream());
+    let tries = send_tries(&deployment.gateways, 0..TRIES, turn);
+    assert_eq!(ends(&engines), MAX_ENDS);
+    assert_refused_for_good(tries.last().expect("a try"));
+}
+
+#[test]
+fn a_call_under_which_three_engines_ended_is_sent_to_none() {
+    let deployment = Deployment::started(PROGRAM, 2, 3);
+    let engines = start(&deployment, "tools", &tool());
+    let tries = send_tries(&deployment.gateways, 0..TRIES, tool_call);
+    assert_eq!(ends(&engines), MAX_ENDS);
+    assert_refused_for_good(tries.last().expect("a try"));
+}
+
+#[test]
+fn the_ends_under_a_turn_that_may_run_once_only_are_counted_over_its_tries() {
+    let deployment = Deployment::started(PROGRAM, 2, 3);
+    let engines = start(&deployment, "models", &stream());
+    let request = |id: &str| turn_at("/talk/x", id, "p", FATAL);
+    let tries = send_tries(&deployment.gateways, 0..TRIES, request);
+    assert_eq!(ends(&engines), MAX_ENDS);
+    assert_refused_for_good(tries.last().expect("a try"));
+}
+
+#[test]
+fn engines_that_ended_under_a_request_are_known_after_all_processes_were_killed() {
+    let mut deployment = Deployment::started(PROGRAM, 2, 3);
+    let engines = start(&deployment, "models", &stream());
+    send_tries(&deployment.gateways, 0..1, turn);
+    kill_all(&mut deployment);
+    wait_until_known(&deployment, ENGINES);
+    let tries = send_tries(&deployment.gateways, 1..TRIES, turn);
+    assert_eq!(ends(&engines), MAX_ENDS);
+    assert_refused_for_good(tries.last().expect("a try"));
+}
+
+/// The gateway's process is gone before it can tell anybody that the engine ended.
+#[test]
+fn a_gateway_that_is_killed_together_with_the_engine_leaves_its_try_counted() {
+    let mut deployment = Deployment::started(PROGRAM, 2, 3);
+    let engines = start(&deployment, "models", &stream());
+    let gateway = deployment.gateways[0].callers();
+    let silent = Script::always(Answer::Silent);
+    engines.iter().for_each(|engine| {
+        engine.set_fatal("none", 0, None);
+        engine.set_script(silent.clone());
+    });
+    let sending = std::thread::spawn(move || turn("killed").send(gateway));
+    wait_until("an engine runs the request", || {
+        engines.iter().any(|engine| !engine.runs().is_empty())
+    });
+    deployment.gateways[0].kill();
+    sending.join().expect("a client");
+    engines.iter().for_each(|engine| {
+        engine.set_fatal(FATAL, 0, None);
+        engine.set_script(stream());
+    });
+    let tries = send_tries(&deployment.gateways[1..], 0..TRIES, turn);
+    assert_eq!(ends(&engines), MAX_ENDS - 1);
+    assert_refused_for_good(tries.last().expect("a try"));
+}
+
+#[test]
+fn a_stream_that_ends_its_engine_midway_is_resumed_at_three_engines_at_most() {
+    let deployment = Deployment::started(PROGRAM, 2, 3);
+    let engines = start(&deployment, "models", &stream());
+    engines
+        .iter()
+        .for_each(|engine| engine.set_fatal(FATAL, 2, None));
+    let mut last_event = 0;
+    let mut last = None;
+    for number in 0..TRIES {
+        let mut call = turn(&format!("try-{number}"));
+        if last_event > 0 {
+            call = call.header("last-event-id", &last_event.to_string());
+            call = call.header("resumes", "try-0");
+        }
+        let reply = call.send(deployment.gateways[number % 2].callers());
+        let reply = reply.unwrap_or_default();
+        last_event = reply.event_ids().last().copied().unwrap_or(last_event);
+        last = Some(reply);
+        std::thread::sleep(PAUSE);
+    }
+    assert_eq!(ends(&engines), MAX_ENDS);
+    assert_eq!(last.map(|reply| reply.status), Some(400));
+}
+
+/// An engine that is there again at once under its identifier has ended too.
+#[test]
+fn an_engine_that_starts_again_at_once_has_ended_under_its_request() {
+    let deployment = Deployment::started(PROGRAM, 2, 3);
+    let engines = start(&deployment, "models", &stream());
+    for engine in &engines {
+        engine.set_fatal("none", 0, None);
+        engine.set_script(Script::always(Answer::Resets));
+    }
+    let mut restarted = 0;
+    let mut runs = 0;
+    let mut last = None;
+    for number in 0..TRIES {
+        let tried = turn(&format!("try-{number}")).send(deployment.gateways[number % 2].callers());
+        last = tried;
+        for engine in engines.iter().filter(|engine| !engine.runs().is_empty()) {
+            restarted += 1;
+            let entry = with_start_time(engine.entry("models", "ready"), restarted);
+            deployment.store.put("servers", &engine.instance(), entry);
+        }
+        std::thread::sleep(PAUSE);
+        runs = engines.iter().map(|engine| engine.runs().len()).sum();
+    }
+    // What one try does is known only after its entries came.
+    assert!(runs <= MAX_ENDS + 1, "{runs}");
+    assert_eq!(last.map(|reply| reply.status), Some(400));
+}
+
+#[test]
+fn engines_that_reset_answers_and_live_on_do_not_count() {
+    let deployment = Deployment::started(PROGRAM, 2, 3);
+    let engines = start(&deployment, "models", &Script::always(Answer::Resets));
+    for engine in &engines {
+        engine.set_fatal("none", 0, None);
+    }
+    send_tries(&deployment.gateways, 0..TRIES, turn);
+    for engine in &engines {
+        engine.set_script(stream());
+    }
+    let served = turn("last").send(deployment.gateways[0].callers());
+    assert_eq!(served.expect("an answer").status, 200);
+}
+
+/// Requests that ran at engines which ended under another one are served, at the first try.
+#[test]
+fn requests_at_engines_that_ended_under_another_one_are_served() {
+    let deployment = Deployment::started(PROGRAM, 2, 3);
+    let slow = Script::always(Answer::Stream {
+        events: EVENTS,
+        gap_ms: 40,
+    });
+    let engines = start(&deployment, "models", &slow);
+    let gateways: Vec<_> = deployment.gateways.iter().map(Process::callers).collect();
+    let others: Vec<_> = (0..2 * ENGINES)
+        .map(|number| {
+            let gateway = gateways[number % 2];
+            std::thread::spawn(move || {
+                let id = format!("other-{number}");
+                turn_at("/chat/x", &id, &id, "prompt").send(gateway)
+            })
+        })
+        .collect();
+    wait_until("all others run", || {
+        let runs = engines.iter().map(|engine| engine.runs().len());
+        runs.sum::<usize>() >= 2 * ENGINES
+    });
+    send_tries(&deployment.gateways, 0..TRIES, turn);
+    assert_eq!(ends(&engines), MAX_ENDS);
+    let ended = engines
+        .iter()
+        .filter(|engine| !engine.fatal_runs().is_empty());
+    let runs_of_others = ended.map(|engine| engine.runs().len() - 1);
+    assert!(runs_of_others.sum::<usize>() > 0);
+    for other in others {
+        let reply = other.join().expect("a client").expect("an answer");
+        assert_eq!((reply.status, reply.is_whole), (200, true));
+    }
+}
+
+/// A request that is served after an engine ended under it had no part in that, and nothing is held against the next one like it.
+#[test]
+fn a_request_that_is_served_clears_itself() {
+    let deployment = Deployment::started(PROGRAM, 2, 3);
+    let engines = start(&deployment, "tools", &tool());
+    for round in 0..2 * MAX_ENDS {
+        for engine in &engines {
+            engine.set_script(tool());
+        }
+        let alive: Vec<&EngineStandIn> = engines
+            .iter()
+            .filter(|engine| engine.fatal_runs().is_empty())
+            .collect();
+        let ends_once = Script::first([Answer::Ends], Answer::Whole("done".to_owned()));
+        let call = |id: &str| call_get("/tool/x", id).header("ridgeworks-program-id", "p");
+        let before: Vec<Run> = alive.iter().flat_map(|engine| engine.runs()).collect();
+        for engine in &alive {
+            engine.set_script(ends_once.clone());
+        }
+        let gateway = deployment.gateways[round % 2].callers();
+        let first = call(&format!("first-{round}")).send(gateway);
+        assert!(first.is_some_and(|reply| reply.status != 400), "{round}");
+        for engine in &alive {
+            engine.set_script(tool());
+        }
+        send_until_served(gateway, &call(&format!("again-{round}")));
+        let after: Vec<Run> = alive.iter().flat_map(|engine| engine.runs()).collect();
+        assert!(after.len() > before.len());
+    }
+}
