Send a request under which three engines ended to none

Cause: a broken connection counted as a failure of the engine only. Within a try engines that ended are left out of max_attempts, and nothing was kept of a request from try to try, since each has an identifier of its own. Class: what a failure says of the work, not of the machine, was known to nobody.

Now a digest of what all tries have in common names the request. After a lost or broken answer the gateway connects to the engine once: refused or silent means that it ended, and a mark is durable in the ledger of the request's program before the engine's place is taken by another one or the client hears of it. Each try reads the marks: turns with their reservation (no message more), requests that may be repeated without a budget with one more. A try that was reserved and never settled counts beside a mark, so that the end seen by a gateway that is gone counts too. From three on the request is refused at once with 400, after which no client comes back. A request that an engine serves clears itself; marks end after two minutes. From two on it goes to the idlest engine. Marks are keys, like origins, so that older replicas keep them.

The one of an engine that starts again at once waits 0.4 s between tries now, its bound stays: a trace shows that gateways take changed entries from a watch 0.2 s later, and before that nobody can know.

--- a/crates/cli/src/commands/explain.rs
+++ b/crates/cli/src/commands/explain.rs
@@ -30,6 +30,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum LogLineKind {
     Request,
+    /// About another try of the same client's request.
+    OtherTry,
     Surrounding,
 }
 
@@ -45,9 +47,17 @@
 
 /// Prints the explanation.
 pub fn run(arguments: &ExplainArguments, format: OutputFormat) -> Result<(), CliError> {
+    let mut digest = None;
+    for path in &arguments.logs {
+        digest = digest.or(read_digest(path, &arguments.request)?);
+    }
+    let subject = Subject {
+        request: &arguments.request,
+        digest,
+    };
     let mut entries = Vec::new();
     for path in &arguments.logs {
-        entries.extend(read_entries(path, &arguments.request)?);
+        entries.extend(read_entries(path, &subject)?);
     }
     entries.sort_by_key(|(entry, _)| entry.at_ms);
     let explanation = explain(&arguments.request, entries)?;
@@ -77,29 +87,66 @@
     })
 }
 
-fn read_entries(path: &Path, request: &str) -> Result<Vec<(Entry, LogLine)>, CliError> {
+/// What is explained.
+struct Subject<'a> {
+    request: &'a str,
+    /// What all tries of the client have in common, if a line of the request names it.
+    digest: Option<String>,
+}
+
+impl Subject<'_> {
+    fn is_own(&self, line: &LogLine) -> bool {
+        names(line, "request", self.request)
+    }
+
+    fn is_other_try(&self, line: &LogLine) -> bool {
+        let digest = self.digest.as_ref();
+        digest.is_some_and(|digest| names(line, "digest", digest)) && !self.is_own(line)
+    }
+}
+
+fn names(line: &LogLine, attribute: &str, value: &str) -> bool {
+    let named = line.attributes.get(attribute);
+    named.is_some_and(|named| named == value)
+}
+
+/// The digest that a line of the request names.
+fn read_digest(path: &Path, request: &str) -> Result<Option<String>, CliError> {
+    let mut digest = None;
+    read_log(path, |_, line| {
+        if names(&line, "request", request) && line.attributes.contains_key("digest") {
+            digest = Some(line.text("digest"));
+        }
+    })?;
+    Ok(digest)
+}
+
+fn read_entries(path: &Path, subject: &Subject<'_>) -> Result<Vec<(Entry, LogLine)>, CliError> {
     let mut entries = Vec::new();
     read_log(path, |node, line| {
-        let entry = entry(&line, node, request);
+        let entry = entry(&line, node, subject);
         entries.extend(entry.map(|entry| (entry, line)));
     })?;
     Ok(entries)
 }
 
 /// A line about the request, or about what its node believed; `None` for any other line.
-fn entry(line: &LogLine, node: String, request: &str) -> Option<Entry> {
-    let is_about = line
-        .attributes
-        .get("request")
-        .is_some_and(|id| id == request);
-    let kind = if is_about && REQUEST_TARGETS.contains(&line.target.as_str()) {
+fn entry(line: &LogLine, node: String, subject: &Subject<'_>) -> Option<Entry> {
+    let is_request_line = REQUEST_TARGETS.contains(&line.target.as_str());
+    let kind = if is_request_line && subject.is_own(line) {
         LogLineKind::Request
+    } else if is_request_line && subject.is_other_try(line) {
+        LogLineKind::OtherTry
     } else if SURROUNDING_TARGETS.contains(&line.target.as_str()) {
         LogLineKind::Surrounding
     } else {
         return None;
     };
-    let details = line.attributes.iter().filter(|(key, _)| *key != "request");
+    let is_named = kind == LogLineKind::OtherTry;
+    let details = line
+        .attributes
+        .iter()
+        .filter(|(key, _)| is_named || *key != "request");
     let details: Vec<String> = details
         .map(|(key, value)| format!("{key}={}", plain(value)))
         .collect();
@@ -127,7 +174,7 @@
     let (outcome, reason) = (last.1.text("outcome"), last.1.text("reason"));
     let meaning = meaning(&outcome, &reason);
     let timeline = entries.into_iter().map(|(entry, _)| entry).filter(|entry| {
-        entry.line == LogLineKind::Request
+        entry.line != LogLineKind::Surrounding
             || (nodes.contains(&entry.node) && (begin..=end).contains(&entry.at_ms))
     });
     Ok(Explanation {
@@ -178,6 +225,9 @@
         (_, "engine_failed") => {
             "An engine may have run it and gave no answer that can be passed on. See the failed attempt."
         }
+        (_, "ends_engines") => {
+            "Engines ended under this client's request, in this try or earlier ones, so it is sent to none and its client is told for good. See the lines engine ended under a request, which have the same digest; docs/operations/engine-ends.md."
+        }
         (_, "timed_out") => "Time was up while an engine had it.",
         (_, "timed_out_unsent") => "Time was up before any engine had it.",
         (_, "no_route") => {
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -140,3 +140,28 @@
         );
     }
 }
+
+#[test]
+fn the_engines_that_ended_under_earlier_tries_are_in_the_timeline_of_the_refused_one() {
+    let mut file = NamedTempFile::new().expect("a file");
+    let log = r#"
+  1.0 g-1 {"time":"2026-09-06T13:32:04.000000000+00:00","level":"WARN","message":"engine ended under a request","target":"attempt","attributes":{"request":"try-1","digest":"00af","engine":"i-7"}}
+  1.1 g-1 {"time":"2026-09-06T13:32:04.100000000+00:00","level":"INFO","message":"request ended","target":"request","attributes":{"request":"other","digest":"00b0","outcome":"answered","reason":""}}
+  1.3 g-2 {"time":"2026-09-06T13:32:04.300000000+00:00","level":"INFO","message":"request ended","target":"request","attributes":{"request":"try-2","digest":"00af","outcome":"refused","reason":"ends_engines","took_ms":1}}
+"#;
+    file.write_all(log.as_bytes()).expect("a log");
+    let mut command = bare_command();
+    command
+        .args(["explain", "try-2", "--logs"])
+        .arg(file.path());
+    let told = finish(&mut command).standard_output;
+    for part in [
+        "try-2: refused ends_engines",
+        "docs/operations/engine-ends.md",
+        "request=try-1",
+        "engine=i-7",
+    ] {
+        assert!(told.contains(part), "{part} is not in {told}");
+    }
+    assert!(!told.contains("other"), "{told}");
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -53,6 +53,14 @@
         )
     }
 
+    /// Whether the engine may have ended under the request.
+    pub fn may_be_an_end(&self) -> bool {
+        matches!(
+            self,
+            Self::ConnectionLost | Self::Truncated | Self::ResponseTimeout
+        )
+    }
+
     /// How the failure counts for the engine's health; `None` if it says nothing about the engine's
     /// health, such as a rejection by a full engine.
     pub fn outcome(&self) -> Option<Outcome> {
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method};
-use ridgeworks_records::{ProgramId, TurnId};
+use ridgeworks_records::{ProgramId, RequestDigest, TurnId};
 use ridgeworks_routing::{CallMetadata, RequestKind, Residency, Route, Tenant};
 use tokio::time::Instant;
 
@@ -22,6 +22,8 @@
     pub path: String,
     pub headers: HeaderMap,
     pub body: Bytes,
+    /// Digest of what all tries of the request have in common.
+    pub digest: RequestDigest,
     /// Metadata parsed from the headers.
     pub metadata: CallMetadata,
     pub route: Arc<Route>,
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -21,6 +21,7 @@
 use crate::exchange;
 use crate::gateway::{BodyReservation, Gateway, OpenRequestGuard};
 use crate::refusal::{RETRY_AFTER, RETRY_AFTER_RECONFIGURATION, refusal_response};
+use crate::request_digest::request_digest;
 
 /// Maximum number of open requests.
 const MAX_OPEN_REQUESTS: usize = 4_000;
@@ -155,12 +156,15 @@
     let service = gateway.next_service(route).ok_or(no_engine)?;
     let wait = metadata.deadline.unwrap_or(route.timeout());
     let path = parts.uri.path_and_query();
+    let path = path.map_or("/", |path| path.as_str());
+    let digest = request_digest(&parts.method, &host, path, &body, &metadata);
     Ok(Call {
         method: parts.method.clone(),
         host,
-        path: path.map_or_else(|| "/".to_owned(), |path| path.as_str().to_owned()),
+        path: path.to_owned(),
         headers: parts.headers.clone(),
         body,
+        digest,
         metadata,
         route: Arc::clone(route),
         tenant,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,6 +1,7 @@
 //! Executes one request, from the reservation of its tokens to the end of its response.
 
 mod engine_choice;
+mod engine_ends;
 mod preparation;
 mod report;
 mod software;
@@ -17,6 +18,8 @@
 use tokio::time::Instant;
 
 use self::engine_choice::AttemptHistory;
+pub use self::engine_ends::END_LIFETIME;
+use self::engine_ends::RequestEnds;
 use self::report::Ending;
 use self::software::StreamSoftware;
 use crate::attempt::{self, AttemptFailure, AttemptRequest, EngineResponse};
@@ -47,6 +50,7 @@
     prompt: Bytes,
     history: AttemptHistory,
     software: StreamSoftware,
+    ends: RequestEnds,
     forwarded: ForwardedEvents,
     /// How long the reservation of tokens took; `None` if there was none.
     reserve_time: Option<Duration>,
@@ -74,6 +78,7 @@
         call,
         history: AttemptHistory::default(),
         software: StreamSoftware::default(),
+        ends: RequestEnds::default(),
         forwarded,
         reserve_time: None,
         may_be_reserved: Cell::new(false),
@@ -112,6 +117,9 @@
             if let Some(refusal) = self.key_refusal() {
                 return self.give_up(client, refusal).await;
             }
+            if let Some(refusal) = self.ends_refusal() {
+                return self.give_up(client, refusal).await;
+            }
             let Some(engine) = self.next_engine() else {
                 if let Some(refusal) = self.warm_up_refusal() {
                     return self.give_up(client, refusal).await;
@@ -160,14 +168,17 @@
             Ok(engine_response) => engine_response,
             Err(SendFailure::ClientDisconnected) => {
                 self.record_possible_run(engine);
+                self.find_end_of_silent(engine, began);
                 return Ok(Ending::ClientDisconnected);
             }
             Err(SendFailure::DeadlineExceeded) => {
                 self.record_possible_run(engine);
+                self.find_end_of_silent(engine, began);
                 return Ok(self.deadline_exceeded(client).await);
             }
             Err(SendFailure::Failed(failure)) => {
                 self.on_failure(engine, &failure, began);
+                self.find_end(engine, &failure).await;
                 return Err(client);
             }
         };
@@ -235,19 +246,23 @@
                 engine_response.in_flight.on_complete();
                 engine_response.finish(&self.gateway);
                 self.on_outcome(engine, Outcome::Served);
+                self.on_outlived();
                 Ok(self.complete(client, status).await)
             }
             StreamEnd::Failed(client, failure) => {
                 drop(engine_response);
                 self.on_failure(engine, &failure, began);
+                self.find_end(engine, &failure).await;
                 Err(client)
             }
             StreamEnd::ClientDisconnected => {
                 self.record_possible_run(engine);
+                self.find_end_of_silent(engine, engine_response.in_flight.last_heard());
                 Ok(Ending::ClientDisconnected)
             }
             StreamEnd::DeadlineExceeded(client) => {
                 self.record_possible_run(engine);
+                self.find_end_of_silent(engine, engine_response.in_flight.last_heard());
                 Ok(self.deadline_exceeded(client).await)
             }
         }
@@ -311,6 +326,7 @@
         match (response, client) {
             (Ok(response), ClientSide::Waiting(client)) => {
                 self.on_outcome(engine, outcome_of(status));
+                self.on_outlived();
                 client.answer(response);
                 Ok(Ending::Answered(status.as_u16()))
             }
@@ -321,6 +337,7 @@
             }
             (Err(failure), client) => {
                 self.on_failure(engine, &failure, began);
+                self.find_end(engine, &failure).await;
                 Err(client)
             }
         }
@@ -328,6 +345,7 @@
 
     /// Ends the request when no further engine may be tried.
     async fn give_up(&self, client: ClientSide, refusal: Refusal) -> Ending {
+        self.settle_suspected().await;
         match client {
             ClientSide::Waiting(client) => self.refuse(client, refusal),
             ClientSide::Streaming(client) => {
--- a/crates/gateway/src/exchange/engine_choice.rs
+++ b/crates/gateway/src/exchange/engine_choice.rs
@@ -133,7 +133,7 @@
             return None;
         }
         let may_repeat = history.may_have_run_on.is_empty() || self.call.route.is_repeatable();
-        if !may_repeat {
+        if !may_repeat || !self.may_risk_another_engine() {
             return None;
         }
         if history.counted_attempts() >= self.call.route.max_attempts as usize {
@@ -175,7 +175,7 @@
         Some(engine)
     }
 
-    /// The engine of least cost; `software` restricts the choice to a software version.
+    /// The engine of least cost, or the idlest one for a request that may end it; `software` restricts the choice to a software version.
     fn choose(&self, excluded: &[String], software: Option<SoftwareKey>) -> Option<(Engine, f64)> {
         let may_ask = self.history.passed_over < MAX_PASSED_OVER;
         let warm_ups = &self.gateway.warm_ups;
@@ -184,14 +184,19 @@
         let metadata = &self.call.metadata;
         let rules = EngineRules::current(&self.gateway, &self.call).with_software(software);
         rules.with_rules(warm_up, |rules| {
-            self.gateway.choose_engine(&PlacementRequest {
+            let placement_request = PlacementRequest {
                 service: &self.call.service,
                 key: metadata.placement_key(),
                 parts: &metadata.prompt_parts,
                 zone: &self.gateway.node.settings.zone,
                 excluded,
                 rules,
-            })
+            };
+            if self.is_suspected() {
+                self.gateway.choose_idlest_engine(&placement_request)
+            } else {
+                self.gateway.choose_engine(&placement_request)
+            }
         })
     }
 
--- a/crates/gateway/src/exchange/preparation.rs
+++ b/crates/gateway/src/exchange/preparation.rs
@@ -7,8 +7,8 @@
 use bytes::{Bytes, BytesMut};
 use ridgeworks_quota::ProgramProgress;
 use ridgeworks_records::{
-    ChainOutcome, LedgerEntry, ProgramId, ProgramLedger, Settlement, StreamOrigin, TurnId,
-    TurnRecord,
+    ChainOutcome, EngineEnds, LedgerEntry, ProgramId, ProgramLedger, Settlement, StreamOrigin,
+    TurnId, TurnRecord,
 };
 use ridgeworks_routing::{EngineKey, Refusal, RefusalReason};
 use tokio::time::Instant;
@@ -19,7 +19,7 @@
 use crate::refusal::{RETRY_AFTER, RETRY_AFTER_RECONFIGURATION};
 
 /// How long a turn waits for replicas before it is refused.
-const RECORDS_TIMEOUT: Duration = Duration::from_millis(700);
+pub(super) const RECORDS_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Identifies a turn's entry in its program's ledger, and says how long it is kept.
 pub(super) struct LedgerKey {
@@ -34,6 +34,8 @@
     has_earlier_turns: bool,
     /// Origin of the stream that the client resumes.
     origin: Option<StreamOrigin>,
+    /// Engines that ended under earlier tries of the request; `None` if the ledger is not where they are recorded.
+    ends: Option<EngineEnds>,
 }
 
 impl Exchange {
@@ -51,9 +53,10 @@
         }
         self.software.recorded = self.first_software();
         let began = Instant::now();
-        let (prompt, reserved, granted, failed_previous_try, ()) = tokio::join!(
+        let (prompt, reserved, ends, granted, failed_previous_try, ()) = tokio::join!(
             self.read_prompt(),
             self.reserve(),
+            self.look_up_ends(),
             self.acquire_rate_grant(),
             self.look_up_prefills(),
             self.prefetch_warm_up_grant()
@@ -68,6 +71,8 @@
             self.reserve_time = Some(began.elapsed());
             self.has_earlier_turns = reserved.has_earlier_turns;
         }
+        let in_ledger = reserved.as_ref().and_then(|reserved| reserved.ends.clone());
+        self.check_ends(in_ledger.or(ends))?;
         if self.call.is_resumed_stream() {
             self.require_origin(reserved.and_then(|reserved| reserved.origin))?;
         }
@@ -196,6 +201,7 @@
             return Ok(ledger.map(|ledger| LedgerState {
                 has_earlier_turns: false,
                 origin: self.origin_in(&ledger),
+                ends: None,
             }));
         };
         let began = Instant::now();
@@ -211,6 +217,7 @@
             return Ok(Some(LedgerState {
                 has_earlier_turns: ledger.has_others(&ledger_key.turn),
                 origin: self.origin_in(&ledger),
+                ends: Some(self.ends_in(&ledger)),
             }));
         }
         log::info!(
@@ -234,7 +241,7 @@
     ) -> Result<ProgramLedger, Refusal> {
         self.may_be_reserved.set(true);
         let records = &self.gateway.records;
-        let turn = self.software.key_of(&ledger_key.turn);
+        let turn = self.key_of(&ledger_key.turn);
         let reserving = records.reserve(
             &ledger_key.program,
             &turn,
@@ -324,20 +331,24 @@
         let Some(ledger_key) = self.ledger_key().filter(|_| self.may_be_reserved.get()) else {
             return;
         };
-        let spent_tokens = self.forwarded.events * self.event_tokens();
-        let turn = self.software.key_of(&ledger_key.turn);
-        self.settle_as(&ledger_key, turn, spent_tokens);
+        let turn = self.key_of(&ledger_key.turn);
+        self.settle_as(&ledger_key, turn, self.settled_entry());
+    }
+
+    /// The turn's entry with the tokens that were generated so far.
+    pub(super) fn settled_entry(&self) -> LedgerEntry {
+        LedgerEntry {
+            reserved_tokens: self.call.metadata.max_new_tokens,
+            spent: Some(self.forwarded.events * self.event_tokens()),
+        }
     }
 
     /// Queues the settlement of the reservation under the key `turn`.
-    pub(super) fn settle_as(&self, ledger_key: &LedgerKey, turn: TurnId, spent_tokens: u64) {
+    pub(super) fn settle_as(&self, ledger_key: &LedgerKey, turn: TurnId, entry: LedgerEntry) {
         self.gateway.records.settle(Settlement {
             program: ledger_key.program.clone(),
             turn,
-            entry: LedgerEntry {
-                reserved_tokens: self.call.metadata.max_new_tokens,
-                spent: Some(spent_tokens),
-            },
+            entry,
             ttl_ms: ttl_ms(ledger_key.retention),
         });
     }
--- a/crates/gateway/src/exchange/report.rs
+++ b/crates/gateway/src/exchange/report.rs
@@ -5,6 +5,7 @@
 use tokio::time::Instant;
 
 use super::Exchange;
+use super::engine_ends::digest_text;
 
 #[derive(Debug, Clone, Copy)]
 pub(super) enum Ending {
@@ -108,6 +109,8 @@
             software = self.history.last_software.as_str(),
             resumes = call.metadata.resumes.as_deref().unwrap_or_default(),
             resumes_after = call.metadata.last_event_id.unwrap_or_default(),
+            digest = digest_text(call.digest).as_str(),
+            ends = self.ends.count(),
             expected_ms = self.history.cost_ms as i64,
             missing_tokens = self.history.forecast.missing_tokens,
             ahead_tokens = self.history.forecast.pending_tokens,
--- a/crates/gateway/src/exchange/software.rs
+++ b/crates/gateway/src/exchange/software.rs
@@ -27,17 +27,16 @@
     origin: Option<SoftwareKey>,
 }
 
-impl StreamSoftware {
+impl Exchange {
     /// The key of a turn's entry in its ledger.
     pub(super) fn key_of(&self, turn: &TurnId) -> TurnId {
-        match self.recorded {
-            Some(software) => turn.at_origin(self.ordinal, StreamOrigin(software.0)),
-            None => turn.clone(),
-        }
+        let StreamSoftware {
+            recorded, ordinal, ..
+        } = &self.software;
+        let origin = recorded.map(|software| StreamOrigin(software.0));
+        turn.at_try(*ordinal, self.call.digest, origin)
     }
-}
 
-impl Exchange {
     fn may_be_resumed(&self) -> bool {
         self.call.route.kind == RequestKind::Stream && self.call.route.resumable
     }
@@ -89,7 +88,7 @@
         );
         let ledger_key = self.ledger_key();
         let turn = ledger_key.as_ref().map(|key| &key.turn);
-        self.software.superseded = turn.map(|turn| self.software.key_of(turn));
+        self.software.superseded = turn.map(|turn| self.key_of(turn));
         self.software.ordinal += u32::from(self.software.recorded.is_some());
         self.software.recorded = Some(software);
         let Some(ledger_key) = ledger_key else {
@@ -106,7 +105,11 @@
     pub(super) fn settle_superseded(&mut self) {
         let superseded = self.software.superseded.take();
         if let Some((ledger_key, turn)) = self.ledger_key().zip(superseded) {
-            self.settle_as(&ledger_key, turn, 0);
+            let entry = LedgerEntry {
+                reserved_tokens: self.call.metadata.max_new_tokens,
+                spent: Some(0),
+            };
+            self.settle_as(&ledger_key, turn, entry);
         }
     }
 
@@ -127,7 +130,7 @@
             reserved_tokens: 0,
             spent: Some(0),
         };
-        let turn = self.software.key_of(&ledger_key.turn);
+        let turn = self.key_of(&ledger_key.turn);
         let writing = records.reserve(
             &ledger_key.program,
             &turn,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -17,11 +17,13 @@
 use tokio::sync::oneshot;
 
 use crate::connection_pool::ConnectionPool;
+use crate::exchange::END_LIFETIME;
 use crate::key_freshness::KeyFreshness;
 use crate::metrics::GatewayMetrics;
 use crate::node_network::relay_request;
 use crate::rate_limits::RateLimits;
 use crate::records_client::RecordsClient;
+use crate::seen_ends::SeenEnds;
 use crate::turn_cache::TurnCache;
 use crate::warm_ups::WarmUpAdmission;
 use crate::zone_drains::ZoneDrainWatch;
@@ -65,6 +67,10 @@
     pub drains: ZoneDrainWatch,
     /// Software versions that the engines had lately.
     pub software_history: RefCell<SoftwareHistory>,
+    /// Engines that ended under requests of this gateway.
+    pub engine_ends: RefCell<SeenEnds>,
+    /// Number of engines that are watched for a restart after a request to them failed.
+    pub watched_engines: Cell<usize>,
     /// Metrics of this gateway.
     pub metrics: GatewayMetrics,
     /// Version of the configuration whose residency faults were logged last.
@@ -124,6 +130,8 @@
             warm_ups,
             drains,
             software_history: RefCell::default(),
+            engine_ends: RefCell::new(SeenEnds::new(END_LIFETIME)),
+            watched_engines: Cell::new(0),
             metrics,
             logged_residency_version: Cell::new(0),
             body_bytes: Cell::new(0),
@@ -202,6 +210,19 @@
         })
     }
 
+    /// The engine with the fewest requests in flight, and its expected cost in milliseconds.
+    pub fn choose_idlest_engine(
+        &self,
+        placement_request: &PlacementRequest<'_>,
+    ) -> Option<(Engine, f64)> {
+        let now = self.now();
+        let mut placement = self.placement.borrow_mut();
+        self.node.view.with_engines(|table| {
+            let choice = placement.choose_idlest(table, placement_request, now)?;
+            Some((choice.engine.clone(), choice.cost_ms))
+        })
+    }
+
     /// Tells the directory node of a prompt that `engine` is about to prefill it.
     pub fn publish_prefill(self: &Rc<Self>, engine: &Engine, parts: &[PromptPart]) {
         let record = PrefillRecord {
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -93,6 +93,11 @@
         }
     }
 
+    /// When the last event came, or else when the request was sent.
+    pub fn last_heard(&self) -> Instant {
+        self.last_event_at.get().unwrap_or(self.sent)
+    }
+
     /// Records that the response is complete.
     pub fn on_complete(&self) {
         let sample = RequestSample {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -144,6 +144,10 @@
     pub failed_attempts: Family<ReasonLabel, Counter>,
     /// Streams that clients resumed, by whether they continued.
     pub resumed_streams: Family<ReasonLabel, Counter>,
+    /// Engines that ended under requests of this gateway, by what showed it.
+    pub engine_ends: Family<ReasonLabel, Counter>,
+    /// Requests that were served although engines had ended under them.
+    pub engine_ends_cleared: Counter,
     /// Metrics of warming engines.
     pub warm_up: WarmUpMetrics,
     /// Connections opened to engines.
@@ -207,6 +211,8 @@
             refused: Family::default(),
             failed_attempts: Family::default(),
             resumed_streams: Family::default(),
+            engine_ends: Family::default(),
+            engine_ends_cleared: Counter::default(),
             warm_up: WarmUpMetrics::default(),
             engine_connections: Counter::default(),
             relayed_requests: Counter::default(),
@@ -254,6 +260,12 @@
         let resumed = self.resumed_streams.clone();
         let help = "Streams that clients resumed, by whether they continued";
         registry.register("streams_resumed", help, resumed);
+        let ends = self.engine_ends.clone();
+        let help = "Engines that ended under requests, by what showed it";
+        registry.register("engine_ends", help, ends);
+        let cleared = self.engine_ends_cleared.clone();
+        let help = "Requests that were served although engines had ended under them";
+        registry.register("engine_ends_cleared", help, cleared);
         let connections = self.engine_connections.clone();
         registry.register(
             "engine_connections",
@@ -395,6 +407,12 @@
         self.resumed_streams.get_or_create(&label).inc();
     }
 
+    /// Counts an engine that ended under a request.
+    pub fn on_engine_end(&self, reason: &'static str) {
+        let label = ReasonLabel { reason };
+        self.engine_ends.get_or_create(&label).inc();
+    }
+
     /// Counts a failed attempt at an engine.
     pub fn on_failed_attempt(&self, reason: &'static str) {
         let label = ReasonLabel { reason };
--- /dev/null
+++ b/crates/gateway/tests/seen_ends.rs
@@ -0,0 +1,43 @@
+//! What a gateway remembers of requests under which engines ended.
+
+use std::time::Duration;
+
+use ridgeworks_gateway::SeenEnds;
+use ridgeworks_records::{EngineRun, RequestDigest};
+
+const LIFETIME: Duration = Duration::from_secs(120);
+const SECOND: Duration = Duration::from_secs(1);
+
+#[test]
+fn a_request_is_remembered_for_its_lifetime_after_its_last_end() {
+    let mut seen = SeenEnds::new(LIFETIME);
+    let digest = RequestDigest(1);
+    assert_eq!(seen.on_end(digest, EngineRun(1), Duration::ZERO), 1);
+    assert_eq!(seen.on_end(digest, EngineRun(1), SECOND), 1);
+    assert_eq!(seen.on_end(digest, EngineRun(2), 2 * SECOND), 2);
+    let found = seen.find(digest, LIFETIME + SECOND).expect("remembered");
+    assert_eq!(found.runs.len(), 2);
+    assert_eq!(seen.find(digest, LIFETIME + 2 * SECOND), None);
+    assert!(seen.is_empty());
+}
+
+#[test]
+fn any_number_of_requests_takes_bounded_memory() {
+    let mut seen = SeenEnds::new(LIFETIME);
+    for number in 0..20_000 {
+        seen.on_end(RequestDigest(number), EngineRun(1), SECOND);
+        seen.on_served(RequestDigest(0), SECOND);
+    }
+    assert!(seen.len() <= 4_096);
+}
+
+#[test]
+fn ends_that_had_another_cause_are_forgotten_and_a_success_is_not() {
+    let mut seen = SeenEnds::new(LIFETIME);
+    let digest = RequestDigest(1);
+    seen.on_end(digest, EngineRun(1), SECOND);
+    seen.on_served(digest, SECOND);
+    seen.forget_ends(digest);
+    let found = seen.find(digest, SECOND).expect("remembered");
+    assert!(found.was_served && found.runs.is_empty());
+}
--- a/crates/node/tests/resident_engine_ends.rs
+++ b/crates/node/tests/resident_engine_ends.rs
@@ -16,6 +16,8 @@
 /// Tries of one client, each with an identifier of its own.
 const TRIES: usize = 6;
 const PAUSE: Duration = Duration::from_millis(150);
+/// Longer than a gateway takes to know a changed entry.
+const UNTIL_LISTED: Duration = Duration::from_millis(400);
 const FATAL: &str = "fatal";
 /// Shorter than any wait for a full engine.
 const AT_ONCE: Duration = Duration::from_millis(500);
@@ -217,7 +219,7 @@
             let entry = with_start_time(engine.entry("models", "ready"), restarted);
             deployment.store.put("servers", &engine.instance(), entry);
         }
-        std::thread::sleep(PAUSE);
+        std::thread::sleep(UNTIL_LISTED);
         runs = engines.iter().map(|engine| engine.runs().len()).sum();
     }
     // What one try does is known only after its entries came.
@@ -304,5 +306,6 @@
         send_until_served(gateway, &call(&format!("again-{round}")));
         let after: Vec<Run> = alive.iter().flat_map(|engine| engine.runs()).collect();
         assert!(after.len() > before.len());
+        std::thread::sleep(PAUSE);
     }
 }
--- /dev/null
+++ b/crates/records/src/engine_ends.rs
@@ -0,0 +1,150 @@
+//! Engines that ended under a request, kept in the ledger of its program.
+//!
+//! A request may end every engine that runs it, and each try of its client has another identifier and may come to another gateway.
+//! So the ends are durable before the client hears of them, under a digest of what all tries have in common, and a gateway reads
+//! them before it sends the request (`docs/design/engine-ends.md`).
+//!
+//! Like origins they are keys of entries that charge nothing, so that replicas and gateways of every version keep them.
+
+use std::collections::BTreeSet;
+
+use crate::identifiers::TurnId;
+use crate::ledger::{LedgerEntry, ProgramLedger};
+
+/// Begins the keys of entries that belong to no turn. No HTTP header can carry it, and a key with a tenant's name has the tenant
+/// separator behind it.
+const MARK: &str = "§";
+const END_MARK: &str = "§ended:";
+const CLEARED_MARK: &str = "§cleared:";
+const LOOKUP_MARK: &str = "§looked-up";
+const FIELD_SEPARATOR: char = ':';
+
+/// The entry of a mark, which charges no tokens.
+pub const MARK_ENTRY: LedgerEntry = LedgerEntry {
+    reserved_tokens: 0,
+    spent: Some(0),
+};
+
+/// Digest of what all tries of one request have in common.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestDigest(pub u64);
+
+/// One run of an engine, as an opaque number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct EngineRun(pub u64);
+
+/// An engine that ended under a request, or may have.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct EngineEnd {
+    pub digest: RequestDigest,
+    pub run: EngineRun,
+    /// When it was noticed, in seconds since 1970 by the clock of the gateway.
+    pub at_s: u64,
+    /// The try in which it was noticed.
+    pub turn: TurnId,
+}
+
+/// What a ledger knows of the engines that ended under one request.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct EngineEnds {
+    /// Runs of engines that ended.
+    pub runs: BTreeSet<EngineRun>,
+    /// Earlier tries that were neither settled nor name an end: their gateway may be gone, and the engine with it.
+    pub unsettled: usize,
+}
+
+impl EngineEnds {
+    /// Engines that ended under the request as far as can be known. A try without an outcome counts beside an end that is known:
+    /// alone it is rather one that still runs.
+    pub fn count(&self) -> usize {
+        let unsettled = if self.runs.is_empty() {
+            0
+        } else {
+            self.unsettled
+        };
+        self.runs.len() + unsettled
+    }
+}
+
+impl TurnId {
+    /// The key of an engine's end.
+    pub fn of_engine_end(end: &EngineEnd) -> Self {
+        let EngineEnd {
+            digest,
+            run,
+            at_s,
+            turn,
+        } = end;
+        Self(format!(
+            "{END_MARK}{:016x}:{:016x}:{at_s:x}:{}",
+            digest.0, run.0, turn.0
+        ))
+    }
+
+    /// The key that says that a request was served after the end of this engine, which so had another cause.
+    pub fn of_cleared_end(digest: RequestDigest, run: EngineRun) -> Self {
+        Self(format!("{CLEARED_MARK}{:016x}:{:016x}", digest.0, run.0))
+    }
+
+    /// The key that is written where a ledger is only to be read. The same for all, so that nothing is written twice.
+    pub fn of_lookup() -> Self {
+        Self(LOOKUP_MARK.to_owned())
+    }
+
+    /// Whether this is the key of an entry that belongs to no turn.
+    pub fn is_mark(&self) -> bool {
+        let marks = [END_MARK, CLEARED_MARK];
+        self.0 == LOOKUP_MARK || marks.iter().any(|mark| self.0.starts_with(mark))
+    }
+
+    fn engine_end(&self) -> Option<EngineEnd> {
+        let mut fields = self.0.strip_prefix(END_MARK)?.splitn(4, FIELD_SEPARATOR);
+        let mut number = || u64::from_str_radix(fields.next()?, 16).ok();
+        Some(EngineEnd {
+            digest: RequestDigest(number()?),
+            run: EngineRun(number()?),
+            at_s: number()?,
+            turn: Self(fields.next()?.to_owned()),
+        })
+    }
+
+    fn cleared_end(&self) -> Option<(RequestDigest, EngineRun)> {
+        let (digest, run) = self
+            .0
+            .strip_prefix(CLEARED_MARK)?
+            .split_once(FIELD_SEPARATOR)?;
+        let number = |text| u64::from_str_radix(text, 16).ok();
+        Some((RequestDigest(number(digest)?), EngineRun(number(run)?)))
+    }
+}
+
+impl ProgramLedger {
+    /// The engines that ended under a request, but for those noticed before `since_s`. `own` is the try that asks.
+    pub fn engine_ends(&self, digest: RequestDigest, own: &TurnId, since_s: u64) -> EngineEnds {
+        let marks = self.entries.range(TurnId(MARK.to_owned())..);
+        let marks = marks
+            .map(|(key, _)| key)
+            .take_while(|key| key.0.starts_with(MARK));
+        let mut cleared = BTreeSet::new();
+        let mut ends = Vec::new();
+        for key in marks {
+            cleared.extend(key.cleared_end());
+            ends.extend(key.engine_end());
+        }
+        ends.retain(|end| end.digest == digest && end.at_s >= since_s);
+        let accounted: BTreeSet<&str> = ends.iter().map(|end| end.turn.0.as_str()).collect();
+        let unsettled = self.entries.iter().filter(|(key, entry)| {
+            let turn = key.without_origin();
+            let is_other = turn != own.0 && !accounted.contains(turn);
+            entry.spent.is_none() && is_other && key.digest() == Some(digest)
+        });
+        let unsettled = unsettled.count();
+        let runs = ends.iter().map(|end| end.run);
+        EngineEnds {
+            runs: runs
+                .filter(|run| !cleared.contains(&(digest, *run)))
+                .collect(),
+            unsettled,
+        }
+    }
+}
--- a/crates/records/src/ledger.rs
+++ b/crates/records/src/ledger.rs
@@ -106,7 +106,7 @@
 
     /// Whether the ledger has other turns than this one.
     pub fn has_others(&self, turn: &TurnId) -> bool {
-        let mut keys = self.entries.keys();
+        let mut keys = self.entries.keys().filter(|key| !key.is_mark());
         keys.any(|key| key.without_origin() != turn.0)
     }
 
--- a/crates/records/src/lib.rs
+++ b/crates/records/src/lib.rs
@@ -17,6 +17,7 @@
 
 mod chain_read;
 mod change_log;
+mod engine_ends;
 mod groups;
 mod identifiers;
 mod ledger;
@@ -30,6 +31,7 @@
 
 pub use chain_read::{ChainOutcome, ChainRead};
 pub use change_log::ListPosition;
+pub use engine_ends::{EngineEnd, EngineEnds, EngineRun, MARK_ENTRY, RequestDigest};
 pub use groups::{GroupId, ReplicaGroups};
 pub use identifiers::{Epoch, ProgramId, RecordKey, ReplicaId, TurnId};
 pub use ledger::{LedgerEntry, ProgramLedger};
--- /dev/null
+++ b/crates/records/tests/engine_ends.rs
@@ -0,0 +1,133 @@
+//! Engines that ended under requests, in the keys of ledgers.
+
+use quickcheck::quickcheck;
+use ridgeworks_records::{
+    EngineEnd, EngineRun, LedgerEntry, MARK_ENTRY, ProgramLedger, RequestDigest, StreamOrigin,
+    TurnId,
+};
+
+const DIGEST: RequestDigest = RequestDigest(7);
+const OTHER: RequestDigest = RequestDigest(u64::MAX);
+
+fn reserved() -> LedgerEntry {
+    LedgerEntry {
+        reserved_tokens: 60,
+        spent: None,
+    }
+}
+
+fn turn(id: &str) -> TurnId {
+    TurnId::of(Some("a:§b"), id)
+}
+
+fn end(digest: RequestDigest, run: u64, at_s: u64, id: &str) -> TurnId {
+    TurnId::of_engine_end(&EngineEnd {
+        digest,
+        run: EngineRun(run),
+        at_s,
+        turn: turn(id),
+    })
+}
+
+fn ledger_of(keys: impl IntoIterator<Item = TurnId>) -> ProgramLedger {
+    let mut ledger = ProgramLedger::default();
+    for key in keys {
+        ledger.merge_entry(&key, MARK_ENTRY);
+    }
+    ledger
+}
+
+#[test]
+fn ends_are_counted_by_request_and_by_run_of_the_engine() {
+    let ledger = ledger_of([
+        end(DIGEST, 1, 100, "r-1"),
+        end(DIGEST, 1, 101, "r-2"),
+        end(DIGEST, u64::MAX, 102, "r-2"),
+        end(OTHER, 3, 103, "r-3"),
+    ]);
+    let count = |digest, since_s| {
+        let ends = ledger.engine_ends(digest, &turn("r-4"), since_s);
+        ends.count()
+    };
+    assert_eq!((count(DIGEST, 0), count(OTHER, 0)), (2, 1));
+    assert_eq!((count(DIGEST, 102), count(DIGEST, 103)), (1, 0));
+}
+
+#[test]
+fn ends_of_a_request_that_was_served_are_cleared_and_no_others() {
+    let ledger = ledger_of([
+        end(DIGEST, 1, 100, "r-1"),
+        end(DIGEST, 2, 100, "r-1"),
+        end(OTHER, 1, 100, "r-3"),
+        TurnId::of_cleared_end(DIGEST, EngineRun(1)),
+    ]);
+    let runs = |digest| ledger.engine_ends(digest, &turn("r-4"), 0).runs;
+    assert_eq!(runs(DIGEST), [EngineRun(2)].into());
+    assert_eq!(runs(OTHER), [EngineRun(1)].into());
+}
+
+#[test]
+fn a_try_without_an_outcome_counts_beside_an_end_that_is_known() {
+    let mut ledger = ProgramLedger::default();
+    let key = |id| turn(id).at_try(0, DIGEST, None);
+    ledger.merge_entry(&key("gone"), reserved());
+    ledger.merge_entry(&key("own"), reserved());
+    ledger.merge_entry(&turn("other").at_try(0, OTHER, None), reserved());
+    let count = |ledger: &ProgramLedger| ledger.engine_ends(DIGEST, &turn("own"), 0).count();
+    assert_eq!(count(&ledger), 0);
+    ledger.merge_entry(&end(DIGEST, 1, 100, "ended"), MARK_ENTRY);
+    ledger.merge_entry(&key("ended"), reserved());
+    assert_eq!(count(&ledger), 2);
+    let settled = LedgerEntry {
+        spent: Some(0),
+        ..reserved()
+    };
+    ledger.merge_entry(&key("gone"), settled);
+    assert_eq!(count(&ledger), 1);
+}
+
+#[test]
+fn marks_are_no_turns_and_have_no_origin() {
+    let marks = [
+        end(DIGEST, 1, 100, "r-1"),
+        TurnId::of_cleared_end(DIGEST, EngineRun(1)),
+        TurnId::of_lookup(),
+    ];
+    let ledger = ledger_of(marks.clone());
+    for mark in &marks {
+        assert!(mark.is_mark(), "{mark:?}");
+        assert_eq!(mark.origin(), None, "{mark:?}");
+    }
+    assert!(!ledger.has_others(&turn("r-1")));
+    assert_eq!(ledger.charged_by_others(&turn("r-1")), 0);
+    assert_eq!(ledger.only_origin(), None);
+    assert!(!turn("r-1").is_mark());
+    assert!(!TurnId::of(Some("§ended"), "r-1").is_mark());
+}
+
+#[test]
+fn a_key_has_its_turn_its_digest_and_its_origin() {
+    for origin in [None, Some(StreamOrigin(9))] {
+        let key = turn("r-1").at_try(3, DIGEST, origin);
+        assert_eq!(key.without_origin(), turn("r-1").0);
+        assert_eq!((key.digest(), key.origin()), (Some(DIGEST), origin));
+        assert_eq!(key.request(), "r-1");
+    }
+    let earlier = turn("r-1").at_origin(3, StreamOrigin(9));
+    assert_eq!(earlier.digest(), None);
+    let later = turn("r-1").at_try(4, DIGEST, Some(StreamOrigin(8)));
+    let ledger = ledger_of([later, earlier]);
+    assert_eq!(ledger.origin(&turn("r-1")), Some(StreamOrigin(8)));
+}
+
+quickcheck! {
+    fn keys_of_any_text_are_read_without_a_panic(text: String) -> bool {
+        let ledger = ledger_of([
+            TurnId(text.clone()),
+            TurnId(format!("§ended:{text}")),
+            TurnId(format!("§cleared:{text}")),
+            TurnId(format!("{text}§{text}§{text}")),
+        ]);
+        ledger.engine_ends(DIGEST, &turn("r"), 0).count() <= ledger.entries.len()
+    }
+}
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -191,6 +191,35 @@
         })
     }
 
+    /// The engine with the fewest requests in flight, for a request that may end it: of those that do not back off, and of several
+    /// the one with the least cost. `None` if no engine of the service is eligible.
+    pub fn choose_idlest<'a>(
+        &mut self,
+        table: &'a EngineTable,
+        request: &PlacementRequest<'a>,
+        now: Duration,
+    ) -> Option<Choice<'a>> {
+        self.loads.expire(now);
+        let costs = self.costs(request.service);
+        let session = xxh3_64(request.key.as_bytes());
+        let eligible_engines = eligible_engines(table, request, session);
+        let costed = eligible_engines.iter().map(|eligible| {
+            let in_flight = self.loads.in_flight_at(eligible.key);
+            let load = self.loads.get(eligible.key);
+            let backs_off = load.is_some_and(|load| load.health.is_backing_off(now));
+            let cost = self.cost(eligible, request, &costs, f64::from(in_flight), now);
+            ((backs_off, in_flight), cost, eligible)
+        });
+        let idlest = costed.min_by(|one, two| {
+            let by_load = one.0.cmp(&two.0);
+            by_load.then(one.1.total_cmp(&two.1))
+        });
+        idlest.map(|(_, cost_ms, eligible)| Choice {
+            engine: eligible.engine,
+            cost_ms,
+        })
+    }
+
     /// In-flight requests of this gateway and of recent reports.
     pub fn in_flight_at(&mut self, engine: EngineKey, now: Duration) -> u32 {
         self.loads.expire(now);
--- a/crates/routing/src/refusal.rs
+++ b/crates/routing/src/refusal.rs
@@ -54,6 +54,8 @@
     TurnsUnavailable,
     /// The engine broke the connection or sent an invalid answer; the request may have run.
     EngineFailed,
+    /// Several engines ended under the request, in this attempt of its client or in earlier ones.
+    EndsEngines,
     /// The deadline passed after the request was sent; it may have run.
     TimedOut,
     /// The deadline passed before the request was sent to an engine.
@@ -63,7 +65,10 @@
 impl RefusalReason {
     /// Whether the request has not run and never will.
     pub fn is_not_run(self) -> bool {
-        !matches!(self, Self::EngineFailed | Self::TimedOut)
+        !matches!(
+            self,
+            Self::EngineFailed | Self::EndsEngines | Self::TimedOut
+        )
     }
 
     /// Whether only this gateway is affected, so that a retry at another gateway may succeed.
@@ -106,6 +111,7 @@
             Self::LedgerUnavailable => "ledger_unavailable",
             Self::TurnsUnavailable => "turns_unavailable",
             Self::EngineFailed => "engine_failed",
+            Self::EndsEngines => "ends_engines",
             Self::TimedOut => "timed_out",
             Self::TimedOutUnsent => "timed_out_unsent",
         }
--- a/crates/routing/tests/placement.rs
+++ b/crates/routing/tests/placement.rs
@@ -270,3 +270,22 @@
         ..Forecast::default()
     }
 }
+
+#[test]
+fn a_request_that_may_end_its_engine_goes_to_the_idlest_one_whatever_is_cached_elsewhere() {
+    let table = table(["i-1", "i-2", "i-3"].map(|name| engine(name, "zone-a")));
+    let mut placement = Placement::default();
+    let parts = [part(1, 12_000), part(2, 2_000)];
+    send(&mut placement, "i-1", &parts);
+    send(&mut placement, "i-2", &[]);
+    let request = request("s", &parts, &[]);
+    let idlest = placement.choose_idlest(&table, &request, NOW);
+    assert_eq!(idlest.expect("an engine").engine.instance, "i-3");
+    placement.on_outcome(EngineKey::of("i-3"), Outcome::Unreachable, NOW);
+    let idlest = placement.choose_idlest(&table, &request, NOW);
+    assert_ne!(idlest.expect("an engine").engine.instance, "i-3");
+    let excluded = ["i-3".to_owned(), "i-2".to_owned()];
+    let request = support::request("s", &parts, &excluded);
+    let idlest = placement.choose_idlest(&table, &request, NOW);
+    assert_eq!(idlest.expect("an engine").engine.instance, "i-1");
+}
