An engine behind something that accepts and closes has ended too

What callers saw: nothing yet; found while the soak's engines, which stand behind links, learned to end. A link, like any proxy or supervisor in an engine's place, accepts the connection that asks whether the engine is there, and closes it. That counted as an engine that lives. The probe now keeps the connection for 10 ms before it believes it.

--- a/crates/gateway/src/engine_probe.rs
+++ b/crates/gateway/src/engine_probe.rs
@@ -10,6 +10,8 @@
 
 /// Longer than a round trip to any region. Short, because the request waits.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(120);
+/// How soon a connection is closed again by something that listens in the place of an engine that has ended.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(10);
 /// How long an engine that started again may take to be listed with its new start.
 const RESTART_NOTICE: Duration = Duration::from_secs(5);
 /// Engines that are watched for a restart at a time; a failure beyond that is taken for one that the engine outlived.
@@ -20,6 +22,8 @@
 pub enum Evidence {
     /// Nothing listens at its address.
     Refused,
+    /// Connections to it are accepted and closed at once.
+    Closed,
     /// Its machine does not answer. It may be cut off, which cannot be told apart.
     Silent,
     /// Another run of it, or another engine, is listed at its address.
@@ -31,6 +35,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::Refused => "refused",
+            Self::Closed => "closed",
             Self::Silent => "silent",
             Self::Restarted => "restarted",
         }
@@ -42,6 +47,10 @@
     match connect(engine.address, PROBE_TIMEOUT).await {
         Ok(connection) => {
             gateway.metrics.engine_connections.inc();
+            tokio::time::sleep(CLOSE_TIMEOUT).await;
+            if connection.is_closed() {
+                return Some(Evidence::Closed);
+            }
             gateway.pool.put_idle(engine.key(), connection, None);
             None
         }
