Reserve for a resumed stream what it may still bring

Cause: each try that resumed reserved the whole turn once more, beside what its first try is charged. Now it reserves the most that is left after the client's last event. Test a_stream_that_its_program_s_budget_holds_is_resumed: 402 at the first of 16 before, all 16 whole after. A first try whose gateway is gone stays charged in full, so there a tight budget still refuses (design/resumed-streams.md).

--- a/crates/gateway/src/exchange/preparation.rs
+++ b/crates/gateway/src/exchange/preparation.rs
@@ -205,7 +205,7 @@
             }));
         };
         let began = Instant::now();
-        let reserved_tokens = self.call.metadata.max_new_tokens;
+        let reserved_tokens = self.max_tokens();
         let ledger = self.write_reservation(&ledger_key).await?;
         let elapsed_secs = began.elapsed().as_secs_f64();
         self.gateway.metrics.reserve_seconds.observe(elapsed_secs);
@@ -246,7 +246,7 @@
             &ledger_key.program,
             &turn,
             LedgerEntry {
-                reserved_tokens: self.call.metadata.max_new_tokens,
+                reserved_tokens: self.max_tokens(),
                 spent: None,
             },
             ledger_key.retention,
@@ -338,7 +338,7 @@
     /// The turn's entry with the tokens that were generated so far.
     pub(super) fn settled_entry(&self) -> LedgerEntry {
         LedgerEntry {
-            reserved_tokens: self.call.metadata.max_new_tokens,
+            reserved_tokens: self.max_tokens(),
             spent: Some(self.forwarded.events * self.event_tokens()),
         }
     }
@@ -353,6 +353,16 @@
         });
     }
 
+    /// The most tokens that this try may generate: what a resumed stream brought before is charged to the try that brought it.
+    pub(super) fn max_tokens(&self) -> u64 {
+        let max = self.call.metadata.max_new_tokens;
+        if !self.call.is_resumed_stream() {
+            return max;
+        }
+        let before = self.call.metadata.last_event_id.unwrap_or_default();
+        max.saturating_sub(before.saturating_mul(self.event_tokens()))
+    }
+
     fn event_tokens(&self) -> u64 {
         let routes = self.gateway.node.view.routes();
         let service = routes.and_then(|routes| routes.service(&self.call.service).cloned());
--- a/crates/gateway/src/exchange/software.rs
+++ b/crates/gateway/src/exchange/software.rs
@@ -106,7 +106,7 @@
         let superseded = self.software.superseded.take();
         if let Some((ledger_key, turn)) = self.ledger_key().zip(superseded) {
             let entry = LedgerEntry {
-                reserved_tokens: self.call.metadata.max_new_tokens,
+                reserved_tokens: self.max_tokens(),
                 spent: Some(0),
             };
             self.settle_as(&ledger_key, turn, entry);
--- a/crates/node/tests/resident_streams.rs
+++ b/crates/node/tests/resident_streams.rs
@@ -14,6 +14,8 @@
 const STREAMS: usize = 16;
 /// Shorter than any wait for a full engine.
 const AT_ONCE: Duration = Duration::from_millis(500);
+/// Longer than settlements are gathered.
+const UNTIL_SETTLED: Duration = Duration::from_millis(900);
 const V1: &str = "v1";
 const V2: &str = "v2";
 
@@ -206,3 +208,24 @@
     }
     assert!(engines[2..].iter().all(|engine| engine.runs().is_empty()));
 }
+
+/// The resumed try reserved the whole stream once more, and its program's budget did not hold that.
+#[test]
+fn a_stream_that_its_program_s_budget_holds_is_resumed() {
+    let deployment = Deployment::started(PROGRAM, 2, 3);
+    let _engines = start_engines(&deployment, V1, ["i-1", "i-2"]);
+    wait_until_known(&deployment.gateways, 2);
+    let budget = (EVENTS * 10).to_string();
+    for number in 0..STREAMS {
+        let stream = format!("s{number}");
+        let first = attempt(&stream, 1).replace("ridgeworks-token-budget", &budget);
+        let first = first.send_and_read_frames(deployment.gateways[0].callers(), 2);
+        let first = first.expect("events");
+        // Until then its first try is charged in full.
+        std::thread::sleep(UNTIL_SETTLED);
+        let rest = resuming_attempt(&stream, &first).replace("ridgeworks-token-budget", &budget);
+        let rest = rest.send(deployment.gateways[1].callers());
+        let rest = rest.expect("an answer");
+        assert_eq!((rest.status, rest.is_whole), (200, true), "{stream}");
+    }
+}
