--- a/crates/gateway/src/engine_probe.rs
+++ b/crates/gateway/src/engine_probe.rs
@@ -3,8 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ridgeworks_resident::http_client::{ConnectError, connect};
+use ridgeworks_resident::http_client::{ConnectError, Connection, connect};
 use ridgeworks_routing::Engine;
+use tokio::time::Instant;
 
 use crate::gateway::Gateway;
 
@@ -12,6 +13,9 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(120);
 /// How soon a connection is closed again by something that listens in the place of an engine that has ended.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(10);
+/// The same where the machine is busy. Shorter than engines keep connections that are idle.
+const LATE_CLOSE_TIMEOUT: Duration = Duration::from_millis(900);
+const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 /// How long an engine that started again may take to be listed with its new start.
 const RESTART_NOTICE: Duration = Duration::from_secs(5);
 /// Engines that are watched for a restart at a time; a failure beyond that is taken for one that the engine outlived.
@@ -42,44 +46,70 @@
     }
 }
 
-/// Opens a connection to an engine; `None` if it accepts one, which is kept for later requests.
-pub async fn probe(gateway: &Gateway, engine: &Engine) -> Option<Evidence> {
-    match connect(engine.address, PROBE_TIMEOUT).await {
-        Ok(connection) => {
-            gateway.metrics.engine_connections.inc();
-            tokio::time::sleep(CLOSE_TIMEOUT).await;
-            if connection.is_closed() {
-                return Some(Evidence::Closed);
-            }
-            gateway.pool.put_idle(engine.key(), connection, None);
-            None
-        }
-        Err(ConnectError::Refused(_)) => Some(Evidence::Refused),
-        Err(ConnectError::TimedOut) => Some(Evidence::Silent),
-        Err(ConnectError::Handshake(_)) => None,
+/// What a probe found.
+pub enum Probed {
+    Ended(Evidence),
+    /// The engine accepted this connection.
+    Accepted(Connection),
+}
+
+/// Opens a connection to an engine.
+pub async fn probe(gateway: &Gateway, engine: &Engine) -> Probed {
+    let connection = match connect(engine.address, PROBE_TIMEOUT).await {
+        Ok(connection) => connection,
+        Err(ConnectError::TimedOut) => return Probed::Ended(Evidence::Silent),
+        Err(ConnectError::Refused(_)) => return Probed::Ended(Evidence::Refused),
+        Err(ConnectError::Handshake(_)) => return Probed::Ended(Evidence::Closed),
+    };
+    gateway.metrics.engine_connections.inc();
+    tokio::time::sleep(CLOSE_TIMEOUT).await;
+    if connection.is_closed() {
+        return Probed::Ended(Evidence::Closed);
     }
+    Probed::Accepted(connection)
 }
 
-/// Waits for a while whether another run is listed at the engine's address.
-pub async fn has_restarted(gateway: &Rc<Gateway>, engine: &Engine) -> bool {
+/// Waits for a while whether an engine that accepted a connection turns out to have ended before.
+pub async fn find_late_evidence(
+    gateway: &Rc<Gateway>,
+    engine: &Engine,
+    connection: Connection,
+) -> Option<Evidence> {
     let watched = &gateway.watched_engines;
     if watched.get() >= MAX_WATCHED {
-        return false;
+        return None;
     }
     watched.set(watched.get() + 1);
-    let view = &gateway.node.view;
-    let mut changes = view.changes();
-    let restarted = async {
-        while !is_replaced(gateway, engine) {
-            if changes.changed().await.is_err() {
-                return false;
-            }
-        }
-        true
+    let evidence = tokio::select! {
+        () = closed_late(gateway, engine, connection) => Some(Evidence::Closed),
+        () = replaced(gateway, engine) => Some(Evidence::Restarted),
+        () = tokio::time::sleep(RESTART_NOTICE) => None,
     };
-    let has_restarted = tokio::time::timeout(RESTART_NOTICE, restarted).await;
     watched.set(watched.get() - 1);
-    has_restarted.unwrap_or(false)
+    evidence
+}
+
+/// Completes if the connection is closed soon; else keeps it for later requests.
+async fn closed_late(gateway: &Gateway, engine: &Engine, connection: Connection) {
+    let until = Instant::now() + LATE_CLOSE_TIMEOUT;
+    while Instant::now() < until {
+        if connection.is_closed() {
+            return;
+        }
+        tokio::time::sleep(CLOSE_CHECK_INTERVAL).await;
+    }
+    gateway.pool.put_idle(engine.key(), connection, None);
+    std::future::pending().await
+}
+
+/// Completes when another run is listed at the engine's address.
+async fn replaced(gateway: &Gateway, engine: &Engine) {
+    let mut changes = gateway.node.view.changes();
+    while !is_replaced(gateway, engine) {
+        if changes.changed().await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
 }
 
 fn is_replaced(gateway: &Gateway, engine: &Engine) -> bool {
--- a/crates/gateway/src/exchange/engine_ends.rs
+++ b/crates/gateway/src/exchange/engine_ends.rs
@@ -9,12 +9,14 @@
     Settlement, TurnId,
 };
 use ridgeworks_resident::clock::{unix_time_ms, whole_ms};
+use ridgeworks_resident::http_client::Connection;
 use ridgeworks_routing::{Engine, Refusal, RefusalReason, RequestKind};
 use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::Exchange;
 use crate::attempt::AttemptFailure;
-use crate::engine_probe::{Evidence, has_restarted, probe};
+use crate::engine_probe::{Evidence, Probed, find_late_evidence, probe};
 use crate::gateway::Gateway;
 use crate::records_client::ttl_ms;
 
@@ -25,8 +27,6 @@
 const MIN_ENDS_OF_SUSPECTS: usize = 2;
 /// How long an end is held against a request. A client's tries are over well before.
 pub const END_LIFETIME: Duration = Duration::from_secs(120);
-/// How long a request without a ledger waits for the ends under its earlier tries.
-const LOOKUP_TIMEOUT: Duration = Duration::from_millis(250);
 /// A client that leaves, or a deadline, after a shorter silence of the engine says nothing about the engine.
 const MIN_SILENCE: Duration = Duration::from_millis(500);
 /// Prefix of the ledgers of requests that belong to no program. No HTTP header can carry it, and that of streams is shorter.
@@ -36,8 +36,6 @@
 #[derive(Debug, Default)]
 pub(super) struct RequestEnds {
     known: EngineEnds,
-    /// Whether the ends under earlier tries could not be looked up.
-    is_unknown: bool,
     /// Whether an engine may have ended in this try without a record at the replicas.
     is_unrecorded: bool,
 }
@@ -85,35 +83,36 @@
         ledger.engine_ends(self.call.digest, &self.call.turn(), since_s)
     }
 
-    /// Looks up the ends under earlier tries of a request that reserves nothing; `None` if replicas are not there or do not
-    /// answer in time.
-    pub(super) async fn look_up_ends(&self) -> Option<EngineEnds> {
-        if self.ledger_key().is_some() || !self.may_come_again() {
-            return Some(EngineEnds::default());
+    /// Looks up the ends under earlier tries of a request that reserves nothing. Like a turn it is refused where the replicas do not
+    /// answer: it may be one that ends engines.
+    pub(super) async fn look_up_ends(&self) -> Result<EngineEnds, Refusal> {
+        let needs_none = self.ledger_key().is_some() || !self.may_come_again();
+        if needs_none || !self.gateway.has_replicas() {
+            return Ok(EngineEnds::default());
         }
         let records = &self.gateway.records;
         let ledger = self.end_ledger();
         let group = records.group_of(Some(&ledger.program));
-        let is_known = self.gateway.node.view.replica_sets().is_some();
-        if !is_known || records.health.is_lost(group) {
-            return None;
+        let unavailable = |after| Refusal::retry_later(RefusalReason::LedgerUnavailable, after);
+        if records.health.is_lost(group) {
+            return Err(unavailable(records.retry_after(group)));
         }
-        let deadline = self.call.deadline.min(Instant::now() + LOOKUP_TIMEOUT);
         let turn = TurnId::of_lookup();
         let retention = self.call.route.retention();
+        let deadline = self.records_deadline();
         let reading = records.reserve(&ledger.program, &turn, MARK_ENTRY, retention, deadline);
-        // The failure is logged where the majority is asked.
-        let ledger = reading.await.ok()?;
-        Some(self.ends_in(&ledger))
+        let read = reading.await;
+        let read =
+            read.map_err(|failure| unavailable(records.retry_after_failure(group, failure)))?;
+        Ok(self.ends_in(&read))
     }
 
     /// Takes in what was found, beside what this gateway itself saw. Refuses the request if it may be sent to no engine any more.
-    pub(super) fn check_ends(&mut self, found: Option<EngineEnds>) -> Result<(), Refusal> {
+    pub(super) fn check_ends(&mut self, found: EngineEnds) -> Result<(), Refusal> {
         let digest = self.call.digest;
         let now = self.gateway.now();
         let seen = self.gateway.engine_ends.borrow_mut().find(digest, now);
-        self.ends.is_unknown = found.is_none();
-        self.ends.known = found.unwrap_or_default();
+        self.ends.known = found;
         if let Some(seen) = seen {
             if seen.was_served {
                 self.clear_ends();
@@ -145,9 +144,7 @@
     /// Whether the request may go to a further engine after one may have ended under it: only as far as it is known, here and to
     /// the next gateway, how many did.
     pub(super) fn may_risk_another_engine(&self) -> bool {
-        let ends = &self.ends;
-        let is_uncertain = ends.is_unknown && ends.count() > 0;
-        !ends.is_unrecorded && !is_uncertain
+        !self.ends.is_unrecorded
     }
 
     /// Whether the request itself is likely what ended engines.
@@ -160,17 +157,30 @@
         if !failure.may_be_an_end() || !self.may_come_again() {
             return;
         }
+        let run = self.run_that_ended(engine, failure);
         match probe(&self.gateway, engine).await {
-            Some(evidence) => self.record_end(engine, evidence).await,
-            None => {
+            Probed::Ended(evidence) => self.record_end(engine, run, evidence).await,
+            Probed::Accepted(connection) => {
                 // It may have started again faster than anybody could see, so a suspected request goes no further.
                 self.ends.is_unrecorded |= self.ends.count() > 0;
                 let ledger = self.end_ledger();
-                spawn_restart_watch(&self.gateway, engine, ledger);
+                spawn_watch(&self.gateway, engine, run, ledger, connection);
             }
         }
     }
 
+    /// The run of the engine that the request may have ended. One that ended under an earlier try, and was there again for this one,
+    /// had started again meanwhile, whether its entry says so yet or not.
+    fn run_that_ended(&self, engine: &Engine, failure: &AttemptFailure) -> EngineRun {
+        let run = EngineRun(engine.key().0);
+        let is_known = self.ends.known.runs.contains(&run);
+        if !is_known || !failure.was_there() {
+            return run;
+        }
+        let request = self.call.metadata.request_id.as_bytes();
+        EngineRun(xxh3_64_with_seed(request, run.0))
+    }
+
     /// Finds out, beside the end of the request, whether an engine that was silent for long has ended.
     pub(super) fn find_end_of_silent(&self, engine: &Engine, silent_since: Instant) {
         if silent_since.elapsed() < MIN_SILENCE || !self.may_come_again() {
@@ -180,16 +190,17 @@
         let engine = engine.clone();
         let ledger = self.end_ledger();
         tokio::task::spawn_local(async move {
-            if let Some(evidence) = probe(&gateway, &engine).await {
-                record_end(&gateway, &engine, &ledger, evidence).await;
+            if let Probed::Ended(evidence) = probe(&gateway, &engine).await {
+                let run = EngineRun(engine.key().0);
+                record_end(&gateway, &engine, run, &ledger, evidence).await;
             }
         });
     }
 
-    async fn record_end(&mut self, engine: &Engine, evidence: Evidence) {
-        self.ends.known.runs.insert(EngineRun(engine.key().0));
+    async fn record_end(&mut self, engine: &Engine, run: EngineRun, evidence: Evidence) {
+        self.ends.known.runs.insert(run);
         let ledger = self.end_ledger();
-        let is_recorded = record_end(&self.gateway, engine, &ledger, evidence).await;
+        let is_recorded = record_end(&self.gateway, engine, run, &ledger, evidence).await;
         self.ends.is_unrecorded |= !is_recorded;
     }
 
@@ -252,11 +263,11 @@
 async fn record_end(
     gateway: &Rc<Gateway>,
     engine: &Engine,
+    run: EngineRun,
     ledger: &EndLedger,
     evidence: Evidence,
 ) -> bool {
     let began = Instant::now();
-    let run = EngineRun(engine.key().0);
     gateway.metrics.on_engine_end(evidence.name());
     let now = gateway.now();
     let seen = gateway
@@ -289,7 +300,7 @@
 /// Writes a mark at a majority. One that cannot be written in time is queued and written later.
 async fn write_mark(gateway: &Gateway, ledger: &EndLedger, mark: TurnId) -> bool {
     let records = &gateway.records;
-    if gateway.node.view.replica_sets().is_none() {
+    if !gateway.has_replicas() {
         return false;
     }
     let deadline = Instant::now() + super::preparation::RECORDS_TIMEOUT;
@@ -312,13 +323,19 @@
     is_recorded
 }
 
-/// Records the end of an engine that accepts connections, if it turns out to be another run of it that does.
-fn spawn_restart_watch(gateway: &Rc<Gateway>, engine: &Engine, ledger: EndLedger) {
+/// Records the end of an engine that accepted a connection, if it turns out that another run of it did, or something in its place.
+fn spawn_watch(
+    gateway: &Rc<Gateway>,
+    engine: &Engine,
+    run: EngineRun,
+    ledger: EndLedger,
+    connection: Connection,
+) {
     let gateway = Rc::clone(gateway);
     let engine = engine.clone();
     tokio::task::spawn_local(async move {
-        if has_restarted(&gateway, &engine).await {
-            record_end(&gateway, &engine, &ledger, Evidence::Restarted).await;
+        if let Some(evidence) = find_late_evidence(&gateway, &engine, connection).await {
+            record_end(&gateway, &engine, run, &ledger, evidence).await;
         }
     });
 }
--- a/crates/gateway/src/exchange/preparation.rs
+++ b/crates/gateway/src/exchange/preparation.rs
@@ -72,7 +72,7 @@
             self.has_earlier_turns = reserved.has_earlier_turns;
         }
         let in_ledger = reserved.as_ref().and_then(|reserved| reserved.ends.clone());
-        self.check_ends(in_ledger.or(ends))?;
+        self.check_ends(in_ledger.map_or(ends, Ok)?)?;
         if self.call.is_resumed_stream() {
             self.require_origin(reserved.and_then(|reserved| reserved.origin))?;
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -153,6 +153,12 @@
         view.version() > 0 && view.engines_known() && self.drains.are_known_or_overdue()
     }
 
+    /// Whether the deployment has replicas, as far as this gateway has heard.
+    pub fn has_replicas(&self) -> bool {
+        let mut members = self.node.gossip.members().into_iter();
+        self.node.view.replica_sets().is_some() || members.any(|member| member.info.is_replica)
+    }
+
     /// Whether the platform may send new clients here; the readiness endpoint reports it.
     pub fn is_ready(&self) -> bool {
         !self.draining.get()
