An end at an address where something still accepts is counted by the run alone

Cause: engines of the soak stand behind links, which accept for an engine that is away; each try that met one counted as a further end of an engine that had been there. A connection that fails otherwise than refused, or is closed at once, shows something in the engine's place, so the try counts by the engine's run; one that is refused while a new connection was just taken, and an answer in part, count by the try as before.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -61,14 +61,6 @@
         )
     }
 
-    /// Whether the engine was certainly there when it got the request.
-    pub fn was_there(&self) -> bool {
-        matches!(
-            self,
-            Self::ConnectionLost { is_reused: false } | Self::Truncated
-        )
-    }
-
     /// How the failure counts for the engine's health; `None` if it says nothing about the engine's
     /// health, such as a rejection by a full engine.
     pub fn outcome(&self) -> Option<Outcome> {
--- a/crates/gateway/src/engine_probe.rs
+++ b/crates/gateway/src/engine_probe.rs
@@ -1,5 +1,6 @@
 //! Tells whether an engine has ended, after a request to it has failed.
 
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -26,7 +27,7 @@
 pub enum Evidence {
     /// Nothing listens at its address.
     Refused,
-    /// Connections to it are accepted and closed at once.
+    /// Connections to it are accepted and closed at once, by something in its place, or fail otherwise.
     Closed,
     /// Its machine does not answer. It may be cut off, which cannot be told apart.
     Silent,
@@ -58,8 +59,12 @@
     let connection = match connect(engine.address, PROBE_TIMEOUT).await {
         Ok(connection) => connection,
         Err(ConnectError::TimedOut) => return Probed::Ended(Evidence::Silent),
-        Err(ConnectError::Refused(_)) => return Probed::Ended(Evidence::Refused),
-        Err(ConnectError::Handshake(_)) => return Probed::Ended(Evidence::Closed),
+        Err(ConnectError::Refused(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+            return Probed::Ended(Evidence::Refused);
+        }
+        Err(ConnectError::Refused(_) | ConnectError::Handshake(_)) => {
+            return Probed::Ended(Evidence::Closed);
+        }
     };
     gateway.metrics.engine_connections.inc();
     tokio::time::sleep(CLOSE_TIMEOUT).await;
--- a/crates/gateway/src/exchange/engine_ends.rs
+++ b/crates/gateway/src/exchange/engine_ends.rs
@@ -157,12 +157,15 @@
         if !failure.may_be_an_end() || !self.may_come_again() {
             return;
         }
-        let run = self.run_that_ended(engine, failure);
         match probe(&self.gateway, engine).await {
-            Probed::Ended(evidence) => self.record_end(engine, run, evidence).await,
+            Probed::Ended(evidence) => {
+                let run = self.run_that_ended(engine, failure, evidence);
+                self.record_end(engine, run, evidence).await;
+            }
             Probed::Accepted(connection) => {
                 // It may have started again faster than anybody could see, so a suspected request goes no further.
                 self.ends.is_unrecorded |= self.ends.count() > 0;
+                let run = EngineRun(engine.key().0);
                 let ledger = self.end_ledger();
                 spawn_watch(&self.gateway, engine, run, ledger, connection);
             }
@@ -171,10 +174,23 @@
 
     /// The run of the engine that the request may have ended. One that ended under an earlier try, and was there again for this one,
     /// had started again meanwhile, whether its entry says so yet or not.
-    fn run_that_ended(&self, engine: &Engine, failure: &AttemptFailure) -> EngineRun {
+    fn run_that_ended(
+        &self,
+        engine: &Engine,
+        failure: &AttemptFailure,
+        evidence: Evidence,
+    ) -> EngineRun {
         let run = EngineRun(engine.key().0);
         let is_known = self.ends.known.runs.contains(&run);
-        if !is_known || !failure.was_there() {
+        // What accepts in its place took the new connection too.
+        let was_there = match failure {
+            AttemptFailure::Truncated => true,
+            AttemptFailure::ConnectionLost { is_reused } => {
+                !is_reused && evidence == Evidence::Refused
+            }
+            _ => false,
+        };
+        if !is_known || !was_there {
             return run;
         }
         let request = self.call.metadata.request_id.as_bytes();
