An engine that refuses now and took the request before was there for it

Cause: the gateway sent on a connection kept since the engine's return, and only new ones proved that it was there; but an engine that ends closes its connections, and closed ones are not used. So a request that was lost on any open connection, at an address that refuses now, counts by the try where the run is known already. The soak's links refuse while their engine is away, as the engine's address does; they accepted, so that hardly an end could be told from what stands in its place.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -32,8 +32,8 @@
     ClosedBeforeSend,
     /// The engine reported that it did not run the request.
     Rejected(StatusCode),
-    /// The connection failed before any response; the engine may have run the request. A reused connection may have failed before.
-    ConnectionLost { is_reused: bool },
+    /// The connection failed; the engine may have run the request.
+    ConnectionLost,
     /// The response does not belong to this request or is malformed; the engine may have run the
     /// request.
     InvalidResponse,
@@ -57,7 +57,7 @@
     pub fn may_be_an_end(&self) -> bool {
         matches!(
             self,
-            Self::ConnectionLost { .. } | Self::Truncated | Self::ResponseTimeout
+            Self::ConnectionLost | Self::Truncated | Self::ResponseTimeout
         )
     }
 
@@ -67,7 +67,7 @@
         match self {
             Self::Excluded(_) | Self::Rejected(_) => None,
             Self::ConnectFailed(_) | Self::ClosedBeforeSend => Some(Outcome::Unreachable),
-            Self::ConnectionLost { .. }
+            Self::ConnectionLost
             | Self::InvalidResponse
             | Self::Truncated
             | Self::ResponseTimeout => Some(Outcome::Failed),
@@ -81,7 +81,7 @@
             Self::ConnectFailed(error) => error.name(),
             Self::ClosedBeforeSend => "unsent",
             Self::Rejected(_) => "rejected",
-            Self::ConnectionLost { .. } => "lost",
+            Self::ConnectionLost => "lost",
             Self::InvalidResponse => "garbled",
             Self::Truncated => "broken_off",
             Self::ResponseTimeout => "silent",
@@ -191,7 +191,7 @@
                 let is_unsent = error.take_message().is_some();
                 if !is_unsent {
                     in_flight.on_sent(outgoing.body.len());
-                    return Err(AttemptFailure::ConnectionLost { is_reused });
+                    return Err(AttemptFailure::ConnectionLost);
                 }
                 if !is_reused {
                     return Err(AttemptFailure::ClosedBeforeSend);
--- a/crates/gateway/src/exchange/engine_ends.rs
+++ b/crates/gateway/src/exchange/engine_ends.rs
@@ -182,12 +182,10 @@
     ) -> EngineRun {
         let run = EngineRun(engine.key().0);
         let is_known = self.ends.known.runs.contains(&run);
-        // What accepts in its place took the new connection too.
+        // What accepts in the place of an engine that is away would have taken this request too.
         let was_there = match failure {
             AttemptFailure::Truncated => true,
-            AttemptFailure::ConnectionLost { is_reused } => {
-                !is_reused && evidence == Evidence::Refused
-            }
+            AttemptFailure::ConnectionLost => evidence == Evidence::Refused,
             _ => false,
         };
         if !is_known || !was_there {
