Ask for the list of members only where no replica set is known

What callers saw: nothing; found by reading. Each call that may be repeated cloned the list of all nodes to learn that there are replicas, which a known replica set says already. At hundreds of nodes that is processor time for each call. No other behaviour changes.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -155,8 +155,11 @@
 
     /// Whether the deployment has replicas, as far as this gateway has heard.
     pub fn has_replicas(&self) -> bool {
+        if self.node.view.replica_sets().is_some() {
+            return true;
+        }
         let mut members = self.node.gossip.members().into_iter();
-        self.node.view.replica_sets().is_some() || members.any(|member| member.info.is_replica)
+        members.any(|member| member.info.is_replica)
     }
 
     /// Whether the platform may send new clients here; the readiness endpoint reports it.
