A request that may have run is not promised otherwise where no replica answers

Cause: the refusal of the record was passed on whatever had happened before. Now what may have run ends as engine_failed there too, by the one function that the other refusals use. Test a_stream_that_may_have_run_is_not_promised_otherwise_where_no_replica_answers: 503 before, 502 after.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -143,6 +143,7 @@
                 () = client.disconnected() => return Ending::ClientDisconnected,
             };
             if let Err(refusal) = recorded {
+                let refusal = self.refusal_after_run().unwrap_or(refusal);
                 return self.give_up(client, refusal).await;
             }
             match self.attempt(&engine, client).await {
--- a/crates/gateway/src/exchange/engine_choice.rs
+++ b/crates/gateway/src/exchange/engine_choice.rs
@@ -421,8 +421,8 @@
         if is_key_valid && self.gateway.keys.is_fresh() {
             return None;
         }
-        if !self.history.may_have_run_on.is_empty() {
-            return Some(Refusal::without_retry(RefusalReason::EngineFailed));
+        if let Some(refusal) = self.refusal_after_run() {
+            return Some(refusal);
         }
         Some(if is_key_valid {
             Refusal::retry_later(
@@ -434,9 +434,15 @@
         })
     }
 
+    /// The refusal of a request that an engine may have run, whatever ends it.
+    pub(super) fn refusal_after_run(&self) -> Option<Refusal> {
+        let may_have_run = !self.history.may_have_run_on.is_empty();
+        may_have_run.then(|| Refusal::without_retry(RefusalReason::EngineFailed))
+    }
+
     pub(super) fn final_refusal(&self, exclusion: Option<Exclusion>) -> Refusal {
-        if !self.history.may_have_run_on.is_empty() {
-            return Refusal::without_retry(RefusalReason::EngineFailed);
+        if let Some(refusal) = self.refusal_after_run() {
+            return refusal;
         }
         if let Some(refusal) = self.drain_refusal() {
             return refusal;
--- a/crates/node/tests/resident_streams.rs
+++ b/crates/node/tests/resident_streams.rs
@@ -8,6 +8,7 @@
 use ridgeworks_platform_stand_ins::client::{Call, Reply, call_post};
 use ridgeworks_platform_stand_ins::deployment::{Deployment, Process, wait_until};
 use ridgeworks_platform_stand_ins::{Answer, EngineStandIn, Script};
+use rustix::process::Signal;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_ridgeworksd");
 const EVENTS: u64 = 8;
@@ -229,3 +230,25 @@
         assert_eq!((rest.status, rest.is_whole), (200, true), "{stream}");
     }
 }
+
+/// An engine may have run it, so it must not be told that it has not run when its next software version cannot be recorded.
+#[test]
+fn a_stream_that_may_have_run_is_not_promised_otherwise_where_no_replica_answers() {
+    let deployment = Deployment::started(PROGRAM, 1, 3);
+    let silent = Script::always(Answer::Silent);
+    let first = deployment.start_engine_of(V1, "models", "i-1", silent);
+    wait_until_known(&deployment.gateways, 1);
+    let gateway = deployment.gateways[0].callers();
+    let sending = std::thread::spawn(move || attempt("s", 1).send(gateway));
+    wait_until("the first engine runs it", || !first.runs().is_empty());
+    let _second = deployment.start_engine_of(V2, "models", "i-2", slow_stream());
+    wait_until_known(&deployment.gateways, 2);
+    for replica in &deployment.replicas {
+        replica.signal(Signal::STOP);
+    }
+    let reply = sending.join().expect("a client");
+    for replica in &deployment.replicas {
+        replica.signal(Signal::CONT);
+    }
+    assert_eq!(reply.expect("an answer").status, 502);
+}
