--- a/crates/gateway/src/exchange/engine_ends.rs
+++ b/crates/gateway/src/exchange/engine_ends.rs
@@ -262,8 +262,14 @@
         let Some(ledger_key) = self.ledger_key().filter(|_| is_suspected) else {
             return;
         };
-        let turn = self.key_of(&ledger_key.turn);
         let records = &self.gateway.records;
+        if records
+            .health
+            .is_lost(records.group_of(Some(&ledger_key.program)))
+        {
+            return;
+        }
+        let turn = self.key_of(&ledger_key.turn);
         let entry = self.settled_entry();
         let (program, deadline) = (&ledger_key.program, self.records_deadline());
         // Settled again by the queue, also if this fails.
