--- a/crates/gateway/src/exchange/engine_ends.rs
+++ b/crates/gateway/src/exchange/engine_ends.rs
@@ -204,7 +204,14 @@
         let engine = engine.clone();
         let ledger = self.end_ledger();
         tokio::task::spawn_local(async move {
-            if let Probed::Ended(evidence) = probe(&gateway, &engine).await {
+            let evidence = match probe(&gateway, &engine).await {
+                Probed::Ended(evidence) => Some(evidence),
+                // It may have ended long ago, and be there again.
+                Probed::Accepted(connection) => {
+                    find_late_evidence(&gateway, &engine, connection).await
+                }
+            };
+            if let Some(evidence) = evidence {
                 let run = EngineRun(engine.key().0);
                 record_end(&gateway, &engine, run, &ledger, evidence).await;
             }
