Calls are served while no majority answers, as before, where no engine ended lately

Calls whose ends cannot be looked up are served again, but by gateways that saw an engine end within ten seconds.

--- a/crates/gateway/src/exchange/engine_ends.rs
+++ b/crates/gateway/src/exchange/engine_ends.rs
@@ -27,6 +27,8 @@
 const MIN_ENDS_OF_SUSPECTS: usize = 2;
 /// How long an end is held against a request. A client's tries are over well before.
 pub const END_LIFETIME: Duration = Duration::from_secs(120);
+/// How long after an engine's end requests whose ends cannot be looked up are refused.
+const CAUTIOUS_FOR: Duration = Duration::from_secs(10);
 /// A client that leaves, or a deadline, after a shorter silence of the engine says nothing about the engine.
 const MIN_SILENCE: Duration = Duration::from_millis(500);
 /// Prefix of the ledgers of requests that belong to no program. No HTTP header can carry it, and that of streams is shorter.
@@ -83,8 +85,8 @@
         ledger.engine_ends(self.call.digest, &self.call.turn(), since_s)
     }
 
-    /// Looks up the ends under earlier tries of a request that reserves nothing. Like a turn it is refused where the replicas do not
-    /// answer: it may be one that ends engines.
+    /// Looks up the ends under earlier tries of a request that reserves nothing. Where the replicas do not answer, it is refused
+    /// only if this gateway saw an engine end lately: it may be the one that ends them.
     pub(super) async fn look_up_ends(&self) -> Result<EngineEnds, Refusal> {
         let needs_none = self.ledger_key().is_some() || !self.may_come_again();
         if needs_none || !self.gateway.has_replicas() {
@@ -93,18 +95,31 @@
         let records = &self.gateway.records;
         let ledger = self.end_ledger();
         let group = records.group_of(Some(&ledger.program));
-        let unavailable = |after| Refusal::retry_later(RefusalReason::LedgerUnavailable, after);
         if records.health.is_lost(group) {
-            return Err(unavailable(records.retry_after(group)));
+            return self.ends_unknown(records.retry_after(group));
         }
         let turn = TurnId::of_lookup();
         let retention = self.call.route.retention();
         let deadline = self.records_deadline();
         let reading = records.reserve(&ledger.program, &turn, MARK_ENTRY, retention, deadline);
-        let read = reading.await;
-        let read =
-            read.map_err(|failure| unavailable(records.retry_after_failure(group, failure)))?;
-        Ok(self.ends_in(&read))
+        match reading.await {
+            Ok(read) => Ok(self.ends_in(&read)),
+            Err(failure) => self.ends_unknown(records.retry_after_failure(group, failure)),
+        }
+    }
+
+    fn ends_unknown(&self, retry_after: Duration) -> Result<EngineEnds, Refusal> {
+        let now = self.gateway.now();
+        if self
+            .gateway
+            .engine_ends
+            .borrow()
+            .saw_end_within(CAUTIOUS_FOR, now)
+        {
+            let reason = RefusalReason::LedgerUnavailable;
+            return Err(Refusal::retry_later(reason, retry_after));
+        }
+        Ok(EngineEnds::default())
     }
 
     /// Takes in what was found, beside what this gateway itself saw. Refuses the request if it may be sent to no engine any more.
--- a/crates/gateway/src/seen_ends.rs
+++ b/crates/gateway/src/seen_ends.rs
@@ -23,6 +23,7 @@
 #[derive(Debug)]
 pub struct SeenEnds {
     lifetime: Duration,
+    last_end: Option<Duration>,
     requests: HashMap<RequestDigest, (Duration, SeenRequest)>,
     /// Digests with the times at which they were written, oldest first; some have been written again since.
     order: VecDeque<(Duration, RequestDigest)>,
@@ -33,6 +34,7 @@
     pub fn new(lifetime: Duration) -> Self {
         Self {
             lifetime,
+            last_end: None,
             requests: HashMap::new(),
             order: VecDeque::new(),
         }
@@ -40,11 +42,18 @@
 
     /// Adds an end; returns how many were seen.
     pub fn on_end(&mut self, digest: RequestDigest, run: EngineRun, now: Duration) -> usize {
+        self.last_end = Some(now);
         let seen = self.touch(digest, now);
         seen.runs.insert(run);
         seen.runs.len()
     }
 
+    /// Whether an engine ended under any request within this time.
+    pub fn saw_end_within(&self, time: Duration, now: Duration) -> bool {
+        let last = self.last_end;
+        last.is_some_and(|last| now.saturating_sub(last) < time)
+    }
+
     /// Records that an engine served the request.
     pub fn on_served(&mut self, digest: RequestDigest, now: Duration) {
         self.touch(digest, now).was_served = true;
--- a/crates/gateway/tests/seen_ends.rs
+++ b/crates/gateway/tests/seen_ends.rs
@@ -12,7 +12,10 @@
 fn a_request_is_remembered_for_its_lifetime_after_its_last_end() {
     let mut seen = SeenEnds::new(LIFETIME);
     let digest = RequestDigest(1);
+    assert!(!seen.saw_end_within(LIFETIME, SECOND));
     assert_eq!(seen.on_end(digest, EngineRun(1), Duration::ZERO), 1);
+    assert!(seen.saw_end_within(2 * SECOND, SECOND));
+    assert!(!seen.saw_end_within(SECOND, SECOND));
     assert_eq!(seen.on_end(digest, EngineRun(1), SECOND), 1);
     assert_eq!(seen.on_end(digest, EngineRun(2), 2 * SECOND), 2);
     let found = seen.find(digest, LIFETIME + SECOND).expect("remembered");
