--- a/review/stand-ins/src/node.rs
+++ b/review/stand-ins/src/node.rs
@@ -148,10 +148,7 @@
         let store = Store::start(network.ip(250));
         let store = store.unwrap_or_else(|error| cannot_run(&format!("store: {error}")));
         let name = format!("ridgeworks-review-{}-{}-{}", std::process::id(), network.one, network.two);
-        // In memory where there is such a folder, so that a slow disk of the machine disturbs no replica.
-        let shared = Path::new("/dev/shm");
-        let parent = if shared.is_dir() { shared.to_path_buf() } else { std::env::temp_dir() };
-        let folder = parent.join(name);
+        let folder = std::env::temp_dir().join(name);
         if let Err(error) = std::fs::create_dir_all(&folder) {
             cannot_run(&format!("folder: {error}"));
         }
