--- a/review/stand-ins/src/bin/late_rejection.rs
+++ b/review/stand-ins/src/bin/late_rejection.rs
@@ -21,7 +21,7 @@
 const WORK: Duration = Duration::from_millis(39);
 /// Share of the answers with one too many: 3 in 100.
 const EXTRA_EVERY: u64 = 34;
-const CLIENTS: usize = 30;
+const CLIENTS: usize = 48;
 const DISRUPTION: Duration = Duration::from_secs(5);
 const DEADLINE_MS: u64 = 2_000;
 
