--- a/review/stand-ins/src/node.rs
+++ b/review/stand-ins/src/node.rs
@@ -23,6 +23,7 @@
     pub readiness: SocketAddr,
     settings: PathBuf,
     log: PathBuf,
+    data: Option<PathBuf>,
     child: Option<Child>,
 }
 
@@ -50,6 +51,13 @@
         }
     }
 
+    /// Removes the node's disk, while it does not run.
+    pub fn wipe(&self) {
+        if let Some(data) = &self.data {
+            let _ = std::fs::remove_dir_all(data);
+        }
+    }
+
     /// Sends a signal to the process with the shell's `kill`.
     pub fn signal(&self, signal: &str) {
         if let Some(child) = &self.child {
@@ -191,10 +199,9 @@
             "gateway" => format!("callers = \"{callers}\"\nreadiness = \"{readiness}\"\n"),
             _ => String::new(),
         };
-        let data = match role {
-            "replica" => format!("data_folder = \"{}\"\n", self.folder.join(format!("{name}-data")).display()),
-            _ => String::new(),
-        };
+        let data_folder = (role == "replica").then(|| self.folder.join(format!("{name}-data")));
+        let data = data_folder.as_ref().map(|folder| format!("data_folder = \"{}\"\n", folder.display()));
+        let data = data.unwrap_or_default();
         let (memory, descriptors, disk) = if role == "gateway" { (220, 4_100, 0) } else { (220, 8_200, 260) };
         // As deploy/node.toml.template is filled on the site kcp-ridge, with free ports.
         let zones = ZONES.map(|zone| format!("\"{zone}\" = \"windhoek\"\n")).concat();
@@ -211,6 +218,7 @@
         }
         Node {
             log: self.folder.join(format!("{name}.log")),
+            data: data_folder,
             name,
             callers,
             readiness,
@@ -232,6 +240,14 @@
         false
     }
 
+    /// Epoch of the replica set; `None` before there is one.
+    pub fn set_epoch(&self) -> Option<u64> {
+        let object = self.store.object("ridgeworks-replica-sets", "main")?;
+        let spec = object.get("spec");
+        let set = spec.get("sets").items().first().unwrap_or(spec);
+        set.get("epoch").as_u64()
+    }
+
     /// Names of the nodes of the replica set's voters; empty while the set is changing.
     pub fn voters(&self) -> Vec<String> {
         let Some(object) = self.store.object("ridgeworks-replica-sets", "main") else {
--- a/review/stand-ins/src/store.rs
+++ b/review/stand-ins/src/store.rs
@@ -12,6 +12,8 @@
 
 /// "4 ms an answer", and 1.4 ms each way between zones.
 const ANSWER_TIME: Duration = Duration::from_micros(6_800);
+/// The way that a new connection takes besides.
+const HANDSHAKE_TIME: Duration = Duration::from_micros(2_800);
 
 #[derive(Debug, Clone)]
 struct Object {
@@ -163,8 +165,9 @@
         return;
     };
     let mut reader = BufReader::new(stream);
+    let mut handshake = HANDSHAKE_TIME;
     while let Ok(Some(request)) = read_request(&mut reader) {
-        std::thread::sleep(ANSWER_TIME);
+        std::thread::sleep(ANSWER_TIME + std::mem::take(&mut handshake));
         let (status, body) = answer(&request, shared);
         let body = body.to_string();
         let head = format!(
