--- a/review/stand-ins/src/bin/chain_retention.rs
+++ b/review/stand-ins/src/bin/chain_retention.rs
@@ -36,9 +36,18 @@
     };
     let mut reader = BufReader::new(stream);
     while let Ok(Some(request)) = read_request(&mut reader) {
-        let turn = request.header("ridgeworks-request-id").unwrap_or_default().to_owned();
-        record.line(&format!("engine {id} runs {turn}, body of {} bytes", request.body.len()));
-        lock(runs).insert(turn.clone(), String::from_utf8_lossy(&request.body).into_owned());
+        let turn = request
+            .header("ridgeworks-request-id")
+            .unwrap_or_default()
+            .to_owned();
+        record.line(&format!(
+            "engine {id} runs {turn}, body of {} bytes",
+            request.body.len()
+        ));
+        lock(runs).insert(
+            turn.clone(),
+            String::from_utf8_lossy(&request.body).into_owned(),
+        );
         let mut text = format!(
             "HTTP/1.1 200 OK\r\nRidgeworks-Request-Id: {turn}\r\nRidgeworks-Server-Seal: seal-{turn}\r\n\
              Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -58,7 +67,12 @@
     }
 }
 
-fn start_engine(deployment: &Deployment, id: &'static str, record: &Arc<Record>, runs: &Runs) -> Option<SocketAddr> {
+fn start_engine(
+    deployment: &Deployment,
+    id: &'static str,
+    record: &Arc<Record>,
+    runs: &Runs,
+) -> Option<SocketAddr> {
     let listener = TcpListener::bind((deployment.network.ip(251), 0)).ok()?;
     let address = listener.local_addr().ok()?;
     let (record, runs) = (Arc::clone(record), Arc::clone(runs));
@@ -94,16 +108,22 @@
             call = call.header("Ridgeworks-Previous-Turn", previous);
         }
         let answer = call.send(self.gateways[gateway]);
-        let (status, is_whole) = answer.map_or((0, false), |answer| (answer.status, answer.is_whole));
+        let (status, is_whole) =
+            answer.map_or((0, false), |answer| (answer.status, answer.is_whole));
         let end = if is_whole { "whole" } else { "not whole" };
         let after = previous.unwrap_or("nothing");
-        self.record.line(&format!("client: turn {id} of {program} after {after}, gateway {}: {status}, {end}", gateway + 1));
+        self.record.line(&format!(
+            "client: turn {id} of {program} after {after}, gateway {}: {status}, {end}",
+            gateway + 1
+        ));
         (status, is_whole)
     }
 }
 
 fn main() -> ExitCode {
-    let record = Arc::new(Record::create(&std::env::var("RECORD").unwrap_or_else(|_| "review/2/record.txt".to_owned())));
+    let record = Arc::new(Record::create(
+        &std::env::var("RECORD").unwrap_or_else(|_| "review/2/record.txt".to_owned()),
+    ));
     let runs: Runs = Arc::default();
     let mut deployment = Deployment::new();
     let talk = route("talk", "/talk/", "streaming", "seat-agents", 2, DEADLINE_MS);
@@ -124,15 +144,24 @@
     }
     record.note("deployment is ready");
     std::thread::sleep(Duration::from_millis(500));
-    let gateways = deployment.gateways.iter().map(|gateway| gateway.callers).collect();
-    let mut client = Client { gateways, record: Arc::clone(&record), sent: 0 };
+    let gateways = deployment
+        .gateways
+        .iter()
+        .map(|gateway| gateway.callers)
+        .collect();
+    let mut client = Client {
+        gateways,
+        record: Arc::clone(&record),
+        sent: 0,
+    };
 
     let mut previous: Option<String> = None;
     let mut first_ended = record.seconds();
     for number in 1..=TURNS {
         let began = Instant::now();
         // A turn that fails is sent again under another id after a pause.
-        let tries = ["", "-again", "-again2", "-again3"].map(|again| format!("turn-{number:02}{again}"));
+        let tries =
+            ["", "-again", "-again2", "-again3"].map(|again| format!("turn-{number:02}{again}"));
         let answered = tries.into_iter().find(|id| {
             let is_whole = client.turn("program-a", id, previous.as_deref()) == (200, true);
             if !is_whole {
@@ -155,9 +184,15 @@
     let last_ended = Instant::now();
     let last_at = record.seconds();
     let last = previous.unwrap_or_default();
-    record.note(&format!("program is stopped: its first turn was answered {:.1} s before its last, {last}", last_at - first_ended));
+    record.note(&format!(
+        "program is stopped: its first turn was answered {:.1} s before its last, {last}",
+        last_at - first_ended
+    ));
     std::thread::sleep(if has_trouble() { STOPPED } else { SOON });
-    record.note(&format!("program comes back {:.1} s after {last} was answered whole", last_ended.elapsed().as_secs_f64()));
+    record.note(&format!(
+        "program comes back {:.1} s after {last} was answered whole",
+        last_ended.elapsed().as_secs_f64()
+    ));
 
     // Each try of the turn, and beside it a first turn of another program.
     let (mut tries, mut reached, mut answers) = (0, 0, Vec::new());
--- a/review/stand-ins/src/bin/late_rejection.rs
+++ b/review/stand-ins/src/bin/late_rejection.rs
@@ -57,7 +57,10 @@
             std::thread::sleep(Duration::from_millis(1));
         }
         self.record.line(&format!("engine {} runs {id}", self.id));
-        lock(&self.runs).entry(id.to_owned()).or_default().push(self.id.clone());
+        lock(&self.runs)
+            .entry(id.to_owned())
+            .or_default()
+            .push(self.id.clone());
         std::thread::sleep(WORK);
         *lock(&self.slots) -= 1;
         *lock(&self.open) -= 1;
@@ -67,15 +70,24 @@
         let id = request.header("ridgeworks-request-id").unwrap_or_default();
         let expected = request.header("ridgeworks-expect-instance");
         if expected.is_some_and(|expected| expected != self.id) {
-            return Some(format!("HTTP/1.1 421 Misdirected Request\r\nRidgeworks-Request-Id: {id}\r\nRidgeworks-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n", self.id));
+            return Some(format!(
+                "HTTP/1.1 421 Misdirected Request\r\nRidgeworks-Request-Id: {id}\r\nRidgeworks-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                self.id
+            ));
         }
         if !self.admit() {
-            self.record.line(&format!("engine {} is full, rejects {id}", self.id));
-            return Some(format!("HTTP/1.1 503 Service Unavailable\r\nRidgeworks-Request-Id: {id}\r\nRidgeworks-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"));
+            self.record
+                .line(&format!("engine {} is full, rejects {id}", self.id));
+            return Some(format!(
+                "HTTP/1.1 503 Service Unavailable\r\nRidgeworks-Request-Id: {id}\r\nRidgeworks-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            ));
         }
         self.run(id);
         let body = format!("done {id}");
-        Some(format!("HTTP/1.1 200 OK\r\nRidgeworks-Request-Id: {id}\r\nRidgeworks-Server-Seal: seal-{id}\r\nContent-Length: {}\r\n\r\n{body}", body.len()))
+        Some(format!(
+            "HTTP/1.1 200 OK\r\nRidgeworks-Request-Id: {id}\r\nRidgeworks-Server-Seal: seal-{id}\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        ))
     }
 }
 
@@ -90,7 +102,10 @@
         if let Some(copy) = late.take() {
             let id = request.header("ridgeworks-request-id").unwrap_or_default();
             let first = copy.lines().take(2).collect::<Vec<_>>().join(" / ");
-            engine.record.line(&format!("engine {} sends one answer too many where that of {id} is due: {first}", engine.id));
+            engine.record.line(&format!(
+                "engine {} sends one answer too many where that of {id} is due: {first}",
+                engine.id
+            ));
             if writer.write_all(copy.as_bytes()).is_err() {
                 return;
             }
@@ -109,7 +124,12 @@
     }
 }
 
-fn start_engine(deployment: &Deployment, id: &str, record: &Arc<Record>, runs: &Arc<Mutex<BTreeMap<String, Vec<String>>>>) -> Option<Arc<Engine>> {
+fn start_engine(
+    deployment: &Deployment,
+    id: &str,
+    record: &Arc<Record>,
+    runs: &Arc<Mutex<BTreeMap<String, Vec<String>>>>,
+) -> Option<Arc<Engine>> {
     let listener = TcpListener::bind((deployment.network.ip(251), 0)).ok()?;
     let engine = Arc::new(Engine {
         id: id.to_owned(),
@@ -133,41 +153,79 @@
 }
 
 /// One client: sends requests that may run once, and retries only after a promise, with another id, as the pages say.
-fn client(number: usize, gateways: Vec<SocketAddr>, until: Instant, record: Arc<Record>, answers: Arc<Mutex<BTreeMap<String, u16>>>) {
+fn client(
+    number: usize,
+    gateways: Vec<SocketAddr>,
+    until: Instant,
+    record: Arc<Record>,
+    answers: Arc<Mutex<BTreeMap<String, u16>>>,
+) {
     let mut count = 0;
     while Instant::now() < until {
         for attempt in 0..2_usize {
             count += 1;
             let id = format!("c{number:02}-{count:04}");
-            let call = Call::new("POST", "/once/change", &id, DEADLINE_MS).header("Ridgeworks-Affinity-Key", &number.to_string());
+            let call = Call::new("POST", "/once/change", &id, DEADLINE_MS)
+                .header("Ridgeworks-Affinity-Key", &number.to_string());
             record.line(&format!("client sends {id}"));
-            let answer = call.body("a change").send(gateways[(number + attempt) % gateways.len()]);
+            let answer = call
+                .body("a change")
+                .send(gateways[(number + attempt) % gateways.len()]);
             let status = answer.as_ref().map_or(0, |answer| answer.status);
             record.line(&format!("client gets {status} for {id}"));
             lock(&answers).insert(id, status);
             if status != 503 {
                 break;
             }
-            let after = answer.and_then(|answer| answer.header("retry-after").and_then(|after| after.parse::<f64>().ok()));
-            std::thread::sleep(Duration::from_secs_f64(after.unwrap_or(0.1).clamp(0.0, 0.6)));
+            let after = answer.and_then(|answer| {
+                answer
+                    .header("retry-after")
+                    .and_then(|after| after.parse::<f64>().ok())
+            });
+            std::thread::sleep(Duration::from_secs_f64(
+                after.unwrap_or(0.1).clamp(0.0, 0.6),
+            ));
         }
         std::thread::sleep(Duration::from_millis(10));
     }
 }
 
 fn main() -> ExitCode {
-    let record = Arc::new(Record::create(&std::env::var("RECORD").unwrap_or_else(|_| "review/1/record.txt".to_owned())));
+    let record = Arc::new(Record::create(
+        &std::env::var("RECORD").unwrap_or_else(|_| "review/1/record.txt".to_owned()),
+    ));
     let runs = Arc::new(Mutex::new(BTreeMap::new()));
     let answers = Arc::new(Mutex::new(BTreeMap::new()));
     let mut deployment = Deployment::new();
-    deployment.configure(3, vec![route("once", "/once/", "non_idempotent", "creche-files", 1, DEADLINE_MS)], vec![plain_service("creche-files")]);
-    let engines: Vec<_> = ["i-engine-1", "i-engine-2"].iter().filter_map(|id| start_engine(&deployment, id, &record, &runs)).collect();
+    deployment.configure(
+        3,
+        vec![route(
+            "once",
+            "/once/",
+            "non_idempotent",
+            "creche-files",
+            1,
+            DEADLINE_MS,
+        )],
+        vec![plain_service("creche-files")],
+    );
+    let engines: Vec<_> = ["i-engine-1", "i-engine-2"]
+        .iter()
+        .filter_map(|id| start_engine(&deployment, id, &record, &runs))
+        .collect();
     if engines.len() < 2 {
         eprintln!("the case could not run: no free port");
         return ExitCode::from(2);
     }
     for engine in &engines {
-        deployment.list_engine(&engine.id, "creche-files", engine.address, SLOTS as u64, "ready", 1);
+        deployment.list_engine(
+            &engine.id,
+            "creche-files",
+            engine.address,
+            SLOTS as u64,
+            "ready",
+            1,
+        );
     }
     deployment.start_nodes(2, 3);
     if !deployment.wait_until_ready(3) {
@@ -176,18 +234,29 @@
     }
     record.note("deployment is ready");
     std::thread::sleep(Duration::from_secs(4));
-    let gateways: Vec<SocketAddr> = deployment.gateways.iter().map(|gateway| gateway.callers).collect();
+    let gateways: Vec<SocketAddr> = deployment
+        .gateways
+        .iter()
+        .map(|gateway| gateway.callers)
+        .collect();
     let until = Instant::now() + Duration::from_secs(9);
     let clients: Vec<_> = (0..CLIENTS)
         .map(|number| {
-            let (gateways, record, answers) = (gateways.clone(), Arc::clone(&record), Arc::clone(&answers));
+            let (gateways, record, answers) =
+                (gateways.clone(), Arc::clone(&record), Arc::clone(&answers));
             std::thread::spawn(move || client(number, gateways, until, record, answers))
         })
         .collect();
     std::thread::sleep(Duration::from_secs(2));
     let before = engines[0].answers.load(Ordering::SeqCst);
-    record.note(if has_trouble() { "disruption begins" } else { "no disruption" });
-    engines[0].is_disrupted.store(has_trouble(), Ordering::SeqCst);
+    record.note(if has_trouble() {
+        "disruption begins"
+    } else {
+        "no disruption"
+    });
+    engines[0]
+        .is_disrupted
+        .store(has_trouble(), Ordering::SeqCst);
     std::thread::sleep(DISRUPTION);
     engines[0].is_disrupted.store(false, Ordering::SeqCst);
     let during = engines[0].answers.load(Ordering::SeqCst) - before;
@@ -199,14 +268,27 @@
     drop(deployment);
     let runs = lock(&runs);
     let answers = lock(&answers);
-    let twice: Vec<_> = runs.iter().filter(|(_, engines)| engines.len() > 1).collect();
+    let twice: Vec<_> = runs
+        .iter()
+        .filter(|(_, engines)| engines.len() > 1)
+        .collect();
     for (id, engines) in &twice {
-        record.note(&format!("TWICE: {id} ran at {} (client got {})", engines.join(" and "), answers.get(*id).copied().unwrap_or(0)));
+        record.note(&format!(
+            "TWICE: {id} ran at {} (client got {})",
+            engines.join(" and "),
+            answers.get(*id).copied().unwrap_or(0)
+        ));
     }
     let promised = |status: u16| matches!(status, 408 | 421 | 429 | 503);
-    let refused: Vec<_> = answers.iter().filter(|(id, status)| promised(**status) && runs.contains_key(*id)).collect();
+    let refused: Vec<_> = answers
+        .iter()
+        .filter(|(id, status)| promised(**status) && runs.contains_key(*id))
+        .collect();
     for (id, status) in &refused {
-        record.note(&format!("REFUSED: {id} got {status}, yet ran at {}", runs[*id].join(" and ")));
+        record.note(&format!(
+            "REFUSED: {id} got {status}, yet ran at {}",
+            runs[*id].join(" and ")
+        ));
     }
     let extras = engines[0].extras.load(Ordering::SeqCst);
     record.note(&format!(
@@ -222,5 +304,9 @@
         eprintln!("the case could not run: too few requests were served");
         return ExitCode::from(2);
     }
-    if twice.is_empty() && refused.is_empty() { ExitCode::SUCCESS } else { ExitCode::from(1) }
+    if twice.is_empty() && refused.is_empty() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(1)
+    }
 }
--- a/review/stand-ins/src/bin/ledger_overwritten.rs
+++ b/review/stand-ins/src/bin/ledger_overwritten.rs
@@ -37,7 +37,10 @@
     while let Ok(Some(request)) = read_request(&mut reader) {
         let turn = request.header("ridgeworks-request-id").unwrap_or_default();
         let count = request.header("ridgeworks-token-count").unwrap_or("0,0");
-        let most: u64 = count.split_once(',').and_then(|(_, most)| most.parse().ok()).unwrap_or(0);
+        let most: u64 = count
+            .split_once(',')
+            .and_then(|(_, most)| most.parse().ok())
+            .unwrap_or(0);
         let mut text = format!(
             "HTTP/1.1 200 OK\r\nRidgeworks-Request-Id: {turn}\r\nRidgeworks-Server-Seal: seal-{turn}\r\n\
              Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -55,7 +58,14 @@
 
 fn start_engine(deployment: &Deployment, id: &str) -> Option<()> {
     let listener = TcpListener::bind((deployment.network.ip(251), 0)).ok()?;
-    deployment.list_engine(id, "seat-agents", listener.local_addr().ok()?, 16, "ready", 1);
+    deployment.list_engine(
+        id,
+        "seat-agents",
+        listener.local_addr().ok()?,
+        16,
+        "ready",
+        1,
+    );
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             std::thread::spawn(move || serve(stream));
@@ -78,7 +88,10 @@
         let number = self.sent.fetch_add(1, Ordering::SeqCst);
         let id = format!("r{number:06}");
         let call = Call::new("POST", "/chat/turn", &id, DEADLINE_MS)
-            .header("Ridgeworks-Program-Id", &format!("program-{:08x}", (program as u32).wrapping_mul(0x9e37_79b9)))
+            .header(
+                "Ridgeworks-Program-Id",
+                &format!("program-{:08x}", (program as u32).wrapping_mul(0x9e37_79b9)),
+            )
             .header("Ridgeworks-Session-Id", &format!("session-{program}"))
             .header("Ridgeworks-Finish-Ms", "60000")
             .header("Ridgeworks-Token-Budget", &BUDGET.to_string())
@@ -88,9 +101,14 @@
         let answer = call.send(self.gateways[number % self.gateways.len()]);
         let status = answer.as_ref().map_or(0, |answer| answer.status);
         let body = answer.map(|answer| answer.body).unwrap_or_default();
-        let events = String::from_utf8_lossy(&body).lines().filter(|line| line.starts_with("data: ")).count() as u64;
+        let events = String::from_utf8_lossy(&body)
+            .lines()
+            .filter(|line| line.starts_with("data: "))
+            .count() as u64;
         *lock(&self.tokens).entry(program).or_default() += events * EVENT_TOKENS;
-        self.record.line(&format!("client: {id} of program {program}, at most {most} tokens: {status}, {events} events"));
+        self.record.line(&format!(
+            "client: {id} of program {program}, at most {most} tokens: {status}, {events} events"
+        ));
         status
     }
 
@@ -106,12 +124,17 @@
     }
 
     /// Runs a task for each program, a few at a time.
-    fn for_each(self: &Arc<Self>, programs: Vec<usize>, task: impl Fn(&Self, usize) + Send + Sync + 'static) {
+    fn for_each(
+        self: &Arc<Self>,
+        programs: Vec<usize>,
+        task: impl Fn(&Self, usize) + Send + Sync + 'static,
+    ) {
         let queue = Arc::new(Mutex::new(programs));
         let task = Arc::new(task);
         let threads: Vec<_> = (0..THREADS)
             .map(|_| {
-                let (clients, queue, task) = (Arc::clone(self), Arc::clone(&queue), Arc::clone(&task));
+                let (clients, queue, task) =
+                    (Arc::clone(self), Arc::clone(&queue), Arc::clone(&task));
                 std::thread::spawn(move || {
                     loop {
                         let next = lock(&queue).pop();
@@ -130,7 +153,9 @@
 }
 
 fn spenders() -> Vec<usize> {
-    (0..PROGRAMS).filter(|program| program % SPENDER_EVERY == 0).collect()
+    (0..PROGRAMS)
+        .filter(|program| program % SPENDER_EVERY == 0)
+        .collect()
 }
 
 fn set_of(object: &Json) -> Json {
@@ -144,21 +169,43 @@
 }
 
 /// The disruption. Returns why it could not be carried out.
-fn disrupt(deployment: &mut Deployment, clients: &Arc<Clients>, record: &Record) -> Result<(), &'static str> {
+fn disrupt(
+    deployment: &mut Deployment,
+    clients: &Arc<Clients>,
+    record: &Record,
+) -> Result<(), &'static str> {
     // replica-1 is down; programs go on with the other two.
     deployment.replicas[0].kill();
     let killed_at = Instant::now();
     record.note("replica-1 is killed");
     spend(clients);
-    record.note(&format!("budgets are spent, {:.2} s later", killed_at.elapsed().as_secs_f64()));
+    record.note(&format!(
+        "budgets are spent, {:.2} s later",
+        killed_at.elapsed().as_secs_f64()
+    ));
     std::thread::sleep(Duration::from_millis(500));
-    deployment.store.put("retirements", "replica-3", Json::table([("duration_s", Json::number(8))]));
-    record.note(&format!("the operator asks for replica-3 to be emptied, {:.2} s later", killed_at.elapsed().as_secs_f64()));
+    deployment.store.put(
+        "retirements",
+        "replica-3",
+        Json::table([("duration_s", Json::number(8))]),
+    );
+    record.note(&format!(
+        "the operator asks for replica-3 to be emptied, {:.2} s later",
+        killed_at.elapsed().as_secs_f64()
+    ));
     let is_changing = |object: &Json| !set_of(object).get("incoming").is_null();
-    if !deployment.store.wait_for("ridgeworks-replica-sets", "main", Duration::from_secs(10), is_changing) {
+    if !deployment.store.wait_for(
+        "ridgeworks-replica-sets",
+        "main",
+        Duration::from_secs(10),
+        is_changing,
+    ) {
         return Err("the replica set did not begin to change");
     }
-    record.note(&format!("the replica set is changing, {:.2} s later", killed_at.elapsed().as_secs_f64()));
+    record.note(&format!(
+        "the replica set is changing, {:.2} s later",
+        killed_at.elapsed().as_secs_f64()
+    ));
     // The change waits for replica-1. Meanwhile the other two are killed at the same moment and return within a second.
     std::thread::sleep(Duration::from_millis(600));
     deployment.replicas[1].kill();
@@ -166,18 +213,36 @@
     let all_killed_at = Instant::now();
     record.note("replica-2 and replica-3 are killed");
     deployment.replicas[0].start();
-    record.note(&format!("replica-1 starts, {:.2} s after it was killed", killed_at.elapsed().as_secs_f64()));
+    record.note(&format!(
+        "replica-1 starts, {:.2} s after it was killed",
+        killed_at.elapsed().as_secs_f64()
+    ));
     std::thread::sleep(Duration::from_millis(380));
     deployment.replicas[1].start();
-    record.note(&format!("replica-2 starts, {:.2} s after it was killed", all_killed_at.elapsed().as_secs_f64()));
+    record.note(&format!(
+        "replica-2 starts, {:.2} s after it was killed",
+        all_killed_at.elapsed().as_secs_f64()
+    ));
     std::thread::sleep(Duration::from_millis(540));
     deployment.replicas[2].start();
-    record.note(&format!("replica-3 starts, {:.2} s after it was killed", all_killed_at.elapsed().as_secs_f64()));
-    let is_emptied = |object: &Json| object.get("status").get("state").as_text() == Some("succeeded");
-    if !deployment.store.wait_for("retirements", "replica-3", Duration::from_secs(25), is_emptied) {
+    record.note(&format!(
+        "replica-3 starts, {:.2} s after it was killed",
+        all_killed_at.elapsed().as_secs_f64()
+    ));
+    let is_emptied =
+        |object: &Json| object.get("status").get("state").as_text() == Some("succeeded");
+    if !deployment.store.wait_for(
+        "retirements",
+        "replica-3",
+        Duration::from_secs(25),
+        is_emptied,
+    ) {
         return Err("the retirement did not succeed");
     }
-    record.note(&format!("replica-3 is emptied and removed, {:.2} s after the kill", all_killed_at.elapsed().as_secs_f64()));
+    record.note(&format!(
+        "replica-3 is emptied and removed, {:.2} s after the kill",
+        all_killed_at.elapsed().as_secs_f64()
+    ));
     deployment.replicas[2].kill();
     deployment.store.remove("retirements", "replica-3");
     Ok(())
@@ -199,8 +264,16 @@
     let mut deployment = Deployment::new();
     // "`seeds` ... these may be down or stale."
     deployment.seed = STALE_SEED;
-    let chat = with(route("chat", "/chat/", "streaming", "seat-agents", 1, DEADLINE_MS), "resumable", Json::Bool(true));
-    deployment.configure(3, vec![chat], vec![model_service("seat-agents", EVENT_TOKENS)]);
+    let chat = with(
+        route("chat", "/chat/", "streaming", "seat-agents", 1, DEADLINE_MS),
+        "resumable",
+        Json::Bool(true),
+    );
+    deployment.configure(
+        3,
+        vec![chat],
+        vec![model_service("seat-agents", EVENT_TOKENS)],
+    );
     for id in ["i-engine-1", "i-engine-2"] {
         if start_engine(&deployment, id).is_none() {
             return cannot_run("no free port");
@@ -212,7 +285,11 @@
     }
     record.note("deployment is ready");
     let clients = Arc::new(Clients {
-        gateways: deployment.gateways.iter().map(|gateway| gateway.callers).collect(),
+        gateways: deployment
+            .gateways
+            .iter()
+            .map(|gateway| gateway.callers)
+            .collect(),
         record: Arc::clone(&record),
         sent: AtomicUsize::new(0),
         tokens: Mutex::default(),
@@ -231,7 +308,11 @@
         spend(&clients);
     }
     let until = Instant::now() + Duration::from_secs(20);
-    while !deployment.gateways.iter().all(|gateway| is_ready(gateway.readiness)) {
+    while !deployment
+        .gateways
+        .iter()
+        .all(|gateway| is_ready(gateway.readiness))
+    {
         if Instant::now() > until {
             return cannot_run("the gateways did not get ready again");
         }
@@ -239,8 +320,15 @@
     }
     std::thread::sleep(Duration::from_secs(1));
     let before: BTreeMap<usize, u64> = lock(&clients.tokens).clone();
-    let spent = before.values().filter(|tokens| **tokens == SMALL_TURN + 2 * LARGE_TURN).count();
-    record.note(&format!("{spent} of {} programs have been handed {} tokens, of a budget of {BUDGET}", spenders().len(), SMALL_TURN + 2 * LARGE_TURN));
+    let spent = before
+        .values()
+        .filter(|tokens| **tokens == SMALL_TURN + 2 * LARGE_TURN)
+        .count();
+    record.note(&format!(
+        "{spent} of {} programs have been handed {} tokens, of a budget of {BUDGET}",
+        spenders().len(),
+        SMALL_TURN + 2 * LARGE_TURN
+    ));
     let denied = Arc::new(AtomicUsize::new(0));
     let counted = Arc::clone(&denied);
     let limit = Instant::now() + Duration::from_secs(10);
@@ -255,13 +343,26 @@
     });
     drop(deployment);
     let tokens = lock(&clients.tokens);
-    let over: Vec<_> = tokens.iter().filter(|(_, tokens)| **tokens > BUDGET + LARGE_TURN).collect();
+    let over: Vec<_> = tokens
+        .iter()
+        .filter(|(_, tokens)| **tokens > BUDGET + LARGE_TURN)
+        .collect();
     for (program, tokens) in over.iter().take(20) {
-        record.note(&format!("BUDGET: program {program} was handed {tokens} tokens, of a budget of {BUDGET}"));
+        record.note(&format!(
+            "BUDGET: program {program} was handed {tokens} tokens, of a budget of {BUDGET}"
+        ));
     }
-    record.note(&format!("{} programs were handed more than {BUDGET} + {LARGE_TURN} tokens; {} were told 402", over.len(), denied.load(Ordering::SeqCst)));
+    record.note(&format!(
+        "{} programs were handed more than {BUDGET} + {LARGE_TURN} tokens; {} were told 402",
+        over.len(),
+        denied.load(Ordering::SeqCst)
+    ));
     if spent < spenders().len() / 2 {
         return cannot_run("too few programs had spent their budgets");
     }
-    if over.is_empty() { ExitCode::SUCCESS } else { ExitCode::from(1) }
+    if over.is_empty() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(1)
+    }
 }
--- a/review/stand-ins/src/bin/ledger_overwritten_in_turn.rs
+++ b/review/stand-ins/src/bin/ledger_overwritten_in_turn.rs
@@ -41,7 +41,10 @@
     while let Ok(Some(request)) = read_request(&mut reader) {
         let turn = request.header("ridgeworks-request-id").unwrap_or_default();
         let count = request.header("ridgeworks-token-count").unwrap_or("0,0");
-        let most: u64 = count.split_once(',').and_then(|(_, most)| most.parse().ok()).unwrap_or(0);
+        let most: u64 = count
+            .split_once(',')
+            .and_then(|(_, most)| most.parse().ok())
+            .unwrap_or(0);
         let mut text = format!(
             "HTTP/1.1 200 OK\r\nRidgeworks-Request-Id: {turn}\r\nRidgeworks-Server-Seal: seal-{turn}\r\n\
              Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -59,7 +62,14 @@
 
 fn start_engine(deployment: &Deployment, id: &str) -> Option<()> {
     let listener = TcpListener::bind((deployment.network.ip(251), 0)).ok()?;
-    deployment.list_engine(id, "seat-agents", listener.local_addr().ok()?, 16, "ready", 1);
+    deployment.list_engine(
+        id,
+        "seat-agents",
+        listener.local_addr().ok()?,
+        16,
+        "ready",
+        1,
+    );
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             std::thread::spawn(move || serve(stream));
@@ -92,9 +102,14 @@
         let answer = call.send(self.gateways[program % self.gateways.len()]);
         let status = answer.as_ref().map_or(0, |answer| answer.status);
         let body = answer.map(|answer| answer.body).unwrap_or_default();
-        let events = String::from_utf8_lossy(&body).lines().filter(|line| line.starts_with("data: ")).count() as u64;
+        let events = String::from_utf8_lossy(&body)
+            .lines()
+            .filter(|line| line.starts_with("data: "))
+            .count() as u64;
         *lock(&self.tokens).entry(program).or_default() += events * EVENT_TOKENS;
-        self.record.line(&format!("client: {id} of program {program}, at most {most} tokens: {status}, {events} events"));
+        self.record.line(&format!(
+            "client: {id} of program {program}, at most {most} tokens: {status}, {events} events"
+        ));
         status
     }
 
@@ -110,12 +125,17 @@
     }
 
     /// Runs a task for each program, a few at a time.
-    fn for_each(self: &Arc<Self>, programs: Vec<usize>, task: impl Fn(&Self, usize) + Send + Sync + 'static) {
+    fn for_each(
+        self: &Arc<Self>,
+        programs: Vec<usize>,
+        task: impl Fn(&Self, usize) + Send + Sync + 'static,
+    ) {
         let queue = Arc::new(Mutex::new(programs));
         let task = Arc::new(task);
         let threads: Vec<_> = (0..THREADS)
             .map(|_| {
-                let (clients, queue, task) = (Arc::clone(self), Arc::clone(&queue), Arc::clone(&task));
+                let (clients, queue, task) =
+                    (Arc::clone(self), Arc::clone(&queue), Arc::clone(&task));
                 std::thread::spawn(move || {
                     loop {
                         let next = lock(&queue).pop();
@@ -135,12 +155,18 @@
 
 /// Clients name their programs. The names of the spenders come last in order, which is the order in which a disk is read.
 fn program_id(program: usize) -> String {
-    let first = if program.is_multiple_of(SPENDER_EVERY) { 'f' } else { 'a' };
+    let first = if program.is_multiple_of(SPENDER_EVERY) {
+        'f'
+    } else {
+        'a'
+    };
     format!("{first}{:08x}", (program as u32).wrapping_mul(0x9e37_79b9))
 }
 
 fn spenders() -> Vec<usize> {
-    (0..PROGRAMS).filter(|program| program.is_multiple_of(SPENDER_EVERY)).collect()
+    (0..PROGRAMS)
+        .filter(|program| program.is_multiple_of(SPENDER_EVERY))
+        .collect()
 }
 
 fn set_of(object: &Json) -> Json {
@@ -164,7 +190,10 @@
     let voters = deployment.voters();
     let position = |index: usize| {
         let name = voters.get(index)?;
-        deployment.replicas.iter().position(|replica| replica.name == *name)
+        deployment
+            .replicas
+            .iter()
+            .position(|replica| replica.name == *name)
     };
     Some(Parts {
         retired: position(0)?,
@@ -174,8 +203,17 @@
 }
 
 /// The disruptions, one after the other. Returns why they could not be carried out.
-fn disrupt(deployment: &mut Deployment, started_at: Instant, clients: &Arc<Clients>, record: &Record) -> Result<(), &'static str> {
-    let Parts { retired, wiped, killed } = parts(deployment).ok_or("the replica set is not known")?;
+fn disrupt(
+    deployment: &mut Deployment,
+    started_at: Instant,
+    clients: &Arc<Clients>,
+    record: &Record,
+) -> Result<(), &'static str> {
+    let Parts {
+        retired,
+        wiped,
+        killed,
+    } = parts(deployment).ok_or("the replica set is not known")?;
     let name = |index: usize| format!("replica-{}", index + 1);
     // One machine is down for less than 2.8 s; programs go on with the other two.
     deployment.replicas[killed].kill();
@@ -185,25 +223,45 @@
     clients.for_each(spenders(), move |clients, program| {
         clients.turn(program, SMALL_TURN, limit);
     });
-    record.note(&format!("{:.2} s later: the spenders have taken a small turn", killed_at.elapsed().as_secs_f64()));
+    record.note(&format!(
+        "{:.2} s later: the spenders have taken a small turn",
+        killed_at.elapsed().as_secs_f64()
+    ));
     // Until their turns are settled.
     std::thread::sleep(Duration::from_millis(1_000));
     let limit = killed_at + Duration::from_millis(2_200);
-    let others = (0..PROGRAMS).filter(|program| !program.is_multiple_of(SPENDER_EVERY)).collect();
+    let others = (0..PROGRAMS)
+        .filter(|program| !program.is_multiple_of(SPENDER_EVERY))
+        .collect();
     clients.for_each(others, move |clients, program| {
         if Instant::now() < limit {
             clients.turn(program, SMALL_TURN, limit);
         }
     });
-    record.note(&format!("{:.2} s later: so have the others", killed_at.elapsed().as_secs_f64()));
+    record.note(&format!(
+        "{:.2} s later: so have the others",
+        killed_at.elapsed().as_secs_f64()
+    ));
     let order = Json::table([("duration_s", Json::number(8))]);
     deployment.store.put("retirements", &name(retired), order);
-    record.note(&format!("{:.2} s later: the operator asks for {} to be emptied", killed_at.elapsed().as_secs_f64(), name(retired)));
+    record.note(&format!(
+        "{:.2} s later: the operator asks for {} to be emptied",
+        killed_at.elapsed().as_secs_f64(),
+        name(retired)
+    ));
     let is_changing = |object: &Json| !set_of(object).get("incoming").is_null();
-    if !deployment.store.wait_for("ridgeworks-replica-sets", "main", Duration::from_secs(10), is_changing) {
+    if !deployment.store.wait_for(
+        "ridgeworks-replica-sets",
+        "main",
+        Duration::from_secs(10),
+        is_changing,
+    ) {
         return Err("the replica set did not begin to change");
     }
-    record.note(&format!("{:.2} s later: the replica set is changing", killed_at.elapsed().as_secs_f64()));
+    record.note(&format!(
+        "{:.2} s later: the replica set is changing",
+        killed_at.elapsed().as_secs_f64()
+    ));
     // Between two rounds of heartbeats, which all nodes send each 250 ms from their start on.
     let mut return_at = started_at + Duration::from_millis(120);
     while return_at + Duration::from_millis(250) < killed_at + DOWN {
@@ -211,12 +269,26 @@
     }
     std::thread::sleep(return_at.saturating_duration_since(Instant::now()));
     deployment.replicas[killed].start();
-    record.note(&format!("{:.2} s later: {} starts again, with its disk", killed_at.elapsed().as_secs_f64(), name(killed)));
-    let is_emptied = |object: &Json| object.get("status").get("state").as_text() == Some("succeeded");
-    if !deployment.store.wait_for("retirements", &name(retired), Duration::from_secs(25), is_emptied) {
+    record.note(&format!(
+        "{:.2} s later: {} starts again, with its disk",
+        killed_at.elapsed().as_secs_f64(),
+        name(killed)
+    ));
+    let is_emptied =
+        |object: &Json| object.get("status").get("state").as_text() == Some("succeeded");
+    if !deployment.store.wait_for(
+        "retirements",
+        &name(retired),
+        Duration::from_secs(25),
+        is_emptied,
+    ) {
         return Err("the retirement did not succeed");
     }
-    record.note(&format!("{:.2} s later: {} is emptied and removed", killed_at.elapsed().as_secs_f64(), name(retired)));
+    record.note(&format!(
+        "{:.2} s later: {} is emptied and removed",
+        killed_at.elapsed().as_secs_f64(),
+        name(retired)
+    ));
     deployment.replicas[retired].kill();
     deployment.store.remove("retirements", &name(retired));
     // All is whole again for longer than `catch_up_s` and `contact_ms` when the next machine is lost.
@@ -226,11 +298,19 @@
     deployment.replicas[wiped].kill();
     deployment.replicas[killed].kill();
     deployment.replicas[wiped].wipe();
-    record.note(&format!("{:.2} s later: {} loses its disk, and {} is killed", killed_at.elapsed().as_secs_f64(), name(wiped), name(killed)));
+    record.note(&format!(
+        "{:.2} s later: {} loses its disk, and {} is killed",
+        killed_at.elapsed().as_secs_f64(),
+        name(wiped),
+        name(killed)
+    ));
     std::thread::sleep(Duration::from_secs(1));
     deployment.replicas[wiped].start();
     deployment.replicas[killed].start();
-    record.note(&format!("{:.2} s later: both start again", killed_at.elapsed().as_secs_f64()));
+    record.note(&format!(
+        "{:.2} s later: both start again",
+        killed_at.elapsed().as_secs_f64()
+    ));
     let until = Instant::now() + Duration::from_secs(20);
     while deployment.voters().len() != 2 || deployment.set_epoch() < before.map(|epoch| epoch + 2) {
         if Instant::now() > until {
@@ -238,7 +318,10 @@
         }
         std::thread::sleep(Duration::from_millis(50));
     }
-    record.note(&format!("{:.2} s later: both are voters", killed_at.elapsed().as_secs_f64()));
+    record.note(&format!(
+        "{:.2} s later: both are voters",
+        killed_at.elapsed().as_secs_f64()
+    ));
     Ok(())
 }
 
@@ -258,8 +341,16 @@
     let mut deployment = Deployment::new();
     // "`seeds` ... these may be down or stale."
     deployment.seed = STALE_SEED;
-    let chat = with(route("chat", "/chat/", "streaming", "seat-agents", 1, DEADLINE_MS), "resumable", Json::Bool(true));
-    deployment.configure(3, vec![chat], vec![model_service("seat-agents", EVENT_TOKENS)]);
+    let chat = with(
+        route("chat", "/chat/", "streaming", "seat-agents", 1, DEADLINE_MS),
+        "resumable",
+        Json::Bool(true),
+    );
+    deployment.configure(
+        3,
+        vec![chat],
+        vec![model_service("seat-agents", EVENT_TOKENS)],
+    );
     for id in ["i-engine-1", "i-engine-2"] {
         if start_engine(&deployment, id).is_none() {
             return cannot_run("no free port");
@@ -272,7 +363,11 @@
     }
     record.note("deployment is ready");
     let clients = Arc::new(Clients {
-        gateways: deployment.gateways.iter().map(|gateway| gateway.callers).collect(),
+        gateways: deployment
+            .gateways
+            .iter()
+            .map(|gateway| gateway.callers)
+            .collect(),
         record: Arc::clone(&record),
         sent: AtomicUsize::new(0),
         tokens: Mutex::default(),
@@ -295,7 +390,11 @@
         });
     }
     let until = Instant::now() + Duration::from_secs(20);
-    while !deployment.gateways.iter().all(|gateway| is_ready(gateway.readiness)) {
+    while !deployment
+        .gateways
+        .iter()
+        .all(|gateway| is_ready(gateway.readiness))
+    {
         if Instant::now() > until {
             return cannot_run("the gateways did not get ready again");
         }
@@ -303,8 +402,15 @@
     }
     std::thread::sleep(Duration::from_secs(1));
     let before: BTreeMap<usize, u64> = lock(&clients.tokens).clone();
-    let spent = before.values().filter(|tokens| **tokens == 2 * SMALL_TURN + 2 * LARGE_TURN).count();
-    record.note(&format!("{spent} of {} programs have been handed {} tokens, of a budget of {BUDGET}", spenders().len(), 2 * SMALL_TURN + 2 * LARGE_TURN));
+    let spent = before
+        .values()
+        .filter(|tokens| **tokens == 2 * SMALL_TURN + 2 * LARGE_TURN)
+        .count();
+    record.note(&format!(
+        "{spent} of {} programs have been handed {} tokens, of a budget of {BUDGET}",
+        spenders().len(),
+        2 * SMALL_TURN + 2 * LARGE_TURN
+    ));
     let denied = Arc::new(AtomicUsize::new(0));
     let counted = Arc::clone(&denied);
     let limit = Instant::now() + Duration::from_secs(10);
@@ -319,13 +425,26 @@
     });
     drop(deployment);
     let tokens = lock(&clients.tokens);
-    let over: Vec<_> = tokens.iter().filter(|(_, tokens)| **tokens > BUDGET + LARGE_TURN).collect();
+    let over: Vec<_> = tokens
+        .iter()
+        .filter(|(_, tokens)| **tokens > BUDGET + LARGE_TURN)
+        .collect();
     for (program, tokens) in over.iter().take(20) {
-        record.note(&format!("BUDGET: program {program} was handed {tokens} tokens, of a budget of {BUDGET}"));
+        record.note(&format!(
+            "BUDGET: program {program} was handed {tokens} tokens, of a budget of {BUDGET}"
+        ));
     }
-    record.note(&format!("{} programs were handed more than {BUDGET} + {LARGE_TURN} tokens; {} were told 402", over.len(), denied.load(Ordering::SeqCst)));
+    record.note(&format!(
+        "{} programs were handed more than {BUDGET} + {LARGE_TURN} tokens; {} were told 402",
+        over.len(),
+        denied.load(Ordering::SeqCst)
+    ));
     if spent < spenders().len() / 2 {
         return cannot_run("too few programs had spent their budgets");
     }
-    if over.is_empty() { ExitCode::SUCCESS } else { ExitCode::from(1) }
+    if over.is_empty() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(1)
+    }
 }
--- a/review/stand-ins/src/client.rs
+++ b/review/stand-ins/src/client.rs
@@ -67,5 +67,6 @@
 /// Whether a gateway's readiness probe answers 200.
 pub fn is_ready(readiness: SocketAddr) -> bool {
     let call = Call::new("GET", "/v1/ready", "probe", 1_000);
-    call.send(readiness).is_some_and(|answer| answer.status == 200)
+    call.send(readiness)
+        .is_some_and(|answer| answer.status == 200)
 }
--- a/review/stand-ins/src/http.rs
+++ b/review/stand-ins/src/http.rs
@@ -83,7 +83,12 @@
         None if find(&headers, "transfer-encoding").is_some() => read_chunks(reader),
         None => (Vec::new(), true),
     };
-    Ok(is_whole.then_some(Request { method, target, headers, body }))
+    Ok(is_whole.then_some(Request {
+        method,
+        target,
+        headers,
+        body,
+    }))
 }
 
 /// Reads a response; `None` if the connection ended before a whole head.
@@ -99,7 +104,12 @@
             (body, is_whole)
         }
     };
-    Some(Response { status, headers, body, is_whole })
+    Some(Response {
+        status,
+        headers,
+        body,
+        is_whole,
+    })
 }
 
 fn read_exactly(reader: &mut impl Read, length: usize) -> (Vec<u8>, bool) {
--- a/review/stand-ins/src/json.rs
+++ b/review/stand-ins/src/json.rs
@@ -33,7 +33,12 @@
     }
 
     pub fn table<const N: usize>(fields: [(&str, Json); N]) -> Self {
-        Self::Table(fields.into_iter().map(|(key, value)| (key.to_owned(), value)).collect())
+        Self::Table(
+            fields
+                .into_iter()
+                .map(|(key, value)| (key.to_owned(), value))
+                .collect(),
+        )
     }
 
     /// A field of a table; null if there is none.
@@ -221,7 +226,8 @@
                         b'b' => '\u{8}',
                         b'f' => '\u{c}',
                         b'u' => {
-                            let code = std::str::from_utf8(self.bytes.get(self.at..self.at + 4)?).ok()?;
+                            let code =
+                                std::str::from_utf8(self.bytes.get(self.at..self.at + 4)?).ok()?;
                             self.at += 4;
                             char::from_u32(u32::from_str_radix(code, 16).ok()?).unwrap_or('?')
                         }
--- a/review/stand-ins/src/node.rs
+++ b/review/stand-ins/src/node.rs
@@ -61,7 +61,10 @@
     /// Sends a signal to the process with the shell's `kill`.
     pub fn signal(&self, signal: &str) {
         if let Some(child) = &self.child {
-            let _ = Command::new("sh").arg("-c").arg(format!("kill -{signal} {}", child.id())).status();
+            let _ = Command::new("sh")
+                .arg("-c")
+                .arg(format!("kill -{signal} {}", child.id()))
+                .status();
         }
     }
 
@@ -123,7 +126,9 @@
     }
 
     fn find() -> Self {
-        let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        let now = SystemTime::now()
+            .duration_since(SystemTime::UNIX_EPOCH)
+            .unwrap_or_default();
         let seed = u64::from(now.subsec_nanos()) ^ (u64::from(std::process::id()) << 8);
         for step in 0..200_u64 {
             let mixed = seed.wrapping_add(step).wrapping_mul(0x9e37_79b9_7f4a_7c15);
@@ -142,7 +147,11 @@
     fn is_free(&self) -> bool {
         let lasts = [1, 2, 3, 101, 102, 103, 104];
         let ports = [self.port, self.port + 1, self.port + 2, self.port + 3];
-        lasts.iter().all(|last| ports.iter().all(|port| TcpListener::bind((self.ip(*last), *port)).is_ok()))
+        lasts.iter().all(|last| {
+            ports
+                .iter()
+                .all(|port| TcpListener::bind((self.ip(*last), *port)).is_ok())
+        })
     }
 }
 
@@ -155,7 +164,12 @@
         let network = Network::find();
         let store = Store::start(network.ip(250));
         let store = store.unwrap_or_else(|error| cannot_run(&format!("store: {error}")));
-        let name = format!("ridgeworks-review-{}-{}-{}", std::process::id(), network.one, network.two);
+        let name = format!(
+            "ridgeworks-review-{}-{}-{}",
+            std::process::id(),
+            network.one,
+            network.two
+        );
         let folder = std::env::temp_dir().join(name);
         if let Err(error) = std::fs::create_dir_all(&folder) {
             cannot_run(&format!("folder: {error}"));
@@ -200,11 +214,19 @@
             _ => String::new(),
         };
         let data_folder = (role == "replica").then(|| self.folder.join(format!("{name}-data")));
-        let data = data_folder.as_ref().map(|folder| format!("data_folder = \"{}\"\n", folder.display()));
+        let data = data_folder
+            .as_ref()
+            .map(|folder| format!("data_folder = \"{}\"\n", folder.display()));
         let data = data.unwrap_or_default();
-        let (memory, descriptors, disk) = if role == "gateway" { (220, 4_100, 0) } else { (220, 8_200, 260) };
+        let (memory, descriptors, disk) = if role == "gateway" {
+            (220, 4_100, 0)
+        } else {
+            (220, 8_200, 260)
+        };
         // As deploy/node.toml.template is filled on the site kcp-ridge, with free ports.
-        let zones = ZONES.map(|zone| format!("\"{zone}\" = \"windhoek\"\n")).concat();
+        let zones = ZONES
+            .map(|zone| format!("\"{zone}\" = \"windhoek\"\n"))
+            .concat();
         let text = format!(
             "role = \"{role}\"\nname = \"{name}\"\nzone = \"{zone}\"\naddress = \"{ip}\"\npeer_port = {peer_port}\n\
              seeds = [\"{seed}:{peer_port}\"]\n{data}[zones]\n{zones}[listen]\n{listen}[limits]\n\
@@ -231,7 +253,10 @@
     pub fn wait_until_ready(&self, voters: usize) -> bool {
         let until = Instant::now() + Duration::from_secs(25);
         while Instant::now() < until {
-            let all_ready = self.gateways.iter().all(|gateway| is_ready(gateway.readiness));
+            let all_ready = self
+                .gateways
+                .iter()
+                .all(|gateway| is_ready(gateway.readiness));
             if all_ready && self.voters().len() == voters {
                 return true;
             }
@@ -258,7 +283,11 @@
         if !set.get("incoming").is_null() {
             return Vec::new();
         }
-        let names = set.get("voters").items().iter().filter_map(|voter| voter.get("node").as_text());
+        let names = set
+            .get("voters")
+            .items()
+            .iter()
+            .filter_map(|voter| voter.get("node").as_text());
         names.map(str::to_owned).collect()
     }
 
@@ -280,7 +309,15 @@
     }
 
     /// Lists an engine, as the engine does.
-    pub fn list_engine(&self, id: &str, service: &str, address: SocketAddr, slots: u64, state: &str, seq: u64) {
+    pub fn list_engine(
+        &self,
+        id: &str,
+        service: &str,
+        address: SocketAddr,
+        slots: u64,
+        state: &str,
+        seq: u64,
+    ) {
         let spec = Json::table([
             ("service", Json::text(service)),
             ("address", Json::text(&address.to_string())),
@@ -296,7 +333,14 @@
 }
 
 /// A route as the operator writes it.
-pub fn route(name: &str, prefix: &str, kind: &str, service: &str, attempts: u64, timeout_ms: u64) -> Json {
+pub fn route(
+    name: &str,
+    prefix: &str,
+    kind: &str,
+    service: &str,
+    attempts: u64,
+    timeout_ms: u64,
+) -> Json {
     Json::table([
         ("name", Json::text(name)),
         ("host", Json::text(crate::client::HOST)),
@@ -342,7 +386,10 @@
         ("kv_token_bytes", Json::number(1)),
         ("link_mbps", Json::number(1)),
         ("event_tokens", Json::number(event_tokens)),
-        ("models", Json::List(vec![Json::table([("name", Json::text("m"))])])),
+        (
+            "models",
+            Json::List(vec![Json::table([("name", Json::text("m"))])]),
+        ),
     ]);
     with(plain_service(name), "engine", engine)
 }
--- a/review/stand-ins/src/record.rs
+++ b/review/stand-ins/src/record.rs
@@ -16,7 +16,8 @@
 impl Record {
     /// Creates the file, replacing an earlier one.
     pub fn create(path: &str) -> Self {
-        let file = File::create(path).unwrap_or_else(|error| cannot_run(&format!("{path}: {error}")));
+        let file =
+            File::create(path).unwrap_or_else(|error| cannot_run(&format!("{path}: {error}")));
         Self {
             began: Instant::now(),
             file: Mutex::new(file),
--- a/review/stand-ins/src/store.rs
+++ b/review/stand-ins/src/store.rs
@@ -93,7 +93,11 @@
         ("finalizers", Json::List(Vec::new())),
         ("deleting", Json::Bool(false)),
     ]);
-    Json::table([("metadata", metadata), ("spec", object.spec.clone()), ("status", object.status.clone())])
+    Json::table([
+        ("metadata", metadata),
+        ("spec", object.spec.clone()),
+        ("status", object.status.clone()),
+    ])
 }
 
 #[derive(Debug, Default)]
@@ -142,11 +146,20 @@
     }
 
     /// Waits until a condition on the state's object holds; false after the limit.
-    pub fn wait_for(&self, kind: &str, name: &str, limit: Duration, holds: impl Fn(&Json) -> bool) -> bool {
+    pub fn wait_for(
+        &self,
+        kind: &str,
+        name: &str,
+        limit: Duration,
+        holds: impl Fn(&Json) -> bool,
+    ) -> bool {
         let until = Instant::now() + limit;
         let mut state = lock(&self.shared.state);
         loop {
-            if state.render(kind, name).is_some_and(|object| holds(&object)) {
+            if state
+                .render(kind, name)
+                .is_some_and(|object| holds(&object))
+            {
                 return true;
             }
             let left = until.saturating_duration_since(Instant::now());
@@ -154,7 +167,9 @@
                 return false;
             }
             let waited = self.shared.changed.wait_timeout(state, left);
-            state = waited.map(|(state, _)| state).unwrap_or_else(|error| error.into_inner().0);
+            state = waited
+                .map(|(state, _)| state)
+                .unwrap_or_else(|error| error.into_inner().0);
         }
     }
 }
@@ -185,7 +200,10 @@
 }
 
 fn answer(request: &Request, shared: &Shared) -> (u16, Json) {
-    let (path, query) = request.target.split_once('?').unwrap_or((request.target.as_str(), ""));
+    let (path, query) = request
+        .target
+        .split_once('?')
+        .unwrap_or((request.target.as_str(), ""));
     let Some(path) = path.strip_prefix("/v1/objects/") else {
         return (404, empty());
     };
@@ -195,13 +213,17 @@
     let is_status = names.next() == Some("status");
     let field = |key: &str| {
         let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-        pairs.find(|(found, _)| *found == key).map(|(_, value)| value.to_owned())
+        pairs
+            .find(|(found, _)| *found == key)
+            .map(|(_, value)| value.to_owned())
     };
     let body = Json::parse(&String::from_utf8_lossy(&request.body)).unwrap_or(Json::Null);
     match (request.method.as_str(), name) {
         ("GET", None) => match field("watch").and_then(|from| from.parse().ok()) {
             Some(from) => {
-                let wait = field("wait_ms").and_then(|wait| wait.parse().ok()).unwrap_or(0);
+                let wait = field("wait_ms")
+                    .and_then(|wait| wait.parse().ok())
+                    .unwrap_or(0);
                 watch(shared, kind, from, Duration::from_millis(wait))
             }
             None => list(shared, kind, field("after")),
@@ -229,8 +251,11 @@
                 return (404, empty());
             };
             let expected = body.get("metadata").get("revision").as_u64();
-            let expected = expected.or(field("revision").and_then(|revision| revision.parse().ok()));
-            if expected.is_some_and(|expected| Some(expected) != present.get("metadata").get("revision").as_u64()) {
+            let expected =
+                expected.or(field("revision").and_then(|revision| revision.parse().ok()));
+            if expected.is_some_and(|expected| {
+                Some(expected) != present.get("metadata").get("revision").as_u64()
+            }) {
                 return (409, present);
             }
             let object = state.change(kind, name, |object| {
@@ -255,26 +280,51 @@
 
 fn list(shared: &Shared, kind: &str, after: Option<String>) -> (u16, Json) {
     let state = lock(&shared.state);
-    let of_kind = state.objects.iter().filter(|((of, name), _)| of == kind && after.as_ref().is_none_or(|after| name > after));
-    let items = of_kind.map(|((_, name), object)| render(name, object)).collect();
+    let of_kind = state
+        .objects
+        .iter()
+        .filter(|((of, name), _)| of == kind && after.as_ref().is_none_or(|after| name > after));
+    let items = of_kind
+        .map(|((_, name), object)| render(name, object))
+        .collect();
     let at = Json::number(state.revision);
-    (200, Json::table([("items", Json::List(items)), ("more", Json::Bool(false)), ("at", at)]))
+    (
+        200,
+        Json::table([
+            ("items", Json::List(items)),
+            ("more", Json::Bool(false)),
+            ("at", at),
+        ]),
+    )
 }
 
 fn watch(shared: &Shared, kind: &str, from: u64, wait: Duration) -> (u16, Json) {
     let until = Instant::now() + wait;
     let mut state = lock(&shared.state);
     loop {
-        let new = state.history.iter().filter(|event| event.revision > from && event.kind == kind);
+        let new = state
+            .history
+            .iter()
+            .filter(|event| event.revision > from && event.kind == kind);
         let events: Vec<Json> = new
-            .map(|event| Json::table([("object", event.object.clone()), ("gone", Json::Bool(event.gone))]))
+            .map(|event| {
+                Json::table([
+                    ("object", event.object.clone()),
+                    ("gone", Json::Bool(event.gone)),
+                ])
+            })
             .collect();
         let left = until.saturating_duration_since(Instant::now());
         if !events.is_empty() || left.is_zero() {
             let at = Json::number(state.revision);
-            return (200, Json::table([("events", Json::List(events)), ("at", at)]));
+            return (
+                200,
+                Json::table([("events", Json::List(events)), ("at", at)]),
+            );
         }
         let waited = shared.changed.wait_timeout(state, left);
-        state = waited.map(|(state, _)| state).unwrap_or_else(|error| error.into_inner().0);
+        state = waited
+            .map(|(state, _)| state)
+            .unwrap_or_else(|error| error.into_inner().0);
     }
 }
