--- a/crates/node/tests/resident_engine_ends.rs
+++ b/crates/node/tests/resident_engine_ends.rs
@@ -199,6 +199,130 @@
     assert_eq!(last.map(|reply| reply.status), Some(400));
 }
 
+fn send_at_once(deployment: &Deployment, rounds: usize, request: fn(&str) -> Call) {
+    for round in 0..rounds {
+        let gateways = deployment.gateways.iter().enumerate();
+        let tries: Vec<_> = gateways
+            .map(|(number, gateway)| {
+                let gateway = gateway.callers();
+                std::thread::spawn(move || request(&format!("{round}-{number}")).send(gateway))
+            })
+            .collect();
+        for tried in tries {
+            tried.join().expect("a client");
+        }
+        std::thread::sleep(PAUSE);
+    }
+}
+
+#[test]
+fn a_call_that_may_run_once_and_is_asked_for_again_is_sent_to_three_engines_at_most() {
+    let deployment = Deployment::started(PROGRAM, 2, 3);
+    let engines = start(&deployment, "tools", &tool());
+    let request = |id: &str| call_post("/once/x", id, FATAL);
+    let tries = send_tries(&deployment.gateways, 0..TRIES, request);
+    assert_eq!(ends(&engines), MAX_ENDS);
+    assert_refused_for_good(tries.last().expect("a try"));
+}
+
+#[test]
+fn a_turn_at_all_gateways_at_once_is_sent_to_three_engines_at_most() {
+    for gateways in [2, 6] {
+        let deployment = Deployment::started(PROGRAM, gateways, 3);
+        let engines = start(&deployment, "models", &stream());
+        send_at_once(&deployment, 4, turn);
+        assert_eq!(ends(&engines), MAX_ENDS);
+    }
+}
+
+/// What was sent before any engine had ended is all that is sent beyond three.
+#[test]
+fn a_call_at_all_gateways_at_once_is_sent_by_each_of_them_once_at_most() {
+    let deployment = Deployment::started(PROGRAM, 6, 3);
+    let engines = start(&deployment, "tools", &tool());
+    send_at_once(&deployment, 4, tool_call);
+    assert!(ends(&engines) <= deployment.gateways.len());
+}
+
+#[test]
+fn without_a_majority_of_replicas_a_call_is_sent_to_three_engines_at_most() {
+    let mut deployment = Deployment::started(PROGRAM, 6, 3);
+    let engines = start(&deployment, "tools", &tool());
+    deployment.replicas[..2].iter_mut().for_each(Process::kill);
+    send_tries(&deployment.gateways, 0..2 * TRIES, tool_call);
+    assert!(ends(&engines) <= MAX_ENDS, "{}", ends(&engines));
+}
+
+#[test]
+fn without_a_majority_of_replicas_a_call_at_all_gateways_at_once_is_sent_to_three_engines_at_most()
+{
+    let mut deployment = Deployment::started(PROGRAM, 6, 3);
+    let engines = start(&deployment, "tools", &tool());
+    deployment.replicas[..2].iter_mut().for_each(Process::kill);
+    send_at_once(&deployment, 3, tool_call);
+    assert!(ends(&engines) <= MAX_ENDS, "{}", ends(&engines));
+}
+
+/// Ends that only gateways know of are not forgotten when the replicas are back.
+#[test]
+fn ends_seen_while_all_replicas_were_away_are_known_when_they_are_back() {
+    let mut deployment = Deployment::started(PROGRAM, 4, 3);
+    let engines = start(&deployment, "tools", &tool());
+    for pair in 0..4 {
+        deployment.replicas.iter_mut().for_each(Process::kill);
+        send_tries(&deployment.gateways, 2 * pair..2 * pair + 1, tool_call);
+        deployment.replicas.iter_mut().for_each(Process::start);
+        deployment.wait_until_ready();
+        send_tries(&deployment.gateways, 2 * pair + 1..2 * pair + 2, tool_call);
+    }
+    assert!(ends(&engines) <= MAX_ENDS, "{}", ends(&engines));
+}
+
+/// An engine that outlives a request now and then says nothing of the others.
+#[test]
+fn a_request_that_is_served_by_one_engine_of_three_ends_three_at_most() {
+    const ENGINES_OF_EACH_KIND: usize = 8;
+    let deployment = Deployment::started(PROGRAM, 2, 3);
+    let engines: Vec<EngineStandIn> = (0..3 * ENGINES_OF_EACH_KIND)
+        .map(|number| {
+            let engine = deployment.start_engine("models", &format!("i-{number}"), stream());
+            if number % 3 != 0 {
+                engine.set_fatal(FATAL, 0, None);
+            }
+            engine
+        })
+        .collect();
+    wait_until_known(&deployment, engines.len());
+    let request = |id: &str| call_post("/chat/x", id, FATAL);
+    send_tries(&deployment.gateways, 0..16, request);
+    assert!(ends(&engines) <= MAX_ENDS, "{}", ends(&engines));
+}
+
+/// Each gateway is gone with the engine that it sent to, and tells nobody of the end.
+#[test]
+fn three_gateways_that_are_killed_together_with_their_engines_leave_their_tries_counted() {
+    let mut deployment = Deployment::started(PROGRAM, 4, 3);
+    let engines = start(&deployment, "models", &Script::always(Answer::Silent));
+    let silence = |engine: &EngineStandIn| engine.set_fatal("none", 0, None);
+    engines.iter().for_each(silence);
+    let runs = || {
+        engines
+            .iter()
+            .map(|engine| engine.runs().len())
+            .sum::<usize>()
+    };
+    for killed in 0..3 {
+        let gateway = deployment.gateways[killed].callers();
+        let sending = std::thread::spawn(move || turn(&format!("killed-{killed}")).send(gateway));
+        wait_until("an engine runs the request", || runs() == killed + 1);
+        deployment.gateways[killed].kill();
+        sending.join().expect("a client");
+    }
+    let reply = turn("last").send(deployment.gateways[3].callers());
+    assert_eq!(reply.expect("an answer").status, 503);
+    assert_eq!(runs(), MAX_ENDS);
+}
+
 /// An engine that is there again at once under its identifier has ended too.
 #[test]
 fn an_engine_that_starts_again_at_once_has_ended_under_its_request() {
