Believe nothing of an answer before its id is found to be this request's

Cause: check_response looked at `not_executed`, and at the engine's warm-up time, before it compared the echoed id. Now the id comes first, and the connection of another request's answer is closed, as its EngineResponse is dropped. Calls, streams and resumed streams all read answers there; probes read none. An answer without an id is judged as before: by PROTOCOL.md an engine echoes the id, but for a 400 to a request without one, which gateways never send.

Evidence: a_rejection_of_another_request_is_no_promise: (200, 2 runs) before, (502, 1 run) now.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -175,7 +175,6 @@
                 in_flight.on_sent(outgoing.body.len());
                 let (parts, body) = response.into_parts();
                 let head = read_engine_response_head(parts.status.as_u16(), &parts.headers);
-                gateway.warm_ups.on_response(engine, head.warm_up);
                 let engine_response = EngineResponse {
                     status: parts.status,
                     headers: parts.headers,
@@ -184,7 +183,7 @@
                     in_flight,
                     connection,
                 };
-                return check_response(gateway, engine_response, outgoing.call).await;
+                return check_response(gateway, engine, engine_response, outgoing.call).await;
             }
             Err(mut error) => {
                 // The HTTP library returns the request if it sent no byte of it.
@@ -239,20 +238,26 @@
 }
 
 /// Returns the response if an engine sent it for this request. A rejection and any other response
-/// are failures.
+/// are failures. Nothing of a response to another request is believed, and its connection is closed:
+/// what comes next there may be late too.
 async fn check_response(
     gateway: &Gateway,
+    engine: &Engine,
     engine_response: EngineResponse,
     call: &Call,
 ) -> Result<EngineResponse, AttemptFailure> {
+    let echoed_id = engine_response.head.request_id.as_deref();
+    if echoed_id.is_some_and(|id| id != call.metadata.request_id) {
+        return Err(AttemptFailure::InvalidResponse);
+    }
+    let warm_up = engine_response.head.warm_up;
+    gateway.warm_ups.on_response(engine, warm_up);
     if engine_response.head.not_executed {
         let status = engine_response.status;
         reuse_after_rejection(gateway, engine_response).await;
         return Err(AttemptFailure::Rejected(status));
     }
-    let echoed_id = engine_response.head.request_id.as_deref();
-    let matches_request = echoed_id.is_none_or(|id| id == call.metadata.request_id);
-    if matches_request && engine_response.head.is_signed {
+    if engine_response.head.is_signed {
         Ok(engine_response)
     } else {
         Err(AttemptFailure::InvalidResponse)
--- a/crates/node/tests/resident_requests.rs
+++ b/crates/node/tests/resident_requests.rs
@@ -116,6 +116,18 @@
     }
 }
 
+/// A late copy of another request's rejection says nothing of this one.
+#[test]
+fn a_rejection_of_another_request_is_no_promise() {
+    for status in [503, 429, 421] {
+        let late = Answer::LateRejection {
+            status,
+            body: "x".to_owned(),
+        };
+        assert_eq!(one_request("/once/", late), (502, 1), "{status}");
+    }
+}
+
 #[test]
 fn an_engine_s_own_failure_is_passed_on() {
     assert_eq!(one_request("/once/", Answer::Failure(500)), (500, 1));
