A ledger that is still on the disk only can't be changed

Cause: a copy merged into an empty ledger, and the result was written over the disk's own, which was read afterwards; and a voter counted its own records as copied before it had them. Class: a rule that each path had to remember.

The rule stands in LedgerTable now: it hands out no ledger to change before what the disk has of it is merged. A voter makes its copy for a joint set once all its records are restored.

--- a/crates/records/src/replica.rs
+++ b/crates/records/src/replica.rs
@@ -4,10 +4,13 @@
 //! returned, and holds a reply back until the changes that its [`Wait`] names are durable.
 
 mod copying;
+mod ledger_table;
 mod restoring;
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use self::ledger_table::LedgerTable;
+pub use self::ledger_table::NotRestored;
 use rkyv::{Archive, Deserialize, Serialize};
 
 use crate::change_log::{ChangeLog, LastChange};
@@ -114,14 +117,12 @@
     /// The epoch of the last finished copy of each group.
     copied: BTreeMap<GroupId, Epoch>,
     turns: BTreeMap<TurnId, Retained<TurnRecord>>,
-    ledgers: BTreeMap<ProgramId, Retained<ProgramLedger>>,
+    ledgers: LedgerTable,
     change_logs: BTreeMap<GroupId, ChangeLog>,
     turn_bytes: usize,
     max_total_turn_bytes: usize,
     /// Whether some records of the disk aren't restored yet.
     is_restoring: bool,
-    /// Whether some ledgers of the disk aren't restored yet.
-    is_restoring_ledgers: bool,
     /// Turns that the disk doesn't have, as looked up while restoring.
     absent: BTreeSet<TurnId>,
 }
@@ -135,12 +136,11 @@
             groups: None,
             copied: BTreeMap::new(),
             turns: BTreeMap::new(),
-            ledgers: BTreeMap::new(),
+            ledgers: LedgerTable::default(),
             change_logs: BTreeMap::new(),
             turn_bytes: 0,
             max_total_turn_bytes,
             is_restoring: false,
-            is_restoring_ledgers: false,
             absent: BTreeSet::new(),
         }
     }
@@ -296,15 +296,22 @@
         entry: LedgerEntry,
         expires_at_ms: u64,
     ) -> Handled {
-        let change = self.merge_entry(group, &program, turn, entry, expires_at_ms);
-        let retained = ledger_or_insert(&mut self.ledgers, group, program, expires_at_ms);
-        let ledger = retained.value.clone();
+        let Ok(change) = self.merge_entry(group, &program, turn, entry, expires_at_ms) else {
+            return Handled::immediate(ReplicaReply::Unavailable);
+        };
+        let retained = self.ledgers.get(&program);
+        let ledger = retained.map(|retained| retained.value.clone());
+        let ledger = ledger.unwrap_or_default();
         let reply = ReplicaReply::Charged { ledger };
         Handled::durable(change.into_iter().collect(), reply)
     }
 
     fn settle(&mut self, group: GroupId, settlements: Vec<Settlement>, now_ms: u64) -> Handled {
         let mut changes = Vec::new();
+        let mut programs = settlements.iter().map(|settlement| &settlement.program);
+        if !programs.all(|program| self.ledgers.is_restored(program)) {
+            return Handled::immediate(ReplicaReply::Unavailable);
+        }
         for settlement in settlements {
             let Settlement {
                 program,
@@ -313,7 +320,8 @@
                 ttl_ms,
             } = settlement;
             let expires_at_ms = now_ms + ttl_ms;
-            changes.extend(self.merge_entry(group, &program, &turn, entry, expires_at_ms));
+            let merged = self.merge_entry(group, &program, &turn, entry, expires_at_ms);
+            changes.extend(merged.ok().flatten());
         }
         Handled {
             changes,
@@ -330,7 +338,7 @@
         turn: &TurnId,
         entry: LedgerEntry,
         expires_at_ms: u64,
-    ) -> Option<Change> {
+    ) -> Result<Option<Change>, NotRestored> {
         self.change_ledger(group, program, expires_at_ms, |ledger| {
             ledger.merge_entry(turn, entry)
         })
@@ -343,7 +351,7 @@
         program: &ProgramId,
         ledger: &ProgramLedger,
         expires_at_ms: u64,
-    ) -> Option<Change> {
+    ) -> Result<Option<Change>, NotRestored> {
         self.change_ledger(group, program, expires_at_ms, |known| {
             known.merge_ledger(ledger)
         })
@@ -355,12 +363,12 @@
         program: &ProgramId,
         expires_at_ms: u64,
         merge: impl FnOnce(&mut ProgramLedger) -> bool,
-    ) -> Option<Change> {
-        let retained = ledger_or_insert(&mut self.ledgers, group, program.clone(), expires_at_ms);
+    ) -> Result<Option<Change>, NotRestored> {
+        let retained = self.ledgers.to_change(group, program, expires_at_ms)?;
         let has_changed = merge(&mut retained.value);
         retained.expires_at_ms = retained.expires_at_ms.max(expires_at_ms);
         if !has_changed {
-            return None;
+            return Ok(None);
         }
         let key = || RecordKey::Ledger(program.clone());
         let log = change_log(&mut self.change_logs, self.log_id, retained.group);
@@ -370,7 +378,7 @@
             retained.value.clone(),
             retained.expires_at_ms,
         );
-        Some(Change::Put(stored))
+        Ok(Some(Change::Put(stored)))
     }
 
     fn append(&mut self, group: GroupId, record: TurnRecord, expires_at_ms: u64) -> Handled {
@@ -434,17 +442,3 @@
     logs.entry(group)
         .or_insert_with(|| ChangeLog::with_id(log_id))
 }
-
-fn ledger_or_insert(
-    ledgers: &mut BTreeMap<ProgramId, Retained<ProgramLedger>>,
-    group: GroupId,
-    program: ProgramId,
-    expires_at_ms: u64,
-) -> &mut Retained<ProgramLedger> {
-    ledgers.entry(program).or_insert_with(|| Retained {
-        value: ProgramLedger::default(),
-        expires_at_ms,
-        group,
-        last_change: None,
-    })
-}
--- a/crates/records/src/replica/copying.rs
+++ b/crates/records/src/replica/copying.rs
@@ -1,6 +1,6 @@
 //! Copying records between replicas.
 
-use super::{Change, LISTING_PAGE, MAX_FETCH_BYTES, ReplicaState, change_log};
+use super::{Change, LISTING_PAGE, MAX_FETCH_BYTES, NotRestored, ReplicaState, change_log};
 use crate::change_log::ListPosition;
 use crate::groups::{GroupId, ReplicaGroups};
 use crate::identifiers::{Epoch, ProgramId, RecordKey, TurnId};
@@ -35,7 +35,7 @@
         (handled.reply == ReplicaReply::Done).then_some(handled.changes)
     }
 
-    /// Merges a ledger copied from another replica.
+    /// Merges a ledger copied from another replica. Fails if the disk may have more of it.
     pub fn copy_ledger(
         &mut self,
         group: GroupId,
@@ -43,9 +43,9 @@
         ledger: &ProgramLedger,
         ttl_ms: u64,
         now_ms: u64,
-    ) -> Vec<Change> {
-        let change = self.merge_ledger(group, &program, ledger, now_ms + ttl_ms);
-        change.into_iter().collect()
+    ) -> Result<Vec<Change>, NotRestored> {
+        let change = self.merge_ledger(group, &program, ledger, now_ms + ttl_ms)?;
+        Ok(change.into_iter().collect())
     }
 
     /// Notes that all records that a read quorum held at this epoch are copied.
--- a/crates/records/src/replica/restoring.rs
+++ b/crates/records/src/replica/restoring.rs
@@ -1,8 +1,9 @@
 //! Restoring records from the disk while requests are handled.
 
-use super::{ReplicaState, StoredRecord, ledger_or_insert};
+use super::{ReplicaState, StoredRecord, change_log};
 use crate::groups::{GroupId, ReplicaGroups};
 use crate::identifiers::{ProgramId, RecordKey, TurnId};
+use crate::ledger::ProgramLedger;
 use crate::message::ReplicaRequest;
 
 impl ReplicaState {
@@ -17,20 +18,20 @@
     /// a turn as missing only if it was looked up on the disk.
     pub fn begin_restoring(&mut self) {
         self.is_restoring = true;
-        self.is_restoring_ledgers = true;
+        self.ledgers.begin_restoring();
     }
 
     /// Notes that all ledgers are restored: a program that isn't known has no ledger, and isn't
     /// looked up on the disk while turns are still being restored. In a large fleet they took 9 to
     /// 19 s longer than ledgers after a power loss.
     pub fn finish_restoring_ledgers(&mut self) {
-        self.is_restoring_ledgers = false;
+        self.ledgers.finish_restoring();
     }
 
     /// Notes that all records are restored.
     pub fn finish_restoring(&mut self) {
         self.is_restoring = false;
-        self.is_restoring_ledgers = false;
+        self.ledgers.finish_restoring();
         self.absent.clear();
     }
 
@@ -56,8 +57,8 @@
     }
 
     fn unrestored_ledger(&self, program: &ProgramId) -> Option<RecordKey> {
-        let is_known = !self.is_restoring_ledgers || self.ledgers.contains_key(program);
-        (!is_known).then(|| RecordKey::Ledger(program.clone()))
+        let is_restored = self.ledgers.is_restored(program);
+        (!is_restored).then(|| RecordKey::Ledger(program.clone()))
     }
 
     fn unrestored_turn(&self, newest: &TurnId) -> Option<RecordKey> {
@@ -81,7 +82,7 @@
             // An empty ledger that expires at once marks the program as known.
             RecordKey::Ledger(program) => {
                 let group = self.group_of(&program);
-                ledger_or_insert(&mut self.ledgers, group, program, 0);
+                self.ledgers.to_restore(group, &program, 0);
             }
         }
     }
@@ -97,11 +98,23 @@
             }
             // Merged, since the ledger may have changed while the disk was read.
             StoredRecord::Ledger(program, ledger, expires_at_ms) => {
-                let group = self.group_of(&program);
-                self.merge_ledger(group, &program, &ledger, expires_at_ms);
+                self.restore_ledger(program, &ledger, expires_at_ms);
             }
             StoredRecord::Set(set) => self.groups = Some(ReplicaGroups::single(set)),
             StoredRecord::Groups(groups) => self.groups = Some(groups),
         }
     }
+
+    fn restore_ledger(&mut self, program: ProgramId, ledger: &ProgramLedger, expires_at_ms: u64) {
+        let group = self.group_of(&program);
+        let retained = self.ledgers.to_restore(group, &program, expires_at_ms);
+        let has_changed = retained.value.merge_ledger(ledger);
+        retained.expires_at_ms = retained.expires_at_ms.max(expires_at_ms);
+        if !has_changed {
+            return;
+        }
+        let log = change_log(&mut self.change_logs, self.log_id, retained.group);
+        let key = || RecordKey::Ledger(program.clone());
+        log.log_change(&mut retained.last_change, key);
+    }
 }
--- a/crates/records/tests/restoring.rs
+++ b/crates/records/tests/restoring.rs
@@ -1,8 +1,9 @@
 //! A replica that handles requests while the records of its disk are being restored.
 
 use ridgeworks_records::{
-    Epoch, GroupId, LedgerEntry, ProgramId, ProgramLedger, RecordKey, Replica, ReplicaId,
-    ReplicaReply, ReplicaRequest, ReplicaSet, ReplicaState, StoredRecord, TurnId, TurnRecord,
+    Change, Epoch, GroupId, LedgerEntry, NotRestored, ProgramId, ProgramLedger, RecordKey, Replica,
+    ReplicaId, ReplicaReply, ReplicaRequest, ReplicaSet, ReplicaState, Settlement, StoredRecord,
+    TurnId, TurnRecord,
 };
 
 const NOW_MS: u64 = 1_000_000;
@@ -201,3 +202,48 @@
         "turns are not restored yet"
     );
 }
+
+/// A copy that comes before the disk is read must not replace what the disk has.
+#[test]
+fn a_copied_ledger_is_not_written_over_one_that_is_still_on_the_disk() {
+    let mut state = replica();
+    let copied = match ledger("copied", 20) {
+        StoredRecord::Ledger(_, ledger, _) => ledger,
+        other => panic!("{other:?}"),
+    };
+    let program = ProgramId("p".to_owned());
+    let copy = |state: &mut ReplicaState| {
+        state.copy_ledger(GroupId(0), program.clone(), &copied, 60_000, NOW_MS)
+    };
+    assert_eq!(copy(&mut state), Err(NotRestored));
+    state.restore(ledger("on-disk", 30));
+    let changes = copy(&mut state).expect("a restored ledger");
+    let [Change::Put(StoredRecord::Ledger(_, written, _))] = &changes[..] else {
+        panic!("{changes:?}");
+    };
+    let turns: Vec<&str> = written.entries.keys().map(|turn| turn.0.as_str()).collect();
+    assert_eq!(turns, ["copied", "on-disk"]);
+}
+
+#[test]
+fn requests_for_a_ledger_that_is_not_restored_change_nothing() {
+    let mut state = replica();
+    let settle = ReplicaRequest::Settle {
+        group: GroupId(0),
+        epoch: Epoch(3),
+        settlements: vec![Settlement {
+            program: ProgramId("p".to_owned()),
+            turn: TurnId("r-1".to_owned()),
+            entry: LedgerEntry {
+                reserved_tokens: 50,
+                spent: Some(10),
+            },
+            ttl_ms: 60_000,
+        }],
+    };
+    for request in [charge("r-1"), settle] {
+        let handled = state.handle(request.clone(), NOW_MS);
+        assert_eq!(handled.reply, ReplicaReply::Unavailable, "{request:?}");
+        assert!(handled.changes.is_empty());
+    }
+}
--- a/crates/records/tests/simulator/world/changes.rs
+++ b/crates/records/tests/simulator/world/changes.rs
@@ -299,7 +299,8 @@
                 for (program, ledger, ttl_ms) in listing.ledgers {
                     let copied = storage
                         .state
-                        .copy_ledger(group, program, &ledger, ttl_ms, 0);
+                        .copy_ledger(group, program, &ledger, ttl_ms, 0)
+                        .expect("a restored replica");
                     changes.extend(copied);
                 }
                 let turns = listing.turns.into_iter().map(|(turn, _)| turn);
--- a/crates/replica/src/actor.rs
+++ b/crates/replica/src/actor.rs
@@ -232,7 +232,7 @@
         };
         let now = unix_time_ms();
         let mut changes = Vec::new();
-        let mut has_room = true;
+        let mut is_copied = true;
         for record in copied {
             let state = &mut disk.state;
             match record {
@@ -240,15 +240,18 @@
                     let copied = state.copy_turn(group, turn, ttl_ms, now);
                     // A copy without this turn is incomplete: the replica would vote without a turn
                     // that was acknowledged.
-                    has_room &= copied.is_some();
+                    is_copied &= copied.is_some();
                     changes.extend(copied.into_iter().flatten());
                 }
                 CopiedRecord::Ledger(program, ledger, ttl_ms) => {
-                    changes.extend(state.copy_ledger(group, program, &ledger, ttl_ms, now));
+                    let copied = state.copy_ledger(group, program, &ledger, ttl_ms, now);
+                    // Copied again once the disk's ledgers are restored.
+                    is_copied &= copied.is_ok();
+                    changes.extend(copied.into_iter().flatten());
                 }
             }
         }
-        let reply = if has_room {
+        let reply = if is_copied {
             ReplicaReply::Done
         } else {
             ReplicaReply::Unavailable
--- a/crates/replica/src/copying.rs
+++ b/crates/replica/src/copying.rs
@@ -103,6 +103,11 @@
     let (group, set) = sets.find(|(group, set)| {
         set.is_copier(status.id) && status.copied != Some((*group, set.epoch))
     })?;
+    // A voter counts its own records as copied, so it must have them.
+    let is_voter = set.voters.iter().any(|voter| voter.id == status.id);
+    if is_voter && !replica.is_fully_restored() {
+        return None;
+    }
     Some(CopyJob {
         me: status.id,
         group,
