The turns of a chain live as long as the newest one that needs them

Cause: each turn expired by itself. Now a turn that is written, copied or restored renews all turns before it, in any order of arrival; nothing is deleted while later turns may still be on the disk only. The renewal has 30 s to spare, so a chain is walked once in that time. Nothing more is written: the disk has each turn's own expiry, and what later turns add is worked out again when it is read. It ends as before, with the newest turn's expiry and the 30 s.

Ledgers live on with each reservation; marks, permits and origins are entries of ledgers.

--- a/crates/records/src/replica.rs
+++ b/crates/records/src/replica.rs
@@ -5,6 +5,7 @@
 
 mod copying;
 mod ledger_table;
+mod lifetimes;
 mod restoring;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -121,6 +122,8 @@
     change_logs: BTreeMap<GroupId, ChangeLog>,
     turn_bytes: usize,
     max_total_turn_bytes: usize,
+    /// Turns that aren't here and that later turns name, with the time until which those need them.
+    awaited: BTreeMap<TurnId, u64>,
     /// Whether some records of the disk aren't restored yet.
     is_restoring: bool,
     /// Turns that the disk doesn't have, as looked up while restoring.
@@ -140,6 +143,7 @@
             change_logs: BTreeMap::new(),
             turn_bytes: 0,
             max_total_turn_bytes,
+            awaited: BTreeMap::new(),
             is_restoring: false,
             absent: BTreeSet::new(),
         }
@@ -231,8 +235,12 @@
                 log.remove_change(last_change);
             }
         };
+        self.awaited
+            .retain(|_, expires_at_ms| *expires_at_ms > now_ms);
+        // A later turn that needs it may still be on the disk only.
+        let is_restoring = self.is_restoring;
         self.turns.retain(|turn, retained| {
-            let keep = retained.expires_at_ms > now_ms;
+            let keep = is_restoring || retained.expires_at_ms > now_ms;
             if !keep {
                 remove_from_log(retained.group, retained.last_change);
                 *turn_bytes -= retained.value.weight();
@@ -364,7 +372,7 @@
         expires_at_ms: u64,
         merge: impl FnOnce(&mut ProgramLedger) -> bool,
     ) -> Result<Option<Change>, NotRestored> {
-        let retained = self.ledgers.to_change(group, program, expires_at_ms)?;
+        let retained = self.ledgers.changing(group, program, expires_at_ms)?;
         let has_changed = merge(&mut retained.value);
         retained.expires_at_ms = retained.expires_at_ms.max(expires_at_ms);
         if !has_changed {
@@ -396,6 +404,8 @@
     fn put_turn(&mut self, group: GroupId, record: TurnRecord, expires_at_ms: u64) {
         self.turn_bytes += record.weight();
         let turn = record.turn.clone();
+        let previous = record.previous.clone();
+        let expires_at_ms = self.renewed_expiry(&turn, expires_at_ms);
         let mut last_change = self
             .turns
             .get(&turn)
@@ -411,6 +421,7 @@
         if let Some(earlier) = self.turns.insert(turn, retained) {
             self.turn_bytes -= earlier.value.weight();
         }
+        self.renew_chain(previous.as_ref(), expires_at_ms);
     }
 
     fn read_chain(&self, newest: TurnId) -> ReplicaReply {
--- a/crates/records/src/replica/ledger_table.rs
+++ b/crates/records/src/replica/ledger_table.rs
@@ -36,7 +36,7 @@
     }
 
     /// The ledger to change, a new one if there is none.
-    pub(super) fn to_change(
+    pub(super) fn changing(
         &mut self,
         group: GroupId,
         program: &ProgramId,
@@ -45,11 +45,11 @@
         if !self.is_restored(program) {
             return Err(NotRestored);
         }
-        Ok(self.to_restore(group, program, expires_at_ms))
+        Ok(self.restoring(group, program, expires_at_ms))
     }
 
     /// The ledger into which what the disk has of it is merged.
-    pub(super) fn to_restore(
+    pub(super) fn restoring(
         &mut self,
         group: GroupId,
         program: &ProgramId,
--- a/crates/records/src/replica/restoring.rs
+++ b/crates/records/src/replica/restoring.rs
@@ -82,7 +82,7 @@
             // An empty ledger that expires at once marks the program as known.
             RecordKey::Ledger(program) => {
                 let group = self.group_of(&program);
-                self.ledgers.to_restore(group, &program, 0);
+                self.ledgers.restoring(group, &program, 0);
             }
         }
     }
@@ -107,7 +107,7 @@
 
     fn restore_ledger(&mut self, program: ProgramId, ledger: &ProgramLedger, expires_at_ms: u64) {
         let group = self.group_of(&program);
-        let retained = self.ledgers.to_restore(group, &program, expires_at_ms);
+        let retained = self.ledgers.restoring(group, &program, expires_at_ms);
         let has_changed = retained.value.merge_ledger(ledger);
         retained.expires_at_ms = retained.expires_at_ms.max(expires_at_ms);
         if !has_changed {
