--- a/crates/cli/src/commands/explain.rs
+++ b/crates/cli/src/commands/explain.rs
@@ -228,6 +228,9 @@
         (_, "ends_engines") => {
             "Engines ended under this client's request, in this try or earlier ones, so it is sent to none and its client is told for good. See the lines engine ended under a request, which have the same digest; docs/operations/engine-ends.md."
         }
+        (_, "tries_unsettled") => {
+            "Three other tries of the same request have no outcome yet: they are at engines, or their gateways are gone. Search for its digest; docs/operations/engine-ends.md."
+        }
         (_, "timed_out") => "Time was up while an engine had it.",
         (_, "timed_out_unsent") => "Time was up before any engine had it.",
         (_, "no_route") => {
--- a/crates/gateway/src/exchange/engine_ends.rs
+++ b/crates/gateway/src/exchange/engine_ends.rs
@@ -25,7 +25,7 @@
 const MIN_ENDS_OF_SUSPECTS: usize = 2;
 /// How long an end is held against a request. A client's tries are over well before.
 pub const END_LIFETIME: Duration = Duration::from_secs(120);
-/// A client that leaves, or a deadline, after a shorter silence of the engine says nothing about the engine.
+/// A client that leaves, or a deadline, after a shorter silence of the engine rarely says anything about the engine.
 const MIN_SILENCE: Duration = Duration::from_millis(500);
 /// Prefix of the ledgers of requests that belong to no program. No HTTP header can carry it, and that of streams is shorter.
 const REQUEST_LEDGER_PREFIX: &str = "§§";
@@ -119,9 +119,10 @@
         EngineRun(xxh3_64_with_seed(request, run.0))
     }
 
-    /// Finds out, beside the end of the request, whether an engine that was silent for long has ended.
+    /// Finds out, beside the end of the request, whether an engine that was silent has ended. A short silence only counts under a
+    /// request under which others ended.
     pub(super) fn find_end_of_silent(&mut self, engine: &Engine, silent_since: Instant) {
-        if silent_since.elapsed() < MIN_SILENCE {
+        if silent_since.elapsed() < MIN_SILENCE && self.ends.count() == 0 {
             return;
         }
         let watch = self.end_watch(engine, true);
--- a/crates/gateway/src/exchange/send_permits.rs
+++ b/crates/gateway/src/exchange/send_permits.rs
@@ -4,14 +4,16 @@
 //! send that may be one too many is recorded before it is made, and counts as an end until its outcome is known. A turn's
 //! reservation is such a record; other requests write a permit as soon as something speaks against them.
 //!
-//! No more than [`ridgeworks_records::MAX_ENGINE_ENDS`] sends go out so: each is recorded before the ledger is read for the last
+//! No more than [`MAX_ENGINE_ENDS`] sends go out so: each is recorded before the ledger is read for the last
 //! time, so the last of any sends sees all the others.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use rand::RngExt;
 use ridgeworks_records::{
-    EngineEnds, LedgerEntry, PERMIT_ENTRY, ProgramLedger, SendVerdict, TurnId,
+    EngineEnds, LedgerEntry, MARK_ENTRY, MAX_ENGINE_ENDS, PERMIT_ENTRY, ProgramLedger, SendVerdict,
+    TurnId,
 };
 use ridgeworks_resident::clock::unix_time_ms;
 use ridgeworks_routing::{Refusal, RefusalReason};
@@ -20,6 +22,7 @@
 use super::Exchange;
 use super::end_ledger::{EndLedger, Keeper};
 use super::engine_ends::{END_LIFETIME, digest_text};
+use crate::records_client::RecordsUnavailable;
 use crate::refusal::RETRY_AFTER;
 
 /// How long a request that others send alike waits for the outcome of theirs.
@@ -62,9 +65,8 @@
             ..self.end_ledger()
         };
         let key = TurnId::of_lookup();
-        let entry = ridgeworks_records::MARK_ENTRY;
         let deadline = self.records_deadline();
-        let reading = ledger.record_at_replicas(&self.gateway, &key, entry, deadline);
+        let reading = ledger.record_at_replicas(&self.gateway, &key, MARK_ENTRY, deadline);
         let read = reading.await.ok()?;
         Some(self.ends_in(&read))
     }
@@ -100,7 +102,7 @@
     pub(super) fn verdict(&self) -> SendVerdict {
         let known = &self.ends.known;
         let verdict = known.verdict();
-        let is_certain = known.runs.len() >= ridgeworks_records::MAX_ENGINE_ENDS;
+        let is_certain = known.runs.len() >= MAX_ENGINE_ENDS;
         if verdict == SendVerdict::EndsEngines && !is_certain && self.call.program().is_none() {
             return SendVerdict::Unsettled;
         }
@@ -123,6 +125,7 @@
         loop {
             let found = self.record_permit().await?;
             self.take_in_ends(found);
+            self.gateway.metrics.on_send_verdict(self.verdict());
             match self.verdict() {
                 SendVerdict::Permitted => {
                     self.ends.needs_permit = false;
@@ -158,7 +161,7 @@
         };
         // Kept before it is recorded, so that it is settled whatever becomes of this.
         self.ends.permit = Some(permit);
-        let gateway = std::rc::Rc::clone(&self.gateway);
+        let gateway = Rc::clone(&self.gateway);
         for is_last in [is_recorded, true] {
             let recording = ledger.record(&gateway, &key, entry, deadline).await;
             let recorded = recording.map_err(|failure| self.unavailable(&ledger, failure))?;
@@ -174,11 +177,7 @@
         unreachable!("the second record is the last")
     }
 
-    fn unavailable(
-        &self,
-        ledger: &EndLedger,
-        failure: crate::records_client::RecordsUnavailable,
-    ) -> Refusal {
+    fn unavailable(&self, ledger: &EndLedger, failure: RecordsUnavailable) -> Refusal {
         let records = &self.gateway.records;
         let group = records.group_of(Some(&ledger.program));
         let after = records.retry_after_failure(group, failure);
@@ -220,7 +219,7 @@
         let Some((key, keeper)) = self.take_permit_entry() else {
             return;
         };
-        let gateway = std::rc::Rc::clone(&self.gateway);
+        let gateway = Rc::clone(&self.gateway);
         let ledger = self.end_ledger();
         tokio::task::spawn_local(async move {
             ledger.settle(&gateway, &key, keeper).await;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -9,6 +9,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
+use ridgeworks_records::SendVerdict;
 use ridgeworks_routing::{Engine, RefusalReason};
 
 /// Upper bounds of histogram buckets, in seconds.
@@ -148,6 +149,8 @@
     pub engine_ends: Family<ReasonLabel, Counter>,
     /// Requests that were served although engines had ended under them.
     pub engine_ends_cleared: Counter,
+    /// Sends that needed a permit, by the verdict.
+    pub send_permits: Family<ReasonLabel, Counter>,
     /// Metrics of warming engines.
     pub warm_up: WarmUpMetrics,
     /// Connections opened to engines.
@@ -213,6 +216,7 @@
             resumed_streams: Family::default(),
             engine_ends: Family::default(),
             engine_ends_cleared: Counter::default(),
+            send_permits: Family::default(),
             warm_up: WarmUpMetrics::default(),
             engine_connections: Counter::default(),
             relayed_requests: Counter::default(),
@@ -266,6 +270,9 @@
         let cleared = self.engine_ends_cleared.clone();
         let help = "Requests that were served although engines had ended under them";
         registry.register("engine_ends_cleared", help, cleared);
+        let permits = self.send_permits.clone();
+        let help = "Sends of requests that may end engines, by whether they were permitted";
+        registry.register("send_permits", help, permits);
         let connections = self.engine_connections.clone();
         registry.register(
             "engine_connections",
@@ -413,6 +420,17 @@
         self.engine_ends.get_or_create(&label).inc();
     }
 
+    /// Counts a send that needed a permit.
+    pub fn on_send_verdict(&self, verdict: SendVerdict) {
+        let reason = match verdict {
+            SendVerdict::Permitted => "permitted",
+            SendVerdict::Unsettled => "tries_unsettled",
+            SendVerdict::EndsEngines => "ends_engines",
+        };
+        let label = ReasonLabel { reason };
+        self.send_permits.get_or_create(&label).inc();
+    }
+
     /// Counts a failed attempt at an engine.
     pub fn on_failed_attempt(&self, reason: &'static str) {
         let label = ReasonLabel { reason };
