--- a/crates/gateway/src/exchange/engine_ends.rs
+++ b/crates/gateway/src/exchange/engine_ends.rs
@@ -130,12 +130,23 @@
     }
 
     fn end_watch(&mut self, engine: &Engine, is_held_open: bool) -> EndWatch {
+        let send = self.send_key();
+        let held_open = is_held_open.then(|| match self.take_permit_entry() {
+            Some((key, keeper)) => HeldPermit {
+                key,
+                keeper: Some(keeper),
+            },
+            None => HeldPermit {
+                key: self.next_permit_key(),
+                keeper: None,
+            },
+        });
         EndWatch {
             gateway: Rc::clone(&self.gateway),
             engine: engine.clone(),
             ledger: self.end_ledger(),
-            send: self.send_key(),
-            held_open: is_held_open.then(|| self.next_permit_key()),
+            send,
+            held_open,
         }
     }
 
@@ -149,8 +160,10 @@
         };
         let is_recorded = record_end(&self.gateway, &self.end_ledger(), end).await;
         self.ends.is_unrecorded |= !is_recorded;
-        // The mark accounts for the permit, and the next send has one of its own.
-        self.settle_permit_later();
+        // The mark accounts for the permit, which stays open where the mark is not there yet. The next send has one of its own.
+        if is_recorded {
+            self.settle_permit_later();
+        }
         self.ends.permit = None;
         self.ends.needs_permit = true;
     }
@@ -197,8 +210,9 @@
     /// whose outcome is not known.
     pub(super) async fn settle_before_answer(&mut self) {
         self.settle_permit().await;
-        let has_failed = self.ends.count() > 0 || !self.history.may_have_run_on.is_empty();
-        let is_open = has_failed && self.may_be_reserved.get();
+        let has_failed = !self.ends.known.is_clear() || !self.history.may_have_run_on.is_empty();
+        // Not before the mark that accounts for it.
+        let is_open = has_failed && self.may_be_reserved.get() && !self.ends.is_unrecorded;
         let Some(ledger_key) = self.ledger_key().filter(|_| is_open) else {
             return;
         };
@@ -273,8 +287,14 @@
     ledger: EndLedger,
     /// The entry that was open for the send.
     send: TurnId,
-    /// A permit that stays open until the outcome is known.
-    held_open: Option<TurnId>,
+    held_open: Option<HeldPermit>,
+}
+
+/// A permit that stays open until the outcome of its send is known.
+struct HeldPermit {
+    key: TurnId,
+    /// Who keeps it; `None` until it is recorded.
+    keeper: Option<Keeper>,
 }
 
 impl EndWatch {
@@ -289,19 +309,26 @@
                 evidence,
                 send: self.send.clone(),
             };
-            record_end(&self.gateway, &self.ledger, end).await;
+            // Without the mark the permit has to count.
+            if !record_end(&self.gateway, &self.ledger, end).await {
+                return;
+            }
         }
         if let (Some(permit), Some(keeper)) = (&self.held_open, keeper) {
-            self.ledger.settle(&self.gateway, permit, keeper).await;
+            let settling = self.ledger.settle(&self.gateway, &permit.key, keeper);
+            settling.await;
         }
     }
 
     async fn hold_open(&self) -> Option<Keeper> {
-        let permit = self.held_open.as_ref()?;
+        let HeldPermit { key, keeper } = self.held_open.as_ref()?;
+        if keeper.is_some() {
+            return *keeper;
+        }
         let deadline = Instant::now() + super::preparation::RECORDS_TIMEOUT;
         let recording = self
             .ledger
-            .record(&self.gateway, permit, PERMIT_ENTRY, deadline);
+            .record(&self.gateway, key, PERMIT_ENTRY, deadline);
         // Where nobody can be asked, nothing is permitted either.
         recording.await.ok().map(|recorded| recorded.keeper)
     }
--- a/crates/gateway/src/exchange/send_permits.rs
+++ b/crates/gateway/src/exchange/send_permits.rs
@@ -161,20 +161,27 @@
         };
         // Kept before it is recorded, so that it is settled whatever becomes of this.
         self.ends.permit = Some(permit);
-        let gateway = Rc::clone(&self.gateway);
-        for is_last in [is_recorded, true] {
-            let recording = ledger.record(&gateway, &key, entry, deadline).await;
-            let recorded = recording.map_err(|failure| self.unavailable(&ledger, failure))?;
-            if let Some(Permit::Entry { keeper, .. }) = &mut self.ends.permit {
-                *keeper = Some(recorded.keeper);
-            }
-            let found = self.ends_in(&recorded.ledger);
-            // Whoever is not seen yet records later, and sees this one.
-            if is_last || found.is_clear() {
-                return Ok(found);
-            }
+        let found = self.record_send(&ledger, &key, entry, deadline).await?;
+        // Whoever is not seen yet records later, and sees this one.
+        if is_recorded || found.is_clear() {
+            return Ok(found);
+        }
+        self.record_send(&ledger, &key, entry, deadline).await
+    }
+
+    async fn record_send(
+        &mut self,
+        ledger: &EndLedger,
+        key: &TurnId,
+        entry: LedgerEntry,
+        deadline: Instant,
+    ) -> Result<EngineEnds, Refusal> {
+        let recording = ledger.record(&self.gateway, key, entry, deadline).await;
+        let recorded = recording.map_err(|failure| self.unavailable(ledger, failure))?;
+        if let Some(Permit::Entry { keeper, .. }) = &mut self.ends.permit {
+            *keeper = Some(recorded.keeper);
         }
-        unreachable!("the second record is the last")
+        Ok(self.ends_in(&recorded.ledger))
     }
 
     fn unavailable(&self, ledger: &EndLedger, failure: RecordsUnavailable) -> Refusal {
@@ -226,7 +233,7 @@
         });
     }
 
-    fn take_permit_entry(&mut self) -> Option<(TurnId, Keeper)> {
+    pub(super) fn take_permit_entry(&mut self) -> Option<(TurnId, Keeper)> {
         match self.ends.permit.take()? {
             Permit::Entry { key, keeper } => Some((key, keeper.unwrap_or(Keeper::Replicas))),
             reservation => {
