Ends that many successes outweigh are cleared for all gateways; an engine may end twice between two entries

Clients sent one call alike; its ends had other causes, and the gateway that had served it hundreds of times held nothing against it, but one that had just started did. What outweighs ends now clears them in the ledger, at eight successes an end (16 before).

--- a/crates/gateway/src/exchange/engine_ends.rs
+++ b/crates/gateway/src/exchange/engine_ends.rs
@@ -109,14 +109,15 @@
         // What accepts in the place of an engine that is away would have taken this request too.
         let was_there = match failure {
             AttemptFailure::Truncated => true,
-            AttemptFailure::ConnectionLost => evidence == Evidence::Refused,
+            AttemptFailure::ConnectionLost | AttemptFailure::ResponseTimeout => {
+                evidence == Evidence::Refused
+            }
             _ => false,
         };
         if !is_known || !was_there {
             return run;
         }
-        let request = self.call.metadata.request_id.as_bytes();
-        EngineRun(xxh3_64_with_seed(request, run.0))
+        run_after(run, &self.call.metadata.request_id)
     }
 
     /// Finds out, beside the end of the request, whether an engine that was silent has ended. A short silence only counts under a
@@ -131,6 +132,8 @@
 
     fn end_watch(&mut self, engine: &Engine, is_held_open: bool) -> EndWatch {
         let send = self.send_key();
+        let run = EngineRun(engine.key().0);
+        let has_ended_before = self.ends.known.runs.contains(&run);
         let held_open = is_held_open.then(|| match self.take_permit_entry() {
             Some((key, keeper)) => HeldPermit {
                 key,
@@ -145,6 +148,7 @@
             gateway: Rc::clone(&self.gateway),
             engine: engine.clone(),
             ledger: self.end_ledger(),
+            has_ended_before,
             send,
             held_open,
         }
@@ -181,7 +185,8 @@
         }
     }
 
-    fn clear_ends(&mut self) {
+    /// Holds no ends against the request from now on, at any gateway.
+    pub(super) fn clear_ends(&mut self) {
         let runs = std::mem::take(&mut self.ends.known).runs;
         if runs.is_empty() {
             return;
@@ -233,6 +238,11 @@
     }
 }
 
+/// The run of an engine that started again after this one, and ended under a request before its entry said so.
+fn run_after(run: EngineRun, request: &str) -> EngineRun {
+    EngineRun(xxh3_64_with_seed(request.as_bytes(), run.0))
+}
+
 /// An engine that was found to have ended.
 struct NoticedEnd<'a> {
     engine: &'a Engine,
@@ -285,6 +295,8 @@
     gateway: Rc<Gateway>,
     engine: Engine,
     ledger: EndLedger,
+    /// Whether the engine is known to have ended under an earlier try, and was there again for this one.
+    has_ended_before: bool,
     /// The entry that was open for the send.
     send: TurnId,
     held_open: Option<HeldPermit>,
@@ -303,9 +315,15 @@
         let keeper = self.hold_open().await;
         let evidence = self.find_evidence(connection).await;
         if let Some(evidence) = evidence {
+            let run = EngineRun(self.engine.key().0);
+            let is_further = self.has_ended_before && evidence == Evidence::Refused;
             let end = NoticedEnd {
                 engine: &self.engine,
-                run: EngineRun(self.engine.key().0),
+                run: if is_further {
+                    run_after(run, self.send.request())
+                } else {
+                    run
+                },
                 evidence,
                 send: self.send.clone(),
             };
--- a/crates/gateway/src/exchange/send_permits.rs
+++ b/crates/gateway/src/exchange/send_permits.rs
@@ -80,7 +80,7 @@
         if let Some(seen) = seen {
             self.ends.known.runs.extend(&seen.runs);
             if seen.is_mostly_served(self.ends.known.runs.len()) {
-                self.ends.known = EngineEnds::default();
+                self.clear_ends();
             }
         }
         if self.ends.known.is_clear() {
--- a/crates/gateway/src/seen_ends.rs
+++ b/crates/gateway/src/seen_ends.rs
@@ -7,7 +7,7 @@
 use ridgeworks_records::{EngineRun, RequestDigest};
 
 /// Successes for each end from which on a request that many clients send alike is held to be harmless.
-const SERVED_PER_END: usize = 16;
+const SERVED_PER_END: usize = 8;
 /// Requests that are remembered; the oldest are forgotten.
 const MAX_REQUESTS: usize = 4_096;
 
