A gateway forgets ends that another one has cleared

Test ends_that_many_successes_outweigh_are_held_by_no_gateway, red before: a gateway that saw three ends of a call itself went on refusing it for two minutes after another one had cleared them in the ledger. Ledgers now tell which ends were cleared.

--- a/crates/gateway/src/exchange/send_permits.rs
+++ b/crates/gateway/src/exchange/send_permits.rs
@@ -78,7 +78,8 @@
         let seen = self.gateway.engine_ends.borrow_mut().find(digest, now);
         self.ends.known = found;
         if let Some(seen) = seen {
-            self.ends.known.runs.extend(&seen.runs);
+            let runs = seen.runs.difference(&self.ends.known.cleared);
+            self.ends.known.runs.extend(runs);
             if seen.is_mostly_served(self.ends.known.runs.len()) {
                 self.clear_ends();
             }
--- a/crates/node/tests/resident_engine_ends.rs
+++ b/crates/node/tests/resident_engine_ends.rs
@@ -461,3 +461,33 @@
         std::thread::sleep(PAUSE);
     }
 }
+
+/// A gateway that never served what many clients send alike hears from the others that it does no harm.
+#[test]
+fn ends_that_many_successes_outweigh_are_held_by_no_gateway() {
+    const SERVED: usize = 40;
+    let deployment = Deployment::started(PROGRAM, 2, 3);
+    let engines = start(&deployment, "tools", &tool());
+    let popular = |id: &str| call_get("/tool/popular", id);
+    let [served, fresh] = [0, 1].map(|number| deployment.gateways[number].callers());
+    for number in 0..SERVED {
+        send_until_served(served, &popular(&format!("served-{number}")));
+    }
+    let ends_once = Script::first([Answer::Ends], Answer::Whole("done".to_owned()));
+    for engine in &engines {
+        engine.set_script(ends_once.clone());
+    }
+    for number in 0..TRIES {
+        popular(&format!("ended-{number}")).send(fresh);
+    }
+    assert_eq!(ends(&engines), MAX_ENDS);
+    for engine in &engines {
+        engine.set_script(tool());
+    }
+    let status = |gateway, id: &str| popular(id).send(gateway).map(|reply| reply.status);
+    assert_eq!(status(fresh, "refused"), Some(400));
+    assert_eq!(status(served, "outweighed"), Some(200));
+    wait_until("the other gateway knows", || {
+        status(fresh, "cleared") == Some(200)
+    });
+}
--- a/crates/records/src/engine_ends.rs
+++ b/crates/records/src/engine_ends.rs
@@ -62,6 +62,8 @@
 pub struct EngineEnds {
     /// Runs of engines that ended.
     pub runs: BTreeSet<EngineRun>,
+    /// Runs whose end had another cause, since the request was served all the same.
+    pub cleared: BTreeSet<EngineRun>,
     /// Entries of other tries that are neither settled nor accounted for by an end: they still run, or their gateway is gone and the
     /// engine perhaps with it.
     pub unsettled: usize,
@@ -196,6 +198,10 @@
             runs: runs
                 .filter(|run| !cleared.contains(&(digest, *run)))
                 .collect(),
+            cleared: cleared
+                .iter()
+                .filter_map(|(of, run)| (*of == digest).then_some(*run))
+                .collect(),
             unsettled,
         }
     }
--- a/crates/records/tests/engine_ends.rs
+++ b/crates/records/tests/engine_ends.rs
@@ -63,6 +63,8 @@
     ]);
     let runs = |digest| ledger.engine_ends(digest, &turn("r-4"), 0).runs;
     assert_eq!(runs(DIGEST), [EngineRun(2)].into());
+    let cleared = ledger.engine_ends(DIGEST, &turn("r-4"), 0).cleared;
+    assert_eq!(cleared, [EngineRun(1)].into());
     assert_eq!(runs(OTHER), [EngineRun(1)].into());
 }
 
@@ -158,7 +160,12 @@
 fn a_send_is_permitted_while_three_engines_at_most_can_end_with_it() {
     let verdict = |runs: u64, unsettled| {
         let runs = (0..runs).map(EngineRun).collect();
-        EngineEnds { runs, unsettled }.verdict()
+        let ends = EngineEnds {
+            runs,
+            unsettled,
+            ..EngineEnds::default()
+        };
+        ends.verdict()
     };
     assert_eq!(verdict(0, 2), SendVerdict::Permitted);
     assert_eq!(verdict(0, 3), SendVerdict::Unsettled);
