An engine that ends when its client has just left is counted

Now a try whose client leaves stays open for 50 ms more, and its engine counts as ended unless a connection to it is still open; a connection is made only where none is kept.

--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -44,6 +44,14 @@
         None
     }
 
+    /// Whether an idle connection to the engine is open.
+    pub fn has_open(&self, engine: EngineKey) -> bool {
+        let idle = self.idle.borrow();
+        let connections = idle.get(&engine).into_iter().flatten();
+        let mut open = connections.filter(|idle| !idle.connection.is_closed());
+        open.next().is_some()
+    }
+
     /// Opens a new connection.
     pub async fn connect(&self, engine: &Engine) -> Result<Connection, ConnectError> {
         connect(engine.address, CONNECT_TIMEOUT).await
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -89,6 +89,7 @@
         draw: rand::random(),
     };
     let ending = exchange.execute(client).await;
+    exchange.find_end_after_client_left().await;
     let owns_ledger_entry = !matches!(
         ending,
         Ending::Refused(refusal) if refusal.reason == RefusalReason::DuplicateRequestId
@@ -179,7 +180,7 @@
             Ok(engine_response) => engine_response,
             Err(SendFailure::ClientDisconnected) => {
                 self.record_possible_run(engine);
-                self.find_end_of_silent(engine, began);
+                self.on_client_left(engine, began);
                 return Ok(Ending::ClientDisconnected);
             }
             Err(SendFailure::DeadlineExceeded) => {
@@ -268,7 +269,7 @@
             }
             StreamEnd::ClientDisconnected => {
                 self.record_possible_run(engine);
-                self.find_end_of_silent(engine, engine_response.in_flight.last_heard());
+                self.on_client_left(engine, engine_response.in_flight.last_heard());
                 Ok(Ending::ClientDisconnected)
             }
             StreamEnd::DeadlineExceeded(client) => {
@@ -328,7 +329,7 @@
             response = buffered_response::read(&self.gateway, engine_response) => response,
             () = client.disconnected() => {
                 self.record_possible_run(engine);
-                self.find_end_of_silent(engine, reading_since);
+                self.on_client_left(engine, reading_since);
                 return Ok(Ending::ClientDisconnected);
             }
             () = tokio::time::sleep_until(self.call.deadline) => {
--- a/crates/gateway/src/exchange/engine_ends.rs
+++ b/crates/gateway/src/exchange/engine_ends.rs
@@ -27,6 +27,8 @@
 pub const END_LIFETIME: Duration = Duration::from_secs(120);
 /// A client that leaves, or a deadline, after a shorter silence of the engine rarely says anything about the engine.
 const MIN_SILENCE: Duration = Duration::from_millis(500);
+/// How soon an engine's end shows on its connections, after a client that left.
+const END_NOTICE: Duration = Duration::from_millis(50);
 /// Prefix of the ledgers of requests that belong to no program. No HTTP header can carry it, and that of streams is shorter.
 const REQUEST_LEDGER_PREFIX: &str = "§§";
 
@@ -40,6 +42,8 @@
     pub(super) needs_permit: bool,
     /// The record of the present send, or of the next one.
     pub(super) permit: Option<Permit>,
+    /// The engine at which the request was when its client left, and since when it was silent.
+    left_at: Option<(Engine, Instant)>,
     /// Number of permits that this try has named.
     pub(super) permits: u32,
 }
@@ -130,6 +134,36 @@
         tokio::task::spawn_local(watch.run(None));
     }
 
+    /// Notes that the client left while the engine had the request.
+    pub(super) fn on_client_left(&mut self, engine: &Engine, silent_since: Instant) {
+        self.ends.left_at = Some((engine.clone(), silent_since));
+    }
+
+    /// Finds out whether the engine ended under a request whose client left. The try stays open meanwhile.
+    pub(super) async fn find_end_after_client_left(&mut self) {
+        let Some((engine, silent_since)) = self.ends.left_at.take() else {
+            return;
+        };
+        if silent_since.elapsed() >= MIN_SILENCE || self.ends.count() > 0 {
+            self.find_end_of_silent(&engine, silent_since);
+            return;
+        }
+        tokio::time::sleep(END_NOTICE).await;
+        // An engine that ends closes its idle connections too, so most checks cost nothing.
+        if self.gateway.pool.has_open(engine.key()) {
+            return;
+        }
+        match probe(&self.gateway, &engine).await {
+            Probed::Ended(evidence) => {
+                let run = EngineRun(engine.key().0);
+                self.record_end(&engine, run, evidence).await;
+            }
+            Probed::Accepted(connection) => {
+                self.gateway.pool.put_idle(engine.key(), connection, None);
+            }
+        }
+    }
+
     fn end_watch(&mut self, engine: &Engine, is_held_open: bool) -> EndWatch {
         let send = self.send_key();
         let run = EngineRun(engine.key().0);
--- a/crates/node/tests/resident_engine_ends.rs
+++ b/crates/node/tests/resident_engine_ends.rs
@@ -491,3 +491,20 @@
         status(fresh, "cleared") == Some(200)
     });
 }
+
+/// The client is gone before its engine is, and nobody waits for an answer any more.
+#[test]
+fn an_engine_that_ends_when_its_client_has_just_left_is_counted() {
+    const EVENTS_BEFORE_END: u64 = 6;
+    const EVENTS_READ: usize = 1;
+    let deployment = Deployment::started(PROGRAM, 2, 3);
+    let engines = start(&deployment, "models", &stream());
+    let ends_soon = |engine: &EngineStandIn| engine.set_fatal(FATAL, EVENTS_BEFORE_END, None);
+    engines.iter().for_each(ends_soon);
+    for number in 0..2 * TRIES {
+        let gateway = deployment.gateways[number % 2].callers();
+        turn(&format!("try-{number}")).send_and_read_frames(gateway, EVENTS_READ);
+        std::thread::sleep(PAUSE);
+    }
+    assert!(ends(&engines) <= MAX_ENDS, "{}", ends(&engines));
+}
