A request is sent on a connection to an engine once

Cause: an id tells requests apart, not the sends of one request. A gateway that was rejected kept the connection, waited, and sent the request with the same id on it again; the late copy of the first rejection was read as the answer to the second send.

Now EngineConnection::send, the one way to send, takes the connections on which the request was sent before and refuses to use one of them again; the pool hands out another one or a new one is opened. This holds for calls, turns, streams, resumed streams, after a wait, a withheld send and a 421, since all go through it. After any other failure the connection was closed already.

Logs: 'attempt failed' has the number of the connection, and other_request with the id that the answer had, in place of garbled. So a late copy of another request, of the request itself and of no request can be told apart.

The stand-ins' 421 echoes the id and is repeated late as other rejections are.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -12,15 +12,19 @@
     EngineRequestMetadata, EngineResponseHead, engine_headers, read_engine_response_head,
 };
 use ridgeworks_quota::Grant;
-use ridgeworks_resident::http_client::{ConnectError, Connection};
+use ridgeworks_resident::http_client::ConnectError;
 use ridgeworks_routing::{Engine, Exclusion, Outcome};
 use tokio::time::Instant;
 
 use crate::call::Call;
+use crate::connection_pool::{EngineConnection, SendError, UsedConnections};
 use crate::engine_rules::EngineRules;
 use crate::gateway::Gateway;
 use crate::in_flight::InFlightRequest;
 
+/// Characters of another request's identifier in the log.
+const MAX_LOGGED_ID: usize = 64;
+
 /// Why an attempt failed.
 #[derive(Debug)]
 pub enum AttemptFailure {
@@ -34,8 +38,9 @@
     Rejected(StatusCode),
     /// The connection failed; the engine may have run the request.
     ConnectionLost,
-    /// The response does not belong to this request or is malformed; the engine may have run the
-    /// request.
+    /// The response belongs to another request, whose identifier this is; the engine may have run the request.
+    ForeignResponse(String),
+    /// The response is malformed or unsigned; the engine may have run the request.
     InvalidResponse,
     /// The response ended early; the engine may have run the request.
     Truncated,
@@ -68,6 +73,7 @@
             Self::Excluded(_) | Self::Rejected(_) => None,
             Self::ConnectFailed(_) | Self::ClosedBeforeSend => Some(Outcome::Unreachable),
             Self::ConnectionLost
+            | Self::ForeignResponse(_)
             | Self::InvalidResponse
             | Self::Truncated
             | Self::ResponseTimeout => Some(Outcome::Failed),
@@ -82,6 +88,7 @@
             Self::ClosedBeforeSend => "unsent",
             Self::Rejected(_) => "rejected",
             Self::ConnectionLost => "lost",
+            Self::ForeignResponse(_) => "other_request",
             Self::InvalidResponse => "garbled",
             Self::Truncated => "broken_off",
             Self::ResponseTimeout => "silent",
@@ -94,6 +101,7 @@
         match self {
             Self::ConnectFailed(error) => error.fmt(formatter),
             Self::Rejected(status) => write!(formatter, "rejected with {status}"),
+            Self::ForeignResponse(id) => write!(formatter, "response to request {id}"),
             other => formatter.write_str(other.name()),
         }
     }
@@ -112,7 +120,7 @@
     pub body: Incoming,
     /// Tracks the request while it is at the engine.
     pub in_flight: InFlightRequest,
-    connection: Connection,
+    connection: EngineConnection,
 }
 
 impl EngineResponse {
@@ -136,6 +144,8 @@
     pub draw: f64,
     /// Grant for an engine that is warming up.
     pub warm_up_grant: Option<Grant>,
+    /// Connections on which the request was sent before.
+    pub used_connections: &'a UsedConnections,
 }
 
 /// Sends a request to an engine and waits for the head of its response. An idle connection that
@@ -146,7 +156,8 @@
     in_flight: InFlightRequest,
     outgoing: AttemptRequest<'_>,
 ) -> Result<EngineResponse, AttemptFailure> {
-    let mut reused = gateway.pool.take_idle(engine.key());
+    let used = outgoing.used_connections;
+    let mut reused = gateway.pool.take_idle(engine.key(), used);
     loop {
         let is_reused = reused.is_some();
         let mut connection = match reused.take() {
@@ -170,7 +181,7 @@
             gateway.pool.put_idle(engine.key(), connection, None);
             return Err(AttemptFailure::Excluded(exclusion));
         }
-        match connection.try_send_request(request).await {
+        match connection.send(request, used).await {
             Ok(response) => {
                 in_flight.on_sent(outgoing.body.len());
                 let (parts, body) = response.into_parts();
@@ -185,17 +196,12 @@
                 };
                 return check_response(gateway, engine, engine_response, outgoing.call).await;
             }
-            Err(mut error) => {
-                // The HTTP library returns the request if it sent no byte of it.
-                let is_unsent = error.take_message().is_some();
-                if !is_unsent {
-                    in_flight.on_sent(outgoing.body.len());
-                    return Err(AttemptFailure::ConnectionLost);
-                }
-                if !is_reused {
-                    return Err(AttemptFailure::ClosedBeforeSend);
-                }
+            Err(SendError::Lost) => {
+                in_flight.on_sent(outgoing.body.len());
+                return Err(AttemptFailure::ConnectionLost);
             }
+            Err(SendError::Unsent) if is_reused => {}
+            Err(SendError::Unsent) => return Err(AttemptFailure::ClosedBeforeSend),
         }
     }
 }
@@ -206,7 +212,10 @@
     exclusion.map_or(Ok(()), |exclusion| Err(AttemptFailure::Excluded(exclusion)))
 }
 
-async fn new_connection(gateway: &Gateway, engine: &Engine) -> Result<Connection, AttemptFailure> {
+async fn new_connection(
+    gateway: &Gateway,
+    engine: &Engine,
+) -> Result<EngineConnection, AttemptFailure> {
     let began = Instant::now();
     let connected = gateway.pool.connect(engine).await;
     let connection = connected.map_err(AttemptFailure::ConnectFailed)?;
@@ -247,8 +256,9 @@
     call: &Call,
 ) -> Result<EngineResponse, AttemptFailure> {
     let echoed_id = engine_response.head.request_id.as_deref();
-    if echoed_id.is_some_and(|id| id != call.metadata.request_id) {
-        return Err(AttemptFailure::InvalidResponse);
+    if let Some(id) = echoed_id.filter(|id| *id != call.metadata.request_id) {
+        let id = id.chars().take(MAX_LOGGED_ID).collect();
+        return Err(AttemptFailure::ForeignResponse(id));
     }
     let warm_up = engine_response.head.warm_up;
     gateway.warm_ups.on_response(engine, warm_up);
--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -1,9 +1,16 @@
-//! Pool of idle connections to engines.
+//! Connections to engines, and the pool of those that are idle.
+//!
+//! A request is sent on one connection at most once. Its identifier tells it from other requests, but not its sends from each
+//! other: a late copy of the answer to one send would pass for the answer to the next on the same connection.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
 use ridgeworks_resident::http_client::{ConnectError, Connection, connect};
 use ridgeworks_routing::{Engine, EngineKey, EngineTable};
 
@@ -18,30 +25,100 @@
 /// Maximum number of idle connections per engine.
 const MAX_IDLE: usize = 24;
 
-struct IdleConnection {
+/// Number of a connection within this process, from 1.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionId(pub u64);
+
+/// The connections on which one request was sent, in the order of its sends.
+#[derive(Debug, Default)]
+pub struct UsedConnections(RefCell<Vec<ConnectionId>>);
+
+impl UsedConnections {
+    /// The connection of the last send.
+    pub fn last(&self) -> Option<ConnectionId> {
+        self.0.borrow().last().copied()
+    }
+
+    fn contains(&self, connection: ConnectionId) -> bool {
+        self.0.borrow().contains(&connection)
+    }
+
+    fn add(&self, connection: ConnectionId) {
+        self.0.borrow_mut().push(connection);
+    }
+}
+
+/// Why a request was not answered on a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SendError {
+    /// No byte of the request was sent.
+    Unsent,
+    /// The connection failed; the engine may have run the request.
+    Lost,
+}
+
+/// A connection to an engine.
+pub struct EngineConnection {
+    id: ConnectionId,
     connection: Connection,
+}
+
+impl EngineConnection {
+    /// Whether the connection is known to be closed.
+    pub fn is_closed(&self) -> bool {
+        self.connection.is_closed()
+    }
+
+    /// Sends a request and waits for the head of its response. Sends nothing if the request was sent on this connection before.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        used: &UsedConnections,
+    ) -> Result<Response<Incoming>, SendError> {
+        if used.contains(self.id) {
+            return Err(SendError::Unsent);
+        }
+        used.add(self.id);
+        let sent = self.connection.try_send_request(request).await;
+        // The HTTP library returns the request if it sent no byte of it.
+        sent.map_err(|mut error| match error.take_message() {
+            Some(_) => SendError::Unsent,
+            None => SendError::Lost,
+        })
+    }
+}
+
+struct IdleConnection {
+    connection: EngineConnection,
     until: Instant,
 }
 
+impl IdleConnection {
+    fn is_usable(&self, now: Instant) -> bool {
+        now < self.until && !self.connection.is_closed()
+    }
+}
+
 /// Idle connections by engine process. A restarted engine has a new key, because connections to its
 /// old process are dead.
 #[derive(Default)]
 pub struct ConnectionPool {
     idle: RefCell<HashMap<EngineKey, Vec<IdleConnection>>>,
+    last_id: Cell<u64>,
 }
 
 impl ConnectionPool {
-    /// Takes a usable idle connection.
-    pub fn take_idle(&self, engine: EngineKey) -> Option<Connection> {
+    /// Takes the usable idle connection that was used last, of those on which the request was not sent.
+    pub fn take_idle(&self, engine: EngineKey, used: &UsedConnections) -> Option<EngineConnection> {
         let mut idle = self.idle.borrow_mut();
         let engine_connections = idle.get_mut(&engine)?;
         let now = Instant::now();
-        while let Some(candidate) = engine_connections.pop() {
-            if now < candidate.until && candidate.connection.is_ready() {
-                return Some(candidate.connection);
-            }
-        }
-        None
+        engine_connections.retain(|idle| idle.is_usable(now));
+        let index = engine_connections.iter().rposition(|idle| {
+            let connection = &idle.connection;
+            connection.connection.is_ready() && !used.contains(connection.id)
+        })?;
+        Some(engine_connections.remove(index).connection)
     }
 
     /// Whether an idle connection to the engine is open.
@@ -53,15 +130,25 @@
     }
 
     /// Opens a new connection.
-    pub async fn connect(&self, engine: &Engine) -> Result<Connection, ConnectError> {
-        connect(engine.address, CONNECT_TIMEOUT).await
+    pub async fn connect(&self, engine: &Engine) -> Result<EngineConnection, ConnectError> {
+        let connection = connect(engine.address, CONNECT_TIMEOUT).await?;
+        Ok(self.number(connection))
+    }
+
+    /// Gives a new connection its number.
+    pub fn number(&self, connection: Connection) -> EngineConnection {
+        self.last_id.set(self.last_id.get() + 1);
+        EngineConnection {
+            id: ConnectionId(self.last_id.get()),
+            connection,
+        }
     }
 
     /// Returns a connection to the pool. Its last response must have been read to the end.
     pub fn put_idle(
         &self,
         engine: EngineKey,
-        connection: Connection,
+        connection: EngineConnection,
         keep_alive: Option<Duration>,
     ) {
         if connection.is_closed() {
@@ -83,7 +170,7 @@
         let now = Instant::now();
         let listed: HashSet<EngineKey> = table.engines().map(Engine::key).collect();
         self.idle.borrow_mut().retain(|engine, engine_connections| {
-            engine_connections.retain(|idle| now < idle.until && !idle.connection.is_closed());
+            engine_connections.retain(|idle| idle.is_usable(now));
             !engine_connections.is_empty() && listed.contains(engine)
         });
     }
--- a/crates/gateway/src/engine_probe.rs
+++ b/crates/gateway/src/engine_probe.rs
@@ -4,10 +4,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ridgeworks_resident::http_client::{ConnectError, Connection, connect};
+use ridgeworks_resident::http_client::{ConnectError, connect};
 use ridgeworks_routing::Engine;
 use tokio::time::Instant;
 
+use crate::connection_pool::EngineConnection;
 use crate::gateway::Gateway;
 
 /// Longer than a round trip to any region. Short, because the request waits.
@@ -51,7 +52,7 @@
 pub enum Probed {
     Ended(Evidence),
     /// The engine accepted this connection.
-    Accepted(Connection),
+    Accepted(EngineConnection),
 }
 
 /// Opens a connection to an engine.
@@ -71,14 +72,14 @@
     if connection.is_closed() {
         return Probed::Ended(Evidence::Closed);
     }
-    Probed::Accepted(connection)
+    Probed::Accepted(gateway.pool.number(connection))
 }
 
 /// Waits for a while whether an engine that accepted a connection turns out to have ended before.
 pub async fn find_late_evidence(
     gateway: &Rc<Gateway>,
     engine: &Engine,
-    connection: Connection,
+    connection: EngineConnection,
 ) -> Option<Evidence> {
     let watched = &gateway.watched_engines;
     if watched.get() >= MAX_WATCHED {
@@ -95,7 +96,7 @@
 }
 
 /// Completes if the connection is closed soon; else keeps it for later requests.
-async fn closed_late(gateway: &Gateway, engine: &Engine, connection: Connection) {
+async fn closed_late(gateway: &Gateway, engine: &Engine, connection: EngineConnection) {
     let until = Instant::now() + LATE_CLOSE_TIMEOUT;
     while Instant::now() < until {
         if connection.is_closed() {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -28,6 +28,7 @@
 use crate::buffered_response;
 use crate::call::Call;
 use crate::client::WaitingClient;
+use crate::connection_pool::UsedConnections;
 use crate::engine_rules::current_residency;
 use crate::gateway::Gateway;
 use crate::in_flight::InFlightRequest;
@@ -51,6 +52,7 @@
     /// Body for the engine; includes the earlier turns once they have been read.
     prompt: Bytes,
     history: AttemptHistory,
+    used_connections: UsedConnections,
     software: StreamSoftware,
     ends: RequestEnds,
     forwarded: ForwardedEvents,
@@ -79,6 +81,7 @@
         prompt: call.body.clone(),
         call,
         history: AttemptHistory::default(),
+        used_connections: UsedConnections::default(),
         software: StreamSoftware::default(),
         ends: RequestEnds::default(),
         forwarded,
@@ -221,6 +224,7 @@
             last_event_id: self.forwarded.last_event_id.filter(|_| is_resumed),
             draw: self.draw,
             warm_up_grant: self.history.warm_up_grant,
+            used_connections: &self.used_connections,
         };
         let first_event_deadline = self.first_event_deadline();
         tokio::select! {
--- a/crates/gateway/src/exchange/engine_choice.rs
+++ b/crates/gateway/src/exchange/engine_choice.rs
@@ -375,6 +375,7 @@
             software = engine.software.as_str(),
             reason = failure.name(),
             detail:% = failure,
+            connection = self.used_connections.last().map_or(0, |connection| connection.0),
             events_passed = self.forwarded.events,
             took_ms = whole_ms(began.elapsed()),
             engines_at = self.gateway.node.view.with_engines(|engines| engines.at());
--- a/crates/gateway/src/exchange/engine_ends.rs
+++ b/crates/gateway/src/exchange/engine_ends.rs
@@ -4,11 +4,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use crate::connection_pool::EngineConnection;
 use ridgeworks_records::{
     EngineEnd, EngineEnds, EngineRun, PERMIT_ENTRY, ProgramId, RequestDigest, TurnId,
 };
 use ridgeworks_resident::clock::{unix_time_ms, whole_ms};
-use ridgeworks_resident::http_client::Connection;
 use ridgeworks_routing::Engine;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -345,7 +345,7 @@
 
 impl EndWatch {
     /// Runs until the outcome is known. `connection` is one that the engine accepted; without it the engine is asked first.
-    async fn run(self, connection: Option<Connection>) {
+    async fn run(self, connection: Option<EngineConnection>) {
         let keeper = self.hold_open().await;
         let evidence = self.find_evidence(connection).await;
         if let Some(evidence) = evidence {
@@ -385,7 +385,7 @@
         recording.await.ok().map(|recorded| recorded.keeper)
     }
 
-    async fn find_evidence(&self, connection: Option<Connection>) -> Option<Evidence> {
+    async fn find_evidence(&self, connection: Option<EngineConnection>) -> Option<Evidence> {
         let connection = match connection {
             Some(connection) => connection,
             None => match probe(&self.gateway, &self.engine).await {
--- a/crates/node/tests/resident_requests.rs
+++ b/crates/node/tests/resident_requests.rs
@@ -128,6 +128,33 @@
     }
 }
 
+/// A late copy of the rejection of a request's first send says nothing of its second send.
+#[test]
+fn a_late_copy_of_a_request_s_own_rejection_is_no_promise() {
+    let whole = || Answer::Whole("x".to_owned());
+    let events = || Answer::Stream {
+        events: 3,
+        gap_ms: 2,
+    };
+    for status in [503, 429, 421] {
+        for (service, path, answer) in [
+            ("tools", "/once/x", whole()),
+            ("models", "/chat/x", events()),
+        ] {
+            let deployment = Deployment::started(PROGRAM, 1, 0);
+            let engine = deployment.start_engine(service, "i-1", Script::always(answer.clone()));
+            let gateway = deployment.gateways[0].callers();
+            send_until_served(gateway, &call_post(path, "warm", ""));
+            let before = engine.runs().len();
+            engine.set_late_copies(1);
+            engine.set_script(Script::first([Answer::NotExecuted(status)], answer));
+            let reply = call_post(path, "r-1", "").send(gateway).expect("an answer");
+            let runs = engine.runs().len() - before;
+            assert_eq!((reply.status, runs), (200, 1), "{path} {status}");
+        }
+    }
+}
+
 #[test]
 fn an_engine_s_own_failure_is_passed_on() {
     assert_eq!(one_request("/once/", Answer::Failure(500)), (500, 1));
