A rejection that names no request is no promise

PROTOCOL.md has engines echo the id in their answers, so one without it belongs to no request that was sent, and a 503 made of it would promise what nobody knows. It counts as a response of another request now (no_request in the log).

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -38,8 +38,8 @@
     Rejected(StatusCode),
     /// The connection failed; the engine may have run the request.
     ConnectionLost,
-    /// The response belongs to another request, whose identifier this is; the engine may have run the request.
-    ForeignResponse(String),
+    /// The response belongs to another request, whose identifier this is, or to none; the engine may have run the request.
+    ForeignResponse(Option<String>),
     /// The response is malformed or unsigned; the engine may have run the request.
     InvalidResponse,
     /// The response ended early; the engine may have run the request.
@@ -88,7 +88,8 @@
             Self::ClosedBeforeSend => "unsent",
             Self::Rejected(_) => "rejected",
             Self::ConnectionLost => "lost",
-            Self::ForeignResponse(_) => "other_request",
+            Self::ForeignResponse(Some(_)) => "other_request",
+            Self::ForeignResponse(None) => "no_request",
             Self::InvalidResponse => "garbled",
             Self::Truncated => "broken_off",
             Self::ResponseTimeout => "silent",
@@ -101,7 +102,10 @@
         match self {
             Self::ConnectFailed(error) => error.fmt(formatter),
             Self::Rejected(status) => write!(formatter, "rejected with {status}"),
-            Self::ForeignResponse(id) => write!(formatter, "response to request {id}"),
+            Self::ForeignResponse(Some(id)) => write!(formatter, "response to request {id}"),
+            Self::ForeignResponse(None) => {
+                formatter.write_str("response without a request identifier")
+            }
             other => formatter.write_str(other.name()),
         }
     }
@@ -256,8 +260,8 @@
     call: &Call,
 ) -> Result<EngineResponse, AttemptFailure> {
     let echoed_id = engine_response.head.request_id.as_deref();
-    if let Some(id) = echoed_id.filter(|id| *id != call.metadata.request_id) {
-        let id = id.chars().take(MAX_LOGGED_ID).collect();
+    if echoed_id != Some(&call.metadata.request_id) {
+        let id = echoed_id.map(|id| id.chars().take(MAX_LOGGED_ID).collect());
         return Err(AttemptFailure::ForeignResponse(id));
     }
     let warm_up = engine_response.head.warm_up;
--- a/crates/node/tests/resident_requests.rs
+++ b/crates/node/tests/resident_requests.rs
@@ -155,6 +155,13 @@
     }
 }
 
+/// An answer that names no request may belong to any.
+#[test]
+fn a_rejection_that_names_no_request_is_no_promise() {
+    let anonymous = Answer::AnonymousRejection(503);
+    assert_eq!(one_request("/once/", anonymous), (502, 1));
+}
+
 #[test]
 fn an_engine_s_own_failure_is_passed_on() {
     assert_eq!(one_request("/once/", Answer::Failure(500)), (500, 1));
