A voter acknowledges a turn only once it has all turns before it

Cause: a write needs a majority, so a voter that was away misses turns and never got them. It keeps turns for as long as the newest one that needs them, as far as it has the chain without a gap; behind a gap its older turns expire. Each turn had been acknowledged by a majority, but no majority had the chain.

Now a voter that gets a turn before which others are missing asks the other voters for them, one by one and then for the whole rest, and replies to the append only after that (Unavailable after 0.5 s; what was copied stays). So the majority that acknowledged the newest turn has the whole chain, and each later majority, read or copy meets it. What no voter has is accepted with a line, also of a chain that began in another group. New members of a joint set are exempt: they copy what a read quorum has before they count. A replica that restores its disk looks the chain up first. Nothing is sent where nothing was missed; no message is new, so earlier gateways and voters take part.

Logs: a line for each repair with the turn, the missing one, how many were copied and how long it took; metrics chains_repaired, turns_repaired, chain_repairs_failed.

--- a/crates/node/tests/resident_records.rs
+++ b/crates/node/tests/resident_records.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use ridgeworks_platform_stand_ins::client::{Call, call_post};
+use ridgeworks_platform_stand_ins::client::{Call, call_post, get};
 use ridgeworks_platform_stand_ins::deployment::{
     Deployment, Process, send_until_served, wait_until,
 };
@@ -545,3 +545,43 @@
     assert_eq!(more.status, 402);
     assert_eq!(engine.runs().len(), runs);
 }
+
+/// Turns that a replica keeps, as its metrics tell.
+fn kept_turns(replica: &Process) -> Option<u64> {
+    let metrics = get(replica.metrics(), "/metrics")?;
+    let mut lines = metrics.body.lines();
+    let line = lines.find_map(|line| line.strip_prefix("ridgeworks_turns "))?;
+    line.parse().ok()
+}
+
+/// A turn that a replica missed would expire there before the later turns that need it.
+#[test]
+fn a_replica_that_was_away_gets_the_turns_that_it_missed() {
+    let mut deployment = Deployment::started(PROGRAM, 1, 3);
+    let _engine = deployment.start_engine("models", "i-1", stream(2));
+    let gateway = deployment.gateways[0].callers();
+    send_until_served(gateway, &turn("t-1", None, "first"));
+    deployment.replicas[0].kill();
+    let mut previous = "t-1".to_owned();
+    for number in 2..10 {
+        let next = format!("t-{number}");
+        send_until_served(gateway, &turn(&next, Some(&previous), "more"));
+        previous = next;
+    }
+    deployment.replicas[0].start();
+    wait_until("the replica has restored its disk", || {
+        let log = deployment.replicas[0].log();
+        log.iter()
+            .any(|line| line["message"] == "records read back")
+    });
+    send_until_served(gateway, &turn("t-10", Some(&previous), "last"));
+    wait_until("the replica has all turns", || {
+        kept_turns(&deployment.replicas[0]) == Some(10)
+    });
+    let log = deployment.replicas[0].log();
+    let repaired = "copied turns of a chain that this replica had missed";
+    let repair = log.iter().find(|line| line["message"] == repaired);
+    let attributes = &repair.expect("a line of the repair")["attributes"];
+    assert_eq!(attributes["request"], "t-10");
+    assert_eq!(attributes["missing"], "t-9");
+}
--- a/crates/records/src/lib.rs
+++ b/crates/records/src/lib.rs
@@ -42,6 +42,9 @@
 pub use origin::StreamOrigin;
 pub use plan::{CopyProgress, SetStep, StorageNode, assign_groups, initial_groups, plan_change};
 pub use quorum_write::{QuorumWrite, WriteProgress};
-pub use replica::{Change, DISK_VERSION, Handled, NotRestored, ReplicaState, StoredRecord, Wait};
+pub use replica::{
+    ChainGap, Change, DISK_VERSION, Handled, IncompleteAppend, NotRestored, ReplicaState,
+    StoredRecord, Wait,
+};
 pub use replica_set::{Replica, ReplicaSet};
 pub use turn::TurnRecord;
--- a/crates/records/src/replica.rs
+++ b/crates/records/src/replica.rs
@@ -3,6 +3,7 @@
 //! It replies from memory. The caller makes the [`Change`]s durable in the order in which they are
 //! returned, and holds a reply back until the changes that its [`Wait`] names are durable.
 
+mod chains;
 mod copying;
 mod ledger_table;
 mod lifetimes;
@@ -10,6 +11,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use self::chains::ChainedTurn;
+pub use self::chains::{ChainGap, IncompleteAppend};
 use self::ledger_table::LedgerTable;
 pub use self::ledger_table::NotRestored;
 use rkyv::{Archive, Deserialize, Serialize};
@@ -65,6 +68,9 @@
     pub changes: Vec<Change>,
     pub reply: ReplicaReply,
     pub wait: Wait,
+    /// An appended turn that must not be acknowledged yet; there is a reply to it only after the gap is closed
+    /// ([`ReplicaState::finish_append`]).
+    pub incomplete: Option<IncompleteAppend>,
 }
 
 /// What a reply has to wait for.
@@ -83,14 +89,17 @@
             changes: Vec::new(),
             reply,
             wait: Wait::Nothing,
+            incomplete: None,
         }
     }
 
-    fn durable(changes: Vec<Change>, reply: ReplicaReply) -> Self {
+    /// A reply that waits until the changes are durable.
+    pub fn durable(changes: Vec<Change>, reply: ReplicaReply) -> Self {
         Self {
             changes,
             reply,
             wait: Wait::Durable,
+            incomplete: None,
         }
     }
 }
@@ -117,7 +126,7 @@
     groups: Option<ReplicaGroups>,
     /// The epoch of the last finished copy of each group.
     copied: BTreeMap<GroupId, Epoch>,
-    turns: BTreeMap<TurnId, Retained<TurnRecord>>,
+    turns: BTreeMap<TurnId, Retained<ChainedTurn>>,
     ledgers: LedgerTable,
     change_logs: BTreeMap<GroupId, ChangeLog>,
     turn_bytes: usize,
@@ -196,10 +205,10 @@
             } => self.settle(group, settlements, now_ms),
             ReplicaRequest::Append {
                 group,
+                epoch,
                 record,
                 ttl_ms,
-                ..
-            } => self.append(group, record, now_ms + ttl_ms),
+            } => self.append(group, epoch, record, now_ms + ttl_ms),
             ReplicaRequest::ReadChain { turn, .. } => Handled::immediate(self.read_chain(turn)),
             ReplicaRequest::Adopt { groups } => self.adopt(groups),
             ReplicaRequest::List { .. } | ReplicaRequest::Fetch { .. } if self.is_restoring => {
@@ -243,7 +252,7 @@
             let keep = is_restoring || retained.expires_at_ms > now_ms;
             if !keep {
                 remove_from_log(retained.group, retained.last_change);
-                *turn_bytes -= retained.value.weight();
+                *turn_bytes -= retained.value.record.weight();
                 changes.push(Change::Delete(RecordKey::Turn(turn.clone())));
             }
             keep
@@ -279,6 +288,17 @@
             | ReplicaRequest::List { group, epoch, .. } => (*group, *epoch),
             _ => return None,
         };
+        let is_listing = matches!(request, ReplicaRequest::List { .. });
+        self.epoch_rejection(group, epoch, is_listing)
+    }
+
+    /// The reply to a request under another epoch of the group than the one known here, or to a replica that isn't a member.
+    fn epoch_rejection(
+        &self,
+        group: GroupId,
+        epoch: Epoch,
+        is_listing: bool,
+    ) -> Option<ReplicaReply> {
         let Some(groups) = &self.groups else {
             return Some(ReplicaReply::Behind);
         };
@@ -292,8 +312,7 @@
             let groups = groups.clone();
             return Some(ReplicaReply::Stale { groups });
         }
-        let listing = matches!(request, ReplicaRequest::List { .. });
-        (!listing && !set.has_member(self.id)).then_some(ReplicaReply::NotMember)
+        (!is_listing && !set.has_member(self.id)).then_some(ReplicaReply::NotMember)
     }
 
     fn charge(
@@ -335,6 +354,7 @@
             changes,
             reply: ReplicaReply::Done,
             wait: Wait::DurableDeferred,
+            incomplete: None,
         }
     }
 
@@ -389,16 +409,39 @@
         Ok(Some(Change::Put(stored)))
     }
 
-    fn append(&mut self, group: GroupId, record: TurnRecord, expires_at_ms: u64) -> Handled {
+    fn append(
+        &mut self,
+        group: GroupId,
+        epoch: Epoch,
+        record: TurnRecord,
+        expires_at_ms: u64,
+    ) -> Handled {
+        let turn = record.turn.clone();
+        let Some(changes) = self.add_turn(group, record, expires_at_ms) else {
+            return Handled::immediate(ReplicaReply::Unavailable);
+        };
+        Handled {
+            incomplete: self.incomplete_append(group, epoch, turn),
+            ..Handled::durable(changes, ReplicaReply::Done)
+        }
+    }
+
+    /// Adds a turn unless it is here; `None` if there is no room for it.
+    fn add_turn(
+        &mut self,
+        group: GroupId,
+        record: TurnRecord,
+        expires_at_ms: u64,
+    ) -> Option<Vec<Change>> {
         if self.turns.contains_key(&record.turn) {
-            return Handled::durable(Vec::new(), ReplicaReply::Done);
+            return Some(Vec::new());
         }
         if self.turn_bytes + record.weight() > self.max_total_turn_bytes {
-            return Handled::immediate(ReplicaReply::Unavailable);
+            return None;
         }
         self.put_turn(group, record.clone(), expires_at_ms);
         let change = Change::Put(StoredRecord::GroupTurn(group, record, expires_at_ms));
-        Handled::durable(vec![change], ReplicaReply::Done)
+        Some(vec![change])
     }
 
     fn put_turn(&mut self, group: GroupId, record: TurnRecord, expires_at_ms: u64) {
@@ -413,13 +456,13 @@
         let key = || RecordKey::Turn(turn.clone());
         change_log(&mut self.change_logs, self.log_id, group).log_change(&mut last_change, key);
         let retained = Retained {
-            value: record,
+            value: ChainedTurn::new(record),
             expires_at_ms,
             group,
             last_change,
         };
         if let Some(earlier) = self.turns.insert(turn, retained) {
-            self.turn_bytes -= earlier.value.weight();
+            self.turn_bytes -= earlier.value.record.weight();
         }
         self.renew_chain(previous.as_ref(), expires_at_ms);
     }
@@ -437,8 +480,9 @@
                 let missing = Some(turn);
                 return ReplicaReply::Chain { records, missing };
             };
-            records.push(retained.value.clone());
-            next = retained.value.previous.clone();
+            let record = &retained.value.record;
+            records.push(record.clone());
+            next = record.previous.clone();
         }
         let missing = None;
         ReplicaReply::Chain { records, missing }
--- a/crates/records/src/replica/copying.rs
+++ b/crates/records/src/replica/copying.rs
@@ -31,8 +31,7 @@
         ttl_ms: u64,
         now_ms: u64,
     ) -> Option<Vec<Change>> {
-        let handled = self.append(group, record, now_ms + ttl_ms);
-        (handled.reply == ReplicaReply::Done).then_some(handled.changes)
+        self.add_turn(group, record, now_ms + ttl_ms)
     }
 
     /// Merges a ledger copied from another replica. Fails if the disk may have more of it.
@@ -58,11 +57,12 @@
         let mut records = Vec::new();
         let mut bytes = 0;
         for retained in turns.iter().filter_map(|turn| self.turns.get(turn)) {
-            bytes += retained.value.weight();
+            let record = &retained.value.record;
+            bytes += record.weight();
             if bytes > MAX_FETCH_BYTES && !records.is_empty() {
                 break;
             }
-            records.push(retained.value.clone());
+            records.push(record.clone());
         }
         ReplicaReply::Fetched { records }
     }
--- a/crates/records/src/replica/lifetimes.rs
+++ b/crates/records/src/replica/lifetimes.rs
@@ -34,7 +34,7 @@
             }
             until_ms = expires_at_ms + RENEWAL_MARGIN_MS;
             retained.expires_at_ms = until_ms;
-            next = retained.value.previous.clone();
+            next = retained.value.record.previous.clone();
         }
     }
 }
--- a/crates/records/src/replica/restoring.rs
+++ b/crates/records/src/replica/restoring.rs
@@ -52,6 +52,10 @@
                 programs.find_map(|program| self.unrestored_ledger(program))
             }
             ReplicaRequest::ReadChain { turn, .. } => self.unrestored_turn(turn),
+            ReplicaRequest::Append { record, .. } => {
+                let previous = record.previous.as_ref();
+                previous.and_then(|previous| self.unrestored_turn(previous))
+            }
             _ => None,
         }
     }
@@ -65,7 +69,7 @@
         let mut next = Some(newest);
         while let Some(turn) = next {
             match self.turns.get(turn) {
-                Some(retained) => next = retained.value.previous.as_ref(),
+                Some(retained) => next = retained.value.record.previous.as_ref(),
                 None if self.absent.contains(turn) => return None,
                 None => return Some(RecordKey::Turn(turn.clone())),
             }
--- a/crates/records/tests/simulator/world.rs
+++ b/crates/records/tests/simulator/world.rs
@@ -13,7 +13,7 @@
 use ridgeworks_records::{
     ChainOutcome, CopyProgress, Epoch, GroupId, Handled, ProgramLedger, QuorumWrite, ReplicaGroups,
     ReplicaId, ReplicaReply, ReplicaRequest, ReplicaSet, SetStep, StorageNode, TurnId, TurnRecord,
-    Wait, WriteProgress, assign_groups, plan_change,
+    WriteProgress, assign_groups, plan_change,
 };
 
 use super::gateway::{MAX_TURN_TOKENS, Operation, Purpose, StateMachine, program_id};
--- a/crates/records/tests/simulator/world/changes.rs
+++ b/crates/records/tests/simulator/world/changes.rs
@@ -334,11 +334,7 @@
                 copy.source = None;
             }
         }
-        let handled = Handled {
-            changes,
-            reply: ReplicaReply::Done,
-            wait: Wait::Durable,
-        };
+        let handled = Handled::durable(changes, ReplicaReply::Done);
         storage.commit_and_reply(handled, None);
         self.schedule_sync(node);
     }
--- a/crates/replica/src/actor.rs
+++ b/crates/replica/src/actor.rs
@@ -14,8 +14,9 @@
 use std::time::{Duration, Instant};
 
 use ridgeworks_records::{
-    Change, Epoch, GroupId, Handled, ProgramId, ProgramLedger, ReplicaGroups, ReplicaId,
-    ReplicaReply, ReplicaRequest, ReplicaState, StoredRecord, TurnId, TurnRecord, Wait,
+    ChainGap, Change, Epoch, GroupId, Handled, IncompleteAppend, ProgramId, ProgramLedger,
+    ReplicaGroups, ReplicaId, ReplicaReply, ReplicaRequest, ReplicaState, StoredRecord, TurnId,
+    TurnRecord, Wait,
 };
 use ridgeworks_resident::clock::{unix_time_ms, whole_ms};
 use ridgeworks_resident::peer::{PeerReply, ReplicaStatus};
@@ -24,6 +25,7 @@
 use stakker::CX;
 use tokio::sync::{mpsc, oneshot};
 
+use crate::chain_repair::RepairJob;
 use crate::disk::{self, DiskError, OpenedDisk};
 use crate::latency::LatencyMonitor;
 use crate::metrics::ReplicaMetrics;
@@ -86,6 +88,8 @@
     pub metrics: Rc<ReplicaMetrics>,
     /// Channel for events from other threads.
     pub disk_events: mpsc::UnboundedSender<DiskEvent>,
+    /// Channel for the chains that have to be completed.
+    pub repairs: mpsc::UnboundedSender<RepairJob>,
     /// Where the replica's status is published within the process; `None` while the disk isn't
     /// open.
     pub status: Rc<Cell<Option<LocalReplicaStatus>>>,
@@ -197,15 +201,70 @@
             return;
         }
         let epoch_before = disk.state.epoch();
-        let handled = disk.state.handle(request, unix_time_ms());
+        let mut handled = disk.state.handle(request, unix_time_ms());
         let has_changed = disk.state.epoch() > epoch_before;
-        self.commit_and_reply(handled, Some(reply_sender));
+        match handled.incomplete.take() {
+            Some(append) => {
+                self.commit_and_reply(handled, None);
+                self.repair_first(to, append, reply_sender);
+            }
+            None => self.commit_and_reply(handled, Some(reply_sender)),
+        }
         if has_changed {
             self.publish_sets();
             self.publish_status();
         }
     }
 
+    /// Has a chain completed before its newest turn is acknowledged.
+    fn repair_first(
+        &self,
+        to: ReplicaId,
+        append: IncompleteAppend,
+        reply_sender: oneshot::Sender<PeerReply>,
+    ) {
+        let job = RepairJob {
+            to,
+            append,
+            reply_sender,
+        };
+        if let Err(unsent) = self.parts.repairs.send(job) {
+            // The process is shutting down.
+            send(unsent.0.reply_sender, ReplicaReply::Unavailable);
+        }
+    }
+
+    /// Replies to an appended turn once its chain is complete and durable.
+    pub fn finish_append(&mut self, _cx: CX![], job: RepairJob) {
+        let disk = self.disk.as_mut().filter(|disk| disk.state.id() == job.to);
+        let Some(disk) = disk else {
+            send(job.reply_sender, ReplicaReply::Unavailable);
+            return;
+        };
+        let handled = disk.state.finish_append(&job.append);
+        self.commit_and_reply(handled, Some(job.reply_sender));
+    }
+
+    /// Replies with the gap before a turn, if there is one.
+    pub fn chain_gap(
+        &mut self,
+        _cx: CX![],
+        turn: TurnId,
+        reply_sender: oneshot::Sender<Option<ChainGap>>,
+    ) {
+        let state = self.disk.as_mut().map(|disk| &mut disk.state);
+        let gap = state.and_then(|state| state.chain_gap(&turn));
+        // The caller may have stopped waiting.
+        let _ = reply_sender.send(gap);
+    }
+
+    /// Takes a chain for complete, because no voter has what is missing in it.
+    pub fn accept_gap(&mut self, _cx: CX![], gap: ChainGap) {
+        if let Some(disk) = self.disk.as_mut() {
+            disk.state.accept_gap(&gap);
+        }
+    }
+
     /// Adopts newer sets received by the node.
     pub fn adopt(&mut self, _cx: CX![], groups: ReplicaGroups) {
         let Some(disk) = self.disk.as_mut() else {
@@ -256,11 +315,7 @@
         } else {
             ReplicaReply::Unavailable
         };
-        let handled = Handled {
-            changes,
-            reply,
-            wait: Wait::Durable,
-        };
+        let handled = Handled::durable(changes, reply);
         self.commit_and_reply(handled, Some(reply_sender));
     }
 
@@ -476,6 +531,7 @@
             changes,
             reply,
             wait,
+            incomplete: _,
         } = handled;
         self.pending.extend(changes);
         if wait == Wait::Durable && !self.submit_pending() {
--- a/crates/replica/src/copying.rs
+++ b/crates/replica/src/copying.rs
@@ -326,7 +326,7 @@
 }
 
 /// The voters, ordered by their last heartbeat, newest first.
-fn newest_first<'a>(replica: &ReplicaHandle, voters: &'a [Replica]) -> Vec<&'a Replica> {
+pub fn newest_first<'a>(replica: &ReplicaHandle, voters: &'a [Replica]) -> Vec<&'a Replica> {
     let members = replica.node.gossip.replicas();
     let heard_at = |voter: &Replica| {
         let mut matching_members = members.iter().filter(|member| {
--- a/crates/replica/src/handle.rs
+++ b/crates/replica/src/handle.rs
@@ -4,7 +4,9 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-use ridgeworks_records::{Epoch, GroupId, ReplicaGroups, ReplicaReply, ReplicaRequest, TurnId};
+use ridgeworks_records::{
+    ChainGap, Epoch, GroupId, ReplicaGroups, ReplicaReply, ReplicaRequest, TurnId,
+};
 use ridgeworks_resident::actors::ActorRuntime;
 use ridgeworks_resident::node::Node;
 use ridgeworks_resident::peer::{
@@ -17,6 +19,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::actor::{CopiedRecord, DiskEvent, LocalReplicaStatus, ReplicaActor};
+use crate::chain_repair::RepairJob;
 use crate::limiters::{CLEAN_UP_INTERVAL, LocalLimiters};
 use crate::metrics::ReplicaMetrics;
 use crate::preparation::Preparation;
@@ -129,6 +132,26 @@
         )
     }
 
+    /// The gap before a turn; `None` if there is none, or while the disk isn't open.
+    pub async fn chain_gap(&self, turn: TurnId) -> Option<ChainGap> {
+        let (reply_sender, reply_receiver) = oneshot::channel();
+        call!([self.actor], chain_gap(turn, reply_sender));
+        self.actors.wake();
+        reply_receiver.await.ok().flatten()
+    }
+
+    /// Takes a chain for complete, because no voter has what is missing in it.
+    pub fn accept_gap(&self, gap: ChainGap) {
+        call!([self.actor], accept_gap(gap));
+        self.actors.wake();
+    }
+
+    /// Replies to an appended turn whose chain was completed.
+    pub fn finish_append(&self, job: RepairJob) {
+        call!([self.actor], finish_append(job));
+        self.actors.wake();
+    }
+
     /// Returns the given turns that the replica doesn't have (all of them while its disk isn't
     /// open), each with its time to live in milliseconds.
     pub async fn missing(&self, turns: Vec<(TurnId, u64)>) -> Vec<(TurnId, u64)> {
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -3,10 +3,12 @@
 //! - `actor` holds the state machine and the disk.
 //! - `coordinator` changes the replica sets by which nodes are alive (`liveness`), asks
 //!   `new_members` to copy first, and reports the progress of retirements.
+//! - `chain_repair` gets turns that this replica missed from other voters.
 //! - `copying` copies the records that a replica needs to join a set; `preparation` tracks which
 //!   copies are requested.
 
 pub mod actor;
+pub mod chain_repair;
 mod coordinator;
 mod copying;
 pub mod disk;
--- a/crates/replica/src/metrics.rs
+++ b/crates/replica/src/metrics.rs
@@ -24,6 +24,12 @@
     pub disk_failures: Counter,
     /// Changes of replica sets written by this node.
     pub set_changes: Counter,
+    /// Chains of turns that were completed from other voters.
+    pub chains_repaired: Counter,
+    /// Turns that were copied for that.
+    pub turns_repaired: Counter,
+    /// Chains that could not be completed in time.
+    pub chain_repairs_failed: Counter,
     /// Number of turns.
     pub turns: Gauge,
     /// Number of ledgers.
@@ -47,6 +53,9 @@
             commit_micros: Counter::default(),
             disk_failures: Counter::default(),
             set_changes: Counter::default(),
+            chains_repaired: Counter::default(),
+            turns_repaired: Counter::default(),
+            chain_repairs_failed: Counter::default(),
             turns: Gauge::default(),
             ledgers: Gauge::default(),
             turn_bytes: Gauge::default(),
@@ -89,6 +98,21 @@
                 "Changes of the replica set that this node wrote",
                 &metrics.set_changes,
             ),
+            (
+                "chains_repaired",
+                "Chains of turns that were completed from other voters",
+                &metrics.chains_repaired,
+            ),
+            (
+                "turns_repaired",
+                "Turns that were copied from other voters to complete a chain",
+                &metrics.turns_repaired,
+            ),
+            (
+                "chain_repairs_failed",
+                "Chains of turns that could not be completed in time",
+                &metrics.chain_repairs_failed,
+            ),
         ];
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
--- a/crates/replica/src/role.rs
+++ b/crates/replica/src/role.rs
@@ -22,6 +22,7 @@
 use tokio::sync::mpsc;
 
 use crate::actor::{ReplicaActor, ReplicaParts};
+use crate::chain_repair::{self, RepairJob};
 use crate::coordinator::Coordinator;
 use crate::copying;
 use crate::handle::ReplicaHandle;
@@ -51,7 +52,8 @@
     build::register(&mut registry);
     let replica_metrics = Rc::new(ReplicaMetrics::register(&mut registry));
     let node = Node::bind(settings, Clock::start()).await?;
-    let replica = start_actor(&node, folder, replica_metrics);
+    let (repairs, repair_jobs) = mpsc::unbounded_channel();
+    let replica = start_actor(&node, folder, replica_metrics, repairs);
     node.start(Rc::clone(&replica), Rc::clone(&replica)).await?;
     let gauge_source = Rc::clone(&replica);
     serve_metrics(&node, registry, move || gauge_source.update_gauges()).await?;
@@ -68,6 +70,7 @@
     tokio::task::spawn_local(Rc::clone(&replica).forward_sets());
     tokio::task::spawn_local(Rc::clone(&replica).clean_up_limiters());
     tokio::task::spawn_local(copying::run(Rc::clone(&replica)));
+    tokio::task::spawn_local(chain_repair::run(Rc::clone(&replica), repair_jobs));
     tokio::task::spawn_local(Coordinator::new(replica, retirements, store_watch).run());
     run_until_stopped(&node, &settings_path, &mut signals).await;
     log::info!(target: "process", role = "replica"; "stopping");
@@ -76,7 +79,12 @@
     Ok(())
 }
 
-fn start_actor(node: &Rc<Node>, folder: PathBuf, metrics: Rc<ReplicaMetrics>) -> Rc<ReplicaHandle> {
+fn start_actor(
+    node: &Rc<Node>,
+    folder: PathBuf,
+    metrics: Rc<ReplicaMetrics>,
+    repairs: mpsc::UnboundedSender<RepairJob>,
+) -> Rc<ReplicaHandle> {
     let memory_limit_bytes = node.settings.limits.memory_mb * BYTES_PER_MB;
     let max_total_turn_bytes = memory_limit_bytes * TURN_MEMORY_PERCENT / 100;
     let (disk_events, event_receiver) = mpsc::unbounded_channel();
@@ -88,6 +96,7 @@
         view: Rc::clone(&node.view),
         metrics: Rc::clone(&metrics),
         disk_events,
+        repairs,
         status: Rc::clone(&status),
     };
     let actors = ActorRuntime::default();
--- a/crates/replica/tests/support/mod.rs
+++ b/crates/replica/tests/support/mod.rs
@@ -54,6 +54,7 @@
             view: Rc::new(View::new(Clock::start(), false)),
             metrics: Rc::new(ReplicaMetrics::register(&mut Registry::default())),
             disk_events: sender,
+            repairs: mpsc::unbounded_channel().0,
             status: Rc::clone(&status),
         };
         let actor = actor!(stakker, ReplicaActor::init(parts), ret_nop!());
