Entries of a ledger that a replica of the newest majority lacks are written again

Now the gateway compares the ledgers of the quorum that answered a reservation, and queues what one of them lacks with the settlements. So the newest majority has all entries half a second later, and the one before it has them for 30 s more at least. Nothing while a set changes: new members copy all. What remains: a gateway that dies within that half second.

Metric: ledger_entries_written_back.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -112,7 +112,8 @@
     /// Creates a gateway on this node. It serves nothing before [`crate::listen`] is called.
     pub fn new(node: Rc<Node>, metrics: GatewayMetrics) -> Rc<Self> {
         let memory = node.settings.limits.memory_mb * BYTES_PER_MB;
-        let records = Rc::new(RecordsClient::new(Rc::clone(&node)));
+        let written_back = metrics.ledger_entries_written_back.clone();
+        let records = Rc::new(RecordsClient::new(Rc::clone(&node), written_back));
         let limits = RateLimits::new(Rc::clone(&node), Rc::clone(&records.paths));
         let bound = node.settings.bounds.key_removal();
         let keys = KeyFreshness::new(Rc::clone(&node.view), bound);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -155,6 +155,8 @@
     pub warm_up: WarmUpMetrics,
     /// Connections opened to engines.
     pub engine_connections: Counter,
+    /// Entries of ledgers that replicas lacked and were written again.
+    pub ledger_entries_written_back: Counter,
     /// Requests relayed to replicas for other gateways.
     pub relayed_requests: Counter,
     /// Time to reserve tokens.
@@ -219,6 +221,7 @@
             send_permits: Family::default(),
             warm_up: WarmUpMetrics::default(),
             engine_connections: Counter::default(),
+            ledger_entries_written_back: Counter::default(),
             relayed_requests: Counter::default(),
             reserve_seconds: time_histogram(),
             chain_read_seconds: time_histogram(),
@@ -279,6 +282,9 @@
             "New connections to engines",
             connections,
         );
+        let written_back = self.ledger_entries_written_back.clone();
+        let help = "Entries of ledgers that replicas lacked and were written again";
+        registry.register("ledger_entries_written_back", help, written_back);
         let relayed_requests = self.relayed_requests.clone();
         let help = "Requests passed on to replicas for other gateways";
         registry.register("replica_requests_passed_on", help, relayed_requests);
--- a/crates/gateway/src/records_client.rs
+++ b/crates/gateway/src/records_client.rs
@@ -11,6 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use prometheus_client::metrics::counter::Counter;
 use rand::RngExt;
 use ridgeworks_records::{
     Epoch, GroupId, LedgerEntry, ProgramId, ProgramLedger, Replica, ReplicaGroups, ReplicaReply,
@@ -144,6 +145,8 @@
     /// Groups that are being probed for a majority.
     probed_groups: RefCell<BTreeSet<GroupId>>,
     settlements: RefCell<Vec<Settlement>>,
+    /// Entries of ledgers that replicas lacked and were written again.
+    entries_written_back: Counter,
 }
 
 /// Jitters a delay, so that clients do not retry at the same moment.
@@ -158,7 +161,7 @@
 
 impl RecordsClient {
     /// Creates a client that uses the links of this node.
-    pub fn new(node: Rc<Node>) -> Self {
+    pub fn new(node: Rc<Node>, entries_written_back: Counter) -> Self {
         let network = Rc::new(NodeNetwork(Rc::clone(&node)));
         Self {
             node,
@@ -167,6 +170,7 @@
             majority_lost: Notify::new(),
             probed_groups: RefCell::default(),
             settlements: RefCell::default(),
+            entries_written_back,
         }
     }
 
@@ -324,7 +328,9 @@
             timeout: REPLICA_TIMEOUT,
             residency: None,
         };
-        self.write(make_request, operation, deadline).await
+        let written = self.write(make_request, operation, deadline).await?;
+        self.write_back(program, written.lagging, retention);
+        Ok(written.ledger)
     }
 
     /// Whether the residency allows every place to which a program's turns may be copied: the
--- a/crates/gateway/src/records_client/settling.rs
+++ b/crates/gateway/src/records_client/settling.rs
@@ -6,11 +6,13 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use ridgeworks_records::{Epoch, GroupId, ReplicaRequest, Settlement, TurnId};
+use ridgeworks_records::{
+    Epoch, GroupId, LedgerEntry, ProgramId, ReplicaRequest, Settlement, TurnId,
+};
 use ridgeworks_resident::clock::unix_time_ms;
 use tokio::time::{Instant, MissedTickBehavior};
 
-use super::{Operation, RecordsClient};
+use super::{Operation, RecordsClient, ttl_ms};
 use crate::exchange::END_LIFETIME;
 
 /// Interval between batches. A settlement must be sent within a second, part of which a busy
@@ -35,6 +37,33 @@
         self.settlements.borrow_mut().push(settlement);
     }
 
+    /// Queues entries of a program's ledger that a replica of the newest majority lacks.
+    pub(super) fn write_back(
+        &self,
+        program: &ProgramId,
+        lagging: BTreeMap<TurnId, LedgerEntry>,
+        retention: Duration,
+    ) {
+        if lagging.is_empty() {
+            return;
+        }
+        log::debug!(
+            target: "records",
+            program = program.0.as_str(),
+            entries = lagging.len();
+            "a replica lacks entries of a ledger"
+        );
+        self.entries_written_back.inc_by(lagging.len() as u64);
+        for (turn, entry) in lagging {
+            self.settle(Settlement {
+                program: program.clone(),
+                turn,
+                entry,
+                ttl_ms: ttl_ms(retention),
+            });
+        }
+    }
+
     /// Sends queued settlements in batches until the process ends.
     pub async fn run_settlements(self: Rc<Self>) {
         let mut ticks = tokio::time::interval(SETTLE_INTERVAL);
--- a/crates/gateway/src/records_client/writing.rs
+++ b/crates/gateway/src/records_client/writing.rs
@@ -8,8 +8,8 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use ridgeworks_records::{
-    Epoch, ProgramId, ProgramLedger, QuorumWrite, Replica, ReplicaGroups, ReplicaId, ReplicaReply,
-    ReplicaRequest, ReplicaSet, WriteProgress,
+    Epoch, ProgramId, QuorumWrite, Replica, ReplicaGroups, ReplicaId, ReplicaReply, ReplicaRequest,
+    ReplicaSet, WriteProgress, Written,
 };
 use ridgeworks_resident::peer::LinkError;
 use ridgeworks_resident::view::Source;
@@ -29,7 +29,7 @@
 
 /// How a write to one replica set ended.
 enum WriteEnd {
-    Durable(ProgramLedger),
+    Durable(Written),
     Restart(ReplicaGroups),
 }
 
@@ -39,7 +39,7 @@
         make_request: impl Fn(Epoch) -> ReplicaRequest,
         operation: Operation<'_>,
         deadline: Instant,
-    ) -> Result<ProgramLedger, RecordsUnavailable> {
+    ) -> Result<Written, RecordsUnavailable> {
         let replies = LastReplies::default();
         let began = Instant::now();
         let writing = self.write_with_restarts(make_request, operation, &replies);
@@ -57,12 +57,12 @@
         make_request: impl Fn(Epoch) -> ReplicaRequest,
         operation: Operation<'_>,
         replies: &LastReplies,
-    ) -> ProgramLedger {
+    ) -> Written {
         loop {
             let set = self.replica_set(operation.group).await;
             let request = make_request(set.epoch);
             match self.write_to_set(set, request, operation, replies).await {
-                WriteEnd::Durable(ledger) => return ledger,
+                WriteEnd::Durable(written) => return written,
                 WriteEnd::Restart(groups) => {
                     self.node.view.adopt_replica_sets(groups, Source::Peer)
                 }
@@ -122,7 +122,7 @@
                 Err(_) => WriteProgress::RetryLater,
             };
             let groups_to_adopt = match progress {
-                WriteProgress::Durable(ledger) => return WriteEnd::Durable(ledger),
+                WriteProgress::Durable(written) => return WriteEnd::Durable(written),
                 WriteProgress::Restart(groups) => return WriteEnd::Restart(groups),
                 WriteProgress::Waiting => continue,
                 WriteProgress::SendReplicaSets => Some(ReplicaGroups::clone(&*self.groups().await)),
--- a/crates/records/src/lib.rs
+++ b/crates/records/src/lib.rs
@@ -41,7 +41,7 @@
 pub use message::{Admission, Listing, ReplicaReply, ReplicaRequest, Settlement};
 pub use origin::StreamOrigin;
 pub use plan::{CopyProgress, SetStep, StorageNode, assign_groups, initial_groups, plan_change};
-pub use quorum_write::{QuorumWrite, WriteProgress};
+pub use quorum_write::{QuorumWrite, WriteProgress, Written};
 pub use replica::{
     ChainGap, Change, DISK_VERSION, Handled, IncompleteAppend, NotRestored, ReplicaState,
     StoredRecord, Wait,
--- a/crates/records/src/quorum_write.rs
+++ b/crates/records/src/quorum_write.rs
@@ -1,10 +1,14 @@
 //! A write at a quorum of replicas, on the gateway's side.
+//!
+//! A ledger's entries are written to a majority each, not always the same one, and a replica drops a ledger that it hears
+//! nothing more of. So the gateway writes back what a replica of the newest majority lacks: that majority has all entries, for as
+//! long as the program lives.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::groups::{GroupId, ReplicaGroups};
-use crate::identifiers::ReplicaId;
-use crate::ledger::ProgramLedger;
+use crate::identifiers::{ReplicaId, TurnId};
+use crate::ledger::{LedgerEntry, ProgramLedger};
 use crate::message::ReplicaReply;
 use crate::replica_set::ReplicaSet;
 
@@ -13,8 +17,8 @@
 pub enum WriteProgress {
     /// More replies are needed.
     Waiting,
-    /// The write is durable at a quorum; holds the merged ledgers of the replies.
-    Durable(ProgramLedger),
+    /// The write is durable at a quorum.
+    Durable(Written),
     /// The replica lacks the replica sets: send them, then repeat the request.
     SendReplicaSets,
     /// The replica can't take the write now; repeat the request later.
@@ -23,12 +27,23 @@
     Restart(ReplicaGroups),
 }
 
+/// What a quorum replied to a write.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Written {
+    /// The merged ledgers of the replies.
+    pub ledger: ProgramLedger,
+    /// Entries that a replica of the quorum lacks, to be written again. None while the set changes: new members copy all
+    /// records.
+    pub lagging: BTreeMap<TurnId, LedgerEntry>,
+}
+
 #[derive(Debug, Clone)]
 pub struct QuorumWrite {
     group: GroupId,
     set: ReplicaSet,
     durable: BTreeSet<ReplicaId>,
-    ledger: ProgramLedger,
+    /// The ledgers of the replies.
+    ledgers: Vec<ProgramLedger>,
 }
 
 impl QuorumWrite {
@@ -38,7 +53,7 @@
             group,
             set,
             durable: BTreeSet::new(),
-            ledger: ProgramLedger::default(),
+            ledgers: Vec::new(),
         }
     }
 
@@ -51,7 +66,7 @@
     pub fn on_reply(&mut self, from: ReplicaId, reply: ReplicaReply) -> WriteProgress {
         match reply {
             ReplicaReply::Charged { ledger } => {
-                self.ledger.merge_ledger(&ledger);
+                self.ledgers.push(ledger);
                 self.count(from)
             }
             ReplicaReply::Done => self.count(from),
@@ -71,9 +86,30 @@
     fn count(&mut self, from: ReplicaId) -> WriteProgress {
         self.durable.insert(from);
         if self.set.has_write_quorum(&self.durable) {
-            WriteProgress::Durable(self.ledger.clone())
+            WriteProgress::Durable(self.written())
         } else {
             WriteProgress::Waiting
         }
     }
+
+    fn written(&self) -> Written {
+        let mut ledger = ProgramLedger::default();
+        for reply in &self.ledgers {
+            ledger.merge_ledger(reply);
+        }
+        let is_lagging = |turn: &TurnId, entry: &LedgerEntry| {
+            let mut known = self.ledgers.iter().map(|reply| reply.entries.get(turn));
+            known.any(|known| known != Some(entry))
+        };
+        let lagging = if self.set.incoming.is_none() {
+            let entries = ledger.entries.iter();
+            let lagging = entries.filter(|(turn, entry)| is_lagging(turn, entry));
+            lagging
+                .map(|(turn, entry)| (turn.clone(), *entry))
+                .collect()
+        } else {
+            BTreeMap::new()
+        };
+        Written { ledger, lagging }
+    }
 }
--- a/crates/records/tests/simulation.rs
+++ b/crates/records/tests/simulation.rs
@@ -5,21 +5,25 @@
 mod simulator;
 
 use simulator::world::World;
-use simulator::{DisabledMechanism, Outcome};
+use simulator::{DisabledMechanism, Outcome, Profile};
 
 const SCHEDULES: u64 = 10_000;
 const SCHEDULES_PER_MECHANISM: u64 = 1_000;
 const THREADS: u64 = 4;
 const SCHEDULES_VARIABLE: &str = "RIDGEWORKS_SIMULATION_SCHEDULES";
 
-fn run_all(schedules: u64, disabled: DisabledMechanism) -> (Outcome, Option<u64>) {
+fn run_all(
+    schedules: u64,
+    profile: Profile,
+    disabled: DisabledMechanism,
+) -> (Outcome, Option<u64>) {
     let threads: Vec<_> = (0..THREADS)
         .map(|thread| {
             std::thread::spawn(move || {
                 let mut total = Outcome::default();
                 let mut first_failed = None;
                 for seed in (thread..schedules).step_by(THREADS as usize) {
-                    let outcome = World::run(seed, disabled);
+                    let outcome = World::run(seed, profile, disabled);
                     if outcome.violations() > 0 {
                         first_failed.get_or_insert(seed);
                     }
@@ -39,13 +43,37 @@
     (total, first_failed)
 }
 
+fn schedules() -> u64 {
+    let schedules = std::env::var(SCHEDULES_VARIABLE).ok();
+    let schedules = schedules.and_then(|text| text.parse().ok());
+    schedules.unwrap_or(SCHEDULES)
+}
+
+/// Each turn that the newest one needs, and each charge, is kept while the program lives, whatever order replicas were away in.
+#[test]
+fn invariants_hold_while_records_expire() {
+    let schedules = schedules();
+    let (total, first_failed) = run_all(schedules, Profile::EXPIRING, DisabledMechanism::None);
+    println!("{schedules} schedules: {total:?}");
+    assert_eq!(
+        total.violations(),
+        0,
+        "first failing seed {first_failed:?}: {total:?}"
+    );
+    assert!(
+        total.repaired_turns > schedules,
+        "too few turns were missed: {total:?}"
+    );
+    assert!(
+        total.written_back > schedules,
+        "too few entries were missed: {total:?}"
+    );
+}
+
 #[test]
 fn invariants_hold_under_faults() {
-    let schedules = std::env::var(SCHEDULES_VARIABLE).ok();
-    let schedules = schedules
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(SCHEDULES);
-    let (total, first_failed) = run_all(schedules, DisabledMechanism::None);
+    let schedules = schedules();
+    let (total, first_failed) = run_all(schedules, Profile::ENDLESS, DisabledMechanism::None);
     println!("{schedules} schedules: {total:?}");
     assert_eq!(
         total.violations(),
@@ -73,13 +101,13 @@
 #[test]
 fn a_seed_gives_the_same_outcome_again() {
     assert_eq!(
-        World::run(17, DisabledMechanism::None),
-        World::run(17, DisabledMechanism::None)
+        World::run(17, Profile::EXPIRING, DisabledMechanism::None),
+        World::run(17, Profile::EXPIRING, DisabledMechanism::None)
     );
 }
 
 fn run_without(disabled: DisabledMechanism) -> Outcome {
-    let (total, _) = run_all(SCHEDULES_PER_MECHANISM, disabled);
+    let (total, _) = run_all(SCHEDULES_PER_MECHANISM, Profile::ENDLESS, disabled);
     println!("{disabled:?}: {total:?}");
     total
 }
@@ -119,11 +147,31 @@
     assert!(run_without(DisabledMechanism::NoLives).lost_turns > 0);
 }
 
+fn run_expiring_without(disabled: DisabledMechanism) -> Outcome {
+    let (total, _) = run_all(SCHEDULES_PER_MECHANISM, Profile::EXPIRING, disabled);
+    println!("{disabled:?}: {total:?}");
+    total
+}
+
+#[test]
+fn without_the_repair_of_chains_turns_are_lost() {
+    assert!(run_expiring_without(DisabledMechanism::NoChainRepair).lost_turns > 0);
+}
+
+#[test]
+fn without_writing_entries_back_budgets_are_overspent() {
+    assert!(run_expiring_without(DisabledMechanism::NoWriteBack).overspent > 0);
+}
+
 /// Guards against copying most records under a joint set, where each write goes to the old and the
 /// new members and slows the copy.
 #[test]
 fn most_records_are_copied_before_the_set_changes() {
-    let (total, _) = run_all(SCHEDULES_PER_MECHANISM, DisabledMechanism::None);
+    let (total, _) = run_all(
+        SCHEDULES_PER_MECHANISM,
+        Profile::ENDLESS,
+        DisabledMechanism::None,
+    );
     println!("{total:?}");
     assert!(total.prepared_turns > 5 * total.copied_turns, "{total:?}");
 }
--- a/crates/records/tests/simulator/gateway.rs
+++ b/crates/records/tests/simulator/gateway.rs
@@ -1,12 +1,12 @@
 //! Operations of gateways: the steps of turns, and the reads that check them.
 
+use std::collections::BTreeMap;
+
 use ridgeworks_records::{
     ChainRead, GroupId, LedgerEntry, ProgramId, QuorumWrite, ReplicaRequest, ReplicaSet,
     Settlement, TurnId, TurnRecord,
 };
 
-use super::storage::TTL_MS;
-
 /// Purpose of an operation.
 #[derive(Debug, Clone)]
 pub enum Purpose {
@@ -23,6 +23,11 @@
         turn: TurnId,
         spent: u64,
     },
+    /// Writes entries again that a replica lacks.
+    WriteBack {
+        program: usize,
+        entries: BTreeMap<TurnId, LedgerEntry>,
+    },
     /// Reads an acknowledged turn.
     Read {
         program: usize,
@@ -40,6 +45,7 @@
             Self::Reserve { program, .. }
             | Self::Append { program, .. }
             | Self::Settle { program, .. }
+            | Self::WriteBack { program, .. }
             | Self::Read { program, .. }
             | Self::ReadUnwritten { program } => *program,
         }
@@ -58,7 +64,10 @@
     pub group: GroupId,
     pub purpose: Purpose,
     pub state_machine: StateMachine,
+    pub began: u64,
     pub deadline: u64,
+    /// How long the records that it writes are kept.
+    pub ttl: u64,
     /// Whether the request was sent before.
     pub is_sent: bool,
 }
@@ -92,7 +101,7 @@
                     reserved_tokens: MAX_TURN_TOKENS,
                     spent: None,
                 },
-                ttl_ms: TTL_MS,
+                ttl_ms: self.ttl,
             },
             (
                 Purpose::Settle {
@@ -111,14 +120,27 @@
                         reserved_tokens: MAX_TURN_TOKENS,
                         spent: Some(*spent),
                     },
-                    ttl_ms: TTL_MS,
+                    ttl_ms: self.ttl,
                 }],
             },
+            (Purpose::WriteBack { program, entries }, _) => {
+                let settlements = entries.iter().map(|(turn, entry)| Settlement {
+                    program: program_id(*program),
+                    turn: turn.clone(),
+                    entry: *entry,
+                    ttl_ms: self.ttl,
+                });
+                ReplicaRequest::Settle {
+                    group,
+                    epoch,
+                    settlements: settlements.collect(),
+                }
+            }
             (Purpose::Append { record, .. }, _) => ReplicaRequest::Append {
                 group,
                 epoch,
                 record: record.clone(),
-                ttl_ms: TTL_MS,
+                ttl_ms: self.ttl,
             },
             (_, StateMachine::Read(read)) => ReplicaRequest::ReadChain {
                 group,
--- a/crates/records/tests/simulator/mod.rs
+++ b/crates/records/tests/simulator/mod.rs
@@ -25,6 +25,48 @@
     NoRest,
     /// Positions in a replica's change log stay valid after a restart.
     NoLives,
+    /// A voter acknowledges a turn without the turns before it.
+    NoChainRepair,
+    /// Entries that a replica of the newest majority lacks are not written again.
+    NoWriteBack,
+}
+
+/// How long programs and their records live. Times are in milliseconds of virtual time.
+#[derive(Debug, Clone, Copy)]
+pub struct Profile {
+    /// Longest pause of a program after which it goes on.
+    pub retention: u64,
+    /// How long records are kept after their last change: the retention, and the longest that two operations take.
+    pub ttl: u64,
+    pub operation_timeout: u64,
+    /// Fewest and most turns that a program's budget holds.
+    pub budget_turns: (u64, u64),
+    /// How long gateways prefer the same replicas for a program's ledger.
+    pub preference_period: Option<u64>,
+    /// How long requests about a ledger are repeated to the same replicas before all are asked.
+    pub hedge_delay: u64,
+}
+
+impl Profile {
+    /// Programs and records that last until the end.
+    pub const ENDLESS: Self = Self {
+        retention: 1 << 39,
+        ttl: 1 << 40,
+        operation_timeout: 1_500,
+        budget_turns: (8, 8),
+        preference_period: None,
+        hedge_delay: 0,
+    };
+
+    /// Records expire, and a replica may hear nothing of a living program for longer than it keeps records.
+    pub const EXPIRING: Self = Self {
+        retention: 600,
+        ttl: 2_800,
+        operation_timeout: 1_000,
+        budget_turns: (8, 30),
+        preference_period: Some(3_400),
+        hedge_delay: 400,
+    };
 }
 
 /// Result of a simulation.
@@ -46,6 +88,10 @@
     pub prepared_turns: u64,
     /// Turns copied while the set was joint.
     pub copied_turns: u64,
+    /// Turns copied by voters that had missed them.
+    pub repaired_turns: u64,
+    /// Entries of ledgers written again.
+    pub written_back: u64,
 }
 
 impl Outcome {
@@ -64,5 +110,7 @@
         self.wipes += other.wipes;
         self.prepared_turns += other.prepared_turns;
         self.copied_turns += other.copied_turns;
+        self.repaired_turns += other.repaired_turns;
+        self.written_back += other.written_back;
     }
 }
--- a/crates/records/tests/simulator/storage.rs
+++ b/crates/records/tests/simulator/storage.rs
@@ -3,15 +3,15 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use ridgeworks_records::{
-    Change, Epoch, GroupId, Handled, ListPosition, RecordKey, Replica, ReplicaGroups, ReplicaId,
-    ReplicaReply, ReplicaRequest, ReplicaSet, ReplicaState, StoredRecord, TurnId, Wait,
+    Change, Epoch, GroupId, Handled, IncompleteAppend, ListPosition, RecordKey, Replica,
+    ReplicaGroups, ReplicaId, ReplicaReply, ReplicaRequest, ReplicaSet, ReplicaState, StoredRecord,
+    TurnId, Wait,
 };
 
 use super::DisabledMechanism;
 use super::world::Address;
 
 const MAX_TOTAL_TURN_BYTES: usize = 1 << 30;
-pub const TTL_MS: u64 = 1 << 40;
 
 /// Key of a record on the simulated disk.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -28,7 +28,9 @@
     pub reply: ReplicaReply,
 }
 
-/// Operation number of a copy without a pending request.
+const REPAIR_TIMEOUT: u64 = 500;
+
+/// Operation number of a copy or repair without a pending request.
 pub const NO_REQUEST: u64 = u64::MAX;
 
 /// Progress of a copy for a joint set, or for a set before it changes.
@@ -43,7 +45,8 @@
     pub pending_request: u64,
     /// Next position and end flag of the page whose turns are being fetched.
     pub page: Option<(ListPosition, bool)>,
-    pub missing: Vec<TurnId>,
+    /// Turns of the page that aren't here, each with its time to live.
+    pub missing: BTreeMap<TurnId, u64>,
 }
 
 impl CopyTask {
@@ -57,7 +60,7 @@
             source: None,
             pending_request: NO_REQUEST,
             page: None,
-            missing: Vec::new(),
+            missing: BTreeMap::new(),
         }
     }
 
@@ -67,6 +70,17 @@
     }
 }
 
+/// An appended turn whose chain is being completed.
+pub struct Repair {
+    pub append: IncompleteAppend,
+    pub to: Address,
+    pub operation: u64,
+    /// Operation number of the pending request for a missing turn.
+    pub pending_request: u64,
+    /// When the repair is given up.
+    pub until: u64,
+}
+
 pub struct SimulatedNode {
     pub index: usize,
     pub incarnation: u64,
@@ -78,6 +92,9 @@
     pub durable: u64,
     pub waiting: VecDeque<WaitingReply>,
     pub copies: BTreeMap<GroupId, CopyTask>,
+    pub repairs: Vec<Repair>,
+    /// Whether the next step of the repairs is scheduled.
+    pub is_repair_scheduled: bool,
     /// Position in the change log of each source.
     pub positions: BTreeMap<(GroupId, ReplicaId), ListPosition>,
     /// Copies requested before the set of a group changes: the epoch, and when the request expires.
@@ -101,6 +118,8 @@
             durable: 0,
             waiting: VecDeque::new(),
             copies: BTreeMap::new(),
+            repairs: Vec::new(),
+            is_repair_scheduled: false,
             positions: BTreeMap::new(),
             copy_requests: BTreeMap::new(),
             prepared: BTreeMap::new(),
@@ -124,6 +143,7 @@
         operation: u64,
         to: ReplicaId,
         mut request: ReplicaRequest,
+        now: u64,
     ) -> Option<ReplicaReply> {
         if to != self.state.id() {
             return Some(ReplicaReply::NotMember);
@@ -131,8 +151,21 @@
         if self.disabled == DisabledMechanism::NoEpochs {
             self.ignore_epoch(&mut request);
         }
-        let handled = self.state.handle(request, 0);
-        self.commit_and_reply(handled, Some((from, operation)))
+        let mut handled = self.state.handle(request, now);
+        let incomplete = handled.incomplete.take();
+        let incomplete = incomplete.filter(|_| self.disabled != DisabledMechanism::NoChainRepair);
+        let Some(append) = incomplete else {
+            return self.commit_and_reply(handled, Some((from, operation)));
+        };
+        self.commit_and_reply(handled, None);
+        self.repairs.push(Repair {
+            append,
+            to: from,
+            operation,
+            pending_request: NO_REQUEST,
+            until: now + REPAIR_TIMEOUT,
+        });
+        None
     }
 
     /// Replaces the epoch of a request with the one known here.
@@ -218,11 +251,20 @@
         self.unsynced.clear();
         self.waiting.clear();
         self.copies.clear();
+        self.repairs.clear();
+        self.is_repair_scheduled = false;
         self.positions.clear();
         self.copy_requests.clear();
         self.prepared.clear();
     }
 
+    /// Drops records that have expired.
+    pub fn expire(&mut self, now: u64) {
+        let changes = self.state.expire(now);
+        let handled = Handled::durable(changes, ReplicaReply::Done);
+        self.commit_and_reply(handled, None);
+    }
+
     /// Starts the process with the records of its disk.
     pub fn start(&mut self) {
         let mut state = ReplicaState::new(self.state.id(), MAX_TOTAL_TURN_BYTES);
--- a/crates/records/tests/simulator/world.rs
+++ b/crates/records/tests/simulator/world.rs
@@ -4,6 +4,7 @@
 mod faults;
 mod gateways;
 mod nodes;
+mod repairs;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
@@ -11,25 +12,25 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use ridgeworks_records::{
-    ChainOutcome, CopyProgress, Epoch, GroupId, Handled, ProgramLedger, QuorumWrite, ReplicaGroups,
-    ReplicaId, ReplicaReply, ReplicaRequest, ReplicaSet, SetStep, StorageNode, TurnId, TurnRecord,
-    WriteProgress, assign_groups, plan_change,
+    ChainOutcome, CopyProgress, Epoch, GroupId, Handled, LedgerEntry, ProgramLedger, QuorumWrite,
+    ReplicaGroups, ReplicaId, ReplicaReply, ReplicaRequest, ReplicaSet, SetStep, StorageNode,
+    TurnId, TurnRecord, WriteProgress, Written, assign_groups, plan_change,
 };
 
 use super::gateway::{MAX_TURN_TOKENS, Operation, Purpose, StateMachine, program_id};
-use super::storage::{CopyTask, NO_REQUEST, SimulatedNode, TTL_MS};
-use super::{DisabledMechanism, Outcome};
+use super::storage::{CopyTask, NO_REQUEST, SimulatedNode};
+use super::{DisabledMechanism, Outcome, Profile};
 
 const STORAGE_NODES: usize = 4;
 const REPLICAS: usize = 3;
 const GATEWAYS: usize = 2;
 const PROGRAMS: usize = 3;
-const BUDGET: u64 = 8 * MAX_TURN_TOKENS;
 
 // Times are in milliseconds of virtual time.
 const END: u64 = 12_000;
 const FAULTS_UNTIL: u64 = 8_000;
-const OPERATION_TIMEOUT: u64 = 1_500;
+const EXPIRY_INTERVAL: u64 = 200;
+const REPAIR_INTERVAL: u64 = 10;
 const RETRY_INTERVAL: u64 = 60;
 const COORDINATOR_INTERVAL: u64 = 150;
 /// How long a request to copy before a set changes stays valid unless it is repeated.
@@ -86,6 +87,13 @@
     Heal {
         node: usize,
     },
+    Expire {
+        node: usize,
+    },
+    Repair {
+        node: usize,
+        incarnation: u64,
+    },
 }
 
 struct Scheduled {
@@ -111,11 +119,23 @@
     }
 }
 
-#[derive(Default)]
 struct Program {
+    budget: u64,
     generated_tokens: u64,
-    /// The newest turn that was answered completely.
-    newest: Option<TurnId>,
+    /// The newest turn that was answered completely, and when.
+    newest: Option<(TurnId, u64)>,
+    /// When the program last reserved tokens or was answered; it is over after a longer pause than its
+    /// retention.
+    active_at: u64,
+}
+
+impl Program {
+    /// The newest turn, if it must still be kept.
+    fn kept_turn(&self, now: u64, retention: u64) -> Option<TurnId> {
+        let newest = self.newest.as_ref();
+        let kept = newest.filter(|(_, answered_at)| now <= answered_at + retention);
+        kept.map(|(turn, _)| turn.clone())
+    }
 }
 
 /// State of one simulation.
@@ -135,15 +155,18 @@
     operations: BTreeMap<u64, Operation>,
     next_number: u64,
     programs: Vec<Program>,
+    /// The programs that are under way.
+    current: [usize; PROGRAMS],
     written: BTreeMap<TurnId, TurnRecord>,
     disabled: DisabledMechanism,
+    profile: Profile,
     pub outcome: Outcome,
 }
 
 impl World {
     /// Runs the simulation of this seed.
-    pub fn run(seed: u64, disabled: DisabledMechanism) -> Outcome {
-        let mut world = Self::new(seed, disabled);
+    pub fn run(seed: u64, profile: Profile, disabled: DisabledMechanism) -> Outcome {
+        let mut world = Self::new(seed, profile, disabled);
         while let Some(Reverse(next)) = world.queue.pop() {
             if next.at > END {
                 break;
@@ -154,7 +177,7 @@
         world.outcome
     }
 
-    fn new(seed: u64, disabled: DisabledMechanism) -> Self {
+    fn new(seed: u64, profile: Profile, disabled: DisabledMechanism) -> Self {
         let storage =
             (0..STORAGE_NODES).map(|index| SimulatedNode::new(index, 100 + index as u64, disabled));
         let mut world = Self {
@@ -170,14 +193,22 @@
             changed_at: BTreeMap::new(),
             operations: BTreeMap::new(),
             next_number: 1_000,
-            programs: (0..PROGRAMS).map(|_| Program::default()).collect(),
+            programs: Vec::new(),
+            current: [0; PROGRAMS],
             written: BTreeMap::new(),
             disabled,
+            profile,
             outcome: Outcome::default(),
         };
         for node in 0..STORAGE_NODES {
             world.schedule(node as u64 * 37, Event::Coordinate { node });
         }
+        for slot in 0..PROGRAMS {
+            world.begin_program(slot);
+        }
+        for node in 0..STORAGE_NODES {
+            world.schedule(EXPIRY_INTERVAL + node as u64, Event::Expire { node });
+        }
         for gateway in 0..GATEWAYS {
             world.schedule(500 + gateway as u64, Event::StartTurn { gateway });
         }
@@ -231,7 +262,7 @@
                 reply,
             } => match to {
                 Address::Gateway(_) => self.gateway_reply(from, operation, reply),
-                Address::Storage(node) => self.copy_reply(node, from, operation, reply),
+                Address::Storage(node) => self.storage_reply(node, from, operation, reply),
             },
             Event::Sync {
                 node,
@@ -251,6 +282,8 @@
             Event::Heal { node } => {
                 self.partitioned.remove(&node);
             }
+            Event::Expire { node } => self.expire(node),
+            Event::Repair { node, incarnation } => self.repair(node, incarnation),
         }
     }
 }
--- a/crates/records/tests/simulator/world/changes.rs
+++ b/crates/records/tests/simulator/world/changes.rs
@@ -246,7 +246,8 @@
         let Some(source) = copy.source.clone() else {
             return;
         };
-        let (epoch, missing) = (copy.set.epoch, copy.missing.clone());
+        let epoch = copy.set.epoch;
+        let missing: Vec<TurnId> = copy.missing.keys().cloned().collect();
         let groups = copy.groups.clone();
         let request = if missing.is_empty() {
             let known = self.storage[node].positions.get(&(group, source.id));
@@ -279,10 +280,8 @@
         operation: u64,
         reply: ReplicaReply,
     ) {
+        let now = self.now;
         let storage = &mut self.storage[node];
-        if !storage.running || self.partitioned.contains(&node) {
-            return;
-        }
         let mut copies = storage.copies.values_mut();
         // A reply to an earlier request must not count: one under an earlier epoch may lack
         // records.
@@ -299,12 +298,14 @@
                 for (program, ledger, ttl_ms) in listing.ledgers {
                     let copied = storage
                         .state
-                        .copy_ledger(group, program, &ledger, ttl_ms, 0)
+                        .copy_ledger(group, program, &ledger, ttl_ms, now)
                         .expect("a restored replica");
                     changes.extend(copied);
                 }
-                let turns = listing.turns.into_iter().map(|(turn, _)| turn);
-                copy.missing = turns.filter(|turn| !storage.state.has_turn(turn)).collect();
+                let turns = listing.turns.into_iter();
+                copy.missing = turns
+                    .filter(|(turn, _)| !storage.state.has_turn(turn))
+                    .collect();
                 copy.page = Some((listing.next, listing.is_end));
             }
             ReplicaReply::Fetched { records } => {
@@ -314,11 +315,15 @@
                     &mut self.outcome.copied_turns
                 };
                 *copied += records.len() as u64;
+                let is_expired = records.is_empty();
                 for record in records {
-                    copy.missing.retain(|turn| *turn != record.turn);
-                    let copied = storage.state.copy_turn(group, record, TTL_MS, 0);
+                    let ttl_ms = copy.missing.remove(&record.turn).unwrap_or_default();
+                    let copied = storage.state.copy_turn(group, record, ttl_ms, now);
                     changes.extend(copied.expect("the limit isn't reached"));
                 }
+                if is_expired {
+                    copy.missing.clear();
+                }
             }
             _ => return,
         }
--- a/crates/records/tests/simulator/world/gateways.rs
+++ b/crates/records/tests/simulator/world/gateways.rs
@@ -9,14 +9,18 @@
         if self.known[gateway].is_none() || self.random.random_bool(0.1) {
             self.known[gateway] = self.register.clone();
         }
-        let program = self.random.random_range(0..PROGRAMS);
+        let slot = self.random.random_range(0..PROGRAMS);
+        if self.now > self.programs[self.current[slot]].active_at + self.profile.retention {
+            self.begin_program(slot);
+        }
+        let program = self.current[slot];
         let number = self.next_number();
         let purpose = match self.random.random_range(0..10) {
             0..=5 => Purpose::Reserve {
                 program,
                 turn: TurnId(format!("turn-{number}")),
             },
-            6..=8 => match self.programs[program].newest.clone() {
+            6..=8 => match self.programs[program].kept_turn(self.now, self.profile.retention) {
                 Some(turn) => Purpose::Read { program, turn },
                 None => return,
             },
@@ -25,6 +29,18 @@
         self.begin(gateway, purpose);
     }
 
+    pub(super) fn begin_program(&mut self, slot: usize) {
+        let (fewest, most) = self.profile.budget_turns;
+        let turns = self.random.random_range(fewest..=most);
+        self.current[slot] = self.programs.len();
+        self.programs.push(Program {
+            budget: turns * MAX_TURN_TOKENS,
+            generated_tokens: 0,
+            newest: None,
+            active_at: self.now,
+        });
+    }
+
     pub(super) fn begin(&mut self, gateway: usize, purpose: Purpose) {
         let Some(groups) = self.known[gateway].clone() else {
             return;
@@ -33,13 +49,15 @@
         let group = groups.group_of(Some(&program_id(purpose.program())));
         let set = groups.set(group).expect("the group exists").clone();
         let state_machine = StateMachine::Write(QuorumWrite::new(group, set.clone()));
-        let deadline = self.now + OPERATION_TIMEOUT;
+        let deadline = self.now + self.profile.operation_timeout;
         let mut operation = Operation {
             gateway,
             group,
             purpose,
             state_machine,
+            began: self.now,
             deadline,
+            ttl: self.profile.ttl,
             is_sent: false,
         };
         operation.restart(set);
@@ -55,6 +73,7 @@
             return;
         };
         let is_first = !std::mem::replace(&mut operation.is_sent, true);
+        let is_hedged = !is_first && self.now > operation.began + self.profile.hedge_delay;
         if self.now > operation.deadline {
             self.operations.remove(&number);
             return;
@@ -65,11 +84,15 @@
             StateMachine::Write(write) => {
                 let set = write.set();
                 let mut members: Vec<_> = set.members().into_iter().cloned().collect();
-                // As gateways do: requests about ledgers go to a majority of each set first, each
-                // time from another starting point and mostly preferring replicas that count in
-                // both, and to all when repeated; records of turns go to all.
-                if is_first && is_ledger {
-                    let begin = usize::try_from(number).unwrap_or(0) % members.len();
+                // As gateways do: requests about ledgers go to a majority of each set first, mostly
+                // preferring replicas that count in both, and to all when repeated; records of
+                // turns go to all.
+                if !is_hedged && is_ledger {
+                    let begin = match self.profile.preference_period {
+                        Some(period) => self.now / period + operation.purpose.program() as u64,
+                        None => number,
+                    };
+                    let begin = usize::try_from(begin).unwrap_or(0) % members.len();
                     members.rotate_left(begin);
                     if self.random.random_bool(0.7) {
                         members.sort_by_key(|member| !set.counts_in_every_majority(member.id));
@@ -123,9 +146,10 @@
         reply_ledger: Option<ProgramLedger>,
     ) -> bool {
         match progress {
-            WriteProgress::Durable(ledger) => {
+            WriteProgress::Durable(Written { ledger, lagging }) => {
                 let is_disabled = self.disabled == DisabledMechanism::NoUnion;
                 let ledger = reply_ledger.filter(|_| is_disabled).unwrap_or(ledger);
+                self.write_back(operation, lagging);
                 self.written_durably(operation, &ledger);
                 true
             }
@@ -178,10 +202,21 @@
         });
     }
 
+    fn write_back(&mut self, operation: &Operation, entries: BTreeMap<TurnId, LedgerEntry>) {
+        if entries.is_empty() || self.disabled == DisabledMechanism::NoWriteBack {
+            return;
+        }
+        self.outcome.written_back += entries.len() as u64;
+        let program = operation.purpose.program();
+        self.begin(operation.gateway, Purpose::WriteBack { program, entries });
+    }
+
     pub(super) fn written_durably(&mut self, operation: &Operation, ledger: &ProgramLedger) {
         match operation.purpose.clone() {
             Purpose::Reserve { program, turn } => {
-                if !ledger.admits(&turn, MAX_TURN_TOKENS, BUDGET) {
+                self.programs[program].active_at = self.now;
+                let budget = self.programs[program].budget;
+                if !ledger.admits(&turn, MAX_TURN_TOKENS, budget) {
                     let settle = Purpose::Settle {
                         program,
                         turn,
@@ -194,7 +229,8 @@
             }
             Purpose::Append { program, record } => {
                 self.outcome.answered += 1;
-                self.programs[program].newest = Some(record.turn.clone());
+                self.programs[program].newest = Some((record.turn.clone(), self.now));
+                self.programs[program].active_at = self.now;
             }
             _ => {}
         }
@@ -205,12 +241,12 @@
         let spent = self.random.random_range(1..=MAX_TURN_TOKENS);
         let state = &mut self.programs[program];
         state.generated_tokens += spent;
-        if state.generated_tokens > BUDGET + MAX_TURN_TOKENS {
+        if state.generated_tokens > state.budget + MAX_TURN_TOKENS {
             self.outcome.overspent += 1;
         }
         let record = TurnRecord {
             turn: turn.clone(),
-            previous: state.newest.clone(),
+            previous: state.kept_turn(self.now, self.profile.retention),
             input: turn.0.clone().into_bytes(),
             output: vec![spent as u8; 8],
         };
--- a/crates/records/tests/simulator/world/nodes.rs
+++ b/crates/records/tests/simulator/world/nodes.rs
@@ -12,13 +12,15 @@
         request: ReplicaRequest,
     ) {
         let is_partitioned = self.partitioned.contains(&node);
+        let now = self.now;
         let storage = &mut self.storage[node];
         if !storage.running || is_partitioned {
             return;
         }
         let id = storage.state.id();
-        let reply = storage.request(from, operation, to, request);
+        let reply = storage.request(from, operation, to, request, now);
         self.schedule_sync(node);
+        self.schedule_repair(node);
         if let Some(reply) = reply {
             self.send(Event::Reply {
                 to: from,
@@ -65,6 +67,32 @@
         }
     }
 
+    pub(super) fn expire(&mut self, node: usize) {
+        self.schedule(EXPIRY_INTERVAL, Event::Expire { node });
+        if self.storage[node].running {
+            self.storage[node].expire(self.now);
+            self.schedule_sync(node);
+        }
+    }
+
+    pub(super) fn storage_reply(
+        &mut self,
+        node: usize,
+        from: ReplicaId,
+        operation: u64,
+        reply: ReplicaReply,
+    ) {
+        if !self.storage[node].running || self.partitioned.contains(&node) {
+            return;
+        }
+        let mut repairs = self.storage[node].repairs.iter();
+        if repairs.any(|repair| repair.pending_request == operation) {
+            self.repair_reply(node, operation, reply);
+        } else {
+            self.copy_reply(node, from, operation, reply);
+        }
+    }
+
     pub(super) fn start_node(&mut self, node: usize) {
         if !self.storage[node].running {
             self.storage[node].start();
