More chains may be completed at a time

A voter of a large site that was away has one gap for each program under way; beyond 32 at a time an append was refused and its gateway took the voter for one that does not answer. A repair is a small task that waits for a reply, so 128 cost little. Not measured at size.

--- a/crates/replica/src/chain_repair.rs
+++ b/crates/replica/src/chain_repair.rs
@@ -22,7 +22,7 @@
 const SOURCE_TIMEOUT: Duration = Duration::from_millis(200);
 const RETRY_DELAY: Duration = Duration::from_millis(40);
 /// Chains that are completed at a time; a gateway repeats an append beyond that.
-const MAX_REPAIRS: usize = 32;
+const MAX_REPAIRS: usize = 128;
 /// Turns that are asked for one by one. A longer gap is asked for whole.
 const MAX_SINGLE_TURNS: usize = 4;
 
