A new member that has finished its copy closes gaps like a voter

A new member of a joint set acknowledged turns behind a gap until the set was complete. Its copy brings it what a read quorum had when the copy ended; a turn that it misses after that, within the half second until the set changes, no copy brings, and its acknowledgement of the next turn counts in the new set's majority.

Now it is exempt only until its copy for the epoch is finished. Evidence: a_new_member_that_has_copied_closes_gaps_first, red before.

--- a/crates/records/src/replica/chains.rs
+++ b/crates/records/src/replica/chains.rs
@@ -83,8 +83,8 @@
         self.note_complete(std::slice::from_ref(&gap.after));
     }
 
-    /// The appended turn if there is a gap that this replica has to close first. One that is still to be a voter gets all that a
-    /// read quorum of the voters has before it is one.
+    /// The appended turn if there is a gap that this replica has to close first. A new member that has not finished its copy gets
+    /// all that a read quorum of the voters has before it is a voter.
     pub(super) fn incomplete_append(
         &mut self,
         group: GroupId,
@@ -93,7 +93,8 @@
     ) -> Option<IncompleteAppend> {
         let set = self.groups.as_ref()?.set(group)?;
         let is_voter = set.voters.iter().any(|voter| voter.id == self.id);
-        let gap = self.chain_gap(&turn).filter(|_| is_voter)?;
+        let has_copied = self.copied(group) == Some(set.epoch);
+        let gap = self.chain_gap(&turn).filter(|_| is_voter || has_copied)?;
         Some(IncompleteAppend {
             group,
             epoch,
--- a/crates/records/tests/chains.rs
+++ b/crates/records/tests/chains.rs
@@ -138,6 +138,17 @@
     assert_eq!(append(&mut state, 1).incomplete, None);
 }
 
+/// What it missed since its copy is in no later one.
+#[test]
+fn a_new_member_that_has_copied_closes_gaps_first() {
+    let mut state = replica(set(EPOCH, &[2, 3, 4], Some(&[1, 2, 3])));
+    state.finish_copy(GROUP, EPOCH);
+    let incomplete = append(&mut state, 1).incomplete.expect("a gap");
+    assert_eq!(incomplete.gap, gap(1, 0));
+    state.copy_turn(GROUP, turn(0), 0, 1_000).expect("room");
+    assert_eq!(state.finish_append(&incomplete).reply, ReplicaReply::Done);
+}
+
 #[test]
 fn without_room_for_the_missing_turn_the_gap_stays() {
     let mut state = voter();
