An append that is refused for too many repairs leaves a line

Found when the change was read again: beyond 128 chains at a time a voter refused an append without a line and without counting it, so on-call saw a gateway's Unavailable and nothing at the voter. It counts in chain_repairs_failed now, and the line names the turn and what is missing before it.

--- a/crates/replica/src/chain_repair.rs
+++ b/crates/replica/src/chain_repair.rs
@@ -41,7 +41,7 @@
     let running = Rc::new(Cell::new(0));
     while let Some(job) = jobs.recv().await {
         if running.get() >= MAX_REPAIRS {
-            reject(job);
+            reject_excess(&replica, job);
             continue;
         }
         running.set(running.get() + 1);
@@ -53,6 +53,19 @@
     }
 }
 
+fn reject_excess(replica: &ReplicaHandle, job: RepairJob) {
+    replica.metrics.chain_repairs_failed.inc();
+    log::warn!(
+        target: "records",
+        request = job.append.turn.request(),
+        group = job.append.group.0,
+        missing = job.append.gap.missing.request(),
+        running = MAX_REPAIRS;
+        "turn behind a gap refused: too many chains are being completed"
+    );
+    reject(job);
+}
+
 fn reject(job: RepairJob) {
     let reply = PeerReply::Replica(ReplicaReply::Unavailable);
     // The caller may have stopped waiting.
