--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -60,13 +60,13 @@
 /// A connection to an engine.
 pub struct EngineConnection {
     id: ConnectionId,
-    connection: Connection,
+    sender: Connection,
 }
 
 impl EngineConnection {
     /// Whether the connection is known to be closed.
     pub fn is_closed(&self) -> bool {
-        self.connection.is_closed()
+        self.sender.is_closed()
     }
 
     /// Sends a request and waits for the head of its response. Sends nothing if the request was sent on this connection before.
@@ -79,7 +79,7 @@
             return Err(SendError::Unsent);
         }
         used.add(self.id);
-        let sent = self.connection.try_send_request(request).await;
+        let sent = self.sender.try_send_request(request).await;
         // The HTTP library returns the request if it sent no byte of it.
         sent.map_err(|mut error| match error.take_message() {
             Some(_) => SendError::Unsent,
@@ -116,7 +116,7 @@
         engine_connections.retain(|idle| idle.is_usable(now));
         let index = engine_connections.iter().rposition(|idle| {
             let connection = &idle.connection;
-            connection.connection.is_ready() && !used.contains(connection.id)
+            connection.sender.is_ready() && !used.contains(connection.id)
         })?;
         Some(engine_connections.remove(index).connection)
     }
@@ -136,11 +136,11 @@
     }
 
     /// Gives a new connection its number.
-    pub fn number(&self, connection: Connection) -> EngineConnection {
+    pub fn number(&self, sender: Connection) -> EngineConnection {
         self.last_id.set(self.last_id.get() + 1);
         EngineConnection {
             id: ConnectionId(self.last_id.get()),
-            connection,
+            sender,
         }
     }
 
