What the HTTP library refuses by itself leaves a line and is counted

Callers saw 400, 414 or 431 without any line of ours: the library answers before our code runs. Its limits were also tighter than what clients keep within: the buffer by the configuration at the connection's start, and 100 headers of any size. Now twice the configured head, 64 KiB at least, and 512 headers.

--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -22,8 +22,12 @@
 const RESERVED_DESCRIPTORS: u64 = 1_000;
 /// Lowest limit of open client connections, even if the file descriptors allow fewer.
 const MIN_CONNECTION_LIMIT: u64 = 256;
-/// Smallest buffer that the HTTP library accepts.
-const MIN_BUFFER_BYTES: u64 = 8 * 1024;
+/// Least size of a request head that the HTTP library reads; it refuses larger ones by itself. Well above what clients keep within,
+/// since a connection outlives the configuration that it was opened under, and since both may count differently.
+const MIN_HEAD_BYTES: u64 = 64 * 1024;
+const HEAD_LIMIT_FACTOR: u64 = 2;
+/// Headers of a request that the HTTP library reads; it refuses more by itself.
+const MAX_HEADERS: usize = 512;
 /// Idle connections stay open slightly longer than clients may reuse them.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -86,10 +90,12 @@
     }
     let limits = entry::client_limits(&gateway);
     let idle = Duration::from_millis(limits.idle_timeout_ms) + IDLE_MARGIN;
-    let buffer = limits.max_header_bytes.max(MIN_BUFFER_BYTES);
+    let head = limits.max_header_bytes.saturating_mul(HEAD_LIMIT_FACTOR);
+    let buffer = head.max(MIN_HEAD_BYTES);
     let keeps_alive = *phase.borrow() == StopPhase::Serving;
+    let own = Rc::clone(&gateway);
     let service = service_fn(move |request: Request<Incoming>| {
-        let gateway = Rc::clone(&gateway);
+        let gateway = Rc::clone(&own);
         async move { Ok::<_, Infallible>(entry::answer(gateway, request).await) }
     });
     let connection = http1::Builder::new()
@@ -99,6 +105,7 @@
         .keep_alive(keeps_alive)
         // Also bounds the idle time between two requests, so it must not be shorter than that.
         .header_read_timeout(idle)
+        .max_headers(MAX_HEADERS)
         .max_buf_size(usize::try_from(buffer).unwrap_or(usize::MAX))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
@@ -114,6 +121,37 @@
         }
     };
     if let Err(error) = ended {
+        on_failed_connection(&gateway, &error);
+    }
+}
+
+/// Logs why a client's connection failed. Bytes that are no request are answered by the HTTP library, with 400, 414 or 431, before
+/// any code of the gateway sees them.
+fn on_failed_connection(gateway: &Gateway, error: &hyper::Error) {
+    let reason = failure_name(error);
+    gateway.metrics.on_failed_client_connection(reason);
+    if !error.is_parse() {
         log::debug!("client connection failed: {error}");
+        return;
+    }
+    log::info!(
+        target: "request",
+        outcome = "refused",
+        reason = reason,
+        detail:% = error;
+        "bytes of a client are no request; refused by the HTTP library"
+    );
+}
+
+/// Name in logs and metrics of why a client's connection failed.
+fn failure_name(error: &hyper::Error) -> &'static str {
+    if error.is_parse_too_large() {
+        "head_too_large"
+    } else if error.is_parse() {
+        "unreadable_head"
+    } else if error.is_timeout() {
+        "idle"
+    } else {
+        "lost"
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -141,6 +141,8 @@
     pub ended: Family<ReasonLabel, Counter>,
     /// Refused requests by reason.
     pub refused: Family<ReasonLabel, Counter>,
+    /// Connections of clients that failed, by reason.
+    pub failed_client_connections: Family<ReasonLabel, Counter>,
     /// Failed attempts at engines by reason.
     pub failed_attempts: Family<ReasonLabel, Counter>,
     /// Streams that clients resumed, by whether they continued.
@@ -214,6 +216,7 @@
             open_requests: Gauge::default(),
             ended: Family::default(),
             refused: Family::default(),
+            failed_client_connections: Family::default(),
             failed_attempts: Family::default(),
             resumed_streams: Family::default(),
             engine_ends: Family::default(),
@@ -261,6 +264,9 @@
         registry.register("requests_ended", "Requests by how they ended", ended);
         let refused = self.refused.clone();
         registry.register("requests_refused", "Requests refused, by reason", refused);
+        let failed = self.failed_client_connections.clone();
+        let help = "Connections of clients that failed, by reason";
+        registry.register("client_connections_failed", help, failed);
         let failed = self.failed_attempts.clone();
         let help = "Attempts at engines that did not succeed, by reason";
         registry.register("attempts_failed", help, failed);
@@ -408,6 +414,12 @@
         self.refused.get_or_create(&ReasonLabel { reason }).inc();
     }
 
+    /// Counts a failed connection of a client.
+    pub fn on_failed_client_connection(&self, reason: &'static str) {
+        let label = ReasonLabel { reason };
+        self.failed_client_connections.get_or_create(&label).inc();
+    }
+
     /// Counts the end of a request and observes its duration.
     pub fn on_ended(&self, reason: &'static str, taken: Duration) {
         self.ended.get_or_create(&ReasonLabel { reason }).inc();
