A final refusal is built from its proof

Callers got 400 for a body that did not arrive in time or broke off, and 413 by the limit of a configuration that may have been replaced, or of a default while there was none: answers after which no client comes back, given on a guess. Any code could give one. Now a denial (400 to 404, 413) is a type of its own whose constructors ask for the facts and check them; what they can't prove is a refusal with a time to come back, or 408.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -4,29 +4,25 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::header::HOST;
 use http::request::Parts;
 use http::{Method, Request, Response};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use ridgeworks_platform::read_metadata;
+use ridgeworks_platform::{read_metadata, refusal_status};
 use ridgeworks_routing::{
-    CallMetadata, ClientLimits, Refusal, RefusalReason, Residency, Route, RouteTable, Tenant,
+    CallMetadata, ClientLimits, Denial, FreshConfiguration, Malformation, Refusal, RefusalReason,
+    Residency, Route, RouteTable, Tenant,
 };
 use tokio::time::Instant;
 
 use crate::call::Call;
 use crate::client::{ClientBody, WaitingClient};
 use crate::exchange;
-use crate::gateway::{BodyReservation, Gateway, OpenRequestGuard};
+use crate::gateway::{Gateway, OpenRequestGuard};
 use crate::refusal::{RETRY_AFTER, RETRY_AFTER_RECONFIGURATION, refusal_response};
+use crate::request_body;
 use crate::request_digest::request_digest;
 
-/// Maximum number of open requests.
-const MAX_OPEN_REQUESTS: usize = 4_000;
-/// How long reading a request body may take.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Limits before any configuration is known.
 const DEFAULT_LIMITS: ClientLimits = ClientLimits {
     max_header_bytes: 16 * 1024,
@@ -48,18 +44,7 @@
     let (parts, body) = request.into_parts();
     wait_for_configuration(&gateway).await;
     gateway.keys.wait_until_fresh().await;
-    let built = match read_body(&gateway, body).await {
-        Ok((body, body_reservation)) => build_call(
-            &gateway,
-            &parts,
-            body,
-            body_reservation,
-            open_request,
-            received,
-        ),
-        Err(refusal) => Err(refusal),
-    };
-    let call = match built {
+    let call = match read_call(&gateway, &parts, body, open_request, received).await {
         Ok(call) => call,
         Err(refusal) => return refuse(&gateway, &parts, &refusal),
     };
@@ -81,7 +66,7 @@
     const MAX_WAIT: Duration = Duration::from_millis(400);
     let mut changes = gateway.node.view.changes();
     let known = async { while !gateway.has_routing_state() && changes.changed().await.is_ok() {} };
-    // After a timeout the request continues; `build_call` refuses it if there is still no
+    // After a timeout the request continues; `read_call` refuses it if there is still no
     // configuration, and the exchange if no engine is known.
     let _ = tokio::time::timeout(MAX_WAIT, known).await;
 }
@@ -95,6 +80,7 @@
         path = parts.uri.path(),
         outcome = "refused",
         reason = refusal.reason.name(),
+        status = refusal_status(refusal.reason).as_u16(),
         version = gateway.node.view.version(),
         version_age_ms = gateway.version_age_ms();
         "request refused at entry"
@@ -102,53 +88,31 @@
     refusal_response(refusal).map(|body| ClientBody::Whole(Some(body)))
 }
 
-async fn read_body(
-    gateway: &Rc<Gateway>,
-    body: Incoming,
-) -> Result<(Bytes, BodyReservation), Refusal> {
-    let max_bytes = client_limits(gateway).max_body_bytes;
-    let announced = hyper::body::Body::size_hint(&body).lower();
-    if announced > max_bytes {
-        return Err(Refusal::without_retry(RefusalReason::BodyTooLarge));
-    }
-    let overloaded = Refusal::retry_later(RefusalReason::Overloaded, RETRY_AFTER);
-    if gateway.open_requests() > MAX_OPEN_REQUESTS {
-        return Err(overloaded);
-    }
-    let max_bytes = usize::try_from(max_bytes).unwrap_or(usize::MAX);
-    let reading = Limited::new(body, max_bytes).collect();
-    let collected = match tokio::time::timeout(BODY_TIMEOUT, reading).await {
-        Ok(Ok(collected)) => collected.to_bytes(),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            return Err(Refusal::without_retry(RefusalReason::BodyTooLarge));
-        }
-        Ok(Err(_)) | Err(_) => return Err(Refusal::without_retry(RefusalReason::BadRequest)),
-    };
-    let body_reservation = gateway.reserve_body(collected.len()).ok_or(overloaded)?;
-    Ok((collected, body_reservation))
-}
-
-fn build_call(
+async fn read_call(
     gateway: &Rc<Gateway>,
     parts: &Parts,
-    body: Bytes,
-    body_reservation: BodyReservation,
+    body: Incoming,
     open_request: OpenRequestGuard,
     received: Instant,
 ) -> Result<Call, Refusal> {
-    let bad_request = Refusal::without_retry(RefusalReason::BadRequest);
-    let metadata = read_metadata(&parts.headers).map_err(|_| bad_request)?;
-    if metadata.request_id.is_empty() || parts.method == Method::CONNECT {
-        return Err(bad_request);
+    let header_error = |_| Denial::malformed(Malformation::Header);
+    let metadata = read_metadata(&parts.headers).map_err(header_error)?;
+    let deadline = metadata.deadline.map(|deadline| received + deadline);
+    let (body, body_reservation) = request_body::read(gateway, body, deadline).await?;
+    if metadata.request_id.is_empty() {
+        return Err(Denial::malformed(Malformation::NoRequestId).into());
     }
-    let host = host(parts).ok_or(bad_request)?;
+    if parts.method == Method::CONNECT {
+        return Err(Denial::malformed(Malformation::Method).into());
+    }
+    let host = host(parts).ok_or(Denial::malformed(Malformation::NoHost))?;
     let routes = gateway.node.view.routes();
     let routes = routes.ok_or(Refusal::retry_later(
         RefusalReason::NoConfiguration,
         RETRY_AFTER,
     ))?;
     let route = routes.find(&host, parts.uri.path());
-    let route = route.ok_or_else(|| refusal_unless_stale(gateway, RefusalReason::NoRoute))?;
+    let route = route.ok_or_else(|| denial_if_fresh(gateway, Denial::no_route))?;
     let tenant = find_tenant(gateway, &routes, route, &metadata)?;
     let residency = residency_of(route, tenant.as_deref());
     require_allowed_region(gateway, &residency)?;
@@ -194,7 +158,7 @@
     metadata: &CallMetadata,
 ) -> Result<Option<Arc<Tenant>>, Refusal> {
     let tenant = routes.tenant(route, metadata.key);
-    let tenant = tenant.map_err(|_| refusal_unless_stale(gateway, RefusalReason::UnknownKey))?;
+    let tenant = tenant.map_err(|_| denial_if_fresh(gateway, Denial::unknown_key))?;
     if tenant.is_some() && !gateway.keys.is_fresh() {
         let after = gateway.keys.retry_after();
         return Err(Refusal::retry_later(RefusalReason::KeyStateStale, after));
@@ -220,14 +184,12 @@
     Err(Refusal::retry_later(reason, RETRY_AFTER_RECONFIGURATION))
 }
 
-/// A final refusal if the configuration is known to be recent. Otherwise the route or key may have
-/// been added since, and the client is told to retry.
-fn refusal_unless_stale(gateway: &Gateway, reason: RefusalReason) -> Refusal {
-    let bound = gateway.node.settings.bounds.configuration();
-    let age = gateway.node.view.confirmation_age();
-    if age.is_some_and(|age| age < bound) {
-        Refusal::without_retry(reason)
-    } else {
-        Refusal::retry_later(RefusalReason::ConfigurationStale, RETRY_AFTER)
-    }
+/// The denial if the configuration is known to be recent. Otherwise the route or key may have been added since, and the client is
+/// told to retry.
+fn denial_if_fresh(
+    gateway: &Gateway,
+    denial: impl FnOnce(FreshConfiguration) -> Denial,
+) -> Refusal {
+    let fresh = gateway.fresh_configuration();
+    fresh.map_or_else(|stale| stale, |fresh| denial(fresh).into())
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -16,7 +16,7 @@
 use http::StatusCode;
 use rand::RngExt;
 use ridgeworks_records::TurnRecord;
-use ridgeworks_routing::{Engine, Outcome, Refusal, RefusalReason, RequestKind};
+use ridgeworks_routing::{DenialReason, Engine, Outcome, Refusal, RefusalReason, RequestKind};
 use tokio::time::Instant;
 
 use self::engine_choice::AttemptHistory;
@@ -95,7 +95,7 @@
     exchange.find_end_after_client_left().await;
     let owns_ledger_entry = !matches!(
         ending,
-        Ending::Refused(refusal) if refusal.reason == RefusalReason::DuplicateRequestId
+        Ending::Refused(refusal) if refusal.is_denied_for(DenialReason::DuplicateRequestId)
     );
     if owns_ledger_entry {
         exchange.settle();
@@ -156,7 +156,7 @@
             }
             if let Err(refusal) = self.acquire_permit().await {
                 let after_run = self.refusal_after_run();
-                let is_final = refusal.reason == RefusalReason::EndsEngines;
+                let is_final = refusal.is_denied_for(DenialReason::EndsEngines);
                 let refusal = after_run.filter(|_| !is_final).unwrap_or(refusal);
                 return self.give_up(client, refusal).await;
             }
--- a/crates/gateway/src/exchange/engine_choice.rs
+++ b/crates/gateway/src/exchange/engine_choice.rs
@@ -5,8 +5,8 @@
 use ridgeworks_quota::Grant;
 use ridgeworks_resident::clock::whole_ms;
 use ridgeworks_routing::{
-    EligibilityRule, Engine, EngineKey, Exclusion, Forecast, Outcome, PlacementRequest, Refusal,
-    RefusalReason, RequestKind, SoftwareKey, service_exclusion,
+    Denial, EligibilityRule, Engine, EngineKey, Exclusion, Forecast, Outcome, PlacementRequest,
+    Refusal, RefusalReason, RequestKind, SoftwareKey, service_exclusion,
 };
 use tokio::time::Instant;
 
@@ -425,14 +425,12 @@
         if let Some(refusal) = self.refusal_after_run() {
             return Some(refusal);
         }
-        Some(if is_key_valid {
-            Refusal::retry_later(
-                RefusalReason::KeyStateStale,
-                self.gateway.keys.retry_after(),
-            )
-        } else {
-            Refusal::without_retry(RefusalReason::UnknownKey)
-        })
+        if is_key_valid {
+            let after = self.gateway.keys.retry_after();
+            return Some(Refusal::retry_later(RefusalReason::KeyStateStale, after));
+        }
+        let fresh = self.gateway.fresh_configuration();
+        Some(fresh.map_or_else(|stale| stale, |fresh| Denial::unknown_key(fresh).into()))
     }
 
     /// The refusal of a request that an engine may have run, whatever ends it.
--- a/crates/gateway/src/exchange/preparation.rs
+++ b/crates/gateway/src/exchange/preparation.rs
@@ -10,7 +10,7 @@
     ChainOutcome, EngineEnds, LedgerEntry, ProgramId, ProgramLedger, Settlement, StreamOrigin,
     TurnId, TurnRecord,
 };
-use ridgeworks_routing::{EngineKey, Refusal, RefusalReason};
+use ridgeworks_routing::{Denial, EngineKey, Refusal, RefusalReason};
 use tokio::time::Instant;
 
 use super::Exchange;
@@ -218,27 +218,28 @@
         self.gateway.metrics.reserve_seconds.observe(elapsed_secs);
         if ledger.is_settled(&ledger_key.turn) {
             // The identifier was used before, and its settled entry must not be reopened.
-            return Err(Refusal::without_retry(RefusalReason::DuplicateRequestId));
+            return Err(Denial::used_identifier().into());
         }
-        if ledger.admits(&ledger_key.turn, reserved_tokens, budget) {
+        let charged = ledger.charged_by_others(&ledger_key.turn);
+        let Some(denial) = Denial::budget_spent(charged, reserved_tokens, budget) else {
             return Ok(Some(LedgerState {
                 has_earlier_turns: ledger.has_others(&ledger_key.turn),
                 origin: self.origin_in(&ledger),
                 ends: Some(self.ends_in(&ledger)),
             }));
-        }
+        };
         log::info!(
             target: "request",
             request = ledger_key.turn.request(),
             program = self.call.metadata.program.as_deref().unwrap_or_default(),
             budget = budget,
             most = reserved_tokens,
-            charged_to_others = ledger.charged_by_others(&ledger_key.turn),
+            charged_to_others = charged,
             turns_in_ledger = ledger.entries.len(),
             epoch = self.gateway.node.view.epoch().0;
             "budget does not hold the turn"
         );
-        Err(Refusal::without_retry(RefusalReason::BudgetSpent))
+        Err(denial.into())
     }
 
     /// Writes the turn's reservation, under a key with the software version at which its stream is to begin.
@@ -315,7 +316,7 @@
                 Ok(prompt)
             }
             Ok(ChainOutcome::NoSuchTurn(missing)) if missing == previous => {
-                Err(Refusal::without_retry(RefusalReason::NoSuchTurn))
+                Err(Denial::no_such_turn().into())
             }
             // An earlier turn is missing, while the previous turn exists, so the client must not be
             // told that the turn does not exist.
--- a/crates/gateway/src/exchange/report.rs
+++ b/crates/gateway/src/exchange/report.rs
@@ -1,5 +1,6 @@
 //! Logs and counts the end of a request.
 
+use ridgeworks_platform::refusal_status;
 use ridgeworks_resident::clock::whole_ms;
 use ridgeworks_routing::{Engine, Refusal};
 use tokio::time::Instant;
@@ -79,7 +80,8 @@
         }
         let status = match ending {
             Ending::Answered(status) => status,
-            _ => 0,
+            Ending::Refused(refusal) => refusal_status(refusal.reason).as_u16(),
+            Ending::Aborted(_) | Ending::ClientDisconnected => 0,
         };
         let failed_engine = self
             .history
--- a/crates/gateway/src/exchange/send_permits.rs
+++ b/crates/gateway/src/exchange/send_permits.rs
@@ -16,7 +16,7 @@
     TurnId,
 };
 use ridgeworks_resident::clock::unix_time_ms;
-use ridgeworks_routing::{Refusal, RefusalReason};
+use ridgeworks_routing::{Denial, Refusal, RefusalReason};
 use tokio::time::Instant;
 
 use super::Exchange;
@@ -113,8 +113,10 @@
     /// The refusal of a request under which too many engines ended, or may have. Final, so that its client does not come back in
     /// vain.
     pub(super) fn ends_refusal(&self) -> Option<Refusal> {
-        let is_refused = self.verdict() == SendVerdict::EndsEngines;
-        is_refused.then(|| Refusal::without_retry(RefusalReason::EndsEngines))
+        if self.verdict() != SendVerdict::EndsEngines {
+            return None;
+        }
+        Denial::ends_engines(self.ends.count(), MAX_ENGINE_ENDS).map(Refusal::from)
     }
 
     /// Acquires the permit for the next send, if it needs one.
@@ -127,15 +129,12 @@
             let found = self.record_permit().await?;
             self.take_in_ends(found);
             self.gateway.metrics.on_send_verdict(self.verdict());
-            match self.verdict() {
-                SendVerdict::Permitted => {
-                    self.ends.needs_permit = false;
-                    return Ok(());
-                }
-                SendVerdict::EndsEngines => {
-                    return Err(Refusal::without_retry(RefusalReason::EndsEngines));
-                }
-                SendVerdict::Unsettled => {}
+            if self.verdict() == SendVerdict::Permitted {
+                self.ends.needs_permit = false;
+                return Ok(());
+            }
+            if let Some(refusal) = self.ends_refusal() {
+                return Err(refusal);
             }
             // Else two that wait would wait for each other.
             self.settle_permit().await;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,9 +11,9 @@
     PeerService, ReplicaStatus,
 };
 use ridgeworks_routing::{
-    Engine, EngineKey, GatewayReport, Outcome, Placement, PlacementRequest, PrefillDirectory,
-    PrefillRecord, PromptPart, RegionLatencies, ResidencyFaults, Route, RouteTable,
-    SoftwareHistory, WeightedSplit,
+    Engine, EngineKey, FreshConfiguration, GatewayReport, Outcome, Placement, PlacementRequest,
+    PrefillDirectory, PrefillRecord, PromptPart, Refusal, RefusalReason, RegionLatencies,
+    ResidencyFaults, Route, RouteTable, SoftwareHistory, WeightedSplit,
 };
 use tokio::sync::oneshot;
 
@@ -24,6 +24,7 @@
 use crate::node_network::relay_request;
 use crate::rate_limits::RateLimits;
 use crate::records_client::RecordsClient;
+use crate::refusal::RETRY_AFTER;
 use crate::seen_ends::SeenEnds;
 use crate::turn_cache::TurnCache;
 use crate::warm_ups::WarmUpAdmission;
@@ -208,6 +209,14 @@
         })
     }
 
+    /// The proof that the configuration in force is the newest one, or the refusal of a request that only a newer one may allow.
+    pub fn fresh_configuration(&self) -> Result<FreshConfiguration, Refusal> {
+        let bound = self.node.settings.bounds.configuration();
+        let fresh = FreshConfiguration::of_age(self.node.view.confirmation_age(), bound);
+        let reason = RefusalReason::ConfigurationStale;
+        fresh.ok_or(Refusal::retry_later(reason, RETRY_AFTER))
+    }
+
     /// Selects the service for the route's next request; `None` when the route has no service.
     pub fn next_service(&self, route: &Route) -> Option<String> {
         let index = self.split.borrow_mut().next(route)?;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod records_client;
 mod refusal;
 mod replica_paths;
+mod request_body;
 mod request_digest;
 mod role;
 mod seen_ends;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -6,6 +6,7 @@
 )]
 
 mod configuration;
+mod denial;
 mod eligibility;
 mod engine_health;
 mod engine_load;
@@ -32,6 +33,7 @@
     ClientLimits, ConfigurationExtras, ModelEngine, RequestKind, Route, RouteConfiguration,
     Service, WeightedService,
 };
+pub use denial::{Denial, DenialReason, FreshConfiguration, Malformation};
 pub use eligibility::{
     EligibilityRule, Exclusion, ResidencyRule, SoftwareRule, first_exclusion, service_exclusion,
 };
--- a/crates/routing/src/refusal.rs
+++ b/crates/routing/src/refusal.rs
@@ -3,22 +3,15 @@
 use std::fmt;
 use std::time::Duration;
 
+use crate::denial::{Denial, DenialReason};
+
 /// Why a request was refused.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RefusalReason {
-    /// The request lacks a required value or contradicts itself.
-    BadRequest,
-    /// An earlier request used the same identifier.
-    DuplicateRequestId,
-    /// No route matches the host and path.
-    NoRoute,
-    /// No tenant holds the request's key.
-    UnknownKey,
-    /// The previous turn that the request names does not exist.
-    NoSuchTurn,
-    /// The remaining token budget of the program does not cover the most tokens that the turn may generate.
-    BudgetSpent,
-    BodyTooLarge,
+    /// The request itself is wrong.
+    Denied(Denial),
+    /// The request's body did not arrive in time, or its connection failed before its end.
+    BodyIncomplete,
     /// The gateway has not received a configuration yet.
     NoConfiguration,
     /// The gateway's configuration has not been confirmed as the newest one for too long.
@@ -56,8 +49,6 @@
     EngineFailed,
     /// Too many other tries of the request have no outcome yet.
     TriesUnsettled,
-    /// Several engines ended under the request, in this attempt of its client or in earlier ones.
-    EndsEngines,
     /// The deadline passed after the request was sent; it may have run.
     TimedOut,
     /// The deadline passed before the request was sent to an engine.
@@ -67,10 +58,11 @@
 impl RefusalReason {
     /// Whether the request has not run and never will.
     pub fn is_not_run(self) -> bool {
-        !matches!(
-            self,
-            Self::EngineFailed | Self::EndsEngines | Self::TimedOut
-        )
+        match self {
+            Self::Denied(denial) => denial.is_not_run(),
+            Self::EngineFailed | Self::TimedOut => false,
+            _ => true,
+        }
     }
 
     /// Whether only this gateway is affected, so that a retry at another gateway may succeed.
@@ -89,13 +81,8 @@
     /// Name in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
-            Self::BadRequest => "bad_request",
-            Self::DuplicateRequestId => "used_identifier",
-            Self::NoRoute => "no_route",
-            Self::UnknownKey => "unknown_key",
-            Self::NoSuchTurn => "no_such_turn",
-            Self::BudgetSpent => "budget_spent",
-            Self::BodyTooLarge => "body_too_large",
+            Self::Denied(denial) => denial.reason().name(),
+            Self::BodyIncomplete => "body_incomplete",
             Self::NoConfiguration => "no_configuration",
             Self::ConfigurationStale => "configuration_stale",
             Self::KeyStateStale => "keys_unproven",
@@ -114,7 +101,6 @@
             Self::TurnsUnavailable => "turns_unavailable",
             Self::EngineFailed => "engine_failed",
             Self::TriesUnsettled => "tries_unsettled",
-            Self::EndsEngines => "ends_engines",
             Self::TimedOut => "timed_out",
             Self::TimedOutUnsent => "timed_out_unsent",
         }
@@ -135,6 +121,12 @@
     pub retry_after: Option<Duration>,
 }
 
+impl From<Denial> for Refusal {
+    fn from(denial: Denial) -> Self {
+        Self::without_retry(RefusalReason::Denied(denial))
+    }
+}
+
 impl Refusal {
     /// A refusal that a retry does not change.
     pub fn without_retry(reason: RefusalReason) -> Self {
@@ -144,6 +136,11 @@
         }
     }
 
+    /// Whether the request is denied for this reason.
+    pub fn is_denied_for(&self, reason: DenialReason) -> bool {
+        matches!(self.reason, RefusalReason::Denied(denial) if denial.reason() == reason)
+    }
+
     /// A refusal after which the client may retry.
     pub fn retry_later(reason: RefusalReason, after: Duration) -> Self {
         Self {
