A turn is denied for its budget only by what was spent

Callers got 402, which ends their program: two sub-agents that sent a turn at the same moment were both refused where the budget held one, and a turn was refused while another one merely ran, or had been refused itself and was not settled yet. Cause: a turn refused itself if what others charge and its own exceeded the budget, and a reservation that is open is a charge like any other. Now only what settled turns have generated proves 402.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,5 +1,6 @@
 //! Executes one request, from the reservation of its tokens to the end of its response.
 
+mod budget;
 mod end_ledger;
 mod engine_choice;
 mod engine_ends;
--- a/crates/gateway/src/exchange/preparation.rs
+++ b/crates/gateway/src/exchange/preparation.rs
@@ -31,8 +31,6 @@
 
 /// State of the ledger after a successful reservation.
 struct LedgerState {
-    /// Whether the ledger has other turns of the program.
-    has_earlier_turns: bool,
     /// Origin of the stream that the client resumes.
     origin: Option<StreamOrigin>,
     /// Engines that ended under earlier tries of the request; `None` if the ledger is not where they are recorded.
@@ -67,17 +65,11 @@
             failed_previous_try.and_then(|failed| self.failed_engine(failed));
         // Checked before the other results: a request with a used identifier must not touch the
         // entry of the turn that used it.
-        let reserved = reserved?;
-        if let Some(reserved) = &reserved {
-            self.reserve_time = Some(began.elapsed());
-            self.has_earlier_turns = reserved.has_earlier_turns;
-        }
-        if let Some(ledger_key) = self.ledger_key().filter(|_| reserved.is_some()) {
-            self.ends.permit = Some(Permit::Reservation {
-                key: self.key_of(&ledger_key.turn),
-                entry: self.reservation(),
-            });
-        }
+        let reserved = match reserved? {
+            Some(ledger) => Some(self.read_ledger(ledger).await?),
+            None => None,
+        };
+        self.reserve_time = reserved.is_some().then(|| began.elapsed());
         let in_ledger = reserved.as_ref().and_then(|reserved| reserved.ends.clone());
         self.check_ends(in_ledger.or(ends)).await?;
         if self.call.is_resumed_stream() {
@@ -200,19 +192,12 @@
     }
 
     /// Reserves the maximum number of tokens that the turn may generate, and records where its stream begins or reads where it
-    /// began; `None` if the request has neither a budget nor a stream that may be resumed.
-    async fn reserve(&self) -> Result<Option<LedgerState>, Refusal> {
-        let (Some(ledger_key), Some(budget)) = (self.ledger_key(), self.call.metadata.token_budget)
-        else {
-            let ledger = self.record_origin_without_budget().await;
-            return Ok(ledger.map(|ledger| LedgerState {
-                has_earlier_turns: false,
-                origin: self.origin_in(&ledger),
-                ends: None,
-            }));
+    /// began. Returns the ledger; `None` if the request has neither a budget nor a stream that may be resumed.
+    async fn reserve(&self) -> Result<Option<ProgramLedger>, Refusal> {
+        let Some(ledger_key) = self.ledger_key() else {
+            return Ok(self.record_origin_without_budget().await);
         };
         let began = Instant::now();
-        let reserved_tokens = self.max_tokens();
         let ledger = self.write_reservation(&ledger_key).await?;
         let elapsed_secs = began.elapsed().as_secs_f64();
         self.gateway.metrics.reserve_seconds.observe(elapsed_secs);
@@ -220,26 +205,28 @@
             // The identifier was used before, and its settled entry must not be reopened.
             return Err(Denial::used_identifier().into());
         }
-        let charged = ledger.charged_by_others(&ledger_key.turn);
-        let Some(denial) = Denial::budget_spent(charged, reserved_tokens, budget) else {
-            return Ok(Some(LedgerState {
-                has_earlier_turns: ledger.has_others(&ledger_key.turn),
+        Ok(Some(ledger))
+    }
+
+    /// Takes what the ledger tells of the program and of the client's other tries, once its budget holds the turn.
+    async fn read_ledger(&mut self, ledger: ProgramLedger) -> Result<LedgerState, Refusal> {
+        let (Some(ledger_key), Some(budget)) = (self.ledger_key(), self.call.metadata.token_budget)
+        else {
+            return Ok(LedgerState {
                 origin: self.origin_in(&ledger),
-                ends: Some(self.ends_in(&ledger)),
-            }));
+                ends: None,
+            });
         };
-        log::info!(
-            target: "request",
-            request = ledger_key.turn.request(),
-            program = self.call.metadata.program.as_deref().unwrap_or_default(),
-            budget = budget,
-            most = reserved_tokens,
-            charged_to_others = charged,
-            turns_in_ledger = ledger.entries.len(),
-            epoch = self.gateway.node.view.epoch().0;
-            "budget does not hold the turn"
-        );
-        Err(denial.into())
+        let ledger = self.await_admission(&ledger_key, budget, ledger).await?;
+        self.has_earlier_turns = ledger.has_others(&ledger_key.turn);
+        self.ends.permit = Some(Permit::Reservation {
+            key: self.key_of(&ledger_key.turn),
+            entry: self.reservation(),
+        });
+        Ok(LedgerState {
+            origin: self.origin_in(&ledger),
+            ends: Some(self.ends_in(&ledger)),
+        })
     }
 
     /// Writes the turn's reservation, under a key with the software version at which its stream is to begin.
--- a/crates/gateway/src/exchange/software.rs
+++ b/crates/gateway/src/exchange/software.rs
@@ -19,7 +19,7 @@
     /// The version that is recorded as the stream's origin, or is being recorded. Engines of other versions get the request only
     /// after they are recorded in its place.
     pub(super) recorded: Option<SoftwareKey>,
-    /// Number of origins recorded before that one.
+    /// Number of keys that the turn's entry had before the present one.
     ordinal: u32,
     /// The key of the ledger's entry before the present one, until it is settled.
     superseded: Option<TurnId>,
@@ -100,6 +100,19 @@
         written.map(drop)
     }
 
+    /// Replaces the key of the turn's entry by another one, and returns the one before, which is to be settled.
+    pub(super) fn supersede_key(&mut self, turn: &TurnId) -> TurnId {
+        let superseded = self.key_of(turn);
+        self.software.superseded = Some(superseded.clone());
+        self.software.ordinal += 1;
+        superseded
+    }
+
+    /// Notes that the entry under the key before the present one is settled.
+    pub(super) fn forget_superseded(&mut self) {
+        self.software.superseded = None;
+    }
+
     /// Settles the reservation under the key of the version that was recorded before. Nothing was generated there. Not before the
     /// next reservation is written, so that the turn is charged all the time.
     pub(super) fn settle_superseded(&mut self) {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -151,6 +151,8 @@
     pub engine_ends: Family<ReasonLabel, Counter>,
     /// Requests that were served although engines had ended under them.
     pub engine_ends_cleared: Counter,
+    /// Turns that their program's budget did not hold at once, by what became of them.
+    pub budget_waits: Family<ReasonLabel, Counter>,
     /// Sends that needed a permit, by the verdict.
     pub send_permits: Family<ReasonLabel, Counter>,
     /// Metrics of warming engines.
@@ -221,6 +223,7 @@
             resumed_streams: Family::default(),
             engine_ends: Family::default(),
             engine_ends_cleared: Counter::default(),
+            budget_waits: Family::default(),
             send_permits: Family::default(),
             warm_up: WarmUpMetrics::default(),
             engine_connections: Counter::default(),
@@ -279,6 +282,9 @@
         let cleared = self.engine_ends_cleared.clone();
         let help = "Requests that were served although engines had ended under them";
         registry.register("engine_ends_cleared", help, cleared);
+        let waits = self.budget_waits.clone();
+        let help = "Turns that their program's budget did not hold at once, by what became of them";
+        registry.register("budget_waits", help, waits);
         let permits = self.send_permits.clone();
         let help = "Sends of requests that may end engines, by whether they were permitted";
         registry.register("send_permits", help, permits);
@@ -438,6 +444,12 @@
         self.engine_ends.get_or_create(&label).inc();
     }
 
+    /// Counts a turn that its program's budget did not hold at once.
+    pub fn on_budget_wait(&self, reason: &'static str) {
+        let label = ReasonLabel { reason };
+        self.budget_waits.get_or_create(&label).inc();
+    }
+
     /// Counts a send that needed a permit.
     pub fn on_send_verdict(&self, verdict: SendVerdict) {
         let reason = match verdict {
--- a/crates/records/src/ledger.rs
+++ b/crates/records/src/ledger.rs
@@ -40,6 +40,24 @@
     }
 }
 
+/// Whether a turn may run, by the ledger of its program.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TurnAdmission {
+    /// The budget holds the turn beside all that others may still spend.
+    Admitted,
+    /// The budget holds the turn, unless others spend what they have reserved.
+    Reserved {
+        /// Whether the turn's own reservation is the first of the open ones. Of turns that reserved at the same time that one
+        /// stays, and the others withdraw theirs.
+        is_first: bool,
+    },
+    /// What other turns have spent leaves too little, whatever becomes of the open reservations.
+    Spent {
+        /// Tokens that the settled turns have generated.
+        by_others: u64,
+    },
+}
+
 /// The entries of one program. A turn whose stream may be resumed has one for each origin ([`TurnId::at_origin`]); methods that take
 /// a turn take its identifier without an origin, and count all its entries.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Archive, Serialize, Deserialize)]
@@ -110,8 +128,42 @@
         keys.any(|key| key.without_origin() != turn.0)
     }
 
+    /// Tokens that all settled turns but this one have generated. Never shrinks.
+    pub fn spent_by_others(&self, turn: &TurnId) -> u64 {
+        let entries = self.entries.iter();
+        let others = entries.filter(|(key, _)| key.without_origin() != turn.0);
+        others.filter_map(|(_, entry)| entry.spent).sum()
+    }
+
+    /// Whether other turns have reserved tokens and are not settled.
+    pub fn has_open_others(&self, turn: &TurnId) -> bool {
+        self.open_reservations()
+            .any(|key| key.without_origin() != turn.0)
+    }
+
+    fn open_reservations(&self) -> impl Iterator<Item = &TurnId> {
+        let entries = self.entries.iter();
+        let open = entries.filter(|(_, entry)| entry.spent.is_none() && entry.charge() > 0);
+        open.map(|(key, _)| key)
+    }
+
     /// Whether the budget covers this turn's reservation beside the charges of all others.
     pub fn admits(&self, turn: &TurnId, reserved_tokens: u64, budget: u64) -> bool {
         self.charged_by_others(turn).saturating_add(reserved_tokens) <= budget
     }
+
+    /// Whether a turn may run whose reservation of `reserved_tokens` is in the ledger, if its program has this budget.
+    pub fn admission(&self, turn: &TurnId, reserved_tokens: u64, budget: u64) -> TurnAdmission {
+        if self.admits(turn, reserved_tokens, budget) {
+            return TurnAdmission::Admitted;
+        }
+        let by_others = self.spent_by_others(turn);
+        if by_others.saturating_add(reserved_tokens) > budget {
+            return TurnAdmission::Spent { by_others };
+        }
+        let first = self.open_reservations().next();
+        TurnAdmission::Reserved {
+            is_first: first.is_none_or(|key| key.without_origin() == turn.0),
+        }
+    }
 }
--- a/crates/records/src/lib.rs
+++ b/crates/records/src/lib.rs
@@ -37,7 +37,7 @@
 };
 pub use groups::{GroupId, ReplicaGroups};
 pub use identifiers::{Epoch, ProgramId, RecordKey, ReplicaId, TurnId};
-pub use ledger::{LedgerEntry, ProgramLedger};
+pub use ledger::{LedgerEntry, ProgramLedger, TurnAdmission};
 pub use message::{Admission, Listing, ReplicaReply, ReplicaRequest, Settlement};
 pub use origin::StreamOrigin;
 pub use plan::{CopyProgress, SetStep, StorageNode, assign_groups, initial_groups, plan_change};
--- a/crates/routing/src/refusal.rs
+++ b/crates/routing/src/refusal.rs
@@ -41,6 +41,8 @@
     EnginesFull,
     /// All engines of the service are warming up and at their rate limit.
     EnginesWarmUp,
+    /// Other turns of the program, whose outcome is not known, have reserved what the budget has left.
+    TokensReserved,
     /// Too few replicas answered to reserve tokens.
     LedgerUnavailable,
     /// Too few replicas answered to read the earlier turns.
@@ -97,6 +99,7 @@
             Self::ReplicasOutsideResidency => "kept_outside",
             Self::EnginesFull => "engines_full",
             Self::EnginesWarmUp => "engines_warm_up",
+            Self::TokensReserved => "tokens_reserved",
             Self::LedgerUnavailable => "ledger_unavailable",
             Self::TurnsUnavailable => "turns_unavailable",
             Self::EngineFailed => "engine_failed",
