A request is denied for engines that ended only after three known ends

Callers got 400, which ends their program, for harmless turns: with one engine ended and two tries open, whose gateways had been killed; and with no engine ended, where connections broke under three tries and the next connection was reset or silent too. Cause: the verdict took open tries and ends that were only presumed as ends, which is right for not sending and wrong for refusing for good. Now ends are known (refused, or another run listed at the address) or presumed (closed, silent), under keys that earlier versions keep and don't count; three known ones deny, all else that may be one too many is 503 with a time to come back, and not sent. A presumed end is withdrawn once the engine is listed for longer than its entry lasts without a heartbeat (new setting, from the platform's).

--- a/crates/gateway/src/engine_probe.rs
+++ b/crates/gateway/src/engine_probe.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use ridgeworks_records::EndCertainty;
 use ridgeworks_resident::http_client::{ConnectError, connect};
 use ridgeworks_routing::Engine;
 use tokio::time::Instant;
@@ -20,6 +21,12 @@
 const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 /// How long an engine that started again may take to be listed with its new start.
 const RESTART_NOTICE: Duration = Duration::from_secs(5);
+/// Added to the time after which the entry of an engine that has ended lapses: entries that lapsed while the store was away may be
+/// back for so long.
+const ENTRY_LIFETIME_MARGIN: Duration = Duration::from_secs(2);
+/// How long after that a list is waited for which tells whether an engine lives.
+const MAX_LIST_WAIT: Duration = Duration::from_secs(10);
+const LIST_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Engines that are watched for a restart at a time; a failure beyond that is taken for one that the engine outlived.
 const MAX_WATCHED: usize = 256;
 
@@ -46,6 +53,14 @@
             Self::Restarted => "restarted",
         }
     }
+
+    /// Whether nothing but the engine's end explains it. An engine that is full resets connections, and a lost link is silent.
+    pub fn certainty(self) -> EndCertainty {
+        match self {
+            Self::Refused | Self::Restarted => EndCertainty::Known,
+            Self::Closed | Self::Silent => EndCertainty::Presumed,
+        }
+    }
 }
 
 /// What a probe found.
@@ -95,6 +110,43 @@
     evidence
 }
 
+/// Whether an engine is still listed when its entry would have lapsed if it had ended now. False also where no list tells.
+pub async fn has_lived_on(gateway: &Rc<Gateway>, engine: &Engine) -> bool {
+    let watched = &gateway.watched_engines;
+    if watched.get() >= MAX_WATCHED {
+        return false;
+    }
+    watched.set(watched.get() + 1);
+    let bounds = &gateway.node.settings.bounds;
+    let entry_lifetime = bounds.engine_entry_lifetime() + ENTRY_LIFETIME_MARGIN;
+    let listed = listed_after(gateway, engine, entry_lifetime);
+    let lives = tokio::time::timeout(entry_lifetime + MAX_LIST_WAIT, listed).await;
+    watched.set(watched.get() - 1);
+    lives.unwrap_or(false)
+}
+
+/// Waits for a list of the engines as of this time from now, and returns whether the engine is in it.
+async fn listed_after(gateway: &Gateway, engine: &Engine, time: Duration) -> bool {
+    let view = &gateway.node.view;
+    let since = Instant::now();
+    loop {
+        tokio::time::sleep(LIST_CHECK_INTERVAL).await;
+        let is_listed = view.with_engines(|table| {
+            let mut engines = table.engines();
+            engines.any(|listed| listed.key() == engine.key())
+        });
+        if !is_listed {
+            return false;
+        }
+        let confirmed_after = view
+            .engines_confirmation_age()
+            .and_then(|age| since.elapsed().checked_sub(age));
+        if confirmed_after.is_some_and(|after| after >= time) {
+            return true;
+        }
+    }
+}
+
 /// Completes if the connection is closed soon; else keeps it for later requests.
 async fn closed_late(gateway: &Gateway, engine: &Engine, connection: EngineConnection) {
     let until = Instant::now() + LATE_CLOSE_TIMEOUT;
--- a/crates/gateway/src/exchange/engine_ends.rs
+++ b/crates/gateway/src/exchange/engine_ends.rs
@@ -6,7 +6,7 @@
 
 use crate::connection_pool::EngineConnection;
 use ridgeworks_records::{
-    EngineEnd, EngineEnds, EngineRun, PERMIT_ENTRY, ProgramId, RequestDigest, TurnId,
+    EndCertainty, EngineEnd, EngineEnds, EngineRun, PERMIT_ENTRY, ProgramId, RequestDigest, TurnId,
 };
 use ridgeworks_resident::clock::{unix_time_ms, whole_ms};
 use ridgeworks_routing::Engine;
@@ -17,7 +17,7 @@
 use super::end_ledger::{EndLedger, Keeper};
 use super::send_permits::Permit;
 use crate::attempt::AttemptFailure;
-use crate::engine_probe::{Evidence, Probed, find_late_evidence, probe};
+use crate::engine_probe::{Evidence, Probed, find_late_evidence, has_lived_on, probe};
 use crate::gateway::Gateway;
 
 /// Ends from which on a request goes to the idlest engine, so that it takes few others along. Most requests under which one engine
@@ -35,7 +35,7 @@
 /// What is known of the engines that ended under the request.
 #[derive(Debug, Default)]
 pub(super) struct RequestEnds {
-    pub(super) known: EngineEnds,
+    pub(super) found: EngineEnds,
     /// Whether an engine may have ended in this try without a record that the next gateway finds.
     is_unrecorded: bool,
     /// Whether the next send needs a permit, since something speaks against the request or nobody could be asked.
@@ -50,7 +50,7 @@
 
 impl RequestEnds {
     pub(super) fn count(&self) -> usize {
-        self.known.count()
+        self.found.count()
     }
 }
 
@@ -109,7 +109,8 @@
         evidence: Evidence,
     ) -> EngineRun {
         let run = EngineRun(engine.key().0);
-        let is_known = self.ends.known.runs.contains(&run);
+        let found = &self.ends.found;
+        let is_known = found.contains(run) || found.cleared.contains(&run);
         // What accepts in the place of an engine that is away would have taken this request too.
         let was_there = match failure {
             AttemptFailure::Truncated => true,
@@ -167,7 +168,7 @@
     fn end_watch(&mut self, engine: &Engine, is_held_open: bool) -> EndWatch {
         let send = self.send_key();
         let run = EngineRun(engine.key().0);
-        let has_ended_before = self.ends.known.runs.contains(&run);
+        let has_ended_before = self.ends.found.contains(run);
         let held_open = is_held_open.then(|| match self.take_permit_entry() {
             Some((key, keeper)) => HeldPermit {
                 key,
@@ -189,7 +190,11 @@
     }
 
     async fn record_end(&mut self, engine: &Engine, run: EngineRun, evidence: Evidence) {
-        self.ends.known.runs.insert(run);
+        let found = &mut self.ends.found;
+        match evidence.certainty() {
+            EndCertainty::Known => found.known.insert(run),
+            EndCertainty::Presumed => found.presumed.insert(run),
+        };
         let end = NoticedEnd {
             engine,
             run,
@@ -214,14 +219,17 @@
             let mut ends = self.gateway.engine_ends.borrow_mut();
             ends.on_served(self.call.digest, now);
         }
-        if self.ends.known.runs.len() < MIN_ENDS_OF_SUSPECTS {
+        if self.ends.found.ended() < MIN_ENDS_OF_SUSPECTS {
             self.clear_ends();
         }
     }
 
     /// Holds no ends against the request from now on, at any gateway.
     pub(super) fn clear_ends(&mut self) {
-        let runs = std::mem::take(&mut self.ends.known).runs;
+        let EngineEnds {
+            known, presumed, ..
+        } = std::mem::take(&mut self.ends.found);
+        let runs = &known | &presumed;
         if runs.is_empty() {
             return;
         }
@@ -249,7 +257,7 @@
     /// whose outcome is not known.
     pub(super) async fn settle_before_answer(&mut self) {
         self.settle_permit().await;
-        let has_failed = !self.ends.known.is_clear() || !self.history.may_have_run_on.is_empty();
+        let has_failed = !self.ends.found.is_clear() || !self.history.may_have_run_on.is_empty();
         // Not before the mark that accounts for it.
         let is_open = has_failed && self.may_be_reserved.get() && !self.ends.is_unrecorded;
         let Some(ledger_key) = self.ledger_key().filter(|_| is_open) else {
@@ -295,19 +303,31 @@
         send,
     } = end;
     let began = Instant::now();
+    let certainty = evidence.certainty();
     gateway.metrics.on_engine_end(evidence.name());
     let now = gateway.now();
     let seen = gateway
         .engine_ends
         .borrow_mut()
-        .on_end(ledger.digest, run, now);
+        .on_end(ledger.digest, run, certainty, now);
     let mark = TurnId::of_engine_end(&EngineEnd {
         digest: ledger.digest,
         run,
+        certainty,
         at_s: unix_time_ms() / 1_000,
         turn: send.clone(),
     });
     let is_recorded = ledger.record_mark(gateway, &mark).await;
+    if certainty == EndCertainty::Presumed {
+        let watch = PresumedEnd {
+            gateway: Rc::clone(gateway),
+            engine: engine.clone(),
+            ledger: ledger.clone(),
+            run,
+            send: send.clone(),
+        };
+        tokio::task::spawn_local(watch.resolve());
+    }
     log::warn!(
         target: "attempt",
         request = send.request(),
@@ -324,6 +344,40 @@
     is_recorded
 }
 
+/// An end that was presumed, until it is known whether the engine ended.
+struct PresumedEnd {
+    gateway: Rc<Gateway>,
+    engine: Engine,
+    ledger: EndLedger,
+    run: EngineRun,
+    /// The entry that was open for the send.
+    send: TurnId,
+}
+
+impl PresumedEnd {
+    /// Withdraws the end if the engine has lived on. It stays presumed where nothing tells.
+    async fn resolve(self) {
+        if !has_lived_on(&self.gateway, &self.engine).await {
+            return;
+        }
+        let digest = self.ledger.digest;
+        log::info!(
+            target: "attempt",
+            request = self.send.request(),
+            digest = digest_text(digest).as_str(),
+            engine = self.engine.instance.as_str(),
+            born_ms = self.engine.born_ms;
+            "engine that was presumed to have ended has lived on"
+        );
+        self.gateway
+            .engine_ends
+            .borrow_mut()
+            .forget_presumed(digest, self.run);
+        let mark = TurnId::of_cleared_end(digest, self.run);
+        self.ledger.record_mark(&self.gateway, &mark).await;
+    }
+}
+
 /// Finds out whether an engine that accepts connections has ended before, and was there again or something in its place.
 struct EndWatch {
     gateway: Rc<Gateway>,
--- a/crates/gateway/src/exchange/preparation.rs
+++ b/crates/gateway/src/exchange/preparation.rs
@@ -266,7 +266,7 @@
         if let Some(refusal) = self.ends_refusal() {
             return Err(refusal);
         }
-        self.ends.needs_permit = is_unknown || !self.ends.known.is_clear();
+        self.ends.needs_permit = is_unknown || !self.ends.found.is_clear();
         self.acquire_permit().await
     }
 
--- a/crates/gateway/src/exchange/send_permits.rs
+++ b/crates/gateway/src/exchange/send_permits.rs
@@ -76,47 +76,41 @@
         let digest = self.call.digest;
         let now = self.gateway.now();
         let seen = self.gateway.engine_ends.borrow_mut().find(digest, now);
-        self.ends.known = found;
+        self.ends.found = found;
         if let Some(seen) = seen {
-            let runs = seen.runs.difference(&self.ends.known.cleared);
-            self.ends.known.runs.extend(runs);
-            if seen.is_mostly_served(self.ends.known.runs.len()) {
+            let found = &mut self.ends.found;
+            found.known.extend(seen.known.difference(&found.cleared));
+            found
+                .presumed
+                .extend(seen.presumed.difference(&found.cleared));
+            if seen.is_mostly_served(found.ended()) {
                 self.clear_ends();
             }
         }
-        if self.ends.known.is_clear() {
+        if self.ends.found.is_clear() {
             return;
         }
         log::info!(
             target: "request",
             request = self.call.metadata.request_id.as_str(),
             digest = digest_text(digest).as_str(),
-            ends = self.ends.known.runs.len(),
-            unsettled_tries = self.ends.known.unsettled,
+            ends = self.ends.found.known.len(),
+            presumed_ends = self.ends.found.presumed.len(),
+            unsettled_tries = self.ends.found.unsettled,
             is_refused = self.verdict() != SendVerdict::Permitted;
             "engines ended under earlier tries of this request"
         );
     }
 
-    /// Whether one more send is permitted. Sends of requests that belong to no program may be those of other clients, so that they
-    /// do not count as ends for good.
+    /// Whether one more send is permitted.
     pub(super) fn verdict(&self) -> SendVerdict {
-        let known = &self.ends.known;
-        let verdict = known.verdict();
-        let is_certain = known.runs.len() >= MAX_ENGINE_ENDS;
-        if verdict == SendVerdict::EndsEngines && !is_certain && self.call.program().is_none() {
-            return SendVerdict::Unsettled;
-        }
-        verdict
+        self.ends.found.verdict()
     }
 
-    /// The refusal of a request under which too many engines ended, or may have. Final, so that its client does not come back in
-    /// vain.
+    /// The refusal of a request under which too many engines are known to have ended.
     pub(super) fn ends_refusal(&self) -> Option<Refusal> {
-        if self.verdict() != SendVerdict::EndsEngines {
-            return None;
-        }
-        Denial::ends_engines(self.ends.count(), MAX_ENGINE_ENDS).map(Refusal::from)
+        let ended = self.ends.found.known.len();
+        Denial::ends_engines(ended, MAX_ENGINE_ENDS).map(Refusal::from)
     }
 
     /// Acquires the permit for the next send, if it needs one.
@@ -128,8 +122,9 @@
         loop {
             let found = self.record_permit().await?;
             self.take_in_ends(found);
-            self.gateway.metrics.on_send_verdict(self.verdict());
-            if self.verdict() == SendVerdict::Permitted {
+            let verdict = self.verdict();
+            self.gateway.metrics.on_send_verdict(verdict);
+            if verdict == SendVerdict::Permitted {
                 self.ends.needs_permit = false;
                 return Ok(());
             }
--- a/crates/gateway/src/seen_ends.rs
+++ b/crates/gateway/src/seen_ends.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
-use ridgeworks_records::{EngineRun, RequestDigest};
+use ridgeworks_records::{EndCertainty, EngineRun, RequestDigest};
 
 /// Successes for each end from which on a request that many clients send alike is held to be harmless.
 const SERVED_PER_END: usize = 8;
@@ -14,8 +14,10 @@
 /// What was seen of one request.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct SeenRequest {
-    /// Runs of engines that ended under it.
-    pub runs: BTreeSet<EngineRun>,
+    /// Runs of engines that are known to have ended under it.
+    pub known: BTreeSet<EngineRun>,
+    /// Runs of engines that are presumed to have ended under it.
+    pub presumed: BTreeSet<EngineRun>,
     /// How often engines served it, or one that is the same in everything that tells requests apart. Only counted for requests that
     /// belong to no program.
     pub served: usize,
@@ -48,10 +50,19 @@
     }
 
     /// Adds an end; returns how many were seen.
-    pub fn on_end(&mut self, digest: RequestDigest, run: EngineRun, now: Duration) -> usize {
+    pub fn on_end(
+        &mut self,
+        digest: RequestDigest,
+        run: EngineRun,
+        certainty: EndCertainty,
+        now: Duration,
+    ) -> usize {
         let seen = self.touch(digest, now);
-        seen.runs.insert(run);
-        seen.runs.len()
+        match certainty {
+            EndCertainty::Known => seen.known.insert(run),
+            EndCertainty::Presumed => seen.presumed.insert(run),
+        };
+        seen.known.union(&seen.presumed).count()
     }
 
     /// Records that an engine served the request.
@@ -62,7 +73,15 @@
     /// Forgets the ends under a request, which had another cause.
     pub fn forget_ends(&mut self, digest: RequestDigest) {
         if let Some((_, seen)) = self.requests.get_mut(&digest) {
-            seen.runs.clear();
+            seen.known.clear();
+            seen.presumed.clear();
+        }
+    }
+
+    /// Forgets an end that was presumed, of an engine that has lived on.
+    pub fn forget_presumed(&mut self, digest: RequestDigest, run: EngineRun) {
+        if let Some((_, seen)) = self.requests.get_mut(&digest) {
+            seen.presumed.remove(&run);
         }
     }
 
--- a/crates/records/src/engine_ends.rs
+++ b/crates/records/src/engine_ends.rs
@@ -18,6 +18,8 @@
 /// separator behind it.
 const MARK: &str = "§";
 const END_MARK: &str = "§ended:";
+/// Begins as [`END_MARK`], so that earlier versions take it for a mark, and one that they can't read.
+const PRESUMED_END_MARK: &str = "§ended:presumed:";
 const CLEARED_MARK: &str = "§cleared:";
 const LOOKUP_MARK: &str = "§looked-up";
 const FIELD_SEPARATOR: char = ':';
@@ -45,11 +47,21 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct EngineRun(pub u64);
 
+/// Whether an engine is known to have ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum EndCertainty {
+    /// Nothing but its end explains what was seen.
+    Known,
+    /// A lost link, or an engine that resets connections, looks the same.
+    Presumed,
+}
+
 /// An engine that ended under a request, or may have.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct EngineEnd {
     pub digest: RequestDigest,
     pub run: EngineRun,
+    pub certainty: EndCertainty,
     /// When it was noticed, in seconds since 1970 by the clock of the gateway.
     pub at_s: u64,
     /// The entry that was open for the send, which the end accounts for. Earlier versions name the turn without more, for all sends
@@ -60,8 +72,10 @@
 /// What a ledger knows of the engines that ended under one request.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct EngineEnds {
-    /// Runs of engines that ended.
-    pub runs: BTreeSet<EngineRun>,
+    /// Runs of engines that are known to have ended.
+    pub known: BTreeSet<EngineRun>,
+    /// Runs of engines that are presumed to have ended.
+    pub presumed: BTreeSet<EngineRun>,
     /// Runs whose end had another cause, since the request was served all the same.
     pub cleared: BTreeSet<EngineRun>,
     /// Entries of other tries that are neither settled nor accounted for by an end: they still run, or their gateway is gone and the
@@ -74,34 +88,41 @@
 pub enum SendVerdict {
     /// At most [`MAX_ENGINE_ENDS`] engines end under it, whatever becomes of this send and of those without an outcome.
     Permitted,
-    /// Too many sends have no outcome yet, and none is known to have ended an engine.
+    /// More engines could end under it, since other sends have no outcome yet or engines are presumed to have ended.
     Unsettled,
-    /// Too many engines ended under it, or may have.
+    /// [`MAX_ENGINE_ENDS`] engines are known to have ended under it.
     EndsEngines,
 }
 
 impl EngineEnds {
-    /// Engines that ended under the request as far as can be known. A try without an outcome counts beside an end that is known:
-    /// alone it is rather one that still runs.
+    /// Engines that are known or presumed to have ended under the request.
+    pub fn ended(&self) -> usize {
+        self.known.union(&self.presumed).count()
+    }
+
+    /// Whether the run is known or presumed to have ended.
+    pub fn contains(&self, run: EngineRun) -> bool {
+        self.known.contains(&run) || self.presumed.contains(&run)
+    }
+
+    /// Engines that may have ended under the request. A try without an outcome counts beside an end: alone it is rather one that
+    /// still runs.
     pub fn count(&self) -> usize {
-        let unsettled = if self.runs.is_empty() {
-            0
-        } else {
-            self.unsettled
-        };
-        self.runs.len() + unsettled
+        let ended = self.ended();
+        let unsettled = if ended == 0 { 0 } else { self.unsettled };
+        ended + unsettled
     }
 
     /// Whether nothing speaks against the request.
     pub fn is_clear(&self) -> bool {
-        self.runs.is_empty() && self.unsettled == 0
+        self.ended() == 0 && self.unsettled == 0
     }
 
     /// Whether one more send is permitted.
     pub fn verdict(&self) -> SendVerdict {
-        if self.count() >= MAX_ENGINE_ENDS {
+        if self.known.len() >= MAX_ENGINE_ENDS {
             SendVerdict::EndsEngines
-        } else if self.unsettled >= MAX_ENGINE_ENDS {
+        } else if self.count() >= MAX_ENGINE_ENDS || self.unsettled >= MAX_ENGINE_ENDS {
             SendVerdict::Unsettled
         } else {
             SendVerdict::Permitted
@@ -115,11 +136,16 @@
         let EngineEnd {
             digest,
             run,
+            certainty,
             at_s,
             turn,
         } = end;
+        let mark = match certainty {
+            EndCertainty::Known => END_MARK,
+            EndCertainty::Presumed => PRESUMED_END_MARK,
+        };
         Self(format!(
-            "{END_MARK}{:016x}:{:016x}:{at_s:x}:{}",
+            "{mark}{:016x}:{:016x}:{at_s:x}:{}",
             digest.0, run.0, turn.0
         ))
     }
@@ -151,11 +177,17 @@
     }
 
     fn engine_end(&self) -> Option<EngineEnd> {
-        let mut fields = self.0.strip_prefix(END_MARK)?.splitn(4, FIELD_SEPARATOR);
+        let presumed = self.0.strip_prefix(PRESUMED_END_MARK);
+        let (certainty, fields) = match presumed {
+            Some(fields) => (EndCertainty::Presumed, fields),
+            None => (EndCertainty::Known, self.0.strip_prefix(END_MARK)?),
+        };
+        let mut fields = fields.splitn(4, FIELD_SEPARATOR);
         let mut number = || u64::from_str_radix(fields.next()?, 16).ok();
         Some(EngineEnd {
             digest: RequestDigest(number()?),
             run: EngineRun(number()?),
+            certainty,
             at_s: number()?,
             turn: Self(fields.next()?.to_owned()),
         })
@@ -193,11 +225,14 @@
             entry.spent.is_none() && is_other && key.digest() == Some(digest)
         });
         let unsettled = unsettled.count();
-        let runs = ends.iter().map(|end| end.run);
+        ends.retain(|end| !cleared.contains(&(digest, end.run)));
+        let runs_that = |certainty| {
+            let ends = ends.iter().filter(move |end| end.certainty == certainty);
+            ends.map(|end| end.run).collect()
+        };
         EngineEnds {
-            runs: runs
-                .filter(|run| !cleared.contains(&(digest, *run)))
-                .collect(),
+            known: runs_that(EndCertainty::Known),
+            presumed: runs_that(EndCertainty::Presumed),
             cleared: cleared
                 .iter()
                 .filter_map(|(of, run)| (*of == digest).then_some(*run))
--- a/crates/resident/src/settings.rs
+++ b/crates/resident/src/settings.rs
@@ -75,6 +75,9 @@
     pub configuration_ms: f64,
     /// Number of machines with a disk that may be lost at the same time.
     pub lost_machines: u32,
+    /// How often an engine writes its entry, which lapses after three times as long without a write, in milliseconds.
+    #[serde(default = "default_engine_heartbeat_ms")]
+    pub engine_heartbeat_ms: f64,
     /// Time after which no request with a revoked key may run, whatever its gateway has learned, in milliseconds; `None`
     /// where that is not guaranteed.
     pub key_removal_ms: Option<f64>,
@@ -96,6 +99,11 @@
     pub quota_slack: f64,
 }
 
+/// Longer than usual: an engine must not seem to live on because its entry has not lapsed yet.
+fn default_engine_heartbeat_ms() -> f64 {
+    3_000.0
+}
+
 /// The quota defaults are what a client may expect of a limit given per second.
 fn default_quota_window_s() -> f64 {
     5.0
@@ -126,6 +134,12 @@
         Some(Duration::from_secs_f64(ms / 1_000.0))
     }
 
+    /// How long the entry of an engine that has ended may stay in the store.
+    pub fn engine_entry_lifetime(&self) -> Duration {
+        const MISSED_HEARTBEATS: f64 = 3.0;
+        Duration::from_secs_f64(MISSED_HEARTBEATS * self.engine_heartbeat_ms / 1_000.0)
+    }
+
     /// Guarantees for the limits of tenants.
     pub fn quota(&self) -> QuotaBounds {
         QuotaBounds {
@@ -355,6 +369,10 @@
             SettingsFault::InvalidTime("bounds.configuration_ms"),
         );
         let is_positive = |value: f64| is_non_negative(value) && value > 0.0;
+        check(
+            !is_positive(self.bounds.engine_heartbeat_ms),
+            SettingsFault::InvalidTime("bounds.engine_heartbeat_ms"),
+        );
         let is_key_removal_invalid = !self.bounds.key_removal_ms.is_none_or(is_positive);
         check(
             is_key_removal_invalid,
