A configuration that cannot be decoded is not confirmed

A caller of a route that only the newest configuration has got 404 for good, where the gateway could not decode that configuration: the store's answers went on confirming the one in force.

--- a/crates/node/tests/resident_denials.rs
+++ b/crates/node/tests/resident_denials.rs
@@ -252,3 +252,32 @@
     let proper = start.to_owned() + &many_headers.collect::<String>() + "\r\n";
     assert_eq!(send_bytes(gateway.callers(), &proper), Some(503));
 }
+
+/// What cannot be read may hold the route.
+#[test]
+fn a_route_is_not_missing_while_a_newer_configuration_cannot_be_read() {
+    let mut deployment = Deployment::started(PROGRAM, 2, 0);
+    let unknown = |number: usize, id: &str| {
+        let gateway = deployment.gateways[number].callers();
+        status(&call_post("/unknown/x", id, ""), gateway)
+    };
+    assert_eq!([unknown(0, "before-0"), unknown(1, "before-1")], [404; 2]);
+    let unreadable = serde_json::json!({"version": deployment.version() + 1, "routes": "none"});
+    deployment.store.put("config", "main", unreadable);
+    wait_until(
+        "the configuration in force is not confirmed any more",
+        || [unknown(0, "unreadable-0"), unknown(1, "unreadable-1")] == [503; 2],
+    );
+    deployment.configure(ridgeworks_platform_stand_ins::deployment::routes());
+    let gateways: Vec<_> = deployment
+        .gateways
+        .iter()
+        .map(|gateway| gateway.callers())
+        .collect();
+    wait_until("the configuration is known", || {
+        let after = call_post("/unknown/x", "after", "");
+        gateways
+            .iter()
+            .all(|gateway| status(&after, *gateway) == 404)
+    });
+}
--- a/crates/resident/src/watch_handlers.rs
+++ b/crates/resident/src/watch_handlers.rs
@@ -1,6 +1,6 @@
 //! Applies the configuration and the engines in the platform's store to the node's view.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,21 +15,38 @@
 use crate::view::{Source, View};
 
 /// Applies the configuration; ignores objects of other names.
-pub struct ConfigurationHandler(pub Rc<View>);
+pub struct ConfigurationHandler {
+    view: Rc<View>,
+    /// Whether the newest configuration could not be decoded, so that nothing confirms the one in force.
+    is_unreadable: Cell<bool>,
+}
 
 impl ConfigurationHandler {
+    pub fn new(view: Rc<View>) -> Self {
+        Self {
+            view,
+            is_unreadable: Cell::new(false),
+        }
+    }
+
     fn apply(&self, object: &Object) {
         if object.name != CONFIGURATION_NAME {
             return;
         }
         match read_configuration(&object.spec) {
-            Ok(configuration) => self.0.adopt_configuration(configuration, Source::Store),
-            Err(error) => log::error!(
-                target: "belief",
-                revision = object.revision,
-                error:% = error;
-                "configuration in the platform store cannot be decoded"
-            ),
+            Ok(configuration) => {
+                self.is_unreadable.set(false);
+                self.view.adopt_configuration(configuration, Source::Store);
+            }
+            Err(error) => {
+                self.is_unreadable.set(true);
+                log::error!(
+                    target: "belief",
+                    revision = object.revision,
+                    error:% = error;
+                    "configuration in the platform store cannot be decoded"
+                );
+            }
         }
     }
 }
@@ -45,15 +62,17 @@
     }
 
     fn on_confirmed(&self, age: Duration) {
-        self.0.confirm_as_of(age);
+        if !self.is_unreadable.get() {
+            self.view.confirm_as_of(age);
+        }
     }
 
     fn on_probe_confirmed(&self) {
-        self.0.announce_confirmation();
+        self.view.announce_confirmation();
     }
 
     fn confirmation_age(&self) -> Option<Duration> {
-        self.0.confirmation_age()
+        self.view.confirmation_age()
     }
 }
 
