A budget's test: what a dead gateway's turn holds is 503, and not run

a_budget_holds_over_gateways_and_their_deaths wanted 402 for a turn that only the open reservation of a killed gateway leaves no room. That reservation is not known to be spent, so the answer is 503 with a time to come back now; as before nothing runs, and the next program is served.

--- a/crates/node/tests/resident_records.rs
+++ b/crates/node/tests/resident_records.rs
@@ -243,7 +243,9 @@
     deployment.gateways[0].kill();
     let runs = engine.runs().len();
     let refused = budgeted("b-4", "p", 100, 60).send(two).expect("an answer");
-    assert_eq!(refused.status, 402);
+    // What the dead gateway's turn has generated is not known.
+    let may_come_back = refused.header("retry-after").is_some();
+    assert_eq!((refused.status, may_come_back), (503, true));
     assert_eq!(engine.runs().len(), runs);
     let other = budgeted("b-5", "q", 100, 60).send(two).expect("an answer");
     assert_eq!(other.status, 200);
