Under a joint set a turn is missing only by the majorities of both sides

A caller could get 404, for good, for a turn that was answered whole a moment before: a gateway that still knew the joint set asked the old voters, and two of three lacked a turn that had been written under the next set, to a majority of the new ones. Asks more only while a set is joint and a turn is missing.

--- a/crates/records/src/chain_read.rs
+++ b/crates/records/src/chain_read.rs
@@ -1,8 +1,10 @@
 //! Reads a turn with all turns before it, on the gateway's side.
 //!
 //! Records never change, so any replica that has a record may return it. A turn
-//! counts as missing only once a majority of the voters has returned it as missing. If there is a
-//! later set, at least one voter of any such majority knows it and rejects the request.
+//! counts as missing only once a majority of the voters has returned it as missing, and in a joint
+//! set a majority of the incoming replicas too: under the set that follows, turns are written to
+//! these alone. If there is a later set, at least one replica of any such majorities knows it and
+//! rejects the request.
 
 use std::collections::BTreeSet;
 
@@ -15,7 +17,7 @@
 pub enum ChainOutcome {
     /// The complete chain, oldest turn first.
     Complete(Vec<TurnRecord>),
-    /// A majority of the voters returned this turn as missing.
+    /// A majority of the voters, and of the incoming replicas, returned this turn as missing.
     NoSuchTurn(TurnId),
 }
 
@@ -23,7 +25,7 @@
 pub struct ChainRead {
     set: ReplicaSet,
     next_turn: TurnId,
-    /// Voters that returned the next turn as missing.
+    /// Replicas that returned the next turn as missing.
     reported_missing: BTreeSet<ReplicaId>,
     newest_first: Vec<TurnRecord>,
 }
@@ -38,7 +40,7 @@
         }
     }
 
-    /// The set whose majority is counted.
+    /// The set whose majorities are counted.
     pub fn set(&self) -> &ReplicaSet {
         &self.set
     }
@@ -47,10 +49,10 @@
         &self.next_turn
     }
 
-    /// The voters that haven't returned the next turn as missing.
+    /// The replicas that haven't returned the next turn as missing, voters first.
     pub fn candidates(&self) -> Vec<Replica> {
-        let voters = self.set.voters.iter();
-        let remaining = voters.filter(|voter| !self.reported_missing.contains(&voter.id));
+        let members = self.set.members().into_iter();
+        let remaining = members.filter(|member| !self.reported_missing.contains(&member.id));
         remaining.cloned().collect()
     }
 
@@ -73,7 +75,7 @@
         };
         self.next_turn = missing;
         self.reported_missing.insert(from);
-        let is_certain = self.set.has_voter_majority(&self.reported_missing);
+        let is_certain = self.set.has_write_quorum(&self.reported_missing);
         is_certain.then(|| ChainOutcome::NoSuchTurn(self.next_turn.clone()))
     }
 }
--- a/crates/records/src/replica_set.rs
+++ b/crates/records/src/replica_set.rs
@@ -134,12 +134,6 @@
         sets.any(|set| set.iter().any(|member| member.id == id) && !has_majority(set, among))
     }
 
-    /// Whether these replicas are a majority of the voters, so that one of them knows any later
-    /// set.
-    pub fn has_voter_majority(&self, answered: &BTreeSet<ReplicaId>) -> bool {
-        has_majority(&self.voters, answered)
-    }
-
     /// Whether these replicas together hold every acknowledged write: each majority of the voters
     /// contains one of them.
     pub fn has_read_quorum(&self, answered: &BTreeSet<ReplicaId>) -> bool {
