Headers over the configured limit are refused by the gateway, with its proof

Now the gateway compares names and values alone, which is the least that any way of counting finds, with the limit of a configuration that is confirmed: 431 then, 503 by one that is not.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -6,7 +6,7 @@
 
 use http::header::HOST;
 use http::request::Parts;
-use http::{Method, Request, Response};
+use http::{HeaderMap, Method, Request, Response};
 use hyper::body::Incoming;
 use ridgeworks_platform::{read_metadata, refusal_status};
 use ridgeworks_routing::{
@@ -95,9 +95,11 @@
     open_request: OpenRequestGuard,
     received: Instant,
 ) -> Result<Call, Refusal> {
+    check_head(gateway, &parts.headers)?;
     let header_error = |_| Denial::malformed(Malformation::Header);
     let metadata = read_metadata(&parts.headers).map_err(header_error)?;
-    let deadline = metadata.deadline.map(|deadline| received + deadline);
+    let deadline = metadata.deadline;
+    let deadline = deadline.and_then(|deadline| received.checked_add(deadline));
     let (body, body_reservation) = request_body::read(gateway, body, deadline).await?;
     if metadata.request_id.is_empty() {
         return Err(Denial::malformed(Malformation::NoRequestId).into());
@@ -142,6 +144,22 @@
     })
 }
 
+/// Refuses headers that are larger than the configuration allows. Only names and values are counted, so that no other way of counting
+/// finds fewer bytes.
+fn check_head(gateway: &Gateway, headers: &HeaderMap) -> Result<(), Refusal> {
+    let lengths = headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len());
+    let bytes = lengths.sum::<usize>() as u64;
+    let max_bytes = client_limits(gateway).max_header_bytes;
+    if bytes <= max_bytes {
+        return Ok(());
+    }
+    let fresh = gateway.fresh_configuration()?;
+    let denial = Denial::head_too_large(fresh, bytes, max_bytes);
+    denial.map_or(Ok(()), |denial| Err(denial.into()))
+}
+
 fn host(parts: &Parts) -> Option<String> {
     if let Some(authority) = parts.uri.authority() {
         return Some(authority.host().to_owned());
--- a/crates/gateway/src/exchange/budget.rs
+++ b/crates/gateway/src/exchange/budget.rs
@@ -1,6 +1,7 @@
 //! Whether the token budget of a program holds a turn.
 //!
-//! A turn reserves the most that it may generate, and reads the ledger after that. What is only reserved may be given back: the turn waits for that, and is denied only by what was spent.
+//! A turn reserves the most that it may generate, and reads the ledger after that. What is only reserved may be given back: the turn
+//! waits for that, and is denied only by what was spent.
 
 use std::time::Duration;
 
@@ -14,7 +15,7 @@
 
 /// How long a turn waits for reserved tokens. Longer than the settlement of a turn that has just ended takes.
 const MAX_WAIT: Duration = Duration::from_millis(550);
-/// Mean delay before the ledger is read again for the first time; each further one is longer by [`DELAY_FACTOR`].
+/// Mean delay before the ledger is read again for the first time; [`DELAY_FACTOR`] lengthens each further one.
 const FIRST_DELAY: Duration = Duration::from_millis(20);
 const DELAY_FACTOR: f64 = 2.0;
 /// Retry delay where the turns that hold the tokens still run.
--- a/crates/node/tests/resident_denials.rs
+++ b/crates/node/tests/resident_denials.rs
@@ -218,6 +218,15 @@
     assert_eq!(send_bytes(gateway, &contradictory), Some(400));
 }
 
+/// A time that no clock holds is no deadline.
+#[test]
+fn a_request_with_the_longest_deadline_is_answered() {
+    let deployment = Deployment::started(PROGRAM, 1, 0);
+    let longest = head("longest", u64::MAX, "content-length: 0");
+    let answered = send_bytes(deployment.gateways[0].callers(), &longest);
+    assert_eq!(answered, Some(503), "there is no engine");
+}
+
 /// The limit may have been raised since the configuration was confirmed.
 #[test]
 fn a_body_over_the_limit_of_a_stale_configuration_may_come_back() {
--- a/crates/routing/src/denial.rs
+++ b/crates/routing/src/denial.rs
@@ -21,6 +21,8 @@
     NoSuchTurn,
     /// What the program's other turns have generated leaves too little of its token budget for this one.
     BudgetSpent,
+    /// The headers are larger than the configuration allows.
+    HeadTooLarge,
     /// The body is larger than the configuration allows.
     BodyTooLarge,
     /// Several engines ended under the request, in this attempt of its client or in earlier ones.
@@ -37,6 +39,7 @@
             Self::UnknownKey => "unknown_key",
             Self::NoSuchTurn => "no_such_turn",
             Self::BudgetSpent => "budget_spent",
+            Self::HeadTooLarge => "head_too_large",
             Self::BodyTooLarge => "body_too_large",
             Self::EndsEngines => "ends_engines",
         }
@@ -90,6 +93,12 @@
         Self(DenialReason::UnknownKey)
     }
 
+    /// The headers have more bytes than the configuration in force allows; `None` if they have not. `bytes` counts what every way of
+    /// counting holds.
+    pub fn head_too_large(_: FreshConfiguration, bytes: u64, max_bytes: u64) -> Option<Self> {
+        (bytes > max_bytes).then_some(Self(DenialReason::HeadTooLarge))
+    }
+
     /// The body has more bytes than the configuration in force allows; `None` if it has not. `bytes` may be the number read so far.
     pub fn body_too_large(_: FreshConfiguration, bytes: u64, max_bytes: u64) -> Option<Self> {
         (bytes > max_bytes).then_some(Self(DenialReason::BodyTooLarge))
--- a/crates/routing/tests/denials.rs
+++ b/crates/routing/tests/denials.rs
@@ -21,8 +21,10 @@
 #[test]
 fn a_size_within_the_limit_is_not_too_large() {
     let fresh = FreshConfiguration::of_age(Some(Duration::ZERO), BOUND).expect("fresh");
-    let is_denied = |bytes| Denial::body_too_large(fresh, bytes, 10).is_some();
-    assert!(!is_denied(10) && is_denied(11));
+    for denial_of in [Denial::head_too_large, Denial::body_too_large] {
+        let is_denied = |bytes| denial_of(fresh, bytes, 10).is_some();
+        assert!(!is_denied(10) && is_denied(11));
+    }
 }
 
 #[test]
