A withdrawn presumption hides no later end of the same engine

A request could go to one engine more than three ended: the mark that withdraws a presumed end was the one that a success writes, which hides every end of that run under that request, also one that is known later (told by restarted, or by a gateway that has not read the mark). Now it has a mark of its own, which hides what is presumed alone, and a run that was withdrawn gets another number when it seems to end again.

--- a/crates/gateway/src/exchange/engine_ends.rs
+++ b/crates/gateway/src/exchange/engine_ends.rs
@@ -108,7 +108,7 @@
         failure: &AttemptFailure,
         evidence: Evidence,
     ) -> EngineRun {
-        let run = EngineRun(engine.key().0);
+        let run = self.present_run(engine);
         let found = &self.ends.found;
         let is_known = found.contains(run) || found.cleared.contains(&run);
         // What accepts in the place of an engine that is away would have taken this request too.
@@ -125,6 +125,17 @@
         run_after(run, &self.call.metadata.request_id)
     }
 
+    /// The run of the engine that has the request now. One that has lived on after a presumed end gets another number, since the mark
+    /// that withdrew that end hides what is presumed of the first one.
+    fn present_run(&self, engine: &Engine) -> EngineRun {
+        let run = EngineRun(engine.key().0);
+        if self.ends.found.withdrawn.contains(&run) {
+            run_after(run, &self.call.metadata.request_id)
+        } else {
+            run
+        }
+    }
+
     /// Finds out, beside the end of the request, whether an engine that was silent has ended. A short silence only counts under a
     /// request under which others ended.
     pub(super) fn find_end_of_silent(&mut self, engine: &Engine, silent_since: Instant) {
@@ -156,7 +167,7 @@
         }
         match probe(&self.gateway, &engine).await {
             Probed::Ended(evidence) => {
-                let run = EngineRun(engine.key().0);
+                let run = self.present_run(&engine);
                 self.record_end(&engine, run, evidence).await;
             }
             Probed::Accepted(connection) => {
@@ -167,7 +178,7 @@
 
     fn end_watch(&mut self, engine: &Engine, is_held_open: bool) -> EndWatch {
         let send = self.send_key();
-        let run = EngineRun(engine.key().0);
+        let run = self.present_run(engine);
         let has_ended_before = self.ends.found.contains(run);
         let held_open = is_held_open.then(|| match self.take_permit_entry() {
             Some((key, keeper)) => HeldPermit {
@@ -182,6 +193,7 @@
         EndWatch {
             gateway: Rc::clone(&self.gateway),
             engine: engine.clone(),
+            run,
             ledger: self.end_ledger(),
             has_ended_before,
             send,
@@ -373,7 +385,7 @@
             .engine_ends
             .borrow_mut()
             .forget_presumed(digest, self.run);
-        let mark = TurnId::of_cleared_end(digest, self.run);
+        let mark = TurnId::of_withdrawn_end(digest, self.run);
         self.ledger.record_mark(&self.gateway, &mark).await;
     }
 }
@@ -382,6 +394,7 @@
 struct EndWatch {
     gateway: Rc<Gateway>,
     engine: Engine,
+    run: EngineRun,
     ledger: EndLedger,
     /// Whether the engine is known to have ended under an earlier try, and was there again for this one.
     has_ended_before: bool,
@@ -403,7 +416,7 @@
         let keeper = self.hold_open().await;
         let evidence = self.find_evidence(connection).await;
         if let Some(evidence) = evidence {
-            let run = EngineRun(self.engine.key().0);
+            let run = self.run;
             let is_further = self.has_ended_before && evidence == Evidence::Refused;
             let end = NoticedEnd {
                 engine: &self.engine,
--- a/crates/gateway/src/exchange/send_permits.rs
+++ b/crates/gateway/src/exchange/send_permits.rs
@@ -80,9 +80,8 @@
         if let Some(seen) = seen {
             let found = &mut self.ends.found;
             found.known.extend(seen.known.difference(&found.cleared));
-            found
-                .presumed
-                .extend(seen.presumed.difference(&found.cleared));
+            let presumed = &(&seen.presumed - &found.cleared) - &found.withdrawn;
+            found.presumed.extend(presumed);
             if seen.is_mostly_served(found.ended()) {
                 self.clear_ends();
             }
--- a/crates/records/src/engine_ends.rs
+++ b/crates/records/src/engine_ends.rs
@@ -21,6 +21,8 @@
 /// Begins as [`END_MARK`], so that earlier versions take it for a mark, and one that they can't read.
 const PRESUMED_END_MARK: &str = "§ended:presumed:";
 const CLEARED_MARK: &str = "§cleared:";
+/// Begins as [`CLEARED_MARK`], for the same reason.
+const WITHDRAWN_MARK: &str = "§cleared:presumed:";
 const LOOKUP_MARK: &str = "§looked-up";
 const FIELD_SEPARATOR: char = ':';
 
@@ -76,6 +78,8 @@
     pub known: BTreeSet<EngineRun>,
     /// Runs of engines that are presumed to have ended.
     pub presumed: BTreeSet<EngineRun>,
+    /// Runs of engines that were presumed to have ended and have lived on. What ends them later counts.
+    pub withdrawn: BTreeSet<EngineRun>,
     /// Runs whose end had another cause, since the request was served all the same.
     pub cleared: BTreeSet<EngineRun>,
     /// Entries of other tries that are neither settled nor accounted for by an end: they still run, or their gateway is gone and the
@@ -155,6 +159,11 @@
         Self(format!("{CLEARED_MARK}{:016x}:{:016x}", digest.0, run.0))
     }
 
+    /// The key that says that this engine, which was presumed to have ended, has lived on.
+    pub fn of_withdrawn_end(digest: RequestDigest, run: EngineRun) -> Self {
+        Self(format!("{WITHDRAWN_MARK}{:016x}:{:016x}", digest.0, run.0))
+    }
+
     /// The key that is written where a ledger is only to be read. The same for all, so that nothing is written twice.
     pub fn of_lookup() -> Self {
         Self(LOOKUP_MARK.to_owned())
@@ -194,10 +203,16 @@
     }
 
     fn cleared_end(&self) -> Option<(RequestDigest, EngineRun)> {
-        let (digest, run) = self
-            .0
-            .strip_prefix(CLEARED_MARK)?
-            .split_once(FIELD_SEPARATOR)?;
+        self.run_behind(CLEARED_MARK)
+    }
+
+    fn withdrawn_end(&self) -> Option<(RequestDigest, EngineRun)> {
+        self.run_behind(WITHDRAWN_MARK)
+    }
+
+    /// The request and the run in a key with this prefix.
+    fn run_behind(&self, prefix: &str) -> Option<(RequestDigest, EngineRun)> {
+        let (digest, run) = self.0.strip_prefix(prefix)?.split_once(FIELD_SEPARATOR)?;
         let number = |text| u64::from_str_radix(text, 16).ok();
         Some((RequestDigest(number(digest)?), EngineRun(number(run)?)))
     }
@@ -211,9 +226,11 @@
             .map(|(key, _)| key)
             .take_while(|key| key.0.starts_with(MARK));
         let mut cleared = BTreeSet::new();
+        let mut withdrawn = BTreeSet::new();
         let mut ends = Vec::new();
         for key in marks {
             cleared.extend(key.cleared_end());
+            withdrawn.extend(key.withdrawn_end());
             ends.extend(key.engine_end());
         }
         ends.retain(|end| end.digest == digest && end.at_s >= since_s);
@@ -225,18 +242,21 @@
             entry.spent.is_none() && is_other && key.digest() == Some(digest)
         });
         let unsettled = unsettled.count();
-        ends.retain(|end| !cleared.contains(&(digest, end.run)));
-        let runs_that = |certainty| {
+        let runs_of = |marks: &BTreeSet<(RequestDigest, EngineRun)>| -> BTreeSet<EngineRun> {
+            let marks = marks.iter().filter(|(of, _)| *of == digest);
+            marks.map(|(_, run)| *run).collect()
+        };
+        let (cleared, withdrawn) = (runs_of(&cleared), runs_of(&withdrawn));
+        ends.retain(|end| !cleared.contains(&end.run));
+        let runs_that = |certainty| -> BTreeSet<EngineRun> {
             let ends = ends.iter().filter(move |end| end.certainty == certainty);
             ends.map(|end| end.run).collect()
         };
         EngineEnds {
             known: runs_that(EndCertainty::Known),
-            presumed: runs_that(EndCertainty::Presumed),
-            cleared: cleared
-                .iter()
-                .filter_map(|(of, run)| (*of == digest).then_some(*run))
-                .collect(),
+            presumed: &runs_that(EndCertainty::Presumed) - &withdrawn,
+            withdrawn,
+            cleared,
             unsettled,
         }
     }
--- a/crates/records/tests/engine_ends.rs
+++ b/crates/records/tests/engine_ends.rs
@@ -223,3 +223,29 @@
     ledger.merge_entry(&TurnId::of_cleared_end(DIGEST, EngineRun(1)), MARK_ENTRY);
     assert_eq!(ends(&ledger).ended(), 0);
 }
+
+/// An engine that has lived on may end later, under the same request.
+#[test]
+fn an_end_that_is_known_after_a_presumed_one_was_withdrawn_counts() {
+    let end_of = |certainty| {
+        TurnId::of_engine_end(&EngineEnd {
+            digest: DIGEST,
+            run: EngineRun(1),
+            certainty,
+            at_s: 100,
+            turn: turn("r-1"),
+        })
+    };
+    let withdrawn = TurnId::of_withdrawn_end(DIGEST, EngineRun(1));
+    assert!(withdrawn.is_mark());
+    let mut ledger = ledger_of([end_of(EndCertainty::Presumed), withdrawn]);
+    let ends = |ledger: &ProgramLedger| ledger.engine_ends(DIGEST, &turn("r-2"), 0);
+    assert_eq!(ends(&ledger).ended(), 0);
+    assert!(ends(&ledger).cleared.is_empty());
+    ledger.merge_entry(&end_of(EndCertainty::Known), MARK_ENTRY);
+    assert_eq!(ends(&ledger).known.len(), 1);
+    assert_eq!(
+        ledger.engine_ends(OTHER, &turn("r-2"), 0).withdrawn.len(),
+        0
+    );
+}
