Tests wait for the gateways' list of engines in one way

The same loop over the gateways' metrics stood in resident_denials and resident_engine_ends; it is Deployment::wait_until_engines_known now.

--- a/crates/node/tests/resident_denials.rs
+++ b/crates/node/tests/resident_denials.rs
@@ -24,20 +24,10 @@
 fn start_engines(deployment: &Deployment, engines: usize, script: &Script) -> Vec<EngineStandIn> {
     let start = |number| deployment.start_engine("models", &format!("i-{number}"), script.clone());
     let started = (0..engines).map(start).collect();
-    wait_until_known(deployment, engines);
+    deployment.wait_until_engines_known(engines);
     started
 }
 
-fn wait_until_known(deployment: &Deployment, engines: usize) {
-    let is_known = format!("ridgeworks_engines {engines}");
-    for gateway in &deployment.gateways {
-        wait_until("the gateway knows all engines", || {
-            let metrics = ridgeworks_platform_stand_ins::client::get(gateway.metrics(), "/metrics");
-            metrics.is_some_and(|metrics| metrics.body.lines().any(|line| line == is_known))
-        });
-    }
-}
-
 fn turn(id: &str, program: &str, budget: u64) -> Call {
     call_post("/chat/x", id, "prompt")
         .header("ridgeworks-program-id", program)
@@ -183,7 +173,7 @@
             deployment.start_linked_engine("zone-a", "v1", "models", &name, slow.clone())
         })
         .unzip();
-    wait_until_known(&deployment, ENGINES);
+    deployment.wait_until_engines_known(ENGINES);
     let set_fault = |fault| links.iter().for_each(|link: &Link| link.set_fault(fault));
     for number in 0..BROKEN_TRIES {
         let gateway = deployment.gateways[number % 2].callers();
--- a/crates/node/tests/resident_engine_ends.rs
+++ b/crates/node/tests/resident_engine_ends.rs
@@ -40,20 +40,10 @@
         engine
     });
     let engines = engines.collect();
-    wait_until_known(deployment, ENGINES);
+    deployment.wait_until_engines_known(ENGINES);
     engines
 }
 
-fn wait_until_known(deployment: &Deployment, engines: usize) {
-    let is_known = format!("ridgeworks_engines {engines}");
-    for gateway in &deployment.gateways {
-        wait_until("the gateway knows all engines", || {
-            let metrics = ridgeworks_platform_stand_ins::client::get(gateway.metrics(), "/metrics");
-            metrics.is_some_and(|metrics| metrics.body.lines().any(|line| line == is_known))
-        });
-    }
-}
-
 fn turn_at(path: &str, id: &str, program: &str, body: &str) -> Call {
     call_post(path, id, body)
         .header("ridgeworks-program-id", program)
@@ -149,7 +139,7 @@
     let engines = start(&deployment, "models", &stream());
     send_tries(&deployment.gateways, 0..1, turn);
     kill_all(&mut deployment);
-    wait_until_known(&deployment, ENGINES);
+    deployment.wait_until_engines_known(ENGINES);
     let tries = send_tries(&deployment.gateways, 1..TRIES, turn);
     assert_eq!(ends(&engines), MAX_ENDS);
     assert_refused_for_good(tries.last().expect("a try"));
@@ -314,7 +304,7 @@
             engine
         })
         .collect();
-    wait_until_known(&deployment, engines.len());
+    deployment.wait_until_engines_known(engines.len());
     let request = |id: &str| call_post("/chat/x", id, FATAL);
     send_tries(&deployment.gateways, 0..16, request);
     let mut runs: Vec<Run> = engines.iter().flat_map(EngineStandIn::runs).collect();
