No node confirms a configuration while a newer one cannot be decoded

A caller could still get 404 for good for a route that only the newest configuration has: the gateway that could not decode it took no confirmation from the store any more, but one from other nodes, and those of an earlier version don't know that they lack anything. The view holds the fact now, beside the confirmation, and drops it when the store or a newer configuration from another node tells otherwise.

--- a/crates/resident/src/node.rs
+++ b/crates/resident/src/node.rs
@@ -155,7 +155,7 @@
     /// Keeps the configuration, the engines and the drains of zones up to date, from the store or from other nodes.
     pub fn watch_store(self: &Rc<Self>) {
         tokio::task::spawn_local(Rc::clone(self).update_watch_control());
-        let configuration = ConfigurationHandler::new(Rc::clone(&self.view));
+        let configuration = ConfigurationHandler(Rc::clone(&self.view));
         self.watch_objects(
             ObjectKind::Configuration,
             configuration,
--- a/crates/resident/src/view.rs
+++ b/crates/resident/src/view.rs
@@ -52,6 +52,8 @@
     /// When the configuration was last confirmed to be the newest. The age counts from when the confirming request was sent; each
     /// node that relays the confirmation adds the age of its own request.
     confirmed: Cell<Option<Moment>>,
+    /// Whether the store has a newer configuration that cannot be decoded, so that nothing confirms the one in force.
+    has_unreadable_configuration: Cell<bool>,
     /// When the engines were last confirmed to have no newer change; the age counts as for `confirmed`.
     engines_confirmed: Cell<Option<Moment>>,
     changed: watch::Sender<()>,
@@ -95,6 +97,7 @@
             replica_sets: RefCell::default(),
             drains: DrainView::new(clock, false),
             confirmed: Cell::new(None),
+            has_unreadable_configuration: Cell::new(false),
             engines_confirmed: Cell::new(None),
             changed: watch::Sender::new(()),
             announcement: Notify::new(),
@@ -280,8 +283,17 @@
         }
     }
 
+    /// Records that the store has a newer configuration that cannot be decoded. Nodes of earlier versions may go on confirming the
+    /// one in force.
+    pub fn on_unreadable_configuration(&self) {
+        self.has_unreadable_configuration.set(true);
+    }
+
     /// Records that the known configuration was the newest `age` ago.
     pub fn confirm_as_of(&self, age: Duration) {
+        if self.has_unreadable_configuration.get() {
+            return;
+        }
         let as_of = self.clock.ago(age);
         self.confirmed.set(self.confirmed.get().max(Some(as_of)));
         self.confirmed_notify.notify_waiters();
@@ -290,7 +302,11 @@
     /// Applies a configuration if it is newer than the one in force.
     pub fn adopt_configuration(&self, configuration: RouteConfiguration, source: Source) {
         let before = self.version();
-        if configuration.version <= before {
+        let is_newer = configuration.version > before;
+        if is_newer || source == Source::Store {
+            self.has_unreadable_configuration.set(false);
+        }
+        if !is_newer {
             return;
         }
         if source == Source::Store {
--- a/crates/resident/src/watch_handlers.rs
+++ b/crates/resident/src/watch_handlers.rs
@@ -1,6 +1,6 @@
 //! Applies the configuration and the engines in the platform's store to the node's view.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,31 +15,17 @@
 use crate::view::{Source, View};
 
 /// Applies the configuration; ignores objects of other names.
-pub struct ConfigurationHandler {
-    view: Rc<View>,
-    /// Whether the newest configuration could not be decoded, so that nothing confirms the one in force.
-    is_unreadable: Cell<bool>,
-}
+pub struct ConfigurationHandler(pub Rc<View>);
 
 impl ConfigurationHandler {
-    pub fn new(view: Rc<View>) -> Self {
-        Self {
-            view,
-            is_unreadable: Cell::new(false),
-        }
-    }
-
     fn apply(&self, object: &Object) {
         if object.name != CONFIGURATION_NAME {
             return;
         }
         match read_configuration(&object.spec) {
-            Ok(configuration) => {
-                self.is_unreadable.set(false);
-                self.view.adopt_configuration(configuration, Source::Store);
-            }
+            Ok(configuration) => self.0.adopt_configuration(configuration, Source::Store),
             Err(error) => {
-                self.is_unreadable.set(true);
+                self.0.on_unreadable_configuration();
                 log::error!(
                     target: "belief",
                     revision = object.revision,
@@ -62,17 +48,15 @@
     }
 
     fn on_confirmed(&self, age: Duration) {
-        if !self.is_unreadable.get() {
-            self.view.confirm_as_of(age);
-        }
+        self.0.confirm_as_of(age);
     }
 
     fn on_probe_confirmed(&self) {
-        self.view.announce_confirmation();
+        self.0.announce_confirmation();
     }
 
     fn confirmation_age(&self) -> Option<Duration> {
-        self.view.confirmation_age()
+        self.0.confirmation_age()
     }
 }
 
--- a/crates/resident/tests/confirmations.rs
+++ b/crates/resident/tests/confirmations.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use idle_node::{VERSION, node};
+use idle_node::{VERSION, configuration, node};
 use ridgeworks_records::Epoch;
 use ridgeworks_resident::peer::{
     Confirmations, Datagram, Heartbeat, LoadReport, MemberInfo, PROTOCOL, decode, encode,
@@ -177,3 +177,19 @@
         );
     });
 }
+
+/// A node of an earlier version may not know that it lacks the newest configuration.
+#[test]
+fn another_node_confirms_nothing_while_a_newer_configuration_cannot_be_decoded() {
+    run(async {
+        let node = node("127.78.6.1").await;
+        let confirm = || node.view.confirm(&confirmations(0), Duration::ZERO);
+        node.view.on_unreadable_configuration();
+        confirm();
+        assert_eq!(node.view.confirmation_age(), None);
+        node.view
+            .adopt_configuration(configuration(VERSION + 1), Source::Peer);
+        confirm();
+        assert!(node.view.confirmation_age().is_some());
+    });
+}
--- a/crates/resident/tests/support/idle_node.rs
+++ b/crates/resident/tests/support/idle_node.rs
@@ -43,6 +43,22 @@
     }
 }
 
+/// A configuration without routes.
+pub fn configuration(version: u64) -> RouteConfiguration {
+    RouteConfiguration {
+        version,
+        routes: Vec::new(),
+        services: Vec::new(),
+        limits: ClientLimits {
+            max_header_bytes: 1,
+            max_body_bytes: 1,
+            header_timeout_ms: 1,
+            idle_timeout_ms: 1,
+        },
+        tenants: None,
+    }
+}
+
 /// Starts a node with a configuration that has never been confirmed.
 pub async fn node(ip: &str) -> Rc<Node> {
     let text = format!(
@@ -55,19 +71,8 @@
     let node = Node::bind(settings, Clock::start())
         .await
         .expect("a free port");
-    let configuration = RouteConfiguration {
-        version: VERSION,
-        routes: Vec::new(),
-        services: Vec::new(),
-        limits: ClientLimits {
-            max_header_bytes: 1,
-            max_body_bytes: 1,
-            header_timeout_ms: 1,
-            idle_timeout_ms: 1,
-        },
-        tenants: None,
-    };
-    node.view.adopt_configuration(configuration, Source::Peer);
+    node.view
+        .adopt_configuration(configuration(VERSION), Source::Peer);
     node.start(Rc::new(IdleRole), Rc::new(IdleRole))
         .await
         .expect("a free port");
