--- a/crates/node/tests/resident_engine_ends.rs
+++ b/crates/node/tests/resident_engine_ends.rs
@@ -7,6 +7,7 @@
     Deployment, Process, send_until_served, wait_until,
 };
 use ridgeworks_platform_stand_ins::{Answer, EngineStandIn, Run, Script, with_start_time};
+use rustix::process::Signal;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_ridgeworksd");
 /// Engines that may end under a request before it is sent to none.
@@ -18,6 +19,8 @@
 const PAUSE: Duration = Duration::from_millis(150);
 /// Longer than a gateway takes to know a changed entry.
 const UNTIL_LISTED: Duration = Duration::from_millis(400);
+/// Longer than a gateway takes a silent one for alive.
+const UNTIL_SILENT: Duration = Duration::from_secs(11);
 const FATAL: &str = "fatal";
 /// Shorter than any wait for a full engine.
 const AT_ONCE: Duration = Duration::from_millis(500);
@@ -505,3 +508,43 @@
     }
     assert!(ends(&engines) <= MAX_ENDS, "{}", ends(&engines));
 }
+
+/// What they kept in memory is gone, and no majority of the replicas can be asked.
+#[test]
+fn gateways_that_all_started_again_without_a_majority_do_not_send_on_what_ended_engines() {
+    let mut deployment = Deployment::started(PROGRAM, 3, 3);
+    let engines = start(&deployment, "tools", &tool());
+    deployment.replicas[..2].iter_mut().for_each(Process::kill);
+    for round in 0..3 {
+        send_tries(&deployment.gateways, 2 * round..2 * round + 2, tool_call);
+        deployment.gateways.iter_mut().for_each(Process::kill);
+        deployment.gateways.iter_mut().for_each(Process::start);
+        deployment.wait_until_engines_known(ENGINES);
+    }
+    assert!(ends(&engines) <= MAX_ENDS, "{}", ends(&engines));
+}
+
+/// A gateway that hears no other is not its own only witness.
+#[test]
+fn gateways_that_hear_no_other_without_a_majority_do_not_send_on_what_ended_engines() {
+    let deployment = Deployment::started(PROGRAM, 3, 3);
+    let engines = start(&deployment, "tools", &tool());
+    for replica in &deployment.replicas {
+        replica.signal(Signal::STOP);
+    }
+    for alone in 0..2 {
+        let others = || {
+            let gateways = deployment.gateways.iter().enumerate();
+            gateways.filter(move |(number, _)| *number != alone)
+        };
+        others().for_each(|(_, gateway)| gateway.signal(Signal::STOP));
+        std::thread::sleep(UNTIL_SILENT);
+        let gateway = &deployment.gateways[alone..=alone];
+        send_tries(gateway, 3 * alone..3 * alone + 3, tool_call);
+        others().for_each(|(_, gateway)| gateway.signal(Signal::CONT));
+    }
+    for replica in &deployment.replicas {
+        replica.signal(Signal::CONT);
+    }
+    assert!(ends(&engines) <= MAX_ENDS, "{}", ends(&engines));
+}
--- a/crates/node/tests/resident_streams.rs
+++ b/crates/node/tests/resident_streams.rs
@@ -17,6 +17,8 @@
 const AT_ONCE: Duration = Duration::from_millis(500);
 /// Longer than settlements are gathered.
 const UNTIL_SETTLED: Duration = Duration::from_millis(900);
+/// Longer than any route of the deployment lets a request run, and a second more.
+const CLIENT_PATIENCE: Duration = Duration::from_secs(7);
 const V1: &str = "v1";
 const V2: &str = "v2";
 
@@ -252,3 +254,122 @@
     }
     assert_eq!(reply.expect("an answer").status, 502);
 }
+
+/// One attempt of a stream that belongs to no program.
+fn attempt_without_program(stream: &str, number: usize) -> Call {
+    call_post("/chat/x", &format!("{stream}-{number}"), "prompt")
+}
+
+/// A stream of no program, of which a client has received the first events.
+struct BegunStream {
+    name: String,
+    events: Reply,
+    /// The attempt that the client names when it resumes the stream.
+    named_attempt: Option<usize>,
+}
+
+/// Resumes streams again and again until they are answered or their clients give up. Returns those that go on.
+fn resume_patiently<'a>(
+    streams: &'a [BegunStream],
+    gateways: &[Process],
+) -> Vec<(&'a BegunStream, Reply)> {
+    let until = Instant::now() + CLIENT_PATIENCE;
+    let mut waiting: Vec<&BegunStream> = streams.iter().collect();
+    let mut resumed = Vec::new();
+    let mut number = 3;
+    while Instant::now() < until {
+        waiting.retain(|stream| {
+            let last = stream.events.event_ids().last().copied();
+            let mut call = attempt_without_program(&stream.name, number)
+                .header("last-event-id", &last.expect("an event").to_string());
+            if let Some(attempt) = stream.named_attempt {
+                call = call.header("resumes", &format!("{}-{attempt}", stream.name));
+            }
+            let reply = call.send(gateways[number % gateways.len()].callers());
+            let Some(reply) = reply.filter(|reply| reply.status == 200) else {
+                return true;
+            };
+            resumed.push((*stream, reply));
+            false
+        });
+        number += 1;
+        std::thread::sleep(Duration::from_millis(300));
+    }
+    resumed
+}
+
+fn restart_gateways(deployment: &mut Deployment) {
+    deployment.gateways.iter_mut().for_each(Process::kill);
+    deployment.gateways.iter_mut().for_each(Process::start);
+    deployment.wait_until_ready_gateways();
+}
+
+/// The engines of `v1` leave while all gateways are away, and those of `v2` have come.
+fn replace_engines_and_gateways(deployment: &mut Deployment, v1: &[EngineStandIn]) {
+    deployment.gateways.iter_mut().for_each(Process::kill);
+    for engine in v1 {
+        deployment.store.remove("servers", &engine.instance());
+    }
+    deployment.gateways.iter_mut().for_each(Process::start);
+    deployment.wait_until_ready_gateways();
+}
+
+fn assert_none_is_joined(resumed: &[(&BegunStream, Reply)]) {
+    let joined = resumed
+        .iter()
+        .filter(|(stream, rest)| versions(&stream.events, rest).len() > 1);
+    let joined: Vec<&str> = joined.map(|(stream, _)| stream.name.as_str()).collect();
+    assert!(joined.is_empty(), "events of two versions in {joined:?}");
+}
+
+/// Their gateways knew engines and no replicas yet, and recorded nothing of where the streams began.
+#[test]
+fn streams_begun_by_gateways_that_just_started_are_not_joined_after_they_start_again() {
+    let mut deployment = Deployment::started(PROGRAM, 3, 3);
+    let v1 = start_engines(&deployment, V1, ["i-1", "i-2"]);
+    wait_until_known(&deployment.gateways, 2);
+    restart_gateways(&mut deployment);
+    let begun: Vec<BegunStream> = (0..12)
+        .map(|number| {
+            let name = format!("s{number}");
+            let gateway = deployment.gateways[number % 3].callers();
+            let events = attempt_without_program(&name, 1).send_and_read_frames(gateway, 2);
+            BegunStream {
+                name,
+                events: events.expect("events"),
+                named_attempt: (number % 2 == 0).then_some(1),
+            }
+        })
+        .collect();
+    let _v2 = start_engines(&deployment, V2, ["i-3", "i-4"]);
+    replace_engines_and_gateways(&mut deployment, &v1);
+    assert_none_is_joined(&resume_patiently(&begun, &deployment.gateways));
+}
+
+/// The attempt that the client names has resumed the stream itself, and so no stream began there.
+#[test]
+fn a_stream_that_is_resumed_twice_is_not_joined_after_all_gateways_start_again() {
+    let mut deployment = Deployment::started(PROGRAM, 3, 3);
+    let v1 = start_engines(&deployment, V1, ["i-1", "i-2"]);
+    wait_until_known(&deployment.gateways, 2);
+    let gateway = deployment.gateways[0].callers();
+    let begun: Vec<BegunStream> = (0..6)
+        .map(|number| {
+            let name = format!("s{number}");
+            let first = attempt_without_program(&name, 1).send_and_read_frames(gateway, 2);
+            let last = first.expect("events").event_ids().last().copied();
+            let second = attempt_without_program(&name, 2)
+                .header("last-event-id", &last.expect("an event").to_string())
+                .header("resumes", &format!("{name}-1"));
+            let events = second.send_and_read_frames(gateway, 2);
+            BegunStream {
+                name,
+                events: events.expect("events"),
+                named_attempt: Some(2),
+            }
+        })
+        .collect();
+    let _v2 = start_engines(&deployment, V2, ["i-3", "i-4"]);
+    replace_engines_and_gateways(&mut deployment, &v1);
+    assert_none_is_joined(&resume_patiently(&begun, &deployment.gateways));
+}
