Gateways that started again or hear nobody do not permit sends without a majority of the replicas

What callers saw: while no majority of the replicas answered, a request under which three engines had ended was sent on after all gateways had started again, and by each gateway that heard no other for ten seconds: 9 engines in three lives of three gateways, 6 at two gateways.

Cause: consent was taken from whoever was left to ask. A gateway that has just started knows nothing of what it witnessed before, and was its own majority; one not heard for ten seconds was taken for gone. Class: an absence of knowledge taken for knowledge that nothing was.

Change: a witness counts only if it has run for as long as ends count (two minutes), or nothing ran before it (new setting bootstrap, from the platform's); else it keeps the entry without being counted. Gateways that fell silent are asked, and their silence counts, for two minutes; one that has heard others and hears none witnesses nothing. A gateway that does not know yet whether there are replicas asks them (it waits) instead of doing without. A line and a metric for each entry that others are asked to witness.

Why it works: any send that counts was kept by a majority of three witnesses that knew all earlier ones, or is refused with 503 and a time to come back. The wire has one reply more, which earlier gateways take for silence.

What it costs: calls of no program are refused while no majority answers and too few gateways have run for two minutes; they are served as soon as the majority is back (same test).

--- a/crates/gateway/src/exchange/end_ledger.rs
+++ b/crates/gateway/src/exchange/end_ledger.rs
@@ -88,7 +88,7 @@
     /// Records a mark, also at witnesses, for when the replicas can't be asked. One that no majority of the replicas takes in time is
     /// told to all gateways, and written later. Returns whether the next gateway will find it.
     pub(super) async fn record_mark(&self, gateway: &Gateway, mark: &TurnId) -> bool {
-        if !gateway.has_replicas() {
+        if gateway.has_no_replicas() {
             return false;
         }
         let deadline = Instant::now() + super::preparation::RECORDS_TIMEOUT;
--- a/crates/gateway/src/exchange/send_permits.rs
+++ b/crates/gateway/src/exchange/send_permits.rs
@@ -57,7 +57,7 @@
 
     /// Looks up what is known of a request that reserves nothing; `None` if no majority of the replicas answers.
     pub(super) async fn look_up_ends(&self) -> Option<EngineEnds> {
-        if self.ledger_key().is_some() || !self.gateway.has_replicas() {
+        if self.ledger_key().is_some() || self.gateway.has_no_replicas() {
             return Some(EngineEnds::default());
         }
         let ledger = EndLedger {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -18,6 +18,7 @@
 use tokio::sync::oneshot;
 
 use crate::connection_pool::ConnectionPool;
+use crate::end_ages::EndAges;
 use crate::exchange::END_LIFETIME;
 use crate::key_freshness::KeyFreshness;
 use crate::memory_budget::MemoryBudget;
@@ -29,6 +30,7 @@
 use crate::seen_ends::SeenEnds;
 use crate::turn_cache::TurnCache;
 use crate::warm_ups::WarmUpAdmission;
+use crate::witness_roster::WitnessRoster;
 use crate::witnessed_ledgers::WitnessedLedgers;
 use crate::zone_drains::ZoneDrainWatch;
 
@@ -77,6 +79,10 @@
     pub engine_ends: RefCell<SeenEnds>,
     /// Sends and ends of engines that this gateway witnesses while no majority of the replicas answers.
     pub witnessed: RefCell<WitnessedLedgers>,
+    /// Other gateways that may know what was witnessed.
+    pub witness_roster: RefCell<WitnessRoster>,
+    /// When this gateway first read of engines' ends.
+    pub end_ages: RefCell<EndAges>,
     /// Number of engines that are watched for a restart after a request to them failed.
     pub watched_engines: Cell<usize>,
     /// Metrics of this gateway.
@@ -130,6 +136,8 @@
             software_history: RefCell::default(),
             engine_ends: RefCell::new(SeenEnds::new(END_LIFETIME)),
             witnessed: RefCell::new(WitnessedLedgers::new(END_LIFETIME)),
+            witness_roster: RefCell::new(WitnessRoster::new(END_LIFETIME)),
+            end_ages: RefCell::new(EndAges::new(END_LIFETIME)),
             watched_engines: Cell::new(0),
             metrics,
             logged_residency_version: Cell::new(0),
@@ -152,13 +160,14 @@
         view.version() > 0 && view.engines_known() && self.drains.are_known_or_overdue()
     }
 
-    /// Whether the deployment has replicas, as far as this gateway has heard.
-    pub fn has_replicas(&self) -> bool {
-        if self.node.view.replica_sets().is_some() {
-            return true;
+    /// Whether the deployment is known to have no replicas. False as long as that is not known, so that a gateway that has just
+    /// started waits for them instead of doing without.
+    pub fn has_no_replicas(&self) -> bool {
+        if !self.node.view.has_no_replica_sets() {
+            return false;
         }
         let mut members = self.node.gossip.members().into_iter();
-        members.any(|member| member.info.is_replica)
+        !members.any(|member| member.info.is_replica)
     }
 
     /// Whether the platform may send new clients here; the readiness endpoint reports it.
@@ -344,6 +353,7 @@
         }
         self.turns.borrow_mut().expire(now);
         self.witnessed.borrow_mut().expire(now);
+        self.update_witness_roster();
         self.limits.remove_expired();
         self.warm_ups.update();
         if let Some(routes) = self.node.view.routes() {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -155,6 +155,10 @@
     pub budget_waits: Family<ReasonLabel, Counter>,
     /// Sends that needed a permit, by the verdict.
     pub send_permits: Family<ReasonLabel, Counter>,
+    /// Entries that other gateways were asked to witness, by outcome.
+    pub witnessed: Family<ReasonLabel, Counter>,
+    /// Streams that began without a record of their software version, by reason.
+    pub unrecorded_streams: Family<ReasonLabel, Counter>,
     /// Metrics of warming engines.
     pub warm_up: WarmUpMetrics,
     /// Connections opened to engines.
@@ -225,6 +229,8 @@
             engine_ends_cleared: Counter::default(),
             budget_waits: Family::default(),
             send_permits: Family::default(),
+            witnessed: Family::default(),
+            unrecorded_streams: Family::default(),
             warm_up: WarmUpMetrics::default(),
             engine_connections: Counter::default(),
             ledger_entries_written_back: Counter::default(),
@@ -288,6 +294,12 @@
         let permits = self.send_permits.clone();
         let help = "Sends of requests that may end engines, by whether they were permitted";
         registry.register("send_permits", help, permits);
+        let witnessed = self.witnessed.clone();
+        let help = "Entries that gateways were asked to witness while no majority of the replicas answered";
+        registry.register("witnessed_entries", help, witnessed);
+        let unrecorded = self.unrecorded_streams.clone();
+        let help = "Streams that began without a record of their software version";
+        registry.register("streams_unrecorded", help, unrecorded);
         let connections = self.engine_connections.clone();
         registry.register(
             "engine_connections",
@@ -461,6 +473,18 @@
         self.send_permits.get_or_create(&label).inc();
     }
 
+    /// Counts an entry that other gateways were asked to witness.
+    pub fn on_witnessed(&self, reason: &'static str) {
+        let label = ReasonLabel { reason };
+        self.witnessed.get_or_create(&label).inc();
+    }
+
+    /// Counts a stream that begins without a record of its software version.
+    pub fn on_unrecorded_stream(&self, reason: &'static str) {
+        let label = ReasonLabel { reason };
+        self.unrecorded_streams.get_or_create(&label).inc();
+    }
+
     /// Counts a failed attempt at an engine.
     pub fn on_failed_attempt(&self, reason: &'static str) {
         let label = ReasonLabel { reason };
--- a/crates/gateway/src/witnesses.rs
+++ b/crates/gateway/src/witnesses.rs
@@ -1,7 +1,8 @@
 //! Asks other gateways to witness a send, while no majority of the replicas answers.
 //!
 //! The witnesses of a ledger are the gateways of highest rank for it, by rendezvous hashing, that are not known to be gone. A send
-//! is witnessed if a majority of them keeps its entry, so that any two sends of one request have a witness in common.
+//! is witnessed if a majority of them keeps its entry, so that any two sends of one request have a witness in common. One that has
+//! just started does not know what it kept before, so it keeps entries without being counted.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -14,28 +15,94 @@
 };
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::exchange::END_LIFETIME;
 use crate::gateway::Gateway;
 
 /// Number of witnesses of a ledger.
 const WITNESSES: usize = 3;
-/// A gateway that has not been heard from for this long is no witness.
-const MAX_SILENCE: Duration = Duration::from_secs(10);
+/// Most gateways that are asked, where those asked first are gone or have just started.
+const MAX_ASKED: usize = 4 * WITNESSES;
 /// Longer than a round trip between regions. Short, because the request waits.
 const TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Too few witnesses replied, or one keeps its maximum number of ledgers.
+/// No majority of witnesses that know all earlier sends has kept the entry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct NotWitnessed;
 
 /// What became of a request to one witness.
 enum Testimony {
+    /// It keeps the entry, and knows all that it witnessed for as long as that counts.
     Kept(ProgramLedger),
+    /// It keeps the entry, and has run for too short a time to know all.
+    KeptSinceStart(ProgramLedger),
     /// The process is gone, or of a version that is no witness.
     Gone,
     /// It did not reply in time, or keeps no more.
     Silent,
 }
 
+/// What became of the requests to all witnesses of an entry.
+#[derive(Default)]
+struct Testimonies {
+    known: ProgramLedger,
+    kept: usize,
+    since_start: usize,
+    silent: usize,
+    gone: usize,
+}
+
+impl Testimonies {
+    fn add(&mut self, testimony: Testimony) {
+        match testimony {
+            Testimony::Kept(ledger) => {
+                self.kept += 1;
+                self.known.merge_ledger(&ledger);
+            }
+            // What it knows counts, its consent does not.
+            Testimony::KeptSinceStart(ledger) => {
+                self.since_start += 1;
+                self.known.merge_ledger(&ledger);
+            }
+            Testimony::Silent => self.silent += 1,
+            Testimony::Gone => self.gone += 1,
+        }
+    }
+
+    fn asked(&self) -> usize {
+        self.kept + self.since_start + self.silent + self.gone
+    }
+
+    /// How many more have to be asked. A silent one may know of a send, so that no other takes its place.
+    fn missing(&self) -> usize {
+        let missing = WITNESSES - self.kept - self.silent;
+        missing.min(MAX_ASKED.saturating_sub(self.asked()))
+    }
+
+    fn is_witnessed(&self) -> bool {
+        self.kept > self.silent
+    }
+
+    fn log(&self, key: &TurnId) {
+        let level = if self.is_witnessed() {
+            log::Level::Info
+        } else {
+            log::Level::Warn
+        };
+        log::log!(
+            target: "records",
+            level,
+            request = key.request(),
+            is_mark = key.is_mark(),
+            kept = self.kept,
+            kept_since_start = self.since_start,
+            silent = self.silent,
+            gone = self.gone,
+            is_witnessed = self.is_witnessed();
+            "witnesses of a send asked"
+        );
+    }
+}
+
 #[derive(Clone, Copy)]
 enum Witness {
     This,
@@ -50,41 +117,36 @@
         key: &TurnId,
         entry: LedgerEntry,
     ) -> Result<ProgramLedger, NotWitnessed> {
+        if self.is_cut_off_from_witnesses() {
+            log::warn!(
+                target: "records",
+                request = key.request();
+                "no other gateway is heard that could witness a send"
+            );
+            self.metrics.on_witnessed("cut_off");
+            return Err(NotWitnessed);
+        }
         let mut candidates = self.rank_witnesses(ledger).into_iter();
-        let mut known = ProgramLedger::default();
-        let (mut kept, mut silent) = (0, 0);
+        let mut testimonies = Testimonies::default();
         loop {
-            let missing = WITNESSES - kept - silent;
-            let next: Vec<Witness> = candidates.by_ref().take(missing).collect();
-            if next.is_empty() {
+            let next = candidates.by_ref().take(testimonies.missing());
+            let asking: Vec<_> = next
+                .map(|witness| self.ask_witness(witness, ledger, key, entry))
+                .collect();
+            if asking.is_empty() {
                 break;
             }
-            let asking = next
-                .into_iter()
-                .map(|witness| self.ask_witness(witness, ledger, key, entry));
             for testimony in join_all(asking).await {
-                match testimony {
-                    Testimony::Kept(ledger) => {
-                        kept += 1;
-                        known.merge_ledger(&ledger);
-                    }
-                    Testimony::Silent => silent += 1,
-                    Testimony::Gone => {}
-                }
+                testimonies.add(testimony);
             }
         }
-        if kept > silent {
-            Ok(known)
-        } else {
-            log::warn!(
-                target: "records",
-                request = key.request(),
-                kept = kept,
-                silent = silent;
-                "no majority of witnesses in time"
-            );
-            Err(NotWitnessed)
+        testimonies.log(key);
+        if !testimonies.is_witnessed() {
+            self.metrics.on_witnessed("refused");
+            return Err(NotWitnessed);
         }
+        self.metrics.on_witnessed("witnessed");
+        Ok(testimonies.known)
     }
 
     /// Tells all gateways an entry, as far as they can be reached.
@@ -98,19 +160,50 @@
         let WitnessRequest { ledger, key, entry } = request;
         let now = self.now();
         let mut ledgers = self.witnessed.borrow_mut();
-        let kept = ledgers.merge(ledger, key, *entry, now);
-        kept.map_or(WitnessReply::Full, WitnessReply::Kept)
+        let Some(kept) = ledgers.merge(ledger, key, *entry, now) else {
+            return WitnessReply::Full;
+        };
+        if self.knows_all_witnessed() {
+            WitnessReply::Kept(kept)
+        } else {
+            WitnessReply::KeptSinceStart(kept)
+        }
+    }
+
+    /// Whether this process has run for as long as what it witnessed counts, or nothing has run before it.
+    fn knows_all_witnessed(&self) -> bool {
+        self.node.settings.bootstrap || self.now() >= END_LIFETIME
+    }
+
+    /// Takes the gateways that are known now into the roster of witnesses.
+    pub fn update_witness_roster(&self) {
+        let mut roster = self.witness_roster.borrow_mut();
+        let members = self.node.gossip.members().into_iter();
+        for member in members.filter(|member| !member.info.is_replica) {
+            let info = &member.info;
+            roster.observe(
+                &info.name,
+                info.address,
+                member.known_since,
+                member.heard_at,
+            );
+        }
+        roster.expire(self.now());
+    }
+
+    fn is_cut_off_from_witnesses(&self) -> bool {
+        self.update_witness_roster();
+        self.witness_roster.borrow().is_cut_off(self.now())
     }
 
     /// All gateways that may be witnesses of a ledger, those of highest rank first.
     fn rank_witnesses(&self, ledger: &ProgramId) -> Vec<Witness> {
         let seed = xxh3_64_with_seed(ledger.0.as_bytes(), 0);
         let rank = |name: &str| xxh3_64_with_seed(name.as_bytes(), seed);
-        let now = self.now();
-        let members = self.node.gossip.members().into_iter();
-        let alive = members.filter(|node| !node.info.is_replica && node.is_alive(now, MAX_SILENCE));
-        let mut ranked: Vec<(u64, Witness)> = alive
-            .map(|node| (rank(&node.info.name), Witness::Other(node.info.address)))
+        let roster = self.witness_roster.borrow();
+        let others = roster.iter();
+        let mut ranked: Vec<(u64, Witness)> = others
+            .map(|(name, address)| (rank(name), Witness::Other(address)))
             .collect();
         ranked.push((rank(&self.node.settings.name), Witness::This));
         ranked.sort_by_key(|(rank, _)| std::cmp::Reverse(*rank));
@@ -142,6 +235,7 @@
         };
         match reply {
             WitnessReply::Kept(ledger) => Testimony::Kept(ledger),
+            WitnessReply::KeptSinceStart(ledger) => Testimony::KeptSinceStart(ledger),
             WitnessReply::Full => Testimony::Silent,
         }
     }
--- a/crates/node/tests/resident_engine_ends.rs
+++ b/crates/node/tests/resident_engine_ends.rs
@@ -522,6 +522,13 @@
         deployment.wait_until_engines_known(ENGINES);
     }
     assert!(ends(&engines) <= MAX_ENDS, "{}", ends(&engines));
+    let harmless = |id: &str| call_get("/tool/harmless", id);
+    let gateway = deployment.gateways[0].callers();
+    let refused = harmless("refused").send(gateway).expect("an answer");
+    let may_come_back = refused.header("retry-after").is_some();
+    assert_eq!((refused.status, may_come_back), (503, true));
+    deployment.replicas[..2].iter_mut().for_each(Process::start);
+    send_until_served(gateway, &harmless("served"));
 }
 
 /// A gateway that hears no other is not its own only witness.
--- a/crates/resident/src/node.rs
+++ b/crates/resident/src/node.rs
@@ -304,7 +304,10 @@
         let call = read(ObjectKind::ReplicaSets, REPLICA_SET_NAME);
         let answer = self.store.call(call, STORE_CALL_TIMEOUT).await.ok()?;
         match answer.outcome {
-            StoreOutcome::NotFound => Some(RegisteredReplicaSets::Missing),
+            StoreOutcome::NotFound => {
+                self.view.on_no_replica_sets();
+                Some(RegisteredReplicaSets::Missing)
+            }
             StoreOutcome::Done => {
                 let object = read_object(&answer.body).ok()?;
                 if let Err(error) = check_format_version(&object.spec) {
--- a/crates/resident/src/peer/witness.rs
+++ b/crates/resident/src/peer/witness.rs
@@ -25,4 +25,6 @@
     Kept(ProgramLedger),
     /// The witness keeps its maximum number of ledgers, and has not kept the entry.
     Full,
+    /// The entry is kept, but the witness has not run for as long as ends count: it does not know what was witnessed before its start.
+    KeptSinceStart(ProgramLedger),
 }
--- a/crates/resident/src/settings.rs
+++ b/crates/resident/src/settings.rs
@@ -189,6 +189,10 @@
     /// Addresses of some nodes, for discovery; they may be stale.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
+    /// Whether the whole deployment starts for the first time, so that nothing has happened before this process. False after any
+    /// restart.
+    #[serde(default)]
+    pub bootstrap: bool,
     /// Directory of records; required for a replica.
     pub data_folder: Option<PathBuf>,
     /// Addresses to listen on.
--- a/crates/resident/src/view.rs
+++ b/crates/resident/src/view.rs
@@ -47,6 +47,8 @@
     engines_known: Cell<bool>,
     unreadable_engines: Cell<usize>,
     replica_sets: RefCell<Option<Rc<ReplicaGroups>>>,
+    /// Whether the store had no replica sets when it was last asked.
+    has_no_replica_sets: Cell<bool>,
     /// Zones whose engines get no new requests.
     pub drains: DrainView,
     /// When the configuration was last confirmed to be the newest. The age counts from when the confirming request was sent; each
@@ -95,6 +97,7 @@
             engines_known: Cell::new(false),
             unreadable_engines: Cell::new(0),
             replica_sets: RefCell::default(),
+            has_no_replica_sets: Cell::new(false),
             drains: DrainView::new(clock, false),
             confirmed: Cell::new(None),
             has_unreadable_configuration: Cell::new(false),
@@ -192,6 +195,16 @@
         self.replica_sets.borrow().clone()
     }
 
+    /// Whether the deployment is known to have no replica sets yet; false also where nobody could be asked.
+    pub fn has_no_replica_sets(&self) -> bool {
+        self.has_no_replica_sets.get() && self.replica_sets.borrow().is_none()
+    }
+
+    /// Records that the store has no replica sets.
+    pub fn on_no_replica_sets(&self) {
+        self.has_no_replica_sets.set(true);
+    }
+
     /// The newest known set of a group; `None` where none is known.
     pub fn replica_set(&self, group: GroupId) -> Option<ReplicaSet> {
         let groups = self.replica_sets.borrow();
--- a/crates/resident/tests/golden_messages.rs
+++ b/crates/resident/tests/golden_messages.rs
@@ -270,7 +270,11 @@
     let mut ledger = ProgramLedger::default();
     ledger.merge_entry(&key, entry);
     for (name, reply) in [
-        ("reply-witness-kept", WitnessReply::Kept(ledger)),
+        ("reply-witness-kept", WitnessReply::Kept(ledger.clone())),
+        (
+            "reply-witness-kept-since-start",
+            WitnessReply::KeptSinceStart(ledger),
+        ),
         ("reply-witness-full", WitnessReply::Full),
     ] {
         let told = envelope(PeerReply::Extension(ExtensionReply::Witness(reply)));
