Ends of engines age by the steady clock of whoever reads them

Cause: an end's time is by the clock of the gateway that noticed it, and was compared with the clock of the one that reads it. The other way round, a harmless request was refused for as long as the clocks differ.

Change: an end counts for two minutes from when a gateway first read of it, by its own steady clock. Then it is cleared (a presumed one withdrawn) by a mark for all gateways, so that none that reads of it later counts it anew. The time stays in the key for earlier versions.

In ends_are_counted_by_request_and_by_run_of_the_engine the two assertions on since_s, which asked for the comparison of clocks, are gone; the new tests ask for the opposite. The other tests lose the argument only.

Costs: an end counts longer where it is first read late, at most two minutes from then.

--- a/crates/gateway/src/exchange/engine_ends.rs
+++ b/crates/gateway/src/exchange/engine_ends.rs
@@ -6,7 +6,8 @@
 
 use crate::connection_pool::EngineConnection;
 use ridgeworks_records::{
-    EndCertainty, EngineEnd, EngineEnds, EngineRun, PERMIT_ENTRY, ProgramId, RequestDigest, TurnId,
+    EndCertainty, EngineEnd, EngineEnds, EngineRun, ExpiredEnds, PERMIT_ENTRY, ProgramId,
+    RequestDigest, TurnId,
 };
 use ridgeworks_resident::clock::{unix_time_ms, whole_ms};
 use ridgeworks_routing::Engine;
@@ -32,6 +33,24 @@
 /// Prefix of the ledgers of requests that belong to no program. No HTTP header can carry it, and that of streams is shorter.
 const REQUEST_LEDGER_PREFIX: &str = "§§";
 
+/// Why ends are not held against a request any more.
+#[derive(Debug, Clone, Copy)]
+enum Clearance {
+    /// An engine served it, or one that is the same.
+    Served,
+    /// They were read of for the first time longer ago than ends count.
+    Expired,
+}
+
+impl Clearance {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Served => "served",
+            Self::Expired => "expired",
+        }
+    }
+}
+
 /// What is known of the engines that ended under the request.
 #[derive(Debug, Default)]
 pub(super) struct RequestEnds {
@@ -246,22 +265,41 @@
             return;
         }
         let digest = self.call.digest;
+        self.log_cleared(runs.len(), Clearance::Served);
+        self.gateway.metrics.engine_ends_cleared.inc();
+        self.gateway.engine_ends.borrow_mut().forget_ends(digest);
+        let marks = runs.into_iter();
+        self.record_marks(marks.map(|run| TurnId::of_cleared_end(digest, run)));
+    }
+
+    fn log_cleared(&self, ends: usize, clearance: Clearance) {
         log::info!(
             target: "request",
             request = self.call.metadata.request_id.as_str(),
-            digest = digest_text(digest).as_str(),
-            ends = runs.len();
-            "engines that ended under this request are not held against it, since an engine served it"
+            digest = digest_text(self.call.digest).as_str(),
+            ends = ends,
+            reason = clearance.name();
+            "engines that ended under this request are not held against it any more"
         );
-        self.gateway.metrics.engine_ends_cleared.inc();
-        self.gateway.engine_ends.borrow_mut().forget_ends(digest);
-        for run in runs {
+    }
+
+    /// Tells all gateways that these ends count no longer: one that reads of them for the first time would count them as new.
+    pub(super) fn record_expired(&self, expired: ExpiredEnds) {
+        let ExpiredEnds { known, presumed } = expired;
+        self.log_cleared(known.len() + presumed.len(), Clearance::Expired);
+        let digest = self.call.digest;
+        let cleared = known.into_iter();
+        let cleared = cleared.map(|run| TurnId::of_cleared_end(digest, run));
+        let withdrawn = presumed.into_iter();
+        let withdrawn = withdrawn.map(|run| TurnId::of_withdrawn_end(digest, run));
+        self.record_marks(cleared.chain(withdrawn));
+    }
+
+    fn record_marks(&self, marks: impl Iterator<Item = TurnId>) {
+        for mark in marks {
             let gateway = Rc::clone(&self.gateway);
             let ledger = self.end_ledger();
-            tokio::task::spawn_local(async move {
-                let mark = TurnId::of_cleared_end(digest, run);
-                ledger.record_mark(&gateway, &mark).await
-            });
+            tokio::task::spawn_local(async move { ledger.record_mark(&gateway, &mark).await });
         }
     }
 
--- a/crates/gateway/src/exchange/send_permits.rs
+++ b/crates/gateway/src/exchange/send_permits.rs
@@ -15,13 +15,12 @@
     EngineEnds, LedgerEntry, MARK_ENTRY, MAX_ENGINE_ENDS, PERMIT_ENTRY, ProgramLedger, SendVerdict,
     TurnId,
 };
-use ridgeworks_resident::clock::unix_time_ms;
 use ridgeworks_routing::{Denial, Refusal, RefusalReason};
 use tokio::time::Instant;
 
 use super::Exchange;
 use super::end_ledger::{EndLedger, Keeper};
-use super::engine_ends::{END_LIFETIME, digest_text};
+use super::engine_ends::digest_text;
 use crate::records_client::RecordsUnavailable;
 use crate::refusal::RETRY_AFTER;
 
@@ -50,9 +49,22 @@
 impl Exchange {
     /// The ends and the sends without an outcome under other tries of the request, by a ledger.
     pub(super) fn ends_in(&self, ledger: &ProgramLedger) -> EngineEnds {
-        let now_s = unix_time_ms() / 1_000;
-        let since_s = now_s.saturating_sub(END_LIFETIME.as_secs());
-        ledger.engine_ends(self.call.digest, &self.call.turn(), since_s)
+        let digest = self.call.digest;
+        let mut ends = ledger.engine_ends(digest, &self.call.turn());
+        let runs = &ends.known | &ends.presumed;
+        if runs.is_empty() {
+            return ends;
+        }
+        let now = self.gateway.now();
+        let expired = self
+            .gateway
+            .end_ages
+            .borrow_mut()
+            .expired(digest, runs, now);
+        if !expired.is_empty() {
+            self.record_expired(ends.take_expired(&expired));
+        }
+        ends
     }
 
     /// Looks up what is known of a request that reserves nothing; `None` if no majority of the replicas answers.
--- a/crates/records/src/engine_ends.rs
+++ b/crates/records/src/engine_ends.rs
@@ -64,7 +64,8 @@
     pub digest: RequestDigest,
     pub run: EngineRun,
     pub certainty: EndCertainty,
-    /// When it was noticed, in seconds since 1970 by the clock of the gateway.
+    /// When it was noticed, in seconds since 1970 by the clock of the gateway. For earlier versions, which compare it with their own
+    /// clock; clocks differ, so nothing else may be made of it.
     pub at_s: u64,
     /// The entry that was open for the send, which the end accounts for. Earlier versions name the turn without more, for all sends
     /// of the try.
@@ -87,6 +88,15 @@
     pub unsettled: usize,
 }
 
+/// Ends that count no longer, since they happened too long ago.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ExpiredEnds {
+    /// Runs of engines that are known to have ended.
+    pub known: BTreeSet<EngineRun>,
+    /// Runs of engines that are presumed to have ended.
+    pub presumed: BTreeSet<EngineRun>,
+}
+
 /// Whether a request may be sent to an engine, by what is known of its other sends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SendVerdict {
@@ -117,6 +127,15 @@
         ended + unsettled
     }
 
+    /// Takes out these runs, which count no longer. Their sends stay accounted for.
+    pub fn take_expired(&mut self, expired: &BTreeSet<EngineRun>) -> ExpiredEnds {
+        let is_expired = |run: &EngineRun| expired.contains(run);
+        ExpiredEnds {
+            known: self.known.extract_if(.., is_expired).collect(),
+            presumed: self.presumed.extract_if(.., is_expired).collect(),
+        }
+    }
+
     /// Whether nothing speaks against the request.
     pub fn is_clear(&self) -> bool {
         self.ended() == 0 && self.unsettled == 0
@@ -219,21 +238,23 @@
 }
 
 impl ProgramLedger {
-    /// The engines that ended under a request, but for those noticed before `since_s`. `own` is the try that asks.
-    pub fn engine_ends(&self, digest: RequestDigest, own: &TurnId, since_s: u64) -> EngineEnds {
-        let marks = self.entries.range(TurnId(MARK.to_owned())..);
-        let marks = marks
-            .map(|(key, _)| key)
-            .take_while(|key| key.0.starts_with(MARK));
+    fn marks(&self) -> impl Iterator<Item = &TurnId> {
+        let keys = self.entries.range(TurnId(MARK.to_owned())..);
+        keys.map(|(key, _)| key)
+            .take_while(|key| key.0.starts_with(MARK))
+    }
+
+    /// The engines that ended under a request, however long ago. `own` is the try that asks.
+    pub fn engine_ends(&self, digest: RequestDigest, own: &TurnId) -> EngineEnds {
         let mut cleared = BTreeSet::new();
         let mut withdrawn = BTreeSet::new();
         let mut ends = Vec::new();
-        for key in marks {
+        for key in self.marks() {
             cleared.extend(key.cleared_end());
             withdrawn.extend(key.withdrawn_end());
             ends.extend(key.engine_end());
         }
-        ends.retain(|end| end.digest == digest && end.at_s >= since_s);
+        ends.retain(|end| end.digest == digest);
         let accounted: BTreeSet<&str> = ends.iter().map(|end| end.turn.0.as_str()).collect();
         let unsettled = self.entries.iter().filter(|(key, entry)| {
             let turn = key.without_origin();
--- a/crates/records/src/lib.rs
+++ b/crates/records/src/lib.rs
@@ -32,8 +32,8 @@
 pub use chain_read::{ChainOutcome, ChainRead};
 pub use change_log::ListPosition;
 pub use engine_ends::{
-    EndCertainty, EngineEnd, EngineEnds, EngineRun, MARK_ENTRY, MAX_ENGINE_ENDS, PERMIT_ENTRY,
-    RequestDigest, SendVerdict,
+    EndCertainty, EngineEnd, EngineEnds, EngineRun, ExpiredEnds, MARK_ENTRY, MAX_ENGINE_ENDS,
+    PERMIT_ENTRY, RequestDigest, SendVerdict,
 };
 pub use groups::{GroupId, ReplicaGroups};
 pub use identifiers::{Epoch, ProgramId, RecordKey, ReplicaId, TurnId};
--- a/crates/records/tests/engine_ends.rs
+++ b/crates/records/tests/engine_ends.rs
@@ -1,5 +1,7 @@
 //! Engines that ended under requests, in the keys of ledgers.
 
+use std::collections::BTreeSet;
+
 use quickcheck::quickcheck;
 use ridgeworks_records::{
     EndCertainty, EngineEnd, EngineEnds, EngineRun, LedgerEntry, MARK_ENTRY, PERMIT_ENTRY,
@@ -8,6 +10,7 @@
 
 const DIGEST: RequestDigest = RequestDigest(7);
 const OTHER: RequestDigest = RequestDigest(u64::MAX);
+const NONE: BTreeSet<EngineRun> = BTreeSet::new();
 
 fn reserved() -> LedgerEntry {
     LedgerEntry {
@@ -46,12 +49,36 @@
         end(DIGEST, u64::MAX, 102, "r-2"),
         end(OTHER, 3, 103, "r-3"),
     ]);
-    let count = |digest, since_s| {
-        let ends = ledger.engine_ends(digest, &turn("r-4"), since_s);
+    let count = |digest| {
+        let ends = ledger.engine_ends(digest, &turn("r-4"));
         ends.count()
     };
-    assert_eq!((count(DIGEST, 0), count(OTHER, 0)), (2, 1));
-    assert_eq!((count(DIGEST, 102), count(DIGEST, 103)), (1, 0));
+    assert_eq!((count(DIGEST), count(OTHER)), (2, 1));
+}
+
+/// The gateway that noticed one of them has a clock of its own, and so has the one that reads.
+#[test]
+fn ends_count_until_their_reader_finds_them_expired_whatever_clocks_say() {
+    let ledger = ledger_of([
+        end(DIGEST, 1, 0, "r-1"),
+        end(DIGEST, 2, u64::MAX, "r-2"),
+        end(OTHER, 3, 100, "r-3"),
+    ]);
+    let mut ends = ledger.engine_ends(DIGEST, &turn("r-4"));
+    assert_eq!(ends.known, [EngineRun(1), EngineRun(2)].into());
+    let expired = ends.take_expired(&[EngineRun(1), EngineRun(3)].into());
+    assert_eq!(expired.known, [EngineRun(1)].into());
+    assert_eq!((ends.known, ends.presumed), ([EngineRun(2)].into(), NONE));
+}
+
+#[test]
+fn an_end_that_expired_still_accounts_for_its_send() {
+    let key = turn("r-1").at_try(0, DIGEST, None);
+    let mut ledger = ledger_of([end(DIGEST, 1, 100, "r-1"), end(DIGEST, 2, 100, "r-2")]);
+    ledger.merge_entry(&key, reserved());
+    let mut ends = ledger.engine_ends(DIGEST, &turn("r-4"));
+    ends.take_expired(&[EngineRun(1)].into());
+    assert_eq!((ends.known.len(), ends.unsettled), (1, 0));
 }
 
 #[test]
@@ -62,9 +89,9 @@
         end(OTHER, 1, 100, "r-3"),
         TurnId::of_cleared_end(DIGEST, EngineRun(1)),
     ]);
-    let runs = |digest| ledger.engine_ends(digest, &turn("r-4"), 0).known;
+    let runs = |digest| ledger.engine_ends(digest, &turn("r-4")).known;
     assert_eq!(runs(DIGEST), [EngineRun(2)].into());
-    let cleared = ledger.engine_ends(DIGEST, &turn("r-4"), 0).cleared;
+    let cleared = ledger.engine_ends(DIGEST, &turn("r-4")).cleared;
     assert_eq!(cleared, [EngineRun(1)].into());
     assert_eq!(runs(OTHER), [EngineRun(1)].into());
 }
@@ -76,7 +103,7 @@
     ledger.merge_entry(&key("gone"), reserved());
     ledger.merge_entry(&key("own"), reserved());
     ledger.merge_entry(&turn("other").at_try(0, OTHER, None), reserved());
-    let count = |ledger: &ProgramLedger| ledger.engine_ends(DIGEST, &turn("own"), 0).count();
+    let count = |ledger: &ProgramLedger| ledger.engine_ends(DIGEST, &turn("own")).count();
     assert_eq!(count(&ledger), 0);
     ledger.merge_entry(&end(DIGEST, 1, 100, "ended"), MARK_ENTRY);
     ledger.merge_entry(&key("ended"), reserved());
@@ -131,7 +158,7 @@
             TurnId(format!("§cleared:{text}")),
             TurnId(format!("{text}§{text}§{text}")),
         ]);
-        ledger.engine_ends(DIGEST, &turn("r"), 0).count() <= ledger.entries.len()
+        ledger.engine_ends(DIGEST, &turn("r")).count() <= ledger.entries.len()
     }
 }
 
@@ -148,11 +175,11 @@
         turn: permit(1),
     });
     ledger.merge_entry(&mark, MARK_ENTRY);
-    let ends = |ledger: &ProgramLedger| ledger.engine_ends(DIGEST, &turn("r-2"), 0);
+    let ends = |ledger: &ProgramLedger| ledger.engine_ends(DIGEST, &turn("r-2"));
     assert_eq!((ends(&ledger).known.len(), ends(&ledger).unsettled), (1, 0));
     ledger.merge_entry(&permit(2), PERMIT_ENTRY);
     assert_eq!((ends(&ledger).known.len(), ends(&ledger).unsettled), (1, 1));
-    assert_eq!(ledger.engine_ends(DIGEST, &turn("r-1"), 0).unsettled, 0);
+    assert_eq!(ledger.engine_ends(DIGEST, &turn("r-1")).unsettled, 0);
     ledger.merge_entry(&permit(2), MARK_ENTRY);
     assert_eq!(ends(&ledger).unsettled, 0);
     assert_eq!(ledger.charged_by_others(&turn("r-2")), 0);
@@ -210,7 +237,7 @@
             turn: turn("r-1"),
         })
     };
-    let ends = |ledger: &ProgramLedger| ledger.engine_ends(DIGEST, &turn("r-2"), 0);
+    let ends = |ledger: &ProgramLedger| ledger.engine_ends(DIGEST, &turn("r-2"));
     let mut ledger = ledger_of([key(EndCertainty::Presumed)]);
     assert!(key(EndCertainty::Presumed).is_mark());
     assert_eq!(key(EndCertainty::Presumed).ended_at_s(), Some(100));
@@ -239,13 +266,10 @@
     let withdrawn = TurnId::of_withdrawn_end(DIGEST, EngineRun(1));
     assert!(withdrawn.is_mark());
     let mut ledger = ledger_of([end_of(EndCertainty::Presumed), withdrawn]);
-    let ends = |ledger: &ProgramLedger| ledger.engine_ends(DIGEST, &turn("r-2"), 0);
+    let ends = |ledger: &ProgramLedger| ledger.engine_ends(DIGEST, &turn("r-2"));
     assert_eq!(ends(&ledger).ended(), 0);
     assert!(ends(&ledger).cleared.is_empty());
     ledger.merge_entry(&end_of(EndCertainty::Known), MARK_ENTRY);
     assert_eq!(ends(&ledger).known.len(), 1);
-    assert_eq!(
-        ledger.engine_ends(OTHER, &turn("r-2"), 0).withdrawn.len(),
-        0
-    );
+    assert_eq!(ledger.engine_ends(OTHER, &turn("r-2")).withdrawn.len(), 0);
 }
--- a/crates/records/tests/send_permits.rs
+++ b/crates/records/tests/send_permits.rs
@@ -74,7 +74,7 @@
     }
 
     fn ends(&self) -> EngineEnds {
-        self.seen.engine_ends(DIGEST, &self.turn(), 0)
+        self.seen.engine_ends(DIGEST, &self.turn())
     }
 }
 
