A stream without a record of where it began is not gone on with at a presumed version

What callers saw: two versions of engines in service, all gateways killed at once and back, the old engines gone: resumed streams of no program were answered 200 and joined from two versions, 6 of 12 (all that named no attempt), and 6 of 6 that named an attempt which had itself resumed the stream.

Cause: no record found was taken for 'any version will do'. A gateway that had just started did not know the replicas yet and began streams unrecorded, without a line; another one presumed the only version that it had seen for one attempt's timeout, although it had itself told the client to come back later than that.

Change: such a stream is refused (origin_unknown), for good where the ledgers were read. So that what can go on does: a gateway that does not know the replicas waits for them; a record that no majority takes in time is queued, with a line and a metric; a client that names no attempt, or one that had resumed the stream, gets the origin of all tries with its request's digest; streams without a budget leave one mark for each digest and version, with the lookup that is made anyway. Only deployments without replicas presume, by a minute instead of one attempt's timeout.

--- a/crates/gateway/src/exchange/end_ledger.rs
+++ b/crates/gateway/src/exchange/end_ledger.rs
@@ -128,7 +128,8 @@
         }
     }
 
-    fn settlement(&self, key: TurnId) -> Settlement {
+    /// The settlement that writes an entry of no charge later.
+    pub(super) fn settlement(&self, key: TurnId) -> Settlement {
         Settlement {
             program: self.program.clone(),
             turn: key,
--- a/crates/gateway/src/exchange/preparation.rs
+++ b/crates/gateway/src/exchange/preparation.rs
@@ -52,10 +52,10 @@
         }
         self.software.recorded = self.first_software();
         let began = Instant::now();
-        let (prompt, reserved, ends, granted, failed_previous_try, ()) = tokio::join!(
+        let (prompt, reserved, looked_up, granted, failed_previous_try, ()) = tokio::join!(
             self.read_prompt(),
             self.reserve(),
-            self.look_up_ends(),
+            self.look_up_request(),
             self.acquire_rate_grant(),
             self.look_up_prefills(),
             self.prefetch_warm_up_grant()
@@ -70,10 +70,14 @@
             None => None,
         };
         self.reserve_time = reserved.is_some().then(|| began.elapsed());
+        let is_read = reserved.is_some() && looked_up.is_some();
+        let (ends, marked_origin) = looked_up.map(|read| (read.ends, read.origin)).unzip();
         let in_ledger = reserved.as_ref().and_then(|reserved| reserved.ends.clone());
         self.check_ends(in_ledger.or(ends)).await?;
         if self.call.is_resumed_stream() {
-            self.require_origin(reserved.and_then(|reserved| reserved.origin))?;
+            let origin = reserved.and_then(|reserved| reserved.origin);
+            let origin = origin.or(marked_origin.flatten());
+            self.require_origin(origin, is_read)?;
         }
         self.prompt = prompt?;
         if let Err(refusal) = granted {
--- a/crates/gateway/src/exchange/send_permits.rs
+++ b/crates/gateway/src/exchange/send_permits.rs
@@ -13,7 +13,7 @@
 use rand::RngExt;
 use ridgeworks_records::{
     EngineEnds, LedgerEntry, MARK_ENTRY, MAX_ENGINE_ENDS, PERMIT_ENTRY, ProgramLedger, SendVerdict,
-    TurnId,
+    StreamOrigin, TurnId,
 };
 use ridgeworks_routing::{Denial, Refusal, RefusalReason};
 use tokio::time::Instant;
@@ -29,6 +29,14 @@
 /// Mean delay before the others' outcomes are read again.
 const WAIT_INTERVAL: Duration = Duration::from_millis(40);
 
+/// What the ledger of a request tells that reserves nothing.
+#[derive(Debug, Default)]
+pub(super) struct RequestLookup {
+    pub(super) ends: EngineEnds,
+    /// The only origin of the streams of this request.
+    pub(super) origin: Option<StreamOrigin>,
+}
+
 /// The record of a send whose outcome is not known.
 #[derive(Debug, Clone)]
 pub(super) enum Permit {
@@ -67,20 +75,30 @@
         ends
     }
 
-    /// Looks up what is known of a request that reserves nothing; `None` if no majority of the replicas answers.
-    pub(super) async fn look_up_ends(&self) -> Option<EngineEnds> {
+    /// Looks up what is known of a request that reserves nothing; `None` if no majority of the replicas answers. The same write marks
+    /// where a stream begins.
+    pub(super) async fn look_up_request(&self) -> Option<RequestLookup> {
         if self.ledger_key().is_some() || self.gateway.has_no_replicas() {
-            return Some(EngineEnds::default());
+            return Some(RequestLookup::default());
         }
         let ledger = EndLedger {
             retention: self.call.route.retention(),
             ..self.end_ledger()
         };
-        let key = TurnId::of_lookup();
+        let begun_at = self.origin_mark();
+        let key = begun_at.clone().unwrap_or_else(TurnId::of_lookup);
         let deadline = self.records_deadline();
         let reading = ledger.record_at_replicas(&self.gateway, &key, MARK_ENTRY, deadline);
-        let read = reading.await.ok()?;
-        Some(self.ends_in(&read))
+        let Ok(read) = reading.await else {
+            if let Some(mark) = begun_at {
+                self.gateway.records.settle(ledger.settlement(mark));
+            }
+            return None;
+        };
+        Some(RequestLookup {
+            ends: self.ends_in(&read),
+            origin: read.marked_origin(self.call.digest),
+        })
     }
 
     /// Takes in what a ledger knows, beside what this gateway itself saw.
--- a/crates/gateway/src/exchange/software.rs
+++ b/crates/gateway/src/exchange/software.rs
@@ -1,18 +1,22 @@
 //! Keeps a stream that may be resumed at the software version that began it (`docs/design/resumed-streams.md`).
 
-use ridgeworks_records::{LedgerEntry, ProgramId, ProgramLedger, StreamOrigin, TurnId};
+use std::time::Duration;
+
+use ridgeworks_records::{LedgerEntry, MARK_ENTRY, ProgramId, ProgramLedger, StreamOrigin, TurnId};
 use ridgeworks_routing::{
     Engine, Refusal, RefusalReason, RequestKind, SoftwareKey, WeightedService,
 };
 
 use super::Exchange;
 use super::preparation::LedgerKey;
-use crate::gateway::MAINTENANCE_INTERVAL;
 use crate::refusal::RETRY_AFTER;
 
 /// Prefix of the ledgers of streams that belong to no program. No HTTP header can carry it.
 const STREAM_LEDGER_PREFIX: char = '§';
 
+/// Longer than a stream lasts with all attempts that resume it.
+const MAX_STREAM_AGE: Duration = Duration::from_secs(60);
+
 /// Software version of a stream that may be resumed; empty for other requests.
 #[derive(Debug, Default)]
 pub(super) struct StreamSoftware {
@@ -92,7 +96,7 @@
         self.software.ordinal += u32::from(self.software.recorded.is_some());
         self.software.recorded = Some(software);
         let Some(ledger_key) = ledger_key else {
-            self.record_origin_without_budget().await;
+            tokio::join!(self.record_origin_without_budget(), self.look_up_request());
             return Ok(());
         };
         let written = self.write_reservation(&ledger_key).await;
@@ -126,8 +130,15 @@
         }
     }
 
+    /// The mark of the origin at which a stream without a budget is to begin.
+    pub(super) fn origin_mark(&self) -> Option<TurnId> {
+        let recorded = self.software.recorded.filter(|_| self.may_be_resumed())?;
+        let origin = StreamOrigin(recorded.0);
+        Some(TurnId::of_stream_origin(self.call.digest, origin))
+    }
+
     /// Writes the origin of a stream without a budget to a ledger of the stream's own, and returns that ledger. Without a majority
-    /// of the replicas the stream goes on unrecorded, and can be resumed only where [`Exchange::presumed_origin`] finds one.
+    /// of the replicas the stream goes on unrecorded until they are back, and can't be resumed at another gateway before that.
     pub(super) async fn record_origin_without_budget(&self) -> Option<ProgramLedger> {
         if !self.may_be_resumed() || self.ledger_key().is_some() {
             return None;
@@ -135,24 +146,45 @@
         let records = &self.gateway.records;
         let ledger_key = self.stream_ledger_key();
         let group = records.group_of(Some(&ledger_key.program));
-        let is_known = self.gateway.node.view.replica_sets().is_some();
-        if !is_known || records.health.is_lost(group) {
+        if self.gateway.has_no_replicas() {
+            self.gateway.metrics.on_unrecorded_stream("no_replicas");
             return None;
         }
-        let entry = LedgerEntry {
-            reserved_tokens: 0,
-            spent: Some(0),
-        };
         let turn = self.key_of(&ledger_key.turn);
+        if records.health.is_lost(group) {
+            self.on_unrecorded(&ledger_key, turn);
+            return None;
+        }
         let writing = records.reserve(
             &ledger_key.program,
             &turn,
-            entry,
+            MARK_ENTRY,
             ledger_key.retention,
             self.records_deadline(),
         );
-        // The failure is logged where the majority is asked.
-        writing.await.ok()
+        match writing.await {
+            Ok(ledger) => Some(ledger),
+            // The failure is logged where the majority is asked.
+            Err(_) => {
+                self.on_unrecorded(&ledger_key, turn);
+                None
+            }
+        }
+    }
+
+    /// Has the origin of a stream recorded later, which no majority of the replicas took in time.
+    fn on_unrecorded(&self, ledger_key: &LedgerKey, turn: TurnId) {
+        if self.call.is_resumed_stream() {
+            return;
+        }
+        log::warn!(
+            target: "request",
+            request = self.call.metadata.request_id.as_str(),
+            service = self.call.service.as_str();
+            "stream begins without a record of its software version"
+        );
+        self.gateway.metrics.on_unrecorded_stream("no_majority");
+        self.settle_as(ledger_key, turn, MARK_ENTRY);
     }
 
     /// The ledger of a stream that belongs to no program, named after the attempt that began it.
@@ -168,19 +200,26 @@
     }
 
     /// Origin of the stream that the client resumes, by its ledger. If the client does not name the attempt that began it, that is
-    /// the origin of all streams of its program.
+    /// the origin of all its tries.
     pub(super) fn origin_in(&self, ledger: &ProgramLedger) -> Option<StreamOrigin> {
-        match self.call.metadata.resumes.as_deref() {
-            Some(resumes) => ledger.origin(&TurnId::of(self.call.owner(), resumes)),
-            None => ledger.only_origin(),
-        }
+        let resumes = self.call.metadata.resumes.as_deref();
+        let named = resumes.map(|resumes| TurnId::of(self.call.owner(), resumes));
+        let origin = named.and_then(|named| ledger.origin(&named));
+        // The named attempt may have resumed the stream itself.
+        origin.or_else(|| ledger.origin_of_tries(self.call.digest))
     }
 
-    /// Restricts a stream that the client resumes to the version that began it.
-    pub(super) fn require_origin(&mut self, recorded: Option<StreamOrigin>) -> Result<(), Refusal> {
+    /// Restricts a stream that the client resumes to the version that began it. `is_read` tells whether the ledgers were read that
+    /// would have its record.
+    pub(super) fn require_origin(
+        &mut self,
+        recorded: Option<StreamOrigin>,
+        is_read: bool,
+    ) -> Result<(), Refusal> {
         let origin = match recorded {
             Some(origin) => SoftwareKey(origin.0),
-            None => self.presumed_origin()?,
+            None if self.gateway.has_no_replicas() => self.presumed_origin()?,
+            None => return Err(self.unknown_origin(is_read)),
         };
         self.software.origin = Some(origin);
         let view = &self.gateway.node.view;
@@ -210,8 +249,8 @@
         }
     }
 
-    /// Origin of a stream of which no record is found, such as one that an earlier version of the gateway began: the only version
-    /// that the service's engines had since the stream can have begun.
+    /// Origin of a stream in a deployment without replicas, where none is recorded: the only version that the service's engines had
+    /// for longer than a stream can last with all attempts that resume it.
     fn presumed_origin(&self) -> Result<SoftwareKey, Refusal> {
         let gateway = &self.gateway;
         let now = gateway.now();
@@ -222,20 +261,28 @@
             .is_some_and(|age| age < bound);
         let mut history = gateway.software_history.borrow_mut();
         view.with_engines(|table| history.observe(table, now));
-        let within = self.call.route.timeout() + MAINTENANCE_INTERVAL;
-        let only = history.only_version(&self.call.service, within, now);
+        let only = history.only_version(&self.call.service, MAX_STREAM_AGE, now);
         let only = only.filter(|_| is_fresh && self.call.route.services.len() == 1);
-        only.ok_or_else(|| {
-            log::warn!(
-                target: "request",
-                request = self.call.metadata.request_id.as_str(),
-                resumes = self.call.metadata.resumes.as_deref().unwrap_or_default(),
-                service = self.call.service.as_str(),
-                engines_fresh = is_fresh;
-                "origin of a resumed stream is not known"
-            );
-            // Another gateway may have known the engines for longer.
-            Refusal::retry_later(RefusalReason::OriginUnknown, RETRY_AFTER)
-        })
+        // Another gateway may have known the engines for longer.
+        only.ok_or_else(|| self.unknown_origin(false))
+    }
+
+    /// The refusal of a resumed stream that can't be shown where it began: any version that it went on at might be another one.
+    fn unknown_origin(&self, is_read: bool) -> Refusal {
+        log::warn!(
+            target: "request",
+            request = self.call.metadata.request_id.as_str(),
+            resumes = self.call.metadata.resumes.as_deref().unwrap_or_default(),
+            service = self.call.service.as_str(),
+            is_read = is_read;
+            "origin of a resumed stream is not known"
+        );
+        let reason = RefusalReason::OriginUnknown;
+        if is_read {
+            // Nothing will be known later, and a new stream serves the caller better.
+            Refusal::without_retry(reason)
+        } else {
+            Refusal::retry_later(reason, RETRY_AFTER)
+        }
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -46,7 +46,7 @@
 const MAX_LOGGED_NAMES: usize = 5;
 const BYTES_PER_MB: u64 = 1024 * 1024;
 /// Interval of [`Gateway::run_maintenance_once`].
-pub const MAINTENANCE_INTERVAL: Duration = Duration::from_secs(1);
+const MAINTENANCE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Shared state of one gateway process.
 pub struct Gateway {
--- a/crates/node/tests/resident_streams.rs
+++ b/crates/node/tests/resident_streams.rs
@@ -268,6 +268,21 @@
     named_attempt: Option<usize>,
 }
 
+/// Begins streams of no program, by turns through each gateway; the clients of every other one name no attempt.
+fn begin_without_program(gateways: &[Process]) -> Vec<BegunStream> {
+    let begun = (0..12).map(|number| {
+        let name = format!("s{number}");
+        let gateway = gateways[number % gateways.len()].callers();
+        let events = attempt_without_program(&name, 1).send_and_read_frames(gateway, 2);
+        BegunStream {
+            name,
+            events: events.expect("events"),
+            named_attempt: (number % 2 == 0).then_some(1),
+        }
+    });
+    begun.collect()
+}
+
 /// Resumes streams again and again until they are answered or their clients give up. Returns those that go on.
 fn resume_patiently<'a>(
     streams: &'a [BegunStream],
@@ -329,18 +344,7 @@
     let v1 = start_engines(&deployment, V1, ["i-1", "i-2"]);
     wait_until_known(&deployment.gateways, 2);
     restart_gateways(&mut deployment);
-    let begun: Vec<BegunStream> = (0..12)
-        .map(|number| {
-            let name = format!("s{number}");
-            let gateway = deployment.gateways[number % 3].callers();
-            let events = attempt_without_program(&name, 1).send_and_read_frames(gateway, 2);
-            BegunStream {
-                name,
-                events: events.expect("events"),
-                named_attempt: (number % 2 == 0).then_some(1),
-            }
-        })
-        .collect();
+    let begun = begin_without_program(&deployment.gateways);
     let _v2 = start_engines(&deployment, V2, ["i-3", "i-4"]);
     replace_engines_and_gateways(&mut deployment, &v1);
     assert_none_is_joined(&resume_patiently(&begun, &deployment.gateways));
@@ -373,3 +377,18 @@
     replace_engines_and_gateways(&mut deployment, &v1);
     assert_none_is_joined(&resume_patiently(&begun, &deployment.gateways));
 }
+
+/// Streams that can go on where they began do, whether or not their clients name an attempt.
+#[test]
+fn streams_of_no_program_go_on_at_their_version_after_all_gateways_start_again() {
+    let mut deployment = Deployment::started(PROGRAM, 3, 3);
+    let _v1 = start_engines(&deployment, V1, ["i-1", "i-2"]);
+    wait_until_known(&deployment.gateways, 2);
+    restart_gateways(&mut deployment);
+    let begun = begin_without_program(&deployment.gateways);
+    let _v2 = start_engines(&deployment, V2, ["i-3", "i-4"]);
+    restart_gateways(&mut deployment);
+    let resumed = resume_patiently(&begun, &deployment.gateways);
+    assert_eq!(resumed.len(), begun.len());
+    assert_none_is_joined(&resumed);
+}
--- a/crates/records/src/engine_ends.rs
+++ b/crates/records/src/engine_ends.rs
@@ -13,6 +13,7 @@
 
 use crate::identifiers::TurnId;
 use crate::ledger::{LedgerEntry, ProgramLedger};
+use crate::origin::StreamOrigin;
 
 /// Begins the keys of entries that belong to no turn. No HTTP header can carry it, and a key with a tenant's name has the tenant
 /// separator behind it.
@@ -23,6 +24,8 @@
 const CLEARED_MARK: &str = "§cleared:";
 /// Begins as [`CLEARED_MARK`], for the same reason.
 const WITHDRAWN_MARK: &str = "§cleared:presumed:";
+/// Begins as [`CLEARED_MARK`], for the same reason.
+const ORIGIN_MARK: &str = "§cleared:origin:";
 const LOOKUP_MARK: &str = "§looked-up";
 const FIELD_SEPARATOR: char = ':';
 
@@ -183,6 +186,18 @@
         Self(format!("{WITHDRAWN_MARK}{:016x}:{:016x}", digest.0, run.0))
     }
 
+    /// The key that says that a stream of this request began at this origin. One for all such streams, so that a ledger of many of
+    /// them does not grow.
+    pub fn of_stream_origin(digest: RequestDigest, origin: StreamOrigin) -> Self {
+        Self(format!("{ORIGIN_MARK}{:016x}:{:016x}", digest.0, origin.0))
+    }
+
+    /// The request and the origin, if this is the key of a stream's origin.
+    pub fn marked_origin(&self) -> Option<(RequestDigest, StreamOrigin)> {
+        let (digest, origin) = self.numbers_behind(ORIGIN_MARK)?;
+        Some((RequestDigest(digest), StreamOrigin(origin)))
+    }
+
     /// The key that is written where a ledger is only to be read. The same for all, so that nothing is written twice.
     pub fn of_lookup() -> Self {
         Self(LOOKUP_MARK.to_owned())
@@ -231,9 +246,15 @@
 
     /// The request and the run in a key with this prefix.
     fn run_behind(&self, prefix: &str) -> Option<(RequestDigest, EngineRun)> {
-        let (digest, run) = self.0.strip_prefix(prefix)?.split_once(FIELD_SEPARATOR)?;
+        let (digest, run) = self.numbers_behind(prefix)?;
+        Some((RequestDigest(digest), EngineRun(run)))
+    }
+
+    /// The two numbers in a key with this prefix.
+    fn numbers_behind(&self, prefix: &str) -> Option<(u64, u64)> {
+        let (first, second) = self.0.strip_prefix(prefix)?.split_once(FIELD_SEPARATOR)?;
         let number = |text| u64::from_str_radix(text, 16).ok();
-        Some((RequestDigest(number(digest)?), EngineRun(number(run)?)))
+        Some((number(first)?, number(second)?))
     }
 }
 
--- a/crates/records/src/ledger.rs
+++ b/crates/records/src/ledger.rs
@@ -8,6 +8,7 @@
 
 use rkyv::{Archive, Deserialize, Serialize};
 
+use crate::engine_ends::RequestDigest;
 use crate::identifiers::TurnId;
 use crate::origin::StreamOrigin;
 
@@ -98,13 +99,36 @@
         origins.last()
     }
 
-    /// The origin of all streams of the program, if it is the same.
-    pub fn only_origin(&self) -> Option<StreamOrigin> {
-        let mut origins = self.entries.keys().filter_map(TurnId::origin);
+    /// The origin of the stream that the tries of one request belong to, where the client does not name the try that began it. `None`
+    /// where they began several, or where a try of an earlier version, which wrote no digest, may have begun it anywhere.
+    pub fn origin_of_tries(&self, digest: RequestDigest) -> Option<StreamOrigin> {
+        let mut last_origins: BTreeMap<&str, StreamOrigin> = BTreeMap::new();
+        for key in self.entries.keys().filter(|key| !key.is_mark()) {
+            let of = key.digest();
+            match key.origin() {
+                _ if of.is_some_and(|of| of != digest) => {}
+                Some(origin) => {
+                    last_origins.insert(key.without_origin(), origin);
+                }
+                // A try that resumes the stream, or a permit.
+                None if of.is_some() => {}
+                None => return None,
+            }
+        }
+        let mut origins = last_origins.into_values();
         let first = origins.next()?;
         origins.all(|origin| origin == first).then_some(first)
     }
 
+    /// The origin at which all streams of one request began that belong to no program and no budget, by their marks; `None` where
+    /// they began at several.
+    pub fn marked_origin(&self, digest: RequestDigest) -> Option<StreamOrigin> {
+        let marks = self.entries.keys().filter_map(TurnId::marked_origin);
+        let mut origins = marks.filter(|(of, _)| *of == digest);
+        let (_, first) = origins.next()?;
+        origins.next().is_none().then_some(first)
+    }
+
     /// The entries of a turn, in the order of their origins.
     fn entries_of<'a>(
         &'a self,
--- a/crates/records/tests/engine_ends.rs
+++ b/crates/records/tests/engine_ends.rs
@@ -130,7 +130,7 @@
     }
     assert!(!ledger.has_others(&turn("r-1")));
     assert_eq!(ledger.charged_by_others(&turn("r-1")), 0);
-    assert_eq!(ledger.only_origin(), None);
+    assert_eq!(ledger.origin_of_tries(DIGEST), None);
     assert!(!turn("r-1").is_mark());
     assert!(!TurnId::of(Some("§ended"), "r-1").is_mark());
 }
@@ -156,9 +156,12 @@
             TurnId(text.clone()),
             TurnId(format!("§ended:{text}")),
             TurnId(format!("§cleared:{text}")),
+            TurnId(format!("§cleared:origin:{text}")),
             TurnId(format!("{text}§{text}§{text}")),
         ]);
-        ledger.engine_ends(DIGEST, &turn("r")).count() <= ledger.entries.len()
+        let origins = [ledger.origin_of_tries(DIGEST), ledger.marked_origin(DIGEST)];
+        let ends = ledger.engine_ends(DIGEST, &turn("r")).count();
+        ends + origins.into_iter().flatten().count() <= ledger.entries.len()
     }
 }
 
