Ends of engines that no majority of the replicas took outlive all gateways

What callers saw: while no majority answered, three engines ended under a request; then all processes were killed and started again, and the request was sent three times more (6 engines).

Cause: those ends were in gateways' memory only.

Left: what the store did not take either, and sends without an outcome. A request that ends engines is rare; what it costs others is one read of the store for each start of a gateway.

--- a/crates/gateway/src/exchange/end_ledger.rs
+++ b/crates/gateway/src/exchange/end_ledger.rs
@@ -101,7 +101,7 @@
         gateway.records.settle(self.settlement(mark.clone()));
         if self.may_be_witnessed {
             let telling = gateway.tell_all_witnesses(&self.alike, mark, MARK_ENTRY);
-            telling.await;
+            tokio::join!(telling, gateway.store_end(&self.alike, mark));
         }
         is_witnessed
     }
--- a/crates/gateway/src/exchange/send_permits.rs
+++ b/crates/gateway/src/exchange/send_permits.rs
@@ -85,6 +85,7 @@
             retention: self.call.route.retention(),
             ..self.end_ledger()
         };
+        self.gateway.wait_for_stored_ends().await;
         let begun_at = self.origin_mark();
         let key = begun_at.clone().unwrap_or_else(TurnId::of_lookup);
         let deadline = self.records_deadline();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -16,6 +16,7 @@
     ResidencyFaults, Route, RouteTable, SoftwareHistory, WeightedSplit,
 };
 use tokio::sync::oneshot;
+use tokio::sync::watch;
 
 use crate::connection_pool::ConnectionPool;
 use crate::end_ages::EndAges;
@@ -79,6 +80,10 @@
     pub engine_ends: RefCell<SeenEnds>,
     /// Sends and ends of engines that this gateway witnesses while no majority of the replicas answers.
     pub witnessed: RefCell<WitnessedLedgers>,
+    /// Whether the ends in the platform's store have been read since the start.
+    pub stored_ends_read: watch::Sender<bool>,
+    /// Ends that are being written to the platform's store.
+    pub stored_end_writes: Cell<usize>,
     /// Other gateways that may know what was witnessed.
     pub witness_roster: RefCell<WitnessRoster>,
     /// When this gateway first read of engines' ends.
@@ -136,6 +141,8 @@
             software_history: RefCell::default(),
             engine_ends: RefCell::new(SeenEnds::new(END_LIFETIME)),
             witnessed: RefCell::new(WitnessedLedgers::new(END_LIFETIME)),
+            stored_ends_read: watch::Sender::new(false),
+            stored_end_writes: Cell::new(0),
             witness_roster: RefCell::new(WitnessRoster::new(END_LIFETIME)),
             end_ages: RefCell::new(EndAges::new(END_LIFETIME)),
             watched_engines: Cell::new(0),
--- a/crates/gateway/src/role.rs
+++ b/crates/gateway/src/role.rs
@@ -59,6 +59,7 @@
     let (stopping, phase) = watch::channel(StopPhase::Serving);
     node.start(Rc::clone(&gateway), Rc::clone(&gateway)).await?;
     node.watch_store();
+    tokio::task::spawn_local(Rc::clone(&gateway).read_stored_ends());
     serve_readiness(&gateway, readiness).await?;
     let metrics_source = Rc::clone(&gateway);
     serve_metrics(&node, registry, move || metrics_source.update_gauges()).await?;
--- a/crates/node/tests/resident_engine_ends.rs
+++ b/crates/node/tests/resident_engine_ends.rs
@@ -531,6 +531,24 @@
     send_until_served(gateway, &harmless("served"));
 }
 
+/// What neither a replica nor a gateway remembers.
+#[test]
+fn ends_seen_without_a_majority_are_known_after_all_processes_were_killed() {
+    let mut deployment = Deployment::started(PROGRAM, 3, 3);
+    let engines = start(&deployment, "tools", &tool());
+    for round in 0..3 {
+        deployment.replicas.iter_mut().for_each(Process::kill);
+        send_tries(&deployment.gateways, 3 * round..3 * round + 3, tool_call);
+        kill_all(&mut deployment);
+        deployment.wait_until_engines_known(ENGINES);
+        let call = |id: &str| call_get("/tool/harmless", id);
+        send_until_served(deployment.gateways[0].callers(), &call("served"));
+    }
+    let tries = send_tries(&deployment.gateways, 9..9 + TRIES, tool_call);
+    assert!(ends(&engines) <= MAX_ENDS, "{}", ends(&engines));
+    assert_refused_for_good(tries.last().expect("a try"));
+}
+
 /// A gateway that hears no other is not its own only witness.
 #[test]
 fn gateways_that_hear_no_other_without_a_majority_do_not_send_on_what_ended_engines() {
