--- a/crates/gateway/src/stored_ends.rs
+++ b/crates/gateway/src/stored_ends.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rand::RngExt;
 use ridgeworks_platform::{
     Object, ObjectKind, StoreOutcome, check_format_version, create, remove as remove_object,
 };
@@ -20,7 +21,10 @@
 
 /// Short, because the request waits.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(300);
-const READ_RETRY_INTERVAL: Duration = Duration::from_millis(300);
+/// Delay before the first retry to read. Each further one is twice as long, so that many gateways that start do not load a store
+/// that has just come back.
+const FIRST_READ_RETRY: Duration = Duration::from_millis(300);
+const MAX_READ_RETRY: Duration = Duration::from_secs(5);
 /// How long after its start a gateway lets calls wait for the stored ends. The store may be away.
 const MAX_READ_TIME: Duration = Duration::from_secs(2);
 /// Ends that one gateway writes at a time, so that many at once leave the store to others. More are kept by gateways only.
@@ -83,13 +87,9 @@
 
     /// Reads the ends in the store, once, after the start. Nothing is there if nothing has run before.
     pub async fn read_stored_ends(self: Rc<Self>) {
-        if !self.node.settings.bootstrap {
-            let objects = loop {
-                if let Some(objects) = list_once(&self.node.store, ObjectKind::EngineEnds).await {
-                    break objects;
-                }
-                tokio::time::sleep(READ_RETRY_INTERVAL).await;
-            };
+        if !self.node.settings.bootstrap
+            && let Some(objects) = self.list_stored_ends().await
+        {
             self.adopt_stored_ends(&objects);
             let names: Vec<String> = objects.into_iter().map(|object| object.name).collect();
             let store = Rc::clone(&self.node.store);
@@ -98,6 +98,22 @@
         self.stored_ends_read.send_replace(true);
     }
 
+    /// The ends in the store; `None` if it could not be read before they count no longer.
+    async fn list_stored_ends(&self) -> Option<Vec<Object>> {
+        let mut delay = FIRST_READ_RETRY;
+        while self.now() < END_LIFETIME {
+            let listed = list_once(&self.node.store, ObjectKind::EngineEnds).await;
+            if listed.is_some() {
+                return listed;
+            }
+            let jitter = rand::rng().random_range(0.5..1.5);
+            tokio::time::sleep(delay.mul_f64(jitter)).await;
+            delay = MAX_READ_RETRY.min(2 * delay);
+        }
+        log::warn!(target: "dependency", "ends of engines in the platform store could not be read");
+        None
+    }
+
     fn adopt_stored_ends(&self, objects: &[Object]) {
         let ends: Vec<StoredEnd> = objects.iter().filter_map(StoredEnd::read).collect();
         log::info!(
