Replicas age their records by the time since their start, not by a wall clock that is set

Cause: a record expires at the replica's wall clock plus its retention; where that clock is set ahead by more than the margin of 30 s, the replica drops ledgers and turns that must be kept, and a majority of such replicas loses the program's budget. Class: an age by two readings of a clock that may be set in between.

Change: the replica reads the wall clock once, at its start, and adds the time since.

--- a/crates/gateway/src/exchange/software.rs
+++ b/crates/gateway/src/exchange/software.rs
@@ -96,6 +96,7 @@
         self.software.ordinal += u32::from(self.software.recorded.is_some());
         self.software.recorded = Some(software);
         let Some(ledger_key) = ledger_key else {
+            // The lookup marks where the stream begins.
             tokio::join!(self.record_origin_without_budget(), self.look_up_request());
             return Ok(());
         };
--- a/crates/replica/src/actor.rs
+++ b/crates/replica/src/actor.rs
@@ -18,7 +18,7 @@
     ReplicaGroups, ReplicaId, ReplicaReply, ReplicaRequest, ReplicaState, StoredRecord, TurnId,
     TurnRecord, Wait,
 };
-use ridgeworks_resident::clock::{unix_time_ms, whole_ms};
+use ridgeworks_resident::clock::{Clock, whole_ms};
 use ridgeworks_resident::peer::{PeerReply, ReplicaStatus};
 use ridgeworks_resident::view::{Source, View};
 use ridgeworks_storage::{Store, StoreCountersSnapshot, WriteBatch};
@@ -82,6 +82,8 @@
     pub node_name: String,
     /// Largest total size of turns, in bytes.
     pub max_total_turn_bytes: usize,
+    /// Ages the records.
+    pub clock: Clock,
     /// The node's view of the cluster.
     pub view: Rc<View>,
     /// Metrics of the replica.
@@ -201,7 +203,7 @@
             return;
         }
         let epoch_before = disk.state.epoch();
-        let mut handled = disk.state.handle(request, unix_time_ms());
+        let mut handled = disk.state.handle(request, self.parts.clock.unix_time_ms());
         let has_changed = disk.state.epoch() > epoch_before;
         match handled.incomplete.take() {
             Some(append) => {
@@ -289,7 +291,7 @@
             send(reply_sender, ReplicaReply::Unavailable);
             return;
         };
-        let now = unix_time_ms();
+        let now = self.parts.clock.unix_time_ms();
         let mut changes = Vec::new();
         let mut is_copied = true;
         for record in copied {
@@ -386,7 +388,8 @@
         };
         // After the changes already pending: a batch that overtook them would release their replies
         // before they are durable.
-        self.pending.extend(disk.state.expire(unix_time_ms()));
+        self.pending
+            .extend(disk.state.expire(self.parts.clock.unix_time_ms()));
         self.submit_pending();
         self.update_gauges();
     }
--- a/crates/replica/src/role.rs
+++ b/crates/replica/src/role.rs
@@ -93,6 +93,7 @@
         folder,
         node_name: node.settings.name.clone(),
         max_total_turn_bytes: usize::try_from(max_total_turn_bytes).unwrap_or(usize::MAX),
+        clock: node.clock,
         view: Rc::clone(&node.view),
         metrics: Rc::clone(&metrics),
         disk_events,
--- a/crates/replica/tests/support/mod.rs
+++ b/crates/replica/tests/support/mod.rs
@@ -51,6 +51,7 @@
             folder: folder.to_owned(),
             node_name: NODE.to_owned(),
             max_total_turn_bytes: MAX_TOTAL_TURN_BYTES,
+            clock: Clock::start(),
             view: Rc::new(View::new(Clock::start(), false)),
             metrics: Rc::new(ReplicaMetrics::register(&mut Registry::default())),
             disk_events: sender,
--- a/crates/resident/src/clock.rs
+++ b/crates/resident/src/clock.rs
@@ -6,16 +6,30 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
     start: Instant,
+    /// The wall clock at the start, in milliseconds since the Unix epoch.
+    start_unix_ms: u64,
 }
 
 impl Clock {
     /// Starts the clock at zero.
     pub fn start() -> Self {
+        Self::start_at(unix_time_ms())
+    }
+
+    /// Starts the clock at zero, and takes this for the wall clock's time, in milliseconds since the Unix epoch.
+    pub fn start_at(start_unix_ms: u64) -> Self {
         Self {
             start: Instant::now(),
+            start_unix_ms,
         }
     }
 
+    /// Time in milliseconds since the Unix epoch, by the wall clock at the start and the time since then. What is aged by it does not
+    /// expire when the wall clock is set.
+    pub fn unix_time_ms(&self) -> u64 {
+        self.start_unix_ms.saturating_add(whole_ms(self.now()))
+    }
+
     /// Time since the start.
     pub fn now(&self) -> Duration {
         self.start.elapsed()
