--- a/review/stand-ins-2/case_alike.rs
+++ b/review/stand-ins-2/case_alike.rs
@@ -54,15 +54,31 @@
         .collect();
     thread::sleep(Duration::from_millis(60));
     if has_trouble {
-        let busy: Vec<_> = deployment.engines.iter().filter(|engine| engine.busy() > 0).take(CRASHED).cloned().collect();
+        let busy: Vec<_> = deployment
+            .engines
+            .iter()
+            .filter(|engine| engine.busy() > 0)
+            .take(CRASHED)
+            .cloned()
+            .collect();
         if busy.len() < CRASHED {
             return Err(cannot_run("too few engines were at work"));
         }
-        record.say(&format!("{CRASHED} of {ENGINES} engines crash at the same moment"));
-        let crashing: Vec<_> = busy.into_iter().map(|engine| thread::spawn(move || engine.crash())).collect();
-        crashing.into_iter().for_each(|thread| thread.join().unwrap());
+        record.say(&format!(
+            "{CRASHED} of {ENGINES} engines crash at the same moment"
+        ));
+        let crashing: Vec<_> = busy
+            .into_iter()
+            .map(|engine| thread::spawn(move || engine.crash()))
+            .collect();
+        crashing
+            .into_iter()
+            .for_each(|thread| thread.join().unwrap());
     }
-    let first: Vec<u16> = asking.into_iter().map(|thread| thread.join().unwrap().status).collect();
+    let first: Vec<u16> = asking
+        .into_iter()
+        .map(|thread| thread.join().unwrap().status)
+        .collect();
     record.say(&format!("the {CLIENTS} requests under way got {first:?}"));
     let denied_first = first.iter().filter(|status| **status == 400).count();
     // Other clients ask for it later; all engines that are left are sound.
--- a/review/stand-ins-2/case_draining.rs
+++ b/review/stand-ins-2/case_draining.rs
@@ -43,14 +43,21 @@
     call.headers = vec![
         ("Ridgeworks-Model", "m".to_owned()),
         ("Ridgeworks-Token-Count", "1460,575".to_owned()),
-        ("Ridgeworks-Prefix-Hash", "5c1e07a2:800,91bd3f06:410,e4402b7d:250".to_owned()),
+        (
+            "Ridgeworks-Prefix-Hash",
+            "5c1e07a2:800,91bd3f06:410,e4402b7d:250".to_owned(),
+        ),
     ];
     call.body = b"the input".to_vec();
     let (to, quiet) = (deployment.callers(0), record.clone());
     let sent = call.clone();
     let streaming = thread::spawn(move || sent.send(to, &quiet));
     thread::sleep(Duration::from_millis(300));
-    let busy = deployment.engines.iter().find(|engine| engine.busy() > 0).cloned();
+    let busy = deployment
+        .engines
+        .iter()
+        .find(|engine| engine.busy() > 0)
+        .cloned();
     let engine = busy.ok_or_else(|| cannot_run("no engine is at work"))?;
     engine.drain();
     let acknowledged = Instant::now();
@@ -58,10 +65,16 @@
         // 13 events come within 2.7 s, then the engine breaks this stream off.
         engine.set(|behaviour| behaviour.breaks = Some((call.id.clone(), 13)));
     }
-    let reply = streaming.join().map_err(|_| cannot_run("the client failed"))?;
+    let reply = streaming
+        .join()
+        .map_err(|_| cannot_run("the client failed"))?;
     let runs = deployment.runs.lock().unwrap().clone();
-    let late = runs.iter().filter(|run| run.engine == engine.id && run.at > acknowledged + DRAIN);
-    let late: Vec<_> = late.map(|run| (run.request.clone(), run.at - acknowledged)).collect();
+    let late = runs
+        .iter()
+        .filter(|run| run.engine == engine.id && run.at > acknowledged + DRAIN);
+    let late: Vec<_> = late
+        .map(|run| (run.request.clone(), run.at - acknowledged))
+        .collect();
     record.say(&format!(
         "the stream: status {}, whole {}; requests that reached {} later than {} ms after it was draining: {late:?}",
         reply.status, reply.is_whole, engine.id, DRAIN.as_millis()
--- a/review/stand-ins-2/case_moved.rs
+++ b/review/stand-ins-2/case_moved.rs
@@ -58,7 +58,8 @@
         deployment.configure(&[route("map-agents-b")], &["map-agents-b"], &[]);
         record.say("the operator moves the route to another service; the configuration does not have the first one any more");
     }
-    let programs: Option<Vec<Program>> = turns.into_iter().map(|turn| turn.join().unwrap()).collect();
+    let programs: Option<Vec<Program>> =
+        turns.into_iter().map(|turn| turn.join().unwrap()).collect();
     let programs = programs.ok_or_else(|| cannot_run("a first turn was not served"))?;
     thread::sleep(Duration::from_secs(4));
     let (mut denied, mut served, mut other) = (0, 0, 0);
--- a/review/stand-ins-2/case_newline.rs
+++ b/review/stand-ins-2/case_newline.rs
@@ -57,13 +57,33 @@
             if !reply.is_served() {
                 return Err(cannot_run("a turn was not served"));
             }
-            record.line(&format!("data of the events of {}: {}", call.id, show(&output_of(&reply.body))));
-            for run in deployment.runs.lock().unwrap().iter().filter(|run| run.request == call.id) {
+            record.line(&format!(
+                "data of the events of {}: {}",
+                call.id,
+                show(&output_of(&reply.body))
+            ));
+            for run in deployment
+                .runs
+                .lock()
+                .unwrap()
+                .iter()
+                .filter(|run| run.request == call.id)
+            {
                 judged += 1;
                 if run.body != expected {
                     wrong += 1;
-                    record.line(&format!("{} at {}: got      {}", call.id, run.engine, show(&run.body)));
-                    record.line(&format!("{} at {}: expected {}", call.id, run.engine, show(&expected)));
+                    record.line(&format!(
+                        "{} at {}: got      {}",
+                        call.id,
+                        run.engine,
+                        show(&run.body)
+                    ));
+                    record.line(&format!(
+                        "{} at {}: expected {}",
+                        call.id,
+                        run.engine,
+                        show(&expected)
+                    ));
                 }
             }
             program.take(&call, &reply);
--- a/review/stand-ins-2/case_permits.rs
+++ b/review/stand-ins-2/case_permits.rs
@@ -30,7 +30,10 @@
 fn ask(deployment_callers: &[std::net::SocketAddr], number: usize, record: &Record) -> bool {
     for attempt in 0..2 {
         let call = Call::new("get", "GET", PATH, 1_200);
-        let reply = call.send(deployment_callers[(number + attempt) % deployment_callers.len()], record);
+        let reply = call.send(
+            deployment_callers[(number + attempt) % deployment_callers.len()],
+            record,
+        );
         if reply.is_served() {
             return true;
         }
@@ -65,13 +68,16 @@
         return Err(cannot_run("the deployment is not ready"));
     }
     thread::sleep(Duration::from_secs(4));
-    let callers: Vec<_> = (0..GATEWAYS).map(|gateway| deployment.callers(gateway)).collect();
+    let callers: Vec<_> = (0..GATEWAYS)
+        .map(|gateway| deployment.callers(gateway))
+        .collect();
     let is_over = Arc::new(AtomicBool::new(false));
     let before = Instant::now();
     // Ten clients, each with some requests a second.
     let clients: Vec<_> = (0..10)
         .map(|client| {
-            let (callers, record, is_over) = (callers.clone(), record.clone(), Arc::clone(&is_over));
+            let (callers, record, is_over) =
+                (callers.clone(), record.clone(), Arc::clone(&is_over));
             thread::spawn(move || {
                 let mut asked = Vec::new();
                 let mut number = client;
@@ -94,7 +100,13 @@
         }
         record.say(&format!("{losing} of {ENGINES} engines lose the answers of one in {ONE_IN} of the requests that they run"));
         let until = Instant::now() + Duration::from_secs(6);
-        let lost = |time| deployment.engines.iter().map(|engine| engine.lost_within(time)).sum::<usize>();
+        let lost = |time| {
+            deployment
+                .engines
+                .iter()
+                .map(|engine| engine.lost_within(time))
+                .sum::<usize>()
+        };
         while Instant::now() < until && lost(LATELY) < LOST {
             thread::sleep(Duration::from_millis(10));
         }
@@ -115,10 +127,15 @@
     record.line("all engines are sound from now on");
     thread::sleep(RECOVER + Duration::from_secs(14));
     is_over.store(true, Ordering::SeqCst);
-    let asked: Vec<(Instant, bool)> = clients.into_iter().flat_map(|client| client.join().unwrap()).collect();
+    let asked: Vec<(Instant, bool)> = clients
+        .into_iter()
+        .flat_map(|client| client.join().unwrap())
+        .collect();
     let count = |from: Instant, to: Instant| {
         let within = asked.iter().filter(|(at, _)| *at >= from && *at < to);
-        let (all, served) = within.fold((0, 0), |(all, served), (_, is_served)| (all + 1, served + usize::from(*is_served)));
+        let (all, served) = within.fold((0, 0), |(all, served), (_, is_served)| {
+            (all + 1, served + usize::from(*is_served))
+        });
         (all, served)
     };
     let (all_before, served_before) = count(before, fault);
--- a/review/stand-ins-2/case_reservation.rs
+++ b/review/stand-ins-2/case_reservation.rs
@@ -54,7 +54,8 @@
             ("Ridgeworks-Model", "m".to_owned()),
         ];
         if let Some(previous) = &self.previous {
-            call.headers.push(("Ridgeworks-Previous-Turn", previous.clone()));
+            call.headers
+                .push(("Ridgeworks-Previous-Turn", previous.clone()));
         }
         call.body = input.as_bytes().to_vec();
         call
@@ -134,7 +135,8 @@
         for attempt in 0..2 {
             for gateway in 1..3 {
                 first_turns += 1;
-                first_turns_reached += usize::from(first_turn_reaches(&deployment, deployment.callers(gateway)));
+                first_turns_reached +=
+                    usize::from(first_turn_reaches(&deployment, deployment.callers(gateway)));
             }
             let call = program.turn("the last input;");
             let to = deployment.callers(1 + (sending + attempt) % 2);
--- a/review/stand-ins-2/client.rs
+++ b/review/stand-ins-2/client.rs
@@ -62,26 +62,51 @@
     }
 
     /// Sends the try on a new connection; `on_piece` hears of each piece of the body.
-    pub fn send_watched(&self, to: SocketAddr, record: &Record, on_piece: impl FnMut(&[u8])) -> Reply {
-        record.line(&format!("client sends {} {} {} to {to}", self.id, self.method, self.path));
+    pub fn send_watched(
+        &self,
+        to: SocketAddr,
+        record: &Record,
+        on_piece: impl FnMut(&[u8]),
+    ) -> Reply {
+        record.line(&format!(
+            "client sends {} {} {} to {to}",
+            self.id, self.method, self.path
+        ));
         let mut reply = Reply::default();
         let outcome = self.exchange(to, &mut reply, on_piece);
-        let retry = reply.retry_after.map_or(String::new(), |after| format!(", Retry-After {after}"));
-        let seal = if reply.seal.is_some() { "signed" } else { "unsigned" };
+        let retry = reply
+            .retry_after
+            .map_or(String::new(), |after| format!(", Retry-After {after}"));
+        let seal = if reply.seal.is_some() {
+            "signed"
+        } else {
+            "unsigned"
+        };
         let end = match outcome {
             Ok(()) => "whole".to_owned(),
             Err(error) => format!("broken off: {error}"),
         };
-        record.line(&format!("client gets {} status {} {seal} {end}{retry}", self.id, reply.status));
+        record.line(&format!(
+            "client gets {} status {} {seal} {end}{retry}",
+            self.id, reply.status
+        ));
         reply
     }
 
-    fn exchange(&self, to: SocketAddr, reply: &mut Reply, mut on_piece: impl FnMut(&[u8])) -> io::Result<()> {
+    fn exchange(
+        &self,
+        to: SocketAddr,
+        reply: &mut Reply,
+        mut on_piece: impl FnMut(&[u8]),
+    ) -> io::Result<()> {
         let mut stream = TcpStream::connect_timeout(&to, Duration::from_secs(1))?;
         stream.set_nodelay(true)?;
         let mut out = format!("{} {} HTTP/1.1\r\nHost: {HOST}\r\n", self.method, self.path);
         out.push_str(&format!("Ridgeworks-Request-Id: {}\r\n", self.id));
-        out.push_str(&format!("Ridgeworks-Deadline-Ms: {}\r\n", self.deadline.as_millis()));
+        out.push_str(&format!(
+            "Ridgeworks-Deadline-Ms: {}\r\n",
+            self.deadline.as_millis()
+        ));
         for (key, value) in &self.headers {
             out.push_str(&format!("{key}: {value}\r\n"));
         }
@@ -112,7 +137,10 @@
 /// The data of each event of a whole stream, each followed by a line feed. As in `text/event-stream`, the data of an event are its
 /// `data` lines, joined by line feeds.
 pub fn output_of(body: &[u8]) -> Vec<u8> {
-    data_of(body).into_iter().flat_map(|data| format!("{data}\n").into_bytes()).collect()
+    data_of(body)
+        .into_iter()
+        .flat_map(|data| format!("{data}\n").into_bytes())
+        .collect()
 }
 
 /// Events with data in the body of a stream, as far as it came.
@@ -124,8 +152,13 @@
     let text = String::from_utf8_lossy(body);
     let events = text.split("\n\n").map(|event| {
         let lines = event.lines().filter_map(|line| line.strip_prefix("data:"));
-        let lines: Vec<&str> = lines.map(|line| line.strip_prefix(' ').unwrap_or(line)).collect();
+        let lines: Vec<&str> = lines
+            .map(|line| line.strip_prefix(' ').unwrap_or(line))
+            .collect();
         lines
     });
-    events.filter(|lines| !lines.is_empty()).map(|lines| lines.join("\n")).collect()
+    events
+        .filter(|lines| !lines.is_empty())
+        .map(|lines| lines.join("\n"))
+        .collect()
 }
--- a/review/stand-ins-2/deployment.rs
+++ b/review/stand-ins-2/deployment.rs
@@ -20,9 +20,15 @@
 
 /// Kills all processes that were started.
 pub fn kill_running() {
-    let running = RUNNING.lock().map(|running| running.clone()).unwrap_or_default();
+    let running = RUNNING
+        .lock()
+        .map(|running| running.clone())
+        .unwrap_or_default();
     for id in running {
-        let _ = Command::new("sh").arg("-c").arg(format!("kill -9 {id}")).status();
+        let _ = Command::new("sh")
+            .arg("-c")
+            .arg(format!("kill -9 {id}"))
+            .status();
     }
 }
 
@@ -108,7 +114,9 @@
 impl Deployment {
     /// Starts the store and the processes; no engine yet.
     pub fn start(record: &Record, gateways: usize, replicas: usize) -> io::Result<Self> {
-        let nanos = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |now| now.subsec_nanos());
+        let nanos = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(0, |now| now.subsec_nanos());
         let folder = std::env::temp_dir().join(format!("review-2-{}-{nanos}", std::process::id()));
         fs::create_dir_all(&folder)?;
         // A subnet and ports that are free.
@@ -119,9 +127,11 @@
             let probe = TcpListener::bind((ip(1), 0))?;
             port = probe.local_addr()?.port();
             let is_free = port < 64_000
-                && (1..=60).all(|machine| {
-                    (port..port + 4).all(|port| (machine == 1 && port == probe.local_addr().unwrap().port())
-                        || TcpListener::bind((ip(machine), port)).is_ok())
+                && (1..=100).all(|machine| {
+                    (port..port + 4).all(|port| {
+                        (machine == 1 && port == probe.local_addr().unwrap().port())
+                            || TcpListener::bind((ip(machine), port)).is_ok()
+                    })
                 });
             if is_free {
                 break;
@@ -161,7 +171,9 @@
         let seed = |machine: u8| format!("\"127.77.{subnet}.{machine}:{}\"", port + 3);
         let mut text = format!(
             "role = \"{role}\"\nname = \"{name}\"\nzone = \"{zone}\"\naddress = \"{ip}\"\npeer_port = {}\nbootstrap = true\nseeds = [{}, {}]\n",
-            port + 2, seed(10), seed(11),
+            port + 2,
+            seed(10),
+            seed(11),
         );
         if role == "replica" {
             let data = self.folder.join(format!("data-{name}"));
@@ -174,9 +186,16 @@
         }
         text.push_str("[listen]\n");
         if role == "gateway" {
-            text.push_str(&format!("callers = \"{ip}:{port}\"\nreadiness = \"{ip}:{}\"\n", port + 1));
+            text.push_str(&format!(
+                "callers = \"{ip}:{port}\"\nreadiness = \"{ip}:{}\"\n",
+                port + 1
+            ));
         }
-        let (memory, descriptors, disk) = if role == "gateway" { (260, 4_100, 0) } else { (290, 8_200, 440) };
+        let (memory, descriptors, disk) = if role == "gateway" {
+            (260, 4_100, 0)
+        } else {
+            (290, 8_200, 440)
+        };
         text.push_str(&format!(
             "[limits]\nmemory_mb = {memory}\ndescriptors = {descriptors}\ndisk_mb = {disk}\n[platform]\nstore = \"{}\"\n",
             self.store.address,
@@ -209,13 +228,17 @@
         ]);
         let spec = Json::object(vec![
             ("version", Json::number(self.version)),
-            ("routes", Json::List(routes.iter().map(Route::json).collect())),
+            (
+                "routes",
+                Json::List(routes.iter().map(Route::json).collect()),
+            ),
             ("services", Json::List(models.chain(plain).collect())),
             ("limits", limits),
         ]);
         self.version += 3;
         self.store.put("config", "main", spec);
-        self.record.line("store: configuration written by the operator");
+        self.record
+            .line("store: configuration written by the operator");
     }
 
     pub fn add_engine(&mut self, service: &str) -> io::Result<Engine> {
@@ -224,7 +247,15 @@
         let address = SocketAddr::new(IpAddr::V4(ip), self.port);
         let id = format!("i-{number:02}{:04x}", self.port);
         let zone = ZONES[number % ZONES.len()];
-        let engine = Engine::start(&id, service, zone, address, &self.store, &self.record, &self.runs)?;
+        let engine = Engine::start(
+            &id,
+            service,
+            zone,
+            address,
+            &self.store,
+            &self.record,
+            &self.runs,
+        )?;
         self.engines.push(engine.clone());
         Ok(engine)
     }
@@ -256,7 +287,11 @@
 
     /// Whether an engine has begun work on a request.
     pub fn has_run(&self, request: &str) -> bool {
-        self.runs.lock().unwrap().iter().any(|run| run.request == request)
+        self.runs
+            .lock()
+            .unwrap()
+            .iter()
+            .any(|run| run.request == request)
     }
 
     /// Kills every process of the system at one moment, and starts all again.
@@ -273,7 +308,8 @@
         for node in &mut all {
             node.run()?;
         }
-        self.record.line("all processes of the system are started again");
+        self.record
+            .line("all processes of the system are started again");
         Ok(())
     }
 }
--- a/review/stand-ins-2/engine.rs
+++ b/review/stand-ins-2/engine.rs
@@ -145,7 +145,9 @@
     /// Says in the store that it will leave.
     pub fn drain(&self) {
         self.write_entry("draining");
-        self.shared.record.line(&format!("store: {} is draining, acknowledged", self.id));
+        self.shared
+            .record
+            .line(&format!("store: {} is draining, acknowledged", self.id));
     }
 
     pub fn set(&self, change: impl FnOnce(&mut Behaviour)) {
@@ -172,12 +174,17 @@
         for stream in self.shared.open.lock().unwrap().drain(..) {
             let _ = stream.shutdown(Shutdown::Both);
         }
-        self.shared.record.line(&format!("engine {} crashed", self.id));
+        self.shared
+            .record
+            .line(&format!("engine {} crashed", self.id));
         let engine = self.clone();
         thread::spawn(move || {
             thread::sleep(3 * HEARTBEAT);
             engine.store.remove("servers", &engine.id);
-            engine.shared.record.line(&format!("store: entry of {} lapsed", engine.id));
+            engine
+                .shared
+                .record
+                .line(&format!("store: entry of {} lapsed", engine.id));
         });
     }
 }
@@ -218,7 +225,10 @@
     head: &Head,
     body: Vec<u8>,
 ) -> io::Result<bool> {
-    let request = head.get("Ridgeworks-Request-Id").unwrap_or_default().to_owned();
+    let request = head
+        .get("Ridgeworks-Request-Id")
+        .unwrap_or_default()
+        .to_owned();
     let id = ("Ridgeworks-Request-Id", request.clone());
     let expected = head.get("Ridgeworks-Expect-Instance");
     if expected.is_some_and(|expected| expected != shared.id) {
@@ -227,7 +237,11 @@
         return Ok(true);
     }
     let path = head.word(1).to_owned();
-    shared.record.line(&format!("engine {} runs {request} {} {path}", shared.id, head.word(0)));
+    shared.record.line(&format!(
+        "engine {} runs {request} {} {path}",
+        shared.id,
+        head.word(0)
+    ));
     shared.runs.lock().unwrap().push(Run {
         at: Instant::now(),
         engine: shared.id.clone(),
@@ -236,15 +250,23 @@
     });
     let behaviour = shared.behaviour.lock().unwrap().clone();
     let number = shared.taken.fetch_add(1, Ordering::SeqCst);
-    let is_lost = behaviour.loses_one_in.is_some_and(|every| number % every == 0);
+    let is_lost = behaviour
+        .loses_one_in
+        .is_some_and(|every| number % every == 0);
     if is_lost {
         reader.is_closed_within(behaviour.work);
-        shared.record.line(&format!("engine {} has run {request}, its answer is lost", shared.id));
+        shared.record.line(&format!(
+            "engine {} has run {request}, its answer is lost",
+            shared.id
+        ));
         shared.lost.lock().unwrap().push(Instant::now());
         reader.is_closed_within(Duration::from_secs(60));
         return Ok(false);
     }
-    let seal = ("Ridgeworks-Server-Seal", format!("seal.{}.{request}", shared.id));
+    let seal = (
+        "Ridgeworks-Server-Seal",
+        format!("seal.{}.{request}", shared.id),
+    );
     let is_stream = head.get("Ridgeworks-Token-Count").is_some();
     if !is_stream {
         if reader.is_closed_within(behaviour.work) {
@@ -254,22 +276,40 @@
         write_answer(stream, 200, &[id, seal], body.as_bytes())?;
         return Ok(true);
     }
-    let mut out = String::from("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n");
-    out.push_str(&format!("{}: {}\r\n{}: {}\r\n\r\n", id.0, id.1, seal.0, seal.1));
+    let mut out = String::from(
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n",
+    );
+    out.push_str(&format!(
+        "{}: {}\r\n{}: {}\r\n\r\n",
+        id.0, id.1, seal.0, seal.1
+    ));
     stream.write_all(out.as_bytes())?;
-    let last: u64 = head.get("Last-Event-Id").and_then(|last| last.parse().ok()).unwrap_or(0);
+    let last: u64 = head
+        .get("Last-Event-Id")
+        .and_then(|last| last.parse().ok())
+        .unwrap_or(0);
     for event in last + 1..=behaviour.events {
         if reader.is_closed_within(behaviour.gap) || shared.is_dead.load(Ordering::SeqCst) {
             return Ok(false);
         }
-        let first = if behaviour.begins_with_line_feed { "data: \n" } else { "" };
+        let first = if behaviour.begins_with_line_feed {
+            "data: \n"
+        } else {
+            ""
+        };
         let text = format!("id: {event}\n{first}data: piece {event} of {request}\n\n");
         let now = shared.behaviour.lock().unwrap().clone();
-        if now.breaks.is_some_and(|(of, after)| of == request && event > after) {
+        if now
+            .breaks
+            .is_some_and(|(of, after)| of == request && event > after)
+        {
             let torn = &text[..8];
             shared.behaviour.lock().unwrap().breaks = None;
             stream.write_all(format!("{:x}\r\n{torn}\r\n", torn.len()).as_bytes())?;
-            shared.record.line(&format!("engine {} breaks {request} off within event {event}", shared.id));
+            shared.record.line(&format!(
+                "engine {} breaks {request} off within event {event}",
+                shared.id
+            ));
             stream.shutdown(Shutdown::Both)?;
             return Ok(false);
         }
--- a/review/stand-ins-2/http.rs
+++ b/review/stand-ins-2/http.rs
@@ -73,7 +73,11 @@
                 break end;
             }
             if !self.fill()? {
-                return if self.buffer.is_empty() { Ok(None) } else { Err(ended("in a head")) };
+                return if self.buffer.is_empty() {
+                    Ok(None)
+                } else {
+                    Err(ended("in a head"))
+                };
             }
         };
         let text = String::from_utf8_lossy(&self.buffer[..end]).into_owned();
@@ -111,7 +115,9 @@
 
     /// Reads a body piece by piece; an error says that it is incomplete.
     pub fn body(&mut self, head: &Head, mut on_piece: impl FnMut(&[u8])) -> io::Result<()> {
-        let is_chunked = head.get("transfer-encoding").is_some_and(|value| value.contains("chunked"));
+        let is_chunked = head
+            .get("transfer-encoding")
+            .is_some_and(|value| value.contains("chunked"));
         if is_chunked {
             loop {
                 let line = self.line()?;
@@ -126,7 +132,10 @@
                 self.exactly(2)?;
             }
         }
-        let length = head.get("content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
+        let length = head
+            .get("content-length")
+            .and_then(|length| length.parse().ok())
+            .unwrap_or(0);
         let piece = self.exactly(length)?;
         on_piece(&piece);
         Ok(())
@@ -145,7 +154,12 @@
 }
 
 /// Writes an answer with a length.
-pub fn write_answer(stream: &mut TcpStream, status: u16, headers: &[(&str, String)], body: &[u8]) -> io::Result<()> {
+pub fn write_answer(
+    stream: &mut TcpStream,
+    status: u16,
+    headers: &[(&str, String)],
+    body: &[u8],
+) -> io::Result<()> {
     let mut out = format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n", body.len());
     for (key, value) in headers {
         out.push_str(&format!("{key}: {value}\r\n"));
--- a/review/stand-ins-2/json.rs
+++ b/review/stand-ins-2/json.rs
@@ -172,7 +172,8 @@
             }
             _ => {
                 let from = self.at;
-                let is_digit = |byte: &u8| matches!(byte, b'0'..=b'9' | b'-' | b'+' | b'.' | b'e' | b'E');
+                let is_digit =
+                    |byte: &u8| matches!(byte, b'0'..=b'9' | b'-' | b'+' | b'.' | b'e' | b'E');
                 while self.bytes.get(self.at).is_some_and(is_digit) {
                     self.at += 1;
                 }
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -59,7 +59,10 @@
             exit(2);
         }
     };
-    record.line(&format!("case {name}, disruption: {}", if has_trouble { "yes" } else { "no" }));
+    record.line(&format!(
+        "case {name}, disruption: {}",
+        if has_trouble { "yes" } else { "no" }
+    ));
     let played = std::panic::catch_unwind(|| match name.as_str() {
         "alike" => case_alike::play(&record, has_trouble),
         "draining" => case_draining::play(&record, has_trouble),
--- a/review/stand-ins-2/store.rs
+++ b/review/stand-ins-2/store.rs
@@ -44,7 +44,9 @@
     fn put(&mut self, kind: &str, name: &str, spec: Option<Json>, status: Option<Json>) -> Json {
         let key = (kind.to_owned(), name.to_owned());
         let known = self.objects.get(&key).cloned();
-        let mut stored = known.clone().unwrap_or((0, self.revision + 1, Json::Null, Json::Null));
+        let mut stored = known
+            .clone()
+            .unwrap_or((0, self.revision + 1, Json::Null, Json::Null));
         stored.2 = spec.unwrap_or(stored.2);
         stored.3 = status.unwrap_or(stored.3);
         // What changes nothing raises no revision.
@@ -55,7 +57,8 @@
         stored.0 = self.revision;
         let object = render(name, &stored);
         self.objects.insert(key, stored);
-        self.history.push((self.revision, kind.to_owned(), object.clone(), false));
+        self.history
+            .push((self.revision, kind.to_owned(), object.clone(), false));
         object
     }
 
@@ -64,7 +67,8 @@
             return false;
         };
         self.revision += 1;
-        self.history.push((self.revision, kind.to_owned(), render(name, &stored), true));
+        self.history
+            .push((self.revision, kind.to_owned(), render(name, &stored), true));
         true
     }
 }
@@ -90,7 +94,11 @@
 
     /// What the operator or an engine writes.
     pub fn put(&self, kind: &str, name: &str, spec: Json) {
-        self.shared.0.lock().unwrap().put(kind, name, Some(spec), None);
+        self.shared
+            .0
+            .lock()
+            .unwrap()
+            .put(kind, name, Some(spec), None);
         self.shared.1.notify_all();
     }
 
@@ -132,24 +140,36 @@
         let is_status = names.next() == Some("status");
         let option = |key: &str| {
             let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-            pairs.find(|(name, _)| *name == key).map(|(_, value)| value.to_owned())
+            pairs
+                .find(|(name, _)| *name == key)
+                .map(|(_, value)| value.to_owned())
         };
         let (lock, changed) = &*self.shared;
         let mut state = lock.lock().unwrap();
         match (method, name) {
             ("GET", None) => {
                 if let Some(from) = option("watch").and_then(|from| from.parse::<u64>().ok()) {
-                    let wait = option("wait_ms").and_then(|wait| wait.parse().ok()).unwrap_or(0);
+                    let wait = option("wait_ms")
+                        .and_then(|wait| wait.parse().ok())
+                        .unwrap_or(0);
                     let until = Instant::now() + Duration::from_millis(wait);
                     loop {
                         let events = state.history.iter();
                         let events = events.filter(|entry| entry.0 > from && entry.1 == kind);
                         let events: Vec<Json> = events
-                            .map(|entry| Json::object(vec![("gone", Json::Bool(entry.3)), ("object", entry.2.clone())]))
+                            .map(|entry| {
+                                Json::object(vec![
+                                    ("gone", Json::Bool(entry.3)),
+                                    ("object", entry.2.clone()),
+                                ])
+                            })
                             .collect();
                         let left = until.saturating_duration_since(Instant::now());
                         if !events.is_empty() || left.is_zero() {
-                            let fields = vec![("events", Json::List(events)), ("at", Json::number(state.revision))];
+                            let fields = vec![
+                                ("events", Json::List(events)),
+                                ("at", Json::number(state.revision)),
+                            ];
                             return (200, Json::object(fields));
                         }
                         state = changed.wait_timeout(state, left).unwrap().0;
@@ -158,7 +178,9 @@
                 let after = option("after").unwrap_or_default();
                 let items = state.objects.iter();
                 let items = items.filter(|((of, name), _)| of == kind && *name > after);
-                let items: Vec<Json> = items.map(|((_, name), stored)| render(name, stored)).collect();
+                let items: Vec<Json> = items
+                    .map(|((_, name), stored)| render(name, stored))
+                    .collect();
                 let fields = vec![
                     ("items", Json::List(items)),
                     ("more", Json::Bool(false)),
@@ -171,7 +193,9 @@
                 None => (404, empty()),
             },
             ("POST", None) => {
-                let name = body.get("metadata").and_then(|metadata| metadata.get("name"));
+                let name = body
+                    .get("metadata")
+                    .and_then(|metadata| metadata.get("name"));
                 let Some(name) = name.and_then(Json::as_text) else {
                     return (400, empty());
                 };
@@ -186,8 +210,13 @@
                 let Some(stored) = state.objects.get(&(kind.to_owned(), name.to_owned())) else {
                     return (404, empty());
                 };
-                let expected = body.get("metadata").and_then(|metadata| metadata.get("revision"));
-                if expected.and_then(Json::as_number).is_some_and(|expected| expected != stored.0) {
+                let expected = body
+                    .get("metadata")
+                    .and_then(|metadata| metadata.get("revision"));
+                if expected
+                    .and_then(Json::as_number)
+                    .is_some_and(|expected| expected != stored.0)
+                {
                     return (409, render(name, stored));
                 }
                 let object = if is_status {
