--- a/review/stand-ins-2/deployment.rs
+++ b/review/stand-ins-2/deployment.rs
@@ -194,7 +194,7 @@
         let (memory, descriptors, disk) = if role == "gateway" {
             (260, 4_100, 0)
         } else {
-            (290, 8_200, 440)
+            (130, 8_200, 370)
         };
         text.push_str(&format!(
             "[limits]\nmemory_mb = {memory}\ndescriptors = {descriptors}\ndisk_mb = {disk}\n[platform]\nstore = \"{}\"\n",
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -17,6 +17,7 @@
 mod case_newline;
 mod case_permits;
 mod case_reservation;
+mod case_room;
 
 use std::io;
 use std::process::exit;
@@ -69,6 +70,7 @@
         "moved" => case_moved::play(&record, has_trouble),
         "newline" => case_newline::play(&record, has_trouble),
         "permits" => case_permits::play(&record, has_trouble),
+        "room" => case_room::play(&record, has_trouble),
         "reservation" => case_reservation::play(&record, has_trouble),
         _ => Err(cannot_run("no such case")),
     });
