--- a/review/stand-ins-3/harness.rs
+++ b/review/stand-ins-3/harness.rs
@@ -9,7 +9,7 @@
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -570,6 +570,10 @@
     pub id: String,
     pub address: SocketAddr,
     pub runs: Arc<Mutex<Vec<Run>>>,
+    /// Requests that it runs at the moment.
+    pub running: Arc<AtomicU64>,
+    crashed: Arc<AtomicBool>,
+    open: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 pub type Worker = Arc<dyn Fn(&Message) -> Work + Send + Sync>;
@@ -577,10 +581,23 @@
 impl Engine {
     pub fn start(ip: Ipv4Addr, id: &str, record: &Record, work: Worker) -> io::Result<Engine> {
         let listener = TcpListener::bind((ip, 0))?;
-        let engine = Engine { id: id.to_owned(), address: listener.local_addr()?, runs: Arc::default() };
+        let engine = Engine {
+            id: id.to_owned(),
+            address: listener.local_addr()?,
+            runs: Arc::default(),
+            running: Arc::default(),
+            crashed: Arc::default(),
+            open: Arc::default(),
+        };
         let (serving, record) = (engine.clone(), record.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if serving.crashed.load(Ordering::SeqCst) {
+                    return;
+                }
+                if let Ok(stream) = stream.try_clone() {
+                    lock(&serving.open).push(stream);
+                }
                 let (engine, record, work) = (serving.clone(), record.clone(), work.clone());
                 thread::spawn(move || {
                     let _ = stream.set_nodelay(true);
@@ -601,6 +618,16 @@
         store.put("servers", &self.id, Json::parse(&text).expect("an entry"));
     }
 
+    /// Its process ends at once: nothing listens any more and all connections are closed.
+    pub fn crash(&self) {
+        self.crashed.store(true, Ordering::SeqCst);
+        // Wakes the listener, which then goes.
+        let _ = TcpStream::connect(self.address);
+        for stream in lock(&self.open).drain(..) {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+    }
+
     fn serve(&self, mut stream: TcpStream, record: &Record, work: &Worker) -> io::Result<()> {
         let mut buffer = Vec::new();
         while let Some(request) = read_request(&mut stream, &mut buffer)? {
@@ -622,6 +649,7 @@
             lock(&self.runs).push(run);
             record.line(format!("{} runs {id}: {target}, body of {} bytes", self.id, request.body.len()));
             let seal = format!("HTTP/1.1 200 OK\r\nRidgeworks-Request-Id: {id}\r\nRidgeworks-Server-Seal: seal-{}-{id}\r\n", self.id);
+            self.running.fetch_add(1, Ordering::SeqCst);
             let sent = match work(&request) {
                 Work::Whole { body, after } => {
                     thread::sleep(after);
@@ -630,6 +658,7 @@
                 }
                 Work::Stream { data, first, gap } => send_events(&mut stream, &request, &seal, &data, first, gap),
             };
+            self.running.fetch_sub(1, Ordering::SeqCst);
             match &sent {
                 Ok(()) => record.line(format!("{} has ended {id}", self.id)),
                 Err(error) => record.line(format!("{} was cut off at {id}: {error}", self.id)),
