--- a/review/stand-ins-3/harness.rs
+++ b/review/stand-ins-3/harness.rs
@@ -46,7 +46,10 @@
 
     pub fn get(&self, name: &str) -> Option<&Json> {
         match self {
-            Json::Table(fields) => fields.iter().find(|(key, _)| key == name).map(|(_, value)| value),
+            Json::Table(fields) => fields
+                .iter()
+                .find(|(key, _)| key == name)
+                .map(|(_, value)| value),
             _ => None,
         }
     }
@@ -132,10 +135,13 @@
         b'n' => word(bytes, at, "null", Json::Null),
         _ => {
             let from = *at;
-            while *at < bytes.len() && (bytes[*at].is_ascii_alphanumeric() || b"+-.".contains(&bytes[*at])) {
+            while *at < bytes.len()
+                && (bytes[*at].is_ascii_alphanumeric() || b"+-.".contains(&bytes[*at]))
+            {
                 *at += 1;
             }
-            (*at > from).then(|| Json::Number(String::from_utf8_lossy(&bytes[from..*at]).into_owned()))
+            (*at > from)
+                .then(|| Json::Number(String::from_utf8_lossy(&bytes[from..*at]).into_owned()))
         }
     }
 }
@@ -170,7 +176,8 @@
                     b'u' => {
                         let hex = std::str::from_utf8(bytes.get(*at..*at + 4)?).ok()?;
                         *at += 4;
-                        let code = char::from_u32(u32::from_str_radix(hex, 16).ok()?).unwrap_or('?');
+                        let code =
+                            char::from_u32(u32::from_str_radix(hex, 16).ok()?).unwrap_or('?');
                         out.extend_from_slice(code.to_string().as_bytes());
                     }
                     other => out.push(other),
@@ -241,11 +248,18 @@
 
 impl Record {
     pub fn new() -> Self {
-        Record { began: Instant::now(), lines: Arc::default() }
+        Record {
+            began: Instant::now(),
+            lines: Arc::default(),
+        }
     }
 
     pub fn line(&self, text: impl AsRef<str>) {
-        let line = format!("{:8.3} s  {}", self.began.elapsed().as_secs_f64(), text.as_ref());
+        let line = format!(
+            "{:8.3} s  {}",
+            self.began.elapsed().as_secs_f64(),
+            text.as_ref()
+        );
         println!("{line}");
         lock(&self.lines).push(line);
     }
@@ -295,8 +309,13 @@
             let mut lines = head.split("\r\n");
             let first = lines.next().unwrap_or_default().to_owned();
             let headers = lines.filter_map(|line| line.split_once(':'));
-            let headers = headers.map(|(name, value)| (name.trim().to_owned(), value.trim().to_owned()));
-            return Ok(Some(Message { first, headers: headers.collect(), body: Vec::new() }));
+            let headers =
+                headers.map(|(name, value)| (name.trim().to_owned(), value.trim().to_owned()));
+            return Ok(Some(Message {
+                first,
+                headers: headers.collect(),
+                body: Vec::new(),
+            }));
         }
         if fill(stream, buffer)? == 0 {
             return Ok(None);
@@ -320,7 +339,9 @@
     let Some(mut message) = read_head(stream, buffer)? else {
         return Ok(None);
     };
-    let length = message.header("content-length").and_then(|length| length.parse().ok());
+    let length = message
+        .header("content-length")
+        .and_then(|length| length.parse().ok());
     let length: usize = length.unwrap_or(0);
     while buffer.len() < length {
         if fill(stream, buffer)? == 0 {
@@ -380,7 +401,10 @@
 impl Store {
     pub fn start(ip: Ipv4Addr) -> io::Result<Store> {
         let listener = TcpListener::bind((ip, 0))?;
-        let store = Store { address: listener.local_addr()?, shared: Arc::default() };
+        let store = Store {
+            address: listener.local_addr()?,
+            shared: Arc::default(),
+        };
         let serving = store.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -414,7 +438,13 @@
             revision: state.revision,
             kind: kind.to_owned(),
             gone: true,
-            object: render(name, &Stored { revision: state.revision, ..stored }),
+            object: render(
+                name,
+                &Stored {
+                    revision: state.revision,
+                    ..stored
+                },
+            ),
         };
         state.history.push(change);
         self.shared.1.notify_all();
@@ -425,14 +455,24 @@
         let mut state = lock(&self.shared.0);
         state.revision += 1;
         let revision = state.revision;
-        let new = Stored { revision, made: revision, spec: Json::Null, status: Json::Null };
+        let new = Stored {
+            revision,
+            made: revision,
+            spec: Json::Null,
+            status: Json::Null,
+        };
         let key = (kind.to_owned(), name.to_owned());
         let stored = state.objects.entry(key).or_insert(new);
         change(stored);
         stored.revision = revision;
         let object = render(name, stored);
         let kind = kind.to_owned();
-        state.history.push(Change { revision, kind, gone: false, object: object.clone() });
+        state.history.push(Change {
+            revision,
+            kind,
+            gone: false,
+            object: object.clone(),
+        });
         self.shared.1.notify_all();
         object
     }
@@ -453,19 +493,32 @@
 
     fn answer(&self, request: &Message) -> (u16, Json) {
         let none = || Json::Table(Vec::new());
-        let (path, query) = request.target().split_once('?').unwrap_or((request.target(), ""));
+        let (path, query) = request
+            .target()
+            .split_once('?')
+            .unwrap_or((request.target(), ""));
         let Some(path) = path.strip_prefix("/v1/objects/") else {
             return (404, none());
         };
-        let query: BTreeMap<&str, &str> = query.split('&').filter_map(|pair| pair.split_once('=')).collect();
+        let query: BTreeMap<&str, &str> = query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .collect();
         let mut parts = path.splitn(3, '/');
         let kind = parts.next().unwrap_or_default();
         let (name, is_status) = (parts.next(), parts.next() == Some("status"));
         let body = Json::parse(&String::from_utf8_lossy(&request.body)).unwrap_or(Json::Null);
         let known = name.and_then(|name| self.object(kind, name));
-        let wanted = body.get("metadata").and_then(|metadata| metadata.get("revision")).and_then(Json::number);
+        let wanted = body
+            .get("metadata")
+            .and_then(|metadata| metadata.get("revision"))
+            .and_then(Json::number);
         let wanted = wanted.or_else(|| query.get("revision")?.parse().ok());
-        let revision = |object: &Json| object.get("metadata").and_then(|metadata| metadata.get("revision")?.number());
+        let revision = |object: &Json| {
+            object
+                .get("metadata")
+                .and_then(|metadata| metadata.get("revision")?.number())
+        };
         match (request.method(), name) {
             ("GET", None) => match query.get("watch") {
                 Some(from) => self.watch(kind, from.parse().unwrap_or(0), &query),
@@ -473,7 +526,10 @@
             },
             ("GET", Some(_)) => known.map_or((404, none()), |object| (200, object)),
             ("POST", None) => {
-                let Some(name) = body.get("metadata").and_then(|metadata| metadata.get("name")?.text()) else {
+                let Some(name) = body
+                    .get("metadata")
+                    .and_then(|metadata| metadata.get("name")?.text())
+                else {
                     return (400, none());
                 };
                 if let Some(object) = self.object(kind, name) {
@@ -511,29 +567,62 @@
     fn list(&self, kind: &str, after: Option<&str>) -> (u16, Json) {
         const PAGE: usize = 500;
         let state = lock(&self.shared.0);
-        let of_kind = state.objects.iter().filter(|((of, name), _)| of == kind && after.is_none_or(|after| name.as_str() > after));
-        let all: Vec<Json> = of_kind.map(|((_, name), stored)| render(name, stored)).collect();
+        let of_kind = state.objects.iter().filter(|((of, name), _)| {
+            of == kind && after.is_none_or(|after| name.as_str() > after)
+        });
+        let all: Vec<Json> = of_kind
+            .map(|((_, name), stored)| render(name, stored))
+            .collect();
         let more = all.len() > PAGE;
         let items = all.into_iter().take(PAGE).collect();
         let at = Json::Number(state.revision.to_string());
-        (200, Json::Table(vec![("items".into(), Json::List(items)), ("more".into(), Json::Bool(more)), ("at".into(), at)]))
+        (
+            200,
+            Json::Table(vec![
+                ("items".into(), Json::List(items)),
+                ("more".into(), Json::Bool(more)),
+                ("at".into(), at),
+            ]),
+        )
     }
 
     fn watch(&self, kind: &str, from: u64, query: &BTreeMap<&str, &str>) -> (u16, Json) {
-        let wait = query.get("wait_ms").and_then(|wait| wait.parse().ok()).unwrap_or(0);
+        let wait = query
+            .get("wait_ms")
+            .and_then(|wait| wait.parse().ok())
+            .unwrap_or(0);
         let until = Instant::now() + ms(wait);
         let mut state = lock(&self.shared.0);
         loop {
-            let changes = state.history.iter().filter(|change| change.kind == kind && change.revision > from);
+            let changes = state
+                .history
+                .iter()
+                .filter(|change| change.kind == kind && change.revision > from);
             let events: Vec<Json> = changes
-                .map(|change| Json::Table(vec![("object".into(), change.object.clone()), ("gone".into(), Json::Bool(change.gone))]))
+                .map(|change| {
+                    Json::Table(vec![
+                        ("object".into(), change.object.clone()),
+                        ("gone".into(), Json::Bool(change.gone)),
+                    ])
+                })
                 .collect();
             let left = until.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
                 let at = Json::Number(state.revision.to_string());
-                return (200, Json::Table(vec![("events".into(), Json::List(events)), ("at".into(), at)]));
+                return (
+                    200,
+                    Json::Table(vec![
+                        ("events".into(), Json::List(events)),
+                        ("at".into(), at),
+                    ]),
+                );
             }
-            state = self.shared.1.wait_timeout(state, left).unwrap_or_else(PoisonError::into_inner).0;
+            state = self
+                .shared
+                .1
+                .wait_timeout(state, left)
+                .unwrap_or_else(PoisonError::into_inner)
+                .0;
         }
     }
 }
@@ -544,7 +633,11 @@
 #[derive(Clone, Debug)]
 pub enum Work {
     /// A stream of events with these data, the first one after `first`, the others `gap` apart.
-    Stream { data: Vec<String>, first: Duration, gap: Duration },
+    Stream {
+        data: Vec<String>,
+        first: Duration,
+        gap: Duration,
+    },
     /// A whole body.
     Whole { body: Arc<Vec<u8>>, after: Duration },
 }
@@ -559,7 +652,9 @@
 
 impl Run {
     pub fn id(&self) -> &str {
-        self.request.header("ridgeworks-request-id").unwrap_or_default()
+        self.request
+            .header("ridgeworks-request-id")
+            .unwrap_or_default()
     }
 }
 
@@ -631,32 +726,59 @@
     fn serve(&self, mut stream: TcpStream, record: &Record, work: &Worker) -> io::Result<()> {
         let mut buffer = Vec::new();
         while let Some(request) = read_request(&mut stream, &mut buffer)? {
-            let id = request.header("ridgeworks-request-id").unwrap_or_default().to_owned();
+            let id = request
+                .header("ridgeworks-request-id")
+                .unwrap_or_default()
+                .to_owned();
             let target = request.target().to_owned();
             if target == "/healthz" || target == "/v1/report" {
-                let head = format!("HTTP/1.1 200 OK\r\nRidgeworks-Instance-Id: {}\r\nContent-Length: 2\r\n\r\n{{}}", self.id);
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\nRidgeworks-Instance-Id: {}\r\nContent-Length: 2\r\n\r\n{{}}",
+                    self.id
+                );
                 stream.write_all(head.as_bytes())?;
                 continue;
             }
             let expected = request.header("ridgeworks-expect-instance");
             if expected.is_some_and(|expected| expected != self.id) || id.is_empty() {
-                let status = if id.is_empty() { "400 Bad Request" } else { "421 Misdirected Request" };
-                let head = format!("HTTP/1.1 {status}\r\nRidgeworks-Request-Id: {id}\r\nRidgeworks-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+                let status = if id.is_empty() {
+                    "400 Bad Request"
+                } else {
+                    "421 Misdirected Request"
+                };
+                let head = format!(
+                    "HTTP/1.1 {status}\r\nRidgeworks-Request-Id: {id}\r\nRidgeworks-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+                );
                 stream.write_all(head.as_bytes())?;
                 continue;
             }
-            let run = Run { engine: self.id.clone(), request: request.clone(), at: record.since_start() };
+            let run = Run {
+                engine: self.id.clone(),
+                request: request.clone(),
+                at: record.since_start(),
+            };
             lock(&self.runs).push(run);
-            record.line(format!("{} runs {id}: {target}, body of {} bytes", self.id, request.body.len()));
-            let seal = format!("HTTP/1.1 200 OK\r\nRidgeworks-Request-Id: {id}\r\nRidgeworks-Server-Seal: seal-{}-{id}\r\n", self.id);
+            record.line(format!(
+                "{} runs {id}: {target}, body of {} bytes",
+                self.id,
+                request.body.len()
+            ));
+            let seal = format!(
+                "HTTP/1.1 200 OK\r\nRidgeworks-Request-Id: {id}\r\nRidgeworks-Server-Seal: seal-{}-{id}\r\n",
+                self.id
+            );
             self.running.fetch_add(1, Ordering::SeqCst);
             let sent = match work(&request) {
                 Work::Whole { body, after } => {
                     thread::sleep(after);
                     let head = format!("{seal}Content-Length: {}\r\n\r\n", body.len());
-                    stream.write_all(head.as_bytes()).and_then(|()| stream.write_all(&body))
+                    stream
+                        .write_all(head.as_bytes())
+                        .and_then(|()| stream.write_all(&body))
+                }
+                Work::Stream { data, first, gap } => {
+                    send_events(&mut stream, &request, &seal, &data, first, gap)
                 }
-                Work::Stream { data, first, gap } => send_events(&mut stream, &request, &seal, &data, first, gap),
             };
             self.running.fetch_sub(1, Ordering::SeqCst);
             match &sent {
@@ -677,8 +799,14 @@
     first: Duration,
     gap: Duration,
 ) -> io::Result<()> {
-    let after: usize = request.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
-    stream.write_all(format!("{seal}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n").as_bytes())?;
+    let after: usize = request
+        .header("last-event-id")
+        .and_then(|id| id.parse().ok())
+        .unwrap_or(0);
+    stream.write_all(
+        format!("{seal}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+            .as_bytes(),
+    )?;
     for (index, data) in data.iter().enumerate().skip(after) {
         thread::sleep(if index == after { first } else { gap });
         let event = format!("id: {}\ndata: {data}\n\n", index + 1);
@@ -710,16 +838,34 @@
         let blocks = whole.split("\n\n").filter(|block| !block.is_empty());
         blocks
             .map(|block| {
-                let field = |name: &str| block.lines().find_map(|line| line.strip_prefix(name)).unwrap_or_default().to_owned();
+                let field = |name: &str| {
+                    block
+                        .lines()
+                        .find_map(|line| line.strip_prefix(name))
+                        .unwrap_or_default()
+                        .to_owned()
+                };
                 (field("id: ").parse().unwrap_or(0), field("data: "))
             })
             .collect()
     }
 
     pub fn describe(&self) -> String {
-        let seal = if self.head.header("ridgeworks-server-seal").is_some() { "sealed" } else { "no seal" };
-        let end = if self.whole { "whole".to_owned() } else { format!("NOT whole ({})", self.end) };
-        format!("status {}, {seal}, {} bytes, {end}", self.status, self.body.len())
+        let seal = if self.head.header("ridgeworks-server-seal").is_some() {
+            "sealed"
+        } else {
+            "no seal"
+        };
+        let end = if self.whole {
+            "whole".to_owned()
+        } else {
+            format!("NOT whole ({})", self.end)
+        };
+        format!(
+            "status {}, {seal}, {} bytes, {end}",
+            self.status,
+            self.body.len()
+        )
     }
 }
 
@@ -739,7 +885,10 @@
     pub fn new(method: &str, path: &str, id: &str, deadline: Duration) -> Call {
         let headers = vec![
             ("Ridgeworks-Request-Id".to_owned(), id.to_owned()),
-            ("Ridgeworks-Deadline-Ms".to_owned(), deadline.as_millis().to_string()),
+            (
+                "Ridgeworks-Deadline-Ms".to_owned(),
+                deadline.as_millis().to_string(),
+            ),
         ];
         Call {
             method: method.to_owned(),
@@ -782,7 +931,10 @@
     ) -> io::Result<()> {
         let mut stream = TcpStream::connect_timeout(&to, Duration::from_secs(1))?;
         stream.set_nodelay(true)?;
-        let mut head = format!("{} {} HTTP/1.1\r\nHost: {}\r\n", self.method, self.path, self.host);
+        let mut head = format!(
+            "{} {} HTTP/1.1\r\nHost: {}\r\n",
+            self.method, self.path, self.host
+        );
         for (name, value) in &self.headers {
             let _ = write!(head, "{name}: {value}\r\n");
         }
@@ -795,24 +947,42 @@
         let mut buffer = Vec::new();
         stream.set_read_timeout(Some(left(until)?))?;
         let Some(head) = read_head(&mut stream, &mut buffer)? else {
-            return Err(io::Error::new(io::ErrorKind::UnexpectedEof, "closed without an answer"));
+            return Err(io::Error::new(
+                io::ErrorKind::UnexpectedEof,
+                "closed without an answer",
+            ));
         };
-        answer.status = head.first.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0);
-        let chunked = head.header("transfer-encoding").is_some_and(|value| value.eq_ignore_ascii_case("chunked"));
-        let length: Option<usize> = head.header("content-length").and_then(|length| length.parse().ok());
+        answer.status = head
+            .first
+            .split(' ')
+            .nth(1)
+            .and_then(|status| status.parse().ok())
+            .unwrap_or(0);
+        let chunked = head
+            .header("transfer-encoding")
+            .is_some_and(|value| value.eq_ignore_ascii_case("chunked"));
+        let length: Option<usize> = head
+            .header("content-length")
+            .and_then(|length| length.parse().ok());
         answer.head = head;
         let began = Instant::now();
         let mut taken = 0;
         loop {
             if chunked {
                 loop {
-                    let Some(line) = find(&buffer, b"\r\n") else { break };
-                    let size = usize::from_str_radix(String::from_utf8_lossy(&buffer[..line]).trim(), 16);
-                    let size = size.map_err(|_| io::Error::new(io::ErrorKind::InvalidData, "no chunk"))?;
+                    let Some(line) = find(&buffer, b"\r\n") else {
+                        break;
+                    };
+                    let size =
+                        usize::from_str_radix(String::from_utf8_lossy(&buffer[..line]).trim(), 16);
+                    let size =
+                        size.map_err(|_| io::Error::new(io::ErrorKind::InvalidData, "no chunk"))?;
                     if buffer.len() < line + 2 + size + 2 {
                         break;
                     }
-                    answer.body.extend_from_slice(&buffer[line + 2..line + 2 + size]);
+                    answer
+                        .body
+                        .extend_from_slice(&buffer[line + 2..line + 2 + size]);
                     buffer.drain(..line + 2 + size + 2);
                     answer.whole = size == 0;
                     on_bytes(answer);
@@ -837,7 +1007,10 @@
             let read = fill(&mut stream, &mut buffer)?;
             taken += read;
             if read == 0 {
-                return Err(io::Error::new(io::ErrorKind::UnexpectedEof, "closed in the middle"));
+                return Err(io::Error::new(
+                    io::ErrorKind::UnexpectedEof,
+                    "closed in the middle",
+                ));
             }
         }
     }
@@ -846,7 +1019,10 @@
 fn left(until: Instant) -> io::Result<Duration> {
     let left = until.saturating_duration_since(Instant::now());
     if left.is_zero() {
-        return Err(io::Error::new(io::ErrorKind::TimedOut, "deadline of the client"));
+        return Err(io::Error::new(
+            io::ErrorKind::TimedOut,
+            "deadline of the client",
+        ));
     }
     Ok(left)
 }
@@ -885,7 +1061,11 @@
             let text = text.replacen("bootstrap = true", "bootstrap = false", 1);
             fs::write(&self.settings, text).expect("settings");
         }
-        let log = File::options().append(true).create(true).open(&self.log).expect("a log file");
+        let log = File::options()
+            .append(true)
+            .create(true)
+            .open(&self.log)
+            .expect("a log file");
         let error = log.try_clone().expect("a log file");
         let child = Command::new("target/release/ridgeworksd")
             .arg("resident")
@@ -931,7 +1111,10 @@
 
     pub fn is_ready(&self) -> bool {
         let to = SocketAddr::V4(SocketAddrV4::new(self.ip, READINESS));
-        Call::new("GET", "/v1/ready", "ready", ms(500)).send(to, |_| ()).status == 200
+        Call::new("GET", "/v1/ready", "ready", ms(500))
+            .send(to, |_| ())
+            .status
+            == 200
     }
 
     pub fn log(&self) -> String {
@@ -958,7 +1141,11 @@
     /// A store, and nodes that are not started yet.
     pub fn new(fronts: u8, stores: u8) -> Deployment {
         let (net, claim) = free_net();
-        let folder = std::env::temp_dir().join(format!("ridgeworks-review-{}-{}", std::process::id(), NEXT.fetch_add(1, Ordering::SeqCst)));
+        let folder = std::env::temp_dir().join(format!(
+            "ridgeworks-review-{}-{}",
+            std::process::id(),
+            NEXT.fetch_add(1, Ordering::SeqCst)
+        ));
         fs::create_dir_all(&folder).expect("a temporary folder");
         let ip = |last: u8| Ipv4Addr::new(127, net.0, net.1, last);
         let store = Store::start(ip(250)).expect("a store");
@@ -989,13 +1176,19 @@
 
     /// Fills the template of the settings as the platform does, for a deployment like sbmsu-ridge with fewer zones.
     fn node(&self, is_front: bool, index: u8) -> Node {
-        let (class, last) = if is_front { ("front", 1 + index) } else { ("storage", 101 + index) };
+        let (class, last) = if is_front {
+            ("front", 1 + index)
+        } else {
+            ("storage", 101 + index)
+        };
         let zone = ZONES[usize::from(index) % 3];
         let name = format!("{class}-{zone}-{}", index / 3 + 1);
         let ip = self.ip(last);
         let data = self.folder.join(format!("{name}-data"));
         let role = if is_front { "gateway" } else { "replica" };
-        let seeds: Vec<String> = (1..=3).map(|last| format!("\"{}:8144\"", self.ip(last))).collect();
+        let seeds: Vec<String> = (1..=3)
+            .map(|last| format!("\"{}:8144\"", self.ip(last)))
+            .collect();
         let mut text = format!(
             "role = \"{role}\"\nname = \"{name}\"\nzone = \"{zone}\"\naddress = \"{ip}\"\npeer_port = {PEERS}\n\
              bootstrap = true\nseeds = [{}]\n",
@@ -1006,9 +1199,16 @@
         }
         text.push_str("[zones]\n\"zone-a\" = \"region\"\n\"zone-b\" = \"region\"\n\"zone-c\" = \"region\"\n[listen]\n");
         if is_front {
-            let _ = writeln!(text, "callers = \"{ip}:{FRONT}\"\nreadiness = \"{ip}:{READINESS}\"");
+            let _ = writeln!(
+                text,
+                "callers = \"{ip}:{FRONT}\"\nreadiness = \"{ip}:{READINESS}\""
+            );
         }
-        let (fds, memory, disk) = if is_front { (4100, 260, 0) } else { (8200, 290, 440) };
+        let (fds, memory, disk) = if is_front {
+            (4100, 260, 0)
+        } else {
+            (8200, 290, 440)
+        };
         let _ = write!(
             text,
             "[limits]\nmemory_mb = {memory}\ndescriptors = {fds}\ndisk_mb = {disk}\n[platform]\nstore = \"{}\"\n\
@@ -1060,11 +1260,17 @@
         let Some(spec) = object.get("spec") else {
             return Vec::new();
         };
-        if spec.get("incoming").is_some_and(|incoming| *incoming != Json::Null) {
+        if spec
+            .get("incoming")
+            .is_some_and(|incoming| *incoming != Json::Null)
+        {
             return Vec::new();
         }
         let voters = spec.get("voters").map(Json::list).unwrap_or_default();
-        voters.iter().filter_map(|voter| voter.get("node")?.text().map(str::to_owned)).collect()
+        voters
+            .iter()
+            .filter_map(|voter| voter.get("node")?.text().map(str::to_owned))
+            .collect()
     }
 
     /// Waits until all front nodes are ready and the replica set has so many voters; false after 30 s.
@@ -1081,7 +1287,10 @@
         };
         let _ = fs::create_dir_all(&folder);
         for node in self.fronts.iter().chain(&self.stores) {
-            let _ = fs::copy(&node.log, Path::new(&folder).join(format!("{}.log", node.name)));
+            let _ = fs::copy(
+                &node.log,
+                Path::new(&folder).join(format!("{}.log", node.name)),
+            );
         }
     }
 
@@ -1103,7 +1312,10 @@
 fn free_net() -> ((u8, u8), UdpSocket) {
     let first = std::process::id();
     for step in 0..200 {
-        let net = (180 + ((first / 250) % 60) as u8, 1 + ((first + step) % 250) as u8);
+        let net = (
+            180 + ((first / 250) % 60) as u8,
+            1 + ((first + step) % 250) as u8,
+        );
         let ip = Ipv4Addr::new(127, net.0, net.1, 253);
         if let Ok(claim) = UdpSocket::bind((ip, 27_139)) {
             return (net, claim);
@@ -1115,7 +1327,9 @@
 /// Sends a signal to a process that the test started.
 pub fn signal(pid: u32, name: &str) {
     if pid > 0 {
-        let _ = Command::new("/bin/sh").args(["-c", &format!("kill -{name} {pid}")]).status();
+        let _ = Command::new("/bin/sh")
+            .args(["-c", &format!("kill -{name} {pid}")])
+            .status();
     }
 }
 
@@ -1156,7 +1370,14 @@
 }
 
 /// A route of the configuration.
-pub fn route(name: &str, prefix: &str, kind: &str, service: &str, timeout_ms: u64, more: &str) -> String {
+pub fn route(
+    name: &str,
+    prefix: &str,
+    kind: &str,
+    service: &str,
+    timeout_ms: u64,
+    more: &str,
+) -> String {
     format!(
         "{{\"name\":\"{name}\",\"host\":\"app.example\",\"path_prefix\":\"{prefix}\",\"kind\":\"{kind}\",\
          \"timeout_ms\":{timeout_ms},\"target_latency_ms\":200,\"priority\":1,\"service\":\"{service}\",\
