--- a/review/13/case.rs
+++ b/review/stand-ins-3/alike.rs
@@ -1,7 +1,7 @@
 //! Four of 29 servers of a plain service crash at once while clients call it, each with the same GET. The other 25 are
 //! sound, and the clients' requests are proper.
 
-#[path = "../stand-ins-3/harness.rs"]
+#[path = "harness.rs"]
 mod harness;
 
 use std::collections::BTreeMap;
--- a/review/9/case.rs
+++ b/review/stand-ins-3/gap.rs
@@ -1,7 +1,7 @@
 //! A program comes back within `retention_s` of its last turn, and its next turn takes half a minute. What it was told is
 //! acknowledged whole, and must be there when it goes on.
 
-#[path = "../stand-ins-3/harness.rs"]
+#[path = "harness.rs"]
 mod harness;
 
 use std::sync::Arc;
--- a/review/11/case.rs
+++ b/review/stand-ins-3/stop.rs
@@ -1,7 +1,7 @@
 //! A front machine is stopped in order (SIGTERM) while three clients receive answers of 8 MB through it. The line of each
 //! client brings 10 Mbit/s.
 
-#[path = "../stand-ins-3/harness.rs"]
+#[path = "harness.rs"]
 mod harness;
 
 use std::sync::Arc;
--- a/review/12/case.rs
+++ b/review/stand-ins-3/taken_up.rs
@@ -1,7 +1,7 @@
 //! A stream of kept turns is taken up by its client at another gateway, after its own was killed. What the system keeps
 //! of the turn must be all of its events.
 
-#[path = "../stand-ins-3/harness.rs"]
+#[path = "harness.rs"]
 mod harness;
 
 use std::cell::Cell;
--- a/review/10/case.rs
+++ b/review/stand-ins-3/unsettled.rs
@@ -1,7 +1,7 @@
 //! A front machine is killed while programs run. Programs whose turns had all been answered whole go on at other machines,
 //! when everything has been sound for long; their budgets hold the next turn.
 
-#[path = "../stand-ins-3/harness.rs"]
+#[path = "harness.rs"]
 mod harness;
 
 use std::net::SocketAddr;
