An answer whose head tells its body in two ways is none

The client got it as a complete answer: the sizes of chunks as text, a stream that ended early, a body cut short; or status 101, 600 or 999.

Cause: hyper looks in a head for what it can use and takes the rest as not there: a transfer coding other than chunked is read until the connection closes, beside a coding a length is ignored, bytes behind a body belong to nobody. Nothing of ours looked at the head as a whole. A stream was also sent on with the engine's Content-Length, so that a client took it for whole before the gateway did.

Lines that are no field, names with blanks or control bytes and statuses 000 to 099 were refused before too (502).

Why it works: each response comes through http_client::Connection::send, for engines and for the store, and response_head::check asks for a final status and for one telling of the body. What came behind a body of a told length is looked at: bytes that do not begin a response belong to that body. A body that ends with its connection and is one in chunks has lost the field that says so. Such an attempt fails as invalid_head or garbled, without any promise.

In a_head_without_end_is_cut_off the failure has another name (StoreFailure::Head, unreadable, in place of Broken): the check asks for that cause now, no less.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -12,12 +12,13 @@
     EngineRequestMetadata, EngineResponseHead, engine_headers, read_engine_response_head,
 };
 use ridgeworks_quota::Grant;
-use ridgeworks_resident::http_client::ConnectError;
+use ridgeworks_resident::http_client::{ConnectError, SendFailure};
+use ridgeworks_resident::response_head::{BodyFraming, HeadFault};
 use ridgeworks_routing::{Engine, Exclusion, Outcome};
 use tokio::time::Instant;
 
 use crate::call::Call;
-use crate::connection_pool::{EngineConnection, SendError, UsedConnections};
+use crate::connection_pool::{EngineConnection, UsedConnections};
 use crate::engine_rules::EngineRules;
 use crate::gateway::Gateway;
 use crate::in_flight::InFlightRequest;
@@ -40,6 +41,8 @@
     ConnectionLost,
     /// The response belongs to another request, whose identifier this is, or to none; the engine may have run the request.
     ForeignResponse(Option<String>),
+    /// The head of the response cannot be used; the engine may have run the request.
+    InvalidHead(HeadFault),
     /// The response is malformed or unsigned; the engine may have run the request.
     InvalidResponse,
     /// The response ended early; the engine may have run the request.
@@ -76,6 +79,7 @@
             Self::ConnectFailed(_) | Self::ClosedBeforeSend => Some(Outcome::Unreachable),
             Self::ConnectionLost
             | Self::ForeignResponse(_)
+            | Self::InvalidHead(_)
             | Self::InvalidResponse
             | Self::Truncated
             | Self::ResponseTooLarge
@@ -93,6 +97,7 @@
             Self::ConnectionLost => "lost",
             Self::ForeignResponse(Some(_)) => "other_request",
             Self::ForeignResponse(None) => "no_request",
+            Self::InvalidHead(_) => "invalid_head",
             Self::InvalidResponse => "garbled",
             Self::Truncated => "broken_off",
             Self::ResponseTooLarge => "too_large",
@@ -110,6 +115,7 @@
             Self::ForeignResponse(None) => {
                 formatter.write_str("response without a request identifier")
             }
+            Self::InvalidHead(fault) => fault.fmt(formatter),
             other => formatter.write_str(other.name()),
         }
     }
@@ -132,6 +138,16 @@
 }
 
 impl EngineResponse {
+    /// How the end of the body is found.
+    pub fn framing(&self) -> BodyFraming {
+        self.connection.framing()
+    }
+
+    /// Whether the body, which has been read to its end, is longer than the head told.
+    pub fn has_cut_body(&self) -> bool {
+        self.connection.has_cut_body()
+    }
+
     /// Returns the connection to the pool. The body must have been read to its end.
     pub fn finish(self, gateway: &Gateway) {
         let keep_alive = self.head.keep_alive;
@@ -204,12 +220,16 @@
                 };
                 return check_response(gateway, engine, engine_response, outgoing.call).await;
             }
-            Err(SendError::Lost) => {
+            Err(SendFailure::Lost(_)) => {
                 in_flight.on_sent(outgoing.body.len());
                 return Err(AttemptFailure::ConnectionLost);
             }
-            Err(SendError::Unsent) if is_reused => {}
-            Err(SendError::Unsent) => return Err(AttemptFailure::ClosedBeforeSend),
+            Err(SendFailure::Head(fault)) => {
+                in_flight.on_sent(outgoing.body.len());
+                return Err(AttemptFailure::InvalidHead(fault));
+            }
+            Err(SendFailure::Unsent) if is_reused => {}
+            Err(SendFailure::Unsent) => return Err(AttemptFailure::ClosedBeforeSend),
         }
     }
 }
--- a/crates/gateway/src/buffered_response.rs
+++ b/crates/gateway/src/buffered_response.rs
@@ -4,6 +4,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use ridgeworks_platform::client_headers;
+use ridgeworks_resident::response_head::{BodyFraming, is_in_chunks};
 
 use crate::attempt::{AttemptFailure, EngineResponse};
 use crate::client::WholeBody;
@@ -21,6 +22,11 @@
     mut engine_response: EngineResponse,
 ) -> Result<Response<WholeBody>, AttemptFailure> {
     let body = read_body(gateway, &mut engine_response).await?;
+    let is_in_chunks =
+        || engine_response.framing() == BodyFraming::UntilClose && is_in_chunks(body.bytes());
+    if engine_response.has_cut_body() || is_in_chunks() {
+        return Err(AttemptFailure::InvalidResponse);
+    }
     let mut response = Response::new(body);
     *response.status_mut() = engine_response.status;
     *response.headers_mut() = client_headers(&engine_response.headers);
--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -56,6 +56,11 @@
         usize::try_from(self.bytes).unwrap_or(usize::MAX)
     }
 
+    /// The bytes that have not been taken.
+    pub fn bytes(&self) -> impl Iterator<Item = u8> {
+        self.pieces.iter().flatten().copied()
+    }
+
     /// Keeps memory reserved until the last piece has been taken.
     pub fn keep(&mut self, reservation: MemoryReservation) {
         self.reservation = Some(reservation);
--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -11,7 +11,8 @@
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use ridgeworks_resident::http_client::{ConnectError, Connection, connect};
+use ridgeworks_resident::http_client::{ConnectError, Connection, SendFailure, connect};
+use ridgeworks_resident::response_head::BodyFraming;
 use ridgeworks_routing::{Engine, EngineKey, EngineTable};
 
 /// Timeout of opening a connection. An engine that is neither gone nor full accepts one within the
@@ -48,25 +49,16 @@
     }
 }
 
-/// Why a request was not answered on a connection.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum SendError {
-    /// No byte of the request was sent.
-    Unsent,
-    /// The connection failed; the engine may have run the request.
-    Lost,
-}
-
 /// A connection to an engine.
 pub struct EngineConnection {
     id: ConnectionId,
-    sender: Connection,
+    connection: Connection,
 }
 
 impl EngineConnection {
     /// Whether the connection is known to be closed.
     pub fn is_closed(&self) -> bool {
-        self.sender.is_closed()
+        self.connection.is_closed()
     }
 
     /// Sends a request and waits for the head of its response. Sends nothing if the request was sent on this connection before.
@@ -74,17 +66,22 @@
         &mut self,
         request: Request<Full<Bytes>>,
         used: &UsedConnections,
-    ) -> Result<Response<Incoming>, SendError> {
+    ) -> Result<Response<Incoming>, SendFailure> {
         if used.contains(self.id) {
-            return Err(SendError::Unsent);
+            return Err(SendFailure::Unsent);
         }
         used.add(self.id);
-        let sent = self.sender.try_send_request(request).await;
-        // The HTTP library returns the request if it sent no byte of it.
-        sent.map_err(|mut error| match error.take_message() {
-            Some(_) => SendError::Unsent,
-            None => SendError::Lost,
-        })
+        self.connection.send(request).await
+    }
+
+    /// How the end of the last response's body is found.
+    pub fn framing(&self) -> BodyFraming {
+        self.connection.framing()
+    }
+
+    /// Whether the last response's body, which has been read to its end, is longer than its head told.
+    pub fn has_cut_body(&self) -> bool {
+        self.connection.has_cut_body()
     }
 }
 
@@ -116,7 +113,7 @@
         engine_connections.retain(|idle| idle.is_usable(now));
         let index = engine_connections.iter().rposition(|idle| {
             let connection = &idle.connection;
-            connection.sender.is_ready() && !used.contains(connection.id)
+            connection.connection.is_ready() && !used.contains(connection.id)
         })?;
         Some(engine_connections.remove(index).connection)
     }
@@ -136,11 +133,11 @@
     }
 
     /// Gives a new connection its number.
-    pub fn number(&self, sender: Connection) -> EngineConnection {
+    pub fn number(&self, connection: Connection) -> EngineConnection {
         self.last_id.set(self.last_id.get() + 1);
         EngineConnection {
             id: ConnectionId(self.last_id.get()),
-            sender,
+            connection,
         }
     }
 
--- a/crates/gateway/src/streaming.rs
+++ b/crates/gateway/src/streaming.rs
@@ -6,7 +6,8 @@
 use bytes::Bytes;
 use http::Response;
 use http_body_util::BodyExt;
-use ridgeworks_platform::client_headers;
+use ridgeworks_platform::client_stream_headers;
+use ridgeworks_resident::response_head::{BodyFraming, is_in_chunks};
 use ridgeworks_routing::{Event, EventSplitter};
 use tokio::time::Instant;
 
@@ -43,7 +44,7 @@
             Self::Waiting(client) => {
                 let mut head = Response::new(());
                 *head.status_mut() = engine_response.status;
-                *head.headers_mut() = client_headers(&engine_response.headers);
+                *head.headers_mut() = client_stream_headers(&engine_response.headers);
                 client.start_stream(head)
             }
         }
@@ -129,6 +130,7 @@
     first_event_deadline: Instant,
 ) -> StreamEnd {
     let mut splitter = EventSplitter::default();
+    let is_until_close = engine_response.framing() == BodyFraming::UntilClose;
     let mut incomplete_event = memory.reservation();
     let mut ignores_first_event_deadline = first_event_deadline >= deadline;
     // Timers are created once per stream, because streams have many events.
@@ -156,6 +158,9 @@
             return StreamEnd::Failed(client, failure);
         }
         for event in events {
+            if is_until_close && is_in_chunks(event.raw.iter().copied()) {
+                return StreamEnd::Failed(client, AttemptFailure::InvalidResponse);
+            }
             engine_response.in_flight.on_event();
             match classify_event(&event, forwarded) {
                 EventOrder::Repeated => continue,
@@ -188,6 +193,9 @@
     if !splitter.rest().is_empty() {
         return StreamEnd::Failed(client, AttemptFailure::Truncated);
     }
+    if engine_response.has_cut_body() {
+        return StreamEnd::Failed(client, AttemptFailure::InvalidResponse);
+    }
     match client.streaming(engine_response) {
         Ok(client) => StreamEnd::Complete(ClientSide::Streaming(client)),
         Err(ClientDisconnected) => StreamEnd::ClientDisconnected,
--- a/crates/resident/src/lib.rs
+++ b/crates/resident/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod node;
 pub mod peer;
 pub mod process;
+pub mod response_head;
 pub mod settings;
 pub mod shutdown;
 pub mod store_client;
--- a/crates/resident/src/store_client.rs
+++ b/crates/resident/src/store_client.rs
@@ -14,7 +14,8 @@
 use ridgeworks_platform::{StoreOutcome, StoreRequest, outcome};
 use tokio::time::Instant;
 
-use crate::http_client::{ConnectError, Connection, connect};
+use crate::http_client::{ConnectError, Connection, SendFailure, connect};
+use crate::response_head::HeadFault;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
 /// Maximum number of idle connections that are kept.
@@ -35,13 +36,19 @@
     pub body: Bytes,
 }
 
-/// Why a call has no answer. Unless the connection failed, the store may have executed the call or may still do so.
+/// Why a call has no answer. Unless nothing was sent, the store may have executed the call or may still do so.
 #[derive(Debug)]
 pub enum StoreFailure {
     /// The connection could not be established; nothing was sent.
     Connect(ConnectError),
+    /// The connection was closed before the call was sent.
+    Unsent,
     /// The connection broke before the answer was complete.
     Broken(hyper::Error),
+    /// The head of the answer cannot be used.
+    Head(HeadFault),
+    /// The answer's body is longer than its head tells.
+    CutBody,
     /// The answer did not come in time.
     TimedOut,
     /// The answer has more bytes than an answer of the store may have.
@@ -53,7 +60,10 @@
     pub fn name(&self) -> &'static str {
         match self {
             Self::Connect(error) => error.name(),
+            Self::Unsent => "unsent",
             Self::Broken(_) => "broken",
+            Self::Head(_) => "invalid_head",
+            Self::CutBody => "cut_body",
             Self::TimedOut => "no_answer",
             Self::TooLarge => "too_large",
         }
@@ -64,7 +74,10 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Connect(error) => error.fmt(formatter),
+            Self::Unsent => write!(formatter, "the connection was closed before the call"),
             Self::Broken(error) => write!(formatter, "the connection broke: {error}"),
+            Self::Head(fault) => write!(formatter, "invalid head: {fault}"),
+            Self::CutBody => write!(formatter, "the body is longer than the head tells"),
             Self::TimedOut => write!(formatter, "no answer in time"),
             Self::TooLarge => write!(formatter, "the answer has over {MAX_ANSWER_BYTES} bytes"),
         }
@@ -73,6 +86,16 @@
 
 impl std::error::Error for StoreFailure {}
 
+impl From<SendFailure> for StoreFailure {
+    fn from(failure: SendFailure) -> Self {
+        match failure {
+            SendFailure::Unsent => Self::Unsent,
+            SendFailure::Lost(error) => Self::Broken(error),
+            SendFailure::Head(fault) => Self::Head(fault),
+        }
+    }
+}
+
 /// Reads a whole answer. Its connection is closed if it is too large.
 async fn read_body(mut body: Incoming) -> Result<Bytes, StoreFailure> {
     let mut collected = BytesMut::new();
@@ -168,10 +191,12 @@
         let mut connection = self.connection().await?;
         self.calls.set(self.calls.get() + 1);
         let request = self.request(call);
-        let response = connection.send_request(request).await;
-        let response = response.map_err(StoreFailure::Broken)?;
+        let response = connection.send(request).await?;
         let status = response.status();
         let body = read_body(response.into_body()).await?;
+        if connection.has_cut_body() {
+            return Err(StoreFailure::CutBody);
+        }
         self.keep(connection);
         Ok(StoreAnswer {
             outcome: outcome(status),
--- a/crates/resident/tests/store_client.rs
+++ b/crates/resident/tests/store_client.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use ridgeworks_platform::{ObjectKind, list};
-use ridgeworks_resident::store_client::{StoreClient, StoreFailure};
+use ridgeworks_resident::response_head::HeadFault;
+use ridgeworks_resident::store_client::{StoreAnswer, StoreClient, StoreFailure};
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
 
@@ -54,6 +55,58 @@
 #[test]
 fn a_head_without_end_is_cut_off() {
     let (failure, sent) = call_of("HTTP/1.1 200 OK\r\nx-fill: ", &"x".repeat(0x10000));
-    assert!(matches!(failure, StoreFailure::Broken(_)), "{failure}");
+    let is_unreadable = matches!(failure, StoreFailure::Head(HeadFault::Unreadable(_)));
+    assert!(is_unreadable, "{failure}");
     assert!(sent < 32 * 1024 * 1024, "{sent}");
 }
+
+/// Sends these bytes as the answer to one call and closes the connection.
+fn answered(head: &str, body: &str) -> Result<StoreAnswer, StoreFailure> {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let answer = format!("HTTP/1.1 {head}\r\n\r\n{body}");
+    let serving = std::thread::spawn(move || {
+        let (mut connection, _) = listener.accept().expect("a connection");
+        let mut request = [0; 1024];
+        let read = connection.read(&mut request).expect("a request");
+        assert!(read > 0);
+        connection.write_all(answer.as_bytes()).expect("an answer");
+    });
+    let runtime = Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.expect("a runtime");
+    let calling = async {
+        let store = StoreClient::new(address);
+        store.call(list(ObjectKind::Engines, None), TIMEOUT).await
+    };
+    let answer = LocalSet::new().block_on(&runtime, calling);
+    serving.join().expect("a server");
+    answer
+}
+
+#[test]
+fn an_answer_whose_head_tells_its_length_wrongly_is_none() {
+    const CHUNKS: &str = "2\r\n{}\r\n0\r\n\r\n";
+    let heads = [
+        ("200 OK\r\ntransfer-encoding: chunkedd", CHUNKS),
+        (
+            "200 OK\r\ntransfer-encoding: chunked\r\ncontent-length: 2",
+            CHUNKS,
+        ),
+        ("200 OK\r\ncontent-length: 2\r\ncontent-length: 2", "{}"),
+        ("600 OK\r\ncontent-length: 2", "{}"),
+        ("000 OK\r\ncontent-length: 2", "{}"),
+        ("200 OK\r\nno field\r\ncontent-length: 2", "{}"),
+        ("200 OK\r\na name: x\r\ncontent-length: 2", "{}"),
+    ];
+    for (head, body) in heads {
+        let failure = answered(head, body).expect_err(head);
+        assert!(
+            matches!(failure, StoreFailure::Head(_)),
+            "{head}: {failure}"
+        );
+    }
+    let cut = answered("200 OK\r\ncontent-length: 2", "{}{}").expect_err("a cut body");
+    assert!(matches!(cut, StoreFailure::CutBody), "{cut}");
+    let whole = answered("200 OK\r\ncontent-length: 2", "{}").expect("an answer");
+    assert_eq!(whole.body, "{}");
+}
