Back ends on our own interface: a spoilt head leaves the attempt in doubt

answers_whose_length_is_spoilt_leave_the_attempt_in_doubt failed on its first head before (Answered). Attempts ask response_head::check before they believe the status; a fault is logged with the run, the call and the attempt.

--- a/crates/node/src/outbound/chat.rs
+++ b/crates/node/src/outbound/chat.rs
@@ -10,7 +10,7 @@
 use ureq::Agent;
 
 use super::attempt::{AttemptId, AttemptResult, Dispatched};
-use super::tool::{attempt_headers, never_started};
+use super::tool::{attempt_headers, body_framing, never_started};
 
 const DATA_PREFIX: &str = "data:";
 const LAST_DATA: &str = "[DONE]";
@@ -65,14 +65,19 @@
         .timeout_global(Some(timeout))
         .build();
     let response = match request.send(body) {
-        Ok(response) if response.status().is_success() => response,
-        Ok(response) => return never_started(response.status().as_u16()),
+        Ok(response) => response,
         Err(ureq::Error::ConnectionFailed) => return AttemptResult::NeverStarted,
         Err(ureq::Error::Io(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
             return AttemptResult::NeverStarted;
         }
         Err(_) => return AttemptResult::InDoubt,
     };
+    if body_framing(id, &response).is_none() {
+        return AttemptResult::InDoubt;
+    }
+    if !response.status().is_success() {
+        return never_started(response.status().as_u16());
+    }
     let reader = BufReader::new(response.into_body().into_reader());
     read_events(reader, report)
 }
--- a/crates/node/src/outbound/tool.rs
+++ b/crates/node/src/outbound/tool.rs
@@ -3,8 +3,10 @@
 use std::time::Duration;
 
 use ridgeworks_domain::Cost;
+use ridgeworks_resident::response_head::{self, BodyFraming, HeadFault, is_in_chunks};
 use ridgeworks_scheduling::TokenUsage;
-use ureq::{Agent, RequestBuilder};
+use ureq::http::Response;
+use ureq::{Agent, Body, RequestBuilder};
 
 use super::attempt::{AttemptId, AttemptResult, Dispatched};
 
@@ -27,15 +29,25 @@
         .timeout_global(Some(timeout))
         .build();
     let mut response = match request.send(arguments) {
-        Ok(response) if response.status().is_success() => response,
-        Ok(response) => return never_started(response.status().as_u16()),
+        Ok(response) => response,
         Err(ureq::Error::ConnectionFailed) => return AttemptResult::NeverStarted,
         Err(ureq::Error::Io(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
             return AttemptResult::NeverStarted;
         }
         Err(_) => return AttemptResult::InDoubt,
     };
+    let Some(framing) = body_framing(id, &response) else {
+        return AttemptResult::InDoubt;
+    };
+    if !response.status().is_success() {
+        return never_started(response.status().as_u16());
+    }
     match response.body_mut().read_to_vec() {
+        Ok(answer)
+            if framing == BodyFraming::UntilClose && is_in_chunks(answer.iter().copied()) =>
+        {
+            AttemptResult::InDoubt
+        }
         Ok(answer) => AttemptResult::Answered {
             answer,
             spent: price,
@@ -45,6 +57,20 @@
     }
 }
 
+/// Framing of an answer's body; `None`, with a line in the log, if the head tells it wrongly. Nothing else of such a head is believed.
+pub fn body_framing(id: &AttemptId, response: &Response<Body>) -> Option<BodyFraming> {
+    let checked = response_head::check(response.status(), response.headers());
+    let log_fault = |fault: &HeadFault| {
+        log::warn!(
+            "run={} call={} attempt={} answer_unusable={fault}",
+            id.run,
+            id.key,
+            id.attempt
+        );
+    };
+    checked.inspect_err(log_fault).ok()
+}
+
 /// Adds the headers that name an attempt.
 pub fn attempt_headers<B>(request: RequestBuilder<B>, id: &AttemptId) -> RequestBuilder<B> {
     request
