A stop refuses what comes too late, answers what is open at its end, and waits for its clients

Cause: the stop waited for requests to end and then ended the process. Nothing on a request's way knew when that would be, and a request counted as ended when its answer had been handed to its connection.

Why it works: from the moment at which the platform has noticed the stop, a request is taken only if its own deadline or its route's time-out lies before the end; any other is 503 at once and has not run. What is open at the end is given up as at its deadline: 503 if no engine had it, 504 if one had. The process waits for each connection that brought a request until it has closed, which is after its last byte.

--- a/crates/cli/src/commands/explain.rs
+++ b/crates/cli/src/commands/explain.rs
@@ -233,6 +233,8 @@
         }
         (_, "timed_out") => "Time was up while an engine had it.",
         (_, "timed_out_unsent") => "Time was up before any engine had it.",
+        (_, "stopping") => "Its gateway was stopping, and no engine had it.",
+        (_, "stopped") => "Its gateway stopped while an engine had it.",
         (_, "no_route") => {
             "The configuration in force has no route for it. See version and version_age_ms."
         }
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -121,6 +121,10 @@
     let no_engine = Refusal::retry_later(RefusalReason::NoEngine, RETRY_AFTER);
     let service = gateway.next_service(route).ok_or(no_engine)?;
     let wait = metadata.deadline.unwrap_or(route.timeout());
+    let deadline = received + wait.min(route.timeout());
+    if gateway.stop.refuses(deadline) {
+        return Err(Refusal::retry_later(RefusalReason::Stopping, RETRY_AFTER));
+    }
     let path = parts.uri.path_and_query();
     let path = path.map_or("/", |path| path.as_str());
     let digest = request_digest(&parts.method, &host, path, &body, &metadata);
@@ -138,7 +142,7 @@
         service,
         version: routes.version(),
         received,
-        deadline: received + wait.min(route.timeout()),
+        deadline,
         _body_reservation: body_reservation,
         _open_request: open_request,
     })
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -33,7 +33,7 @@
 use crate::engine_rules::current_residency;
 use crate::gateway::Gateway;
 use crate::in_flight::InFlightRequest;
-use crate::refusal::refusal_response;
+use crate::refusal::{RETRY_AFTER, refusal_response};
 use crate::streaming::{ClientSide, ForwardedEvents, StreamEnd, forward_events};
 
 /// Mean delay before engines that were full or unreachable are tried again.
@@ -110,9 +110,11 @@
 
 impl Exchange {
     async fn execute(&mut self, mut client: WaitingClient) -> Ending {
+        let gateway = Rc::clone(&self.gateway);
         let prepared = tokio::select! {
             prepared = self.prepare() => prepared,
             () = client.disconnected() => return Ending::ClientDisconnected,
+            () = gateway.stop.given_up() => Err(self.out_of_time()),
         };
         if let Err(refusal) = prepared {
             self.settle_before_answer().await;
@@ -140,6 +142,10 @@
                 }
                 tokio::select! {
                     () = client.disconnected() => return Ending::ClientDisconnected,
+                    () = self.gateway.stop.given_up() => {
+                        let refusal = self.out_of_time();
+                        return self.give_up(client, refusal).await;
+                    }
                     () = tokio::time::sleep(capacity_retry_delay()) => self.history.reset(),
                 }
                 continue;
@@ -233,7 +239,7 @@
                 engine_response.map_err(SendFailure::Failed)
             }
             () = client.disconnected() => Err(SendFailure::ClientDisconnected),
-            () = tokio::time::sleep_until(self.call.deadline) => Err(SendFailure::DeadlineExceeded),
+            () = self.gateway.stop.until(self.call.deadline) => Err(SendFailure::DeadlineExceeded),
             () = tokio::time::sleep_until(first_event_deadline), if first_event_deadline < self.call.deadline => {
                 Err(SendFailure::Failed(AttemptFailure::ResponseTimeout))
             }
@@ -250,8 +256,9 @@
         let first_event_deadline = self.first_event_deadline();
         let deadline = self.call.deadline;
         self.forwarded.max_events = self.max_events();
+        let gateway = Rc::clone(&self.gateway);
         let end = forward_events(
-            &self.gateway.response_memory,
+            &gateway,
             &mut engine_response,
             client,
             &mut self.forwarded,
@@ -339,7 +346,7 @@
                 self.on_client_left(engine, reading_since);
                 return Ok(Ending::ClientDisconnected);
             }
-            () = tokio::time::sleep_until(self.call.deadline) => {
+            () = self.gateway.stop.until(self.call.deadline) => {
                 self.record_possible_run(engine);
                 self.find_end_of_silent(engine, reading_since);
                 return Ok(self.deadline_exceeded(client).await);
@@ -378,20 +385,27 @@
     }
 
     async fn deadline_exceeded(&self, client: ClientSide) -> Ending {
-        let reason = if self.history.may_have_run_on.is_empty() {
-            RefusalReason::TimedOutUnsent
-        } else {
-            RefusalReason::TimedOut
-        };
+        let refusal = self.out_of_time();
         match client {
-            ClientSide::Waiting(client) => self.refuse(client, Refusal::without_retry(reason)),
+            ClientSide::Waiting(client) => self.refuse(client, refusal),
             ClientSide::Streaming(client) => {
                 client.abort().await;
-                Ending::Aborted(reason.name())
+                Ending::Aborted(refusal.reason.name())
             }
         }
     }
 
+    /// The refusal of a request whose deadline has passed, or which is given up since the gateway stops.
+    fn out_of_time(&self) -> Refusal {
+        let is_unsent = self.history.may_have_run_on.is_empty();
+        match (self.gateway.stop.has_given_up(), is_unsent) {
+            (true, true) => Refusal::retry_later(RefusalReason::Stopping, RETRY_AFTER),
+            (true, false) => Refusal::without_retry(RefusalReason::Stopped),
+            (false, true) => Refusal::without_retry(RefusalReason::TimedOutUnsent),
+            (false, false) => Refusal::without_retry(RefusalReason::TimedOut),
+        }
+    }
+
     fn refuse(&self, client: WaitingClient, refusal: Refusal) -> Ending {
         self.gateway.metrics.on_refused(refusal.reason);
         client.answer(refusal_response(&refusal));
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -29,6 +29,7 @@
 use crate::records_client::RecordsClient;
 use crate::refusal::RETRY_AFTER;
 use crate::seen_ends::SeenEnds;
+use crate::stop::Stop;
 use crate::turn_cache::TurnCache;
 use crate::warm_ups::WarmUpAdmission;
 use crate::witness_roster::WitnessRoster;
@@ -98,8 +99,11 @@
     pub request_memory: Rc<MemoryBudget>,
     /// Memory for what is held of engines' answers.
     pub response_memory: Rc<MemoryBudget>,
+    /// Whether and when the gateway stops.
+    pub stop: Stop,
     open: Cell<usize>,
-    draining: Cell<bool>,
+    /// Client connections that brought a request and are open.
+    used_connections: Cell<usize>,
 }
 
 /// Counts a request as open until it is dropped.
@@ -112,6 +116,16 @@
     }
 }
 
+/// Counts a client connection that brought a request until it is dropped.
+pub struct UsedConnectionGuard(Rc<Gateway>);
+
+impl Drop for UsedConnectionGuard {
+    fn drop(&mut self) {
+        let used = &self.0.used_connections;
+        used.set(used.get().saturating_sub(1));
+    }
+}
+
 impl Gateway {
     /// Creates a gateway on this node. It serves nothing before [`crate::listen`] is called.
     pub fn new(node: Rc<Node>, metrics: GatewayMetrics) -> Rc<Self> {
@@ -150,8 +164,9 @@
             logged_residency_version: Cell::new(0),
             request_memory: MemoryBudget::new((memory / REQUEST_MEMORY_DIVISOR) as usize),
             response_memory: MemoryBudget::new((memory / RESPONSE_MEMORY_DIVISOR) as usize),
+            stop: Stop::default(),
             open: Cell::new(0),
-            draining: Cell::new(false),
+            used_connections: Cell::new(0),
         })
     }
 
@@ -179,22 +194,29 @@
 
     /// Whether the platform may send new clients here; the readiness endpoint reports it.
     pub fn is_ready(&self) -> bool {
-        !self.draining.get()
+        !self.stop.has_begun()
             && self.has_routing_state()
             && !self.records.has_lost_most_majorities()
             && !self.keys.blocks_requests()
     }
 
-    /// Makes the gateway unready for good. Requests are still served.
-    pub fn drain(&self) {
-        self.draining.set(true);
-    }
-
     /// Number of open requests.
     pub fn open_requests(&self) -> usize {
         self.open.get()
     }
 
+    /// Number of open client connections that brought a request. Once the stop has begun, each of them ends when its client has been
+    /// sent the answer.
+    pub fn used_connections(&self) -> usize {
+        self.used_connections.get()
+    }
+
+    /// Counts a client connection that brought a request until the guard is dropped.
+    pub fn track_connection(self: &Rc<Self>) -> UsedConnectionGuard {
+        self.used_connections.set(self.used_connections.get() + 1);
+        UsedConnectionGuard(Rc::clone(self))
+    }
+
     /// Counts a request as open until the guard is dropped.
     pub fn track_request(self: &Rc<Self>) -> OpenRequestGuard {
         self.open.set(self.open.get() + 1);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod request_digest;
 mod role;
 mod seen_ends;
+mod stop;
 mod stored_ends;
 mod streaming;
 mod turn_cache;
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -1,5 +1,6 @@
 //! Accepts connections of clients.
 
+use std::cell::OnceCell;
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
@@ -94,8 +95,10 @@
     let buffer = head.max(MIN_HEAD_BYTES);
     let keeps_alive = *phase.borrow() == StopPhase::Serving;
     let own = Rc::clone(&gateway);
+    let used = OnceCell::new();
     let service = service_fn(move |request: Request<Incoming>| {
         let gateway = Rc::clone(&own);
+        used.get_or_init(|| gateway.track_connection());
         async move { Ok::<_, Infallible>(entry::answer(gateway, request).await) }
     });
     let connection = http1::Builder::new()
--- a/crates/gateway/src/role.rs
+++ b/crates/gateway/src/role.rs
@@ -24,12 +24,15 @@
 use crate::gateway::Gateway;
 use crate::listener::{self, StopPhase};
 use crate::metrics::GatewayMetrics;
+use crate::stop::StopTimes;
 
 /// How long the platform may keep sending new clients after the gateway has become unready.
 const READINESS_NOTICE_TIME: Duration = Duration::from_millis(2_600);
 /// Stopping ends this long before the platform kills the process.
 const STOP_MARGIN: Duration = Duration::from_millis(700);
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Time, after the stop has given up what is open, to send the answers that say so.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(300);
 /// Time for the last bytes of a response to reach the client.
 const FLUSH_TIME: Duration = Duration::from_millis(60);
 
@@ -92,28 +95,49 @@
     let deadline = began + grace.saturating_sub(STOP_MARGIN);
     let open = gateway.open_requests();
     log::info!(target: "process", open_requests = open; "stopping");
-    gateway.drain();
+    let closes_at = deadline.min(began + READINESS_NOTICE_TIME);
+    gateway.stop.begin(StopTimes {
+        refuses_from: closes_at,
+        gives_up_at: deadline,
+    });
     stopping.send_replace(StopPhase::Draining);
-    tokio::time::sleep_until(deadline.min(began + READINESS_NOTICE_TIME)).await;
+    tokio::time::sleep_until(closes_at).await;
     stopping.send_replace(StopPhase::Closed);
     finish(gateway, deadline).await;
-    let open = gateway.open_requests();
-    log::info!(target: "process", open_requests = open; "stopped");
+    wait_until_answered(gateway, deadline + LAST_ANSWERS_TIME).await;
+    log::info!(
+        target: "process",
+        open_requests = gateway.open_requests(),
+        unanswered_connections = gateway.used_connections();
+        "stopped"
+    );
 }
 
-/// Waits until all requests are answered and settled. Open connections may still bring requests, so
-/// the gateway has to be idle for a moment before it stops.
+/// Waits until all requests are answered and settled, and their clients have been sent the answers. Open connections may still bring
+/// requests, so the gateway has to be idle for a moment before it stops.
 async fn finish(gateway: &Rc<Gateway>, deadline: Instant) {
     while Instant::now() < deadline {
-        if gateway.open_requests() > 0 {
+        if !is_answered(gateway) {
             tokio::time::sleep(STOP_POLL_INTERVAL).await;
             continue;
         }
         let before = gateway.metrics.requests.get();
         gateway.records.finish_settlements(deadline).await;
         tokio::time::sleep(FLUSH_TIME).await;
-        if gateway.open_requests() == 0 && gateway.metrics.requests.get() == before {
+        if is_answered(gateway) && gateway.metrics.requests.get() == before {
             return;
         }
     }
 }
+
+/// Whether no request is open and no client is still being sent an answer.
+fn is_answered(gateway: &Gateway) -> bool {
+    gateway.open_requests() == 0 && gateway.used_connections() == 0
+}
+
+/// Waits until those that are given up at the end have their answers.
+async fn wait_until_answered(gateway: &Gateway, limit: Instant) {
+    while !is_answered(gateway) && Instant::now() < limit {
+        tokio::time::sleep(STOP_POLL_INTERVAL).await;
+    }
+}
--- a/crates/gateway/src/streaming.rs
+++ b/crates/gateway/src/streaming.rs
@@ -1,7 +1,6 @@
 //! Forwards an engine's events to the client as they arrive.
 
 use std::pin::pin;
-use std::rc::Rc;
 
 use bytes::Bytes;
 use http::Response;
@@ -14,7 +13,8 @@
 use crate::attempt::{AttemptFailure, EngineResponse};
 use crate::buffered_response::UNRESERVED_BYTES;
 use crate::client::{ClientDisconnected, StreamingClient, WaitingClient};
-use crate::memory_budget::{MemoryBudget, MemoryReservation};
+use crate::gateway::Gateway;
+use crate::memory_budget::MemoryReservation;
 
 /// The client, before or after the head of its response was sent.
 #[derive(Debug)]
@@ -122,7 +122,7 @@
 /// Forwards events until the stream ends. `first_event_deadline` bounds the wait for the first
 /// event of this attempt; it equals `deadline` if no other engine may be tried.
 pub async fn forward_events(
-    memory: &Rc<MemoryBudget>,
+    gateway: &Gateway,
     engine_response: &mut EngineResponse,
     mut client: ClientSide,
     forwarded: &mut ForwardedEvents,
@@ -131,10 +131,10 @@
 ) -> StreamEnd {
     let mut splitter = EventSplitter::default();
     let is_until_close = engine_response.framing() == BodyFraming::UntilClose;
-    let mut incomplete_event = memory.reservation();
+    let mut incomplete_event = gateway.response_memory.reservation();
     let mut ignores_first_event_deadline = first_event_deadline >= deadline;
     // Timers are created once per stream, because streams have many events.
-    let mut deadline_timer = pin!(tokio::time::sleep_until(deadline));
+    let mut deadline_timer = pin!(gateway.stop.until(deadline));
     let mut first_event_timer = pin!(tokio::time::sleep_until(first_event_deadline));
     loop {
         let frame = tokio::select! {
--- a/crates/routing/src/refusal.rs
+++ b/crates/routing/src/refusal.rs
@@ -55,6 +55,10 @@
     TimedOut,
     /// The deadline passed before the request was sent to an engine.
     TimedOutUnsent,
+    /// The gateway stops, and the request was sent to no engine.
+    Stopping,
+    /// The gateway stopped while an engine had the request, which may have run.
+    Stopped,
 }
 
 impl RefusalReason {
@@ -62,7 +66,7 @@
     pub fn is_not_run(self) -> bool {
         match self {
             Self::Denied(denial) => denial.is_not_run(),
-            Self::EngineFailed | Self::TimedOut => false,
+            Self::EngineFailed | Self::TimedOut | Self::Stopped => false,
             _ => true,
         }
     }
@@ -77,6 +81,7 @@
                 | Self::RateUnknown
                 | Self::LedgerUnavailable
                 | Self::TurnsUnavailable
+                | Self::Stopping
         )
     }
 
@@ -106,6 +111,8 @@
             Self::TriesUnsettled => "tries_unsettled",
             Self::TimedOut => "timed_out",
             Self::TimedOutUnsent => "timed_out_unsent",
+            Self::Stopping => "stopping",
+            Self::Stopped => "stopped",
         }
     }
 }
