Bytes without end in all other places of an answer are bounded too

Report of other operators (LOST): a faulty engine sent bytes that were no answer, without end, and the machine ran out of memory. Heads, bodies, events and streams are bounded since. Six more places, played by 40 calls beside other requests: garbage in the place of an answer, interim heads, the extension of a chunk's size, trailers, comments of a stream, bytes behind a whole answer.

--- a/crates/node/tests/resident_endless_bytes.rs
+++ b/crates/node/tests/resident_endless_bytes.rs
@@ -106,6 +106,50 @@
     assert_failed(&send_beside_turns("models", AnswerPart::Event, turn));
 }
 
+#[test]
+fn garbage_without_end_takes_bounded_memory_and_is_closed() {
+    assert_failed(&send_beside_turns("tools", AnswerPart::Garbage, tool_call));
+}
+
+#[test]
+fn interim_heads_without_end_take_bounded_memory_and_are_closed() {
+    assert_failed(&send_beside_turns(
+        "tools",
+        AnswerPart::InterimHeads,
+        tool_call,
+    ));
+}
+
+#[test]
+fn chunk_extensions_without_end_take_bounded_memory_and_are_closed() {
+    assert_failed(&send_beside_turns(
+        "tools",
+        AnswerPart::ChunkExtension,
+        tool_call,
+    ));
+}
+
+#[test]
+fn trailers_without_end_take_bounded_memory_and_are_closed() {
+    assert_failed(&send_beside_turns("tools", AnswerPart::Trailers, tool_call));
+}
+
+#[test]
+fn bytes_without_end_behind_a_body_take_bounded_memory_and_are_closed() {
+    assert_failed(&send_beside_turns(
+        "tools",
+        AnswerPart::BehindBody,
+        tool_call,
+    ));
+}
+
+#[test]
+fn comments_without_end_take_bounded_memory_and_are_closed() {
+    for reply in send_beside_turns("models", AnswerPart::Comments, turn) {
+        assert!(reply.status != 200 || !reply.is_whole, "{reply:?}");
+    }
+}
+
 /// What was generated beyond the reservation is not passed on, and the stream has no proper end.
 #[test]
 fn streams_without_end_are_broken_off_when_the_reservation_is_spent() {
