Streams resumed at a gateway out of step are not joined: shown by five tests

Not shown here: a gateway is stopped while v2 joins and v1 leaves, goes on with nothing, the store, store and gateways, store and replicas, or all of them cut off, and streams that began on v2 are resumed there at once.

--- a/crates/node/tests/resident_streams.rs
+++ b/crates/node/tests/resident_streams.rs
@@ -7,7 +7,7 @@
 
 use ridgeworks_platform_stand_ins::client::{Call, Reply, call_post};
 use ridgeworks_platform_stand_ins::deployment::{Deployment, Process, wait_until};
-use ridgeworks_platform_stand_ins::{Answer, EngineStandIn, Script};
+use ridgeworks_platform_stand_ins::{Answer, EngineStandIn, LinkFault, Script};
 use rustix::process::Signal;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_ridgeworksd");
@@ -392,3 +392,92 @@
     assert_eq!(resumed.len(), begun.len());
     assert_none_is_joined(&resumed);
 }
+
+/// What a gateway that stood still cannot reach when it goes on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CutOff {
+    Nothing,
+    Store,
+    StoreAndGateways,
+    StoreAndReplicas,
+    All,
+}
+
+/// Streams begin through the first gateway at engines of `v2`, which have joined in the place of those of `v1` while the second
+/// gateway stood still. They are resumed at that one, as soon as it goes on, while it is cut off. Returns how many went on.
+fn resume_at_a_gateway_out_of_step(cut_off: CutOff) -> usize {
+    let mut deployment = Deployment::started(PROGRAM, 1, 3);
+    let store_link = deployment.new_store_link();
+    deployment.add_gateway_via(&store_link).start();
+    deployment.wait_until_ready();
+    let v1 = start_engines(&deployment, V1, ["i-1", "i-2"]);
+    wait_until_known(&deployment.gateways, 2);
+    let [first, second] = &deployment.gateways[..] else {
+        panic!("two gateways");
+    };
+    second.signal(Signal::STOP);
+    let _v2 = start_engines(&deployment, V2, ["i-3", "i-4"]);
+    for engine in &v1 {
+        deployment.store.remove("servers", &engine.instance());
+    }
+    wait_until_known(&deployment.gateways[..1], 2);
+    wait_until("the first gateway sends to v2 only", || {
+        let reply = attempt_without_program("probe", 1).send(first.callers());
+        reply.is_some_and(|reply| reply.software_versions().contains(V2))
+    });
+    let of_programs = begin_all(first.callers());
+    let without = begin_without_program(&deployment.gateways[..1]);
+    if cut_off != CutOff::Nothing {
+        store_link.set_fault(LinkFault::Silent);
+    }
+    if matches!(cut_off, CutOff::StoreAndGateways | CutOff::All) {
+        first.signal(Signal::STOP);
+    }
+    if matches!(cut_off, CutOff::StoreAndReplicas | CutOff::All) {
+        for replica in &deployment.replicas {
+            replica.signal(Signal::STOP);
+        }
+    }
+    second.signal(Signal::CONT);
+    let resumed = of_programs.iter().map(|(stream, events)| {
+        let rest = resuming_attempt(stream, events).send(second.callers());
+        (events, rest.unwrap_or_default())
+    });
+    let resumed: Vec<(&Reply, Reply)> = resumed.collect();
+    for (events, rest) in &resumed {
+        assert!(versions(events, rest).len() == 1, "{cut_off:?}: {rest:?}");
+    }
+    let patient = resume_patiently(&without, &deployment.gateways[1..]);
+    assert_none_is_joined(&patient);
+    for process in deployment.replicas.iter().chain([first]) {
+        process.signal(Signal::CONT);
+    }
+    let served = resumed.iter().filter(|(_, rest)| rest.status == 200);
+    served.count() + patient.len()
+}
+
+#[test]
+fn streams_resumed_at_a_gateway_that_stood_still_are_not_joined() {
+    let went_on = resume_at_a_gateway_out_of_step(CutOff::Nothing);
+    assert!(went_on > 0);
+}
+
+#[test]
+fn streams_resumed_at_a_gateway_that_stood_still_and_lost_the_store_are_not_joined() {
+    resume_at_a_gateway_out_of_step(CutOff::Store);
+}
+
+#[test]
+fn streams_resumed_at_a_gateway_that_hears_neither_store_nor_gateways_are_not_joined() {
+    resume_at_a_gateway_out_of_step(CutOff::StoreAndGateways);
+}
+
+#[test]
+fn streams_resumed_at_a_gateway_that_hears_neither_store_nor_replicas_are_not_joined() {
+    resume_at_a_gateway_out_of_step(CutOff::StoreAndReplicas);
+}
+
+#[test]
+fn streams_resumed_at_a_gateway_that_hears_nobody_are_not_joined() {
+    resume_at_a_gateway_out_of_step(CutOff::All);
+}
