A reload signal does not end a process that starts

Operators saw (FAULT): processes that ended by themselves. One way, reproduced: SIGHUP, which the platform sends when settings change, came before its handler was installed, and its default action ended the process.

Cause: the handlers followed the settings, the log and the runtime. Evidence: a_process_that_is_told_to_reload_while_it_starts_does_not_ end (the settings are read from a pipe, so that the start waits) failed before: the process had ended.

Why it works: the handler is the first thing that a resident does. A signal that came before the others are installed is followed then. What is left is the time that the kernel and the loader take until the first line of the program runs.

--- a/crates/gateway/src/role.rs
+++ b/crates/gateway/src/role.rs
@@ -17,7 +17,7 @@
 use ridgeworks_resident::node::Node;
 use ridgeworks_resident::process::{RoleError, run_until_stopped, serve_metrics};
 use ridgeworks_resident::settings::NodeSettings;
-use ridgeworks_resident::shutdown::Signals;
+use ridgeworks_resident::shutdown::{EarlyReloads, Signals};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -42,6 +42,7 @@
     settings: NodeSettings,
     settings_path: PathBuf,
     log_counters: Arc<LogCounters>,
+    early_reloads: &EarlyReloads,
 ) -> Result<(), RoleError> {
     let client_address = settings
         .listen
@@ -51,7 +52,7 @@
         .listen
         .readiness
         .ok_or(RoleError::MissingSetting("listen.readiness"))?;
-    let mut signals = Signals::listen()?;
+    let mut signals = Signals::listen(early_reloads)?;
     let mut registry = metrics::registry();
     registry.register_collector(Box::new(LogCollector(log_counters)));
     registry.register_collector(Box::new(RejectedMessageCollector));
--- a/crates/node/src/resident.rs
+++ b/crates/node/src/resident.rs
@@ -10,6 +10,7 @@
 use ridgeworks_resident::logging::{self, LogError};
 use ridgeworks_resident::process::RoleError;
 use ridgeworks_resident::settings::{NodeSettings, NodeSettingsError, Role};
+use ridgeworks_resident::shutdown::EarlyReloads;
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
 
@@ -22,6 +23,8 @@
 /// Why a resident could not run.
 #[derive(Debug)]
 pub enum ResidentError {
+    /// No signal handler could be installed.
+    Signals(io::Error),
     /// The settings cannot be used.
     Settings(NodeSettingsError),
     /// The log could not be started.
@@ -35,6 +38,7 @@
 impl fmt::Display for ResidentError {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            Self::Signals(error) => write!(formatter, "cannot handle signals: {error}"),
             Self::Settings(error) => error.fmt(formatter),
             Self::Log(error) => error.fmt(formatter),
             Self::Runtime(error) => write!(formatter, "cannot start the runtime: {error}"),
@@ -47,6 +51,7 @@
 
 /// Runs until the platform stops the process.
 pub fn run(settings: Option<PathBuf>) -> Result<(), ResidentError> {
+    let early_reloads = EarlyReloads::catch().map_err(ResidentError::Signals)?;
     let path = settings.or_else(settings_path);
     let path = path.ok_or(ResidentError::Settings(NodeSettingsError::NoFile))?;
     let settings = check(&path).map_err(ResidentError::Settings)?;
@@ -58,8 +63,12 @@
         .map_err(ResidentError::Runtime)?;
     let outcome = LocalSet::new().block_on(&runtime, async {
         match settings.role {
-            Role::Gateway => ridgeworks_gateway::run(settings, path, log_counters).await,
-            Role::Replica => ridgeworks_replica::run(settings, path, log_counters).await,
+            Role::Gateway => {
+                ridgeworks_gateway::run(settings, path, log_counters, &early_reloads).await
+            }
+            Role::Replica => {
+                ridgeworks_replica::run(settings, path, log_counters, &early_reloads).await
+            }
         }
     });
     let outcome = outcome.map_err(ResidentError::Role);
--- /dev/null
+++ b/crates/node/tests/resident_starts.rs
@@ -0,0 +1,60 @@
+//! Starts of residents in unlucky moments: none may end by itself.
+
+use std::fs::{self, File};
+use std::io::Write;
+use std::path::Path;
+use std::thread;
+use std::time::Duration;
+
+use ridgeworks_platform_stand_ins::deployment::{Deployment, Process, routes, wait_until};
+use rustix::process::Signal;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_ridgeworksd");
+/// Longer than any start takes that goes wrong at once.
+const FIRST_STEPS: Duration = Duration::from_millis(500);
+
+fn gateway() -> Deployment {
+    let mut deployment = Deployment::new(PROGRAM);
+    deployment.configure(routes());
+    deployment.add_gateway();
+    deployment
+}
+
+fn replace(file: &Path, text: &str) {
+    let next = file.with_extension("next");
+    fs::write(&next, text).expect("a file");
+    fs::rename(&next, file).expect("a file in its place");
+}
+
+fn wait_until_started(process: &mut Process) {
+    wait_until("the process has started", || {
+        let ended = process.ended();
+        assert!(ended.is_none(), "ended by itself: {:?}", process.log());
+        process.has_logged("started")
+    });
+}
+
+/// The signal ended a process that had not come to its handlers yet. The settings are read from a pipe, so that they wait for it.
+#[test]
+fn a_process_that_is_told_to_reload_while_it_starts_does_not_end() {
+    let mut deployment = gateway();
+    let process = &mut deployment.gateways[0];
+    let path = process.settings_path().to_owned();
+    let text = fs::read_to_string(&path).expect("settings");
+    fs::remove_file(&path).expect("a file");
+    let made = std::process::Command::new("mkfifo").arg(&path).status();
+    assert!(made.expect("a program").success());
+    process.start();
+    thread::sleep(FIRST_STEPS);
+    process.signal(Signal::HUP);
+    thread::sleep(FIRST_STEPS);
+    assert_eq!(process.ended(), None);
+    let mut pipe = File::options().write(true).open(&path).expect("a pipe");
+    replace(&path, &text);
+    pipe.write_all(text.as_bytes()).expect("a reader");
+    drop(pipe);
+    wait_until_started(process);
+    wait_until("the signal is followed", || {
+        process.has_logged("settings reloaded")
+    });
+}
--- a/crates/replica/src/role.rs
+++ b/crates/replica/src/role.rs
@@ -15,7 +15,7 @@
 use ridgeworks_resident::node::Node;
 use ridgeworks_resident::process::{RoleError, run_until_stopped, serve_metrics};
 use ridgeworks_resident::settings::NodeSettings;
-use ridgeworks_resident::shutdown::Signals;
+use ridgeworks_resident::shutdown::{EarlyReloads, Signals};
 use ridgeworks_resident::store_watch::watch_objects;
 use ridgeworks_resident::watch_policy::{WatchControl, WatchTimings};
 use stakker::{ActorOwn, actor, ret_nop};
@@ -40,12 +40,13 @@
     settings: NodeSettings,
     settings_path: PathBuf,
     log_counters: Arc<LogCounters>,
+    early_reloads: &EarlyReloads,
 ) -> Result<(), RoleError> {
     let folder = settings
         .data_folder
         .clone()
         .ok_or(RoleError::MissingSetting("data_folder"))?;
-    let mut signals = Signals::listen()?;
+    let mut signals = Signals::listen(early_reloads)?;
     let mut registry = metrics::registry();
     registry.register_collector(Box::new(LogCollector(log_counters)));
     registry.register_collector(Box::new(RejectedMessageCollector));
