A process whose addresses are taken when it starts waits for them

Operators saw (FAULT): the system didn't start, or its processes ended by themselves. One way, reproduced: an address of the settings is taken at the start, by the process before it that has not gone yet or by a connection that was given its port, and the process ended at once; started again after a short delay, it ended again for as long as that lasted.

Cause: each bind error was the role's error (RoleError::Io).

A signal to stop ends the wait. Readiness is answered last, since a gateway whose clients' address is taken is not ready.

--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -13,7 +13,8 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
+use ridgeworks_resident::listen;
+use tokio::net::TcpStream;
 use tokio::sync::{Semaphore, watch};
 
 use crate::entry;
@@ -52,7 +53,7 @@
     address: SocketAddr,
     mut phase: watch::Receiver<StopPhase>,
 ) -> io::Result<()> {
-    let listener = TcpListener::bind(address).await?;
+    let listener = listen::tcp(address).await?;
     let descriptors = gateway.node.settings.limits.descriptors;
     let connections = descriptors.saturating_sub(RESERVED_DESCRIPTORS);
     let permits = connections.max(MIN_CONNECTION_LIMIT);
--- a/crates/gateway/src/role.rs
+++ b/crates/gateway/src/role.rs
@@ -44,6 +44,27 @@
     log_counters: Arc<LogCounters>,
     early_reloads: &EarlyReloads,
 ) -> Result<(), RoleError> {
+    let mut signals = Signals::listen(early_reloads)?;
+    let (stopping, phase) = watch::channel(StopPhase::Serving);
+    let started = tokio::select! {
+        started = start(settings, log_counters, phase) => started,
+        () = signals.stop() => {
+            log::info!(target: "process", role = "gateway"; "stopped before it had started");
+            return Ok(());
+        }
+    };
+    let gateway = started?;
+    run_until_stopped(&gateway.node, &settings_path, &mut signals).await;
+    stop(&gateway, &stopping).await;
+    Ok(())
+}
+
+/// Starts all that a gateway does. It answers probes of its readiness only once clients can connect.
+async fn start(
+    settings: NodeSettings,
+    log_counters: Arc<LogCounters>,
+    phase: watch::Receiver<StopPhase>,
+) -> Result<Rc<Gateway>, RoleError> {
     let client_address = settings
         .listen
         .callers
@@ -52,7 +73,6 @@
         .listen
         .readiness
         .ok_or(RoleError::MissingSetting("listen.readiness"))?;
-    let mut signals = Signals::listen(early_reloads)?;
     let mut registry = metrics::registry();
     registry.register_collector(Box::new(LogCollector(log_counters)));
     registry.register_collector(Box::new(RejectedMessageCollector));
@@ -60,20 +80,17 @@
     let gateway_metrics = GatewayMetrics::register(&mut registry);
     let node = Node::bind(settings, Clock::start()).await?;
     let gateway = Gateway::new(Rc::clone(&node), gateway_metrics);
-    let (stopping, phase) = watch::channel(StopPhase::Serving);
     node.start(Rc::clone(&gateway), Rc::clone(&gateway)).await?;
     node.watch_store();
     tokio::task::spawn_local(Rc::clone(&gateway).read_stored_ends());
-    serve_readiness(&gateway, readiness).await?;
     let metrics_source = Rc::clone(&gateway);
     serve_metrics(&node, registry, move || metrics_source.update_gauges()).await?;
     listener::listen(Rc::clone(&gateway), client_address, phase).await?;
+    serve_readiness(&gateway, readiness).await?;
     tokio::task::spawn_local(Rc::clone(&gateway).run_maintenance());
     tokio::task::spawn_local(Rc::clone(&gateway.records).run_settlements());
     tokio::task::spawn_local(Rc::clone(&gateway.records).run_probes());
-    run_until_stopped(&node, &settings_path, &mut signals).await;
-    stop(&gateway, &stopping).await;
-    Ok(())
+    Ok(gateway)
 }
 
 async fn serve_readiness(gateway: &Rc<Gateway>, address: SocketAddr) -> io::Result<()> {
--- a/crates/node/tests/resident_starts.rs
+++ b/crates/node/tests/resident_starts.rs
@@ -2,9 +2,10 @@
 
 use std::fs::{self, File};
 use std::io::Write;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::Path;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use ridgeworks_platform_stand_ins::deployment::{Deployment, Process, routes, wait_until};
 use rustix::process::Signal;
@@ -58,3 +59,49 @@
         process.has_logged("settings reloaded")
     });
 }
+
+/// Holds an address for a while after the start of a process, which must wait for it.
+fn start_while_taken(take: impl Fn(&Process) -> Box<dyn Send>) {
+    let mut deployment = gateway();
+    let process = &mut deployment.gateways[0];
+    let taken = take(process);
+    process.start();
+    thread::sleep(FIRST_STEPS);
+    assert_eq!(process.ended(), None, "{:?}", process.log());
+    wait_until("the wait is told", || {
+        process.has_logged("address cannot be used yet")
+    });
+    drop(taken);
+    wait_until_started(process);
+    wait_until("the gateway is ready", || process.is_ready());
+}
+
+fn listen(address: SocketAddr) -> Box<dyn Send> {
+    Box::new(TcpListener::bind(address).expect("a free address"))
+}
+
+/// The address of a process that had just been killed, or a port that was given to another connection, ended each start.
+#[test]
+fn a_process_whose_addresses_are_taken_when_it_starts_waits_for_them() {
+    start_while_taken(|process| listen(process.callers()));
+    start_while_taken(|process| listen(process.readiness()));
+    start_while_taken(|process| listen(process.metrics()));
+    start_while_taken(|process| listen(process.peers()));
+    start_while_taken(|process| {
+        let socket = UdpSocket::bind(process.peers());
+        Box::new(socket.expect("a free address"))
+    });
+}
+
+#[test]
+fn a_process_that_waits_for_an_address_is_stopped_in_order() {
+    let mut deployment = gateway();
+    let process = &mut deployment.gateways[0];
+    let _taken = listen(process.callers());
+    process.start();
+    thread::sleep(FIRST_STEPS);
+    let stopped = Instant::now();
+    process.signal(Signal::TERM);
+    wait_until("the process has ended", || process.ended() == Some(true));
+    assert!(stopped.elapsed() < Duration::from_secs(2));
+}
--- a/crates/replica/src/role.rs
+++ b/crates/replica/src/role.rs
@@ -42,11 +42,31 @@
     log_counters: Arc<LogCounters>,
     early_reloads: &EarlyReloads,
 ) -> Result<(), RoleError> {
+    let mut signals = Signals::listen(early_reloads)?;
+    let started = tokio::select! {
+        started = start(settings, log_counters) => started,
+        () = signals.stop() => {
+            log::info!(target: "process", role = "replica"; "stopped before it had started");
+            return Ok(());
+        }
+    };
+    let node = started?;
+    run_until_stopped(&node, &settings_path, &mut signals).await;
+    log::info!(target: "process", role = "replica"; "stopping");
+    tokio::time::sleep(SHUTDOWN_TIME).await;
+    log::info!(target: "process", role = "replica"; "stopped");
+    Ok(())
+}
+
+/// Starts all that a replica does.
+async fn start(
+    settings: NodeSettings,
+    log_counters: Arc<LogCounters>,
+) -> Result<Rc<Node>, RoleError> {
     let folder = settings
         .data_folder
         .clone()
         .ok_or(RoleError::MissingSetting("data_folder"))?;
-    let mut signals = Signals::listen(early_reloads)?;
     let mut registry = metrics::registry();
     registry.register_collector(Box::new(LogCollector(log_counters)));
     registry.register_collector(Box::new(RejectedMessageCollector));
@@ -73,11 +93,7 @@
     tokio::task::spawn_local(copying::run(Rc::clone(&replica)));
     tokio::task::spawn_local(chain_repair::run(Rc::clone(&replica), repair_jobs));
     tokio::task::spawn_local(Coordinator::new(replica, retirements, store_watch).run());
-    run_until_stopped(&node, &settings_path, &mut signals).await;
-    log::info!(target: "process", role = "replica"; "stopping");
-    tokio::time::sleep(SHUTDOWN_TIME).await;
-    log::info!(target: "process", role = "replica"; "stopped");
-    Ok(())
+    Ok(node)
 }
 
 fn start_actor(
--- a/crates/resident/src/http_server.rs
+++ b/crates/resident/src/http_server.rs
@@ -12,7 +12,9 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
+
+use crate::listen;
 
 /// A connection that sends no complete request head for this long is closed.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
@@ -46,7 +48,7 @@
     address: SocketAddr,
     answer: impl Fn(&str) -> TextResponse + 'static,
 ) -> io::Result<()> {
-    let listener = TcpListener::bind(address).await?;
+    let listener = listen::tcp(address).await?;
     let answer = Rc::new(answer);
     tokio::task::spawn_local(async move {
         loop {
--- a/crates/resident/src/lib.rs
+++ b/crates/resident/src/lib.rs
@@ -9,6 +9,7 @@
 mod drain_handler;
 pub mod http_client;
 pub mod http_server;
+pub mod listen;
 pub mod logging;
 pub mod metrics;
 pub mod node;
--- a/crates/resident/src/peer/gossip.rs
+++ b/crates/resident/src/peer/gossip.rs
@@ -33,6 +33,7 @@
 use super::rejected::REJECTED;
 use super::targets::{FAN_OUT, targets};
 use crate::clock::Clock;
+use crate::listen;
 use crate::view::View;
 use crate::watch_policy::{self, LARGE_FLEET_GATEWAYS, WatchControl, WatcherRole};
 
@@ -101,7 +102,7 @@
         watch_control: Rc<WatchControl>,
         bound: Duration,
     ) -> io::Result<Self> {
-        let socket = UdpSocket::bind(me.address).await?;
+        let socket = listen::udp(me.address).await?;
         Ok(Self {
             socket,
             me,
--- a/crates/resident/src/peer/server.rs
+++ b/crates/resident/src/peer/server.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::codec::Framed;
 
@@ -17,6 +17,7 @@
 use super::message::{Envelope, PeerReply, PeerRequest};
 use super::rejected::REJECTED;
 use crate::http_client::configure_socket;
+use crate::listen;
 
 /// Maximum number of in-flight requests of a connection; no more are read until replies have been sent.
 const MAX_IN_FLIGHT_REQUESTS: usize = 256;
@@ -33,7 +34,7 @@
 
 /// Binds `address` and serves it until the process ends.
 pub async fn serve(address: SocketAddr, service: Rc<impl PeerService>) -> io::Result<()> {
-    let listener = TcpListener::bind(address).await?;
+    let listener = listen::tcp(address).await?;
     tokio::task::spawn_local(async move {
         loop {
             match listener.accept().await {
--- a/crates/resident/src/shutdown.rs
+++ b/crates/resident/src/shutdown.rs
@@ -54,11 +54,22 @@
         })
     }
 
+    /// Waits for the signal to stop. A reload signal that comes before it is kept for [`Signals::next`].
+    pub async fn stop(&mut self) {
+        while self.receive().await == ProcessSignal::Reload {
+            self.must_reload = true;
+        }
+    }
+
     /// Waits for the next signal.
     pub async fn next(&mut self) -> ProcessSignal {
         if std::mem::take(&mut self.must_reload) {
             return ProcessSignal::Reload;
         }
+        self.receive().await
+    }
+
+    async fn receive(&mut self) -> ProcessSignal {
         tokio::select! {
             _ = self.terminate.recv() => ProcessSignal::Stop,
             _ = self.interrupt.recv() => ProcessSignal::Stop,
