Settings that are being written when a process starts are read again

Operators saw (FAULT): the system didn't start, or its processes ended by themselves. A third way: the settings file is missing or half written at the start, since the platform writes it at each start and whenever the settings change.

Cause: the file was read once. Evidence: a_process_whose_settings_are_incomplete_when_it_starts_reads_them_again failed before (the process had ended with the parser's error).

Why it works: a file that can't be read or checked is read again for three seconds, longer than it takes to be written; then its fault is told and the process ends as before (a_process_whose_settings_stay_wrong_ends_with_their_fault). The wait is told once the log runs.

--- a/crates/node/src/resident.rs
+++ b/crates/node/src/resident.rs
@@ -4,7 +4,8 @@
 use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
-use std::time::Duration;
+use std::thread;
+use std::time::{Duration, Instant};
 
 use ridgeworks_platform::settings_path;
 use ridgeworks_resident::logging::{self, LogError};
@@ -17,6 +18,10 @@
 /// Key that only settings of a resident have.
 const ROLE_KEY: &str = "role";
 
+/// Longer than a settings file takes to be written.
+const SETTINGS_WAIT: Duration = Duration::from_secs(3);
+const SETTINGS_RETRY_INTERVAL: Duration = Duration::from_millis(50);
+
 /// How long the end of the process waits for its last lines to be written.
 const LAST_LINES: Duration = Duration::from_millis(200);
 
@@ -54,8 +59,11 @@
     let early_reloads = EarlyReloads::catch().map_err(ResidentError::Signals)?;
     let path = settings.or_else(settings_path);
     let path = path.ok_or(ResidentError::Settings(NodeSettingsError::NoFile))?;
-    let settings = check(&path).map_err(ResidentError::Settings)?;
+    let (settings, waited) = read_settings(&path).map_err(ResidentError::Settings)?;
     let log_counters = logging::start(&settings.name).map_err(ResidentError::Log)?;
+    if let Some(SettingsWait { first_error, ms }) = waited {
+        log::warn!(target: "process", waited_ms = ms, detail:% = first_error; "settings could not be read at first");
+    }
     let log = Arc::clone(&log_counters);
     let runtime = Builder::new_current_thread()
         .enable_all()
@@ -81,6 +89,33 @@
     outcome
 }
 
+/// How settings became readable after the start.
+struct SettingsWait {
+    first_error: NodeSettingsError,
+    ms: u64,
+}
+
+/// Reads settings, and again while they are missing or incomplete: the platform may be writing them.
+fn read_settings(path: &Path) -> Result<(NodeSettings, Option<SettingsWait>), NodeSettingsError> {
+    let since = Instant::now();
+    let mut first_error = None;
+    loop {
+        let error = match check(path) {
+            Ok(settings) => {
+                let ms = since.elapsed().as_millis() as u64;
+                let waited = first_error.map(|first_error| SettingsWait { first_error, ms });
+                return Ok((settings, waited));
+            }
+            Err(error) => error,
+        };
+        if since.elapsed() >= SETTINGS_WAIT {
+            return Err(error);
+        }
+        first_error.get_or_insert(error);
+        thread::sleep(SETTINGS_RETRY_INTERVAL);
+    }
+}
+
 /// Reads and checks settings of a resident.
 pub fn check(path: &Path) -> Result<NodeSettings, NodeSettingsError> {
     NodeSettings::load(path)
--- a/crates/node/tests/resident_starts.rs
+++ b/crates/node/tests/resident_starts.rs
@@ -105,3 +105,30 @@
     wait_until("the process has ended", || process.ended() == Some(true));
     assert!(stopped.elapsed() < Duration::from_secs(2));
 }
+
+/// The platform was writing the file.
+#[test]
+fn a_process_whose_settings_are_incomplete_when_it_starts_reads_them_again() {
+    let mut deployment = gateway();
+    let process = &mut deployment.gateways[0];
+    let path = process.settings_path().to_owned();
+    let text = fs::read_to_string(&path).expect("settings");
+    fs::write(&path, &text[..text.len() / 2]).expect("a file");
+    process.start();
+    thread::sleep(FIRST_STEPS);
+    fs::remove_file(&path).expect("a file");
+    thread::sleep(FIRST_STEPS);
+    assert_eq!(process.ended(), None);
+    replace(&path, &text);
+    wait_until_started(process);
+}
+
+/// Settings that stay wrong are told, and the process ends with a failure.
+#[test]
+fn a_process_whose_settings_stay_wrong_ends_with_their_fault() {
+    let mut deployment = gateway();
+    let process = &mut deployment.gateways[0];
+    process.corrupt_settings();
+    process.start();
+    wait_until("the process has ended", || process.ended() == Some(false));
+}
