A turn is charged by the configuration under which it began

Cause: the tokens of an event were read from the configuration in force at the turn's end. Where that one had the service no more, each event was charged the most of the whole turn, for good.

Evidence: a_turn_whose_route_moves_while_it_runs_is_charged_what_it_generated failed before (402).

Why it works: a call holds the configuration that selected its route and service. Where the tokens of an event are not known, the turn is charged its most once.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -1,11 +1,12 @@
 //! A client's request after parsing and routing.
 
+use std::rc::Rc;
 use std::sync::Arc;
 
 use bytes::Bytes;
 use http::{HeaderMap, Method};
 use ridgeworks_records::{ProgramId, RequestDigest, TurnId};
-use ridgeworks_routing::{CallMetadata, RequestKind, Residency, Route, Tenant};
+use ridgeworks_routing::{CallMetadata, RequestKind, Residency, Route, RouteTable, Tenant};
 use tokio::time::Instant;
 
 use crate::gateway::OpenRequestGuard;
@@ -33,8 +34,8 @@
     /// Where the call may be served according to the configuration at its entry.
     pub residency: Residency,
     pub service: String,
-    /// Version of the configuration that selected route and service.
-    pub version: u64,
+    /// The configuration that selected route and service.
+    pub routes: Rc<RouteTable>,
     /// When the request's head was received.
     pub received: Instant,
     /// When the response has to be complete.
@@ -46,6 +47,11 @@
 }
 
 impl Call {
+    /// Version of the configuration that selected route and service.
+    pub fn version(&self) -> u64 {
+        self.routes.version()
+    }
+
     /// Name of the tenant that owns the request's turns and ledgers.
     pub fn owner(&self) -> Option<&str> {
         self.tenant.as_ref().map(|tenant| tenant.name.as_str())
--- a/crates/gateway/src/engine_rules.rs
+++ b/crates/gateway/src/engine_rules.rs
@@ -76,7 +76,7 @@
 /// current one must allow a region, so that neither is violated.
 pub fn current_residency<'a>(gateway: &Gateway, call: &'a Call) -> Cow<'a, Residency> {
     let routes = gateway.node.view.routes();
-    let Some(routes) = routes.filter(|routes| routes.version() != call.version) else {
+    let Some(routes) = routes.filter(|routes| routes.version() != call.version()) else {
         return Cow::Borrowed(&call.residency);
     };
     let Some(route) = routes.find(&call.host, &call.path) else {
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -140,7 +140,7 @@
         tenant,
         residency,
         service,
-        version: routes.version(),
+        routes: Rc::clone(&routes),
         received,
         deadline,
         _body_reservation: body_reservation,
--- a/crates/gateway/src/exchange/preparation.rs
+++ b/crates/gateway/src/exchange/preparation.rs
@@ -150,7 +150,7 @@
         let request = &self.call.metadata.request_id;
         let limits = &self.gateway.limits;
         let until = self.records_deadline();
-        let version = self.call.version;
+        let version = self.call.version();
         limits
             .acquire(request, tenant, progress, version, until)
             .await
@@ -354,7 +354,16 @@
     pub(super) fn settled_entry(&self) -> LedgerEntry {
         LedgerEntry {
             reserved_tokens: self.max_tokens(),
-            spent: Some(self.forwarded.events * self.event_tokens()),
+            spent: Some(self.generated_tokens()),
+        }
+    }
+
+    /// Tokens of the events that were forwarded; the turn's most if the tokens of an event are not known.
+    fn generated_tokens(&self) -> u64 {
+        match (self.forwarded.events, self.event_tokens()) {
+            (0, _) => 0,
+            (events, Some(tokens)) => events.saturating_mul(tokens),
+            (_, None) => self.max_tokens(),
         }
     }
 
@@ -375,28 +384,23 @@
             return max;
         }
         let before = self.call.metadata.last_event_id.unwrap_or_default();
-        max.saturating_sub(before.saturating_mul(self.event_tokens()))
+        let tokens_before = self
+            .event_tokens()
+            .map_or(0, |tokens| before.saturating_mul(tokens));
+        max.saturating_sub(tokens_before)
     }
 
     /// Most events that engines may bring in this try, by the tokens that are reserved; `None` where these tell nothing.
     pub(super) fn max_events(&self) -> Option<u64> {
         self.ledger_key()?;
         let max_tokens = self.max_tokens();
-        let event_tokens = self
-            .configured_event_tokens()
-            .filter(|tokens| *tokens > 0)?;
+        let event_tokens = self.event_tokens().filter(|tokens| *tokens > 0)?;
         (max_tokens > 0).then(|| max_tokens.div_ceil(event_tokens))
     }
 
-    fn event_tokens(&self) -> u64 {
-        // Without a model in the configuration, the turn is charged its maximum.
-        self.configured_event_tokens()
-            .unwrap_or(self.call.metadata.max_new_tokens)
-    }
-
-    fn configured_event_tokens(&self) -> Option<u64> {
-        let routes = self.gateway.node.view.routes()?;
-        let service = routes.service(&self.call.service)?;
+    /// Tokens of an event of the turn's service, by the configuration at its entry: a later one may not have the service any more.
+    fn event_tokens(&self) -> Option<u64> {
+        let service = self.call.routes.service(&self.call.service)?;
         Some(service.model.as_ref()?.event_tokens)
     }
 }
--- a/crates/gateway/src/exchange/report.rs
+++ b/crates/gateway/src/exchange/report.rs
@@ -96,7 +96,7 @@
             tenant = call.owner().unwrap_or_default(),
             route = call.route.name.as_str(),
             service = call.service.as_str(),
-            version = call.version,
+            version = call.version(),
             version_age_ms = self.gateway.version_age_ms(),
             epoch = self.gateway.node.view.epoch().0,
             group = self.gateway.records.group_of(call.program().as_ref()).0,
--- a/crates/node/tests/resident_records.rs
+++ b/crates/node/tests/resident_records.rs
@@ -8,6 +8,7 @@
 };
 use ridgeworks_platform_stand_ins::{Answer, REQUEST_ID, Script};
 use rustix::process::Signal;
+use serde_json::json;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_ridgeworksd");
 
@@ -628,3 +629,59 @@
     assert_eq!(attributes["request"], "t-10");
     assert_eq!(attributes["missing"], "t-9");
 }
+
+/// Moves all routes of model engines to another service, and leaves out the one that no route names any more.
+fn move_models(deployment: &Deployment) {
+    let object = deployment.store.object("config", "main");
+    let mut spec = object.expect("a configuration")["spec"].clone();
+    spec["version"] = json!(deployment.version() + 1);
+    for part in ["routes", "services"] {
+        for entry in spec[part].as_array_mut().expect("a list") {
+            let key = if part == "routes" { "service" } else { "name" };
+            if entry[key] == "models" {
+                entry[key] = json!("moved-models");
+            }
+        }
+    }
+    deployment.store.put("config", "main", spec);
+}
+
+/// Each event of a turn was charged the turn's most, since the service that ran it was not in the configuration any more.
+#[test]
+fn a_turn_whose_route_moves_while_it_runs_is_charged_what_it_generated() {
+    const EVENTS: u64 = 20;
+    let deployment = Deployment::started(PROGRAM, 1, 3);
+    let slow = Script::always(Answer::Stream {
+        events: EVENTS,
+        gap_ms: 50,
+    });
+    let engine = deployment.start_engine("models", "i-1", slow);
+    let _other = deployment.start_engine("moved-models", "i-2", stream(2));
+    deployment.wait_until_engines_known(2);
+    let gateway = deployment.gateways[0].callers();
+    let budgeted = |id: &str, previous| {
+        turn(id, previous, "input")
+            .header("ridgeworks-program-id", "p")
+            .header("ridgeworks-token-budget", "1000")
+            .header("ridgeworks-token-count", "100,400")
+    };
+    let first = budgeted("t-1", None);
+    let first = std::thread::spawn(move || first.send(gateway));
+    wait_until("the turn runs", || !engine.runs().is_empty());
+    move_models(&deployment);
+    let first = first.join().expect("a client").expect("an answer");
+    assert_eq!((first.status, first.is_whole), (200, true));
+    // Longer than settlements are gathered.
+    std::thread::sleep(Duration::from_millis(900));
+    let mut number = 0;
+    let mut next = || {
+        number += 1;
+        let call = budgeted(&format!("t-2-{number}"), Some("t-1"));
+        call.send(gateway).map_or(0, |reply| reply.status)
+    };
+    wait_until("the next turn is served", || {
+        let status = next();
+        assert_ne!(status, 402);
+        status == 200
+    });
+}
