A client's resumption of a kept turn is refused, since its first events are not known

Cause: a turn's record is what one attempt passed on, and nothing refused to keep one of which only the end is known.

Evidence: a_kept_turn_whose_stream_is_resumed_is_kept_whole_or_refused failed before ("promptpiece 3" for "promptpiece 1").

Why it works: such a resumption is 503 at once (`events_unknown`), so that the client sends the turn from its start, which is served and kept. Result: the test passes.

--- a/crates/cli/src/commands/explain.rs
+++ b/crates/cli/src/commands/explain.rs
@@ -213,6 +213,9 @@
         (_, "origin_unknown") => {
             "It resumes a stream of which no record was found, and several software versions may have begun it. Search for the id in resumes."
         }
+        (_, "events_unknown") => {
+            "It resumes the stream of a turn that is kept, whose first events no gateway has. Its client has to begin it anew."
+        }
         (_, "zones_drained") => {
             "All ready engines of the service stand in drained zones. See the lines zone drained; docs/operations/zones.md."
         }
--- a/crates/gateway/src/exchange/preparation.rs
+++ b/crates/gateway/src/exchange/preparation.rs
@@ -45,6 +45,10 @@
         if let Some(refusal) = self.majority_refusal() {
             return Err(refusal);
         }
+        // The turn's record needs all events, and nobody has those of the earlier attempts.
+        if self.call.is_resumed_stream() && self.call.route.keeps_turns {
+            return Err(Refusal::without_retry(RefusalReason::EventsUnknown));
+        }
         // Checked first, so that a request that cannot be served does not wait.
         let drained = self.drain_refusal();
         if let Some(refusal) = drained.or_else(|| self.turn_storage_refusal()) {
--- a/crates/node/tests/resident_streams.rs
+++ b/crates/node/tests/resident_streams.rs
@@ -6,9 +6,10 @@
 use std::time::{Duration, Instant};
 
 use ridgeworks_platform_stand_ins::client::{Call, Reply, call_post};
-use ridgeworks_platform_stand_ins::deployment::{Deployment, Process, wait_until};
+use ridgeworks_platform_stand_ins::deployment::{Deployment, Process, routes, wait_until};
 use ridgeworks_platform_stand_ins::{Answer, EngineStandIn, LinkFault, Script};
 use rustix::process::Signal;
+use serde_json::json;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_ridgeworksd");
 const EVENTS: u64 = 8;
@@ -481,3 +482,41 @@
 fn streams_resumed_at_a_gateway_that_hears_nobody_are_not_joined() {
     resume_at_a_gateway_out_of_step(CutOff::All);
 }
+
+/// The turn was kept with the events of its last attempt only, and later turns ran with a prompt that lacked the first ones.
+#[test]
+fn a_kept_turn_whose_stream_is_resumed_is_kept_whole_or_refused() {
+    let mut deployment = Deployment::started(PROGRAM, 2, 3);
+    let mut kept = routes();
+    kept[2]["retain"] = json!(true);
+    assert_eq!(kept[2]["resumable"], true);
+    deployment.configure(kept);
+    let engines = start_engines(&deployment, V1, ["i-1", "i-2"]);
+    wait_until_known(&deployment.gateways, 2);
+    let [one, two] = [0, 1].map(|index| deployment.gateways[index].callers());
+    let first = attempt("s", 1)
+        .send_and_read_frames(one, 2)
+        .expect("events");
+    assert_eq!(first.status, 200);
+    let rest = resuming_attempt("s", &first).send(two).expect("an answer");
+    if rest.status == 200 && rest.is_whole {
+        let next = attempt("s", 3).header("ridgeworks-previous-turn", "s-2");
+        let next = next.send(one).expect("an answer");
+        assert_eq!(next.status, 200);
+        let runs = engines.iter().flat_map(EngineStandIn::runs);
+        let mut prompts = runs.filter(|run| run.headers["ridgeworks-request-id"] == "s-3");
+        let prompt = prompts.next().expect("a run").body;
+        let output: String = (1..=EVENTS)
+            .map(|number| format!("piece {number}\n"))
+            .collect();
+        assert_eq!(
+            String::from_utf8_lossy(&prompt),
+            format!("prompt{output}prompt")
+        );
+    } else {
+        assert_eq!((rest.status, rest.header("retry-after")), (503, None));
+    }
+    // From its start, it is served and kept.
+    let whole = attempt("s", 4).send(two).expect("an answer");
+    assert_eq!((whole.status, whole.is_whole), (200, true));
+}
--- a/crates/routing/src/refusal.rs
+++ b/crates/routing/src/refusal.rs
@@ -31,6 +31,8 @@
     SoftwareGone,
     /// The software version at which the resumed stream began is not known, and it may be any of several.
     OriginUnknown,
+    /// The resumed stream belongs to a turn that is kept, and the events of its earlier attempts are not known.
+    EventsUnknown,
     /// All engines of the service are in drained zones.
     ZonesDrained,
     /// No engine of the service is in a region where the request may be served.
@@ -99,6 +101,7 @@
             Self::NoEngine => "no_engine",
             Self::SoftwareGone => "software_gone",
             Self::OriginUnknown => "origin_unknown",
+            Self::EventsUnknown => "events_unknown",
             Self::ZonesDrained => "zones_drained",
             Self::NoAllowedRegion => "no_allowed_region",
             Self::ReplicasOutsideResidency => "kept_outside",
