An open entry of a turn that has ended charges no more than its record bounds

Cause: what a turn generated is settled by its own gateway, up to 450 ms after its end. If that is gone, the entry counts at its most until the ledger expires.

Why it works: the gateway of the next turn has the chain for its prompt. A turn in it has ended, and each event adds a line to its record, so that the record bounds what it generated. The bound is used by the reader only and never below what was generated, so that the budget holds; nothing is written, since of two settlements the greater one counts.

--- a/crates/gateway/src/exchange/budget.rs
+++ b/crates/gateway/src/exchange/budget.rs
@@ -27,20 +27,23 @@
         &mut self,
         ledger_key: &LedgerKey,
         budget: u64,
-        mut ledger: ProgramLedger,
+        ledger: ProgramLedger,
     ) -> Result<ProgramLedger, Refusal> {
         let (turn, most) = (&ledger_key.turn, self.max_tokens());
         let until = self.call.deadline.min(Instant::now() + MAX_WAIT);
+        let mut ledger = self.with_ended_turns_capped(ledger, turn, budget);
         let mut delay = FIRST_DELAY;
         let mut is_reserved = true;
         let mut has_waited = false;
         loop {
             if !is_reserved && ledger.admits(turn, most, budget) {
                 ledger = self.write_reservation(ledger_key).await?;
+                ledger = self.with_ended_turns_capped(ledger, turn, budget);
                 is_reserved = true;
             }
             if is_reserved && ledger.needs_second_reading(turn, most, budget) {
                 ledger = self.write_reservation(ledger_key).await?;
+                ledger = self.with_ended_turns_capped(ledger, turn, budget);
             }
             let admission = ledger.admission(turn, most, budget);
             if admission == TurnAdmission::Admitted && is_reserved {
@@ -69,7 +72,34 @@
             } else {
                 self.read_reservations(ledger_key).await?
             };
+            ledger = self.with_ended_turns_capped(ledger, turn, budget);
+        }
+    }
+
+    /// Lowers what earlier turns of the chain charge that are not settled, as their gateways are gone or have not come to it, where the
+    /// budget does not hold the turn otherwise. They have ended, and their records bound what they generated: each event adds a line
+    /// at least.
+    fn with_ended_turns_capped(
+        &self,
+        mut ledger: ProgramLedger,
+        turn: &TurnId,
+        budget: u64,
+    ) -> ProgramLedger {
+        let previous = self.call.previous_turn();
+        let Some((previous, event_tokens)) = previous.zip(self.event_tokens()) else {
+            return ledger;
+        };
+        if ledger.admits(turn, self.max_tokens(), budget) {
+            return ledger;
+        }
+        let now = self.gateway.now();
+        let chain = self.gateway.turns.borrow_mut().chain(&previous, now);
+        for record in chain.iter().flatten() {
+            let lines = record.output.iter().filter(|byte| **byte == b'\n');
+            let most_events = lines.count() as u64;
+            ledger.cap_open_entries(&record.turn, most_events.saturating_mul(event_tokens));
         }
+        ledger
     }
 
     /// Reads the ledger without a reservation.
--- a/crates/gateway/src/exchange/preparation.rs
+++ b/crates/gateway/src/exchange/preparation.rs
@@ -403,7 +403,7 @@
     }
 
     /// Tokens of an event of the turn's service, by the configuration at its entry: a later one may not have the service any more.
-    fn event_tokens(&self) -> Option<u64> {
+    pub(super) fn event_tokens(&self) -> Option<u64> {
         let service = self.call.routes.service(&self.call.service)?;
         Some(service.model.as_ref()?.event_tokens)
     }
--- a/crates/node/tests/resident_records.rs
+++ b/crates/node/tests/resident_records.rs
@@ -685,3 +685,27 @@
         status == 200
     });
 }
+
+/// What a killed gateway had not settled of turns that it had answered whole stayed charged at its most, and the next turn was refused.
+#[test]
+fn a_turn_after_one_whose_gateway_was_killed_unsettled_is_served() {
+    let mut deployment = Deployment::started(PROGRAM, 2, 3);
+    let _engine = deployment.start_engine("models", "i-1", stream(2));
+    deployment.wait_until_engines_known(1);
+    let [one, two] = [0, 1].map(|index| deployment.gateways[index].callers());
+    let budgeted = |id: &str, previous| {
+        turn(id, previous, "input")
+            .header("ridgeworks-program-id", "p")
+            .header("ridgeworks-token-budget", "500")
+            .header("ridgeworks-token-count", "100,400")
+    };
+    let first = budgeted("t-1", None).send(one).expect("an answer");
+    deployment.gateways[0].kill();
+    assert_eq!((first.status, first.is_whole), (200, true));
+    let second = budgeted("t-2", Some("t-1")).send(two).expect("an answer");
+    assert_eq!((second.status, second.is_whole), (200, true));
+    // Without room for its most beside what the others generated, a turn is refused still.
+    let larger = budgeted("t-3", Some("t-2")).replace("ridgeworks-token-count", "100,481");
+    let refused = larger.send(two).expect("an answer");
+    assert!([402, 503].contains(&refused.status), "{refused:?}");
+}
--- a/crates/records/src/ledger.rs
+++ b/crates/records/src/ledger.rs
@@ -169,6 +169,20 @@
         open > 0 && spent.saturating_add(twice) > budget
     }
 
+    /// Lowers what the open entries of a turn charge to the most that it can have generated, since it has ended. For a reader only: the
+    /// turn's own settlement is exact.
+    pub fn cap_open_entries(&mut self, turn: &TurnId, most_tokens: u64) {
+        let open = self
+            .entries_of(turn)
+            .filter(|(_, entry)| entry.spent.is_none());
+        let keys: Vec<TurnId> = open.map(|(key, _)| key.clone()).collect();
+        for key in keys {
+            if let Some(entry) = self.entries.get_mut(&key) {
+                entry.reserved_tokens = entry.reserved_tokens.min(most_tokens);
+            }
+        }
+    }
+
     fn open_reservations(&self) -> impl Iterator<Item = &TurnId> {
         let entries = self.entries.iter();
         let open = entries.filter(|(_, entry)| entry.spent.is_none() && entry.charge() > 0);
