A lost voter that no node can replace is left out of its set

Cause: wanted_voters kept a voter that was gone for good where no node could take its place. A set of three with one gone has no read quorum after one more loss, and a set without a read quorum is never changed again.

Why it works: without the lost voter the set of two reads from either, so the loss of a disk leaves a read quorum, and the replica with the empty disk joins. The step is due for 4 s before it is written, so that restarts do not lead to copies, and no set is reduced below a majority of its size. A retiring voter that has to stay does so also beside a replica with an empty disk. The simulator plays the step with all its faults.

--- a/crates/records/src/plan.rs
+++ b/crates/records/src/plan.rs
@@ -36,6 +36,9 @@
     },
     /// Write this set to the register.
     Write(ReplicaSet),
+    /// Write this joint set, which leaves out voters that are lost and that no node can replace, once they have been lost for long. A
+    /// set with fewer voters survives the loss of one more disk; a voter that comes back has to copy before it counts again.
+    LeaveOut(ReplicaSet),
 }
 
 /// Progress of copies, as reported by the storage nodes.
@@ -76,8 +79,11 @@
     }
     let wanted = wanted_voters(&set.voters, nodes, size);
     let Some(incoming) = &set.incoming else {
-        let is_change = !same_replicas(&wanted, &set.voters);
-        return is_change.then(|| begin_change(set, wanted, &alive, &copies.prepared));
+        if !same_replicas(&wanted, &set.voters) {
+            return Some(begin_change(set, wanted, &alive, &copies.prepared));
+        }
+        let remaining = without_lost(&set.voters, nodes, size)?;
+        return Some(SetStep::LeaveOut(joint_set(set, remaining)));
     };
     let copied = &copies.copied;
     let copiers = set.copiers();
@@ -178,8 +184,21 @@
     find(replica, nodes).is_some_and(|node| node.starting)
 }
 
+/// Smallest number of voters that a set of this many is reduced to.
+fn least_voters(voters: &[Replica], size: usize) -> usize {
+    majority(size).min(voters.len())
+}
+
+/// The voters without those that are lost; `None` if none is, or if too few would remain.
+fn without_lost(voters: &[Replica], nodes: &[StorageNode], size: usize) -> Option<Vec<Replica>> {
+    let is_there = |voter: &&Replica| is_alive(voter, nodes) || is_starting(voter, nodes);
+    let remaining: Vec<Replica> = voters.iter().filter(is_there).cloned().collect();
+    let is_fewer = remaining.len() < voters.len();
+    (is_fewer && remaining.len() >= least_voters(voters, size)).then_some(remaining)
+}
+
 /// Voters stay while they are alive or starting. Lost or retiring voters are replaced by other
-/// nodes. Where there is none, a lost voter stays and a retiring one leaves.
+/// nodes. Where there is none, a lost voter stays, and a retiring one leaves if enough others remain.
 fn wanted_voters(voters: &[Replica], nodes: &[StorageNode], size: usize) -> Vec<Replica> {
     let staying = voters.iter().filter(|voter| !is_retiring(voter, nodes));
     let (kept, lost): (Vec<&Replica>, Vec<&Replica>) =
@@ -196,7 +215,12 @@
         };
         wanted.push(voter.clone());
     }
-    if wanted.len() < majority(size).min(voters.len()) {
+    let least = least_voters(voters, size);
+    let retiring = voters.iter().filter(|voter| is_retiring(voter, nodes));
+    let needed = least.saturating_sub(wanted.len());
+    let still_there = retiring.filter(|voter| is_alive(voter, nodes));
+    wanted.extend(still_there.take(needed).cloned());
+    if wanted.len() < least {
         return voters.to_vec();
     }
     wanted
--- a/crates/records/tests/groups.rs
+++ b/crates/records/tests/groups.rs
@@ -234,3 +234,64 @@
     };
     assert_eq!((listing.turns.len(), listing.ledgers.len()), (1, 1));
 }
+
+fn ids(replicas: &[Replica]) -> BTreeSet<u64> {
+    replicas.iter().map(|replica| replica.id.0).collect()
+}
+
+fn plan(set: &ReplicaSet, nodes: &[StorageNode]) -> Option<SetStep> {
+    plan_change(set, nodes, 3, &CopyProgress::default(), true)
+}
+
+/// A machine that was gone for good stayed a voter, and the loss of one more disk left no read quorum.
+#[test]
+fn a_lost_voter_that_no_node_can_replace_is_left_out() {
+    let mut nodes = nodes(3, 3);
+    nodes[2].alive = false;
+    let step = plan(&set(&[0, 1, 2]), &nodes);
+    let Some(SetStep::LeaveOut(change)) = step else {
+        panic!("{step:?}");
+    };
+    let incoming = change.incoming.expect("a joint set");
+    assert_eq!(ids(&incoming), BTreeSet::from([0, 1]));
+    // The disk of another one is lost then.
+    nodes[0].replica = replica(7, 3);
+    nodes[0].replica.node = "store-0".to_owned();
+    let step = plan(&set(&[0, 1]), &nodes);
+    let Some(SetStep::Write(change)) = step else {
+        panic!("{step:?}");
+    };
+    let incoming = change.incoming.expect("a joint set");
+    assert_eq!(ids(&incoming), BTreeSet::from([1, 7]));
+}
+
+#[test]
+fn a_set_is_not_reduced_below_a_majority_of_its_size() {
+    let mut nodes = nodes(2, 3);
+    nodes[1].alive = false;
+    assert_eq!(plan(&set(&[0, 1]), &nodes), None);
+}
+
+#[test]
+fn a_starting_voter_is_not_left_out() {
+    let mut nodes = nodes(3, 3);
+    nodes[2].alive = false;
+    nodes[2].starting = true;
+    assert_eq!(plan(&set(&[0, 1, 2]), &nodes), None);
+}
+
+/// A machine that had to stay, since too few others were left, kept the set from taking a replica with an empty disk.
+#[test]
+fn a_retiring_voter_stays_where_another_one_has_lost_its_disk() {
+    let mut nodes = nodes(2, 3);
+    nodes[1].retiring = true;
+    assert_eq!(plan(&set(&[0, 1]), &nodes), None);
+    nodes[0].replica = replica(7, 3);
+    nodes[0].replica.node = "store-0".to_owned();
+    let step = plan(&set(&[0, 1]), &nodes);
+    let Some(SetStep::Write(change)) = step else {
+        panic!("{step:?}");
+    };
+    let incoming = change.incoming.expect("a joint set");
+    assert_eq!(ids(&incoming), BTreeSet::from([1, 7]));
+}
--- a/crates/records/tests/simulator/world.rs
+++ b/crates/records/tests/simulator/world.rs
@@ -37,6 +37,8 @@
 const COPY_REQUEST_LIFETIME: u64 = 700;
 
 const LOSS_PROBABILITY: f64 = 0.03;
+/// Probability that a lost voter counts as lost for long, in each planning.
+const LEAVE_OUT_PROBABILITY: f64 = 0.2;
 const DUPLICATION_PROBABILITY: f64 = 0.03;
 
 /// Sender or receiver of a message.
--- a/crates/records/tests/simulator/world/changes.rs
+++ b/crates/records/tests/simulator/world/changes.rs
@@ -55,6 +55,10 @@
         };
         let change = match plan_change(set, &observed, REPLICAS, &copies, may_wait) {
             Some(SetStep::Write(change)) => change,
+            Some(SetStep::LeaveOut(change)) if self.random.random_bool(LEAVE_OUT_PROBABILITY) => {
+                change
+            }
+            Some(SetStep::LeaveOut(_)) => return,
             Some(SetStep::Prepare { new_members, .. }) => {
                 let ids: BTreeSet<ReplicaId> = new_members.iter().map(|member| member.id).collect();
                 self.request_copies(&ids, group, groups);
--- a/crates/replica/src/coordinator.rs
+++ b/crates/replica/src/coordinator.rs
@@ -32,6 +32,9 @@
 /// How long a set change waits until the new members are prepared: until the change, the group
 /// tolerates one failure less.
 const PREPARE_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long a voter that no node can replace has to be lost until the set does without it. Longer than most restarts, since a voter
+/// that was left out copies before it counts again; shorter than the time after which a further loss has to be borne.
+const LEAVE_OUT_DELAY: Duration = Duration::from_secs(4);
 /// How long a joint set waits for live replicas that haven't finished copying.
 const COPY_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Time of the node's clock before which the initial sets are only written with at least as many
@@ -232,6 +235,18 @@
                 state.due = None;
                 self.write(group, set.epoch, change).await;
             }
+            SetStep::LeaveOut(_) if now.saturating_sub(since) < LEAVE_OUT_DELAY => {}
+            SetStep::LeaveOut(change) => {
+                log::warn!(
+                    target: "belief",
+                    group = group.0,
+                    epoch = set.epoch.0,
+                    lost_ms = whole_ms(now.saturating_sub(since));
+                    "no node can replace a lost voter; leaving it out of the replica set"
+                );
+                state.due = None;
+                self.write(group, set.epoch, change).await;
+            }
             SetStep::Prepare { change, .. } if now.saturating_sub(since) > PREPARE_TIMEOUT => {
                 log::warn!(
                     target: "belief",
