A full replica lets go of turns that no later turn may name

Cause: turns are kept for 30 s beyond their retention, and earlier turns of a chain for up to 30 s more, in 45 in 100 of the memory; a full replica refused new turns while it kept old ones that nobody may name.

Evidence: the two tests of lifetimes fail without the change.

Why it works: without room, a replica removes the turns whose own retention has been over for 20 of the 30 s and that no other turn goes on from; what a turn that may still be named needs stays with it, so no chain loses a turn that counts. Their share is 60 in 100.

--- a/crates/gateway/src/records_client.rs
+++ b/crates/gateway/src/records_client.rs
@@ -14,8 +14,8 @@
 use prometheus_client::metrics::counter::Counter;
 use rand::RngExt;
 use ridgeworks_records::{
-    Epoch, GroupId, LedgerEntry, ProgramId, ProgramLedger, Replica, ReplicaGroups, ReplicaReply,
-    ReplicaRequest, ReplicaSet, Settlement, TurnId, TurnRecord,
+    Epoch, GroupId, LedgerEntry, ProgramId, ProgramLedger, RETENTION_MARGIN_MS, Replica,
+    ReplicaGroups, ReplicaReply, ReplicaRequest, ReplicaSet, Settlement, TurnId, TurnRecord,
 };
 use ridgeworks_resident::clock::whole_ms;
 use ridgeworks_resident::node::Node;
@@ -32,8 +32,8 @@
 const REPLICA_TIMEOUT: Duration = Duration::from_millis(700);
 /// Delay before a replica that could not reply is asked again.
 const RETRY_DELAY: Duration = Duration::from_millis(40);
-/// Added to the configured retention of ledgers and turns, because clocks differ.
-const RETENTION_MARGIN: Duration = Duration::from_secs(30);
+/// Added to the configured retention of ledgers and turns.
+const RETENTION_MARGIN: Duration = Duration::from_millis(RETENTION_MARGIN_MS);
 
 /// Bounds of the retry delay while no majority is reachable. The minimum spreads retries of
 /// requests that were refused together; few clients can wait longer than the maximum.
--- a/crates/records/src/lib.rs
+++ b/crates/records/src/lib.rs
@@ -43,8 +43,8 @@
 pub use plan::{CopyProgress, SetStep, StorageNode, assign_groups, initial_groups, plan_change};
 pub use quorum_write::{QuorumWrite, WriteProgress, Written};
 pub use replica::{
-    ChainGap, Change, DISK_VERSION, Handled, IncompleteAppend, NotRestored, ReplicaState,
-    StoredRecord, Wait,
+    ChainGap, Change, DISK_VERSION, Handled, IncompleteAppend, NotRestored, RETENTION_MARGIN_MS,
+    ReplicaState, StoredRecord, Wait,
 };
 pub use replica_set::{Replica, ReplicaSet};
 pub use turn::TurnRecord;
--- a/crates/records/src/replica.rs
+++ b/crates/records/src/replica.rs
@@ -8,6 +8,7 @@
 mod ledger_table;
 mod lifetimes;
 mod restoring;
+mod room;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -15,6 +16,7 @@
 pub use self::chains::{ChainGap, IncompleteAppend};
 use self::ledger_table::LedgerTable;
 pub use self::ledger_table::NotRestored;
+pub use self::room::RETENTION_MARGIN_MS;
 use rkyv::{Archive, Deserialize, Serialize};
 
 use crate::change_log::{ChangeLog, LastChange};
@@ -131,6 +133,8 @@
     change_logs: BTreeMap<GroupId, ChangeLog>,
     turn_bytes: usize,
     max_total_turn_bytes: usize,
+    /// Before this time no room is made again.
+    next_search_ms: u64,
     /// Turns that aren't here and that later turns name, with the time until which those need them.
     awaited: BTreeMap<TurnId, u64>,
     /// Whether some records of the disk aren't restored yet.
@@ -152,6 +156,7 @@
             change_logs: BTreeMap::new(),
             turn_bytes: 0,
             max_total_turn_bytes,
+            next_search_ms: 0,
             awaited: BTreeMap::new(),
             is_restoring: false,
             absent: BTreeSet::new(),
@@ -208,7 +213,7 @@
                 epoch,
                 record,
                 ttl_ms,
-            } => self.append(group, epoch, record, now_ms + ttl_ms),
+            } => self.append(group, epoch, record, ttl_ms, now_ms),
             ReplicaRequest::ReadChain { turn, .. } => Handled::immediate(self.read_chain(turn)),
             ReplicaRequest::Adopt { groups } => self.adopt(groups),
             ReplicaRequest::List { .. } | ReplicaRequest::Fetch { .. } if self.is_restoring => {
@@ -236,27 +241,18 @@
 
     /// Removes expired records.
     pub fn expire(&mut self, now_ms: u64) -> Vec<Change> {
-        let mut changes = Vec::new();
-        let turn_bytes = &mut self.turn_bytes;
+        self.awaited
+            .retain(|_, expires_at_ms| *expires_at_ms > now_ms);
+        // A later turn that needs it may still be on the disk only.
+        let is_restoring = self.is_restoring;
+        let mut changes =
+            self.remove_turns(|_, expires_at_ms| !is_restoring && expires_at_ms <= now_ms);
         let logs = &mut self.change_logs;
         let mut remove_from_log = |group: GroupId, last_change: LastChange| {
             if let Some(log) = logs.get_mut(&group) {
                 log.remove_change(last_change);
             }
         };
-        self.awaited
-            .retain(|_, expires_at_ms| *expires_at_ms > now_ms);
-        // A later turn that needs it may still be on the disk only.
-        let is_restoring = self.is_restoring;
-        self.turns.retain(|turn, retained| {
-            let keep = is_restoring || retained.expires_at_ms > now_ms;
-            if !keep {
-                remove_from_log(retained.group, retained.last_change);
-                *turn_bytes -= retained.value.record.weight();
-                changes.push(Change::Delete(RecordKey::Turn(turn.clone())));
-            }
-            keep
-        });
         self.ledgers.retain(|program, retained| {
             let keep = retained.expires_at_ms > now_ms;
             if !keep {
@@ -268,6 +264,25 @@
         changes
     }
 
+    /// Removes the turns of which this is true, by their identifier and expiry.
+    fn remove_turns(&mut self, is_removed: impl Fn(&TurnId, u64) -> bool) -> Vec<Change> {
+        let mut changes = Vec::new();
+        let turn_bytes = &mut self.turn_bytes;
+        let logs = &mut self.change_logs;
+        self.turns.retain(|turn, retained| {
+            let is_removed = is_removed(turn, retained.expires_at_ms);
+            if is_removed {
+                if let Some(log) = logs.get_mut(&retained.group) {
+                    log.remove_change(retained.last_change);
+                }
+                *turn_bytes -= retained.value.record.weight();
+                changes.push(Change::Delete(RecordKey::Turn(turn.clone())));
+            }
+            !is_removed
+        });
+        changes
+    }
+
     fn group_of(&self, program: &ProgramId) -> GroupId {
         let groups = self.groups.as_ref();
         groups.map_or(GroupId::default(), |groups| groups.group_of(Some(program)))
@@ -414,12 +429,18 @@
         group: GroupId,
         epoch: Epoch,
         record: TurnRecord,
-        expires_at_ms: u64,
+        ttl_ms: u64,
+        now_ms: u64,
     ) -> Handled {
         let turn = record.turn.clone();
-        let Some(changes) = self.add_turn(group, record, expires_at_ms) else {
-            return Handled::immediate(ReplicaReply::Unavailable);
+        let mut changes = self.make_room(record.weight(), now_ms);
+        let Some(added) = self.add_turn(group, record, now_ms + ttl_ms) else {
+            return Handled {
+                changes,
+                ..Handled::immediate(ReplicaReply::Unavailable)
+            };
         };
+        changes.extend(added);
         Handled {
             incomplete: self.incomplete_append(group, epoch, turn),
             ..Handled::durable(changes, ReplicaReply::Done)
@@ -448,6 +469,7 @@
         self.turn_bytes += record.weight();
         let turn = record.turn.clone();
         let previous = record.previous.clone();
+        let own_expires_at_ms = expires_at_ms;
         let expires_at_ms = self.renewed_expiry(&turn, expires_at_ms);
         let mut last_change = self
             .turns
@@ -456,7 +478,7 @@
         let key = || RecordKey::Turn(turn.clone());
         change_log(&mut self.change_logs, self.log_id, group).log_change(&mut last_change, key);
         let retained = Retained {
-            value: ChainedTurn::new(record),
+            value: ChainedTurn::new(record, own_expires_at_ms),
             expires_at_ms,
             group,
             last_change,
--- a/crates/records/src/replica/chains.rs
+++ b/crates/records/src/replica/chains.rs
@@ -17,14 +17,17 @@
     pub record: TurnRecord,
     /// Whether all turns before it are known to be here. Stays true, since none of them expires before it does.
     is_complete: bool,
+    /// When it expires, whatever later turns need it.
+    pub own_expires_at_ms: u64,
 }
 
 impl ChainedTurn {
-    pub fn new(record: TurnRecord) -> Self {
+    pub fn new(record: TurnRecord, own_expires_at_ms: u64) -> Self {
         let is_complete = record.previous.is_none();
         Self {
             record,
             is_complete,
+            own_expires_at_ms,
         }
     }
 }
--- a/crates/records/tests/lifetimes.rs
+++ b/crates/records/tests/lifetimes.rs
@@ -27,20 +27,23 @@
     }
 }
 
-fn empty_replica() -> ReplicaState {
+fn one_voter() -> ReplicaSet {
     let me = Replica {
         id: ReplicaId(1),
         node: "store-1".to_owned(),
         address: "127.0.0.1:1".to_owned(),
         zone: "zone".to_owned(),
     };
-    let set = ReplicaSet {
+    ReplicaSet {
         epoch: EPOCH,
         voters: vec![me],
         incoming: None,
-    };
+    }
+}
+
+fn empty_replica() -> ReplicaState {
     let mut state = ReplicaState::new(ReplicaId(1), 1_000_000);
-    state.restore(StoredRecord::Set(set));
+    state.restore(StoredRecord::Set(one_voter()));
     state
 }
 
@@ -215,3 +218,53 @@
         Some(self[index])
     }
 }
+
+/// Bytes of `count` turns of `record`'s size.
+fn replica_with_room_for(count: usize) -> ReplicaState {
+    let mut measured = empty_replica();
+    append_at(&mut measured, turn(0, None), 0);
+    let mut state = ReplicaState::new(ReplicaId(1), measured.turn_bytes() * count);
+    state.restore(StoredRecord::Set(one_voter()));
+    state
+}
+
+fn append_at(state: &mut ReplicaState, record: TurnRecord, now_ms: u64) -> (bool, usize) {
+    let request = ReplicaRequest::Append {
+        group: GROUP,
+        epoch: EPOCH,
+        record,
+        ttl_ms: TTL_MS,
+    };
+    let handled = state.handle(request, now_ms);
+    let deleted = handled.changes.iter();
+    let deleted = deleted.filter(|change| matches!(change, Change::Delete(_)));
+    (handled.reply == ReplicaReply::Done, deleted.count())
+}
+
+/// Replicas that were full of turns that nobody might name any more refused all turns until those expired, half a minute later.
+#[test]
+fn a_full_replica_lets_go_of_what_no_later_turn_may_name() {
+    let mut state = replica_with_room_for(4);
+    // Of 90 s, 60 s are what the route asks.
+    for number in 0..4 {
+        assert_eq!(append_at(&mut state, turn(number, None), 0), (true, 0));
+    }
+    assert_eq!(append_at(&mut state, turn(4, None), 69_000), (false, 0));
+    assert_eq!(append_at(&mut state, turn(5, None), 71_000), (true, 4));
+    assert_eq!(state.turn_and_ledger_counts().0, 1);
+}
+
+#[test]
+fn a_full_replica_keeps_chains_whose_newest_turn_may_be_named() {
+    let mut state = replica_with_room_for(4);
+    assert!(append_at(&mut state, turn(0, None), 0).0);
+    assert!(append_at(&mut state, turn(1, Some(0)), 50_000).0);
+    assert!(append_at(&mut state, turn(2, None), 0).0);
+    assert!(append_at(&mut state, turn(3, None), 0).0);
+    assert_eq!(append_at(&mut state, turn(4, Some(1)), 75_000), (true, 2));
+    let mut chain = Node {
+        state,
+        disk: Vec::new(),
+    };
+    assert_eq!(chain.chain_len(4, 75_000), Ok(3));
+}
--- a/crates/replica/src/role.rs
+++ b/crates/replica/src/role.rs
@@ -30,7 +30,7 @@
 use crate::retirements::Retirements;
 
 /// Share of the process's memory that turns may take, in percent.
-const TURN_MEMORY_PERCENT: u64 = 45;
+const TURN_MEMORY_PERCENT: u64 = 60;
 const BYTES_PER_MB: u64 = 1024 * 1024;
 /// Time to reply to requests that arrived before shutdown.
 const SHUTDOWN_TIME: Duration = Duration::from_millis(300);
