A stop does not close connections whose first request is on the way

Callers saw: a connection that had just been opened was closed with no answer when its gateway got SIGTERM, with the request on the way. Rules allow it, since nothing was read; a client cannot tell that, and one that may not repeat its request is left with it.

Cause: hyper's graceful shutdown closes a connection that has brought nothing yet, and open connections were shut down as soon as the stop began.

Evidence: requests_on_connections_that_are_opened_as_a_stop_begins_are_answered failed before ("nothing", read 0 bytes).

Why it works: a connection without a request is told to end once its first one has come.

--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -15,10 +15,10 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use ridgeworks_resident::listen;
 use tokio::net::TcpStream;
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 
 use crate::entry;
-use crate::gateway::Gateway;
+use crate::gateway::{Gateway, UsedConnectionGuard};
 
 /// File descriptors reserved for engines, nodes, the store and files.
 const RESERVED_DESCRIPTORS: u64 = 1_000;
@@ -96,16 +96,15 @@
     let buffer = head.max(MIN_HEAD_BYTES);
     let keeps_alive = *phase.borrow() == StopPhase::Serving;
     let own = Rc::clone(&gateway);
-    let used = OnceCell::new();
+    let use_of_connection = Rc::new(ConnectionUse::default());
+    let noted_use = Rc::clone(&use_of_connection);
     let service = service_fn(move |request: Request<Incoming>| {
         let gateway = Rc::clone(&own);
-        used.get_or_init(|| gateway.track_connection());
+        noted_use.on_request(&gateway);
         async move { Ok::<_, Infallible>(entry::answer(gateway, request).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        // Disabled from the start while draining: a graceful shutdown would close a new connection
-        // before its request is read.
         .keep_alive(keeps_alive)
         // Also bounds the idle time between two requests, so it must not be shorter than that.
         .header_read_timeout(idle)
@@ -113,9 +112,15 @@
         .max_buf_size(usize::try_from(buffer).unwrap_or(usize::MAX))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
+    // A graceful shutdown would close a new connection before its request is read.
+    let may_shut_down = async {
+        // The sender lives as long as the gateway.
+        let _ = phase.wait_for(|phase| *phase != StopPhase::Serving).await;
+        use_of_connection.began().await;
+    };
     let ended = tokio::select! {
         ended = connection.as_mut() => Some(ended),
-        _ = phase.wait_for(|phase| *phase != StopPhase::Serving), if keeps_alive => None,
+        () = may_shut_down, if keeps_alive => None,
     };
     let ended = match ended {
         Some(ended) => ended,
@@ -129,6 +134,27 @@
     }
 }
 
+/// Whether a client's connection brought a request.
+#[derive(Default)]
+struct ConnectionUse {
+    guard: OnceCell<UsedConnectionGuard>,
+    has_begun: Notify,
+}
+
+impl ConnectionUse {
+    fn on_request(&self, gateway: &Rc<Gateway>) {
+        self.guard.get_or_init(|| gateway.track_connection());
+        self.has_begun.notify_one();
+    }
+
+    /// Completes once the connection has brought a request.
+    async fn began(&self) {
+        if self.guard.get().is_none() {
+            self.has_begun.notified().await;
+        }
+    }
+}
+
 /// Logs why a client's connection failed. Bytes that are no request are answered by the HTTP library, with 400, 414 or 431, before
 /// any code of the gateway sees them.
 fn on_failed_connection(gateway: &Gateway, error: &hyper::Error) {
--- a/crates/node/tests/resident_stops.rs
+++ b/crates/node/tests/resident_stops.rs
@@ -211,3 +211,31 @@
     });
     assert!(stopped.elapsed() < Duration::from_secs(5));
 }
+
+/// The stop closed connections that had just been opened, while their requests were on the way.
+#[test]
+fn requests_on_connections_that_are_opened_as_a_stop_begins_are_answered() {
+    let (deployment, engine, gateway) =
+        start_and_wait("tools", Script::always(Answer::Whole("fine".to_owned())));
+    let connect = |_| TcpStream::connect(gateway).expect("a connection");
+    let connections: Vec<TcpStream> = (0..16).map(connect).collect();
+    // Accepted, and without a request.
+    thread::sleep(Duration::from_millis(200));
+    deployment.gateways[0].signal(Signal::TERM);
+    thread::sleep(Duration::from_millis(200));
+    let send = |(number, connection)| {
+        let id = format!("r-{number}");
+        let call = request("POST", "/once/x", &id, "once");
+        let parts = [call, String::new()];
+        (id, exchange(connection, parts, Duration::ZERO))
+    };
+    let calls: Vec<_> = connections.into_iter().enumerate().map(send).collect();
+    for (id, answer) in calls {
+        let answer = answer.join().expect("a client");
+        let is_served = answer.starts_with("HTTP/1.1 200") && answer.ends_with("fine");
+        // All come at once to an engine of few slots.
+        let is_refused = answer.starts_with("HTTP/1.1 503") && !has_run(&engine, &id);
+        assert!(is_served || is_refused, "{id}: {answer}");
+        assert!(answer.contains("connection: close"), "{answer}");
+    }
+}
