The chain of a running turn is renewed until the turn has ended

Cause: only appending a later turn makes a chain live longer, so that the turn before expires while the later one runs, and the later one is appended behind a gap.

Evidence: a_turn_that_outlasts_the_one_before_it_leaves_no_gap failed before (503).

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,6 +1,7 @@
 //! Executes one request, from the reservation of its tokens to the end of its response.
 
 mod budget;
+mod chain_keeping;
 mod end_ledger;
 mod engine_choice;
 mod engine_ends;
@@ -120,7 +121,11 @@
             self.settle_before_answer().await;
             return self.refuse(client, refusal);
         }
-        self.try_engines(ClientSide::Waiting(client)).await
+        let keeping_chain = self.keep_chain();
+        tokio::select! {
+            ending = self.try_engines(ClientSide::Waiting(client)) => ending,
+            never = keeping_chain => match never {},
+        }
     }
 
     async fn try_engines(&mut self, mut client: ClientSide) -> Ending {
--- a/crates/node/tests/resident_records.rs
+++ b/crates/node/tests/resident_records.rs
@@ -1,10 +1,11 @@
 //! Kept turns and budgets through real gateways and replicas, with replicas that die and lose disks.
 
+use std::io::{Read, Write};
 use std::time::{Duration, Instant};
 
 use ridgeworks_platform_stand_ins::client::{Call, call_post, get};
 use ridgeworks_platform_stand_ins::deployment::{
-    Deployment, Process, send_until_served, wait_until,
+    Deployment, HOST, Process, routes, send_until_served, wait_until,
 };
 use ridgeworks_platform_stand_ins::{Answer, REQUEST_ID, Script};
 use rustix::process::Signal;
@@ -709,3 +710,46 @@
     let refused = larger.send(two).expect("an answer");
     assert!([402, 503].contains(&refused.status), "{refused:?}");
 }
+
+/// Sends a turn with a long deadline and reads its answer to the end, however long that takes.
+fn send_long_turn(gateway: std::net::SocketAddr, id: &str, previous: &str) -> String {
+    let mut connection = std::net::TcpStream::connect(gateway).expect("a connection");
+    let head = format!(
+        "POST /brief/x HTTP/1.1\r\nHost: {HOST}\r\nConnection: close\r\nRidgeworks-Request-Id: {id}\r\n\
+         Ridgeworks-Previous-Turn: {previous}\r\nRidgeworks-Deadline-Ms: 60000\r\nContent-Length: 6\r\n\r\nsecond"
+    );
+    connection.write_all(head.as_bytes()).expect("a request");
+    let mut answer = String::new();
+    connection.read_to_string(&mut answer).expect("an answer");
+    answer
+}
+
+/// The turn before a long one expired while that one ran, and later turns found a gap in their chain.
+#[test]
+fn a_turn_that_outlasts_the_one_before_it_leaves_no_gap() {
+    let mut deployment = Deployment::started(PROGRAM, 2, 3);
+    let mut long = routes();
+    for route in long.as_array_mut().expect("a list") {
+        route["timeout_ms"] = json!(60_000);
+    }
+    deployment.configure(long);
+    let engine = deployment.start_engine("models", "i-1", stream(2));
+    deployment.wait_until_engines_known(1);
+    let [one, two] = [0, 1].map(|index| deployment.gateways[index].callers());
+    let brief = |id: &str, previous| turn(id, previous, "input").path("/brief/x");
+    send_until_served(one, &brief("t-1", None));
+    // Within the retention of five seconds.
+    std::thread::sleep(Duration::from_secs(4));
+    engine.set_script(Script::always(Answer::Stream {
+        events: 18,
+        gap_ms: 2_000,
+    }));
+    let second = send_long_turn(one, "t-2", "t-1");
+    assert!(
+        second.starts_with("HTTP/1.1 200") && second.ends_with("0\r\n\r\n"),
+        "{second}"
+    );
+    engine.set_script(stream(2));
+    let third = brief("t-3", Some("t-2")).send(two).expect("an answer");
+    assert_eq!((third.status, third.is_whole), (200, true));
+}
--- a/crates/records/src/replica.rs
+++ b/crates/records/src/replica.rs
@@ -106,6 +106,9 @@
     }
 }
 
+/// A turn that is appended again is renewed if that adds so much to its lifetime.
+const LEAST_RENEWAL_MS: u64 = 3_000;
+
 #[derive(Debug, Clone)]
 struct Retained<T> {
     value: T,
@@ -447,18 +450,23 @@
         }
     }
 
-    /// Adds a turn unless it is here; `None` if there is no room for it.
+    /// Adds a turn, or renews one that is here; `None` if there is no room for it.
     fn add_turn(
         &mut self,
         group: GroupId,
         record: TurnRecord,
         expires_at_ms: u64,
     ) -> Option<Vec<Change>> {
-        if self.turns.contains_key(&record.turn) {
-            return Some(Vec::new());
-        }
-        if self.turn_bytes + record.weight() > self.max_total_turn_bytes {
-            return None;
+        let known = self.turns.get(&record.turn);
+        let known_until_ms = known.map(|retained| retained.value.own_expires_at_ms);
+        match known_until_ms {
+            // Repeated for want of a reply.
+            Some(until_ms) if expires_at_ms < until_ms + LEAST_RENEWAL_MS => {
+                return Some(Vec::new());
+            }
+            Some(_) => {}
+            None if self.turn_bytes + record.weight() > self.max_total_turn_bytes => return None,
+            None => {}
         }
         self.put_turn(group, record.clone(), expires_at_ms);
         let change = Change::Put(StoredRecord::GroupTurn(group, record, expires_at_ms));
