An encoded body, or an answer that names two requests, is not the engine's answer

By PROTOCOL.md clients ask for bodies without encoding, and an answer that has a Content-Encoding is not the engine's body; it was passed on with 200. An answer with two request identifiers was taken by its first one.

an_encoded_body_is_not_the_engine_s and an_answer_that_names_two_requests_belongs_to_none failed before. Both fail the attempt without a promise now.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -295,7 +295,8 @@
         reuse_after_rejection(gateway, engine_response).await;
         return Err(AttemptFailure::Rejected(status));
     }
-    if engine_response.head.is_signed {
+    let head = &engine_response.head;
+    if head.is_signed && !head.is_encoded {
         Ok(engine_response)
     } else {
         Err(AttemptFailure::InvalidResponse)
--- a/crates/node/tests/resident_spoilt_heads.rs
+++ b/crates/node/tests/resident_spoilt_heads.rs
@@ -108,6 +108,22 @@
     assert_all_failed(&replies("tools", tool_call, answers.to_vec()));
 }
 
+/// Clients ask for bodies without encoding.
+#[test]
+fn an_encoded_body_is_not_the_engine_s() {
+    let answers = vec![
+        answer("Content-Encoding: gzip\r\nContent-Length: 23", BODY),
+        answer("Content-Encoding:\r\nContent-Length: 23", BODY),
+    ];
+    assert_all_failed(&replies("tools", tool_call, answers));
+}
+
+#[test]
+fn an_answer_that_names_two_requests_belongs_to_none() {
+    let fields = "Ridgeworks-Request-Id: another\r\nContent-Length: 23";
+    assert_all_failed(&replies("tools", tool_call, vec![answer(fields, BODY)]));
+}
+
 #[test]
 fn answers_whose_status_is_none_are_not_passed_on() {
     let statuses = [
