--- a/crates/gateway/src/exchange/chain_keeping.rs
+++ b/crates/gateway/src/exchange/chain_keeping.rs
@@ -6,7 +6,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ridgeworks_records::TurnRecord;
 use tokio::time::{Instant, sleep};
 
 use super::Exchange;
@@ -20,7 +19,10 @@
     /// Renews the turn that this one goes on from, and with it all before that one, again and again until dropped.
     pub(super) fn keep_chain(&self) -> impl Future<Output = Infallible> + use<> {
         let gateway = Rc::clone(&self.gateway);
-        let previous = self.previous_record();
+        // Cached, since the prompt was read.
+        let previous = self.call.previous_turn();
+        let previous = previous.filter(|_| self.call.route.keeps_turns);
+        let previous = previous.and_then(|previous| gateway.turns.borrow().record(&previous));
         let program = self.call.program();
         let retention = self.call.route.retention();
         let residency = current_residency(&gateway, &self.call).into_owned();
@@ -28,10 +30,10 @@
             let Some(previous) = previous else {
                 return pending().await;
             };
-            let records = Rc::clone(&gateway.records);
             loop {
                 sleep(RENEWAL_INTERVAL).await;
                 let deadline = Instant::now() + RECORDS_TIMEOUT;
+                let records = &gateway.records;
                 let program = program.as_ref();
                 let renewing = records.append(program, &previous, retention, &residency, deadline);
                 if renewing.await.is_err() {
@@ -44,15 +46,4 @@
             }
         }
     }
-
-    /// The record of the turn that this one goes on from, which is cached once the prompt was read.
-    fn previous_record(&self) -> Option<Rc<TurnRecord>> {
-        if !self.call.route.keeps_turns {
-            return None;
-        }
-        let previous = self.call.previous_turn()?;
-        let now = self.gateway.now();
-        let chain = self.gateway.turns.borrow_mut().chain(&previous, now)?;
-        chain.last().cloned()
-    }
 }
--- a/crates/gateway/src/turn_cache.rs
+++ b/crates/gateway/src/turn_cache.rs
@@ -87,6 +87,12 @@
         self.bytes
     }
 
+    /// The turn, if it is cached.
+    pub fn record(&self, turn: &TurnId) -> Option<Rc<TurnRecord>> {
+        let cached = self.turns.get(turn)?;
+        Some(Rc::clone(&cached.record))
+    }
+
     /// The turn and all before it, oldest first; `None` unless all are cached and within their
     /// retention.
     pub fn chain(&mut self, newest: &TurnId, now: Duration) -> Option<Vec<Rc<TurnRecord>>> {
--- a/crates/records/src/replica/copying.rs
+++ b/crates/records/src/replica/copying.rs
@@ -31,6 +31,9 @@
         ttl_ms: u64,
         now_ms: u64,
     ) -> Option<Vec<Change>> {
+        if self.turns.contains_key(&record.turn) {
+            return Some(Vec::new());
+        }
         self.add_turn(group, record, now_ms + ttl_ms)
     }
 
