--- a/crates/records/tests/admission.rs
+++ b/crates/records/tests/admission.rs
@@ -192,3 +192,28 @@
         ledger.admission(&own, MOST, u64::from(budget)) == expected
     }
 }
+
+/// What such a turn reserved kept the next one out although its record told what it had generated.
+#[test]
+fn an_open_entry_of_a_turn_that_has_ended_charges_no_more_than_its_record_bounds() {
+    const BUDGET: u64 = 150;
+    let mut ledger = ProgramLedger::default();
+    ledger.merge_entry(&turn(0), open());
+    ledger.merge_entry(&turn(1), open());
+    let before = ledger.admission(&turn(1), MOST, BUDGET);
+    assert!(
+        matches!(before, TurnAdmission::Reserved { .. }),
+        "{before:?}"
+    );
+    ledger.cap_open_entries(&turn(0), 70);
+    assert_eq!(
+        ledger.admission(&turn(1), MOST, BUDGET),
+        TurnAdmission::Admitted
+    );
+    // A bound above the reservation changes nothing, and what is settled is exact.
+    ledger.cap_open_entries(&turn(0), 1_000);
+    ledger.merge_entry(&turn(2), spent(60));
+    ledger.cap_open_entries(&turn(2), 10);
+    assert_eq!(ledger.charged_by_others(&turn(1)), 70 + 60);
+    assert_eq!(ledger.spent_by_others(&turn(1)), 60);
+}
