--- a/crates/records/tests/groups.rs
+++ b/crates/records/tests/groups.rs
@@ -243,6 +243,21 @@
     plan_change(set, nodes, 3, &CopyProgress::default(), true)
 }
 
+/// A node whose disk was lost, and which runs a replica on an empty one.
+fn lose_disk(node: &mut StorageNode, new_id: u64) {
+    let name = node.replica.node.clone();
+    node.replica = replica(new_id, 3);
+    node.replica.node = name;
+}
+
+/// The voters that an immediate step would lead to.
+fn written_voters(step: Option<SetStep>) -> BTreeSet<u64> {
+    let Some(SetStep::Write(change)) = step else {
+        panic!("{step:?}");
+    };
+    ids(&change.incoming.expect("a joint set"))
+}
+
 /// A machine that was gone for good stayed a voter, and the loss of one more disk left no read quorum.
 #[test]
 fn a_lost_voter_that_no_node_can_replace_is_left_out() {
@@ -254,15 +269,9 @@
     };
     let incoming = change.incoming.expect("a joint set");
     assert_eq!(ids(&incoming), BTreeSet::from([0, 1]));
-    // The disk of another one is lost then.
-    nodes[0].replica = replica(7, 3);
-    nodes[0].replica.node = "store-0".to_owned();
+    lose_disk(&mut nodes[0], 7);
     let step = plan(&set(&[0, 1]), &nodes);
-    let Some(SetStep::Write(change)) = step else {
-        panic!("{step:?}");
-    };
-    let incoming = change.incoming.expect("a joint set");
-    assert_eq!(ids(&incoming), BTreeSet::from([1, 7]));
+    assert_eq!(written_voters(step), BTreeSet::from([1, 7]));
 }
 
 #[test]
@@ -286,12 +295,7 @@
     let mut nodes = nodes(2, 3);
     nodes[1].retiring = true;
     assert_eq!(plan(&set(&[0, 1]), &nodes), None);
-    nodes[0].replica = replica(7, 3);
-    nodes[0].replica.node = "store-0".to_owned();
+    lose_disk(&mut nodes[0], 7);
     let step = plan(&set(&[0, 1]), &nodes);
-    let Some(SetStep::Write(change)) = step else {
-        panic!("{step:?}");
-    };
-    let incoming = change.incoming.expect("a joint set");
-    assert_eq!(ids(&incoming), BTreeSet::from([1, 7]));
+    assert_eq!(written_voters(step), BTreeSet::from([1, 7]));
 }
--- a/crates/records/tests/lifetimes.rs
+++ b/crates/records/tests/lifetimes.rs
@@ -219,7 +219,7 @@
     }
 }
 
-/// Bytes of `count` turns of `record`'s size.
+/// A replica that is full with this many turns.
 fn replica_with_room_for(count: usize) -> ReplicaState {
     let mut measured = empty_replica();
     append_at(&mut measured, turn(0, None), 0);
