A panic of a task or thread is a line of the log

Before: a panic of a task printed to the standard error only, the process lived on without what the task did, and on-call, who has logs and metrics, saw nothing.

Now the line `panicked` has the place and the message. Test: a_panic_is_told_in_the_log (no line before).

--- a/crates/resident/src/logging.rs
+++ b/crates/resident/src/logging.rs
@@ -7,6 +7,7 @@
 use std::collections::HashMap;
 use std::fmt;
 use std::io::Write as _;
+use std::panic;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -100,9 +101,23 @@
         .appender(Appender::builder().build(APPENDER, Box::new(appender)))
         .build(Root::builder().appender(APPENDER).build(LevelFilter::Info))
         .map_err(LogError::Configuration)?;
-    log4rs::init_config(config)
-        .map(|_| counters)
-        .map_err(LogError::AlreadyInstalled)
+    log4rs::init_config(config).map_err(LogError::AlreadyInstalled)?;
+    log_panics();
+    Ok(counters)
+}
+
+/// Has each panic logged, beside its message on the standard error: it may end a task that nothing else misses.
+fn log_panics() {
+    let print = panic::take_hook();
+    panic::set_hook(Box::new(move |info| {
+        log::error!(
+            target: "process",
+            place = info.location().map(ToString::to_string),
+            detail = info.payload_as_str();
+            "panicked"
+        );
+        print(info);
+    }));
 }
 
 fn write_lines(lines: &Receiver<Vec<u8>>, counters: &LogCounters) {
