A file that reaches its limit fails the write and does not end the process

What callers saw: gateways and replicas that end by themselves, again and again, the more they log or store.

Cause: a write beyond RLIMIT_FSIZE raises SIGXFSZ, whose default ends the process without a last line; nothing handled it (nor SIGXCPU, which comes with a limit of processor time). Whoever bounds disks or logs with such a limit ends processes with it: a replica by its database, a gateway by the file that takes its log. Class: a limit that the kernel enforces by a signal.

Both signals have a handler now, from the first step of every command, so that the write fails with EFBIG: the replica's disk counts as failed and is opened again, as when it is full; lines that can't be written are counted in log_lines_lost_total and told in one line once the output takes lines again.

--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -8,7 +8,7 @@
 use clap::{Parser, Subcommand};
 use ridgeworks_node::settings::{self, Flags};
 use ridgeworks_node::{daemon, logging, resident, versions};
-use ridgeworks_resident::build;
+use ridgeworks_resident::{build, resources};
 
 /// Node of the ridgeworks scheduler.
 #[derive(Debug, Parser)]
@@ -47,6 +47,9 @@
 
 fn main() -> ExitCode {
     build::set_commit(option_env!("RIDGEWORKS_COMMIT"));
+    if let Err(error) = resources::survive_limits() {
+        return report::<(), _>(Err(error));
+    }
     let command_line = CommandLine::parse();
     match &command_line.command {
         Some(Command::Resident { settings }) => run_resident(settings.clone()),
--- a/crates/resident/src/lib.rs
+++ b/crates/resident/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod node;
 pub mod peer;
 pub mod process;
+pub mod resources;
 pub mod response_head;
 pub mod settings;
 pub mod shutdown;
--- a/crates/resident/src/logging.rs
+++ b/crates/resident/src/logging.rs
@@ -37,9 +37,9 @@
     pub queued: AtomicU64,
     /// Lines dropped by the rate limit.
     pub suppressed: AtomicU64,
-    /// Lines dropped because the queue was full.
+    /// Lines dropped because the queue was full, or because the standard output took none.
     pub lost: AtomicU64,
-    /// Lines that have reached the standard output.
+    /// Lines that have reached the standard output, or can't.
     pub flushed: AtomicU64,
 }
 
@@ -121,6 +121,7 @@
 }
 
 fn write_lines(lines: &Receiver<Vec<u8>>, counters: &LogCounters) {
+    let mut unwritten = 0;
     while let Ok(mut text) = lines.recv() {
         let mut count = 1;
         while let Ok(more) = lines.try_recv() {
@@ -128,8 +129,18 @@
             count += 1;
         }
         let mut output = std::io::stdout().lock();
-        // Write errors are ignored, so that the process keeps running when its output has been closed.
-        let _ = output.write_all(&text).and_then(|()| output.flush());
+        // The process keeps running when its output is closed or full.
+        match output.write_all(&text).and_then(|()| output.flush()) {
+            Ok(()) if unwritten > 0 => {
+                log::warn!(target: "process", lines = unwritten; "log lines could not be written");
+                unwritten = 0;
+            }
+            Ok(()) => {}
+            Err(_) => {
+                unwritten += count;
+                counters.lost.fetch_add(count, Ordering::Relaxed);
+            }
+        }
         counters.flushed.fetch_add(count, Ordering::AcqRel);
     }
 }
