A start waits for threads and descriptors that the machine lacks

What callers saw: the system did not start, or processes ended by themselves at their start.

Cause: a start took a lack that may pass for a fault: no thread for the log (EAGAIN, by memory or the number of processes), status 1; no descriptors for the runtime (EMFILE, ENFILE), status 1 or a panic, 101; none for a socket.

The start tries again each 0.1 s, for 30 s as for addresses, where the errno tells of a shortage, and logs that it waited (start waited for what the machine lacked: resource, waited_ms, detail). An error that is printed no longer panics where the standard error is closed or full.

--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,5 +1,6 @@
 //! Entry point of `ridgeworksd`.
 
+use std::io::{self, Write as _};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -76,7 +77,8 @@
     match result {
         Ok(_) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("{error}");
+            // The standard error may be closed or full.
+            let _ = writeln!(io::stderr(), "{error}");
             ExitCode::FAILURE
         }
     }
--- a/crates/node/src/resident.rs
+++ b/crates/node/src/resident.rs
@@ -10,6 +10,7 @@
 use ridgeworks_platform::settings_path;
 use ridgeworks_resident::logging::{self, LogError};
 use ridgeworks_resident::process::RoleError;
+use ridgeworks_resident::resources;
 use ridgeworks_resident::settings::{NodeSettings, NodeSettingsError, Role};
 use ridgeworks_resident::shutdown::EarlyReloads;
 use tokio::runtime::Builder;
@@ -65,6 +66,8 @@
         log::warn!(target: "process", waited_ms = ms, detail:% = first_error; "settings could not be read at first");
     }
     let log = Arc::clone(&log_counters);
+    let shortage = resources::wait_for_descriptors().map_err(ResidentError::Runtime)?;
+    logging::log_shortage("descriptors", shortage);
     let runtime = Builder::new_current_thread()
         .enable_all()
         .build()
--- a/crates/node/tests/resident_limits.rs
+++ b/crates/node/tests/resident_limits.rs
@@ -1,20 +1,81 @@
 //! Limits of the machine that a resident reaches: none may end it, and it goes on when they are raised.
 
-use std::fs;
+use std::fs::{self, File};
+use std::io::Write;
 use std::thread;
 use std::time::Duration;
 
 use ridgeworks_platform_stand_ins::client::{call_get, call_post};
-use ridgeworks_platform_stand_ins::deployment::{Deployment, send_until_served, wait_until};
+use ridgeworks_platform_stand_ins::deployment::{
+    Deployment, Process, routes, send_until_served, wait_until,
+};
 use ridgeworks_platform_stand_ins::{Answer, Script};
 use rustix::process::Resource;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_ridgeworksd");
 /// Longer than any start takes that goes wrong at once.
 const FIRST_STEPS: Duration = Duration::from_millis(500);
+/// More than the first steps of a start allocate, and less than the stack of a thread.
+const SPARE_ADDRESS_SPACE: u64 = 1024 * 1024;
+/// Less than the runtime and the listeners need.
+const FEW_DESCRIPTORS: u64 = 5;
 /// Less than a replica's database or log has.
 const FULL_FILE_BYTES: u64 = 1_024;
 
+fn gateway() -> Deployment {
+    let mut deployment = Deployment::new(PROGRAM);
+    deployment.configure(routes());
+    deployment.add_gateway();
+    deployment
+}
+
+/// Starts a process within a limit that is set before its first steps, while it waits for its settings.
+fn start_within(process: &mut Process, resource: Resource, limit: impl Fn(&Process) -> u64) {
+    let path = process.settings_path().to_owned();
+    let text = fs::read_to_string(&path).expect("settings");
+    fs::remove_file(&path).expect("a file");
+    let made = std::process::Command::new("mkfifo").arg(&path).status();
+    assert!(made.expect("a program").success());
+    process.start();
+    thread::sleep(FIRST_STEPS);
+    process.limit(resource, limit(process));
+    let mut pipe = File::options().write(true).open(&path).expect("a pipe");
+    pipe.write_all(text.as_bytes()).expect("a reader");
+    drop(pipe);
+    thread::sleep(FIRST_STEPS);
+    assert_eq!(process.ended(), None, "{:?}", process.log());
+}
+
+/// Starts a gateway whose resource is short until its start has waited for it.
+fn start_while_short(resource: Resource, limit: impl Fn(&Process) -> u64) {
+    let mut deployment = gateway();
+    let process = &mut deployment.gateways[0];
+    start_within(process, resource, limit);
+    assert!(!process.has_logged("started"));
+    process.lift_limit(resource);
+    wait_until("the gateway is ready", || {
+        assert_eq!(process.ended(), None, "{:?}", process.log());
+        process.is_ready()
+    });
+    wait_until("the wait is told", || {
+        process.has_logged("start waited for what the machine lacked")
+    });
+}
+
+/// The log's thread ended each start on a machine that was short of memory or processes for a moment.
+#[test]
+fn a_process_that_gets_no_thread_when_it_starts_waits_for_one() {
+    start_while_short(Resource::As, |process| {
+        process.address_space_bytes() + SPARE_ADDRESS_SPACE
+    });
+}
+
+/// The runtime panicked without descriptors for its signals.
+#[test]
+fn a_process_that_gets_no_descriptors_when_it_starts_waits_for_them() {
+    start_while_short(Resource::Nofile, |_| FEW_DESCRIPTORS);
+}
+
 /// The signal that comes with a write beyond the limit ended a gateway whose log is a file.
 #[test]
 fn a_gateway_whose_log_reaches_the_limit_of_a_file_serves_on() {
--- a/crates/resident/src/listen.rs
+++ b/crates/resident/src/listen.rs
@@ -1,7 +1,8 @@
 //! Sockets at the addresses of the settings.
 //!
 //! When a process starts, an address may be taken for a while, by the process before it or by a connection that was given its port,
-//! or the machine may not have it yet. The process waits for it instead of ending.
+//! or the machine may not have it yet, or lack what a socket
+//! takes. The process waits for it instead of ending.
 
 use std::fmt;
 use std::future::Future;
@@ -12,10 +13,9 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::time::{Instant, sleep};
 
-const RETRY_INTERVAL: Duration = Duration::from_millis(100);
+use crate::resources::{MAX_WAIT, RETRY_INTERVAL, is_shortage};
+
 const LOG_INTERVAL: Duration = Duration::from_secs(5);
-/// After that, the settings are taken to be wrong.
-const MAX_WAIT: Duration = Duration::from_secs(30);
 
 #[derive(Debug, Clone, Copy)]
 enum Protocol {
@@ -78,5 +78,5 @@
     matches!(
         error.kind(),
         ErrorKind::AddrInUse | ErrorKind::AddrNotAvailable
-    )
+    ) || is_shortage(error)
 }
--- a/crates/resident/src/logging.rs
+++ b/crates/resident/src/logging.rs
@@ -6,7 +6,7 @@
 
 use std::collections::HashMap;
 use std::fmt;
-use std::io::Write as _;
+use std::io::{self, Write as _};
 use std::panic;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
@@ -20,6 +20,9 @@
 use log4rs::encode::json::JsonEncoder;
 use log4rs::encode::writer::simple::SimpleWriter;
 
+use crate::clock::whole_ms;
+use crate::resources::{self, PassedShortage};
+
 /// Key of the node's name in a line's diagnostic context.
 const NODE_KEY: &str = "node";
 const APPENDER: &str = "log";
@@ -61,7 +64,7 @@
 #[derive(Debug)]
 pub enum LogError {
     /// The writer thread could not be spawned.
-    Thread(std::io::Error),
+    Thread(io::Error),
     /// `log4rs` rejected the configuration.
     Configuration(log4rs::config::runtime::ConfigErrors),
     /// A logger is already installed.
@@ -83,14 +86,7 @@
 /// Starts the log of the process; each line has the node's name.
 pub fn start(node: &str) -> Result<Arc<LogCounters>, LogError> {
     let counters = Arc::<LogCounters>::default();
-    let (sender, receiver) = sync_channel(MAX_WAITING_LINES);
-    std::thread::Builder::new()
-        .name(WRITER_THREAD.to_owned())
-        .spawn({
-            let counters = Arc::clone(&counters);
-            move || write_lines(&receiver, &counters)
-        })
-        .map_err(LogError::Thread)?;
+    let (sender, shortage) = start_writer(&counters).map_err(LogError::Thread)?;
     let appender = BoundedAppender {
         node: node.to_owned(),
         lines: sender,
@@ -103,9 +99,40 @@
         .map_err(LogError::Configuration)?;
     log4rs::init_config(config).map_err(LogError::AlreadyInstalled)?;
     log_panics();
+    log_shortage("thread", shortage);
     Ok(counters)
 }
 
+/// Starts the writer thread; returns its queue.
+fn start_writer(
+    counters: &Arc<LogCounters>,
+) -> io::Result<(SyncSender<Vec<u8>>, Option<PassedShortage>)> {
+    resources::wait_for(|| {
+        let (sender, receiver) = sync_channel(MAX_WAITING_LINES);
+        let counters = Arc::clone(counters);
+        let builder = std::thread::Builder::new().name(WRITER_THREAD.to_owned());
+        builder.spawn(move || write_lines(&receiver, &counters))?;
+        Ok(sender)
+    })
+}
+
+/// Logs that the start waited for what the machine lacked, if it did.
+pub fn log_shortage(resource: &str, shortage: Option<PassedShortage>) {
+    if let Some(PassedShortage {
+        first_error,
+        waited,
+    }) = shortage
+    {
+        log::warn!(
+            target: "process",
+            resource = resource,
+            waited_ms = whole_ms(waited),
+            detail:% = first_error;
+            "start waited for what the machine lacked"
+        );
+    }
+}
+
 /// Has each panic logged, beside its message on the standard error: it may end a task that nothing else misses.
 fn log_panics() {
     let print = panic::take_hook();
