A replica that gets no thread for its disk tries again

What callers saw: a replica that lives, sends heartbeats and answers nothing, until it is started again.

Cause: the runtime's threads for blocking work panic where none can be started; the panic was in the replica's actor, which ended for good with its disk never opened, while the process lived on.

Work on the disk has threads of its own, whose start may fail: then it is 'disk cannot be opened' and tried again like any other failure of the disk.

Test: a_replica_that_gets_no_thread_for_its_disk_opens_it_later (failed on: waited in vain until the lack is told).

--- a/crates/node/tests/resident_limits.rs
+++ b/crates/node/tests/resident_limits.rs
@@ -17,6 +17,8 @@
 const FIRST_STEPS: Duration = Duration::from_millis(500);
 /// More than the first steps of a start allocate, and less than the stack of a thread.
 const SPARE_ADDRESS_SPACE: u64 = 1024 * 1024;
+/// The stack of a thread, and less than two of them.
+const ONE_THREAD: u64 = 5 * 512 * 1024;
 /// Less than the runtime and the listeners need.
 const FEW_DESCRIPTORS: u64 = 5;
 /// Less than a replica's database or log has.
@@ -76,6 +78,24 @@
     start_while_short(Resource::Nofile, |_| FEW_DESCRIPTORS);
 }
 
+/// The actor of a replica ended for good with the thread that it did not get, and the process seemed to live.
+#[test]
+fn a_replica_that_gets_no_thread_for_its_disk_opens_it_later() {
+    let mut deployment = Deployment::new(PROGRAM);
+    deployment.configure(routes());
+    let process = deployment.add_replica();
+    start_within(process, Resource::As, |process| {
+        process.address_space_bytes() + ONE_THREAD + SPARE_ADDRESS_SPACE
+    });
+    wait_until("the lack is told", || {
+        process.has_logged("disk cannot be opened")
+    });
+    assert!(!process.has_logged("disk opened"));
+    process.lift_limit(Resource::As);
+    wait_until("the disk is open", || process.has_logged("disk opened"));
+    assert_eq!(process.ended(), None);
+}
+
 /// The signal that comes with a write beyond the limit ended a gateway whose log is a file.
 #[test]
 fn a_gateway_whose_log_reaches_the_limit_of_a_file_serves_on() {
--- a/crates/replica/src/actor.rs
+++ b/crates/replica/src/actor.rs
@@ -404,11 +404,15 @@
         let node_name = self.parts.node_name.clone();
         let max_total_turn_bytes = self.parts.max_total_turn_bytes;
         let disk_events = self.parts.disk_events.clone();
-        tokio::task::spawn_blocking(move || {
+        let events = disk_events.clone();
+        let started = disk::start_thread(move || {
             let opened = disk::open(&folder, &node_name, max_total_turn_bytes);
             // The process may be shutting down.
-            let _ = disk_events.send(DiskEvent::Opened(Box::new(opened)));
+            let _ = events.send(DiskEvent::Opened(Box::new(opened)));
         });
+        if let Err(error) = started {
+            let _ = disk_events.send(DiskEvent::Opened(Box::new(Err(error))));
+        }
     }
 
     /// Reads the records of the open disk on another thread.
@@ -418,9 +422,10 @@
         };
         let (opening, disk_events) = (self.opening, self.parts.disk_events.clone());
         let (store, is_wanted) = (Arc::clone(&disk.store), Arc::clone(&disk.is_read_wanted));
-        tokio::task::spawn_blocking(move || {
+        let events = disk_events.clone();
+        let started = disk::start_thread(move || {
             let outcome = disk::read_all(&store, |records| {
-                let sent = disk_events.send(DiskEvent::Records { opening, records });
+                let sent = events.send(DiskEvent::Records { opening, records });
                 if sent.is_ok() && is_wanted.load(Ordering::SeqCst) {
                     ControlFlow::Continue(())
                 } else {
@@ -430,8 +435,12 @@
             // The local database has to be closed before the folder can be opened again.
             drop(store);
             // The process may be shutting down.
-            let _ = disk_events.send(DiskEvent::AllRead { opening, outcome });
+            let _ = events.send(DiskEvent::AllRead { opening, outcome });
         });
+        if let Err(error) = started {
+            let outcome = Err(error);
+            let _ = disk_events.send(DiskEvent::AllRead { opening, outcome });
+        }
     }
 
     fn restore(&mut self, opening: u64, records: Vec<StoredRecord>) {
@@ -520,7 +529,9 @@
         if let Some(disk) = self.disk.take() {
             disk.is_read_wanted.store(false, Ordering::SeqCst);
             // Closing blocks on the disk.
-            tokio::task::spawn_blocking(move || drop(disk.store));
+            if let Err(error) = disk::start_thread(move || drop(disk.store)) {
+                log::warn!(target: "dependency", detail:% = error; "disk closed on the network thread");
+            }
         }
         self.publish_status();
     }
--- a/crates/replica/src/disk.rs
+++ b/crates/replica/src/disk.rs
@@ -5,9 +5,11 @@
 //! seconds (`docs/design/large-fleets.md`, "After everything has ended").
 
 use std::fmt;
+use std::io;
 use std::ops::{ControlFlow, RangeInclusive};
 use std::path::Path;
 use std::sync::Arc;
+use std::thread;
 use std::time::Instant;
 
 use ridgeworks_records::{Change, DISK_VERSION, RecordKey, ReplicaId, ReplicaState, StoredRecord};
@@ -15,6 +17,7 @@
 use rkyv::rancor;
 use rkyv::util::AlignedVec;
 
+const THREAD: &str = "disk";
 const READ_VERSIONS: RangeInclusive<u16> = 0..=DISK_VERSION;
 /// Key of the disk's version among the node's own records; a disk without it has version 0.
 const VERSION_KEY: &[u8] = b"disk-version";
@@ -37,6 +40,8 @@
     Store(StoreError),
     /// A record can't be encoded or decoded.
     Record,
+    /// No thread could be started.
+    Thread(io::Error),
     /// The disk has a format that this program doesn't read. Holds the disk's version, `None` if
     /// that can't be decoded.
     Version(Option<u16>),
@@ -47,6 +52,7 @@
         match self {
             Self::Store(error) => error.fmt(formatter),
             Self::Record => write!(formatter, "a record cannot be encoded or decoded"),
+            Self::Thread(error) => write!(formatter, "cannot start a thread: {error}"),
             Self::Version(Some(version)) => write!(
                 formatter,
                 "the disk has format version {version}, but this program reads versions up to {DISK_VERSION}"
@@ -74,6 +80,13 @@
     pub is_new: bool,
 }
 
+/// Runs work that blocks on the disk. The runtime's own threads for such work panic where none can be started.
+pub fn start_thread(work: impl FnOnce() + Send + 'static) -> Result<(), DiskError> {
+    let builder = thread::Builder::new().name(THREAD.to_owned());
+    let started = builder.spawn(work);
+    started.map(drop).map_err(DiskError::Thread)
+}
+
 /// Opens the local database in this folder and reads the replica sets. Blocks.
 pub fn open(
     folder: &Path,
@@ -144,7 +157,7 @@
         if on_records(records).is_break() {
             return Ok(());
         }
-        std::thread::sleep(started_at.elapsed() * PAUSE_FACTOR);
+        thread::sleep(started_at.elapsed() * PAUSE_FACTOR);
     }
 }
 
