A disk that cannot be opened is told once each 5 s, with its folder and what to do

What operators saw: a replica whose database was damaged lives and answers nothing; its log had the same line each 0.4 s, without the folder, and no page said what may be done with it.

The replica does not give the records up by itself: they may be the only ones where two voters of a group have damage.

--- a/crates/replica/src/actor.rs
+++ b/crates/replica/src/actor.rs
@@ -29,6 +29,7 @@
 use crate::disk::{self, DiskError, OpenedDisk};
 use crate::latency::LatencyMonitor;
 use crate::metrics::ReplicaMetrics;
+use crate::open_failures::OpenFailures;
 
 /// How long a change may wait to be written together with later ones.
 const FLUSH_INTERVAL: Duration = Duration::from_millis(150);
@@ -158,6 +159,7 @@
     /// When pending changes are next submitted.
     flush_due: Instant,
     latency: LatencyMonitor,
+    open_failures: OpenFailures,
 }
 
 impl ReplicaActor {
@@ -173,6 +175,7 @@
             pending: Vec::new(),
             flush_due: Instant::now(),
             latency: LatencyMonitor::default(),
+            open_failures: OpenFailures::default(),
         };
         actor.open_disk();
         actor.schedule_flush(cx);
@@ -370,7 +373,7 @@
             DiskEvent::Opened(outcome) => match *outcome {
                 Ok(opened) => self.on_opened(opened),
                 Err(error) => {
-                    log::error!(target: "dependency", detail:% = error; "disk cannot be opened");
+                    self.open_failures.on_failure(&error, &self.parts.folder);
                     stakker::after!(REOPEN_DELAY, [cx], reopen());
                 }
             },
@@ -485,6 +488,7 @@
     }
 
     fn on_opened(&mut self, opened: OpenedDisk) {
+        self.open_failures.on_opened();
         self.opening += 1;
         self.submitted = 0;
         self.durable = 0;
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -18,6 +18,7 @@
 mod liveness;
 pub mod metrics;
 mod new_members;
+mod open_failures;
 pub mod preparation;
 mod retirements;
 mod role;
