A new member that still copies is not exchanged for an idle node

Cause, one of three: once a joint set has waited for 2.5 s, each member may name other new members. A storage node counts as joining only at members that asked it to copy; the new member itself never asks, and sees itself as a node of one group beside standbys of none, so it replaces itself. The copy begins again at another node.

Fix: the plan takes incoming replicas of a joint set for joining, whoever asked them. A lost or retiring one is still replaced.

an_incoming_replica_that_still_copies_is_not_exchanged_for_an_idle_node failed before (the plan was a joint set with another node), passes now with the 14 others of its file.

--- a/crates/records/src/plan.rs
+++ b/crates/records/src/plan.rs
@@ -77,6 +77,7 @@
         // partitioned.
         return None;
     }
+    let nodes = &with_incoming_joining(set, nodes);
     let wanted = wanted_voters(&set.voters, nodes, size);
     let Some(incoming) = &set.incoming else {
         if !same_replicas(&wanted, &set.voters) {
@@ -100,6 +101,16 @@
     should_retarget.then(|| SetStep::Write(joint_set(set, wanted)))
 }
 
+/// The nodes, of which the set's incoming replicas count as joining: they copy, whichever member asked them to. Without this, a
+/// member that didn't ask would replace them by nodes of fewer groups, whose copy has yet to begin.
+fn with_incoming_joining(set: &ReplicaSet, nodes: &[StorageNode]) -> Vec<StorageNode> {
+    let mut nodes = nodes.to_vec();
+    for node in &mut nodes {
+        node.joining |= set.is_incoming(node.replica.id);
+    }
+    nodes
+}
+
 fn begin_change(
     set: &ReplicaSet,
     wanted: Vec<Replica>,
--- a/crates/records/tests/groups.rs
+++ b/crates/records/tests/groups.rs
@@ -94,6 +94,25 @@
     assert_eq!(new_members, [replica(6, 3)]);
 }
 
+/// A new member whose copy took longer than a joint set waits was exchanged for an idle node by members that hadn't asked it
+/// to copy, so that the copy began again.
+#[test]
+fn an_incoming_replica_that_still_copies_is_not_exchanged_for_an_idle_node() {
+    let mut set = set(&[1, 2, 3]);
+    set.incoming = Some(vec![replica(1, 3), replica(2, 3), replica(6, 3)]);
+    let mut nodes = nodes(9, 3);
+    nodes[3].alive = false;
+    nodes[6].groups = 1;
+    let copies = CopyProgress::default();
+    assert_eq!(plan_change(&set, &nodes, 3, &copies, false), None);
+    nodes[6].alive = false;
+    let step = plan_change(&set, &nodes, 3, &copies, false);
+    let Some(SetStep::Write(change)) = step else {
+        panic!("{step:?}");
+    };
+    assert_eq!(change.new_members().len(), 1, "a lost one is replaced");
+}
+
 /// Copying first would only prolong the time in which nothing can be written.
 #[test]
 fn a_set_without_write_quorum_changes_without_copying_first() {
