A wait for a start that fails tells what each process lacks

What readers of a failed test saw: 'waited in vain until all gateways are ready' and nothing else; the logs were gone with the test.

Waits of the stand-ins' deployment for a start describe the store (calls, and how long it takes to answer) and each process when they fail: whether it runs, its readiness, the last 15 lines of its log.

Test: a_description_of_a_deployment_tells_which_processes_run_and_are_ready.

--- a/crates/node/tests/resident_groups.rs
+++ b/crates/node/tests/resident_groups.rs
@@ -66,7 +66,7 @@
 
 fn started(gateways: u8) -> Deployment {
     let deployment = Deployment::started(PROGRAM, gateways, REPLICAS);
-    wait_until("there are two groups", || {
+    deployment.wait_until("there are two groups", || {
         deployment.replica_sets().len() == 2
     });
     deployment
--- a/crates/node/tests/resident_starts.rs
+++ b/crates/node/tests/resident_starts.rs
@@ -132,3 +132,32 @@
     process.start();
     wait_until("the process has ended", || process.ended() == Some(false));
 }
+
+/// A wait for a start that failed did not tell which process it waited for, nor why.
+#[test]
+fn a_description_of_a_deployment_tells_which_processes_run_and_are_ready() {
+    let mut deployment = Deployment::started(PROGRAM, 1, 0);
+    let ended = deployment.add_gateway();
+    ended.corrupt_settings();
+    ended.start();
+    wait_until("the process has ended", || ended.ended() == Some(false));
+    deployment.add_replica();
+    let description = deployment.describe();
+    let starts = |start: &str| description.lines().any(|line| line.starts_with(start));
+    assert!(starts("store: "), "{description}");
+    assert!(description.contains("answered 200"), "{description}");
+    for (name, state) in [
+        ("gateway-1", "runs: "),
+        ("gateway-2", "has ended by itself"),
+        ("replica-1", "not running"),
+    ] {
+        let mut lines = description.lines();
+        let line = lines.find(|line| line.starts_with(name));
+        assert!(
+            line.is_some_and(|line| line.contains(state)),
+            "{description}"
+        );
+    }
+    assert!(description.contains("readiness 200"), "{description}");
+    assert!(description.contains("\"started\""), "{description}");
+}
