A gateway that is not ready for long tells what it lacks

What operators saw: a gateway that runs, says nothing and is never ready.

One line when it has not been ready for five seconds, with what it lacks (configuration, list of engines, drains, majorities, keys, a stop), whether it watches the store, its calls to the store and the nodes that it knows; one when it is ready again. Readiness itself is asked of the same list, so that the line and the probe can't differ.

Test: a_gateway_that_is_not_ready_for_long_tells_what_it_lacks.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -26,6 +26,7 @@
 use crate::metrics::GatewayMetrics;
 use crate::node_network::relay_request;
 use crate::rate_limits::RateLimits;
+use crate::readiness::{Lack, ReadinessLog};
 use crate::records_client::RecordsClient;
 use crate::refusal::RETRY_AFTER;
 use crate::seen_ends::SeenEnds;
@@ -101,6 +102,8 @@
     pub response_memory: Rc<MemoryBudget>,
     /// Whether and when the gateway stops.
     pub stop: Stop,
+    /// Logs a gateway that is not ready for long.
+    readiness_log: ReadinessLog,
     open: Cell<usize>,
     /// Client connections that brought a request and are open.
     used_connections: Cell<usize>,
@@ -165,6 +168,7 @@
             request_memory: MemoryBudget::new((memory / REQUEST_MEMORY_DIVISOR) as usize),
             response_memory: MemoryBudget::new((memory / RESPONSE_MEMORY_DIVISOR) as usize),
             stop: Stop::default(),
+            readiness_log: ReadinessLog::default(),
             open: Cell::new(0),
             used_connections: Cell::new(0),
         })
@@ -178,8 +182,30 @@
     /// Whether routes and engines are known, and zone drains are known or need no longer be waited
     /// for.
     pub fn has_routing_state(&self) -> bool {
+        let mut conditions = self.routing_lacks().into_iter();
+        conditions.all(|(_, is_lacking)| !is_lacking)
+    }
+
+    /// What of the routing state may be lacking, and whether it is.
+    fn routing_lacks(&self) -> [(Lack, bool); 3] {
         let view = &self.node.view;
-        view.version() > 0 && view.engines_known() && self.drains.are_known_or_overdue()
+        [
+            (Lack::Configuration, view.version() == 0),
+            (Lack::Engines, !view.engines_known()),
+            (Lack::ZoneDrains, !self.drains.are_known_or_overdue()),
+        ]
+    }
+
+    /// What this gateway lacks to be ready; nothing if it is.
+    pub fn lacks(&self) -> Vec<Lack> {
+        let conditions = [
+            (Lack::Stop, self.stop.has_begun()),
+            (Lack::Majorities, self.records.has_lost_most_majorities()),
+            (Lack::Keys, self.keys.blocks_requests()),
+        ];
+        let conditions = self.routing_lacks().into_iter().chain(conditions);
+        let lacking = conditions.filter(|(_, is_lacking)| *is_lacking);
+        lacking.map(|(lack, _)| lack).collect()
     }
 
     /// Whether the deployment is known to have no replicas. False as long as that is not known, so that a gateway that has just
@@ -194,10 +220,7 @@
 
     /// Whether the platform may send new clients here; the readiness endpoint reports it.
     pub fn is_ready(&self) -> bool {
-        !self.stop.has_begun()
-            && self.has_routing_state()
-            && !self.records.has_lost_most_majorities()
-            && !self.keys.blocks_requests()
+        self.lacks().is_empty()
     }
 
     /// Number of open requests.
@@ -385,6 +408,7 @@
         self.update_witness_roster();
         self.limits.remove_expired();
         self.warm_ups.update();
+        self.readiness_log.update(self);
         if let Some(routes) = self.node.view.routes() {
             let mut split = self.split.borrow_mut();
             split.retain_routes(|name| routes.has_route(name));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod metrics;
 mod node_network;
 mod rate_limits;
+mod readiness;
 mod records_client;
 mod refusal;
 mod replica_paths;
--- a/crates/node/tests/resident_starts.rs
+++ b/crates/node/tests/resident_starts.rs
@@ -133,6 +133,30 @@
     wait_until("the process has ended", || process.ended() == Some(false));
 }
 
+/// The log of a gateway that never became ready said nothing of what it waited for.
+#[test]
+fn a_gateway_that_is_not_ready_for_long_tells_what_it_lacks() {
+    let mut deployment = Deployment::new(PROGRAM);
+    deployment.add_gateway().start();
+    let gateway = &deployment.gateways[0];
+    wait_until("the wait is told", || {
+        gateway.has_logged("gateway not ready for long")
+    });
+    let log = gateway.log();
+    let mut lines = log.iter();
+    let line = lines.find(|line| line["message"] == "gateway not ready for long");
+    assert_eq!(
+        line.expect("just seen")["attributes"]["lacks"],
+        "configuration"
+    );
+    deployment.configure(routes());
+    let gateway = &deployment.gateways[0];
+    wait_until("its end is told", || {
+        gateway.has_logged("gateway ready after a long time")
+    });
+    assert!(gateway.is_ready());
+}
+
 /// A wait for a start that failed did not tell which process it waited for, nor why.
 #[test]
 fn a_description_of_a_deployment_tells_which_processes_run_and_are_ready() {
