A gateway without a list of engines fetches an empty one

What callers saw: a gateway of a large fleet (12 others or more) that starts before any engine is registered and is never ready.

Cause: it had the configuration from a seed that had not listed the engines yet. That ends its questions to the seed; heartbeats tell the newest change of the engines, of which an empty list has none, so it never seemed to be behind; and it watches the store only by the age of its configuration, which the others keep fresh. It lacked the list until the first engine came.

Evidence: resident_fleet when_all_watchers_die_others_take_over_within_the_bound waited in vain until all gateways are ready at load 31, once in 24 runs on the code before: gateway-7 of 18 'not ready for long', lacks=engines, watches_store=false, the others ready, the store answering in 3 ms.

A heartbeat that tells of confirmed engines now counts as newer than no list.

Test: a_node_without_a_list_of_engines_fetches_an_empty_one (failed before).

--- a/crates/resident/src/peer/gossip.rs
+++ b/crates/resident/src/peer/gossip.rs
@@ -459,6 +459,10 @@
         if !self.view.accepts_engines_from(heartbeat.protocol) {
             return false;
         }
+        // An empty list has no newest change by which to notice that it is known elsewhere.
+        if !self.view.engines_known() && reported.engines_unconfirmed_ms.is_some() {
+            return true;
+        }
         if reported.engines_newest <= self.view.with_engines(|engines| engines.at()) {
             self.engines_behind_since.set(None);
             return false;
