A first list of engines is always told whole

What callers saw: a gateway of a large fleet that is never ready, where the others started on a store that had never been written to.

Cause: a list as of revision 0 left a table that counts as complete from 0 on, so that another node's question from nothing was answered by the changes since 0; changes to a table that it does not have are refused, rightly.

A node that knows nothing is told the whole table.

Test: a_list_from_before_the_first_change_of_the_store_is_told_whole (failed before).

--- a/crates/resident/src/view.rs
+++ b/crates/resident/src/view.rs
@@ -442,7 +442,7 @@
         let engines = match known.engines {
             _ if !self.engines_known.get() => None,
             KnownEngines::Unwanted => None,
-            KnownEngines::Nothing => Some(self.engines.borrow().changes_since(0)),
+            KnownEngines::Nothing => Some(self.engines.borrow().whole()),
             KnownEngines::UpTo(revision) => Some(self.engines.borrow().changes_since(revision)),
         };
         let groups = self.replica_sets();
--- a/crates/resident/tests/first_lists.rs
+++ b/crates/resident/tests/first_lists.rs
@@ -90,3 +90,15 @@
         timeout(TIMEOUT, known).await.expect("the list is known");
     });
 }
+
+/// A list from before the store's first change was told as the changes to a table that the other node did not have.
+#[test]
+fn a_list_from_before_the_first_change_of_the_store_is_told_whole() {
+    let clock = Clock::start();
+    let (one, other) = (View::new(clock, true), View::new(clock, true));
+    one.adopt_engines(Vec::new(), 0, Source::Store);
+    one.advance_engines(REVISION);
+    other.adopt_update(one.update_since(&other.position()), Duration::ZERO);
+    assert!(other.engines_known());
+    assert_eq!(other.with_engines(|engines| engines.at()), REVISION);
+}
--- a/crates/routing/src/engine_table.rs
+++ b/crates/routing/src/engine_table.rs
@@ -195,12 +195,7 @@
     /// Changes for a table that is complete up to a revision. The whole table if older changes are not known.
     pub fn changes_since(&self, revision: u64) -> EngineChanges {
         if revision < self.complete_since {
-            return EngineChanges {
-                is_whole: true,
-                entries: self.entries(),
-                removals: Vec::new(),
-                at: self.at,
-            };
+            return self.whole();
         }
         let changed = self.entries.values();
         let changed = changed.filter(|entry| entry.revision > revision);
@@ -219,6 +214,16 @@
         }
     }
 
+    /// The whole table, for one that knows nothing yet.
+    pub fn whole(&self) -> EngineChanges {
+        EngineChanges {
+            is_whole: true,
+            entries: self.entries(),
+            removals: Vec::new(),
+            at: self.at,
+        }
+    }
+
     /// Applies the changes of another table; returns whether this one changed.
     pub fn apply_changes(&mut self, changes: EngineChanges) -> bool {
         let EngineChanges {
