--- a/crates/resident/src/store_client.rs
+++ b/crates/resident/src/store_client.rs
@@ -8,6 +8,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http::header::{CONTENT_TYPE, HOST};
+use http::uri::InvalidUri;
 use http::{HeaderValue, Request};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -39,6 +40,8 @@
 /// Why a call has no answer. Unless nothing was sent, the store may have executed the call or may still do so.
 #[derive(Debug)]
 pub enum StoreFailure {
+    /// The call's path cannot be sent; nothing was sent.
+    Path(InvalidUri),
     /// The connection could not be established; nothing was sent.
     Connect(ConnectError),
     /// The connection was closed before the call was sent.
@@ -59,6 +62,7 @@
     /// Name for logs and metrics.
     pub fn name(&self) -> &'static str {
         match self {
+            Self::Path(_) => "invalid_path",
             Self::Connect(error) => error.name(),
             Self::Unsent => "unsent",
             Self::Broken(_) => "broken",
@@ -73,6 +77,7 @@
 impl fmt::Display for StoreFailure {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            Self::Path(error) => write!(formatter, "the call's path cannot be sent: {error}"),
             Self::Connect(error) => error.fmt(formatter),
             Self::Unsent => write!(formatter, "the connection was closed before the call"),
             Self::Broken(error) => write!(formatter, "the connection broke: {error}"),
@@ -188,9 +193,9 @@
     }
 
     async fn exchange(&self, call: StoreRequest) -> Result<StoreAnswer, StoreFailure> {
+        let request = self.request(call).map_err(StoreFailure::Path)?;
         let mut connection = self.connection().await?;
         self.calls.set(self.calls.get() + 1);
-        let request = self.request(call);
         let response = connection.send(request).await?;
         let status = response.status();
         let body = read_body(response.into_body()).await?;
@@ -226,13 +231,11 @@
         }
     }
 
-    fn request(&self, call: StoreRequest) -> Request<Full<Bytes>> {
+    fn request(&self, call: StoreRequest) -> Result<Request<Full<Bytes>>, InvalidUri> {
         let has_body = !call.body.is_empty();
         let mut request = Request::new(Full::new(call.body));
         *request.method_mut() = call.method;
-        if let Ok(uri) = call.path.parse() {
-            *request.uri_mut() = uri;
-        }
+        *request.uri_mut() = call.path.parse()?;
         let host = HeaderValue::from_str(&self.address.get().to_string());
         if let Ok(host) = host {
             request.headers_mut().insert(HOST, host);
@@ -240,6 +243,6 @@
         if has_body {
             request.headers_mut().insert(CONTENT_TYPE, JSON);
         }
-        request
+        Ok(request)
     }
 }
--- a/crates/resident/tests/store_client.rs
+++ b/crates/resident/tests/store_client.rs
@@ -110,3 +110,23 @@
     let whole = answered("200 OK\r\ncontent-length: 2", "{}").expect("an answer");
     assert_eq!(whole.body, "{}");
 }
+
+/// Such a call was sent with another path, and its answer passed for the one to the call.
+#[test]
+fn a_call_whose_path_cannot_be_sent_fails_and_sends_nothing() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    listener.set_nonblocking(true).expect("a listener");
+    let runtime = Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.expect("a runtime");
+    let calling = async {
+        let store = StoreClient::new(address);
+        let mut call = list(ObjectKind::Engines, None);
+        call.path.push_str("?after=a b");
+        store.call(call, Duration::from_secs(1)).await
+    };
+    let failure = LocalSet::new().block_on(&runtime, calling);
+    let failure = failure.expect_err("a path with a blank");
+    assert!(matches!(failure, StoreFailure::Path(_)), "{failure}");
+    assert!(listener.accept().is_err(), "a connection was opened");
+}
