A list of the store ends where its pages make no progress

What callers saw: a gateway's memory grows until its process ends, or it has half of the engines, from one page of a list that the store gives again or that holds no readable name.

Cause: the next page was asked for after the last name that could be read, with no look at whether anything new had come, and without a bound. A page that told of more and had no readable object passed for the end of a whole list. A name of over 64 KiB at the end of a page could not be asked after at all.

The next page is asked for after the last name that was read as the store knows it and fits a request; what comes again is taken once. A list that is read once logs why it failed.

--- a/crates/resident/src/lib.rs
+++ b/crates/resident/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod node;
+mod paged_list;
 pub mod peer;
 pub mod process;
 pub mod resources;
--- a/crates/resident/src/store_watch.rs
+++ b/crates/resident/src/store_watch.rs
@@ -14,13 +14,14 @@
 
 use rand::RngExt;
 use ridgeworks_platform::{
-    Listing, MalformedStoreResponse, Object, ObjectEvent, ObjectKind, StoreOutcome, StoreRequest,
+    MalformedStoreResponse, Object, ObjectEvent, ObjectKind, StoreOutcome, StoreRequest,
     WatchBatch, list, read_listing, read_watch, watch,
 };
 
 use tokio::time::Instant;
 
 use crate::clock::whole_ms;
+use crate::paged_list::{ListFault, NextPage, PagedList};
 use crate::store_client::{StoreClient, StoreFailure};
 use crate::watch_policy::WatchControl;
 
@@ -44,6 +45,8 @@
     /// The outcome is not [`StoreOutcome::Done`].
     UnexpectedOutcome(StoreOutcome),
     Answer(MalformedStoreResponse),
+    /// The pages of the list do not make a whole one.
+    List(ListFault),
 }
 
 impl WatchError {
@@ -55,6 +58,7 @@
             Self::UnexpectedOutcome(StoreOutcome::HistoryGone) => "history_gone",
             Self::UnexpectedOutcome(_) => "refused",
             Self::Answer(_) => "unreadable",
+            Self::List(fault) => fault.name(),
         }
     }
 }
@@ -65,6 +69,7 @@
             Self::Failure(failure) => failure.fmt(formatter),
             Self::UnexpectedOutcome(outcome) => write!(formatter, "the store answered {outcome:?}"),
             Self::Answer(error) => error.fmt(formatter),
+            Self::List(fault) => fault.fmt(formatter),
         }
     }
 }
@@ -75,6 +80,12 @@
     }
 }
 
+impl From<ListFault> for WatchError {
+    fn from(fault: ListFault) -> Self {
+        Self::List(fault)
+    }
+}
+
 /// Receives the objects of a watched kind.
 pub trait WatchHandler {
     /// Receives a complete list as of `revision`.
@@ -363,29 +374,32 @@
     store: &StoreClient,
     kind: ObjectKind,
 ) -> Result<(Vec<Object>, u64), WatchError> {
-    let mut objects = Vec::new();
-    let mut revision = None;
+    let mut listed = PagedList::default();
+    let mut after = None;
     loop {
-        let after = objects.last().map(|last: &Object| last.name.clone());
         let call = list(kind, after.as_deref());
         let body = call_store(store, call, REPLY_TIMEOUT).await?;
-        let Listing {
-            items,
-            more,
-            at: page_revision,
-        } = read_listing(&body)?;
-        let is_empty = items.is_empty();
-        objects.extend(items);
-        // The watch that follows returns changes since the first page.
-        let revision = *revision.get_or_insert(page_revision);
-        if !more || is_empty {
-            return Ok((objects, revision));
+        let page = read_listing(&body)?;
+        match listed.add(page, body.len())? {
+            NextPage::After(name) => after = Some(name),
+            NextPage::None => return Ok(listed.finish()),
         }
     }
 }
 
-/// Lists all objects of a kind once, without a retry; `None` when the list fails.
+/// Lists all objects of a kind once, without a retry; `None` when the list fails, which is logged.
 pub async fn list_once(store: &StoreClient, kind: ObjectKind) -> Option<Vec<Object>> {
-    let listed = list_objects(store, kind).await;
-    listed.ok().map(|(objects, _)| objects)
+    match list_objects(store, kind).await {
+        Ok((objects, _)) => Some(objects),
+        Err(error) => {
+            log::warn!(
+                target: "dependency",
+                kind:? = kind,
+                reason = error.name(),
+                detail:% = error;
+                "list of the platform store failed"
+            );
+            None
+        }
+    }
 }
