An engine's endless idle time does not end the request it answers

What callers saw: 502 with no answer for each request that an engine served.

Cause: the idle time that an engine states in Keep-Alive was added to the current time without a bound; the sum overflows from 2^63 seconds on and panics, in release builds too, in the task that has the engine's whole answer.

The statement is taken for an hour at most.

Test: an_engine_that_states_an_endless_idle_time_is_served_by (seen failing before: 502 in place of 200, 'overflow when adding duration to instant').

--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -20,6 +20,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Idle time of a connection if the engine states none.
 const DEFAULT_IDLE: Duration = Duration::from_secs(4);
+/// Longest idle time that an engine's statement is taken for. It may state any number of seconds.
+const MAX_STATED_IDLE: Duration = Duration::from_secs(60 * 60);
 /// Fraction of the engine's stated idle time for which a connection is reused, so that the engine
 /// does not close it first.
 const KEEP_ALIVE_FRACTION: f64 = 0.7;
@@ -152,7 +154,7 @@
             return;
         }
         let keep_alive = keep_alive.map_or(DEFAULT_IDLE, |keep_alive| {
-            keep_alive.mul_f64(KEEP_ALIVE_FRACTION)
+            keep_alive.min(MAX_STATED_IDLE).mul_f64(KEEP_ALIVE_FRACTION)
         });
         let mut idle = self.idle.borrow_mut();
         let engine_connections = idle.entry(engine).or_default();
--- a/crates/node/tests/resident_spoilt_heads.rs
+++ b/crates/node/tests/resident_spoilt_heads.rs
@@ -217,3 +217,37 @@
         assert!(reply.is_whole, "{answer:?}");
     }
 }
+
+/// The sum of the current time and such a time overflowed, and the task that served the request ended.
+#[test]
+fn an_engine_that_states_an_endless_idle_time_is_served_by() {
+    let deployment = Deployment::started(PROGRAM, 1, 0);
+    let engine = deployment.start_engine("tools", "i-1", Script::always(Answer::Failure(500)));
+    let gateway = &deployment.gateways[0];
+    wait_until("the engine is known", || gateway.status("/tool/x") == 500);
+    let times = [
+        "18446744073709551615",
+        "9223372036854775807",
+        "18446744073709551616",
+        "-1",
+        "1e999",
+    ];
+    for (number, seconds) in times.into_iter().enumerate() {
+        let fields = format!("Keep-Alive: timeout={seconds}\r\nContent-Length: 23");
+        let Answer::Raw { text, .. } = answer(&fields, BODY) else {
+            panic!("an answer of bytes");
+        };
+        let closes = false;
+        engine.set_script(Script::always(Answer::Raw { text, closes }));
+        for request in 0..2 {
+            let reply = tool_call(&format!("r-{number}-{request}")).send(gateway.callers());
+            let reply = reply.unwrap_or_default();
+            assert_eq!(
+                (reply.status, reply.body.as_str()),
+                (200, BODY),
+                "{seconds}"
+            );
+        }
+        assert!(!gateway.has_logged("panicked"), "{seconds}");
+    }
+}
