A record that is kept without an end does not expire at once

What callers saw: with a route whose turns are kept for a time without an end (a retention out of every range in the configuration), a debug build's replica panics; a release build would take the wrapped sum for a time in the past and drop the turn at the next search (by reading; only the debug build was run).

Cause: replicas added the time that a configuration or another node states to the current time without a bound, in five places.

Records are kept for 100 years at most, from one function; sums with a time of expiry have room above that. The sum with the time in an engine end's mark, which may come from the store or another node, saturates too (by reading, without a test).

Test: turns_that_are_kept_without_an_end_are_kept (seen failing before: 'attempt to add with overflow').

--- a/crates/gateway/src/records_client/settling.rs
+++ b/crates/gateway/src/records_client/settling.rs
@@ -28,7 +28,9 @@
 /// Whether this is the mark of an engine's end that still counts, so that it has to reach the replicas once they answer.
 fn is_recent_end(turn: &TurnId) -> bool {
     let ended_at_s = turn.ended_at_s();
-    ended_at_s.is_some_and(|at_s| at_s + END_LIFETIME.as_secs() > unix_time_ms() / 1_000)
+    let now_s = unix_time_ms() / 1_000;
+    // The mark may come from another node or the store, with any time in it.
+    ended_at_s.is_some_and(|at_s| at_s.saturating_add(END_LIFETIME.as_secs()) > now_s)
 }
 
 impl RecordsClient {
--- a/crates/records/src/replica.rs
+++ b/crates/records/src/replica.rs
@@ -16,6 +16,7 @@
 pub use self::chains::{ChainGap, IncompleteAppend};
 use self::ledger_table::LedgerTable;
 pub use self::ledger_table::NotRestored;
+use self::lifetimes::expiry_ms;
 pub use self::room::RETENTION_MARGIN_MS;
 use rkyv::{Archive, Deserialize, Serialize};
 
@@ -207,7 +208,7 @@
                 entry,
                 ttl_ms,
                 ..
-            } => self.charge(group, program, &turn, entry, now_ms + ttl_ms),
+            } => self.charge(group, program, &turn, entry, expiry_ms(now_ms, ttl_ms)),
             ReplicaRequest::Settle {
                 group, settlements, ..
             } => self.settle(group, settlements, now_ms),
@@ -364,7 +365,7 @@
                 entry,
                 ttl_ms,
             } = settlement;
-            let expires_at_ms = now_ms + ttl_ms;
+            let expires_at_ms = expiry_ms(now_ms, ttl_ms);
             let merged = self.merge_entry(group, &program, &turn, entry, expires_at_ms);
             changes.extend(merged.ok().flatten());
         }
@@ -437,7 +438,7 @@
     ) -> Handled {
         let turn = record.turn.clone();
         let mut changes = self.make_room(record.weight(), now_ms);
-        let Some(added) = self.add_turn(group, record, now_ms + ttl_ms) else {
+        let Some(added) = self.add_turn(group, record, expiry_ms(now_ms, ttl_ms)) else {
             return Handled {
                 changes,
                 ..Handled::immediate(ReplicaReply::Unavailable)
--- a/crates/records/src/replica/copying.rs
+++ b/crates/records/src/replica/copying.rs
@@ -1,5 +1,6 @@
 //! Copying records between replicas.
 
+use super::lifetimes::expiry_ms;
 use super::{Change, LISTING_PAGE, MAX_FETCH_BYTES, NotRestored, ReplicaState, change_log};
 use crate::change_log::ListPosition;
 use crate::groups::{GroupId, ReplicaGroups};
@@ -34,7 +35,7 @@
         if self.turns.contains_key(&record.turn) {
             return Some(Vec::new());
         }
-        self.add_turn(group, record, now_ms + ttl_ms)
+        self.add_turn(group, record, expiry_ms(now_ms, ttl_ms))
     }
 
     /// Merges a ledger copied from another replica. Fails if the disk may have more of it.
@@ -46,7 +47,7 @@
         ttl_ms: u64,
         now_ms: u64,
     ) -> Result<Vec<Change>, NotRestored> {
-        let change = self.merge_ledger(group, &program, ledger, now_ms + ttl_ms)?;
+        let change = self.merge_ledger(group, &program, ledger, expiry_ms(now_ms, ttl_ms))?;
         Ok(change.into_iter().collect())
     }
 
--- a/crates/records/src/replica/lifetimes.rs
+++ b/crates/records/src/replica/lifetimes.rs
@@ -9,6 +9,15 @@
 /// Added to a renewed expiry, so that a chain is walked once in this time and not with each of its turns.
 const RENEWAL_MARGIN_MS: u64 = 30_000;
 
+/// Longest time that a record is kept, 100 years. All sums with a time of expiry have room above it.
+const MAX_TTL_MS: u64 = 100 * 365 * 24 * 60 * 60 * 1_000;
+
+/// Time of expiry, in milliseconds since 1970, of a record that is to be kept for `ttl_ms`. A configuration or another node may
+/// ask for any time.
+pub(super) fn expiry_ms(now_ms: u64, ttl_ms: u64) -> u64 {
+    now_ms.saturating_add(ttl_ms.min(MAX_TTL_MS))
+}
+
 impl ReplicaState {
     /// The expiry of a turn that is being added, also by what was known of it, or by later turns that came before it.
     pub(super) fn renewed_expiry(&mut self, turn: &TurnId, expires_at_ms: u64) -> u64 {
--- a/crates/records/tests/lifetimes.rs
+++ b/crates/records/tests/lifetimes.rs
@@ -268,3 +268,27 @@
     };
     assert_eq!(chain.chain_len(4, 75_000), Ok(3));
 }
+
+/// The time of expiry overflowed: the turn was gone with the next search for expired ones, or the replica's task ended.
+#[test]
+fn turns_that_are_kept_without_an_end_are_kept() {
+    const NOW_MS: u64 = 1_800_000_000_000;
+    const LATER_MS: u64 = NOW_MS + 365 * 24 * 60 * 60 * 1_000;
+    for ttl_ms in [u64::MAX, u64::MAX - NOW_MS, 1 << 63] {
+        let mut state = empty_replica();
+        // The last one is sent again, for want of a reply.
+        for (number, previous) in [(0, None), (1, Some(0)), (1, Some(0))] {
+            let request = ReplicaRequest::Append {
+                group: GROUP,
+                epoch: EPOCH,
+                record: turn(number, previous),
+                ttl_ms,
+            };
+            let handled = state.handle(request, NOW_MS + number as u64);
+            assert_eq!(handled.reply, ReplicaReply::Done);
+        }
+        state.copy_turn(GROUP, turn(2, Some(1)), ttl_ms, NOW_MS);
+        state.expire(LATER_MS);
+        assert_eq!(state.turn_and_ledger_counts().0, 3, "{ttl_ms}");
+    }
+}
