Calls wait no longer for replicas that the deployment does not have

What callers saw, in a deployment without replicas: for the first seconds of a gateway calls took 0.7 to 2.1 s more, ran out of their deadline, or were refused with 503 (ledger_unavailable); through a gateway that never reaches the store, for good.

Cause: a gateway read the register of replica sets only once it watched the store (1.2 s after its start or later) or after 3 s, one that cannot reach the store never; a lookup that had begun meanwhile waited out its 0.7 s although the store had said that there are none, counted as one that failed, and then needed a permit of witnesses, which waited for replicas once more.

- A gateway reads the register 0.15 to 0.45 s after its start, unless it was told of sets until then.
- That there are none wakes what waits (NoReplicas): a lookup then has found nothing, a stream without a budget is not recorded, and a permit that was needed only since nobody could be asked is not.
What reserves tokens, or reads or writes turns, waits for replicas as before.
- Nodes tell it in a section of their confirmations, with its age.
As with the other confirmations, a heartbeat only makes a node ask, and the age counts from its question.
Only a node that has not read the store itself asks; it believes it for 10 s from the reading, so that no rumour lives on.

Safety: nothing that is read or told holds against a set that is known or a replica that is a member, and a node beside a replica tells nobody.

--- a/crates/gateway/src/exchange/end_ledger.rs
+++ b/crates/gateway/src/exchange/end_ledger.rs
@@ -62,7 +62,8 @@
         Ok(Recorded { ledger, keeper })
     }
 
-    /// Records an entry at the replicas, unless their majority is known to be lost. What this gateway witnessed is added.
+    /// Records an entry at the replicas, unless their majority is known to be lost or there are none. What this gateway witnessed is
+    /// added.
     pub(super) async fn record_at_replicas(
         &self,
         gateway: &Gateway,
@@ -77,7 +78,8 @@
         {
             return Err(RecordsUnavailable::NoMajority);
         }
-        let recording = records.reserve(&self.program, key, entry, self.retention, deadline);
+        let recording =
+            records.reserve_if_replicated(&self.program, key, entry, self.retention, deadline);
         let mut ledger = recording.await?;
         if let Some(witnessed) = gateway.witnessed.borrow().find(&self.alike) {
             ledger.merge_ledger(witnessed);
--- a/crates/gateway/src/exchange/send_permits.rs
+++ b/crates/gateway/src/exchange/send_permits.rs
@@ -75,8 +75,8 @@
         ends
     }
 
-    /// Looks up what is known of a request that reserves nothing; `None` if no majority of the replicas answers. The same write marks
-    /// where a stream begins.
+    /// Looks up what is known of a request that reserves nothing; `None` if no majority of the replicas answers. Nothing is known where
+    /// there are no replicas. The same write marks where a stream begins.
     pub(super) async fn look_up_request(&self) -> Option<RequestLookup> {
         if self.ledger_key().is_some() || self.gateway.has_no_replicas() {
             return Some(RequestLookup::default());
@@ -90,11 +90,15 @@
         let key = begun_at.clone().unwrap_or_else(TurnId::of_lookup);
         let deadline = self.records_deadline();
         let reading = ledger.record_at_replicas(&self.gateway, &key, MARK_ENTRY, deadline);
-        let Ok(read) = reading.await else {
-            if let Some(mark) = begun_at {
-                self.gateway.records.settle(ledger.settlement(mark));
+        let read = match reading.await {
+            Ok(read) => read,
+            Err(RecordsUnavailable::NoReplicas) => return Some(RequestLookup::default()),
+            Err(_) => {
+                if let Some(mark) = begun_at {
+                    self.gateway.records.settle(ledger.settlement(mark));
+                }
+                return None;
             }
-            return None;
         };
         Some(RequestLookup {
             ends: self.ends_in(&read),
@@ -173,6 +177,12 @@
         }
     }
 
+    /// Whether nothing speaks against the request, and it has become known that there are no replicas. Had that been known before, no
+    /// permit would have been needed.
+    fn needs_no_keeper(&self) -> bool {
+        self.ends.found.is_clear() && self.gateway.has_no_replicas()
+    }
+
     /// Records the permit and reads the ledger after that.
     async fn record_permit(&mut self) -> Result<EngineEnds, Refusal> {
         let deadline = self.records_deadline();
@@ -186,7 +196,13 @@
         };
         // Kept before it is recorded, so that it is settled whatever becomes of this.
         self.ends.permit = Some(permit);
-        let found = self.record_send(&ledger, &key, entry, deadline).await?;
+        let found = match self.record_send(&ledger, &key, entry, deadline).await {
+            Err(_) if self.needs_no_keeper() => {
+                self.take_permit_entry();
+                return Ok(EngineEnds::default());
+            }
+            found => found?,
+        };
         // Whoever is not seen yet records later, and sees this one.
         if is_recorded || found.is_clear() {
             return Ok(found);
--- a/crates/gateway/src/exchange/software.rs
+++ b/crates/gateway/src/exchange/software.rs
@@ -9,6 +9,7 @@
 
 use super::Exchange;
 use super::preparation::LedgerKey;
+use crate::records_client::RecordsUnavailable;
 use crate::refusal::RETRY_AFTER;
 
 /// Prefix of the ledgers of streams that belong to no program. No HTTP header can carry it.
@@ -156,7 +157,7 @@
             self.on_unrecorded(&ledger_key, turn);
             return None;
         }
-        let writing = records.reserve(
+        let writing = records.reserve_if_replicated(
             &ledger_key.program,
             &turn,
             MARK_ENTRY,
@@ -165,6 +166,10 @@
         );
         match writing.await {
             Ok(ledger) => Some(ledger),
+            Err(RecordsUnavailable::NoReplicas) => {
+                self.gateway.metrics.on_unrecorded_stream("no_replicas");
+                None
+            }
             // The failure is logged where the majority is asked.
             Err(_) => {
                 self.on_unrecorded(&ledger_key, turn);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -211,11 +211,7 @@
     /// Whether the deployment is known to have no replicas. False as long as that is not known, so that a gateway that has just
     /// started waits for them instead of doing without.
     pub fn has_no_replicas(&self) -> bool {
-        if !self.node.view.has_no_replica_sets() {
-            return false;
-        }
-        let mut members = self.node.gossip.members().into_iter();
-        !members.any(|member| member.info.is_replica)
+        self.node.gossip.has_no_replicas()
     }
 
     /// Whether the platform may send new clients here; the readiness endpoint reports it.
--- a/crates/gateway/src/records_client.rs
+++ b/crates/gateway/src/records_client.rs
@@ -60,6 +60,8 @@
     Restoring,
     /// The program's replica group has members in regions where the turn must not be stored.
     ReplicasOutsideResidency,
+    /// The deployment is known to have no replicas.
+    NoReplicas,
 }
 
 impl fmt::Display for RecordsUnavailable {
@@ -70,6 +72,7 @@
             Self::ReplicasOutsideResidency => {
                 "the turn must not be stored in the regions of its replicas"
             }
+            Self::NoReplicas => "the deployment has no replicas",
         })
     }
 }
@@ -209,9 +212,9 @@
     /// Retry delay for a request that failed for this reason.
     pub fn retry_after_failure(&self, group: GroupId, failure: RecordsUnavailable) -> Duration {
         match failure {
-            RecordsUnavailable::NoMajority | RecordsUnavailable::ReplicasOutsideResidency => {
-                self.retry_after(group)
-            }
+            RecordsUnavailable::NoMajority
+            | RecordsUnavailable::ReplicasOutsideResidency
+            | RecordsUnavailable::NoReplicas => self.retry_after(group),
             RecordsUnavailable::Restoring => with_jitter(RESTORING_RETRY_AFTER),
         }
     }
@@ -333,6 +336,23 @@
         Ok(written.ledger)
     }
 
+    /// Like [`RecordsClient::reserve`], for what can do without replicas: ends with [`RecordsUnavailable::NoReplicas`] as soon as it is
+    /// known that there are none.
+    pub async fn reserve_if_replicated(
+        &self,
+        program: &ProgramId,
+        turn: &TurnId,
+        entry: LedgerEntry,
+        retention: Duration,
+        deadline: Instant,
+    ) -> Result<ProgramLedger, RecordsUnavailable> {
+        let reserving = self.reserve(program, turn, entry, retention, deadline);
+        tokio::select! {
+            reserved = reserving => reserved,
+            () = self.wait_until_no_replicas() => Err(RecordsUnavailable::NoReplicas),
+        }
+    }
+
     /// Whether the residency allows every place to which a program's turns may be copied: the
     /// replicas of its group, all replicas that may join it, and all regions to which one may be
     /// added (`docs/design/regions.md`).
@@ -421,6 +441,16 @@
         }
     }
 
+    /// Waits until it is known that the deployment has no replicas; forever where it has some.
+    async fn wait_until_no_replicas(&self) {
+        let mut changes = self.node.view.changes();
+        while !self.node.gossip.has_no_replicas() {
+            if changes.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+
     /// The replica sets; waits until they are known.
     async fn groups(&self) -> Rc<ReplicaGroups> {
         let mut changes = self.node.view.changes();
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -42,12 +42,21 @@
 }
 
 pub async fn gateway(ip: &str, bounds: &str) -> Rc<Gateway> {
+    let gateway = new_gateway(ip, bounds).await;
+    // There is no store to say so; until it is known, requests wait for replicas.
+    gateway.node.view.on_no_replica_sets();
+    gateway
+}
+
+/// A gateway that does not know yet whether there are replicas.
+pub async fn gateway_before_store(ip: &str) -> Rc<Gateway> {
+    new_gateway(ip, "").await
+}
+
+async fn new_gateway(ip: &str, bounds: &str) -> Rc<Gateway> {
     let node = Node::bind(settings(ip, bounds), Clock::start());
     let metrics = GatewayMetrics::register(&mut Registry::default());
-    let node = node.await.expect("a node");
-    // There is no store to say so; until it is known, requests wait for replicas.
-    node.view.on_no_replica_sets();
-    Gateway::new(node, metrics)
+    Gateway::new(node.await.expect("a node"), metrics)
 }
 
 pub fn run(test: impl Future<Output = ()>) {
--- a/crates/resident/src/node.rs
+++ b/crates/resident/src/node.rs
@@ -391,20 +391,23 @@
         self.gossip.add_known(nodes);
     }
 
-    /// Reads the replica sets until some are known. A gateway that doesn't watch the store relies on those that do; a replica always
-    /// reads the stored sets.
+    /// Reads the replica sets until some are known. A replica reads the stored sets at once. A gateway reads them early too, since its
+    /// requests wait until it is known whether there are any, but only after other nodes had the time to tell it of replicas; then
+    /// one that doesn't watch the store relies on those that do.
     async fn discover_replica_sets(self: Rc<Self>) {
         let is_replica = self.settings.role == Role::Replica;
-        let mut read_at = Duration::ZERO;
+        let mut read_at = None;
         if is_replica {
             // Sets from other nodes may be stale: all that knew newer ones may be gone.
             self.read_replica_sets().await;
+        } else {
+            sleep_with_jitter(DISCOVERY_INTERVAL).await;
         }
         while self.view.replica_sets().is_none() {
             let now = self.clock.now();
-            let is_late = now - read_at > FALLBACK_REPLICA_SET_READ_INTERVAL;
-            if is_replica || self.watch_control.should_watch() || is_late {
-                read_at = now;
+            let is_due = read_at.is_none_or(|at| now - at > FALLBACK_REPLICA_SET_READ_INTERVAL);
+            if is_replica || self.watch_control.should_watch() || is_due {
+                read_at = Some(now);
                 self.read_replica_sets().await;
             }
             let pause = if is_replica {
--- a/crates/resident/src/peer/encoding.rs
+++ b/crates/resident/src/peer/encoding.rs
@@ -36,6 +36,8 @@
     ZoneDrains(DrainSection),
     /// Sent with changes of engines: their software versions. Protocol version 1 doesn't have it either.
     EngineSoftware(Vec<EngineSoftware>),
+    /// Sent with confirmations: milliseconds since the store said that it has no replica sets.
+    NoReplicaSets(u64),
 }
 
 /// Kinds of sections. A number is never reused.
@@ -44,6 +46,7 @@
     pub const ENGINE_WARM_UPS: u16 = 2;
     pub const ZONE_DRAINS: u16 = 3;
     pub const ENGINE_SOFTWARE: u16 = 4;
+    pub const NO_REPLICA_SETS: u16 = 5;
 }
 
 impl Section {
@@ -53,6 +56,7 @@
             Self::EngineWarmUps(warm_ups) => (section_kinds::ENGINE_WARM_UPS, to_bytes(warm_ups)?),
             Self::ZoneDrains(drains) => (section_kinds::ZONE_DRAINS, to_bytes(drains)?),
             Self::EngineSoftware(versions) => (section_kinds::ENGINE_SOFTWARE, to_bytes(versions)?),
+            Self::NoReplicaSets(age_ms) => (section_kinds::NO_REPLICA_SETS, to_bytes(age_ms)?),
         })
     }
 
@@ -63,6 +67,7 @@
             section_kinds::ENGINE_WARM_UPS => Self::EngineWarmUps(from_bytes(raw.content)?),
             section_kinds::ZONE_DRAINS => Self::ZoneDrains(from_bytes(raw.content)?),
             section_kinds::ENGINE_SOFTWARE => Self::EngineSoftware(from_bytes(raw.content)?),
+            section_kinds::NO_REPLICA_SETS => Self::NoReplicaSets(from_bytes(raw.content)?),
             _ => return Ok(None),
         }))
     }
@@ -159,13 +164,20 @@
 impl Confirmations {
     fn sections(&self) -> Vec<Section> {
         let drains = self.drains.map(DrainSection::Known);
-        drains.map(Section::ZoneDrains).into_iter().collect()
+        let no_replica_sets = self.no_replica_sets_ms.map(Section::NoReplicaSets);
+        drains
+            .map(Section::ZoneDrains)
+            .into_iter()
+            .chain(no_replica_sets)
+            .collect()
     }
 
     fn set_sections(&mut self, sections: Vec<Section>) {
         for section in sections {
-            if let Section::ZoneDrains(DrainSection::Known(known)) = section {
-                self.drains = Some(known);
+            match section {
+                Section::ZoneDrains(DrainSection::Known(known)) => self.drains = Some(known),
+                Section::NoReplicaSets(age_ms) => self.no_replica_sets_ms = Some(age_ms),
+                _ => {}
             }
         }
     }
@@ -306,6 +318,8 @@
                         engines.set_software_versions(versions);
                     }
                 }
+                // It stands beside confirmations.
+                Section::NoReplicaSets(_) => {}
             }
         }
     }
--- a/crates/resident/src/peer/gossip.rs
+++ b/crates/resident/src/peer/gossip.rs
@@ -170,6 +170,27 @@
         self.members.borrow().iter().cloned().collect()
     }
 
+    /// Whether the deployment is known to have no replicas: neither sets of them nor a node that runs one. False as long as that is
+    /// not known, so that a node that has just started waits for them instead of doing without.
+    pub fn has_no_replicas(&self) -> bool {
+        self.view.has_no_replica_sets() && !self.knows_replica()
+    }
+
+    fn knows_replica(&self) -> bool {
+        let members = self.members.borrow();
+        members.iter().any(|member| member.info.is_replica)
+    }
+
+    /// What this node tells of its view. That there are no replica sets is no news where replicas run, which are about to have some.
+    fn confirmations(&self) -> Confirmations {
+        let told = self.view.confirmations();
+        let no_replica_sets_ms = told.no_replica_sets_ms.filter(|_| !self.knows_replica());
+        Confirmations {
+            no_replica_sets_ms,
+            ..told
+        }
+    }
+
     /// A node by name; `None` where no heartbeat of it has been received.
     pub fn heard_member(&self, name: &str) -> Option<Member> {
         let members = self.members.borrow();
@@ -313,7 +334,7 @@
         Heartbeat {
             from: self.me.clone(),
             incarnation: self.incarnation,
-            confirmations: self.view.confirmations(),
+            confirmations: self.confirmations(),
             epoch: self.view.epoch(),
             replica: sources.replica(),
             load,
@@ -354,7 +375,7 @@
             }
             Ok(Datagram::FoundRead { number, read }) => self.queries.on_reply(number, read),
             Ok(Datagram::AskConfirmations { number }) => {
-                let told = self.view.confirmations();
+                let told = self.confirmations();
                 self.send(from, &Datagram::Confirmed { number, told }).await;
             }
             Ok(Datagram::Confirmed { number, told }) => self.on_confirmed(number, &told),
@@ -426,7 +447,11 @@
             own: drains.confirmation_age(),
             peer: age(drains_unconfirmed_ms).filter(|_| drains.are_used()),
         };
-        let ages = [configuration, engines, drains];
+        let no_replica_sets = ConfirmationAges {
+            own: self.view.no_replica_sets_age(),
+            peer: age(reported.no_replica_sets_ms).filter(|_| self.view.needs_told_replica_sets()),
+        };
+        let ages = [configuration, engines, drains, no_replica_sets];
         if let Some(number) = self.confirmation_query.start(&ages, now) {
             self.send(node, &Datagram::AskConfirmations { number })
                 .await;
--- a/crates/resident/src/peer/message.rs
+++ b/crates/resident/src/peer/message.rs
@@ -153,6 +153,10 @@
     /// Its drains of zones; `None` where it doesn't use them or has no list. Sent in a [`DrainSection`].
     #[rkyv(with = Skip)]
     pub drains: Option<KnownDrains>,
+    /// Milliseconds since the store said that it has no replica sets; `None` where that is not known, or a replica is. Sent in a
+    /// section.
+    #[rkyv(with = Skip)]
+    pub no_replica_sets_ms: Option<u64>,
 }
 
 /// Version of a node's drains of zones.
--- a/crates/resident/src/view.rs
+++ b/crates/resident/src/view.rs
@@ -47,8 +47,10 @@
     engines_known: Cell<bool>,
     unreadable_engines: Cell<usize>,
     replica_sets: RefCell<Option<Rc<ReplicaGroups>>>,
-    /// Whether the store had no replica sets when it was last asked.
-    has_no_replica_sets: Cell<bool>,
+    /// When this node last read in the store that there are no replica sets.
+    no_replica_sets_read: Cell<Option<Moment>>,
+    /// When, by what other nodes told, one of them last read that; a node that can't read the store relies on it.
+    no_replica_sets_told: Cell<Option<Moment>>,
     /// Zones whose engines get no new requests.
     pub drains: DrainView,
     /// When the configuration was last confirmed to be the newest. The age counts from when the confirming request was sent; each
@@ -82,6 +84,9 @@
 
 /// First protocol version that tells the engines' software versions.
 const SOFTWARE_PROTOCOL: u16 = 2;
+/// How long it counts that another node read in the store that there are no replica sets: over two of the readings of a node that
+/// doesn't watch the store.
+const TOLD_LIFETIME: Duration = Duration::from_secs(10);
 /// How long no view is fetched from other nodes after a refused update.
 const REFUSAL_BACKOFF: Duration = Duration::from_secs(1);
 
@@ -97,7 +102,8 @@
             engines_known: Cell::new(false),
             unreadable_engines: Cell::new(0),
             replica_sets: RefCell::default(),
-            has_no_replica_sets: Cell::new(false),
+            no_replica_sets_read: Cell::new(None),
+            no_replica_sets_told: Cell::new(None),
             drains: DrainView::new(clock, false),
             confirmed: Cell::new(None),
             has_unreadable_configuration: Cell::new(false),
@@ -195,14 +201,62 @@
         self.replica_sets.borrow().clone()
     }
 
-    /// Whether the deployment is known to have no replica sets yet; false also where nobody could be asked.
+    /// Whether the deployment is known to have no replica sets yet; false also where nobody could be asked. What other nodes told
+    /// lapses with [`TOLD_LIFETIME`], and nothing of it holds against sets that are known.
     pub fn has_no_replica_sets(&self) -> bool {
-        self.has_no_replica_sets.get() && self.replica_sets.borrow().is_none()
+        if self.replica_sets.borrow().is_some() {
+            return false;
+        }
+        self.no_replica_sets_read.get().is_some()
+            || self
+                .no_replica_sets_age()
+                .is_some_and(|age| age < TOLD_LIFETIME)
+    }
+
+    /// Whether this node relies on others to tell whether there are replica sets.
+    pub fn needs_told_replica_sets(&self) -> bool {
+        self.replica_sets.borrow().is_none() && self.no_replica_sets_read.get().is_none()
+    }
+
+    /// Time since the store last said, to this node or another, that it has no replica sets; `None` when it never did.
+    pub fn no_replica_sets_age(&self) -> Option<Duration> {
+        let read = self.no_replica_sets_read.get();
+        let newest = read.max(self.no_replica_sets_told.get())?;
+        Some(self.clock.since(newest))
     }
 
-    /// Records that the store has no replica sets.
+    /// Records that the store has just said that it has no replica sets.
     pub fn on_no_replica_sets(&self) {
-        self.has_no_replica_sets.set(true);
+        let had_none = self.has_no_replica_sets();
+        let now = self.clock.ago(Duration::ZERO);
+        self.no_replica_sets_read.set(Some(now));
+        self.announce_no_replica_sets(had_none, Source::Store);
+    }
+
+    /// Records that the store said so `age` ago to another node. One that is too old says nothing: sets may have been written since.
+    fn on_told_no_replica_sets(&self, age: Duration) {
+        if age >= TOLD_LIFETIME {
+            return;
+        }
+        let had_none = self.has_no_replica_sets();
+        let told = self.no_replica_sets_told.get();
+        let as_of = self.clock.ago(age);
+        self.no_replica_sets_told.set(told.max(Some(as_of)));
+        self.announce_no_replica_sets(had_none, Source::Peer);
+    }
+
+    /// Wakes what waits for replica sets, once it is known that there are none.
+    fn announce_no_replica_sets(&self, had_none: bool, source: Source) {
+        if had_none || !self.has_no_replica_sets() {
+            return;
+        }
+        log::info!(
+            target: "belief",
+            age_ms:? = self.no_replica_sets_age().map(whole_ms),
+            source = source.name();
+            "the deployment has no replica sets"
+        );
+        self.announce();
     }
 
     /// The newest known set of a group; `None` where none is known.
@@ -252,6 +306,10 @@
             engines_newest: self.engines.borrow().newest(),
             engines_unconfirmed_ms: self.engines_confirmation_age().map(whole_ms),
             drains: self.drains.known(),
+            no_replica_sets_ms: self
+                .no_replica_sets_age()
+                .filter(|_| self.has_no_replica_sets())
+                .map(whole_ms),
         }
     }
 
@@ -268,6 +326,9 @@
             self.drains
                 .confirm(known.newest, plus_request_age(known.unconfirmed_ms));
         }
+        if let Some(age_ms) = plus_request_age(received.no_replica_sets_ms) {
+            self.on_told_no_replica_sets(Duration::from_millis(age_ms));
+        }
     }
 
     /// Requests a heartbeat that tells other nodes of a confirmation before they probe the store too.
--- a/crates/resident/tests/confirmations.rs
+++ b/crates/resident/tests/confirmations.rs
@@ -28,6 +28,7 @@
         engines_newest: 0,
         engines_unconfirmed_ms: None,
         drains: None,
+        no_replica_sets_ms: None,
     }
 }
 
--- a/crates/resident/tests/drains.rs
+++ b/crates/resident/tests/drains.rs
@@ -155,6 +155,7 @@
             engines_newest: 3,
             engines_unconfirmed_ms: None,
             drains,
+            no_replica_sets_ms: None,
         },
     }
 }
--- a/crates/resident/tests/golden_messages.rs
+++ b/crates/resident/tests/golden_messages.rs
@@ -12,9 +12,9 @@
 use ridgeworks_records::{GroupId, LedgerEntry, ProgramId, ProgramLedger, RequestDigest, TurnId};
 use ridgeworks_resident::node::MemberRecord;
 use ridgeworks_resident::peer::{
-    Build, Datagram, Envelope, ExtensionReply, ExtensionRequest, GrantReply, GrantRequest,
-    PROTOCOL, PeerReply, PeerRequest, ViewUpdate, WitnessReply, WitnessRequest, decode, encode,
-    unframe,
+    Build, Confirmations, Datagram, Envelope, ExtensionReply, ExtensionRequest, GrantReply,
+    GrantRequest, PROTOCOL, PeerReply, PeerRequest, ViewUpdate, WitnessReply, WitnessRequest,
+    decode, encode, unframe,
 };
 use ridgeworks_routing::{Residency, WarmUpLimit};
 use rkyv::rancor::Error;
@@ -216,6 +216,22 @@
         engines.entries[0].engine.software = "v1.1".to_owned();
     });
     check_frame!(Envelope<PeerReply>, "reply-view-software", with_software);
+    let without_replica_sets = Datagram::Confirmed {
+        number: 5,
+        told: Confirmations {
+            version: 42,
+            unconfirmed_ms: Some(120),
+            engines_newest: 9,
+            engines_unconfirmed_ms: None,
+            drains: None,
+            no_replica_sets_ms: Some(250),
+        },
+    };
+    check_frame!(
+        Datagram,
+        "datagram-confirmed-no-replica-sets",
+        without_replica_sets
+    );
 }
 
 #[test]
--- a/crates/resident/tests/heartbeats.rs
+++ b/crates/resident/tests/heartbeats.rs
@@ -35,6 +35,7 @@
             engines_newest: 0,
             engines_unconfirmed_ms: None,
             drains: None,
+            no_replica_sets_ms: None,
         },
         epoch: Epoch::default(),
         replica: None,
--- a/crates/resident/tests/mixed_versions.rs
+++ b/crates/resident/tests/mixed_versions.rs
@@ -293,6 +293,7 @@
             engines_newest: 0,
             engines_unconfirmed_ms: None,
             drains: None,
+            no_replica_sets_ms: None,
         },
         epoch: Epoch(0),
         replica: None,
--- a/crates/resident/tests/support/samples.rs
+++ b/crates/resident/tests/support/samples.rs
@@ -420,7 +420,8 @@
         unconfirmed_ms: Some(120),
         engines_newest: 9,
         engines_unconfirmed_ms: None,
-        drains: None, // not in version 0
+        drains: None,             // not in version 0
+        no_replica_sets_ms: None, // not in version 0
     }
 }
 
