A settlement without replica sets is no loss of a majority

What callers would see, in a deployment without replicas (by a test, not met in a run): a gateway that is never ready again, some 15 s after it queued a settlement before it knew that there are no replicas.

Cause: the batch waits for a replica set for 15 s; the write that ran out of its time counted as the loss of the majority of the only group, which makes a gateway not ready. The probe that would end it waits for replica sets too.

An operation that found no set to ask says nothing of a majority, so that it is not recorded. Where sets are known nothing changes, as they never become unknown.

Test: a_settlement_without_replica_sets_is_no_loss_of_a_majority (failed on the commit before: has_lost_most_majorities was true).

--- a/crates/gateway/src/records_client.rs
+++ b/crates/gateway/src/records_client.rs
@@ -220,8 +220,11 @@
     }
 
     /// Records whether an operation reached a majority of its group's replicas, and how long it was
-    /// tried.
+    /// tried. One that found no replica set to ask says nothing of a majority.
     fn record_majority_outcome(&self, group: GroupId, is_reached: bool, waited: Duration) {
+        if self.node.view.replica_set(group).is_none() {
+            return;
+        }
         if !is_reached {
             if self.health.on_failed(group, waited) {
                 log::warn!(
--- a/crates/gateway/tests/no_replicas.rs
+++ b/crates/gateway/tests/no_replicas.rs
@@ -6,18 +6,20 @@
 
 use ridgeworks_gateway::Gateway;
 use ridgeworks_records::{
-    Epoch, MARK_ENTRY, ProgramId, Replica, ReplicaGroups, ReplicaId, ReplicaSet, TurnId,
+    Epoch, MARK_ENTRY, ProgramId, Replica, ReplicaGroups, ReplicaId, ReplicaSet, Settlement, TurnId,
 };
 use ridgeworks_resident::peer::MemberInfo;
 use ridgeworks_resident::view::Source;
 use support::{gateway_before_store, run};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 const RETENTION: Duration = Duration::from_secs(60);
 /// Longer than any lookup waits.
 const DEADLINE: Duration = Duration::from_secs(5);
 /// Far less than [`DEADLINE`].
 const SOON: Duration = Duration::from_secs(1);
+/// Longer than settlements are tried.
+const SETTLEMENTS_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Looks up a ledger; returns why it could not be read.
 async fn look_up(gateway: &Gateway, deadline: Duration) -> String {
@@ -88,3 +90,25 @@
         assert_eq!(failure, "not enough replicas answered in time");
     });
 }
+
+/// Guards against a gateway that is never ready again since a settlement found no replicas to take it.
+#[test]
+fn a_settlement_without_replica_sets_is_no_loss_of_a_majority() {
+    run(async {
+        let gateway = gateway_before_store("127.79.4.1").await;
+        gateway.node.view.on_no_replica_sets();
+        gateway.records.settle(Settlement {
+            program: ProgramId::of(None, "p"),
+            turn: TurnId::of(None, "t"),
+            entry: MARK_ENTRY,
+            ttl_ms: 1_000,
+        });
+        tokio::time::pause();
+        let deadline = Instant::now() + SETTLEMENTS_TIMEOUT;
+        let settling = gateway.records.finish_settlements(deadline);
+        timeout(2 * SETTLEMENTS_TIMEOUT, settling)
+            .await
+            .expect("it ends with its deadline");
+        assert!(!gateway.records.has_lost_most_majorities());
+    });
+}
