A copy from busy voters counts as caught up once little has changed

Cause, two of three: a replica counted as prepared only after a round of less than 0.8 s. A round asks three voters for a page and for the turns on it; a busy voter takes 0.1 s and more for each reply, and the copier rests after each as long, 50 ms at most. So each round took 0.8 to 1.0 s whatever had changed, and each change of a set waited for its timeout of ten seconds.

Fix: a round in which no voter had more than a page of changes is the last one needed, however long it took: under the joint set, copying takes no more requests than it did.

--- a/crates/replica/src/copying.rs
+++ b/crates/replica/src/copying.rs
@@ -26,9 +26,12 @@
 const FETCH_COUNT: usize = 256;
 /// Longest pause after a reply.
 const MAX_THROTTLE_PAUSE: Duration = Duration::from_millis(50);
-/// Longest round of copying after which the replica counts as prepared: little has changed
-/// meanwhile.
+/// Longest round of copying after which the replica counts as prepared, whatever it copied: little has
+/// changed meanwhile.
 const CAUGHT_UP_ROUND: Duration = Duration::from_millis(800);
+/// Most pages of one voter in a round after which the replica counts as prepared, however long the round took: under the
+/// joint set, copying takes no more requests than that. Busy voters take over 0.1 s for each reply, and a round asks several of them.
+const CAUGHT_UP_PAGES: usize = 1;
 /// Interval of rounds while the set isn't joint yet.
 const ROUND_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -204,8 +207,10 @@
         }
         let started_at = *self.started_at.entry(group).or_insert_with(Instant::now);
         let round_start = Instant::now();
-        let is_copied = self.copy_from_quorum(job, BTreeSet::new()).await;
-        if !is_copied || round_start.elapsed() > CAUGHT_UP_ROUND {
+        let Some(pages) = self.copy_from_quorum(job, BTreeSet::new()).await else {
+            return;
+        };
+        if pages > CAUGHT_UP_PAGES && round_start.elapsed() > CAUGHT_UP_ROUND {
             return;
         }
         let preparation = &self.replica.preparation;
@@ -231,7 +236,7 @@
         if is_voter && self.replica.copy(job.group, Vec::new()).await {
             copied.insert(job.me);
         }
-        if !self.copy_from_quorum(job, copied).await {
+        if self.copy_from_quorum(job, copied).await.is_none() {
             return;
         }
         self.started_at.remove(&job.group);
@@ -248,30 +253,37 @@
         tokio::time::sleep(RETRY_DELAY).await;
     }
 
-    /// Copies from voters until a read quorum is copied; returns whether it is.
-    async fn copy_from_quorum(&mut self, job: &CopyJob, mut copied: BTreeSet<ReplicaId>) -> bool {
+    /// Copies from voters until a read quorum is copied; returns the largest number of pages that one of them took, `None` if
+    /// the copy is no longer needed.
+    async fn copy_from_quorum(
+        &mut self,
+        job: &CopyJob,
+        mut copied: BTreeSet<ReplicaId>,
+    ) -> Option<usize> {
+        let mut most_pages = 0;
         while !job.set.has_read_quorum(&copied) {
             for voter in self.sources(job) {
                 if copied.contains(&voter.id) {
                     continue;
                 }
                 match self.copy_from(job, voter).await {
-                    Ok(()) => {
+                    Ok(pages) => {
                         copied.insert(voter.id);
+                        most_pages = most_pages.max(pages);
                     }
-                    Err(CopyError::Superseded) => return false,
+                    Err(CopyError::Superseded) => return None,
                     Err(CopyError::Source | CopyError::Disk) => {}
                 }
                 if job.set.has_read_quorum(&copied) {
-                    return true;
+                    return Some(most_pages);
                 }
             }
             if !self.is_wanted(job) {
-                return false;
+                return None;
             }
             tokio::time::sleep(RETRY_DELAY).await;
         }
-        true
+        Some(most_pages)
     }
 
     /// Whether the copy is still needed. A copy before a set change also yields to one for a joint
@@ -295,7 +307,8 @@
         sorted
     }
 
-    async fn copy_from(&mut self, job: &CopyJob, voter: &Replica) -> Result<(), CopyError> {
+    /// Copies what changed at a voter since its last position; returns the number of pages.
+    async fn copy_from(&mut self, job: &CopyJob, voter: &Replica) -> Result<usize, CopyError> {
         let replica = Rc::clone(&self.replica);
         let source = CopySource {
             replica: &replica,
@@ -303,6 +316,7 @@
             voter,
         };
         let key = (job.group, voter.id);
+        let mut pages = 0;
         loop {
             let after = self.positions.get(&key).copied();
             let listing = source.list(after).await?;
@@ -315,8 +329,9 @@
             }
             // Everything up to this position is durable.
             self.positions.insert(key, listing.next);
+            pages += 1;
             if listing.is_end {
-                return Ok(());
+                return Ok(pages);
             }
             if !self.is_wanted(job) {
                 return Err(CopyError::Superseded);
