The first replica sets wait for disks that are being opened

What operators saw: a site with fewer groups of replicas than its machines make up, for good, after a start on busy machines; or one voter while six more machines start.

Cause: the first sets are written once the number of replicas with an open disk has been constant for 0.75 s, and settle the number of groups.

The sets wait now for replicas that are heard and whose disks are not open, for as long as a start waits for what its machine lacks (30 s from when the node became known). Machines that are not heard delay nothing. A machine whose disk never opens at the very first start delays the first sets by as much.

--- a/crates/node/tests/resident_groups.rs
+++ b/crates/node/tests/resident_groups.rs
@@ -1,10 +1,12 @@
 //! Programs spread over two groups of replicas, through real gateways and replicas.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
 
 use ridgeworks_platform_stand_ins::client::{Call, call_post};
 use ridgeworks_platform_stand_ins::deployment::{
-    Deployment, Process, send_until_served, wait_until,
+    Deployment, Process, routes, send_until_served, wait_until,
 };
 use ridgeworks_platform_stand_ins::{Answer, Script};
 use ridgeworks_records::{GroupId, ProgramId, ReplicaGroups};
@@ -237,3 +239,37 @@
     assert_eq!(epoch_of(&deployment, GroupId(1)), other);
     send_until_served(gateway, &turn(&first, "t-2", Some("t-1")));
 }
+
+/// Replicas whose disks took longer to open than those of others were not counted, and the site had too few groups for good.
+#[test]
+fn replicas_that_open_their_disks_late_count_for_the_number_of_groups() {
+    const SPREAD: Duration = Duration::from_millis(1_500);
+    let mut deployment = Deployment::new(PROGRAM);
+    deployment.configure(routes());
+    for _ in 0..REPLICAS {
+        deployment.add_replica();
+    }
+    let late: Vec<PathBuf> = deployment.replicas[3..]
+        .iter()
+        .map(|replica| deployment.data_folder(&replica.name))
+        .collect();
+    for folder in &late {
+        std::fs::write(folder, "in the place of the folder").expect("a file");
+    }
+    // Everybody's seed.
+    deployment.add_gateway().start();
+    for replica in &mut deployment.replicas {
+        replica.start();
+    }
+    std::thread::sleep(SPREAD);
+    for folder in &late {
+        std::fs::remove_file(folder).expect("a file");
+    }
+    deployment.wait_until("there are sets", || !deployment.replica_sets().is_empty());
+    assert_eq!(
+        deployment.replica_sets().len(),
+        2,
+        "{}",
+        deployment.describe()
+    );
+}
--- a/crates/replica/src/coordinator.rs
+++ b/crates/replica/src/coordinator.rs
@@ -166,7 +166,8 @@
         );
     }
 
-    /// Writes the initial sets once the number of live storage nodes is constant.
+    /// Writes the initial sets once the number of live storage nodes is constant, and those that
+    /// are starting have opened their disks.
     async fn create_initial_sets(&mut self) {
         let now = self.now();
         let nodes = self.liveness.nodes(None, now);
@@ -183,7 +184,9 @@
         let rank = u32::try_from(rank).unwrap_or(u32::MAX);
         let required_delay =
             INITIAL_SET_QUIET_PERIOD.saturating_add(RANK_DELAY.saturating_mul(rank));
-        if now.saturating_sub(self.discovered.1) < required_delay {
+        if now.saturating_sub(self.discovered.1) < required_delay
+            || self.liveness.is_any_opening(now)
+        {
             return;
         }
         let Some(groups) = initial_groups(&nodes, size) else {
--- a/crates/replica/src/liveness.rs
+++ b/crates/replica/src/liveness.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use ridgeworks_records::{Replica, ReplicaGroups, ReplicaId, ReplicaSet, StorageNode};
+use ridgeworks_resident::resources;
 
 use crate::handle::ReplicaHandle;
 use crate::retirements::Retirements;
@@ -109,6 +110,18 @@
         nodes
     }
 
+    /// Whether the process of another storage node runs that hasn't opened its disk, and may still
+    /// be starting.
+    pub fn is_any_opening(&self, now: Duration) -> bool {
+        let mut members = self.replica.node.gossip.members().into_iter();
+        members.any(|member| {
+            let is_open = member.replica.is_some();
+            let is_starting = now.saturating_sub(member.known_since) < resources::MAX_WAIT;
+            let is_alive = member.is_alive(now, OTHER_GROUP_LOST_AFTER);
+            member.info.is_replica && is_alive && !is_open && is_starting
+        })
+    }
+
     /// Marks voters of `set` that are starting: replaces their entries in `nodes`, or adds them.
     pub fn add_starting(&self, set: &ReplicaSet, nodes: &mut Vec<StorageNode>, now: Duration) {
         for voter in &set.voters {
