A disk that never opens delays a new site's first sets by 8 s

The first sets wait 8 s once a majority of one set is there, which can keep records, and 30 s below that: nothing can be kept without it, and a set of one voter beside machines that start was seen.

Test: a_disk_that_never_opens_does_not_keep_a_new_site_from_serving.

--- a/crates/node/tests/resident_groups.rs
+++ b/crates/node/tests/resident_groups.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use ridgeworks_platform_stand_ins::client::{Call, call_post};
 use ridgeworks_platform_stand_ins::deployment::{
@@ -240,6 +240,33 @@
     send_until_served(gateway, &turn(&first, "t-2", Some("t-1")));
 }
 
+/// The first sets waited for such a disk for as long as for one that nothing can be kept without.
+#[test]
+fn a_disk_that_never_opens_does_not_keep_a_new_site_from_serving() {
+    const LIMIT: Duration = Duration::from_secs(15);
+    let mut deployment = Deployment::new(PROGRAM);
+    deployment.configure(routes());
+    for _ in 0..3 {
+        deployment.add_replica();
+    }
+    let folder = deployment.data_folder(&deployment.replicas[0].name);
+    std::fs::write(&folder, "in the place of the folder").expect("a file");
+    deployment.add_gateway().start();
+    let started = Instant::now();
+    for replica in &mut deployment.replicas {
+        replica.start();
+    }
+    deployment.wait_until("there is a set", || !deployment.replica_sets().is_empty());
+    assert!(started.elapsed() < LIMIT, "{:?}", started.elapsed());
+    let gateway = deployment.gateways[0].callers();
+    let stream = Answer::Stream {
+        events: 2,
+        gap_ms: 1,
+    };
+    let _engine = deployment.start_engine("models", "i-1", Script::always(stream));
+    send_until_served(gateway, &turn("p", "t-1", None));
+}
+
 /// Replicas whose disks took longer to open than those of others were not counted, and the site had too few groups for good.
 #[test]
 fn replicas_that_open_their_disks_late_count_for_the_number_of_groups() {
--- a/crates/replica/src/coordinator.rs
+++ b/crates/replica/src/coordinator.rs
@@ -18,6 +18,7 @@
 };
 use ridgeworks_resident::clock::whole_ms;
 use ridgeworks_resident::node::{REPLICA_SET_NAME, RegisteredReplicaSets};
+use ridgeworks_resident::resources;
 use ridgeworks_resident::view::Source;
 use ridgeworks_resident::watch_policy::{WatchControl, WatchTimings};
 
@@ -40,6 +41,9 @@
 /// Time of the node's clock before which the initial sets are only written with at least as many
 /// live nodes as one set needs.
 const INITIAL_SET_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long the initial sets wait for disks that are being opened, once a majority of one set is
+/// there. A disk that never opens delays a new deployment by as much.
+const MAX_OPENING_WAIT: Duration = Duration::from_secs(8);
 /// How long the number of live storage nodes has to be constant before the initial sets are
 /// written: it determines the number of groups permanently. 36 nodes hear each other within 2 s.
 const INITIAL_SET_QUIET_PERIOD: Duration = Duration::from_millis(750);
@@ -184,8 +188,14 @@
         let rank = u32::try_from(rank).unwrap_or(u32::MAX);
         let required_delay =
             INITIAL_SET_QUIET_PERIOD.saturating_add(RANK_DELAY.saturating_mul(rank));
+        let has_majority = alive.len() > size / 2;
+        let opening_wait = if has_majority {
+            MAX_OPENING_WAIT
+        } else {
+            resources::MAX_WAIT
+        };
         if now.saturating_sub(self.discovered.1) < required_delay
-            || self.liveness.is_any_opening(now)
+            || self.liveness.is_any_opening(now, opening_wait)
         {
             return;
         }
--- a/crates/replica/src/liveness.rs
+++ b/crates/replica/src/liveness.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use ridgeworks_records::{Replica, ReplicaGroups, ReplicaId, ReplicaSet, StorageNode};
-use ridgeworks_resident::resources;
 
 use crate::handle::ReplicaHandle;
 use crate::retirements::Retirements;
@@ -110,13 +109,13 @@
         nodes
     }
 
-    /// Whether the process of another storage node runs that hasn't opened its disk, and may still
-    /// be starting.
-    pub fn is_any_opening(&self, now: Duration) -> bool {
+    /// Whether the process of another storage node runs that hasn't opened its disk, and has been
+    /// known for less than this time.
+    pub fn is_any_opening(&self, now: Duration, max_wait: Duration) -> bool {
         let mut members = self.replica.node.gossip.members().into_iter();
         members.any(|member| {
             let is_open = member.replica.is_some();
-            let is_starting = now.saturating_sub(member.known_since) < resources::MAX_WAIT;
+            let is_starting = now.saturating_sub(member.known_since) < max_wait;
             let is_alive = member.is_alive(now, OTHER_GROUP_LOST_AFTER);
             member.info.is_replica && is_alive && !is_open && is_starting
         })
