--- a/crates/node/tests/resident_limits.rs
+++ b/crates/node/tests/resident_limits.rs
@@ -1,7 +1,6 @@
 //! Limits of the machine that a resident reaches: none may end it, and it goes on when they are raised.
 
-use std::fs::{self, File};
-use std::io::Write;
+use std::fs;
 use std::thread;
 use std::time::Duration;
 
@@ -31,19 +30,9 @@
     deployment
 }
 
-/// Starts a process within a limit that is set before its first steps, while it waits for its settings.
+/// Starts a process within a limit, and checks that it does not end.
 fn start_within(process: &mut Process, resource: Resource, limit: impl Fn(&Process) -> u64) {
-    let path = process.settings_path().to_owned();
-    let text = fs::read_to_string(&path).expect("settings");
-    fs::remove_file(&path).expect("a file");
-    let made = std::process::Command::new("mkfifo").arg(&path).status();
-    assert!(made.expect("a program").success());
-    process.start();
-    thread::sleep(FIRST_STEPS);
-    process.limit(resource, limit(process));
-    let mut pipe = File::options().write(true).open(&path).expect("a pipe");
-    pipe.write_all(text.as_bytes()).expect("a reader");
-    drop(pipe);
+    process.start_within(resource, limit);
     thread::sleep(FIRST_STEPS);
     assert_eq!(process.ended(), None, "{:?}", process.log());
 }
