--- a/crates/resident/tests/mutated_messages.rs
+++ b/crates/resident/tests/mutated_messages.rs
@@ -167,3 +167,16 @@
     let member = br#"{"address":"10.1.2.3:7000","zone":"zone-a","is_replica":true}"#;
     mutation::check(vec![member.to_vec()], decode_member);
 }
+
+/// A message that was cut on its way passed for a shorter one.
+#[test]
+fn a_message_that_stops_anywhere_is_not_read() {
+    for bytes in encoded_messages() {
+        for end in 0..bytes.len() {
+            let cut = &bytes[..end];
+            assert!(decode::<Envelope<PeerRequest>>(cut).is_err(), "{end}");
+            assert!(decode::<Envelope<PeerReply>>(cut).is_err(), "{end}");
+            assert!(decode::<Datagram>(cut).is_err(), "{end}");
+        }
+    }
+}
