The turns of a copy come from several voters while earlier ones are written

One voter listed a page and sent its turns, 256 a reply; each reply was waited for, rested after and written before the next request; then the next voter listed all of its pages.

Fix: the next page is read while one is written; a page's turns come from three voters at the same time, and a voter that fails is not asked for them again; once one voter is copied the others are copied at the same time.

--- a/crates/records/src/replica_set.rs
+++ b/crates/records/src/replica_set.rs
@@ -137,8 +137,12 @@
     /// Whether these replicas together hold every acknowledged write: each majority of the voters
     /// contains one of them.
     pub fn has_read_quorum(&self, answered: &BTreeSet<ReplicaId>) -> bool {
-        let needed = self.voters.len() + 1 - majority(self.voters.len());
-        count_members(&self.voters, answered) >= needed
+        count_members(&self.voters, answered) >= self.read_quorum()
+    }
+
+    /// Number of voters of which one is in each majority of the voters.
+    pub fn read_quorum(&self) -> usize {
+        self.voters.len() + 1 - majority(self.voters.len())
     }
 
     /// Incoming replicas that aren't voters yet.
--- a/crates/replica/src/copying.rs
+++ b/crates/replica/src/copying.rs
@@ -1,13 +1,15 @@
 //! Copies the records that a read quorum of a group's voters holds: most of them before this
 //! replica joins the set, and those that changed since once the set is joint.
 
+use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use ridgeworks_records::{
     GroupId, ListPosition, Listing, Replica, ReplicaGroups, ReplicaId, ReplicaReply,
-    ReplicaRequest, ReplicaSet, TurnId,
+    ReplicaRequest, ReplicaSet, TurnId, TurnRecord,
 };
 use ridgeworks_resident::clock::whole_ms;
 use ridgeworks_resident::peer::{PeerReply, PeerRequest};
@@ -24,6 +26,8 @@
 /// Turns per request, about 1 MB. Copying has to be faster than new turns arrive, although a busy
 /// source takes 50 ms and more to reply: with 64, a copy never caught up with 500 new turns a second.
 const FETCH_COUNT: usize = 256;
+/// Voters besides the listing one that are asked for turns at the same time.
+const MAX_HELPERS: usize = 2;
 /// Longest pause after a reply.
 const MAX_THROTTLE_PAUSE: Duration = Duration::from_millis(50);
 /// Longest round of copying after which the replica counts as prepared, whatever it copied: little has
@@ -147,7 +151,7 @@
     /// Identity of the disk that holds the copies.
     me: Option<ReplicaId>,
     /// Position in each source's change log up to which its records are durable here.
-    positions: HashMap<(GroupId, ReplicaId), ListPosition>,
+    positions: RefCell<HashMap<(GroupId, ReplicaId), ListPosition>>,
     /// When copies for sets that aren't joint yet began.
     started_at: BTreeMap<GroupId, Instant>,
 }
@@ -157,7 +161,7 @@
         Self {
             replica,
             me: None,
-            positions: HashMap::new(),
+            positions: RefCell::default(),
             started_at: BTreeMap::new(),
         }
     }
@@ -168,7 +172,7 @@
         let me = self.replica.status().map(|status| status.id);
         if self.me != me {
             // The records copied to the earlier disk are lost.
-            self.positions.clear();
+            self.positions.borrow_mut().clear();
             self.replica.preparation.clear();
             self.me = me;
         }
@@ -179,7 +183,8 @@
             let is_copier = set.zip(me).is_some_and(|(set, me)| set.is_copier(me));
             is_copier || replica.preparation.requested_epoch(group).is_some()
         };
-        self.positions.retain(|(group, _), _| is_wanted(*group));
+        let mut positions = self.positions.borrow_mut();
+        positions.retain(|(group, _), _| is_wanted(*group));
         self.started_at.retain(|group, started_at| {
             let keep = is_wanted(*group);
             if !keep {
@@ -254,30 +259,36 @@
     }
 
     /// Copies from voters until a read quorum is copied; returns the largest number of pages that one of them took, `None` if
-    /// the copy is no longer needed.
+    /// the copy is no longer needed. Most records come from the first voter; the others, which are then copied at the same time,
+    /// add what it lacks.
     async fn copy_from_quorum(
-        &mut self,
+        &self,
         job: &CopyJob,
         mut copied: BTreeSet<ReplicaId>,
     ) -> Option<usize> {
         let mut most_pages = 0;
         while !job.set.has_read_quorum(&copied) {
-            for voter in self.sources(job) {
-                if copied.contains(&voter.id) {
-                    continue;
-                }
-                match self.copy_from(job, voter).await {
-                    Ok(pages) => {
-                        copied.insert(voter.id);
-                        most_pages = most_pages.max(pages);
+            let mut voters = self.sources(job);
+            voters.retain(|voter| !copied.contains(&voter.id));
+            while !voters.is_empty() && !job.set.has_read_quorum(&copied) {
+                let missing = job.set.read_quorum().saturating_sub(copied.len());
+                let count = if copied.is_empty() { 1 } else { missing };
+                let batch: Vec<&Replica> = voters.drain(..count.min(voters.len())).collect();
+                let copies = batch.iter().map(|voter| self.copy_from(job, voter));
+                for (voter, outcome) in batch.iter().zip(join_all(copies).await) {
+                    match outcome {
+                        Ok(pages) => {
+                            copied.insert(voter.id);
+                            most_pages = most_pages.max(pages);
+                        }
+                        Err(CopyError::Superseded) => return None,
+                        Err(CopyError::Source | CopyError::Disk) => {}
                     }
-                    Err(CopyError::Superseded) => return None,
-                    Err(CopyError::Source | CopyError::Disk) => {}
-                }
-                if job.set.has_read_quorum(&copied) {
-                    return Some(most_pages);
                 }
             }
+            if job.set.has_read_quorum(&copied) {
+                break;
+            }
             if !self.is_wanted(job) {
                 return None;
             }
@@ -303,43 +314,60 @@
     /// a lost one would delay the copy.
     fn sources<'a>(&self, job: &'a CopyJob) -> Vec<&'a Replica> {
         let mut sorted = newest_first(&self.replica, &job.set.voters);
-        sorted.sort_by_key(|voter| !self.positions.contains_key(&(job.group, voter.id)));
+        let positions = self.positions.borrow();
+        sorted.sort_by_key(|voter| !positions.contains_key(&(job.group, voter.id)));
         sorted
     }
 
-    /// Copies what changed at a voter since its last position; returns the number of pages.
-    async fn copy_from(&mut self, job: &CopyJob, voter: &Replica) -> Result<usize, CopyError> {
+    /// Copies what changed at a voter since its last position; returns the number of pages. The next page is read while one is
+    /// written, so that neither the voter nor the disk is waited for alone.
+    async fn copy_from(&self, job: &CopyJob, voter: &Replica) -> Result<usize, CopyError> {
         let replica = Rc::clone(&self.replica);
         let source = CopySource {
             replica: &replica,
             job,
             voter,
+            helpers: RefCell::new(helpers(&replica, job, voter)),
         };
         let key = (job.group, voter.id);
-        let mut pages = 0;
+        let mut pages = 1;
+        let after = self.positions.borrow().get(&key).copied();
+        let mut page = source.read_page(after).await?;
         loop {
-            let after = self.positions.get(&key).copied();
-            let listing = source.list(after).await?;
-            source.copy_turns(listing.turns).await?;
-            let ledgers = listing.ledgers.into_iter();
-            let ledgers = ledgers
-                .map(|(program, ledger, ttl_ms)| CopiedRecord::Ledger(program, ledger, ttl_ms));
-            if !replica.copy(job.group, ledgers.collect()).await {
+            let (next, is_end) = (page.next, page.is_end);
+            let writing = replica.copy(job.group, page.records);
+            let reading = async {
+                if is_end {
+                    return Ok(None);
+                }
+                source.read_page(Some(next)).await.map(Some)
+            };
+            let (is_durable, following) = tokio::join!(writing, reading);
+            if !is_durable {
                 return Err(CopyError::Disk);
             }
             // Everything up to this position is durable.
-            self.positions.insert(key, listing.next);
-            pages += 1;
-            if listing.is_end {
+            self.positions.borrow_mut().insert(key, next);
+            let Some(following) = following? else {
                 return Ok(pages);
-            }
+            };
             if !self.is_wanted(job) {
                 return Err(CopyError::Superseded);
             }
+            page = following;
+            pages += 1;
         }
     }
 }
 
+/// The voters that are asked for turns besides the listing one: those with the newest heartbeat.
+fn helpers<'a>(replica: &ReplicaHandle, job: &'a CopyJob, voter: &Replica) -> Vec<&'a Replica> {
+    let mut helpers = newest_first(replica, &job.set.voters);
+    helpers.retain(|helper| helper.id != voter.id && helper.id != job.me);
+    helpers.truncate(MAX_HELPERS);
+    helpers
+}
+
 /// The voters, ordered by their last heartbeat, newest first.
 pub fn newest_first<'a>(replica: &ReplicaHandle, voters: &'a [Replica]) -> Vec<&'a Replica> {
     let members = replica.node.gossip.replicas();
@@ -355,26 +383,52 @@
     sorted
 }
 
+/// The records of a page that aren't here yet.
+struct Page {
+    records: Vec<CopiedRecord>,
+    /// Position after the page.
+    next: ListPosition,
+    is_end: bool,
+}
+
 /// A voter that records are copied from.
 struct CopySource<'a> {
     replica: &'a ReplicaHandle,
     job: &'a CopyJob,
+    /// The voter that lists its records.
     voter: &'a Replica,
+    /// Voters that are asked for a share of the turns listed.
+    helpers: RefCell<Vec<&'a Replica>>,
 }
 
-impl CopySource<'_> {
+impl<'a> CopySource<'a> {
+    async fn read_page(&self, after: Option<ListPosition>) -> Result<Page, CopyError> {
+        let listing = self.list(after).await?;
+        let mut records = self.read_turns(listing.turns).await?;
+        let ledgers = listing.ledgers.into_iter();
+        records.extend(
+            ledgers.map(|(program, ledger, ttl_ms)| CopiedRecord::Ledger(program, ledger, ttl_ms)),
+        );
+        Ok(Page {
+            records,
+            next: listing.next,
+            is_end: listing.is_end,
+        })
+    }
+
     async fn list(&self, after: Option<ListPosition>) -> Result<Listing, CopyError> {
         let request = ReplicaRequest::List {
             group: self.job.group,
             epoch: self.job.set.epoch,
             after,
         };
-        let mut reply = self.request(request.clone()).await?;
+        let mut reply = self.request(self.voter, request.clone()).await?;
         if reply == ReplicaReply::Behind {
             // The source doesn't know the set yet.
             let groups = ReplicaGroups::clone(&self.job.groups);
-            self.request(ReplicaRequest::Adopt { groups }).await?;
-            reply = self.request(request).await?;
+            let adopting = ReplicaRequest::Adopt { groups };
+            self.request(self.voter, adopting).await?;
+            reply = self.request(self.voter, request).await?;
         }
         match reply {
             ReplicaReply::Listed(listing) => Ok(listing),
@@ -387,40 +441,74 @@
         }
     }
 
-    async fn copy_turns(&self, listed: Vec<(TurnId, u64)>) -> Result<(), CopyError> {
+    /// Reads the listed turns that aren't here, from several voters at the same time: a busy one takes long to reply.
+    async fn read_turns(&self, listed: Vec<(TurnId, u64)>) -> Result<Vec<CopiedRecord>, CopyError> {
         let mut missing = self.replica.missing(listed).await;
+        let ttls_ms: HashMap<TurnId, u64> = missing.iter().cloned().collect();
+        let mut copied = Vec::new();
         while !missing.is_empty() {
-            let ttls_ms: HashMap<TurnId, u64> = missing.iter().cloned().collect();
-            let turns = missing.iter().take(FETCH_COUNT);
-            let turns: Vec<TurnId> = turns.map(|(turn, _)| turn.clone()).collect();
-            let requested: BTreeSet<TurnId> = turns.iter().cloned().collect();
-            let fetched = match self.request(ReplicaRequest::Fetch { turns }).await? {
-                ReplicaReply::Fetched { records } => records,
-                _ => return Err(CopyError::Source),
-            };
-            let received: BTreeSet<TurnId> =
-                fetched.iter().map(|record| record.turn.clone()).collect();
-            let records = fetched.into_iter().map(|record| {
-                let ttl_ms = ttls_ms.get(&record.turn).copied().unwrap_or_default();
-                CopiedRecord::Turn(record, ttl_ms)
-            });
-            if !self.replica.copy(self.job.group, records.collect()).await {
-                return Err(CopyError::Disk);
+            let batches = missing.chunks(FETCH_COUNT).zip(self.fetch_sources());
+            let fetches = batches.map(|(batch, voter)| self.fetch(voter, batch));
+            let replies = join_all(fetches).await;
+            let mut done = BTreeSet::new();
+            for (number, reply) in replies.into_iter().enumerate() {
+                let is_listing_voter = number == 0;
+                match reply {
+                    // It has all turns that it listed, so those have expired.
+                    Ok(records) if is_listing_voter && records.is_empty() => {
+                        let requested = missing.iter().take(FETCH_COUNT);
+                        done.extend(requested.map(|(turn, _)| turn.clone()));
+                    }
+                    Ok(records) => {
+                        done.extend(records.iter().map(|record| record.turn.clone()));
+                        copied.extend(records);
+                    }
+                    Err(error) if is_listing_voter => return Err(error),
+                    // What a helper lacks is requested again, in the end from the listing voter.
+                    Err(_) => {}
+                }
+            }
+            missing.retain(|(turn, _)| !done.contains(turn));
+        }
+        let copied = copied.into_iter().map(|record: TurnRecord| {
+            let ttl_ms = ttls_ms.get(&record.turn).copied().unwrap_or_default();
+            CopiedRecord::Turn(record, ttl_ms)
+        });
+        Ok(copied.collect())
+    }
+
+    /// The listing voter and its helpers.
+    fn fetch_sources(&self) -> Vec<&'a Replica> {
+        let mut sources = vec![self.voter];
+        sources.extend(self.helpers.borrow().iter());
+        sources
+    }
+
+    /// Reads turns from a voter, as many as one reply holds. A helper that fails isn't asked again.
+    async fn fetch(
+        &self,
+        voter: &Replica,
+        batch: &[(TurnId, u64)],
+    ) -> Result<Vec<TurnRecord>, CopyError> {
+        let turns = batch.iter().map(|(turn, _)| turn.clone()).collect();
+        match self.request(voter, ReplicaRequest::Fetch { turns }).await {
+            Ok(ReplicaReply::Fetched { records }) => Ok(records),
+            _ => {
+                let mut helpers = self.helpers.borrow_mut();
+                helpers.retain(|helper| helper.id != voter.id);
+                Err(CopyError::Source)
             }
-            // An empty reply means that the requested turns have expired; turns that exceeded the
-            // size of a reply are requested again.
-            let expired = received.is_empty();
-            let is_done =
-                |turn: &TurnId| received.contains(turn) || (expired && requested.contains(turn));
-            missing.retain(|(turn, _)| !is_done(turn));
         }
-        Ok(())
     }
 
-    async fn request(&self, request: ReplicaRequest) -> Result<ReplicaReply, CopyError> {
-        let address = self.voter.address.parse();
+    async fn request(
+        &self,
+        voter: &Replica,
+        request: ReplicaRequest,
+    ) -> Result<ReplicaReply, CopyError> {
+        let address = voter.address.parse();
         let address = address.map_err(|_| CopyError::Source)?;
-        let to = self.voter.id;
+        let to = voter.id;
         let request = PeerRequest::Replica { to, request };
         let start = Instant::now();
         let links = &self.replica.node.links;
