Permits of gateways that are gone are settled by their readers

Cause: a permit stays open until its gateway knows whether the engine ended; nobody else could settle it, as it named no engine, and it had no lifetime.

A permit's key names the run of its engine now. Whoever reads an open permit settles it once that run is in a list newer than the first reading, the route's timeout and the lifetime of an entry: the engine did not end under the send. If the run is listed no more, the permit counts until an end under the send would have expired. So it stops counting by proof or as ends do, and no more than three engines end under a request as before. A planned stop waits within its grace for the outcomes. Earlier versions count such a permit as before, and theirs, which name no engine, are counted as before. A permit is acquired once the engine is chosen, no more in the preparation, and its number is drawn at random: a settled one is not opened again by an identifier that is used again.

--- a/crates/gateway/src/engine_probe.rs
+++ b/crates/gateway/src/engine_probe.rs
@@ -110,6 +110,12 @@
     evidence
 }
 
+/// How long an engine that has ended may still be listed.
+pub fn listed_lifetime(gateway: &Gateway) -> Duration {
+    let bounds = &gateway.node.settings.bounds;
+    bounds.engine_entry_lifetime() + ENTRY_LIFETIME_MARGIN
+}
+
 /// Whether an engine is still listed when its entry would have lapsed if it had ended now. False also where no list tells.
 pub async fn has_lived_on(gateway: &Rc<Gateway>, engine: &Engine) -> bool {
     let watched = &gateway.watched_engines;
@@ -117,8 +123,7 @@
         return false;
     }
     watched.set(watched.get() + 1);
-    let bounds = &gateway.node.settings.bounds;
-    let entry_lifetime = bounds.engine_entry_lifetime() + ENTRY_LIFETIME_MARGIN;
+    let entry_lifetime = listed_lifetime(gateway);
     let listed = listed_after(gateway, engine, entry_lifetime);
     let lives = tokio::time::timeout(entry_lifetime + MAX_LIST_WAIT, listed).await;
     watched.set(watched.get() - 1);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -5,6 +5,7 @@
 mod end_ledger;
 mod engine_choice;
 mod engine_ends;
+mod left_permits;
 mod preparation;
 mod report;
 mod send_permits;
@@ -166,7 +167,11 @@
                 let refusal = self.refusal_after_run().unwrap_or(refusal);
                 return self.give_up(client, refusal).await;
             }
-            if let Err(refusal) = self.acquire_permit().await {
+            let permitted = tokio::select! {
+                permitted = self.acquire_permit(&engine) => permitted,
+                () = client.disconnected() => return Ending::ClientDisconnected,
+            };
+            if let Err(refusal) = permitted {
                 let after_run = self.refusal_after_run();
                 let is_final = refusal.is_denied_for(DenialReason::EndsEngines);
                 let refusal = after_run.filter(|_| !is_final).unwrap_or(refusal);
--- a/crates/gateway/src/exchange/end_ledger.rs
+++ b/crates/gateway/src/exchange/end_ledger.rs
@@ -130,6 +130,12 @@
         }
     }
 
+    /// Settles a permit of another try, whoever keeps it.
+    pub(super) async fn settle_everywhere(&self, gateway: &Gateway, permit: &TurnId) {
+        let settling = self.settle(gateway, permit, Keeper::Replicas);
+        tokio::join!(settling, self.record_at_witnesses(gateway, permit));
+    }
+
     /// The settlement that writes an entry of no charge later.
     pub(super) fn settlement(&self, key: TurnId) -> Settlement {
         Settlement {
--- a/crates/gateway/src/exchange/engine_ends.rs
+++ b/crates/gateway/src/exchange/engine_ends.rs
@@ -63,8 +63,6 @@
     pub(super) permit: Option<Permit>,
     /// The engine at which the request was when its client left, and since when it was silent.
     left_at: Option<(Engine, Instant)>,
-    /// Number of permits that this try has named.
-    pub(super) permits: u32,
 }
 
 impl RequestEnds {
@@ -205,7 +203,7 @@
                 keeper: Some(keeper),
             },
             None => HeldPermit {
-                key: self.next_permit_key(),
+                key: self.next_permit_key(engine),
                 keeper: None,
             },
         });
@@ -451,6 +449,7 @@
 impl EndWatch {
     /// Runs until the outcome is known. `connection` is one that the engine accepted; without it the engine is asked first.
     async fn run(self, connection: Option<EngineConnection>) {
+        let _held = self.held_open.is_some().then(|| self.gateway.hold_permit());
         let keeper = self.hold_open().await;
         let evidence = self.find_evidence(connection).await;
         if let Some(evidence) = evidence {
--- a/crates/gateway/src/exchange/preparation.rs
+++ b/crates/gateway/src/exchange/preparation.rs
@@ -275,7 +275,7 @@
             return Err(refusal);
         }
         self.ends.needs_permit = is_unknown || !self.ends.found.is_clear();
-        self.acquire_permit().await
+        Ok(())
     }
 
     /// The body for the engine: all earlier turns, then the client's body.
--- a/crates/gateway/src/exchange/send_permits.rs
+++ b/crates/gateway/src/exchange/send_permits.rs
@@ -12,10 +12,11 @@
 
 use rand::RngExt;
 use ridgeworks_records::{
-    EngineEnds, LedgerEntry, MARK_ENTRY, MAX_ENGINE_ENDS, PERMIT_ENTRY, ProgramLedger, SendVerdict,
-    StreamOrigin, TurnId,
+    EngineEnds, EngineRun, LedgerEntry, MARK_ENTRY, MAX_ENGINE_ENDS, PERMIT_ENTRY, ProgramLedger,
+    SendVerdict, StreamOrigin, TurnId,
 };
-use ridgeworks_routing::{Denial, Refusal, RefusalReason};
+use ridgeworks_routing::{Denial, Engine, Refusal, RefusalReason};
+use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
 use super::Exchange;
@@ -28,6 +29,8 @@
 const MAX_WAIT: Duration = Duration::from_millis(400);
 /// Mean delay before the others' outcomes are read again.
 const WAIT_INTERVAL: Duration = Duration::from_millis(40);
+/// Greatest number of a permit, which is drawn at random.
+const MAX_PERMIT_NUMBER: u32 = i32::MAX.unsigned_abs();
 
 /// What the ledger of a request tells that reserves nothing.
 #[derive(Debug, Default)]
@@ -59,6 +62,7 @@
     pub(super) fn ends_in(&self, ledger: &ProgramLedger) -> EngineEnds {
         let digest = self.call.digest;
         let mut ends = ledger.engine_ends(digest, &self.call.turn());
+        self.settle_left_permits(&mut ends);
         let runs = &ends.known | &ends.presumed;
         if runs.is_empty() {
             return ends;
@@ -147,14 +151,15 @@
         Denial::ends_engines(ended, MAX_ENGINE_ENDS).map(Refusal::from)
     }
 
-    /// Acquires the permit for the next send, if it needs one.
-    pub(super) async fn acquire_permit(&mut self) -> Result<(), Refusal> {
+    /// Acquires the permit for the next send, which goes to this engine, if it needs one.
+    pub(super) async fn acquire_permit(&mut self, engine: &Engine) -> Result<(), Refusal> {
+        self.release_permit_at_other(engine);
         if !self.ends.needs_permit {
             return Ok(());
         }
         let until = self.call.deadline.min(Instant::now() + MAX_WAIT);
         loop {
-            let found = self.record_permit().await?;
+            let found = self.record_permit(engine).await?;
             self.take_in_ends(found);
             let verdict = self.verdict();
             self.gateway.metrics.on_send_verdict(verdict);
@@ -183,13 +188,24 @@
         self.ends.found.is_clear() && self.gateway.has_no_replicas()
     }
 
+    /// Gives up the permit of a send that did not happen, to another engine than this one.
+    fn release_permit_at_other(&mut self, engine: &Engine) {
+        let Some(Permit::Entry { key, .. }) = &self.ends.permit else {
+            return;
+        };
+        if key.permitted_run() != Some(listed_run(engine)) {
+            self.settle_permit_later();
+            self.ends.needs_permit = true;
+        }
+    }
+
     /// Records the permit and reads the ledger after that.
-    async fn record_permit(&mut self) -> Result<EngineEnds, Refusal> {
+    async fn record_permit(&mut self, engine: &Engine) -> Result<EngineEnds, Refusal> {
         let deadline = self.records_deadline();
         let ledger = self.end_ledger();
         let is_recorded = self.ends.permit.is_some();
         let permit = self.ends.permit.clone();
-        let permit = permit.unwrap_or_else(|| self.next_permit());
+        let permit = permit.unwrap_or_else(|| self.next_permit(engine));
         let (key, entry) = match &permit {
             Permit::Reservation { key, entry } => (key.clone(), *entry),
             Permit::Entry { key, .. } => (key.clone(), PERMIT_ENTRY),
@@ -232,16 +248,18 @@
         Refusal::retry_later(RefusalReason::LedgerUnavailable, after)
     }
 
-    fn next_permit(&mut self) -> Permit {
+    fn next_permit(&mut self, engine: &Engine) -> Permit {
         Permit::Entry {
-            key: self.next_permit_key(),
+            key: self.next_permit_key(engine),
             keeper: None,
         }
     }
 
-    pub(super) fn next_permit_key(&mut self) -> TurnId {
-        self.ends.permits += 1;
-        self.call.turn().permit(self.ends.permits, self.call.digest)
+    pub(super) fn next_permit_key(&self, engine: &Engine) -> TurnId {
+        // Clients may use an identifier again, and a settled permit is not opened again.
+        let number = rand::rng().random_range(1..=MAX_PERMIT_NUMBER);
+        let turn = self.call.turn();
+        turn.permit_at(listed_run(engine), number, self.call.digest)
     }
 
     /// The key that stands for the present send in the mark of an engine's end.
@@ -255,23 +273,27 @@
 
     /// Settles the permit, unless it is the turn's reservation: nothing is at an engine any more that it stands for.
     pub(super) async fn settle_permit(&mut self) {
-        let Some((key, keeper)) = self.take_permit_entry() else {
-            return;
-        };
-        let ledger = self.end_ledger();
-        ledger.settle(&self.gateway, &key, keeper).await;
+        // Goes on where the request is dropped meanwhile: nobody else would settle the permit.
+        if let Some(settling) = self.begin_settling_permit() {
+            let _ = settling.await;
+        }
     }
 
     /// The same, beside whatever comes next.
     pub(super) fn settle_permit_later(&mut self) {
-        let Some((key, keeper)) = self.take_permit_entry() else {
-            return;
-        };
+        self.begin_settling_permit();
+    }
+
+    fn begin_settling_permit(&mut self) -> Option<JoinHandle<()>> {
+        let (key, keeper) = self.take_permit_entry()?;
         let gateway = Rc::clone(&self.gateway);
         let ledger = self.end_ledger();
-        tokio::task::spawn_local(async move {
+        let held = gateway.hold_permit();
+        let settling = tokio::task::spawn_local(async move {
             ledger.settle(&gateway, &key, keeper).await;
+            drop(held);
         });
+        Some(settling)
     }
 
     pub(super) fn take_permit_entry(&mut self) -> Option<(TurnId, Keeper)> {
@@ -284,3 +306,8 @@
         }
     }
 }
+
+/// The run of an engine as lists tell it.
+fn listed_run(engine: &Engine) -> EngineRun {
+    EngineRun(engine.key().0)
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -25,6 +25,7 @@
 use crate::memory_budget::MemoryBudget;
 use crate::metrics::GatewayMetrics;
 use crate::node_network::relay_request;
+use crate::open_permits::OpenPermits;
 use crate::rate_limits::RateLimits;
 use crate::readiness::{Lack, ReadinessLog};
 use crate::records_client::RecordsClient;
@@ -90,6 +91,10 @@
     pub witness_roster: RefCell<WitnessRoster>,
     /// When this gateway first read of engines' ends.
     pub end_ages: RefCell<EndAges>,
+    /// Permits that other gateways left open.
+    pub open_permits: RefCell<OpenPermits>,
+    /// Permits of this gateway that are still to be settled.
+    held_permits: Cell<usize>,
     /// Number of engines that are watched for a restart after a request to them failed.
     pub watched_engines: Cell<usize>,
     /// Metrics of this gateway.
@@ -119,6 +124,16 @@
     }
 }
 
+/// Counts a permit as held until it is dropped.
+pub struct HeldPermitGuard(Rc<Gateway>);
+
+impl Drop for HeldPermitGuard {
+    fn drop(&mut self) {
+        let held = &self.0.held_permits;
+        held.set(held.get().saturating_sub(1));
+    }
+}
+
 /// Counts a client connection that brought a request until it is dropped.
 pub struct UsedConnectionGuard(Rc<Gateway>);
 
@@ -162,6 +177,8 @@
             stored_end_writes: Cell::new(0),
             witness_roster: RefCell::new(WitnessRoster::new(END_LIFETIME)),
             end_ages: RefCell::new(EndAges::new(END_LIFETIME)),
+            open_permits: RefCell::new(OpenPermits::default()),
+            held_permits: Cell::new(0),
             watched_engines: Cell::new(0),
             metrics,
             logged_residency_version: Cell::new(0),
@@ -230,6 +247,17 @@
         self.used_connections.get()
     }
 
+    /// Number of permits of this gateway that are still to be settled.
+    pub fn held_permits(&self) -> usize {
+        self.held_permits.get()
+    }
+
+    /// Counts a permit as held until the guard is dropped.
+    pub fn hold_permit(self: &Rc<Self>) -> HeldPermitGuard {
+        self.held_permits.set(self.held_permits.get() + 1);
+        HeldPermitGuard(Rc::clone(self))
+    }
+
     /// Counts a client connection that brought a request until the guard is dropped.
     pub fn track_connection(self: &Rc<Self>) -> UsedConnectionGuard {
         self.used_connections.set(self.used_connections.get() + 1);
--- a/crates/gateway/src/role.rs
+++ b/crates/gateway/src/role.rs
@@ -131,7 +131,7 @@
     );
 }
 
-/// Waits until all requests are answered and settled, and their clients have been sent the answers. Open connections may still bring
+/// Waits until all requests are answered and settled, their clients have been sent the answers, and all permits are settled. Open connections may still bring
 /// requests, so the gateway has to be idle for a moment before it stops.
 async fn finish(gateway: &Rc<Gateway>, deadline: Instant) {
     while Instant::now() < deadline {
@@ -142,7 +142,9 @@
         let before = gateway.metrics.requests.get();
         gateway.records.finish_settlements(deadline).await;
         tokio::time::sleep(FLUSH_TIME).await;
-        if is_answered(gateway) && gateway.metrics.requests.get() == before {
+        // Other gateways would count a permit until they find out by themselves what became of its send.
+        let is_settled = gateway.held_permits() == 0;
+        if is_answered(gateway) && is_settled && gateway.metrics.requests.get() == before {
             return;
         }
     }
--- a/crates/node/tests/resident_engine_ends.rs
+++ b/crates/node/tests/resident_engine_ends.rs
@@ -346,6 +346,60 @@
     assert_eq!(runs(), MAX_ENDS);
 }
 
+/// Sends calls that are alike to engines that stay silent, through these gateways. Their permits are recorded when it returns, and
+/// the gateways still wait for signs of an end.
+fn leave_permits(gateways: &[Process], engines: &[EngineStandIn]) {
+    for engine in engines {
+        engine.set_fatal("none", 0, None);
+        engine.set_script(Script::always(Answer::Silent));
+    }
+    let asked: Vec<_> = (0..2 * MAX_ENDS)
+        .map(|number| {
+            let gateway = gateways[number % gateways.len()].callers();
+            let call = call_get("/tool/same", &format!("silent-{number}"));
+            let call = call.replace("ridgeworks-deadline-ms", "700");
+            std::thread::spawn(move || call.send(gateway))
+        })
+        .collect();
+    for asked in asked {
+        asked.join().expect("a client");
+    }
+    std::thread::sleep(PAUSE);
+    engines.iter().for_each(|engine| engine.set_script(tool()));
+}
+
+/// Permits that nobody settled refused a request at all gateways for as long as anybody asked, though all engines lived.
+#[test]
+fn a_call_whose_permits_were_left_by_gateways_that_are_gone_is_served_while_its_engines_live() {
+    let mut deployment = Deployment::started(PROGRAM, 2, 3);
+    let engines = start(&deployment, "tools", &tool());
+    leave_permits(&deployment.gateways, &engines);
+    kill_all(&mut deployment);
+    deployment.wait_until_engines_known(ENGINES);
+    let call = |id: &str| call_get("/tool/same", id);
+    let held = call("held").send(deployment.gateways[0].callers());
+    assert_eq!(held.expect("an answer").status, 503);
+    send_until_served(deployment.gateways[0].callers(), &call("served"));
+    for (number, gateway) in deployment.gateways.iter().enumerate() {
+        let reply = call(&format!("after-{number}")).send(gateway.callers());
+        assert_eq!(reply.expect("an answer").status, 200);
+    }
+}
+
+/// A planned stop left the permits of silent engines open, so that the other gateways refused the request.
+#[test]
+fn a_gateway_that_is_stopped_settles_the_permits_of_engines_that_live() {
+    let mut deployment = Deployment::started(PROGRAM, 2, 3);
+    let engines = start(&deployment, "tools", &tool());
+    leave_permits(&deployment.gateways[..1], &engines);
+    deployment.gateways[0].signal(Signal::TERM);
+    wait_until("the gateway has stopped", || {
+        deployment.gateways[0].ended() == Some(true)
+    });
+    let reply = call_get("/tool/same", "after").send(deployment.gateways[1].callers());
+    assert_eq!(reply.expect("an answer").status, 200);
+}
+
 /// An engine that is there again at once under its identifier has ended too.
 #[test]
 fn an_engine_that_starts_again_at_once_has_ended_under_its_request() {
--- a/crates/records/src/engine_ends.rs
+++ b/crates/records/src/engine_ends.rs
@@ -9,7 +9,7 @@
 //!
 //! Like origins they are keys of entries that charge nothing, so that replicas and gateways of every version keep them.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::identifiers::TurnId;
 use crate::ledger::{LedgerEntry, ProgramLedger};
@@ -42,7 +42,7 @@
 /// Engines that may end under a request before it is sent to none.
 pub const MAX_ENGINE_ENDS: usize = 3;
 /// Set in the ordinals of permits, which so differ from those of reservations.
-const PERMIT_ORDINAL: u32 = 1 << 31;
+pub(crate) const PERMIT_ORDINAL: u32 = 1 << 31;
 
 /// Digest of what all tries of one request have in common.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -89,6 +89,8 @@
     /// Entries of other tries that are neither settled nor accounted for by an end: they still run, or their gateway is gone and the
     /// engine perhaps with it.
     pub unsettled: usize,
+    /// The permits among these that name the engine that their send went to.
+    pub open_permits: BTreeMap<TurnId, EngineRun>,
 }
 
 /// Ends that count no longer, since they happened too long ago.
@@ -139,6 +141,13 @@
         }
     }
 
+    /// Takes out an open permit, which counts no longer.
+    pub fn take_open_permit(&mut self, permit: &TurnId) {
+        if self.open_permits.remove(permit).is_some() {
+            self.unsettled = self.unsettled.saturating_sub(1);
+        }
+    }
+
     /// Whether nothing speaks against the request.
     pub fn is_clear(&self) -> bool {
         self.ended() == 0 && self.unsettled == 0
@@ -203,7 +212,7 @@
         Self(LOOKUP_MARK.to_owned())
     }
 
-    /// The key of a permit to send a request once; `number` counts the permits of one try.
+    /// The key of a permit to send a request once, which names no engine; `number` tells the permits of one try apart.
     pub fn permit(&self, number: u32, digest: RequestDigest) -> Self {
         self.at_try(PERMIT_ORDINAL | number, digest, None)
     }
@@ -283,7 +292,10 @@
             let is_other = turn != own.0 && !is_accounted;
             entry.spent.is_none() && is_other && key.digest() == Some(digest)
         });
-        let unsettled = unsettled.count();
+        let unsettled: Vec<&TurnId> = unsettled.map(|(key, _)| key).collect();
+        let open_permits = unsettled.iter();
+        let open_permits =
+            open_permits.filter_map(|key| Some(((*key).clone(), key.permitted_run()?)));
         let runs_of = |marks: &BTreeSet<(RequestDigest, EngineRun)>| -> BTreeSet<EngineRun> {
             let marks = marks.iter().filter(|(of, _)| *of == digest);
             marks.map(|(_, run)| *run).collect()
@@ -299,7 +311,8 @@
             presumed: &runs_that(EndCertainty::Presumed) - &withdrawn,
             withdrawn,
             cleared,
-            unsettled,
+            unsettled: unsettled.len(),
+            open_permits: open_permits.collect(),
         }
     }
 }
--- a/crates/records/src/origin.rs
+++ b/crates/records/src/origin.rs
@@ -6,7 +6,7 @@
 //! The origin is part of the key of the stream's entry, not a field: replicas and gateways of every version keep keys and disks as
 //! they are (`docs/design/resumed-streams.md`).
 
-use crate::engine_ends::RequestDigest;
+use crate::engine_ends::{EngineRun, PERMIT_ORDINAL, RequestDigest};
 use crate::identifiers::TurnId;
 
 /// Separates a turn's identifier from its origin. No HTTP header can carry it, so no client can name an entry with an origin.
@@ -14,6 +14,8 @@
 
 /// Digits of the ordinal in a key; those behind it are a digest.
 const ORDINAL_DIGITS: usize = 8;
+/// Digits of the run of an engine in a key.
+const RUN_DIGITS: usize = 16;
 /// Stands in the key of a turn whose stream may not be resumed.
 const NO_ORIGIN: u64 = 0;
 
@@ -66,9 +68,35 @@
         }
     }
 
-    /// The turn's identifier without an origin.
+    /// The turn's identifier without an origin, and without the engine of a permit.
     pub fn without_origin(&self) -> &str {
-        self.split().map_or(&self.0, |(turn, _, _)| turn)
+        let Some((turn, _, _)) = self.split() else {
+            return &self.0;
+        };
+        self.split_permit().map_or(turn, |(turn, _)| turn)
+    }
+
+    /// The key of a permit to send a request to this run of an engine; `number` tells the permits of one try apart.
+    pub fn permit_at(&self, run: EngineRun, number: u32, digest: RequestDigest) -> Self {
+        // Before the ordinal: earlier versions take the run for a part of the turn's identifier, and count the permit.
+        let turn = format!("{}{ORIGIN_SEPARATOR}{:016x}", self.0, run.0);
+        Self(turn).permit(number, digest)
+    }
+
+    /// The run of the engine that this key permits a send to, if it is the key of a permit and names one.
+    pub fn permitted_run(&self) -> Option<EngineRun> {
+        let (_, run) = self.split_permit()?;
+        u64::from_str_radix(run, 16).ok().map(EngineRun)
+    }
+
+    /// The turn's identifier and the run of the engine, if this is the key of a permit that names one.
+    fn split_permit(&self) -> Option<(&str, &str)> {
+        let (turn, ordinal, _) = self.split()?;
+        let ordinal = u32::from_str_radix(ordinal.get(..ORDINAL_DIGITS)?, 16).ok()?;
+        // Behind a separator of a tenant's name comes the one of the tenant, which is no digit.
+        let (turn, run) = turn.rsplit_once(ORIGIN_SEPARATOR)?;
+        let names_run = run.len() == RUN_DIGITS && is_hex(run);
+        (ordinal & PERMIT_ORDINAL != 0 && names_run).then_some((turn, run))
     }
 
     /// The origin in this key, if it has one.
--- a/crates/records/tests/engine_ends.rs
+++ b/crates/records/tests/engine_ends.rs
@@ -276,3 +276,47 @@
     assert_eq!(ends(&ledger).known.len(), 1);
     assert_eq!(ledger.engine_ends(OTHER, &turn("r-2")).withdrawn.len(), 0);
 }
+
+/// A permit that names its engine is counted by all versions, and tells a later reader whom to ask.
+#[test]
+fn a_permit_names_its_engine_beside_its_turn_and_its_digest() {
+    for id in ["r-1", "0123456789abcdef"] {
+        for tenant in [None, Some("a:§b"), Some("§0123456789abcdef"), Some("§")] {
+            let turn = TurnId::of(tenant, id);
+            let permit = turn.permit_at(EngineRun(u64::MAX), 9, DIGEST);
+            assert_eq!(permit.permitted_run(), Some(EngineRun(u64::MAX)));
+            assert_eq!(permit.without_origin(), turn.0);
+            assert_eq!(permit.request(), id);
+            assert_eq!((permit.digest(), permit.origin()), (Some(DIGEST), None));
+            assert_eq!(turn.permit(9, DIGEST).permitted_run(), None);
+            assert_eq!(turn.permit(9, DIGEST).without_origin(), turn.0);
+            let reservation = turn.at_try(0, DIGEST, Some(StreamOrigin(9)));
+            assert_eq!(reservation.permitted_run(), None);
+            assert_eq!(reservation.without_origin(), turn.0);
+        }
+    }
+}
+
+#[test]
+fn open_permits_are_told_apart_by_their_engines_and_taken_out_once() {
+    let permit = |run| turn("left").permit_at(EngineRun(run), 1, DIGEST);
+    let mut ledger = ProgramLedger::default();
+    for run in 1..=3 {
+        ledger.merge_entry(&permit(run), PERMIT_ENTRY);
+    }
+    // One that an earlier version wrote, which names none.
+    ledger.merge_entry(&turn("earlier").permit(1, DIGEST), PERMIT_ENTRY);
+    let mut ends = ledger.engine_ends(DIGEST, &turn("r-2"));
+    assert_eq!((ends.unsettled, ends.open_permits.len()), (4, 3));
+    assert_eq!(ends.open_permits.get(&permit(2)), Some(&EngineRun(2)));
+    assert_eq!(ends.verdict(), SendVerdict::Unsettled);
+    for run in [1, 1, 2] {
+        ends.take_open_permit(&permit(run));
+    }
+    ends.take_open_permit(&turn("earlier").permit(1, DIGEST));
+    assert_eq!((ends.unsettled, ends.open_permits.len()), (2, 1));
+    assert_eq!(ends.verdict(), SendVerdict::Permitted);
+    ledger.merge_entry(&permit(1), MARK_ENTRY);
+    assert_eq!(ledger.engine_ends(DIGEST, &turn("r-2")).unsettled, 3);
+    assert_eq!(ledger.engine_ends(DIGEST, &turn("left")).unsettled, 1);
+}
