A copy holds few large turns that it has yet to write

Cause: since pages are read while others are written, all turns of a page (1,024) are held, and then written at once. Before that each reply of 4 MB at most was written by itself.

Fix: turns of a page are written as soon as they are more than 8 MB. The position is still stored only once the whole page is durable, and a page whose source fails keeps what was written of it.

--- a/crates/replica/src/copying.rs
+++ b/crates/replica/src/copying.rs
@@ -26,6 +26,8 @@
 /// Turns per request, about 1 MB. Copying has to be faster than new turns arrive, although a busy
 /// source takes 50 ms and more to reply: with 64, a copy never caught up with 500 new turns a second.
 const FETCH_COUNT: usize = 256;
+/// Bytes of turns that a copy holds before it writes them. Turns may be large, and a page lists many.
+const MAX_UNWRITTEN_BYTES: usize = 8 * 1024 * 1024;
 /// Voters besides the listing one that are asked for turns at the same time.
 const MAX_HELPERS: usize = 2;
 /// Longest pause after a reply.
@@ -391,6 +393,15 @@
     is_end: bool,
 }
 
+/// The copies of turns, each with the time for which it is kept.
+fn with_ttls(turns: Vec<TurnRecord>, ttls_ms: &HashMap<TurnId, u64>) -> Vec<CopiedRecord> {
+    let copies = turns.into_iter().map(|record| {
+        let ttl_ms = ttls_ms.get(&record.turn).copied().unwrap_or_default();
+        CopiedRecord::Turn(record, ttl_ms)
+    });
+    copies.collect()
+}
+
 /// A voter that records are copied from.
 struct CopySource<'a> {
     replica: &'a ReplicaHandle,
@@ -441,7 +452,8 @@
         }
     }
 
-    /// Reads the listed turns that aren't here, from several voters at the same time: a busy one takes long to reply.
+    /// Reads the listed turns that aren't here, from several voters at the same time: a busy one takes long to reply. Writes them
+    /// where they are many bytes, and returns those that are still to be written.
     async fn read_turns(&self, listed: Vec<(TurnId, u64)>) -> Result<Vec<CopiedRecord>, CopyError> {
         let mut missing = self.replica.missing(listed).await;
         let ttls_ms: HashMap<TurnId, u64> = missing.iter().cloned().collect();
@@ -469,12 +481,18 @@
                 }
             }
             missing.retain(|(turn, _)| !done.contains(turn));
+            if copied.iter().map(TurnRecord::weight).sum::<usize>() > MAX_UNWRITTEN_BYTES {
+                self.write(with_ttls(std::mem::take(&mut copied), &ttls_ms))
+                    .await?;
+            }
         }
-        let copied = copied.into_iter().map(|record: TurnRecord| {
-            let ttl_ms = ttls_ms.get(&record.turn).copied().unwrap_or_default();
-            CopiedRecord::Turn(record, ttl_ms)
-        });
-        Ok(copied.collect())
+        Ok(with_ttls(copied, &ttls_ms))
+    }
+
+    /// Makes records durable here.
+    async fn write(&self, records: Vec<CopiedRecord>) -> Result<(), CopyError> {
+        let is_durable = self.replica.copy(self.job.group, records).await;
+        is_durable.then_some(()).ok_or(CopyError::Disk)
     }
 
     /// The listing voter and its helpers.
--- a/crates/replica/tests/support/busy_voters.rs
+++ b/crates/replica/tests/support/busy_voters.rs
@@ -77,7 +77,7 @@
     }
 
     /// Keeps a turn and charges it to its program.
-    fn keep(&self, number: u64) {
+    fn keep(&self, number: u64, output_bytes: usize) {
         let turn = TurnId(format!("turn-{number}"));
         let charge = ReplicaRequest::Charge {
             group: GROUP,
@@ -97,7 +97,7 @@
                 turn,
                 previous: None,
                 input: b"input".to_vec(),
-                output: b"output".to_vec(),
+                output: vec![b'o'; output_bytes],
             },
             ttl_ms: TTL_MS,
         };
@@ -176,12 +176,13 @@
 }
 
 /// Keeps turns after those with which the voters began.
-async fn keep_more_turns(voters: Vec<Rc<BusyVoter>>, kept_turns: u64, turns_per_tick: u64) {
-    let mut number = kept_turns;
+async fn keep_more_turns(voters: Vec<Rc<BusyVoter>>, kept: KeptTurns) {
+    let mut number = kept.count;
     loop {
         sleep(TICK).await;
-        for _ in 0..turns_per_tick {
-            voters.iter().for_each(|voter| voter.keep(number));
+        for _ in 0..kept.more_per_tick {
+            let keep = |voter: &Rc<BusyVoter>| voter.keep(number, kept.output_bytes);
+            voters.iter().for_each(keep);
             number += 1;
         }
     }
@@ -206,21 +207,37 @@
     None
 }
 
+/// The turns of the voters.
+#[derive(Clone, Copy)]
+pub struct KeptTurns {
+    /// How many there are at the beginning.
+    pub count: u64,
+    /// How many more there are every [`TICK`].
+    pub more_per_tick: u64,
+    /// Bytes of the output of each.
+    pub output_bytes: usize,
+}
+
 /// A finished copy.
 pub struct Prepared {
     /// How long it took.
     pub took: Duration,
+    /// By how much the greatest memory of the process grew meanwhile, in bytes.
+    pub memory_growth: u64,
     /// The number of turns that each voter sent.
     pub sent_turns: Vec<usize>,
 }
 
-/// Prepares a new replica that copies from voters with `kept_turns` turns, which get `turns_per_tick` more every [`TICK`];
-/// `None` if it isn't prepared within the limit.
-pub fn prepare_new_member(
-    kept_turns: u64,
-    turns_per_tick: u64,
-    limit: Duration,
-) -> Option<Prepared> {
+/// The greatest memory of this process so far, in bytes.
+fn peak_memory() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").expect("the status of the process");
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    let size = line.expect("a peak").trim().trim_end_matches(" kB");
+    size.parse::<u64>().expect("a number of kB") * 1024
+}
+
+/// Prepares a new replica that copies from voters with these turns; `None` if it isn't prepared within the limit.
+pub fn prepare_new_member(kept: KeptTurns, limit: Duration) -> Option<Prepared> {
     let folder = tempfile::tempdir().expect("a folder");
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -231,18 +248,20 @@
         let mut voters = Vec::new();
         for replica in &replicas {
             let voter = BusyVoter::start(replica, &groups).await;
-            (0..kept_turns).for_each(|number| voter.keep(number));
+            (0..kept.count).for_each(|number| voter.keep(number, kept.output_bytes));
             voters.push(voter);
         }
-        tokio::task::spawn_local(keep_more_turns(voters.clone(), kept_turns, turns_per_tick));
+        tokio::task::spawn_local(keep_more_turns(voters.clone(), kept));
         let to = identity(folder.path());
         let address = start_replica(folder.path());
         let group = GROUP;
         let request = PrepareRequest { to, group, groups };
+        let peak_before = peak_memory();
         let took = prepare(address, request, limit).await?;
         let sent_turns = voters.iter().map(|voter| voter.sent_turns.get());
         Some(Prepared {
             took,
+            memory_growth: peak_memory() - peak_before,
             sent_turns: sent_turns.collect(),
         })
     })
