An engine's entry with many values takes little memory

Cause: an entry may have a megabyte, and its spec was taken apart into values whatever it held. A text like [{"":0},{"":0},..] takes a hundred times its bytes, and a list holds the entries of all pages.

Fix: an entry of an engine whose text has over 2,048 brackets and commas is a malformed one, without being taken apart; its name and revision are still read, so that the list goes on behind it. Kinds of objects that the operators or the product write have no such limit.

--- a/crates/resident/src/store_watch.rs
+++ b/crates/resident/src/store_watch.rs
@@ -265,7 +265,7 @@
         let call = watch(self.kind, revision, wait);
         let sent_at = Instant::now();
         let body = call_store(&self.store, call, timeout).await?;
-        let batch = read_watch(&body)?;
+        let batch = read_watch(self.kind, &body)?;
         // An answer without a change confirms the whole wait: the store sends it only when the wait is over.
         let has_waited = batch.events.is_empty() && sent_at.elapsed() >= wait;
         let as_of = if has_waited { sent_at + wait } else { sent_at };
@@ -379,7 +379,7 @@
     loop {
         let call = list(kind, after.as_deref());
         let body = call_store(store, call, REPLY_TIMEOUT).await?;
-        let page = read_listing(&body)?;
+        let page = read_listing(kind, &body)?;
         match listed.add(page, body.len())? {
             NextPage::After(name) => after = Some(name),
             NextPage::None => return Ok(listed.finish()),
