--- a/crates/gateway/src/role.rs
+++ b/crates/gateway/src/role.rs
@@ -131,8 +131,8 @@
     );
 }
 
-/// Waits until all requests are answered and settled, their clients have been sent the answers, and all permits are settled. Open connections may still bring
-/// requests, so the gateway has to be idle for a moment before it stops.
+/// Waits until all requests are answered and settled, their clients have been sent the answers, and all permits are settled. Open
+/// connections may still bring requests, so the gateway has to be idle for a moment before it stops.
 async fn finish(gateway: &Rc<Gateway>, deadline: Instant) {
     while Instant::now() < deadline {
         if !is_answered(gateway) {
--- a/crates/node/tests/resident_endless_bytes.rs
+++ b/crates/node/tests/resident_endless_bytes.rs
@@ -1,4 +1,9 @@
 //! Engines that send bytes without end, until the gateway closes the connection.
+//!
+//! One test plays at a time: forty endless answers take whatever processor time the machine has, and each test asks that requests
+//! beside its own are served in time.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use ridgeworks_platform_stand_ins::client::{Call, Reply, call_get, call_post};
 use ridgeworks_platform_stand_ins::deployment::{Deployment, Process, wait_until};
@@ -11,6 +16,13 @@
 /// Half of the memory in the settings of a gateway.
 const MAX_MEMORY_KIB: u64 = 110 * KIB;
 
+static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+
+/// Waits for the other tests of this file.
+fn wait_for_turn() -> MutexGuard<'static, ()> {
+    ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Largest memory that a process has had, in KiB.
 fn peak_memory_kib(process: &Process) -> u64 {
     let id = process.id().expect("a running process");
@@ -45,6 +57,7 @@
 /// Sends calls at the same time to engines of `service` that send this part without end, and turns to other engines beside them.
 /// Checks the gateway's memory, that the connections are closed, and the requests beside; returns the calls' answers.
 fn send_beside_turns(service: &str, part: AnswerPart, call: fn(&str) -> Call) -> Vec<Reply> {
+    let _turn = wait_for_turn();
     let deployment = Deployment::started(PROGRAM, 1, 3);
     let endless = start_engines(&deployment, service, Answer::Endless(part));
     let honest = ["models", "tools"]
@@ -165,6 +178,7 @@
 #[test]
 fn a_large_answer_is_served() {
     const LARGE: usize = 8 * 1024 * 1024;
+    let _turn = wait_for_turn();
     let deployment = Deployment::started(PROGRAM, 1, 0);
     let body = "x".repeat(LARGE);
     let _engine = deployment.start_engine("tools", "i-1", Script::always(Answer::Whole(body)));
--- a/crates/resident/src/listen.rs
+++ b/crates/resident/src/listen.rs
@@ -1,8 +1,7 @@
 //! Sockets at the addresses of the settings.
 //!
-//! When a process starts, an address may be taken for a while, by the process before it or by a connection that was given its port,
-//! or the machine may not have it yet, or lack what a socket
-//! takes. The process waits for it instead of ending.
+//! When a process starts, an address may be taken for a while, by the process before it or by a connection that was given its port.
+//! The machine may not have it yet, or lack what a socket takes. The process waits instead of ending.
 
 use std::fmt;
 use std::future::Future;
